End a client's connection before a request that is framed two ways

Its neighbours are closed too: codings in HTTP/1.0, a length said twice, folded lines, bare line feeds, a GET with a body, OPTIONS *.

--- /dev/null
+++ b/internal/sidecar/framing.go
@@ -0,0 +1,123 @@
+package sidecar
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"strconv"
+	"strings"
+)
+
+// mostHead is how many bytes of a head are looked at: what http.Server reads of one before it gives up.
+const mostHead = mostHeader + 4096
+
+const mostKept = 1 << 10 // bytes of a line's buffer that a connection keeps
+
+var errFraming = errors.New("ambiguous framing")
+
+// framedConn is a client's connection that ends before a head whose body's end could be read in two ways.
+//
+// Danger: http.Server lets Transfer-Encoding win over Content-Length, ignores it in HTTP/1.0, joins folded lines and
+// takes a bare line feed for a line's end. A peer or a server that reads the same bytes otherwise sees the rest of the
+// body as a request, and one that no client sent would run. So heads are checked here, where they are still bytes, and
+// http.Server gets no last byte of one that is not plain.
+type framedConn struct {
+	*net.TCPConn
+	line   []byte // of the head, without its end; bounded by mostHead
+	seen   int    // bytes of the head
+	length int64  // Content-Length; -1: none yet
+	chunks bool   // Transfer-Encoding: chunked
+	old    bool   // not HTTP/1.1
+	body   int64  // bytes of a body still to come
+	last   bool   // what follows is not looked at: the server closes the connection behind this request
+	fault  error
+}
+
+func newFramedConn(c *net.TCPConn) *framedConn { return &framedConn{TCPConn: c, length: -1} }
+
+// Read implements net.Conn.
+func (c *framedConn) Read(p []byte) (int, error) {
+	if c.fault != nil {
+		return 0, c.fault
+	}
+	n, err := c.TCPConn.Read(p)
+	if good := c.check(p[:n]); good < n {
+		c.fault = errFraming
+		if good == 0 {
+			return 0, c.fault
+		}
+		return good, nil
+	}
+	return n, err
+}
+
+// check follows the framing through p, and tells how many bytes of it lie before a line that is not plain.
+func (c *framedConn) check(p []byte) int {
+	for at := 0; at < len(p) && !c.last; {
+		if c.body > 0 {
+			skip := min(c.body, int64(len(p)-at))
+			c.body -= skip
+			at += int(skip)
+			continue
+		}
+		end := bytes.IndexByte(p[at:], '\n')
+		if end < 0 {
+			end = len(p) - at
+		} else {
+			end++
+		}
+		c.line = append(c.line, p[at:at+end]...)
+		if c.seen += end; c.seen > mostHead {
+			return at
+		}
+		if c.line[len(c.line)-1] == '\n' {
+			if !c.endLine() {
+				return at
+			}
+			if c.line = c.line[:0]; cap(c.line) > mostKept {
+				c.line = nil
+			}
+		}
+		at += end
+	}
+	return len(p)
+}
+
+// endLine takes in a line of the head, and tells whether it is plain.
+func (c *framedConn) endLine() bool {
+	line, ok := strings.CutSuffix(string(c.line), "\r\n")
+	first := c.seen == len(c.line)
+	switch {
+	case !ok || strings.Contains(line, "\r") || first && line == "":
+		return false
+	case first:
+		c.old = !strings.HasSuffix(line, " HTTP/1.1")
+		return true
+	case line == "":
+		return c.endHead()
+	case line[0] == ' ' || line[0] == '\t':
+		return false
+	}
+	name, value, _ := strings.Cut(line, ":")
+	value = strings.Trim(value, " \t")
+	switch {
+	case strings.EqualFold(name, "Content-Length"):
+		n, err := strconv.ParseUint(value, 10, 63)
+		ok = err == nil && c.length < 0
+		c.length = int64(n)
+	case strings.EqualFold(name, "Transfer-Encoding"):
+		ok = !c.chunks && strings.EqualFold(value, "chunked")
+		c.chunks = true
+	}
+	return ok
+}
+
+// endHead turns to the body, and tells whether its end is plain.
+func (c *framedConn) endHead() bool {
+	if c.chunks && (c.old || c.length >= 0) {
+		return false
+	}
+	c.last, c.body = c.chunks, max(c.length, 0)
+	c.seen, c.length, c.chunks, c.old = 0, -1, false, false
+	return true
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -114,10 +114,13 @@
 // resets them, so the end comes only after a round in which none was found.
 func (l *drainListener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.TCPListener.Accept()
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c, err := l.AcceptTCP()
+		if err == nil {
 			l.taken = true
-			return c, err
+			return newFramedConn(c), nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err
 		}
 		if l.rounds > 0 && !l.taken || l.rounds == mostRounds {
 			return nil, net.ErrClosed
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -46,7 +46,7 @@
 // httpServer returns the HTTP server that serves s.
 func (s *server) httpServer(log *slog.Logger) *http.Server {
 	return &http.Server{Handler: s, ReadHeaderTimeout: headerWithin, IdleTimeout: idleWithin,
-		MaxHeaderBytes: mostHeader, ConnState: s.count, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+		MaxHeaderBytes: mostHeader, DisableGeneralOptionsHandler: true, ConnState: s.count, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 }
 
 // count keeps count of the connections.
@@ -65,7 +65,8 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	// Danger: a client that hoards connections would take the descriptors that attempts need.
-	if s.draining.Load() || s.conns.Load() > s.crowd {
+	// Behind a body in chunks, framedConn does not look for the next head.
+	if s.draining.Load() || s.conns.Load() > s.crowd || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	switch {
@@ -139,6 +140,9 @@
 	if f.allow != "" {
 		w.Header().Set("Allow", f.allow)
 	}
+	if f.status < http.StatusInternalServerError {
+		w.Header().Set("Connection", "close") // a peer that sends nonsense is not worth a descriptor
+	}
 	http.Error(w, f.text, f.status)
 }
 
@@ -164,6 +168,10 @@
 	if r.Method == http.MethodGet && effect != balance.Idempotent {
 		return nil, 0, &fault{http.StatusMethodNotAllowed, "the class is not safe to repeat", http.MethodPost}
 	}
+	// Danger: a server that expects no body behind a GET takes it for the next request.
+	if r.Method == http.MethodGet && r.ContentLength != 0 {
+		return bad("a GET has no body")
+	}
 	if c.key == "" && effect == balance.Deduplicated {
 		return bad("Idempotency-Key is missing")
 	}
