--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 )
 
 // mostHead is how many bytes of a head are looked at: what http.Server reads of one before it gives up.
@@ -31,9 +32,13 @@
 	body   int64  // bytes of a body still to come
 	last   bool   // what follows is not looked at: the server closes the connection behind this request
 	fault  error
+
+	improper *atomic.Int64 // counts the connections ended here
 }
 
-func newFramedConn(c *net.TCPConn) *framedConn { return &framedConn{TCPConn: c, length: -1} }
+func newFramedConn(c *net.TCPConn, improper *atomic.Int64) *framedConn {
+	return &framedConn{TCPConn: c, length: -1, improper: improper}
+}
 
 // Read implements net.Conn.
 func (c *framedConn) Read(p []byte) (int, error) {
@@ -43,6 +48,7 @@
 	n, err := c.TCPConn.Read(p)
 	if good := c.check(p[:n]); good < n {
 		c.fault = errFraming
+		c.improper.Add(1)
 		if good == 0 {
 			return 0, c.fault
 		}
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -52,6 +52,7 @@
 // host runs the Balancer. Its loop is the only goroutine that touches it; everything that happens is posted to it.
 type host struct {
 	log       *slog.Logger
+	counts    *counts
 	origin    time.Time
 	upstream  *upstream
 	discovery *discovery
@@ -79,8 +80,9 @@
 
 // newHost returns a host whose attempts and watches end with ctx.
 func newHost(ctx context.Context, c *Config, log *slog.Logger) (*host, error) {
-	h := &host{log: log, origin: time.Now().Add(-originAge), ready: make(chan struct{}), wake: make(chan struct{}, 1),
-		upstream:  newUpstream(c.Limits.ConnectTimeout, c.Limits.IdleClose, c.Sockets),
+	n := &counts{}
+	h := &host{log: log, counts: n, origin: time.Now().Add(-originAge), ready: make(chan struct{}), wake: make(chan struct{}, 1),
+		upstream:  newUpstream(c.Limits.ConnectTimeout, c.Limits.IdleClose, c.Sockets, n),
 		discovery: newDiscovery(c.Discovery, c.Limits.ConnectTimeout),
 		calls:     map[balance.RequestID]*call{}, rev: -1, ctx: ctx}
 	h.now = h.clock()
@@ -152,6 +154,7 @@
 }
 
 func (h *host) begin(c *call) {
+	h.counts.requests.Add(1)
 	h.last++
 	c.number = h.last
 	h.calls[c.number] = c
@@ -164,10 +167,13 @@
 	if c.over {
 		return
 	}
-	if overdue {
+	if !overdue {
+		h.counts.gone.Add(1)
+		c.over = true
+	} else {
 		h.log.Warn("request overdue", "class", c.class)
+		h.answer(c, answer{kind: failed})
 	}
-	h.answer(c, answer{kind: failed})
 	h.balancer.ClientGone(h.now, c.number)
 	h.forget(c)
 }
@@ -176,6 +182,14 @@
 func (h *host) answer(c *call, a answer) {
 	if c != nil && !c.over {
 		c.over = true
+		switch a.kind {
+		case served:
+			h.counts.served.Add(1)
+		case refused:
+			h.counts.refused.Add(1)
+		case failed:
+			h.counts.failed.Add(1)
+		}
 		c.answered <- a
 	}
 }
@@ -219,6 +233,7 @@
 		h.answer(c, answer{kind: served, body: r.body, ctype: r.ctype})
 	}
 	c.out--
+	h.counts.attempts[r.outcome].Add(1)
 	h.balancer.Result(h.now, balance.Result{ID: c.number, Attempt: n, Endpoint: endpoint, Outcome: r.outcome,
 		Took: h.now - sent, Finished: c.over})
 	h.forget(c)
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -59,7 +60,12 @@
 	defer cancel()
 
 	s := newServer(c, h)
-	l := &drainListener{TCPListener: inner, quiet: times.quiet}
+	loop.Add(1)
+	go func() {
+		defer loop.Done()
+		s.keepCounts(ctx, log)
+	}()
+	l := &drainListener{TCPListener: inner, quiet: times.quiet, improper: &s.counts.improper}
 	web := s.httpServer(log)
 	ended := make(chan error, 1)
 	go func() { ended <- web.Serve(l) }()
@@ -97,9 +103,10 @@
 // drainListener goes on accepting for some time after it is told to stop.
 type drainListener struct {
 	*net.TCPListener
-	quiet  time.Duration
-	rounds int  // of looking for connections left waiting; 0: not yet
-	taken  bool // one in this round
+	quiet    time.Duration
+	rounds   int           // of looking for connections left waiting; 0: not yet
+	taken    bool          // one in this round
+	improper *atomic.Int64 // counts connections ended for their framing
 }
 
 // mostRounds bounds how long connections that keep coming hold the end up.
@@ -117,7 +124,7 @@
 		c, err := l.AcceptTCP()
 		if err == nil {
 			l.taken = true
-			return newFramedConn(c), nil
+			return newFramedConn(c, l.improper), nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -33,6 +33,7 @@
 	held     atomic.Int64
 	draining atomic.Bool
 	active   atomic.Int64 // handlers at work
+	counts   *counts
 }
 
 func newServer(c *Config, h *host) *server {
@@ -40,7 +41,7 @@
 	if c.Limits.MostHeld > 0 {
 		most = min(most, c.Limits.MostHeld)
 	}
-	return &server{host: h, config: c, most: int64(most), crowd: int64(c.Sockets / 2)}
+	return &server{host: h, config: c, most: int64(most), crowd: int64(c.Sockets / 2), counts: h.counts}
 }
 
 // httpServer returns the HTTP server that serves s.
@@ -98,6 +99,7 @@
 func (s *server) api(w http.ResponseWriter, r *http.Request, came time.Time) {
 	c, wait, f := s.parse(r)
 	if f != nil {
+		s.counts.improper.Add(1)
 		f.write(w)
 		return
 	}
@@ -114,6 +116,7 @@
 		if long := new(http.MaxBytesError); errors.As(err, &long) {
 			f = &fault{http.StatusRequestEntityTooLarge, "body too large", ""}
 		}
+		s.counts.improper.Add(1)
 		f.write(w)
 		return
 	}
@@ -121,6 +124,7 @@
 	_ = conn.SetReadDeadline(time.Time{})
 	defer s.held.Add(-1)
 	if s.held.Add(1) > s.most {
+		s.counts.busy.Add(1)
 		(&fault{http.StatusServiceUnavailable, "too many requests held", ""}).write(w)
 		return
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -44,6 +44,7 @@
 	connect time.Duration
 	idle    time.Duration
 	maxIdle int
+	counts  *counts
 
 	mu      sync.Mutex
 	targets map[string]*target
@@ -55,11 +56,11 @@
 	pool    *http.Transport
 }
 
-func newUpstream(connect, idleClose time.Duration, sockets int) *upstream {
+func newUpstream(connect, idleClose time.Duration, sockets int, n *counts) *upstream {
 	// Danger: a server closes a connection that has idled too long, and what crosses that close is a reset that may
 	// have run. Half the server's time keeps well clear of it.
 	return &upstream{connect: connect, idle: idleClose / 2, maxIdle: max(sockets/idlePerSockets, 2),
-		targets: map[string]*target{}}
+		counts: n, targets: map[string]*target{}}
 }
 
 // update takes in a list: where each server listens now.
@@ -96,6 +97,7 @@
 	dialer := &net.Dialer{Timeout: u.connect, KeepAlive: -1}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			u.counts.dials.Add(1)
 			c, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
@@ -144,9 +146,11 @@
 	}
 	var conn *meteredConn
 	var before int64
+	began := time.Now()
 	req := m.request(to.address)
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			u.counts.connected(info.Reused, time.Since(began))
 			if conn, _ = info.Conn.(*meteredConn); conn != nil {
 				before, _ = conn.meter()
 			}
