Count a server's 4xx answer against the request, not against the server

Peers that reuse a request's id with another query get 400 from every server. A 4xx is now the request's final answer, and the module learns nothing from it. 408 and 429 still blame the server.

Ruled out: the limit on requests held (busy=0) and slow connects (connect_ms at most 15).

--- a/internal/sidecar/counts.go
+++ b/internal/sidecar/counts.go
@@ -21,6 +21,7 @@
 	gone     atomic.Int64 // left by their client
 	busy     atomic.Int64 // beyond what may be held
 	improper atomic.Int64 // answered 4xx, or ended for their framing
+	blamed   atomic.Int64 // attempts answered 4xx
 	dials    atomic.Int64 // to servers
 	reused   atomic.Int64 // attempts on a connection that had idled
 
@@ -47,7 +48,7 @@
 	}
 	log.Info("counts", "conns", conns, "held", held, "requests", n.requests.Swap(0), "served", n.served.Swap(0),
 		"refused", n.refused.Swap(0), "failed", n.failed.Swap(0), "gone", n.gone.Swap(0), "busy", n.busy.Swap(0),
-		"improper", n.improper.Swap(0), slog.Group("attempts", attempts...), "dials", n.dials.Swap(0),
+		"improper", n.improper.Swap(0), "blamed", n.blamed.Swap(0), slog.Group("attempts", attempts...), "dials", n.dials.Swap(0),
 		"reused", n.reused.Swap(0), "connect_ms", time.Duration(n.slowest.Swap(0)).Milliseconds())
 }
 
--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -208,14 +208,34 @@
 func (addressLog) Enabled(context.Context, slog.Level) bool { return true }
 
 // Handle implements slog.Handler.
-func (l addressLog) Handle(_ context.Context, r slog.Record) error {
+func (l addressLog) Handle(ctx context.Context, r slog.Record) error {
 	r.Attrs(func(a slog.Attr) bool {
 		if a.Key == "address" {
 			l.address <- a.Value.String()
 		}
 		return true
 	})
-	return nil
+	return l.Handler.Handle(ctx, r)
+}
+
+// logText keeps the messages of a log.
+type logText struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// String implements fmt.Stringer.
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 // program is a running sidecar.
@@ -238,9 +258,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startLogging(t, c, io.Discard, times)
+}
+
+// startLogging starts a sidecar whose log also goes to text.
+func startLogging(t *testing.T, c *Config, text io.Writer, times drainTimes) *program {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &program{t: t, stop: cancel, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
-	log := addressLog{slog.DiscardHandler, make(chan string, 1)}
+	log := addressLog{slog.NewTextHandler(text, nil), make(chan string, 1)}
 	var over sync.WaitGroup
 	over.Add(1)
 	go func() {
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -232,6 +232,13 @@
 	if r.outcome == balance.Served {
 		h.answer(c, answer{kind: served, body: r.body, ctype: r.ctype})
 	}
+	// Danger: one peer's nonsense, tried again elsewhere, would eject a whole fleet of sound servers. What a server
+	// blames on the request is its final answer, and says nothing of the server.
+	if r.blamed {
+		h.counts.blamed.Add(1)
+		h.answer(c, answer{kind: failed})
+		r.outcome = balance.Cancelled
+	}
 	c.out--
 	h.counts.attempts[r.outcome].Add(1)
 	h.balancer.Result(h.now, balance.Result{ID: c.number, Attempt: n, Endpoint: endpoint, Outcome: r.outcome,
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -67,6 +67,45 @@
 	}
 }
 
+// TestBlamedRequests has servers find fault with some requests: each of those is sent once and fails, and costs no server
+// its turns.
+func TestBlamedRequests(t *testing.T) {
+	do := func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Header.Get("X-Request-ID") == "unheard-of" {
+			return say(400, "", "who?")(c, r, body)
+		}
+		return say(200, "", "ok")(c, r, body)
+	}
+	backends := []*backend{startBackend(t, do), startBackend(t, do), startBackend(t, do), startBackend(t, do)}
+	log := &logText{}
+	c, err := load(t, configText(startRegistry(t).address, serving(1, backends...), testSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := startLogging(t, c, log, drainTimes{quiet: time.Millisecond, finish: patience})
+	const bad = 20
+	for range bad {
+		r := p.request(context.Background(), "read", "50000")
+		r.Header.Set("X-Request-ID", "unheard-of")
+		if g := p.do(r); g.err != nil || g.status != 502 {
+			t.Errorf("status %d, error %v, want 502", g.status, g.err)
+		}
+	}
+	came := 0
+	for _, b := range backends {
+		came += b.count()
+	}
+	if came != bad {
+		t.Errorf("%d attempts for %d requests", came, bad)
+	}
+	if strings.Contains(log.String(), "ejected") {
+		t.Errorf("sound servers are ejected:\n%s", log)
+	}
+	if g := p.ask("pay"); g.status != 200 {
+		t.Errorf("the next request: %+v", g)
+	}
+}
+
 // TestNoServer has every server refuse connections: nothing ran, so the refusal comes at once, for every class.
 func TestNoServer(t *testing.T) {
 	l := listen(t)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -35,6 +35,7 @@
 // reply is how an attempt ended. body and ctype are those of a Served one.
 type reply struct {
 	outcome balance.Outcome
+	blamed  bool // the server found fault with the request, not with itself
 	body    []byte
 	ctype   string
 }
@@ -230,6 +231,8 @@
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1":
 		return reply{outcome: balance.Saturated}, nil
+	case status >= 400 && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests:
+		return reply{outcome: balance.Errored, blamed: true}, nil
 	}
 	return reply{outcome: balance.Errored}, nil
 }
