End a connection whose request is not whole within two seconds

Peers that connect and say nothing, or half a request, held a descriptor for 10 s, or for as long as their X-Timeout-Ms said.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -18,8 +18,8 @@
 	// socketsPerCall is how many descriptors a request may take: its client's connection, its attempt's, and one
 	// that is being closed or idles.
 	socketsPerCall = 3
-	spareSockets   = 32 // for the listener, discovery and the runtime
-	headerWithin   = 10 * time.Second
+	spareSockets   = 32              // for the listener, discovery and the runtime
+	requestWithin  = 2 * time.Second // from its connection or its first byte a request must be whole
 	idleWithin     = 2 * time.Minute // a client's connection may idle
 )
 
@@ -46,7 +46,7 @@
 
 // httpServer returns the HTTP server that serves s.
 func (s *server) httpServer(log *slog.Logger) *http.Server {
-	return &http.Server{Handler: s, ReadHeaderTimeout: headerWithin, IdleTimeout: idleWithin,
+	return &http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: idleWithin,
 		MaxHeaderBytes: mostHeader, DisableGeneralOptionsHandler: true, ConnState: s.count, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 }
 
@@ -104,13 +104,15 @@
 		return
 	}
 	c.deadline = came.Add(wait - answerMargin)
-	// Danger: a body that never ends would hold its connection for good.
+	// Danger: a body that never ends would hold its connection for good. The server's own deadline still holds.
 	conn := http.NewResponseController(w)
-	err := conn.SetReadDeadline(came.Add(wait))
-	if err != nil {
-		(&fault{http.StatusInternalServerError, "no deadline", ""}).write(w)
-		return
+	if wait < requestWithin {
+		if err := conn.SetReadDeadline(came.Add(wait)); err != nil {
+			(&fault{http.StatusInternalServerError, "no deadline", ""}).write(w)
+			return
+		}
 	}
+	var err error
 	if c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody)); err != nil {
 		f = &fault{http.StatusBadRequest, "body ended early", ""}
 		if long := new(http.MaxBytesError); errors.As(err, &long) {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -525,6 +527,45 @@
 	}
 }
 
+// TestSilentPeers has peers that say nothing, or stop in the middle of a request whose time is long: their connections
+// end within 3 s.
+func TestSilentPeers(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	const head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: i\r\nX-Priority-Class: pay\r\nX-Timeout-Ms: 50000\r\n"
+	for name, text := range map[string]string{"nothing": "", "half a line": "POST /a", "half a head": head,
+		"half a body": head + "Content-Length: 10\r\n\r\nhalf", "half a chunk": head + "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", p.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			began := time.Now()
+			if err := c.SetReadDeadline(began.Add(patience)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(c, text); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("the connection did not end")
+			}
+			if took := time.Since(began); took > mostSilence {
+				t.Errorf("it took %v", took)
+			}
+			if n := b.count(); n != 0 {
+				t.Errorf("%d attempts for half a request", n)
+			}
+		})
+	}
+}
+
+// mostSilence is well above the 3 s of the terms, so that a loaded machine does not fail, and well under what a
+// forgotten deadline takes.
+const mostSilence = 9 * time.Second
+
 // TestCrowd has clients hold more connections than the descriptors bear: they are asked to close them.
 func TestCrowd(t *testing.T) {
 	b := startBackend(t, say(200, "", "ok"))
