--- a/internal/sidecar/counts.go
+++ b/internal/sidecar/counts.go
@@ -41,12 +41,12 @@
 }
 
 // report logs the counts and starts them anew.
-func (n *counts) report(log *slog.Logger, conns, held int64) {
+func (n *counts) report(log *slog.Logger, w *crowd, held int64) {
 	attempts := make([]any, len(n.attempts))
 	for i := range n.attempts {
 		attempts[i] = slog.Int64(outcomeNames[i], n.attempts[i].Swap(0))
 	}
-	log.Info("counts", "conns", conns, "held", held, "requests", n.requests.Swap(0), "served", n.served.Swap(0),
+	log.Info("counts", "conns", w.count.Load(), "crowded", w.closed.Swap(0), "held", held, "requests", n.requests.Swap(0), "served", n.served.Swap(0),
 		"refused", n.refused.Swap(0), "failed", n.failed.Swap(0), "gone", n.gone.Swap(0), "busy", n.busy.Swap(0),
 		"improper", n.improper.Swap(0), "blamed", n.blamed.Swap(0), slog.Group("attempts", attempts...), "dials", n.dials.Swap(0),
 		"reused", n.reused.Swap(0), "connect_ms", time.Duration(n.slowest.Swap(0)).Milliseconds())
@@ -59,7 +59,7 @@
 	for {
 		select {
 		case <-tick.C:
-			s.counts.report(log, s.conns.Load(), s.held.Load())
+			s.counts.report(log, s.crowd, s.held.Load())
 		case <-ctx.Done():
 			return
 		}
--- /dev/null
+++ b/internal/sidecar/crowd.go
@@ -0,0 +1,87 @@
+package sidecar
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// idleAtLeast is how long a client's connection must have idled before it may be closed to make room.
+const idleAtLeast = 2 * time.Second
+
+// crowd keeps the clients' connections within what the descriptors bear.
+//
+// Danger: a peer that hoards connections takes the descriptors that attempts need, and one that asks all clients to
+// close theirs for it makes the busy ones pay. So those that idle go first, the longest idle before the others.
+type crowd struct {
+	some   int          // above it, connections that idle are closed and clients are asked to close theirs
+	most   int          // above it, none is let in
+	closed atomic.Int64 // to make room
+	count  atomic.Int64
+
+	mu    sync.Mutex
+	conns map[net.Conn]standing
+}
+
+// standing is the state that a connection is in, and since when.
+type standing struct {
+	state http.ConnState
+	since time.Time
+}
+
+func newCrowd(sockets int) *crowd {
+	return &crowd{some: sockets / 2, most: sockets/2 + sockets/12, conns: map[net.Conn]standing{}}
+}
+
+// full tells whether clients should close their connections.
+func (w *crowd) full() bool { return w.count.Load() > int64(w.some) }
+
+// note takes in that a connection has changed its state.
+func (w *crowd) note(c net.Conn, state http.ConnState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(w.conns, c)
+	} else {
+		w.conns[c] = standing{state, now}
+	}
+	w.count.Store(int64(len(w.conns)))
+	if state != http.StateNew && state != http.StateIdle {
+		return
+	}
+	for len(w.conns) > w.some && w.end(http.StateIdle, now.Add(-idleAtLeast)) {
+	}
+	if len(w.conns) > w.most && !w.end(http.StateNew, now.Add(-idleAtLeast/2)) && state == http.StateNew {
+		w.close(c)
+	}
+}
+
+// end closes the connection that has been longest in a state, if it has been since before a time, and tells whether
+// there was one.
+func (w *crowd) end(state http.ConnState, before time.Time) bool {
+	var found net.Conn
+	for c, s := range w.conns {
+		if s.state == state && s.since.Before(before) {
+			found, before = c, s.since
+		}
+	}
+	if found != nil {
+		w.close(found)
+	}
+	return found != nil
+}
+
+// close ends a connection that has no request. Danger: a request that has just been read would run, and its answer be
+// lost. So one that idled is only kept from waiting any longer: its server closes it unless there is a request.
+func (w *crowd) close(c net.Conn) {
+	idle := w.conns[c].state == http.StateIdle
+	delete(w.conns, c)
+	w.count.Store(int64(len(w.conns)))
+	w.closed.Add(1)
+	if !idle || c.SetReadDeadline(time.Unix(1, 0)) != nil {
+		_ = c.Close() // its server learns of it when it reads
+	}
+}
--- /dev/null
+++ b/internal/sidecar/crowd_test.go
@@ -0,0 +1,132 @@
+package sidecar
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// closer is a connection that knows whether it was closed.
+type closer struct {
+	net.Conn
+	closed bool
+}
+
+// Close implements net.Conn.
+func (c *closer) Close() error {
+	c.closed = true
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *closer) SetReadDeadline(t time.Time) error {
+	c.closed = c.closed || t.Before(time.Now())
+	return nil
+}
+
+// age moves what the crowd knows of some connections into the past.
+func (w *crowd) age(by time.Duration, conns ...*closer) {
+	for _, c := range conns {
+		s := w.conns[c]
+		s.since = s.since.Add(-by)
+		w.conns[c] = s
+	}
+}
+
+// TestHoard has a peer take connections that it leaves idle: they go, longest idle first, and no busy one is asked to.
+func TestHoard(t *testing.T) {
+	w := newCrowd(48) // 24 and 28
+	var idle, busy []*closer
+	for i := range 24 {
+		c := &closer{}
+		w.note(c, http.StateNew)
+		w.note(c, http.StateActive)
+		if i%2 == 0 {
+			w.note(c, http.StateIdle)
+			idle = append(idle, c)
+		} else {
+			busy = append(busy, c)
+		}
+	}
+	w.age(time.Minute, idle[3])
+	w.age(idleAtLeast+time.Second, idle[4])
+	for i, want := range []*closer{idle[3], idle[4], nil} {
+		if w.full() {
+			t.Fatalf("full with %d connections", w.count.Load())
+		}
+		w.note(&closer{}, http.StateNew)
+		for j, c := range append(idle, busy...) {
+			if c.closed != (c == want || c == idle[3] || i > 0 && c == idle[4]) {
+				t.Errorf("after %d more: connection %d closed: %v", i+1, j, c.closed)
+			}
+		}
+	}
+	if !w.full() {
+		t.Error("not full, though none has idled long")
+	}
+}
+
+// TestNoRoom has connections come of which none has idled: those that sent nothing for long give way, then none is let in.
+func TestNoRoom(t *testing.T) {
+	w := newCrowd(48)
+	silent := &closer{}
+	w.note(silent, http.StateNew)
+	w.age(idleAtLeast, silent)
+	for range 27 {
+		c := &closer{}
+		w.note(c, http.StateNew)
+		w.note(c, http.StateActive)
+	}
+	next, last := &closer{}, &closer{}
+	w.note(next, http.StateNew)
+	if !silent.closed || next.closed {
+		t.Errorf("silent one closed: %v, newcomer: %v", silent.closed, next.closed)
+	}
+	w.note(last, http.StateNew)
+	if !last.closed || w.count.Load() != 28 {
+		t.Errorf("newcomer closed: %v, connections %d", last.closed, w.count.Load())
+	}
+	w.note(last, http.StateClosed) // as its server says later
+	if w.count.Load() != 28 {
+		t.Errorf("connections %d after a close told twice", w.count.Load())
+	}
+}
+
+// TestHoardOnSockets has a peer's idle connections end for a client's, which is not asked to close its own.
+func TestHoardOnSockets(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	config := strings.Replace(configText(startRegistry(t).address, serving(1, b), testSettings), `"sockets":1024`, `"sockets":64`, 1)
+	p := start(t, config)
+	ends := make(chan error, 40)
+	for range 34 {
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		in := bufio.NewReader(c)
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+		go func() {
+			_, err := in.ReadByte()
+			ends <- err
+		}()
+	}
+	time.Sleep(idleAtLeast + 100*time.Millisecond)
+	if g := p.ask("pay"); g.status != 200 || g.closing {
+		t.Errorf("answer %+v", g)
+	}
+	for range 3 {
+		if err := within(t, ends, "end of an idle connection"); err != io.EOF {
+			t.Errorf("an idle connection ended with %v", err)
+		}
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -28,8 +27,7 @@
 	host     *host
 	config   *Config
 	most     int64 // requests held at once
-	crowd    int64 // connections above which clients are asked to close theirs
-	conns    atomic.Int64
+	crowd    *crowd
 	held     atomic.Int64
 	draining atomic.Bool
 	active   atomic.Int64 // handlers at work
@@ -41,23 +39,14 @@
 	if c.Limits.MostHeld > 0 {
 		most = min(most, c.Limits.MostHeld)
 	}
-	return &server{host: h, config: c, most: int64(most), crowd: int64(c.Sockets / 2), counts: h.counts}
+	return &server{host: h, config: c, most: int64(most), crowd: newCrowd(c.Sockets), counts: h.counts}
 }
 
 // httpServer returns the HTTP server that serves s.
 func (s *server) httpServer(log *slog.Logger) *http.Server {
 	return &http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: idleWithin,
-		MaxHeaderBytes: mostHeader, DisableGeneralOptionsHandler: true, ConnState: s.count, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
-}
-
-// count keeps count of the connections.
-func (s *server) count(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		s.conns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		s.conns.Add(-1)
-	}
+		MaxHeaderBytes: mostHeader, DisableGeneralOptionsHandler: true, ConnState: s.crowd.note,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 }
 
 // ServeHTTP implements http.Handler.
@@ -65,9 +54,8 @@
 	came := time.Now()
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	// Danger: a client that hoards connections would take the descriptors that attempts need.
 	// Behind a body in chunks, framedConn does not look for the next head.
-	if s.draining.Load() || s.conns.Load() > s.crowd || len(r.TransferEncoding) > 0 {
+	if s.draining.Load() || s.crowd.full() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	switch {
