Hold no server closed for an answer that later ones have passed

An attempt that four later answers of its server have passed is now lost: it is not owed any more, its time-out says nothing of the server's pace, and it counts as a fault only as far as the successes since have left of it.

Ruled out: requests held (busy=0), connects (connect_ms at most 6), clients that leave, whose share stays.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -91,7 +91,7 @@
 			e.open = e.State == Ready && (b.panicking || now >= e.until) && b.mayGo(q, e, now) && b.coldRoom(e)
 			if excess := b.expect(e, now) - limit; e.open {
 				late = min(late, excess)
-				e.open = excess <= 0 && e.owed(now) <= bar*float64(e.inFlight)
+				e.open = excess <= 0 && e.owed(now) <= bar*float64(e.awaited())
 			}
 		}
 		if to = b.turn(); to != nil {
@@ -103,10 +103,9 @@
 }
 
 func (b *Balancer) send(q *request, to *endpoint, now Time) {
-	to.inFlight++
-	to.sent += now
+	held := float64(to.awaited()+1) + unseen
 	q.out++
-	q.attempts = append(q.attempts, attempt{to: to, sent: now, held: float64(to.inFlight) + unseen})
+	q.attempts = append(q.attempts, attempt{to: to, sent: now, held: held, flight: to.depart(now)})
 	b.sends++
 	to.last = b.sends
 	b.act.Send(q.ID, to.ID, 0)
@@ -144,8 +143,7 @@
 	a := &q.attempts[r.Attempt]
 	a.done = true
 	a.mayRun = r.Outcome != Saturated && r.Outcome != ConnectFailed && r.Outcome != NotSent
-	a.to.inFlight--
-	a.to.sent -= a.sent
+	a.to.arrive(a.flight, r.Outcome == Served)
 	q.out--
 	if r.Outcome == Served {
 		b.work[q.Class] += workStep * (max(r.Took.Seconds(), 1e-6) - b.work[q.Class])
@@ -163,8 +161,10 @@
 func (b *Balancer) AnswerStarted(now Time, id RequestID, attempt int) {
 	if q := b.requests[id]; q != nil && attempt >= 0 && attempt < len(q.attempts) && !q.attempts[attempt].done {
 		a := &q.attempts[attempt]
-		a.to.sent += now - a.sent // no answer is owed for the time it streams
-		a.sent = now
+		if !a.flight.lost() {
+			a.to.sent += now - a.flight.sent // no answer is owed for the time it streams
+		}
+		a.sent, a.flight.sent = now, now
 	}
 }
 
--- a/balance/health.go
+++ b/balance/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -13,6 +14,7 @@
 	prior       = 2.0                    // requests held by which an endpoint's own record outweighs its peers'
 	faultBar    = 1.6                    // faults that eject: two without some successes between them
 	faultKeep   = 0.85                   // what a success leaves of the faults
+	passedBy    = 4                      // later answers of its endpoint after which an attempt's own is lost
 	ejectFor    = 5 * time.Second        // an ejection lasts; the next fault after it is another
 	ejectMost   = 0.5                    // of the ready size: with more ejected, the fault is likely our own
 	spillAt     = 0.5                    // of the shortest aim: above it an endpoint is full
@@ -46,21 +48,57 @@
 func (b *Balancer) expect(e *endpoint, now Time) float64 {
 	group := (e.home.took + e.home.owed + prior*b.fleet.usual()) / (e.home.held + prior)
 	drain := (e.took + e.owed(now) + prior*group/e.Size) / (e.held + prior) / e.warm
-	if e.inFlight == 0 {
+	if e.awaited() == 0 {
 		drain *= max(0, 1-(now-b.heard).Seconds()/memory.Seconds())
 	}
-	return (float64(e.inFlight+1) + unseen) * drain
+	return (float64(e.awaited()+1) + unseen) * drain
 }
 
 // owed is the sum in seconds of how long the requests in flight have been out. Danger: the first answers to
 // come are the quick ones; a slowed endpoint owes answers before its answers tell; a dead one looks idle.
-func (e *endpoint) owed(now Time) float64 { return (now*Time(e.inFlight) - e.sent).Seconds() }
+func (e *endpoint) owed(now Time) float64 { return (now*Time(e.awaited()) - e.sent).Seconds() }
+
+// awaited is the number of requests in flight whose answers may still come.
+func (e *endpoint) awaited() int { return e.inFlight - e.lost }
+
+// lost tells whether so many later answers have passed an attempt that its own is not slow but lost.
+// Danger: a single lost answer would close an endpoint that serves all others, until that attempt times out.
+func (f *flight) lost() bool { return f.passed >= passedBy }
+
+// depart takes in that an attempt is sent.
+func (e *endpoint) depart(now Time) *flight {
+	f := &flight{sent: now}
+	e.inFlight++
+	e.sent += now
+	e.flights = append(e.flights, f)
+	return f
+}
+
+// arrive takes in that an attempt has ended, and what that tells of those sent before it.
+func (e *endpoint) arrive(f *flight, served bool) {
+	at := slices.Index(e.flights, f)
+	e.flights = slices.Delete(e.flights, at, at+1)
+	if e.inFlight--; f.lost() {
+		e.lost--
+	} else {
+		e.sent -= f.sent
+	}
+	for _, old := range e.flights[:at] {
+		if !served || old.sent >= f.sent {
+			continue
+		}
+		if old.passed++; old.passed == passedBy {
+			e.lost++
+			e.sent -= old.sent
+		}
+	}
+}
 
 // learn takes in how an attempt ended.
 func (b *Balancer) learn(a *attempt, r Result, now Time) {
 	e := a.to
 	b.heard = now
-	if r.Outcome == Served || r.Outcome == TimedOut {
+	if r.Outcome == Served || r.Outcome == TimedOut && !a.flight.lost() {
 		e.took += r.Took.Seconds()
 		e.held += a.held
 		for _, g := range [...]*group{e.home, b.fleet} {
@@ -75,7 +113,7 @@
 		e.faults *= faultKeep
 	case Errored, TimedOut, ConnectFailed, Reset:
 		// Danger: an endpoint that fails fast looks idle and draws all requests.
-		if e.faults++; e.faults >= faultBar {
+		if e.faults += math.Pow(faultKeep, float64(a.flight.passed)); e.faults >= faultBar {
 			e.until = now + ejectFor
 			e.faults = 1 // the next fault after its return ejects it again
 			b.act.Log("ejected " + e.ID)
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -99,6 +99,43 @@
 	}
 }
 
+// TestLostAnswersCostNoTurns has every fiftieth answer of two sound endpoints get lost. Danger: each would close its
+// endpoint until it times out, and two at once would eject it.
+func TestLostAnswersCostNoTurns(t *testing.T) {
+	b, h := start(t, settings(), pair())
+	serve(b, h, 100, 20*time.Millisecond)
+	type out struct {
+		id RequestID
+		at Time
+		to string
+	}
+	var lost []out
+	turns := map[string]int{}
+	const n = 1000
+	for i := range RequestID(n) {
+		h.now += 10 * time.Millisecond
+		for len(lost) > 0 && h.now-lost[0].at >= 2*time.Second {
+			b.Result(h.now, Result{ID: lost[0].id, Endpoint: lost[0].to, Outcome: TimedOut, Took: 2 * time.Second, Finished: true})
+			lost = lost[1:]
+		}
+		to := ask(b, h, i)
+		if turns[to]++; i%50 < 2 && to != "" {
+			lost = append(lost, out{i, h.now, to})
+			continue
+		}
+		b.Result(h.now, Result{ID: i, Endpoint: to, Took: 5 * time.Millisecond, Finished: true})
+	}
+	if len(h.refused) > 0 || len(h.logs) > 0 {
+		t.Errorf("%d requests refused, log %v", len(h.refused), h.logs)
+	}
+	if turns["a"] < n*2/5 || turns["b"] < n*2/5 {
+		t.Errorf("turns %v", turns)
+	}
+	if e := b.known["a"]; len(e.flights) != e.inFlight || e.lost > e.inFlight {
+		t.Errorf("%d flights, %d in flight, %d lost", len(e.flights), e.inFlight, e.lost)
+	}
+}
+
 func TestRefusingEverythingEnds(t *testing.T) {
 	bar := refuseAt * settings().Classes[0].Aim.Seconds()
 	for _, tt := range []struct {
--- a/balance/state.go
+++ b/balance/state.go
@@ -45,10 +45,17 @@
 	to     *endpoint
 	sent   Time
 	held   float64 // what the endpoint held, this attempt included
+	flight *flight
 	done   bool
 	mayRun bool // done, and may have run
 }
 
+// flight is an attempt that is out, as its endpoint sees it.
+type flight struct {
+	sent   Time
+	passed int // answers that the endpoint has given to attempts sent after it
+}
+
 // tenant meters this sidecar's part of a tenant's allowance.
 type tenant struct {
 	tokens float64
@@ -58,19 +65,21 @@
 // endpoint is a server and what this sidecar has seen of it.
 type endpoint struct {
 	Endpoint
-	inFlight int     // this sidecar's attempts out
-	sent     Time    // sum of the times at which those were sent
-	took     float64 // fading sum of the seconds that answers took
-	held     float64 // and of the requests it held
-	faults   float64 // count of faults, fading with successes
-	until    Time    // ejected until
-	warm     float64 // share of its capacity that it has
-	last     float64 // the balancer's count of sends at the last one to it
-	abroad   int     // 1 in another zone, 0 in the sidecar's own
-	home     *group  // the first whose tags it carries; its peers there are alike
-	joins    []bool  // which groups' tags it carries
-	active   bool    // in the subset of one of them
-	open     bool    // may be chosen for the request in hand
+	inFlight int       // this sidecar's attempts out
+	flights  []*flight // those, in the order of their sending
+	sent     Time      // sum of the times at which those not lost were sent
+	lost     int       // of those, how many have been passed too often to be answered still
+	took     float64   // fading sum of the seconds that answers took
+	held     float64   // and of the requests it held
+	faults   float64   // count of faults, fading with successes
+	until    Time      // ejected until
+	warm     float64   // share of its capacity that it has
+	last     float64   // the balancer's count of sends at the last one to it
+	abroad   int       // 1 in another zone, 0 in the sidecar's own
+	home     *group    // the first whose tags it carries; its peers there are alike
+	joins    []bool    // which groups' tags it carries
+	active   bool      // in the subset of one of them
+	open     bool      // may be chosen for the request in hand
 }
 
 // group is one destination of the best rule, or all endpoints.
