Follow discovery to its new address on SIGHUP

Now the file is read again, and discovery is asked at the address in it, for the whole list; the environment still says where it was at the start.

--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -143,6 +143,16 @@
 	if resp.Body.Close(); resp.StatusCode != http.StatusOK {
 		t.Errorf("ready with status %d", resp.StatusCode)
 	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	moved := false
+	for !moved && lines.Scan() {
+		moved = strings.Contains(lines.Text(), "discovery moves")
+	}
+	if !moved {
+		t.Error("it does not read its configuration again on SIGHUP")
+	}
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -77,6 +77,21 @@
 	return c, nil
 }
 
+// DiscoveryAt reads where discovery is from the file that PROXY_CONFIG names, after that was replaced. Danger: the
+// environment still says where discovery was at the start.
+func DiscoveryAt(getenv func(string) string) (string, error) {
+	c, err := LoadConfig(func(key string) string {
+		if key == "PROXY_DISCOVERY" {
+			return ""
+		}
+		return getenv(key)
+	})
+	if err != nil {
+		return "", err
+	}
+	return c.Discovery, nil
+}
+
 func (file *configFile) config(getenv func(string) string) (*Config, error) {
 	c := &Config{
 		Name:      cmp.Or(getenv("PROXY_NAME"), file.Name),
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"beechmill.example/beechmill/balance"
@@ -95,19 +96,23 @@
 	return list, nil
 }
 
+var errBadList = errors.New("bad line")
+
 // discovery is the client of the list of servers.
 type discovery struct {
-	address string
+	address atomic.Value // string
 	client  *http.Transport
 	silence time.Duration
 }
 
 func newDiscovery(address string, connect time.Duration) *discovery {
-	return &discovery{address: address, silence: watchSilence, client: &http.Transport{
+	d := &discovery{silence: watchSilence, client: &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: max(connect, time.Second)}).DialContext,
 		DisableCompression: true,
 		DisableKeepAlives:  true, // a watch lasts as long as its connection
 	}}
+	d.address.Store(address)
+	return d
 }
 
 // watch asks for the changes after version from (below 0: none is held) and hands each list to told, until the watch
@@ -118,7 +123,7 @@
 	silent := time.AfterFunc(d.silence, func() { cancel(fmt.Errorf("nothing came for %v", d.silence)) })
 	defer silent.Stop()
 
-	url := "http://" + d.address + "/v1/servers?watch=1"
+	url := fmt.Sprintf("http://%s/v1/servers?watch=1", d.address.Load())
 	if from >= 0 {
 		url += "&from=" + strconv.FormatInt(from, 10)
 	}
@@ -144,7 +149,7 @@
 		}
 		list, err := parseList(line)
 		if err != nil {
-			return fmt.Errorf("watch: bad line: %w", err)
+			return fmt.Errorf("watch: %w: %w", errBadList, err)
 		}
 		told(list)
 	}
--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -245,6 +247,9 @@
 	stop    context.CancelFunc
 	ended   chan error
 	client  *http.Client
+
+	reload    chan os.Signal
+	discovery atomic.Value // string: where it is once the program is told to reload
 }
 
 func start(t *testing.T, config string) *program {
@@ -265,13 +270,14 @@
 func startLogging(t *testing.T, c *Config, text io.Writer, times drainTimes) *program {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &program{t: t, stop: cancel, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}}}
+	p := &program{t: t, stop: cancel, ended: make(chan error, 1), client: &http.Client{Transport: &http.Transport{}},
+		reload: make(chan os.Signal)}
 	log := addressLog{slog.NewTextHandler(text, nil), make(chan string, 1)}
 	var over sync.WaitGroup
 	over.Add(1)
 	go func() {
 		defer over.Done()
-		p.ended <- run(ctx, c, slog.New(log), times)
+		p.ended <- run(ctx, c, slog.New(log), p.reload, p.discoveryAt, times)
 	}()
 	t.Cleanup(func() {
 		p.client.CloseIdleConnections()
@@ -282,6 +288,13 @@
 	return p
 }
 
+func (p *program) discoveryAt() (string, error) {
+	if at := p.discovery.Load().(string); at != "" {
+		return at, nil
+	}
+	return "", errors.New("no discovery")
+}
+
 // gotten is a final answer as the client sees it.
 type gotten struct {
 	status  int
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"os"
 	"sync"
 	"time"
 
@@ -16,6 +18,10 @@
 	originAge = 24 * time.Hour
 	// answerMargin is kept free before the client's deadline for the way of the final answer.
 	answerMargin = 5 * time.Millisecond
+	// A watch that ended is opened again after leastPause, and after twice as long each time that nothing comes.
+	leastPause = 100 * time.Millisecond
+	mostPause  = time.Second
+	noRev      = -1 // no list is held
 )
 
 // answerKind is a kind of final answer.
@@ -58,6 +64,9 @@
 	discovery *discovery
 	ready     chan struct{} // closed once servers are known
 
+	moves    chan string    // addresses to which an agent that pushes moves
+	watchers sync.WaitGroup // of discovery
+
 	mu    sync.Mutex
 	queue []event
 	wake  chan struct{}
@@ -68,8 +77,9 @@
 	now      balance.Time
 	last     balance.RequestID
 	calls    map[balance.RequestID]*call
-	rev      int64 // of the list in hand; -1: none
+	rev      int64 // of the list in hand, or noRev
 	isReady  bool
+	leave    context.CancelFunc // ends the watch that the Balancer asked for
 }
 
 // event is what happened at a time.
@@ -84,7 +94,7 @@
 	h := &host{log: log, counts: n, origin: time.Now().Add(-originAge), ready: make(chan struct{}), wake: make(chan struct{}, 1),
 		upstream:  newUpstream(c.Limits.ConnectTimeout, c.Limits.IdleClose, c.Sockets, n),
 		discovery: newDiscovery(c.Discovery, c.Limits.ConnectTimeout),
-		calls:     map[balance.RequestID]*call{}, rev: -1, ctx: ctx}
+		calls:     map[balance.RequestID]*call{}, rev: noRev, ctx: ctx, leave: func() {}}
 	h.now = h.clock()
 	var err error
 	if h.balancer, err = balance.New(c.Settings, h); err != nil {
@@ -95,11 +105,35 @@
 	}
 	h.list(balance.ListRemembered, c.Known)
 	if !c.Settings.AskDiscovery {
-		h.Subscribe() // an agent that pushes tells all who listen
+		// An agent that pushes tells all who listen.
+		h.moves = make(chan string, 1)
+		from := h.rev
+		h.watchers.Add(1)
+		go func() {
+			defer h.watchers.Done()
+			h.follow(ctx, from, h.moves)
+		}()
 	}
 	return h, nil
 }
 
+// move has discovery asked at another address from now on. The loop alone calls it. Of several that come at once the
+// last counts.
+func (h *host) move(address string) {
+	h.log.Info("discovery moves", "to", address)
+	if h.moves == nil {
+		h.discovery.address.Store(address)
+		h.rev = noRev
+		h.leave() // the Balancer is told, and asks again
+		return
+	}
+	select {
+	case <-h.moves: // one that was not taken yet
+	default:
+	}
+	h.moves <- address
+}
+
 // clock reads the Balancer's time.
 func (h *host) clock() balance.Time { return time.Since(h.origin) }
 
@@ -275,24 +309,100 @@
 
 // Subscribe opens a watch. The Balancer asks for another only once it was told that the last one ended.
 func (h *host) Subscribe() {
-	ctx, from := h.ctx, h.rev
+	var ctx context.Context
+	ctx, h.leave = context.WithCancel(h.ctx)
+	from := h.rev
+	h.watchers.Add(1)
 	go func() {
-		err := h.discovery.watch(ctx, from, func(l List) {
-			h.post(func() {
-				kind := balance.ListChanges
-				if l.All {
-					kind = balance.ListFull
-				}
-				h.rev = l.Rev
-				h.list(kind, l)
-			})
+		defer h.watchers.Done()
+		if err := h.watch(ctx, from, nil); h.ctx.Err() == nil {
+			h.log.Info("discovery", "err", err)
+			h.post(func() { h.balancer.Endpoints(h.now, balance.ListRefused, nil) })
+		}
+	}()
+}
+
+// watch has the loop take in what a watch tells, until it ends. came, if any, is called for each list.
+func (h *host) watch(ctx context.Context, from int64, came func(List)) error {
+	return h.discovery.watch(ctx, from, func(l List) {
+		if came != nil {
+			came(l)
+		}
+		h.post(func() {
+			kind := balance.ListChanges
+			if l.All {
+				kind = balance.ListFull
+			}
+			h.rev = l.Rev
+			h.list(kind, l)
 		})
-		if ctx.Err() != nil {
+	})
+}
+
+// reload moves to where discovery is each time that told says so, until ctx is done. A configuration that cannot be read
+// changes nothing.
+func (h *host) reload(ctx context.Context, told <-chan os.Signal, discoveryAt func() (string, error)) {
+	for {
+		select {
+		case <-told:
+			address, err := discoveryAt()
+			if err != nil {
+				h.log.Error("reload", "err", err)
+				continue
+			}
+			h.post(func() { h.move(address) })
+		case <-ctx.Done():
 			return
 		}
-		h.log.Info("discovery", "err", err)
-		h.post(func() { h.balancer.Endpoints(h.now, balance.ListRefused, nil) })
-	}()
+	}
+}
+
+// follow keeps a watch open at an agent that pushes its news and answers at no cost, until ctx is done, and moves it to
+// each address that comes from moves.
+//
+// Danger: what discovery has to say counts as told some seconds later, whether or not anybody listened. So a watch that
+// ends is opened again soon, and one that moves, or breaks off twice in a list that cannot be read, asks for the whole list.
+func (h *host) follow(ctx context.Context, from int64, moves <-chan string) {
+	bad := 0
+	for pause := leastPause; ; {
+		now, leave := context.WithCancel(ctx)
+		ended := make(chan error, 1)
+		go func() {
+			ended <- h.watch(now, from, func(l List) {
+				from, pause, bad = l.Rev, leastPause, 0
+			})
+		}()
+		var err error
+		var address string
+		select {
+		case err = <-ended:
+			leave()
+			h.log.Info("discovery", "err", err)
+			if errors.Is(err, errBadList) {
+				if bad++; bad > 1 {
+					from = noRev
+				}
+			}
+			select {
+			case address = <-moves:
+			case <-time.After(pause):
+				pause = min(2*pause, mostPause)
+			case <-ctx.Done():
+				return
+			}
+		case address = <-moves:
+			leave()
+			<-ended
+		case <-ctx.Done():
+			leave()
+			<-ended
+			return
+		}
+		if address != "" {
+			h.discovery.address.Store(address)
+			from, pause = noRev, leastPause
+		}
+	}
 }
 
 // Log writes a line of the Balancer.
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -25,13 +25,14 @@
 	finish    time.Duration // after the last connection was taken, before the process is killed
 }
 
-// Run is the sidecar, from its configuration to the end of its last request after stop is done.
-func Run(stop context.Context, c *Config, log *slog.Logger) error {
-	return run(stop, c, log, drainTimes{accept: 450 * time.Millisecond, quiet: 25 * time.Millisecond,
+// Run is the sidecar, from its configuration to the end of its last request after stop is done. Each time that reload
+// tells, it reads where discovery is with discoveryAt and moves there.
+func Run(stop context.Context, c *Config, log *slog.Logger, reload <-chan os.Signal, discoveryAt func() (string, error)) error {
+	return run(stop, c, log, reload, discoveryAt, drainTimes{accept: 450 * time.Millisecond, quiet: 25 * time.Millisecond,
 		closeIdle: 300 * time.Millisecond, finish: 3 * time.Second})
 }
 
-func run(stop context.Context, c *Config, log *slog.Logger, times drainTimes) error {
+func run(stop context.Context, c *Config, log *slog.Logger, reload <-chan os.Signal, discoveryAt func() (string, error), times drainTimes) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * memoryShare))
 
@@ -56,8 +57,14 @@
 		defer loop.Done()
 		h.run(ctx)
 	}()
+	defer h.watchers.Wait()
 	defer loop.Wait()
 	defer cancel()
+	loop.Add(1)
+	go func() {
+		defer loop.Done()
+		h.reload(ctx, reload, discoveryAt)
+	}()
 
 	s := newServer(c, h)
 	loop.Add(1)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -11,7 +11,9 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -212,6 +214,64 @@
 	until("drained")
 }
 
+// TestReload has discovery move, twice, while the old address falls silent: the new ones are asked for the whole list,
+// and a configuration that cannot be read changes nothing.
+func TestReload(t *testing.T) {
+	for _, mode := range []string{"pushed", "on_request"} {
+		t.Run(mode, func(t *testing.T) {
+			first, second := startBackend(t, say(200, "", "first")), startBackend(t, say(200, "", "second"))
+			d, next := startRegistry(t), startRegistry(t)
+			settings := strings.Replace(testSettings, `"discovery":"pushed"`, `"discovery":"`+mode+`"`, 1)
+			p := start(t, configText(d.address, serving(41, first), settings))
+			within(t, d.watches, "watch")
+			if g := p.ask("pay"); g.body != "first" {
+				t.Errorf("answer %+v", g)
+			}
+			p.discovery.Store("")
+			p.reload <- syscall.SIGHUP
+			p.discovery.Store(next.address)
+			p.reload <- syscall.SIGHUP
+			w := within(t, next.watches, "watch at the new address")
+			if w.query != "watch=1" {
+				t.Errorf("query %q at the new address", w.query)
+			}
+			if g := p.ask("pay"); g.body != "first" {
+				t.Errorf("answer %+v before the new address says anything", g)
+			}
+			w.lines <- serving(7, second)
+			for end := time.Now().Add(patience); p.ask("pay").body != "second"; {
+				if time.Now().After(end) {
+					t.Fatal("the list of the new address does not count")
+				}
+			}
+			close(w.lines)
+			if w = within(t, next.watches, "watch after a break"); w.query != "watch=1&from=7" {
+				t.Errorf("query %q after a break", w.query)
+			}
+		})
+	}
+}
+
+// TestDiscoveryAt has the configuration file be replaced: the environment says where discovery was before that.
+func TestDiscoveryAt(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	getenv := func(key string) string {
+		return map[string]string{"PROXY_CONFIG": file, "PROXY_DISCOVERY": "127.0.0.1:1"}[key]
+	}
+	for _, tt := range []struct{ text, want string }{
+		{configText("127.0.0.1:2", "", testSettings), "127.0.0.1:2"},
+		{configText("nowhere", "", testSettings), ""},
+		{"{", ""},
+	} {
+		if err := os.WriteFile(file, []byte(tt.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if at, err := DiscoveryAt(getenv); at != tt.want || (err == nil) != (tt.want != "") {
+			t.Errorf("%.30s: %q, error %v", tt.text, at, err)
+		}
+	}
+}
+
 func TestWatchSilence(t *testing.T) {
 	d := newDiscovery(startRegistry(t).address, patience)
 	d.silence = 50 * time.Millisecond
@@ -435,7 +495,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := Run(context.Background(), c, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), "listen") {
+	if err := Run(context.Background(), c, slog.New(slog.DiscardHandler), nil, nil); err == nil || !strings.Contains(err.Error(), "listen") {
 		t.Errorf("error %v", err)
 	}
 }
