Keep idle connections to a server of which just one has broken

Each reset closed all idle connections to its server: 500 new ones in 5 s for 180 resets, each of which costs the server work. They are kept now where they must be sound: the server has answered since the attempt began, or the answer had begun, or the connection had been used less than 50 ms before, in which time no machine vanishes and comes back. TestVanishedMachine sets that time to 0, as it plays such an absence within a millisecond.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"beechmill.example/beechmill/balance"
@@ -20,6 +21,8 @@
 	mostBody       = 64 << 10 // bytes of a request's or an answer's body
 	mostHeader     = 16 << 10 // bytes of a request's or an answer's header
 	idlePerSockets = 64       // one idle connection to each server for so many descriptors
+	// A machine that vanishes is not back within absence: a connection that idled less has not outlived one.
+	absence = 50 * time.Millisecond
 )
 
 // message is a client's request as servers get it.
@@ -45,6 +48,7 @@
 	connect time.Duration
 	idle    time.Duration
 	maxIdle int
+	absence time.Duration
 	counts  *counts
 
 	mu      sync.Mutex
@@ -52,16 +56,17 @@
 }
 
 type target struct {
-	address string
-	boot    time.Time
-	pool    *http.Transport
+	address  string
+	boot     time.Time
+	pool     *http.Transport
+	answered atomic.Int64 // when an answer last came, in nanoseconds of Unix time
 }
 
 func newUpstream(connect, idleClose time.Duration, sockets int, n *counts) *upstream {
 	// Danger: a server closes a connection that has idled too long, and what crosses that close is a reset that may
 	// have run. Half the server's time keeps well clear of it.
 	return &upstream{connect: connect, idle: idleClose / 2, maxIdle: max(sockets/idlePerSockets, 2),
-		counts: n, targets: map[string]*target{}}
+		absence: absence, counts: n, targets: map[string]*target{}}
 }
 
 // update takes in a list: where each server listens now.
@@ -78,7 +83,7 @@
 			old = nil
 		}
 		if old == nil && listed[e.ID] {
-			u.targets[e.ID] = &target{e.Address, e.Boot, u.pool()}
+			u.targets[e.ID] = &target{address: e.Address, boot: e.Boot, pool: u.pool()}
 		}
 	}
 	for id := range u.targets {
@@ -148,10 +153,12 @@
 	var conn *meteredConn
 	var before int64
 	began := time.Now()
+	fresh := true // whether the connection has just been used, or opened
 	req := m.request(to.address)
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			u.counts.connected(info.Reused, time.Since(began))
+			fresh = info.IdleTime < u.absence
 			if conn, _ = info.Conn.(*meteredConn); conn != nil {
 				before, _ = conn.meter()
 			}
@@ -165,6 +172,7 @@
 	if err == nil {
 		var r reply
 		if r, err = read(resp); err == nil {
+			to.answered.Store(time.Now().UnixNano())
 			return r
 		}
 	}
@@ -188,9 +196,12 @@
 	default:
 		outcome = balance.Reset
 	}
-	if outcome != balance.Cancelled && outcome != balance.NotSent {
+	broken := outcome == balance.Reset && (fresh || resp != nil)
+	alive := broken || to.answered.Load() > began.UnixNano()
+	if outcome != balance.Cancelled && outcome != balance.NotSent && !alive {
 		// Danger: when a machine vanishes, its idle connections stay open and swallow requests that may then never
-		// be repeated. A new connection fails before anything is sent.
+		// be repeated. A new connection fails before anything is sent. But where it is just one connection that
+		// breaks or falls silent, the others are sound, and new ones would cost the server work.
 		to.pool.CloseIdleConnections()
 	}
 	return reply{outcome: outcome}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -264,6 +264,62 @@
 	ask()
 }
 
+// TestOneBrokenConnection has attempts fail on one connection while another idles whose server is there: that one is
+// used again.
+func TestOneBrokenConnection(t *testing.T) {
+	half := func(c net.Conn, _ *http.Request, _ []byte) bool {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+		return false
+	}
+	for name, fault := range map[string]func(net.Conn, *http.Request, []byte) bool{"just used": hangUp, "half an answer": half,
+		"passed by an answer": silent} {
+		t.Run(name, func(t *testing.T) {
+			type exchange struct {
+				conn  net.Conn
+				sound chan bool // whether it is answered
+			}
+			came := make(chan exchange, 10)
+			b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+				x := exchange{c, make(chan bool, 1)}
+				came <- x
+				if <-x.sound {
+					return say(200, "", "")(c, r, body)
+				}
+				return fault(c, r, body)
+			})
+			u := to(t, b)
+			if u.absence = patience; name != "just used" {
+				u.absence = 0
+			}
+			ctx, ended := newEndable(), make(chan reply, 3)
+			ask := func() exchange {
+				go func() { ended <- u.attempt(ctx, "s-0", get()) }()
+				return within(t, came, "request")
+			}
+			first, second := ask(), ask()
+			first.sound <- true
+			within(t, ended, "end")
+			second.sound <- true
+			within(t, ended, "end")
+			bad := ask()
+			if name == "passed by an answer" {
+				ask().sound <- true
+				within(t, ended, "answer")
+				ctx.end()
+				ctx = newEndable()
+			}
+			bad.sound <- false
+			within(t, ended, "end")
+			next := ask()
+			if next.conn == bad.conn || next.conn != first.conn && next.conn != second.conn {
+				t.Error("a sound connection was closed")
+			}
+			next.sound <- true
+			within(t, ended, "end")
+		})
+	}
+}
+
 // TestVanishedMachine has one attempt fail while another connection idles: that one must not get a request.
 func TestVanishedMachine(t *testing.T) {
 	for _, timeout := range []bool{true, false} {
@@ -280,6 +336,7 @@
 			return say(200, "", "")(c, r, body)
 		})
 		u := to(t, b)
+		u.absence = 0
 		ended := make(chan reply, 2)
 		for range 2 {
 			go func() { ended <- u.attempt(context.Background(), "s-0", get()) }()
