Send nothing whose answer is expected after the client's time

Requests went by their turns to servers whose answers take longer: the work was for nothing, and a submit fails as it may have run. An endpoint is now closed to a request that has less time left than its answer is expected to take; where all are, the refusal comes at once.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -82,6 +82,8 @@
 	if q.over {
 		bar *= overBar
 	}
+	// Danger: an answer that comes when the client is gone is work for nothing, and its effect is not known.
+	bar = min(bar, (q.deadline - now).Seconds())
 	for pass := range 2 {
 		for _, e := range b.active {
 			limit := bar
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -175,6 +175,36 @@
 	}
 }
 
+// TestImpatientClient has clients wait for less than an answer takes on a slow endpoint: theirs go to a quick one, and
+// where none is quick enough nothing is sent.
+func TestImpatientClient(t *testing.T) {
+	b, h := start(t, settings(), pair())
+	for i := range RequestID(200) {
+		h.now += 20 * time.Millisecond
+		to, took := ask(b, h, i), 10*time.Millisecond
+		if to == "b" {
+			took = 150 * time.Millisecond
+		}
+		b.Result(h.now, Result{ID: i, Endpoint: to, Took: took, Finished: true})
+	}
+	turns := map[string]int{}
+	for i := RequestID(1000); i < 1040; i++ {
+		h.sent = nil
+		within := 100 * time.Millisecond
+		if i >= 1020 {
+			within = 5 * time.Millisecond
+		}
+		b.Request(h.now, Request{ID: i, Tenant: -1, Within: within})
+		for _, s := range h.sent {
+			turns[s.to]++
+			b.Result(h.now, Result{ID: i, Endpoint: s.to, Took: 10 * time.Millisecond, Finished: true})
+		}
+	}
+	if turns["a"] != 20 || turns["b"] != 0 || len(h.refused) != 20 {
+		t.Errorf("turns %v, %d refused", turns, len(h.refused))
+	}
+}
+
 func TestRefusingEverythingEnds(t *testing.T) {
 	bar := refuseAt * settings().Classes[0].Aim.Seconds()
 	for _, tt := range []struct {
