Let an impatient client's request neither reach slow servers nor tighten all bars

An answer expected just within the client's time comes too late half of the time, so the mean answer must now be expected within three quarters of it. And a request that no server is quick enough for put all classes on the bar of the tight for 6 s, though no server was full; it no longer does.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -83,7 +83,9 @@
 		bar *= overBar
 	}
 	// Danger: an answer that comes when the client is gone is work for nothing, and its effect is not known.
-	bar = min(bar, (q.deadline - now).Seconds())
+	left := surely * (q.deadline - now).Seconds()
+	hurried := left < bar
+	bar = min(bar, left)
 	for pass := range 2 {
 		for _, e := range b.active {
 			limit := bar
@@ -99,7 +101,10 @@
 		if to = b.turn(); to != nil {
 			return to, 0
 		}
-		b.tight, bar = now+memory, min(bar, b.tightBar(q.Class))
+		if !hurried { // one client's hurry is no reason for others to give way
+			b.tight = now + memory
+		}
+		bar = min(bar, b.tightBar(q.Class))
 	}
 	return nil, late
 }
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -200,6 +200,9 @@
 			b.Result(h.now, Result{ID: i, Endpoint: s.to, Took: 10 * time.Millisecond, Finished: true})
 		}
 	}
+	if b.tight != 0 {
+		t.Errorf("classes give way until %v, though no endpoint is full", b.tight)
+	}
 	if turns["a"] != 20 || turns["b"] != 0 || len(h.refused) != 20 {
 		t.Errorf("turns %v, %d refused", turns, len(h.refused))
 	}
