Let a client's hurry prefer quick servers and refuse nothing

Now only the first pass looks at the time left, half of it; where it finds nobody, the request takes its turn as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -82,15 +82,14 @@
 	if q.over {
 		bar *= overBar
 	}
-	// Danger: an answer that comes when the client is gone is work for nothing, and its effect is not known.
+	// Danger: an answer that comes when the client is gone is work for nothing, and its effect is not known. One
+	// client's hurry prefers quick endpoints, but it refuses nothing and is no reason for others to give way.
 	left := surely * (q.deadline - now).Seconds()
-	hurried := left < bar
-	bar = min(bar, left)
 	for pass := range 2 {
 		for _, e := range b.active {
 			limit := bar
 			if pass == 0 { // full above the zones' bar, but not just because its kind is slow
-				limit = min(limit, max(spillAt*b.aim, fullAt*(1+unseen)*b.fleet.usual()/e.Size))
+				limit = min(limit, left, max(spillAt*b.aim, fullAt*(1+unseen)*b.fleet.usual()/e.Size))
 			}
 			e.open = e.State == Ready && (b.panicking || now >= e.until) && b.mayGo(q, e, now) && b.coldRoom(e)
 			if excess := b.expect(e, now) - limit; e.open {
@@ -101,10 +100,9 @@
 		if to = b.turn(); to != nil {
 			return to, 0
 		}
-		if !hurried { // one client's hurry is no reason for others to give way
-			b.tight = now + memory
+		if left >= bar {
+			b.tight, bar = now+memory, min(bar, b.tightBar(q.Class))
 		}
-		bar = min(bar, b.tightBar(q.Class))
 	}
 	return nil, late
 }
--- a/balance/health.go
+++ b/balance/health.go
@@ -24,7 +24,7 @@
 	refuseAt    = 0.85                   // of the shortest aim: no answer expected later is worth its work
 	workStep    = 0.05                   // weight of an answer in the mean time of its class
 	overBar     = 0.5                    // bar of requests beyond an allowance, as a share of their class's
-	surely      = 0.75                   // of the time left: a mean answer expected within it mostly comes in time
+	surely      = 0.5                    // of the time left: a mean answer within it mostly comes in time
 	leastSubset = 4                      // endpoints of a group that a sidecar uses at least: some may fail
 	leastNear   = 0.001                  // weight of other zones at least: enough to know them
 	shiftStep   = 0.03                   // of the way to go, what a tick moves the weight of other zones
