Wait 50 ms at most for the body of an answer that is no 200

Its header has said all, but the body was read to its end: a refusal whose body never comes held its request until the client's time was over, and an answer 101 held its attempt for good, as no deadline reaches a connection that has changed its protocol. TestEndlessRefusals waited in vain for the first.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -22,7 +22,8 @@
 	mostHeader     = 16 << 10 // bytes of a request's or an answer's header
 	idlePerSockets = 64       // one idle connection to each server for so many descriptors
 	// A machine that vanishes is not back within absence: a connection that idled less has not outlived one.
-	absence = 50 * time.Millisecond
+	absence     = 50 * time.Millisecond
+	drainWithin = 50 * time.Millisecond // the body must come of an answer that has said all in its header
 )
 
 // message is a client's request as servers get it.
@@ -230,6 +231,12 @@
 
 // read takes a whole answer in. It fails if a 200 does not come whole; other answers have said all in their header.
 func read(resp *http.Response) (reply, error) {
+	if resp.StatusCode != http.StatusOK {
+		// Danger: a body that never ends, or another protocol's bytes, would keep what the header says from the client.
+		// A short one is worth the wait, as its connection can then be used again.
+		stop := time.AfterFunc(drainWithin, func() { _ = resp.Body.Close() })
+		defer stop.Stop()
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody+1))
 	if closed := resp.Body.Close(); err == nil {
 		err = closed
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -85,6 +85,26 @@
 	}
 }
 
+// TestEndlessRefusals has answers other than 200 whose bodies never end: what their headers say counts at once.
+func TestEndlessRefusals(t *testing.T) {
+	for text, want := range map[string]balance.Outcome{
+		"503 X\r\nX-Not-Processed: 1\r\nContent-Length: 10\r\n\r\nhalf": balance.Saturated,
+		"500 X\r\nTransfer-Encoding: chunked\r\n\r\n":                   balance.Errored,
+		"404 X\r\nConnection: close\r\n\r\nwho":                         balance.Errored,
+		"101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n":            balance.Errored,
+	} {
+		b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+			fmt.Fprint(c, "HTTP/1.1 "+text)
+			return silent(c, r, body)
+		})
+		ended := make(chan reply, 1)
+		go func() { ended <- to(t, b).attempt(context.Background(), "s-0", post("")) }()
+		if r := within(t, ended, "end of "+text); r.outcome != want {
+			t.Errorf("%q: outcome %d, want %d", text, r.outcome, want)
+		}
+	}
+}
+
 func TestNeverRan(t *testing.T) {
 	b := startBackend(t, silent)
 	u := to(t, b)
