Open a silent watch again before its news count as told

A watch that had fallen silent was given up after 7 s, while what discovery has to tell counts as told after 6 s: a drain could be missed for a second and more, and its server get new work. It is given up after 4.5 s now, two beats and a little. No recording shows this; it comes from holding the program against the protocol.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -18,8 +18,10 @@
 
 const (
 	// watchSilence is how long a watch may be silent: discovery writes at least an empty line every 2 s. Danger: a
-	// machine that is cut off says nothing, and the old list would be believed for good.
-	watchSilence = 7 * time.Second
+	// machine that is cut off says nothing, and the old list would be believed for good. What it has to tell counts as
+	// told after toldWithin all the same, so a new watch must have had the time to tell it by then.
+	watchSilence = 4500 * time.Millisecond
+	toldWithin   = 6 * time.Second
 	mostLine     = 4 << 20 // bytes of a watch's line
 )
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -281,6 +281,15 @@
 	}
 }
 
+// TestSilenceIsNoticedInTime has a watch fall silent: the next one is open with a second to spare before the news count
+// as told, yet two beats in a row may be missed by a little.
+func TestSilenceIsNoticedInTime(t *testing.T) {
+	silence := newDiscovery("127.0.0.1:9", time.Second).silence
+	if again := silence + leastPause; again > toldWithin-time.Second || silence <= 2*2*time.Second {
+		t.Errorf("a silent watch is opened again after %v", again)
+	}
+}
+
 func TestReady(t *testing.T) {
 	d := startRegistry(t)
 	p := start(t, configText(d.address, "", testSettings))
