--- a/deploy/deploy_test.go
+++ b/deploy/deploy_test.go
@@ -5,10 +5,12 @@
 import (
 	"bufio"
 	"context"
+	"debug/elf"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -86,10 +88,36 @@
 			t.Error(err)
 		}
 	}
+	checkLinked(t, d.Run)
 	runSidecar(t, d.Run)
 	refuseSidecar(t, d.Run)
 }
 
+// checkLinked reads the program that the run line turns into. Danger: one that is linked statically, or that the shell
+// only starts, gets nothing of a library that is loaded into it.
+func checkLinked(t *testing.T, line string) {
+	t.Helper()
+	name, exec := strings.CutPrefix(line, "exec ")
+	if !exec {
+		t.Fatalf("%q does not end by exec", line)
+	}
+	file, err := elf.Open(filepath.Join(root, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	if !slices.ContainsFunc(file.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }) {
+		t.Errorf("%s names no interpreter", name)
+	}
+	needed, err := file.ImportedLibraries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.ContainsFunc(needed, func(l string) bool { return strings.HasPrefix(l, "libc.") }) {
+		t.Errorf("%s needs %v, not libc", name, needed)
+	}
+}
+
 // refuseSidecar starts the real program with a bad configuration: it must say so in one line and fail. Danger: one that
 // goes on with half its settings, or a fault of several lines that a log splits.
 func refuseSidecar(t *testing.T, line string) {
