Judge a cold server by its own answers, not by its jammed peers

A probe over all 80 sidecars of what barred each server at each refusal shows the new servers got nothing at all for over 5 s, being expected to answer in 1.2 s; those that then got work answered in 0.08 s, the warm ones in 0.2 to 0.9 s.

At fault: expect took the mean of the group or fleet, which is jammed just while it is cold servers that could help, and divided it by the warmth; it also divided the server's own answers, which were measured cold, once more.

Ruled out: the last division alone moves nothing; nor does the first turn alone.

--- a/balance/health.go
+++ b/balance/health.go
@@ -47,10 +47,14 @@
 // expect is the answer time in seconds that a request sent now can expect, from what the endpoint's answers
 // took for each request held. A little-used one is judged by its group, as kinds and zones are not equally
 // loaded, and a little-used group by the fleet. Danger: a sidecar that believes the fleet too slow sends
-// nothing and never learns better; the belief fades while no answer comes.
+// nothing and never learns better; the belief fades while no answer comes. Danger: a cold endpoint has no
+// part in its peers' queues, longest just then; its turns bound what it gets, its own answers tell the rest.
 func (b *Balancer) expect(e *endpoint, now Time) float64 {
 	group := (e.home.took + e.home.owed + prior*b.fleet.usual()) / (e.home.held + prior)
-	drain := (e.took + e.owed(now) + prior*group/e.Size) / (e.held + prior) / e.warm
+	if e.warm < 1 {
+		group = 0
+	}
+	drain := (e.took + e.owed(now) + prior*group/e.Size) / (e.held + prior)
 	if e.awaited() == 0 {
 		drain *= max(0, 1-(now-b.heard).Seconds()/memory.Seconds())
 	}
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -439,3 +439,31 @@
 		}
 	}
 }
+
+// TestColdEndpointIsNotJudgedByJammedPeers has all warm endpoints answer too late while a fresh one does not.
+func TestColdEndpointIsNotJudgedByJammedPeers(t *testing.T) {
+	bar := time.Duration(refuseAt * float64(settings().Classes[0].Aim))
+	for _, tt := range []struct {
+		name string
+		took time.Duration // by the fresh endpoint's answers; 0: it has given none
+		open bool
+	}{
+		{"no answer of its own", 0, true},
+		{"quick answers of its own", bar / 4, true},
+		{"late answers of its own", 2 * bar, false},
+	} {
+		b, h := start(t, settings(), pair())
+		serve(b, h, 40, 2*bar)
+		b.Endpoints(h.now, ListChanges, []Endpoint{{ID: "c", Zone: "x", Kind: "big", Size: 1, Started: h.now}})
+		fresh := b.known["c"]
+		if n := 20.0; tt.took > 0 {
+			fresh.took, fresh.held = n*tt.took.Seconds(), n*(1+unseen)
+		}
+		if got := b.expect(fresh, h.now); got <= bar.Seconds() != tt.open {
+			t.Errorf("%s: it is expected to answer in %.2f s, and its peers are full at %.2f s", tt.name, got, bar.Seconds())
+		}
+		if got := b.expect(b.known["a"], h.now); got <= bar.Seconds() {
+			t.Errorf("%s: a jammed warm endpoint is expected to answer in %.2f s", tt.name, got)
+		}
+	}
+}
