Draw a cold server's first turn from one round of its own

At fault: a cold server's turn was due once the sends since its last, times its share, made a round; the last was put at most len(active) sends back. A round is len(active) divided by the warmth, at 60 servers and 0.14 over 400 sends, and a busy sidecar sends 20 a second: harmless at 9 servers, late at 60. It was also reckoned with the zone's weight of the moment, so that a rise of it made many turns due at once at every sidecar. Now each send adds to what a cold server has earned, by the warmth and weight of that moment, and the first turn is drawn from a whole round.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -111,8 +111,10 @@
 	held := float64(to.awaited()+1) + unseen
 	q.out++
 	q.attempts = append(q.attempts, attempt{to: to, sent: now, held: held, flight: to.depart(q, now)})
-	b.sends++
-	to.last = b.sends
+	for _, e := range b.active {
+		e.due += e.Size * e.warm * b.near[e.abroad] / b.room
+	}
+	to.due = 0
 	b.act.Send(q.ID, to.ID, 0)
 }
 
@@ -244,9 +246,10 @@
 		}
 		if entry.Started != e.Started {
 			// A restart under the same id is a new process: what was seen of the old one does not count. Its
-			// first turn is drawn: sidecars that are told at once must not send at once.
+			// first turn is drawn from one round of its own: sidecars that are told at once must neither send at
+			// once, nor all wait for a round that takes those with little traffic a minute.
 			e.took, e.held, e.faults, e.until = 0, 0, 0, 0
-			e.last = b.sends - b.rng.Float64()*float64(len(b.active))
+			e.due = b.rng.Float64()
 		}
 		e.Endpoint, e.Size = entry, cmp.Or(max(entry.Size, 0), 1)
 	}
--- a/balance/health.go
+++ b/balance/health.go
@@ -178,5 +178,5 @@
 // Danger: sidecars that all turn to a cold endpoint, as it alone seems free, push it over. When each keeps to
 // its turns, it gets no more for its warmth than the fleet's mean, whatever the number of sidecars.
 func (b *Balancer) coldRoom(e *endpoint) bool {
-	return e.warm >= 1 || (b.sends-e.last)*e.Size*e.warm*b.near[e.abroad] >= b.room
+	return e.warm >= 1 || e.due >= 1
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -22,7 +22,6 @@
 	allowed    float64    // sum of the tenants' allowances
 	grouped    Time       // when the subsets were last taken
 	heard      Time       // when an attempt last ended
-	sends      float64    // count of attempts sent
 	panicking  bool       // so much is ejected that the fault is likely ours
 	subscribed bool
 	tight      Time // until then lesser classes give way
@@ -77,7 +76,7 @@
 	faults   float64   // count of faults, fading with successes
 	until    Time      // ejected until
 	warm     float64   // share of its capacity that it has
-	last     float64   // the balancer's count of sends at the last one to it
+	due      float64   // part of a turn that it has earned since the last send to it, by its share of the sends
 	abroad   int       // 1 in another zone, 0 in the sidecar's own
 	home     *group    // the first whose tags it carries; its peers there are alike
 	joins    []bool    // which groups' tags it carries
--- a/balance/subset_test.go
+++ b/balance/subset_test.go
@@ -150,6 +150,38 @@
 	}
 }
 
+// TestColdEndpointGetsItsShareFromTheStart guards against sidecars that all wait a round before they turn to a cold
+// endpoint: in a large fleet a round is longer than the endpoint is cold.
+func TestColdEndpointGetsItsShareFromTheStart(t *testing.T) {
+	for _, tt := range []struct{ peers, servers int }{{3, 9}, {80, 60}} {
+		list := fleet(tt.servers)
+		var cold, all float64
+		for self := range tt.peers {
+			b, h := sidecar(t, self, tt.peers, list)
+			for range 40 { // enough traffic to use every endpoint
+				b.Timer(h.now, tokenTick)
+				serve(b, h, 10, 20*time.Millisecond)
+			}
+			fresh := list[0]
+			fresh.Started = h.now
+			b.Endpoints(h.now, ListChanges, []Endpoint{fresh})
+			for id := range RequestID(2 * tt.servers) {
+				h.now += 10 * time.Millisecond
+				to := ask(b, h, 1+id)
+				if all++; to == fresh.ID {
+					cold++
+				}
+				b.Result(h.now, Result{ID: 1 + id, Endpoint: to, Took: 20 * time.Millisecond, Finished: true})
+			}
+		}
+		share := settings().StartCapacity / (float64(tt.servers-1) + settings().StartCapacity)
+		if want := share * all; cold < want/2 || cold > 1.5*want {
+			t.Errorf("%d sidecars sent %.0f of %.0f requests to a cold endpoint of %d, want about %.1f", tt.peers, cold, all,
+				tt.servers, want)
+		}
+	}
+}
+
 // asking records when a Balancer is to call discovery.
 type asking struct {
 	host
