Count only answers in a group's mean time, not the time-outs of silent servers

At fault: learn booked a time-out of 1.4 to 2 s on the server's group and on the fleet as if it were an answer. One hung server of nine does little harm so; a lost zone at 80 sidecars is 880 time-outs in 5 s, and at a sidecar with few requests the group's mean is all there is.

The server itself still has its time-outs counted, and its faults.

--- a/balance/health.go
+++ b/balance/health.go
@@ -124,6 +124,8 @@
 	if r.Outcome == Served || r.Outcome == TimedOut && !a.flight.lost() {
 		e.took += r.Took.Seconds()
 		e.held += a.held
+	}
+	if r.Outcome == Served { // Danger: what a silent endpoint never answers would make its sound peers seem slow
 		for _, g := range [...]*group{e.home, b.fleet} {
 			g.took += r.Took.Seconds()
 			g.held += a.held / e.Size
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -467,3 +467,27 @@
 		}
 	}
 }
+
+// TestSilentEndpointsDoNotSlowTheirPeers loses some endpoints, as with a zone: what they never answer says nothing of
+// how long the others take.
+func TestSilentEndpointsDoNotSlowTheirPeers(t *testing.T) {
+	took := 100 * time.Millisecond
+	b, h := start(t, settings(), fleet(4))
+	serve(b, h, 40, took)
+	for i := range RequestID(40) {
+		h.now += 20 * time.Millisecond
+		to := ask(b, h, i+1)
+		r := Result{ID: i + 1, Endpoint: to, Took: took, Finished: true}
+		if to == "s0000" || to == "s0001" {
+			r.Outcome, r.Took = TimedOut, 3*time.Second
+		}
+		b.Result(h.now, r)
+	}
+	if got := b.expect(b.known["s0002"], h.now); got > 1.5*took.Seconds() {
+		t.Errorf("an endpoint that answers in %v is expected to take %.2f s, since others are silent", took, got)
+	}
+	b.Endpoints(h.now, ListChanges, []Endpoint{{ID: "s0009", Zone: "x", Kind: "big", Size: 1}})
+	if got := b.expect(b.known["s0009"], h.now); got > 1.5*took.Seconds() {
+		t.Errorf("an endpoint not used yet is expected to take %.2f s, since others are silent", got)
+	}
+}
