Take the requests of others at a server from its load reports

The mean for a held request, which stands for an idle server's speed, rose sixfold meanwhile, and with it the bar above which a server counts as full.

At fault: expect and send reckoned with one request of others at every server (unseen). Of three sidecars each sees a third of a queue in its own requests in flight; of 80 it sees none of it, learns of it from answers that have been through it, takes it for a slow server, and forgets that over 6 s. The reports in the answers went unused.

Shares do not follow the reports: they only tell which servers are full.

--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"beechmill.example/beechmill/balance"
+	"beechmill.example/beechmill/internal/wire"
 )
 
 const (
@@ -275,8 +276,9 @@
 	}
 	c.out--
 	h.counts.attempts[r.outcome].Add(1)
+	inFlight, reported := wire.InFlight(r.load, "=", "inflight")
 	h.balancer.Result(h.now, balance.Result{ID: c.number, Attempt: n, Endpoint: endpoint, Outcome: r.outcome,
-		Took: h.now - sent, Finished: c.over})
+		Took: h.now - sent, Finished: c.over, Reported: reported, InFlight: inFlight})
 	h.forget(c)
 }
 
