--- a/balance/api.go
+++ b/balance/api.go
@@ -165,9 +165,7 @@
 	Endpoint string
 	Outcome  Outcome
 	Took     time.Duration
-	Finished bool    // the request has had its final answer
-	Reported bool    // the endpoint reported its load
-	InFlight float64 // which is so many requests held
+	Finished bool // the request has had its final answer
 }
 
 // Actions is what the host does for a Balancer, called for its answers to events. The events are the methods
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -108,7 +108,7 @@
 }
 
 func (b *Balancer) send(q *request, to *endpoint, now Time) {
-	held := float64(to.awaited()+1) + b.others(to)
+	held := float64(to.awaited()+1) + unseen
 	q.out++
 	q.attempts = append(q.attempts, attempt{to: to, sent: now, held: held, flight: to.depart(q, now)})
 	for _, e := range b.active {
@@ -248,7 +248,7 @@
 			// A restart under the same id is a new process: what was seen of the old one does not count. Its
 			// first turn is drawn from one round of its own: sidecars that are told at once must neither send at
 			// once, nor all wait for a round that takes those with little traffic a minute.
-			e.took, e.held, e.faults, e.until, e.seen, e.reports = 0, 0, 0, 0, 0, 0
+			e.took, e.held, e.faults, e.until = 0, 0, 0, 0
 			e.due = b.rng.Float64()
 		}
 		e.Endpoint, e.Size = entry, cmp.Or(max(entry.Size, 0), 1)
--- a/balance/health.go
+++ b/balance/health.go
@@ -10,8 +10,7 @@
 	tickEvery   = 100 * time.Millisecond // housekeeping
 	memory      = 6 * time.Second        // what answers have taught fades by 1/e in this time
 	fullAt      = 2.5                    // of the usual time for its size when idle: below it none is full
-	unseen      = 1.0                    // requests of others at an endpoint, where none reports
-	reportFade  = 6.0                    // times as fast as answers reports fade: they tell of one moment
+	unseen      = 1.0                    // requests of others that each endpoint is taken to hold
 	prior       = 2.0                    // requests held by which an endpoint's own record outweighs its peers'
 	faultBar    = 1.6                    // faults that eject: two without some successes between them
 	faultKeep   = 0.85                   // what a success leaves of the faults
@@ -59,27 +58,7 @@
 	if e.awaited() == 0 {
 		drain *= max(0, 1-(now-b.heard).Seconds()/memory.Seconds())
 	}
-	return (float64(e.awaited()+1) + b.others(e)) * drain
-}
-
-// others is the number of requests of other sidecars that an endpoint is taken to hold, from what it has
-// reported of late, or else its peers have. Danger: of many sidecars each holds next to nothing there: its
-// own requests in flight tell nothing of a queue, and answers only once they have been through it.
-func (b *Balancer) others(e *endpoint) float64 {
-	fleet := (b.fleet.seen + unseen) / (b.fleet.reports + 1)
-	home := (e.home.seen + fleet) / (e.home.reports + 1)
-	return (e.seen + home*e.Size) / (e.reports + 1)
-}
-
-// report takes in what an endpoint says it holds.
-func (b *Balancer) report(e *endpoint, inFlight float64) {
-	held := max(inFlight-float64(e.awaited()), 0)
-	e.seen += held
-	e.reports++
-	for _, g := range [...]*group{e.home, b.fleet} {
-		g.seen += held / e.Size
-		g.reports++
-	}
+	return (float64(e.awaited()+1) + unseen) * drain
 }
 
 // owed is the sum in seconds of how long the requests in flight have been out. Danger: the first answers to
@@ -142,9 +121,6 @@
 func (b *Balancer) learn(a *attempt, r Result, now Time) {
 	e := a.to
 	b.heard = now
-	if r.Reported && within(r.InFlight, 0, math.MaxInt32) {
-		b.report(e, r.InFlight)
-	}
 	if r.Outcome == Served || r.Outcome == TimedOut && !a.flight.lost() {
 		e.took += r.Took.Seconds()
 		e.held += a.held
@@ -176,14 +152,11 @@
 func (b *Balancer) fade(now Time, keep float64) {
 	var out, all float64
 	b.arrived, b.room = b.arrived*keep, 0
-	fast := math.Pow(keep, reportFade)
 	for _, g := range b.groups {
 		g.took, g.held, g.owed = g.took*keep, g.held*keep, 0
-		g.seen, g.reports = g.seen*fast, g.reports*fast
 	}
 	for _, e := range b.active {
 		e.took, e.held = e.took*keep, e.held*keep
-		e.seen, e.reports = e.seen*fast, e.reports*fast
 		e.warm = b.warmth(e, now)
 		e.home.owed += e.owed(now)
 		b.room += e.Size * e.warm * b.near[e.abroad]
--- a/balance/state.go
+++ b/balance/state.go
@@ -73,8 +73,6 @@
 	lost     int       // of those, how many have been passed too often to be answered still
 	took     float64   // fading sum of the seconds that answers took
 	held     float64   // and of the requests it held
-	seen     float64   // fading sum of the requests of others that its reports told of
-	reports  float64   // and of the reports
 	faults   float64   // count of faults, fading with successes
 	until    Time      // ejected until
 	warm     float64   // share of its capacity that it has
@@ -94,8 +92,6 @@
 	size    [2]float64  // registered size of the ready ones for their warmth, in the own zone and elsewhere
 	took    float64     // fading sum of the seconds that answers of endpoints at home in it took
 	held    float64     // and of the requests held for a unit of size
-	seen    float64     // fading sum of the requests of others for a unit of size that reports told of
-	reports float64     // and of the reports
 	owed    float64     // seconds for which answers of those have been due, at the last tick
 	whole   float64     // the largest registered size ever ready in it
 	next    int         // whose turn it is
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/wire"
 )
 
 const (
@@ -276,9 +275,8 @@
 	}
 	c.out--
 	h.counts.attempts[r.outcome].Add(1)
-	inFlight, reported := wire.InFlight(r.load, "=", "inflight")
 	h.balancer.Result(h.now, balance.Result{ID: c.number, Attempt: n, Endpoint: endpoint, Outcome: r.outcome,
-		Took: h.now - sent, Finished: c.over, Reported: reported, InFlight: inFlight})
+		Took: h.now - sent, Finished: c.over})
 	h.forget(c)
 }
 
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -42,7 +42,6 @@
 	blamed  bool // the server found fault with the request, not with itself
 	body    []byte
 	ctype   string
-	load    string // the server's report of its load, "" for none
 }
 
 // upstream holds the connections to the servers. Each server has a pool of its own, so that it can be dropped alone.
@@ -195,7 +194,6 @@
 	if err == nil {
 		var r reply
 		if r, err = read(resp); err == nil {
-			r.load = resp.Header.Get("X-Server-Load")
 			to.answered.Store(time.Now().UnixNano())
 			return r
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,6 @@
 	"io"
 	"math"
 	"strconv"
-	"strings"
 	"time"
 
 	"beechmill.example/beechmill/balance"
@@ -145,9 +144,6 @@
 		e.Kind = Result
 		e.Result = balance.Result{ID: balance.RequestID(r.number64(1)), Attempt: r.integer(2), Endpoint: r.text(3),
 			Outcome: r.outcome(4), Took: r.duration(5), Finished: r.boolean(6)}
-		if len(r.parts) > 7 {
-			e.Result.InFlight, e.Result.Reported = InFlight(string(r.parts[7]), ":", "concurrent")
-		}
 	case "CLIENT_LEFT":
 		e.Kind, e.ID = ClientGone, balance.RequestID(r.number64(1))
 	case "DUE":
@@ -163,18 +159,6 @@
 	return done, nil
 }
 
-// InFlight reads how many requests a server holds from its load report, pairs like inflight=7,queue=2, and tells
-// whether it says so.
-func InFlight(report, equals, name string) (float64, bool) {
-	for pair := range strings.SplitSeq(report, ",") {
-		if key, value, ok := strings.Cut(pair, equals); ok && key == name {
-			n, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-			return n, err == nil
-		}
-	}
-	return 0, false
-}
-
 func (r *Reader) split(line []byte) {
 	r.parts = r.parts[:0]
 	for {
