Count a server as full by what the idle fleet takes, not by what it takes now

At fault: pick held a server for full above 2.5 times fleet.usual(), "the usual time when idle"; it is the present mean, queues and all. One slow server among few moves it little. Where every server has a queue it moves with them, so that at 80 sidecars, each judging by its own few answers, nothing is full until it is hopeless.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -89,7 +89,7 @@
 		for _, e := range b.active {
 			limit := bar
 			if pass == 0 { // full above the zones' bar, but not just because its kind is slow
-				limit = min(limit, left, max(spillAt*b.aim, fullAt*(1+unseen)*b.fleet.usual()/e.Size))
+				limit = min(limit, left, max(spillAt*b.aim, fullAt*(1+unseen)*cmp.Or(b.idle, b.fleet.usual())/e.Size))
 			}
 			e.open = e.State == Ready && (b.panicking || now >= e.until) && b.mayGo(q, e, now) && b.coldRoom(e)
 			if excess := b.expect(e, now) - limit; e.open {
--- a/balance/health.go
+++ b/balance/health.go
@@ -12,6 +12,8 @@
 	fullAt      = 2.5                    // of the usual time for its size when idle: below it none is full
 	unseen      = 1.0                    // requests of others that each endpoint is taken to hold
 	prior       = 2.0                    // requests held by which an endpoint's own record outweighs its peers'
+	idleAfter   = 100                    // requests held in a mean that is true to a tenth or two
+	idleKeep    = 10                     // memories in which what an idle fleet takes is forgotten by 1/e
 	faultBar    = 1.6                    // faults that eject: two without some successes between them
 	faultKeep   = 0.85                   // what a success leaves of the faults
 	passedBy    = 4                      // later answers of its endpoint after which an attempt's own is lost
@@ -164,6 +166,12 @@
 			out += e.Size
 		}
 	}
+	// Danger: if full went by the present usual time, queues everywhere would raise the bar, and none be full.
+	if u := b.fleet.usual(); b.fleet.held >= idleAfter {
+		if b.idle += (u - b.idle) * (1 - keep) / idleKeep; b.idle > u || b.idle == 0 {
+			b.idle = u
+		}
+	}
 	b.panicking = out > ejectMost*all
 }
 
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -286,6 +286,36 @@
 	}
 }
 
+// TestJamCountsAsFull has all answers slow down alike: what an idle fleet takes says what is full, not the jam itself.
+func TestJamCountsAsFull(t *testing.T) {
+	const idle, jam = 100 * time.Millisecond, 700 * time.Millisecond
+	for _, tt := range []struct {
+		name  string
+		took  time.Duration
+		ticks int // for which answers take that long
+		full  bool
+	}{
+		{"no jam", idle, 100, false},
+		{"a jam", jam, 100, true},
+		{"a jam that has long passed for what it takes", jam, 3000, false},
+	} {
+		b, h := start(t, settings(), pair())
+		play := func(ticks int, took time.Duration) {
+			for range ticks {
+				b.Timer(h.now, tokenTick)
+				serve(b, h, 5, took)
+			}
+		}
+		play(100, idle)
+		play(tt.ticks, tt.took)
+		b.tight = 0
+		ask(b, h, 1)
+		if full := b.tight != 0; full != tt.full {
+			t.Errorf("%s: full %v, want %v; idle it takes %.3f s, now %.3f s", tt.name, full, tt.full, b.idle, b.fleet.usual())
+		}
+	}
+}
+
 func TestRestartIsANewStart(t *testing.T) {
 	b, h := start(t, settings(), pair())
 	serve(b, h, 40, 20*time.Millisecond)
--- a/balance/state.go
+++ b/balance/state.go
@@ -17,6 +17,7 @@
 	work       []float64  // mean time of the answers in seconds, by class
 	aim        float64    // the shortest aim
 	near       [2]float64 // weight of the own zone, which is 1, and of the others
+	idle       float64    // the usual time of the fleet when idle: the least of late
 	room       float64    // registered size of the active endpoints for their warmth and zone
 	arrived    float64    // fading count of requests
 	allowed    float64    // sum of the tenants' allowances
