Give a cold server turns for half the fall multiple of its least share

At fault: a cold server's turns are reckoned with start_capacity rising evenly, the least and the slowest that the settings allow. Most start higher, and they get warm by the work they are given, which that kept from them. At 9 servers with one cold that is no loss; with six in ten cold at once it is the fleet's missing capacity.

Checked: rule 4 bounds what is sent at fall_multiple times what a server can do. Half of that for one that is as cold as can be leaves a factor of two for chance; its own slow answers still close it.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -111,8 +111,11 @@
 	held := float64(to.awaited()+1) + unseen
 	q.out++
 	q.attempts = append(q.attempts, attempt{to: to, sent: now, held: held, flight: to.depart(q, now)})
+	// The share is of the least that a cold endpoint can do. Most can do more, and get warm by what they are
+	// given, so it is half of what one at the least would fall over at.
+	share := max(b.set.FallMultiple/2, 1) / b.room
 	for _, e := range b.active {
-		e.due += e.Size * e.warm * b.near[e.abroad] / b.room
+		e.due += share * e.Size * e.warm * b.near[e.abroad]
 	}
 	to.due = 0
 	b.act.Send(q.ID, to.ID, 0)
--- a/balance/health.go
+++ b/balance/health.go
@@ -186,7 +186,8 @@
 
 // coldRoom tells whether an endpoint is warm, or has its next turn for the share of its capacity that it has.
 // Danger: sidecars that all turn to a cold endpoint, as it alone seems free, push it over. When each keeps to
-// its turns, it gets no more for its warmth than the fleet's mean, whatever the number of sidecars.
+// its turns, it gets no more for its warmth than half the fall multiple of the fleet's mean, whatever the
+// number of sidecars.
 func (b *Balancer) coldRoom(e *endpoint) bool {
 	return e.warm >= 1 || e.due >= 1
 }
