Open a watch again after a jittered pause

follow waited 100, 200, 400 ms and so on, the same at every sidecar: sidecars whose watches end together, as when discovery is overbooked or an agent's upstream restarts, asked again together each time. Now each waits from half the pause to all of it.

TestWatchesAreOpenedAgainApart fails with the fixed pause.

--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"sync"
 	"time"
@@ -385,7 +386,7 @@
 			}
 			select {
 			case address = <-moves:
-			case <-time.After(pause):
+			case <-time.After(jitter(pause)):
 				pause = min(2*pause, mostPause)
 			case <-ctx.Done():
 				return
@@ -405,6 +406,10 @@
 	}
 }
 
+// jitter is a time from half of the pause up to all of it. Danger: sidecars whose watches end together, as when what they
+// ask is overbooked, would ask again together, each time.
+func jitter(pause time.Duration) time.Duration { return pause/2 + rand.N(pause/2) }
+
 // Log writes a line of the Balancer.
 func (h *host) Log(text string) { h.log.Info(text) }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -283,6 +283,25 @@
 
 // TestSilenceIsNoticedInTime has a watch fall silent: the next one is open with a second to spare before the news count
 // as told, yet two beats in a row may be missed by a little.
+// TestWatchesAreOpenedAgainApart spreads sidecars whose watches ended together.
+func TestWatchesAreOpenedAgainApart(t *testing.T) {
+	for pause := leastPause; pause <= mostPause; pause *= 2 {
+		quarters := [4]int{}
+		for range 1000 {
+			wait := jitter(pause)
+			if wait < pause/2 || wait >= pause {
+				t.Fatalf("it waits %v, want half of %v or more, and less than all", wait, pause)
+			}
+			quarters[(wait-pause/2)*8/pause]++
+		}
+		for i, n := range quarters {
+			if n < 150 {
+				t.Errorf("%d of 1000 sidecars ask in quarter %d of the second half of %v", n, i, pause)
+			}
+		}
+	}
+}
+
 func TestSilenceIsNoticedInTime(t *testing.T) {
 	silence := newDiscovery("127.0.0.1:9", time.Second).silence
 	if again := silence + leastPause; again > toldWithin-time.Second || silence <= 2*2*time.Second {
