Accept on the inherited socket, and answer PING at control

Ruled out: a slow start (both processes are ready in 0.0 to 0.1 s). At fault: run.go bound PROXY_LISTEN in each process; no listener at control existed. The end of a process no longer closes connections on which part of a request was read (net/http counts them as idle).

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -21,6 +21,8 @@
 	Name      string
 	Listen    string // where the application connects
 	Discovery string // where discovery, or its agent on this machine, listens
+	Control   string // where operators call; "": nowhere
+	Inherited int    // descriptor of the listening socket that the platform holds; 0: none
 	Cores     float64
 	MemoryMB  int
 	Sockets   int
@@ -38,6 +40,7 @@
 	leastSockets          = 64
 	defaultConnectTimeout = 250 * time.Millisecond
 	defaultIdleClose      = 15 * time.Second
+	stderrFD              = 2 // the last descriptor that is never a socket
 )
 
 // configFile is the form of the file that PROXY_CONFIG names. Unknown keys are ignored.
@@ -45,6 +48,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Control   string
 	Seed      string
 	Limits    struct {
 		Cores    *float64
@@ -97,6 +101,7 @@
 		Name:      cmp.Or(getenv("PROXY_NAME"), file.Name),
 		Listen:    cmp.Or(getenv("PROXY_LISTEN"), file.Listen),
 		Discovery: cmp.Or(getenv("PROXY_DISCOVERY"), file.Discovery),
+		Control:   cmp.Or(getenv("PROXY_CONTROL"), file.Control),
 		Cores:     defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
 	}
 	for _, a := range []struct{ field, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
@@ -104,6 +109,18 @@
 			return nil, fmt.Errorf("%s: %w", a.field, err)
 		}
 	}
+	if c.Control != "" {
+		if err := checkAddress(c.Control); err != nil {
+			return nil, fmt.Errorf("control: %w", err)
+		}
+	}
+	if v := getenv("PROXY_FD"); v != "" {
+		fd, err := strconv.ParseUint(v, 10, 31)
+		if err != nil || fd <= stderrFD {
+			return nil, fmt.Errorf("PROXY_FD: %q is no descriptor above %d", v, stderrFD)
+		}
+		c.Inherited = int(fd)
+	}
 	seed, err := strconv.ParseUint(file.Seed, 16, 64)
 	if err != nil {
 		return nil, fmt.Errorf("seed: %q is no hexadecimal number of 64 bits", file.Seed)
--- /dev/null
+++ b/internal/sidecar/control.go
@@ -0,0 +1,169 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	mostCallers  = 16              // of control at once
+	mostCall     = 512             // bytes of a call's line
+	callWithin   = 3 * time.Second // a call must be there after it connected
+	answerWithin = time.Second     // and an operator waits for the answer
+	mostSurplus  = 64 << 10        // bytes of a line that is too long that are read, so that its answer arrives
+)
+
+// control answers operators: one line to a connection, one answer to a line.
+//
+// Danger: callers that connect and say nothing could shut out the one who has something to say. So they have few places,
+// and whoever has held his longest gives it up to the next.
+type control struct {
+	log  *slog.Logger
+	do   func(call []string) string // answers the words of a line
+	most int
+	wait time.Duration
+
+	mu      sync.Mutex
+	callers []net.Conn // in the order of their coming
+	at      sync.WaitGroup
+}
+
+func newControl(log *slog.Logger, do func([]string) string) *control {
+	return &control{log: log, do: do, most: mostCallers, wait: callWithin}
+}
+
+// serve answers at l until ctx is done, and returns once no caller is left.
+func (c *control) serve(ctx context.Context, l net.Listener) {
+	defer c.at.Wait()
+	defer c.evict(0)
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		switch {
+		case err == nil:
+		case errors.Is(err, net.ErrClosed):
+			return
+		default: // as when descriptors are short: that passes
+			c.log.Warn("control", "err", err)
+			select {
+			case <-time.After(leastPause):
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		c.evict(c.most - 1)
+		c.mu.Lock()
+		c.callers = append(c.callers, conn)
+		c.mu.Unlock()
+		c.at.Add(1)
+		go func() {
+			defer c.at.Done()
+			defer c.gone(conn)
+			defer conn.Close()
+			c.answer(conn)
+		}()
+	}
+}
+
+// evict ends the callers that came first, until no more than some are left. One that said its line is gone at once.
+func (c *control) evict(most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.callers) > most {
+		_ = c.callers[0].Close()
+		c.callers = c.callers[1:]
+	}
+}
+
+// gone takes a caller off the list.
+func (c *control) gone(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.callers = slices.DeleteFunc(c.callers, func(other net.Conn) bool { return other == conn })
+}
+
+// answer reads a caller's line and answers it.
+func (c *control) answer(conn net.Conn) {
+	if conn.SetDeadline(time.Now().Add(c.wait)) != nil {
+		return
+	}
+	line, err := bufio.NewReaderSize(io.LimitReader(conn, mostCall+1), mostCall+1).ReadString('\n')
+	text := "fail the line has no end\n"
+	switch {
+	case len(line) > mostCall:
+		text = fmt.Sprintf("fail the line is longer than %d bytes\n", mostCall)
+	case err == nil:
+		text = c.do(strings.Fields(line))
+	}
+	if conn.SetDeadline(time.Now().Add(answerWithin)) != nil {
+		return
+	}
+	_, _ = io.WriteString(conn, text) // a caller that is gone needs no answer
+	// Danger: closing with something unread resets the connection, and the answer may be lost with it.
+	if tcp, ok := conn.(*net.TCPConn); ok && len(line) > mostCall && tcp.CloseWrite() == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(conn, mostSurplus))
+	}
+}
+
+// operate does what the words of an operator's line say, and returns the answer with its line's end.
+func (s *server) operate(call []string) string {
+	if len(call) == 0 {
+		return "fail the line is empty\n"
+	}
+	name := call[0]
+	operation, known := operations[name]
+	switch want := operation.words; {
+	case !known:
+		return fmt.Sprintf("fail %.32q is not known\n", name)
+	case len(call)-1 != want && want == 0:
+		return fmt.Sprintf("fail %s stands alone\n", name)
+	case len(call)-1 != want:
+		return fmt.Sprintf("fail %s takes the id of one server\n", name)
+	}
+	return operation.do(s, call)
+}
+
+// operations are the calls that operators may make, with the number of words behind each.
+var operations = map[string]struct {
+	words int
+	do    func(*server, []string) string
+}{
+	"PING": {0, (*server).ping},
+}
+
+// ping tells whether this process is ready to serve.
+func (s *server) ping([]string) string {
+	if err := s.unready(); err != nil {
+		return fmt.Sprintf("fail %v\n", err)
+	}
+	return "ok ready\n"
+}
+
+var (
+	errNoServers = errors.New("no servers are known yet")
+	errDraining  = errors.New("draining")
+)
+
+// unready says why no new connections are welcome, if so.
+func (s *server) unready() error {
+	select {
+	case <-s.host.ready:
+	default:
+		return errNoServers
+	}
+	if s.draining.Load() {
+		return errDraining
+	}
+	return nil
+}
--- a/internal/sidecar/crowd.go
+++ b/internal/sidecar/crowd.go
@@ -11,6 +11,9 @@
 // idleAtLeast is how long a client's connection must have idled before it may be closed to make room.
 const idleAtLeast = 2 * time.Second
 
+// idleMoment is how long it must have idled before it is closed while this process leaves.
+const idleMoment = 50 * time.Millisecond
+
 // crowd keeps the clients' connections within what the descriptors bear.
 //
 // Danger: a peer that hoards connections takes the descriptors that attempts need, and one that asks all clients to
@@ -59,6 +62,24 @@
 	}
 }
 
+// closeIdle ends the connections that idle, but for those that have just begun to: a client that was about to use one can
+// still open another. Nor one on which a request has begun to come.
+func (w *crowd) closeIdle(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c, s := range w.conns {
+		if (s.state == http.StateIdle || s.state == http.StateNew) && now.Sub(s.since) > idleMoment && !begun(c) {
+			w.close(c)
+		}
+	}
+}
+
+// begun tells whether part of a request has been read from a connection.
+func begun(c net.Conn) bool {
+	f, ok := c.(*framedConn)
+	return ok && f.begun.Load()
+}
+
 // end closes the connection that has been longest in a state, if it has been since before a time, and tells whether
 // there was one.
 func (w *crowd) end(state http.ConnState, before time.Time) bool {
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -26,6 +26,7 @@
 	*net.TCPConn
 	framing
 	fault error
+	begun atomic.Bool // part of a request has been read, and not all of it
 
 	improper *atomic.Int64 // counts the connections ended here
 }
@@ -66,7 +67,9 @@
 		return 0, c.fault
 	}
 	n, err := c.TCPConn.Read(p)
-	if good := c.check(p[:n]); good < n {
+	good := c.check(p[:n])
+	c.begun.Store(c.seen > 0 || c.body > 0 || c.last)
+	if good < n {
 		c.fault = errFraming
 		c.improper.Add(1)
 		if good == 0 {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -36,15 +36,18 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * memoryShare))
 
-	address, err := net.ResolveTCPAddr("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	inner, err := net.ListenTCP("tcp", address)
+	inner, err := openListener(c)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	defer inner.Close()
+	var calls *net.TCPListener
+	if c.Control != "" {
+		if calls, err = listenTCP(c.Control); err != nil {
+			return fmt.Errorf("control: %w", err)
+		}
+		defer calls.Close()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	h, err := newHost(ctx, c, log)
@@ -72,6 +75,13 @@
 		defer loop.Done()
 		s.keepCounts(ctx, log)
 	}()
+	if calls != nil {
+		loop.Add(1)
+		go func() {
+			defer loop.Done()
+			newControl(log, s.operate).serve(ctx, calls)
+		}()
+	}
 	l := &drainListener{TCPListener: inner, quiet: times.quiet, improper: &s.counts.improper}
 	web := s.httpServer(log)
 	ended := make(chan error, 1)
@@ -82,31 +92,52 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-stop.Done():
 	}
-	// Danger: connections that are waiting when the listener closes are reset, and what they sent is lost. So this
-	// goes on accepting and serving first, and only asks clients to close.
 	log.Info("draining")
 	s.draining.Store(true)
-	idle := time.AfterFunc(times.closeIdle, func() { web.SetKeepAlivesEnabled(false) })
-	defer idle.Stop()
-	if err := l.drain(times.accept); err != nil {
+	idleAt := time.Now().Add(times.closeIdle)
+	if c.Inherited != 0 {
+		// What waits in the backlog is for the other process.
+		err = l.leave()
+	} else {
+		// Danger: connections that are waiting when the listener closes are reset, and what they sent is lost. So this
+		// goes on accepting and serving first, and only asks clients to close.
+		err = l.drain(times.accept)
+	}
+	if err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
-	<-ended
-	finish, done := context.WithTimeout(context.Background(), times.finish)
-	defer done()
-	if err := web.Shutdown(finish); err != nil {
-		// Shutdown waits also for connections that never brought a request; only requests count.
-		for s.active.Load() > 0 {
-			time.Sleep(times.quiet)
-		}
-		if err := web.Close(); err != nil {
-			return fmt.Errorf("close: %w", err)
-		}
+	if err := s.finish(ended, idleAt, times); err != nil {
+		return err
+	}
+	if err := web.Close(); err != nil {
+		return fmt.Errorf("close: %w", err)
 	}
 	log.Info("drained")
 	return nil
 }
 
+// finish returns once the listener has ended and no connection is left or, after some time, no request. Clients'
+// connections that idle end from idleAt on.
+func (s *server) finish(listener <-chan error, idleAt time.Time, times drainTimes) error {
+	tick := time.NewTicker(max(times.quiet, time.Millisecond))
+	defer tick.Stop()
+	var until time.Time // connections without a request are waited for; zero: the listener has not ended
+	for {
+		select {
+		case <-listener:
+			listener, until = nil, time.Now().Add(times.finish)
+		case now := <-tick.C:
+			if now.After(idleAt) {
+				s.crowd.closeIdle(now)
+			}
+			// A connection is busy from before its first request is known of until after its last one is answered.
+			if listener == nil && (s.crowd.count.Load() == 0 || now.After(until) && s.active.Load() == 0) {
+				return nil
+			}
+		}
+	}
+}
+
 // drainListener goes on accepting for some time after it is told to stop.
 type drainListener struct {
 	*net.TCPListener
@@ -124,6 +155,12 @@
 	return l.SetDeadline(time.Now().Add(atLeast))
 }
 
+// leave has Accept end at once.
+func (l *drainListener) leave() error {
+	l.rounds = mostRounds
+	return l.SetDeadline(time.Now())
+}
+
 // Accept implements net.Listener. Danger: a deadline can pass with connections waiting, and closing the listener
 // resets them, so the end comes only after a round in which none was found.
 func (l *drainListener) Accept() (net.Conn, error) {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -74,14 +74,9 @@
 		(&fault{http.StatusMethodNotAllowed, "method not allowed", "GET, HEAD"}).write(w)
 		return
 	}
-	select {
-	case <-s.host.ready:
-		if !s.draining.Load() {
-			return
-		}
-	default:
+	if s.unready() != nil {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
 	}
-	http.Error(w, "not ready", http.StatusServiceUnavailable)
 }
 
 func (s *server) api(w http.ResponseWriter, r *http.Request, came time.Time) {
--- /dev/null
+++ b/internal/sidecar/upgrade_test.go
@@ -0,0 +1,244 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets a test start this binary as a sidecar.
+func TestMain(m *testing.M) {
+	if os.Getenv("TEST_AS_SIDECAR") != "" {
+		stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer cancel()
+		c, err := LoadConfig(os.Getenv)
+		if err == nil {
+			err = Run(stop, c, slog.New(slog.NewTextHandler(os.Stderr, nil)), nil, nil)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// platform holds the clients' listening socket, and starts processes that inherit it.
+type platform struct {
+	t       *testing.T
+	address string
+	socket  *os.File
+	env     []string
+}
+
+func startPlatform(t *testing.T, config string) *platform {
+	t.Helper()
+	l := listen(t).(*net.TCPListener)
+	socket, err := l.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { socket.Close() })
+	dir := t.TempDir()
+	file := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return &platform{t: t, address: l.Addr().String(), socket: socket,
+		env: append(os.Environ(), "TEST_AS_SIDECAR=1", "PROXY_CONFIG="+file, "PROXY_FD=3", "TMPDIR="+dir)}
+}
+
+// child is a sidecar in a process of its own.
+type child struct {
+	t       *testing.T
+	control string
+	process *exec.Cmd
+	ended   chan error
+}
+
+// start starts one more process and waits until it says yes.
+func (f *platform) start() *child {
+	f.t.Helper()
+	s := &child{t: f.t, control: freeAddress(f.t), process: exec.Command(os.Args[0]), ended: make(chan error, 1)}
+	s.process.Env = append(f.env, "PROXY_CONTROL="+s.control)
+	s.process.ExtraFiles = []*os.File{f.socket}
+	var text strings.Builder
+	s.process.Stderr = &text
+	if err := s.process.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	var over sync.WaitGroup
+	over.Add(1)
+	go func() {
+		defer over.Done()
+		s.ended <- s.process.Wait()
+	}()
+	f.t.Cleanup(func() {
+		_ = s.process.Process.Kill()
+		over.Wait()
+		if f.t.Failed() {
+			f.t.Logf("a process said:\n%s", text.String())
+		}
+	})
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		if c, err := net.Dial("tcp", s.control); err == nil {
+			c.Close()
+			if strings.HasPrefix(s.call("PING"), "ok ") {
+				return s
+			}
+		}
+		if time.Now().After(end) {
+			f.t.Fatal("a process was never ready")
+		}
+	}
+}
+
+func (s *child) call(line string) string { return dialControl(s.t, s.control, line+"\n") }
+
+// leave has the process leave, and returns once it has ended.
+func (s *child) leave() {
+	s.t.Helper()
+	if err := s.process.Process.Signal(syscall.SIGTERM); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := within(s.t, s.ended, "end"); err != nil {
+		s.t.Errorf("a process ended with %v", err)
+	}
+}
+
+// ask makes a request on a connection, and tells whether the sidecar asks to close it.
+func (f *platform) ask(c net.Conn, in *bufio.Reader) (closing bool, err error) {
+	if _, err := io.WriteString(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: i\r\nX-Priority-Class: pay\r\nX-Timeout-Ms: 50000\r\n"+
+		"Content-Length: 2\r\n\r\nhi"); err != nil {
+		return false, err
+	}
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	if body, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || string(body) != "ok" {
+		return false, fmt.Errorf("status %d, body %q, error %w", resp.StatusCode, body, err)
+	}
+	return resp.Close, nil
+}
+
+// TestUpgrade has clients go on asking, on kept connections and on new ones, while one process takes over from another,
+// three times: none is turned away.
+func TestUpgrade(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	f := startPlatform(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	old := f.start()
+	stop := make(chan bool)
+	var clients sync.WaitGroup
+	for kept := range 4 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			var c net.Conn
+			var in *bufio.Reader
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c == nil {
+					var err error
+					if c, err = net.Dial("tcp", f.address); err != nil {
+						t.Errorf("no connection: %v", err)
+						return
+					}
+					in = bufio.NewReader(c)
+				}
+				closing, err := f.ask(c, in)
+				if err != nil {
+					t.Errorf("a request failed: %v", err)
+					return
+				}
+				if closing || kept == 0 {
+					c.Close()
+					c = nil
+				}
+			}
+		}()
+	}
+	for range 3 {
+		next := f.start()
+		old.leave()
+		old = next
+	}
+	close(stop)
+	clients.Wait()
+}
+
+// TestLeaveUnaccepted has a process leave while a connection waits in the backlog: it is left to the other process.
+func TestLeaveUnaccepted(t *testing.T) {
+	inner := listen(t).(*net.TCPListener)
+	l := &drainListener{TCPListener: inner, quiet: patience}
+	c, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := l.leave(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.Accept(); err == nil {
+		t.Error("a process that leaves took a connection")
+	}
+}
+
+// TestLeavingClosesIdle has connections idle, or wait in the middle of a head, while a process leaves: the one in the
+// middle is served, the others end.
+func TestLeavingClosesIdle(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	f := startPlatform(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	s := f.start()
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", f.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	silent, idle, slow := dial(), dial(), dial()
+	for _, c := range []net.Conn{idle, slow} {
+		if closing, err := f.ask(c, bufio.NewReader(c)); err != nil || closing {
+			t.Fatal(closing, err)
+		}
+	}
+	if _, err := io.WriteString(slow, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: i\r\nX-Prio"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond) // it is read by then; if not, the test sees less
+	left := make(chan bool)
+	go func() { s.leave(); close(left) }()
+	for _, c := range []net.Conn{silent, idle} {
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("an idle connection ended with %v", err)
+		}
+	}
+	if _, err := io.WriteString(slow, "rity-Class: pay\r\nX-Timeout-Ms: 50000\r\nContent-Length: 2\r\n\r\nhi"); err != nil {
+		t.Fatal(err)
+	}
+	if resp, err := http.ReadResponse(bufio.NewReader(slow), nil); err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("answer %+v, error %v to a request that had begun", resp, err)
+	}
+	within(t, left, "end")
+}
