--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -139,9 +139,11 @@
 	words int
 	do    func(*server, []string) string
 }{
-	"PING":   {0, (*server).ping},
-	"DETACH": {1, func(s *server, call []string) string { return s.byHand(call[1], true) }},
-	"ATTACH": {1, func(s *server, call []string) string { return s.byHand(call[1], false) }},
+	"PING":     {0, (*server).ping},
+	"LAMEDUCK": {0, (*server).lameduck},
+	"REJOIN":   {0, (*server).rejoin},
+	"DETACH":   {1, func(s *server, call []string) string { return s.byHand(call[1], true) }},
+	"ATTACH":   {1, func(s *server, call []string) string { return s.byHand(call[1], false) }},
 }
 
 // ping tells whether this process is ready to serve.
@@ -154,7 +156,8 @@
 
 var (
 	errNoServers = errors.New("no servers are known yet")
-	errDraining  = errors.New("draining")
+	errDraining  = errors.New("draining until REJOIN")
+	errLeaving   = errors.New("this process is leaving")
 )
 
 // unready says why no new connections are welcome, if so.
@@ -164,7 +167,10 @@
 	default:
 		return errNoServers
 	}
-	if s.draining.Load() {
+	switch {
+	case s.draining.Load():
+		return errLeaving
+	case s.lame.Load() != 0:
 		return errDraining
 	}
 	return nil
--- /dev/null
+++ b/internal/sidecar/drain_test.go
@@ -0,0 +1,105 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestLameduck has staff drain a sidecar and end the drain: meanwhile health says no, answers ask to close, what idles is
+// closed and what has begun is served.
+func TestLameduck(t *testing.T) {
+	gate := make(chan bool)
+	b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Header.Get("Idempotency-Key") != "" {
+			<-gate
+		}
+		return say(200, "", "ok")(c, r, body)
+	})
+	p, call := operator(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	health := func() int {
+		t.Helper()
+		r, err := http.Get("http://" + p.address + "/healthz")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Body.Close()
+		return r.StatusCode
+	}
+	dial := func(text string) net.Conn {
+		t.Helper()
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	if status := health(); status != 200 {
+		t.Fatalf("health %d at first", status)
+	}
+	silent, idle := dial(""), dial("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	in := bufio.NewReader(idle)
+	if resp, err := http.ReadResponse(in, nil); err != nil || resp.Close {
+		t.Fatal(resp, err)
+	}
+	slow := make(chan gotten, 1)
+	go func() { slow <- p.do(p.request(context.Background(), "book", "50000")) }()
+	within(t, b.came, "attempt")
+	for _, line := range []string{"LAMEDUCK", "LAMEDUCK"} {
+		if answer := call(line); !strings.HasPrefix(answer, "ok ") {
+			t.Errorf("%s is answered %q", line, answer)
+		}
+	}
+	if status := health(); status != 503 {
+		t.Errorf("health %d while drained", status)
+	}
+	if answer := call("PING"); !strings.HasPrefix(answer, "fail ") {
+		t.Errorf("PING is answered %q while drained", answer)
+	}
+	if g := p.ask("pay"); g.status != 200 || !g.closing {
+		t.Errorf("answer %+v while drained", g)
+	}
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection ended with %v", err)
+	}
+	if _, err := silent.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("a connection without a request ended with %v", err)
+	}
+	close(gate)
+	if g := within(t, slow, "answer"); g.status != 200 || g.body != "ok" || !g.closing {
+		t.Errorf("answer %+v to what was taken before", g)
+	}
+	for _, line := range []string{"REJOIN", "REJOIN"} {
+		if answer := call(line); !strings.HasPrefix(answer, "ok ") {
+			t.Errorf("%s is answered %q", line, answer)
+		}
+	}
+	if answer := call("PING"); !strings.HasPrefix(answer, "ok ") || health() != 200 {
+		t.Errorf("PING is answered %q after the drain", answer)
+	}
+	if g := p.ask("pay"); g.status != 200 || g.closing {
+		t.Errorf("answer %+v after the drain", g)
+	}
+}
+
+// TestRejoinWhileLeaving says REJOIN to a process that SIGTERM has sent away: that stays so.
+func TestRejoinWhileLeaving(t *testing.T) {
+	s := &server{host: &host{log: slog.New(slog.DiscardHandler)}}
+	s.draining.Store(true)
+	if answer := s.operate([]string{"REJOIN"}); !strings.HasPrefix(answer, "fail ") {
+		t.Errorf("answer %q", answer)
+	}
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -22,6 +22,7 @@
 	accept    time.Duration // new connections go on coming for 0.4 s after the restart is announced
 	quiet     time.Duration // and then none may be left waiting
 	closeIdle time.Duration // while a client that was about to use one can still open another
+	lame      time.Duration // as closeIdle, for a drain that staff began
 	finish    time.Duration // after the last connection was taken, before the process is killed
 }
 
@@ -29,7 +30,7 @@
 // tells, it reads where discovery is with discoveryAt and moves there.
 func Run(stop context.Context, c *Config, log *slog.Logger, reload <-chan os.Signal, discoveryAt func() (string, error)) error {
 	return run(stop, c, log, reload, discoveryAt, drainTimes{accept: 450 * time.Millisecond, quiet: 25 * time.Millisecond,
-		closeIdle: 300 * time.Millisecond, finish: 3 * time.Second})
+		closeIdle: 300 * time.Millisecond, lame: time.Second, finish: 3 * time.Second})
 }
 
 func run(stop context.Context, c *Config, log *slog.Logger, reload <-chan os.Signal, discoveryAt func() (string, error), times drainTimes) error {
@@ -76,7 +77,11 @@
 		s.keepCounts(ctx, log)
 	}()
 	if calls != nil {
-		loop.Add(1)
+		loop.Add(2)
+		go func() {
+			defer loop.Done()
+			s.sweep(ctx, times.lame)
+		}()
 		go func() {
 			defer loop.Done()
 			newControl(log, s.operate).serve(ctx, calls)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -29,7 +29,8 @@
 	most     int64 // requests held at once
 	crowd    *crowd
 	held     atomic.Int64
-	draining atomic.Bool
+	draining atomic.Bool  // for good
+	lame     atomic.Int64 // since when, in nanoseconds of Unix time, until staff end it; 0: not
 	active   atomic.Int64 // handlers at work
 	counts   *counts
 }
@@ -54,8 +55,9 @@
 	came := time.Now()
 	s.active.Add(1)
 	defer s.active.Add(-1)
+	s.part(w)
 	// Behind a body in chunks, framedConn does not look for the next head.
-	if s.draining.Load() || s.crowd.full() || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	switch {
@@ -114,6 +116,7 @@
 		return
 	}
 	if a, ok := s.host.serve(r.Context(), c); ok {
+		s.part(w) // again: it may have begun since
 		a.write(w)
 	}
 }
