--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -140,6 +140,7 @@
 	do    func(*server, []string) string
 }{
 	"PING":     {0, (*server).ping},
+	"INFO":     {0, (*server).info},
 	"LAMEDUCK": {0, (*server).lameduck},
 	"REJOIN":   {0, (*server).rejoin},
 	"DETACH":   {1, func(s *server, call []string) string { return s.byHand(call[1], true) }},
--- a/internal/sidecar/counts.go
+++ b/internal/sidecar/counts.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -12,21 +14,49 @@
 // countsEvery is how often the log says what happened since it last did.
 const countsEvery = 5 * time.Second
 
-// counts is what happened at the sockets since the log last said it.
+// counts is what happened at the sockets since the start.
 type counts struct {
+	open     atomic.Int64 // requests taken and not ended
 	requests atomic.Int64 // handed to the module
-	served   atomic.Int64
-	refused  atomic.Int64 // by the module
-	failed   atomic.Int64
 	gone     atomic.Int64 // left by their client
-	busy     atomic.Int64 // beyond what may be held
+	busy     atomic.Int64 // of the refused ones, those beyond what may be held
 	improper atomic.Int64 // answered 4xx, or ended for their framing
 	blamed   atomic.Int64 // attempts answered 4xx
 	dials    atomic.Int64 // to servers
 	reused   atomic.Int64 // attempts on a connection that had idled
 
+	classes  []classCounts
 	attempts [balance.NotSent + 1]atomic.Int64 // by outcome
-	slowest  atomic.Int64                      // nanoseconds from an attempt's start until it had a connection, at most
+	slowest  atomic.Int64                      // nanoseconds from an attempt's start until it had a connection, at most, since the log said so
+}
+
+// classCounts is what became of the requests of a class.
+type classCounts struct {
+	name      string
+	fulfilled atomic.Int64 // answered as a server did
+	throttled atomic.Int64 // refused
+	faulted   atomic.Int64 // failed
+	relayed   atomic.Int64 // attempts written whole
+}
+
+func newCounts(classes []balance.Class) *counts {
+	n := &counts{classes: make([]classCounts, len(classes))}
+	for i, c := range classes {
+		n.classes[i].name = c.Name
+	}
+	return n
+}
+
+// answered counts a request whose answer has been written whole.
+func (n *classCounts) answered(kind answerKind) {
+	switch kind {
+	case served:
+		n.fulfilled.Add(1)
+	case refused:
+		n.throttled.Add(1)
+	default:
+		n.faulted.Add(1)
+	}
 }
 
 var outcomeNames = [balance.NotSent + 1]string{"ok", "error", "full", "timeout", "connect", "reset", "cancelled", "unsent"}
@@ -40,28 +70,79 @@
 	}
 }
 
-// report logs the counts and starts them anew.
-func (n *counts) report(log *slog.Logger, w *crowd, held int64) {
-	attempts := make([]any, len(n.attempts))
+// figure is one counter by its name in the log.
+type figure struct {
+	name  string
+	value int64
+}
+
+// since reads the counters for the log.
+func (n *counts) since(w *crowd) (figures, attempts []figure) {
+	var fulfilled, throttled, faulted, relayed int64
+	for i := range n.classes {
+		c := &n.classes[i]
+		fulfilled, throttled = fulfilled+c.fulfilled.Load(), throttled+c.throttled.Load()
+		faulted, relayed = faulted+c.faulted.Load(), relayed+c.relayed.Load()
+	}
 	for i := range n.attempts {
-		attempts[i] = slog.Int64(outcomeNames[i], n.attempts[i].Swap(0))
+		attempts = append(attempts, figure{outcomeNames[i], n.attempts[i].Load()})
 	}
-	log.Info("counts", "conns", w.count.Load(), "crowded", w.closed.Swap(0), "held", held, "requests", n.requests.Swap(0), "served", n.served.Swap(0),
-		"refused", n.refused.Swap(0), "failed", n.failed.Swap(0), "gone", n.gone.Swap(0), "busy", n.busy.Swap(0),
-		"improper", n.improper.Swap(0), "blamed", n.blamed.Swap(0), slog.Group("attempts", attempts...), "dials", n.dials.Swap(0),
-		"reused", n.reused.Swap(0), "connect_ms", time.Duration(n.slowest.Swap(0)).Milliseconds())
+	return []figure{{"crowded", w.closed.Load()}, {"requests", n.requests.Load()}, {"fulfilled", fulfilled}, {"throttled", throttled},
+		{"faulted", faulted}, {"gone", n.gone.Load()}, {"busy", n.busy.Load()}, {"improper", n.improper.Load()},
+		{"blamed", n.blamed.Load()}, {"relayed", relayed}, {"dials", n.dials.Load()}, {"reused", n.reused.Load()}}, attempts
+}
+
+// report logs what has happened since the last report, which it gets and returns.
+func (n *counts) report(log *slog.Logger, w *crowd, last [2][]figure) [2][]figure {
+	var now [2][]figure
+	now[0], now[1] = n.since(w)
+	var groups [2][]any
+	for i := range now {
+		for j, f := range now[i] {
+			if last[i] != nil {
+				f.value -= last[i][j].value
+			}
+			groups[i] = append(groups[i], slog.Int64(f.name, f.value))
+		}
+	}
+	line := append([]any{"conns", w.count.Load(), "open", n.open.Load()}, groups[0]...)
+	log.Info("counts", append(line, slog.Group("attempts", groups[1]...), "connect_ms", time.Duration(n.slowest.Swap(0)).Milliseconds())...)
+	return now
 }
 
 // keepCounts logs the counts until ctx is done.
 func (s *server) keepCounts(ctx context.Context, log *slog.Logger) {
 	tick := time.NewTicker(countsEvery)
 	defer tick.Stop()
+	var last [2][]figure
 	for {
 		select {
 		case <-tick.C:
-			s.counts.report(log, s.crowd, s.held.Load())
+			last = s.counts.report(log, s.crowd, last)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
+
+// info answers with the figures as they stand.
+func (s *server) info([]string) string {
+	var listed, avoided int
+	if !s.host.ask(func() { listed, avoided = s.host.balancer.Listed(s.host.now) }) {
+		return fmt.Sprintf("fail %v\n", errLeaving)
+	}
+	var text strings.Builder
+	for i := range s.counts.classes {
+		c := &s.counts.classes[i]
+		for _, f := range []figure{{"fulfilled", c.fulfilled.Load()}, {"throttled", c.throttled.Load()},
+			{"faulted", c.faulted.Load()}, {"relayed", c.relayed.Load()}} {
+			fmt.Fprintf(&text, "svc.operations.%s.%s:%d|c\n", c.name, f.name, f.value)
+		}
+	}
+	for _, f := range []figure{{"open_requests", s.counts.open.Load()}, {"registry_entries", int64(listed)},
+		{"out_of_rotation", int64(avoided)}} {
+		fmt.Fprintf(&text, "svc.%s:%d|g\n", f.name, f.value)
+	}
+	text.WriteString("eof\n")
+	return text.String()
+}
--- a/internal/sidecar/counts_test.go
+++ b/internal/sidecar/counts_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
 	"log/slog"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -12,24 +16,88 @@
 
 // TestCounts has the log say what happened, and only once.
 func TestCounts(t *testing.T) {
-	n := &counts{}
+	n := newCounts([]balance.Class{{Name: "read"}, {Name: "pay"}})
 	n.requests.Add(3)
+	n.open.Add(1)
 	n.attempts[balance.TimedOut].Add(2)
+	n.classes[0].answered(served)
+	n.classes[1].answered(served)
+	n.classes[1].answered(refused)
 	n.connected(true, 40*time.Millisecond)
 	n.connected(false, 20*time.Millisecond)
 	var text bytes.Buffer
 	log := slog.New(slog.NewTextHandler(&text, nil))
 	w := newCrowd(64)
 	w.count.Store(7)
-	n.report(log, w, 1)
-	for _, want := range []string{"conns=7 crowded=0 held=1 requests=3 ", "attempts.timeout=2 ", "reused=1 connect_ms=40\n"} {
+	last := n.report(log, w, [2][]figure{})
+	for _, want := range []string{"conns=7 open=1 crowded=0 requests=3 fulfilled=2 throttled=1 faulted=0 ", "attempts.timeout=2 ",
+		"reused=1 ", "connect_ms=40\n"} {
 		if !strings.Contains(text.String(), want) {
 			t.Errorf("%q lacks %q", text.String(), want)
 		}
 	}
 	text.Reset()
-	n.report(log, w, 0)
-	if !strings.Contains(text.String(), "requests=0 ") || !strings.Contains(text.String(), "connect_ms=0\n") {
-		t.Errorf("said again: %q", text.String())
+	n.classes[0].answered(failed)
+	n.report(log, w, last)
+	for _, want := range []string{"requests=0 fulfilled=0 throttled=0 faulted=1 ", "attempts.timeout=0 ", "connect_ms=0\n"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("said again: %q lacks %q", text.String(), want)
+		}
+	}
+}
+
+// TestInfo has requests end in each way, and reads the figures.
+func TestInfo(t *testing.T) {
+	b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		switch r.Header.Get("X-Request-ID") {
+		case "error":
+			return say(500, "", "")(c, r, body)
+		case "full":
+			return say(503, "X-Not-Processed: 1\r\n", "")(c, r, body)
+		case "silent":
+			return silent(c, r, body)
+		}
+		return say(200, "", "ok")(c, r, body)
+	})
+	gone := startBackend(t, hangUp)
+	list := listText(1, true, entry("s-0", b.address, "SERVING", 0), entry("s-1", gone.address, "DRAINING", 0))
+	p, call := operator(t, configText(startRegistry(t).address, list, testSettings))
+	ask := func(class, id string, status int) {
+		t.Helper()
+		r := p.request(context.Background(), class, "50000")
+		r.Header.Set("X-Request-ID", id)
+		if g := p.do(r); g.status != status {
+			t.Fatalf("%s, %s: answer %+v, want %d", class, id, g, status)
+		}
+	}
+	ask("read", "1", 200)
+	ask("read", "2", 200)
+	ask("pay", "3", 200)
+	ask("pay", "full", 503)
+	ask("pay", "error", 502)
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	go func() {
+		r := p.request(ctx, "book", "50000")
+		r.Header.Set("X-Request-ID", "silent")
+		p.do(r)
+	}()
+	for range 6 {
+		within(t, b.came, "request")
+	}
+	// The client may have its answer a moment before it is counted.
+	want := "svc.operations.read.fulfilled:2|c\nsvc.operations.read.throttled:0|c\nsvc.operations.read.faulted:0|c\nsvc.operations.read.relayed:2|c\n" +
+		"svc.operations.book.fulfilled:0|c\nsvc.operations.book.throttled:0|c\nsvc.operations.book.faulted:0|c\nsvc.operations.book.relayed:1|c\n" +
+		"svc.operations.pay.fulfilled:1|c\nsvc.operations.pay.throttled:1|c\nsvc.operations.pay.faulted:1|c\nsvc.operations.pay.relayed:3|c\n" +
+		"svc.open_requests:1|g\nsvc.registry_entries:2|g\nsvc.out_of_rotation:%d|g\neof\n"
+	// Two faults take the only server that serves out of the rotation, but with all of it out that is suspended.
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		text := call("INFO")
+		if text == fmt.Sprintf(want, 1) {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("got\n%s\nwant\n%s", text, fmt.Sprintf(want, 1))
+		}
 	}
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -92,7 +92,7 @@
 
 // newHost returns a host whose attempts and watches end with ctx.
 func newHost(ctx context.Context, c *Config, log *slog.Logger) (*host, error) {
-	n := &counts{}
+	n := newCounts(c.Settings.Classes)
 	h := &host{log: log, counts: n, origin: time.Now().Add(-originAge), ready: make(chan struct{}), wake: make(chan struct{}, 1),
 		upstream:  newUpstream(c.Limits.ConnectTimeout, c.Limits.IdleClose, c.Sockets, n),
 		discovery: newDiscovery(c.Discovery, c.Limits.ConnectTimeout),
@@ -240,14 +240,6 @@
 func (h *host) answer(c *call, a answer) {
 	if c != nil && !c.over {
 		c.over = true
-		switch a.kind {
-		case served:
-			h.counts.served.Add(1)
-		case refused:
-			h.counts.refused.Add(1)
-		case failed:
-			h.counts.failed.Add(1)
-		}
 		c.answered <- a
 	}
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -28,7 +28,6 @@
 	config   *Config
 	most     int64 // requests held at once
 	crowd    *crowd
-	held     atomic.Int64
 	draining atomic.Bool  // for good
 	lame     atomic.Int64 // since when, in nanoseconds of Unix time, until staff end it; 0: not
 	active   atomic.Int64 // handlers at work
@@ -109,15 +108,19 @@
 	}
 	// The time for the body is over; a later end of the connection means that the client is gone.
 	_ = conn.SetReadDeadline(time.Time{})
-	defer s.held.Add(-1)
-	if s.held.Add(1) > s.most {
+	defer s.counts.open.Add(-1)
+	a, ok := answer{kind: refused}, true
+	if s.counts.open.Add(1) > s.most {
 		s.counts.busy.Add(1)
-		(&fault{http.StatusServiceUnavailable, "too many requests held", ""}).write(w)
+	} else {
+		a, ok = s.host.serve(r.Context(), c)
+	}
+	if !ok {
 		return
 	}
-	if a, ok := s.host.serve(r.Context(), c); ok {
-		s.part(w) // again: it may have begun since
-		a.write(w)
+	s.part(w) // again: it may have begun since
+	if err := a.write(w); err == nil {
+		s.counts.classes[c.class].answered(a.kind)
 	}
 }
 
@@ -172,30 +175,35 @@
 	if err != nil {
 		return bad("X-Timeout-Ms is no number of milliseconds")
 	}
-	c.class, c.tenant = class, -1
+	c.class, c.tenant, c.relayed = class, -1, &s.counts.classes[class].relayed
 	if tenant, ok := s.config.Names.Tenant[r.Header.Get("X-Tenant-Id")]; ok {
 		c.tenant = tenant
 	}
 	return c, time.Duration(ms) * time.Millisecond, nil
 }
 
-// write writes the final answer.
-func (a answer) write(w http.ResponseWriter) {
+// write writes the final answer, and fails if the client is gone.
+func (a answer) write(w http.ResponseWriter) error {
+	status, body := http.StatusOK, a.body
+	// Danger: a guessed type or a chunked body would be another answer than the server's.
+	w.Header()["Content-Type"] = nil
 	switch a.kind {
 	case served:
-		// Danger: a guessed type or a chunked body would be another answer than the server's.
-		w.Header()["Content-Type"] = nil
 		if a.ctype != "" {
 			w.Header().Set("Content-Type", a.ctype)
 		}
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-		_, _ = w.Write(a.body) // a client that is gone needs no answer
 	case refused:
 		if a.after > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(a.after.Seconds(), 'f', 3, 64))
 		}
-		http.Error(w, "refused: a retry is harmless", http.StatusServiceUnavailable)
+		status, body = http.StatusServiceUnavailable, []byte("refused: a retry is harmless\n")
 	default:
-		http.Error(w, "failed", http.StatusBadGateway)
+		status, body = http.StatusBadGateway, []byte("failed\n")
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	if _, err := w.Write(body); err != nil {
+		return err
 	}
+	return http.NewResponseController(w).Flush()
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -34,6 +34,8 @@
 	key    string // Idempotency-Key, "" for none
 	ctype  string // Content-Type
 	body   []byte
+
+	relayed *atomic.Int64 // counts the attempts written whole; nil: nobody counts
 }
 
 // reply is how an attempt ended. body and ctype are those of a Served one.
@@ -189,6 +191,11 @@
 				req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(time.Until(end).Milliseconds(), 1), 10))
 			}
 		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil && m.relayed != nil {
+				m.relayed.Add(1)
+			}
+		},
 	}))
 	resp, err := to.pool.RoundTrip(req)
 	if err == nil {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -25,7 +25,7 @@
 
 // to is an upstream that knows the backends.
 func to(t *testing.T, backends ...*backend) *upstream {
-	u := newUpstream(patience, patience, defaultSockets, &counts{})
+	u := newUpstream(patience, patience, defaultSockets, newCounts(nil))
 	u.update(list(t, serving(1, backends...)))
 	t.Cleanup(func() { u.update(List{All: true}) })
 	return u
