Let bodies and answers over 64 KiB flow, with bounds on progress and memory

Ruled out as causes: failing servers (attempts.error counted only long answers) and lack of descriptors (213 of 1,024). At fault: upstream.read and server.api held whole messages of 64 KiB at most; ReadTimeout bounded the whole of a request at 2 s. A body in chunks no longer costs its connection: heads behind it are checked as behind any other.

--- a/balance/api.go
+++ b/balance/api.go
@@ -135,12 +135,14 @@
 	ListRefused                    // a discovery call failed or the subscription broke; no entries
 )
 
-// Request is a client's request. Within is the time left before the client gives this try up.
+// Request is a client's request. Within is the time left before the client gives this try up; while the body is still
+// coming that has not begun.
 type Request struct {
 	ID     RequestID
 	Class  int // index into Settings.Classes
 	Tenant int // index into Settings.Tenants, or -1
 	Within time.Duration
+	Coming bool // the body is still coming, and is sent on as it comes: BodyEnded follows
 }
 
 // Outcome is how an attempt ended.
@@ -169,7 +171,7 @@
 }
 
 // Actions is what the host does for a Balancer, called for its answers to events. The events are the methods
-// Request, Result, AnswerStarted, ClientGone, Endpoints, ByHand and Timer of Balancer. The host calls them in the order of
+// Request, BodyTaken, BodyEnded, Result, AnswerStarted, ClientGone, Endpoints, ByHand and Timer of Balancer. The host calls them in the order of
 // what happened; the first list follows New at once. Each Request ends with one final answer: a Result that is
 // Finished, Refuse or Fail. Each Send ends with one Result, also after the final answer.
 //
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -56,7 +56,7 @@
 // try sends the request's next attempt, or ends the request if none may or should be sent.
 func (b *Balancer) try(q *request, now Time) {
 	var late float64
-	if len(q.attempts) < b.set.MaxAttempts && now < q.deadline {
+	if len(q.attempts) < b.set.MaxAttempts && !q.spent && now < q.due(now) {
 		var to *endpoint
 		if to, late = b.pick(q, now); to != nil {
 			b.send(q, to, now)
@@ -84,7 +84,7 @@
 	}
 	// Danger: an answer that comes when the client is gone is work for nothing, and its effect is not known. One
 	// client's hurry prefers quick endpoints, but it refuses nothing and is no reason for others to give way.
-	left := surely * (q.deadline - now).Seconds()
+	left := surely * (q.due(now) - now).Seconds()
 	for pass := range 2 {
 		for _, e := range b.active {
 			limit := bar
@@ -111,6 +111,9 @@
 	held := float64(to.awaited()+1) + unseen
 	q.out++
 	q.attempts = append(q.attempts, attempt{to: to, sent: now, held: held, flight: to.depart(q, now)})
+	if q.Coming {
+		to.setApart(q.attempts[len(q.attempts)-1].flight)
+	}
 	// The share is of the least that a cold endpoint can do. Most can do more, and get warm by what they are
 	// given, so it is half of what one at the least would fall over at.
 	share := max(b.set.FallMultiple/2, 1) / b.room
@@ -168,14 +171,42 @@
 	}
 }
 
+// due is when the client gives up, as far as that is known: while the body is coming its time has not begun.
+func (q *request) due(now Time) Time {
+	if q.Coming {
+		return now + q.Within
+	}
+	return q.deadline
+}
+
+// BodyTaken takes in that part of a body that was still coming has been sent on, and cannot be sent again.
+func (b *Balancer) BodyTaken(id RequestID) {
+	if q := b.requests[id]; q != nil {
+		q.spent = true
+	}
+}
+
+// BodyEnded takes in that all of a body has come: now the client's time begins, and an answer is owed.
+func (b *Balancer) BodyEnded(now Time, id RequestID) {
+	q := b.requests[id]
+	if q == nil || !q.Coming {
+		return
+	}
+	q.Coming, q.deadline = false, now+q.Within
+	for i := range q.attempts {
+		if a := &q.attempts[i]; !a.done {
+			a.sent = now
+			a.to.owe(a.flight, now)
+		}
+	}
+}
+
 // AnswerStarted takes in that a streamed answer has begun.
 func (b *Balancer) AnswerStarted(now Time, id RequestID, attempt int) {
 	if q := b.requests[id]; q != nil && attempt >= 0 && attempt < len(q.attempts) && !q.attempts[attempt].done {
 		a := &q.attempts[attempt]
-		if !a.flight.lost() {
-			a.to.sent += now - a.flight.sent // no answer is owed for the time it streams
-		}
-		a.sent, a.flight.sent = now, now
+		a.to.setApart(a.flight) // no answer is owed for the time it streams
+		a.sent = now
 	}
 }
 
--- a/balance/health.go
+++ b/balance/health.go
@@ -72,7 +72,7 @@
 
 // lost tells whether so many later answers have passed an attempt that its own is not slow but lost.
 // Danger: a single lost answer would close an endpoint that serves all others, until that attempt times out.
-func (f *flight) lost() bool { return f.passed >= passedBy }
+func (f *flight) lost() bool { return f.apart || f.passed >= passedBy }
 
 // depart takes in that the request's next attempt is sent.
 func (e *endpoint) depart(q *request, now Time) *flight {
@@ -83,6 +83,25 @@
 	return f
 }
 
+// setApart has nothing be owed for an attempt. Danger: a body that a client sends slowly, or an answer that
+// it reads slowly, would make a sound endpoint seem slow.
+func (e *endpoint) setApart(f *flight) {
+	if !f.lost() {
+		e.lost++
+		e.sent -= f.sent
+	}
+	f.apart = true
+}
+
+// owe has an answer be owed for an attempt from now on.
+func (e *endpoint) owe(f *flight, now Time) {
+	if f.apart {
+		f.apart, f.sent, f.passed = false, now, 0
+		e.lost--
+		e.sent += now
+	}
+}
+
 // arrive takes in that an attempt has ended, and what that tells of those sent before it.
 func (e *endpoint) arrive(f *flight, served bool) {
 	at := slices.Index(e.flights, f)
@@ -93,7 +112,7 @@
 		e.sent -= f.sent
 	}
 	for _, old := range e.flights[:at] {
-		if !served || old.sent >= f.sent {
+		if !served || old.apart || old.sent >= f.sent {
 			continue
 		}
 		if old.passed++; old.passed == passedBy {
@@ -108,8 +127,8 @@
 func (b *Balancer) reclaim(e *endpoint, now Time) {
 	for _, f := range e.flights {
 		q := b.requests[f.id]
-		if !f.lost() || f.called || q == nil || q.ended || q.class.Effect != Idempotent || !b.set.CancelAllowed ||
-			len(q.attempts) >= b.set.MaxAttempts {
+		if !f.lost() || f.apart || f.called || q == nil || q.ended || q.class.Effect != Idempotent ||
+			!b.set.CancelAllowed || len(q.attempts) >= b.set.MaxAttempts {
 			continue
 		}
 		if (now - f.sent).Seconds() >= max(reclaimAt*q.class.Aim.Seconds(), heavy*b.work[q.Class]) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -37,6 +37,7 @@
 	deadline Time
 	over     bool // beyond its tenant's allowance
 	ended    bool // has its final answer
+	spent    bool // part of its body is gone: it cannot be sent again
 	out      int  // attempts without a result
 	attempts []attempt
 }
@@ -58,6 +59,7 @@
 	sent   Time
 	passed int  // answers that the endpoint has given to attempts sent after it
 	called bool // off
+	apart  bool // no answer is due: its body is still coming, or the answer is
 }
 
 // tenant meters this sidecar's part of a tenant's allowance.
@@ -72,7 +74,7 @@
 	inFlight int       // this sidecar's attempts out
 	flights  []*flight // those, in the order of their sending
 	sent     Time      // sum of the times at which those not lost were sent
-	lost     int       // of those, how many have been passed too often to be answered still
+	lost     int       // of those, how many are apart, or passed too often to be answered still
 	took     float64   // fading sum of the seconds that answers took
 	held     float64   // and of the requests it held
 	faults   float64   // count of faults, fading with successes
--- /dev/null
+++ b/internal/sidecar/flow_test.go
@@ -0,0 +1,350 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// long is a text that is not held.
+var long = strings.Repeat("0123456789abcdef", 3*mostBody/16)
+
+// forms are the ways to frame an answer: its head, a piece of its body, its end.
+var forms = map[string]struct {
+	head  string
+	piece func(string) string
+	end   string
+}{
+	"length": {fmt.Sprintf("Content-Length: %d\r\n\r\n", len(long)), func(s string) string { return s }, ""},
+	"chunks": {"Transfer-Encoding: chunked\r\n\r\n", func(s string) string { return fmt.Sprintf("%x;a=b\r\n%s\r\n", len(s), s) }, "0\r\nA: b\r\n\r\n"},
+	"close":  {"Connection: close\r\n\r\n", func(s string) string { return s }, ""},
+}
+
+// TestLongAnswer has a server begin a long answer in each form, and end it only when the client has had the first bytes.
+func TestLongAnswer(t *testing.T) {
+	for name, form := range forms {
+		t.Run(name, func(t *testing.T) {
+			gate := make(chan bool)
+			b := startBackend(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+				fmt.Fprint(c, "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 X\r\nContent-Type: video/x\r\n"+form.head+form.piece(long[:100]))
+				<-gate
+				fmt.Fprint(c, form.piece(long[100:])+form.end)
+				return name != "close"
+			})
+			p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+			resp, err := p.client.Do(p.request(context.Background(), "pay", "50000"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			first := make([]byte, 100)
+			if _, err := io.ReadFull(resp.Body, first); err != nil {
+				t.Fatal(err)
+			}
+			close(gate)
+			rest, err := io.ReadAll(resp.Body)
+			if err != nil || string(first)+string(rest) != long {
+				t.Errorf("%d bytes came of %d, error %v", len(first)+len(rest), len(long), err)
+			}
+			if resp.StatusCode != 200 || resp.Header.Get("Content-Type") != "video/x" || resp.Close {
+				t.Errorf("answer %+v", resp)
+			}
+		})
+	}
+}
+
+// TestBrokenAnswer has a long answer break off in each form: the client can tell, and it is not asked for again.
+func TestBrokenAnswer(t *testing.T) {
+	for name, form := range forms {
+		if name == "close" {
+			continue // nobody can tell
+		}
+		for _, proto := range []string{"1.0", "1.1"} {
+			t.Run(name+" "+proto, func(t *testing.T) {
+				b := startBackend(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+					fmt.Fprint(c, "HTTP/1.1 200 X\r\n"+form.head+form.piece(long[:2*mostBody]))
+					return false
+				})
+				p, call := operator(t, configText(startRegistry(t).address, serving(1, b, b), testSettings))
+				c, err := net.Dial("tcp", p.address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer c.Close()
+				fmt.Fprintf(c, "GET /api HTTP/%s\r\nHost: x\r\nX-Request-ID: i\r\nX-Priority-Class: read\r\nX-Timeout-Ms: 50000\r\n\r\n", proto)
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+				}
+				if err == nil {
+					t.Error("half an answer seems whole")
+				}
+				if n := b.count(); n != 1 {
+					t.Errorf("%d attempts", n)
+				}
+				for end := time.Now().Add(patience); !strings.Contains(call("INFO"), "read.faulted:1|"); time.Sleep(time.Millisecond) {
+					if time.Now().After(end) {
+						t.Fatalf("it is not counted as failed:\n%s", call("INFO"))
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestBackpressure has a client not read a long answer: the server cannot send it all.
+func TestBackpressure(t *testing.T) {
+	const size = 64 << 20
+	var written atomic.Int64
+	stuck := make(chan bool)
+	b := startBackend(t, func(c net.Conn, _ *http.Request, _ []byte) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n", size)
+		piece := make([]byte, 1<<16)
+		for written.Load() < size {
+			if c.SetWriteDeadline(time.Now().Add(time.Second)) != nil {
+				return false
+			}
+			n, err := c.Write(piece)
+			if written.Add(int64(n)); err != nil {
+				break
+			}
+		}
+		close(stuck)
+		return false
+	})
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	resp, err := p.client.Do(p.request(context.Background(), "read", "50000"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	within(t, stuck, "end of the writing")
+	if n := written.Load(); n >= size {
+		t.Errorf("%d bytes were taken from the server for a client that reads none", n)
+	}
+}
+
+// TestHeldAnswers has the budget run out: what is short then flows too, and what was booked is given back.
+func TestHeldAnswers(t *testing.T) {
+	room := &budget{most: 10}
+	for _, tt := range []struct {
+		text  string
+		begun bool
+	}{{"0123456789", false}, {"0123456789a", true}} {
+		f := newFlow(int64(len(tt.text)), "", room, func(f *flow) {
+			go func() {
+				var text bytes.Buffer
+				nothing := func() error { return nil }
+				if err := f.copy(&text, nothing, nothing); err != nil || text.String() != tt.text {
+					t.Errorf("%q came, error %v", text.String(), err)
+				}
+				f.leave()
+			}()
+		})
+		f.stop = func() {}
+		whole, err := f.fill(strings.NewReader(tt.text))
+		if err != nil || f.begun != tt.begun || !tt.begun && string(whole) != tt.text {
+			t.Errorf("%q: held %q, begun %v, error %v", tt.text, whole, f.begun, err)
+		}
+		if n := room.held.Load(); n != 0 {
+			t.Errorf("%d bytes stay booked", n)
+		}
+	}
+}
+
+// TestClientLeavesFlow has a client leave in the middle of an answer: the attempt ends.
+func TestClientLeavesFlow(t *testing.T) {
+	ended := make(chan bool, 1)
+	b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\nbegin", len(long))
+		silent(c, r, body)
+		ended <- true
+		return false
+	})
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	ctx, leave := context.WithCancel(context.Background())
+	resp, err := p.client.Do(p.request(ctx, "read", "50000"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	leave()
+	within(t, ended, "end of the attempt")
+}
+
+// TestLongBody has a client send a long body in each form, and its end only once the server has had the first bytes.
+func TestLongBody(t *testing.T) {
+	for name, form := range forms {
+		if name == "close" {
+			continue // a request has no such form
+		}
+		t.Run(name, func(t *testing.T) {
+			l := listen(t)
+			first, whole := make(chan bool, 1), make(chan string, 1)
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				begin := make([]byte, 100)
+				if _, err := io.ReadFull(r.Body, begin); err != nil {
+					return
+				}
+				first <- true
+				rest, err := io.ReadAll(r.Body)
+				if err != nil {
+					return
+				}
+				whole <- string(begin) + string(rest)
+				say(200, "", "ok")(c, r, nil)
+			}()
+			p := start(t, configText(startRegistry(t).address, serving(1, &backend{address: l.Addr().String()}), testSettings))
+			c, err := net.Dial("tcp", p.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			in := bufio.NewReader(c)
+			fmt.Fprint(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: i\r\nX-Priority-Class: pay\r\nX-Timeout-Ms: 50000\r\nExpect: 100-continue\r\n"+form.head)
+			if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 100 {
+				t.Fatal(resp, err)
+			}
+			fmt.Fprint(c, form.piece(long[:2*mostBody]))
+			within(t, first, "first bytes")
+			fmt.Fprint(c, form.piece(long[2*mostBody:])+form.end)
+			if got := within(t, whole, "body"); got != long {
+				t.Errorf("%d bytes came of %d", len(got), len(long))
+			}
+			if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 200 || resp.Close {
+				t.Errorf("answer %+v, error %v", resp, err)
+			}
+		})
+	}
+}
+
+// TestUploadBreaks has a server end the connection in the middle of a long body: the rest of it is gone, so there is no
+// second attempt, and since nothing ran it is a refusal, at once and not when the body has come.
+func TestUploadBreaks(t *testing.T) {
+	l := listen(t)
+	var attempts atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			attempts.Add(1)
+			_, _ = io.CopyN(io.Discard, c, 2*mostBody)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	b := &backend{address: l.Addr().String()}
+	p := start(t, configText(startRegistry(t).address, serving(1, b, b), testSettings))
+	c, err := net.Dial("tcp", p.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: i\r\nX-Priority-Class: pay\r\nX-Timeout-Ms: 50000\r\nContent-Length: %d\r\n\r\n", 1<<20)
+	fmt.Fprint(c, long)
+	go func() {
+		for {
+			if _, err := io.WriteString(c, "more"); err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("answer %+v, error %v", resp, err)
+	}
+	if n := attempts.Load(); n != 1 {
+		t.Errorf("%d attempts", n)
+	}
+}
+
+// TestSlowBody has a client send a long body for longer than any bound on silence, and another stop in it.
+func TestSlowBody(t *testing.T) {
+	b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		return say(200, "", fmt.Sprint(len(body)))(c, r, body)
+	})
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	const piece, n = 16 << 10, 16
+	head := fmt.Sprintf("POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: i\r\nX-Priority-Class: pay\r\nX-Timeout-Ms: 300\r\nContent-Length: %d\r\n\r\n", n*piece)
+	t.Run("slow", func(t *testing.T) {
+		t.Parallel()
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, head)
+		for range n {
+			if _, err := io.WriteString(c, long[:piece]); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatal(resp, err)
+		}
+		if text, err := io.ReadAll(resp.Body); string(text) != fmt.Sprint(n*piece) {
+			t.Errorf("the server had %s bytes, error %v", text, err)
+		}
+	})
+	t.Run("stopped", func(t *testing.T) {
+		t.Parallel()
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		began := time.Now()
+		fmt.Fprint(c, head+long[:6*piece])
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if took := time.Since(began); took > mostSilence {
+			t.Errorf("it took %v", took)
+		}
+		if err == nil && resp.StatusCode < 400 {
+			t.Errorf("answer %+v", resp)
+		}
+	})
+}
+
+// TestTooLong has a body in chunks grow too long: its client gets an error, and no server all of it.
+func TestTooLong(t *testing.T) {
+	var whole atomic.Int64
+	b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		whole.Add(1)
+		return say(200, "", "ok")(c, r, body)
+	})
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	r := p.request(context.Background(), "pay", "50000")
+	r.Body, r.ContentLength, r.GetBody = io.NopCloser(io.LimitReader(zeros{}, mostLong+1)), -1, nil
+	g := p.do(r)
+	if errors.Is(g.err, context.DeadlineExceeded) || g.err == nil && g.status != 413 || whole.Load() != 0 {
+		t.Errorf("answer %+v, %d servers had it whole", g, whole.Load())
+	}
+}
+
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 )
 
 // mostHead is how many bytes of a head are looked at: what http.Server reads of one before it gives up.
@@ -26,7 +27,9 @@
 	*net.TCPConn
 	framing
 	fault error
-	begun atomic.Bool // part of a request has been read, and not all of it
+	any   bool         // has been read
+	begun atomic.Bool  // part of a request has been read, and not all of it
+	from  atomic.Int64 // when the request that is coming, or came last, began, in nanoseconds of Unix time
 
 	improper *atomic.Int64 // counts the connections ended here
 }
@@ -58,7 +61,9 @@
 )
 
 func newFramedConn(c *net.TCPConn, improper *atomic.Int64) *framedConn {
-	return &framedConn{TCPConn: c, framing: framing{length: -1}, improper: improper}
+	f := &framedConn{TCPConn: c, framing: framing{length: -1}, improper: improper}
+	f.from.Store(time.Now().UnixNano()) // a first request's time begins with its connection
+	return f
 }
 
 // Read implements net.Conn.
@@ -67,8 +72,12 @@
 		return 0, c.fault
 	}
 	n, err := c.TCPConn.Read(p)
+	if n > 0 && c.any && !c.begun.Load() {
+		c.from.Store(time.Now().UnixNano())
+	}
+	c.any = c.any || n > 0
 	good := c.check(p[:n])
-	c.begun.Store(c.seen > 0 || c.body > 0 || c.last)
+	c.begun.Store(c.seen > 0 || c.body > 0 || c.part != noPart)
 	if good < n {
 		c.fault = errFraming
 		c.improper.Add(1)
@@ -161,8 +170,8 @@
 	chunks, length, interim := c.chunks, c.length, strings.HasPrefix(c.status, "1")
 	c.seen, c.length, c.chunks, c.old = 0, -1, false, false
 	switch {
-	case !c.answers:
-		c.last, c.body = chunks, max(length, 0)
+	case !c.answers && !chunks:
+		c.body = max(length, 0)
 	case c.status == "101":
 		c.last = true
 	case interim: // another head follows
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -40,6 +41,7 @@
 	body  []byte        // served
 	ctype string        // served
 	after time.Duration // refused: when to come back; 0: not said
+	flow  *flow         // served: in place of body, the answer as it comes
 }
 
 // call is a client's request while the host has it. The loop alone touches what follows answered.
@@ -47,15 +49,25 @@
 	message
 	class    int
 	tenant   int
-	deadline time.Time // the final answer is due
+	booked   int       // bytes of the body
+	deadline time.Time // the final answer is due; zero: the body is still coming
 	answered chan answer
 
 	number   balance.RequestID
 	over     bool // has its final answer
-	attempts []context.CancelFunc
+	due      *time.Timer
+	attempts []*try
 	out      int
 }
 
+// try is an attempt. The loop alone touches it.
+type try struct {
+	cancel context.CancelCauseFunc
+	timer  *time.Timer  // of its end; nil: the body is still coming
+	sent   balance.Time // or when the body had come
+	began  balance.Time // its answer; 0: not
+}
+
 // host runs the Balancer. Its loop is the only goroutine that touches it; everything that happens is posted to it.
 type host struct {
 	log       *slog.Logger
@@ -94,7 +106,7 @@
 func newHost(ctx context.Context, c *Config, log *slog.Logger) (*host, error) {
 	n := newCounts(c.Settings.Classes)
 	h := &host{log: log, counts: n, origin: time.Now().Add(-originAge), ready: make(chan struct{}), wake: make(chan struct{}, 1),
-		upstream:  newUpstream(c.Limits.ConnectTimeout, c.Limits.IdleClose, c.Sockets, n),
+		upstream:  newUpstream(c.Limits.ConnectTimeout, c.Limits.IdleClose, c.Sockets, n, newBudget(c.MemoryMB)),
 		discovery: newDiscovery(c.Discovery, c.Limits.ConnectTimeout),
 		handover:  &handover{log: log},
 		calls:     map[balance.RequestID]*call{}, rev: noRev, ctx: ctx, leave: func() {}}
@@ -198,10 +210,13 @@
 // ends first.
 func (h *host) serve(ctx context.Context, c *call) (answer, bool) {
 	c.answered = make(chan answer, 1)
-	h.post(func() { h.begin(c) })
 	// Danger: a request that the Balancer left without an answer would hang until the client gives up.
-	due := time.AfterFunc(time.Until(c.deadline)+answerMargin/2, func() { h.post(func() { h.abandon(c, true) }) })
-	defer due.Stop()
+	c.due = time.AfterFunc(c.wait+answerMargin/2, func() { h.post(func() { h.abandon(c, true) }) })
+	if c.rest != nil {
+		c.due.Stop() // its time has not begun
+	}
+	h.post(func() { h.begin(c) })
+	defer c.due.Stop()
 	select {
 	case a := <-c.answered:
 		return a, true
@@ -216,8 +231,47 @@
 	h.last++
 	c.number = h.last
 	h.calls[c.number] = c
-	h.balancer.Request(h.now, balance.Request{ID: c.number, Class: c.class, Tenant: c.tenant,
-		Within: c.deadline.Sub(h.origin) - h.now})
+	r := balance.Request{ID: c.number, Class: c.class, Tenant: c.tenant, Within: c.wait, Coming: c.rest != nil}
+	if !r.Coming {
+		r.Within = c.deadline.Sub(h.origin) - h.now
+	}
+	h.balancer.Request(h.now, r)
+}
+
+// bodyEnded begins a request's time: its body has come.
+func (h *host) bodyEnded(c *call) {
+	if c.over {
+		return
+	}
+	c.deadline = h.origin.Add(h.now + c.wait)
+	c.due.Reset(c.wait + answerMargin/2)
+	for _, t := range c.attempts {
+		if t.timer == nil {
+			t.sent = h.now
+			t.arm(c.deadline)
+		}
+	}
+	h.balancer.BodyEnded(h.now, c.number)
+}
+
+// arm ends an attempt at a time, unless its timer is stopped before.
+func (t *try) arm(end time.Time) {
+	t.timer = time.AfterFunc(time.Until(end), func() { t.cancel(context.DeadlineExceeded) })
+}
+
+// began takes in that an attempt's answer comes and is to be passed on, which makes it the request's final one.
+func (h *host) began(ctx context.Context, c *call, n int, f *flow) {
+	if c.over || ctx.Err() != nil {
+		f.leave()
+		return
+	}
+	t := c.attempts[n]
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	t.began = h.now
+	h.answer(c, answer{kind: served, flow: f})
+	h.balancer.AnswerStarted(h.now, c.number, n)
 }
 
 // abandon ends a request that nobody waits for any more, or that is overdue.
@@ -257,28 +311,46 @@
 	if c == nil {
 		return
 	}
-	n, sent := len(c.attempts), h.now
-	end := c.deadline
-	if timeout != 0 {
-		if own := h.origin.Add(sent + timeout); own.Before(end) {
+	n, t := len(c.attempts), &try{sent: h.now}
+	var ctx context.Context
+	ctx, t.cancel = context.WithCancelCause(h.ctx)
+	if !c.deadline.IsZero() {
+		end := c.deadline
+		if own := h.origin.Add(h.now + timeout); timeout != 0 && own.Before(end) {
 			end = own
 		}
+		t.arm(end)
+		ctx = endsAt{ctx, end}
 	}
-	ctx, cancel := context.WithDeadline(h.ctx, end)
 	if c.over {
-		cancel() // Danger: an attempt after the final answer would be an effect that nobody knows of.
+		t.cancel(nil) // Danger: an attempt after the final answer would be an effect that nobody knows of.
 	}
-	c.attempts = append(c.attempts, cancel)
+	c.attempts = append(c.attempts, t)
 	c.out++
 	go func() {
-		r := h.upstream.attempt(ctx, endpoint, &c.message)
-		cancel()
-		h.post(func() { h.result(c, n, endpoint, sent, r) })
+		r := h.upstream.attempt(ctx, endpoint, &c.message, func(f *flow) {
+			h.post(func() { h.began(ctx, c, n, f) })
+		})
+		t.cancel(nil)
+		h.post(func() { h.result(c, n, endpoint, r) })
 	}()
 }
 
+// endsAt is a context that says when it ends, while a timer that can be stopped ends it.
+type endsAt struct {
+	context.Context
+	end time.Time
+}
+
+// Deadline implements context.Context.
+func (c endsAt) Deadline() (time.Time, bool) { return c.end, true }
+
 // result takes in how an attempt ended.
-func (h *host) result(c *call, n int, endpoint string, sent balance.Time, r reply) {
+func (h *host) result(c *call, n int, endpoint string, r reply) {
+	t := c.attempts[n]
+	if t.timer != nil {
+		t.timer.Stop()
+	}
 	if r.outcome == balance.Served {
 		h.answer(c, answer{kind: served, body: r.body, ctype: r.ctype})
 	}
@@ -292,14 +364,14 @@
 	c.out--
 	h.counts.attempts[r.outcome].Add(1)
 	h.balancer.Result(h.now, balance.Result{ID: c.number, Attempt: n, Endpoint: endpoint, Outcome: r.outcome,
-		Took: h.now - sent, Finished: c.over})
+		Took: cmp.Or(t.began, h.now) - t.sent, Finished: c.over})
 	h.forget(c)
 }
 
 // Cancel ends an attempt. Its result comes from its own goroutine.
 func (h *host) Cancel(id balance.RequestID, attempt int) {
 	if c := h.calls[id]; c != nil && attempt >= 0 && attempt < len(c.attempts) {
-		c.attempts[attempt]()
+		c.attempts[attempt].cancel(nil)
 	}
 }
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -18,7 +20,6 @@
 	// that is being closed or idles.
 	socketsPerCall = 3
 	spareSockets   = 32              // for the listener, discovery and the runtime
-	requestWithin  = 2 * time.Second // from its connection or its first byte a request must be whole
 	idleWithin     = 2 * time.Minute // a client's connection may idle
 )
 
@@ -31,6 +32,7 @@
 	draining atomic.Bool  // for good
 	lame     atomic.Int64 // since when, in nanoseconds of Unix time, until staff end it; 0: not
 	active   atomic.Int64 // handlers at work
+	held     atomic.Int64 // requests
 	counts   *counts
 }
 
@@ -44,26 +46,32 @@
 
 // httpServer returns the HTTP server that serves s.
 func (s *server) httpServer(log *slog.Logger) *http.Server {
-	return &http.Server{Handler: s, ReadTimeout: requestWithin, IdleTimeout: idleWithin,
+	return &http.Server{Handler: s, ReadHeaderTimeout: headWithin, IdleTimeout: idleWithin, ConnContext: withConn,
 		MaxHeaderBytes: mostHeader, DisableGeneralOptionsHandler: true, ConnState: s.crowd.note,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	came := time.Now()
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	s.part(w)
-	// Behind a body in chunks, framedConn does not look for the next head.
-	if len(r.TransferEncoding) > 0 {
-		w.Header().Set("Connection", "close")
+	body := newPaced(w, r)
+	if r.ContentLength != 0 {
+		// An answer need not wait for the body.
+		if err := body.conn.EnableFullDuplex(); err != nil {
+			return
+		}
+		defer body.linger()
+	}
+	if err := body.conn.SetWriteDeadline(time.Now().Add(stallFor)); err != nil {
+		return
 	}
 	switch {
 	case r.URL.Path == "/healthz":
 		s.health(w, r)
 	case r.URL.Path == "/api" || strings.HasPrefix(r.URL.Path, "/api/"):
-		s.api(w, r, came)
+		s.api(w, r, body)
 	default:
 		http.Error(w, "no such path", http.StatusNotFound)
 	}
@@ -80,48 +88,138 @@
 	}
 }
 
-func (s *server) api(w http.ResponseWriter, r *http.Request, came time.Time) {
-	c, wait, f := s.parse(r)
+func (s *server) api(w http.ResponseWriter, r *http.Request, body *paced) {
+	c, f := s.parse(r)
+	if f == nil {
+		f = s.take(c, r, body)
+	}
 	if f != nil {
 		s.counts.improper.Add(1)
 		f.write(w)
 		return
 	}
-	c.deadline = came.Add(wait - answerMargin)
-	// Danger: a body that never ends would hold its connection for good. The server's own deadline still holds.
-	conn := http.NewResponseController(w)
-	if wait < requestWithin {
-		if err := conn.SetReadDeadline(came.Add(wait)); err != nil {
-			(&fault{http.StatusInternalServerError, "no deadline", ""}).write(w)
-			return
-		}
-	}
-	var err error
-	if c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody)); err != nil {
-		f = &fault{http.StatusBadRequest, "body ended early", ""}
-		if long := new(http.MaxBytesError); errors.As(err, &long) {
-			f = &fault{http.StatusRequestEntityTooLarge, "body too large", ""}
-		}
-		s.counts.improper.Add(1)
-		f.write(w)
-		return
+	defer s.host.upstream.room.give(c.booked)
+	defer s.held.Add(-1)
+	if c.rest == nil {
+		s.counts.open.Add(1)
+		defer s.counts.open.Add(-1)
 	}
-	// The time for the body is over; a later end of the connection means that the client is gone.
-	_ = conn.SetReadDeadline(time.Time{})
-	defer s.counts.open.Add(-1)
 	a, ok := answer{kind: refused}, true
-	if s.counts.open.Add(1) > s.most {
+	if s.held.Add(1) > s.most {
 		s.counts.busy.Add(1)
 	} else {
 		a, ok = s.host.serve(r.Context(), c)
 	}
+	if c.rest != nil {
+		broken := c.rest.stop()
+		if c.rest.whole() {
+			defer s.counts.open.Add(-1)
+		} else {
+			w.Header().Set("Connection", "close")
+		}
+		if broken != nil {
+			s.counts.improper.Add(1)
+			bodyFault(broken).write(w)
+			return
+		}
+	}
 	if !ok {
 		return
 	}
 	s.part(w) // again: it may have begun since
-	if err := a.write(w); err == nil {
+	if err := body.conn.SetWriteDeadline(time.Now().Add(stallFor)); err != nil {
+		return
+	}
+	var err error
+	if a.flow != nil {
+		err = s.pass(w, r, a.flow)
+	} else {
+		err = a.write(w)
+	}
+	switch {
+	case err == nil:
 		s.counts.classes[c.class].answered(a.kind)
+	case errors.Is(err, errBroken):
+		s.counts.classes[c.class].answered(failed)
+	default:
+		s.counts.gone.Add(1)
+	}
+	if err != nil && a.flow != nil {
+		if conn, ok := r.Context().Value(connKey{}).(*framedConn); ok && r.ProtoMinor == 0 {
+			_ = conn.SetLinger(0) // where the end of the connection is that of the answer, a reset says that it is not whole
+		}
+		panic(http.ErrAbortHandler) // the way to have http.Server break an answer off
+	}
+}
+
+// take reads a body as far as it is held. What is longer is left to come.
+func (s *server) take(c *call, r *http.Request, body *paced) *fault {
+	if r.ContentLength > mostLong {
+		return bodyFault(new(http.MaxBytesError))
+	}
+	var err error
+	if r.ContentLength != 0 {
+		piece := pieces.Get().(*[flowPiece]byte)
+		defer pieces.Put(piece)
+		for full := false; err == nil && !full; {
+			var n int
+			n, err = body.Read(piece[:min(flowPiece, mostBody-len(c.body))])
+			if s.host.upstream.room.take(n) {
+				c.booked += n
+			} else {
+				full = true
+			}
+			c.body = append(c.body, piece[:n]...)
+			full = full || len(c.body) == mostBody
+		}
+	}
+	switch {
+	case err == nil && r.ContentLength != 0:
+		c.length = r.ContentLength
+		c.rest = &upload{body: body, taken: func() { s.host.post(func() { s.host.balancer.BodyTaken(c.number) }) },
+			ended: func() {
+				s.counts.open.Add(1)
+				s.host.post(func() { s.host.bodyEnded(c) })
+			}}
+	case err != nil && err != io.EOF:
+		s.host.upstream.room.give(c.booked)
+		return bodyFault(err)
+	default:
+		c.deadline = time.Now().Add(c.wait)
+	}
+	return nil
+}
+
+// bodyFault is the answer to a client whose body has not come whole.
+func bodyFault(err error) *fault {
+	switch long := new(http.MaxBytesError); {
+	case errors.As(err, &long):
+		return &fault{http.StatusRequestEntityTooLarge, "body too large", ""}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &fault{http.StatusRequestTimeout, "body too slow", ""}
+	}
+	return &fault{http.StatusBadRequest, "body ended early", ""}
+}
+
+// pass passes an answer on as it comes. It fails if the client has not got all of it.
+func (s *server) pass(w http.ResponseWriter, r *http.Request, f *flow) error {
+	defer f.leave()
+	stop := context.AfterFunc(r.Context(), f.leave)
+	defer stop()
+	// Danger: a guessed type would be another answer than the server's.
+	w.Header()["Content-Type"] = nil
+	if f.ctype != "" {
+		w.Header().Set("Content-Type", f.ctype)
+	}
+	if f.length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(f.length, 10))
+	}
+	conn := http.NewResponseController(w)
+	err := f.copy(w, func() error { return conn.SetWriteDeadline(time.Now().Add(stallFor)) }, conn.Flush)
+	if err != nil {
+		return err
 	}
+	return conn.Flush()
 }
 
 // fault is the answer to a request that cannot be taken.
@@ -142,12 +240,12 @@
 }
 
 // parse reads a request's headers, and how long the client waits.
-func (s *server) parse(r *http.Request) (*call, time.Duration, *fault) {
-	bad := func(text string) (*call, time.Duration, *fault) {
-		return nil, 0, &fault{http.StatusBadRequest, text, ""}
+func (s *server) parse(r *http.Request) (*call, *fault) {
+	bad := func(text string) (*call, *fault) {
+		return nil, &fault{http.StatusBadRequest, text, ""}
 	}
 	if r.Method != http.MethodGet && r.Method != http.MethodPost {
-		return nil, 0, &fault{http.StatusMethodNotAllowed, "method not allowed", "GET, POST"}
+		return nil, &fault{http.StatusMethodNotAllowed, "method not allowed", "GET, POST"}
 	}
 	c := &call{message: message{method: r.Method, uri: r.URL, id: r.Header.Get("X-Request-ID"),
 		key: r.Header.Get("Idempotency-Key"), ctype: r.Header.Get("Content-Type")}}
@@ -161,7 +259,7 @@
 	// Danger: a request sent with less care than its class needs could take effect twice.
 	effect := s.config.Settings.Classes[class].Effect
 	if r.Method == http.MethodGet && effect != balance.Idempotent {
-		return nil, 0, &fault{http.StatusMethodNotAllowed, "the class is not safe to repeat", http.MethodPost}
+		return nil, &fault{http.StatusMethodNotAllowed, "the class is not safe to repeat", http.MethodPost}
 	}
 	// Danger: a server that expects no body behind a GET takes it for the next request.
 	if r.Method == http.MethodGet && r.ContentLength != 0 {
@@ -179,7 +277,8 @@
 	if tenant, ok := s.config.Names.Tenant[r.Header.Get("X-Tenant-Id")]; ok {
 		c.tenant = tenant
 	}
-	return c, time.Duration(ms) * time.Millisecond, nil
+	c.wait = max(time.Duration(ms)*time.Millisecond-answerMargin, 0)
+	return c, nil
 }
 
 // write writes the final answer, and fails if the client is gone.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -34,6 +34,9 @@
 	key    string // Idempotency-Key, "" for none
 	ctype  string // Content-Type
 	body   []byte
+	rest   *upload       // what follows body, as it comes; nil: nothing
+	length int64         // of both, where there is a rest; -1: not known
+	wait   time.Duration // for the answer, from when all of the body has come
 
 	relayed *atomic.Int64 // counts the attempts written whole; nil: nobody counts
 }
@@ -53,6 +56,7 @@
 	maxIdle int
 	absence time.Duration
 	counts  *counts
+	room    *budget
 
 	mu      sync.Mutex
 	targets map[string]*target
@@ -65,11 +69,11 @@
 	answered atomic.Int64 // when an answer last came, in nanoseconds of Unix time
 }
 
-func newUpstream(connect, idleClose time.Duration, sockets int, n *counts) *upstream {
+func newUpstream(connect, idleClose time.Duration, sockets int, n *counts, room *budget) *upstream {
 	// Danger: a server closes a connection that has idled too long, and what crosses that close is a reset that may
 	// have run. Half the server's time keeps well clear of it.
 	return &upstream{connect: connect, idle: idleClose / 2, maxIdle: max(sockets/idlePerSockets, 2),
-		absence: absence, counts: n, targets: map[string]*target{}}
+		absence: absence, counts: n, room: room, targets: map[string]*target{}}
 }
 
 // update takes in a list: where each server listens now.
@@ -153,6 +157,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.framing.asked.Store(true) // before an answer can come
+	// Danger: a server that takes nothing would hold a long body, and its client, for good.
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(stallFor)); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
 	c.short = c.short || n < len(p)
@@ -167,13 +175,16 @@
 }
 
 // attempt sends m to a server and waits for the end, until ctx is done. It sends it at most once.
-func (u *upstream) attempt(ctx context.Context, id string, m *message) reply {
+// An answer that is not held until its end is handed to begin, and the attempt ends with it.
+func (u *upstream) attempt(ctx context.Context, id string, m *message, begin func(*flow)) reply {
 	u.mu.Lock()
 	to := u.targets[id]
 	u.mu.Unlock()
 	if to == nil || ctx.Err() != nil {
 		return reply{outcome: balance.NotSent}
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	var conn *meteredConn
 	var before int64
 	began := time.Now()
@@ -187,8 +198,12 @@
 				before, _ = conn.meter()
 			}
 			// Said only now: the wait for a connection is the client's time too.
+			wait := m.wait
 			if end, ok := ctx.Deadline(); ok {
-				req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(time.Until(end).Milliseconds(), 1), 10))
+				wait = time.Until(end)
+			}
+			if wait != 0 {
+				req.Header.Set("X-Timeout-Ms", strconv.FormatInt(max(wait.Milliseconds(), 1), 10))
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
@@ -200,7 +215,7 @@
 	resp, err := to.pool.RoundTrip(req)
 	if err == nil {
 		var r reply
-		if r, err = read(resp); err == nil {
+		if r, err = u.read(resp, begin, func() { cancel(nil) }); err == nil {
 			to.answered.Store(time.Now().UnixNano())
 			return r
 		}
@@ -210,10 +225,12 @@
 		// Closed first, so that what is counted after it is all that was or will be written.
 		_ = conn.Close()
 		written, short := conn.meter()
-		ran = resp != nil || written > before && !short
+		ran = resp != nil || written > before && !short && (m.rest == nil || m.rest.whole())
 	}
 	var outcome balance.Outcome
-	switch cause := ctx.Err(); {
+	switch cause := context.Cause(ctx); {
+	case !ran && m.rest != nil && m.rest.failed():
+		outcome = balance.NotSent // the client's fault, not the server's
 	case errors.Is(cause, context.Canceled) && ran:
 		outcome = balance.Cancelled
 	case errors.Is(cause, context.Canceled):
@@ -251,29 +268,36 @@
 	to.Scheme, to.Host = "http", address
 	req := &http.Request{Method: m.method, URL: &to, Host: address, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1,
 		ProtoMinor: 1, Body: io.NopCloser(bytes.NewReader(m.body)), ContentLength: int64(len(m.body))}
-	if len(m.body) == 0 {
+	if m.rest != nil {
+		req.Body, req.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(m.body), m.rest)), m.length
+	} else if len(m.body) == 0 {
 		req.TransferEncoding = []string{"identity"} // no framing for what is not there
 	}
 	return req
 }
 
-// read takes a whole answer in. It fails if a 200 does not come whole; other answers have said all in their header.
-func read(resp *http.Response) (reply, error) {
-	if resp.StatusCode != http.StatusOK {
-		// Danger: a body that never ends, or another protocol's bytes, would keep what the header says from the client.
-		// A short one is worth the wait, as its connection can then be used again.
-		stop := time.AfterFunc(drainWithin, func() { _ = resp.Body.Close() })
-		defer stop.Stop()
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody+1))
-	if closed := resp.Body.Close(); err == nil {
-		err = closed
+// read takes an answer in, or passes it to begin and returns when it has ended; stop ends the attempt. It fails if a 200
+// does not come whole; other answers have said all in their header.
+func (u *upstream) read(resp *http.Response, begin func(*flow), stop func()) (reply, error) {
+	if resp.StatusCode == http.StatusOK {
+		f := newFlow(resp.ContentLength, resp.Header.Get("Content-Type"), u.room, begin)
+		f.stop = stop
+		body, err := f.fill(resp.Body)
+		if closed := resp.Body.Close(); err == nil {
+			err = closed
+		}
+		if errors.Is(err, errTooLong) {
+			return reply{outcome: balance.Errored}, nil
+		}
+		return reply{outcome: balance.Served, body: body, ctype: f.ctype}, err
 	}
+	// Danger: a body that never ends, or another protocol's bytes, would keep what the header says from the client.
+	// A short one is worth the wait, as its connection can then be used again.
+	enough := time.AfterFunc(drainWithin, func() { _ = resp.Body.Close() })
+	defer enough.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, mostBody))
+	_ = resp.Body.Close()
 	switch status := resp.StatusCode; {
-	case status == http.StatusOK && err != nil:
-		return reply{}, err
-	case status == http.StatusOK && len(body) <= mostBody:
-		return reply{outcome: balance.Served, body: body, ctype: resp.Header.Get("Content-Type")}, nil
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Not-Processed") == "1":
 		return reply{outcome: balance.Saturated}, nil
