--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -36,12 +36,12 @@
 
 // newPaced begins with what is left of a head's time: a peer that stops half way in a body has not more time than one that
 // stops in the head.
-func newPaced(w http.ResponseWriter, r *http.Request) *paced {
+func newPaced(conn *http.ResponseController, r *http.Request) *paced {
 	spare := headWithin
 	if c, ok := r.Context().Value(connKey{}).(*framedConn); ok {
 		spare -= time.Since(time.Unix(0, c.from.Load()))
 	}
-	return &paced{body: r.Body, conn: http.NewResponseController(w), spare: max(spare, leastGrace),
+	return &paced{body: r.Body, conn: conn, spare: max(spare, leastGrace),
 		asks: r.Header.Get("Expect") != ""}
 }
 
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -186,6 +186,7 @@
 	if !known {
 		return fmt.Sprintf("fail no server %.64q is known\n", id)
 	}
+	s.host.log.Info("by hand", "id", id, "out", out)
 	kept := s.host.handover.set(id, out)
 	if !s.host.ask(s.host.tellOut) {
 		return "fail shutting down\n"
--- a/internal/sidecar/flow.go
+++ b/internal/sidecar/flow.go
@@ -65,6 +65,9 @@
 
 func newFlow(length int64, ctype string, room *budget, begin func(*flow)) *flow {
 	f := &flow{length: length, ctype: ctype, room: room, begin: begin}
+	if 0 < length && length <= mostBody {
+		f.buf = make([]byte, 0, length)
+	}
 	f.moved.L = &f.mu
 	return f
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -56,22 +56,25 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	s.part(w)
-	body := newPaced(w, r)
+	conn := http.NewResponseController(w)
+	// Danger: a client that does not read its answer would hold its connection for good.
+	if err := conn.SetWriteDeadline(time.Now().Add(stallFor)); err != nil {
+		return
+	}
+	var body *paced
 	if r.ContentLength != 0 {
+		body = newPaced(conn, r)
 		// An answer need not wait for the body.
-		if err := body.conn.EnableFullDuplex(); err != nil {
+		if err := conn.EnableFullDuplex(); err != nil {
 			return
 		}
 		defer body.linger()
 	}
-	if err := body.conn.SetWriteDeadline(time.Now().Add(stallFor)); err != nil {
-		return
-	}
 	switch {
 	case r.URL.Path == "/healthz":
 		s.health(w, r)
 	case r.URL.Path == "/api" || strings.HasPrefix(r.URL.Path, "/api/"):
-		s.api(w, r, body)
+		s.api(w, r, conn, body)
 	default:
 		http.Error(w, "no such path", http.StatusNotFound)
 	}
@@ -88,7 +91,7 @@
 	}
 }
 
-func (s *server) api(w http.ResponseWriter, r *http.Request, body *paced) {
+func (s *server) api(w http.ResponseWriter, r *http.Request, conn *http.ResponseController, body *paced) {
 	c, f := s.parse(r)
 	if f == nil {
 		f = s.take(c, r, body)
@@ -126,15 +129,16 @@
 	if !ok {
 		return
 	}
-	s.part(w) // again: it may have begun since
-	if err := body.conn.SetWriteDeadline(time.Now().Add(stallFor)); err != nil {
-		return
-	}
-	var err error
-	if a.flow != nil {
-		err = s.pass(w, r, a.flow)
-	} else {
-		err = a.write(w)
+	s.part(w)                                              // again: it may have begun since
+	err := conn.SetWriteDeadline(time.Now().Add(stallFor)) // from now
+	switch {
+	case err != nil:
+	case a.flow != nil:
+		err = s.pass(w, r, a.flow, conn)
+	default:
+		if err = a.write(w); err == nil {
+			err = conn.Flush()
+		}
 	}
 	switch {
 	case err == nil:
@@ -202,7 +206,7 @@
 }
 
 // pass passes an answer on as it comes. It fails if the client has not got all of it.
-func (s *server) pass(w http.ResponseWriter, r *http.Request, f *flow) error {
+func (s *server) pass(w http.ResponseWriter, r *http.Request, f *flow, conn *http.ResponseController) error {
 	defer f.leave()
 	stop := context.AfterFunc(r.Context(), f.leave)
 	defer stop()
@@ -214,7 +218,6 @@
 	if f.length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(f.length, 10))
 	}
-	conn := http.NewResponseController(w)
 	err := f.copy(w, func() error { return conn.SetWriteDeadline(time.Now().Add(stallFor)) }, conn.Flush)
 	if err != nil {
 		return err
@@ -301,8 +304,6 @@
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	if _, err := w.Write(body); err != nil {
-		return err
-	}
-	return http.NewResponseController(w).Flush()
+	_, err := w.Write(body)
+	return err
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -129,7 +129,8 @@
 	net.Conn
 	mu      sync.Mutex
 	written int64
-	short   bool // a write fell short, and with it the request it was for
+	short   bool        // a write fell short, and with it the request it was for
+	long    atomic.Bool // the request has a body that is not held
 
 	framing framing // of the answers
 	fault   error
@@ -158,8 +159,10 @@
 	defer c.mu.Unlock()
 	c.framing.asked.Store(true) // before an answer can come
 	// Danger: a server that takes nothing would hold a long body, and its client, for good.
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(stallFor)); err != nil {
-		return 0, err
+	if c.long.Load() {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(stallFor)); err != nil {
+			return 0, err
+		}
 	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
@@ -196,6 +199,9 @@
 			fresh = info.IdleTime < u.absence
 			if conn, _ = info.Conn.(*meteredConn); conn != nil {
 				before, _ = conn.meter()
+				if conn.long.Swap(m.rest != nil) && m.rest == nil {
+					_ = conn.SetWriteDeadline(time.Time{}) // of a long body before
+				}
 			}
 			// Said only now: the wait for a connection is the client's time too.
 			wait := m.wait
