Refuse after SIGTERM what comes whole too late for its answer

Ruled out: an end of our own (no 'drained' in the log), a failed attempt after its answer began (none logged), and rejected flows (none logged). At fault: run.go and server.api went on taking what was written slowly on kept connections for as long as it came, and PROTOCOL has lost what SIGKILL finds unanswered if it came more than 0.7 s after SIGTERM. It is refused now from 0.6 s on, body or no body.

--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -28,6 +28,7 @@
 type paced struct {
 	body  io.Reader
 	conn  *http.ResponseController
+	leave *leaving
 	spare time.Duration // that may still be waited, besides what the next bytes earn
 	n     int64         // bytes that came
 	asks  bool          // the client waits for a word before it sends any
@@ -36,12 +37,12 @@
 
 // newPaced begins with what is left of a head's time: a peer that stops half way in a body has not more time than one that
 // stops in the head.
-func newPaced(conn *http.ResponseController, r *http.Request) *paced {
+func newPaced(conn *http.ResponseController, r *http.Request, leave *leaving) *paced {
 	spare := headWithin
 	if c, ok := r.Context().Value(connKey{}).(*framedConn); ok {
 		spare -= time.Since(time.Unix(0, c.from.Load()))
 	}
-	return &paced{body: r.Body, conn: conn, spare: max(spare, leastGrace),
+	return &paced{body: r.Body, conn: conn, leave: leave, spare: max(spare, leastGrace),
 		asks: r.Header.Get("Expect") != ""}
 }
 
@@ -58,6 +59,9 @@
 	if p.n += int64(n); p.n > mostLong {
 		return 0, new(http.MaxBytesError)
 	}
+	if p.leave.late(time.Now()) {
+		return 0, errLate
+	}
 	if err == io.EOF {
 		// The time for the body is over; a later end of the connection means that the client is gone.
 		_ = p.conn.SetReadDeadline(time.Time{})
--- /dev/null
+++ b/internal/sidecar/leaving_test.go
@@ -0,0 +1,68 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestLateRequests has requests be written slowly while the sidecar is told to leave: what comes whole in time is served,
+// what comes too late is refused, and no server gets it whole.
+func TestLateRequests(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	p := startDraining(t, configText(startRegistry(t).address, serving(1, b), testSettings),
+		drainTimes{accept: time.Second, quiet: 10 * time.Millisecond, closeIdle: patience, finish: patience})
+	const head = "X-Request-ID: i\r\nX-Priority-Class: pay\r\nX-Timeout-Ms: 50000\r\n"
+	begin := func(size int) net.Conn {
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		text := fmt.Sprintf("POST /api HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s", head, size, long[:size-1])
+		if size == 1 {
+			text = "POST /api HTTP/1.1\r\nHost: x\r\n"
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	finish := func(c net.Conn, size, status int) {
+		t.Helper()
+		text := long[size-1 : size]
+		if size == 1 {
+			text = head + "Content-Length: 1\r\n\r\n0"
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != status || !resp.Close {
+			t.Errorf("%d bytes: answer %+v, error %v, want %d", size, resp, err, status)
+		}
+	}
+	sizes := []int{1, 100, 2 * mostBody} // in the head, in a body that is held, in one that flows
+	var inTime, late []net.Conn
+	for _, size := range sizes {
+		inTime, late = append(inTime, begin(size)), append(late, begin(size))
+	}
+	time.Sleep(50 * time.Millisecond)
+	p.stop()
+	time.Sleep(10 * time.Millisecond) // if it has not heard by then, the test sees less
+	for i, size := range sizes {
+		finish(inTime[i], size, 200)
+	}
+	time.Sleep(excused)
+	came := b.count()
+	for i, size := range sizes {
+		finish(late[i], size, 503)
+	}
+	if n := b.count() - came; n != 0 {
+		t.Errorf("servers got %d requests whole that came too late", n)
+	}
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -106,6 +106,7 @@
 	}
 	log.Info("draining")
 	s.draining.Store(true)
+	s.leaving.begin(time.Now())
 	idleAt := time.Now().Add(times.closeIdle)
 	if c.Inherited != 0 {
 		// What waits in the backlog is for the other process.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -30,6 +30,7 @@
 	most     int64 // requests held at once
 	crowd    *crowd
 	draining atomic.Bool  // for good
+	leaving  leaving      // when that began
 	lame     atomic.Int64 // since when, in nanoseconds of Unix time, until staff end it; 0: not
 	active   atomic.Int64 // handlers at work
 	held     atomic.Int64 // requests
@@ -63,7 +64,7 @@
 	}
 	var body *paced
 	if r.ContentLength != 0 {
-		body = newPaced(conn, r)
+		body = newPaced(conn, r, &s.leaving)
 		// An answer need not wait for the body.
 		if err := conn.EnableFullDuplex(); err != nil {
 			return
@@ -93,12 +94,14 @@
 
 func (s *server) api(w http.ResponseWriter, r *http.Request, conn *http.ResponseController, body *paced) {
 	c, f := s.parse(r)
+	if f == nil && s.leaving.late(time.Now()) {
+		f = bodyFault(errLate)
+	}
 	if f == nil {
 		f = s.take(c, r, body)
 	}
 	if f != nil {
-		s.counts.improper.Add(1)
-		f.write(w)
+		s.turnAway(w, c, f)
 		return
 	}
 	defer s.host.upstream.room.give(c.booked)
@@ -121,8 +124,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		if broken != nil {
-			s.counts.improper.Add(1)
-			bodyFault(broken).write(w)
+			s.turnAway(w, c, bodyFault(broken))
 			return
 		}
 	}
@@ -194,11 +196,25 @@
 	return nil
 }
 
+// turnAway answers a request that is not taken.
+func (s *server) turnAway(w http.ResponseWriter, c *call, f *fault) {
+	if f.status == http.StatusServiceUnavailable {
+		s.counts.busy.Add(1)
+		s.counts.classes[c.class].answered(refused)
+	} else {
+		s.counts.improper.Add(1)
+	}
+	s.part(w)
+	f.write(w)
+}
+
 // bodyFault is the answer to a client whose body has not come whole.
 func bodyFault(err error) *fault {
 	switch long := new(http.MaxBytesError); {
 	case errors.As(err, &long):
 		return &fault{http.StatusRequestEntityTooLarge, "body too large", ""}
+	case errors.Is(err, errLate):
+		return &fault{http.StatusServiceUnavailable, err.Error(), ""}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &fault{http.StatusRequestTimeout, "body too slow", ""}
 	}
