Keep to a part of the limits while two processes run

At fault: crowd.note closes newcomers above its bound. That one is now 5/12 of the descriptors for each process, the rest is half.

--- /dev/null
+++ b/internal/sidecar/beside.go
@@ -0,0 +1,61 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"syscall"
+	"time"
+)
+
+// beside knows whether another process of this sidecar runs. Each holds a lock on one byte of a file: the one that its pid
+// numbers. The kernel lets go of it with the process.
+type beside struct{ file *os.File }
+
+// newBeside takes the lock. path is that of the handover file, "" where there is no common folder.
+func newBeside(path string) (*beside, error) {
+	if path == "" {
+		return nil, errors.New("TMPDIR is not set")
+	}
+	file, err := os.OpenFile(path+".alive", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	own := syscall.Flock_t{Type: syscall.F_WRLCK, Whence: io.SeekStart, Start: int64(os.Getpid()), Len: 1}
+	if err := syscall.FcntlFlock(file.Fd(), syscall.F_SETLK, &own); err != nil {
+		_ = file.Close()
+		return nil, fmt.Errorf("lock: %w", err)
+	}
+	return &beside{file}, nil
+}
+
+// other tells whether another process holds a lock.
+func (b *beside) other() (bool, error) {
+	any := syscall.Flock_t{Type: syscall.F_WRLCK, Whence: io.SeekStart}
+	if err := syscall.FcntlFlock(b.file.Fd(), syscall.F_GETLK, &any); err != nil {
+		return false, fmt.Errorf("lock: %w", err)
+	}
+	return any.Type != syscall.F_UNLCK, nil
+}
+
+// follow calls changed each time that another process has come or gone, until ctx is done.
+func (b *beside) follow(ctx context.Context, changed func(beside bool)) {
+	tick := time.NewTicker(followEvery)
+	defer tick.Stop()
+	for was := false; ; {
+		// An error changes nothing: the limits stay as they are.
+		if is, err := b.other(); err == nil && is != was {
+			was = is
+			changed(is)
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *beside) close() { _ = b.file.Close() }
--- /dev/null
+++ b/internal/sidecar/beside_test.go
@@ -0,0 +1,66 @@
+package sidecar
+
+import (
+	"context"
+	"log/slog"
+	"path/filepath"
+	"testing"
+)
+
+// TestBeside has two processes run beside each other: each knows, also once the other has been killed.
+func TestBeside(t *testing.T) {
+	f := startPlatform(t, configText(startRegistry(t).address, serving(1, startBackend(t, say(200, "", "ok"))), testSettings))
+	b, err := newBeside(filepath.Join(f.dir, "gradeusher-n0.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer b.close()
+	if is, err := b.other(); is || err != nil {
+		t.Fatalf("another process before there is one: %v, error %v", is, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	told := make(chan bool, 1)
+	go b.follow(ctx, func(is bool) { told <- is })
+	s := f.start()
+	if !within(t, told, "word of the other process") {
+		t.Error("told that it is gone")
+	}
+	if err := s.process.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	if within(t, told, "word of its end") {
+		t.Error("told that it is there")
+	}
+}
+
+// TestShare has the limits be shared with another process, and be whole again.
+func TestShare(t *testing.T) {
+	c, err := load(t, configText("127.0.0.1:9", "", testSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h, err := newHost(ctx, c, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newServer(c, h)
+	limits := func() [4]int64 {
+		return [4]int64{s.most.Load(), s.crowd.some.Load(), s.crowd.most.Load(), h.upstream.room.most.Load()}
+	}
+	whole := limits()
+	s.share(true)
+	for i, half := range limits() {
+		if 4*half > 3*whole[i] || 3*half < whole[i] {
+			t.Errorf("limit %d: %d beside another, %d alone", i, half, whole[i])
+		}
+	}
+	s.share(false)
+	if limits() != whole {
+		t.Errorf("limits %v once alone again, %v before", limits(), whole)
+	}
+	cancel()
+	h.watchers.Wait()
+}
--- a/internal/sidecar/crowd.go
+++ b/internal/sidecar/crowd.go
@@ -19,8 +19,8 @@
 // Danger: a peer that hoards connections takes the descriptors that attempts need, and one that asks all clients to
 // close theirs for it makes the busy ones pay. So those that idle go first, the longest idle before the others.
 type crowd struct {
-	some   int          // above it, connections that idle are closed and clients are asked to close theirs
-	most   int          // above it, none is let in
+	some   atomic.Int64 // above it, connections that idle are closed and clients are asked to close theirs
+	most   atomic.Int64 // above it, none is let in
 	closed atomic.Int64 // to make room
 	count  atomic.Int64
 
@@ -35,11 +35,25 @@
 }
 
 func newCrowd(sockets int) *crowd {
-	return &crowd{some: sockets / 2, most: sockets/2 + sockets/12, conns: map[net.Conn]standing{}}
+	w := &crowd{conns: map[net.Conn]standing{}}
+	w.resize(sockets, false)
+	return w
+}
+
+// resize sets how many descriptors there are, which another process may share. Danger: half of what one may let in is less
+// than it holds on a busy day, and newcomers would be turned away until the other has left; so the two together may let in
+// somewhat more than one, and what idles goes sooner.
+func (w *crowd) resize(sockets int, shared bool) {
+	some, most := sockets/2, sockets/2+sockets/12
+	if shared {
+		some, most = sockets/4, sockets/2-sockets/12
+	}
+	w.some.Store(int64(some))
+	w.most.Store(int64(most))
 }
 
 // full tells whether clients should close their connections.
-func (w *crowd) full() bool { return w.count.Load() > int64(w.some) }
+func (w *crowd) full() bool { return w.count.Load() > w.some.Load() }
 
 // note takes in that a connection has changed its state.
 func (w *crowd) note(c net.Conn, state http.ConnState) {
@@ -55,9 +69,9 @@
 	if state != http.StateNew && state != http.StateIdle {
 		return
 	}
-	for len(w.conns) > w.some && w.end(http.StateIdle, now.Add(-idleAtLeast)) {
+	for int64(len(w.conns)) > w.some.Load() && w.end(http.StateIdle, now.Add(-idleAtLeast)) {
 	}
-	if len(w.conns) > w.most && !w.end(http.StateNew, now.Add(-idleAtLeast/2)) && state == http.StateNew {
+	if int64(len(w.conns)) > w.most.Load() && !w.end(http.StateNew, now.Add(-idleAtLeast/2)) && state == http.StateNew {
 		w.close(c)
 	}
 }
--- a/internal/sidecar/flow.go
+++ b/internal/sidecar/flow.go
@@ -25,16 +25,22 @@
 
 // budget bounds the bytes that are held of bodies and answers, over all connections.
 type budget struct {
-	most int64
+	most atomic.Int64
 	held atomic.Int64
 }
 
-// newBudget bounds it to a quarter of the memory.
-func newBudget(memoryMB int) *budget { return &budget{most: int64(memoryMB) << 20 / 4} }
+func newBudget(most int64) *budget {
+	b := &budget{}
+	b.most.Store(most)
+	return b
+}
+
+// budgetOf is a quarter of the memory.
+func budgetOf(memoryMB int) int64 { return int64(memoryMB) << 20 / 4 }
 
 // take books n more bytes, if there is room for them.
 func (b *budget) take(n int) bool {
-	if b.held.Add(int64(n)) > b.most {
+	if b.held.Add(int64(n)) > b.most.Load() {
 		b.held.Add(-int64(n))
 		return false
 	}
--- a/internal/sidecar/flow_test.go
+++ b/internal/sidecar/flow_test.go
@@ -135,7 +135,7 @@
 
 // TestHeldAnswers has the budget run out: what is short then flows too, and what was booked is given back.
 func TestHeldAnswers(t *testing.T) {
-	room := &budget{most: 10}
+	room := newBudget(10)
 	for _, tt := range []struct {
 		text  string
 		begun bool
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -106,7 +106,7 @@
 func newHost(ctx context.Context, c *Config, log *slog.Logger) (*host, error) {
 	n := newCounts(c.Settings.Classes)
 	h := &host{log: log, counts: n, origin: time.Now().Add(-originAge), ready: make(chan struct{}), wake: make(chan struct{}, 1),
-		upstream:  newUpstream(c.Limits.ConnectTimeout, c.Limits.IdleClose, c.Sockets, n, newBudget(c.MemoryMB)),
+		upstream:  newUpstream(c.Limits.ConnectTimeout, c.Limits.IdleClose, c.Sockets, n, newBudget(budgetOf(c.MemoryMB))),
 		discovery: newDiscovery(c.Discovery, c.Limits.ConnectTimeout),
 		handover:  &handover{log: log},
 		calls:     map[balance.RequestID]*call{}, rev: noRev, ctx: ctx, leave: func() {}}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -33,9 +33,14 @@
 		closeIdle: 300 * time.Millisecond, lame: time.Second, finish: 3 * time.Second})
 }
 
+// setMemory bounds the heap by a part of the memory limit.
+func setMemory(limitMB int, part float64) {
+	debug.SetMemoryLimit(int64(float64(limitMB<<20) * memoryShare * part))
+}
+
 func run(stop context.Context, c *Config, log *slog.Logger, reload <-chan os.Signal, discoveryAt func() (string, error), times drainTimes) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
-	debug.SetMemoryLimit(int64(float64(c.MemoryMB<<20) * memoryShare))
+	setMemory(c.MemoryMB, 1)
 
 	inner, err := openListener(c)
 	if err != nil {
@@ -88,6 +93,17 @@
 		}()
 	}
 	if calls != nil && c.Inherited != 0 { // there may be another process
+		other, err := newBeside(h.handover.path)
+		if err != nil {
+			log.Warn("beside", "err", err) // as if it were alone
+		} else {
+			defer other.close()
+			loop.Add(1)
+			go func() {
+				defer loop.Done()
+				other.follow(ctx, s.share)
+			}()
+		}
 		loop.Add(1)
 		go func() {
 			defer loop.Done()
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -27,7 +27,7 @@
 type server struct {
 	host     *host
 	config   *Config
-	most     int64 // requests held at once
+	most     atomic.Int64 // requests held at once
 	crowd    *crowd
 	draining atomic.Bool  // for good
 	leaving  leaving      // when that began
@@ -38,11 +38,31 @@
 }
 
 func newServer(c *Config, h *host) *server {
-	most := (c.Sockets - spareSockets) / socketsPerCall
-	if c.Limits.MostHeld > 0 {
-		most = min(most, c.Limits.MostHeld)
-	}
-	return &server{host: h, config: c, most: int64(most), crowd: newCrowd(c.Sockets), counts: h.counts}
+	s := &server{host: h, config: c, crowd: newCrowd(c.Sockets), counts: h.counts}
+	s.resize(1)
+	return s
+}
+
+// resize keeps to a part of the limits: to all of them, or to half where parts is 2.
+func (s *server) resize(parts int) {
+	most := (s.config.Sockets/parts - spareSockets/parts) / socketsPerCall
+	if held := s.config.Limits.MostHeld; held > 0 {
+		most = min(most, held)
+	}
+	s.most.Store(int64(most))
+	s.crowd.resize(s.config.Sockets, parts > 1)
+	s.host.upstream.room.most.Store(budgetOf(s.config.MemoryMB) / int64(parts))
+}
+
+// share keeps to half of the limits while another process stands beside this one.
+func (s *server) share(beside bool) {
+	parts := 1
+	if beside {
+		parts = 2
+	}
+	s.host.log.Info("limits", "parts", parts)
+	s.resize(parts)
+	setMemory(s.config.MemoryMB, 1/float64(parts))
 }
 
 // httpServer returns the HTTP server that serves s.
@@ -111,7 +131,7 @@
 		defer s.counts.open.Add(-1)
 	}
 	a, ok := answer{kind: refused}, true
-	if s.held.Add(1) > s.most {
+	if s.held.Add(1) > s.most.Load() {
 		s.counts.busy.Add(1)
 	} else {
 		a, ok = s.host.serve(r.Context(), c)
--- a/internal/sidecar/upgrade_test.go
+++ b/internal/sidecar/upgrade_test.go
@@ -42,6 +42,7 @@
 	t       *testing.T
 	address string
 	socket  *os.File
+	dir     string // common to all processes
 	env     []string
 }
 
@@ -58,7 +59,7 @@
 	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return &platform{t: t, address: l.Addr().String(), socket: socket,
+	return &platform{t: t, address: l.Addr().String(), socket: socket, dir: dir,
 		env: append(os.Environ(), "TEST_AS_SIDECAR=1", "PROXY_CONFIG="+file, "PROXY_FD=3", "TMPDIR="+dir)}
 }
 
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -26,7 +26,7 @@
 
 // to is an upstream that knows the backends.
 func to(t *testing.T, backends ...*backend) *upstream {
-	u := newUpstream(patience, patience, defaultSockets, newCounts(nil), newBudget(defaultMemoryMB))
+	u := newUpstream(patience, patience, defaultSockets, newCounts(nil), newBudget(budgetOf(defaultMemoryMB)))
 	u.update(list(t, serving(1, backends...)))
 	t.Cleanup(func() { u.update(List{All: true}) })
 	return u
