--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -97,10 +97,10 @@
 		if err != nil {
 			log.Warn("beside", "err", err) // as if it were alone
 		} else {
-			defer other.close()
 			loop.Add(1)
 			go func() {
 				defer loop.Done()
+				defer other.close()
 				other.follow(ctx, s.share)
 			}()
 		}
