Let a fleet of which all that is left is cold earn turns by requests that find none

Seen in a test of upgrades: with one server out by hand and the other just back, nothing was sent for up to the whole cold time, and every request refused. At fault: send() was the only place where cold endpoints earn turns, and nothing is sent while none has one. Where no ready endpoint is warm, a request that found none open now earns each the part that it can do of the whole fleet's.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -62,6 +62,7 @@
 			b.send(q, to, now)
 			return
 		}
+		b.wake()
 	}
 	if b.mayRefuse(q) {
 		b.act.Refuse(q.ID, time.Duration(min(max(late, 0), b.aim)*float64(time.Second)))
@@ -107,6 +108,22 @@
 	return nil, late
 }
 
+// wake lets cold endpoints earn turns by a request that found none open, where all that are ready are cold:
+// the part of it that they could do of what the whole fleet had to. Danger: turns that are earned by sends to
+// others alone would leave a fleet that restarts, or is put back by hand, without any until it is warm.
+func (b *Balancer) wake() {
+	var whole float64
+	for _, g := range b.groups {
+		whole += g.whole
+	}
+	if slices.ContainsFunc(b.active, func(e *endpoint) bool { return e.warm >= 1 }) {
+		return
+	}
+	for _, e := range b.active {
+		e.due += e.Size * e.warm / math.Max(whole, e.Size)
+	}
+}
+
 func (b *Balancer) send(q *request, to *endpoint, now Time) {
 	held := float64(to.awaited()+1) + unseen
 	q.out++
--- a/balance/hand_test.go
+++ b/balance/hand_test.go
@@ -104,3 +104,25 @@
 		}
 	}
 }
+
+// TestOnlyColdEndpointsAreLeft takes out all but an endpoint that is cold: it gets the part of the requests that it could do
+// of the whole fleet's, and not all at once.
+func TestOnlyColdEndpointsAreLeft(t *testing.T) {
+	b, h := start(t, settings(), pair())
+	serve(b, h, 40, 20*time.Millisecond)
+	b.ByHand(h.now, []string{"a"})
+	b.ByHand(h.now, []string{"b"}) // a is back, and cold
+	const n = 100
+	sent := 0
+	for range n {
+		h.now += time.Millisecond
+		if to := ask(b, h, RequestID(h.now)); to != "" {
+			sent++
+		}
+		h.answer(b, h.now, Served)
+	}
+	// It is half of the fleet, and has 0.3 of its capacity.
+	if sent < n/10 || sent > n/5 {
+		t.Errorf("%d of %d requests were sent", sent, n)
+	}
+}
