Take what comes whole after SIGTERM for as long as an answer fits before the kill

At fault: leaving.late, too early for requests with short answers. Now the final answer of what comes while the process leaves is due 0.25 s before the kill (longest deadline, 3 s at most, and 0.7 s), and what has less than 0.3 s until then is refused. Ruled out: descriptors (161 of 192) and memory (9 of 32 MB).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -203,13 +203,13 @@
 	}
 }
 
-// BodyEnded takes in that all of a body has come: now the client's time begins, and an answer is owed.
-func (b *Balancer) BodyEnded(now Time, id RequestID) {
+// BodyEnded takes in that all of a body has come: now the time left begins, and an answer is owed.
+func (b *Balancer) BodyEnded(now Time, id RequestID, within time.Duration) {
 	q := b.requests[id]
 	if q == nil || !q.Coming {
 		return
 	}
-	q.Coming, q.deadline = false, now+q.Within
+	q.Coming, q.deadline = false, now+within
 	for i := range q.attempts {
 		if a := &q.attempts[i]; !a.done {
 			a.sent = now
--- a/balance/stream_test.go
+++ b/balance/stream_test.go
@@ -42,8 +42,8 @@
 	if now := b.expect(e, h.now); now > 2*usual {
 		t.Errorf("an answer is expected in %.3f s, before it was %.3f s", now, usual)
 	}
-	b.BodyEnded(h.now, 1)
-	b.BodyEnded(h.now, 1) // said once too often
+	b.BodyEnded(h.now, 1, time.Second)
+	b.BodyEnded(h.now, 1, time.Second) // said once too often
 	if h.now += time.Second / 2; e.owed(h.now) != 0.5 {
 		t.Errorf("%.1f s are owed half a second after the last byte", e.owed(h.now))
 	}
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -76,6 +76,7 @@
 	upstream  *upstream
 	discovery *discovery
 	handover  *handover
+	leaving   leaving
 	ready     chan struct{} // closed once servers are known
 
 	moves    chan string    // addresses to which an agent that pushes moves
@@ -110,6 +111,7 @@
 		discovery: newDiscovery(c.Discovery, c.Limits.ConnectTimeout),
 		handover:  &handover{log: log},
 		calls:     map[balance.RequestID]*call{}, rev: noRev, ctx: ctx, leave: func() {}}
+	h.leaving.init(c.Settings.Classes)
 	h.now = h.clock()
 	var err error
 	if h.balancer, err = balance.New(c.Settings, h); err != nil {
@@ -211,7 +213,7 @@
 func (h *host) serve(ctx context.Context, c *call) (answer, bool) {
 	c.answered = make(chan answer, 1)
 	// Danger: a request that the Balancer left without an answer would hang until the client gives up.
-	c.due = time.AfterFunc(c.wait+answerMargin/2, func() { h.post(func() { h.abandon(c, true) }) })
+	c.due = time.AfterFunc(time.Until(c.deadline)+answerMargin/2, func() { h.post(func() { h.abandon(c, true) }) })
 	if c.rest != nil {
 		c.due.Stop() // its time has not begun
 	}
@@ -243,15 +245,16 @@
 	if c.over {
 		return
 	}
-	c.deadline = h.origin.Add(h.now + c.wait)
-	c.due.Reset(c.wait + answerMargin/2)
+	now := h.origin.Add(h.now)
+	c.deadline = h.leaving.by(now.Add(c.wait))
+	c.due.Reset(time.Until(c.deadline) + answerMargin/2)
 	for _, t := range c.attempts {
 		if t.timer == nil {
 			t.sent = h.now
 			t.arm(c.deadline)
 		}
 	}
-	h.balancer.BodyEnded(h.now, c.number)
+	h.balancer.BodyEnded(h.now, c.number, c.deadline.Sub(now))
 }
 
 // arm ends an attempt at a time, unless its timer is stopped before.
--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -6,15 +6,19 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
+
+	"beechmill.example/beechmill/balance"
 )
 
 // TestLateRequests has requests be written slowly while the sidecar is told to leave: what comes whole in time is served,
 // what comes too late is refused, and no server gets it whole.
 func TestLateRequests(t *testing.T) {
 	b := startBackend(t, say(200, "", "ok"))
-	p := startDraining(t, configText(startRegistry(t).address, serving(1, b), testSettings),
+	settings := strings.ReplaceAll(strings.ReplaceAll(testSettings, `"aim_s":20.0`, `"aim_s":0.5`), `"deadline_s":60.0`, `"deadline_s":0.5`)
+	p := startDraining(t, configText(startRegistry(t).address, serving(1, b), settings),
 		drainTimes{accept: time.Second, quiet: 10 * time.Millisecond, closeIdle: patience, finish: patience})
 	const head = "X-Request-ID: i\r\nX-Priority-Class: pay\r\nX-Timeout-Ms: 50000\r\n"
 	begin := func(size int) net.Conn {
@@ -57,7 +61,7 @@
 	for i, size := range sizes {
 		finish(inTime[i], size, 200)
 	}
-	time.Sleep(excused)
+	time.Sleep(700 * time.Millisecond) // of the 1.2 s after which it would be killed
 	came := b.count()
 	for i, size := range sizes {
 		finish(late[i], size, 503)
@@ -66,3 +70,25 @@
 		t.Errorf("servers got %d requests whole that came too late", n)
 	}
 }
+
+// TestFinalAnswerBeforeTheKill has a server answer nothing to what came whole while the sidecar leaves: the client has its
+// final answer before the process would be killed, though it would wait for longer.
+func TestFinalAnswerBeforeTheKill(t *testing.T) {
+	l := &leaving{}
+	l.init([]balance.Class{{Deadline: time.Second}, {Deadline: time.Hour}})
+	now := time.Now()
+	if end := now.Add(time.Hour); !l.by(end).Equal(end) || l.late(now) {
+		t.Error("a process that was not told to leave is in a hurry")
+	}
+	l.begin(now)
+	kill := now.Add(mostPatient + killedAfter)
+	if end := l.by(now.Add(time.Hour)); !end.Before(kill) || end.Before(kill.Add(-time.Second)) {
+		t.Errorf("the last answer is due %v before the kill", kill.Sub(end))
+	}
+	if end := now.Add(time.Second); !l.by(end).Equal(end) {
+		t.Error("what is due early is moved")
+	}
+	if l.late(now.Add(time.Second)) || !l.late(kill.Add(-beforeEnd)) {
+		t.Error("late at the wrong time")
+	}
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -30,7 +30,7 @@
 	most     atomic.Int64 // requests held at once
 	crowd    *crowd
 	draining atomic.Bool  // for good
-	leaving  leaving      // when that began
+	leaving  *leaving     // when that began
 	lame     atomic.Int64 // since when, in nanoseconds of Unix time, until staff end it; 0: not
 	active   atomic.Int64 // handlers at work
 	held     atomic.Int64 // requests
@@ -39,6 +39,7 @@
 
 func newServer(c *Config, h *host) *server {
 	s := &server{host: h, config: c, crowd: newCrowd(c.Sockets), counts: h.counts}
+	s.leaving = &h.leaving
 	s.resize(1)
 	return s
 }
@@ -84,7 +85,7 @@
 	}
 	var body *paced
 	if r.ContentLength != 0 {
-		body = newPaced(conn, r, &s.leaving)
+		body = newPaced(conn, r, s.leaving)
 		// An answer need not wait for the body.
 		if err := conn.EnableFullDuplex(); err != nil {
 			return
@@ -211,7 +212,7 @@
 		s.host.upstream.room.give(c.booked)
 		return bodyFault(err)
 	default:
-		c.deadline = time.Now().Add(c.wait)
+		c.deadline = s.leaving.by(time.Now().Add(c.wait))
 	}
 	return nil
 }
