--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -19,7 +19,8 @@
 	// socketsPerCall is how many descriptors a request may take: its client's connection, its attempt's, and one
 	// that is being closed or idles.
 	socketsPerCall = 3
-	spareSockets   = 32              // for the listener, discovery and the runtime
+	spareSockets   = 32              // for the listener, discovery and the runtime, or a share of all where that is more
+	spareShare     = 8               // of the descriptors: what is being closed or idles at servers comes on top
 	idleWithin     = 2 * time.Minute // a client's connection may idle
 )
 
@@ -46,7 +47,7 @@
 
 // resize keeps to a part of the limits: to all of them, or to half where parts is 2.
 func (s *server) resize(parts int) {
-	most := (s.config.Sockets/parts - spareSockets/parts) / socketsPerCall
+	most := (s.config.Sockets - max(spareSockets, s.config.Sockets/spareShare)) / parts / socketsPerCall
 	if held := s.config.Limits.MostHeld; held > 0 {
 		most = min(most, held)
 	}
