--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 // printer is a sidecar's host that prints what it is asked to do.
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/wire"
+	"gradeusher.example/gradeusher/balance"
+	"gradeusher.example/gradeusher/internal/wire"
 )
 
 func main() {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
-	"beechmill.example/beechmill/balance"
-	"beechmill.example/beechmill/internal/wire"
+	"gradeusher.example/gradeusher/balance"
+	"gradeusher.example/gradeusher/internal/wire"
 )
 
 // Config is what a sidecar is told at its start.
--- a/internal/sidecar/counts.go
+++ b/internal/sidecar/counts.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 // countsEvery is how often the log says what happened since it last did.
--- a/internal/sidecar/counts_test.go
+++ b/internal/sidecar/counts_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 // TestCounts has the log say what happened, and only once.
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 const (
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 const (
--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 // TestLateRequests has requests be written slowly while the sidecar is told to leave: what comes whole in time is served,
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 const (
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 // TestEffects has the first attempt of each class end in each way, and sees whether the class is tried again.
--- a/internal/sidecar/surplus_test.go
+++ b/internal/sidecar/surplus_test.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"testing"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 // TestSurplusAnswer has a server send two answers to one request: the second must not be taken for the next one's.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 const (
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 func list(t *testing.T, text string) List {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 // Names maps the names that requests carry to indexes into the settings.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 // Kind is the kind of an event line.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 const open = "OPEN_INSTANCE\t7\tareas=north,south\tmodels=big,small\tmy_zone=north\tordinal=1\tpeers_total=3\t" +
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"beechmill.example/beechmill/balance"
+	"gradeusher.example/gradeusher/balance"
 )
 
 // Writer writes the actions of many instances. Errors are kept and returned by End.
