--- /dev/null
+++ b/internal/lab/clock/clock.go
@@ -0,0 +1,29 @@
+// Package clock gives all processes of an experiment one time: nanoseconds of CLOCK_MONOTONIC, which processes on one
+// machine share and no step of the wall clock moves.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// The process's own monotonic reading at the moment when the shared one was base.
+var (
+	start = time.Now()
+	base  = reading()
+)
+
+func reading() int64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		return time.Now().UnixNano() // shared too; Linux always has the other
+	}
+	return t.Nano()
+}
+
+// Now is the shared time in nanoseconds.
+func Now() int64 { return base + int64(time.Since(start)) }
+
+// Until is the time that is left until t; negative once it has passed.
+func Until(t int64) time.Duration { return time.Duration(t - Now()) }
