--- /dev/null
+++ b/cmd/gradeusher/main.go
@@ -0,0 +1,101 @@
+// Command gradeusher is what operators use: it starts fleets, runs experiments, and is every process of the product.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"gradeusher.example/gradeusher/internal/lab/plan"
+	"gradeusher.example/gradeusher/internal/sidecar"
+)
+
+// Exit codes, on which scripts rely.
+const (
+	exitBroken = 1 // an invariant or bar did not hold, or the work failed
+	exitUsage  = 2 // bad usage or a bad file
+)
+
+type commands struct {
+	Up      upCommand      `cmd:"" help:"Start stand-in servers, a list, two sidecars and light traffic on this machine, and print figures."`
+	Lab     labCommand     `cmd:"" help:"Run experiments with real processes and faults between them."`
+	Sidecar sidecarCommand `cmd:"" help:"Be a sidecar, configured as bin/sidecar by PROXY_CONFIG and the other variables."`
+	StandIn standInCommand `cmd:"" name:"stand-in" hidden:"" help:"Be a stand-in process of an experiment."`
+}
+
+// streams are where a command reads and writes.
+type streams struct {
+	in       io.Reader
+	out, err io.Writer
+	env      func(string) string
+}
+
+// errBroken ends a command with exitBroken after it has said why on its output.
+var errBroken = errors.New("broken")
+
+func main() { os.Exit(run(os.Args[1:], streams{os.Stdin, os.Stdout, os.Stderr, os.Getenv})) }
+
+// run is the command with its arguments, to its exit code.
+func run(args []string, s streams) int {
+	var c commands
+	exited := -1
+	parser, err := kong.New(&c, kong.Name("gradeusher"), kong.Writers(s.out, s.err), kong.Exit(func(code int) { exited = code }),
+		kong.Description("Sidecars that pass requests to servers, and the fleet around them."), kong.UsageOnError(), kong.Bind(s))
+	if err != nil {
+		return fail(s, err, exitUsage)
+	}
+	parsed, err := parser.Parse(args)
+	switch {
+	case exited >= 0:
+		return exited // help was asked for
+	case err != nil:
+		return fail(s, err, exitUsage)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	err = parsed.Run()
+	var bad *plan.Error
+	var code exitCode
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &code):
+		return int(code)
+	case errors.Is(err, errBroken):
+		return exitBroken
+	case errors.As(err, &bad), errors.Is(err, errUsage):
+		return fail(s, err, exitUsage)
+	}
+	return fail(s, err, exitBroken)
+}
+
+var errUsage = errors.New("usage")
+
+// exitCode ends a command with a code, after it has said all there is to say.
+type exitCode int
+
+func (c exitCode) Error() string { return fmt.Sprintf("exit %d", int(c)) }
+
+// fail says what is wrong in one line.
+func fail(s streams, err error, code int) int {
+	fmt.Fprintln(s.err, "gradeusher:", strings.ReplaceAll(err.Error(), "\n", "; "))
+	return code
+}
+
+type sidecarCommand struct{}
+
+// Run is the sidecar to its end.
+func (sidecarCommand) Run(s streams) error {
+	if code := sidecar.Main(s.env, s.err); code != 0 {
+		return exitCode(code)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/gradeusher/standin.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"gradeusher.example/gradeusher/internal/lab/standin"
+)
+
+// standInCommand is the processes that a lab starts. Its orders come on standard input.
+type standInCommand struct {
+	Host  hostCommand  `cmd:"" help:"Stand-in servers."`
+	List  listCommand  `cmd:"" help:"The platform's list of servers."`
+	Plain plainCommand `cmd:"" help:"The plainest sidecar, to compare with."`
+}
+
+type hostCommand struct {
+	Groups  int    `help:"Groups of sidecars, each with listeners of its own." default:"1"`
+	Records string `help:"File for what the servers see." required:""`
+}
+
+// Run obeys until standard input ends.
+func (c hostCommand) Run(s streams) error { return standin.Host(s.in, s.out, c.Groups, c.Records) }
+
+type listCommand struct {
+	Groups  string `help:"The group of each sidecar, with commas." required:""`
+	Port    int    `help:"Port to listen at; 0: any that is free." default:"0"`
+	Records string `help:"File for what sidecars are told." required:""`
+}
+
+// Run obeys until standard input ends.
+func (c listCommand) Run(s streams) error {
+	var groups standin.Groups
+	for _, word := range strings.Split(c.Groups, ",") {
+		g, err := strconv.Atoi(word)
+		if err != nil {
+			return fmt.Errorf("%w: --groups: %w", errUsage, err)
+		}
+		groups = append(groups, g)
+	}
+	return standin.List(s.in, s.out, groups, c.Port, c.Records)
+}
+
+type plainCommand struct {
+	Flaw string `help:"What it does wrong."`
+}
+
+// Run is the sidecar until SIGTERM.
+func (c plainCommand) Run(ctx context.Context, s streams) error {
+	return standin.Plain(ctx, s.env, c.Flaw)
+}
--- /dev/null
+++ b/cmd/gradeusher/up.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+)
+
+type upCommand struct {
+	For      time.Duration `help:"How long it runs; at most an hour." default:"1h"`
+	Servers  int           `help:"Stand-in servers." default:"6"`
+	Sidecars int           `help:"Sidecars." default:"2"`
+	Rate     float64       `help:"Requests a second in all." default:"40"`
+	Seed     uint64        `help:"Draws servers and arrivals." default:"1"`
+}
+
+// Run starts the fleet, prints a line a second, and ends it when the time is over or on an interrupt.
+func (c upCommand) Run(ctx context.Context, s streams) error {
+	if c.For < time.Second || c.For > time.Hour {
+		return fmt.Errorf("%w: --for %v is not within 1s to 1h", errUsage, c.For)
+	}
+	f, err := plan.Parse("up.toml", fmt.Appendf(nil, "states = \"every request gets one final answer\"\nseconds = %v\n[fleet]\nservers = %d\nsidecars = %d\n[load]\nrate = %v\n",
+		c.For.Seconds(), c.Servers, c.Sidecars, c.Rate))
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	p, err := plan.Make(f, c.Seed)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	me, err := self()
+	if err != nil {
+		return err
+	}
+	var last lab.Second
+	r, err := lab.Run(ctx, p, lab.Options{Self: me,
+		Up: func(f *lab.Fleet, _ int64) {
+			fmt.Fprintf(s.out, "list     http://%s/v1/servers\n", f.ListAddress())
+			for i, a := range f.Addresses() {
+				fmt.Fprintf(s.out, "sidecar  http://%s in %s\n", a, p.Sidecars[i].Zone)
+			}
+			for _, line := range f.ServerLines() {
+				fmt.Fprintf(s.out, "server   %s\n", line)
+			}
+		},
+		Tick: func(n lab.Second) {
+			fmt.Fprintf(s.out, "%4.0fs  %4d requests/s  served %d  refused %d  failed %d  open %d\n", n.At.Seconds(), n.Requests-last.Requests,
+				n.Served-last.Served, n.Refused-last.Refused, n.Failed-last.Failed, n.Open)
+			last = n
+		}})
+	if err != nil {
+		return err
+	}
+	lab.Print(s.out, r)
+	for _, v := range r.Verdicts {
+		if v.Name == "one-answer" && !v.Held {
+			return errBroken
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/check/check.go
@@ -0,0 +1,259 @@
+// Package check holds what servers, the list and clients saw of an experiment against its invariants. Nothing here asks the
+// program. Each check has a control in lab/controls that it must find broken.
+package check
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/load"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+	"gradeusher.example/gradeusher/internal/lab/proc"
+)
+
+// Evidence is all that was seen. Times are ns of the lab's clock.
+type Evidence struct {
+	Plan     *plan.Plan
+	Start    int64 // of the load
+	Tries    []load.Try
+	Attempts []ctl.Attempt
+	Told     []ctl.Told
+	Falls    []ctl.News
+	Exits    []proc.Exit
+	Runs     [][]Run // of each sidecar: its processes, in order
+	Peaks    []Peak  // of each sidecar
+	Lateness time.Duration
+}
+
+// Run is one process of a sidecar, as far as faults go.
+type Run struct {
+	From, To int64 // To 0: until the end of the load
+	Killed   bool  // by SIGKILL
+	Stops    []Span
+}
+
+// Span is a time.
+type Span struct{ From, To int64 }
+
+// Peak is the most that a sidecar's processes held at a sample.
+type Peak struct {
+	MemoryMB    float64
+	Descriptors int
+}
+
+// Verdict is whether one invariant or bar held.
+type Verdict struct {
+	Name   string   `json:"name"`
+	Held   bool     `json:"held"`
+	Broken int      `json:"broken"`             // how often it was
+	Detail []string `json:"detail,omitempty"`   // the first of them
+	Value  *float64 `json:"value,omitempty"`    // of a bar's figure
+	Bar    string   `json:"bar,omitempty"`      // what it had to be
+	Says   string   `json:"promises,omitempty"` // what it promises
+}
+
+const mostDetail = 5
+
+// findings collects what broke an invariant.
+type findings map[string]*Verdict
+
+func (f findings) add(name, form string, args ...any) {
+	v := f[name]
+	v.Broken++
+	v.Held = false
+	if len(v.Detail) < mostDetail {
+		v.Detail = append(v.Detail, fmt.Sprintf(form, args...))
+	}
+}
+
+// Invariants checks all of them, in the order of plan.Invariants.
+func Invariants(e *Evidence) []Verdict {
+	f := findings{}
+	for _, v := range plan.Invariants {
+		f[v.Name] = &Verdict{Name: v.Name, Held: true, Says: v.Says}
+	}
+	attempts := map[string][]ctl.Attempt{}
+	for _, a := range e.Attempts {
+		attempts[a.ID] = append(attempts[a.ID], a)
+	}
+	for _, id := range slices.Sorted(maps.Keys(attempts)) {
+		slices.SortFunc(attempts[id], func(a, b ctl.Attempt) int { return cmp.Compare(a.First, b.First) })
+	}
+	e.answers(f, attempts)
+	e.attempts(f, attempts)
+	e.drained(f)
+	for _, n := range e.Falls {
+		f.add("cold", "server %s fell over at %s", n.UID, e.when(n.At))
+	}
+	for _, x := range e.Exits {
+		if !x.Wanted || x.Code > 0 {
+			f.add("no-crash", "%s ended at %s: %s", x.Name, e.when(x.At), x.How)
+		}
+	}
+	limits := &e.Plan.File.Limits
+	for i, p := range e.Peaks {
+		if p.MemoryMB > limits.MemoryMB {
+			f.add("memory", "%s held %.0f MB, %.0f at most", e.Plan.Sidecars[i].Name, p.MemoryMB, limits.MemoryMB)
+		}
+		if p.Descriptors > limits.Descriptors {
+			f.add("descriptors", "%s held %d descriptors, %d at most", e.Plan.Sidecars[i].Name, p.Descriptors, limits.Descriptors)
+		}
+	}
+	if most := millis(limits.LatenessMS); e.Lateness > most {
+		f.add("lab-on-time", "void: the lab sent %v late at the 99th percentile, %v at most", e.Lateness, most)
+	}
+	verdicts := make([]Verdict, 0, len(plan.Invariants))
+	for _, v := range plan.Invariants {
+		verdicts = append(verdicts, *f[v.Name])
+	}
+	return verdicts
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// when words a time from the start of the load.
+func (e *Evidence) when(t int64) string { return fmt.Sprintf("%.3fs", float64(t-e.Start)/1e9) }
+
+// excused tells whether a fault kept a sidecar from answering what it took at sent by until: its process was killed, or
+// stopped, between.
+func (e *Evidence) excused(sidecar int, sent, until int64) bool {
+	for _, r := range e.Runs[sidecar] {
+		if r.Killed && r.To >= sent && r.From <= until && r.To <= until {
+			return true
+		}
+		for _, s := range r.Stops {
+			if s.From <= until && s.To >= sent {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// answers checks one-answer and in-time.
+func (e *Evidence) answers(f findings, attempts map[string][]ctl.Attempt) {
+	limits := &e.Plan.File.Limits
+	for i := range e.Tries {
+		t := &e.Tries[i]
+		if t.Sent == 0 {
+			continue // no sidecar has taken it
+		}
+		name := e.Plan.Sidecars[t.Sidecar].Name
+		late := t.Sent + int64(t.Timeout) + int64(millis(limits.AnswerSlackMS))
+		if t.Resent && t.Status != 0 && len(attempts[t.ID]) > 0 {
+			// The sidecar hung up on a request; if a server got it before, the sidecar had taken it.
+			if first := attempts[t.ID][0]; first.First < t.Began && !e.excused(t.Sidecar, t.Began, t.Ended) {
+				f.add("one-answer", "%s hung up on request %s after it had sent it on", name, t.ID)
+			}
+		}
+		switch {
+		case t.Status == 0 && !e.excused(t.Sidecar, t.Began, t.Ended):
+			f.add("one-answer", "%s took request %s at %s and gave no answer: %s", name, t.ID, e.when(t.Sent), t.Fault)
+		case t.Status == 200 && !slices.ContainsFunc(attempts[t.ID], func(a ctl.Attempt) bool { return a.How == "served" && a.Server == t.By }):
+			f.add("one-answer", "%s served request %s by %q, which no server says", name, t.ID, t.By)
+		case t.Status != 0 && t.Ended > late && !e.excused(t.Sidecar, t.Began, t.Ended):
+			f.add("in-time", "%s answered request %s %v after its time", name, t.ID, time.Duration(t.Ended-t.Sent)-t.Timeout)
+		}
+	}
+}
+
+const mostAttempts = 3
+
+// attempts checks no-duplicate and one-at-a-time.
+func (e *Evidence) attempts(f findings, attempts map[string][]ctl.Attempt) {
+	tries := make(map[string]*load.Try, len(e.Tries))
+	for i := range e.Tries {
+		tries[e.Tries[i].ID] = &e.Tries[i]
+	}
+	slack := int64(millis(e.Plan.File.Limits.SlackMS))
+	for _, id := range slices.Sorted(maps.Keys(attempts)) {
+		all := attempts[id]
+		t := tries[id]
+		if t == nil {
+			f.add("no-duplicate", "server %s got request %q, which no client sent", all[0].Server, id)
+			continue
+		}
+		if t.Resent && e.excused(t.Sidecar, t.Began, t.Ended) {
+			continue // sent to two processes
+		}
+		most := mostAttempts
+		if t.Resent {
+			most *= 2
+		}
+		if len(all) > most {
+			f.add("no-duplicate", "request %s was sent %d times, %d at most", id, len(all), most)
+		}
+		for i := 1; i < len(all); i++ {
+			before, a := all[i-1], all[i]
+			if !e.Plan.File.Classes[t.Class].Safe && before.How != "turned" {
+				f.add("no-duplicate", "request %s may have run at %s (%s) and went to %s at %s", id, before.Server, before.How, a.Server, e.when(a.First))
+			}
+			if before.End == 0 || before.End > a.First+slack {
+				f.add("one-at-a-time", "request %s went to %s at %s while its attempt at %s was out", id, a.Server, e.when(a.First), before.Server)
+			}
+		}
+	}
+}
+
+// drained checks that nothing new goes to a server that a sidecar was told drains or is gone.
+func (e *Evidence) drained(f findings) {
+	type pair struct {
+		near   int
+		server string
+	}
+	told := map[pair][]ctl.Told{}
+	for _, t := range e.Told {
+		p := pair{t.Near, t.UID}
+		told[p] = append(told[p], t)
+	}
+	for p := range told {
+		slices.SortStableFunc(told[p], func(a, b ctl.Told) int { return cmp.Compare(a.At, b.At) })
+	}
+	limits := &e.Plan.File.Limits
+	grace := int64(millis(limits.DrainGraceMS + limits.SlackMS))
+	for _, a := range e.Attempts {
+		since, state := int64(0), ""
+		for _, t := range told[pair{a.Near, a.Server}] {
+			if t.At > a.First || t.At < e.bornBefore(a.Near, a.First) {
+				continue // not told yet, or to a process before this one
+			}
+			if t.State == "SERVING" {
+				since = 0
+			} else if since == 0 {
+				since, state = t.At, t.State
+			}
+		}
+		if since != 0 && a.First > since+grace && !e.stopped(a.Near, since, a.First) {
+			f.add("drained", "%s sent request %s to %s at %s, %v after it was told %s", e.Plan.Sidecars[a.Near].Name, a.ID, a.Server,
+				e.when(a.First), time.Duration(a.First-since).Round(time.Millisecond), state)
+		}
+	}
+}
+
+// bornBefore is the start of the process of a sidecar that ran at t.
+func (e *Evidence) bornBefore(sidecar int, t int64) int64 {
+	born := int64(0)
+	for _, r := range e.Runs[sidecar] {
+		if r.From <= t {
+			born = r.From
+		}
+	}
+	return born
+}
+
+// stopped tells whether a sidecar was stopped within the time between, when it could read nothing.
+func (e *Evidence) stopped(sidecar int, from, to int64) bool {
+	grace := int64(millis(e.Plan.File.Limits.DrainGraceMS))
+	for _, r := range e.Runs[sidecar] {
+		for _, s := range r.Stops {
+			if s.From <= to && s.To+grace >= from && to < s.To+grace {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lab/ctl/ctl.go
@@ -0,0 +1,181 @@
+// Package ctl is what the lab and its stand-in processes say to each other: orders as JSON lines on standard input, and
+// acknowledgements and news as JSON lines on standard output. A stand-in ends when its input does, so none outlives the lab.
+// What a stand-in saw goes to a file of its own, a record a line, for the checkers.
+package ctl
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+
+	"gradeusher.example/gradeusher/internal/lab/link"
+	"gradeusher.example/gradeusher/internal/lab/model"
+)
+
+// Order is one thing that the lab has a stand-in do. Fields that an order does not name are not looked at.
+type Order struct {
+	ID int    `json:"id"`
+	Do string `json:"do"`
+
+	UID     string         `json:"uid,omitempty"`   // the server meant
+	Spec    *model.Spec    `json:"spec,omitempty"`  // add
+	Cold    bool           `json:"cold,omitempty"`  // add, revive: started just now
+	Trouble *model.Trouble `json:"wrong,omitempty"` // trouble
+	By      int64          `json:"by,omitempty"`    // clock: ns that the wall clock jumps
+
+	Nears []int       `json:"nears,omitempty"` // link, reset, forget: the near ends meant; none: all
+	State *link.State `json:"state,omitempty"` // link
+	Cut   *bool       `json:"cut,omitempty"`   // link: whether calls of group come up
+	Group int         `json:"group,omitempty"` // link: the group of near ends that Cut means
+
+	Entry *Entry  `json:"entry,omitempty"` // list: what it learns
+	Mode  string  `json:"mode,omitempty"`  // list-mode: "", "late", "old", "cut", "garbled"
+	Late  float64 `json:"late,omitempty"`  // list-mode late: seconds
+}
+
+// Entry is one server of the list, without the host of its address, which differs from one sidecar to the next.
+type Entry struct {
+	UID    string `json:"uid"`
+	Ports  []int  `json:"ports"` // by the group of the sidecar
+	Zone   string `json:"az"`
+	Kind   string `json:"model"`
+	State  string `json:"state"`
+	BootMS int64  `json:"boot_ms"`
+}
+
+// News is what a stand-in says to the lab.
+type News struct {
+	ID     int    `json:"id,omitempty"` // of the order that this acknowledges; 0: none
+	At     int64  `json:"at"`           // when it took effect, in ns of the lab's clock
+	Error  string `json:"error,omitempty"`
+	Kind   string `json:"kind,omitempty"` // "ready", "fell"
+	UID    string `json:"uid,omitempty"`
+	Ports  []int  `json:"ports,omitempty"`   // add: where the server listens, by group
+	BootMS int64  `json:"boot_ms,omitempty"` // add, revive
+	Count  int    `json:"count,omitempty"`   // reset, forget: connections ended
+}
+
+// Attempt is what a server saw of one attempt.
+type Attempt struct {
+	Server string `json:"s"`
+	Boot   int64  `json:"b"` // start of the process that got it, ns
+	Near   int    `json:"n"` // the sidecar
+	ID     string `json:"i"` // of the request
+	First  int64  `json:"f"` // when the sidecar sent its first bytes
+	Whole  int64  `json:"w"` // when its last byte had arrived
+	End    int64  `json:"e"` // when the sidecar hung up or the answer was written whole; 0: neither happened
+	How    string `json:"h"` // "served", "failed", "turned", "left": the sidecar hung up, "died": the server did
+	New    bool   `json:"c"` // the first on its connection
+	Work   int64  `json:"k"` // ns of a core of speed 1
+}
+
+// Told is what a list wrote to one sidecar.
+type Told struct {
+	Near  int    `json:"n"`
+	UID   string `json:"u"`
+	State string `json:"s"`
+	At    int64  `json:"t"` // when it was written whole
+}
+
+// Out writes news, one line each. It is safe for concurrent use.
+type Out struct {
+	mu sync.Mutex
+	to io.Writer
+}
+
+// NewOut writes to a lab.
+func NewOut(to io.Writer) *Out { return &Out{to: to} }
+
+// Say writes one piece of news. A lab that is gone is no error: the input ends too.
+func (o *Out) Say(n News) {
+	line, err := json.Marshal(n)
+	if err != nil {
+		return // News always marshals
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, _ = o.to.Write(append(line, '\n'))
+}
+
+const mostLine = 1 << 20
+
+// Lines reads JSON lines until the input ends, and hands each to do. It is an error if one cannot be read.
+func Lines[T any](from io.Reader, do func(T) error) error {
+	lines := bufio.NewScanner(from)
+	lines.Buffer(nil, mostLine)
+	for n := 1; lines.Scan(); n++ {
+		var v T
+		if err := json.Unmarshal(lines.Bytes(), &v); err != nil {
+			return fmt.Errorf("line %d: %w", n, err)
+		}
+		if err := do(v); err != nil {
+			return err
+		}
+	}
+	return lines.Err()
+}
+
+// Records is a file of records. It is safe for concurrent use. Each is written at once: what a killed process saw is kept.
+type Records struct {
+	mu   sync.Mutex
+	file *os.File
+	err  error
+}
+
+// NewRecords makes the file.
+func NewRecords(path string) (*Records, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("records: %w", err)
+	}
+	return &Records{file: f}, nil
+}
+
+// Add writes one.
+func (r *Records) Add(v any) {
+	line, err := json.Marshal(v)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		_, err = r.file.Write(append(line, '\n'))
+	}
+	r.err = errors.Join(r.err, err)
+}
+
+// Close returns the first errors of all that was added.
+func (r *Records) Close() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return errors.Join(r.err, r.file.Close())
+}
+
+// ReadRecords reads all records of a file.
+func ReadRecords[T any](path string) ([]T, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("records: %w", err)
+	}
+	defer f.Close()
+	var all []T
+	err = Lines(f, func(v T) error {
+		all = append(all, v)
+		return nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("records: %s: %w", path, err)
+	}
+	return all, nil
+}
+
+// Marshal is an order as a line.
+func Marshal(o Order) ([]byte, error) {
+	line, err := json.Marshal(o)
+	if err != nil {
+		return nil, fmt.Errorf("order: %w", err)
+	}
+	return append(line, '\n'), nil
+}
--- a/internal/lab/link/listen.go
+++ b/internal/lab/link/listen.go
@@ -126,9 +126,10 @@
 	return fmt.Errorf("link: calls to port %d still come up after %d", l.Port(), mostFillers)
 }
 
+// A call on loopback comes up within the system call that makes it, or not at all.
 const (
 	mostFillers = 8
-	fillTimeout = 30 * time.Millisecond
+	fillTimeout = 5 * time.Millisecond
 )
 
 func (l *Listener) backlog(n int) error {
--- /dev/null
+++ b/internal/lab/plan/fault.go
@@ -0,0 +1,122 @@
+package plan
+
+import (
+	"slices"
+	"strings"
+)
+
+// Fault is one thing that goes wrong, as the file has it.
+type Fault struct {
+	Do      string   `toml:"do"`
+	At      float64  `toml:"at"`
+	For     float64  `toml:"for"`
+	On      string   `toml:"on"`      // "sidecars", "servers" or "list", where do leaves a choice
+	Zone    string   `toml:"zone"`    // only those of it
+	Part    float64  `toml:"part"`    // this share of them, drawn; 0: all
+	Count   int      `toml:"count"`   // or this many
+	Names   []string `toml:"names"`   // or just these
+	Restart *float64 `toml:"restart"` // seconds after the end until a process is started again; left out: never
+	Size    float64  `toml:"size"`
+	Every   float64  `toml:"every"`  // steal: seconds on, and off
+	From    string   `toml:"from"`   // links: the zone of the sidecars; "": all
+	Way     string   `toml:"way"`    // silence: "to-far" or "to-near"
+	Jitter  float64  `toml:"jitter"` // delay: ms
+	Batch   float64  `toml:"batch"`  // deploy: share of the fleet at a time
+	Drain   float64  `toml:"drain"`  // deploy: seconds from the drain to the end of a process
+}
+
+// faultKind says what a fault needs, and what the report shows of it.
+type faultKind struct {
+	on   []string // what it may act on; the first is the default
+	lest bool     // it needs for
+	size [2]float64
+	says string
+	keys []string // besides do, at, for, on, zone, part, count, names
+}
+
+var processes = []string{"sidecars", "list"}
+var links = []string{"servers", "list"}
+
+// FaultKinds are the faults there are.
+var faultKinds = map[string]faultKind{
+	"kill":          {on: processes, says: "SIGKILL", keys: []string{"restart"}},
+	"term":          {on: processes, says: "SIGTERM, and SIGKILL if that is not enough", keys: []string{"restart"}},
+	"stop":          {on: processes, lest: true, says: "SIGSTOP, and SIGCONT at the end"},
+	"slow":          {on: []string{"servers"}, lest: true, size: [2]float64{1, 1000}, says: "servers work size times slower"},
+	"hang":          {on: []string{"servers"}, lest: true, says: "servers take work and do none"},
+	"steal":         {on: []string{"servers"}, lest: true, size: [2]float64{0.01, 0.99}, says: "another program takes the share size", keys: []string{"every"}},
+	"die":           {on: []string{"servers"}, says: "server processes end at once", keys: []string{"restart"}},
+	"lose":          {on: []string{"servers"}, lest: true, says: "machines say nothing, and return with new, cold processes"},
+	"deploy":        {on: []string{"servers"}, lest: true, says: "servers drain, end, and are replaced by new, cold ones", keys: []string{"batch", "drain"}},
+	"flap":          {on: []string{"servers"}, lest: true, says: "server processes end and start again and again", keys: []string{"every"}},
+	"delay":         {on: links, lest: true, size: [2]float64{0.01, 10000}, says: "links take size ms more, one way", keys: []string{"from", "jitter"}},
+	"silence":       {on: links, lest: true, says: "links carry nothing one way", keys: []string{"from", "way"}},
+	"partition":     {on: links, lest: true, says: "links carry nothing", keys: []string{"from"}},
+	"reset":         {on: links, says: "connections are reset", keys: []string{"from"}},
+	"half-open":     {on: links, says: "far ends forget their connections without a word", keys: []string{"from"}},
+	"trickle":       {on: links, lest: true, size: [2]float64{1, 1e9}, says: "links pass size bytes a second", keys: []string{"from"}},
+	"list-late":     {on: []string{"list"}, lest: true, size: [2]float64{0.01, 3600}, says: "the list tells everything size seconds later"},
+	"list-old":      {on: []string{"list"}, lest: true, says: "the list is an old one"},
+	"list-cut":      {on: []string{"list"}, lest: true, says: "the list breaks off half way"},
+	"list-garbled":  {on: []string{"list"}, lest: true, says: "the list cannot be read"},
+	"disk-full":     {on: []string{"sidecars"}, lest: true, says: "nothing can be written to files"},
+	"disk-readonly": {on: []string{"sidecars"}, lest: true, says: "the folder can only be read"},
+	"clock":         {on: []string{"servers"}, size: [2]float64{-86400, 86400}, says: "the wall clock of the servers' machines jumps by size seconds"},
+}
+
+// checkFault refuses a fault that makes no sense by itself.
+func (f *File) checkFault(i int) *Error {
+	t := &f.Faults[i]
+	kind, ok := faultKinds[t.Do]
+	if !ok {
+		return f.bad("fault", i, "do", "unknown fault %q", t.Do)
+	}
+	if t.On == "" {
+		t.On = kind.on[0]
+	}
+	switch {
+	case t.Do == "clock" && t.On == "sidecars":
+		return f.bad("fault", i, "on", "a sidecar takes no clock but the machine's")
+	case !slices.Contains(kind.on, t.On):
+		return f.bad("fault", i, "on", "%s cannot act on %q, only on %s", t.Do, t.On, strings.Join(kind.on, " or "))
+	case t.At < 0 || t.At >= f.Seconds:
+		return f.bad("fault", i, "at", "at %v s is not within the %v s of load", t.At, f.Seconds)
+	case kind.lest && t.For <= 0:
+		return f.bad("fault", i, "for", "%s needs for, the seconds that it lasts", t.Do)
+	case !kind.lest && t.For != 0:
+		return f.bad("fault", i, "for", "%s happens at once: it has no for", t.Do)
+	case t.At+t.For > f.Seconds:
+		return f.bad("fault", i, "for", "it ends at %v s, after the %v s of load", t.At+t.For, f.Seconds)
+	case t.Part < 0 || t.Part > 1:
+		return f.bad("fault", i, "part", "part %v is not within 0 to 1", t.Part)
+	case t.Part > 0 && (t.Count > 0 || len(t.Names) > 0) || t.Count > 0 && len(t.Names) > 0:
+		return f.bad("fault", i, "part", "only one of part, count and names can be given")
+	case t.Count < 0:
+		return f.bad("fault", i, "count", "count %d is below 0", t.Count)
+	case t.Zone != "" && !slices.Contains(f.Fleet.Zones, t.Zone):
+		return f.bad("fault", i, "zone", "no zone %q", t.Zone)
+	case t.From != "" && !slices.Contains(f.Fleet.Zones, t.From):
+		return f.bad("fault", i, "from", "no zone %q", t.From)
+	case t.On == "list" && (t.Zone != "" || t.Part > 0 || t.Count > 0 || len(t.Names) > 0):
+		return f.bad("fault", i, "on", "there is one list: zone, part, count and names choose nothing")
+	case kind.size != [2]float64{} && (t.Size < kind.size[0] || t.Size > kind.size[1]):
+		return f.bad("fault", i, "size", "%s needs a size within %v to %v", t.Do, kind.size[0], kind.size[1])
+	case t.Way != "" && t.Way != "to-far" && t.Way != "to-near":
+		return f.bad("fault", i, "way", "way %q is neither to-far nor to-near", t.Way)
+	case t.Do == "silence" && t.Way == "":
+		return f.bad("fault", i, "way", "silence needs a way, to-far or to-near")
+	case t.Restart != nil && (*t.Restart < 0 || t.At+*t.Restart >= f.Seconds):
+		return f.bad("fault", i, "restart", "a restart after %v s is not within the load", *t.Restart)
+	case t.Batch < 0 || t.Batch > 1 || t.Drain < 0 || t.Jitter < 0 || t.Every < 0:
+		return f.bad("fault", i, "do", "batch, drain, jitter and every cannot be below 0, nor batch above 1")
+	case t.Do == "flap" && t.Every <= 0:
+		return f.bad("fault", i, "every", "flap needs every, the seconds up and down")
+	}
+	for key, given := range map[string]bool{"restart": t.Restart != nil, "size": t.Size != 0, "every": t.Every != 0, "from": t.From != "",
+		"way": t.Way != "", "jitter": t.Jitter != 0, "batch": t.Batch != 0, "drain": t.Drain != 0} {
+		if given && !slices.Contains(kind.keys, key) && (key != "size" || kind.size == [2]float64{}) {
+			return f.bad("fault", i, key, "%s has no %s", t.Do, key)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/plan/plan.go
@@ -0,0 +1,279 @@
+package plan
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gradeusher.example/gradeusher/internal/lab/model"
+)
+
+// Plan is all that an experiment will do. Times are counted from the start of the load.
+type Plan struct {
+	File     *File
+	Seed     uint64
+	Servers  []model.Spec // first those that stand at the start, then successors
+	Standing int          // of Servers at the start
+	Sidecars []Sidecar
+	Arrivals []Arrival
+	Steps    []Step
+	Bands    []Band
+
+	ArrivalsHash string // of all that clients will do
+	StepsHash    string // of all that faults will do, and to whom
+}
+
+// Sidecar is one sidecar and the clients beside it.
+type Sidecar struct {
+	Name   string
+	Zone   string
+	Group  int // the index of its zone
+	Weight float64
+}
+
+// Arrival is one request's first try.
+type Arrival struct {
+	At      time.Duration
+	Sidecar int
+	Class   int
+	Work    time.Duration // of a core of speed 1
+	TryPart float64       // of the give-up time after which a try is given up, 0.7 to 1
+	Backoff time.Duration // before the second try; below 0: there is none
+}
+
+// Band is a fault as the report shows it.
+type Band struct {
+	Fault    int // index in the file
+	Says     string
+	From, To time.Duration
+}
+
+// Steps that the lab takes, by the process that they act on.
+const (
+	Kill  = "kill"  // sidecar or list
+	Term  = "term"  // sidecar or list
+	Stop  = "stop"  // sidecar or list
+	Cont  = "cont"  // sidecar or list
+	Start = "start" // sidecar or list
+	Disk  = "disk"  // sidecar: Mode "full", "readonly" or ""
+
+	Drain   = "drain"   // server
+	Die     = "die"     // server
+	Remove  = "remove"  // server
+	Revive  = "revive"  // server
+	Add     = "add"     // server
+	Trouble = "trouble" // server
+	Clock   = "clock"   // server: By
+	Link    = "link"    // server or list: what holds between far end and Nears
+	Reset   = "reset"   // server or list
+	Forget  = "forget"  // server or list
+
+	Tell = "tell" // the list learns State of a server
+	Mode = "mode" // the list's answers are as Mode says
+)
+
+// ListIndex is the process index that means the list.
+const ListIndex = -1
+
+// Step is one thing that the lab does at a time.
+type Step struct {
+	At      time.Duration
+	Fault   int // index in the file
+	Do      string
+	Sidecar int           // or ListIndex
+	Server  string        // uid
+	Trouble model.Trouble // what the server suffers from then on
+	State   string        // tell
+	Mode    string
+	By      time.Duration // clock, late
+	Nears   []int         // link faults; none: all
+	Effect  LinkEffect    // that begins or ends
+	On      bool          // link: it begins
+	Group   int           // link: whose calls are cut off; below 0: nobody's
+}
+
+// LinkEffect is one fault's part of a link's state. All that hold at once add up.
+type LinkEffect struct {
+	HoldFar, HoldNear bool
+	Delay, Jitter     time.Duration
+	Rate              int
+}
+
+// stream is a source of random numbers of its own, so that a change of one draw moves no other.
+func stream(seed uint64, label string) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, xxhash.Sum64String(label)))
+}
+
+func between(r *rand.Rand, v [2]float64) float64 { return v[0] + r.Float64()*(v[1]-v[0]) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Make draws the plan of a file for a seed. It fails where the faults cannot all be.
+func Make(f *File, seed uint64) (*Plan, error) {
+	p := &Plan{File: f, Seed: seed}
+	p.drawSidecars()
+	kinds := p.drawKinds(f.Fleet.Servers)
+	for i := range f.Fleet.Servers {
+		p.Servers = append(p.Servers, p.spec(i, f.Fleet.Zones[i%len(f.Fleet.Zones)], kinds[i]))
+	}
+	p.Standing = len(p.Servers)
+	if err := p.drawArrivals(); err != nil {
+		return nil, err
+	}
+	if err := p.drawSteps(); err != nil {
+		return nil, err
+	}
+	p.hash()
+	return p, nil
+}
+
+func (p *Plan) drawSidecars() {
+	f := p.File
+	r := stream(p.Seed, "sidecars")
+	// A log-normal spread of the wished coefficient of variation (mean 1).
+	sigma := math.Sqrt(math.Log(1 + f.Load.Uneven*f.Load.Uneven))
+	sums := make([]float64, len(f.Fleet.Zones))
+	for i := range f.Fleet.Sidecars {
+		zone := i % len(f.Fleet.Zones)
+		w := math.Exp(r.NormFloat64()*sigma - sigma*sigma/2)
+		sums[zone] += w
+		p.Sidecars = append(p.Sidecars, Sidecar{fmt.Sprintf("n%d", i), f.Fleet.Zones[zone], zone, w})
+	}
+	// The first zone has its part of the traffic and zone_skew of the others' besides.
+	for i := range p.Sidecars {
+		s := &p.Sidecars[i]
+		part := (1 - f.Load.ZoneSkew) / float64(len(sums))
+		if s.Group == 0 {
+			part += f.Load.ZoneSkew
+		}
+		if sums[s.Group] > 0 {
+			s.Weight *= part / sums[s.Group]
+		}
+	}
+}
+
+// drawKinds gives n servers their kinds, by share as nearly as whole servers can, in drawn order.
+func (p *Plan) drawKinds(n int) []int {
+	sum := 0.0
+	for _, k := range p.File.Kinds {
+		sum += k.Share
+	}
+	var kinds []int
+	due := 0.0
+	for k, kind := range p.File.Kinds {
+		due += kind.Share / sum * float64(n)
+		for len(kinds) < int(math.Round(due)) {
+			kinds = append(kinds, k)
+		}
+	}
+	r := stream(p.Seed, "kinds")
+	r.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+	return kinds
+}
+
+// spec draws the i-th server, after the site file's ranges where BRIEF has none.
+func (p *Plan) spec(i int, zone string, kind int) model.Spec {
+	r := stream(p.Seed, fmt.Sprintf("server %d", i))
+	k := p.File.Kinds[kind]
+	s := model.Spec{
+		UID: fmt.Sprintf("s-%08x", r.Uint32()), Zone: zone, Kind: k.Name, Cores: k.Cores, Speed: between(r, k.Speed), Slots: k.Cores,
+		Queue: k.Cores * (200 + r.IntN(500)), Thrash: between(r, [2]float64{0.015, 0.07}), ThrashAt: between(r, [2]float64{2.6, 7}),
+		ColdFrom: between(r, [2]float64{0.14, 0.36}), ColdFor: seconds(between(r, [2]float64{11, 24})),
+		FallMultiple: 3, FallFor: 1500 * time.Millisecond, ErrorRate: p.File.Fleet.ErrorRate, DropsExpired: r.IntN(2) == 0,
+		ConnCap: k.Cores * (600 + r.IntN(300)), ConnWork: seconds(between(r, [2]float64{0.00078, 0.0015})),
+		ReportEvery: seconds(between(r, [2]float64{0.32, 1.2})), ReportDelay: seconds(between(r, [2]float64{0.23, 0.48})), Seed: r.Uint64(),
+	}
+	return s
+}
+
+// Capacity is the work a second of all servers at the start when warm.
+func (p *Plan) Capacity() float64 {
+	sum := 0.0
+	for i := range p.Standing {
+		sum += p.Servers[i].Capacity()
+	}
+	return sum
+}
+
+// Rate is the requests a second that arrive on average.
+func (p *Plan) Rate() float64 {
+	f := p.File
+	if f.Load.Rate > 0 {
+		return f.Load.Rate
+	}
+	shares, work := 0.0, 0.0
+	for _, c := range f.Classes {
+		shares += c.Share
+		work += c.Share * c.WorkMS / 1000 * f.Load.WorkPart
+	}
+	return f.Load.Share * p.Capacity() / (work / shares)
+}
+
+func (p *Plan) drawArrivals() error {
+	f := p.File
+	rate := p.Rate()
+	if n := rate * f.Seconds; n > mostArrivals {
+		return fmt.Errorf("%.0f requests in all, %d at most", n, mostArrivals)
+	}
+	r := stream(p.Seed, "arrivals")
+	var sidecars, classes []float64 // sums of weights
+	for _, s := range p.Sidecars {
+		sidecars = append(sidecars, s.Weight)
+	}
+	for _, c := range f.Classes {
+		classes = append(classes, c.Share)
+	}
+	sidecars, classes = sums(sidecars), sums(classes)
+	for t := r.ExpFloat64() / rate; t < f.Seconds; t += r.ExpFloat64() / rate {
+		a := Arrival{At: seconds(t), Sidecar: pick(r, sidecars), Class: pick(r, classes), TryPart: between(r, [2]float64{0.7, 1}), Backoff: -1}
+		// At most ten times the mean, so that a single draw cannot push a server over.
+		a.Work = seconds(min(r.ExpFloat64(), 10) * f.Classes[a.Class].WorkMS / 1000 * f.Load.WorkPart)
+		backoff := seconds(between(r, [2]float64{0.017, 0.13}))
+		if f.Load.Retries {
+			a.Backoff = backoff
+		}
+		p.Arrivals = append(p.Arrivals, a)
+	}
+	return nil
+}
+
+func sums(v []float64) []float64 {
+	sum := 0.0
+	for i := range v {
+		sum += v[i]
+		v[i] = sum
+	}
+	return v
+}
+
+func pick(r *rand.Rand, sums []float64) int {
+	x := r.Float64() * sums[len(sums)-1]
+	i, _ := slices.BinarySearch(sums, x)
+	return min(i, len(sums)-1)
+}
+
+func (p *Plan) hash() {
+	h := xxhash.New()
+	put := func(v ...any) {
+		for _, x := range v {
+			_ = binary.Write(h, binary.LittleEndian, x) // a hash takes everything
+		}
+	}
+	for _, a := range p.Arrivals {
+		put(int64(a.At), int64(a.Sidecar), int64(a.Class), int64(a.Work), a.TryPart, int64(a.Backoff))
+	}
+	p.ArrivalsHash = fmt.Sprintf("%016x", h.Sum64())
+	h.Reset()
+	for _, s := range p.Steps {
+		fmt.Fprintf(h, "%+v\n", s)
+	}
+	for _, s := range p.Servers {
+		fmt.Fprintf(h, "%+v\n", s)
+	}
+	p.StepsHash = fmt.Sprintf("%016x", h.Sum64())
+}
--- /dev/null
+++ b/internal/lab/proc/proc.go
@@ -0,0 +1,291 @@
+// Package proc starts the processes of an experiment, ends each of them whatever happens, and does to them what faults say.
+package proc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"gradeusher.example/gradeusher/internal/lab/clock"
+)
+
+// Starter starts processes that the kernel kills when the lab's own process is gone, however it ended. Danger: the kernel
+// watches the thread that started them, so one thread starts all and lasts as long as the Starter.
+type Starter struct {
+	calls chan func()
+	ended chan struct{}
+	close sync.Once
+}
+
+// NewStarter begins; Close ends it, after all processes.
+func NewStarter() *Starter {
+	s := &Starter{calls: make(chan func()), ended: make(chan struct{})}
+	go func() {
+		defer close(s.ended)
+		runtime.LockOSThread() // never unlocked: the thread ends with the goroutine
+		for call := range s.calls {
+			call()
+		}
+	}()
+	return s
+}
+
+// Close ends the thread. Processes that still run are killed with it.
+func (s *Starter) Close() {
+	s.close.Do(func() { close(s.calls) })
+	<-s.ended
+}
+
+// Spec is a process to start.
+type Spec struct {
+	Name   string
+	Path   string
+	Args   []string
+	Env    []string // all of it
+	Log    string   // file that standard error is added to
+	Piped  bool     // standard input and output are pipes to the lab
+	Folder string   // its TMPDIR
+}
+
+// Exit is how a process ended.
+type Exit struct {
+	Name   string `json:"name"`
+	At     int64  `json:"at"`
+	Code   int    `json:"code"`   // below 0: a signal
+	How    string `json:"how"`    // as the system words it
+	Wanted bool   `json:"wanted"` // the lab or a fault ended it
+}
+
+// Process is one that was started.
+type Process struct {
+	Spec
+	Started int64
+	In      io.WriteCloser
+	Out     io.Reader
+
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	exit   Exit
+	wanted atomic.Bool
+}
+
+// Start starts a process in a process group of its own, so that an interrupt at the terminal reaches the lab alone.
+func (s *Starter) Start(spec Spec) (*Process, error) {
+	log, err := os.OpenFile(spec.Log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("%s: log: %w", spec.Name, err)
+	}
+	defer log.Close() // the process has its own
+	p := &Process{Spec: spec, ended: make(chan struct{}), cmd: exec.Command(spec.Path, spec.Args...)}
+	p.cmd.Env, p.cmd.Stderr = spec.Env, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if spec.Piped {
+		if p.In, err = p.cmd.StdinPipe(); err != nil {
+			return nil, fmt.Errorf("%s: %w", spec.Name, err)
+		}
+		var out *os.File
+		var in *os.File
+		if in, out, err = os.Pipe(); err != nil {
+			return nil, fmt.Errorf("%s: %w", spec.Name, err)
+		}
+		defer out.Close()
+		p.cmd.Stdout, p.Out = out, in
+	}
+	done := make(chan error)
+	s.calls <- func() { done <- p.cmd.Start() }
+	if err := <-done; err != nil {
+		return nil, fmt.Errorf("%s: %w", spec.Name, err)
+	}
+	p.Started = clock.Now()
+	go func() {
+		err := p.cmd.Wait()
+		p.exit = Exit{Name: spec.Name, At: clock.Now(), Code: p.cmd.ProcessState.ExitCode(), How: p.cmd.ProcessState.String(), Wanted: p.wanted.Load()}
+		var exit *exec.ExitError
+		if err != nil && !errors.As(err, &exit) {
+			p.exit.How = err.Error()
+		}
+		close(p.ended)
+	}()
+	return p, nil
+}
+
+// Pid is the process's number.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Exit is how it ended, once Ended is closed.
+func (p *Process) Exit() Exit { return p.exit }
+
+// Signal sends a signal. wanted: the process may end by it.
+func (p *Process) Signal(sig syscall.Signal, wanted bool) error {
+	if wanted {
+		p.wanted.Store(true)
+	}
+	if err := p.cmd.Process.Signal(sig); err != nil {
+		return fmt.Errorf("%s: %w", p.Name, err)
+	}
+	return nil
+}
+
+// End has it finish: by the end of its input or SIGTERM, and after a time by SIGKILL. It tells false where that was needed.
+func (p *Process) End(within time.Duration) bool {
+	p.wanted.Store(true)
+	_ = p.cmd.Process.Signal(syscall.SIGCONT) // what fails because it has ended shows below
+	if p.In != nil {
+		p.In.Close()
+	} else {
+		_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	select {
+	case <-p.ended:
+		return true
+	case <-ctx.Done():
+	}
+	p.Kill()
+	return false
+}
+
+// Kill ends it at once.
+func (p *Process) Kill() {
+	p.wanted.Store(true)
+	_ = p.cmd.Process.Kill() // fails only where it has ended
+	<-p.ended
+}
+
+// Sample is what a process holds now.
+type Sample struct {
+	At          int64   `json:"at"`
+	MemoryMB    float64 `json:"memory_mb"` // resident
+	Descriptors int     `json:"descriptors"`
+}
+
+// Sample looks at /proc; it fails where the process has ended.
+func (p *Process) Sample() (Sample, error) {
+	root := "/proc/" + strconv.Itoa(p.Pid())
+	text, err := os.ReadFile(root + "/statm")
+	if err != nil {
+		return Sample{}, fmt.Errorf("%s: %w", p.Name, err)
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return Sample{}, fmt.Errorf("%s: %q is no memory", p.Name, text)
+	}
+	pages, err := strconv.Atoi(fields[1])
+	if err != nil {
+		return Sample{}, fmt.Errorf("%s: %w", p.Name, err)
+	}
+	open, err := os.ReadDir(root + "/fd")
+	if err != nil {
+		return Sample{}, fmt.Errorf("%s: %w", p.Name, err)
+	}
+	return Sample{clock.Now(), float64(pages*os.Getpagesize()) / (1 << 20), len(open)}, nil
+}
+
+// Disk has the process's folder be full ("full"), only readable ("readonly"), or as it was ("").
+func (p *Process) Disk(mode string) error {
+	full := uint64(unix.RLIM_INFINITY)
+	if mode == "full" {
+		// No file of the process can grow. A disk that is full says so with another word (ENOSPC, not EFBIG).
+		full = 0
+	}
+	limit := unix.Rlimit{Cur: full, Max: unix.RLIM_INFINITY}
+	if err := unix.Prlimit(p.Pid(), unix.RLIMIT_FSIZE, &limit, nil); err != nil {
+		return fmt.Errorf("%s: file size limit: %w", p.Name, err)
+	}
+	return ReadOnly(p.Folder, mode == "readonly")
+}
+
+const immutable = 0x10 // FS_IMMUTABLE_FL of linux/fs.h
+
+// ReadOnly has nothing be made, renamed or removed in a folder. Rights do not bind the superuser: for him the folder is
+// marked immutable (chattr(1)), which not every file system knows.
+func ReadOnly(folder string, on bool) error {
+	if os.Geteuid() != 0 {
+		mode := os.FileMode(0o700)
+		if on {
+			mode = 0o500
+		}
+		return os.Chmod(folder, mode)
+	}
+	f, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	flags, err := unix.IoctlGetInt(int(f.Fd()), unix.FS_IOC_GETFLAGS)
+	if err != nil {
+		return fmt.Errorf("read-only folder: %w", err)
+	}
+	want := flags &^ immutable
+	if on {
+		want |= immutable
+	}
+	if want == flags {
+		return nil
+	}
+	if err := unix.IoctlSetPointerInt(int(f.Fd()), unix.FS_IOC_SETFLAGS, want); err != nil {
+		return fmt.Errorf("read-only folder: %w", err)
+	}
+	return nil
+}
+
+// CanReadOnly tells why no folder under root can be made read-only; nil: it can.
+func CanReadOnly(root string) error {
+	probe := filepath.Join(root, "readonly")
+	if err := os.Mkdir(probe, 0o700); err != nil {
+		return err
+	}
+	if err := ReadOnly(probe, true); err != nil {
+		return errors.Join(err, os.Remove(probe))
+	}
+	return errors.Join(ReadOnly(probe, false), os.Remove(probe))
+}
+
+// All is the processes that run, so that every one of them can be ended.
+type All struct {
+	mu    sync.Mutex
+	alive []*Process
+}
+
+// Add takes a process in.
+func (a *All) Add(p *Process) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.alive = append(a.alive, p)
+}
+
+// Kill ends all at once.
+func (a *All) Kill() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range a.alive {
+		p.Kill()
+	}
+}
+
+// Each calls do with each process that was started, ended or not.
+func (a *All) Each(do func(*Process)) {
+	a.mu.Lock()
+	all := append([]*Process(nil), a.alive...)
+	a.mu.Unlock()
+	for _, p := range all {
+		do(p)
+	}
+}
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,49 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+)
+
+// Print writes a result for a person: figures, what did not hold, and last how much held.
+func Print(w io.Writer, r *Result) {
+	fmt.Fprintf(w, "%s: %s\n", r.Name, r.States)
+	fmt.Fprintf(w, "seed %d, %d sidecars, %d servers, %.0f requests/s for %.0f s; arrivals %s, faults %s\n", r.Seed, r.Sidecars, r.Servers, r.Rate,
+		r.Seconds, r.ArrivalsHash, r.StepsHash)
+	f := r.Figures
+	fmt.Fprintf(w, "served %.4f of the worth (worst 10 s %.4f, worst class %.4f), service %.4f; refused %.4f, failed %.4f of requests\n", f["served"],
+		f["served_worst_10s"], f["served_worst_class"], f["service"], f["refused"], f["failed"])
+	fmt.Fprintf(w, "latency p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms; %.3f attempts and %.4f new connections a request; the lab's lateness p99 %.2f ms\n",
+		f["p50_ms"], f["p99_ms"], f["p999_ms"], f["attempts"], f["connections"], f["lateness_p99_ms"])
+	held := 0
+	for _, v := range r.Verdicts {
+		if v.Held {
+			held++
+		}
+	}
+	for _, v := range r.Verdicts {
+		if !v.Held {
+			fmt.Fprintf(w, "broken: %s, %d times: %s\n", v.Name, v.Broken, strings.Join(v.Detail, "; "))
+		}
+	}
+	if r.BrokenOff {
+		fmt.Fprintln(w, "broken off before its end")
+	}
+	fmt.Fprintf(w, "held %d of %d\n", held, len(r.Verdicts))
+}
+
+// WriteReport writes report.json and report.html into a folder.
+func WriteReport(folder string, r *Result) error {
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "report.json"), append(text, '\n'), 0o644); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/run.go
@@ -0,0 +1,255 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gradeusher.example/gradeusher/internal/lab/check"
+	"gradeusher.example/gradeusher/internal/lab/clock"
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/load"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+	"gradeusher.example/gradeusher/internal/lab/proc"
+)
+
+// Result is what an experiment showed. It is the content of report.json.
+type Result struct {
+	Name         string          `json:"name"`
+	States       string          `json:"states"`
+	Seed         uint64          `json:"seed"`
+	Seconds      float64         `json:"seconds"`
+	ArrivalsHash string          `json:"arrivals_hash"`
+	StepsHash    string          `json:"steps_hash"`
+	Servers      int             `json:"servers"`
+	Sidecars     int             `json:"sidecars"`
+	Rate         float64         `json:"requests_per_s"`
+	Void         bool            `json:"void"`
+	BrokenOff    bool            `json:"broken_off,omitempty"`
+	Verdicts     []check.Verdict `json:"verdicts"`
+	Figures      check.Figures   `json:"figures"`
+	Course       []check.Second  `json:"course"`
+	Bands        []Band          `json:"bands"`
+	Effects      []Effect        `json:"effects"`
+	Peaks        []check.Peak    `json:"peaks"`
+	Exits        []proc.Exit     `json:"exits"`
+	Machine      Machine         `json:"machine"`
+}
+
+// Band is a fault on the time axis, in seconds from the start of the load.
+type Band struct {
+	Says string  `json:"says"`
+	From float64 `json:"from"`
+	To   float64 `json:"to"`
+}
+
+// Machine is where it ran.
+type Machine struct {
+	Cores int    `json:"cores"`
+	Go    string `json:"go"`
+}
+
+// Broken are the names of what did not hold.
+func (r *Result) Broken() []string {
+	var names []string
+	for _, v := range r.Verdicts {
+		if !v.Held {
+			names = append(names, v.Name)
+		}
+	}
+	return names
+}
+
+// Options say how an experiment runs.
+type Options struct {
+	Self Self
+	Out  string                   // folder for the processes' logs, the clients' and the servers' records; "": none is kept
+	Tick func(Second)             // called once a second of the load, if set
+	Up   func(f *Fleet, at int64) // called when the load starts, if set
+}
+
+// Second are live figures, counted from the start of the load.
+type Second struct {
+	At                                      time.Duration
+	Requests, Served, Refused, Failed, Open int64
+}
+
+const lead = 300 * time.Millisecond // from all being ready to the start of the load
+
+// Run runs a plan's experiment. When ctx is done, it ends early; whatever happens, no process, port or temporary folder is
+// left behind.
+func Run(ctx context.Context, p *plan.Plan, o Options) (r *Result, err error) {
+	if err := possible(p); err != nil {
+		return nil, err
+	}
+	work, err := os.MkdirTemp("", "gradeusher-lab-")
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if gone := os.RemoveAll(work); err == nil {
+			err = gone
+		}
+	}()
+	logs := filepath.Join(work, "logs")
+	if o.Out != "" {
+		logs = filepath.Join(o.Out, "logs")
+	}
+	if err := os.MkdirAll(logs, 0o700); err != nil {
+		return nil, err
+	}
+	f, err := StartFleet(ctx, p, o.Self, work, logs)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", p.File.Name, err)
+	}
+	defer f.Close()
+
+	clients := &load.Clients{Plan: p, Addresses: f.Addresses(), Slack: time.Duration(p.File.Limits.AnswerSlackMS * float64(time.Millisecond)),
+		Tardy: time.Duration(p.File.Load.TardyMS * float64(time.Millisecond))}
+	start := clock.Now() + int64(lead)
+	if o.Up != nil {
+		o.Up(f, start)
+	}
+	e := &check.Evidence{Plan: p, Start: start}
+	var effects []Effect
+	over, stop := context.WithCancel(ctx)
+	defer stop()
+	var tasks errgroup.Group
+	tasks.Go(func() error {
+		effects = f.Steps(over, start)
+		return nil
+	})
+	tasks.Go(func() error {
+		f.watch(over, clients, start, o.Tick)
+		return nil
+	})
+	e.Tries = clients.Run(ctx, start)
+	waitUntil(ctx, start+int64(seconds(p.File.Seconds)))
+	f.Sample()
+	stop()
+	if err := tasks.Wait(); err != nil {
+		return nil, err
+	}
+	f.Finish()
+	f.Close()
+	if err := f.Err(); err != nil {
+		return nil, fmt.Errorf("%s: %w", p.File.Name, err)
+	}
+	if err := f.gather(e); err != nil {
+		return nil, err
+	}
+	if o.Out != "" {
+		if err := keep(o.Out, e, work); err != nil {
+			return nil, err
+		}
+	}
+	r = result(p, e)
+	r.Effects, r.BrokenOff = effects, ctx.Err() != nil
+	return r, nil
+}
+
+// possible refuses what this machine cannot do, before anything starts.
+func possible(p *plan.Plan) error {
+	if !slices.ContainsFunc(p.Steps, func(s plan.Step) bool { return s.Do == plan.Disk && s.Mode == "readonly" }) {
+		return nil
+	}
+	root, err := os.MkdirTemp("", "gradeusher-lab-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(root)
+	if err := proc.CanReadOnly(root); err != nil {
+		return &plan.Error{File: p.File.Name + ".toml", What: "disk-readonly is not possible in " + os.TempDir() + ": " + err.Error()}
+	}
+	return nil
+}
+
+// watch samples the sidecars and tells live figures once a second.
+func (f *Fleet) watch(ctx context.Context, c *load.Clients, start int64, tell func(Second)) {
+	for n := int64(1); waitUntil(ctx, start+n*int64(time.Second)); n++ {
+		f.Sample()
+		if tell != nil {
+			tell(Second{time.Duration(n) * time.Second, c.Live.Requests.Load(), c.Live.Served.Load(), c.Live.Refused.Load(),
+				c.Live.Failed.Load(), c.Live.Open.Load()})
+		}
+	}
+}
+
+// gather reads what stand-ins wrote down. Each of them has ended.
+func (f *Fleet) gather(e *check.Evidence) error {
+	for i := range f.hosts {
+		all, err := ctl.ReadRecords[ctl.Attempt](f.records("attempts", i))
+		if err != nil {
+			return err
+		}
+		e.Attempts = append(e.Attempts, all...)
+	}
+	for i := range f.list.n {
+		all, err := ctl.ReadRecords[ctl.Told](f.records("told", i))
+		if err != nil {
+			return err
+		}
+		e.Told = append(e.Told, all...)
+	}
+	for _, s := range f.sidecars {
+		e.Runs = append(e.Runs, s.runs)
+		e.Peaks = append(e.Peaks, s.peak)
+	}
+	e.Falls, e.Exits = f.falls, f.Exits()
+	e.Lateness = check.Lateness(e.Tries)
+	return nil
+}
+
+// keep leaves what clients and servers saw in the report's folder.
+func keep(out string, e *check.Evidence, work string) error {
+	requests := filepath.Join(out, "requests.jsonl")
+	if err := os.RemoveAll(requests); err != nil { // of a run before
+		return err
+	}
+	r, err := ctl.NewRecords(requests)
+	if err != nil {
+		return err
+	}
+	for i := range e.Tries {
+		r.Add(&e.Tries[i])
+	}
+	if err := r.Close(); err != nil {
+		return err
+	}
+	records, err := filepath.Glob(filepath.Join(work, "*-*.jsonl"))
+	if err != nil {
+		return err
+	}
+	for _, path := range records {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(out, filepath.Base(path)), text, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func result(p *plan.Plan, e *check.Evidence) *Result {
+	r := &Result{Name: p.File.Name, States: p.File.States, Seed: p.Seed, Seconds: p.File.Seconds, ArrivalsHash: p.ArrivalsHash,
+		StepsHash: p.StepsHash, Servers: p.Standing, Sidecars: len(p.Sidecars), Rate: p.Rate(), Peaks: e.Peaks, Exits: e.Exits,
+		Machine: Machine{runtime.NumCPU(), runtime.Version()}}
+	r.Verdicts = check.Invariants(e)
+	r.Figures, r.Course = check.Measure(e)
+	r.Verdicts = append(r.Verdicts, check.Bars(e, r.Figures)...)
+	for _, v := range r.Verdicts {
+		r.Void = r.Void || v.Name == "lab-on-time" && !v.Held
+	}
+	for _, b := range p.Bands {
+		r.Bands = append(r.Bands, Band{b.Says, b.From.Seconds(), b.To.Seconds()})
+	}
+	return r
+}
--- /dev/null
+++ b/internal/lab/standin/host.go
@@ -0,0 +1,164 @@
+// Package standin is the processes that stand in for what the program works with: servers, the platform's list of them,
+// and a plain sidecar to compare with. Each is one child process of a lab, which it obeys over package ctl.
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/clock"
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/link"
+	"gradeusher.example/gradeusher/internal/lab/model"
+)
+
+// Host runs stand-in servers until the orders end. groups is the number of groups of sidecars, each with listeners of its
+// own; what is seen goes to the file records.
+func Host(orders io.Reader, news io.Writer, groups int, records string) error {
+	r, err := ctl.NewRecords(records)
+	if err != nil {
+		return err
+	}
+	h := &host{out: ctl.NewOut(news), groups: max(1, groups), records: r, servers: map[string]*machine{}}
+	h.out.Say(ctl.News{Kind: "ready", At: clock.Now()})
+	// Links are set side by side, since to cut off calls takes milliseconds; whatever else comes waits for them.
+	var links sync.WaitGroup
+	err = ctl.Lines(orders, func(o ctl.Order) error {
+		obey := func() {
+			n := ctl.News{ID: o.ID, UID: o.UID}
+			if err := h.obey(o, &n); err != nil {
+				n.Error = err.Error()
+			}
+			n.At = clock.Now()
+			h.out.Say(n)
+		}
+		if o.Do == "link" {
+			links.Add(1)
+			go func() {
+				defer links.Done()
+				obey()
+			}()
+			return nil
+		}
+		links.Wait()
+		obey()
+		return nil
+	})
+	links.Wait()
+	for _, m := range h.servers {
+		m.process.die()
+		m.process.tasks.Wait()
+	}
+	return errors.Join(err, r.Close())
+}
+
+// host is the servers of one process. Orders come one at a time.
+type host struct {
+	out     *ctl.Out
+	groups  int
+	records *ctl.Records
+	servers map[string]*machine
+	skew    time.Duration // of its wall clock
+}
+
+// machine is where one server process after the other runs.
+type machine struct {
+	process *server
+	net     *network
+	cuts    sync.Map // groups whose calls do not come up
+}
+
+func (h *host) obey(o ctl.Order, n *ctl.News) error {
+	if o.Do == "clock" {
+		h.skew += time.Duration(o.By)
+		return nil
+	}
+	if o.Do == "add" {
+		if o.Spec == nil || h.servers[o.Spec.UID] != nil {
+			return errors.New("add: no such server can be added")
+		}
+		m := &machine{net: newNetwork()}
+		if err := h.start(m, *o.Spec, o.Cold, make([]int, h.groups)); err != nil {
+			return err
+		}
+		h.servers[o.Spec.UID] = m
+		n.UID, n.Ports = o.Spec.UID, m.process.ports
+		if o.Cold {
+			n.BootMS = h.bootMS()
+		}
+		return nil
+	}
+	m := h.servers[o.UID]
+	if m == nil {
+		return fmt.Errorf("%s: no server %q", o.Do, o.UID)
+	}
+	switch o.Do {
+	case "drain":
+		m.process.do(func(now int64) { m.process.model.Drain(now) })
+	case "die":
+		m.process.die()
+	case "remove":
+		m.process.die()
+		m.process.tasks.Wait()
+		delete(h.servers, o.UID)
+	case "revive": // a new process, where the old one was
+		m.process.die()
+		m.process.tasks.Wait()
+		if err := h.start(m, m.process.spec, true, m.process.ports); err != nil {
+			return err
+		}
+		n.BootMS, n.Ports = h.bootMS(), m.process.ports
+	case "trouble":
+		if o.Trouble == nil {
+			return errors.New("trouble: none given")
+		}
+		m.process.do(func(now int64) { m.process.model.Set(now, *o.Trouble) })
+	case "link":
+		if o.State != nil {
+			m.net.set(o.Nears, *o.State)
+		}
+		if o.Cut != nil {
+			return m.cut(o.Group, *o.Cut)
+		}
+	case "reset":
+		n.Count = m.net.each(o.Nears, (*link.Link).Reset)
+	case "forget":
+		n.Count = m.net.each(o.Nears, (*link.Link).Forget)
+	default:
+		return fmt.Errorf("unknown order %q", o.Do)
+	}
+	return nil
+}
+
+func (h *host) bootMS() int64 { return time.Now().Add(h.skew).UnixMilli() }
+
+func (h *host) start(m *machine, spec model.Spec, cold bool, ports []int) error {
+	p, err := startServer(spec, cold, ports, m.net, h.records, func(p *server) {
+		p.die()
+		h.out.Say(ctl.News{Kind: "fell", UID: spec.UID, At: clock.Now()})
+	})
+	if err != nil {
+		return err
+	}
+	m.process = p
+	m.cuts.Range(func(group, _ any) bool {
+		err = errors.Join(err, p.listeners[group.(int)].Cut(true))
+		return true
+	})
+	return err
+}
+
+func (m *machine) cut(group int, cut bool) error {
+	if group < 0 || group >= len(m.process.listeners) {
+		return fmt.Errorf("link: no group %d", group)
+	}
+	if cut {
+		m.cuts.Store(group, true)
+	} else {
+		m.cuts.Delete(group)
+	}
+	return m.process.listeners[group].Cut(cut)
+}
--- /dev/null
+++ b/internal/lab/steps.go
@@ -0,0 +1,373 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"gradeusher.example/gradeusher/internal/lab/check"
+	"gradeusher.example/gradeusher/internal/lab/clock"
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/link"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+)
+
+// Effect is when a step took effect, from the start of the load.
+type Effect struct {
+	Fault   int     `json:"fault"`
+	Do      string  `json:"do"`
+	On      string  `json:"on"`
+	Planned float64 `json:"planned_s"`
+	Seen    float64 `json:"effect_s"`
+	Error   string  `json:"error,omitempty"`
+}
+
+// Steps takes all steps of the plan in time, and returns when each took effect. A step that could not be taken is an error
+// of the lab.
+func (f *Fleet) Steps(ctx context.Context, start int64) []Effect {
+	var mu sync.Mutex
+	var effects []Effect
+	var tasks sync.WaitGroup
+	done := func(s *plan.Step, at int64, err error) {
+		e := Effect{Fault: s.Fault, Do: s.Do, On: f.nameOf(s), Planned: s.At.Seconds(), Seen: float64(at-start) / 1e9}
+		if err != nil {
+			e.Error = err.Error()
+			f.fault(fmt.Errorf("%s %s: %w", s.Do, e.On, err))
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		effects = append(effects, e)
+	}
+	var links errgroup.Group
+	links.SetLimit(mostLinksAtOnce)
+	for i := range f.plan.Steps {
+		s := &f.plan.Steps[i]
+		if s.At > seconds(f.plan.File.Seconds) {
+			break // what a fault would still bring after the load
+		}
+		if !waitUntil(ctx, start+int64(s.At)) {
+			break
+		}
+		if s.Do == plan.Link { // of many far ends at once
+			links.Go(func() error {
+				at, err := f.links.set(s)
+				done(s, at, err)
+				return nil
+			})
+			continue
+		}
+		_ = links.Wait() // errors are told to done; what comes after a change of links comes after it
+		switch s.Do {
+		case plan.Term, plan.Kill, plan.Start: // which wait for the process
+			tasks.Add(1)
+			go func() {
+				defer tasks.Done()
+				at, err := f.process(ctx, s)
+				done(s, at, err)
+			}()
+			continue
+		}
+		at, err := f.step(s)
+		done(s, at, err)
+	}
+	_ = links.Wait()
+	tasks.Wait()
+	slices.SortStableFunc(effects, func(a, b Effect) int { return int(a.Planned*1000) - int(b.Planned*1000) })
+	return effects
+}
+
+const mostLinksAtOnce = 64
+
+func waitUntil(ctx context.Context, t int64) bool {
+	wait := clock.Until(t)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (f *Fleet) nameOf(s *plan.Step) string {
+	switch {
+	case s.Server != "":
+		return s.Server
+	case s.Sidecar >= 0:
+		return f.plan.Sidecars[s.Sidecar].Name
+	}
+	return "list"
+}
+
+// step takes one step that needs no waiting.
+func (f *Fleet) step(s *plan.Step) (int64, error) {
+	switch s.Do {
+	case plan.Stop, plan.Cont:
+		return f.stop(s)
+	case plan.Disk:
+		c := f.sidecars[s.Sidecar]
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return clock.Now(), c.run.Disk(s.Mode)
+	case plan.Tell:
+		f.mu.Lock()
+		e := f.entries[s.Server]
+		if e.State = s.State; s.State == "DELETED" {
+			e.BootMS = 0
+		}
+		f.mu.Unlock()
+		return clock.Now(), f.list.tell(e)
+	case plan.Mode:
+		n, err := f.list.current().order(ctl.Order{Do: "list-mode", Mode: s.Mode, Late: s.By.Seconds()})
+		return n.At, err
+	case plan.Add:
+		_, n, err := f.addServer(s.Server, true)
+		if err == nil {
+			err = f.links.again(s.Server)
+		}
+		return n.At, err
+	}
+	o := ctl.Order{Do: s.Do, UID: s.Server, Nears: s.Nears, By: int64(s.By)}
+	if s.Do == plan.Trouble {
+		o.Trouble = &s.Trouble
+	}
+	n, err := f.far(s.Server).order(o)
+	if err == nil && s.Do == plan.Revive {
+		f.mu.Lock()
+		e := f.entries[s.Server]
+		e.BootMS, e.Ports = n.BootMS, n.Ports
+		f.entries[s.Server] = e
+		f.mu.Unlock()
+	}
+	return n.At, err
+}
+
+// far is the process where a server or, by "", the list is.
+func (f *Fleet) far(uid string) *child {
+	if uid == "" {
+		return f.list.current()
+	}
+	return f.host[uid]
+}
+
+func (f *Fleet) stop(s *plan.Step) (int64, error) {
+	sig := syscall.SIGSTOP
+	if s.Do == plan.Cont {
+		sig = syscall.SIGCONT
+	}
+	if s.Sidecar == plan.ListIndex {
+		err := f.list.current().Signal(sig, false)
+		return clock.Now(), err
+	}
+	c := f.sidecars[s.Sidecar]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	run := &c.runs[len(c.runs)-1]
+	now := clock.Now()
+	err := c.run.Signal(sig, false)
+	if sig == syscall.SIGSTOP {
+		run.Stops = append(run.Stops, check.Span{From: now, To: forever})
+	} else {
+		run.Stops[len(run.Stops)-1].To = clock.Now()
+	}
+	return now, err
+}
+
+const (
+	forever = int64(1) << 62
+	// PROTOCOL: SIGKILL comes no earlier than the longest deadline, at least 3 s, and 0.7 s after SIGTERM.
+	killAfter = 3700 * time.Millisecond
+)
+
+// process ends or starts a process.
+func (f *Fleet) process(ctx context.Context, s *plan.Step) (int64, error) {
+	if s.Sidecar == plan.ListIndex {
+		return f.listStep(s)
+	}
+	c := f.sidecars[s.Sidecar]
+	if s.Do == plan.Start {
+		c.tasks.Wait() // for the end of the one before
+		if err := f.startSidecar(c); err != nil {
+			return clock.Now(), err
+		}
+		err := f.ready(ctx, c)
+		if ctx.Err() != nil {
+			err = nil // the experiment was broken off
+		}
+		return clock.Now(), err
+	}
+	c.tasks.Add(1)
+	defer c.tasks.Done()
+	c.mu.Lock()
+	p := c.run
+	run := &c.runs[len(c.runs)-1]
+	c.mu.Unlock()
+	at := clock.Now()
+	sig := syscall.SIGTERM
+	if s.Do == plan.Kill {
+		sig = syscall.SIGKILL
+	}
+	killed := s.Do == plan.Kill
+	c.mu.Lock()
+	if run.Killed = killed; killed {
+		run.To = clock.Now() // before the signal: what is asked from here on may find nobody
+	}
+	c.mu.Unlock()
+	if err := p.Signal(sig, true); err != nil {
+		return at, err
+	}
+	timer := time.NewTimer(killAfter)
+	defer timer.Stop()
+	select {
+	case <-p.Ended():
+	case <-timer.C:
+		p.Kill()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !killed {
+		run.To = p.Exit().At
+	}
+	return at, nil
+}
+
+func (f *Fleet) listStep(s *plan.Step) (int64, error) {
+	c := f.list.current()
+	switch s.Do {
+	case plan.Start:
+		<-c.Ended()
+		if err := f.list.start(); err != nil {
+			return clock.Now(), err
+		}
+		return clock.Now(), f.links.again("")
+	case plan.Kill:
+		err := c.Signal(syscall.SIGKILL, true)
+		<-c.Ended()
+		return clock.Now(), err
+	}
+	c.End(killAfter) // by the end of its input: a stand-in knows no SIGTERM of its own
+	return clock.Now(), nil
+}
+
+// links keeps what all link faults together make of each link. Orders say each link's whole state, so that none is open for
+// a moment between two faults.
+type links struct {
+	fleet *Fleet
+	base  link.State // set before the load
+	mu    sync.Mutex
+	ends  map[string]*farEnd
+}
+
+// farEnd is what faults do to the links of one server, or of the list.
+type farEnd struct {
+	mu     sync.Mutex // held while its process is told
+	active []*plan.Step
+}
+
+func newLinks(f *Fleet) *links { return &links{fleet: f, ends: map[string]*farEnd{}} }
+
+func (l *links) end(uid string) *farEnd {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ends[uid] == nil {
+		l.ends[uid] = &farEnd{}
+	}
+	return l.ends[uid]
+}
+
+// baseline sets the links of all servers as they are without faults.
+func (l *links) baseline(delay time.Duration) error {
+	l.base.Delay = delay
+	for i := range l.fleet.plan.Standing {
+		if err := l.again(l.fleet.plan.Servers[i].UID); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// again says the state of a far end's links to a process that does not know it.
+func (l *links) again(uid string) error {
+	end := l.end(uid)
+	end.mu.Lock()
+	defer end.mu.Unlock()
+	if l.base == (link.State{}) && len(end.active) == 0 {
+		return nil
+	}
+	_, err := l.send(uid, end)
+	return err
+}
+
+// set begins or ends a fault of links.
+func (l *links) set(s *plan.Step) (int64, error) {
+	end := l.end(s.Server)
+	end.mu.Lock()
+	defer end.mu.Unlock()
+	if s.On {
+		end.active = append(end.active, s)
+	} else {
+		end.active = slices.DeleteFunc(end.active, func(b *plan.Step) bool { return b.Fault == s.Fault })
+	}
+	return l.send(s.Server, end)
+}
+
+// send tells a far end the state of all its links. end.mu is held.
+func (l *links) send(uid string, end *farEnd) (at int64, err error) {
+	groups := map[link.State][]int{}
+	cuts := map[int]bool{}
+	for i, sidecar := range l.fleet.plan.Sidecars {
+		state := l.base
+		cut := false
+		for _, s := range end.active {
+			if len(s.Nears) > 0 && !slices.Contains(s.Nears, i) {
+				continue
+			}
+			e := s.Effect
+			state.Hold[link.ToFar] = state.Hold[link.ToFar] || e.HoldFar
+			state.Hold[link.ToNear] = state.Hold[link.ToNear] || e.HoldNear
+			state.Delay += e.Delay
+			state.Jitter = max(state.Jitter, e.Jitter)
+			if e.Rate > 0 && (state.Rate == 0 || e.Rate < state.Rate) {
+				state.Rate = e.Rate
+			}
+			cut = cut || e.HoldFar || e.HoldNear
+		}
+		groups[state] = append(groups[state], i)
+		cuts[sidecar.Group] = cuts[sidecar.Group] || cut
+	}
+	far := l.fleet.far(uid)
+	for state, nears := range groups {
+		n, err := far.order(ctl.Order{Do: "link", UID: uid, Nears: nears, State: &state})
+		if err != nil {
+			return n.At, err
+		}
+		at = max(at, n.At)
+	}
+	if uid == "" { // the list has one listener for all
+		all := true
+		for _, cut := range cuts {
+			all = all && cut
+		}
+		n, err := far.order(ctl.Order{Do: "link", Cut: &all})
+		return max(at, n.At), err
+	}
+	for _, g := range slices.Sorted(maps.Keys(cuts)) {
+		cut := cuts[g]
+		n, err := far.order(ctl.Order{Do: "link", UID: uid, Group: g, Cut: &cut})
+		if err != nil {
+			return n.At, err
+		}
+		at = max(at, n.At)
+	}
+	return at, nil
+}
