Keep ports of what is gone, and tell a request that nobody read from a lost one

Change: each place is a bound socket that does not listen, kept as long as the experiment; a request counts as taken only on the connection that nobody had closed; a request that had reached a server before the client sent it again is named as lost. Measured: TestReserve; go test -race ./cmd/gradeusher ./internal/lab/... passes in 38 s.

--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -78,6 +78,11 @@
 		}, nil},
 		{"an answer that no server made", func(e *Evidence) { e.Tries[0].By = "?" }, []string{"one-answer"}},
 		{"nobody had taken it", func(e *Evidence) { e.Tries[0].Status, e.Tries[0].Sent = 0, 0 }, nil},
+		{"hung up on after it was sent on", func(e *Evidence) {
+			e.Tries[0].Again = 1100 * ms
+			e.Tries[0].Ended = 1400 * ms
+		}, []string{"one-answer"}},
+		{"hung up on, and nobody had read it", func(e *Evidence) { e.Tries[0].Again = 1000 * ms }, nil},
 		{"late", func(e *Evidence) { e.Tries[0].Ended = 3501 * ms }, []string{"in-time"}},
 		{"late within the slack", func(e *Evidence) { e.Tries[0].Ended = 3499 * ms }, nil},
 		{"a submit sent again", func(e *Evidence) {
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"strconv"
 	"syscall"
@@ -252,3 +253,49 @@
 		}
 	}
 }
+
+// TestReserve has a place be refused to callers and to others while nobody listens, and open to its owner.
+func TestReserve(t *testing.T) {
+	for _, a := range []netip.Addr{Anywhere, Near(5)} {
+		p, err := Reserve(a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer p.Close()
+		for range 2 { // an owner comes and goes
+			to := net.JoinHostPort(Near(5).String(), strconv.Itoa(int(p.Addr.Port())))
+			if _, err := net.Dial("tcp4", to); !errors.Is(err, syscall.ECONNREFUSED) {
+				t.Errorf("a call to %v: %v, want it refused", p.Addr, err)
+			}
+			open := func() (io.Closer, error) { return net.Listen("tcp4", p.Addr.String()) }
+			if a == Anywhere {
+				open = func() (io.Closer, error) { return Listen(int(p.Addr.Port())) }
+			}
+			l, err := open()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c, err := net.Dial("tcp4", to)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Close()
+			l.Close()
+		}
+	}
+	p, err := Reserve(Anywhere)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	for range 2000 {
+		other, err := Reserve(Anywhere)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if other.Addr.Port() == p.Addr.Port() {
+			t.Fatalf("port %d was given twice", p.Addr.Port())
+		}
+		other.Close()
+	}
+}
--- a/internal/lab/link/listen.go
+++ b/internal/lab/link/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -26,6 +27,41 @@
 	return int(b[2])*250 + int(b[3]) - 1
 }
 
+// Place is an address that nobody else is given while it is kept, though nobody may listen there: a call to a process that
+// is gone is refused, and never reaches one that the kernel gave the same port.
+type Place struct {
+	fd   int
+	Addr netip.AddrPort
+}
+
+// Reserve takes a free port at an address.
+func Reserve(a netip.Addr) (*Place, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("link: reserve: %w", err)
+	}
+	// With this option, which Go sets on listeners too, a socket that does not listen is no obstacle to one that does
+	// (socket(7)); when the kernel looks for a free port it passes over both.
+	err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err == nil {
+		err = unix.Bind(fd, &unix.SockaddrInet4{Addr: a.As4()})
+	}
+	var at unix.Sockaddr
+	if err == nil {
+		at, err = unix.Getsockname(fd)
+	}
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("link: reserve: %w", err), unix.Close(fd))
+	}
+	return &Place{fd, netip.AddrPortFrom(a, uint16(at.(*unix.SockaddrInet4).Port))}, nil
+}
+
+// Close gives the place up.
+func (p *Place) Close() error { return unix.Close(p.fd) }
+
+// Anywhere is all loopback addresses, as far as a Listener goes.
+var Anywhere = netip.IPv4Unspecified()
+
 // Listener accepts at one port of every loopback address, and of no other interface. One goroutine accepts.
 type Listener struct {
 	*net.TCPListener
--- a/internal/lab/load/conn.go
+++ b/internal/lab/load/conn.go
@@ -54,12 +54,17 @@
 	if c != nil {
 		return c, true, nil
 	}
+	c, err = p.dial(deadline)
+	return c, false, err
+}
+
+func (p *pool) dial(deadline time.Time) (*conn, error) {
 	dialer := net.Dialer{Deadline: deadline}
 	raw, err := dialer.Dial("tcp4", p.address)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
-	return &conn{Conn: raw, in: bufio.NewReader(raw)}, false, nil
+	return &conn{Conn: raw, in: bufio.NewReader(raw)}, nil
 }
 
 func (p *pool) put(c *conn, closes bool) {
