Count a start that lies ahead of the clock as now, so that the server gets warm

At fault: warmth in balance/health.go took a negative age for 0, so such a server had a cold one's turns for an hour. Change: in Endpoints a process has started when the list tells of it, at the latest. The start that it names still tells one process from the next.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -296,7 +296,9 @@
 			e.abroad = 1
 		}
 		if entry.Started != e.Started {
-			b.restarted(e, entry.Started) // a new process, though under the same id
+			// A new process, though under the same id. Danger: one whose machine's clock is ahead has started
+			// by now all the same, and would count as cold until this clock has caught up.
+			b.restarted(e, min(entry.Started, now))
 		}
 		e.out = has(b.byHand, entry.ID)
 		e.Endpoint, e.Size = entry, cmp.Or(max(entry.Size, 0), 1)
--- a/balance/hand_test.go
+++ b/balance/hand_test.go
@@ -87,6 +87,7 @@
 		}
 		late := pair()[:1]
 		late[0].Started = began + time.Second
+		h.now = max(h.now, began+time.Second)
 		b.Endpoints(h.now, ListChanges, late)
 		if want := began + time.Second; e.from != want {
 			t.Errorf("%s: cold from %v, want its listed start %v", tt.name, e.from, want)
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -521,3 +521,23 @@
 		t.Errorf("an endpoint not used yet is expected to take %.2f s, since others are silent", got)
 	}
 }
+
+// TestClockAhead lists a process that says it will start in an hour: it is taken for cold from now on, and warm after the time
+// that a cold one needs. Said again, it stays the process that it is.
+func TestClockAhead(t *testing.T) {
+	b, h := start(t, settings(), pair())
+	h.now += time.Minute
+	fresh := []Endpoint{{ID: "c", Zone: "x", Kind: "big", Size: 1, Started: h.now + time.Hour}}
+	b.Endpoints(h.now, ListChanges, fresh)
+	told := h.now
+	for _, tt := range []struct {
+		after time.Duration
+		want  float64
+	}{{0, settings().StartCapacity}, {settings().ColdTime / 2, (1 + settings().StartCapacity) / 2}, {settings().ColdTime, 1}} {
+		h.now = told + tt.after
+		b.Endpoints(h.now, ListChanges, fresh)
+		if got := b.warmth(b.known["c"], h.now); got < tt.want-1e-9 || got > tt.want+1e-9 {
+			t.Errorf("%v after it was told, its warmth is %v, want %v", tt.after, got, tt.want)
+		}
+	}
+}
