A janitor process removes the lab's folder however the lab ended

Change: one child that the kernel does not kill with the lab waits for the end of its input and removes the folder; up and its figures as JSON; a stand-in server closes idle connections by FIN; a server that died takes no call that came up meanwhile.

--- a/cmd/gradeusher/lab.go
+++ b/cmd/gradeusher/lab.go
@@ -42,7 +42,7 @@
 	}
 	p, err := plan.Make(f, seed)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", errUsage, err)
+		return nil, err
 	}
 	me, err := self()
 	if err != nil {
--- a/cmd/gradeusher/main_test.go
+++ b/cmd/gradeusher/main_test.go
@@ -211,8 +211,7 @@
 	}
 }
 
-// TestInterrupted ends experiments half way, by an interrupt and by SIGKILL: no process survives, and after an interrupt no
-// folder does.
+// TestInterrupted ends experiments half way, by an interrupt and by SIGKILL: no process and no folder survives.
 func TestInterrupted(t *testing.T) {
 	t.Parallel()
 	for _, sig := range []syscall.Signal{syscall.SIGINT, syscall.SIGTERM, syscall.SIGKILL} {
@@ -260,6 +259,9 @@
 					t.Fatalf("processes %v outlive the lab", processes(t, c.owner))
 				}
 			}
+			if left, err := os.ReadDir(c.tmp); err != nil || len(left) > 0 {
+				t.Errorf("%v left in the temporary folder, %v", left, err)
+			}
 		})
 	}
 }
--- a/cmd/gradeusher/standin.go
+++ b/cmd/gradeusher/standin.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"gradeusher.example/gradeusher/internal/lab"
 	"gradeusher.example/gradeusher/internal/lab/standin"
 )
 
@@ -14,6 +15,8 @@
 	Host  hostCommand  `cmd:"" help:"Stand-in servers."`
 	List  listCommand  `cmd:"" help:"The platform's list of servers."`
 	Plain plainCommand `cmd:"" help:"The plainest sidecar, to compare with."`
+
+	Janitor janitorCommand `cmd:"" help:"Removes an experiment's folder when the lab is gone."`
 }
 
 type hostCommand struct {
@@ -51,3 +54,10 @@
 func (c plainCommand) Run(ctx context.Context, s streams) error {
 	return standin.Plain(ctx, s.env, c.Flaw)
 }
+
+type janitorCommand struct {
+	Folder string `arg:"" help:"What to remove."`
+}
+
+// Run waits until standard input ends, and cleans up.
+func (c janitorCommand) Run(s streams) error { return lab.Clean(s.in, c.Folder) }
--- a/cmd/gradeusher/up.go
+++ b/cmd/gradeusher/up.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -15,6 +16,7 @@
 	Sidecars int           `help:"Sidecars." default:"2"`
 	Rate     float64       `help:"Requests a second in all." default:"40"`
 	Seed     uint64        `help:"Draws servers and arrivals." default:"1"`
+	JSON     bool          `help:"Print addresses, figures and the report as JSON, one object a line." name:"json"`
 }
 
 // Run starts the fleet, prints a line a second, and ends it when the time is over or on an interrupt.
@@ -25,19 +27,24 @@
 	f, err := plan.Parse("up.toml", fmt.Appendf(nil, "states = \"every request gets one final answer\"\nseconds = %v\n[fleet]\nservers = %d\nsidecars = %d\n[load]\nrate = %v\n",
 		c.For.Seconds(), c.Servers, c.Sidecars, c.Rate))
 	if err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
+		return err
 	}
 	p, err := plan.Make(f, c.Seed)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
+		return err
 	}
 	me, err := self()
 	if err != nil {
 		return err
 	}
 	var last lab.Second
+	lines := json.NewEncoder(s.out)
 	r, err := lab.Run(ctx, p, lab.Options{Self: me,
 		Up: func(f *lab.Fleet, _ int64) {
+			if c.JSON {
+				_ = lines.Encode(map[string]any{"list": f.ListAddress(), "sidecars": f.Addresses(), "servers": f.ServerLines()}) // to a reader that has gone
+				return
+			}
 			fmt.Fprintf(s.out, "list     http://%s/v1/servers\n", f.ListAddress())
 			for i, a := range f.Addresses() {
 				fmt.Fprintf(s.out, "sidecar  http://%s in %s\n", a, p.Sidecars[i].Zone)
@@ -47,6 +54,10 @@
 			}
 		},
 		Tick: func(n lab.Second) {
+			if c.JSON {
+				_ = lines.Encode(n)
+				return
+			}
 			fmt.Fprintf(s.out, "%4.0fs  %4d requests/s  served %d  refused %d  failed %d  open %d\n", n.At.Seconds(), n.Requests-last.Requests,
 				n.Served-last.Served, n.Refused-last.Refused, n.Failed-last.Failed, n.Open)
 			last = n
@@ -54,7 +65,13 @@
 	if err != nil {
 		return err
 	}
-	lab.Print(s.out, r)
+	if c.JSON {
+		if err := lines.Encode(r); err != nil {
+			return err
+		}
+	} else {
+		lab.Print(s.out, r)
+	}
 	for _, v := range r.Verdicts {
 		if v.Name == "one-answer" && !v.Held {
 			return errBroken
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -113,7 +113,7 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// Make draws the plan of a file for a seed. It fails where the faults cannot all be.
+// Make draws the plan of a file for a seed. It fails with an *Error where the faults cannot all be.
 func Make(f *File, seed uint64) (*Plan, error) {
 	p := &Plan{File: f, Seed: seed}
 	p.drawSidecars()
@@ -218,7 +218,7 @@
 	f := p.File
 	rate := p.Rate()
 	if n := rate * f.Seconds; n > mostArrivals {
-		return fmt.Errorf("%.0f requests in all, %d at most", n, mostArrivals)
+		return &Error{File: f.Name + ".toml", Line: f.line([]string{"load"}, -1, "rate"), What: fmt.Sprintf("%.0f requests in all, %d at most", n, mostArrivals)}
 	}
 	r := stream(p.Seed, "arrivals")
 	var sidecars, classes []float64 // sums of weights
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -58,6 +58,7 @@
 	Log    string   // file that standard error is added to
 	Piped  bool     // standard input and output are pipes to the lab
 	Folder string   // its TMPDIR
+	Stays  bool     // it outlives the lab, if only to clean up
 }
 
 // Exit is how a process ended.
@@ -92,6 +93,9 @@
 	p := &Process{Spec: spec, ended: make(chan struct{}), cmd: exec.Command(spec.Path, spec.Args...)}
 	p.cmd.Env, p.cmd.Stderr = spec.Env, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if spec.Stays {
+		p.cmd.SysProcAttr.Pdeathsig = 0
+	}
 	if spec.Piped {
 		if p.In, err = p.cmd.StdinPipe(); err != nil {
 			return nil, fmt.Errorf("%s: %w", spec.Name, err)
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -76,8 +77,12 @@
 
 // Second are live figures, counted from the start of the load.
 type Second struct {
-	At                                      time.Duration
-	Requests, Served, Refused, Failed, Open int64
+	At       time.Duration `json:"at_ns"`
+	Requests int64         `json:"requests"`
+	Served   int64         `json:"served"`
+	Refused  int64         `json:"refused"`
+	Failed   int64         `json:"failed"`
+	Open     int64         `json:"open"`
 }
 
 const lead = 300 * time.Millisecond // from all being ready to the start of the load
@@ -92,8 +97,12 @@
 	if err != nil {
 		return nil, err
 	}
+	leave, err := startJanitor(o.Self, work)
+	if err != nil {
+		return nil, errors.Join(err, os.RemoveAll(work))
+	}
 	defer func() {
-		if gone := os.RemoveAll(work); err == nil {
+		if gone := leave(); err == nil {
 			err = gone
 		}
 	}()
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -164,6 +164,11 @@
 		s.tasks.Add(1)
 		go func() {
 			defer s.tasks.Done()
+			select {
+			case <-s.stop: // the process ended between the call and here
+				w.Reset()
+			default:
+			}
 			s.serve(w, near, crowded)
 			s.mu.Lock()
 			s.conns--
@@ -210,7 +215,7 @@
 	defer c.Close()
 	in := bufio.NewReader(c)
 	for first := true; ; first = false {
-		idle := time.AfterFunc(idleClose, c.Reset)
+		idle := time.AfterFunc(idleClose, func() { c.Close() })
 		_, err := in.Peek(1)
 		if !idle.Stop() || err != nil {
 			return
