--- a/cmd/gradeusher/lab.go
+++ b/cmd/gradeusher/lab.go
@@ -16,6 +16,7 @@
 	Run     labRun     `cmd:"" help:"Run one experiment. Exit 0: all held; 1: not; 2: bad file or usage."`
 	List    labList    `cmd:"" help:"List the experiments of a folder, with the sentence that each states."`
 	Compare labCompare `cmd:"" help:"Hold two experiments, or two folders with reports, against each other."`
+	Trace   labTrace   `cmd:"" help:"Show what clients and servers saw of one request."`
 }
 
 type labRun struct {
@@ -167,3 +168,22 @@
 	}
 	return nil
 }
+
+type labTrace struct {
+	Folder string `arg:"" help:"The folder that lab run wrote (--out)."`
+	ID     string `arg:"" help:"The request, as a broken invariant names it."`
+	JSON   bool   `help:"Print as JSON." name:"json"`
+}
+
+// Run shows it.
+func (c labTrace) Run(s streams) error {
+	all, err := lab.Trace(c.Folder, c.ID)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	if c.JSON {
+		return json.NewEncoder(s.out).Encode(all)
+	}
+	lab.PrintTrace(s.out, all)
+	return nil
+}
--- a/cmd/gradeusher/main_test.go
+++ b/cmd/gradeusher/main_test.go
@@ -111,8 +111,9 @@
 func TestSameSeed(t *testing.T) {
 	t.Parallel()
 	var reports []*lab.Result
+	var out string
 	for range 2 {
-		out := t.TempDir()
+		out = t.TempDir()
 		c := newCommand(t, "lab", "run", "testdata/small.toml", "--seed", "5", "--out", out)
 		if code := c.ends(t); code != 0 {
 			t.Fatalf("exit %d: %s%s", code, &c.out, &c.err)
@@ -135,6 +136,16 @@
 			}
 		}
 	}
+	c := newCommand(t, "lab", "trace", out, "0000000500000000", "--json")
+	var trace []lab.Moment
+	if code := c.ends(t); code != 0 || json.Unmarshal(c.out.Bytes(), &trace) != nil || len(trace) < 5 {
+		t.Errorf("trace ends with %d: %s%s", code, &c.out, &c.err)
+	}
+	for i, m := range trace {
+		if i > 0 && m.At < trace[i-1].At {
+			t.Errorf("the trace runs backwards at %v", m)
+		}
+	}
 	if a, b := reports[0], reports[1]; a.ArrivalsHash != b.ArrivalsHash || a.StepsHash != b.StepsHash || a.Figures["requests"] != b.Figures["requests"] {
 		t.Errorf("one seed gave %s and %s, %s and %s", a.ArrivalsHash, b.ArrivalsHash, a.StepsHash, b.StepsHash)
 	}
--- a/internal/lab/standin/host.go
+++ b/internal/lab/standin/host.go
@@ -139,16 +139,12 @@
 		}
 		m.process.do(func(now int64) { m.process.model.Set(now, *o.Trouble) })
 	case "link":
-		if o.State != nil {
-			m.net.set(o.Nears, *o.State)
-		}
+		m.net.change(o, n)
 		if o.Cut != nil {
 			return m.cut(o.Group, *o.Cut)
 		}
-	case "reset":
-		n.Count = m.net.each(o.Nears, (*link.Link).Reset)
-	case "forget":
-		n.Count = m.net.each(o.Nears, (*link.Link).Forget)
+	case "reset", "forget":
+		m.net.change(o, n)
 	default:
 		return fmt.Errorf("unknown order %q", o.Do)
 	}
--- a/internal/lab/standin/list.go
+++ b/internal/lab/standin/list.go
@@ -100,16 +100,12 @@
 	case "list-mode":
 		l.mode, l.late = o.Mode, time.Duration(o.Late*float64(time.Second))
 	case "link":
-		if o.State != nil {
-			l.net.set(o.Nears, *o.State)
-		}
+		l.net.change(o, n)
 		if o.Cut != nil {
 			return l.at.Cut(*o.Cut)
 		}
-	case "reset":
-		n.Count = l.net.each(o.Nears, (*link.Link).Reset)
-	case "forget":
-		n.Count = l.net.each(o.Nears, (*link.Link).Forget)
+	case "reset", "forget":
+		l.net.change(o, n)
 	default:
 		return fmt.Errorf("unknown order %q", o.Do)
 	}
--- /dev/null
+++ b/internal/lab/standin/network.go
@@ -0,0 +1,89 @@
+package standin
+
+import (
+	"sync"
+
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/link"
+)
+
+// network is the links of one far end, a link for each near end.
+type network struct {
+	mu    sync.Mutex
+	links map[int]*link.Link
+	state map[int]link.State // of links that nobody used yet
+	all   link.State         // of those not named
+}
+
+func newNetwork() *network {
+	return &network{links: map[int]*link.Link{}, state: map[int]link.State{}}
+}
+
+// link is the link to a near end.
+func (n *network) link(near int) *link.Link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.links[near]
+	if l == nil {
+		l = link.New()
+		n.links[near] = l
+		if s, ok := n.state[near]; ok {
+			l.Set(s)
+		} else {
+			l.Set(n.all)
+		}
+	}
+	return l
+}
+
+// set changes the links to some near ends; none: to all.
+func (n *network) set(nears []int, s link.State) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(nears) == 0 {
+		n.all, n.state = s, map[int]link.State{}
+		for _, l := range n.links {
+			l.Set(s)
+		}
+	}
+	for _, i := range nears {
+		n.state[i] = s
+		if l := n.links[i]; l != nil {
+			l.Set(s)
+		}
+	}
+}
+
+// change does what an order says of links.
+func (n *network) change(o ctl.Order, news *ctl.News) {
+	switch {
+	case o.Do == "reset":
+		news.Count = n.each(o.Nears, (*link.Link).Reset)
+	case o.Do == "forget":
+		news.Count = n.each(o.Nears, (*link.Link).Forget)
+	case o.State != nil:
+		n.set(o.Nears, *o.State)
+	}
+}
+
+// each does something to the links of some near ends, none: of all, and sums what it returns.
+func (n *network) each(nears []int, do func(*link.Link) int) int {
+	n.mu.Lock()
+	var links []*link.Link
+	for _, i := range nears {
+		if l := n.links[i]; l != nil {
+			links = append(links, l)
+		}
+	}
+	if len(nears) == 0 {
+		for _, l := range n.links {
+			links = append(links, l)
+		}
+	}
+	n.mu.Unlock()
+	sum := 0
+	for _, l := range links {
+		sum += do(l)
+	}
+	return sum
+}
