--- a/cmd/gradeusher/main_test.go
+++ b/cmd/gradeusher/main_test.go
@@ -111,9 +111,8 @@
 func TestSameSeed(t *testing.T) {
 	t.Parallel()
 	var reports []*lab.Result
-	var out string
+	out := t.TempDir() // the second leaves nothing of the first
 	for range 2 {
-		out = t.TempDir()
 		c := newCommand(t, "lab", "run", "testdata/small.toml", "--seed", "5", "--out", out)
 		if code := c.ends(t); code != 0 {
 			t.Fatalf("exit %d: %s%s", code, &c.out, &c.err)
@@ -130,6 +129,9 @@
 		if err != nil || !bytes.Contains(page, []byte("<svg")) || !bytes.Contains(page, []byte("</svg>")) || bytes.Contains(page, []byte("src=")) {
 			t.Errorf("the page is not whole in itself: %v", err)
 		}
+		if text, err := os.ReadFile(filepath.Join(out, "logs", "n0.log")); err != nil || bytes.Count(text, []byte("msg=serving")) != 1 {
+			t.Errorf("the log is not of one process, %v: %s", err, text)
+		}
 		for _, name := range []string{"n0.log", "n1.log", "servers-0.log", "list.log"} {
 			if _, err := os.Stat(filepath.Join(out, "logs", name)); err != nil {
 				t.Error(err)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -55,6 +55,7 @@
 	sidecars []*sidecar
 	links    *links
 	leave    sync.Once
+	logged   sync.Map // names of processes
 }
 
 // sidecar is one place where a sidecar's processes run, one after the other.
@@ -133,7 +134,14 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-func (f *Fleet) log(name string) string { return filepath.Join(f.logs, name+".log") }
+// log is the file that all processes of a name write to; what an earlier experiment left there is removed.
+func (f *Fleet) log(name string) string {
+	path := filepath.Join(f.logs, name+".log")
+	if _, known := f.logged.LoadOrStore(name, true); !known {
+		_ = os.Remove(path) // mostly there is none
+	}
+	return path
+}
 
 func (f *Fleet) env(more ...string) []string {
 	env := append([]string{"PATH=" + os.Getenv("PATH")}, f.self.Env...)
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -217,11 +217,18 @@
 
 // keep leaves what clients and servers saw in the report's folder.
 func keep(out string, e *check.Evidence, work string) error {
-	requests := filepath.Join(out, "requests.jsonl")
-	if err := os.RemoveAll(requests); err != nil { // of a run before
-		return err
+	for _, pattern := range []string{"requests.jsonl", "attempts-*.jsonl", "told-*.jsonl"} { // of an experiment before
+		old, err := filepath.Glob(filepath.Join(out, pattern))
+		if err != nil {
+			return err
+		}
+		for _, path := range old {
+			if err := os.Remove(path); err != nil {
+				return err
+			}
+		}
 	}
-	r, err := ctl.NewRecords(requests)
+	r, err := ctl.NewRecords(filepath.Join(out, "requests.jsonl"))
 	if err != nil {
 		return err
 	}
