Read the lab over: drop what nobody reads, and say each thing once

Found: the word of each fault kind and the count of ended connections that nobody read; a page that named a Relay there is not; 3.7 s, seconds and milliseconds spelt in three packages; the lab's lateness computed twice; addresses kept beside the places that they come from; folders unmarked by the fleet and again by the janitor; up and lab run each making a plan and starting it. Change: plan.TermGrace, plan.Seconds and plan.Millis; play; ctl.Marshal for every line; File.Path, so that a fault refused when the plan is made names its file as given, like all others.

--- a/cmd/gradeusher/lab.go
+++ b/cmd/gradeusher/lab.go
@@ -26,13 +26,7 @@
 	JSON bool   `help:"Print the report as JSON." name:"json"`
 }
 
-// self is how the command starts itself as another process.
-func self() (lab.Self, error) {
-	path, err := os.Executable()
-	return lab.Self{Path: path, Env: selfEnv}, err
-}
-
-// selfEnv is what such a process is told besides: nothing, but in tests.
+// selfEnv is what the command is told besides when it starts itself as another process: nothing, but in tests.
 var selfEnv []string
 
 // experiment runs a file once.
@@ -41,15 +35,21 @@
 	if err != nil {
 		return nil, err
 	}
+	return play(ctx, f, seed, lab.Options{Out: out})
+}
+
+// play runs what a file says once.
+func play(ctx context.Context, f *plan.File, seed uint64, o lab.Options) (*lab.Result, error) {
 	p, err := plan.Make(f, seed)
 	if err != nil {
 		return nil, err
 	}
-	me, err := self()
+	path, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	return lab.Run(ctx, p, lab.Options{Self: me, Out: out})
+	o.Self = lab.Self{Path: path, Env: selfEnv}
+	return lab.Run(ctx, p, o)
 }
 
 // Run runs it.
--- a/cmd/gradeusher/up.go
+++ b/cmd/gradeusher/up.go
@@ -29,25 +29,17 @@
 	if err != nil {
 		return err
 	}
-	p, err := plan.Make(f, c.Seed)
-	if err != nil {
-		return err
-	}
-	me, err := self()
-	if err != nil {
-		return err
-	}
 	var last lab.Second
 	lines := json.NewEncoder(s.out)
-	r, err := lab.Run(ctx, p, lab.Options{Self: me,
-		Up: func(f *lab.Fleet, _ int64) {
+	r, err := play(ctx, f, c.Seed, lab.Options{
+		Up: func(f *lab.Fleet) {
 			if c.JSON {
 				_ = lines.Encode(map[string]any{"list": f.ListAddress(), "sidecars": f.Addresses(), "servers": f.ServerLines()}) // to a reader that has gone
 				return
 			}
 			fmt.Fprintf(s.out, "list     http://%s/v1/servers\n", f.ListAddress())
-			for i, a := range f.Addresses() {
-				fmt.Fprintf(s.out, "sidecar  http://%s in %s\n", a, p.Sidecars[i].Zone)
+			for _, line := range f.SidecarLines() {
+				fmt.Fprintf(s.out, "sidecar  %s\n", line)
 			}
 			for _, line := range f.ServerLines() {
 				fmt.Fprintf(s.out, "server   %s\n", line)
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -81,8 +81,8 @@
 	for _, a := range e.Attempts {
 		attempts[a.ID] = append(attempts[a.ID], a)
 	}
-	for _, id := range slices.Sorted(maps.Keys(attempts)) {
-		slices.SortFunc(attempts[id], func(a, b ctl.Attempt) int { return cmp.Compare(a.First, b.First) })
+	for _, all := range attempts {
+		slices.SortFunc(all, func(a, b ctl.Attempt) int { return cmp.Compare(a.First, b.First) })
 	}
 	e.answers(f, attempts)
 	e.attempts(f, attempts)
@@ -104,7 +104,7 @@
 			f.add("descriptors", "%s held %d descriptors, %d at most", e.Plan.Sidecars[i].Name, p.Descriptors, limits.Descriptors)
 		}
 	}
-	if most := millis(limits.LatenessMS); e.Lateness > most {
+	if most := plan.Millis(limits.LatenessMS); e.Lateness > most {
 		f.add("lab-on-time", "void: the lab sent %v late at the 99th percentile, %v at most", e.Lateness, most)
 	}
 	verdicts := make([]Verdict, 0, len(plan.Invariants))
@@ -114,8 +114,6 @@
 	return verdicts
 }
 
-func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
-
 // when words a time from the start of the load.
 func (e *Evidence) when(t int64) string { return fmt.Sprintf("%.3fs", float64(t-e.Start)/1e9) }
 
@@ -148,7 +146,7 @@
 		if t.Sent == 0 {
 			continue // no sidecar has taken it
 		}
-		late := t.Sent + int64(t.Timeout) + int64(millis(limits.AnswerSlackMS))
+		late := t.Sent + int64(t.Timeout) + int64(plan.Millis(limits.AnswerSlackMS))
 		switch {
 		case t.Status == 0 && !e.excused(t.Sidecar, t.Began, t.Ended):
 			f.add("one-answer", "%s took request %s at %s and gave no answer: %s", name, t.ID, e.when(t.Sent), t.Fault)
@@ -168,7 +166,7 @@
 	for i := range e.Tries {
 		tries[e.Tries[i].ID] = &e.Tries[i]
 	}
-	slack := int64(millis(e.Plan.File.Limits.SlackMS))
+	slack := int64(plan.Millis(e.Plan.File.Limits.SlackMS))
 	for _, id := range slices.Sorted(maps.Keys(attempts)) {
 		all := attempts[id]
 		t := tries[id]
@@ -213,11 +211,12 @@
 		slices.SortStableFunc(told[p], func(a, b ctl.Told) int { return cmp.Compare(a.At, b.At) })
 	}
 	limits := &e.Plan.File.Limits
-	grace := int64(millis(limits.DrainGraceMS + limits.SlackMS))
+	grace := int64(plan.Millis(limits.DrainGraceMS + limits.SlackMS))
 	for _, a := range e.Attempts {
 		since, state := int64(0), ""
+		born := e.bornBefore(a.Near, a.First)
 		for _, t := range told[pair{a.Near, a.Server}] {
-			if t.At > a.First || t.At < e.bornBefore(a.Near, a.First) {
+			if t.At > a.First || t.At < born {
 				continue // not told yet, or to a process before this one
 			}
 			if t.State == "SERVING" {
@@ -246,7 +245,7 @@
 
 // stopped tells whether a sidecar was stopped within the time between, when it could read nothing.
 func (e *Evidence) stopped(sidecar int, from, to int64) bool {
-	grace := int64(millis(e.Plan.File.Limits.DrainGraceMS))
+	grace := int64(plan.Millis(e.Plan.File.Limits.DrainGraceMS))
 	for _, r := range e.Runs[sidecar] {
 		for _, s := range r.Stops {
 			if s.From <= to && s.To+grace >= from && to < s.To+grace {
--- a/internal/lab/check/figures.go
+++ b/internal/lab/check/figures.go
@@ -46,7 +46,6 @@
 	n := int(math.Ceil(p.File.Seconds))
 	course := make([]Second, n)
 	latency := newHistogram()
-	lateness := newHistogram()
 	within := make([]*hdrhistogram.Histogram, n)
 	for i := range within {
 		within[i] = newHistogram()
@@ -56,7 +55,6 @@
 	for i := range e.Tries {
 		t := &e.Tries[i]
 		tries[t.Arrival] = append(tries[t.Arrival], t)
-		note(lateness, t.Began-t.Due)
 		if t.Status != 200 && t.Status != 0 && t.Ended-t.Sent > int64(t.Timeout)/2 {
 			lateRefusals++
 		}
@@ -129,7 +127,7 @@
 	f := Figures{"served": share(whole), "answered": float64(answered) / requests, "refused": float64(refused) / requests,
 		"failed": float64(failed) / requests, "attempts": float64(len(e.Attempts)) / requests, "late_refusals": float64(lateRefusals) / requests,
 		"p50_ms": quantile(latency, 50), "p99_ms": quantile(latency, 99), "p999_ms": quantile(latency, 99.9),
-		"connections": float64(conns) / requests, "requests": requests, "lateness_p99_ms": quantile(lateness, 99)}
+		"connections": float64(conns) / requests, "requests": requests, "lateness_p99_ms": float64(e.Lateness) / 1e6}
 	worst := 1.0
 	for i, c := range classes {
 		f["served:"+p.File.Classes[i].Name] = share(c)
--- a/internal/lab/ctl/ctl.go
+++ b/internal/lab/ctl/ctl.go
@@ -56,7 +56,6 @@
 	UID    string `json:"uid,omitempty"`
 	Ports  []int  `json:"ports,omitempty"`   // add: where the server listens, by group
 	BootMS int64  `json:"boot_ms,omitempty"` // add, revive
-	Count  int    `json:"count,omitempty"`   // reset, forget: connections ended
 }
 
 // Attempt is what a server saw of one attempt.
@@ -81,6 +80,15 @@
 	At    int64  `json:"t"` // when it was written whole
 }
 
+// Marshal is a value as a line.
+func Marshal(v any) ([]byte, error) {
+	line, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("line: %w", err)
+	}
+	return append(line, '\n'), nil
+}
+
 // Out writes news, one line each. It is safe for concurrent use.
 type Out struct {
 	mu sync.Mutex
@@ -92,13 +100,13 @@
 
 // Say writes one piece of news. A lab that is gone is no error: the input ends too.
 func (o *Out) Say(n News) {
-	line, err := json.Marshal(n)
+	line, err := Marshal(n)
 	if err != nil {
 		return // News always marshals
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	_, _ = o.to.Write(append(line, '\n'))
+	_, _ = o.to.Write(line)
 }
 
 const mostLine = 1 << 20
@@ -137,11 +145,11 @@
 
 // Add writes one.
 func (r *Records) Add(v any) {
-	line, err := json.Marshal(v)
+	line, err := Marshal(v)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
-		_, err = r.file.Write(append(line, '\n'))
+		_, err = r.file.Write(line)
 	}
 	r.err = errors.Join(r.err, err)
 }
@@ -170,12 +178,3 @@
 	}
 	return all, nil
 }
-
-// Marshal is an order as a line.
-func Marshal(o Order) ([]byte, error) {
-	line, err := json.Marshal(o)
-	if err != nil {
-		return nil, fmt.Errorf("order: %w", err)
-	}
-	return append(line, '\n'), nil
-}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -6,8 +6,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -60,10 +60,9 @@
 
 // sidecar is one place where a sidecar's processes run, one after the other.
 type sidecar struct {
-	index   int
-	place   *link.Place
-	address string
-	folder  string
+	index  int
+	place  *link.Place // its address
+	folder string
 
 	mu    sync.Mutex
 	run   *proc.Process
@@ -72,6 +71,8 @@
 	tasks sync.WaitGroup // that end or start a process
 }
 
+func (s *sidecar) address() string { return s.place.Addr.String() }
+
 // StartFleet starts all processes that a plan stands on, and waits until every one is ready. On an error none is left.
 func StartFleet(ctx context.Context, p *plan.Plan, self Self, work, logs string) (f *Fleet, err error) {
 	f = &Fleet{plan: p, self: self, work: work, logs: logs, starter: proc.NewStarter(), host: map[string]*child{},
@@ -96,7 +97,6 @@
 	if f.list.place, err = link.Reserve(link.Anywhere); err != nil {
 		return f, err
 	}
-	f.list.port = int(f.list.place.Addr.Port())
 	if err := f.list.start(); err != nil {
 		return f, err
 	}
@@ -105,7 +105,7 @@
 			return f, err
 		}
 	}
-	if err := f.links.baseline(seconds(p.File.Fleet.DelayMS / 1000)); err != nil {
+	if err := f.links.baseline(plan.Millis(p.File.Fleet.DelayMS)); err != nil {
 		return f, err
 	}
 	for i := range p.Sidecars {
@@ -116,7 +116,6 @@
 		if s.place, err = link.Reserve(link.Near(i)); err != nil {
 			return f, err
 		}
-		s.address = s.place.Addr.String()
 		f.sidecars = append(f.sidecars, s)
 	}
 	group, ctx := errgroup.WithContext(ctx)
@@ -132,8 +131,6 @@
 	return f, group.Wait()
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // log is the file that all processes of a name write to; what an earlier experiment left there is removed.
 func (f *Fleet) log(name string) string {
 	path := filepath.Join(f.logs, name+".log")
@@ -208,8 +205,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	seed := f.plan.Seed<<20 + uint64(s.index)<<8 + uint64(len(s.runs))
-	discovery := net.JoinHostPort(link.Near(s.index).String(), strconv.Itoa(f.list.port))
-	text, err := sidecarConfig(f.plan, s.index, s.address, discovery, seed, f.known)
+	discovery := f.listAddress(s.index)
+	text, err := sidecarConfig(f.plan, s.index, s.address(), discovery, seed, f.known)
 	if err != nil {
 		return err
 	}
@@ -223,7 +220,7 @@
 	}
 	began := clock.Now()
 	p, err := f.starter.Start(proc.Spec{Name: name, Path: f.self.Path, Args: args, Log: f.log(name), Folder: s.folder,
-		Env: f.env("TMPDIR="+s.folder, "PROXY_CONFIG="+config, "PROXY_NAME="+name, "PROXY_LISTEN="+s.address, "PROXY_DISCOVERY="+discovery)})
+		Env: f.env("TMPDIR="+s.folder, "PROXY_CONFIG="+config, "PROXY_NAME="+name, "PROXY_LISTEN="+s.address(), "PROXY_DISCOVERY="+discovery)})
 	if err != nil {
 		return err
 	}
@@ -242,7 +239,7 @@
 	run := s.run
 	s.mu.Unlock()
 	for {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address+"/healthz", nil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address()+"/healthz", nil)
 		if err != nil {
 			return err
 		}
@@ -266,7 +263,7 @@
 func (f *Fleet) Addresses() []string {
 	var all []string
 	for _, s := range f.sidecars {
-		all = append(all, s.address)
+		all = append(all, s.address())
 	}
 	return all
 }
@@ -324,16 +321,13 @@
 	f.faults = append(f.faults, err)
 }
 
-// Close ends every process at once, whatever it does, and undoes what was done to folders.
+// Close ends every process at once, whatever it does. The janitor undoes what was done to folders.
 func (f *Fleet) Close() {
 	f.all.Kill()
 	for _, s := range f.sidecars {
 		s.tasks.Wait()
 	}
 	f.all.Kill() // what a task started meanwhile
-	for _, s := range f.sidecars {
-		_ = proc.ReadOnly(s.folder, false) // most were never read-only, and not every file system knows the mark
-	}
 	f.leave.Do(func() {
 		for _, s := range f.sidecars {
 			s.place.Close()
@@ -370,7 +364,6 @@
 	fleet  *Fleet
 	groups string
 	place  *link.Place
-	port   int
 
 	mu    sync.Mutex
 	child *child
@@ -392,7 +385,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c, err := startChild(f.starter, proc.Spec{Name: "list", Path: f.self.Path, Log: f.log("list"), Env: f.env("TMPDIR=" + f.work),
-		Args: []string{"stand-in", "list", "--groups", l.groups, "--port", strconv.Itoa(l.port), "--records", f.records("told", l.n)}}, f.hear)
+		Args: []string{"stand-in", "list", "--groups", l.groups, "--port", strconv.Itoa(int(l.place.Addr.Port())), "--records", f.records("told", l.n)}}, f.hear)
 	if err != nil {
 		return err
 	}
@@ -429,8 +422,20 @@
 }
 
 // ListAddress is where the first sidecar reaches the list.
-func (f *Fleet) ListAddress() string {
-	return net.JoinHostPort(link.Near(0).String(), strconv.Itoa(f.list.port))
+func (f *Fleet) ListAddress() string { return f.listAddress(0) }
+
+// listAddress is where the i-th sidecar reaches the list.
+func (f *Fleet) listAddress(i int) string {
+	return netip.AddrPortFrom(link.Near(i), f.list.place.Addr.Port()).String()
+}
+
+// SidecarLines describe the sidecars.
+func (f *Fleet) SidecarLines() []string {
+	var lines []string
+	for i, a := range f.Addresses() {
+		lines = append(lines, fmt.Sprintf("http://%s in %s", a, f.plan.Sidecars[i].Zone))
+	}
+	return lines
 }
 
 // ServerLines describe the servers at the start, each with its address for the first sidecar.
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -2,7 +2,7 @@
 // what is accepted is handed over byte by byte as the link's state allows, so a link can be slow, silent in one direction,
 // cut, or forgotten by the far end, while the near end's kernel sees nothing but a quiet peer.
 //
-// The stand-ins wrap the sockets that they accept; Relay does the same in front of a process that knows nothing of links.
+// The stand-ins wrap the sockets that they accept.
 package link
 
 import (
@@ -88,13 +88,6 @@
 	return len(conns)
 }
 
-// Conns is the number of connections that the near end has over the link.
-func (l *Link) Conns() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.conns)
-}
-
 func (l *Link) add(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -175,8 +175,8 @@
 func TestResetAndForget(t *testing.T) {
 	l := New()
 	near, far := pair(t, l, 4)
-	if n := l.Reset(); n != 1 || l.Conns() != 0 {
-		t.Errorf("%d reset, %d left", n, l.Conns())
+	if n, left := l.Reset(), l.each(func(*Conn) {}); n != 1 || left != 0 {
+		t.Errorf("%d reset, %d left", n, left)
 	}
 	if _, err := near.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("%v, want a reset", err)
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -97,7 +97,7 @@
 func (c *Clients) request(i int, due int64) {
 	a := &c.Plan.Arrivals[i]
 	class := &c.Plan.File.Classes[a.Class]
-	giveUp := time.Duration(class.GiveUpMS * float64(time.Millisecond))
+	giveUp := plan.Millis(class.GiveUpMS)
 	each := time.Duration(float64(giveUp) * a.TryPart)
 	c.Live.Requests.Add(1)
 	c.Live.Open.Add(1)
--- a/internal/lab/plan/fault.go
+++ b/internal/lab/plan/fault.go
@@ -25,43 +25,42 @@
 	Drain   float64  `toml:"drain"`  // deploy: seconds from the drain to the end of a process
 }
 
-// faultKind says what a fault needs, and what the report shows of it.
+// faultKind says what a fault needs.
 type faultKind struct {
-	on   []string // what it may act on; the first is the default
-	lest bool     // it needs for
-	size [2]float64
-	says string
-	keys []string // besides do, at, for, on, zone, part, count, names
+	on    []string // what it may act on; the first is the default
+	lasts bool     // it needs for
+	size  [2]float64
+	keys  []string // besides do, at, for, on, zone, part, count, names
 }
 
 var processes = []string{"sidecars", "list"}
 var links = []string{"servers", "list"}
 
-// FaultKinds are the faults there are.
+// faultKinds are the faults there are.
 var faultKinds = map[string]faultKind{
-	"kill":          {on: processes, says: "SIGKILL", keys: []string{"restart"}},
-	"term":          {on: processes, says: "SIGTERM, and SIGKILL if that is not enough", keys: []string{"restart"}},
-	"stop":          {on: processes, lest: true, says: "SIGSTOP, and SIGCONT at the end"},
-	"slow":          {on: []string{"servers"}, lest: true, size: [2]float64{1, 1000}, says: "servers work size times slower"},
-	"hang":          {on: []string{"servers"}, lest: true, says: "servers take work and do none"},
-	"steal":         {on: []string{"servers"}, lest: true, size: [2]float64{0.01, 0.99}, says: "another program takes the share size", keys: []string{"every"}},
-	"die":           {on: []string{"servers"}, says: "server processes end at once", keys: []string{"restart"}},
-	"lose":          {on: []string{"servers"}, lest: true, says: "machines say nothing, and return with new, cold processes"},
-	"deploy":        {on: []string{"servers"}, lest: true, says: "servers drain, end, and are replaced by new, cold ones", keys: []string{"batch", "drain"}},
-	"flap":          {on: []string{"servers"}, lest: true, says: "server processes end and start again and again", keys: []string{"every"}},
-	"delay":         {on: links, lest: true, size: [2]float64{0.01, 10000}, says: "links take size ms more, one way", keys: []string{"from", "jitter"}},
-	"silence":       {on: links, lest: true, says: "links carry nothing one way", keys: []string{"from", "way"}},
-	"partition":     {on: links, lest: true, says: "links carry nothing", keys: []string{"from"}},
-	"reset":         {on: links, says: "connections are reset", keys: []string{"from"}},
-	"half-open":     {on: links, says: "far ends forget their connections without a word", keys: []string{"from"}},
-	"trickle":       {on: links, lest: true, size: [2]float64{1, 1e9}, says: "links pass size bytes a second", keys: []string{"from"}},
-	"list-late":     {on: []string{"list"}, lest: true, size: [2]float64{0.01, 3600}, says: "the list tells everything size seconds later"},
-	"list-old":      {on: []string{"list"}, lest: true, says: "the list is an old one"},
-	"list-cut":      {on: []string{"list"}, lest: true, says: "the list breaks off half way"},
-	"list-garbled":  {on: []string{"list"}, lest: true, says: "the list cannot be read"},
-	"disk-full":     {on: []string{"sidecars"}, lest: true, says: "nothing can be written to files"},
-	"disk-readonly": {on: []string{"sidecars"}, lest: true, says: "the folder can only be read"},
-	"clock":         {on: []string{"servers"}, size: [2]float64{-86400, 86400}, says: "the wall clock of the servers' machines jumps by size seconds"},
+	"kill":          {on: processes, keys: []string{"restart"}},                                                    // SIGKILL
+	"term":          {on: processes, keys: []string{"restart"}},                                                    // SIGTERM, and SIGKILL if that is not enough
+	"stop":          {on: processes, lasts: true},                                                                  // SIGSTOP, and SIGCONT at the end
+	"slow":          {on: []string{"servers"}, lasts: true, size: [2]float64{1, 1000}},                             // servers work size times slower
+	"hang":          {on: []string{"servers"}, lasts: true},                                                        // servers take work and do none
+	"steal":         {on: []string{"servers"}, lasts: true, size: [2]float64{0.01, 0.99}, keys: []string{"every"}}, // another program takes the share size
+	"die":           {on: []string{"servers"}, keys: []string{"restart"}},                                          // server processes end at once
+	"lose":          {on: []string{"servers"}, lasts: true},                                                        // machines say nothing, and return with new, cold processes
+	"deploy":        {on: []string{"servers"}, lasts: true, keys: []string{"batch", "drain"}},                      // servers drain, end, and are replaced by new, cold ones
+	"flap":          {on: []string{"servers"}, lasts: true, keys: []string{"every"}},                               // server processes end and start again and again
+	"delay":         {on: links, lasts: true, size: [2]float64{0.01, 10000}, keys: []string{"from", "jitter"}},     // links take size ms more, one way
+	"silence":       {on: links, lasts: true, keys: []string{"from", "way"}},                                       // links carry nothing one way
+	"partition":     {on: links, lasts: true, keys: []string{"from"}},                                              // links carry nothing
+	"reset":         {on: links, keys: []string{"from"}},                                                           // connections are reset
+	"half-open":     {on: links, keys: []string{"from"}},                                                           // far ends forget their connections without a word
+	"trickle":       {on: links, lasts: true, size: [2]float64{1, 1e9}, keys: []string{"from"}},                    // links pass size bytes a second
+	"list-late":     {on: []string{"list"}, lasts: true, size: [2]float64{0.01, 3600}},                             // the list tells everything size seconds later
+	"list-old":      {on: []string{"list"}, lasts: true},                                                           // the list is an old one
+	"list-cut":      {on: []string{"list"}, lasts: true},                                                           // the list breaks off half way
+	"list-garbled":  {on: []string{"list"}, lasts: true},                                                           // the list cannot be read
+	"disk-full":     {on: []string{"sidecars"}, lasts: true},                                                       // nothing can be written to files
+	"disk-readonly": {on: []string{"sidecars"}, lasts: true},                                                       // the folder can only be read
+	"clock":         {on: []string{"servers"}, size: [2]float64{-86400, 86400}},                                    // the wall clock of the servers' machines jumps by size seconds
 }
 
 // checkFault refuses a fault that makes no sense by itself.
@@ -81,9 +80,9 @@
 		return f.bad("fault", i, "on", "%s cannot act on %q, only on %s", t.Do, t.On, strings.Join(kind.on, " or "))
 	case t.At < 0 || t.At >= f.Seconds:
 		return f.bad("fault", i, "at", "at %v s is not within the %v s of load", t.At, f.Seconds)
-	case kind.lest && t.For <= 0:
+	case kind.lasts && t.For <= 0:
 		return f.bad("fault", i, "for", "%s needs for, the seconds that it lasts", t.Do)
-	case !kind.lest && t.For != 0:
+	case !kind.lasts && t.For != 0:
 		return f.bad("fault", i, "for", "%s happens at once: it has no for", t.Do)
 	case t.At+t.For > f.Seconds:
 		return f.bad("fault", i, "for", "it ends at %v s, after the %v s of load", t.At+t.For, f.Seconds)
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -27,6 +27,7 @@
 	Faults  []Fault `toml:"fault"`
 	Bars    []Bar   `toml:"bar"`
 
+	Path string `toml:"-"`
 	Name string `toml:"-"` // of the file, without folder and ending
 	text []byte
 }
@@ -172,7 +173,7 @@
 // Parse reads the text of an experiment.
 func Parse(path string, text []byte) (*File, error) {
 	f := Defaults()
-	f.text = text
+	f.text, f.Path = text, path
 	name := path[strings.LastIndexByte(path, '/')+1:]
 	f.Name = strings.TrimSuffix(name, ".toml")
 	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&f)
@@ -194,7 +195,6 @@
 		f.Classes = slices.Clone(defaultClasses)
 	}
 	if err := f.check(); err != nil {
-		err.File = path
 		return nil, err
 	}
 	return &f, nil
@@ -229,7 +229,7 @@
 	if table != "" {
 		path = []string{table}
 	}
-	return &Error{Line: f.line(path, index, key), What: fmt.Sprintf(form, args...)}
+	return &Error{File: f.Path, Line: f.line(path, index, key), What: fmt.Sprintf(form, args...)}
 }
 
 const (
@@ -329,10 +329,5 @@
 }
 
 func isInvariant(name string) bool {
-	for _, v := range Invariants {
-		if v.Name == name {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(Invariants, func(v struct{ Name, Says string }) bool { return v.Name == name })
 }
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -111,7 +111,11 @@
 
 func between(r *rand.Rand, v [2]float64) float64 { return v[0] + r.Float64()*(v[1]-v[0]) }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// Seconds is a time in seconds, as experiment files have it.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Millis is a time in milliseconds.
+func Millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // Make draws the plan of a file for a seed. It fails with an *Error where the faults cannot all be.
 func Make(f *File, seed uint64) (*Plan, error) {
@@ -183,10 +187,10 @@
 	s := model.Spec{
 		UID: fmt.Sprintf("s-%08x", r.Uint32()), Zone: zone, Kind: k.Name, Cores: k.Cores, Speed: between(r, k.Speed), Slots: k.Cores,
 		Queue: k.Cores * (200 + r.IntN(500)), Thrash: between(r, [2]float64{0.015, 0.07}), ThrashAt: between(r, [2]float64{2.6, 7}),
-		ColdFrom: between(r, [2]float64{0.14, 0.36}), ColdFor: seconds(between(r, [2]float64{11, 24})),
+		ColdFrom: between(r, [2]float64{0.14, 0.36}), ColdFor: Seconds(between(r, [2]float64{11, 24})),
 		FallMultiple: 3, FallFor: 1500 * time.Millisecond, ErrorRate: p.File.Fleet.ErrorRate, DropsExpired: r.IntN(2) == 0,
-		ConnCap: k.Cores * (600 + r.IntN(300)), ConnWork: seconds(between(r, [2]float64{0.00078, 0.0015})),
-		ReportEvery: seconds(between(r, [2]float64{0.32, 1.2})), ReportDelay: seconds(between(r, [2]float64{0.23, 0.48})), Seed: r.Uint64(),
+		ConnCap: k.Cores * (600 + r.IntN(300)), ConnWork: Seconds(between(r, [2]float64{0.00078, 0.0015})),
+		ReportEvery: Seconds(between(r, [2]float64{0.32, 1.2})), ReportDelay: Seconds(between(r, [2]float64{0.23, 0.48})), Seed: r.Uint64(),
 	}
 	return s
 }
@@ -218,7 +222,7 @@
 	f := p.File
 	rate := p.Rate()
 	if n := rate * f.Seconds; n > mostArrivals {
-		return &Error{File: f.Name + ".toml", Line: f.line([]string{"load"}, -1, "rate"), What: fmt.Sprintf("%.0f requests in all, %d at most", n, mostArrivals)}
+		return f.bad("load", -1, "rate", "%.0f requests in all, %d at most", n, mostArrivals)
 	}
 	r := stream(p.Seed, "arrivals")
 	var sidecars, classes []float64 // sums of weights
@@ -230,10 +234,10 @@
 	}
 	sidecars, classes = sums(sidecars), sums(classes)
 	for t := r.ExpFloat64() / rate; t < f.Seconds; t += r.ExpFloat64() / rate {
-		a := Arrival{At: seconds(t), Sidecar: pick(r, sidecars), Class: pick(r, classes), TryPart: between(r, [2]float64{0.7, 1}), Backoff: -1}
+		a := Arrival{At: Seconds(t), Sidecar: pick(r, sidecars), Class: pick(r, classes), TryPart: between(r, [2]float64{0.7, 1}), Backoff: -1}
 		// At most ten times the mean, so that a single draw cannot push a server over.
-		a.Work = seconds(min(r.ExpFloat64(), 10) * f.Classes[a.Class].WorkMS / 1000 * f.Load.WorkPart)
-		backoff := seconds(between(r, [2]float64{0.017, 0.13}))
+		a.Work = Seconds(min(r.ExpFloat64(), 10) * f.Classes[a.Class].WorkMS / 1000 * f.Load.WorkPart)
+		backoff := Seconds(between(r, [2]float64{0.017, 0.13}))
 		if f.Load.Retries {
 			a.Backoff = backoff
 		}
--- a/internal/lab/plan/steps.go
+++ b/internal/lab/plan/steps.go
@@ -43,9 +43,9 @@
 		d.fault, d.r = i, stream(p.Seed, fmt.Sprintf("fault %d", i))
 		t := &p.File.Faults[i]
 		if err := d.draw(t); err != nil {
-			return &Error{File: p.File.Name + ".toml", Line: p.File.line([]string{"fault"}, i, "do"), What: err.Error()}
+			return p.File.bad("fault", i, "do", "%v", err)
 		}
-		p.Bands = append(p.Bands, Band{i, t.Do + d.target(t), seconds(t.At), seconds(t.At + t.For)})
+		p.Bands = append(p.Bands, Band{i, t.Do + d.target(t), Seconds(t.At), Seconds(t.At + t.For)})
 	}
 	slices.SortStableFunc(p.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return nil
@@ -141,7 +141,7 @@
 }
 
 func (d *drawer) draw(t *Fault) error {
-	at, end := seconds(t.At), seconds(t.At+t.For)
+	at, end := Seconds(t.At), Seconds(t.At+t.For)
 	switch t.Do {
 	case "kill", "term", "stop", "disk-full", "disk-readonly":
 		return d.process(t, at, end)
@@ -149,7 +149,7 @@
 		if err := d.claim("the list's answers", at, end); err != nil {
 			return err
 		}
-		d.step(Step{At: at, Do: Mode, Sidecar: ListIndex, Mode: strings.TrimPrefix(t.Do, "list-"), By: seconds(t.Size)})
+		d.step(Step{At: at, Do: Mode, Sidecar: ListIndex, Mode: strings.TrimPrefix(t.Do, "list-"), By: Seconds(t.Size)})
 		d.step(Step{At: end, Do: Mode, Sidecar: ListIndex})
 		return nil
 	case "delay", "silence", "partition", "trickle", "reset", "half-open":
@@ -183,7 +183,7 @@
 		if t.Do == "kill" || t.Do == "term" {
 			until = forever
 			if t.Restart != nil {
-				until = at + seconds(*t.Restart) + termGrace
+				until = at + Seconds(*t.Restart) + TermGrace
 			}
 		}
 		if err := d.claim(name, at, until); err != nil {
@@ -194,7 +194,7 @@
 			d.step(Step{At: at, Do: t.Do, Sidecar: i})
 			if t.Restart != nil {
 				// After the end of the process, which the lab waits for.
-				d.step(Step{At: at + seconds(*t.Restart), Do: Start, Sidecar: i})
+				d.step(Step{At: at + Seconds(*t.Restart), Do: Start, Sidecar: i})
 			}
 		case "stop":
 			d.step(Step{At: at, Do: Stop, Sidecar: i})
@@ -207,9 +207,9 @@
 	return nil
 }
 
-// termGrace is how long a process that was told to end counts as busy with it (PROTOCOL: the longest deadline, at least 3 s,
+// TermGrace is how long a process that was told to end by SIGTERM has until SIGKILL (PROTOCOL: the longest deadline, at least 3 s,
 // and 0.7 s).
-const termGrace = 3700 * time.Millisecond
+const TermGrace = 3700 * time.Millisecond
 
 func (d *drawer) links(t *Fault, at, end time.Duration) error {
 	group := -1
@@ -236,10 +236,10 @@
 			far = append(far, d.Servers[d.living[i].index].UID)
 		}
 	}
-	effect := LinkEffect{Delay: time.Duration(0)}
+	var effect LinkEffect
 	switch t.Do {
 	case "delay":
-		effect.Delay, effect.Jitter = seconds(t.Size/1000), seconds(t.Jitter/1000)
+		effect.Delay, effect.Jitter = Seconds(t.Size/1000), Seconds(t.Jitter/1000)
 	case "silence":
 		effect.HoldFar, effect.HoldNear = t.Way == "to-far", t.Way == "to-near"
 	case "partition":
@@ -268,7 +268,7 @@
 	d.step(Step{At: at, Do: Tell, Sidecar: ListIndex, Server: uid, State: state})
 }
 
-func (d *drawer) late(v [2]float64) time.Duration { return seconds(between(d.r, v)) }
+func (d *drawer) late(v [2]float64) time.Duration { return Seconds(between(d.r, v)) }
 
 // server draws what happens to the i-th of living.
 func (d *drawer) server(t *Fault, i int, at, end time.Duration) error {
@@ -281,12 +281,12 @@
 	list := d.File.List
 	switch t.Do {
 	case "clock":
-		d.step(Step{At: at, Do: Clock, Server: uid, By: seconds(t.Size)})
+		d.step(Step{At: at, Do: Clock, Server: uid, By: Seconds(t.Size)})
 		return nil
 	case "die":
 		end = forever
 		if t.Restart != nil {
-			end = at + seconds(*t.Restart)
+			end = at + Seconds(*t.Restart)
 		}
 	}
 	if err := d.claim(what, at, end); err != nil {
@@ -301,7 +301,7 @@
 		trouble(at, model.Trouble{Hang: true})
 		trouble(end, model.Trouble{})
 	case "steal":
-		every := cmp.Or(seconds(t.Every), end-at)
+		every := cmp.Or(Seconds(t.Every), end-at)
 		for on := at; on < end; on += 2 * every {
 			trouble(on, model.Trouble{Stolen: t.Size})
 			trouble(min(on+every, end), model.Trouble{})
@@ -316,7 +316,7 @@
 		d.step(Step{At: end, Do: Revive, Server: uid})
 		d.tell(end+d.late(list.AddS), uid, "SERVING")
 	case "flap":
-		every := seconds(t.Every)
+		every := Seconds(t.Every)
 		for off := at; off < end; off += 2 * every {
 			on := min(off+every, end)
 			d.step(Step{At: off, Do: Die, Server: uid})
@@ -339,7 +339,7 @@
 
 // deploy replaces servers batch by batch, evenly over the time.
 func (d *drawer) deploy(t *Fault, at time.Duration) error {
-	chosen, err := d.servers(t, at, seconds(t.At+t.For))
+	chosen, err := d.servers(t, at, Seconds(t.At+t.For))
 	if err != nil {
 		return err
 	}
@@ -354,9 +354,9 @@
 	for b := range batches {
 		begin := at
 		if batches > 1 {
-			begin += seconds(room * float64(b) / float64(batches-1))
+			begin += Seconds(room * float64(b) / float64(batches-1))
 		}
-		over := begin + seconds(drain)
+		over := begin + Seconds(drain)
 		for _, i := range chosen[b*each : min((b+1)*each, len(chosen))] {
 			old := d.Servers[d.living[i].index]
 			if err := d.claim("server "+old.UID, begin, forever); err != nil {
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -276,13 +276,7 @@
 }
 
 // Kill ends all at once.
-func (a *All) Kill() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, p := range a.alive {
-		p.Kill()
-	}
-}
+func (a *All) Kill() { a.Each((*Process).Kill) }
 
 // Each calls do with each process that was started, ended or not.
 func (a *All) Each(do func(*Process)) {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -70,9 +70,9 @@
 // Options say how an experiment runs.
 type Options struct {
 	Self Self
-	Out  string                   // folder for the processes' logs, the clients' and the servers' records; "": none is kept
-	Tick func(Second)             // called once a second of the load, if set
-	Up   func(f *Fleet, at int64) // called when the load starts, if set
+	Out  string       // folder for the processes' logs, the clients' and the servers' records; "": none is kept
+	Tick func(Second) // called once a second of the load, if set
+	Up   func(*Fleet) // called when the load starts, if set
 }
 
 // Second are live figures, counted from the start of the load.
@@ -119,11 +119,11 @@
 	}
 	defer f.Close()
 
-	clients := &load.Clients{Plan: p, Addresses: f.Addresses(), Slack: time.Duration(p.File.Limits.AnswerSlackMS * float64(time.Millisecond)),
-		Tardy: time.Duration(p.File.Load.TardyMS * float64(time.Millisecond))}
+	clients := &load.Clients{Plan: p, Addresses: f.Addresses(), Slack: plan.Millis(p.File.Limits.AnswerSlackMS),
+		Tardy: plan.Millis(p.File.Load.TardyMS)}
 	start := clock.Now() + int64(lead)
 	if o.Up != nil {
-		o.Up(f, start)
+		o.Up(f)
 	}
 	e := &check.Evidence{Plan: p, Start: start}
 	var effects []Effect
@@ -139,7 +139,7 @@
 		return nil
 	})
 	e.Tries = clients.Run(ctx, start)
-	waitUntil(ctx, start+int64(seconds(p.File.Seconds)))
+	waitUntil(ctx, start+int64(plan.Seconds(p.File.Seconds)))
 	f.Sample()
 	stop()
 	if err := tasks.Wait(); err != nil {
@@ -174,7 +174,7 @@
 	}
 	defer os.RemoveAll(root)
 	if err := proc.CanReadOnly(root); err != nil {
-		return &plan.Error{File: p.File.Name + ".toml", What: "disk-readonly is not possible in " + os.TempDir() + ": " + err.Error()}
+		return &plan.Error{File: p.File.Path, What: "disk-readonly is not possible in " + os.TempDir() + ": " + err.Error()}
 	}
 	return nil
 }
--- a/internal/lab/standin/host.go
+++ b/internal/lab/standin/host.go
@@ -139,12 +139,12 @@
 		}
 		m.process.do(func(now int64) { m.process.model.Set(now, *o.Trouble) })
 	case "link":
-		m.net.change(o, n)
+		m.net.change(o)
 		if o.Cut != nil {
 			return m.cut(o.Group, *o.Cut)
 		}
 	case "reset", "forget":
-		m.net.change(o, n)
+		m.net.change(o)
 	default:
 		return fmt.Errorf("unknown order %q", o.Do)
 	}
--- a/internal/lab/standin/list.go
+++ b/internal/lab/standin/list.go
@@ -46,7 +46,7 @@
 	out.Say(ctl.News{Kind: "ready", Ports: []int{at.Port()}, At: clock.Now()})
 	err = ctl.Lines(orders, func(o ctl.Order) error {
 		n := ctl.News{ID: o.ID}
-		if err := l.obey(o, &n); err != nil {
+		if err := l.obey(o); err != nil {
 			n.Error = err.Error()
 		}
 		n.At = clock.Now()
@@ -84,7 +84,7 @@
 	entry ctl.Entry
 }
 
-func (l *list) obey(o ctl.Order, n *ctl.News) error {
+func (l *list) obey(o ctl.Order) error {
 	l.mu.Lock()
 	defer func() {
 		close(l.changed)
@@ -100,12 +100,12 @@
 	case "list-mode":
 		l.mode, l.late = o.Mode, time.Duration(o.Late*float64(time.Second))
 	case "link":
-		l.net.change(o, n)
+		l.net.change(o)
 		if o.Cut != nil {
 			return l.at.Cut(*o.Cut)
 		}
 	case "reset", "forget":
-		l.net.change(o, n)
+		l.net.change(o)
 	default:
 		return fmt.Errorf("unknown order %q", o.Do)
 	}
--- a/internal/lab/standin/network.go
+++ b/internal/lab/standin/network.go
@@ -55,19 +55,19 @@
 }
 
 // change does what an order says of links.
-func (n *network) change(o ctl.Order, news *ctl.News) {
+func (n *network) change(o ctl.Order) {
 	switch {
 	case o.Do == "reset":
-		news.Count = n.each(o.Nears, (*link.Link).Reset)
+		n.each(o.Nears, (*link.Link).Reset)
 	case o.Do == "forget":
-		news.Count = n.each(o.Nears, (*link.Link).Forget)
+		n.each(o.Nears, (*link.Link).Forget)
 	case o.State != nil:
 		n.set(o.Nears, *o.State)
 	}
 }
 
-// each does something to the links of some near ends, none: of all, and sums what it returns.
-func (n *network) each(nears []int, do func(*link.Link) int) int {
+// each does something to the links of some near ends, none: of all.
+func (n *network) each(nears []int, do func(*link.Link) int) {
 	n.mu.Lock()
 	var links []*link.Link
 	for _, i := range nears {
@@ -81,9 +81,7 @@
 		}
 	}
 	n.mu.Unlock()
-	sum := 0
 	for _, l := range links {
-		sum += do(l)
+		do(l)
 	}
-	return sum
 }
--- a/internal/lab/steps.go
+++ b/internal/lab/steps.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -48,7 +49,7 @@
 	links.SetLimit(mostLinksAtOnce)
 	for i := range f.plan.Steps {
 		s := &f.plan.Steps[i]
-		if s.At > seconds(f.plan.File.Seconds) {
+		if s.At > plan.Seconds(f.plan.File.Seconds) {
 			break // what a fault would still bring after the load
 		}
 		if !waitUntil(ctx, start+int64(s.At)) {
@@ -85,7 +86,7 @@
 	}
 	_ = links.Wait()
 	tasks.Wait()
-	slices.SortStableFunc(effects, func(a, b Effect) int { return int(a.Planned*1000) - int(b.Planned*1000) })
+	slices.SortStableFunc(effects, func(a, b Effect) int { return cmp.Compare(a.Planned, b.Planned) })
 	return effects
 }
 
@@ -190,11 +191,7 @@
 	return now, err
 }
 
-const (
-	forever = int64(1) << 62
-	// PROTOCOL: SIGKILL comes no earlier than the longest deadline, at least 3 s, and 0.7 s after SIGTERM.
-	killAfter = 3700 * time.Millisecond
-)
+const forever = int64(1) << 62
 
 // process ends or starts a process.
 func (f *Fleet) process(ctx context.Context, s *plan.Step) (int64, error) {
@@ -230,7 +227,7 @@
 	if err := p.Signal(sig, true); err != nil {
 		return at, err
 	}
-	timer := time.NewTimer(killAfter)
+	timer := time.NewTimer(plan.TermGrace)
 	defer timer.Stop()
 	select {
 	case <-p.Ended():
@@ -257,7 +254,7 @@
 		<-c.Ended()
 		return clock.Now(), err
 	}
-	c.End(killAfter) // by the end of its input: a stand-in knows no SIGTERM of its own
+	c.End(plan.TermGrace) // by the end of its input: a stand-in knows no SIGTERM of its own
 	return clock.Now(), nil
 }
 
