--- /dev/null
+++ b/cmd/gradeusher/keeper.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/keeper"
+	"gradeusher.example/gradeusher/internal/sealed"
+)
+
+type keeperCommand struct {
+	Run     keeperRun     `cmd:"" default:"withargs" help:"Be a keeper, configured by a TOML file. Exit 2: it makes no sense."`
+	Backup  keeperBackup  `cmd:"" help:"Save the state of the keepers to a file."`
+	Restore keeperRestore `cmd:"" help:"Replace the state of all keepers by that of a backup."`
+	Remove  keeperRemove  `cmd:"" help:"Take a keeper out of the cluster."`
+}
+
+// keepersFlag names the keepers that a command talks to.
+type keepersFlag struct {
+	Keepers string        `help:"Addresses of keepers, with commas." env:"GRADEUSHER_KEEPERS" required:""`
+	Within  time.Duration `help:"How long to go on asking." default:"15s"`
+}
+
+// call makes a client and a context that ends in time.
+func (f keepersFlag) call(ctx context.Context, do func(context.Context, *client.Client) error) error {
+	c, err := client.New(strings.Split(f.Keepers, ","))
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(ctx, f.Within)
+	defer cancel()
+	return do(ctx, c)
+}
+
+type keeperRun struct {
+	Config string `arg:"" help:"TOML file."`
+	Log    string `help:"Form of the log." enum:"text,json" default:"text"`
+	Level  string `help:"Least level of the log." enum:"debug,info,warn,error" default:"info"`
+}
+
+// Run is the keeper until it is told to end.
+func (c keeperRun) Run(ctx context.Context, s streams) error {
+	config, err := keeper.LoadConfig(c.Config)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.Level)); err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	o := &slog.HandlerOptions{Level: level}
+	var handler slog.Handler = slog.NewTextHandler(s.err, o)
+	if c.Log == "json" {
+		handler = slog.NewJSONHandler(s.err, o)
+	}
+	return keeper.Run(ctx, config, slog.New(handler), nil)
+}
+
+type keeperBackup struct {
+	keepersFlag
+	File string `arg:"" help:"Where to."`
+	Any  bool   `help:"Take what any keeper has, which may be old: for when no majority is left."`
+}
+
+// Run saves it. The file is there whole or not at all.
+func (c keeperBackup) Run(ctx context.Context, s streams) error {
+	return c.call(ctx, func(ctx context.Context, k *client.Client) error {
+		text, err := k.Backup(ctx, !c.Any)
+		if err != nil {
+			return err
+		}
+		if err := sealed.WriteFile(c.File, text); err != nil {
+			return err
+		}
+		fmt.Fprintf(s.out, "%d bytes in %s\n", len(text), c.File)
+		return nil
+	})
+}
+
+type keeperRestore struct {
+	keepersFlag
+	File string `arg:"" help:"A file that backup wrote."`
+}
+
+// Run restores it.
+func (c keeperRestore) Run(ctx context.Context, s streams) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return c.call(ctx, func(ctx context.Context, k *client.Client) error {
+		d, err := k.Restore(ctx, text)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(s.out, "restored, at revision %d\n", d.Rev)
+		return nil
+	})
+}
+
+type keeperRemove struct {
+	keepersFlag
+	Name string `arg:"" help:"The keeper's name."`
+}
+
+// Run removes it.
+func (c keeperRemove) Run(ctx context.Context, s streams) error {
+	return c.call(ctx, func(ctx context.Context, k *client.Client) error { return k.Remove(ctx, c.Name) })
+}
+
+type statusCommand struct {
+	keepersFlag
+	JSON bool `help:"Print as JSON." name:"json"`
+}
+
+// Run prints a line a keeper. It fails where no keeper leads.
+func (c statusCommand) Run(ctx context.Context, s streams) error {
+	return c.call(ctx, func(ctx context.Context, k *client.Client) error {
+		all, failed := client.Status[keeper.Status](ctx, k)
+		leads := false
+		for _, v := range all {
+			leads = leads || v.Role == "leader"
+		}
+		if c.JSON {
+			errs := map[string]string{}
+			for k, err := range failed {
+				errs[k] = err.Error()
+			}
+			if err := json.NewEncoder(s.out).Encode(map[string]any{"keepers": all, "failed": errs}); err != nil {
+				return err
+			}
+		} else {
+			for _, address := range slices.Sorted(slices.Values(k.Keepers())) {
+				v, ok := all[address]
+				if !ok {
+					fmt.Fprintf(s.out, "%-21s no answer: %s\n", address, strings.ReplaceAll(failed[address].Error(), "\n", "; "))
+					continue
+				}
+				age := fmt.Sprintf("%d ms", v.AgeMS)
+				if v.AgeMS < 0 {
+					age = "unknown"
+				}
+				fmt.Fprintf(s.out, "%-21s %-10s %-9s leader %-10s term %-4d revision %-8d age %-9s watchers %-5d servers %-5d leases %d, %d held back\n", address, v.Name,
+					v.Role, cmp.Or(v.Leader, "none"), v.Term, v.Rev, age, v.Watchers, v.Servers, v.Leases, v.Held)
+			}
+		}
+		if !leads {
+			return errors.New("no keeper leads")
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/cmd/gradeusher/keeper_test.go
@@ -0,0 +1,518 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/keeper"
+	"gradeusher.example/gradeusher/internal/lab/link"
+	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/replica"
+)
+
+// patience bounds what a test waits for; it is no measure.
+const patience = 30 * time.Second
+
+// keeperPlace is where one keeper's processes run, one after the other.
+type keeperPlace struct {
+	name, config, http, raft string
+	run                      *command
+}
+
+// keepers is a cluster of processes.
+type keepers struct {
+	t      *testing.T
+	places []*keeperPlace
+	client *client.Client
+}
+
+func place(t *testing.T) string {
+	t.Helper()
+	p, err := link.Reserve(netip.MustParseAddr("127.0.0.1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.Close() })
+	return p.Addr.String()
+}
+
+// newKeepers starts n keepers. more is added to each configuration.
+func newKeepers(t *testing.T, n int, more string) *keepers {
+	t.Helper()
+	k := &keepers{t: t}
+	peers := ""
+	for i := range n {
+		p := k.place(fmt.Sprintf("k%d", i+1))
+		peers += fmt.Sprintf("[[peer]]\nname = %q\nraft = %q\nhttp = %q\n", p.name, p.raft, p.http)
+	}
+	for _, p := range k.places {
+		k.configure(p, more+peers)
+		k.start(p)
+	}
+	var err error
+	if k.client, err = client.New(k.addresses()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(k.client.Close)
+	return k
+}
+
+func (k *keepers) place(name string) *keeperPlace {
+	p := &keeperPlace{name: name, http: place(k.t), raft: place(k.t), config: filepath.Join(k.t.TempDir(), name+".toml")}
+	k.places = append(k.places, p)
+	return p
+}
+
+func (k *keepers) configure(p *keeperPlace, more string) {
+	text := fmt.Sprintf("name = %q\nfolder = %q\nhttp = %q\nraft = %q\n%s", p.name, filepath.Join(filepath.Dir(p.config), "data"), p.http, p.raft, more)
+	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+		k.t.Fatal(err)
+	}
+}
+
+func (k *keepers) start(p *keeperPlace) {
+	k.t.Helper()
+	p.run = newCommand(k.t, "keeper", p.config)
+	run := p.run
+	if err := run.Start(); err != nil {
+		k.t.Fatal(err)
+	}
+	k.t.Cleanup(func() {
+		_ = run.Process.Kill() // mostly it has ended
+		_ = run.Wait()
+		if k.t.Failed() {
+			k.t.Logf("%s:\n%s", p.name, &run.err)
+		}
+	})
+}
+
+func (k *keepers) addresses() (all []string) {
+	for _, p := range k.places {
+		all = append(all, p.http)
+	}
+	return all
+}
+
+func (k *keepers) kill(p *keeperPlace) {
+	k.t.Helper()
+	if err := p.run.Process.Kill(); err != nil {
+		k.t.Fatal(err)
+	}
+	_ = p.run.Wait() // a signal ended it
+}
+
+// leader waits for one.
+func (k *keepers) leader() *keeperPlace {
+	k.t.Helper()
+	var found *keeperPlace
+	eventually(k.t, "a leader", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		all, _ := client.Status[keeper.Status](ctx, k.client)
+		for _, p := range k.places {
+			if s, ok := all[p.http]; ok && s.Role == "leader" && s.AgeMS == 0 {
+				found = p
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// eventually asks again until something is so.
+func eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %s within %v", what, patience)
+		}
+	}
+}
+
+func (k *keepers) call() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	k.t.Cleanup(cancel)
+	return ctx
+}
+
+func (k *keepers) register(uid, endpoint string) int64 {
+	k.t.Helper()
+	d, err := k.client.Register(k.call(), []client.Registration{{Target: list.Target{UID: uid, Endpoint: endpoint, State: list.Serving}}}, nil)
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	return d.Rev
+}
+
+// seen is what a follower was told.
+type seen struct {
+	mu   sync.Mutex
+	held map[string]list.Target
+}
+
+func (s *seen) told(u client.Update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u.All {
+		s.held = map[string]list.Target{}
+	}
+	for _, t := range u.Targets {
+		if s.held[t.UID] = t; t.State == list.Deleted {
+			delete(s.held, t.UID)
+		}
+	}
+}
+
+func (s *seen) has(uid string, state list.State) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held[uid].State == state
+}
+
+// TestKeepers has three keepers lose their leader, and then all of them: what was acknowledged is there, the revision goes on,
+// and a watch sees every change.
+func TestKeepers(t *testing.T) {
+	t.Parallel()
+	k := newKeepers(t, 3, "")
+	s := &seen{}
+	f, err := client.NewFollower(client.Options{Keepers: k.addresses(), Doubt: client.DefaultDoubt, Log: quiet(), Told: s.told})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var follows sync.WaitGroup
+	follows.Add(1)
+	go func() {
+		defer follows.Done()
+		f.Run(ctx)
+	}()
+	defer follows.Wait()
+	defer cancel()
+
+	last := int64(0)
+	for i := range 5 {
+		rev := k.register(fmt.Sprintf("s-%d", i), "127.0.0.1:9000")
+		if rev <= last {
+			t.Fatalf("revision %d after %d", rev, last)
+		}
+		last = rev
+		eventually(t, "news", func() bool { return s.has(fmt.Sprintf("s-%d", i), list.Serving) })
+		if i == 1 || i == 3 {
+			p := k.leader()
+			k.kill(p)
+			defer func() { k.start(p) }()
+			if i == 3 { // of three one is left: nothing can be written, and everything read
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				if _, err := k.client.Register(ctx, []client.Registration{{Target: list.Target{UID: "s-x", Endpoint: "127.0.0.1:1", State: list.Serving}}}, nil); err == nil {
+					t.Error("a minority took a write")
+				}
+				cancel()
+				// The last write may not have been told to it as agreed on.
+				if l, err := k.client.List(k.call(), false); err != nil || len(l.Targets) < 3 {
+					t.Errorf("a minority shows %v, %v", l, err)
+				}
+				for _, q := range k.places {
+					if q.run.ProcessState != nil {
+						k.start(q)
+					}
+				}
+			}
+		}
+	}
+	for _, p := range k.places {
+		if p.run.ProcessState == nil {
+			k.kill(p)
+		}
+	}
+	for _, p := range k.places {
+		k.start(p)
+	}
+	l, err := k.client.List(k.call(), true)
+	if err != nil || l.Rev < last {
+		t.Fatalf("after kill -9 of all: %v, %v", l, err)
+	}
+	for i := range 5 {
+		if !slices.ContainsFunc(l.Targets, func(t list.Target) bool { return t.UID == fmt.Sprintf("s-%d", i) }) {
+			t.Errorf("s-%d was acknowledged and is lost", i)
+		}
+	}
+	if _, err := k.client.Change(k.call(), client.Drain, "s-0", nil); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "news after all keepers were down", func() bool { return s.has("s-0", list.Draining) })
+}
+
+// TestKeepersChange adds a keeper, removes one, and restores a backup, as staff would with the command.
+func TestKeepersChange(t *testing.T) {
+	t.Parallel()
+	k := newKeepers(t, 1, "[timing]\nsnapshot_after = 20\nsnapshot_ms = 50\ntrailing = 5\n")
+	for i := range 60 {
+		k.register(fmt.Sprintf("s-%d", i), "127.0.0.1:9000")
+	}
+	cli := func(want int, args ...string) string {
+		t.Helper()
+		c := newCommand(t, args...)
+		c.Env = append(c.Env, "GRADEUSHER_KEEPERS="+strings.Join(k.addresses(), ","))
+		if code := c.ends(t); code != want {
+			t.Fatalf("%v: exit %d, want %d: %s%s", args, code, want, &c.out, &c.err)
+		}
+		return c.out.String() + c.err.String()
+	}
+	backup := filepath.Join(t.TempDir(), "backup")
+	cli(0, "keeper", "backup", backup)
+	old := k.register("late", "127.0.0.1:9001")
+
+	first := k.places[0]
+	for _, name := range []string{"k2", "k3"} {
+		p := k.place(name)
+		k.configure(p, fmt.Sprintf("join = true\n[[peer]]\nname = %q\nraft = %q\nhttp = %q\n", first.name, first.raft, first.http))
+		k.start(p)
+		eventually(t, name+"'s vote", func() bool {
+			all, _ := client.Status[keeper.Status](k.call(), k.client)
+			return slices.ContainsFunc(all[first.http].Peers, func(p replica.Peer) bool { return p.Name == name && p.Voter })
+		})
+	}
+	var err error
+	if k.client, err = client.New(k.addresses()); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "three that are up to date", func() bool {
+		all, _ := client.Status[keeper.Status](k.call(), k.client)
+		n := 0
+		for _, s := range all {
+			if s.Servers == 61 && len(s.Keepers) == 3 && len(s.Peers) == 3 {
+				n++
+			}
+		}
+		return n == 3
+	})
+	cli(0, "keeper", "remove", "k1") // the leader itself
+	k.kill(first)
+	k.places = k.places[1:]
+	if k.register("after", "127.0.0.1:9002") <= old {
+		t.Error("the revision went back")
+	}
+	cli(exitBroken, "keeper", "remove", "k9")
+
+	var restored int64
+	if _, err := fmt.Sscanf(cli(0, "keeper", "restore", backup), "restored, at revision %d", &restored); err != nil {
+		t.Fatal(err)
+	}
+	l, err := k.client.List(k.call(), true)
+	if err != nil || len(l.Targets) != 60 || l.Rev != restored || l.Rev <= old+1 {
+		t.Errorf("restored %d servers at %d, %v; before %d", len(l.Targets), l.Rev, err, old+1)
+	}
+	if err := os.WriteFile(backup, []byte("gradeusher-state 1 1 0 0\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if said := cli(exitBroken, "keeper", "restore", backup); !strings.Contains(said, "unsound") {
+		t.Errorf("a torn backup: %s", said)
+	}
+	if l, err = k.client.List(k.call(), true); err != nil || len(l.Targets) != 60 {
+		t.Errorf("a torn backup changed the list: %d, %v", len(l.Targets), err)
+	}
+	if said := cli(0, "status"); strings.Count(said, "revision") != 2 || !strings.Contains(said, "leader") {
+		t.Errorf("status says %s", said)
+	}
+}
+
+// TestLease has a server hold its registration, be stopped past its lease, and come back.
+func TestLease(t *testing.T) {
+	t.Parallel()
+	k := newKeepers(t, 1, "[leases]\ngrace_ms = 60000\n")
+	c := newCommand(t, "list", "register", "s-1", "127.0.0.1:9000", "--lease", "1s", "--hold", "--keepers", strings.Join(k.addresses(), ","))
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	state := func(want list.State) {
+		t.Helper()
+		eventually(t, string(want), func() bool {
+			e, ok, err := k.client.Server(k.call(), "s-1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			return ok && e.State == want || !ok && want == list.Deleted
+		})
+	}
+	state(list.Serving)
+	if err := c.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	state(list.Draining)
+	if err := c.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	state(list.Serving)
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if code := c.ends(t); code != 0 {
+		t.Errorf("exit %d: %s", code, &c.err)
+	}
+	state(list.Deleted)
+}
+
+// TestSidecarOnKeepers runs the real sidecar on keepers: as its list in the platform's form, and with its own client, which
+// survives the loss of all keepers and, with them gone, its own restart.
+func TestSidecarOnKeepers(t *testing.T) {
+	t.Parallel()
+	k := newKeepers(t, 1, "")
+	backend := httpServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "done "+r.Header.Get("X-Request-ID")) }))
+	k.register("s-1", backend)
+	for _, unchanged := range []bool{true, false} {
+		t.Run(fmt.Sprintf("unchanged=%v", unchanged), func(t *testing.T) {
+			tmp, listen := t.TempDir(), place(t)
+			config := filepath.Join(t.TempDir(), "config.json")
+			fields := map[string]any{"name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "settings": json.RawMessage(
+				`{"ordinal":0,"peers_total":1,"my_zone":"a","areas":["a"],"models":["m"],"discovery":"pushed","limits":{"try_limit":3},
+				"request_classes":[{"name":"read","effect":"idempotent","aim_s":0.5,"deadline_s":2}]}`)}
+			if unchanged {
+				fields["discovery"] = k.places[0].http
+			} else {
+				fields["keepers"] = map[string]any{"addresses": k.addresses()}
+			}
+			text, err := json.Marshal(fields)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(config, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			start := func() *command {
+				c := newCommand(t, "sidecar")
+				c.Env = append(c.Env, "PROXY_CONFIG="+config, "TMPDIR="+tmp)
+				if err := c.Start(); err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(func() {
+					_ = c.Process.Kill() // mostly it has ended
+					_ = c.Wait()
+				})
+				return c
+			}
+			asked, said := 0, ""
+			ask := func() bool {
+				asked++
+				id := fmt.Sprintf("%016x", asked)
+				req, err := http.NewRequest(http.MethodGet, "http://"+listen+"/api", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for key, v := range map[string]string{"X-Request-ID": id, "X-Priority-Class": "read", "X-Timeout-Ms": "2000"} {
+					req.Header.Set(key, v)
+				}
+				resp, err := http.DefaultClient.Do(req)
+				if err != nil {
+					said = err.Error()
+					return false
+				}
+				defer resp.Body.Close()
+				body, err := io.ReadAll(resp.Body)
+				said = fmt.Sprintf("%s %q %v", resp.Status, body, err)
+				return err == nil && resp.StatusCode == 200 && string(body) == "done "+id
+			}
+			// The application sends when the sidecar says that it is ready (PROTOCOL).
+			ready := func() bool {
+				resp, err := http.Get("http://" + listen + "/healthz")
+				if err != nil {
+					return false
+				}
+				resp.Body.Close()
+				return resp.StatusCode == http.StatusOK
+			}
+			c := start()
+			eventually(t, "readiness", ready)
+			if !ask() {
+				t.Errorf("it does not serve: %s", said)
+			}
+			if unchanged {
+				c.Process.Signal(syscall.SIGTERM)
+				c.Wait()
+				return
+			}
+			eventually(t, "saved list", func() bool {
+				_, err := os.Stat(filepath.Join(tmp, "list-n0.cache"))
+				return err == nil
+			})
+			k.kill(k.places[0])
+			if !ask() {
+				t.Errorf("with no keeper it does not serve: %s", said)
+			}
+			if err := c.Process.Kill(); err != nil {
+				t.Fatal(err)
+			}
+			_ = c.Wait()
+			if t.Failed() {
+				t.Logf("its log: %s", &c.err)
+			}
+			c = start()
+			eventually(t, "readiness by the list that was saved", ready)
+			if !ask() {
+				t.Errorf("from the list that was saved it does not serve: %s", said)
+			}
+			_ = c.Process.Kill()
+			_ = c.Wait()
+			if !strings.Contains(c.err.String(), "list remembered") {
+				t.Errorf("it does not say that it goes by an old list: %s", &c.err)
+			}
+		})
+	}
+}
+
+func httpServer(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
+
+func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// TestKeeperConfig gives keepers configurations that make no sense: one line that says why, and exit 2.
+func TestKeeperConfig(t *testing.T) {
+	t.Parallel()
+	good := "name = \"k1\"\nfolder = \"x\"\nhttp = \"127.0.0.1:1\"\nraft = \"127.0.0.1:2\"\n[[peer]]\nname = \"k1\"\nraft = \"127.0.0.1:2\"\nhttp = \"127.0.0.1:1\"\n"
+	for want, text := range map[string]string{
+		"unknown key":               good + "colour = 1\n",
+		"is the address of k1":      good + "[[peer]]\nname = \"k2\"\nraft = \"127.0.0.1:2\"\nhttp = \"127.0.0.1:4\"\n",
+		"stands twice":              good + "[[peer]]\nname = \"k1\"\nraft = \"127.0.0.1:3\"\nhttp = \"127.0.0.1:4\"\n",
+		"2 peers":                   good + "[[peer]]\nname = \"k2\"\nraft = \"127.0.0.1:3\"\nhttp = \"127.0.0.1:4\"\n",
+		"is this keeper, and":       strings.Replace(good, "127.0.0.1:2\"\nhttp", "127.0.0.1:3\"\nhttp", 1),
+		"k2 is not among the peers": strings.Replace(good, "name = \"k1\"", "name = \"k2\"", 1),
+		"folder is missing":         strings.Replace(good, "folder = \"x\"", "folder = \"\"", 1),
+		"limits.watchers: 0":        good + "[limits]\nwatchers = 0\n",
+		"leases.share: 2":           good + "[leases]\nshare = 2.0\n",
+		":6: expected":              strings.Replace(good, "[[peer]]", "[[peer", 1),
+	} {
+		path := filepath.Join(t.TempDir(), "keeper.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var out, errs strings.Builder
+		if code := run([]string{"keeper", path}, streams{strings.NewReader(""), &out, &errs, os.Getenv}); code != exitUsage ||
+			!strings.Contains(errs.String(), want) || strings.Count(errs.String(), "\n") != 1 {
+			t.Errorf("exit %d: %q, want 2 and %q", code, errs.String(), want)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/gradeusher/list.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/list"
+)
+
+type listCommands struct {
+	Get      listGet      `cmd:"" help:"Print the list of servers."`
+	Watch    listWatch    `cmd:"" help:"Print what changes, until interrupted or --for."`
+	Register listRegister `cmd:"" help:"Put a server on the list."`
+	Drain    listDrain    `cmd:"" help:"Have a server get no new work."`
+	Serve    listServe    `cmd:"" help:"End a drain."`
+	Leave    listLeave    `cmd:"" help:"Remove a server."`
+}
+
+func printTargets(w io.Writer, all []list.Target) {
+	for _, t := range all {
+		boot := "long ago"
+		if t.BootMS > 0 {
+			boot = time.UnixMilli(t.BootMS).UTC().Format(time.RFC3339)
+		}
+		fmt.Fprintf(w, "%-20s %-9s %-21s az %-10s model %-10s booted %s\n", t.UID, t.State, t.Endpoint, t.Zone, t.Model, boot)
+	}
+}
+
+type listGet struct {
+	keepersFlag
+	UID   string `arg:"" optional:"" help:"Only this server, with its revision."`
+	Exact bool   `help:"Ask the leader: with every write that was acknowledged before."`
+	JSON  bool   `help:"Print as JSON." name:"json"`
+}
+
+// Run prints it.
+func (c listGet) Run(ctx context.Context, s streams) error {
+	return c.call(ctx, func(ctx context.Context, k *client.Client) error {
+		if c.UID != "" {
+			e, ok, err := k.Server(ctx, c.UID)
+			if err != nil {
+				return err
+			}
+			if !ok {
+				return fmt.Errorf("no server %q", c.UID)
+			}
+			if c.JSON {
+				return json.NewEncoder(s.out).Encode(e)
+			}
+			fmt.Fprintf(s.out, "revision %d, lease %d ms, %s\n", e.Rev, e.LeaseMS, e.Why)
+			printTargets(s.out, []list.Target{e.Target})
+			return nil
+		}
+		l, err := k.List(ctx, c.Exact)
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			return json.NewEncoder(s.out).Encode(l)
+		}
+		fmt.Fprintf(s.out, "revision %d of %s, %d servers\n", l.Rev, l.Cluster, len(l.Targets))
+		printTargets(s.out, l.Targets)
+		return nil
+	})
+}
+
+type listWatch struct {
+	Keepers string        `help:"Addresses of keepers, with commas." env:"GRADEUSHER_KEEPERS" required:""`
+	For     time.Duration `help:"How long; at most a day." default:"24h"`
+	JSON    bool          `help:"Print as JSON, an object a line." name:"json"`
+}
+
+// Run prints changes. The watch goes on at another keeper when one is lost.
+func (c listWatch) Run(ctx context.Context, s streams) error {
+	if c.For <= 0 || c.For > 24*time.Hour {
+		return fmt.Errorf("%w: --for %v is not within 1ns to 24h", errUsage, c.For)
+	}
+	lines := json.NewEncoder(s.out)
+	f, err := client.NewFollower(client.Options{Keepers: strings.Split(c.Keepers, ","), Doubt: client.DefaultDoubt,
+		Log: slog.New(slog.NewTextHandler(s.err, nil)),
+		Told: func(u client.Update) {
+			if c.JSON {
+				_ = lines.Encode(u) // to a reader that has gone
+				return
+			}
+			printTargets(s.out, u.Targets)
+		}})
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.For)
+	defer cancel()
+	f.Run(ctx)
+	return nil
+}
+
+type listRegister struct {
+	keepersFlag
+	UID      string        `arg:"" help:"Id of the server."`
+	Endpoint string        `arg:"" help:"IP address and port."`
+	Zone     string        `help:"Its area (az)."`
+	Model    string        `help:"Its kind."`
+	PodGroup int           `help:"Its cell."`
+	Capacity float64       `help:"Capacity hint." default:"1"`
+	BootMS   int64         `help:"When its process started, as Unix time in ms; 0: long ago." name:"boot-ms"`
+	Lease    time.Duration `help:"It is drained when it does not renew for so long; 0: never." default:"0"`
+	Expect   *int64        `help:"Only if its entry is at this revision; 0: only if it is not there."`
+	Hold     bool          `help:"Renew the lease until interrupted, and leave then."`
+}
+
+// Run registers it, and stays if asked to.
+func (c listRegister) Run(ctx context.Context, s streams) error {
+	if c.Hold && c.Lease == 0 {
+		return fmt.Errorf("%w: --hold needs --lease", errUsage)
+	}
+	r := client.Registration{Target: list.Target{UID: c.UID, Endpoint: c.Endpoint, Zone: c.Zone, Model: c.Model, PodGroup: c.PodGroup,
+		State: list.Serving, Capacity: &c.Capacity, BootMS: c.BootMS}, LeaseMS: c.Lease.Milliseconds()}
+	err := c.call(ctx, func(ctx context.Context, k *client.Client) error {
+		d, err := k.Register(ctx, []client.Registration{r}, c.Expect)
+		if err == nil {
+			fmt.Fprintf(s.out, "revision %d\n", d.Rev)
+		}
+		return err
+	})
+	if err != nil || !c.Hold {
+		return err
+	}
+	return c.hold(ctx, r)
+}
+
+// hold renews a registration until ctx is done, and takes it back.
+func (c listRegister) hold(ctx context.Context, r client.Registration) error {
+	k, err := client.New(strings.Split(c.Keepers, ","))
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	defer k.Close()
+	k.Hold(ctx, r)
+	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.Within)
+	defer cancel()
+	_, err = k.Change(leave, client.Leave, r.UID, nil)
+	return err
+}
+
+// turnCommand is a change to one server.
+type turnCommand struct {
+	keepersFlag
+	UID    string `arg:"" help:"Id of the server."`
+	Expect string `help:"Only if its entry is at this revision."`
+}
+
+func (c turnCommand) do(ctx context.Context, s streams, turn client.Turn) error {
+	var expect *int64
+	if c.Expect != "" {
+		n, err := strconv.ParseInt(c.Expect, 10, 64)
+		if err != nil {
+			return fmt.Errorf("%w: --expect: %q is no revision", errUsage, c.Expect)
+		}
+		expect = &n
+	}
+	return c.call(ctx, func(ctx context.Context, k *client.Client) error {
+		d, err := k.Change(ctx, turn, c.UID, expect)
+		if err == nil {
+			fmt.Fprintf(s.out, "revision %d\n", d.Rev)
+		}
+		return err
+	})
+}
+
+type listDrain struct{ turnCommand }
+
+// Run drains it.
+func (c listDrain) Run(ctx context.Context, s streams) error { return c.do(ctx, s, client.Drain) }
+
+type listServe struct{ turnCommand }
+
+// Run ends the drain.
+func (c listServe) Run(ctx context.Context, s streams) error { return c.do(ctx, s, client.Serve) }
+
+type listLeave struct{ turnCommand }
+
+// Run removes it.
+func (c listLeave) Run(ctx context.Context, s streams) error { return c.do(ctx, s, client.Leave) }
--- a/cmd/gradeusher/main.go
+++ b/cmd/gradeusher/main.go
@@ -26,6 +26,9 @@
 type commands struct {
 	Up      upCommand      `cmd:"" help:"Start stand-in servers, a list, two sidecars and light traffic on this machine, and print figures."`
 	Lab     labCommand     `cmd:"" help:"Run experiments with real processes and faults between them."`
+	Keeper  keeperCommand  `cmd:"" help:"Be a keeper of the list, or look after keepers."`
+	List    listCommands   `cmd:"" help:"Read and change the keepers' list of servers."`
+	Status  statusCommand  `cmd:"" help:"Show what each keeper knows: leader, term, revision, age, watchers."`
 	Sidecar sidecarCommand `cmd:"" help:"Be a sidecar, configured as bin/sidecar by PROXY_CONFIG and the other variables."`
 	StandIn standInCommand `cmd:"" name:"stand-in" hidden:"" help:"Be a stand-in process of an experiment."`
 }
--- /dev/null
+++ b/internal/client/client.go
@@ -0,0 +1,325 @@
+// Package client is how sidecars, the command and the lab talk to keepers: which one is asked, when it is asked again, and
+// what is held while none answers.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"gradeusher.example/gradeusher/internal/list"
+)
+
+// Times of one try at one keeper.
+const (
+	connectTimeout = time.Second
+	tryTimeout     = 6 * time.Second // longer than a keeper waits for agreement, so that it is the keeper who says what became of it
+	leastPause     = 50 * time.Millisecond
+	mostPause      = 2 * time.Second
+	mostAnswer     = 256 << 20 // bytes; a backup
+)
+
+// ErrUncertain is a write whose outcome is not known: it may have been done, and may yet be.
+var ErrUncertain = errors.New("the outcome is unknown")
+
+// Refused is a call that a keeper understood and did not do. Nothing of it was applied.
+type Refused struct {
+	Status int
+	Code   string `json:"code"`
+	Reason string `json:"reason"`
+	Rev    int64  `json:"rev"`
+}
+
+func (e *Refused) Error() string { return e.Reason }
+
+// Client calls keepers. It is safe for concurrent use.
+type Client struct {
+	keepers []string
+	http    *http.Client
+	next    atomic.Int64 // which keeper is asked first: the one that answered last
+}
+
+// New is a client of keepers, by address. Errors tell which is none.
+func New(keepers []string) (*Client, error) {
+	if len(keepers) == 0 {
+		return nil, errors.New("no keeper is named")
+	}
+	for _, k := range keepers {
+		if err := list.CheckAddress(k); err != nil {
+			return nil, fmt.Errorf("keeper: %w", err)
+		}
+	}
+	c := &Client{keepers: keepers, http: &http.Client{
+		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 64,
+			IdleConnTimeout: 30 * time.Second},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+	c.next.Store(rand.Int64N(int64(len(keepers))))
+	return c, nil
+}
+
+// Close lets go of idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Keepers are the addresses.
+func (c *Client) Keepers() []string { return c.keepers }
+
+// call is one call, wherever it is answered.
+type call struct {
+	method, path string
+	body         any
+	once         bool // a second time might do something else than the first: not sent again when its outcome is unknown
+	raw          []byte
+	patience     time.Duration // of one try; 0: tryTimeout
+}
+
+// do makes a call until a keeper has done or refused it, or ctx is done. Keepers that are not leaders, are crowded or are
+// gone are passed over, with pauses that grow and are drawn, so that many clients do not come again together.
+func (c *Client) do(ctx context.Context, q call, into any) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval, pause.RandomizationFactor = leastPause, mostPause, 0.5
+	var last error
+	for n := 0; ; n++ {
+		i := c.next.Load()
+		after, err := c.try(ctx, c.keepers[i%int64(len(c.keepers))], q, into)
+		var refused *Refused
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &refused) && refused.Status != http.StatusServiceUnavailable:
+			return err
+		case errors.Is(err, ErrUncertain) && q.once:
+			return err
+		}
+		if ctx.Err() == nil || last == nil {
+			last = err
+		}
+		c.next.CompareAndSwap(i, (i+1)%int64(len(c.keepers)))
+		wait := time.Duration(0)
+		if (n+1)%len(c.keepers) == 0 { // all were asked
+			wait = max(pause.NextBackOff(), after)
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return fmt.Errorf("no keeper did it: %w", last)
+		}
+	}
+}
+
+// try makes a call at one keeper. after is how long it wants to be left alone.
+func (c *Client) try(ctx context.Context, keeper string, q call, into any) (after time.Duration, err error) {
+	patience := q.patience
+	if patience == 0 {
+		patience = tryTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	body := q.raw
+	if q.body != nil {
+		if body, err = json.Marshal(q.body); err != nil {
+			return 0, fmt.Errorf("call: %w", err)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, q.method, "http://"+keeper+q.path, bytes.NewReader(body))
+	if err != nil {
+		return 0, fmt.Errorf("call: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	var dial *net.OpError
+	switch {
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return 0, fmt.Errorf("keeper %s: %w", keeper, err)
+	case err != nil:
+		return 0, fmt.Errorf("keeper %s: %w: %w", keeper, ErrUncertain, err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
+	if err != nil {
+		return 0, fmt.Errorf("keeper %s: %w: %w", keeper, ErrUncertain, err)
+	}
+	if resp.StatusCode/100 == 2 {
+		if raw, ok := into.(*[]byte); ok {
+			*raw = text
+			return 0, nil
+		}
+		if into != nil {
+			if err := json.Unmarshal(text, into); err != nil {
+				return 0, fmt.Errorf("keeper %s: %w: %w", keeper, ErrUncertain, err)
+			}
+		}
+		return 0, nil
+	}
+	r := &Refused{Status: resp.StatusCode}
+	if err := json.Unmarshal(text, r); err != nil || r.Reason == "" {
+		r.Reason = fmt.Sprintf("status %d", resp.StatusCode)
+	}
+	if resp.StatusCode >= 500 && resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusInsufficientStorage {
+		return 0, fmt.Errorf("keeper %s: %w: %s", keeper, ErrUncertain, r.Reason)
+	}
+	return retryAfter(resp.Header), fmt.Errorf("keeper %s: %w", keeper, r)
+}
+
+// retryAfter reads the header, in seconds, whole or decimal; 0: it says nothing that makes sense.
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || !(s > 0 && s < 60) {
+		return 0
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
+// Entry is a server with what keepers know of it.
+type Entry struct {
+	list.Target
+	LeaseMS int64  `json:"lease_ms,omitempty"`
+	Rev     int64  `json:"rev"`
+	Why     string `json:"why,omitempty"`
+}
+
+// Registration is what a server says of itself.
+type Registration struct {
+	list.Target
+	LeaseMS int64 `json:"lease_ms,omitempty"`
+}
+
+// Done is what became of a write.
+type Done struct {
+	Rev     int64  `json:"rev"` // of the entry
+	Cluster string `json:"cluster"`
+	Server  *Entry `json:"server,omitempty"`
+}
+
+// List is the whole list. exact: with every write that was acknowledged before the call.
+func (c *Client) List(ctx context.Context, exact bool) (list.List, error) {
+	path := "/v1/servers"
+	if exact {
+		path += "?exact=1"
+	}
+	var text []byte
+	if err := c.do(ctx, call{method: http.MethodGet, path: path}, &text); err != nil {
+		return list.List{}, err
+	}
+	return list.Parse(text)
+}
+
+// Server is one entry, with every write that was acknowledged before the call. It tells false where there is none.
+func (c *Client) Server(ctx context.Context, uid string) (e Entry, ok bool, err error) {
+	var d Done
+	err = c.do(ctx, call{method: http.MethodGet, path: "/v1/servers/" + url.PathEscape(uid)}, &d)
+	var refused *Refused
+	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+		return e, false, nil
+	}
+	if err != nil || d.Server == nil {
+		return e, false, err
+	}
+	return *d.Server, true, nil
+}
+
+// Register puts servers on the list, all or none. expect, if not nil, is the revision that the one server's entry must have;
+// 0: it must not be there. Errors are *Refused, ErrUncertain where expect is given, or ctx's with the last cause.
+func (c *Client) Register(ctx context.Context, servers []Registration, expect *int64) (d Done, err error) {
+	err = c.do(ctx, call{method: http.MethodPost, path: "/v1/servers", once: expect != nil,
+		body: map[string]any{"servers": servers, "expect": expect}}, &d)
+	return d, err
+}
+
+// Turn is what Change does to a server.
+type Turn string
+
+// What can be done to a server.
+const (
+	Drain Turn = "drain" // it gets no new work
+	Serve Turn = "serve" // it does again
+	Leave Turn = "leave" // it is gone
+)
+
+// Change drains a server, has it serve again, or removes it. expect is as with Register.
+func (c *Client) Change(ctx context.Context, turn Turn, uid string, expect *int64) (d Done, err error) {
+	q := call{method: http.MethodPost, path: "/v1/servers/" + url.PathEscape(uid) + "/" + string(turn), once: expect != nil}
+	if turn == Leave {
+		q.method, q.path = http.MethodDelete, "/v1/servers/"+url.PathEscape(uid)
+	}
+	if expect != nil {
+		q.path += "?expect=" + strconv.FormatInt(*expect, 10)
+	}
+	err = c.do(ctx, q, &d)
+	return d, err
+}
+
+// Renewal is a lease that goes on.
+type Renewal struct {
+	UID    string `json:"uid"`
+	BootMS int64  `json:"boot_ms"`
+}
+
+// Renew has leases begin anew, and returns those that cannot: they have to register again.
+func (c *Client) Renew(ctx context.Context, all []Renewal) (unknown []string, err error) {
+	var a struct {
+		Unknown []string `json:"unknown"`
+	}
+	err = c.do(ctx, call{method: http.MethodPost, path: "/v1/renew", body: map[string]any{"renewals": all}}, &a)
+	return a.Unknown, err
+}
+
+// Status asks each keeper for its own, into what New gives; the errors of those that did not answer are by address.
+func Status[T any](ctx context.Context, c *Client) (all map[string]T, failed map[string]error) {
+	all, failed = map[string]T{}, map[string]error{}
+	type one struct {
+		keeper string
+		status T
+		err    error
+	}
+	answers := make(chan one, len(c.keepers))
+	for _, k := range c.keepers {
+		go func() {
+			o := one{keeper: k}
+			_, o.err = c.try(ctx, k, call{method: http.MethodGet, path: "/v1/status", patience: 2 * time.Second}, &o.status)
+			answers <- o
+		}()
+	}
+	for range c.keepers {
+		o := <-answers
+		if o.err != nil {
+			failed[o.keeper] = o.err
+		} else {
+			all[o.keeper] = o.status
+		}
+	}
+	return all, failed
+}
+
+// Backup is the whole state as a file. exact: as of the leader now; without, any keeper's, also when no majority is left.
+func (c *Client) Backup(ctx context.Context, exact bool) (text []byte, err error) {
+	path := "/v1/backup"
+	if exact {
+		path += "?exact=1"
+	}
+	err = c.do(ctx, call{method: http.MethodGet, path: path, patience: time.Minute}, &text)
+	return text, err
+}
+
+// Restore replaces the state of all keepers by a backup.
+func (c *Client) Restore(ctx context.Context, backup []byte) (d Done, err error) {
+	err = c.do(ctx, call{method: http.MethodPost, path: "/v1/restore", raw: backup, once: true, patience: time.Minute}, &d)
+	return d, err
+}
+
+// Remove takes a keeper out of the cluster.
+func (c *Client) Remove(ctx context.Context, name string) error {
+	return c.do(ctx, call{method: http.MethodDelete, path: "/v1/keepers/" + url.PathEscape(name), once: true, patience: 20 * time.Second}, nil)
+}
--- /dev/null
+++ b/internal/client/follow.go
@@ -0,0 +1,401 @@
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"gradeusher.example/gradeusher/internal/list"
+)
+
+// Update is what a follower tells.
+type Update struct {
+	All        bool          `json:"all"`        // Targets is all there is; else what changed
+	Remembered bool          `json:"remembered"` // it is what was held before, not what a keeper says now
+	Targets    []list.Target `json:"targets"`
+}
+
+// Options say how a Follower follows.
+type Options struct {
+	Keepers  []string
+	Doubt    Doubt
+	Cache    Cache
+	MostAge  time.Duration // a keeper that was out of touch for longer is left for another; 0: 5 s
+	Log      *slog.Logger
+	Told     func(Update)  // called by one goroutine
+	SaveWait time.Duration // the list is saved at most so often; 0: 1 s
+}
+
+// Follower keeps a list by watching one keeper after the other.
+type Follower struct {
+	o       Options
+	reader  *Reader
+	http    *http.Transport
+	fresh   atomic.Int64 // Unix time in ns at which the list was last known to be up to date; 0: never
+	saves   chan list.List
+	second  chan reading // the answer to a second reading that was asked for
+	asked   time.Time    // when it last was
+	asking  bool
+	tasks   sync.WaitGroup
+	dirty   bool // the list is not saved
+	saved   time.Time
+	next    int  // the keeper that is asked next
+	patient bool // no keeper is in touch: the age is borne
+}
+
+// Times of a Follower's calls.
+const (
+	watchPauseLeast = 100 * time.Millisecond
+	watchPauseMost  = 5 * time.Second // so that a fleet comes back to its keepers over some seconds
+	defaultMostAge  = 5 * time.Second
+	defaultSave     = time.Second
+	secondTimeout   = 3 * time.Second
+	doubtEvery      = 500 * time.Millisecond
+)
+
+// NewFollower takes up what the cache holds and tells it at once.
+func NewFollower(o Options) (*Follower, error) {
+	if len(o.Keepers) == 0 {
+		return nil, errors.New("no keeper is named")
+	}
+	for _, k := range o.Keepers {
+		if err := list.CheckAddress(k); err != nil {
+			return nil, fmt.Errorf("keeper: %w", err)
+		}
+	}
+	if o.MostAge == 0 {
+		o.MostAge = defaultMostAge
+	}
+	if o.SaveWait == 0 {
+		o.SaveWait = defaultSave
+	}
+	// Each begins at a keeper of its own choice, so that they share the watchers.
+	f := &Follower{o: o, reader: NewReader(o.Doubt), saves: make(chan list.List, 1), second: make(chan reading, 1), next: rand.IntN(len(o.Keepers)),
+		http: &http.Transport{DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext, DisableCompression: true, DisableKeepAlives: true,
+			ResponseHeaderTimeout: list.Silence}}
+	l, age, ok, err := o.Cache.Load(time.Now())
+	if err != nil {
+		o.Log.Warn("list", "err", err)
+	}
+	if ok {
+		o.Log.Info("list remembered", "rev", l.Rev, "servers", len(l.Targets), "age_s", int64(age.Seconds()))
+		f.reader.Remember(l)
+		f.fresh.Store(time.Now().Add(-age).UnixNano())
+		o.Told(Update{All: true, Remembered: true, Targets: f.reader.Held().Targets})
+	}
+	return f, nil
+}
+
+// Age is how long ago the list was last known to be up to date. It tells false where it never was.
+func (f *Follower) Age() (time.Duration, bool) {
+	at := f.fresh.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return time.Since(time.Unix(0, at)), true
+}
+
+// Run follows until ctx is done.
+func (f *Follower) Run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval, pause.RandomizationFactor, pause.Multiplier = watchPauseLeast, watchPauseMost, 0.5, 2
+	ctx, cancel := context.WithCancel(ctx)
+	defer f.http.CloseIdleConnections()
+	f.tasks.Add(1)
+	go f.keep()
+	defer f.tasks.Wait()
+	defer close(f.saves)
+	defer f.save(true)
+	defer cancel()
+	for failed := 0; ; {
+		keeper := f.o.Keepers[f.next%len(f.o.Keepers)]
+		came, after, err := f.watch(ctx, keeper)
+		if ctx.Err() != nil {
+			return
+		}
+		f.o.Log.Info("list", "keeper", keeper, "err", err)
+		f.next++
+		if came {
+			pause.Reset()
+			failed = 0
+		}
+		failed++
+		f.patient = failed >= len(f.o.Keepers)
+		wait := max(pause.NextBackOff(), after)
+		if failed < len(f.o.Keepers) && after == 0 { // others have not been asked
+			wait = rand.N(watchPauseLeast)
+		}
+		if !f.wait(ctx, wait) {
+			return
+		}
+	}
+}
+
+// wait passes a time, in which a list that is doubted goes on being looked at.
+func (f *Follower) wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	tick := time.NewTicker(doubtEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return true
+		case now := <-tick.C:
+			f.tend(ctx, now, "")
+		case r := <-f.second:
+			f.confirm(r)
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+var errStale = errors.New("the keeper is out of touch")
+
+// line is one line of a watch, or why there is none.
+type line struct {
+	text []byte
+	err  error
+}
+
+// watch follows one keeper until it ends or is no good. came: it said something new.
+func (f *Follower) watch(ctx context.Context, keeper string) (came bool, after time.Duration, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	url := "http://" + keeper + "/v1/servers?watch=1&ages=1"
+	if f.reader.Rev() >= 0 {
+		url += "&from=" + strconv.FormatInt(f.reader.Rev(), 10) + "&cluster=" + f.reader.Cluster()
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false, 0, err
+	}
+	resp, err := f.http.RoundTrip(req)
+	if err != nil {
+		return false, 0, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 4096)) // what it says is for the log alone
+		return false, retryAfter(resp.Header), fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
+	}
+	lines := make(chan line)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		in := bufio.NewScanner(resp.Body)
+		in.Buffer(nil, list.MostText)
+		send := func(l line) bool {
+			select {
+			case lines <- l:
+				return true
+			case <-ctx.Done():
+				return false
+			}
+		}
+		for in.Scan() {
+			if !send(line{text: bytes.Clone(in.Bytes())}) {
+				return
+			}
+		}
+		send(line{err: errors.Join(errors.New("the watch ended"), in.Err())})
+	}()
+	defer func() { <-ended }()
+	defer cancel()
+	defer resp.Body.Close()
+	silent := time.NewTimer(list.Silence)
+	defer silent.Stop()
+	tick := time.NewTicker(doubtEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case l := <-lines:
+			if l.err != nil {
+				return came, 0, l.err
+			}
+			silent.Reset(list.Silence)
+			if len(bytes.TrimSpace(l.text)) == 0 {
+				f.fresh.Store(time.Now().UnixNano())
+				continue
+			}
+			said, err := list.Parse(l.text)
+			if err != nil {
+				return came, 0, err
+			}
+			if err := f.take(said); err != nil {
+				return came, 0, err
+			}
+			if said.AgeMS == nil || time.Duration(*said.AgeMS)*time.Millisecond <= f.o.MostAge {
+				came = true
+			} else if !f.patient {
+				return came, 0, fmt.Errorf("%w for %d ms", errStale, *said.AgeMS)
+			}
+		case now := <-tick.C:
+			f.tend(ctx, now, keeper)
+		case r := <-f.second:
+			f.confirm(r)
+		case <-silent.C:
+			return came, 0, fmt.Errorf("nothing came for %v", list.Silence)
+		case <-ctx.Done():
+			return came, 0, ctx.Err()
+		}
+	}
+}
+
+// take takes what a keeper says and tells what changes by it.
+func (f *Follower) take(l list.List) error {
+	first, missing := f.reader.Rev() < 0, f.reader.Missing()
+	foreign := !first && f.reader.Cluster() != "" && l.Cluster != f.reader.Cluster()
+	rev := f.reader.Rev()
+	changes, err := f.reader.Take(l, time.Now())
+	if err != nil {
+		return err
+	}
+	if foreign {
+		f.o.Log.Warn("list of another cluster", "cluster", l.Cluster, "rev", l.Rev, "before", rev)
+	}
+	if n := f.reader.Missing(); n > missing {
+		f.o.Log.Warn("list shrank: what is missing is kept until a second reading", "missing", n, "rev", l.Rev)
+	}
+	at := time.Now()
+	if l.AgeMS != nil {
+		at = at.Add(-time.Duration(*l.AgeMS) * time.Millisecond)
+	}
+	f.fresh.Store(max(f.fresh.Load(), at.UnixNano()))
+	f.tell(changes, first)
+	if f.reader.Rev() != rev {
+		f.dirty = true
+		f.save(false)
+	}
+	return nil
+}
+
+func (f *Follower) tell(changes []list.Target, all bool) {
+	if len(changes) > 0 || all {
+		f.dirty = true
+		f.o.Told(Update{All: all, Targets: changes})
+	}
+}
+
+// reading is a second reading of the list, or why there is none.
+type reading struct {
+	list list.List
+	err  error
+}
+
+// tend does what time brings: a second reading, steps without one, and saving. It never waits: news would.
+func (f *Follower) tend(ctx context.Context, now time.Time, watched string) {
+	if !f.asking && f.reader.Asks(now) && now.Sub(f.asked) >= f.o.Doubt.After {
+		f.asking, f.asked = true, now
+		keeper, path := f.other(watched), "/v1/servers?from="+strconv.FormatInt(f.reader.Rev(), 10)+"&cluster="+f.reader.Cluster()
+		f.tasks.Add(1)
+		go func() {
+			defer f.tasks.Done()
+			l, err := f.read(ctx, keeper, path)
+			f.second <- reading{l, err} // there is room for the one that is asked for at a time
+		}()
+	}
+	f.letGo(f.reader.Step(now), false)
+	f.save(false)
+}
+
+// confirm takes a second reading.
+func (f *Follower) confirm(r reading) {
+	f.asking = false
+	gone, err := []list.Target(nil), r.err
+	if err == nil {
+		gone, err = f.reader.Confirm(r.list)
+	}
+	if err != nil {
+		f.o.Log.Info("list: no second reading", "err", err)
+	}
+	f.letGo(gone, true)
+}
+
+func (f *Follower) letGo(gone []list.Target, confirmed bool) {
+	if len(gone) > 0 {
+		f.o.Log.Warn("list: servers let go", "servers", len(gone), "confirmed", confirmed, "missing", f.reader.Missing())
+	}
+	f.tell(gone, false)
+}
+
+// other is a keeper for a second reading: where there is one, another than the one that is watched.
+func (f *Follower) other(watched string) string {
+	n := len(f.o.Keepers)
+	for i := range n {
+		if k := f.o.Keepers[(f.next+1+i)%n]; k != watched {
+			return k
+		}
+	}
+	return watched
+}
+
+// read reads the whole list once from a keeper.
+func (f *Follower) read(ctx context.Context, keeper, path string) (list.List, error) {
+	ctx, cancel := context.WithTimeout(ctx, secondTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+keeper+path, nil)
+	if err != nil {
+		return list.List{}, err
+	}
+	resp, err := f.http.RoundTrip(req)
+	if err != nil {
+		return list.List{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return list.List{}, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, list.MostText))
+	if err != nil {
+		return list.List{}, err
+	}
+	return list.Parse(text)
+}
+
+// save hands the list on to be saved if it changed, now or not too often.
+func (f *Follower) save(now bool) {
+	if !f.dirty || !now && time.Since(f.saved) < f.o.SaveWait {
+		return
+	}
+	l := f.reader.Held()
+	for {
+		select {
+		case f.saves <- l:
+			f.dirty, f.saved = false, time.Now()
+			return
+		default:
+		}
+		select { // the disk is slow: what waits is outdated
+		case <-f.saves:
+		default:
+		}
+	}
+}
+
+// keep saves lists until there are no more. Danger: a disk may take any time, in which news must go on.
+func (f *Follower) keep() {
+	defer f.tasks.Done()
+	bad := false
+	for l := range f.saves {
+		err := f.o.Cache.Save(l, time.Now())
+		if err != nil && !bad {
+			f.o.Log.Warn("list", "err", err) // once, until it works again
+		}
+		bad = err != nil
+	}
+}
--- /dev/null
+++ b/internal/client/reader_test.go
@@ -0,0 +1,170 @@
+package client
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gradeusher.example/gradeusher/internal/list"
+)
+
+func target(i int, state list.State) list.Target {
+	return list.Target{UID: fmt.Sprintf("s-%d", i), Endpoint: fmt.Sprintf("10.0.0.%d:80", i+1), State: state}
+}
+
+func whole(rev int64, n ...int) list.List {
+	l := list.List{Rev: rev, All: true, Cluster: "c"}
+	for _, i := range n {
+		l.Targets = append(l.Targets, target(i, list.Serving))
+	}
+	return l
+}
+
+func uids(all []list.Target) string {
+	s := ""
+	for _, t := range all {
+		s += t.UID + " " + string(t.State) + "; "
+	}
+	return s
+}
+
+// TestReader takes a random course of lists. The revision never falls, whoever applies the changes holds what the reader
+// holds, and once nothing is doubted it holds the truth.
+func TestReader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewReader(Doubt{Share: 0.4, Least: 1, After: time.Second, Every: 3 * time.Second})
+		consumer := map[string]list.Target{}
+		apply := func(changes []list.Target) {
+			for _, c := range changes {
+				if c.State == list.Deleted {
+					delete(consumer, c.UID)
+				} else {
+					consumer[c.UID] = c
+				}
+			}
+		}
+		truth := []map[string]list.Target{{}} // by revision
+		var changes []list.Target             // that of revision i is at i-1
+		now := time.Unix(1000, 0)
+		at := func(rev int) list.List {
+			l := list.List{Rev: int64(rev), All: true, Cluster: "c"}
+			for _, t := range truth[rev] {
+				l.Targets = append(l.Targets, t)
+			}
+			return l
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			last := len(truth) - 1
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1: // the fleet changes
+				next := maps.Clone(truth[last])
+				c := target(rapid.IntRange(0, 8).Draw(t, "server"), rapid.SampledFrom([]list.State{list.Serving, list.Draining, list.Deleted}).Draw(t, "state"))
+				if c.State == list.Deleted {
+					delete(next, c.UID)
+				} else {
+					next[c.UID] = c
+				}
+				truth, changes = append(truth, next), append(changes, c)
+			case 2: // what changed since, up to some revision
+				if r.Rev() < 0 {
+					continue
+				}
+				to := rapid.IntRange(int(r.Rev()), last).Draw(t, "to")
+				got, err := r.Take(list.List{Rev: int64(to), Cluster: "c", Targets: changes[r.Rev():to]}, now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				apply(got)
+			case 3: // a whole list, perhaps an old one
+				rev := rapid.IntRange(0, last).Draw(t, "rev")
+				before := r.Rev()
+				held, missing := len(r.Held().Targets), r.Missing()
+				got, err := r.Take(at(rev), now)
+				if (err != nil) != (int64(rev) < before) || err != nil && !errors.Is(err, ErrWentBack) {
+					t.Fatalf("revision %d after %d: %v", rev, before, err)
+				}
+				apply(got)
+				if err == nil && missing == 0 && r.Missing() == 0 && held-len(r.Held().Targets) > max(1, held*4/10) {
+					t.Fatalf("%d of %d servers went at once", held-len(r.Held().Targets), held)
+				}
+			case 4:
+				if r.Asks(now) {
+					got, err := r.Confirm(at(last))
+					if err != nil {
+						t.Fatal(err)
+					}
+					apply(got)
+				}
+			case 5:
+				apply(r.Step(now))
+			}
+			if !maps.Equal(consumer, r.held) {
+				t.Fatalf("held %v, told %v", r.held, consumer)
+			}
+			if r.Rev() >= 0 && r.Missing() == 0 && !maps.Equal(r.held, truth[r.Rev()]) {
+				t.Fatalf("at revision %d held %v, want %v", r.Rev(), r.held, truth[r.Rev()])
+			}
+		}
+	})
+}
+
+// TestShrunken takes a list that lost most of its servers: they stay until a second reading, or go in steps.
+func TestShrunken(t *testing.T) {
+	now := time.Unix(1000, 0)
+	doubted := func() *Reader {
+		r := NewReader(DefaultDoubt)
+		if _, err := r.Take(whole(5, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9), now); err != nil {
+			t.Fatal(err)
+		}
+		got, err := r.Take(whole(9, 0, 1, 10), now)
+		if err != nil || uids(got) != "s-10 SERVING; " || r.Missing() != 8 {
+			t.Fatalf("took %s, %v, missing %d", uids(got), err, r.Missing())
+		}
+		return r
+	}
+	r := doubted()
+	if r.Asks(now) || !r.Asks(now.Add(DefaultDoubt.After)) {
+		t.Error("the second reading is not asked for in its time")
+	}
+	if got, err := r.Confirm(whole(9, 0, 1, 2, 10)); err != nil || len(got) != 7 || r.Missing() != 0 {
+		t.Errorf("confirmed %s, %v", uids(got), err)
+	}
+	r = doubted()
+	if _, err := r.Confirm(whole(4, 0)); !errors.Is(err, ErrWentBack) {
+		t.Errorf("an older reading confirmed it: %v", err)
+	}
+	var sizes []int
+	for i := 1; r.Missing() > 0; i++ {
+		sizes = append(sizes, len(r.Step(now.Add(time.Duration(i)*DefaultDoubt.Every))))
+	}
+	if fmt.Sprint(sizes) != "[3 2 2 1]" {
+		t.Errorf("went in steps of %v", sizes)
+	}
+	// What a keeper says is deleted goes at once, and what comes back is no longer missed.
+	r = doubted()
+	got, err := r.Take(list.List{Rev: 11, Cluster: "c", Targets: []list.Target{target(2, list.Deleted), target(3, list.Draining)}}, now)
+	if err != nil || uids(got) != "s-2 DELETED; s-3 DRAINING; " || r.Missing() != 6 {
+		t.Errorf("took %s, %v, missing %d", uids(got), err, r.Missing())
+	}
+}
+
+// TestForeign takes another cluster's list, whose revisions count from elsewhere, but no changes of it.
+func TestForeign(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewReader(DefaultDoubt)
+	r.Remember(whole(500, 0, 1, 2, 3, 4, 5))
+	other := whole(3, 0, 1, 2, 3, 4)
+	other.Cluster = "d"
+	changes := list.List{Rev: 501, Cluster: "d", Targets: []list.Target{target(9, list.Serving)}}
+	if _, err := r.Take(changes, now); err == nil {
+		t.Error("changes of another cluster were taken")
+	}
+	if got, err := r.Take(other, now); err != nil || uids(got) != "s-5 DELETED; " || r.Rev() != 3 || r.Cluster() != "d" {
+		t.Errorf("took %s, %v", uids(got), err)
+	}
+}
--- /dev/null
+++ b/internal/keeper/admin.go
@@ -0,0 +1,166 @@
+package keeper
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/replica"
+	"gradeusher.example/gradeusher/internal/state"
+)
+
+// Status is what a keeper knows of itself and its cluster.
+type Status struct {
+	replica.Status
+	AgeMS    int64          `json:"age_ms"` // how long ago it last knew itself up to date; below 0: not since its start
+	Cluster  string         `json:"cluster"`
+	Rev      int64          `json:"rev"`
+	Oldest   int64          `json:"oldest_rev"` // from which a watch can go on
+	Servers  int            `json:"servers"`
+	Watchers int64          `json:"watchers"`
+	Leases   int            `json:"leases"`      // that run, as the leader counts
+	Held     int            `json:"leases_held"` // that have ended and are held back
+	Keepers  []state.Keeper `json:"keepers"`
+}
+
+func (k *Keeper) status(w http.ResponseWriter, _ *http.Request) {
+	s := Status{Status: k.replica.Status(), Watchers: k.watchers.Load()}
+	s.AgeMS = s.Age.Milliseconds()
+	s.Leases, s.Held = k.lessor.figures()
+	k.store.read(func(m *state.Machine) {
+		s.Cluster, s.Rev, s.Oldest, s.Servers, s.Keepers = m.Cluster(), m.Rev(), m.Oldest(), m.Len(), m.Keepers()
+	})
+	reply(w, http.StatusOK, s)
+}
+
+const nearly = 64 // commands that a keeper may be behind to get its vote
+
+// addKeeper takes a keeper in: first without a vote, and with one once it says that it has caught up.
+func (k *Keeper) addKeeper(w http.ResponseWriter, r *http.Request) error {
+	var c joinCall
+	if err := decode(r, &c); err != nil {
+		return err
+	}
+	if err := list.CheckUID(c.Name); err != nil {
+		return badf("name: %w", err)
+	}
+	for _, a := range []string{c.Raft, c.HTTP} {
+		if err := list.CheckAddress(a); err != nil {
+			return badf("%w", err)
+		}
+	}
+	if !k.member.TryLock() {
+		return errCrowded // one change of members at a time
+	}
+	defer k.member.Unlock()
+	p := replica.Peer{Name: c.Name, Address: c.Raft}
+	if err := k.replica.Add(r.Context(), p); err != nil {
+		return conflict(err)
+	}
+	if commit := k.replica.Status().Commit; c.Applied+nearly < commit {
+		reply(w, http.StatusAccepted, problem{Code: "catching-up", Reason: fmt.Sprintf("%s is at %d of %d", c.Name, c.Applied, commit)})
+		return nil
+	}
+	if err := k.replica.Promote(p); err != nil {
+		return err
+	}
+	if _, err := k.propose(r.Context(), state.Command{Op: state.Member, Keeper: &state.Keeper{Name: c.Name, HTTP: c.HTTP}}); err != nil {
+		return err
+	}
+	k.log.Info("keeper joined", "keeper", c.Name)
+	return k.answerPeers(w)
+}
+
+// conflict is a change of members that does not fit who is there.
+func conflict(err error) error {
+	for _, known := range []error{replica.ErrNotLeader, replica.ErrUncertain, replica.ErrBusy} {
+		if errors.Is(err, known) {
+			return err
+		}
+	}
+	return &state.Error{Code: state.Conflict, Reason: err.Error()}
+}
+
+func (k *Keeper) removeKeeper(w http.ResponseWriter, r *http.Request) error {
+	if !k.member.TryLock() {
+		return errCrowded
+	}
+	defer k.member.Unlock()
+	name := r.PathValue("name")
+	if err := k.replica.Remove(name); err != nil {
+		return conflict(err)
+	}
+	if name == k.config.Name {
+		k.log.Info("keeper removed", "keeper", name)
+		return k.answerPeers(w) // it no longer leads: its successor notes the rest
+	}
+	if _, err := k.propose(r.Context(), state.Command{Op: state.Unmember, Keeper: &state.Keeper{Name: name}}); err != nil {
+		return err
+	}
+	k.log.Info("keeper removed", "keeper", name)
+	return k.answerPeers(w)
+}
+
+func (k *Keeper) answerPeers(w http.ResponseWriter) error {
+	peers, err := k.replica.Peers()
+	if err != nil {
+		return err
+	}
+	reply(w, http.StatusOK, map[string]any{"peers": peers})
+	return nil
+}
+
+// backup answers the whole state as a file. With exact=1 it holds every write that was acknowledged before; without, any
+// keeper answers with what it has, also when no majority is left.
+func (k *Keeper) backup(w http.ResponseWriter, r *http.Request) error {
+	if r.URL.Query().Get("exact") == "1" {
+		if err := k.replica.Confirm(r.Context()); err != nil {
+			return err
+		}
+	}
+	text, err := k.store.Snapshot()
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = w.Write(text) // to a caller who may have gone
+	return nil
+}
+
+// restore replaces the state of all keepers by that of a backup. Its revision rises above all that was shown since: at least
+// to the wall clock in microseconds, which no count of changes reaches.
+func (k *Keeper) restore(w http.ResponseWriter, r *http.Request) error {
+	if !k.member.TryLock() {
+		return errCrowded
+	}
+	defer k.member.Unlock()
+	if err := k.replica.Confirm(r.Context()); err != nil {
+		return err
+	}
+	m, err := state.ReadSnapshot(r.Body)
+	if err != nil {
+		return badf("%w", err)
+	}
+	if m.Cluster() == "" {
+		return badf("the backup is of a cluster that never began")
+	}
+	floor := time.Now().UnixMicro()
+	k.store.read(func(now *state.Machine) {
+		floor = max(floor, now.Rev()+1)
+	})
+	m.Raise(floor)
+	text, err := m.Snapshot()
+	if err != nil {
+		return err
+	}
+	if err := k.replica.Restore(text); err != nil {
+		return err
+	}
+	k.log.Warn("restored from a backup", "rev", m.Rev(), "servers", m.Len())
+	reply(w, http.StatusOK, answer{Rev: m.Rev(), Cluster: m.Cluster()})
+	return nil
+}
--- /dev/null
+++ b/internal/keeper/http.go
@@ -0,0 +1,335 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/replica"
+	"gradeusher.example/gradeusher/internal/state"
+)
+
+// Headers of a keeper's answers.
+const (
+	HeaderRevision = "X-Keeper-Revision" // of the list that it knows
+	HeaderAge      = "X-Keeper-Age-Ms"   // how long ago it last knew itself up to date; "unknown": not since its start
+	HeaderLeader   = "X-Keeper-Leader"   // name of the leader
+	HeaderCluster  = "X-Keeper-Cluster"
+)
+
+// problem is why a call was refused.
+type problem struct {
+	Code   string `json:"code"`
+	Reason string `json:"reason"`
+	Leader string `json:"leader,omitempty"`
+	Rev    int64  `json:"rev"`
+}
+
+// answer is what became of a write.
+type answer struct {
+	Rev     int64       `json:"rev"`     // of the entry, after it
+	Cluster string      `json:"cluster"` //
+	Entry   *EntryState `json:"server,omitempty"`
+}
+
+// EntryState is a server with what a keeper knows of it besides the list's form.
+type EntryState struct {
+	list.Target
+	LeaseMS int64  `json:"lease_ms,omitempty"`
+	Rev     int64  `json:"rev"`
+	Why     string `json:"why,omitempty"`
+}
+
+func entryState(e state.Entry) *EntryState { return &EntryState{e.Target, e.LeaseMS, e.Rev, e.Why} }
+
+// writeTimeout bounds how long a write waits for agreement. A client's own time-out is longer.
+const writeTimeout = 5 * time.Second
+
+// answerTimeout bounds a call with the writing of its answer.
+const answerTimeout = 2 * writeTimeout
+
+// handler is all that a keeper answers.
+func (k *Keeper) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/servers", k.servers)
+	mux.HandleFunc("GET /v1/servers/{uid}", k.admit("get", k.server))
+	mux.HandleFunc("POST /v1/servers", k.admit("register", k.register))
+	mux.HandleFunc("POST /v1/servers/{uid}/drain", k.admit("drain", k.turn(state.Drain)))
+	mux.HandleFunc("POST /v1/servers/{uid}/serve", k.admit("serve", k.turn(state.Serve)))
+	mux.HandleFunc("DELETE /v1/servers/{uid}", k.admit("leave", k.turn(state.Leave)))
+	mux.HandleFunc("POST /v1/renew", k.admit("renew", k.renew))
+	mux.HandleFunc("GET /v1/status", k.status) // always answered: it is asked when all else is refused
+	mux.HandleFunc("POST /v1/keepers", k.admit("join", k.addKeeper))
+	mux.HandleFunc("DELETE /v1/keepers/{name}", k.admit("remove", k.removeKeeper))
+	mux.HandleFunc("GET /v1/backup", k.admit("backup", k.backup))
+	mux.HandleFunc("POST /v1/restore", k.admit("restore", k.restore))
+	mux.Handle("GET /metrics", k.metrics.handler())
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := w.Header()
+		k.store.read(func(m *state.Machine) {
+			h.Set(HeaderRevision, strconv.FormatInt(m.Rev(), 10))
+			h.Set(HeaderCluster, m.Cluster())
+		})
+		h.Set(HeaderAge, k.age())
+		// Each watch sets it anew with each line; on a connection that is kept, the one before would cut this answer off.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout)) // it goes on without
+		h.Set(HeaderLeader, k.replica.Leader())
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func (k *Keeper) age() string {
+	if age, known := k.replica.Age(); known {
+		return strconv.FormatInt(age.Milliseconds(), 10)
+	}
+	return "unknown"
+}
+
+// admit gives a call its place among those that may go on at once.
+func (k *Keeper) admit(op string, do func(http.ResponseWriter, *http.Request) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case k.calls <- struct{}{}:
+			defer func() { <-k.calls }()
+		default:
+			k.refuse(w, op, errCrowded)
+			return
+		}
+		began := time.Now()
+		if err := k.takeBody(w, r, op); err != nil {
+			k.refuse(w, op, err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), writeTimeout)
+		defer cancel()
+		err := do(w, r.WithContext(ctx))
+		if err != nil {
+			k.refuse(w, op, err)
+			return
+		}
+		k.metrics.done(op, "ok", time.Since(began))
+	}
+}
+
+// takeBody reads a call's body whole, within its bounds. Danger: whoever sends one slowly would hold a place for as long as he
+// likes; and a deadline that stays on the connection would cut off the next answer.
+func (k *Keeper) takeBody(w http.ResponseWriter, r *http.Request, op string) error {
+	most, within := int64(k.config.Limits.BodyKB)<<10, millis(k.config.Limits.ReadMS)
+	if op == "restore" {
+		most, within = state.MostSnapshot, restoreTimeout
+	}
+	conn := http.NewResponseController(w)
+	if err := conn.SetReadDeadline(time.Now().Add(within)); err != nil {
+		return err
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var size *http.MaxBytesError
+	switch {
+	case errors.As(err, &size):
+		return err
+	case err != nil:
+		return badf("body: it did not come whole within %v", within)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(text))
+	return conn.SetReadDeadline(time.Time{})
+}
+
+const restoreTimeout = 30 * time.Second // for a backup to come whole
+
+var (
+	errCrowded = errors.New("this keeper has as many calls as it takes")
+	errBehind  = errors.New("this keeper is behind")
+	errStart   = errors.New("too many watches begin at once")
+	errPlaces  = errors.New("this keeper has as many watchers as it takes")
+)
+
+// bad is a call that makes no sense, whoever is asked.
+type bad struct{ error }
+
+func badf(form string, args ...any) error { return bad{fmt.Errorf(form, args...)} }
+
+// refuse answers a call that is not done.
+func (k *Keeper) refuse(w http.ResponseWriter, op string, err error) {
+	code, word, after := http.StatusInternalServerError, "failed", time.Duration(0)
+	var of *state.Error
+	var size *http.MaxBytesError
+	switch {
+	case errors.As(err, &of):
+		word = string(of.Code)
+		code = map[state.Code]int{state.Bad: 400, state.Conflict: 409, state.Unknown: 404, state.Full: 507}[of.Code]
+	case errors.As(err, &size):
+		code, word, err = http.StatusRequestEntityTooLarge, "bad", fmt.Errorf("a call holds %d bytes at most", size.Limit)
+	case errors.As(err, &bad{}):
+		code, word = http.StatusBadRequest, "bad"
+	case errors.Is(err, replica.ErrNotLeader):
+		code, word, after = http.StatusServiceUnavailable, "not-leader", 200*time.Millisecond
+	case errors.Is(err, replica.ErrUncertain):
+		// Not 503: a client that sends a write again after this may do it twice.
+		code, word = http.StatusGatewayTimeout, "uncertain"
+	case errors.Is(err, errCrowded), errors.Is(err, errPlaces), errors.Is(err, errStart), errors.Is(err, replica.ErrBusy):
+		code, word, after = http.StatusServiceUnavailable, "busy", time.Second
+	case errors.Is(err, errBehind), errors.Is(err, errNoList):
+		code, word, after = http.StatusServiceUnavailable, "behind", 500*time.Millisecond
+	}
+	k.metrics.done(op, word, 0)
+	p := problem{Code: word, Reason: err.Error(), Leader: k.replica.Leader()}
+	k.store.read(func(m *state.Machine) { p.Rev = m.Rev() })
+	if after > 0 { // spread, so that those who are refused together do not come again together
+		after = after/2 + rand.N(after)
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	reply(w, code, p)
+}
+
+func reply(w http.ResponseWriter, code int, v any) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		code, text = http.StatusInternalServerError, []byte(`{"code":"failed","reason":"the answer cannot be written"}`)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_, _ = w.Write(append(text, '\n')) // to a caller who may have gone
+}
+
+// decode reads a call's body strictly: a key that means nothing here is likely a mistake of the caller's.
+func decode(r *http.Request, v any) error {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	if err != nil {
+		return badf("body: %w", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return badf("body: there is more behind the object")
+	}
+	return nil
+}
+
+// registerCall is the body of a registration.
+type registerCall struct {
+	Servers []state.Registration `json:"servers"`
+	Expect  *int64               `json:"expect,omitempty"`
+}
+
+func (k *Keeper) register(w http.ResponseWriter, r *http.Request) error {
+	var c registerCall
+	if err := decode(r, &c); err != nil {
+		return err
+	}
+	for i := range c.Servers {
+		if c.Servers[i].State == "" {
+			c.Servers[i].State = list.Serving
+		}
+	}
+	return k.write(w, r, state.Command{Op: state.Register, Servers: c.Servers, Expect: c.Expect})
+}
+
+// expectCall is the body of a write to one server; it may be left out.
+type expectCall struct {
+	Expect *int64 `json:"expect,omitempty"`
+}
+
+func (k *Keeper) turn(op state.Op) func(http.ResponseWriter, *http.Request) error {
+	return func(w http.ResponseWriter, r *http.Request) error {
+		var c expectCall
+		if r.ContentLength != 0 {
+			if err := decode(r, &c); err != nil {
+				return err
+			}
+		}
+		if v := r.URL.Query().Get("expect"); v != "" {
+			n, err := strconv.ParseInt(v, 10, 64)
+			if err != nil {
+				return badf("expect %.40q is no revision", v)
+			}
+			c.Expect = &n
+		}
+		return k.write(w, r, state.Command{Op: op, UID: r.PathValue("uid"), Expect: c.Expect})
+	}
+}
+
+func (k *Keeper) write(w http.ResponseWriter, r *http.Request, c state.Command) error {
+	result, err := k.propose(r.Context(), c)
+	if err != nil {
+		return err
+	}
+	a := answer{Rev: result.Rev}
+	k.store.read(func(m *state.Machine) { a.Cluster = m.Cluster() })
+	reply(w, http.StatusOK, a)
+	return nil
+}
+
+// server answers one entry, as it is after every write that was acknowledged before the call.
+func (k *Keeper) server(w http.ResponseWriter, r *http.Request) error {
+	if err := k.replica.Confirm(r.Context()); err != nil {
+		return err
+	}
+	uid := r.PathValue("uid")
+	var e state.Entry
+	var ok bool
+	a := answer{}
+	k.store.read(func(m *state.Machine) {
+		e, ok = m.Entry(uid)
+		a.Cluster, a.Rev = m.Cluster(), m.Rev()
+	})
+	if !ok {
+		return &state.Error{Code: state.Unknown, Reason: fmt.Sprintf("no server %.40q", uid)}
+	}
+	a.Rev, a.Entry = e.Rev, entryState(e)
+	reply(w, http.StatusOK, a)
+	return nil
+}
+
+const mostRenewals = 4096
+
+type renewCall struct {
+	Renewals []struct {
+		UID  string `json:"uid"`
+		Boot int64  `json:"boot_ms"`
+	} `json:"renewals"`
+}
+
+// renewed is the answer: who has to register again, as his lease is over or was never there.
+type renewed struct {
+	Unknown []string `json:"unknown"`
+}
+
+func (k *Keeper) renew(w http.ResponseWriter, r *http.Request) error {
+	var c renewCall
+	if err := decode(r, &c); err != nil {
+		return err
+	}
+	if len(c.Renewals) > mostRenewals {
+		return badf("%d renewals, %d at most in a call", len(c.Renewals), mostRenewals)
+	}
+	// Danger: a leader that was stopped and wakes would say that all is well, to be found out of office a moment later.
+	if err := k.replica.Confirm(r.Context()); err != nil {
+		return err
+	}
+	a := renewed{Unknown: []string{}}
+	now := time.Now()
+	for _, c := range c.Renewals {
+		if !k.lessor.renew(now, c.UID, c.Boot) && !k.fresh(c.UID, c.Boot) {
+			a.Unknown = append(a.Unknown, c.UID)
+		}
+	}
+	reply(w, http.StatusOK, a)
+	return nil
+}
+
+// fresh tells whether a process's lease runs that the lessor has not looked at yet.
+func (k *Keeper) fresh(uid string, boot int64) (ok bool) {
+	k.store.read(func(m *state.Machine) {
+		e, there := m.Entry(uid)
+		ok = there && e.BootMS == boot && e.LeaseMS != 0 && e.Why != state.LeaseOver
+	})
+	return ok
+}
--- /dev/null
+++ b/internal/keeper/lessor_test.go
@@ -0,0 +1,89 @@
+package keeper
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/state"
+)
+
+func leased(n int) (m *state.Machine) {
+	m = state.New()
+	for i := range n {
+		m.Apply(state.Command{Op: state.Register, Servers: []state.Registration{{Target: list.Target{UID: fmt.Sprintf("s-%02d", i),
+			Endpoint: "10.0.0.1:80", State: list.Serving}, LeaseMS: 3000}}})
+	}
+	return m
+}
+
+// TestLessor goes through a lease: renewed it runs on, left it ends once, drains, and goes after the grace.
+func TestLessor(t *testing.T) {
+	l := &lessor{expires: expiry{Grace: 10 * time.Second, Share: 1, Window: time.Minute}}
+	m, now := leased(2), time.Unix(1000, 0)
+	if got := l.look(now.Add(time.Hour), m.Leased()); got != nil {
+		t.Errorf("it ends leases without leading: %v", got)
+	}
+	l.take()
+	step := func(after time.Duration, want ...string) {
+		t.Helper()
+		now = now.Add(after)
+		ended := l.look(now, m.Leased())
+		var got []string
+		for _, e := range ended {
+			got = append(got, e.UID)
+		}
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("at %v ended %v, want %v", now, got, want)
+		}
+		m.Apply(state.Command{Op: state.Expire, Ended: ended})
+	}
+	step(0)
+	step(2500 * time.Millisecond)
+	if !l.renew(now, "s-00", 0) || l.renew(now, "s-00", 5) || l.renew(now, "s-77", 0) {
+		t.Error("renewals of what runs, of another process, of nobody")
+	}
+	step(time.Second, "s-01")
+	if e, _ := m.Entry("s-01"); e.State != list.Draining || e.Why != state.LeaseOver {
+		t.Errorf("a lease ended and left %+v", e)
+	}
+	step(500 * time.Millisecond)
+	if l.renew(now, "s-01", 0) {
+		t.Error("a lease that is over was renewed")
+	}
+	step(2*time.Second, "s-00")
+	step(7 * time.Second)
+	step(1100*time.Millisecond, "s-01")
+	if _, ok := m.Entry("s-01"); ok {
+		t.Error("it is still there after the grace")
+	}
+	l.leave()
+	l.take() // another office: all begin anew
+	step(0)
+	step(9 * time.Second)
+	step(2*time.Second, "s-00")
+}
+
+// TestLessorHolds has all servers fall silent at once: no more than the share goes within a window.
+func TestLessorHolds(t *testing.T) {
+	l := &lessor{expires: expiry{Grace: time.Hour, Share: 0.2, Least: 1, Window: 30 * time.Second}}
+	m, now := leased(20), time.Unix(1000, 0)
+	l.take()
+	l.look(now, m.Leased())
+	drained := 0
+	for i := 1; i <= 29; i++ {
+		ended := l.look(now.Add(4*time.Second+time.Duration(i)*time.Second), m.Leased())
+		drained += len(ended)
+		m.Apply(state.Command{Op: state.Expire, Ended: ended})
+	}
+	if _, held := l.figures(); drained != 4 || held != 16 {
+		t.Errorf("%d of 20 drained within a window, %d held back", drained, held)
+	}
+	for i := range 20 { // one that renews while it is held back was never gone
+		l.renew(now.Add(33*time.Second), fmt.Sprintf("s-%02d", i), 0)
+	}
+	if ended := l.look(now.Add(35*time.Second), m.Leased()); len(ended) != 0 {
+		t.Errorf("%v ended though it was renewed", ended)
+	}
+}
--- /dev/null
+++ b/internal/keeper/metrics.go
@@ -0,0 +1,81 @@
+package keeper
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"gradeusher.example/gradeusher/internal/state"
+)
+
+// metrics are a keeper's figures.
+type metrics struct {
+	registry *prometheus.Registry
+	calls    *prometheus.CounterVec
+	took     *prometheus.HistogramVec
+	cuts     prometheus.Counter
+}
+
+func newMetrics(k *Keeper) *metrics {
+	m := &metrics{registry: prometheus.NewRegistry(),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "keeper_calls_total", Help: "Calls by what they wanted and what became of them."},
+			[]string{"op", "outcome"}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "keeper_call_seconds", Help: "How long calls took that were done.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14)}, []string{"op"}),
+		cuts: prometheus.NewCounter(prometheus.CounterOpts{Name: "keeper_watchers_cut_total", Help: "Watchers cut off because they were too slow."}),
+	}
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	of := func(value func(*state.Machine) float64) func() float64 {
+		return func() (v float64) {
+			k.store.read(func(s *state.Machine) { v = value(s) })
+			return v
+		}
+	}
+	gauge("keeper_revision", "Revision of the list.", of(func(s *state.Machine) float64 { return float64(s.Rev()) }))
+	gauge("keeper_servers", "Servers on the list.", of(func(s *state.Machine) float64 { return float64(s.Len()) }))
+	gauge("keeper_watchers", "Watches that are open.", func() float64 { return float64(k.watchers.Load()) })
+	gauge("keeper_leases_held", "Leases that have ended and are held back.", func() float64 {
+		_, held := k.lessor.figures()
+		return float64(held)
+	})
+	gauge("keeper_leads", "1 on the leader.", func() float64 {
+		if k.replica.Ready() {
+			return 1
+		}
+		return 0
+	})
+	gauge("keeper_age_seconds", "How long ago this keeper last knew itself up to date; below 0: not since its start.", func() float64 {
+		age, known := k.replica.Age()
+		if !known {
+			return -1
+		}
+		return age.Seconds()
+	})
+	m.registry.MustRegister(m.calls, m.took, m.cuts, collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// done counts a call.
+func (m *metrics) done(op, outcome string, took time.Duration) {
+	m.calls.WithLabelValues(op, outcome).Inc()
+	if outcome == "ok" {
+		m.took.WithLabelValues(op).Observe(took.Seconds())
+	}
+}
+
+// cut counts a watcher whose watch ended while it had not gone by itself.
+func (m *metrics) cut(slow bool) {
+	if slow {
+		m.cuts.Inc()
+	}
+}
--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,481 @@
+// Package replica keeps one state machine the same on several keepers, by the library's raft with a bolt store and file
+// snapshots. It does not know what commands mean.
+//
+// Invariants: a command that Propose has answered without error is on the disks of a majority and never lost; every replica
+// applies the same commands in the same order; at most one replica is Ready to lead in a term.
+package replica
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"go.etcd.io/bbolt"
+)
+
+// Machine is what is replicated. Apply, Snapshot and Restore are called by one goroutine.
+type Machine interface {
+	Apply(command []byte) any
+	Snapshot() ([]byte, error)
+	Restore(io.Reader) error
+}
+
+// Peer is a member of the cluster.
+type Peer struct {
+	Name    string `json:"name"`
+	Address string `json:"raft"`
+	Voter   bool   `json:"voter"`
+}
+
+// Timing is how quick the agreement is. Zero fields are replaced by the defaults.
+type Timing struct {
+	Heartbeat     time.Duration // without one from the leader for so long, a replica stands for election
+	SnapshotEvery time.Duration // at most so often a snapshot is taken
+	SnapshotAfter uint64        // commands since the last one
+	Trailing      uint64        // commands kept behind a snapshot, for replicas that are behind
+}
+
+// The defaults of Timing. A heartbeat of 400 ms lets a replica that is stopped for less than that keep its office, and has
+// another in office within 2 s.
+const (
+	DefaultHeartbeat     = 400 * time.Millisecond
+	DefaultSnapshotEvery = 20 * time.Second
+	DefaultSnapshotAfter = 8192
+	DefaultTrailing      = 4096
+)
+
+// Options say what a replica is.
+type Options struct {
+	Name      string
+	Folder    string // of its log and snapshots
+	Bind      string // address that it listens at, and whose host it calls from
+	Advertise string // where others call it; "": Bind
+	Peers     []Peer // the cluster at its first start, with this one; none: it waits to be added
+	Timing    Timing
+	Machine   Machine
+	Log       *slog.Logger
+	// Led is called, one call after the other, when this replica begins to lead a term, having applied all that was
+	// acknowledged before, with a context that ends when it no longer leads.
+	Led func(context.Context)
+}
+
+// What can become of a proposal. After ErrUncertain the command may or may not have been applied; after the others it was not.
+var (
+	ErrNotLeader = errors.New("not the leader")
+	ErrBusy      = errors.New("too much to do")
+	ErrUncertain = errors.New("the outcome is unknown: leadership was lost meanwhile")
+)
+
+// Replica is one member of the cluster.
+type Replica struct {
+	options Options
+	raft    *raft.Raft
+	store   *raftboltdb.BoltStore
+	trans   *raft.NetworkTransport
+	ready   atomic.Bool // it leads and has applied what was acknowledged before
+	leads   chan bool
+	ledEnds context.CancelFunc
+	tasks   sync.WaitGroup
+}
+
+const (
+	snapshotsKept  = 2
+	enqueueTimeout = time.Second
+	changeTimeout  = 10 * time.Second // of a change of members
+	peerTimeout    = 5 * time.Second  // of sending to a peer
+	openTimeout    = time.Second      // for another process to let go of the folder
+)
+
+// Open starts a replica. Close ends it.
+func Open(o Options) (r *Replica, err error) {
+	if err := os.MkdirAll(o.Folder, 0o700); err != nil {
+		return nil, fmt.Errorf("folder: %w", err)
+	}
+	logger := hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Info, DisableTime: true, Output: lines{o.Log}})
+	r = &Replica{options: o, leads: make(chan bool, 16)}
+	config := raft.DefaultConfig()
+	config.LocalID = raft.ServerID(o.Name)
+	t := o.Timing
+	config.HeartbeatTimeout = orElse(t.Heartbeat, DefaultHeartbeat)
+	config.ElectionTimeout = config.HeartbeatTimeout
+	config.LeaderLeaseTimeout = config.HeartbeatTimeout * 3 / 4
+	config.CommitTimeout = config.HeartbeatTimeout / 20
+	config.SnapshotInterval = orElse(t.SnapshotEvery, DefaultSnapshotEvery)
+	config.SnapshotThreshold = orElse(t.SnapshotAfter, DefaultSnapshotAfter)
+	config.TrailingLogs = orElse(t.Trailing, DefaultTrailing)
+	config.Logger = logger
+	config.NotifyCh = r.leads
+
+	store, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(o.Folder, "log.bolt"), BoltOptions: &bbolt.Options{Timeout: openTimeout}})
+	if err != nil {
+		return nil, fmt.Errorf("log: %w", err)
+	}
+	r.store = store
+	snapshots, err := raft.NewFileSnapshotStoreWithLogger(o.Folder, snapshotsKept, logger)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("snapshots: %w", err), store.Close())
+	}
+	layer, err := newLayer(o.Bind, orElse(o.Advertise, o.Bind))
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("raft: %w", err), store.Close())
+	}
+	r.trans = raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{Stream: layer, MaxPool: 3, Timeout: peerTimeout, Logger: logger})
+	known, err := raft.HasExistingState(store, store, snapshots)
+	if err == nil && !known && len(o.Peers) > 0 {
+		var c raft.Configuration
+		for _, p := range o.Peers {
+			c.Servers = append(c.Servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Address)})
+		}
+		err = raft.BootstrapCluster(config, store, store, snapshots, r.trans, c)
+	}
+	if err == nil {
+		r.raft, err = raft.NewRaft(config, fsm{o.Machine}, store, store, snapshots, r.trans)
+	}
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("raft: %w", err), r.trans.Close(), store.Close())
+	}
+	r.tasks.Add(1)
+	go r.follow(r.leads)
+	return r, nil
+}
+
+func orElse[T comparable](v, other T) T {
+	var zero T
+	if v == zero {
+		return other
+	}
+	return v
+}
+
+// follow hears when this replica begins and ceases to lead, until the channel closes.
+func (r *Replica) follow(leads <-chan bool) {
+	defer r.tasks.Done()
+	var office sync.WaitGroup
+	cease := func() {
+		r.ready.Store(false)
+		if r.ledEnds != nil {
+			r.ledEnds()
+		}
+		office.Wait()
+	}
+	defer cease()
+	for lead := range leads {
+		cease()
+		if !lead {
+			continue
+		}
+		var ctx context.Context
+		ctx, r.ledEnds = context.WithCancel(context.Background())
+		office.Add(1)
+		go func() {
+			defer office.Done()
+			// What was acknowledged in earlier terms may not be applied here yet.
+			if err := r.raft.Barrier(0).Error(); err != nil || ctx.Err() != nil {
+				return
+			}
+			r.ready.Store(true)
+			if r.options.Led != nil {
+				r.options.Led(ctx)
+			}
+		}()
+	}
+}
+
+// Close ends the replica.
+func (r *Replica) Close() error {
+	err := r.raft.Shutdown().Error()
+	close(r.leads) // raft's goroutines have ended, and tell nothing more
+	r.tasks.Wait()
+	return errors.Join(err, r.trans.Close(), r.store.Close())
+}
+
+// Ready tells whether this replica leads and has applied all that was acknowledged before its term.
+func (r *Replica) Ready() bool { return r.ready.Load() && r.raft.State() == raft.Leader }
+
+// Propose has a command agreed on and returns what the machine answered. Errors wrap ErrNotLeader, ErrBusy, ErrUncertain, or
+// are ctx's, which is uncertain too.
+func (r *Replica) Propose(ctx context.Context, command []byte) (any, error) {
+	if !r.Ready() {
+		return nil, ErrNotLeader
+	}
+	future := r.raft.Apply(command, enqueueTimeout)
+	done := make(chan error, 1)
+	go func() { done <- future.Error() }()
+	select {
+	case err := <-done:
+		if err != nil {
+			return nil, explain(err)
+		}
+		return future.Response(), nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %w", ErrUncertain, ctx.Err())
+	}
+}
+
+func explain(err error) error {
+	switch {
+	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrLeadershipTransferInProgress):
+		return ErrNotLeader
+	case errors.Is(err, raft.ErrEnqueueTimeout):
+		return ErrBusy
+	case errors.Is(err, raft.ErrLeadershipLost), errors.Is(err, raft.ErrAbortedByRestore), errors.Is(err, raft.ErrRaftShutdown):
+		return fmt.Errorf("%w (%w)", ErrUncertain, err)
+	}
+	return fmt.Errorf("%w: %w", ErrUncertain, err)
+}
+
+// Confirm returns once this replica has proved that it still leads and has applied everything that was acknowledged before
+// the call, so that a read afterwards is linearizable (Ongaro's dissertation, 6.4). Errors are ErrNotLeader or ctx's.
+func (r *Replica) Confirm(ctx context.Context) error {
+	if !r.Ready() {
+		return ErrNotLeader
+	}
+	index := r.raft.CommitIndex()
+	done := make(chan error, 1)
+	go func() { done <- r.raft.VerifyLeader().Error() }()
+	select {
+	case err := <-done:
+		if err != nil {
+			return ErrNotLeader
+		}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for r.raft.AppliedIndex() < index {
+		select {
+		case <-time.After(time.Millisecond):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Status is what a replica knows of the agreement.
+type Status struct {
+	Name    string        `json:"name"`
+	Role    string        `json:"role"` // "leader", "follower", "candidate"
+	Leader  string        `json:"leader"`
+	Term    uint64        `json:"term"`
+	Commit  uint64        `json:"commit_index"`
+	Applied uint64        `json:"applied_index"`
+	Last    uint64        `json:"last_index"`
+	Age     time.Duration `json:"-"` // see Age
+	Peers   []Peer        `json:"peers"`
+}
+
+// Status tells it.
+func (r *Replica) Status() Status {
+	_, leader := r.raft.LeaderWithID()
+	age, ok := r.Age()
+	if !ok {
+		age = -1
+	}
+	s := Status{Name: r.options.Name, Role: strings.ToLower(r.raft.State().String()), Leader: string(leader), Term: r.raft.CurrentTerm(),
+		Commit: r.raft.CommitIndex(), Applied: r.raft.AppliedIndex(), Last: r.raft.LastIndex(), Age: age}
+	s.Peers, _ = r.Peers() // without them while it ends
+	return s
+}
+
+// Peers are the members of the cluster, as far as this replica knows.
+func (r *Replica) Peers() ([]Peer, error) {
+	f := r.raft.GetConfiguration()
+	if err := f.Error(); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	var all []Peer
+	for _, s := range f.Configuration().Servers {
+		all = append(all, Peer{string(s.ID), string(s.Address), s.Suffrage == raft.Voter})
+	}
+	return all, nil
+}
+
+// Age is how long ago this replica last knew itself in touch with the leader; 0 on the leader. It tells false where it has
+// not been since its start.
+func (r *Replica) Age() (time.Duration, bool) {
+	if r.Ready() {
+		return 0, true
+	}
+	last := r.raft.LastContact()
+	if last.IsZero() {
+		return 0, false
+	}
+	return time.Since(last), true
+}
+
+// Leader is the name of the leader; "": none is known.
+func (r *Replica) Leader() string {
+	_, id := r.raft.LeaderWithID()
+	return string(id)
+}
+
+// Add takes a member in, first without a vote, and with one once it has caught up. Only one change of members goes on at a
+// time; errors wrap ErrNotLeader or say why.
+func (r *Replica) Add(ctx context.Context, p Peer) error {
+	if !r.Ready() {
+		return ErrNotLeader
+	}
+	peers, err := r.Peers()
+	if err != nil {
+		return err
+	}
+	for _, old := range peers {
+		switch {
+		case old.Name == p.Name && old.Address == p.Address && old.Voter:
+			return nil
+		case old.Name == p.Name && old.Address == p.Address: // an addition that broke off
+		case old.Name == p.Name:
+			return fmt.Errorf("%s is a member at %s: remove it first", p.Name, old.Address)
+		case old.Address == p.Address:
+			return fmt.Errorf("%s is the address of member %s", p.Address, old.Name)
+		}
+	}
+	if err := r.raft.AddNonvoter(raft.ServerID(p.Name), raft.ServerAddress(p.Address), 0, changeTimeout).Error(); err != nil {
+		return explain(err)
+	}
+	return nil
+}
+
+// Promote gives a member that has caught up its vote.
+func (r *Replica) Promote(p Peer) error {
+	if err := r.raft.AddVoter(raft.ServerID(p.Name), raft.ServerAddress(p.Address), 0, changeTimeout).Error(); err != nil {
+		return explain(err)
+	}
+	return nil
+}
+
+// Remove takes a member out. The last one stays.
+func (r *Replica) Remove(name string) error {
+	if !r.Ready() {
+		return ErrNotLeader
+	}
+	peers, err := r.Peers()
+	if err != nil {
+		return err
+	}
+	voters, found := 0, false
+	for _, p := range peers {
+		if found = found || p.Name == name; p.Voter && p.Name != name {
+			voters++
+		}
+	}
+	switch {
+	case !found:
+		return fmt.Errorf("no member %q", name)
+	case voters == 0:
+		return fmt.Errorf("%s is the last member", name)
+	}
+	if err := r.raft.RemoveServer(raft.ServerID(name), 0, changeTimeout).Error(); err != nil {
+		return explain(err)
+	}
+	return nil
+}
+
+// Restore replaces the state of all replicas by a snapshot of the machine.
+func (r *Replica) Restore(snapshot []byte) error {
+	if !r.Ready() {
+		return ErrNotLeader
+	}
+	meta := &raft.SnapshotMeta{Version: raft.SnapshotVersionMax, Size: int64(len(snapshot)), Index: r.raft.LastIndex(), Term: r.raft.CurrentTerm()}
+	if err := r.raft.Restore(meta, bytes.NewReader(snapshot), changeTimeout); err != nil {
+		return explain(err)
+	}
+	return nil
+}
+
+// Compact takes a snapshot now.
+func (r *Replica) Compact() error {
+	if err := r.raft.Snapshot().Error(); err != nil && !errors.Is(err, raft.ErrNothingNewToSnapshot) {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	return nil
+}
+
+// fsm leads raft's calls to the machine.
+type fsm struct{ machine Machine }
+
+func (f fsm) Apply(l *raft.Log) any { return f.machine.Apply(l.Data) }
+
+func (f fsm) Snapshot() (raft.FSMSnapshot, error) {
+	text, err := f.machine.Snapshot()
+	return frozen(text), err
+}
+
+func (f fsm) Restore(from io.ReadCloser) error {
+	defer from.Close()
+	return f.machine.Restore(from)
+}
+
+type frozen []byte
+
+func (s frozen) Persist(sink raft.SnapshotSink) error {
+	if _, err := sink.Write(s); err != nil {
+		return errors.Join(err, sink.Cancel())
+	}
+	return sink.Close()
+}
+
+func (s frozen) Release() {}
+
+// layer is raft's sockets. Calls go out from the host that this replica listens at, so that a peer, or a firewall, knows who calls.
+type layer struct {
+	net.Listener
+	from      net.IP
+	advertise net.Addr
+}
+
+func newLayer(bind, advertise string) (*layer, error) {
+	l, err := net.Listen("tcp", bind)
+	if err != nil {
+		return nil, err
+	}
+	at, err := net.ResolveTCPAddr("tcp", advertise)
+	if err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	own := l.Addr().(*net.TCPAddr)
+	if at.Port == 0 {
+		at.Port = own.Port
+	}
+	return &layer{l, own.IP, at}, nil
+}
+
+func (l *layer) Addr() net.Addr { return l.advertise }
+
+func (l *layer) Dial(to raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: timeout}
+	if !l.from.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: l.from}
+	}
+	return d.Dial("tcp", string(to))
+}
+
+// lines hands what raft logs to the keeper's log.
+type lines struct{ log *slog.Logger }
+
+func (w lines) Write(p []byte) (int, error) {
+	text := strings.TrimSpace(string(p))
+	level, rest, _ := strings.Cut(strings.TrimPrefix(text, "["), "]")
+	switch level {
+	case "ERROR":
+		w.log.Error(strings.TrimSpace(rest))
+	case "WARN":
+		w.log.Warn(strings.TrimSpace(rest))
+	default:
+		w.log.Debug(strings.TrimSpace(rest))
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/sealed/sealed.go
@@ -0,0 +1,84 @@
+// Package sealed is files that outlive a process: with a form, a checksum and a length, written whole or not at all. What is
+// torn, foreign or of a later form is told from what is sound, and can be set aside.
+package sealed
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind is what a file holds. A reader of form R reads every file that needs R or less: later writers may add to the body
+// what an earlier reader can pass over.
+type Kind struct {
+	Magic string // a word without spaces
+	Form  int    // that is written, and read
+	Needs int    // the least form that reads what is written
+}
+
+// ErrUnsound is a file that is torn, truncated, foreign, or of a form that this program does not read.
+var ErrUnsound = errors.New("unsound")
+
+const mostHead = 200
+
+// Seal is a body behind a line with its kind, checksum and length.
+func (k Kind) Seal(body []byte) []byte {
+	head := fmt.Sprintf("%s %d %d %016x %d\n", k.Magic, k.Form, k.Needs, xxhash.Sum64(body), len(body))
+	return append([]byte(head), body...)
+}
+
+// Open is the body of what Seal made. Errors wrap ErrUnsound.
+func (k Kind) Open(text []byte) ([]byte, error) {
+	head, body, found := bytes.Cut(text, []byte("\n"))
+	var word string
+	var form, needs, size int
+	var sum uint64
+	if len(head) > mostHead {
+		head = head[:mostHead]
+	}
+	if _, err := fmt.Sscanf(string(head), "%s %d %d %x %d", &word, &form, &needs, &sum, &size); err != nil || !found || word != k.Magic {
+		return nil, fmt.Errorf("%w: it does not begin as a %s", ErrUnsound, k.Magic)
+	}
+	switch {
+	case needs > k.Form:
+		return nil, fmt.Errorf("%w: it needs a program that reads form %d, this one reads %d", ErrUnsound, needs, k.Form)
+	case len(body) != size:
+		return nil, fmt.Errorf("%w: %d bytes of %d", ErrUnsound, len(body), size)
+	case xxhash.Sum64(body) != sum:
+		return nil, fmt.Errorf("%w: the checksum differs", ErrUnsound)
+	}
+	return body, nil
+}
+
+// WriteFile replaces a file by a whole new one: after a crash there is the old one or the new one.
+func WriteFile(path string, text []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-*")
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(text)
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		return errors.Join(err, os.Remove(f.Name()))
+	}
+	return nil
+}
+
+// SetAside renames an unsound file or folder, so that it can be looked at, and returns its new name. One that was set aside
+// before is replaced.
+func SetAside(path string) (string, error) {
+	aside := path + ".unsound"
+	if err := os.RemoveAll(aside); err != nil {
+		return "", err
+	}
+	return aside, os.Rename(path, aside)
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -9,21 +9,25 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
+	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/wire"
 )
 
 // Config is what a sidecar is told at its start.
 type Config struct {
 	Name      string
-	Listen    string // where the application connects
-	Discovery string // where discovery, or its agent on this machine, listens
-	Control   string // where operators call; "": nowhere
-	Common    string // a folder that outlives a process; "": none
-	Inherited int    // descriptor of the listening socket that the platform holds; 0: none
+	Listen    string   // where the application connects
+	Discovery string   // where discovery, or its agent on this machine, listens; "": nowhere, with Keepers
+	Keepers   *Keepers // who hold the list, in place of Discovery; nil: nobody does
+	Control   string   // where operators call; "": nowhere
+	Common    string   // a folder that outlives a process; "": none
+	Inherited int      // descriptor of the listening socket that the platform holds; 0: none
 	Cores     float64
 	MemoryMB  int
 	Sockets   int
@@ -33,6 +37,14 @@
 	Limits    wire.Limits
 }
 
+// Keepers is the project's own list service, and how far it is believed.
+type Keepers struct {
+	Addresses []string
+	Doubt     client.Doubt
+	MostAge   time.Duration // a keeper that was out of touch for longer is left for another
+	Reach     string        // this machine reaches every server at this host, at the port of its endpoint; "": at its endpoint
+}
+
 // The limits and settings of a sidecar that is told none.
 const (
 	defaultCores          = 1
@@ -41,6 +53,7 @@
 	leastSockets          = 64
 	defaultConnectTimeout = 250 * time.Millisecond
 	defaultIdleClose      = 15 * time.Second
+	defaultMostAge        = 5 * time.Second
 	stderrFD              = 2 // the last descriptor that is never a socket
 )
 
@@ -58,6 +71,18 @@
 	}
 	Known    *json.RawMessage
 	Settings json.RawMessage
+	Keepers  *keepersFile
+}
+
+// keepersFile is the form of what the file says of keepers. What is left out is the client's default.
+type keepersFile struct {
+	Addresses  []string
+	DoubtShare *float64 `json:"doubt_share"`
+	DoubtLeast *int     `json:"doubt_least"`
+	DoubtAfter *float64 `json:"doubt_after_s"`
+	DoubtEvery *float64 `json:"doubt_every_s"`
+	MostAge    *float64 `json:"most_age_s"`
+	Reach      string
 }
 
 // LoadConfig reads the configuration from the file that PROXY_CONFIG names. PROXY_NAME, PROXY_LISTEN and
@@ -106,7 +131,14 @@
 		Control:   cmp.Or(getenv("PROXY_CONTROL"), file.Control),
 		Cores:     defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
 	}
+	var err error
+	if c.Keepers, err = file.Keepers.config(getenv("PROXY_KEEPERS")); err != nil {
+		return nil, fmt.Errorf("keepers: %w", err)
+	}
 	for _, a := range []struct{ field, address string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if a.field == "discovery" && a.address == "" && c.Keepers != nil {
+			continue
+		}
 		if err := checkAddress(a.address); err != nil {
 			return nil, fmt.Errorf("%s: %w", a.field, err)
 		}
@@ -148,6 +180,9 @@
 	if c.Settings, c.Names, c.Limits, err = wire.SettingsJSON(seed, file.Settings); err != nil {
 		return nil, err
 	}
+	if c.Keepers != nil {
+		c.Settings.AskDiscovery = false // they tell without being asked
+	}
 	c.Limits.ConnectTimeout = cmp.Or(c.Limits.ConnectTimeout, defaultConnectTimeout)
 	c.Limits.IdleClose = cmp.Or(c.Limits.IdleClose, defaultIdleClose)
 	if file.Known != nil {
@@ -158,6 +193,58 @@
 	return c, nil
 }
 
+// config reads what the file says of keepers; environment, if set, names their addresses instead.
+func (file *keepersFile) config(environment string) (*Keepers, error) {
+	if file == nil {
+		if file = (&keepersFile{}); environment == "" {
+			return nil, nil
+		}
+	}
+	k := &Keepers{Addresses: file.Addresses, Doubt: client.DefaultDoubt, MostAge: defaultMostAge, Reach: file.Reach}
+	if environment != "" {
+		k.Addresses = strings.Split(environment, ",")
+	}
+	if len(k.Addresses) == 0 {
+		return nil, errors.New("none is named")
+	}
+	for i, a := range k.Addresses {
+		if err := checkAddress(a); err != nil {
+			return nil, err
+		}
+		if slices.Contains(k.Addresses[:i], a) {
+			return nil, fmt.Errorf("%s is named twice", a)
+		}
+	}
+	if k.Reach != "" && net.ParseIP(k.Reach) == nil {
+		return nil, fmt.Errorf("reach: %q is no IP address", k.Reach)
+	}
+	if v := file.DoubtShare; v != nil {
+		if k.Doubt.Share = *v; !(*v >= 0 && *v <= 1) {
+			return nil, fmt.Errorf("doubt_share: %v is not within 0 to 1", *v)
+		}
+	}
+	if v := file.DoubtLeast; v != nil {
+		if k.Doubt.Least = *v; *v < 0 {
+			return nil, fmt.Errorf("doubt_least: %d is below 0", *v)
+		}
+	}
+	for _, s := range []struct {
+		name  string
+		given *float64
+		to    *time.Duration
+	}{{"doubt_after_s", file.DoubtAfter, &k.Doubt.After}, {"doubt_every_s", file.DoubtEvery, &k.Doubt.Every}, {"most_age_s", file.MostAge, &k.MostAge}} {
+		if s.given == nil {
+			continue
+		}
+		if *s.to = time.Duration(*s.given * float64(time.Second)); !(*s.given > 0 && *s.given <= mostWait) {
+			return nil, fmt.Errorf("%s: %v is not above 0 and at most %d", s.name, *s.given, mostWait)
+		}
+	}
+	return k, nil
+}
+
+const mostWait = 3600 // seconds
+
 func checkAddress(address string) error {
 	if address == "" {
 		return errors.New("missing")
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
+	"gradeusher.example/gradeusher/internal/client"
 )
 
 const (
@@ -75,6 +76,7 @@
 	origin    time.Time
 	upstream  *upstream
 	discovery *discovery
+	keepers   *client.Follower // of the list, in place of discovery; nil: there are none
 	handover  *handover
 	leaving   leaving
 	ready     chan struct{} // closed once servers are known
@@ -127,6 +129,9 @@
 			h.tellOut()
 		}
 	}
+	if c.Keepers != nil {
+		return h, h.keep(ctx, c)
+	}
 	if !c.Settings.AskDiscovery {
 		// An agent that pushes tells all who listen.
 		h.moves = make(chan string, 1)
@@ -143,6 +148,9 @@
 // move has discovery asked at another address from now on. The loop alone calls it. Of several that come at once the
 // last counts.
 func (h *host) move(address string) {
+	if h.keepers != nil {
+		return // the list is not discovery's
+	}
 	h.log.Info("discovery moves", "to", address)
 	if h.moves == nil {
 		h.discovery.address.Store(address)
--- /dev/null
+++ b/internal/sidecar/keepers.go
@@ -0,0 +1,66 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"gradeusher.example/gradeusher/balance"
+	"gradeusher.example/gradeusher/internal/client"
+	fleet "gradeusher.example/gradeusher/internal/list"
+)
+
+// keep has the loop take in the list that keepers hold, until ctx is done. What a process before this one held goes before
+// what the configuration knows: it is newer.
+func (h *host) keep(ctx context.Context, c *Config) error {
+	k := c.Keepers
+	var err error
+	h.keepers, err = client.NewFollower(client.Options{Keepers: k.Addresses, Doubt: k.Doubt, MostAge: k.MostAge, Log: h.log,
+		Cache: client.NewCache(c.Common, c.Name),
+		Told: func(u client.Update) {
+			l := List{All: u.All}
+			for _, t := range u.Targets {
+				l.Targets = append(l.Targets, k.target(t))
+			}
+			kind := balance.ListChanges
+			switch {
+			case u.Remembered:
+				kind = balance.ListRemembered
+			case u.All:
+				kind = balance.ListFull
+			}
+			h.post(func() { h.list(kind, l) })
+		}})
+	if err != nil {
+		return err
+	}
+	h.watchers.Add(1)
+	go func() {
+		defer h.watchers.Done()
+		h.keepers.Run(ctx)
+	}()
+	return nil
+}
+
+// target is a server in the sidecar's own form.
+func (k *Keepers) target(t fleet.Target) Target {
+	s := Target{ID: t.UID, Address: t.Endpoint, Zone: t.Zone, Kind: t.Model, Cell: t.PodGroup, Size: 1}
+	switch t.State {
+	case fleet.Serving:
+		s.State = balance.Ready
+	case fleet.Draining:
+		s.State = balance.Draining
+	default:
+		s.State = balance.Removed
+	}
+	if t.Capacity != nil {
+		s.Size = *t.Capacity
+	}
+	if t.BootMS > 0 {
+		s.Boot = time.UnixMilli(t.BootMS)
+	}
+	if _, port, err := net.SplitHostPort(t.Endpoint); err == nil && k.Reach != "" {
+		s.Address = net.JoinHostPort(k.Reach, port)
+	}
+	return s
+}
