Keepers can be moved by SIGHUP, as discovery can

Need: a fleet whose keepers were replaced would have to be restarted. Change: a Follower takes other keepers while it runs; the sidecar reads their addresses again on SIGHUP. Result: go test -race ./internal/client ./internal/sidecar passes.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -53,13 +54,8 @@
 
 // New is a client of keepers, by address. Errors tell which is none.
 func New(keepers []string) (*Client, error) {
-	if len(keepers) == 0 {
-		return nil, errors.New("no keeper is named")
-	}
-	for _, k := range keepers {
-		if err := list.CheckAddress(k); err != nil {
-			return nil, fmt.Errorf("keeper: %w", err)
-		}
+	if err := checkKeepers(keepers); err != nil {
+		return nil, err
 	}
 	c := &Client{keepers: keepers, http: &http.Client{
 		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext, DisableCompression: true, MaxIdleConnsPerHost: 64,
@@ -69,6 +65,21 @@
 	return c, nil
 }
 
+func checkKeepers(keepers []string) error {
+	if len(keepers) == 0 {
+		return errors.New("no keeper is named")
+	}
+	for i, k := range keepers {
+		if err := list.CheckAddress(k); err != nil {
+			return fmt.Errorf("keeper: %w", err)
+		}
+		if slices.Contains(keepers[:i], k) {
+			return fmt.Errorf("keeper %s is named twice", k)
+		}
+	}
+	return nil
+}
+
 // Close lets go of idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/internal/client/follow.go
+++ b/internal/client/follow.go
@@ -46,8 +46,9 @@
 	http    *http.Transport
 	fresh   atomic.Int64 // Unix time in ns at which the list was last known to be up to date; 0: never
 	saves   chan list.List
-	second  chan reading // the answer to a second reading that was asked for
-	asked   time.Time    // when it last was
+	moves   chan []string // keepers to go on with
+	second  chan reading  // the answer to a second reading that was asked for
+	asked   time.Time     // when it last was
 	asking  bool
 	tasks   sync.WaitGroup
 	dirty   bool // the list is not saved
@@ -68,13 +69,8 @@
 
 // NewFollower takes up what the cache holds and tells it at once.
 func NewFollower(o Options) (*Follower, error) {
-	if len(o.Keepers) == 0 {
-		return nil, errors.New("no keeper is named")
-	}
-	for _, k := range o.Keepers {
-		if err := list.CheckAddress(k); err != nil {
-			return nil, fmt.Errorf("keeper: %w", err)
-		}
+	if err := checkKeepers(o.Keepers); err != nil {
+		return nil, err
 	}
 	if o.MostAge == 0 {
 		o.MostAge = defaultMostAge
@@ -83,7 +79,7 @@
 		o.SaveWait = defaultSave
 	}
 	// Each begins at a keeper of its own choice, so that they share the watchers.
-	f := &Follower{o: o, reader: NewReader(o.Doubt), saves: make(chan list.List, 1), second: make(chan reading, 1), next: rand.IntN(len(o.Keepers)),
+	f := &Follower{o: o, reader: NewReader(o.Doubt), saves: make(chan list.List, 1), moves: make(chan []string, 1), second: make(chan reading, 1), next: rand.IntN(len(o.Keepers)),
 		http: &http.Transport{DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext, DisableCompression: true, DisableKeepAlives: true,
 			ResponseHeaderTimeout: list.Silence}}
 	l, age, ok, err := o.Cache.Load(time.Now())
@@ -108,6 +104,31 @@
 	return time.Since(time.Unix(0, at)), true
 }
 
+// Move has other keepers be followed from now on. Of several moves that come at once the last counts.
+func (f *Follower) Move(keepers []string) error {
+	if err := checkKeepers(keepers); err != nil {
+		return err
+	}
+	for {
+		select {
+		case f.moves <- keepers:
+			return nil
+		default:
+		}
+		select { // one that was not taken yet
+		case <-f.moves:
+		default:
+		}
+	}
+}
+
+// moved takes a move.
+func (f *Follower) moved(keepers []string) {
+	f.o.Keepers, f.next, f.patient = keepers, rand.IntN(len(keepers)), false
+}
+
+var errMoved = errors.New("other keepers are followed")
+
 // Run follows until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
@@ -128,7 +149,7 @@
 		}
 		f.o.Log.Info("list", "keeper", keeper, "err", err)
 		f.next++
-		if came {
+		if came || errors.Is(err, errMoved) {
 			pause.Reset()
 			failed = 0
 		}
@@ -154,6 +175,9 @@
 		select {
 		case <-timer.C:
 			return true
+		case keepers := <-f.moves:
+			f.moved(keepers)
+			return true
 		case now := <-tick.C:
 			f.tend(ctx, now, "")
 		case r := <-f.second:
@@ -248,6 +272,9 @@
 			f.tend(ctx, now, keeper)
 		case r := <-f.second:
 			f.confirm(r)
+		case keepers := <-f.moves:
+			f.moved(keepers)
+			return came, 0, errMoved
 		case <-silent.C:
 			return came, 0, fmt.Errorf("nothing came for %v", list.Silence)
 		case <-ctx.Done():
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -107,11 +106,11 @@
 	return c, nil
 }
 
-// DiscoveryAt reads where discovery is from the file that PROXY_CONFIG names, after that was replaced. Danger: the
+// DiscoveryAt reads where discovery is, or the keepers are, with commas, from the file that PROXY_CONFIG names, after that was replaced. Danger: the
 // environment still says where discovery was at the start.
 func DiscoveryAt(getenv func(string) string) (string, error) {
 	c, err := LoadConfig(func(key string) string {
-		if key == "PROXY_DISCOVERY" {
+		if key == "PROXY_DISCOVERY" || key == "PROXY_KEEPERS" {
 			return ""
 		}
 		return getenv(key)
@@ -119,6 +118,9 @@
 	if err != nil {
 		return "", err
 	}
+	if c.Keepers != nil {
+		return strings.Join(c.Keepers.Addresses, ","), nil
+	}
 	return c.Discovery, nil
 }
 
@@ -207,13 +209,10 @@
 	if len(k.Addresses) == 0 {
 		return nil, errors.New("none is named")
 	}
-	for i, a := range k.Addresses {
+	for _, a := range k.Addresses {
 		if err := checkAddress(a); err != nil {
 			return nil, err
 		}
-		if slices.Contains(k.Addresses[:i], a) {
-			return nil, fmt.Errorf("%s is named twice", a)
-		}
 	}
 	if k.Reach != "" && net.ParseIP(k.Reach) == nil {
 		return nil, fmt.Errorf("reach: %q is no IP address", k.Reach)
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -145,11 +146,15 @@
 	return h, nil
 }
 
-// move has discovery asked at another address from now on. The loop alone calls it. Of several that come at once the
+// move has discovery, or other keepers, asked at another address from now on. The loop alone calls it. Of several that come at once the
 // last counts.
 func (h *host) move(address string) {
 	if h.keepers != nil {
-		return // the list is not discovery's
+		h.log.Info("keepers move", "to", address)
+		if err := h.keepers.Move(strings.Split(address, ",")); err != nil {
+			h.log.Error("keepers", "err", err)
+		}
+		return
 	}
 	h.log.Info("discovery moves", "to", address)
 	if h.moves == nil {
