--- a/cmd/gradeusher/keeper.go
+++ b/cmd/gradeusher/keeper.go
@@ -8,8 +8,10 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"os/signal"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"gradeusher.example/gradeusher/internal/client"
@@ -63,6 +65,7 @@
 	if c.Log == "json" {
 		handler = slog.NewJSONHandler(s.err, o)
 	}
+	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is a failed write, not the end of the process
 	return keeper.Run(ctx, config, slog.New(handler), nil)
 }
 
--- a/cmd/gradeusher/standin.go
+++ b/cmd/gradeusher/standin.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"gradeusher.example/gradeusher/internal/lab"
 	"gradeusher.example/gradeusher/internal/lab/standin"
@@ -16,16 +17,53 @@
 	List  listCommand  `cmd:"" help:"The platform's list of servers."`
 	Plain plainCommand `cmd:"" help:"The plainest sidecar, to compare with."`
 
+	Keeper   plainKeeperCommand `cmd:"" help:"A list service that agrees with nobody."`
+	Relay    relayCommand       `cmd:"" help:"The network in front of keepers."`
+	Watchers watchersCommand    `cmd:"" help:"Clients that watch the list."`
+
 	Janitor janitorCommand `cmd:"" help:"Removes an experiment's folder when the lab is gone."`
 }
 
 type hostCommand struct {
 	Groups  int    `help:"Groups of sidecars, each with listeners of its own." default:"1"`
 	Records string `help:"File for what the servers see." required:""`
+
+	Keepers []string      `help:"Where the servers register; none: nowhere."`
+	Lease   time.Duration `help:"Of their registrations." default:"3s"`
 }
 
 // Run obeys until standard input ends.
-func (c hostCommand) Run(s streams) error { return standin.Host(s.in, s.out, c.Groups, c.Records) }
+func (c hostCommand) Run(s streams) error {
+	return standin.Host(s.in, s.out, c.Groups, c.Records, c.Keepers, c.Lease)
+}
+
+type plainKeeperCommand struct {
+	Address string `help:"Where it answers." required:""`
+	Flaw    string `help:"What it does wrong."`
+}
+
+// Run is the list service until SIGTERM.
+func (c plainKeeperCommand) Run(ctx context.Context) error {
+	return standin.PlainKeeper(ctx, c.Address, c.Flaw)
+}
+
+type relayCommand struct {
+	Readers int    `help:"Near ends that read the list." required:""`
+	Told    string `help:"File for what sidecars are told." required:""`
+	Shown   string `help:"File for what keepers say." required:""`
+}
+
+// Run obeys until standard input ends.
+func (c relayCommand) Run(s streams) error {
+	return standin.Relay(s.in, s.out, c.Readers, c.Told, c.Shown)
+}
+
+type watchersCommand struct {
+	Of []string `help:"The keepers of one client, with slashes."`
+}
+
+// Run watches until standard input ends.
+func (c watchersCommand) Run(s streams) error { return standin.Watchers(s.in, s.out, s.err, c.Of) }
 
 type listCommand struct {
 	Groups  string `help:"The group of each sidecar, with commas." required:""`
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -26,7 +26,7 @@
 // Times of one try at one keeper.
 const (
 	connectTimeout = time.Second
-	tryTimeout     = 6 * time.Second // longer than a keeper waits for agreement, so that it is the keeper who says what became of it
+	tryTimeout     = 2500 * time.Millisecond // longer than a keeper waits for agreement, so that it is the keeper who says what became of it
 	leastPause     = 50 * time.Millisecond
 	mostPause      = 2 * time.Second
 	mostAnswer     = 256 << 20 // bytes; a backup
--- a/internal/client/follow.go
+++ b/internal/client/follow.go
@@ -33,7 +33,7 @@
 	Keepers  []string
 	Doubt    Doubt
 	Cache    Cache
-	MostAge  time.Duration // a keeper that was out of touch for longer is left for another; 0: 5 s
+	MostAge  time.Duration // a keeper that was out of touch for longer is left for another; 0: 2.5 s
 	Log      *slog.Logger
 	Told     func(Update)  // called by one goroutine
 	SaveWait time.Duration // the list is saved at most so often; 0: 1 s
@@ -61,7 +61,7 @@
 const (
 	watchPauseLeast = 100 * time.Millisecond
 	watchPauseMost  = 5 * time.Second // so that a fleet comes back to its keepers over some seconds
-	defaultMostAge  = 5 * time.Second
+	defaultMostAge  = 2500 * time.Millisecond
 	defaultSave     = time.Second
 	secondTimeout   = 3 * time.Second
 	doubtEvery      = 500 * time.Millisecond
--- a/internal/keeper/admin.go
+++ b/internal/keeper/admin.go
@@ -57,6 +57,15 @@
 	}
 	defer k.member.Unlock()
 	p := replica.Peer{Name: c.Name, Address: c.Raft}
+	if c.Lost {
+		// Its old vote goes first: with an empty store it could elect one who lacks what was acknowledged.
+		if err := k.replica.Forget(c.Name); err != nil {
+			return conflict(err)
+		}
+		k.log.Warn("a keeper lost its store, and its vote", "keeper", c.Name)
+		reply(w, http.StatusAccepted, problem{Code: "removed", Reason: c.Name + " has no vote: it can join"})
+		return nil
+	}
 	if err := k.replica.Add(r.Context(), p); err != nil {
 		return conflict(err)
 	}
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -51,7 +51,7 @@
 func entryState(e state.Entry) *EntryState { return &EntryState{e.Target, e.LeaseMS, e.Rev, e.Why} }
 
 // writeTimeout bounds how long a write waits for agreement. A client's own time-out is longer.
-const writeTimeout = 5 * time.Second
+const writeTimeout = 2 * time.Second
 
 // answerTimeout bounds a call with the writing of its answer.
 const answerTimeout = 2 * writeTimeout
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"golang.org/x/time/rate"
 
 	"gradeusher.example/gradeusher/internal/replica"
+	"gradeusher.example/gradeusher/internal/sealed"
 	"gradeusher.example/gradeusher/internal/state"
 )
 
@@ -52,8 +54,15 @@
 		return fmt.Errorf("http: %w", err)
 	}
 	defer l.Close()
+	lost, err := k.examine(stop)
+	if err != nil {
+		return err
+	}
+	if stop.Err() != nil {
+		return nil
+	}
 	var peers []replica.Peer
-	if !c.Join {
+	if !c.Join && !lost {
 		for _, p := range c.Peers {
 			peers = append(peers, replica.Peer{Name: p.Name, Address: p.Raft})
 		}
@@ -74,7 +83,7 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	defer cancel()
-	if c.Join {
+	if c.Join || lost {
 		tasks.Add(1)
 		go func() {
 			defer tasks.Done()
@@ -149,45 +158,27 @@
 	Name    string `json:"name"`
 	Raft    string `json:"raft"`
 	HTTP    string `json:"http"`
-	Applied uint64 `json:"applied_index"` // how far it has come
+	Applied uint64 `json:"applied_index"`  // how far it has come
+	Lost    bool   `json:"lost,omitempty"` // its store is gone, and its vote must be before it comes again
 }
 
 const joinEvery = 300 * time.Millisecond
 
 // join asks the peers to be taken in until one of them, the leader, says that this keeper has its vote.
 func (k *Keeper) join(ctx context.Context) {
-	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	defer client.CloseIdleConnections()
 	tick := time.NewTicker(joinEvery)
 	defer tick.Stop()
-	for n := 0; ; n++ {
-		for _, p := range k.config.Peers {
-			call := joinCall{k.config.Name, or(k.config.AdvertiseRaft, k.config.Raft), or(k.config.AdvertiseHTTP, k.config.HTTP), k.replica.Status().Applied}
-			body, err := json.Marshal(call)
-			if err != nil {
-				k.log.Error("join", "err", err)
-				return
-			}
-			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.HTTP+"/v1/keepers", bytes.NewReader(body))
-			if err != nil {
-				k.log.Error("join", "err", err)
-				return
-			}
-			resp, err := client.Do(req)
-			if err != nil {
-				k.log.Debug("join", "peer", p.Name, "err", err)
-				continue
-			}
-			var said problem
-			_ = json.NewDecoder(resp.Body).Decode(&said) // what cannot be read says nothing
-			resp.Body.Close()
-			switch {
-			case resp.StatusCode == http.StatusOK:
-				k.log.Info("joined", "by", p.Name)
-				return
-			case resp.StatusCode == http.StatusConflict && n%10 == 0:
-				k.log.Warn("join", "peer", p.Name, "err", said.Reason)
+	for {
+		code, err := k.ask(ctx, k.replica.Status().Applied, false)
+		if code == http.StatusOK {
+			if err := os.Remove(k.lostMark()); err != nil && !errors.Is(err, os.ErrNotExist) {
+				k.log.Error("join", "err", err) // the next start joins once more
 			}
+			k.log.Info("joined")
+			return
+		}
+		if err != nil {
+			k.log.Debug("join", "err", err)
 		}
 		select {
 		case <-tick.C:
@@ -196,3 +187,89 @@
 		}
 	}
 }
+
+// ask asks every peer to take this keeper in, and returns what the one answered that leads; 0: none does.
+func (k *Keeper) ask(ctx context.Context, applied uint64, lost bool) (int, error) {
+	client := &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	defer client.CloseIdleConnections()
+	body, err := json.Marshal(joinCall{k.config.Name, or(k.config.AdvertiseRaft, k.config.Raft), or(k.config.AdvertiseHTTP, k.config.HTTP), applied, lost})
+	if err != nil {
+		return 0, err
+	}
+	var last error
+	for _, p := range k.config.Peers {
+		if p.Name == k.config.Name {
+			continue
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.HTTP+"/v1/keepers", bytes.NewReader(body))
+		if err != nil {
+			return 0, err
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			last = err
+			continue
+		}
+		var said problem
+		_ = json.NewDecoder(resp.Body).Decode(&said) // what cannot be read says nothing
+		resp.Body.Close()
+		switch resp.StatusCode {
+		case http.StatusOK, http.StatusAccepted:
+			return resp.StatusCode, nil
+		case http.StatusConflict:
+			k.log.Warn("join", "peer", p.Name, "err", said.Reason)
+		}
+		last = fmt.Errorf("%s: %s", p.Name, said.Reason)
+	}
+	return 0, last
+}
+
+// lostMark is the file that tells that this keeper's store was unsound and its vote has to be taken before it has one again.
+func (k *Keeper) lostMark() string { return filepath.Join(k.config.Folder, "lost") }
+
+// examine looks at the store before it is opened. One that is unsound is set aside, and the others are asked to take this
+// keeper's vote, so that it can come as a new one with nothing. It tells whether it has to join.
+func (k *Keeper) examine(ctx context.Context) (lost bool, err error) {
+	if err := os.MkdirAll(k.config.Folder, 0o700); err != nil {
+		return false, fmt.Errorf("folder: %w", err)
+	}
+	folder := filepath.Join(k.config.Folder, "raft")
+	_, err = os.Stat(k.lostMark())
+	marked := err == nil
+	if err = replica.Check(folder); err == nil && !marked {
+		return false, nil
+	}
+	if err != nil && !errors.Is(err, replica.ErrUnsound) {
+		return false, err
+	}
+	if err != nil && !marked {
+		if markErr := sealed.WriteFile(k.lostMark(), []byte(err.Error()+"\n")); markErr != nil {
+			return false, errors.Join(err, markErr)
+		}
+	}
+	if _, there := os.Stat(folder); there == nil {
+		aside, moved := sealed.SetAside(folder)
+		if moved != nil {
+			return false, errors.Join(err, moved)
+		}
+		k.log.Error("the store is set aside", "err", err, "as", aside)
+	}
+	if len(k.config.Peers) < 2 && !k.config.Join {
+		return false, fmt.Errorf("%s tells that the store was lost, and there is no other keeper to get it from: remove that file to begin anew, and restore a backup",
+			k.lostMark())
+	}
+	tick := time.NewTicker(joinEvery)
+	defer tick.Stop()
+	for {
+		code, err := k.ask(ctx, 0, true)
+		if code != 0 {
+			return true, nil
+		}
+		k.log.Debug("lost", "err", err)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return true, nil
+		}
+	}
+}
--- a/internal/keeper/watch.go
+++ b/internal/keeper/watch.go
@@ -137,7 +137,11 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", "no-store")
 	w.WriteHeader(http.StatusOK)
-	beat := time.NewTicker(list.Heartbeat * 3 / 4)
+	every := list.Heartbeat * 3 / 4 // so that a slow network brings it in time
+	if a.ages {
+		every = list.AgeBeat
+	}
+	beat := time.NewTicker(every)
 	defer beat.Stop()
 	first := true
 	for {
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -27,6 +27,9 @@
 	Runs     [][]Run // of each sidecar: its processes, in order
 	Peaks    []Peak  // of each sidecar
 	Lateness time.Duration
+	Shown    []ctl.Shown // what keepers wrote to readers
+	Wrote    []ctl.Wrote // what the lab's own clients of keepers did
+	Last     Last        // of the keepers
 }
 
 // Run is one process of a sidecar, as far as faults go.
@@ -87,6 +90,7 @@
 	e.answers(f, attempts)
 	e.attempts(f, attempts)
 	e.drained(f)
+	e.keepers(f)
 	for _, n := range e.Falls {
 		f.add("cold", "server %s fell over at %s", n.UID, e.when(n.At))
 	}
--- a/internal/lab/check/figures.go
+++ b/internal/lab/check/figures.go
@@ -134,6 +134,7 @@
 		worst = min(worst, share(c))
 	}
 	f["served_worst_class"] = worst
+	e.keeperFigures(f)
 	worst = 1.0
 	const window = 10
 	for i := range max(1, n-window+1) {
--- /dev/null
+++ b/internal/lab/check/keepers.go
@@ -0,0 +1,211 @@
+package check
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+)
+
+// Last is the revision at the end, when all faults are over; 0: no keeper led.
+type Last struct {
+	Cluster string
+	Rev     int64
+}
+
+// reader tells whether a near end reads the list: a sidecar, or a client that only watches.
+func reader(p *plan.Plan, near int) bool {
+	return near < len(p.Sidecars) || near >= p.NearWatcher(0)
+}
+
+// Behind are the readers that were not told the last revision.
+func Behind(p *plan.Plan, shown []ctl.Shown, last Last) (all []int) {
+	told := map[int]int64{}
+	for _, s := range shown {
+		if s.Cluster == last.Cluster && s.Watch {
+			told[s.Near] = max(told[s.Near], s.Rev)
+		}
+	}
+	for near := range p.Nears() {
+		if reader(p, near) && told[near] < last.Rev {
+			all = append(all, near)
+		}
+	}
+	return all
+}
+
+func (e *Evidence) keepers(f findings) {
+	if e.Plan.File.Keepers.Count == 0 {
+		return
+	}
+	e.linearizable(f)
+	e.revisions(f)
+	if e.Last.Rev == 0 {
+		f.add("told-all", "no keeper leads at the end")
+		return
+	}
+	for _, near := range Behind(e.Plan, e.Shown, e.Last) {
+		f.add("told-all", "reader %d was not told revision %d", near, e.Last.Rev)
+	}
+}
+
+// entry is what one key holds, as far as a history of operations leaves it known.
+type entry struct {
+	rev   int64 // below 0: of a write that was never answered, so above the one before
+	value int
+}
+
+// model is a register that is written with compare and set: each write names the revision that it replaces.
+var model = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{entry{}} },
+	Step: func(state, input, output any) []any {
+		now, w := state.(entry), input.(ctl.Wrote)
+		switch {
+		case !w.Write && now == (entry{}): // what was made before the first operation
+			return []any{entry{w.Rev, w.Value}}
+		case !w.Write && w.Value == now.value && (w.Rev == now.rev || now.rev < 0 && w.Rev > -now.rev):
+			return []any{entry{w.Rev, w.Value}}
+		case !w.Write:
+			return nil
+		}
+		fits := now.rev == w.Expect || now == (entry{}) || now.rev < 0 && w.Expect > -now.rev
+		switch {
+		case w.How == "conflict" && (now.rev != w.Expect):
+			return []any{state}
+		case w.How == "conflict":
+			return nil
+		case w.How == "uncertain" && fits:
+			return []any{state, entry{-w.Expect, w.Value}}
+		case w.How == "uncertain":
+			return []any{state}
+		case fits && w.Rev > w.Expect:
+			return []any{entry{w.Rev, w.Value}}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+const judgeWithin = 20 * time.Second // for one entry's history
+
+// linearizable checks what the lab's own clients wrote and read, entry by entry (Herlihy and Wing, 1990).
+func (e *Evidence) linearizable(f findings) {
+	keys := map[int][]porcupine.Operation{}
+	for _, w := range e.Wrote {
+		if w.How == "none" {
+			continue
+		}
+		end := w.Return
+		if w.How == "uncertain" {
+			end = math.MaxInt64
+		}
+		keys[w.Key] = append(keys[w.Key], porcupine.Operation{ClientId: w.Client, Input: w, Output: w, Call: w.Call, Return: end})
+	}
+	judge := model.ToModel()
+	for _, key := range sortedKeys(keys) {
+		switch porcupine.CheckOperationsTimeout(judge, keys[key], judgeWithin) {
+		case porcupine.Illegal:
+			f.add("linearizable", "the %d operations on entry %d fit no order", len(keys[key]), key)
+		case porcupine.Unknown:
+			f.add("linearizable", "the %d operations on entry %d could not be judged within %v", len(keys[key]), key, judgeWithin)
+		}
+	}
+}
+
+func sortedKeys[V any](m map[int]V) (keys []int) {
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// revisions checks what each watch was shown, in the order in which it came.
+func (e *Evidence) revisions(f findings) {
+	conns := map[int64][]ctl.Shown{}
+	for _, s := range e.Shown {
+		if s.Watch {
+			conns[s.Conn] = append(conns[s.Conn], s)
+		}
+	}
+	for conn, all := range conns {
+		slices.SortStableFunc(all, func(a, b ctl.Shown) int { return cmp.Compare(a.At, b.At) })
+		at := all[0].Holds
+		for i, s := range all {
+			fresh := i == 0 && s.All // it may come instead of changes, but never from behind
+			where := fmt.Sprintf("connection %d of reader %d to %s at %s", conn, s.Near, s.Keeper, e.when(s.At))
+			switch {
+			case s.Rev < at:
+				f.add("revisions", "%s: revision %d after %d", where, s.Rev, at)
+			case !fresh && !s.All && s.N > 0 && s.Rev != at+int64(s.N):
+				f.add("revisions", "%s: %d changes lead from revision %d to %d", where, s.N, at, s.Rev)
+			case !fresh && !s.All && s.N == 0 && s.Rev != at:
+				f.add("revisions", "%s: nothing changed from revision %d to %d", where, at, s.Rev)
+			}
+			at = s.Rev
+		}
+	}
+}
+
+// keeperFigures are what the keepers did, for those who wrote and those who read.
+func (e *Evidence) keeperFigures(figures Figures) {
+	if e.Plan.File.Keepers.Count == 0 {
+		return
+	}
+	took, told := newHistogram(), newHistogram()
+	done, uncertain := 0, 0
+	var ends []int64
+	for _, w := range e.Wrote {
+		switch {
+		case w.Write && w.How == "ok":
+			done++
+			note(took, w.Return-w.Call)
+			ends = append(ends, w.Return)
+		case w.Write && w.How == "uncertain":
+			uncertain++
+		}
+	}
+	slices.Sort(ends)
+	gap := int64(0)
+	for i := 1; i < len(ends); i++ {
+		gap = max(gap, ends[i]-ends[i-1])
+	}
+	last := map[int64]int64{} // of each revision: when the last reader was told it
+	watches, whole := 0, 0
+	seen := map[int64]bool{}
+	for _, s := range e.Shown {
+		if !s.Watch {
+			continue
+		}
+		if !seen[s.Conn] {
+			seen[s.Conn] = true
+			watches++
+		}
+		if s.All {
+			whole++
+		} else if s.N > 0 && s.Cluster == e.Last.Cluster {
+			last[s.Rev] = max(last[s.Rev], s.At)
+		}
+	}
+	called := map[int64]int64{} // of the revisions that the writers made: when they called
+	for _, w := range e.Wrote {
+		if w.Write && w.How == "ok" {
+			called[w.Rev] = w.Call
+		}
+	}
+	for rev, at := range last {
+		if from, ok := called[rev]; ok {
+			note(told, at-from)
+		}
+	}
+	figures["writes"], figures["writes_uncertain"] = float64(done), float64(uncertain)
+	figures["write_p99_ms"], figures["write_gap_ms"] = quantile(took, 99), float64(gap)/1e6
+	figures["told_p50_ms"], figures["told_p99_ms"] = quantile(told, 50), quantile(told, 99)
+	figures["watches"], figures["watches_whole"] = float64(watches), float64(whole)
+}
--- a/internal/lab/config.go
+++ b/internal/lab/config.go
@@ -5,13 +5,14 @@
 	"fmt"
 
 	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/link"
 	"gradeusher.example/gradeusher/internal/lab/plan"
 	"gradeusher.example/gradeusher/internal/lab/standin"
 )
 
 // sidecarConfig is the file that PROXY_CONFIG of a sidecar names (DEPLOY, "What a sidecar is told"), with the settings by
 // their names on the wire (WIRE).
-func sidecarConfig(p *plan.Plan, i int, listen, discovery string, seed uint64, known []ctl.Entry) ([]byte, error) {
+func sidecarConfig(p *plan.Plan, i int, listen, discovery string, seed uint64, known []ctl.Entry, keepers []string) ([]byte, error) {
 	type object = map[string]any
 	f := p.File
 	s := p.Sidecars[i]
@@ -28,7 +29,7 @@
 	for _, k := range f.Kinds {
 		models = append(models, k.Name)
 	}
-	text, err := json.Marshal(object{
+	whole := object{
 		"name": s.Name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%016x", seed),
 		"limits": object{"cores": 1, "memory_mb": f.Fleet.MemoryMB, "sockets": f.Fleet.Sockets},
 		"known":  json.RawMessage(standin.Object(i, s.Group, int64(len(known)), true, known)),
@@ -43,7 +44,12 @@
 				"stop_sending_within_s": 0.3, "answer_slack_s": 0.02},
 			"charges": object{"cross_zone": 0.024, "handshake": 0.08, "late_fail": 0.085, "probe": 0.01, "waste": 0.25},
 		},
-	})
+	}
+	if len(keepers) > 0 {
+		delete(whole, "known") // they tell it
+		whole["keepers"] = object{"addresses": keepers, "reach": link.Near(i).String(), "doubt_share": f.Keepers.DoubtShare}
+	}
+	text, err := json.Marshal(whole)
 	if err != nil {
 		return nil, fmt.Errorf("configuration of %s: %w", s.Name, err)
 	}
--- a/internal/lab/ctl/ctl.go
+++ b/internal/lab/ctl/ctl.go
@@ -32,6 +32,10 @@
 	Cut   *bool       `json:"cut,omitempty"`   // link: whether calls of group come up
 	Group int         `json:"group,omitempty"` // link: the group of near ends that Cut means
 
+	Front    string `json:"front,omitempty"`     // front: where the relay leads calls to UID
+	BySource bool   `json:"by_source,omitempty"` // front: callers are told by where they call from
+	On       bool   `json:"on,omitempty"`        // silent
+
 	Entry *Entry  `json:"entry,omitempty"` // list: what it learns
 	Mode  string  `json:"mode,omitempty"`  // list-mode: "", "late", "old", "cut", "garbled"
 	Late  float64 `json:"late,omitempty"`  // list-mode late: seconds
@@ -80,6 +84,33 @@
 	At    int64  `json:"t"` // when it was written whole
 }
 
+// Shown is one line of the list that a keeper wrote to one who reads it.
+type Shown struct {
+	Near    int    `json:"n"`
+	Keeper  string `json:"k"`
+	Conn    int64  `json:"c"` // the connection, a number of its own
+	Watch   bool   `json:"w"`
+	Holds   int64  `json:"h"` // the revision that the reader said he holds as he called; below 0: none
+	Cluster string `json:"l"` // whose it is
+	Rev     int64  `json:"r"`
+	All     bool   `json:"a"`
+	N       int    `json:"x"` // servers in it
+	At      int64  `json:"t"` // when it was written whole
+}
+
+// Wrote is one write or read that a client of the keepers made, by the content that it wrote or found.
+type Wrote struct {
+	Client int    `json:"c"`
+	Key    int    `json:"k"`
+	Write  bool   `json:"w"`
+	Expect int64  `json:"e"` // write: the revision that the entry had to have
+	Value  int    `json:"v"`
+	Rev    int64  `json:"r"` // of the entry after it
+	How    string `json:"h"` // "ok", "conflict", "uncertain": it may have been done, and may yet be; "none": it was not
+	Call   int64  `json:"f"` // ns
+	Return int64  `json:"t"` // ns
+}
+
 // Marshal is a value as a line.
 func Marshal(v any) ([]byte, error) {
 	line, err := json.Marshal(v)
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -44,7 +44,9 @@
 	hosts   []*child
 	host    map[string]*child // by server
 	specs   map[string]*model.Spec
-	list    *listProcess
+	list    *listProcess // the platform's; nil: keepers hold it
+	keepers *keepers     // nil: there are none
+	writers *writers
 
 	mu       sync.Mutex
 	entries  map[string]ctl.Entry // what is so, which the list learns later
@@ -86,25 +88,22 @@
 	for i := range p.Servers {
 		f.specs[p.Servers[i].UID] = &p.Servers[i]
 	}
+	if p.File.Keepers.Count > 0 {
+		if err := f.startKeepers(ctx); err != nil {
+			return f, err
+		}
+	}
 	if err := f.startHosts(); err != nil {
 		return f, err
 	}
-	groups := make([]string, len(p.Sidecars))
-	for i, s := range p.Sidecars {
-		groups[i] = strconv.Itoa(s.Group)
-	}
-	f.list = &listProcess{fleet: f, groups: strings.Join(groups, ",")}
-	if f.list.place, err = link.Reserve(link.Anywhere); err != nil {
-		return f, err
+	if f.keepers != nil {
+		err = f.fillKeepers(ctx)
+	} else {
+		err = f.startList()
 	}
-	if err := f.list.start(); err != nil {
+	if err != nil {
 		return f, err
 	}
-	for _, e := range f.known {
-		if err := f.list.tell(e); err != nil {
-			return f, err
-		}
-	}
 	if err := f.links.baseline(plan.Millis(p.File.Fleet.DelayMS)); err != nil {
 		return f, err
 	}
@@ -131,6 +130,27 @@
 	return f, group.Wait()
 }
 
+// startList starts the platform's list, which knows the servers that stand.
+func (f *Fleet) startList() (err error) {
+	groups := make([]string, len(f.plan.Sidecars))
+	for i, s := range f.plan.Sidecars {
+		groups[i] = strconv.Itoa(s.Group)
+	}
+	f.list = &listProcess{fleet: f, groups: strings.Join(groups, ",")}
+	if f.list.place, err = link.Reserve(link.Anywhere); err != nil {
+		return err
+	}
+	if err := f.list.start(); err != nil {
+		return err
+	}
+	for _, e := range f.known {
+		if err := f.list.tell(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // log is the file that all processes of a name write to; what an earlier experiment left there is removed.
 func (f *Fleet) log(name string) string {
 	path := filepath.Join(f.logs, name+".log")
@@ -147,12 +167,15 @@
 
 func (f *Fleet) startHosts() error {
 	p := f.plan
-	n := (p.Standing + p.File.Fleet.PerHost - 1) / p.File.Fleet.PerHost
+	n := p.Hosts()
 	for i := range n {
 		name := fmt.Sprintf("servers-%d", i)
+		args := []string{"stand-in", "host", "--groups", strconv.Itoa(p.Groups()), "--records", f.records("attempts", i)}
+		if f.keepers != nil {
+			args = append(args, "--keepers", strings.Join(f.keeperAddresses(p.NearHost(i)), ","), "--lease", plan.Seconds(p.File.Keepers.LeaseS).String())
+		}
 		c, err := startChild(f.starter, proc.Spec{Name: name, Path: f.self.Path, Log: f.log(name), Env: f.env("TMPDIR=" + f.work),
-			Args: []string{"stand-in", "host", "--groups", strconv.Itoa(len(p.File.Fleet.Zones)), "--records", f.records("attempts", i)}},
-			f.hear)
+			Args: args}, f.hear)
 		if err != nil {
 			return err
 		}
@@ -205,8 +228,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	seed := f.plan.Seed<<20 + uint64(s.index)<<8 + uint64(len(s.runs))
-	discovery := f.listAddress(s.index)
-	text, err := sidecarConfig(f.plan, s.index, s.address(), discovery, seed, f.known)
+	discovery := ""
+	var keepers []string
+	if f.keepers != nil {
+		keepers = f.keeperAddresses(s.index)
+	} else {
+		discovery = f.listAddress(s.index)
+	}
+	text, err := sidecarConfig(f.plan, s.index, s.address(), discovery, seed, f.known, keepers)
 	if err != nil {
 		return err
 	}
@@ -218,9 +247,13 @@
 	if f.plan.File.Fleet.Program == "plain" {
 		args = []string{"stand-in", "plain", "--flaw", f.plan.File.Fleet.Flaw}
 	}
+	tmp := s.folder
+	if f.keepers != nil && !f.plan.File.Keepers.Cache {
+		tmp = ""
+	}
 	began := clock.Now()
 	p, err := f.starter.Start(proc.Spec{Name: name, Path: f.self.Path, Args: args, Log: f.log(name), Folder: s.folder,
-		Env: f.env("TMPDIR="+s.folder, "PROXY_CONFIG="+config, "PROXY_NAME="+name, "PROXY_LISTEN="+s.address(), "PROXY_DISCOVERY="+discovery)})
+		Env: f.env("TMPDIR="+tmp, "PROXY_CONFIG="+config, "PROXY_NAME="+name, "PROXY_LISTEN="+s.address(), "PROXY_DISCOVERY="+discovery)})
 	if err != nil {
 		return err
 	}
@@ -300,7 +333,15 @@
 }
 
 func (f *Fleet) stopStandins() {
-	for _, c := range append(append([]*child(nil), f.hosts...), f.list.current()) {
+	all := append([]*child(nil), f.hosts...)
+	if f.keepers != nil {
+		if f.keepers.watchers != nil {
+			all = append(all, f.keepers.watchers)
+		}
+		f.keepers.finish()
+		all = append(all, f.keepers.relay)
+	}
+	for _, c := range append(all, f.list.current()) {
 		if c == nil {
 			continue
 		}
@@ -335,6 +376,9 @@
 		if f.list != nil && f.list.place != nil {
 			f.list.place.Close()
 		}
+		if f.keepers != nil {
+			f.keepers.leave()
+		}
 	})
 	f.starter.Close()
 }
@@ -422,7 +466,12 @@
 }
 
 // ListAddress is where the first sidecar reaches the list.
-func (f *Fleet) ListAddress() string { return f.listAddress(0) }
+func (f *Fleet) ListAddress() string {
+	if f.keepers != nil {
+		return f.keeperAddresses(0)[0]
+	}
+	return f.listAddress(0)
+}
 
 // listAddress is where the i-th sidecar reaches the list.
 func (f *Fleet) listAddress(i int) string {
--- a/internal/lab/link/listen.go
+++ b/internal/lab/link/listen.go
@@ -65,10 +65,13 @@
 // Listener accepts at one port of every loopback address, and of no other interface. One goroutine accepts.
 type Listener struct {
 	*net.TCPListener
-	raw  syscall.RawConn
-	mu   sync.Mutex
-	open chan struct{} // closed while calls come up
-	cut  bool
+	// BySource tells who calls by the address that he calls from, not by the one that he calls: for those who say where they
+	// call from.
+	BySource bool
+	raw      syscall.RawConn
+	mu       sync.Mutex
+	open     chan struct{} // closed while calls come up
+	cut      bool
 }
 
 // Listen listens at a port; 0: any that is free.
@@ -101,6 +104,9 @@
 
 // Near is the index of the process that called on an accepted connection; below 0: none of the experiment's.
 func (l *Listener) Near(c net.Conn) int {
+	if l.BySource {
+		return NearIndex(c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr())
+	}
 	return NearIndex(c.LocalAddr().(*net.TCPAddr).AddrPort().Addr())
 }
 
--- a/internal/lab/plan/fault.go
+++ b/internal/lab/plan/fault.go
@@ -10,7 +10,7 @@
 	Do      string   `toml:"do"`
 	At      float64  `toml:"at"`
 	For     float64  `toml:"for"`
-	On      string   `toml:"on"`      // "sidecars", "servers" or "list", where do leaves a choice
+	On      string   `toml:"on"`      // "sidecars", "servers", "list" or "keepers", where do leaves a choice
 	Zone    string   `toml:"zone"`    // only those of it
 	Part    float64  `toml:"part"`    // this share of them, drawn; 0: all
 	Count   int      `toml:"count"`   // or this many
@@ -33,8 +33,8 @@
 	keys  []string // besides do, at, for, on, zone, part, count, names
 }
 
-var processes = []string{"sidecars", "list"}
-var links = []string{"servers", "list"}
+var processes = []string{"sidecars", "list", "keepers"}
+var links = []string{"servers", "list", "keepers"}
 
 // faultKinds are the faults there are.
 var faultKinds = map[string]faultKind{
@@ -58,7 +58,11 @@
 	"list-old":      {on: []string{"list"}, lasts: true},                                                           // the list is an old one
 	"list-cut":      {on: []string{"list"}, lasts: true},                                                           // the list breaks off half way
 	"list-garbled":  {on: []string{"list"}, lasts: true},                                                           // the list cannot be read
-	"disk-full":     {on: []string{"sidecars"}, lasts: true},                                                       // nothing can be written to files
+	"disk-full":     {on: []string{"sidecars", "keepers"}, lasts: true},                                            // nothing can be written to files
+	"disk-torn":     {on: []string{"keepers"}},                                                                     // the newest file of the log loses its end, while the process is down
+	"disk-short":    {on: []string{"keepers"}},                                                                     // the newest snapshot loses its end, while the process is down
+	"backup":        {on: []string{"keepers"}},                                                                     // the state is saved
+	"restore":       {on: []string{"keepers"}},                                                                     // the state is replaced by what was saved last
 	"disk-readonly": {on: []string{"sidecars"}, lasts: true},                                                       // the folder can only be read
 	"clock":         {on: []string{"servers"}, size: [2]float64{-86400, 86400}},                                    // the wall clock of the servers' machines jumps by size seconds
 }
@@ -92,9 +96,19 @@
 		return f.bad("fault", i, "part", "only one of part, count and names can be given")
 	case t.Count < 0:
 		return f.bad("fault", i, "count", "count %d is below 0", t.Count)
+	case t.On == "keepers" && f.Keepers.Count == 0:
+		return f.bad("fault", i, "on", "there are no keepers: [keepers] needs count")
+	case t.On == "list" && f.Keepers.Count > 0:
+		return f.bad("fault", i, "on", "keepers hold the list: on = \"keepers\"")
+	case t.On == "keepers" && t.Zone != "":
+		return f.bad("fault", i, "zone", "keepers have no zone")
+	case t.On == "keepers" && t.From != "" && t.From != "peers" && t.From != "clients":
+		return f.bad("fault", i, "from", "from %q is neither peers nor clients", t.From)
+	case t.On == "servers" && t.From != "" && f.Keepers.Count > 0:
+		return f.bad("fault", i, "from", "with keepers all sidecars reach servers by one listener: from is not possible")
 	case t.Zone != "" && !slices.Contains(f.Fleet.Zones, t.Zone):
 		return f.bad("fault", i, "zone", "no zone %q", t.Zone)
-	case t.From != "" && !slices.Contains(f.Fleet.Zones, t.From):
+	case t.From != "" && t.On != "keepers" && !slices.Contains(f.Fleet.Zones, t.From):
 		return f.bad("fault", i, "from", "no zone %q", t.From)
 	case t.On == "list" && (t.Zone != "" || t.Part > 0 || t.Count > 0 || len(t.Names) > 0):
 		return f.bad("fault", i, "on", "there is one list: zone, part, count and names choose nothing")
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -22,6 +22,7 @@
 	Load    Load    `toml:"load"`
 	Limits  Limits  `toml:"limits"`
 	List    List    `toml:"list"`
+	Keepers Keepers `toml:"keepers"`
 	Kinds   []Kind  `toml:"kind"`
 	Classes []Class `toml:"class"`
 	Faults  []Fault `toml:"fault"`
@@ -75,6 +76,23 @@
 	SilentS [2]float64 `toml:"silent_s"` // until it knows that a machine is silent
 }
 
+// Keepers are who hold the list, in place of the platform's.
+type Keepers struct {
+	Count      int     `toml:"count"`       // 0: the platform's list
+	Program    string  `toml:"program"`     // "keeper": the program; "plain": stand-ins, each by itself and without a disk
+	Flaw       string  `toml:"flaw"`        // of the stand-in keepers
+	LeaseS     float64 `toml:"lease_s"`     // of the servers' registrations
+	GraceS     float64 `toml:"grace_s"`     // from the end of a lease to the server's removal
+	Share      float64 `toml:"share"`       // of the leases that may end within 30 s
+	Snapshot   int     `toml:"snapshot"`    // commands after which a keeper takes a snapshot, and as many it keeps behind it
+	Writers    int     `toml:"writers"`     // clients that write and read entries of their own, side by side
+	WriteRate  float64 `toml:"write_rate"`  // their operations a second in all
+	Keys       int     `toml:"keys"`        // entries that they share
+	DoubtShare float64 `toml:"doubt_share"` // of the servers, that sidecars let go at once where a whole list lacks them
+	Cache      bool    `toml:"cache"`       // sidecars keep the last list on disk
+	Watchers   int     `toml:"watchers"`    // clients besides the sidecars that only watch
+}
+
 // Kind is a kind of server (BRIEF).
 type Kind struct {
 	Name  string     `toml:"name"`
@@ -111,7 +129,8 @@
 		Load: Load{Uneven: 1, Retries: true, WorkPart: 1},
 		Limits: Limits{AnswerSlackMS: 500, DrainGraceMS: 300, SlackMS: 50, MemoryMB: 192, Descriptors: 1024,
 			LatenessMS: 5},
-		List: List{NoticeS: [2]float64{0.66, 3.9}, AddS: [2]float64{0.25, 2.6}, SilentS: [2]float64{6.5, 13}},
+		List:    List{NoticeS: [2]float64{0.66, 3.9}, AddS: [2]float64{0.25, 2.6}, SilentS: [2]float64{6.5, 13}},
+		Keepers: Keepers{Program: "keeper", LeaseS: 3, GraceS: 3, Share: 0.3, Snapshot: 4096, Writers: 4, Keys: 4, DoubtShare: 0.3, Cache: true},
 	}
 }
 
@@ -137,16 +156,23 @@
 	{"no-crash", "no process ends that no fault ended"},
 	{"memory", "no sidecar holds more memory than its limit"},
 	{"descriptors", "no sidecar holds more descriptors than its limit"},
+	{"linearizable", "reads and writes of keepers' entries are as if one after the other, and nothing acknowledged is lost"},
+	{"revisions", "no watcher is shown a revision that goes back, or changes with a gap between them"},
+	{"told-all", "at the end every watcher has been told the last revision"},
 	{"lab-on-time", "the lab sends on time; if not, the run is void"},
 }
 
 // Figures are what a bar may name.
 var Figures = []string{"service", "served", "served_worst_10s", "served_worst_class", "answered", "refused", "failed", "attempts",
-	"late_refusals", "p50_ms", "p99_ms", "p999_ms", "connections", "lateness_p99_ms", "requests"}
+	"late_refusals", "p50_ms", "p99_ms", "p999_ms", "connections", "lateness_p99_ms", "requests",
+	"writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "told_p50_ms", "told_p99_ms", "watches", "watches_whole"}
 
 // Flaws of the stand-in sidecar, for the controls; "" is none.
 var Flaws = []string{"", "duplicate", "hedge", "mute", "late", "deaf", "rush", "crash", "leak-memory", "leak-descriptors"}
 
+// KeeperFlaws are those of the stand-in keepers; "" is none but to be each by itself.
+var KeeperFlaws = []string{"", "gap", "mute"}
+
 // Error is what is wrong with a file, and where.
 type Error struct {
 	File string
@@ -264,6 +290,16 @@
 		{"load", "zone_skew", f.Load.ZoneSkew, 0, 1},
 		{"load", "tardy_ms", f.Load.TardyMS, 0, 10000},
 		{"load", "work_part", f.Load.WorkPart, 0.001, 10},
+		{"keepers", "count", float64(f.Keepers.Count), 0, 7},
+		{"keepers", "lease_s", f.Keepers.LeaseS, 1, 3600},
+		{"keepers", "grace_s", f.Keepers.GraceS, 0, 3600},
+		{"keepers", "share", f.Keepers.Share, 0, 1},
+		{"keepers", "snapshot", float64(f.Keepers.Snapshot), 1, 1 << 20},
+		{"keepers", "writers", float64(f.Keepers.Writers), 1, 64},
+		{"keepers", "write_rate", f.Keepers.WriteRate, 0, 10000},
+		{"keepers", "keys", float64(f.Keepers.Keys), 1, 1000},
+		{"keepers", "doubt_share", f.Keepers.DoubtShare, 0, 1},
+		{"keepers", "watchers", float64(f.Keepers.Watchers), 0, 10000},
 		{"limits", "answer_slack_ms", f.Limits.AnswerSlackMS, 0, 60000},
 		{"limits", "drain_grace_ms", f.Limits.DrainGraceMS, 0, 60000},
 		{"limits", "slack_ms", f.Limits.SlackMS, 0, 60000},
@@ -288,10 +324,20 @@
 		return f.bad("fleet", -1, "flaw", "only the plain program has flaws")
 	case !slices.Contains(Flaws, f.Fleet.Flaw):
 		return f.bad("fleet", -1, "flaw", "unknown flaw %q", f.Fleet.Flaw)
+	case f.Keepers.Count != 0 && f.Keepers.Count%2 == 0:
+		return f.bad("keepers", -1, "count", "%d keepers: an odd number agrees", f.Keepers.Count)
+	case f.Keepers.Count > 0 && f.Fleet.Program == "plain":
+		return f.bad("fleet", -1, "program", "the plain sidecar knows no keepers")
+	case f.Keepers.Program != "keeper" && f.Keepers.Program != "plain":
+		return f.bad("keepers", -1, "program", "program %q is neither keeper nor plain", f.Keepers.Program)
+	case f.Keepers.Flaw != "" && f.Keepers.Program != "plain":
+		return f.bad("keepers", -1, "flaw", "only plain keepers have flaws")
+	case !slices.Contains(KeeperFlaws, f.Keepers.Flaw):
+		return f.bad("keepers", -1, "flaw", "unknown flaw %q", f.Keepers.Flaw)
 	case f.Fleet.Start != "warm" && f.Fleet.Start != "cold":
 		return f.bad("fleet", -1, "start", "start %q is neither warm nor cold", f.Fleet.Start)
-	case f.Breaks != "" && !isInvariant(f.Breaks):
-		return f.bad("", -1, "breaks", "unknown invariant %q", f.Breaks)
+	case f.Breaks != "" && !isInvariant(f.Breaks) && !f.hasBar(f.Breaks):
+		return f.bad("", -1, "breaks", "no invariant and no bar of the file is named %q", f.Breaks)
 	}
 	for _, r := range []struct {
 		key string
@@ -328,6 +374,11 @@
 	return nil
 }
 
+// hasBar tells whether a name is that of a bar, as a report words it.
+func (f *File) hasBar(name string) bool {
+	return slices.ContainsFunc(f.Bars, func(b Bar) bool { return "bar "+b.Figure == name })
+}
+
 func isInvariant(name string) bool {
 	return slices.ContainsFunc(Invariants, func(v struct{ Name, Says string }) bool { return v.Name == name })
 }
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -55,12 +55,16 @@
 
 // Steps that the lab takes, by the process that they act on.
 const (
-	Kill  = "kill"  // sidecar or list
-	Term  = "term"  // sidecar or list
-	Stop  = "stop"  // sidecar or list
-	Cont  = "cont"  // sidecar or list
-	Start = "start" // sidecar or list
-	Disk  = "disk"  // sidecar: Mode "full", "readonly" or ""
+	Kill  = "kill"  // sidecar, list or keeper
+	Term  = "term"  // sidecar, list or keeper
+	Stop  = "stop"  // sidecar, list or keeper
+	Cont  = "cont"  // sidecar, list or keeper
+	Start = "start" // sidecar, list or keeper
+	Disk  = "disk"  // sidecar or keeper: Mode "full", "readonly" or ""
+	Tear  = "tear"  // keeper that is down: Mode "torn" or "short"
+
+	Backup  = "backup"  // keepers
+	Restore = "restore" // keepers
 
 	Drain   = "drain"   // server
 	Die     = "die"     // server
@@ -73,12 +77,52 @@
 	Reset   = "reset"   // server or list
 	Forget  = "forget"  // server or list
 
+	Silent = "silent" // server: its machine cannot reach the keepers while On
+
 	Tell = "tell" // the list learns State of a server
 	Mode = "mode" // the list's answers are as Mode says
 )
 
-// ListIndex is the process index that means the list.
-const ListIndex = -1
+// Process indexes that mean no sidecar.
+const (
+	ListIndex   = -1
+	LeaderIndex = -2  // the keeper that leads when the step is taken; what ends a fault acts on whom it began with
+	firstKeeper = -10 // and those below
+)
+
+// KeeperIndex is the process index of the k-th keeper, from 0.
+func KeeperIndex(k int) int { return firstKeeper - k }
+
+// KeeperOf undoes KeeperIndex; it tells false for others, LeaderIndex with them.
+func KeeperOf(process int) (k int, ok bool) { return firstKeeper - process, process <= firstKeeper }
+
+// OnKeepers tells whether a process index means a keeper.
+func OnKeepers(process int) bool { return process == LeaderIndex || process <= firstKeeper }
+
+// Indexes of the near ends besides the sidecars, each with its own address (link.Near).
+
+// NearWriter is that of the lab's own clients of the keepers.
+func (p *Plan) NearWriter() int { return len(p.Sidecars) }
+
+// NearKeeper is that of the k-th keeper, as it calls others.
+func (p *Plan) NearKeeper(k int) int { return len(p.Sidecars) + 1 + k }
+
+// NearHost is that of the i-th process of servers, as it registers them.
+func (p *Plan) NearHost(i int) int { return len(p.Sidecars) + 1 + p.File.Keepers.Count + i }
+
+// NearWatcher is that of the i-th client that only watches.
+func (p *Plan) NearWatcher(i int) int { return p.NearHost(p.Hosts()) + i }
+
+// Nears is how many near ends there are.
+func (p *Plan) Nears() int { return p.NearWatcher(p.File.Keepers.Watchers) }
+
+// Hosts is how many processes of stand-in servers there are.
+func (p *Plan) Hosts() int {
+	return (p.Standing + p.File.Fleet.PerHost - 1) / p.File.Fleet.PerHost
+}
+
+// KeeperName is the name of the k-th keeper.
+func KeeperName(k int) string { return fmt.Sprintf("k%d", k+1) }
 
 // Step is one thing that the lab does at a time.
 type Step struct {
@@ -94,6 +138,7 @@
 	Nears   []int         // link faults; none: all
 	Effect  LinkEffect    // that begins or ends
 	On      bool          // link: it begins
+	From    string        // link of a keeper: "peers", "clients", or ""
 	Group   int           // link: whose calls are cut off; below 0: nobody's
 }
 
@@ -158,7 +203,18 @@
 		if sums[s.Group] > 0 {
 			s.Weight *= part / sums[s.Group]
 		}
+		if f.Keepers.Count > 0 {
+			s.Group = 0 // a server registers one address for all
+		}
+	}
+}
+
+// Groups is how many groups of sidecars there are, each with listeners of its own at every server.
+func (p *Plan) Groups() int {
+	if p.File.Keepers.Count > 0 {
+		return 1
 	}
+	return len(p.File.Fleet.Zones)
 }
 
 // drawKinds gives n servers their kinds, by share as nearly as whole servers can, in drawn order.
--- a/internal/lab/plan/steps.go
+++ b/internal/lab/plan/steps.go
@@ -119,6 +119,9 @@
 	if t.On == "list" {
 		return []int{ListIndex}, nil
 	}
+	if t.On == "keepers" {
+		return d.keepers(t)
+	}
 	var all []int
 	for i, s := range d.Sidecars {
 		if t.Zone == "" || s.Zone == t.Zone {
@@ -128,6 +131,21 @@
 	return choose(d.r, t, all, func(i int) string { return d.Sidecars[i].Name })
 }
 
+// keepers are those that a fault means, as process indexes: "leader" is drawn by the keepers themselves.
+func (d *drawer) keepers(t *Fault) ([]int, error) {
+	if slices.Equal(t.Names, []string{"leader"}) {
+		return []int{LeaderIndex}, nil
+	}
+	var all []int
+	for k := range d.File.Keepers.Count {
+		all = append(all, KeeperIndex(k))
+	}
+	return choose(d.r, t, all, func(i int) string {
+		k, _ := KeeperOf(i)
+		return KeeperName(k)
+	})
+}
+
 // servers are those that stand throughout a time, as indexes into living. A server is named "1", "2", ... in the order of
 // the start.
 func (d *drawer) servers(t *Fault, from, to time.Duration) ([]int, error) {
@@ -143,6 +161,15 @@
 func (d *drawer) draw(t *Fault) error {
 	at, end := Seconds(t.At), Seconds(t.At+t.For)
 	switch t.Do {
+	case "backup", "restore":
+		d.step(Step{At: at, Do: t.Do, Sidecar: LeaderIndex})
+		return nil
+	case "disk-torn", "disk-short":
+		chosen, err := d.keepers(t)
+		for _, i := range chosen {
+			d.step(Step{At: at, Do: Tear, Sidecar: i, Mode: strings.TrimPrefix(t.Do, "disk-")})
+		}
+		return err
 	case "kill", "term", "stop", "disk-full", "disk-readonly":
 		return d.process(t, at, end)
 	case "list-late", "list-old", "list-cut", "list-garbled":
@@ -179,6 +206,11 @@
 		if i >= 0 {
 			name = d.Sidecars[i].Name
 		}
+		if k, ok := KeeperOf(i); ok {
+			name = KeeperName(k)
+		} else if i == LeaderIndex {
+			name = "the leader of the keepers"
+		}
 		until := end
 		if t.Do == "kill" || t.Do == "term" {
 			until = forever
@@ -212,6 +244,9 @@
 const TermGrace = 3700 * time.Millisecond
 
 func (d *drawer) links(t *Fault, at, end time.Duration) error {
+	if t.On == "keepers" {
+		return d.keeperLinks(t, at, end)
+	}
 	group := -1
 	var nears []int
 	if t.From != "" {
@@ -236,17 +271,7 @@
 			far = append(far, d.Servers[d.living[i].index].UID)
 		}
 	}
-	var effect LinkEffect
-	switch t.Do {
-	case "delay":
-		effect.Delay, effect.Jitter = Seconds(t.Size/1000), Seconds(t.Jitter/1000)
-	case "silence":
-		effect.HoldFar, effect.HoldNear = t.Way == "to-far", t.Way == "to-near"
-	case "partition":
-		effect.HoldFar, effect.HoldNear = true, true
-	case "trickle":
-		effect.Rate = int(t.Size)
-	}
+	effect := t.effect()
 	for _, uid := range far {
 		s := Step{At: at, Do: Link, Sidecar: ListIndex, Server: uid, Nears: nears, Group: group, Effect: effect, On: true}
 		switch t.Do {
@@ -264,7 +289,55 @@
 	return nil
 }
 
+func (d *drawer) silent(at time.Duration, uid string, on bool) {
+	if d.File.Keepers.Count > 0 {
+		d.step(Step{At: at, Do: Silent, Server: uid, On: on})
+	}
+}
+
+// effect is what a fault makes of a link.
+func (t *Fault) effect() (e LinkEffect) {
+	switch t.Do {
+	case "delay":
+		e.Delay, e.Jitter = Seconds(t.Size/1000), Seconds(t.Jitter/1000)
+	case "silence":
+		e.HoldFar, e.HoldNear = t.Way == "to-far", t.Way == "to-near"
+	case "partition":
+		e.HoldFar, e.HoldNear = true, true
+	case "trickle":
+		e.Rate = int(t.Size)
+	}
+	return e
+}
+
+// keeperLinks draws a fault of the links of keepers, to their peers and their clients. Far is the keeper: "to-far" is what it
+// hears, whoever called.
+func (d *drawer) keeperLinks(t *Fault, at, end time.Duration) error {
+	chosen, err := d.keepers(t)
+	if err != nil {
+		return err
+	}
+	for _, i := range chosen {
+		s := Step{At: at, Do: Link, Sidecar: i, From: t.From, Effect: t.effect(), On: true}
+		switch t.Do {
+		case "reset":
+			s.Do = Reset
+		case "half-open":
+			s.Do = Forget
+		}
+		d.step(s)
+		if s.Do == Link {
+			s.At, s.On = end, false
+			d.step(s)
+		}
+	}
+	return nil
+}
+
 func (d *drawer) tell(at time.Duration, uid, state string) {
+	if d.File.Keepers.Count > 0 {
+		return // servers tell the keepers by themselves
+	}
 	d.step(Step{At: at, Do: Tell, Sidecar: ListIndex, Server: uid, State: state})
 }
 
@@ -326,10 +399,12 @@
 	case "lose":
 		all := LinkEffect{HoldFar: true, HoldNear: true}
 		d.step(Step{At: at, Do: Link, Server: uid, Effect: all, On: true, Group: -1})
+		d.silent(at, uid, true)
 		gone := at + d.late(list.SilentS)
 		if gone < end {
 			d.tell(gone, uid, "DELETED")
 		}
+		d.silent(end, uid, false)
 		d.step(Step{At: end, Do: Revive, Server: uid})
 		d.step(Step{At: end, Do: Link, Server: uid, Effect: all, Group: -1})
 		d.tell(end+d.late(list.AddS), uid, "SERVING")
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -138,6 +138,12 @@
 		f.watch(over, clients, start, o.Tick)
 		return nil
 	})
+	if f.writers != nil {
+		tasks.Go(func() error {
+			f.writers.run(over, start)
+			return nil
+		})
+	}
 	e.Tries = clients.Run(ctx, start)
 	waitUntil(ctx, start+int64(plan.Seconds(p.File.Seconds)))
 	f.Sample()
@@ -145,6 +151,9 @@
 	if err := tasks.Wait(); err != nil {
 		return nil, err
 	}
+	if f.keepers != nil {
+		e.Last = f.keepers.settle(ctx)
+	}
 	f.Finish()
 	f.Close()
 	if err := f.Err(); err != nil {
@@ -199,7 +208,18 @@
 		}
 		e.Attempts = append(e.Attempts, all...)
 	}
-	for i := range f.list.n {
+	lists := 1 // the relay's
+	if f.list != nil {
+		lists = f.list.n
+	}
+	if f.keepers != nil {
+		var err error
+		if e.Shown, err = ctl.ReadRecords[ctl.Shown](f.records("shown", 0)); err != nil {
+			return err
+		}
+		e.Wrote = f.writers.wrote
+	}
+	for i := range lists {
 		all, err := ctl.ReadRecords[ctl.Told](f.records("told", i))
 		if err != nil {
 			return err
@@ -217,7 +237,7 @@
 
 // keep leaves what clients and servers saw in the report's folder.
 func keep(out string, e *check.Evidence, work string) error {
-	for _, pattern := range []string{"requests.jsonl", "attempts-*.jsonl", "told-*.jsonl"} { // of an experiment before
+	for _, pattern := range []string{"requests.jsonl", "attempts-*.jsonl", "told-*.jsonl", "shown-*.jsonl", "writes.jsonl"} { // of an experiment before
 		old, err := filepath.Glob(filepath.Join(out, pattern))
 		if err != nil {
 			return err
@@ -238,6 +258,18 @@
 	if err := r.Close(); err != nil {
 		return err
 	}
+	if len(e.Wrote) > 0 {
+		r, err := ctl.NewRecords(filepath.Join(out, "writes.jsonl"))
+		if err != nil {
+			return err
+		}
+		for i := range e.Wrote {
+			r.Add(&e.Wrote[i])
+		}
+		if err := r.Close(); err != nil {
+			return err
+		}
+	}
 	records, err := filepath.Glob(filepath.Join(work, "*-*.jsonl"))
 	if err != nil {
 		return err
--- a/internal/lab/standin/host.go
+++ b/internal/lab/standin/host.go
@@ -14,16 +14,23 @@
 	"gradeusher.example/gradeusher/internal/lab/ctl"
 	"gradeusher.example/gradeusher/internal/lab/link"
 	"gradeusher.example/gradeusher/internal/lab/model"
+	"gradeusher.example/gradeusher/internal/list"
 )
 
 // Host runs stand-in servers until the orders end. groups is the number of groups of sidecars, each with listeners of its
-// own; what is seen goes to the file records.
-func Host(orders io.Reader, news io.Writer, groups int, records string) error {
+// own; what is seen goes to the file records. keepers, if any, are where the servers register, with a lease.
+func Host(orders io.Reader, news io.Writer, groups int, records string, keepers []string, lease time.Duration) error {
 	r, err := ctl.NewRecords(records)
 	if err != nil {
 		return err
 	}
 	h := &host{out: ctl.NewOut(news), groups: max(1, groups), records: r, servers: map[string]*machine{}, gone: map[string]*machine{}}
+	if len(keepers) > 0 {
+		if h.registrar, err = newRegistrar(keepers, lease); err != nil {
+			return errors.Join(err, r.Close())
+		}
+		defer h.registrar.close()
+	}
 	h.out.Say(ctl.News{Kind: "ready", At: clock.Now()})
 	// Links are set side by side, since to cut off calls takes milliseconds; whatever else comes waits for them.
 	var links sync.WaitGroup
@@ -68,6 +75,8 @@
 	servers map[string]*machine
 	gone    map[string]*machine // that were removed
 	skew    time.Duration       // of its wall clock
+
+	registrar *registrar // nil: servers register nowhere
 }
 
 // machine is where one server process after the other runs.
@@ -107,6 +116,7 @@
 		if o.Cold {
 			n.BootMS = h.bootMS()
 		}
+		h.register(m, n.BootMS)
 		return nil
 	}
 	m := h.servers[o.UID]
@@ -118,10 +128,15 @@
 	}
 	switch o.Do {
 	case "drain":
+		h.registrar.want(o.UID, func(w *wanted) { w.state = list.Draining })
 		m.process.do(func(now int64) { m.process.model.Drain(now) })
 	case "die":
+		h.registrar.want(o.UID, func(w *wanted) { w.dead = true })
 		m.process.die()
+	case "silent":
+		h.registrar.want(o.UID, func(w *wanted) { w.silent = o.On })
 	case "remove":
+		h.registrar.want(o.UID, func(w *wanted) { w.state = list.Deleted })
 		m.process.die()
 		m.process.tasks.Wait()
 		delete(h.servers, o.UID)
@@ -133,6 +148,7 @@
 			return err
 		}
 		n.BootMS, n.Ports = h.bootMS(), m.process.ports
+		h.register(m, n.BootMS)
 	case "trouble":
 		if o.Trouble == nil {
 			return errors.New("trouble: none given")
@@ -151,11 +167,19 @@
 	return nil
 }
 
+// register has a machine's process be on the keepers' list, where there are keepers.
+func (h *host) register(m *machine, bootMS int64) {
+	if h.registrar != nil {
+		h.registrar.up(m.process.spec.UID, m.process.spec.Zone, m.process.spec.Kind, m.process.ports[0], bootMS)
+	}
+}
+
 func (h *host) bootMS() int64 { return time.Now().Add(h.skew).UnixMilli() }
 
 func (h *host) start(m *machine, spec model.Spec, cold bool, ports []int) error {
 	p, err := startServer(spec, cold, ports, m.net, h.records, func(p *server) {
 		p.die()
+		h.registrar.want(spec.UID, func(w *wanted) { w.dead = true })
 		h.out.Say(ctl.News{Kind: "fell", UID: spec.UID, At: clock.Now()})
 	})
 	if err != nil {
--- a/internal/lab/standin/list.go
+++ b/internal/lab/standin/list.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return errors.Join(err, r.Close())
 	}
-	l := &list{groups: groups, records: r, net: newNetwork(), entries: map[string]ctl.Entry{}, changed: make(chan struct{}),
+	l := &platformList{groups: groups, records: r, net: newNetwork(), entries: map[string]ctl.Entry{}, changed: make(chan struct{}),
 		stop: make(chan struct{}), at: at}
 	l.tasks.Add(1)
 	go l.accept()
@@ -60,8 +60,8 @@
 	return errors.Join(err, r.Close())
 }
 
-// list is what is known, and who watches it.
-type list struct {
+// platformList is what is known, and who watches it.
+type platformList struct {
 	groups  Groups
 	records *ctl.Records
 	net     *network
@@ -84,7 +84,7 @@
 	entry ctl.Entry
 }
 
-func (l *list) obey(o ctl.Order) error {
+func (l *platformList) obey(o ctl.Order) error {
 	l.mu.Lock()
 	defer func() {
 		close(l.changed)
@@ -112,7 +112,7 @@
 	return nil
 }
 
-func (l *list) learn(e ctl.Entry) {
+func (l *platformList) learn(e ctl.Entry) {
 	if l.first == 0 {
 		l.first = 1
 	}
@@ -127,9 +127,9 @@
 	}
 }
 
-func (l *list) rev() int64 { return l.first + int64(len(l.revs)) - 1 }
+func (l *platformList) rev() int64 { return l.first + int64(len(l.revs)) - 1 }
 
-func (l *list) accept() {
+func (l *platformList) accept() {
 	defer l.tasks.Done()
 	for {
 		c, near, err := l.at.Accept(l.stop)
@@ -157,7 +157,7 @@
 }
 
 // answer answers one request. It tells false where the connection is over.
-func (l *list) answer(c *link.Conn, r *http.Request, near int) bool {
+func (l *platformList) answer(c *link.Conn, r *http.Request, near int) bool {
 	query := r.URL.Query()
 	switch {
 	case r.URL.Path != "/v1/servers":
@@ -186,7 +186,7 @@
 }
 
 // watch writes what changes after a revision, until the connection ends.
-func (l *list) watch(c *link.Conn, near int, from int64) {
+func (l *platformList) watch(c *link.Conn, near int, from int64) {
 	out := httputil.NewChunkedWriter(c)
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
@@ -243,7 +243,7 @@
 const oldBy = 20 // revisions that an old list is behind
 
 // told notes what a sidecar has been written. It tells false where the connection ended before that was whole.
-func (l *list) told(c *link.Conn, near int, entries []ctl.Entry) bool {
+func (l *platformList) told(c *link.Conn, near int, entries []ctl.Entry) bool {
 	at, ok := c.Flushed()
 	if !ok {
 		return false
@@ -256,7 +256,7 @@
 
 // news is the next object for a sidecar that holds revision from, the revision it then holds, and how long to wait before it
 // is written. No text: nothing is new.
-func (l *list) news(near int, from int64) (text []byte, tell []ctl.Entry, next int64, wait time.Duration) {
+func (l *platformList) news(near int, from int64) (text []byte, tell []ctl.Entry, next int64, wait time.Duration) {
 	if len(l.revs) == 0 {
 		return nil, nil, from, 0
 	}
@@ -283,7 +283,7 @@
 }
 
 // lag is how much later than the list a sidecar learns of a revision.
-func (l *list) lag(near int, rev int64) time.Duration {
+func (l *platformList) lag(near int, rev int64) time.Duration {
 	h := xxhash.Sum64String(strconv.Itoa(near) + " " + strconv.FormatInt(rev, 10))
 	d := time.Duration(h % uint64(listSpread))
 	if l.mode == "late" {
@@ -293,7 +293,7 @@
 }
 
 // whole is the list as it was at a revision; servers that came later are left out, and those that are gone.
-func (l *list) whole(near int, rev int64) ([]byte, []ctl.Entry) {
+func (l *platformList) whole(near int, rev int64) ([]byte, []ctl.Entry) {
 	at := l.entries
 	if rev < l.rev() {
 		at = map[string]ctl.Entry{}
@@ -312,7 +312,7 @@
 	return l.object(near, rev, true, entries), entries
 }
 
-func (l *list) object(near int, rev int64, all bool, entries []ctl.Entry) []byte {
+func (l *platformList) object(near int, rev int64, all bool, entries []ctl.Entry) []byte {
 	return Object(near, l.groups[near], rev, all, entries)
 }
 
--- a/internal/lab/standin/list_test.go
+++ b/internal/lab/standin/list_test.go
@@ -178,7 +178,7 @@
 // TestHost has a stand-in server answer, turn away, be revived on its port, and note what it saw.
 func TestHost(t *testing.T) {
 	records := filepath.Join(t.TempDir(), "attempts")
-	o, _ := startStandIn(t, func(in io.Reader, out io.Writer) error { return Host(in, out, 1, records) })
+	o, _ := startStandIn(t, func(in io.Reader, out io.Writer) error { return Host(in, out, 1, records, nil, 0) })
 	spec := testSpec()
 	added := o.give(ctl.Order{Do: "add", Spec: &spec})
 	client := &http.Transport{}
--- /dev/null
+++ b/internal/lab/standin/relay.go
@@ -0,0 +1,203 @@
+package standin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/clock"
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/link"
+	"gradeusher.example/gradeusher/internal/list"
+)
+
+// Relay leads calls to keepers over links with faults until the orders end. Whatever a keeper writes of the list to one of
+// the first readers near ends is noted, both as what sidecars were told and as what they were shown.
+func Relay(orders io.Reader, news io.Writer, readers int, told, shown string) error {
+	t, err := ctl.NewRecords(told)
+	if err != nil {
+		return err
+	}
+	s, err := ctl.NewRecords(shown)
+	if err != nil {
+		return errors.Join(err, t.Close())
+	}
+	r := &relay{readers: readers, told: t, shown: s, nets: map[string]*network{}, stop: make(chan struct{})}
+	out := ctl.NewOut(news)
+	out.Say(ctl.News{Kind: "ready", At: clock.Now()})
+	err = ctl.Lines(orders, func(o ctl.Order) error {
+		n := ctl.News{ID: o.ID, UID: o.UID}
+		if err := r.obey(o, &n); err != nil {
+			n.Error = err.Error()
+		}
+		n.At = clock.Now()
+		out.Say(n)
+		return nil
+	})
+	close(r.stop)
+	for _, l := range r.fronts {
+		l.Close()
+	}
+	for _, n := range r.nets {
+		n.each(nil, (*link.Link).Reset)
+	}
+	r.tasks.Wait()
+	return errors.Join(err, t.Close(), s.Close())
+}
+
+// relay is the network in front of keepers. Orders come one at a time.
+type relay struct {
+	readers     int
+	told, shown *ctl.Records
+	nets        map[string]*network // by the keeper's name
+	fronts      []*link.Listener
+	stop        chan struct{}
+	tasks       sync.WaitGroup
+	conns       atomic.Int64
+}
+
+func (r *relay) obey(o ctl.Order, n *ctl.News) error {
+	net := r.nets[o.UID]
+	if net == nil {
+		net = newNetwork()
+		r.nets[o.UID] = net
+	}
+	switch o.Do {
+	case "front":
+		l, err := link.Listen(0)
+		if err != nil {
+			return err
+		}
+		l.BySource = o.BySource
+		r.fronts = append(r.fronts, l)
+		n.Ports = []int{l.Port()}
+		r.tasks.Add(1)
+		go func() {
+			defer r.tasks.Done()
+			r.accept(l, net, o.UID, o.Front)
+		}()
+	case "link", "reset", "forget":
+		net.change(o)
+	default:
+		return fmt.Errorf("unknown order %q", o.Do)
+	}
+	return nil
+}
+
+func (r *relay) accept(l *link.Listener, n *network, keeper, to string) {
+	for {
+		c, near, err := l.Accept(r.stop)
+		if err != nil {
+			return
+		}
+		w := link.Wrap(c, n.link(near))
+		r.tasks.Add(1)
+		go func() {
+			defer r.tasks.Done()
+			r.lead(w, near, keeper, to)
+		}()
+	}
+}
+
+const relayDial = time.Second
+
+// lead passes bytes both ways until either end is through.
+func (r *relay) lead(near *link.Conn, index int, keeper, to string) {
+	defer near.Close()
+	// Danger: a call that the network holds back must not come up at the keeper either, or it would show there.
+	first := make([]byte, 16<<10)
+	n, err := near.Read(first)
+	if err != nil {
+		return
+	}
+	far, err := net.DialTimeout("tcp4", to, relayDial)
+	if err != nil {
+		near.Reset()
+		return
+	}
+	defer far.Close()
+	var both sync.WaitGroup
+	both.Add(1)
+	go func() {
+		defer both.Done()
+		if _, err := far.Write(first[:n]); err == nil {
+			// Danger: the connections' own shorter ways of copying would lead past the link.
+			_, _ = io.Copy(struct{ io.Writer }{far}, struct{ io.Reader }{near}) // how it ends shows at the other end
+		}
+		far.Close() // which ends the other way
+	}()
+	if index < r.readers && strings.HasPrefix(string(first[:n]), "GET /v1/servers") {
+		r.listen(near, far, index, keeper, string(first[:n]))
+	} else {
+		_, _ = io.Copy(struct{ io.Writer }{near}, struct{ io.Reader }{far})
+	}
+	near.Close() // which ends the first way
+	both.Wait()
+}
+
+// listen passes on what a keeper writes and notes what it says of the list, when that has reached the near end.
+func (r *relay) listen(near *link.Conn, far net.Conn, index int, keeper, request string) {
+	s := ctl.Shown{Near: index, Keeper: keeper, Conn: r.conns.Add(1), Holds: -1}
+	if req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(request))); err == nil {
+		q := req.URL.Query()
+		s.Watch, s.Cluster = q.Get("watch") == "1", q.Get("cluster")
+		if n, err := strconv.ParseInt(q.Get("from"), 10, 64); err == nil {
+			s.Holds = n
+		}
+	}
+	var at atomic.Int64
+	copies, feed := io.Pipe()
+	var read sync.WaitGroup
+	read.Add(1)
+	go func() {
+		defer read.Done()
+		defer copies.Close()
+		resp, err := http.ReadResponse(bufio.NewReader(copies), nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			return // a refusal says nothing of the list
+		}
+		lines := bufio.NewScanner(resp.Body)
+		lines.Buffer(nil, list.MostText)
+		for lines.Scan() {
+			if l, err := list.Parse(lines.Bytes()); err == nil { // an empty line says nothing
+				r.note(s, l, at.Load())
+			}
+		}
+	}()
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := far.Read(buf)
+		if n > 0 {
+			if _, err := near.Write(buf[:n]); err != nil {
+				break
+			}
+			t, ok := near.Flushed()
+			if !ok {
+				break
+			}
+			at.Store(t)
+			_, _ = feed.Write(buf[:n]) // the reader may have had enough
+		}
+		if err != nil {
+			break
+		}
+	}
+	feed.Close()
+	read.Wait()
+}
+
+func (r *relay) note(s ctl.Shown, l list.List, at int64) {
+	s.Rev, s.All, s.N, s.At, s.Cluster = l.Rev, l.All, len(l.Targets), at, l.Cluster
+	r.shown.Add(s)
+	for _, t := range l.Targets {
+		r.told.Add(ctl.Told{Near: s.Near, UID: t.UID, State: string(t.State), At: at})
+	}
+}
--- /dev/null
+++ b/internal/lab/standin/watchers.go
@@ -0,0 +1,38 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+
+	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/lab/clock"
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+)
+
+// Watchers follows keepers with many clients in one process until the orders end. Each of of is one client's keepers, with
+// slashes between them.
+func Watchers(orders io.Reader, news, log io.Writer, of []string) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var all sync.WaitGroup
+	for _, addresses := range of {
+		f, err := client.NewFollower(client.Options{Keepers: strings.Split(addresses, "/"), Doubt: client.DefaultDoubt,
+			Log: slog.New(slog.NewTextHandler(log, nil)), Told: func(client.Update) {}})
+		if err != nil {
+			return err
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			f.Run(ctx)
+		}()
+	}
+	ctl.NewOut(news).Say(ctl.News{Kind: "ready", At: clock.Now()})
+	err := ctl.Lines(orders, func(ctl.Order) error { return nil })
+	cancel()
+	all.Wait()
+	return err
+}
--- a/internal/lab/steps.go
+++ b/internal/lab/steps.go
@@ -55,6 +55,24 @@
 		if !waitUntil(ctx, start+int64(s.At)) {
 			break
 		}
+		if plan.OnKeepers(s.Sidecar) {
+			tasks.Add(1)
+			run := func() {
+				defer tasks.Done()
+				at, err := f.keepers.step(ctx, s)
+				if ctx.Err() != nil {
+					err = nil // the experiment is over, or was broken off
+				}
+				done(s, at, err)
+			}
+			switch s.Do {
+			case plan.Kill, plan.Term, plan.Start, plan.Tear, plan.Backup, plan.Restore: // which wait
+				f.keepers.inTurn(s, run)
+			default:
+				run()
+			}
+			continue
+		}
 		if s.Do == plan.Link { // of many far ends at once
 			links.Go(func() error {
 				at, err := f.links.set(s)
@@ -109,6 +127,8 @@
 
 func (f *Fleet) nameOf(s *plan.Step) string {
 	switch {
+	case plan.OnKeepers(s.Sidecar):
+		return f.keepers.nameOf(s)
 	case s.Server != "":
 		return s.Server
 	case s.Sidecar >= 0:
@@ -127,6 +147,9 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		return clock.Now(), c.run.Disk(s.Mode)
+	case plan.Silent:
+		n, err := f.host[s.Server].order(ctl.Order{Do: "silent", UID: s.Server, On: s.On})
+		return n.At, err
 	case plan.Tell:
 		f.mu.Lock()
 		e := f.entries[s.Server]
--- /dev/null
+++ b/internal/lab/writers.go
@@ -0,0 +1,141 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/lab/clock"
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/list"
+)
+
+// writers are clients that write and read entries of their own, to see from outside whether keepers agree. The entries drain
+// from the start, so that no sidecar sends there.
+type writers struct {
+	fleet  *Fleet
+	client []*client.Client
+	values atomic.Int64
+	mu     sync.Mutex
+	wrote  []ctl.Wrote
+}
+
+const (
+	writeWithin = 3 * time.Second  // for one operation; then its outcome is unknown
+	lastWithin  = 20 * time.Second // for the reads at the end
+	readPart    = 0.4              // of the operations
+)
+
+func keyName(key int) string { return fmt.Sprintf("w-%d", key) }
+
+func (w *writers) entry(key, value int) client.Registration {
+	return client.Registration{Target: list.Target{UID: keyName(key), Endpoint: "127.0.0.1:9", State: list.Serving, PodGroup: value, Zone: "writers"}}
+}
+
+// startWriters makes the entries.
+func (f *Fleet) startWriters(ctx context.Context) (*writers, error) {
+	o := f.plan.File.Keepers
+	w := &writers{fleet: f}
+	if o.Count == 0 || o.WriteRate == 0 {
+		return w, nil
+	}
+	for range o.Writers {
+		c, err := client.New(f.keeperAddresses(f.plan.NearWriter()))
+		if err != nil {
+			return nil, err
+		}
+		w.client = append(w.client, c)
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for key := range o.Keys {
+		if _, err := w.client[0].Register(ctx, []client.Registration{w.entry(key, 0)}, nil); err != nil {
+			return nil, err
+		}
+		if _, err := w.client[0].Change(ctx, client.Drain, keyName(key), nil); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// run writes and reads until the load is over, and reads each entry once more then, when faults are over.
+func (w *writers) run(ctx context.Context, start int64) {
+	p := w.fleet.plan
+	o := p.File.Keepers
+	var all sync.WaitGroup
+	for i, c := range w.client {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			r := rand.New(rand.NewPCG(p.Seed, uint64(i)))
+			revs := make([]int64, o.Keys) // of the entries, as this client last heard
+			pause := float64(len(w.client)) / o.WriteRate
+			for at := r.ExpFloat64() * pause; at < p.File.Seconds; at += r.ExpFloat64() * pause {
+				read, key := r.Float64() < readPart, r.IntN(o.Keys)
+				if !waitUntil(ctx, start+int64(at*1e9)) {
+					return
+				}
+				if read || revs[key] == 0 {
+					w.read(ctx, c, i, key, writeWithin, revs)
+				} else {
+					w.write(ctx, c, i, key, revs)
+				}
+			}
+		}()
+	}
+	all.Wait()
+	for i, c := range w.client {
+		if i == 0 {
+			for key := range o.Keys {
+				w.read(context.WithoutCancel(ctx), c, i, key, lastWithin, make([]int64, o.Keys))
+			}
+		}
+		c.Close()
+	}
+}
+
+func (w *writers) note(v ctl.Wrote) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wrote = append(w.wrote, v)
+}
+
+func (w *writers) read(ctx context.Context, c *client.Client, i, key int, within time.Duration, revs []int64) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	v := ctl.Wrote{Client: i, Key: key, How: "ok", Call: clock.Now()}
+	e, ok, err := c.Server(ctx, keyName(key))
+	v.Return, v.Rev, v.Value = clock.Now(), e.Rev, e.PodGroup
+	if err != nil {
+		v.How = "none" // a read that was not answered did nothing
+	} else if ok {
+		revs[key] = e.Rev
+	}
+	w.note(v)
+}
+
+func (w *writers) write(ctx context.Context, c *client.Client, i, key int, revs []int64) {
+	ctx, cancel := context.WithTimeout(ctx, writeWithin)
+	defer cancel()
+	v := ctl.Wrote{Client: i, Key: key, Write: true, Expect: revs[key], Value: int(w.values.Add(1)), How: "ok", Call: clock.Now()}
+	d, err := c.Register(ctx, []client.Registration{w.entry(key, v.Value)}, &v.Expect)
+	v.Return, v.Rev = clock.Now(), d.Rev
+	var refused *client.Refused
+	switch {
+	case err == nil:
+		revs[key] = d.Rev
+	case errors.Is(err, client.ErrUncertain):
+		v.How, revs[key] = "uncertain", 0
+	case errors.As(err, &refused) && refused.Status == 409:
+		v.How, revs[key] = "conflict", 0
+	default:
+		v.How = "none" // no keeper took it
+	}
+	w.note(v)
+}
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -30,10 +30,11 @@
 	LeastLease   = time.Second     // shorter ones would end while a leader is elected
 	MostLease    = time.Hour       // longer ones would outlive whoever could mend them
 	MostText     = 16 << 20        // bytes of a whole list or a line of a watch
-	Heartbeat    = 2 * time.Second // a watch says at least an empty line that often
-	Silence      = 5 * time.Second // a watch that says nothing for so long is lost
-	mostPodGroup = math.MaxInt32   //
-	mostBoot     = int64(1) << 45  // ms: the year 3084
+	Heartbeat    = 2 * time.Second // a watch says at least an empty line that often (PROTOCOL)
+	AgeBeat      = time.Second     // one that tells ages says one that often
+	Silence      = 5 * AgeBeat / 2 // and is lost when it says nothing for so long
+	mostPodGroup = math.MaxInt32
+	mostBoot     = int64(1) << 45 // ms: the year 3084
 )
 
 // Target is one server.
--- /dev/null
+++ b/internal/replica/patient.go
@@ -0,0 +1,53 @@
+package replica
+
+import (
+	"log/slog"
+	"time"
+
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+)
+
+// patientStore has terms and votes wait for a disk that cannot be written: the library gives the whole process up otherwise.
+// While one waits, this replica neither votes nor leads, and it goes on by itself when the disk has room. A log entry that
+// cannot be written is refused by the library alone.
+type patientStore struct {
+	*raftboltdb.BoltStore
+	log  *slog.Logger
+	stop chan struct{} // closed when the replica ends
+}
+
+const patience = 200 * time.Millisecond // between two tries
+
+// Set implements raft.StableStore.
+func (s *patientStore) Set(key, value []byte) error {
+	s.wait(func() error { return s.BoltStore.Set(key, value) })
+	return nil
+}
+
+// SetUint64 implements raft.StableStore.
+func (s *patientStore) SetUint64(key []byte, value uint64) error {
+	s.wait(func() error { return s.BoltStore.SetUint64(key, value) })
+	return nil
+}
+
+// wait tries until it works. Danger: when the replica ends, a vote that was not kept must not be given either, so this then
+// never returns; the process is about to end.
+func (s *patientStore) wait(try func() error) {
+	for n := 0; ; n++ {
+		err := try()
+		if err == nil {
+			if n > 0 {
+				s.log.Info("the disk can be written again")
+			}
+			return
+		}
+		if n == 0 {
+			s.log.Error("the disk cannot be written: this keeper stands aside", "err", err)
+		}
+		select {
+		case <-time.After(patience):
+		case <-s.stop:
+			select {}
+		}
+	}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -15,6 +15,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -83,7 +84,7 @@
 type Replica struct {
 	options Options
 	raft    *raft.Raft
-	store   *raftboltdb.BoltStore
+	store   *patientStore
 	trans   *raft.NetworkTransport
 	ready   atomic.Bool // it leads and has applied what was acknowledged before
 	leads   chan bool
@@ -119,11 +120,12 @@
 	config.Logger = logger
 	config.NotifyCh = r.leads
 
-	store, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(o.Folder, "log.bolt"), BoltOptions: &bbolt.Options{Timeout: openTimeout}})
+	store, err := raftboltdb.New(raftboltdb.Options{Path: filepath.Join(o.Folder, logFile), BoltOptions: &bbolt.Options{Timeout: openTimeout}})
 	if err != nil {
 		return nil, fmt.Errorf("log: %w", err)
 	}
-	r.store = store
+	stable := &patientStore{store, o.Log, make(chan struct{})}
+	r.store = stable
 	snapshots, err := raft.NewFileSnapshotStoreWithLogger(o.Folder, snapshotsKept, logger)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("snapshots: %w", err), store.Close())
@@ -139,10 +141,10 @@
 		for _, p := range o.Peers {
 			c.Servers = append(c.Servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Address)})
 		}
-		err = raft.BootstrapCluster(config, store, store, snapshots, r.trans, c)
+		err = raft.BootstrapCluster(config, store, stable, snapshots, r.trans, c)
 	}
 	if err == nil {
-		r.raft, err = raft.NewRaft(config, fsm{o.Machine}, store, store, snapshots, r.trans)
+		r.raft, err = raft.NewRaft(config, fsm{o.Machine}, store, stable, snapshots, r.trans)
 	}
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("raft: %w", err), r.trans.Close(), store.Close())
@@ -194,9 +196,19 @@
 	}
 }
 
-// Close ends the replica.
+const closeTimeout = 2 * time.Second
+
+// Close ends the replica. While the disk cannot be written it leaves what waits for that to the end of the process.
 func (r *Replica) Close() error {
-	err := r.raft.Shutdown().Error()
+	close(r.store.stop)
+	done := make(chan error, 1)
+	go func() { done <- r.raft.Shutdown().Error() }()
+	var err error
+	select {
+	case err = <-done:
+	case <-time.After(closeTimeout):
+		return fmt.Errorf("raft: it does not end within %v", closeTimeout)
+	}
 	close(r.leads) // raft's goroutines have ended, and tell nothing more
 	r.tasks.Wait()
 	return errors.Join(err, r.trans.Close(), r.store.Close())
@@ -384,6 +396,21 @@
 	return nil
 }
 
+// Forget removes a member that comes again with nothing, if it is there.
+func (r *Replica) Forget(name string) error {
+	if !r.Ready() {
+		return ErrNotLeader
+	}
+	peers, err := r.Peers()
+	if err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(peers, func(p Peer) bool { return p.Name == name }) {
+		return nil
+	}
+	return r.Remove(name)
+}
+
 // Restore replaces the state of all replicas by a snapshot of the machine.
 func (r *Replica) Restore(snapshot []byte) error {
 	if !r.Ready() {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -52,7 +52,7 @@
 	leastSockets          = 64
 	defaultConnectTimeout = 250 * time.Millisecond
 	defaultIdleClose      = 15 * time.Second
-	defaultMostAge        = 5 * time.Second
+	defaultMostAge        = 2500 * time.Millisecond
 	stderrFD              = 2 // the last descriptor that is never a socket
 )
 
--- a/internal/sidecar/main.go
+++ b/internal/sidecar/main.go
@@ -15,6 +15,7 @@
 // SIGHUP read its configuration again for where discovery is. Its log goes to logTo. It returns the exit code, after one
 // line there where it failed.
 func Main(getenv func(string) string, logTo io.Writer) int {
+	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is a failed write, not the end of the process
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	reload := make(chan os.Signal, 1)
