--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// cut counts a watcher whose watch ended while it had not gone by itself.
+// cut counts a watcher whose watch ended because he was too slow.
 func (m *metrics) cut(slow bool) {
 	if slow {
 		m.cuts.Inc()
--- a/internal/keeper/watch.go
+++ b/internal/keeper/watch.go
@@ -1,8 +1,10 @@
 package keeper
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -172,7 +174,7 @@
 			err = out.Flush()
 		}
 		if err != nil {
-			k.metrics.cut(r.Context().Err() == nil)
+			k.metrics.cut(errors.Is(err, os.ErrDeadlineExceeded))
 			return nil // its answer has begun: all there is to say is to end it
 		}
 		first = false
@@ -198,7 +200,7 @@
 				}
 			}
 			if err != nil {
-				k.metrics.cut(r.Context().Err() == nil)
+				k.metrics.cut(errors.Is(err, os.ErrDeadlineExceeded))
 				return nil
 			}
 		case <-r.Context().Done():
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -30,6 +30,8 @@
 	Shown    []ctl.Shown // what keepers wrote to readers
 	Wrote    []ctl.Wrote // what the lab's own clients of keepers did
 	Last     Last        // of the keepers
+
+	KeeperPeaks []KeeperPeak
 }
 
 // Run is one process of a sidecar, as far as faults go.
--- a/internal/lab/check/keepers.go
+++ b/internal/lab/check/keepers.go
@@ -19,6 +19,16 @@
 	Rev     int64
 }
 
+// KeeperPeak is the most that a keeper's processes held at a sample, and what the last one used.
+type KeeperPeak struct {
+	MemoryMB    float64
+	Descriptors int
+	Used        float64 // share of a core, from its first sample to its last
+	Pid         int
+	First       int64   // sample, ns
+	Before      float64 // seconds of a core at that
+}
+
 // reader tells whether a near end reads the list: a sidecar, or a client that only watches.
 func reader(p *plan.Plan, near int) bool {
 	return near < len(p.Sidecars) || near >= p.NearWatcher(0)
@@ -204,6 +214,9 @@
 			note(told, at-from)
 		}
 	}
+	for _, p := range e.KeeperPeaks {
+		figures["keeper_mb"], figures["keeper_cores"] = max(figures["keeper_mb"], p.MemoryMB), max(figures["keeper_cores"], p.Used)
+	}
 	figures["writes"], figures["writes_uncertain"] = float64(done), float64(uncertain)
 	figures["write_p99_ms"], figures["write_gap_ms"] = quantile(took, 99), float64(gap)/1e6
 	figures["told_p50_ms"], figures["told_p99_ms"] = quantile(told, 50), quantile(told, 99)
--- /dev/null
+++ b/internal/lab/check/keepers_test.go
@@ -0,0 +1,69 @@
+package check
+
+import (
+	"slices"
+	"testing"
+
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+)
+
+// TestKeepers judges histories and watches that are sound, and ones that are not.
+func TestKeepers(t *testing.T) {
+	f, err := plan.Parse("x.toml", []byte("states = \"x\"\nseconds = 1\n[load]\nrate = 1\n[fleet]\nsidecars = 1\n[keepers]\ncount = 3\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := plan.Make(f, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := func(at int64, rev int64, value int) ctl.Wrote {
+		return ctl.Wrote{How: "ok", Rev: rev, Value: value, Call: at, Return: at + 5}
+	}
+	write := func(at, expect, rev int64, value int, how string) ctl.Wrote {
+		return ctl.Wrote{Write: true, How: how, Expect: expect, Rev: rev, Value: value, Call: at, Return: at + 5}
+	}
+	line := func(at, holds, rev int64, all bool, n int) ctl.Shown {
+		return ctl.Shown{Conn: 1, Watch: true, Cluster: "c", Holds: holds, Rev: rev, All: all, N: n, At: at}
+	}
+	whole := []ctl.Shown{line(1, -1, 9, true, 4)}
+	for name, tt := range map[string]struct {
+		wrote  []ctl.Wrote
+		shown  []ctl.Shown
+		last   int64
+		broken string
+	}{
+		"in order":                {[]ctl.Wrote{read(0, 3, 0), write(10, 3, 7, 1, "ok"), read(20, 7, 1)}, whole, 9, ""},
+		"uncertain and done":      {[]ctl.Wrote{read(0, 3, 0), write(10, 3, 0, 1, "uncertain"), read(20, 3, 0), read(30, 8, 1)}, whole, 9, ""},
+		"uncertain and not done":  {[]ctl.Wrote{read(0, 3, 0), write(10, 3, 0, 1, "uncertain"), write(20, 3, 6, 2, "ok"), read(30, 6, 2)}, whole, 9, ""},
+		"conflict":                {[]ctl.Wrote{read(0, 3, 0), write(10, 3, 5, 1, "ok"), write(20, 3, 0, 2, "conflict"), read(30, 5, 1)}, whole, 9, ""},
+		"an answer too old":       {[]ctl.Wrote{read(0, 3, 0), write(10, 3, 7, 1, "ok"), read(20, 3, 0)}, whole, 9, "linearizable"},
+		"a write lost":            {[]ctl.Wrote{read(0, 3, 0), write(10, 3, 7, 1, "ok"), write(20, 3, 8, 2, "ok")}, whole, 9, "linearizable"},
+		"undone after a read":     {[]ctl.Wrote{read(0, 3, 0), write(10, 3, 0, 1, "uncertain"), read(20, 4, 1), read(30, 3, 0)}, whole, 9, "linearizable"},
+		"a conflict with nobody":  {[]ctl.Wrote{read(0, 3, 0), write(10, 3, 0, 2, "conflict"), read(20, 3, 0)}, whole, 9, "linearizable"},
+		"changes":                 {nil, []ctl.Shown{line(1, 5, 6, false, 1), line(2, 5, 6, false, 0), line(3, 5, 9, false, 3)}, 9, ""},
+		"the whole list, resumed": {nil, []ctl.Shown{line(1, 5, 8, true, 1), line(2, 5, 9, false, 1)}, 9, ""},
+		"a gap":                   {nil, []ctl.Shown{line(1, 5, 6, false, 1), line(3, 5, 9, false, 1)}, 9, "revisions"},
+		"a gap at the start":      {nil, []ctl.Shown{line(1, 5, 9, false, 1)}, 9, "revisions"},
+		"a repeat":                {nil, []ctl.Shown{line(1, 8, 9, false, 1), line(3, 8, 9, false, 1)}, 9, "revisions"},
+		"back":                    {nil, []ctl.Shown{line(1, 10, 9, true, 4)}, 9, "revisions"},
+		"not told":                {nil, []ctl.Shown{line(1, -1, 8, true, 4)}, 9, "told-all"},
+		"nobody leads":            {nil, whole, 0, "told-all"},
+	} {
+		e := &Evidence{Plan: p, Wrote: tt.wrote, Shown: tt.shown, Last: Last{"c", tt.last}, Runs: make([][]Run, 1)}
+		var broken []string
+		for _, v := range Invariants(e) {
+			if !v.Held {
+				broken = append(broken, v.Name)
+			}
+		}
+		var want []string
+		if tt.broken != "" {
+			want = []string{tt.broken}
+		}
+		if !slices.Equal(broken, want) {
+			t.Errorf("%s: broken %v, want %v", name, broken, want)
+		}
+	}
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -310,6 +310,9 @@
 		}
 		s.mu.Unlock()
 	}
+	if f.keepers != nil {
+		f.keepers.sample()
+	}
 }
 
 const endWithin = 6 * time.Second // for a sidecar to finish after SIGTERM
--- a/internal/lab/keepers.go
+++ b/internal/lab/keepers.go
@@ -46,8 +46,9 @@
 	http, raft *link.Place // where the process listens
 	fronts     [2]int      // ports of the relay: HTTP, raft
 
-	mu  sync.Mutex
-	run *proc.Process
+	mu   sync.Mutex
+	run  *proc.Process
+	peak check.KeeperPeak
 }
 
 // keeperAddresses are where a near end reaches the keepers.
@@ -365,6 +366,33 @@
 	return info.ModTime().UnixNano()
 }
 
+// sample looks at what each keeper's process holds and has used.
+func (ks *keepers) sample() {
+	for _, k := range ks.all {
+		k.mu.Lock()
+		if v, err := k.run.Sample(); err == nil { // one that has ended holds nothing
+			p := &k.peak
+			if p.Pid != k.run.Pid() || p.First == 0 {
+				p.Pid, p.First, p.Used = k.run.Pid(), v.At, 0
+				p.Before = v.CPU
+			}
+			p.MemoryMB, p.Descriptors = max(p.MemoryMB, v.MemoryMB), max(p.Descriptors, v.Descriptors)
+			if v.At > p.First {
+				p.Used = (v.CPU - p.Before) / (float64(v.At-p.First) / 1e9)
+			}
+		}
+		k.mu.Unlock()
+	}
+}
+
+// peaks are what was sampled.
+func (ks *keepers) peaks() (all []check.KeeperPeak) {
+	for _, k := range ks.all {
+		all = append(all, k.peak)
+	}
+	return all
+}
+
 // links begins or ends a fault of a keeper's links, and tells the relay what all of them make of every link.
 func (ks *keepers) links(k *keeper, s *plan.Step) (at int64, err error) {
 	ks.mu.Lock()
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -165,7 +165,8 @@
 // Figures are what a bar may name.
 var Figures = []string{"service", "served", "served_worst_10s", "served_worst_class", "answered", "refused", "failed", "attempts",
 	"late_refusals", "p50_ms", "p99_ms", "p999_ms", "connections", "lateness_p99_ms", "requests",
-	"writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "told_p50_ms", "told_p99_ms", "watches", "watches_whole"}
+	"writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "told_p50_ms", "told_p99_ms", "watches", "watches_whole",
+	"keeper_mb", "keeper_cores"}
 
 // Flaws of the stand-in sidecar, for the controls; "" is none.
 var Flaws = []string{"", "duplicate", "hedge", "mute", "late", "deaf", "rush", "crash", "leak-memory", "leak-descriptors"}
@@ -297,7 +298,7 @@
 		{"keepers", "snapshot", float64(f.Keepers.Snapshot), 1, 1 << 20},
 		{"keepers", "writers", float64(f.Keepers.Writers), 1, 64},
 		{"keepers", "write_rate", f.Keepers.WriteRate, 0, 10000},
-		{"keepers", "keys", float64(f.Keepers.Keys), 1, 1000},
+		{"keepers", "keys", float64(f.Keepers.Keys), 1, 2000},
 		{"keepers", "doubt_share", f.Keepers.DoubtShare, 0, 1},
 		{"keepers", "watchers", float64(f.Keepers.Watchers), 0, 10000},
 		{"limits", "answer_slack_ms", f.Limits.AnswerSlackMS, 0, 60000},
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -178,6 +178,7 @@
 	At          int64   `json:"at"`
 	MemoryMB    float64 `json:"memory_mb"` // resident
 	Descriptors int     `json:"descriptors"`
+	CPU         float64 `json:"cpu_s"` // of a core, since its start
 }
 
 // Sample looks at /proc; it fails where the process has ended.
@@ -195,11 +196,36 @@
 	if err != nil {
 		return Sample{}, fmt.Errorf("%s: %w", p.Name, err)
 	}
+	cpu, err := cpuSeconds(root + "/stat")
+	if err != nil {
+		return Sample{}, fmt.Errorf("%s: %w", p.Name, err)
+	}
 	open, err := os.ReadDir(root + "/fd")
 	if err != nil {
 		return Sample{}, fmt.Errorf("%s: %w", p.Name, err)
 	}
-	return Sample{clock.Now(), float64(pages*os.Getpagesize()) / (1 << 20), len(open)}, nil
+	return Sample{clock.Now(), float64(pages*os.Getpagesize()) / (1 << 20), len(open), cpu}, nil
+}
+
+const ticksPerSecond = 100 // of /proc's times (USER_HZ), on all that Go runs on
+
+// cpuSeconds reads the time that a process has had (proc(5), fields 14 and 15).
+func cpuSeconds(path string) (float64, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return 0, err
+	}
+	// The name, in parentheses, may hold anything.
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	if len(fields) < 13 {
+		return 0, fmt.Errorf("%q has no times", text)
+	}
+	user, err := strconv.ParseFloat(fields[11], 64)
+	if err != nil {
+		return 0, err
+	}
+	system, err := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / ticksPerSecond, err
 }
 
 // Disk has the process's folder be full ("full"), only readable ("readonly"), or as it was ("").
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -217,7 +217,7 @@
 		if e.Shown, err = ctl.ReadRecords[ctl.Shown](f.records("shown", 0)); err != nil {
 			return err
 		}
-		e.Wrote = f.writers.wrote
+		e.Wrote, e.KeeperPeaks = f.writers.wrote, f.keepers.peaks()
 	}
 	for i := range lists {
 		all, err := ctl.ReadRecords[ctl.Told](f.records("told", i))
