A restored list says nothing of who lives; keepers that are cut off do not empty the list

Need: with a list from an old backup, sidecars dropped the servers that it lacked and took up those long gone. Cause: a second reading after 2 s came before servers had renewed (a third of a lease), renewals of restored entries were taken silently, and servers that the client had seen deleted came back with a list that had forgotten them. Change: restored entries have to register again, which is a change that everybody is told, and end without the share that guards against keepers being cut off; the second reading comes after 10 s; what was deleted is not taken from a doubted list until it says something or a second reading has it too.

--- a/cmd/gradeusher/standin.go
+++ b/cmd/gradeusher/standin.go
@@ -48,14 +48,15 @@
 }
 
 type relayCommand struct {
-	Readers int    `help:"Near ends that read the list." required:""`
-	Told    string `help:"File for what sidecars are told." required:""`
-	Shown   string `help:"File for what keepers say." required:""`
+	Sidecars int    `help:"Near ends that are sidecars, the first ones." required:""`
+	Readers  int    `help:"Near ends that may read the list, with the sidecars." required:""`
+	Told     string `help:"File for what sidecars are told." required:""`
+	Shown    string `help:"File for what keepers say." required:""`
 }
 
 // Run obeys until standard input ends.
 func (c relayCommand) Run(s streams) error {
-	return standin.Relay(s.in, s.out, c.Readers, c.Told, c.Shown)
+	return standin.Relay(s.in, s.out, c.Sidecars, c.Readers, c.Told, c.Shown)
 }
 
 type watchersCommand struct {
--- a/internal/client/reader.go
+++ b/internal/client/reader.go
@@ -19,8 +19,9 @@
 }
 
 // DefaultDoubt takes what a deploy does for sound (it drains servers before they go, and deletes them one by one) and has a
-// list that lost a room be read twice.
-var DefaultDoubt = Doubt{Share: 0.3, Least: 2, After: 2 * time.Second, Every: 10 * time.Second}
+// list that lost a room be read twice. Between the readings, servers that live have renewed leases of up to 30 s, and so
+// are on the list again where it had lost them.
+var DefaultDoubt = Doubt{Share: 0.3, Least: 2, After: 10 * time.Second, Every: 15 * time.Second}
 
 // ErrWentBack is a list of an older revision than the one held, of the same cluster. It is never taken.
 var ErrWentBack = errors.New("the revision went back")
@@ -28,20 +29,25 @@
 // Reader is what a client holds of the list, and the rules by which it takes what keepers say. It has no I/O and no clock.
 //
 // Invariants: the revision never falls while the cluster stays the same; a server is let go only if a keeper says that it is
-// deleted, or if it is missing from a whole list, by the rules of Doubt.
+// deleted, or if it is missing from a whole list, by the rules of Doubt; a server that was deleted comes back by a change,
+// or in a whole list that is not doubted, or by a second reading of one that is.
 type Reader struct {
 	doubt   Doubt
 	cluster string
 	rev     int64 // below 0: none is held
 	held    map[string]list.Target
-	missing map[string]bool // held, though the last whole list has them no more
-	since   time.Time       // when the first of them was missed
-	stepped time.Time       // when some were last let go
+	missing map[string]bool  // held, though the last whole list has them no more
+	buried  map[string]int64 // servers that a keeper said are deleted, with when they had booted
+	doubted bool             // the last whole list was not taken in whole, and no second reading has come
+	since   time.Time        // when the first of them was missed
+	stepped time.Time        // when some were last let go
 }
 
+const mostBuried = 4096
+
 // NewReader holds nothing.
 func NewReader(d Doubt) *Reader {
-	return &Reader{doubt: d, rev: -1, held: map[string]list.Target{}, missing: map[string]bool{}}
+	return &Reader{doubt: d, rev: -1, held: map[string]list.Target{}, missing: map[string]bool{}, buried: map[string]int64{}}
 }
 
 // Rev is the revision held; below 0: none is.
@@ -84,9 +90,8 @@
 		r.cluster = l.Cluster
 	}
 	r.rev = l.Rev
-	changes := r.take(l.Targets)
 	if !l.All {
-		return changes, nil
+		return r.take(l.Targets), nil
 	}
 	here := make(map[string]bool, len(l.Targets))
 	for _, t := range l.Targets {
@@ -98,14 +103,22 @@
 			gone[uid] = true
 		}
 	}
-	if len(gone) > r.doubt.Least && float64(len(gone)) > r.doubt.Share*float64(len(r.held)) {
-		if len(r.missing) == 0 {
+	held := len(r.held)
+	if len(gone) > r.doubt.Least && float64(len(gone)) > r.doubt.Share*float64(held) {
+		if !r.doubted {
 			r.since, r.stepped = now, now
 		}
-		r.missing = gone
-		return changes, nil
+		r.missing, r.doubted = gone, true
+		// A list that forgot what is there may well remember what is gone.
+		sound := slices.DeleteFunc(slices.Clone(l.Targets), func(t list.Target) bool {
+			boot, buried := r.buried[t.UID]
+			return buried && boot == t.BootMS
+		})
+		return r.take(sound), nil
 	}
-	return append(changes, r.drop(slices.Sorted(maps.Keys(gone)))...), nil
+	clear(r.missing)
+	r.doubted = false
+	return append(r.take(l.Targets), r.drop(slices.Sorted(maps.Keys(gone)))...), nil
 }
 
 // take takes targets as they are and returns those that change something.
@@ -114,9 +127,14 @@
 	for _, t := range targets {
 		old, known := r.held[t.UID]
 		delete(r.missing, t.UID)
+		delete(r.buried, t.UID)
 		switch {
 		case t.State == list.Deleted:
 			delete(r.held, t.UID)
+			if len(r.buried) >= mostBuried {
+				clear(r.buried) // who is forgotten is only taken for alive a little sooner
+			}
+			r.buried[t.UID] = t.BootMS
 			if !known {
 				continue
 			}
@@ -143,9 +161,9 @@
 	return changes
 }
 
-// Asks tells whether a second reading is due, for servers that are missed.
+// Asks tells whether a second reading is due.
 func (r *Reader) Asks(now time.Time) bool {
-	return len(r.missing) > 0 && now.Sub(r.since) >= r.doubt.After
+	return r.doubted && now.Sub(r.since) >= r.doubt.After
 }
 
 // Confirm takes a second reading of the whole list: what it misses too is let go. One of an older revision confirms nothing.
@@ -153,7 +171,8 @@
 	if !l.All || l.Cluster != r.cluster || l.Rev < r.rev {
 		return nil, fmt.Errorf("%w: a second reading of revision %d confirms nothing of %d", ErrWentBack, l.Rev, r.rev)
 	}
-	// Only what both readings miss goes: what is new in this one comes by the watch, in its turn.
+	// What both readings miss goes, and what is on both though it was deleted once is there. Where this one is newer, the watch
+	// tells what lies between all the same, and ends where this one does.
 	here := make(map[string]bool, len(l.Targets))
 	for _, t := range l.Targets {
 		here[t.UID] = true
@@ -166,7 +185,12 @@
 	}
 	slices.Sort(gone)
 	clear(r.missing)
-	return r.drop(gone), nil
+	r.doubted = false
+	back := slices.DeleteFunc(slices.Clone(l.Targets), func(t list.Target) bool {
+		_, held := r.held[t.UID]
+		return held
+	})
+	return append(r.take(back), r.drop(gone)...), nil
 }
 
 // Step lets some of the missing servers go, where no second reading could be had for a while.
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -329,7 +329,7 @@
 func (k *Keeper) fresh(uid string, boot int64) (ok bool) {
 	k.store.read(func(m *state.Machine) {
 		e, there := m.Entry(uid)
-		ok = there && e.BootMS == boot && e.LeaseMS != 0 && e.Why != state.LeaseOver
+		ok = there && e.BootMS == boot && e.LeaseMS != 0 && e.Why != state.LeaseOver && e.Why != state.Restored
 	})
 	return ok
 }
--- a/internal/keeper/lessor.go
+++ b/internal/keeper/lessor.go
@@ -14,7 +14,7 @@
 // clock of its own: times are those of the leader's monotonic clock.
 //
 // Invariant: of the servers with leases, no more than a share is drained for silence within a window, or Least of them; only
-// what drains is removed. When far more fall silent at once it is likelier that the keepers were cut off than that the servers are gone.
+// what drains is removed. Servers of a backup that have said nothing since are not counted: they may be long gone. When far more fall silent at once it is likelier that the keepers were cut off than that the servers are gone.
 type lessor struct {
 	mu      sync.Mutex
 	started map[string]term // nil: this keeper does not lead
@@ -86,14 +86,17 @@
 		if !known || t.lease != e.Lease {
 			length := time.Duration(e.LeaseMS) * time.Millisecond
 			t = term{lease: e.Lease, boot: e.BootMS, ends: now.Add(length), held: length}
-			if e.Why == state.LeaseOver {
+			switch e.Why {
+			case state.LeaseOver:
 				t.ends, t.held = now.Add(l.expires.Grace), 0
+			case state.Restored:
+				t.held = 0 // it has to register
 			}
 			l.started[e.UID] = t
 		}
 		switch {
 		case !now.After(t.ends):
-		case e.State == list.Serving:
+		case e.State == list.Serving && e.Why != state.Restored:
 			serving = append(serving, state.Ended{UID: e.UID, Lease: t.lease})
 		default:
 			ended = append(ended, state.Ended{UID: e.UID, Lease: t.lease})
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -31,6 +31,7 @@
 	Wrote    []ctl.Wrote // what the lab's own clients of keepers did
 	Last     Last        // of the keepers
 
+	Kills       []int64 // of keepers
 	KeeperPeaks []KeeperPeak
 }
 
--- a/internal/lab/check/keepers.go
+++ b/internal/lab/check/keepers.go
@@ -214,6 +214,14 @@
 			note(told, at-from)
 		}
 	}
+	slices.SortFunc(e.Wrote, func(a, b ctl.Wrote) int { return cmp.Compare(a.Return, b.Return) })
+	failover := newHistogram()
+	for _, kill := range e.Kills { // to the first write that was called afterwards and acknowledged
+		if i := slices.IndexFunc(e.Wrote, func(w ctl.Wrote) bool { return w.Write && w.How == "ok" && w.Call > kill }); i >= 0 {
+			note(failover, e.Wrote[i].Return-kill)
+		}
+	}
+	figures["failover_p50_ms"], figures["failover_most_ms"] = quantile(failover, 50), float64(failover.Max())/1000
 	for _, p := range e.KeeperPeaks {
 		figures["keeper_mb"], figures["keeper_cores"] = max(figures["keeper_mb"], p.MemoryMB), max(figures["keeper_cores"], p.Used)
 	}
--- a/internal/lab/plan/fault.go
+++ b/internal/lab/plan/fault.go
@@ -102,8 +102,8 @@
 		return f.bad("fault", i, "on", "keepers hold the list: on = \"keepers\"")
 	case t.On == "keepers" && t.Zone != "":
 		return f.bad("fault", i, "zone", "keepers have no zone")
-	case t.On == "keepers" && t.From != "" && t.From != "peers" && t.From != "clients":
-		return f.bad("fault", i, "from", "from %q is neither peers nor clients", t.From)
+	case t.On == "keepers" && !slices.Contains([]string{"", "peers", "clients", "sidecars", "servers"}, t.From):
+		return f.bad("fault", i, "from", "from %q is none of peers, clients, sidecars and servers", t.From)
 	case t.On == "servers" && t.From != "" && f.Keepers.Count > 0:
 		return f.bad("fault", i, "from", "with keepers all sidecars reach servers by one listener: from is not possible")
 	case t.Zone != "" && !slices.Contains(f.Fleet.Zones, t.Zone):
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -154,6 +154,11 @@
 	if f.keepers != nil {
 		e.Last = f.keepers.settle(ctx)
 	}
+	for _, x := range effects {
+		if s := p.File.Faults[x.Fault]; s.Do == "kill" && s.On == "keepers" && x.Do == plan.Kill {
+			e.Kills = append(e.Kills, start+int64(x.Seen*1e9))
+		}
+	}
 	f.Finish()
 	f.Close()
 	if err := f.Err(); err != nil {
--- a/internal/lab/standin/relay.go
+++ b/internal/lab/standin/relay.go
@@ -20,8 +20,8 @@
 )
 
 // Relay leads calls to keepers over links with faults until the orders end. Whatever a keeper writes of the list to one of
-// the first readers near ends is noted, both as what sidecars were told and as what they were shown.
-func Relay(orders io.Reader, news io.Writer, readers int, told, shown string) error {
+// the first readers near ends is noted line by line, and server by server for the first sidecars ones.
+func Relay(orders io.Reader, news io.Writer, sidecars, readers int, told, shown string) error {
 	t, err := ctl.NewRecords(told)
 	if err != nil {
 		return err
@@ -30,7 +30,7 @@
 	if err != nil {
 		return errors.Join(err, t.Close())
 	}
-	r := &relay{readers: readers, told: t, shown: s, nets: map[string]*network{}, stop: make(chan struct{})}
+	r := &relay{sidecars: sidecars, readers: readers, told: t, shown: s, nets: map[string]*network{}, stop: make(chan struct{})}
 	out := ctl.NewOut(news)
 	out.Say(ctl.News{Kind: "ready", At: clock.Now()})
 	err = ctl.Lines(orders, func(o ctl.Order) error {
@@ -55,6 +55,7 @@
 
 // relay is the network in front of keepers. Orders come one at a time.
 type relay struct {
+	sidecars    int
 	readers     int
 	told, shown *ctl.Records
 	nets        map[string]*network // by the keeper's name
@@ -197,6 +198,9 @@
 func (r *relay) note(s ctl.Shown, l list.List, at int64) {
 	s.Rev, s.All, s.N, s.At, s.Cluster = l.Rev, l.All, len(l.Targets), at, l.Cluster
 	r.shown.Add(s)
+	if s.Near >= r.sidecars {
+		return
+	}
 	for _, t := range l.Targets {
 		r.told.Add(ctl.Told{Near: s.Near, UID: t.UID, State: string(t.State), At: at})
 	}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"gradeusher.example/gradeusher/internal/list"
 	"gradeusher.example/gradeusher/internal/sealed"
 )
 
@@ -73,8 +74,14 @@
 }
 
 // Raise lifts the revision of a state that is taken up again from a backup to at least floor, above all that was shown since
-// the backup. The history ends there, so every watch that goes on gets the whole list.
+// the backup. The history ends there, so every watch that goes on gets the whole list. Servers with leases are not sure to
+// be there until they register.
 func (m *Machine) Raise(floor int64) {
+	for _, e := range m.entries {
+		if e.LeaseMS != 0 && e.State == list.Serving {
+			e.Why = Restored
+		}
+	}
 	m.rev = max(m.rev+1, floor)
 	m.history = nil
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -91,6 +91,10 @@
 const (
 	Asked     = "asked" // somebody wants it
 	LeaseOver = "lease" // it did not renew
+
+	// Restored is why a server that serves is not sure to: it is from a backup, and its process has not said anything since.
+	// It has to register again, which is a change, so that everybody learns of it.
+	Restored = "restored"
 )
 
 // Entry is one server of the list.
@@ -98,7 +102,7 @@
 	Registration
 	Lease int64  `json:"lease"`         // rises with each grant of a lease to anybody: its fencing token
 	Rev   int64  `json:"rev"`           // of its last change
-	Why   string `json:"why,omitempty"` // it drains
+	Why   string `json:"why,omitempty"` // it drains, or is not sure to be there
 }
 
 // Change is one step of the list.
@@ -327,12 +331,13 @@
 		e := m.entries[s.UID]
 		if e != nil && e.BootMS == s.BootMS {
 			state := list.Serving
+			changed := e.State != state || e.Why == Restored
 			if e.Why == Asked {
 				state = list.Draining // only a new process, or whoever asked, ends that
+				changed = e.State != state
 			} else {
 				e.Why = ""
 			}
-			changed := e.State != state
 			s.State = e.State
 			changed = changed || e.Target.Changed(s.Target)
 			e.Registration = s
