--- a/cmd/gradeusher/main.go
+++ b/cmd/gradeusher/main.go
@@ -24,7 +24,7 @@
 )
 
 type commands struct {
-	Up      upCommand      `cmd:"" help:"Start stand-in servers, a list, two sidecars and light traffic on this machine, and print figures."`
+	Up      upCommand      `cmd:"" help:"Start a keeper, stand-in servers, two sidecars and light traffic on this machine, and print figures."`
 	Lab     labCommand     `cmd:"" help:"Run experiments with real processes and faults between them."`
 	Keeper  keeperCommand  `cmd:"" help:"Be a keeper of the list, or look after keepers."`
 	List    listCommands   `cmd:"" help:"Read and change the keepers' list of servers."`
--- a/cmd/gradeusher/up.go
+++ b/cmd/gradeusher/up.go
@@ -19,12 +19,12 @@
 	JSON     bool          `help:"Print addresses, figures and the report as JSON, one object a line." name:"json"`
 }
 
-// Run starts the fleet, prints a line a second, and ends it when the time is over or on an interrupt.
+// Run starts a keeper and the fleet, prints a line a second, and ends it when the time is over or on an interrupt.
 func (c upCommand) Run(ctx context.Context, s streams) error {
 	if c.For < time.Second || c.For > time.Hour {
 		return fmt.Errorf("%w: --for %v is not within 1s to 1h", errUsage, c.For)
 	}
-	f, err := plan.Parse("up.toml", fmt.Appendf(nil, "states = \"every request gets one final answer\"\nseconds = %v\n[fleet]\nservers = %d\nsidecars = %d\n[load]\nrate = %v\n",
+	f, err := plan.Parse("up.toml", fmt.Appendf(nil, "states = \"every request gets one final answer\"\nseconds = %v\n[fleet]\nservers = %d\nsidecars = %d\n[load]\nrate = %v\n[keepers]\ncount = 1\n",
 		c.For.Seconds(), c.Servers, c.Sidecars, c.Rate))
 	if err != nil {
 		return err
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -94,10 +94,22 @@
 	if ready != nil {
 		ready(l.Addr().String())
 	}
-	select {
-	case err := <-served:
-		return fmt.Errorf("http: %w", err)
-	case <-stop.Done():
+	removed := time.NewTicker(joinEvery)
+	defer removed.Stop()
+	for over := false; !over; {
+		select {
+		case err := <-served:
+			return fmt.Errorf("http: %w", err)
+		case <-stop.Done():
+			over = true
+		case <-removed.C:
+			if over = k.replica.Removed(); over {
+				log.Warn("removed from the cluster")
+			}
+		}
+	}
+	if err := k.replica.StepDown(); err != nil {
+		log.Info("stops", "err", err) // the others elect one, in a while
 	}
 	// Watches end, with the revision that their watchers can go on from elsewhere; calls are finished.
 	close(k.ending)
