--- a/cmd/gradeusher/keeper_test.go
+++ b/cmd/gradeusher/keeper_test.go
@@ -311,6 +311,21 @@
 		t.Error("the revision went back")
 	}
 	cli(exitBroken, "keeper", "remove", "k9")
+	late := k.place("k4")
+	k.configure(late, fmt.Sprintf("join = true\n[[peer]]\nname = %q\nraft = %q\nhttp = %q\n", k.places[0].name, k.places[0].raft, k.places[0].http))
+	k.start(late)
+	if k.client, err = client.New(k.addresses()); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "k4's vote", func() bool {
+		all, _ := client.Status[keeper.Status](k.call(), k.client)
+		return slices.ContainsFunc(all[late.http].Peers, func(p replica.Peer) bool { return p.Name == "k4" && p.Voter })
+	})
+	cli(0, "keeper", "remove", "k4") // which follows, and hears no more
+	if code := late.run.ends(t); code != 0 {
+		t.Errorf("the keeper that was removed as it followed ended with %d", code)
+	}
+	k.places = k.places[:2]
 
 	var restored int64
 	if _, err := fmt.Sscanf(cli(0, "keeper", "restore", backup), "restored, at revision %d", &restored); err != nil {
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -30,6 +30,7 @@
 	Code   string `json:"code"`
 	Reason string `json:"reason"`
 	Leader string `json:"leader,omitempty"`
+	At     string `json:"leader_http,omitempty"` // where the leader answers, as it said itself
 	Rev    int64  `json:"rev"`
 }
 
@@ -181,7 +182,14 @@
 	}
 	k.metrics.done(op, word, 0)
 	p := problem{Code: word, Reason: err.Error(), Leader: k.replica.Leader()}
-	k.store.read(func(m *state.Machine) { p.Rev = m.Rev() })
+	k.store.read(func(m *state.Machine) {
+		p.Rev = m.Rev()
+		for _, known := range m.Keepers() {
+			if known.Name == p.Leader {
+				p.At = known.HTTP
+			}
+		}
+	})
 	if after > 0 { // spread, so that those who are refused together do not come again together
 		after = after/2 + rand.N(after)
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,18 +95,19 @@
 	if ready != nil {
 		ready(l.Addr().String())
 	}
-	removed := time.NewTicker(joinEvery)
-	defer removed.Stop()
-	for over := false; !over; {
-		select {
-		case err := <-served:
-			return fmt.Errorf("http: %w", err)
-		case <-stop.Done():
-			over = true
-		case <-removed.C:
-			if over = k.replica.Removed(); over {
-				log.Warn("removed from the cluster")
-			}
+	removed := make(chan bool, 1)
+	tasks.Add(1)
+	go func() {
+		defer tasks.Done()
+		removed <- k.awaitRemoval(ctx)
+	}()
+	select {
+	case err := <-served:
+		return fmt.Errorf("http: %w", err)
+	case <-stop.Done():
+	case <-removed:
+		if stop.Err() == nil {
+			log.Warn("removed from the cluster")
 		}
 	}
 	if err := k.replica.StepDown(); err != nil {
@@ -209,11 +211,15 @@
 		return 0, err
 	}
 	var last error
+	var others []string
 	for _, p := range k.config.Peers {
-		if p.Name == k.config.Name {
-			continue
+		if p.Name != k.config.Name {
+			others = append(others, p.HTTP)
 		}
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.HTTP+"/v1/keepers", bytes.NewReader(body))
+	}
+	for i := 0; i < len(others); i++ {
+		at := others[i]
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+"/v1/keepers", bytes.NewReader(body))
 		if err != nil {
 			return 0, err
 		}
@@ -229,13 +235,18 @@
 		case http.StatusOK, http.StatusAccepted:
 			return resp.StatusCode, nil
 		case http.StatusConflict:
-			k.log.Warn("join", "peer", p.Name, "err", said.Reason)
+			k.log.Warn("join", "peer", at, "err", said.Reason)
+		}
+		last = fmt.Errorf("%s: %s", at, said.Reason)
+		if said.At != "" && !slices.Contains(others, said.At) && len(others) < mostAsked {
+			others = append(others, said.At) // who leads, though no peer of this one's file
 		}
-		last = fmt.Errorf("%s: %s", p.Name, said.Reason)
 	}
 	return 0, last
 }
 
+const mostAsked = 16
+
 // lostMark is the file that tells that this keeper's store was unsound and its vote has to be taken before it has one again.
 func (k *Keeper) lostMark() string { return filepath.Join(k.config.Folder, "lost") }
 
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -140,7 +140,7 @@
 	})
 	if f.writers != nil {
 		tasks.Go(func() error {
-			f.writers.run(over, start)
+			f.writers.run(ctx, over, start)
 			return nil
 		})
 	}
--- a/internal/lab/writers.go
+++ b/internal/lab/writers.go
@@ -64,8 +64,8 @@
 	return w, nil
 }
 
-// run writes and reads until the load is over, and reads each entry once more then, when faults are over.
-func (w *writers) run(ctx context.Context, start int64) {
+// run writes and reads until over is done, and reads each entry once more then, when faults are over, unless ctx is done too.
+func (w *writers) run(ctx, over context.Context, start int64) {
 	p := w.fleet.plan
 	o := p.File.Keepers
 	var all sync.WaitGroup
@@ -78,13 +78,13 @@
 			pause := float64(len(w.client)) / o.WriteRate
 			for at := r.ExpFloat64() * pause; at < p.File.Seconds; at += r.ExpFloat64() * pause {
 				read, key := r.Float64() < readPart, r.IntN(o.Keys)
-				if !waitUntil(ctx, start+int64(at*1e9)) {
+				if !waitUntil(over, start+int64(at*1e9)) {
 					return
 				}
 				if read || revs[key] == 0 {
-					w.read(ctx, c, i, key, writeWithin, revs)
+					w.read(over, c, i, key, writeWithin, revs)
 				} else {
-					w.write(ctx, c, i, key, revs)
+					w.write(over, c, i, key, revs)
 				}
 			}
 		}()
@@ -93,7 +93,7 @@
 	for i, c := range w.client {
 		if i == 0 {
 			for key := range o.Keys {
-				w.read(context.WithoutCancel(ctx), c, i, key, lastWithin, make([]int64, o.Keys))
+				w.read(ctx, c, i, key, lastWithin, make([]int64, o.Keys))
 			}
 		}
 		c.Close()
