--- a/internal/lab/keepers.go
+++ b/internal/lab/keepers.go
@@ -302,22 +302,8 @@
 	if s.Do == plan.Term {
 		sig = syscall.SIGTERM
 	}
-	select {
-	case <-p.Ended(): // by itself, which shows in its exit
-		return at, nil
-	default:
-	}
-	if err := p.Signal(sig, true); err != nil {
-		return at, err
-	}
-	timer := time.NewTimer(plan.TermGrace)
-	defer timer.Stop()
-	select {
-	case <-p.Ended():
-	case <-timer.C:
-		p.Kill()
-	}
-	return at, nil
+	_, err = endBy(p, sig)
+	return at, err
 }
 
 // save takes a backup, or restores the one that was taken.
--- a/internal/lab/steps.go
+++ b/internal/lab/steps.go
@@ -17,6 +17,7 @@
 	"gradeusher.example/gradeusher/internal/lab/ctl"
 	"gradeusher.example/gradeusher/internal/lab/link"
 	"gradeusher.example/gradeusher/internal/lab/plan"
+	"gradeusher.example/gradeusher/internal/lab/proc"
 )
 
 // Effect is when a step took effect, from the start of the load.
@@ -242,13 +243,25 @@
 		sig, run.Killed = syscall.SIGKILL, at
 	}
 	c.mu.Unlock()
+	if ended, err := endBy(p, sig); err != nil || !ended {
+		return at, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	run.To = p.Exit().At
+	return at, nil
+}
+
+// endBy ends a process by a signal, and by SIGKILL if that is not enough in time. It tells false where the process had ended by
+// itself, which shows in its exit.
+func endBy(p *proc.Process, sig syscall.Signal) (bool, error) {
 	select {
-	case <-p.Ended(): // by itself, which shows in its exit
-		return at, nil
+	case <-p.Ended():
+		return false, nil
 	default:
 	}
 	if err := p.Signal(sig, true); err != nil {
-		return at, err
+		return false, err
 	}
 	timer := time.NewTimer(plan.TermGrace)
 	defer timer.Stop()
@@ -257,10 +270,7 @@
 	case <-timer.C:
 		p.Kill()
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	run.To = p.Exit().At
-	return at, nil
+	return true, nil
 }
 
 func (f *Fleet) listStep(s *plan.Step) (int64, error) {
