--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -137,11 +137,13 @@
 	}
 	first = append(first, state.Command{Op: state.Member, Keeper: &state.Keeper{Name: k.config.Name, HTTP: or(k.config.AdvertiseHTTP, k.config.HTTP)}})
 	for _, c := range first {
-		if _, err := k.propose(ctx, c); err != nil {
-			if ctx.Err() == nil {
-				k.log.Error("leads", "op", c.Op, "err", err)
+		for _, err := k.propose(ctx, c); err != nil; _, err = k.propose(ctx, c) {
+			k.log.Warn("leads", "op", c.Op, "err", err)
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(lookEvery): // too much to do, or out of office in a moment
 			}
-			return
 		}
 	}
 	k.lease(ctx)
