--- a/internal/client/reader.go
+++ b/internal/client/reader.go
@@ -93,10 +93,7 @@
 	if !l.All {
 		return r.take(l.Targets), nil
 	}
-	here := make(map[string]bool, len(l.Targets))
-	for _, t := range l.Targets {
-		here[t.UID] = true
-	}
+	here := uidsOf(l.Targets)
 	gone := map[string]bool{}
 	for uid := range r.held {
 		if !here[uid] {
@@ -121,6 +118,14 @@
 	return append(r.take(l.Targets), r.drop(slices.Sorted(maps.Keys(gone)))...), nil
 }
 
+func uidsOf(targets []list.Target) map[string]bool {
+	all := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		all[t.UID] = true
+	}
+	return all
+}
+
 // take takes targets as they are and returns those that change something.
 func (r *Reader) take(targets []list.Target) []list.Target {
 	var changes []list.Target
@@ -173,10 +178,7 @@
 	}
 	// What both readings miss goes, and what is on both though it was deleted once is there. Where this one is newer, the watch
 	// tells what lies between all the same, and ends where this one does.
-	here := make(map[string]bool, len(l.Targets))
-	for _, t := range l.Targets {
-		here[t.UID] = true
-	}
+	here := uidsOf(l.Targets)
 	var gone []string
 	for uid := range r.missing {
 		if !here[uid] {
--- a/internal/keeper/admin.go
+++ b/internal/keeper/admin.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/list"
 	"gradeusher.example/gradeusher/internal/replica"
 	"gradeusher.example/gradeusher/internal/state"
@@ -170,6 +171,6 @@
 		return err
 	}
 	k.log.Warn("restored from a backup", "rev", m.Rev(), "servers", m.Len())
-	reply(w, http.StatusOK, answer{Rev: m.Rev(), Cluster: m.Cluster()})
+	reply(w, http.StatusOK, client.Done{Rev: m.Rev(), Cluster: m.Cluster()})
 	return nil
 }
--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -164,7 +165,7 @@
 		}
 		if p.Name == c.Name {
 			self = true
-			if raft, http := or(c.AdvertiseRaft, c.Raft), or(c.AdvertiseHTTP, c.HTTP); p.Raft != raft || p.HTTP != http {
+			if raft, http := cmp.Or(c.AdvertiseRaft, c.Raft), cmp.Or(c.AdvertiseHTTP, c.HTTP); p.Raft != raft || p.HTTP != http {
 				return fmt.Errorf("peer %s is this keeper, and stands at %s and %s, not at %s and %s", p.Name, p.Raft, p.HTTP, raft, http)
 			}
 		}
@@ -183,10 +184,3 @@
 	}
 	return nil
 }
-
-func or(a, b string) string {
-	if a != "" {
-		return a
-	}
-	return b
-}
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/list"
 	"gradeusher.example/gradeusher/internal/replica"
 	"gradeusher.example/gradeusher/internal/state"
@@ -34,23 +35,6 @@
 	Rev    int64  `json:"rev"`
 }
 
-// answer is what became of a write.
-type answer struct {
-	Rev     int64       `json:"rev"`     // of the entry, after it
-	Cluster string      `json:"cluster"` //
-	Entry   *EntryState `json:"server,omitempty"`
-}
-
-// EntryState is a server with what a keeper knows of it besides the list's form.
-type EntryState struct {
-	list.Target
-	LeaseMS int64  `json:"lease_ms,omitempty"`
-	Rev     int64  `json:"rev"`
-	Why     string `json:"why,omitempty"`
-}
-
-func entryState(e state.Entry) *EntryState { return &EntryState{e.Target, e.LeaseMS, e.Rev, e.Why} }
-
 // writeTimeout bounds how long a write waits for agreement. A client's own time-out is longer.
 const writeTimeout = 2 * time.Second
 
@@ -269,7 +253,7 @@
 	if err != nil {
 		return err
 	}
-	a := answer{Rev: result.Rev}
+	a := client.Done{Rev: result.Rev}
 	k.store.read(func(m *state.Machine) { a.Cluster = m.Cluster() })
 	reply(w, http.StatusOK, a)
 	return nil
@@ -283,7 +267,7 @@
 	uid := r.PathValue("uid")
 	var e state.Entry
 	var ok bool
-	a := answer{}
+	a := client.Done{}
 	k.store.read(func(m *state.Machine) {
 		e, ok = m.Entry(uid)
 		a.Cluster, a.Rev = m.Cluster(), m.Rev()
@@ -291,7 +275,7 @@
 	if !ok {
 		return &state.Error{Code: state.Unknown, Reason: fmt.Sprintf("no server %.40q", uid)}
 	}
-	a.Rev, a.Entry = e.Rev, entryState(e)
+	a.Rev, a.Server = e.Rev, &client.Entry{Target: e.Target, LeaseMS: e.LeaseMS, Rev: e.Rev, Why: e.Why}
 	reply(w, http.StatusOK, a)
 	return nil
 }
@@ -299,10 +283,7 @@
 const mostRenewals = 4096
 
 type renewCall struct {
-	Renewals []struct {
-		UID  string `json:"uid"`
-		Boot int64  `json:"boot_ms"`
-	} `json:"renewals"`
+	Renewals []client.Renewal `json:"renewals"`
 }
 
 // renewed is the answer: who has to register again, as his lease is over or was never there.
@@ -325,7 +306,7 @@
 	a := renewed{Unknown: []string{}}
 	now := time.Now()
 	for _, c := range c.Renewals {
-		if !k.lessor.renew(now, c.UID, c.Boot) && !k.fresh(c.UID, c.Boot) {
+		if !k.lessor.renew(now, c.UID, c.BootMS) && !k.fresh(c.UID, c.BootMS) {
 			a.Unknown = append(a.Unknown, c.UID)
 		}
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -135,7 +136,7 @@
 	if cluster == "" {
 		first = append(first, state.Command{Op: state.Found, Cluster: hex.EncodeToString(id[:])})
 	}
-	first = append(first, state.Command{Op: state.Member, Keeper: &state.Keeper{Name: k.config.Name, HTTP: or(k.config.AdvertiseHTTP, k.config.HTTP)}})
+	first = append(first, state.Command{Op: state.Member, Keeper: &state.Keeper{Name: k.config.Name, HTTP: cmp.Or(k.config.AdvertiseHTTP, k.config.HTTP)}})
 	for _, c := range first {
 		for _, err := k.propose(ctx, c); err != nil; _, err = k.propose(ctx, c) {
 			k.log.Warn("leads", "op", c.Op, "err", err)
@@ -208,7 +209,7 @@
 func (k *Keeper) ask(ctx context.Context, applied uint64, lost bool) (int, error) {
 	client := &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	defer client.CloseIdleConnections()
-	body, err := json.Marshal(joinCall{k.config.Name, or(k.config.AdvertiseRaft, k.config.Raft), or(k.config.AdvertiseHTTP, k.config.HTTP), applied, lost})
+	body, err := json.Marshal(joinCall{k.config.Name, cmp.Or(k.config.AdvertiseRaft, k.config.Raft), cmp.Or(k.config.AdvertiseHTTP, k.config.HTTP), applied, lost})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/keeper/watch.go
+++ b/internal/keeper/watch.go
@@ -61,7 +61,7 @@
 		if err := k.replica.Confirm(r.Context()); err != nil {
 			return err
 		}
-	} else if err := k.catchUp(r, a); err != nil {
+	} else if _, err := k.catchUp(r, a); err != nil {
 		return err
 	}
 	line, rev, err := k.store.all()
@@ -76,33 +76,33 @@
 	return nil
 }
 
-// catchUp waits until this keeper knows the revision that a caller holds, so that nobody is shown one that goes back.
-func (k *Keeper) catchUp(r *http.Request, a asked) error {
+// catchUp waits until this keeper knows the revision that a caller holds, so that nobody is shown one that goes back, and
+// returns from where the caller goes on; below 0: what he holds is no revision of this list, and he needs the whole of it.
+func (k *Keeper) catchUp(r *http.Request, a asked) (from int64, err error) {
 	deadline := time.NewTimer(millis(k.config.Limits.BehindMS))
 	defer deadline.Stop()
 	for {
 		n := k.store.after(a.from)
-		if !n.ahead {
-			return nil
-		}
 		cluster := ""
 		k.store.read(func(m *state.Machine) { cluster = m.Cluster() })
 		switch {
+		case cluster != "" && a.cluster != "" && a.cluster != cluster:
+			return -1, nil // his revisions are another cluster's: the whole list says whose it is
+		case !n.ahead:
+			return a.from, nil
 		case cluster == "":
-		case a.cluster != "" && a.cluster != cluster:
-			return nil // his revisions are another cluster's: he gets the whole list, which says whose it is
 		case k.replica.Confirm(r.Context()) != nil:
 		case a.cluster != "":
-			return &state.Error{Code: state.Conflict, Reason: fmt.Sprintf("revision %d lies ahead: the list is at %d", a.from, n.rev)}
+			return 0, &state.Error{Code: state.Conflict, Reason: fmt.Sprintf("revision %d lies ahead: the list is at %d", a.from, n.rev)}
 		default:
-			return nil // an unchanged sidecar with another list service's revision: it gets the whole list (PROTOCOL)
+			return -1, nil // an unchanged sidecar with another list service's revision: it gets the whole list (PROTOCOL)
 		}
 		select {
 		case <-n.changed:
 		case <-deadline.C:
-			return fmt.Errorf("%w: it knows revision %d, not %d", errBehind, n.rev, a.from)
+			return 0, fmt.Errorf("%w: it knows revision %d, not %d", errBehind, n.rev, a.from)
 		case <-r.Context().Done():
-			return r.Context().Err()
+			return 0, r.Context().Err()
 		}
 	}
 }
@@ -118,23 +118,13 @@
 		return errPlaces
 	}
 	defer k.watchers.Add(-1)
-	if err := k.catchUp(r, a); err != nil {
+	from, err := k.catchUp(r, a)
+	if err != nil {
 		return err
 	}
-	from := a.from
-	if n := k.store.after(from); n.ahead {
-		from = -1
-	} else if a.cluster != "" {
-		k.store.read(func(m *state.Machine) {
-			if m.Cluster() != a.cluster {
-				from = -1
-			}
-		})
-	}
 	if _, _, err := k.store.all(); err != nil {
 		return err
 	}
-	out := http.NewResponseController(w)
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Cache-Control", "no-store")
@@ -145,43 +135,23 @@
 	}
 	beat := time.NewTicker(every)
 	defer beat.Stop()
-	first := true
-	for {
+	for first, ok := true, true; ok; first = false {
 		n := k.store.after(from)
 		if n.ahead { // the state was replaced by an older one, which only happens with revisions raised; never show it
 			return nil
 		}
-		var err error
-		if len(n.lines) > 0 || n.whole || first {
-			err = out.SetWriteDeadline(time.Now().Add(millis(k.config.Limits.SlowMS)))
-		}
-		switch {
-		case err != nil:
-		case n.whole:
+		lines := n.lines
+		from = n.rev
+		if n.whole {
 			var line []byte
-			if line, from, err = k.store.all(); err == nil {
-				_, err = w.Write(line)
-			}
-		default:
-			for _, line := range n.lines {
-				if _, err = w.Write(line); err != nil {
-					break
-				}
+			if line, from, err = k.store.all(); err != nil {
+				return nil // its answer has begun: all there is to say is to end it
 			}
-			from = n.rev
+			lines = [][]byte{line}
 		}
-		if err == nil && (first || n.whole || len(n.lines) > 0) {
-			err = out.Flush()
-		}
-		if err != nil {
-			k.metrics.cut(errors.Is(err, os.ErrDeadlineExceeded))
-			return nil // its answer has begun: all there is to say is to end it
-		}
-		first = false
-		select {
-		case <-n.changed:
-			continue
-		default:
+		if first || len(lines) > 0 { // the first says that the watch is open, also where there is nothing new
+			ok = k.say(w, lines...)
+			continue // there may be more by now
 		}
 		select {
 		case <-n.changed:
@@ -194,19 +164,28 @@
 				}
 				line = k.store.beat(from, age)
 			}
-			if err = out.SetWriteDeadline(time.Now().Add(millis(k.config.Limits.SlowMS))); err == nil {
-				if _, err = w.Write(line); err == nil {
-					err = out.Flush()
-				}
-			}
-			if err != nil {
-				k.metrics.cut(errors.Is(err, os.ErrDeadlineExceeded))
-				return nil
-			}
+			ok = k.say(w, line)
 		case <-r.Context().Done():
 			return nil
 		case <-k.ending:
 			return nil
 		}
 	}
+	return nil
+}
+
+// say writes lines to a watcher, each flush within the time that a slow one has. It tells false where the watch is over.
+func (k *Keeper) say(w http.ResponseWriter, lines ...[]byte) bool {
+	out := http.NewResponseController(w)
+	err := out.SetWriteDeadline(time.Now().Add(millis(k.config.Limits.SlowMS)))
+	for i := 0; i < len(lines) && err == nil; i++ {
+		_, err = w.Write(lines[i])
+	}
+	if err == nil {
+		err = out.Flush()
+	}
+	if err != nil {
+		k.metrics.cut(errors.Is(err, os.ErrDeadlineExceeded))
+	}
+	return err == nil
 }
--- a/internal/lab/check/keepers.go
+++ b/internal/lab/check/keepers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -118,7 +119,7 @@
 		keys[w.Key] = append(keys[w.Key], porcupine.Operation{ClientId: w.Client, Input: w, Output: w, Call: w.Call, Return: end})
 	}
 	judge := model.ToModel()
-	for _, key := range sortedKeys(keys) {
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
 		switch porcupine.CheckOperationsTimeout(judge, keys[key], judgeWithin) {
 		case porcupine.Illegal:
 			f.add("linearizable", "the %d operations on entry %d fit no order", len(keys[key]), key)
@@ -128,14 +129,6 @@
 	}
 }
 
-func sortedKeys[V any](m map[int]V) (keys []int) {
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // revisions checks what each watch was shown, in the order in which it came.
 func (e *Evidence) revisions(f findings) {
 	conns := map[int64][]ctl.Shown{}
@@ -147,15 +140,14 @@
 	for conn, all := range conns {
 		slices.SortStableFunc(all, func(a, b ctl.Shown) int { return cmp.Compare(a.At, b.At) })
 		at := all[0].Holds
-		for i, s := range all {
-			fresh := i == 0 && s.All // it may come instead of changes, but never from behind
+		for _, s := range all { // a whole list may come instead of changes, but never from behind
 			where := fmt.Sprintf("connection %d of reader %d to %s at %s", conn, s.Near, s.Keeper, e.when(s.At))
 			switch {
 			case s.Rev < at:
 				f.add("revisions", "%s: revision %d after %d", where, s.Rev, at)
-			case !fresh && !s.All && s.N > 0 && s.Rev != at+int64(s.N):
+			case !s.All && s.N > 0 && s.Rev != at+int64(s.N):
 				f.add("revisions", "%s: %d changes lead from revision %d to %d", where, s.N, at, s.Rev)
-			case !fresh && !s.All && s.N == 0 && s.Rev != at:
+			case !s.All && s.N == 0 && s.Rev != at:
 				f.add("revisions", "%s: nothing changed from revision %d to %d", where, at, s.Rev)
 			}
 			at = s.Rev
@@ -171,12 +163,14 @@
 	took, told := newHistogram(), newHistogram()
 	done, uncertain := 0, 0
 	var ends []int64
+	called := map[int64]int64{} // of the revisions that the writers made: when they called
 	for _, w := range e.Wrote {
 		switch {
 		case w.Write && w.How == "ok":
 			done++
 			note(took, w.Return-w.Call)
 			ends = append(ends, w.Return)
+			called[w.Rev] = w.Call
 		case w.Write && w.How == "uncertain":
 			uncertain++
 		}
@@ -203,12 +197,6 @@
 			last[s.Rev] = max(last[s.Rev], s.At)
 		}
 	}
-	called := map[int64]int64{} // of the revisions that the writers made: when they called
-	for _, w := range e.Wrote {
-		if w.Write && w.How == "ok" {
-			called[w.Rev] = w.Call
-		}
-	}
 	for rev, at := range last {
 		if from, ok := called[rev]; ok {
 			note(told, at-from)
--- a/internal/lab/keepers.go
+++ b/internal/lab/keepers.go
@@ -59,6 +59,15 @@
 	return all
 }
 
+// callKeepers is a client of the keepers for the lab itself, and a context that bounds what it waits for. done ends both.
+func (f *Fleet) callKeepers(ctx context.Context) (c *client.Client, within context.Context, done func(), err error) {
+	if c, err = client.New(f.keeperAddresses(f.plan.NearWriter())); err != nil {
+		return nil, nil, nil, err
+	}
+	within, cancel := context.WithTimeout(ctx, patience)
+	return c, within, func() { cancel(); c.Close() }, nil
+}
+
 // startKeepers starts the relay and all keepers, and waits until one leads.
 func (f *Fleet) startKeepers(ctx context.Context) error {
 	n := f.plan.File.Keepers.Count
@@ -101,13 +110,11 @@
 			return err
 		}
 	}
-	c, err := client.New(f.keeperAddresses(f.plan.NearWriter()))
+	c, ctx, done, err := f.callKeepers(ctx)
 	if err != nil {
 		return err
 	}
-	defer c.Close()
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
+	defer done()
 	if _, err := c.List(ctx, f.plan.File.Keepers.Program == "keeper"); err != nil {
 		return fmt.Errorf("keepers: %w", err)
 	}
@@ -116,13 +123,11 @@
 
 // fillKeepers waits until all servers that stand are on the keepers' list, and starts whoever else uses it.
 func (f *Fleet) fillKeepers(ctx context.Context) error {
-	c, err := client.New(f.keeperAddresses(f.plan.NearWriter()))
+	c, ctx, done, err := f.callKeepers(ctx)
 	if err != nil {
 		return err
 	}
-	defer c.Close()
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
+	defer done()
 	for {
 		l, err := c.List(ctx, false)
 		if err != nil {
@@ -308,13 +313,11 @@
 
 // save takes a backup, or restores the one that was taken.
 func (ks *keepers) save(ctx context.Context, take bool) error {
-	c, err := client.New(ks.fleet.keeperAddresses(ks.fleet.plan.NearWriter()))
+	c, ctx, done, err := ks.fleet.callKeepers(ctx)
 	if err != nil {
 		return err
 	}
-	defer c.Close()
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
+	defer done()
 	ks.mu.Lock()
 	defer ks.mu.Unlock()
 	if take {
@@ -470,13 +473,7 @@
 		default:
 			continue
 		}
-		state.Hold[link.ToFar] = state.Hold[link.ToFar] || e.HoldFar
-		state.Hold[link.ToNear] = state.Hold[link.ToNear] || e.HoldNear
-		state.Delay += e.Delay
-		state.Jitter = max(state.Jitter, e.Jitter)
-		if e.Rate > 0 && (state.Rate == 0 || e.Rate < state.Rate) {
-			state.Rate = e.Rate
-		}
+		addEffect(&state, e)
 	}
 	return state
 }
--- a/internal/lab/steps.go
+++ b/internal/lab/steps.go
@@ -353,6 +353,17 @@
 	return l.send(s.Server, end)
 }
 
+// addEffect has a link suffer from one fault more.
+func addEffect(state *link.State, e plan.LinkEffect) {
+	state.Hold[link.ToFar] = state.Hold[link.ToFar] || e.HoldFar
+	state.Hold[link.ToNear] = state.Hold[link.ToNear] || e.HoldNear
+	state.Delay += e.Delay
+	state.Jitter = max(state.Jitter, e.Jitter)
+	if e.Rate > 0 && (state.Rate == 0 || e.Rate < state.Rate) {
+		state.Rate = e.Rate
+	}
+}
+
 // send tells a far end the state of all its links. end.mu is held.
 func (l *links) send(uid string, end *farEnd) (at int64, err error) {
 	groups := map[link.State][]int{}
@@ -365,13 +376,7 @@
 				continue
 			}
 			e := s.Effect
-			state.Hold[link.ToFar] = state.Hold[link.ToFar] || e.HoldFar
-			state.Hold[link.ToNear] = state.Hold[link.ToNear] || e.HoldNear
-			state.Delay += e.Delay
-			state.Jitter = max(state.Jitter, e.Jitter)
-			if e.Rate > 0 && (state.Rate == 0 || e.Rate < state.Rate) {
-				state.Rate = e.Rate
-			}
+			addEffect(&state, e)
 			cut = cut || e.HoldFar || e.HoldNear
 		}
 		groups[state] = append(groups[state], i)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -110,13 +111,13 @@
 	config := raft.DefaultConfig()
 	config.LocalID = raft.ServerID(o.Name)
 	t := o.Timing
-	config.HeartbeatTimeout = orElse(t.Heartbeat, DefaultHeartbeat)
+	config.HeartbeatTimeout = cmp.Or(t.Heartbeat, DefaultHeartbeat)
 	config.ElectionTimeout = config.HeartbeatTimeout
 	config.LeaderLeaseTimeout = config.HeartbeatTimeout * 3 / 4
 	config.CommitTimeout = config.HeartbeatTimeout / 20
-	config.SnapshotInterval = orElse(t.SnapshotEvery, DefaultSnapshotEvery)
-	config.SnapshotThreshold = orElse(t.SnapshotAfter, DefaultSnapshotAfter)
-	config.TrailingLogs = orElse(t.Trailing, DefaultTrailing)
+	config.SnapshotInterval = cmp.Or(t.SnapshotEvery, DefaultSnapshotEvery)
+	config.SnapshotThreshold = cmp.Or(t.SnapshotAfter, DefaultSnapshotAfter)
+	config.TrailingLogs = cmp.Or(t.Trailing, DefaultTrailing)
 	config.Logger = logger
 	config.NotifyCh = r.leads
 
@@ -130,7 +131,7 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("snapshots: %w", err), store.Close())
 	}
-	layer, err := newLayer(o.Bind, orElse(o.Advertise, o.Bind))
+	layer, err := newLayer(o.Bind, cmp.Or(o.Advertise, o.Bind))
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("raft: %w", err), store.Close())
 	}
@@ -154,14 +155,6 @@
 	return r, nil
 }
 
-func orElse[T comparable](v, other T) T {
-	var zero T
-	if v == zero {
-		return other
-	}
-	return v
-}
-
 // follow hears when this replica begins and ceases to lead, until the channel closes.
 func (r *Replica) follow(leads <-chan bool) {
 	defer r.tasks.Done()
