A registration is one type, of the list's form, for the state and its clients

Need: internal/state and internal/client each had a type Registration of the same two fields and JSON. Change: list.Registration, with its check, serves both; tests name it so and are else as they were.

--- a/cmd/gradeusher/keeper_test.go
+++ b/cmd/gradeusher/keeper_test.go
@@ -153,7 +153,7 @@
 
 func (k *keepers) register(uid, endpoint string) int64 {
 	k.t.Helper()
-	d, err := k.client.Register(k.call(), []client.Registration{{Target: list.Target{UID: uid, Endpoint: endpoint, State: list.Serving}}}, nil)
+	d, err := k.client.Register(k.call(), []list.Registration{{Target: list.Target{UID: uid, Endpoint: endpoint, State: list.Serving}}}, nil)
 	if err != nil {
 		k.t.Fatal(err)
 	}
@@ -219,7 +219,7 @@
 			defer func() { k.start(p) }()
 			if i == 3 { // of three one is left: nothing can be written, and everything read
 				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-				if _, err := k.client.Register(ctx, []client.Registration{{Target: list.Target{UID: "s-x", Endpoint: "127.0.0.1:1", State: list.Serving}}}, nil); err == nil {
+				if _, err := k.client.Register(ctx, []list.Registration{{Target: list.Target{UID: "s-x", Endpoint: "127.0.0.1:1", State: list.Serving}}}, nil); err == nil {
 					t.Error("a minority took a write")
 				}
 				cancel()
--- a/cmd/gradeusher/list.go
+++ b/cmd/gradeusher/list.go
@@ -120,10 +120,10 @@
 	if c.Hold && c.Lease == 0 {
 		return fmt.Errorf("%w: --hold needs --lease", errUsage)
 	}
-	r := client.Registration{Target: list.Target{UID: c.UID, Endpoint: c.Endpoint, Zone: c.Zone, Model: c.Model, PodGroup: c.PodGroup,
+	r := list.Registration{Target: list.Target{UID: c.UID, Endpoint: c.Endpoint, Zone: c.Zone, Model: c.Model, PodGroup: c.PodGroup,
 		State: list.Serving, Capacity: &c.Capacity, BootMS: c.BootMS}, LeaseMS: c.Lease.Milliseconds()}
 	err := c.call(ctx, func(ctx context.Context, k *client.Client) error {
-		d, err := k.Register(ctx, []client.Registration{r}, c.Expect)
+		d, err := k.Register(ctx, []list.Registration{r}, c.Expect)
 		if err == nil {
 			fmt.Fprintf(s.out, "revision %d\n", d.Rev)
 		}
@@ -136,7 +136,7 @@
 }
 
 // hold renews a registration until ctx is done, and takes it back.
-func (c listRegister) hold(ctx context.Context, r client.Registration) error {
+func (c listRegister) hold(ctx context.Context, r list.Registration) error {
 	k, err := client.New(strings.Split(c.Keepers, ","))
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -201,12 +201,6 @@
 	Why     string `json:"why,omitempty"`
 }
 
-// Registration is what a server says of itself.
-type Registration struct {
-	list.Target
-	LeaseMS int64 `json:"lease_ms,omitempty"`
-}
-
 // Done is what became of a write.
 type Done struct {
 	Rev     int64  `json:"rev"` // of the entry
@@ -243,7 +237,7 @@
 
 // Register puts servers on the list, all or none. expect, if not nil, is the revision that the one server's entry must have;
 // 0: it must not be there. Errors are *Refused, ErrUncertain where expect is given, or ctx's with the last cause.
-func (c *Client) Register(ctx context.Context, servers []Registration, expect *int64) (d Done, err error) {
+func (c *Client) Register(ctx context.Context, servers []list.Registration, expect *int64) (d Done, err error) {
 	err = c.do(ctx, call{method: http.MethodPost, path: "/v1/servers", once: expect != nil,
 		body: map[string]any{"servers": servers, "expect": expect}}, &d)
 	return d, err
--- a/internal/client/hold.go
+++ b/internal/client/hold.go
@@ -5,12 +5,14 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"gradeusher.example/gradeusher/internal/list"
 )
 
 // Hold keeps a registration alive until ctx is done: it renews the lease three times in its length, and registers again where
 // the keepers say that the lease is over. While no keeper answers it goes on asking; the server is then drained when the
 // lease ends, and comes back with the next registration.
-func (c *Client) Hold(ctx context.Context, r Registration) {
+func (c *Client) Hold(ctx context.Context, r list.Registration) {
 	every := time.Duration(r.LeaseMS) * time.Millisecond / 3
 	for {
 		// Drawn, so that servers that came together do not renew together for good.
@@ -24,7 +26,7 @@
 		call, cancel := context.WithTimeout(ctx, 2*every)
 		unknown, err := c.Renew(call, []Renewal{{r.UID, r.BootMS}})
 		if err == nil && slices.Contains(unknown, r.UID) {
-			_, _ = c.Register(call, []Registration{r}, nil) // what fails is tried with the next renewal
+			_, _ = c.Register(call, []list.Registration{r}, nil) // what fails is tried with the next renewal
 		}
 		cancel()
 	}
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -207,8 +207,8 @@
 
 // registerCall is the body of a registration.
 type registerCall struct {
-	Servers []state.Registration `json:"servers"`
-	Expect  *int64               `json:"expect,omitempty"`
+	Servers []list.Registration `json:"servers"`
+	Expect  *int64              `json:"expect,omitempty"`
 }
 
 func (k *Keeper) register(w http.ResponseWriter, r *http.Request) error {
--- a/internal/keeper/lessor_test.go
+++ b/internal/keeper/lessor_test.go
@@ -12,7 +12,7 @@
 func leased(n int) (m *state.Machine) {
 	m = state.New()
 	for i := range n {
-		m.Apply(state.Command{Op: state.Register, Servers: []state.Registration{{Target: list.Target{UID: fmt.Sprintf("s-%02d", i),
+		m.Apply(state.Command{Op: state.Register, Servers: []list.Registration{{Target: list.Target{UID: fmt.Sprintf("s-%02d", i),
 			Endpoint: "10.0.0.1:80", State: list.Serving}, LeaseMS: 3000}}})
 	}
 	return m
--- a/internal/lab/standin/keeper.go
+++ b/internal/lab/standin/keeper.go
@@ -80,7 +80,7 @@
 
 func (k *plainKeeper) register(w http.ResponseWriter, r *http.Request) {
 	var c struct {
-		Servers []client.Registration
+		Servers []list.Registration
 		Expect  *int64
 	}
 	if err := json.NewDecoder(io.LimitReader(r.Body, 1<<20)).Decode(&c); err != nil {
--- a/internal/lab/standin/registrar.go
+++ b/internal/lab/standin/registrar.go
@@ -27,7 +27,7 @@
 
 // wanted is how a server should stand on the list.
 type wanted struct {
-	r      client.Registration
+	r      list.Registration
 	state  list.State // that the keepers should show
 	told   list.State // that they have taken
 	dead   bool       // its process is gone without a word: its lease is left to end
@@ -81,7 +81,7 @@
 // up has a server be on the list.
 func (r *registrar) up(uid, zone, kind string, port int, bootMS int64) {
 	r.want(uid, func(w *wanted) {
-		w.r = client.Registration{Target: list.Target{UID: uid, Endpoint: fmt.Sprintf("127.0.0.1:%d", port), Zone: zone, Model: kind,
+		w.r = list.Registration{Target: list.Target{UID: uid, Endpoint: fmt.Sprintf("127.0.0.1:%d", port), Zone: zone, Model: kind,
 			State: list.Serving, BootMS: bootMS}, LeaseMS: r.lease.Milliseconds()}
 		w.state, w.told, w.dead = list.Serving, "", false
 	})
@@ -130,7 +130,7 @@
 func (r *registrar) tell(ctx context.Context) (again bool) {
 	ctx, cancel := context.WithTimeout(ctx, registrarTry)
 	defer cancel()
-	var news []client.Registration
+	var news []list.Registration
 	var of []wanted
 	for _, w := range r.due(func(w *wanted) bool { return w.state == list.Serving && w.told != list.Serving }) {
 		news, of = append(news, w.r), append(of, w)
--- a/internal/lab/writers.go
+++ b/internal/lab/writers.go
@@ -33,8 +33,8 @@
 
 func keyName(key int) string { return fmt.Sprintf("w-%d", key) }
 
-func (w *writers) entry(key, value int) client.Registration {
-	return client.Registration{Target: list.Target{UID: keyName(key), Endpoint: "127.0.0.1:9", State: list.Serving, PodGroup: value, Zone: "writers"}}
+func (w *writers) entry(key, value int) list.Registration {
+	return list.Registration{Target: list.Target{UID: keyName(key), Endpoint: "127.0.0.1:9", State: list.Serving, PodGroup: value, Zone: "writers"}}
 }
 
 // startWriters makes the entries.
@@ -54,7 +54,7 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	for key := range o.Keys {
-		if _, err := w.client[0].Register(ctx, []client.Registration{w.entry(key, 0)}, nil); err != nil {
+		if _, err := w.client[0].Register(ctx, []list.Registration{w.entry(key, 0)}, nil); err != nil {
 			return nil, err
 		}
 		if _, err := w.client[0].Change(ctx, client.Drain, keyName(key), nil); err != nil {
@@ -124,7 +124,7 @@
 	ctx, cancel := context.WithTimeout(ctx, writeWithin)
 	defer cancel()
 	v := ctl.Wrote{Client: i, Key: key, Write: true, Expect: revs[key], Value: int(w.values.Add(1)), How: "ok", Call: clock.Now()}
-	d, err := c.Register(ctx, []client.Registration{w.entry(key, v.Value)}, &v.Expect)
+	d, err := c.Register(ctx, []list.Registration{w.entry(key, v.Value)}, &v.Expect)
 	v.Return, v.Rev = clock.Now(), d.Rev
 	var refused *client.Refused
 	switch {
--- a/internal/list/list.go
+++ b/internal/list/list.go
@@ -111,6 +111,29 @@
 	return nil
 }
 
+// Registration is what a server says of itself.
+type Registration struct {
+	Target
+	LeaseMS int64 `json:"lease_ms,omitempty"` // it is drained when it does not renew for so long; 0: never
+}
+
+// Check refuses a registration that no keeper takes.
+func (r Registration) Check() error {
+	if r.State != Serving {
+		if r.State == Draining || r.State == Deleted {
+			return fmt.Errorf("%s: a server registers as %s", r.UID, Serving)
+		}
+		return r.Target.Check()
+	}
+	if err := r.Target.Check(); err != nil {
+		return err
+	}
+	if d := time.Duration(r.LeaseMS) * time.Millisecond; r.LeaseMS != 0 && (d < LeastLease || d > MostLease || r.LeaseMS > int64(MostLease/time.Millisecond)) {
+		return fmt.Errorf("%s: lease_ms %d is neither 0 nor within %d to %d", r.UID, r.LeaseMS, LeastLease.Milliseconds(), MostLease.Milliseconds())
+	}
+	return nil
+}
+
 // CheckAddress refuses what is no IP address and port.
 func CheckAddress(address string) error {
 	host, port, err := net.SplitHostPort(address)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -11,7 +11,6 @@
 	"maps"
 	"slices"
 	"sort"
-	"time"
 
 	"gradeusher.example/gradeusher/internal/list"
 )
@@ -43,36 +42,13 @@
 
 // Command is one step of the log. Fields that an Op does not name are not looked at, nor are unknown ones.
 type Command struct {
-	Op      Op             `json:"op"`
-	Servers []Registration `json:"servers,omitempty"` // register
-	UID     string         `json:"uid,omitempty"`     // drain, serve, leave
-	Expect  *int64         `json:"expect,omitempty"`  // register of one, drain, serve, leave: the entry's revision must be this; 0: it must not be there
-	Ended   []Ended        `json:"ended,omitempty"`   // expire
-	Cluster string         `json:"cluster,omitempty"` // found
-	Keeper  *Keeper        `json:"keeper,omitempty"`  // member, unmember (its name)
-}
-
-// Registration is what a server says of itself.
-type Registration struct {
-	list.Target
-	LeaseMS int64 `json:"lease_ms,omitempty"` // it is drained when it does not renew for so long; 0: never
-}
-
-// Check refuses a registration that no keeper takes.
-func (r Registration) Check() error {
-	if r.State != list.Serving {
-		if r.State == list.Draining || r.State == list.Deleted {
-			return fmt.Errorf("%s: a server registers as %s", r.UID, list.Serving)
-		}
-		return r.Target.Check()
-	}
-	if err := r.Target.Check(); err != nil {
-		return err
-	}
-	if d := time.Duration(r.LeaseMS) * time.Millisecond; r.LeaseMS != 0 && (d < list.LeastLease || d > list.MostLease || r.LeaseMS > int64(list.MostLease/time.Millisecond)) {
-		return fmt.Errorf("%s: lease_ms %d is neither 0 nor within %d to %d", r.UID, r.LeaseMS, list.LeastLease.Milliseconds(), list.MostLease.Milliseconds())
-	}
-	return nil
+	Op      Op                  `json:"op"`
+	Servers []list.Registration `json:"servers,omitempty"` // register
+	UID     string              `json:"uid,omitempty"`     // drain, serve, leave
+	Expect  *int64              `json:"expect,omitempty"`  // register of one, drain, serve, leave: the entry's revision must be this; 0: it must not be there
+	Ended   []Ended             `json:"ended,omitempty"`   // expire
+	Cluster string              `json:"cluster,omitempty"` // found
+	Keeper  *Keeper             `json:"keeper,omitempty"`  // member, unmember (its name)
 }
 
 // Ended names a lease that has ended. One that was granted anew since then is left alone.
@@ -99,7 +75,7 @@
 
 // Entry is one server of the list.
 type Entry struct {
-	Registration
+	list.Registration
 	Lease int64  `json:"lease"`         // rises with each grant of a lease to anybody: its fencing token
 	Rev   int64  `json:"rev"`           // of its last change
 	Why   string `json:"why,omitempty"` // it drains, or is not sure to be there
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -15,8 +15,8 @@
 	"gradeusher.example/gradeusher/internal/sealed"
 )
 
-func server(uid, endpoint string, boot int64, lease int64) Registration {
-	return Registration{Target: list.Target{UID: uid, Endpoint: endpoint, Zone: "a", State: list.Serving, BootMS: boot}, LeaseMS: lease}
+func server(uid, endpoint string, boot int64, lease int64) list.Registration {
+	return list.Registration{Target: list.Target{UID: uid, Endpoint: endpoint, Zone: "a", State: list.Serving, BootMS: boot}, LeaseMS: lease}
 }
 
 // simple is what the machine is held against: every change there ever was, and each server as it was last told.
@@ -107,7 +107,7 @@
 				UID: rapid.SampledFrom([]string{"s-1", "s-2", "s-3"}).Draw(t, "uid")}
 			switch c.Op {
 			case Register:
-				c.Servers = []Registration{server(c.UID, rapid.SampledFrom([]string{"10.0.0.1:80", "10.0.0.2:80"}).Draw(t, "endpoint"),
+				c.Servers = []list.Registration{server(c.UID, rapid.SampledFrom([]string{"10.0.0.1:80", "10.0.0.2:80"}).Draw(t, "endpoint"),
 					rapid.Int64Range(0, 3).Draw(t, "boot"), rapid.SampledFrom([]int64{0, 2000}).Draw(t, "lease"))}
 			case Expire:
 				c.Ended = []Ended{{c.UID, rapid.Int64Range(0, m.lease+1).Draw(t, "token")}}
@@ -173,33 +173,33 @@
 func TestRefused(t *testing.T) {
 	far, high := int64(99), 2e6
 	good := server("s-1", "10.0.0.1:80", 5, 0)
-	bad := func(change func(*Registration)) Command {
+	bad := func(change func(*list.Registration)) Command {
 		r := server("s-2", "10.0.0.2:80", 0, 0)
 		change(&r)
-		return Command{Op: Register, Servers: []Registration{r}}
+		return Command{Op: Register, Servers: []list.Registration{r}}
 	}
 	for want, c := range map[string]Command{
-		"s-2 stands twice":             {Op: Register, Servers: []Registration{server("s-2", "10.0.0.2:80", 0, 0), server("s-2", "10.0.0.2:80", 0, 0)}},
-		"unknown state \"SLEEPING\"":   bad(func(r *Registration) { r.State = "SLEEPING" }),
-		"registers as SERVING":         bad(func(r *Registration) { r.State = list.Deleted }),
-		"capacity_hint 2e+06 is not":   bad(func(r *Registration) { r.Capacity = &high }),
-		"uid is missing":               bad(func(r *Registration) { r.UID = "" }),
-		"is no IP address and port":    bad(func(r *Registration) { r.Endpoint = "host:80" }),
-		"lease_ms 5 is neither":        bad(func(r *Registration) { r.LeaseMS = 5 }),
-		"boot_ms -1 is no":             bad(func(r *Registration) { r.BootMS = -1 }),
+		"s-2 stands twice":             {Op: Register, Servers: []list.Registration{server("s-2", "10.0.0.2:80", 0, 0), server("s-2", "10.0.0.2:80", 0, 0)}},
+		"unknown state \"SLEEPING\"":   bad(func(r *list.Registration) { r.State = "SLEEPING" }),
+		"registers as SERVING":         bad(func(r *list.Registration) { r.State = list.Deleted }),
+		"capacity_hint 2e+06 is not":   bad(func(r *list.Registration) { r.Capacity = &high }),
+		"uid is missing":               bad(func(r *list.Registration) { r.UID = "" }),
+		"is no IP address and port":    bad(func(r *list.Registration) { r.Endpoint = "host:80" }),
+		"lease_ms 5 is neither":        bad(func(r *list.Registration) { r.LeaseMS = 5 }),
+		"boot_ms -1 is no":             bad(func(r *list.Registration) { r.BootMS = -1 }),
 		"revision 99 lies ahead":       {Op: Drain, UID: "s-1", Expect: &far},
 		"no server \"s-9\"":            {Op: Drain, UID: "s-9"},
 		"unknown command \"dance\"":    {Op: "dance"},
-		"a process that booted at 5":   {Op: Register, Servers: []Registration{server("s-1", "10.0.0.1:80", 4, 0)}},
-		"the process at 10.0.0.1:80":   {Op: Register, Servers: []Registration{server("s-1", "10.0.0.3:80", 5, 0)}},
+		"a process that booted at 5":   {Op: Register, Servers: []list.Registration{server("s-1", "10.0.0.1:80", 4, 0)}},
+		"the process at 10.0.0.1:80":   {Op: Register, Servers: []list.Registration{server("s-1", "10.0.0.3:80", 5, 0)}},
 		"0 servers to register":        {Op: Register},
-		"goes with one server, not 2":  {Op: Register, Expect: &far, Servers: []Registration{good, server("s-2", "10.0.0.2:80", 0, 0)}},
+		"goes with one server, not 2":  {Op: Register, Expect: &far, Servers: []list.Registration{good, server("s-2", "10.0.0.2:80", 0, 0)}},
 		"a keeper needs a name":        {Op: Member},
 		"a cluster needs an id":        {Op: Found},
 		"keeper k: \"\" is no address": {Op: Member, Keeper: &Keeper{Name: "k"}},
 	} {
 		m := New()
-		m.Apply(Command{Op: Register, Servers: []Registration{good}})
+		m.Apply(Command{Op: Register, Servers: []list.Registration{good}})
 		before, _ := m.Snapshot()
 		r := m.Apply(c)
 		if r.Err == nil || !strings.Contains(r.Err.Reason, want) {
@@ -214,7 +214,7 @@
 // TestHistory fills the history: it stays within its bound, without a gap, and what is older is told as such.
 func TestHistory(t *testing.T) {
 	m := New()
-	m.Apply(Command{Op: Register, Servers: []Registration{server("s-1", "10.0.0.1:80", 0, 0)}})
+	m.Apply(Command{Op: Register, Servers: []list.Registration{server("s-1", "10.0.0.1:80", 0, 0)}})
 	for range MostHistory + 2*historySlack {
 		m.Apply(Command{Op: Drain, UID: "s-1"})
 		m.Apply(Command{Op: Serve, UID: "s-1"})
@@ -242,7 +242,7 @@
 func TestForms(t *testing.T) {
 	m := New()
 	m.Apply(Command{Op: Found, Cluster: "c"})
-	m.Apply(Command{Op: Register, Servers: []Registration{server("s-1", "10.0.0.1:80", 7, 3000)}})
+	m.Apply(Command{Op: Register, Servers: []list.Registration{server("s-1", "10.0.0.1:80", 7, 3000)}})
 	text, err := m.Snapshot()
 	if err != nil {
 		t.Fatal(err)
@@ -280,7 +280,7 @@
 // FuzzSnapshot reads anything: an error or a machine that works and can be written again.
 func FuzzSnapshot(f *testing.F) {
 	m := New()
-	m.Apply(Command{Op: Register, Servers: []Registration{server("s-1", "10.0.0.1:80", 7, 3000)}})
+	m.Apply(Command{Op: Register, Servers: []list.Registration{server("s-1", "10.0.0.1:80", 7, 3000)}})
 	text, _ := m.Snapshot()
 	body, _ := kind.Open(text)
 	f.Add(body)
@@ -291,7 +291,7 @@
 			return
 		}
 		rev := m.Rev()
-		if r := m.Apply(Command{Op: Register, Servers: []Registration{server("fuzz", "10.0.0.9:80", 0, 0)}}); r.Rev < rev {
+		if r := m.Apply(Command{Op: Register, Servers: []list.Registration{server("fuzz", "10.0.0.9:80", 0, 0)}}); r.Rev < rev {
 			t.Errorf("revision %d after %d", r.Rev, rev)
 		}
 		if _, ok := m.Since(m.Oldest()); !ok {
@@ -305,7 +305,7 @@
 
 // FuzzCommand applies anything that a log may hold.
 func FuzzCommand(f *testing.F) {
-	for _, c := range []Command{{Op: Register, Servers: []Registration{server("s-1", "10.0.0.1:80", 7, 3000)}}, {Op: Expire, Ended: []Ended{{"s-0", 1}}}, {Op: Member}} {
+	for _, c := range []Command{{Op: Register, Servers: []list.Registration{server("s-1", "10.0.0.1:80", 7, 3000)}}, {Op: Expire, Ended: []Ended{{"s-0", 1}}}, {Op: Member}} {
 		text, _ := json.Marshal(c)
 		f.Add(text)
 	}
@@ -315,7 +315,7 @@
 			return
 		}
 		m := New()
-		m.Apply(Command{Op: Register, Servers: []Registration{server("s-0", "10.0.0.1:80", 7, 3000)}})
+		m.Apply(Command{Op: Register, Servers: []list.Registration{server("s-0", "10.0.0.1:80", 7, 3000)}})
 		before := m.Rev()
 		if r := m.Apply(c); r.Err != nil && m.Rev() != before {
 			t.Errorf("%s was refused and changed the state", text)
@@ -333,7 +333,7 @@
 func BenchmarkSnapshot(b *testing.B) {
 	m := New()
 	for i := range 2000 {
-		m.Apply(Command{Op: Register, Servers: []Registration{server(fmt.Sprintf("s-%d", i), "10.0.0.1:80", 0, 0)}})
+		m.Apply(Command{Op: Register, Servers: []list.Registration{server(fmt.Sprintf("s-%d", i), "10.0.0.1:80", 0, 0)}})
 	}
 	for b.Loop() {
 		if _, err := m.Snapshot(); err != nil {
