Heavy hitters: weighted, mergeable counts, words of origins, and who is held for heavy

One client that floods through 300 sidecars is small at each. A sidecar counts work by client in 64 counters (Misra-Gries, weighted; no count is low by more than 1/65 of the total), tells its total and its eleven largest in at most 131 bytes a window, and a judge weighs the latest word of each origin: quiet, suspected, heavy, cooling. A share counts less what the one other origin that tells most of it tells, so that one liar condemns nobody; heavy clients keep their max-min share while servers are full.

No library: a look at two (datasketches' frequencies, keilerkonzept/topk) found neither reachable through the module proxy, and axiomhq/hyperloglog counts distinct keys only. Not taken: a cap of each origin's word by the median, which in an uneven fleet makes shares wrong for most of the traffic.

--- /dev/null
+++ b/balance/hitters/judge.go
@@ -0,0 +1,100 @@
+package hitters
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	tellFrom   = 4           // a sidecar names clients whose share of its own work is the bar's part of that
+	sureBy     = 3.0         // standard deviations from a share to the bar: of few requests it may be chance
+	mostWeight = 4           // times the next origin's total, that the largest counts for
+	probe      = 1.02        // of what is served: where servers can do more, it shows
+	backAfter  = time.Second // at the least for one that gives way, and as much more at random
+)
+
+// Roll ends a window and moves the clients on. It returns the report that the others are to get, and the
+// clients whose state is another now. The host calls it every Window.
+func (j *Judge) Roll(now Time) (own News, changed []Client) {
+	own = j.endWindow(now)
+	// Danger: one origin could hide all clients behind a total without bound.
+	_, next := j.totals()
+	f, clients := j.sum(mostWeight * next)
+	for _, t := range clients {
+		c := j.client(t.key)
+		share, sure := f.surely(t)
+		c.take(share, t, f)
+		if to := j.next(c, share, sure, now); to != c.State {
+			c.State, c.Since = to, now
+			j.hold(c)
+			changed = append(changed, *c)
+		}
+	}
+	j.share(f, clients)
+	return own, changed
+}
+
+// surely is a client's share of the fleet's work, less what the other origin that tells most of it tells, and
+// the same less a margin for chance. Danger: one origin that lies could have any client be held for heavy. What
+// it tells adds to the total; to this sum it adds nothing, or less than the honest one left out in its place.
+// So a client that comes by one sidecar alone is heavy there, by its own count, and nowhere else.
+func (f fleet) surely(t tally) (share, sure float64) {
+	share = float64(t.sum-t.most) / math.Max(float64(f.total), 1)
+	return share, share - sureBy*math.Sqrt(share*(1-share)/math.Max(float64(f.requests), 1))
+}
+
+// next is the state that a client goes to: up by what is sure, down by what is not even likely.
+func (j *Judge) next(c *Client, share, sure float64, now Time) State {
+	switch high, long := sure >= j.set.High, now-c.Since; {
+	case c.State == Quiet && high:
+		return Suspected
+	case c.State == Suspected && !high, c.State == Cooling && !high && long >= j.set.Cool:
+		return Quiet
+	case c.State == Suspected && long >= j.set.Hold, c.State == Cooling && high:
+		return Heavy
+	case c.State == Heavy && share < j.set.Low:
+		return Cooling
+	}
+	return c.State
+}
+
+// share says which part of its requests a heavy client keeps while servers are full: what they do is shared
+// by max-min, as water fills vessels. Those that are not among clients ask for little: under the level.
+func (j *Judge) share(f fleet, clients []tally) {
+	rest := float64(f.total)
+	for _, t := range clients {
+		rest -= float64(t.sum)
+	}
+	slices.SortFunc(clients, func(x, y tally) int { return cmp.Compare(x.sum, y.sum) })
+	served := probe * float64(f.served)
+	left, level := served-max(rest, 0), math.Inf(1)
+	for i, t := range clients {
+		if each := left / float64(len(clients)-i); each < float64(t.sum) {
+			level = each
+			break
+		}
+		left -= float64(t.sum)
+	}
+	// Danger: by a total that is not true, or where the others ask for all, it would be left with nothing.
+	level = max(level, j.set.Low*served)
+	for _, t := range clients {
+		j.client(t.key).Keep = min(1, level/max(float64(t.sum), 1))
+	}
+}
+
+// Yields tells whether a request of a client is to give way to others, as servers are full, and after which
+// time it may come back. Danger: clients that are told the same time come back together.
+func (j *Judge) Yields(key, request uint64) (after time.Duration, yields bool) {
+	c := j.client(key)
+	if c.State != Heavy {
+		return 0, false
+	}
+	if c.credit += c.Keep; c.credit >= 1 {
+		c.credit--
+		return 0, false
+	}
+	spread := float64((request^key)*0x9e3779b97f4a7c15>>11) / (1 << 53) // Fibonacci hashing (Knuth)
+	return backAfter + time.Duration(spread*float64(backAfter)), true
+}
--- /dev/null
+++ b/balance/hitters/judge_test.go
@@ -0,0 +1,196 @@
+package hitters
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// set is that of the sidecar 1.
+var set = func() Settings { s := Defaults(); s.Origin = 1; return s }()
+
+// says is a report of a client's share, and more clients' after it.
+func says(total uint64, shares ...float64) Report {
+	r := Report{Total: total, Requests: 10_000, Served: whole}
+	for i, s := range shares {
+		r.Keys[i], r.Shares[i], r.Named = uint64(i+1), uint16(s*whole), r.Named+1
+	}
+	return r
+}
+
+func judge(t interface{ Fatal(...any) }) *Judge {
+	j, err := New(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+// state is what a client is held for.
+func state(j *Judge, key uint64) State { return j.client(key).State }
+
+// roll has the origins tell the same at each window, for some time.
+func roll(j *Judge, now *Time, seq *uint64, long time.Duration, words map[uint64]Report) {
+	for end := *now + long; *now < end; *now += set.Window {
+		*seq++
+		for origin, r := range words {
+			j.Tell(*now, News{Origin: origin, Seq: *seq, Report: r})
+		}
+		j.Roll(*now)
+	}
+}
+
+// TestStates leads a client through all states.
+func TestStates(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		loud  time.Duration // it has twice the upper bar
+		share float64       // and then that
+		quiet time.Duration
+		want  State
+	}{
+		{"sound", 0, 0.07, 3 * time.Second, Quiet},
+		{"a moment", time.Second, 0.07, time.Second, Quiet},
+		{"just come", time.Second, 0.16, 0, Suspected},
+		{"for long", 2 * time.Second, 0.16, 0, Heavy},
+		{"between the bars", 2 * time.Second, 0.06, 9 * time.Second, Heavy},
+		{"under both", 2 * time.Second, 0.04, 3 * time.Second, Cooling},
+		{"forgotten", 2 * time.Second, 0.04, 7 * time.Second, Quiet},
+	} {
+		j, now, seq := judge(t), time.Minute, uint64(0)
+		with := func(share float64) map[uint64]Report {
+			words := map[uint64]Report{}
+			for o := range uint64(50) {
+				words[2+o] = says(1000, share)
+			}
+			return words
+		}
+		roll(j, &now, &seq, tt.loud, with(0.16))
+		roll(j, &now, &seq, tt.quiet, with(tt.share))
+		if got := state(j, 1); got != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestNewsInAnyOrder tells drawn news in two orders, with repeats: the same is held. None counts past its bound.
+func TestNewsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		news := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) News {
+			seq := rapid.Uint64Range(1, 5).Draw(t, "seq")
+			return News{Origin: rapid.Uint64Range(2, 6).Draw(t, "origin"), Start: rapid.Int64Range(1, 3).Draw(t, "start"),
+				Seq: seq, Report: says(1000*seq, 0.1*float64(seq))}
+		}), 1, 30).Draw(t, "news")
+		for i := range news { // the same name is the same word
+			news[i].Report.Total += uint64(news[i].Start)
+		}
+		x, y := judge(t), judge(t)
+		for _, n := range news {
+			x.Tell(0, n)
+		}
+		again := rapid.Permutation(append(slices.Clone(news), news...)).Draw(t, "again")
+		for _, n := range again {
+			y.Tell(0, n)
+		}
+		fx, sx := x.sum(math.MaxInt64)
+		fy, sy := y.sum(math.MaxInt64)
+		if fx != fy || !slices.Equal(sx, sy) {
+			t.Fatalf("%+v %+v, in another order %+v %+v", fx, sx, fy, sy)
+		}
+		x.Roll(set.Bound + 1)
+		if f, _ := x.sum(math.MaxInt64); f.total != 0 || x.Tell(0, News{Origin: 9, Age: set.Bound + 1}) {
+			t.Fatalf("%+v counts after the bound", f)
+		}
+	})
+}
+
+// TestOneLiar has one origin tell drawn lies beside honest ones: whoever is held for heavy is so by what the honest ones
+// tell, the largest of them being taken for anything from four times the next to what it says.
+func TestOneLiar(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		word := rapid.Custom(func(t *rapid.T) Report {
+			left := 1.0
+			r := says(rapid.Uint64Range(0, 1<<rapid.IntRange(1, 40).Draw(t, "size")).Draw(t, "total"))
+			for i := range rapid.IntRange(0, 4).Draw(t, "named") {
+				share := left * rapid.Float64Range(0.01, 0.9).Draw(t, "share")
+				r.Keys[i], r.Shares[i], r.Named = uint64(i+1), uint16(share*whole), r.Named+1
+				left -= share
+			}
+			return r
+		})
+		honest := rapid.SliceOfN(word, 1, 8).Draw(t, "honest")
+		words := map[uint64]Report{99: word.Draw(t, "lie")}
+		alone := judge(t)
+		for i, r := range honest {
+			words[uint64(i+2)] = r
+			alone.Tell(time.Minute, News{Origin: uint64(i + 2), Report: r})
+		}
+		j, now, seq := judge(t), time.Minute, uint64(0)
+		roll(j, &now, &seq, 3*time.Second, words)
+		_, next := alone.totals()
+		for _, c := range j.clients {
+			most := 0.0
+			for _, cap := range []uint64{mostWeight * next, math.MaxInt64} {
+				f, all := alone.sum(cap)
+				for _, t := range all {
+					if t.key == c.Key {
+						most = max(most, float64(t.sum)/float64(f.total))
+					}
+				}
+			}
+			if most < set.High-1e-3 {
+				t.Fatalf("%d is %v, with a share of %v without the liar", c.Key, c.State, most)
+			}
+		}
+	})
+}
+
+// TestFairShare holds what heavy clients keep against max-min worked out by trying levels.
+func TestFairShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shares := rapid.SliceOfN(rapid.Float64Range(0.09, 0.3), 1, 3).Draw(t, "shares")
+		served := rapid.Float64Range(0.3, 1).Draw(t, "served")
+		r := says(1_000_000, shares...)
+		r.Served = uint16(served * whole)
+		j, now, seq := judge(t), time.Minute, uint64(0)
+		words := map[uint64]Report{}
+		for o := range uint64(40) {
+			words[2+o] = r
+		}
+		roll(j, &now, &seq, 3*time.Second, words)
+		room, used := min(served*probe, 1), 0.0
+		level := 0.0
+		for ; level < 1 && used <= room; level += 1e-4 {
+			used = 1
+			for _, s := range shares {
+				used -= max(s-level, 0)
+			}
+		}
+		level = max(level, set.Low*served*probe)
+		for i, s := range shares {
+			c := j.client(uint64(i + 1))
+			if want := min(1, level/s); c.State != Heavy || math.Abs(c.Keep-want) > 0.01 {
+				t.Fatalf("%v keeps %v of %v, want %v", c.State, c.Keep, s, want)
+			}
+			kept := 0
+			for id := range uint64(1000) {
+				after, yields := j.Yields(c.Key, id)
+				if yields != (after >= backAfter && after < 2*backAfter) {
+					t.Fatalf("gives way %v, back after %v", yields, after)
+				}
+				if !yields {
+					kept++
+				}
+			}
+			if math.Abs(float64(kept)-1000*c.Keep) > 1 {
+				t.Fatalf("%d of 1000 served, want a share of %v", kept, c.Keep)
+			}
+		}
+		if _, yields := j.Yields(77, 1); yields {
+			t.Fatal("one that is not heavy gives way")
+		}
+	})
+}
--- /dev/null
+++ b/balance/hitters/summary_test.go
@@ -0,0 +1,95 @@
+package hitters
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestSummaryBound counts drawn work in several summaries, merged in a drawn order, beside exact counts.
+func TestSummaryBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		exact := map[uint64]uint64{}
+		parts := make([]Summary, rapid.IntRange(1, 5).Draw(t, "parts"))
+		names := rapid.Uint64Range(1, rapid.SampledFrom([]uint64{3, 60, 65, 66, 200, 1 << 60}).Draw(t, "names"))
+		for range rapid.IntRange(0, 600).Draw(t, "requests") {
+			key, work := names.Draw(t, "key"), rapid.Uint64Range(0, 1000).Draw(t, "work")
+			exact[key] += work
+			parts[rapid.IntRange(0, len(parts)-1).Draw(t, "part")].Add(key, work)
+		}
+		var all Summary
+		for _, i := range rapid.Permutation([]int{0, 1, 2, 3, 4}).Draw(t, "order") {
+			if i < len(parts) {
+				all.Merge(&parts[i])
+			}
+		}
+		var total, held uint64
+		for key, work := range exact {
+			total += work
+			held += all.Of(key)
+			if of := all.Of(key); of > work || work > of+all.Err() {
+				t.Fatalf("%d has %d, counted as %d with an error of %d", key, work, of, all.Err())
+			}
+		}
+		if all.Total() != total || all.Err()*(counters+1) > total-held || len(all.keys) > counters {
+			t.Fatalf("a total of %d, %d counted in %d counters: total %d, error %d", total, held, len(all.keys), all.Total(), all.Err())
+		}
+	})
+}
+
+// TestStrangersKeys floods a sidecar with a million clients, some nameless or with long names, beside one with a tenth
+// of the work: it is named, and memory stays.
+func TestStrangersKeys(t *testing.T) {
+	j, err := New(Defaults())
+	if err != nil {
+		t.Fatal(err)
+	}
+	long := make([]byte, 1<<14)
+	heavy := Key(0, "")
+	allocs := testing.AllocsPerRun(1, func() {
+		for i := range 1_000_000 {
+			if j.Count(uint64(i)*0x9e3779b97f4a7c15, 9*time.Millisecond, true); i%10 == 0 {
+				j.Count(heavy, 10*time.Millisecond, true)
+			}
+			if i%1000 == 0 {
+				long[i%len(long)]++
+				j.Count(Key(0, string(long)), 9*time.Millisecond, true)
+			}
+		}
+	})
+	own, _ := j.Roll(set.Window)
+	if r := own.Report; r.Named == 0 || r.Keys[0] != heavy || r.Shares[0]+r.Err < whole/11 || r.Err > whole/50 {
+		t.Errorf("a tenth of the work is told as %+v", r)
+	}
+	if allocs > 3000 { // the long names
+		t.Errorf("%v allocations", allocs)
+	}
+}
+
+// FuzzParseReport reads what strangers send: what is taken must be true to the bounds, and be the same when it is
+// written again.
+func FuzzParseReport(f *testing.F) {
+	good := Report{Total: 1 << 40, Requests: 77, Served: whole, Err: 9, Named: 2, Keys: [mostKeys]uint64{5, 6}, Shares: [mostKeys]uint16{900, 900}}
+	f.Add(good.Append(nil))
+	f.Add((&Report{}).Append(nil))
+	f.Add(append(good.Append(nil), "of a later layout"...))
+	f.Add([]byte{layout, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, from []byte) {
+		r, err := ParseReport(from)
+		if err != nil {
+			if r != (Report{}) {
+				t.Fatalf("refused and half taken: %+v", r)
+			}
+			return
+		}
+		sum := 0
+		for i := range r.Named {
+			sum += int(r.Shares[i])
+		}
+		again, err := ParseReport(r.Append(nil))
+		if err != nil || again != r || sum > whole || r.Total > mostTotal || len(from) > MostReport {
+			t.Fatalf("%+v is %+v again, %v", r, again, err)
+		}
+	})
+}
