Turns by place and time, without a message, on clocks that do not agree

balance/turns: each period draws a point on a circle that the members share out, by number or by traffic; who has it under his part has the turn. Points are a golden section apart, so an owner that is gone loses its own periods only, and a part of 1/n has a turn within 3n periods.

Not taken: slots that all must agree on (no shared clock); a draw for each epoch (a fleet in a rolling restart would draw anew many times a second, and each draw would be a chance more); turns that are saved up, which all take at once when trouble ends.

--- /dev/null
+++ b/balance/turns/turns_test.go
@@ -0,0 +1,138 @@
+package turns
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const period = time.Second
+
+// member is a sidecar of the model with a clock of its own.
+type member struct {
+	View
+	ahead time.Duration
+	drift float64 // of its clock, as a share
+}
+
+// members draws n of them, with parts by traffic of a coefficient of variation of 1 if uneven.
+func members(rng *rand.Rand, n int, uneven, inStep bool) []member {
+	list := make([]member, n)
+	var sum float64
+	for i := range list {
+		list[i].Place, list[i].Count = i, n
+		if uneven {
+			list[i].Before, list[i].Share = sum, rng.ExpFloat64()
+			sum += list[i].Share
+		}
+		if !inStep {
+			list[i].ahead = time.Duration(rng.Int64N(int64(24 * time.Hour)))
+			list[i].drift = (rng.Float64() - 0.5) * 1e-3
+		}
+	}
+	for i := range list {
+		if uneven {
+			list[i].Before /= sum
+			list[i].Share /= sum
+		}
+	}
+	return list
+}
+
+func (m member) holds(what uint64, at time.Duration) bool {
+	return m.Mine(what, at+m.ahead+time.Duration(float64(at)*m.drift), period)
+}
+
+// TestOneOwner checks what the package promises: one owner a period where clocks agree, and one on the average
+// where they do not, never much more at once.
+func TestOneOwner(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, n := range []int{1, 2, 10, 100, 1000} {
+		for _, uneven := range []bool{false, true} {
+			for _, inStep := range []bool{true, false} {
+				var sum, most, turns int
+				for what := range uint64(20) {
+					list := members(rng, n, uneven, inStep)
+					for k := range 100 {
+						at, holders := time.Duration(k)*period+period/2, 0
+						for _, m := range list {
+							if m.holds(what, at) {
+								holders++
+							}
+						}
+						sum, most, turns = sum+holders, max(most, holders), turns+1
+					}
+				}
+				mean := float64(sum) / float64(turns)
+				t.Logf("%4d members, uneven %5v, clocks agree %5v: mean %.3f owners, at most %d", n, uneven, inStep, mean, most)
+				if inStep && (sum != turns || most != 1) {
+					t.Errorf("%d owners in %d periods, want one in each", sum, turns)
+				}
+				if math.Abs(mean-1) > 0.1 || most > min(n, 9) {
+					t.Errorf("mean %.3f owners, want 1; at most %d, want %d", mean, most, min(n, 9))
+				}
+			}
+		}
+	}
+}
+
+// TestNobodyWaitsForever: a part of 1/n has a turn within 3n periods, wherever its clock stands, and no two of its
+// turns begin within a period.
+func TestNobodyWaitsForever(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 1000).Draw(t, "members")
+		v := View{Place: rapid.IntRange(0, n-1).Draw(t, "place"), Count: n}
+		what, from := rapid.Uint64().Draw(t, "what"), rapid.Int64Range(0, 1<<40).Draw(t, "clock")
+		for k := range 3 * n {
+			if v.Mine(what, time.Duration(from)*time.Microsecond+time.Duration(k)*period, period) {
+				return
+			}
+		}
+		t.Fatalf("no turn in %d periods", 3*n)
+	})
+}
+
+// TestOwnerThatIsGone: while the others still count it, only its own periods are lost; once they do not, none.
+func TestOwnerThatIsGone(t *testing.T) {
+	const n, periods = 10, 1000
+	for _, known := range []bool{false, true} {
+		served := 0
+		for k := range periods {
+			for place := range n - 1 { // the last is gone
+				v := View{Place: place, Count: n}
+				if known {
+					v.Count = n - 1
+				}
+				if v.Mine(7, time.Duration(k)*period, period) {
+					served++
+				}
+			}
+		}
+		if want := map[bool]int{false: periods - periods/n, true: periods}[known]; served < want-5 || served > want+5 {
+			t.Errorf("known %v: %d of %d periods have an owner, want %d", known, served, periods, want)
+		}
+	}
+}
+
+// TestComeBackInTurn: an outage that ends for all at once is followed by callers at equal distances.
+func TestComeBackInTurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, what := rapid.IntRange(1, 1000).Draw(t, "members"), rapid.Uint64().Draw(t, "what")
+		const span = 5 * time.Second
+		seen := make([]bool, n)
+		for place := range n {
+			after := View{Place: place, Count: n}.Back(what, span)
+			if after < 0 || after >= span {
+				t.Fatalf("member %d waits %v, want under %v", place, after, span)
+			}
+			slot := int(math.Round(float64(after) / float64(span) * float64(n)))
+			if seen[slot] {
+				t.Fatalf("two members come back after %v", after)
+			}
+			seen[slot] = true
+		}
+	})
+}
