ATTACH takes the start that counts, not one ahead of the clock

ByHand compared the time of taking out with the listed start. For a server whose clock is ahead that lies in the future, so one that was taken out and put back was never taken for restarted, and got a warm one's turns. e.from is the start as this clock counts it. TestBackByHandWithClockAhead fails without.

--- a/balance/hand.go
+++ b/balance/hand.go
@@ -19,7 +19,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(b.known)) { // in one order: turns are drawn
 		e := b.known[id]
-		if since, was := b.byHand[id]; was && !has(out, id) && since > e.Started {
+		if since, was := b.byHand[id]; was && !has(out, id) && since > e.from {
 			b.restarted(e, now)
 		}
 		e.out = has(out, id)
@@ -39,6 +39,7 @@
 // send at once, nor all wait for a round that takes those with little traffic a minute.
 //
 // Danger: a server is restarted while it is out, and the list tells late. One taken for warm is pushed over.
+// Whether it may have been is told by the start that counts: the listed one may lie ahead of this clock.
 func (b *Balancer) restarted(e *endpoint, from Time) {
 	e.took, e.held, e.faults, e.until, e.from = 0, 0, 0, 0, from
 	e.due = b.rng.Float64()
--- a/balance/hand_test.go
+++ b/balance/hand_test.go
@@ -95,6 +95,22 @@
 	}
 }
 
+// TestBackByHandWithClockAhead puts an endpoint back whose listed start lies ahead of the sidecar's clock: taken out and put
+// back after it was told, it may have been restarted in between, and is cold.
+func TestBackByHandWithClockAhead(t *testing.T) {
+	b, h := start(t, settings(), pair())
+	again := pair()[:1]
+	again[0].Started = h.now + time.Hour
+	b.Endpoints(h.now, ListChanges, again)
+	h.now += settings().ColdTime
+	b.ByHand(h.now, []string{"a"})
+	h.now += time.Second
+	b.ByHand(h.now, nil)
+	if e := b.known["a"]; e.warm >= 1 || e.from != h.now {
+		t.Errorf("cold from %v with warmth %.2f, want from %v", e.from, e.warm, h.now)
+	}
+}
+
 func TestKnows(t *testing.T) {
 	b, h := start(t, settings(), pair())
 	b.ByHand(h.now, []string{"c"})
