--- a/balance/turns/turns.go
+++ b/balance/turns/turns.go
@@ -1,24 +1,24 @@
 // Package turns gives each sidecar its turns at what not all should do at once: a try at a suspect server, a
 // probe, the return to a service after an outage. They follow from place and time, and need no message.
 //
-// Each period draws a point on a circle that the members share out, and who has it under his part has the turn.
-// So the next period has another owner, and one that is gone is passed over. Sidecars share no clock: where
-// clocks and views agree, each period has just one owner; else one on the average, as the parts add up to 1,
-// and no member has over one turn a period. A change of the members moves parts under the point: a turn may be
-// lost or doubled for as long as views differ. No promise may rest on turns alone.
+// Each period draws a point on a circle that the members share out, and the one whose part it falls into has
+// the turn: the next period has another owner, and one that is gone is passed over. Sidecars share no clock.
+// Where clocks and views agree, each period has just one owner; else one on the average, as the parts add up
+// to 1, and no member has over one turn a period. A change of the members moves the parts: a turn may be lost
+// or doubled for as long as views differ. No promise may rest on turns alone.
 package turns
 
 import "time"
 
 // View is a sidecar's place among the members: Place of Count, from 0. Its part of the circle is Share, from
-// Before on: parts of the fleet's traffic, from 0 to 1, where they are known, else both 0.
+// Before on: parts of the fleet's traffic, in all 1, where they are known; else both are 0.
 type View struct {
 	Place, Count  int
 	Before, Share float64
 }
 
-// Mine tells whether it is this sidecar's turn at what, which is any number that names it. An owner that has
-// nothing to do in its turn lets it go by: turns that are saved up are taken by all at once.
+// Mine tells whether it is this sidecar's turn at what, any number that names it. An owner that has nothing to
+// do in its turn lets it go by: turns that are saved up are taken by all at once.
 //
 // The points of a period and the next are a golden section of the circle apart: of turns in a row none repeats
 // soon, and a part of 1/n has a turn within 3n periods.
