--- /dev/null
+++ b/internal/sidecar/attempt.go
@@ -0,0 +1,97 @@
+package sidecar
+
+import (
+	"cmp"
+	"context"
+	"time"
+
+	"gradeusher.example/gradeusher/balance"
+)
+
+// Here is what the Balancer has the host do for a request.
+
+// Send implements balance.Actions, as do the methods after it. It starts an attempt.
+func (h *host) Send(id balance.RequestID, endpoint string, timeout time.Duration) {
+	c := h.calls[id]
+	if c == nil {
+		return
+	}
+	n, t := len(c.attempts), &try{sent: h.now}
+	var ctx context.Context
+	ctx, t.cancel = context.WithCancelCause(h.ctx)
+	if !c.deadline.IsZero() {
+		end := c.deadline
+		if own := h.origin.Add(h.now + timeout); timeout != 0 && own.Before(end) {
+			end = own
+		}
+		t.arm(end)
+		ctx = endsAt{ctx, end}
+	}
+	if c.over {
+		t.cancel(nil) // Danger: an attempt after the final answer would be an effect that nobody knows of.
+	}
+	c.attempts = append(c.attempts, t)
+	c.out++
+	go func() {
+		r := h.upstream.attempt(ctx, endpoint, &c.message, func(f *flow) {
+			h.post(func() { h.began(ctx, c, n, f) })
+		})
+		t.cancel(nil)
+		h.post(func() { h.result(c, n, endpoint, r) })
+	}()
+}
+
+// endsAt is a context that says when it ends, while a timer that can be stopped ends it.
+type endsAt struct {
+	context.Context
+	end time.Time
+}
+
+// Deadline implements context.Context.
+func (c endsAt) Deadline() (time.Time, bool) { return c.end, true }
+
+// result takes in how an attempt ended.
+func (h *host) result(c *call, n int, endpoint string, r reply) {
+	t := c.attempts[n]
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	if r.outcome == balance.Served {
+		h.answer(c, answer{kind: served, body: r.body, ctype: r.ctype})
+	}
+	// Danger: one peer's nonsense, tried again elsewhere, would eject a whole fleet of sound servers. What a server
+	// blames on the request is its final answer, and says nothing of the server.
+	if r.blamed {
+		h.counts.blamed.Add(1)
+		h.answer(c, answer{kind: failed})
+		r.outcome = balance.Cancelled
+	}
+	c.out--
+	h.counts.attempts[r.outcome].Add(1)
+	h.balancer.Result(h.now, balance.Result{ID: c.number, Attempt: n, Endpoint: endpoint, Outcome: r.outcome,
+		Took: cmp.Or(t.began, h.now) - t.sent, Finished: c.over})
+	h.forget(c)
+}
+
+// Cancel ends an attempt. Its result comes from its own goroutine.
+func (h *host) Cancel(id balance.RequestID, attempt int) {
+	if c := h.calls[id]; c != nil && attempt >= 0 && attempt < len(c.attempts) {
+		c.attempts[attempt].cancel(nil)
+	}
+}
+
+// Refuse answers that a retry does no harm.
+func (h *host) Refuse(id balance.RequestID, after time.Duration) {
+	h.end(id, answer{kind: refused, after: after})
+}
+
+// Fail answers without a promise.
+func (h *host) Fail(id balance.RequestID) { h.end(id, answer{kind: failed}) }
+
+// Timer starts a timer.
+func (h *host) Timer(after time.Duration, token uint64) {
+	time.AfterFunc(after, func() { h.post(func() { h.balancer.Timer(h.now, token) }) })
+}
+
+// Log writes a line of the Balancer.
+func (h *host) Log(text string) { h.log.Info(text) }
--- /dev/null
+++ b/internal/sidecar/call.go
@@ -0,0 +1,162 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"gradeusher.example/gradeusher/balance"
+)
+
+// Here is a request's life between its client and the Balancer, up to its final answer.
+
+// answerMargin is kept free before the client's deadline for the way of the final answer.
+const answerMargin = 5 * time.Millisecond
+
+// answerKind is a kind of final answer.
+type answerKind int
+
+const (
+	served answerKind = iota
+	refused
+	failed
+)
+
+// answer is a request's final answer.
+type answer struct {
+	kind  answerKind
+	body  []byte        // served
+	ctype string        // served
+	after time.Duration // refused: when to come back; 0: not said
+	flow  *flow         // served: in place of body, the answer as it comes
+}
+
+// call is a client's request while the host has it. The loop alone touches what follows answered.
+type call struct {
+	message
+	class    int
+	tenant   int
+	booked   int       // bytes of the body
+	deadline time.Time // the final answer is due; zero: the body is still coming
+	answered chan answer
+
+	number   balance.RequestID
+	over     bool // has its final answer
+	due      *time.Timer
+	attempts []*try
+	out      int
+}
+
+// try is an attempt. The loop alone touches it.
+type try struct {
+	cancel context.CancelCauseFunc
+	timer  *time.Timer  // of its end; nil: the body is still coming
+	sent   balance.Time // or when the body had come
+	began  balance.Time // its answer; 0: not
+}
+
+// serve has the Balancer decide on a request and returns its final answer, or false if ctx, the client's connection,
+// ends first.
+func (h *host) serve(ctx context.Context, c *call) (answer, bool) {
+	c.answered = make(chan answer, 1)
+	// Danger: a request that the Balancer left without an answer would hang until the client gives up.
+	c.due = time.AfterFunc(time.Until(c.deadline)+answerMargin/2, func() { h.post(func() { h.abandon(c, true) }) })
+	if c.rest != nil {
+		c.due.Stop() // its time has not begun
+	}
+	h.post(func() { h.begin(c) })
+	defer c.due.Stop()
+	select {
+	case a := <-c.answered:
+		return a, true
+	case <-ctx.Done():
+		h.post(func() { h.abandon(c, false) })
+		return answer{}, false
+	}
+}
+
+func (h *host) begin(c *call) {
+	h.counts.requests.Add(1)
+	h.last++
+	c.number = h.last
+	h.calls[c.number] = c
+	r := balance.Request{ID: c.number, Class: c.class, Tenant: c.tenant, Within: c.wait, Coming: c.rest != nil}
+	if !r.Coming {
+		r.Within = c.deadline.Sub(h.origin) - h.now
+	}
+	h.balancer.Request(h.now, r)
+}
+
+// bodyEnded begins a request's time: its body has come.
+func (h *host) bodyEnded(c *call) {
+	if c.over {
+		return
+	}
+	now := h.origin.Add(h.now)
+	c.deadline = h.leaving.by(now.Add(c.wait))
+	c.due.Reset(time.Until(c.deadline) + answerMargin/2)
+	for _, t := range c.attempts {
+		if t.timer == nil {
+			t.sent = h.now
+			t.arm(c.deadline)
+		}
+	}
+	h.balancer.BodyEnded(h.now, c.number, c.deadline.Sub(now))
+}
+
+// arm ends an attempt at a time, unless its timer is stopped before.
+func (t *try) arm(end time.Time) {
+	t.timer = time.AfterFunc(time.Until(end), func() { t.cancel(context.DeadlineExceeded) })
+}
+
+// began takes in that an attempt's answer comes and is to be passed on, which makes it the request's final one.
+func (h *host) began(ctx context.Context, c *call, n int, f *flow) {
+	if c.over || ctx.Err() != nil {
+		f.leave()
+		return
+	}
+	t := c.attempts[n]
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	t.began = h.now
+	h.answer(c, answer{kind: served, flow: f})
+	h.balancer.AnswerStarted(h.now, c.number, n)
+}
+
+// abandon ends a request that nobody waits for any more, or that is overdue.
+func (h *host) abandon(c *call, overdue bool) {
+	if c.over {
+		return
+	}
+	if !overdue {
+		h.counts.gone.Add(1)
+		c.over = true
+	} else {
+		h.log.Warn("request overdue", "class", c.class)
+		h.answer(c, answer{kind: failed})
+	}
+	h.balancer.ClientGone(h.now, c.number)
+	h.forget(c)
+}
+
+// answer gives a request its final answer. The first counts.
+func (h *host) answer(c *call, a answer) {
+	if c != nil && !c.over {
+		c.over = true
+		c.answered <- a
+	}
+}
+
+// forget lets go of a request that has its answer and has nothing out.
+func (h *host) forget(c *call) {
+	if c.over && c.out == 0 {
+		delete(h.calls, c.number)
+	}
+}
+
+func (h *host) end(id balance.RequestID, a answer) {
+	if c := h.calls[id]; c != nil {
+		h.answer(c, a)
+		h.forget(c)
+	}
+}
