--- a/balance/turns/turns.go
+++ b/balance/turns/turns.go
@@ -17,11 +17,11 @@
 	Before, Share float64
 }
 
-// Mine tells whether it is this sidecar's turn at what, any number that names it. An owner that has nothing to
-// do in its turn lets it go by: turns that are saved up are taken by all at once.
+// Mine tells whether it is this sidecar's turn at what, any number that names it. An owner that has nothing
+// to do in its turn lets it go by: turns that are saved up are taken by all at once.
 //
-// The points of a period and the next are a golden section of the circle apart: of turns in a row none repeats
-// soon, and a part of 1/n has a turn within 3n periods.
+// The points of a period and the next are a golden section of the circle apart, so that they spread evenly:
+// a part of 1/n has a turn within 3n periods.
 func (v View) Mine(what uint64, now, period time.Duration) bool {
 	n := float64(v.Count)
 	from, to := float64(v.Place)/n, float64(v.Place+1)/n
