A check of the lab that had nothing to look at is not seen, and has not held

A run without keepers said that linearizable, revisions and told-all held, and counted them: a promise that nobody put to the test looked kept. Each checker now says how many it looked at (answers, retried requests, told drains, cold processes that got work, samples, operations, lines, readers of changes made during the load); with none it is 'not seen' in the text, report.json and report.html, and stands in neither number of the last line. Not taken: to call such a check broken, by which every control without keepers would find more than it is for.

--- a/cmd/gradeusher/main_test.go
+++ b/cmd/gradeusher/main_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/internal/lab"
+	"gradeusher.example/gradeusher/internal/lab/check"
 	"gradeusher.example/gradeusher/internal/lab/plan"
 )
 
@@ -117,14 +118,19 @@
 		if code := c.ends(t); code != 0 {
 			t.Fatalf("exit %d: %s%s", code, &c.out, &c.err)
 		}
-		if lines := strings.Split(strings.TrimSpace(c.out.String()), "\n"); !regexp.MustCompile(`^held (\d+) of (\d+)$`).MatchString(lines[len(lines)-1]) {
-			t.Errorf("the last line is %q", lines[len(lines)-1])
+		lines := strings.Split(strings.TrimSpace(c.out.String()), "\n")
+		last := regexp.MustCompile(`^held (\d+) of (\d+)$`).FindStringSubmatch(lines[len(lines)-1])
+		if last == nil || last[1] != last[2] || !strings.Contains(lines[len(lines)-2], "not seen") || !strings.Contains(lines[len(lines)-2], "linearizable") {
+			t.Errorf("the last lines are %q", lines[len(lines)-2:])
 		}
 		r, err := lab.ReadReport(out)
 		if err != nil {
 			t.Fatal(err)
 		}
 		reports = append(reports, r)
+		if held := last[1]; fmt.Sprint(len(r.Verdicts)-len(r.NotSeen())) != held || slices.Contains(check.Names(r.Verdicts, check.Held), "told-all") {
+			t.Errorf("%s held, the report has %+v", held, r.Verdicts)
+		}
 		page, err := os.ReadFile(filepath.Join(out, "report.html"))
 		if err != nil || !bytes.Contains(page, []byte("<svg")) || !bytes.Contains(page, []byte("</svg>")) || bytes.Contains(page, []byte("src=")) {
 			t.Errorf("the page is not whole in itself: %v", err)
@@ -192,15 +198,15 @@
 // TestFaults has every kind of fault happen to real processes: each takes effect in time, and the program keeps the rules.
 func TestFaults(t *testing.T) {
 	t.Parallel()
-	for _, file := range []string{"testdata/faults.toml", "testdata/keepers.toml"} {
+	for file, notSeen := range map[string][]string{"testdata/faults.toml": {"linearizable", "revisions", "told-all"}, "testdata/keepers.toml": nil} {
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			t.Parallel()
-			testFaults(t, file)
+			testFaults(t, file, notSeen)
 		})
 	}
 }
 
-func testFaults(t *testing.T, file string) {
+func testFaults(t *testing.T, file string, notSeen []string) {
 	c := newCommand(t, "lab", "run", file, "--json")
 	code := c.ends(t)
 	var r lab.Result
@@ -208,10 +214,14 @@
 		t.Fatalf("exit %d, %v: %s", code, err, &c.err)
 	}
 	for _, v := range r.Verdicts {
-		if !v.Held {
+		if v.Broken > 0 {
 			t.Errorf("%s: %v", v.Name, v.Detail)
 		}
 	}
+	retried := func(name string) bool { return name == "one-at-a-time" } // whether one happens to be is not known before
+	if got := slices.DeleteFunc(r.NotSeen(), retried); !slices.Equal(got, notSeen) {
+		t.Errorf("not seen %v, want %v", got, notSeen)
+	}
 	seen := map[int]bool{}
 	for _, e := range r.Effects {
 		seen[e.Fault] = true
--- a/cmd/gradeusher/up.go
+++ b/cmd/gradeusher/up.go
@@ -65,7 +65,7 @@
 		lab.Print(s.out, r)
 	}
 	for _, v := range r.Verdicts {
-		if v.Name == "one-answer" && !v.Held {
+		if v.Name == "one-answer" && v.Broken > 0 {
 			return errBroken
 		}
 	}
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -52,36 +52,11 @@
 	Descriptors int
 }
 
-// Verdict is whether one invariant or bar held.
-type Verdict struct {
-	Name   string   `json:"name"`
-	Held   bool     `json:"held"`
-	Broken int      `json:"broken"`             // how often it was
-	Detail []string `json:"detail,omitempty"`   // the first of them
-	Value  *float64 `json:"value,omitempty"`    // of a bar's figure
-	Bar    string   `json:"bar,omitempty"`      // what it had to be
-	Says   string   `json:"promises,omitempty"` // what it promises
-}
-
-const mostDetail = 5
-
-// findings collects what broke an invariant.
-type findings map[string]*Verdict
-
-func (f findings) add(name, form string, args ...any) {
-	v := f[name]
-	v.Broken++
-	v.Held = false
-	if len(v.Detail) < mostDetail {
-		v.Detail = append(v.Detail, fmt.Sprintf(form, args...))
-	}
-}
-
 // Invariants checks all of them, in the order of plan.Invariants.
 func Invariants(e *Evidence) []Verdict {
 	f := findings{}
 	for _, v := range plan.Invariants {
-		f[v.Name] = &Verdict{Name: v.Name, Held: true, Says: v.Says}
+		f[v.Name] = &Verdict{Name: v.Name, Says: v.Says}
 	}
 	attempts := map[string][]ctl.Attempt{}
 	for _, a := range e.Attempts {
@@ -94,9 +69,11 @@
 	e.attempts(f, attempts)
 	e.drained(f)
 	e.keepers(f)
+	f.look("cold", e.coldServers())
 	for _, n := range e.Falls {
 		f.add("cold", "server %s fell over at %s", n.UID, e.when(n.At))
 	}
+	f.look("no-crash", len(e.Exits))
 	for _, x := range e.Exits {
 		if !x.Wanted || x.Code > 0 {
 			f.add("no-crash", "%s ended at %s: %s", x.Name, e.when(x.At), x.How)
@@ -104,6 +81,12 @@
 	}
 	limits := &e.Plan.File.Limits
 	for i, p := range e.Peaks {
+		if p.MemoryMB > 0 { // it was sampled
+			f.look("memory", 1)
+		}
+		if p.Descriptors > 0 {
+			f.look("descriptors", 1)
+		}
 		if p.MemoryMB > limits.MemoryMB {
 			f.add("memory", "%s held %.0f MB, %.0f at most", e.Plan.Sidecars[i].Name, p.MemoryMB, limits.MemoryMB)
 		}
@@ -111,16 +94,33 @@
 			f.add("descriptors", "%s held %d descriptors, %d at most", e.Plan.Sidecars[i].Name, p.Descriptors, limits.Descriptors)
 		}
 	}
+	f.look("lab-on-time", len(e.Tries))
 	if most := plan.Millis(limits.LatenessMS); e.Lateness > most {
 		f.add("lab-on-time", "void: the lab sent %v late at the 99th percentile, %v at most", e.Lateness, most)
 	}
 	verdicts := make([]Verdict, 0, len(plan.Invariants))
 	for _, v := range plan.Invariants {
+		f[v.Name].judge()
 		verdicts = append(verdicts, *f[v.Name])
 	}
 	return verdicts
 }
 
+// coldServers is how many processes of servers began cold and were sent a request.
+func (e *Evidence) coldServers() int {
+	type process struct {
+		server string
+		boot   int64
+	}
+	cold := map[process]bool{}
+	for _, a := range e.Attempts {
+		if a.Boot > e.Start || e.Plan.File.Fleet.Start == "cold" {
+			cold[process{a.Server, a.Boot}] = true
+		}
+	}
+	return len(cold)
+}
+
 // when words a time from the start of the load.
 func (e *Evidence) when(t int64) string { return fmt.Sprintf("%.3fs", float64(t-e.Start)/1e9) }
 
@@ -154,12 +154,19 @@
 			continue // no sidecar has taken it
 		}
 		late := t.Sent + int64(t.Timeout) + int64(plan.Millis(limits.AnswerSlackMS))
+		excused := e.excused(t.Sidecar, t.Began, t.Ended)
+		if t.Status != 0 || !excused {
+			f.look("one-answer", 1)
+		}
+		if t.Status != 0 && !excused {
+			f.look("in-time", 1)
+		}
 		switch {
-		case t.Status == 0 && !e.excused(t.Sidecar, t.Began, t.Ended):
+		case t.Status == 0 && !excused:
 			f.add("one-answer", "%s took request %s at %s and gave no answer: %s", name, t.ID, e.when(t.Sent), t.Fault)
 		case t.Status == 200 && !slices.ContainsFunc(attempts[t.ID], func(a ctl.Attempt) bool { return a.How == "served" && a.Server == t.By }):
 			f.add("one-answer", "%s served request %s by %q, which no server says", name, t.ID, t.By)
-		case t.Status != 0 && t.Ended > late && !e.excused(t.Sidecar, t.Began, t.Ended):
+		case t.Status != 0 && t.Ended > late && !excused:
 			f.add("in-time", "%s answered request %s %v after its time", name, t.ID, time.Duration(t.Ended-t.Sent)-t.Timeout)
 		}
 	}
@@ -177,6 +184,7 @@
 	for _, id := range slices.Sorted(maps.Keys(attempts)) {
 		all := attempts[id]
 		t := tries[id]
+		f.look("no-duplicate", 1)
 		if t == nil {
 			f.add("no-duplicate", "server %s got request %q, which no client sent", all[0].Server, id)
 			continue
@@ -193,6 +201,7 @@
 		}
 		for i := 1; i < len(all); i++ {
 			before, a := all[i-1], all[i]
+			f.look("one-at-a-time", 1)
 			if !e.Plan.File.Classes[t.Class].Safe && before.How != "turned" {
 				f.add("no-duplicate", "request %s may have run at %s (%s) and went to %s at %s", id, before.Server, before.How, a.Server, e.when(a.First))
 			}
@@ -217,6 +226,11 @@
 	for p := range told {
 		slices.SortStableFunc(told[p], func(a, b ctl.Told) int { return cmp.Compare(a.At, b.At) })
 	}
+	for _, all := range told {
+		if slices.ContainsFunc(all, func(t ctl.Told) bool { return t.State != "SERVING" }) {
+			f.look("drained", 1)
+		}
+	}
 	limits := &e.Plan.File.Limits
 	grace := int64(plan.Millis(limits.DrainGraceMS + limits.SlackMS))
 	for _, a := range e.Attempts {
--- a/internal/lab/check/check_test.go
+++ b/internal/lab/check/check_test.go
@@ -37,15 +37,7 @@
 	}
 }
 
-func broken(verdicts []Verdict) []string {
-	names := []string{}
-	for _, v := range verdicts {
-		if !v.Held {
-			names = append(names, v.Name)
-		}
-	}
-	return names
-}
+func broken(verdicts []Verdict) []string { return Names(verdicts, Broken) }
 
 // TestInvariants spoils one thing at a time: just its invariant breaks, and what a fault excuses breaks none.
 func TestInvariants(t *testing.T) {
@@ -129,6 +121,45 @@
 	}
 }
 
+// TestNotSeen has each check say what it looked at: with nothing of it there, it has not held.
+func TestNotSeen(t *testing.T) {
+	seenBy := func(e *Evidence) []string { return Names(Invariants(e), Held) }
+	e := seen(t)
+	want := []string{"one-answer", "in-time", "no-duplicate", "one-at-a-time", "no-crash", "memory", "descriptors", "lab-on-time"}
+	if got := seenBy(e); !slices.Equal(got, want) {
+		t.Errorf("held %v, want %v", got, want)
+	}
+	e.Told = []ctl.Told{{UID: "s3", State: "DRAINING", At: 800 * ms}} // nothing goes there
+	e.Attempts[1].Boot = e.Start + 1
+	want = []string{"one-answer", "in-time", "no-duplicate", "one-at-a-time", "drained", "cold", "no-crash", "memory", "descriptors", "lab-on-time"}
+	if got := seenBy(e); !slices.Equal(got, want) {
+		t.Errorf("with a drain and a cold server: held %v, want %v", got, want)
+	}
+	for _, v := range Invariants(e) {
+		if v.Name == "no-duplicate" && v.LookedAt != 3 || v.Name == "drained" && v.LookedAt != 1 {
+			t.Errorf("%s looked at %d", v.Name, v.LookedAt)
+		}
+	}
+	e = seen(t)
+	for i := range e.Tries { // killed sidecars owe nothing
+		e.Tries[i].Status = 0
+	}
+	e.Runs[0][0] = Run{From: 1, Killed: 990 * ms, To: 9000 * ms}
+	e.Attempts, e.Peaks, e.Exits = nil, []Peak{{}, {}}, nil
+	if got := seenBy(e); !slices.Equal(got, []string{"lab-on-time"}) || broken(Invariants(e)) != nil {
+		t.Errorf("with nobody to answer: held %v, broken %v", got, broken(Invariants(e)))
+	}
+	e.Tries = nil
+	if got := Names(Invariants(e), NotSeen); len(got) != len(plan.Invariants) {
+		t.Errorf("of nothing at all: not seen %v", got)
+	}
+	least := 0.0
+	e.Plan.File.Bars = []plan.Bar{{Figure: "write_gap_ms", Least: &least}}
+	if got := broken(Bars(e, Figures{})); !slices.Equal(got, []string{"bar write_gap_ms"}) {
+		t.Errorf("a figure that nobody measured: broken %v", got)
+	}
+}
+
 // TestMeasure computes figures by hand: a fetch (worth 1) in time, a submit (worth 5) late at 0.7 s of 0.5, one of twice the
 // work in time.
 func TestMeasure(t *testing.T) {
--- a/internal/lab/check/figures.go
+++ b/internal/lab/check/figures.go
@@ -159,26 +159,32 @@
 	return time.Duration(h.ValueAtQuantile(99)) * time.Microsecond
 }
 
-// Bars holds the figures against what the file wants of them.
+// Bars holds the figures against what the file wants of them. A figure that was not measured does not reach its bar.
 func Bars(e *Evidence, f Figures) []Verdict {
 	var verdicts []Verdict
 	for _, b := range e.Plan.File.Bars {
+		v := Verdict{Name: "bar " + b.Figure, LookedAt: 1}
 		value, known := f[b.Figure]
-		v := Verdict{Name: "bar " + b.Figure, Held: known, Value: &value}
+		reached := known
 		var wants []string
 		if b.Least != nil {
 			wants = append(wants, fmt.Sprintf("at least %v", *b.Least))
-			v.Held = v.Held && value >= *b.Least
+			reached = reached && value >= *b.Least
 		}
 		if b.Most != nil {
 			wants = append(wants, fmt.Sprintf("at most %v", *b.Most))
-			v.Held = v.Held && value <= *b.Most
+			reached = reached && value <= *b.Most
 		}
 		v.Bar = strings.Join(wants, ", ")
-		if !v.Held {
+		found := "not measured"
+		if known {
+			v.Value, found = &value, fmt.Sprintf("%.4g", value)
+		}
+		if !reached {
 			v.Broken = 1
-			v.Detail = []string{fmt.Sprintf("it is %.4g, wanted %s", value, v.Bar)}
+			v.Detail = []string{fmt.Sprintf("it is %s, wanted %s", found, v.Bar)}
 		}
+		v.judge()
 		verdicts = append(verdicts, v)
 	}
 	return verdicts
--- a/internal/lab/check/keepers.go
+++ b/internal/lab/check/keepers.go
@@ -61,11 +61,31 @@
 		f.add("told-all", "no keeper leads at the end")
 		return
 	}
+	f.look("told-all", e.toldChanges())
 	for _, near := range Behind(e.Plan, e.Shown, e.Last) {
 		f.add("told-all", "reader %d was not told revision %d", near, e.Last.Rev)
 	}
 }
 
+// toldChanges is how many readers there were to be told what changed while the load ran; 0: nothing did.
+func (e *Evidence) toldChanges() (readers int) {
+	before := int64(0) // the highest revision that was shown before the load
+	for _, s := range e.Shown {
+		if s.At < e.Start && s.Cluster == e.Last.Cluster {
+			before = max(before, s.Rev)
+		}
+	}
+	if e.Last.Rev <= before {
+		return 0
+	}
+	for near := range e.Plan.Nears() {
+		if reader(e.Plan, near) {
+			readers++
+		}
+	}
+	return readers
+}
+
 // entry is what one key holds, as far as a history of operations leaves it known.
 type entry struct {
 	rev   int64 // below 0: of a write that was never answered, so above the one before
@@ -116,6 +136,7 @@
 		if w.How == "uncertain" {
 			end = math.MaxInt64
 		}
+		f.look("linearizable", 1)
 		keys[w.Key] = append(keys[w.Key], porcupine.Operation{ClientId: w.Client, Input: w, Output: w, Call: w.Call, Return: end})
 	}
 	judge := model.ToModel()
@@ -138,6 +159,7 @@
 		}
 	}
 	for conn, all := range conns {
+		f.look("revisions", len(all))
 		slices.SortStableFunc(all, func(a, b ctl.Shown) int { return cmp.Compare(a.At, b.At) })
 		at := all[0].Holds
 		for _, s := range all { // a whole list may come instead of changes, but never from behind
@@ -209,12 +231,20 @@
 			note(failover, e.Wrote[i].Return-kill)
 		}
 	}
-	figures["failover_p50_ms"], figures["failover_most_ms"] = quantile(failover, 50), float64(failover.Max())/1000
+	put := func(name string, v float64, seen bool) {
+		if seen { // else a bar on it could hold of nothing
+			figures[name] = v
+		}
+	}
+	put("failover_p50_ms", quantile(failover, 50), failover.TotalCount() > 0)
+	put("failover_most_ms", float64(failover.Max())/1000, failover.TotalCount() > 0)
 	for _, p := range e.KeeperPeaks {
 		figures["keeper_mb"], figures["keeper_cores"] = max(figures["keeper_mb"], p.MemoryMB), max(figures["keeper_cores"], p.Used)
 	}
 	figures["writes"], figures["writes_uncertain"] = float64(done), float64(uncertain)
-	figures["write_p99_ms"], figures["write_gap_ms"] = quantile(took, 99), float64(gap)/1e6
-	figures["told_p50_ms"], figures["told_p99_ms"] = quantile(told, 50), quantile(told, 99)
+	put("write_p99_ms", quantile(took, 99), done > 0)
+	put("write_gap_ms", float64(gap)/1e6, done > 1)
+	put("told_p50_ms", quantile(told, 50), told.TotalCount() > 0)
+	put("told_p99_ms", quantile(told, 99), told.TotalCount() > 0)
 	figures["watches"], figures["watches_whole"] = float64(watches), float64(whole)
 }
--- a/internal/lab/check/keepers_test.go
+++ b/internal/lab/check/keepers_test.go
@@ -52,12 +52,8 @@
 		"nobody leads":            {nil, whole, 0, "told-all"},
 	} {
 		e := &Evidence{Plan: p, Wrote: tt.wrote, Shown: tt.shown, Last: Last{"c", tt.last}, Runs: make([][]Run, 1)}
-		var broken []string
-		for _, v := range Invariants(e) {
-			if !v.Held {
-				broken = append(broken, v.Name)
-			}
-		}
+		verdicts := Invariants(e)
+		broken := Names(verdicts, Broken)
 		var want []string
 		if tt.broken != "" {
 			want = []string{tt.broken}
@@ -65,5 +61,13 @@
 		if !slices.Equal(broken, want) {
 			t.Errorf("%s: broken %v, want %v", name, broken, want)
 		}
+		if unseen := slices.Contains(Names(verdicts, NotSeen), "linearizable"); unseen != (len(tt.wrote) == 0) {
+			t.Errorf("%s: linearizable not seen: %v", name, unseen)
+		}
+	}
+	// Nothing changed while the load ran: that everybody was told the last revision says nothing.
+	e := &Evidence{Plan: p, Start: 100, Shown: whole, Last: Last{"c", 9}, Runs: make([][]Run, 1)}
+	if got := Names(Invariants(e), Held); !slices.Equal(got, []string{"revisions"}) {
+		t.Errorf("without a change: held %v", got)
 	}
 }
--- a/internal/lab/plots.go
+++ b/internal/lab/plots.go
@@ -130,9 +130,9 @@
 <h1>{{.R.Name}}</h1><p>{{.R.States}}</p>
 <p>Seed {{.R.Seed}}, {{.R.Sidecars}} sidecars, {{.R.Servers}} servers, {{printf "%.0f" .R.Rate}} requests a second for {{.R.Seconds}} s on
 {{.R.Machine.Cores}} cores. Arrivals {{.R.ArrivalsHash}}, faults {{.R.StepsHash}}.{{if .R.Void}} <b class="no">Void: the lab was late.</b>{{end}}</p>
-<h2>Held {{.Held}} of {{len .R.Verdicts}}</h2>
-<table><tr><th>invariant or bar</th><th>held</th><th>what it says, and what broke it</th></tr>
-{{range .R.Verdicts}}<tr><td>{{.Name}}</td><td>{{if .Held}}yes{{else}}<span class="no">no, {{.Broken}} times</span>{{end}}</td>
+<h2>Held {{.Held}} of {{.Of}}</h2>
+<table><tr><th>invariant or bar</th><th>verdict</th><th>looked at</th><th>what it says, and what broke it</th></tr>
+{{range .R.Verdicts}}<tr><td>{{.Name}}</td><td>{{if .Broken}}<span class="no">broken, {{.Broken}} times</span>{{else}}{{.Verdict}}{{end}}</td><td>{{.LookedAt}}</td>
 <td>{{.Says}}{{with .Value}}{{value .}}{{end}}{{with .Bar}}, wanted {{.}}{{end}}{{range .Detail}}<br>{{.}}{{end}}</td></tr>{{end}}</table>
 <h2>Course</h2><p>{{range $i, $b := .R.Bands}}<span class="band" style="{{shade $i}}">{{$b.Says}}, {{printf "%.1f" $b.From}} to {{printf "%.1f" $b.To}} s</span>{{end}}</p>
 <p>{{.Picture}}</p>
@@ -148,9 +148,10 @@
 	if err != nil {
 		return err
 	}
+	held, of := r.Held()
 	return page.Execute(w, struct {
-		R       *Result
-		Held    int
-		Picture template.HTML
-	}{r, len(r.Verdicts) - len(r.Broken()), drawn})
+		R        *Result
+		Held, Of int
+		Picture  template.HTML
+	}{r, held, of, drawn})
 }
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -26,14 +26,18 @@
 			f["keeper_mb"], f["keeper_cores"])
 	}
 	for _, v := range r.Verdicts {
-		if !v.Held {
+		if v.Broken > 0 {
 			fmt.Fprintf(w, "broken: %s, %d times: %s\n", v.Name, v.Broken, strings.Join(v.Detail, "; "))
 		}
 	}
+	if names := r.NotSeen(); len(names) > 0 {
+		fmt.Fprintf(w, "not seen, for there was nothing to look at: %s\n", strings.Join(names, ", "))
+	}
 	if r.BrokenOff {
 		fmt.Fprintln(w, "broken off before its end")
 	}
-	fmt.Fprintf(w, "held %d of %d\n", len(r.Verdicts)-len(r.Broken()), len(r.Verdicts))
+	held, of := r.Held()
+	fmt.Fprintf(w, "held %d of %d\n", held, of)
 }
 
 // WriteReport writes report.json and report.html into a folder.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -56,15 +56,16 @@
 	Go    string `json:"go"`
 }
 
-// Broken are the names of what did not hold.
-func (r *Result) Broken() []string {
-	var names []string
-	for _, v := range r.Verdicts {
-		if !v.Held {
-			names = append(names, v.Name)
-		}
-	}
-	return names
+// Broken are the names of what was broken.
+func (r *Result) Broken() []string { return check.Names(r.Verdicts, check.Broken) }
+
+// NotSeen are the names of the checks that had nothing to look at.
+func (r *Result) NotSeen() []string { return check.Names(r.Verdicts, check.NotSeen) }
+
+// Held tells how many checks held, of those that had something to look at.
+func (r *Result) Held() (held, of int) {
+	held = len(check.Names(r.Verdicts, check.Held))
+	return held, held + len(r.Broken())
 }
 
 // Options say how an experiment runs.
@@ -299,7 +300,7 @@
 	r.Figures, r.Course = check.Measure(e)
 	r.Verdicts = append(r.Verdicts, check.Bars(e, r.Figures)...)
 	for _, v := range r.Verdicts {
-		r.Void = r.Void || v.Name == "lab-on-time" && !v.Held
+		r.Void = r.Void || v.Name == "lab-on-time" && v.Broken > 0
 	}
 	for _, b := range p.Bands {
 		r.Bands = append(r.Bands, Band{b.Says, b.From.Seconds(), b.To.Seconds()})
