--- a/balance/hitters/judge.go
+++ b/balance/hitters/judge.go
@@ -37,8 +37,8 @@
 }
 
 // surely is a client's share of the fleet's work, less what the other origin that tells most of it tells, and
-// the same less a margin for chance. Danger: one origin that lies could have any client be held for heavy. What
-// it tells adds to the total; to this sum it adds nothing, or less than the honest one left out in its place.
+// the same less a margin for chance. Danger: one origin that lies could have any client be held for heavy.
+// What it tells adds to the total; to this sum it adds nothing, or less than the honest one left out for it.
 // So a client that comes by one sidecar alone is heavy there, by its own count, and nowhere else.
 func (f fleet) surely(t tally) (share, sure float64) {
 	share = float64(t.sum-t.most) / math.Max(float64(f.total), 1)
