Figures of the lab over the fleet: spread, churn, and refusals that outlast a trouble

What many sidecars' choices add up to could not be seen in the lab: its figures were sums over all requests. spread is ARCHITECTURE's: the highest of (work begun at a server in a second, over its size) over the mean of the servers that are ready and warm throughout, seconds under ten requests a server joined; its 99th percentile, worst 10 s (spread_worst10), that over the mean before the first fault (spread_rise), and its course in the report. churn counts, from what servers saw, who came into the set that a sidecar sends to, in windows long enough that hardly a member is missed. refused_after is the share refused from 5 s after the last fault's end less that before the first, refused_back_s how long it takes to come back.

--- a/internal/lab/check/figures.go
+++ b/internal/lab/check/figures.go
@@ -22,6 +22,7 @@
 	Attempts int     `json:"attempts"` // at servers, by the time of their first byte
 	P50      float64 `json:"p50_ms"`
 	P99      float64 `json:"p99_ms"`
+	Spread   float64 `json:"spread,omitempty"` // of the window that the second is in; 0: it is in none
 }
 
 // Figures are an experiment's results by name: those of plan.Figures, and some a class ("served:fetch").
@@ -135,11 +136,13 @@
 	}
 	f["served_worst_class"] = worst
 	e.keeperFigures(f)
+	e.spreadFigures(f, course)
+	e.churnFigure(f)
+	e.refusals(f, course)
 	worst = 1.0
-	const window = 10
-	for i := range max(1, n-window+1) {
+	for i := range max(1, n-worstSeconds+1) {
 		var s sum
-		for _, c := range course[i:min(i+window, n)] {
+		for _, c := range course[i:min(i+worstSeconds, n)] {
 			s.asked += c.Asked
 			s.served += c.Served
 		}
--- a/internal/lab/check/keepers.go
+++ b/internal/lab/check/keepers.go
@@ -92,8 +92,8 @@
 	value int
 }
 
-// model is a register that is written with compare and set: each write names the revision that it replaces.
-var model = porcupine.NondeterministicModel{
+// register is one that is written with compare and set: each write names the revision that it replaces.
+var register = porcupine.NondeterministicModel{
 	Init: func() []any { return []any{entry{}} },
 	Step: func(state, input, output any) []any {
 		now, w := state.(entry), input.(ctl.Wrote)
@@ -139,7 +139,7 @@
 		f.look("linearizable", 1)
 		keys[w.Key] = append(keys[w.Key], porcupine.Operation{ClientId: w.Client, Input: w, Output: w, Call: w.Call, Return: end})
 	}
-	judge := model.ToModel()
+	judge := register.ToModel()
 	for _, key := range slices.Sorted(maps.Keys(keys)) {
 		switch porcupine.CheckOperationsTimeout(judge, keys[key], judgeWithin) {
 		case porcupine.Illegal:
--- /dev/null
+++ b/internal/lab/check/spread.go
@@ -0,0 +1,159 @@
+package check
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+)
+
+const (
+	spreadRequests = 10 // a server, under which seconds are joined
+	worstSeconds   = 10
+)
+
+// window is some whole seconds of the load.
+type window struct {
+	from, to int     // seconds
+	spread   float64 // of the servers that were ready and warm throughout
+}
+
+// spreads are the windows of a run, in order: in each, the most (work begun at a server, over its size) divided by the mean
+// of that over the servers that are ready and warm throughout. What a server turned away was not begun. Seconds with under
+// ten requests a server are joined, for there the most of many small draws says little; what is left at the end is no window.
+func (e *Evidence) spreads() (all []window) {
+	n := int(math.Ceil(e.Plan.File.Seconds))
+	work := make([]map[string]int64, n)
+	counts := make([]int, n)
+	for _, a := range e.Attempts {
+		s := int((a.First - e.Start) / int64(time.Second))
+		if a.First < e.Start || s >= n || a.How == "turned" {
+			continue
+		}
+		if work[s] == nil {
+			work[s] = map[string]int64{}
+		}
+		work[s][a.Server] += a.Work
+		counts[s]++
+	}
+	size := map[string]float64{}
+	for i := range e.Plan.Servers {
+		size[e.Plan.Servers[i].UID] = e.Plan.Servers[i].Capacity()
+	}
+	ready := e.readyWarm()
+	began := 0
+	for from, to := 0, 1; to <= n; to++ {
+		began += counts[to-1]
+		if began < spreadRequests*e.Plan.Standing {
+			continue
+		}
+		most, sum, servers := 0.0, 0.0, 0
+		for uid, spans := range ready {
+			if !throughout(spans, e.Start+int64(from)*int64(time.Second), e.Start+int64(to)*int64(time.Second)) {
+				continue
+			}
+			done := int64(0)
+			for s := from; s < to; s++ {
+				done += work[s][uid]
+			}
+			share := float64(done) / size[uid]
+			most, sum, servers = max(most, share), sum+share, servers+1
+		}
+		if sum > 0 {
+			all = append(all, window{from, to, most / (sum / float64(servers))})
+		}
+		from, began = to, 0
+	}
+	return all
+}
+
+// spreadFigures are spread, the 99th percentile of the seconds; spread_worst10, the highest mean over 10 s; and how many times
+// the mean before the first fault that is. They are left out where nothing is to be seen.
+func (e *Evidence) spreadFigures(f Figures, course []Second) {
+	all := e.spreads()
+	if len(all) == 0 {
+		return
+	}
+	var seconds []float64
+	for _, w := range all {
+		for s := w.from; s < w.to; s++ {
+			course[s].Spread = w.spread
+			seconds = append(seconds, w.spread)
+		}
+	}
+	before, n := 0.0, 0
+	first, _, faulty := e.troubled()
+	for _, w := range all {
+		if faulty && e.Start+int64(w.to)*int64(time.Second) <= first {
+			before, n = before+w.spread*float64(w.to-w.from), n+w.to-w.from
+		}
+	}
+	worst := 0.0
+	for i := range max(1, len(seconds)-worstSeconds+1) {
+		worst = max(worst, mean(seconds[i:min(i+worstSeconds, len(seconds))]))
+	}
+	sorted := slices.Sorted(slices.Values(seconds))
+	f["spread"], f["spread_worst10"] = sorted[int(math.Ceil(0.99*float64(len(sorted))))-1], worst
+	if n > 0 {
+		f["spread_rise"] = worst / (before / float64(n))
+	}
+}
+
+func mean(v []float64) float64 {
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return sum / float64(len(v))
+}
+
+const (
+	churnPieces = 5 * int64(time.Second)
+	churnSeen   = 4 // sends a server in a window: then one in 55 of its servers is missed (e^-4)
+)
+
+// churnFigure is how many servers a minute came into the sets that sidecars send to, summed over all sidecars. A
+// sidecar's subset is not to be seen from outside, but the servers that it sends to are: those of a window, against those of
+// the window before. A window is as many pieces of 5 s as it takes to send four times as much as there are servers in it, so that
+// hardly a member is missed, and what is left at the end is no window. One that is replaced by another counts once.
+func (e *Evidence) churnFigure(f Figures) {
+	sent := make([][]ctl.Attempt, len(e.Plan.Sidecars))
+	for _, a := range e.Attempts {
+		if a.Near >= 0 && a.Near < len(sent) && a.First >= e.Start {
+			sent[a.Near] = append(sent[a.Near], a)
+		}
+	}
+	sum, seen := 0.0, false
+	for _, all := range sent {
+		slices.SortFunc(all, func(a, b ctl.Attempt) int { return cmp.Compare(a.First, b.First) })
+		var before map[string]bool
+		now, n, came := map[string]bool{}, 0, 0
+		first, last := int64(0), int64(0) // ends of the first window and of the last
+		for i, a := range all {
+			now[a.Server] = true
+			n++
+			end := e.Start + ((a.First-e.Start)/churnPieces+1)*churnPieces
+			if i+1 < len(all) && all[i+1].First < end || i+1 == len(all) || n < churnSeen*len(now) {
+				continue // the piece, or the window, is not over
+			}
+			if last = end; before == nil {
+				first = end
+			} else {
+				for uid := range now {
+					if !before[uid] {
+						came++
+					}
+				}
+			}
+			before, now, n = now, map[string]bool{}, 0
+		}
+		if last > first && first > 0 {
+			sum, seen = sum+float64(came)/(float64(last-first)/float64(time.Minute)), true
+		}
+	}
+	if seen {
+		f["churn"] = sum
+	}
+}
--- /dev/null
+++ b/internal/lab/check/spread_test.go
@@ -0,0 +1,156 @@
+package check
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/model"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+)
+
+const sec = int64(time.Second)
+
+// fleet is evidence of two servers, b twice the size of a, and n sidecars, over some seconds.
+func fleet(t *testing.T, seconds, sidecars int) *Evidence {
+	f, err := plan.Parse("x.toml", fmt.Appendf(nil, "states = \"x\"\nseconds = %d\n[load]\nrate = 1\n", seconds))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &plan.Plan{File: f, Standing: 2, Sidecars: make([]plan.Sidecar, sidecars)}
+	for i, uid := range []string{"a", "b"} {
+		p.Servers = append(p.Servers, model.Spec{UID: uid, Cores: 1 + i, Speed: 1, ColdFor: 2 * time.Second})
+	}
+	return &Evidence{Plan: p, Start: 1000 * sec, Runs: make([][]Run, sidecars)}
+}
+
+// send has n attempts of work ms each begin at a server, evenly within a second.
+func (e *Evidence) send(second, near int, server string, n int, work int64) {
+	for i := range n {
+		at := e.Start + int64(second)*sec + int64(i)*sec/int64(n)
+		e.Attempts = append(e.Attempts, ctl.Attempt{Server: server, Near: near, First: at, How: "served", Work: work * ms})
+	}
+}
+
+func near(t *testing.T, what string, got, want float64) {
+	t.Helper()
+	if math.Abs(got-want) > 1e-9 {
+		t.Errorf("%s is %v, want %v", what, got, want)
+	}
+}
+
+// TestSpread counts by hand: even by size is 1; by joined seconds; without the servers that are not ready and warm.
+func TestSpread(t *testing.T) {
+	e := fleet(t, 12, 1)
+	e.Plan.File.Faults = []plan.Fault{{Do: "hang"}}
+	e.Plan.Bands = []plan.Band{{From: 4 * time.Second, To: 6 * time.Second}}
+	for s := range 4 { // by size: 1, though b has twice the work
+		e.send(s, 0, "a", 10, 10)
+		e.send(s, 0, "b", 10, 20)
+	}
+	e.send(4, 0, "a", 6, 10) // joined with the next: a has 12 of 10 ms, b 8 of 60 ms over 2: 120 and 240 of 180
+	e.send(5, 0, "a", 6, 10)
+	e.send(5, 0, "b", 8, 60)
+	e.send(6, 0, "b", 20, 10) // b alone is ready and warm
+	e.send(7, 0, "a", 20, 10)
+	e.send(7, 0, "b", 20, 10) // a again
+	e.Attempts = append(e.Attempts, ctl.Attempt{Server: "b", First: e.Start + 7*sec, How: "turned", Work: sec})
+	e.send(8, 0, "a", 5, 1000) // too little for a window
+	e.Plan.Steps = []plan.Step{{At: 6 * time.Second, Do: plan.Trouble, Server: "a", Trouble: model.Trouble{Hang: true}},
+		{At: 7 * time.Second, Do: plan.Trouble, Server: "a"}}
+	f, course := Figures{}, make([]Second, 12)
+	e.spreadFigures(f, course)
+	for s, want := range []float64{1, 1, 1, 1, 4.0 / 3, 4.0 / 3, 1, 4.0 / 3, 0, 0, 0, 0} {
+		near(t, fmt.Sprintf("second %d", s), course[s].Spread, want)
+	}
+	near(t, "spread", f["spread"], 4.0/3)
+	near(t, "spread_worst10", f["spread_worst10"], 9.0/8)
+	near(t, "spread_rise", f["spread_rise"], 9.0/8)
+	f = Figures{}
+	if fleet(t, 12, 1).spreadFigures(f, course); len(f) != 0 {
+		t.Errorf("of nothing: %v", f)
+	}
+}
+
+// TestReadyWarm follows a server through what may happen to it.
+func TestReadyWarm(t *testing.T) {
+	e := fleet(t, 60, 3)
+	step := func(at int, do string, more ...func(*plan.Step)) {
+		s := plan.Step{At: time.Duration(at) * time.Second, Do: do, Server: "a"}
+		for _, m := range more {
+			m(&s)
+		}
+		e.Plan.Steps = append(e.Plan.Steps, s)
+	}
+	hold := func(on bool, nears ...int) func(*plan.Step) {
+		return func(s *plan.Step) { s.On, s.Nears, s.Effect = on, nears, plan.LinkEffect{HoldFar: true} }
+	}
+	step(2, plan.Link, hold(true, 1)) // one sidecar's alone
+	step(4, plan.Link, hold(false, 1))
+	step(5, plan.Link, hold(true))
+	step(6, plan.Link, hold(true))
+	step(7, plan.Link, hold(false))
+	step(8, plan.Link, hold(false))
+	step(10, plan.Die)
+	step(11, plan.Revive) // warm at 13
+	step(20, plan.Drain)
+	e.Falls = []ctl.News{{UID: "b", At: e.Start + 9*sec}}
+	ready := e.readyWarm()
+	for _, tt := range []struct {
+		uid      string
+		from, to int64
+		want     bool
+	}{{"a", 0, 5, true}, {"a", 5, 6, false}, {"a", 7, 8, false}, {"a", 8, 10, true}, {"a", 9, 11, false}, {"a", 11, 13, false}, {"a", 12, 14, false},
+		{"a", 13, 20, true}, {"a", 19, 21, false}, {"b", 0, 9, true}, {"b", 8, 10, false}} {
+		if got := throughout(ready[tt.uid], e.Start+tt.from*sec, e.Start+tt.to*sec); got != tt.want {
+			t.Errorf("%s from %d to %d s: %v", tt.uid, tt.from, tt.to, got)
+		}
+	}
+}
+
+// TestChurn has one sidecar that keeps its servers, one that changes one of two, and one that sends too little to tell.
+func TestChurn(t *testing.T) {
+	e := fleet(t, 20, 3)
+	for s := range 16 {
+		e.send(s, 0, "a", 2, 1)
+		e.send(s, 0, "b", 2, 1)
+		e.send(s, 1, "a", 2, 1)
+		e.send(s, 1, []string{"b", "c"}[s/10], 2, 1)
+	}
+	e.send(3, 2, "a", 1, 1)
+	e.send(13, 2, "b", 1, 1)
+	f := Figures{}
+	e.churnFigure(f) // windows end at 5, 10 and 15 s: one came within 10 s
+	near(t, "churn", f["churn"], 6)
+}
+
+// TestRefusals holds what is refused after the trouble to what was before.
+func TestRefusals(t *testing.T) {
+	e := fleet(t, 30, 1)
+	restart := 1.0
+	e.Plan.File.Faults = []plan.Fault{{Do: "hang"}, {Do: "kill", Restart: &restart}}
+	e.Plan.Bands = []plan.Band{{Fault: 0, From: 10 * time.Second, To: 12 * time.Second}, {Fault: 1, From: 13 * time.Second, To: 13 * time.Second}}
+	course := make([]Second, 30)
+	for i := range course {
+		course[i] = Second{Requests: 10}
+		switch {
+		case i < 10:
+			course[i].Refused = i % 2 // 0.05
+		case i < 20:
+			course[i].Refused = 5
+		case i < 25:
+			course[i].Refused = 1
+		}
+	}
+	f := Figures{}
+	e.refusals(f, course) // over at 14 s
+	near(t, "refused_before", f["refused_before"], 0.05)
+	near(t, "refused_after", f["refused_after"], 10/110.0-0.05) // of seconds 19 to 29
+	near(t, "refused_back_s", f["refused_back_s"], 9)           // 23, 24 and 25 s have 2 of 30
+	f, e.Plan.Bands = Figures{}, nil
+	if e.refusals(f, course); len(f) != 0 {
+		t.Errorf("without faults: %v", f)
+	}
+}
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -166,6 +166,7 @@
 var Figures = []string{"service", "served", "served_worst_10s", "served_worst_class", "answered", "refused", "failed", "attempts",
 	"late_refusals", "p50_ms", "p99_ms", "p999_ms", "connections", "lateness_p99_ms", "requests",
 	"writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "told_p50_ms", "told_p99_ms", "watches", "watches_whole",
+	"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s",
 	"keeper_mb", "keeper_cores", "failover_p50_ms", "failover_most_ms"}
 
 // Flaws of the stand-in sidecar, for the controls; "" is none.
--- a/internal/lab/plots.go
+++ b/internal/lab/plots.go
@@ -48,6 +48,7 @@
 	{"attempts a request", []line{{"attempts", blue, perRequest(func(s check.Second) int { return s.Attempts })}}},
 	{"share refused and failed", []line{{"refused", blue, perRequest(func(s check.Second) int { return s.Refused })},
 		{"failed", orange, perRequest(func(s check.Second) int { return s.Failed })}}},
+	{"spread: the busiest server over the mean, by size", []line{{"spread", blue, func(s check.Second) float64 { return s.Spread }}}},
 }
 
 // plot is a chart of a result, with the faults as bands.
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -20,6 +20,15 @@
 		f["served_worst_10s"], f["served_worst_class"], f["service"], f["refused"], f["failed"])
 	fmt.Fprintf(w, "latency p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms; %.3f attempts and %.4f new connections a request; the lab's lateness p99 %.2f ms\n",
 		f["p50_ms"], f["p99_ms"], f["p999_ms"], f["attempts"], f["connections"], f["lateness_p99_ms"])
+	var more []string // of those that were measured
+	for _, name := range []string{"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s"} {
+		if v, ok := f[name]; ok {
+			more = append(more, fmt.Sprintf("%s %.4g", name, v))
+		}
+	}
+	if len(more) > 0 {
+		fmt.Fprintf(w, "over the fleet: %s\n", strings.Join(more, ", "))
+	}
 	if f["watches"] > 0 {
 		fmt.Fprintf(w, "keepers: %.0f writes and %.0f uncertain ones, p99 %.1f ms, longest gap %.0f ms, after a kill p50 %.0f ms and %.0f ms at most; last reader told after p50 %.1f ms, p99 %.1f ms; %.0f watches, %.0f whole lists; at most %.0f MB and %.3f cores a keeper\n",
 			f["writes"], f["writes_uncertain"], f["write_p99_ms"], f["write_gap_ms"], f["failover_p50_ms"], f["failover_most_ms"], f["told_p50_ms"], f["told_p99_ms"], f["watches"], f["watches_whole"],
