Members: sidecars that know each other, with places, a rising epoch and news of bounded age

Cause: 300 sidecars that each decide alone repeat each other's losses. They need to know who is there and what the others saw. A process is memberlist's node; a member is a name, whatever its process. Epochs are a Lamport count over a hash of the set. Each origin has one state a kind, merged by (start, seq); age goes by what those who held it say, and by the least distance of clocks ever seen, so that a held-back network or a stopped peer shows. Every peer can be reached at one host. Not taken: ages by hops alone (blind to time on the way), wall clocks (may be wrong), one memberlist name for old and new process (the old one's farewell takes the new one out).

--- /dev/null
+++ b/internal/members/epoch.go
@@ -0,0 +1,90 @@
+package members
+
+import "maps"
+
+// Here is how members agree on a number for the set that they are, without any of them deciding it.
+
+// claim says that somebody calls the set with this hash by this count.
+type claim struct{ count, hash uint32 }
+
+// epoch is the count over the hash: equal epochs mean equal sets, but for a collision of 32 bits.
+func (c claim) epoch() uint64 { return uint64(c.count)<<32 | uint64(c.hash) }
+
+const mostClaims = 16
+
+// epochs is one member's view of the count, in the manner of Lamport's clocks (Time, clocks, and the ordering of events,
+// CACM 1978). A member whose set changes takes the count under which others already know the new set, if that is above its
+// own, else one above all that it has heard of, and says so. A member that hears its own set called by a higher count takes
+// that. Invariants:
+//
+//  1. A member's own epoch never goes down, and rises with each change of its set.
+//  2. Two members with the same epoch have the same set.
+//  3. Once sets rest and each has heard what all say, equal sets have equal epochs: the highest count that any of them holds.
+//
+// A member that lies about counts costs calls to others, not agreement: 2 holds by the hash. At the highest count they cease
+// to rise. The zero value is that of a member which knows no set.
+type epochs struct {
+	own    claim
+	most   uint32            // count heard of
+	claims map[uint32]uint32 // the highest count heard of by hash; bounded
+}
+
+// become takes in the hash of the own set, and tells whether others are to be told of the own claim: it is a new one.
+func (e *epochs) become(hash uint32) (say bool) {
+	if e.own.count > 0 && hash == e.own.hash {
+		return false
+	}
+	if known := e.claims[hash]; known > e.own.count {
+		e.own = claim{known, hash}
+		return false
+	}
+	e.most = max(e.most, e.own.count)
+	if e.most < 1<<32-1 {
+		e.most++
+	}
+	e.own = claim{e.most, hash}
+	e.note(e.own)
+	return true
+}
+
+// hear takes in a claim, and tells whether it is one to pass on and whether the own epoch rose by it.
+func (e *epochs) hear(c claim) (pass, rose bool) {
+	if c.count == 0 || c.count <= e.claims[c.hash] {
+		return false, false
+	}
+	e.most = max(e.most, c.count)
+	e.note(c)
+	if c.hash == e.own.hash && c.count > e.own.count {
+		e.own, rose = c, true
+	}
+	return true, rose
+}
+
+// note keeps a claim. The lowest gives way to it: the sets of old are the ones that do not come back.
+func (e *epochs) note(c claim) {
+	if e.claims == nil {
+		e.claims = map[uint32]uint32{}
+	}
+	e.claims[c.hash] = c.count
+	for len(e.claims) > mostClaims {
+		least := c
+		for hash, count := range e.claims {
+			if k := (claim{count, hash}); k.epoch() < least.epoch() && k != e.own {
+				least = k
+			}
+		}
+		if least == e.own {
+			return
+		}
+		delete(e.claims, least.hash)
+	}
+}
+
+// all are the claims that are kept.
+func (e *epochs) all() []claim {
+	var c []claim
+	for hash, count := range maps.All(e.claims) {
+		c = append(c, claim{count, hash})
+	}
+	return c
+}
--- /dev/null
+++ b/internal/members/join.go
@@ -0,0 +1,177 @@
+package members
+
+import (
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/hashicorp/memberlist"
+)
+
+// The timing. A death is known after about 1.6 probe intervals until one probes the dead, one more in which it and its
+// helpers hear nothing, suspicion for suspicionMult * log10(members) intervals (as no member waits for others to agree), and
+// gossip: at 300 members 0.4 + 0.25 + 1.24 + 0.2 s. Danger: shorter ones take a process for dead that waits for its core.
+const (
+	probeEvery     = 250 * time.Millisecond
+	probeTimeout   = 150 * time.Millisecond
+	suspicionMult  = 2
+	gossipEvery    = 100 * time.Millisecond
+	gossipNodes    = 4
+	retransmitMult = 2 // times log10(members), rounded up: at 300 each passes news on 6 times, and 1 in 400 misses it
+	exchangeEvery  = 5 * time.Second
+	streamTimeout  = time.Second
+	deadGossip     = 30 * time.Second
+	farewell       = 500 * time.Millisecond
+	handover       = time.Second // between an old process's farewell and the new one's arrival, in which the place is kept
+	settleLeast    = 10 * time.Millisecond
+	settleMost     = 80 * time.Millisecond
+	sweepEvery     = 250 * time.Millisecond
+	mourned        = 10 * time.Minute // a lost process is looked for
+	mostLost       = 1024
+	label          = "gradeusher/1" // on each packet and stream: others are passed over
+)
+
+var errInUse = errors.New("the address is in use")
+
+// listen opens the sockets and has memberlist run over them.
+func (m *Members) listen() error {
+	host, port, err := split(m.o.Listen)
+	if err != nil {
+		return err
+	}
+	logger := slog.NewLogLogger(m.o.Log.Handler(), slog.LevelDebug)
+	t, err := newTransport(host, port, m.o.Reach, logger)
+	if err != nil {
+		// memberlist does not wrap the socket's error
+		if l, probe := net.Listen("tcp", m.o.Listen); probe == nil {
+			_ = l.Close()
+			if c, probe := net.ListenPacket("udp", m.o.Listen); probe == nil {
+				_ = c.Close()
+				return errors.Join(errInUse, err) // it was
+			} else if errors.Is(probe, syscall.EADDRINUSE) {
+				return errors.Join(errInUse, err)
+			}
+		} else if errors.Is(probe, syscall.EADDRINUSE) {
+			return errors.Join(errInUse, err)
+		}
+		return err
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Transport, c.Logger, c.Label = m.own, t, logger, label
+	c.BindAddr, c.BindPort = host, t.GetAutoBindPort()
+	c.AdvertiseAddr, c.AdvertisePort = host, c.BindPort
+	if m.o.Advertise != "" {
+		if c.AdvertiseAddr, c.AdvertisePort, err = split(m.o.Advertise); err != nil {
+			return errors.Join(err, t.Shutdown())
+		}
+	}
+	c.Delegate, c.Events = m, m
+	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult = probeEvery, probeTimeout, suspicionMult
+	c.GossipInterval, c.GossipNodes, c.GossipToTheDeadTime = gossipEvery, gossipNodes, deadGossip
+	c.PushPullInterval, c.TCPTimeout = exchangeEvery, streamTimeout
+	c.EnableCompression = false // of packets that are small
+	m.mu.Lock()
+	m.net = t
+	m.mu.Unlock()
+	list, err := memberlist.Create(c)
+	if err != nil {
+		return errors.Join(err, t.Shutdown())
+	}
+	m.mu.Lock()
+	m.list = list
+	m.mu.Unlock()
+	close(m.bound)
+	m.o.Log.Info("members", "listening", m.Address(), "name", m.o.Name)
+	return nil
+}
+
+// lose has a process be looked for. The lock is held.
+func (m *Members) lose(name string, n *node) {
+	if len(m.lost) < mostLost {
+		m.lost[name] = loss{n.address, time.Now()}
+	}
+}
+
+// join listens, where that is not done, and joins others, until the member ends. Once nobody is missing it waits until
+// somebody is. Danger: all that lost sight of each other together would try again together; so the pauses are drawn.
+func (m *Members) join(listening bool) {
+	defer m.owned.Done()
+	pauses := backoff.NewExponentialBackOff()
+	pauses.InitialInterval, pauses.MaxInterval, pauses.RandomizationFactor = 100*time.Millisecond, 10*time.Second, 0.5
+	for {
+		if !listening {
+			if err := m.listen(); err == nil {
+				listening = true
+				pauses.Reset()
+			} else if !errors.Is(err, errInUse) {
+				m.o.Log.Error("members", "err", err)
+				return
+			}
+			pauses.MaxInterval = 200 * time.Millisecond
+		}
+		var woken <-chan struct{}
+		var wait <-chan time.Time
+		if listening {
+			pauses.MaxInterval = 4 * time.Second
+			if missing := m.missing(); len(missing) == 0 {
+				pauses.Reset()
+				woken = m.joiner
+			} else if m.tryJoin(missing) {
+				pauses.Reset()
+			}
+		}
+		if woken == nil {
+			wait = time.After(pauses.NextBackOff())
+		}
+		select {
+		case <-woken:
+		case <-wait:
+		case <-m.ctx.Done():
+			return
+		}
+	}
+}
+
+// missing are addresses of members that may be there but are not seen: of processes that are lost, and those to join at
+// which nobody is known. The host of the latter counts only where no host is reached in place of it.
+func (m *Members) missing() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	there := map[string]bool{m.Address(): true, m.o.Advertise: true}
+	for _, n := range m.nodes {
+		there[n.address] = true
+	}
+	var at []string
+	for name, l := range m.lost {
+		if parse(name).start < m.members[parse(name).name] || there[l.address] {
+			delete(m.lost, name) // its successor is there
+		} else {
+			at = append(at, l.address)
+		}
+	}
+	for _, a := range m.o.Join {
+		if !there[a] {
+			at = append(at, a)
+		}
+	}
+	return at
+}
+
+// tryJoin joins through one or two that are missing, and tells whether that found anybody.
+func (m *Members) tryJoin(missing []string) bool {
+	rand.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
+	before := m.count()
+	_, err := m.list.Join(missing[:min(2, len(missing))])
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts.Joins++
+	if err != nil {
+		m.counts.JoinsFailed++
+		m.o.Log.Debug("members", "join", err)
+	}
+	return len(m.members) > before
+}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,330 @@
+// Package members lets sidecars know each other: who is there, what place each has, and the newest of what each has to say.
+// It carries news and does not judge what it means. Membership and gossip are hashicorp/memberlist's (SWIM with Lifeguard).
+//
+// Promises, with members that tell the truth about themselves:
+//   - A member that dies is out of the others' views within about 2 s, from 20 to 300 members; one that leaves, within
+//     1 s more than its farewell takes, unless its successor is there by then.
+//   - Two members with the same epoch hold the same set, hence the same places. An epoch never goes down.
+//   - News is told newest first for each origin and kind, never older than the bound, and only of members' own processes.
+//   - Old and new process of an upgrade are one member. The old one's farewell does not take the new one out.
+//
+// Not promised: members are not authenticated. Whoever can reach a member's port can join, and say what it likes in the name
+// of another; a forged state of a member is seen, and overruled, by that member only.
+package members
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/memberlist"
+)
+
+// Options say who a member is and whom it joins.
+type Options struct {
+	Name      string        // of the member, the same in each process of it; 1 to MostName bytes
+	Listen    string        // IP address and port, for UDP and TCP; port 0: any
+	Advertise string        // IP address and port where others reach it; "": Listen
+	Join      []string      // hosts and ports of any members; those that are gone are tried again, ever more rarely
+	Reach     string        // every peer is reached at this IP address, at the port of its own; "": at its own
+	Bound     time.Duration // news that is older counts for nothing; 0: 2 s
+	Log       *slog.Logger  // nil: none
+
+	// Told is called for each piece of news, and Changed for each new view; one call at a time, from one goroutine. A state
+	// that is replaced before its turn is not told. Nil: nobody listens.
+	Told    func(News)
+	Changed func(View)
+}
+
+// View is who is a member, as one of them sees it.
+type View struct {
+	Epoch uint64 // see epochs
+	Place int    // of this member, in Names
+	Count int    // of members, this one included; at least 1
+	// Names are in the order of a hash of them: neighbours in a list of machines are not neighbours here.
+	Names []string
+}
+
+// News is the newest state of one kind that an origin told.
+type News struct {
+	Origin  string // a member's name
+	Start   int64  // of its process: a later one replaces an earlier
+	Seq     uint64 // of that process, over all kinds
+	Kind    uint8
+	Age     time.Duration // since it was told, when this call was made; see states
+	Payload []byte
+}
+
+// Counts is what a member did since its start.
+type Counts struct {
+	Traffic
+	Told, Repeats, Old, Bad, Strangers int64 // frames: new ones, known ones, over the bound, not readable, of no member
+	Waiting                            int   // frames to pass on
+	Joins, JoinsFailed                 int64 // attempts to join
+}
+
+const (
+	farewellOf   = "farewell/"
+	defaultBound = 2 * time.Second
+	mostMembers  = 4096
+	separator    = "@" // between a member's name and its process's start, in memberlist's name for the process
+)
+
+// Members is one member, from New to Close.
+type Members struct {
+	o     Options
+	start int64 // of this process, nanoseconds of Unix time: only ever compared with those of the same name
+	born  time.Time
+	own   string // in memberlist
+
+	ctx     context.Context
+	end     context.CancelFunc
+	owned   sync.WaitGroup
+	closing sync.Once
+	bound   chan struct{} // closed once it listens
+	worker  chan struct{}
+	joiner  chan struct{}
+	queue   *memberlist.TransmitLimitedQueue
+
+	mu      sync.Mutex // never held while memberlist or its queue is called: they call back under their own locks
+	list    *memberlist.Memberlist
+	net     *transport
+	seq     uint64
+	nodes   map[string]*node   // processes that are there, by memberlist's name
+	members map[string]int64   // members that are there, by the latest start
+	left    map[string]parting // members whose process said that it leaves
+	lost    map[string]loss    // processes that died or fell out of touch
+	states  *states
+	epochs  epochs
+	view    View
+	pending map[stateKey]struct{}
+	stale   bool         // the view
+	told    uint64       // the epoch last told of
+	owed    []*broadcast // claims to pass on
+	counts  Counts
+}
+
+// node is a process of a member.
+type node struct {
+	process
+	address string
+}
+
+// loss is where a process was that is not seen any more, and since when.
+type loss struct {
+	address string
+	at      time.Time
+}
+
+// parting is the process that leaves, and when that was heard.
+type parting struct {
+	start int64
+	at    time.Time
+}
+
+// New checks the options. The member knows nobody until Start.
+func New(o Options) (*Members, error) {
+	if len(o.Name) < 1 || len(o.Name) > MostName {
+		return nil, fmt.Errorf("name: %q has not 1 to %d bytes", o.Name, MostName)
+	}
+	for _, a := range []struct{ field, address string }{{"listen", o.Listen}, {"advertise", o.Advertise}} {
+		if a.field == "advertise" && a.address == "" {
+			continue
+		}
+		if _, _, err := split(a.address); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.field, err)
+		}
+	}
+	for _, a := range o.Join {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return nil, fmt.Errorf("join: %w", err)
+		}
+	}
+	if o.Reach != "" && net.ParseIP(o.Reach) == nil {
+		return nil, fmt.Errorf("reach: %q is no IP address", o.Reach)
+	}
+	if o.Bound < 0 {
+		return nil, fmt.Errorf("bound: %v is negative", o.Bound)
+	}
+	if o.Bound == 0 {
+		o.Bound = defaultBound
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	now := time.Now()
+	m := &Members{o: o, start: now.UnixNano(), born: now, bound: make(chan struct{}),
+		worker: make(chan struct{}, 1), joiner: make(chan struct{}, 1),
+		nodes: map[string]*node{}, members: map[string]int64{}, left: map[string]parting{}, lost: map[string]loss{},
+		states: newStates(), pending: map[stateKey]struct{}{}}
+	m.own = o.Name + separator + strconv.FormatInt(m.start, 36)
+	m.queue = &memberlist.TransmitLimitedQueue{RetransmitMult: retransmitMult, NumNodes: m.count}
+	m.nodes[m.own] = &node{process: process{o.Name, m.start}}
+	m.recount()
+	m.told = m.view.Epoch
+	return m, nil
+}
+
+// split is an IP address and port.
+func split(address string) (host string, port int, err error) {
+	host, service, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", 0, err
+	}
+	n, err := strconv.ParseUint(service, 10, 16)
+	if err != nil || net.ParseIP(host) == nil {
+		return "", 0, fmt.Errorf("%q is no IP address and port", address)
+	}
+	return host, int(n), nil
+}
+
+// Start has the member listen and join until Close; from when ctx is done it tells nothing more. Where the address is in use, as by the process that this
+// one follows, it goes on trying; other errors are returned.
+func (m *Members) Start(ctx context.Context) error {
+	m.ctx, m.end = context.WithCancel(ctx)
+	err := m.listen()
+	if err != nil && !errors.Is(err, errInUse) {
+		m.end()
+		return err
+	}
+	m.owned.Add(2)
+	go m.work()
+	go m.join(err == nil)
+	return nil
+}
+
+// Close leaves and ends. The farewell takes half a second at most.
+func (m *Members) Close() {
+	m.closing.Do(func() {
+		if m.end == nil {
+			return
+		}
+		m.end()
+		m.owned.Wait()
+		m.mu.Lock()
+		list := m.list
+		m.mu.Unlock()
+		if list == nil {
+			return
+		}
+		m.queue.QueueBroadcast(&broadcast{name: farewellOf + m.o.Name, encoded: process{m.o.Name, m.start}.encode()})
+		if err := list.Leave(farewell); err != nil {
+			m.o.Log.Debug("members", "leave", err)
+		}
+		if err := list.Shutdown(); err != nil {
+			m.o.Log.Debug("members", "shutdown", err)
+		}
+	})
+}
+
+// Publish has the payload be this member's state of a kind, in place of the last one. The payload is not to be changed after.
+func (m *Members) Publish(kind uint8, payload []byte) error {
+	if kind >= MostKinds || len(payload) > MostPayload {
+		return fmt.Errorf("members: kind %d with %d bytes is over the bounds of %d and %d", kind, len(payload), MostKinds-1, MostPayload)
+	}
+	m.mu.Lock()
+	m.seq++
+	f := frame{name: m.o.Name, kind: kind, start: m.start, seq: m.seq, stamp: m.clock(), payload: payload}
+	m.states.merge(f, f.stamp)
+	m.mu.Unlock()
+	m.pass(f)
+	return nil
+}
+
+// View is who is a member now.
+func (m *Members) View() View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view
+}
+
+// Counts are the figures as they stand.
+func (m *Members) Counts() Counts {
+	waiting := m.queue.NumQueued() // not under the lock, which the queue takes under its own
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.counts
+	if m.net != nil {
+		c.Traffic = m.net.traffic()
+	}
+	c.Waiting = waiting
+	return c
+}
+
+// Address is where this member listens; "" until it does.
+func (m *Members) Address() string {
+	select {
+	case <-m.bound:
+	default:
+		return ""
+	}
+	host, _, _ := net.SplitHostPort(m.o.Listen)
+	return net.JoinHostPort(host, strconv.Itoa(m.net.GetAutoBindPort()))
+}
+
+// clock is the time since this process's start, monotonic.
+func (m *Members) clock() time.Duration { return time.Since(m.born) }
+
+func (m *Members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.members)
+}
+
+// recount takes the members and the view from the processes that are there. The lock is held.
+func (m *Members) recount() {
+	now := time.Now()
+	clear(m.members)
+	for _, n := range m.nodes {
+		m.members[n.name] = max(m.members[n.name], n.start)
+	}
+	names := make([]string, 0, len(m.members))
+	for name := range m.members {
+		names = append(names, name)
+	}
+	// Danger: between the farewell of an old process and the arrival of the new one all places would change, twice.
+	for name, p := range m.left {
+		if _, there := m.members[name]; now.Sub(p.at) >= handover {
+			delete(m.left, name)
+		} else if !there {
+			names = append(names, name)
+		}
+	}
+	order(names)
+	if slices.Equal(names, m.view.Names) {
+		return
+	}
+	hash := xxhash.Sum64String(strings.Join(names, "\x00"))
+	if m.epochs.become(uint32(hash)) {
+		m.say(m.epochs.own)
+	}
+	m.view = View{Epoch: m.epochs.own.epoch(), Place: slices.Index(names, m.o.Name), Count: len(names), Names: names}
+}
+
+// order sorts names by their hash.
+func order(names []string) {
+	slices.SortFunc(names, func(x, y string) int {
+		if a, b := xxhash.Sum64String(x), xxhash.Sum64String(y); a != b {
+			if a < b {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(x, y)
+	})
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,294 @@
+package members
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	if name := os.Getenv("MEMBER_NAME"); name != "" {
+		child(name)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// child is a member as a process of its own: it says again and again what it is told in the environment, until its input ends.
+func child(name string) {
+	m, err := New(Options{Name: name, Listen: "127.0.0.1:0", Join: strings.Fields(os.Getenv("MEMBER_JOIN"))})
+	if err == nil {
+		err = m.Start(context.Background())
+	}
+	if err != nil {
+		fmt.Println(err)
+		os.Exit(1)
+	}
+	fmt.Println(m.Address())
+	go func() {
+		for n := 0; ; n++ {
+			_ = m.Publish(1, fmt.Appendf(nil, "%s %d", name, n))
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	_, _ = os.Stdin.Read(make([]byte, 1))
+	m.Close()
+}
+
+// peer is a member in this process and what it was told.
+type peer struct {
+	*Members
+	views chan View
+	news  chan News
+}
+
+func start(t *testing.T, o Options) *peer {
+	t.Helper()
+	p := &peer{views: make(chan View, 4096), news: make(chan News, 4096)}
+	o.Changed = func(v View) { p.views <- v }
+	o.Told = func(n News) {
+		select {
+		case p.news <- n:
+		default: // nobody looks
+		}
+	}
+	if o.Listen == "" {
+		o.Listen = "127.0.0.1:0"
+	}
+	var err error
+	if p.Members, err = New(o); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// await returns the first of those from a channel that fits.
+func await[T any](t *testing.T, c <-chan T, what string, fits func(T) bool) T {
+	t.Helper()
+	late := time.After(15 * time.Second)
+	for {
+		select {
+		case v := <-c:
+			if fits(v) {
+				return v
+			}
+		case <-late:
+			t.Fatalf("not seen: %s", what)
+		}
+	}
+}
+
+// settled waits until all have the same view of so many.
+func settled(t *testing.T, count int, peers ...*peer) {
+	t.Helper()
+	for epoch := uint64(0); ; {
+		same := true
+		for _, p := range peers {
+			v := p.View()
+			for v.Count != count || v.Epoch < epoch {
+				v = await(t, p.views, fmt.Sprintf("%d members at %s", count, p.o.Name), func(v View) bool { return v.Count == count && v.Epoch >= epoch })
+				v = p.View()
+			}
+			if v.Epoch > epoch {
+				same, epoch = epoch == 0 && same, v.Epoch
+			}
+		}
+		if same {
+			return
+		}
+	}
+}
+
+func TestMembersLearnOfEachOther(t *testing.T) {
+	a := start(t, Options{Name: "a"})
+	b := start(t, Options{Name: "b", Join: []string{a.Address()}})
+	c := start(t, Options{Name: "c", Join: []string{b.Address()}})
+	settled(t, 3, a, b, c)
+	places := map[int]bool{}
+	for _, p := range []*peer{a, b, c} {
+		v := p.View()
+		if v.Names[v.Place] != p.o.Name || v.Epoch != a.View().Epoch {
+			t.Fatalf("%+v", v)
+		}
+		places[v.Place] = true
+	}
+	if len(places) != 3 {
+		t.Fatal(places)
+	}
+	if err := a.Publish(2, []byte("word")); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range []*peer{b, c} {
+		n := await(t, p.news, "the word", func(n News) bool { return n.Origin == "a" && string(n.Payload) == "word" })
+		if n.Kind != 2 || n.Start != a.start || n.Seq != 1 || n.Age > 2*time.Second {
+			t.Fatalf("%+v", n)
+		}
+	}
+	// One that comes later is told too, by the exchange at joining.
+	d := start(t, Options{Name: "d", Join: []string{c.Address()}})
+	await(t, d.news, "the word", func(n News) bool { return string(n.Payload) == "word" })
+
+	before := a.View()
+	b.Close()
+	v := await(t, a.views, "the farewell", func(v View) bool { return !slices.Contains(v.Names, "b") })
+	if v.Epoch <= before.Epoch {
+		t.Fatal("the epoch did not rise")
+	}
+	settled(t, 3, a, c, d)
+	if a.Publish(MostKinds, nil) == nil || a.Publish(0, make([]byte, MostPayload+1)) == nil {
+		t.Fatal("over the bounds")
+	}
+}
+
+// Old and new process of an upgrade are one member, also at one address, and the old one's farewell leaves the new one in.
+func TestUpgradeIsOneMember(t *testing.T) {
+	a := start(t, Options{Name: "a"})
+	old := start(t, Options{Name: "b", Join: []string{a.Address()}})
+	settled(t, 2, a, old)
+	before := a.View()
+	next := start(t, Options{Name: "b", Listen: old.Address(), Join: []string{a.Address()}})
+	if next.Address() != "" {
+		t.Fatal("both listen")
+	}
+	old.Close()
+	await(t, next.views, "the others", func(v View) bool { return v.Count == 2 })
+	if err := next.Publish(0, []byte("new")); err != nil {
+		t.Fatal(err)
+	}
+	await(t, a.news, "the new one's word", func(n News) bool { return n.Start == next.start })
+	side := start(t, Options{Name: "b", Join: []string{a.Address()}}) // side by side
+	if err := side.Publish(0, []byte("newer")); err != nil {
+		t.Fatal(err)
+	}
+	await(t, a.news, "the newer one's word", func(n News) bool { return n.Start == side.start })
+	next.Close()
+	if v := a.View(); v.Count != 2 || v.Names[v.Place] != "a" {
+		t.Fatalf("%+v then %+v", before, v)
+	}
+	for len(a.views) > 0 {
+		if v := <-a.views; v.Count != 2 && v.Epoch > before.Epoch {
+			t.Fatalf("%+v", v)
+		}
+	}
+	// That is how it ends when nobody follows.
+	side.Close()
+	await(t, a.views, "that b is gone", func(v View) bool { return v.Count == 1 })
+}
+
+// Peers advertise an address where nobody listens: only the host at which they are reached leads to them, also for acks.
+func TestReach(t *testing.T) {
+	a := start(t, Options{Name: "a", Listen: "127.0.0.2:0", Reach: "127.0.0.2", Advertise: "127.0.0.9:1"})
+	_, port, _ := split(a.Address())
+	a.Close()
+	at := func(host string, port int) string { return fmt.Sprintf("%s:%d", host, port) }
+	a = start(t, Options{Name: "a", Listen: at("127.0.0.2", port), Advertise: at("127.0.0.9", port), Reach: "127.0.0.2"})
+	b := start(t, Options{Name: "b", Listen: "127.0.0.2:0", Advertise: "", Reach: "127.0.0.2", Join: []string{at("127.0.0.9", port)}})
+	settled(t, 2, a, b)
+	for len(b.views) > 0 {
+		<-b.views
+	}
+	// Each has been probed and answered, or one would have taken the other for dead by now.
+	for n := range 12 {
+		if err := a.Publish(0, []byte{byte(n)}); err != nil {
+			t.Fatal(err)
+		}
+		await(t, b.news, "a number", func(m News) bool { return m.Payload[0] == byte(n) })
+		time.Sleep(probeEvery)
+	}
+	for len(b.views) > 0 {
+		if v := <-b.views; v.Count != 2 {
+			t.Fatalf("%+v", v)
+		}
+	}
+}
+
+// process starts a member as a process and returns where it listens.
+func startProcess(t *testing.T, name, join string) (*exec.Cmd, string) {
+	t.Helper()
+	c := exec.Command(os.Args[0], "-test.run=^$")
+	c.Env = append(os.Environ(), "MEMBER_NAME="+name, "MEMBER_JOIN="+join)
+	c.Stderr = os.Stderr
+	in, err := c.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := c.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = in.Close()
+		_ = c.Process.Signal(syscall.SIGCONT)
+		_ = c.Wait()
+	})
+	var address string
+	if _, err := fmt.Fscanln(out, &address); err != nil {
+		t.Fatal(err)
+	}
+	return c, address
+}
+
+// One that is stopped is out in time; when it wakes it comes back, and nothing that it said before is believed.
+func TestStoppedProcessWakes(t *testing.T) {
+	a := start(t, Options{Name: "a"})
+	c, _ := startProcess(t, "b", a.Address())
+	startProcess(t, "c", a.Address())
+	var last uint64
+	await(t, a.news, "news of c", func(n News) bool { return n.Origin == "c" })
+	await(t, a.news, "news of b", func(n News) bool { last = n.Seq; return n.Origin == "b" && n.Seq > 5 })
+	stopped := time.Now()
+	if err := c.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	await(t, a.views, "that b is gone", func(v View) bool { return v.Count == 2 && time.Since(stopped) > 100*time.Millisecond })
+	if took := time.Since(stopped); took > 4*time.Second {
+		t.Errorf("known after %v", took)
+	}
+	for len(a.news) > 0 {
+		if n := <-a.news; n.Origin == "b" {
+			last = max(last, n.Seq)
+		}
+	}
+	time.Sleep(time.Until(stopped.Add(a.o.Bound + time.Second))) // the test is of age
+	if err := c.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	n := await(t, a.news, "news of b again", func(n News) bool { return n.Origin == "b" })
+	if n.Seq <= last || n.Age > a.o.Bound {
+		t.Fatalf("%+v after %d", n, last)
+	}
+	await(t, a.views, "that b is back", func(v View) bool { return v.Count == 3 })
+}
+
+func TestBadOptions(t *testing.T) {
+	good := Options{Name: "a", Listen: "127.0.0.1:0"}
+	for want, change := range map[string]func(*Options){
+		"name":      func(o *Options) { o.Name = "" },
+		"listen":    func(o *Options) { o.Listen = "nowhere" },
+		"advertise": func(o *Options) { o.Advertise = "a:1" },
+		"join":      func(o *Options) { o.Join = []string{"x"} },
+		"reach":     func(o *Options) { o.Reach = "x" },
+		"bound":     func(o *Options) { o.Bound = -1 },
+	} {
+		o := good
+		change(&o)
+		if _, err := New(o); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/members/states.go
@@ -0,0 +1,86 @@
+package members
+
+import (
+	"math"
+	"time"
+)
+
+// Here is what a member holds of what the others told: a join of lattices, so that loss, repeats and order do not matter.
+
+// drift is how far the clocks of two machines may run apart, each second, at most: the kernel slews by 500 ppm at most.
+const drift = 500e-6
+
+// stateKey is a state's place: each origin has one a kind.
+type stateKey struct {
+	name string
+	kind uint8
+}
+
+// process is one process of an origin.
+type process struct {
+	name  string
+	start int64
+}
+
+// states keeps the newest state of each origin and kind, by the start of its process and then by its number, and how far the
+// clock of each process is from the own. merge is commutative, associative and idempotent over copies, each with the time at
+// which it came.
+//
+// Age is never told by comparing wall clocks. A copy says the age that those who held it saw go by, which misses the time
+// that it was on its way. So for each process the least of (own time at arrival - stamp - said age) is kept: it is the
+// distance of the clocks plus the quickest way ever seen, and what a later copy needed beyond that is its age, also when a
+// network, a stopped peer or a full buffer held it back. Promise: an age is too low by the quickest way that any copy from
+// that process took, and by drift, 0.5 ms a second, at most. Where every copy from the start on was held back alike, that
+// cannot be seen here; memberlist's probes take such a peer for dead.
+type states struct {
+	held    map[stateKey]frame
+	offsets map[process]float64 // seconds: the least distance, brought back by drift to time 0
+}
+
+func newStates() *states {
+	return &states{held: map[stateKey]frame{}, offsets: map[process]float64{}}
+}
+
+// merge takes in a copy that came at a time of the own clock. It tells whether its state is newer than the one held.
+func (s *states) merge(f frame, now time.Duration) bool {
+	p := process{f.name, f.start}
+	distance := (now - f.stamp - f.hopped).Seconds() - drift*now.Seconds()
+	if least, known := s.offsets[p]; !known || distance < least {
+		s.offsets[p] = distance
+	}
+	key := stateKey{f.name, f.kind}
+	if old, known := s.held[key]; known && !newer(f, old) {
+		return false
+	}
+	f.hopped = 0
+	s.held[key] = f
+	return true
+}
+
+func newer(f, old frame) bool {
+	return f.start > old.start || f.start == old.start && f.seq > old.seq
+}
+
+// age is how long ago a state was told. That of a process of which nothing is held is beyond any bound.
+func (s *states) age(f frame, now time.Duration) time.Duration {
+	least, known := s.offsets[process{f.name, f.start}]
+	if !known {
+		return math.MaxInt64
+	}
+	distance := least + drift*now.Seconds()
+	return max(0, now-f.stamp-time.Duration(distance*float64(time.Second)))
+}
+
+// keep lets go of all processes but those that fit.
+func (s *states) keep(fits func(process) bool) {
+	for p := range s.offsets {
+		if !fits(p) {
+			delete(s.offsets, p)
+		}
+	}
+	for key, f := range s.held {
+		if !fits(process{f.name, f.start}) {
+			delete(s.held, key)
+		}
+	}
+}
