--- a/balance/api.go
+++ b/balance/api.go
@@ -5,7 +5,11 @@
 // settings and events always give the same actions. A Balancer must not be used by two goroutines at once.
 package balance
 
-import "time"
+import (
+	"time"
+
+	"gradeusher.example/gradeusher/balance/routes"
+)
 
 // Time is a reading of the host's monotonic clock, counted from any origin the host likes.
 type Time = time.Duration
@@ -52,27 +56,12 @@
 	Allowance float64 // requests a second
 }
 
-// Match is a set of tags and the values they must have; "*" matches any value, but the tag must be there, except
-// for the tag "service", which every client and endpoint has.
-type Match map[string]string
-
-// Destination is one weighted group of a rule: the ready endpoints that carry all its tags. An endpoint carries
-// the tags "service", "region" (its zone) and "version" (its kind).
-type Destination struct {
-	Weight float64
-	Match  Match
-	// PerSize makes Weight the weight of each unit of registered size that is ready in the group, in place of
-	// the weight of the whole group.
-	PerSize bool
-}
-
-// Rule is one routing rule. The table lists rules from the oldest to the newest.
-type Rule struct {
-	Name         string
-	Source       Match // which clients it applies to
-	Service      Match // which service it applies to: only the tag "service"
-	Destinations []Destination
-}
+// Match, Destination and Rule are the parts of a route table.
+type (
+	Match       = routes.Match
+	Destination = routes.Destination
+	Rule        = routes.Rule
+)
 
 // Settings are what a Balancer is told at its start.
 type Settings struct {
--- a/balance/check.go
+++ b/balance/check.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"time"
+
+	"gradeusher.example/gradeusher/balance/routes"
 )
 
 // check says what is wrong with the settings, naming the field.
@@ -75,34 +77,9 @@
 // checkRules says what is wrong with a rule table, naming the rule and its field.
 func checkRules(rules []Rule) error {
 	for i, r := range rules {
-		if err := checkRule(r); err != nil {
+		if err := routes.CheckRule(r); err != nil {
 			return fmt.Errorf("rule %d, %q: %w", i, r.Name, err)
 		}
 	}
 	return nil
 }
-
-func checkRule(r Rule) error {
-	if len(r.Source) == 0 {
-		return errors.New("field Source: no tag to match on")
-	}
-	if len(r.Service) == 0 {
-		return errors.New("field Service: no tag to match on")
-	}
-	for tag := range r.Service {
-		if tag != "service" {
-			return fmt.Errorf("field Service: tag %q, only service is allowed", tag)
-		}
-	}
-	var sum float64
-	for i, d := range r.Destinations {
-		if !within(d.Weight, 0, math.MaxFloat64) {
-			return fmt.Errorf("field Destinations[%d]: weight %v is not a number from 0 up", i, d.Weight)
-		}
-		sum += d.Weight
-	}
-	if !within(sum, math.SmallestNonzeroFloat64, math.MaxFloat64) {
-		return errors.New("field Destinations: the weights have no sum above 0")
-	}
-	return nil
-}
--- a/balance/route.go
+++ b/balance/route.go
@@ -4,6 +4,8 @@
 	"maps"
 	"math"
 	"slices"
+
+	"gradeusher.example/gradeusher/balance/routes"
 )
 
 // DefaultRules is the table used where none is given: a group for each zone and kind, weighted by size.
@@ -11,40 +13,12 @@
 	var groups []Destination
 	for _, zone := range zones {
 		for _, kind := range kinds {
-			groups = append(groups, Destination{1, Match{"service": service, "region": zone, "version": kind}, true})
-		}
-	}
-	return []Rule{{"default", Match{"service": "*"}, Match{"service": service}, groups}}
-}
-
-// matches tells whether tags satisfy m, and how many of m's values are exact.
-func (m Match) matches(tags map[string]string) (ok bool, exact int) {
-	for tag, want := range m {
-		have, known := tags[tag]
-		switch {
-		case want == "*" && (known || tag == "service"):
-		case known && have == want:
-			exact++
-		default:
-			return false, 0
-		}
-	}
-	return true, exact
-}
-
-// bestRule picks the one rule that decides: more tags beat fewer, then more exact values beat "*", then the
-// newest wins. It returns nil if none matches.
-func bestRule(rules []Rule, client map[string]string, service string) (best *Rule) {
-	highest := -1
-	for i, r := range rules {
-		okSource, exactSource := r.Source.matches(client)
-		okService, exactService := r.Service.matches(map[string]string{"service": service})
-		rank := (len(r.Source)+len(r.Service))<<8 + exactSource + exactService
-		if okSource && okService && rank >= highest {
-			best, highest = &rules[i], rank
+			groups = append(groups, Destination{Weight: 1, PerSize: true,
+				Match: Match{"service": service, "region": zone, "version": kind}})
 		}
 	}
-	return best
+	return []Rule{{Name: "default", Source: Match{"service": "*"}, Service: Match{"service": service},
+		Destinations: groups}}
 }
 
 // setRoutes makes the groups of the best rule, and a last one for all ready endpoints. Each sidecar's
@@ -53,7 +27,7 @@
 	client := map[string]string{"region": b.set.Zone}
 	maps.Copy(client, b.set.Tags)
 	all := Rule{Destinations: []Destination{{Weight: 1, PerSize: true}}}
-	if best := bestRule(b.set.Rules, client, b.set.Service); best != nil {
+	if best := routes.Best(b.set.Rules, client, b.set.Service); best != nil {
 		all.Destinations = append(slices.Clone(best.Destinations), all.Destinations...)
 	}
 	for _, d := range all.Destinations {
@@ -66,7 +40,7 @@
 func (b *Balancer) groupsOf(e Endpoint) (joins []bool) {
 	tags := map[string]string{"service": b.set.Service, "region": e.Zone, "version": e.Kind}
 	for _, g := range b.groups {
-		ok, _ := g.dest.Match.matches(tags)
+		ok, _ := g.dest.Match.Fits(tags)
 		joins = append(joins, ok)
 	}
 	return joins
--- a/balance/route_test.go
+++ b/balance/route_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"gradeusher.example/gradeusher/balance/routes"
 )
 
 func TestBestRule(t *testing.T) {
@@ -42,7 +44,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			got := ""
-			if best := bestRule(tt.rules, tt.client, "backend"); best != nil {
+			if best := routes.Best(tt.rules, tt.client, "backend"); best != nil {
 				got = best.Name
 			}
 			if got != tt.want {
@@ -52,8 +54,8 @@
 	}
 }
 
-// routes plays n requests, each answered at once, and returns the endpoints in the order of their turns.
-func routes(t *testing.T, rules []Rule, list []Endpoint, n int) []string {
+// turnsOf plays n requests, each answered at once, and returns the endpoints in the order of their turns.
+func turnsOf(t *testing.T, rules []Rule, list []Endpoint, n int) []string {
 	t.Helper()
 	set := settings()
 	set.Rules = rules
@@ -90,7 +92,7 @@
 
 func TestSplitIsSmooth(t *testing.T) {
 	list := []Endpoint{{ID: "a", Zone: "x", Kind: "big", Size: 1}, {ID: "b", Zone: "x", Kind: "small", Size: 1}}
-	order := routes(t, canary(80, 20), list, 100)
+	order := turnsOf(t, canary(80, 20), list, 100)
 	if got := count(order); got["a"] != 80 || got["b"] != 20 {
 		t.Fatalf("split %v, want 80 and 20", got)
 	}
@@ -106,7 +108,7 @@
 	for _, id := range []string{"a", "b", "c", "d"} {
 		list = append(list, Endpoint{ID: id, Zone: "x", Kind: "big", Size: 1})
 	}
-	order := routes(t, nil, list, 40)
+	order := turnsOf(t, nil, list, 40)
 	for i := 4; i < len(order); i++ {
 		if order[i] != order[i-4] {
 			t.Fatalf("turn %d went to %s after %v", i, order[i], order[i-4:i])
@@ -116,7 +118,7 @@
 
 func TestUnequalKindsBySize(t *testing.T) {
 	list := []Endpoint{{ID: "a", Zone: "x", Kind: "big", Size: 3}, {ID: "b", Zone: "x", Kind: "small", Size: 1}}
-	if got := count(routes(t, nil, list, 40)); got["a"] != 30 || got["b"] != 10 {
+	if got := count(turnsOf(t, nil, list, 40)); got["a"] != 30 || got["b"] != 10 {
 		t.Errorf("turns %v, want 30 and 10", got)
 	}
 }
@@ -136,11 +138,11 @@
 func TestEmptyGroups(t *testing.T) {
 	// A group without members gives its turns to the others; with no member in any, all ready ones are one group.
 	one := []Endpoint{{ID: "a", Zone: "x", Kind: "big", Size: 1}}
-	if got := count(routes(t, canary(50, 50), one, 10)); got["a"] != 10 {
+	if got := count(turnsOf(t, canary(50, 50), one, 10)); got["a"] != 10 {
 		t.Errorf("turns %v, want all at a", got)
 	}
 	unknown := []Endpoint{{ID: "a", Zone: "x", Kind: "new", Size: 1}, {ID: "b", Zone: "x", Kind: "new", Size: 1}}
-	if got := count(routes(t, canary(50, 50), unknown, 10)); got["a"] != 5 || got["b"] != 5 {
+	if got := count(turnsOf(t, canary(50, 50), unknown, 10)); got["a"] != 5 || got["b"] != 5 {
 		t.Errorf("turns %v, want 5 each", got)
 	}
 }
--- /dev/null
+++ b/balance/routes/routes_test.go
@@ -0,0 +1,388 @@
+package routes
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// world is a small set of tables: up to names rules, each one of sources matches, and for each of destinations a weight of 0
+// (it is not there), 1 or 2. A table is written as letters: for each rule its name, its source and its weights.
+type world struct{ names, sources, destinations int }
+
+// variants are all rules but for their names.
+func (w world) variants() []string {
+	all := []string{""}
+	for i := range 1 + w.destinations {
+		n, next := 3, []string(nil)
+		if i == 0 {
+			n = w.sources
+		}
+		for _, v := range all {
+			for x := range n {
+				next = append(next, v+string(rune('0'+x)))
+			}
+		}
+		all = next
+	}
+	return all
+}
+
+func (w world) table(s string) Table {
+	t := Table{}
+	for i := 0; i < len(s); i += 2 + w.destinations {
+		r := Rule{Name: s[i : i+1], Source: Match{"service": s[i+1 : i+2]}, Service: Match{"service": "*"}}
+		for j, weight := range s[i+2 : i+2+w.destinations] {
+			if weight > '0' {
+				r.Destinations = append(r.Destinations, Destination{Weight: float64(weight - '0'), Match: Match{"version": fmt.Sprint(j)}})
+			}
+		}
+		t = append(t, r)
+	}
+	return t
+}
+
+// least is the least cost from a table to each other one, by Dijkstra's algorithm over all single ops. It shares nothing with
+// what it is held against.
+func (w world) least(from string) map[string]int {
+	size, variants := 2+w.destinations, w.variants()
+	cost := map[string]int{from: 0}
+	queue := [][]string{{from}} // by cost
+	for c := 0; c < len(queue); c++ {
+		for i := 0; i < len(queue[c]); i++ {
+			s := queue[c][i]
+			if cost[s] != c {
+				continue
+			}
+			reach := func(next string, price int) {
+				if old, known := cost[next]; known && old <= c+price {
+					return
+				}
+				for len(queue) <= c+price {
+					queue = append(queue, nil)
+				}
+				cost[next] = c + price
+				queue[c+price] = append(queue[c+price], next)
+			}
+			for at := 0; at < len(s); at += size {
+				rule, rest := s[at:at+size], s[:at]+s[at+size:]
+				reach(rest, 1)
+				for to := 0; to <= len(rest); to += size {
+					reach(rest[:to]+rule+rest[to:], 1)
+				}
+				for j := 1; j < size; j++ {
+					n := 3
+					if j == 1 {
+						n = w.sources
+					}
+					for x := range n {
+						reach(s[:at+j]+string(rune('0'+x))+s[at+j+1:], 1)
+					}
+				}
+			}
+			for n := range w.names {
+				name := string(rune('a' + n))
+				if strings.Contains(s, name) {
+					continue
+				}
+				for _, v := range variants {
+					for at := 0; at <= len(s); at += size {
+						reach(s[:at]+name+v+s[at:], 1+len(v)-1-strings.Count(v[1:], "0"))
+					}
+				}
+			}
+		}
+	}
+	return cost
+}
+
+// TestDiffIsLeast holds the diff against all lists of ops, on drawn tables to every other one of their worlds.
+func TestDiffIsLeast(t *testing.T) {
+	worlds := []world{{5, 1, 0}, {3, 1, 1}, {4, 1, 1}, {2, 2, 2}, {3, 2, 1}}
+	known := map[string]map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		w := rapid.SampledFrom(worlds).Draw(t, "world")
+		from := ""
+		for _, n := range rapid.Permutation([]int{0, 1, 2, 3, 4}[:w.names]).Draw(t, "order")[:rapid.IntRange(0, w.names).Draw(t, "rules")] {
+			from += string(rune('a'+n)) + rapid.SampledFrom(w.variants()).Draw(t, "variant")
+		}
+		key := fmt.Sprint(w, from)
+		if known[key] != nil {
+			return
+		}
+		known[key] = w.least(from)
+		for to, want := range known[key] {
+			a, b := w.table(from), w.table(to)
+			ops := Diff(a, b)
+			if got := Cost(ops); got != want {
+				t.Fatalf("%q to %q costs %d by %v, want %d", from, to, got, ops, want)
+			}
+			holds(t, a, b, ops)
+		}
+	})
+}
+
+// holds tells that ops lead from a to b, and their inverse back, and that a keeps what it was.
+func holds(t interface{ Fatalf(string, ...any) }, a, b Table, ops []Op) {
+	before := a.Hash()
+	got, undo, err := run(a, ops)
+	if err != nil || got.Hash() != b.Hash() {
+		t.Fatalf("%v makes %v of %v, want %v: %v", ops, got, a, b, err)
+	}
+	back, _, err := run(got, undo)
+	if err != nil || back.Hash() != before || a.Hash() != before {
+		t.Fatalf("the inverse of %v makes %v, want %v: %v", ops, back, a, err)
+	}
+}
+
+// large is a sound table of n rules.
+func large(n int) Table {
+	t := make(Table, n)
+	for i := range t {
+		t[i] = Rule{Name: fmt.Sprintf("rule-%d", i), Source: Match{"service": fmt.Sprintf("app-%d", i%50), "region": "*"}, Service: Match{"service": "rec-api"},
+			Destinations: []Destination{{Weight: 90, Match: Match{"service": "rec-api", "version": "a"}}, {Weight: 10, Match: Match{"service": "rec-api", "version": "b"}, PerSize: true}}}
+	}
+	return t
+}
+
+// shaken is a table with about a share of its rules dropped, moved, edited and added.
+func shaken(r *rand.Rand, t Table, share float64) Table {
+	var ops []Op
+	name := func() string { return t[r.IntN(len(t))].Name }
+	for range int(share * float64(len(t))) {
+		switch r.IntN(5) {
+		case 0:
+			ops = append(ops, Op{Kind: Move, Name: name(), After: name()})
+		case 1:
+			n := fmt.Sprintf("new-%d", len(ops))
+			ops = append(ops, Op{Kind: Add, Name: n, After: name(), Rule: Rule{Name: n, Source: Match{"service": "x"}, Service: Match{"service": "*"},
+				Destinations: []Destination{{Weight: 1, Match: Match{"version": "a"}}}}})
+		case 2:
+			ops = append(ops, Op{Kind: Drop, Name: name()})
+		case 3:
+			ops = append(ops, Op{Kind: Set, Name: name(), Match: Match{"version": fmt.Sprint(r.IntN(3))}, Weight: float64(1 + r.IntN(9))})
+		case 4:
+			ops = append(ops, Op{Kind: Rematch, Name: name(), Source: Match{"service": fmt.Sprint(r.IntN(9))}, Service: Match{"service": "*"}})
+		}
+	}
+	for _, op := range ops { // one that does not fit is passed over
+		if after, _, err := run(t, []Op{op}); err == nil {
+			t = after
+		}
+	}
+	return t
+}
+
+// TestDiffLarge takes tables of hundreds of rules: right, no dearer than how they were made, joined and turned round.
+func TestDiffLarge(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	a := large(400)
+	for _, share := range []float64{0.01, 0.1, 0.5, 1} {
+		b := shaken(r, a, share)
+		c := shaken(r, b, share)
+		ab, bc := Diff(a, b), Diff(b, c)
+		holds(t, a, b, ab)
+		if len(ab) == 0 || float64(Cost(ab)) > 2*share*float64(len(a)) {
+			t.Errorf("a share of %v shaken costs %d", share, Cost(ab))
+		}
+		if got, err := Apply(a, Join(ab, bc)); err != nil || got.Hash() != c.Hash() {
+			t.Errorf("joined diffs do not lead there: %v", err)
+		}
+		back, err := Invert(a, Join(ab, bc))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := Apply(c, back); err != nil || got.Hash() != a.Hash() {
+			t.Errorf("their inverse does not lead back: %v", err)
+		}
+	}
+}
+
+// BenchmarkDiff compares 10,000 rules with as many of which a tenth was moved, edited, dropped or added.
+func BenchmarkDiff(b *testing.B) {
+	from := large(10_000)
+	r := rand.New(rand.NewPCG(3, 4))
+	shuffled := append(Table(nil), from...)
+	r.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	weights := append(Table(nil), from...)
+	for i := range weights {
+		weights[i].Destinations = []Destination{{Weight: 80, Match: weights[i].Destinations[0].Match}, {Weight: 20, Match: weights[i].Destinations[1].Match}}
+	}
+	one, _, err := run(from, []Op{{Kind: Set, Name: "rule-5000", Match: from[0].Destinations[0].Match, Weight: 50}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	tenth := append(append(append(Table(nil), from[:500]...), shuffled[:1000]...), from[1500:]...)
+	seen, unique := map[string]bool{}, Table(nil)
+	for _, rule := range tenth {
+		if !seen[rule.Name] {
+			seen[rule.Name], unique = true, append(unique, rule)
+		}
+	}
+	for name, to := range map[string]Table{"one-weight": one, "a-tenth": unique, "all-weights": weights, "all-shuffled": shuffled} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				Diff(from, to)
+			}
+		})
+	}
+}
+
+func TestHash(t *testing.T) {
+	a := large(3)
+	b := append(Table(nil), a...)
+	b[1].Destinations = []Destination{a[1].Destinations[1], a[1].Destinations[0]}
+	if a.Hash() != b.Hash() || len(Diff(a, b)) != 0 || !reflect.DeepEqual(a.Canonical(), b.Canonical()) {
+		t.Error("the order of destinations counts")
+	}
+	seen := map[string]string{a.Hash(): "the table"}
+	for what, ops := range map[string][]Op{
+		"moved":         {{Kind: Move, Name: "rule-0", After: "rule-1"}},
+		"a weight":      {{Kind: Set, Name: "rule-0", Match: Match{"service": "rec-api", "version": "a"}, Weight: 91}},
+		"by size":       {{Kind: Set, Name: "rule-0", Match: Match{"service": "rec-api", "version": "a"}, Weight: 90, PerSize: true}},
+		"a source":      {{Kind: Rematch, Name: "rule-0", Source: Match{"service": "app-0region", "x": "*"}, Service: Match{"service": "rec-api"}}},
+		"a destination": {{Kind: Unset, Name: "rule-0", Match: Match{"service": "rec-api", "version": "a"}}},
+		"a rule":        {{Kind: Drop, Name: "rule-0"}},
+	} {
+		b, _, err := run(a, ops)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if same := seen[b.Hash()]; same != "" {
+			t.Errorf("%s hashes as %s", what, same)
+		}
+		seen[b.Hash()] = what
+	}
+}
+
+func TestCheck(t *testing.T) {
+	many := make([]Destination, MostDestinations+1)
+	for i := range many {
+		many[i] = Destination{Weight: 1, Match: Match{"version": fmt.Sprint(i)}}
+	}
+	for _, c := range []struct {
+		want string
+		do   func(*Rule)
+	}{
+		{"another rule has this name", func(r *Rule) { r.Name = "rule-0" }},
+		{"field Name: it is missing", func(r *Rule) { r.Name = "" }},
+		{"field Name: 129 bytes", func(r *Rule) { r.Name = strings.Repeat("x", 129) }},
+		{"field Name: it is no UTF-8", func(r *Rule) { r.Name = "\xff" }},
+		{"field Source: no tag", func(r *Rule) { r.Source = nil }},
+		{"field Service: no tag", func(r *Rule) { r.Service = nil }},
+		{"only service is allowed", func(r *Rule) { r.Service = Match{"region": "x"} }},
+		{"another one matches the same", func(r *Rule) { r.Destinations = []Destination{many[0], many[1], many[0]} }},
+		{"128 at most", func(r *Rule) { r.Destinations = many }},
+		{"no sum above 0", func(r *Rule) { r.Destinations = nil }},
+		{"weight -1 is not", func(r *Rule) { r.Destinations = []Destination{{Weight: -1}} }},
+		{"weight NaN is not", func(r *Rule) { r.Destinations = []Destination{{Weight: math.NaN()}} }},
+		{"weight +Inf is not", func(r *Rule) { r.Destinations = []Destination{{Weight: math.Inf(1)}} }},
+	} {
+		table := large(3)
+		c.do(&table[2])
+		if err := table.Check(); err == nil || !strings.Contains(err.Error(), c.want) || !strings.HasPrefix(err.Error(), "rule 2, ") {
+			t.Errorf("got %v, want %s", err, c.want)
+		}
+	}
+	for _, table := range []Table{{}, large(3), large(MostRules / 2)} {
+		if err := table.Check(); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := large(MostRules + 1).Check(); err == nil {
+		t.Error("too many rules pass")
+	}
+	fat := large(MostRules)
+	for i := range fat {
+		fat[i].Destinations = many[:20]
+	}
+	if err := fat.Check(); err == nil || !strings.Contains(err.Error(), "bytes") {
+		t.Errorf("too many bytes pass: %v", err)
+	}
+}
+
+// TestCut shows that a cut table decides as the whole one does, and that a cut follower is led by the diff of cuts.
+func TestCut(t *testing.T) {
+	whole := large(200)
+	client := map[string]string{"service": "app-7", "region": "r"}
+	cut := whole.Cut(client, "rec-api")
+	if len(cut) != 4 || Best(cut, client, "rec-api").Name != Best(whole, client, "rec-api").Name {
+		t.Errorf("cut to %d rules", len(cut))
+	}
+	if n := len(whole.Cut(client, "other")) + len(whole.Cut(map[string]string{"service": "app-7"}, "rec-api")); n != 0 {
+		t.Errorf("%d rules are left that match nothing", n)
+	}
+	if len(whole.Cut(nil, "")) != 200 || len(whole.Cut(nil, "rec-api")) != 200 {
+		t.Error("a client of any tags loses rules")
+	}
+}
+
+func TestJSON(t *testing.T) {
+	text := `[{"name":"a","source":{"service":"*"},"service":{"service":"s"},"destinations":[{"match":{"version":"x"},"weight":1,"per_size":true}]}]`
+	table, err := ParseRules([]byte(text))
+	if err != nil || table.Check() != nil {
+		t.Fatal(err, table.Check())
+	}
+	again, err := json.Marshal(table)
+	if err != nil || string(again) != text {
+		t.Errorf("written as %s: %v", again, err)
+	}
+	none, err := ParseRules([]byte(strings.Replace(text, `"weight":1,`, "", 1)))
+	if err != nil || none.Check() == nil {
+		t.Errorf("no weight passes: %v", err)
+	}
+	if _, err := ParseRules([]byte(strings.Replace(text, "per_size", "per-size", 1))); err == nil {
+		t.Error("an unknown key passes")
+	}
+	rest := large(2)
+	ops := Join(Diff(table, rest), Diff(rest, table), []Op{{Kind: Move, Name: "x", After: "y"}, {Kind: Unset, Name: "x", Match: Match{"a": "b"}},
+		{Kind: Set, Name: "x", Match: Match{"a": "b"}}, {Kind: Rematch, Name: "x", Source: Match{"a": "b"}, Service: Match{"service": "*"}}})
+	line, err := json.Marshal(ops)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read []Op
+	if err := json.Unmarshal(line, &read); err != nil || !reflect.DeepEqual(read, ops) {
+		t.Errorf("%s reads as %v: %v", line, read, err)
+	}
+}
+
+// FuzzApply takes ops from strangers: they apply whole, to a sound table that their inverse leads back from, or not at all.
+func FuzzApply(f *testing.F) {
+	for _, s := range []string{`[{"op":"drop","name":"rule-0"},{"op":"add","name":"rule-0","after":"rule-1","rule":{"name":"rule-0"}}]`,
+		`[{"op":"move","name":"rule-0","after":"rule-0"}]`, `[{"op":"move","name":"","after":""}]`, `[{"op":"unset","name":"rule-1","match":{"version":"a"}}]`,
+		`[{"op":"set","name":"rule-1","match":null,"weight":1e308}]`, `[{"op":"match","name":"rule-1"}]`, `[{"op":"add","name":"","after":"","rule":{"name":""}}]`, `[{}]`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var ops []Op
+		if json.Unmarshal(text, &ops) != nil {
+			return
+		}
+		table := large(3)
+		before := table.Hash()
+		got, err := Apply(table, ops)
+		if table.Hash() != before || err != nil && got != nil {
+			t.Fatalf("%s changed what it was given", text)
+		}
+		if err != nil {
+			return
+		}
+		back, err := Invert(table, ops)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, err := Apply(got, back); err != nil || again.Hash() != before {
+			t.Fatalf("the inverse of %s leads to %v: %v", text, again, err)
+		}
+		if diff := Diff(table, got); Cost(diff) > Cost(ops) {
+			t.Fatalf("the diff %v costs more than %s", diff, text)
+		}
+	})
+}
