--- a/balance/routes/diff.go
+++ b/balance/routes/diff.go
@@ -25,7 +25,8 @@
 	}
 	var ops []Op
 	edits, kept := make([][]Op, len(to)), make([]bool, len(to)) // by place in the target
-	var places []int                                            // in it, of the rules that are kept, in their old order
+	// Places in it of the rules that are kept, in their old order.
+	var places []int
 	for _, r := range from {
 		i, both := place[r.Name]
 		if both {
@@ -86,10 +87,10 @@
 	return slices.IndexFunc(all, func(d Destination) bool { return maps.Equal(d.Match, m) })
 }
 
-// rising is a longest increasing subsequence of different numbers, by patience sorting (Fredman, "On computing
-// the length of longest increasing subsequences", 1975).
+// rising is a longest increasing subsequence of different numbers, by patience sorting (Fredman, "On
+// computing the length of longest increasing subsequences", 1975).
 func rising(numbers []int) []int {
-	var tops []int // the index of the least number that a rising sequence of each length ends in
+	var tops []int // by length: the index of the least number that a rising sequence ends in
 	before := make([]int, len(numbers))
 	for i, n := range numbers {
 		pile := sort.Search(len(tops), func(p int) bool { return numbers[tops[p]] >= n })
