Lab: a reset also ends a connection whose near end hung up unseen

A dump of the stand-in servers' process showed the revival waiting for a task that reads from a held link. Cause: Conn.pump took a connection off its link when the near end hung up, so that Reset, which the dying process calls, did not reach it; it waited for the link to open, and the order that opens it stood behind the revival.

--- a/internal/lab/link/conn.go
+++ b/internal/lab/link/conn.go
@@ -56,7 +56,8 @@
 			c.closed.Store(now)
 			close(c.gone)
 			c.in.fail(io.EOF)
-			c.link.remove(c)
+			// It stays one of the link's until its end is closed. Danger: a held link does not show the far end that the near end
+			// hung up, and only a reset has it stop waiting.
 			if c.forgot.Load() {
 				c.finish()
 			}
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -149,6 +149,29 @@
 	}
 }
 
+// TestResetAfterHangUp has a near end hang up on a held link: the far end, which cannot see that, ends with a reset all the same.
+func TestResetAfterHangUp(t *testing.T) {
+	l := New()
+	near, far := pair(t, l, 0)
+	l.Set(State{Hold: [2]bool{true, true}})
+	near.Close()
+	<-far.Gone()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := far.Read(make([]byte, 1))
+		ended <- err
+	}()
+	l.Reset()
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("it read what was never sent")
+		}
+	case <-time.After(30 * time.Second):
+		t.Fatal("the far end still waits")
+	}
+}
+
 // TestDelay has bytes arrive no sooner than the delay, and a slow link pass them at its rate.
 func TestDelay(t *testing.T) {
 	l := New()
