--- a/internal/lab/config.go
+++ b/internal/lab/config.go
@@ -34,7 +34,7 @@
 		"limits": object{"cores": 1, "memory_mb": f.Fleet.MemoryMB, "sockets": f.Fleet.Sockets},
 		"known":  json.RawMessage(standin.Object(i, s.Group, int64(len(known)), true, known)),
 		"settings": object{
-			"ordinal": i, "peers_total": len(p.Sidecars), "my_zone": s.Zone, "areas": f.Fleet.Zones, "models": models,
+			"ordinal": i, "peers_total": s.Peers, "my_zone": s.Zone, "areas": f.Fleet.Zones, "models": models,
 			"discovery": "pushed", "domain_type": "mesh", "tier": 0, "tiers": []string{"rec-api"}, "worth_by": "work", "tenants": []string{},
 			"feedback":        object{"how": "piggyback", "names": []string{"concurrent", "depth", "err_ps"}},
 			"request_classes": classes,
--- /dev/null
+++ b/internal/lab/links.go
@@ -0,0 +1,130 @@
+package lab
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/link"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+)
+
+// links keeps what all link faults together make of each link. Orders say each link's whole state, so that none is open for
+// a moment between two faults.
+type links struct {
+	fleet *Fleet
+	base  link.State // set before the load
+	mu    sync.Mutex
+	ends  map[string]*farEnd
+}
+
+// farEnd is what faults do to the links of one server, or of the list.
+type farEnd struct {
+	mu     sync.Mutex // held while its process is told
+	active []*plan.Step
+}
+
+func newLinks(f *Fleet) *links { return &links{fleet: f, ends: map[string]*farEnd{}} }
+
+func (l *links) end(uid string) *farEnd {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ends[uid] == nil {
+		l.ends[uid] = &farEnd{}
+	}
+	return l.ends[uid]
+}
+
+// baseline sets the links of all servers as they are without faults.
+func (l *links) baseline(delay time.Duration) error {
+	l.base.Delay = delay
+	for i := range l.fleet.plan.Standing {
+		if err := l.again(l.fleet.plan.Servers[i].UID); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// again says the state of a far end's links to a process that does not know it.
+func (l *links) again(uid string) error {
+	end := l.end(uid)
+	end.mu.Lock()
+	defer end.mu.Unlock()
+	if l.base == (link.State{}) && len(end.active) == 0 {
+		return nil
+	}
+	_, err := l.send(uid, end)
+	return err
+}
+
+// set begins or ends a fault of links.
+func (l *links) set(s *plan.Step) (int64, error) {
+	end := l.end(s.Server)
+	end.mu.Lock()
+	defer end.mu.Unlock()
+	if s.On {
+		end.active = append(end.active, s)
+	} else {
+		end.active = slices.DeleteFunc(end.active, func(b *plan.Step) bool { return b.Fault == s.Fault })
+	}
+	return l.send(s.Server, end)
+}
+
+// addEffect has a link suffer from one fault more.
+func addEffect(state *link.State, e plan.LinkEffect) {
+	state.Hold[link.ToFar] = state.Hold[link.ToFar] || e.HoldFar
+	state.Hold[link.ToNear] = state.Hold[link.ToNear] || e.HoldNear
+	state.Delay += e.Delay
+	state.Jitter = max(state.Jitter, e.Jitter)
+	if e.Rate > 0 && (state.Rate == 0 || e.Rate < state.Rate) {
+		state.Rate = e.Rate
+	}
+}
+
+// send tells a far end the state of all its links. end.mu is held.
+func (l *links) send(uid string, end *farEnd) (at int64, err error) {
+	groups := map[link.State][]int{}
+	cuts := map[int]bool{}
+	for i, sidecar := range l.fleet.plan.Sidecars {
+		state := l.base
+		cut := false
+		for _, s := range end.active {
+			if len(s.Nears) > 0 && !slices.Contains(s.Nears, i) {
+				continue
+			}
+			e := s.Effect
+			addEffect(&state, e)
+			cut = cut || e.HoldFar || e.HoldNear
+		}
+		groups[state] = append(groups[state], i)
+		cuts[sidecar.Group] = cuts[sidecar.Group] || cut
+	}
+	far := l.fleet.far(uid)
+	for state, nears := range groups {
+		n, err := far.order(ctl.Order{Do: "link", UID: uid, Nears: nears, State: &state})
+		if err != nil {
+			return n.At, err
+		}
+		at = max(at, n.At)
+	}
+	if uid == "" { // the list has one listener for all
+		all := true
+		for _, cut := range cuts {
+			all = all && cut
+		}
+		n, err := far.order(ctl.Order{Do: "link", Cut: &all})
+		return max(at, n.At), err
+	}
+	for _, g := range slices.Sorted(maps.Keys(cuts)) {
+		cut := cuts[g]
+		n, err := far.order(ctl.Order{Do: "link", UID: uid, Group: g, Cut: &cut})
+		if err != nil {
+			return n.At, err
+		}
+		at = max(at, n.At)
+	}
+	return at, nil
+}
--- /dev/null
+++ b/internal/lab/listprocess.go
@@ -0,0 +1,110 @@
+package lab
+
+import (
+	"errors"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/link"
+	"gradeusher.example/gradeusher/internal/lab/proc"
+)
+
+// listProcess is the list, whose process faults may end and start.
+type listProcess struct {
+	fleet  *Fleet
+	groups string
+	place  *link.Place
+
+	mu    sync.Mutex
+	child *child
+	n     int
+}
+
+func (l *listProcess) current() *child {
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.child
+}
+
+// start starts the list's process, where the one before was.
+func (l *listProcess) start() error {
+	f := l.fleet
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, err := startChild(f.starter, proc.Spec{Name: "list", Path: f.self.Path, Log: f.log("list"), Env: f.env("TMPDIR=" + f.work),
+		Args: []string{"stand-in", "list", "--groups", l.groups, "--port", strconv.Itoa(int(l.place.Addr.Port())), "--records", f.records("told", l.n)}}, f.hear)
+	if err != nil {
+		return err
+	}
+	l.n++
+	f.all.Add(c.Process)
+	l.child = c
+	f.mu.Lock()
+	told := append([]ctl.Entry(nil), f.told...)
+	f.mu.Unlock()
+	for _, e := range told {
+		if _, err := c.order(ctl.Order{Do: "list", Entry: &e}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// tell has the list learn an entry; while its process is down, the next one learns it.
+func (l *listProcess) tell(e ctl.Entry) error {
+	l.fleet.mu.Lock()
+	l.fleet.told = append(l.fleet.told, e)
+	l.fleet.mu.Unlock()
+	c := l.current()
+	select {
+	case <-c.Ended():
+		return nil
+	default:
+	}
+	_, err := c.order(ctl.Order{Do: "list", Entry: &e})
+	if errors.Is(err, errGone) || errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	return err
+}
+
+// startList starts the platform's list, which knows the servers that stand.
+func (f *Fleet) startList() (err error) {
+	groups := make([]string, len(f.plan.Sidecars))
+	for i, s := range f.plan.Sidecars {
+		groups[i] = strconv.Itoa(s.Group)
+	}
+	f.list = &listProcess{fleet: f, groups: strings.Join(groups, ",")}
+	if f.list.place, err = link.Reserve(link.Anywhere); err != nil {
+		return err
+	}
+	if err := f.list.start(); err != nil {
+		return err
+	}
+	for _, e := range f.known {
+		if err := f.list.tell(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ListAddress is where the first sidecar reaches the list.
+func (f *Fleet) ListAddress() string {
+	if f.keepers != nil {
+		return f.keeperAddresses(0)[0]
+	}
+	return f.listAddress(0)
+}
+
+// listAddress is where the i-th sidecar reaches the list.
+func (f *Fleet) listAddress(i int) string {
+	return netip.AddrPortFrom(link.Near(i), f.list.place.Addr.Port()).String()
+}
--- a/internal/lab/load/conn.go
+++ b/internal/lab/load/conn.go
@@ -95,6 +95,7 @@
 	work    time.Duration
 	timeout time.Duration
 	retry   bool
+	client  string // "": nobody by name
 }
 
 // answer is what came back.
@@ -114,16 +115,19 @@
 	if !q.class.Safe {
 		method, body = "POST", "present "+q.id+"\n"
 	}
-	retried := ""
+	more := ""
 	if q.retry {
-		retried = "X-Retried: 1\r\n"
+		more = "X-Retried: 1\r\n"
+	}
+	if q.client != "" {
+		more += "X-Tenant-Id: " + q.client + "\r\n"
 	}
 	length := ""
 	if body != "" {
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
 	_, err = fmt.Fprintf(c, "%s /api?class=%s&work_ns=%d HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: %s\r\nX-Priority-Class: %s\r\nX-Timeout-Ms: %d\r\n%s%s\r\n%s",
-		method, q.class.Name, q.work.Nanoseconds(), q.id, q.class.Name, q.timeout.Milliseconds(), retried, length, body)
+		method, q.class.Name, q.work.Nanoseconds(), q.id, q.class.Name, q.timeout.Milliseconds(), more, length, body)
 	if err != nil {
 		return 0, a, hungUp(err)
 	}
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -46,6 +46,7 @@
 	DelayMS   float64  `toml:"delay_ms"` // one way between any sidecar and server
 	Start     string   `toml:"start"`    // "warm" or "cold": servers at the start
 	ErrorRate float64  `toml:"error_rate"`
+	Keep      bool     `toml:"keep"` // a sidecar's process finds what the one before it wrote to $TMPDIR
 }
 
 // Load is what clients ask for.
@@ -57,6 +58,8 @@
 	Retries  bool    `toml:"retries"`   // clients try once more
 	TardyMS  float64 `toml:"tardy_ms"`  // the lab sends this much late: for the control of its own lateness
 	WorkPart float64 `toml:"work_part"` // of the classes' mean work, so that more requests fit the same servers
+	Clients  int     `toml:"clients"`   // who ask by name, in the header X-Tenant-Id; 0: nobody does
+	Skew     float64 `toml:"skew"`      // the i-th client has a part of the requests by i to the power of -skew
 }
 
 // Limits are what checkers hold runs to.
@@ -125,7 +128,7 @@
 	return File{
 		Seconds: 20,
 		Fleet: Fleet{Zones: []string{"room-a", "room-b"}, Servers: 10, Sidecars: 4, PerHost: 50, Program: "sidecar", MemoryMB: 192,
-			Sockets: 1024, Start: "warm", ErrorRate: 0.001},
+			Sockets: 1024, Start: "warm", Keep: true, ErrorRate: 0.001},
 		Load: Load{Uneven: 1, Retries: true, WorkPart: 1},
 		Limits: Limits{AnswerSlackMS: 500, DrainGraceMS: 300, SlackMS: 50, MemoryMB: 192, Descriptors: 1024,
 			LatenessMS: 5},
@@ -291,6 +294,8 @@
 		{"load", "uneven", f.Load.Uneven, 0, 5},
 		{"load", "zone_skew", f.Load.ZoneSkew, 0, 1},
 		{"load", "tardy_ms", f.Load.TardyMS, 0, 10000},
+		{"load", "clients", float64(f.Load.Clients), 0, 1 << 20},
+		{"load", "skew", f.Load.Skew, 0, 5},
 		{"load", "work_part", f.Load.WorkPart, 0.001, 10},
 		{"keepers", "count", float64(f.Keepers.Count), 0, 7},
 		{"keepers", "lease_s", f.Keepers.LeaseS, 1, 3600},
--- /dev/null
+++ b/internal/lab/plan/fleet_test.go
@@ -0,0 +1,109 @@
+package plan
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+func make1(t *testing.T, text string) *Plan {
+	t.Helper()
+	p, err := Make(parse(t, text), 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// TestComeAndGo has sidecars come and go: clients send to none that is not there, and the rate stays what it is.
+func TestComeAndGo(t *testing.T) {
+	p := make1(t, "states = \"x\"\nseconds = 40\n[fleet]\nsidecars = 10\n[load]\nrate = 200\nuneven = 0.5\n"+
+		"[[fault]]\ndo = \"join\"\nat = 10\nfor = 2\ncount = 10\n[[fault]]\ndo = \"leave\"\nat = 24\nfor = 2\npart = 0.5\n")
+	if n, m := len(p.Sidecars), p.present(20*time.Second); n != 20 || m != 20 || p.present(30*time.Second) != 10 || p.Sidecars[0].Peers != 10 || p.Sidecars[19].Peers != 20 {
+		t.Fatalf("%d sidecars, %d at once: %+v", n, m, p.Sidecars)
+	}
+	starts, ends := map[int]time.Duration{}, map[int]time.Duration{}
+	for _, s := range p.Steps {
+		if s.Do == Start {
+			starts[s.Sidecar] = s.At
+		} else {
+			ends[s.Sidecar] = s.At
+		}
+	}
+	if len(starts) != 10 || len(ends) != 10 {
+		t.Errorf("%d start and %d end", len(starts), len(ends))
+	}
+	after := map[int]int{} // by sidecar, of those that joined
+	for _, a := range p.Arrivals {
+		if end, ok := ends[a.Sidecar]; ok && a.At >= end || a.Sidecar >= 10 && a.At < starts[a.Sidecar]+joinLead {
+			t.Fatalf("at %v to sidecar %d, from %v to %v", a.At, a.Sidecar, starts[a.Sidecar], end)
+		}
+		if a.Sidecar >= 10 {
+			after[a.Sidecar]++
+		}
+	}
+	if len(after) != 10 || math.Abs(float64(len(p.Arrivals))/8000-1) > 0.05 {
+		t.Errorf("%d requests, %v", len(p.Arrivals), after)
+	}
+}
+
+// TestRoll has every sidecar be ended and started again once, a batch at a time.
+func TestRoll(t *testing.T) {
+	p := make1(t, head+"[fleet]\nsidecars = 20\n[[fault]]\ndo = \"roll\"\nat = 4\nfor = 16\nbatch = 0.1\nrestart = 0.2\n")
+	at := map[time.Duration]int{}
+	ended := map[int]time.Duration{}
+	for _, s := range p.Steps {
+		if s.Do == Term {
+			at[s.At]++
+			ended[s.Sidecar] = s.At
+		} else if s.At-ended[s.Sidecar] != 200*time.Millisecond {
+			t.Errorf("sidecar %d ends at %v and starts at %v", s.Sidecar, ended[s.Sidecar], s.At)
+		}
+	}
+	if len(ended) != 20 || len(at) != 10 || at[4*time.Second] != 2 {
+		t.Errorf("ends %v", at)
+	}
+}
+
+// TestClients has clients ask by name with the skew, bursts raise the rate, and floods come besides, through whom they should.
+func TestClients(t *testing.T) {
+	p := make1(t, "states = \"x\"\nseconds = 100\n[fleet]\nsidecars = 10\n[load]\nrate = 100\nclients = 50\nskew = 1\n"+
+		"[[fault]]\ndo = \"burst\"\nat = 20\nfor = 20\nsize = 0.5\nzone = \"room-b\"\n"+
+		"[[fault]]\ndo = \"flood\"\nat = 50\nfor = 10\nsize = 0.3\ncount = 2\nthrough = 1\n"+
+		"[[fault]]\ndo = \"flood\"\nat = 70\nfor = 10\nsize = 0.3\ndistinct = true\n")
+	own, flood, burst, distinct := map[int]int{}, map[int]int{}, 0, map[int]bool{}
+	through := map[int]bool{}
+	for i, a := range p.Arrivals {
+		if i > 0 && a.At < p.Arrivals[i-1].At {
+			t.Fatal("arrivals run backwards")
+		}
+		if fault, ok := Flooder(a.Client); ok && fault == 1 {
+			flood[a.Client]++
+			through[a.Sidecar] = true
+		} else if ok {
+			distinct[a.Client] = true
+		} else {
+			own[a.Client]++
+		}
+		if a.At >= 20*time.Second && a.At < 40*time.Second && p.Sidecars[a.Sidecar].Zone == "room-b" {
+			burst++
+		}
+	}
+	if sum := 4.4992; math.Abs(float64(own[1])/11000*sum-1) > 0.1 || len(own) != 50 || own[0] != 0 { // the 50th harmonic number
+		t.Errorf("the first of %d clients asks %d times", len(own), own[1])
+	}
+	if math.Abs(float64(burst)/2000-1) > 0.1 {
+		t.Errorf("%d requests in the burst's room, want 1000 and as many more", burst)
+	}
+	if len(flood) != 2 || len(through) != 1 {
+		t.Errorf("floods %v through %v", flood, through)
+	}
+	for client, n := range flood {
+		if math.Abs(float64(n)/300-1) > 0.25 {
+			t.Errorf("%s floods %d times, want 300", ClientName(client), n)
+		}
+	}
+	if n := len(distinct); math.Abs(float64(n)/300-1) > 0.25 {
+		t.Errorf("%d clients of the distinct flood, want 300", n)
+	}
+}
--- /dev/null
+++ b/internal/lab/servers.go
@@ -0,0 +1,76 @@
+package lab
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/link"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+	"gradeusher.example/gradeusher/internal/lab/proc"
+)
+
+func (f *Fleet) startHosts() error {
+	p := f.plan
+	n := p.Hosts()
+	for i := range n {
+		name := fmt.Sprintf("servers-%d", i)
+		args := []string{"stand-in", "host", "--groups", strconv.Itoa(p.Groups()), "--records", f.records("attempts", i)}
+		if f.keepers != nil {
+			args = append(args, "--keepers", strings.Join(f.keeperAddresses(p.NearHost(i)), ","), "--lease", plan.Seconds(p.File.Keepers.LeaseS).String())
+		}
+		c, err := startChild(f.starter, proc.Spec{Name: name, Path: f.self.Path, Log: f.log(name), Env: f.env("TMPDIR=" + f.work),
+			Args: args}, f.hear)
+		if err != nil {
+			return err
+		}
+		f.hosts = append(f.hosts, c)
+		f.all.Add(c.Process)
+	}
+	for i := range p.Servers {
+		f.host[p.Servers[i].UID] = f.hosts[i%n]
+	}
+	for i := range p.Standing {
+		e, _, err := f.addServer(p.Servers[i].UID, p.File.Fleet.Start == "cold")
+		if err != nil {
+			return err
+		}
+		f.known = append(f.known, e)
+	}
+	return nil
+}
+
+// addServer starts a server and keeps what the list will say of it.
+func (f *Fleet) addServer(uid string, cold bool) (ctl.Entry, ctl.News, error) {
+	spec := f.specs[uid]
+	n, err := f.host[uid].order(ctl.Order{Do: "add", Spec: spec, Cold: cold})
+	if err != nil {
+		return ctl.Entry{}, n, err
+	}
+	e := ctl.Entry{UID: uid, Ports: n.Ports, Zone: spec.Zone, Kind: spec.Kind, State: "SERVING", BootMS: n.BootMS}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries[uid] = e
+	return e, n, nil
+}
+
+// SidecarLines describe the sidecars.
+func (f *Fleet) SidecarLines() []string {
+	var lines []string
+	for i, a := range f.Addresses() {
+		lines = append(lines, fmt.Sprintf("http://%s in %s", a, f.plan.Sidecars[i].Zone))
+	}
+	return lines
+}
+
+// ServerLines describe the servers at the start, each with its address for the first sidecar.
+func (f *Fleet) ServerLines() []string {
+	var lines []string
+	for _, e := range f.known {
+		spec := f.specs[e.UID]
+		lines = append(lines, fmt.Sprintf("%s at %s:%d in %s, %s, %d cores of %.2f", e.UID, link.Near(0), e.Ports[f.plan.Sidecars[0].Group], e.Zone,
+			e.Kind, spec.Cores, spec.Speed))
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/lab/sidecars.go
@@ -0,0 +1,119 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/check"
+	"gradeusher.example/gradeusher/internal/lab/clock"
+	"gradeusher.example/gradeusher/internal/lab/link"
+	"gradeusher.example/gradeusher/internal/lab/proc"
+)
+
+// sidecar is one place where a sidecar's processes run, one after the other.
+type sidecar struct {
+	index  int
+	place  *link.Place // its address
+	folder string
+
+	mu    sync.Mutex
+	run   *proc.Process
+	runs  []check.Run
+	peak  check.Peak
+	tasks sync.WaitGroup // that end or start a process
+}
+
+func (s *sidecar) address() string { return s.place.Addr.String() }
+
+// startSidecar starts a process of a sidecar, which is told the list as it was at the start of the fleet.
+func (f *Fleet) startSidecar(s *sidecar) error {
+	name := f.plan.Sidecars[s.index].Name
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seed := f.plan.Seed<<20 + uint64(s.index)<<8 + uint64(len(s.runs))
+	discovery := ""
+	var keepers []string
+	if f.keepers != nil {
+		keepers = f.keeperAddresses(s.index)
+	} else {
+		discovery = f.listAddress(s.index)
+	}
+	text, err := sidecarConfig(f.plan, s.index, s.address(), discovery, seed, f.known, keepers)
+	if err != nil {
+		return err
+	}
+	config := filepath.Join(f.work, name+".json")
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		return err
+	}
+	args := []string{"sidecar"}
+	if f.plan.File.Fleet.Program == "plain" {
+		args = []string{"stand-in", "plain", "--flaw", f.plan.File.Fleet.Flaw}
+	}
+	tmp := s.folder
+	if f.keepers != nil && !f.plan.File.Keepers.Cache || !f.plan.File.Fleet.Keep {
+		tmp = ""
+	}
+	began := clock.Now()
+	p, err := f.starter.Start(proc.Spec{Name: name, Path: f.self.Path, Args: args, Log: f.log(name), Folder: s.folder,
+		Env: f.env("TMPDIR="+tmp, "PROXY_CONFIG="+config, "PROXY_NAME="+name, "PROXY_LISTEN="+s.address(), "PROXY_DISCOVERY="+discovery)})
+	if err != nil {
+		return err
+	}
+	f.all.Add(p)
+	s.run = p
+	s.runs = append(s.runs, check.Run{From: began})
+	return nil
+}
+
+// ready waits until a sidecar answers.
+func (f *Fleet) ready(ctx context.Context, s *sidecar) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	s.mu.Lock()
+	run := s.run
+	s.mu.Unlock()
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address()+"/healthz", nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := client.Do(req); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-run.Ended():
+			return fmt.Errorf("%s ended as it started: see its log", run.Name)
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready after %v: see its log", run.Name, patience)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+// Sample looks at what each sidecar's process holds and keeps the most.
+func (f *Fleet) Sample() {
+	for _, s := range f.sidecars {
+		s.mu.Lock()
+		if s.run == nil {
+			s.mu.Unlock()
+			continue // it has not joined
+		}
+		if v, err := s.run.Sample(); err == nil { // one that has ended holds nothing
+			s.peak.MemoryMB, s.peak.Descriptors = max(s.peak.MemoryMB, v.MemoryMB), max(s.peak.Descriptors, v.Descriptors)
+		}
+		s.mu.Unlock()
+	}
+	if f.keepers != nil {
+		f.keepers.sample()
+	}
+}
--- a/internal/lab/standin/list_test.go
+++ b/internal/lab/standin/list_test.go
@@ -220,6 +220,7 @@
 	if status, _, _ := ask("d"); status != 200 {
 		t.Errorf("after its return: %d", status)
 	}
+	o.give(ctl.Order{Do: "remove", UID: "s1"}) // which waits until all is written down
 	attempts, err := ctl.ReadRecords[ctl.Attempt](records)
 	if err != nil {
 		t.Fatal(err)
