Signals: verdicts on servers of three witnesses and two rooms, and no liar moves one

Need: each sidecar of a fleet spends failures to learn what others saw. Change: balance/signals judges reports of members: at least 3 origins, from 2 rooms or all from the reader's own, each within the bound and on own evidence of at most 8 s; one that condemns over 0.4 of what it uses or over half of a room is taken for cut off and counts nowhere; subjects are processes. Not taken: 2 witnesses (a liar and one mistaken would do), votes for a server's soundness (a liar could clear one).

--- /dev/null
+++ b/balance/signals/codec.go
@@ -0,0 +1,103 @@
+package signals
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-msgpack/v2/codec"
+)
+
+// A report on its way is MessagePack, by the library that memberlist speaks it with, fields by their place: a later version
+// adds fields behind these, which an earlier one passes over.
+
+// Most is the most bytes of an encoded report.
+const Most = 640
+
+type wireReport struct {
+	Room     string
+	Uses     []wireUse
+	Verdicts []wireVerdict
+}
+
+type wireUse struct {
+	Room    string
+	Servers uint
+}
+
+type wireVerdict struct {
+	Server string
+	Start  int64
+	Room   uint // index into Uses
+	Kind   uint8
+	Count  uint
+	AgeMS  uint
+}
+
+func handle() *codec.MsgpackHandle {
+	h := &codec.MsgpackHandle{}
+	h.StructToArray = true
+	h.MaxInitLen = 4 * mostUses // Danger: a length that a peer says would be allocated before anything of it is read
+	return h
+}
+
+// Encode writes a report in at most Most bytes. The last verdicts, and then uses, give way.
+func Encode(r Report) ([]byte, error) {
+	r = sane(r)
+	w := wireReport{Room: r.Room}
+	at := map[string]uint{}
+	for i, u := range r.Uses {
+		at[u.Room] = uint(i)
+		w.Uses = append(w.Uses, wireUse{u.Room, uint(u.Servers)})
+	}
+	for _, v := range r.Verdicts {
+		if i, used := at[v.Room]; used {
+			w.Verdicts = append(w.Verdicts, wireVerdict{v.Server, v.Start, i, uint8(v.Kind), uint(v.Count), uint(v.Age.Milliseconds())})
+		}
+	}
+	for {
+		var b []byte
+		if err := codec.NewEncoderBytes(&b, handle()).Encode(w); err != nil {
+			return nil, fmt.Errorf("report: %w", err)
+		}
+		switch {
+		case len(b) <= Most:
+			return b, nil
+		case len(w.Verdicts) > 0:
+			w.Verdicts = w.Verdicts[:len(w.Verdicts)-1]
+		case len(w.Uses) > 0:
+			w.Uses = w.Uses[:len(w.Uses)-1]
+		default:
+			return nil, fmt.Errorf("report: %d bytes", len(b))
+		}
+	}
+}
+
+// Decode reads a report. What is beyond the bounds is an error.
+func Decode(b []byte) (r Report, err error) {
+	var w wireReport
+	if len(b) > Most {
+		return r, fmt.Errorf("report: %d bytes are over %d", len(b), Most)
+	}
+	if err := codec.NewDecoderBytes(b, handle()).Decode(&w); err != nil {
+		return r, fmt.Errorf("report: %w", err)
+	}
+	if len(w.Room) > mostText || len(w.Uses) > mostUses || len(w.Verdicts) > MostVerdicts {
+		return r, fmt.Errorf("report: over the bounds")
+	}
+	r.Room = w.Room
+	const most = 1 << 30
+	for _, u := range w.Uses {
+		if len(u.Room) > mostText {
+			return r, fmt.Errorf("report: over the bounds")
+		}
+		r.Uses = append(r.Uses, Use{u.Room, int(min(u.Servers, most))})
+	}
+	for _, v := range w.Verdicts {
+		if v.Room >= uint(len(w.Uses)) || len(v.Server) > mostText {
+			return r, fmt.Errorf("report: over the bounds")
+		}
+		r.Verdicts = append(r.Verdicts, Verdict{Subject{v.Server, v.Start}, w.Uses[v.Room].Room, Kind(v.Kind), int(min(v.Count, most)),
+			time.Duration(min(v.AgeMS, most)) * time.Millisecond})
+	}
+	return r, nil
+}
--- /dev/null
+++ b/balance/signals/signals.go
@@ -0,0 +1,98 @@
+package signals
+
+// Here is what makes a verdict of what witnesses say. Promises, whatever order, repeats and losses news comes in:
+//
+//  1. A verdict stands on leastWitnesses or more origins that are members, each with what it last said, no older than the
+//     bound, on faults of its own no older than mostEvidence; from leastRooms or more rooms, or all from the reader's own.
+//  2. So one origin, whatever it says, and of whatever rooms, neither makes a verdict that two sound ones would not be part
+//     of, nor takes one away that rests on leastWitnesses others.
+//  3. A witness that condemns more than mostShare of what it uses, or most of one room, is likely cut off: it counts nowhere.
+//  4. A verdict is over a bound after its witnesses fall silent, mostEvidence after the last fault that any of them saw, or
+//     with the server's process. No message ends it but what its witnesses themselves say next.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	leastWitnesses = 3
+	leastRooms     = 2               // Danger: a room that is cut off from another would condemn it to those who reach it
+	mostEvidence   = 8 * time.Second // an ejection of 5 s, and time to fail at the server again
+	mostShare      = 0.4             // of the servers that a witness uses
+	mostOfRoom     = 0.5             // of those in one room
+	sureCut        = 2               // servers condemned, below which no share means anything
+)
+
+// Judged is what the witnesses make of each server's process now: the worst of what enough of them say it is, or worse.
+func (b *Book) Judged(now time.Duration) map[Subject]Kind {
+	heard := map[Subject][]witness{}
+	for origin, s := range b.said {
+		if now-s.at > b.Bound {
+			delete(b.said, origin)
+			continue
+		}
+		if cutOff(s.Report) {
+			continue
+		}
+		for _, v := range s.Verdicts {
+			if v.Age+now-s.at <= mostEvidence {
+				heard[v.Subject] = append(heard[v.Subject], witness{v.Kind, s.Room})
+			}
+		}
+	}
+	judged := map[Subject]Kind{}
+	for subject, all := range heard {
+		for kind := Silent; kind > None && judged[subject] == None; kind-- {
+			if b.enough(all, kind) {
+				judged[subject] = kind
+			}
+		}
+	}
+	return judged
+}
+
+// enough tells whether the witnesses suffice for a kind of failure.
+func (b *Book) enough(all []witness, kind Kind) bool {
+	var rooms []string
+	count := 0
+	for _, w := range all {
+		if w.kind < kind {
+			continue
+		}
+		if count++; !slices.Contains(rooms, w.room) {
+			rooms = append(rooms, w.room)
+		}
+	}
+	return count >= leastWitnesses && (len(rooms) >= leastRooms || rooms[0] == b.Room)
+}
+
+// cutOff tells whether a witness more likely lost its own way than that so many servers fail.
+func cutOff(r Report) bool {
+	var used, condemned int
+	for _, u := range r.Uses {
+		here := 0
+		for _, v := range r.Verdicts {
+			if v.Room == u.Room {
+				here++
+			}
+		}
+		if used, condemned = used+u.Servers, condemned+here; here >= sureCut && float64(here) > mostOfRoom*float64(u.Servers) {
+			return true
+		}
+	}
+	// Danger: what it condemns where it uses nothing, by its own word, would not show in any share.
+	return condemned < len(r.Verdicts) || condemned >= sureCut && float64(condemned) > mostShare*float64(used)
+}
+
+// Own is what a sidecar says of what it saw itself: nothing if it is likely cut off, else the worst first.
+func Own(r Report) Report {
+	cut := cutOff(r)
+	r.Verdicts = slices.DeleteFunc(slices.Clone(r.Verdicts), func(v Verdict) bool { return cut || v.Age > mostEvidence })
+	slices.SortFunc(r.Verdicts, func(x, y Verdict) int {
+		return cmp.Or(cmp.Compare(y.Kind, x.Kind), cmp.Compare(y.Count, x.Count), cmp.Compare(x.Server, y.Server))
+	})
+	r.Verdicts = r.Verdicts[:min(len(r.Verdicts), MostVerdicts)]
+	return r
+}
--- /dev/null
+++ b/balance/signals/signals_test.go
@@ -0,0 +1,243 @@
+package signals
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const bound = 2 * time.Second
+
+var (
+	rooms   = []string{"room-a", "room-b", "room-c"}
+	servers = []string{"s1", "s2", "s3", "s4", "s5"}
+)
+
+func verdict(t *rapid.T) Verdict {
+	server := rapid.IntRange(0, 2).Draw(t, "server")
+	v := Verdict{Subject{servers[server], 1}, rooms[server], Silent, 2, time.Second}
+	if rapid.Bool().Draw(t, "odd") {
+		v.Start, v.Room = rapid.Int64Range(1, 2).Draw(t, "start"), rapid.SampledFrom(rooms).Draw(t, "of")
+		v.Kind, v.Count = Kind(rapid.IntRange(0, 5).Draw(t, "kind")), rapid.IntRange(-1, 9).Draw(t, "count")
+		v.Age = time.Duration(rapid.IntRange(-100, 12000).Draw(t, "age")) * time.Millisecond
+	}
+	return v
+}
+
+func report(t *rapid.T) Report {
+	r := Report{Room: rapid.SampledFrom(rooms).Draw(t, "room")}
+	odd := rapid.IntRange(0, 3).Draw(t, "odd uses") == 3
+	for _, room := range rooms {
+		n := 8
+		if odd {
+			n = rapid.IntRange(0, 5).Draw(t, "uses")
+		}
+		if n > 0 {
+			r.Uses = append(r.Uses, Use{room, n})
+		}
+	}
+	r.Verdicts = rapid.SliceOfN(rapid.Custom(verdict), 1, 4).Draw(t, "verdicts")
+	return r
+}
+
+// said is one thing that was said, and comes as often and as late as the network likes.
+type said struct {
+	origin string
+	seq    uint64
+	at     time.Duration
+	r      Report
+}
+
+// What origins said gives the same verdicts in any order and with repeats, and each verdict has its witnesses.
+func TestVerdictsHaveWitnesses(t *testing.T) {
+	seen := 0
+	rapid.Check(t, func(t *rapid.T) {
+		var all []said
+		for i := range rapid.IntRange(3, 12).Draw(t, "origins") {
+			for seq := range rapid.IntRange(1, 3).Draw(t, "reports") {
+				at := time.Duration(seq)*time.Second/2 + time.Duration(rapid.IntRange(0, 900).Draw(t, "at"))*time.Millisecond
+				all = append(all, said{fmt.Sprint("m", i), uint64(seq), at, report(t)})
+			}
+		}
+		now := time.Duration(rapid.IntRange(2000, 5000).Draw(t, "now")) * time.Millisecond
+		tell := func(order []said) *Book {
+			b := NewBook(rooms[0], bound)
+			for _, s := range order {
+				b.Told(s.origin, 1, s.seq, now-s.at, s.r, now)
+			}
+			return b
+		}
+		judged := tell(all).Judged(now)
+		again := tell(rapid.Permutation(append(all, all...)).Draw(t, "order"))
+		if got := again.Judged(now); !reflect.DeepEqual(got, judged) {
+			t.Fatalf("%v, in another order %v", judged, got)
+		}
+		newest := map[string]said{}
+		for _, s := range all {
+			if s.seq >= newest[s.origin].seq {
+				newest[s.origin] = s
+			}
+		}
+		for subject, kind := range judged {
+			seen++
+			var count, own int
+			from := map[string]bool{}
+			for _, s := range newest {
+				if now-s.at > bound {
+					continue
+				}
+				for _, v := range s.r.Verdicts {
+					if v.Subject == subject && v.Kind >= kind && v.Kind <= Silent && v.Age+now-s.at <= mostEvidence {
+						count++
+						from[s.r.Room] = true
+						if s.r.Room == rooms[0] {
+							own++
+						}
+						break
+					}
+				}
+			}
+			if count < 3 || len(from) < 2 && own < 3 {
+				t.Fatalf("%v is judged %v by %d witnesses from %v", subject, kind, count, from)
+			}
+		}
+		// It ends with its witnesses' silence, whatever they said.
+		if late := again.Judged(now + bound + time.Millisecond); len(late) > 0 {
+			t.Fatalf("%v after the bound", late)
+		}
+	})
+	if seen == 0 {
+		t.Fatal("no verdict was seen")
+	}
+}
+
+// sound is a fleet that says the truth of one silent server, from count members, beside quiet ones.
+func sound(b *Book, count, quiet int) {
+	for i := range count + quiet {
+		r := Report{Room: rooms[i%2], Uses: []Use{{rooms[0], 8}, {rooms[1], 8}}}
+		if i < count {
+			r.Verdicts = []Verdict{{Subject{"s1", 1}, rooms[0], Silent, 2, 0}}
+		}
+		b.Told(fmt.Sprint("m", i), 1, 1, 0, r, 0)
+	}
+}
+
+// One liar, whatever it says and how often, condemns nobody for whom two sound witnesses do not speak, and clears nobody.
+func TestOneLiarMovesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count, quiet := rapid.IntRange(0, 4).Draw(t, "witnesses"), rapid.IntRange(0, 20).Draw(t, "quiet")
+		b, without := NewBook(rooms[0], bound), NewBook(rooms[0], bound)
+		sound(b, count, quiet)
+		sound(without, count, quiet)
+		for range rapid.IntRange(1, 8).Draw(t, "lies") {
+			b.Told("liar", rapid.Int64Range(1, 3).Draw(t, "process"), rapid.Uint64Range(1, 9).Draw(t, "seq"),
+				time.Duration(rapid.IntRange(-5000, 5000).Draw(t, "age"))*time.Millisecond, report(t), 0)
+		}
+		now := time.Duration(rapid.IntRange(0, 2000).Draw(t, "now")) * time.Millisecond
+		judged, truth := b.Judged(now), without.Judged(now)
+		for subject, kind := range judged {
+			if subject != (Subject{"s1", 1}) || count < 2 {
+				t.Fatalf("%v is judged %v for a lie", subject, kind)
+			}
+		}
+		for subject, kind := range truth {
+			if judged[subject] < kind {
+				t.Fatalf("a lie took %v from %v", kind, subject)
+			}
+		}
+		if (count >= 3) != (len(truth) == 1) {
+			t.Fatalf("%d witnesses: %v", count, truth)
+		}
+	})
+}
+
+func TestCutOffWitnessesCondemnNobody(t *testing.T) {
+	down := func(room string, n int) (v []Verdict) {
+		for i := range n {
+			v = append(v, Verdict{Subject{room + servers[i], 1}, room, Silent, 2, 0})
+		}
+		return v
+	}
+	uses := []Use{{rooms[0], 8}, {rooms[1], 3}}
+	for name, c := range map[string]struct {
+		verdicts []Verdict
+		judged   int
+	}{
+		"one":                {down(rooms[0], 1), 1},
+		"four of eleven":     {down(rooms[0], 4), 4},
+		"five of eleven":     {down(rooms[0], 5), 0},
+		"two of three there": {down(rooms[1], 2), 0},
+		"where it uses none": {down(rooms[2], 1), 0},
+	} {
+		r := Report{Uses: uses, Verdicts: c.verdicts}
+		b := NewBook(rooms[0], bound)
+		for i := range 5 {
+			r.Room = rooms[i%2]
+			b.Told(fmt.Sprint(i), 1, 1, 0, r, 0)
+		}
+		if got := len(b.Judged(0)); got != c.judged {
+			t.Errorf("%s: %d are judged", name, got)
+		}
+		if said := Own(r); (len(said.Verdicts) > 0) != (c.judged > 0) {
+			t.Errorf("%s: it says %v itself", name, said.Verdicts)
+		}
+	}
+	// A room that cannot reach another speaks for itself only.
+	for reader, want := range map[string]int{rooms[1]: 1, rooms[2]: 0} {
+		b := NewBook(reader, bound)
+		for i := range 5 {
+			b.Told(fmt.Sprint(i), 1, 1, 0, Report{Room: rooms[1], Uses: uses, Verdicts: down(rooms[0], 1)}, 0)
+		}
+		if got := len(b.Judged(0)); got != want {
+			t.Errorf("%s: %d", reader, got)
+		}
+		for i := range 3 {
+			b.Gone(fmt.Sprint(i))
+		}
+		if len(b.Judged(0)) > 0 {
+			t.Error("two are enough")
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	r := Report{Room: "a", Uses: []Use{{"a", 5}, {"b", 1}}, Verdicts: []Verdict{{Subject{"s", 1700000000000}, "b", Slow, 3, 1500 * time.Millisecond}}}
+	b, err := Encode(r)
+	if back, again := Decode(b); err != nil || again != nil || !reflect.DeepEqual(back, r) {
+		f.Fatalf("%v %v %+v", err, again, back)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := Decode(b)
+		if err != nil {
+			return
+		}
+		book := NewBook("a", bound)
+		for i := range 3 {
+			book.Told(fmt.Sprint(i), 1, 1, 0, r, 0)
+		}
+		book.Judged(0)
+		if e, err := Encode(r); err != nil || len(e) > Most {
+			t.Fatal(len(e), err)
+		}
+	})
+}
+
+// What does not fit gives way from the end.
+func TestLongReportsFit(t *testing.T) {
+	r := Report{Room: rooms[0], Uses: []Use{{rooms[0], 50}}}
+	for i := range 40 {
+		r.Verdicts = append(r.Verdicts, Verdict{Subject{fmt.Sprintf("%058d", i), 1700000000000}, rooms[0], Silent, 2, time.Second})
+	}
+	b, err := Encode(r)
+	if err != nil || len(b) > Most {
+		t.Fatal(len(b), err)
+	}
+	back, err := Decode(b)
+	if err != nil || len(back.Verdicts) < 5 || back.Verdicts[0] != r.Verdicts[0] {
+		t.Fatal(back, err)
+	}
+}
--- /dev/null
+++ b/balance/signals/types.go
@@ -0,0 +1,122 @@
+// Package signals makes verdicts on servers of what many sidecars say that they saw. It is pure: no clock, no I/O, and the
+// same news gives the same verdicts in whatever order it comes. A Book must not be used by two goroutines at once.
+package signals
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Kind is how a server fails, from the mildest to the worst.
+type Kind uint8
+
+// The kinds. One beyond the last comes from a later version, and counts for nothing.
+const (
+	None     Kind = iota
+	Full          // turns requests away
+	Slow          // owes answers for longer than it should
+	Refusing      // answers with errors, or takes no connection
+	Silent        // does not answer
+)
+
+// Subject is one process of a server. A successor under the same id is another subject.
+type Subject struct {
+	Server string
+	Start  int64 // of the process, in any unit that all sidecars share; 0: not known
+}
+
+// Verdict is what one sidecar saw of a server itself. What it was told by others is none.
+type Verdict struct {
+	Subject
+	Room  string        // the server's
+	Kind  Kind          // how it fails
+	Count int           // faults seen
+	Age   time.Duration // since the last of them
+}
+
+// Use is how many servers of a room a sidecar uses.
+type Use struct {
+	Room    string
+	Servers int
+}
+
+// Report is all that a sidecar has to say. Each one stands for itself: a server that it does not name is not condemned.
+type Report struct {
+	Room     string // the sidecar's
+	Uses     []Use
+	Verdicts []Verdict
+}
+
+// The bounds of a report and of a book.
+const (
+	MostVerdicts = 12
+	mostUses     = 16
+	mostOrigins  = 4096
+	mostText     = 64 // bytes of a server's id, or of a room
+)
+
+// Book holds what each member last said. The zero value with a Room and Bound is ready.
+type Book struct {
+	Room  string        // the reader's
+	Bound time.Duration // what was said longer ago counts for nothing
+	said  map[string]statement
+}
+
+// NewBook returns a book for a reader in a room.
+func NewBook(room string, bound time.Duration) *Book {
+	return &Book{Room: room, Bound: bound, said: map[string]statement{}}
+}
+
+// Empty tells whether there is nothing to judge by.
+func (b *Book) Empty() bool { return len(b.said) == 0 }
+
+// statement is what an origin last said, and when.
+type statement struct {
+	Report
+	start int64
+	seq   uint64
+	at    time.Duration
+}
+
+// Told takes in what an origin said, if it is newer than what it said before. Age is how old that was at now.
+func (b *Book) Told(origin string, start int64, seq uint64, age time.Duration, r Report, now time.Duration) {
+	said, known := b.said[origin]
+	switch order := cmp.Or(cmp.Compare(start, said.start), cmp.Compare(seq, said.seq)); {
+	case known && order < 0 || !known && len(b.said) >= mostOrigins: // heard already, or over the bound
+	case known && order == 0:
+		// Danger: a copy that seems younger than another would have it live longer.
+		said.at = min(said.at, now-age)
+		b.said[origin] = said
+	default:
+		b.said[origin] = statement{sane(r), start, seq, now - age}
+	}
+}
+
+// Gone takes in that an origin is no member any more.
+func (b *Book) Gone(origin string) { delete(b.said, origin) }
+
+// witness is what one origin says of one subject, and the room it says it from.
+type witness struct {
+	kind Kind
+	room string
+}
+
+// sane is a report within the bounds, with one verdict on each subject, of known kinds, on rooms that it uses once each.
+func sane(r Report) Report {
+	var s Report
+	s.Room = r.Room[:min(len(r.Room), mostText)]
+	for _, u := range r.Uses[:min(len(r.Uses), mostUses)] {
+		if !slices.ContainsFunc(s.Uses, func(x Use) bool { return x.Room == u.Room }) {
+			s.Uses = append(s.Uses, Use{u.Room, max(u.Servers, 0)})
+		}
+	}
+	for _, v := range r.Verdicts[:min(len(r.Verdicts), MostVerdicts)] {
+		known := v.Kind > None && v.Kind <= Silent && len(v.Server) <= mostText
+		if known && !slices.ContainsFunc(s.Verdicts, func(x Verdict) bool { return x.Subject == v.Subject }) {
+			v.Age, v.Count = max(v.Age, 0), max(v.Count, 0)
+			s.Verdicts = append(s.Verdicts, v)
+		}
+	}
+	return s
+}
