Heavy clients give way in the engine: beyond their fair share, while servers are full

A request carries the key of its client; its work is what its answer took, at most eight times its class's mean, or that mean. While all servers count as full a heavy client's request beyond its share is refused at once, before any attempt, so that the promise of a refusal holds, with a time of 1 to 2 s to come back that differs from request to request.

--- a/balance/api.go
+++ b/balance/api.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"gradeusher.example/gradeusher/balance/hitters"
 	"gradeusher.example/gradeusher/balance/routes"
 )
 
@@ -90,6 +91,8 @@
 	FallTime      time.Duration // for this long falls over
 
 	CrossCharge float64 // price of crossing zones, as a share of a request's worth
+
+	Hitters *hitters.Settings // how clients that ask for much of the fleet's work are found; nil: they are not
 }
 
 // State is what discovery says of an endpoint.
@@ -131,7 +134,8 @@
 	Class  int // index into Settings.Classes
 	Tenant int // index into Settings.Tenants, or -1
 	Within time.Duration
-	Coming bool // the body is still coming, and is sent on as it comes: BodyEnded follows
+	Coming bool   // the body is still coming, and is sent on as it comes: BodyEnded follows
+	Client uint64 // with Settings.Hitters alone: the key of the client that asks; all that have no name are one
 }
 
 // Outcome is how an attempt ended.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"gradeusher.example/gradeusher/balance/hitters"
 )
 
 const tokenTick, tokenAsk uint64 = 0, 1
@@ -25,6 +27,10 @@
 	b := &Balancer{set: set, act: act, known: map[string]*endpoint{}, requests: map[RequestID]*request{},
 		rng: rand.New(rand.NewPCG(set.Seed, uint64(set.Self))), tenants: make([]tenant, len(set.Tenants)),
 		near: [2]float64{1, leastNear}}
+	var err error
+	if b.hitters, err = hitters.New(set.Hitters); err != nil {
+		return nil, fmt.Errorf("balance: %w", err)
+	}
 	for _, c := range set.Classes {
 		b.aim = min(cmp.Or(b.aim, c.Aim.Seconds()), c.Aim.Seconds())
 		b.work = append(b.work, c.Aim.Seconds()) // until answers tell
@@ -50,7 +56,9 @@
 	q := &request{Request: r, class: &b.set.Classes[r.Class], deadline: now + r.Within,
 		over: b.overShare(r.Tenant, now)}
 	b.requests[r.ID] = q
-	b.try(q, now)
+	if !b.giveWay(q, now) {
+		b.try(q, now)
+	}
 }
 
 // try sends the request's next attempt, or ends the request if none may or should be sent.
@@ -176,6 +184,7 @@
 	a.to.arrive(a.flight, r.Outcome == Served)
 	q.out--
 	if r.Outcome == Served {
+		q.took = r.Took
 		b.work[q.Class] += workStep * (max(r.Took.Seconds(), 1e-6) - b.work[q.Class])
 	}
 	b.learn(a, r, now)
@@ -241,6 +250,9 @@
 			b.act.Cancel(q.ID, i)
 		}
 	}
+	if !q.ended {
+		b.countWork(q)
+	}
 	if q.ended = true; q.out == 0 {
 		delete(b.requests, q.ID)
 	}
--- a/balance/hitters/fleet.go
+++ b/balance/hitters/fleet.go
@@ -48,12 +48,15 @@
 }
 
 // Tell takes in what an origin told, and returns whether it is news: the latest of it, and not older than the bound.
+// What others say in this sidecar's name is none.
 //
 // Danger: a word that was dropped for its age must not come back as an older one. It cannot: that is older still.
 func (j *Judge) Tell(now Time, n News) bool {
-	if n.Age < 0 || n.Age > j.set.Bound {
-		return false
-	}
+	return n.Origin != j.set.Origin && n.Age >= 0 && n.Age <= j.set.Bound && j.keep(now, n)
+}
+
+// keep has a word be its origin's, unless it holds a later one.
+func (j *Judge) keep(now Time, n News) bool {
 	i, held := slices.BinarySearchFunc(j.words, n.Origin, func(w *word, o uint64) int { return cmp.Compare(w.origin, o) })
 	switch {
 	case held:
@@ -83,7 +86,7 @@
 	j.open = window{Summary: room, begun: now}
 	j.seq++
 	own := News{Origin: j.set.Origin, Seq: j.seq, Report: report(j.closed[:], uint16(j.set.High/tellFrom*whole))}
-	j.Tell(now, own)
+	j.keep(now, own)
 	j.words = slices.DeleteFunc(j.words, func(w *word) bool { return now-w.at > j.set.Bound })
 	return own
 }
--- a/balance/hitters/hitters.go
+++ b/balance/hitters/hitters.go
@@ -131,14 +131,18 @@
 	seq     uint64          // of the own reports
 	words   []*word         // by origin
 	clients []*Client       // by key
+	yielded uint64          // requests that gave way
 }
 
-// New returns a Judge, or an error that says what is wrong with the settings.
-func New(set Settings) (*Judge, error) {
+// New returns a Judge, or an error that says what is wrong with the settings. Without settings there is none.
+func New(set *Settings) (*Judge, error) {
+	if set == nil {
+		return nil, nil
+	}
 	if err := set.check(); err != nil {
 		return nil, fmt.Errorf("hitters: %w", err)
 	}
-	return &Judge{set: set}, nil
+	return &Judge{set: *set}, nil
 }
 
 // Name has a client that is held be known by its name in logs.
@@ -148,5 +152,8 @@
 	}
 }
 
+// Yielded counts the requests that were to give way.
+func (j *Judge) Yielded() uint64 { return j.yielded }
+
 // Clients returns those that are held, by key. They change at the next Roll.
 func (j *Judge) Clients() []*Client { return j.clients }
--- a/balance/hitters/judge.go
+++ b/balance/hitters/judge.go
@@ -1,9 +1,7 @@
 package hitters
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -79,17 +77,8 @@
 	if float64(f.served) >= sent*nearlyAll {
 		served = float64(f.served) * more
 	}
-	slices.SortFunc(clients, func(x, y tally) int { return cmp.Compare(x.sum, y.sum) })
-	left, level := served-max(rest, 0), math.Inf(1)
-	for i, t := range clients {
-		if each := left / float64(len(clients)-i); each < float64(t.sum) {
-			level = each
-			break
-		}
-		left -= float64(t.sum)
-	}
 	// Danger: by a total that is not true, or where the others ask for all, it would be left with nothing.
-	level = max(level, leastKept*j.set.Low*served)
+	level := max(maxMin(served-max(rest, 0), clients), leastKept*j.set.Low*served)
 	for _, t := range clients {
 		j.client(t.key).Keep = min(1, level/max(float64(t.sum), 1))
 	}
@@ -106,6 +95,7 @@
 		c.credit--
 		return 0, false
 	}
-	spread := float64((request^key)*0x9e3779b97f4a7c15>>11) / (1 << 53) // Fibonacci hashing (Knuth)
+	j.yielded++
+	spread := float64((request^key^j.set.Origin)*0x9e3779b97f4a7c15>>11) / (1 << 53) // Fibonacci hashing (Knuth)
 	return backAfter + time.Duration(spread*float64(backAfter)), true
 }
--- a/balance/hitters/judge_test.go
+++ b/balance/hitters/judge_test.go
@@ -22,7 +22,7 @@
 }
 
 func judge(t interface{ Fatal(...any) }) *Judge {
-	j, err := New(set)
+	j, err := New(&set)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/balance/hitters/model_test.go
+++ b/balance/hitters/model_test.go
@@ -85,7 +85,7 @@
 	var sides, all float64
 	for i := range side {
 		settings.Origin = uint64(i + 1)
-		side[i], _ = New(settings)
+		side[i], _ = New(&settings)
 		traffic[i] = math.Exp(0.8 * rng.NormFloat64())
 		sides += traffic[i]
 	}
@@ -271,7 +271,8 @@
 
 // full returns a Judge with as much to hold as it can have from some origins, and those words.
 func full(origins int) (*Judge, []News) {
-	j, _ := New(Defaults())
+	settings := Defaults()
+	j, _ := New(&settings)
 	words := make([]News, origins)
 	for i := range words {
 		r := Report{Total: 1_000_000, Requests: 100, Served: whole, Named: mostKeys}
--- a/balance/hitters/summary_test.go
+++ b/balance/hitters/summary_test.go
@@ -41,7 +41,7 @@
 // TestStrangersKeys floods a sidecar with a million clients, some nameless or with long names, beside one with a tenth
 // of the work: it is named, and memory stays.
 func TestStrangersKeys(t *testing.T) {
-	j, err := New(Defaults())
+	j, err := New(&set)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,11 @@
 package balance
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+
+	"gradeusher.example/gradeusher/balance/hitters"
+)
 
 // Balancer makes the decisions of one sidecar.
 type Balancer struct {
@@ -26,19 +31,25 @@
 	byHand     map[string]Time // ids that staff took out, and since when
 	panicking  bool            // so much is ejected that the fault is likely ours
 	subscribed bool
-	tight      Time // until then lesser classes give way
-	refusals   int  // of discovery calls, in a row
+	tight      Time           // until then lesser classes give way
+	refusals   int            // of discovery calls, in a row
+	hitters    *hitters.Judge // nil: off
 }
 
+// Hitters is what is known of clients that ask for much; nil without Settings.Hitters. The host tells it what the
+// other sidecars told, and ends its windows.
+func (b *Balancer) Hitters() *hitters.Judge { return b.hitters }
+
 // request is a request that is not over, or has attempts out.
 type request struct {
 	Request
 	class    *Class
 	deadline Time
-	over     bool // beyond its tenant's allowance
-	ended    bool // has its final answer
-	spent    bool // part of its body is gone: it cannot be sent again
-	out      int  // attempts without a result
+	over     bool          // beyond its tenant's allowance
+	ended    bool          // has its final answer
+	spent    bool          // part of its body is gone: it cannot be sent again
+	took     time.Duration // its answer; 0: it has none
+	out      int           // attempts without a result
 	attempts []attempt
 }
 
