--- a/balance/signals/signals_test.go
+++ b/balance/signals/signals_test.go
@@ -161,18 +161,21 @@
 		}
 		return v
 	}
-	uses := []Use{{rooms[0], 8}, {rooms[1], 3}}
+	uses, even := []Use{{rooms[0], 8}, {rooms[1], 3}}, []Use{{rooms[0], 8}, {rooms[1], 8}}
 	for name, c := range map[string]struct {
+		uses     []Use
 		verdicts []Verdict
 		judged   int
 	}{
-		"one":                {down(rooms[0], 1), 1},
-		"four of eleven":     {down(rooms[0], 4), 4},
-		"five of eleven":     {down(rooms[0], 5), 0},
-		"two of three there": {down(rooms[1], 2), 0},
-		"where it uses none": {down(rooms[2], 1), 0},
+		"one":                {uses, down(rooms[0], 1), 1},
+		"four of eleven":     {uses, down(rooms[0], 4), 4},
+		"five of eleven":     {uses, down(rooms[0], 5), 0},
+		"two of three there": {uses, down(rooms[1], 2), 0},
+		"where it uses none": {uses, down(rooms[2], 1), 0},
+		"six of sixteen":     {even, append(down(rooms[0], 3), down(rooms[1], 3)...), 6},
+		"seven of sixteen":   {even, append(down(rooms[0], 3), down(rooms[1], 4)...), 0},
 	} {
-		r := Report{Uses: uses, Verdicts: c.verdicts}
+		r := Report{Uses: c.uses, Verdicts: c.verdicts}
 		b := NewBook(rooms[0], bound)
 		for i := range 5 {
 			r.Room = rooms[i%2]
--- a/balance/signals/types.go
+++ b/balance/signals/types.go
@@ -1,5 +1,15 @@
 // Package signals makes verdicts on servers of what many sidecars say that they saw. It is pure: no clock, no I/O, and the
 // same news gives the same verdicts in whatever order it comes. A Book must not be used by two goroutines at once.
+//
+// Promises, whatever order, repeats and losses news comes in:
+//
+//  1. A verdict stands on 3 or more origins that are members, each with what it last said, no older than the bound, on faults
+//     of its own no older than 8 s; from 2 or more rooms, or all from the reader's own.
+//  2. So one origin, whatever it says, and of whatever rooms, neither makes a verdict that two sound ones would not be part
+//     of, nor takes one away that rests on three others.
+//  3. A witness that condemns over 0.4 of what it uses, or over half of one room, is likely cut off: it counts nowhere.
+//  4. A verdict is over a bound after its witnesses fall silent, 8 s after the last fault that any of them saw, or with the
+//     server's process. No message ends it but what its witnesses themselves say next.
 package signals
 
 import (
