The sidecar tells clients apart by a header, and says whom it holds for heavy

Without it nothing is read, counted or written. It judges on its own part until members carry the reports.

go test -race -count=3 -run 'Hitters|Heavy' ./internal/sidecar: a flood of two thirds is held for heavy, by name, and nobody else; bad configurations are refused with the field named.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -35,6 +35,8 @@
 	message
 	class    int
 	tenant   int
+	client   uint64    // its key, with Hitters
+	name     string    // and its name
 	booked   int       // bytes of the body
 	deadline time.Time // the final answer is due; zero: the body is still coming
 	answered chan answer
@@ -79,7 +81,10 @@
 	h.last++
 	c.number = h.last
 	h.calls[c.number] = c
-	r := balance.Request{ID: c.number, Class: c.class, Tenant: c.tenant, Within: c.wait, Coming: c.rest != nil}
+	r := balance.Request{ID: c.number, Class: c.class, Tenant: c.tenant, Within: c.wait, Coming: c.rest != nil, Client: c.client}
+	if j := h.balancer.Hitters(); j != nil {
+		j.Name(c.client, c.name)
+	}
 	if !r.Coming {
 		r.Within = c.deadline.Sub(h.origin) - h.now
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -24,6 +24,7 @@
 	Listen    string   // where the application connects
 	Discovery string   // where discovery, or its agent on this machine, listens; "": nowhere, with Keepers
 	Keepers   *Keepers // who hold the list, in place of Discovery; nil: nobody does
+	Hitters   *Hitters // clients that ask for much give way; nil: they do not
 	Control   string   // where operators call; "": nowhere
 	Common    string   // a folder that outlives a process; "": none
 	Inherited int      // descriptor of the listening socket that the platform holds; 0: none
@@ -71,6 +72,7 @@
 	Known    *json.RawMessage
 	Settings json.RawMessage
 	Keepers  *keepersFile
+	Hitters  *hittersFile
 }
 
 // keepersFile is the form of what the file says of keepers. What is left out is the client's default.
@@ -185,6 +187,9 @@
 	if c.Keepers != nil {
 		c.Settings.AskDiscovery = false // they tell without being asked
 	}
+	if c.Hitters, c.Settings.Hitters, err = file.Hitters.config(c.Name); err != nil {
+		return nil, fmt.Errorf("hitters: %w", err)
+	}
 	c.Limits.ConnectTimeout = cmp.Or(c.Limits.ConnectTimeout, defaultConnectTimeout)
 	c.Limits.IdleClose = cmp.Or(c.Limits.IdleClose, defaultIdleClose)
 	if file.Known != nil {
--- /dev/null
+++ b/internal/sidecar/hitters.go
@@ -0,0 +1,137 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"gradeusher.example/gradeusher/balance/hitters"
+)
+
+// kindHitters is the kind of the states, among members, that are reports of package hitters.
+const kindHitters uint8 = 1
+
+// Hitters says by what clients are told apart. How they are judged is in the Balancer's settings.
+type Hitters struct {
+	Header string // of a request, in canonical form
+	Salt   uint64 // of the keys: the same in all sidecars, and unknown to clients
+}
+
+// hittersFile is the form of what the file says of clients that ask for much. What is left out is the default.
+type hittersFile struct {
+	Header *string
+	Salt   string
+	Bars   []float64 // the upper, and the lower
+	Window *float64  `json:"window_s"`
+	Hold   *float64  `json:"hold_s"`
+	Cool   *float64  `json:"cool_s"`
+	Bound  *float64  `json:"bound_s"`
+}
+
+// config reads what the file says. Bounds of the settings are checked where they are used.
+func (file *hittersFile) config(name string) (*Hitters, *hitters.Settings, error) {
+	if file == nil {
+		return nil, nil, nil
+	}
+	h, set := &Hitters{Header: "X-Tenant-Id", Salt: hitters.Key(0, file.Salt)}, hitters.Defaults()
+	set.Origin = h.origin(name)
+	if v := file.Header; v != nil {
+		other := func(r rune) bool { return !(r == '-' || '0' <= r && r <= '9' || 'a' <= r|0x20 && r|0x20 <= 'z') }
+		if *v == "" || strings.ContainsFunc(*v, other) {
+			return nil, nil, fmt.Errorf("header: %.64q is not made of letters, digits and -", *v)
+		}
+		h.Header = http.CanonicalHeaderKey(*v)
+	}
+	if v := file.Bars; v != nil {
+		if len(v) != 2 {
+			return nil, nil, errors.New("bars: not two shares, the upper and the lower")
+		}
+		set.High, set.Low = v[0], v[1]
+	}
+	for _, s := range []struct {
+		name  string
+		given *float64
+		to    *time.Duration
+	}{{"window_s", file.Window, &set.Window}, {"hold_s", file.Hold, &set.Hold}, {"cool_s", file.Cool, &set.Cool}, {"bound_s", file.Bound, &set.Bound}} {
+		if s.given == nil {
+			continue
+		}
+		if *s.to = time.Duration(*s.given * float64(time.Second)); !(*s.given >= 0 && *s.given <= mostWait) {
+			return nil, nil, fmt.Errorf("%s: %v is not from 0 to %d", s.name, *s.given, mostWait)
+		}
+	}
+	if _, err := hitters.New(&set); err != nil {
+		return nil, nil, err
+	}
+	return h, &set, nil
+}
+
+// origin is the name of a sidecar in reports.
+func (h *Hitters) origin(name string) uint64 { return hitters.Key(h.Salt, name) }
+
+// client is who sends a request, by its header: the first, if there are several.
+func (h *Hitters) client(r *http.Request) (key uint64, name string) {
+	if h == nil {
+		return 0, ""
+	}
+	name = r.Header.Get(h.Header)
+	return hitters.Key(h.Salt, name), name
+}
+
+// judgeClients ends the windows of the Balancer's Judge until ctx is done. Each own report goes to tell; nil: nobody is told.
+func (h *host) judgeClients(ctx context.Context, window time.Duration, tell func(kind uint8, payload []byte) error) {
+	tick := time.NewTicker(window)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			h.post(func() { h.rollHitters(tell) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// rollHitters ends a window, and logs whose state has changed. The loop alone calls it.
+func (h *host) rollHitters(tell func(uint8, []byte) error) {
+	own, changed := h.balancer.Hitters().Roll(h.now)
+	for _, c := range changed {
+		level := slog.LevelDebug
+		if c.State == hitters.Heavy || c.State == hitters.Cooling {
+			level = slog.LevelInfo
+		}
+		h.log.Log(h.ctx, level, "client", "state", c.State, "key", fmt.Sprintf("%016x", c.Key), "name", c.Name,
+			"share", fmt.Sprintf("%.3f", c.Share), "above", fmt.Sprintf("%.3f", c.Above), "keep", fmt.Sprintf("%.3f", c.Keep))
+	}
+	if tell == nil {
+		return
+	}
+	if err := tell(kindHitters, own.Report.Append(nil)); err != nil {
+		h.log.Warn("clients", "err", err)
+	}
+}
+
+// heavyInfo adds who is held for heavy to the figures, the share in thousandths, where that is looked for.
+func (s *server) heavyInfo(text *strings.Builder) {
+	var held []hitters.Client
+	var yielded uint64
+	if s.config.Hitters == nil || !s.host.ask(func() {
+		judge := s.host.balancer.Hitters()
+		yielded = judge.Yielded()
+		for _, c := range judge.Clients() {
+			if c.State == hitters.Heavy {
+				held = append(held, *c)
+			}
+		}
+	}) {
+		return
+	}
+	fmt.Fprintf(text, "svc.gave_way:%d|c\nsvc.heavy_clients:%d|g\n", yielded, len(held))
+	for _, c := range held {
+		fmt.Fprintf(text, "svc.heavy_clients.%016x:%d|g\n", c.Key, int(1000*c.Share))
+	}
+}
--- /dev/null
+++ b/internal/sidecar/hitters_test.go
@@ -0,0 +1,79 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/balance/hitters"
+)
+
+func withHitters(config, how string) string {
+	return strings.Replace(config, `"settings":`, fmt.Sprintf(`"hitters":%s,"settings":`, how), 1)
+}
+
+// TestHeavyIsTold floods a sidecar by one client: it is held for heavy by its name, in the log and in INFO, and none else.
+func TestHeavyIsTold(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	c, err := load(t, withHitters(configText(startRegistry(t).address, serving(1, b), testSettings),
+		`{"header":"x-customer","window_s":0.1,"hold_s":0.1,"bound_s":10}`), "PROXY_CONTROL="+freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var log logText
+	p := startLogging(t, c, &log, drainTimes{quiet: time.Millisecond, finish: patience})
+	key := fmt.Sprintf("svc.heavy_clients.%016x:", hitters.Key(hitters.Key(0, ""), "loud"))
+	for end, n := time.Now().Add(patience), 0; ; n++ {
+		r := p.request(context.Background(), "read", "50000")
+		r.Header.Set("X-Customer", "loud")
+		if n%3 == 0 {
+			r.Header.Set("X-Customer", "still-"+strconv.Itoa(n))
+		}
+		if g := p.do(r); g.status != 200 {
+			t.Fatalf("%+v", g)
+		}
+		if n%10 != 0 {
+			continue
+		}
+		text := dialControl(t, c.Control, "INFO\n")
+		if strings.Contains(text, "svc.heavy_clients:1|g\n"+key) && strings.Contains(text, "svc.gave_way:0|c\n") {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("not held for heavy:\n%s\n%s", text, log.String())
+		}
+	}
+	if text := log.String(); !strings.Contains(text, "state=heavy") || !strings.Contains(text, "name=loud") || strings.Contains(text, "still") {
+		t.Errorf("the log:\n%s", text)
+	}
+}
+
+func TestHittersConfig(t *testing.T) {
+	for _, tt := range []struct{ how, wrong string }{
+		{`{}`, ""},
+		{`{"header":"X-Api-Key","salt":"s","bars":[0.1,0.05],"window_s":1,"hold_s":0,"cool_s":3,"bound_s":2,"later":1}`, ""},
+		{`{"header":""}`, "header"},
+		{`{"header":"a: b"}`, "header"},
+		{`{"bars":[0.1]}`, "bars"},
+		{`{"bars":[0.1,0.2]}`, "Low"},
+		{`{"bars":[0.001,0.001]}`, "High"},
+		{`{"window_s":0}`, "Window"},
+		{`{"window_s":3}`, "Bound"},
+		{`{"hold_s":-1}`, "hold_s"},
+		{`{"cool_s":1e99}`, "cool_s"},
+	} {
+		c, err := load(t, withHitters(configText("127.0.0.1:9", "", testSettings), tt.how))
+		switch {
+		case tt.wrong == "" && (err != nil || c.Hitters == nil || c.Settings.Hitters == nil):
+			t.Errorf("%s: %v", tt.how, err)
+		case tt.wrong != "" && (err == nil || !strings.Contains(err.Error(), "hitters: ") || !strings.Contains(err.Error(), tt.wrong)):
+			t.Errorf("%s: %v, want one that names %s", tt.how, err, tt.wrong)
+		}
+	}
+	if c, err := load(t, configText("127.0.0.1:9", "", testSettings)); err != nil || c.Hitters != nil || c.Settings.Hitters != nil {
+		t.Errorf("on without being configured: %v", err)
+	}
+}
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -75,6 +75,9 @@
 			h.tellOut()
 		}
 	}
+	if c.Hitters != nil {
+		h.watchers.Go(func() { h.judgeClients(ctx, c.Settings.Hitters.Window, nil) })
+	}
 	if c.Keepers != nil {
 		return h, h.keep(ctx, c)
 	}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -318,6 +318,7 @@
 	if tenant, ok := s.config.Names.Tenant[r.Header.Get("X-Tenant-Id")]; ok {
 		c.tenant = tenant
 	}
+	c.client, c.name = s.config.Hitters.client(r)
 	c.wait = max(time.Duration(ms)*time.Millisecond-answerMargin, 0)
 	return c, nil
 }
