Sidecars are members of a fleet, and tell each other the work of their clients

With "members" in its configuration (listen, advertise, join, reach, bound_s; PROXY_MEMBERS names whom to join) a sidecar joins the others, logs each new view and adds members, members_epoch and members_place to INFO; without it nothing is linked up. Kinds of news go to whoever takes them in: kind 1 is the report of package hitters, told every window.

go test -race -count=3 -run 'Hitters|Heavy|Members' ./internal/sidecar: of three sidecars the third holds a client for heavy that it never saw, and lets it go once the two that told of it are gone.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -24,6 +24,7 @@
 	Listen    string   // where the application connects
 	Discovery string   // where discovery, or its agent on this machine, listens; "": nowhere, with Keepers
 	Keepers   *Keepers // who hold the list, in place of Discovery; nil: nobody does
+	Members   *Members // how the other sidecars are known; nil: they are not
 	Hitters   *Hitters // clients that ask for much give way; nil: they do not
 	Control   string   // where operators call; "": nowhere
 	Common    string   // a folder that outlives a process; "": none
@@ -72,6 +73,7 @@
 	Known    *json.RawMessage
 	Settings json.RawMessage
 	Keepers  *keepersFile
+	Members  *membersFile
 	Hitters  *hittersFile
 }
 
@@ -187,6 +189,9 @@
 	if c.Keepers != nil {
 		c.Settings.AskDiscovery = false // they tell without being asked
 	}
+	if c.Members, err = file.Members.config(c.Name, getenv("PROXY_MEMBERS")); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
 	if c.Hitters, c.Settings.Hitters, err = file.Hitters.config(c.Name); err != nil {
 		return nil, fmt.Errorf("hitters: %w", err)
 	}
--- a/internal/sidecar/counts.go
+++ b/internal/sidecar/counts.go
@@ -143,6 +143,7 @@
 		{"out_of_rotation", int64(avoided)}} {
 		fmt.Fprintf(&text, "svc.%s:%d|g\n", f.name, f.value)
 	}
+	s.membersInfo(&text)
 	s.heavyInfo(&text)
 	text.WriteString("eof\n")
 	return text.String()
--- a/internal/sidecar/hitters.go
+++ b/internal/sidecar/hitters.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/hitters"
+	"gradeusher.example/gradeusher/internal/members"
 )
 
 // kindHitters is the kind of the states, among members, that are reports of package hitters.
@@ -82,22 +83,22 @@
 	return hitters.Key(h.Salt, name), name
 }
 
-// judgeClients ends the windows of the Balancer's Judge until ctx is done. Each own report goes to tell; nil: nobody is told.
-func (h *host) judgeClients(ctx context.Context, window time.Duration, tell func(kind uint8, payload []byte) error) {
+// judgeClients ends the windows of the Balancer's Judge until ctx is done.
+func (h *host) judgeClients(ctx context.Context, window time.Duration) {
 	tick := time.NewTicker(window)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C:
-			h.post(func() { h.rollHitters(tell) })
+			h.post(h.rollHitters)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// rollHitters ends a window, and logs whose state has changed. The loop alone calls it.
-func (h *host) rollHitters(tell func(uint8, []byte) error) {
+// rollHitters ends a window, logs whose state has changed, and tells the members. The loop alone calls it.
+func (h *host) rollHitters() {
 	own, changed := h.balancer.Hitters().Roll(h.now)
 	for _, c := range changed {
 		level := slog.LevelDebug
@@ -107,14 +108,27 @@
 		h.log.Log(h.ctx, level, "client", "state", c.State, "key", fmt.Sprintf("%016x", c.Key), "name", c.Name,
 			"share", fmt.Sprintf("%.3f", c.Share), "above", fmt.Sprintf("%.3f", c.Above), "keep", fmt.Sprintf("%.3f", c.Keep))
 	}
-	if tell == nil {
+	if h.members == nil {
 		return
 	}
-	if err := tell(kindHitters, own.Report.Append(nil)); err != nil {
+	if err := h.members.Publish(kindHitters, own.Report.Append(nil)); err != nil {
 		h.log.Warn("clients", "err", err)
 	}
 }
 
+// hittersTold takes in the reports of other sidecars. What cannot be read is passed over.
+func (h *host) hittersTold(c *Config) func(members.News) {
+	return func(n members.News) {
+		report, err := hitters.ParseReport(n.Payload)
+		if err != nil {
+			h.log.Debug("clients", "origin", n.Origin, "err", err)
+			return
+		}
+		word := hitters.News{Origin: c.Hitters.origin(n.Origin), Start: n.Start, Seq: n.Seq, Age: n.Age, Report: report}
+		h.post(func() { h.balancer.Hitters().Tell(h.now, word) })
+	}
+}
+
 // heavyInfo adds who is held for heavy to the figures, the share in thousandths, where that is looked for.
 func (s *server) heavyInfo(text *strings.Builder) {
 	var held []hitters.Client
--- a/internal/sidecar/hitters_test.go
+++ b/internal/sidecar/hitters_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"testing"
@@ -77,3 +78,69 @@
 		t.Errorf("on without being configured: %v", err)
 	}
 }
+
+// TestHeavyOverTheFleet floods two of three sidecars by one client, a third of the work of each: the third, which it never
+// calls, holds it for heavy by what they tell. It forgets it when both are gone.
+func TestHeavyOverTheFleet(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	config := func(name, join string) *Config {
+		text := withHitters(configText(startRegistry(t).address, serving(1, b), testSettings), `{"window_s":0.2,"hold_s":0.2}`)
+		text = strings.Replace(text, `"settings":`, fmt.Sprintf(`"members":{"listen":"127.0.0.1:0","join":[%s]},"settings":`, join), 1)
+		c, err := load(t, text, "PROXY_NAME="+name, "PROXY_CONTROL="+freeAddress(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	times := drainTimes{quiet: time.Millisecond, finish: patience}
+	var first logText
+	loud := []*program{startLogging(t, config("n1", ""), &first, times)}
+	at := ""
+	eventually(t, "listening", func() bool {
+		_, after, there := strings.Cut(first.String(), "listening=")
+		at, _, _ = strings.Cut(after, " ")
+		return there
+	})
+	loud = append(loud, startLogging(t, config("n2", strconv.Quote(at)), io.Discard, times))
+	c := config("n3", strconv.Quote(at))
+	third := startLogging(t, c, io.Discard, times)
+	n := 0
+	ask := func(p *program, name string) {
+		r := p.request(context.Background(), "read", "50000")
+		if r.Header.Set("X-Tenant-Id", name); p.do(r).status != 200 {
+			t.Fatal("not served")
+		}
+	}
+	key := fmt.Sprintf("svc.heavy_clients.%016x:", hitters.Key(hitters.Key(0, ""), "loud"))
+	eventually(t, "held for heavy", func() bool {
+		for range 10 {
+			n++
+			ask(third, fmt.Sprintf("still-%d", n))
+			for _, p := range loud {
+				ask(p, "loud")
+				ask(p, fmt.Sprintf("calm-%d", n))
+				ask(p, fmt.Sprintf("quiet-%d", n))
+			}
+		}
+		text := dialControl(t, c.Control, "INFO\n")
+		return strings.Contains(text, "svc.members:3|g\n") && strings.Contains(text, "svc.heavy_clients:1|g\n"+key)
+	})
+	for _, p := range loud {
+		p.stop()
+	}
+	eventually(t, "let go", func() bool {
+		n++
+		ask(third, fmt.Sprintf("still-%d", n))
+		return strings.Contains(dialControl(t, c.Control, "INFO\n"), "svc.heavy_clients:0|g\n")
+	})
+}
+
+// eventually waits until done says so.
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not %s within %v", what, patience)
+		}
+	}
+}
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -9,6 +9,7 @@
 
 	"gradeusher.example/gradeusher/balance"
 	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/members"
 )
 
 // originAge is how far before the program's start the Balancer's clock begins. Danger: it takes a time of 0 or less for long
@@ -25,7 +26,8 @@
 	keepers   *client.Follower // of the list, in place of discovery; nil: there are none
 	handover  *handover
 	leaving   leaving
-	ready     chan struct{} // closed once servers are known
+	members   *members.Members // nil: none are known
+	ready     chan struct{}    // closed once servers are known
 
 	moves    chan string    // addresses to which an agent that pushes moves
 	watchers sync.WaitGroup // of discovery
@@ -75,8 +77,17 @@
 			h.tellOut()
 		}
 	}
+	listen := map[uint8]func(members.News){}
 	if c.Hitters != nil {
-		h.watchers.Go(func() { h.judgeClients(ctx, c.Settings.Hitters.Window, nil) })
+		listen[kindHitters] = h.hittersTold(c)
+	}
+	if c.Members != nil {
+		if err := h.meet(ctx, c, listen); err != nil {
+			return nil, err
+		}
+	}
+	if c.Hitters != nil {
+		h.watchers.Go(func() { h.judgeClients(ctx, c.Settings.Hitters.Window) })
 	}
 	if c.Keepers != nil {
 		return h, h.keep(ctx, c)
--- /dev/null
+++ b/internal/sidecar/members.go
@@ -0,0 +1,93 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/members"
+)
+
+// Members is how a sidecar knows the others. Without it, it is alone.
+type Members struct {
+	Listen    string        // IP address and port, for UDP and TCP
+	Advertise string        // where others reach it; "": at Listen
+	Join      []string      // hosts and ports of any members
+	Reach     string        // this machine reaches every member at this IP address, at the port of its own; "": at its own
+	Bound     time.Duration // news that is older counts for nothing
+}
+
+// membersFile is the form of what the file says of members.
+type membersFile struct {
+	Listen    string
+	Advertise string
+	Join      []string
+	Reach     string
+	Bound     *float64 `json:"bound_s"`
+}
+
+// config reads what the file says; environment, if set, names the members to join instead.
+func (file *membersFile) config(name, environment string) (*Members, error) {
+	if file == nil {
+		if environment != "" {
+			return nil, errors.New("listen: missing")
+		}
+		return nil, nil
+	}
+	m := &Members{Listen: file.Listen, Advertise: file.Advertise, Join: file.Join, Reach: file.Reach}
+	if environment != "" {
+		m.Join = strings.Split(environment, ",")
+	}
+	if v := file.Bound; v != nil {
+		if m.Bound = time.Duration(*v * float64(time.Second)); !(*v > 0 && *v <= mostWait) {
+			return nil, fmt.Errorf("bound_s: %v is not above 0 and at most %d", *v, mostWait)
+		}
+	}
+	if _, err := members.New(m.options(name)); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+func (m *Members) options(name string) members.Options {
+	return members.Options{Name: name, Listen: m.Listen, Advertise: m.Advertise, Join: m.Join, Reach: m.Reach, Bound: m.Bound}
+}
+
+// meet has the host be a member until ctx is done. listen maps the kinds of news to who takes them in; they are called by
+// one goroutine that is not the loop.
+func (h *host) meet(ctx context.Context, c *Config, listen map[uint8]func(members.News)) error {
+	o := c.Members.options(c.Name)
+	o.Log = slog.New(h.log.Handler())
+	o.Told = func(n members.News) {
+		if take := listen[n.Kind]; take != nil {
+			take(n)
+		}
+	}
+	o.Changed = func(v members.View) {
+		h.log.Info("members", "count", v.Count, "place", v.Place, "epoch", v.Epoch)
+	}
+	m, err := members.New(o)
+	if err == nil {
+		err = m.Start(ctx)
+	}
+	if err != nil {
+		return fmt.Errorf("members: %w", err)
+	}
+	h.members = m
+	h.watchers.Go(func() {
+		<-ctx.Done()
+		m.Close()
+	})
+	return nil
+}
+
+// membersInfo adds who is a member to the figures, where that is known.
+func (s *server) membersInfo(text *strings.Builder) {
+	if s.host.members != nil {
+		v := s.host.members.View()
+		fmt.Fprintf(text, "svc.members:%d|g\nsvc.members_epoch:%d|g\nsvc.members_place:%d|g\n", v.Count, v.Epoch, v.Place)
+	}
+}
