--- a/balance/fair.go
+++ b/balance/fair.go
@@ -10,7 +10,7 @@
 	if b.hitters == nil || now >= b.tight {
 		return false
 	}
-	after, yields := b.hitters.Yields(q.Client, uint64(q.ID))
+	after, yields := b.hitters.Yields(now, q.Client, uint64(q.ID))
 	if yields {
 		b.act.Refuse(q.ID, after)
 		b.end(q)
--- a/balance/hitters/judge.go
+++ b/balance/hitters/judge.go
@@ -86,9 +86,9 @@
 
 // Yields tells whether a request of a client is to give way to others, as servers are full, and after which
 // time it may come back. Danger: clients that are told the same time come back together.
-func (j *Judge) Yields(key, request uint64) (after time.Duration, yields bool) {
+func (j *Judge) Yields(now Time, key, request uint64) (after time.Duration, yields bool) {
 	c := j.client(key)
-	if c.State != Heavy {
+	if c.State != Heavy || now-j.open.begun > j.set.Bound { // as after this process was stopped
 		return 0, false
 	}
 	if c.credit += c.Keep; c.credit >= 1 {
--- a/balance/hitters/judge_test.go
+++ b/balance/hitters/judge_test.go
@@ -178,7 +178,7 @@
 			}
 			kept := 0
 			for id := range uint64(1000) {
-				after, yields := j.Yields(c.Key, id)
+				after, yields := j.Yields(now, c.Key, id)
 				if yields != (after >= backAfter && after < 2*backAfter) {
 					t.Fatalf("gives way %v, back after %v", yields, after)
 				}
@@ -186,11 +186,14 @@
 					kept++
 				}
 			}
+			if _, yields := j.Yields(now+set.Bound, c.Key, 1); yields {
+				t.Fatal("one gives way by news that is too old")
+			}
 			if math.Abs(float64(kept)-1000*c.Keep) > 1 {
 				t.Fatalf("%d of 1000 served, want a share of %v", kept, c.Keep)
 			}
 		}
-		if _, yields := j.Yields(77, 1); yields {
+		if _, yields := j.Yields(now, 77, 1); yields {
 			t.Fatal("one that is not heavy gives way")
 		}
 	})
--- a/balance/hitters/model_test.go
+++ b/balance/hitters/model_test.go
@@ -137,7 +137,7 @@
 			if s.one && sure[key] || s.cut && i%2 != i%judges%2 {
 				by = side[i]
 			}
-			_, yields := by.Yields(key, rng.Uint64())
+			_, yields := by.Yields(now, key, rng.Uint64())
 			yields = yields && now < fullTo
 			served := !yields && rng.Float64() < passing
 			if !yields {
@@ -340,7 +340,7 @@
 				j.Tell(now, n)
 			}
 			for k := range uint64(500) {
-				j.Yields(k, k)
+				j.Yields(now, k, k)
 				j.Count(k+uint64(now), time.Millisecond, true)
 			}
 			j.Roll(now)
