--- a/cmd/gradeusher/main_test.go
+++ b/cmd/gradeusher/main_test.go
@@ -198,7 +198,8 @@
 // TestFaults has every kind of fault happen to real processes: each takes effect in time, and the program keeps the rules.
 func TestFaults(t *testing.T) {
 	t.Parallel()
-	for file, notSeen := range map[string][]string{"testdata/faults.toml": {"linearizable", "revisions", "told-all"}, "testdata/keepers.toml": nil} {
+	for file, notSeen := range map[string][]string{"testdata/faults.toml": {"linearizable", "revisions", "told-all"}, "testdata/keepers.toml": nil,
+		"testdata/peers.toml": {"drained", "cold", "linearizable", "revisions", "told-all"}} {
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			t.Parallel()
 			testFaults(t, file, notSeen)
@@ -236,8 +237,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if n := r.Figures["members_packets"]; f.Members.On != (n > 0) {
+		t.Errorf("%v packets a second and sidecar go between sidecars", n)
+	}
 	for i := range f.Faults {
-		if !seen[i] {
+		if !seen[i] && f.Faults[i].On != "clients" { // those are arrivals of the plan
 			t.Errorf("fault %d, %s, took no effect", i, f.Faults[i].Do)
 		}
 	}
--- a/cmd/gradeusher/standin.go
+++ b/cmd/gradeusher/standin.go
@@ -19,6 +19,7 @@
 
 	Keeper   plainKeeperCommand `cmd:"" help:"A list service that agrees with nobody."`
 	Relay    relayCommand       `cmd:"" help:"The network in front of keepers."`
+	Peers    peersCommand       `cmd:"" help:"The network between sidecars."`
 	Watchers watchersCommand    `cmd:"" help:"Clients that watch the list."`
 
 	Janitor janitorCommand `cmd:"" help:"Removes an experiment's folder when the lab is gone."`
@@ -59,6 +60,13 @@
 	return standin.Relay(s.in, s.out, c.Sidecars, c.Readers, c.Told, c.Shown)
 }
 
+type peersCommand struct {
+	Gossip string `help:"File for what sidecars say to each other, by the second." required:""`
+}
+
+// Run obeys until standard input ends.
+func (c peersCommand) Run(s streams) error { return standin.Peers(s.in, s.out, c.Gossip) }
+
 type watchersCommand struct {
 	Of []string `help:"The keepers of one client, with slashes."`
 }
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -27,9 +27,10 @@
 	Runs     [][]Run // of each sidecar: its processes, in order
 	Peaks    []Peak  // of each sidecar
 	Lateness time.Duration
-	Shown    []ctl.Shown // what keepers wrote to readers
-	Wrote    []ctl.Wrote // what the lab's own clients of keepers did
-	Last     Last        // of the keepers
+	Shown    []ctl.Shown  // what keepers wrote to readers
+	Wrote    []ctl.Wrote  // what the lab's own clients of keepers did
+	Last     Last         // of the keepers
+	Gossip   []ctl.Gossip // what sidecars said to each other, a second each
 
 	Kills       []int64 // of keepers
 	KeeperPeaks []KeeperPeak
--- a/internal/lab/check/figures.go
+++ b/internal/lab/check/figures.go
@@ -139,6 +139,7 @@
 	e.spreadFigures(f, course)
 	e.churnFigure(f)
 	e.refusals(f, course)
+	e.gossip(f)
 	worst = 1.0
 	for i := range max(1, n-worstSeconds+1) {
 		var s sum
--- /dev/null
+++ b/internal/lab/check/gossip.go
@@ -0,0 +1,20 @@
+package check
+
+import "time"
+
+// gossip figures are what a sidecar's peers sent it a second while the load ran, with what links lost left out: packets, and bytes of
+// packets and streams without their heads. They are left out where sidecars do not know each other.
+func (e *Evidence) gossip(f Figures) {
+	end := e.Start + int64(e.Plan.File.Seconds*float64(time.Second))
+	packets, bytes, seconds := int64(0), int64(0), 0
+	for _, g := range e.Gossip {
+		if g.At > e.Start+int64(time.Second) && g.At <= end {
+			packets, bytes, seconds = packets+g.Packets, bytes+g.Bytes+g.StreamBytes, seconds+1
+		}
+	}
+	if seconds == 0 {
+		return
+	}
+	each := float64(seconds) * float64(len(e.Plan.Sidecars))
+	f["members_packets"], f["members_bytes"] = float64(packets)/each, float64(bytes)/each
+}
--- a/internal/lab/config.go
+++ b/internal/lab/config.go
@@ -12,7 +12,7 @@
 
 // sidecarConfig is the file that PROXY_CONFIG of a sidecar names (DEPLOY, "What a sidecar is told"), with the settings by
 // their names on the wire (WIRE).
-func sidecarConfig(p *plan.Plan, i int, listen, discovery string, seed uint64, known []ctl.Entry, keepers []string) ([]byte, error) {
+func sidecarConfig(p *plan.Plan, i int, listen, discovery string, seed uint64, known []ctl.Entry, keepers []string, members map[string]any) ([]byte, error) {
 	type object = map[string]any
 	f := p.File
 	s := p.Sidecars[i]
@@ -49,6 +49,15 @@
 		delete(whole, "known") // they tell it
 		whole["keepers"] = object{"addresses": keepers, "reach": link.Near(i).String(), "doubt_share": f.Keepers.DoubtShare}
 	}
+	if members != nil {
+		whole["members"] = members
+	}
+	for key, v := range f.Config {
+		if _, own := whole[key]; own {
+			return nil, fmt.Errorf("configuration of %s: the lab tells %s by itself", s.Name, key)
+		}
+		whole[key] = v
+	}
 	text, err := json.Marshal(whole)
 	if err != nil {
 		return nil, fmt.Errorf("configuration of %s: %w", s.Name, err)
--- a/internal/lab/ctl/ctl.go
+++ b/internal/lab/ctl/ctl.go
@@ -98,6 +98,15 @@
 	At      int64  `json:"t"` // when it was written whole
 }
 
+// Gossip is what sidecars said to each other since the last one.
+type Gossip struct {
+	At          int64 `json:"t"`
+	Packets     int64 `json:"p"`
+	Bytes       int64 `json:"b"` // of packets, without their heads
+	Streams     int64 `json:"s"`
+	StreamBytes int64 `json:"c"`
+}
+
 // Wrote is one write or read that a client of the keepers made, by the content that it wrote or found.
 type Wrote struct {
 	Client int    `json:"c"`
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -39,6 +39,7 @@
 	specs   map[string]*model.Spec
 	list    *listProcess // the platform's; nil: keepers hold it
 	keepers *keepers     // nil: there are none
+	peers   *peers       // nil: sidecars do not know each other
 	writers *writers
 
 	mu       sync.Mutex
@@ -74,6 +75,11 @@
 	if err := f.startHosts(); err != nil {
 		return f, err
 	}
+	if p.File.Members.On {
+		if err := f.startPeers(); err != nil {
+			return f, err
+		}
+	}
 	if f.keepers != nil {
 		err = f.fillKeepers(ctx)
 	} else {
@@ -184,6 +190,9 @@
 		end(c)
 	}
 	end(f.list.current())
+	if f.peers != nil {
+		end(f.peers.relay)
+	}
 	if f.keepers != nil { // from the clients to the network
 		end(f.keepers.watchers)
 		f.keepers.finish()
@@ -218,6 +227,9 @@
 		if f.keepers != nil {
 			f.keepers.leave()
 		}
+		if f.peers != nil {
+			f.peers.leave()
+		}
 	})
 	f.starter.Close()
 }
--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -27,6 +27,7 @@
 	Delay  time.Duration    `json:"delay"`  // one way
 	Jitter time.Duration    `json:"jitter"` // added to it, evenly from 0; the order is kept
 	Rate   int              `json:"rate"`   // bytes a second, each way; 0: unbounded
+	Loss   float64          `json:"loss"`   // share of the packets that do not arrive, each way; what a stream loses comes late
 }
 
 func (s State) plain() bool { return s == State{} }
@@ -61,12 +62,31 @@
 	return l.state, l.changed
 }
 
+// sentAgain is how late what a stream has lost arrives: the least time after which Linux sends it again (TCP_RTO_MIN).
+const sentAgain = 200 * time.Millisecond
+
 func (l *Link) due(now int64) int64 {
 	s, _ := l.State()
+	now += int64(s.wait())
+	if s.Loss > 0 && rand.Float64() < s.Loss {
+		now += int64(sentAgain)
+	}
+	return now
+}
+
+// wait draws how long the way takes.
+func (s State) wait() time.Duration {
 	if s.Jitter > 0 {
-		return now + int64(s.Delay) + rand.Int64N(int64(s.Jitter))
+		return s.Delay + rand.N(s.Jitter)
 	}
-	return now + int64(s.Delay)
+	return s.Delay
+}
+
+// Packet draws what becomes of a packet to the far end: how long it takes, or, where passes is false, that it is lost. Packets
+// may overtake each other.
+func (l *Link) Packet() (wait time.Duration, passes bool) {
+	s, _ := l.State()
+	return s.wait(), !s.Hold[ToFar] && (s.Loss <= 0 || rand.Float64() >= s.Loss)
 }
 
 // Reset ends all connections of the link at once, as by a machine that came back and knows none of them.
--- a/internal/lab/link/listen.go
+++ b/internal/lab/link/listen.go
@@ -74,17 +74,28 @@
 	cut      bool
 }
 
+// onLoopback keeps a socket that is bound to every address to those of loopback.
+var onLoopback = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+	var inner error
+	err := c.Control(func(fd uintptr) { inner = unix.SetsockoptString(int(fd), unix.SOL_SOCKET, unix.SO_BINDTODEVICE, "lo") })
+	if err == nil {
+		err = inner
+	}
+	return err
+}}
+
+// ListenPackets takes packets at a port of every loopback address, and of no other interface.
+func ListenPackets(port int) (*net.UDPConn, error) {
+	c, err := onLoopback.ListenPacket(context.Background(), "udp4", fmt.Sprintf("0.0.0.0:%d", port))
+	if err != nil {
+		return nil, fmt.Errorf("link: %w", err)
+	}
+	return c.(*net.UDPConn), nil
+}
+
 // Listen listens at a port; 0: any that is free.
 func Listen(port int) (*Listener, error) {
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var inner error
-		err := c.Control(func(fd uintptr) { inner = unix.SetsockoptString(int(fd), unix.SOL_SOCKET, unix.SO_BINDTODEVICE, "lo") })
-		if err == nil {
-			err = inner
-		}
-		return err
-	}}
-	l, err := config.Listen(context.Background(), "tcp4", fmt.Sprintf("0.0.0.0:%d", port))
+	l, err := onLoopback.Listen(context.Background(), "tcp4", fmt.Sprintf("0.0.0.0:%d", port))
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
--- a/internal/lab/links.go
+++ b/internal/lab/links.go
@@ -78,6 +78,7 @@
 	state.Hold[link.ToFar] = state.Hold[link.ToFar] || e.HoldFar
 	state.Hold[link.ToNear] = state.Hold[link.ToNear] || e.HoldNear
 	state.Delay += e.Delay
+	state.Loss = max(state.Loss, e.Loss)
 	state.Jitter = max(state.Jitter, e.Jitter)
 	if e.Rate > 0 && (state.Rate == 0 || e.Rate < state.Rate) {
 		state.Rate = e.Rate
--- a/internal/lab/plan/fault.go
+++ b/internal/lab/plan/fault.go
@@ -10,7 +10,7 @@
 	Do      string   `toml:"do"`
 	At      float64  `toml:"at"`
 	For     float64  `toml:"for"`
-	On      string   `toml:"on"`      // "sidecars", "servers", "list" or "keepers", where do leaves a choice
+	On      string   `toml:"on"`      // "sidecars", "servers", "list", "keepers", "clients" or "peers" (links between sidecars), where do leaves a choice
 	Zone    string   `toml:"zone"`    // only those of it
 	Part    float64  `toml:"part"`    // this share of them, drawn; 0: all
 	Count   int      `toml:"count"`   // or this many
@@ -37,7 +37,7 @@
 }
 
 var processes = []string{"sidecars", "list", "keepers"}
-var links = []string{"servers", "list", "keepers"}
+var links = []string{"servers", "list", "keepers", "peers"}
 
 // faultKinds are the faults there are.
 var faultKinds = map[string]faultKind{
@@ -57,6 +57,7 @@
 	"reset":         {on: links, keys: []string{"from"}},                                                            // connections are reset
 	"half-open":     {on: links, keys: []string{"from"}},                                                            // far ends forget their connections without a word
 	"trickle":       {on: links, lasts: true, size: [2]float64{1, 1e9}, keys: []string{"from"}},                     // links pass size bytes a second
+	"loss":          {on: links, lasts: true, size: [2]float64{0.001, 1}, keys: []string{"from"}},                   // links lose the share size of packets
 	"list-late":     {on: []string{"list"}, lasts: true, size: [2]float64{0.01, 3600}},                              // the list tells everything size seconds later
 	"list-old":      {on: []string{"list"}, lasts: true},                                                            // the list is an old one
 	"list-cut":      {on: []string{"list"}, lasts: true},                                                            // the list breaks off half way
@@ -108,6 +109,8 @@
 		return f.bad("fault", i, "count", "count %d is below 0", t.Count)
 	case t.On == "keepers" && f.Keepers.Count == 0:
 		return f.bad("fault", i, "on", "there are no keepers: [keepers] needs count")
+	case t.On == "peers" && !f.Members.On:
+		return f.bad("fault", i, "on", "sidecars do not know each other: [members] needs on")
 	case t.On == "list" && f.Keepers.Count > 0:
 		return f.bad("fault", i, "on", "keepers hold the list: on = \"keepers\"")
 	case t.On == "keepers" && t.Zone != "":
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -23,10 +23,13 @@
 	Limits  Limits  `toml:"limits"`
 	List    List    `toml:"list"`
 	Keepers Keepers `toml:"keepers"`
-	Kinds   []Kind  `toml:"kind"`
-	Classes []Class `toml:"class"`
-	Faults  []Fault `toml:"fault"`
-	Bars    []Bar   `toml:"bar"`
+	Members Members `toml:"members"`
+	// Config is written into each sidecar's configuration as it stands, beside what the lab tells it.
+	Config  map[string]any `toml:"config"`
+	Kinds   []Kind         `toml:"kind"`
+	Classes []Class        `toml:"class"`
+	Faults  []Fault        `toml:"fault"`
+	Bars    []Bar          `toml:"bar"`
 
 	Path string `toml:"-"`
 	Name string `toml:"-"` // of the file, without folder and ending
@@ -96,6 +99,12 @@
 	Watchers   int     `toml:"watchers"`    // clients besides the sidecars that only watch
 }
 
+// Members is whether sidecars know each other.
+type Members struct {
+	On      bool    `toml:"on"`
+	BoundMS float64 `toml:"bound_ms"` // news that is older counts for nothing
+}
+
 // Kind is a kind of server (BRIEF).
 type Kind struct {
 	Name  string     `toml:"name"`
@@ -133,6 +142,7 @@
 		Limits: Limits{AnswerSlackMS: 500, DrainGraceMS: 300, SlackMS: 50, MemoryMB: 192, Descriptors: 1024,
 			LatenessMS: 5},
 		List:    List{NoticeS: [2]float64{0.66, 3.9}, AddS: [2]float64{0.25, 2.6}, SilentS: [2]float64{6.5, 13}},
+		Members: Members{BoundMS: 2000},
 		Keepers: Keepers{Program: "keeper", LeaseS: 3, GraceS: 3, Share: 0.3, Snapshot: 4096, Writers: 4, Keys: 4, DoubtShare: 0.3, Cache: true},
 	}
 }
@@ -170,6 +180,7 @@
 	"late_refusals", "p50_ms", "p99_ms", "p999_ms", "connections", "lateness_p99_ms", "requests",
 	"writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "told_p50_ms", "told_p99_ms", "watches", "watches_whole",
 	"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s",
+	"members_packets", "members_bytes",
 	"keeper_mb", "keeper_cores", "failover_p50_ms", "failover_most_ms"}
 
 // Flaws of the stand-in sidecar, for the controls; "" is none.
@@ -297,6 +308,7 @@
 		{"load", "clients", float64(f.Load.Clients), 0, 1 << 20},
 		{"load", "skew", f.Load.Skew, 0, 5},
 		{"load", "work_part", f.Load.WorkPart, 0.001, 10},
+		{"members", "bound_ms", f.Members.BoundMS, 1, 3600000},
 		{"keepers", "count", float64(f.Keepers.Count), 0, 7},
 		{"keepers", "lease_s", f.Keepers.LeaseS, 1, 3600},
 		{"keepers", "grace_s", f.Keepers.GraceS, 0, 3600},
@@ -335,6 +347,8 @@
 		return f.bad("keepers", -1, "count", "%d keepers: an odd number agrees", f.Keepers.Count)
 	case f.Keepers.Count > 0 && f.Fleet.Program == "plain":
 		return f.bad("fleet", -1, "program", "the plain sidecar knows no keepers")
+	case f.Members.On && f.Fleet.Program == "plain":
+		return f.bad("fleet", -1, "program", "the plain sidecar knows no members")
 	case f.Keepers.Program != "keeper" && f.Keepers.Program != "plain":
 		return f.bad("keepers", -1, "program", "program %q is neither keeper nor plain", f.Keepers.Program)
 	case f.Keepers.Flaw != "" && f.Keepers.Program != "plain":
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -140,10 +140,11 @@
 	State   string        // tell
 	Mode    string
 	By      time.Duration // clock, late
-	Nears   []int         // link faults; none: all
+	Nears   []int         // link faults; none: all. Of peers: the sidecars meant
+	Peers   bool          // link faults: of the links between sidecars
 	Effect  LinkEffect    // that begins or ends
 	On      bool          // link: it begins
-	From    string        // link of a keeper: "peers", "clients", or ""
+	From    string        // link of a keeper: "peers", "clients", or ""; of peers: the zone of the others, or ""
 	Group   int           // link: whose calls are cut off; below 0: nobody's
 }
 
@@ -152,6 +153,7 @@
 	HoldFar, HoldNear bool
 	Delay, Jitter     time.Duration
 	Rate              int
+	Loss              float64
 }
 
 // stream is a source of random numbers of its own, so that a change of one draw moves no other.
--- a/internal/lab/plan/steps.go
+++ b/internal/lab/plan/steps.go
@@ -185,7 +185,7 @@
 		return d.comeAndGo(t)
 	case "roll":
 		return d.roll(t, at)
-	case "delay", "silence", "partition", "trickle", "reset", "half-open":
+	case "delay", "silence", "partition", "trickle", "loss", "reset", "half-open":
 		return d.links(t, at, end)
 	case "deploy":
 		return d.deploy(t, at)
@@ -294,6 +294,9 @@
 	if t.On == "keepers" {
 		return d.keeperLinks(t, at, end)
 	}
+	if t.On == "peers" {
+		return d.peerLinks(t, at, end)
+	}
 	group := -1
 	var nears []int
 	if t.From != "" {
@@ -353,6 +356,8 @@
 		e.HoldFar, e.HoldNear = true, true
 	case "trickle":
 		e.Rate = int(t.Size)
+	case "loss":
+		e.Loss = t.Size
 	}
 	return e
 }
@@ -381,6 +386,34 @@
 	return nil
 }
 
+// peerLinks draws a fault of the links between sidecars: of those chosen, to all others or to those of a zone. Far is who is
+// chosen: "to-far" is what he hears, whoever called.
+func (d *drawer) peerLinks(t *Fault, at, end time.Duration) error {
+	var chosen []int
+	for i, s := range d.Sidecars { // also who joins later: a link is between places
+		if t.Zone == "" || s.Zone == t.Zone {
+			chosen = append(chosen, i)
+		}
+	}
+	chosen, err := choose(d.r, t, chosen, func(i int) string { return d.Sidecars[i].Name })
+	if err != nil {
+		return err
+	}
+	s := Step{At: at, Do: Link, Sidecar: ListIndex, Peers: true, Nears: chosen, From: t.From, Effect: t.effect(), On: true}
+	switch t.Do {
+	case "reset":
+		s.Do = Reset
+	case "half-open":
+		s.Do = Forget
+	}
+	d.step(s)
+	if s.Do == Link {
+		s.At, s.On = end, false
+		d.step(s)
+	}
+	return nil
+}
+
 func (d *drawer) tell(at time.Duration, uid, state string) {
 	if d.File.Keepers.Count > 0 {
 		return // servers tell the keepers by themselves
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -214,6 +214,12 @@
 		}
 		e.Attempts = append(e.Attempts, all...)
 	}
+	if f.peers != nil {
+		var err error
+		if e.Gossip, err = ctl.ReadRecords[ctl.Gossip](f.records("gossip", 0)); err != nil {
+			return err
+		}
+	}
 	lists := 1 // the relay's
 	if f.list != nil {
 		lists = f.list.n
@@ -243,7 +249,7 @@
 
 // keep leaves what clients and servers saw in the report's folder.
 func keep(out string, e *check.Evidence, work string) error {
-	for _, pattern := range []string{"requests.jsonl", "attempts-*.jsonl", "told-*.jsonl", "shown-*.jsonl", "writes.jsonl"} { // of an experiment before
+	for _, pattern := range []string{"requests.jsonl", "attempts-*.jsonl", "told-*.jsonl", "shown-*.jsonl", "gossip-*.jsonl", "writes.jsonl"} { // of an experiment before
 		old, err := filepath.Glob(filepath.Join(out, pattern))
 		if err != nil {
 			return err
--- a/internal/lab/sidecars.go
+++ b/internal/lab/sidecars.go
@@ -43,7 +43,11 @@
 	} else {
 		discovery = f.listAddress(s.index)
 	}
-	text, err := sidecarConfig(f.plan, s.index, s.address(), discovery, seed, f.known, keepers)
+	var members map[string]any
+	if f.peers != nil {
+		members = f.peers.config(s.index)
+	}
+	text, err := sidecarConfig(f.plan, s.index, s.address(), discovery, seed, f.known, keepers, members)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/standin/list_test.go
+++ b/internal/lab/standin/list_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 
@@ -144,6 +145,16 @@
 	}
 	o.learn("s1", "DELETED")
 	next(t, all)
+	// What is told is noted when it was written, and other watches of the same sidecar note beside this one.
+	for until := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		told, err := ctl.ReadRecords[ctl.Told](records)
+		if err == nil && slices.ContainsFunc(told, func(r ctl.Told) bool { return r.Near == 0 && r.State == "DELETED" }) {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatalf("no end of s1 is noted: %v, %v", told, err)
+		}
+	}
 	if got := next(t, watch(t, port, 0, "&from=99")); got != "4 true s2=SERVING@127.1.0.1:80" {
 		t.Errorf("after a revision that is not yet comes %q", got)
 	}
--- a/internal/lab/standin/relay.go
+++ b/internal/lab/standin/relay.go
@@ -110,10 +110,22 @@
 
 const relayDial = time.Second
 
-// lead passes bytes both ways until either end is through.
+// lead passes a client's bytes both ways until either end is through, and notes what a keeper says of the list.
 func (r *relay) lead(near *link.Conn, index int, keeper, to string) {
+	leadStream(near, to, nil, func(far net.Conn, first string) {
+		if index < r.readers && strings.HasPrefix(first, "GET /v1/servers") {
+			r.listen(near, far, index, keeper, first)
+		} else {
+			pass(near, far)
+		}
+	})
+}
+
+// leadStream passes bytes on to an address, and has back pass on what comes from there, until either end is through. sent, if set,
+// is told how many bytes went there.
+func leadStream(near *link.Conn, to string, sent func(int64), back func(far net.Conn, first string)) {
 	defer near.Close()
-	// Danger: a call that the network holds back must not come up at the keeper either, or it would show there.
+	// Danger: a call that the network holds back must not come up at the far end either, or it would show there.
 	first := make([]byte, 16<<10)
 	n, err := near.Read(first)
 	if err != nil {
@@ -129,21 +141,27 @@
 	both.Add(1)
 	go func() {
 		defer both.Done()
+		all := int64(n)
 		if _, err := far.Write(first[:n]); err == nil {
-			// Danger: the connections' own shorter ways of copying would lead past the link.
-			_, _ = io.Copy(struct{ io.Writer }{far}, struct{ io.Reader }{near}) // how it ends shows at the other end
+			all += pass(far, near)
+		}
+		if sent != nil {
+			sent(all)
 		}
 		far.Close() // which ends the other way
 	}()
-	if index < r.readers && strings.HasPrefix(string(first[:n]), "GET /v1/servers") {
-		r.listen(near, far, index, keeper, string(first[:n]))
-	} else {
-		_, _ = io.Copy(struct{ io.Writer }{near}, struct{ io.Reader }{far})
-	}
+	back(far, string(first[:n]))
 	near.Close() // which ends the first way
 	both.Wait()
 }
 
+// pass copies until either end is through, which shows at the other end. Danger: the connections' own shorter ways of copying
+// would lead past the link.
+func pass(to io.Writer, from io.Reader) int64 {
+	n, _ := io.Copy(struct{ io.Writer }{to}, struct{ io.Reader }{from})
+	return n
+}
+
 // listen passes on what a keeper writes and notes what it says of the list, when that has reached the near end.
 func (r *relay) listen(near *link.Conn, far net.Conn, index int, keeper, request string) {
 	s := ctl.Shown{Near: index, Keeper: keeper, Conn: r.conns.Add(1), Holds: -1}
--- a/internal/lab/steps.go
+++ b/internal/lab/steps.go
@@ -72,6 +72,15 @@
 			}
 			continue
 		}
+		if s.Peers { // of many links at once
+			tasks.Add(1)
+			go func() {
+				defer tasks.Done()
+				at, err := f.peers.step(s)
+				done(s, at, err)
+			}()
+			continue
+		}
 		if s.Do == plan.Link { // of many far ends at once
 			links.Go(func() error {
 				at, err := f.links.set(s)
@@ -128,6 +137,8 @@
 	switch {
 	case plan.OnKeepers(s.Sidecar):
 		return f.keepers.nameOf(s)
+	case s.Peers:
+		return fmt.Sprintf("%d sidecars", len(s.Nears))
 	case s.Server != "":
 		return s.Server
 	case s.Sidecar >= 0:
