Subsets by place and level: each server in runs of near the same traffic

balance/subset: sidecars of like traffic (a level: how often a group is halved for their run) and of one zone are laid evenly once round the group, by their place in an order of hashes, each run on until all servers are in equally many. Without members the run is the one of before, in the order of before. Sidecars that know each other go by a hash of ids, so that neighbours by name that fail together are made up for by many.

Lots of equal subsets (Rocksteadier) need one size for all; levels are its lots.

--- a/balance/health.go
+++ b/balance/health.go
@@ -27,7 +27,7 @@
 	workStep    = 0.05                   // weight of an answer in the mean time of its class
 	overBar     = 0.5                    // bar of requests beyond an allowance, as a share of their class's
 	surely      = 0.5                    // of the time left: a mean answer within it mostly comes in time
-	leastSubset = 4                      // endpoints of a group that a sidecar uses at least: some may fail
+	levelSettle = 2 * memory             // a level stays so long at least: the traffic is known by then
 	leastNear   = 0.001                  // weight of other zones at least: enough to know them
 	shiftStep   = 0.03                   // of the way to go, what a tick moves the weight of other zones
 )
--- a/balance/route.go
+++ b/balance/route.go
@@ -1,11 +1,13 @@
 package balance
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
 
 	"gradeusher.example/gradeusher/balance/routes"
+	"gradeusher.example/gradeusher/balance/subset"
 )
 
 // DefaultRules is the table used where none is given: a group for each zone and kind, weighted by size.
@@ -72,17 +74,22 @@
 	}
 }
 
-// subset takes the part of a group that this sidecar uses: a run of the group's order from its own place on,
-// long enough that each member gets a request within the memory. Danger: a sidecar with little traffic that
-// goes through a large fleet knows none of its servers, and connects to all of them. Places that follow the
-// golden ratio spread any number of sidecars evenly. Members that are ejected are made up for.
+// subset takes the part of a group that this sidecar uses, so long that each member gets a request within
+// the memory. Members that are ejected are made up for. Danger: neighbours by name fail together, and all who
+// make up for them would turn to the next; sidecars that know each other go by an order of hashes.
 func (b *Balancer) subset(g *group, share float64, now Time) {
 	n := len(g.ready)
-	want := max(leastSubset, int(math.Ceil(share*float64(n))))
-	start := int(math.Mod(float64(b.set.Self)*(math.Sqrt(5)-1)/2, 1) * float64(n))
+	first, want := subset.Alone(n, b.set.Self, share)
+	if now >= b.leveled+levelSettle {
+		b.level, b.leveled = subset.Level(share, b.level), now
+	}
+	if b.alike.Of > 0 {
+		slices.SortFunc(g.ready, func(x, y *endpoint) int { return cmp.Compare(x.hash(), y.hash()) })
+		first, want = subset.Among(n, b.level, b.alike.At, b.alike.Of)
+	}
 	g.members = g.members[:0]
 	for i := 0; i < n && want > 0; i++ {
-		e := g.ready[(start+i)%n]
+		e := g.ready[(first+i)%n]
 		g.members = append(g.members, e)
 		if now >= e.until {
 			want--
--- /dev/null
+++ b/balance/subset/model_test.go
@@ -0,0 +1,245 @@
+package subset
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+)
+
+// sidecar of the model: its order among all, and the requests that it has in the memory.
+type sidecar struct {
+	name    float64
+	traffic float64
+	level   int
+}
+
+// draw makes n sidecars with some requests each in the memory on the mean; uneven ones have a coefficient of variation
+// of 1, as on the bench.
+func draw(rng *rand.Rand, n int, mean float64, uneven bool) []sidecar {
+	list := make([]sidecar, n)
+	var sum float64
+	for i := range list {
+		list[i] = sidecar{name: rng.Float64(), traffic: 1}
+		if uneven {
+			list[i].traffic = rng.ExpFloat64()
+		}
+		sum += list[i].traffic
+	}
+	for i := range list {
+		list[i].traffic *= mean * float64(n) / sum
+	}
+	return list
+}
+
+type run struct{ first, length int }
+
+// alone and among are the runs of all sidecars over n servers, by number and by place.
+func alone(list []sidecar, n int) (runs []run) {
+	for i, s := range list {
+		first, length := Alone(n, i, s.traffic/float64(n))
+		runs = append(runs, run{first, min(length, n)})
+	}
+	return runs
+}
+
+func among(list []sidecar, n int) (runs []run) {
+	levels := map[int][]float64{}
+	for i := range list {
+		s := &list[i]
+		s.level = Level(s.traffic/float64(n), s.level)
+		levels[s.level] = append(levels[s.level], s.name)
+	}
+	for _, names := range levels {
+		slices.Sort(names)
+	}
+	for _, s := range list {
+		place, _ := slices.BinarySearch(levels[s.level], s.name)
+		first, length := Among(n, s.level, place, len(levels[s.level]))
+		runs = append(runs, run{first, length})
+	}
+	return runs
+}
+
+// spread is what servers get over the mean: the most, and the 99th percentile; and in how many runs one is.
+func spread(list []sidecar, runs []run, n int) (most, p99, cover float64) {
+	got := make([]float64, n)
+	var sum float64
+	for i, r := range runs {
+		for k := range r.length {
+			got[(r.first+k)%n] += list[i].traffic / float64(r.length)
+		}
+		sum += list[i].traffic
+		cover += float64(r.length) / float64(n)
+	}
+	slices.Sort(got)
+	mean := sum / float64(n)
+	return got[n-1] / mean, got[int(math.Ceil(0.99*float64(n)))-1] / mean, cover
+}
+
+// moved counts the members of a run that are not in the run after a change, for one that knows them by id.
+func moved(before, after run, was, is []string) (gone int) {
+	now := map[string]bool{}
+	for k := range after.length {
+		now[is[(after.first+k)%len(is)]] = true
+	}
+	for k := range before.length {
+		if !now[was[(before.first+k)%len(was)]] {
+			gone++
+		}
+	}
+	return gone
+}
+
+// churn is how many members the runs of the sidecars in both lists lose, on the mean and at most.
+func churn(before, after []run, was, is []string) (mean, most float64) {
+	for i, r := range before {
+		m := float64(moved(r, after[i], was, is))
+		mean, most = mean+m/float64(len(before)), max(most, m)
+	}
+	return mean, most
+}
+
+func servers(n int) (ids []string) {
+	for i := range n {
+		ids = append(ids, fmt.Sprintf("s-%05d", i))
+	}
+	return ids
+}
+
+func byHash(ids []string) []string {
+	ids = slices.Clone(ids)
+	slices.SortFunc(ids, func(a, b string) int {
+		if xxhash.Sum64String(a) < xxhash.Sum64String(b) {
+			return -1
+		}
+		return 1
+	})
+	return ids
+}
+
+// TestFairAndSteady measures runs by place against runs by number. Where under ten runs hold a server, one more or less is
+// a tenth and more. Levels round the length of runs, so there may be up to the root of two more.
+func TestFairAndSteady(t *testing.T) {
+	const seeds = 4
+	for _, size := range []struct {
+		sidecars, servers int
+		mean              float64
+	}{{10, 10, 4}, {10, 100, 60}, {10, 1000, 400}, {100, 10, 5}, {100, 100, 10}, {100, 100, 40}, {100, 1000, 100}, {300, 33, 10},
+		{300, 66, 30}, {300, 200, 20}, {300, 200, 60}, {1000, 10, 4}, {1000, 100, 4}, {1000, 100, 30}, {1000, 1000, 10}, {1000, 1000, 60}} {
+		for _, uneven := range []bool{false, true} {
+			n := size.servers
+			var a, b, joined, listed [3]float64 // sums over the seeds
+			for seed := range uint64(seeds) {
+				rng := rand.New(rand.NewPCG(seed, 1))
+				list := draw(rng, size.sidecars, size.mean, uneven)
+				ids := byHash(servers(n))
+				old, runs := alone(list, n), among(list, n)
+				most, p99, cover := spread(list, old, n)
+				a[0], a[1], a[2] = a[0]+most/seeds, a[1]+p99/seeds, a[2]+cover/seeds
+				most, p99, cover = spread(list, runs, n)
+				b[0], b[1], b[2] = b[0]+most/seeds, b[1]+p99/seeds, b[2]+cover/seeds
+				more := append(slices.Clone(list), sidecar{name: rng.Float64(), traffic: list[rng.IntN(len(list))].traffic})
+				mean, worst := churn(runs, among(more, n), ids, ids)
+				joined[0], joined[1] = joined[0]+mean/seeds, max(joined[1], worst)
+				mean, worst = churn(runs, among(list, n+1), ids, byHash(append(servers(n), fmt.Sprint("new", seed))))
+				listed[0], listed[1] = listed[0]+mean/seeds, max(listed[1], worst)
+			}
+			t.Logf("%4d x %4d, in the memory %3.0f, uneven %5v: alone %.2f p99 %.2f in %5.1f runs; among %.2f p99 %.2f in %5.1f; moved by a sidecar %.2f (%2.0f), by a server %.2f (%2.0f)",
+				size.sidecars, n, size.mean, uneven, a[0], a[1], a[2], b[0], b[1], b[2], joined[0], joined[1], listed[0], listed[1])
+			if b[2] >= 30 && b[0] > 1.15 || b[2] >= 10 && (b[0] > 1.3 || b[1] > 1.25) {
+				t.Errorf("in %.1f runs the servers get up to %.2f of the mean, at p99 %.2f", b[2], b[0], b[1])
+			}
+			if b[0] > a[0]+0.01 || b[2] > math.Sqrt2*a[2] {
+				t.Errorf("by place the servers get %.2f in %.1f runs, by number %.2f in %.1f", b[0], b[2], a[0], a[2])
+			}
+			if 6*size.sidecars >= n && joined[0] >= 2 || listed[0] >= 2 {
+				t.Errorf("one sidecar more moves %.2f members of a run, one server more %.2f; want under 2", joined[0], listed[0])
+			}
+		}
+	}
+}
+
+// TestReleaseMovesItsOwnPart: where a tenth of the servers get new names, which end a sorted list, runs in the order of
+// names shift as a whole; in the order of hashes they lose what is gone.
+func TestReleaseMovesItsOwnPart(t *testing.T) {
+	const n, part = 200, 20
+	list := draw(rand.New(rand.NewPCG(1, 1)), 300, 60, true)
+	was := servers(n)
+	is := servers(n + part)[part:]
+	runs := among(list, n)
+	named, _ := churn(runs, runs, was, is)
+	hashed, _ := churn(runs, runs, byHash(was), byHash(is))
+	var mean float64
+	for _, r := range runs {
+		mean += float64(r.length) / float64(len(runs))
+	}
+	t.Logf("of %.1f members %.1f move in the order of names, %.1f in that of hashes", mean, named, hashed)
+	if hashed > mean*part/n*1.5 || hashed > named/1.5 {
+		t.Errorf("%.1f of %.1f members move, %.1f in the order of names", hashed, mean, named)
+	}
+}
+
+// TestLevelKeepsStillInNoise: a level does not follow the chance in a count of requests that fades by 1/e in 6 s.
+func TestLevelKeepsStillInNoise(t *testing.T) {
+	const n, minutes = 200, 5
+	for _, rate := range []float64{1, 3, 10, 20} {
+		rng := rand.New(rand.NewPCG(uint64(rate), 2))
+		arrived, level, length, levels, lengths := 6*rate, 0, 0, 0, 0
+		for second := range 60 * minutes {
+			arrived *= math.Exp(-1.0 / 6)
+			for at := rng.ExpFloat64(); at < rate; at += rng.ExpFloat64() {
+				arrived++
+			}
+			_, l := Alone(n, 0, arrived/n)
+			lengths += max(l-length, length-l)
+			if length = l; second%12 == 0 {
+				l := Level(arrived/n, level)
+				if l != level && level > 0 {
+					levels++
+				}
+				level = l
+			}
+		}
+		t.Logf("%2.0f requests a second: %3d members come or go a minute by number, %.1f levels", rate, lengths/minutes,
+			float64(levels)/minutes)
+		if levels > 2*minutes {
+			t.Errorf("%d levels in %d minutes", levels, minutes)
+		}
+	}
+}
+
+// TestRunsTile: whatever the sizes, runs of one level are within the group and put each server into equally many, but for
+// one, where they go round it at all.
+func TestRunsTile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, count := rapid.IntRange(1, 1000).Draw(t, "servers"), rapid.IntRange(1, 1000).Draw(t, "count")
+		level := rapid.IntRange(1, mostLevel).Draw(t, "level")
+		in := make([]int, n)
+		shortest := n
+		for place := range count {
+			first, length := Among(n, level, place, count)
+			if first < 0 || first >= n || length < min(n, least) || length > n {
+				t.Fatalf("run of %d from %d of %d servers", length, first, n)
+			}
+			shortest = min(shortest, length)
+			for k := range length {
+				in[(first+k)%n]++
+			}
+		}
+		if low, high := slices.Min(in), slices.Max(in); shortest > least && high > low+1 {
+			t.Fatalf("servers are in %d to %d runs of %d and more", low, high, shortest)
+		}
+	})
+}
+
+// TestNobodyThere: an empty group has an empty run.
+func TestNobodyThere(t *testing.T) {
+	if first, length := Among(0, 3, 0, 0); first != 0 || length != 0 {
+		t.Errorf("run of %d from %d", length, first)
+	}
+}
--- a/balance/subset_test.go
+++ b/balance/subset_test.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// least is how many endpoints of a group an idle sidecar uses.
+const least = 4
+
 // fleet lists n alike endpoints of one group.
 func fleet(n int) (list []Endpoint) {
 	for i := range n {
@@ -37,14 +40,14 @@
 	users := map[string]int{}
 	for self := range peers {
 		b, _ := sidecar(t, self, peers, list)
-		if n := len(b.active); n != leastSubset {
-			t.Fatalf("an idle sidecar uses %d endpoints, want %d", n, leastSubset)
+		if n := len(b.active); n != least {
+			t.Fatalf("an idle sidecar uses %d endpoints, want %d", n, least)
 		}
 		for _, e := range b.active {
 			users[e.ID]++
 		}
 	}
-	mean := peers * leastSubset / servers
+	mean := peers * least / servers
 	for _, e := range list {
 		if n := users[e.ID]; n < mean-2 || n > mean+2 {
 			t.Errorf("%s is used by %d sidecars, want about %d", e.ID, n, mean)
@@ -72,7 +75,7 @@
 	b, h := sidecar(t, 3, 10, fleet(200))
 	first := ids(b.active)
 	for range 2 {
-		for i := range RequestID(leastSubset) {
+		for i := range RequestID(least) {
 			id := RequestID(len(h.logs)*100) + i + RequestID(h.now)
 			if to := ask(b, h, id); to != "" {
 				outcome := Served
