--- a/internal/client/follow.go
+++ b/internal/client/follow.go
@@ -1,23 +1,15 @@
 package client
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
-	"net"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
-
 	"gradeusher.example/gradeusher/internal/list"
 )
 
@@ -41,20 +33,17 @@
 
 // Follower keeps a list by watching one keeper after the other.
 type Follower struct {
-	o       Options
-	reader  *Reader
-	http    *http.Transport
-	fresh   atomic.Int64 // Unix time in ns at which the list was last known to be up to date; 0: never
-	saves   chan list.List
-	moves   chan []string // keepers to go on with
-	second  chan reading  // the answer to a second reading that was asked for
-	asked   time.Time     // when it last was
-	asking  bool
-	tasks   sync.WaitGroup
-	dirty   bool // the list is not saved
-	saved   time.Time
-	next    int  // the keeper that is asked next
-	patient bool // no keeper is in touch: the age is borne
+	rounds
+	o      Options
+	reader *Reader
+	fresh  atomic.Int64 // Unix time in ns at which the list was last known to be up to date; 0: never
+	saves  *saver[list.List]
+	second chan reading // the answer to a second reading that was asked for
+	asked  time.Time    // when it last was
+	asking bool
+	tasks  sync.WaitGroup
+	dirty  bool // the list is not saved
+	saved  time.Time
 }
 
 // Times of a Follower's calls.
@@ -78,10 +67,7 @@
 	if o.SaveWait == 0 {
 		o.SaveWait = defaultSave
 	}
-	// Each begins at a keeper of its own choice, so that they share the watchers.
-	f := &Follower{o: o, reader: NewReader(o.Doubt), saves: make(chan list.List, 1), moves: make(chan []string, 1), second: make(chan reading, 1), next: rand.IntN(len(o.Keepers)),
-		http: &http.Transport{DialContext: (&net.Dialer{Timeout: connectTimeout}).DialContext, DisableCompression: true, DisableKeepAlives: true,
-			ResponseHeaderTimeout: list.Silence}}
+	f := &Follower{rounds: newRounds("list", o.Keepers, o.Log), o: o, reader: NewReader(o.Doubt), second: make(chan reading, 1)}
 	l, age, ok, err := o.Cache.Load(time.Now())
 	if err != nil {
 		o.Log.Warn("list", "err", err)
@@ -104,65 +90,15 @@
 	return time.Since(time.Unix(0, at)), true
 }
 
-// Move has other keepers be followed from now on. Of several moves that come at once the last counts.
-func (f *Follower) Move(keepers []string) error {
-	if err := checkKeepers(keepers); err != nil {
-		return err
-	}
-	for {
-		select {
-		case f.moves <- keepers:
-			return nil
-		default:
-		}
-		select { // one that was not taken yet
-		case <-f.moves:
-		default:
-		}
-	}
-}
-
-// moved takes a move.
-func (f *Follower) moved(keepers []string) {
-	f.o.Keepers, f.next, f.patient = keepers, rand.IntN(len(keepers)), false
-}
-
-var errMoved = errors.New("other keepers are followed")
-
 // Run follows until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval, pause.RandomizationFactor, pause.Multiplier = watchPauseLeast, watchPauseMost, 0.5, 2
 	ctx, cancel := context.WithCancel(ctx)
-	defer f.http.CloseIdleConnections()
-	f.tasks.Add(1)
-	go f.keep()
-	defer f.tasks.Wait()
-	defer close(f.saves)
+	f.saves = newSaver("list", f.o.Log, func(l list.List) error { return f.o.Cache.Save(l, time.Now()) })
+	defer f.saves.close()
 	defer f.save(true)
+	defer f.tasks.Wait()
 	defer cancel()
-	for failed := 0; ; {
-		keeper := f.o.Keepers[f.next%len(f.o.Keepers)]
-		came, after, err := f.watch(ctx, keeper)
-		if ctx.Err() != nil {
-			return
-		}
-		f.o.Log.Info("list", "keeper", keeper, "err", err)
-		f.next++
-		if came || errors.Is(err, errMoved) {
-			pause.Reset()
-			failed = 0
-		}
-		failed++
-		f.patient = failed >= len(f.o.Keepers)
-		wait := max(pause.NextBackOff(), after)
-		if failed < len(f.o.Keepers) && after == 0 { // others have not been asked
-			wait = rand.N(watchPauseLeast)
-		}
-		if !f.wait(ctx, wait) {
-			return
-		}
-	}
+	f.run(ctx, f.watch, f.wait)
 }
 
 // wait passes a time, in which a list that is doubted goes on being looked at.
@@ -188,59 +124,17 @@
 	}
 }
 
-var errStale = errors.New("the keeper is out of touch")
-
-// line is one line of a watch, or why there is none.
-type line struct {
-	text []byte
-	err  error
-}
-
 // watch follows one keeper until it ends or is no good. came: it said something new.
 func (f *Follower) watch(ctx context.Context, keeper string) (came bool, after time.Duration, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	url := "http://" + keeper + "/v1/servers?watch=1&ages=1"
+	path := "/v1/servers?watch=1&ages=1"
 	if f.reader.Rev() >= 0 {
-		url += "&from=" + strconv.FormatInt(f.reader.Rev(), 10) + "&cluster=" + f.reader.Cluster()
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return false, 0, err
+		path += "&from=" + strconv.FormatInt(f.reader.Rev(), 10) + "&cluster=" + f.reader.Cluster()
 	}
-	resp, err := f.http.RoundTrip(req)
+	lines, end, after, err := f.open(ctx, keeper, path)
 	if err != nil {
-		return false, 0, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, 4096)) // what it says is for the log alone
-		return false, retryAfter(resp.Header), fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
+		return false, after, err
 	}
-	lines := make(chan line)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		in := bufio.NewScanner(resp.Body)
-		in.Buffer(nil, list.MostText)
-		send := func(l line) bool {
-			select {
-			case lines <- l:
-				return true
-			case <-ctx.Done():
-				return false
-			}
-		}
-		for in.Scan() {
-			if !send(line{text: bytes.Clone(in.Bytes())}) {
-				return
-			}
-		}
-		send(line{err: errors.Join(errors.New("the watch ended"), in.Err())})
-	}()
-	defer func() { <-ended }()
-	defer cancel()
-	defer resp.Body.Close()
+	defer end()
 	silent := time.NewTimer(list.Silence)
 	defer silent.Stop()
 	tick := time.NewTicker(doubtEvery)
@@ -252,7 +146,7 @@
 				return came, 0, l.err
 			}
 			silent.Reset(list.Silence)
-			if len(bytes.TrimSpace(l.text)) == 0 {
+			if len(l.text) == 0 {
 				f.fresh.Store(time.Now().UnixNano())
 				continue
 			}
@@ -263,7 +157,7 @@
 			if err := f.take(said); err != nil {
 				return came, 0, err
 			}
-			if said.AgeMS == nil || time.Duration(*said.AgeMS)*time.Millisecond <= f.o.MostAge {
+			if !f.stale(said.AgeMS, f.o.MostAge) {
 				came = true
 			} else if !f.patient {
 				return came, 0, fmt.Errorf("%w for %d ms", errStale, *said.AgeMS)
@@ -362,9 +256,9 @@
 
 // other is a keeper for a second reading: where there is one, another than the one that is watched.
 func (f *Follower) other(watched string) string {
-	n := len(f.o.Keepers)
+	n := len(f.keepers)
 	for i := range n {
-		if k := f.o.Keepers[(f.next+1+i)%n]; k != watched {
+		if k := f.keepers[(f.next+1+i)%n]; k != watched {
 			return k
 		}
 	}
@@ -375,19 +269,12 @@
 func (f *Follower) read(ctx context.Context, keeper, path string) (list.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, secondTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+keeper+path, nil)
+	body, _, err := f.get(ctx, keeper, path)
 	if err != nil {
 		return list.List{}, err
 	}
-	resp, err := f.http.RoundTrip(req)
-	if err != nil {
-		return list.List{}, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return list.List{}, fmt.Errorf("status %d", resp.StatusCode)
-	}
-	text, err := io.ReadAll(io.LimitReader(resp.Body, list.MostText))
+	defer body.Close()
+	text, err := io.ReadAll(io.LimitReader(body, list.MostText))
 	if err != nil {
 		return list.List{}, err
 	}
@@ -399,30 +286,6 @@
 	if !f.dirty || !now && time.Since(f.saved) < f.o.SaveWait {
 		return
 	}
-	l := f.reader.Held()
-	for {
-		select {
-		case f.saves <- l:
-			f.dirty, f.saved = false, time.Now()
-			return
-		default:
-		}
-		select { // the disk is slow: what waits is outdated
-		case <-f.saves:
-		default:
-		}
-	}
-}
-
-// keep saves lists until there are no more. Danger: a disk may take any time, in which news must go on.
-func (f *Follower) keep() {
-	defer f.tasks.Done()
-	bad := false
-	for l := range f.saves {
-		err := f.o.Cache.Save(l, time.Now())
-		if err != nil && !bad {
-			f.o.Log.Warn("list", "err", err) // once, until it works again
-		}
-		bad = err != nil
-	}
+	f.saves.put(f.reader.Held())
+	f.dirty, f.saved = false, time.Now()
 }
--- a/internal/keeper/admin.go
+++ b/internal/keeper/admin.go
@@ -21,6 +21,7 @@
 	Rev      int64          `json:"rev"`
 	Oldest   int64          `json:"oldest_rev"` // from which a watch can go on
 	Servers  int            `json:"servers"`
+	Gen      int64          `json:"generation"` // of the route table
 	Watchers int64          `json:"watchers"`
 	Leases   int            `json:"leases"`      // that run, as the leader counts
 	Held     int            `json:"leases_held"` // that have ended and are held back
@@ -33,6 +34,7 @@
 	s.Leases, s.Held = k.lessor.figures()
 	k.store.read(func(m *state.Machine) {
 		s.Cluster, s.Rev, s.Oldest, s.Servers, s.Keepers = m.Cluster(), m.Rev(), m.Oldest(), m.Len(), m.Keepers()
+		s.Gen = m.Generation()
 	})
 	reply(w, http.StatusOK, s)
 }
@@ -160,7 +162,7 @@
 	}
 	floor := time.Now().UnixMicro()
 	k.store.read(func(now *state.Machine) {
-		floor = max(floor, now.Rev()+1)
+		floor = max(floor, now.Rev()+1, now.Generation()+1)
 	})
 	m.Raise(floor)
 	text, err := m.Snapshot()
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -51,6 +51,8 @@
 	mux.HandleFunc("POST /v1/servers/{uid}/serve", k.admit("serve", k.turn(state.Serve)))
 	mux.HandleFunc("DELETE /v1/servers/{uid}", k.admit("leave", k.turn(state.Leave)))
 	mux.HandleFunc("POST /v1/renew", k.admit("renew", k.renew))
+	mux.HandleFunc("GET /v1/routes", k.routes)
+	mux.HandleFunc("PUT /v1/routes", k.admit("put-routes", k.putRoutes))
 	mux.HandleFunc("GET /v1/status", k.status) // always answered: it is asked when all else is refused
 	mux.HandleFunc("POST /v1/keepers", k.admit("join", k.addKeeper))
 	mux.HandleFunc("DELETE /v1/keepers/{name}", k.admit("remove", k.removeKeeper))
@@ -108,8 +110,11 @@
 // likes; and a deadline that stays on the connection would cut off the next answer.
 func (k *Keeper) takeBody(w http.ResponseWriter, r *http.Request, op string) error {
 	most, within := int64(k.config.Limits.BodyKB)<<10, millis(k.config.Limits.ReadMS)
-	if op == "restore" {
+	switch op {
+	case "restore":
 		most, within = state.MostSnapshot, restoreTimeout
+	case "put-routes":
+		most = mostTable
 	}
 	conn := http.NewResponseController(w)
 	if err := conn.SetReadDeadline(time.Now().Add(within)); err != nil {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -38,9 +38,12 @@
 	calls    chan struct{} // a place for each call that is no watch
 	starts   *rate.Limiter
 	watchers atomic.Int64
-	metrics  *metrics
-	member   sync.Mutex // one change of members at a time
-	ending   chan struct{}
+	cuts     *cuts
+
+	routeWatchers atomic.Int64
+	metrics       *metrics
+	member        sync.Mutex // one change of members at a time
+	ending        chan struct{}
 }
 
 func millis(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
@@ -51,6 +54,7 @@
 		starts: rate.NewLimiter(rate.Limit(c.Limits.Starts), max(1, c.Limits.Starts/4)), ending: make(chan struct{})}
 	k.lessor.expires = expiry{Grace: millis(c.Leases.GraceMS), Share: c.Leases.Share, Least: c.Leases.Least, Window: millis(c.Leases.WindowMS)}
 	k.metrics = newMetrics(k)
+	k.cuts = newCuts(k.store, k.metrics.routeMade)
 	l, err := net.Listen("tcp", c.HTTP)
 	if err != nil {
 		return fmt.Errorf("http: %w", err)
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -17,6 +17,8 @@
 	calls    *prometheus.CounterVec
 	took     *prometheus.HistogramVec
 	cuts     prometheus.Counter
+
+	routeLines, routeBytes, routesMade *prometheus.CounterVec // by kind: whole, diff
 }
 
 func newMetrics(k *Keeper) *metrics {
@@ -26,6 +28,12 @@
 		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "keeper_call_seconds", Help: "How long calls took that were done.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14)}, []string{"op"}),
 		cuts: prometheus.NewCounter(prometheus.CounterOpts{Name: "keeper_watchers_cut_total", Help: "Watchers cut off because they were too slow."}),
+
+		routeLines: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "keeper_route_lines_total", Help: "Answers with route tables, and with what leads to them."},
+			[]string{"kind"}),
+		routeBytes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "keeper_route_bytes_total", Help: "Bytes of those."}, []string{"kind"}),
+		routesMade: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "keeper_routes_made_total", Help: "Those that were made, each for all who ask for the same."},
+			[]string{"kind"}),
 	}
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
@@ -38,6 +46,8 @@
 	}
 	gauge("keeper_revision", "Revision of the list.", of(func(s *state.Machine) float64 { return float64(s.Rev()) }))
 	gauge("keeper_servers", "Servers on the list.", of(func(s *state.Machine) float64 { return float64(s.Len()) }))
+	gauge("keeper_generation", "Generation of the route table.", of(func(s *state.Machine) float64 { return float64(s.Generation()) }))
+	gauge("keeper_route_watchers", "Watches of the route table that are open.", func() float64 { return float64(k.routeWatchers.Load()) })
 	gauge("keeper_watchers", "Watches that are open.", func() float64 { return float64(k.watchers.Load()) })
 	gauge("keeper_leases_held", "Leases that have ended and are held back.", func() float64 {
 		_, held := k.lessor.figures()
@@ -56,7 +66,7 @@
 		}
 		return age.Seconds()
 	})
-	m.registry.MustRegister(m.calls, m.took, m.cuts, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.calls, m.took, m.cuts, m.routeLines, m.routeBytes, m.routesMade, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
@@ -73,6 +83,14 @@
 	}
 }
 
+// routeLine counts an answer with a route table, or with what leads to one.
+func (m *metrics) routeLine(kind string, size int) {
+	m.routeLines.WithLabelValues(kind).Inc()
+	m.routeBytes.WithLabelValues(kind).Add(float64(size))
+}
+
+func (m *metrics) routeMade(kind string) { m.routesMade.WithLabelValues(kind).Inc() }
+
 // cut counts a watcher whose watch ended because he was too slow.
 func (m *metrics) cut(slow bool) {
 	if slow {
--- a/internal/keeper/store.go
+++ b/internal/keeper/store.go
@@ -20,10 +20,13 @@
 	machine *state.Machine
 	lines   [][]byte // of the last changes; the last is that of the revision. Never changed in place: watchers hold parts of it
 	changed chan struct{}
-	whole   []byte // the list as it was encoded last; nil: not since the last change
+	routed  chan struct{} // closed when there is another route table
+	whole   []byte        // the list as it was encoded last; nil: not since the last change
 }
 
-func newStore() *store { return &store{machine: state.New(), changed: make(chan struct{})} }
+func newStore() *store {
+	return &store{machine: state.New(), changed: make(chan struct{}), routed: make(chan struct{})}
+}
 
 // Apply takes a command of the log. One that cannot be read is refused in the same way everywhere.
 func (s *store) Apply(text []byte) any {
@@ -38,6 +41,9 @@
 		s.lines = s.encode(s.lines, r.Changes)
 		s.tell()
 	}
+	if r.Routed {
+		s.tellRouted()
+	}
 	return r
 }
 
@@ -62,6 +68,12 @@
 	s.changed = make(chan struct{})
 }
 
+// tellRouted wakes all who wait for another route table. s.mu is held.
+func (s *store) tellRouted() {
+	close(s.routed)
+	s.routed = make(chan struct{})
+}
+
 // Snapshot is the whole state.
 func (s *store) Snapshot() ([]byte, error) {
 	s.mu.RLock()
@@ -81,6 +93,7 @@
 	changes, _ := m.Since(m.Oldest())
 	s.lines = s.encode(nil, changes)
 	s.tell()
+	s.tellRouted()
 	return nil
 }
 
--- a/internal/keeper/watch.go
+++ b/internal/keeper/watch.go
@@ -76,37 +76,64 @@
 	return nil
 }
 
-// catchUp waits until this keeper knows the revision that a caller holds, so that nobody is shown one that goes back, and
-// returns from where the caller goes on; below 0: what he holds is no revision of this list, and he needs the whole of it.
-func (k *Keeper) catchUp(r *http.Request, a asked) (from int64, err error) {
+// reach is where a caller's revision or generation stands to what this keeper knows.
+type reach int
+
+const (
+	reached reach = iota // this keeper knows it
+	foreign              // it is another cluster's
+	beyond               // it lies ahead of the last there is
+)
+
+// reach waits until this keeper knows what a caller holds, so that nobody is shown what goes back. ahead tells whether that lies
+// ahead, and when to look again. The error is errBehind where it could not be known in time, or the call's end.
+func (k *Keeper) reach(r *http.Request, cluster string, ahead func() (bool, <-chan struct{})) (reach, error) {
 	deadline := time.NewTimer(millis(k.config.Limits.BehindMS))
 	defer deadline.Stop()
 	for {
-		n := k.store.after(a.from)
-		cluster := ""
-		k.store.read(func(m *state.Machine) { cluster = m.Cluster() })
+		is, changed := ahead()
+		own := ""
+		k.store.read(func(m *state.Machine) { own = m.Cluster() })
 		switch {
-		case cluster != "" && a.cluster != "" && a.cluster != cluster:
-			return -1, nil // his revisions are another cluster's: the whole list says whose it is
-		case !n.ahead:
-			return a.from, nil
-		case cluster == "":
-		case k.replica.Confirm(r.Context()) != nil:
-		case a.cluster != "":
-			return 0, &state.Error{Code: state.Conflict, Reason: fmt.Sprintf("revision %d lies ahead: the list is at %d", a.from, n.rev)}
-		default:
-			return -1, nil // an unchanged sidecar with another list service's revision: it gets the whole list (PROTOCOL)
+		case own != "" && cluster != "" && cluster != own:
+			return foreign, nil
+		case !is:
+			return reached, nil
+		case own == "":
+		case k.replica.Confirm(r.Context()) == nil:
+			return beyond, nil
 		}
 		select {
-		case <-n.changed:
+		case <-changed:
 		case <-deadline.C:
-			return 0, fmt.Errorf("%w: it knows revision %d, not %d", errBehind, n.rev, a.from)
+			return beyond, errBehind
 		case <-r.Context().Done():
-			return 0, r.Context().Err()
+			return beyond, r.Context().Err()
 		}
 	}
 }
 
+// catchUp waits until this keeper knows the revision that a caller holds, and returns from where the caller goes on; below 0:
+// what he holds is no revision of this list, and he needs the whole of it.
+func (k *Keeper) catchUp(r *http.Request, a asked) (from int64, err error) {
+	var n news
+	at, err := k.reach(r, a.cluster, func() (bool, <-chan struct{}) {
+		n = k.store.after(a.from)
+		return n.ahead, n.changed
+	})
+	switch {
+	case errors.Is(err, errBehind):
+		return 0, fmt.Errorf("%w: it knows revision %d, not %d", errBehind, n.rev, a.from)
+	case err != nil:
+		return 0, err
+	case at == beyond && a.cluster != "":
+		return 0, &state.Error{Code: state.Conflict, Reason: fmt.Sprintf("revision %d lies ahead: the list is at %d", a.from, n.rev)}
+	case at != reached: // another cluster's, or an unchanged sidecar's from another list service: the whole list says whose it is (PROTOCOL)
+		return -1, nil
+	}
+	return a.from, nil
+}
+
 // watch writes what changes after a revision until the caller goes, is too slow, or this keeper ends. Every line names the
 // revision that the watcher then holds, so he can go on from there anywhere.
 func (k *Keeper) watch(w http.ResponseWriter, r *http.Request, a asked) error {
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -9,10 +9,10 @@
 	"gradeusher.example/gradeusher/internal/sealed"
 )
 
-// kind is the form of a snapshot. Needs rises only where an older program would lose what matters.
-var kind = sealed.Kind{Magic: "gradeusher-state", Form: 1, Needs: 1}
+// kind is the form of a snapshot. Needs rises only where an older program would lose what matters: where there are routes.
+var kind = sealed.Kind{Magic: "gradeusher-state", Form: 2, Needs: 1}
 
-// MostSnapshot bounds a snapshot, in bytes. A full state (MostServers, MostHistory) takes some 15 MB.
+// MostSnapshot bounds a snapshot, in bytes. A full state (MostServers, MostHistory, MostRouteBytes) takes some 35 MB.
 const MostSnapshot = 256 << 20
 
 type snapshot struct {
@@ -22,15 +22,21 @@
 	Entries []Entry  `json:"entries"`
 	History []Change `json:"history"`
 	Keepers []Keeper `json:"keepers"`
+
+	Routes *routingForm `json:"routes,omitempty"` // form 2
 }
 
 // Snapshot is the whole state as bytes: a line with the form and a checksum, and JSON.
 func (m *Machine) Snapshot() ([]byte, error) {
-	body, err := json.Marshal(snapshot{m.cluster, m.rev, m.lease, m.Entries(), m.history, m.Keepers()})
+	body, err := json.Marshal(snapshot{m.cluster, m.rev, m.lease, m.Entries(), m.history, m.Keepers(), m.routing.form()})
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
-	return kind.Seal(body), nil
+	k := kind
+	if m.routing.gen > 0 {
+		k.Needs = 2
+	}
+	return k.Seal(body), nil
 }
 
 // ReadSnapshot reads what Snapshot wrote. Errors wrap sealed.ErrUnsound, or are the reader's.
@@ -52,6 +58,9 @@
 	}
 	m := New()
 	m.cluster, m.rev, m.lease, m.history = s.Cluster, s.Rev, s.Lease, s.History
+	if m.routing, err = s.Routes.routing(); err != nil {
+		return nil, err
+	}
 	for _, k := range s.Keepers {
 		m.keepers[k.Name] = k
 	}
@@ -84,4 +93,5 @@
 	}
 	m.rev = max(m.rev+1, floor)
 	m.history = nil
+	m.routing.raise(floor)
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -12,6 +12,7 @@
 	"slices"
 	"sort"
 
+	"gradeusher.example/gradeusher/balance/routes"
 	"gradeusher.example/gradeusher/internal/list"
 )
 
@@ -38,6 +39,7 @@
 	Expire   Op = "expire"   // leases have ended
 	Member   Op = "member"   // where a keeper answers
 	Unmember Op = "unmember" // a keeper is gone
+	Route    Op = "routes"   // another route table
 )
 
 // Command is one step of the log. Fields that an Op does not name are not looked at, nor are unknown ones.
@@ -45,10 +47,11 @@
 	Op      Op                  `json:"op"`
 	Servers []list.Registration `json:"servers,omitempty"` // register
 	UID     string              `json:"uid,omitempty"`     // drain, serve, leave
-	Expect  *int64              `json:"expect,omitempty"`  // register of one, drain, serve, leave: the entry's revision must be this; 0: it must not be there
+	Expect  *int64              `json:"expect,omitempty"`  // register of one, drain, serve, leave: the entry's revision must be this; 0: it must not be there. routes: the generation
 	Ended   []Ended             `json:"ended,omitempty"`   // expire
 	Cluster string              `json:"cluster,omitempty"` // found
 	Keeper  *Keeper             `json:"keeper,omitempty"`  // member, unmember (its name)
+	Rules   routes.Table        `json:"rules,omitempty"`   // routes; none: the empty table
 }
 
 // Ended names a lease that has ended. One that was granted anew since then is left alone.
@@ -114,6 +117,8 @@
 type Result struct {
 	Rev     int64    // of the last change to what the command names, or of the list where it names nothing
 	Changes []Change // what it changed, in order
+	Gen     int64    // of routes: of the table that is there now
+	Routed  bool     // that is a new one
 	Err     *Error   // it was refused
 }
 
@@ -125,6 +130,7 @@
 	entries map[string]*Entry
 	history []Change // the last is that of rev; empty after a restore
 	keepers map[string]Keeper
+	routing routing
 }
 
 // New is a state in which nothing has happened.
@@ -224,6 +230,8 @@
 		}
 	case Member, Unmember:
 		r.Err = m.member(c)
+	case Route:
+		r = m.route(c)
 	default:
 		r.Err = refuse(Bad, "unknown command %.40q", c.Op)
 	}
