Routes by generations: keepers hold and diff them, clients follow, the engine applies one whole

Keepers had no route table, and each sidecar only its own settings. A backup that is taken up again gets a generation above all before, and ends the history.

SetRules in the engine keeps the groups that a table does not change, and lets a table without a ready server wait, 30 s at most.

--- a/balance/api.go
+++ b/balance/api.go
@@ -164,7 +164,7 @@
 }
 
 // Actions is what the host does for a Balancer, called for its answers to events. The events are the methods
-// Request, BodyTaken, BodyEnded, Result, AnswerStarted, ClientGone, Endpoints, ByHand and Timer of Balancer. The host calls them in the order of
+// Request, BodyTaken, BodyEnded, Result, AnswerStarted, ClientGone, Endpoints, ByHand, SetRules and Timer of Balancer. The host calls them in the order of
 // what happened; the first list follows New at once. Each Request ends with one final answer: a Result that is
 // Finished, Refuse or Fail. Each Send ends with one Result, also after the final answer.
 //
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,7 +38,7 @@
 	for _, t := range set.Tenants {
 		b.allowed += t.Allowance
 	}
-	b.setRoutes()
+	b.setRoutes(b.destinations(set.Rules))
 	act.Timer(time.Duration(b.rng.Float64()*float64(tickEvery)), tokenTick)
 	if set.AskDiscovery {
 		// Danger: all sidecars start at once, and the list service serves few calls at a time.
@@ -347,5 +347,10 @@
 		if now >= b.grouped+time.Second {
 			b.regroup(now)
 		}
+		if b.RulesWait() {
+			if applied, _ := b.reroute(now); applied {
+				b.act.Log("the route table that waited is applied")
+			}
+		}
 	}
 }
--- /dev/null
+++ b/balance/reroute_test.go
@@ -0,0 +1,169 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+)
+
+// played sends n requests, each answered at once, and returns the endpoints in the order of their turns.
+func (h *host) played(b *Balancer, n int) (order []string) {
+	for range n {
+		now := h.now + 10*time.Millisecond
+		h.now = now
+		b.Request(now, Request{ID: RequestID(now), Tenant: -1, Within: time.Second})
+		if len(h.sent) == 1 {
+			order = append(order, h.sent[0].to)
+			h.answer(b, now+time.Millisecond, Served)
+		}
+	}
+	return order
+}
+
+// TestSetRules changes a weight, then the other group: what is not named goes on as if nothing had happened.
+func TestSetRules(t *testing.T) {
+	list := []Endpoint{{ID: "a1", Zone: "x", Kind: "big", Size: 1}, {ID: "a2", Zone: "x", Kind: "big", Size: 1}, {ID: "a3", Zone: "x", Kind: "big", Size: 1},
+		{ID: "b", Zone: "x", Kind: "small", Size: 1}, {ID: "c", Zone: "x", Kind: "huge", Size: 1}}
+	set := settings()
+	set.Rules = canary(80, 20)
+	b, h := start(t, set, list)
+	h.played(b, 7)
+	type kept struct {
+		next          int
+		credit, whole float64
+		members       string
+	}
+	of := func(g *group) kept {
+		k := kept{next: g.next, credit: g.credit, whole: g.whole}
+		for _, e := range g.members {
+			k.members += e.ID
+		}
+		return k
+	}
+	before := of(b.groups[0])
+	if ok, why := b.SetRules(h.now, canary(80, 20)); !ok || of(b.groups[0]) != before {
+		t.Errorf("the same table changes something: %v %s, %v after %v", ok, why, of(b.groups[0]), before)
+	}
+	other := canary(80, 20)
+	other[0].Destinations[1].Match = Match{"version": "huge"}
+	if ok, why := b.SetRules(h.now, other); !ok || of(b.groups[0]) != before || len(b.groups) != 3 {
+		t.Errorf("what another group is changes the first: %v %s, %v after %v", ok, why, of(b.groups[0]), before)
+	}
+	if got := count(h.played(b, 100)); got["c"] != 20 || got["b"] != 0 {
+		t.Errorf("shares %v", got)
+	}
+	// 8000 and 2000 leave credit of thousands, which must not stand against 1 and 1.
+	if ok, _ := b.SetRules(h.now, canary(8000, 2000)); !ok {
+		t.Error("not applied")
+	}
+	h.played(b, 3)
+	if ok, _ := b.SetRules(h.now, canary(1, 1)); !ok {
+		t.Error("not applied")
+	}
+	if got := count(h.played(b, 20)); got["b"] < 8 || got["b"] > 12 {
+		t.Errorf("new shares %v, want half", got)
+	}
+	order := h.played(b, 12)
+	for i := 6; i < len(order); i++ {
+		if order[i] != order[i-6] {
+			t.Errorf("uneven turns %v", order)
+		}
+	}
+	if ok, why := b.SetRules(h.now, canary(math.NaN(), 1)); ok || !strings.Contains(why, "weight NaN") {
+		t.Errorf("a wrong table: %v %s", ok, why)
+	}
+	if ok, _ := b.SetRules(h.now, nil); !ok || b.groups[0].dest.Weight != 80 {
+		t.Error("an empty table does not stand for the rules of the settings")
+	}
+}
+
+// TestSetRulesBetween sets a table while a request is out: it ends as it would have.
+func TestSetRulesBetween(t *testing.T) {
+	set := settings()
+	set.Rules = canary(1, 1)
+	b, h := start(t, set, []Endpoint{{ID: "a", Zone: "x", Kind: "big", Size: 1}, {ID: "b", Zone: "x", Kind: "small", Size: 1}})
+	b.Request(h.now, Request{ID: 1, Tenant: -1, Within: time.Second})
+	only := canary(1, 0)
+	if ok, why := b.SetRules(h.now, only); !ok {
+		t.Fatal(why)
+	}
+	h.answer(b, h.now+time.Millisecond, Served)
+	if got := count(h.played(b, 10)); got["a"] != 10 {
+		t.Errorf("turns %v after a weight of 0", got)
+	}
+}
+
+// TestRulesWait has tables whose servers are not there: they wait while the rule that holds has some, the last of them counts,
+// and not for ever.
+func TestRulesWait(t *testing.T) {
+	list := []Endpoint{{ID: "a", Zone: "x", Kind: "big", Size: 1}, {ID: "c", Zone: "x", Kind: "huge", Size: 1}}
+	none := func(kind string) []Rule {
+		r := canary(1)
+		r[0].Destinations[0].Match = Match{"version": kind}
+		return r
+	}
+	for _, c := range []struct {
+		name string
+		do   func(*Balancer, *host)
+		wait time.Duration
+		want string
+	}{
+		{"nothing happens", func(*Balancer, *host) {}, routeWait, "ac"},
+		{"a server comes", func(b *Balancer, h *host) {
+			b.Endpoints(h.now, ListChanges, []Endpoint{{ID: "z", Zone: "x", Kind: "none", Size: 1}})
+		}, 100 * time.Millisecond, "z"},
+		{"the old ones go", func(b *Balancer, h *host) {
+			b.Endpoints(h.now, ListChanges, []Endpoint{{ID: "a", State: Draining}})
+		}, 100 * time.Millisecond, "c"},
+		{"other tables come all the time", func(b *Balancer, h *host) {}, routeWait, "ac"},
+		{"one comes that can be applied", func(b *Balancer, h *host) {
+			if ok, why := b.SetRules(h.now, none("huge")); !ok {
+				t.Error(why)
+			}
+		}, 0, "c"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := settings()
+			set.Rules = canary(1)
+			b, h := start(t, set, list)
+			ok, why := b.SetRules(h.now, none("none"))
+			if ok || !b.RulesWait() || !strings.Contains(why, "no ready endpoint") {
+				t.Fatalf("applied: %v %s", ok, why)
+			}
+			if got := count(h.played(b, 10)); got["a"] != 10 {
+				t.Errorf("turns %v while it waits", got)
+			}
+			from := h.now - 100*time.Millisecond
+			c.do(b, h)
+			for i := 0; b.RulesWait(); i++ {
+				h.now += 100 * time.Millisecond
+				if strings.HasPrefix(c.name, "other") && i%10 == 0 {
+					if ok, _ := b.SetRules(h.now, none(fmt.Sprint("none", i))); ok {
+						break
+					}
+				}
+				b.Timer(h.now, tokenTick)
+			}
+			if took := h.now - from; took < c.wait-time.Second || took > c.wait+time.Second {
+				t.Errorf("it waited %v, want %v", took, c.wait)
+			}
+			got := count(h.played(b, 10))
+			for _, id := range strings.Split(c.want, "") {
+				if got[id] != 10/len(c.want) {
+					t.Errorf("turns %v, want them at %s", got, c.want)
+				}
+			}
+		})
+	}
+	set := settings()
+	set.Rules = none("none")
+	b, h := start(t, set, list)
+	if ok, why := b.SetRules(h.now, none("nowhere")); !ok {
+		t.Errorf("a table without servers waits for one without: %s", why)
+	}
+	if ok, why := b.SetRules(h.now, []Rule{{Name: "x", Source: Match{"service": "other"}, Service: Match{"service": "*"}, Destinations: canary(1)[0].Destinations}}); !ok {
+		t.Errorf("a table that has no rule for this client waits: %s", why)
+	}
+}
--- a/balance/route.go
+++ b/balance/route.go
@@ -1,11 +1,8 @@
 package balance
 
 import (
-	"maps"
 	"math"
 	"slices"
-
-	"gradeusher.example/gradeusher/balance/routes"
 )
 
 // DefaultRules is the table used where none is given: a group for each zone and kind, weighted by size.
@@ -21,24 +18,9 @@
 		Destinations: groups}}
 }
 
-// setRoutes makes the groups of the best rule, and a last one for all ready endpoints. Each sidecar's
-// rotations start elsewhere, so that sidecars do not march in step.
-func (b *Balancer) setRoutes() {
-	client := map[string]string{"region": b.set.Zone}
-	maps.Copy(client, b.set.Tags)
-	all := Rule{Destinations: []Destination{{Weight: 1, PerSize: true}}}
-	if best := routes.Best(b.set.Rules, client, b.set.Service); best != nil {
-		all.Destinations = append(slices.Clone(best.Destinations), all.Destinations...)
-	}
-	for _, d := range all.Destinations {
-		b.fleet = &group{dest: d, next: b.rng.IntN(1 << 16), credit: b.rng.Float64()}
-		b.groups = append(b.groups, b.fleet)
-	}
-}
-
 // groupsOf tells which groups' tags an endpoint carries.
 func (b *Balancer) groupsOf(e Endpoint) (joins []bool) {
-	tags := map[string]string{"service": b.set.Service, "region": e.Zone, "version": e.Kind}
+	tags := b.tagsOf(e)
 	for _, g := range b.groups {
 		ok, _ := g.dest.Match.Fits(tags)
 		joins = append(joins, ok)
--- a/balance/routes/apply.go
+++ b/balance/routes/apply.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -126,3 +127,11 @@
 
 // Join is one list of ops that does what several do, one after the other.
 func Join(steps ...[]Op) []Op { return slices.Concat(steps...) }
+
+// find is where the destination of a match stands, likely at a place; below 0: nowhere.
+func find(all []Destination, m Match, likely int) int {
+	if likely < len(all) && maps.Equal(all[likely].Match, m) {
+		return likely
+	}
+	return slices.IndexFunc(all, func(d Destination) bool { return maps.Equal(d.Match, m) })
+}
--- a/balance/routes/diff.go
+++ b/balance/routes/diff.go
@@ -1,23 +1,17 @@
 package routes
 
-import (
-	"maps"
-	"slices"
-	"sort"
-)
+import "maps"
 
 // Diff is the ops of least cost that lead from one table to another, the order of destinations aside; none:
 // they are the same. Both have unique names, and unique matches in a rule. It takes O(n log n) in rules.
 //
-// Why it is least. Let a rule in both tables take e edits (match, set, unset) and have d destinations in
-// the target. Every list of ops either drops it once at least, which with adding it again costs 2+d or
-// more, wherever it then stands; or does not, and then pays its e edits, for no op edits two things, and 1
-// more if it ever moves it. Rules that are neither dropped nor moved keep their order among themselves, so
-// they are a subsequence of both tables. Thus the cost of a rule outside that subsequence is min(e+1, d+2)
-// at the least, and in it e: being in it gains 1 if e <= d+1, and nothing otherwise. So the most is gained
-// by the longest common subsequence of the rules with e <= d+1, which is the longest increasing one of
-// their places in the target; of them those outside it are moved, and all others dropped and added again.
-// The rules of one table alone cost 1 to drop, or 1+d to add, and no op does two of these.
+// Why it is least. Say a rule in both tables takes e edits (match, set, unset) and has d destinations in the
+// target. Ops that drop it must add it again: 2+d at least, wherever it then stands. Others pay the e edits,
+// as no op edits two things, and 1 more if they move it. Rules that are neither dropped nor moved keep their
+// order: they are a subsequence of both tables. So a rule costs e in it, and min(e+1, d+2) outside: being in
+// it saves 1 if e <= d+1, and nothing otherwise. Most is saved by the longest common subsequence of the rules
+// with e <= d+1: the longest increasing one of their places in the target. Those outside it are moved, and
+// the rest dropped and added again. Rules of one table alone cost 1 to drop, or 1+d to add.
 func Diff(from, to Table) []Op {
 	place := make(map[string]int, len(to))
 	for i, r := range to {
@@ -78,37 +72,3 @@
 	}
 	return ops
 }
-
-// find is where the destination of a match stands, likely at a place; below 0: nowhere.
-func find(all []Destination, m Match, likely int) int {
-	if likely < len(all) && maps.Equal(all[likely].Match, m) {
-		return likely
-	}
-	return slices.IndexFunc(all, func(d Destination) bool { return maps.Equal(d.Match, m) })
-}
-
-// rising is a longest increasing subsequence of different numbers, by patience sorting (Fredman, "On
-// computing the length of longest increasing subsequences", 1975).
-func rising(numbers []int) []int {
-	var tops []int // by length: the index of the least number that a rising sequence ends in
-	before := make([]int, len(numbers))
-	for i, n := range numbers {
-		pile := sort.Search(len(tops), func(p int) bool { return numbers[tops[p]] >= n })
-		if before[i] = -1; pile > 0 {
-			before[i] = tops[pile-1]
-		}
-		if pile == len(tops) {
-			tops = append(tops, i)
-		}
-		tops[pile] = i
-	}
-	if len(tops) == 0 {
-		return nil
-	}
-	best := make([]int, 0, len(tops))
-	for i := tops[len(tops)-1]; i >= 0; i = before[i] {
-		best = append(best, numbers[i])
-	}
-	slices.Reverse(best)
-	return best
-}
--- a/balance/routes/rule.go
+++ b/balance/routes/rule.go
@@ -61,3 +61,17 @@
 	}
 	return sum
 }
+
+// Cut keeps the rules that can ever decide for a client with these tags that calls this service; nil: any
+// client, "": any service.
+func (t Table) Cut(client map[string]string, service string) Table {
+	kept := Table{}
+	for _, r := range t {
+		okSource, _ := r.Source.Fits(client)
+		okService, _ := r.Service.Fits(map[string]string{"service": service})
+		if (okSource || client == nil) && (okService || service == "") {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -17,6 +17,9 @@
 	active     []*endpoint          // members of the subsets
 	groups     []*group             // of the best rule, and a last one of all endpoints
 	fleet      *group               // the last of them
+	routed     []Destination        // of the groups
+	waits      []Rule               // a route table that is not applied yet; nil: none is
+	waitsFrom  Time                 // since the first of those that waited one after the other
 	requests   map[RequestID]*request
 	tenants    []tenant
 	work       []float64       // mean time of the answers in seconds, by class
@@ -114,3 +117,11 @@
 	next    int         // whose turn it is
 	credit  float64     // of the smooth weighted schedule
 }
+
+// RulesWait tells whether a route table waits for a ready endpoint.
+func (b *Balancer) RulesWait() bool { return b.waits != nil }
+
+// tagsOf are the tags that an endpoint carries.
+func (b *Balancer) tagsOf(e Endpoint) map[string]string {
+	return map[string]string{"service": b.set.Service, "region": e.Zone, "version": e.Kind}
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -99,6 +99,7 @@
 	changeTimeout  = 10 * time.Second // of a change of members
 	peerTimeout    = 2 * time.Second  // of sending to a peer
 	openTimeout    = time.Second      // for another process to let go of the folder
+	restoreStuck   = 2 * time.Second  // after which a restore is helped on
 )
 
 // Open starts a replica. Close ends it.
@@ -434,10 +435,23 @@
 		return ErrNotLeader
 	}
 	meta := &raft.SnapshotMeta{Version: raft.SnapshotVersionMax, Size: int64(len(snapshot)), Index: r.raft.LastIndex(), Term: r.raft.CurrentTerm()}
-	if err := r.raft.Restore(meta, bytes.NewReader(snapshot), changeTimeout); err != nil {
-		return explain(err)
+	done := make(chan error, 1)
+	go func() { done <- r.raft.Restore(meta, bytes.NewReader(snapshot), changeTimeout) }()
+	for {
+		select {
+		case err := <-done:
+			if err != nil {
+				return explain(err)
+			}
+			return nil
+		case <-time.After(restoreStuck):
+			// Danger: a snapshot that the library took at the same time can leave its note of the last one before what was
+			// restored. No log leads on from there, and it sends the others the snapshot over and over. Another one mends that.
+			if err := r.Compact(); err != nil {
+				r.options.Log.Info("restore", "err", err)
+			}
+		}
 	}
-	return nil
 }
 
 // Compact takes a snapshot now.
