--- a/balance/reroute.go
+++ b/balance/reroute.go
@@ -11,10 +11,11 @@
 // routeWait is how long a table that has no ready endpoint for the service waits for one.
 const routeWait = 30 * time.Second
 
-// SetRules takes in another route table, whole; an empty one stands for the rules of the settings. Groups of the
-// same tags keep their turns, credit, size and subset, and new weights count from the next turn on. It tells why
-// a table is not applied: it is wrong, and forgotten, or its best rule for this client has no ready endpoint,
-// while the rule that holds has some. Then the last one that came waits until it has, or routeWait is over.
+// SetRules takes in another route table, whole; an empty one stands for the rules of the settings. Groups of
+// the same tags keep their turns, credit, size and subset, and new weights count from the next turn on. It
+// tells why a table is not applied: it is wrong, and forgotten, or its best rule for this client has no ready
+// endpoint, while the rule that holds has some. Then the last one that came waits until it has, or routeWait
+// is over.
 func (b *Balancer) SetRules(now Time, rules []Rule) (applied bool, why string) {
 	if err := routes.Table(rules).Check(); err != nil {
 		return false, err.Error()
