--- a/balance/route.go
+++ b/balance/route.go
@@ -1,11 +1,11 @@
 package balance
 
 import (
-	"maps"
+	"cmp"
 	"math"
 	"slices"
 
-	"gradeusher.example/gradeusher/balance/routes"
+	"gradeusher.example/gradeusher/balance/subset"
 )
 
 // DefaultRules is the table used where none is given: a group for each zone and kind, weighted by size.
@@ -21,24 +21,9 @@
 		Destinations: groups}}
 }
 
-// setRoutes makes the groups of the best rule, and a last one for all ready endpoints. Each sidecar's
-// rotations start elsewhere, so that sidecars do not march in step.
-func (b *Balancer) setRoutes() {
-	client := map[string]string{"region": b.set.Zone}
-	maps.Copy(client, b.set.Tags)
-	all := Rule{Destinations: []Destination{{Weight: 1, PerSize: true}}}
-	if best := routes.Best(b.set.Rules, client, b.set.Service); best != nil {
-		all.Destinations = append(slices.Clone(best.Destinations), all.Destinations...)
-	}
-	for _, d := range all.Destinations {
-		b.fleet = &group{dest: d, next: b.rng.IntN(1 << 16), credit: b.rng.Float64()}
-		b.groups = append(b.groups, b.fleet)
-	}
-}
-
 // groupsOf tells which groups' tags an endpoint carries.
 func (b *Balancer) groupsOf(e Endpoint) (joins []bool) {
-	tags := map[string]string{"service": b.set.Service, "region": e.Zone, "version": e.Kind}
+	tags := b.tagsOf(e)
 	for _, g := range b.groups {
 		ok, _ := g.dest.Match.Fits(tags)
 		joins = append(joins, ok)
@@ -72,17 +57,22 @@
 	}
 }
 
-// subset takes the part of a group that this sidecar uses: a run of the group's order from its own place on,
-// long enough that each member gets a request within the memory. Danger: a sidecar with little traffic that
-// goes through a large fleet knows none of its servers, and connects to all of them. Places that follow the
-// golden ratio spread any number of sidecars evenly. Members that are ejected are made up for.
+// subset takes the part of a group that this sidecar uses, so long that each member gets a request within
+// the memory. Members that are ejected are made up for. Danger: neighbours by name fail together, and all who
+// make up for them would turn to the next; sidecars that know each other go by an order of hashes.
 func (b *Balancer) subset(g *group, share float64, now Time) {
 	n := len(g.ready)
-	want := max(leastSubset, int(math.Ceil(share*float64(n))))
-	start := int(math.Mod(float64(b.set.Self)*(math.Sqrt(5)-1)/2, 1) * float64(n))
+	first, want := subset.Alone(n, b.set.Self, share)
+	if now >= b.leveled+levelSettle {
+		b.level, b.leveled = subset.Level(share, b.level), now
+	}
+	if b.alike.Of > 0 {
+		slices.SortFunc(g.ready, func(x, y *endpoint) int { return cmp.Compare(x.hash(), y.hash()) })
+		first, want = subset.Among(n, b.level, b.alike.At, b.alike.Of)
+	}
 	g.members = g.members[:0]
 	for i := 0; i < n && want > 0; i++ {
-		e := g.ready[(start+i)%n]
+		e := g.ready[(first+i)%n]
 		g.members = append(g.members, e)
 		if now >= e.until {
 			want--
