--- a/internal/lab/ctl/ctl.go
+++ b/internal/lab/ctl/ctl.go
@@ -49,6 +49,8 @@
 	Kind   string `json:"model"`
 	State  string `json:"state"`
 	BootMS int64  `json:"boot_ms"`
+
+	Size float64 `json:"capacity_hint"`
 }
 
 // News is what a stand-in says to the lab.
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -17,6 +17,7 @@
 	UID          string        `json:"uid"`
 	Zone         string        `json:"zone"`
 	Kind         string        `json:"kind"`
+	Hint         float64       `json:"hint"` // what the list tells of its size, to compare with others; 0: as of all others
 	Cores        int           `json:"cores"`
 	Speed        float64       `json:"speed"` // of each core; 1 is the yardstick
 	Slots        int           `json:"slots"` // jobs in work at once
@@ -39,6 +40,14 @@
 // Capacity is the work that a warm server does in a second.
 func (s *Spec) Capacity() float64 { return float64(s.Cores) * s.Speed }
 
+// SizeHint is what the list tells of the server's size.
+func (s *Spec) SizeHint() float64 {
+	if s.Hint == 0 {
+		return 1
+	}
+	return s.Hint
+}
+
 // Outcome is how a job ended.
 type Outcome int
 
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -80,6 +80,7 @@
 	NoticeS [2]float64 `toml:"notice_s"` // until it knows that a process drains or ended
 	AddS    [2]float64 `toml:"add_s"`    // until it knows a new one
 	SilentS [2]float64 `toml:"silent_s"` // until it knows that a machine is silent
+	Sizes   string     `toml:"sizes"`    // what it tells of the servers' sizes: "alike", or "rough": the true ones, up to a fifth wrong
 }
 
 // Keepers are who hold the list, in place of the platform's.
@@ -141,7 +142,7 @@
 		Load: Load{Uneven: 1, Retries: true, WorkPart: 1},
 		Limits: Limits{AnswerSlackMS: 500, DrainGraceMS: 300, SlackMS: 50, MemoryMB: 192, Descriptors: 1024,
 			LatenessMS: 5},
-		List:    List{NoticeS: [2]float64{0.66, 3.9}, AddS: [2]float64{0.25, 2.6}, SilentS: [2]float64{6.5, 13}},
+		List:    List{NoticeS: [2]float64{0.66, 3.9}, AddS: [2]float64{0.25, 2.6}, SilentS: [2]float64{6.5, 13}, Sizes: "alike"},
 		Members: Members{BoundMS: 2000},
 		Keepers: Keepers{Program: "keeper", LeaseS: 3, GraceS: 3, Share: 0.3, Snapshot: 4096, Writers: 4, Keys: 4, DoubtShare: 0.3, Cache: true},
 	}
@@ -355,6 +356,8 @@
 		return f.bad("keepers", -1, "flaw", "only plain keepers have flaws")
 	case !slices.Contains(KeeperFlaws, f.Keepers.Flaw):
 		return f.bad("keepers", -1, "flaw", "unknown flaw %q", f.Keepers.Flaw)
+	case f.List.Sizes != "alike" && f.List.Sizes != "rough":
+		return f.bad("list", -1, "sizes", "sizes %q are neither alike nor rough", f.List.Sizes)
 	case f.Fleet.Start != "warm" && f.Fleet.Start != "cold":
 		return f.bad("fleet", -1, "start", "start %q is neither warm nor cold", f.Fleet.Start)
 	case f.Breaks != "" && !isInvariant(f.Breaks) && !f.hasBar(f.Breaks):
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -229,6 +229,10 @@
 		ConnCap: k.Cores * (600 + r.IntN(300)), ConnWork: Seconds(between(r, [2]float64{0.00078, 0.0015})),
 		ReportEvery: Seconds(between(r, [2]float64{0.32, 1.2})), ReportDelay: Seconds(between(r, [2]float64{0.23, 0.48})), Seed: r.Uint64(),
 	}
+	if p.File.List.Sizes == "rough" {
+		rough := stream(p.Seed, fmt.Sprintf("size %d", i))
+		s.Hint = s.Capacity() * between(rough, [2]float64{0.8, 1.2})
+	}
 	return s
 }
 
--- a/internal/lab/plan/plan_test.go
+++ b/internal/lab/plan/plan_test.go
@@ -140,6 +140,21 @@
 	}
 }
 
+// TestSizes has the list tell sizes near the true ones, and no other draw move for it.
+func TestSizes(t *testing.T) {
+	alike := make1(t, head)
+	rough := make1(t, head+"[list]\nsizes = \"rough\"\n")
+	for i := range rough.Servers {
+		s := rough.Servers[i]
+		if r := s.SizeHint() / s.Capacity(); r < 0.8 || r > 1.2 || alike.Servers[i].SizeHint() != 1 {
+			t.Errorf("a server of %v is told as %v, and alike as %v", s.Capacity(), s.SizeHint(), alike.Servers[i].SizeHint())
+		}
+		if s.Hint = 0; s != alike.Servers[i] {
+			t.Errorf("%+v, alike %+v", s, alike.Servers[i])
+		}
+	}
+}
+
 // TestDeploy has every server chosen be replaced once, in its zone and kind, its end after its drain, within the time.
 func TestDeploy(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/lab/servers.go
+++ b/internal/lab/servers.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return ctl.Entry{}, n, err
 	}
-	e := ctl.Entry{UID: uid, Ports: n.Ports, Zone: spec.Zone, Kind: spec.Kind, State: "SERVING", BootMS: n.BootMS}
+	e := ctl.Entry{UID: uid, Ports: n.Ports, Zone: spec.Zone, Kind: spec.Kind, State: "SERVING", BootMS: n.BootMS, Size: spec.SizeHint()}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.entries[uid] = e
--- a/internal/lab/standin/host.go
+++ b/internal/lab/standin/host.go
@@ -170,7 +170,7 @@
 // register has a machine's process be on the keepers' list, where there are keepers.
 func (h *host) register(m *machine, bootMS int64) {
 	if h.registrar != nil {
-		h.registrar.up(m.process.spec.UID, m.process.spec.Zone, m.process.spec.Kind, m.process.ports[0], bootMS)
+		h.registrar.up(&m.process.spec, m.process.ports[0], bootMS)
 	}
 }
 
--- a/internal/lab/standin/list.go
+++ b/internal/lab/standin/list.go
@@ -330,7 +330,7 @@
 	}
 	targets := make([]target, len(entries))
 	for i, e := range entries {
-		targets[i] = target{UID: e.UID, Zone: e.Zone, Kind: e.Kind, State: e.State, Capacity: 1, BootMS: e.BootMS}
+		targets[i] = target{UID: e.UID, Zone: e.Zone, Kind: e.Kind, State: e.State, Capacity: e.Size, BootMS: e.BootMS}
 		if group < len(e.Ports) {
 			targets[i].Endpoint = fmt.Sprintf("%s:%d", link.Near(near), e.Ports[group])
 		}
--- a/internal/lab/standin/registrar.go
+++ b/internal/lab/standin/registrar.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/lab/model"
 	"gradeusher.example/gradeusher/internal/list"
 )
 
@@ -79,10 +80,11 @@
 }
 
 // up has a server be on the list.
-func (r *registrar) up(uid, zone, kind string, port int, bootMS int64) {
-	r.want(uid, func(w *wanted) {
-		w.r = list.Registration{Target: list.Target{UID: uid, Endpoint: fmt.Sprintf("127.0.0.1:%d", port), Zone: zone, Model: kind,
-			State: list.Serving, BootMS: bootMS}, LeaseMS: r.lease.Milliseconds()}
+func (r *registrar) up(s *model.Spec, port int, bootMS int64) {
+	size := s.SizeHint()
+	r.want(s.UID, func(w *wanted) {
+		w.r = list.Registration{Target: list.Target{UID: s.UID, Endpoint: fmt.Sprintf("127.0.0.1:%d", port), Zone: s.Zone, Model: s.Kind,
+			State: list.Serving, Capacity: &size, BootMS: bootMS}, LeaseMS: r.lease.Milliseconds()}
 		w.state, w.told, w.dead = list.Serving, "", false
 	})
 }
