A sidecar follows the keepers' routes where its configuration says so

"keepers": {"routes": true, "tags": {...}} has the sidecar hold the table cut for its tags, and the Balancer go by it in place of the settings' rules; an empty table stands for those. INFO says which generation is held, which one the Balancer goes by, its age and what came of following; the log has a line for each.

--- a/cmd/gradeusher/keeper_test.go
+++ b/cmd/gradeusher/keeper_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -394,69 +392,16 @@
 	k.register("s-1", backend)
 	for _, unchanged := range []bool{true, false} {
 		t.Run(fmt.Sprintf("unchanged=%v", unchanged), func(t *testing.T) {
-			tmp, listen := t.TempDir(), place(t)
-			config := filepath.Join(t.TempDir(), "config.json")
-			fields := map[string]any{"name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "settings": json.RawMessage(
-				`{"ordinal":0,"peers_total":1,"my_zone":"a","areas":["a"],"models":["m"],"discovery":"pushed","limits":{"try_limit":3},
-				"request_classes":[{"name":"read","effect":"idempotent","aim_s":0.5,"deadline_s":2}]}`)}
+			fields := map[string]any{"keepers": map[string]any{"addresses": k.addresses()}}
 			if unchanged {
-				fields["discovery"] = k.places[0].http
-			} else {
-				fields["keepers"] = map[string]any{"addresses": k.addresses()}
+				fields = map[string]any{"discovery": k.places[0].http}
 			}
-			text, err := json.Marshal(fields)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := os.WriteFile(config, text, 0o600); err != nil {
-				t.Fatal(err)
-			}
-			start := func() *command {
-				c := newCommand(t, "sidecar")
-				c.Env = append(c.Env, "PROXY_CONFIG="+config, "TMPDIR="+tmp)
-				if err := c.Start(); err != nil {
-					t.Fatal(err)
-				}
-				t.Cleanup(func() {
-					_ = c.Process.Kill() // mostly it has ended
-					_ = c.Wait()
-				})
-				return c
-			}
-			asked, said := 0, ""
-			ask := func() bool {
-				asked++
-				id := fmt.Sprintf("%016x", asked)
-				req, err := http.NewRequest(http.MethodGet, "http://"+listen+"/api", nil)
-				if err != nil {
-					t.Fatal(err)
-				}
-				for key, v := range map[string]string{"X-Request-ID": id, "X-Priority-Class": "read", "X-Timeout-Ms": "2000"} {
-					req.Header.Set(key, v)
-				}
-				resp, err := http.DefaultClient.Do(req)
-				if err != nil {
-					said = err.Error()
-					return false
-				}
-				defer resp.Body.Close()
-				body, err := io.ReadAll(resp.Body)
-				said = fmt.Sprintf("%s %q %v", resp.Status, body, err)
-				return err == nil && resp.StatusCode == 200 && string(body) == "done "+id
-			}
-			// The application sends when the sidecar says that it is ready (PROTOCOL).
-			ready := func() bool {
-				resp, err := http.Get("http://" + listen + "/healthz")
-				if err != nil {
-					return false
-				}
-				resp.Body.Close()
-				return resp.StatusCode == http.StatusOK
-			}
-			c := start()
-			eventually(t, "readiness", ready)
+			s := newSidecarPlace(t, fields)
+			ask := func() bool { return s.ask() == "done "+fmt.Sprintf("%016x", s.asked) }
+			c := s.start()
+			eventually(t, "readiness", s.ready)
 			if !ask() {
-				t.Errorf("it does not serve: %s", said)
+				t.Errorf("it does not serve: %s", s.said)
 			}
 			if unchanged {
 				c.Process.Signal(syscall.SIGTERM)
@@ -464,24 +409,21 @@
 				return
 			}
 			eventually(t, "saved list", func() bool {
-				_, err := os.Stat(filepath.Join(tmp, "list-n0.cache"))
+				_, err := os.Stat(filepath.Join(s.tmp, "list-n0.cache"))
 				return err == nil
 			})
 			k.kill(k.places[0])
 			if !ask() {
-				t.Errorf("with no keeper it does not serve: %s", said)
+				t.Errorf("with no keeper it does not serve: %s", s.said)
 			}
 			if err := c.Process.Kill(); err != nil {
 				t.Fatal(err)
 			}
 			_ = c.Wait()
-			if t.Failed() {
-				t.Logf("its log: %s", &c.err)
-			}
-			c = start()
-			eventually(t, "readiness by the list that was saved", ready)
+			c = s.start()
+			eventually(t, "readiness by the list that was saved", s.ready)
 			if !ask() {
-				t.Errorf("from the list that was saved it does not serve: %s", said)
+				t.Errorf("from the list that was saved it does not serve: %s", s.said)
 			}
 			_ = c.Process.Kill()
 			_ = c.Wait()
--- a/cmd/gradeusher/routes_test.go
+++ b/cmd/gradeusher/routes_test.go
@@ -4,12 +4,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gradeusher.example/gradeusher/balance/routes"
 	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/list"
 )
 
 // routeTable has a rule for each of n applications.
@@ -139,3 +146,94 @@
 		t.Errorf("a weight of 0 and -1: %v", err)
 	}
 }
+
+// TestSidecarRoutes runs the real sidecar on keepers that hold its routes: a weight counts at once, a table without ready
+// servers waits for one, and with all keepers gone the next process goes by what the last one held.
+func TestSidecarRoutes(t *testing.T) {
+	t.Parallel()
+	k := newKeepers(t, 1, "")
+	add := func(model string) {
+		at := httpServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, model) }))
+		if _, err := k.client.Register(k.call(), []list.Registration{{Target: list.Target{UID: "s-" + model, Endpoint: at, Zone: "a", Model: model, State: list.Serving}}}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	add("old")
+	add("new")
+	share := func(weights map[string]float64) routes.Table {
+		r := routes.Rule{Name: "portal", Source: routes.Match{"service": "portal"}, Service: routes.Match{"service": "rec-api"}}
+		for _, model := range slices.Sorted(maps.Keys(weights)) {
+			r.Destinations = append(r.Destinations, routes.Destination{Weight: weights[model], Match: routes.Match{"version": model}})
+		}
+		other := r
+		other.Name, other.Source = "other", routes.Match{"service": "other"}
+		return routes.Table{r, other}
+	}
+	put := func(table routes.Table) int64 {
+		t.Helper()
+		gen, err := k.client.PutRoutes(k.call(), table, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return gen
+	}
+	s := newSidecarPlace(t, map[string]any{"keepers": map[string]any{"addresses": k.addresses(), "routes": true, "tags": map[string]string{"service": "portal"}}})
+	turns := func(want map[string]int) {
+		t.Helper()
+		got, n := map[string]int{}, 0
+		for _, v := range want {
+			n += v
+		}
+		for range n {
+			got[s.ask()]++
+		}
+		for model, v := range got { // a slow moment, or the credit of before, moves some
+			if off := v - want[model]; off > 3 || off < -3 || want[model] == 0 {
+				t.Errorf("turns %v, want %v: %s", got, want, s.said)
+			}
+		}
+	}
+	c := s.start()
+	eventually(t, "readiness", s.ready)
+	gen := put(share(map[string]float64{"old": 4, "new": 1}))
+	eventually(t, "the first generation", func() bool { return s.info("route_generation") == gen })
+	turns(map[string]int{"old": 16, "new": 4})
+	gen = put(share(map[string]float64{"old": 1, "new": 1}))
+	eventually(t, "the second generation", func() bool { return s.info("route_generation") == gen })
+	turns(map[string]int{"old": 10, "new": 10})
+	if s.info("route_rules") != 1 || s.info("route_diffs") < 1 || s.info("route_mismatches") != 0 {
+		t.Errorf("%d rules, %d diffs, %d mismatches", s.info("route_rules"), s.info("route_diffs"), s.info("route_mismatches"))
+	}
+	next := put(share(map[string]float64{"late": 1}))
+	eventually(t, "the third generation", func() bool { return s.info("route_generation_held") == next })
+	if s.info("route_generation") != gen {
+		t.Error("a table without ready servers is applied")
+	}
+	turns(map[string]int{"old": 10, "new": 10})
+	add("late")
+	eventually(t, "the table that waited", func() bool { return s.info("route_generation") == next })
+	turns(map[string]int{"late": 10})
+	eventually(t, "the saved list and routes", func() bool {
+		text, err := os.ReadFile(filepath.Join(s.tmp, "list-n0.cache"))
+		also, alsoErr := os.ReadFile(filepath.Join(s.tmp, "routes-n0.cache"))
+		return err == nil && alsoErr == nil && strings.Contains(string(text), "s-late") && strings.Contains(string(also), "late")
+	})
+	k.kill(k.places[0])
+	if err := c.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Wait() // a signal ended it
+	s.start()
+	eventually(t, "readiness without keepers", s.ready)
+	turns(map[string]int{"late": 10})
+	if s.info("route_generation") != next {
+		t.Errorf("generation %d is remembered, want %d", s.info("route_generation"), next)
+	}
+	k.start(k.places[0])
+	gen = put(share(map[string]float64{"old": 1}))
+	eventually(t, "news after the keepers came back", func() bool { return s.info("route_generation") == gen })
+	if s.info("route_wholes") != 0 {
+		t.Error("the next process asked for the whole table")
+	}
+	turns(map[string]int{"old": 5})
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -42,8 +42,10 @@
 type Keepers struct {
 	Addresses []string
 	Doubt     client.Doubt
-	MostAge   time.Duration // a keeper that was out of touch for longer is left for another
-	Reach     string        // this machine reaches every server at this host, at the port of its endpoint; "": at its endpoint
+	MostAge   time.Duration     // a keeper that was out of touch for longer is left for another
+	Reach     string            // this machine reaches every server at this host, at the port of its endpoint; "": at its endpoint
+	Routes    bool              // they hold the route table too, which goes before the settings' rules
+	Tags      map[string]string // of this client, besides its region, for the rules of that
 }
 
 // The limits and settings of a sidecar that is told none.
@@ -86,6 +88,8 @@
 	DoubtEvery *float64 `json:"doubt_every_s"`
 	MostAge    *float64 `json:"most_age_s"`
 	Reach      string
+	Routes     bool
+	Tags       map[string]string
 }
 
 // LoadConfig reads the configuration from the file that PROXY_CONFIG names. PROXY_NAME, PROXY_LISTEN and
@@ -188,6 +192,7 @@
 	}
 	if c.Keepers != nil {
 		c.Settings.AskDiscovery = false // they tell without being asked
+		c.Settings.Tags = c.Keepers.Tags
 	}
 	if c.Members, err = file.Members.config(c.Name, getenv("PROXY_MEMBERS")); err != nil {
 		return nil, fmt.Errorf("members: %w", err)
@@ -212,7 +217,7 @@
 			return nil, nil
 		}
 	}
-	k := &Keepers{Addresses: file.Addresses, Doubt: client.DefaultDoubt, MostAge: defaultMostAge, Reach: file.Reach}
+	k := &Keepers{Addresses: file.Addresses, Doubt: client.DefaultDoubt, MostAge: defaultMostAge, Reach: file.Reach, Routes: file.Routes, Tags: file.Tags}
 	if environment != "" {
 		k.Addresses = strings.Split(environment, ",")
 	}
--- a/internal/sidecar/counts.go
+++ b/internal/sidecar/counts.go
@@ -145,6 +145,7 @@
 	}
 	s.membersInfo(&text)
 	s.heavyInfo(&text)
+	s.routesInfo(&text)
 	text.WriteString("eof\n")
 	return text.String()
 }
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -24,6 +24,7 @@
 	upstream  *upstream
 	discovery *discovery
 	keepers   *client.Follower // of the list, in place of discovery; nil: there are none
+	routing   routing
 	handover  *handover
 	leaving   leaving
 	members   *members.Members // nil: none are known
@@ -89,6 +90,9 @@
 	if c.Hitters != nil {
 		h.watchers.Go(func() { h.judgeClients(ctx, c.Settings.Hitters.Window) })
 	}
+	if err := h.followRoutes(ctx, c); err != nil {
+		return nil, err
+	}
 	if c.Keepers != nil {
 		return h, h.keep(ctx, c)
 	}
--- /dev/null
+++ b/internal/sidecar/routes.go
@@ -0,0 +1,86 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"strings"
+
+	"gradeusher.example/gradeusher/balance/routes"
+	"gradeusher.example/gradeusher/internal/client"
+)
+
+// routing is the route table that keepers hold, as this sidecar follows it. The loop alone touches what follows follower.
+type routing struct {
+	follower *client.RouteFollower // nil: this sidecar goes by its own rules
+
+	applied int64 // the generation that the Balancer goes by; 0: its own rules
+	behind  bool  // a later one is held, which it does not go by
+}
+
+// followRoutes has the loop take in the route table, cut for this sidecar, until ctx is done. What a process before this one
+// held is taken up before anything else.
+func (h *host) followRoutes(ctx context.Context, c *Config) (err error) {
+	if c.Keepers == nil || !c.Keepers.Routes {
+		return nil
+	}
+	tags := map[string]string{"region": c.Settings.Zone}
+	maps.Copy(tags, c.Settings.Tags)
+	for tag, v := range tags {
+		if len(tags) > routes.MostTags || tag == "" || strings.Contains(tag, ":") || len(tag) > routes.MostText || len(v) > routes.MostText {
+			return fmt.Errorf("keepers: tags: %.60q: at most %d, of %d bytes each and without a colon", tag, routes.MostTags, routes.MostText)
+		}
+	}
+	h.routing.follower, err = client.NewRouteFollower(client.RouteOptions{Keepers: c.Keepers.Addresses, Tags: tags, Service: c.Settings.Service,
+		MostAge: c.Keepers.MostAge, Cache: client.NewRouteCache(c.Common, c.Name), Log: h.log,
+		Told: func(u client.RouteUpdate) { h.post(func() { h.route(u) }) }})
+	if err != nil {
+		return err
+	}
+	h.watchers.Go(func() { h.routing.follower.Run(ctx) })
+	return nil
+}
+
+// move has the routes of other keepers followed, which are known to be addresses.
+func (r *routing) move(address string) {
+	if r.follower != nil {
+		_ = r.follower.Move(strings.Split(address, ",")) // as for the list, which says what is wrong
+	}
+}
+
+// route has the Balancer go by a table, if it may.
+func (h *host) route(u client.RouteUpdate) {
+	applied, why := h.balancer.SetRules(h.now, u.Rules)
+	if h.routing.behind = !applied; applied {
+		h.routing.applied = u.Gen
+	}
+	h.log.Info("routes", "gen", u.Gen, "rules", len(u.Rules), "hash", u.Hash, "remembered", u.Remembered, "applied", applied, "why", why)
+}
+
+// generation is the one that the Balancer goes by. The loop alone calls it.
+func (h *host) generation() int64 {
+	r := &h.routing
+	if r.behind && !h.balancer.RulesWait() {
+		r.behind = false // what waited is applied by now
+	}
+	if held := r.follower.Figures().Gen; !r.behind && held >= 0 {
+		r.applied = held // also where only the number is new
+	}
+	return r.applied
+}
+
+// routesInfo adds which generation is held, which one the Balancer goes by, and what came of following.
+func (s *server) routesInfo(text *strings.Builder) {
+	h, applied := s.host, int64(0)
+	if h.routing.follower == nil || !h.ask(func() { applied = h.generation() }) {
+		return
+	}
+	n := h.routing.follower.Figures()
+	for _, f := range []figure{{"route_generation", applied}, {"route_generation_held", n.Gen}, {"route_rules", int64(n.Rules)},
+		{"route_age_ms", max(n.Age.Milliseconds(), -1)}} {
+		fmt.Fprintf(text, "svc.%s:%d|g\n", f.name, f.value)
+	}
+	for _, f := range []figure{{"route_diffs", n.Diffs}, {"route_wholes", n.Whole}, {"route_mismatches", n.Mismatches}} {
+		fmt.Fprintf(text, "svc.%s:%d|c\n", f.name, f.value)
+	}
+}
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -28,6 +28,7 @@
 		if err := h.keepers.Move(strings.Split(address, ",")); err != nil {
 			h.log.Error("keepers", "err", err)
 		}
+		h.routing.move(address)
 		return
 	}
 	h.log.Info("discovery moves", "to", address)
