Lab: hitter_precision, hitter_recall, hitter_delay_ms; what heavy clients keep does not spiral down

The lab counts from the plan who asks for how much, and from what clients saw who gave way: refused at once, with a second or more to wait, and unseen by any server. [hitters] on = true has sidecars judge. hitter_sound_loss is what the others lose.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -250,7 +250,7 @@
 			b.act.Cancel(q.ID, i)
 		}
 	}
-	if !q.ended {
+	if !q.ended && b.hitters != nil {
 		b.countWork(q)
 	}
 	if q.ended = true; q.out == 0 {
--- a/balance/fair.go
+++ b/balance/fair.go
@@ -18,11 +18,13 @@
 	return yields
 }
 
-// countWork counts a request as its answer took, or else as its class does. Danger: one that takes for ever
-// would make its client a heavy one.
+// countWork counts a request as its answer took, or else as its class does; a second is what the classes take
+// in the mean. Danger: servers do not do more when all answers take longer, and one can take for ever.
 func (b *Balancer) countWork(q *request) {
-	if b.hitters != nil {
-		mean := time.Duration(b.work[q.Class] * float64(time.Second))
-		b.hitters.Count(q.Client, min(cmp.Or(q.took, mean), time.Duration(heavy)*mean), q.took > 0)
+	usual, sum := b.work[q.Class], 0.0
+	for _, w := range b.work {
+		sum += w
 	}
+	work := min(cmp.Or(q.took.Seconds(), usual), heavy*usual) * float64(len(b.work)) / sum
+	b.hitters.Count(q.Client, time.Duration(work*float64(time.Second)), q.took > 0)
 }
--- a/balance/hitters/fleet.go
+++ b/balance/hitters/fleet.go
@@ -150,6 +150,26 @@
 	return f, clients
 }
 
+// asked is what all but the clients ask for, and what all do less what gives way while servers are full.
+func (j *Judge) asked(f fleet, clients []tally) (rest, sent float64) {
+	rest, sent = float64(f.total), float64(f.total)
+	for _, t := range clients {
+		rest -= float64(t.sum)
+		if c := j.heavy(t.key); c != nil {
+			sent -= float64(t.sum) * (1 - c.Keep)
+		}
+	}
+	return rest, sent
+}
+
+// heavy returns a client that is held for heavy, or nil.
+func (j *Judge) heavy(key uint64) *Client {
+	if i, held := j.find(key); held && j.clients[i].State == Heavy {
+		return j.clients[i]
+	}
+	return nil
+}
+
 func (j *Judge) weight(w *word, most uint64) uint64 {
 	if w.origin == j.set.Origin {
 		return w.Total
--- a/balance/hitters/hitters.go
+++ b/balance/hitters/hitters.go
@@ -36,6 +36,7 @@
 	mostKeys    = 11   // clients named in a report
 	mostOrigins = 1024 // that are listened to
 	mostClients = 48   // held in a state other than quiet: as many as can be above the lower bar
+	tellFrom    = 4    // a report names clients whose share of the sidecar's own work is the bar's part of that
 	mostName    = 24   // bytes of a client's name that are kept for logs
 	whole       = math.MaxUint16
 	mostTotal   = 1 << 44       // microseconds of work a second
@@ -132,6 +133,7 @@
 	words   []*word         // by origin
 	clients []*Client       // by key
 	yielded uint64          // requests that gave way
+	room    float64         // work that servers do, as far as is known
 }
 
 // New returns a Judge, or an error that says what is wrong with the settings. Without settings there is none.
--- a/balance/hitters/judge.go
+++ b/balance/hitters/judge.go
@@ -6,11 +6,12 @@
 )
 
 const (
-	tellFrom   = 4           // a sidecar names clients whose share of its own work is the bar's part of that
 	sureBy     = 3.0         // standard deviations from a share to the bar: of few requests it may be chance
 	mostWeight = 4           // times the next origin's total, that the largest counts for
 	more, less = 1.02, 0.97  // of what is served, that is let in next
 	nearlyAll  = 0.99        // of what was let in
+	rise, fall = 0.1, 0.02   // of the way to that, which what was served before goes in a window,
+	floor      = 0.9         // and the share of it that is let in at least
 	leastKept  = 0.1         // of the lower bar: the share of what is served that is kept at the worst
 	backAfter  = time.Second // at the least for one that gives way, and as much more at random
 )
@@ -61,24 +62,21 @@
 }
 
 // share says which part of its requests a heavy client keeps while servers are full: what they do is shared
-// by max-min, as water fills vessels. Those that are not among clients ask for little: under the level.
+// by max-min. Those that are not among clients ask for little: under the level.
 //
-// Danger: what is served just now, as far as it is known, kept to for good, would only ever fall. So a little
-// more is let in, until servers turn away some of it, and then a little less, until they do not.
+// Danger: what is served now, if no more is let in for good, only ever falls; and what is turned away for
+// other reasons would take a heavy client's last. So a little more is let in each time, a little less only
+// while some of it is turned away, and never much less than was served before.
 func (j *Judge) share(f fleet, clients []tally) {
-	rest, sent := float64(f.total), float64(f.total)
-	for _, t := range clients {
-		rest -= float64(t.sum)
-		if c := j.client(t.key); c.State == Heavy {
-			sent -= float64(t.sum) * (1 - c.Keep)
-		}
-	}
-	served := float64(f.served) * less
-	if float64(f.served) >= sent*nearlyAll {
-		served = float64(f.served) * more
+	rest, sent := j.asked(f, clients)
+	can := float64(f.served) * more
+	if float64(f.served) < sent*nearlyAll {
+		can = float64(f.served) * less
 	}
+	j.room += max(rise*(can-j.room), fall*(can-j.room))
+	can = max(can, floor*j.room)
 	// Danger: by a total that is not true, or where the others ask for all, it would be left with nothing.
-	level := max(maxMin(served-max(rest, 0), clients), leastKept*j.set.Low*served)
+	level := max(maxMin(can-max(rest, 0), clients), leastKept*j.set.Low*can)
 	for _, t := range clients {
 		j.client(t.key).Keep = min(1, level/max(float64(t.sum), 1))
 	}
@@ -87,8 +85,8 @@
 // Yields tells whether a request of a client is to give way to others, as servers are full, and after which
 // time it may come back. Danger: clients that are told the same time come back together.
 func (j *Judge) Yields(now Time, key, request uint64) (after time.Duration, yields bool) {
-	c := j.client(key)
-	if c.State != Heavy || now-j.open.begun > j.set.Bound { // as after this process was stopped
+	c := j.heavy(key)
+	if c == nil || now-j.open.begun > j.set.Bound { // as after this process was stopped
 		return 0, false
 	}
 	if c.credit += c.Keep; c.credit >= 1 {
--- a/balance/hitters/report.go
+++ b/balance/hitters/report.go
@@ -12,7 +12,7 @@
 // Report is what an origin tells of its last windows. Shares are of its total, in units of 1/65535. Memory is bounded by
 // its size, so it holds arrays and not slices.
 type Report struct {
-	Total    uint64 // microseconds of work a second, asked for
+	Total    uint64 // work a second, asked for, in microseconds of any unit that all share
 	Requests uint32 // counted
 	Served   uint16 // share of the total that was served, rounded down
 	Err      uint16 // no client has more than its share and this, rounded up; its share is 0 if it is not named
--- /dev/null
+++ b/internal/lab/check/hitters.go
@@ -0,0 +1,185 @@
+package check
+
+import (
+	"math"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/plan"
+)
+
+// Here is whom sidecars took for clients that ask for too much, by what the clients saw. What they truly asked for is in the
+// plan: it does not hang on what became of it.
+const (
+	// gaveWay is the least time after which a request that gave way may come back. What is refused for want of room may
+	// come back within the shortest aim, which is under it.
+	gaveWay = time.Second
+	// judged is the time within which a client that asks for twice the upper bar must be held for heavy, and for which one
+	// that no longer does may be.
+	judged = 3 * time.Second
+	// sentBy is how many requests a client must have sent by a sidecar, while servers were full, for it to be missed there.
+	sentBy = 10
+	// fullFrom is the share of a second's requests that are refused from which servers count as full.
+	fullFrom = 0.02
+)
+
+// hitterFigures are how many of the requests that gave way were of clients above the bar (hitter_precision), at how many
+// of the sidecars that a client above twice the bar called while servers were full it had to give way (hitter_recall), and
+// how long it took from when it began until one gave way (hitter_delay_ms, of the last client, from when servers were full
+// if that came later).
+func (e *Evidence) hitterFigures(f Figures) {
+	p := e.Plan
+	if !p.File.Hitters.On {
+		return
+	}
+	high, _ := p.File.Hitters.Bars()
+	n := int(math.Ceil(p.File.Seconds))
+	// Above is for each client how many seconds of the last ones it asked for more than the bar, and twice that.
+	asked, whole := make([]map[int]float64, n), make([]float64, n)
+	requests, refused := make([]int, n), make([]int, n)
+	for i := range asked {
+		asked[i] = map[int]float64{}
+	}
+	second := func(arrival int) int { return min(int(p.Arrivals[arrival].At/time.Second), n-1) }
+	for i := range p.Arrivals {
+		a := &p.Arrivals[i]
+		asked[second(i)][a.Client] += a.Work.Seconds()
+		whole[second(i)] += a.Work.Seconds()
+	}
+	seen := map[string]bool{} // requests that reached a server
+	for i := range e.Attempts {
+		seen[e.Attempts[i].ID] = true
+	}
+	over := func(client, s int, bar float64) bool { return asked[s][client] >= bar*whole[s] }
+	long := int(judged / time.Second)
+	lately := func(client, s int) bool {
+		for from := max(0, s-long); from <= s; from++ {
+			if over(client, from, high) {
+				return true
+			}
+		}
+		return false
+	}
+	steady := func(client, s int) bool {
+		for from := s - long; from <= s; from++ {
+			if from < 0 || !over(client, from, 2*high) {
+				return false
+			}
+		}
+		return true
+	}
+	for i := range e.Tries {
+		s := second(e.Tries[i].Arrival)
+		if requests[s]++; e.Tries[i].Status == 503 {
+			refused[s]++
+		}
+	}
+	full := func(s int) bool { return float64(refused[s]) >= fullFrom*float64(requests[s]) && refused[s] > 0 }
+	type pair struct{ client, sidecar int }
+	sent, gave := map[pair]int{}, map[pair]int{}
+	first := map[int]time.Duration{}
+	right, all := 0, 0
+	for i := range e.Tries {
+		t := &e.Tries[i]
+		a := &p.Arrivals[t.Arrival]
+		s, who := second(t.Arrival), pair{a.Client, t.Sidecar}
+		yields := t.Status == 503 && t.After >= gaveWay && !seen[t.ID]
+		if yields {
+			all++
+			if lately(a.Client, s) {
+				right++
+			}
+			if at, known := first[a.Client]; !known || a.At < at {
+				first[a.Client] = a.At
+			}
+		}
+		if full(s) && steady(a.Client, s) {
+			if sent[who]++; yields {
+				gave[who]++
+			}
+		}
+	}
+	if all > 0 {
+		f["hitter_precision"] = float64(right) / float64(all)
+	}
+	f["hitter_yields"] = float64(all) / max(float64(len(e.Tries)), 1)
+	e.soundLoss(f)
+	missed, held := 0, 0
+	latest := time.Duration(-1)
+	for who, n := range sent {
+		switch {
+		case gave[who] > 0:
+			held++
+		case n >= sentBy:
+			missed++
+		}
+	}
+	if held+missed > 0 {
+		f["hitter_recall"] = float64(held) / float64(held+missed)
+	}
+	for i := range p.File.Faults {
+		t := &p.File.Faults[i]
+		if t.Do != "flood" || t.Distinct {
+			continue
+		}
+		begins := plan.Seconds(t.At)
+		for s := int(t.At); s < n && float64(s) < t.At+t.For && !full(s); s++ {
+			begins = max(begins, time.Duration(s+1)*time.Second)
+		}
+		for client := range asked[min(int(t.At)+1, n-1)] {
+			fault, floods := plan.Flooder(client)
+			if !floods || fault != i || !over(client, min(int(t.At)+1, n-1), 2*high) {
+				continue
+			}
+			at, known := first[client]
+			if !known {
+				at = plan.Seconds(p.File.Seconds)
+			}
+			latest = max(latest, at-begins, 0)
+		}
+	}
+	if latest >= 0 {
+		f["hitter_delay_ms"] = latest.Seconds() * 1000
+	}
+}
+
+// soundLoss is the share of the worth that was served of those who do not flood before the first flood, less the same
+// while it lasts, from when it should be judged on (hitter_sound_loss).
+func (e *Evidence) soundLoss(f Figures) {
+	p := e.Plan
+	from, to := math.Inf(1), 0.0
+	for i := range p.File.Faults {
+		if t := &p.File.Faults[i]; t.Do == "flood" && t.At < from {
+			from, to = t.At, t.At+t.For
+		}
+	}
+	got := make([]float64, len(p.Arrivals))
+	for i := range e.Tries {
+		t := &e.Tries[i]
+		class := &p.File.Classes[p.Arrivals[t.Arrival].Class]
+		took := float64(t.Ended-e.Start-int64(p.Arrivals[t.Arrival].At)) / 1e6
+		switch {
+		case t.Status == 200 && took <= class.AimMS:
+			got[t.Arrival] = 1
+		case t.Status == 200 && took <= class.GiveUpMS:
+			got[t.Arrival] = max(got[t.Arrival], class.LateWorth)
+		}
+	}
+	var asked, served [2]float64
+	for i := range p.Arrivals {
+		a := &p.Arrivals[i]
+		when := 0
+		if _, floods := plan.Flooder(a.Client); floods || a.At.Seconds() >= to {
+			continue
+		} else if a.At.Seconds() >= from+judged.Seconds() {
+			when = 1
+		} else if a.At.Seconds() >= from {
+			continue
+		}
+		worth := p.File.Classes[a.Class].Worth * a.Work.Seconds()
+		asked[when] += worth
+		served[when] += worth * got[i]
+	}
+	if asked[0] > 0 && asked[1] > 0 {
+		f["hitter_sound_loss"] = served[0]/asked[0] - served[1]/asked[1]
+	}
+}
--- /dev/null
+++ b/internal/lab/check/hitters_test.go
@@ -0,0 +1,63 @@
+package check
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/load"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+)
+
+// TestHitterFigures has a client flood two sidecars from 5 s on with half of the work, and give way, or not, as a case says.
+func TestHitterFigures(t *testing.T) {
+	const flooder = 1 << 22
+	for _, tt := range []struct {
+		name  string
+		yield func(client, sidecar int, at time.Duration) bool
+		want  Figures // 0: not measured
+	}{
+		{"nobody gives way", func(int, int, time.Duration) bool { return false }, Figures{"hitter_recall": 0, "hitter_delay_ms": 15000}},
+		{"just the one", func(c, _ int, at time.Duration) bool { return c == flooder && at >= 7*time.Second },
+			Figures{"hitter_precision": 1, "hitter_recall": 1, "hitter_delay_ms": 2000}},
+		{"at one sidecar", func(c, s int, at time.Duration) bool { return c == flooder && s == 0 && at >= 7*time.Second },
+			Figures{"hitter_precision": 1, "hitter_recall": 0.5, "hitter_delay_ms": 2000}},
+		{"others too", func(c, s int, at time.Duration) bool { return at >= 7*time.Second },
+			Figures{"hitter_precision": 0.5, "hitter_recall": 1, "hitter_delay_ms": 2000}},
+	} {
+		f, err := plan.Parse("x.toml", []byte("states = \"x\"\nseconds = 20\n[load]\nrate = 1\nclients = 100\n[fleet]\nsidecars = 2\n[hitters]\non = true\n[[fault]]\ndo = \"flood\"\nat = 5\nfor = 10\nsize = 1.0\n"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := &Evidence{Plan: &plan.Plan{File: f}}
+		for n := range 20 * 40 {
+			at := time.Duration(n) * 25 * time.Millisecond
+			client := n%50 + 1
+			if n%4 >= 2 && at >= 5*time.Second && at < 15*time.Second {
+				client = flooder
+			}
+			e.Plan.Arrivals = append(e.Plan.Arrivals, plan.Arrival{At: at, Client: client, Sidecar: n % 2, Work: time.Second})
+			try := load.Try{ID: fmt.Sprint(n), Arrival: n, Sidecar: n % 2, Status: 200, Ended: int64(at) + int64(time.Millisecond)}
+			switch {
+			case tt.yield(client, n%2, at) && at < 15*time.Second:
+				try.Status, try.After = 503, 1500*time.Millisecond
+			case n%10 == 0: // full: refused, to come back soon, or after an attempt
+				try.Status, try.After = 503, 200*time.Millisecond
+			case n%10 == 1:
+				try.Status, try.After = 503, 1500*time.Millisecond
+				e.Attempts = append(e.Attempts, ctl.Attempt{ID: try.ID})
+			}
+			e.Tries = append(e.Tries, try)
+		}
+		got := Figures{}
+		e.hitterFigures(got)
+		for _, name := range []string{"hitter_precision", "hitter_recall", "hitter_delay_ms"} {
+			value, known := got[name]
+			want, wanted := tt.want[name]
+			if known != wanted || value < 0.98*want || value > 1.03*want {
+				t.Errorf("%s: %s is %v (%v), want %v (%v)", tt.name, name, value, known, want, wanted)
+			}
+		}
+	}
+}
--- a/internal/lab/config.go
+++ b/internal/lab/config.go
@@ -45,6 +45,10 @@
 			"charges": object{"cross_zone": 0.024, "handshake": 0.08, "late_fail": 0.085, "probe": 0.01, "waste": 0.25},
 		},
 	}
+	if f.Hitters.On {
+		high, low := f.Hitters.Bars()
+		whole["hitters"] = object{"bars": []float64{high, low}}
+	}
 	if len(keepers) > 0 {
 		delete(whole, "known") // they tell it
 		whole["keepers"] = object{"addresses": keepers, "reach": link.Near(i).String(), "doubt_share": f.Keepers.DoubtShare}
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -23,6 +23,7 @@
 	Limits  Limits  `toml:"limits"`
 	List    List    `toml:"list"`
 	Keepers Keepers `toml:"keepers"`
+	Hitters Hitters `toml:"hitters"`
 	Kinds   []Kind  `toml:"kind"`
 	Classes []Class `toml:"class"`
 	Faults  []Fault `toml:"fault"`
@@ -170,6 +171,7 @@
 	"late_refusals", "p50_ms", "p99_ms", "p999_ms", "connections", "lateness_p99_ms", "requests",
 	"writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "told_p50_ms", "told_p99_ms", "watches", "watches_whole",
 	"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s",
+	"hitter_precision", "hitter_recall", "hitter_delay_ms", "hitter_yields", "hitter_sound_loss",
 	"keeper_mb", "keeper_cores", "failover_p50_ms", "failover_most_ms"}
 
 // Flaws of the stand-in sidecar, for the controls; "" is none.
@@ -307,6 +309,8 @@
 		{"keepers", "keys", float64(f.Keepers.Keys), 1, 2000},
 		{"keepers", "doubt_share", f.Keepers.DoubtShare, 0, 1},
 		{"keepers", "watchers", float64(f.Keepers.Watchers), 0, 10000},
+		{"hitters", "high", f.Hitters.High, 0, 1},
+		{"hitters", "low", f.Hitters.Low, 0, 1},
 		{"limits", "answer_slack_ms", f.Limits.AnswerSlackMS, 0, 60000},
 		{"limits", "drain_grace_ms", f.Limits.DrainGraceMS, 0, 60000},
 		{"limits", "slack_ms", f.Limits.SlackMS, 0, 60000},
