--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -101,7 +101,12 @@
 			settled = settled && v.Count == n && v.Epoch == all[0].View().Epoch
 		}
 		if time.Since(began) > time.Minute {
-			b.Fatal("not settled")
+			views := map[string]int{}
+			for _, m := range all {
+				v := m.View()
+				views[fmt.Sprintf("%d members, epoch %x", v.Count, v.Epoch)]++
+			}
+			b.Fatalf("not settled: %v, %+v", views, all[0].Counts())
 		}
 	}
 	b.ReportMetric(time.Since(began).Seconds(), "settle_s")
