--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -23,6 +23,7 @@
 	Limits  Limits  `toml:"limits"`
 	List    List    `toml:"list"`
 	Keepers Keepers `toml:"keepers"`
+	Hitters Hitters `toml:"hitters"`
 	Members Members `toml:"members"`
 	// Config is written into each sidecar's configuration as it stands, beside what the lab tells it.
 	Config  map[string]any `toml:"config"`
@@ -180,6 +181,7 @@
 	"late_refusals", "p50_ms", "p99_ms", "p999_ms", "connections", "lateness_p99_ms", "requests",
 	"writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "told_p50_ms", "told_p99_ms", "watches", "watches_whole",
 	"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s",
+	"hitter_precision", "hitter_recall", "hitter_delay_ms", "hitter_yields", "hitter_sound_loss",
 	"members_packets", "members_bytes",
 	"keeper_mb", "keeper_cores", "failover_p50_ms", "failover_most_ms"}
 
@@ -319,6 +321,8 @@
 		{"keepers", "keys", float64(f.Keepers.Keys), 1, 2000},
 		{"keepers", "doubt_share", f.Keepers.DoubtShare, 0, 1},
 		{"keepers", "watchers", float64(f.Keepers.Watchers), 0, 10000},
+		{"hitters", "high", f.Hitters.High, 0, 1},
+		{"hitters", "low", f.Hitters.Low, 0, 1},
 		{"limits", "answer_slack_ms", f.Limits.AnswerSlackMS, 0, 60000},
 		{"limits", "drain_grace_ms", f.Limits.DrainGraceMS, 0, 60000},
 		{"limits", "slack_ms", f.Limits.SlackMS, 0, 60000},
