--- a/balance/hand.go
+++ b/balance/hand.go
@@ -47,20 +47,3 @@
 
 // ready tells whether an endpoint may be used at all.
 func (e *endpoint) ready() bool { return e.State == Ready && !e.out }
-
-// Knows tells whether an endpoint is listed or out by hand.
-func (b *Balancer) Knows(id string) bool {
-	e := b.known[id]
-	return has(b.byHand, id) || e != nil && e.State != Removed
-}
-
-// Listed counts the endpoints on the list, and those of them that get nothing now: out by hand, draining, or
-// ejected.
-func (b *Balancer) Listed(now Time) (all, avoided int) {
-	for _, e := range b.endpoints {
-		if !e.ready() || now < e.until && !b.panicking {
-			avoided++
-		}
-	}
-	return len(b.endpoints), avoided
-}
--- a/balance/route.go
+++ b/balance/route.go
@@ -8,19 +8,6 @@
 	"gradeusher.example/gradeusher/balance/subset"
 )
 
-// DefaultRules is the table used where none is given: a group for each zone and kind, weighted by size.
-func DefaultRules(service string, zones, kinds []string) []Rule {
-	var groups []Destination
-	for _, zone := range zones {
-		for _, kind := range kinds {
-			groups = append(groups, Destination{Weight: 1, PerSize: true,
-				Match: Match{"service": service, "region": zone, "version": kind}})
-		}
-	}
-	return []Rule{{Name: "default", Source: Match{"service": "*"}, Service: Match{"service": service},
-		Destinations: groups}}
-}
-
 // groupsOf tells which groups' tags an endpoint carries.
 func (b *Balancer) groupsOf(e Endpoint) (joins []bool) {
 	tags := b.tagsOf(e)
