--- a/balance/api.go
+++ b/balance/api.go
@@ -90,6 +90,8 @@
 	FallMultiple  float64       // a cold endpoint sent more than this multiple of what it can do
 	FallTime      time.Duration // for this long falls over
 
+	Bound time.Duration // what members said longer ago counts for nothing; 0: 2 s
+
 	CrossCharge float64 // price of crossing zones, as a share of a request's worth
 
 	Hitters *hitters.Settings // how clients that ask for much of the fleet's work are found; nil: they are not
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,7 @@
 	}
 	b := &Balancer{set: set, act: act, known: map[string]*endpoint{}, requests: map[RequestID]*request{},
 		rng: rand.New(rand.NewPCG(set.Seed, uint64(set.Self))), tenants: make([]tenant, len(set.Tenants)),
-		near: [2]float64{1, leastNear}}
+		near: [2]float64{1, leastNear}, book: newBook(set)}
 	var err error
 	if b.hitters, err = hitters.New(set.Hitters); err != nil {
 		return nil, fmt.Errorf("balance: %w", err)
@@ -347,6 +347,7 @@
 		}
 	case tokenTick:
 		b.act.Timer(tickEvery, tokenTick)
+		b.heed(now)
 		b.fade(now, math.Exp(-tickEvery.Seconds()/memory.Seconds()))
 		b.shift(now)
 		if now >= b.grouped+time.Second {
--- a/balance/hand.go
+++ b/balance/hand.go
@@ -41,7 +41,7 @@
 // Danger: a server is restarted while it is out, and the list tells late. One taken for warm is pushed over.
 // Whether it may have been is told by the start that counts: the listed one may lie ahead of this clock.
 func (b *Balancer) restarted(e *endpoint, from Time) {
-	e.took, e.held, e.faults, e.until, e.from = 0, 0, 0, 0, from
+	e.took, e.held, e.faults, e.until, e.from, e.served, e.struck = 0, 0, 0, 0, from, 0, 0
 	e.due = b.rng.Float64()
 }
 
--- a/balance/health.go
+++ b/balance/health.go
@@ -156,12 +156,13 @@
 	case Saturated: // its queue is full: as bad as an answer at the aim
 		e.took += b.aim
 	case Served:
-		e.faults *= faultKeep
+		e.faults, e.served, e.struck = e.faults*faultKeep, now, 0
 	case Errored, TimedOut, ConnectFailed, Reset:
 		// Danger: an endpoint that fails fast looks idle and draws all requests.
 		if e.faults += math.Pow(faultKeep, float64(a.flight.passed)); e.faults >= faultBar {
 			e.until = now + ejectFor
 			e.faults = 1 // the next fault after its return ejects it again
+			e.struck, e.struckAt = failure[r.Outcome], now
 			b.act.Log("ejected " + e.ID)
 			b.regroup(now)
 		}
--- a/balance/shared.go
+++ b/balance/shared.go
@@ -1,8 +1,13 @@
 package balance
 
 import (
+	"cmp"
+	"slices"
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
+	"gradeusher.example/gradeusher/balance/signals"
 	"gradeusher.example/gradeusher/balance/turns"
 )
 
@@ -14,6 +19,17 @@
 	Level int
 }
 
+// defaultBound is Settings.Bound where none is set.
+const defaultBound = 2 * time.Second
+
+func newBook(set Settings) *signals.Book {
+	return signals.NewBook(set.Zone, cmp.Or(set.Bound, defaultBound))
+}
+
+// failure is what an outcome that ejects a server says of how it fails.
+var failure = map[Outcome]signals.Kind{TimedOut: signals.Silent, Errored: signals.Refusing, ConnectFailed: signals.Refusing,
+	Reset: signals.Refusing}
+
 // place is a place among some sidecars: at of of, from 0; of is 0 where it is not known.
 type place struct{ at, of int }
 
@@ -59,3 +75,37 @@
 
 // hash is the endpoint's in the order that members share.
 func (e *endpoint) hash() uint64 { return xxhash.Sum64String(e.ID) }
+
+// Told takes in what a member said of servers, if it is newer than what it said before: number seq of its process that began
+// at start, age ago. The start of a server's process is Endpoint.Started, as this sidecar has it.
+func (b *Balancer) Told(now Time, origin string, start int64, seq uint64, age time.Duration, r signals.Report) {
+	b.book.Told(origin, start, seq, age, r, now)
+}
+
+// Gone takes in that a sidecar is no member any more: what it said counts no longer.
+func (b *Balancer) Gone(origin string) { b.book.Gone(origin) }
+
+// Witness is what this sidecar has to say of servers, by what it saw itself.
+func (b *Balancer) Witness(now Time) signals.Report {
+	r := signals.Report{Room: b.set.Zone, Level: b.level}
+	for _, e := range b.endpoints {
+		if !e.active || !e.ready() {
+			continue
+		}
+		at := slices.IndexFunc(r.Uses, func(u signals.Use) bool { return u.Room == e.Zone })
+		if at < 0 {
+			at = len(r.Uses)
+			r.Uses = append(r.Uses, signals.Use{Room: e.Zone})
+		}
+		r.Uses[at].Servers++
+		if kind, count, when := b.fails(e, now); kind > signals.None {
+			r.Verdicts = append(r.Verdicts, signals.Verdict{Subject: e.subject(), Room: e.Zone, Kind: kind, Count: count, Age: now - when})
+		}
+	}
+	return signals.Own(r)
+}
+
+// subject is the endpoint's present process, as far as the list tells.
+func (e *endpoint) subject() signals.Subject {
+	return signals.Subject{Server: e.ID, Start: int64(e.Started)}
+}
--- a/balance/signals/codec.go
+++ b/balance/signals/codec.go
@@ -1,7 +1,9 @@
 package signals
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
@@ -17,6 +19,7 @@
 	Room     string
 	Uses     []wireUse
 	Verdicts []wireVerdict
+	Level    uint
 }
 
 type wireUse struct {
@@ -40,10 +43,13 @@
 	return h
 }
 
-// Encode writes a report in at most Most bytes. The last verdicts, and then uses, give way.
+// Encode writes a report in at most Most bytes. The mildest verdicts, and then uses, give way.
 func Encode(r Report) ([]byte, error) {
+	r.Verdicts = slices.SortedFunc(slices.Values(r.Verdicts), func(x, y Verdict) int {
+		return cmp.Or(cmp.Compare(y.Kind, x.Kind), cmp.Compare(y.Count, x.Count), cmp.Compare(x.Server, y.Server))
+	})
 	r = sane(r)
-	w := wireReport{Room: r.Room}
+	w := wireReport{Room: r.Room, Level: uint(max(r.Level, 0))}
 	at := map[string]uint{}
 	for i, u := range r.Uses {
 		at[u.Room] = uint(i)
@@ -84,8 +90,8 @@
 	if len(w.Room) > mostText || len(w.Uses) > mostUses || len(w.Verdicts) > MostVerdicts {
 		return r, fmt.Errorf("report: over the bounds")
 	}
-	r.Room = w.Room
 	const most = 1 << 30
+	r.Room, r.Level = w.Room, int(min(w.Level, most))
 	for _, u := range w.Uses {
 		if len(u.Room) > mostText {
 			return r, fmt.Errorf("report: over the bounds")
--- a/balance/signals/signals.go
+++ b/balance/signals/signals.go
@@ -3,7 +3,6 @@
 // Here is what makes a verdict of what witnesses say. The promises are in types.go.
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -80,15 +79,11 @@
 		condemned >= sureCut && float64(condemned) > mostShare*float64(used)
 }
 
-// Own is what a sidecar says of what it saw itself: nothing if it is likely cut off, else the worst first.
+// Own is what a sidecar says of what it saw itself: nothing if it is likely cut off.
 func Own(r Report) Report {
 	cut := cutOff(r)
 	r.Verdicts = slices.DeleteFunc(slices.Clone(r.Verdicts), func(v Verdict) bool {
 		return cut || v.Age > mostEvidence
 	})
-	slices.SortFunc(r.Verdicts, func(x, y Verdict) int {
-		return cmp.Or(cmp.Compare(y.Kind, x.Kind), cmp.Compare(y.Count, x.Count), cmp.Compare(x.Server, y.Server))
-	})
-	r.Verdicts = r.Verdicts[:min(len(r.Verdicts), MostVerdicts)]
 	return r
 }
--- a/balance/signals/signals_test.go
+++ b/balance/signals/signals_test.go
@@ -207,7 +207,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	r := Report{Room: "a", Uses: []Use{{"a", 5}, {"b", 1}}, Verdicts: []Verdict{{Subject{"s", 1700000000000}, "b", Slow, 3, 1500 * time.Millisecond}}}
+	r := Report{Room: "a", Level: 3, Uses: []Use{{"a", 5}, {"b", 1}}, Verdicts: []Verdict{{Subject{"s", 1700000000000}, "b", Slow, 3, 1500 * time.Millisecond}}}
 	b, err := Encode(r)
 	if back, again := Decode(b); err != nil || again != nil || !reflect.DeepEqual(back, r) {
 		f.Fatalf("%v %v %+v", err, again, back)
--- a/balance/signals/types.go
+++ b/balance/signals/types.go
@@ -54,6 +54,7 @@
 // Report is all that a sidecar has to say. Each one stands for itself: a server that it does not name is not condemned.
 type Report struct {
 	Room     string // the sidecar's
+	Level    int    // of its traffic, as the balancer counts it; 0: not known
 	Uses     []Use
 	Verdicts []Verdict
 }
@@ -115,7 +116,7 @@
 // sane is a report within the bounds, with one verdict on each subject, of known kinds, on rooms that it uses once each.
 func sane(r Report) Report {
 	var s Report
-	s.Room = r.Room[:min(len(r.Room), mostText)]
+	s.Room, s.Level = r.Room[:min(len(r.Room), mostText)], r.Level
 	for _, u := range r.Uses[:min(len(r.Uses), mostUses)] {
 		if !slices.ContainsFunc(s.Uses, func(x Use) bool { return x.Room == u.Room }) {
 			s.Uses = append(s.Uses, Use{u.Room, max(u.Servers, 0)})
--- a/balance/state.go
+++ b/balance/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/hitters"
+	"gradeusher.example/gradeusher/balance/signals"
 )
 
 // Balancer makes the decisions of one sidecar.
@@ -35,6 +36,7 @@
 	leveled    Time            // when that was last looked at
 	heard      Time            // when an attempt last ended
 	byHand     map[string]Time // ids that staff took out, and since when
+	book       *signals.Book   // of what the members say
 	panicking  bool            // so much is ejected that the fault is likely ours
 	subscribed bool
 	tight      Time           // until then lesser classes give way
@@ -88,23 +90,26 @@
 // endpoint is a server and what this sidecar has seen of it.
 type endpoint struct {
 	Endpoint
-	inFlight int       // this sidecar's attempts out
-	flights  []*flight // those, in the order of their sending
-	sent     Time      // sum of the times at which those not lost were sent
-	lost     int       // of those, how many are apart, or passed too often to be answered still
-	took     float64   // fading sum of the seconds that answers took
-	held     float64   // and of the requests it held
-	faults   float64   // count of faults, fading with successes
-	until    Time      // ejected until
-	from     Time      // when it started as far as its warmth goes; 0: long ago
-	out      bool      // taken out by hand
-	warm     float64   // share of its capacity that it has
-	due      float64   // part of a turn that it has earned since the last send to it, by its share of the sends
-	abroad   int       // 1 in another zone, 0 in the sidecar's own
-	home     *group    // the first whose tags it carries; its peers there are alike
-	joins    []bool    // which groups' tags it carries
-	active   bool      // in the subset of one of them
-	open     bool      // may be chosen for the request in hand
+	inFlight int          // this sidecar's attempts out
+	flights  []*flight    // those, in the order of their sending
+	sent     Time         // sum of the times at which those not lost were sent
+	lost     int          // of those, how many are apart, or passed too often to be answered still
+	took     float64      // fading sum of the seconds that answers took
+	held     float64      // and of the requests it held
+	faults   float64      // count of faults, fading with successes
+	until    Time         // ejected until
+	served   Time         // when it last gave an answer to this sidecar; 0: never
+	struck   signals.Kind // how it failed when this sidecar last ejected it, until it serves again
+	struckAt Time
+	from     Time    // when it started as far as its warmth goes; 0: long ago
+	out      bool    // taken out by hand
+	warm     float64 // share of its capacity that it has
+	due      float64 // part of a turn that it has earned since the last send to it, by its share of the sends
+	abroad   int     // 1 in another zone, 0 in the sidecar's own
+	home     *group  // the first whose tags it carries; its peers there are alike
+	joins    []bool  // which groups' tags it carries
+	active   bool    // in the subset of one of them
+	open     bool    // may be chosen for the request in hand
 }
 
 // group is one destination of the best rule, or all endpoints.
