--- a/balance/hitters/hitters.go
+++ b/balance/hitters/hitters.go
@@ -134,6 +134,7 @@
 	clients []*Client       // by key
 	yielded uint64          // requests that gave way
 	room    float64         // work that servers do, as far as is known
+	idle    float64         // of which this much is let in besides what is served, as it seems to be left undone
 }
 
 // New returns a Judge, or an error that says what is wrong with the settings. Without settings there is none.
--- a/balance/hitters/judge.go
+++ b/balance/hitters/judge.go
@@ -10,8 +10,8 @@
 	mostWeight = 4           // times the next origin's total, that the largest counts for
 	more, less = 1.02, 0.97  // of what is served, that is let in next
 	nearlyAll  = 0.99        // of what was let in
-	rise, fall = 0.1, 0.02   // of the way to that, which what was served before goes in a window,
-	floor      = 0.9         // and the share of it that is let in at least
+	rise, fall = 0.25, 0.02  // of the way to that, which what was served before goes in a window,
+	most, fill = 0.9, 0.2    // and where less than that share is served, the part of the rest let in besides
 	leastKept  = 0.1         // of the lower bar: the share of what is served that is kept at the worst
 	backAfter  = time.Second // at the least for one that gives way, and as much more at random
 )
@@ -66,7 +66,7 @@
 //
 // Danger: what is served now, if no more is let in for good, only ever falls; and what is turned away for
 // other reasons would take a heavy client's last. So a little more is let in each time, a little less only
-// while some of it is turned away, and never much less than was served before.
+// while some of it is turned away, and more again where servers do less than they did before.
 func (j *Judge) share(f fleet, clients []tally) {
 	rest, sent := j.asked(f, clients)
 	can := float64(f.served) * more
@@ -74,7 +74,8 @@
 		can = float64(f.served) * less
 	}
 	j.room += max(rise*(can-j.room), fall*(can-j.room))
-	can = max(can, floor*j.room)
+	j.idle = max(0, j.idle+fill*(most*j.room-float64(f.served)))
+	can += j.idle
 	// Danger: by a total that is not true, or where the others ask for all, it would be left with nothing.
 	level := max(maxMin(can-max(rest, 0), clients), leastKept*j.set.Low*can)
 	for _, t := range clients {
