--- a/balance/shared_test.go
+++ b/balance/shared_test.go
@@ -97,3 +97,29 @@
 		}
 	}
 }
+
+// TestLoadSpreadsAmongMembers measures what servers get from sidecars of uneven traffic, alone and as members.
+func TestLoadSpreadsAmongMembers(t *testing.T) {
+	const sidecars, servers, rate, seconds = 100, 100, 170, 300
+	var most [2]float64
+	for i := range most {
+		f := newColdFleet(t, sidecars, fleet(servers), rate)
+		f.run(f.now + 26*time.Second)
+		for range seconds {
+			if i == 1 {
+				f.meet()
+			}
+			f.run(f.now + time.Second)
+		}
+		var got []int
+		for _, sent := range f.sent {
+			first, _ := slices.BinarySearch(sent, f.now-(seconds-5)*time.Second)
+			got = append(got, len(sent)-first)
+		}
+		most[i] = float64(slices.Max(got)) / (rate * (seconds - 5) / servers)
+		t.Logf("members %v: the busiest server got %.2f of the mean in %d s", i == 1, most[i], seconds-5)
+	}
+	if most[1] > 1+(most[0]-1)*0.8 {
+		t.Errorf("the busiest server gets %.2f of the mean among members, %.2f alone", most[1], most[0])
+	}
+}
