--- a/balance/route.go
+++ b/balance/route.go
@@ -8,19 +8,6 @@
 	"gradeusher.example/gradeusher/balance/subset"
 )
 
-// DefaultRules is the table used where none is given: a group for each zone and kind, weighted by size.
-func DefaultRules(service string, zones, kinds []string) []Rule {
-	var groups []Destination
-	for _, zone := range zones {
-		for _, kind := range kinds {
-			groups = append(groups, Destination{Weight: 1, PerSize: true,
-				Match: Match{"service": service, "region": zone, "version": kind}})
-		}
-	}
-	return []Rule{{Name: "default", Source: Match{"service": "*"}, Service: Match{"service": service},
-		Destinations: groups}}
-}
-
 // groupsOf tells which groups' tags an endpoint carries.
 func (b *Balancer) groupsOf(e Endpoint) (joins []bool) {
 	tags := b.tagsOf(e)
@@ -66,9 +53,9 @@
 	if now >= b.leveled+levelSettle {
 		b.level, b.leveled = subset.Level(share, b.level), now
 	}
-	if b.alike.Of > 0 {
+	if b.alike.of > 0 {
 		slices.SortFunc(g.ready, func(x, y *endpoint) int { return cmp.Compare(x.hash(), y.hash()) })
-		first, want = subset.Among(n, b.level, b.alike.At, b.alike.Of)
+		first, want = subset.Among(n, b.level, b.alike.at, b.alike.of)
 	}
 	g.members = g.members[:0]
 	for i := 0; i < n && want > 0; i++ {
