The members' word ejects what three of them call silent, and a sidecar says what it saw itself

Need: each sidecar of a fleet spends its own failures on what others know. Own word: what was ejected here and has not served since, and what owes two requests for longer than few take with nothing answered since. What was only told is not said on: no echo. Not taken: acting on slow or full by word; that waits for a measurement. Result: 8 cases and the half-of-all rule tested.

--- a/balance/shared.go
+++ b/balance/shared.go
@@ -98,8 +98,9 @@
 			r.Uses = append(r.Uses, signals.Use{Room: e.Zone})
 		}
 		r.Uses[at].Servers++
-		if kind, count, when := b.fails(e, now); kind > signals.None {
-			r.Verdicts = append(r.Verdicts, signals.Verdict{Subject: e.subject(), Room: e.Zone, Kind: kind, Count: count, Age: now - when})
+		if kind, when := b.fails(e, now); kind > signals.None {
+			r.Verdicts = append(r.Verdicts, signals.Verdict{Subject: e.subject(), Room: e.Zone, Kind: kind,
+				Count: 1 + int(e.faults), Age: now - when})
 		}
 	}
 	return signals.Own(r)
--- /dev/null
+++ b/balance/word_test.go
@@ -0,0 +1,124 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/balance/signals"
+)
+
+// report is what a member says of an endpoint, as one that uses 16 in two zones.
+func report(b *Balancer, e *endpoint, zone string, kind signals.Kind) signals.Report {
+	return signals.Report{Room: zone, Uses: []signals.Use{{Room: e.Zone, Servers: 8}, {Room: "other", Servers: 8}},
+		Verdicts: []signals.Verdict{{Subject: e.subject(), Room: e.Zone, Kind: kind, Count: 2}}}
+}
+
+// TestMembersWordEjects: what three members call silent gets nothing; it comes back within the bound and the turns after
+// they fall silent. Two do not do, nor three for what serves this sidecar, a later process, or half of all.
+func TestMembersWordEjects(t *testing.T) {
+	const peers = 10
+	tell := func(b *Balancer, h *host, e *endpoint, members int, kind signals.Kind) {
+		for i := range members {
+			b.Told(h.now, fmt.Sprint("m", i), 1, uint64(h.now), 0, report(b, e, []string{b.set.Zone, "other"}[i%2], kind))
+		}
+		b.Timer(h.now, tokenTick)
+	}
+	for name, tt := range map[string]struct {
+		members int
+		kind    signals.Kind
+		served  time.Duration // by the server, ago; 0: never
+		next    bool          // its next process is listed
+		avoided bool
+	}{
+		"three":              {3, signals.Silent, 0, false, true},
+		"two":                {2, signals.Silent, 0, false, false},
+		"refusing":           {3, signals.Refusing, 0, false, true},
+		"slow":               {3, signals.Slow, 0, false, false},
+		"served just now":    {3, signals.Silent, time.Second, false, false},
+		"served before":      {3, signals.Silent, 3 * time.Second, false, true},
+		"the next process":   {3, signals.Silent, 0, true, false},
+		"nobody says a word": {0, signals.Silent, 0, false, false},
+	} {
+		b, h := sidecar(t, 3, peers, fleet(20))
+		e := b.active[0]
+		h.now = 10 * time.Second
+		if tt.served > 0 {
+			e.served = h.now - tt.served
+		}
+		said := *e
+		if tt.next {
+			list := fleet(20)
+			for i := range list {
+				if list[i].ID == e.ID {
+					list[i].Started = h.now
+				}
+			}
+			b.Endpoints(h.now, ListChanges, list)
+		}
+		tell(b, h, &said, tt.members, tt.kind)
+		if got := h.now < e.until; got != tt.avoided {
+			t.Errorf("%s: avoided %v, want %v", name, got, tt.avoided)
+		}
+		if len(b.Witness(h.now).Verdicts) > 0 {
+			t.Errorf("%s: it says itself what it was only told", name)
+		}
+		last := h.now + 2*time.Second + comeBack + time.Second
+		for h.now < last {
+			h.now += tickEvery
+			b.Timer(h.now, tokenTick)
+		}
+		if h.now < e.until {
+			t.Errorf("%s: still avoided %v after the last word", name, h.now)
+		}
+	}
+}
+
+// TestMembersWordKeepsHalf: members that condemn more than half of all eject nobody, as this is more likely their fault.
+func TestMembersWordKeepsHalf(t *testing.T) {
+	b, h := sidecar(t, 0, 10, fleet(8))
+	h.now = 10 * time.Second
+	for n, e := range b.endpoints[:5] {
+		for i := range 3 {
+			b.Told(h.now, fmt.Sprint("m", n, i), 1, 1, 0, report(b, e, []string{b.set.Zone, "other"}[i%2], signals.Silent))
+		}
+	}
+	b.Timer(h.now, tokenTick)
+	b.Timer(h.now+tickEvery, tokenTick)
+	if !b.panicking {
+		t.Error("over half are avoided at others' word")
+	}
+}
+
+// TestWitness: a sidecar says what it saw: a server that owes two requests for long, or that it ejected, until that serves.
+func TestWitness(t *testing.T) {
+	b, h := sidecar(t, 0, 10, fleet(20))
+	e := b.active[0]
+	h.now = 10 * time.Second
+	b.Timer(h.now, tokenTick)
+	if r := b.Witness(h.now); len(r.Verdicts) > 0 || len(r.Uses) == 0 {
+		t.Fatalf("%+v", r)
+	}
+	e.struck, e.struckAt = signals.Silent, h.now-time.Second
+	r := b.Witness(h.now)
+	if len(r.Verdicts) != 1 || r.Verdicts[0].Server != e.ID || r.Verdicts[0].Age != time.Second {
+		t.Fatalf("%+v", r)
+	}
+	e.struck = signals.None
+	for id := range RequestID(2) {
+		q := &request{Request: Request{ID: 1000 + id}, class: &b.set.Classes[0]}
+		b.requests[q.ID] = q
+		e.depart(q, h.now)
+	}
+	late := h.now + time.Duration(max(b.aim, heavy*b.work[0])*float64(time.Second))
+	if r := b.Witness(late - time.Millisecond); len(r.Verdicts) > 0 {
+		t.Fatalf("too early: %+v", r)
+	}
+	if r := b.Witness(late); len(r.Verdicts) != 1 || r.Verdicts[0].Kind != signals.Silent || r.Verdicts[0].Age != 0 {
+		t.Fatalf("%+v", r)
+	}
+	e.served = h.now + time.Millisecond
+	if r := b.Witness(late); len(r.Verdicts) > 0 {
+		t.Fatalf("it has answered since: %+v", r)
+	}
+}
