--- a/balance/word.go
+++ b/balance/word.go
@@ -6,7 +6,7 @@
 	"gradeusher.example/gradeusher/balance/signals"
 )
 
-const comeBack = 3 * time.Second // in which sidecars come back, in turn, to what they avoided at members' word
+const comeBack = 3 * time.Second // in which sidecars come back, in turn, to what the word had avoided
 
 // heed ejects whom the members' verdicts call silent or refusing, as long as they do, but for what has served
 // this sidecar in the last 2 s. Panic counts it as any ejection.
--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -184,7 +184,6 @@
 	}
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &from)
 	do(d)
-	time.Sleep(d - d) // do may end early only by its own clock
 	if what == "idle" {
 		time.Sleep(d)
 	}
