--- a/balance/routes/rule.go
+++ b/balance/routes/rule.go
@@ -65,10 +65,10 @@
 // Cut keeps the rules that can ever decide for a client with these tags that calls this service; nil: any
 // client, "": any service.
 func (t Table) Cut(client map[string]string, service string) Table {
-	kept := Table{}
+	kept, called := Table{}, map[string]string{"service": service}
 	for _, r := range t {
 		okSource, _ := r.Source.Fits(client)
-		okService, _ := r.Service.Fits(map[string]string{"service": service})
+		okService, _ := r.Service.Fits(called)
 		if (okSource || client == nil) && (okService || service == "") {
 			kept = append(kept, r)
 		}
--- a/cmd/gradeusher/keeper_test.go
+++ b/cmd/gradeusher/keeper_test.go
@@ -34,12 +34,12 @@
 
 // keepers is a cluster of processes.
 type keepers struct {
-	t      *testing.T
+	t      testing.TB
 	places []*keeperPlace
 	client *client.Client
 }
 
-func place(t *testing.T) string {
+func place(t testing.TB) string {
 	t.Helper()
 	p, err := link.Reserve(netip.MustParseAddr("127.0.0.1"))
 	if err != nil {
@@ -50,7 +50,7 @@
 }
 
 // newKeepers starts n keepers. more is added to each configuration.
-func newKeepers(t *testing.T, n int, more string) *keepers {
+func newKeepers(t testing.TB, n int, more string) *keepers {
 	t.Helper()
 	k := &keepers{t: t}
 	peers := ""
@@ -134,7 +134,7 @@
 }
 
 // eventually asks again until something is so.
-func eventually(t *testing.T, what string, is func() bool) {
+func eventually(t testing.TB, what string, is func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); !is(); time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
--- a/cmd/gradeusher/main_test.go
+++ b/cmd/gradeusher/main_test.go
@@ -42,7 +42,7 @@
 	owner    string
 }
 
-func newCommand(t *testing.T, args ...string) *command {
+func newCommand(t testing.TB, args ...string) *command {
 	t.Helper()
 	me, err := os.Executable()
 	if err != nil {
--- a/internal/keeper/cuts.go
+++ b/internal/keeper/cuts.go
@@ -37,6 +37,8 @@
 	hash  string
 }
 
+const mostTouched = 256 // ops that are held against a view, before the table is cut anew
+
 // mostCached bounds what cuts hold, in rules of views, of which a full table has 20,000, and in 100 bytes of text and keys.
 const mostCached = 400_000
 
@@ -62,6 +64,7 @@
 type cutEntry struct {
 	once  sync.Once
 	view  *view
+	diff  []routes.Op // of whole tables
 	text  []byte
 	err   error
 	sized int
@@ -82,7 +85,7 @@
 	c.mu.Unlock()
 	e.once.Do(func() {
 		make(e)
-		size := 5 + (len(key.cut)+len(e.text))/100
+		size := 5 + len(e.diff) + (len(key.cut)+len(e.text))/100
 		if e.view != nil {
 			size += len(e.view.table)
 		}
@@ -136,6 +139,37 @@
 	return e.view, e.err
 }
 
+// next is the view of a later generation for one who holds a view. Where no op between them touches the cut it costs as much as
+// there are ops, whatever the size of the table: most generations then are nothing to most who watch.
+func (c *cuts) next(held *view, gen int64, by cut) (*view, error) {
+	if held == nil || held.gen >= gen || by.tags == nil && by.service == "" {
+		return c.view(gen, by)
+	}
+	e := c.get(cutKey{from: held.gen, to: gen, cut: newCut(nil, "").key}, func(e *cutEntry) {
+		var from, to *view
+		if from, e.err = c.view(held.gen, newCut(nil, "")); e.err == nil {
+			to, e.err = c.view(gen, newCut(nil, ""))
+		}
+		if e.err == nil {
+			e.diff = routes.Diff(from.table, to.table)
+		}
+	})
+	if e.err != nil || len(e.diff) > mostTouched || slices.ContainsFunc(e.diff, func(op routes.Op) bool { return by.touches(held, op) }) {
+		return c.view(gen, by)
+	}
+	return &view{gen: gen, table: held.table, hash: held.hash}, nil
+}
+
+// touches tells whether an op can change a view: it is on a rule of it, or a rule comes that is.
+func (by cut) touches(held *view, op routes.Op) bool {
+	comes := routes.Table{{Source: op.Source, Service: op.Service}}
+	if op.Kind == routes.Add {
+		comes = routes.Table{op.Rule}
+	}
+	return (op.Kind == routes.Add || op.Kind == routes.Rematch) && len(comes.Cut(by.tags, by.service)) > 0 ||
+		slices.ContainsFunc(held.table, func(r routes.Rule) bool { return r.Name == op.Name })
+}
+
 // rules is a view as JSON.
 func (c *cuts) rules(to *view, by cut) ([]byte, error) {
 	e := c.get(cutKey{from: -1, to: to.gen, cut: by.key, text: true}, func(e *cutEntry) {
--- a/internal/keeper/routes.go
+++ b/internal/keeper/routes.go
@@ -104,7 +104,7 @@
 		if err != nil {
 			return err
 		}
-		now, _, err := k.now(a.cut)
+		now, _, err := k.now(held, a.cut)
 		if err != nil {
 			return err
 		}
@@ -119,8 +119,8 @@
 	})(w, r)
 }
 
-// now is the last generation, cut, and tells when there is a newer one.
-func (k *Keeper) now(by cut) (v *view, changed <-chan struct{}, err error) {
+// now is the last generation, cut, for one who holds a view, nil: none, and tells when there is a newer one.
+func (k *Keeper) now(held *view, by cut) (v *view, changed <-chan struct{}, err error) {
 	for range 3 {
 		var gen int64
 		cluster := ""
@@ -129,7 +129,7 @@
 			return nil, nil, errNoList
 		}
 		// It may be replaced meanwhile by one from a backup, which is another generation.
-		if v, err = k.cuts.view(gen, by); err == nil {
+		if v, err = k.cuts.next(held, gen, by); err == nil {
 			return v, changed, nil
 		}
 	}
@@ -219,7 +219,7 @@
 	if err != nil {
 		return err
 	}
-	now, changed, err := k.now(a.cut)
+	now, changed, err := k.now(held, a.cut)
 	if err != nil {
 		return err
 	}
@@ -247,7 +247,7 @@
 		line = nil
 		select {
 		case <-changed:
-			if now, changed, err = k.now(a.cut); err != nil {
+			if now, changed, err = k.now(held, a.cut); err != nil {
 				return nil
 			}
 			held = k.sound(held)
