Lab: route generations under faults, held against the tables that were put

[routes] has the lab put generations at the keepers; the relay notes each line of routes that reaches a sidecar, and the invariant 'routes' holds them against what was put: never another table for a number, none of before, the last one within bound_s after generations and faults end. Figures route_bytes, route_told_p50/p99/most_ms, route_wholes, route_diffs, route_generations.

--- a/balance/routes/hash.go
+++ b/balance/routes/hash.go
@@ -39,6 +39,9 @@
 		}
 		slices.SortStableFunc(order, func(x, y int) int { return strings.Compare(keys[x], keys[y]) })
 		all[i] = r
+		if slices.IsSorted(order) {
+			continue
+		}
 		all[i].Destinations = make([]Destination, len(order))
 		for at, j := range order {
 			all[i].Destinations[at] = r.Destinations[j]
--- a/cmd/gradeusher/main_test.go
+++ b/cmd/gradeusher/main_test.go
@@ -198,8 +198,8 @@
 // TestFaults has every kind of fault happen to real processes: each takes effect in time, and the program keeps the rules.
 func TestFaults(t *testing.T) {
 	t.Parallel()
-	for file, notSeen := range map[string][]string{"testdata/faults.toml": {"linearizable", "revisions", "told-all"}, "testdata/keepers.toml": nil,
-		"testdata/peers.toml": {"drained", "cold", "linearizable", "revisions", "told-all"}} {
+	for file, notSeen := range map[string][]string{"testdata/faults.toml": {"linearizable", "revisions", "told-all", "routes"}, "testdata/keepers.toml": nil,
+		"testdata/peers.toml": {"drained", "cold", "linearizable", "revisions", "told-all", "routes"}} {
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			t.Parallel()
 			testFaults(t, file, notSeen)
--- a/cmd/gradeusher/routesfleet_test.go
+++ b/cmd/gradeusher/routesfleet_test.go
@@ -55,8 +55,10 @@
 				}()
 				b.Cleanup(func() { resp.Body.Close(); <-ended })
 			}
-			for range clients {
-				<-came
+			for told := 0; told < clients; { // a keeper that was behind has said an older one first
+				if <-came == gen {
+					told++
+				}
 			}
 			news, err := k.client.Routes(k.call(), -1, "")
 			if err != nil {
--- a/cmd/gradeusher/standin.go
+++ b/cmd/gradeusher/standin.go
@@ -53,11 +53,12 @@
 	Readers  int    `help:"Near ends that may read the list, with the sidecars." required:""`
 	Told     string `help:"File for what sidecars are told." required:""`
 	Shown    string `help:"File for what keepers say." required:""`
+	Routes   string `help:"File for what keepers say of routes." required:""`
 }
 
 // Run obeys until standard input ends.
 func (c relayCommand) Run(s streams) error {
-	return standin.Relay(s.in, s.out, c.Sidecars, c.Readers, c.Told, c.Shown)
+	return standin.Relay(s.in, s.out, c.Sidecars, c.Readers, c.Told, c.Shown, c.Routes)
 }
 
 type peersCommand struct {
--- a/internal/keeper/cuts.go
+++ b/internal/keeper/cuts.go
@@ -39,8 +39,9 @@
 
 const mostTouched = 256 // ops that are held against a view, before the table is cut anew
 
-// mostCached bounds what cuts hold, in rules of views, of which a full table has 20,000, and in 100 bytes of text and keys.
-const mostCached = 400_000
+// mostCached bounds what cuts hold, in rules of views, of which a full table has 20,000 and each may take 2 kB, and in 100 bytes of text
+// and keys.
+const mostCached = 60_000
 
 // cuts makes views, and what leads from one to another, once for all who ask. What was made first is forgotten first.
 //
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -32,6 +32,9 @@
 	Last     Last         // of the keepers
 	Gossip   []ctl.Gossip // what sidecars said to each other, a second each
 
+	Routed []Routed     // the route tables that the lab put
+	Routes []ctl.Routes // what keepers wrote of them to sidecars
+
 	Kills       []int64 // of keepers
 	KeeperPeaks []KeeperPeak
 }
@@ -70,6 +73,7 @@
 	e.attempts(f, attempts)
 	e.drained(f)
 	e.keepers(f)
+	e.routes(f)
 	f.look("cold", e.coldServers())
 	for _, n := range e.Falls {
 		f.add("cold", "server %s fell over at %s", n.UID, e.when(n.At))
--- a/internal/lab/check/figures.go
+++ b/internal/lab/check/figures.go
@@ -136,6 +136,7 @@
 	}
 	f["served_worst_class"] = worst
 	e.keeperFigures(f)
+	e.routeFigures(f)
 	e.hitterFigures(f)
 	e.spreadFigures(f, course)
 	e.churnFigure(f)
--- /dev/null
+++ b/internal/lab/check/routes.go
@@ -0,0 +1,132 @@
+package check
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"gradeusher.example/gradeusher/balance/routes"
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+)
+
+// Routed is a route table that the lab put, and a keeper took.
+type Routed struct {
+	Gen          int64
+	Call, Return int64
+	Table        routes.Table
+}
+
+// routesOf is the hash of what a sidecar needs of a table.
+func routesOf(p *plan.Plan, near int, t routes.Table) string {
+	return t.Cut(map[string]string{"service": p.AppOf(near), "region": p.Sidecars[near].Zone}, "rec-api").Hash()
+}
+
+// routesDue is when each sidecar has to know the last table: the bound after it, and after the last fault.
+func (e *Evidence) routesDue() int64 {
+	last := e.Routed[len(e.Routed)-1].Return
+	for _, b := range e.Plan.Bands {
+		last = max(last, e.Start+int64(b.To))
+	}
+	return last + int64(plan.Seconds(e.Plan.File.Routes.BoundS))
+}
+
+// routes checks what keepers wrote of routes to sidecars against the tables that the lab put. Nothing that a sidecar says of itself counts.
+func (e *Evidence) routes(f findings) {
+	if e.Plan.File.Routes.Apps == 0 {
+		return
+	}
+	if len(e.Routed) < 2 {
+		return // no generation was made while the load ran
+	}
+	put := map[int64]int{}
+	for i, r := range e.Routed {
+		put[r.Gen] = i
+	}
+	said := map[int][]ctl.Routes{}
+	for _, s := range e.Routes {
+		said[s.Near] = append(said[s.Near], s)
+	}
+	last, due := e.Routed[len(e.Routed)-1], e.routesDue()
+	for near := range e.Plan.Sidecars {
+		if !reader(e.Plan, near) {
+			continue
+		}
+		all := said[near]
+		slices.SortStableFunc(all, func(a, b ctl.Routes) int { return cmp.Compare(a.At, b.At) })
+		name := e.Plan.Sidecars[near].Name
+		held, at, gen := "", int64(0), map[string]int64{}
+		for _, s := range all {
+			if s.Gen < gen[s.Cluster] && s.Cluster != "" {
+				f.add("routes", "%s was told generation %d at %s, after %d", name, s.Gen, e.when(s.At), gen[s.Cluster])
+			}
+			if s.Cluster == "" || s.Hash == "" {
+				continue // it says only that nothing changed
+			}
+			gen[s.Cluster] = s.Gen
+			f.look("routes", 1)
+			if i, known := put[s.Gen]; known && s.Hash != routesOf(e.Plan, near, e.Routed[i].Table) {
+				f.add("routes", "%s was told another table for generation %d at %s than was put", name, s.Gen, e.when(s.At))
+			}
+			if held != s.Hash {
+				held, at = s.Hash, s.At
+			}
+		}
+		switch {
+		case held != routesOf(e.Plan, near, last.Table):
+			f.add("routes", "%s was not told generation %d", name, last.Gen)
+		case at > due:
+			f.add("routes", "%s was told generation %d %v after it was due", name, last.Gen, time.Duration(at-due).Round(time.Millisecond))
+		}
+	}
+}
+
+// routeFigures are the bytes that keepers wrote of routes to sidecars, besides beats, and how long generations took to the sidecars
+// that need them.
+func (e *Evidence) routeFigures(f Figures) {
+	if e.Plan.File.Routes.Apps == 0 || len(e.Routed) == 0 {
+		return
+	}
+	said := map[int][]ctl.Routes{}
+	var sum, wholes, diffs float64
+	for _, s := range e.Routes {
+		switch {
+		case s.Hash == "":
+			continue
+		case s.All:
+			wholes++
+		default:
+			diffs++
+		}
+		sum += float64(s.Bytes)
+		said[s.Near] = append(said[s.Near], s)
+	}
+	f["route_generations"], f["route_bytes"], f["route_wholes"], f["route_diffs"] = float64(len(e.Routed)), sum, wholes, diffs
+	h := newHistogram()
+	most := int64(0)
+	for near := range e.Plan.Sidecars {
+		if !reader(e.Plan, near) {
+			continue
+		}
+		lines := said[near]
+		slices.SortStableFunc(lines, func(a, b ctl.Routes) int { return cmp.Compare(a.At, b.At) })
+		next := 0
+		for i := 1; i < len(e.Routed); i++ {
+			r := e.Routed[i]
+			if routesOf(e.Plan, near, r.Table) == routesOf(e.Plan, near, e.Routed[i-1].Table) {
+				continue
+			}
+			for next < len(lines) && (lines[next].Gen < r.Gen || lines[next].At < r.Call) {
+				next++
+			}
+			took := int64(math.MaxInt64)
+			if next < len(lines) {
+				took = lines[next].At - r.Call
+			}
+			note(h, took)
+			most = max(most, min(took, mostLatency*int64(time.Microsecond)))
+		}
+	}
+	f["route_told_p50_ms"], f["route_told_p99_ms"], f["route_told_most_ms"] = quantile(h, 50), quantile(h, 99), float64(most)/1e6
+}
--- a/internal/lab/config.go
+++ b/internal/lab/config.go
@@ -51,7 +51,9 @@
 	}
 	if len(keepers) > 0 {
 		delete(whole, "known") // they tell it
-		whole["keepers"] = object{"addresses": keepers, "reach": link.Near(i).String(), "doubt_share": f.Keepers.DoubtShare}
+		of := object{"addresses": keepers, "reach": link.Near(i).String(), "doubt_share": f.Keepers.DoubtShare, "most_age_s": f.Keepers.MostAgeS}
+		routesConfig(p, i, of)
+		whole["keepers"] = of
 	}
 	if members != nil {
 		whole["members"] = members
--- a/internal/lab/ctl/ctl.go
+++ b/internal/lab/ctl/ctl.go
@@ -100,6 +100,19 @@
 	At      int64  `json:"t"` // when it was written whole
 }
 
+// Routes is one line of the route table that a keeper wrote to one who watches it.
+type Routes struct {
+	Near    int    `json:"n"`
+	Keeper  string `json:"k"`
+	Conn    int64  `json:"c"` // the connection, a number of its own
+	Bytes   int    `json:"b"`
+	At      int64  `json:"t"` // when it was written whole
+	Gen     int64  `json:"gen"`
+	All     bool   `json:"all"`
+	Hash    string `json:"hash"`    // of what it leads to; "": it says only that nothing changed
+	Cluster string `json:"cluster"` // whose generation it is; "": as in the line before
+}
+
 // Gossip is what sidecars said to each other since the last one.
 type Gossip struct {
 	At          int64 `json:"t"`
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -41,6 +41,7 @@
 	keepers *keepers     // nil: there are none
 	peers   *peers       // nil: sidecars do not know each other
 	writers *writers
+	routes  *router // nil: there are no routes
 
 	mu       sync.Mutex
 	entries  map[string]ctl.Entry // what is so, which the list learns later
--- a/internal/lab/keepers.go
+++ b/internal/lab/keepers.go
@@ -69,7 +69,8 @@
 	f.keepers = ks
 	var err error
 	ks.relay, err = startChild(f.starter, proc.Spec{Name: "relay", Path: f.self.Path, Log: f.log("relay"), Env: f.env("TMPDIR=" + f.work),
-		Args: []string{"stand-in", "relay", "--sidecars", fmt.Sprint(len(f.plan.Sidecars)), "--readers", fmt.Sprint(f.plan.Nears()), "--told", f.records("told", 0), "--shown", f.records("shown", 0)}}, f.hear)
+		Args: []string{"stand-in", "relay", "--sidecars", fmt.Sprint(len(f.plan.Sidecars)), "--readers", fmt.Sprint(f.plan.Nears()), "--told", f.records("told", 0), "--shown", f.records("shown", 0),
+			"--routes", f.records("routes", 0)}}, f.hear)
 	if err != nil {
 		return err
 	}
@@ -139,6 +140,9 @@
 	if f.writers, err = f.startWriters(ctx); err != nil {
 		return fmt.Errorf("keepers: %w", err)
 	}
+	if err := f.startRoutes(ctx); err != nil {
+		return fmt.Errorf("routes: %w", err)
+	}
 	return f.startWatchers()
 }
 
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -25,6 +25,7 @@
 	Keepers Keepers `toml:"keepers"`
 	Hitters Hitters `toml:"hitters"`
 	Members Members `toml:"members"`
+	Routes  Routes  `toml:"routes"`
 	// Config is written into each sidecar's configuration as it stands, beside what the lab tells it.
 	Config  map[string]any `toml:"config"`
 	Kinds   []Kind         `toml:"kind"`
@@ -97,6 +98,7 @@
 	WriteRate  float64 `toml:"write_rate"`  // their operations a second in all
 	Keys       int     `toml:"keys"`        // entries that they share
 	DoubtShare float64 `toml:"doubt_share"` // of the servers, that sidecars let go at once where a whole list lacks them
+	MostAgeS   float64 `toml:"most_age_s"`  // sidecars leave a keeper that was out of touch for longer
 	Cache      bool    `toml:"cache"`       // sidecars keep the last list on disk
 	Watchers   int     `toml:"watchers"`    // clients besides the sidecars that only watch
 }
@@ -145,7 +147,7 @@
 			LatenessMS: 5},
 		List:    List{NoticeS: [2]float64{0.66, 3.9}, AddS: [2]float64{0.25, 2.6}, SilentS: [2]float64{6.5, 13}, Sizes: "alike"},
 		Members: Members{BoundMS: 2000},
-		Keepers: Keepers{Program: "keeper", LeaseS: 3, GraceS: 3, Share: 0.3, Snapshot: 4096, Writers: 4, Keys: 4, DoubtShare: 0.3, Cache: true},
+		Keepers: Keepers{Program: "keeper", LeaseS: 3, GraceS: 3, Share: 0.3, Snapshot: 4096, Writers: 4, Keys: 4, DoubtShare: 0.3, MostAgeS: 2.5, Cache: true},
 	}
 }
 
@@ -174,6 +176,7 @@
 	{"linearizable", "reads and writes of keepers' entries are as if one after the other, and nothing acknowledged is lost"},
 	{"revisions", "no watcher is shown a revision that goes back, or changes with a gap between them"},
 	{"told-all", "at the end every watcher has been told the last revision"},
+	{"routes", "each sidecar is told the tables that were put, none of before, and the last one within the bound after generations and faults end"},
 	{"lab-on-time", "the lab sends on time; if not, the run is void"},
 }
 
@@ -183,6 +186,7 @@
 	"writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "told_p50_ms", "told_p99_ms", "watches", "watches_whole",
 	"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s",
 	"hitter_precision", "hitter_recall", "hitter_delay_ms", "hitter_yields", "hitter_sound_loss",
+	"route_generations", "route_bytes", "route_wholes", "route_diffs", "route_told_p50_ms", "route_told_p99_ms", "route_told_most_ms",
 	"members_packets", "members_bytes",
 	"keeper_mb", "keeper_cores", "failover_p50_ms", "failover_most_ms"}
 
@@ -190,7 +194,7 @@
 var Flaws = []string{"", "duplicate", "hedge", "mute", "late", "deaf", "rush", "crash", "leak-memory", "leak-descriptors"}
 
 // KeeperFlaws are those of the stand-in keepers; "" is none but to be each by itself.
-var KeeperFlaws = []string{"", "gap", "mute"}
+var KeeperFlaws = []string{"", "gap", "mute", "back"}
 
 // Error is what is wrong with a file, and where.
 type Error struct {
@@ -321,6 +325,7 @@
 		{"keepers", "write_rate", f.Keepers.WriteRate, 0, 10000},
 		{"keepers", "keys", float64(f.Keepers.Keys), 1, 2000},
 		{"keepers", "doubt_share", f.Keepers.DoubtShare, 0, 1},
+		{"keepers", "most_age_s", f.Keepers.MostAgeS, 0.1, 3600},
 		{"keepers", "watchers", float64(f.Keepers.Watchers), 0, 10000},
 		{"hitters", "high", f.Hitters.High, 0, 1},
 		{"hitters", "low", f.Hitters.Low, 0, 1},
@@ -399,7 +404,7 @@
 			return err
 		}
 	}
-	return nil
+	return f.checkRoutes()
 }
 
 // hasBar tells whether a name is that of a bar, as a report words it.
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -34,6 +34,10 @@
 			f["writes"], f["writes_uncertain"], f["write_p99_ms"], f["write_gap_ms"], f["failover_p50_ms"], f["failover_most_ms"], f["told_p50_ms"], f["told_p99_ms"], f["watches"], f["watches_whole"],
 			f["keeper_mb"], f["keeper_cores"])
 	}
+	if n, ok := f["route_generations"]; ok {
+		fmt.Fprintf(w, "routes: %.0f generations, told after p50 %.1f ms, p99 %.1f ms and %.0f ms at most; %.0f bytes in %.0f whole tables and %.0f changes\n",
+			n, f["route_told_p50_ms"], f["route_told_p99_ms"], f["route_told_most_ms"], f["route_bytes"], f["route_wholes"], f["route_diffs"])
+	}
 	for _, v := range r.Verdicts {
 		if v.Broken > 0 {
 			fmt.Fprintf(w, "broken: %s, %d times: %s\n", v.Name, v.Broken, strings.Join(v.Detail, "; "))
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -145,6 +145,12 @@
 			return nil
 		})
 	}
+	if f.routes != nil {
+		tasks.Go(func() error {
+			f.routes.run(over, start)
+			return nil
+		})
+	}
 	e.Tries = clients.Run(ctx, start)
 	waitUntil(ctx, start+int64(plan.Seconds(p.File.Seconds)))
 	f.Sample()
@@ -229,6 +235,12 @@
 		if e.Shown, err = ctl.ReadRecords[ctl.Shown](f.records("shown", 0)); err != nil {
 			return err
 		}
+		if e.Routes, err = ctl.ReadRecords[ctl.Routes](f.records("routes", 0)); err != nil {
+			return err
+		}
+		if f.routes != nil {
+			e.Routed = f.routes.put
+		}
 		e.Wrote, e.KeeperPeaks = f.writers.wrote, f.keepers.peaks()
 	}
 	for i := range lists {
@@ -249,7 +261,7 @@
 
 // keep leaves what clients and servers saw in the report's folder.
 func keep(out string, e *check.Evidence, work string) error {
-	for _, pattern := range []string{"requests.jsonl", "attempts-*.jsonl", "told-*.jsonl", "shown-*.jsonl", "gossip-*.jsonl", "writes.jsonl"} { // of an experiment before
+	for _, pattern := range []string{"requests.jsonl", "attempts-*.jsonl", "told-*.jsonl", "shown-*.jsonl", "routes-*.jsonl", "gossip-*.jsonl", "writes.jsonl"} { // of an experiment before
 		old, err := filepath.Glob(filepath.Join(out, pattern))
 		if err != nil {
 			return err
--- a/internal/lab/standin/keeper.go
+++ b/internal/lab/standin/keeper.go
@@ -38,6 +38,7 @@
 		defer k.mu.Unlock()
 		answerJSON(w, 200, map[string]any{"role": "leader", "rev": len(k.changes), "age_ms": 0, "cluster": "plain"})
 	})
+	(&plainRoutes{flaw: flaw}).handle(mux)
 	web := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	go func() {
 		<-ctx.Done()
--- a/internal/lab/standin/relay.go
+++ b/internal/lab/standin/relay.go
@@ -21,7 +21,7 @@
 
 // Relay leads calls to keepers over links with faults until the orders end. Whatever a keeper writes of the list to one of
 // the first readers near ends is noted line by line, and server by server for the first sidecars ones.
-func Relay(orders io.Reader, news io.Writer, sidecars, readers int, told, shown string) error {
+func Relay(orders io.Reader, news io.Writer, sidecars, readers int, told, shown, routes string) error {
 	t, err := ctl.NewRecords(told)
 	if err != nil {
 		return err
@@ -30,7 +30,11 @@
 	if err != nil {
 		return errors.Join(err, t.Close())
 	}
-	r := &relay{sidecars: sidecars, readers: readers, told: t, shown: s, nets: map[string]*network{}, stop: make(chan struct{})}
+	table, err := ctl.NewRecords(routes)
+	if err != nil {
+		return errors.Join(err, t.Close(), s.Close())
+	}
+	r := &relay{sidecars: sidecars, readers: readers, told: t, shown: s, routes: table, nets: map[string]*network{}, stop: make(chan struct{})}
 	out := ctl.NewOut(news)
 	out.Say(ctl.News{Kind: "ready", At: clock.Now()})
 	err = ctl.Lines(orders, func(o ctl.Order) error {
@@ -50,7 +54,7 @@
 		n.each(nil, (*link.Link).Reset)
 	}
 	r.tasks.Wait()
-	return errors.Join(err, t.Close(), s.Close())
+	return errors.Join(err, t.Close(), s.Close(), table.Close())
 }
 
 // relay is the network in front of keepers. Orders come one at a time.
@@ -58,6 +62,7 @@
 	sidecars    int
 	readers     int
 	told, shown *ctl.Records
+	routes      *ctl.Records
 	nets        map[string]*network // by the keeper's name
 	fronts      []*link.Listener
 	stop        chan struct{}
@@ -113,9 +118,13 @@
 // lead passes a client's bytes both ways until either end is through, and notes what a keeper says of the list.
 func (r *relay) lead(near *link.Conn, index int, keeper, to string) {
 	leadStream(near, to, nil, func(far net.Conn, first string) {
-		if index < r.readers && strings.HasPrefix(first, "GET /v1/servers") {
+		switch {
+		case index < r.readers && strings.HasPrefix(first, "GET /v1/servers"):
 			r.listen(near, far, index, keeper, first)
-		} else {
+		case index < r.sidecars && strings.HasPrefix(first, "GET /v1/routes"):
+			s := ctl.Routes{Near: index, Keeper: keeper, Conn: r.conns.Add(1)}
+			r.overhear(near, far, func(line []byte, at int64) { r.noteRoutes(s, line, at) })
+		default:
 			pass(near, far)
 		}
 	})
@@ -172,6 +181,15 @@
 			s.Holds = n
 		}
 	}
+	r.overhear(near, far, func(line []byte, at int64) {
+		if l, err := list.Parse(line); err == nil { // an empty line says nothing
+			r.note(s, l, at)
+		}
+	})
+}
+
+// overhear passes on what a keeper writes, and hands each line of an answer on with when it has reached the near end.
+func (r *relay) overhear(near *link.Conn, far net.Conn, each func(line []byte, at int64)) {
 	var at atomic.Int64
 	copies, feed := io.Pipe()
 	var read sync.WaitGroup
@@ -186,9 +204,7 @@
 		lines := bufio.NewScanner(resp.Body)
 		lines.Buffer(nil, list.MostText)
 		for lines.Scan() {
-			if l, err := list.Parse(lines.Bytes()); err == nil { // an empty line says nothing
-				r.note(s, l, at.Load())
-			}
+			each(lines.Bytes(), at.Load())
 		}
 	}()
 	buf := make([]byte, 64<<10)
--- a/internal/state/routes.go
+++ b/internal/state/routes.go
@@ -74,6 +74,10 @@
 		return result
 	}
 	back, err := routes.Invert(r.table, ops)
+	// The rules that stay are shared with the table before, which watchers may hold for a while.
+	if shared, bad := routes.Apply(r.table, ops); bad == nil {
+		next = shared.Canonical()
+	}
 	text, bad := json.Marshal(back)
 	if err != nil || bad != nil { // tables that were checked have diffs that fit; whoever held the old one gets the whole
 		r.steps, r.size = nil, 0
