Sidecars tell each other what they saw of servers, and take their places among members

Change: internal/sidecar/signals.go: reports go out as they change, again each 0.7 s while they condemn, else each 15 s with zone and level; a server's process is named by its boot, and one that is not the listed one counts for nothing. Places are taken once views rest for 0.6 s. A sidecar that drains leaves at once, so that its successor can take its port.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -197,6 +197,9 @@
 	if c.Members, err = file.Members.config(c.Name, getenv("PROXY_MEMBERS")); err != nil {
 		return nil, fmt.Errorf("members: %w", err)
 	}
+	if c.Members != nil {
+		c.Settings.Bound = c.Members.Bound
+	}
 	if c.Hitters, c.Settings.Hitters, err = file.Hitters.config(c.Name); err != nil {
 		return nil, fmt.Errorf("hitters: %w", err)
 	}
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -45,6 +45,7 @@
 	calls    map[balance.RequestID]*call
 	rev      int64 // of the list in hand, or noRev
 	isReady  bool
+	company  company
 	leave    context.CancelFunc // ends the watch that the Balancer asked for
 }
 
@@ -78,7 +79,7 @@
 			h.tellOut()
 		}
 	}
-	listen := map[uint8]func(members.News){}
+	listen := map[uint8]func(members.News){kindSignals: h.signalsTold}
 	if c.Hitters != nil {
 		listen[kindHitters] = h.hittersTold(c)
 	}
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"gradeusher.example/gradeusher/balance"
 	"gradeusher.example/gradeusher/internal/members"
 )
 
@@ -66,9 +67,7 @@
 			take(n)
 		}
 	}
-	o.Changed = func(v members.View) {
-		h.log.Info("members", "count", v.Count, "place", v.Place, "epoch", v.Epoch)
-	}
+	o.Changed = func(v members.View) { h.post(func() { h.met(v) }) }
 	m, err := members.New(o)
 	if err == nil {
 		err = m.Start(ctx)
@@ -76,7 +75,8 @@
 	if err != nil {
 		return fmt.Errorf("members: %w", err)
 	}
-	h.members = m
+	h.members, h.company.peers = m, map[string]balance.Peer{}
+	h.watchers.Go(func() { h.speak(ctx) })
 	h.watchers.Go(func() {
 		<-ctx.Done()
 		m.Close()
@@ -89,5 +89,8 @@
 	if s.host.members != nil {
 		v := s.host.members.View()
 		fmt.Fprintf(text, "svc.members:%d|g\nsvc.members_epoch:%d|g\nsvc.members_place:%d|g\n", v.Count, v.Epoch, v.Place)
+		n := s.host.members.Counts()
+		fmt.Fprintf(text, "svc.members_packets_sent:%d|c\nsvc.members_bytes_sent:%d|c\nsvc.members_bytes_received:%d|c\n", n.PacketsSent, n.BytesSent, n.BytesReceived)
+		fmt.Fprintf(text, "svc.members_news:%d|c\nsvc.members_news_old:%d|c\nsvc.members_news_bad:%d|c\n", n.Told, n.Old, n.Bad+n.Strangers)
 	}
 }
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -123,6 +123,9 @@
 	log.Info("draining")
 	s.draining.Store(true)
 	s.leaving.begin(time.Now())
+	if h.members != nil {
+		h.watchers.Go(h.members.Close) // the process that follows takes its place
+	}
 	idleAt := time.Now().Add(times.closeIdle)
 	if c.Inherited != 0 {
 		// What waits in the backlog is for the other process.
--- /dev/null
+++ b/internal/sidecar/signals.go
@@ -0,0 +1,155 @@
+package sidecar
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"gradeusher.example/gradeusher/balance"
+	"gradeusher.example/gradeusher/balance/signals"
+	"gradeusher.example/gradeusher/internal/members"
+)
+
+// kindSignals is the kind of the states, among members, that are reports of package signals.
+const kindSignals uint8 = 0
+
+// How often a sidecar speaks to the members.
+const (
+	lookEvery   = 200 * time.Millisecond // it looks whether there is something to say
+	repeatEvery = 700 * time.Millisecond // it says again what it condemns: within the least bound twice
+	quietEvery  = 15 * time.Second       // it says its zone and level, for who came since
+	viewSettles = 600 * time.Millisecond // without a change, before places are taken by it
+	viewWaits   = 3 * time.Second        // with changes
+)
+
+// company is what the loop knows of the members.
+type company struct {
+	view  members.View
+	peers map[string]balance.Peer // by name, as they last said
+	since balance.Time            // of the first change that the Balancer was not told; 0: it knows all
+	last  balance.Time            // change
+	said  signals.Report
+	at    balance.Time // when that was said
+}
+
+func (c *company) changed(now balance.Time) {
+	c.last = now
+	if c.since == 0 {
+		c.since = now
+	}
+}
+
+// met takes in who is a member. The loop alone calls it, and what follows.
+func (h *host) met(v members.View) {
+	for name := range h.company.peers {
+		if !slices.Contains(v.Names, name) {
+			delete(h.company.peers, name)
+			h.balancer.Gone(name)
+		}
+	}
+	h.company.view = v
+	h.company.changed(h.now)
+}
+
+// signalsTold takes in what a member says of servers. What cannot be read is passed over.
+func (h *host) signalsTold(n members.News) {
+	r, err := signals.Decode(n.Payload)
+	if err != nil {
+		h.log.Debug("signals", "origin", n.Origin, "err", err)
+		return
+	}
+	h.post(func() {
+		c := &h.company
+		if !slices.Contains(c.view.Names, n.Origin) {
+			return
+		}
+		for i := range r.Verdicts {
+			v := &r.Verdicts[i]
+			boot, known := h.upstream.boot(v.Server)
+			if known && bootMS(boot) == v.Start {
+				v.Start = int64(h.started(Target{Boot: boot}))
+			} else {
+				v.Start = -1 // another process than the one listed here; it counts for how much the witness condemns
+			}
+		}
+		if p := (balance.Peer{Zone: r.Room, Level: r.Level}); c.peers[n.Origin] != p {
+			c.peers[n.Origin] = p
+			c.changed(h.now)
+		}
+		h.balancer.Told(h.now, n.Origin, n.Start, n.Seq, n.Age, r)
+	})
+}
+
+// bootMS is a server process's start as sidecars tell each other; 0: not known.
+func bootMS(boot time.Time) int64 {
+	if boot.IsZero() {
+		return 0
+	}
+	return boot.UnixMilli()
+}
+
+// speak has the loop look what there is to say until ctx is done.
+func (h *host) speak(ctx context.Context) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			h.post(func() { h.place(); h.say() })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// place tells the Balancer the places of the members once they rest. Danger: in a fleet that starts each arrival would move
+// the subsets of all. One that is alone is as one that knows nobody.
+func (h *host) place() {
+	c := &h.company
+	if c.since == 0 || h.now-c.last < viewSettles && h.now-c.since < viewWaits {
+		return
+	}
+	c.since = 0
+	h.log.Info("members", "count", c.view.Count, "place", c.view.Place, "epoch", c.view.Epoch)
+	if c.view.Count < 2 {
+		h.balancer.Members(h.now, -1, nil)
+		return
+	}
+	peers := make([]balance.Peer, len(c.view.Names))
+	for i, name := range c.view.Names {
+		peers[i] = c.peers[name]
+	}
+	peers[c.view.Place] = balance.Peer{Zone: c.said.Room, Level: c.said.Level}
+	h.balancer.Members(h.now, c.view.Place, peers)
+}
+
+// say tells the members what this sidecar saw of servers, and what it is.
+func (h *host) say() {
+	c, r := &h.company, h.balancer.Witness(h.now)
+	same := slices.EqualFunc(r.Verdicts, c.said.Verdicts, func(x, y signals.Verdict) bool { return x.Subject == y.Subject && x.Kind == y.Kind })
+	if r.Level != c.said.Level {
+		same = false
+		c.changed(h.now)
+	}
+	again := quietEvery
+	if len(r.Verdicts) > 0 {
+		again = repeatEvery
+	}
+	if same && c.at > 0 && h.now-c.at < again {
+		return
+	}
+	c.said, c.at = r, h.now
+	told := r
+	told.Verdicts = slices.Clone(r.Verdicts)
+	for i := range told.Verdicts {
+		boot, _ := h.upstream.boot(told.Verdicts[i].Server)
+		told.Verdicts[i].Start = bootMS(boot)
+	}
+	text, err := signals.Encode(told)
+	if err == nil {
+		err = h.members.Publish(kindSignals, text)
+	}
+	if err != nil {
+		h.log.Warn("signals", "err", err)
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -100,6 +100,16 @@
 	}
 }
 
+// boot is when a server's listed process started, zero if that is not known, and whether it is listed.
+func (u *upstream) boot(id string) (time.Time, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if t := u.targets[id]; t != nil {
+		return t.boot, true
+	}
+	return time.Time{}, false
+}
+
 // drop forgets a server. Attempts that are out keep their connections to their end.
 func (u *upstream) drop(id string) {
 	u.targets[id].pool.CloseIdleConnections()
