--- a/internal/sidecar/hitters_test.go
+++ b/internal/sidecar/hitters_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/hitters"
+	"gradeusher.example/gradeusher/internal/members"
 )
 
 func withHitters(config, how string) string {
@@ -80,7 +81,8 @@
 }
 
 // TestHeavyOverTheFleet floods two of three sidecars by one client, a third of the work of each: the third, which it never
-// calls, holds it for heavy by what they tell. It forgets it when both are gone.
+// calls, holds it for heavy by what they tell. It forgets it when both are gone. A fourth member that tells a lie of another
+// client, and nonsense, changes nothing.
 func TestHeavyOverTheFleet(t *testing.T) {
 	b := startBackend(t, say(200, "", "ok"))
 	config := func(name, join string) *Config {
@@ -104,8 +106,26 @@
 	loud = append(loud, startLogging(t, config("n2", strconv.Quote(at)), io.Discard, times))
 	c := config("n3", strconv.Quote(at))
 	third := startLogging(t, c, io.Discard, times)
+	liar, err := members.New(members.Options{Name: "n4", Listen: "127.0.0.1:0", Join: []string{at}})
+	if err == nil {
+		err = liar.Start(context.Background())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer liar.Close()
+	victim := hitters.Key(hitters.Key(0, ""), "victim")
+	lie := hitters.Report{Total: 1 << 44, Requests: 1 << 31, Named: 1}
+	lie.Keys[0], lie.Shares[0] = victim, 1<<16-1
 	n := 0
 	ask := func(p *program, name string) {
+		if n++; n%2 == 0 {
+			if err := liar.Publish(kindHitters, lie.Append(nil)); err != nil {
+				t.Fatal(err)
+			}
+		} else if err := liar.Publish(kindHitters, []byte("nonsense")); err != nil {
+			t.Fatal(err)
+		}
 		r := p.request(context.Background(), "read", "50000")
 		if r.Header.Set("X-Tenant-Id", name); p.do(r).status != 200 {
 			t.Fatal("not served")
@@ -122,8 +142,12 @@
 				ask(p, fmt.Sprintf("quiet-%d", n))
 			}
 		}
+		ask(third, "victim")
 		text := dialControl(t, c.Control, "INFO\n")
-		return strings.Contains(text, "svc.members:3|g\n") && strings.Contains(text, "svc.heavy_clients:1|g\n"+key)
+		if strings.Contains(text, fmt.Sprintf("%016x", victim)) {
+			t.Fatalf("one that only the liar tells of is held for heavy:\n%s", text)
+		}
+		return strings.Contains(text, "svc.members:4|g\n") && strings.Contains(text, "svc.heavy_clients:1|g\n"+key)
 	})
 	for _, p := range loud {
 		p.stop()
