--- a/internal/lab/check/figures.go
+++ b/internal/lab/check/figures.go
@@ -140,6 +140,7 @@
 	e.spreadFigures(f, course)
 	e.churnFigure(f)
 	e.refusals(f, course)
+	e.avoidFigures(f)
 	e.gossip(f)
 	worst = 1.0
 	for i := range max(1, n-worstSeconds+1) {
--- a/internal/lab/check/ready.go
+++ b/internal/lab/check/ready.go
@@ -13,6 +13,16 @@
 // that it serves, does work, is warm, and no fault keeps all sidecars from it. What only some sidecars cannot reach is
 // ready: that the others go there is what spread is about.
 func (e *Evidence) readyWarm() map[string][]Span {
+	return e.spans(func(r *readiness) (from int64, is bool) { return r.warmAt, r.up && !r.hangs && r.holds == 0 })
+}
+
+// silent are the times, by server, in which a server takes what it is sent and says nothing to anybody.
+func (e *Evidence) silent() map[string][]Span {
+	return e.spans(func(r *readiness) (from int64, is bool) { return math.MinInt64, r.up && (r.hangs || r.holds > 0) })
+}
+
+// spans are the times, by server, in which something is so, which it is of a state not before from.
+func (e *Evidence) spans(so func(*readiness) (from int64, is bool)) map[string][]Span {
 	type change struct {
 		at   int64
 		make func(*readiness)
@@ -66,7 +76,8 @@
 			if i+1 < len(all) {
 				to = all[i+1].at
 			}
-			if from := max(c.at, r.warmAt); r.up && !r.hangs && r.holds == 0 && from < to {
+			from, is := so(&r)
+			if from = max(c.at, from); is && from < to {
 				spans[uid] = append(spans[uid], Span{from, to})
 			}
 		}
--- a/internal/lab/check/spread_test.go
+++ b/internal/lab/check/spread_test.go
@@ -126,6 +126,33 @@
 	near(t, "churn", f["churn"], 6)
 }
 
+// TestAvoid has twenty sidecars use a server that falls silent: one goes on, one stops after a second, the others at once.
+func TestAvoid(t *testing.T) {
+	e := fleet(t, 20, 20)
+	for near := range 20 {
+		e.send(1, near, "a", 1, 1)
+	}
+	hang := func(at int, on bool) {
+		e.Plan.Steps = append(e.Plan.Steps, plan.Step{At: time.Duration(at) * time.Second, Do: plan.Trouble, Server: "a", Trouble: model.Trouble{Hang: on}})
+	}
+	hang(5, true)
+	hang(15, false)
+	for s := 5; s < 18; s++ {
+		e.send(s, 0, "a", 1, 1)
+	}
+	e.send(5, 1, "a", 1, 1)
+	e.send(6, 1, "a", 1, 1)
+	e.send(7, 1, "b", 1, 1)
+	f := Figures{}
+	e.avoidFigures(f)
+	near(t, "avoid95_ms", f["avoid95_ms"], 1000)
+	near(t, "learn_attempts", f["learn_attempts"], 12)
+	f, e.Plan.Steps = Figures{}, nil
+	if e.avoidFigures(f); len(f) != 0 {
+		t.Errorf("without a silence: %v", f)
+	}
+}
+
 // TestRefusals holds what is refused after the trouble to what was before.
 func TestRefusals(t *testing.T) {
 	e := fleet(t, 30, 1)
--- a/internal/lab/links.go
+++ b/internal/lab/links.go
@@ -88,7 +88,7 @@
 // send tells a far end the state of all its links. end.mu is held.
 func (l *links) send(uid string, end *farEnd) (at int64, err error) {
 	groups := map[link.State][]int{}
-	cuts := map[int]bool{}
+	cuts := map[int]bool{} // groups in which no call comes up; those of single sidecars come up, and nothing after
 	for i, sidecar := range l.fleet.plan.Sidecars {
 		state := l.base
 		cut := false
@@ -101,7 +101,11 @@
 			cut = cut || e.HoldFar || e.HoldNear
 		}
 		groups[state] = append(groups[state], i)
-		cuts[sidecar.Group] = cuts[sidecar.Group] || cut
+		if before, seen := cuts[sidecar.Group]; cut && (before || !seen) {
+			cuts[sidecar.Group] = true
+		} else {
+			cuts[sidecar.Group] = false
+		}
 	}
 	far := l.fleet.far(uid)
 	for state, nears := range groups {
--- a/internal/lab/plan/fault.go
+++ b/internal/lab/plan/fault.go
@@ -18,7 +18,7 @@
 	Restart *float64 `toml:"restart"` // seconds after the end until a process is started again; left out: never
 	Size    float64  `toml:"size"`
 	Every   float64  `toml:"every"`  // steal: seconds on, and off
-	From    string   `toml:"from"`   // links: the zone of the sidecars; "": all
+	From    string   `toml:"from"`   // links: the zone of the sidecars, or one sidecar; "": all
 	Way     string   `toml:"way"`    // silence: "to-far" or "to-near"
 	Jitter  float64  `toml:"jitter"` // delay: ms
 	Batch   float64  `toml:"batch"`  // deploy: share of the fleet at a time
@@ -76,6 +76,16 @@
 	"clock":         {on: []string{"servers"}, size: [2]float64{-86400, 86400}},                                     // the wall clock of the servers' machines jumps by size seconds
 }
 
+// isSidecar tells whether a name is that of a sidecar that stands at the start.
+func (f *File) isSidecar(name string) bool {
+	for i := range f.Fleet.Sidecars {
+		if name == sidecarName(i) {
+			return true
+		}
+	}
+	return false
+}
+
 const mostFlooders = 64 // clients of one flood
 
 // checkFault refuses a fault that makes no sense by itself.
@@ -121,8 +131,8 @@
 		return f.bad("fault", i, "from", "with keepers all sidecars reach servers by one listener: from is not possible")
 	case t.Zone != "" && !slices.Contains(f.Fleet.Zones, t.Zone):
 		return f.bad("fault", i, "zone", "no zone %q", t.Zone)
-	case t.From != "" && t.On != "keepers" && !slices.Contains(f.Fleet.Zones, t.From):
-		return f.bad("fault", i, "from", "no zone %q", t.From)
+	case t.From != "" && t.On != "keepers" && !slices.Contains(f.Fleet.Zones, t.From) && !(t.On == "servers" && f.isSidecar(t.From)):
+		return f.bad("fault", i, "from", "no zone %q, nor a sidecar", t.From)
 	case t.On == "list" && (t.Zone != "" || t.Part > 0 || t.Count > 0 || len(t.Names) > 0):
 		return f.bad("fault", i, "on", "there is one list: zone, part, count and names choose nothing")
 	case kind.size != [2]float64{} && (t.Size < kind.size[0] || t.Size > kind.size[1]):
--- a/internal/lab/plan/plan_test.go
+++ b/internal/lab/plan/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -140,6 +141,19 @@
 	}
 }
 
+// TestFromOne has one sidecar's links fail, and no other's.
+func TestFromOne(t *testing.T) {
+	p := make1(t, head+"[[fault]]\ndo = \"partition\"\nat = 2\nfor = 3\nfrom = \"n2\"\n")
+	for _, s := range p.Steps {
+		if !slices.Equal(s.Nears, []int{2}) {
+			t.Errorf("a step of %v", s.Nears)
+		}
+	}
+	if len(p.Steps) != 20 {
+		t.Errorf("%d steps for 10 servers", len(p.Steps))
+	}
+}
+
 // TestSizes has the list tell sizes near the true ones, and no other draw move for it.
 func TestSizes(t *testing.T) {
 	alike := make1(t, head)
--- a/internal/lab/plan/sidecars.go
+++ b/internal/lab/plan/sidecars.go
@@ -11,6 +11,8 @@
 // joinLead is from the start of a sidecar that joins until clients send to it.
 const joinLead = 2 * time.Second
 
+func sidecarName(i int) string { return fmt.Sprintf("n%d", i) }
+
 // there tells whether a sidecar runs throughout a time.
 func (s *Sidecar) there(from, to time.Duration) bool {
 	return s.Started() <= from && (s.To == 0 || s.To >= to)
@@ -87,7 +89,7 @@
 	sigma := math.Sqrt(math.Log(1 + f.Load.Uneven*f.Load.Uneven))
 	zone := i % len(f.Fleet.Zones)
 	w := math.Exp(r.NormFloat64()*sigma - sigma*sigma/2)
-	p.Sidecars = append(p.Sidecars, Sidecar{Name: fmt.Sprintf("n%d", i), Zone: f.Fleet.Zones[zone], Group: zone, Weight: w, Peers: peers, From: from})
+	p.Sidecars = append(p.Sidecars, Sidecar{Name: sidecarName(i), Zone: f.Fleet.Zones[zone], Group: zone, Weight: w, Peers: peers, From: from})
 }
 
 // sidecarSums gives the sums of the weights of the sidecars that clients send to at a time, "" or only in one zone. The first zone has
--- a/internal/lab/plan/steps.go
+++ b/internal/lab/plan/steps.go
@@ -301,7 +301,7 @@
 	var nears []int
 	if t.From != "" {
 		for i, s := range d.Sidecars {
-			if s.Zone == t.From {
+			if s.Zone == t.From || s.Name == t.From {
 				nears, group = append(nears, i), s.Group
 			}
 		}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -21,7 +21,7 @@
 	fmt.Fprintf(w, "latency p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms; %.3f attempts and %.4f new connections a request; the lab's lateness p99 %.2f ms\n",
 		f["p50_ms"], f["p99_ms"], f["p999_ms"], f["attempts"], f["connections"], f["lateness_p99_ms"])
 	var more []string // of those that were measured
-	for _, name := range []string{"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s", "members_packets", "members_bytes"} {
+	for _, name := range []string{"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s", "avoid95_ms", "learn_attempts", "members_packets", "members_bytes"} {
 		if v, ok := f[name]; ok {
 			more = append(more, fmt.Sprintf("%s %.4g", name, v))
 		}
