--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -8,6 +8,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+
+	"gradeusher.example/gradeusher/internal/lab/check"
 )
 
 // Print writes a result for a person: figures, what did not hold, and last how much held.
@@ -20,20 +22,10 @@
 		f["served_worst_10s"], f["served_worst_class"], f["service"], f["refused"], f["failed"])
 	fmt.Fprintf(w, "latency p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms; %.3f attempts and %.4f new connections a request; the lab's lateness p99 %.2f ms\n",
 		f["p50_ms"], f["p99_ms"], f["p999_ms"], f["attempts"], f["connections"], f["lateness_p99_ms"])
-	var more []string // of those that were measured
-	for _, name := range []string{"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s", "avoid95_ms", "learn_attempts", "members_packets", "members_bytes"} {
-		if v, ok := f[name]; ok {
-			more = append(more, fmt.Sprintf("%s %.4g", name, v))
-		}
-	}
-	if len(more) > 0 {
-		fmt.Fprintf(w, "over the fleet: %s\n", strings.Join(more, ", "))
-	}
-	if f["watches"] > 0 {
-		fmt.Fprintf(w, "keepers: %.0f writes and %.0f uncertain ones, p99 %.1f ms, longest gap %.0f ms, after a kill p50 %.0f ms and %.0f ms at most; last reader told after p50 %.1f ms, p99 %.1f ms; %.0f watches, %.0f whole lists; at most %.0f MB and %.3f cores a keeper\n",
-			f["writes"], f["writes_uncertain"], f["write_p99_ms"], f["write_gap_ms"], f["failover_p50_ms"], f["failover_most_ms"], f["told_p50_ms"], f["told_p99_ms"], f["watches"], f["watches_whole"],
-			f["keeper_mb"], f["keeper_cores"])
-	}
+	printMeasured(w, f, "over the fleet", "spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s",
+		"avoid95_ms", "learn_attempts", "members_packets", "members_bytes")
+	printMeasured(w, f, "keepers", "writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "failover_p50_ms", "failover_most_ms", "told_p50_ms",
+		"told_p99_ms", "watches", "watches_whole", "keeper_mb", "keeper_cores")
 	if n, ok := f["route_generations"]; ok {
 		fmt.Fprintf(w, "routes: %.0f generations, told after p50 %.1f ms, p99 %.1f ms and %.0f ms at most; %.0f bytes in %.0f whole tables and %.0f changes\n",
 			n, f["route_told_p50_ms"], f["route_told_p99_ms"], f["route_told_most_ms"], f["route_bytes"], f["route_wholes"], f["route_diffs"])
@@ -53,6 +45,19 @@
 	fmt.Fprintf(w, "held %d of %d\n", held, of)
 }
 
+// printMeasured writes a line of those figures that were measured.
+func printMeasured(w io.Writer, f check.Figures, what string, names ...string) {
+	var all []string
+	for _, name := range names {
+		if v, ok := f[name]; ok {
+			all = append(all, fmt.Sprintf("%s %.4g", name, v))
+		}
+	}
+	if len(all) > 0 {
+		fmt.Fprintf(w, "%s: %s\n", what, strings.Join(all, ", "))
+	}
+}
+
 // WriteReport writes report.json and report.html into a folder.
 func WriteReport(folder string, r *Result) error {
 	text, err := json.MarshalIndent(r, "", " ")
