--- a/balance/routes/check.go
+++ b/balance/routes/check.go
@@ -13,7 +13,7 @@
 	MostDestinations = 128     // of a rule
 	MostTags         = 16      // of a match
 	MostText         = 128     // bytes of a name, a tag or a value
-	MostBytes        = 4 << 20 // of a table's canonical encoding
+	MostBytes        = 4 << 20 // of a table: its texts, and some for each of its parts
 )
 
 // Check says what is wrong with a table, naming the rule and its field: it is over a bound, two rules have one name, two
@@ -33,12 +33,31 @@
 		}
 		names[r.Name] = true
 	}
-	if n := len(t.encode()); n > MostBytes {
+	if n := t.size(); n > MostBytes {
 		return fmt.Errorf("the table takes %d bytes: %d at most", n, MostBytes)
 	}
 	return nil
 }
 
+// size is what MostBytes bounds.
+func (t Table) size() (sum int) {
+	match := func(m Match) {
+		for tag, v := range m {
+			sum += len(tag) + len(v) + 2
+		}
+	}
+	for _, r := range t {
+		sum += len(r.Name) + 4
+		match(r.Source)
+		match(r.Service)
+		for _, d := range r.Destinations {
+			sum += 12
+			match(d.Match)
+		}
+	}
+	return sum
+}
+
 func (r Rule) check() error {
 	if err := checkText(r.Name); err != nil {
 		return fmt.Errorf("field Name: %w", err)
@@ -59,11 +78,13 @@
 		if err := d.Match.check(); err != nil {
 			return fmt.Errorf("field Destinations[%d]: %w", i, err)
 		}
-		key := d.Match.key()
-		if seen[key] {
-			return fmt.Errorf("field Destinations[%d]: another one matches the same", i)
+		if len(r.Destinations) > 1 {
+			key := d.Match.key()
+			if seen[key] {
+				return fmt.Errorf("field Destinations[%d]: another one matches the same", i)
+			}
+			seen[key] = true
 		}
-		seen[key] = true
 	}
 	return CheckRule(r)
 }
@@ -72,7 +93,8 @@
 	if len(m) > MostTags {
 		return fmt.Errorf("%d tags: %d at most", len(m), MostTags)
 	}
-	for _, tag := range m.tags() {
+	var space [MostTags]string
+	for _, tag := range m.tags(&space) {
 		if err := checkText(tag); err != nil {
 			return fmt.Errorf("a tag: %w", err)
 		}
--- a/balance/routes/hash.go
+++ b/balance/routes/hash.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -11,14 +10,23 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-func (m Match) tags() []string { return slices.Sorted(maps.Keys(m)) }
+// tags are the match's tags in order, in a space for most of them.
+func (m Match) tags(space *[MostTags]string) []string {
+	all := space[:0]
+	for tag := range m {
+		all = append(all, tag)
+	}
+	slices.Sort(all)
+	return all
+}
 
 // key is the same for equal matches, and for no others.
 func (m Match) key() string { return string(m.encode(nil)) }
 
 func (m Match) encode(b []byte) []byte {
 	b = binary.AppendUvarint(b, uint64(len(m)))
-	for _, tag := range m.tags() {
+	var space [MostTags]string
+	for _, tag := range m.tags(&space) {
 		b = appendText(appendText(b, tag), m[tag])
 	}
 	return b
@@ -32,8 +40,11 @@
 func (t Table) Canonical() Table {
 	all := make(Table, len(t))
 	for i, r := range t {
-		keys := make(map[int]string, len(r.Destinations))
-		order := make([]int, len(r.Destinations))
+		if len(r.Destinations) < 2 {
+			all[i] = r
+			continue
+		}
+		keys, order := make([]string, len(r.Destinations)), make([]int, len(r.Destinations))
 		for j, d := range r.Destinations {
 			keys[j], order[j] = d.Match.key(), j
 		}
--- a/internal/keeper/routes.go
+++ b/internal/keeper/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -40,7 +41,7 @@
 	if err != nil {
 		return badf("%w", err)
 	}
-	result, err := k.propose(r.Context(), state.Command{Op: state.Route, Rules: table, Expect: c.Expect})
+	result, err := k.proposeRoutes(r.Context(), table.Canonical(), c.Expect)
 	if err != nil {
 		return err
 	}
@@ -53,6 +54,29 @@
 	return nil
 }
 
+const mostMoved = 4 // times that others may put a table while one is on its way, before it is sent in whole
+
+// proposeRoutes has a table agreed on, as what leads to it. Danger: whole tables, ten a second, would make a log of gigabytes.
+func (k *Keeper) proposeRoutes(ctx context.Context, table routes.Table, expect *int64) (state.Result, error) {
+	for range mostMoved {
+		var base int64
+		var now routes.Table
+		k.store.read(func(m *state.Machine) {
+			base = m.Generation()
+			now, _ = m.Routes(base) // the last is always known
+		})
+		ops := routes.Diff(now, table)
+		if len(ops) > len(table) {
+			break // it is as long as the table
+		}
+		result, err := k.propose(ctx, state.Command{Op: state.Route, Base: &base, Ops: ops, Expect: expect})
+		if !result.Moved {
+			return result, err
+		}
+	}
+	return k.propose(ctx, state.Command{Op: state.Route, Rules: table, Expect: expect})
+}
+
 // routesAsked is a call for the route table.
 type routesAsked struct {
 	from    int64  // the generation that the caller holds; below 0: none
--- a/internal/state/routes.go
+++ b/internal/state/routes.go
@@ -64,27 +64,34 @@
 		result.Err = refuse(Conflict, "the route table is at generation %d, not %d", r.gen, *c.Expect)
 		return result
 	}
-	if err := c.Rules.Check(); err != nil {
-		result.Err = refuse(Bad, "%v", err)
+	ops := c.Ops
+	if c.Base == nil {
+		if err := c.Rules.Check(); err != nil {
+			result.Err = refuse(Bad, "%v", err)
+			return result
+		}
+		ops = routes.Diff(r.table, c.Rules.Canonical())
+	} else if result.Moved = *c.Base != r.gen; result.Moved {
+		result.Err = refuse(Conflict, "the route table is at generation %d, not %d", r.gen, *c.Base)
 		return result
 	}
-	next := c.Rules.Canonical()
-	ops := routes.Diff(r.table, next)
 	if len(ops) == 0 {
 		return result
 	}
-	back, err := routes.Invert(r.table, ops)
 	// The rules that stay are shared with the table before, which watchers may hold for a while.
-	if shared, bad := routes.Apply(r.table, ops); bad == nil {
-		next = shared.Canonical()
+	next, err := routes.Apply(r.table, ops)
+	if err != nil {
+		result.Err = refuse(Bad, "%v", err)
+		return result
 	}
+	back, err := routes.Invert(r.table, ops)
 	text, bad := json.Marshal(back)
 	if err != nil || bad != nil { // tables that were checked have diffs that fit; whoever held the old one gets the whole
 		r.steps, r.size = nil, 0
 	} else {
 		r.steps, r.size = append(r.steps, step{r.gen + 1, back, len(text)}), r.size+len(text)
 	}
-	r.gen, r.table = r.gen+1, next
+	r.gen, r.table = r.gen+1, next.Canonical()
 	r.trim()
 	result.Gen, result.Routed = r.gen, true
 	return result
--- a/internal/state/routes_test.go
+++ b/internal/state/routes_test.go
@@ -61,16 +61,21 @@
 				all[m.Generation()], known = m.routing.table.Hash(), 0
 			default:
 				words := rapid.SliceOfN(rapid.SampledFrom([]string{"a1", "a2", "b1", "b2", "c1", "c2", "c0"}), 0, 4).Draw(t, "rules")
-				c := Command{Op: Route, Rules: table(words...)}
+				want := table(words...)
+				c := Command{Op: Route, Rules: want}
 				gen := m.Generation()
-				fits := true
+				fits, sound := true, want.Check() == nil
+				if sound && rapid.Bool().Draw(t, "as ops") {
+					base := gen - int64(rapid.IntRange(0, 1).Draw(t, "old base"))
+					c = Command{Op: Route, Base: &base, Ops: routes.Diff(m.routing.table, want.Canonical())}
+					fits = base == gen
+				}
 				if rapid.Bool().Draw(t, "expects") {
 					expect := gen + int64(rapid.IntRange(-1, 1).Draw(t, "off"))
-					c.Expect, fits = &expect, expect == gen
+					c.Expect, fits = &expect, fits && expect == gen
 				}
-				sound := c.Rules.Check() == nil
 				r := m.Apply(c)
-				news := fits && sound && c.Rules.Hash() != all[gen]
+				news := fits && sound && want.Hash() != all[gen]
 				if (r.Err == nil) != (fits && sound) || r.Routed != news || m.Generation() != r.Gen || (r.Gen != gen) != news {
 					t.Fatalf("%v at %d: %+v", words, gen, r)
 				}
@@ -81,7 +86,7 @@
 					if _, reused := all[r.Gen]; reused {
 						t.Fatalf("generation %d is made twice", r.Gen)
 					}
-					all[r.Gen] = c.Rules.Hash()
+					all[r.Gen] = want.Hash()
 					known++
 				}
 			}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -51,7 +51,9 @@
 	Ended   []Ended             `json:"ended,omitempty"`   // expire
 	Cluster string              `json:"cluster,omitempty"` // found
 	Keeper  *Keeper             `json:"keeper,omitempty"`  // member, unmember (its name)
-	Rules   routes.Table        `json:"rules,omitempty"`   // routes; none: the empty table
+	Rules   routes.Table        `json:"rules,omitempty"`   // routes; none: the empty table, unless there is a base
+	Base    *int64              `json:"base,omitempty"`    // routes: in place of Rules, Ops lead there from this generation
+	Ops     []routes.Op         `json:"ops,omitempty"`     // routes
 }
 
 // Ended names a lease that has ended. One that was granted anew since then is left alone.
@@ -119,6 +121,7 @@
 	Changes []Change // what it changed, in order
 	Gen     int64    // of routes: of the table that is there now
 	Routed  bool     // that is a new one
+	Moved   bool     // it was refused because the base is no longer the last generation
 	Err     *Error   // it was refused
 }
 
