--- a/internal/members/fleet_test.go
+++ b/internal/members/fleet_test.go
@@ -164,8 +164,10 @@
 	if after := all[0].View().Epoch >> 32; after != epoch {
 		b.Logf("%d members: epoch %d became %d in quiet", n, epoch, after)
 	}
-	killed := time.Now()
 	dead := all[n-1]
+	dead.end()
+	dead.owned.Wait()
+	killed := time.Now()
 	_ = dead.list.Shutdown()
 	dead.mu.Lock()
 	dead.list = nil // it says no farewell
