--- a/balance/reroute.go
+++ b/balance/reroute.go
@@ -8,14 +8,12 @@
 	"gradeusher.example/gradeusher/balance/routes"
 )
 
-// routeWait is how long a table that has no ready endpoint for the service waits for one.
-const routeWait = 30 * time.Second
+const routeWait = 30 * time.Second // that a table without a ready endpoint waits for one
 
 // SetRules takes in another route table, whole; an empty one stands for the rules of the settings. Groups of
-// the same tags keep their turns, credit, size and subset, and new weights count from the next turn on. It
-// tells why a table is not applied: it is wrong, and forgotten, or its best rule for this client has no ready
-// endpoint, while the rule that holds has some. Then the last one that came waits until it has, or routeWait
-// is over.
+// the same tags keep their turns, credit, size and subset; new weights count from the next turn on. It tells
+// why a table is not applied: it is wrong, or its best rule for this client has no ready endpoint while the
+// rule that holds has some. Then the last one that came waits until it has, or routeWait is over.
 func (b *Balancer) SetRules(now Time, rules []Rule) (applied bool, why string) {
 	if err := routes.Table(rules).Check(); err != nil {
 		return false, err.Error()
@@ -36,7 +34,6 @@
 	if now < b.waitsFrom+routeWait && !b.serves(to) && b.serves(b.routed) {
 		return false, "its best rule has no ready endpoint, and the one that holds has"
 	}
-	b.waits = nil
 	b.setRoutes(to)
 	for _, e := range b.known {
 		e.joins = b.groupsOf(e.Endpoint)
@@ -78,7 +75,7 @@
 // elsewhere, so that sidecars do not march in step.
 func (b *Balancer) setRoutes(to []Destination) {
 	old, last := b.groups, len(to)-1
-	b.groups, b.routed = nil, to
+	b.groups, b.routed, b.waits = nil, to, nil
 	for i, d := range to {
 		at := slices.IndexFunc(old, func(g *group) bool {
 			return maps.Equal(g.dest.Match, d.Match) && (g == b.fleet) == (i == last)
--- a/balance/routes/diff.go
+++ b/balance/routes/diff.go
@@ -1,7 +1,5 @@
 package routes
 
-import "slices"
-
 // Diff is the ops of least cost that lead from one table to another, the order of destinations aside; none:
 // they are the same. Both have unique names, and unique matches in a rule. It takes O(n log n) in rules.
 //
@@ -19,14 +17,12 @@
 	}
 	var ops []Op
 	edits, kept := make([][]Op, len(to)), make([]bool, len(to)) // by place in the target
-	// Places in it of the rules that are kept, in their old order.
-	var places []int
-	count := len(to)
+	var places []int                                            // there, of those kept, in their old order
 	for _, r := range from {
 		i, both := place[r.Name]
 		if both {
 			if e := edit(r, to[i]); len(e) <= len(to[i].Destinations)+1 {
-				edits[i], kept[i], places, count = e, true, append(places, i), count+len(e)
+				edits[i], kept[i], places = e, true, append(places, i)
 				continue
 			}
 		}
@@ -35,9 +31,7 @@
 	stays := make([]bool, len(to))
 	for _, i := range rising(places) {
 		stays[i] = true
-		count--
 	}
-	ops = slices.Grow(ops, count)
 	// Each rule that does not stay is put right behind its predecessor in the target. Those placed so far are
 	// then in order, and all that stay and come later are behind them; what else stands between is yet to move.
 	after := ""
