--- a/balance/routes/diff.go
+++ b/balance/routes/diff.go
@@ -1,7 +1,5 @@
 package routes
 
-import "maps"
-
 // Diff is the ops of least cost that lead from one table to another, the order of destinations aside; none:
 // they are the same. Both have unique names, and unique matches in a rule. It takes O(n log n) in rules.
 //
@@ -19,8 +17,7 @@
 	}
 	var ops []Op
 	edits, kept := make([][]Op, len(to)), make([]bool, len(to)) // by place in the target
-	// Places in it of the rules that are kept, in their old order.
-	var places []int
+	var places []int                                            // there, of those kept, in their old order
 	for _, r := range from {
 		i, both := place[r.Name]
 		if both {
@@ -52,7 +49,7 @@
 
 // edit is what makes a rule like another of its name.
 func edit(from, to Rule) (ops []Op) {
-	if !maps.Equal(from.Source, to.Source) || !maps.Equal(from.Service, to.Service) {
+	if !from.Source.is(to.Source) || !from.Service.is(to.Service) {
 		ops = append(ops, Op{Kind: Rematch, Name: to.Name, Source: to.Source, Service: to.Service})
 	}
 	stay := 0
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -187,7 +187,7 @@
 	"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s",
 	"hitter_precision", "hitter_recall", "hitter_delay_ms", "hitter_yields", "hitter_sound_loss",
 	"route_generations", "route_bytes", "route_wholes", "route_diffs", "route_told_p50_ms", "route_told_p99_ms", "route_told_most_ms",
-	"members_packets", "members_bytes",
+	"avoid95_ms", "learn_attempts", "members_packets", "members_bytes",
 	"keeper_mb", "keeper_cores", "failover_p50_ms", "failover_most_ms"}
 
 // Flaws of the stand-in sidecar, for the controls; "" is none.
