--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -23,10 +23,14 @@
 	Limits  Limits  `toml:"limits"`
 	List    List    `toml:"list"`
 	Keepers Keepers `toml:"keepers"`
-	Kinds   []Kind  `toml:"kind"`
-	Classes []Class `toml:"class"`
-	Faults  []Fault `toml:"fault"`
-	Bars    []Bar   `toml:"bar"`
+	Hitters Hitters `toml:"hitters"`
+	Members Members `toml:"members"`
+	// Config is written into each sidecar's configuration as it stands, beside what the lab tells it.
+	Config  map[string]any `toml:"config"`
+	Kinds   []Kind         `toml:"kind"`
+	Classes []Class        `toml:"class"`
+	Faults  []Fault        `toml:"fault"`
+	Bars    []Bar          `toml:"bar"`
 
 	Path string `toml:"-"`
 	Name string `toml:"-"` // of the file, without folder and ending
@@ -77,6 +81,7 @@
 	NoticeS [2]float64 `toml:"notice_s"` // until it knows that a process drains or ended
 	AddS    [2]float64 `toml:"add_s"`    // until it knows a new one
 	SilentS [2]float64 `toml:"silent_s"` // until it knows that a machine is silent
+	Sizes   string     `toml:"sizes"`    // what it tells of the servers' sizes: "alike", or "rough": the true ones, up to a fifth wrong
 }
 
 // Keepers are who hold the list, in place of the platform's.
@@ -96,6 +101,12 @@
 	Watchers   int     `toml:"watchers"`    // clients besides the sidecars that only watch
 }
 
+// Members is whether sidecars know each other.
+type Members struct {
+	On      bool    `toml:"on"`
+	BoundMS float64 `toml:"bound_ms"` // news that is older counts for nothing
+}
+
 // Kind is a kind of server (BRIEF).
 type Kind struct {
 	Name  string     `toml:"name"`
@@ -132,7 +143,8 @@
 		Load: Load{Uneven: 1, Retries: true, WorkPart: 1},
 		Limits: Limits{AnswerSlackMS: 500, DrainGraceMS: 300, SlackMS: 50, MemoryMB: 192, Descriptors: 1024,
 			LatenessMS: 5},
-		List:    List{NoticeS: [2]float64{0.66, 3.9}, AddS: [2]float64{0.25, 2.6}, SilentS: [2]float64{6.5, 13}},
+		List:    List{NoticeS: [2]float64{0.66, 3.9}, AddS: [2]float64{0.25, 2.6}, SilentS: [2]float64{6.5, 13}, Sizes: "alike"},
+		Members: Members{BoundMS: 2000},
 		Keepers: Keepers{Program: "keeper", LeaseS: 3, GraceS: 3, Share: 0.3, Snapshot: 4096, Writers: 4, Keys: 4, DoubtShare: 0.3, Cache: true},
 	}
 }
@@ -170,6 +182,8 @@
 	"late_refusals", "p50_ms", "p99_ms", "p999_ms", "connections", "lateness_p99_ms", "requests",
 	"writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "told_p50_ms", "told_p99_ms", "watches", "watches_whole",
 	"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s",
+	"hitter_precision", "hitter_recall", "hitter_delay_ms", "hitter_yields", "hitter_sound_loss",
+	"members_packets", "members_bytes",
 	"keeper_mb", "keeper_cores", "failover_p50_ms", "failover_most_ms"}
 
 // Flaws of the stand-in sidecar, for the controls; "" is none.
@@ -297,6 +311,7 @@
 		{"load", "clients", float64(f.Load.Clients), 0, 1 << 20},
 		{"load", "skew", f.Load.Skew, 0, 5},
 		{"load", "work_part", f.Load.WorkPart, 0.001, 10},
+		{"members", "bound_ms", f.Members.BoundMS, 1, 3600000},
 		{"keepers", "count", float64(f.Keepers.Count), 0, 7},
 		{"keepers", "lease_s", f.Keepers.LeaseS, 1, 3600},
 		{"keepers", "grace_s", f.Keepers.GraceS, 0, 3600},
@@ -307,6 +322,8 @@
 		{"keepers", "keys", float64(f.Keepers.Keys), 1, 2000},
 		{"keepers", "doubt_share", f.Keepers.DoubtShare, 0, 1},
 		{"keepers", "watchers", float64(f.Keepers.Watchers), 0, 10000},
+		{"hitters", "high", f.Hitters.High, 0, 1},
+		{"hitters", "low", f.Hitters.Low, 0, 1},
 		{"limits", "answer_slack_ms", f.Limits.AnswerSlackMS, 0, 60000},
 		{"limits", "drain_grace_ms", f.Limits.DrainGraceMS, 0, 60000},
 		{"limits", "slack_ms", f.Limits.SlackMS, 0, 60000},
@@ -335,12 +352,16 @@
 		return f.bad("keepers", -1, "count", "%d keepers: an odd number agrees", f.Keepers.Count)
 	case f.Keepers.Count > 0 && f.Fleet.Program == "plain":
 		return f.bad("fleet", -1, "program", "the plain sidecar knows no keepers")
+	case f.Members.On && f.Fleet.Program == "plain":
+		return f.bad("fleet", -1, "program", "the plain sidecar knows no members")
 	case f.Keepers.Program != "keeper" && f.Keepers.Program != "plain":
 		return f.bad("keepers", -1, "program", "program %q is neither keeper nor plain", f.Keepers.Program)
 	case f.Keepers.Flaw != "" && f.Keepers.Program != "plain":
 		return f.bad("keepers", -1, "flaw", "only plain keepers have flaws")
 	case !slices.Contains(KeeperFlaws, f.Keepers.Flaw):
 		return f.bad("keepers", -1, "flaw", "unknown flaw %q", f.Keepers.Flaw)
+	case f.List.Sizes != "alike" && f.List.Sizes != "rough":
+		return f.bad("list", -1, "sizes", "sizes %q are neither alike nor rough", f.List.Sizes)
 	case f.Fleet.Start != "warm" && f.Fleet.Start != "cold":
 		return f.bad("fleet", -1, "start", "start %q is neither warm nor cold", f.Fleet.Start)
 	case f.Breaks != "" && !isInvariant(f.Breaks) && !f.hasBar(f.Breaks):
