--- a/internal/keeper/routes.go
+++ b/internal/keeper/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -40,7 +41,7 @@
 	if err != nil {
 		return badf("%w", err)
 	}
-	result, err := k.propose(r.Context(), state.Command{Op: state.Route, Rules: table, Expect: c.Expect})
+	result, err := k.proposeRoutes(r.Context(), table.Canonical(), c.Expect)
 	if err != nil {
 		return err
 	}
@@ -53,6 +54,29 @@
 	return nil
 }
 
+const mostMoved = 4 // times that others may put a table while one is on its way, before it is sent in whole
+
+// proposeRoutes has a table agreed on, as what leads to it. Danger: whole tables, ten a second, would make a log of gigabytes.
+func (k *Keeper) proposeRoutes(ctx context.Context, table routes.Table, expect *int64) (state.Result, error) {
+	for range mostMoved {
+		var base int64
+		var now routes.Table
+		k.store.read(func(m *state.Machine) {
+			base = m.Generation()
+			now, _ = m.Routes(base) // the last is always known
+		})
+		ops := routes.Diff(now, table)
+		if len(ops) > len(table) {
+			break // it is as long as the table
+		}
+		result, err := k.propose(ctx, state.Command{Op: state.Route, Base: &base, Ops: ops, Expect: expect})
+		if !result.Moved {
+			return result, err
+		}
+	}
+	return k.propose(ctx, state.Command{Op: state.Route, Rules: table, Expect: expect})
+}
+
 // routesAsked is a call for the route table.
 type routesAsked struct {
 	from    int64  // the generation that the caller holds; below 0: none
@@ -104,7 +128,7 @@
 		if err != nil {
 			return err
 		}
-		now, _, err := k.now(a.cut)
+		now, _, err := k.now(held, a.cut)
 		if err != nil {
 			return err
 		}
@@ -119,8 +143,8 @@
 	})(w, r)
 }
 
-// now is the last generation, cut, and tells when there is a newer one.
-func (k *Keeper) now(by cut) (v *view, changed <-chan struct{}, err error) {
+// now is the last generation, cut, for one who holds a view, nil: none, and tells when there is a newer one.
+func (k *Keeper) now(held *view, by cut) (v *view, changed <-chan struct{}, err error) {
 	for range 3 {
 		var gen int64
 		cluster := ""
@@ -129,7 +153,7 @@
 			return nil, nil, errNoList
 		}
 		// It may be replaced meanwhile by one from a backup, which is another generation.
-		if v, err = k.cuts.view(gen, by); err == nil {
+		if v, err = k.cuts.next(held, gen, by); err == nil {
 			return v, changed, nil
 		}
 	}
@@ -219,7 +243,7 @@
 	if err != nil {
 		return err
 	}
-	now, changed, err := k.now(a.cut)
+	now, changed, err := k.now(held, a.cut)
 	if err != nil {
 		return err
 	}
@@ -247,7 +271,7 @@
 		line = nil
 		select {
 		case <-changed:
-			if now, changed, err = k.now(a.cut); err != nil {
+			if now, changed, err = k.now(held, a.cut); err != nil {
 				return nil
 			}
 			held = k.sound(held)
