--- a/balance/turns/turns.go
+++ b/balance/turns/turns.go
@@ -8,25 +8,17 @@
 
 import "time"
 
-// View is a sidecar's place among the members: Place of Count, from 0. Its part of the circle is Share, from
-// Before on: parts of the fleet's traffic, in all 1, where they are known; else both are 0.
-type View struct {
-	Place, Count  int
-	Before, Share float64
-}
+// View is a sidecar's place among the members: Place of Count, from 0. Each has an equal part of the circle.
+type View struct{ Place, Count int }
 
-// Mine tells whether it is this sidecar's turn at what, any number that names it. One that has nothing to do
-// in its turn lets it go by: saved turns are taken by all at once. The points of periods in a row are a
-// golden section apart, so that a part of 1/n has a turn within 3n periods.
+// Mine tells whether it is this sidecar's turn at what, any number that names it. One with nothing to do in
+// its turn lets it go by: saved turns are taken by all at once. The points of periods in a row are a golden
+// section apart, so that a part of 1/n has a turn within 3n periods.
 func (v View) Mine(what uint64, now, period time.Duration) bool {
-	n := float64(v.Count)
-	from, to := float64(v.Place)/n, float64(v.Place+1)/n
-	if v.Share > 0 {
-		from, to = v.Before, v.Before+v.Share
-	}
 	const golden = 0x9e3779b97f4a7c15 // of 1<<64
 	point := float64((mix(what)+uint64(now/max(period, 1))*golden)>>11) / (1 << 53)
-	return from <= point && point < to
+	n := float64(v.Count)
+	return float64(v.Place)/n <= point && point < float64(v.Place+1)/n
 }
 
 // Back is how long this sidecar waits, under span, to come back to what was out for all: in turn, from any
