--- a/balance/api.go
+++ b/balance/api.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"gradeusher.example/gradeusher/balance/hitters"
 	"gradeusher.example/gradeusher/balance/routes"
 )
 
@@ -89,7 +90,11 @@
 	FallMultiple  float64       // a cold endpoint sent more than this multiple of what it can do
 	FallTime      time.Duration // for this long falls over
 
+	Bound time.Duration // what members said longer ago counts for nothing; 0: 2 s
+
 	CrossCharge float64 // price of crossing zones, as a share of a request's worth
+
+	Hitters *hitters.Settings // how clients that ask for much of the fleet's work are found; nil: they are not
 }
 
 // State is what discovery says of an endpoint.
@@ -131,7 +136,8 @@
 	Class  int // index into Settings.Classes
 	Tenant int // index into Settings.Tenants, or -1
 	Within time.Duration
-	Coming bool // the body is still coming, and is sent on as it comes: BodyEnded follows
+	Coming bool   // the body is still coming, and is sent on as it comes: BodyEnded follows
+	Client uint64 // with Settings.Hitters alone: the key of the client that asks; all that have no name are one
 }
 
 // Outcome is how an attempt ended.
@@ -160,7 +166,7 @@
 }
 
 // Actions is what the host does for a Balancer, called for its answers to events. The events are the methods
-// Request, BodyTaken, BodyEnded, Result, AnswerStarted, ClientGone, Endpoints, ByHand and Timer of Balancer. The host calls them in the order of
+// Request, BodyTaken, BodyEnded, Result, AnswerStarted, ClientGone, Endpoints, ByHand, SetRules and Timer of Balancer. The host calls them in the order of
 // what happened; the first list follows New at once. Each Request ends with one final answer: a Result that is
 // Finished, Refuse or Fail. Each Send ends with one Result, also after the final answer.
 //
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"gradeusher.example/gradeusher/balance/hitters"
 )
 
 const tokenTick, tokenAsk uint64 = 0, 1
@@ -24,7 +26,11 @@
 	}
 	b := &Balancer{set: set, act: act, known: map[string]*endpoint{}, requests: map[RequestID]*request{},
 		rng: rand.New(rand.NewPCG(set.Seed, uint64(set.Self))), tenants: make([]tenant, len(set.Tenants)),
-		near: [2]float64{1, leastNear}}
+		near: [2]float64{1, leastNear}, book: newBook(set)}
+	var err error
+	if b.hitters, err = hitters.New(set.Hitters); err != nil {
+		return nil, fmt.Errorf("balance: %w", err)
+	}
 	for _, c := range set.Classes {
 		b.aim = min(cmp.Or(b.aim, c.Aim.Seconds()), c.Aim.Seconds())
 		b.work = append(b.work, c.Aim.Seconds()) // until answers tell
@@ -32,7 +38,7 @@
 	for _, t := range set.Tenants {
 		b.allowed += t.Allowance
 	}
-	b.setRoutes()
+	b.setRoutes(b.destinations(set.Rules))
 	act.Timer(time.Duration(b.rng.Float64()*float64(tickEvery)), tokenTick)
 	if set.AskDiscovery {
 		// Danger: all sidecars start at once, and the list service serves few calls at a time.
@@ -50,7 +56,9 @@
 	q := &request{Request: r, class: &b.set.Classes[r.Class], deadline: now + r.Within,
 		over: b.overShare(r.Tenant, now)}
 	b.requests[r.ID] = q
-	b.try(q, now)
+	if !b.giveWay(q, now) {
+		b.try(q, now)
+	}
 }
 
 // try sends the request's next attempt, or ends the request if none may or should be sent.
@@ -108,19 +116,24 @@
 	return nil, late
 }
 
-// wake lets cold endpoints earn turns by a request that found none open, where all that are ready are cold:
-// the part of it that they could do of what the whole fleet had to. Danger: turns that are earned by sends to
-// others alone would leave a fleet that restarts, or is put back by hand, without any until it is warm.
+// wake lets cold endpoints earn turns by a request that found none open, where all that are used are cold:
+// the part of it that they can do of what a whole warm fleet could. Danger: turns earned by sends to others
+// alone would leave a fleet that restarts, or is put back by hand, without any until it is warm.
 func (b *Balancer) wake() {
-	var whole float64
+	var whole, ready, used float64
 	for _, g := range b.groups {
 		whole += g.whole
+		for _, e := range g.ready {
+			ready += e.Size
+		}
 	}
-	if slices.ContainsFunc(b.active, func(e *endpoint) bool { return e.warm >= 1 }) {
-		return
+	for _, e := range b.active {
+		if used += e.Size * b.near[e.abroad]; e.warm >= 1 {
+			return
+		}
 	}
 	for _, e := range b.active {
-		e.due += e.Size * e.warm / math.Max(whole, e.Size)
+		e.due += e.Size * e.warm * b.near[e.abroad] / used * ready / whole
 	}
 }
 
@@ -176,6 +189,7 @@
 	a.to.arrive(a.flight, r.Outcome == Served)
 	q.out--
 	if r.Outcome == Served {
+		q.took = r.Took
 		b.work[q.Class] += workStep * (max(r.Took.Seconds(), 1e-6) - b.work[q.Class])
 	}
 	b.learn(a, r, now)
@@ -241,6 +255,9 @@
 			b.act.Cancel(q.ID, i)
 		}
 	}
+	if !q.ended && b.hitters != nil {
+		b.countWork(q)
+	}
 	if q.ended = true; q.out == 0 {
 		delete(b.requests, q.ID)
 	}
@@ -330,10 +347,16 @@
 		}
 	case tokenTick:
 		b.act.Timer(tickEvery, tokenTick)
+		b.heed(now)
 		b.fade(now, math.Exp(-tickEvery.Seconds()/memory.Seconds()))
 		b.shift(now)
 		if now >= b.grouped+time.Second {
 			b.regroup(now)
 		}
+		if b.RulesWait() {
+			if applied, _ := b.reroute(now); applied {
+				b.act.Log("the route table that waited is applied")
+			}
+		}
 	}
 }
--- a/balance/hand.go
+++ b/balance/hand.go
@@ -41,26 +41,9 @@
 // Danger: a server is restarted while it is out, and the list tells late. One taken for warm is pushed over.
 // Whether it may have been is told by the start that counts: the listed one may lie ahead of this clock.
 func (b *Balancer) restarted(e *endpoint, from Time) {
-	e.took, e.held, e.faults, e.until, e.from = 0, 0, 0, 0, from
+	e.took, e.held, e.faults, e.until, e.from, e.served, e.struck = 0, 0, 0, 0, from, 0, 0
 	e.due = b.rng.Float64()
 }
 
 // ready tells whether an endpoint may be used at all.
 func (e *endpoint) ready() bool { return e.State == Ready && !e.out }
-
-// Knows tells whether an endpoint is listed or out by hand.
-func (b *Balancer) Knows(id string) bool {
-	e := b.known[id]
-	return has(b.byHand, id) || e != nil && e.State != Removed
-}
-
-// Listed counts the endpoints on the list, and those of them that get nothing now: out by hand, draining, or
-// ejected.
-func (b *Balancer) Listed(now Time) (all, avoided int) {
-	for _, e := range b.endpoints {
-		if !e.ready() || now < e.until && !b.panicking {
-			avoided++
-		}
-	}
-	return len(b.endpoints), avoided
-}
--- a/balance/health.go
+++ b/balance/health.go
@@ -27,7 +27,7 @@
 	workStep    = 0.05                   // weight of an answer in the mean time of its class
 	overBar     = 0.5                    // bar of requests beyond an allowance, as a share of their class's
 	surely      = 0.5                    // of the time left: a mean answer within it mostly comes in time
-	leastSubset = 4                      // endpoints of a group that a sidecar uses at least: some may fail
+	levelSettle = 2 * memory             // a level stays so long at least: the traffic is known by then
 	leastNear   = 0.001                  // weight of other zones at least: enough to know them
 	shiftStep   = 0.03                   // of the way to go, what a tick moves the weight of other zones
 )
@@ -156,12 +156,13 @@
 	case Saturated: // its queue is full: as bad as an answer at the aim
 		e.took += b.aim
 	case Served:
-		e.faults *= faultKeep
+		e.faults, e.served, e.struck = e.faults*faultKeep, now, 0
 	case Errored, TimedOut, ConnectFailed, Reset:
 		// Danger: an endpoint that fails fast looks idle and draws all requests.
 		if e.faults += math.Pow(faultKeep, float64(a.flight.passed)); e.faults >= faultBar {
 			e.until = now + ejectFor
 			e.faults = 1 // the next fault after its return ejects it again
+			e.struck, e.struckAt = failure[r.Outcome], now
 			b.act.Log("ejected " + e.ID)
 			b.regroup(now)
 		}
--- a/balance/hitters/hitters.go
+++ b/balance/hitters/hitters.go
@@ -31,18 +31,20 @@
 
 // The bounds.
 const (
-	counters    = 64   // clients counted in a window: a count is at most 1/65 of the total too low
-	windows     = 2    // that a report covers
-	mostKeys    = 11   // clients named in a report
-	mostOrigins = 1024 // that are listened to
-	mostClients = 48   // held in a state other than quiet: as many as can be above the lower bar
-	mostName    = 24   // bytes of a client's name that are kept for logs
-	whole       = math.MaxUint16
-	mostTotal   = 1 << 44       // microseconds of work a second
-	mostWork    = time.Hour     // of one request
-	leastHigh   = 2. / counters // under it a share could not be told from the error of the counts
-	leastLow    = 1. / mostClients
-	mostPart    = 10 * time.Minute // of any setting
+	counters     = 64   // clients counted in a window: a count is at most 1/65 of the total too low
+	windows      = 2    // that a report covers
+	mostKeys     = 11   // clients named in a report
+	mostOrigins  = 1024 // that are listened to
+	mostClients  = 48   // held in a state other than quiet: as many as can be above the lower bar
+	tellFrom     = 4    // a report names clients whose share of the sidecar's own work is the bar's part of that
+	mostSpeakers = 150  // tell their report in a window
+	mostName     = 24   // bytes of a client's name that are kept for logs
+	whole        = math.MaxUint16
+	mostTotal    = 1 << 44       // microseconds of work a second
+	mostWork     = time.Hour     // of one request
+	leastHigh    = 2. / counters // under it a share could not be told from the error of the counts
+	leastLow     = 1. / mostClients
+	mostPart     = 10 * time.Minute // of any setting
 )
 
 // Settings are what a Judge is told at its start.
@@ -51,14 +53,14 @@
 	High   float64       // share of the fleet's work above which a client is suspected
 	Low    float64       // share under which a heavy one cools
 	Window time.Duration // between reports; a report covers two
-	Hold   time.Duration // a suspected client must stay above High
+	Hold   time.Duration // a suspected client must stay above High: a little less than whole windows, which do not end to the dot
 	Cool   time.Duration // a cooling one is remembered
 	Bound  time.Duration // news that is older counts for nothing
 }
 
 // Defaults are the settings of a sidecar that is told none.
 func Defaults() Settings {
-	return Settings{High: 0.04, Low: 0.025, Window: 500 * time.Millisecond, Hold: time.Second, Cool: 5 * time.Second,
+	return Settings{High: 0.04, Low: 0.025, Window: 500 * time.Millisecond, Hold: 400 * time.Millisecond, Cool: 5 * time.Second,
 		Bound: 2 * time.Second}
 }
 
@@ -131,14 +133,20 @@
 	seq     uint64          // of the own reports
 	words   []*word         // by origin
 	clients []*Client       // by key
+	yielded uint64          // requests that gave way
+	room    float64         // work that servers do, as far as is known
+	idle    float64         // of which this much is let in besides what is served, as it seems to be left undone
 }
 
-// New returns a Judge, or an error that says what is wrong with the settings.
-func New(set Settings) (*Judge, error) {
+// New returns a Judge, or an error that says what is wrong with the settings. Without settings there is none.
+func New(set *Settings) (*Judge, error) {
+	if set == nil {
+		return nil, nil
+	}
 	if err := set.check(); err != nil {
 		return nil, fmt.Errorf("hitters: %w", err)
 	}
-	return &Judge{set: set}, nil
+	return &Judge{set: *set}, nil
 }
 
 // Name has a client that is held be known by its name in logs.
@@ -148,5 +156,8 @@
 	}
 }
 
+// Yielded counts the requests that were to give way.
+func (j *Judge) Yielded() uint64 { return j.yielded }
+
 // Clients returns those that are held, by key. They change at the next Roll.
 func (j *Judge) Clients() []*Client { return j.clients }
--- a/balance/hitters/judge_test.go
+++ b/balance/hitters/judge_test.go
@@ -10,7 +10,11 @@
 )
 
 // set is that of the sidecar 1.
-var set = func() Settings { s := Defaults(); s.Origin, s.High, s.Low = 1, 0.08, 0.05; return s }()
+var set = func() Settings {
+	s := Defaults()
+	s.Origin, s.High, s.Low, s.Hold = 1, 0.08, 0.05, 900*time.Millisecond
+	return s
+}()
 
 // says is a report of a client's share, and more clients' after it.
 func says(total uint64, shares ...float64) Report {
@@ -22,7 +26,7 @@
 }
 
 func judge(t interface{ Fatal(...any) }) *Judge {
-	j, err := New(set)
+	j, err := New(&set)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -178,7 +182,7 @@
 			}
 			kept := 0
 			for id := range uint64(1000) {
-				after, yields := j.Yields(c.Key, id)
+				after, yields := j.Yields(now, c.Key, id)
 				if yields != (after >= backAfter && after < 2*backAfter) {
 					t.Fatalf("gives way %v, back after %v", yields, after)
 				}
@@ -186,11 +190,14 @@
 					kept++
 				}
 			}
+			if _, yields := j.Yields(now+set.Bound, c.Key, 1); yields {
+				t.Fatal("one gives way by news that is too old")
+			}
 			if math.Abs(float64(kept)-1000*c.Keep) > 1 {
 				t.Fatalf("%d of 1000 served, want a share of %v", kept, c.Keep)
 			}
 		}
-		if _, yields := j.Yields(77, 1); yields {
+		if _, yields := j.Yields(now, 77, 1); yields {
 			t.Fatal("one that is not heavy gives way")
 		}
 	})
--- a/balance/hitters/model_test.go
+++ b/balance/hitters/model_test.go
@@ -24,6 +24,7 @@
 	firstBad  = 1 << 20 // the key of the first client that floods
 	firstNew  = 1 << 40 // and of those that never come back
 	room      = 1.05    // capacity over what is asked without a flood
+	usualLoss = 0.13    // of news: of gossip that is full (see Every), as many do not hear of a report
 	mostQueue = 6       // steps' work that waits at servers at the most: half of it, and they count as full, for 6 s
 )
 
@@ -85,7 +86,7 @@
 	var sides, all float64
 	for i := range side {
 		settings.Origin = uint64(i + 1)
-		side[i], _ = New(settings)
+		side[i], _ = New(&settings)
 		traffic[i] = math.Exp(0.8 * rng.NormFloat64())
 		sides += traffic[i]
 	}
@@ -137,7 +138,7 @@
 			if s.one && sure[key] || s.cut && i%2 != i%judges%2 {
 				by = side[i]
 			}
-			_, yields := by.Yields(key, rng.Uint64())
+			_, yields := by.Yields(now, key, rng.Uint64())
 			yields = yields && now < fullTo
 			served := !yields && rng.Float64() < passing
 			if !yields {
@@ -191,11 +192,14 @@
 			if s.lie != nil && i == sidecars-1 {
 				own.Report = *s.lie
 			}
+			if own.Seq%Every(sidecars) != 0 {
+				continue
+			}
 			text := own.Report.Append(nil)
 			o.bytes, o.messages = o.bytes+float64(len(text)), o.messages+1
 			own.Report, _ = ParseReport(text)
 			for to := range judges {
-				if to != i && rng.Float64() >= s.loss && !(s.cut && to%2 != i%2) {
+				if to != i && rng.Float64() >= max(s.loss, usualLoss) && !(s.cut && to%2 != i%2) {
 					at := now + step*(1+Time(rng.IntN(int(max(s.late, 4*step)/step))))
 					mail[at] = append(mail[at], letter{to, own, now})
 				}
@@ -271,7 +275,8 @@
 
 // full returns a Judge with as much to hold as it can have from some origins, and those words.
 func full(origins int) (*Judge, []News) {
-	j, _ := New(Defaults())
+	settings := Defaults()
+	j, _ := New(&settings)
 	words := make([]News, origins)
 	for i := range words {
 		r := Report{Total: 1_000_000, Requests: 100, Served: whole, Named: mostKeys}
@@ -339,7 +344,7 @@
 				j.Tell(now, n)
 			}
 			for k := range uint64(500) {
-				j.Yields(k, k)
+				j.Yields(now, k, k)
 				j.Count(k+uint64(now), time.Millisecond, true)
 			}
 			j.Roll(now)
--- a/balance/hitters/report.go
+++ b/balance/hitters/report.go
@@ -12,7 +12,7 @@
 // Report is what an origin tells of its last windows. Shares are of its total, in units of 1/65535. Memory is bounded by
 // its size, so it holds arrays and not slices.
 type Report struct {
-	Total    uint64 // microseconds of work a second, asked for
+	Total    uint64 // work a second, asked for, in microseconds of any unit that all share
 	Requests uint32 // counted
 	Served   uint16 // share of the total that was served, rounded down
 	Err      uint16 // no client has more than its share and this, rounded up; its share is 0 if it is not named
@@ -26,6 +26,10 @@
 	MostReport = 400 // bytes
 )
 
+// Every is in how many windows a sidecar tells its report once, among so many members. Danger: what they all tell in a second
+// would grow with their number, and past some 150 of them it would fill the gossip, so that no news comes in time.
+func Every(members int) uint64 { return uint64(1 + max(members-1, 0)/mostSpeakers) }
+
 var errReport = errors.New("hitters: no report of this layout")
 
 // Append appends the report's bytes: layout, total and requests as varints, served, err, the number of keys, and a
--- a/balance/routes/rule.go
+++ b/balance/routes/rule.go
@@ -4,10 +4,20 @@
 // A table is never changed in place: what makes another one shares the rules that stay.
 package routes
 
+import (
+	"maps"
+	"reflect"
+)
+
 // Match is a set of tags and the values they must have; "*" matches any value, but the tag must be there, except
 // for the tag "service", which every client and endpoint has.
 type Match map[string]string
 
+// is tells whether two matches are the same. Tables that came one from the other share most of theirs.
+func (m Match) is(other Match) bool {
+	return reflect.ValueOf(m).Pointer() == reflect.ValueOf(other).Pointer() || maps.Equal(m, other)
+}
+
 // Destination is one weighted group of a rule: the ready endpoints that carry all its tags. An endpoint carries
 // the tags "service", "region" (its zone) and "version" (its kind).
 type Destination struct {
@@ -61,3 +71,17 @@
 	}
 	return sum
 }
+
+// Cut keeps the rules that can ever decide for a client with these tags that calls this service; nil: any
+// client, "": any service.
+func (t Table) Cut(client map[string]string, service string) Table {
+	kept, called := Table{}, map[string]string{"service": service}
+	for _, r := range t {
+		okSource, _ := r.Source.Fits(client)
+		okService, _ := r.Service.Fits(called)
+		if (okSource || client == nil) && (okService || service == "") {
+			kept = append(kept, r)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/balance/shared_test.go
@@ -0,0 +1,125 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/balance/turns"
+)
+
+// settled starts a sidecar whose traffic is little and known.
+func settled(t *testing.T, self, peers, servers int) (*Balancer, *host) {
+	t.Helper()
+	b, h := sidecar(t, self, peers, fleet(servers))
+	if b.Level() != 0 {
+		t.Fatalf("level %d before the traffic is known", b.Level())
+	}
+	for h.now = levelSettle; b.Level() == 0; h.now += levelSettle {
+		b.arrived = 1
+		b.Timer(h.now, tokenTick)
+	}
+	return b, h
+}
+
+// TestMembersGiveSubsetsTheirPlaces: sidecars that know their places among those alike use each server equally often, and
+// do what they did alone once they know them no more, or are told what cannot be.
+func TestMembersGiveSubsetsTheirPlaces(t *testing.T) {
+	const peers, servers = 30, 60
+	for _, tt := range []struct {
+		name  string
+		level int  // of the peers; 0: not known
+		other bool // every second peer is unlike
+	}{{"levels known", 1, false}, {"by number", 0, false}, {"every second unlike", 1, true}} {
+		users := map[string]int{}
+		for self := 0; self < peers; self++ {
+			b, h := settled(t, 0, 1, servers) // all of one number: alone, all use the same
+			all := make([]Peer, peers)
+			for i := range all {
+				all[i] = Peer{b.set.Zone, tt.level * b.Level()}
+				if tt.other && i%2 == 1 {
+					all[i] = []Peer{{b.set.Zone, b.Level() + 1}, {"elsewhere", b.Level()}}[i/2%2]
+				}
+			}
+			if tt.other && self%2 == 1 {
+				continue
+			}
+			before := ids(b.active)
+			b.Members(h.now, self, all)
+			if got, want := b.view(), (turns.View{Place: self, Count: peers}); got != want {
+				t.Fatalf("%s: turns go by %v, want %v", tt.name, got, want)
+			}
+			for _, e := range b.active {
+				users[e.ID]++
+			}
+			for _, wrong := range []int{-1, peers} {
+				b.Members(h.now, self, all)
+				if b.Members(h.now, wrong, all); !slices.Equal(ids(b.active), before) {
+					t.Errorf("%s: number %d of %d, and uses %v; want %v as alone", tt.name, wrong, peers, ids(b.active), before)
+				}
+			}
+			if got, want := b.view(), (turns.View{Place: 0, Count: 1}); got != want {
+				t.Errorf("%s: turns go by %v, want %v", tt.name, got, want)
+			}
+		}
+		for _, e := range fleet(servers) {
+			if n, want := users[e.ID], peers*least/servers; n != want && !tt.other || n > want {
+				t.Errorf("%s: %s is used by %d sidecars, want %d", tt.name, e.ID, n, want)
+			}
+		}
+	}
+}
+
+// TestMakingUpIsSpread: in the order of hashes, neighbours by name that are all ejected are made up for by many.
+func TestMakingUpIsSpread(t *testing.T) {
+	const peers, servers, gone = 60, 120, 12
+	users := map[string]int{}
+	for self := range peers {
+		b, h := settled(t, self, peers, servers)
+		for _, e := range b.endpoints[:gone] {
+			e.until = h.now + time.Minute
+		}
+		b.Members(h.now, self, make([]Peer, peers))
+		working := 0
+		for _, e := range b.active {
+			if h.now >= e.until {
+				users[e.ID]++
+				working++
+			}
+		}
+		if working != least {
+			t.Fatalf("sidecar %d has %d working endpoints, want %d", self, working, least)
+		}
+	}
+	for id, n := range users {
+		if most := 3 * peers * least / (servers - gone); n > most {
+			t.Errorf("%s is used by %d sidecars, want %d at most", id, n, most)
+		}
+	}
+}
+
+// TestLoadSpreadsAmongMembers measures what servers get from sidecars of uneven traffic, alone and as members.
+func TestLoadSpreadsAmongMembers(t *testing.T) {
+	const sidecars, servers, rate, seconds = 100, 100, 170, 300
+	var most [2]float64
+	for i := range most {
+		f := newColdFleet(t, sidecars, fleet(servers), rate)
+		f.run(f.now + 26*time.Second)
+		for range seconds {
+			if i == 1 {
+				f.meet()
+			}
+			f.run(f.now + time.Second)
+		}
+		var got []int
+		for _, sent := range f.sent {
+			first, _ := slices.BinarySearch(sent, f.now-(seconds-5)*time.Second)
+			got = append(got, len(sent)-first)
+		}
+		most[i] = float64(slices.Max(got)) / (rate * (seconds - 5) / servers)
+		t.Logf("members %v: the busiest server got %.2f of the mean in %d s", i == 1, most[i], seconds-5)
+	}
+	if most[1] > 1+(most[0]-1)*0.8 {
+		t.Errorf("the busiest server gets %.2f of the mean among members, %.2f alone", most[1], most[0])
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,12 @@
 package balance
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+
+	"gradeusher.example/gradeusher/balance/hitters"
+	"gradeusher.example/gradeusher/balance/signals"
+)
 
 // Balancer makes the decisions of one sidecar.
 type Balancer struct {
@@ -12,6 +18,9 @@
 	active     []*endpoint          // members of the subsets
 	groups     []*group             // of the best rule, and a last one of all endpoints
 	fleet      *group               // the last of them
+	routed     []Destination        // of the groups
+	waits      []Rule               // a route table that is not applied yet; nil: none is
+	waitsFrom  Time                 // since the first of those that waited one after the other
 	requests   map[RequestID]*request
 	tenants    []tenant
 	work       []float64       // mean time of the answers in seconds, by class
@@ -22,23 +31,33 @@
 	arrived    float64         // fading count of requests
 	allowed    float64         // sum of the tenants' allowances
 	grouped    Time            // when the subsets were last taken
+	all, alike place           // among the members, and among those of its zone and level
+	level      int             // of its traffic, see Level
+	leveled    Time            // when that was last looked at
 	heard      Time            // when an attempt last ended
 	byHand     map[string]Time // ids that staff took out, and since when
+	book       *signals.Book   // of what the members say
 	panicking  bool            // so much is ejected that the fault is likely ours
 	subscribed bool
-	tight      Time // until then lesser classes give way
-	refusals   int  // of discovery calls, in a row
+	tight      Time           // until then lesser classes give way
+	refusals   int            // of discovery calls, in a row
+	hitters    *hitters.Judge // nil: off
 }
 
+// Hitters is what is known of clients that ask for much; nil without Settings.Hitters. The host tells it what the
+// other sidecars told, and ends its windows.
+func (b *Balancer) Hitters() *hitters.Judge { return b.hitters }
+
 // request is a request that is not over, or has attempts out.
 type request struct {
 	Request
 	class    *Class
 	deadline Time
-	over     bool // beyond its tenant's allowance
-	ended    bool // has its final answer
-	spent    bool // part of its body is gone: it cannot be sent again
-	out      int  // attempts without a result
+	over     bool          // beyond its tenant's allowance
+	ended    bool          // has its final answer
+	spent    bool          // part of its body is gone: it cannot be sent again
+	took     time.Duration // its answer; 0: it has none
+	out      int           // attempts without a result
 	attempts []attempt
 }
 
@@ -71,23 +90,26 @@
 // endpoint is a server and what this sidecar has seen of it.
 type endpoint struct {
 	Endpoint
-	inFlight int       // this sidecar's attempts out
-	flights  []*flight // those, in the order of their sending
-	sent     Time      // sum of the times at which those not lost were sent
-	lost     int       // of those, how many are apart, or passed too often to be answered still
-	took     float64   // fading sum of the seconds that answers took
-	held     float64   // and of the requests it held
-	faults   float64   // count of faults, fading with successes
-	until    Time      // ejected until
-	from     Time      // when it started as far as its warmth goes; 0: long ago
-	out      bool      // taken out by hand
-	warm     float64   // share of its capacity that it has
-	due      float64   // part of a turn that it has earned since the last send to it, by its share of the sends
-	abroad   int       // 1 in another zone, 0 in the sidecar's own
-	home     *group    // the first whose tags it carries; its peers there are alike
-	joins    []bool    // which groups' tags it carries
-	active   bool      // in the subset of one of them
-	open     bool      // may be chosen for the request in hand
+	inFlight int          // this sidecar's attempts out
+	flights  []*flight    // those, in the order of their sending
+	sent     Time         // sum of the times at which those not lost were sent
+	lost     int          // of those, how many are apart, or passed too often to be answered still
+	took     float64      // fading sum of the seconds that answers took
+	held     float64      // and of the requests it held
+	faults   float64      // count of faults, fading with successes
+	until    Time         // ejected until
+	served   Time         // when it last gave an answer to this sidecar; 0: never
+	struck   signals.Kind // how it failed when this sidecar last ejected it, until it serves again
+	struckAt Time
+	from     Time    // when it started as far as its warmth goes; 0: long ago
+	out      bool    // taken out by hand
+	warm     float64 // share of its capacity that it has
+	due      float64 // part of a turn that it has earned since the last send to it, by its share of the sends
+	abroad   int     // 1 in another zone, 0 in the sidecar's own
+	home     *group  // the first whose tags it carries; its peers there are alike
+	joins    []bool  // which groups' tags it carries
+	active   bool    // in the subset of one of them
+	open     bool    // may be chosen for the request in hand
 }
 
 // group is one destination of the best rule, or all endpoints.
@@ -103,3 +125,11 @@
 	next    int         // whose turn it is
 	credit  float64     // of the smooth weighted schedule
 }
+
+// RulesWait tells whether a route table waits for a ready endpoint.
+func (b *Balancer) RulesWait() bool { return b.waits != nil }
+
+// tagsOf are the tags that an endpoint carries.
+func (b *Balancer) tagsOf(e Endpoint) map[string]string {
+	return map[string]string{"service": b.set.Service, "region": e.Zone, "version": e.Kind}
+}
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -27,9 +27,13 @@
 	Runs     [][]Run // of each sidecar: its processes, in order
 	Peaks    []Peak  // of each sidecar
 	Lateness time.Duration
-	Shown    []ctl.Shown // what keepers wrote to readers
-	Wrote    []ctl.Wrote // what the lab's own clients of keepers did
-	Last     Last        // of the keepers
+	Shown    []ctl.Shown  // what keepers wrote to readers
+	Wrote    []ctl.Wrote  // what the lab's own clients of keepers did
+	Last     Last         // of the keepers
+	Gossip   []ctl.Gossip // what sidecars said to each other, a second each
+
+	Routed []Routed     // the route tables that the lab put
+	Routes []ctl.Routes // what keepers wrote of them to sidecars
 
 	Kills       []int64 // of keepers
 	KeeperPeaks []KeeperPeak
@@ -69,6 +73,7 @@
 	e.attempts(f, attempts)
 	e.drained(f)
 	e.keepers(f)
+	e.routes(f)
 	f.look("cold", e.coldServers())
 	for _, n := range e.Falls {
 		f.add("cold", "server %s fell over at %s", n.UID, e.when(n.At))
--- a/internal/lab/config.go
+++ b/internal/lab/config.go
@@ -12,7 +12,7 @@
 
 // sidecarConfig is the file that PROXY_CONFIG of a sidecar names (DEPLOY, "What a sidecar is told"), with the settings by
 // their names on the wire (WIRE).
-func sidecarConfig(p *plan.Plan, i int, listen, discovery string, seed uint64, known []ctl.Entry, keepers []string) ([]byte, error) {
+func sidecarConfig(p *plan.Plan, i int, listen, discovery string, seed uint64, known []ctl.Entry, keepers []string, members map[string]any) ([]byte, error) {
 	type object = map[string]any
 	f := p.File
 	s := p.Sidecars[i]
@@ -34,7 +34,7 @@
 		"limits": object{"cores": 1, "memory_mb": f.Fleet.MemoryMB, "sockets": f.Fleet.Sockets},
 		"known":  json.RawMessage(standin.Object(i, s.Group, int64(len(known)), true, known)),
 		"settings": object{
-			"ordinal": i, "peers_total": len(p.Sidecars), "my_zone": s.Zone, "areas": f.Fleet.Zones, "models": models,
+			"ordinal": i, "peers_total": s.Peers, "my_zone": s.Zone, "areas": f.Fleet.Zones, "models": models,
 			"discovery": "pushed", "domain_type": "mesh", "tier": 0, "tiers": []string{"rec-api"}, "worth_by": "work", "tenants": []string{},
 			"feedback":        object{"how": "piggyback", "names": []string{"concurrent", "depth", "err_ps"}},
 			"request_classes": classes,
@@ -45,9 +45,24 @@
 			"charges": object{"cross_zone": 0.024, "handshake": 0.08, "late_fail": 0.085, "probe": 0.01, "waste": 0.25},
 		},
 	}
+	if _, told := f.Config["hitters"]; f.Hitters.On && !told {
+		high, low := f.Hitters.Bars()
+		whole["hitters"] = object{"bars": []float64{high, low}}
+	}
 	if len(keepers) > 0 {
 		delete(whole, "known") // they tell it
-		whole["keepers"] = object{"addresses": keepers, "reach": link.Near(i).String(), "doubt_share": f.Keepers.DoubtShare}
+		of := object{"addresses": keepers, "reach": link.Near(i).String(), "doubt_share": f.Keepers.DoubtShare, "most_age_s": f.Keepers.MostAgeS}
+		routesConfig(p, i, of)
+		whole["keepers"] = of
+	}
+	if members != nil {
+		whole["members"] = members
+	}
+	for key, v := range f.Config {
+		if _, own := whole[key]; own {
+			return nil, fmt.Errorf("configuration of %s: the lab tells %s by itself", s.Name, key)
+		}
+		whole[key] = v
 	}
 	text, err := json.Marshal(whole)
 	if err != nil {
--- a/internal/lab/plan/file.go
+++ b/internal/lab/plan/file.go
@@ -23,10 +23,15 @@
 	Limits  Limits  `toml:"limits"`
 	List    List    `toml:"list"`
 	Keepers Keepers `toml:"keepers"`
-	Kinds   []Kind  `toml:"kind"`
-	Classes []Class `toml:"class"`
-	Faults  []Fault `toml:"fault"`
-	Bars    []Bar   `toml:"bar"`
+	Hitters Hitters `toml:"hitters"`
+	Members Members `toml:"members"`
+	Routes  Routes  `toml:"routes"`
+	// Config is written into each sidecar's configuration as it stands, beside what the lab tells it.
+	Config  map[string]any `toml:"config"`
+	Kinds   []Kind         `toml:"kind"`
+	Classes []Class        `toml:"class"`
+	Faults  []Fault        `toml:"fault"`
+	Bars    []Bar          `toml:"bar"`
 
 	Path string `toml:"-"`
 	Name string `toml:"-"` // of the file, without folder and ending
@@ -46,6 +51,7 @@
 	DelayMS   float64  `toml:"delay_ms"` // one way between any sidecar and server
 	Start     string   `toml:"start"`    // "warm" or "cold": servers at the start
 	ErrorRate float64  `toml:"error_rate"`
+	Keep      bool     `toml:"keep"` // a sidecar's process finds what the one before it wrote to $TMPDIR
 }
 
 // Load is what clients ask for.
@@ -57,6 +63,8 @@
 	Retries  bool    `toml:"retries"`   // clients try once more
 	TardyMS  float64 `toml:"tardy_ms"`  // the lab sends this much late: for the control of its own lateness
 	WorkPart float64 `toml:"work_part"` // of the classes' mean work, so that more requests fit the same servers
+	Clients  int     `toml:"clients"`   // who ask by name, in the header X-Tenant-Id; 0: nobody does
+	Skew     float64 `toml:"skew"`      // the i-th client has a part of the requests by i to the power of -skew
 }
 
 // Limits are what checkers hold runs to.
@@ -74,6 +82,7 @@
 	NoticeS [2]float64 `toml:"notice_s"` // until it knows that a process drains or ended
 	AddS    [2]float64 `toml:"add_s"`    // until it knows a new one
 	SilentS [2]float64 `toml:"silent_s"` // until it knows that a machine is silent
+	Sizes   string     `toml:"sizes"`    // what it tells of the servers' sizes: "alike", or "rough": the true ones, up to a fifth wrong
 }
 
 // Keepers are who hold the list, in place of the platform's.
@@ -89,10 +98,17 @@
 	WriteRate  float64 `toml:"write_rate"`  // their operations a second in all
 	Keys       int     `toml:"keys"`        // entries that they share
 	DoubtShare float64 `toml:"doubt_share"` // of the servers, that sidecars let go at once where a whole list lacks them
+	MostAgeS   float64 `toml:"most_age_s"`  // sidecars leave a keeper that was out of touch for longer
 	Cache      bool    `toml:"cache"`       // sidecars keep the last list on disk
 	Watchers   int     `toml:"watchers"`    // clients besides the sidecars that only watch
 }
 
+// Members is whether sidecars know each other.
+type Members struct {
+	On      bool    `toml:"on"`
+	BoundMS float64 `toml:"bound_ms"` // news that is older counts for nothing
+}
+
 // Kind is a kind of server (BRIEF).
 type Kind struct {
 	Name  string     `toml:"name"`
@@ -125,12 +141,13 @@
 	return File{
 		Seconds: 20,
 		Fleet: Fleet{Zones: []string{"room-a", "room-b"}, Servers: 10, Sidecars: 4, PerHost: 50, Program: "sidecar", MemoryMB: 192,
-			Sockets: 1024, Start: "warm", ErrorRate: 0.001},
+			Sockets: 1024, Start: "warm", Keep: true, ErrorRate: 0.001},
 		Load: Load{Uneven: 1, Retries: true, WorkPart: 1},
 		Limits: Limits{AnswerSlackMS: 500, DrainGraceMS: 300, SlackMS: 50, MemoryMB: 192, Descriptors: 1024,
 			LatenessMS: 5},
-		List:    List{NoticeS: [2]float64{0.66, 3.9}, AddS: [2]float64{0.25, 2.6}, SilentS: [2]float64{6.5, 13}},
-		Keepers: Keepers{Program: "keeper", LeaseS: 3, GraceS: 3, Share: 0.3, Snapshot: 4096, Writers: 4, Keys: 4, DoubtShare: 0.3, Cache: true},
+		List:    List{NoticeS: [2]float64{0.66, 3.9}, AddS: [2]float64{0.25, 2.6}, SilentS: [2]float64{6.5, 13}, Sizes: "alike"},
+		Members: Members{BoundMS: 2000},
+		Keepers: Keepers{Program: "keeper", LeaseS: 3, GraceS: 3, Share: 0.3, Snapshot: 4096, Writers: 4, Keys: 4, DoubtShare: 0.3, MostAgeS: 2.5, Cache: true},
 	}
 }
 
@@ -159,6 +176,7 @@
 	{"linearizable", "reads and writes of keepers' entries are as if one after the other, and nothing acknowledged is lost"},
 	{"revisions", "no watcher is shown a revision that goes back, or changes with a gap between them"},
 	{"told-all", "at the end every watcher has been told the last revision"},
+	{"routes", "each sidecar is told the tables that were put, none of before, and the last one within the bound after generations and faults end"},
 	{"lab-on-time", "the lab sends on time; if not, the run is void"},
 }
 
@@ -167,13 +185,16 @@
 	"late_refusals", "p50_ms", "p99_ms", "p999_ms", "connections", "lateness_p99_ms", "requests",
 	"writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "told_p50_ms", "told_p99_ms", "watches", "watches_whole",
 	"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s",
+	"hitter_precision", "hitter_recall", "hitter_delay_ms", "hitter_yields", "hitter_sound_loss",
+	"route_generations", "route_bytes", "route_wholes", "route_diffs", "route_told_p50_ms", "route_told_p99_ms", "route_told_most_ms",
+	"avoid95_ms", "learn_attempts", "members_packets", "members_bytes",
 	"keeper_mb", "keeper_cores", "failover_p50_ms", "failover_most_ms"}
 
 // Flaws of the stand-in sidecar, for the controls; "" is none.
 var Flaws = []string{"", "duplicate", "hedge", "mute", "late", "deaf", "rush", "crash", "leak-memory", "leak-descriptors"}
 
 // KeeperFlaws are those of the stand-in keepers; "" is none but to be each by itself.
-var KeeperFlaws = []string{"", "gap", "mute"}
+var KeeperFlaws = []string{"", "gap", "mute", "back"}
 
 // Error is what is wrong with a file, and where.
 type Error struct {
@@ -213,7 +234,8 @@
 		}
 		return nil, &Error{path, line, strings.ReplaceAll(what, "\n", " ")} // the library quotes the text as it stands
 	}
-	if extra := meta.Undecoded(); len(extra) > 0 {
+	// The library counts what is deep in a map as not decoded.
+	if extra := slices.DeleteFunc(meta.Undecoded(), func(k toml.Key) bool { return k[0] == "config" }); len(extra) > 0 {
 		return nil, &Error{path, f.line(extra[0][:len(extra[0])-1], -1, extra[0][len(extra[0])-1]), fmt.Sprintf("unknown key %q", extra[0])}
 	}
 	if len(f.Kinds) == 0 {
@@ -291,7 +313,10 @@
 		{"load", "uneven", f.Load.Uneven, 0, 5},
 		{"load", "zone_skew", f.Load.ZoneSkew, 0, 1},
 		{"load", "tardy_ms", f.Load.TardyMS, 0, 10000},
+		{"load", "clients", float64(f.Load.Clients), 0, 1 << 20},
+		{"load", "skew", f.Load.Skew, 0, 5},
 		{"load", "work_part", f.Load.WorkPart, 0.001, 10},
+		{"members", "bound_ms", f.Members.BoundMS, 1, 3600000},
 		{"keepers", "count", float64(f.Keepers.Count), 0, 7},
 		{"keepers", "lease_s", f.Keepers.LeaseS, 1, 3600},
 		{"keepers", "grace_s", f.Keepers.GraceS, 0, 3600},
@@ -301,7 +326,10 @@
 		{"keepers", "write_rate", f.Keepers.WriteRate, 0, 10000},
 		{"keepers", "keys", float64(f.Keepers.Keys), 1, 2000},
 		{"keepers", "doubt_share", f.Keepers.DoubtShare, 0, 1},
+		{"keepers", "most_age_s", f.Keepers.MostAgeS, 0.1, 3600},
 		{"keepers", "watchers", float64(f.Keepers.Watchers), 0, 10000},
+		{"hitters", "high", f.Hitters.High, 0, 1},
+		{"hitters", "low", f.Hitters.Low, 0, 1},
 		{"limits", "answer_slack_ms", f.Limits.AnswerSlackMS, 0, 60000},
 		{"limits", "drain_grace_ms", f.Limits.DrainGraceMS, 0, 60000},
 		{"limits", "slack_ms", f.Limits.SlackMS, 0, 60000},
@@ -330,12 +358,16 @@
 		return f.bad("keepers", -1, "count", "%d keepers: an odd number agrees", f.Keepers.Count)
 	case f.Keepers.Count > 0 && f.Fleet.Program == "plain":
 		return f.bad("fleet", -1, "program", "the plain sidecar knows no keepers")
+	case f.Members.On && f.Fleet.Program == "plain":
+		return f.bad("fleet", -1, "program", "the plain sidecar knows no members")
 	case f.Keepers.Program != "keeper" && f.Keepers.Program != "plain":
 		return f.bad("keepers", -1, "program", "program %q is neither keeper nor plain", f.Keepers.Program)
 	case f.Keepers.Flaw != "" && f.Keepers.Program != "plain":
 		return f.bad("keepers", -1, "flaw", "only plain keepers have flaws")
 	case !slices.Contains(KeeperFlaws, f.Keepers.Flaw):
 		return f.bad("keepers", -1, "flaw", "unknown flaw %q", f.Keepers.Flaw)
+	case f.List.Sizes != "alike" && f.List.Sizes != "rough":
+		return f.bad("list", -1, "sizes", "sizes %q are neither alike nor rough", f.List.Sizes)
 	case f.Fleet.Start != "warm" && f.Fleet.Start != "cold":
 		return f.bad("fleet", -1, "start", "start %q is neither warm nor cold", f.Fleet.Start)
 	case f.Breaks != "" && !isInvariant(f.Breaks) && !f.hasBar(f.Breaks):
@@ -373,7 +405,7 @@
 			return err
 		}
 	}
-	return nil
+	return f.checkRoutes()
 }
 
 // hasBar tells whether a name is that of a bar, as a report words it.
--- a/internal/lab/plan/steps.go
+++ b/internal/lab/plan/steps.go
@@ -124,7 +124,7 @@
 	}
 	var all []int
 	for i, s := range d.Sidecars {
-		if t.Zone == "" || s.Zone == t.Zone {
+		if s.there(Seconds(t.At), Seconds(t.At+t.For)) && (t.Zone == "" || s.Zone == t.Zone) {
 			all = append(all, i)
 		}
 	}
@@ -179,7 +179,13 @@
 		d.step(Step{At: at, Do: Mode, Sidecar: ListIndex, Mode: strings.TrimPrefix(t.Do, "list-"), By: Seconds(t.Size)})
 		d.step(Step{At: end, Do: Mode, Sidecar: ListIndex})
 		return nil
-	case "delay", "silence", "partition", "trickle", "reset", "half-open":
+	case "burst", "flood":
+		return nil // arrivals
+	case "join", "leave":
+		return d.comeAndGo(t)
+	case "roll":
+		return d.roll(t, at)
+	case "delay", "silence", "partition", "trickle", "loss", "reset", "half-open":
 		return d.links(t, at, end)
 	case "deploy":
 		return d.deploy(t, at)
@@ -239,6 +245,47 @@
 	return nil
 }
 
+// comeAndGo has sidecars start or end that were drawn to.
+func (d *drawer) comeAndGo(t *Fault) error {
+	for i, s := range d.Sidecars {
+		switch {
+		case t.Do == "join" && s.joined == d.fault+1:
+			if s.Started() > 0 { // else it stands as the load starts
+				d.step(Step{At: s.Started(), Do: Start, Sidecar: i})
+			}
+		case t.Do == "leave" && s.left == d.fault+1:
+			if err := d.claim(s.Name, s.To, forever); err != nil {
+				return err
+			}
+			d.step(Step{At: s.To, Do: Term, Sidecar: i})
+		}
+	}
+	return nil
+}
+
+// roll ends sidecars batch by batch, evenly over the time, and starts each again.
+func (d *drawer) roll(t *Fault, at time.Duration) error {
+	chosen, err := d.sidecars(t)
+	if err != nil {
+		return err
+	}
+	restart := 100 * time.Millisecond
+	if t.Restart != nil {
+		restart = Seconds(*t.Restart)
+	}
+	each := max(1, int(math.Round(cmp.Or(t.Batch, 0.1)*float64(len(chosen)))))
+	batches := (len(chosen) + each - 1) / each
+	for i, k := range chosen {
+		begin := at + Seconds(t.For*float64(i/each)/float64(batches))
+		if err := d.claim(d.Sidecars[k].Name, begin, begin+restart+TermGrace); err != nil {
+			return err
+		}
+		d.step(Step{At: begin, Do: Term, Sidecar: k})
+		d.step(Step{At: begin + restart, Do: Start, Sidecar: k})
+	}
+	return nil
+}
+
 // TermGrace is how long a process that was told to end by SIGTERM has until SIGKILL (PROTOCOL: the longest deadline, at least 3 s,
 // and 0.7 s).
 const TermGrace = 3700 * time.Millisecond
@@ -247,11 +294,14 @@
 	if t.On == "keepers" {
 		return d.keeperLinks(t, at, end)
 	}
+	if t.On == "peers" {
+		return d.peerLinks(t, at, end)
+	}
 	group := -1
 	var nears []int
 	if t.From != "" {
 		for i, s := range d.Sidecars {
-			if s.Zone == t.From {
+			if s.Zone == t.From || s.Name == t.From {
 				nears, group = append(nears, i), s.Group
 			}
 		}
@@ -306,6 +356,8 @@
 		e.HoldFar, e.HoldNear = true, true
 	case "trickle":
 		e.Rate = int(t.Size)
+	case "loss":
+		e.Loss = t.Size
 	}
 	return e
 }
@@ -334,6 +386,34 @@
 	return nil
 }
 
+// peerLinks draws a fault of the links between sidecars: of those chosen, to all others or to those of a zone. Far is who is
+// chosen: "to-far" is what he hears, whoever called.
+func (d *drawer) peerLinks(t *Fault, at, end time.Duration) error {
+	var chosen []int
+	for i, s := range d.Sidecars { // also who joins later: a link is between places
+		if t.Zone == "" || s.Zone == t.Zone {
+			chosen = append(chosen, i)
+		}
+	}
+	chosen, err := choose(d.r, t, chosen, func(i int) string { return d.Sidecars[i].Name })
+	if err != nil {
+		return err
+	}
+	s := Step{At: at, Do: Link, Sidecar: ListIndex, Peers: true, Nears: chosen, From: t.From, Effect: t.effect(), On: true}
+	switch t.Do {
+	case "reset":
+		s.Do = Reset
+	case "half-open":
+		s.Do = Forget
+	}
+	d.step(s)
+	if s.Do == Link {
+		s.At, s.On = end, false
+		d.step(s)
+	}
+	return nil
+}
+
 func (d *drawer) tell(at time.Duration, uid, state string) {
 	if d.File.Keepers.Count > 0 {
 		return // servers tell the keepers by themselves
--- a/internal/members/delegate.go
+++ b/internal/members/delegate.go
@@ -55,10 +55,9 @@
 	m.queue.QueueBroadcast(b)
 }
 
-// say has a claim be passed on.
+// say has the own claim be passed on, in place of earlier ones.
 func (m *Members) say(c claim) {
-	b := &broadcast{name: "epoch/" + strconv.FormatUint(uint64(c.hash), 16), encoded: c.encode()}
-	m.owed = append(m.owed, b)
+	m.owed = append(m.owed, &broadcast{name: "epoch", encoded: c.encode()})
 	wake(m.worker)
 }
 
@@ -104,12 +103,8 @@
 	if c, err := decodeClaim(b); err == nil {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		pass, rose := m.epochs.hear(c)
-		if rose {
+		if m.epochs.hear(c) {
 			m.view.Epoch = m.epochs.own.epoch()
-			wake(m.worker)
-		}
-		if pass && on {
 			m.say(c)
 		}
 		return
@@ -243,7 +238,7 @@
 		}
 		t := m.turn(look)
 		if t.stale && settled == nil {
-			settled = time.After(settleLeast + rand.N(settleMost-settleLeast))
+			settled = time.After(settleLeast + rand.N(settleMost-settleLeast) + settleEach*time.Duration(t.view.Count))
 		}
 		for _, b := range t.owed {
 			m.queue.QueueBroadcast(b)
@@ -298,11 +293,16 @@
 	return t
 }
 
-// sweep lets go of what is over the bound: its number and start are kept until its origin is gone.
+// sweep lets go of what is over the bound: its number and start are kept until its origin is gone. And it has the own claim be
+// said again now and then: whoever missed a count would else differ until its next exchange, a minute in a large fleet.
 func (m *Members) sweep() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock()
+	if now >= m.sayAt && len(m.members) > 1 {
+		m.sayAt = now + claimEvery/2 + rand.N(claimEvery)
+		m.say(m.epochs.own)
+	}
 	for key, f := range m.states.held {
 		if key.name != m.o.Name && f.payload != nil && m.states.age(f, now) > m.o.Bound {
 			f.payload = nil
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -10,6 +10,7 @@
 
 	"gradeusher.example/gradeusher/balance"
 	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/members"
 )
 
 // originAge is how far before the program's start the Balancer's clock begins. Danger: it takes a time of 0 or less for long
@@ -24,10 +25,12 @@
 	upstream  *upstream
 	discovery *discovery
 	keepers   *client.Follower // of the list, in place of discovery; nil: there are none
+	routing   routing
 	handover  *handover
 	leaving   leaving
-	ready     chan struct{} // closed once servers are known
-	told      chan struct{} // closed once a list came: what is known is not from before this process
+	members   *members.Members // nil: none are known
+	ready     chan struct{}    // closed once servers are known
+	told      chan struct{}    // closed once a list came: what is known is not from before this process
 
 	moves    chan string    // addresses to which an agent that pushes moves
 	watchers sync.WaitGroup // of discovery
@@ -44,6 +47,7 @@
 	calls    map[balance.RequestID]*call
 	isReady  bool
 	isTold   bool
+	company  company
 	watching bool               // a watch that the Balancer asked for is open, or will be after a move
 	leave    context.CancelFunc // ends it
 	moveTo   string             // where the next one is opened; "": where it was
@@ -82,18 +86,34 @@
 	return h, nil
 }
 
-// learn has the list of servers be followed until the host's context is done, except where the Balancer asks for it.
+// learn has the host hear of members and follow what they, keepers and agents tell, until its context is done.
 func (h *host) learn(c *Config) error {
+	ctx := h.ctx
+	listen := map[uint8]func(members.News){kindSignals: h.signalsTold}
+	if c.Hitters != nil {
+		listen[kindHitters] = h.hittersTold(c)
+	}
+	if c.Members != nil {
+		if err := h.meet(ctx, c, listen); err != nil {
+			return err
+		}
+	}
+	if c.Hitters != nil {
+		h.watchers.Go(func() { h.judgeClients(ctx, c.Settings.Hitters.Window) })
+	}
+	if err := h.followRoutes(ctx, c); err != nil {
+		return err
+	}
 	switch {
 	case c.Keepers != nil:
-		return h.keep(h.ctx, c)
+		return h.keep(ctx, c)
 	case !c.Settings.AskDiscovery:
 		// An agent that pushes tells all who listen.
 		h.moves = make(chan string, 1)
 		h.watchers.Add(1)
 		go func() {
 			defer h.watchers.Done()
-			h.follow(h.ctx, h.moves)
+			h.follow(ctx, h.moves)
 		}()
 	}
 	return nil
