A process can leave what it believes of its servers to the next one

Need: a restart forgets which servers are full, broken, ejected or cold, and in a rolling restart every sidecar forgets at once.

With "keep_beliefs": true, what the Balancer believes (times held and taken by server and group, faults, ejections, cold starts and turns, idle time, weight of other zones, arrivals, tightness) is written to $TMPDIR once a second while requests come, and at the drain; sealed, off the loop. The next process takes it up with its first list, before its first request: balance.Remember sets it and has it fade by its age as in life. A server whose start differs takes nothing; older than 30 s, from the future (a wall clock that went back), or nonsense counts for nothing; a torn, foreign or newer file is named and set aside. Off unless configured. Not taken: turns of the rotation and tenants' tokens, which are worth less than a second; a log of events, which would have to be played again. Seen: tests only; neither the gain in a rolling restart nor the cost a request is measured yet.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -28,6 +28,7 @@
 	Hitters   *Hitters // clients that ask for much give way; nil: they do not
 	Control   string   // where operators call; "": nowhere
 	Common    string   // a folder that outlives a process; "": none
+	Beliefs   bool     // what is believed of servers is kept there for the next process
 	Inherited int      // descriptor of the listening socket that the platform holds; 0: none
 	Cores     float64
 	MemoryMB  int
@@ -68,6 +69,7 @@
 	Listen    string
 	Discovery string
 	Control   string
+	Beliefs   bool `json:"keep_beliefs"`
 	Seed      string
 	Limits    struct {
 		Cores    *float64
@@ -140,6 +142,7 @@
 		Listen:    cmp.Or(getenv("PROXY_LISTEN"), file.Listen),
 		Discovery: cmp.Or(getenv("PROXY_DISCOVERY"), file.Discovery),
 		Common:    getenv("TMPDIR"),
+		Beliefs:   file.Beliefs,
 		Control:   cmp.Or(getenv("PROXY_CONTROL"), file.Control),
 		Cores:     defaultCores, MemoryMB: defaultMemoryMB, Sockets: defaultSockets,
 	}
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -27,6 +27,7 @@
 	keepers   *client.Follower // of the list, in place of discovery; nil: there are none
 	routing   routing
 	handover  *handover
+	kept      *kept // nil: a process leaves nothing to the next one
 	leaving   leaving
 	members   *members.Members // nil: none are known
 	ready     chan struct{}    // closed once servers are known
@@ -76,7 +77,11 @@
 	if h.balancer, err = balance.New(c.Settings, h); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if c.Beliefs && c.Common != "" {
+		h.kept = newKept(c.Common, c.Name, log)
+	}
 	h.list(balance.ListRemembered, c.Known)
+	h.takeUp()
 	if c.Control != "" {
 		// Known before the first request, and before this process says that it is ready.
 		if h.handover = newHandover(c.Common, c.Name, log); len(h.handover.ids) > 0 {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -79,6 +79,19 @@
 		h.reload(ctx, reload, discoveryAt)
 	}()
 
+	if h.kept != nil {
+		left, leave := context.WithCancel(stop)
+		kept := make(chan struct{})
+		go func() {
+			defer close(kept)
+			h.leaveBeliefs(left)
+		}()
+		defer func() { // while the loop runs
+			leave()
+			<-kept
+		}()
+	}
+
 	s := newServer(c, h)
 	loop.Add(1)
 	go func() {
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -242,6 +242,7 @@
 	h.balancer.Endpoints(h.now, kind, entries)
 	if kind != balance.ListRemembered && !h.isTold {
 		h.isTold = true
+		h.takeUp() // again: more servers are known
 		close(h.told)
 	}
 	if !h.isReady && (kind != balance.ListRemembered || len(entries) > 0) {
