Three witnesses speak sooner, and who would add nothing keeps quiet

Who is not speaking yet does not begin where six do; repeats are 10 ms for each member apart, within 0.35 to 0.7 of the bound. Not taken: all fall silent that hear six others (nobody would be left); verdicts of one fault from each of three (heavy requests).

--- a/balance/health.go
+++ b/balance/health.go
@@ -158,6 +158,9 @@
 	case Served:
 		e.faults, e.served, e.struck = e.faults*faultKeep, now, 0
 	case Errored, TimedOut, ConnectFailed, Reset:
+		if r.Outcome == TimedOut && a.sent > e.served {
+			e.struck, e.struckAt = failure[r.Outcome], now
+		}
 		// Danger: an endpoint that fails fast looks idle and draws all requests.
 		if e.faults += math.Pow(faultKeep, float64(a.flight.passed)); e.faults >= faultBar {
 			e.until = now + ejectFor
--- a/balance/shared.go
+++ b/balance/shared.go
@@ -98,9 +98,12 @@
 			r.Uses = append(r.Uses, signals.Use{Room: e.Zone})
 		}
 		r.Uses[at].Servers++
-		if kind, when := b.fails(e, now); kind > signals.None {
+		kind, count, when := b.fails(e, now)
+		// Danger: where hundreds see the same, what they say would fill all that members can carry. Those who speak go on:
+		// if all fell silent that hear others, nobody would be left.
+		if e.said = kind > signals.None && (e.said || !b.book.Loud(e.subject())); e.said {
 			r.Verdicts = append(r.Verdicts, signals.Verdict{Subject: e.subject(), Room: e.Zone, Kind: kind,
-				Count: 1 + int(e.faults), Age: now - when})
+				Count: count, Age: now - when})
 		}
 	}
 	return signals.Own(r)
--- a/balance/signals/signals.go
+++ b/balance/signals/signals.go
@@ -9,6 +9,8 @@
 
 const (
 	leastWitnesses = 3
+	leastFaults    = 5 // among them, at most mostFaults of each
+	mostFaults     = 2
 	leastRooms     = 2               // Danger: one that is cut off would condemn another for all
 	mostEvidence   = 8 * time.Second // an ejection of 5 s, and time to fail at the server again
 	mostShare      = 0.4             // of the servers that a witness uses
@@ -29,12 +31,14 @@
 		}
 		for _, v := range s.Verdicts {
 			if v.Age+now-s.at <= mostEvidence {
-				heard[v.Subject] = append(heard[v.Subject], witness{v.Kind, s.Room})
+				heard[v.Subject] = append(heard[v.Subject], witness{v.Kind, s.Room, v.Count})
 			}
 		}
 	}
 	judged := map[Subject]Kind{}
+	b.loud = map[Subject]bool{}
 	for subject, all := range heard {
+		b.loud[subject] = len(all) >= 2*leastWitnesses
 		for kind := Silent; kind > None && judged[subject] == None; kind-- {
 			if b.enough(all, kind) {
 				judged[subject] = kind
@@ -47,16 +51,18 @@
 // enough tells whether the witnesses suffice for a kind of failure.
 func (b *Book) enough(all []witness, kind Kind) bool {
 	var rooms []string
-	count := 0
+	count, faults := 0, 0
 	for _, w := range all {
 		if w.kind < kind {
 			continue
 		}
-		if count++; !slices.Contains(rooms, w.room) {
+		count, faults = count+1, faults+min(w.count, mostFaults)
+		if !slices.Contains(rooms, w.room) {
 			rooms = append(rooms, w.room)
 		}
 	}
-	return count >= leastWitnesses && (len(rooms) >= leastRooms || rooms[0] == b.Room)
+	return count >= leastWitnesses && faults >= leastFaults &&
+		(len(rooms) >= leastRooms || rooms[0] == b.Room)
 }
 
 // cutOff tells whether a witness more likely lost its own way than that so many servers fail.
--- a/balance/signals/types.go
+++ b/balance/signals/types.go
@@ -4,7 +4,7 @@
 // Promises, whatever order, repeats and losses news comes in:
 //
 //  1. A verdict stands on 3 or more origins that are members, each with what it last said, no older than the bound, on faults
-//     of its own no older than 8 s; from 2 or more rooms, or all from the reader's own.
+//     of its own no older than 8 s, 5 in all, at most 2 of each counted; from 2 or more rooms, or all from the reader's own.
 //  2. So one origin, whatever it says, and of whatever rooms, neither makes a verdict that two sound ones would not be part
 //     of, nor takes one away that rests on three others.
 //  3. A witness that condemns over 0.4 of what it uses, or over half of one room, is likely cut off: it counts nowhere.
@@ -72,6 +72,7 @@
 	Room  string        // the reader's
 	Bound time.Duration // what was said longer ago counts for nothing
 	said  map[string]statement
+	loud  map[Subject]bool // of what so many spoke, when last judged, that one more adds nothing
 }
 
 // NewBook returns a book for a reader in a room.
@@ -104,13 +105,17 @@
 	}
 }
 
+// Loud tells whether twice as many as are needed spoke of a subject when it was last judged.
+func (b *Book) Loud(s Subject) bool { return b.loud[s] }
+
 // Gone takes in that an origin is no member any more.
 func (b *Book) Gone(origin string) { delete(b.said, origin) }
 
 // witness is what one origin says of one subject, and the room it says it from.
 type witness struct {
-	kind Kind
-	room string
+	kind  Kind
+	room  string
+	count int
 }
 
 // sane is a report within the bounds, with one verdict on each subject, of known kinds, on rooms that it uses once each.
--- a/balance/state.go
+++ b/balance/state.go
@@ -101,6 +101,7 @@
 	served   Time         // when it last gave an answer to this sidecar; 0: never
 	struck   signals.Kind // how it failed when this sidecar last ejected it, until it serves again
 	struckAt Time
+	said     bool    // to the members, as of the last Witness
 	from     Time    // when it started as far as its warmth goes; 0: long ago
 	out      bool    // taken out by hand
 	warm     float64 // share of its capacity that it has
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -63,6 +63,9 @@
 	Payload []byte
 }
 
+// DefaultBound is Options.Bound where none is set.
+const DefaultBound = 2 * time.Second
+
 // Counts is what a member did since its start.
 type Counts struct {
 	Traffic
@@ -72,10 +75,9 @@
 }
 
 const (
-	farewellOf   = "farewell/"
-	defaultBound = 2 * time.Second
-	mostMembers  = 4096
-	separator    = "@" // between a member's name and its process's start, in memberlist's name for the process
+	farewellOf  = "farewell/"
+	mostMembers = 4096
+	separator   = "@" // between a member's name and its process's start, in memberlist's name for the process
 )
 
 // Members is one member, from New to Close.
@@ -156,7 +158,7 @@
 		return nil, fmt.Errorf("bound: %v is negative", o.Bound)
 	}
 	if o.Bound == 0 {
-		o.Bound = defaultBound
+		o.Bound = DefaultBound
 	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -75,7 +76,7 @@
 	if err != nil {
 		return fmt.Errorf("members: %w", err)
 	}
-	h.members, h.company.peers = m, map[string]balance.Peer{}
+	h.members, h.company.peers, h.company.bound = m, map[string]balance.Peer{}, cmp.Or(c.Members.Bound, members.DefaultBound)
 	h.watchers.Go(func() { h.speak(ctx) })
 	h.watchers.Go(func() {
 		<-ctx.Done()
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -16,7 +16,7 @@
 // How often a sidecar speaks to the members.
 const (
 	lookEvery   = 200 * time.Millisecond // it looks whether there is something to say
-	repeatEvery = 700 * time.Millisecond // it says again what it condemns: within the least bound twice
+	repeatEach  = 10 * time.Millisecond  // for each member, until it says again what it condemns
 	quietEvery  = 15 * time.Second       // it says its zone and level, for who came since
 	viewSettles = 600 * time.Millisecond // without a change, before places are taken by it
 	viewWaits   = 3 * time.Second        // with changes
@@ -30,6 +30,7 @@
 	last  balance.Time            // change
 	said  signals.Report
 	at    balance.Time // when that was said
+	bound time.Duration
 }
 
 func (c *company) changed(now balance.Time) {
@@ -131,9 +132,13 @@
 		same = false
 		c.changed(h.now)
 	}
-	again := quietEvery
-	if len(r.Verdicts) > 0 {
-		again = repeatEvery
+	// What it condemns it says again within the bound, the more members there are the less often; changes wait half as long.
+	again, bound := quietEvery, c.bound
+	if len(r.Verdicts)+len(c.said.Verdicts) > 0 {
+		again = min(max(repeatEach*time.Duration(c.view.Count), bound*35/100), bound*70/100)
+	}
+	if !same && len(c.said.Verdicts) > 0 {
+		same, again = true, again/2
 	}
 	if same && c.at > 0 && h.now-c.at < again {
 		return
