--- /dev/null
+++ b/internal/lab/plan/parse.go
@@ -0,0 +1,98 @@
+package plan
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Error is what is wrong with a file, and where.
+type Error struct {
+	File string
+	Line int // 0: of the file as a whole
+	What string
+}
+
+func (e *Error) Error() string {
+	if e.Line == 0 {
+		return fmt.Sprintf("%s: %s", e.File, e.What)
+	}
+	return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.What)
+}
+
+// LoadFile reads an experiment. Errors are *Error, with the line where there is one.
+func LoadFile(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{path, 0, err.Error()}
+	}
+	return Parse(path, text)
+}
+
+// Parse reads the text of an experiment.
+func Parse(path string, text []byte) (*File, error) {
+	f := Defaults()
+	f.text, f.Path = text, path
+	name := path[strings.LastIndexByte(path, '/')+1:]
+	f.Name = strings.TrimSuffix(name, ".toml")
+	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&f)
+	if err != nil {
+		line := 0
+		what := err.Error()
+		if p, ok := err.(toml.ParseError); ok { // the library returns it unwrapped
+			line, what = p.Position.Line, cmp.Or(p.Message, what)
+		}
+		return nil, &Error{path, line, strings.ReplaceAll(what, "\n", " ")} // the library quotes the text as it stands
+	}
+	// The library counts what is deep in a map as not decoded.
+	if extra := slices.DeleteFunc(meta.Undecoded(), func(k toml.Key) bool { return k[0] == "config" }); len(extra) > 0 {
+		return nil, &Error{path, f.line(extra[0][:len(extra[0])-1], -1, extra[0][len(extra[0])-1]), fmt.Sprintf("unknown key %q", extra[0])}
+	}
+	if len(f.Kinds) == 0 {
+		f.Kinds = slices.Clone(defaultKinds)
+	}
+	if len(f.Classes) == 0 {
+		f.Classes = slices.Clone(defaultClasses)
+	}
+	if err := f.check(); err != nil {
+		return nil, err
+	}
+	return &f, nil
+}
+
+// line finds where a key stands: in the index-th table of its path, below 0: in any. 0: nowhere.
+func (f *File) line(path []string, index int, key string) int {
+	table, seen, here := strings.Join(path, "."), -1, len(path) == 0
+	header := 0
+	for i, line := range strings.Split(string(f.text), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			name := strings.Trim(strings.TrimSpace(strings.SplitN(line, "#", 2)[0]), "[] ")
+			here = false
+			if name == table {
+				seen++
+				if here = index < 0 || seen == index; here {
+					header = i + 1
+				}
+			}
+			continue
+		}
+		if word, _, ok := strings.Cut(line, "="); here && ok && strings.Trim(strings.TrimSpace(word), `"`) == key {
+			return i + 1
+		}
+	}
+	return header
+}
+
+func (f *File) bad(table string, index int, key, form string, args ...any) *Error {
+	var path []string
+	if table != "" {
+		path = []string{table}
+	}
+	return &Error{File: f.Path, Line: f.line(path, index, key), What: fmt.Sprintf(form, args...)}
+}
--- /dev/null
+++ b/internal/lab/plan/validate.go
@@ -0,0 +1,141 @@
+package plan
+
+import (
+	"slices"
+	"strings"
+)
+
+const (
+	mostSeconds  = 3600
+	mostServers  = 2000
+	mostSidecars = 1000
+	mostArrivals = 2_000_000
+)
+
+func (f *File) check() *Error {
+	within := func(table, key string, v, least, most float64) *Error {
+		if !(v >= least && v <= most) {
+			return f.bad(table, -1, key, "%s is %v, not within %v to %v", key, v, least, most)
+		}
+		return nil
+	}
+	for _, c := range []struct {
+		table, key     string
+		v, least, most float64
+	}{
+		{"", "seconds", f.Seconds, 1, mostSeconds},
+		{"fleet", "servers", float64(f.Fleet.Servers), 1, mostServers},
+		{"fleet", "sidecars", float64(f.Fleet.Sidecars), 1, mostSidecars},
+		{"fleet", "per_host", float64(f.Fleet.PerHost), 1, mostServers},
+		{"fleet", "memory_mb", float64(f.Fleet.MemoryMB), 16, 4096},
+		{"fleet", "sockets", float64(f.Fleet.Sockets), 64, 65536},
+		{"fleet", "delay_ms", f.Fleet.DelayMS, 0, 1000},
+		{"fleet", "error_rate", f.Fleet.ErrorRate, 0, 1},
+		{"load", "share", f.Load.Share, 0, 10},
+		{"load", "rate", f.Load.Rate, 0, 100000},
+		{"load", "uneven", f.Load.Uneven, 0, 5},
+		{"load", "zone_skew", f.Load.ZoneSkew, 0, 1},
+		{"load", "tardy_ms", f.Load.TardyMS, 0, 10000},
+		{"load", "clients", float64(f.Load.Clients), 0, 1 << 20},
+		{"load", "skew", f.Load.Skew, 0, 5},
+		{"load", "work_part", f.Load.WorkPart, 0.001, 10},
+		{"members", "bound_ms", f.Members.BoundMS, 1, 3600000},
+		{"keepers", "count", float64(f.Keepers.Count), 0, 7},
+		{"keepers", "lease_s", f.Keepers.LeaseS, 1, 3600},
+		{"keepers", "grace_s", f.Keepers.GraceS, 0, 3600},
+		{"keepers", "share", f.Keepers.Share, 0, 1},
+		{"keepers", "snapshot", float64(f.Keepers.Snapshot), 1, 1 << 20},
+		{"keepers", "writers", float64(f.Keepers.Writers), 1, 64},
+		{"keepers", "write_rate", f.Keepers.WriteRate, 0, 10000},
+		{"keepers", "keys", float64(f.Keepers.Keys), 1, 2000},
+		{"keepers", "doubt_share", f.Keepers.DoubtShare, 0, 1},
+		{"keepers", "most_age_s", f.Keepers.MostAgeS, 0.1, 3600},
+		{"keepers", "watchers", float64(f.Keepers.Watchers), 0, 10000},
+		{"hitters", "high", f.Hitters.High, 0, 1},
+		{"hitters", "low", f.Hitters.Low, 0, 1},
+		{"limits", "answer_slack_ms", f.Limits.AnswerSlackMS, 0, 60000},
+		{"limits", "drain_grace_ms", f.Limits.DrainGraceMS, 0, 60000},
+		{"limits", "slack_ms", f.Limits.SlackMS, 0, 60000},
+		{"limits", "memory_mb", f.Limits.MemoryMB, 1, 65536},
+		{"limits", "descriptors", float64(f.Limits.Descriptors), 1, 1 << 20},
+		{"limits", "lateness_ms", f.Limits.LatenessMS, 0, 10000},
+	} {
+		if err := within(c.table, c.key, c.v, c.least, c.most); err != nil {
+			return err
+		}
+	}
+	switch {
+	case f.States == "":
+		return f.bad("", -1, "states", "states is missing: the sentence that the experiment puts to the test")
+	case len(f.Fleet.Zones) == 0 || len(f.Fleet.Zones) > 16:
+		return f.bad("fleet", -1, "zones", "zones: 1 to 16 are possible")
+	case (f.Load.Share == 0) == (f.Load.Rate == 0):
+		return f.bad("load", -1, "share", "load needs either share or rate")
+	case f.Fleet.Program != "sidecar" && f.Fleet.Program != "plain":
+		return f.bad("fleet", -1, "program", "program %q is neither sidecar nor plain", f.Fleet.Program)
+	case f.Fleet.Flaw != "" && f.Fleet.Program != "plain":
+		return f.bad("fleet", -1, "flaw", "only the plain program has flaws")
+	case !slices.Contains(Flaws, f.Fleet.Flaw):
+		return f.bad("fleet", -1, "flaw", "unknown flaw %q", f.Fleet.Flaw)
+	case f.Keepers.Count != 0 && f.Keepers.Count%2 == 0:
+		return f.bad("keepers", -1, "count", "%d keepers: an odd number agrees", f.Keepers.Count)
+	case f.Keepers.Count > 0 && f.Fleet.Program == "plain":
+		return f.bad("fleet", -1, "program", "the plain sidecar knows no keepers")
+	case f.Members.On && f.Fleet.Program == "plain":
+		return f.bad("fleet", -1, "program", "the plain sidecar knows no members")
+	case f.Keepers.Program != "keeper" && f.Keepers.Program != "plain":
+		return f.bad("keepers", -1, "program", "program %q is neither keeper nor plain", f.Keepers.Program)
+	case f.Keepers.Flaw != "" && f.Keepers.Program != "plain":
+		return f.bad("keepers", -1, "flaw", "only plain keepers have flaws")
+	case !slices.Contains(KeeperFlaws, f.Keepers.Flaw):
+		return f.bad("keepers", -1, "flaw", "unknown flaw %q", f.Keepers.Flaw)
+	case f.List.Sizes != "alike" && f.List.Sizes != "rough":
+		return f.bad("list", -1, "sizes", "sizes %q are neither alike nor rough", f.List.Sizes)
+	case f.Fleet.Start != "warm" && f.Fleet.Start != "cold":
+		return f.bad("fleet", -1, "start", "start %q is neither warm nor cold", f.Fleet.Start)
+	case f.Breaks != "" && !isInvariant(f.Breaks) && !f.hasBar(f.Breaks):
+		return f.bad("", -1, "breaks", "no invariant and no bar of the file is named %q", f.Breaks)
+	}
+	for _, r := range []struct {
+		key string
+		v   [2]float64
+	}{{"notice_s", f.List.NoticeS}, {"add_s", f.List.AddS}, {"silent_s", f.List.SilentS}} {
+		if r.v[0] < 0 || r.v[1] < r.v[0] || r.v[1] > mostSeconds {
+			return f.bad("list", -1, r.key, "%s: %v is no range", r.key, r.v)
+		}
+	}
+	for i, k := range f.Kinds {
+		if k.Name == "" || k.Share <= 0 || k.Cores < 1 || k.Cores > 1024 || k.Speed[0] <= 0 || k.Speed[1] < k.Speed[0] {
+			return f.bad("kind", i, "name", "kind %q needs name, share, cores and a range of speed", k.Name)
+		}
+	}
+	for i, c := range f.Classes {
+		if c.Name == "" || c.Share <= 0 || c.WorkMS <= 0 || c.AimMS <= 0 || c.GiveUpMS < c.AimMS || c.Worth <= 0 || c.LateWorth < 0 || c.LateWorth > 1 {
+			return f.bad("class", i, "name", "class %q needs name, share, work_ms, aim_ms, give_up_ms, worth and late_worth", c.Name)
+		}
+	}
+	for i, b := range f.Bars {
+		base, _, _ := strings.Cut(b.Figure, ":")
+		if !slices.Contains(Figures, base) {
+			return f.bad("bar", i, "figure", "unknown figure %q; known: %s", b.Figure, strings.Join(Figures, ", "))
+		}
+		if b.Least == nil && b.Most == nil {
+			return f.bad("bar", i, "figure", "bar %q has neither least nor most", b.Figure)
+		}
+	}
+	for i := range f.Faults {
+		if err := f.checkFault(i); err != nil {
+			return err
+		}
+	}
+	return f.checkRoutes()
+}
+
+// hasBar tells whether a name is that of a bar, as a report words it.
+func (f *File) hasBar(name string) bool {
+	return slices.ContainsFunc(f.Bars, func(b Bar) bool { return "bar "+b.Figure == name })
+}
+
+func isInvariant(name string) bool {
+	return slices.ContainsFunc(Invariants, func(v struct{ Name, Says string }) bool { return v.Name == name })
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -14,7 +14,6 @@
 
 	"gradeusher.example/gradeusher/internal/lab/check"
 	"gradeusher.example/gradeusher/internal/lab/clock"
-	"gradeusher.example/gradeusher/internal/lab/ctl"
 	"gradeusher.example/gradeusher/internal/lab/load"
 	"gradeusher.example/gradeusher/internal/lab/plan"
 	"gradeusher.example/gradeusher/internal/lab/proc"
@@ -211,105 +210,6 @@
 	}
 }
 
-// gather reads what stand-ins wrote down. Each of them has ended.
-func (f *Fleet) gather(e *check.Evidence) error {
-	for i := range f.hosts {
-		all, err := ctl.ReadRecords[ctl.Attempt](f.records("attempts", i))
-		if err != nil {
-			return err
-		}
-		e.Attempts = append(e.Attempts, all...)
-	}
-	if f.peers != nil {
-		var err error
-		if e.Gossip, err = ctl.ReadRecords[ctl.Gossip](f.records("gossip", 0)); err != nil {
-			return err
-		}
-	}
-	lists := 1 // the relay's
-	if f.list != nil {
-		lists = f.list.n
-	}
-	if f.keepers != nil {
-		var err error
-		if e.Shown, err = ctl.ReadRecords[ctl.Shown](f.records("shown", 0)); err != nil {
-			return err
-		}
-		if e.Routes, err = ctl.ReadRecords[ctl.Routes](f.records("routes", 0)); err != nil {
-			return err
-		}
-		if f.routes != nil {
-			e.Routed = f.routes.put
-		}
-		e.Wrote, e.KeeperPeaks = f.writers.wrote, f.keepers.peaks()
-	}
-	for i := range lists {
-		all, err := ctl.ReadRecords[ctl.Told](f.records("told", i))
-		if err != nil {
-			return err
-		}
-		e.Told = append(e.Told, all...)
-	}
-	for _, s := range f.sidecars {
-		e.Runs = append(e.Runs, s.runs)
-		e.Peaks = append(e.Peaks, s.peak)
-	}
-	e.Falls, e.Exits = f.falls, f.Exits()
-	e.Lateness = check.Lateness(e.Tries)
-	return nil
-}
-
-// keep leaves what clients and servers saw in the report's folder.
-func keep(out string, e *check.Evidence, work string) error {
-	for _, pattern := range []string{"requests.jsonl", "attempts-*.jsonl", "told-*.jsonl", "shown-*.jsonl", "routes-*.jsonl", "gossip-*.jsonl", "writes.jsonl"} { // of an experiment before
-		old, err := filepath.Glob(filepath.Join(out, pattern))
-		if err != nil {
-			return err
-		}
-		for _, path := range old {
-			if err := os.Remove(path); err != nil {
-				return err
-			}
-		}
-	}
-	r, err := ctl.NewRecords(filepath.Join(out, "requests.jsonl"))
-	if err != nil {
-		return err
-	}
-	for i := range e.Tries {
-		r.Add(&e.Tries[i])
-	}
-	if err := r.Close(); err != nil {
-		return err
-	}
-	if len(e.Wrote) > 0 {
-		r, err := ctl.NewRecords(filepath.Join(out, "writes.jsonl"))
-		if err != nil {
-			return err
-		}
-		for i := range e.Wrote {
-			r.Add(&e.Wrote[i])
-		}
-		if err := r.Close(); err != nil {
-			return err
-		}
-	}
-	records, err := filepath.Glob(filepath.Join(work, "*-*.jsonl"))
-	if err != nil {
-		return err
-	}
-	for _, path := range records {
-		text, err := os.ReadFile(path)
-		if err != nil {
-			return err
-		}
-		if err := os.WriteFile(filepath.Join(out, filepath.Base(path)), text, 0o600); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func result(p *plan.Plan, e *check.Evidence) *Result {
 	r := &Result{Name: p.File.Name, States: p.File.States, Seed: p.Seed, Seconds: p.File.Seconds, ArrivalsHash: p.ArrivalsHash,
 		StepsHash: p.StepsHash, Servers: p.Standing, Sidecars: len(p.Sidecars), Rate: p.Rate(), Peaks: e.Peaks, Exits: e.Exits,
