A belief ends with what it was about: records fade while no newer answer comes

Cause (docs/findings/refusals-mass.md): after a jam the servers were idle and believed to take 0.3 to 0.4 s. took and held of a server fade together, so its mean stays; its group's mean holds the jam over 6 s; b.heard never ages while others answer. All later refusals were fetches that the bar of tight times refused, which renews itself.

Now an endpoint's record counts less, by 1/e a second, for the time since its last answer, and then its group's does, which fades over a second, as does the belief while nothing is heard.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -330,7 +330,7 @@
 	}
 	slices.SortFunc(b.endpoints, func(x, y *endpoint) int { return strings.Compare(x.ID, y.ID) })
 	b.regroup(now)
-	b.fade(now, 1)
+	b.fade(now, 0)
 	b.shift(now)
 	if kind != ListRemembered {
 		b.refusals = 0
@@ -347,7 +347,7 @@
 		}
 	case tokenTick:
 		b.act.Timer(tickEvery, tokenTick)
-		b.fade(now, math.Exp(-tickEvery.Seconds()/memory.Seconds()))
+		b.fade(now, tickEvery)
 		b.shift(now)
 		if now >= b.grouped+time.Second {
 			b.regroup(now)
--- a/balance/hand.go
+++ b/balance/hand.go
@@ -26,7 +26,7 @@
 	}
 	b.byHand = out
 	b.regroup(now)
-	b.fade(now, 1)
+	b.fade(now, 0)
 }
 
 func has(ids map[string]Time, id string) bool {
--- a/balance/health.go
+++ b/balance/health.go
@@ -8,11 +8,12 @@
 
 const (
 	tickEvery   = 100 * time.Millisecond // housekeeping
-	memory      = 6 * time.Second        // what answers have taught fades by 1/e in this time
+	memory      = 6 * time.Second        // what requests and an endpoint's answers have taught fades by 1/e in this time
+	recent      = time.Second            // and what the answers of all have, and an endpoint's own with no newer one
 	fullAt      = 2.5                    // of the usual time for its size when idle: below it none is full
 	unseen      = 1.0                    // requests of others that each endpoint is taken to hold
 	prior       = 2.0                    // requests held by which an endpoint's own record outweighs its peers'
-	idleAfter   = 100                    // requests held in a mean that is true to a tenth or two
+	idleAfter   = 17                     // requests held in a mean that is true to a third
 	idleKeep    = 10                     // memories in which what an idle fleet takes is forgotten by 1/e
 	faultBar    = 1.6                    // faults that eject: two without some successes between them
 	faultKeep   = 0.85                   // what a success leaves of the faults
@@ -49,16 +50,17 @@
 // expect is the answer time in seconds that a request sent now can expect, from what the endpoint's answers
 // took for each request held. A little-used one is judged by its group, as kinds and zones are not equally
 // loaded, and a little-used group by the fleet. Danger: a sidecar that believes the fleet too slow sends
-// nothing and never learns better; the belief fades while no answer comes. Danger: a cold endpoint has no
-// part in its peers' queues, longest just then; its turns bound what it gets, its own answers tell the rest.
+// nothing and never learns better; the belief fades while no answer comes, as fast as what all have taught.
+// Danger: a cold endpoint has no part in its peers' queues, longest just then; its turns bound what it gets.
 func (b *Balancer) expect(e *endpoint, now Time) float64 {
 	group := (e.home.took + e.home.owed + prior*b.fleet.usual()) / (e.home.held + prior)
 	if e.warm < 1 {
 		group = 0
 	}
-	drain := (e.took + e.owed(now) + prior*group/e.Size) / (e.held + prior)
+	own := math.Exp(-max(now-e.told, 0).Seconds() / recent.Seconds())
+	drain := (e.took*own + e.owed(now) + prior*group/e.Size) / (e.held*own + prior)
 	if e.awaited() == 0 {
-		drain *= max(0, 1-(now-b.heard).Seconds()/memory.Seconds())
+		drain *= max(0, 1-(now-b.heard).Seconds()/recent.Seconds())
 	}
 	return (float64(e.awaited()+1) + unseen) * drain
 }
@@ -145,6 +147,7 @@
 	if r.Outcome == Served || r.Outcome == TimedOut && !a.flight.lost() {
 		e.took += r.Took.Seconds()
 		e.held += a.held
+		e.told = now
 	}
 	if r.Outcome == Served { // Danger: what a silent endpoint never answers would make its sound peers seem slow
 		for _, g := range [...]*group{e.home, b.fleet} {
@@ -154,6 +157,7 @@
 	}
 	switch r.Outcome {
 	case Saturated: // its queue is full: as bad as an answer at the aim
+		e.told = now
 		e.took += b.aim
 	case Served:
 		e.faults *= faultKeep
@@ -168,14 +172,18 @@
 	}
 }
 
-// fade lets go of old knowledge, but for what is to be kept, and recounts warmth and the share ejected.
+// fade lets go of the knowledge that is older by some time, and recounts warmth and the share ejected.
+// Danger: what a jam has taught must not outlast it. Endpoints that seem full get nothing and cannot tell
+// better: one is believed what its own answers told only while they are recent, and then what the others tell.
 // Danger: where most endpoints seem bad, the fault is likely our own; then ejection is suspended.
-func (b *Balancer) fade(now Time, keep float64) {
+func (b *Balancer) fade(now Time, older time.Duration) {
 	var out, all float64
-	b.arrived, b.room = b.arrived*keep, 0
+	kept := func(memory time.Duration) float64 { return math.Exp(-older.Seconds() / memory.Seconds()) }
+	b.arrived, b.room = b.arrived*kept(memory), 0
 	for _, g := range b.groups {
-		g.took, g.held, g.owed = g.took*keep, g.held*keep, 0
+		g.fade(kept(recent))
 	}
+	keep := kept(memory)
 	for _, e := range b.active {
 		e.took, e.held = e.took*keep, e.held*keep
 		e.warm = b.warmth(e, now)
@@ -187,13 +195,15 @@
 	}
 	// Danger: if full went by the present usual time, queues everywhere would raise the bar, and none be full.
 	if u := b.fleet.usual(); b.fleet.held >= idleAfter {
-		if b.idle += (u - b.idle) * (1 - keep) / idleKeep; b.idle > u || b.idle == 0 {
+		if b.idle += (u - b.idle) * (1 - kept(memory)) / idleKeep; b.idle > u || b.idle == 0 {
 			b.idle = u
 		}
 	}
 	b.panicking = out > ejectMost*all
 }
 
+func (g *group) fade(keep float64) { g.took, g.held, g.owed = g.took*keep, g.held*keep, 0 }
+
 // warmth is the share of its capacity that an endpoint has: it rises evenly from its start.
 func (b *Balancer) warmth(e *endpoint, now Time) float64 {
 	age := now - e.from
--- a/balance/shared.go
+++ b/balance/shared.go
@@ -40,7 +40,7 @@
 	changed := alike != b.alike
 	if b.all, b.alike = all, alike; changed {
 		b.regroup(now)
-		b.fade(now, 1)
+		b.fade(now, 0)
 	}
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -94,6 +94,7 @@
 	lost     int       // of those, how many are apart, or passed too often to be answered still
 	took     float64   // fading sum of the seconds that answers took
 	held     float64   // and of the requests it held
+	told     Time      // when it last added to them
 	faults   float64   // count of faults, fading with successes
 	until    Time      // ejected until
 	from     Time      // when it started as far as its warmth goes; 0: long ago
