Cold servers are judged by cold ones

A cold server's only judge were its own answers, of which each sidecar has few; and they made the warm ones' means seem slow.

Cold endpoints are now a group of their own for what answers tell, by the size for their warmth. Counting cold answers for warm peers too gives the same and says less. TestColdEndpointIsJudgedByColdPeers fails without.

--- a/balance/health.go
+++ b/balance/health.go
@@ -51,20 +51,23 @@
 // took for each request held. A little-used one is judged by its group, as kinds and zones are not equally
 // loaded, and a little-used group by the fleet. Danger: a sidecar that believes the fleet too slow sends
 // nothing and never learns better; the belief fades while no answer comes, as fast as what all have taught.
-// Danger: a cold endpoint has no part in its peers' queues, longest just then; its turns bound what it gets.
+// Danger: a cold endpoint has no part in warm ones' queues, longest just then; cold ones are its peers.
 func (b *Balancer) expect(e *endpoint, now Time) float64 {
 	group := (e.home.took + e.home.owed + prior*b.fleet.usual()) / (e.home.held + prior)
 	if e.warm < 1 {
-		group = 0
+		group = b.cold.took / (b.cold.held + prior)
 	}
 	own := math.Exp(-max(now-e.told, 0).Seconds() / recent.Seconds())
-	drain := (e.took*own + e.owed(now) + prior*group/e.Size) / (e.held*own + prior)
+	drain := (e.took*own + e.owed(now) + prior*group/e.able()) / (e.held*own + prior)
 	if e.awaited() == 0 {
 		drain *= max(0, 1-(now-b.heard).Seconds()/recent.Seconds())
 	}
 	return (float64(e.awaited()+1) + unseen) * drain
 }
 
+// able is the registered size of what an endpoint can do now.
+func (e *endpoint) able() float64 { return e.Size * math.Max(e.warm, 0.01) }
+
 // owed is the sum in seconds of how long the requests in flight have been out. Danger: the first answers to
 // come are the quick ones; a slowed endpoint owes answers before its answers tell; a dead one looks idle.
 func (e *endpoint) owed(now Time) float64 { return (now*Time(e.awaited()) - e.sent).Seconds() }
@@ -150,9 +153,13 @@
 		e.told = now
 	}
 	if r.Outcome == Served { // Danger: what a silent endpoint never answers would make its sound peers seem slow
-		for _, g := range [...]*group{e.home, b.fleet} {
+		peers := []*group{e.home, b.fleet}
+		if e.warm < 1 {
+			peers = []*group{&b.cold}
+		}
+		for _, g := range peers {
 			g.took += r.Took.Seconds()
-			g.held += a.held / e.Size
+			g.held += a.held / e.able()
 		}
 	}
 	switch r.Outcome {
@@ -180,6 +187,7 @@
 	var out, all float64
 	kept := func(memory time.Duration) float64 { return math.Exp(-older.Seconds() / memory.Seconds()) }
 	b.arrived, b.room = b.arrived*kept(memory), 0
+	b.cold.fade(kept(recent))
 	for _, g := range b.groups {
 		g.fade(kept(recent))
 	}
--- a/balance/jam_test.go
+++ b/balance/jam_test.go
@@ -75,3 +75,36 @@
 		}
 	}
 }
+
+// TestColdEndpointIsJudgedByColdPeers has all cold endpoints but one answer late: that one is believed no quicker, while
+// warm ones are.
+func TestColdEndpointIsJudgedByColdPeers(t *testing.T) {
+	var list []Endpoint
+	for i := range 8 {
+		list = append(list, Endpoint{ID: fmt.Sprint("e", i), Zone: "x", Kind: "big", Size: 1})
+	}
+	b, h := start(t, settings(), list)
+	for i := range 4 {
+		list[i].Started = h.now - time.Second
+	}
+	b.Endpoints(h.now, ListFull, list)
+	for i := range RequestID(60) {
+		h.now += 20 * time.Millisecond
+		to := ask(b, h, i)
+		if to == "" {
+			continue
+		}
+		took, outcome := 50*time.Millisecond, Served
+		if to == "e0" {
+			outcome = Cancelled // tells nothing
+		}
+		if e := b.known[to]; e.warm < 1 {
+			took = 900 * time.Millisecond
+		}
+		b.Result(h.now, Result{ID: i, Endpoint: to, Outcome: outcome, Took: took, Finished: true})
+	}
+	cold, warm := b.expect(b.known["e0"], h.now), b.expect(b.known["e5"], h.now)
+	if cold < 0.5 || warm > 0.2 {
+		t.Errorf("a cold endpoint that has told nothing is expected to answer in %.2f s, a warm one in %.2f s", cold, warm)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -17,6 +17,7 @@
 	active     []*endpoint          // members of the subsets
 	groups     []*group             // of the best rule, and a last one of all endpoints
 	fleet      *group               // the last of them
+	cold       group                // what cold endpoints' answers tell
 	routed     []Destination        // of the groups
 	waits      []Rule               // a route table that is not applied yet; nil: none is
 	waitsFrom  Time                 // since the first of those that waited one after the other
