--- a/internal/lab/check/figures.go
+++ b/internal/lab/check/figures.go
@@ -136,10 +136,12 @@
 	}
 	f["served_worst_class"] = worst
 	e.keeperFigures(f)
+	e.routeFigures(f)
 	e.hitterFigures(f)
 	e.spreadFigures(f, course)
 	e.churnFigure(f)
 	e.refusals(f, course)
+	e.avoidFigures(f)
 	e.gossip(f)
 	worst = 1.0
 	for i := range max(1, n-worstSeconds+1) {
