What is out at an endpoint is counted from its flights

The number lost and the sum of times were kept beside the flights in four places; now both are counted from the few flights there are. The share of a record that still counts fades by the tick and is 1 after an answer: no exponential for each endpoint and request.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -141,9 +141,6 @@
 	held := float64(to.awaited()+1) + unseen
 	q.out++
 	q.attempts = append(q.attempts, attempt{to: to, sent: now, held: held, flight: to.depart(q, now)})
-	if q.Coming {
-		to.setApart(q.attempts[len(q.attempts)-1].flight)
-	}
 	// The share is of the least that a cold endpoint can do. Most can do more, and get warm by what they are
 	// given, so it is half of what one at the least would fall over at.
 	share := max(b.set.FallMultiple/2, 1) / b.room
@@ -227,7 +224,7 @@
 	for i := range q.attempts {
 		if a := &q.attempts[i]; !a.done {
 			a.sent = now
-			a.to.owe(a.flight, now)
+			a.flight.apart, a.flight.sent, a.flight.passed = false, now, 0
 		}
 	}
 }
@@ -236,8 +233,7 @@
 func (b *Balancer) AnswerStarted(now Time, id RequestID, attempt int) {
 	if q := b.requests[id]; q != nil && attempt >= 0 && attempt < len(q.attempts) && !q.attempts[attempt].done {
 		a := &q.attempts[attempt]
-		a.to.setApart(a.flight) // no answer is owed for the time it streams
-		a.sent = now
+		a.sent, a.flight.apart = now, true // no answer is owed for the time it streams
 	}
 }
 
--- a/balance/health.go
+++ b/balance/health.go
@@ -57,8 +57,7 @@
 	if e.warm < 1 {
 		group = b.cold.took / (b.cold.held + prior)
 	}
-	own := math.Exp(-max(now-e.told, 0).Seconds() / recent.Seconds())
-	drain := (e.took*own + e.owed(now) + prior*group/e.able()) / (e.held*own + prior)
+	drain := (e.took*e.fresh + e.owed(now) + prior*group/e.able()) / (e.held*e.fresh + prior)
 	if e.awaited() == 0 {
 		drain *= max(0, 1-(now-b.heard).Seconds()/recent.Seconds())
 	}
@@ -70,59 +69,46 @@
 
 // owed is the sum in seconds of how long the requests in flight have been out. Danger: the first answers to
 // come are the quick ones; a slowed endpoint owes answers before its answers tell; a dead one looks idle.
-func (e *endpoint) owed(now Time) float64 { return (now*Time(e.awaited()) - e.sent).Seconds() }
+func (e *endpoint) owed(now Time) float64 {
+	var sum Time
+	for _, f := range e.flights {
+		if !f.lost() {
+			sum += now - f.sent
+		}
+	}
+	return sum.Seconds()
+}
 
 // awaited is the number of requests in flight whose answers may still come.
-func (e *endpoint) awaited() int { return e.inFlight - e.lost }
+func (e *endpoint) awaited() (n int) {
+	for _, f := range e.flights {
+		if !f.lost() {
+			n++
+		}
+	}
+	return n
+}
 
-// lost tells whether so many later answers have passed an attempt that its own is not slow but lost.
-// Danger: a single lost answer would close an endpoint that serves all others, until that attempt times out.
+// lost tells whether so many later answers have passed an attempt that its own is not slow but lost, or none is
+// due for now. Danger: a single lost answer would close an endpoint that serves all others, until that attempt
+// times out; a body that a client sends slowly, or an answer that it reads slowly, would make it seem slow.
 func (f *flight) lost() bool { return f.apart || f.passed >= passedBy }
 
 // depart takes in that the request's next attempt is sent.
 func (e *endpoint) depart(q *request, now Time) *flight {
-	f := &flight{id: q.ID, number: len(q.attempts), sent: now}
 	e.inFlight++
-	e.sent += now
-	e.flights = append(e.flights, f)
-	return f
-}
-
-// setApart has nothing be owed for an attempt. Danger: a body that a client sends slowly, or an answer that
-// it reads slowly, would make a sound endpoint seem slow.
-func (e *endpoint) setApart(f *flight) {
-	if !f.lost() {
-		e.lost++
-		e.sent -= f.sent
-	}
-	f.apart = true
-}
-
-// owe has an answer be owed for an attempt from now on.
-func (e *endpoint) owe(f *flight, now Time) {
-	if f.apart {
-		f.apart, f.sent, f.passed = false, now, 0
-		e.lost--
-		e.sent += now
-	}
+	e.flights = append(e.flights, &flight{id: q.ID, number: len(q.attempts), sent: now, apart: q.Coming})
+	return e.flights[len(e.flights)-1]
 }
 
 // arrive takes in that an attempt has ended, and what that tells of those sent before it.
 func (e *endpoint) arrive(f *flight, served bool) {
 	at := slices.Index(e.flights, f)
 	e.flights = slices.Delete(e.flights, at, at+1)
-	if e.inFlight--; f.lost() {
-		e.lost--
-	} else {
-		e.sent -= f.sent
-	}
+	e.inFlight--
 	for _, old := range e.flights[:at] {
-		if !served || old.apart || old.sent >= f.sent {
-			continue
-		}
-		if old.passed++; old.passed == passedBy {
-			e.lost++
-			e.sent -= old.sent
+		if served && !old.apart && old.sent < f.sent {
+			old.passed++
 		}
 	}
 }
@@ -150,7 +136,7 @@
 	if r.Outcome == Served || r.Outcome == TimedOut && !a.flight.lost() {
 		e.took += r.Took.Seconds()
 		e.held += a.held
-		e.told = now
+		e.fresh = 1
 	}
 	if r.Outcome == Served { // Danger: what a silent endpoint never answers would make its sound peers seem slow
 		peers := []*group{e.home, b.fleet}
@@ -164,8 +150,7 @@
 	}
 	switch r.Outcome {
 	case Saturated: // its queue is full: as bad as an answer at the aim
-		e.told = now
-		e.took += b.aim
+		e.took, e.fresh = e.took+b.aim, 1
 	case Served:
 		e.faults, e.served, e.struck = e.faults*faultKeep, now, 0
 	case Errored, TimedOut, ConnectFailed, Reset:
@@ -194,7 +179,7 @@
 	}
 	keep := kept(memory)
 	for _, e := range b.active {
-		e.took, e.held = e.took*keep, e.held*keep
+		e.took, e.held, e.fresh = e.took*keep, e.held*keep, e.fresh*kept(recent)
 		e.warm = b.warmth(e, now)
 		e.home.owed += e.owed(now)
 		b.room += e.Size * e.warm * b.near[e.abroad]
@@ -226,6 +211,4 @@
 // Danger: sidecars that all turn to a cold endpoint, as it alone seems free, push it over. When each keeps to
 // its turns, it gets no more for its warmth than half the fall multiple of the fleet's mean, whatever the
 // number of sidecars.
-func (b *Balancer) coldRoom(e *endpoint) bool {
-	return e.warm >= 1 || e.due >= 1
-}
+func (b *Balancer) coldRoom(e *endpoint) bool { return e.warm >= 1 || e.due >= 1 }
--- a/balance/health_test.go
+++ b/balance/health_test.go
@@ -131,8 +131,8 @@
 	if turns["a"] < n*2/5 || turns["b"] < n*2/5 {
 		t.Errorf("turns %v", turns)
 	}
-	if e := b.known["a"]; len(e.flights) != e.inFlight || e.lost > e.inFlight {
-		t.Errorf("%d flights, %d in flight, %d lost", len(e.flights), e.inFlight, e.lost)
+	if e := b.known["a"]; len(e.flights) != e.inFlight || e.awaited() > e.inFlight {
+		t.Errorf("%d flights, %d in flight, %d awaited", len(e.flights), e.inFlight, e.awaited())
 	}
 }
 
@@ -487,7 +487,7 @@
 		b.Endpoints(h.now, ListChanges, []Endpoint{{ID: "c", Zone: "x", Kind: "big", Size: 1, Started: h.now}})
 		fresh := b.known["c"]
 		if n := 20.0; tt.took > 0 {
-			fresh.took, fresh.held, fresh.told = n*tt.took.Seconds(), n*(1+unseen), h.now
+			fresh.took, fresh.held, fresh.fresh = n*tt.took.Seconds(), n*(1+unseen), 1
 		}
 		if got := b.expect(fresh, h.now); got <= bar.Seconds() != tt.open {
 			t.Errorf("%s: it is expected to answer in %.2f s, and its peers are full at %.2f s", tt.name, got, bar.Seconds())
--- a/balance/host_test.go
+++ b/balance/host_test.go
@@ -101,7 +101,7 @@
 	}
 	b.Result(h.now, Result{ID: 1, Outcome: Served, Took: time.Millisecond, Finished: true})
 	b.Result(h.now, Result{ID: 1, Outcome: Served, Took: time.Millisecond, Finished: true})
-	if e := b.known["a"]; len(b.requests) != 0 || e.inFlight != 0 || e.sent != 0 {
+	if e := b.known["a"]; len(b.requests) != 0 || e.inFlight != 0 || len(e.flights) != 0 {
 		t.Errorf("%d requests, %d in flight after the end, told twice", len(b.requests), e.inFlight)
 	}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -93,11 +93,9 @@
 	Endpoint
 	inFlight int          // this sidecar's attempts out
 	flights  []*flight    // those, in the order of their sending
-	sent     Time         // sum of the times at which those not lost were sent
-	lost     int          // of those, how many are apart, or passed too often to be answered still
 	took     float64      // fading sum of the seconds that answers took
 	held     float64      // and of the requests it held
-	told     Time         // when it last added to them
+	fresh    float64      // share of these two that counts still: 1 with each answer, and fading fast
 	faults   float64      // count of faults, fading with successes
 	until    Time         // ejected until
 	served   Time         // when it last gave an answer to this sidecar; 0: never
--- a/balance/stream_test.go
+++ b/balance/stream_test.go
@@ -52,7 +52,7 @@
 		t.Error("a request whose time had just begun was given up as late")
 	}
 	h.answer(b, h.now, Served)
-	if e.lost != 0 || e.inFlight != 0 || e.sent != 0 {
+	if len(e.flights) != 0 || e.inFlight != 0 || e.owed(h.now) != 0 {
 		t.Errorf("the endpoint is left with %+v", e)
 	}
 }
