--- a/balance/health.go
+++ b/balance/health.go
@@ -8,8 +8,8 @@
 
 const (
 	tickEvery   = 100 * time.Millisecond // housekeeping
-	memory      = 6 * time.Second        // what requests and an endpoint's answers have taught fades by 1/e in this time
-	recent      = time.Second            // and what the answers of all have, and an endpoint's own with no newer one
+	memory      = 6 * time.Second        // what requests and own answers have taught fades by 1/e in it
+	recent      = time.Second            // what answers of all have, and own ones with none newer
 	fullAt      = 2.5                    // of the usual time for its size when idle: below it none is full
 	unseen      = 1.0                    // requests of others that each endpoint is taken to hold
 	prior       = 2.0                    // requests held by which an endpoint's own record outweighs its peers'
@@ -89,9 +89,9 @@
 	return n
 }
 
-// lost tells whether so many later answers have passed an attempt that its own is not slow but lost, or none is
-// due for now. Danger: a single lost answer would close an endpoint that serves all others, until that attempt
-// times out; a body that a client sends slowly, or an answer that it reads slowly, would make it seem slow.
+// lost tells whether so many later answers have passed an attempt that its own is not slow but lost, or none
+// is due for now. Danger: one lost answer would close an endpoint that serves all others, until that attempt
+// times out; a body that comes slowly, or an answer that is read slowly, would make it seem slow.
 func (f *flight) lost() bool { return f.apart || f.passed >= passedBy }
 
 // depart takes in that the request's next attempt is sent.
@@ -170,7 +170,7 @@
 
 // fade lets go of the knowledge that is older by some time, and recounts warmth and the share ejected.
 // Danger: what a jam has taught must not outlast it. Endpoints that seem full get nothing and cannot tell
-// better: one is believed what its own answers told only while they are recent, and then what the others tell.
+// better: one is believed what its own answers told while they are recent, and then what the others tell.
 // Danger: where most endpoints seem bad, the fault is likely our own; then ejection is suspended.
 func (b *Balancer) fade(now Time, older time.Duration) {
 	var out, all float64
