--- /dev/null
+++ b/internal/lab/check/routes_test.go
@@ -0,0 +1,64 @@
+package check
+
+import (
+	"slices"
+	"testing"
+
+	"gradeusher.example/gradeusher/balance/routes"
+	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+)
+
+// TestRoutes spoils one thing at a time of what two sidecars, of two applications, were told of three generations.
+func TestRoutes(t *testing.T) {
+	table := func(weights ...float64) (all routes.Table) {
+		for i, w := range weights {
+			app := (&plan.Plan{File: &plan.File{Routes: plan.Routes{Apps: 2}}}).AppOf(i)
+			all = append(all, routes.Rule{Name: app, Source: routes.Match{"service": app}, Service: routes.Match{"service": "*"},
+				Destinations: []routes.Destination{{Weight: w, Match: routes.Match{"version": "x"}}}})
+		}
+		return all
+	}
+	for name, c := range map[string]struct {
+		spoil func(*Evidence)
+		want  []string
+		most  float64 // ms to a sidecar that needs it; 0: not looked at
+	}{
+		"all is well":       {func(*Evidence) {}, nil, 30},
+		"no generation":     {func(e *Evidence) { e.Routed = e.Routed[:1] }, nil, 0},
+		"not told the last": {func(e *Evidence) { e.Routes = e.Routes[:3] }, []string{"routes"}, 0},
+		"told late":         {func(e *Evidence) { e.Routes[3].At += 2000 * ms }, []string{"routes"}, 2030},
+		"another table":     {func(e *Evidence) { e.Routes[2].Hash = "x" }, []string{"routes"}, 0},
+		"one of before":     {func(e *Evidence) { e.Routes = append(e.Routes, e.Routes[0]); e.Routes[4].At = 5000 * ms }, []string{"routes"}, 0},
+		"a beat":            {func(e *Evidence) { e.Routes = append(e.Routes, ctl.Routes{Near: 1, Gen: 3, At: 5000 * ms}) }, nil, 30},
+		"late by a fault":   {func(e *Evidence) { e.Routes[3].At += 2000 * ms; e.Plan.Bands = []plan.Band{{To: 5e9}} }, nil, 2030},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := seen(t)
+			e.Plan.File.Keepers.Count, e.Last.Rev = 1, 1
+			e.Plan.File.Routes = plan.Routes{Apps: 2, EveryS: 1, BoundS: 1}
+			for i, w := range [][2]float64{{1, 1}, {2, 1}, {2, 2}} {
+				at := (1000 + int64(i)*500) * ms
+				e.Routed = append(e.Routed, Routed{Gen: int64(i + 1), Call: at, Return: at + 5*ms, Table: table(w[0], w[1])})
+			}
+			say := func(near int, gen int64, all bool) {
+				r := e.Routed[gen-1]
+				e.Routes = append(e.Routes, ctl.Routes{Near: near, Gen: gen, All: all, Cluster: "c", Bytes: 100, At: r.Call + 30*ms, Hash: routesOf(e.Plan, near, r.Table)})
+			}
+			say(0, 1, true)
+			say(1, 1, true)
+			say(0, 2, false)
+			say(1, 3, false)
+			c.spoil(e)
+			got := slices.DeleteFunc(broken(Invariants(e)), func(name string) bool { return name == "told-all" })
+			if !slices.Equal(got, c.want) {
+				t.Errorf("broken %v, want %v", got, c.want)
+			}
+			f := Figures{}
+			e.routeFigures(f)
+			if c.most != 0 && (f["route_told_most_ms"] != c.most || f["route_bytes"] != 400) {
+				t.Errorf("told after %v ms at most in %v bytes", f["route_told_most_ms"], f["route_bytes"])
+			}
+		})
+	}
+}
