--- a/balance/health.go
+++ b/balance/health.go
@@ -8,11 +8,12 @@
 
 const (
 	tickEvery   = 100 * time.Millisecond // housekeeping
-	memory      = 6 * time.Second        // what answers have taught fades by 1/e in this time
+	memory      = 6 * time.Second        // what requests and own answers have taught fades by 1/e in it
+	recent      = time.Second            // what answers of all have, and own ones with none newer
 	fullAt      = 2.5                    // of the usual time for its size when idle: below it none is full
 	unseen      = 1.0                    // requests of others that each endpoint is taken to hold
 	prior       = 2.0                    // requests held by which an endpoint's own record outweighs its peers'
-	idleAfter   = 100                    // requests held in a mean that is true to a tenth or two
+	idleAfter   = 17                     // requests held in a mean that is true to a third
 	idleKeep    = 10                     // memories in which what an idle fleet takes is forgotten by 1/e
 	faultBar    = 1.6                    // faults that eject: two without some successes between them
 	faultKeep   = 0.85                   // what a success leaves of the faults
@@ -49,75 +50,65 @@
 // expect is the answer time in seconds that a request sent now can expect, from what the endpoint's answers
 // took for each request held. A little-used one is judged by its group, as kinds and zones are not equally
 // loaded, and a little-used group by the fleet. Danger: a sidecar that believes the fleet too slow sends
-// nothing and never learns better; the belief fades while no answer comes. Danger: a cold endpoint has no
-// part in its peers' queues, longest just then; its turns bound what it gets, its own answers tell the rest.
+// nothing and never learns better; the belief fades while no answer comes, as fast as what all have taught.
+// Danger: a cold endpoint has no part in warm ones' queues, longest just then; cold ones are its peers.
 func (b *Balancer) expect(e *endpoint, now Time) float64 {
 	group := (e.home.took + e.home.owed + prior*b.fleet.usual()) / (e.home.held + prior)
 	if e.warm < 1 {
-		group = 0
+		group = b.cold.took / (b.cold.held + prior)
 	}
-	drain := (e.took + e.owed(now) + prior*group/e.Size) / (e.held + prior)
+	drain := (e.took*e.fresh + e.owed(now) + prior*group/e.able()) / (e.held*e.fresh + prior)
 	if e.awaited() == 0 {
-		drain *= max(0, 1-(now-b.heard).Seconds()/memory.Seconds())
+		drain *= max(0, 1-(now-b.heard).Seconds()/recent.Seconds())
 	}
 	return (float64(e.awaited()+1) + unseen) * drain
 }
 
+// able is the registered size of what an endpoint can do now.
+func (e *endpoint) able() float64 { return e.Size * math.Max(e.warm, 0.01) }
+
 // owed is the sum in seconds of how long the requests in flight have been out. Danger: the first answers to
 // come are the quick ones; a slowed endpoint owes answers before its answers tell; a dead one looks idle.
-func (e *endpoint) owed(now Time) float64 { return (now*Time(e.awaited()) - e.sent).Seconds() }
+func (e *endpoint) owed(now Time) float64 {
+	var sum Time
+	for _, f := range e.flights {
+		if !f.lost() {
+			sum += now - f.sent
+		}
+	}
+	return sum.Seconds()
+}
 
 // awaited is the number of requests in flight whose answers may still come.
-func (e *endpoint) awaited() int { return e.inFlight - e.lost }
+func (e *endpoint) awaited() (n int) {
+	for _, f := range e.flights {
+		if !f.lost() {
+			n++
+		}
+	}
+	return n
+}
 
-// lost tells whether so many later answers have passed an attempt that its own is not slow but lost.
-// Danger: a single lost answer would close an endpoint that serves all others, until that attempt times out.
+// lost tells whether so many later answers have passed an attempt that its own is not slow but lost, or none
+// is due for now. Danger: one lost answer would close an endpoint that serves all others, until that attempt
+// times out; a body that comes slowly, or an answer that is read slowly, would make it seem slow.
 func (f *flight) lost() bool { return f.apart || f.passed >= passedBy }
 
 // depart takes in that the request's next attempt is sent.
 func (e *endpoint) depart(q *request, now Time) *flight {
-	f := &flight{id: q.ID, number: len(q.attempts), sent: now}
 	e.inFlight++
-	e.sent += now
-	e.flights = append(e.flights, f)
-	return f
-}
-
-// setApart has nothing be owed for an attempt. Danger: a body that a client sends slowly, or an answer that
-// it reads slowly, would make a sound endpoint seem slow.
-func (e *endpoint) setApart(f *flight) {
-	if !f.lost() {
-		e.lost++
-		e.sent -= f.sent
-	}
-	f.apart = true
-}
-
-// owe has an answer be owed for an attempt from now on.
-func (e *endpoint) owe(f *flight, now Time) {
-	if f.apart {
-		f.apart, f.sent, f.passed = false, now, 0
-		e.lost--
-		e.sent += now
-	}
+	e.flights = append(e.flights, &flight{id: q.ID, number: len(q.attempts), sent: now, apart: q.Coming})
+	return e.flights[len(e.flights)-1]
 }
 
 // arrive takes in that an attempt has ended, and what that tells of those sent before it.
 func (e *endpoint) arrive(f *flight, served bool) {
 	at := slices.Index(e.flights, f)
 	e.flights = slices.Delete(e.flights, at, at+1)
-	if e.inFlight--; f.lost() {
-		e.lost--
-	} else {
-		e.sent -= f.sent
-	}
+	e.inFlight--
 	for _, old := range e.flights[:at] {
-		if !served || old.apart || old.sent >= f.sent {
-			continue
-		}
-		if old.passed++; old.passed == passedBy {
-			e.lost++
-			e.sent -= old.sent
+		if served && !old.apart && old.sent < f.sent {
+			old.passed++
 		}
 	}
 }
@@ -145,16 +136,21 @@
 	if r.Outcome == Served || r.Outcome == TimedOut && !a.flight.lost() {
 		e.took += r.Took.Seconds()
 		e.held += a.held
+		e.fresh = 1
 	}
 	if r.Outcome == Served { // Danger: what a silent endpoint never answers would make its sound peers seem slow
-		for _, g := range [...]*group{e.home, b.fleet} {
+		peers := []*group{e.home, b.fleet}
+		if e.warm < 1 {
+			peers = []*group{&b.cold}
+		}
+		for _, g := range peers {
 			g.took += r.Took.Seconds()
-			g.held += a.held / e.Size
+			g.held += a.held / e.able()
 		}
 	}
 	switch r.Outcome {
 	case Saturated: // its queue is full: as bad as an answer at the aim
-		e.took += b.aim
+		e.took, e.fresh = e.took+b.aim, 1
 	case Served:
 		e.faults, e.served, e.struck = e.faults*faultKeep, now, 0
 	case Errored, TimedOut, ConnectFailed, Reset:
@@ -172,16 +168,21 @@
 	}
 }
 
-// fade lets go of old knowledge, but for what is to be kept, and recounts warmth and the share ejected.
+// fade lets go of the knowledge that is older by some time, and recounts warmth and the share ejected.
+// Danger: what a jam has taught must not outlast it. Endpoints that seem full get nothing and cannot tell
+// better: one is believed what its own answers told while they are recent, and then what the others tell.
 // Danger: where most endpoints seem bad, the fault is likely our own; then ejection is suspended.
-func (b *Balancer) fade(now Time, keep float64) {
+func (b *Balancer) fade(now Time, older time.Duration) {
 	var out, all float64
-	b.arrived, b.room = b.arrived*keep, 0
+	kept := func(memory time.Duration) float64 { return math.Exp(-older.Seconds() / memory.Seconds()) }
+	b.arrived, b.room = b.arrived*kept(memory), 0
+	b.cold.fade(kept(recent))
 	for _, g := range b.groups {
-		g.took, g.held, g.owed = g.took*keep, g.held*keep, 0
+		g.fade(kept(recent))
 	}
+	keep := kept(memory)
 	for _, e := range b.active {
-		e.took, e.held = e.took*keep, e.held*keep
+		e.took, e.held, e.fresh = e.took*keep, e.held*keep, e.fresh*kept(recent)
 		e.warm = b.warmth(e, now)
 		e.home.owed += e.owed(now)
 		b.room += e.Size * e.warm * b.near[e.abroad]
@@ -191,13 +192,15 @@
 	}
 	// Danger: if full went by the present usual time, queues everywhere would raise the bar, and none be full.
 	if u := b.fleet.usual(); b.fleet.held >= idleAfter {
-		if b.idle += (u - b.idle) * (1 - keep) / idleKeep; b.idle > u || b.idle == 0 {
+		if b.idle += (u - b.idle) * (1 - kept(memory)) / idleKeep; b.idle > u || b.idle == 0 {
 			b.idle = u
 		}
 	}
 	b.panicking = out > ejectMost*all
 }
 
+func (g *group) fade(keep float64) { g.took, g.held, g.owed = g.took*keep, g.held*keep, 0 }
+
 // warmth is the share of its capacity that an endpoint has: it rises evenly from its start.
 func (b *Balancer) warmth(e *endpoint, now Time) float64 {
 	age := now - e.from
@@ -211,6 +214,4 @@
 // Danger: sidecars that all turn to a cold endpoint, as it alone seems free, push it over. When each keeps to
 // its turns, it gets no more for its warmth than half the fall multiple of the fleet's mean, whatever the
 // number of sidecars.
-func (b *Balancer) coldRoom(e *endpoint) bool {
-	return e.warm >= 1 || e.due >= 1
-}
+func (b *Balancer) coldRoom(e *endpoint) bool { return e.warm >= 1 || e.due >= 1 }
