--- a/balance/keep.go
+++ b/balance/keep.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -39,6 +38,7 @@
 	Started Time   `json:"started"` // of the process that it is believed of; 0: long ago
 	Cold    Time   `json:"cold"`    // from when on it counted as cold; 0: it does not
 	KeptSum
+	Fresh  float64       `json:"fresh"` // as Held, but what answers have told lately
 	Faults float64       `json:"faults"`
 	Due    float64       `json:"due"` // of its next turn
 	Out    time.Duration `json:"out"` // it stays ejected for so long
@@ -51,7 +51,7 @@
 		k.Groups = append(k.Groups, KeptSum{g.took, g.held})
 	}
 	for _, e := range b.endpoints[:min(len(b.endpoints), mostKept)] {
-		s := KeptServer{ID: e.ID, Started: e.Started, Cold: e.from, KeptSum: KeptSum{e.took, e.held}, Faults: e.faults, Due: e.due, Out: max(0, e.until-now)}
+		s := KeptServer{ID: e.ID, Started: e.Started, Cold: e.from, KeptSum: KeptSum{e.took, e.held}, Fresh: e.fresh, Faults: e.faults, Due: e.due, Out: max(0, e.until-now)}
 		if now-e.from >= b.set.ColdTime {
 			s.Cold = 0
 		}
@@ -91,17 +91,17 @@
 	}
 	for _, s := range k.Endpoints[:min(len(k.Endpoints), mostKept)] {
 		e := b.known[s.ID]
-		if e == nil || e.Started != s.Started || !s.sound() || !sound(s.Faults, faultBar) || !sound(s.Due, mostSum) || !sound(s.Out.Seconds(), ejectFor.Seconds()) {
+		if e == nil || e.Started != s.Started || !s.sound() || !sound(s.Fresh, mostSum) || !sound(s.Faults, faultBar) || !sound(s.Due, mostSum) || !sound(s.Out.Seconds(), ejectFor.Seconds()) {
 			continue
 		}
-		e.took, e.held, e.faults, e.due = s.Took, s.Held, s.Faults, s.Due
+		e.took, e.held, e.fresh, e.faults, e.due = s.Took, s.Held, s.Fresh, s.Faults, s.Due
 		e.from = cmp.Or(min(max(s.Cold, 0), now), e.from)
 		if s.Out > age {
 			e.until = now + s.Out - age
 		}
 	}
 	b.regroup(now)
-	b.fade(now, math.Exp(-age.Seconds()/memory.Seconds()))
+	b.fade(now, age)
 	b.heard = now - age
 }
 
