--- a/balance/keep.go
+++ b/balance/keep.go
@@ -91,7 +91,7 @@
 	}
 	for _, s := range k.Endpoints[:min(len(k.Endpoints), mostKept)] {
 		e := b.known[s.ID]
-		if e == nil || e.Started != s.Started || !s.sound() || !sound(s.Fresh, mostSum) || !sound(s.Faults, faultBar) || !sound(s.Due, mostSum) || !sound(s.Out.Seconds(), ejectFor.Seconds()) {
+		if e == nil || e.Started != s.Started || !s.sound() || !sound(s.Fresh, 1) || !sound(s.Faults, faultBar) || !sound(s.Due, mostSum) || !sound(s.Out.Seconds(), ejectFor.Seconds()) {
 			continue
 		}
 		e.took, e.held, e.fresh, e.faults, e.due = s.Took, s.Held, s.Fresh, s.Faults, s.Due
