Opening a watch, the age of what is followed, and a link fault's steps are each written once

The watch of the list and that of the routes each took its place and began its answer by lines of their own; both followers kept and read the same time; three draws of link faults turned reset and half-open into steps alike.

--- a/internal/client/follow.go
+++ b/internal/client/follow.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"gradeusher.example/gradeusher/internal/list"
@@ -36,7 +35,6 @@
 	rounds
 	o      Options
 	reader *Reader
-	fresh  atomic.Int64 // Unix time in ns at which the list was last known to be up to date; 0: never
 	saves  *saver[list.List]
 	second chan reading // the answer to a second reading that was asked for
 	asked  time.Time    // when it last was
@@ -81,15 +79,6 @@
 	return f, nil
 }
 
-// Age is how long ago the list was last known to be up to date. It tells false where it never was.
-func (f *Follower) Age() (time.Duration, bool) {
-	at := f.fresh.Load()
-	if at == 0 {
-		return 0, false
-	}
-	return time.Since(time.Unix(0, at)), true
-}
-
 // Run follows until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -196,7 +185,7 @@
 	if l.AgeMS != nil {
 		at = at.Add(-time.Duration(*l.AgeMS) * time.Millisecond)
 	}
-	f.fresh.Store(max(f.fresh.Load(), at.UnixNano()))
+	f.freshAt(at)
 	f.tell(changes, first)
 	if f.reader.Rev() != rev {
 		f.dirty = true
--- a/internal/client/followroutes.go
+++ b/internal/client/followroutes.go
@@ -51,7 +51,6 @@
 	whole bool // what is held may not be what the keepers think: the next watch asks for all
 	saves *saver[Held]
 
-	fresh                     atomic.Int64 // Unix time in ns at which it was last known to be the newest; 0: never
 	wholes, diffs, mismatches atomic.Int64
 }
 
@@ -84,8 +83,8 @@
 func (f *RouteFollower) Figures() RouteFigures {
 	h := f.held.Load()
 	n := RouteFigures{Gen: h.Gen, Age: -1, Rules: len(h.Rules), Whole: f.wholes.Load(), Diffs: f.diffs.Load(), Mismatches: f.mismatches.Load()}
-	if at := f.fresh.Load(); at != 0 {
-		n.Age = time.Since(time.Unix(0, at))
+	if age, known := f.Age(); known {
+		n.Age = age
 	}
 	return n
 }
@@ -155,7 +154,7 @@
 			if n.AgeMS != nil {
 				at = at.Add(-time.Duration(*n.AgeMS) * time.Millisecond)
 			}
-			f.fresh.Store(max(f.fresh.Load(), at.UnixNano()))
+			f.freshAt(at)
 		case keepers := <-f.moves:
 			f.moved(keepers)
 			return came, 0, errMoved
--- a/internal/client/rounds.go
+++ b/internal/client/rounds.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -26,6 +27,7 @@
 	next    int           // the keeper that is watched next
 	patient bool          // no keeper is in touch: the age is borne
 	moves   chan []string // keepers to go on with
+	fresh   atomic.Int64  // Unix time in ns at which what is held was last known to be up to date; 0: never
 	http    *http.Transport
 }
 
@@ -36,6 +38,18 @@
 			ResponseHeaderTimeout: list.Silence}}
 }
 
+// Age is how long ago what is held was last known to be up to date. It tells false where it never was. Any goroutine may ask.
+func (r *rounds) Age() (time.Duration, bool) {
+	at := r.fresh.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return time.Since(time.Unix(0, at)), true
+}
+
+// freshAt notes that what is held was up to date at a time, unless it is known to have been later.
+func (r *rounds) freshAt(at time.Time) { r.fresh.Store(max(r.fresh.Load(), at.UnixNano())) }
+
 // Move has other keepers be followed from now on. Of several moves that come at once the last counts.
 func (r *rounds) Move(keepers []string) error {
 	if err := checkKeepers(keepers); err != nil {
--- a/internal/keeper/routes.go
+++ b/internal/keeper/routes.go
@@ -9,10 +9,8 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/list"
 	"gradeusher.example/gradeusher/internal/state"
 )
 
@@ -231,12 +229,8 @@
 // ends. Each names the generation that the watcher then holds, so he can go on from there anywhere. Generations that come
 // while a watcher is being written to lead to one line.
 func (k *Keeper) watchRoutes(w http.ResponseWriter, r *http.Request, a routesAsked) error {
-	if !k.starts.Allow() {
-		return errStart
-	}
-	if k.routeWatchers.Add(1) > int64(k.config.Limits.Watchers) {
-		k.routeWatchers.Add(-1)
-		return errPlaces
+	if err := k.enter(&k.routeWatchers); err != nil {
+		return err
 	}
 	defer k.routeWatchers.Add(-1)
 	held, err := k.heldBy(r, a)
@@ -247,14 +241,7 @@
 	if err != nil {
 		return err
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Cache-Control", "no-store")
-	w.WriteHeader(http.StatusOK)
-	every := list.Heartbeat * 3 / 4 // so that a slow network brings it in time
-	if a.ages {
-		every = list.AgeBeat
-	}
-	beat := time.NewTicker(every)
+	beat := begin(w, a.ages)
 	defer beat.Stop()
 	line := []byte("\n") // says that the watch is open, also where there is nothing new
 	for from := a.from; ; {
--- a/internal/keeper/watch.go
+++ b/internal/keeper/watch.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"gradeusher.example/gradeusher/internal/list"
@@ -134,16 +135,37 @@
 	return a.from, nil
 }
 
-// watch writes what changes after a revision until the caller goes, is too slow, or this keeper ends. Every line names the
-// revision that the watcher then holds, so he can go on from there anywhere.
-func (k *Keeper) watch(w http.ResponseWriter, r *http.Request, a asked) error {
+// enter takes a place among watchers, which the caller gives back. It refuses where there is none, or too many come at once.
+func (k *Keeper) enter(watchers *atomic.Int64) error {
 	if !k.starts.Allow() {
 		return errStart
 	}
-	if k.watchers.Add(1) > int64(k.config.Limits.Watchers) {
-		k.watchers.Add(-1)
+	if watchers.Add(1) > int64(k.config.Limits.Watchers) {
+		watchers.Add(-1)
 		return errPlaces
 	}
+	return nil
+}
+
+// begin begins the answer of a watch, and returns when it has to say something though nothing changed.
+func begin(w http.ResponseWriter, ages bool) *time.Ticker {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "no-store")
+	w.WriteHeader(http.StatusOK)
+	every := list.Heartbeat * 3 / 4 // so that a slow network brings it in time
+	if ages {
+		every = list.AgeBeat
+	}
+	return time.NewTicker(every)
+}
+
+// watch writes what changes after a revision until the caller goes, is too slow, or this keeper ends. Every line names the
+// revision that the watcher then holds, so he can go on from there anywhere.
+func (k *Keeper) watch(w http.ResponseWriter, r *http.Request, a asked) error {
+	if err := k.enter(&k.watchers); err != nil {
+		return err
+	}
 	defer k.watchers.Add(-1)
 	from, err := k.catchUp(r, a)
 	if err != nil {
@@ -152,15 +174,7 @@
 	if _, _, err := k.store.all(); err != nil {
 		return err
 	}
-	h := w.Header()
-	h.Set("Content-Type", "application/json")
-	h.Set("Cache-Control", "no-store")
-	w.WriteHeader(http.StatusOK)
-	every := list.Heartbeat * 3 / 4 // so that a slow network brings it in time
-	if a.ages {
-		every = list.AgeBeat
-	}
-	beat := time.NewTicker(every)
+	beat := begin(w, a.ages)
 	defer beat.Stop()
 	for first, ok := true, true; ok; first = false {
 		n := k.store.after(from)
--- a/internal/lab/plan/linksteps.go
+++ b/internal/lab/plan/linksteps.go
@@ -36,22 +36,26 @@
 			far = append(far, d.Servers[d.living[i].index].UID)
 		}
 	}
-	effect := t.effect()
 	for _, uid := range far {
-		s := Step{At: at, Do: Link, Sidecar: ListIndex, Server: uid, Nears: nears, Group: group, Effect: effect, On: true}
-		switch t.Do {
-		case "reset", "half-open":
-			if s.Do = Reset; t.Do == "half-open" {
-				s.Do = Forget
-			}
-			d.step(s)
-			continue
-		}
-		d.step(s)
+		d.linkSteps(t, at, end, Step{Sidecar: ListIndex, Server: uid, Nears: nears, Group: group})
+	}
+	return nil
+}
+
+// linkSteps adds the steps of a fault on the links that s names: one where it happens at once, else its beginning and its end.
+func (d *drawer) linkSteps(t *Fault, at, end time.Duration, s Step) {
+	s.At, s.Do, s.Effect, s.On = at, Link, t.effect(), true
+	switch t.Do {
+	case "reset":
+		s.Do = Reset
+	case "half-open":
+		s.Do = Forget
+	}
+	d.step(s)
+	if s.Do == Link {
 		s.At, s.On = end, false
 		d.step(s)
 	}
-	return nil
 }
 
 // effect is what a fault makes of a link.
@@ -79,18 +83,7 @@
 		return err
 	}
 	for _, i := range chosen {
-		s := Step{At: at, Do: Link, Sidecar: i, From: t.From, Effect: t.effect(), On: true}
-		switch t.Do {
-		case "reset":
-			s.Do = Reset
-		case "half-open":
-			s.Do = Forget
-		}
-		d.step(s)
-		if s.Do == Link {
-			s.At, s.On = end, false
-			d.step(s)
-		}
+		d.linkSteps(t, at, end, Step{Sidecar: i, From: t.From})
 	}
 	return nil
 }
@@ -108,17 +101,6 @@
 	if err != nil {
 		return err
 	}
-	s := Step{At: at, Do: Link, Sidecar: ListIndex, Peers: true, Nears: chosen, From: t.From, Effect: t.effect(), On: true}
-	switch t.Do {
-	case "reset":
-		s.Do = Reset
-	case "half-open":
-		s.Do = Forget
-	}
-	d.step(s)
-	if s.Do == Link {
-		s.At, s.On = end, false
-		d.step(s)
-	}
+	d.linkSteps(t, at, end, Step{Sidecar: ListIndex, Peers: true, Nears: chosen, From: t.From})
 	return nil
 }
