What a process left is read by one bounded reader

The file of beliefs and the one of servers out by hand each looked at the size and then read, by the same lines; sealed.ReadFile does it for both. Bounds and errors are as before.

--- a/internal/sealed/sealed.go
+++ b/internal/sealed/sealed.go
@@ -54,6 +54,18 @@
 	return body, nil
 }
 
+// ReadFile is a file of at most so many bytes. Danger: a foreign one may have any size.
+func ReadFile(path string, most int64) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > most {
+		return nil, fmt.Errorf("%s has %d bytes", path, info.Size())
+	}
+	return os.ReadFile(path)
+}
+
 // WriteFile replaces a file by a whole new one: after a crash there is the old one or the new one.
 func WriteFile(path string, text []byte) error {
 	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-*")
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"gradeusher.example/gradeusher/internal/sealed"
 )
 
 const (
@@ -73,14 +75,7 @@
 }
 
 func (f *handover) read() ([]string, error) {
-	info, err := os.Stat(f.path)
-	if err != nil {
-		return nil, err
-	}
-	if info.Size() > mostHandover {
-		return nil, fmt.Errorf("%s has %d bytes", f.path, info.Size())
-	}
-	text, err := os.ReadFile(f.path)
+	text, err := sealed.ReadFile(f.path, mostHandover)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/kept.go
+++ b/internal/sidecar/kept.go
@@ -4,11 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io/fs"
 	"log/slog"
 	"net/url"
-	"os"
 	"path/filepath"
 	"time"
 
@@ -58,14 +56,7 @@
 }
 
 func (k *kept) read() (b beliefs, err error) {
-	info, err := os.Stat(k.path)
-	if err != nil {
-		return b, err
-	}
-	if info.Size() > mostBeliefs {
-		return b, fmt.Errorf("%s has %d bytes", k.path, info.Size())
-	}
-	text, err := os.ReadFile(k.path)
+	text, err := sealed.ReadFile(k.path, mostBeliefs)
 	if err != nil {
 		return b, err
 	}
