A torn log of the lab loses what was written, not what was laid out ahead

The lab's tear cut a log's file to half of its size; bbolt lays a file out ahead in steps that double, and where the half still held all pages in use nothing was torn: the keeper came back whole, as it should.

--- a/internal/lab/keepersteps.go
+++ b/internal/lab/keepersteps.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"go.etcd.io/bbolt"
+
 	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/plan"
@@ -176,11 +178,32 @@
 	}
 	slices.SortFunc(paths, func(a, b string) int { return cmp.Compare(modified(a), modified(b)) })
 	path := paths[len(paths)-1]
-	info, err := os.Stat(path)
+	size, err := inUse(path)
 	if err != nil {
 		return err
 	}
-	return os.Truncate(path, info.Size()/2)
+	return os.Truncate(path, size/2)
+}
+
+// inUse is how many bytes of a file hold anything: a log's file is laid out ahead of what is written, and a tear in that part is none.
+func inUse(path string) (size int64, err error) {
+	if filepath.Base(path) != "log.bolt" {
+		info, err := os.Stat(path)
+		if err != nil {
+			return 0, err
+		}
+		return info.Size(), nil
+	}
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second, ReadOnly: true})
+	if err != nil {
+		return 0, err
+	}
+	defer db.Close()
+	err = db.View(func(tx *bbolt.Tx) error {
+		size = tx.Size()
+		return nil
+	})
+	return size, err
 }
 
 func modified(path string) int64 {
