State: duties, with epochs, fair order, pauses and steps

Who holds what must be the same on every keeper. Campaign, release, move, checkpoint and the end of leases are commands; who is next is chosen in the state, by room, load and wait; time for pauses stands in the commands.

--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -9,10 +9,11 @@
 	"gradeusher.example/gradeusher/internal/sealed"
 )
 
-// kind is the form of a snapshot. Needs rises only where an older program would lose what matters: where there are routes.
-var kind = sealed.Kind{Magic: "gradeusher-state", Form: 2, Needs: 1}
+// kind is the form of a snapshot. Needs rises only where an older program would lose what matters: where there are
+// routes, or duties.
+var kind = sealed.Kind{Magic: "gradeusher-state", Form: 3, Needs: 1}
 
-// MostSnapshot bounds a snapshot, in bytes. A full state (MostServers, MostHistory, MostRouteBytes) takes some 35 MB.
+// MostSnapshot bounds a snapshot, in bytes. A full state (MostServers, MostHistory, MostRouteBytes, MostDuties, MostCandidacies) takes some 65 MB.
 const MostSnapshot = 256 << 20
 
 type snapshot struct {
@@ -24,11 +25,12 @@
 	Keepers []Keeper `json:"keepers"`
 
 	Routes *routingForm `json:"routes,omitempty"` // form 2
+	Duties *dutiesForm  `json:"duties,omitempty"` // form 3
 }
 
 // Snapshot is the whole state as bytes: a line with the form and a checksum, and JSON.
 func (m *Machine) Snapshot() ([]byte, error) {
-	body, err := json.Marshal(snapshot{m.cluster, m.rev, m.lease, m.Entries(), m.history, m.Keepers(), m.routing.form()})
+	body, err := json.Marshal(snapshot{m.cluster, m.rev, m.lease, m.Entries(), m.history, m.Keepers(), m.routing.form(), m.duties.form()})
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: %w", err)
 	}
@@ -36,6 +38,9 @@
 	if m.routing.gen > 0 {
 		k.Needs = 2
 	}
+	if len(m.duties.all) > 0 {
+		k.Needs = 3
+	}
 	return k.Seal(body), nil
 }
 
@@ -61,6 +66,9 @@
 	if m.routing, err = s.Routes.routing(); err != nil {
 		return nil, err
 	}
+	if m.duties, err = s.Duties.duties(); err != nil {
+		return nil, err
+	}
 	for _, k := range s.Keepers {
 		m.keepers[k.Name] = k
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -54,6 +54,7 @@
 	Rules   routes.Table        `json:"rules,omitempty"`   // routes; none: the empty table, unless there is a base
 	Base    *int64              `json:"base,omitempty"`    // routes: in place of Rules, Ops lead there from this generation
 	Ops     []routes.Op         `json:"ops,omitempty"`     // routes
+	Duty    *DutyCall           `json:"duty,omitempty"`    // of duties
 }
 
 // Ended names a lease that has ended. One that was granted anew since then is left alone.
@@ -122,6 +123,8 @@
 	Gen     int64    // of routes: of the table that is there now
 	Routed  bool     // that is a new one
 	Moved   bool     // it was refused because the base is no longer the last generation
+	Duty    *Duty    // of duties: the one named, as it is now
+	Dutied  bool     // a duty may have changed
 	Err     *Error   // it was refused
 }
 
@@ -134,11 +137,12 @@
 	history []Change // the last is that of rev; empty after a restore
 	keepers map[string]Keeper
 	routing routing
+	duties  duties
 }
 
 // New is a state in which nothing has happened.
 func New() *Machine {
-	return &Machine{entries: map[string]*Entry{}, keepers: map[string]Keeper{}}
+	return &Machine{entries: map[string]*Entry{}, keepers: map[string]Keeper{}, duties: newDuties()}
 }
 
 // Cluster is the id of the cluster whose state this is; "": it has none yet.
@@ -235,6 +239,12 @@
 		r.Err = m.member(c)
 	case Route:
 		r = m.route(c)
+	case Campaign, Withdraw, Release, Move, Checkpoint, End, Office:
+		call := DutyCall{}
+		if c.Duty != nil {
+			call = *c.Duty
+		}
+		r = m.duty(c.Op, call)
 	default:
 		r.Err = refuse(Bad, "unknown command %.40q", c.Op)
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -255,7 +255,7 @@
 	if err := json.Unmarshal(body, &fields); err != nil {
 		t.Fatal(err)
 	}
-	fields["duties"] = []string{"of a later version"}
+	fields["limits"] = []string{"of a later version"}
 	body, _ = json.Marshal(fields)
 	later := sealed.Kind{Magic: kind.Magic, Form: kind.Form + 1, Needs: kind.Form}
 	next, err := ReadSnapshot(bytes.NewReader(later.Seal(body)))
