Keepers give duties: leases counted by the leader, plain JSON, a watch

The state says who holds what; when a lease ends is the leader's to say, on its own clock, without a log entry a renewal. An end that is decided is marked before it goes to the log, so that no renewal is answered after it, and carries the number of the office. One renewal serves all duties of a process. A restore leaves duties as they are.

--- a/internal/keeper/admin.go
+++ b/internal/keeper/admin.go
@@ -160,10 +160,16 @@
 	if m.Cluster() == "" {
 		return badf("the backup is of a cluster that never began")
 	}
+	k.restoring.Lock()
+	defer k.restoring.Unlock()
 	floor := time.Now().UnixMicro()
 	k.store.read(func(now *state.Machine) {
 		floor = max(floor, now.Rev()+1, now.Generation()+1)
+		err = m.KeepDuties(now)
 	})
+	if err != nil {
+		return err
+	}
 	m.Raise(floor)
 	text, err := m.Snapshot()
 	if err != nil {
--- /dev/null
+++ b/internal/keeper/duties.go
@@ -0,0 +1,222 @@
+package keeper
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/state"
+)
+
+// proposeDuty has a command of duties agreed on, at the time that it is here, and returns the number that the result has. A restore
+// that goes on refuses it.
+func (k *Keeper) proposeDuty(ctx context.Context, op state.Op, c state.DutyCall) (int64, error) {
+	r, err := k.proposeDutyWhole(ctx, op, c)
+	return r.Rev, err
+}
+
+func (k *Keeper) proposeDutyWhole(ctx context.Context, op state.Op, c state.DutyCall) (state.Result, error) {
+	// Danger: a duty that is granted while a backup takes the place of the state would be granted again.
+	if !k.restoring.TryRLock() {
+		return state.Result{}, errCrowded
+	}
+	defer k.restoring.RUnlock()
+	c.NowMS = time.Now().UnixMilli()
+	return k.propose(ctx, state.Command{Op: op, Duty: &c})
+}
+
+// dutyWrite is a call that changes a duty.
+func (k *Keeper) dutyWrite(op state.Op) func(http.ResponseWriter, *http.Request) error {
+	return func(w http.ResponseWriter, r *http.Request) error {
+		var c client.DutyCall
+		if err := decode(r, &c); err != nil {
+			return err
+		}
+		result, err := k.proposeDutyWhole(r.Context(), op, state.DutyCall{Name: r.PathValue("name"), Who: c.Who, Room: c.Room, At: c.At, Load: c.Load,
+			TTLMS: c.TTLMS, Epoch: c.Epoch, To: c.To, Again: c.Again, Failed: c.Failed, Force: c.Force, Step: c.Step, StepNo: c.StepNo})
+		if err != nil {
+			return err
+		}
+		a := client.DutyDone{Duty: *result.Duty}
+		k.store.read(func(m *state.Machine) { a.Cluster = m.Cluster() })
+		reply(w, http.StatusOK, a)
+		return nil
+	}
+}
+
+// renewDuties begins the leases of all duties of a process anew, and answers all that it holds and waits for.
+func (k *Keeper) renewDuties(w http.ResponseWriter, r *http.Request) error {
+	var c struct {
+		Who string `json:"who"`
+	}
+	if err := decode(r, &c); err != nil {
+		return err
+	}
+	if err := state.CheckWho(c.Who); err != nil {
+		return badf("who: %w", err)
+	}
+	if !k.restoring.TryRLock() {
+		return errCrowded
+	}
+	defer k.restoring.RUnlock()
+	// Danger: a leader that was stopped and wakes would say that all is well while another has given the duties away.
+	if err := k.replica.Confirm(r.Context()); err != nil {
+		return err
+	}
+	a := client.DutyRenewal{Holds: []client.HeldDuty{}, Waits: []string{}}
+	var all []state.Duty
+	k.store.read(func(m *state.Machine) { a.Cluster, a.Rev, all = m.Cluster(), m.DutyRev(), m.DutiesOf(c.Who) })
+	renewed, ok := k.tenures.renew(time.Now(), c.Who, all)
+	if !ok {
+		return errBehind
+	}
+	for i, d := range all {
+		if d.Is(c.Who) {
+			a.Holds = append(a.Holds, client.HeldDuty{Name: d.Name, Epoch: d.Epoch, TTLMS: d.Holder.TTLMS, Renewed: renewed[i], Asked: d.Asked, To: d.To, Step: d.Step, StepNo: d.StepNo})
+		} else {
+			a.Waits = append(a.Waits, d.Name)
+		}
+	}
+	reply(w, http.StatusOK, a)
+	return nil
+}
+
+// dutiesAsked is a call for duties.
+type dutiesAsked struct {
+	asked
+	who, name string // only those of a process, or one
+}
+
+func parseDutiesAsked(r *http.Request) (a dutiesAsked, err error) {
+	if a.asked, err = parseAsked(r); err != nil {
+		return a, err
+	}
+	a.who, a.name = r.URL.Query().Get("who"), r.URL.Query().Get("name")
+	if a.who != "" {
+		if err := state.CheckWho(a.who); err != nil {
+			return a, badf("who: %w", err)
+		}
+	}
+	return a, nil
+}
+
+// dutyNews is what is new for one who knows a revision; told are the names that he was told of, where he asks for a process's.
+func (k *Keeper) dutyNews(a dutiesAsked, from int64, told map[string]bool) (n client.DutyNews, changed <-chan struct{}) {
+	n = client.DutyNews{All: from < 0, Duties: []state.Duty{}}
+	k.store.read(func(m *state.Machine) {
+		changed = k.store.dutied
+		n.Rev, n.Cluster = m.DutyRev(), m.Cluster()
+		switch {
+		case a.who == "":
+			n.Duties = append(n.Duties, m.Duties(from)...)
+		default:
+			for _, d := range m.DutiesOf(a.who) {
+				told[d.Name] = true
+			}
+			for name := range told {
+				if d, ok := m.Duty(name); ok && d.Rev > from {
+					n.Duties = append(n.Duties, d)
+				}
+			}
+		}
+	})
+	kept := n.Duties[:0]
+	for _, d := range n.Duties {
+		if a.name != "" && d.Name != a.name {
+			continue
+		}
+		if a.who != "" { // who else waits is nothing to him
+			own := d.Waits(a.who)
+			if own >= 0 {
+				d.Waiting = d.Waiting[own : own+1]
+			} else {
+				d.Waiting = nil
+			}
+			d.Failed = nil
+			if own < 0 && !d.Is(a.who) {
+				delete(told, d.Name)
+			}
+		}
+		kept = append(kept, d)
+	}
+	n.Duties = kept
+	return n, changed
+}
+
+// duties answers duties, or a watch.
+func (k *Keeper) duties(w http.ResponseWriter, r *http.Request) {
+	a, err := parseDutiesAsked(r)
+	if err == nil && a.watch {
+		if err = k.watchDuties(w, r, a); err != nil {
+			k.refuse(w, "watch-duties", err)
+		}
+		return
+	}
+	k.admit("duties", func(w http.ResponseWriter, r *http.Request) error {
+		if err != nil {
+			return err
+		}
+		if a.exact {
+			if err := k.replica.Confirm(r.Context()); err != nil {
+				return err
+			}
+		}
+		n, _ := k.dutyNews(a, a.from, map[string]bool{})
+		if n.Cluster == "" {
+			return errNoList
+		}
+		reply(w, http.StatusOK, n)
+		return nil
+	})(w, r)
+}
+
+// watchDuties writes duties that change, until the caller goes, is too slow, or this keeper ends. Changes that come while a line is
+// written make one line.
+func (k *Keeper) watchDuties(w http.ResponseWriter, r *http.Request, a dutiesAsked) error {
+	if err := k.enter(&k.dutyWatchers); err != nil {
+		return err
+	}
+	defer k.dutyWatchers.Add(-1)
+	var rev int64
+	at, err := k.reach(r, a.cluster, func() (ahead bool, changed <-chan struct{}) {
+		k.store.read(func(m *state.Machine) { rev, changed = m.DutyRev(), k.store.dutied })
+		return a.from > rev, changed
+	})
+	switch {
+	case errors.Is(err, errBehind):
+		return fmt.Errorf("%w: it knows revision %d of duties, not %d", errBehind, rev, a.from)
+	case err != nil:
+		return err
+	case at != reached:
+		a.from = -1
+	}
+	beat := begin(w, a.ages)
+	defer beat.Stop()
+	told := map[string]bool{}
+	for from, first := a.from, true; ; first = false {
+		n, changed := k.dutyNews(a, from, told)
+		if first || len(n.Duties) > 0 {
+			line, err := json.Marshal(n)
+			if err != nil || !k.say(w, append(line, '\n')) {
+				return nil // its answer has begun: all there is to say is to end it
+			}
+		}
+		from = n.Rev
+		select {
+		case <-changed:
+			continue
+		case <-beat.C:
+			if !k.say(w, []byte("\n")) {
+				return nil
+			}
+		case <-r.Context().Done():
+			return nil
+		case <-k.ending:
+			return nil
+		}
+	}
+}
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -53,6 +53,12 @@
 	mux.HandleFunc("POST /v1/renew", k.admit("renew", k.renew))
 	mux.HandleFunc("GET /v1/routes", k.routes)
 	mux.HandleFunc("PUT /v1/routes", k.admit("put-routes", k.putRoutes))
+	mux.HandleFunc("GET /v1/duties", k.duties)
+	mux.HandleFunc("POST /v1/duties/renew", k.admit("renew-duties", k.renewDuties))
+	for op, turn := range map[state.Op]client.DutyTurn{state.Campaign: client.Campaign, state.Withdraw: client.Withdraw, state.Release: client.Release,
+		state.Move: client.Move, state.Checkpoint: client.Checkpoint} {
+		mux.HandleFunc("POST /v1/duties/{name}/"+string(turn), k.admit(string(op), k.dutyWrite(op)))
+	}
 	mux.HandleFunc("GET /v1/status", k.status) // always answered: it is asked when all else is refused
 	mux.HandleFunc("POST /v1/keepers", k.admit("join", k.addKeeper))
 	mux.HandleFunc("DELETE /v1/keepers/{name}", k.admit("remove", k.removeKeeper))
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -41,6 +41,9 @@
 	cuts     *cuts
 
 	routeWatchers atomic.Int64
+	dutyWatchers  atomic.Int64
+	tenures       tenures
+	restoring     sync.RWMutex // a backup takes the place of the state; duties are left alone
 	metrics       *metrics
 	member        sync.Mutex // one change of members at a time
 	ending        chan struct{}
@@ -151,6 +154,13 @@
 			}
 		}
 	}
+	var duties sync.WaitGroup
+	defer duties.Wait()
+	duties.Add(1)
+	go func() {
+		defer duties.Done()
+		k.tenure(ctx)
+	}()
 	k.lease(ctx)
 }
 
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -48,6 +48,19 @@
 	gauge("keeper_servers", "Servers on the list.", of(func(s *state.Machine) float64 { return float64(s.Len()) }))
 	gauge("keeper_generation", "Generation of the route table.", of(func(s *state.Machine) float64 { return float64(s.Generation()) }))
 	gauge("keeper_route_watchers", "Watches of the route table that are open.", func() float64 { return float64(k.routeWatchers.Load()) })
+	gauge("keeper_duties", "Duties there are.", of(func(s *state.Machine) (n float64) {
+		s.EachDuty(func(*state.Duty) { n++ })
+		return n
+	}))
+	gauge("keeper_duties_free", "Duties that nobody holds.", of(func(s *state.Machine) (n float64) {
+		s.EachDuty(func(d *state.Duty) {
+			if d.Holder == nil {
+				n++
+			}
+		})
+		return n
+	}))
+	gauge("keeper_duty_watchers", "Watches of duties that are open.", func() float64 { return float64(k.dutyWatchers.Load()) })
 	gauge("keeper_watchers", "Watches that are open.", func() float64 { return float64(k.watchers.Load()) })
 	gauge("keeper_leases_held", "Leases that have ended and are held back.", func() float64 {
 		_, held := k.lessor.figures()
--- a/internal/keeper/store.go
+++ b/internal/keeper/store.go
@@ -21,11 +21,12 @@
 	lines   [][]byte // of the last changes; the last is that of the revision. Never changed in place: watchers hold parts of it
 	changed chan struct{}
 	routed  chan struct{} // closed when there is another route table
+	dutied  chan struct{} // closed when a duty changes
 	whole   []byte        // the list as it was encoded last; nil: not since the last change
 }
 
 func newStore() *store {
-	return &store{machine: state.New(), changed: make(chan struct{}), routed: make(chan struct{})}
+	return &store{machine: state.New(), changed: make(chan struct{}), routed: make(chan struct{}), dutied: make(chan struct{})}
 }
 
 // Apply takes a command of the log. One that cannot be read is refused in the same way everywhere.
@@ -44,6 +45,9 @@
 	if r.Routed {
 		s.tellRouted()
 	}
+	if r.Dutied {
+		s.tellDutied()
+	}
 	return r
 }
 
@@ -74,6 +78,12 @@
 	s.routed = make(chan struct{})
 }
 
+// tellDutied wakes all who wait for a duty that changes. s.mu is held.
+func (s *store) tellDutied() {
+	close(s.dutied)
+	s.dutied = make(chan struct{})
+}
+
 // Snapshot is the whole state.
 func (s *store) Snapshot() ([]byte, error) {
 	s.mu.RLock()
@@ -94,6 +104,7 @@
 	s.lines = s.encode(nil, changes)
 	s.tell()
 	s.tellRouted()
+	s.tellDutied()
 	return nil
 }
 
--- a/internal/state/duties.go
+++ b/internal/state/duties.go
@@ -226,6 +226,15 @@
 	return all
 }
 
+// Duty is one of a name.
+func (m *Machine) Duty(name string) (Duty, bool) {
+	d, ok := m.duties.all[name]
+	if !ok {
+		return Duty{}, false
+	}
+	return d.copied(), true
+}
+
 // EachDuty calls do with each duty, in no order. It must neither be changed nor kept.
 func (m *Machine) EachDuty(do func(*Duty)) {
 	for _, d := range m.duties.all {
@@ -250,6 +259,7 @@
 	switch op {
 	case Office:
 		s.office++
+		r.Rev = s.office
 		return r
 	case End:
 		s.end(c)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -118,7 +118,7 @@
 
 // Result is what became of a command.
 type Result struct {
-	Rev     int64    // of the last change to what the command names, or of the list where it names nothing
+	Rev     int64    // of the last change to what the command names, or of the list where it names nothing; of an Office its number
 	Changes []Change // what it changed, in order
 	Gen     int64    // of routes: of the table that is there now
 	Routed  bool     // that is a new one
