--- a/cmd/gradeusher/standin.go
+++ b/cmd/gradeusher/standin.go
@@ -9,6 +9,7 @@
 
 	"gradeusher.example/gradeusher/internal/lab"
 	"gradeusher.example/gradeusher/internal/lab/standin"
+	"gradeusher.example/gradeusher/internal/members"
 )
 
 // standInCommand is the processes that a lab starts. Its orders come on standard input.
@@ -21,6 +22,7 @@
 	Relay    relayCommand       `cmd:"" help:"The network in front of keepers."`
 	Peers    peersCommand       `cmd:"" help:"The network between sidecars."`
 	Watchers watchersCommand    `cmd:"" help:"Clients that watch the list."`
+	Liar     liarCommand        `cmd:"" help:"A member among sidecars that tells of work that nobody did."`
 
 	Janitor janitorCommand `cmd:"" help:"Removes an experiment's folder when the lab is gone."`
 }
@@ -68,6 +70,19 @@
 // Run obeys until standard input ends.
 func (c peersCommand) Run(s streams) error { return standin.Peers(s.in, s.out, c.Gossip) }
 
+type liarCommand struct {
+	Name      string   `help:"Of the member." required:""`
+	Listen    string   `help:"IP address and port." required:""`
+	Advertise string   `help:"Where others reach it." required:""`
+	Reach     string   `help:"The IP address at which it reaches every other." required:""`
+	Join      []string `help:"Members to join."`
+}
+
+// Run lies as it is told to until standard input ends.
+func (c liarCommand) Run(s streams) error {
+	return standin.Liar(s.in, s.out, members.Options{Name: c.Name, Listen: c.Listen, Advertise: c.Advertise, Reach: c.Reach, Join: c.Join})
+}
+
 type watchersCommand struct {
 	Of []string `help:"The keepers of one client, with slashes."`
 }
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -40,6 +40,7 @@
 	list    *listProcess // the platform's; nil: keepers hold it
 	keepers *keepers     // nil: there are none
 	peers   *peers       // nil: sidecars do not know each other
+	liars   []*child     // members that are no sidecars
 	writers *writers
 	routes  *router // nil: there are no routes
 
@@ -115,7 +116,10 @@
 			return f.ready(ctx, s)
 		})
 	}
-	return f, group.Wait()
+	if err := group.Wait(); err != nil {
+		return f, err
+	}
+	return f, f.startLiars()
 }
 
 // log is the file that all processes of a name write to; what an earlier experiment left there is removed.
@@ -191,6 +195,9 @@
 		end(c)
 	}
 	end(f.list.current())
+	for _, c := range f.liars {
+		end(c)
+	}
 	if f.peers != nil {
 		end(f.peers.relay)
 	}
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -16,7 +16,7 @@
 type peers struct {
 	fleet  *Fleet
 	relay  *child
-	places []*link.Place // where each listens
+	places []*link.Place // where each listens; then the liars
 	fronts []int         // ports of the relay, by sidecar
 
 	mu     sync.Mutex
@@ -86,9 +86,9 @@
 		return err
 	}
 	if s.Do != plan.Link { // of all streams between those meant and the others
-		for far := range ps.places {
+		for far := range ps.told {
 			var nears []int
-			for near := range ps.places {
+			for near := range ps.told {
 				if ps.meant(s, far, near) || ps.meant(s, near, far) {
 					nears = append(nears, near)
 				}
@@ -106,9 +106,9 @@
 	} else {
 		ps.active = slices.DeleteFunc(ps.active, func(a *plan.Step) bool { return a.Fault == s.Fault })
 	}
-	for far := range ps.places {
+	for far := range ps.told {
 		groups := map[link.State][]int{} // of links that change
-		for near := range ps.places {
+		for near := range ps.told {
 			if state := ps.state(far, near); state != ps.told[far][near] {
 				groups[state] = append(groups[state], near)
 				ps.told[far][near] = state
--- a/internal/lab/plan/fault.go
+++ b/internal/lab/plan/fault.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"gradeusher.example/gradeusher/balance/hitters"
 )
 
 // Fault is one thing that goes wrong, as the file has it.
@@ -10,7 +12,7 @@
 	Do      string   `toml:"do"`
 	At      float64  `toml:"at"`
 	For     float64  `toml:"for"`
-	On      string   `toml:"on"`      // "sidecars", "servers", "list", "keepers", "clients" or "peers" (links between sidecars), where do leaves a choice
+	On      string   `toml:"on"`      // "sidecars", "servers", "list", "keepers", "clients", "members" or "peers" (links between sidecars), where do leaves a choice
 	Zone    string   `toml:"zone"`    // only those of it
 	Part    float64  `toml:"part"`    // this share of them, drawn; 0: all
 	Count   int      `toml:"count"`   // or this many
@@ -70,6 +72,7 @@
 	"disk-readonly": {on: []string{"sidecars"}, lasts: true},                                                        // the folder can only be read
 	"burst":         {on: []string{"clients"}, lasts: true, size: [2]float64{0.01, 10}},                             // size of the fleet's rate comes besides
 	"flood":         {on: []string{"clients"}, lasts: true, size: [2]float64{0.001, 10}, keys: []string{"through"}}, // count clients besides, each with size of the fleet's rate
+	"lie":           {on: []string{"members"}, lasts: true, size: [2]float64{0.01, 1000}},                           // count members that are no sidecars tell of work by the clients names that nobody did, each of size times the fleet's
 	"join":          {on: []string{"sidecars"}, lasts: true},                                                        // count sidecars more, evenly over the time
 	"leave":         {on: []string{"sidecars"}, lasts: true},                                                        // sidecars end, evenly over the time, and their clients go to others
 	"roll":          {on: []string{"sidecars"}, lasts: true, keys: []string{"batch", "restart"}},                    // sidecars are ended and started again, batch by batch
@@ -86,7 +89,11 @@
 	return false
 }
 
-const mostFlooders = 64 // clients of one flood
+const (
+	mostFlooders = 64 // clients of one flood
+	mostLiars    = 16 // members of one lie
+	mostTold     = len(hitters.Report{}.Keys)
+)
 
 // checkFault refuses a fault that makes no sense by itself.
 func (f *File) checkFault(i int) *Error {
@@ -113,7 +120,7 @@
 		return f.bad("fault", i, "for", "it ends at %v s, after the %v s of load", t.At+t.For, f.Seconds)
 	case t.Part < 0 || t.Part > 1:
 		return f.bad("fault", i, "part", "part %v is not within 0 to 1", t.Part)
-	case t.Part > 0 && (t.Count > 0 || len(t.Names) > 0) || t.Count > 0 && len(t.Names) > 0:
+	case t.Part > 0 && (t.Count > 0 || len(t.Names) > 0) || t.Count > 0 && len(t.Names) > 0 && t.Do != "lie":
 		return f.bad("fault", i, "part", "only one of part, count and names can be given")
 	case t.Count < 0:
 		return f.bad("fault", i, "count", "count %d is below 0", t.Count)
@@ -143,6 +150,10 @@
 		return f.bad("fault", i, "way", "silence needs a way, to-far or to-near")
 	case t.On == "clients" && (t.Part > 0 || len(t.Names) > 0 || t.Count > 0 && t.Do != "flood"):
 		return f.bad("fault", i, "on", "part and names choose no clients, and count only those of a flood")
+	case t.Do == "lie" && (!f.Members.On || !f.Hitters.On):
+		return f.bad("fault", i, "do", "nobody would hear a lie: it needs on in [members] and in [hitters]")
+	case t.Do == "lie" && (t.Count < 1 || t.Count > mostLiars || len(t.Names) < 1 || len(t.Names) > mostTold || t.Part > 0 || t.Zone != ""):
+		return f.bad("fault", i, "count", "a lie needs count, 1 to %d, and names, 1 to %d, and nothing else that chooses", mostLiars, mostTold)
 	case t.Do == "flood" && (t.Count > mostFlooders || t.Through < 0):
 		return f.bad("fault", i, "count", "a flood has %d clients at most, and goes through no fewer than 0 sidecars", mostFlooders)
 	case t.Distinct && t.Do != "flood":
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -84,6 +84,8 @@
 
 	Silent = "silent" // server: its machine cannot reach the keepers while On
 
+	Lie = "lie" // members that are no sidecars, Nears of them, tell of work by the clients Mode, By a second in all, while On
+
 	Tell = "tell" // the list learns State of a server
 	Mode = "mode" // the list's answers are as Mode says
 )
@@ -118,8 +120,21 @@
 // NearWatcher is that of the i-th client that only watches.
 func (p *Plan) NearWatcher(i int) int { return p.NearHost(p.Hosts()) + i }
 
+// NearLiar is that of the i-th member that is no sidecar.
+func (p *Plan) NearLiar(i int) int { return p.NearWatcher(p.File.Keepers.Watchers) + i }
+
 // Nears is how many near ends there are.
-func (p *Plan) Nears() int { return p.NearWatcher(p.File.Keepers.Watchers) }
+func (p *Plan) Nears() int { return p.NearLiar(p.Liars()) }
+
+// Liars is how many members there are that are no sidecars: those of each lie have their own places, in the order of the file.
+func (p *Plan) Liars() (n int) {
+	for i := range p.File.Faults {
+		if t := &p.File.Faults[i]; t.Do == "lie" {
+			n += t.Count
+		}
+	}
+	return n
+}
 
 // Hosts is how many processes of stand-in servers there are.
 func (p *Plan) Hosts() int {
@@ -139,8 +154,8 @@
 	Trouble model.Trouble // what the server suffers from then on
 	State   string        // tell
 	Mode    string
-	By      time.Duration // clock, late
-	Nears   []int         // link faults; none: all. Of peers: the sidecars meant
+	By      time.Duration // clock, late; lie: the work a second
+	Nears   []int         // link faults; none: all. Of peers: the sidecars meant. Lie: the liars meant, from 0
 	Peers   bool          // link faults: of the links between sidecars
 	Effect  LinkEffect    // that begins or ends
 	On      bool          // link: it begins
--- a/internal/lab/plan/steps.go
+++ b/internal/lab/plan/steps.go
@@ -17,6 +17,7 @@
 	r      *rand.Rand
 	living []life // of servers, as far as faults decide it
 	busy   map[string][]span
+	liars  int // of the lies before
 }
 
 // life is when a server stands on a list.
@@ -179,6 +180,23 @@
 		return nil
 	case "burst", "flood":
 		return nil // arrivals
+	case "lie":
+		all := 0.0
+		for i := range d.Arrivals {
+			if a := &d.Arrivals[i]; a.At >= at && a.At < end {
+				all += a.Work.Seconds()
+			}
+		}
+		s := Step{At: at, Do: Lie, Sidecar: ListIndex, Mode: strings.Join(t.Names, ","), On: true,
+			By: Seconds(all / t.For * t.Size * float64(len(t.Names)))}
+		for range t.Count {
+			s.Nears = append(s.Nears, d.liars)
+			d.liars++
+		}
+		d.step(s)
+		s.At, s.On = end, false
+		d.step(s)
+		return nil
 	case "join", "leave":
 		return d.comeAndGo(t)
 	case "roll":
--- a/internal/lab/steps.go
+++ b/internal/lab/steps.go
@@ -137,6 +137,8 @@
 	switch {
 	case plan.OnKeepers(s.Sidecar):
 		return f.keepers.nameOf(s)
+	case s.Do == plan.Lie:
+		return fmt.Sprintf("%d liars", len(s.Nears))
 	case s.Peers:
 		return fmt.Sprintf("%d sidecars", len(s.Nears))
 	case s.Server != "":
@@ -160,6 +162,8 @@
 	case plan.Silent:
 		n, err := f.host[s.Server].order(ctl.Order{Do: "silent", UID: s.Server, On: s.On})
 		return n.At, err
+	case plan.Lie:
+		return f.lie(s)
 	case plan.Tell:
 		f.mu.Lock()
 		e := f.entries[s.Server]
