gradeusher duty: list, hold, release and move

duty hold runs a command under a guard, a process of its own that ends it (TERM, then KILL) before the keepers can give the duty away, also where who renews is stopped or killed.

--- a/cmd/gradeusher/main.go
+++ b/cmd/gradeusher/main.go
@@ -28,6 +28,7 @@
 	Lab     labCommand     `cmd:"" help:"Run experiments with real processes and faults between them."`
 	Keeper  keeperCommand  `cmd:"" help:"Be a keeper of the list, or look after keepers."`
 	List    listCommands   `cmd:"" help:"Read and change the keepers' list of servers."`
+	Duty    dutyCommands   `cmd:"" help:"See, hold, release and move duties, which one process holds at a time."`
 	Status  statusCommand  `cmd:"" help:"Show what each keeper knows: leader, term, revision, age, watchers."`
 	Sidecar sidecarCommand `cmd:"" help:"Be a sidecar, configured as bin/sidecar by PROXY_CONFIG and the other variables."`
 	StandIn standInCommand `cmd:"" name:"stand-in" hidden:"" help:"Be a stand-in process of an experiment."`
--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -29,14 +29,15 @@
 }
 
 // Work is done in an office. ctx ends at the latest when the office does; once Asked is closed it should finish its step and
-// return. nil: the work is done for good, and this process does not wait for the duty again; ErrAgain: it does; any other
-// error is a failure, and it waits again, after pauses that grow.
+// return. nil: the work is done for good, and this process does not wait for the duty again; ErrGaveUp: nor does it then, and it
+// failed; ErrAgain: it waits again; any other error is a failure, and it waits again, after pauses that grow.
 type Work func(ctx context.Context, t *Tenure) error
 
 // Why an office ends.
 var (
-	ErrAgain = errors.New("handed over")
-	ErrLost  = errors.New("the office is lost")
+	ErrAgain  = errors.New("handed over")
+	ErrGaveUp = errors.New("given up")
+	ErrLost   = errors.New("the office is lost")
 )
 
 // Options say what a process is to others that want the same duties.
@@ -70,9 +71,7 @@
 	work   Work
 	tenure *Tenure // it is in office, or its work has not returned yet
 	done   chan struct{}
-	err    error
 	missed bool // it neither holds nor waits
-	again  time.Time
 }
 
 // NewRunner is a process that wants nothing yet.
@@ -211,10 +210,11 @@
 	}
 	for _, o := range let {
 		if w := r.wanted[o.Name]; w == nil || w.tenure == nil || w.tenure.hangs() { // else it is released when its work has returned
+			q := client.DutyCall{Again: w != nil && !r.ending}
 			r.tasks.Add(1)
 			go func() {
 				defer r.tasks.Done()
-				r.release(ctx, o, client.DutyCall{Again: w != nil})
+				r.release(ctx, o, q)
 			}()
 		}
 	}
@@ -302,7 +302,8 @@
 	cancel(ErrLost)
 	<-watched
 	final := t.final()
-	q := client.DutyCall{Again: err != nil, Failed: err != nil && !errors.Is(err, ErrAgain) && !lost}
+	ends := err == nil || errors.Is(err, ErrGaveUp)
+	q := client.DutyCall{Again: !ends, Failed: err != nil && !errors.Is(err, ErrAgain) && !lost}
 	if final != nil {
 		q.Step, q.StepNo = *final, &t.StepNo
 	}
@@ -311,16 +312,16 @@
 		q.Again = false
 	}
 	r.holder.Let(t.Name, t.Epoch)
-	if err == nil {
+	if ends {
 		delete(r.wanted, t.Name)
 	}
 	r.mu.Unlock()
 	r.o.Log.Info("duty let go", "name", t.Name, "epoch", t.Epoch, "err", err)
 	r.release(context.WithoutCancel(ctx), t.Office, q)
 	r.mu.Lock()
-	w.tenure, w.err = nil, err
+	w.tenure = nil
 	r.mu.Unlock()
-	if err == nil {
+	if ends {
 		close(w.done)
 	}
 	close(t.over)
