A process that leaves does not wait in the kernel for a connection

Whether calls at the shared listening socket wait is told by what all processes share. os/exec makes it wait while it starts the next one, and who accepts just then is where no deadline reaches. TestLeaveBlocked fails without it.

Not taken: SO_RCVTIMEO on the socket, which Linux does not heed where it is an MPTCP one, as Go's listeners are.

--- a/internal/sidecar/control_test.go
+++ b/internal/sidecar/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -12,10 +13,11 @@
 	"time"
 )
 
-// freeAddress is an address of this machine that nobody listens at.
+// freeAddress is one at which nobody listens yet. It is this process's own: else another's socket could come to it first.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&63, pid>>8&255, 1+pid&127))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/sidecar/drainlistener.go
@@ -0,0 +1,75 @@
+package sidecar
+
+import (
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// drainListener goes on accepting for some time after it is told to stop.
+type drainListener struct {
+	*net.TCPListener
+	quiet    time.Duration
+	rounds   int           // of looking for connections left waiting; 0: not yet
+	taken    bool          // one in this round
+	improper *atomic.Int64 // counts connections ended for their framing
+}
+
+// mostRounds bounds how long connections that keep coming hold the end up.
+const mostRounds = 8
+
+// drain has Accept go on for some time, and end once no connection is left waiting.
+func (l *drainListener) drain(atLeast time.Duration) error {
+	return l.SetDeadline(time.Now().Add(atLeast))
+}
+
+// leave has Accept end at once.
+func (l *drainListener) leave() error {
+	l.rounds = mostRounds
+	return l.SetDeadline(time.Now())
+}
+
+// interrupt ends a wait in the kernel for a connection, so that whoever leaves meets the deadline.
+//
+// Danger: whether calls at a socket wait is told by what all who inherited it share, not by each one's descriptor. A platform that starts the
+// next process may make it wait meanwhile (as os/exec does with ExtraFiles), and who accepts just then waits where no
+// deadline reaches: told to leave, it would stay until the next client came, and take it. A signal has the system begin the call anew.
+func (l *drainListener) interrupt() {
+	if raw, err := l.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), true) })
+	}
+	threads, _ := os.ReadDir("/proc/self/task") // none: as if nobody waited
+	for _, t := range threads {
+		if id, err := strconv.Atoi(t.Name()); err == nil {
+			_ = unix.Tgkill(os.Getpid(), id, unix.SIGURG) // which Go's runtime uses itself, and programs may send for nothing
+		}
+	}
+}
+
+// Accept implements net.Listener. Danger: a deadline can pass with connections waiting, and closing the listener
+// resets them, so the end comes only after a round in which none was found.
+func (l *drainListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.AcceptTCP()
+		if err == nil {
+			l.taken = true
+			return newFramedConn(c, l.improper), nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, err
+		}
+		if l.rounds > 0 && !l.taken || l.rounds == mostRounds {
+			return nil, net.ErrClosed
+		}
+		l.rounds, l.taken = l.rounds+1, false
+		if err := l.SetDeadline(time.Now().Add(l.quiet)); err != nil {
+			return nil, err
+		}
+	}
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -11,7 +10,6 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -158,7 +156,7 @@
 	if err != nil {
 		return fmt.Errorf("drain: %w", err)
 	}
-	if err := s.finish(ended, idleAt, times); err != nil {
+	if err := s.finish(l, ended, idleAt, times); err != nil {
 		return err
 	}
 	if err := web.Close(); err != nil {
@@ -170,7 +168,7 @@
 
 // finish returns once the listener has ended and no connection is left or, after some time, no request. Clients'
 // connections that idle end from idleAt on.
-func (s *server) finish(listener <-chan error, idleAt time.Time, times drainTimes) error {
+func (s *server) finish(l *drainListener, listener <-chan error, idleAt time.Time, times drainTimes) error {
 	tick := time.NewTicker(max(times.quiet, time.Millisecond))
 	defer tick.Stop()
 	var until time.Time // connections without a request are waited for; zero: the listener has not ended
@@ -179,6 +177,9 @@
 		case <-listener:
 			listener, until = nil, time.Now().Add(times.finish)
 		case now := <-tick.C:
+			if listener != nil && s.config.Inherited != 0 {
+				l.interrupt()
+			}
 			if now.After(idleAt) {
 				s.crowd.closeIdle(now)
 			}
@@ -189,48 +190,3 @@
 		}
 	}
 }
-
-// drainListener goes on accepting for some time after it is told to stop.
-type drainListener struct {
-	*net.TCPListener
-	quiet    time.Duration
-	rounds   int           // of looking for connections left waiting; 0: not yet
-	taken    bool          // one in this round
-	improper *atomic.Int64 // counts connections ended for their framing
-}
-
-// mostRounds bounds how long connections that keep coming hold the end up.
-const mostRounds = 8
-
-// drain has Accept go on for some time, and end once no connection is left waiting.
-func (l *drainListener) drain(atLeast time.Duration) error {
-	return l.SetDeadline(time.Now().Add(atLeast))
-}
-
-// leave has Accept end at once.
-func (l *drainListener) leave() error {
-	l.rounds = mostRounds
-	return l.SetDeadline(time.Now())
-}
-
-// Accept implements net.Listener. Danger: a deadline can pass with connections waiting, and closing the listener
-// resets them, so the end comes only after a round in which none was found.
-func (l *drainListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.AcceptTCP()
-		if err == nil {
-			l.taken = true
-			return newFramedConn(c, l.improper), nil
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, err
-		}
-		if l.rounds > 0 && !l.taken || l.rounds == mostRounds {
-			return nil, net.ErrClosed
-		}
-		l.rounds, l.taken = l.rounds+1, false
-		if err := l.SetDeadline(time.Now().Add(l.quiet)); err != nil {
-			return nil, err
-		}
-	}
-}
--- a/internal/sidecar/upgrade_test.go
+++ b/internal/sidecar/upgrade_test.go
@@ -12,11 +12,15 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"regexp"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // TestMain lets a test start this binary as a sidecar.
@@ -223,6 +227,47 @@
 	}
 }
 
+// TestLeaveBlocked has a process wait for a connection in the kernel, as the platform has made the shared socket one that blocks,
+// and leave then.
+func TestLeaveBlocked(t *testing.T) {
+	c, err := load(t, configText(startRegistry(t).address, serving(1, startBackend(t, say(200, "", "ok"))), testSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	shared := listen(t).(*net.TCPListener)
+	socket, err := shared.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	if c.Inherited, err = syscall.Dup(int(socket.Fd())); err != nil {
+		t.Fatal(err)
+	}
+	p := startLogging(t, c, &logText{}, drainTimes{quiet: time.Millisecond, finish: patience})
+	// As os/exec does, which hands descriptors on.
+	if flags, err := unix.FcntlInt(socket.Fd(), unix.F_GETFL, 0); err != nil || flags&unix.O_NONBLOCK != 0 {
+		t.Fatalf("asking for the descriptor has not made the socket block: flags %#x, error %v", flags, err)
+	}
+	dial := func() {
+		if c, err := net.Dial("tcp", shared.Addr().String()); err == nil {
+			c.Close()
+		}
+	}
+	defer dial() // so that nothing waits on, even if it did not leave
+	dial()
+	waits := regexp.MustCompile(`(?m)^goroutine \d+ \[syscall[^\n]*\n([^\n]+\n)*?[^\n]*drainListener\)\.Accept`)
+	stacks := make([]byte, 1<<20)
+	for end := time.Now().Add(patience); !waits.Match(stacks[:runtime.Stack(stacks, true)]); runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatal("nobody waits in the kernel")
+		}
+	}
+	p.stop()
+	if err := within(t, p.ended, "end"); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestLeavingClosesIdle has connections idle, or wait in the middle of a head, while a process leaves: the one in the
 // middle is served, the others end.
 func TestLeavingClosesIdle(t *testing.T) {
