Members read packets into one buffer, and news is measured with loss and a killed member

Cause: memberlist's transport takes 64 kB anew for each packet, most of the time of a process that gets a hundred a second.

--- a/internal/members/frame.go
+++ b/internal/members/frame.go
@@ -33,7 +33,8 @@
 	stamp   time.Duration // when it was told, by the clock of the origin's process, from 0 at its start
 	hopped  time.Duration // its age when this copy was sent, as far as those who passed it on held it
 	payload []byte
-	key     uint64 // see id; of a state that is held
+	key     uint64   // see id; of a state that is held, as is
+	offset  *float64 // that of its process, see states
 }
 
 const (
--- a/internal/members/join.go
+++ b/internal/members/join.go
@@ -4,7 +4,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"syscall"
 	"time"
 
@@ -48,25 +47,15 @@
 		return err
 	}
 	logger := slog.NewLogLogger(m.o.Log.Handler(), slog.LevelDebug)
-	t, err := newTransport(host, port, m.o.Reach, m.o.lose, logger)
-	if err != nil {
-		// memberlist does not wrap the socket's error
-		if l, probe := net.Listen("tcp", m.o.Listen); probe == nil {
-			_ = l.Close()
-			if c, probe := net.ListenPacket("udp", m.o.Listen); probe == nil {
-				_ = c.Close()
-				return errors.Join(errInUse, err) // it was
-			} else if errors.Is(probe, syscall.EADDRINUSE) {
-				return errors.Join(errInUse, err)
-			}
-		} else if errors.Is(probe, syscall.EADDRINUSE) {
-			return errors.Join(errInUse, err)
-		}
+	t, err := newTransport(host, port, m.o.Reach, m.o.lose)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		return errors.Join(errInUse, err)
+	} else if err != nil {
 		return err
 	}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Transport, c.Logger, c.Label = m.own, t, logger, label
-	c.BindAddr, c.BindPort = host, t.GetAutoBindPort()
+	c.BindAddr, c.BindPort = host, t.port()
 	c.AdvertiseAddr, c.AdvertisePort = host, c.BindPort
 	if m.o.Advertise != "" {
 		if c.AdvertiseAddr, c.AdvertisePort, err = split(m.o.Advertise); err != nil {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -292,7 +292,7 @@
 		return ""
 	}
 	host, _, _ := net.SplitHostPort(m.o.Listen)
-	return net.JoinHostPort(host, strconv.Itoa(m.net.GetAutoBindPort()))
+	return net.JoinHostPort(host, strconv.Itoa(m.net.port()))
 }
 
 // clock is the time since this process's start, monotonic.
--- a/internal/members/model_test.go
+++ b/internal/members/model_test.go
@@ -44,7 +44,7 @@
 			return s
 		}
 		once, again := merge(all), merge(rapid.Permutation(append(all, all...)).Draw(t, "order"))
-		if !reflect.DeepEqual(once.held, again.held) || !maps.Equal(once.offsets, again.offsets) {
+		if !reflect.DeepEqual(once.held, again.held) || !maps.EqualFunc(once.offsets, again.offsets, func(x, y *float64) bool { return *x == *y }) {
 			t.Fatalf("%+v\n%+v", once, again)
 		}
 		now := 20 * time.Second
--- a/internal/members/news_test.go
+++ b/internal/members/news_test.go
@@ -18,7 +18,7 @@
 // member is killed: go test -run '^$' -bench News -benchtime 1x ./internal/members. It says how old news is when it comes,
 // how many of all (reader, origin, kind) hold nothing within the bound, and what a member sends and takes a second.
 func BenchmarkNews(b *testing.B) {
-	for _, n := range []int{20, 100, 300} {
+	for _, n := range []int{20, 100, 200, 300} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			for range b.N {
 				f := startFleet(b, n, 0.13)
@@ -67,6 +67,7 @@
 		if wave > 0 && i+1 < n && i < wave+wave/4+4 {
 			continue
 		}
+		b.Logf("%d members after %v", i+1, time.Since(late.Add(-time.Minute)).Round(time.Millisecond))
 		for wave = i + 1; !f.settled(wave); time.Sleep(10 * time.Millisecond) {
 			if time.Now().After(late) {
 				b.Fatalf("%d members do not know each other", wave)
@@ -93,6 +94,7 @@
 		g.Go(m.Close)
 	}
 	g.Wait()
+	time.Sleep(2 * streamTimeout) // memberlist's last pings by stream end by their time alone
 }
 
 // kill closes a member's sockets without a word.
--- a/internal/members/states.go
+++ b/internal/members/states.go
@@ -34,20 +34,22 @@
 // cannot be seen here; memberlist's probes take such a peer for dead.
 type states struct {
 	held    map[stateKey]frame
-	offsets map[process]float64 // seconds: the least distance, brought back by drift to time 0
+	offsets map[process]*float64 // seconds: the least distance, brought back by drift to time 0
 }
 
 func newStates() *states {
-	return &states{held: map[stateKey]frame{}, offsets: map[process]float64{}}
+	return &states{held: map[stateKey]frame{}, offsets: map[process]*float64{}}
 }
 
 // merge takes in a copy that came at a time of the own clock. It tells whether its state is newer than the one held.
 func (s *states) merge(f frame, now time.Duration) bool {
 	p := process{f.name, f.start}
 	distance := (now - f.stamp - f.hopped).Seconds() - drift*now.Seconds()
-	if least, known := s.offsets[p]; !known || distance < least {
-		s.offsets[p] = distance
+	if f.offset = s.offsets[p]; f.offset == nil {
+		f.offset = &distance
+		s.offsets[p] = f.offset
 	}
+	*f.offset = min(*f.offset, distance)
 	if !s.news(f) {
 		return false
 	}
@@ -68,11 +70,13 @@
 
 // age is how long ago a state was told. That of a process of which nothing is held is beyond any bound.
 func (s *states) age(f frame, now time.Duration) time.Duration {
-	least, known := s.offsets[process{f.name, f.start}]
-	if !known {
-		return math.MaxInt64
+	least := f.offset // of one that is held
+	if least == nil {
+		if least = s.offsets[process{f.name, f.start}]; least == nil {
+			return math.MaxInt64
+		}
 	}
-	distance := least + drift*now.Seconds()
+	distance := *least + drift*now.Seconds()
 	return max(0, now-f.stamp-time.Duration(distance*float64(time.Second)))
 }
 
--- a/internal/members/transport.go
+++ b/internal/members/transport.go
@@ -1,11 +1,13 @@
 package members
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
-	"log"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,86 +21,137 @@
 	BytesSent, BytesReceived                                  int64 // of packets and streams, without the heads of UDP, TCP and IP
 }
 
-// transport is memberlist's own over UDP and TCP, which counts, and reaches every peer at one host if told to.
+// transport is UDP and TCP at one port, which counts, and reaches every peer at one host if told to. memberlist's own takes a
+// new buffer of 64 kB for each packet: at a few hundred packets a second most of its time would go to that.
 type transport struct {
-	*memberlist.NetTransport
-	reach   string      // "": each at its own host
-	lose    func() bool // nil: no packet
-	ctx     context.Context
-	end     context.CancelFunc
-	pumps   sync.WaitGroup
-	packets chan *memberlist.Packet
-	streams chan net.Conn
+	packetConn *net.UDPConn
+	listener   *net.TCPListener
+	reach      string      // "": each at its own host
+	lose       func() bool // nil: no packet
+	ctx        context.Context
+	end        context.CancelFunc
+	readers    sync.WaitGroup
+	packets    chan *memberlist.Packet
+	streams    chan net.Conn
 
 	sent, received, opened, taken, bytesOut, bytesIn atomic.Int64
 }
 
 var _ memberlist.NodeAwareTransport = (*transport)(nil)
 
-// newTransport listens at a host and port. Its pumps end with Shutdown.
-func newTransport(host string, port int, reach string, lose func() bool, logger *log.Logger) (*transport, error) {
+const (
+	mostPacket = 1 << 16
+	inSocket   = 1 << 21 // bytes that wait in the socket for a process that waits for its core; the kernel may give less
+	faultPause = 10 * time.Millisecond
+)
+
+// newTransport listens at a host and port. Its readers end with Shutdown.
+func newTransport(host string, port int, reach string, lose func() bool) (*transport, error) {
 	const tries = 16 // at port 0: the number that is free for TCP may be taken for UDP
-	var inner *memberlist.NetTransport
+	t := &transport{reach: reach, lose: lose, packets: make(chan *memberlist.Packet), streams: make(chan net.Conn)}
 	var err error
 	for range tries {
-		inner, err = memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: port, Logger: logger})
-		if err == nil || port != 0 {
+		if err = t.listen(net.ParseIP(host), port); err == nil || port != 0 {
 			break
 		}
 	}
 	if err != nil {
 		return nil, fmt.Errorf("listen at %s port %d: %w", host, port, err)
 	}
-	t := &transport{NetTransport: inner, reach: reach, lose: lose, packets: make(chan *memberlist.Packet), streams: make(chan net.Conn)}
 	t.ctx, t.end = context.WithCancel(context.Background())
-	t.pumps.Add(2)
-	go t.pumpPackets()
-	go t.pumpStreams()
+	t.readers.Add(2)
+	go t.readPackets()
+	go t.acceptStreams()
 	return t, nil
 }
 
-func (t *transport) pumpPackets() {
-	defer t.pumps.Done()
+func (t *transport) listen(ip net.IP, port int) (err error) {
+	if t.listener, err = net.ListenTCP("tcp", &net.TCPAddr{IP: ip, Port: port}); err != nil {
+		return err
+	}
+	if t.packetConn, err = net.ListenUDP("udp", &net.UDPAddr{IP: ip, Port: t.port()}); err != nil {
+		return errors.Join(err, t.listener.Close())
+	}
+	_ = t.packetConn.SetReadBuffer(inSocket) // the default does, but for bursts
+	return nil
+}
+
+// port is where it listens.
+func (t *transport) port() int { return t.listener.Addr().(*net.TCPAddr).Port }
+
+func (t *transport) readPackets() {
+	defer t.readers.Done()
+	buf := make([]byte, mostPacket)
 	for {
+		n, from, err := t.packetConn.ReadFromUDP(buf)
+		now := time.Now()
+		if !t.goesOn(err) {
+			return
+		}
+		if err != nil || n == 0 {
+			continue
+		}
+		t.received.Add(1)
+		t.bytesIn.Add(int64(n))
 		select {
-		case p := <-t.NetTransport.PacketCh():
-			t.received.Add(1)
-			t.bytesIn.Add(int64(len(p.Buf)))
-			select {
-			case t.packets <- p:
-			case <-t.ctx.Done():
-				return
-			}
+		case t.packets <- &memberlist.Packet{Buf: bytes.Clone(buf[:n]), From: from, Timestamp: now}:
 		case <-t.ctx.Done():
 			return
 		}
 	}
 }
 
-func (t *transport) pumpStreams() {
-	defer t.pumps.Done()
+func (t *transport) acceptStreams() {
+	defer t.readers.Done()
 	for {
+		c, err := t.listener.Accept()
+		if !t.goesOn(err) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		t.taken.Add(1)
 		select {
-		case c := <-t.NetTransport.StreamCh():
-			t.taken.Add(1)
-			select {
-			case t.streams <- &countedConn{c, t}:
-			case <-t.ctx.Done():
-				_ = c.Close()
-				return
-			}
+		case t.streams <- &countedConn{c, t}:
 		case <-t.ctx.Done():
+			_ = c.Close()
 			return
 		}
 	}
 }
 
+// goesOn waits a moment after a fault, as when descriptors are short, and tells whether it is not the end.
+func (t *transport) goesOn(err error) bool {
+	if err == nil {
+		return true
+	}
+	select {
+	case <-time.After(faultPause):
+		return true
+	case <-t.ctx.Done():
+		return false
+	}
+}
+
 // PacketCh implements memberlist.Transport, as do the methods after it.
 func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
 
 // StreamCh hands out the streams that peers opened.
 func (t *transport) StreamCh() <-chan net.Conn { return t.streams }
 
+// FinalAdvertiseAddr is the address that others are told.
+func (t *transport) FinalAdvertiseAddr(host string, port int) (net.IP, int, error) {
+	ip := net.ParseIP(host)
+	if ip == nil {
+		return nil, 0, fmt.Errorf("%q is no IP address", host)
+	}
+	if short := ip.To4(); short != nil {
+		ip = short
+	}
+	return ip, port, nil
+}
+
 // at is where a peer is reached.
 func (t *transport) at(address string) string {
 	if t.reach == "" {
@@ -118,13 +171,17 @@
 
 // WriteToAddress sends a packet to a peer. Acks come this way too: who asks names its own address in the question.
 func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
-	a.Addr = t.at(a.Addr)
+	to, err := netip.ParseAddrPort(t.at(a.Addr))
+	if err != nil {
+		return time.Time{}, err
+	}
 	t.sent.Add(1)
 	t.bytesOut.Add(int64(len(b)))
 	if t.lose != nil && t.lose() {
 		return time.Now(), nil
 	}
-	return t.NetTransport.WriteToAddress(b, a)
+	_, err = t.packetConn.WriteToUDPAddrPort(b, to)
+	return time.Now(), err
 }
 
 // DialTimeout opens a stream.
@@ -143,26 +200,11 @@
 	return &countedConn{c, t}, nil
 }
 
-// Shutdown closes the sockets and ends the pumps.
+// Shutdown closes the sockets and ends the readers.
 func (t *transport) Shutdown() error {
-	// Danger: the listeners' goroutines hand over to the pumps, and Shutdown waits for them; so pumps end last.
-	drained := make(chan struct{})
-	go func() {
-		defer close(drained)
-		for {
-			select {
-			case <-t.packets:
-			case c := <-t.streams:
-				_ = c.Close()
-			case <-t.ctx.Done():
-				return
-			}
-		}
-	}()
-	err := t.NetTransport.Shutdown()
 	t.end()
-	<-drained
-	t.pumps.Wait()
+	err := errors.Join(t.packetConn.Close(), t.listener.Close())
+	t.readers.Wait()
 	return err
 }
 
