The sweeper: duties out of use are forgotten, under a duty, fenced by the keepers

The table of duties holds 4,096 and never gave one back. In go test: two sweepers, the one in office killed, the other goes on; rapid draws it among the other commands.

--- a/cmd/gradeusher/duty.go
+++ b/cmd/gradeusher/duty.go
@@ -24,6 +24,7 @@
 	Hold    dutyHold    `cmd:"" help:"Wait for a duty and run a command only while it is held."`
 	Release dutyRelease `cmd:"" help:"Have the holder of a duty hand it to the next in line."`
 	Move    dutyMove    `cmd:"" help:"Have the holder of a duty hand it to a process that waits for it."`
+	Sweep   dutySweep   `cmd:"" help:"Be a candidate for the duty \"sweep\": in office, have keepers forget duties out of use."`
 	Guard   dutyGuard   `cmd:"" hidden:"" help:"Run a command until the time that descriptor 3 tells."`
 }
 
@@ -117,17 +118,58 @@
 	Once    bool          `help:"End with exit 1 when the duty is lost or handed over; without it, wait for it again."`
 }
 
+type dutySweep struct {
+	Keepers string        `help:"Addresses of keepers, with commas." env:"GRADEUSHER_KEEPERS" required:""`
+	As      string        `help:"Name of this process among those that wait; the host's, if it is not given."`
+	Lease   time.Duration `help:"Length of the lease, 500ms to 5m." default:"5s"`
+	Every   time.Duration `help:"How often to look." default:"1m"`
+	Idle    time.Duration `help:"A duty is out of use that nobody has held or waited for during this; 1s at least." default:"24h"`
+}
+
+// Run waits and sweeps until interrupted.
+func (c dutySweep) Run(ctx context.Context, s streams) error {
+	if c.Every <= 0 || c.Idle < state.LeastIdle {
+		return fmt.Errorf("%w: --every has to be above 0, and --idle %v at least", errUsage, state.LeastIdle)
+	}
+	log := slog.New(slog.NewTextHandler(s.err, nil))
+	name, err := processName(c.As)
+	if err != nil {
+		return err
+	}
+	r, err := duty.NewRunner(duty.Options{Keepers: strings.Split(c.Keepers, ","), Name: name, Lease: c.Lease, Log: log})
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	k, err := client.New(strings.Split(c.Keepers, ","))
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	defer k.Close()
+	r.Want(duty.SweepDuty, "", duty.Sweep(k, c.Every, c.Idle, log))
+	r.Run(ctx, c.Lease)
+	return nil
+}
+
+// processName is the name that a process was given, or its host's.
+func processName(given string) (string, error) {
+	if given != "" {
+		return given, nil
+	}
+	host, err := os.Hostname()
+	if err != nil {
+		return "", fmt.Errorf("host name: %w", err)
+	}
+	return host, nil
+}
+
 // holds is what became of a command.
 type holds struct{ code int }
 
 // Run waits, runs the command while the duty is held, and ends with its exit code once it has ended by itself.
 func (c dutyHold) Run(ctx context.Context, s streams) error {
-	if c.As == "" {
-		host, err := os.Hostname()
-		if err != nil {
-			return fmt.Errorf("host name: %w", err)
-		}
-		c.As = host
+	name, err := processName(c.As)
+	if err != nil {
+		return err
 	}
 	if c.Grace == 0 {
 		c.Grace = c.Lease / 4
@@ -138,7 +180,7 @@
 	if _, err := exec.LookPath(c.Command[0]); err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
-	r, err := duty.NewRunner(duty.Options{Keepers: strings.Split(c.Keepers, ","), Name: c.As, Room: c.Room, Lease: c.Lease, Load: c.Load, Log: slog.New(slog.NewTextHandler(s.err, nil))})
+	r, err := duty.NewRunner(duty.Options{Keepers: strings.Split(c.Keepers, ","), Name: name, Room: c.Room, Lease: c.Lease, Load: c.Load, Log: slog.New(slog.NewTextHandler(s.err, nil))})
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
--- a/cmd/gradeusher/duty_test.go
+++ b/cmd/gradeusher/duty_test.go
@@ -341,6 +341,72 @@
 	}
 }
 
+// TestDutySweep has duties out of use forgotten by one of two sweepers, also once the first is killed, and others left alone. Epochs go on.
+func TestDutySweep(t *testing.T) {
+	t.Parallel()
+	k := newKeepers(t, 1, "")
+	k.leader()
+	change := func(turn client.DutyTurn, name, who string, epoch int64) state.Duty {
+		t.Helper()
+		d, err := k.client.ChangeDuty(k.call(), turn, name, client.DutyCall{Who: who, Epoch: epoch, TTLMS: 300_000})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d.Duty
+	}
+	leave := func(name string) (epoch int64) {
+		epoch = change(client.Campaign, name, "a#1", 0).Epoch
+		change(client.Release, name, "a#1", epoch)
+		return epoch
+	}
+	change(client.Campaign, "used", "a#1", 0)
+	first := leave("old")
+	sweepers := map[string]*command{}
+	for _, name := range []string{"s1", "s2"} {
+		c := newCommand(t, "duty", "sweep", "--keepers", k.addresses()[0], "--as", name, "--lease", "1s", "--every", "50ms", "--idle", "1s")
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		sweepers[name] = c
+		t.Cleanup(func() {
+			_ = c.Process.Kill() // one was
+			_ = c.Wait()
+		})
+	}
+	swept := func() (by string) {
+		t.Helper()
+		eventually(t, "sweep", func() bool {
+			n, err := k.client.Duties(k.call(), "")
+			if err != nil {
+				return false
+			}
+			names := ""
+			for _, d := range n.Duties {
+				names += d.Name + " "
+				if d.Name == duty.SweepDuty && d.Holder != nil {
+					by = state.ProcessName(d.Holder.Who)
+				}
+			}
+			return names == "sweep used " && by != ""
+		})
+		return by
+	}
+	by := swept()
+	if second := leave("old"); second <= first {
+		t.Errorf("epoch %d after %d", second, first)
+	}
+	if err := sweepers[by].Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	leave("older")
+	swept()
+	sweep := change(client.Campaign, duty.SweepDuty, "a#1", 0)
+	_, err := k.client.ChangeDuty(k.call(), client.Forget, duty.SweepDuty, client.DutyCall{Who: sweep.Holder.Who, Epoch: sweep.Epoch - 1, Idle: []string{"used"}, IdleMS: 1000})
+	if err == nil || !strings.Contains(err.Error(), "does not hold sweep") {
+		t.Errorf("a sweep under the epoch before: %v", err)
+	}
+}
+
 const raceSlack = time.Second // tests run beside others, and what a process needs to start is no part of the promise
 
 func (f *dutyFleet) signal(sig syscall.Signal, pids ...int) {
--- a/internal/client/duties.go
+++ b/internal/client/duties.go
@@ -22,6 +22,9 @@
 	Force  bool   `json:"force,omitempty"`
 	Step   string `json:"step,omitempty"`
 	StepNo *int64 `json:"step_no,omitempty"`
+
+	Idle   []string `json:"idle,omitempty"`
+	IdleMS int64    `json:"idle_ms,omitempty"`
 }
 
 // DutyDone is what became of it.
@@ -84,6 +87,7 @@
 	Release    DutyTurn = "release"    // let go of it
 	Move       DutyTurn = "move"       // ask its holder to
 	Checkpoint DutyTurn = "checkpoint" // record a step
+	Forget     DutyTurn = "forget"     // forget idle duties, in the office of this one
 )
 
 // ChangeDuty does it. Errors are those of Register. What a second call might do otherwise than the first, a checkpoint, is not sent
--- /dev/null
+++ b/internal/duty/sweep.go
@@ -0,0 +1,58 @@
+package duty
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/client"
+)
+
+// SweepDuty is the duty under which duties out of use are forgotten.
+const SweepDuty = "sweep"
+
+const mostSwept = 512 // duties in one call
+
+// Sweep is the work of the sweeper: it has keepers forget duties that nobody has held or waited for during idle, looking once in
+// every. The keepers are what it acts on, and take nothing under an epoch of it that is over.
+func Sweep(c *client.Client, every, idle time.Duration, log *slog.Logger) Work {
+	return func(ctx context.Context, t *Tenure) error {
+		tick := time.NewTicker(every)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+			case <-t.Asked():
+				return ErrAgain
+			case <-ctx.Done():
+				return ErrAgain
+			}
+			if err := sweep(ctx, c, t, idle, log); err != nil {
+				return fmt.Errorf("sweep: %w", err)
+			}
+		}
+	}
+}
+
+func sweep(ctx context.Context, c *client.Client, t *Tenure, idle time.Duration, log *slog.Logger) error {
+	n, err := c.Duties(ctx, "")
+	if err != nil {
+		return err
+	}
+	var names []string
+	for _, d := range n.Duties {
+		if d.Holder == nil && len(d.Waiting) == 0 && len(names) < mostSwept && time.Since(time.UnixMilli(d.SinceMS)) >= idle {
+			names = append(names, d.Name)
+		}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	// The keepers look again whether each is idle.
+	_, err = c.ChangeDuty(ctx, client.Forget, t.Name, client.DutyCall{Who: t.runner.who, Epoch: t.Epoch, Idle: names, IdleMS: idle.Milliseconds()})
+	if err == nil {
+		log.Info("swept", "duties", len(names), "first", names[0])
+	}
+	return err
+}
--- a/internal/keeper/duties.go
+++ b/internal/keeper/duties.go
@@ -37,7 +37,8 @@
 			return err
 		}
 		result, err := k.proposeDutyWhole(r.Context(), op, state.DutyCall{Name: r.PathValue("name"), Who: c.Who, Room: c.Room, At: c.At, Load: c.Load,
-			TTLMS: c.TTLMS, Epoch: c.Epoch, To: c.To, Again: c.Again, Failed: c.Failed, Force: c.Force, Step: c.Step, StepNo: c.StepNo})
+			TTLMS: c.TTLMS, Epoch: c.Epoch, To: c.To, Again: c.Again, Failed: c.Failed, Force: c.Force, Step: c.Step, StepNo: c.StepNo,
+			Idle: c.Idle, IdleMS: c.IdleMS})
 		if err != nil {
 			return err
 		}
--- a/internal/keeper/http.go
+++ b/internal/keeper/http.go
@@ -56,7 +56,7 @@
 	mux.HandleFunc("GET /v1/duties", k.duties)
 	mux.HandleFunc("POST /v1/duties/renew", k.admit("renew-duties", k.renewDuties))
 	for op, turn := range map[state.Op]client.DutyTurn{state.Campaign: client.Campaign, state.Withdraw: client.Withdraw, state.Release: client.Release,
-		state.Move: client.Move, state.Checkpoint: client.Checkpoint} {
+		state.Move: client.Move, state.Checkpoint: client.Checkpoint, state.Forget: client.Forget} {
 		mux.HandleFunc("POST /v1/duties/{name}/"+string(turn), k.admit(string(op), k.dutyWrite(op)))
 	}
 	mux.HandleFunc("GET /v1/status", k.status) // always answered: it is asked when all else is refused
--- a/internal/state/duties.go
+++ b/internal/state/duties.go
@@ -43,6 +43,7 @@
 	Release    Op = "duty-release"    // its holder lets go of it
 	Move       Op = "duty-move"       // its holder is asked to
 	Checkpoint Op = "duty-checkpoint" // its holder records a step
+	Forget     Op = "duty-forget"     // duties that nobody holds, waits for or has had for long are forgotten
 	End        Op = "duty-end"        // leases have ended, candidates are silent, pauses are over
 	Office     Op = "duty-office"     // another leader counts leases
 )
@@ -63,6 +64,9 @@
 	Step   string `json:"step,omitempty"`    // checkpoint; release, where StepNo is given
 	StepNo *int64 `json:"step_no,omitempty"` // the number of the step that was read before; it gets the next
 
+	Idle   []string `json:"idle,omitempty"`    // forget: these, if they are; Name, Who and Epoch are the office that it is done in
+	IdleMS int64    `json:"idle_ms,omitempty"` // forget: for how long
+
 	NowMS  int64      `json:"now_ms,omitempty"` // Unix time by the leader's clock, for pauses
 	Office int64      `json:"office,omitempty"` // end: what the leases were counted in
 	Ended  []EndedOne `json:"ended,omitempty"`
@@ -99,7 +103,7 @@
 	Rev     int64       `json:"rev"`   // of its last change
 	Room    string      `json:"room,omitempty"`
 	Holder  *Candidate  `json:"holder,omitempty"`
-	SinceMS int64       `json:"since_ms,omitempty"` // it was granted; Unix time
+	SinceMS int64       `json:"since_ms,omitempty"` // it was granted, or fell free; Unix time
 	Asked   bool        `json:"asked,omitempty"`    // the holder is to hand it over
 	To      string      `json:"to,omitempty"`       // to this process; "": the next in line
 	Barred  bool        `json:"barred,omitempty"`   // renewals of this office are refused
@@ -150,6 +154,7 @@
 // the duties say.
 type duties struct {
 	rev, office int64
+	floor       int64 // the highest epoch of those that were forgotten: whoever comes again goes on above it
 	all         map[string]*Duty
 	waiting     int
 	by          map[string]map[string]bool // names of the duties that a process holds or waits for
@@ -324,7 +329,7 @@
 			return d, refuse(Full, "%d wait for %s, and %d in all: %d and %d at most", len(d.Waiting), d.Name, s.waiting, MostCandidates, MostCandidacies)
 		}
 	} else {
-		d = &Duty{Name: c.Name, Room: c.At}
+		d = &Duty{Name: c.Name, Room: c.At, Epoch: s.floor, SinceMS: c.NowMS}
 		s.all[c.Name] = d
 	}
 	s.edit(d, func() { d.Waiting = append(d.Waiting, one) })
@@ -390,6 +395,8 @@
 		return refuse(Bad, "epoch %d of %s is from the future: it is at %d", c.Epoch, d.Name, d.Epoch)
 	case !d.Is(c.Who) || c.Epoch < d.Epoch:
 		return refuse(Conflict, "%s does not hold %s under epoch %d: it is at %d", c.Who, d.Name, c.Epoch, d.Epoch)
+	case op == Forget && (len(c.Idle) > mostDutiesInBatch || c.IdleMS < LeastIdle.Milliseconds()):
+		return refuse(Bad, "%d duties idle for %d ms: at most %d, for %d ms at least", len(c.Idle), c.IdleMS, mostDutiesInBatch, LeastIdle.Milliseconds())
 	case len(c.Step) > MostStep:
 		return refuse(Bad, "a step has %d bytes at most", MostStep)
 	case op == Checkpoint && c.StepNo == nil:
@@ -397,13 +404,14 @@
 	case c.StepNo != nil && *c.StepNo != d.StepNo:
 		return refuse(Conflict, "%s is at step %d, not %d", d.Name, d.StepNo, *c.StepNo)
 	}
-	s.edit(d, func() {
-		if c.StepNo != nil {
-			d.Step, d.StepNo = c.Step, d.StepNo+1
-		}
-	})
-	if op == Checkpoint {
+	if c.StepNo != nil {
+		s.edit(d, func() { d.Step, d.StepNo = c.Step, d.StepNo+1 })
+	}
+	switch op {
+	case Checkpoint:
 		return nil
+	case Forget:
+		return s.forget(c)
 	}
 	h, to := *d.Holder, d.To
 	if c.To != "" {
@@ -417,6 +425,23 @@
 	return nil
 }
 
+// LeastIdle is the shortest time after which duties may be forgotten. What is lost with one is its step and who failed in it.
+const LeastIdle = time.Second
+
+// forget drops duties out of use, which would fill the table for good. Danger: an epoch must never come twice under a name.
+func (s *duties) forget(c DutyCall) *Error {
+	for _, name := range c.Idle {
+		d := s.all[name]
+		if d == nil || d.Holder != nil || len(d.Waiting) > 0 || c.NowMS-d.SinceMS < c.IdleMS {
+			continue
+		}
+		s.floor = max(s.floor, d.Epoch)
+		delete(s.all, name)
+		s.rev++
+	}
+	return nil
+}
+
 // free ends an office.
 func (s *duties) free(d *Duty, failed bool, nowMS int64) {
 	name, long := ProcessName(d.Holder.Who), time.Duration(nowMS-d.SinceMS)*time.Millisecond >= soundOffice
@@ -438,7 +463,7 @@
 			f.Times++
 			f.UntilMS = nowMS + pause(f.Times).Milliseconds()
 		}
-		d.Holder, d.Asked, d.To, d.Barred, d.SinceMS = nil, false, "", false, 0
+		d.Holder, d.Asked, d.To, d.Barred, d.SinceMS = nil, false, "", false, nowMS
 	})
 }
 
@@ -529,15 +554,16 @@
 type dutiesForm struct {
 	Rev    int64  `json:"rev"`
 	Office int64  `json:"office"`
+	Floor  int64  `json:"floor,omitempty"`
 	All    []Duty `json:"all"`
 }
 
 // form is nil where there never was a duty, so that a keeper of before there were any reads the snapshot.
 func (s *duties) form() *dutiesForm {
-	if len(s.all) == 0 {
+	if s.rev == 0 {
 		return nil
 	}
-	f := &dutiesForm{s.rev, s.office, nil}
+	f := &dutiesForm{s.rev, s.office, s.floor, nil}
 	for _, name := range slices.Sorted(maps.Keys(s.all)) {
 		f.All = append(f.All, s.all[name].copied())
 	}
@@ -550,7 +576,7 @@
 	if f == nil {
 		return s, nil
 	}
-	s.rev, s.office = f.Rev, f.Office
+	s.rev, s.office, s.floor = f.Rev, f.Office, f.Floor
 	for i := range f.All {
 		d := f.All[i].copied()
 		if err := d.check(f.Rev); err != nil || s.all[d.Name] != nil {
@@ -559,7 +585,7 @@
 		s.all[d.Name] = &d
 		s.count(&d, 1)
 	}
-	if f.Rev < 1 || f.Office < 0 || len(f.All) > MostDuties || s.waiting > MostCandidacies {
+	if f.Rev < 1 || f.Office < 0 || f.Floor < 0 || len(f.All) > MostDuties || s.waiting > MostCandidacies {
 		return s, fmt.Errorf("%w: %d duties at revision %d", sealed.ErrUnsound, len(f.All), f.Rev)
 	}
 	return s, nil
@@ -590,7 +616,7 @@
 // keepers that lost all, those of the backup are taken, with epochs above all that can have been given since, and whoever
 // held one then has it for a last lease, so that it ends before another gets it. Errors are none of a sound state.
 func (m *Machine) KeepDuties(now *Machine) (err error) {
-	if len(now.duties.all) > 0 {
+	if now.duties.rev > 0 {
 		text, err := json.Marshal(now.duties.form())
 		if err != nil {
 			return fmt.Errorf("duties: %w", err)
@@ -607,8 +633,9 @@
 			d.Epoch += restoredEpochs
 			d.Barred = d.Holder != nil
 		}
+		m.duties.floor += restoredEpochs
 	}
-	if len(m.duties.all) > 0 { // some may have been told changes that this does not know
+	if m.duties.rev > 0 { // some may have been told changes that this does not know
 		m.duties.rev += restoredEpochs
 		m.duties.office++
 		for _, d := range m.duties.all {
--- a/internal/state/duties_test.go
+++ b/internal/state/duties_test.go
@@ -34,17 +34,22 @@
 		m := New()
 		names, whos := []string{"d-1", "d-2"}, []string{"a#1", "a#2", "b#1", "c#1"}
 		now := int64(1000)
+		highest := map[string]int64{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += rapid.SampledFrom([]int64{0, 10, 700, 5000, -3000}).Draw(t, "later")
 			name := rapid.SampledFrom(names).Draw(t, "name")
 			c := DutyCall{Name: name, Who: rapid.SampledFrom(whos).Draw(t, "who"), TTLMS: 3000, NowMS: now,
 				Epoch: m.epoch(name) + rapid.SampledFrom([]int64{0, 0, 0, -1, 1}).Draw(t, "off"), Again: rapid.Bool().Draw(t, "again"), Failed: rapid.Bool().Draw(t, "failed"),
 				To: rapid.SampledFrom([]string{"", "a", "b#1"}).Draw(t, "to"), Force: rapid.Bool().Draw(t, "force")}
-			op := rapid.SampledFrom([]Op{Campaign, Campaign, Withdraw, Release, Move, Checkpoint, End, Office}).Draw(t, "op")
+			op := rapid.SampledFrom([]Op{Campaign, Campaign, Withdraw, Release, Move, Checkpoint, Forget, End, Office}).Draw(t, "op")
 			if op == Checkpoint || rapid.Bool().Draw(t, "step") {
 				n := rapid.Int64Range(0, 2).Draw(t, "step")
 				c.StepNo, c.Step = &n, "half"
 			}
+			if op == Forget {
+				now += rapid.SampledFrom([]int64{0, 100_000}).Draw(t, "much later")
+				c.Idle, c.IdleMS, c.NowMS, c.StepNo = names, 60_000, now, nil
+			}
 			if op == End {
 				c.Office = m.duties.office - rapid.Int64Range(0, 1).Draw(t, "old office")
 				c.Ended, c.Silent, c.Due = []EndedOne{{Name: name, Epoch: c.Epoch}}, []EndedOne{{Name: name, Who: c.Who}}, m.Due(now)
@@ -65,8 +70,20 @@
 			if r.Err != nil && !bytes.Equal(before, after) {
 				t.Fatalf("%s %+v was refused (%v) and changed the state", op, c, r.Err)
 			}
+			for name, d := range was {
+				if _, there := m.Duty(name); !there && (op != Forget || d.Holder != nil || len(d.Waiting) > 0) {
+					t.Fatalf("%s %+v forgot %+v", op, c, d)
+				}
+			}
 			for _, d := range m.Duties(0) {
-				old := was[d.Name]
+				old, there := was[d.Name]
+				if !there {
+					old.Epoch = m.duties.floor
+				}
+				if d.Epoch < highest[d.Name] || d.Holder != nil && old.Holder == nil && d.Epoch == highest[d.Name] {
+					t.Fatalf("%s: epoch %d of %s, which was at %d", op, d.Epoch, d.Name, highest[d.Name])
+				}
+				highest[d.Name] = d.Epoch
 				held, holds := old.Holder, d.Holder
 				switch granted := holds != nil && (held == nil || d.Epoch != old.Epoch); {
 				case granted && d.Epoch != old.Epoch+1, !granted && d.Epoch != old.Epoch:
@@ -171,6 +188,8 @@
 		"b#1 does not hold d under epoch 1":   {Release, DutyCall{Name: "d", Who: "b#1", Epoch: 1}},
 		"a#1 does not hold d under epoch 0":   {Checkpoint, DutyCall{Name: "d", Who: "a#1", StepNo: &zero}},
 		"d is at step 0, not 9":               {Checkpoint, DutyCall{Name: "d", Who: "a#1", Epoch: 1, StepNo: &nine}},
+		"b#1 does not hold d under epoch 0":   {Forget, DutyCall{Name: "d", Who: "b#1", Idle: []string{"free"}, IdleMS: 1000}},
+		"1 duties idle for 999 ms":            {Forget, DutyCall{Name: "d", Who: "a#1", Epoch: 1, Idle: []string{"free"}, IdleMS: 999, NowMS: 5000}},
 		"step_no is missing":                  {Checkpoint, DutyCall{Name: "d", Who: "a#1", Epoch: 1}},
 		"a step has 4096 bytes":               {Checkpoint, DutyCall{Name: "d", Who: "a#1", Epoch: 1, StepNo: &zero, Step: strings.Repeat("x", 4097)}},
 		"a#1 does not wait for d":             {Withdraw, DutyCall{Name: "d", Who: "a#1"}},
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -38,7 +38,7 @@
 	if m.routing.gen > 0 {
 		k.Needs = 2
 	}
-	if len(m.duties.all) > 0 {
+	if m.duties.rev > 0 {
 		k.Needs = 3
 	}
 	return k.Seal(body), nil
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -239,7 +239,7 @@
 		r.Err = m.member(c)
 	case Route:
 		r = m.route(c)
-	case Campaign, Withdraw, Release, Move, Checkpoint, End, Office:
+	case Campaign, Withdraw, Release, Move, Checkpoint, Forget, End, Office:
 		call := DutyCall{}
 		if c.Duty != nil {
 			call = *c.Duty
