Sidecars speak early, of full and slow servers too, say what serves again, and try by turns

Where it was avoided, old faults kept it avoided 8 s and more after it was back. Change: a witness speaks at 4 times what the class takes, in place of 8 and the aim; three of the server's own room count everywhere; Full and Slow are told, and taken for own evidence of two requests; who was served by a server that others condemn says so, and two such end older faults; users of a doubted server try it by turns, so that one in 20 does in 8 s. Nothing of it acts without members' word. Not taken: one served witness for enough (one liar would clear what is silent); turns of a growing period, which draw anew each tick.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -95,6 +95,9 @@
 	// Danger: an answer that comes when the client is gone is work for nothing, and its effect is not known. One
 	// client's hurry prefers quick endpoints, but it refuses nothing and is no reason for others to give way.
 	left := surely * (q.due(now) - now).Seconds()
+	if to = b.trial(q, now); to != nil {
+		return to, 0
+	}
 	for pass := range 2 {
 		for _, e := range b.active {
 			limit := bar
--- a/balance/hand.go
+++ b/balance/hand.go
@@ -42,6 +42,7 @@
 // Whether it may have been is told by the start that counts: the listed one may lie ahead of this clock.
 func (b *Balancer) restarted(e *endpoint, from Time) {
 	e.took, e.held, e.faults, e.until, e.from, e.served, e.struck = 0, 0, 0, 0, from, 0, 0
+	e.turned, e.worse, e.doubted = 0, false, 0
 	e.due = b.rng.Float64()
 }
 
--- a/balance/health.go
+++ b/balance/health.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -57,6 +56,9 @@
 	if e.warm < 1 {
 		group = b.cold.took / (b.cold.held + prior)
 	}
+	if e.worse { // by the word of members: it weighs what its group would
+		group = max(group, b.aim*e.able())
+	}
 	drain := (e.took*e.fresh + e.owed(now) + prior*group/e.able()) / (e.held*e.fresh + prior)
 	if e.awaited() == 0 {
 		drain *= max(0, 1-(now-b.heard).Seconds()/recent.Seconds())
@@ -67,52 +69,11 @@
 // able is the registered size of what an endpoint can do now.
 func (e *endpoint) able() float64 { return e.Size * math.Max(e.warm, 0.01) }
 
-// owed is the sum in seconds of how long the requests in flight have been out. Danger: the first answers to
-// come are the quick ones; a slowed endpoint owes answers before its answers tell; a dead one looks idle.
-func (e *endpoint) owed(now Time) float64 {
-	var sum Time
-	for _, f := range e.flights {
-		if !f.lost() {
-			sum += now - f.sent
-		}
-	}
-	return sum.Seconds()
-}
-
-// awaited is the number of requests in flight whose answers may still come.
-func (e *endpoint) awaited() (n int) {
-	for _, f := range e.flights {
-		if !f.lost() {
-			n++
-		}
-	}
-	return n
-}
-
 // lost tells whether so many later answers have passed an attempt that its own is not slow but lost, or none
 // is due for now. Danger: one lost answer would close an endpoint that serves all others, until that attempt
 // times out; a body that comes slowly, or an answer that is read slowly, would make it seem slow.
 func (f *flight) lost() bool { return f.apart || f.passed >= passedBy }
 
-// depart takes in that the request's next attempt is sent.
-func (e *endpoint) depart(q *request, now Time) *flight {
-	e.inFlight++
-	e.flights = append(e.flights, &flight{id: q.ID, number: len(q.attempts), sent: now, apart: q.Coming})
-	return e.flights[len(e.flights)-1]
-}
-
-// arrive takes in that an attempt has ended, and what that tells of those sent before it.
-func (e *endpoint) arrive(f *flight, served bool) {
-	at := slices.Index(e.flights, f)
-	e.flights = slices.Delete(e.flights, at, at+1)
-	e.inFlight--
-	for _, old := range e.flights[:at] {
-		if served && !old.apart && old.sent < f.sent {
-			old.passed++
-		}
-	}
-}
-
 // reclaim calls off what is lost at an endpoint where the request may be sent elsewhere. Danger: a
 // heavy request is passed too, and its work would be done twice; so it gets many times what its class takes.
 func (b *Balancer) reclaim(e *endpoint, now Time) {
@@ -150,9 +111,9 @@
 	}
 	switch r.Outcome {
 	case Saturated: // its queue is full: as bad as an answer at the aim
-		e.took, e.fresh = e.took+b.aim, 1
+		e.took, e.fresh, e.turned, e.struckAt = e.took+b.aim, 1, e.turned+1, now
 	case Served:
-		e.faults, e.served, e.struck = e.faults*faultKeep, now, 0
+		e.faults, e.served, e.struck, e.turned = e.faults*faultKeep, now, 0, 0
 	case Errored, TimedOut, ConnectFailed, Reset:
 		if r.Outcome == TimedOut && a.sent > e.served {
 			e.struck, e.struckAt = failure[r.Outcome], now
@@ -168,21 +129,6 @@
 	}
 }
 
-// timed takes in how many seconds an answer of a class took. Danger: what a jam taught of a class that is then
-// refused would have it refused for good; without answers of its own it is taken to be as all classes are.
-func (b *Balancer) timed(class int, took float64) {
-	b.works[class].took += took / (1 - workStep)
-	b.works[class].held += 1 / (1 - workStep)
-	var all group
-	for i := range b.works {
-		b.works[i].fade(1 - workStep)
-		all.took, all.held = all.took+b.works[i].took, all.held+b.works[i].held
-	}
-	for i, w := range b.works {
-		b.work[i] = (w.took + all.usual()) / (w.held + 1)
-	}
-}
-
 // fade lets go of the knowledge that is older by some time, and recounts warmth and the share ejected.
 // Danger: what a jam has taught must not outlast it. Endpoints that seem full get nothing and cannot tell
 // better: one is believed what its own answers told while they are recent, and then what the others tell.
--- a/balance/shared.go
+++ b/balance/shared.go
@@ -101,7 +101,7 @@
 		kind, count, when := b.fails(e, now)
 		// Danger: where hundreds see the same, what they say would fill all that members can carry. Those who speak go on:
 		// if all fell silent that hear others, nobody would be left.
-		if e.said = kind > signals.None && (e.said || !b.book.Loud(e.subject())); e.said {
+		if e.said = kind > signals.None && (e.said || !b.book.Loud(e.subject(), kind)); e.said {
 			r.Verdicts = append(r.Verdicts, signals.Verdict{Subject: e.subject(), Room: e.Zone, Kind: kind,
 				Count: count, Age: now - when})
 		}
--- a/balance/signals/codec.go
+++ b/balance/signals/codec.go
@@ -46,7 +46,7 @@
 // Encode writes a report in at most Most bytes. The mildest verdicts, and then uses, give way.
 func Encode(r Report) ([]byte, error) {
 	r.Verdicts = slices.SortedFunc(slices.Values(r.Verdicts), func(x, y Verdict) int {
-		return cmp.Or(cmp.Compare(y.Kind, x.Kind), cmp.Compare(y.Count, x.Count), cmp.Compare(x.Server, y.Server))
+		return cmp.Or(cmp.Compare(y.Kind%Serves, x.Kind%Serves), cmp.Compare(y.Count, x.Count), cmp.Compare(x.Server, y.Server))
 	})
 	r = sane(r)
 	w := wireReport{Room: r.Room, Level: uint(max(r.Level, 0))}
--- a/balance/signals/signals.go
+++ b/balance/signals/signals.go
@@ -9,6 +9,7 @@
 
 const (
 	leastWitnesses = 3
+	leastServed    = 2 // Danger: one that lies would take away what is true
 	leastFaults    = 5 // among them, at most mostFaults of each
 	mostFaults     = 2
 	leastRooms     = 2               // Danger: one that is cut off would condemn another for all
@@ -30,15 +31,27 @@
 			continue
 		}
 		for _, v := range s.Verdicts {
-			if v.Age+now-s.at <= mostEvidence {
-				heard[v.Subject] = append(heard[v.Subject], witness{v.Kind, s.Room, v.Count})
+			if age := v.Age + now - s.at; age <= mostEvidence {
+				heard[v.Subject] = append(heard[v.Subject], witness{v.Kind, s.Room, v.Room, v.Count, age})
 			}
 		}
 	}
 	judged := map[Subject]Kind{}
-	b.loud = map[Subject]bool{}
+	b.loud = map[Subject][2]int{}
 	for subject, all := range heard {
-		b.loud[subject] = len(all) >= 2*leastWitnesses
+		var served []time.Duration // ago, by each that it served
+		for _, w := range all {
+			if w.kind == Serves {
+				served = append(served, w.age)
+			}
+		}
+		b.loud[subject] = [2]int{len(all) - len(served), len(served)}
+		since := mostEvidence
+		if len(served) >= leastServed {
+			slices.Sort(served)
+			since = served[leastServed-1]
+		}
+		all = slices.DeleteFunc(all, func(w witness) bool { return w.kind == Serves || w.age > since })
 		for kind := Silent; kind > None && judged[subject] == None; kind-- {
 			if b.enough(all, kind) {
 				judged[subject] = kind
@@ -51,7 +64,7 @@
 // enough tells whether the witnesses suffice for a kind of failure.
 func (b *Book) enough(all []witness, kind Kind) bool {
 	var rooms []string
-	count, faults := 0, 0
+	count, faults, near := 0, 0, 0
 	for _, w := range all {
 		if w.kind < kind {
 			continue
@@ -60,14 +73,18 @@
 		if !slices.Contains(rooms, w.room) {
 			rooms = append(rooms, w.room)
 		}
+		if w.room == w.of {
+			near++
+		}
 	}
 	return count >= leastWitnesses && faults >= leastFaults &&
-		(len(rooms) >= leastRooms || rooms[0] == b.Room)
+		(len(rooms) >= leastRooms || rooms[0] == b.Room || near >= leastWitnesses)
 }
 
 // cutOff tells whether a witness more likely lost its own way than that so many servers fail.
 func cutOff(r Report) bool {
 	var used, condemned int
+	r.Verdicts = slices.DeleteFunc(slices.Clone(r.Verdicts), func(v Verdict) bool { return v.Kind == Serves })
 	for _, u := range r.Uses {
 		here := 0
 		for _, v := range r.Verdicts {
--- a/balance/signals/types.go
+++ b/balance/signals/types.go
@@ -4,11 +4,13 @@
 // Promises, whatever order, repeats and losses news comes in:
 //
 //  1. A verdict stands on 3 or more origins that are members, each with what it last said, no older than the bound, on faults
-//     of its own no older than 8 s, 5 in all, at most 2 of each counted; from 2 or more rooms, or all from the reader's own.
+//     of its own no older than 8 s, 5 in all, at most 2 of each counted; from 2 or more rooms, or all from the reader's own, or
+//     all from the server's, who have the shortest way to it.
 //  2. So one origin, whatever it says, and of whatever rooms, neither makes a verdict that two sound ones would not be part
 //     of, nor takes one away that rests on three others.
 //  3. A witness that condemns over 0.4 of what it uses, or over half of one room, is likely cut off: it counts nowhere.
-//  4. A verdict is over a bound after its witnesses fall silent, 8 s after the last fault that any of them saw, or with the
+//  4. Faults count for nothing that are older than the answers that 2 others had; the word of one takes nothing away.
+//  5. A verdict is over a bound after its witnesses fall silent, 8 s after the last fault that any of them saw, or with the
 //     server's process. No message ends it but what its witnesses themselves say next.
 package signals
 
@@ -18,7 +20,7 @@
 	"time"
 )
 
-// Kind is how a server fails, from the mildest to the worst.
+// Kind is how a server fails, from the mildest to the worst, or that it does not.
 type Kind uint8
 
 // The kinds. One beyond the last comes from a later version, and counts for nothing.
@@ -28,6 +30,7 @@
 	Slow          // owes answers for longer than it should
 	Refusing      // answers with errors, or takes no connection
 	Silent        // does not answer
+	Serves        // answers, though others say that it fails
 )
 
 // Subject is one process of a server. A successor under the same id is another subject.
@@ -72,7 +75,7 @@
 	Room  string        // the reader's
 	Bound time.Duration // what was said longer ago counts for nothing
 	said  map[string]statement
-	loud  map[Subject]bool // of what so many spoke, when last judged, that one more adds nothing
+	loud  map[Subject][2]int // how many condemned it, and how many it served, when last judged
 }
 
 // NewBook returns a book for a reader in a room.
@@ -105,8 +108,16 @@
 	}
 }
 
-// Loud tells whether twice as many as are needed spoke of a subject when it was last judged.
-func (b *Book) Loud(s Subject) bool { return b.loud[s] }
+// Loud tells whether twice as many as are needed spoke of a subject as a kind does when it was last judged.
+func (b *Book) Loud(s Subject, kind Kind) bool {
+	if kind == Serves {
+		return b.loud[s][1] >= 2*leastServed
+	}
+	return b.loud[s][0] >= 2*leastWitnesses
+}
+
+// Heard tells how many condemned a subject, and how many it served, when it was last judged.
+func (b *Book) Heard(s Subject) (fails, serves int) { return b.loud[s][0], b.loud[s][1] }
 
 // Gone takes in that an origin is no member any more.
 func (b *Book) Gone(origin string) { delete(b.said, origin) }
@@ -115,7 +126,9 @@
 type witness struct {
 	kind  Kind
 	room  string
+	of    string // the server's room
 	count int
+	age   time.Duration
 }
 
 // sane is a report within the bounds, with one verdict on each subject, of known kinds, on rooms that it uses once each.
@@ -128,7 +141,7 @@
 		}
 	}
 	for _, v := range r.Verdicts[:min(len(r.Verdicts), MostVerdicts)] {
-		known := v.Kind > None && v.Kind <= Silent && len(v.Server) <= mostText
+		known := v.Kind > None && v.Kind <= Serves && len(v.Server) <= mostText
 		if known && !slices.ContainsFunc(s.Verdicts, func(x Verdict) bool { return x.Subject == v.Subject }) {
 			v.Age, v.Count = max(v.Age, 0), max(v.Count, 0)
 			s.Verdicts = append(s.Verdicts, v)
--- /dev/null
+++ b/balance/silent_test.go
@@ -0,0 +1,115 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/balance/signals"
+)
+
+// gossip has each sidecar say what it saw every 200 ms, as long as it has anything to say or has just had, and all the others
+// hear it 200 ms later.
+type gossip struct {
+	f    *coldFleet
+	seq  uint64
+	said []signals.Report
+	late []func()
+}
+
+func (g *gossip) round() {
+	for _, tell := range g.late {
+		tell()
+	}
+	g.late, g.seq = nil, g.seq+1
+	for self, b := range g.f.sidecars {
+		r := b.Witness(g.f.now)
+		if len(r.Verdicts)+len(g.said[self].Verdicts) == 0 {
+			continue
+		}
+		g.said[self] = r
+		for other, to := range g.f.sidecars {
+			if other != self {
+				seq := g.seq
+				g.late = append(g.late, func() { to.Told(g.f.now, fmt.Sprint(self), 1, seq, 200*time.Millisecond, r) })
+			}
+		}
+	}
+}
+
+// fallsSilent has a server answer nothing for 8 s, and tells after what time 95% of the sidecars that used it sent there for the
+// last time, how many attempts it got meanwhile, and after what time it has at least half of its share again; members know each
+// other.
+func fallsSilent(t *testing.T, sidecars int, members bool) (avoided time.Duration, attempts int, back time.Duration) {
+	const silence = 8 * time.Second
+	servers := fleet(20)
+	f := newColdFleet(t, sidecars, servers, 3*float64(sidecars))
+	g := &gossip{f: f, said: make([]signals.Report, sidecars)}
+	run := func(until Time) {
+		for f.now < until {
+			if members {
+				g.round()
+			}
+			f.run(f.now + 200*time.Millisecond)
+		}
+	}
+	run(f.now + 26*time.Second)
+	if members {
+		f.meet()
+	}
+	run(f.now + 10*time.Second)
+	from := f.now
+	f.silent = f.sidecars[0].active[0].ID
+	used := map[int]bool{}
+	for self, b := range f.sidecars {
+		used[self] = b.known[f.silent].held > 0.2
+	}
+	f.by = nil
+	run(from + silence)
+	at := make([]time.Duration, 0, sidecars)
+	last := map[int]Time{}
+	for _, s := range f.by {
+		if s.to == f.silent {
+			attempts++
+			last[s.self] = s.at - from
+		}
+	}
+	for self, is := range used {
+		if is {
+			at = append(at, last[self])
+		}
+	}
+	slices.Sort(at)
+	id := f.silent
+	f.silent = ""
+	share := 3 * sidecars / len(servers)
+	for back = time.Second; back < 20*time.Second; back += time.Second / 2 {
+		run(from + silence + back)
+		first, _ := slices.BinarySearch(f.sent[id], f.now-time.Second)
+		if len(f.sent[id])-first >= share/2 {
+			break
+		}
+	}
+	return at[int(math.Ceil(0.95*float64(len(at))))-1], attempts, back
+}
+
+// TestSilenceIsLearntTogether: a server that falls silent is avoided by the fleet sooner, and with fewer attempts, than sidecars
+// learn it alone, and it is back soon after it answers again. Of 20 sidecars none may try it in 8 s for 95% to have stopped, and some
+// must, or nobody would know that it is back.
+func TestSilenceIsLearntTogether(t *testing.T) {
+	for _, tt := range []struct {
+		sidecars int
+		within   time.Duration
+		part     float64 // of the attempts alone
+	}{{20, 5 * time.Second, 0.5}, {100, 1500 * time.Millisecond, 0.3}, {300, 1500 * time.Millisecond, 0.2}} {
+		n := tt.sidecars
+		alone, lone, _ := fallsSilent(t, n, false)
+		avoided, attempts, back := fallsSilent(t, n, true)
+		t.Logf("%d sidecars: 95%% avoid it after %v with %d attempts, alone %v with %d; back after %v", n, avoided, attempts, alone, lone, back)
+		if avoided > tt.within || float64(attempts) > tt.part*float64(lone) || back > 6*time.Second {
+			t.Errorf("%d sidecars: want %v, %.0f attempts and 6 s at most", n, tt.within, tt.part*float64(lone))
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -102,6 +102,11 @@
 	served   Time         // when it last gave an answer to this sidecar; 0: never
 	struck   signals.Kind // how it failed when this sidecar last ejected it, until it serves again
 	struckAt Time
+	turned   int     // requests turned away since it last served this sidecar
+	worse    bool    // full or slow, by the word of members
+	doubted  Time    // since when members' word ejects it; 0: it does not
+	try      Time    // until then it is this sidecar's turn to try it all the same
+	tried    Time    // when it last did
 	said     bool    // to the members, as of the last Witness
 	from     Time    // when it started as far as its warmth goes; 0: long ago
 	out      bool    // taken out by hand
--- a/balance/word.go
+++ b/balance/word.go
@@ -1,36 +1,85 @@
 package balance
 
 import (
+	"cmp"
 	"time"
 
 	"gradeusher.example/gradeusher/balance/signals"
+	"gradeusher.example/gradeusher/balance/turns"
 )
 
-const comeBack = 3 * time.Second // in which sidecars come back, in turn, to what the word had avoided
+const (
+	comeBack = time.Second       // in which sidecars come back, in turn, to what the word had avoided
+	tryEach  = 160 * time.Second // each user of a doubted endpoint has a turn to try it, so that one in 20 tries in 8 s
+	tryLeast = time.Second / 2   // but not more often for all users together
+	tryHold  = 2 * time.Second   // a turn waits so long for a request
+	tryMost  = 3 * time.Second   // nor more seldom: else nobody would know that it is back
+	early    = 4.0               // times its class's mean time: enough to speak of, as one of three that see the same
+	slowAt   = 4.0               // times the usual time of its group: far slower
+)
 
 // heed ejects whom the members' verdicts call silent or refusing, as long as they do, but for what has served
-// this sidecar in the last second. Panic counts it as any ejection.
+// this sidecar in the last second. Panic counts it as any ejection. What they call full or slow is only taken to
+// be so by who knows little of it. Who tries next goes by turns: one of its users, or two, in each period, sooner
+// once somebody was served.
 func (b *Balancer) heed(now Time) {
-	judged := b.book.Judged(now)
+	judged, v := b.book.Judged(now), b.view()
+	users := max(1, v.Count*len(b.active)/max(len(b.endpoints), 1))
 	for _, e := range b.endpoints {
-		if judged[e.subject()] >= signals.Refusing && (e.served == 0 || now-e.served >= time.Second) {
-			e.until = max(e.until, now+2*tickEvery+b.view().Back(e.hash(), comeBack))
+		kind, was := judged[e.subject()], e.doubted > 0
+		own := e.served > 0 && now-e.served < time.Second
+		e.worse = kind > signals.None && kind < signals.Refusing
+		switch {
+		case kind < signals.Refusing || own:
+			if e.doubted = 0; was && !own {
+				e.until = max(e.until, now+v.Back(e.hash(), comeBack))
+			}
+		default:
+			e.doubted, e.until = cmp.Or(e.doubted, now), max(e.until, now+2*tickEvery)
+			period := min(max(tryEach/time.Duration(users), tryLeast), tryMost)
+			if _, serves := b.book.Heard(e.subject()); serves > 0 {
+				period = min(period, tryLeast) // one has had an answer: another makes it sure
+			}
+			mine := turns.View{Place: v.Place % users, Count: users}.Mine(e.hash(), now, period)
+			if mine && now-e.tried >= period && e.awaited() == 0 {
+				e.try = now + tryHold
+			}
+		}
+	}
+}
+
+// trial is a doubted endpoint that this sidecar is to try in its turn, by a request that may be sent again.
+func (b *Balancer) trial(q *request, now Time) *endpoint {
+	for _, e := range b.active {
+		if e.doubted > 0 && now < e.try && e.ready() && q.class.Effect == Idempotent && len(q.attempts) == 0 {
+			e.try, e.tried = 0, now
+			return e
 		}
 	}
+	return nil
 }
 
-// fails is how an endpoint fails by what this sidecar saw itself, how often, and when. Danger: a heavy
-// request is as silent as a dead server; so it has been out for longer than most, and nothing came since.
+// fails is how an endpoint fails by what this sidecar saw itself, how often, and when; or that it served this
+// sidecar, where others say that it fails. Danger: a heavy request is as silent as a dead server; so it has been
+// out for longer than most, and nothing came since.
 func (b *Balancer) fails(e *endpoint, now Time) (signals.Kind, int, Time) {
 	silent := 0
 	for _, f := range e.flights {
-		if q := b.requests[f.id]; q != nil && !f.lost() && f.sent > e.served &&
-			(now-f.sent).Seconds() >= max(b.aim, heavy*b.work[q.Class]) {
+		if q := b.requests[f.id]; q != nil && !f.lost() && f.sent > e.served && (now-f.sent).Seconds() >= early*b.work[q.Class] {
 			silent++
 		}
 	}
-	if silent > 0 {
+	switch failing, _ := b.book.Heard(e.subject()); {
+	case silent > 0:
 		return signals.Silent, silent, now
+	case e.struck > signals.None:
+		return e.struck, 1 + int(e.faults), e.struckAt
+	case e.turned > 0:
+		return signals.Full, e.turned, e.struckAt
+	case e.held*e.fresh >= prior && e.took*e.able() > slowAt*e.held*e.home.usual():
+		return signals.Slow, 2, e.served
+	case failing > 0 && e.served > e.doubted && now-e.served <= b.book.Bound:
+		return signals.Serves, 1, e.served
 	}
-	return e.struck, 1 + int(e.faults), e.struckAt
+	return signals.None, 0, 0
 }
