--- a/balance/balance.go
+++ b/balance/balance.go
@@ -95,6 +95,9 @@
 	// Danger: an answer that comes when the client is gone is work for nothing, and its effect is not known. One
 	// client's hurry prefers quick endpoints, but it refuses nothing and is no reason for others to give way.
 	left := surely * (q.due(now) - now).Seconds()
+	if to = b.trial(q, now); to != nil {
+		return to, 0
+	}
 	for pass := range 2 {
 		for _, e := range b.active {
 			limit := bar
@@ -150,7 +153,11 @@
 		e.due += share * e.Size * e.warm * b.near[e.abroad]
 	}
 	to.due = 0
-	b.act.Send(q.ID, to.ID, 0)
+	var within time.Duration
+	if to.doubted > 0 { // a try: if it fails, time is left for another attempt
+		within = time.Duration(surely * float64(q.due(now)-now))
+	}
+	b.act.Send(q.ID, to.ID, within)
 }
 
 // mayGo tells whether the request may be sent to e. Danger: an effect that happens twice. What may have run
