--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -35,6 +35,8 @@
 	Routed []Routed     // the route tables that the lab put
 	Routes []ctl.Routes // what keepers wrote of them to sidecars
 
+	Twin *Evidence // of the same seed without its floods; nil: that was not played
+
 	Kills       []int64 // of keepers
 	KeeperPeaks []KeeperPeak
 }
--- a/internal/lab/check/hitters.go
+++ b/internal/lab/check/hitters.go
@@ -143,16 +143,23 @@
 	}
 }
 
-// soundLoss is the share of the worth that was served of those who do not flood before the first flood, less the same
-// while it lasts, from when it should be judged on (hitter_sound_loss).
+// soundLoss is the share of the worth that was served of those who do not flood, without any flood less with them, while they last and
+// from when they should be judged on (hitter_sound_loss). It takes a second run, without the floods.
 func (e *Evidence) soundLoss(f Figures) {
-	p := e.Plan
-	from, to := math.Inf(1), 0.0
-	for i := range p.File.Faults {
-		if t := &p.File.Faults[i]; t.Do == "flood" && t.At < from {
-			from, to = t.At, t.At+t.For
-		}
+	from, to, floods := e.Plan.File.Flooded(judged)
+	if e.Twin == nil || !floods {
+		return
+	}
+	without, a := e.Twin.sound(from, to)
+	with, b := e.sound(from, to)
+	if a && b {
+		f["hitter_sound_loss"] = without - with
 	}
+}
+
+// sound is the share of the worth of who do not flood that was served of what arrived within a time; false: nothing did.
+func (e *Evidence) sound(from, to time.Duration) (float64, bool) {
+	p := e.Plan
 	got := make([]float64, len(p.Arrivals))
 	for i := range e.Tries {
 		t := &e.Tries[i]
@@ -165,22 +172,15 @@
 			got[t.Arrival] = max(got[t.Arrival], class.LateWorth)
 		}
 	}
-	var asked, served [2]float64
+	asked, served := 0.0, 0.0
 	for i := range p.Arrivals {
 		a := &p.Arrivals[i]
-		when := 0
-		if _, floods := plan.Flooder(a.Client); floods || a.At.Seconds() >= to {
-			continue
-		} else if a.At.Seconds() >= from+judged.Seconds() {
-			when = 1
-		} else if a.At.Seconds() >= from {
+		if _, floods := plan.Flooder(a.Client); floods || a.At < from || a.At >= to {
 			continue
 		}
 		worth := p.File.Classes[a.Class].Worth * a.Work.Seconds()
-		asked[when] += worth
-		served[when] += worth * got[i]
-	}
-	if asked[0] > 0 && asked[1] > 0 {
-		f["hitter_sound_loss"] = served[0]/asked[0] - served[1]/asked[1]
+		asked += worth
+		served += worth * got[i]
 	}
+	return served / asked, asked > 0
 }
--- a/internal/lab/check/hitters_test.go
+++ b/internal/lab/check/hitters_test.go
@@ -61,3 +61,36 @@
 		}
 	}
 }
+
+// TestSoundLoss counts by hand: of sound clients, what is served without the flood less what is with it, within the time that counts.
+func TestSoundLoss(t *testing.T) {
+	f, err := plan.Parse("x.toml", []byte("states = \"x\"\nseconds = 20\n[load]\nrate = 1\n[[fault]]\ndo = \"flood\"\nat = 5\nfor = 10\nsize = 1.0\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	play := func(floods bool, refused int) *Evidence { // one request a second, and the flooder's, all refused; of those in 8 to 15 s some are refused
+		e := &Evidence{Plan: &plan.Plan{File: f}}
+		for s := range 20 {
+			for _, client := range []int{1, 1 << 22} {
+				if client > 1 && !floods {
+					continue
+				}
+				at := time.Duration(s) * time.Second
+				e.Plan.Arrivals = append(e.Plan.Arrivals, plan.Arrival{At: at, Client: client, Work: time.Second})
+				try := load.Try{Arrival: len(e.Plan.Arrivals) - 1, Status: 200, Ended: int64(at) + 1}
+				if client > 1 || s < 8 || s >= 8 && s < 8+refused {
+					try.Status = 503
+				}
+				e.Tries = append(e.Tries, try)
+			}
+		}
+		return e
+	}
+	e, got := play(true, 3), Figures{}
+	if e.soundLoss(got); len(got) != 0 {
+		t.Errorf("without a twin: %v", got)
+	}
+	e.Twin = play(false, 1)
+	e.soundLoss(got)
+	near(t, "loss", got["hitter_sound_loss"], 2.0/7)
+}
--- a/internal/lab/check/routes.go
+++ b/internal/lab/check/routes.go
@@ -82,12 +82,38 @@
 	}
 }
 
+// astray is the share of the attempts, while tables led to no server, that went to servers to which the ones before did not lead
+// (route_astray). That requests are answered does not show whether sidecars held the table before: where none serves, any server does.
+func (e *Evidence) astray(f Figures) {
+	r := &e.Plan.File.Routes
+	if !r.Narrow || r.Nowhere[1] == 0 {
+		return
+	}
+	led := map[string]bool{}
+	for i := range e.Plan.Servers {
+		led[e.Plan.Servers[i].UID] = e.Plan.Servers[i].Kind == e.Plan.File.Kinds[0].Name
+	}
+	from, to := e.Start+int64(plan.Seconds(r.Nowhere[0])), e.Start+int64(plan.Seconds(r.Nowhere[1]))
+	all, other := 0, 0
+	for _, a := range e.Attempts {
+		if a.First >= from && a.First < to {
+			if all++; !led[a.Server] {
+				other++
+			}
+		}
+	}
+	if all > 0 {
+		f["route_astray"] = float64(other) / float64(all)
+	}
+}
+
 // routeFigures are the bytes that keepers wrote of routes to sidecars, besides beats, and how long generations took to the sidecars
 // that need them.
 func (e *Evidence) routeFigures(f Figures) {
 	if e.Plan.File.Routes.Apps == 0 || len(e.Routed) == 0 {
 		return
 	}
+	e.astray(f)
 	said := map[int][]ctl.Routes{}
 	var sum, wholes, diffs float64
 	for _, s := range e.Routes {
--- a/internal/lab/check/routes_test.go
+++ b/internal/lab/check/routes_test.go
@@ -62,3 +62,16 @@
 		})
 	}
 }
+
+// TestAstray counts by hand what went to servers to which no table led while tables led nowhere.
+func TestAstray(t *testing.T) {
+	e, got := fleet(t, 12, 1), Figures{}
+	e.Plan.File.Routes = plan.Routes{Narrow: true, Nowhere: [2]float64{4, 8}}
+	e.Plan.Servers[0].Kind, e.Plan.Servers[1].Kind = e.Plan.File.Kinds[0].Name, e.Plan.File.Kinds[1].Name
+	e.send(3, 0, "b", 10, 10)
+	e.send(5, 0, "a", 6, 10)
+	e.send(7, 0, "b", 2, 10)
+	e.send(8, 0, "b", 10, 10)
+	e.astray(got)
+	near(t, "astray", got["route_astray"], 0.25)
+}
--- a/internal/lab/plan/arrivals.go
+++ b/internal/lab/plan/arrivals.go
@@ -31,6 +31,9 @@
 			}
 			all = append(all, load{rate, at, end, p.sidecarSums(t.Zone), each})
 		case "flood":
+			if t.dry {
+				rate = 0
+			}
 			through, err := p.floodSidecars(i, t, at, end)
 			if err != nil {
 				return err
@@ -72,6 +75,9 @@
 		classes = append(classes, c.Share)
 	}
 	classes = sums(classes)
+	if l.rate <= 0 {
+		return
+	}
 	// In seconds from the start of the stream.
 	for t := r.ExpFloat64() / l.rate; l.from+Seconds(t) < l.to; t += r.ExpFloat64() / l.rate {
 		at := l.from + Seconds(t)
--- a/internal/lab/plan/fault.go
+++ b/internal/lab/plan/fault.go
@@ -28,6 +28,7 @@
 
 	Through  int  `toml:"through"`  // flood: as many sidecars, drawn; 0: all, alike
 	Distinct bool `toml:"distinct"` // flood: each request has a client of its own
+	dry      bool // flood: nobody asks for anything
 }
 
 // faultKind says what a fault needs.
--- a/internal/lab/plan/fleet_test.go
+++ b/internal/lab/plan/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -107,3 +109,42 @@
 		t.Errorf("%d clients of the distinct flood, want 300", n)
 	}
 }
+
+// TestWithoutFloods has the twin of an experiment be the same but for who floods: also what is drawn after the flood.
+func TestWithoutFloods(t *testing.T) {
+	p := make1(t, head+"[hitters]\non = true\ntwin = true\n[[fault]]\ndo = \"flood\"\nat = 3\nfor = 6\nsize = 1.0\n"+
+		"[[fault]]\ndo = \"burst\"\nat = 5\nfor = 5\nsize = 0.5\n")
+	twin, err := p.WithoutFloods()
+	if err != nil {
+		t.Fatal(err)
+	}
+	sound := slices.DeleteFunc(slices.Clone(p.Arrivals), func(a Arrival) bool { _, floods := Flooder(a.Client); return floods })
+	if len(sound) == len(p.Arrivals) || !slices.Equal(sound, twin.Arrivals) || twin.File.Hitters.Twin || p.StepsHash != twin.StepsHash {
+		t.Errorf("%d arrivals, %d of sound clients, %d without the flood", len(p.Arrivals), len(sound), len(twin.Arrivals))
+	}
+	if from, to, ok := p.File.Flooded(time.Second); from != 4*time.Second || to != 9*time.Second || !ok {
+		t.Errorf("flooded from %v to %v, %v", from, to, ok)
+	}
+}
+
+// TestLie has each lie have members of its own, and tell a multiple of what is asked for meanwhile.
+func TestLie(t *testing.T) {
+	on := head + "[members]\non = true\n[hitters]\non = true\n"
+	lie := "[[fault]]\ndo = \"lie\"\nat = 2\nfor = 5\nsize = 2.0\ncount = 2\nnames = [\"t1\", \"t2\"]\n"
+	p := make1(t, on+lie+lie)
+	work := 0.0
+	for _, a := range p.Arrivals {
+		if a.At >= 2*time.Second && a.At < 7*time.Second {
+			work += a.Work.Seconds()
+		}
+	}
+	s := p.Steps[1]
+	if p.Liars() != 4 || s.Do != Lie || !slices.Equal(s.Nears, []int{2, 3}) || s.Mode != "t1,t2" || s.By != Seconds(work/5*2*2) {
+		t.Errorf("%d liars, %+v, of %v s", p.Liars(), s, work)
+	}
+	for _, bad := range []string{head + lie, on + strings.Replace(lie, "count = 2", "count = 0", 1), on + strings.Replace(lie, "\"t1\", \"t2\"", "", 1)} {
+		if _, err := Parse("x.toml", []byte(bad)); err == nil {
+			t.Errorf("taken: %s", bad)
+		}
+	}
+}
--- a/internal/lab/plan/names.go
+++ b/internal/lab/plan/names.go
@@ -24,7 +24,7 @@
 	"writes", "writes_uncertain", "write_p99_ms", "write_gap_ms", "told_p50_ms", "told_p99_ms", "watches", "watches_whole",
 	"spread", "spread_worst10", "spread_rise", "churn", "refused_before", "refused_after", "refused_back_s",
 	"hitter_precision", "hitter_recall", "hitter_delay_ms", "hitter_yields", "hitter_sound_loss",
-	"route_generations", "route_bytes", "route_wholes", "route_diffs", "route_told_p50_ms", "route_told_p99_ms", "route_told_most_ms",
+	"route_generations", "route_bytes", "route_wholes", "route_diffs", "route_told_p50_ms", "route_told_p99_ms", "route_told_most_ms", "route_astray",
 	"avoid95_ms", "learn_attempts", "members_packets", "members_bytes",
 	"keeper_mb", "keeper_cores", "failover_p50_ms", "failover_most_ms"}
 
--- a/internal/lab/plan/routes.go
+++ b/internal/lab/plan/routes.go
@@ -8,6 +8,7 @@
 	Apps    int        `toml:"apps"`    // applications; 0: there are no routes
 	EveryS  float64    `toml:"every_s"` // from one generation to the next
 	UntilS  float64    `toml:"until_s"` // no generation is made later; 0: than the end of the load
+	Narrow  bool       `toml:"narrow"`  // tables lead to the first kind of servers alone
 	Wide    bool       `toml:"wide"`    // each changes the weights of all rules; else mostly one
 	Nowhere [2]float64 `toml:"nowhere"` // from when to when tables lead to no server
 	BoundS  float64    `toml:"bound_s"` // after the last generation and the last fault, within which each sidecar is told
--- a/internal/lab/routes.go
+++ b/internal/lab/routes.go
@@ -46,7 +46,11 @@
 // rule has a weight for each kind of server.
 func (r *router) rule(name, app string) routes.Rule {
 	rule := routes.Rule{Name: name, Source: routes.Match{"service": app}, Service: routes.Match{"service": "*"}}
-	for _, k := range r.plan.File.Kinds {
+	kinds := r.plan.File.Kinds
+	if r.plan.File.Routes.Narrow {
+		kinds = kinds[:1]
+	}
+	for _, k := range kinds {
 		rule.Destinations = append(rule.Destinations, routes.Destination{Weight: r.weight(), Match: routes.Match{"version": k.Name}, PerSize: true})
 	}
 	return rule
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -87,19 +87,46 @@
 
 const lead = 300 * time.Millisecond // from all being ready to the start of the load
 
-// Run runs a plan's experiment. When ctx is done, it ends early; whatever happens, no process, port or temporary folder is
-// left behind.
-func Run(ctx context.Context, p *plan.Plan, o Options) (r *Result, err error) {
+// Run runs a plan's experiment, and before it the same without floods, if the file wants that; Tick and Up hear of the experiment
+// alone. When ctx is done, it ends early; whatever happens, no process, port or temporary folder is left behind.
+func Run(ctx context.Context, p *plan.Plan, o Options) (*Result, error) {
 	if err := possible(p); err != nil {
 		return nil, err
 	}
-	work, err := os.MkdirTemp("", "gradeusher-lab-")
+	var twin *check.Evidence
+	if p.File.Hitters.Twin {
+		calm, err := p.WithoutFloods()
+		if err != nil {
+			return nil, err
+		}
+		if twin, _, err = run(ctx, calm, Options{Self: o.Self}); err != nil {
+			return nil, fmt.Errorf("without floods: %w", err)
+		}
+		if err := ctx.Err(); err != nil {
+			return nil, fmt.Errorf("without floods: %w", err)
+		}
+	}
+	e, effects, err := run(ctx, p, o)
 	if err != nil {
 		return nil, err
 	}
+	if e.Twin = twin; twin != nil {
+		e.Lateness = max(e.Lateness, twin.Lateness) // a late one is nothing to compare with
+	}
+	r := result(p, e)
+	r.Effects, r.BrokenOff = effects, ctx.Err() != nil
+	return r, nil
+}
+
+// run plays a plan once.
+func run(ctx context.Context, p *plan.Plan, o Options) (e *check.Evidence, effects []Effect, err error) {
+	work, err := os.MkdirTemp("", "gradeusher-lab-")
+	if err != nil {
+		return nil, nil, err
+	}
 	leave, err := startJanitor(o.Self, work)
 	if err != nil {
-		return nil, errors.Join(err, os.RemoveAll(work))
+		return nil, nil, errors.Join(err, os.RemoveAll(work))
 	}
 	defer func() {
 		if gone := leave(); err == nil {
@@ -111,11 +138,11 @@
 		logs = filepath.Join(o.Out, "logs")
 	}
 	if err := os.MkdirAll(logs, 0o700); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	f, err := StartFleet(ctx, p, o.Self, work, logs)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", p.File.Name, err)
+		return nil, nil, fmt.Errorf("%s: %w", p.File.Name, err)
 	}
 	defer f.Close()
 
@@ -125,8 +152,7 @@
 	if o.Up != nil {
 		o.Up(f)
 	}
-	e := &check.Evidence{Plan: p, Start: start}
-	var effects []Effect
+	e = &check.Evidence{Plan: p, Start: start}
 	over, stop := context.WithCancel(ctx)
 	defer stop()
 	var tasks errgroup.Group
@@ -155,7 +181,7 @@
 	f.Sample()
 	stop()
 	if err := tasks.Wait(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if f.keepers != nil {
 		e.Last = f.keepers.settle(ctx)
@@ -168,19 +194,17 @@
 	f.Finish()
 	f.Close()
 	if err := f.Err(); err != nil {
-		return nil, fmt.Errorf("%s: %w", p.File.Name, err)
+		return nil, nil, fmt.Errorf("%s: %w", p.File.Name, err)
 	}
 	if err := f.gather(e); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if o.Out != "" {
 		if err := keep(o.Out, e, work); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
-	r = result(p, e)
-	r.Effects, r.BrokenOff = effects, ctx.Err() != nil
-	return r, nil
+	return e, effects, nil
 }
 
 // possible refuses what this machine cannot do, before anything starts.
