The later process of an upgrade has the last word on what was kept

Both processes of an upgrade write one file of beliefs, and the earlier one, which ends last, replaced the fresher ones. Each process now has a beginning in the file, later than that of the one it takes up even when the wall clock went back; an earlier one replaces nothing of a later one, nor what a later program's form holds, which a process that begins sets aside. It is looked at and replaced under a lock that nobody waits for: an ending process must not hang on a stopped one.

sealed.Cell is one sealed value with its check, read, set aside, saved, and sealed.Locked the lock; the handover file, too, is written by sealed.WriteFile. Not taken: one file a process, which leaves files behind and asks whose is whose.

--- a/internal/sealed/sealed.go
+++ b/internal/sealed/sealed.go
@@ -23,6 +23,9 @@
 // ErrUnsound is a file that is torn, truncated, foreign, or of a form that this program does not read.
 var ErrUnsound = errors.New("unsound")
 
+// ErrLater is an unsound file that a later program can read.
+var ErrLater = fmt.Errorf("%w: of a later form", ErrUnsound)
+
 const mostHead = 200
 
 // Seal is a body behind a line with its kind, checksum and length.
@@ -45,7 +48,7 @@
 	}
 	switch {
 	case needs > k.Form:
-		return nil, fmt.Errorf("%w: it needs a program that reads form %d, this one reads %d", ErrUnsound, needs, k.Form)
+		return nil, fmt.Errorf("%w: it needs a program that reads form %d, this one reads %d", ErrLater, needs, k.Form)
 	case len(body) != size:
 		return nil, fmt.Errorf("%w: %d bytes of %d", ErrUnsound, len(body), size)
 	case xxhash.Sum64(body) != sum:
@@ -54,14 +57,14 @@
 	return body, nil
 }
 
-// ReadFile is a file of at most so many bytes. Danger: a foreign one may have any size.
+// ReadFile is a file of at most so many bytes. Danger: a foreign one may have any size. Errors wrap ErrUnsound where it has more.
 func ReadFile(path string, most int64) ([]byte, error) {
 	info, err := os.Stat(path)
 	if err != nil {
 		return nil, err
 	}
 	if info.Size() > most {
-		return nil, fmt.Errorf("%s has %d bytes", path, info.Size())
+		return nil, fmt.Errorf("%w: %s has %d bytes", ErrUnsound, path, info.Size())
 	}
 	return os.ReadFile(path)
 }
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"gradeusher.example/gradeusher/internal/sealed"
@@ -110,37 +109,20 @@
 		return nil
 	}
 	// Danger: two processes that change the file at once would each undo what the other did.
-	lock, err := os.OpenFile(f.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
-		return err
-	}
-	defer lock.Close() // which gives the lock up
-	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX); err != nil {
-		return fmt.Errorf("lock: %w", err)
-	}
-	if now, err := f.read(); err == nil {
-		ids = now
-	}
-	f.ids = change(ids)
-	return f.write()
-}
-
-// write puts the ids into the file. Danger: a process that is killed half way, or read from half way, must not leave half
-// a list. So the file is whole under another name before it takes its own.
-func (f *handover) write() error {
-	text, err := json.Marshal(handedOver{Out: f.ids})
-	if err != nil {
-		return err
-	}
-	whole := f.path + ".new"
-	if err := os.WriteFile(whole, append(text, '\n'), 0o600); err != nil {
-		return err
-	}
-	if err := os.Rename(whole, f.path); err != nil {
+	return sealed.Locked(f.path, true, func() error {
+		if now, err := f.read(); err == nil {
+			ids = now
+		}
+		f.ids = change(ids)
+		text, err := json.Marshal(handedOver{Out: f.ids})
+		if err == nil {
+			err = sealed.WriteFile(f.path, append(text, '\n'))
+		}
+		if err == nil {
+			f.seen, err = os.Stat(f.path)
+		}
 		return err
-	}
-	f.seen, err = os.Stat(f.path)
-	return err
+	})
 }
 
 // follow calls changed each time that another process has changed the file, until ctx is done.
--- a/internal/sidecar/kept.go
+++ b/internal/sidecar/kept.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"io/fs"
 	"log/slog"
 	"net/url"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
@@ -24,56 +23,60 @@
 // kept is the file in which a process leaves what it believes of its servers to the next one. Danger: a new process that takes all
 // servers for idle and sound sends to those that are full or broken until it has learnt better, and a restart makes all
 // sidecars new ones.
+//
+// Both processes of an upgrade write it. The later one's word stands: the earlier one, which ends last, has heard of less since.
 type kept struct {
-	path string
-	log  *slog.Logger
+	sealed.Cell[beliefs]
+	log   *slog.Logger
+	began int64 // of this process, greater than of those before; 0: nothing was looked up or left yet
 }
 
 // beliefs is the file's form. Times in it are of the wall clock, in ns of Unix time, as each process's own begins elsewhere; 0: long ago.
 type beliefs struct {
 	Saved int64 `json:"saved_ns"`
+	Began int64 `json:"began_ns"` // the process that saved it; 0: one from before this was told
 	balance.Kept
 }
 
 // newKept keeps it in a folder, for a sidecar of a name.
 func newKept(folder, name string, log *slog.Logger) *kept {
-	return &kept{filepath.Join(folder, "beliefs-"+url.PathEscape(name)+".kept"), log}
+	path := filepath.Join(folder, "beliefs-"+url.PathEscape(name)+".kept")
+	return &kept{Cell: sealed.Cell[beliefs]{Path: path, Kind: keptKind, Most: mostBeliefs}, log: log}
 }
 
-// load is what was left, in times from an origin on, and when. It tells false where there is nothing sound; what is unsound is named in the log
-// and set aside.
+// load is what was left, in times from an origin on, and when. It tells false where there is nothing sound. What is unsound as this process
+// begins is named in the log and set aside; later it is another's to judge.
 func (k *kept) load(origin time.Time) (balance.Kept, time.Time, bool) {
-	b, err := k.read()
-	switch {
-	case errors.Is(err, fs.ErrNotExist):
-		return balance.Kept{}, time.Time{}, false
-	case err != nil:
-		aside, moved := sealed.SetAside(k.path)
-		k.log.Warn("beliefs", "err", errors.Join(err, moved), "aside", aside)
+	b, err := k.Read()
+	ok := err == nil
+	if k.began == 0 {
+		if !ok {
+			if b, ok, err = k.Load(); err != nil {
+				k.log.Warn("beliefs", "err", err)
+			}
+		}
+		// Where the wall clock went back, this process is the later one all the same.
+		k.began = max(time.Now().UnixNano(), b.Began+1)
+	}
+	if !ok {
 		return balance.Kept{}, time.Time{}, false
 	}
 	return shifted(b.Kept, -origin.UnixNano()), time.Unix(0, b.Saved), true
 }
 
-func (k *kept) read() (b beliefs, err error) {
-	text, err := sealed.ReadFile(k.path, mostBeliefs)
-	if err != nil {
-		return b, err
-	}
-	body, err := keptKind.Open(text)
-	if err != nil {
-		return b, err
-	}
-	return b, json.Unmarshal(body, &b)
-}
-
-// save replaces what was left.
+// save replaces what was left, unless by a process that began later, or by a later program. Danger: a disk may hold a process up with the
+// lock taken, and the end of this one must not wait for it; so what is left meanwhile is that one's.
 func (k *kept) save(b balance.Kept, origin, now time.Time) error {
-	body, err := json.Marshal(beliefs{now.UnixNano(), shifted(b, origin.UnixNano())})
-	if err != nil {
-		return err
+	err := sealed.Locked(k.Path, false, func() error {
+		if there, err := k.Read(); errors.Is(err, sealed.ErrLater) || err == nil && there.Began > k.began {
+			return nil
+		}
+		return k.Save(beliefs{now.UnixNano(), k.began, shifted(b, origin.UnixNano())})
+	})
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		return nil
 	}
-	return sealed.WriteFile(k.path, keptKind.Seal(body))
+	return err
 }
 
 // shifted has the starts of servers count from elsewhere. Who started long ago still did.
--- a/internal/sidecar/kept_test.go
+++ b/internal/sidecar/kept_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
+	"gradeusher.example/gradeusher/internal/sealed"
 )
 
 // TestKeptFile leaves beliefs to a process whose clock begins elsewhere, and then has the file be unsound in each way.
@@ -28,7 +29,7 @@
 	if !ok || !at.Equal(time.Unix(1600, 5)) || !reflect.DeepEqual(got, b) {
 		t.Errorf("%v from %v, want %v", got, at, b)
 	}
-	sound, err := os.ReadFile(k.path)
+	sound, err := os.ReadFile(k.Path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -39,19 +40,73 @@
 		"newer":   strings.Replace(string(sound), " 1 1 ", " 9 9 ", 1),
 		"huge":    strings.Repeat("x", mostBeliefs+1),
 	} {
-		if err := os.WriteFile(k.path, []byte(text), 0o600); err != nil {
+		if err := os.WriteFile(k.Path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		before := len(log.String())
+		k.began = 0 // a process that begins
 		if _, _, ok := k.load(origin); ok || len(log.String()) == before {
 			t.Errorf("%s: taken, or nothing was said", name)
 		}
-		if aside, err := os.ReadFile(k.path + ".unsound"); err != nil || string(aside) != text {
+		if aside, err := os.ReadFile(k.Path + ".unsound"); err != nil || string(aside) != text {
 			t.Errorf("%s: not set aside: %v", name, err)
 		}
 	}
 }
 
+// TestKeptByTwo has the earlier process of an upgrade leave its beliefs last, when the wall clock has gone back too, and once
+// beside a program of a later form, and once while another holds the lock: the later one's stand.
+func TestKeptByTwo(t *testing.T) {
+	dir, origin, log := t.TempDir(), time.Unix(1000, 0), slog.New(slog.DiscardHandler)
+	begin := func() *kept {
+		k := newKept(dir, "n", log)
+		k.load(origin)
+		return k
+	}
+	near := func() float64 {
+		b, _, _ := newKept(dir, "n", log).load(origin)
+		return b.Near
+	}
+	leave := func(k *kept, near float64) {
+		t.Helper()
+		if err := k.save(balance.Kept{Near: near}, origin, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	old := begin()
+	old.began += time.Hour.Nanoseconds() // its clock was ahead
+	leave(old, 0.1)
+	young := begin()
+	leave(young, 0.2)
+	leave(old, 0.1)
+	if got := near(); got != 0.2 {
+		t.Errorf("the earlier process, which ended last, has left %v", got)
+	}
+	leave(young, 0.3)
+	if got := near(); got != 0.3 {
+		t.Errorf("the later process has not replaced its own: %v", got)
+	}
+	if err := sealed.Locked(young.Path, true, func() error { leave(young, 0.4); return nil }); err != nil {
+		t.Fatal(err)
+	}
+	if got := near(); got != 0.3 {
+		t.Errorf("written while another held the lock: %v", got)
+	}
+	later := sealed.Kind{Magic: keptKind.Magic, Form: 9, Needs: 9}.Seal([]byte("{}"))
+	if err := os.WriteFile(young.Path, later, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	leave(young, 0.5)
+	_, _, ok := young.load(origin)
+	if text, err := os.ReadFile(young.Path); err != nil || ok || string(text) != string(later) {
+		t.Errorf("the earlier program has replaced or moved the later one's: %.40q, taken %t, error %v", text, ok, err)
+	}
+	leave(begin(), 0.6) // which sets it aside: staff have gone back to this program
+	if got := near(); got != 0.6 {
+		t.Errorf("after going back to the earlier program: %v", got)
+	}
+}
+
 // TestBeliefsOutlive has a process leave its beliefs when it is told to end, and the next one take them up; without being asked for it, none does.
 func TestBeliefsOutlive(t *testing.T) {
 	d, dir := startRegistry(t), t.TempDir()
