What sidecars say of full and slow servers waits its turn; who fails to answer is said sooner

Change: only a change of what refuses or is silent is told after half of the usual time, and none sooner than that.

--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -124,23 +124,37 @@
 	h.balancer.Members(h.now, c.view.Place, peers)
 }
 
+// alike tells whether two reports say the same of the same servers, of kinds from least on.
+func alike(a, b []signals.Verdict, least signals.Kind) bool {
+	counts := func(v signals.Verdict) bool { return v.Kind >= least }
+	for _, pair := range [2][2][]signals.Verdict{{a, b}, {b, a}} {
+		for _, v := range pair[0] {
+			if counts(v) && !slices.ContainsFunc(pair[1], func(w signals.Verdict) bool { return counts(w) && w.Subject == v.Subject && w.Kind == v.Kind }) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // say tells the members what this sidecar saw of servers, and what it is.
 func (h *host) say() {
 	c, r := &h.company, h.balancer.Witness(h.now)
-	same := slices.EqualFunc(r.Verdicts, c.said.Verdicts, func(x, y signals.Verdict) bool { return x.Subject == y.Subject && x.Kind == y.Kind })
+	same, grave := alike(r.Verdicts, c.said.Verdicts, signals.None), alike(r.Verdicts, c.said.Verdicts, signals.Refusing)
 	if r.Level != c.said.Level {
-		same = false
+		same, grave = false, false
 		c.changed(h.now)
 	}
-	// What it condemns it says again within the bound, the more members there are the less often; changes wait half as long.
+	// What it condemns it says again within the bound, the more members there are the less often. Who fails to answer is said
+	// sooner. Danger: in a jam, what is full or slow changes all the time, and each word goes to all members.
 	again, bound := quietEvery, c.bound
 	if len(r.Verdicts)+len(c.said.Verdicts) > 0 {
 		again = min(max(repeatEach*time.Duration(c.view.Count), bound*35/100), bound*70/100)
 	}
-	if !same && len(c.said.Verdicts) > 0 {
-		same, again = true, again/2
+	if !grave {
+		again /= 2
 	}
-	if same && c.at > 0 && h.now-c.at < again {
+	if (same || len(r.Verdicts)+len(c.said.Verdicts) > 0) && c.at > 0 && h.now-c.at < again {
 		return
 	}
 	c.said, c.at = r, h.now
