--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -11,8 +11,6 @@
 	"strings"
 	"sync/atomic"
 	"time"
-
-	"gradeusher.example/gradeusher/balance"
 )
 
 const (
@@ -262,87 +260,3 @@
 	}
 	return conn.Flush()
 }
-
-// fault is the answer to a request that cannot be taken.
-type fault struct {
-	status int
-	text   string
-	allow  string // the method that is allowed
-}
-
-func (f *fault) write(w http.ResponseWriter) {
-	if f.allow != "" {
-		w.Header().Set("Allow", f.allow)
-	}
-	if f.status < http.StatusInternalServerError {
-		w.Header().Set("Connection", "close") // a peer that sends nonsense is not worth a descriptor
-	}
-	http.Error(w, f.text, f.status)
-}
-
-// parse reads a request's headers, and how long the client waits.
-func (s *server) parse(r *http.Request) (*call, *fault) {
-	bad := func(text string) (*call, *fault) {
-		return nil, &fault{http.StatusBadRequest, text, ""}
-	}
-	if r.Method != http.MethodGet && r.Method != http.MethodPost {
-		return nil, &fault{http.StatusMethodNotAllowed, "method not allowed", "GET, POST"}
-	}
-	c := &call{message: message{method: r.Method, uri: r.URL, id: r.Header.Get("X-Request-ID"),
-		key: r.Header.Get("Idempotency-Key"), ctype: r.Header.Get("Content-Type")}}
-	if c.id == "" {
-		return bad("X-Request-ID is missing")
-	}
-	class, ok := s.config.Names.Class[r.Header.Get("X-Priority-Class")]
-	if !ok {
-		return bad("X-Priority-Class is missing or unknown")
-	}
-	// Danger: a request sent with less care than its class needs could take effect twice.
-	effect := s.config.Settings.Classes[class].Effect
-	if r.Method == http.MethodGet && effect != balance.Idempotent {
-		return nil, &fault{http.StatusMethodNotAllowed, "the class is not safe to repeat", http.MethodPost}
-	}
-	// Danger: a server that expects no body behind a GET takes it for the next request.
-	if r.Method == http.MethodGet && r.ContentLength != 0 {
-		return bad("a GET has no body")
-	}
-	if c.key == "" && effect == balance.Deduplicated {
-		return bad("Idempotency-Key is missing")
-	}
-	// Danger: a number that overflows a duration would be a deadline that is long past.
-	ms, err := strconv.ParseUint(r.Header.Get("X-Timeout-Ms"), 10, 31)
-	if err != nil {
-		return bad("X-Timeout-Ms is no number of milliseconds")
-	}
-	c.class, c.tenant, c.relayed = class, -1, &s.counts.classes[class].relayed
-	if tenant, ok := s.config.Names.Tenant[r.Header.Get("X-Tenant-Id")]; ok {
-		c.tenant = tenant
-	}
-	c.client, c.name = s.config.Hitters.client(r)
-	c.wait = max(time.Duration(ms)*time.Millisecond-answerMargin, 0)
-	return c, nil
-}
-
-// write writes the final answer, and fails if the client is gone.
-func (a answer) write(w http.ResponseWriter) error {
-	status, body := http.StatusOK, a.body
-	// Danger: a guessed type or a chunked body would be another answer than the server's.
-	w.Header()["Content-Type"] = nil
-	switch a.kind {
-	case served:
-		if a.ctype != "" {
-			w.Header().Set("Content-Type", a.ctype)
-		}
-	case refused:
-		if a.after > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.after.Seconds(), 'f', 3, 64))
-		}
-		status, body = http.StatusServiceUnavailable, []byte("refused: a retry is harmless\n")
-	default:
-		status, body = http.StatusBadGateway, []byte("failed\n")
-	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	_, err := w.Write(body)
-	return err
-}
