How class times are believed is decided where policy says so; a Balancer's making is apart

Need: timed, which decides what a class without answers counts as, stood in a file that policy does not name.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -6,40 +6,20 @@
 	"cmp"
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
-
-	"gradeusher.example/gradeusher/balance/hitters"
 )
 
 const tokenTick, tokenAsk uint64 = 0, 1
 
 // New returns a Balancer, or an error that says what is wrong with the settings.
 func New(set Settings, act Actions) (*Balancer, error) {
-	if set.Rules == nil {
-		set.Rules = DefaultRules(set.Service, set.Zones, set.Kinds)
-	}
-	if err := check(set, act); err != nil {
-		return nil, fmt.Errorf("balance: %w", err)
-	}
-	b := &Balancer{set: set, act: act, known: map[string]*endpoint{}, requests: map[RequestID]*request{},
-		rng: rand.New(rand.NewPCG(set.Seed, uint64(set.Self))), tenants: make([]tenant, len(set.Tenants)),
-		near: [2]float64{1, leastNear}, book: newBook(set)}
-	var err error
-	if b.hitters, err = hitters.New(set.Hitters); err != nil {
+	b, err := blank(set, act)
+	if err != nil {
 		return nil, fmt.Errorf("balance: %w", err)
 	}
-	for _, c := range set.Classes {
-		b.aim = min(cmp.Or(b.aim, c.Aim.Seconds()), c.Aim.Seconds())
-		b.work = append(b.work, c.Aim.Seconds()) // until answers tell
-		b.works = append(b.works, group{took: c.Aim.Seconds() / workStep, held: 1 / workStep})
-	}
-	for _, t := range set.Tenants {
-		b.allowed += t.Allowance
-	}
-	b.setRoutes(b.destinations(set.Rules))
+	b.setRoutes(b.destinations(b.set.Rules))
 	act.Timer(time.Duration(b.rng.Float64()*float64(tickEvery)), tokenTick)
 	if set.AskDiscovery {
 		// Danger: all sidecars start at once, and the list service serves few calls at a time.
--- a/balance/flights.go
+++ b/balance/flights.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// Here is counted what endpoints owe and what answers took. It decides nothing.
+// Here is counted what endpoints owe. It decides nothing.
 
 // owed is the sum in seconds of how long the requests in flight have been out. Danger: the first answers to
 // come are the quick ones; a slowed endpoint owes answers before its answers tell; a dead one looks idle.
@@ -44,18 +44,3 @@
 		}
 	}
 }
-
-// timed takes in how many seconds an answer of a class took. Danger: what a jam taught of a class that is then
-// refused would have it refused for good; without answers of its own it is taken to be as all classes are.
-func (b *Balancer) timed(class int, took float64) {
-	b.works[class].took += took / (1 - workStep)
-	b.works[class].held += 1 / (1 - workStep)
-	var all group
-	for i := range b.works {
-		b.works[i].fade(1 - workStep)
-		all.took, all.held = all.took+b.works[i].took, all.held+b.works[i].held
-	}
-	for i, w := range b.works {
-		b.work[i] = (w.took + all.usual()) / (w.held + 1)
-	}
-}
--- a/balance/health.go
+++ b/balance/health.go
@@ -129,6 +129,21 @@
 	}
 }
 
+// timed takes in how many seconds an answer of a class took. Danger: what a jam taught of a class that is then
+// refused would have it refused for good; without answers of its own it is taken to be as all classes are.
+func (b *Balancer) timed(class int, took float64) {
+	b.works[class].took += took / (1 - workStep)
+	b.works[class].held += 1 / (1 - workStep)
+	var all group
+	for i := range b.works {
+		b.works[i].fade(1 - workStep)
+		all.took, all.held = all.took+b.works[i].took, all.held+b.works[i].held
+	}
+	for i, w := range b.works {
+		b.work[i] = (w.took + all.usual()) / (w.held + 1)
+	}
+}
+
 // fade lets go of the knowledge that is older by some time, and recounts warmth and the share ejected.
 // Danger: what a jam has taught must not outlast it. Endpoints that seem full get nothing and cannot tell
 // better: one is believed what its own answers told while they are recent, and then what the others tell.
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -140,3 +141,29 @@
 func (b *Balancer) tagsOf(e Endpoint) map[string]string {
 	return map[string]string{"service": b.set.Service, "region": e.Zone, "version": e.Kind}
 }
+
+// blank returns a Balancer that has met nobody yet.
+func blank(set Settings, act Actions) (*Balancer, error) {
+	if set.Rules == nil {
+		set.Rules = DefaultRules(set.Service, set.Zones, set.Kinds)
+	}
+	if err := check(set, act); err != nil {
+		return nil, err
+	}
+	b := &Balancer{set: set, act: act, known: map[string]*endpoint{}, requests: map[RequestID]*request{},
+		rng: rand.New(rand.NewPCG(set.Seed, uint64(set.Self))), tenants: make([]tenant, len(set.Tenants)),
+		near: [2]float64{1, leastNear}, book: newBook(set)}
+	var err error
+	if b.hitters, err = hitters.New(set.Hitters); err != nil {
+		return nil, err
+	}
+	for _, c := range set.Classes {
+		b.aim = min(cmp.Or(b.aim, c.Aim.Seconds()), c.Aim.Seconds())
+		b.work = append(b.work, c.Aim.Seconds()) // until answers tell
+		b.works = append(b.works, group{took: c.Aim.Seconds() / workStep, held: 1 / workStep})
+	}
+	for _, t := range set.Tenants {
+		b.allowed += t.Allowance
+	}
+	return b, nil
+}
