A heavy client gives way until there is room for all of it, not while servers look full

Heavy clients gave way only while a sidecar counted servers as full; as they gave way servers were not, so after 6 s all of the flood was let in again. Change: one that began to give way while servers were full goes on, by the share that max-min leaves it, until that is all of it. TestGivesWayUntilThereIsRoom fails without it.

--- a/balance/fair.go
+++ b/balance/fair.go
@@ -7,10 +7,10 @@
 
 // giveWay refuses a request of a heavy client that is beyond its fair share, while servers are full.
 func (b *Balancer) giveWay(q *request, now Time) bool {
-	if b.hitters == nil || now >= b.tight {
+	if b.hitters == nil {
 		return false
 	}
-	after, yields := b.hitters.Yields(now, q.Client, uint64(q.ID))
+	after, yields := b.hitters.Yields(now, now < b.tight, q.Client, uint64(q.ID))
 	if yields {
 		b.act.Refuse(q.ID, after)
 		b.end(q)
--- a/balance/hitters/hitters.go
+++ b/balance/hitters/hitters.go
@@ -123,6 +123,7 @@
 	Above  float64 // and at the most this much above that
 	Keep   float64 // share of its requests that are served while servers are full
 	credit float64 // towards the next such request
+	yields bool    // it began to give way, and there is no room for all of it yet
 }
 
 // Judge holds what the origins told and who is heavy by it. It must not be used by two goroutines at once.
--- a/balance/hitters/judge.go
+++ b/balance/hitters/judge.go
@@ -79,17 +79,23 @@
 	// Danger: by a total that is not true, or where the others ask for all, it would be left with nothing.
 	level := max(maxMin(can-max(rest, 0), clients), leastKept*j.set.Low*can)
 	for _, t := range clients {
-		j.client(t.key).Keep = min(1, level/max(float64(t.sum), 1))
+		c := j.client(t.key)
+		c.Keep = min(1, level/max(float64(t.sum), 1))
+		c.yields = c.yields && c.Keep < 1
 	}
 }
 
 // Yields tells whether a request of a client is to give way to others, as servers are full, and after which
-// time it may come back. Danger: clients that are told the same time come back together.
-func (j *Judge) Yields(now Time, key, request uint64) (after time.Duration, yields bool) {
+// time it may come back. Danger: clients that are told the same time come back together; and servers are full no
+// more just because it gives way, which it goes on to do until there is room for all of it.
+func (j *Judge) Yields(now Time, full bool, key, request uint64) (after time.Duration, yields bool) {
 	c := j.heavy(key)
 	if c == nil || now-j.open.begun > j.set.Bound { // as after this process was stopped
 		return 0, false
 	}
+	if c.yields = c.yields || full; !c.yields {
+		return 0, false
+	}
 	if c.credit += c.Keep; c.credit >= 1 {
 		c.credit--
 		return 0, false
--- a/balance/hitters/judge_test.go
+++ b/balance/hitters/judge_test.go
@@ -182,7 +182,7 @@
 			}
 			kept := 0
 			for id := range uint64(1000) {
-				after, yields := j.Yields(now, c.Key, id)
+				after, yields := j.Yields(now, true, c.Key, id)
 				if yields != (after >= backAfter && after < 2*backAfter) {
 					t.Fatalf("gives way %v, back after %v", yields, after)
 				}
@@ -190,15 +190,53 @@
 					kept++
 				}
 			}
-			if _, yields := j.Yields(now+set.Bound, c.Key, 1); yields {
+			if _, yields := j.Yields(now+set.Bound, true, c.Key, 1); yields {
 				t.Fatal("one gives way by news that is too old")
 			}
 			if math.Abs(float64(kept)-1000*c.Keep) > 1 {
 				t.Fatalf("%d of 1000 served, want a share of %v", kept, c.Keep)
 			}
 		}
-		if _, yields := j.Yields(now, 77, 1); yields {
+		if _, yields := j.Yields(now, true, 77, 1); yields {
 			t.Fatal("one that is not heavy gives way")
 		}
 	})
 }
+
+// TestGivesWayUntilThereIsRoom: servers that are full no more because a heavy client gives way are no reason to let all of it
+// in again; where there is room for all of it, they are.
+func TestGivesWayUntilThereIsRoom(t *testing.T) {
+	r := says(1_000_000, 0.3)
+	r.Served = uint16(0.8 * whole)
+	j, now, seq := judge(t), time.Minute, uint64(0)
+	words := map[uint64]Report{}
+	tell := func(r Report) {
+		for o := range uint64(40) {
+			words[2+o] = r
+		}
+		roll(j, &now, &seq, 3*time.Second, words)
+	}
+	gives := func(full bool) (n int) {
+		for id := range uint64(100) {
+			if _, yields := j.Yields(now, full, 1, id); yields {
+				n++
+			}
+		}
+		return n
+	}
+	tell(r)
+	if n := gives(false); n > 0 {
+		t.Errorf("%d of 100 give way before servers are full", n)
+	}
+	if n := gives(true); n == 0 {
+		t.Error("none gives way while servers are full")
+	}
+	if n := gives(false); n == 0 {
+		t.Error("all are let in again as soon as those that gave way are missed")
+	}
+	r.Served = whole
+	tell(r)
+	if n := gives(false); n > 0 {
+		t.Errorf("%d of 100 give way though there is room, they keep %v", n, j.client(1).Keep)
+	}
+}
--- a/balance/hitters/model_test.go
+++ b/balance/hitters/model_test.go
@@ -138,8 +138,7 @@
 			if s.one && sure[key] || s.cut && i%2 != i%judges%2 {
 				by = side[i]
 			}
-			_, yields := by.Yields(now, key, rng.Uint64())
-			yields = yields && now < fullTo
+			_, yields := by.Yields(now, now < fullTo, key, rng.Uint64())
 			served := !yields && rng.Float64() < passing
 			if !yields {
 				sent += work
@@ -344,7 +343,7 @@
 				j.Tell(now, n)
 			}
 			for k := range uint64(500) {
-				j.Yields(now, k, k)
+				j.Yields(now, true, k, k)
 				j.Count(k+uint64(now), time.Millisecond, true)
 			}
 			j.Roll(now)
