--- a/cmd/gradeusher/duty.go
+++ b/cmd/gradeusher/duty.go
@@ -1,17 +1,13 @@
 package main
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
-	"os/exec"
-	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"gradeusher.example/gradeusher/internal/client"
@@ -105,19 +101,6 @@
 	})
 }
 
-type dutyHold struct {
-	Keepers string        `help:"Addresses of keepers, with commas." env:"GRADEUSHER_KEEPERS" required:""`
-	Name    string        `arg:"" help:"The duty."`
-	Command []string      `arg:"" help:"What to run, after --. It gets GRADEUSHER_DUTY, GRADEUSHER_EPOCH and GRADEUSHER_STEP in its environment."`
-	As      string        `help:"Name of this process among those that wait; the host's, if it is not given."`
-	Room    string        `help:"Where this process runs."`
-	At      string        `help:"The room where the duty should be held; the first who wants it says."`
-	Load    int64         `help:"What this process carries besides, in duties."`
-	Lease   time.Duration `help:"Length of the lease, 500ms to 5m." default:"5s"`
-	Grace   time.Duration `help:"From TERM to KILL; 0: a quarter of the lease." default:"0"`
-	Once    bool          `help:"End with exit 1 when the duty is lost or handed over; without it, wait for it again."`
-}
-
 type dutySweep struct {
 	Keepers string        `help:"Addresses of keepers, with commas." env:"GRADEUSHER_KEEPERS" required:""`
 	As      string        `help:"Name of this process among those that wait; the host's, if it is not given."`
@@ -161,204 +144,3 @@
 	}
 	return host, nil
 }
-
-// holds is what became of a command.
-type holds struct{ code int }
-
-// Run waits, runs the command while the duty is held, and ends with its exit code once it has ended by itself.
-func (c dutyHold) Run(ctx context.Context, s streams) error {
-	name, err := processName(c.As)
-	if err != nil {
-		return err
-	}
-	if c.Grace == 0 {
-		c.Grace = c.Lease / 4
-	}
-	if most := (c.Lease - state.DutyMargin(c.Lease)) / 2; c.Grace < 0 || c.Grace > most {
-		return fmt.Errorf("%w: --grace %v is not within 0 to %v, half of what the lease leaves", errUsage, c.Grace, most)
-	}
-	if _, err := exec.LookPath(c.Command[0]); err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
-	}
-	r, err := duty.NewRunner(duty.Options{Keepers: strings.Split(c.Keepers, ","), Name: name, Room: c.Room, Lease: c.Lease, Load: c.Load, Log: slog.New(slog.NewTextHandler(s.err, nil))})
-	if err != nil {
-		return fmt.Errorf("%w: %w", errUsage, err)
-	}
-	var h holds
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := r.Want(c.Name, c.At, func(work context.Context, t *duty.Tenure) error { return c.work(work, t, s, &h) })
-	go func() {
-		select {
-		case <-done:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	r.Run(ctx, 2*c.Grace+time.Second)
-	if h.code != 0 {
-		return exitCode(h.code)
-	}
-	return nil
-}
-
-// work runs the command in an office, under a guard: a process that ends it in time though this one is stopped or killed.
-func (c dutyHold) work(ctx context.Context, t *duty.Tenure, s streams, h *holds) error {
-	h.code = exitBroken
-	self, err := os.Executable()
-	if err != nil {
-		return fmt.Errorf("guard: %w", err)
-	}
-	from, to, err := os.Pipe()
-	if err != nil {
-		return fmt.Errorf("guard: %w", err)
-	}
-	defer to.Close()
-	guard := exec.CommandContext(ctx, self, append([]string{"duty", "guard", "--grace", c.Grace.String(), "--"}, c.Command...)...)
-	guard.Env = append(os.Environ(), "GRADEUSHER_DUTY="+t.Name, "GRADEUSHER_EPOCH="+strconv.FormatInt(t.Epoch, 10), "GRADEUSHER_STEP="+t.Step)
-	guard.Env = append(guard.Env, selfEnv...)
-	guard.Stdin, guard.Stdout, guard.Stderr, guard.ExtraFiles = s.in, s.out, s.err, []*os.File{from}
-	guard.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // whoever stops this one from a terminal does not stop it
-	err = guard.Start()
-	from.Close()
-	if err != nil {
-		return fmt.Errorf("guard: %w", err)
-	}
-	ended := make(chan error, 1)
-	go func() { ended <- guard.Wait() }()
-	tick := time.NewTicker(c.Lease / 16)
-	defer tick.Stop()
-	asked := t.Asked()
-	for told := false; ; {
-		if left := t.Left(); left > 0 {
-			_, _ = fmt.Fprintf(to, "%d\n", int64(duty.Now()+left)) // a guard that is gone has ended
-		}
-		select {
-		case <-ended:
-			h.code = exitOf(guard.ProcessState)
-			switch {
-			case !told && t.May() && ctx.Err() == nil && h.code != exitGuarded && h.code == 0:
-				return nil
-			case !told && t.May() && ctx.Err() == nil && h.code != exitGuarded:
-				return fmt.Errorf("%w: exit %d", duty.ErrGaveUp, h.code)
-			case c.Once:
-				h.code = exitBroken
-				return nil
-			}
-			h.code = 0
-			return duty.ErrAgain
-		case <-asked:
-			asked, told = nil, true
-			_, _ = fmt.Fprintln(to, "end")
-		case <-tick.C:
-		}
-	}
-}
-
-// exitGuarded is how a guard ends that has ended its command.
-const exitGuarded = 124
-
-// exitOf is the exit code of a process as a shell has it.
-func exitOf(s *os.ProcessState) int {
-	if w, ok := s.Sys().(syscall.WaitStatus); ok && w.Signaled() {
-		return 128 + int(w.Signal())
-	}
-	return s.ExitCode()
-}
-
-type dutyGuard struct {
-	Grace   time.Duration `help:"From TERM to KILL."`
-	Command []string      `arg:"" help:"What to run."`
-}
-
-// Run runs the command once descriptor 3 has told until when, in ns of duty.Now, and ends it before the last time that it told, or
-// when it tells to, or ends. Danger: the command is a group of its own; what leaves that group is not ended.
-func (c dutyGuard) Run(ctx context.Context, s streams) error {
-	control := os.NewFile(3, "control")
-	if control == nil {
-		return fmt.Errorf("%w: descriptor 3 is missing", errUsage)
-	}
-	syscall.CloseOnExec(3)
-	lines := make(chan string)
-	go func() { // until this process ends
-		defer close(lines)
-		for in := bufio.NewScanner(control); in.Scan(); {
-			lines <- in.Text()
-		}
-	}()
-	first, err := strconv.ParseInt(<-lines, 10, 64)
-	until := time.Duration(first)
-	if err != nil || duty.Now() >= until-c.Grace {
-		return exitCode(exitGuarded)
-	}
-	command := exec.Command(c.Command[0], c.Command[1:]...)
-	command.Stdin, command.Stdout, command.Stderr = s.in, s.out, s.err
-	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	if err := command.Start(); err != nil {
-		return err
-	}
-	signal := func(sig syscall.Signal) {
-		_ = syscall.Kill(-command.Process.Pid, sig) // it may have ended
-	}
-	ended := make(chan struct{})
-	go func() {
-		_ = command.Wait() // its state tells
-		close(ended)
-	}()
-	var told bool
-	var kill time.Duration
-	term := func() {
-		if !told {
-			told, kill = true, duty.Now()+c.Grace
-			signal(syscall.SIGTERM)
-		}
-	}
-	for done := ctx.Done(); ; {
-		wake := until - c.Grace
-		if told {
-			wake = min(kill, until)
-		}
-		timer := time.NewTimer(max(0, wake-duty.Now()))
-		select {
-		case <-ended:
-			signal(syscall.SIGKILL) // what it left behind
-			if told {
-				return exitCode(exitGuarded)
-			}
-			return codeOf(command.ProcessState)
-		case <-done:
-			done = nil
-			term()
-		case line, on := <-lines:
-			n, err := strconv.ParseInt(line, 10, 64)
-			switch {
-			case !on: // whoever renews is gone
-				told, lines = true, nil
-				signal(syscall.SIGKILL)
-				kill = until
-			case err != nil:
-				term()
-			default:
-				until = max(until, time.Duration(n))
-			}
-		case <-timer.C:
-			switch now := duty.Now(); {
-			case now < wake:
-			case told:
-				signal(syscall.SIGKILL)
-				<-ended
-			default:
-				term()
-			}
-		}
-		timer.Stop()
-	}
-}
-
-// codeOf ends this process as another did.
-func codeOf(s *os.ProcessState) error {
-	if code := exitOf(s); code != 0 {
-		return exitCode(code)
-	}
-	return nil
-}
--- a/internal/duty/runner.go
+++ b/internal/duty/runner.go
@@ -6,50 +6,16 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"log/slog"
 	mrand "math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/state"
 )
 
-// Now is the time since the machine started, its sleep counted.
-func Now() Instant {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Duration(1<<63 - 1) // no clock: no office lasts
-	}
-	return time.Duration(t.Nano())
-}
-
-// Work is done in an office. ctx ends at the latest when the office does; once Asked is closed it should finish its step and
-// return. nil: the work is done for good, and this process does not wait for the duty again; ErrGaveUp: nor does it then, and it
-// failed; ErrAgain: it waits again; any other error is a failure, and it waits again, after pauses that grow.
-type Work func(ctx context.Context, t *Tenure) error
-
-// Why an office ends.
-var (
-	ErrAgain  = errors.New("handed over")
-	ErrGaveUp = errors.New("given up")
-	ErrLost   = errors.New("the office is lost")
-)
-
-// Options say what a process is to others that want the same duties.
-type Options struct {
-	Keepers []string
-	Name    string        // of the process, the same over its runs
-	Room    string        // where it runs
-	Lease   time.Duration // that it asks for
-	Load    int64         // what it carries besides, in duties
-	Log     *slog.Logger
-}
-
 // Runner holds duties for a process.
 type Runner struct {
 	o      Options
@@ -339,107 +305,3 @@
 		r.o.Log.Warn("release", "name", o.Name, "epoch", o.Epoch, "err", err)
 	}
 }
-
-// Tenure is an office with its work.
-type Tenure struct {
-	Office
-	runner *Runner
-	asked  chan struct{}
-	over   chan struct{} // its work has returned and it is released
-
-	mu    sync.Mutex
-	stop  context.CancelCauseFunc
-	isEnd bool
-	lost  Instant // it was seen that it is
-	step  *string
-}
-
-// Left is how long the office lasts if it is not renewed; 0: it is over.
-func (t *Tenure) Left() time.Duration {
-	t.runner.mu.Lock()
-	defer t.runner.mu.Unlock()
-	now := Now()
-	o, ok := t.runner.holder.Office(now, t.Name, t.Epoch)
-	if !ok {
-		return 0
-	}
-	return o.Until - now
-}
-
-// May tells whether an effect may begin now, as far as clocks tell. The effect has to carry the epoch all the same.
-func (t *Tenure) May() bool { return t.Left() > 0 }
-
-// Asked is closed when the work should finish its step and return ErrAgain.
-func (t *Tenure) Asked() <-chan struct{} { return t.asked }
-
-func (t *Tenure) ask() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.isEnd {
-		t.isEnd = true
-		close(t.asked)
-	}
-}
-
-// hangs tells that an office was lost for longer than a margin, while its work goes on: it acts no more, or only the fence helps.
-// Danger: its process renews other duties, and so this one for good.
-func (t *Tenure) hangs() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := Now()
-	if t.lost == 0 {
-		t.lost = now
-	}
-	return now-t.lost > state.DutyMargin(t.runner.o.Lease)
-}
-
-func (t *Tenure) cancel(why error) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.stop != nil {
-		t.stop(why)
-	}
-}
-
-// Final is recorded as the step with the release of the office.
-func (t *Tenure) Final(step string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.step = &step
-}
-
-func (t *Tenure) final() *string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.step
-}
-
-// Checkpoint records a step, so that whoever comes next begins there. Only the work calls it. Errors are those of client.ChangeDuty;
-// after client.ErrUncertain the work should return, as it cannot know what the next reads.
-func (t *Tenure) Checkpoint(ctx context.Context, step string) error {
-	no := t.StepNo
-	_, err := t.runner.client.ChangeDuty(ctx, client.Checkpoint, t.Name, client.DutyCall{Who: t.runner.who, Epoch: t.Epoch, Step: step, StepNo: &no})
-	if err == nil {
-		t.StepNo++
-		t.Step = step
-	}
-	return err
-}
-
-// watch ends the work when the office does.
-func (t *Tenure) watch(work context.Context) {
-	for {
-		left := t.Left()
-		if left <= 0 {
-			t.cancel(ErrLost)
-			return
-		}
-		timer := time.NewTimer(left)
-		select {
-		case <-timer.C:
-		case <-work.Done():
-			timer.Stop()
-			return
-		}
-	}
-}
