--- a/balance/word.go
+++ b/balance/word.go
@@ -9,18 +9,17 @@
 
 const (
 	comeBack = time.Second       // in which sidecars come back, in turn, to what the word had avoided
-	tryEach  = 160 * time.Second // each user of a doubted endpoint has a turn to try it, so that one in 20 tries in 8 s
+	tryEach  = 160 * time.Second // each user of a doubted endpoint tries it in turn: one in 20 in 8 s
 	tryLeast = time.Second / 2   // but not more often for all users together
 	tryHold  = 2 * time.Second   // a turn waits so long for a request
 	tryMost  = 8 * time.Second   // nor more seldom: else nobody would know that it is back
-	early    = 4.0               // times its class's mean time: enough to speak of, as one of three that see the same
+	early    = 4.0               // times its class's mean time: enough to speak of, as one of three
 	slowAt   = 4.0               // times the usual time of its group: far slower
 )
 
-// heed ejects whom the members' verdicts call silent or refusing, as long as they do, but for what has served
-// this sidecar in the last second. Panic counts it as any ejection. What they call full or slow is only taken to
-// be so by who knows little of it. Who tries next goes by turns, of which each user has one in tryEach, sooner
-// once somebody was served.
+// heed ejects whom the members call silent or refusing, as long as they do, but for what has served this
+// sidecar in the last second. Panic counts it as any ejection. Full and slow is believed by who knows little
+// of it. Who tries next goes by turns, of which each user has one in tryEach, sooner once one was served.
 func (b *Balancer) heed(now Time) {
 	judged, v := b.book.Judged(now), b.view()
 	for _, e := range b.endpoints {
@@ -55,13 +54,14 @@
 	return nil
 }
 
-// fails is how an endpoint fails by what this sidecar saw itself, how often, and when; or that it served this
-// sidecar, where others say that it fails. Danger: a heavy request is as silent as a dead server; so it has been
-// out for longer than most, and nothing came since.
+// fails is how an endpoint fails by what this sidecar saw itself, how often, and when; or that it served it,
+// where others say that it fails. Danger: a heavy request is as silent as a dead server; so it has been out
+// for longer than most, and nothing came since.
 func (b *Balancer) fails(e *endpoint, now Time) (signals.Kind, int, Time) {
 	silent := 0
 	for _, f := range e.flights {
-		if q := b.requests[f.id]; q != nil && !f.lost() && f.sent > e.served && (now-f.sent).Seconds() >= early*b.work[q.Class] {
+		q, out := b.requests[f.id], (now - f.sent).Seconds()
+		if q != nil && !f.lost() && f.sent > e.served && out >= early*b.work[q.Class] {
 			silent++
 		}
 	}
