--- a/balance/health.go
+++ b/balance/health.go
@@ -129,8 +129,8 @@
 	}
 }
 
-// timed takes in how many seconds an answer of a class took. Danger: what a jam taught of a class that is then
-// refused would have it refused for good; without answers of its own it is taken to be as all classes are.
+// timed takes in how many seconds an answer of a class took. Danger: what a jam taught of a class that is
+// then refused would have it refused for good; without answers of its own it is taken for all classes' mean.
 func (b *Balancer) timed(class int, took float64) {
 	b.works[class].took += took / (1 - workStep)
 	b.works[class].held += 1 / (1 - workStep)
--- a/balance/hitters/judge.go
+++ b/balance/hitters/judge.go
@@ -86,8 +86,8 @@
 }
 
 // Yields tells whether a request of a client is to give way to others, as servers are full, and after which
-// time it may come back. Danger: clients that are told the same time come back together; and servers are full no
-// more just because it gives way, which it goes on to do until there is room for all of it.
+// time it may come back. Danger: clients that are told the same time come back together; and servers are full
+// no more just because it gives way, which it goes on to do until there is room for all of it.
 func (j *Judge) Yields(now Time, full bool, key, request uint64) (after time.Duration, yields bool) {
 	c := j.heavy(key)
 	if c == nil || now-j.open.begun > j.set.Bound { // as after this process was stopped
