--- a/internal/replica/sound.go
+++ b/internal/replica/sound.go
@@ -12,7 +12,6 @@
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	"go.etcd.io/bbolt"
-	bolterrors "go.etcd.io/bbolt/errors"
 )
 
 // ErrUnsound is a store that is torn or does not fit together. Danger: a replica that went on with what is left of it, or
@@ -41,7 +40,7 @@
 	}
 	store, err := raftboltdb.New(raftboltdb.Options{Path: path, BoltOptions: &bbolt.Options{Timeout: openTimeout}})
 	if err != nil {
-		return fmt.Errorf("%w: %s: %w", ErrUnsound, path, err)
+		return cannotOpen(path, err)
 	}
 	defer store.Close()
 	first, err := store.FirstIndex()
@@ -54,40 +53,6 @@
 	return nil
 }
 
-// checkPages walks all pages of the log.
-func checkPages(path string) error {
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openTimeout, ReadOnly: true})
-	switch {
-	case errors.Is(err, bolterrors.ErrTimeout), errors.Is(err, os.ErrPermission):
-		return fmt.Errorf("log: %w", err) // another process has it
-	case err != nil:
-		return fmt.Errorf("%w: %s: %w", ErrUnsound, path, err)
-	}
-	defer db.Close()
-	// Danger: a page that lies beyond the end of a file that was cut off cannot even be looked at: the process would be
-	// killed by the kernel.
-	info, err := os.Stat(path)
-	if err != nil {
-		return fmt.Errorf("log: %w", err)
-	}
-	err = db.View(func(tx *bbolt.Tx) error {
-		if tx.Size() > info.Size() {
-			return fmt.Errorf("%d bytes of %d", info.Size(), tx.Size())
-		}
-		var first error
-		for err := range tx.Check() { // to its end, or its goroutine would stay
-			if first == nil {
-				first = err
-			}
-		}
-		return first
-	})
-	if err != nil {
-		return fmt.Errorf("%w: %s: %w", ErrUnsound, path, err)
-	}
-	return nil
-}
-
 // checkSnapshots reads every snapshot against its checksum, and returns the index at which the newest ends; 0: there is none.
 func checkSnapshots(folder string) (newest uint64, err error) {
 	root := filepath.Join(folder, "snapshots")
--- a/internal/replica/sound_test.go
+++ b/internal/replica/sound_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -9,6 +10,11 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 )
 
 // sum is a machine that keeps what it was told.
@@ -93,3 +99,129 @@
 		t.Errorf("a log without the snapshot that it goes on from: %v", err)
 	}
 }
+
+// damaged is a log of real entries, deleted in part, as text; path is where Check looks for it.
+func damaged(t *testing.T) (folder, path string, text []byte) {
+	t.Helper()
+	folder = t.TempDir()
+	path = filepath.Join(folder, logFile)
+	store, err := raftboltdb.New(raftboltdb.Options{Path: path, NoSync: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(150) {
+		if err := store.StoreLog(&raft.Log{Index: i + 1, Term: 1, Data: make([]byte, 700)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := store.DeleteRange(100, 120); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := Check(folder); err != nil { // which has the library write its list of free pages anew
+		t.Fatalf("the whole log: %v", err)
+	}
+	if text, err = os.ReadFile(path); err != nil {
+		t.Fatal(err)
+	}
+	return folder, path, text
+}
+
+// TestCheckCut cuts a log off at each page and in the midst of each: what is left of what was in use is unsound, and to look at it
+// ends no process, though the library maps more than is there.
+func TestCheckCut(t *testing.T) {
+	folder, path, text := damaged(t)
+	used := inUse(t, path)
+	half := os.Getpagesize() / 2
+	cuts := 0
+	for size := len(text) - half; size >= 0; size -= half {
+		if err := os.WriteFile(path, text[:size], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		switch err := Check(folder); {
+		case size < used && !errors.Is(err, ErrUnsound):
+			t.Errorf("%d of %d bytes in use: %v", size, used, err)
+		case size >= used && err != nil:
+			t.Errorf("%d bytes, all of the %d in use: %v", size, used, err)
+		}
+		if size < used {
+			cuts++
+		}
+	}
+	if cuts < 10 {
+		t.Errorf("only %d cuts", cuts)
+	}
+}
+
+// TestCheckBlank has each page of a log hold nothing, or foreign bytes, as after a write that never came to the disk: that too
+// ends no process, and nothing is taken for sound that lacks a page in use.
+func TestCheckBlank(t *testing.T) {
+	folder, path, text := damaged(t)
+	page := os.Getpagesize()
+	free := freePages(t, path)
+	for _, fill := range []byte{0, 0xff, 0x01} {
+		for at := 0; at < inUse(t, path); at += page {
+			other := bytes.Clone(text)
+			copy(other[at:], bytes.Repeat([]byte{fill}, page))
+			if err := os.WriteFile(path, other, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if err := Check(folder); !errors.Is(err, ErrUnsound) && !free[at/page] {
+				t.Errorf("page %d filled with %#x: %v", at/page, fill, err)
+			}
+			if err := os.WriteFile(path, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+// TestCheckRead has another process read the log meanwhile, which lets in readers but no writer: that does not make it unsound.
+func TestCheckRead(t *testing.T) {
+	folder, path, _ := damaged(t)
+	view(t, path, func(*bbolt.Tx) error {
+		if err := Check(folder); !errors.Is(err, bolterrors.ErrTimeout) || errors.Is(err, ErrUnsound) {
+			t.Errorf("a log that is being read: %v", err)
+		}
+		return nil
+	})
+}
+
+func view(t *testing.T, path string, look func(*bbolt.Tx) error) {
+	t.Helper()
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true, PreLoadFreelist: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer db.Close()
+	if err := db.View(look); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func inUse(t *testing.T, path string) (size int) {
+	t.Helper()
+	view(t, path, func(tx *bbolt.Tx) error {
+		size = int(tx.Size())
+		return nil
+	})
+	return size
+}
+
+// freePages are those whose content means nothing.
+func freePages(t *testing.T, path string) map[int]bool {
+	t.Helper()
+	free := map[int]bool{}
+	view(t, path, func(tx *bbolt.Tx) error {
+		for i := 0; ; i++ {
+			p, err := tx.Page(i)
+			if err != nil || p == nil {
+				return err
+			}
+			free[i] = p.Type == "free"
+		}
+	})
+	return free
+}
