A lab run whose keepers are gone ends: its last reads wait together, not one after the other

Cause: after the load each of the writers' entries is read once more, for up to 20 s each.

Change: all last reads have 20 s together, from the end of the load.

TestLastReadsEndTogether fails without the bound (30 entries: 10 min in place of 20 s).

--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -166,7 +166,9 @@
 	})
 	if f.writers != nil {
 		tasks.Go(func() error {
-			f.writers.run(ctx, over, start)
+			last, cancel := within(ctx, over, lastWithin)
+			defer cancel()
+			f.writers.run(last, over, start)
 			return nil
 		})
 	}
@@ -207,6 +209,22 @@
 	return e, effects, nil
 }
 
+// within is ctx, and ends a time after over has: what waits for keepers that are gone ends together with it, not one wait after the
+// other. cancel ends it at once.
+func within(ctx, over context.Context, after time.Duration) (bounded context.Context, cancel func()) {
+	bounded, end := context.WithCancel(ctx)
+	stop := context.AfterFunc(over, func() {
+		timer := time.NewTimer(after)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			end()
+		case <-bounded.Done():
+		}
+	})
+	return bounded, func() { stop(); end() }
+}
+
 // possible refuses what this machine cannot do, before anything starts.
 func possible(p *plan.Plan) error {
 	if !slices.ContainsFunc(p.Steps, func(s plan.Step) bool { return s.Do == plan.Disk && s.Mode == "readonly" }) {
--- /dev/null
+++ b/internal/lab/run_test.go
@@ -0,0 +1,36 @@
+package lab
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/lab/clock"
+	"gradeusher.example/gradeusher/internal/lab/plan"
+)
+
+// TestLastReadsEndTogether: however many entries there are, a run whose keepers are gone waits for its last reads once.
+func TestLastReadsEndTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, err := client.New([]string{"127.0.0.1:1"}) // where nobody ever answers
+		if err != nil {
+			t.Fatal(err)
+		}
+		const keys = 30
+		w := &writers{fleet: &Fleet{plan: &plan.Plan{File: &plan.File{Keepers: plan.Keepers{Keys: keys, WriteRate: 1}}}}, client: []*client.Client{c}}
+		over, stop := context.WithCancel(t.Context())
+		stop()
+		last, cancel := within(t.Context(), over, lastWithin)
+		defer cancel()
+		began := time.Now()
+		w.run(last, over, clock.Now())
+		if took := time.Since(began); took < lastWithin/2 || took > lastWithin+time.Second {
+			t.Errorf("the last reads took %v, want %v", took, lastWithin)
+		}
+		if len(w.wrote) != keys {
+			t.Errorf("%d of %d last reads were noted", len(w.wrote), keys)
+		}
+	})
+}
