The list's and the route table's cache are sealed cells, read up to a bound

internal/client had a cell of its own beside sealed.Cell, the same but for one thing: it read a foreign file of any size into memory. It is gone, and both caches use sealed.Cell.

The bounds come from what can be held.

--- a/internal/client/cache_test.go
+++ b/internal/client/cache_test.go
@@ -1,10 +1,20 @@
 package client
 
 import (
+	"errors"
+	"fmt"
 	"os"
 	"reflect"
+	"sort"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
+
+	"gradeusher.example/gradeusher/balance/routes"
+	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/state"
 )
 
 // TestCache saves a list and reads it back with its age; every torn or changed file is set aside, and the next save works.
@@ -53,3 +63,39 @@
 		t.Errorf("%d files are left, want the cache and the one set aside", len(left))
 	}
 }
+
+// TestCacheBounds reads back the longest list that is held of keepers and the table that takes most as JSON, and sets a longer file aside.
+func TestCacheBounds(t *testing.T) {
+	now, folder, wide := time.UnixMilli(1_700_000_000_000), t.TempDir(), strings.Repeat("<", list.MostName)
+	c, l, size := NewCache(folder, "n"), list.List{Rev: 1, All: true}, 2.2250738585072014e-308
+	for i := range 2 * state.MostServers {
+		l.Targets = append(l.Targets, list.Target{UID: fmt.Sprintf("%0*d", list.MostName, i), Endpoint: "[2001:db8:1111:2222:3333:4444:5555:6666]:65535", Zone: wide, Model: wide,
+			PodGroup: 1 << 30, State: list.Draining, Capacity: &size, BootMS: 1 << 44})
+	}
+	if err := c.Save(l, now); err != nil {
+		t.Fatal(err)
+	}
+	if got, _, ok, err := c.Load(now); !ok || err != nil || len(got.Targets) != len(l.Targets) {
+		t.Fatalf("%d servers, %t, %v", len(got.Targets), ok, err)
+	}
+	if err := os.Truncate(c.path, mostCached+1); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, ok, err := c.Load(now); ok || !errors.Is(err, sealed.ErrUnsound) || !strings.HasPrefix(err.Error(), "cache: ") {
+		t.Errorf("too long: %t, %v", ok, err)
+	}
+
+	odd := routes.Match{strings.Repeat("\x01", routes.MostText): strings.Repeat("<", routes.MostText)}
+	rules := make(routes.Table, 8192) // more than fit
+	for i := range rules {
+		rules[i] = routes.Rule{Name: strconv.Itoa(i), Source: odd, Service: routes.Match{"service": ""}, Destinations: []routes.Destination{{Match: odd, Weight: 1}}}
+	}
+	rules = rules[:sort.Search(len(rules), func(n int) bool { return rules[:n+1].Check() != nil })].Canonical()
+	r := NewRouteCache(folder, "n")
+	if err := r.Save(Held{Gen: 1, Hash: rules.Hash(), Rules: rules}, "", now); err != nil {
+		t.Fatal(err)
+	}
+	if got, _, ok, err := r.Load("", now); !ok || err != nil || len(got.Rules) != len(rules) || len(rules) == 8192 {
+		t.Errorf("%d rules of %d, %t, %v", len(got.Rules), len(rules), ok, err)
+	}
+}
--- a/internal/client/routes.go
+++ b/internal/client/routes.go
@@ -94,14 +94,18 @@
 
 var routeKind = sealed.Kind{Magic: "gradeusher-routes", Form: 1, Needs: 1}
 
+// mostCachedRoutes is bytes of a saved route table. JSON takes up to 6 bytes for each that routes.MostBytes counts, as in an
+// escape; the rest is for the cut.
+const mostCachedRoutes = 8 * routes.MostBytes
+
 type cachedRoutes struct {
 	SavedMS int64  `json:"saved_ms"` // Unix time
 	Cut     string `json:"cut"`      // what was asked for
 	Held    Held   `json:"held"`
 }
 
-func (c RouteCache) cell() cell[cachedRoutes] {
-	return cell[cachedRoutes]{c.path, routeKind, func(v cachedRoutes) error {
+func (c RouteCache) cell() sealed.Cell[cachedRoutes] {
+	return sealed.Cell[cachedRoutes]{Path: c.path, Kind: routeKind, Most: mostCachedRoutes, Check: func(v cachedRoutes) error {
 		if got := v.Held.Rules.Hash(); got != v.Held.Hash {
 			return fmt.Errorf("%w: %s, not %s", ErrMismatch, got, v.Held.Hash)
 		}
@@ -112,16 +116,16 @@
 // Load is what was saved last of a cut, and how long ago. It tells false where there is nothing; errors tell of what was
 // unsound, which is set aside.
 func (c RouteCache) Load(cut string, now time.Time) (h Held, age time.Duration, ok bool, err error) {
-	v, ok, err := c.cell().load()
+	v, ok, err := c.cell().Load()
 	if !ok || v.Cut != cut { // what was cut for another client lacks rules
-		return Held{Gen: -1}, 0, false, err
+		return Held{Gen: -1}, 0, false, ofCache(err)
 	}
 	return v.Held, max(0, now.Sub(time.UnixMilli(v.SavedMS))), true, nil
 }
 
 // Save replaces what was saved.
 func (c RouteCache) Save(h Held, cut string, now time.Time) error {
-	return c.cell().save(cachedRoutes{now.UnixMilli(), cut, h})
+	return ofCache(c.cell().Save(cachedRoutes{now.UnixMilli(), cut, h}))
 }
 
 // RouteCut is the part of a call for routes that says for whom: the client's tags, nil: any client's, and the service it calls,
