Orders to stand-ins, the wait between watches and the lab's records are each written once

Need: five stand-ins obeyed orders by the same loop, the followers of duties and of routes waited by the same select, and the lab wrote requests and writes by two copies of one loop. Change: standin.obeyAll and obey, rounds.wait, and write[T] of the lab serve them.

--- a/internal/client/followduties.go
+++ b/internal/client/followduties.go
@@ -56,15 +56,6 @@
 			}
 		}
 	}
-	r.run(ctx, watch, func(ctx context.Context, d time.Duration) bool {
-		timer := time.NewTimer(d)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-			return true
-		case <-ctx.Done():
-			return false
-		}
-	})
+	r.run(ctx, watch, r.wait)
 	return nil
 }
--- a/internal/client/followroutes.go
+++ b/internal/client/followroutes.go
@@ -99,19 +99,6 @@
 	}
 }
 
-func (f *RouteFollower) wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case keepers := <-f.moves:
-		f.moved(keepers)
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
-
 // watch follows one keeper until it ends or is no good. came: it was of use.
 func (f *RouteFollower) watch(ctx context.Context, keeper string) (came bool, after time.Duration, err error) {
 	path := "/v1/routes?watch=1&ages=1" + f.cut
--- a/internal/client/rounds.go
+++ b/internal/client/rounds.go
@@ -79,6 +79,20 @@
 	r.keepers, r.next, r.patient = keepers, rand.IntN(len(keepers)), false
 }
 
+// wait passes a time, or less where other keepers are to be followed. It tells false once ctx is done.
+func (r *rounds) wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case keepers := <-r.moves:
+		r.moved(keepers)
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 var (
 	errMoved = errors.New("other keepers are followed")
 	errStale = errors.New("the keeper is out of touch")
--- a/internal/lab/evidence.go
+++ b/internal/lab/evidence.go
@@ -69,25 +69,11 @@
 			}
 		}
 	}
-	r, err := ctl.NewRecords(filepath.Join(out, "requests.jsonl"))
-	if err != nil {
-		return err
-	}
-	for i := range e.Tries {
-		r.Add(&e.Tries[i])
-	}
-	if err := r.Close(); err != nil {
+	if err := write(filepath.Join(out, "requests.jsonl"), e.Tries); err != nil {
 		return err
 	}
 	if len(e.Wrote) > 0 {
-		r, err := ctl.NewRecords(filepath.Join(out, "writes.jsonl"))
-		if err != nil {
-			return err
-		}
-		for i := range e.Wrote {
-			r.Add(&e.Wrote[i])
-		}
-		if err := r.Close(); err != nil {
+		if err := write(filepath.Join(out, "writes.jsonl"), e.Wrote); err != nil {
 			return err
 		}
 	}
@@ -106,3 +92,15 @@
 	}
 	return nil
 }
+
+// write writes records to a file, a line each.
+func write[T any](path string, all []T) error {
+	r, err := ctl.NewRecords(path)
+	if err != nil {
+		return err
+	}
+	for i := range all {
+		r.Add(&all[i])
+	}
+	return r.Close()
+}
--- a/internal/lab/standin/host.go
+++ b/internal/lab/standin/host.go
@@ -35,24 +35,17 @@
 	// Links are set side by side, since to cut off calls takes milliseconds; whatever else comes waits for them.
 	var links sync.WaitGroup
 	err = ctl.Lines(orders, func(o ctl.Order) error {
-		obey := func() {
-			n := ctl.News{ID: o.ID, UID: o.UID}
-			if err := h.obey(o, &n); err != nil {
-				n.Error = err.Error()
-			}
-			n.At = clock.Now()
-			h.out.Say(n)
-		}
+		do := func() { obey(o, h.out, h.obey) }
 		if o.Do == "link" {
 			links.Add(1)
 			go func() {
 				defer links.Done()
-				obey()
+				do()
 			}()
 			return nil
 		}
 		links.Wait()
-		obey()
+		do()
 		return nil
 	})
 	links.Wait()
--- a/internal/lab/standin/liar.go
+++ b/internal/lab/standin/liar.go
@@ -35,15 +35,7 @@
 	go l.speak()
 	out := ctl.NewOut(news)
 	out.Say(ctl.News{Kind: "ready", At: clock.Now()})
-	err = ctl.Lines(orders, func(o ctl.Order) error {
-		n := ctl.News{ID: o.ID, UID: o.UID}
-		if err := l.obey(o); err != nil {
-			n.Error = err.Error()
-		}
-		n.At = clock.Now()
-		out.Say(n)
-		return nil
-	})
+	err = obeyAll(orders, out, func(o ctl.Order, _ *ctl.News) error { return l.obey(o) })
 	close(l.stop)
 	l.owned.Wait()
 	m.Close()
--- a/internal/lab/standin/list.go
+++ b/internal/lab/standin/list.go
@@ -44,15 +44,7 @@
 	go l.accept()
 	out := ctl.NewOut(news)
 	out.Say(ctl.News{Kind: "ready", Ports: []int{at.Port()}, At: clock.Now()})
-	err = ctl.Lines(orders, func(o ctl.Order) error {
-		n := ctl.News{ID: o.ID}
-		if err := l.obey(o); err != nil {
-			n.Error = err.Error()
-		}
-		n.At = clock.Now()
-		out.Say(n)
-		return nil
-	})
+	err = obeyAll(orders, out, func(o ctl.Order, _ *ctl.News) error { return l.obey(o) })
 	close(l.stop)
 	at.Close()
 	l.net.each(nil, (*link.Link).Reset)
--- a/internal/lab/standin/peers.go
+++ b/internal/lab/standin/peers.go
@@ -33,15 +33,7 @@
 		defer p.tasks.Done()
 		p.note(records)
 	}()
-	err = ctl.Lines(orders, func(o ctl.Order) error {
-		n := ctl.News{ID: o.ID, UID: o.UID}
-		if err := p.obey(o, &n); err != nil {
-			n.Error = err.Error()
-		}
-		n.At = clock.Now()
-		out.Say(n)
-		return nil
-	})
+	err = obeyAll(orders, out, p.obey)
 	close(p.stop)
 	for _, f := range p.fronts {
 		f.streams.Close()
--- a/internal/lab/standin/relay.go
+++ b/internal/lab/standin/relay.go
@@ -37,15 +37,7 @@
 	r := &relay{sidecars: sidecars, readers: readers, told: t, shown: s, routes: table, nets: map[string]*network{}, stop: make(chan struct{})}
 	out := ctl.NewOut(news)
 	out.Say(ctl.News{Kind: "ready", At: clock.Now()})
-	err = ctl.Lines(orders, func(o ctl.Order) error {
-		n := ctl.News{ID: o.ID, UID: o.UID}
-		if err := r.obey(o, &n); err != nil {
-			n.Error = err.Error()
-		}
-		n.At = clock.Now()
-		out.Say(n)
-		return nil
-	})
+	err = obeyAll(orders, out, r.obey)
 	close(r.stop)
 	for _, l := range r.fronts {
 		l.Close()
