--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
-	"gradeusher.example/gradeusher/internal/wire"
+	"gradeusher.example/gradeusher/internal/sidecar/wire"
 )
 
 func main() {
--- a/cmd/gradeusher/duty.go
+++ b/cmd/gradeusher/duty.go
@@ -10,9 +10,9 @@
 	"strings"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/duty"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/duty"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 type dutyCommands struct {
--- a/cmd/gradeusher/duty_test.go
+++ b/cmd/gradeusher/duty_test.go
@@ -15,9 +15,9 @@
 	"testing"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/duty"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/duty"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // actorMark is the first argument of a process that is to act under a duty, at the address that is the second.
--- a/cmd/gradeusher/dutyguard.go
+++ b/cmd/gradeusher/dutyguard.go
@@ -10,7 +10,7 @@
 	"syscall"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/duty"
+	"gradeusher.example/gradeusher/internal/sidecar/duty"
 )
 
 // exitGuarded is how a guard ends that has ended its command.
--- a/cmd/gradeusher/dutyhold.go
+++ b/cmd/gradeusher/dutyhold.go
@@ -11,8 +11,8 @@
 	"syscall"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/duty"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/duty"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 type dutyHold struct {
--- a/cmd/gradeusher/keeper.go
+++ b/cmd/gradeusher/keeper.go
@@ -14,9 +14,9 @@
 	"syscall"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/keeper"
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/keeper"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 type keeperCommand struct {
--- a/cmd/gradeusher/keeper_test.go
+++ b/cmd/gradeusher/keeper_test.go
@@ -16,11 +16,11 @@
 	"testing"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/keeper"
 	"gradeusher.example/gradeusher/internal/lab/link"
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/replica"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/keeper"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/replica"
 )
 
 // patience bounds what a test waits for; it is no measure.
--- a/cmd/gradeusher/list.go
+++ b/cmd/gradeusher/list.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 type listCommands struct {
--- a/cmd/gradeusher/routes_test.go
+++ b/cmd/gradeusher/routes_test.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // routeTable has a rule for each of n applications.
--- a/cmd/gradeusher/routesfleet_test.go
+++ b/cmd/gradeusher/routesfleet_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // BenchmarkRoutesFleet changes one weight of 1,000 rules at three keepers that 300 clients watch: the whole table, or all of
--- a/cmd/gradeusher/staff_backup.go
+++ b/cmd/gradeusher/staff_backup.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"io"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/staff"
-	"gradeusher.example/gradeusher/internal/staff/restore"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/staff"
+	"gradeusher.example/gradeusher/internal/system/staff/restore"
 )
 
 type systemBackupCommand struct {
@@ -31,7 +31,7 @@
 	return nil
 }
 
-func (c systemBackupCommand) read(ctx context.Context) (*cairn.State, error) {
+func (c systemBackupCommand) read(ctx context.Context) (*controlstate.State, error) {
 	if c.Disk != "" {
 		return restore.From(c.Disk)
 	}
@@ -60,6 +60,6 @@
 	return nil
 }
 
-func describe(w io.Writer, s *cairn.State) {
+func describe(w io.Writer, s *controlstate.State) {
 	fmt.Fprintf(w, "record %d, revision %d, evacuated zones: %s\n", s.Seq, s.Revision(), orNone(staff.Zones(s)))
 }
--- a/cmd/gradeusher/staff_status.go
+++ b/cmd/gradeusher/staff_status.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/staff"
+	"gradeusher.example/gradeusher/internal/system/staff"
 )
 
 type systemStatusCommand struct {
--- a/cmd/gradeusher/staff_test.go
+++ b/cmd/gradeusher/staff_test.go
@@ -11,19 +11,19 @@
 	"strings"
 	"testing"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/staff"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/staff"
 )
 
 // staffed is a keeper's control address and a proxy's inner one, at one address.
-func staffed(t *testing.T, current bool) (address string, state *cairn.State) {
+func staffed(t *testing.T, current bool) (address string, state *controlstate.State) {
 	t.Helper()
-	state, err := cairn.Empty().Apply(cairn.Change{Op: cairn.OpEvacuate, Zone: "hall"}.Record(1))
+	state, err := controlstate.Empty().Apply(controlstate.Change{Op: controlstate.OpEvacuate, Zone: "hall"}.Record(1))
 	if err != nil {
 		t.Fatal(err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/backup", staff.BackupHandler(func(context.Context) (*cairn.State, error) { return state, nil }))
+	mux.Handle("/backup", staff.BackupHandler(func(context.Context) (*controlstate.State, error) { return state, nil }))
 	mux.Handle("/status", staff.ProxyHandler(func() any { // one document for both: each reader passes over the other's fields
 		return struct {
 			staff.KeeperStatus
--- a/cmd/gradeusher/staff_why.go
+++ b/cmd/gradeusher/staff_why.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"strings"
 
-	"gradeusher.example/gradeusher/internal/staff"
+	"gradeusher.example/gradeusher/internal/system/staff"
 )
 
 type systemWhyCommand struct {
--- a/cmd/gradeusher/standin.go
+++ b/cmd/gradeusher/standin.go
@@ -9,7 +9,7 @@
 
 	"gradeusher.example/gradeusher/internal/lab"
 	"gradeusher.example/gradeusher/internal/lab/standin"
-	"gradeusher.example/gradeusher/internal/members"
+	"gradeusher.example/gradeusher/internal/sidecar/members"
 )
 
 // standInCommand is the processes that a lab starts. Its orders come on standard input.
--- a/cmd/gradeusher/system_up.go
+++ b/cmd/gradeusher/system_up.go
@@ -87,19 +87,19 @@
 		return "", "", err
 	}
 	for _, at := range []string{filepath.Dir(self), "target"} {
-		if built(filepath.Join(at, "trailhead")) && built(filepath.Join(at, "refuge")) {
+		if built(filepath.Join(at, "proxy")) && built(filepath.Join(at, "keeper")) {
 			if at, err = filepath.Abs(at); err != nil {
 				return "", "", err
 			}
-			return filepath.Join(at, "trailhead"), filepath.Join(at, "refuge"), nil
+			return filepath.Join(at, "proxy"), filepath.Join(at, "keeper"), nil
 		}
 	}
-	build := exec.CommandContext(ctx, "go", "build", "-o", folder+string(filepath.Separator), "./cmd/trailhead", "./cmd/refuge")
+	build := exec.CommandContext(ctx, "go", "build", "-o", folder+string(filepath.Separator), "./cmd/proxy", "./cmd/keeper")
 	if out, err := build.CombinedOutput(); err != nil {
 		return "", "", fmt.Errorf("the system's programs are neither beside %s nor in target/ and do not build: run this at the repository's root (%w: %s)",
 			self, err, strings.TrimSpace(string(out)))
 	}
-	return filepath.Join(folder, "trailhead"), filepath.Join(folder, "refuge"), nil
+	return filepath.Join(folder, "proxy"), filepath.Join(folder, "keeper"), nil
 }
 
 func built(path string) bool {
--- a/cmd/refuge/chain.go
+++ b/cmd/keeper/chain.go
@@ -7,32 +7,32 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/hut"
-	"gradeusher.example/gradeusher/internal/ridge"
-	"gradeusher.example/gradeusher/internal/staff"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication"
+	"gradeusher.example/gradeusher/internal/system/settings"
+	"gradeusher.example/gradeusher/internal/system/staff"
 )
 
 const leaveWithin = time.Second // for the others to cut a keeper that goes out of the chain
 
 // links is the chain of keepers as the keeper's other parts see it.
 type links struct {
-	*ridge.Keeper
+	*replication.Keeper
 }
 
 // Submit implements control.Chain.
-func (l *links) Submit(ctx context.Context, change cairn.Change) (cairn.Verdict, error) {
+func (l *links) Submit(ctx context.Context, change controlstate.Change) (controlstate.Verdict, error) {
 	answer, err := l.Keeper.Submit(ctx, change)
 	verdict := answer.Verdict
 	verdict.Seq = answer.Seq
 	return verdict, err
 }
 
-// Addresses implements waymark.Source: the keepers of the view, those of the chain first and in its order.
+// Addresses implements distribution.Source: the keepers of the view, those of the chain first and in its order.
 func (l *links) Addresses() []string {
 	view := l.View()
 	addresses := make([]string, 0, len(view.Voters))
-	in := map[ridge.ID]bool{}
+	in := map[replication.ID]bool{}
 	for _, id := range view.Chain {
 		if m, ok := view.Voter(id); ok {
 			addresses, in[id] = append(addresses, m.Addr), true
@@ -62,17 +62,17 @@
 func (k *keeper) start(ctx context.Context) error {
 	s := k.settings
 	folder := filepath.Join(s.DataDir, "control")
-	disk, err := cairn.OpenLog(folder, cairn.LogOptions{})
+	disk, err := controlstate.OpenLog(folder, controlstate.LogOptions{})
 	if err != nil {
 		return errors.Wrapf(err, "the control state in %s cannot be opened", folder)
 	}
-	open := func() (*ridge.Keeper, error) {
-		return ridge.Start(ctx, ridge.Options{Addr: s.IP, Zone: s.Zone, Region: s.Region, Port: s.KeeperPort(), Seeds: s.SeedIPs(),
-			Bootstrap: s.Bootstrap, MachineLosses: s.Tolerance.Machines, Ack: hut.Milliseconds(s.Bounds.Ack), Disk: disk, Log: k.log})
+	open := func() (*replication.Keeper, error) {
+		return replication.Start(ctx, replication.Options{Addr: s.IP, Zone: s.Zone, Region: s.Region, Port: s.KeeperPort(), Seeds: s.SeedIPs(),
+			Bootstrap: s.Bootstrap, MachineLosses: s.Tolerance.Machines, Ack: settings.Milliseconds(s.Bounds.Ack), Disk: disk, Log: k.log})
 	}
 	chain, err := open()
-	if errors.Is(err, cairn.ErrDamaged) {
-		k.log.WithError(err).Error("refuge: the log is damaged; this keeper begins anew and takes the state from the others")
+	if errors.Is(err, controlstate.ErrDamaged) {
+		k.log.WithError(err).Error("keeper: the log is damaged; this keeper begins anew and takes the state from the others")
 		if err := disk.Wipe(); err != nil {
 			return errors.Wrapf(err, "the damaged state in %s cannot be removed: empty the folder", folder)
 		}
@@ -87,7 +87,7 @@
 
 // leave has the others go on without this keeper before it ends.
 func (k *keeper) leave() {
-	k.log.Info("refuge: leaving")
+	k.log.Info("keeper: leaving")
 	ctx, cancel := context.WithTimeout(context.Background(), leaveWithin)
 	defer cancel()
 	k.chain.Leave(ctx)
--- a/cmd/refuge/run.go
+++ b/cmd/keeper/run.go
@@ -9,16 +9,16 @@
 
 	"github.com/apex/log"
 
-	"gradeusher.example/gradeusher/internal/bivouac"
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/control"
-	"gradeusher.example/gradeusher/internal/hut"
-	"gradeusher.example/gradeusher/internal/platform"
-	"gradeusher.example/gradeusher/internal/post"
-	"gradeusher.example/gradeusher/internal/ridge"
-	"gradeusher.example/gradeusher/internal/staff"
-	"gradeusher.example/gradeusher/internal/trail/pick"
-	"gradeusher.example/gradeusher/internal/waymark"
+	"gradeusher.example/gradeusher/internal/system/control"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/distribution"
+	"gradeusher.example/gradeusher/internal/system/ownership"
+	"gradeusher.example/gradeusher/internal/system/platform"
+	"gradeusher.example/gradeusher/internal/system/process"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+	"gradeusher.example/gradeusher/internal/system/replication"
+	"gradeusher.example/gradeusher/internal/system/settings"
+	"gradeusher.example/gradeusher/internal/system/staff"
 )
 
 const (
@@ -29,39 +29,39 @@
 
 // keeper is the process: its parts, and what each tells the others.
 type keeper struct {
-	settings *hut.Settings
+	settings *settings.Settings
 	log      log.Interface
 	chain    *links
-	hub      *waymark.Hub
-	fence    *post.Fence
+	hub      *distribution.Hub
+	fence    *ownership.Fence
 }
 
-func run(process *bivouac.Process) error {
-	s := process.Settings
-	k := &keeper{settings: s, log: process.Log, fence: post.NewFence(s.IP)}
+func run(self *process.Process) error {
+	s := self.Settings
+	k := &keeper{settings: s, log: self.Log, fence: ownership.NewFence(s.IP)}
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	group, ctx := bivouac.NewGroup(life)
+	group, ctx := process.NewGroup(life)
 	if err := k.start(ctx); err != nil {
 		return err
 	}
-	k.hub = waymark.NewHub(waymark.HubOptions{Source: k.chain, Self: s.IP, Zone: s.Zone, Region: s.Region, Peers: k.peers, Log: k.log})
+	k.hub = distribution.NewHub(distribution.HubOptions{Source: k.chain, Self: s.IP, Zone: s.Zone, Region: s.Region, Peers: k.peers, Log: k.log})
 	client := platform.NewClient(platform.Options{Address: s.Cloud.Address})
 	defer client.Close()
 	poller := platform.NewPoller(platform.PollerOptions{Lister: client, Duty: k.duty, Newest: k.newest, OnResult: k.listed,
 		Interval: pollEvery, CallRate: max(s.Cloud.Rate*pollPart, 1), Log: k.log})
 	calls := http.NewServeMux()
-	calls.Handle("/twirp/gradeusher.waymark.Waymark/", k.hub.Handler())
-	calls.Handle(ridge.PathPrefix, k.chain.Handler())
-	operator := control.Handler(control.Options{Chain: k.chain, AckTimeout: hut.Milliseconds(s.Bounds.Ack), Log: k.log,
+	calls.Handle("/twirp/gradeusher.distribution.Distribution/", k.hub.Handler())
+	calls.Handle(replication.PathPrefix, k.chain.Handler())
+	operator := control.Handler(control.Options{Chain: k.chain, AckTimeout: settings.Milliseconds(s.Bounds.Ack), Log: k.log,
 		Delivered: func(ctx context.Context, seq uint64) { _ = k.hub.Acknowledged(ctx, seq) },
-		Current:   func() *cairn.State { state, _ := k.chain.Committed(); return state },
+		Current:   func() *controlstate.State { state, _ := k.chain.Committed(); return state },
 		Status:    k.status, Backup: staff.BackupHandler(k.chain.Read)})
 	for address, handler := range map[string]http.Handler{
 		net.JoinHostPort(s.IP, strconv.Itoa(s.KeeperPort())): calls,
 		s.Bind.Control: operator,
 	} {
-		l, err := bivouac.Listen(ctx, address)
+		l, err := process.Listen(ctx, address)
 		if err != nil {
 			return err
 		}
@@ -69,8 +69,8 @@
 	}
 	group.Go(func() error { k.hub.Run(ctx); return nil })
 	group.Go(func() error { poller.Run(ctx); return nil })
-	k.log.WithField("control", s.Bind.Control).Info("refuge: started")
-	process.Wait(ctx)
+	k.log.WithField("control", s.Bind.Control).Info("keeper: started")
+	self.Wait(ctx)
 	k.leave()
 	end()
 	defer k.chain.Stop()
@@ -108,6 +108,6 @@
 			Remaining: i.Remaining, Cold: i.ColdLeft})
 	}
 	if err := k.hub.PutList(r.Fence, r.Version, servers, time.Since(r.At)); err != nil {
-		k.log.WithError(err).Info("refuge: a reading of the list came too late")
+		k.log.WithError(err).Info("keeper: a reading of the list came too late")
 	}
 }
--- a/internal/trail/frame/server.go
+++ b/internal/framing/server.go
@@ -1,4 +1,4 @@
-package frame
+package framing
 
 import (
 	"net"
--- a/internal/lab/keepers.go
+++ b/internal/lab/keepers.go
@@ -9,12 +9,12 @@
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/lab/check"
 	"gradeusher.example/gradeusher/internal/lab/ctl"
 	"gradeusher.example/gradeusher/internal/lab/link"
 	"gradeusher.example/gradeusher/internal/lab/plan"
 	"gradeusher.example/gradeusher/internal/lab/proc"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
 )
 
 // keepers is the keepers of an experiment, behind a relay that gives each of their links faults of its own.
--- a/internal/lab/keepersteps.go
+++ b/internal/lab/keepersteps.go
@@ -14,9 +14,9 @@
 
 	"go.etcd.io/bbolt"
 
-	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/plan"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
 )
 
 // keeperState is what the lab reads of a keeper's status.
--- a/internal/lab/routes.go
+++ b/internal/lab/routes.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/lab/check"
 	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/plan"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
 )
 
 // router makes generations of the route table. What it put is the truth that sidecars are held against.
--- a/internal/lab/run_test.go
+++ b/internal/lab/run_test.go
@@ -6,9 +6,9 @@
 	"testing/synctest"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/plan"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
 )
 
 // TestLastReadsEndTogether: however many entries there are, a run whose keepers are gone waits for its last reads once.
--- a/internal/lab/standin/host.go
+++ b/internal/lab/standin/host.go
@@ -14,7 +14,7 @@
 	"gradeusher.example/gradeusher/internal/lab/ctl"
 	"gradeusher.example/gradeusher/internal/lab/link"
 	"gradeusher.example/gradeusher/internal/lab/model"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // Host runs stand-in servers until the orders end. groups is the number of groups of sidecars, each with listeners of its
--- a/internal/lab/standin/keeper.go
+++ b/internal/lab/standin/keeper.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // PlainKeeper is a list service that agrees with nobody and forgets all when it ends, to show that the checkers find that.
--- a/internal/lab/standin/keeperroutes.go
+++ b/internal/lab/standin/keeperroutes.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // plainRoutes is a plain keeper's route table, which agrees with nobody's. It always says the whole. With the flaw "mute" it says no
--- a/internal/lab/standin/liar.go
+++ b/internal/lab/standin/liar.go
@@ -13,7 +13,7 @@
 	"gradeusher.example/gradeusher/balance/hitters"
 	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/ctl"
-	"gradeusher.example/gradeusher/internal/members"
+	"gradeusher.example/gradeusher/internal/sidecar/members"
 )
 
 // toldHitters is the kind of the states among members in which sidecars take reports of clients' work. Were it another one by now, the
--- a/internal/lab/standin/liar_test.go
+++ b/internal/lab/standin/liar_test.go
@@ -7,7 +7,7 @@
 
 	"gradeusher.example/gradeusher/balance/hitters"
 	"gradeusher.example/gradeusher/internal/lab/ctl"
-	"gradeusher.example/gradeusher/internal/members"
+	"gradeusher.example/gradeusher/internal/sidecar/members"
 )
 
 // TestLiar has a member hear what a liar says while it is told to lie, in the form that sidecars believe.
--- a/internal/lab/standin/registrar.go
+++ b/internal/lab/standin/registrar.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/lab/model"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // registrar keeps the servers of a host registered with keepers, as the servers' own agents would. What is wanted of each is
--- a/internal/lab/standin/relay.go
+++ b/internal/lab/standin/relay.go
@@ -16,7 +16,7 @@
 	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/ctl"
 	"gradeusher.example/gradeusher/internal/lab/link"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // Relay leads calls to keepers over links with faults until the orders end. Whatever a keeper writes of the list to one of
--- a/internal/lab/standin/watchers.go
+++ b/internal/lab/standin/watchers.go
@@ -7,9 +7,9 @@
 	"strings"
 	"sync"
 
-	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/ctl"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
 )
 
 // Watchers follows keepers with many clients in one process until the orders end. Each of of is one client's keepers, with
--- a/internal/lab/writers.go
+++ b/internal/lab/writers.go
@@ -9,10 +9,10 @@
 	"sync/atomic"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
 	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/ctl"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // writers are clients that write and read entries of their own, to see from outside whether keepers agree. The entries drain
--- a/internal/sidecar/body.go
+++ b/internal/sidecar/body.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/trail/frame"
+	"gradeusher.example/gradeusher/internal/framing"
 )
 
 const (
@@ -41,7 +41,7 @@
 // stops in the head.
 func newPaced(conn *http.ResponseController, r *http.Request, leave *leaving) *paced {
 	spare := headWithin
-	if c, ok := r.Context().Value(connKey{}).(*frame.ClientConn); ok {
+	if c, ok := r.Context().Value(connKey{}).(*framing.ClientConn); ok {
 		spare -= time.Since(c.From())
 	}
 	return &paced{body: r.Body, conn: conn, leave: leave, spare: max(spare, leastGrace),
--- a/internal/client/cache.go
+++ b/internal/sidecar/client/cache.go
@@ -5,9 +5,9 @@
 	"path/filepath"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/sealed"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // Cache keeps the last good list in a file, for the next process.
--- a/internal/client/cache_test.go
+++ b/internal/sidecar/client/cache_test.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/sealed"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // TestCache saves a list and reads it back with its age; every torn or changed file is set aside, and the next save works.
--- a/internal/client/client.go
+++ b/internal/sidecar/client/client.go
@@ -20,7 +20,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // Times of one try at one keeper.
--- a/internal/client/duties.go
+++ b/internal/sidecar/client/duties.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"net/url"
 
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // DutyCall is what a call to change a duty says; each looks at the fields that it needs, as state.DutyCall tells.
--- a/internal/client/follow.go
+++ b/internal/sidecar/client/follow.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // Update is what a follower tells.
--- a/internal/client/follow_test.go
+++ b/internal/sidecar/client/follow_test.go
@@ -14,7 +14,7 @@
 
 	"go.uber.org/goleak"
 
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // scripted is a keeper that says lines to whoever watches, and a list to whoever reads.
--- a/internal/client/followduties.go
+++ b/internal/sidecar/client/followduties.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // FollowDuties watches the duties of a process, "": all, until ctx is done, at one keeper after the other, and tells what changes. A
--- a/internal/client/followroutes.go
+++ b/internal/sidecar/client/followroutes.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // RouteUpdate is a route table that a follower now holds.
--- a/internal/client/hold.go
+++ b/internal/sidecar/client/hold.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // Hold keeps a registration alive until ctx is done: it renews the lease three times in its length, and registers again where
--- a/internal/client/reader.go
+++ b/internal/sidecar/client/reader.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // Doubt says when a whole list is too short to be believed at once.
--- a/internal/client/reader_test.go
+++ b/internal/sidecar/client/reader_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 func target(i int, state list.State) list.Target {
--- a/internal/client/rounds.go
+++ b/internal/sidecar/client/rounds.go
@@ -16,7 +16,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // rounds goes from keeper to keeper for a follower: it watches one until that ends or is no good, and then the next.
--- a/internal/client/routes.go
+++ b/internal/sidecar/client/routes.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 // RouteNews is what a keeper says of the route table: all of it, what leads to it from a generation, or that nothing changed.
--- a/internal/client/routes_test.go
+++ b/internal/sidecar/client/routes_test.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // weights is a table of one rule for each weight.
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/wire"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/wire"
 )
 
 // Config is what a sidecar is told at its start.
--- a/internal/sidecar/crowd.go
+++ b/internal/sidecar/crowd.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/trail/frame"
+	"gradeusher.example/gradeusher/internal/framing"
 )
 
 // idleAtLeast is how long a client's connection must have idled before it may be closed to make room.
@@ -92,7 +92,7 @@
 
 // begun tells whether part of a request has been read from a connection.
 func begun(c net.Conn) bool {
-	f, ok := c.(*frame.ClientConn)
+	f, ok := c.(*framing.ClientConn)
 	return ok && f.Begun()
 }
 
--- a/internal/sidecar/drainlistener.go
+++ b/internal/sidecar/drainlistener.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/sys/unix"
 
-	"gradeusher.example/gradeusher/internal/trail/frame"
+	"gradeusher.example/gradeusher/internal/framing"
 )
 
 // drainListener goes on accepting for some time after it is told to stop.
@@ -61,7 +61,7 @@
 		c, err := l.AcceptTCP()
 		if err == nil {
 			l.taken = true
-			return frame.NewClientConn(c, mostHead, l.improper), nil
+			return framing.NewClientConn(c, mostHead, l.improper), nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
--- a/internal/duty/duty_test.go
+++ b/internal/sidecar/duty/duty_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
 )
 
 // TestHolder goes through renewals: a right to act counts from before the sending, ends by itself, and never comes again.
--- a/internal/duty/holder.go
+++ b/internal/sidecar/duty/holder.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // Instant is a time of the holder's clock, since any start. The clock never goes back and counts sleep of the machine.
--- a/internal/duty/runner.go
+++ b/internal/sidecar/duty/runner.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // Runner holds duties for a process.
--- a/internal/duty/runner_test.go
+++ b/internal/sidecar/duty/runner_test.go
@@ -15,7 +15,7 @@
 
 	"go.uber.org/goleak"
 
-	"gradeusher.example/gradeusher/internal/keeper"
+	"gradeusher.example/gradeusher/internal/sidecar/keeper"
 )
 
 const patience = 30 * time.Second // bounds what a test waits for; it is no measure
--- a/internal/duty/sweep.go
+++ b/internal/sidecar/duty/sweep.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
 )
 
 // SweepDuty is the duty under which duties out of use are forgotten.
--- a/internal/duty/tenure.go
+++ b/internal/sidecar/duty/tenure.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // Work is done in an office. ctx ends at the latest when the office does; once Asked is closed it should finish its step and
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 const (
--- a/internal/sidecar/hitters.go
+++ b/internal/sidecar/hitters.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/hitters"
-	"gradeusher.example/gradeusher/internal/members"
+	"gradeusher.example/gradeusher/internal/sidecar/members"
 )
 
 // kindHitters is the kind of the states, among members, that are reports of package hitters.
--- a/internal/sidecar/hitters_test.go
+++ b/internal/sidecar/hitters_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/hitters"
-	"gradeusher.example/gradeusher/internal/members"
+	"gradeusher.example/gradeusher/internal/sidecar/members"
 )
 
 func withHitters(config, how string) string {
--- a/internal/sidecar/host.go
+++ b/internal/sidecar/host.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/members"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/members"
 )
 
 // originAge is how far before the program's start the Balancer's clock begins. Danger: it takes a time of 0 or less for long
--- a/internal/keeper/admin.go
+++ b/internal/sidecar/keeper/admin.go
@@ -7,10 +7,10 @@
 	"strconv"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/replica"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/replica"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // Status is what a keeper knows of itself and its cluster.
--- a/internal/keeper/config.go
+++ b/internal/sidecar/keeper/config.go
@@ -11,7 +11,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // Config is a keeper's configuration, a TOML file.
--- a/internal/keeper/cuts.go
+++ b/internal/sidecar/keeper/cuts.go
@@ -9,7 +9,7 @@
 	"sync"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // cut says which rules a caller asks for: those that can ever decide for a client with these tags that calls this service.
--- a/internal/keeper/duties.go
+++ b/internal/sidecar/keeper/duties.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // proposeDuty has a command of duties agreed on, at the time that it is here, and returns the number that the result has. A restore
--- a/internal/keeper/duties_test.go
+++ b/internal/sidecar/keeper/duties_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 func dutyDo(m *state.Machine, op state.Op, c state.DutyCall) {
--- a/internal/keeper/dutiesbench_test.go
+++ b/internal/sidecar/keeper/dutiesbench_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // BenchmarkRenewDuties has a process renew all of its duties in one call over HTTP, at a keeper of its own. log/op is how much the log grows
--- a/internal/keeper/http_test.go
+++ b/internal/sidecar/keeper/http_test.go
@@ -16,8 +16,8 @@
 
 	"go.uber.org/goleak"
 
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 const patience = 20 * time.Second // bounds what a test waits for; it is no measure
--- a/internal/keeper/keeper.go
+++ b/internal/sidecar/keeper/keeper.go
@@ -23,9 +23,9 @@
 
 	"golang.org/x/time/rate"
 
-	"gradeusher.example/gradeusher/internal/replica"
-	"gradeusher.example/gradeusher/internal/sealed"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/replica"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // Keeper is one keeper process.
--- a/internal/keeper/lessor.go
+++ b/internal/sidecar/keeper/lessor.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // lessor knows, on the leader alone, when leases end. Renewals do not go through the log: they would be most of it. A new
--- a/internal/keeper/lessor_test.go
+++ b/internal/sidecar/keeper/lessor_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 func leased(n int) (m *state.Machine) {
--- a/internal/keeper/metrics.go
+++ b/internal/sidecar/keeper/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // metrics are a keeper's figures.
--- a/internal/keeper/model_test.go
+++ b/internal/sidecar/keeper/model_test.go
@@ -11,9 +11,9 @@
 
 	"pgregory.net/rapid"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/duty"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/duty"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // protections are what the model can go without. What is left on must hold; what is off must be seen to fail.
--- a/internal/keeper/removed.go
+++ b/internal/sidecar/keeper/removed.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/client"
-	"gradeusher.example/gradeusher/internal/replica"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	"gradeusher.example/gradeusher/internal/sidecar/replica"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 const (
--- a/internal/keeper/routes.go
+++ b/internal/sidecar/keeper/routes.go
@@ -11,7 +11,7 @@
 	"strings"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 const mostTable = 2 * routes.MostBytes // of a table as its writer spells it
--- a/internal/keeper/routes_test.go
+++ b/internal/sidecar/keeper/routes_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
 )
 
 func rule(name, service, tag, weight string) string {
--- a/internal/keeper/store.go
+++ b/internal/sidecar/keeper/store.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // store puts the state machine behind a lock, and its changes into lines that all watchers are written: each change is
--- a/internal/keeper/tenures.go
+++ b/internal/sidecar/keeper/tenures.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // tenures knows, on the leader alone, when leases of duties end. As with lessor, renewals do not go through the log and times
--- a/internal/keeper/watch.go
+++ b/internal/sidecar/keeper/watch.go
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/state"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
 // asked is a call for the list.
--- a/internal/sidecar/keepers.go
+++ b/internal/sidecar/keepers.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
-	"gradeusher.example/gradeusher/internal/client"
-	fleet "gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
+	fleet "gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // keep has the loop take in the list that keepers hold, until ctx is done. What a process before this one held goes before
--- a/internal/sidecar/kept.go
+++ b/internal/sidecar/kept.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 const (
--- a/internal/sidecar/kept_test.go
+++ b/internal/sidecar/kept_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 // TestKeptFile leaves beliefs to a process whose clock begins elsewhere, and then has the file be unsound in each way.
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
-	"gradeusher.example/gradeusher/internal/members"
+	"gradeusher.example/gradeusher/internal/sidecar/members"
 )
 
 // Members is how a sidecar knows the others. Without it, it is alone.
--- a/internal/members/fleet_test.go
+++ b/internal/sidecar/members/fleet_test.go
@@ -13,7 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// BenchmarkFleet measures a fleet in this process: go test -run '^$' -bench Fleet -benchtime 1x ./internal/members. It says,
+// BenchmarkFleet measures a fleet in this process: go test -run '^$' -bench Fleet -benchtime 1x ./internal/sidecar/members. It says,
 // a member and a second, the packets and kB sent with nothing to say, with one that speaks, and with all that say 300 bytes
 // a second each; the time from one publish to 95% of the members; and the time until a death is known to 95%.
 func BenchmarkFleet(b *testing.B) {
--- a/internal/members/news_test.go
+++ b/internal/sidecar/members/news_test.go
@@ -15,7 +15,7 @@
 )
 
 // BenchmarkNews has all of a fleet tell two states a second, of 300 bytes together, while 13 in 100 packets are lost and one
-// member is killed: go test -run '^$' -bench News -benchtime 1x ./internal/members. It says how old news is when it comes,
+// member is killed: go test -run '^$' -bench News -benchtime 1x ./internal/sidecar/members. It says how old news is when it comes,
 // how many of all (reader, origin, kind) hold nothing within the bound, and what a member sends and takes a second.
 func BenchmarkNews(b *testing.B) {
 	for _, n := range []int{20, 100, 200, 300} {
--- a/internal/sidecar/routes.go
+++ b/internal/sidecar/routes.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/client"
+	"gradeusher.example/gradeusher/internal/sidecar/client"
 )
 
 // routing is the route table that keepers hold, as this sidecar follows it. The loop alone touches what follows follower.
--- a/internal/sealed/cell_test.go
+++ b/internal/sidecar/sealed/cell_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 // TestCell reads what it saved, and files that are unsound in each way, which it sets aside.
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/trail/frame"
+	"gradeusher.example/gradeusher/internal/framing"
 )
 
 const (
@@ -173,7 +173,7 @@
 		s.counts.gone.Add(1)
 	}
 	if err != nil && a.flow != nil {
-		if conn, ok := r.Context().Value(connKey{}).(*frame.ClientConn); ok && r.ProtoMinor == 0 {
+		if conn, ok := r.Context().Value(connKey{}).(*framing.ClientConn); ok && r.ProtoMinor == 0 {
 			_ = conn.SetLinger(0) // where the end of the connection is that of the answer, a reset says that it is not whole
 		}
 		panic(http.ErrAbortHandler) // the way to have http.Server break an answer off
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -7,7 +7,7 @@
 
 	"gradeusher.example/gradeusher/balance"
 	"gradeusher.example/gradeusher/balance/signals"
-	"gradeusher.example/gradeusher/internal/members"
+	"gradeusher.example/gradeusher/internal/sidecar/members"
 )
 
 // kindSignals is the kind of the states, among members, that are reports of package signals.
--- a/internal/sidecar/signals_test.go
+++ b/internal/sidecar/signals_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance/signals"
-	"gradeusher.example/gradeusher/internal/members"
+	"gradeusher.example/gradeusher/internal/sidecar/members"
 )
 
 // TestMembersWordSparesRequests: three sidecars of four learn by failures that a server has fallen silent. The fourth, which
--- a/internal/state/duties.go
+++ b/internal/sidecar/state/duties.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // Bounds of duties.
--- a/internal/state/duties_test.go
+++ b/internal/sidecar/state/duties_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 func do(m *Machine, op Op, c DutyCall) Result { return m.Apply(Command{Op: op, Duty: &c}) }
--- a/internal/state/dutyform.go
+++ b/internal/sidecar/state/dutyform.go
@@ -6,8 +6,8 @@
 	"maps"
 	"slices"
 
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 // dutiesForm is the duties in a snapshot.
--- a/internal/state/dutyrules.go
+++ b/internal/sidecar/state/dutyrules.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // duty takes a step of duties.
--- a/internal/state/routes.go
+++ b/internal/sidecar/state/routes.go
@@ -5,7 +5,7 @@
 	"fmt"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 // Bounds of the route table's history.
--- a/internal/state/routes_test.go
+++ b/internal/sidecar/state/routes_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 // table has a rule of each name, in order, whose weight is the number behind it.
--- a/internal/state/snapshot.go
+++ b/internal/sidecar/state/snapshot.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"io"
 
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 // kind is the form of a snapshot. Needs rises only where an older program would lose what matters: where there are
--- a/internal/state/state.go
+++ b/internal/sidecar/state/state.go
@@ -13,7 +13,7 @@
 	"sort"
 
 	"gradeusher.example/gradeusher/balance/routes"
-	"gradeusher.example/gradeusher/internal/list"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
 )
 
 // Bounds of the state. They are the same at all keepers, or these would differ on what they refuse.
--- a/internal/state/state_test.go
+++ b/internal/sidecar/state/state_test.go
@@ -11,8 +11,8 @@
 
 	"pgregory.net/rapid"
 
-	"gradeusher.example/gradeusher/internal/list"
-	"gradeusher.example/gradeusher/internal/sealed"
+	"gradeusher.example/gradeusher/internal/sidecar/list"
+	"gradeusher.example/gradeusher/internal/sidecar/sealed"
 )
 
 func server(uid, endpoint string, boot int64, lease int64) list.Registration {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
-	"gradeusher.example/gradeusher/internal/trail/frame"
+	"gradeusher.example/gradeusher/internal/framing"
 )
 
 const (
@@ -127,7 +127,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return frame.NewServerConn(c, mostHead), nil
+			return framing.NewServerConn(c, mostHead), nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    u.maxIdle,
@@ -147,7 +147,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	var conn *frame.ServerConn
+	var conn *framing.ServerConn
 	var before int64
 	began := time.Now()
 	fresh := true // whether the connection has just been used, or opened
@@ -156,7 +156,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			u.counts.connected(info.Reused, time.Since(began))
 			fresh = info.IdleTime < u.absence
-			if conn, _ = info.Conn.(*frame.ServerConn); conn != nil {
+			if conn, _ = info.Conn.(*framing.ServerConn); conn != nil {
 				before, _ = conn.Meter()
 				bound := time.Duration(0)
 				if m.rest != nil { // a long body, which is not held
--- a/internal/control/change.go
+++ b/internal/system/control/change.go
@@ -12,7 +12,7 @@
 	"github.com/gorilla/mux"
 	"github.com/valyala/fastjson"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 func header(w http.ResponseWriter, length int) {
@@ -22,7 +22,7 @@
 }
 
 // config takes a whole configuration or an amendment.
-func (a *api) config(op cairn.Op) http.HandlerFunc {
+func (a *api) config(op controlstate.Op) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		base, err := baseVersion(r.Header)
 		if err != nil {
@@ -54,7 +54,7 @@
 			refuse(w, http.StatusRequestTimeout, "the body did not come whole in time: send the change again")
 			return
 		}
-		change := cairn.Change{Op: op, Base: base, Body: body}
+		change := controlstate.Change{Op: op, Base: base, Body: body}
 		a.submit(w, r, change, func() {
 			answer(w, http.StatusOK, map[string]any{"revision": fastjson.GetInt(body, "revision")})
 		})
@@ -62,14 +62,14 @@
 }
 
 // evacuation takes the order to send nothing more to a zone, or its withdrawal.
-func (a *api) evacuation(op cairn.Op) http.HandlerFunc {
+func (a *api) evacuation(op controlstate.Op) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		zone := mux.Vars(r)["zone"]
 		if len(zone) > maxZone {
 			refuse(w, http.StatusBadRequest, "the zone's name is too long: "+strconv.Itoa(maxZone)+" bytes are the most")
 			return
 		}
-		a.submit(w, r, cairn.Change{Op: op, Zone: zone}, func() { answer(w, http.StatusOK, struct{}{}) })
+		a.submit(w, r, controlstate.Change{Op: op, Zone: zone}, func() { answer(w, http.StatusOK, struct{}{}) })
 	}
 }
 
--- a/internal/control/control.go
+++ b/internal/system/control/control.go
@@ -12,15 +12,15 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 // Chain is where changes become durable. Its errors mean that a change may or may not come about.
 type Chain interface {
 	// Submit gives the verdict on a change once everything that it rests on is durable on every link.
-	Submit(ctx context.Context, change cairn.Change) (cairn.Verdict, error)
+	Submit(ctx context.Context, change controlstate.Change) (controlstate.Verdict, error)
 	// Read gives a state that holds all that was acknowledged before the call.
-	Read(ctx context.Context) (*cairn.State, error)
+	Read(ctx context.Context) (*controlstate.State, error)
 }
 
 // Options are those of the API.
@@ -30,7 +30,7 @@
 	Delivered func(ctx context.Context, seq uint64)
 	// Current gives a committed state that is at hand, so that a refusal can name the current revision. It may lag, be
 	// nil or give nil.
-	Current func() *cairn.State
+	Current func() *controlstate.State
 	// Status is what GET /status answers, as JSON. Nil: an empty object.
 	Status     func() any
 	Backup     http.Handler  // answers GET /backup. Nil: there is no such call
@@ -67,11 +67,11 @@
 	a := &api{o: o, held: budget{left: maxHeld}}
 	// Cleaning would answer an odd path with a redirect, and callers count those.
 	r := mux.NewRouter().SkipClean(true)
-	r.HandleFunc("/Config.Replace", a.config(cairn.OpReplace)).Methods(http.MethodPost)
-	r.HandleFunc("/Config.Amend", a.config(cairn.OpAmend)).Methods(http.MethodPost)
+	r.HandleFunc("/Config.Replace", a.config(controlstate.OpReplace)).Methods(http.MethodPost)
+	r.HandleFunc("/Config.Amend", a.config(controlstate.OpAmend)).Methods(http.MethodPost)
 	r.HandleFunc("/Config.Read", a.read).Methods(http.MethodGet, http.MethodHead)
-	r.HandleFunc("/Evacuation.Start/{zone}", a.evacuation(cairn.OpEvacuate)).Methods(http.MethodPost)
-	r.HandleFunc("/Evacuation.Finish/{zone}", a.evacuation(cairn.OpReadmit)).Methods(http.MethodPost)
+	r.HandleFunc("/Evacuation.Start/{zone}", a.evacuation(controlstate.OpEvacuate)).Methods(http.MethodPost)
+	r.HandleFunc("/Evacuation.Finish/{zone}", a.evacuation(controlstate.OpReadmit)).Methods(http.MethodPost)
 	r.HandleFunc("/status", a.status).Methods(http.MethodGet, http.MethodHead)
 	if o.Backup != nil {
 		r.Handle("/backup", o.Backup)
@@ -86,7 +86,7 @@
 }
 
 // submit brings a change to the chain and answers for it. ok writes the answer of success.
-func (a *api) submit(w http.ResponseWriter, r *http.Request, change cairn.Change, ok func()) {
+func (a *api) submit(w http.ResponseWriter, r *http.Request, change controlstate.Change, ok func()) {
 	wait := chainWait
 	if len(change.Body) > largeBody {
 		wait = largeWait
@@ -102,7 +102,7 @@
 		return
 	}
 	switch v.Kind {
-	case cairn.Accept, cairn.Already:
+	case controlstate.Accept, controlstate.Already:
 		if a.o.Delivered != nil {
 			ctx, cancel := context.WithTimeout(r.Context(), min(deliveryWait, a.o.AckTimeout/8))
 			a.o.Delivered(ctx, v.Seq)
@@ -110,7 +110,7 @@
 		}
 		entry.WithFields(log.Fields{"seq": v.Seq, "ms": time.Since(start).Milliseconds()}).Info("control: change acknowledged")
 		ok()
-	case cairn.Stale:
+	case controlstate.Stale:
 		body := map[string]any{"error": reason(v.Reason, "another version is current: read it and build on that")}
 		if a.o.Current != nil {
 			if s := a.o.Current(); s != nil && s.Config != nil {
@@ -119,7 +119,7 @@
 		}
 		entry.Info("control: change refused, another version is current")
 		answer(w, http.StatusPreconditionFailed, body)
-	case cairn.Invalid:
+	case controlstate.Invalid:
 		entry.WithField("reason", v.Reason).Info("control: change refused, it is invalid")
 		refuse(w, http.StatusBadRequest, reason(v.Reason, "the change is invalid: check it against the operator's API"))
 	default:
--- a/internal/control/control_test.go
+++ b/internal/system/control/control_test.go
@@ -17,32 +17,32 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/conf"
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 type fakeChain struct {
 	mu      sync.Mutex
-	verdict cairn.Verdict
-	state   *cairn.State
+	verdict controlstate.Verdict
+	state   *controlstate.State
 	err     error
 	silent  bool
-	got     []cairn.Change
+	got     []controlstate.Change
 }
 
-func (f *fakeChain) Submit(ctx context.Context, c cairn.Change) (cairn.Verdict, error) {
+func (f *fakeChain) Submit(ctx context.Context, c controlstate.Change) (controlstate.Verdict, error) {
 	f.mu.Lock()
 	f.got = append(f.got, c)
 	silent := f.silent
 	f.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return cairn.Verdict{}, ctx.Err()
+		return controlstate.Verdict{}, ctx.Err()
 	}
 	return f.verdict, f.err
 }
 
-func (f *fakeChain) Read(ctx context.Context) (*cairn.State, error) {
+func (f *fakeChain) Read(ctx context.Context) (*controlstate.State, error) {
 	if f.silent {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -64,55 +64,55 @@
 
 func TestAnswers(t *testing.T) {
 	const body = `{"revision":7,"routes":[],"services":[]}`
-	state := &cairn.State{Seq: 3, Config: &conf.Config{Revision: 5, Raw: []byte(`{"revision":5}`)}}
+	state := &controlstate.State{Seq: 3, Config: &conf.Config{Revision: 5, Raw: []byte(`{"revision":5}`)}}
 	base := []string{"X-Base-Version", "5"}
 	tests := map[string]struct {
 		method, target string
 		headers        []string
-		verdict        cairn.Verdict
+		verdict        controlstate.Verdict
 		err            error
 		status         int
 		answer         string // empty: a JSON object with an error
-		change         *cairn.Change
+		change         *controlstate.Change
 	}{
-		"replaced": {"POST", "/Config.Replace", base, cairn.Verdict{Kind: cairn.Accept, Seq: 4}, nil, 200, `{"revision":7}`,
-			&cairn.Change{Op: cairn.OpReplace, Base: 5, Body: []byte(body)}},
-		"sent again": {"POST", "/Config.Replace", base, cairn.Verdict{Kind: cairn.Already, Seq: 4}, nil, 200, `{"revision":7}`, nil},
-		"amended": {"POST", "/Config.Amend", base, cairn.Verdict{Kind: cairn.Accept, Seq: 4}, nil, 200, `{"revision":7}`,
-			&cairn.Change{Op: cairn.OpAmend, Base: 5, Body: []byte(body)}},
-		"stale": {"POST", "/Config.Amend", base, cairn.Verdict{Kind: cairn.Stale, Reason: "another"}, nil, 412,
+		"replaced": {"POST", "/Config.Replace", base, controlstate.Verdict{Kind: controlstate.Accept, Seq: 4}, nil, 200, `{"revision":7}`,
+			&controlstate.Change{Op: controlstate.OpReplace, Base: 5, Body: []byte(body)}},
+		"sent again": {"POST", "/Config.Replace", base, controlstate.Verdict{Kind: controlstate.Already, Seq: 4}, nil, 200, `{"revision":7}`, nil},
+		"amended": {"POST", "/Config.Amend", base, controlstate.Verdict{Kind: controlstate.Accept, Seq: 4}, nil, 200, `{"revision":7}`,
+			&controlstate.Change{Op: controlstate.OpAmend, Base: 5, Body: []byte(body)}},
+		"stale": {"POST", "/Config.Amend", base, controlstate.Verdict{Kind: controlstate.Stale, Reason: "another"}, nil, 412,
 			`{"error":"another","revision":5}`, nil},
-		"invalid": {"POST", "/Config.Replace", base, cairn.Verdict{Kind: cairn.Invalid, Reason: "no route"}, nil, 400,
+		"invalid": {"POST", "/Config.Replace", base, controlstate.Verdict{Kind: controlstate.Invalid, Reason: "no route"}, nil, 400,
 			`{"error":"no route"}`, nil},
-		"invalid without a reason": {"POST", "/Config.Replace", base, cairn.Verdict{Kind: cairn.Invalid}, nil, 400, "", nil},
-		"chain away":               {"POST", "/Config.Replace", base, cairn.Verdict{}, errors.New("away"), 503, "", nil},
-		"unknown verdict":          {"POST", "/Config.Replace", base, cairn.Verdict{Kind: 99}, nil, 503, "", nil},
-		"no base":                  {"POST", "/Config.Replace", nil, cairn.Verdict{}, nil, 400, "", nil},
-		"base is no number":        {"POST", "/Config.Replace", []string{"X-Base-Version", "v5"}, cairn.Verdict{}, nil, 400, "", nil},
-		"base below 0":             {"POST", "/Config.Replace", []string{"X-Base-Version", "-5"}, cairn.Verdict{}, nil, 400, "", nil},
-		"two bases":                {"POST", "/Config.Replace", []string{"X-Base-Version", "5", "X-Base-Version", "6"}, cairn.Verdict{}, nil, 400, "", nil},
-		"evacuated": {"POST", "/Evacuation.Start/fukuoka-a", nil, cairn.Verdict{Kind: cairn.Accept, Seq: 4}, nil, 200, `{}`,
-			&cairn.Change{Op: cairn.OpEvacuate, Zone: "fukuoka-a"}},
-		"evacuated before": {"POST", "/Evacuation.Start/fukuoka-a", nil, cairn.Verdict{Kind: cairn.Already, Seq: 4}, nil, 200, `{}`, nil},
-		"readmitted": {"POST", "/Evacuation.Finish/fukuoka-a", nil, cairn.Verdict{Kind: cairn.Accept, Seq: 4}, nil, 200, `{}`,
-			&cairn.Change{Op: cairn.OpReadmit, Zone: "fukuoka-a"}},
-		"no zone":            {"POST", "/Evacuation.Start/", nil, cairn.Verdict{}, nil, 404, "", nil},
-		"long zone":          {"POST", "/Evacuation.Start/" + strings.Repeat("z", 200), nil, cairn.Verdict{}, nil, 400, "", nil},
-		"evacuate by GET":    {"GET", "/Evacuation.Start/fukuoka-a", nil, cairn.Verdict{}, nil, 405, "", nil},
-		"replace by PUT":     {"PUT", "/Config.Replace", base, cairn.Verdict{}, nil, 405, "", nil},
-		"unknown path":       {"POST", "/Config.Drop", base, cairn.Verdict{}, nil, 404, "", nil},
-		"path not cleaned":   {"POST", "//Config.Replace", base, cairn.Verdict{}, nil, 404, "", nil},
-		"read":               {"GET", "/Config.Read", nil, cairn.Verdict{}, nil, 200, `{"revision":5}`, nil},
-		"read, chain away":   {"GET", "/Config.Read", nil, cairn.Verdict{}, errors.New("away"), 503, "", nil},
-		"status":             {"GET", "/status", nil, cairn.Verdict{}, nil, 200, `{"epoch":3}`, nil},
-		"status with a POST": {"POST", "/status", nil, cairn.Verdict{}, nil, 405, "", nil},
+		"invalid without a reason": {"POST", "/Config.Replace", base, controlstate.Verdict{Kind: controlstate.Invalid}, nil, 400, "", nil},
+		"chain away":               {"POST", "/Config.Replace", base, controlstate.Verdict{}, errors.New("away"), 503, "", nil},
+		"unknown verdict":          {"POST", "/Config.Replace", base, controlstate.Verdict{Kind: 99}, nil, 503, "", nil},
+		"no base":                  {"POST", "/Config.Replace", nil, controlstate.Verdict{}, nil, 400, "", nil},
+		"base is no number":        {"POST", "/Config.Replace", []string{"X-Base-Version", "v5"}, controlstate.Verdict{}, nil, 400, "", nil},
+		"base below 0":             {"POST", "/Config.Replace", []string{"X-Base-Version", "-5"}, controlstate.Verdict{}, nil, 400, "", nil},
+		"two bases":                {"POST", "/Config.Replace", []string{"X-Base-Version", "5", "X-Base-Version", "6"}, controlstate.Verdict{}, nil, 400, "", nil},
+		"evacuated": {"POST", "/Evacuation.Start/fukuoka-a", nil, controlstate.Verdict{Kind: controlstate.Accept, Seq: 4}, nil, 200, `{}`,
+			&controlstate.Change{Op: controlstate.OpEvacuate, Zone: "fukuoka-a"}},
+		"evacuated before": {"POST", "/Evacuation.Start/fukuoka-a", nil, controlstate.Verdict{Kind: controlstate.Already, Seq: 4}, nil, 200, `{}`, nil},
+		"readmitted": {"POST", "/Evacuation.Finish/fukuoka-a", nil, controlstate.Verdict{Kind: controlstate.Accept, Seq: 4}, nil, 200, `{}`,
+			&controlstate.Change{Op: controlstate.OpReadmit, Zone: "fukuoka-a"}},
+		"no zone":            {"POST", "/Evacuation.Start/", nil, controlstate.Verdict{}, nil, 404, "", nil},
+		"long zone":          {"POST", "/Evacuation.Start/" + strings.Repeat("z", 200), nil, controlstate.Verdict{}, nil, 400, "", nil},
+		"evacuate by GET":    {"GET", "/Evacuation.Start/fukuoka-a", nil, controlstate.Verdict{}, nil, 405, "", nil},
+		"replace by PUT":     {"PUT", "/Config.Replace", base, controlstate.Verdict{}, nil, 405, "", nil},
+		"unknown path":       {"POST", "/Config.Drop", base, controlstate.Verdict{}, nil, 404, "", nil},
+		"path not cleaned":   {"POST", "//Config.Replace", base, controlstate.Verdict{}, nil, 404, "", nil},
+		"read":               {"GET", "/Config.Read", nil, controlstate.Verdict{}, nil, 200, `{"revision":5}`, nil},
+		"read, chain away":   {"GET", "/Config.Read", nil, controlstate.Verdict{}, errors.New("away"), 503, "", nil},
+		"status":             {"GET", "/status", nil, controlstate.Verdict{}, nil, 200, `{"epoch":3}`, nil},
+		"status with a POST": {"POST", "/status", nil, controlstate.Verdict{}, nil, 405, "", nil},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			chain := &fakeChain{verdict: tt.verdict, err: tt.err, state: state}
 			var delivered []uint64
 			h := Handler(Options{Chain: chain, Log: quiet(),
-				Current:   func() *cairn.State { return state },
+				Current:   func() *controlstate.State { return state },
 				Status:    func() any { return map[string]int{"epoch": 3} },
 				Delivered: func(_ context.Context, seq uint64) { delivered = append(delivered, seq) }})
 			w := call(h, tt.method, tt.target, body, tt.headers...)
@@ -146,14 +146,14 @@
 }
 
 func TestReadBeforeAnyConfiguration(t *testing.T) {
-	h := Handler(Options{Chain: &fakeChain{state: cairn.Empty()}, Log: quiet()})
+	h := Handler(Options{Chain: &fakeChain{state: controlstate.Empty()}, Log: quiet()})
 	if w := call(h, "GET", "/Config.Read", ""); w.Code != 503 {
 		t.Errorf("status %d: %s", w.Code, w.Body)
 	}
 }
 
 func TestBodyTooLarge(t *testing.T) {
-	h := Handler(Options{Chain: &fakeChain{verdict: cairn.Verdict{Kind: cairn.Accept}}, Log: quiet()})
+	h := Handler(Options{Chain: &fakeChain{verdict: controlstate.Verdict{Kind: controlstate.Accept}}, Log: quiet()})
 	for name, length := range map[string]int64{"with a length": maxBody + 1, "in chunks": -1} {
 		r := httptest.NewRequest("POST", "/Config.Replace", io.LimitReader(zeros{}, maxBody+1))
 		r.ContentLength = length
@@ -174,7 +174,7 @@
 }
 
 func TestBodyCutShort(t *testing.T) {
-	chain := &fakeChain{verdict: cairn.Verdict{Kind: cairn.Accept}}
+	chain := &fakeChain{verdict: controlstate.Verdict{Kind: controlstate.Accept}}
 	r := httptest.NewRequest("POST", "/Config.Replace", strings.NewReader("{"))
 	r.ContentLength = 10
 	r.Header.Set("X-Base-Version", "0")
@@ -227,7 +227,7 @@
 func TestDeliveryIsBounded(t *testing.T) {
 	for ack, want := range map[time.Duration]time.Duration{0: 300 * time.Millisecond, time.Second: 125 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
-			h := Handler(Options{Chain: &fakeChain{verdict: cairn.Verdict{Kind: cairn.Accept, Seq: 9}}, AckTimeout: ack, Log: quiet(),
+			h := Handler(Options{Chain: &fakeChain{verdict: controlstate.Verdict{Kind: controlstate.Accept, Seq: 9}}, AckTimeout: ack, Log: quiet(),
 				Delivered: func(ctx context.Context, _ uint64) { <-ctx.Done() }})
 			start := time.Now()
 			w := call(h, "POST", "/Evacuation.Start/a", "")
@@ -240,8 +240,8 @@
 
 // Over a real connection: an answer before the whole body is read, and HEAD without a body.
 func TestOverLoopback(t *testing.T) {
-	state := &cairn.State{Config: &conf.Config{Revision: 5, Raw: []byte(`{"revision":5}`)}}
-	s := httptest.NewServer(Handler(Options{Chain: &fakeChain{verdict: cairn.Verdict{Kind: cairn.Accept}, state: state}, Log: quiet()}))
+	state := &controlstate.State{Config: &conf.Config{Revision: 5, Raw: []byte(`{"revision":5}`)}}
+	s := httptest.NewServer(Handler(Options{Chain: &fakeChain{verdict: controlstate.Verdict{Kind: controlstate.Accept}, state: state}, Log: quiet()}))
 	defer s.Close()
 	r, err := http.NewRequest("POST", s.URL+"/Config.Replace", strings.NewReader(`{"revision":9}`))
 	if err != nil {
--- a/internal/cairn/codec.go
+++ b/internal/system/controlstate/codec.go
@@ -1,4 +1,4 @@
-package cairn
+package controlstate
 
 import (
 	"encoding/binary"
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/conf"
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 // Formats of encodings, each its first byte.
--- a/internal/cairn/disk.go
+++ b/internal/system/controlstate/disk.go
@@ -1,4 +1,4 @@
-package cairn
+package controlstate
 
 // Entry is one opaque record of the log on disk. Sequence numbers run without
 // gaps.
--- a/internal/cairn/log_test.go
+++ b/internal/system/controlstate/log_test.go
@@ -1,4 +1,4 @@
-package cairn
+package controlstate
 
 import (
 	"bytes"
--- a/internal/cairn/state.go
+++ b/internal/system/controlstate/state.go
@@ -1,6 +1,6 @@
-// Package cairn is the control state: the deterministic state machine that keepers and proxies share, and its write-ahead
+// Package controlstate is the control state: the deterministic state machine that keepers and proxies share, and its write-ahead
 // log on disk (segments with snapshots).
-package cairn
+package controlstate
 
 import (
 	"maps"
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/conf"
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 // Op says what a record changes.
--- a/internal/signpost/signpost.go
+++ b/internal/system/directory/directory.go
@@ -1,6 +1,6 @@
-// Package signpost is the directory: it tells clients which proxies to go to (GET /resolve) and the platform whether this
+// Package directory is the directory: it tells clients which proxies to go to (GET /resolve) and the platform whether this
 // one is ready (GET /readiness). PROTOCOL.md "Ingress".
-package signpost
+package directory
 
 import (
 	"encoding/json"
--- a/internal/signpost/signpost_test.go
+++ b/internal/system/directory/directory_test.go
@@ -1,4 +1,4 @@
-package signpost
+package directory
 
 import (
 	"encoding/json"
--- a/internal/waymark/faults_test.go
+++ b/internal/system/distribution/faults_test.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 	"testing/synctest"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // within fails the test unless ok comes true before d is over.
@@ -250,7 +250,7 @@
 		fl := newFleet("k1:1", "k2:1", "k3:1")
 		defer fl.stop()
 		fl.startFollower("a", nil)
-		seq := fl.chain.add(cairn.Record{Op: cairn.OpEvacuate, Zone: "z"})
+		seq := fl.chain.add(controlstate.Record{Op: controlstate.OpEvacuate, Zone: "z"})
 		time.Sleep(4 * time.Second)
 		if err := fl.hubs["k1:1"].PutList(1, 1, []pick.Server{{ID: "s"}}, 0); err != nil {
 			t.Fatal(err)
--- a/internal/waymark/fleet_test.go
+++ b/internal/system/distribution/fleet_test.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"bytes"
@@ -8,13 +8,13 @@
 	"testing/synctest"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 func newReader(b []byte) *bytes.Reader { return bytes.NewReader(b) }
 
-func none() cairn.Record { return cairn.Record{Op: cairn.OpNone} }
+func none() controlstate.Record { return controlstate.Record{Op: controlstate.OpNone} }
 
 func TestProxyIsFedWithinHalfASecondOfItsStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/waymark/follower.go
+++ b/internal/system/distribution/follower.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"context"
@@ -10,13 +10,13 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/trail/pick"
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // ErrNoKeeper marks the failure to reach any keeper.
-var ErrNoKeeper = errors.New("waymark: no keeper is reached; check the seeds and the inner port")
+var ErrNoKeeper = errors.New("distribution: no keeper is reached; check the seeds and the inner port")
 
 // FollowerOptions are what a Follower needs. Seeds, the ports, Self and Log must be given.
 type FollowerOptions struct {
@@ -33,12 +33,12 @@
 
 // Update is what a proxy holds. Nothing in it is changed later.
 type Update struct {
-	State   *cairn.State  // Seq 0 and no Config until one has come
-	Members []Member      // the live proxies, this one and those leaving included, by name
-	Servers []pick.Server // by id; times as of now
-	Listed  bool          // a whole reading of the platform's list has come
-	ListAge time.Duration // of the newest whole reading
-	Fresh   bool          // a keeper that is current has just told that there is nothing newer
+	State   *controlstate.State // Seq 0 and no Config until one has come
+	Members []Member            // the live proxies, this one and those leaving included, by name
+	Servers []pick.Server       // by id; times as of now
+	Listed  bool                // a whole reading of the platform's list has come
+	ListAge time.Duration       // of the newest whole reading
+	Fresh   bool                // a keeper that is current has just told that there is nothing newer
 }
 
 // freshFor is how long a keeper's word counts: a poll and its bound of silence, and some.
@@ -55,15 +55,15 @@
 	told     uint64 // revision of self that a keeper has taken in
 	tellDone chan struct{}
 	down     map[string]uint64 // verdicts to pass on: node to incarnation
-	state    *cairn.State
+	state    *controlstate.State
 	resync   bool // the records do not apply: ask for a snapshot
 	table    *table
 	kept     map[string]bool // keys of servers that no keeper has told since all lost their tables
-	soft     waymarkpb.Cursor
+	soft     distributionpb.Cursor
 	totals   reading
 	own      *vector
 	history  []ownLoads // as told, newest last
-	toldOwn  waymarkpb.Cursor
+	toldOwn  distributionpb.Cursor
 	others   map[string]pick.Load
 	keepers  map[string]*keeperInfo
 	digest   uint64
@@ -96,7 +96,7 @@
 	}
 	opt.Self.Revision = max(1, opt.Self.Revision)
 	f := &Follower{opt: opt, client: &http.Client{Transport: boundedTransport{opt.Transport}}, began: time.Now(), self: opt.Self,
-		tellDone: make(chan struct{}), down: map[string]uint64{}, state: cairn.Empty(), table: newTable(), own: newVector(true),
+		tellDone: make(chan struct{}), down: map[string]uint64{}, state: controlstate.Empty(), table: newTable(), own: newVector(true),
 		keepers: map[string]*keeperInfo{}, pace: 100 * time.Millisecond,
 		changed: make(chan struct{}, 1), loadChanged: make(chan struct{}, 1), tellNow: make(chan struct{}, 1)}
 	for _, s := range opt.Seeds {
@@ -155,7 +155,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Mark(errors.Wrap(ctx.Err(), "waymark: no keeper has heard that this proxy leaves; it will be found silent instead"), ErrNoKeeper)
+			return errors.Mark(errors.Wrap(ctx.Err(), "distribution: no keeper has heard that this proxy leaves; it will be found silent instead"), ErrNoKeeper)
 		case <-done:
 		}
 	}
--- a/internal/waymark/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"context"
@@ -9,9 +9,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/trail/pick"
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // call polls a keeper once and takes in what it answers. It tells how the keeper stands.
@@ -28,7 +28,7 @@
 	req.WaitMs = uint64(wait / time.Millisecond)
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
-	reply, err := waymarkpb.NewWaymarkProtobufClient(f.url(keeper, f.opt.KeeperPort), f.client).Follow(ctx, req)
+	reply, err := distributionpb.NewDistributionProtobufClient(f.url(keeper, f.opt.KeeperPort), f.client).Follow(ctx, req)
 	if err != nil {
 		return answer{}, err
 	}
@@ -52,7 +52,7 @@
 }
 
 // request says what is held.
-func (f *Follower) request(loads map[string]pick.Load, acceptStale bool) *waymarkpb.FollowRequest {
+func (f *Follower) request(loads map[string]pick.Load, acceptStale bool) *distributionpb.FollowRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
@@ -62,23 +62,23 @@
 			f.history = f.history[1:]
 		}
 	}
-	req := &waymarkpb.FollowRequest{
+	req := &distributionpb.FollowRequest{
 		Member: f.self.wire(), Seq: f.state.Seq, AcceptStale: acceptStale, Keepers: f.digest,
-		Soft:   &waymarkpb.Cursor{Boot: f.soft.GetBoot(), Number: f.soft.GetNumber()},
-		Totals: &waymarkpb.Cursor{Boot: f.totals.boot, Number: f.totals.number},
+		Soft:   &distributionpb.Cursor{Boot: f.soft.GetBoot(), Number: f.soft.GetNumber()},
+		Totals: &distributionpb.Cursor{Boot: f.totals.boot, Number: f.totals.number},
 		Loads:  f.own.since(f.toldOwn.GetBoot(), f.toldOwn.GetNumber()),
 	}
 	if f.resync {
 		req.Seq = 0
 	}
 	for node, incarnation := range f.down {
-		req.Down = append(req.Down, &waymarkpb.Verdict{Node: node, Incarnation: incarnation})
+		req.Down = append(req.Down, &distributionpb.Verdict{Node: node, Incarnation: incarnation})
 	}
 	return req
 }
 
 // take takes a keeper's reply in.
-func (f *Follower) take(now time.Time, keeper string, req *waymarkpb.FollowRequest, reply *waymarkpb.FollowReply) answer {
+func (f *Follower) take(now time.Time, keeper string, req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.heard = now
@@ -119,15 +119,15 @@
 const moreRecords = 64
 
 // takeState takes records or a snapshot; what is not newer is ignored, so that a proxy never goes back.
-func (f *Follower) takeState(reply *waymarkpb.FollowReply) {
+func (f *Follower) takeState(reply *distributionpb.FollowReply) {
 	if b := reply.GetSnapshot(); len(b) > 0 {
 		b, err := expand(b, reply.GetSnapshotDeflated())
-		var s *cairn.State
+		var s *controlstate.State
 		if err == nil {
-			s, err = cairn.Decode(b)
+			s, err = controlstate.Decode(b)
 		}
 		if err != nil {
-			f.opt.Log.WithError(err).Warn("waymark: a snapshot of the control state is not readable")
+			f.opt.Log.WithError(err).Warn("distribution: a snapshot of the control state is not readable")
 			return
 		}
 		if s.Seq > f.state.Seq {
@@ -144,12 +144,12 @@
 			return
 		}
 		body, err := expand(w.GetBody(), w.GetDeflated())
-		var s *cairn.State
+		var s *controlstate.State
 		if err == nil {
-			s, err = f.state.Apply(cairn.Record{Seq: w.GetSeq(), Op: cairn.Op(w.GetOp()), Base: w.GetBase(), Body: body, Zone: w.GetZone()})
+			s, err = f.state.Apply(controlstate.Record{Seq: w.GetSeq(), Op: controlstate.Op(w.GetOp()), Base: w.GetBase(), Body: body, Zone: w.GetZone()})
 		}
 		if err != nil {
-			f.opt.Log.WithError(err).WithField("seq", w.GetSeq()).Warn("waymark: a record does not apply; asking for a snapshot")
+			f.opt.Log.WithError(err).WithField("seq", w.GetSeq()).Warn("distribution: a record does not apply; asking for a snapshot")
 			f.resync = true
 			return
 		}
@@ -159,12 +159,12 @@
 
 // takeEntries takes soft state in and tells whether anything that matters changed. A whole table of a keeper that misses
 // nothing takes the place of what is held, even of higher versions: keepers that all lost their tables count anew.
-func (f *Follower) takeEntries(now time.Time, reply *waymarkpb.FollowReply) (changed bool) {
+func (f *Follower) takeEntries(now time.Time, reply *distributionpb.FollowReply) (changed bool) {
 	into := f.table
 	if reply.GetWhole() && reply.GetWarm() {
 		into = newTable()
 	}
-	if slices.ContainsFunc(reply.GetEntries(), func(w *waymarkpb.Entry) bool { return w.GetKey() == listKey }) {
+	if slices.ContainsFunc(reply.GetEntries(), func(w *distributionpb.Entry) bool { return w.GetKey() == listKey }) {
 		for key := range f.kept {
 			into.drop(key)
 		}
@@ -201,7 +201,7 @@
 
 // takeCursor moves on in the soft state. Deltas count only where they go on from what is held: another call may have
 // brought the table of another keeper in the meantime. The caller holds mu.
-func (f *Follower) takeCursor(req *waymarkpb.FollowRequest, reply *waymarkpb.FollowReply) {
+func (f *Follower) takeCursor(req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) {
 	to := reply.GetSoft()
 	same := to.GetBoot() == f.soft.GetBoot()
 	switch {
@@ -213,9 +213,9 @@
 }
 
 // takeTotals takes total loads in and works out what is of others.
-func (f *Follower) takeTotals(now time.Time, reply *waymarkpb.FollowReply) {
+func (f *Follower) takeTotals(now time.Time, reply *distributionpb.FollowReply) {
 	if b := reply.GetTotals(); len(b) > 0 {
-		var w waymarkpb.Loads
+		var w distributionpb.Loads
 		if proto.Unmarshal(b, &w) != nil || !f.totals.apply(now, &w) {
 			return
 		}
--- a/internal/waymark/follower_keepers.go
+++ b/internal/system/distribution/follower_keepers.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
 )
 
 const (
@@ -38,7 +38,7 @@
 }
 
 // takeKeepers makes the keepers told the ones known. The caller holds mu.
-func (f *Follower) takeKeepers(told []*waymarkpb.Keeper) {
+func (f *Follower) takeKeepers(told []*distributionpb.Keeper) {
 	for a, k := range f.keepers {
 		if k.view = false; !k.seed {
 			delete(f.keepers, a)
@@ -148,7 +148,7 @@
 		}
 		backoff = 20 * time.Millisecond
 		f.settleOn(keeper, !current)
-		f.opt.Log.WithField("keeper", keeper).WithField("current", current).Info("waymark: following a keeper")
+		f.opt.Log.WithField("keeper", keeper).WithField("current", current).Info("distribution: following a keeper")
 		f.stay(ctx, keeper, current)
 		f.settleOn("", false)
 	}
@@ -181,7 +181,7 @@
 		}
 		if err != nil || current && !a.current || !a.feeds {
 			f.fail(time.Now(), keeper)
-			f.opt.Log.WithField("keeper", keeper).WithError(err).Info("waymark: the keeper is silent, or not current")
+			f.opt.Log.WithField("keeper", keeper).WithError(err).Info("distribution: the keeper is silent, or not current")
 			return
 		}
 		current = a.current
--- a/internal/waymark/hub.go
+++ b/internal/system/distribution/hub.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"context"
@@ -12,20 +12,20 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/trail/pick"
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // ErrStale marks the refusal of an entry that is not after the one that is held.
-var ErrStale = errors.New("waymark: a newer entry is held; read the table and write with a higher fence or version")
+var ErrStale = errors.New("distribution: a newer entry is held; read the table and write with a higher fence or version")
 
 // Source is where a Hub takes the control state from.
 type Source interface {
 	// Committed gives the newest state that the chain's tail has acknowledged, and a channel that is closed at the next.
-	Committed() (*cairn.State, <-chan struct{})
+	Committed() (*controlstate.State, <-chan struct{})
 	// Since gives up to most records after seq, and false where they are gone or seq is beyond.
-	Since(seq uint64, most int) ([]cairn.Record, bool)
+	Since(seq uint64, most int) ([]controlstate.Record, bool)
 	// Current tells whether the state may be given to proxies as the newest.
 	Current() bool
 	// Addresses gives the keepers in the chain's order, as IP or IP:port.
@@ -118,7 +118,7 @@
 
 // peer is another keeper.
 type peer struct {
-	keeper    *waymarkpb.Keeper
+	keeper    *distributionpb.Keeper
 	boot      uint64
 	heard     time.Time
 	lowest    uint64
@@ -138,9 +138,9 @@
 		done: make(chan struct{}), kick: make(chan struct{}, 1), share: make(chan struct{}, 1)}
 }
 
-// Handler serves the calls of followers and of other keepers, under /twirp/gradeusher.waymark.Waymark/.
+// Handler serves the calls of followers and of other keepers, under /twirp/gradeusher.distribution.Distribution/.
 func (h *Hub) Handler() http.Handler {
-	return bounded(waymarkpb.NewWaymarkServer(h))
+	return bounded(distributionpb.NewDistributionServer(h))
 }
 
 // coalesce is how long the first change waits for others before followers are woken.
@@ -293,7 +293,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "waymark: not every proxy holds change %d yet; those left get it as soon as they are reached", seq)
+			return errors.Wrapf(ctx.Err(), "distribution: not every proxy holds change %d yet; those left get it as soon as they are reached", seq)
 		case <-acked:
 		}
 	}
--- a/internal/waymark/hub_follow.go
+++ b/internal/system/distribution/hub_follow.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"context"
@@ -8,20 +8,20 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/twitchtv/twirp"
 
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
 )
 
 // recheck is how often a keeper that is not current looks whether it has become so, while a proxy waits for that.
 const recheck = 40 * time.Millisecond
 
 // Follow serves a poll of a proxy: see the service's definition.
-func (h *Hub) Follow(ctx context.Context, req *waymarkpb.FollowRequest) (*waymarkpb.FollowReply, error) {
+func (h *Hub) Follow(ctx context.Context, req *distributionpb.FollowRequest) (*distributionpb.FollowReply, error) {
 	m := memberOf(req.GetMember())
 	if m.Node == "" || len(m.Node) > maxID || m.Incarnation == 0 {
 		return nil, twirp.RequiredArgumentError("member")
 	}
 	if !h.opt.Source.Current() && !req.GetAcceptStale() {
-		return &waymarkpb.FollowReply{PaceMs: uint64(h.limits.Pace / time.Millisecond)}, nil
+		return &distributionpb.FollowReply{PaceMs: uint64(h.limits.Pace / time.Millisecond)}, nil
 	}
 	f := h.begin(m, req)
 	defer h.end(f)
@@ -57,7 +57,7 @@
 }
 
 // begin notes a call: the member, its acknowledgement, its loads, its verdicts.
-func (h *Hub) begin(m Member, req *waymarkpb.FollowRequest) *follower {
+func (h *Hub) begin(m Member, req *distributionpb.FollowRequest) *follower {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -114,7 +114,7 @@
 
 // answer gives a reply if there is something that the request does not have. Otherwise it gives what to wait for, and
 // after how long a report of loads is due.
-func (h *Hub) answer(f *follower, req *waymarkpb.FollowRequest) (*waymarkpb.FollowReply, <-chan struct{}, <-chan struct{}, time.Duration) {
+func (h *Hub) answer(f *follower, req *distributionpb.FollowRequest) (*distributionpb.FollowReply, <-chan struct{}, <-chan struct{}, time.Duration) {
 	state, committed := h.opt.Source.Committed()
 	current := h.opt.Source.Current()
 	digest := digestOf(h.opt.Source.Addresses())
@@ -151,8 +151,8 @@
 }
 
 // compose makes the reply to a request, with all that it does not have.
-func (h *Hub) compose(f *follower, req *waymarkpb.FollowRequest) *waymarkpb.FollowReply {
-	reply := &waymarkpb.FollowReply{Current: h.opt.Source.Current()}
+func (h *Hub) compose(f *follower, req *distributionpb.FollowRequest) *distributionpb.FollowReply {
+	reply := &distributionpb.FollowReply{Current: h.opt.Source.Current()}
 	addresses := h.opt.Source.Addresses()
 	digest := digestOf(addresses)
 	if reply.Current {
@@ -170,14 +170,14 @@
 	if len(items) > 0 {
 		f.changed = now
 	}
-	reply.Soft = &waymarkpb.Cursor{Boot: h.boot, Number: h.table.number}
+	reply.Soft = &distributionpb.Cursor{Boot: h.boot, Number: h.table.number}
 	totals := h.totals.since(req.GetTotals().GetBoot(), req.GetTotals().GetNumber())
 	if totals.From != totals.Number || req.GetTotals().GetBoot() != totals.Boot {
 		reply.Totals = marshal(totals)
 		f.reported = now
 	}
 	reply.TotalsOf = f.included
-	reply.Told = &waymarkpb.Cursor{Boot: f.loads.boot, Number: f.loads.number}
+	reply.Told = &distributionpb.Cursor{Boot: f.loads.boot, Number: f.loads.number}
 	if reply.KeepersDigest = h.keepersDigest(digest); reply.KeepersDigest != req.GetKeepers() {
 		reply.Keepers = h.keepers(addresses)
 	}
@@ -186,7 +186,7 @@
 }
 
 // durable adds what comes after seq of the control state.
-func (h *Hub) durable(reply *waymarkpb.FollowReply, seq uint64) {
+func (h *Hub) durable(reply *distributionpb.FollowReply, seq uint64) {
 	state, _ := h.opt.Source.Committed()
 	if state == nil || state.Seq <= seq {
 		return
@@ -209,16 +209,16 @@
 }
 
 // keepers gives the keepers in the chain's order, with where they are as far as that has been heard.
-func (h *Hub) keepers(addresses []string) []*waymarkpb.Keeper {
-	out := make([]*waymarkpb.Keeper, 0, len(addresses))
+func (h *Hub) keepers(addresses []string) []*distributionpb.Keeper {
+	out := make([]*distributionpb.Keeper, 0, len(addresses))
 	for _, a := range addresses {
 		switch p := h.peers[a]; {
 		case a == h.opt.Self:
-			out = append(out, &waymarkpb.Keeper{Address: a, Zone: h.opt.Zone, Region: h.opt.Region})
+			out = append(out, &distributionpb.Keeper{Address: a, Zone: h.opt.Zone, Region: h.opt.Region})
 		case p != nil:
 			out = append(out, p.keeper)
 		default:
-			out = append(out, &waymarkpb.Keeper{Address: a})
+			out = append(out, &distributionpb.Keeper{Address: a})
 		}
 	}
 	return out
@@ -261,7 +261,7 @@
 // markDown writes that the process that the entry is about is silent. The caller holds mu.
 func (h *Hub) markDown(now time.Time, it *item, m Member, why string) {
 	m.Down = true
-	h.opt.Log.WithFields(logFields(m.Node, why)).Info("waymark: a proxy is marked down")
+	h.opt.Log.WithFields(logFields(m.Node, why)).Info("distribution: a proxy is marked down")
 	h.merge(now, Entry{Key: it.Key, Fence: it.Fence, Version: it.Version + 1, Value: m.encode()}, 0)
 }
 
--- a/internal/waymark/hub_share.go
+++ b/internal/system/distribution/hub_share.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/apex/log"
 	"github.com/twitchtv/twirp"
 
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
 )
 
 const (
@@ -71,9 +71,9 @@
 
 // shareWith passes changes to one keeper: on change, at most every Share, at least every Beat.
 func (h *Hub) shareWith(ctx context.Context, url string, changed <-chan struct{}) {
-	client := waymarkpb.NewWaymarkProtobufClient(url, &http.Client{Transport: h.opt.Transport})
-	var cursor, told waymarkpb.Cursor // how far the other is in the table of this boot, and in the loads
-	var other uint64                  // the other's boot
+	client := distributionpb.NewDistributionProtobufClient(url, &http.Client{Transport: h.opt.Transport})
+	var cursor, told distributionpb.Cursor // how far the other is in the table of this boot, and in the loads
+	var other uint64                       // the other's boot
 	reached := true
 	for {
 		req, number := h.shareRequest(&cursor, &told)
@@ -86,9 +86,9 @@
 		if (err == nil) != reached {
 			reached = err == nil
 			if reached {
-				h.opt.Log.WithField("keeper", url).Info("waymark: a keeper takes shares again")
+				h.opt.Log.WithField("keeper", url).Info("distribution: a keeper takes shares again")
 			} else {
-				h.opt.Log.WithField("keeper", url).WithError(err).Warn("waymark: a keeper takes no shares")
+				h.opt.Log.WithField("keeper", url).WithError(err).Warn("distribution: a keeper takes no shares")
 			}
 		}
 		if err == nil {
@@ -121,7 +121,7 @@
 	}
 }
 
-func (h *Hub) shareRequest(cursor, told *waymarkpb.Cursor) (*waymarkpb.ShareRequest, uint64) {
+func (h *Hub) shareRequest(cursor, told *distributionpb.Cursor) (*distributionpb.ShareRequest, uint64) {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -130,13 +130,13 @@
 		since = cursor.GetNumber()
 	}
 	items, whole := h.table.since(since)
-	return &waymarkpb.ShareRequest{From: &waymarkpb.Keeper{Address: h.opt.Self, Zone: h.opt.Zone, Region: h.opt.Region}, Boot: h.boot,
+	return &distributionpb.ShareRequest{From: &distributionpb.Keeper{Address: h.opt.Self, Zone: h.opt.Zone, Region: h.opt.Region}, Boot: h.boot,
 		Whole: whole, Warm: h.warm, Entries: toWire(now, items), Loads: h.sums.since(told.GetBoot(), told.GetNumber()),
 		Lowest: h.lowest, Followers: uint64(len(h.followers))}, h.table.number
 }
 
 // Share serves another keeper's share.
-func (h *Hub) Share(_ context.Context, req *waymarkpb.ShareRequest) (*waymarkpb.ShareReply, error) {
+func (h *Hub) Share(_ context.Context, req *distributionpb.ShareRequest) (*distributionpb.ShareReply, error) {
 	from := req.GetFrom().GetAddress()
 	if from == "" || from == h.opt.Self {
 		return nil, twirp.InvalidArgumentError("from", "must be the address of another keeper")
@@ -166,7 +166,7 @@
 	p.loads.apply(now, req.GetLoads())
 	close(h.acked)
 	h.acked = make(chan struct{})
-	return &waymarkpb.ShareReply{Boot: h.boot, Told: &waymarkpb.Cursor{Boot: p.loads.boot, Number: p.loads.number}}, nil
+	return &distributionpb.ShareReply{Boot: h.boot, Told: &distributionpb.Cursor{Boot: p.loads.boot, Number: p.loads.number}}, nil
 }
 
 // maxPeers bounds the keepers remembered.
--- a/internal/waymark/hub_table.go
+++ b/internal/system/distribution/hub_table.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"slices"
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // Put writes an entry of the soft state. The error is ErrStale where a newer one is held.
@@ -24,7 +24,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.merge(time.Now(), e, 0) {
-		return errors.Mark(errors.Newf("waymark: %s is held with a higher fence or version than %d, %d: read it and write above",
+		return errors.Mark(errors.Newf("distribution: %s is held with a higher fence or version than %d, %d: read it and write above",
 			e.Key, e.Fence, e.Version), ErrStale)
 	}
 	return nil
@@ -56,7 +56,7 @@
 		return h.merge(now, e, age)
 	}
 	if !write(Entry{Key: listKey, Fence: fence, Version: version}) {
-		return errors.Mark(errors.Newf("waymark: the list is fed under a higher fence than %d: ask for the duty again before polling",
+		return errors.Mark(errors.Newf("distribution: the list is fed under a higher fence than %d: ask for the duty again before polling",
 			fence), ErrStale)
 	}
 	named := make(map[string]bool, len(servers))
--- a/internal/waymark/loads.go
+++ b/internal/system/distribution/loads.go
@@ -1,12 +1,12 @@
-package waymark
+package distribution
 
 import (
 	"encoding/binary"
 	"math/rand/v2"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/trail/pick"
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // loadLife is how long a load counts after it was told.
@@ -104,11 +104,11 @@
 }
 
 // since codes the changes after the cursor; all of them for a cursor of another life.
-func (v *vector) since(boot, number uint64) *waymarkpb.Loads {
+func (v *vector) since(boot, number uint64) *distributionpb.Loads {
 	if boot != v.boot || number > v.number {
 		number = 0
 	}
-	out := &waymarkpb.Loads{Boot: v.boot, From: number, Number: v.number}
+	out := &distributionpb.Loads{Boot: v.boot, From: number, Number: v.number}
 	if number == v.number {
 		return out
 	}
@@ -153,7 +153,7 @@
 
 // apply takes changes in; it tells false for ones that do not follow on what is held or cannot be read, and then holds
 // what it held.
-func (r *reading) apply(now time.Time, w *waymarkpb.Loads) bool {
+func (r *reading) apply(now time.Time, w *distributionpb.Loads) bool {
 	if w == nil {
 		return false
 	}
--- a/internal/waymark/loopback_test.go
+++ b/internal/system/distribution/loopback_test.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 
 	"go.uber.org/goleak"
 
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // serve serves a handler on a loopback port until the test ends.
--- a/internal/waymark/mesh_test.go
+++ b/internal/system/distribution/mesh_test.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 func quiet() log.Interface { return &log.Logger{Handler: discard.New(), Level: log.DebugLevel} }
@@ -119,17 +119,17 @@
 // chain is what the fake sources have in common: the records that were acknowledged.
 type chain struct {
 	mu      sync.Mutex
-	records []cairn.Record
-	states  []*cairn.State
+	records []controlstate.Record
+	states  []*controlstate.State
 	news    chan struct{}
 	gone    uint64 // records up to this number are compacted away
 }
 
 func newChain() *chain {
-	return &chain{states: []*cairn.State{cairn.Empty()}, news: make(chan struct{})}
+	return &chain{states: []*controlstate.State{controlstate.Empty()}, news: make(chan struct{})}
 }
 
-func (c *chain) add(r cairn.Record) uint64 {
+func (c *chain) add(r controlstate.Record) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	last := c.states[len(c.states)-1]
@@ -166,7 +166,7 @@
 	s.stale, s.at = stale, at
 }
 
-func (s *source) Committed() (*cairn.State, <-chan struct{}) {
+func (s *source) Committed() (*controlstate.State, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.chain.mu.Lock()
@@ -177,7 +177,7 @@
 	return s.states[len(s.states)-1], s.news
 }
 
-func (s *source) Since(seq uint64, most int) ([]cairn.Record, bool) {
+func (s *source) Since(seq uint64, most int) ([]controlstate.Record, bool) {
 	s.chain.mu.Lock()
 	defer s.chain.mu.Unlock()
 	if seq < s.gone || seq > uint64(len(s.records)) {
--- a/internal/waymark/neighbour.go
+++ b/internal/system/distribution/neighbour.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"context"
@@ -6,26 +6,26 @@
 	"net/http"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
 )
 
-// Handler serves neighbours that start, under /twirp/gradeusher.waymark.Neighbours/.
+// Handler serves neighbours that start, under /twirp/gradeusher.distribution.Neighbours/.
 func (f *Follower) Handler() http.Handler {
-	return bounded(waymarkpb.NewNeighboursServer(f))
+	return bounded(distributionpb.NewNeighboursServer(f))
 }
 
 // Neighbour answers all that is held.
-func (f *Follower) Neighbour(context.Context, *waymarkpb.NeighbourRequest) (*waymarkpb.FollowReply, error) {
+func (f *Follower) Neighbour(context.Context, *distributionpb.NeighbourRequest) (*distributionpb.FollowReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	items, _ := f.table.since(0)
-	reply := &waymarkpb.FollowReply{Entries: toWire(time.Now(), items)}
+	reply := &distributionpb.FollowReply{Entries: toWire(time.Now(), items)}
 	if f.state.Seq > 0 {
 		reply.Snapshot, reply.SnapshotDeflated = squeeze(f.state.Encode())
 	}
 	for _, k := range f.keepers {
 		if k.view {
-			reply.Keepers = append(reply.Keepers, &waymarkpb.Keeper{Address: k.address, Zone: k.zone, Region: k.region})
+			reply.Keepers = append(reply.Keepers, &distributionpb.Keeper{Address: k.address, Zone: k.zone, Region: k.region})
 		}
 	}
 	return reply, nil
@@ -59,8 +59,8 @@
 func (f *Follower) askNeighbour(ctx context.Context, place string) bool {
 	ctx, cancel := context.WithTimeout(ctx, seekTimeout)
 	defer cancel()
-	reply, err := waymarkpb.NewNeighboursProtobufClient(f.url(place, f.opt.ProxyPort), f.client).
-		Neighbour(ctx, &waymarkpb.NeighbourRequest{Node: f.self.Node})
+	reply, err := distributionpb.NewNeighboursProtobufClient(f.url(place, f.opt.ProxyPort), f.client).
+		Neighbour(ctx, &distributionpb.NeighbourRequest{Node: f.self.Node})
 	if err != nil {
 		return false
 	}
@@ -74,7 +74,7 @@
 		f.takeKeepers(reply.GetKeepers())
 	}
 	if changed || f.state.Seq != before {
-		f.opt.Log.WithField("neighbour", place).WithField("seq", f.state.Seq).Info("waymark: no keeper is reached; holding what a neighbour holds")
+		f.opt.Log.WithField("neighbour", place).WithField("seq", f.state.Seq).Info("distribution: no keeper is reached; holding what a neighbour holds")
 		poke(f.changed)
 	}
 	return len(reply.GetSnapshot()) > 0
--- a/internal/waymark/random_test.go
+++ b/internal/system/distribution/random_test.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"cmp"
@@ -11,12 +11,12 @@
 	"testing/synctest"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
-// WAYMARK_SEEDS sets how many seeds run.
+// DISTRIBUTION_SEEDS sets how many seeds run.
 func TestRandomFaultsEndInAgreement(t *testing.T) {
-	seeds, err := strconv.ParseUint(cmp.Or(os.Getenv("WAYMARK_SEEDS"), "10"), 10, 64)
+	seeds, err := strconv.ParseUint(cmp.Or(os.Getenv("DISTRIBUTION_SEEDS"), "10"), 10, 64)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/waymark/squeeze.go
+++ b/internal/system/distribution/squeeze.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"bytes"
@@ -8,8 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
 )
 
 // A configuration of thousands of routes is much the same line again and again, and the way from one keeper to its
@@ -47,10 +47,10 @@
 	}
 	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), expandedMost+1))
 	if err != nil {
-		return nil, errors.Wrap(err, "waymark: compressed bytes cannot be read: ask for a snapshot")
+		return nil, errors.Wrap(err, "distribution: compressed bytes cannot be read: ask for a snapshot")
 	}
 	if len(out) > expandedMost {
-		return nil, errors.Newf("waymark: compressed bytes come to more than %d: make the configuration smaller", expandedMost)
+		return nil, errors.Newf("distribution: compressed bytes come to more than %d: make the configuration smaller", expandedMost)
 	}
 	return out, nil
 }
@@ -58,12 +58,12 @@
 // squeezer keeps the newest records as they go out. The zero squeezer is ready.
 type squeezer struct {
 	mu   sync.Mutex // held while one is compressed: the others wait for it
-	kept []*waymarkpb.Record
+	kept []*distributionpb.Record
 }
 
 // record is r as it goes out. It is shared: do not change it.
-func (s *squeezer) record(r cairn.Record) *waymarkpb.Record {
-	w := &waymarkpb.Record{Seq: r.Seq, Op: uint32(r.Op), Base: r.Base, Body: r.Body, Zone: r.Zone}
+func (s *squeezer) record(r controlstate.Record) *distributionpb.Record {
+	w := &distributionpb.Record{Seq: r.Seq, Op: uint32(r.Op), Base: r.Base, Body: r.Body, Zone: r.Zone}
 	if len(r.Body) < squeezeFrom {
 		return w
 	}
--- a/internal/waymark/squeeze_test.go
+++ b/internal/system/distribution/squeeze_test.go
@@ -1,11 +1,11 @@
-package waymark
+package distribution
 
 import (
 	"bytes"
 	"fmt"
 	"testing"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 // TestSqueeze: 1,800 routes that are much alike go out in under a tenth of their bytes, compressed once for all followers.
@@ -16,7 +16,7 @@
 		fmt.Fprintf(&body, `{"name":"r-%d","hostname":"xago29.example","path_prefix":"/azp%dx/","category":"idempotent","timeout_ms":2500,"target":"lelo71b"},`, i, i*7919)
 	}
 	var s squeezer
-	r := cairn.Record{Seq: 3, Op: cairn.OpAmend, Body: body.Bytes()}
+	r := controlstate.Record{Seq: 3, Op: controlstate.OpAmend, Body: body.Bytes()}
 	w := s.record(r)
 	if again := s.record(r); again != w {
 		t.Error("compressed for each follower anew")
@@ -28,14 +28,14 @@
 	if err != nil || !bytes.Equal(out, body.Bytes()) {
 		t.Errorf("%d bytes back, %v", len(out), err)
 	}
-	if small := s.record(cairn.Record{Seq: 4, Body: []byte("{}")}); small.GetDeflated() || string(small.GetBody()) != "{}" {
+	if small := s.record(controlstate.Record{Seq: 4, Body: []byte("{}")}); small.GetDeflated() || string(small.GetBody()) != "{}" {
 		t.Error("a small body was changed")
 	}
 	if _, err := expand(w.GetBody()[:len(w.GetBody())/2], true); err == nil {
 		t.Error("half of it counts as whole")
 	}
 	for i := range uint64(20) {
-		s.record(cairn.Record{Seq: 10 + i, Body: body.Bytes()})
+		s.record(controlstate.Record{Seq: 10 + i, Body: body.Bytes()})
 	}
 	if len(s.kept) > squeezedKept {
 		t.Errorf("%d are kept", len(s.kept))
--- a/internal/waymark/table.go
+++ b/internal/system/distribution/table.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"bytes"
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/trail/pick"
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // Entry is one entry of the soft state. Of two with the same key the one that is after the other counts.
@@ -145,10 +145,10 @@
 	}
 }
 
-func toWire(now time.Time, items []*item) []*waymarkpb.Entry {
-	out := make([]*waymarkpb.Entry, len(items))
+func toWire(now time.Time, items []*item) []*distributionpb.Entry {
+	out := make([]*distributionpb.Entry, len(items))
 	for i, it := range items {
-		out[i] = &waymarkpb.Entry{Key: it.Key, Fence: it.Fence, Version: it.Version, Value: it.Value, Deleted: it.Deleted,
+		out[i] = &distributionpb.Entry{Key: it.Key, Fence: it.Fence, Version: it.Version, Value: it.Value, Deleted: it.Deleted,
 			AgeMs: uint64(max(0, now.Sub(it.at)) / time.Millisecond)}
 	}
 	return out
@@ -157,7 +157,7 @@
 // maxAge bounds ages that others tell, so that none overflows.
 const maxAge = 24 * time.Hour
 
-func fromWire(e *waymarkpb.Entry) (Entry, time.Duration) {
+func fromWire(e *distributionpb.Entry) (Entry, time.Duration) {
 	return Entry{Key: e.GetKey(), Fence: e.GetFence(), Version: e.GetVersion(), Value: e.GetValue(), Deleted: e.GetDeleted()},
 		millis(e.GetAgeMs(), maxAge)
 }
--- a/internal/waymark/transport.go
+++ b/internal/system/distribution/transport.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"net"
--- a/internal/waymark/unit_test.go
+++ b/internal/system/distribution/unit_test.go
@@ -1,4 +1,4 @@
-package waymark
+package distribution
 
 import (
 	"fmt"
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
-	"gradeusher.example/gradeusher/internal/trail/pick"
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 func contents(tb *table) map[string]string {
@@ -104,7 +104,7 @@
 		exact := rapid.Bool().Draw(t, "exact")
 		v, r := newVector(exact), &reading{}
 		loads := map[string]pick.Load{}
-		var old []*waymarkpb.Loads
+		var old []*distributionpb.Loads
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(100 * time.Millisecond)
 			id := fmt.Sprint("s", rapid.IntRange(0, 9).Draw(t, "server"))
@@ -154,7 +154,7 @@
 	f.Add(v.since(0, 0).GetBody())
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		var r reading
-		r.apply(time.Now(), &waymarkpb.Loads{Boot: 1, Number: 1, Body: b})
+		r.apply(time.Now(), &distributionpb.Loads{Boot: 1, Number: 1, Body: b})
 		sumOf(&r, time.Now())
 	})
 }
@@ -237,7 +237,7 @@
 	h := newIdleHub()
 	now := time.Now()
 	m := Member{Node: "p", Incarnation: 5}
-	h.end(h.begin(m, &waymarkpb.FollowRequest{Member: m.wire()}))
+	h.end(h.begin(m, &distributionpb.FollowRequest{Member: m.wire()}))
 	down := func() bool { return h.Members()[0].Down }
 	h.tick(now.Add(100 * time.Millisecond))
 	h.tick(now.Add(20 * time.Second))
@@ -250,7 +250,7 @@
 	if !down() {
 		t.Error("not down though silent")
 	}
-	h.end(h.begin(m, &waymarkpb.FollowRequest{Member: m.wire()}))
+	h.end(h.begin(m, &distributionpb.FollowRequest{Member: m.wire()}))
 	if down() {
 		t.Error("its call does not refute")
 	}
@@ -260,10 +260,10 @@
 	h := newIdleHub()
 	now := time.Now()
 	m := Member{Node: "p", Incarnation: 5}
-	h.end(h.begin(m, &waymarkpb.FollowRequest{Member: m.wire()}))
+	h.end(h.begin(m, &distributionpb.FollowRequest{Member: m.wire()}))
 	other := Member{Node: "q", Incarnation: 6}
 	say := func(incarnation uint64) bool {
-		h.end(h.begin(other, &waymarkpb.FollowRequest{Member: other.wire(), Down: []*waymarkpb.Verdict{{Node: "p", Incarnation: incarnation}}}))
+		h.end(h.begin(other, &distributionpb.FollowRequest{Member: other.wire(), Down: []*distributionpb.Verdict{{Node: "p", Incarnation: incarnation}}}))
 		return h.Members()[0].Down
 	}
 	if say(5) {
@@ -295,20 +295,20 @@
 		return false
 	}
 	for _, node := range []string{"ended", "reset", "held"} {
-		f := h.begin(Member{Node: node, Incarnation: 7, Revision: 1}, &waymarkpb.FollowRequest{})
+		f := h.begin(Member{Node: node, Incarnation: 7, Revision: 1}, &distributionpb.FollowRequest{})
 		if node != "held" {
 			h.broke(f)
 			h.end(f)
 		}
 	}
-	h.end(h.begin(Member{Node: "reset", Incarnation: 7, Revision: 1}, &waymarkpb.FollowRequest{}))
+	h.end(h.begin(Member{Node: "reset", Incarnation: 7, Revision: 1}, &distributionpb.FollowRequest{}))
 	for i := range 6 {
 		h.tick(now.Add(time.Duration(i+1) * 100 * time.Millisecond))
 	}
 	if !down("ended") || down("reset") || down("held") {
 		t.Errorf("after 600 ms: ended %v, reset %v, held %v", down("ended"), down("reset"), down("held"))
 	}
-	h.end(h.begin(Member{Node: "ended", Incarnation: 8, Revision: 1}, &waymarkpb.FollowRequest{}))
+	h.end(h.begin(Member{Node: "ended", Incarnation: 8, Revision: 1}, &distributionpb.FollowRequest{}))
 	if down("ended") {
 		t.Error("its next life is still down")
 	}
--- a/internal/waymark/values.go
+++ b/internal/system/distribution/values.go
@@ -1,12 +1,12 @@
-package waymark
+package distribution
 
 import (
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
-	"gradeusher.example/gradeusher/internal/trail/pick"
-	"gradeusher.example/gradeusher/internal/waymark/waymarkpb"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // Member is a proxy.
@@ -23,12 +23,12 @@
 	Revision     uint64 // rises with each change that the process makes to Ready or Leaving
 }
 
-func (m Member) wire() *waymarkpb.Member {
-	return &waymarkpb.Member{Node: m.Node, Incarnation: m.Incarnation, Zone: m.Zone, Region: m.Region, Ip: m.IP, Front: m.Front,
+func (m Member) wire() *distributionpb.Member {
+	return &distributionpb.Member{Node: m.Node, Incarnation: m.Incarnation, Zone: m.Zone, Region: m.Region, Ip: m.IP, Front: m.Front,
 		Ready: m.Ready, Leaving: m.Leaving, Down: m.Down, Owner: m.Owner, Revision: m.Revision}
 }
 
-func memberOf(m *waymarkpb.Member) Member {
+func memberOf(m *distributionpb.Member) Member {
 	return Member{Node: m.GetNode(), Incarnation: m.GetIncarnation(), Zone: m.GetZone(), Region: m.GetRegion(), IP: m.GetIp(),
 		Front: m.GetFront(), Ready: m.GetReady(), Leaving: m.GetLeaving(), Down: m.GetDown(), Owner: m.GetOwner(),
 		Revision: m.GetRevision()}
@@ -37,7 +37,7 @@
 func (m Member) encode() []byte { return marshal(m.wire()) }
 
 func decodeMember(value []byte) (Member, bool) {
-	var m waymarkpb.Member
+	var m distributionpb.Member
 	if proto.Unmarshal(value, &m) != nil {
 		return Member{}, false
 	}
@@ -54,7 +54,7 @@
 const longest = 24 * time.Hour
 
 func encodeServer(s pick.Server) []byte {
-	return marshal(&waymarkpb.Server{Service: s.Service, Address: s.Address, Zone: s.Zone, Region: s.Region,
+	return marshal(&distributionpb.Server{Service: s.Service, Address: s.Address, Zone: s.Zone, Region: s.Region,
 		Slots: uint32(max(0, min(s.Slots, 1<<30))), Draining: s.Draining, RemainingMs: ceilMillis(s.Remaining), ColdMs: ceilMillis(s.Cold)})
 }
 
@@ -64,7 +64,7 @@
 
 // decodeServer reads the entry of a server, with its times as they are now, that is, age after the entry was made.
 func decodeServer(id string, value []byte, age time.Duration) (pick.Server, bool) {
-	var w waymarkpb.Server
+	var w distributionpb.Server
 	if proto.Unmarshal(value, &w) != nil {
 		return pick.Server{}, false
 	}
--- a/internal/waymark/views.go
+++ b/internal/system/distribution/views.go
@@ -1,11 +1,11 @@
-package waymark
+package distribution
 
 import (
 	"slices"
 	"strings"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // live gives the items under the prefix of members or servers that are not deleted, by key. It is the table's own slice.
--- a/internal/rope/agent.go
+++ b/internal/system/failuredetector/agent.go
@@ -1,4 +1,4 @@
-package rope
+package failuredetector
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 )
 
 // AlivePath is where a process answers the second path.
-const AlivePath = "/rope/alive"
+const AlivePath = "/failuredetector/alive"
 
 // The bounds of an Agent.
 const (
@@ -104,7 +104,7 @@
 	a.carryOut()
 }
 
-// Handler answers the second path: GET /rope/alive.
+// Handler answers the second path: GET /failuredetector/alive.
 func (a *Agent) Handler() http.Handler {
 	body, _ := json.Marshal(alive{Node: a.o.Self, Incarnation: a.o.Incarnation}) // strings and numbers always can be
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -154,10 +154,10 @@
 			a.carryOut()
 			a.mu.Unlock()
 		case v := <-a.verdicts:
-			a.o.Log.WithFields(log.Fields{"node": v.Node, "incarnation": v.Incarnation, "down": v.Down}).Info("rope: verdict")
+			a.o.Log.WithFields(log.Fields{"node": v.Node, "incarnation": v.Incarnation, "down": v.Down}).Info("failuredetector: verdict")
 			a.o.OnVerdict(v)
 		case <-a.woke:
-			a.o.Log.Warn("rope: this process has slept, it asks before it acts")
+			a.o.Log.Warn("failuredetector: this process has slept, it asks before it acts")
 			if a.o.OnWoke != nil {
 				a.o.OnWoke()
 			}
@@ -234,21 +234,21 @@
 func (a *Agent) ask(ctx context.Context, node string, addr netip.AddrPort) (uint64, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+AlivePath, nil)
 	if err != nil {
-		return 0, errors.Wrap(err, "rope: the node's address makes no request")
+		return 0, errors.Wrap(err, "failuredetector: the node's address makes no request")
 	}
 	resp, err := a.http.Do(req)
 	if err != nil {
-		return 0, errors.Wrap(err, "rope: the node was not reached")
+		return 0, errors.Wrap(err, "failuredetector: the node was not reached")
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, 4<<10))
 	if err != nil {
-		return 0, errors.Wrap(err, "rope: the node's answer broke off")
+		return 0, errors.Wrap(err, "failuredetector: the node's answer broke off")
 	}
 	var told alive
 	if err := json.Unmarshal(data, &told); err != nil || resp.StatusCode != http.StatusOK || told.Node != node {
 		// Another node may have its address by now.
-		return 0, errors.Newf("rope: the address of %s answers as another: wait for the members to tell its new one", node)
+		return 0, errors.Newf("failuredetector: the address of %s answers as another: wait for the members to tell its new one", node)
 	}
 	return told.Incarnation, nil
 }
--- a/internal/rope/detector.go
+++ b/internal/system/failuredetector/detector.go
@@ -1,12 +1,12 @@
-// Package rope is failure detection: every node sends heartbeats to the few nodes that rendezvous hashing names as its
+// Package failuredetector is failure detection: every node sends heartbeats to the few nodes that rendezvous hashing names as its
 // monitors, and these suspect, ask over second paths and give verdicts that carry the incarnation of a process.
-package rope
+package failuredetector
 
 import (
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/post"
+	"gradeusher.example/gradeusher/internal/system/ownership"
 )
 
 // Time is a reading of the caller's monotonic clock.
@@ -16,12 +16,12 @@
 // live.
 func Watchers(node string, live []string, k int) []string {
 	others := slices.DeleteFunc(slices.Clone(live), func(n string) bool { return n == node })
-	return post.Holders(node, others, k)
+	return ownership.Holders(node, others, k)
 }
 
 // Watched names the nodes that self watches, in the order of live: those that count self among their Watchers.
 func Watched(self string, live []string, k int) []string {
-	nodes := post.NewNodes(live)
+	nodes := ownership.NewNodes(live)
 	var watched []string
 	for _, n := range live {
 		if n != self && nodes.Among(n, self, n, k) {
--- a/internal/rope/detector_test.go
+++ b/internal/system/failuredetector/detector_test.go
@@ -1,4 +1,4 @@
-package rope
+package failuredetector
 
 import (
 	"fmt"
--- a/internal/rope/message.go
+++ b/internal/system/failuredetector/message.go
@@ -1,4 +1,4 @@
-package rope
+package failuredetector
 
 import (
 	"encoding/binary"
@@ -33,7 +33,7 @@
 }
 
 // ErrMessage is the kind of Decode's errors.
-var ErrMessage = errors.New("rope: bytes that are no message of this version")
+var ErrMessage = errors.New("failuredetector: bytes that are no message of this version")
 
 // The bounds of a datagram.
 const (
--- a/internal/post/fence.go
+++ b/internal/system/ownership/fence.go
@@ -1,4 +1,4 @@
-package post
+package ownership
 
 import (
 	"slices"
--- a/internal/post/rendezvous.go
+++ b/internal/system/ownership/rendezvous.go
@@ -1,10 +1,10 @@
-// Package post assigns duties by rendezvous (highest random weight) hashing over the live nodes, and fences their holders
+// Package ownership assigns duties by rendezvous (highest random weight) hashing over the live nodes, and fences their holders
 // with the epoch of the membership that named them. It is pure: no I/O, no clock, no goroutine.
 //
 // A duty that lost its holder is taken over within the bound by which a silent node leaves the agreed view, plus the
 // time of that view's agreement, plus one interval of the duty. Where a holder lives but gets nothing done, a Standby
 // lets another step in once the work is older than a bound.
-package post
+package ownership
 
 import (
 	"cmp"
--- a/internal/platform/poller.go
+++ b/internal/system/platform/poller.go
@@ -8,7 +8,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/post"
+	"gradeusher.example/gradeusher/internal/system/ownership"
 )
 
 // Lister is what a Poller asks; a Client is one.
@@ -46,7 +46,7 @@
 type Poller struct {
 	o       PollerOptions
 	pace    pace
-	standby post.Standby
+	standby ownership.Standby
 }
 
 // NewPoller makes a poller; Run starts it.
@@ -66,7 +66,7 @@
 	return &Poller{
 		o:       o,
 		pace:    pace{interval: o.Interval, gap: time.Duration(float64(time.Second) / o.CallRate)},
-		standby: post.Standby{Interval: o.Interval, After: o.StaleAfter},
+		standby: ownership.Standby{Interval: o.Interval, After: o.StaleAfter},
 	}
 }
 
--- a/internal/bivouac/bivouac.go
+++ b/internal/system/process/process.go
@@ -1,6 +1,6 @@
-// Package bivouac is what the system's programs share around their parts: logs, signals, HTTP servers of the system's own
+// Package process is what the system's programs share around their parts: logs, signals, HTTP servers of the system's own
 // surfaces, and a group of what runs until the process ends.
-package bivouac
+package process
 
 import (
 	"context"
--- a/internal/bivouac/program.go
+++ b/internal/system/process/program.go
@@ -1,4 +1,4 @@
-package bivouac
+package process
 
 import (
 	"context"
@@ -8,19 +8,19 @@
 	"github.com/alecthomas/kong"
 	"github.com/apex/log"
 
-	"gradeusher.example/gradeusher/internal/hut"
+	"gradeusher.example/gradeusher/internal/system/settings"
 )
 
 // Program is one program of the system: a role, and what runs it.
 type Program struct {
 	Name, Description string
-	Role              hut.Role
+	Role              settings.Role
 	Run               func(*Process) error
 }
 
 // Process is one life of a program.
 type Process struct {
-	Settings *hut.Settings
+	Settings *settings.Settings
 	Log      log.Interface
 
 	program Program
@@ -67,16 +67,16 @@
 func (c *checkCommand) Run(p Program) error {
 	var err error
 	if c.File != "" {
-		_, err = hut.Load(c.File, p.Role)
+		_, err = settings.Load(c.File, p.Role)
 	} else {
-		_, err = hut.FromEnvironment(p.Role)
+		_, err = settings.FromEnvironment(p.Role)
 	}
 	return err
 }
 
 // Run implements the command.
 func (c *runCommand) Run(p Program) error {
-	settings, err := hut.FromEnvironment(p.Role)
+	settings, err := settings.FromEnvironment(p.Role)
 	if err != nil {
 		return err
 	}
@@ -100,7 +100,7 @@
 		case <-p.term.Done():
 			return
 		case <-p.reload:
-			if _, err := hut.FromEnvironment(p.program.Role); err != nil {
+			if _, err := settings.FromEnvironment(p.program.Role); err != nil {
 				p.Log.WithError(err).Warn(p.program.Name + ": settings not taken over")
 				continue
 			}
--- a/internal/trail/answers_test.go
+++ b/internal/system/proxy/answers_test.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"fmt"
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/conf"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // TestAnswers has a first server answer in each way and a second one well: what the client gets, how the sends ended, and
--- a/internal/trail/bench_test.go
+++ b/internal/system/proxy/bench_test.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"bufio"
@@ -11,7 +11,7 @@
 	"strings"
 	"testing"
 
-	"gradeusher.example/gradeusher/internal/conf"
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 // benchServer answers every request on a connection with the same bytes, and does not look further.
--- a/internal/trail/call.go
+++ b/internal/system/proxy/call.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"errors"
@@ -6,9 +6,9 @@
 	"strconv"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/conf"
-	"gradeusher.example/gradeusher/internal/trail/frame"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/framing"
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 const (
@@ -27,7 +27,7 @@
 	w    http.ResponseWriter
 	r    *http.Request
 	rc   *http.ResponseController
-	conn *frame.ClientConn // nil in tests
+	conn *framing.ClientConn // nil in tests
 
 	id       string // X-Attempt-Id
 	target   string // path and query as they came
--- a/internal/trail/counters.go
+++ b/internal/system/proxy/counters.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import "sync/atomic"
 
--- a/internal/trail/front.go
+++ b/internal/system/proxy/front.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/conf"
-	"gradeusher.example/gradeusher/internal/trail/frame"
+	"gradeusher.example/gradeusher/internal/framing"
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 const (
@@ -151,7 +151,7 @@
 		if s.state != http.StateIdle && s.state != http.StateNew || now.Sub(s.since) < min(idleMoment, f.p.opt.LossSlack/4) {
 			continue
 		}
-		if g, ok := c.(*frame.ClientConn); ok && (g.Begun() || waiting(g.TCPConn)) {
+		if g, ok := c.(*framing.ClientConn); ok && (g.Begun() || waiting(g.TCPConn)) {
 			continue
 		}
 		_ = c.Close()
@@ -162,11 +162,11 @@
 func (f *front) closeOldest(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var found *frame.ClientConn
+	var found *framing.ClientConn
 	var state *clientState
 	before := now.Add(-idleMoment)
 	for c, s := range f.conns {
-		if g, ok := c.(*frame.ClientConn); ok && s.state == http.StateIdle && s.since.Before(before) && !g.Begun() {
+		if g, ok := c.(*framing.ClientConn); ok && s.state == http.StateIdle && s.since.Before(before) && !g.Begun() {
 			found, state, before = g, s, s.since
 		}
 	}
--- a/internal/trail/front_test.go
+++ b/internal/system/proxy/front_test.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"github.com/apex/log/handlers/discard"
 	"go.uber.org/goleak"
 
-	"gradeusher.example/gradeusher/internal/conf"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/trail/handler.go
+++ b/internal/system/proxy/handler.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"errors"
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/conf"
-	"gradeusher.example/gradeusher/internal/trail/frame"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/framing"
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 const (
@@ -19,7 +19,7 @@
 	restOfBody = time.Second           // a refused request's body is waited for
 )
 
-type connKey struct{} // of a request's *frame.ClientConn in its context
+type connKey struct{} // of a request's *framing.ClientConn in its context
 
 // ServeHTTP implements http.Handler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -27,7 +27,7 @@
 	p.counters.Requests.Add(1)
 	rc := http.NewResponseController(w)
 	_ = rc.SetWriteDeadline(came.Add(mostWait)) // not that of the answer before
-	conn, _ := r.Context().Value(connKey{}).(*frame.ClientConn)
+	conn, _ := r.Context().Value(connKey{}).(*framing.ClientConn)
 	id := r.Header.Get(attemptID)
 	config := p.config()
 	_ = rc.SetReadDeadline(came.Add(restOfBody)) // where no body is read, net/http waits for it before it answers
--- a/internal/trail/headers.go
+++ b/internal/system/proxy/headers.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"net/http"
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // The headers of PROTOCOL.md, in the form that net/http gives them.
--- a/internal/trail/headers_test.go
+++ b/internal/system/proxy/headers_test.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 	"testing/iotest"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 func TestPromptParts(t *testing.T) {
--- a/internal/trail/helpers_test.go
+++ b/internal/system/proxy/helpers_test.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"bufio"
@@ -17,8 +17,8 @@
 	"github.com/apex/log/handlers/discard"
 	"golang.org/x/sys/unix"
 
-	"gradeusher.example/gradeusher/internal/conf"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 const patience = 10 * time.Second // of tests, for what comes at once
--- a/internal/trail/pick/conformance_test.go
+++ b/internal/system/proxy/pick/conformance_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"gradeusher.example/gradeusher/internal/conf"
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 // table drives one Picker by the words of a conformance table.
--- a/internal/trail/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"gradeusher.example/gradeusher/internal/conf"
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 // Settings are what a Picker is made with. They never change in its life.
--- a/internal/trail/pick/property_test.go
+++ b/internal/system/proxy/pick/property_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"gradeusher.example/gradeusher/internal/conf"
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 // drawWorld draws a deployment of two services and three zones in two regions.
--- a/internal/trail/pick/rotation.go
+++ b/internal/system/proxy/pick/rotation.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"gradeusher.example/gradeusher/internal/conf"
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 // rotation is the state of a route's turns: the smooth weighted round robin, whose turns interleave the groups as evenly
--- a/internal/trail/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"gradeusher.example/gradeusher/internal/conf"
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 const (
--- a/internal/trail/pick/sim_test.go
+++ b/internal/system/proxy/pick/sim_test.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/conf"
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 // fleet is a deployment at play.
--- a/internal/trail/pick/types.go
+++ b/internal/system/proxy/pick/types.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"gradeusher.example/gradeusher/internal/conf"
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 // Time is a reading of the caller's monotonic clock.
--- a/internal/trail/policy.go
+++ b/internal/system/proxy/policy.go
@@ -1,11 +1,11 @@
-package trail
+package proxy
 
 import (
 	"sync"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/conf"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // picker is what the data plane asks of package pick. It is not safe for concurrent use.
--- a/internal/trail/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"sync/atomic"
@@ -6,8 +6,8 @@
 
 	"github.com/apex/log"
 
-	"gradeusher.example/gradeusher/internal/conf"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // Options are what a Proxy is made with.
--- a/internal/trail/relay.go
+++ b/internal/system/proxy/relay.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"errors"
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 const (
--- a/internal/trail/reuse_test.go
+++ b/internal/system/proxy/reuse_test.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"fmt"
@@ -9,8 +9,8 @@
 	"sync/atomic"
 	"testing"
 
-	"gradeusher.example/gradeusher/internal/conf"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // TestSurplus has a server send a second answer after each, at once: no request gets it.
--- a/internal/trail/serve.go
+++ b/internal/system/proxy/serve.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/trail/frame"
+	"gradeusher.example/gradeusher/internal/framing"
 )
 
 // mostRounds bounds how long connections that keep coming hold a planned end up.
@@ -97,7 +97,7 @@
 			if raw, err := c.SyscallConn(); err == nil {
 				_ = boundUnacked(raw)
 			}
-			f.take(frame.NewClientConn(c, mostHead, &p.counters.Improper))
+			f.take(framing.NewClientConn(c, mostHead, &p.counters.Improper))
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			// Danger: a deadline can pass with connections waiting, and closing the listener resets them.
 			if rounds > 0 && !taken || rounds == mostRounds {
@@ -116,7 +116,7 @@
 			return errors.Mark(errors.Wrap(err, "the listener was closed by others"), ErrListener)
 		default: // descriptors are short, or the client has gone
 			if failed = true; !failing {
-				p.opt.Log.WithError(err).Warn("trail: a connection could not be taken")
+				p.opt.Log.WithError(err).Warn("proxy: a connection could not be taken")
 			}
 			pause(ctx, acceptPause)
 		}
@@ -155,7 +155,7 @@
 	if f.draining.Swap(true) {
 		return
 	}
-	p.opt.Log.WithField("connections", f.count()).Info("trail: draining")
+	p.opt.Log.WithField("connections", f.count()).Info("proxy: draining")
 	began := time.Now()
 	f.mu.Lock()
 	l := f.listener
@@ -172,12 +172,12 @@
 		select {
 		case <-ctx.Done():
 		case <-f.over:
-			p.opt.Log.Info("trail: drained")
+			p.opt.Log.Info("proxy: drained")
 			return
 		case <-time.After(sweepDrain):
 		}
 	}
-	p.opt.Log.WithField("connections", f.count()).Warn("trail: the time for draining is up")
+	p.opt.Log.WithField("connections", f.count()).Warn("proxy: the time for draining is up")
 	_ = l.SetDeadline(time.Now())
 	close(f.enough)
 	<-f.over
--- a/internal/trail/silence_test.go
+++ b/internal/system/proxy/silence_test.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"testing/synctest"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/conf"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // piped is a proxy whose servers are functions at the other ends of pipes, on a clock that the test drives.
--- a/internal/trail/streams_test.go
+++ b/internal/system/proxy/streams_test.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"fmt"
@@ -9,8 +9,8 @@
 	"strings"
 	"testing"
 
-	"gradeusher.example/gradeusher/internal/conf"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 // streamText is the events as a client is to see them.
--- a/internal/trail/upstream.go
+++ b/internal/system/proxy/upstream.go
@@ -1,4 +1,4 @@
-package trail
+package proxy
 
 import (
 	"bufio"
@@ -11,8 +11,8 @@
 
 	"golang.org/x/sys/unix"
 
-	"gradeusher.example/gradeusher/internal/trail/frame"
-	"gradeusher.example/gradeusher/internal/trail/pick"
+	"gradeusher.example/gradeusher/internal/framing"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
 const (
@@ -57,7 +57,7 @@
 
 // serverConn is a connection to a server. One exchange has it at a time.
 type serverConn struct {
-	*frame.ServerConn
+	*framing.ServerConn
 	tcp   *net.TCPConn // nil: no socket
 	fresh bool         // no answer has come on it
 	since time.Duration
@@ -257,7 +257,7 @@
 		return nil, err
 	}
 	tcp, _ := c.(*net.TCPConn)
-	return &serverConn{ServerConn: frame.NewServerConn(c, mostHead), tcp: tcp, fresh: true}, nil
+	return &serverConn{ServerConn: framing.NewServerConn(c, mostHead), tcp: tcp, fresh: true}, nil
 }
 
 // open opens a TCP connection within a time, which is over 0.
--- a/internal/ridge/agree.go
+++ b/internal/system/replication/agree.go
@@ -1,11 +1,11 @@
-package ridge
+package replication
 
 import (
 	"fmt"
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 const (
@@ -95,8 +95,8 @@
 	cur := c.reg.view
 	b := ballot{round: max(c.reg.promised.round, c.seenRound) + 1, id: c.reg.self.ID}
 	c.prop = &proposal{cur: cur, ballot: b, since: c.now, promised: map[ID]string{}, accepted: map[ID]string{}}
-	c.note(fmt.Sprintf("ridge: proposing view %d: %s", v.Epoch, v))
-	m := &ridgepb.Prepare{Current: viewPB(cur), Ballot: ballotPB(b)}
+	c.note(fmt.Sprintf("replication: proposing view %d: %s", v.Epoch, v))
+	m := &replicationpb.Prepare{Current: viewPB(cur), Ballot: ballotPB(b)}
 	// This keeper promises first: after a restart it will not use the ballot again.
 	c.reg.promised = b
 	acc, next := c.reg.accepted, c.reg.next
@@ -104,17 +104,17 @@
 		if c.prop == nil || c.prop.ballot != b || c.reg.view != cur {
 			return
 		}
-		c.toVoters(cur, nil, func() *ridgepb.Message {
-			return &ridgepb.Message{Body: &ridgepb.Message_Prepare{Prepare: m}}
+		c.toVoters(cur, nil, func() *replicationpb.Message {
+			return &replicationpb.Message{Body: &replicationpb.Message_Prepare{Prepare: m}}
 		})
-		c.promise(c.reg.self.ID, &ridgepb.Promise{
+		c.promise(c.reg.self.ID, &replicationpb.Promise{
 			Epoch: cur.Epoch, Ballot: ballotPB(b), Accepted: ballotPB(acc), View: viewPB(next), Addr: c.reg.self.Addr,
 		})
 	})
 }
 
 // toVoters sends to the voters of the views except this keeper.
-func (c *Core) toVoters(v, w *View, body func() *ridgepb.Message) {
+func (c *Core) toVoters(v, w *View, body func() *replicationpb.Message) {
 	sent := map[ID]bool{c.reg.self.ID: true}
 	if v.Epoch == 0 {
 		for _, p := range c.peers {
@@ -165,7 +165,7 @@
 	c.adopt(cur)
 	if cur.Epoch < c.reg.view.Epoch {
 		if c.entered {
-			c.send(from, &ridgepb.Message{Body: &ridgepb.Message_Chosen{Chosen: &ridgepb.Chosen{View: viewPB(c.reg.view)}}})
+			c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Chosen{Chosen: &replicationpb.Chosen{View: viewPB(c.reg.view)}}})
 		}
 		return false
 	}
@@ -173,12 +173,12 @@
 }
 
 func (c *Core) reject(to ID) {
-	c.send(to, &ridgepb.Message{Body: &ridgepb.Message_Reject{Reject: &ridgepb.Reject{
+	c.send(to, &replicationpb.Message{Body: &replicationpb.Message_Reject{Reject: &replicationpb.Reject{
 		Epoch: c.reg.view.Epoch, Promised: ballotPB(c.reg.promised),
 	}}})
 }
 
-func (c *Core) onPrepare(from ID, m *ridgepb.Prepare) {
+func (c *Core) onPrepare(from ID, m *replicationpb.Prepare) {
 	if !c.meet(from, viewOf(m.GetCurrent())) || !c.isVoter(c.reg.view) {
 		return
 	}
@@ -189,23 +189,23 @@
 	}
 	c.reg.promised = b
 	epoch := c.reg.view.Epoch
-	reply := &ridgepb.Promise{
+	reply := &replicationpb.Promise{
 		Epoch: epoch, Ballot: m.GetBallot(), Accepted: ballotPB(c.reg.accepted), View: viewPB(c.reg.next), Addr: c.reg.self.Addr,
 	}
 	c.persist(func() {
 		if c.reg.view.Epoch == epoch && c.reg.promised == b {
-			c.send(from, &ridgepb.Message{Body: &ridgepb.Message_Promise{Promise: reply}})
+			c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Promise{Promise: reply}})
 		}
 	})
 }
 
-func (c *Core) onPromise(from ID, m *ridgepb.Promise) {
+func (c *Core) onPromise(from ID, m *replicationpb.Promise) {
 	if p := c.prop; p != nil && p.value == nil && m.GetEpoch() == p.cur.Epoch && ballotOf(m.GetBallot()) == p.ballot {
 		c.promise(from, m)
 	}
 }
 
-func (c *Core) promise(from ID, m *ridgepb.Promise) {
+func (c *Core) promise(from ID, m *replicationpb.Promise) {
 	p := c.prop
 	p.promised[from] = m.GetAddr()
 	if a := ballotOf(m.GetAccepted()); m.GetView() != nil && p.best.less(a) && !c.cfg.hooks.ignoreAccepted {
@@ -226,15 +226,15 @@
 		if c.prop != p || c.reg.view != cur {
 			return
 		}
-		acc := &ridgepb.Accept{Current: viewPB(cur), Ballot: ballotPB(b), View: viewPB(value)}
-		c.toVoters(cur, value, func() *ridgepb.Message {
-			return &ridgepb.Message{Body: &ridgepb.Message_Accept{Accept: acc}}
+		acc := &replicationpb.Accept{Current: viewPB(cur), Ballot: ballotPB(b), View: viewPB(value)}
+		c.toVoters(cur, value, func() *replicationpb.Message {
+			return &replicationpb.Message{Body: &replicationpb.Message_Accept{Accept: acc}}
 		})
 		c.acceptedBy(c.reg.self.ID, c.reg.self.Addr)
 	})
 }
 
-func (c *Core) onAccept(from ID, m *ridgepb.Accept) {
+func (c *Core) onAccept(from ID, m *replicationpb.Accept) {
 	value := viewOf(m.GetView())
 	if value == nil || !c.meet(from, viewOf(m.GetCurrent())) || value.Epoch != c.reg.view.Epoch+1 {
 		return
@@ -251,14 +251,14 @@
 	epoch := c.reg.view.Epoch
 	c.persist(func() {
 		if c.reg.view.Epoch == epoch {
-			c.send(from, &ridgepb.Message{Body: &ridgepb.Message_Accepted{Accepted: &ridgepb.Accepted{
+			c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Accepted{Accepted: &replicationpb.Accepted{
 				Epoch: epoch, Ballot: m.GetBallot(), Addr: c.reg.self.Addr,
 			}}})
 		}
 	})
 }
 
-func (c *Core) onAccepted(from ID, m *ridgepb.Accepted) {
+func (c *Core) onAccepted(from ID, m *replicationpb.Accepted) {
 	if p := c.prop; p != nil && p.value != nil && m.GetEpoch() == p.cur.Epoch && ballotOf(m.GetBallot()) == p.ballot {
 		c.acceptedBy(from, m.GetAddr())
 	}
@@ -271,14 +271,14 @@
 		return
 	}
 	c.prop = nil
-	c.note(fmt.Sprintf("ridge: view %d is chosen: %s", p.value.Epoch, p.value))
-	c.toVoters(p.cur, p.value, func() *ridgepb.Message {
-		return &ridgepb.Message{Body: &ridgepb.Message_Chosen{Chosen: &ridgepb.Chosen{View: viewPB(p.value)}}}
+	c.note(fmt.Sprintf("replication: view %d is chosen: %s", p.value.Epoch, p.value))
+	c.toVoters(p.cur, p.value, func() *replicationpb.Message {
+		return &replicationpb.Message{Body: &replicationpb.Message_Chosen{Chosen: &replicationpb.Chosen{View: viewPB(p.value)}}}
 	})
 	c.adopt(p.value)
 }
 
-func (c *Core) onReject(m *ridgepb.Reject) {
+func (c *Core) onReject(m *replicationpb.Reject) {
 	b := ballotOf(m.GetPromised())
 	if p := c.prop; p != nil && m.GetEpoch() == p.cur.Epoch && p.ballot.less(b) {
 		c.seenRound = max(c.seenRound, b.round)
--- a/internal/ridge/beat.go
+++ b/internal/system/replication/beat.go
@@ -1,11 +1,11 @@
-package ridge
+package replication
 
 import (
 	"maps"
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 const (
@@ -24,7 +24,7 @@
 	heardAt time.Duration
 	echoAt  time.Duration // when the newest beat that it says it heard was sent; negative: never
 	goodAt  time.Duration // from when it has been good without a break; negative: it is not
-	beat    *ridgepb.Beat
+	beat    *replicationpb.Beat
 }
 
 // beat tells everyone how this keeper is.
@@ -32,7 +32,7 @@
 	c.beatAt = c.now
 	c.number++
 	c.sentAt[c.number%uint64(len(c.sentAt))] = c.now
-	b := &ridgepb.Beat{
+	b := &replicationpb.Beat{
 		Member: memberPB(c.reg.self), Number: c.number, Life: c.cfg.Life, Epoch: c.epochOn,
 		Active: c.activeOn, Sealed: c.sealedOn, Committed: c.committed, DiskBad: c.disk.bad, Leaving: c.leaving,
 		Bootstrap: c.cfg.Bootstrap, Stuck: string(c.stuck()),
@@ -49,7 +49,7 @@
 			continue
 		}
 		if c.now-p.heardAt < c.cfg.Suspect {
-			b.Echoes = append(b.Echoes, &ridgepb.Echo{Id: string(id), Number: p.number})
+			b.Echoes = append(b.Echoes, &replicationpb.Echo{Id: string(id), Number: p.number})
 		}
 		addrs[p.member.Addr] = true
 	}
@@ -61,14 +61,14 @@
 	}
 	delete(addrs, c.reg.self.Addr)
 	delete(addrs, "")
-	msg := &ridgepb.Message{From: string(c.reg.self.ID), Body: &ridgepb.Message_Beat{Beat: b}}
+	msg := &replicationpb.Message{From: string(c.reg.self.ID), Body: &replicationpb.Message_Beat{Beat: b}}
 	for _, a := range slices.Sorted(maps.Keys(addrs)) {
 		c.out.Messages = append(c.out.Messages, Envelope{Addr: a, Msg: msg})
 	}
 	c.follow()
 }
 
-func (c *Core) onBeat(from ID, b *ridgepb.Beat) {
+func (c *Core) onBeat(from ID, b *replicationpb.Beat) {
 	m := memberOf(b.GetMember())
 	if m.ID != from || m.Addr == "" {
 		return
@@ -94,7 +94,7 @@
 		}
 	}
 	if b.GetEpoch() < c.reg.view.Epoch && c.entered {
-		c.send(from, &ridgepb.Message{Body: &ridgepb.Message_Chosen{Chosen: &ridgepb.Chosen{View: viewPB(c.reg.view)}}})
+		c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Chosen{Chosen: &replicationpb.Chosen{View: viewPB(c.reg.view)}}})
 	}
 	if c.good(from) {
 		if p.goodAt < 0 {
@@ -131,7 +131,7 @@
 		return c.alive(b)
 	}
 	p := c.peers[a]
-	return p != nil && slices.ContainsFunc(p.beat.GetEchoes(), func(e *ridgepb.Echo) bool { return ID(e.GetId()) == b })
+	return p != nil && slices.ContainsFunc(p.beat.GetEchoes(), func(e *replicationpb.Echo) bool { return ID(e.GetId()) == b })
 }
 
 // Current tells whether what this keeper holds can be passed on as new: within the last moments a majority of voters
--- a/internal/ridge/chain.go
+++ b/internal/system/replication/chain.go
@@ -1,4 +1,4 @@
-package ridge
+package replication
 
 import (
 	"maps"
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 const (
@@ -74,7 +74,7 @@
 		for seq := c.committed + 1; seq <= c.log.end(); seq++ {
 			s, err := c.spec().Apply(c.log.at(seq).rec)
 			if err != nil {
-				return errors.Wrapf(err, "ridge: record %d cannot be applied", seq)
+				return errors.Wrapf(err, "replication: record %d cannot be applied", seq)
 			}
 			c.ahead = append(c.ahead, s)
 		}
@@ -129,7 +129,7 @@
 		} else {
 			var err error
 			if next, err = c.state.Apply(c.log.at(s).rec); err != nil {
-				c.fail(errors.Wrapf(err, "ridge: record %d cannot be applied", s))
+				c.fail(errors.Wrapf(err, "replication: record %d cannot be applied", s))
 				return
 			}
 		}
@@ -153,7 +153,7 @@
 		return
 	}
 	c.ackedAt = c.now
-	c.send(prev, &ridgepb.Message{Body: &ridgepb.Message_Ack{Ack: &ridgepb.Ack{
+	c.send(prev, &replicationpb.Message{Body: &replicationpb.Message_Ack{Ack: &replicationpb.Ack{
 		Epoch: c.reg.view.Epoch, Matched: c.durable(), Committed: c.committed, Active: c.isActive(), Whole: c.whole(),
 	}}})
 }
@@ -209,13 +209,13 @@
 	return c.durable()
 }
 
-func (c *Core) sendAppend(id ID, p *progress, prev uint64, entries []*ridgepb.Entry, limit uint64) {
+func (c *Core) sendAppend(id ID, p *progress, prev uint64, entries []*replicationpb.Entry, limit uint64) {
 	epoch, ok := c.log.epochAt(prev)
 	if !ok {
 		return
 	}
 	p.sentAt = c.now
-	c.send(id, &ridgepb.Message{Body: &ridgepb.Message_Append{Append: &ridgepb.Append{
+	c.send(id, &replicationpb.Message{Body: &replicationpb.Message_Append{Append: &replicationpb.Append{
 		Epoch: c.reg.view.Epoch, PrevSeq: prev, PrevEpoch: epoch, Entries: entries,
 		Start: c.start, End: limit, Committed: c.committed, Learner: p.learner, Follow: p.follow,
 	}}})
@@ -230,12 +230,12 @@
 		return
 	}
 	p.sentAt, p.lagging = c.now, true
-	c.send(id, &ridgepb.Message{Body: &ridgepb.Message_Install{Install: &ridgepb.Install{
+	c.send(id, &replicationpb.Message{Body: &replicationpb.Message_Install{Install: &replicationpb.Install{
 		Epoch: c.reg.view.Epoch, Seq: c.committed, SeqEpoch: epoch, State: c.state.Encode(), Learner: p.learner,
 	}}})
 }
 
-func (c *Core) onAck(from ID, m *ridgepb.Ack) {
+func (c *Core) onAck(from ID, m *replicationpb.Ack) {
 	p := c.down[from]
 	if p == nil || m.GetEpoch() != c.reg.view.Epoch || !c.entered {
 		return
@@ -279,7 +279,7 @@
 }
 
 // rejoin finds where the logs part.
-func (c *Core) rejoin(p *progress, base, baseEpoch uint64, runs []*ridgepb.Run) {
+func (c *Core) rejoin(p *progress, base, baseEpoch uint64, runs []*replicationpb.Run) {
 	if joint, ok := c.log.joint(base, baseEpoch, runs); ok {
 		p.next, p.match, p.known = joint+1, joint, true
 		p.lagging = false
@@ -291,7 +291,7 @@
 	}
 }
 
-func (c *Core) onFollow(from ID, m *ridgepb.Follow) {
+func (c *Core) onFollow(from ID, m *replicationpb.Follow) {
 	if !c.isActive() || !c.settled() || m.GetEpoch() != c.reg.view.Epoch || c.reg.view.place(from) >= 0 {
 		return
 	}
--- a/internal/ridge/control_test.go
+++ b/internal/system/replication/control_test.go
@@ -1,4 +1,4 @@
-package ridge
+package replication
 
 import (
 	"reflect"
@@ -40,7 +40,7 @@
 			seed := c.seed
 			_, err := simulate(seed, seedFaults(seed), c.hooks, nil)
 			if err == nil {
-				seed, err = sweep(1, uint64(envInt("RIDGE_CONTROL_SEEDS", 3000)), c.hooks, nil)
+				seed, err = sweep(1, uint64(envInt("REPLICATION_CONTROL_SEEDS", 3000)), c.hooks, nil)
 			}
 			if err == nil {
 				t.Fatal("nothing broke without this protection")
--- a/internal/ridge/core.go
+++ b/internal/system/replication/core.go
@@ -1,4 +1,4 @@
-package ridge
+package replication
 
 import (
 	"math/rand/v2"
@@ -8,14 +8,14 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 // Envelope is a message and the address to send it to.
 type Envelope struct {
 	Addr string
-	Msg  *ridgepb.Message
+	Msg  *replicationpb.Message
 }
 
 // Outputs is what the core wants done.
@@ -34,7 +34,7 @@
 	now     time.Duration
 	rng     *rand.Rand
 	out     Outputs
-	local   []*ridgepb.Message // to itself
+	local   []*replicationpb.Message // to itself
 	err     error
 
 	reg      register
@@ -83,7 +83,7 @@
 }
 
 // NewCore makes a core from what the disk holds. Call Tick soon and then every few tens of milliseconds.
-func NewCore(cfg Config, machine Machine, meta map[string][]byte, snap cairn.Snapshot, entries []cairn.Entry) (*Core, error) {
+func NewCore(cfg Config, machine Machine, meta map[string][]byte, snap controlstate.Snapshot, entries []controlstate.Entry) (*Core, error) {
 	cfg.defaults()
 	c := &Core{
 		cfg: cfg, machine: machine, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Life)), //nolint:gosec // jitter
@@ -92,9 +92,9 @@
 		orders: map[orderKey]*order{}, reads: map[uint64]*read{},
 	}
 	if data, ok := meta[metaRegister]; ok {
-		var p ridgepb.Register
+		var p replicationpb.Register
 		if err := proto.Unmarshal(data, &p); err != nil {
-			return nil, errors.Wrap(err, "ridge: the register on disk cannot be read: empty the keeper's data directory")
+			return nil, errors.Wrap(err, "replication: the register on disk cannot be read: empty the keeper's data directory")
 		}
 		c.reg = registerOf(&p)
 		id := c.reg.self.ID
@@ -121,15 +121,15 @@
 	return c, nil
 }
 
-func (c *Core) load(snap cairn.Snapshot, entries []cairn.Entry) error {
+func (c *Core) load(snap controlstate.Snapshot, entries []controlstate.Entry) error {
 	if snap.Seq > 0 {
-		var p ridgepb.Image
+		var p replicationpb.Image
 		if err := proto.Unmarshal(snap.Data, &p); err != nil {
-			return errors.Wrap(err, "ridge: the snapshot on disk cannot be read: empty the keeper's data directory")
+			return errors.Wrap(err, "replication: the snapshot on disk cannot be read: empty the keeper's data directory")
 		}
 		s, err := c.machine.Decode(p.GetState())
 		if err != nil {
-			return errors.Wrap(err, "ridge: the snapshot on disk cannot be read: empty the keeper's data directory")
+			return errors.Wrap(err, "replication: the snapshot on disk cannot be read: empty the keeper's data directory")
 		}
 		c.state, c.committed = s, snap.Seq
 		c.log.base, c.log.baseEpoch = snap.Seq, p.GetEpoch()
@@ -139,9 +139,9 @@
 		if e.Seq <= c.log.end() {
 			continue
 		}
-		var p ridgepb.Entry
+		var p replicationpb.Entry
 		if err := proto.Unmarshal(e.Data, &p); err != nil || p.GetSeq() != c.log.end()+1 {
-			return errors.Newf("ridge: record %d on disk cannot be read: empty the keeper's data directory", e.Seq)
+			return errors.Newf("replication: record %d on disk cannot be read: empty the keeper's data directory", e.Seq)
 		}
 		c.log.entries = append(c.log.entries, entryOf(&p))
 		c.disk.bytes += len(e.Data)
@@ -163,11 +163,11 @@
 func (c *Core) Err() error { return c.err }
 
 // Since lists the committed records after seq, at most of them; false where they are no longer or not yet known.
-func (c *Core) Since(seq uint64, most int) ([]cairn.Record, bool) {
+func (c *Core) Since(seq uint64, most int) ([]controlstate.Record, bool) {
 	if seq < c.log.base || seq > c.committed {
 		return nil, false
 	}
-	var out []cairn.Record
+	var out []controlstate.Record
 	for s := seq + 1; s <= c.committed && s <= c.log.end() && len(out) < most; s++ {
 		out = append(out, c.log.at(s).rec)
 	}
@@ -211,7 +211,7 @@
 }
 
 // Receive takes a message from another keeper. It keeps m.
-func (c *Core) Receive(now time.Duration, m *ridgepb.Message) {
+func (c *Core) Receive(now time.Duration, m *replicationpb.Message) {
 	c.now = max(c.now, now)
 	if to := ID(m.GetTo()); to != "" && to != c.reg.self.ID || ID(m.GetFrom()) == c.reg.self.ID {
 		return
@@ -235,50 +235,50 @@
 	}
 }
 
-func (c *Core) handle(m *ridgepb.Message) {
+func (c *Core) handle(m *replicationpb.Message) {
 	from := ID(m.GetFrom())
 	switch b := m.GetBody().(type) {
-	case *ridgepb.Message_Beat:
+	case *replicationpb.Message_Beat:
 		c.onBeat(from, b.Beat)
-	case *ridgepb.Message_Prepare:
+	case *replicationpb.Message_Prepare:
 		c.onPrepare(from, b.Prepare)
-	case *ridgepb.Message_Promise:
+	case *replicationpb.Message_Promise:
 		c.onPromise(from, b.Promise)
-	case *ridgepb.Message_Accept:
+	case *replicationpb.Message_Accept:
 		c.onAccept(from, b.Accept)
-	case *ridgepb.Message_Accepted:
+	case *replicationpb.Message_Accepted:
 		c.onAccepted(from, b.Accepted)
-	case *ridgepb.Message_Reject:
+	case *replicationpb.Message_Reject:
 		c.onReject(b.Reject)
-	case *ridgepb.Message_Chosen:
+	case *replicationpb.Message_Chosen:
 		c.adopt(viewOf(b.Chosen.GetView()))
-	case *ridgepb.Message_Append:
+	case *replicationpb.Message_Append:
 		c.onAppend(from, b.Append)
-	case *ridgepb.Message_Ack:
+	case *replicationpb.Message_Ack:
 		c.onAck(from, b.Ack)
-	case *ridgepb.Message_Install:
+	case *replicationpb.Message_Install:
 		c.onInstall(from, b.Install)
-	case *ridgepb.Message_Follow:
+	case *replicationpb.Message_Follow:
 		c.onFollow(from, b.Follow)
-	case *ridgepb.Message_Forward:
+	case *replicationpb.Message_Forward:
 		c.onForward(from, b.Forward)
-	case *ridgepb.Message_Answer:
+	case *replicationpb.Message_Answer:
 		c.onAnswer(b.Answer)
-	case *ridgepb.Message_Confirm:
+	case *replicationpb.Message_Confirm:
 		c.onConfirm(from, b.Confirm)
-	case *ridgepb.Message_Confirmed:
+	case *replicationpb.Message_Confirmed:
 		c.onConfirmed(from, b.Confirmed)
-	case *ridgepb.Message_ReadIndex:
+	case *replicationpb.Message_ReadIndex:
 		c.onReadIndex(from, b.ReadIndex)
-	case *ridgepb.Message_Seal:
+	case *replicationpb.Message_Seal:
 		c.onSeal(b.Seal)
-	case *ridgepb.Message_ReadAt:
+	case *replicationpb.Message_ReadAt:
 		c.onReadAt(b.ReadAt)
 	}
 }
 
 // send sends to the keeper with the identity, when its address is known.
-func (c *Core) send(to ID, m *ridgepb.Message) {
+func (c *Core) send(to ID, m *replicationpb.Message) {
 	m.From, m.To = string(c.reg.self.ID), string(to)
 	if to == c.reg.self.ID {
 		c.local = append(c.local, m)
--- a/internal/ridge/disk.go
+++ b/internal/system/replication/disk.go
@@ -1,4 +1,4 @@
-package ridge
+package replication
 
 import (
 	"time"
@@ -6,8 +6,8 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 const (
@@ -22,7 +22,7 @@
 // DiskKind says what a DiskOp does.
 type DiskKind uint8
 
-// The disk operations, named after the methods of cairn.Disk.
+// The disk operations, named after the methods of controlstate.Disk.
 const (
 	DiskSaveMeta DiskKind = iota + 1
 	DiskAppend
@@ -37,13 +37,13 @@
 	Kind     DiskKind
 	Name     string
 	Data     []byte
-	Entries  []cairn.Entry
+	Entries  []controlstate.Entry
 	After    uint64
-	Snapshot cairn.Snapshot
+	Snapshot controlstate.Snapshot
 }
 
 // Do runs the operation.
-func (op *DiskOp) Do(d cairn.Disk) error {
+func (op *DiskOp) Do(d controlstate.Disk) error {
 	switch op.Kind {
 	case DiskSaveMeta:
 		return d.SaveMeta(op.Name, op.Data)
@@ -56,7 +56,7 @@
 	case DiskInstall:
 		return d.Install(op.Snapshot)
 	}
-	return errors.AssertionFailedf("ridge: disk operation %d is not known: update the keeper", op.Kind)
+	return errors.AssertionFailedf("replication: disk operation %d is not known: update the keeper", op.Kind)
 }
 
 // storage is what the core knows of its disk.
@@ -75,7 +75,7 @@
 
 	end      uint64 // newest record on disk that is the same in memory
 	unsure   bool   // there may be other records above end: truncate first
-	install  *cairn.Snapshot
+	install  *controlstate.Snapshot
 	snapshot uint64 // newest snapshot on disk
 	bytes    int    // logged since
 }
@@ -115,7 +115,7 @@
 		d.dirty, d.probe = false, false
 		data, err := proto.Marshal(c.reg.pb())
 		if err != nil {
-			c.fail(errors.Wrap(err, "ridge: register"))
+			c.fail(errors.Wrap(err, "replication: register"))
 			return
 		}
 		waiters := d.waiters
@@ -156,15 +156,15 @@
 
 func (c *Core) startAppend() {
 	d := &c.disk
-	var entries []cairn.Entry
+	var entries []controlstate.Entry
 	bytes := 0
 	for seq := d.end + 1; seq <= c.log.end() && bytes < 1<<20; seq++ {
 		data, err := proto.Marshal(c.log.at(seq).pb())
 		if err != nil {
-			c.fail(errors.Wrap(err, "ridge: record"))
+			c.fail(errors.Wrap(err, "replication: record"))
 			return
 		}
-		entries = append(entries, cairn.Entry{Seq: seq, Data: data})
+		entries = append(entries, controlstate.Entry{Seq: seq, Data: data})
 		bytes += len(data)
 	}
 	last := entries[len(entries)-1].Seq
@@ -205,12 +205,12 @@
 	})
 }
 
-func encodeImage(seq, epoch uint64, s State) (cairn.Snapshot, error) {
-	data, err := proto.Marshal(&ridgepb.Image{Epoch: epoch, State: s.Encode()})
+func encodeImage(seq, epoch uint64, s State) (controlstate.Snapshot, error) {
+	data, err := proto.Marshal(&replicationpb.Image{Epoch: epoch, State: s.Encode()})
 	if err != nil {
-		return cairn.Snapshot{}, errors.Wrap(err, "ridge: snapshot")
+		return controlstate.Snapshot{}, errors.Wrap(err, "replication: snapshot")
 	}
-	return cairn.Snapshot{Seq: seq, Data: data}, nil
+	return controlstate.Snapshot{Seq: seq, Data: data}, nil
 }
 
 func (c *Core) startOp(op *DiskOp, done func(error)) {
@@ -235,7 +235,7 @@
 	case err != nil:
 		d.bad, d.retryAt = true, c.now+diskRetry
 		d.badUntil = c.now + diskRetry
-		c.note("ridge: the disk refuses writes, retrying: " + err.Error())
+		c.note("replication: the disk refuses writes, retrying: " + err.Error())
 	case slow:
 		d.bad, d.badUntil = true, c.now+4*diskRetry
 		d.retryAt = 0
--- a/internal/ridge/faults_test.go
+++ b/internal/system/replication/faults_test.go
@@ -1,4 +1,4 @@
-package ridge
+package replication
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 type faultKind int
@@ -247,7 +247,7 @@
 	if !ok || m.gone {
 		return register{}, false
 	}
-	var p ridgepb.Register
+	var p replicationpb.Register
 	if proto.Unmarshal(data, &p) != nil {
 		return register{}, false
 	}
--- a/internal/ridge/follow.go
+++ b/internal/system/replication/follow.go
@@ -1,9 +1,9 @@
-package ridge
+package replication
 
 import (
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 // This file is the receiving side of the chain: links and learners take what the one upstream hands on.
@@ -17,7 +17,7 @@
 		return c.entered
 	}
 	if epoch < c.reg.view.Epoch && c.entered {
-		c.send(id, &ridgepb.Message{Body: &ridgepb.Message_Chosen{Chosen: &ridgepb.Chosen{View: viewPB(c.reg.view)}}})
+		c.send(id, &replicationpb.Message{Body: &replicationpb.Message_Chosen{Chosen: &replicationpb.Chosen{View: viewPB(c.reg.view)}}})
 	}
 	if epoch != c.reg.view.Epoch || !c.entered {
 		return false
@@ -30,12 +30,12 @@
 
 func (c *Core) mismatch(to ID) {
 	base, baseEpoch, runs := c.log.runs()
-	c.send(to, &ridgepb.Message{Body: &ridgepb.Message_Ack{Ack: &ridgepb.Ack{
+	c.send(to, &replicationpb.Message{Body: &replicationpb.Message_Ack{Ack: &replicationpb.Ack{
 		Epoch: c.reg.view.Epoch, Mismatch: true, Base: base, BaseEpoch: baseEpoch, Runs: runs,
 	}}})
 }
 
-func (c *Core) onAppend(from ID, m *ridgepb.Append) {
+func (c *Core) onAppend(from ID, m *replicationpb.Append) {
 	if !c.upstream(from, m.GetEpoch(), m.GetLearner()) {
 		return
 	}
@@ -59,7 +59,7 @@
 				continue
 			}
 			if seq <= c.committed || c.isActive() && !c.cfg.hooks.anyEpoch {
-				c.fail(errors.Newf("ridge: record %d here is of epoch %d, at the link before of epoch %d: empty this keeper's data directory",
+				c.fail(errors.Newf("replication: record %d here is of epoch %d, at the link before of epoch %d: empty this keeper's data directory",
 					seq, have, p.GetEpoch()))
 				return
 			}
@@ -78,7 +78,7 @@
 		}
 		c.told = max(c.told, m.GetCommitted())
 		c.commitTo(min(c.told, c.matched, c.disk.end))
-		c.send(from, &ridgepb.Message{Body: &ridgepb.Message_Ack{Ack: &ridgepb.Ack{Epoch: m.GetEpoch(), Matched: c.durable()}}})
+		c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Ack{Ack: &replicationpb.Ack{Epoch: m.GetEpoch(), Matched: c.durable()}}})
 		return
 	}
 	if c.reg.active != c.reg.view.Epoch {
@@ -111,13 +111,13 @@
 	})
 }
 
-func (c *Core) onInstall(from ID, m *ridgepb.Install) {
+func (c *Core) onInstall(from ID, m *replicationpb.Install) {
 	if !c.upstream(from, m.GetEpoch(), m.GetLearner()) || c.isActive() || m.GetSeq() <= c.committed {
 		return
 	}
 	s, err := c.machine.Decode(m.GetState())
 	if err != nil {
-		c.note("ridge: a snapshot from another keeper cannot be read: " + err.Error())
+		c.note("replication: a snapshot from another keeper cannot be read: " + err.Error())
 		return
 	}
 	snap, err := encodeImage(m.GetSeq(), m.GetSeqEpoch(), s)
@@ -133,7 +133,7 @@
 	c.state, c.committed, c.matched = s, m.GetSeq(), m.GetSeq()
 	c.disk.install, c.disk.end, c.disk.unsure = &snap, 0, false
 	c.completeReads()
-	c.send(from, &ridgepb.Message{Body: &ridgepb.Message_Ack{Ack: &ridgepb.Ack{Epoch: m.GetEpoch(), Matched: m.GetSeq()}}})
+	c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Ack{Ack: &replicationpb.Ack{Epoch: m.GetEpoch(), Matched: m.GetSeq()}}})
 }
 
 // follow asks a link for what is committed, when this keeper is outside the chain.
@@ -148,7 +148,7 @@
 			continue
 		}
 		base, baseEpoch, runs := c.log.runs()
-		c.send(id, &ridgepb.Message{Body: &ridgepb.Message_Follow{Follow: &ridgepb.Follow{
+		c.send(id, &replicationpb.Message{Body: &replicationpb.Message_Follow{Follow: &replicationpb.Follow{
 			Epoch: v.Epoch, Base: base, BaseEpoch: baseEpoch, Runs: runs, Number: c.number,
 		}}})
 		return
--- a/internal/ridge/invariants_test.go
+++ b/internal/system/replication/invariants_test.go
@@ -1,11 +1,11 @@
-package ridge
+package replication
 
 import (
 	"fmt"
 	"sort"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 // asked is a change or read under way, and what was known when it was asked for.
@@ -14,7 +14,7 @@
 	at     *machine
 	client int
 	read   bool
-	change cairn.Change
+	change controlstate.Change
 	tries  int
 	ttl    time.Duration // 0: drawn
 	acked  uint64
@@ -194,7 +194,7 @@
 	case d.Outcome == Refused:
 		w.stats.refused++
 		w.never(body)
-	case d.Verdict.Kind == cairn.Accept:
+	case d.Verdict.Kind == controlstate.Accept:
 		w.stats.accepted++
 		if d.Seq == 0 || d.Seq > top {
 			w.fail(fmt.Errorf("record %d was acknowledged but is not committed", d.Seq))
@@ -210,7 +210,7 @@
 		for _, do := range armed {
 			w.after(0, do)
 		}
-	case d.Verdict.Kind == cairn.Already:
+	case d.Verdict.Kind == controlstate.Already:
 		w.stats.already++
 		found := false
 		for r := w.states[top].last; r != nil; r = r.prev {
@@ -219,7 +219,7 @@
 		if !found {
 			w.fail(fmt.Errorf("%q counts as taken before, but no committed record has it", body))
 		}
-	case d.Verdict.Kind == cairn.Stale:
+	case d.Verdict.Kind == controlstate.Stale:
 		w.stats.stale++
 		w.never(body)
 		found := false
@@ -277,16 +277,16 @@
 	case k < 6:
 		a.read = true
 	case k < 9:
-		a.change = cairn.Change{Op: cairn.OpEvacuate, Zone: fmt.Sprintf("z%d", a.id)}
+		a.change = controlstate.Change{Op: controlstate.OpEvacuate, Zone: fmt.Sprintf("z%d", a.id)}
 	case k < 10:
-		a.change = cairn.Change{Op: cairn.OpReplace, Body: []byte("bad")}
+		a.change = controlstate.Change{Op: controlstate.OpReplace, Body: []byte("bad")}
 	default:
 		// What an operator knows is at best as new as the last answer, and may be what a keeper has not yet confirmed.
 		base := w.states[len(w.states)-1].rev
 		if w.rng.IntN(5) == 0 {
 			base = w.states[w.acked].rev - int64(w.rng.IntN(2))
 		}
-		a.change = cairn.Change{Op: cairn.OpReplace, Base: base, Body: fmt.Appendf(nil, "c%d-%d", n, a.id)}
+		a.change = controlstate.Change{Op: controlstate.OpReplace, Base: base, Body: fmt.Appendf(nil, "c%d-%d", n, a.id)}
 	}
 	w.ask(a)
 }
@@ -312,7 +312,7 @@
 
 func (w *world) clientDone(a *asked, d Completion) {
 	w.after(time.Duration(10+w.rng.IntN(250))*time.Millisecond, func() {
-		if d.Outcome == Unknown && a.change.Op == cairn.OpReplace && w.rng.IntN(10) < 7 && a.tries < 5 {
+		if d.Outcome == Unknown && a.change.Op == controlstate.OpReplace && w.rng.IntN(10) < 7 && a.tries < 5 {
 			if m := w.nodes[w.rng.IntN(len(w.nodes))]; m.up() && !m.frozen {
 				w.ids++
 				again := *a
--- a/internal/ridge/keeper.go
+++ b/internal/system/replication/keeper.go
@@ -1,4 +1,4 @@
-package ridge
+package replication
 
 import (
 	"context"
@@ -12,18 +12,18 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 // Kinds of errors.
 var (
 	// ErrUnavailable marks what could not be done in time. A change may or may not come about: ask again.
-	ErrUnavailable = errors.New("ridge: no answer in time: ask again")
+	ErrUnavailable = errors.New("replication: no answer in time: ask again")
 	// ErrNotTaken marks, beside ErrUnavailable, a change that has not come about and will not.
-	ErrNotTaken = errors.New("ridge: not taken: ask again")
+	ErrNotTaken = errors.New("replication: not taken: ask again")
 	// ErrStopped marks calls after Stop, and of a keeper that had to give up.
-	ErrStopped = errors.New("ridge: this keeper has stopped: ask another")
+	ErrStopped = errors.New("replication: this keeper has stopped: ask another")
 )
 
 const tickEvery = 25 * time.Millisecond
@@ -36,26 +36,26 @@
 	Bootstrap          bool              // this keeper may take part in forming it
 	MachineLosses      int               // disks that may be lost at once
 	Ack                time.Duration     // a change must be acknowledged within it; repair times are derived from it. 0: 5 s
-	Disk               cairn.Disk        // used by this keeper alone until Stop has returned
+	Disk               controlstate.Disk // used by this keeper alone until Stop has returned
 	Transport          http.RoundTripper // nil: connections of its own
 	Log                log.Interface     // nil: the standard logger
 }
 
 // Answer is what became of a change.
 type Answer struct {
-	Verdict cairn.Verdict
+	Verdict controlstate.Verdict
 	Seq     uint64 // the record that the verdict rests on, committed
 }
 
 // Keeper is one member of the chain. Its methods may be called by several goroutines at once.
 type Keeper struct {
-	began  time.Time
-	opt    Options
-	cancel context.CancelFunc
-	wg     sync.WaitGroup
-	post   *postOffice
-	disk   chan *DiskOp
-	log    log.Interface
+	began     time.Time
+	opt       Options
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+	transport *transport
+	disk      chan *DiskOp
+	log       log.Interface
 
 	mu      sync.Mutex
 	core    *Core
@@ -67,28 +67,28 @@
 	viewed  *View
 }
 
-// cairnMachine fits cairn's states to the core.
-type cairnMachine struct{}
+// controlMachine fits controlstate's states to the core.
+type controlMachine struct{}
 
-type cairnState struct{ *cairn.State }
+type controlState struct{ *controlstate.State }
 
-func (cairnMachine) Empty() State { return cairnState{cairn.Empty()} }
+func (controlMachine) Empty() State { return controlState{controlstate.Empty()} }
 
-func (cairnMachine) Decode(b []byte) (State, error) {
-	s, err := cairn.Decode(b)
-	return cairnState{s}, err
+func (controlMachine) Decode(b []byte) (State, error) {
+	s, err := controlstate.Decode(b)
+	return controlState{s}, err
 }
 
-func (s cairnState) Apply(r cairn.Record) (State, error) {
+func (s controlState) Apply(r controlstate.Record) (State, error) {
 	next, err := s.State.Apply(r)
-	return cairnState{next}, err
+	return controlState{next}, err
 }
 
 // Start reads the disk and starts the keeper. It ends with ctx or Stop.
 func Start(ctx context.Context, opt Options) (*Keeper, error) {
 	meta, snap, entries, err := opt.Disk.Load()
 	if err != nil {
-		return nil, errors.Wrap(err, "ridge: the disk cannot be read: repair it, or empty the keeper's data directory")
+		return nil, errors.Wrap(err, "replication: the disk cannot be read: repair it, or empty the keeper's data directory")
 	}
 	if opt.Ack <= 0 {
 		opt.Ack = 5 * time.Second
@@ -98,7 +98,7 @@
 	}
 	var random [24]byte
 	if _, err := rand.Read(random[:]); err != nil {
-		return nil, errors.Wrap(err, "ridge: no random numbers")
+		return nil, errors.Wrap(err, "replication: no random numbers")
 	}
 	cfg := Config{
 		Self:          Member{ID: ID(hex.EncodeToString(random[:16])), Addr: opt.Addr, Zone: opt.Zone, Region: opt.Region},
@@ -107,7 +107,7 @@
 		SlowDisk: min(500*time.Millisecond, opt.Ack/10),
 		Life:     binary.BigEndian.Uint64(random[16:]) | 1, Seed: binary.BigEndian.Uint64(random[:8]),
 	}
-	core, err := NewCore(cfg, cairnMachine{}, meta, snap, entries)
+	core, err := NewCore(cfg, controlMachine{}, meta, snap, entries)
 	if err != nil {
 		return nil, err
 	}
@@ -117,10 +117,10 @@
 		waiters: map[uint64]chan Completion{}, changed: make(chan struct{}), viewed: core.View(),
 	}
 	k.seq, _ = core.Committed()
-	k.post = newPostOffice(ctx, &k.wg, opt.Port, opt.Transport)
+	k.transport = newTransport(ctx, &k.wg, opt.Port, opt.Transport)
 	k.wg.Go(func() { k.write(ctx) })
 	k.wg.Go(func() { k.run(ctx) })
-	k.log.WithField("id", string(core.Self().ID)).Info("ridge: keeper started")
+	k.log.WithField("id", string(core.Self().ID)).Info("replication: keeper started")
 	return k, nil
 }
 
@@ -168,7 +168,7 @@
 		k.log.Info(n)
 	}
 	for _, e := range out.Messages {
-		k.post.send(e)
+		k.transport.send(e)
 	}
 	if out.Disk != nil {
 		k.disk <- out.Disk // has room: the core has one operation under way at most
@@ -186,7 +186,7 @@
 	}
 	if v := k.core.View(); v != k.viewed {
 		k.viewed = v
-		k.log.WithField("epoch", v.Epoch).Info("ridge: new view: " + v.String())
+		k.log.WithField("epoch", v.Epoch).Info("replication: new view: " + v.String())
 	}
 }
 
@@ -228,7 +228,7 @@
 
 // Handler serves what other keepers send. Mount it at PathPrefix on the inner port.
 func (k *Keeper) Handler() http.Handler {
-	srv := ridgepb.NewRidgeServer(deliverer{k})
+	srv := replicationpb.NewReplicationServer(deliverer{k})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, maxBatch)
 		srv.ServeHTTP(w, r)
@@ -236,18 +236,18 @@
 }
 
 // PathPrefix is where Handler belongs.
-const PathPrefix = ridgepb.RidgePathPrefix
+const PathPrefix = replicationpb.ReplicationPathPrefix
 
 type deliverer struct{ k *Keeper }
 
 // Deliver takes messages of another keeper.
-func (d deliverer) Deliver(_ context.Context, b *ridgepb.Batch) (*ridgepb.Empty, error) {
+func (d deliverer) Deliver(_ context.Context, b *replicationpb.Batch) (*replicationpb.Empty, error) {
 	d.k.do(func(c *Core) {
 		for _, m := range b.GetMessages() {
 			c.Receive(d.k.now(), m)
 		}
 	})
-	return &ridgepb.Empty{}, nil
+	return &replicationpb.Empty{}, nil
 }
 
 // wait has the core take up something and waits for its completion.
@@ -257,7 +257,7 @@
 		ttl = time.Until(d)
 	}
 	if ttl <= 0 || ctx.Err() != nil {
-		return Completion{}, errors.Mark(errors.Mark(errors.New("ridge: the deadline has passed: ask again"), ErrNotTaken), ErrUnavailable)
+		return Completion{}, errors.Mark(errors.Mark(errors.New("replication: the deadline has passed: ask again"), ErrNotTaken), ErrUnavailable)
 	}
 	done := make(chan Completion, 1)
 	var id uint64
@@ -280,14 +280,14 @@
 		k.mu.Lock()
 		delete(k.waiters, id)
 		k.mu.Unlock()
-		return Completion{}, errors.Mark(errors.Wrap(ctx.Err(), "ridge: no answer"), ErrUnavailable)
+		return Completion{}, errors.Mark(errors.Wrap(ctx.Err(), "replication: no answer"), ErrUnavailable)
 	}
 }
 
 // Submit asks for a change and waits until what becomes of it is committed: acknowledged by enough disks. It may be
 // called on any keeper. Without a deadline of ctx it waits for Options.Ack. Errors are marked ErrUnavailable, and
 // ErrNotTaken too when the change is certain not to come about.
-func (k *Keeper) Submit(ctx context.Context, change cairn.Change) (Answer, error) {
+func (k *Keeper) Submit(ctx context.Context, change controlstate.Change) (Answer, error) {
 	d, err := k.wait(ctx, func(c *Core, id uint64, ttl time.Duration) { c.Submit(k.now(), id, change, ttl) })
 	if err != nil {
 		return Answer{}, err
@@ -303,12 +303,12 @@
 
 // Read gives the state after all that was acknowledged before the call, and perhaps later changes. It may be called on
 // any keeper. Errors are marked ErrUnavailable.
-func (k *Keeper) Read(ctx context.Context) (*cairn.State, error) {
+func (k *Keeper) Read(ctx context.Context) (*controlstate.State, error) {
 	d, err := k.wait(ctx, func(c *Core, id uint64, ttl time.Duration) { c.Read(k.now(), id, ttl) })
 	if err != nil {
 		return nil, err
 	}
-	s, ok := d.State.(cairnState)
+	s, ok := d.State.(controlState)
 	if d.Outcome != Answered || !ok {
 		return nil, ErrUnavailable
 	}
@@ -316,16 +316,16 @@
 }
 
 // Committed gives the newest state known here to be committed, and a channel that is closed when there is a newer one.
-func (k *Keeper) Committed() (*cairn.State, <-chan struct{}) {
+func (k *Keeper) Committed() (*controlstate.State, <-chan struct{}) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	_, s := k.core.Committed()
-	cs, _ := s.(cairnState)
+	cs, _ := s.(controlState)
 	return cs.State, k.changed
 }
 
 // Since lists the committed records after seq, at most of them; false where they are no longer or not yet known.
-func (k *Keeper) Since(seq uint64, most int) ([]cairn.Record, bool) {
+func (k *Keeper) Since(seq uint64, most int) ([]controlstate.Record, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.core.Since(seq, most)
--- a/internal/ridge/keeper_test.go
+++ b/internal/system/replication/keeper_test.go
@@ -1,4 +1,4 @@
-package ridge
+package replication
 
 import (
 	"context"
@@ -15,10 +15,10 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
-// memDisk is a cairn.Disk in memory.
+// memDisk is a controlstate.Disk in memory.
 type memDisk struct {
 	mu sync.Mutex
 	p  plate
@@ -26,8 +26,8 @@
 
 func newMemDisk() *memDisk { return &memDisk{p: plate{meta: map[string][]byte{}}} }
 
-func (d *memDisk) Load() (map[string][]byte, cairn.Snapshot, []cairn.Entry, error) {
-	return clone(d.p.meta), d.p.snap, append([]cairn.Entry(nil), d.p.entries...), nil
+func (d *memDisk) Load() (map[string][]byte, controlstate.Snapshot, []controlstate.Entry, error) {
+	return clone(d.p.meta), d.p.snap, append([]controlstate.Entry(nil), d.p.entries...), nil
 }
 
 func (d *memDisk) do(op DiskOp) error {
@@ -38,14 +38,16 @@
 	return nil
 }
 
-func (d *memDisk) Append(e []cairn.Entry) error { return d.do(DiskOp{Kind: DiskAppend, Entries: e}) }
+func (d *memDisk) Append(e []controlstate.Entry) error {
+	return d.do(DiskOp{Kind: DiskAppend, Entries: e})
+}
 func (d *memDisk) Truncate(after uint64) error {
 	return d.do(DiskOp{Kind: DiskTruncate, After: after})
 }
-func (d *memDisk) Compact(s cairn.Snapshot) error {
+func (d *memDisk) Compact(s controlstate.Snapshot) error {
 	return d.do(DiskOp{Kind: DiskCompact, Snapshot: s})
 }
-func (d *memDisk) Install(s cairn.Snapshot) error {
+func (d *memDisk) Install(s controlstate.Snapshot) error {
 	return d.do(DiskOp{Kind: DiskInstall, Snapshot: s})
 }
 func (d *memDisk) SaveMeta(name string, data []byte) error {
@@ -117,7 +119,9 @@
 	k.Stop()
 }
 
-func evacuate(zone string) cairn.Change { return cairn.Change{Op: cairn.OpEvacuate, Zone: zone} }
+func evacuate(zone string) controlstate.Change {
+	return controlstate.Change{Op: controlstate.OpEvacuate, Zone: zone}
+}
 
 func TestKeepersSubmitReadAndReplaceALostDisk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -129,7 +133,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		_, changed := ks["10.0.0.3"].Committed()
-		if a, err := ks["10.0.0.2"].Submit(ctx, evacuate("a")); err != nil || a.Verdict.Kind != cairn.Accept {
+		if a, err := ks["10.0.0.2"].Submit(ctx, evacuate("a")); err != nil || a.Verdict.Kind != controlstate.Accept {
 			t.Fatal(a, err)
 		}
 		<-changed
--- a/internal/ridge/lead.go
+++ b/internal/system/replication/lead.go
@@ -1,11 +1,11 @@
-package ridge
+package replication
 
 import (
 	"maps"
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 const (
@@ -98,7 +98,7 @@
 			}
 			for _, id := range c.reg.view.Chain {
 				if c.alive(id) {
-					c.send(id, &ridgepb.Message{Body: &ridgepb.Message_Seal{Seal: &ridgepb.Seal{Epoch: c.reg.view.Epoch}}})
+					c.send(id, &replicationpb.Message{Body: &replicationpb.Message_Seal{Seal: &replicationpb.Seal{Epoch: c.reg.view.Epoch}}})
 				}
 			}
 			c.headless = c.now // once a second
@@ -108,13 +108,13 @@
 	return nil
 }
 
-func (c *Core) onSeal(m *ridgepb.Seal) {
+func (c *Core) onSeal(m *replicationpb.Seal) {
 	v := c.reg.view
 	if m.GetEpoch() != v.Epoch || v.place(c.reg.self.ID) < 0 || c.reg.active >= v.Epoch || c.reg.sealed >= v.Epoch {
 		return
 	}
 	c.reg.sealed = v.Epoch
-	c.note("ridge: sealing an epoch whose active links are gone")
+	c.note("replication: sealing an epoch whose active links are gone")
 	c.persist(c.beat)
 }
 
--- a/internal/ridge/log.go
+++ b/internal/system/replication/log.go
@@ -1,26 +1,26 @@
-package ridge
+package replication
 
 import (
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 // entry is a record and the epoch in which the head took it. The two numbers together name one record, and the whole
 // log below it, among all keepers: an epoch has one head, which hands on only what it has on disk.
 type entry struct {
 	epoch uint64
-	rec   cairn.Record
+	rec   controlstate.Record
 }
 
-func (e *entry) pb() *ridgepb.Entry {
-	return &ridgepb.Entry{
+func (e *entry) pb() *replicationpb.Entry {
+	return &replicationpb.Entry{
 		Epoch: e.epoch, Seq: e.rec.Seq, Op: uint32(e.rec.Op), Base: e.rec.Base, Body: e.rec.Body, Zone: e.rec.Zone,
 	}
 }
 
-func entryOf(p *ridgepb.Entry) entry {
-	return entry{epoch: p.GetEpoch(), rec: cairn.Record{
-		Seq: p.GetSeq(), Op: cairn.Op(p.GetOp()), Base: p.GetBase(), Body: p.GetBody(), Zone: p.GetZone(),
+func entryOf(p *replicationpb.Entry) entry {
+	return entry{epoch: p.GetEpoch(), rec: controlstate.Record{
+		Seq: p.GetSeq(), Op: controlstate.Op(p.GetOp()), Base: p.GetBase(), Body: p.GetBody(), Zone: p.GetZone(),
 	}}
 }
 
@@ -69,8 +69,8 @@
 }
 
 // between copies the records from..to, as many as fit into bytes and one at least.
-func (l *memLog) between(from, to uint64, bytes int) []*ridgepb.Entry {
-	var out []*ridgepb.Entry
+func (l *memLog) between(from, to uint64, bytes int) []*replicationpb.Entry {
+	var out []*replicationpb.Entry
 	for seq := from; seq <= to && seq <= l.end(); seq++ {
 		e := l.at(seq)
 		if bytes -= e.size(); bytes < 0 && len(out) > 0 {
@@ -82,7 +82,7 @@
 }
 
 // runs lists the newest stretches of records of one epoch, the oldest first.
-func (l *memLog) runs() (base, baseEpoch uint64, runs []*ridgepb.Run) {
+func (l *memLog) runs() (base, baseEpoch uint64, runs []*replicationpb.Run) {
 	base, baseEpoch = l.base, l.baseEpoch
 	for i := range l.entries {
 		e := &l.entries[i]
@@ -90,7 +90,7 @@
 			runs[n-1].Last = e.rec.Seq
 			continue
 		}
-		runs = append(runs, &ridgepb.Run{Epoch: e.epoch, Last: e.rec.Seq})
+		runs = append(runs, &replicationpb.Run{Epoch: e.epoch, Last: e.rec.Seq})
 	}
 	if n := len(runs); n > maxRuns {
 		base, baseEpoch = runs[n-maxRuns-1].Last, runs[n-maxRuns-1].Epoch
@@ -100,7 +100,7 @@
 }
 
 // joint finds the newest record that both this log and the one told of hold; false when none is in sight.
-func (l *memLog) joint(base, baseEpoch uint64, runs []*ridgepb.Run) (uint64, bool) {
+func (l *memLog) joint(base, baseEpoch uint64, runs []*replicationpb.Run) (uint64, bool) {
 	for i := len(runs) - 1; i >= 0; i-- {
 		first := base + 1
 		if i > 0 {
--- a/internal/ridge/plan.go
+++ b/internal/system/replication/plan.go
@@ -1,4 +1,4 @@
-package ridge
+package replication
 
 import (
 	"cmp"
--- a/internal/ridge/race_test.go
+++ b/internal/system/replication/race_test.go
@@ -1,6 +1,6 @@
 //go:build race
 
-package ridge
+package replication
 
 // raceDetector tells that everything takes several times as long.
 const raceDetector = true
--- a/internal/ridge/read.go
+++ b/internal/system/replication/read.go
@@ -1,11 +1,11 @@
-package ridge
+package replication
 
 import (
 	"maps"
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 const roundTimeout = 1500 * time.Millisecond
@@ -50,7 +50,7 @@
 		return
 	}
 	r.sentAt = c.now
-	c.send(c.reg.view.Tail(), &ridgepb.Message{Body: &ridgepb.Message_ReadIndex{ReadIndex: &ridgepb.ReadIndex{
+	c.send(c.reg.view.Tail(), &replicationpb.Message{Body: &replicationpb.Message_ReadIndex{ReadIndex: &replicationpb.ReadIndex{
 		Id: r.id, Life: c.cfg.Life, Epoch: c.reg.view.Epoch,
 	}}})
 }
@@ -81,7 +81,7 @@
 	}
 }
 
-func (c *Core) onReadIndex(from ID, m *ridgepb.ReadIndex) {
+func (c *Core) onReadIndex(from ID, m *replicationpb.ReadIndex) {
 	if m.GetEpoch() != c.reg.view.Epoch || !c.isTail() {
 		return
 	}
@@ -91,7 +91,7 @@
 		if !ok || !c.isTail() || c.reg.view.Epoch != epoch || !c.settled() {
 			return // asked again soon
 		}
-		c.send(from, &ridgepb.Message{Body: &ridgepb.Message_ReadAt{ReadAt: &ridgepb.ReadAt{
+		c.send(from, &replicationpb.Message{Body: &replicationpb.Message_ReadAt{ReadAt: &replicationpb.ReadAt{
 			Id: m.GetId(), Life: m.GetLife(), Seq: c.committed,
 		}}})
 	})
@@ -101,7 +101,7 @@
 // in its present life.
 func (c *Core) settled() bool { return c.committed >= c.floor || c.cfg.hooks.noFloor }
 
-func (c *Core) onReadAt(m *ridgepb.ReadAt) {
+func (c *Core) onReadAt(m *replicationpb.ReadAt) {
 	if r := c.reads[m.GetId()]; r != nil && m.GetLife() == c.cfg.Life && !r.ok {
 		r.at, r.ok = m.GetSeq(), true
 		c.completeReads()
@@ -154,7 +154,7 @@
 	rd.sentAt = c.now
 	for _, m := range c.reg.view.Voters {
 		if _, ok := rd.said[m.ID]; !ok && m.ID != c.reg.self.ID {
-			c.send(m.ID, &ridgepb.Message{Body: &ridgepb.Message_Confirm{Confirm: &ridgepb.Confirm{
+			c.send(m.ID, &replicationpb.Message{Body: &replicationpb.Message_Confirm{Confirm: &replicationpb.Confirm{
 				Epoch: rd.epoch, Round: rd.number, Life: c.cfg.Life,
 			}}})
 		}
@@ -170,19 +170,19 @@
 	}
 }
 
-func (c *Core) onConfirm(from ID, m *ridgepb.Confirm) {
+func (c *Core) onConfirm(from ID, m *replicationpb.Confirm) {
 	if m.GetEpoch() < c.reg.view.Epoch && c.entered {
-		c.send(from, &ridgepb.Message{Body: &ridgepb.Message_Chosen{Chosen: &ridgepb.Chosen{View: viewPB(c.reg.view)}}})
+		c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Chosen{Chosen: &replicationpb.Chosen{View: viewPB(c.reg.view)}}})
 	}
 	if m.GetEpoch() != c.reg.view.Epoch || c.reg.next != nil || !c.isVoter(c.reg.view) {
 		return
 	}
-	c.send(from, &ridgepb.Message{Body: &ridgepb.Message_Confirmed{Confirmed: &ridgepb.Confirmed{
+	c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Confirmed{Confirmed: &replicationpb.Confirmed{
 		Epoch: m.GetEpoch(), Round: m.GetRound(), Life: m.GetLife(),
 	}}})
 }
 
-func (c *Core) onConfirmed(from ID, m *ridgepb.Confirmed) {
+func (c *Core) onConfirmed(from ID, m *replicationpb.Confirmed) {
 	rd := &c.round
 	if m.GetLife() == c.cfg.Life && m.GetRound() == rd.number && m.GetEpoch() == rd.epoch && rd.epoch == c.reg.view.Epoch && len(rd.waiters) > 0 {
 		c.confirmedBy(from)
--- a/internal/ridge/repair_test.go
+++ b/internal/system/replication/repair_test.go
@@ -1,10 +1,10 @@
-package ridge
+package replication
 
 import (
 	"testing"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 // catchUp is how long after its return a machine may still count as lost.
@@ -99,7 +99,7 @@
 		}
 		asker := w.nodes[(seed+2)%uint64(nodes)]
 		w.ids++
-		a := &asked{id: w.ids, at: asker, change: cairn.Change{Op: cairn.OpReplace, Body: []byte("x")}, tries: 1, ttl: 5 * time.Second}
+		a := &asked{id: w.ids, at: asker, change: controlstate.Change{Op: controlstate.OpReplace, Body: []byte("x")}, tries: 1, ttl: 5 * time.Second}
 		w.clientsEnd = true
 		began := w.now
 		w.ask(a)
--- a/internal/ridge/restore.go
+++ b/internal/system/replication/restore.go
@@ -1,39 +1,39 @@
-package ridge
+package replication
 
 import (
 	"slices"
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 // RestoredSnapshot gives the snapshot for the empty disk of a keeper that is to begin with s. The disk gets no register, so
 // the keeper gets a new identity, and the keepers form a first view, whose head is one that holds the most. The other
 // links take what the head has; whoever comes later takes what the chain has.
-func RestoredSnapshot(s *cairn.State) (cairn.Snapshot, error) {
+func RestoredSnapshot(s *controlstate.State) (controlstate.Snapshot, error) {
 	if s.Seq == 0 {
-		return cairn.Snapshot{}, errors.New("ridge: the state holds no record: start the keepers without it")
+		return controlstate.Snapshot{}, errors.New("replication: the state holds no record: start the keepers without it")
 	}
-	return encodeImage(s.Seq, 0, cairnState{s}) // epoch 0: from before the first view
+	return encodeImage(s.Seq, 0, controlState{s}) // epoch 0: from before the first view
 }
 
 // StateOnDisk gives the state after all records that a keeper's disk holds. The last of them may never have been
 // acknowledged.
-func StateOnDisk(snap cairn.Snapshot, entries []cairn.Entry) (*cairn.State, error) {
-	c, err := NewCore(Config{}, cairnMachine{}, nil, snap, entries)
+func StateOnDisk(snap controlstate.Snapshot, entries []controlstate.Entry) (*controlstate.State, error) {
+	c, err := NewCore(Config{}, controlMachine{}, nil, snap, entries)
 	if err != nil {
 		return nil, err
 	}
 	s := c.state
 	for seq := c.committed + 1; seq <= c.log.end(); seq++ {
 		if s, err = s.Apply(c.log.at(seq).rec); err != nil {
-			return nil, errors.Wrapf(err, "ridge: record %d cannot be applied", seq)
+			return nil, errors.Wrapf(err, "replication: record %d cannot be applied", seq)
 		}
 	}
-	held, ok := s.(cairnState)
+	held, ok := s.(controlState)
 	if !ok {
-		return nil, errors.AssertionFailedf("ridge: a state of type %T: report it", s)
+		return nil, errors.AssertionFailedf("replication: a state of type %T: report it", s)
 	}
 	return held.State, nil
 }
@@ -65,9 +65,9 @@
 		return false
 	}
 	if c.log.end() > 0 {
-		c.note("ridge: the restored state here gives way to that of the head")
+		c.note("replication: the restored state here gives way to that of the head")
 		c.log, c.state, c.committed = memLog{}, c.machine.Empty(), 0
-		c.disk.install, c.disk.end, c.disk.unsure, c.disk.snapshot = &cairn.Snapshot{}, 0, false, 0
+		c.disk.install, c.disk.end, c.disk.unsure, c.disk.snapshot = &controlstate.Snapshot{}, 0, false, 0
 	}
 	return c.disk.install != nil
 }
--- a/internal/ridge/restore_test.go
+++ b/internal/system/replication/restore_test.go
@@ -1,4 +1,4 @@
-package ridge
+package replication
 
 import (
 	"context"
@@ -10,13 +10,13 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 // restored is a state of n records, of which the first evacuates the zone mark.
-func restored(t *testing.T, mark string, n int) *cairn.State {
+func restored(t *testing.T, mark string, n int) *controlstate.State {
 	t.Helper()
-	s := cairn.Empty()
+	s := controlstate.Empty()
 	for i := range n {
 		change := evacuate(mark)
 		switch {
@@ -24,7 +24,7 @@
 		case i%2 == 1:
 			change = evacuate("now and then")
 		default:
-			change = cairn.Change{Op: cairn.OpReadmit, Zone: "now and then"}
+			change = controlstate.Change{Op: controlstate.OpReadmit, Zone: "now and then"}
 		}
 		var err error
 		if s, err = s.Apply(change.Record(s.Seq + 1)); err != nil {
@@ -41,16 +41,16 @@
 	ks      map[string]*Keeper
 }
 
-func (f *restoredFleet) disk(addr string) *cairn.Log {
+func (f *restoredFleet) disk(addr string) *controlstate.Log {
 	f.t.Helper()
-	disk, err := cairn.OpenLog(f.folders[addr], cairn.LogOptions{})
+	disk, err := controlstate.OpenLog(f.folders[addr], controlstate.LogOptions{})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	return disk
 }
 
-func (f *restoredFleet) restore(addr string, s *cairn.State) {
+func (f *restoredFleet) restore(addr string, s *controlstate.State) {
 	f.t.Helper()
 	image, err := RestoredSnapshot(s)
 	if err != nil {
@@ -80,7 +80,7 @@
 }
 
 // serves checks that every keeper holds the records of want, and that a further change comes about on all.
-func (f *restoredFleet) serves(when string, want *cairn.State, next string) *cairn.State {
+func (f *restoredFleet) serves(when string, want *controlstate.State, next string) *controlstate.State {
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -118,18 +118,18 @@
 	long, short, other := restored(t, "long", 700), restored(t, "long", 300), restored(t, "other", 500)
 	for _, c := range []struct {
 		what string
-		on   [3]*cairn.State // nil: an empty disk
-		want *cairn.State
+		on   [3]*controlstate.State // nil: an empty disk
+		want *controlstate.State
 	}{
-		{"all", [3]*cairn.State{long, long, long}, long},
-		{"the first", [3]*cairn.State{long, nil, nil}, long},
-		{"the second", [3]*cairn.State{nil, long, nil}, long},
-		{"the third", [3]*cairn.State{nil, nil, long}, long},
-		{"all but the first", [3]*cairn.State{nil, short, short}, short},
-		{"an older one on the first", [3]*cairn.State{short, long, long}, long},
-		{"an older one on the last", [3]*cairn.State{long, long, short}, long},
-		{"another system's on the second", [3]*cairn.State{short, other, nil}, other},
-		{"as long ones of two systems", [3]*cairn.State{other, restored(t, "third", 500), nil}, other},
+		{"all", [3]*controlstate.State{long, long, long}, long},
+		{"the first", [3]*controlstate.State{long, nil, nil}, long},
+		{"the second", [3]*controlstate.State{nil, long, nil}, long},
+		{"the third", [3]*controlstate.State{nil, nil, long}, long},
+		{"all but the first", [3]*controlstate.State{nil, short, short}, short},
+		{"an older one on the first", [3]*controlstate.State{short, long, long}, long},
+		{"an older one on the last", [3]*controlstate.State{long, long, short}, long},
+		{"another system's on the second", [3]*controlstate.State{short, other, nil}, other},
+		{"as long ones of two systems", [3]*controlstate.State{other, restored(t, "third", 500), nil}, other},
 	} {
 		t.Run(c.what, func(t *testing.T) {
 			folders := map[string]string{}
@@ -199,7 +199,7 @@
 		t.Fatal(err)
 	}
 	self := Member{ID: "self", Addr: "10.0.0.1"}
-	c, err := NewCore(Config{Self: self, Seeds: []string{"10.0.0.1", "10.0.0.2"}, Bootstrap: true}, cairnMachine{}, nil, image, nil)
+	c, err := NewCore(Config{Self: self, Seeds: []string{"10.0.0.1", "10.0.0.2"}, Bootstrap: true}, controlMachine{}, nil, image, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/ridge/sim_test.go
+++ b/internal/system/replication/sim_test.go
@@ -1,4 +1,4 @@
-package ridge
+package replication
 
 import (
 	"fmt"
@@ -125,7 +125,7 @@
 	}]
 	defer debug.SetGCPercent(debug.SetGCPercent(400)) // the worlds are small, and there are many
 	var wg sync.WaitGroup
-	for range envInt("RIDGE_WORKERS", 4) {
+	for range envInt("REPLICATION_WORKERS", 4) {
 		wg.Go(func() {
 			for found.Load() == nil {
 				i := next.Add(1) - 1
@@ -160,9 +160,9 @@
 	if testing.Short() || raceDetector {
 		n = 20
 	}
-	first := uint64(envInt("RIDGE_FIRST", 1))
+	first := uint64(envInt("REPLICATION_FIRST", 1))
 	var total [7]atomic.Int64
-	seed, err := sweep(first, uint64(envInt("RIDGE_SEEDS", n)), hooks{}, &total)
+	seed, err := sweep(first, uint64(envInt("REPLICATION_SEEDS", n)), hooks{}, &total)
 	t.Logf("accepted %d, unknown %d, refused %d, already %d, stale %d, reads %d, views %d", total[0].Load(), total[1].Load(),
 		total[2].Load(), total[3].Load(), total[4].Load(), total[5].Load(), total[6].Load())
 	if err == nil {
@@ -176,7 +176,7 @@
 	var lines []string
 	_, err = simulate(seed, faults, hooks{}, func(s string, args ...any) { lines = append(lines, fmt.Sprintf(s, args...)) })
 	t.Logf("with these alone: %v", err)
-	if os.Getenv("RIDGE_TRACE") != "" {
+	if os.Getenv("REPLICATION_TRACE") != "" {
 		for _, l := range lines {
 			t.Log(l)
 		}
