--- a/internal/ridge/submit.go
+++ b/internal/system/replication/submit.go
@@ -1,12 +1,12 @@
-package ridge
+package replication
 
 import (
 	"maps"
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 const (
@@ -31,7 +31,7 @@
 	ID      uint64
 	Read    bool
 	Outcome Outcome
-	Verdict cairn.Verdict
+	Verdict controlstate.Verdict
 	Seq     uint64
 	State   State
 }
@@ -40,7 +40,7 @@
 type submit struct {
 	id       uint64 // the caller's
 	key      uint64 // on the wire: new for every try that may not be mistaken for the one before
-	change   cairn.Change
+	change   controlstate.Change
 	deadline time.Duration
 	sent     bool
 	vague    bool // an earlier try may yet come about
@@ -52,7 +52,9 @@
 }
 
 // repeatable tells whether the state machine recognises a change that comes twice.
-func repeatable(ch cairn.Change) bool { return ch.Op == cairn.OpReplace || ch.Op == cairn.OpAmend }
+func repeatable(ch controlstate.Change) bool {
+	return ch.Op == controlstate.OpReplace || ch.Op == controlstate.OpAmend
+}
 
 type orderKey struct {
 	from     ID
@@ -62,7 +64,7 @@
 // order is a change that came to the head.
 type order struct {
 	key       orderKey
-	verdict   cairn.Verdict
+	verdict   controlstate.Verdict
 	seq       uint64 // the verdict stands when this is committed
 	confirmed bool
 	done      bool
@@ -71,7 +73,7 @@
 }
 
 // Submit asks for a change. A Completion with id follows within ttl.
-func (c *Core) Submit(now time.Duration, id uint64, ch cairn.Change, ttl time.Duration) {
+func (c *Core) Submit(now time.Duration, id uint64, ch controlstate.Change, ttl time.Duration) {
 	c.now = max(c.now, now)
 	if len(c.submits) >= maxAsked {
 		c.out.Done = append(c.out.Done, Completion{ID: id, Outcome: Refused})
@@ -108,7 +110,7 @@
 	}
 	s.sentAt = c.now
 	e := entry{rec: s.change.Record(0)}
-	c.send(s.head, &ridgepb.Message{Body: &ridgepb.Message_Forward{Forward: &ridgepb.Forward{
+	c.send(s.head, &replicationpb.Message{Body: &replicationpb.Message_Forward{Forward: &replicationpb.Forward{
 		Id: s.key, Life: c.cfg.Life, HeadLife: s.life, Epoch: s.epoch, Change: e.pb(), TtlUs: (s.deadline - c.now).Microseconds(),
 	}}})
 }
@@ -150,7 +152,7 @@
 	c.out.Done = append(c.out.Done, done)
 }
 
-func (c *Core) onAnswer(m *ridgepb.Answer) {
+func (c *Core) onAnswer(m *replicationpb.Answer) {
 	if m.GetLife() != c.cfg.Life {
 		return
 	}
@@ -163,14 +165,14 @@
 			s.sent, s.vague, s.again = false, s.vague || out == Unknown, c.now+c.cfg.Beat
 		default:
 			c.finish(s, Completion{
-				Outcome: out, Seq: m.GetSeq(), Verdict: cairn.Verdict{Kind: cairn.Kind(m.GetKind()), Reason: m.GetReason()},
+				Outcome: out, Seq: m.GetSeq(), Verdict: controlstate.Verdict{Kind: controlstate.Kind(m.GetKind()), Reason: m.GetReason()},
 			})
 		}
 		return
 	}
 }
 
-func (c *Core) onForward(from ID, m *ridgepb.Forward) {
+func (c *Core) onForward(from ID, m *replicationpb.Forward) {
 	key := orderKey{from: from, life: m.GetLife(), id: m.GetId()}
 	if o := c.orders[key]; o != nil && !c.cfg.hooks.duplicateOrder {
 		if o.done {
@@ -190,13 +192,13 @@
 		return
 	}
 	p := m.GetChange()
-	change := cairn.Change{Op: cairn.Op(p.GetOp()), Base: p.GetBase(), Body: p.GetBody(), Zone: p.GetZone()}
+	change := controlstate.Change{Op: controlstate.Op(p.GetOp()), Base: p.GetBase(), Body: p.GetBody(), Zone: p.GetZone()}
 	o.verdict = c.spec().Check(change)
-	if o.verdict.Kind == cairn.Accept {
+	if o.verdict.Kind == controlstate.Accept {
 		rec := change.Record(c.log.end() + 1)
 		next, err := c.spec().Apply(rec)
 		if err != nil {
-			o.verdict = cairn.Verdict{Kind: cairn.Invalid, Reason: err.Error()}
+			o.verdict = controlstate.Verdict{Kind: controlstate.Invalid, Reason: err.Error()}
 		} else {
 			c.ahead = append(c.ahead, next)
 			c.log.entries = append(c.log.entries, entry{epoch: c.reg.view.Epoch, rec: rec})
@@ -205,7 +207,7 @@
 	}
 	o.seq = c.log.end()
 	c.pending = append(c.pending, o)
-	if c.cfg.hooks.hastyVerdict && o.verdict.Kind != cairn.Accept {
+	if c.cfg.hooks.hastyVerdict && o.verdict.Kind != controlstate.Accept {
 		o.seq, o.confirmed = 0, true
 	}
 	if !o.confirmed {
@@ -237,14 +239,14 @@
 }
 
 func (c *Core) answer(o *order) {
-	c.send(o.key.from, &ridgepb.Message{Body: &ridgepb.Message_Answer{Answer: &ridgepb.Answer{
+	c.send(o.key.from, &replicationpb.Message{Body: &replicationpb.Message_Answer{Answer: &replicationpb.Answer{
 		Id: o.key.id, Life: o.key.life, Outcome: uint32(o.outcome), Kind: uint32(o.verdict.Kind), Reason: o.verdict.Reason, Seq: o.seq,
 	}}})
 }
 
 func (c *Core) completeOrders() {
 	c.pending = slices.DeleteFunc(c.pending, func(o *order) bool {
-		if !o.done && o.confirmed && o.seq <= c.committed && (o.verdict.Kind == cairn.Accept || c.whole() || c.cfg.hooks.hastyVerdict) {
+		if !o.done && o.confirmed && o.seq <= c.committed && (o.verdict.Kind == controlstate.Accept || c.whole() || c.cfg.hooks.hastyVerdict) {
 			c.close(o, Answered)
 		}
 		return o.done
@@ -258,7 +260,7 @@
 	c.failRounds()
 	c.pending = slices.DeleteFunc(c.pending, func(o *order) bool {
 		if !o.done && !stays {
-			if o.verdict.Kind == cairn.Accept {
+			if o.verdict.Kind == controlstate.Accept {
 				c.close(o, Unknown)
 			} else {
 				c.close(o, Refused)
--- a/internal/ridge/toy_test.go
+++ b/internal/system/replication/toy_test.go
@@ -1,9 +1,9 @@
-package ridge
+package replication
 
 import (
 	"encoding/json"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 // toy is a small state machine: a register with versions (OpReplace), and a note without (OpEvacuate).
@@ -19,27 +19,27 @@
 	prev *toyRecord
 }
 
-func (s *toy) Check(ch cairn.Change) cairn.Verdict {
+func (s *toy) Check(ch controlstate.Change) controlstate.Verdict {
 	if string(ch.Body) == "bad" {
-		return cairn.Verdict{Kind: cairn.Invalid, Reason: "bad"}
+		return controlstate.Verdict{Kind: controlstate.Invalid, Reason: "bad"}
 	}
-	if ch.Op != cairn.OpReplace {
-		return cairn.Verdict{Kind: cairn.Accept}
+	if ch.Op != controlstate.OpReplace {
+		return controlstate.Verdict{Kind: controlstate.Accept}
 	}
 	for r := s.last; r != nil; r = r.prev {
 		if r.Body == string(ch.Body) {
-			return cairn.Verdict{Kind: cairn.Already}
+			return controlstate.Verdict{Kind: controlstate.Already}
 		}
 	}
 	if ch.Base != s.rev {
-		return cairn.Verdict{Kind: cairn.Stale}
+		return controlstate.Verdict{Kind: controlstate.Stale}
 	}
-	return cairn.Verdict{Kind: cairn.Accept}
+	return controlstate.Verdict{Kind: controlstate.Accept}
 }
 
-func (s *toy) Apply(r cairn.Record) (State, error) {
+func (s *toy) Apply(r controlstate.Record) (State, error) {
 	n := *s
-	if r.Op == cairn.OpReplace {
+	if r.Op == controlstate.OpReplace {
 		n.rev++
 		n.last = &toyRecord{Rev: n.rev, Body: string(r.Body), prev: s.last}
 	} else {
--- a/internal/ridge/post.go
+++ b/internal/system/replication/transport.go
@@ -1,4 +1,4 @@
-package ridge
+package replication
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 const (
@@ -26,8 +26,8 @@
 	mailboxIdle  = 30 * time.Second
 )
 
-// postOffice sends messages, each peer on its own.
-type postOffice struct {
+// transport sends messages, each peer on its own.
+type transport struct {
 	ctx       context.Context
 	wg        *sync.WaitGroup
 	port      int
@@ -39,9 +39,9 @@
 
 // mailbox is the bounded queue to one address.
 type mailbox struct {
-	office *postOffice
+	office *transport
 	addr   string
-	client ridgepb.Ridge
+	client replicationpb.Replication
 	idle   func()
 	end    context.CancelFunc
 
@@ -53,16 +53,16 @@
 }
 
 type letter struct {
-	msg  *ridgepb.Message
+	msg  *replicationpb.Message
 	size int
 	at   time.Time
 }
 
-func newPostOffice(ctx context.Context, wg *sync.WaitGroup, port int, t http.RoundTripper) *postOffice {
-	return &postOffice{ctx: ctx, wg: wg, port: port, transport: t, boxes: map[string]*mailbox{}}
+func newTransport(ctx context.Context, wg *sync.WaitGroup, port int, t http.RoundTripper) *transport {
+	return &transport{ctx: ctx, wg: wg, port: port, transport: t, boxes: map[string]*mailbox{}}
 }
 
-func (o *postOffice) send(e Envelope) {
+func (o *transport) send(e Envelope) {
 	o.mu.Lock()
 	b := o.boxes[e.Addr]
 	if b == nil && len(o.boxes) < maxMailboxes && o.ctx.Err() == nil {
@@ -74,7 +74,7 @@
 	}
 }
 
-func (o *postOffice) open(addr string) *mailbox {
+func (o *transport) open(addr string) *mailbox {
 	t, idle := o.transport, func() {}
 	if t == nil {
 		own := &http.Transport{
@@ -86,7 +86,7 @@
 	}
 	b := &mailbox{
 		office: o, addr: addr, idle: idle, wake: make(chan struct{}, posters), used: time.Now(),
-		client: ridgepb.NewRidgeProtobufClient("http://"+net.JoinHostPort(addr, strconv.Itoa(o.port)), &http.Client{Transport: t}),
+		client: replicationpb.NewReplicationProtobufClient("http://"+net.JoinHostPort(addr, strconv.Itoa(o.port)), &http.Client{Transport: t}),
 	}
 	o.boxes[addr] = b
 	var ctx context.Context
@@ -100,7 +100,7 @@
 	return b
 }
 
-func (b *mailbox) put(m *ridgepb.Message) {
+func (b *mailbox) put(m *replicationpb.Message) {
 	size := proto.Size(m)
 	b.mu.Lock()
 	if len(b.queue) >= queueLength || b.bytes+size > queueBytes && len(b.queue) > 0 {
@@ -117,10 +117,10 @@
 }
 
 // take empties the queue as far as one request goes.
-func (b *mailbox) take() ([]*ridgepb.Message, int) {
+func (b *mailbox) take() ([]*replicationpb.Message, int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []*ridgepb.Message
+	var out []*replicationpb.Message
 	size := 0
 	for len(b.queue) > 0 && (size == 0 || size+b.queue[0].size <= batchBytes) {
 		l := b.queue[0]
@@ -164,10 +164,10 @@
 	}
 }
 
-func (b *mailbox) post(ctx context.Context, msgs []*ridgepb.Message, size int) {
+func (b *mailbox) post(ctx context.Context, msgs []*replicationpb.Message, size int) {
 	ctx, cancel := context.WithTimeout(ctx, postTimeout+time.Duration(size)*postPerMB>>20)
 	defer cancel()
-	if _, err := b.client.Deliver(ctx, &ridgepb.Batch{Messages: msgs}); err != nil {
+	if _, err := b.client.Deliver(ctx, &replicationpb.Batch{Messages: msgs}); err != nil {
 		b.idle() // the next try gets a new connection
 	}
 }
--- a/internal/ridge/types.go
+++ b/internal/system/replication/types.go
@@ -1,16 +1,16 @@
-// Package ridge is chain replication of the control log among keepers, with a reconfigurable membership view that is
+// Package replication is chain replication of the control log among keepers, with a reconfigurable membership view that is
 // agreed by single-decree Paxos, one decree an epoch.
 //
 // Core is the pure state machine: no I/O, clock or goroutine. Keeper drives it with a disk and a network.
-package ridge
+package replication
 
 import (
 	"maps"
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/ridge/ridgepb"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 // ID is the random identity of a keeper's disk, in hexadecimal. An empty disk gets a new one, which never had a vote.
@@ -78,8 +78,8 @@
 
 // State is the replicated state machine: deterministic, and a value that is never changed once made.
 type State interface {
-	Check(cairn.Change) cairn.Verdict
-	Apply(cairn.Record) (State, error)
+	Check(controlstate.Change) controlstate.Verdict
+	Apply(controlstate.Record) (State, error)
 	Encode() []byte
 }
 
@@ -169,11 +169,11 @@
 	next     *View // accepted, perhaps chosen
 }
 
-func memberPB(m Member) *ridgepb.Member {
-	return &ridgepb.Member{Id: string(m.ID), Addr: m.Addr, Zone: m.Zone, Region: m.Region}
+func memberPB(m Member) *replicationpb.Member {
+	return &replicationpb.Member{Id: string(m.ID), Addr: m.Addr, Zone: m.Zone, Region: m.Region}
 }
 
-func memberOf(m *ridgepb.Member) Member {
+func memberOf(m *replicationpb.Member) Member {
 	return Member{ID: ID(m.GetId()), Addr: m.GetAddr(), Zone: m.GetZone(), Region: m.GetRegion()}
 }
 
@@ -193,13 +193,13 @@
 	return out
 }
 
-func viewPB(v *View) *ridgepb.View {
+func viewPB(v *View) *replicationpb.View {
 	if v == nil {
 		return nil
 	}
-	p := &ridgepb.View{Epoch: v.Epoch, Base: v.base, Chain: idsPB(v.Chain)}
+	p := &replicationpb.View{Epoch: v.Epoch, Base: v.base, Chain: idsPB(v.Chain)}
 	for _, epoch := range slices.Sorted(maps.Keys(v.past)) {
-		p.Past = append(p.Past, &ridgepb.Chain{Epoch: epoch, Links: idsPB(v.past[epoch])})
+		p.Past = append(p.Past, &replicationpb.Chain{Epoch: epoch, Links: idsPB(v.past[epoch])})
 	}
 	for _, m := range v.Voters {
 		p.Voters = append(p.Voters, memberPB(m))
@@ -207,7 +207,7 @@
 	return p
 }
 
-func viewOf(p *ridgepb.View) *View {
+func viewOf(p *replicationpb.View) *View {
 	if p == nil {
 		return nil
 	}
@@ -221,18 +221,20 @@
 	return v
 }
 
-func ballotPB(b ballot) *ridgepb.Ballot { return &ridgepb.Ballot{Round: b.round, Id: string(b.id)} }
+func ballotPB(b ballot) *replicationpb.Ballot {
+	return &replicationpb.Ballot{Round: b.round, Id: string(b.id)}
+}
 
-func ballotOf(b *ridgepb.Ballot) ballot { return ballot{round: b.GetRound(), id: ID(b.GetId())} }
+func ballotOf(b *replicationpb.Ballot) ballot { return ballot{round: b.GetRound(), id: ID(b.GetId())} }
 
-func (r *register) pb() *ridgepb.Register {
-	return &ridgepb.Register{
+func (r *register) pb() *replicationpb.Register {
+	return &replicationpb.Register{
 		Self: memberPB(r.self), View: viewPB(r.view), Active: r.active, Sealed: r.sealed,
 		Promised: ballotPB(r.promised), Accepted: ballotPB(r.accepted), AcceptedView: viewPB(r.next),
 	}
 }
 
-func registerOf(p *ridgepb.Register) register {
+func registerOf(p *replicationpb.Register) register {
 	r := register{
 		self: memberOf(p.GetSelf()), view: viewOf(p.GetView()), active: p.GetActive(), sealed: p.GetSealed(),
 		promised: ballotOf(p.GetPromised()), accepted: ballotOf(p.GetAccepted()), next: viewOf(p.GetAcceptedView()),
--- a/internal/hut/check.go
+++ b/internal/system/settings/check.go
@@ -1,4 +1,4 @@
-package hut
+package settings
 
 import (
 	"net/netip"
--- a/internal/hut/settings.go
+++ b/internal/system/settings/settings.go
@@ -1,6 +1,6 @@
-// Package hut reads and checks the settings file of a process of the system (TOML, DEPLOY.md "Settings of a process").
+// Package settings reads and checks the settings file of a process of the system (TOML, DEPLOY.md "Settings of a process").
 // Fields that are not known are passed over, as the file may gain new ones.
-package hut
+package settings
 
 import (
 	"net/netip"
--- a/internal/staff/backup.go
+++ b/internal/system/staff/backup.go
@@ -7,12 +7,12 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 // Backup fetches the control state from the keeper with the control address, as it is after all that was acknowledged before
 // the call. Errors are marked ErrUnreached or ErrFormat.
-func (c *Client) Backup(ctx context.Context, address string) (*cairn.State, error) {
+func (c *Client) Backup(ctx context.Context, address string) (*controlstate.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, backupWait)
 	defer cancel()
 	data, err := c.get(ctx, address, pathBackup, maxBackup)
@@ -64,7 +64,7 @@
 }
 
 // ReadBackup reads a file that WriteBackup made. Errors of its content are marked ErrFormat.
-func ReadBackup(file string) (*cairn.State, error) {
+func ReadBackup(file string) (*controlstate.State, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, errors.Wrap(err, "the backup cannot be read: check its name and rights")
@@ -72,8 +72,8 @@
 	return decode(data, file)
 }
 
-func decode(data []byte, what string) (*cairn.State, error) {
-	s, err := cairn.Decode(data)
+func decode(data []byte, what string) (*controlstate.State, error) {
+	s, err := controlstate.Decode(data)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "%s is no backup of a control state", what), ErrFormat)
 	}
--- a/internal/staff/backup_test.go
+++ b/internal/system/staff/backup_test.go
@@ -8,12 +8,12 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 func TestBackupFile(t *testing.T) {
 	dir := t.TempDir()
-	state, err := cairn.Empty().Apply(cairn.Change{Op: cairn.OpEvacuate, Zone: "z"}.Record(1))
+	state, err := controlstate.Empty().Apply(controlstate.Change{Op: controlstate.OpEvacuate, Zone: "z"}.Record(1))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/staff/handler.go
+++ b/internal/system/staff/handler.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strconv"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 // ProxyHandler answers GET /status with what status gives, as JSON: a ProxyStatus. Mount it on the inner address.
@@ -23,7 +23,7 @@
 
 // BackupHandler answers GET /backup with the encoding of the state that read gives, which has to hold all that was
 // acknowledged before the call. Mount it on a keeper's control address.
-func BackupHandler(read func(ctx context.Context) (*cairn.State, error)) http.Handler {
+func BackupHandler(read func(ctx context.Context) (*controlstate.State, error)) http.Handler {
 	return reading(func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), statusWait)
 		defer cancel()
--- a/internal/staff/restore/restore.go
+++ b/internal/system/staff/restore/restore.go
@@ -8,8 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/ridge"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication"
 )
 
 // ErrNotEmpty marks a data directory that holds something.
@@ -21,8 +21,8 @@
 // Into lays a state into the empty data directory of a keeper that has not started yet, as the log's snapshot. The
 // keepers of a new system that are started on it with bootstrap = true begin with this state. Lay the same backup on all of
 // them. Errors are marked ErrNotEmpty, or of the disk.
-func Into(dataDir string, s *cairn.State) (err error) {
-	image, err := ridge.RestoredSnapshot(s)
+func Into(dataDir string, s *controlstate.State) (err error) {
+	image, err := replication.RestoredSnapshot(s)
 	if err != nil {
 		return err
 	}
@@ -40,7 +40,7 @@
 			return errors.Mark(errors.Newf("%s holds %s: restore into the empty data directory of a keeper that is not running", dataDir, e.Name()), ErrNotEmpty)
 		}
 	}
-	log, err := cairn.OpenLog(filepath.Join(dataDir, controlFolder), cairn.LogOptions{})
+	log, err := controlstate.OpenLog(filepath.Join(dataDir, controlFolder), controlstate.LogOptions{})
 	if err != nil {
 		return errors.Wrapf(err, "the log in %s cannot be opened", dataDir)
 	}
@@ -53,12 +53,12 @@
 
 // From reads the state out of the data directory of a keeper that is not running, for when no keeper answers any more. Its
 // last records may never have been acknowledged, and others may have acknowledged more.
-func From(dataDir string) (s *cairn.State, err error) {
+func From(dataDir string) (s *controlstate.State, err error) {
 	folder := filepath.Join(dataDir, controlFolder)
 	if _, err := os.Stat(folder); err != nil {
 		return nil, errors.Wrapf(err, "%s is no data directory of a keeper: name its data_dir", dataDir)
 	}
-	log, err := cairn.OpenLog(folder, cairn.LogOptions{})
+	log, err := controlstate.OpenLog(folder, controlstate.LogOptions{})
 	if err != nil {
 		return nil, errors.Wrapf(err, "the log in %s cannot be opened", dataDir)
 	}
@@ -67,5 +67,5 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "the log in %s cannot be read: try another keeper's", dataDir)
 	}
-	return ridge.StateOnDisk(snapshot, entries)
+	return replication.StateOnDisk(snapshot, entries)
 }
--- a/internal/staff/restore/restore_test.go
+++ b/internal/system/staff/restore/restore_test.go
@@ -16,10 +16,10 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
-	"gradeusher.example/gradeusher/internal/control"
-	"gradeusher.example/gradeusher/internal/ridge"
-	"gradeusher.example/gradeusher/internal/staff"
+	"gradeusher.example/gradeusher/internal/system/control"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication"
+	"gradeusher.example/gradeusher/internal/system/staff"
 )
 
 // network takes requests straight to the handlers of the machine that they are for.
@@ -51,7 +51,7 @@
 	t       *testing.T
 	net     *network
 	dirs    map[string]string
-	keepers map[string]*ridge.Keeper
+	keepers map[string]*replication.Keeper
 	apis    map[string]http.Handler
 }
 
@@ -59,17 +59,17 @@
 
 func newSystem(t *testing.T, root string) *system {
 	s := &system{t: t, net: &network{hosts: map[string]http.Handler{}}, dirs: map[string]string{},
-		keepers: map[string]*ridge.Keeper{}, apis: map[string]http.Handler{}}
+		keepers: map[string]*replication.Keeper{}, apis: map[string]http.Handler{}}
 	for _, m := range machines {
 		s.dirs[m] = filepath.Join(root, m)
 	}
 	return s
 }
 
-// submitter fits a keeper to the operator's API, as cmd/refuge does.
-type submitter struct{ *ridge.Keeper }
+// submitter fits a keeper to the operator's API, as cmd/keeper does.
+type submitter struct{ *replication.Keeper }
 
-func (s submitter) Submit(ctx context.Context, c cairn.Change) (cairn.Verdict, error) {
+func (s submitter) Submit(ctx context.Context, c controlstate.Change) (controlstate.Verdict, error) {
 	a, err := s.Keeper.Submit(ctx, c)
 	a.Verdict.Seq = a.Seq
 	return a.Verdict, err
@@ -78,11 +78,11 @@
 func (s *system) start(m string) {
 	s.t.Helper()
 	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
-	disk, err := cairn.OpenLog(filepath.Join(s.dirs[m], "control"), cairn.LogOptions{})
+	disk, err := controlstate.OpenLog(filepath.Join(s.dirs[m], "control"), controlstate.LogOptions{})
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	k, err := ridge.Start(context.Background(), ridge.Options{Addr: m, Zone: "zone of " + m, Region: "r", Port: 1, Seeds: machines,
+	k, err := replication.Start(context.Background(), replication.Options{Addr: m, Zone: "zone of " + m, Region: "r", Port: 1, Seeds: machines,
 		Bootstrap: true, MachineLosses: 1, Disk: disk, Transport: s.net, Log: quiet})
 	if err != nil {
 		s.t.Fatal(err)
@@ -164,7 +164,7 @@
 	first, second := t.TempDir(), t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
 		backup, config := filled(t, first)
-		state, err := cairn.Decode(backup)
+		state, err := controlstate.Decode(backup)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -211,7 +211,7 @@
 }
 
 func TestRestoreRefuses(t *testing.T) {
-	state, err := cairn.Empty().Apply(cairn.Change{Op: cairn.OpEvacuate, Zone: "z"}.Record(1))
+	state, err := controlstate.Empty().Apply(controlstate.Change{Op: controlstate.OpEvacuate, Zone: "z"}.Record(1))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -228,7 +228,7 @@
 	if _, err := From(t.TempDir()); err == nil {
 		t.Error("a folder that is no keeper's was read")
 	}
-	if err := Into(t.TempDir(), cairn.Empty()); err == nil {
+	if err := Into(t.TempDir(), controlstate.Empty()); err == nil {
 		t.Error("a state without a record was laid down")
 	}
 }
--- a/internal/staff/status.go
+++ b/internal/system/staff/status.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 // Version is that of the status documents here. Readers pass over fields that they do not know; a change that would mislead
@@ -70,7 +70,7 @@
 	Members   []string `json:"members"`
 	Servers   int      `json:"servers"`
 	ListAgeMS int64    `json:"list_age_ms"` // -1: none has come
-	Choice    string   `json:"choice"`      // trail.Proxy.Describe: a line a server, its id first
+	Choice    string   `json:"choice"`      // proxy.Proxy.Describe: a line a server, its id first
 }
 
 // Lines are those of Choice, or the ones about the server with the id.
@@ -86,6 +86,6 @@
 }
 
 // Zones are the evacuated zones of a state, by name.
-func Zones(s *cairn.State) []string {
+func Zones(s *controlstate.State) []string {
 	return slices.Sorted(maps.Keys(s.Evacuated))
 }
--- a/internal/staff/status_test.go
+++ b/internal/system/staff/status_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"gradeusher.example/gradeusher/internal/cairn"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
 // network takes requests straight to the handlers of the machine that they are for.
@@ -203,14 +203,14 @@
 }
 
 func TestHandlers(t *testing.T) {
-	state, err := cairn.Empty().Apply(cairn.Change{Op: cairn.OpEvacuate, Zone: "z"}.Record(1))
+	state, err := controlstate.Empty().Apply(controlstate.Change{Op: controlstate.OpEvacuate, Zone: "z"}.Record(1))
 	if err != nil {
 		t.Fatal(err)
 	}
 	status := ProxyStatus{Version: Version, Node: "p", Choice: "s-1 a zone: fit\ns-10 a zone: draining\n"}
 	mux := http.NewServeMux()
 	mux.Handle("/status", ProxyHandler(func() any { return status }))
-	mux.Handle("/backup", BackupHandler(func(context.Context) (*cairn.State, error) { return state, nil }))
+	mux.Handle("/backup", BackupHandler(func(context.Context) (*controlstate.State, error) { return state, nil }))
 	server := httptest.NewServer(mux)
 	defer server.Close()
 	address := server.Listener.Addr().String()
@@ -238,7 +238,7 @@
 }
 
 func TestBackupNeedsAConfirmedRead(t *testing.T) {
-	h := BackupHandler(func(context.Context) (*cairn.State, error) { return nil, errors.New("no majority") })
+	h := BackupHandler(func(context.Context) (*controlstate.State, error) { return nil, errors.New("no majority") })
 	c := Client{Transport: &network{hosts: map[string]http.Handler{"k": h}}}
 	if _, err := c.Backup(context.Background(), "k:1"); !errors.Is(err, ErrUnreached) || !strings.Contains(err.Error(), "503") {
 		t.Error(err)
