--- a/cmd/keeper/chain.go
+++ b/cmd/keeper/chain.go
@@ -11,6 +11,7 @@
 	"gradeusher.example/gradeusher/internal/system/replication"
 	"gradeusher.example/gradeusher/internal/system/settings"
 	"gradeusher.example/gradeusher/internal/system/staff"
+	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
 const leaveWithin = time.Second // for the others to cut a keeper that goes out of the chain
@@ -62,7 +63,7 @@
 func (k *keeper) start(ctx context.Context) error {
 	s := k.settings
 	folder := filepath.Join(s.DataDir, "control")
-	disk, err := controlstate.OpenLog(folder, controlstate.LogOptions{})
+	disk, err := wal.Open(folder, wal.Options{})
 	if err != nil {
 		return errors.Wrapf(err, "the control state in %s cannot be opened", folder)
 	}
@@ -71,7 +72,7 @@
 			Bootstrap: s.Bootstrap, MachineLosses: s.Tolerance.Machines, Ack: settings.Milliseconds(s.Bounds.Ack), Disk: disk, Log: k.log})
 	}
 	chain, err := open()
-	if errors.Is(err, controlstate.ErrDamaged) {
+	if errors.Is(err, wal.ErrDamaged) {
 		k.log.WithError(err).Error("keeper: the log is damaged; this keeper begins anew and takes the state from the others")
 		if err := disk.Wipe(); err != nil {
 			return errors.Wrapf(err, "the damaged state in %s cannot be removed: empty the folder", folder)
--- a/internal/system/controlstate/state.go
+++ b/internal/system/controlstate/state.go
@@ -1,5 +1,5 @@
-// Package controlstate is the control state: the deterministic state machine that keepers and proxies share, and its write-ahead
-// log on disk (segments with snapshots).
+// Package controlstate is the control state: the deterministic state machine that keepers and proxies share. Keepers hold its
+// records on disk in a log of package wal.
 package controlstate
 
 import (
--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -10,6 +10,7 @@
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
 // Envelope is a message and the address to send it to.
@@ -83,7 +84,7 @@
 }
 
 // NewCore makes a core from what the disk holds. Call Tick soon and then every few tens of milliseconds.
-func NewCore(cfg Config, machine Machine, meta map[string][]byte, snap controlstate.Snapshot, entries []controlstate.Entry) (*Core, error) {
+func NewCore(cfg Config, machine Machine, meta map[string][]byte, snap wal.Snapshot, entries []wal.Entry) (*Core, error) {
 	cfg.defaults()
 	c := &Core{
 		cfg: cfg, machine: machine, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Life)), //nolint:gosec // jitter
@@ -121,7 +122,7 @@
 	return c, nil
 }
 
-func (c *Core) load(snap controlstate.Snapshot, entries []controlstate.Entry) error {
+func (c *Core) load(snap wal.Snapshot, entries []wal.Entry) error {
 	if snap.Seq > 0 {
 		var p replicationpb.Image
 		if err := proto.Unmarshal(snap.Data, &p); err != nil {
--- a/internal/system/replication/disk.go
+++ b/internal/system/replication/disk.go
@@ -6,8 +6,8 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
-	"gradeusher.example/gradeusher/internal/system/controlstate"
 	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
 const (
@@ -22,7 +22,7 @@
 // DiskKind says what a DiskOp does.
 type DiskKind uint8
 
-// The disk operations, named after the methods of controlstate.Disk.
+// The disk operations, named after the methods of wal.Disk.
 const (
 	DiskSaveMeta DiskKind = iota + 1
 	DiskAppend
@@ -37,13 +37,13 @@
 	Kind     DiskKind
 	Name     string
 	Data     []byte
-	Entries  []controlstate.Entry
+	Entries  []wal.Entry
 	After    uint64
-	Snapshot controlstate.Snapshot
+	Snapshot wal.Snapshot
 }
 
 // Do runs the operation.
-func (op *DiskOp) Do(d controlstate.Disk) error {
+func (op *DiskOp) Do(d wal.Disk) error {
 	switch op.Kind {
 	case DiskSaveMeta:
 		return d.SaveMeta(op.Name, op.Data)
@@ -75,7 +75,7 @@
 
 	end      uint64 // newest record on disk that is the same in memory
 	unsure   bool   // there may be other records above end: truncate first
-	install  *controlstate.Snapshot
+	install  *wal.Snapshot
 	snapshot uint64 // newest snapshot on disk
 	bytes    int    // logged since
 }
@@ -156,7 +156,7 @@
 
 func (c *Core) startAppend() {
 	d := &c.disk
-	var entries []controlstate.Entry
+	var entries []wal.Entry
 	bytes := 0
 	for seq := d.end + 1; seq <= c.log.end() && bytes < 1<<20; seq++ {
 		data, err := proto.Marshal(c.log.at(seq).pb())
@@ -164,7 +164,7 @@
 			c.fail(errors.Wrap(err, "replication: record"))
 			return
 		}
-		entries = append(entries, controlstate.Entry{Seq: seq, Data: data})
+		entries = append(entries, wal.Entry{Seq: seq, Data: data})
 		bytes += len(data)
 	}
 	last := entries[len(entries)-1].Seq
@@ -205,12 +205,12 @@
 	})
 }
 
-func encodeImage(seq, epoch uint64, s State) (controlstate.Snapshot, error) {
+func encodeImage(seq, epoch uint64, s State) (wal.Snapshot, error) {
 	data, err := proto.Marshal(&replicationpb.Image{Epoch: epoch, State: s.Encode()})
 	if err != nil {
-		return controlstate.Snapshot{}, errors.Wrap(err, "replication: snapshot")
+		return wal.Snapshot{}, errors.Wrap(err, "replication: snapshot")
 	}
-	return controlstate.Snapshot{Seq: seq, Data: data}, nil
+	return wal.Snapshot{Seq: seq, Data: data}, nil
 }
 
 func (c *Core) startOp(op *DiskOp, done func(error)) {
--- a/internal/system/replication/keeper.go
+++ b/internal/system/replication/keeper.go
@@ -14,6 +14,7 @@
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
 // Kinds of errors.
@@ -36,7 +37,7 @@
 	Bootstrap          bool              // this keeper may take part in forming it
 	MachineLosses      int               // disks that may be lost at once
 	Ack                time.Duration     // a change must be acknowledged within it; repair times are derived from it. 0: 5 s
-	Disk               controlstate.Disk // used by this keeper alone until Stop has returned
+	Disk               wal.Disk          // used by this keeper alone until Stop has returned
 	Transport          http.RoundTripper // nil: connections of its own
 	Log                log.Interface     // nil: the standard logger
 }
--- a/internal/system/replication/keeper_test.go
+++ b/internal/system/replication/keeper_test.go
@@ -16,9 +16,10 @@
 	"github.com/cockroachdb/errors"
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
-// memDisk is a controlstate.Disk in memory.
+// memDisk is a wal.Disk in memory.
 type memDisk struct {
 	mu sync.Mutex
 	p  plate
@@ -26,8 +27,8 @@
 
 func newMemDisk() *memDisk { return &memDisk{p: plate{meta: map[string][]byte{}}} }
 
-func (d *memDisk) Load() (map[string][]byte, controlstate.Snapshot, []controlstate.Entry, error) {
-	return clone(d.p.meta), d.p.snap, append([]controlstate.Entry(nil), d.p.entries...), nil
+func (d *memDisk) Load() (map[string][]byte, wal.Snapshot, []wal.Entry, error) {
+	return clone(d.p.meta), d.p.snap, append([]wal.Entry(nil), d.p.entries...), nil
 }
 
 func (d *memDisk) do(op DiskOp) error {
@@ -38,16 +39,16 @@
 	return nil
 }
 
-func (d *memDisk) Append(e []controlstate.Entry) error {
+func (d *memDisk) Append(e []wal.Entry) error {
 	return d.do(DiskOp{Kind: DiskAppend, Entries: e})
 }
 func (d *memDisk) Truncate(after uint64) error {
 	return d.do(DiskOp{Kind: DiskTruncate, After: after})
 }
-func (d *memDisk) Compact(s controlstate.Snapshot) error {
+func (d *memDisk) Compact(s wal.Snapshot) error {
 	return d.do(DiskOp{Kind: DiskCompact, Snapshot: s})
 }
-func (d *memDisk) Install(s controlstate.Snapshot) error {
+func (d *memDisk) Install(s wal.Snapshot) error {
 	return d.do(DiskOp{Kind: DiskInstall, Snapshot: s})
 }
 func (d *memDisk) SaveMeta(name string, data []byte) error {
--- a/internal/system/replication/restart_test.go
+++ b/internal/system/replication/restart_test.go
@@ -9,7 +9,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
-	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
 // TestAllKeepersRestartOnTheirLogs ends all keepers at the same moment and starts them again on their own files. Danger:
@@ -22,7 +22,7 @@
 			folders[a] = t.TempDir()
 		}
 		start := func(addr string, bootstrap bool) *Keeper {
-			disk, err := controlstate.OpenLog(folders[addr], controlstate.LogOptions{})
+			disk, err := wal.Open(folders[addr], wal.Options{})
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/system/replication/restore.go
+++ b/internal/system/replication/restore.go
@@ -6,21 +6,22 @@
 	"github.com/cockroachdb/errors"
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
 // RestoredSnapshot gives the snapshot for the empty disk of a keeper that is to begin with s. The disk gets no register, so
 // the keeper gets a new identity, and the keepers form a first view, whose head is one that holds the most. The other
 // links take what the head has; whoever comes later takes what the chain has.
-func RestoredSnapshot(s *controlstate.State) (controlstate.Snapshot, error) {
+func RestoredSnapshot(s *controlstate.State) (wal.Snapshot, error) {
 	if s.Seq == 0 {
-		return controlstate.Snapshot{}, errors.New("replication: the state holds no record: start the keepers without it")
+		return wal.Snapshot{}, errors.New("replication: the state holds no record: start the keepers without it")
 	}
 	return encodeImage(s.Seq, 0, controlState{s}) // epoch 0: from before the first view
 }
 
 // StateOnDisk gives the state after all records that a keeper's disk holds. The last of them may never have been
 // acknowledged.
-func StateOnDisk(snap controlstate.Snapshot, entries []controlstate.Entry) (*controlstate.State, error) {
+func StateOnDisk(snap wal.Snapshot, entries []wal.Entry) (*controlstate.State, error) {
 	c, err := NewCore(Config{}, controlMachine{}, nil, snap, entries)
 	if err != nil {
 		return nil, err
@@ -67,7 +68,7 @@
 	if c.log.end() > 0 {
 		c.note("replication: the restored state here gives way to that of the head")
 		c.log, c.state, c.committed = memLog{}, c.machine.Empty(), 0
-		c.disk.install, c.disk.end, c.disk.unsure, c.disk.snapshot = &controlstate.Snapshot{}, 0, false, 0
+		c.disk.install, c.disk.end, c.disk.unsure, c.disk.snapshot = &wal.Snapshot{}, 0, false, 0
 	}
 	return c.disk.install != nil
 }
--- a/internal/system/replication/restore_test.go
+++ b/internal/system/replication/restore_test.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log/handlers/discard"
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
 // restored is a state of n records, of which the first evacuates the zone mark.
@@ -41,9 +42,9 @@
 	ks      map[string]*Keeper
 }
 
-func (f *restoredFleet) disk(addr string) *controlstate.Log {
+func (f *restoredFleet) disk(addr string) *wal.Log {
 	f.t.Helper()
-	disk, err := controlstate.OpenLog(f.folders[addr], controlstate.LogOptions{})
+	disk, err := wal.Open(f.folders[addr], wal.Options{})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/system/replication/world_test.go
+++ b/internal/system/replication/world_test.go
@@ -9,8 +9,8 @@
 	"slices"
 	"time"
 
-	"gradeusher.example/gradeusher/internal/system/controlstate"
 	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
 // world is a seeded simulation of keepers over a faulty network, faulty disks and a clock of its own.
@@ -102,8 +102,8 @@
 // plate is what would be left after a loss of power.
 type plate struct {
 	meta    map[string][]byte
-	snap    controlstate.Snapshot
-	entries []controlstate.Entry
+	snap    wal.Snapshot
+	entries []wal.Entry
 }
 
 var errFull = errors.New("no space left on device")
@@ -124,13 +124,13 @@
 			p.entries = append(p.entries, e)
 		}
 	case DiskTruncate:
-		i := slices.IndexFunc(p.entries, func(e controlstate.Entry) bool { return e.Seq > op.After })
+		i := slices.IndexFunc(p.entries, func(e wal.Entry) bool { return e.Seq > op.After })
 		if i >= 0 {
 			p.entries = p.entries[:i:i]
 		}
 	case DiskCompact:
 		p.snap = op.Snapshot
-		i := slices.IndexFunc(p.entries, func(e controlstate.Entry) bool { return e.Seq > op.Snapshot.Seq })
+		i := slices.IndexFunc(p.entries, func(e wal.Entry) bool { return e.Seq > op.Snapshot.Seq })
 		if i < 0 {
 			i = len(p.entries)
 		}
@@ -277,7 +277,7 @@
 		m.disk = plate{meta: map[string][]byte{}}
 	} else {
 		// The identity survives, its promises do not.
-		if core, err := NewCore(Config{Self: m.member}, toyMachine{}, m.disk.meta, controlstate.Snapshot{}, nil); err == nil {
+		if core, err := NewCore(Config{Self: m.member}, toyMachine{}, m.disk.meta, wal.Snapshot{}, nil); err == nil {
 			core.reg.promised, core.reg.accepted, core.reg.next = ballot{}, ballot{}, nil
 			core.reg.view, core.reg.active = &View{}, 0
 			core.disk.dirty, core.disk.op = true, nil
--- a/internal/system/staff/restore/restore.go
+++ b/internal/system/staff/restore/restore.go
@@ -10,6 +10,7 @@
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 	"gradeusher.example/gradeusher/internal/system/replication"
+	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
 // ErrNotEmpty marks a data directory that holds something.
@@ -40,7 +41,7 @@
 			return errors.Mark(errors.Newf("%s holds %s: restore into the empty data directory of a keeper that is not running", dataDir, e.Name()), ErrNotEmpty)
 		}
 	}
-	log, err := controlstate.OpenLog(filepath.Join(dataDir, controlFolder), controlstate.LogOptions{})
+	log, err := wal.Open(filepath.Join(dataDir, controlFolder), wal.Options{})
 	if err != nil {
 		return errors.Wrapf(err, "the log in %s cannot be opened", dataDir)
 	}
@@ -58,7 +59,7 @@
 	if _, err := os.Stat(folder); err != nil {
 		return nil, errors.Wrapf(err, "%s is no data directory of a keeper: name its data_dir", dataDir)
 	}
-	log, err := controlstate.OpenLog(folder, controlstate.LogOptions{})
+	log, err := wal.Open(folder, wal.Options{})
 	if err != nil {
 		return nil, errors.Wrapf(err, "the log in %s cannot be opened", dataDir)
 	}
--- a/internal/system/staff/restore/restore_test.go
+++ b/internal/system/staff/restore/restore_test.go
@@ -20,6 +20,7 @@
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 	"gradeusher.example/gradeusher/internal/system/replication"
 	"gradeusher.example/gradeusher/internal/system/staff"
+	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
 // network takes requests straight to the handlers of the machine that they are for.
@@ -78,7 +79,7 @@
 func (s *system) start(m string) {
 	s.t.Helper()
 	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
-	disk, err := controlstate.OpenLog(filepath.Join(s.dirs[m], "control"), controlstate.LogOptions{})
+	disk, err := wal.Open(filepath.Join(s.dirs[m], "control"), wal.Options{})
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/system/controlstate/crash_test.go
+++ b/internal/system/wal/crash_test.go
@@ -1,4 +1,4 @@
-package controlstate
+package wal
 
 import (
 	"fmt"
@@ -12,7 +12,7 @@
 )
 
 // deep tells whether to try every case instead of a spread of them.
-func deep() bool { return os.Getenv("CONTROLSTATE_DEEP") != "" }
+func deep() bool { return os.Getenv("WAL_DEEP") != "" }
 
 // histories are scripts that the crash and error tests go through at every call.
 var histories = map[string][]step{
--- a/internal/system/controlstate/disk.go
+++ b/internal/system/wal/disk.go
@@ -1,4 +1,6 @@
-package controlstate
+// Package wal is the write-ahead log of a keeper on its disk: segments of checksummed records, one snapshot below them, and a
+// few named pieces of metadata. It does not know what the records mean.
+package wal
 
 // Entry is one opaque record of the log on disk. Sequence numbers run without
 // gaps.
--- a/internal/system/controlstate/frame.go
+++ b/internal/system/wal/frame.go
@@ -1,4 +1,4 @@
-package controlstate
+package wal
 
 import (
 	"bytes"
--- a/internal/system/controlstate/log.go
+++ b/internal/system/wal/log.go
@@ -1,4 +1,4 @@
-package controlstate
+package wal
 
 import (
 	"crypto/rand"
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// LogOptions configure a Log. Zero values mean the defaults.
-type LogOptions struct {
+// Options configure a Log. Zero values mean the defaults.
+type Options struct {
 	FS           FS            // default: the operating system's
 	MaxBytes     int64         // of segments and snapshot, above which Append fails with ErrFull; default 40 MiB
 	SegmentBytes int64         // a segment that is larger is ended; default 2 MiB
@@ -25,7 +25,7 @@
 // kind ErrFull, ErrDamaged and ErrUse, or the file system's. A Log is used by one goroutine at a time.
 type Log struct {
 	folder string
-	o      LogOptions
+	o      Options
 	loaded bool
 
 	snapshot   uint64 // its number; 0: none
@@ -66,8 +66,8 @@
 	asideSuffix = ".tmp"
 )
 
-// OpenLog returns the log in folder, which is made if it is not there. Load must come first.
-func OpenLog(folder string, o LogOptions) (*Log, error) {
+// Open returns the log in folder, which is made if it is not there. Load must come first.
+func Open(folder string, o Options) (*Log, error) {
 	if o.FS == nil {
 		o.FS = osFS{}
 	}
--- a/internal/system/controlstate/log_test.go
+++ b/internal/system/wal/log_test.go
@@ -1,4 +1,4 @@
-package controlstate
+package wal
 
 import (
 	"bytes"
@@ -14,9 +14,9 @@
 )
 
 // onDisk opens a log in a real folder.
-func onDisk(t *testing.T, folder string, o LogOptions) (*Log, view) {
+func onDisk(t *testing.T, folder string, o Options) (*Log, view) {
 	t.Helper()
-	log, err := OpenLog(folder, o)
+	log, err := Open(folder, o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,7 +35,7 @@
 			model := NewMem()
 			for i, st := range steps {
 				// A new process before every step.
-				log, _ := onDisk(t, filepath.Join(folder, name), LogOptions{SegmentBytes: 300})
+				log, _ := onDisk(t, filepath.Join(folder, name), Options{SegmentBytes: 300})
 				if err := st.run(log, model.last()); err != nil {
 					t.Fatalf("step %d, %v: %v", i, st, err)
 				}
@@ -52,7 +52,7 @@
 }
 
 func TestMisuse(t *testing.T) {
-	log, err := OpenLog(t.TempDir(), LogOptions{})
+	log, err := Open(t.TempDir(), Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +95,7 @@
 
 // TestFull fills a disk: promises and cuts still work, a compaction makes room again.
 func TestFull(t *testing.T) {
-	for name, o := range map[string]LogOptions{
+	for name, o := range map[string]Options{
 		"limit of its own": {MaxBytes: 9000, SegmentBytes: 1000, ReserveBytes: 600},
 		"disk":             {SegmentBytes: 1000, ReserveBytes: 600},
 	} {
@@ -103,7 +103,7 @@
 			fs := newSimFS()
 			fs.capacity = 10000
 			o.FS = fs
-			log, err := OpenLog("/data", o)
+			log, err := Open("/data", o)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -174,7 +174,7 @@
 func build(t *testing.T, segmentBytes int64, steps []step) (*simFS, []view) {
 	t.Helper()
 	fs, model := newSimFS(), NewMem()
-	log, err := OpenLog("/data", LogOptions{FS: fs, SegmentBytes: segmentBytes, ReserveBytes: -1})
+	log, err := Open("/data", Options{FS: fs, SegmentBytes: segmentBytes, ReserveBytes: -1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -322,7 +322,7 @@
 
 // TestWipeDamaged wipes what cannot be loaded.
 func TestWipeDamaged(t *testing.T) {
-	log, _ := onDisk(t, t.TempDir(), LogOptions{SegmentBytes: 100})
+	log, _ := onDisk(t, t.TempDir(), Options{SegmentBytes: 100})
 	for i := range uint64(9) {
 		if err := log.Append([]Entry{entry(i+1, 0)}); err != nil {
 			t.Fatal(err)
@@ -349,7 +349,7 @@
 }
 
 func BenchmarkAppend(b *testing.B) {
-	log, err := OpenLog(b.TempDir(), LogOptions{MaxBytes: 1 << 40})
+	log, err := Open(b.TempDir(), Options{MaxBytes: 1 << 40})
 	if err != nil {
 		b.Fatal(err)
 	}
