Verdicts Uncertain and Superseded: no clear answer, answered with 503

Need: an order whose base is older than what the state remembers, and an evacuation that comes after a later one of its zone, must get neither 412 nor 400. The kind travels between keepers as a number and every verdict but Accept is confirmed by a majority, so replication needs no change for it.

--- a/internal/system/control/control.go
+++ b/internal/system/control/control.go
@@ -122,6 +122,12 @@
 	case controlstate.Invalid:
 		entry.WithField("reason", v.Reason).Info("control: change refused, it is invalid")
 		refuse(w, http.StatusBadRequest, reason(v.Reason, "the change is invalid: check it against the operator's API"))
+	case controlstate.Uncertain:
+		entry.WithField("reason", v.Reason).Warn("control: change left without a clear answer")
+		unavailable(w, reason(v.Reason, "whether the change was applied long ago cannot be told: read the configuration and compare"))
+	case controlstate.Superseded:
+		entry.Info("control: change came too late, its zone was changed since")
+		unavailable(w, reason(v.Reason, "the zone was changed while this call was under way: send it again if it is still wanted"))
 	default:
 		entry.WithField("verdict", v.Kind).Error("control: unknown verdict")
 		unavailable(w, "this keeper does not know the verdict on the change: send it again as it was, to another keeper")
