--- a/internal/sidecar/replica/replica.go
+++ b/internal/sidecar/replica/replica.go
@@ -6,17 +6,14 @@
 package replica
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -320,19 +317,6 @@
 	return s
 }
 
-// Peers are the members of the cluster, as far as this replica knows.
-func (r *Replica) Peers() ([]Peer, error) {
-	f := r.raft.GetConfiguration()
-	if err := f.Error(); err != nil {
-		return nil, fmt.Errorf("members: %w", err)
-	}
-	var all []Peer
-	for _, s := range f.Configuration().Servers {
-		all = append(all, Peer{string(s.ID), string(s.Address), s.Suffrage == raft.Voter})
-	}
-	return all, nil
-}
-
 // Age is how long ago this replica last knew itself in touch with the leader; 0 on the leader. It tells false where it has
 // not been since its start.
 func (r *Replica) Age() (time.Duration, bool) {
@@ -351,189 +335,3 @@
 	_, id := r.raft.LeaderWithID()
 	return string(id)
 }
-
-// Add takes a member in, first without a vote, and with one once it has caught up. Only one change of members goes on at a
-// time; errors wrap ErrNotLeader or say why.
-func (r *Replica) Add(ctx context.Context, p Peer) error {
-	if !r.Ready() {
-		return ErrNotLeader
-	}
-	peers, err := r.Peers()
-	if err != nil {
-		return err
-	}
-	for _, old := range peers {
-		switch {
-		case old.Name == p.Name && old.Address == p.Address && old.Voter:
-			return nil
-		case old.Name == p.Name && old.Address == p.Address: // an addition that broke off
-		case old.Name == p.Name:
-			return fmt.Errorf("%s is a member at %s: remove it first", p.Name, old.Address)
-		case old.Address == p.Address:
-			return fmt.Errorf("%s is the address of member %s", p.Address, old.Name)
-		}
-	}
-	if err := r.raft.AddNonvoter(raft.ServerID(p.Name), raft.ServerAddress(p.Address), 0, changeTimeout).Error(); err != nil {
-		return explain(err)
-	}
-	return nil
-}
-
-// Promote gives a member that has caught up its vote.
-func (r *Replica) Promote(p Peer) error {
-	if err := r.raft.AddVoter(raft.ServerID(p.Name), raft.ServerAddress(p.Address), 0, changeTimeout).Error(); err != nil {
-		return explain(err)
-	}
-	return nil
-}
-
-// Remove takes a member out. The last one stays.
-func (r *Replica) Remove(name string) error {
-	if !r.Ready() {
-		return ErrNotLeader
-	}
-	peers, err := r.Peers()
-	if err != nil {
-		return err
-	}
-	voters, found := 0, false
-	for _, p := range peers {
-		if found = found || p.Name == name; p.Voter && p.Name != name {
-			voters++
-		}
-	}
-	switch {
-	case !found:
-		return fmt.Errorf("no member %q", name)
-	case voters == 0:
-		return fmt.Errorf("%s is the last member", name)
-	}
-	if err := r.raft.RemoveServer(raft.ServerID(name), 0, changeTimeout).Error(); err != nil {
-		return explain(err)
-	}
-	return nil
-}
-
-// Forget removes a member that comes again with nothing, if it is there.
-func (r *Replica) Forget(name string) error {
-	if !r.Ready() {
-		return ErrNotLeader
-	}
-	peers, err := r.Peers()
-	if err != nil {
-		return err
-	}
-	if !slices.ContainsFunc(peers, func(p Peer) bool { return p.Name == name }) {
-		return nil
-	}
-	return r.Remove(name)
-}
-
-// Restore replaces the state of all replicas by a snapshot of the machine.
-func (r *Replica) Restore(snapshot []byte) error {
-	if !r.Ready() {
-		return ErrNotLeader
-	}
-	meta := &raft.SnapshotMeta{Version: raft.SnapshotVersionMax, Size: int64(len(snapshot)), Index: r.raft.LastIndex(), Term: r.raft.CurrentTerm()}
-	done := make(chan error, 1)
-	go func() { done <- r.raft.Restore(meta, bytes.NewReader(snapshot), changeTimeout) }()
-	for {
-		select {
-		case err := <-done:
-			if err != nil {
-				return explain(err)
-			}
-			return nil
-		case <-time.After(restoreStuck):
-			// Danger: a snapshot that the library took at the same time can leave its note of the last one before what was
-			// restored. No log leads on from there, and it sends the others the snapshot over and over. Another one mends that.
-			if err := r.Compact(); err != nil {
-				r.options.Log.Info("restore", "err", err)
-			}
-		}
-	}
-}
-
-// Compact takes a snapshot now.
-func (r *Replica) Compact() error {
-	if err := r.raft.Snapshot().Error(); err != nil && !errors.Is(err, raft.ErrNothingNewToSnapshot) {
-		return fmt.Errorf("snapshot: %w", err)
-	}
-	return nil
-}
-
-// fsm leads raft's calls to the machine.
-type fsm struct{ machine Machine }
-
-func (f fsm) Apply(l *raft.Log) any { return f.machine.Apply(l.Data) }
-
-func (f fsm) Snapshot() (raft.FSMSnapshot, error) {
-	text, err := f.machine.Snapshot()
-	return frozen(text), err
-}
-
-func (f fsm) Restore(from io.ReadCloser) error {
-	defer from.Close()
-	return f.machine.Restore(from)
-}
-
-type frozen []byte
-
-func (s frozen) Persist(sink raft.SnapshotSink) error {
-	if _, err := sink.Write(s); err != nil {
-		return errors.Join(err, sink.Cancel())
-	}
-	return sink.Close()
-}
-
-func (s frozen) Release() {}
-
-// layer is raft's sockets. Calls go out from the host that this replica listens at, so that a peer, or a firewall, knows who calls.
-type layer struct {
-	net.Listener
-	from      net.IP
-	advertise net.Addr
-}
-
-func newLayer(bind, advertise string) (*layer, error) {
-	l, err := net.Listen("tcp", bind)
-	if err != nil {
-		return nil, err
-	}
-	at, err := net.ResolveTCPAddr("tcp", advertise)
-	if err != nil {
-		return nil, errors.Join(err, l.Close())
-	}
-	own := l.Addr().(*net.TCPAddr)
-	if at.Port == 0 {
-		at.Port = own.Port
-	}
-	return &layer{l, own.IP, at}, nil
-}
-
-func (l *layer) Addr() net.Addr { return l.advertise }
-
-func (l *layer) Dial(to raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: timeout}
-	if !l.from.IsUnspecified() {
-		d.LocalAddr = &net.TCPAddr{IP: l.from}
-	}
-	return d.Dial("tcp", string(to))
-}
-
-// lines hands what raft logs to the keeper's log.
-type lines struct{ log *slog.Logger }
-
-func (w lines) Write(p []byte) (int, error) {
-	text := strings.TrimSpace(string(p))
-	level, rest, _ := strings.Cut(strings.TrimPrefix(text, "["), "]")
-	switch level {
-	case "ERROR":
-		w.log.Error(strings.TrimSpace(rest))
-	case "WARN":
-		w.log.Warn(strings.TrimSpace(rest))
-	default:
-		w.log.Debug(strings.TrimSpace(rest))
-	}
-	return len(p), nil
-}
