Keepers without a disk follow as observers: no vote, no link, calls passed on

Config.Observer and Options.Observer make it a learner that knows the view and passes changes and reads on. It tells so in its heartbeat; it is never good for a vote or a link, and it never takes part in a quorum. Ruled out: a vote kept in memory, which a restart forgets.

The first view counts the majority over the seeds without those that have said that they are observers; the comment at quorum has why two such majorities meet. It takes in keepers that are no seeds too, so that one seed with a disk among three does not found a view of one voter.

An observer's heartbeats are five times rarer, members answer them instead of sending their own, observers send each other none while they know of each other, and it counts as current with a majority's word of up to 900 ms.

--- a/internal/system/replication/agree.go
+++ b/internal/system/replication/agree.go
@@ -31,7 +31,14 @@
 	accepted map[ID]string
 }
 
-// quorum tells whether the keepers in set are a majority of v's voters. Those of epoch 0 are the seeds' addresses.
+// quorum tells whether the keepers in set are a majority of v's voters. Those of epoch 0 are the seeds' addresses, without
+// the seeds that are known to be observers.
+//
+// That two majorities of epoch 0 meet: let D be the seeds with a disk, which alone vote, and K the observers among the
+// seeds that a proposer knows of. K holds no member of D, so it counts over at least |D| seeds and needs more than |D|/2
+// votes, all of them out of D. Whatever another proposer knows, it needs as many. Knowing fewer observers makes the
+// majority larger, never smaller. This takes that a seed does not turn from observer to voter before the first view:
+// Config.Bootstrap is set only at the first start of all, and Config.Observer is a property of the machine.
 func (c *Core) quorum(v *View, set map[ID]string) bool {
 	n := 0
 	if v.Epoch == 0 {
@@ -42,7 +49,8 @@
 				n++
 			}
 		}
-		return len(c.cfg.Seeds) > 0 && n > len(c.cfg.Seeds)/2
+		total := len(c.cfg.Seeds) - c.observerSeeds()
+		return total > 0 && n > total/2
 	}
 	for _, m := range v.Voters {
 		if _, ok := set[m.ID]; ok {
@@ -275,6 +283,7 @@
 	c.toVoters(p.cur, p.value, func() *replicationpb.Message {
 		return &replicationpb.Message{Body: &replicationpb.Message_Chosen{Chosen: &replicationpb.Chosen{View: viewPB(p.value)}}}
 	})
+	c.tellObservers(p.value)
 	c.adopt(p.value)
 }
 
@@ -312,6 +321,9 @@
 		if err := c.enter(); err != nil {
 			c.fail(err)
 		}
+		if c.cfg.Observer {
+			c.beat() // its next heartbeat is far off, and calls wait for word of the new head
+		}
 	})
 }
 
--- a/internal/system/replication/beat.go
+++ b/internal/system/replication/beat.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// currentFor is how long a majority's word that the epoch is not passed counts, as a part of Config.Suspect.
-	currentNum, currentDen = 6, 7
+	// sentRing is how many heartbeats this keeper remembers the time of; an echo of an older one says nothing.
+	sentRing = 512
 
 	forgetAfter = 10 * time.Second // of silence, for those who do not vote
 	maxPeers    = 64
@@ -27,45 +27,68 @@
 	beat    *replicationpb.Beat
 }
 
-// beat tells everyone how this keeper is.
-func (c *Core) beat() {
-	c.beatAt = c.now
+// heartbeat is what this keeper says of itself, under a number of its own.
+func (c *Core) heartbeat() *replicationpb.Beat {
 	c.number++
-	c.sentAt[c.number%uint64(len(c.sentAt))] = c.now
+	c.sentAt[c.number%sentRing] = c.now
 	b := &replicationpb.Beat{
 		Member: memberPB(c.reg.self), Number: c.number, Life: c.cfg.Life, Epoch: c.epochOn,
 		Active: c.activeOn, Sealed: c.sealedOn, Committed: c.committed, DiskBad: c.disk.bad, Leaving: c.leaving,
-		Bootstrap: c.cfg.Bootstrap, Stuck: string(c.stuck()),
+		Bootstrap: c.cfg.Bootstrap, Stuck: string(c.stuck()), Observer: c.cfg.Observer,
 	}
 	if c.reg.next != nil {
 		b.Accepted = c.reg.next.Epoch
 	}
-	addrs := map[string]bool{}
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
-		p := c.peers[id]
-		_, voter := c.reg.view.Voter(id)
-		if !voter && c.now-p.heardAt > forgetAfter {
-			delete(c.peers, id)
-			continue
-		}
-		if c.now-p.heardAt < c.cfg.Suspect {
+		if p := c.peers[id]; c.now-p.heardAt < c.suspectAfter(p) {
 			b.Echoes = append(b.Echoes, &replicationpb.Echo{Id: string(id), Number: p.number})
 		}
-		addrs[p.member.Addr] = true
 	}
-	for _, m := range c.reg.view.Voters {
-		addrs[c.addr(m.ID)] = true
+	return b
+}
+
+// beat tells everyone how this keeper is. Observers are told in reply to their own heartbeats.
+func (c *Core) beat() {
+	c.beatAt = c.now
+	c.forgetPeers()
+	body := &replicationpb.Message_Beat{Beat: c.heartbeat()}
+	msg := &replicationpb.Message{From: string(c.reg.self.ID), Body: body}
+	for _, a := range c.audience() {
+		c.out.Messages = append(c.out.Messages, Envelope{Addr: a, Msg: msg})
+	}
+	c.follow()
+}
+
+func (c *Core) forgetPeers() {
+	for id, p := range c.peers {
+		if _, voter := c.reg.view.Voter(id); !voter && c.now-p.heardAt > forgetAfter {
+			delete(c.peers, id)
+		}
 	}
+}
+
+// audience lists the addresses that heartbeats go to: voters, seeds and whoever was heard, but for observers.
+func (c *Core) audience() []string {
+	addrs := map[string]bool{}
 	for _, a := range c.cfg.Seeds {
 		addrs[a] = true
 	}
+	for _, p := range c.peers {
+		if p.beat.GetObserver() {
+			delete(addrs, p.member.Addr)
+		}
+	}
+	for _, p := range c.peers {
+		if !p.beat.GetObserver() {
+			addrs[p.member.Addr] = true
+		}
+	}
+	for _, m := range c.reg.view.Voters {
+		addrs[c.addr(m.ID)] = true
+	}
 	delete(addrs, c.reg.self.Addr)
 	delete(addrs, "")
-	msg := &replicationpb.Message{From: string(c.reg.self.ID), Body: &replicationpb.Message_Beat{Beat: b}}
-	for _, a := range slices.Sorted(maps.Keys(addrs)) {
-		c.out.Messages = append(c.out.Messages, Envelope{Addr: a, Msg: msg})
-	}
-	c.follow()
+	return slices.Sorted(maps.Keys(addrs))
 }
 
 func (c *Core) onBeat(from ID, b *replicationpb.Beat) {
@@ -89,13 +112,14 @@
 	p.member, p.life, p.number, p.heardAt, p.beat = m, b.GetLife(), b.GetNumber(), c.now, b
 	for _, e := range b.GetEchoes() {
 		// An older number than the ring holds says nothing; a later one is of a former life.
-		if n := e.GetNumber(); ID(e.GetId()) == c.reg.self.ID && n <= c.number && n+uint64(len(c.sentAt)) > c.number && n > 0 {
-			p.echoAt = max(p.echoAt, c.sentAt[n%uint64(len(c.sentAt))])
+		if n := e.GetNumber(); ID(e.GetId()) == c.reg.self.ID && n <= c.number && n+sentRing > c.number && n > 0 {
+			p.echoAt = max(p.echoAt, c.sentAt[n%sentRing])
 		}
 	}
 	if b.GetEpoch() < c.reg.view.Epoch && c.entered {
 		c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Chosen{Chosen: &replicationpb.Chosen{View: viewPB(c.reg.view)}}})
 	}
+	c.replyToObserver(from, b)
 	if c.good(from) {
 		if p.goodAt < 0 {
 			p.goodAt = c.now
@@ -111,15 +135,19 @@
 		return true
 	}
 	p := c.peers[id]
-	return p != nil && c.now-p.heardAt < c.cfg.Suspect && p.echoAt >= 0 && c.now-p.echoAt < c.cfg.Suspect+2*c.cfg.Beat
+	if p == nil || p.echoAt < 0 {
+		return false
+	}
+	suspect := c.suspectAfter(p)
+	return c.now-p.heardAt < suspect && c.now-p.echoAt < suspect+2*c.beatEvery()
 }
 
 // good tells whether id is fit to be a link.
 func (c *Core) good(id ID) bool {
 	if id == c.reg.self.ID {
-		return !c.disk.bad && !c.leaving && c.err == nil
+		return !c.disk.bad && !c.leaving && c.err == nil && !c.cfg.Observer
 	}
-	return c.alive(id) && !c.peers[id].beat.GetDiskBad() && !c.peers[id].beat.GetLeaving()
+	return c.alive(id) && !c.peers[id].beat.GetObserver() && !c.peers[id].beat.GetDiskBad() && !c.peers[id].beat.GetLeaving()
 }
 
 // hears tells whether a has lately heard b, by a's own word.
@@ -142,7 +170,7 @@
 	if v.Epoch == 0 || !c.entered || c.err != nil {
 		return false
 	}
-	window := c.cfg.Suspect * currentNum / currentDen
+	window := c.currentFor()
 	if v.place(c.reg.self.ID) >= 0 {
 		if c.activeOn != v.Epoch || !c.settled() {
 			return false
--- a/internal/system/replication/chain.go
+++ b/internal/system/replication/chain.go
@@ -11,13 +11,14 @@
 )
 
 const (
-	resendAfter  = 250 * time.Millisecond
-	askAfter     = 50 * time.Millisecond // between a link's calls to be fed: after a start of all, each waits for the one before
-	installAfter = time.Second
-	stuckAfter   = time.Second
-	stuckActive  = 3 * time.Second // to get level after a change of the view
-	appendBytes  = 256 << 10
-	maxLearners  = 16
+	resendAfter   = 250 * time.Millisecond
+	askAfter      = 50 * time.Millisecond // between a link's calls to be fed: after a start of all, each waits for the one before
+	installAfter  = time.Second
+	stuckAfter    = time.Second
+	stuckActive   = 3 * time.Second // to get level after a change of the view
+	appendBytes   = 256 << 10
+	maxLearners   = maxPeers
+	forgetLearner = 2 * time.Second // after its last call
 )
 
 // progress is how far a downstream keeper has come: the next link, or a learner.
@@ -334,7 +335,7 @@
 		return
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.down)) {
-		if p := c.down[id]; p.learner && c.now-p.seenAt > time.Second {
+		if p := c.down[id]; p.learner && c.now-p.seenAt > forgetLearner {
 			delete(c.down, id)
 		}
 	}
--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -62,7 +62,7 @@
 
 	peers   map[ID]*peer
 	number  uint64 // of the last beat sent
-	sentAt  [64]time.Duration
+	sentAt  [sentRing]time.Duration
 	beatAt  time.Duration
 	quiet   time.Duration // until then silence says nothing
 	leaving bool
@@ -201,7 +201,7 @@
 	}
 	c.now = max(c.now, now)
 	c.watchDisk()
-	if c.now-c.beatAt >= c.cfg.Beat {
+	if c.now-c.beatAt >= c.beatEvery() {
 		c.beat()
 	}
 	c.tickChain()
@@ -320,6 +320,9 @@
 }
 
 func (c *Core) isVoter(v *View) bool {
+	if c.cfg.Observer {
+		return false
+	}
 	if v.Epoch == 0 {
 		return c.cfg.Bootstrap && slices.Contains(c.cfg.Seeds, c.reg.self.Addr)
 	}
--- /dev/null
+++ b/internal/system/replication/core_cluster_test.go
@@ -0,0 +1,203 @@
+package replication
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+)
+
+// clusterStep is how long a message and a write take in a cluster.
+const clusterStep = 5 * time.Millisecond
+
+// cluster drives cores without faults of its own: a test scripts who runs, what is held back and when it arrives.
+type cluster struct {
+	t      *testing.T
+	now    time.Duration
+	nodes  map[string]*node // by address
+	sent   []Envelope
+	filter func(from, to string, m *replicationpb.Message) bool // false: the message is lost; nil: none is
+	ids    uint64
+	done   map[uint64]Completion
+}
+
+// node is one core and what its disk holds.
+type node struct {
+	core    *Core // nil: it does not run
+	cfg     Config
+	born    time.Duration
+	frozen  bool
+	disk    *memDisk
+	pending []*DiskOp
+}
+
+func newCluster(t *testing.T) *cluster {
+	return &cluster{t: t, nodes: map[string]*node{}, done: map[uint64]Completion{}}
+}
+
+// start starts a keeper at cfg.Self.Addr, on the disk that it left there.
+func (cl *cluster) start(cfg Config) *node {
+	cl.t.Helper()
+	addr := cfg.Self.Addr
+	n := cl.nodes[addr]
+	if n == nil {
+		n = &node{disk: newMemDisk()}
+		cl.nodes[addr] = n
+	}
+	cl.ids++
+	cfg.Life, cfg.Seed = cl.ids, cl.ids
+	if cfg.Self.ID == "" {
+		cfg.Self.ID = ID(addr)
+	}
+	core, err := NewCore(cfg, toyMachine{}, clone(n.disk.p.meta), n.disk.p.snap, slices.Clone(n.disk.p.entries))
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	n.core, n.cfg, n.born, n.frozen, n.pending = core, cfg, cl.now, false, nil
+	cl.collect(addr)
+	return n
+}
+
+func (cl *cluster) clock(n *node) time.Duration { return cl.now - n.born }
+
+// collect takes what a core wants done.
+func (cl *cluster) collect(addr string) {
+	n := cl.nodes[addr]
+	out := n.core.Take()
+	for _, e := range out.Messages {
+		if cl.filter == nil || cl.filter(addr, e.Addr, e.Msg) {
+			cl.sent = append(cl.sent, e)
+		}
+	}
+	if out.Disk != nil {
+		n.pending = append(n.pending, out.Disk)
+	}
+	for _, d := range out.Done {
+		cl.done[d.ID] = d
+	}
+	if err := n.core.Err(); err != nil {
+		cl.t.Fatalf("%s stopped: %v", addr, err)
+	}
+}
+
+// deliver hands a message over at once, whether or not the filter would let it through.
+func (cl *cluster) deliver(e Envelope) {
+	if n := cl.nodes[e.Addr]; n != nil && n.core != nil && !n.frozen {
+		n.core.Receive(cl.clock(n), e.Msg)
+		cl.collect(e.Addr)
+	}
+}
+
+func (cl *cluster) step() {
+	cl.now += clusterStep
+	sent := cl.sent
+	cl.sent = nil
+	for _, e := range sent {
+		cl.deliver(e)
+	}
+	for _, addr := range slices.Sorted(maps.Keys(cl.nodes)) {
+		n := cl.nodes[addr]
+		if n.core == nil || n.frozen {
+			continue
+		}
+		ops := n.pending
+		n.pending = nil
+		for _, op := range ops {
+			n.disk.p.do(op, len(op.Entries))
+			n.core.DiskDone(cl.clock(n), op.Token, nil)
+		}
+		if cl.now%(25*time.Millisecond) == 0 {
+			n.core.Tick(cl.clock(n))
+		}
+		cl.collect(addr)
+	}
+}
+
+func (cl *cluster) run(d time.Duration) {
+	for end := cl.now + d; cl.now < end; {
+		cl.step()
+	}
+}
+
+// until runs until ok, and fails the test when that takes longer than limit.
+func (cl *cluster) until(limit time.Duration, what string, ok func() bool) time.Duration {
+	cl.t.Helper()
+	began := cl.now
+	for !ok() {
+		if cl.now-began > limit {
+			for _, addr := range slices.Sorted(maps.Keys(cl.nodes)) {
+				if n := cl.nodes[addr]; n.core != nil {
+					cl.t.Logf("%s: view %d %v, active %d, committed %d of %d", addr, n.core.reg.view.Epoch, n.core.reg.view, n.core.activeOn,
+						n.core.committed, n.core.log.end())
+				}
+			}
+			cl.t.Fatalf("not within %v: %s", limit, what)
+		}
+		cl.step()
+	}
+	return cl.now - began
+}
+
+// submit asks for a change at addr and gives the number under which it ends.
+func (cl *cluster) submit(addr string, ch controlstate.Change, ttl time.Duration) uint64 {
+	cl.ids++
+	n := cl.nodes[addr]
+	n.core.Submit(cl.clock(n), cl.ids, ch, ttl)
+	cl.collect(addr)
+	return cl.ids
+}
+
+func (cl *cluster) read(addr string, ttl time.Duration) uint64 {
+	cl.ids++
+	n := cl.nodes[addr]
+	n.core.Read(cl.clock(n), cl.ids, ttl)
+	cl.collect(addr)
+	return cl.ids
+}
+
+func (cl *cluster) answered(id uint64) bool {
+	d, ok := cl.done[id]
+	return ok && d.Outcome == Answered
+}
+
+// view is the newest view that any running core knows.
+func (cl *cluster) view() *View {
+	newest := &View{}
+	for _, n := range cl.nodes {
+		if n.core != nil && n.core.reg.view.Epoch > newest.Epoch {
+			newest = n.core.reg.view
+		}
+	}
+	return newest
+}
+
+// complete tells whether the newest view has that many links and voters, and all links are active.
+func (cl *cluster) complete(links, voters int) bool {
+	v := cl.view()
+	if len(v.Chain) != links || len(v.Voters) != voters {
+		return false
+	}
+	for _, m := range v.Voters {
+		if n := cl.nodes[m.Addr]; n == nil || n.core == nil || n.core.reg.view.Epoch != v.Epoch || n.core.reg.next != nil {
+			return false
+		}
+	}
+	for _, id := range v.Chain {
+		m, _ := v.Voter(id)
+		if n := cl.nodes[m.Addr]; n.core.activeOn != v.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+func noted(zone string) controlstate.Change {
+	return controlstate.Change{Op: controlstate.OpEvacuate, Zone: zone}
+}
+
+func replacing(base int64, body string) controlstate.Change {
+	return controlstate.Change{Op: controlstate.OpReplace, Base: base, Body: []byte(body)}
+}
--- /dev/null
+++ b/internal/system/replication/core_keeper_test.go
@@ -0,0 +1,51 @@
+package replication
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+)
+
+// TestAKeeperWithoutADisk starts an observer beside three keepers: it needs no disk, and passes calls on.
+func TestAKeeperWithoutADisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		var all []*Keeper
+		for _, a := range f.seeds {
+			all = append(all, f.start(a, true))
+		}
+		opt := Options{Addr: "10.0.0.9", Zone: "z", Region: "r", Port: 1, Seeds: f.seeds, Bootstrap: true, MachineLosses: 1,
+			Transport: f.net, Log: &log.Logger{Handler: discard.New(), Level: log.InfoLevel}}
+		if _, err := Start(context.Background(), opt); !errors.Is(err, ErrNoDisk) {
+			t.Errorf("a keeper that votes started without a disk: %v", err)
+		}
+		opt.Observer = true
+		observer, err := Start(context.Background(), opt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.net.set(opt.Addr, observer.Handler())
+		time.Sleep(3 * time.Second) // of the bubble's clock
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		if a, err := observer.Submit(ctx, evacuate("a")); err != nil || a.Verdict.Kind != controlstate.Accept {
+			t.Fatal(a, err)
+		}
+		if s, err := observer.Read(ctx); err != nil || !s.Evacuated["a"] {
+			t.Fatal(s, err)
+		}
+		if v := observer.View(); len(v.Chain) != 3 || v.place(observer.Self().ID) >= 0 || !observer.Current() {
+			t.Errorf("the observer is current: %v, and knows %v", observer.Current(), v)
+		}
+		for _, k := range append(all, observer) {
+			k.Stop()
+		}
+	})
+}
--- /dev/null
+++ b/internal/system/replication/core_observer_test.go
@@ -0,0 +1,166 @@
+package replication
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+)
+
+// observed is a keeper's configuration at addr, one of those without a disk when it is in observers.
+func observed(addr string, seeds, observers []string) Config {
+	return Config{
+		Self: Member{Addr: addr, Zone: "z" + addr[len(addr)-1:], Region: "r"}, MachineLosses: 1, Seeds: seeds, Bootstrap: true,
+		Observer: slices.Contains(observers, addr),
+	}
+}
+
+func noObserverInViews(t *testing.T, cl *cluster) {
+	t.Helper()
+	for addr, n := range cl.nodes {
+		if n.core == nil {
+			continue
+		}
+		for _, m := range n.core.reg.view.Voters {
+			if cl.nodes[m.Addr].cfg.Observer {
+				t.Fatalf("%s holds a view in which the observer %s votes", addr, m.Addr)
+			}
+		}
+	}
+}
+
+// TestFirstViewWithSeedsThatAreObservers starts five keepers, of which the first three are seeds and 0 to 2 of these have
+// no disk. Danger: the seeds with a disk are no majority of the seeds, and no first view is formed.
+func TestFirstViewWithSeedsThatAreObservers(t *testing.T) {
+	addrs := []string{"k1", "k2", "k3", "k4", "k5"}
+	for observers := range 3 {
+		t.Run(fmt.Sprint(observers), func(t *testing.T) {
+			cl := newCluster(t)
+			for _, a := range addrs {
+				cl.start(observed(a, addrs[:3], addrs[:observers]))
+			}
+			took := cl.until(5*time.Second, "a view that bears a loss", func() bool {
+				noObserverInViews(t, cl)
+				return cl.complete(3, 3)
+			})
+			t.Logf("complete after %v", took)
+			for _, a := range addrs {
+				id := cl.submit(a, noted("zone of "+a), 2*time.Second)
+				cl.until(2*time.Second, "a change through "+a, func() bool { return cl.answered(id) })
+				id = cl.read(a, 2*time.Second)
+				cl.until(2*time.Second, "a read through "+a, func() bool { return cl.answered(id) })
+			}
+			cl.run(time.Second)
+			for _, a := range addrs {
+				if n := cl.nodes[a]; !n.core.Current(cl.clock(n)) || n.core.committed != cl.nodes["k4"].core.committed {
+					t.Errorf("%s: current %v, committed %d", a, n.core.Current(cl.clock(n)), n.core.committed)
+				}
+			}
+			noObserverInViews(t, cl)
+		})
+	}
+}
+
+// TestSeedsThatAreSilentAreNoObservers: only a seed that has said so is left out. Danger: one seed of three that hears
+// nobody forms a view alone, and the two others form one too.
+func TestSeedsThatAreSilentAreNoObservers(t *testing.T) {
+	seeds := []string{"k1", "k2", "k3"}
+	cl := newCluster(t)
+	cl.start(observed("k1", seeds, nil))
+	cl.start(observed("k2", seeds, []string{"k2"}))
+	cl.run(10 * time.Second)
+	if v := cl.view(); v.Epoch != 0 {
+		t.Fatalf("one of two seeds that may vote has formed %v", v)
+	}
+	cl.start(observed("k3", seeds, nil))
+	cl.until(5*time.Second, "a view by both", func() bool { return cl.complete(2, 2) })
+}
+
+// TestAnObserverNeverJoins keeps observers beside a chain that lacks a link. Danger: one without a disk is taken in.
+func TestAnObserverNeverJoins(t *testing.T) {
+	addrs := []string{"k1", "k2", "k3"}
+	cl := newCluster(t)
+	for _, a := range addrs {
+		cl.start(observed(a, addrs, nil))
+	}
+	cl.until(5*time.Second, "the first view", func() bool { return cl.complete(3, 3) })
+	for _, a := range []string{"o1", "o2"} {
+		cl.start(observed(a, addrs, []string{a}))
+	}
+	cl.run(2 * time.Second)
+	cl.nodes["k2"].core = nil
+	cl.until(5*time.Second, "a chain of two", func() bool { return len(cl.view().Chain) == 2 })
+	for range 100 {
+		cl.run(100 * time.Millisecond)
+		noObserverInViews(t, cl)
+	}
+	id := cl.submit("o1", noted("a"), time.Second)
+	cl.until(time.Second, "a change through an observer", func() bool { return cl.answered(id) })
+	// It is told of another head at once, not with its next heartbeat.
+	cl.start(observed("k2", addrs, nil))
+	cl.until(5*time.Second, "three links", func() bool { return cl.complete(3, 3) })
+	head, _ := cl.view().Voter(cl.view().Head())
+	cl.nodes[head.Addr].core = nil
+	id = cl.submit("o2", replacing(0, "b"), 3*time.Second)
+	took := cl.until(3*time.Second, "a change through an observer after the head is gone", func() bool { return cl.answered(id) })
+	t.Logf("%s was the head; the change took %v", head.Addr, took)
+	if took > 1500*time.Millisecond {
+		t.Errorf("an observer takes %v to find the next head", took)
+	}
+}
+
+// TestALaterKeeperKnowsObserversOnly starts a keeper whose seeds are all observers. Danger: it never learns of the others.
+func TestALaterKeeperKnowsObserversOnly(t *testing.T) {
+	addrs := []string{"k1", "k2", "k3"}
+	observers := []string{"o1", "o2", "o3"}
+	cl := newCluster(t)
+	for _, a := range addrs {
+		cl.start(observed(a, addrs, nil))
+	}
+	for _, a := range observers {
+		cl.start(observed(a, addrs, observers))
+	}
+	cl.until(5*time.Second, "the first view", func() bool { return cl.complete(3, 3) })
+	cl.run(time.Second)
+	cl.nodes["k3"].core = nil
+	cfg := observed("k4", observers, nil)
+	cfg.Bootstrap = false
+	cl.start(cfg)
+	took := cl.until(5*time.Second, "the newcomer is a link", func() bool {
+		return cl.complete(3, 3) && slices.Contains(cl.view().Chain, ID("k4"))
+	})
+	t.Logf("a link after %v", took)
+}
+
+// TestObserversAreCheap counts the heartbeats that three members and six observers exchange.
+func TestObserversAreCheap(t *testing.T) {
+	members := []string{"k1", "k2", "k3"}
+	observers := []string{"o1", "o2", "o3", "o4", "o5", "o6"}
+	seeds := []string{"k1", "o1", "o2"}
+	cl := newCluster(t)
+	for _, a := range slices.Concat(members, observers) {
+		cl.start(observed(a, seeds, observers))
+	}
+	cl.until(6*time.Second, "the first view", func() bool { return cl.complete(3, 3) })
+	cl.run(3 * time.Second)
+	isObserver := func(a string) bool { return slices.Contains(observers, a) }
+	count := map[string]int{}
+	cl.filter = func(from, to string, m *replicationpb.Message) bool {
+		if m.GetBeat() != nil {
+			count[fmt.Sprint(isObserver(from), isObserver(to))]++
+		}
+		return true
+	}
+	const seconds = 10
+	cl.run(seconds * time.Second)
+	perPair := func(from, to bool, pairs int) float64 {
+		return float64(count[fmt.Sprint(from, to)]) / seconds / float64(pairs)
+	}
+	t.Logf("heartbeats a second and pair: between members %.1f, observer to member %.1f, member to observer %.1f, between observers %.2f",
+		perPair(false, false, 6), perPair(true, false, 18), perPair(false, true, 18), perPair(true, true, 30))
+	if perPair(true, false, 18) > 2.5 || perPair(false, true, 18) > 2.5 || perPair(true, true, 30) > 0.5 {
+		t.Error("observers cost too many heartbeats")
+	}
+}
--- a/internal/system/replication/follow.go
+++ b/internal/system/replication/follow.go
@@ -73,8 +73,8 @@
 	c.matched, c.joined = max(c.matched, min(last, c.log.end())), true
 	if m.GetLearner() {
 		// What was under way while this process stood still says nothing of now.
-		if n := m.GetFollow(); n <= c.number && n+uint64(len(c.sentAt)) > c.number {
-			c.fed, c.fedAt = true, max(c.fedAt, c.sentAt[n%uint64(len(c.sentAt))])
+		if n := m.GetFollow(); n <= c.number && n+sentRing > c.number {
+			c.fed, c.fedAt = true, max(c.fedAt, c.sentAt[n%sentRing])
 		}
 		c.told = max(c.told, m.GetCommitted())
 		c.commitTo(min(c.told, c.matched, c.disk.end))
--- a/internal/system/replication/keeper.go
+++ b/internal/system/replication/keeper.go
@@ -25,6 +25,8 @@
 	ErrNotTaken = errors.New("replication: not taken: ask again")
 	// ErrStopped marks calls after Stop, and of a keeper that had to give up.
 	ErrStopped = errors.New("replication: this keeper has stopped: ask another")
+	// ErrNoDisk is given where a keeper that is no observer is started without a disk.
+	ErrNoDisk = errors.New("replication: a keeper that votes needs a disk: set data_dir, or start it as an observer")
 )
 
 const tickEvery = 25 * time.Millisecond
@@ -37,7 +39,8 @@
 	Bootstrap          bool              // this keeper may take part in forming it
 	MachineLosses      int               // disks that may be lost at once
 	Ack                time.Duration     // a change must be acknowledged within it; repair times are derived from it. 0: 5 s
-	Disk               wal.Disk          // used by this keeper alone until Stop has returned
+	Disk               wal.Disk          // used by this keeper alone until Stop has returned; nil for an observer
+	Observer           bool              // the machine has no disk: follows and passes calls on, never a voter nor a link
 	Transport          http.RoundTripper // nil: connections of its own
 	Log                log.Interface     // nil: the standard logger
 }
@@ -87,6 +90,12 @@
 
 // Start reads the disk and starts the keeper. It ends with ctx or Stop.
 func Start(ctx context.Context, opt Options) (*Keeper, error) {
+	if opt.Observer {
+		opt.Disk = noDisk{} // an identity that has voted before must not be taken up by one that cannot vote
+	}
+	if opt.Disk == nil {
+		return nil, ErrNoDisk
+	}
 	meta, snap, entries, err := opt.Disk.Load()
 	if err != nil {
 		return nil, errors.Wrap(err, "replication: the disk cannot be read: repair it, or empty the keeper's data directory")
@@ -103,7 +112,7 @@
 	}
 	cfg := Config{
 		Self:          Member{ID: ID(hex.EncodeToString(random[:16])), Addr: opt.Addr, Zone: opt.Zone, Region: opt.Region},
-		MachineLosses: opt.MachineLosses, Seeds: opt.Seeds, Bootstrap: opt.Bootstrap,
+		MachineLosses: opt.MachineLosses, Seeds: opt.Seeds, Bootstrap: opt.Bootstrap, Observer: opt.Observer,
 		Beat: min(100*time.Millisecond, opt.Ack/50), Suspect: min(700*time.Millisecond, opt.Ack*7/50),
 		SlowDisk: min(500*time.Millisecond, opt.Ack/10),
 		Life:     binary.BigEndian.Uint64(random[16:]) | 1, Seed: binary.BigEndian.Uint64(random[:8]),
--- /dev/null
+++ b/internal/system/replication/observer.go
@@ -0,0 +1,100 @@
+package replication
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+	"gradeusher.example/gradeusher/internal/system/wal"
+)
+
+// An observer is a keeper on a machine without a disk. It follows the chain as a learner, knows the view, and passes
+// changes to the head and reads to the tail. It is no voter, no link and no part of a quorum: what it would promise or
+// hold is gone when its process ends. Members send it heartbeats only in reply to its own, which are slower than theirs,
+// and observers that know each other exchange none, so that many observers cost the members little.
+
+const (
+	// observerSlowdown is how many times rarer an observer's heartbeats are than a member's.
+	observerSlowdown = 5
+
+	// How long a majority's word that the epoch is not passed counts, as parts of Config.Suspect.
+	currentNum, currentDen                 = 6, 7
+	observerCurrentNum, observerCurrentDen = 9, 7
+)
+
+// beatEvery is the time between two heartbeats of this keeper.
+func (c *Core) beatEvery() time.Duration {
+	if c.cfg.Observer {
+		return observerSlowdown * c.cfg.Beat
+	}
+	return c.cfg.Beat
+}
+
+// suspectAfter is the silence after which p counts as gone. Where either side is an observer, one heartbeat may be lost.
+func (c *Core) suspectAfter(p *peer) time.Duration {
+	if c.cfg.Observer || p.beat.GetObserver() {
+		return c.cfg.Suspect + observerSlowdown*c.cfg.Beat
+	}
+	return c.cfg.Suspect
+}
+
+// currentFor is how old a majority's word may be for this keeper to be current: what it then holds lacks nothing that
+// was acknowledged longer ago. It is below a second with the default times, for observers too.
+func (c *Core) currentFor() time.Duration {
+	if c.cfg.Observer {
+		return c.cfg.Suspect * observerCurrentNum / observerCurrentDen
+	}
+	return c.cfg.Suspect * currentNum / currentDen
+}
+
+// observerSeeds counts the seeds that have said that they are observers.
+func (c *Core) observerSeeds() int {
+	said := map[string]bool{}
+	if c.cfg.Observer {
+		said[c.reg.self.Addr] = true
+	}
+	for _, p := range c.peers {
+		if p.beat.GetObserver() {
+			said[p.member.Addr] = true
+		}
+	}
+	n := 0
+	for _, a := range slices.Compact(slices.Sorted(slices.Values(c.cfg.Seeds))) {
+		if said[a] {
+			n++
+		}
+	}
+	return n
+}
+
+// replyToObserver answers a heartbeat of an observer, which this keeper sends none by itself.
+func (c *Core) replyToObserver(from ID, b *replicationpb.Beat) {
+	if !b.GetObserver() || b.GetReply() {
+		return
+	}
+	reply := c.heartbeat()
+	reply.Reply = true
+	c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Beat{Beat: reply}})
+}
+
+// tellObservers sends them a chosen view, so that they need not wait for their next heartbeat.
+func (c *Core) tellObservers(v *View) {
+	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
+		if c.peers[id].beat.GetObserver() {
+			c.send(id, &replicationpb.Message{Body: &replicationpb.Message_Chosen{Chosen: &replicationpb.Chosen{View: viewPB(v)}}})
+		}
+	}
+}
+
+// noDisk stands in for the disk of an observer: nothing that it writes is ever read again.
+type noDisk struct{}
+
+func (noDisk) Load() (map[string][]byte, wal.Snapshot, []wal.Entry, error) {
+	return nil, wal.Snapshot{}, nil, nil
+}
+func (noDisk) Append([]wal.Entry) error      { return nil }
+func (noDisk) Truncate(uint64) error         { return nil }
+func (noDisk) Compact(wal.Snapshot) error    { return nil }
+func (noDisk) Install(wal.Snapshot) error    { return nil }
+func (noDisk) SaveMeta(string, []byte) error { return nil }
--- a/internal/system/replication/plan.go
+++ b/internal/system/replication/plan.go
@@ -68,13 +68,14 @@
 	if c.seedsAt < 0 {
 		c.seedsAt = c.now
 	}
-	if len(members) < len(c.cfg.Seeds) && c.now-c.seedsAt < formDelay {
+	if len(members)+c.observerSeeds() < len(c.cfg.Seeds) && c.now-c.seedsAt < formDelay {
 		return nil, 0
 	}
 	slices.SortFunc(members, func(a, b Member) int {
 		return cmp.Or(cmp.Compare(slices.Index(c.cfg.Seeds, a.Addr), slices.Index(c.cfg.Seeds, b.Addr)), cmp.Compare(a.ID, b.ID))
 	})
 	members = slices.CompactFunc(members, func(a, b Member) bool { return a.Addr == b.Addr })
+	members = c.addFounders(members)
 	rank := slices.IndexFunc(members, func(m Member) bool { return m.ID == c.reg.self.ID })
 	links := slices.Clone(members[:min(len(members), maxLinks)])
 	heads := c.fullest(members)
@@ -89,6 +90,19 @@
 	return v, max(rank, 0)
 }
 
+// addFounders fills up the voters of the first view with keepers that are no seeds. The view is chosen by a majority of
+// the seeds, and of its own voters as any other.
+func (c *Core) addFounders(members []Member) []Member {
+	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
+		p := c.peers[id]
+		known := slices.ContainsFunc(members, func(m Member) bool { return m.Addr == p.member.Addr })
+		if !known && len(members) < c.cfg.voters() && p.beat.GetBootstrap() && p.beat.GetEpoch() == 0 && c.good(id) {
+			members = append(members, p.member)
+		}
+	}
+	return members
+}
+
 func (c *Core) reachable(voters []Member) bool {
 	n := 0
 	for _, m := range voters {
--- a/internal/system/replication/types.go
+++ b/internal/system/replication/types.go
@@ -95,6 +95,7 @@
 	MachineLosses int      // disks that may be lost at once without losing an acknowledged change
 	Seeds         []string // IP addresses of the keepers that form the first view
 	Bootstrap     bool     // may take part in forming the first view
+	Observer      bool     // has no disk: follows and passes calls on, and is never a voter nor a link
 	Beat          time.Duration
 	Suspect       time.Duration // silence after which a keeper counts as gone
 	SlowDisk      time.Duration // longest disk operation of a healthy disk
@@ -124,6 +125,9 @@
 }
 
 func (c *Config) defaults() {
+	if c.Observer {
+		c.Bootstrap = false
+	}
 	if c.Beat <= 0 {
 		c.Beat = 100 * time.Millisecond
 	}
