wal: a checksummed unit of a segment is a record, its digest a checksum

The log's unit was called frame and its checksum digest; etcd's log and the literature say record and checksum. An Entry stays what the caller numbers; a record holds the entries of one Append, or one Truncate. Names alone, no other change.

--- a/internal/system/wal/disk.go
+++ b/internal/system/wal/disk.go
@@ -2,14 +2,14 @@
 // few named pieces of metadata. It does not know what the records mean.
 package wal
 
-// Entry is one opaque record of the log on disk. Sequence numbers run without
+// Entry is one opaque entry of the log. Sequence numbers run without
 // gaps.
 type Entry struct {
 	Seq  uint64
 	Data []byte
 }
 
-// Snapshot is an opaque image of all records up to and including Seq.
+// Snapshot is an opaque image of all entries up to and including Seq.
 type Snapshot struct {
 	Seq  uint64
 	Data []byte
--- a/internal/system/wal/load.go
+++ b/internal/system/wal/load.go
@@ -23,7 +23,7 @@
 	for _, name := range names {
 		kind, rest, _ := strings.Cut(name, "-")
 		switch {
-		case strings.HasSuffix(name, asideSuffix):
+		case strings.HasSuffix(name, temporarySuffix):
 			f.aside = append(f.aside, name)
 		case name == reserveName:
 			f.reserve = true
@@ -157,7 +157,7 @@
 		if err != nil {
 			return nil, err
 		}
-		fields, data, ok := unsealed(b, metaMagic, 1)
+		fields, data, ok := decodeFile(b, metaMagic, 1)
 		if !ok || fields[0] != newest {
 			return nil, damaged("metadata %q is not what was written", name)
 		}
@@ -181,7 +181,7 @@
 	if err != nil {
 		return Snapshot{}, err
 	}
-	fields, data, ok := unsealed(b, snapshotMagic, 3)
+	fields, data, ok := decodeFile(b, snapshotMagic, 3)
 	if !ok || fields[0] != newest {
 		return Snapshot{}, damaged("snapshot %d is not what was written", newest)
 	}
@@ -251,21 +251,21 @@
 	}
 	end := int64(headerSize)
 	for end < int64(len(b)) {
-		payload := readFrame(b, nonce, end)
+		payload := readRecord(b, nonce, end)
 		if payload == nil {
 			break
 		}
 		if !r.take(payload, number) {
-			return damaged("segment %d has a frame at %d that does not follow", number, end)
+			return damaged("segment %d has a record at %d that does not follow", number, end)
 		}
-		end += frameSize + int64(len(payload))
+		end += recordHeaderSize + int64(len(payload))
 	}
 	if end < int64(len(b)) {
-		if !newest || frameBehind(b, nonce, end) {
+		if !newest || recordBehind(b, nonce, end) {
 			return damaged("segment %d is damaged at %d", number, end)
 		}
 		if err := f.Truncate(end); err != nil {
-			return diskError(err, "cut off a torn frame")
+			return diskError(err, "cut off a torn record")
 		}
 	}
 	l.segments = append(l.segments, segment{number, end})
@@ -276,18 +276,18 @@
 	return nil
 }
 
-// replay is what the frames read so far add up to.
+// replay is what the records read so far add up to.
 type replay struct {
 	entries []Entry
 	batches []batch
 	next    uint64 // number of the next entry; 0: any
 }
 
-// take does what a frame says; false where it cannot follow the ones before it.
+// take does what a record says; false where it cannot follow the ones before it.
 func (r *replay) take(payload []byte, segment uint64) bool {
 	d := reader{b: payload}
 	switch d.byte() {
-	case frameAppend:
+	case kindAppend:
 		first, count := d.uvarint(), d.uvarint()
 		if d.bad || first == 0 || count == 0 || r.next != 0 && first != r.next {
 			return false
@@ -301,7 +301,7 @@
 		}
 		r.next = first + count
 		r.batches = append(r.batches, batch{first, r.next - 1, segment})
-	case frameTruncate:
+	case kindTruncate:
 		after := d.uvarint()
 		if d.bad {
 			return false
@@ -343,7 +343,7 @@
 	}
 	for _, name := range names {
 		kind, _, _ := strings.Cut(name, "-")
-		if kind != "log" && kind != "snap" && kind != "meta" && !strings.HasSuffix(name, asideSuffix) {
+		if kind != "log" && kind != "snap" && kind != "meta" && !strings.HasSuffix(name, temporarySuffix) {
 			continue
 		}
 		if err := fs.Remove(l.path(name)); err != nil && !errors.Is(err, os.ErrNotExist) {
--- a/internal/system/wal/log.go
+++ b/internal/system/wal/log.go
@@ -19,9 +19,9 @@
 	Nonce        func() uint64 // default: random
 }
 
-// Log is a Disk in one folder: segments of frames, each written at the end and synced; a snapshot below them; metadata.
+// Log is a Disk in one folder: segments of records, each written at the end and synced; a snapshot below them; metadata.
 // Snapshot and metadata are files written aside, synced, renamed and made durable by a sync of the folder. A truncation is
-// a frame of its own, so the log only ever grows at its end, and a crash leaves a prefix of what was done. Its errors are of
+// a record of its own, so the log only ever grows at its end, and a crash leaves a prefix of what was done. Its errors are of
 // kind ErrFull, ErrDamaged and ErrUse, or the file system's. A Log is used by one goroutine at a time.
 type Log struct {
 	folder string
@@ -47,7 +47,7 @@
 	reserved bool                // the reserve is on disk
 }
 
-// batch is what one frame appended, as far as it is live.
+// batch is what one record appended, as far as it is live.
 type batch struct{ first, last, segment uint64 }
 
 type segment struct {
@@ -61,9 +61,9 @@
 var _ Disk = (*Log)(nil)
 
 const (
-	reserveName = "reserve"
-	wipeName    = "wipe" // while it is there, everything else is to go
-	asideSuffix = ".tmp"
+	reserveName     = "reserve"
+	wipeName        = "wipe" // while it is there, everything else is to go
+	temporarySuffix = ".tmp"
 )
 
 // Open returns the log in folder, which is made if it is not there. Load must come first.
@@ -146,7 +146,7 @@
 	}
 	if l.torn {
 		if err := l.active.Truncate(l.segments[len(l.segments)-1].bytes); err != nil {
-			return diskError(err, "cut off a torn frame")
+			return diskError(err, "cut off a torn record")
 		}
 		if err := l.active.Sync(); err != nil {
 			return diskError(err, "sync a segment")
@@ -164,11 +164,11 @@
 	if err := follows(l.last, entries); err != nil || len(entries) == 0 {
 		return err
 	}
-	frame := appendFrame(entries)
-	if l.Bytes()+int64(len(frame)) > l.o.MaxBytes {
+	record := appendRecord(entries)
+	if l.Bytes()+int64(len(record)) > l.o.MaxBytes {
 		return errors.Mark(errors.Newf("the log would be larger than %d bytes: compact it", l.o.MaxBytes), ErrFull)
 	}
-	if err := l.write(frame); err != nil {
+	if err := l.write(record); err != nil {
 		return err
 	}
 	l.last = entries[len(entries)-1].Seq
@@ -184,7 +184,7 @@
 	if err := mayCut(l.snapshot, after); err != nil || after >= l.last {
 		return err
 	}
-	err := l.withReserve(func() error { return l.write(truncateFrame(after)) })
+	err := l.withReserve(func() error { return l.write(truncateRecord(after)) })
 	if err != nil {
 		return err
 	}
@@ -203,8 +203,8 @@
 	return batches
 }
 
-// write puts a frame at the end of the log, and syncs it.
-func (l *Log) write(frame []byte) error {
+// write puts a record at the end of the log, and syncs it.
+func (l *Log) write(record []byte) error {
 	if n := len(l.segments); l.active != nil && l.segments[n-1].bytes >= l.o.SegmentBytes {
 		if err := l.closeSegment(); err != nil {
 			return err
@@ -216,9 +216,9 @@
 		}
 	}
 	s := &l.segments[len(l.segments)-1]
-	finishFrame(frame, l.nonce, s.bytes)
+	finishRecord(record, l.nonce, s.bytes)
 	l.torn = true // until it is whole
-	_, err := l.active.WriteAt(frame, s.bytes)
+	_, err := l.active.WriteAt(record, s.bytes)
 	if err == nil {
 		err = l.active.Sync()
 	}
@@ -227,11 +227,11 @@
 		return diskError(err, "write to a segment")
 	}
 	l.torn = false
-	s.bytes += int64(len(frame))
+	s.bytes += int64(len(record))
 	return nil
 }
 
-// createSegment makes the next segment. Its header is synced before the first frame, so a segment with a bad header never holds
+// createSegment makes the next segment. Its header is synced before the first record, so a segment with a bad header never holds
 // one. After a failure the same number is used again.
 func (l *Log) createSegment() error {
 	name := l.path(segmentName(l.number))
--- a/internal/system/wal/log_test.go
+++ b/internal/system/wal/log_test.go
@@ -192,7 +192,7 @@
 	return fs, views
 }
 
-// TestDamage changes each byte of each file: either the damage is seen, or the last frame is gone, as if torn.
+// TestDamage changes each byte of each file: either the damage is seen, or the last record is gone, as if torn.
 func TestDamage(t *testing.T) {
 	steps := []step{{"meta", 1, 1}, {"append", 4, 0}, {"compact", 2, 0}, {"append", 3, 0}, {"truncate", 5, 0}, {"append", 2, 1}, {"append", 1, 2}}
 	for _, segmentBytes := range []int64{1, 100, 250, 1 << 20} {
@@ -225,7 +225,7 @@
 				}
 			}
 		}
-		if seen < 200 || torn < frameSize || torn > 80 || other > 0 {
+		if seen < 200 || torn < recordHeaderSize || torn > 80 || other > 0 {
 			t.Errorf("segments of %d: seen %d times, taken for torn %d, passed over %d", segmentBytes, seen, torn, other)
 		}
 	}
@@ -259,8 +259,8 @@
 	}
 }
 
-// TestStaleFrame puts a whole frame of an earlier log behind the end, as blocks that were used before may.
-func TestStaleFrame(t *testing.T) {
+// TestStaleRecord puts a whole record of an earlier log behind the end, as blocks that were used before may.
+func TestStaleRecord(t *testing.T) {
 	old, err := runHistory([]step{{"append", 1, 0}, {"append", 1, 0}}, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -275,7 +275,7 @@
 	if v, err := look(s.log); err != nil || s.allows(v) != nil {
 		t.Errorf("%v, %v", v, err)
 	}
-	// The same frame once more, in the same segment.
+	// The same record once more, in the same segment.
 	n.content = append(slices.Clone(n.content), n.content[headerSize:]...)
 	if v, err := look(s.log); err != nil || s.allows(v) != nil {
 		t.Errorf("%v, %v", v, err)
--- /dev/null
+++ b/internal/system/wal/record.go
@@ -0,0 +1,137 @@
+package wal
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A segment is a header (magic, number, nonce, checksum) and records (magic, length, checksum, payload), one a call of Append
+// or Truncate, so that one sync never covers two records and a torn record is always the last. A record's checksum covers the
+// segment's nonce and its offset: what an earlier use of the block left there is never taken for a record.
+const (
+	headerSize       = 32
+	recordHeaderSize = 16 // before the payload
+
+	kindAppend   = 1 // payload: first number, count, then each entry's length and data
+	kindTruncate = 2 // payload: the number after which entries are dropped
+)
+
+var (
+	segmentMagic  = []byte("GRDSEG01")
+	recordMagic   = []byte("wrec")
+	snapshotMagic = []byte("GRDSNP01")
+	metaMagic     = []byte("GRDMET01")
+)
+
+func segmentHeader(number, nonce uint64) []byte {
+	b := append(make([]byte, 0, headerSize), segmentMagic...)
+	b = binary.LittleEndian.AppendUint64(b, number)
+	b = binary.LittleEndian.AppendUint64(b, nonce)
+	return binary.LittleEndian.AppendUint64(b, xxhash.Sum64(b))
+}
+
+// readHeader returns the nonce of a segment.
+func readHeader(b []byte, number uint64) (nonce uint64, ok bool) {
+	if len(b) < headerSize {
+		return 0, false
+	}
+	nonce = binary.LittleEndian.Uint64(b[16:])
+	return nonce, bytes.Equal(b[:headerSize], segmentHeader(number, nonce))
+}
+
+func recordChecksum(nonce uint64, offset int64, payload []byte) uint64 {
+	var head [24]byte
+	binary.LittleEndian.PutUint64(head[0:], nonce)
+	binary.LittleEndian.PutUint64(head[8:], uint64(offset))
+	binary.LittleEndian.PutUint64(head[16:], uint64(len(payload)))
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(head[:])
+	_, _ = d.Write(payload)
+	return d.Sum64()
+}
+
+// finishRecord fills in the head of a record for offset; b is room for the head and the payload.
+func finishRecord(b []byte, nonce uint64, offset int64) []byte {
+	copy(b, recordMagic)
+	binary.LittleEndian.PutUint32(b[4:], uint32(len(b)-recordHeaderSize))
+	binary.LittleEndian.PutUint64(b[8:], recordChecksum(nonce, offset, b[recordHeaderSize:]))
+	return b
+}
+
+func appendRecord(entries []Entry) []byte {
+	size := recordHeaderSize + 2*binary.MaxVarintLen64 + 1
+	for _, e := range entries {
+		size += binary.MaxVarintLen32 + len(e.Data)
+	}
+	b := append(make([]byte, recordHeaderSize, size), kindAppend)
+	b = binary.AppendUvarint(b, entries[0].Seq)
+	b = binary.AppendUvarint(b, uint64(len(entries)))
+	for _, e := range entries {
+		b = appendBytes(b, e.Data)
+	}
+	return b
+}
+
+func truncateRecord(after uint64) []byte {
+	return binary.AppendUvarint(append(make([]byte, recordHeaderSize, recordHeaderSize+16), kindTruncate), after)
+}
+
+// readRecord returns the payload of the record at offset of a segment, nil where there is no whole one.
+func readRecord(segment []byte, nonce uint64, offset int64) []byte {
+	b := segment[offset:]
+	if len(b) <= recordHeaderSize || !bytes.HasPrefix(b, recordMagic) {
+		return nil
+	}
+	n := int64(binary.LittleEndian.Uint32(b[4:]))
+	if n == 0 || n > int64(len(b)-recordHeaderSize) {
+		return nil
+	}
+	payload := b[recordHeaderSize : recordHeaderSize+n]
+	if recordChecksum(nonce, offset, payload) != binary.LittleEndian.Uint64(b[8:]) {
+		return nil
+	}
+	return payload
+}
+
+// recordBehind tells whether a whole record begins behind offset.
+func recordBehind(segment []byte, nonce uint64, offset int64) bool {
+	for at := offset + 1; at < int64(len(segment)); at++ {
+		i := bytes.Index(segment[at:], recordMagic)
+		if i < 0 {
+			return false
+		}
+		if at += int64(i); readRecord(segment, nonce, at) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// encodeFile wraps what a snapshot or a piece of metadata holds.
+func encodeFile(magic []byte, fields []uint64, data []byte) []byte {
+	b := append(make([]byte, 0, len(magic)+8*len(fields)+len(data)+16), magic...)
+	for _, f := range fields {
+		b = binary.LittleEndian.AppendUint64(b, f)
+	}
+	b = binary.LittleEndian.AppendUint64(b, uint64(len(data)))
+	b = append(b, data...)
+	return binary.LittleEndian.AppendUint64(b, xxhash.Sum64(b))
+}
+
+// decodeFile returns the fields and the data of what encodeFile made; data shares the memory of b.
+func decodeFile(b, magic []byte, fields int) ([]uint64, []byte, bool) {
+	head := len(magic) + 8*fields + 8
+	if len(b) < head+8 || !bytes.HasPrefix(b, magic) ||
+		xxhash.Sum64(b[:len(b)-8]) != binary.LittleEndian.Uint64(b[len(b)-8:]) {
+		return nil, nil, false
+	}
+	all := make([]uint64, fields)
+	for i := range all {
+		all[i] = binary.LittleEndian.Uint64(b[len(magic)+8*i:])
+	}
+	data := b[head : len(b)-8]
+	return all, data, binary.LittleEndian.Uint64(b[head-8:]) == uint64(len(data))
+}
--- a/internal/system/wal/snapshot.go
+++ b/internal/system/wal/snapshot.go
@@ -59,7 +59,7 @@
 func (l *Log) saveSnapshot(s Snapshot, first uint64) error {
 	l.generation++
 	name := snapshotName(l.generation)
-	content := sealed(snapshotMagic, []uint64{l.generation, s.Seq, first}, s.Data)
+	content := encodeFile(snapshotMagic, []uint64{l.generation, s.Seq, first}, s.Data)
 	renamed, err := l.replace(name, content)
 	if err != nil {
 		if renamed {
@@ -92,7 +92,7 @@
 	m := l.meta[name]
 	err := l.withReserve(func() error {
 		m.tried++ // never used twice: a failed one may be there
-		_, err := l.replace(metaName(name, m.tried), sealed(metaMagic, []uint64{m.tried}, data))
+		_, err := l.replace(metaName(name, m.tried), encodeFile(metaMagic, []uint64{m.tried}, data))
 		if err != nil {
 			l.garbage = append(l.garbage, metaName(name, m.tried))
 		}
@@ -112,7 +112,7 @@
 // replace writes a file aside, syncs it, gives it its name and makes that durable. renamed tells whether the name may be
 // there in spite of an error.
 func (l *Log) replace(name string, content []byte) (renamed bool, err error) {
-	aside := l.path(name + asideSuffix)
+	aside := l.path(name + temporarySuffix)
 	f, err := l.o.FS.Create(aside)
 	if err != nil {
 		return false, diskError(err, "make "+name)
