replication: rename to the field's terms (heartbeat, pending change, outbox, readFloor and others)

Need: beat, order, barren, whole, vague, told, meet, cut, headless, quiet, floor, letter and mailbox have to be explained. Change: pure renames: Heartbeat, pendingChange, cannotHaveAcknowledged, complete, uncertain, upstreamCommitted, alignView, truncateLog, noHeadSince, graceUntil, readFloor, startWrite, longestLogs, yieldsRestoredLog, outbox, queuedMessage. The test files follow where they use them.

--- a/internal/system/replication/agree.go
+++ b/internal/system/replication/agree.go
@@ -65,7 +65,7 @@
 		c.prop = nil
 		c.retreat()
 	}
-	if c.prop != nil || c.now < c.quiet || c.now < c.backoff || !c.ready || c.disk.bad || c.err != nil || !c.isVoter(c.reg.view) {
+	if c.prop != nil || c.now < c.graceUntil || c.now < c.backoff || !c.ready || c.disk.bad || c.err != nil || !c.isVoter(c.reg.view) {
 		return
 	}
 	if c.now-c.plannedAt < planEvery {
@@ -126,7 +126,7 @@
 	sent := map[ID]bool{c.reg.self.ID: true}
 	if v.Epoch == 0 {
 		for _, p := range c.peers {
-			if slices.Contains(c.cfg.Seeds, p.member.Addr) && p.beat.GetBootstrap() {
+			if slices.Contains(c.cfg.Seeds, p.member.Addr) && p.heartbeat.GetBootstrap() {
 				sent[p.member.ID] = false
 			}
 		}
@@ -165,8 +165,8 @@
 	return ids
 }
 
-// meet brings this keeper to the view that a proposer builds on; false when it is at another one.
-func (c *Core) meet(from ID, cur *View) bool {
+// alignView brings this keeper to the view that a proposer builds on; false when it is at another one.
+func (c *Core) alignView(from ID, cur *View) bool {
 	if cur == nil {
 		return false
 	}
@@ -187,7 +187,7 @@
 }
 
 func (c *Core) onPrepare(from ID, m *replicationpb.Prepare) {
-	if !c.meet(from, viewOf(m.GetCurrent())) || !c.isVoter(c.reg.view) {
+	if !c.alignView(from, viewOf(m.GetCurrent())) || !c.isVoter(c.reg.view) {
 		return
 	}
 	b := ballotOf(m.GetBallot())
@@ -244,7 +244,7 @@
 
 func (c *Core) onAccept(from ID, m *replicationpb.Accept) {
 	value := viewOf(m.GetView())
-	if value == nil || !c.meet(from, viewOf(m.GetCurrent())) || value.Epoch != c.reg.view.Epoch+1 {
+	if value == nil || !c.alignView(from, viewOf(m.GetCurrent())) || value.Epoch != c.reg.view.Epoch+1 {
 		return
 	}
 	if !c.isVoter(c.reg.view) && !c.isVoter(value) {
@@ -298,21 +298,21 @@
 
 // adopt makes a chosen view this keeper's own.
 func (c *Core) adopt(v *View) {
-	if v == nil || v.Epoch <= c.reg.view.Epoch || c.givesWay(v) {
+	if v == nil || v.Epoch <= c.reg.view.Epoch || c.yieldsRestoredLog(v) {
 		return
 	}
 	self := c.reg.self.ID
 	c.reg.view, c.reg.promised, c.reg.accepted, c.reg.next = v, ballot{}, ballot{}, nil
-	c.entered, c.seenRound, c.wantAt, c.headless = false, 0, -1, -1
+	c.entered, c.seenRound, c.wantAt, c.noHeadSince = false, 0, -1, -1
 	c.prop = nil
-	c.matched, c.told, c.fed, c.joined, c.floor, c.start = 0, 0, false, false, 0, 0
+	c.matched, c.upstreamCommitted, c.fed, c.joined, c.readFloor, c.start = 0, 0, false, false, 0, 0
 	c.down = map[ID]*progress{}
 	c.ahead = nil
 	// The head must hold all that was acknowledged, see mayLead.
 	if v.Head() == self && (c.reg.active >= v.base || c.cfg.hooks.anyHead) {
 		c.reg.active = v.Epoch
 	}
-	c.loseOrders()
+	c.abandonChanges()
 	c.persist(func() {
 		if c.reg.view != v {
 			return
@@ -322,7 +322,7 @@
 			c.fail(err)
 		}
 		if c.cfg.Observer {
-			c.beat() // its next heartbeat is far off, and calls wait for word of the new head
+			c.sendHeartbeats() // its next heartbeat is far off, and calls wait for word of the new head
 		}
 	})
 }
--- a/internal/system/replication/chain.go
+++ b/internal/system/replication/chain.go
@@ -23,17 +23,17 @@
 
 // progress is how far a downstream keeper has come: the next link, or a learner.
 type progress struct {
-	learner bool
-	follow  uint64 // number of a learner's last call
-	known   bool   // match is
-	match   uint64 // on its disk, the same as here
-	next    uint64
-	sentAt  time.Duration
-	movedAt time.Duration
-	seenAt  time.Duration
-	active  bool
-	whole   bool // it and all links after it are active
-	lagging bool
+	learner  bool
+	follow   uint64 // number of a learner's last call
+	known    bool   // match is
+	match    uint64 // on its disk, the same as here
+	next     uint64
+	sentAt   time.Duration
+	movedAt  time.Duration
+	seenAt   time.Duration
+	active   bool
+	complete bool // it and all links after it are active
+	lagging  bool
 }
 
 // next is the link after this one, empty at the tail and outside the chain.
@@ -70,7 +70,7 @@
 	}
 	if c.isHead() {
 		// What is on disk is enough: nothing beyond it was handed on.
-		c.start, c.floor = c.disk.end, max(c.floor, c.disk.end)
+		c.start, c.readFloor = c.disk.end, max(c.readFloor, c.disk.end)
 		c.ahead = nil
 		for seq := c.committed + 1; seq <= c.log.end(); seq++ {
 			s, err := c.spec().Apply(c.log.at(seq).rec)
@@ -96,7 +96,7 @@
 			c.push(id)
 		}
 	} else if c.fed {
-		c.commitTo(min(c.told, c.matched, c.disk.end))
+		c.commitTo(min(c.upstreamCommitted, c.matched, c.disk.end))
 	}
 	c.ack()
 }
@@ -138,7 +138,7 @@
 	}
 	c.ackedAt = 0
 	c.ack()
-	c.completeOrders()
+	c.completeChanges()
 	c.completeReads()
 	for _, id := range slices.Sorted(maps.Keys(c.down)) {
 		if c.down[id].learner {
@@ -155,17 +155,17 @@
 	}
 	c.ackedAt = c.now
 	c.send(prev, &replicationpb.Message{Body: &replicationpb.Message_Ack{Ack: &replicationpb.Ack{
-		Epoch: c.reg.view.Epoch, Matched: c.durable(), Committed: c.committed, Active: c.isActive(), Whole: c.whole(),
+		Epoch: c.reg.view.Epoch, Matched: c.durable(), Committed: c.committed, Active: c.isActive(), Complete: c.complete(),
 	}}})
 }
 
-// whole tells whether this link and all after it are active, so that no log of an old epoch is left among them.
-func (c *Core) whole() bool {
+// complete tells whether this link and all after it are active, so that no log of an old epoch is left among them.
+func (c *Core) complete() bool {
 	if !c.isActive() || c.isTail() {
 		return c.isActive()
 	}
 	p := c.down[c.next()]
-	return p != nil && p.whole
+	return p != nil && p.complete
 }
 
 // feeds tells whether this link may hand on: it takes part, and knows since its start how far its log is the chain's.
@@ -264,10 +264,10 @@
 		return
 	}
 	if m.GetActive() {
-		if m.GetWhole() && !p.whole {
-			p.whole = true
+		if m.GetComplete() && !p.complete {
+			p.complete = true
 			c.ack()
-			c.completeOrders()
+			c.completeChanges()
 		}
 		if !p.active {
 			p.active, p.movedAt = true, c.now
--- a/internal/system/replication/control_test.go
+++ b/internal/system/replication/control_test.go
@@ -21,8 +21,8 @@
 	"a chain that is too short acknowledges":        {hooks{shortChain: true}, 114},
 	"a judgement is given before it is committed":   {hooks{hastyVerdict: true}, 2},
 	"phase one's finds are not taken over":          {hooks{ignoreAccepted: true}, 3},
-	"a change that comes twice is not recognised":   {hooks{duplicateOrder: true}, 5},
-	"epochs count as empty that are not sealed":     {hooks{presumeBarren: true}, 1480},
+	"a change that comes twice is not recognised":   {hooks{duplicateChange: true}, 5},
+	"epochs count as empty that are not sealed":     {hooks{presumeUnacknowledged: true}, 1480},
 	"a tail that has just started answers reads":    {hooks{noFloor: true}, 5},
 	"the past is passed on":                         {hooks{alwaysCurrent: true}, 35},
 }
--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -45,39 +45,39 @@
 	sealedOn uint64
 	epochOn  uint64
 
-	log       memLog
-	state     State // after committed
-	committed uint64
-	matched   uint64 // up to here the log is known to be the one upstream, in this epoch
-	told      uint64 // committed according to upstream (learners)
-	fedAt     time.Duration
-	fed       bool
-	joined    bool    // an append of the link before has matched, in this epoch and life
-	floor     uint64  // no read below: may be acknowledged
-	start     uint64  // where the log of the head ended when it entered the epoch
-	ahead     []State // the head's: after each record above committed
-	down      map[ID]*progress
-	ackedAt   time.Duration
-	disk      storage
+	log               memLog
+	state             State // after committed
+	committed         uint64
+	matched           uint64 // up to here the log is known to be the one upstream, in this epoch
+	upstreamCommitted uint64 // committed according to upstream (learners)
+	fedAt             time.Duration
+	fed               bool
+	joined            bool    // an append of the link before has matched, in this epoch and life
+	readFloor         uint64  // no read below: may be acknowledged
+	start             uint64  // where the log of the head ended when it entered the epoch
+	ahead             []State // the head's: after each record above committed
+	down              map[ID]*progress
+	ackedAt           time.Duration
+	disk              storage
 
-	peers   map[ID]*peer
-	number  uint64 // of the last beat sent
-	sentAt  [sentRing]time.Duration
-	beatAt  time.Duration
-	quiet   time.Duration // until then silence says nothing
-	leaving bool
+	peers       map[ID]*peer
+	number      uint64 // of the last heartbeat sent
+	sentAt      [sentRing]time.Duration
+	heartbeatAt time.Duration
+	graceUntil  time.Duration // until then silence says nothing
+	leaving     bool
 
-	prop      *proposal
-	wantAt    time.Duration // when a change of the view was first wanted; negative: none is
-	backoff   time.Duration
-	plannedAt time.Duration
-	seenRound uint64
-	headless  time.Duration // when it was first seen that no link may lead; negative: one may
-	seedsAt   time.Duration // when a majority of the seeds was first known; negative: never
+	prop        *proposal
+	wantAt      time.Duration // when a change of the view was first wanted; negative: none is
+	backoff     time.Duration
+	plannedAt   time.Duration
+	seenRound   uint64
+	noHeadSince time.Duration // when it was first seen that no link may lead; negative: one may
+	seedsAt     time.Duration // when a majority of the seeds was first known; negative: never
 
 	submits map[uint64]*submit // asked here
-	orders  map[orderKey]*order
-	pending []*order // in the head's log, not yet committed, by number
+	changes map[changeKey]*pendingChange
+	pending []*pendingChange // in the head's log, not yet committed, by number
 	reads   map[uint64]*read
 	keys    uint64 // last key of a submit
 	round   confirmRound
@@ -88,9 +88,9 @@
 	cfg.defaults()
 	c := &Core{
 		cfg: cfg, machine: machine, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Life)), //nolint:gosec // jitter
-		state: machine.Empty(), wantAt: -1, seedsAt: -1, headless: -1, beatAt: -cfg.Beat,
+		state: machine.Empty(), wantAt: -1, seedsAt: -1, noHeadSince: -1, heartbeatAt: -cfg.Heartbeat,
 		down: map[ID]*progress{}, peers: map[ID]*peer{}, submits: map[uint64]*submit{},
-		orders: map[orderKey]*order{}, reads: map[uint64]*read{},
+		changes: map[changeKey]*pendingChange{}, reads: map[uint64]*read{},
 	}
 	if data, ok := meta[metaRegister]; ok {
 		var p replicationpb.Register
@@ -111,8 +111,8 @@
 	c.activeOn, c.sealedOn, c.epochOn = c.reg.active, c.reg.sealed, c.reg.view.Epoch
 	c.entered = c.reg.view.Epoch > 0
 	// An active link's log goes beyond where the head's ended when the epoch began.
-	c.floor, c.start = c.log.end(), c.log.end()
-	c.quiet = cfg.Suspect + cfg.Beat
+	c.readFloor, c.start = c.log.end(), c.log.end()
+	c.graceUntil = cfg.Suspect + cfg.Heartbeat
 	if !c.ready {
 		c.persist(func() { c.ready = true })
 	}
@@ -179,7 +179,7 @@
 func (c *Core) Leave(now time.Duration) {
 	c.now = max(c.now, now)
 	c.leaving = true
-	c.beat()
+	c.sendHeartbeats()
 	c.settle()
 }
 
@@ -197,12 +197,12 @@
 func (c *Core) Tick(now time.Duration) {
 	if now-c.now > c.cfg.Suspect/2 {
 		// The process stood still: what others sent meanwhile has yet to be read.
-		c.quiet = now + c.cfg.Suspect
+		c.graceUntil = now + c.cfg.Suspect
 	}
 	c.now = max(c.now, now)
 	c.watchDisk()
-	if c.now-c.beatAt >= c.beatEvery() {
-		c.beat()
+	if c.now-c.heartbeatAt >= c.heartbeatInterval() {
+		c.sendHeartbeats()
 	}
 	c.tickChain()
 	c.tickSubmits()
@@ -229,7 +229,7 @@
 		c.handle(m)
 	}
 	if c.err == nil {
-		c.pump()
+		c.startWrite()
 	}
 	if !c.ready || c.err != nil {
 		c.out.Messages = nil
@@ -239,8 +239,8 @@
 func (c *Core) handle(m *replicationpb.Message) {
 	from := ID(m.GetFrom())
 	switch b := m.GetBody().(type) {
-	case *replicationpb.Message_Beat:
-		c.onBeat(from, b.Beat)
+	case *replicationpb.Message_Heartbeat:
+		c.onHeartbeat(from, b.Heartbeat)
 	case *replicationpb.Message_Prepare:
 		c.onPrepare(from, b.Prepare)
 	case *replicationpb.Message_Promise:
--- a/internal/system/replication/core_observer_test.go
+++ b/internal/system/replication/core_observer_test.go
@@ -148,7 +148,7 @@
 	isObserver := func(a string) bool { return slices.Contains(observers, a) }
 	count := map[string]int{}
 	cl.filter = func(from, to string, m *replicationpb.Message) bool {
-		if m.GetBeat() != nil {
+		if m.GetHeartbeat() != nil {
 			count[fmt.Sprint(isObserver(from), isObserver(to))]++
 		}
 		return true
--- a/internal/system/replication/disk.go
+++ b/internal/system/replication/disk.go
@@ -93,8 +93,8 @@
 	c.disk.waiters = append(c.disk.waiters, then)
 }
 
-// cut drops the records above after from memory and disk.
-func (c *Core) cut(after uint64) {
+// truncateLog drops the records above after from memory and disk.
+func (c *Core) truncateLog(after uint64) {
 	c.log.truncate(after)
 	c.matched = min(c.matched, after)
 	if after < c.disk.end {
@@ -104,8 +104,8 @@
 	}
 }
 
-// pump starts the next write.
-func (c *Core) pump() {
+// startWrite starts the next write.
+func (c *Core) startWrite() {
 	d := &c.disk
 	if d.op != nil || c.now < d.retryAt {
 		return
--- a/internal/system/replication/follow.go
+++ b/internal/system/replication/follow.go
@@ -50,7 +50,7 @@
 		return
 	}
 	if c.cfg.hooks.truncateAll && !c.isActive() {
-		c.cut(max(prev, c.committed))
+		c.truncateLog(max(prev, c.committed))
 	}
 	for _, p := range entries {
 		seq := p.GetSeq()
@@ -63,7 +63,7 @@
 					seq, have, p.GetEpoch()))
 				return
 			}
-			c.cut(seq - 1)
+			c.truncateLog(seq - 1)
 		}
 		if seq != c.log.end()+1 {
 			return
@@ -76,8 +76,8 @@
 		if n := m.GetFollow(); n <= c.number && n+sentRing > c.number {
 			c.fed, c.fedAt = true, max(c.fedAt, c.sentAt[n%sentRing])
 		}
-		c.told = max(c.told, m.GetCommitted())
-		c.commitTo(min(c.told, c.matched, c.disk.end))
+		c.upstreamCommitted = max(c.upstreamCommitted, m.GetCommitted())
+		c.commitTo(min(c.upstreamCommitted, c.matched, c.disk.end))
 		c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Ack{Ack: &replicationpb.Ack{Epoch: m.GetEpoch(), Matched: c.durable()}}})
 		return
 	}
@@ -87,7 +87,7 @@
 		// started may not know yet where its log ends; all that was acknowledged is below start in any case.
 		end := m.GetEnd()
 		if end >= max(c.start, c.committed) && end < c.log.end() && c.log.at(end+1).epoch != c.reg.view.Epoch {
-			c.cut(end)
+			c.truncateLog(end)
 		}
 	}
 	// Danger: after a start all links may hold the same log, and no write follows upon which the tail would commit it.
@@ -103,7 +103,7 @@
 	if c.matched < c.start || c.disk.end < c.start || c.disk.unsure || c.disk.install != nil {
 		return
 	}
-	c.reg.active, c.floor = v.Epoch, max(c.floor, c.start)
+	c.reg.active, c.readFloor = v.Epoch, max(c.readFloor, c.start)
 	c.persist(func() {
 		if c.reg.view == v {
 			c.written()
@@ -144,7 +144,7 @@
 	}
 	for i := len(v.Chain) - 1; i >= 0; i-- {
 		id := v.Chain[i]
-		if p := c.peers[id]; p == nil || !c.alive(id) || p.beat.GetActive() != v.Epoch {
+		if p := c.peers[id]; p == nil || !c.alive(id) || p.heartbeat.GetActive() != v.Epoch {
 			continue
 		}
 		base, baseEpoch, runs := c.log.runs()
--- a/internal/system/replication/beat.go
+++ b/internal/system/replication/heartbeat.go
@@ -18,20 +18,20 @@
 
 // peer is what this keeper knows of another.
 type peer struct {
-	member  Member
-	life    uint64
-	number  uint64
-	heardAt time.Duration
-	echoAt  time.Duration // when the newest beat that it says it heard was sent; negative: never
-	goodAt  time.Duration // from when it has been good without a break; negative: it is not
-	beat    *replicationpb.Beat
+	member    Member
+	life      uint64
+	number    uint64
+	heardAt   time.Duration
+	echoAt    time.Duration // when the newest heartbeat that it says it heard was sent; negative: never
+	goodAt    time.Duration // from when it has been good without a break; negative: it is not
+	heartbeat *replicationpb.Heartbeat
 }
 
 // heartbeat is what this keeper says of itself, under a number of its own.
-func (c *Core) heartbeat() *replicationpb.Beat {
+func (c *Core) heartbeat() *replicationpb.Heartbeat {
 	c.number++
 	c.sentAt[c.number%sentRing] = c.now
-	b := &replicationpb.Beat{
+	b := &replicationpb.Heartbeat{
 		Member: memberPB(c.reg.self), Number: c.number, Life: c.cfg.Life, Epoch: c.epochOn,
 		Active: c.activeOn, Sealed: c.sealedOn, Committed: c.committed, DiskBad: c.disk.bad, Leaving: c.leaving,
 		Bootstrap: c.cfg.Bootstrap, Stuck: string(c.stuck()), Observer: c.cfg.Observer,
@@ -47,11 +47,11 @@
 	return b
 }
 
-// beat tells everyone how this keeper is. Observers are told in reply to their own heartbeats.
-func (c *Core) beat() {
-	c.beatAt = c.now
+// sendHeartbeats tells everyone how this keeper is. Observers are told in reply to their own heartbeats.
+func (c *Core) sendHeartbeats() {
+	c.heartbeatAt = c.now
 	c.forgetPeers()
-	body := &replicationpb.Message_Beat{Beat: c.heartbeat()}
+	body := &replicationpb.Message_Heartbeat{Heartbeat: c.heartbeat()}
 	msg := &replicationpb.Message{From: string(c.reg.self.ID), Body: body}
 	for _, a := range c.audience() {
 		c.out.Messages = append(c.out.Messages, Envelope{Addr: a, Msg: msg})
@@ -74,12 +74,12 @@
 		addrs[a] = true
 	}
 	for _, p := range c.peers {
-		if p.beat.GetObserver() {
+		if p.heartbeat.GetObserver() {
 			delete(addrs, p.member.Addr)
 		}
 	}
 	for _, p := range c.peers {
-		if !p.beat.GetObserver() {
+		if !p.heartbeat.GetObserver() {
 			addrs[p.member.Addr] = true
 		}
 	}
@@ -91,7 +91,7 @@
 	return slices.Sorted(maps.Keys(addrs))
 }
 
-func (c *Core) onBeat(from ID, b *replicationpb.Beat) {
+func (c *Core) onHeartbeat(from ID, b *replicationpb.Heartbeat) {
 	m := memberOf(b.GetMember())
 	if m.ID != from || m.Addr == "" {
 		return
@@ -109,7 +109,7 @@
 	case p.life != b.GetLife():
 		p.echoAt = -1
 	}
-	p.member, p.life, p.number, p.heardAt, p.beat = m, b.GetLife(), b.GetNumber(), c.now, b
+	p.member, p.life, p.number, p.heardAt, p.heartbeat = m, b.GetLife(), b.GetNumber(), c.now, b
 	for _, e := range b.GetEchoes() {
 		// An older number than the ring holds says nothing; a later one is of a former life.
 		if n := e.GetNumber(); ID(e.GetId()) == c.reg.self.ID && n <= c.number && n+sentRing > c.number && n > 0 {
@@ -139,7 +139,7 @@
 		return false
 	}
 	suspect := c.suspectAfter(p)
-	return c.now-p.heardAt < suspect && c.now-p.echoAt < suspect+2*c.beatEvery()
+	return c.now-p.heardAt < suspect && c.now-p.echoAt < suspect+2*c.heartbeatInterval()
 }
 
 // good tells whether id is fit to be a link.
@@ -147,7 +147,7 @@
 	if id == c.reg.self.ID {
 		return !c.disk.bad && !c.leaving && c.err == nil && !c.cfg.Observer
 	}
-	return c.alive(id) && !c.peers[id].beat.GetObserver() && !c.peers[id].beat.GetDiskBad() && !c.peers[id].beat.GetLeaving()
+	return c.alive(id) && !c.peers[id].heartbeat.GetObserver() && !c.peers[id].heartbeat.GetDiskBad() && !c.peers[id].heartbeat.GetLeaving()
 }
 
 // hears tells whether a has lately heard b, by a's own word.
@@ -159,7 +159,7 @@
 		return c.alive(b)
 	}
 	p := c.peers[a]
-	return p != nil && slices.ContainsFunc(p.beat.GetEchoes(), func(e *replicationpb.Echo) bool { return ID(e.GetId()) == b })
+	return p != nil && slices.ContainsFunc(p.heartbeat.GetEchoes(), func(e *replicationpb.Echo) bool { return ID(e.GetId()) == b })
 }
 
 // Current tells whether what this keeper holds can be passed on as new: within the last moments a majority of voters
@@ -175,7 +175,7 @@
 		if c.activeOn != v.Epoch || !c.settled() {
 			return false
 		}
-	} else if !c.fed || c.now-c.fedAt > window || c.committed < c.told {
+	} else if !c.fed || c.now-c.fedAt > window || c.committed < c.upstreamCommitted {
 		return false
 	}
 	if c.cfg.hooks.alwaysCurrent {
@@ -190,7 +190,7 @@
 			continue
 		}
 		p := c.peers[m.ID]
-		if p != nil && p.echoAt >= 0 && c.now-p.echoAt <= window && p.beat.GetEpoch() == v.Epoch && p.beat.GetAccepted() <= v.Epoch {
+		if p != nil && p.echoAt >= 0 && c.now-p.echoAt <= window && p.heartbeat.GetEpoch() == v.Epoch && p.heartbeat.GetAccepted() <= v.Epoch {
 			said[m.ID] = m.Addr
 		}
 	}
--- a/internal/system/replication/invariants_test.go
+++ b/internal/system/replication/invariants_test.go
@@ -52,12 +52,12 @@
 			c.reg.active, c.activeOn, c.reg.sealed, c.reg.next, c.reg.promised)
 		w.trace("   log %d..%d disk %d unsure %v install %v bad %v; committed %d matched %d joined %v start %d floor %d fed %v quiet %v prop %v want %v now %v",
 			c.log.base, c.log.end(), c.disk.end, c.disk.unsure, c.disk.install != nil, c.disk.bad, c.committed, c.matched, c.joined,
-			c.start, c.floor, c.fed, c.quiet, c.prop != nil, c.wantAt, c.now)
+			c.start, c.readFloor, c.fed, c.graceUntil, c.prop != nil, c.wantAt, c.now)
 		for id, p := range c.down {
 			w.trace("   down %s %+v", id, *p)
 		}
 		for id, p := range c.peers {
-			w.trace("   peer %s alive %v good %v since %v: %v", id, c.alive(id), c.good(id), p.goodAt, p.beat)
+			w.trace("   peer %s alive %v good %v since %v: %v", id, c.alive(id), c.good(id), p.goodAt, p.heartbeat)
 		}
 	}
 }
--- a/internal/system/replication/keeper.go
+++ b/internal/system/replication/keeper.go
@@ -113,7 +113,7 @@
 	cfg := Config{
 		Self:          Member{ID: ID(hex.EncodeToString(random[:16])), Addr: opt.Addr, Zone: opt.Zone, Region: opt.Region},
 		MachineLosses: opt.MachineLosses, Seeds: opt.Seeds, Bootstrap: opt.Bootstrap, Observer: opt.Observer,
-		Beat: min(100*time.Millisecond, opt.Ack/50), Suspect: min(700*time.Millisecond, opt.Ack*7/50),
+		Heartbeat: min(100*time.Millisecond, opt.Ack/50), Suspect: min(700*time.Millisecond, opt.Ack*7/50),
 		SlowDisk: min(500*time.Millisecond, opt.Ack/10),
 		Life:     binary.BigEndian.Uint64(random[16:]) | 1, Seed: binary.BigEndian.Uint64(random[:8]),
 	}
--- a/internal/system/replication/lead.go
+++ b/internal/system/replication/lead.go
@@ -25,7 +25,7 @@
 		return standing{known: true, active: c.activeOn, sealed: c.sealedOn, epoch: c.epochOn}
 	}
 	if p := c.peers[id]; p != nil {
-		return standing{known: true, active: p.beat.GetActive(), sealed: p.beat.GetSealed(), epoch: p.beat.GetEpoch()}
+		return standing{known: true, active: p.heartbeat.GetActive(), sealed: p.heartbeat.GetSealed(), epoch: p.heartbeat.GetEpoch()}
 	}
 	return standing{}
 }
@@ -48,19 +48,19 @@
 		return false
 	}
 	for g := c.reg.view.Epoch; g > x.active; g-- {
-		if !c.barren(g, id, suppose) {
+		if !c.cannotHaveAcknowledged(g, id, suppose) {
 			return false
 		}
 	}
 	return true
 }
 
-// barren tells whether epoch g is known to have acknowledged nothing, provided that candidate leads next.
-func (c *Core) barren(g uint64, candidate ID, suppose bool) bool {
+// cannotHaveAcknowledged tells whether epoch g is known to have acknowledged nothing, provided that candidate leads next.
+func (c *Core) cannotHaveAcknowledged(g uint64, candidate ID, suppose bool) bool {
 	return slices.ContainsFunc(c.reg.view.chainOf(g), func(id ID) bool {
 		s := c.standing(id)
 		return s.known && s.active < g &&
-			(id == candidate || s.epoch > g || s.sealed == g || c.cfg.hooks.presumeBarren || suppose && g == c.reg.view.Epoch && c.alive(id))
+			(id == candidate || s.epoch > g || s.sealed == g || c.cfg.hooks.presumeUnacknowledged || suppose && g == c.reg.view.Epoch && c.alive(id))
 	})
 }
 
@@ -82,10 +82,10 @@
 // findHead looks for a head outside the chain, when none of its links may lead: all that were active are gone. Links
 // that are not active are asked to seal the epoch when that helps.
 func (c *Core) findHead(voters []Member) []Member {
-	if c.headless < 0 {
-		c.headless = c.now
+	if c.noHeadSince < 0 {
+		c.noHeadSince = c.now
 	}
-	if c.now-c.headless < sealAfter {
+	if c.now-c.noHeadSince < sealAfter {
 		return nil
 	}
 	for _, suppose := range []bool{false, true} {
@@ -101,7 +101,7 @@
 					c.send(id, &replicationpb.Message{Body: &replicationpb.Message_Seal{Seal: &replicationpb.Seal{Epoch: c.reg.view.Epoch}}})
 				}
 			}
-			c.headless = c.now // once a second
+			c.noHeadSince = c.now // once a second
 			return nil
 		}
 	}
@@ -115,7 +115,7 @@
 	}
 	c.reg.sealed = v.Epoch
 	c.note("replication: sealing an epoch whose active links are gone")
-	c.persist(c.beat)
+	c.persist(c.sendHeartbeats)
 }
 
 // isSealed tells whether a link has sealed the epoch, so that it needs a successor whatever else is well.
--- a/internal/system/replication/observer.go
+++ b/internal/system/replication/observer.go
@@ -23,18 +23,18 @@
 	observerCurrentNum, observerCurrentDen = 9, 7
 )
 
-// beatEvery is the time between two heartbeats of this keeper.
-func (c *Core) beatEvery() time.Duration {
+// heartbeatInterval is the time between two heartbeats of this keeper.
+func (c *Core) heartbeatInterval() time.Duration {
 	if c.cfg.Observer {
-		return observerSlowdown * c.cfg.Beat
+		return observerSlowdown * c.cfg.Heartbeat
 	}
-	return c.cfg.Beat
+	return c.cfg.Heartbeat
 }
 
 // suspectAfter is the silence after which p counts as gone. Where either side is an observer, one heartbeat may be lost.
 func (c *Core) suspectAfter(p *peer) time.Duration {
-	if c.cfg.Observer || p.beat.GetObserver() {
-		return c.cfg.Suspect + observerSlowdown*c.cfg.Beat
+	if c.cfg.Observer || p.heartbeat.GetObserver() {
+		return c.cfg.Suspect + observerSlowdown*c.cfg.Heartbeat
 	}
 	return c.cfg.Suspect
 }
@@ -55,7 +55,7 @@
 		said[c.reg.self.Addr] = true
 	}
 	for _, p := range c.peers {
-		if p.beat.GetObserver() {
+		if p.heartbeat.GetObserver() {
 			said[p.member.Addr] = true
 		}
 	}
@@ -69,19 +69,19 @@
 }
 
 // replyToObserver answers a heartbeat of an observer, which this keeper sends none by itself.
-func (c *Core) replyToObserver(from ID, b *replicationpb.Beat) {
+func (c *Core) replyToObserver(from ID, b *replicationpb.Heartbeat) {
 	if !b.GetObserver() || b.GetReply() {
 		return
 	}
 	reply := c.heartbeat()
 	reply.Reply = true
-	c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Beat{Beat: reply}})
+	c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Heartbeat{Heartbeat: reply}})
 }
 
 // tellObservers sends them a chosen view, so that they need not wait for their next heartbeat.
 func (c *Core) tellObservers(v *View) {
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
-		if c.peers[id].beat.GetObserver() {
+		if c.peers[id].heartbeat.GetObserver() {
 			c.send(id, &replicationpb.Message{Body: &replicationpb.Message_Chosen{Chosen: &replicationpb.Chosen{View: viewPB(v)}}})
 		}
 	}
--- a/internal/system/replication/plan.go
+++ b/internal/system/replication/plan.go
@@ -52,10 +52,10 @@
 	members := []Member{c.reg.self}
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
 		p := c.peers[id]
-		if !slices.Contains(c.cfg.Seeds, p.member.Addr) || !p.beat.GetBootstrap() || !c.alive(id) {
+		if !slices.Contains(c.cfg.Seeds, p.member.Addr) || !p.heartbeat.GetBootstrap() || !c.alive(id) {
 			continue
 		}
-		if p.beat.GetEpoch() > 0 {
+		if p.heartbeat.GetEpoch() > 0 {
 			return nil, 0 // the view is on its way
 		}
 		known[id] = p.member.Addr
@@ -78,7 +78,7 @@
 	members = c.addFounders(members)
 	rank := slices.IndexFunc(members, func(m Member) bool { return m.ID == c.reg.self.ID })
 	links := slices.Clone(members[:min(len(members), maxLinks)])
-	heads := c.fullest(members)
+	heads := c.longestLogs(members)
 	if !slices.ContainsFunc(links, func(m Member) bool { return slices.Contains(heads, m) }) {
 		links[len(links)-1] = heads[0]
 	}
@@ -96,7 +96,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
 		p := c.peers[id]
 		known := slices.ContainsFunc(members, func(m Member) bool { return m.Addr == p.member.Addr })
-		if !known && len(members) < c.cfg.voters() && p.beat.GetBootstrap() && p.beat.GetEpoch() == 0 && c.good(id) {
+		if !known && len(members) < c.cfg.voters() && p.heartbeat.GetBootstrap() && p.heartbeat.GetEpoch() == 0 && c.good(id) {
 			members = append(members, p.member)
 		}
 	}
@@ -138,7 +138,7 @@
 			break
 		}
 	}
-	if c.headless >= 0 {
+	if c.noHeadSince >= 0 {
 		// None of the voters can lead, so one who can must become one first, in anyone's place if need be.
 		if i := slices.IndexFunc(joiners, func(m Member) bool { return c.mayLead(m.ID, true) }); i >= 0 {
 			in = joiners[i]
@@ -164,7 +164,7 @@
 	stuck := map[ID]bool{}
 	for i := 0; i+1 < len(cur.Chain); i++ {
 		a, b := cur.Chain[i], cur.Chain[i+1]
-		if a == c.reg.self.ID && c.stuck() == b || c.peers[a] != nil && c.alive(a) && c.peers[a].beat.GetEpoch() == cur.Epoch && ID(c.peers[a].beat.GetStuck()) == b {
+		if a == c.reg.self.ID && c.stuck() == b || c.peers[a] != nil && c.alive(a) && c.peers[a].heartbeat.GetEpoch() == cur.Epoch && ID(c.peers[a].heartbeat.GetStuck()) == b {
 			stuck[b] = true
 		}
 	}
@@ -177,7 +177,7 @@
 	links = c.connected(links)
 	heads := slices.DeleteFunc(slices.Clone(links), func(m Member) bool { return !c.mayLead(m.ID, false) })
 	if len(heads) > 0 {
-		c.headless = -1
+		c.noHeadSince = -1
 	} else {
 		if heads = c.findHead(voters); len(heads) == 0 {
 			return nil
@@ -256,16 +256,16 @@
 		return c.fed
 	}
 	p := c.peers[id]
-	if p == nil || p.goodAt < 0 || c.now-p.goodAt < settleTime || p.beat.GetEpoch() != c.reg.view.Epoch {
+	if p == nil || p.goodAt < 0 || c.now-p.goodAt < settleTime || p.heartbeat.GetEpoch() != c.reg.view.Epoch {
 		return false
 	}
 	most := c.committed
 	for _, l := range c.reg.view.Chain {
 		if q := c.peers[l]; q != nil && c.alive(l) {
-			most = max(most, q.beat.GetCommitted())
+			most = max(most, q.heartbeat.GetCommitted())
 		}
 	}
-	return p.beat.GetCommitted()+levelLag >= most
+	return p.heartbeat.GetCommitted()+levelLag >= most
 }
 
 // arrange puts the first of heads that is in the region of most links in front, the rest of its region next, and links
--- a/internal/system/replication/read.go
+++ b/internal/system/replication/read.go
@@ -99,7 +99,7 @@
 
 // settled tells whether this link knows to be committed all that may have been acknowledged before it came to its place,
 // in its present life.
-func (c *Core) settled() bool { return c.committed >= c.floor || c.cfg.hooks.noFloor }
+func (c *Core) settled() bool { return c.committed >= c.readFloor || c.cfg.hooks.noFloor }
 
 func (c *Core) onReadAt(m *replicationpb.ReadAt) {
 	if r := c.reads[m.GetId()]; r != nil && m.GetLife() == c.cfg.Life && !r.ok {
--- a/internal/system/replication/restore.go
+++ b/internal/system/replication/restore.go
@@ -39,14 +39,14 @@
 	return held.State, nil
 }
 
-// fullest lists those of the members with the longest log: before the first view, what was restored.
-func (c *Core) fullest(members []Member) []Member {
+// longestLogs lists those of the members with the longest log: before the first view, what was restored.
+func (c *Core) longestLogs(members []Member) []Member {
 	held := func(m Member) uint64 {
 		if m.ID == c.reg.self.ID {
 			return c.committed
 		}
 		if p := c.peers[m.ID]; p != nil {
-			return p.beat.GetCommitted()
+			return p.heartbeat.GetCommitted()
 		}
 		return 0
 	}
@@ -57,11 +57,11 @@
 	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return held(m) < most })
 }
 
-// givesWay empties the log of a keeper whose first view is v, unless it leads there, and tells whether v has to wait for
+// yieldsRestoredLog empties the log of a keeper whose first view is v, unless it leads there, and tells whether v has to wait for
 // that. What was restored here is no part of the chain's log, which may have begun with something else, or with nothing;
 // records are compared by number and epoch only, and below a snapshot not at all. The log is empty on disk before the view
 // is there, so that no restart comes between.
-func (c *Core) givesWay(v *View) bool {
+func (c *Core) yieldsRestoredLog(v *View) bool {
 	if c.reg.view.Epoch > 0 || v.Head() == c.reg.self.ID {
 		return false
 	}
--- a/internal/system/replication/submit.go
+++ b/internal/system/replication/submit.go
@@ -11,8 +11,8 @@
 
 const (
 	submitResend = 300 * time.Millisecond
-	keepOrders   = 15 * time.Second // how long a change that comes twice is recognised
-	maxOrders    = 4096
+	keepChanges  = 15 * time.Second // how long a change that comes twice is recognised
+	maxChanges   = 4096
 	maxAsked     = 1024
 )
 
@@ -38,17 +38,17 @@
 
 // submit is a change asked for here.
 type submit struct {
-	id       uint64 // the caller's
-	key      uint64 // on the wire: new for every try that may not be mistaken for the one before
-	change   controlstate.Change
-	deadline time.Duration
-	sent     bool
-	vague    bool // an earlier try may yet come about
-	sentAt   time.Duration
-	again    time.Duration
-	epoch    uint64
-	head     ID
-	life     uint64 // the head's
+	id        uint64 // the caller's
+	key       uint64 // on the wire: new for every try that may not be mistaken for the one before
+	change    controlstate.Change
+	deadline  time.Duration
+	sent      bool
+	uncertain bool // an earlier try may yet come about
+	sentAt    time.Duration
+	again     time.Duration
+	epoch     uint64
+	head      ID
+	life      uint64 // the head's
 }
 
 // repeatable tells whether the state machine recognises a change that comes twice.
@@ -56,14 +56,14 @@
 	return ch.Op == controlstate.OpReplace || ch.Op == controlstate.OpAmend
 }
 
-type orderKey struct {
+type changeKey struct {
 	from     ID
 	life, id uint64
 }
 
-// order is a change that came to the head.
-type order struct {
-	key       orderKey
+// pendingChange is a change that came to the head.
+type pendingChange struct {
+	key       changeKey
 	verdict   controlstate.Verdict
 	seq       uint64 // the verdict stands when this is committed
 	confirmed bool
@@ -91,7 +91,7 @@
 		return c.cfg.Life, c.isHead()
 	}
 	p := c.peers[head]
-	if p == nil || !c.alive(head) || p.beat.GetEpoch() != c.reg.view.Epoch {
+	if p == nil || !c.alive(head) || p.heartbeat.GetEpoch() != c.reg.view.Epoch {
 		return 0, false
 	}
 	return p.life, true
@@ -120,7 +120,7 @@
 		s := c.submits[id]
 		if c.now >= s.deadline {
 			out := Refused
-			if s.sent || s.vague {
+			if s.sent || s.uncertain {
 				out = Unknown
 			}
 			c.finish(s, Completion{Outcome: out})
@@ -134,14 +134,14 @@
 					c.finish(s, Completion{Outcome: Unknown})
 					continue
 				}
-				s.sent, s.vague = false, true
+				s.sent, s.uncertain = false, true
 			}
 		}
 		c.trySubmit(s)
 	}
-	for k, o := range c.orders {
-		if o.done && c.now-o.at > keepOrders {
-			delete(c.orders, k)
+	for k, o := range c.changes {
+		if o.done && c.now-o.at > keepChanges {
+			delete(c.changes, k)
 		}
 	}
 }
@@ -162,7 +162,7 @@
 		}
 		switch out := Outcome(m.GetOutcome()); {
 		case out == Refused, out == Unknown && repeatable(s.change):
-			s.sent, s.vague, s.again = false, s.vague || out == Unknown, c.now+c.cfg.Beat
+			s.sent, s.uncertain, s.again = false, s.uncertain || out == Unknown, c.now+c.cfg.Heartbeat
 		default:
 			c.finish(s, Completion{
 				Outcome: out, Seq: m.GetSeq(), Verdict: controlstate.Verdict{Kind: controlstate.Kind(m.GetKind()), Reason: m.GetReason()},
@@ -173,18 +173,18 @@
 }
 
 func (c *Core) onForward(from ID, m *replicationpb.Forward) {
-	key := orderKey{from: from, life: m.GetLife(), id: m.GetId()}
-	if o := c.orders[key]; o != nil && !c.cfg.hooks.duplicateOrder {
+	key := changeKey{from: from, life: m.GetLife(), id: m.GetId()}
+	if o := c.changes[key]; o != nil && !c.cfg.hooks.duplicateChange {
 		if o.done {
 			c.answer(o)
 		}
 		return
 	}
-	if m.GetHeadLife() != c.cfg.Life || len(c.orders) >= maxOrders {
+	if m.GetHeadLife() != c.cfg.Life || len(c.changes) >= maxChanges {
 		return // it was for a former life: its sender notices
 	}
-	o := &order{key: key, at: c.now}
-	c.orders[key] = o
+	o := &pendingChange{key: key, at: c.now}
+	c.changes[key] = o
 	ttl := time.Duration(m.GetTtlUs()) * time.Microsecond
 	if !c.isHead() || m.GetEpoch() != c.reg.view.Epoch || c.disk.bad || c.leaving || ttl <= 0 || len(c.pending) >= maxAsked ||
 		len(c.reg.view.Chain) < c.cfg.links() {
@@ -219,10 +219,10 @@
 			if o.confirmed = ok; !ok {
 				c.close(o, Refused)
 			}
-			c.completeOrders()
+			c.completeChanges()
 		})
 	}
-	c.completeOrders()
+	c.completeChanges()
 }
 
 // spec is the state after the whole log, on which the head judges.
@@ -233,32 +233,32 @@
 	return c.state
 }
 
-func (c *Core) close(o *order, out Outcome) {
+func (c *Core) close(o *pendingChange, out Outcome) {
 	o.done, o.outcome, o.at = true, out, c.now
 	c.answer(o)
 }
 
-func (c *Core) answer(o *order) {
+func (c *Core) answer(o *pendingChange) {
 	c.send(o.key.from, &replicationpb.Message{Body: &replicationpb.Message_Answer{Answer: &replicationpb.Answer{
 		Id: o.key.id, Life: o.key.life, Outcome: uint32(o.outcome), Kind: uint32(o.verdict.Kind), Reason: o.verdict.Reason, Seq: o.seq,
 	}}})
 }
 
-func (c *Core) completeOrders() {
-	c.pending = slices.DeleteFunc(c.pending, func(o *order) bool {
-		if !o.done && o.confirmed && o.seq <= c.committed && (o.verdict.Kind == controlstate.Accept || c.whole() || c.cfg.hooks.hastyVerdict) {
+func (c *Core) completeChanges() {
+	c.pending = slices.DeleteFunc(c.pending, func(o *pendingChange) bool {
+		if !o.done && o.confirmed && o.seq <= c.committed && (o.verdict.Kind == controlstate.Accept || c.complete() || c.cfg.hooks.hastyVerdict) {
 			c.close(o, Answered)
 		}
 		return o.done
 	})
 }
 
-// loseOrders ends what a head that is about to enter another view cannot answer any more. A head that remains the head
+// abandonChanges ends what a head that is about to enter another view cannot answer any more. A head that remains the head
 // keeps its log, so what is in it may still be committed.
-func (c *Core) loseOrders() {
+func (c *Core) abandonChanges() {
 	stays := c.reg.view.Head() == c.reg.self.ID && c.reg.active == c.reg.view.Epoch
 	c.failRounds()
-	c.pending = slices.DeleteFunc(c.pending, func(o *order) bool {
+	c.pending = slices.DeleteFunc(c.pending, func(o *pendingChange) bool {
 		if !o.done && !stays {
 			if o.verdict.Kind == controlstate.Accept {
 				c.close(o, Unknown)
--- a/internal/system/replication/transport.go
+++ b/internal/system/replication/transport.go
@@ -14,58 +14,58 @@
 )
 
 const (
-	maxBatch     = 64 << 20
-	batchBytes   = 1 << 20
-	queueLength  = 1024
-	queueBytes   = 8 << 20
-	queueAge     = 500 * time.Millisecond // older messages are dropped: peers repeat what still matters
-	posters      = 3                      // requests under way to a peer, so that a long way does not hold up the next
-	postTimeout  = 800 * time.Millisecond
-	postPerMB    = 2 * time.Second // more for large batches
-	maxMailboxes = 32
-	mailboxIdle  = 30 * time.Second
+	maxBatch    = 64 << 20
+	batchBytes  = 1 << 20
+	queueLength = 1024
+	queueBytes  = 8 << 20
+	queueAge    = 500 * time.Millisecond // older messages are dropped: peers repeat what still matters
+	senders     = 3                      // requests under way to a peer, so that a long way does not hold up the next
+	postTimeout = 800 * time.Millisecond
+	postPerMB   = 2 * time.Second // more for large batches
+	maxOutboxes = 32
+	outboxIdle  = 30 * time.Second
 )
 
 // transport sends messages, each peer on its own.
 type transport struct {
-	ctx       context.Context
-	wg        *sync.WaitGroup
-	port      int
-	transport http.RoundTripper
+	ctx          context.Context
+	wg           *sync.WaitGroup
+	port         int
+	roundTripper http.RoundTripper
 
-	mu    sync.Mutex
-	boxes map[string]*mailbox
+	mu       sync.Mutex
+	outboxes map[string]*outbox
 }
 
-// mailbox is the bounded queue to one address.
-type mailbox struct {
-	office *transport
+// outbox is the bounded queue to one address.
+type outbox struct {
+	owner  *transport
 	addr   string
 	client replicationpb.Replication
 	idle   func()
 	end    context.CancelFunc
 
 	mu    sync.Mutex
-	queue []letter
+	queue []queuedMessage
 	bytes int
 	wake  chan struct{}
 	used  time.Time
 }
 
-type letter struct {
+type queuedMessage struct {
 	msg  *replicationpb.Message
 	size int
 	at   time.Time
 }
 
 func newTransport(ctx context.Context, wg *sync.WaitGroup, port int, t http.RoundTripper) *transport {
-	return &transport{ctx: ctx, wg: wg, port: port, transport: t, boxes: map[string]*mailbox{}}
+	return &transport{ctx: ctx, wg: wg, port: port, roundTripper: t, outboxes: map[string]*outbox{}}
 }
 
 func (o *transport) send(e Envelope) {
 	o.mu.Lock()
-	b := o.boxes[e.Addr]
-	if b == nil && len(o.boxes) < maxMailboxes && o.ctx.Err() == nil {
+	b := o.outboxes[e.Addr]
+	if b == nil && len(o.outboxes) < maxOutboxes && o.ctx.Err() == nil {
 		b = o.open(e.Addr)
 	}
 	o.mu.Unlock()
@@ -74,24 +74,24 @@
 	}
 }
 
-func (o *transport) open(addr string) *mailbox {
-	t, idle := o.transport, func() {}
+func (o *transport) open(addr string) *outbox {
+	t, idle := o.roundTripper, func() {}
 	if t == nil {
 		own := &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: postTimeout, KeepAlive: -1}).DialContext,
-			MaxIdleConnsPerHost: posters, MaxConnsPerHost: 2 * posters, IdleConnTimeout: mailboxIdle,
+			MaxIdleConnsPerHost: senders, MaxConnsPerHost: 2 * senders, IdleConnTimeout: outboxIdle,
 			WriteBufferSize: 4 << 10, ReadBufferSize: 1 << 10,
 		}
 		t, idle = own, own.CloseIdleConnections
 	}
-	b := &mailbox{
-		office: o, addr: addr, idle: idle, wake: make(chan struct{}, posters), used: time.Now(),
+	b := &outbox{
+		owner: o, addr: addr, idle: idle, wake: make(chan struct{}, senders), used: time.Now(),
 		client: replicationpb.NewReplicationProtobufClient("http://"+net.JoinHostPort(addr, strconv.Itoa(o.port)), &http.Client{Transport: t}),
 	}
-	o.boxes[addr] = b
+	o.outboxes[addr] = b
 	var ctx context.Context
 	ctx, b.end = context.WithCancel(o.ctx)
-	for range posters {
+	for range senders {
 		o.wg.Go(func() {
 			defer b.end()
 			b.run(ctx)
@@ -100,13 +100,13 @@
 	return b
 }
 
-func (b *mailbox) put(m *replicationpb.Message) {
+func (b *outbox) put(m *replicationpb.Message) {
 	size := proto.Size(m)
 	b.mu.Lock()
 	if len(b.queue) >= queueLength || b.bytes+size > queueBytes && len(b.queue) > 0 {
 		b.queue, b.bytes = nil, 0
 	}
-	b.queue = append(b.queue, letter{m, size, time.Now()})
+	b.queue = append(b.queue, queuedMessage{m, size, time.Now()})
 	b.bytes += size
 	b.used = time.Now()
 	b.mu.Unlock()
@@ -117,7 +117,7 @@
 }
 
 // take empties the queue as far as one request goes.
-func (b *mailbox) take() ([]*replicationpb.Message, int) {
+func (b *outbox) take() ([]*replicationpb.Message, int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []*replicationpb.Message
@@ -137,8 +137,8 @@
 	return out, size
 }
 
-func (b *mailbox) run(ctx context.Context) {
-	t := time.NewTimer(mailboxIdle)
+func (b *outbox) run(ctx context.Context) {
+	t := time.NewTimer(outboxIdle)
 	defer t.Stop()
 	for {
 		select {
@@ -150,7 +150,7 @@
 				b.idle()
 				return
 			}
-			t.Reset(mailboxIdle)
+			t.Reset(outboxIdle)
 			continue
 		case <-b.wake:
 		}
@@ -164,7 +164,7 @@
 	}
 }
 
-func (b *mailbox) post(ctx context.Context, msgs []*replicationpb.Message, size int) {
+func (b *outbox) post(ctx context.Context, msgs []*replicationpb.Message, size int) {
 	ctx, cancel := context.WithTimeout(ctx, postTimeout+time.Duration(size)*postPerMB>>20)
 	defer cancel()
 	if _, err := b.client.Deliver(ctx, &replicationpb.Batch{Messages: msgs}); err != nil {
@@ -172,17 +172,17 @@
 	}
 }
 
-// forgotten closes a mailbox that nothing was sent to for long.
-func (b *mailbox) forgotten() bool {
-	b.office.mu.Lock()
-	defer b.office.mu.Unlock()
+// forgotten closes a outbox that nothing was sent to for long.
+func (b *outbox) forgotten() bool {
+	b.owner.mu.Lock()
+	defer b.owner.mu.Unlock()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if time.Since(b.used) < mailboxIdle {
+	if time.Since(b.used) < outboxIdle {
 		return false
 	}
-	if b.office.boxes[b.addr] == b {
-		delete(b.office.boxes, b.addr)
+	if b.owner.outboxes[b.addr] == b {
+		delete(b.owner.outboxes, b.addr)
 	}
 	return true
 }
--- a/internal/system/replication/types.go
+++ b/internal/system/replication/types.go
@@ -96,7 +96,7 @@
 	Seeds         []string // IP addresses of the keepers that form the first view
 	Bootstrap     bool     // may take part in forming the first view
 	Observer      bool     // has no disk: follows and passes calls on, and is never a voter nor a link
-	Beat          time.Duration
+	Heartbeat     time.Duration
 	Suspect       time.Duration // silence after which a keeper counts as gone
 	SlowDisk      time.Duration // longest disk operation of a healthy disk
 	Life          uint64        // differs from start to start
@@ -108,28 +108,28 @@
 
 // hooks take protections out, so that tests can show what each is for.
 type hooks struct {
-	keepVote       bool // a wiped disk keeps its identity
-	blindRead      bool // the tail answers without asking the voters
-	earlyAck       bool // the head acknowledges what only it holds
-	anyHead        bool // any link may become the head
-	truncateAll    bool // a link that joins cuts off all that it was not just sent
-	anyEpoch       bool // links take records of another epoch
-	sendFirst      bool // messages go out before the write that they rest on
-	shortChain     bool // acknowledges with too few links
-	hastyVerdict   bool // Already and Stale do not wait
-	ignoreAccepted bool // phase one's finds are ignored
-	presumeBarren  bool // epochs count as without acknowledgements though no link has sealed them
-	noFloor        bool // reads and feeds need not hold what earlier tails may have acknowledged
-	alwaysCurrent  bool // no majority is asked before the past is passed on
-	duplicateOrder bool // forwarded changes are not recognised when they come twice
+	keepVote              bool // a wiped disk keeps its identity
+	blindRead             bool // the tail answers without asking the voters
+	earlyAck              bool // the head acknowledges what only it holds
+	anyHead               bool // any link may become the head
+	truncateAll           bool // a link that joins cuts off all that it was not just sent
+	anyEpoch              bool // links take records of another epoch
+	sendFirst             bool // messages go out before the write that they rest on
+	shortChain            bool // acknowledges with too few links
+	hastyVerdict          bool // Already and Stale do not wait
+	ignoreAccepted        bool // phase one's finds are ignored
+	presumeUnacknowledged bool // epochs count as without acknowledgements though no link has sealed them
+	noFloor               bool // reads and feeds need not hold what earlier tails may have acknowledged
+	alwaysCurrent         bool // no majority is asked before the past is passed on
+	duplicateChange       bool // forwarded changes are not recognised when they come twice
 }
 
 func (c *Config) defaults() {
 	if c.Observer {
 		c.Bootstrap = false
 	}
-	if c.Beat <= 0 {
-		c.Beat = 100 * time.Millisecond
+	if c.Heartbeat <= 0 {
+		c.Heartbeat = 100 * time.Millisecond
 	}
 	if c.Suspect <= 0 {
 		c.Suspect = 700 * time.Millisecond
--- a/internal/system/replication/world_test.go
+++ b/internal/system/replication/world_test.go
@@ -281,7 +281,7 @@
 			core.reg.promised, core.reg.accepted, core.reg.next = ballot{}, ballot{}, nil
 			core.reg.view, core.reg.active = &View{}, 0
 			core.disk.dirty, core.disk.op = true, nil
-			core.pump()
+			core.startWrite()
 			m.disk = plate{meta: map[string][]byte{}}
 			m.disk.do(core.disk.op, 0)
 		}
