wal: the log's folder lasts, also where the process that made it ended early

Open synced the folder above the log only if it had made the log's folder itself. A process that was killed between the two calls, or whose sync failed, left a folder whose name no sync covered; the next one appended, acknowledged, and a loss of power took the folder with all in it. The crash model knew no folder; it has one now, and no longer takes a file's own sync for one of its name, as each name made without a sync of its folder may be lost by itself. With that TestErrorThenCrash failed in 30 of its subtests ('what was loaded does not last: ... became {0: map[]}').

Open syncs the folder above each time: one call a start. Ruled out: asking whether the folder was there before; that is what failed. The package's tests pass.

--- a/internal/system/wal/log.go
+++ b/internal/system/wal/log.go
@@ -87,18 +87,18 @@
 			return binary.LittleEndian.Uint64(b[:])
 		}
 	}
-	l := &Log{folder: folder, o: o}
 	if _, err := o.FS.ReadDir(folder); errors.Is(err, os.ErrNotExist) {
 		if err := o.FS.MkdirAll(folder); err != nil {
 			return nil, diskError(err, "make the log's folder")
 		}
-		if err := o.FS.SyncDir(filepath.Dir(folder)); err != nil {
-			return nil, diskError(err, "sync the folder above the log")
-		}
 	} else if err != nil {
 		return nil, diskError(err, "read the log's folder")
 	}
-	return l, nil
+	// Also where the folder was there: the process that made it may have ended before this sync.
+	if err := o.FS.SyncDir(filepath.Dir(folder)); err != nil {
+		return nil, diskError(err, "sync the folder above the log")
+	}
+	return &Log{folder: folder, o: o}, nil
 }
 
 // Close ends the use of the log. Nothing needs to be written for it.
--- a/internal/system/wal/log_test.go
+++ b/internal/system/wal/log_test.go
@@ -103,7 +103,7 @@
 			fs := newSimFS()
 			fs.capacity = 10000
 			o.FS = fs
-			log, err := Open("/data", o)
+			log, err := Open(simFolder, o)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -174,7 +174,7 @@
 func build(t *testing.T, segmentBytes int64, steps []step) (*simFS, []view) {
 	t.Helper()
 	fs, model := newSimFS(), NewMem()
-	log, err := Open("/data", Options{FS: fs, SegmentBytes: segmentBytes, ReserveBytes: -1})
+	log, err := Open(simFolder, Options{FS: fs, SegmentBytes: segmentBytes, ReserveBytes: -1})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/system/wal/simfs_test.go
+++ b/internal/system/wal/simfs_test.go
@@ -15,8 +15,10 @@
 // errCrash is what every call returns once the simulated machine is gone.
 var errCrash = errors.New("the machine is gone")
 
-// simFS is one folder of a simulated disk. What is not synced may be there, missing or torn after a loss of power.
+// simFS is one folder of a simulated disk. What is not synced may be there, missing or torn after a loss of power, and each
+// name that was made, renamed or removed without a sync of the folder may be kept or lost by itself.
 type simFS struct {
+	folder         folderState
 	names, durable map[string]*inode
 	pending        []dirOp // what durable lacks of names, in order
 	calls          int     // that change something
@@ -25,23 +27,43 @@
 	capacity       int // bytes of all files; 0: no bound
 }
 
+// folderState tells how far the folder itself is there.
+type folderState int
+
+const (
+	folderMissing folderState = iota
+	folderMade                // a loss of power may take it and all that is in it
+	folderDurable
+)
+
 type inode struct {
 	content, durable []byte
-	pending          []fileOp
+	pending          []fileOp // what durable lacks of content, in order
 }
 
 // fileOp is a write (data not nil) or a change of size.
 type fileOp struct {
-	at   int64
-	data []byte
+	at    int64
+	data  []byte
+	state syncState
 }
 
+// syncState tells what a sync has done for a fileOp.
+type syncState int
+
+const (
+	syncNone syncState = iota
+	syncDone           // it is durable
+)
+
 // dirOp takes the name from away (if any) and gives node the name to (if any).
 type dirOp struct {
 	from, to string
 	node     *inode
 }
 
+const simFolder = "/data"
+
 func newSimFS() *simFS { return &simFS{names: map[string]*inode{}, durable: map[string]*inode{}} }
 
 func (f fileOp) apply(b []byte) []byte {
@@ -60,13 +82,16 @@
 
 // outcomes are what a loss of power may make of an operation; the first is that nothing of it is there.
 func (f fileOp) outcomes() [][]fileOp {
+	if f.state == syncDone {
+		return [][]fileOp{{f}}
+	}
 	all := [][]fileOp{nil, {f}}
 	if len(f.data) > 1 {
 		half := len(f.data) / 2
 		all = append(all,
-			[]fileOp{{f.at, f.data[:half]}},
-			[]fileOp{{f.at + int64(half), f.data[half:]}},
-			[]fileOp{{f.at, make([]byte, len(f.data))}})
+			[]fileOp{{at: f.at, data: f.data[:half]}},
+			[]fileOp{{at: f.at + int64(half), data: f.data[half:]}},
+			[]fileOp{{at: f.at, data: make([]byte, len(f.data))}})
 	}
 	return all
 }
@@ -98,12 +123,21 @@
 	return err
 }
 
-func (s *simFS) MkdirAll(string) error { return nil }
+func (s *simFS) MkdirAll(string) error {
+	if err := s.call("mkdir"); err != nil {
+		return err
+	}
+	s.folder = max(s.folder, folderMade)
+	return nil
+}
 
 func (s *simFS) ReadDir(string) ([]string, error) {
 	if s.gone {
 		return nil, errCrash
 	}
+	if s.folder == folderMissing {
+		return nil, os.ErrNotExist
+	}
 	return slices.Sorted(maps.Keys(s.names)), nil
 }
 
@@ -162,10 +196,14 @@
 	return nil
 }
 
-func (s *simFS) SyncDir(string) error {
+func (s *simFS) SyncDir(folder string) error {
 	if err := s.call("syncdir"); err != nil {
 		return err
 	}
+	if folder != simFolder {
+		s.folder = folderDurable
+		return nil
+	}
 	s.durable, s.pending = maps.Clone(s.names), nil
 	return nil
 }
@@ -207,7 +245,7 @@
 		b, err = b[:room], errNoRoom
 	}
 	if len(b) > 0 {
-		f.n.change(fileOp{at, b})
+		f.n.change(fileOp{at: at, data: b})
 	}
 	return len(b), err
 }
@@ -236,20 +274,26 @@
 	return nil
 }
 
-// Sync makes the content durable, and the name of a new file.
+// Sync makes the content durable, but not the name.
 func (f *simFile) Sync() error {
 	if err := f.fs.call("sync"); err != nil {
 		return err
 	}
-	f.n.durable, f.n.pending = f.n.content, nil
-	for i, d := range f.fs.pending {
-		if d.node == f.n && d.from == "" {
-			d.apply(f.fs.durable)
-			f.fs.pending = slices.Delete(slices.Clone(f.fs.pending), i, i+1)
-			break
+	f.n.settle(syncDone)
+	return nil
+}
+
+// settle notes what a sync has done.
+func (n *inode) settle(done syncState) {
+	n.pending = slices.Clone(n.pending)
+	for i := range n.pending {
+		if n.pending[i].state == syncNone {
+			n.pending[i].state = done
 		}
 	}
-	return nil
+	for len(n.pending) > 0 && n.pending[0].state == syncDone {
+		n.durable, n.pending = n.pending[0].apply(n.durable), n.pending[1:]
+	}
 }
 
 func (f *simFile) Close() error { return nil }
@@ -264,6 +308,7 @@
 		return twin[n]
 	}
 	c := newSimFS()
+	c.folder = s.folder
 	for name, n := range s.names {
 		c.names[name] = of(n)
 	}
@@ -294,6 +339,9 @@
 	}
 	sort.Slice(ordered, func(i, j int) bool { return string(ordered[i].content) < string(ordered[j].content) })
 	var sizes []int // of each choice
+	if s.folder == folderMade {
+		f(newSimFS())
+	}
 	for range s.pending {
 		sizes = append(sizes, 2)
 	}
@@ -328,7 +376,7 @@
 			case 0:
 				choice[i] = 0
 			case 1:
-				choice[i] = 1
+				choice[i] = min(1, sizes[i]-1)
 			default:
 				choice[i] = r.IntN(sizes[i])
 			}
@@ -358,6 +406,9 @@
 		content[n] = b
 	}
 	c := newSimFS()
+	if s.folder != folderMissing {
+		c.folder = folderDurable
+	}
 	twin := map[*inode]*inode{}
 	for name, n := range names {
 		if twin[n] == nil {
