Delivery's decisions are pure; a reply counts from when it was asked for

Cause: a follower took the word of a keeper as of its arrival. An answer that lay in a buffer or waited for a stopped reader for 20 s made the proxy fresh, and its soft state and loads counted as new. A reply tells the newest number known and how long the keeper waited before it asked whether it is current; its age is counted from the request. Late replies bring numbered records alone.

Ruled out: a bound on the call alone; a context that has ended does not stop an answer that is already read.

--- a/internal/system/distribution/squeeze.go
+++ b/internal/system/distribution/compression.go
@@ -16,14 +16,15 @@
 // followers is narrow: what is large goes out compressed, and is compressed once for all of them.
 
 const (
-	squeezeFrom  = 4 << 10  // bytes; less is not worth the time
-	expandedMost = 64 << 20 // bytes that compressed ones may come to
-	squeezedKept = 4        // records whose compressed bodies are kept
+	compressFrom  = 4 << 10  // bytes; less is not worth the time
+	expandedLimit = 64 << 20 // bytes that compressed ones may come to
+	cachedRecords = 256      // records whose compressed bodies are kept, at most
+	cachedBytes   = 4 << 20  // bytes of these bodies, unless a single one has more
 )
 
-// squeeze compresses what is large, and tells whether it did.
-func squeeze(b []byte) (out []byte, deflated bool) {
-	if len(b) < squeezeFrom {
+// compress compresses what is large by DEFLATE, and tells whether it did.
+func compress(b []byte) (out []byte, deflated bool) {
+	if len(b) < compressFrom {
 		return b, false
 	}
 	var buffer bytes.Buffer
@@ -40,43 +41,47 @@
 	return bytes.Clone(buffer.Bytes()), true
 }
 
-// expand undoes squeeze. It fails where the bytes are damaged or come to more than 64 MiB.
+// expand undoes compress. It fails where the bytes are damaged or come to more than 64 MiB.
 func expand(b []byte, deflated bool) ([]byte, error) {
 	if !deflated {
 		return b, nil
 	}
-	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), expandedMost+1))
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), expandedLimit+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "distribution: compressed bytes cannot be read: ask for a snapshot")
 	}
-	if len(out) > expandedMost {
-		return nil, errors.Newf("distribution: compressed bytes come to more than %d: make the configuration smaller", expandedMost)
+	if len(out) > expandedLimit {
+		return nil, errors.Newf("distribution: compressed bytes come to more than %d: make the configuration smaller", expandedLimit)
 	}
 	return out, nil
 }
 
-// squeezer keeps the newest records as they go out. The zero squeezer is ready.
-type squeezer struct {
-	mu   sync.Mutex // held while one is compressed: the others wait for it
-	kept []*distributionpb.Record
+// recordCache keeps the newest large records as they go out. The zero value is ready.
+type recordCache struct {
+	mu      sync.Mutex // held while one is compressed: the others wait for it
+	records []*distributionpb.Record
+	bytes   int
 }
 
 // record is r as it goes out. It is shared: do not change it.
-func (s *squeezer) record(r controlstate.Record) *distributionpb.Record {
+func (c *recordCache) record(r controlstate.Record) *distributionpb.Record {
 	w := &distributionpb.Record{Seq: r.Seq, Op: uint32(r.Op), Base: r.Base, Body: r.Body, Zone: r.Zone}
-	if len(r.Body) < squeezeFrom {
+	if len(r.Body) < compressFrom {
 		return w
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, k := range s.kept {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.records {
 		if k.GetSeq() == r.Seq {
 			return k
 		}
 	}
-	w.Body, w.Deflated = squeeze(r.Body)
-	if s.kept = append(s.kept, w); len(s.kept) > squeezedKept {
-		s.kept = s.kept[1:]
+	w.Body, w.Deflated = compress(r.Body)
+	c.records, c.bytes = append(c.records, w), c.bytes+len(w.GetBody())
+	for len(c.records) > 1 && (len(c.records) > cachedRecords || c.bytes > cachedBytes) {
+		c.bytes -= len(c.records[0].GetBody())
+		c.records[0] = nil
+		c.records = c.records[1:]
 	}
 	return w
 }
--- a/internal/system/distribution/squeeze_test.go
+++ b/internal/system/distribution/compression_test.go
@@ -8,14 +8,14 @@
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
-// TestSqueeze: 1,800 routes that are much alike go out in under a tenth of their bytes, compressed once for all followers.
+// TestCompression: 1,800 routes that are much alike go out in under a tenth of their bytes, compressed once for all followers.
 // Danger: on links of 10 Mbit/s a large configuration reached proxies over 3 s after it was acknowledged.
-func TestSqueeze(t *testing.T) {
+func TestCompression(t *testing.T) {
 	var body bytes.Buffer
 	for i := range 1800 {
 		fmt.Fprintf(&body, `{"name":"r-%d","hostname":"xago29.example","path_prefix":"/azp%dx/","category":"idempotent","timeout_ms":2500,"target":"lelo71b"},`, i, i*7919)
 	}
-	var s squeezer
+	var s recordCache
 	r := controlstate.Record{Seq: 3, Op: controlstate.OpAmend, Body: body.Bytes()}
 	w := s.record(r)
 	if again := s.record(r); again != w {
@@ -34,10 +34,10 @@
 	if _, err := expand(w.GetBody()[:len(w.GetBody())/2], true); err == nil {
 		t.Error("half of it counts as whole")
 	}
-	for i := range uint64(20) {
+	for i := range uint64(2 * cachedRecords) {
 		s.record(controlstate.Record{Seq: 10 + i, Body: body.Bytes()})
 	}
-	if len(s.kept) > squeezedKept {
-		t.Errorf("%d are kept", len(s.kept))
+	if len(s.records) > cachedRecords || s.bytes > cachedBytes {
+		t.Errorf("%d records with %d bytes are kept", len(s.records), s.bytes)
 	}
 }
--- a/internal/system/distribution/follower.go
+++ b/internal/system/distribution/follower.go
@@ -29,6 +29,13 @@
 	Transport             http.RoundTripper
 	Log                   log.Interface
 	Hold                  time.Duration // longest wait of a poll; 1 s
+
+	hooks followerHooks
+}
+
+// followerHooks take protections out, so that tests show what each is for.
+type followerHooks struct {
+	fromArrival bool // a reply counts from when it arrived and not from when it was asked for
 }
 
 // Update is what a proxy holds. Nothing in it is changed later.
@@ -41,9 +48,6 @@
 	Fresh   bool                // a keeper that is current has just told that there is nothing newer
 }
 
-// freshFor is how long a keeper's word counts: a poll and its bound of silence, and some.
-const freshFor = 1600 * time.Millisecond
-
 // Follower is a proxy's end.
 type Follower struct {
 	opt    FollowerOptions
@@ -70,7 +74,7 @@
 	current  string // the keeper that is followed; empty: none
 	stale    bool   // it is not current
 	heard    time.Time
-	freshAt  time.Time
+	freshAt  time.Time // when it was certainly so that nothing newer than state had been acknowledged; zero: never yet
 	pace     time.Duration
 
 	changed     chan struct{} // something in Update
@@ -200,7 +204,7 @@
 }
 
 func (f *Follower) fresh(now time.Time) bool {
-	return !f.freshAt.IsZero() && now.Sub(f.freshAt) <= freshFor
+	return !f.freshAt.IsZero() && now.Sub(f.freshAt) <= FreshFor
 }
 
 // tellSpacing is the least time between two calls of the owner.
--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -9,7 +9,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"gradeusher.example/gradeusher/internal/system/controlstate"
 	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
 	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
@@ -28,6 +27,7 @@
 	req.WaitMs = uint64(wait / time.Millisecond)
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
+	asked := time.Now()
 	reply, err := distributionpb.NewDistributionProtobufClient(f.url(keeper, f.opt.KeeperPort), f.client).Follow(ctx, req)
 	if err != nil {
 		return answer{}, err
@@ -35,7 +35,7 @@
 	if reply.GetSoft() == nil {
 		return answer{}, nil // a keeper that is not current and says nothing else
 	}
-	return f.take(time.Now(), keeper, req, reply), nil
+	return f.take(asked, time.Now(), req, reply), nil
 }
 
 // answer is how a keeper answered.
@@ -43,6 +43,7 @@
 	current bool // it feeds the control state
 	feeds   bool // it feeds anything
 	durable bool // and there was something new in it
+	behind  bool // though it holds something newer, it did not bring this proxy further
 }
 
 func (f *Follower) loadWait() time.Duration {
@@ -63,25 +64,26 @@
 		}
 	}
 	req := &distributionpb.FollowRequest{
-		Member: f.self.wire(), Seq: f.state.Seq, AcceptStale: acceptStale, Keepers: f.digest,
+		Member: f.self.wire(), Seq: f.position().Ask(), AcceptStale: acceptStale, Keepers: f.digest,
 		Soft:   &distributionpb.Cursor{Boot: f.soft.GetBoot(), Number: f.soft.GetNumber()},
 		Totals: &distributionpb.Cursor{Boot: f.totals.boot, Number: f.totals.number},
 		Loads:  f.own.since(f.toldOwn.GetBoot(), f.toldOwn.GetNumber()),
 	}
-	if f.resync {
-		req.Seq = 0
-	}
 	for node, incarnation := range f.down {
 		req.Down = append(req.Down, &distributionpb.Verdict{Node: node, Incarnation: incarnation})
 	}
 	return req
 }
 
-// take takes a keeper's reply in.
-func (f *Follower) take(now time.Time, keeper string, req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) answer {
+// take takes a keeper's reply in, to a request that was sent at asked.
+func (f *Follower) take(asked, now time.Time, req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) answer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heard = now
+	checked := asked.Add(millis(reply.GetCheckedMs(), time.Minute))
+	if f.opt.hooks.fromArrival {
+		checked = now
+	}
+	offer := offerOf(reply, now.Sub(checked))
 	if rev := req.GetMember().GetRevision(); rev > f.told {
 		f.told = rev
 		close(f.tellDone)
@@ -93,7 +95,27 @@
 		}
 	}
 	before := f.state.Seq
-	f.takeState(reply)
+	f.takeState(offer, reply)
+	durable := f.state.Seq != before
+	if durable {
+		poke(f.changed)
+	}
+	if offer.Late() {
+		return answer{feeds: true, durable: durable}
+	}
+	f.heard = now
+	if f.takeSoft(now, req, reply) {
+		poke(f.changed)
+	}
+	if f.position().Proves(offer) {
+		f.freshAt = later(f.freshAt, checked)
+	}
+	return answer{current: offer.Current, feeds: true, durable: durable, behind: offer.Newest > f.state.Seq && !durable}
+}
+
+// takeSoft takes in all of a reply but the control state, and tells whether anything changed that matters to the owner. The
+// caller holds mu.
+func (f *Follower) takeSoft(now time.Time, req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) bool {
 	changed := f.takeEntries(now, reply)
 	f.takeCursor(req, reply)
 	f.toldOwn.Boot, f.toldOwn.Number = reply.GetTold().GetBoot(), reply.GetTold().GetNumber()
@@ -105,56 +127,14 @@
 	if p := millis(reply.GetPaceMs(), 2*time.Second); p > 0 {
 		f.pace = p
 	}
-	if changed || f.state.Seq != before {
-		poke(f.changed)
-	}
-	if reply.GetCurrent() && len(reply.GetRecords()) < moreRecords {
-		// A full answer of records may not be the end of them.
-		f.freshAt = now
-	}
-	return answer{current: reply.GetCurrent(), feeds: true, durable: f.state.Seq != before}
+	return changed
 }
 
-// moreRecords is how many records in one answer let suppose that there are more.
-const moreRecords = 64
-
-// takeState takes records or a snapshot; what is not newer is ignored, so that a proxy never goes back.
-func (f *Follower) takeState(reply *distributionpb.FollowReply) {
-	if b := reply.GetSnapshot(); len(b) > 0 {
-		b, err := expand(b, reply.GetSnapshotDeflated())
-		var s *controlstate.State
-		if err == nil {
-			s, err = controlstate.Decode(b)
-		}
-		if err != nil {
-			f.opt.Log.WithError(err).Warn("distribution: a snapshot of the control state is not readable")
-			return
-		}
-		if s.Seq > f.state.Seq {
-			f.state = s
-		}
-		f.resync = false
-		return
-	}
-	for _, w := range reply.GetRecords() {
-		if w.GetSeq() <= f.state.Seq {
-			continue
-		}
-		if w.GetSeq() != f.state.Seq+1 {
-			return
-		}
-		body, err := expand(w.GetBody(), w.GetDeflated())
-		var s *controlstate.State
-		if err == nil {
-			s, err = f.state.Apply(controlstate.Record{Seq: w.GetSeq(), Op: controlstate.Op(w.GetOp()), Base: w.GetBase(), Body: body, Zone: w.GetZone()})
-		}
-		if err != nil {
-			f.opt.Log.WithError(err).WithField("seq", w.GetSeq()).Warn("distribution: a record does not apply; asking for a snapshot")
-			f.resync = true
-			return
-		}
-		f.state = s
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
 // takeEntries takes soft state in and tells whether anything that matters changed. A whole table of a keeper that misses
--- a/internal/system/distribution/follower_keepers.go
+++ b/internal/system/distribution/follower_keepers.go
@@ -19,6 +19,7 @@
 	seekStagger  = 50 * time.Millisecond   // between the tries
 	avoidFor     = 2 * time.Second         // a keeper that just failed comes last
 	returnAfter  = 5 * time.Second         // until a nearer keeper is tried again
+	behindPause  = 100 * time.Millisecond  // until a keeper is asked again whose answer did not help
 	staleRounds  = time.Second             // with a keeper that is not current, until a current one is sought again
 	neighbourLag = 1500 * time.Millisecond // without a keeper, until neighbours are asked
 )
@@ -185,6 +186,9 @@
 			return
 		}
 		current = a.current
+		if a.behind && !sleep(ctx, behindPause) {
+			return
+		}
 		if gap := f.loadWait()/4 - time.Since(start); gap > 0 && !a.durable && !sleep(ctx, gap) {
 			return
 		}
--- /dev/null
+++ b/internal/system/distribution/follower_state.go
@@ -0,0 +1,74 @@
+package distribution
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+)
+
+// position is how far this proxy is. The caller holds mu.
+func (f *Follower) position() Position { return Position{Seq: f.state.Seq, Resync: f.resync} }
+
+// offerOf reads what a reply says of the control state; the snapshot's number is known once it has been read.
+func offerOf(reply *distributionpb.FollowReply, age time.Duration) Offer {
+	o := Offer{Current: reply.GetCurrent(), Newest: reply.GetNewest(), Age: age}
+	if records := reply.GetRecords(); len(records) > 0 {
+		o.First, o.Last = records[0].GetSeq(), records[len(records)-1].GetSeq()
+	}
+	return o
+}
+
+// takeState takes what is newer of a snapshot and of records, so that a proxy never goes back. The caller holds mu.
+func (f *Follower) takeState(offer Offer, reply *distributionpb.FollowReply) {
+	var snapshot *controlstate.State
+	if b := reply.GetSnapshot(); len(b) > 0 {
+		var err error
+		if snapshot, err = readSnapshot(b, reply.GetSnapshotDeflated()); err != nil {
+			f.opt.Log.WithError(err).Warn("distribution: a snapshot of the control state is not readable")
+			return
+		}
+		offer.Snapshot = snapshot.Seq
+	}
+	step := f.position().Decide(offer)
+	if step.Snapshot {
+		f.state = snapshot
+	}
+	if snapshot != nil {
+		f.resync = false
+	}
+	if step.First == 0 {
+		return
+	}
+	for _, w := range reply.GetRecords() {
+		if w.GetSeq() < step.First {
+			continue
+		}
+		s, err := applyRecord(f.state, w)
+		if err != nil {
+			f.opt.Log.WithError(err).WithField("seq", w.GetSeq()).Warn("distribution: a record does not apply; asking for a snapshot")
+			f.resync = true
+			return
+		}
+		f.state = s
+	}
+}
+
+func readSnapshot(b []byte, deflated bool) (*controlstate.State, error) {
+	b, err := expand(b, deflated)
+	if err != nil {
+		return nil, err
+	}
+	s, err := controlstate.Decode(b)
+	return s, errors.Wrap(err, "distribution: a snapshot cannot be read: run the same version on keepers and proxies")
+}
+
+func applyRecord(s *controlstate.State, w *distributionpb.Record) (*controlstate.State, error) {
+	body, err := expand(w.GetBody(), w.GetDeflated())
+	if err != nil {
+		return nil, err
+	}
+	return s.Apply(controlstate.Record{Seq: w.GetSeq(), Op: controlstate.Op(w.GetOp()), Base: w.GetBase(), Body: body, Zone: w.GetZone()})
+}
--- a/internal/system/distribution/hub.go
+++ b/internal/system/distribution/hub.go
@@ -40,7 +40,7 @@
 	Share    time.Duration // between shares with one keeper at the least; 50 ms
 	Beat     time.Duration // between shares with one keeper at the most; 300 ms
 	Forget   time.Duration // after which a member that is down is deleted; 60 s
-	Records  int           // in one answer; 64
+	Records  int           // in one answer; 256
 	Settling time.Duration // after the start, until the table counts as whole without another keeper's; 3 s
 }
 
@@ -58,7 +58,7 @@
 	def(&l.Forget, 60*time.Second)
 	def(&l.Settling, 3*time.Second)
 	if l.Records <= 0 {
-		l.Records = 64
+		l.Records = 256
 	}
 	return l
 }
@@ -79,24 +79,22 @@
 	opt    HubOptions
 	limits HubLimits
 
-	mu           sync.Mutex
-	table        *table
-	boot         uint64 // drawn anew once the table is warm, so that followers then take it whole
-	warm         bool
-	started      time.Time
-	ticked       time.Time
-	expired      time.Time
-	news         chan struct{} // closed when followers are to look again
-	acked        chan struct{} // closed when an acknowledgement may have risen
-	followers    map[string]*follower
-	peers        map[string]*peer // by address
-	totals       *vector          // of all proxies
-	sums         *vector          // of the followers here
-	lowest       uint64
-	snapSeq      uint64
-	snap         []byte
-	snapDeflated bool
-	squeezed     squeezer
+	mu         sync.Mutex
+	table      *table
+	boot       uint64 // drawn anew once the table is warm, so that followers then take it whole
+	warm       bool
+	started    time.Time
+	ticked     time.Time
+	expired    time.Time
+	news       chan struct{} // closed when followers are to look again
+	acked      chan struct{} // closed when an acknowledgement may have risen
+	followers  map[string]*follower
+	peers      map[string]*peer // by address
+	totals     *vector          // of all proxies
+	sums       *vector          // of the followers here
+	lowest     uint64
+	snapshots  snapshots
+	compressed recordCache
 
 	done  chan struct{} // closed when Run ends
 	kick  chan struct{} // the table or a vector changed
--- /dev/null
+++ b/internal/system/distribution/hub_feed.go
@@ -0,0 +1,81 @@
+package distribution
+
+import (
+	"sync"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+)
+
+// snapshotLife is how long a snapshot is given to followers that need one though there is a newer state: encoding a large
+// configuration for each of many changes a second would take the keeper's time from the chain.
+const snapshotLife = 250 * time.Millisecond
+
+// snapshots keeps the newest encoded snapshot, which all followers share. The zero value is ready.
+type snapshots struct {
+	mu       sync.Mutex // held while one is made: whoever needs one waits for it
+	seq      uint64     // 0: there is none
+	made     time.Time
+	bytes    []byte
+	deflated bool
+}
+
+// durable adds what comes after the number after of the control state. It must not be called with mu held: a large state
+// takes long to encode.
+func (h *Hub) durable(reply *distributionpb.FollowReply, after uint64) {
+	state, _ := h.opt.Source.Committed()
+	if state == nil {
+		return
+	}
+	reply.Newest = state.Seq
+	records, stock := h.stock(after, state.Seq)
+	switch PlanFeed(after, stock, h.limits.Records) {
+	case FeedNothing:
+	case FeedRecords:
+		h.addRecords(reply, records)
+	case FeedKeptSnapshot, FeedNewSnapshot:
+		h.addSnapshot(reply, after, state)
+	}
+}
+
+// stock counts the records between two numbers.
+func (h *Hub) stock(after, committed uint64) ([]controlstate.Record, Stock) {
+	s := Stock{Committed: committed}
+	if after >= committed {
+		return nil, s
+	}
+	records, known := h.opt.Source.Since(after, h.limits.Records+1)
+	for _, r := range records {
+		s.Bytes += len(r.Body)
+	}
+	s.Known, s.Records = known && len(records) > 0, len(records)
+	return records, s
+}
+
+func (h *Hub) addRecords(reply *distributionpb.FollowReply, records []controlstate.Record) {
+	for _, r := range records {
+		reply.Records = append(reply.Records, h.compressed.record(r))
+		reply.Newest = max(reply.Newest, r.Seq)
+	}
+}
+
+// addSnapshot adds the snapshot at hand if that helps, or a new one, and the records after it as far as they fit.
+func (h *Hub) addSnapshot(reply *distributionpb.FollowReply, after uint64, state *controlstate.State) {
+	s := &h.snapshots
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records, stock := h.stock(s.seq, state.Seq)
+	fit := s.seq == state.Seq || stock.Known && stock.Records <= h.limits.Records && stock.Bytes <= FeedBytes
+	stock.Kept, stock.KeptOK = s.seq, s.seq > 0 && (fit || time.Since(s.made) < snapshotLife)
+	stock.Known = false
+	if PlanFeed(after, stock, h.limits.Records) == FeedNewSnapshot {
+		s.bytes, s.deflated = compress(state.Encode())
+		s.seq, s.made = state.Seq, time.Now()
+		records, fit = nil, false
+	}
+	reply.Snapshot, reply.SnapshotDeflated = s.bytes, s.deflated
+	if fit {
+		h.addRecords(reply, records)
+	}
+}
--- a/internal/system/distribution/hub_follow.go
+++ b/internal/system/distribution/hub_follow.go
@@ -16,6 +16,7 @@
 
 // Follow serves a poll of a proxy: see the service's definition.
 func (h *Hub) Follow(ctx context.Context, req *distributionpb.FollowRequest) (*distributionpb.FollowReply, error) {
+	start := time.Now()
 	m := memberOf(req.GetMember())
 	if m.Node == "" || len(m.Node) > maxID || m.Incarnation == 0 {
 		return nil, twirp.RequiredArgumentError("member")
@@ -25,14 +26,13 @@
 	}
 	f := h.begin(m, req)
 	defer h.end(f)
-	start := time.Now()
 	wait := min(millis(req.GetWaitMs(), time.Minute), h.limits.Hold)
 	for {
-		reply, news, committed, again := h.answer(f, req)
+		reply, news, committed, again := h.answer(f, req, start)
 		left := wait - time.Since(start)
 		if reply != nil || left <= 0 {
 			if reply == nil {
-				reply = h.compose(f, req)
+				reply = h.compose(f, req, start)
 			}
 			return reply, nil
 		}
@@ -114,7 +114,7 @@
 
 // answer gives a reply if there is something that the request does not have. Otherwise it gives what to wait for, and
 // after how long a report of loads is due.
-func (h *Hub) answer(f *follower, req *distributionpb.FollowRequest) (*distributionpb.FollowReply, <-chan struct{}, <-chan struct{}, time.Duration) {
+func (h *Hub) answer(f *follower, req *distributionpb.FollowRequest, start time.Time) (*distributionpb.FollowReply, <-chan struct{}, <-chan struct{}, time.Duration) {
 	state, committed := h.opt.Source.Committed()
 	current := h.opt.Source.Current()
 	digest := digestOf(h.opt.Source.Addresses())
@@ -145,14 +145,16 @@
 	}
 	h.mu.Unlock()
 	if ready {
-		return h.compose(f, req), nil, nil, 0
+		return h.compose(f, req, start), nil, nil, 0
 	}
 	return nil, news, committed, again
 }
 
-// compose makes the reply to a request, with all that it does not have.
-func (h *Hub) compose(f *follower, req *distributionpb.FollowRequest) *distributionpb.FollowReply {
-	reply := &distributionpb.FollowReply{Current: h.opt.Source.Current()}
+// compose makes the reply to a request that came at start, with all that it does not have.
+func (h *Hub) compose(f *follower, req *distributionpb.FollowRequest, start time.Time) *distributionpb.FollowReply {
+	reply := &distributionpb.FollowReply{CheckedMs: uint64(time.Since(start) / time.Millisecond)}
+	// First whether this keeper is current, then what it holds: what is acknowledged between is then in the reply.
+	reply.Current = h.opt.Source.Current()
 	addresses := h.opt.Source.Addresses()
 	digest := digestOf(addresses)
 	if reply.Current {
@@ -185,29 +187,6 @@
 	return reply
 }
 
-// durable adds what comes after seq of the control state.
-func (h *Hub) durable(reply *distributionpb.FollowReply, seq uint64) {
-	state, _ := h.opt.Source.Committed()
-	if state == nil || state.Seq <= seq {
-		return
-	}
-	if seq > 0 {
-		if records, ok := h.opt.Source.Since(seq, h.limits.Records); ok && len(records) > 0 {
-			for _, r := range records {
-				reply.Records = append(reply.Records, h.squeezed.record(r))
-			}
-			return
-		}
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.snapSeq != state.Seq {
-		h.snap, h.snapDeflated = squeeze(state.Encode())
-		h.snapSeq = state.Seq
-	}
-	reply.Snapshot, reply.SnapshotDeflated = h.snap, h.snapDeflated
-}
-
 // keepers gives the keepers in the chain's order, with where they are as far as that has been heard.
 func (h *Hub) keepers(addresses []string) []*distributionpb.Keeper {
 	out := make([]*distributionpb.Keeper, 0, len(addresses))
--- /dev/null
+++ b/internal/system/distribution/late_test.go
@@ -0,0 +1,59 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// lateReply has a follower ask a current keeper that reads the list as empty, hands it the answer after a wait, and gives
+// what it holds then.
+func lateReply(tb testing.TB, wait time.Duration, hooks followerHooks) Update {
+	tb.Helper()
+	c := newChain()
+	h := NewHub(HubOptions{Source: &source{chain: c, keepers: []string{"k"}}, Self: "k", Log: quiet()})
+	h.warmed()
+	c.add(controlstate.Record{Op: controlstate.OpEvacuate, Zone: "z"})
+	if err := h.PutList(1, 1, []pick.Server{{ID: "old"}}, 0); err != nil {
+		tb.Fatal(err)
+	}
+	f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet(), hooks: hooks})
+	asked := time.Now()
+	req := f.request(nil, false)
+	reply, err := h.Follow(tb.Context(), req)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	got := f.take(asked.Add(-wait), time.Now(), req, reply)
+	if got.current != f.Held().Fresh {
+		tb.Errorf("the keeper counts as current: %v, the state as fresh: %v", got.current, f.Held().Fresh)
+	}
+	return f.Held()
+}
+
+// TestLateAnswerSaysNothingOfNow: an answer that lay in a buffer for 20 s, or whose reader was stopped, brings records, which
+// are numbered, but neither the word that nothing is newer, nor servers. Danger: a proxy that was cut off counts as fresh.
+func TestLateAnswerSaysNothingOfNow(t *testing.T) {
+	if u := lateReply(t, 0, followerHooks{}); !u.Fresh || u.State.Seq != 1 || len(u.Servers) != 1 {
+		t.Errorf("in time: fresh %v, %d, %d servers", u.Fresh, u.State.Seq, len(u.Servers))
+	}
+	if u := lateReply(t, 20*time.Second, followerHooks{}); u.Fresh || u.State.Seq != 1 || len(u.Servers) != 0 {
+		t.Errorf("late: fresh %v, %d, %d servers", u.Fresh, u.State.Seq, len(u.Servers))
+	}
+	if u := lateReply(t, 20*time.Second, followerHooks{fromArrival: true}); !u.Fresh {
+		t.Error("control: judged by its arrival it is not taken for new either")
+	}
+}
+
+// TestWaitAtTheKeeperIsNoAge: a poll that a keeper held for long is answered with a word of now.
+func TestWaitAtTheKeeperIsNoAge(t *testing.T) {
+	f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
+	asked := time.Now().Add(-3 * time.Second)
+	f.take(asked, time.Now(), f.request(nil, false), &distributionpb.FollowReply{Current: true, CheckedMs: 2900})
+	if !f.Held().Fresh {
+		t.Error("held for 2.9 s, and 100 ms under way: not fresh")
+	}
+}
--- a/internal/system/distribution/neighbour.go
+++ b/internal/system/distribution/neighbour.go
@@ -21,7 +21,7 @@
 	items, _ := f.table.since(0)
 	reply := &distributionpb.FollowReply{Entries: toWire(time.Now(), items)}
 	if f.state.Seq > 0 {
-		reply.Snapshot, reply.SnapshotDeflated = squeeze(f.state.Encode())
+		reply.Snapshot, reply.SnapshotDeflated = compress(f.state.Encode())
 	}
 	for _, k := range f.keepers {
 		if k.view {
@@ -68,7 +68,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.state.Seq
-	f.takeState(reply)
+	f.takeState(offerOf(reply, 0), reply)
 	changed := f.takeEntries(now, reply)
 	if len(reply.GetKeepers()) > 0 && f.digest == 0 {
 		f.takeKeepers(reply.GetKeepers())
