replication: voters and links stand in zones so that the tolerated loss is borne; Capacity says when not

Need: voters were taken in by the order of their identities. Change: Config.ZoneLosses and RegionLosses. Voters aimed at: 2f+1, f being the most machines, zones or regions that may be lost. A joiner is taken where it leaves voters (or links) spread best; a voter that works is exchanged when the loss of a zone would take the majority and all else is well; where five links stand in one zone one of them makes way. Capacity compares what exists with what is needed, with a remedy; a keeper logs it when it has changed for 5 s. Ruled out: refusing to acknowledge while all links are in one zone. After the loss of a zone those left may be in one, and must go on.

--- /dev/null
+++ b/internal/system/replication/capacity.go
@@ -0,0 +1,122 @@
+package replication
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// Capacity compares the keepers that exist with those that the tolerance needs.
+type Capacity struct {
+	Keepers      int // with a disk, heard from lately
+	Observers    int // without a disk, heard from lately
+	Voters       int // of the present view
+	Silent       int // of those, not heard from lately: they count as part of what may be lost
+	VotersWanted int // so that a majority is left after any loss that is tolerated
+	Links        int // of the present view
+	LinksNeeded  int // fewer acknowledge no change
+	LinksWanted  int // so that the loss of one need not wait for another to catch up
+	// Bears tells whether a majority of the present voters and one of the present links are left, whatever is lost of
+	// what may be lost at once.
+	Bears bool
+	// Remedy says in one line what is missing and what to do, empty when nothing is.
+	Remedy string
+}
+
+// Capacity of the keepers as this core sees them.
+func (c *Core) Capacity() Capacity {
+	v := c.reg.view
+	out := Capacity{
+		Voters: len(v.Voters), VotersWanted: c.cfg.voters(),
+		Links: len(v.Chain), LinksNeeded: c.cfg.links(), LinksWanted: min(c.cfg.voters(), c.cfg.maxLinks()),
+	}
+	if c.cfg.Observer {
+		out.Observers++
+	} else {
+		out.Keepers++
+	}
+	for id, p := range c.peers {
+		switch {
+		case !c.alive(id):
+		case p.heartbeat.GetObserver():
+			out.Observers++
+		default:
+			out.Keepers++
+		}
+	}
+	for _, m := range v.Voters {
+		if !c.alive(m.ID) {
+			out.Silent++
+		}
+	}
+	var links []Member
+	for _, id := range v.Chain {
+		if m, ok := v.Voter(id); ok {
+			links = append(links, m)
+		}
+	}
+	out.Bears = v.Epoch > 0 && c.cfg.votersBear(v.Voters) && c.cfg.linksBear(links)
+	out.Remedy = c.remedy(out, links)
+	return out
+}
+
+func (c *Core) remedy(have Capacity, links []Member) string {
+	v := c.reg.view
+	switch {
+	case v.Epoch == 0:
+		return "no view has been formed: start a majority of the seeds that have a disk, with bootstrap = true at the first start of all"
+	case have.Bears:
+		return ""
+	case have.Voters < have.VotersWanted && have.Keepers <= have.Voters:
+		return fmt.Sprintf("%d keepers with a disk vote and %d are needed: run keepers on %d more machines with a disk, or lower [tolerance]",
+			have.Voters, have.VotersWanted, have.VotersWanted-have.Voters)
+	case have.Voters < have.VotersWanted:
+		return fmt.Sprintf("%d of %d voters: others are being taken in; if this lasts, see whether they reach each other", have.Voters, have.VotersWanted)
+	case !c.cfg.votersBear(v.Voters):
+		return fmt.Sprintf("the worst loss takes %d of %d voters: run keepers with a disk in at least %d zones (and %d regions), or lower [tolerance]",
+			max(c.cfg.MachineLosses, exposed(v.Voters, zoneOf, c.cfg.ZoneLosses), exposed(v.Voters, regionOf, c.cfg.RegionLosses)),
+			len(v.Voters), 2*c.cfg.ZoneLosses+1, 2*c.cfg.RegionLosses+1)
+	}
+	return fmt.Sprintf("%d links hold the changes and the worst loss takes all of them: bring the voters back that are no links", len(links))
+}
+
+const (
+	capacityEvery  = time.Second     // between two looks at it
+	capacitySteady = 5 * time.Second // a repair takes less, and is no news
+)
+
+// capacityLog logs what the keepers bear when that has changed for good. The zero value is ready for use.
+type capacityLog struct {
+	looked, since time.Duration
+	seen, logged  Capacity
+}
+
+func (l *capacityLog) look(now time.Duration, c *Core, to log.Interface) {
+	if now-l.looked < capacityEvery {
+		return
+	}
+	l.looked = now
+	have := c.Capacity()
+	if have.Bears != l.seen.Bears || have.Remedy != l.seen.Remedy {
+		l.since = now
+	}
+	l.seen = have
+	if now-l.since < capacitySteady || have.Bears == l.logged.Bears && have.Remedy == l.logged.Remedy {
+		return
+	}
+	l.logged = have
+	entry := to.WithFields(log.Fields{"voters": have.Voters, "silent": have.Silent, "links": have.Links, "keepers": have.Keepers, "observers": have.Observers})
+	if have.Bears {
+		entry.Info("replication: the keepers bear the losses that are tolerated")
+		return
+	}
+	entry.Warn("replication: the keepers do not bear the losses that are tolerated: " + have.Remedy)
+}
+
+// Capacity compares the keepers that exist with those that the tolerance needs, as this keeper sees them now.
+func (k *Keeper) Capacity() Capacity {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.core.Capacity()
+}
--- /dev/null
+++ b/internal/system/replication/core_capacity_test.go
@@ -0,0 +1,67 @@
+package replication
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+)
+
+// TestCapacitySaysWhatIsMissing: danger: two machines may be lost, three keepers run, and nobody is told until it happens.
+func TestCapacitySaysWhatIsMissing(t *testing.T) {
+	for _, test := range []struct {
+		name            string
+		layout          []int
+		machines, zones int
+		remedy          string // part of it; empty: all is well
+	}{
+		{"one a zone", []int{1, 1, 1}, 1, 1, ""},
+		{"two a zone", []int{2, 2, 2}, 2, 1, ""},
+		{"two machines may be lost and three run", []int{1, 1, 1}, 2, 1, "run keepers on 2 more machines"},
+		{"one keeper", []int{1}, 1, 0, "run keepers on 2 more machines"},
+		{"two zones", []int{2, 2}, 1, 1, "at least 3 zones"},
+		{"most keepers in one zone", []int{3, 1, 1}, 2, 1, "at least 3 zones"},
+		{"nothing need be borne", []int{1}, 0, 0, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			members := placed(test.layout)
+			cl := sizedCluster(t, members, test.machines, test.zones, 3)
+			cl.run(10 * time.Second)
+			have := cl.nodes[members[0].Addr].core.Capacity()
+			if have.Bears != (test.remedy == "") || !strings.Contains(have.Remedy, test.remedy) || have.Keepers != len(members) {
+				t.Errorf("%+v", have)
+			}
+		})
+	}
+}
+
+// TestCapacityIsLoggedOnceItLasts: a repair is no news, a keeper that stays away is.
+func TestCapacityIsLoggedOnceItLasts(t *testing.T) {
+	members := placed([]int{1, 1, 1})
+	cl := sizedCluster(t, members, 1, 1, 3)
+	handler := memory.New()
+	logger := &log.Logger{Handler: handler, Level: log.InfoLevel}
+	var capacity capacityLog
+	first := cl.nodes[members[0].Addr]
+	watch := func(d time.Duration) {
+		for end := cl.now + d; cl.now < end; {
+			cl.step()
+			capacity.look(cl.now, first.core, logger)
+		}
+	}
+	watch(12 * time.Second)
+	away := cl.nodes[members[2].Addr]
+	core := away.core
+	away.core = nil
+	watch(2 * time.Second)
+	away.core = core
+	watch(10 * time.Second)
+	if n := len(handler.Entries); n != 1 || handler.Entries[0].Level != log.InfoLevel {
+		t.Fatalf("%d entries: %+v", n, handler.Entries)
+	}
+	if have := first.core.Capacity(); !have.Bears {
+		t.Fatalf("%+v", have)
+	}
+}
--- /dev/null
+++ b/internal/system/replication/core_sizing_test.go
@@ -0,0 +1,179 @@
+package replication
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// sizes are how many keepers stand in each zone.
+var sizes = [][]int{
+	{1}, {2}, {1, 1}, {3}, {2, 1}, {1, 1, 1}, {2, 2}, {3, 1}, {2, 1, 1}, {1, 1, 1, 1}, {3, 2}, {3, 1, 1}, {2, 2, 1}, {2, 1, 1, 1},
+	{1, 1, 1, 1, 1}, {3, 3}, {2, 2, 2}, {4, 1, 1}, {2, 2, 1, 1}, {3, 2, 2}, {5, 1, 1}, {2, 2, 2, 1}, {4, 4}, {3, 3, 2}, {2, 2, 2, 2},
+	{3, 3, 3}, {5, 2, 2}, {3, 2, 2, 2}, {2, 2, 2, 2, 1},
+}
+
+// layouts are the sizes, under the race detector a part of them: each takes ten times as long.
+func layouts() [][]int {
+	if !raceDetector {
+		return sizes
+	}
+	var out [][]int
+	for i := 2; i < len(sizes); i += 6 {
+		out = append(out, sizes[i])
+	}
+	return out
+}
+
+// placed are the members of a layout; the keepers of a zone do not follow each other in the order of their identities.
+func placed(layout []int) []Member {
+	var out []Member
+	for k := 0; len(out) < sum(layout); k++ {
+		for z, n := range layout {
+			if k < n {
+				out = append(out, Member{ID: ID(fmt.Sprintf("%d%d", z, k)), Addr: fmt.Sprintf("z%dk%d", z, k), Zone: fmt.Sprintf("z%d", z), Region: "r"})
+			}
+		}
+	}
+	return out
+}
+
+func sum(ns []int) (n int) {
+	for _, k := range ns {
+		n += k
+	}
+	return n
+}
+
+// subsets calls f with each choice of n members until it gives true.
+func subsets(members []Member, n int, f func([]Member) bool) bool {
+	var choose func(from int, chosen []Member) bool
+	choose = func(from int, chosen []Member) bool {
+		if len(chosen) == n {
+			return f(chosen)
+		}
+		for i := from; i < len(members); i++ {
+			if choose(i+1, append(slices.Clone(chosen), members[i])) {
+				return true
+			}
+		}
+		return false
+	}
+	return choose(0, nil)
+}
+
+func sizedCluster(t *testing.T, members []Member, machines, zones, seeds int) *cluster {
+	cl := newCluster(t)
+	var addrs []string
+	for _, m := range members[:min(seeds, len(members))] {
+		addrs = append(addrs, m.Addr)
+	}
+	for _, m := range members {
+		cl.start(Config{Self: m, MachineLosses: machines, ZoneLosses: zones, Seeds: addrs, Bootstrap: true})
+	}
+	return cl
+}
+
+// TestSizesFollowTheTolerance forms each layout under each tolerance, and holds voters and links against what the best
+// choice among the keepers would bear. Danger: as many keepers as are needed run, and a loss that is tolerated ends the
+// system, because those who vote stand in the wrong places.
+func TestSizesFollowTheTolerance(t *testing.T) {
+	for _, layout := range layouts() {
+		for machines := range 5 {
+			for zones := range 2 {
+				members := placed(layout)
+				cfg := Config{MachineLosses: machines, ZoneLosses: zones}
+				cl := sizedCluster(t, members, machines, zones, 3)
+				wantVoters := min(len(members), cfg.voters())
+				wantLinks := min(wantVoters, cfg.maxLinks())
+				if wantLinks < cfg.links() {
+					// What exists may not acknowledge. It still forms a view of all voters.
+					cl.until(8*time.Second, fmt.Sprint(layout, machines, zones), func() bool { return len(cl.view().Voters) == wantVoters })
+					continue
+				}
+				name := fmt.Sprintf("zones %v, losses of %d machines or %d zones", layout, machines, zones)
+				cl.until(8*time.Second, name, func() bool { return cl.complete(wantLinks, wantVoters) })
+				cl.run(3 * time.Second) // voters that work may yet be exchanged
+				v := cl.view()
+				var links []Member
+				for _, id := range v.Chain {
+					m, _ := v.Voter(id)
+					links = append(links, m)
+				}
+				if can := subsets(members, wantVoters, cfg.votersBear); can != cfg.votersBear(v.Voters) {
+					t.Errorf("%s: bearable %v, but the voters are %v", name, can, v)
+				}
+				if can := subsets(v.Voters, wantLinks, cfg.linksBear); can != cfg.linksBear(links) {
+					t.Errorf("%s: bearable %v, but the links are %v", name, can, v)
+				}
+			}
+		}
+	}
+}
+
+// TestTheToleratedLossIsBorne takes from each layout that can bear it what may be lost at once, the head first, with the
+// disks, and asks for a change.
+func TestTheToleratedLossIsBorne(t *testing.T) {
+	var longest time.Duration
+	runs := 0
+	for _, layout := range layouts() {
+		for machines := range 5 {
+			members := placed(layout)
+			cfg := Config{MachineLosses: machines, ZoneLosses: 1}
+			if !subsets(members, min(len(members), cfg.voters()), cfg.votersBear) {
+				continue
+			}
+			losses := [][]Member{nil} // nil: the first links and then voters
+			for z := range layout {
+				losses = append(losses, slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Zone != fmt.Sprintf("z%d", z) }))
+			}
+			for _, lost := range losses {
+				cl := sizedCluster(t, members, machines, 1, 3)
+				name := fmt.Sprintf("zones %v, losses of %d machines or a zone, without %v", layout, machines, lost)
+				cl.until(8*time.Second, name, func() bool { return cl.complete(min(cfg.voters(), cfg.maxLinks()), cfg.voters()) })
+				cl.run(3 * time.Second)
+				first := cl.submit(members[0].Addr, replacing(0, "first"), 2*time.Second)
+				cl.until(2*time.Second, name+": the first change", func() bool { return cl.answered(first) })
+				if lost == nil {
+					v := cl.view()
+					for _, id := range v.Chain[:min(machines, len(v.Chain))] {
+						m, _ := v.Voter(id)
+						lost = append(lost, m)
+					}
+				}
+				for _, m := range lost {
+					cl.nodes[m.Addr].core = nil
+				}
+				at := slices.IndexFunc(members, func(m Member) bool { return !slices.Contains(lost, m) })
+				id := cl.submit(members[at].Addr, replacing(1, "second"), 10*time.Second)
+				longest = max(longest, cl.until(5*time.Second, name+": a change", func() bool { return cl.answered(id) }))
+				if seq := cl.nodes[members[at].Addr].core.committed; seq < 2 {
+					t.Errorf("%s: %d records are left", name, seq)
+				}
+				runs++
+			}
+		}
+	}
+	t.Logf("%d losses; the longest wait for a change was %v", runs, longest)
+}
+
+// TestVotersMoveApart: three voters of which two stand in one zone, since the third zone's keeper came late, are
+// exchanged, and never below what may acknowledge. Danger: the loss of that zone takes the majority.
+func TestVotersMoveApart(t *testing.T) {
+	members := []Member{
+		{ID: "a1", Addr: "a1", Zone: "a", Region: "r"}, {ID: "a2", Addr: "a2", Zone: "a", Region: "r"}, {ID: "b1", Addr: "b1", Zone: "b", Region: "r"},
+	}
+	cl := sizedCluster(t, members, 1, 1, 3)
+	cl.until(5*time.Second, "the first view", func() bool { return cl.complete(3, 3) })
+	cl.run(time.Second)
+	cl.start(Config{Self: Member{ID: "c1", Addr: "c1", Zone: "c", Region: "r"}, MachineLosses: 1, ZoneLosses: 1, Seeds: []string{"a1"}})
+	took := cl.until(5*time.Second, "one voter a zone", func() bool {
+		if v := cl.view(); len(v.Chain) < 2 || len(v.Voters) != 3 {
+			t.Fatalf("on the way: %v", v)
+		}
+		cfg := Config{MachineLosses: 1, ZoneLosses: 1}
+		return cl.complete(3, 3) && cfg.votersBear(cl.view().Voters)
+	})
+	t.Logf("after %v: %v", took, cl.view())
+}
--- a/internal/system/replication/keeper.go
+++ b/internal/system/replication/keeper.go
@@ -38,6 +38,8 @@
 	Seeds              []string          // IP addresses of the keepers that form the first view
 	Bootstrap          bool              // this keeper may take part in forming it
 	MachineLosses      int               // disks that may be lost at once
+	ZoneLosses         int               // zones that may be lost at once, all of their keepers with them
+	RegionLosses       int               // regions, likewise
 	Ack                time.Duration     // a change must be acknowledged within it; repair times are derived from it. 0: 5 s
 	Disk               wal.Disk          // used by this keeper alone until Stop has returned; nil for an observer
 	Observer           bool              // the machine has no disk: follows and passes calls on, never a voter nor a link
@@ -69,6 +71,7 @@
 	seq     uint64
 	changed chan struct{} // closed when the committed state changes
 	viewed  *View
+	bears   capacityLog
 }
 
 // controlMachine fits controlstate's states to the core.
@@ -112,7 +115,7 @@
 	}
 	cfg := Config{
 		Self:          Member{ID: ID(hex.EncodeToString(random[:16])), Addr: opt.Addr, Zone: opt.Zone, Region: opt.Region},
-		MachineLosses: opt.MachineLosses, Seeds: opt.Seeds, Bootstrap: opt.Bootstrap, Observer: opt.Observer,
+		MachineLosses: opt.MachineLosses, ZoneLosses: opt.ZoneLosses, RegionLosses: opt.RegionLosses, Seeds: opt.Seeds, Bootstrap: opt.Bootstrap, Observer: opt.Observer,
 		Heartbeat: min(100*time.Millisecond, opt.Ack/50), Suspect: min(700*time.Millisecond, opt.Ack*7/50),
 		SlowDisk: min(500*time.Millisecond, opt.Ack/10),
 		Life:     binary.BigEndian.Uint64(random[16:]) | 1, Seed: binary.BigEndian.Uint64(random[:8]),
@@ -194,6 +197,7 @@
 		close(k.changed)
 		k.changed = make(chan struct{})
 	}
+	k.bears.look(k.now(), k.core, k.log)
 	if v := k.core.View(); v != k.viewed {
 		k.viewed = v
 		k.log.WithField("epoch", v.Epoch).Info("replication: new view: " + v.String())
--- a/internal/system/replication/plan.go
+++ b/internal/system/replication/plan.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	maxLinks    = 5
-	replaceVote = 1500 * time.Millisecond // silence after which a joiner takes a voter's place
-	settleTime  = 300 * time.Millisecond  // a keeper is good for this long before it becomes a link
-	levelLag    = 64                      // records that a new link may be behind
+	maxLinks   = 5
+	settleTime = 300 * time.Millisecond // a keeper is good for this long before it becomes a link
+	levelLag   = 64                     // records that a new link may be behind
 )
 
 // plan gives the view that this keeper would have instead of the present one, nil when all is well or nothing can be
@@ -21,11 +20,11 @@
 	if cur.Epoch == 0 {
 		return c.planFirst()
 	}
+	var chain []ID
 	voters, out := c.planVoters()
-	if !c.reachable(cur.Voters) || !c.reachable(voters) {
-		return nil, 0
+	if c.reachable(cur.Voters) && c.reachable(voters) {
+		chain = c.planChain(voters, out)
 	}
-	chain := c.planChain(voters, out)
 	if chain == nil {
 		return nil, 0
 	}
@@ -77,10 +76,10 @@
 	members = slices.CompactFunc(members, func(a, b Member) bool { return a.Addr == b.Addr })
 	members = c.addFounders(members)
 	rank := slices.IndexFunc(members, func(m Member) bool { return m.ID == c.reg.self.ID })
-	links := slices.Clone(members[:min(len(members), maxLinks)])
 	heads := c.longestLogs(members)
-	if !slices.ContainsFunc(links, func(m Member) bool { return slices.Contains(heads, m) }) {
-		links[len(links)-1] = heads[0]
+	links := []Member{heads[0]}
+	for more := true; more && len(links) < c.cfg.maxLinks(); {
+		links, more = c.cfg.pick(links, members, func(Member) bool { return true })
 	}
 	arrange(links, slices.DeleteFunc(heads, func(m Member) bool { return !slices.Contains(links, m) }))
 	v := &View{Epoch: 1, Voters: members}
@@ -93,13 +92,19 @@
 // addFounders fills up the voters of the first view with keepers that are no seeds. The view is chosen by a majority of
 // the seeds, and of its own voters as any other.
 func (c *Core) addFounders(members []Member) []Member {
+	var others []Member
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
 		p := c.peers[id]
 		known := slices.ContainsFunc(members, func(m Member) bool { return m.Addr == p.member.Addr })
-		if !known && len(members) < c.cfg.voters() && p.heartbeat.GetBootstrap() && p.heartbeat.GetEpoch() == 0 && c.good(id) {
-			members = append(members, p.member)
+		if !known && p.heartbeat.GetBootstrap() && p.heartbeat.GetEpoch() == 0 && c.good(id) {
+			others = append(others, p.member)
 		}
 	}
+	for more := true; more && len(members) < c.cfg.voters(); {
+		members, more = c.cfg.pick(members, others, func(m Member) bool {
+			return !slices.ContainsFunc(members, func(o Member) bool { return o.Addr == m.Addr })
+		})
+	}
 	return members
 }
 
@@ -113,50 +118,6 @@
 	return n > len(voters)/2
 }
 
-// planVoters takes in one joiner at most, in the place of a voter where one is lost.
-func (c *Core) planVoters() (voters []Member, out ID) {
-	cur := c.reg.view
-	var joiners []Member
-	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
-		if _, ok := cur.Voter(id); !ok && c.good(id) && c.peers[id].goodAt >= 0 {
-			joiners = append(joiners, c.peers[id].member)
-		}
-	}
-	voters = slices.Clone(cur.Voters)
-	if len(joiners) == 0 {
-		return voters, ""
-	}
-	// A voter is gone when its machine has a new disk, or when it was not heard for long.
-	gone := func(m Member) bool {
-		p := c.peers[m.ID]
-		return m.ID != c.reg.self.ID && !c.alive(m.ID) && (p == nil || c.now-p.heardAt > replaceVote)
-	}
-	in, place := joiners[0], slices.IndexFunc(voters, gone)
-	for _, j := range joiners {
-		if i := slices.IndexFunc(voters, func(m Member) bool { return m.Addr == j.Addr && !c.alive(m.ID) }); i >= 0 {
-			in, place = j, i
-			break
-		}
-	}
-	if c.noHeadSince >= 0 {
-		// None of the voters can lead, so one who can must become one first, in anyone's place if need be.
-		if i := slices.IndexFunc(joiners, func(m Member) bool { return c.mayLead(m.ID, true) }); i >= 0 {
-			in = joiners[i]
-			if place < 0 && len(voters) >= c.cfg.voters() {
-				place = slices.IndexFunc(voters, func(m Member) bool { return m.ID != c.reg.self.ID && !c.mayLead(m.ID, true) })
-			}
-		}
-	}
-	switch {
-	case place >= 0:
-		out = voters[place].ID
-		voters[place] = in
-	case len(voters) < c.cfg.voters():
-		voters = append(voters, in)
-	}
-	return voters, out
-}
-
 // planChain picks the links: those of the present chain that work, and voters that have caught up. It is nil when no
 // chain that may acknowledge can be had.
 func (c *Core) planChain(voters []Member, out ID) []ID {
@@ -187,22 +148,7 @@
 			return nil
 		}
 	}
-	join := func(level bool) {
-		for _, m := range voters {
-			if len(links) >= maxLinks || !level && len(links) >= c.cfg.links() {
-				return
-			}
-			if cur.place(m.ID) >= 0 || slices.Contains(links, m) || !c.good(m.ID) || level && !c.level(m.ID) {
-				continue
-			}
-			if !slices.ContainsFunc(links, func(l Member) bool { return !c.hears(l.ID, m.ID) || !c.hears(m.ID, l.ID) }) {
-				links = append(links, m)
-			}
-		}
-	}
-	join(true)
-	join(false)
-	if len(links) < c.cfg.links() {
+	if links = c.joinLinks(links, heads, voters); len(links) < c.cfg.links() {
 		return nil
 	}
 	arrange(links, heads)
@@ -221,6 +167,36 @@
 	return chain
 }
 
+// joinLinks adds voters to the links that stay: those that have caught up, and others only where too few would be left.
+func (c *Core) joinLinks(links, heads, voters []Member) []Member {
+	fits := func(links []Member, m Member) bool {
+		return c.reg.view.place(m.ID) < 0 && c.good(m.ID) &&
+			!slices.ContainsFunc(links, func(l Member) bool { return !c.hears(l.ID, m.ID) || !c.hears(m.ID, l.ID) })
+	}
+	for more := true; more && len(links) < c.cfg.maxLinks(); {
+		links, more = c.cfg.pick(links, voters, func(m Member) bool { return fits(links, m) && c.level(m.ID) })
+	}
+	for more := true; more && len(links) < c.cfg.links(); {
+		links, more = c.cfg.pick(links, voters, func(m Member) bool { return fits(links, m) })
+	}
+	if c.cfg.linksBear(links) || len(links) < c.cfg.maxLinks() {
+		return links
+	}
+	// All the links there may be stand where one loss takes them all: one gives its place to a voter elsewhere.
+	best := links
+	for i, l := range links {
+		if l == heads[0] || l.ID == c.reg.view.Head() {
+			continue
+		}
+		rest := slices.Delete(slices.Clone(links), i, i+1)
+		with, ok := c.cfg.pick(rest, voters, func(m Member) bool { return m != l && fits(rest, m) && c.level(m.ID) })
+		if ok && c.cfg.spread(with).compare(c.cfg.spread(best)) < 0 {
+			best = with
+		}
+	}
+	return best
+}
+
 func sameSet(links []Member, v *View) bool {
 	return len(links) == len(v.Chain) && !slices.ContainsFunc(links, func(m Member) bool { return v.place(m.ID) < 0 })
 }
--- a/internal/system/replication/types.go
+++ b/internal/system/replication/types.go
@@ -93,6 +93,8 @@
 type Config struct {
 	Self          Member   // ID is used only when the disk holds none
 	MachineLosses int      // disks that may be lost at once without losing an acknowledged change
+	ZoneLosses    int      // zones that may be lost at once, all of their keepers with them
+	RegionLosses  int      // regions, likewise
 	Seeds         []string // IP addresses of the keepers that form the first view
 	Bootstrap     bool     // may take part in forming the first view
 	Observer      bool     // has no disk: follows and passes calls on, and is never a voter nor a link
@@ -142,17 +144,6 @@
 	}
 }
 
-// links is the least number of links that may acknowledge.
-func (c *Config) links() int {
-	if c.hooks.shortChain {
-		return 1
-	}
-	return c.MachineLosses + 1
-}
-
-// voters is the number of voters aimed at.
-func (c *Config) voters() int { return max(3, 2*c.MachineLosses+1) }
-
 type ballot struct {
 	round uint64
 	id    ID
