A list that was read before the one that is held is not taken, whoever tells it

Cause: a whole table of a keeper took the place of what a proxy held, so that keepers that all lost their tables are believed. A keeper that was cut off or stopped for 20 s is current again with its first heartbeats, before the others' shares bring their list: a proxy that moved to it forgot which servers drain, until the next reading. Change: follower_soft.go compares when the lists were read, by the follower's clock from when it asked, and takes nothing of one that is over 2 s older. Ages count from the moment that a reply is about, so they add up over hops. Ruled out: taking whole tables from current keepers only; that one is current. Result: TestKeeperThatIsJustBackBringsNoOldList failed before (server a no longer draining); its control fails still.

--- a/internal/system/distribution/follower.go
+++ b/internal/system/distribution/follower.go
@@ -35,7 +35,8 @@
 
 // followerHooks take protections out, so that tests show what each is for.
 type followerHooks struct {
-	fromArrival bool // a reply counts from when it arrived and not from when it was asked for
+	fromArrival   bool // a reply counts from when it arrived and not from when it was asked for
+	replaceAlways bool // a whole table takes the place of what is held, however old its list is
 }
 
 // Update is what a proxy holds. Nothing in it is changed later.
--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
-	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -104,7 +102,7 @@
 		return answer{feeds: true, durable: durable}
 	}
 	f.heard = now
-	if f.takeSoft(now, req, reply) {
+	if f.takeSoft(checked, req, reply) {
 		poke(f.changed)
 	}
 	if f.position().Proves(offer) {
@@ -113,8 +111,8 @@
 	return answer{current: offer.Current, feeds: true, durable: durable, behind: offer.Newest > f.state.Seq && !durable}
 }
 
-// takeSoft takes in all of a reply but the control state, and tells whether anything changed that matters to the owner. The
-// caller holds mu.
+// takeSoft takes in all of a reply but the control state, and tells whether anything changed that matters to the owner. Ages
+// count from now, the moment that the reply is about: so they add up over all hops. The caller holds mu.
 func (f *Follower) takeSoft(now time.Time, req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) bool {
 	changed := f.takeEntries(now, reply)
 	f.takeCursor(req, reply)
@@ -137,48 +135,6 @@
 	return a
 }
 
-// takeEntries takes soft state in and tells whether anything that matters changed. A whole table of a keeper that misses
-// nothing takes the place of what is held, even of higher versions: keepers that all lost their tables count anew.
-func (f *Follower) takeEntries(now time.Time, reply *distributionpb.FollowReply) (changed bool) {
-	into := f.table
-	if reply.GetWhole() && reply.GetWarm() {
-		into = newTable()
-	}
-	if slices.ContainsFunc(reply.GetEntries(), func(w *distributionpb.Entry) bool { return w.GetKey() == listKey }) {
-		for key := range f.kept {
-			into.drop(key)
-		}
-		f.kept, changed = nil, len(f.kept) > 0
-	}
-	for _, w := range reply.GetEntries() {
-		e, age := fromWire(w)
-		if e.Key == "" || len(e.Key) > 2*maxID {
-			continue
-		}
-		if f.kept[e.Key] {
-			delete(f.kept, e.Key)
-			into.drop(e.Key)
-		}
-		if into.merge(now, e, age) && !lazy(e.Key) {
-			changed = true
-		}
-	}
-	if into == f.table {
-		return changed
-	}
-	if into.items[listKey] == nil {
-		// The list has not been read since: until then old servers are better than none.
-		f.kept = map[string]bool{}
-		for key, it := range f.table.items {
-			if (key == listKey || strings.HasPrefix(key, serverPrefix)) && into.merge(now, it.Entry, now.Sub(it.at)) {
-				f.kept[key] = true
-			}
-		}
-	}
-	f.table = into
-	return true
-}
-
 // takeCursor moves on in the soft state. Deltas count only where they go on from what is held: another call may have
 // brought the table of another keeper in the meantime. The caller holds mu.
 func (f *Follower) takeCursor(req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) {
--- /dev/null
+++ b/internal/system/distribution/follower_soft.go
@@ -0,0 +1,79 @@
+package distribution
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+)
+
+// listTolerance is by how much a list may be older than the one that is held and still be taken: two keepers that share
+// with each other differ by a reading and a share or two.
+const listTolerance = 2 * time.Second
+
+// ofList tells whether an entry comes with the platform's list.
+func ofList(key string) bool { return key == listKey || strings.HasPrefix(key, serverPrefix) }
+
+// listEntry finds the entry that tells when the list was read; nil where a reply brings none.
+func listEntry(reply *distributionpb.FollowReply) *distributionpb.Entry {
+	i := slices.IndexFunc(reply.GetEntries(), func(w *distributionpb.Entry) bool { return w.GetKey() == listKey })
+	if i < 0 {
+		return nil
+	}
+	return reply.GetEntries()[i]
+}
+
+// tellsOldList tells whether the list in a reply was read before the one that is held. A keeper that was cut off or stood
+// still may be current again before the others have told it of their list. The caller holds mu.
+func (f *Follower) tellsOldList(now time.Time, reply *distributionpb.FollowReply) bool {
+	held, told := f.table.items[listKey], listEntry(reply)
+	if held == nil || told == nil || f.opt.hooks.replaceAlways {
+		return false
+	}
+	return held.at.Sub(now.Add(-millis(told.GetAgeMs(), maxAge))) > listTolerance
+}
+
+// takeEntries takes soft state in and tells whether anything that matters changed. A whole table of a keeper that misses
+// nothing takes the place of what is held, even of higher versions: keepers that all lost their tables count anew. But of a
+// list that was read before the one that is held nothing is taken. The caller holds mu.
+func (f *Follower) takeEntries(now time.Time, reply *distributionpb.FollowReply) (changed bool) {
+	into := f.table
+	old := f.tellsOldList(now, reply)
+	if reply.GetWhole() && reply.GetWarm() && !old {
+		into = newTable()
+	}
+	if listEntry(reply) != nil && !old {
+		for key := range f.kept {
+			into.drop(key)
+		}
+		f.kept, changed = nil, len(f.kept) > 0
+	}
+	for _, w := range reply.GetEntries() {
+		e, age := fromWire(w)
+		if e.Key == "" || len(e.Key) > 2*maxID || old && ofList(e.Key) {
+			continue
+		}
+		if f.kept[e.Key] {
+			delete(f.kept, e.Key)
+			into.drop(e.Key)
+		}
+		if into.merge(now, e, age) && !lazy(e.Key) {
+			changed = true
+		}
+	}
+	if into == f.table {
+		return changed
+	}
+	if into.items[listKey] == nil {
+		// The list has not been read since: until then old servers are better than none.
+		f.kept = map[string]bool{}
+		for key, it := range f.table.items {
+			if ofList(key) && into.merge(now, it.Entry, now.Sub(it.at)) {
+				f.kept[key] = true
+			}
+		}
+	}
+	f.table = into
+	return true
+}
--- /dev/null
+++ b/internal/system/distribution/oldlist_test.go
@@ -0,0 +1,54 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// reading is a keeper's whole table after it read the list.
+func wholeTable(tb testing.TB, age time.Duration, version uint64, servers ...pick.Server) *distributionpb.FollowReply {
+	tb.Helper()
+	h := newIdleHub()
+	h.warmed()
+	if err := h.PutList(1, version, servers, age); err != nil {
+		tb.Fatal(err)
+	}
+	items, whole := h.table.since(0)
+	return &distributionpb.FollowReply{Whole: whole, Warm: true, Current: true, Entries: toWire(time.Now(), items),
+		Soft: &distributionpb.Cursor{Boot: h.boot, Number: h.table.number}}
+}
+
+// moveToKeeperThatIsJustBack has a follower that knows a server as draining move to a keeper whose table is 20 s old, and
+// gives what it holds then.
+func moveToKeeperThatIsJustBack(tb testing.TB, hooks followerHooks) []pick.Server {
+	tb.Helper()
+	f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet(), hooks: hooks})
+	f.take(time.Now(), time.Now(), f.request(nil, false), wholeTable(tb, 0, 990, pick.Server{ID: "a", Draining: true}, pick.Server{ID: "new"}))
+	f.take(time.Now(), time.Now(), f.request(nil, false), wholeTable(tb, 20*time.Second, 950, pick.Server{ID: "a"}, pick.Server{ID: "gone"}))
+	return f.Held().Servers
+}
+
+// TestKeeperThatIsJustBackBringsNoOldList: a keeper that was cut off or stopped for 20 s may be current again before the
+// others have told it what the list has become. Danger: requests go to servers that have been draining for 20 s.
+func TestKeeperThatIsJustBackBringsNoOldList(t *testing.T) {
+	got := moveToKeeperThatIsJustBack(t, followerHooks{})
+	if len(got) != 2 || got[0].ID != "a" || !got[0].Draining || got[1].ID != "new" {
+		t.Errorf("holds %+v", got)
+	}
+	if got := moveToKeeperThatIsJustBack(t, followerHooks{replaceAlways: true}); len(got) == 2 && got[0].Draining {
+		t.Error("control: nothing was lost where each whole table takes the place of what is held")
+	}
+}
+
+// TestKeepersThatCountAnewAreBelieved: after a restart of all keepers versions begin anew, so the younger reading counts.
+func TestKeepersThatCountAnewAreBelieved(t *testing.T) {
+	f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
+	f.take(time.Now(), time.Now(), f.request(nil, false), wholeTable(t, 20*time.Second, 990, pick.Server{ID: "a"}))
+	f.take(time.Now(), time.Now(), f.request(nil, false), wholeTable(t, 0, 1, pick.Server{ID: "b"}))
+	if got := f.Held().Servers; len(got) != 1 || got[0].ID != "b" {
+		t.Errorf("holds %+v", got)
+	}
+}
