A keeper that others do not reach no longer takes their proxies down

Cause: a keeper marks down the followers of another from which it hears no share. Cut off for 20 s, it so marked down all proxies, and back again spread that: every proxy was told of one member for a moment, so that each paced cold servers and spent repeats as if it were alone. Two keepers that hear the third but not each other did so every 2.5 s. Change: a share names whom its sender hears, and a keeper that any heard one hears is not silent. Of a mark that comes by share, whoever hears the proxy knows better: its own keeper refutes it before followers are woken, others wait for that. Ruled out: marking nobody down while not current; proxies on machines that died with a majority would stay listed. Some 30 bytes more a share between keepers, none to proxies.

--- a/internal/system/distribution/hub.go
+++ b/internal/system/distribution/hub.go
@@ -72,6 +72,14 @@
 	Transport    http.RoundTripper
 	Log          log.Interface
 	Limits       HubLimits
+
+	hooks hubHooks
+}
+
+// hubHooks take protections out, so that tests show what each is for.
+type hubHooks struct {
+	believeDown bool // what another keeper marks down is down
+	ownEarsOnly bool // a keeper that does not share with this one is silent, whatever others say
 }
 
 // Hub is a keeper's end: it feeds the proxies that follow it and shares soft state with the other keepers.
@@ -121,6 +129,7 @@
 	heard     time.Time
 	lowest    uint64
 	followers uint64
+	hears     []string // keepers that have shared with it of late, by its own word
 	loads     reading
 }
 
--- a/internal/system/distribution/hub_follow.go
+++ b/internal/system/distribution/hub_follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -266,10 +267,15 @@
 // brokenLife is how long a proxy whose held call's connection ended may take to call again, here or at another keeper.
 const brokenLife = 350 * time.Millisecond
 
-// hears tells whether the keeper has shared of late.
+// hears tells whether the keeper has shared of late, with this one or with another that has shared with this one: a keeper
+// that only this one does not hear still judges its own followers. The caller holds mu.
 func (h *Hub) hears(now time.Time, keeper string) bool {
-	p := h.peers[keeper]
-	return p != nil && now.Sub(p.heard) <= peerLife
+	for address, p := range h.peers {
+		if now.Sub(p.heard) <= peerLife && (address == keeper || slices.Contains(p.hears, keeper) && !h.opt.hooks.ownEarsOnly) {
+			return true
+		}
+	}
+	return false
 }
 
 // judge drops followers that stopped calling, marks them down, deletes those down for long, and takes over the judging
--- a/internal/system/distribution/hub_share.go
+++ b/internal/system/distribution/hub_share.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -132,7 +134,7 @@
 	items, whole := h.table.since(since)
 	return &distributionpb.ShareRequest{From: &distributionpb.Keeper{Address: h.opt.Self, Zone: h.opt.Zone, Region: h.opt.Region}, Boot: h.boot,
 		Whole: whole, Warm: h.warm, Entries: toWire(now, items), Loads: h.sums.since(told.GetBoot(), told.GetNumber()),
-		Lowest: h.lowest, Followers: uint64(len(h.followers))}, h.table.number
+		Lowest: h.lowest, Followers: uint64(len(h.followers)), Hears: h.heard(now)}, h.table.number
 }
 
 // Share serves another keeper's share.
@@ -154,10 +156,11 @@
 		h.wake()
 	}
 	p.keeper, p.boot, p.heard, p.lowest, p.followers = req.GetFrom(), req.GetBoot(), now, req.GetLowest(), req.GetFollowers()
+	p.hears = req.GetHears()[:min(len(req.GetHears()), maxPeers)]
 	for _, w := range req.GetEntries() {
 		e, age := fromWire(w)
 		if e.Key != "" && len(e.Key) <= 2*maxID {
-			h.merge(now, e, age)
+			h.mergeShared(now, from, e, age)
 		}
 	}
 	if req.GetWhole() && req.GetWarm() && !h.warm {
@@ -169,6 +172,47 @@
 	return &distributionpb.ShareReply{Boot: h.boot, Told: &distributionpb.Cursor{Boot: p.loads.boot, Number: p.loads.number}}, nil
 }
 
+// mergeShared takes in an entry that another keeper shares. One that was cut off has marked down what it no longer heard of,
+// so whoever hears the proxy knows better: this keeper, or the one that the proxy follows. The caller holds mu.
+func (h *Hub) mergeShared(now time.Time, from string, e Entry, age time.Duration) {
+	was, refuted := h.marksDown(e)
+	if !refuted || h.opt.hooks.believeDown {
+		h.merge(now, e, age)
+		return
+	}
+	if f := h.followers[was.Node]; f != nil && f.member.Incarnation == was.Incarnation && (f.open > 0 || now.Sub(f.seen) < h.limits.Silence/2) {
+		h.merge(now, e, age)
+		h.assert(now, f.member)
+		return
+	}
+	if was.Owner == from || was.Owner == h.opt.Self || !h.hears(now, was.Owner) {
+		h.merge(now, e, age)
+	}
+}
+
+// marksDown tells whether an entry marks down a process that counts as up here, and what is held of it.
+func (h *Hub) marksDown(e Entry) (was Member, ok bool) {
+	held := h.table.items[e.Key]
+	if held == nil || held.Deleted || e.Deleted || !strings.HasPrefix(e.Key, memberPrefix) {
+		return Member{}, false
+	}
+	was, known := held.memberIn()
+	told, read := decodeMember(e.Value)
+	return was, known && read && told.Down && !was.Down && told.Incarnation == was.Incarnation
+}
+
+// heard gives the keepers that have shared of late, in order. The caller holds mu.
+func (h *Hub) heard(now time.Time) []string {
+	var out []string
+	for address, p := range h.peers {
+		if now.Sub(p.heard) <= peerLife {
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // maxPeers bounds the keepers remembered.
 const maxPeers = 64
 
--- /dev/null
+++ b/internal/system/distribution/memberflap_test.go
@@ -0,0 +1,120 @@
+package distribution
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// census notes the fewest members that any of some followers was told of.
+type census struct {
+	mu    sync.Mutex
+	least int
+	on    bool
+}
+
+func (c *census) note(u Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.on {
+		c.least = min(c.least, len(u.Members))
+	}
+}
+
+func (c *census) begin(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.on, c.least = true, n
+}
+
+func (c *census) fewest() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.least
+}
+
+const flapMembers = 9
+
+func flapFleet(hooks hubHooks) (*fleet, *census) {
+	fl := newHookedFleet(hooks, "k1:1", "k2:1", "k3:1")
+	c := &census{}
+	for i := range flapMembers {
+		fl.startFollower(fmt.Sprint("p", i), func(o *FollowerOptions) {
+			o.Self.Zone = "zone-" + fl.names[i%len(fl.names)]
+			o.OnUpdate = c.note
+		})
+	}
+	return fl, c
+}
+
+// backFromACut cuts a keeper off from the others for 20 s, and gives the fewest members that a proxy was told of in the
+// 10 s after that.
+func backFromACut(t *testing.T, hooks hubHooks) int {
+	t.Helper()
+	fl, c := flapFleet(hooks)
+	defer fl.stop()
+	time.Sleep(8 * time.Second)
+	for _, k := range []string{"k2:1", "k3:1"} {
+		fl.mesh.setCut("k1:1", k, true)
+		fl.mesh.setCut(k, "k1:1", true)
+	}
+	fl.sources["k1:1"].setStale(true)
+	c.begin(flapMembers)
+	time.Sleep(20 * time.Second)
+	if c.fewest() != flapMembers {
+		t.Errorf("during the cut a proxy was told of %d members", c.fewest())
+	}
+	if !slices.ContainsFunc(fl.hubs["k1:1"].Members(), func(m Member) bool { return m.Down }) {
+		t.Error("the run brought nothing about: the keeper that is cut off marked nobody down")
+	}
+	fl.mesh.mu.Lock()
+	clear(fl.mesh.cut)
+	fl.mesh.mu.Unlock()
+	fl.sources["k1:1"].setStale(false)
+	time.Sleep(10 * time.Second)
+	return c.fewest()
+}
+
+// TestKeeperBackFromACutTakesNobodyDown: a keeper that was cut off from the others for 20 s has marked down what it no longer
+// heard of. Danger: back again, it spreads that, and for a moment every proxy counts itself the only one.
+func TestKeeperBackFromACutTakesNobodyDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if n := backFromACut(t, hubHooks{}); n != flapMembers {
+			t.Errorf("a proxy was told of %d members", n)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		if backFromACut(t, hubHooks{believeDown: true}) == flapMembers {
+			t.Error("control: nothing was lost where every mark is believed")
+		}
+	})
+}
+
+// TestKeepersThatDoNotHearEachOther: two keepers that both hear the third, but not each other, leave each other's proxies
+// alone. Danger: they mark them down again and again.
+func TestKeepersThatDoNotHearEachOther(t *testing.T) {
+	run := func(t *testing.T, hooks hubHooks) int {
+		t.Helper()
+		fl, c := flapFleet(hooks)
+		defer fl.stop()
+		time.Sleep(8 * time.Second)
+		fl.mesh.setCut("k1:1", "k2:1", true)
+		fl.mesh.setCut("k2:1", "k1:1", true)
+		c.begin(flapMembers)
+		time.Sleep(20 * time.Second)
+		return c.fewest()
+	}
+	synctest.Test(t, func(t *testing.T) {
+		if n := run(t, hubHooks{}); n != flapMembers {
+			t.Errorf("a proxy was told of %d members", n)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		if run(t, hubHooks{ownEarsOnly: true}) == flapMembers {
+			t.Error("control: nothing was lost where a keeper goes by its own ears")
+		}
+	})
+}
--- a/internal/system/distribution/mesh_test.go
+++ b/internal/system/distribution/mesh_test.go
@@ -196,6 +196,7 @@
 
 // fleet is some hubs and followers on a mesh.
 type fleet struct {
+	hooks     hubHooks
 	mesh      *mesh
 	chain     *chain
 	names     []string // of keepers
@@ -215,8 +216,11 @@
 	back bool // it went back
 }
 
-func newFleet(keepers ...string) *fleet {
-	fl := &fleet{mesh: newMesh(), chain: newChain(), names: keepers, sources: map[string]*source{}, hubs: map[string]*Hub{},
+func newFleet(keepers ...string) *fleet { return newHookedFleet(hubHooks{}, keepers...) }
+
+// newHookedFleet is a fleet whose hubs lack a protection.
+func newHookedFleet(hooks hubHooks, keepers ...string) *fleet {
+	fl := &fleet{hooks: hooks, mesh: newMesh(), chain: newChain(), names: keepers, sources: map[string]*source{}, hubs: map[string]*Hub{},
 		stopHub: map[string]context.CancelFunc{}, followers: map[string]*proxy{}}
 	for _, k := range keepers {
 		fl.sources[k] = &source{chain: fl.chain, keepers: keepers}
@@ -228,7 +232,7 @@
 func (fl *fleet) startHub(name string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := NewHub(HubOptions{Source: fl.sources[name], Self: name, Zone: "zone-" + name, Region: "r", Log: quiet(),
-		Transport: station{fl.mesh, name}, Peers: func() []string {
+		hooks: fl.hooks, Transport: station{fl.mesh, name}, Peers: func() []string {
 			var out []string
 			for _, k := range fl.names {
 				if k != name {
