Two keepers a zone; one on a machine without a disk is an observer and stays

With count = 2 alone, a second machine without a disk ended its keeper 300 times.

Settings take an empty data_dir for a keeper (HasDisk); such a keeper starts as an observer, without hub, poller and duties. It takes the operator's calls, and answers proxies with the keepers of the view (distribution.Referral). cmd/keeper is cut into chain, feed and status. Ruled out: a hub on observers, which would send load vectors between all keepers; a redirect (307) of the operator's calls, of which callers follow two.

--- a/cmd/keeper/chain.go
+++ b/cmd/keeper/chain.go
@@ -3,19 +3,16 @@
 import (
 	"context"
 	"path/filepath"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/distribution"
 	"gradeusher.example/gradeusher/internal/system/replication"
 	"gradeusher.example/gradeusher/internal/system/settings"
-	"gradeusher.example/gradeusher/internal/system/staff"
 	"gradeusher.example/gradeusher/internal/system/wal"
 )
 
-const leaveWithin = time.Second // for the others to cut a keeper that goes out of the chain
-
 // links is the chain of keepers as the keeper's other parts see it.
 type links struct {
 	*replication.Keeper
@@ -29,21 +26,35 @@
 	return verdict, err
 }
 
-// Addresses implements distribution.Source: the keepers of the view, those of the chain first and in its order.
-func (l *links) Addresses() []string {
+// Places are the keepers of the view, those of the chain first and in its order.
+func (l *links) Places() []distribution.KeeperPlace {
 	view := l.View()
-	addresses := make([]string, 0, len(view.Voters))
-	in := map[replication.ID]bool{}
+	places := make([]distribution.KeeperPlace, 0, len(view.Voters))
+	add := func(m replication.Member) {
+		places = append(places, distribution.KeeperPlace{Address: m.Addr, Zone: m.Zone, Region: m.Region})
+	}
+	inChain := map[replication.ID]bool{}
 	for _, id := range view.Chain {
 		if m, ok := view.Voter(id); ok {
-			addresses, in[id] = append(addresses, m.Addr), true
+			inChain[id] = true
+			add(m)
 		}
 	}
 	for _, m := range view.Voters {
-		if !in[m.ID] {
-			addresses = append(addresses, m.Addr)
+		if !inChain[m.ID] {
+			add(m)
 		}
 	}
+	return places
+}
+
+// Addresses implements distribution.Source: the keepers of the view, those of the chain first and in its order.
+func (l *links) Addresses() []string {
+	places := l.Places()
+	addresses := make([]string, 0, len(places))
+	for _, p := range places {
+		addresses = append(addresses, p.Address)
+	}
 	return addresses
 }
 
@@ -58,27 +69,39 @@
 	return view.Epoch, addresses
 }
 
-// start opens the disk and joins the chain. A log that is damaged elsewhere than at its end is not believed: this keeper
-// then begins anew, with another identity and without a vote, and takes what it lacks from the others.
+// start joins the chain: as a member where there is a disk, as an observer otherwise.
 func (k *keeper) start(ctx context.Context) error {
-	s := k.settings
-	folder := filepath.Join(s.DataDir, "control")
+	options := k.chainOptions()
+	if !k.settings.HasDisk() {
+		k.log.Info("keeper: no disk (data_dir is empty), so this keeper is an observer: it has no vote and passes calls on")
+		options.Observer = true
+		return k.join(ctx, options)
+	}
+	folder := filepath.Join(k.settings.DataDir, "control")
 	disk, err := wal.Open(folder, wal.Options{})
 	if err != nil {
 		return errors.Wrapf(err, "the control state in %s cannot be opened", folder)
 	}
-	open := func() (*replication.Keeper, error) {
-		return replication.Start(ctx, replication.Options{Addr: s.IP, Zone: s.Zone, Region: s.Region, Port: s.KeeperPort(), Seeds: s.SeedIPs(),
-			Bootstrap: s.Bootstrap, MachineLosses: s.Tolerance.Machines, Ack: settings.Milliseconds(s.Bounds.Ack), Disk: disk, Log: k.log})
+	options.Disk = disk
+	err = k.join(ctx, options)
+	if !errors.Is(err, wal.ErrDamaged) {
+		return err
 	}
-	chain, err := open()
-	if errors.Is(err, wal.ErrDamaged) {
-		k.log.WithError(err).Error("keeper: the log is damaged; this keeper begins anew and takes the state from the others")
-		if err := disk.Wipe(); err != nil {
-			return errors.Wrapf(err, "the damaged state in %s cannot be removed: empty the folder", folder)
-		}
-		chain, err = open()
+	k.log.WithError(err).Error("keeper: the log is damaged; this keeper begins anew and takes the state from the others")
+	if err := disk.Wipe(); err != nil {
+		return errors.Wrapf(err, "the damaged state in %s cannot be removed: empty the folder", folder)
 	}
+	return k.join(ctx, options)
+}
+
+func (k *keeper) chainOptions() replication.Options {
+	s := k.settings
+	return replication.Options{Addr: s.IP, Zone: s.Zone, Region: s.Region, Port: s.KeeperPort(), Seeds: s.SeedIPs(), Bootstrap: s.Bootstrap,
+		MachineLosses: s.Tolerance.Machines, Ack: settings.Milliseconds(s.Bounds.Ack), Log: k.log}
+}
+
+func (k *keeper) join(ctx context.Context, options replication.Options) error {
+	chain, err := replication.Start(ctx, options)
 	if err != nil {
 		return err
 	}
@@ -93,30 +116,3 @@
 	defer cancel()
 	k.chain.Leave(ctx)
 }
-
-// status is what staff see of this keeper.
-func (k *keeper) status() any {
-	view := k.chain.View()
-	state, _ := k.chain.Committed()
-	servers, age, listed := k.hub.List()
-	out := staff.KeeperStatus{Version: staff.Version, Node: k.settings.Node, Current: k.chain.Current(), Epoch: view.Epoch,
-		Number: state.Seq, Revision: state.Revision(), Evacuated: staff.Zones(state), Servers: len(servers), ListAgeMS: -1,
-		Proxies: []staff.Holding{}}
-	_, out.Chain = k.chain.Live()
-	for _, m := range view.Voters {
-		out.Voters = append(out.Voters, staff.Voter{Address: m.Addr, Zone: m.Zone, Region: m.Region})
-	}
-	if listed {
-		out.ListAgeMS = age.Milliseconds()
-	}
-	out.ListDuty, _ = k.fence.Holder(listDuty)
-	for _, f := range k.hub.Followers() {
-		out.Proxies = append(out.Proxies, staff.Holding{Node: f.Node, Acknowledged: f.Seq, SilentMS: f.Silent.Milliseconds()})
-	}
-	for _, m := range k.hub.Members() {
-		if !m.Down && !m.Leaving {
-			out.Members = append(out.Members, m.Node)
-		}
-	}
-	return out
-}
--- /dev/null
+++ b/cmd/keeper/feed.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/apex/log"
+
+	"gradeusher.example/gradeusher/internal/system/distribution"
+	"gradeusher.example/gradeusher/internal/system/ownership"
+	"gradeusher.example/gradeusher/internal/system/platform"
+	"gradeusher.example/gradeusher/internal/system/process"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+	"gradeusher.example/gradeusher/internal/system/settings"
+)
+
+const (
+	pollEvery = 500 * time.Millisecond // of the platform's list
+	pollPart  = 0.1                    // of the calls that the platform accepts, at most
+	listDuty  = "list"
+)
+
+// feed is what a keeper with a disk does for proxies beside the chain: it feeds those that follow it, and reads the
+// platform's list while that duty lies here. An observer has none.
+type feed struct {
+	settings *settings.Settings
+	log      log.Interface
+	chain    *links
+	hub      *distribution.Hub
+	fence    *ownership.Fence
+	client   *platform.Client
+	poller   *platform.Poller
+}
+
+func newFeed(s *settings.Settings, logger log.Interface, chain *links) *feed {
+	f := &feed{settings: s, log: logger, chain: chain, fence: ownership.NewFence(s.IP), client: platform.NewClient(platform.Options{Address: s.Cloud.Address})}
+	f.hub = distribution.NewHub(distribution.HubOptions{Source: chain, Self: s.IP, Zone: s.Zone, Region: s.Region, Peers: f.peers, Log: logger})
+	f.poller = platform.NewPoller(platform.PollerOptions{Lister: f.client, Duty: f.duty, Newest: f.newest, OnResult: f.listed,
+		Interval: pollEvery, CallRate: max(s.Cloud.Rate*pollPart, 1), Log: logger})
+	return f
+}
+
+// run works until ctx ends.
+func (f *feed) run(ctx context.Context, group *process.Group) {
+	group.Go(func() error { f.hub.Run(ctx); return nil })
+	group.Go(func() error {
+		defer f.client.Close()
+		f.poller.Run(ctx)
+		return nil
+	})
+}
+
+// delivered waits until the connected proxies hold the change numbered seq, or ctx ends.
+func (f *feed) delivered(ctx context.Context, seq uint64) { _ = f.hub.Acknowledged(ctx, seq) }
+
+// peers are the base URLs of the other keepers.
+func (f *feed) peers() []string {
+	var urls []string
+	for _, address := range f.chain.Addresses() {
+		if address != f.settings.IP {
+			urls = append(urls, "http://"+net.JoinHostPort(address, strconv.Itoa(f.settings.KeeperPort())))
+		}
+	}
+	return urls
+}
+
+// duty tells whether this keeper reads the platform's list. The duty lies with one of the chain's links, under the epoch
+// of their view as its fence.
+func (f *feed) duty() (fence uint64, holds bool) {
+	f.fence.Observe(f.chain.Live())
+	return f.fence.Holds(listDuty)
+}
+
+func (f *feed) newest() (fence, version uint64, age time.Duration) {
+	return f.hub.ListVersion()
+}
+
+// listed takes in a reading of the platform's list.
+func (f *feed) listed(r platform.Result) {
+	servers := make([]pick.Server, 0, len(r.Instances))
+	for _, i := range r.Instances {
+		servers = append(servers, pick.Server{ID: i.ID, Service: i.Target, Address: i.Address, Zone: i.Zone,
+			Region: f.settings.Zones[i.Zone], Slots: i.Slots, Draining: i.Phase == platform.Draining,
+			Remaining: i.Remaining, Cold: i.ColdLeft})
+	}
+	if err := f.hub.PutList(r.Fence, r.Version, servers, time.Since(r.At)); err != nil {
+		f.log.WithError(err).Info("keeper: a reading of the list came too late")
+	}
+}
--- /dev/null
+++ b/cmd/keeper/status.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"gradeusher.example/gradeusher/internal/system/staff"
+)
+
+// status is what staff see of this keeper.
+func (k *keeper) status() any {
+	view := k.chain.View()
+	state, _ := k.chain.Committed()
+	out := staff.KeeperStatus{Version: staff.Version, Node: k.settings.Node, Observer: !k.settings.HasDisk(), Current: k.chain.Current(),
+		Epoch: view.Epoch, Number: state.Seq, Revision: state.Revision(), Evacuated: staff.Zones(state), ListAgeMS: -1,
+		Proxies: []staff.Holding{}}
+	_, out.Chain = k.chain.Live()
+	for _, m := range view.Voters {
+		out.Voters = append(out.Voters, staff.Voter{Address: m.Addr, Zone: m.Zone, Region: m.Region})
+	}
+	if k.feed != nil {
+		k.feed.tell(&out)
+	}
+	return out
+}
+
+// tell adds what a keeper that feeds proxies knows of them and of the platform's list.
+func (f *feed) tell(out *staff.KeeperStatus) {
+	servers, age, listed := f.hub.List()
+	out.Servers = len(servers)
+	if listed {
+		out.ListAgeMS = age.Milliseconds()
+	}
+	out.ListDuty, _ = f.fence.Holder(listDuty)
+	for _, p := range f.hub.Followers() {
+		out.Proxies = append(out.Proxies, staff.Holding{Node: p.Node, Acknowledged: p.Seq, SilentMS: p.Silent.Milliseconds()})
+	}
+	for _, m := range f.hub.Members() {
+		if !m.Down && !m.Leaving {
+			out.Members = append(out.Members, m.Node)
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/distribution/referral.go
@@ -0,0 +1,41 @@
+package distribution
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+)
+
+// KeeperPlace is a keeper that feeds proxies, and where it is.
+type KeeperPlace struct {
+	Address      string // IP or IP:port
+	Zone, Region string
+}
+
+// Referral answers proxies at a keeper that feeds none, an observer: it names the keepers that do, in the chain's order.
+// Without it a proxy whose seeds are all observers would find no keeper.
+type Referral struct {
+	Keepers func() []KeeperPlace
+}
+
+// Handler serves the calls of followers and of other keepers, under the same path as Hub.Handler.
+func (r Referral) Handler() http.Handler {
+	return bounded(distributionpb.NewDistributionServer(r))
+}
+
+// Follow names the keepers. The reply has no soft state, by which a follower knows that it is not fed here.
+func (r Referral) Follow(context.Context, *distributionpb.FollowRequest) (*distributionpb.FollowReply, error) {
+	reply := &distributionpb.FollowReply{}
+	for _, k := range r.Keepers() {
+		reply.Keepers = append(reply.Keepers, &distributionpb.Keeper{Address: k.Address, Zone: k.Zone, Region: k.Region})
+	}
+	return reply, nil
+}
+
+// Share refuses: an observer holds no soft state.
+func (Referral) Share(context.Context, *distributionpb.ShareRequest) (*distributionpb.ShareReply, error) {
+	return nil, twirp.NewError(twirp.FailedPrecondition, "this keeper is an observer and holds no soft state: share with the keepers of the view")
+}
--- a/internal/system/settings/check.go
+++ b/internal/system/settings/check.go
@@ -37,8 +37,6 @@
 	if role == Proxy {
 		need = map[string]string{"bind.front": s.Bind.Front, "bind.readiness": s.Bind.Readiness,
 			"bind.directory": s.Bind.Directory}
-	} else if s.DataDir == "" {
-		return errors.New("data_dir is empty and a keeper needs a disk: run this role on machines that have one")
 	}
 	for _, name := range []string{"bind.control_api", "bind.front", "bind.readiness", "bind.directory"} {
 		address, is := need[name]
@@ -60,6 +58,7 @@
 	}{
 		{"limits.memory_mb", float64(s.Limits.MemoryMB), 16, 1 << 20},
 		{"limits.fd_limit", float64(s.Limits.FDs), 64, 1 << 24},
+		{"limits.disk_mb", float64(s.Limits.DiskMB), 0, 1 << 30},
 		{"tolerance.machine_losses", float64(s.Tolerance.Machines), 0, 64},
 		{"bounds.ack_ms", s.Bounds.Ack, 100, 600_000},
 		{"bounds.grace_s", s.Bounds.Grace, 0.1, 3600},
--- a/internal/system/settings/settings.go
+++ b/internal/system/settings/settings.go
@@ -99,7 +99,7 @@
 // The roles of the system.
 const (
 	Proxy  Role = iota // carries requests; answers the directory
-	Keeper             // holds the control state; answers the operator
+	Keeper             // holds the control state, where it has a disk; answers the operator
 )
 
 // The system's own traffic takes the first ports of the range, the same on all machines.
@@ -109,6 +109,9 @@
 	needed
 )
 
+// HasDisk tells whether the machine has a disk for this process. A keeper without one is an observer: it has no vote.
+func (s *Settings) HasDisk() bool { return s.DataDir != "" }
+
 // KeeperPort is where a keeper listens for the system's own traffic.
 func (s *Settings) KeeperPort() int { return s.Ports[0] + keeperOffset }
 
--- a/internal/system/settings/settings_test.go
+++ b/internal/system/settings/settings_test.go
@@ -40,8 +40,12 @@
 			}
 			return err.Error()
 		}
+		disk := ", no disk"
+		if s.HasDisk() {
+			disk = ""
+		}
 		return s.Node + " keeper port " + strconv.Itoa(s.KeeperPort()) + " proxy port " + strconv.Itoa(s.ProxyPort()) + " seeds " +
-			strings.Join(s.SeedIPs(), ",")
+			strings.Join(s.SeedIPs(), ",") + disk
 	})
 }
 
--- a/internal/system/staff/status.go
+++ b/internal/system/staff/status.go
@@ -44,7 +44,8 @@
 type KeeperStatus struct {
 	Version   int       `json:"version"` // 0: before there were versions, the same as 1
 	Node      string    `json:"node"`
-	Current   bool      `json:"current"` // a majority has lately confirmed its epoch, and it is in the chain or fed by it
+	Observer  bool      `json:"observer"` // its machine has no disk: it has no vote, and passes calls on
+	Current   bool      `json:"current"`  // a majority has lately confirmed its epoch, and it is in the chain or fed by it
 	Epoch     uint64    `json:"epoch"`
 	Chain     []string  `json:"chain"` // IPs, the head first
 	Voters    []Voter   `json:"voters"`
