replication: a forwarded change is fenced by the head's own clock

Need: a change says how much time its caller has left, from when it was sent. Held up for 20 s on the way to a head that stays the head, it was taken though its caller had been told long before that there is no clear answer: an old start of an evacuation undid a later, acknowledged end (scenario "a change that was under way for longer than its caller waits", which failed). Change: the change names the newest heartbeat of the head that its sender had heard. The head knows by its own clock when it sent that, so how long the change can have been under way at most, and refuses it past its time. Ruled out: a time of day in the message (clocks need not agree); a timer at the sender (it does not recall what is under way).

--- /dev/null
+++ b/internal/system/replication/core_late_test.go
@@ -0,0 +1,62 @@
+package replication
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+)
+
+// playLateForward holds up a change on its way to the head for 20 s, while nothing else happens to the keepers. Its caller
+// has long been told that there is no clear answer, and a later change was acknowledged. Danger: it undoes the later one.
+func playLateForward(t *testing.T, h scriptedHooks) string {
+	cl := trio(t, 1, h)
+	head, sender := cl.link(0), cl.link(2)
+	var held []Envelope
+	cl.filter = func(from, to string, m *replicationpb.Message) bool {
+		if from == sender && to == head && m.GetForward() != nil {
+			held = append(held, Envelope{Addr: to, Msg: m})
+			return false
+		}
+		return true
+	}
+	first := cl.submit(sender, noted("first"), 4*time.Second)
+	cl.until(5*time.Second, "the first change ends", func() bool { return cl.done[first].ID != 0 })
+	if got := cl.done[first].Outcome; got != Unknown || len(held) == 0 {
+		t.Fatalf("the first change ended with outcome %d, %d messages are held", got, len(held))
+	}
+	cl.filter = nil
+	second := cl.submit(head, noted("second"), 3*time.Second)
+	cl.until(3*time.Second, "the second change", func() bool { return cl.answered(second) })
+	epoch := cl.view().Epoch
+	cl.run(20 * time.Second)
+	cl.deliver(held[0])
+	cl.run(200 * time.Millisecond)
+	if cl.view().Epoch != epoch {
+		t.Fatal("the view has changed: the scenario shows nothing")
+	}
+	if note := cl.nodes[head].core.state.(*toy).note; note != "second" {
+		return "the change " + note + " undoes a later one"
+	}
+	return ""
+}
+
+// TestAForwardedChangeHasItsTime: a change that comes within its time is taken, also one that was under way for a while.
+func TestAForwardedChangeHasItsTime(t *testing.T) {
+	cl := trio(t, 1, scriptedHooks{})
+	head, sender := cl.link(0), cl.link(2)
+	slow := true
+	var held []Envelope
+	cl.filter = func(from, to string, m *replicationpb.Message) bool {
+		if slow && from == sender && to == head && m.GetForward() != nil {
+			held = append(held, Envelope{Addr: to, Msg: m})
+			return false
+		}
+		return true
+	}
+	id := cl.submit(sender, noted("late"), 4*time.Second)
+	cl.run(3500 * time.Millisecond)
+	slow = false
+	cl.deliver(held[0])
+	cl.until(500*time.Millisecond, "the change that was under way for 3.5 of its 4 s", func() bool { return cl.answered(id) })
+}
--- a/internal/system/replication/core_scenario_test.go
+++ b/internal/system/replication/core_scenario_test.go
@@ -17,6 +17,7 @@
 }{
 	{"an accepted view", scriptedHooks{confirmAccepted: true}, playAcceptedView},
 	{"a change forwarded in an earlier epoch", scriptedHooks{forwardEpoch: true}, playForwardOfAnEarlierEpoch},
+	{"a change that was under way for longer than its caller waits", scriptedHooks{lateForward: true}, playLateForward},
 }
 
 func TestScenariosNeedTheirProtections(t *testing.T) {
--- a/internal/system/replication/submit.go
+++ b/internal/system/replication/submit.go
@@ -111,7 +111,7 @@
 	s.sentAt = c.now
 	e := entry{rec: s.change.Record(0)}
 	c.send(s.head, &replicationpb.Message{Body: &replicationpb.Message_Forward{Forward: &replicationpb.Forward{
-		Id: s.key, Life: c.cfg.Life, HeadLife: s.life, Epoch: s.epoch, Change: e.pb(), TtlUs: (s.deadline - c.now).Microseconds(),
+		Id: s.key, Life: c.cfg.Life, HeadLife: s.life, Epoch: s.epoch, Change: e.pb(), TtlUs: (s.deadline - c.now).Microseconds(), Heard: c.heardOf(s.head),
 	}}})
 }
 
@@ -185,8 +185,7 @@
 	}
 	o := &pendingChange{key: key, at: c.now}
 	c.changes[key] = o
-	ttl := time.Duration(m.GetTtlUs()) * time.Microsecond
-	if !c.isHead() || m.GetEpoch() != c.reg.view.Epoch && !c.cfg.scripted.forwardEpoch || c.disk.bad || c.leaving || ttl <= 0 || len(c.pending) >= maxAsked ||
+	if !c.isHead() || m.GetEpoch() != c.reg.view.Epoch && !c.cfg.scripted.forwardEpoch || c.disk.bad || c.leaving || !c.inTime(from, m) || len(c.pending) >= maxAsked ||
 		len(c.reg.view.Chain) < c.cfg.links() {
 		c.close(o, Refused)
 		return
@@ -225,6 +224,30 @@
 	c.completeChanges()
 }
 
+// heardOf is the number of the newest heartbeat heard of a keeper, 0 if none was.
+func (c *Core) heardOf(id ID) uint64 {
+	if p := c.peers[id]; p != nil {
+		return p.number
+	}
+	return 0
+}
+
+// inTime tells whether the caller of a forwarded change still waits for it. What the message says of the time left counts
+// from when it was sent, and it may have been under way for long. It was sent after this head's heartbeat that its sender
+// had heard, and when that was this head knows by its own clock. So no change is taken after its caller's deadline, at the
+// cost of the time since that heartbeat. It takes that clocks run at one rate, not that they agree.
+func (c *Core) inTime(from ID, m *replicationpb.Forward) bool {
+	ttl := time.Duration(m.GetTtlUs()) * time.Microsecond
+	if from == c.reg.self.ID || c.cfg.scripted.lateForward {
+		return ttl > 0
+	}
+	heard := m.GetHeard()
+	if heard == 0 || heard > c.number || heard+sentRing <= c.number {
+		return false
+	}
+	return c.now-c.sentAt[heard%sentRing] < ttl
+}
+
 // spec is the state after the whole log, on which the head judges.
 func (c *Core) spec() State {
 	if n := len(c.ahead); n > 0 {
--- a/internal/system/replication/types.go
+++ b/internal/system/replication/types.go
@@ -131,6 +131,7 @@
 type scriptedHooks struct {
 	confirmAccepted bool // voters vouch for an epoch though they have accepted a later view
 	forwardEpoch    bool // the head takes changes that were forwarded in an earlier epoch
+	lateForward     bool // the head takes changes whatever their age
 }
 
 func (c *Config) defaults() {
