A keeper that was cut off feeds no proxies until it has heard what it missed

Change: a hub whose chain calls it current again after more than 1.5 s, and that heard less than half of the other keepers meanwhile or stood still, says for 2 s that it is not current (a call that waits for its bound, and the one after). Ruled out: waiting after every such gap; a long repair of the chain among keepers that hear each other would delay changes.

--- a/internal/system/distribution/hub.go
+++ b/internal/system/distribution/hub.go
@@ -80,6 +80,7 @@
 type hubHooks struct {
 	believeDown bool // what another keeper marks down is down
 	ownEarsOnly bool // a keeper that does not share with this one is silent, whatever others say
+	noRejoin    bool // a keeper that was cut off feeds proxies as soon as it is current
 }
 
 // Hub is a keeper's end: it feeds the proxies that follow it and shares soft state with the other keepers.
@@ -87,22 +88,25 @@
 	opt    HubOptions
 	limits HubLimits
 
-	mu         sync.Mutex
-	table      *table
-	boot       uint64 // drawn anew once the table is warm, so that followers then take it whole
-	warm       bool
-	started    time.Time
-	ticked     time.Time
-	expired    time.Time
-	news       chan struct{} // closed when followers are to look again
-	acked      chan struct{} // closed when an acknowledgement may have risen
-	followers  map[string]*follower
-	peers      map[string]*peer // by address
-	totals     *vector          // of all proxies
-	sums       *vector          // of the followers here
-	lowest     uint64
-	snapshots  snapshots
-	compressed recordCache
+	mu          sync.Mutex
+	table       *table
+	boot        uint64 // drawn anew once the table is warm, so that followers then take it whole
+	warm        bool
+	started     time.Time
+	ticked      time.Time
+	expired     time.Time
+	news        chan struct{} // closed when followers are to look again
+	acked       chan struct{} // closed when an acknowledgement may have risen
+	followers   map[string]*follower
+	peers       map[string]*peer // by address
+	totals      *vector          // of all proxies
+	sums        *vector          // of the followers here
+	lowest      uint64
+	lastCurrent time.Time // when this keeper was last seen to be current; zero: never yet
+	rejoined    time.Time // when it was so again after isolatedAfter
+	deaf        time.Time // when it last heard less than half of the other keepers, or stood still
+	snapshots   snapshots
+	compressed  recordCache
 
 	done  chan struct{} // closed when Run ends
 	kick  chan struct{} // the table or a vector changed
@@ -205,6 +209,7 @@
 
 // tick judges followers, adds up loads and forgets what is over.
 func (h *Hub) tick(now time.Time) {
+	current := h.opt.Source.Current()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if gap := now.Sub(h.ticked); gap > h.limits.Silence/2 {
@@ -215,8 +220,13 @@
 		for _, p := range h.peers {
 			p.heard = p.heard.Add(gap)
 		}
+		h.deaf = now
+	}
+	if 2*len(h.heard(now)) < len(h.peers) {
+		h.deaf = now
 	}
 	h.ticked = now
+	h.feeds(now, current)
 	h.settle(now)
 	h.judge(now)
 	if now.Sub(h.expired) >= time.Second {
--- a/internal/system/distribution/hub_feed.go
+++ b/internal/system/distribution/hub_feed.go
@@ -12,6 +12,36 @@
 // configuration for each of many changes a second would take the keeper's time from the chain.
 const snapshotLife = 250 * time.Millisecond
 
+const (
+	// isolatedAfter is how long a keeper is not current until its table counts as behind: the others' shares are over.
+	isolatedAfter = peerLife
+	// rejoinFor is what the shares get after that to bring the table level: a call that waits for its bound and the
+	// one after it, and the answer of those that know better.
+	rejoinFor = 2 * time.Second
+)
+
+// current tells whether proxies may take this keeper's word for the newest.
+func (h *Hub) current() bool {
+	current := h.opt.Source.Current()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.feeds(time.Now(), current)
+}
+
+// feeds tells whether a keeper whose chain calls it current is so with its soft state too: one that was cut off or stood
+// still gets time to hear what it has missed. One that heard the others all the while, as in a repair of the chain, does not
+// wait, nor does one at its start. The caller holds mu.
+func (h *Hub) feeds(now time.Time, current bool) bool {
+	if !current {
+		return false
+	}
+	if !h.lastCurrent.IsZero() && now.Sub(h.lastCurrent) > isolatedAfter && now.Sub(h.deaf) < rejoinFor {
+		h.rejoined = now
+	}
+	h.lastCurrent = now
+	return h.rejoined.IsZero() || now.Sub(h.rejoined) >= rejoinFor || h.opt.hooks.noRejoin
+}
+
 // snapshots keeps the newest encoded snapshot, which all followers share. The zero value is ready.
 type snapshots struct {
 	mu       sync.Mutex // held while one is made: whoever needs one waits for it
--- a/internal/system/distribution/hub_follow.go
+++ b/internal/system/distribution/hub_follow.go
@@ -22,7 +22,7 @@
 	if m.Node == "" || len(m.Node) > maxID || m.Incarnation == 0 {
 		return nil, twirp.RequiredArgumentError("member")
 	}
-	if !h.opt.Source.Current() && !req.GetAcceptStale() {
+	if !h.current() && !req.GetAcceptStale() {
 		return &distributionpb.FollowReply{PaceMs: uint64(h.limits.Pace / time.Millisecond)}, nil
 	}
 	f := h.begin(m, req)
@@ -117,7 +117,7 @@
 // after how long a report of loads is due.
 func (h *Hub) answer(f *follower, req *distributionpb.FollowRequest, start time.Time) (*distributionpb.FollowReply, <-chan struct{}, <-chan struct{}, time.Duration) {
 	state, committed := h.opt.Source.Committed()
-	current := h.opt.Source.Current()
+	current := h.current()
 	digest := digestOf(h.opt.Source.Addresses())
 	h.mu.Lock()
 	news := h.news
@@ -155,7 +155,7 @@
 func (h *Hub) compose(f *follower, req *distributionpb.FollowRequest, start time.Time) *distributionpb.FollowReply {
 	reply := &distributionpb.FollowReply{CheckedMs: uint64(time.Since(start) / time.Millisecond)}
 	// First whether this keeper is current, then what it holds: what is acknowledged between is then in the reply.
-	reply.Current = h.opt.Source.Current()
+	reply.Current = h.current()
 	addresses := h.opt.Source.Addresses()
 	digest := digestOf(addresses)
 	if reply.Current {
--- /dev/null
+++ b/internal/system/distribution/rejoin_test.go
@@ -0,0 +1,47 @@
+package distribution
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestKeeperBackFromACutHearsFirst: for 2 s after it is current again, a keeper that was cut off or stood still leaves
+// followers to others. One that heard the others all the while feeds at once, and so does one that starts.
+func TestKeeperBackFromACutHearsFirst(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		cut, hook, want bool
+	}{{"cut off", true, false, false}, {"a repair of the chain", false, false, true}, {"control", true, true, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			fl := newHookedFleet(hubHooks{noRejoin: c.hook}, "k1:1", "k2:1", "k3:1")
+			defer fl.stop()
+			time.Sleep(4 * time.Second)
+			k := fl.hubs["k1:1"]
+			if !k.current() {
+				t.Errorf("%s: waits at its start", c.name)
+			}
+			for _, other := range []string{"k2:1", "k3:1"} {
+				fl.mesh.setCut("k1:1", other, c.cut)
+				fl.mesh.setCut(other, "k1:1", c.cut)
+			}
+			fl.sources["k1:1"].setStale(true)
+			time.Sleep(20 * time.Second)
+			fl.mesh.mu.Lock()
+			clear(fl.mesh.cut)
+			fl.mesh.mu.Unlock()
+			fl.sources["k1:1"].setStale(false)
+			if got := k.current(); got != c.want {
+				t.Errorf("%s: at once: %v", c.name, got)
+			}
+			time.Sleep(rejoinFor - 100*time.Millisecond)
+			if got := k.current(); got != c.want {
+				t.Errorf("%s: a moment before: %v", c.name, got)
+			}
+			time.Sleep(200 * time.Millisecond)
+			if !k.current() {
+				t.Errorf("%s: not in force %v after it is current", c.name, rejoinFor)
+			}
+		})
+	}
+}
