keeper: zones and regions of tolerance reach the chain; a small disk bounds its log

[tolerance] names machines, zones and regions; only machines were passed on. A log of up to 40 MiB was let onto any disk: on one of less than 64 MB it may now fill five eighths. Both figures of tolerance are checked as the others.

--- a/cmd/keeper/chain.go
+++ b/cmd/keeper/chain.go
@@ -78,7 +78,7 @@
 		return k.join(ctx, options)
 	}
 	folder := filepath.Join(k.settings.DataDir, "control")
-	disk, err := wal.Open(folder, wal.Options{})
+	disk, err := wal.Open(folder, wal.Options{MaxBytes: logBytes(k.settings.Limits.DiskMB)})
 	if err != nil {
 		return errors.Wrapf(err, "the control state in %s cannot be opened", folder)
 	}
@@ -94,10 +94,21 @@
 	return k.join(ctx, options)
 }
 
+// logBytes is the part of the disk that the log may fill; 0: wal's default, which is less. The rest is for a snapshot that
+// is written beside the old one.
+func logBytes(diskMB int64) int64 {
+	const wholeMB, logMB = 64, 40 // a log of the default size, and the least disk for it
+	if diskMB == 0 || diskMB >= wholeMB {
+		return 0
+	}
+	return diskMB << 20 * logMB / wholeMB
+}
+
 func (k *keeper) chainOptions() replication.Options {
 	s := k.settings
 	return replication.Options{Addr: s.IP, Zone: s.Zone, Region: s.Region, Port: s.KeeperPort(), Seeds: s.SeedIPs(), Bootstrap: s.Bootstrap,
-		MachineLosses: s.Tolerance.Machines, Ack: settings.Milliseconds(s.Bounds.Ack), Log: k.log}
+		MachineLosses: s.Tolerance.Machines, ZoneLosses: s.Tolerance.Zones, RegionLosses: s.Tolerance.Regions,
+		Ack: settings.Milliseconds(s.Bounds.Ack), Log: k.log}
 }
 
 func (k *keeper) join(ctx context.Context, options replication.Options) error {
--- a/internal/system/settings/check.go
+++ b/internal/system/settings/check.go
@@ -60,6 +60,8 @@
 		{"limits.fd_limit", float64(s.Limits.FDs), 64, 1 << 24},
 		{"limits.disk_mb", float64(s.Limits.DiskMB), 0, 1 << 30},
 		{"tolerance.machine_losses", float64(s.Tolerance.Machines), 0, 64},
+		{"tolerance.zones", float64(s.Tolerance.Zones), 0, 64},
+		{"tolerance.region_losses", float64(s.Tolerance.Regions), 0, 64},
 		{"bounds.ack_ms", s.Bounds.Ack, 100, 600_000},
 		{"bounds.grace_s", s.Bounds.Grace, 0.1, 3600},
 		{"bounds.retry_ratio", s.Bounds.RetryRatio, 0, 100},
