A starting proxy serves what a keeper vouches for, and a neighbour's state only after all keepers

Cause: after 1.5 s without a keeper a starting proxy took what a neighbour held, also the moment that this neighbour named keepers that could be reached; and a keeper that was tried as the ninth seed came after 2.4 s. A state that was held up for 20 s on its way was served as soon as it came. Change: all keepers known are tried at once (up to 16, one each 50 ms); a neighbour's keepers are added to them, and its state is taken once each has had its chance. What came late is held and served when a prompt answer confirms it. Ruled out: never serving a neighbour's state; without any keeper an old one is better than none, and such a machine is not in touch. In steady state nothing is sent that was not before.

--- a/internal/system/distribution/follower.go
+++ b/internal/system/distribution/follower.go
@@ -35,13 +35,15 @@
 
 // followerHooks take protections out, so that tests show what each is for.
 type followerHooks struct {
-	fromArrival   bool // a reply counts from when it arrived and not from when it was asked for
-	replaceAlways bool // a whole table takes the place of what is held, however old its list is
+	fromArrival     bool // a reply counts from when it arrived and not from when it was asked for
+	replaceAlways   bool // a whole table takes the place of what is held, however old its list is
+	startOnAny      bool // a state that came late is served by a process that has just started
+	neighbourAtOnce bool // what a neighbour holds is served before the keepers that it names have been tried
 }
 
 // Update is what a proxy holds. Nothing in it is changed later.
 type Update struct {
-	State   *controlstate.State // Seq 0 and no Config until one has come
+	State   *controlstate.State // Seq 0 and no Config until one has come that was the newest a moment ago, or a neighbour's
 	Members []Member            // the live proxies, this one and those leaving included, by name
 	Servers []pick.Server       // by id; times as of now
 	Listed  bool                // a whole reading of the platform's list has come
@@ -62,6 +64,7 @@
 	down     map[string]uint64 // verdicts to pass on: node to incarnation
 	state    *controlstate.State
 	resync   bool // the records do not apply: ask for a snapshot
+	borrowed bool // the state is a neighbour's, since no keeper could be reached
 	table    *table
 	kept     map[string]bool // keys of servers that no keeper has told since all lost their tables
 	soft     distributionpb.Cursor
@@ -185,6 +188,9 @@
 
 func (f *Follower) held(now time.Time) Update {
 	u := Update{State: f.state, Fresh: f.fresh(now)}
+	if f.freshAt.IsZero() && !f.borrowed && !f.opt.hooks.startOnAny {
+		u.State = controlstate.Empty() // it came late, so it may be old: the next answer tells
+	}
 	u.Servers, u.ListAge, u.Listed = f.table.servers(now)
 	seen := false
 	for _, m := range f.table.members() {
--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -106,6 +106,9 @@
 		poke(f.changed)
 	}
 	if f.position().Proves(offer) {
+		if f.freshAt.IsZero() {
+			poke(f.changed) // what is held may be served from now on
+		}
 		f.freshAt = later(f.freshAt, checked)
 	}
 	return answer{current: offer.Current, feeds: true, durable: durable, behind: offer.Newest > f.state.Seq && !durable}
--- a/internal/system/distribution/follower_keepers.go
+++ b/internal/system/distribution/follower_keepers.go
@@ -17,6 +17,7 @@
 	silence      = 400 * time.Millisecond  // beyond the wait of a poll, until another keeper is taken
 	seekTimeout  = 1200 * time.Millisecond // of one try while several are made at once
 	seekStagger  = 50 * time.Millisecond   // between the tries
+	seekAtOnce   = 16                      // tries under way: as many as there may be keepers, and some seeds that are none
 	avoidFor     = 2 * time.Second         // a keeper that just failed comes last
 	returnAfter  = 5 * time.Second         // until a nearer keeper is tried again
 	behindPause  = 100 * time.Millisecond  // until a keeper is asked again whose answer did not help
@@ -27,7 +28,8 @@
 // keeperInfo is a keeper known, or a seed that may be one.
 type keeperInfo struct {
 	address, zone, region string
-	seed, view            bool // told in the settings; told by a keeper
+	seed, view            bool // told in the settings; told by a keeper or a neighbour
+	tried                 bool // a call has ended since the start, whatever came of it
 	failed                time.Time
 }
 
@@ -129,6 +131,34 @@
 	}
 }
 
+// tried notes that a keeper has had its chance since the start.
+func (f *Follower) tried(keeper string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := f.keepers[keeper]; k != nil {
+		k.tried = true
+	}
+}
+
+// allTried tells whether every keeper that is known has had its chance since the start. The caller holds mu.
+func (f *Follower) allTried() bool {
+	for _, k := range f.keepers {
+		if !k.tried {
+			return false
+		}
+	}
+	return true
+}
+
+// addKeepers takes over the keepers that a neighbour names, beside those known. The caller holds mu.
+func (f *Follower) addKeepers(told []*distributionpb.Keeper) {
+	for _, w := range told {
+		if f.keepers[w.GetAddress()] == nil && len(f.keepers) < maxPeers {
+			f.keepers[w.GetAddress()] = &keeperInfo{address: w.GetAddress(), zone: w.GetZone(), region: w.GetRegion(), view: true}
+		}
+	}
+}
+
 func (f *Follower) settleOn(keeper string, stale bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -195,7 +225,7 @@
 	}
 }
 
-// seek tries the keepers, best first and two at once, until one that is current has answered. Where none is, it gives
+// seek tries the keepers, best first and one each 50 ms, until one that is current has answered. Where none is, it gives
 // one that answered at all.
 func (f *Follower) seek(ctx context.Context) (keeper string, current bool) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -237,6 +267,7 @@
 		select {
 		case r := <-results:
 			open--
+			f.tried(r.keeper)
 			switch {
 			case r.err == nil && r.answer.current:
 				timer.Stop()
@@ -252,7 +283,7 @@
 				try()
 			}
 		case <-timer.C:
-			if next < len(list) && open < 4 {
+			if next < len(list) && open < seekAtOnce {
 				try()
 			}
 		}
--- a/internal/system/distribution/late_test.go
+++ b/internal/system/distribution/late_test.go
@@ -11,7 +11,7 @@
 
 // lateReply has a follower ask a current keeper that reads the list as empty, hands it the answer after a wait, and gives
 // what it holds then.
-func lateReply(tb testing.TB, wait time.Duration, hooks followerHooks) Update {
+func lateReply(tb testing.TB, wait time.Duration, hooks followerHooks) (u Update, seq uint64) {
 	tb.Helper()
 	c := newChain()
 	h := NewHub(HubOptions{Source: &source{chain: c, keepers: []string{"k"}}, Self: "k", Log: quiet()})
@@ -31,23 +31,40 @@
 	if got.current != f.Held().Fresh {
 		tb.Errorf("the keeper counts as current: %v, the state as fresh: %v", got.current, f.Held().Fresh)
 	}
-	return f.Held()
+	return f.Held(), f.state.Seq
 }
 
 // TestLateAnswerSaysNothingOfNow: an answer that lay in a buffer for 20 s, or whose reader was stopped, brings records, which
 // are numbered, but neither the word that nothing is newer, nor servers. Danger: a proxy that was cut off counts as fresh.
 func TestLateAnswerSaysNothingOfNow(t *testing.T) {
-	if u := lateReply(t, 0, followerHooks{}); !u.Fresh || u.State.Seq != 1 || len(u.Servers) != 1 {
+	if u, _ := lateReply(t, 0, followerHooks{}); !u.Fresh || u.State.Seq != 1 || len(u.Servers) != 1 {
 		t.Errorf("in time: fresh %v, %d, %d servers", u.Fresh, u.State.Seq, len(u.Servers))
 	}
-	if u := lateReply(t, 20*time.Second, followerHooks{}); u.Fresh || u.State.Seq != 1 || len(u.Servers) != 0 {
-		t.Errorf("late: fresh %v, %d, %d servers", u.Fresh, u.State.Seq, len(u.Servers))
+	if u, seq := lateReply(t, 20*time.Second, followerHooks{}); u.Fresh || seq != 1 || len(u.Servers) != 0 {
+		t.Errorf("late: fresh %v, %d, %d servers", u.Fresh, seq, len(u.Servers))
 	}
-	if u := lateReply(t, 20*time.Second, followerHooks{fromArrival: true}); !u.Fresh {
+	if u, _ := lateReply(t, 20*time.Second, followerHooks{fromArrival: true}); !u.Fresh {
 		t.Error("control: judged by its arrival it is not taken for new either")
 	}
 }
 
+// TestStartWaitsForAWordOfNow: a proxy that starts holds what a late answer brought, and serves it once a prompt one has said
+// that there is nothing newer.
+func TestStartWaitsForAWordOfNow(t *testing.T) {
+	if u, seq := lateReply(t, 20*time.Second, followerHooks{}); u.State.Seq != 0 || seq != 1 {
+		t.Errorf("serves %d, holds %d", u.State.Seq, seq)
+	}
+	if u, _ := lateReply(t, 20*time.Second, followerHooks{startOnAny: true}); u.State.Seq != 1 {
+		t.Error("control: a late state is not served either")
+	}
+	f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
+	f.state = &controlstate.State{Seq: 7}
+	f.take(time.Now(), time.Now(), f.request(nil, false), &distributionpb.FollowReply{Current: true, Newest: 7})
+	if got := f.Held().State.Seq; got != 7 {
+		t.Errorf("serves %d after a prompt word", got)
+	}
+}
+
 // TestWaitAtTheKeeperIsNoAge: a poll that a keeper held for long is answered with a word of now.
 func TestWaitAtTheKeeperIsNoAge(t *testing.T) {
 	f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
--- a/internal/system/distribution/neighbour.go
+++ b/internal/system/distribution/neighbour.go
@@ -59,20 +59,24 @@
 func (f *Follower) askNeighbour(ctx context.Context, place string) bool {
 	ctx, cancel := context.WithTimeout(ctx, seekTimeout)
 	defer cancel()
+	asked := time.Now()
 	reply, err := distributionpb.NewNeighboursProtobufClient(f.url(place, f.opt.ProxyPort), f.client).
 		Neighbour(ctx, &distributionpb.NeighbourRequest{Node: f.self.Node})
 	if err != nil {
 		return false
 	}
-	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.digest == 0 {
+		f.addKeepers(reply.GetKeepers())
+	}
+	if !f.allTried() && !f.opt.hooks.neighbourAtOnce {
+		return false // a keeper that can be reached knows better: ask again once they have been tried
+	}
 	before := f.state.Seq
 	f.takeState(offerOf(reply, 0), reply)
-	changed := f.takeEntries(now, reply)
-	if len(reply.GetKeepers()) > 0 && f.digest == 0 {
-		f.takeKeepers(reply.GetKeepers())
-	}
+	changed := f.takeEntries(asked, reply)
+	f.borrowed = f.borrowed || f.state.Seq > 0
 	if changed || f.state.Seq != before {
 		f.opt.Log.WithField("neighbour", place).WithField("seq", f.state.Seq).Info("distribution: no keeper is reached; holding what a neighbour holds")
 		poke(f.changed)
--- /dev/null
+++ b/internal/system/distribution/start_test.go
@@ -0,0 +1,108 @@
+package distribution
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+)
+
+// firstState notes the first state with a record that a follower's owner is given.
+type firstState struct {
+	mu  sync.Mutex
+	seq uint64
+	at  time.Time
+}
+
+func (f *firstState) note(u Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.seq == 0 && u.State.Seq > 0 {
+		f.seq, f.at = u.State.Seq, time.Now()
+	}
+}
+
+func (f *firstState) get() (uint64, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seq, f.at
+}
+
+// oldNeighbour makes a fleet of one keeper, and a proxy that holds change 1 and is cut off before change 2 is acknowledged.
+func oldNeighbour() *fleet {
+	fl := newFleet("k1:1")
+	fl.startFollower("old", nil)
+	fl.chain.add(controlstate.Record{Op: controlstate.OpEvacuate, Zone: "z"})
+	time.Sleep(5 * time.Second)
+	fl.cutOff("old", true)
+	fl.chain.add(controlstate.Record{Op: controlstate.OpReadmit, Zone: "z"})
+	return fl
+}
+
+// startBeside starts a proxy with some seeds beside the old neighbour, and gives the first state that it serves.
+func startBeside(t *testing.T, node string, hooks followerHooks, seeds ...string) (seq uint64, took time.Duration) {
+	t.Helper()
+	fl := oldNeighbour()
+	defer fl.stop()
+	for _, s := range seeds {
+		if s != "k1:1" && s != "old:2" {
+			fl.mesh.setCut(node, s, true) // silent, as a machine that is cut off
+		}
+	}
+	var first firstState
+	start := time.Now()
+	fl.startFollower(node, func(o *FollowerOptions) { o.Seeds, o.OnUpdate, o.hooks = seeds, first.note, hooks })
+	time.Sleep(10 * time.Second)
+	seq, at := first.get()
+	return seq, at.Sub(start)
+}
+
+// TestStartPrefersAnyKeeperToANeighbour: a proxy that starts with eight seeds that are cut off, one keeper, and a neighbour
+// that holds an old state serves what the keeper holds, whichever it tries last.
+func TestStartPrefersAnyKeeperToANeighbour(t *testing.T) {
+	seeds := []string{"old:2", "k1:1"}
+	for i := range 8 {
+		seeds = append(seeds, fmt.Sprintf("dead%d:1", i))
+	}
+	for i := range 30 {
+		synctest.Test(t, func(t *testing.T) {
+			if seq, took := startBeside(t, fmt.Sprint("p", i), followerHooks{}, seeds...); seq != 2 || took > 1500*time.Millisecond {
+				t.Errorf("p%d: serves change %d after %v", i, seq, took)
+			}
+		})
+	}
+}
+
+// TestStartAsksKeepersThatANeighbourNames: a proxy whose seeds name no keeper learns of one from an old neighbour, and asks it
+// before it serves what that neighbour holds.
+func TestStartAsksKeepersThatANeighbourNames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		if seq, took := startBeside(t, "p", followerHooks{}, "old:2", "dead:1"); seq != 2 || took > 4*time.Second {
+			t.Errorf("serves change %d after %v", seq, took)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		if seq, _ := startBeside(t, "p", followerHooks{neighbourAtOnce: true}, "old:2", "dead:1"); seq == 2 {
+			t.Error("control: the keeper's state came first though the neighbour was believed at once")
+		}
+	})
+}
+
+// TestStartWithoutAnyKeeperServesTheNeighboursState: where no keeper can be reached at all, an old state is better than none.
+func TestStartWithoutAnyKeeperServesTheNeighboursState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := oldNeighbour()
+		defer fl.stop()
+		fl.mesh.setCut("p", "k1:1", true)
+		var first firstState
+		start := time.Now()
+		fl.startFollower("p", func(o *FollowerOptions) { o.Seeds, o.OnUpdate = []string{"old:2", "dead:1"}, first.note })
+		time.Sleep(10 * time.Second)
+		if seq, at := first.get(); seq != 1 || at.Sub(start) > 6*time.Second {
+			t.Errorf("serves change %d after %v", seq, at.Sub(start))
+		}
+	})
+}
