replication: heartbeats are numbered from another place in each life

Need: a keeper outside the chain takes what it is fed for new when the feed names one of its latest calls by number. Numbers began at 1 in each life, so a feed that was under way across a restart named a call of the new life: 310 ms after its start the keeper counted as current without the newest change (TestAFeedOfAFormerLifeProvesNothing failed). Change: the first number is derived from the life, 48 bits. Ruled out: the life in each echo and feed, which says the same with more bytes. Measured: the test passes; the package's tests pass.

--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -89,7 +89,7 @@
 	c := &Core{
 		cfg: cfg, machine: machine, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Life)), //nolint:gosec // jitter
 		state: machine.Empty(), wantAt: -1, seedsAt: -1, noHeadSince: -1, heartbeatAt: -cfg.Heartbeat,
-		down: map[ID]*progress{}, peers: map[ID]*peer{}, submits: map[uint64]*submit{},
+		number: firstNumber(cfg.Life), down: map[ID]*progress{}, peers: map[ID]*peer{}, submits: map[uint64]*submit{},
 		changes: map[changeKey]*pendingChange{}, reads: map[uint64]*read{},
 	}
 	if data, ok := meta[metaRegister]; ok {
--- a/internal/system/replication/core_late_test.go
+++ b/internal/system/replication/core_late_test.go
@@ -60,3 +60,43 @@
 	cl.deliver(held[0])
 	cl.until(500*time.Millisecond, "the change that was under way for 3.5 of its 4 s", func() bool { return cl.answered(id) })
 }
+
+// TestAFeedOfAFormerLifeProvesNothing delivers to a keeper outside the chain, right after its restart, what it was fed
+// before. Danger: the answer to a call of its former life passes for one to a call of now, and the past for the newest.
+func TestAFeedOfAFormerLifeProvesNothing(t *testing.T) {
+	cl := trio(t, 1, scriptedHooks{})
+	spare := Config{Self: Member{Addr: "d", Zone: "zone d", Region: "r"}, MachineLosses: 1, Seeds: []string{"a", "b", "c"}}
+	cl.start(spare)
+	var old []Envelope
+	cl.filter = func(from, to string, m *replicationpb.Message) bool {
+		if to == "d" && m.GetAppend() != nil {
+			old = append(old, Envelope{Addr: to, Msg: m})
+		}
+		return true
+	}
+	cl.run(3 * time.Second)
+	if len(old) == 0 {
+		t.Fatal("the spare is not fed")
+	}
+	cl.nodes["d"].core = nil
+	fresh := false
+	cl.filter = func(from, to string, m *replicationpb.Message) bool { return fresh || to != "d" || m.GetAppend() == nil }
+	id := cl.submit("a", noted("newer"), time.Second)
+	cl.until(time.Second, "a change", func() bool { return cl.answered(id) })
+	cl.run(2 * time.Second)
+	cl.start(spare)
+	for range 3 * int(time.Second/clusterStep) {
+		cl.step()
+		for _, e := range old {
+			cl.deliver(e)
+		}
+		if n := cl.nodes["d"]; n.core.Current(cl.clock(n)) {
+			t.Fatalf("%v after its start the keeper counts as current with %d of 1 records", cl.clock(n), n.core.committed)
+		}
+	}
+	fresh = true
+	cl.until(2*time.Second, "the spare is current once it is fed", func() bool {
+		n := cl.nodes["d"]
+		return n.core.Current(cl.clock(n)) && n.core.committed == 1
+	})
+}
--- a/internal/system/replication/heartbeat.go
+++ b/internal/system/replication/heartbeat.go
@@ -27,6 +27,13 @@
 	heartbeat *replicationpb.Heartbeat
 }
 
+// firstNumber is where a process begins to number its heartbeats: far from where its former lives did, so that what others
+// say of those numbers, under way since then, is no proof that they heard this one.
+func firstNumber(life uint64) uint64 {
+	const golden = 0x9e3779b97f4a7c15 // odd, with its ones and zeros well mixed
+	return life * golden >> 16
+}
+
 // heartbeat is what this keeper says of itself, under a number of its own.
 func (c *Core) heartbeat() *replicationpb.Heartbeat {
 	c.number++
