replication: a process that stood still notices it at whatever comes first

Need: a keeper that wakes from a freeze gives the others time to be heard before it plans. It noticed a leap of its clock only at a tick; a message out of its sockets that came before the tick moved the clock on, and the leap was never seen (TestAFrozenVoterWaitsBeforeItPlans failed). It might then plan a view without keepers that are well. Change: every event moves the clock on by Core.advance, which sees leaps.

--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -177,7 +177,7 @@
 
 // Leave makes the others take this keeper out of the chain at once.
 func (c *Core) Leave(now time.Duration) {
-	c.now = max(c.now, now)
+	c.advance(now)
 	c.leaving = true
 	c.sendHeartbeats()
 	c.settle()
@@ -193,13 +193,18 @@
 	return out
 }
 
-// Tick tells the time.
-func (c *Core) Tick(now time.Duration) {
+// advance moves the core's time on; it never goes back. Ticks come every few tens of milliseconds, so a leap means that the
+// process stood still: what others sent meanwhile has yet to be read, and their silence says nothing.
+func (c *Core) advance(now time.Duration) {
 	if now-c.now > c.cfg.Suspect/2 {
-		// The process stood still: what others sent meanwhile has yet to be read.
 		c.graceUntil = now + c.cfg.Suspect
 	}
 	c.now = max(c.now, now)
+}
+
+// Tick tells the time.
+func (c *Core) Tick(now time.Duration) {
+	c.advance(now)
 	c.watchDisk()
 	if c.now-c.heartbeatAt >= c.heartbeatInterval() {
 		c.sendHeartbeats()
@@ -213,7 +218,7 @@
 
 // Receive takes a message from another keeper. It keeps m.
 func (c *Core) Receive(now time.Duration, m *replicationpb.Message) {
-	c.now = max(c.now, now)
+	c.advance(now)
 	if to := ID(m.GetTo()); to != "" && to != c.reg.self.ID || ID(m.GetFrom()) == c.reg.self.ID {
 		return
 	}
--- a/internal/system/replication/core_late_test.go
+++ b/internal/system/replication/core_late_test.go
@@ -80,7 +80,9 @@
 	}
 	cl.nodes["d"].core = nil
 	fresh := false
-	cl.filter = func(from, to string, m *replicationpb.Message) bool { return fresh || to != "d" || m.GetAppend() == nil }
+	cl.filter = func(from, to string, m *replicationpb.Message) bool {
+		return fresh || to != "d" || m.GetAppend() == nil
+	}
 	id := cl.submit("a", noted("newer"), time.Second)
 	cl.until(time.Second, "a change", func() bool { return cl.answered(id) })
 	cl.run(2 * time.Second)
--- a/internal/system/replication/disk.go
+++ b/internal/system/replication/disk.go
@@ -223,7 +223,7 @@
 
 // DiskDone tells that the operation with the token has ended.
 func (c *Core) DiskDone(now time.Duration, token uint64, err error) {
-	c.now = max(c.now, now)
+	c.advance(now)
 	d := &c.disk
 	if d.op == nil || d.op.Token != token {
 		return
--- a/internal/system/replication/heartbeat.go
+++ b/internal/system/replication/heartbeat.go
@@ -172,7 +172,7 @@
 // Current tells whether what this keeper holds can be passed on as new: within the last moments a majority of voters
 // said that no later epoch than its own is about, and it is a link, or fed by one.
 func (c *Core) Current(now time.Duration) bool {
-	c.now = max(c.now, now)
+	c.advance(now)
 	v := c.reg.view
 	if v.Epoch == 0 || !c.entered || c.err != nil {
 		return false
--- a/internal/system/replication/read.go
+++ b/internal/system/replication/read.go
@@ -34,7 +34,7 @@
 
 // Read asks for the state after all that was acknowledged before. A Completion with id follows within ttl.
 func (c *Core) Read(now time.Duration, id uint64, ttl time.Duration) {
-	c.now = max(c.now, now)
+	c.advance(now)
 	if len(c.reads) >= maxAsked {
 		c.out.Done = append(c.out.Done, Completion{ID: id, Read: true, Outcome: Refused})
 		return
--- a/internal/system/replication/submit.go
+++ b/internal/system/replication/submit.go
@@ -74,7 +74,7 @@
 
 // Submit asks for a change. A Completion with id follows within ttl.
 func (c *Core) Submit(now time.Duration, id uint64, ch controlstate.Change, ttl time.Duration) {
-	c.now = max(c.now, now)
+	c.advance(now)
 	if len(c.submits) >= maxAsked {
 		c.out.Done = append(c.out.Done, Completion{ID: id, Outcome: Refused})
 		return
