system status says whether the keepers bear the tolerance, and shows observers as such

Nothing in log or status said that three keepers cannot bear the loss of two machines. KeeperStatus carries the capacity that the chain works out; system status prints it in one line and ends with exit code 1 and the remedy where it is not borne. One keeper's word counts: current, of the newest epoch, with a disk before observers, as those hear less often.

--- a/cmd/gradeusher/staff_status.go
+++ b/cmd/gradeusher/staff_status.go
@@ -20,7 +20,8 @@
 	For     time.Duration `help:"How long to wait with --wait; at most an hour." default:"10s"`
 }
 
-// Run prints what keepers and proxies hold. It fails where no keeper is current.
+// Run prints what keepers and proxies hold. It fails where no keeper is current, and where the keepers do not bear the losses
+// that the deployment's tolerance names.
 func (c systemStatusCommand) Run(ctx context.Context, s streams) error {
 	var client staff.Client
 	if c.Wait != "" {
@@ -36,6 +37,9 @@
 	if !f.Current() {
 		return errors.New("no keeper is current: changes are not taken, see docs/oncall-system.md")
 	}
+	if f.Capacity != nil && !f.Capacity.Bears {
+		return fmt.Errorf("the keepers do not bear the losses that [tolerance] names: %s", f.Capacity.Remedy)
+	}
 	return nil
 }
 
@@ -70,6 +74,7 @@
 	}
 	fmt.Fprintf(w, "view %d, chain %s\n", f.Epoch, orNone(f.Chain))
 	fmt.Fprintf(w, "record %d, revision %d, evacuated zones: %s\n", f.Number, f.Revision, orNone(f.Evacuated))
+	printCapacity(w, f.Capacity)
 	for _, d := range f.Duties {
 		fmt.Fprintf(w, "duty %s: %s\n", d.Name, orNone([]string{d.Holder}))
 	}
@@ -81,19 +86,7 @@
 		fmt.Fprintf(w, "voter %-15s %s, %s: %s\n", v.Address, v.Zone, v.Region, place)
 	}
 	for _, a := range f.Keepers {
-		if a.Status == nil {
-			fmt.Fprintf(w, "keeper %-21s %s\n", a.Address, a.Error)
-			continue
-		}
-		current, list := "current", "none"
-		if !a.Status.Current {
-			current = "NOT current"
-		}
-		if a.Status.ListAgeMS >= 0 {
-			list = fmt.Sprintf("%d ms old", a.Status.ListAgeMS)
-		}
-		fmt.Fprintf(w, "keeper %-21s %s: %s, view %d, record %d, revision %d, %d servers, list %s, %d proxies\n", a.Address, a.Status.Node,
-			current, a.Status.Epoch, a.Status.Number, a.Status.Revision, a.Status.Servers, list, len(a.Status.Proxies))
+		printKeeper(w, a)
 	}
 	for _, p := range f.Proxies {
 		behind := "newest"
@@ -108,6 +101,32 @@
 	return nil
 }
 
+func printCapacity(w io.Writer, have *staff.Capacity) {
+	if have == nil {
+		return
+	}
+	fmt.Fprintf(w, "tolerance: %s, %d of %d voters (%d silent), %d links (%d needed), %d observers\n",
+		either(have.Bears, "borne", "NOT borne"), have.Voters, have.VotersWanted, have.Silent, have.Links, have.LinksNeeded, have.Observers)
+}
+
+func printKeeper(w io.Writer, a staff.Answer) {
+	s := a.Status
+	if s == nil {
+		fmt.Fprintf(w, "keeper %-21s %s\n", a.Address, a.Error)
+		return
+	}
+	at := fmt.Sprintf("%s: %s, view %d, record %d, revision %d", s.Node, either(s.Current, "current", "NOT current"), s.Epoch, s.Number, s.Revision)
+	if s.Observer {
+		fmt.Fprintf(w, "observer %-19s %s, no disk, no vote\n", a.Address, at)
+		return
+	}
+	list := "none"
+	if s.ListAgeMS >= 0 {
+		list = fmt.Sprintf("%d ms old", s.ListAgeMS)
+	}
+	fmt.Fprintf(w, "keeper %-21s %s, %d servers, list %s, %d proxies\n", a.Address, at, s.Servers, list, len(s.Proxies))
+}
+
 func orNone(all []string) string {
 	if text := strings.Join(all, " "); text != "" {
 		return text
--- a/cmd/gradeusher/staff_test.go
+++ b/cmd/gradeusher/staff_test.go
@@ -18,6 +18,16 @@
 // staffed is a keeper's control address and a proxy's inner one, at one address.
 func staffed(t *testing.T, current bool) (address string, state *controlstate.State) {
 	t.Helper()
+	return staffedWith(t, staff.KeeperStatus{Current: current})
+}
+
+// staffedWith fills in what the status leaves open.
+func staffedWith(t *testing.T, status staff.KeeperStatus) (address string, state *controlstate.State) {
+	t.Helper()
+	status.Version, status.Node, status.Epoch, status.Chain = staff.Version, "n", 3, []string{"127.0.0.1"}
+	status.Voters = []staff.Voter{{Address: "127.0.0.1", Zone: "hall", Region: "town"}}
+	status.Number, status.Evacuated, status.ListDuty = 1, []string{"hall"}, "127.0.0.1"
+	status.Proxies = []staff.Holding{{Node: "edge", Acknowledged: 1}}
 	state, err := controlstate.Empty().Apply(controlstate.Change{Op: controlstate.OpEvacuate, Zone: "hall"}.Record(1))
 	if err != nil {
 		t.Fatal(err)
@@ -29,9 +39,7 @@
 			staff.KeeperStatus
 			Ready  bool   `json:"ready"`
 			Choice string `json:"choice"`
-		}{staff.KeeperStatus{Version: staff.Version, Node: "n", Current: current, Epoch: 3, Chain: []string{"127.0.0.1"},
-			Voters: []staff.Voter{{Address: "127.0.0.1", Zone: "hall", Region: "town"}}, Number: 1, Evacuated: []string{"hall"},
-			ListDuty: "127.0.0.1", Proxies: []staff.Holding{{Node: "edge", Acknowledged: 1}}}, true, "s-1 m hall: evacuated\n"}
+		}{status, true, "s-1 m hall: evacuated\n"}
 	}))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
@@ -68,6 +76,31 @@
 	}
 }
 
+// TestSystemStatusTellsOfTheTolerance: danger: a deployment that cannot bear what it promises looks well until the loss comes.
+func TestSystemStatusTellsOfTheTolerance(t *testing.T) {
+	t.Parallel()
+	const remedy = "3 keepers with a disk vote and 5 are needed: run keepers on 2 more machines with a disk, or lower [tolerance]"
+	short := staff.Capacity{Keepers: 3, Observers: 2, Voters: 3, VotersWanted: 5, Silent: 1, Links: 3, LinksNeeded: 3, Remedy: remedy}
+	whole := staff.Capacity{Bears: true, Keepers: 5, Voters: 5, VotersWanted: 5, Links: 5, LinksNeeded: 3}
+	for _, c := range []struct {
+		status    staff.KeeperStatus
+		code      int
+		out, said string
+	}{
+		{staff.KeeperStatus{Current: true, Capacity: &short}, exitBroken,
+			"\ntolerance: NOT borne, 3 of 5 voters (1 silent), 3 links (3 needed), 2 observers\n", "[tolerance] names: " + remedy + "\n"},
+		{staff.KeeperStatus{Current: true, Capacity: &whole}, 0, "\ntolerance: borne, 5 of 5 voters (0 silent), 5 links (3 needed), 0 observers\n", ""},
+		{staff.KeeperStatus{Capacity: &short}, exitBroken, " n: NOT current,", "no keeper is current"},
+		{staff.KeeperStatus{Current: true, Observer: true, Capacity: &whole}, 0, "\nobserver 127.0.0.1:", ""},
+	} {
+		address, _ := staffedWith(t, c.status)
+		code, out, said := runIn("system", "status", address)
+		if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(said, c.said) || (said == "") != (c.said == "") {
+			t.Errorf("%+v: exit %d, %s%s", c.status, code, out, said)
+		}
+	}
+}
+
 func TestSystemStatusWait(t *testing.T) {
 	t.Parallel()
 	address, _ := staffed(t, true)
--- a/cmd/keeper/status.go
+++ b/cmd/keeper/status.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"gradeusher.example/gradeusher/internal/system/ownership"
+	"gradeusher.example/gradeusher/internal/system/replication"
 	"gradeusher.example/gradeusher/internal/system/staff"
 )
 
@@ -9,9 +11,10 @@
 	view := k.chain.View()
 	state, _ := k.chain.Committed()
 	out := staff.KeeperStatus{Version: staff.Version, Node: k.settings.Node, Observer: !k.settings.HasDisk(), Current: k.chain.Current(),
-		Epoch: view.Epoch, Number: state.Seq, Revision: state.Revision(), Evacuated: staff.Zones(state), ListAgeMS: -1,
+		Capacity: capacity(k.chain.Capacity()), Epoch: view.Epoch, Number: state.Seq, Revision: state.Revision(), Evacuated: staff.Zones(state), ListAgeMS: -1,
 		Proxies: []staff.Holding{}}
 	_, out.Chain = k.chain.Live()
+	out.ListDuty = ownership.Holder(listDuty, out.Chain)
 	for _, m := range view.Voters {
 		out.Voters = append(out.Voters, staff.Voter{Address: m.Addr, Zone: m.Zone, Region: m.Region})
 	}
@@ -21,6 +24,11 @@
 	return out
 }
 
+func capacity(c replication.Capacity) *staff.Capacity {
+	return &staff.Capacity{Bears: c.Bears, Keepers: c.Keepers, Observers: c.Observers, Voters: c.Voters, Silent: c.Silent,
+		VotersWanted: c.VotersWanted, Links: c.Links, LinksNeeded: c.LinksNeeded, Remedy: c.Remedy}
+}
+
 // tell adds what a keeper that feeds proxies knows of them and of the platform's list.
 func (f *feed) tell(out *staff.KeeperStatus) {
 	servers, age, listed := f.hub.List()
@@ -28,7 +36,6 @@
 	if listed {
 		out.ListAgeMS = age.Milliseconds()
 	}
-	out.ListDuty, _ = f.fence.Holder(listDuty)
 	for _, p := range f.hub.Followers() {
 		out.Proxies = append(out.Proxies, staff.Holding{Node: p.Node, Acknowledged: p.Seq, SilentMS: p.Silent.Milliseconds()})
 	}
--- a/internal/system/staff/fleet.go
+++ b/internal/system/staff/fleet.go
@@ -15,8 +15,9 @@
 	Epoch     uint64     `json:"epoch"` // newest that a keeper tells
 	Chain     []string   `json:"chain"` // of that epoch
 	Voters    []Voter    `json:"voters"`
-	Number    uint64     `json:"number"`   // newest committed record that a keeper tells
-	Revision  int64      `json:"revision"` // after it
+	Capacity  *Capacity  `json:"capacity,omitempty"` // as a current keeper of that epoch sees it; nil: none tells
+	Number    uint64     `json:"number"`             // newest committed record that a keeper tells
+	Revision  int64      `json:"revision"`           // after it
 	Evacuated []string   `json:"evacuated"`
 	Keepers   []Answer   `json:"keepers"` // by address
 	Proxies   []Follower `json:"proxies"` // by name
@@ -130,6 +131,7 @@
 			}
 		}
 	}
+	f.Capacity = capacity(answers, f.Epoch)
 	if viewed {
 		f.Duties = append(f.Duties, duty)
 	}
@@ -145,6 +147,22 @@
 	return f
 }
 
+// capacity is the first that a current keeper of the epoch tells, one with a disk before observers: it hears the others
+// more often.
+func capacity(answers []Answer, epoch uint64) *Capacity {
+	var observed *Capacity
+	for _, a := range answers {
+		switch s := a.Status; {
+		case s == nil || !s.Current || s.Epoch != epoch || s.Capacity == nil:
+		case !s.Observer:
+			return s.Capacity
+		case observed == nil:
+			observed = s.Capacity
+		}
+	}
+	return observed
+}
+
 // Current tells whether a keeper that answered is current: the system takes changes there.
 func (f *Fleet) Current() bool {
 	return slices.ContainsFunc(f.Keepers, func(a Answer) bool { return a.Status != nil && a.Status.Current })
--- a/internal/system/staff/status.go
+++ b/internal/system/staff/status.go
@@ -33,6 +33,19 @@
 	Region  string `json:"region"`
 }
 
+// Capacity compares the keepers that exist with those that the deployment's tolerance needs, as one keeper sees them.
+type Capacity struct {
+	Bears        bool   `json:"bears"`         // a majority of the voters and a link are left after any loss that is tolerated
+	Keepers      int    `json:"keepers"`       // with a disk, heard from lately
+	Observers    int    `json:"observers"`     // without a disk, heard from lately
+	Voters       int    `json:"voters"`        // of the view
+	Silent       int    `json:"silent"`        // of those, not heard from lately
+	VotersWanted int    `json:"voters_wanted"` // for the tolerance
+	Links        int    `json:"links"`         // of the view
+	LinksNeeded  int    `json:"links_needed"`  // fewer take no change
+	Remedy       string `json:"remedy"`        // what is missing and what to do, in one line; empty: nothing
+}
+
 // Holding is a proxy as the keeper that it follows sees it.
 type Holding struct {
 	Node         string `json:"node"`
@@ -44,8 +57,9 @@
 type KeeperStatus struct {
 	Version   int       `json:"version"` // 0: before there were versions, the same as 1
 	Node      string    `json:"node"`
-	Observer  bool      `json:"observer"` // its machine has no disk: it has no vote, and passes calls on
-	Current   bool      `json:"current"`  // a majority has lately confirmed its epoch, and it is in the chain or fed by it
+	Observer  bool      `json:"observer"`           // its machine has no disk: it has no vote, and passes calls on
+	Current   bool      `json:"current"`            // a majority has lately confirmed its epoch, and it is in the chain or fed by it
+	Capacity  *Capacity `json:"capacity,omitempty"` // nil: of a keeper that does not tell it
 	Epoch     uint64    `json:"epoch"`
 	Chain     []string  `json:"chain"` // IPs, the head first
 	Voters    []Voter   `json:"voters"`
--- a/internal/system/staff/status_test.go
+++ b/internal/system/staff/status_test.go
@@ -85,6 +85,31 @@
 	}
 }
 
+// TestFleetCapacity: one keeper's word counts: of the newest epoch, current, and with a disk before observers.
+func TestFleetCapacity(t *testing.T) {
+	told := func(epoch uint64, current, observer bool, voters int) Answer {
+		return Answer{Status: &KeeperStatus{Epoch: epoch, Current: current, Observer: observer, Capacity: &Capacity{Voters: voters}}}
+	}
+	old := Answer{Status: &KeeperStatus{Epoch: 4, Current: true}}
+	for _, c := range []struct {
+		answers []Answer
+		voters  int // 0: no capacity
+	}{
+		{[]Answer{{}, old}, 0},
+		{[]Answer{told(4, false, false, 1)}, 0},
+		{[]Answer{told(3, true, false, 1), told(4, true, true, 2)}, 2},
+		{[]Answer{told(4, true, true, 1), old, told(4, true, false, 2)}, 2},
+	} {
+		have := 0
+		if f := merge(c.answers); f.Capacity != nil {
+			have = f.Capacity.Voters
+		}
+		if have != c.voters {
+			t.Errorf("%d voters, want %d", have, c.voters)
+		}
+	}
+}
+
 func TestFleetTellsWhoIsSilent(t *testing.T) {
 	all := fleetOf()
 	delete(all, "10.0.0.2")
