A large state reaches a proxy over a narrow link

Cause: a call between keeper and proxy was given up after 1.2 to 1.4 s in all, and its answer could have 8 MiB. A state of 2 MB that hardly compresses took longer than that over 640 KB/s, each time anew; one of 16 MB, which the operator may send, could not be answered at all. A caller that read nothing held its answer in a keeper's memory without end. Ruled out: a bound that grows with the size, which the caller does not know.

--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -11,7 +11,8 @@
 	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
-// call polls a keeper once and takes in what it answers. It tells how the keeper stands.
+// call polls a keeper once and takes in what it answers. It tells how the keeper stands. The answer must begin within wait
+// and slack, and not pause for longer than slack.
 func (f *Follower) call(ctx context.Context, keeper string, wait, slack time.Duration, acceptStale bool) (answer, error) {
 	var loads map[string]pick.Load
 	if f.opt.Loads != nil {
@@ -23,7 +24,7 @@
 		wait = min(wait, f.loadWait())
 	}
 	req.WaitMs = uint64(wait / time.Millisecond)
-	ctx, cancel := context.WithTimeout(ctx, wait+slack)
+	ctx, cancel := withPatience(ctx, wait+slack, slack)
 	defer cancel()
 	asked := time.Now()
 	reply, err := distributionpb.NewDistributionProtobufClient(f.url(keeper, f.opt.KeeperPort), f.client).Follow(ctx, req)
--- a/internal/system/distribution/hub_share.go
+++ b/internal/system/distribution/hub_share.go
@@ -73,7 +73,7 @@
 
 // shareWith passes changes to one keeper: on change, at most every Share, at least every Beat.
 func (h *Hub) shareWith(ctx context.Context, url string, changed <-chan struct{}) {
-	client := distributionpb.NewDistributionProtobufClient(url, &http.Client{Transport: h.opt.Transport})
+	client := distributionpb.NewDistributionProtobufClient(url, &http.Client{Transport: boundedTransport{h.opt.Transport}})
 	var cursor, told distributionpb.Cursor // how far the other is in the table of this boot, and in the loads
 	var other uint64                       // the other's boot
 	reached := true
--- a/internal/system/distribution/neighbour.go
+++ b/internal/system/distribution/neighbour.go
@@ -57,7 +57,7 @@
 }
 
 func (f *Follower) askNeighbour(ctx context.Context, place string) bool {
-	ctx, cancel := context.WithTimeout(ctx, seekTimeout)
+	ctx, cancel := withPatience(ctx, seekTimeout, silence)
 	defer cancel()
 	asked := time.Now()
 	reply, err := distributionpb.NewNeighboursProtobufClient(f.url(place, f.opt.ProxyPort), f.client).
--- /dev/null
+++ b/internal/system/distribution/slow_test.go
@@ -0,0 +1,121 @@
+package distribution
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+)
+
+// largeConfig is a change to a whole configuration with a service's worth of routes, of about the given number of bytes.
+func largeConfig(tb testing.TB, revision int64, size int, random *rand.ChaCha8) controlstate.Record {
+	tb.Helper()
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"revision":%d,"services":[{"name":"s"}],"routes":[`, revision)
+	for i := 0; b.Len() < size; i++ {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		name := make([]byte, 400)
+		for j := range name {
+			name[j] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_"[random.Uint64()%64]
+		}
+		fmt.Fprintf(&b, `{"name":"r%d","hostname":"h.example","path_prefix":"/%d/%s/","category":"idempotent","timeout_ms":1000,"target":"s"}`, i, i, name)
+	}
+	b.WriteString(`]}`)
+	return controlstate.Record{Op: controlstate.OpReplace, Base: revision - 1, Body: b.Bytes()}
+}
+
+// narrow is a network whose answers come at some bytes each 100 ms.
+type narrow struct {
+	next http.RoundTripper
+	rate int
+}
+
+type narrowBody struct {
+	io.ReadCloser
+	ctx  context.Context
+	rate int
+}
+
+func (n narrow) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := n.next.RoundTrip(r)
+	if err == nil {
+		resp.Body = narrowBody{resp.Body, r.Context(), n.rate}
+	}
+	return resp, err
+}
+
+func (b narrowBody) Read(p []byte) (int, error) {
+	if !sleep(b.ctx, 100*time.Millisecond) {
+		return 0, errors.New("the call was given up")
+	}
+	return b.ReadCloser.Read(p[:min(len(p), b.rate)])
+}
+
+// TestLargeStateOverANarrowLink: a state of 2 MB that hardly compresses reaches a proxy whose link carries 640 KB a second, and
+// one of 16 MB, the largest that the operator may send, at 4 MB a second. Danger: a call that is given up after a second or
+// two takes as long the next time, and the proxy never starts.
+func TestLargeStateOverANarrowLink(t *testing.T) {
+	for _, c := range []struct{ size, rate int }{{2 << 20, 64 << 10}, {15 << 20, 400 << 10}} {
+		synctest.Test(t, func(t *testing.T) {
+			fl := newFleet("k1:1")
+			defer fl.stop()
+			fl.chain.add(largeConfig(t, 1, c.size, rand.NewChaCha8([32]byte{1})))
+			start := time.Now()
+			p := fl.startFollower("p", func(o *FollowerOptions) { o.Transport = narrow{o.Transport, c.rate} })
+			within(t, 10*time.Second, fmt.Sprint(c.size, " bytes arrive"), func() bool { return p.update().State != nil && p.update().State.Seq == 1 })
+			t.Logf("%d bytes after %v", c.size, time.Since(start))
+		})
+	}
+}
+
+// TestKeeperThatFallsSilentMidwayIsLeft: an answer whose bytes stop is given up as soon as one that does not begin.
+func TestKeeperThatFallsSilentMidwayIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet("k1:1", "k2:1")
+		defer fl.stop()
+		p := fl.startFollower("p", func(o *FollowerOptions) { o.Self.Zone, o.Transport = "zone-k1:1", stalling{o.Transport, "k1:1"} })
+		time.Sleep(3 * time.Second)
+		seq := fl.chain.add(largeConfig(t, 1, 256<<10, rand.NewChaCha8([32]byte{2})))
+		within(t, 2*time.Second, "the change arrives", func() bool { return p.update().State.Seq == seq })
+	})
+}
+
+// stalling is a network in which a host's large answers stop after 64 KB.
+type stalling struct {
+	next http.RoundTripper
+	host string
+}
+
+type stallingBody struct {
+	io.ReadCloser
+	ctx  context.Context
+	left int
+}
+
+func (s stalling) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := s.next.RoundTrip(r)
+	if err == nil && r.URL.Host == s.host {
+		resp.Body = &stallingBody{resp.Body, r.Context(), 64 << 10}
+	}
+	return resp, err
+}
+
+func (b *stallingBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		<-b.ctx.Done()
+		return 0, b.ctx.Err()
+	}
+	n, err := b.ReadCloser.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
