Looking for a keeper takes the state of one alone

Cause: a proxy that starts asks two keepers at once and a further one each 50 ms, and each answered with its whole state, also across regions; large ones shared a narrow link. Each also took the proxy for its follower. Change: the search is a probe that tells whether a keeper is current and counts for nothing else; the poll that follows takes the state. A keeper whose polls cannot be had is left alone for as long as one that does not answer. Result: TestOneKeeperAloneSendsItsState; a start with 600 KB put the state of several keepers on the wires before.

--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -42,6 +42,22 @@
 	return f.take(asked, time.Now(), req, reply), nil
 }
 
+// probe asks a keeper whether it is current, and nothing else: several are asked at once, and one only is to send its state.
+func (f *Follower) probe(ctx context.Context, keeper string) (current bool, err error) {
+	ctx, cancel := withPatience(ctx, seekTimeout, silence)
+	defer cancel()
+	f.mu.Lock()
+	req := &distributionpb.FollowRequest{Member: f.self.wire(), Seq: f.state.Seq, Probe: true}
+	f.mu.Unlock()
+	asked := time.Now()
+	reply, err := distributionpb.NewDistributionProtobufClient(f.url(keeper, f.opt.KeeperPort), f.client).Follow(ctx, req)
+	if err != nil {
+		return false, err
+	}
+	offer := offerOf(reply, time.Since(asked.Add(millis(reply.GetCheckedMs(), time.Minute))))
+	return offer.Current && !offer.Late(), nil
+}
+
 // answer is how a keeper answered.
 type answer struct {
 	current bool // it feeds the control state
--- a/internal/system/distribution/follower_keepers.go
+++ b/internal/system/distribution/follower_keepers.go
@@ -15,15 +15,17 @@
 )
 
 const (
-	silence      = 400 * time.Millisecond  // beyond the wait of a poll, until another keeper is taken
-	seekTimeout  = 1200 * time.Millisecond // of one try while several are made at once
-	seekStagger  = 50 * time.Millisecond   // between the tries
-	seekAtOnce   = 16                      // tries under way: as many as there may be keepers, and some seeds that are none
-	avoidFor     = 2 * time.Second         // a keeper that just failed comes last
-	returnAfter  = 5 * time.Second         // until a nearer keeper is tried again
-	behindPause  = 100 * time.Millisecond  // until a keeper is asked again whose answer did not help
-	staleRounds  = time.Second             // with a keeper that is not current, until a current one is sought again
-	neighbourLag = 1500 * time.Millisecond // without a keeper, until neighbours are asked
+	silence       = 400 * time.Millisecond  // beyond the wait of a poll, until another keeper is taken
+	seekTimeout   = 1200 * time.Millisecond // of one try while several are made at once
+	seekStagger   = 50 * time.Millisecond   // between the tries
+	seekPause     = 20 * time.Millisecond   // after the keepers were tried in vain, for the first time
+	seekPauseMost = 200 * time.Millisecond  // and for as long as that lasts
+	seekAtOnce    = 16                      // tries under way: as many as there may be keepers, and some seeds that are none
+	avoidFor      = 2 * time.Second         // a keeper that just failed comes last
+	returnAfter   = 5 * time.Second         // until a nearer keeper is tried again
+	behindPause   = 100 * time.Millisecond  // until a keeper is asked again whose answer did not help
+	staleRounds   = time.Second             // with a keeper that is not current, until a current one is sought again
+	neighbourLag  = 1500 * time.Millisecond // without a keeper, until neighbours are asked
 )
 
 // keeperInfo is a keeper known, or a seed that may be one.
@@ -182,33 +184,41 @@
 
 // follow holds a poll at one keeper, and finds another where that one fails.
 func (f *Follower) follow(ctx context.Context) {
-	backoff := 20 * time.Millisecond
+	pause := seekPause
 	for ctx.Err() == nil {
-		keeper, current := f.seek(ctx)
-		if keeper == "" {
-			if !sleep(ctx, backoff/2+rand.N(backoff)) {
-				return
-			}
-			backoff = min(2*backoff, 200*time.Millisecond)
+		if f.followOne(ctx) {
+			pause = seekPause
 			continue
 		}
-		backoff = 20 * time.Millisecond
-		f.settleOn(keeper, !current)
-		f.opt.Log.WithField("keeper", keeper).WithField("current", current).Info("distribution: following a keeper")
-		f.stay(ctx, keeper, current)
-		f.settleOn("", false)
+		if !sleep(ctx, pause/2+rand.N(pause)) {
+			return
+		}
+		pause = min(2*pause, seekPauseMost)
+	}
+}
+
+// followOne finds a keeper and follows it until it fails. It tells whether that one answered any poll.
+func (f *Follower) followOne(ctx context.Context) (served bool) {
+	keeper, current := f.seek(ctx)
+	if keeper == "" {
+		return false
 	}
+	f.settleOn(keeper, !current)
+	f.opt.Log.WithField("keeper", keeper).WithField("current", current).Info("distribution: following a keeper")
+	defer f.settleOn("", false)
+	return f.stay(ctx, keeper, current)
 }
 
-// stay polls the keeper until it fails or is not current, or, with one that never was, for a while.
-func (f *Follower) stay(ctx context.Context, keeper string, current bool) {
+// stay polls the keeper until it fails or is not current, or, with one that never was, for a while. It tells whether any
+// poll was answered.
+func (f *Follower) stay(ctx context.Context, keeper string, current bool) (served bool) {
 	began := time.Now()
 	// The first look for a nearer one is early: at the start only seeds were known.
 	look := began.Add(300*time.Millisecond + rand.N(200*time.Millisecond))
 	for {
 		start := time.Now()
 		if !current && start.Sub(began) > staleRounds {
-			return
+			return served
 		}
 		if current && start.After(look) {
 			look = start.Add(returnAfter/2 + rand.N(returnAfter/2))
@@ -223,19 +233,19 @@
 		}
 		a, err := f.call(ctx, keeper, f.opt.Hold, silence, !current)
 		if ctx.Err() != nil {
-			return
+			return served
 		}
 		if err != nil || current && !a.current || !a.feeds {
 			f.fail(time.Now(), keeper)
 			f.opt.Log.WithField("keeper", keeper).WithError(err).Info("distribution: the keeper is silent, or not current")
-			return
+			return served
 		}
-		current = a.current
+		served, current = true, a.current
 		if a.behind && !sleep(ctx, behindPause) {
-			return
+			return served
 		}
 		if gap := f.loadWait()/4 - time.Since(start); gap > 0 && !a.durable && !sleep(ctx, gap) {
-			return
+			return served
 		}
 	}
 }
@@ -245,9 +255,9 @@
 func (f *Follower) seek(ctx context.Context) (keeper string, current bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	type result struct {
-		keeper string
-		answer answer
-		err    error
+		keeper  string
+		current bool
+		err     error
 	}
 	list := f.ranked(time.Now())
 	results := make(chan result, len(list))
@@ -263,8 +273,8 @@
 		next++
 		open++
 		go func() {
-			a, err := f.call(ctx, k, 0, seekTimeout, false)
-			results <- result{k, a, err}
+			current, err := f.probe(ctx, k)
+			results <- result{k, current, err}
 		}()
 	}
 	f.mu.Lock()
@@ -284,7 +294,7 @@
 			open--
 			f.tried(r.keeper)
 			switch {
-			case r.err == nil && r.answer.current:
+			case r.err == nil && r.current:
 				timer.Stop()
 				return r.keeper, true
 			case r.err == nil:
--- a/internal/system/distribution/hub_feed.go
+++ b/internal/system/distribution/hub_feed.go
@@ -51,6 +51,15 @@
 	deflated bool
 }
 
+// probed tells how this keeper stands, to a proxy that looks for one.
+func (h *Hub) probed(start time.Time) *distributionpb.FollowReply {
+	reply := &distributionpb.FollowReply{CheckedMs: uint64(time.Since(start) / time.Millisecond), Current: h.current()}
+	if state, _ := h.opt.Source.Committed(); state != nil {
+		reply.Newest = state.Seq
+	}
+	return reply
+}
+
 // durable adds what comes after the number after of the control state. It must not be called with mu held: a large state
 // takes long to encode.
 func (h *Hub) durable(reply *distributionpb.FollowReply, after uint64) {
--- a/internal/system/distribution/hub_follow.go
+++ b/internal/system/distribution/hub_follow.go
@@ -22,6 +22,9 @@
 	if m.Node == "" || len(m.Node) > maxID || m.Incarnation == 0 {
 		return nil, twirp.RequiredArgumentError("member")
 	}
+	if req.GetProbe() {
+		return h.probed(start), nil
+	}
 	if !h.current() && !req.GetAcceptStale() {
 		return &distributionpb.FollowReply{PaceMs: uint64(h.limits.Pace / time.Millisecond)}, nil
 	}
--- a/internal/system/distribution/slow_test.go
+++ b/internal/system/distribution/slow_test.go
@@ -119,3 +119,52 @@
 	b.left -= n
 	return n, err
 }
+
+// TestOneKeeperAloneSendsItsState: a proxy that starts looks at several keepers, and takes the state from one.
+func TestOneKeeperAloneSendsItsState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet("k1:1", "k2:1", "k3:1")
+		defer fl.stop()
+		fl.chain.add(largeConfig(t, 1, 600<<10, rand.NewChaCha8([32]byte{3})))
+		time.Sleep(5 * time.Second)
+		fl.mesh.mu.Lock()
+		before := fl.mesh.bytes
+		fl.mesh.mu.Unlock()
+		p := fl.startFollower("p", nil)
+		within(t, 400*time.Millisecond, "it starts", func() bool { return p.update().State != nil && p.update().State.Seq == 1 })
+		time.Sleep(time.Second)
+		fl.mesh.mu.Lock()
+		defer fl.mesh.mu.Unlock()
+		if got := fl.mesh.bytes - before; got > 700<<10 {
+			t.Errorf("%d bytes on the wires", got)
+		}
+	})
+}
+
+// TestKeeperThatAnswersNoPollIsNotAskedAllTheTime: one that says that it is current, but whose answers cannot be had, is left
+// in peace between the tries.
+func TestKeeperThatAnswersNoPollIsNotAskedAllTheTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet("k1:1")
+		defer fl.stop()
+		fl.chain.add(largeConfig(t, 1, 600<<10, rand.NewChaCha8([32]byte{4})))
+		fl.startFollower("p", func(o *FollowerOptions) { o.Transport = refusing{o.Transport} })
+		time.Sleep(10 * time.Second)
+		fl.mesh.mu.Lock()
+		defer fl.mesh.mu.Unlock()
+		if fl.mesh.calls > 300 {
+			t.Errorf("%d messages in 10 s", fl.mesh.calls)
+		}
+	})
+}
+
+// refusing is a network through which no answer of more than 4 KB comes.
+type refusing struct{ next http.RoundTripper }
+
+func (r refusing) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := r.next.RoundTrip(req)
+	if err == nil && resp.ContentLength > 4<<10 {
+		return nil, errors.New("too large for this network")
+	}
+	return resp, err
+}
