No 4xx for a body cut short, and no old revision beside a 412

Cause: a body that did not come whole got 408; the protocol lets a caller count that among the 4xx that end a call at the third. A keeper that lagged behind the verdict told the revision of its own old state beside the 412. Change: 503 with Connection: close; the revision is told where the state at hand holds the record that the verdict rests on. TestBodyCutShort asked for 408 and now for 503, which no caller gives up at.

--- a/internal/system/control/change.go
+++ b/internal/system/control/change.go
@@ -48,9 +48,9 @@
 			tooLarge(w)
 			return
 		case err != nil:
-			// 408 and not 400: what was cut short by the network is to be sent again.
+			// No 4xx: what the network cut short is to be sent again, and some callers give up at the third 4xx of any kind.
 			w.Header().Set("Connection", "close")
-			refuse(w, http.StatusRequestTimeout, "the body did not come whole in time: send the change again")
+			unavailable(w, "the body did not come whole in time: send the change again")
 			return
 		}
 		a.submit(w, r, controlstate.Change{Op: op, Base: base, Body: body}, func() {
--- a/internal/system/control/control.go
+++ b/internal/system/control/control.go
@@ -142,7 +142,8 @@
 		ok()
 	case controlstate.Stale:
 		body := map[string]any{"error": reason(v.Reason, "another version is current: read it and build on that")}
-		if s := a.known(); s != nil && s.Config != nil {
+		// What lags behind the verdict would tell a revision of the past.
+		if s := a.known(); s != nil && s.Config != nil && s.Seq >= v.Seq {
 			body["revision"] = s.Config.Revision
 		}
 		entry.Info("control: change refused, another version is current")
--- a/internal/system/control/control_test.go
+++ b/internal/system/control/control_test.go
@@ -82,6 +82,8 @@
 			&controlstate.Change{Op: controlstate.OpAmend, Base: 5, Body: []byte(body)}},
 		"stale": {"POST", "/Config.Amend", base, controlstate.Verdict{Kind: controlstate.Stale, Reason: "another"}, nil, 412,
 			`{"error":"another","revision":5}`, nil},
+		"stale by a record that is not known here yet": {"POST", "/Config.Amend", base, controlstate.Verdict{Kind: controlstate.Stale, Reason: "another", Seq: 4},
+			nil, 412, `{"error":"another"}`, nil},
 		"invalid": {"POST", "/Config.Replace", base, controlstate.Verdict{Kind: controlstate.Invalid, Reason: "no route"}, nil, 400,
 			`{"error":"no route"}`, nil},
 		"invalid without a reason": {"POST", "/Config.Replace", base, controlstate.Verdict{Kind: controlstate.Invalid}, nil, 400, "", nil},
@@ -184,8 +186,8 @@
 	r.Header.Set("X-Base-Version", "0")
 	w := httptest.NewRecorder()
 	Handler(Options{Chain: chain, Log: quiet()}).ServeHTTP(w, r)
-	// Not 400, at which an operator gives the change up.
-	if w.Code != http.StatusRequestTimeout || len(chain.got) != 0 {
+	// No 4xx, at the third of which an operator gives the change up for good.
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Connection") != "close" || len(chain.got) != 0 {
 		t.Errorf("status %d, %d changes", w.Code, len(chain.got))
 	}
 }
