--- /dev/null
+++ b/internal/system/distribution/forgetful_test.go
@@ -0,0 +1,42 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+)
+
+// Keepers remember thousands of changes to know them again. Proxies judge no changes: neither the snapshots that they are
+// sent nor what they make of records grows with the number of changes.
+func TestFollowersHoldNoHistory(t *testing.T) {
+	c := newChain()
+	h := NewHub(HubOptions{Source: &source{chain: c, keepers: []string{"k"}}, Self: "k", Log: quiet()})
+	f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
+	for i := range int64(200) {
+		body := fmt.Appendf(nil, `{"revision":%d,"routes":[],"services":[]}`, i+1)
+		seq := c.add(controlstate.Record{Op: controlstate.OpReplace, Base: i, Body: body})
+		next, err := applyRecord(f.state, &distributionpb.Record{Seq: seq, Op: uint32(controlstate.OpReplace), Base: i, Body: body})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.state = next
+	}
+	state, _ := h.opt.Source.Committed()
+	reply := &distributionpb.FollowReply{}
+	h.addSnapshot(reply, 0, state)
+	snapshot, err := readSnapshot(reply.GetSnapshot(), reply.GetSnapshotDeflated())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const most = 128 // bytes
+	for what, s := range map[string]*controlstate.State{"a snapshot": snapshot, "records": f.state} {
+		if s.Seq != 200 || s.Revision() != 200 || len(s.Encode()) > most {
+			t.Errorf("from %s: record %d, version %d, %d bytes", what, s.Seq, s.Revision(), len(s.Encode()))
+		}
+	}
+	if len(state.Encode()) < 16*200 {
+		t.Errorf("the keeper's state has %d bytes: it remembers nothing", len(state.Encode()))
+	}
+}
--- a/internal/system/distribution/hub_feed.go
+++ b/internal/system/distribution/hub_feed.go
@@ -109,7 +109,7 @@
 	stock.Kept, stock.KeptOK = s.seq, s.seq > 0 && (fit || time.Since(s.made) < snapshotLife)
 	stock.Known = false
 	if PlanFeed(after, stock, h.limits.Records) == FeedNewSnapshot {
-		s.bytes, s.deflated = compress(state.Encode())
+		s.bytes, s.deflated = compress(state.Forgetful().Encode()) // followers judge no changes
 		s.seq, s.made = state.Seq, time.Now()
 		records, fit = nil, false
 	}
