Large answers that are not taken are bounded in a keeper's memory; a probe hears an observer

And since the search is a probe, keepers that an observer named were learned only by a poll after it. A probe learns the keepers that an observer names. Ruled out: one answer a proxy; one that was cut off and comes back would wait for its former connection to be given up.

--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -54,6 +54,10 @@
 	if err != nil {
 		return false, err
 	}
+	if len(reply.GetKeepers()) > 0 {
+		f.learnKeepers(reply.GetKeepers())
+		return false, errReferred
+	}
 	offer := offerOf(reply, time.Since(asked.Add(millis(reply.GetCheckedMs(), time.Minute))))
 	return offer.Current && !offer.Late(), nil
 }
--- a/internal/system/distribution/follower_keepers.go
+++ b/internal/system/distribution/follower_keepers.go
@@ -70,10 +70,21 @@
 func (f *Follower) learnKeepers(told []*distributionpb.Keeper) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.addKeepers(told)
+}
+
+// addKeepers adds the keepers that an observer or a neighbour names. The caller holds mu.
+func (f *Follower) addKeepers(told []*distributionpb.Keeper) {
 	for i, w := range told {
-		if k := f.keepers[w.GetAddress()]; i < maxPeers && (k == nil || !k.view) {
-			f.keepers[w.GetAddress()] = &keeperInfo{address: w.GetAddress(), zone: w.GetZone(), region: w.GetRegion(), view: true, seed: k != nil && k.seed}
+		k := f.keepers[w.GetAddress()]
+		if i >= maxPeers || k != nil && k.view || k == nil && len(f.keepers) >= 2*maxPeers {
+			continue
+		}
+		named := &keeperInfo{address: w.GetAddress(), zone: w.GetZone(), region: w.GetRegion(), view: true}
+		if k != nil {
+			named.seed, named.tried = k.seed, k.tried
 		}
+		f.keepers[w.GetAddress()] = named
 	}
 }
 
@@ -167,15 +178,6 @@
 	return true
 }
 
-// addKeepers takes over the keepers that a neighbour names, beside those known. The caller holds mu.
-func (f *Follower) addKeepers(told []*distributionpb.Keeper) {
-	for _, w := range told {
-		if f.keepers[w.GetAddress()] == nil && len(f.keepers) < maxPeers {
-			f.keepers[w.GetAddress()] = &keeperInfo{address: w.GetAddress(), zone: w.GetZone(), region: w.GetRegion(), view: true}
-		}
-	}
-}
-
 func (f *Follower) settleOn(keeper string, stale bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/system/distribution/hub.go
+++ b/internal/system/distribution/hub.go
@@ -34,14 +34,15 @@
 
 // HubLimits bound a Hub's work. Zero values take the defaults.
 type HubLimits struct {
-	Hold     time.Duration // longest wait of a poll; 1 s
-	Pace     time.Duration // between load reports to one follower in a fleet of up to 128; 100 ms, longer in larger ones
-	Silence  time.Duration // without a call until a follower is marked down; 1300 ms
-	Share    time.Duration // between shares with one keeper at the least; 50 ms
-	Beat     time.Duration // between shares with one keeper at the most; 300 ms
-	Forget   time.Duration // after which a member that is down is deleted; 60 s
-	Records  int           // in one answer; 256
-	Settling time.Duration // after the start, until the table counts as whole without another keeper's; 3 s
+	Hold        time.Duration // longest wait of a poll; 1 s
+	Pace        time.Duration // between load reports to one follower in a fleet of up to 128; 100 ms, longer in larger ones
+	Silence     time.Duration // without a call until a follower is marked down; 1300 ms
+	Share       time.Duration // between shares with one keeper at the least; 50 ms
+	Beat        time.Duration // between shares with one keeper at the most; 300 ms
+	Forget      time.Duration // after which a member that is down is deleted; 60 s
+	Records     int           // in one answer; 256
+	AnswerBytes int           // of large answers that have not been taken yet, together; 32 MiB
+	Settling    time.Duration // after the start, until the table counts as whole without another keeper's; 3 s
 }
 
 func (l HubLimits) filled() HubLimits {
@@ -60,6 +61,9 @@
 	if l.Records <= 0 {
 		l.Records = 256
 	}
+	if l.AnswerBytes <= 0 {
+		l.AnswerBytes = 32 << 20
+	}
 	return l
 }
 
@@ -107,6 +111,7 @@
 	deaf        time.Time // when it last heard less than half of the other keepers, or stood still
 	snapshots   snapshots
 	compressed  recordCache
+	room        room
 
 	done  chan struct{} // closed when Run ends
 	kick  chan struct{} // the table or a vector changed
@@ -143,7 +148,8 @@
 		opt.Transport = NewTransport()
 	}
 	now := time.Now()
-	return &Hub{opt: opt, limits: opt.Limits.filled(), table: newTable(), boot: rand.Uint64() | 1, started: now, ticked: now,
+	limits := opt.Limits.filled()
+	return &Hub{opt: opt, limits: limits, room: room{most: limits.AnswerBytes}, table: newTable(), boot: rand.Uint64() | 1, started: now, ticked: now,
 		news: make(chan struct{}), acked: make(chan struct{}), followers: map[string]*follower{}, peers: map[string]*peer{},
 		totals: newVector(false), sums: newVector(false), lowest: math.MaxUint64,
 		done: make(chan struct{}), kick: make(chan struct{}, 1), share: make(chan struct{}, 1)}
@@ -151,7 +157,7 @@
 
 // Handler serves the calls of followers and of other keepers, under /twirp/gradeusher.distribution.Distribution/.
 func (h *Hub) Handler() http.Handler {
-	return bounded(distributionpb.NewDistributionServer(h))
+	return bounded(leasing(distributionpb.NewDistributionServer(h)))
 }
 
 // coalesce is how long the first change waits for others before followers are woken.
--- a/internal/system/distribution/hub_feed.go
+++ b/internal/system/distribution/hub_feed.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -62,7 +63,9 @@
 
 // durable adds what comes after the number after of the control state. It must not be called with mu held: a large state
 // takes long to encode.
-func (h *Hub) durable(reply *distributionpb.FollowReply, after uint64) {
+//
+// Where too many bytes wait to be taken by others, it adds nothing but what the newest number is: the proxy asks again.
+func (h *Hub) durable(ctx context.Context, reply *distributionpb.FollowReply, after uint64) {
 	state, _ := h.opt.Source.Committed()
 	if state == nil {
 		return
@@ -76,6 +79,13 @@
 	case FeedKeptSnapshot, FeedNewSnapshot:
 		h.addSnapshot(reply, after, state)
 	}
+	size := len(reply.GetSnapshot())
+	for _, r := range reply.GetRecords() {
+		size += len(r.GetBody())
+	}
+	if size > smallAnswer && !h.room.lease(ctx, size) {
+		reply.Snapshot, reply.Records = nil, nil
+	}
 }
 
 // stock counts the records between two numbers.
--- a/internal/system/distribution/hub_follow.go
+++ b/internal/system/distribution/hub_follow.go
@@ -32,11 +32,11 @@
 	defer h.end(f)
 	wait := min(millis(req.GetWaitMs(), time.Minute), h.limits.Hold)
 	for {
-		reply, news, committed, again := h.answer(f, req, start)
+		reply, news, committed, again := h.answer(ctx, f, req, start)
 		left := wait - time.Since(start)
 		if reply != nil || left <= 0 {
 			if reply == nil {
-				reply = h.compose(f, req, start)
+				reply = h.compose(ctx, f, req, start)
 			}
 			return reply, nil
 		}
@@ -118,7 +118,7 @@
 
 // answer gives a reply if there is something that the request does not have. Otherwise it gives what to wait for, and
 // after how long a report of loads is due.
-func (h *Hub) answer(f *follower, req *distributionpb.FollowRequest, start time.Time) (*distributionpb.FollowReply, <-chan struct{}, <-chan struct{}, time.Duration) {
+func (h *Hub) answer(ctx context.Context, f *follower, req *distributionpb.FollowRequest, start time.Time) (*distributionpb.FollowReply, <-chan struct{}, <-chan struct{}, time.Duration) {
 	state, committed := h.opt.Source.Committed()
 	current := h.current()
 	digest := digestOf(h.opt.Source.Addresses())
@@ -149,20 +149,20 @@
 	}
 	h.mu.Unlock()
 	if ready {
-		return h.compose(f, req, start), nil, nil, 0
+		return h.compose(ctx, f, req, start), nil, nil, 0
 	}
 	return nil, news, committed, again
 }
 
 // compose makes the reply to a request that came at start, with all that it does not have.
-func (h *Hub) compose(f *follower, req *distributionpb.FollowRequest, start time.Time) *distributionpb.FollowReply {
+func (h *Hub) compose(ctx context.Context, f *follower, req *distributionpb.FollowRequest, start time.Time) *distributionpb.FollowReply {
 	reply := &distributionpb.FollowReply{CheckedMs: uint64(time.Since(start) / time.Millisecond)}
 	// First whether this keeper is current, then what it holds: what is acknowledged between is then in the reply.
 	reply.Current = h.current()
 	addresses := h.opt.Source.Addresses()
 	digest := digestOf(addresses)
 	if reply.Current {
-		h.durable(reply, req.GetSeq())
+		h.durable(ctx, reply, req.GetSeq())
 	}
 	now := time.Now()
 	h.mu.Lock()
--- /dev/null
+++ b/internal/system/distribution/room_test.go
@@ -0,0 +1,113 @@
+package distribution
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+)
+
+// TestAnswersInMemoryAreBounded: callers that take nothing of a large answer hold so many of them in a keeper's memory as its
+// bound allows, and others are told to ask again instead; small answers go out all the same.
+func TestAnswersInMemoryAreBounded(t *testing.T) {
+	c := newChain()
+	h := NewHub(HubOptions{Source: &source{chain: c, keepers: []string{"k"}}, Self: "k", Log: quiet(), Limits: HubLimits{AnswerBytes: 1500 << 10}})
+	c.add(largeConfig(t, 1, 1<<20, rand.NewChaCha8([32]byte{5})))
+	ask := func(node string, held uint64) (*distributionpb.FollowReply, func()) {
+		ctx, release := withLease(t.Context())
+		reply, err := h.Follow(ctx, &distributionpb.FollowRequest{Member: Member{Node: node, Incarnation: 1}.wire(), Seq: held})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return reply, release
+	}
+	_, one := ask("a", 0)
+	_, two := ask("b", 0)
+	third, three := ask("c", 0)
+	if len(third.GetSnapshot()) > 0 || third.GetNewest() != 1 || !third.GetCurrent() {
+		t.Errorf("beyond the bound: %d bytes, newest %d", len(third.GetSnapshot()), third.GetNewest())
+	}
+	three()
+	if level, four := ask("d", 1); level.GetSoft() == nil {
+		t.Error("a small answer waits")
+	} else {
+		four()
+	}
+	one()
+	again, five := ask("c", 0)
+	if len(again.GetSnapshot()) == 0 {
+		t.Error("nothing though there is room again")
+	}
+	five()
+	two()
+	if h.room.held != 0 {
+		t.Errorf("%d bytes are never given back", h.room.held)
+	}
+}
+
+// TestCallerThatDoesNotReadHoldsUpNobody: a proxy that takes no byte of a large answer is given up after a bound, and what
+// it held of the keeper's memory is free again; other proxies are fed meanwhile.
+func TestCallerThatDoesNotReadHoldsUpNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newChain()
+		h := NewHub(HubOptions{Source: &source{chain: c, keepers: []string{"k"}}, Self: "k", Log: quiet()})
+		c.add(largeConfig(t, 1, 4<<20, rand.NewChaCha8([32]byte{6})))
+		ends := make(chan net.Conn)
+		srv := &http.Server{Handler: h.Handler()}
+		go func() { _ = srv.Serve(pipes{ends}) }()
+		defer srv.Close()
+		call := func(node string) net.Conn {
+			near, far := net.Pipe()
+			ends <- far
+			body := marshal(&distributionpb.FollowRequest{Member: Member{Node: node, Incarnation: 1}.wire()})
+			_, err := fmt.Fprintf(near, "POST /twirp/gradeusher.distribution.Distribution/Follow HTTP/1.1\r\nHost: k\r\nContent-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return near
+		}
+		deaf := call("deaf")
+		defer deaf.Close()
+		time.Sleep(time.Second)
+		h.room.mu.Lock()
+		held := h.room.held
+		h.room.mu.Unlock()
+		if held < 2<<20 {
+			t.Errorf("the run brought nothing about: %d bytes are held", held)
+		}
+		other := call("other")
+		defer other.Close()
+		head := make([]byte, 15)
+		if _, err := other.Read(head); err != nil || !strings.HasPrefix(string(head), "HTTP/1.1 200") {
+			t.Errorf("%q, %v", head, err)
+		}
+		_ = other.Close()
+		time.Sleep(answerWithin)
+		h.room.mu.Lock()
+		defer h.room.mu.Unlock()
+		if h.room.held != 0 {
+			t.Errorf("%d bytes are held after %v", h.room.held, answerWithin)
+		}
+	})
+}
+
+// pipes listens to connections that are handed to it.
+type pipes struct{ ends chan net.Conn }
+
+func (p pipes) Accept() (net.Conn, error) {
+	c, ok := <-p.ends
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (p pipes) Close() error { close(p.ends); return nil }
+
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
