replication: a link that leaves stays until enough others hold what was acknowledged

Need: a leaving link was dropped as soon as a view without it could be had, also for a keeper that had yet to be fed: Keeper.Leave returned while what was acknowledged was on one disk beside the leaver's (TestALeaverWaitsForEnoughCopies failed). And where the only other copy was lost meanwhile, the leaver could not be made head again, so that nobody led for good (TestALeaverLeadsWhenNobodyElseCan failed). Change: leavers stay links until machine_losses + 1 others are active, and may be made head where nobody else may. Left, on which Leave waits within its context, takes as many active links. Ruled out: waiting in Leave alone, with the leaver out of the chain: it would follow no longer, and hold less by the minute.

--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -175,7 +175,7 @@
 	return out, true
 }
 
-// Leave makes the others take this keeper out of the chain at once.
+// Leave makes the others take this keeper out of the chain, as soon as enough others hold what was acknowledged.
 func (c *Core) Leave(now time.Duration) {
 	c.advance(now)
 	c.leaving = true
@@ -183,8 +183,20 @@
 	c.settle()
 }
 
-// Left tells whether no link counts on this keeper any more.
-func (c *Core) Left() bool { return c.reg.view.place(c.reg.self.ID) < 0 }
+// Left tells whether nobody counts on this keeper any more: it is no link, and enough links hold what was acknowledged.
+func (c *Core) Left() bool {
+	v := c.reg.view
+	if v.place(c.reg.self.ID) >= 0 {
+		return false
+	}
+	var links []Member
+	for _, id := range v.Chain {
+		if m, ok := v.Voter(id); ok {
+			links = append(links, m)
+		}
+	}
+	return c.cfg.Observer || v.Epoch == 0 || c.holders(links) >= c.cfg.links()
+}
 
 // Take hands over what is to be done.
 func (c *Core) Take() Outputs {
--- /dev/null
+++ b/internal/system/replication/core_leave_test.go
@@ -0,0 +1,127 @@
+package replication
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+)
+
+// holders counts the keepers other than addr whose disk holds the records up to seq.
+func (cl *cluster) holders(seq uint64, addr string) int {
+	n := 0
+	for a, x := range cl.nodes {
+		end := x.disk.p.snap.Seq
+		if k := len(x.disk.p.entries); k > 0 {
+			end = x.disk.p.entries[k-1].Seq
+		}
+		if a != addr && end >= seq {
+			n++
+		}
+	}
+	return n
+}
+
+func (cl *cluster) leave(addr string) {
+	n := cl.nodes[addr]
+	n.core.Leave(cl.clock(n))
+	cl.collect(addr)
+}
+
+// many has count changes acknowledged, through addr.
+func (cl *cluster) many(addr string, count int) {
+	cl.t.Helper()
+	for range count {
+		cl.ids++
+		id := cl.submit(addr, noted(fmt.Sprint("zone ", cl.ids)), 2*time.Second)
+		cl.until(3*time.Second, "a change", func() bool { return cl.answered(id) })
+	}
+}
+
+// TestALeaverWaitsForEnoughCopies has a link leave while another is away. Danger: it goes, and what was acknowledged is
+// left on a single disk, though a machine may be lost at any time.
+func TestALeaverWaitsForEnoughCopies(t *testing.T) {
+	for leaves := range 2 {
+		t.Run([]string{"head", "tail"}[leaves], func(t *testing.T) {
+			cl := trio(t, 1, scriptedHooks{})
+			away := cl.nodes["c"]
+			away.core = nil
+			cl.until(3*time.Second, "a chain of two", func() bool { return len(cl.view().Chain) == 2 })
+			cl.run(time.Second)
+			leaver := cl.link(leaves)
+			cl.many("b", 40)
+			acked := cl.nodes["b"].core.committed
+			cl.leave(leaver)
+			for range 1000 {
+				cl.step()
+				if cl.nodes[leaver].core.Left() && cl.holders(acked, leaver) < 2 {
+					t.Fatal("it has left, and what was acknowledged is on a single disk beside its own")
+				}
+			}
+			if cl.nodes[leaver].core.Left() {
+				t.Fatal("it has left, and nobody could take its place")
+			}
+			// Who comes back hears the others, but it takes long to feed it.
+			cl.filter = func(_, to string, m *replicationpb.Message) bool {
+				return to != "c" || m.GetAppend() == nil && m.GetInstall() == nil
+			}
+			cl.start(away.cfg)
+			for range 600 {
+				cl.step()
+				if cl.nodes[leaver].core.Left() && cl.holders(acked, leaver) < 2 {
+					t.Fatal("it has left for one that has yet to be fed")
+				}
+			}
+			cl.filter = nil
+			took := cl.until(5*time.Second, "it has left", func() bool {
+				left := cl.nodes[leaver].core.Left()
+				if left && cl.holders(acked, leaver) < 2 {
+					t.Fatal("it has left, and what was acknowledged is on a single disk beside its own")
+				}
+				return left
+			})
+			t.Logf("it left %v after the other was fed", took)
+		})
+	}
+}
+
+// TestALeaverHandsOverTheOnlyCopy: a single link leaves and another keeper is there. Danger: it never hands over.
+func TestALeaverHandsOverTheOnlyCopy(t *testing.T) {
+	cl := trio(t, 0, scriptedHooks{})
+	cl.nodes["b"].core, cl.nodes["c"].core = nil, nil
+	cl.run(3 * time.Second)
+	cl.start(cl.nodes["b"].cfg)
+	cl.until(5*time.Second, "a chain", func() bool { return len(cl.view().Chain) > 0 })
+	cl.run(2 * time.Second)
+	head := cl.link(0)
+	cl.many(head, 3)
+	cl.leave(head)
+	cl.until(3*time.Second, "it has left", func() bool { return cl.nodes[head].core.Left() })
+	if n := cl.holders(3, head); n < 1 {
+		t.Fatalf("%d others hold the changes", n)
+	}
+}
+
+// TestALeaverLeadsWhenNobodyElseCan loses the only other copy while a link waits to leave. Danger: the changes are on the
+// leaver's disk alone, nobody else may lead, and it does not any more.
+func TestALeaverLeadsWhenNobodyElseCan(t *testing.T) {
+	cl := trio(t, 1, scriptedHooks{})
+	cl.nodes["c"].core = nil
+	cl.until(3*time.Second, "a chain of two", func() bool { return len(cl.view().Chain) == 2 })
+	cl.run(time.Second)
+	cl.many("b", 5)
+	cl.leave("a")
+	cl.run(100 * time.Millisecond)
+	cl.nodes["b"].core = nil
+	cl.nodes["b"].disk = newMemDisk()
+	cl.start(cl.nodes["c"].cfg)
+	cl.run(2 * time.Second)
+	cfg := cl.nodes["b"].cfg
+	cfg.Bootstrap, cfg.Self.ID = false, "b again"
+	cl.start(cfg)
+	cl.until(8*time.Second, "it has left", func() bool { return cl.nodes["a"].core.Left() })
+	if n := cl.holders(5, "a"); n < 2 {
+		t.Fatalf("%d others hold the changes", n)
+	}
+}
--- a/internal/system/replication/heartbeat.go
+++ b/internal/system/replication/heartbeat.go
@@ -149,12 +149,20 @@
 	return c.now-p.heardAt < suspect && c.now-p.echoAt < suspect+2*c.heartbeatInterval()
 }
 
-// good tells whether id is fit to be a link.
+// works tells whether id could be a link.
+func (c *Core) works(id ID) bool {
+	if id == c.reg.self.ID {
+		return !c.disk.bad && c.err == nil && !c.cfg.Observer
+	}
+	return c.alive(id) && !c.peers[id].heartbeat.GetObserver() && !c.peers[id].heartbeat.GetDiskBad()
+}
+
+// good tells whether id is fit to be a link: it works and is not about to leave.
 func (c *Core) good(id ID) bool {
 	if id == c.reg.self.ID {
-		return !c.disk.bad && !c.leaving && c.err == nil && !c.cfg.Observer
+		return c.works(id) && !c.leaving
 	}
-	return c.alive(id) && !c.peers[id].heartbeat.GetObserver() && !c.peers[id].heartbeat.GetDiskBad() && !c.peers[id].heartbeat.GetLeaving()
+	return c.works(id) && !c.peers[id].heartbeat.GetLeaving()
 }
 
 // hears tells whether a has lately heard b, by a's own word.
--- a/internal/system/replication/keeper.go
+++ b/internal/system/replication/keeper.go
@@ -220,7 +220,8 @@
 	k.wg.Wait()
 }
 
-// Leave tells the others that this keeper is about to stop, and waits until it is out of the chain or ctx ends.
+// Leave tells the others that this keeper is about to stop, and waits until it is out of the chain and enough other links
+// hold what was acknowledged, or until ctx ends. Only then may its disk go.
 func (k *Keeper) Leave(ctx context.Context) {
 	k.do(func(c *Core) { c.Leave(k.now()) })
 	t := time.NewTicker(tickEvery)
--- a/internal/system/replication/lead.go
+++ b/internal/system/replication/lead.go
@@ -90,7 +90,7 @@
 	}
 	for _, suppose := range []bool{false, true} {
 		for _, m := range voters {
-			if !c.good(m.ID) || !c.mayLead(m.ID, suppose) {
+			if !c.works(m.ID) || !c.mayLead(m.ID, suppose) {
 				continue
 			}
 			if !suppose {
--- a/internal/system/replication/plan.go
+++ b/internal/system/replication/plan.go
@@ -129,14 +129,15 @@
 			stuck[b] = true
 		}
 	}
-	var links []Member
-	for _, l := range cur.Chain {
-		if m, ok := cur.Voter(l); ok && l != out && c.good(l) && !stuck[l] {
-			links = append(links, m)
-		}
+	links := c.staying(out, stuck, c.good)
+	if c.holders(links) < c.cfg.links() {
+		// Those who leave stay until enough others hold what was acknowledged.
+		links = c.staying(out, stuck, c.works)
 	}
-	links = c.connected(links)
 	heads := slices.DeleteFunc(slices.Clone(links), func(m Member) bool { return !c.mayLead(m.ID, false) })
+	if slices.ContainsFunc(heads, func(m Member) bool { return c.good(m.ID) }) {
+		heads = slices.DeleteFunc(heads, func(m Member) bool { return !c.good(m.ID) })
+	}
 	if len(heads) > 0 {
 		c.noHeadSince = -1
 	} else {
@@ -167,6 +168,28 @@
 	return chain
 }
 
+// staying lists the present links that are fit to stay and hear each other.
+func (c *Core) staying(out ID, stuck map[ID]bool, fit func(ID) bool) []Member {
+	var links []Member
+	for _, l := range c.reg.view.Chain {
+		if m, ok := c.reg.view.Voter(l); ok && l != out && fit(l) && !stuck[l] {
+			links = append(links, m)
+		}
+	}
+	return c.connected(links)
+}
+
+// holders counts the links that hold all that the present chain and those before it have acknowledged.
+func (c *Core) holders(links []Member) int {
+	n := 0
+	for _, m := range links {
+		if c.standing(m.ID).active == c.reg.view.Epoch {
+			n++
+		}
+	}
+	return n
+}
+
 // joinLinks adds voters to the links that stay: those that have caught up, and others only where too few would be left.
 func (c *Core) joinLinks(links, heads, voters []Member) []Member {
 	fits := func(links []Member, m Member) bool {
