An evacuation order gets one fence, what was known as it came

Cause: an order that was superseded got a new fence from a second round. Where its caller had given up unseen meanwhile (its FIN lost) and a Finish was acknowledged elsewhere, the new fence let the old Start through. Change: the fence is read first of all in the handler, before the check for a stall; a superseded order gets 503, and a caller that still waits sends it again. Ruled out: a new fence within 400 ms of the call's head: shorter, but still open. Measured: TestEvacuationFence, TestEvacuationDropped and the tests of staff/restore pass.

--- a/internal/system/control/control.go
+++ b/internal/system/control/control.go
@@ -28,8 +28,8 @@
 	Chain Chain
 	// Delivered waits until the connected proxies hold the change numbered seq, or ctx ends. Nil: nothing is waited for.
 	Delivered func(ctx context.Context, seq uint64)
-	// Current gives a committed state that is at hand: the first fence of an evacuation order, and the revision that a refusal
-	// names. It may lag, be nil or give nil.
+	// Current gives a committed state that is at hand: the fence of an evacuation order, and the revision that a refusal
+	// names. It may lag; where it is nil or gives nil, what a majority told as the order came is the fence.
 	Current func() *controlstate.State
 	// Stalled tells whether the process stood still a moment ago. Evacuation orders are then not taken. Nil: never.
 	Stalled func() bool
--- a/internal/system/control/evacuation.go
+++ b/internal/system/control/evacuation.go
@@ -13,11 +13,8 @@
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
-// The bounds of an evacuation order. It carries no version, and its caller gives it up after a second of silence, so what
-// fences it against later orders of its zone has to be fixed well within that second.
+// The bounds of an evacuation order.
 const (
-	fenceWithin  = 400 * time.Millisecond // after the call's head was read
-	fenceTries   = 5                      // orders of others of the same zone that one may give way to
 	maxZone      = 128                    // bytes of a zone's name
 	maxIgnored   = 64 << 10               // bytes of a body, which these orders do not need
 	ignoreWithin = 200 * time.Millisecond // for such a body to come
@@ -32,7 +29,8 @@
 // evacuation takes the order to send nothing more to a zone, or its withdrawal.
 func (a *api) evacuation(op controlstate.Op) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		arrived := time.Now() // before anything that may wait
+		// First of all: whatever delays the order from here on, it is fenced by what was known now.
+		arrived, fence := time.Now(), a.known()
 		zone := mux.Vars(r)["zone"]
 		if len(zone) > maxZone {
 			refuse(w, http.StatusBadRequest, "the zone's name is too long: "+strconv.Itoa(maxZone)+" bytes are the most")
@@ -56,7 +54,7 @@
 		ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(chainWait))
 		defer cancel()
 		o := order{change: controlstate.Change{Op: op, Zone: zone}, arrived: arrived, answerBy: arrived.Add(answerWithin)}
-		verdict, err := a.submitFenced(ctx, &o)
+		verdict, err := a.submitFenced(ctx, &o, fence)
 		a.conclude(w, r, o, verdict, err, func() { answer(w, http.StatusOK, struct{}{}) })
 	}
 }
@@ -75,44 +73,25 @@
 }
 
 // submitFenced brings an evacuation order to the chain with its fence, the number of the newest committed record that was
-// known when the call had come. Before each try a majority is asked: when it has answered, a caller that hung up is known
-// to have gone, and the order is dropped. The first fence is what was known here as the call came. Where that lags, or
-// another order of the zone came between, the fence is taken anew while the caller waits.
-func (a *api) submitFenced(ctx context.Context, o *order) (controlstate.Verdict, error) {
-	fenceBy := o.arrived.Add(fenceWithin)
-	known := a.known()
-	for try := 1; ; try++ {
-		confirmed, err := a.confirm(ctx, fenceBy)
-		if err != nil {
-			return controlstate.Verdict{}, err
-		}
-		if try > 1 || known == nil || a.o.hooks.lateFence {
-			known = confirmed
-		}
-		o.change.Base = int64(known.Seq)
-		verdict, err := a.o.Chain.Submit(ctx, o.change)
-		if err != nil || verdict.Kind != controlstate.Superseded || try == fenceTries {
-			return verdict, err
-		}
-	}
-}
-
-// confirm asks a majority for the newest state, and fails unless the caller is still there afterwards and fenceBy is to come.
-func (a *api) confirm(ctx context.Context, fenceBy time.Time) (*controlstate.State, error) {
-	within, cancel := context.WithDeadline(ctx, fenceBy)
-	defer cancel()
-	state, err := a.o.Chain.Read(within)
+// known as the order came. First a majority is asked: when it has answered, a caller that hung up before the order's bytes
+// arrived is known to have gone, and the order is dropped. An order that is superseded is not tried again with a newer
+// fence: its caller, if it still waits, sends it again.
+func (a *api) submitFenced(ctx context.Context, o *order, fence *controlstate.State) (controlstate.Verdict, error) {
+	confirmed, err := a.o.Chain.Read(ctx)
 	if err != nil {
-		return nil, err
-	}
-	if state == nil {
-		state = controlstate.Empty()
+		return controlstate.Verdict{}, err
 	}
 	// The clock is asked as well: after a stall its timers may not have run yet.
-	if (within.Err() != nil || !time.Now().Before(fenceBy)) && !a.o.hooks.ignoreCallers {
-		return nil, errGone
+	if deadline, _ := ctx.Deadline(); (ctx.Err() != nil || !time.Now().Before(deadline)) && !a.o.hooks.ignoreCallers {
+		return controlstate.Verdict{}, errGone
+	}
+	if fence == nil || a.o.hooks.lateFence {
+		fence = confirmed
+	}
+	if fence != nil {
+		o.change.Base = int64(fence.Seq)
 	}
-	return state, nil
+	return a.o.Chain.Submit(ctx, o.change)
 }
 
 // known is the committed state at hand, nil where there is none.
