wal: nothing is believed after a failed sync, nor from a process that has been superseded

A failed fsync was retried on the same file after a truncation. The kernel may have dropped what it could not write and marked it clean, so the next fsync proves nothing about it; and a process that was started after one whose fsync had failed read the record out of memory, synced the file and counted it as on disk. Locks do nothing on these machines: a process that still ended while the next one had loaded could append, compact or install, and acknowledge it, without the other ever seeing it.

The crash model now keeps what a failed sync was to cover undecided through every later sync of that file.

After a write or sync that failed the file is not written again: the log goes on in a new segment, whose header tells how much of the one before counts. Load begins the next segment with the last record of the newest written again (only the last can have a failed sync). The next segment's empty file is made before anything is read, exclusively; a process looks for it after each sync and before it acknowledges. New segments are renamed into place whole. Ruled out: writing the tail again in place (a torn write would take acknowledged records), generations or locks alone.

TestFull took it that others hold the whole disk; it now says so (capacity = used), since a failed append gives its room back.

--- a/internal/system/wal/errors.go
+++ b/internal/system/wal/errors.go
@@ -14,6 +14,9 @@
 	// ErrDamaged: what the disk holds contradicts itself elsewhere than at its torn end. Wipe it and start under a new
 	// identity.
 	ErrDamaged = errors.New("log damaged")
+	// ErrSuperseded: another process has opened the log since. End this one; what it holds that was not acknowledged may or may
+	// not be in the log of the other.
+	ErrSuperseded = errors.New("log taken over")
 	// ErrUse: the call cannot be done on this log (a gap in the numbers, a cut below the snapshot, before Load).
 	ErrUse = errors.New("wrong use of the log")
 )
@@ -26,6 +29,10 @@
 	return errors.Mark(errors.Newf(format, args...), ErrUse)
 }
 
+func superseded() error {
+	return errors.Mark(errors.New("another process has opened this log: end one of the two"), ErrSuperseded)
+}
+
 // diskError says what failed, and marks it where there was no room.
 func diskError(err error, what string) error {
 	if err == nil {
--- a/internal/system/wal/fs.go
+++ b/internal/system/wal/fs.go
@@ -10,7 +10,7 @@
 	MkdirAll(folder string) error
 	ReadDir(folder string) ([]string, error) // names inside, without the folder
 	Open(name string) (File, error)          // to read and write
-	Create(name string) (File, error)        // new or emptied, to read and write
+	Create(name string) (File, error)        // new, to read and write; os.ErrExist where the name is taken
 	Rename(from, to string) error
 	Remove(name string) error
 	SyncDir(folder string) error // makes names created, renamed and removed in folder durable
@@ -60,7 +60,7 @@
 
 func (fs osFS) Open(name string) (File, error) { return fs.open(name, 0) }
 
-func (fs osFS) Create(name string) (File, error) { return fs.open(name, os.O_CREATE|os.O_TRUNC) }
+func (fs osFS) Create(name string) (File, error) { return fs.open(name, os.O_CREATE|os.O_EXCL) }
 
 func (osFS) Rename(from, to string) error { return os.Rename(from, to) }
 
--- a/internal/system/wal/load.go
+++ b/internal/system/wal/load.go
@@ -10,11 +10,21 @@
 	"github.com/cockroachdb/errors"
 )
 
+// generationShift: the upper part of a generation is the number of the newest segment when it was made. Each process begins
+// with a segment of its own, so its generations are higher than those of any process that had the log before it.
+const generationShift = 24
+
+const (
+	reserveName     = "reserve"
+	wipeName        = "wipe" // while it is there, everything else is to go
+	temporarySuffix = ".tmp"
+)
+
 // folderList is what the names in the folder tell.
 type folderList struct {
 	segments, snapshots []uint64            // ascending
 	meta                map[string][]uint64 // generations, ascending
-	aside               []string
+	temporary           []string
 	reserve, wipe       bool
 }
 
@@ -24,7 +34,7 @@
 		kind, rest, _ := strings.Cut(name, "-")
 		switch {
 		case strings.HasSuffix(name, temporarySuffix):
-			f.aside = append(f.aside, name)
+			f.temporary = append(f.temporary, name)
 		case name == reserveName:
 			f.reserve = true
 		case name == wipeName:
@@ -58,7 +68,8 @@
 }
 
 // Load implements Disk. A torn end is dropped; what is returned is durable. It may be called again, and must be where a
-// call has failed that it cannot recover from by itself.
+// call has failed that it cannot recover from by itself. Another process that still has the log open can acknowledge nothing
+// more.
 func (l *Log) Load() (map[string][]byte, Snapshot, []Entry, error) {
 	meta, snapshot, entries, err := l.load()
 	if err != nil {
@@ -73,48 +84,164 @@
 
 func (l *Log) load() (map[string][]byte, Snapshot, []Entry, error) {
 	_ = l.closeSegment()
-	*l = Log{folder: l.folder, o: l.o, meta: map[string]metaFile{}, number: 1}
-	names, err := l.o.FS.ReadDir(l.folder)
+	*l = Log{folder: l.folder, o: l.o, meta: map[string]metaFile{}}
+	list, err := l.prepare()
 	if err != nil {
-		return nil, Snapshot{}, nil, diskError(err, "read the log's folder")
-	}
-	list := listFolder(names)
-	if list.wipe {
-		if err := l.Wipe(); err != nil {
-			return nil, Snapshot{}, nil, err
-		}
-		list = folderList{}
+		return nil, Snapshot{}, nil, err
 	}
-	l.garbage = append(l.garbage, list.aside...)
 	meta, err := l.loadMeta(list.meta)
 	if err != nil {
 		return nil, Snapshot{}, nil, err
 	}
-	snapshot, err := l.loadSnapshot(list.snapshots)
+	snapshot, err := l.loadSnapshot(list)
 	if err != nil {
 		return nil, Snapshot{}, nil, err
 	}
-	entries, err := l.loadSegments(list.segments)
+	entries, newest, err := l.loadSegments(list.segments)
 	if err != nil {
 		return nil, Snapshot{}, nil, err
 	}
-	// A process that was killed may have left what no sync covers. It has been believed here, so it has to last, and before
-	// anything that it replaces is deleted.
-	if l.active != nil {
-		if err := l.active.Sync(); err != nil {
-			return nil, Snapshot{}, nil, diskError(err, "sync a segment")
-		}
-	}
-	if err := l.o.FS.SyncDir(l.folder); err != nil {
-		return nil, Snapshot{}, nil, diskError(err, "sync the log's folder")
-	}
 	if list.reserve {
 		size, err := l.size(reserveName)
 		l.reserved = err == nil && size >= l.o.ReserveBytes
 	}
+	if err := l.takeOver(newest); err != nil {
+		return nil, Snapshot{}, nil, err
+	}
 	return meta, snapshot, entries, nil
 }
 
+// prepare lists the folder once nothing in it can change any more: the next segment's file is there.
+func (l *Log) prepare() (folderList, error) {
+	list, err := l.list()
+	if err != nil {
+		return list, err
+	}
+	if list.wipe {
+		if err := l.Wipe(); err != nil {
+			return list, err
+		}
+		if list, err = l.list(); err != nil {
+			return list, err
+		}
+	}
+	for _, name := range list.temporary {
+		if l.remove(name) != nil {
+			l.garbage = append(l.garbage, name)
+		}
+	}
+	if l.number, err = l.nextNumber(list); err != nil {
+		return list, err
+	}
+	if l.fence() != nil { // the disk is full or refuses; what is there can still be read
+		l.unfenced, l.superseded = true, false
+	}
+	again, err := l.list()
+	for i, n := range again.segments {
+		if n == l.number {
+			again.segments = again.segments[:i]
+			break
+		}
+	}
+	return again, err
+}
+
+func (l *Log) list() (folderList, error) {
+	names, err := l.o.FS.ReadDir(l.folder)
+	return listFolder(names), diskError(err, "read the log's folder")
+}
+
+// nextNumber returns the number of a segment that follows all that were made: each snapshot names one, too.
+func (l *Log) nextNumber(list folderList) (uint64, error) {
+	next := uint64(1)
+	if n := len(list.segments); n > 0 {
+		next = list.segments[n-1] + 1
+	}
+	if n := len(list.snapshots); n > 0 {
+		_, fields, err := l.readSnapshot(list.snapshots[n-1])
+		if err != nil {
+			return 0, err
+		}
+		next = max(next, fields.first)
+	}
+	return next, nil
+}
+
+// takeOver makes what was loaded durable, and the log's own from here on. What the newest segment ends with may be in the
+// kernel's memory alone, if its sync failed before the last process ended; to sync that file again would prove nothing. So its
+// last record is written again, as the start of the next segment. Where there is no room for that, a sync has to do.
+func (l *Log) takeOver(newest newestSegment) error {
+	if err := l.o.FS.SyncDir(l.folder); err != nil {
+		return diskError(err, "sync the log's folder")
+	}
+	l.deleteGarbage()
+	l.tail = newest.link
+	if !l.unfenced && !l.o.hooks.trustNewest {
+		if l.carry(newest) == nil {
+			l.giveBackRoom()
+			return nil
+		}
+		l.unfenced = true
+	}
+	if newest.number == 0 {
+		return nil
+	}
+	f, err := l.o.FS.Open(l.path(segmentName(newest.number)))
+	if err != nil {
+		return diskError(err, "open the newest segment")
+	}
+	defer func() { _ = f.Close() }()
+	return diskError(f.Sync(), "sync the newest segment")
+}
+
+// giveBackRoom cuts off what segments have behind their ends. What cannot be cut off is counted as taken.
+func (l *Log) giveBackRoom() {
+	for i := range l.segments {
+		s := &l.segments[i]
+		if s.size <= s.end {
+			continue
+		}
+		f, err := l.o.FS.Open(l.path(segmentName(s.number)))
+		if err != nil {
+			continue
+		}
+		if f.Truncate(s.end) == nil {
+			s.size = s.end
+		}
+		_ = f.Close()
+	}
+}
+
+// carry begins the next segment with the last record of the newest.
+func (l *Log) carry(newest newestSegment) error {
+	tail, segments := l.tail, l.segments
+	l.tail.end -= int64(len(newest.record))
+	emptied := newest.number > 0 && l.tail.end == headerSize
+	switch {
+	case emptied: // then it is not needed any more
+		l.tail = newest.previous
+		l.segments = segments[:len(segments)-1]
+	case newest.number > 0:
+		segments[len(segments)-1].end = l.tail.end
+	}
+	if err := l.fillSegment(slices.Clone(newest.record)); err != nil {
+		l.tail, l.segments = tail, segments
+		if newest.number > 0 {
+			segments[len(segments)-1].end = tail.end
+		}
+		return err
+	}
+	for i := range l.batches {
+		if b := &l.batches[i]; b.segment == newest.number && b.first >= newest.first {
+			b.segment = l.tail.number
+		}
+	}
+	if emptied {
+		l.garbage = append(l.garbage, segmentName(newest.number))
+	}
+	return nil
+}
+
 func (l *Log) size(name string) (int64, error) {
 	f, err := l.o.FS.Open(l.path(name))
 	if err != nil {
@@ -162,7 +289,7 @@
 			return nil, damaged("metadata %q is not what was written", name)
 		}
 		meta[name] = data
-		l.meta[name] = metaFile{saved: newest, tried: newest}
+		l.meta[name] = metaFile{saved: newest, tried: max(newest, l.number<<generationShift)}
 		for _, old := range generations[:len(generations)-1] {
 			l.garbage = append(l.garbage, metaName(name, old))
 		}
@@ -170,150 +297,64 @@
 	return meta, nil
 }
 
-// loadSnapshot reads the newest snapshot, and leaves the number of the oldest segment that counts in l.number.
-func (l *Log) loadSnapshot(generations []uint64) (Snapshot, error) {
-	if len(generations) == 0 {
-		return Snapshot{}, nil
-	}
-	newest := generations[len(generations)-1]
-	name := snapshotName(newest)
-	b, err := l.read(name)
+// loadSnapshot reads the newest snapshot, and leaves the number of the oldest segment that counts in l.first.
+func (l *Log) loadSnapshot(list folderList) (Snapshot, error) {
+	l.first = 1
+	newest, err := l.newestHeader(list.segments)
 	if err != nil {
 		return Snapshot{}, err
 	}
-	fields, data, ok := decodeFile(b, snapshotMagic, 3)
-	if !ok || fields[0] != newest {
-		return Snapshot{}, damaged("snapshot %d is not what was written", newest)
-	}
-	l.generation, l.snapshot, l.number = newest, fields[1], fields[2]
-	l.snapName, l.snapBytes = name, int64(len(b))
-	for _, old := range generations[:len(generations)-1] {
-		l.garbage = append(l.garbage, snapshotName(old))
-	}
-	return Snapshot{Seq: l.snapshot, Data: data}, nil
-}
-
-// loadSegments replays the segments from l.number on.
-func (l *Log) loadSegments(numbers []uint64) ([]Entry, error) {
-	r := replay{}
-	for i, n := range numbers {
-		if n < l.number {
-			l.garbage = append(l.garbage, segmentName(n))
+	for i := len(list.snapshots) - 1; i >= 0; i-- {
+		generation := list.snapshots[i]
+		l.generation = max(l.generation, generation)
+		// One that an earlier process finished after the newest segment was begun by another does not count.
+		late := generation != newest.generation && generation < newest.number<<generationShift
+		if l.snapGeneration > 0 || late {
+			l.garbage = append(l.garbage, snapshotName(generation))
 			continue
 		}
-		if n != l.number {
-			return nil, damaged("segment %d is missing", l.number)
-		}
-		if err := l.loadSegment(n, i == len(numbers)-1, &r); err != nil {
-			return nil, err
-		}
-	}
-	l.last = max(l.snapshot, r.next-min(r.next, 1))
-	if r.next > 0 && r.next <= l.snapshot {
-		return nil, damaged("the log ends at %d, below its snapshot at %d", r.next-1, l.snapshot)
+		l.snapGeneration = generation
 	}
-	entries := r.entries
-	for len(entries) > 0 && entries[0].Seq <= l.snapshot {
-		entries = entries[1:]
-	}
-	if len(entries) > 0 && entries[0].Seq != l.snapshot+1 {
-		return nil, damaged("the log begins at %d, its snapshot ends at %d", entries[0].Seq, l.snapshot)
+	if l.snapGeneration == 0 {
+		if newest.generation > 0 {
+			return Snapshot{}, damaged("snapshot %d is missing", newest.generation)
+		}
+		return Snapshot{}, nil
 	}
-	l.batches = r.batches
-	for len(l.batches) > 0 && l.batches[0].last <= l.snapshot {
-		l.batches = l.batches[1:]
+	snapshot, fields, err := l.readSnapshot(l.snapGeneration)
+	if err != nil {
+		return Snapshot{}, err
 	}
-	return entries, nil
+	l.snapshot, l.first, l.snapBytes = snapshot.Seq, fields.first, fields.bytes
+	return snapshot, nil
 }
 
-func (l *Log) loadSegment(number uint64, newest bool, r *replay) error {
-	name := segmentName(number)
-	f, err := l.o.FS.Open(l.path(name))
-	if err != nil {
-		return diskError(err, "open "+name)
-	}
-	keep := false
-	defer func() {
-		if !keep {
-			_ = f.Close()
-		}
-	}()
-	b, err := readAll(f)
-	if err != nil {
-		return diskError(err, "read "+name)
-	}
-	nonce, ok := readHeader(b, number)
-	if !ok {
-		if !newest || len(b) > headerSize {
-			return damaged("segment %d has no whole header", number)
+// newestHeader returns the header of the newest segment that is not empty; the zero one where there is none.
+func (l *Log) newestHeader(numbers []uint64) (header, error) {
+	for _, n := range slices.Backward(numbers) {
+		if h, size, err := l.readSegmentHeader(n); err != nil || size > 0 {
+			return h, err
 		}
-		return nil // its making was cut short, so it held nothing; the next segment takes its number and place
 	}
-	end := int64(headerSize)
-	for end < int64(len(b)) {
-		payload := readRecord(b, nonce, end)
-		if payload == nil {
-			break
-		}
-		if !r.take(payload, number) {
-			return damaged("segment %d has a record at %d that does not follow", number, end)
-		}
-		end += recordHeaderSize + int64(len(payload))
-	}
-	if end < int64(len(b)) {
-		if !newest || recordBehind(b, nonce, end) {
-			return damaged("segment %d is damaged at %d", number, end)
-		}
-		if err := f.Truncate(end); err != nil {
-			return diskError(err, "cut off a torn record")
-		}
-	}
-	l.segments = append(l.segments, segment{number, end})
-	l.number = number + 1
-	if newest {
-		keep, l.active, l.nonce = true, f, nonce
-	}
-	return nil
+	return header{}, nil
 }
 
-// replay is what the records read so far add up to.
-type replay struct {
-	entries []Entry
-	batches []batch
-	next    uint64 // number of the next entry; 0: any
+// snapshotFields are what a snapshot's file holds beside the snapshot.
+type snapshotFields struct {
+	first uint64 // oldest segment that counts
+	bytes int64  // size of the file
 }
 
-// take does what a record says; false where it cannot follow the ones before it.
-func (r *replay) take(payload []byte, segment uint64) bool {
-	d := reader{b: payload}
-	switch d.byte() {
-	case kindAppend:
-		first, count := d.uvarint(), d.uvarint()
-		if d.bad || first == 0 || count == 0 || r.next != 0 && first != r.next {
-			return false
-		}
-		for i := range count {
-			data := d.bytes()
-			if d.bad {
-				return false
-			}
-			r.entries = append(r.entries, Entry{Seq: first + i, Data: data})
-		}
-		r.next = first + count
-		r.batches = append(r.batches, batch{first, r.next - 1, segment})
-	case kindTruncate:
-		after := d.uvarint()
-		if d.bad {
-			return false
-		}
-		for n := len(r.entries); n > 0 && r.entries[n-1].Seq > after; n-- {
-			r.entries = r.entries[:n-1]
-		}
-		r.batches, r.next = cut(r.batches, after), after+1
-	default:
-		return false
+func (l *Log) readSnapshot(generation uint64) (Snapshot, snapshotFields, error) {
+	b, err := l.read(snapshotName(generation))
+	if err != nil {
+		return Snapshot{}, snapshotFields{}, err
 	}
-	return !d.bad && len(d.b) == 0
+	fields, data, ok := decodeFile(b, snapshotMagic, 3)
+	if !ok || fields[0] != generation {
+		return Snapshot{}, snapshotFields{}, damaged("snapshot %d is not what was written", generation)
+	}
+	return Snapshot{Seq: fields[1], Data: data}, snapshotFields{fields[2], int64(len(b))}, nil
 }
 
 // Wipe deletes everything, durably; Load is to be called afterwards. Cut short, it is finished by the next Load, so that
@@ -324,6 +365,9 @@
 	fs := l.o.FS
 	_ = fs.Remove(l.path(reserveName)) // makes room for the mark
 	f, err := fs.Create(l.path(wipeName))
+	if errors.Is(err, os.ErrExist) {
+		f, err = fs.Open(l.path(wipeName))
+	}
 	if err != nil {
 		return diskError(err, "mark the log as wiped")
 	}
--- a/internal/system/wal/log.go
+++ b/internal/system/wal/log.go
@@ -3,13 +3,19 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
-	"fmt"
 	"os"
 	"path/filepath"
 
 	"github.com/cockroachdb/errors"
 )
 
+// Defaults of Options.
+const (
+	defaultMaxBytes     = 40 << 20
+	defaultSegmentBytes = 2 << 20
+	defaultReserveBytes = 64 << 10
+)
+
 // Options configure a Log. Zero values mean the defaults.
 type Options struct {
 	FS           FS            // default: the operating system's
@@ -17,31 +23,53 @@
 	SegmentBytes int64         // a segment that is larger is ended; default 2 MiB
 	ReserveBytes int64         // kept for metadata and truncations on a full disk; default 64 KiB, below 0: none
 	Nonce        func() uint64 // default: random
+
+	hooks hooks
+}
+
+// hooks take protections out, for the tests that show what each is for.
+type hooks struct {
+	trustRecords bool // records are taken without a look at their checksums
+	sameSegment  bool // after a failed sync the log goes on in the same file
+	trustNewest  bool // Load syncs the newest segment and believes that
+	noFence      bool // no look for another process that has opened the log
 }
 
 // Log is a Disk in one folder: segments of records, each written at the end and synced; a snapshot below them; metadata.
-// Snapshot and metadata are files written aside, synced, renamed and made durable by a sync of the folder. A truncation is
-// a record of its own, so the log only ever grows at its end, and a crash leaves a prefix of what was done. Its errors are of
-// kind ErrFull, ErrDamaged and ErrUse, or the file system's. A Log is used by one goroutine at a time.
+// Snapshots, metadata and the starts of segments are files written under a temporary name, synced, renamed and made durable by
+// a sync of the folder. A truncation is a record of its own, so the log only ever grows at its end, and a crash leaves a prefix
+// of what was done. After a write or sync that failed, the file is not written again: the log goes on in a new segment, whose
+// header tells how much of the former counts.
+//
+// A process that loads the log makes the next segment first, so that another one that still has the log open finds it there
+// before it acknowledges anything more. Errors are of kind ErrFull, ErrDamaged, ErrSuperseded and ErrUse, or the file
+// system's. A Log is used by one goroutine at a time.
 type Log struct {
-	folder string
-	o      Options
-	loaded bool
+	folder     string
+	o          Options
+	loaded     bool
+	superseded bool // another process has the log
 
 	snapshot   uint64 // its number; 0: none
+	first      uint64 // number of the oldest segment that counts
 	generation uint64 // of the newest snapshot tried
 	snapBytes  int64
-	snapName   string
+
+	snapGeneration uint64 // 0: there is no snapshot
 
 	batches  []batch // live entries, oldest first
 	last     uint64
 	segments []segment // on disk, oldest first
-	active   File      // of the newest segment; nil: it is ended, or there is none
+	active   File      // the newest of segments; nil: it is ended, or there is none
 	nonce    uint64    // of active
 	number   uint64    // of the next segment
+	tail     link      // the newest segment made and its end, for the next one's header
+	before   link      // tail as it was when active was made
+	unfenced bool      // Load could not make the next segment
+	unsure   bool      // a record behind the end of tail, or in leftover, may be on disk
 
-	torn     bool                // bytes behind the end of active may be on disk
 	stray    string              // a snapshot that may or may not be there
+	leftover string              // a segment of the next number that did not come about
 	meta     map[string]metaFile // by name
 	garbage  []string            // files that count no more
 	reserved bool                // the reserve is on disk
@@ -50,9 +78,11 @@
 // batch is what one record appended, as far as it is live.
 type batch struct{ first, last, segment uint64 }
 
+// segment is a file of the log.
 type segment struct {
 	number uint64
-	bytes  int64 // up to its end; there may be more while torn
+	end    int64 // bytes that count
+	size   int64 // bytes that the file may have
 }
 
 // metaFile holds generations of one piece of metadata.
@@ -60,32 +90,22 @@
 
 var _ Disk = (*Log)(nil)
 
-const (
-	reserveName     = "reserve"
-	wipeName        = "wipe" // while it is there, everything else is to go
-	temporarySuffix = ".tmp"
-)
-
 // Open returns the log in folder, which is made if it is not there. Load must come first.
 func Open(folder string, o Options) (*Log, error) {
 	if o.FS == nil {
 		o.FS = osFS{}
 	}
 	if o.MaxBytes == 0 {
-		o.MaxBytes = 40 << 20
+		o.MaxBytes = defaultMaxBytes
 	}
 	if o.SegmentBytes == 0 {
-		o.SegmentBytes = 2 << 20
+		o.SegmentBytes = defaultSegmentBytes
 	}
 	if o.ReserveBytes == 0 {
-		o.ReserveBytes = 64 << 10
+		o.ReserveBytes = defaultReserveBytes
 	}
 	if o.Nonce == nil {
-		o.Nonce = func() uint64 {
-			var b [8]byte
-			_, _ = rand.Read(b[:]) // never fails
-			return binary.LittleEndian.Uint64(b[:])
-		}
+		o.Nonce = randomNonce
 	}
 	if _, err := o.FS.ReadDir(folder); errors.Is(err, os.ErrNotExist) {
 		if err := o.FS.MkdirAll(folder); err != nil {
@@ -101,6 +121,12 @@
 	return &Log{folder: folder, o: o}, nil
 }
 
+func randomNonce() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return binary.LittleEndian.Uint64(b[:])
+}
+
 // Close ends the use of the log. Nothing needs to be written for it.
 func (l *Log) Close() error {
 	l.loaded = false
@@ -111,32 +137,20 @@
 func (l *Log) Bytes() int64 {
 	n := l.snapBytes
 	for _, s := range l.segments {
-		n += s.bytes
+		n += s.size
 	}
 	return n
 }
 
 func (l *Log) path(name string) string { return filepath.Join(l.folder, name) }
 
-func segmentName(number uint64) string { return fmt.Sprintf("log-%016x", number) }
-
-// closeSegment ends the newest segment: the next append makes another.
-func (l *Log) closeSegment() error {
-	if l.active == nil {
-		return nil
-	}
-	err := l.active.Close()
-	l.active = nil
-	return diskError(err, "close a segment")
-}
-
 // settle makes the log ready for a change: what an earlier failure left undecided is decided as not done.
 func (l *Log) settle() error {
-	if !l.loaded {
-		return misuse("the log is not loaded: call Load first")
+	if err := l.usable(); err != nil {
+		return err
 	}
 	if l.stray != "" {
-		if err := l.o.FS.Remove(l.path(l.stray)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		if err := l.remove(l.stray); err != nil {
 			return diskError(err, "remove a snapshot that was not finished")
 		}
 		if err := l.o.FS.SyncDir(l.folder); err != nil {
@@ -144,18 +158,34 @@
 		}
 		l.stray = ""
 	}
-	if l.torn {
-		if err := l.active.Truncate(l.segments[len(l.segments)-1].bytes); err != nil {
-			return diskError(err, "cut off a torn record")
-		}
-		if err := l.active.Sync(); err != nil {
-			return diskError(err, "sync a segment")
-		}
-		l.torn = false
+	if err := l.removeLeftover(); err != nil { // its header names the snapshot as it was
+		return err
+	}
+	if l.unsure && !l.o.hooks.sameSegment {
+		return l.withReserve(func() error { return l.createSegment(nil) })
+	}
+	return nil
+}
+
+func (l *Log) usable() error {
+	switch {
+	case l.superseded:
+		return superseded()
+	case !l.loaded:
+		return misuse("the log is not loaded: call Load first")
 	}
 	return nil
 }
 
+// remove deletes a file that may be missing.
+func (l *Log) remove(name string) error {
+	err := l.o.FS.Remove(l.path(name))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	return err
+}
+
 // Append implements Disk. Entries that come in one call are all there after a crash or none is.
 func (l *Log) Append(entries []Entry) error {
 	if err := l.settle(); err != nil {
@@ -172,7 +202,7 @@
 		return err
 	}
 	l.last = entries[len(entries)-1].Seq
-	l.batches = append(l.batches, batch{entries[0].Seq, l.last, l.segments[len(l.segments)-1].number})
+	l.batches = append(l.batches, batch{entries[0].Seq, l.last, l.tail.number})
 	return nil
 }
 
@@ -203,60 +233,6 @@
 	return batches
 }
 
-// write puts a record at the end of the log, and syncs it.
-func (l *Log) write(record []byte) error {
-	if n := len(l.segments); l.active != nil && l.segments[n-1].bytes >= l.o.SegmentBytes {
-		if err := l.closeSegment(); err != nil {
-			return err
-		}
-	}
-	if l.active == nil {
-		if err := l.createSegment(); err != nil {
-			return err
-		}
-	}
-	s := &l.segments[len(l.segments)-1]
-	finishRecord(record, l.nonce, s.bytes)
-	l.torn = true // until it is whole
-	_, err := l.active.WriteAt(record, s.bytes)
-	if err == nil {
-		err = l.active.Sync()
-	}
-	if err != nil {
-		_ = l.settle() // gives back the room at once; where that fails, the next change comes here again
-		return diskError(err, "write to a segment")
-	}
-	l.torn = false
-	s.bytes += int64(len(record))
-	return nil
-}
-
-// createSegment makes the next segment. Its header is synced before the first record, so a segment with a bad header never holds
-// one. After a failure the same number is used again.
-func (l *Log) createSegment() error {
-	name := l.path(segmentName(l.number))
-	f, err := l.o.FS.Create(name)
-	if err != nil {
-		return diskError(err, "make a segment")
-	}
-	nonce := l.o.Nonce()
-	if _, err = f.WriteAt(segmentHeader(l.number, nonce), 0); err == nil {
-		err = f.Sync()
-	}
-	if err == nil {
-		err = l.o.FS.SyncDir(l.folder)
-	}
-	if err != nil {
-		_ = f.Close()
-		_ = l.o.FS.Remove(name) // not needed for anything but room
-		return diskError(err, "start a segment")
-	}
-	l.segments = append(l.segments, segment{l.number, headerSize})
-	l.active, l.nonce = f, nonce
-	l.number++
-	return nil
-}
-
 // withReserve runs f again without the reserve where there was no room for it.
 func (l *Log) withReserve(f func() error) error {
 	err := f()
@@ -275,7 +251,7 @@
 	if l.reserved || l.o.ReserveBytes < 0 {
 		return
 	}
-	f, err := l.o.FS.Create(l.path(reserveName))
+	f, err := l.createNew(reserveName)
 	if err != nil {
 		return
 	}
--- a/internal/system/wal/log_test.go
+++ b/internal/system/wal/log_test.go
@@ -135,7 +135,8 @@
 				t.Fatal(err)
 			}
 			same(t, log, model)
-			if fs.capacity == 10000 && name == "disk" { // others have taken it all
+			if name == "disk" { // others have taken it all
+				fs.capacity = fs.used()
 				if err := log.Compact(Snapshot{Seq: last - 3, Data: data}); !errors.Is(err, ErrFull) {
 					t.Fatal(err)
 				}
@@ -233,7 +234,12 @@
 
 func TestMissingSnapshot(t *testing.T) {
 	fs, _ := build(t, 100, []step{{"append", 4, 0}, {"install", 9, 0}, {"append", 1, 0}})
-	delete(fs.names, snapshotName(1))
+	names, _ := fs.ReadDir("")
+	i := slices.IndexFunc(names, func(name string) bool { return strings.HasPrefix(name, "snap-") })
+	if i < 0 {
+		t.Fatal("no snapshot was written")
+	}
+	delete(fs.names, names[i])
 	log, _ := openSim(fs)
 	if v, err := look(log); !errors.Is(err, ErrDamaged) {
 		t.Errorf("%v, %v", v, err)
--- /dev/null
+++ b/internal/system/wal/owner_test.go
@@ -0,0 +1,96 @@
+package wal
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+// twoProcesses opens a log twice on one disk, as where a process is started anew while the old one is still about to end:
+// locks do nothing there.
+func twoProcesses(t *testing.T, h hooks) (fs *simFS, old, young *Log) {
+	t.Helper()
+	fs = newSimFS()
+	for i, log := range []**Log{&old, &young} {
+		l, err := Open(simFolder, Options{FS: fs, SegmentBytes: 200, ReserveBytes: 16, hooks: h})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, _, err := l.Load(); err != nil {
+			t.Fatal(err)
+		}
+		if *log = l; i == 0 {
+			for _, err := range []error{l.Append([]Entry{entry(1, 0)}), l.Append([]Entry{entry(2, 0)}), l.SaveMeta("m", []byte("old"))} {
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+	return fs, old, young
+}
+
+// TestOldProcessAcknowledgesNothing lets the old process go on once the new one has loaded: none of its changes succeeds, and
+// what the new one acknowledges is what the third one finds.
+func TestOldProcessAcknowledgesNothing(t *testing.T) {
+	changes := map[string]func(l *Log) error{
+		"append":   func(l *Log) error { return l.Append([]Entry{entry(3, 7)}) },
+		"truncate": func(l *Log) error { return l.Truncate(1) },
+		"compact":  func(l *Log) error { return l.Compact(Snapshot{Seq: 1, Data: []byte("old")}) },
+		"install":  func(l *Log) error { return l.Install(Snapshot{Seq: 30, Data: []byte("old")}) },
+		"meta":     func(l *Log) error { return l.SaveMeta("m", []byte("late")) },
+	}
+	for name, change := range changes {
+		for _, before := range []bool{true, false} {
+			fs, old, young := twoProcesses(t, hooks{})
+			write := func() {
+				if err := young.Append([]Entry{entry(3, 1)}); err != nil {
+					t.Fatal(err)
+				}
+				if err := young.SaveMeta("m", []byte("young")); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if before {
+				write()
+			}
+			if err := change(old); !errors.Is(err, ErrSuperseded) {
+				t.Errorf("%s: %v", name, err)
+			}
+			if err := old.Append([]Entry{entry(3, 7)}); !errors.Is(err, ErrSuperseded) {
+				t.Errorf("%s, then an append: %v", name, err)
+			}
+			if !before {
+				write()
+			}
+			want := NewMem()
+			_ = want.Append([]Entry{entry(1, 0), entry(2, 0), entry(3, 1)})
+			_ = want.SaveMeta("m", []byte("young"))
+			v, _ := look(want)
+			check := func(fs *simFS) {
+				third, err := openSim(fs)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got, err := look(third)
+				if err != nil || got.log != v.log {
+					t.Errorf("%s: %v, %v, want %v", name, got, err, v)
+				}
+				if got.meta["m"] != "young" {
+					t.Errorf("%s: %v", name, got.meta)
+				}
+			}
+			check(fs.killed())
+			fs.powerLosses(50, rand.New(rand.NewPCG(1, 2)), check)
+		}
+	}
+}
+
+// TestOldProcessWithoutFence is the control: without the look for the other process, both acknowledge an entry 3.
+func TestOldProcessWithoutFence(t *testing.T) {
+	_, old, young := twoProcesses(t, hooks{noFence: true})
+	if err := errors.CombineErrors(old.Append([]Entry{entry(3, 7)}), young.Append([]Entry{entry(3, 1)})); err != nil {
+		t.Errorf("the control shows nothing: %v", err)
+	}
+}
--- a/internal/system/wal/record.go
+++ b/internal/system/wal/record.go
@@ -7,11 +7,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// A segment is a header (magic, number, nonce, checksum) and records (magic, length, checksum, payload), one a call of Append
-// or Truncate, so that one sync never covers two records and a torn record is always the last. A record's checksum covers the
-// segment's nonce and its offset: what an earlier use of the block left there is never taken for a record.
+// A segment is a header and records. The header holds magic, number, the number and the end of the segment before it, the
+// generation of the snapshot that counted when the segment was made, a nonce and a checksum. A record holds magic, length, checksum and payload, one a call of Append or Truncate, so that one sync never
+// covers two records and a torn record is always the last. A record's checksum covers the segment's nonce and its offset: what
+// an earlier use of the block left there is never taken for a record. What a segment has behind the end that the next one's
+// header gives does not count.
 const (
-	headerSize       = 32
+	headerSize       = 56
 	recordHeaderSize = 16 // before the payload
 
 	kindAppend   = 1 // payload: first number, count, then each entry's length and data
@@ -19,26 +21,51 @@
 )
 
 var (
-	segmentMagic  = []byte("GRDSEG01")
+	segmentMagic  = []byte("GRDSEG03")
 	recordMagic   = []byte("wrec")
 	snapshotMagic = []byte("GRDSNP01")
 	metaMagic     = []byte("GRDMET01")
 )
 
-func segmentHeader(number, nonce uint64) []byte {
+// link names a segment and the bytes of it that count. The zero link names none.
+type link struct {
+	number uint64
+	end    int64
+}
+
+// header is what stands at the start of a segment.
+type header struct {
+	number     uint64
+	previous   link
+	generation uint64 // of the snapshot; 0: none
+	nonce      uint64
+}
+
+func (h header) encode() []byte {
 	b := append(make([]byte, 0, headerSize), segmentMagic...)
-	b = binary.LittleEndian.AppendUint64(b, number)
-	b = binary.LittleEndian.AppendUint64(b, nonce)
+	b = binary.LittleEndian.AppendUint64(b, h.number)
+	b = binary.LittleEndian.AppendUint64(b, h.previous.number)
+	b = binary.LittleEndian.AppendUint64(b, uint64(h.previous.end))
+	b = binary.LittleEndian.AppendUint64(b, h.generation)
+	b = binary.LittleEndian.AppendUint64(b, h.nonce)
 	return binary.LittleEndian.AppendUint64(b, xxhash.Sum64(b))
 }
 
-// readHeader returns the nonce of a segment.
-func readHeader(b []byte, number uint64) (nonce uint64, ok bool) {
+// readHeader reads the header of the segment with the number.
+func readHeader(b []byte, number uint64) (h header, ok bool) {
 	if len(b) < headerSize {
-		return 0, false
+		return header{}, false
+	}
+	h = header{
+		number: number,
+		previous: link{
+			number: binary.LittleEndian.Uint64(b[16:]),
+			end:    int64(binary.LittleEndian.Uint64(b[24:])),
+		},
+		generation: binary.LittleEndian.Uint64(b[32:]),
+		nonce:      binary.LittleEndian.Uint64(b[40:]),
 	}
-	nonce = binary.LittleEndian.Uint64(b[16:])
-	return nonce, bytes.Equal(b[:headerSize], segmentHeader(number, nonce))
+	return h, bytes.Equal(b[:headerSize], h.encode()) && h.previous.number < number
 }
 
 func recordChecksum(nonce uint64, offset int64, payload []byte) uint64 {
@@ -54,11 +81,10 @@
 }
 
 // finishRecord fills in the head of a record for offset; b is room for the head and the payload.
-func finishRecord(b []byte, nonce uint64, offset int64) []byte {
+func finishRecord(b []byte, nonce uint64, offset int64) {
 	copy(b, recordMagic)
 	binary.LittleEndian.PutUint32(b[4:], uint32(len(b)-recordHeaderSize))
 	binary.LittleEndian.PutUint64(b[8:], recordChecksum(nonce, offset, b[recordHeaderSize:]))
-	return b
 }
 
 func appendRecord(entries []Entry) []byte {
@@ -79,9 +105,16 @@
 	return binary.AppendUvarint(append(make([]byte, recordHeaderSize, recordHeaderSize+16), kindTruncate), after)
 }
 
-// readRecord returns the payload of the record at offset of a segment, nil where there is no whole one.
-func readRecord(segment []byte, nonce uint64, offset int64) []byte {
-	b := segment[offset:]
+// scanner finds the records of one segment. Its checks may be taken out by tests.
+type scanner struct {
+	segment []byte
+	nonce   uint64
+	trust   bool // without a look at the checksum
+}
+
+// record returns the record at offset with its head, nil where there is no whole one.
+func (s scanner) record(offset int64) []byte {
+	b := s.segment[offset:]
 	if len(b) <= recordHeaderSize || !bytes.HasPrefix(b, recordMagic) {
 		return nil
 	}
@@ -89,21 +122,21 @@
 	if n == 0 || n > int64(len(b)-recordHeaderSize) {
 		return nil
 	}
-	payload := b[recordHeaderSize : recordHeaderSize+n]
-	if recordChecksum(nonce, offset, payload) != binary.LittleEndian.Uint64(b[8:]) {
+	b = b[: recordHeaderSize+n : recordHeaderSize+n]
+	if !s.trust && recordChecksum(s.nonce, offset, b[recordHeaderSize:]) != binary.LittleEndian.Uint64(b[8:]) {
 		return nil
 	}
-	return payload
+	return b
 }
 
 // recordBehind tells whether a whole record begins behind offset.
-func recordBehind(segment []byte, nonce uint64, offset int64) bool {
-	for at := offset + 1; at < int64(len(segment)); at++ {
-		i := bytes.Index(segment[at:], recordMagic)
+func (s scanner) recordBehind(offset int64) bool {
+	for at := offset + 1; at < int64(len(s.segment)); at++ {
+		i := bytes.Index(s.segment[at:], recordMagic)
 		if i < 0 {
 			return false
 		}
-		if at += int64(i); readRecord(segment, nonce, at) != nil {
+		if at += int64(i); s.record(at) != nil {
 			return true
 		}
 	}
--- a/internal/system/wal/simfs_test.go
+++ b/internal/system/wal/simfs_test.go
@@ -16,7 +16,8 @@
 var errCrash = errors.New("the machine is gone")
 
 // simFS is one folder of a simulated disk. What is not synced may be there, missing or torn after a loss of power, and each
-// name that was made, renamed or removed without a sync of the folder may be kept or lost by itself.
+// name that was made, renamed or removed without a sync of the folder may be kept or lost by itself. What a failed sync was to
+// cover is never durable through a later sync of the same file, though reads show it.
 type simFS struct {
 	folder         folderState
 	names, durable map[string]*inode
@@ -52,8 +53,9 @@
 type syncState int
 
 const (
-	syncNone syncState = iota
-	syncDone           // it is durable
+	syncNone   syncState = iota
+	syncDone             // it is durable, but not one before it
+	syncFailed           // no later sync makes it durable
 )
 
 // dirOp takes the name from away (if any) and gives node the name to (if any).
@@ -157,13 +159,11 @@
 	if err := s.call("create"); err != nil {
 		return nil, err
 	}
-	n := s.names[name]
-	if n == nil {
-		n = &inode{}
-		s.change(dirOp{to: name, node: n})
-	} else if len(n.content) > 0 {
-		n.change(fileOp{})
+	if s.names[name] != nil {
+		return nil, os.ErrExist
 	}
+	n := &inode{}
+	s.change(dirOp{to: name, node: n})
 	return &simFile{s, n}, nil
 }
 
@@ -252,11 +252,16 @@
 
 // room returns the bytes that can be written to n at at.
 func (s *simFS) room(n *inode, at int64) int {
+	return max(0, s.capacity-s.used()) + max(0, len(n.content)-int(at))
+}
+
+// used returns the bytes of all files.
+func (s *simFS) used() int {
 	used := 0
-	for _, other := range s.names {
-		used += len(other.content)
+	for _, n := range s.names {
+		used += len(n.content)
 	}
-	return max(0, s.capacity-used) + max(0, len(n.content)-int(at))
+	return used
 }
 
 func (f *simFile) Size() (int64, error) {
@@ -276,11 +281,16 @@
 
 // Sync makes the content durable, but not the name.
 func (f *simFile) Sync() error {
-	if err := f.fs.call("sync"); err != nil {
+	err := f.fs.call("sync")
+	if errors.Is(err, errCrash) {
 		return err
 	}
-	f.n.settle(syncDone)
-	return nil
+	done := syncDone
+	if err != nil {
+		done = syncFailed
+	}
+	f.n.settle(done)
+	return err
 }
 
 // settle notes what a sync has done.
--- a/internal/system/wal/snapshot.go
+++ b/internal/system/wal/snapshot.go
@@ -57,21 +57,25 @@
 
 // saveSnapshot makes s the snapshot, and the segment numbered first the oldest that counts.
 func (l *Log) saveSnapshot(s Snapshot, first uint64) error {
-	l.generation++
+	l.generation = max(l.generation, l.tail.number<<generationShift) + 1
 	name := snapshotName(l.generation)
 	content := encodeFile(snapshotMagic, []uint64{l.generation, s.Seq, first}, s.Data)
-	renamed, err := l.replace(name, content)
+	f, renamed, err := l.replace(name, content)
+	if err == nil {
+		_ = f.Close() // it is synced
+		err = l.owned()
+	}
 	if err != nil {
-		if renamed {
+		if renamed && !l.superseded {
 			l.stray = name
 			_ = l.settle()
 		}
 		return err
 	}
-	if l.snapName != "" {
-		l.garbage = append(l.garbage, l.snapName)
+	if l.snapGeneration > 0 {
+		l.garbage = append(l.garbage, snapshotName(l.snapGeneration))
 	}
-	l.snapshot, l.snapName, l.snapBytes = s.Seq, name, int64(len(content))
+	l.snapshot, l.first, l.snapGeneration, l.snapBytes = s.Seq, first, l.generation, int64(len(content))
 	for len(l.segments) > 0 && l.segments[0].number < first {
 		l.garbage = append(l.garbage, segmentName(l.segments[0].number))
 		l.segments = l.segments[1:]
@@ -83,8 +87,8 @@
 
 // SaveMeta implements Disk. Names have 1 to 64 bytes of a to z, 0 to 9 and _. It works at MaxBytes, too.
 func (l *Log) SaveMeta(name string, data []byte) error {
-	if !l.loaded {
-		return misuse("the log is not loaded: call Load first")
+	if err := l.usable(); err != nil {
+		return err
 	}
 	if err := checkName(name); err != nil {
 		return err
@@ -92,7 +96,11 @@
 	m := l.meta[name]
 	err := l.withReserve(func() error {
 		m.tried++ // never used twice: a failed one may be there
-		_, err := l.replace(metaName(name, m.tried), encodeFile(metaMagic, []uint64{m.tried}, data))
+		f, _, err := l.replace(metaName(name, m.tried), encodeFile(metaMagic, []uint64{m.tried}, data))
+		if err == nil {
+			_ = f.Close() // it is synced
+			err = l.owned()
+		}
 		if err != nil {
 			l.garbage = append(l.garbage, metaName(name, m.tried))
 		}
@@ -109,33 +117,35 @@
 	return err
 }
 
-// replace writes a file aside, syncs it, gives it its name and makes that durable. renamed tells whether the name may be
-// there in spite of an error.
-func (l *Log) replace(name string, content []byte) (renamed bool, err error) {
-	aside := l.path(name + temporarySuffix)
-	f, err := l.o.FS.Create(aside)
+// replace writes a file under a temporary name, syncs it, gives it its name and makes that durable. It returns the file, open.
+// renamed tells whether the name may be there in spite of an error.
+func (l *Log) replace(name string, content []byte) (f File, renamed bool, err error) {
+	temporary := name + temporarySuffix
+	f, err = l.createNew(temporary)
 	if err != nil {
-		return false, diskError(err, "make "+name)
+		return nil, false, diskError(err, "make "+name)
 	}
 	_, err = f.WriteAt(content, 0)
 	if err == nil {
 		err = f.Sync()
 	}
-	if closing := f.Close(); err == nil {
-		err = closing
-	}
 	if err != nil {
-		_ = l.o.FS.Remove(aside)
-		return false, diskError(err, "write "+name)
+		_ = f.Close()
+		_ = l.remove(temporary)
+		return nil, false, diskError(err, "write "+name)
 	}
-	if err := l.o.FS.Rename(aside, l.path(name)); err != nil {
-		_ = l.o.FS.Remove(aside)
-		return true, diskError(err, "rename "+name)
+	err = l.o.FS.Rename(l.path(temporary), l.path(name))
+	if err != nil {
+		_ = l.remove(temporary)
+		err = diskError(err, "rename "+name)
+	} else {
+		err = diskError(l.o.FS.SyncDir(l.folder), "sync the log's folder")
 	}
-	if err := l.o.FS.SyncDir(l.folder); err != nil {
-		return true, diskError(err, "sync the log's folder")
+	if err != nil {
+		_ = f.Close()
+		return nil, true, err
 	}
-	return true, nil
+	return f, true, nil
 }
 
 // maxGarbage bounds what is remembered; Load finds the rest.
