--- a/deploy/system_test.go
+++ b/deploy/system_test.go
@@ -10,20 +10,22 @@
 	"github.com/BurntSushi/toml"
 )
 
-// TestSystemFile builds as the deploy file says, in a copy of nothing but what the build line makes, and starts each role
-// on bad settings. Danger: a program linked statically gets nothing of a library that is loaded into it; one that starts on
-// nonsense fails later, and a fault of several lines is split by a log.
-func TestSystemFile(t *testing.T) {
-	var d struct {
-		Build string
-		Roles map[string]struct {
-			Run    string
-			On     string
-			Share  float64
-			Count  int
-			Serves []string
-		}
+// system is deploy/system.toml.
+type system struct {
+	Build    string
+	Packages []string
+	Roles    map[string]struct {
+		Run    string
+		On     string
+		Share  float64
+		Count  int
+		Serves []string
 	}
+}
+
+func readSystem(t *testing.T) system {
+	t.Helper()
+	var d system
 	meta, err := toml.DecodeFile("system.toml", &d)
 	if err != nil {
 		t.Fatal(err)
@@ -31,6 +33,14 @@
 	if extra := meta.Undecoded(); len(extra) > 0 {
 		t.Errorf("unknown keys %v", extra)
 	}
+	return d
+}
+
+// TestSystemFile builds as the deploy file says, in a copy of nothing but what the build line makes, and starts each role
+// on bad settings. Danger: a program linked statically gets nothing of a library that is loaded into it; one that starts on
+// nonsense fails later, and a fault of several lines is split by a log.
+func TestSystemFile(t *testing.T) {
+	d := readSystem(t)
 	build := exec.Command("/bin/sh", "-c", d.Build)
 	build.Dir = root
 	if out, err := build.CombinedOutput(); err != nil {
