--- a/internal/system/replication/control_test.go
+++ b/internal/system/replication/control_test.go
@@ -12,10 +12,10 @@
 	seed  uint64
 }{
 	"a wiped disk keeps its vote":                   {hooks{keepVote: true}, 26},
-	"the tail answers without a majority":           {hooks{blindRead: true}, 65},
+	"the tail answers without a majority":           {hooks{blindRead: true}, 28},
 	"the head acknowledges what it alone holds":     {hooks{earlyAck: true}, 2},
 	"any link may lead":                             {hooks{anyHead: true}, 231},
-	"a joining link cuts off what it was not sent":  {hooks{truncateAll: true}, 10},
+	"a joining link cuts off what it was not sent":  {hooks{truncateAll: true}, 7},
 	"links take records of another epoch":           {hooks{anyEpoch: true}, 24},
 	"messages go out before the write they rest on": {hooks{sendFirst: true}, 4},
 	"a chain that is too short acknowledges":        {hooks{shortChain: true}, 57},
--- a/internal/system/replication/invariants_test.go
+++ b/internal/system/replication/invariants_test.go
@@ -162,12 +162,19 @@
 	if w.broken != nil {
 		return
 	}
+	if w.onAnswer != nil {
+		w.onAnswer(a, d)
+	}
 	if a.read {
 		w.checkRead(a, d)
 	} else {
 		w.trace("%v answer to %s at machine %d: outcome %d %v record %d", w.now, keyOf(a.change), a.at.name, d.Outcome, d.Verdict, d.Seq)
 		w.checkAnswer(a, d)
 	}
+	if a.inside != nil {
+		a.inside(d)
+		return
+	}
 	w.answer(a, d)
 }
 
--- a/internal/system/replication/sim_disk_test.go
+++ b/internal/system/replication/sim_disk_test.go
@@ -90,7 +90,7 @@
 			return
 		}
 		m.disk.do(op, len(op.Entries))
-		w.step("wrote "+writeNames[op.Kind], m)
+		w.step("wrote "+writeNames[op.Kind], m, "")
 		m.run(core, func() { core.DiskDone(m.clock(), op.Token, nil) })
 	})
 }
--- /dev/null
+++ b/internal/system/replication/sim_hardening_cut_test.go
@@ -0,0 +1,175 @@
+package replication
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// backBound is within what a machine that was cut off holds all again and counts as current.
+const backBound = 3 * time.Second
+
+// cutMode is how a machine is cut off.
+type cutMode struct {
+	name      string
+	out, in   bool // the directions that are cut
+	late      bool // what was sent meanwhile comes after the cut
+	reachable bool // operators and proxies still reach it
+	frozen    bool // instead of a cut, the process stands still
+}
+
+var cutModes = []cutMode{
+	{name: "silent", out: true, in: true},
+	{name: "delivered late", out: true, in: true, late: true},
+	{name: "only outwards", out: true, late: true},
+	{name: "only inwards", in: true, late: true},
+	{name: "from keepers only", out: true, in: true, reachable: true},
+	{name: "from keepers only, late", out: true, in: true, late: true, reachable: true},
+	{name: "frozen", frozen: true},
+}
+
+// cutRoles are the machines that are cut off, as they stand when the cut begins.
+var cutRoles = map[string]func(*world) *machine{
+	"head":   func(w *world) *machine { return w.link(0) },
+	"second": func(w *world) *machine { return w.link(1) },
+	"tail":   func(w *world) *machine { return w.link(-1) },
+	"outsider": func(w *world) *machine { // no link: a spare or an observer
+		for _, m := range w.nodes {
+			if m.up() && w.newest.place(m.core.reg.self.ID) < 0 {
+				return m
+			}
+		}
+		return nil
+	},
+}
+
+// cutPlay cuts a machine off for 20 s while operators go on everywhere, and checks what it answers meanwhile.
+type cutPlay struct {
+	asked   int // calls that reached it during the cut
+	clear   int // of these, those that it answered with a clear answer
+	changes int // acknowledged elsewhere during the cut
+	back    time.Duration
+	err     error
+}
+
+func playCut(seed uint64, s shape, role string, mode cutMode, h hooks) *cutPlay {
+	const length = 20 * time.Second
+	out := &cutPlay{}
+	w := newWorld(seed, s, h)
+	w.operate()
+	w.runUntil(5 * time.Second)
+	m := cutRoles[role](w)
+	if m == nil {
+		out.err = fmt.Errorf("there is no %s", role)
+		return out
+	}
+	began, before := w.now, w.stats.accepted
+	w.onAnswer = func(a *asked, d Completion) {
+		if a.at == m && a.sent > began && w.now < began+length {
+			out.asked++
+			if d.Outcome == Answered {
+				out.clear++
+				w.trace("%v CLEAR answer of the machine that is cut off: %s read %v %+v", w.now, keyOf(a.change), a.read, d)
+			}
+		}
+	}
+	w.cutOff(m, mode, length)
+	// Whoever is cut off is asked all the while; the others are by the operators.
+	for i := range 60 {
+		w.after(time.Duration(i)*length/60, func() {
+			w.ask(&asked{at: m, read: i%2 == 0, change: w.newChange(100 + i)})
+		})
+	}
+	w.runUntil(began + length)
+	out.changes = w.stats.accepted - before
+	ended := w.now
+	w.runWhile(2*backBound, func() bool {
+		return m.core == nil || !m.core.Current(m.clock()) || m.core.committed < w.ackedBefore(ended)
+	})
+	out.back = w.now - ended
+	w.runUntil(ended + 5*time.Second)
+	w.clientsEnd = true
+	w.runUntil(w.now + 7*time.Second)
+	if w.broken == nil {
+		w.checkSettled()
+	}
+	out.err = w.broken
+	return out
+}
+
+func (w *world) cutOff(m *machine, mode cutMode, length time.Duration) {
+	if mode.frozen {
+		m.freeze(length)
+		return
+	}
+	others := []string{}
+	for _, o := range w.nodes {
+		others = append(others, o.member.Addr)
+	}
+	if !mode.reachable {
+		others = append(others, outside)
+		for _, p := range w.proxies {
+			others = append(others, p.addr)
+		}
+	}
+	for _, o := range others {
+		if mode.out {
+			w.block(m.member.Addr, o, length, mode.late)
+		}
+		if mode.in {
+			w.block(o, m.member.Addr, length, mode.late)
+		}
+	}
+}
+
+// TestHardeningCutOffForTwentySeconds cuts each kind of machine off in each way. Danger: it answers operators or proxies by
+// what it held, refuses what it cannot know, or is not back in force soon after.
+func TestHardeningCutOffForTwentySeconds(t *testing.T) {
+	var longest time.Duration
+	for i, s := range []shape{{3, 1, 1, 3, 0}, {5, 0, 2, 3, 1}} {
+		for role := range cutRoles {
+			for j, mode := range cutModes {
+				if (raceDetector || testing.Short()) && j%3 != i {
+					continue
+				}
+				got := playCut(uint64(10*i+j), s, role, mode, hooks{})
+				name := fmt.Sprintf("%v, %s cut off %s", s, role, mode.name)
+				switch reached := mode.reachable; {
+				case got.err != nil:
+					t.Errorf("%s: %v", name, got.err)
+				case got.changes < 20:
+					t.Errorf("%s: only %d changes were acknowledged meanwhile", name, got.changes)
+				case reached && got.asked < 20:
+					t.Errorf("%s: only %d calls reached it", name, got.asked)
+				case got.clear > 0:
+					t.Errorf("%s: it gave %d clear answers", name, got.clear)
+				case got.back > backBound:
+					t.Errorf("%s: back after %v only", name, got.back)
+				}
+				longest = max(longest, got.back)
+			}
+		}
+	}
+	t.Logf("back in force after at most %v", longest)
+}
+
+// TestHardeningCutOffControls takes the protections out; the same plays must then break.
+func TestHardeningCutOffControls(t *testing.T) {
+	keepersOnly := cutModes[4]
+	for name, c := range map[string]struct {
+		role string
+		mode cutMode
+		hooks
+	}{
+		"the tail answers without a majority":       {"tail", keepersOnly, hooks{blindRead: true}},
+		"a keeper that is cut off feeds proxies":    {"head", keepersOnly, hooks{alwaysCurrent: true}},
+		"the head acknowledges what it alone holds": {"head", keepersOnly, hooks{earlyAck: true}},
+	} {
+		got := playCut(4, shape{3, 1, 1, 3, 0}, c.role, c.mode, c.hooks)
+		if got.err == nil && got.clear == 0 {
+			t.Errorf("%s: nothing broke", name)
+			continue
+		}
+		t.Logf("%s: %v, %d clear answers", name, got.err, got.clear)
+	}
+}
--- a/internal/system/replication/sim_machine_test.go
+++ b/internal/system/replication/sim_machine_test.go
@@ -11,24 +11,27 @@
 
 // machine is one keeper's machine.
 type machine struct {
-	w       *world
-	name    int
-	member  Member
-	gone    bool // for good
-	core    *Core
-	life    uint64
-	born    time.Duration
-	disk    plate
-	full    bool
-	reserve bool // a full disk has room for the register
-	stall   bool
-	slow    time.Duration
-	frozen  bool
-	inbox   []func()
-	boot    bool // may form the first view
-	watcher bool // an observer: it has no disk
-	seeds   []string
-	polls   []*poll // of proxies, held
+	w        *world
+	name     int
+	member   Member
+	gone     bool // for good
+	core     *Core
+	life     uint64
+	born     time.Duration
+	disk     plate
+	full     bool
+	reserve  bool // a full disk has room for the register
+	stall    bool
+	slow     time.Duration
+	frozen   bool
+	thawedAt time.Duration // 0: never
+	inbox    []func()
+	ids      uint64            // of the calls to this life, as Keeper numbers them
+	asked    map[uint64]*asked // not yet ended
+	boot     bool              // may form the first view
+	watcher  bool              // an observer: it has no disk
+	seeds    []string
+	polls    []*poll // of proxies, held
 
 	committed uint64
 	checked   State
@@ -61,7 +64,7 @@
 	self.ID = ID(fmt.Sprintf("%s#%d-%x", self.Addr, m.life, w.rng.Uint32()))
 	core, err := NewCore(Config{
 		Self: self, MachineLosses: w.losses, Seeds: m.seeds, Bootstrap: m.boot, Life: life, Seed: uint64(m.name), Observer: m.watcher,
-		hooks: w.hooks, compactAfter: 20, keepBehind: 5,
+		hooks: w.hooks, scripted: w.scripted, compactAfter: 20, keepBehind: 5,
 	}, toyMachine{}, clone(m.disk.meta), m.disk.snap, slices.Clone(m.disk.entries))
 	if err != nil {
 		w.fail(fmt.Errorf("machine %d does not start: %w", m.name, err))
@@ -70,6 +73,7 @@
 	m.core, m.born = core, w.now
 	m.committed, m.checked, m.view = 0, nil, nil
 	m.frozen, m.inbox, m.polls = false, nil, nil
+	m.ids, m.asked, m.thawedAt = 0, map[uint64]*asked{}, 0
 	m.drain()
 	m.tick(core)
 }
@@ -127,7 +131,7 @@
 		return
 	}
 	m.w.disturbed()
-	m.frozen = false
+	m.frozen, m.thawedAt = false, m.w.now
 	core, inbox := m.core, m.inbox
 	m.inbox = nil
 	if m.w.rng.IntN(2) == 0 && core != nil {
@@ -153,11 +157,10 @@
 	if m.watcher {
 		m.disk = plate{meta: map[string][]byte{}}
 	}
-	for _, id := range slices.Sorted(maps.Keys(m.w.asked)) {
-		if a := m.w.asked[id]; a.at == m {
-			delete(m.w.asked, id)
-			m.w.ended(a, Completion{ID: id, Read: a.read, Outcome: Unknown})
-		}
+	asked := m.asked
+	m.asked = nil
+	for _, id := range slices.Sorted(maps.Keys(asked)) {
+		m.w.ended(asked[id], Completion{ID: id, Read: asked[id].read, Outcome: Unknown})
 	}
 }
 
@@ -194,14 +197,14 @@
 		}
 	}
 	if op := out.Disk; op != nil {
-		if w.step("write "+writeNames[op.Kind], m); m.core != core {
+		if w.step("write "+writeNames[op.Kind], m, ""); m.core != core {
 			return
 		}
 		m.write(core, op)
 	}
 	for _, done := range out.Done {
-		if a := w.asked[done.ID]; a != nil {
-			delete(w.asked, done.ID)
+		if a := m.asked[done.ID]; a != nil {
+			delete(m.asked, done.ID)
 			w.ended(a, done)
 		}
 	}
--- a/internal/system/replication/sim_network_test.go
+++ b/internal/system/replication/sim_network_test.go
@@ -90,7 +90,7 @@
 func (w *world) deliver(from *machine, e Envelope) {
 	kind := kindOf(e.Msg)
 	core := from.core
-	if w.step("send "+kind, from); from.core != core {
+	if w.step("send "+kind, from, e.Addr); from.core != core {
 		return
 	}
 	n := 1
@@ -112,7 +112,7 @@
 		return
 	}
 	core := m.core
-	w.step("receive "+kind, m)
+	w.step("receive "+kind, m, addr)
 	m.run(core, func() { core.Receive(m.clock(), msg) })
 }
 
--- a/internal/system/replication/sim_operators_test.go
+++ b/internal/system/replication/sim_operators_test.go
@@ -9,23 +9,22 @@
 
 // asked is a change or read that goes to one machine, and what was known when it was asked for.
 type asked struct {
-	id     uint64
 	at     *machine
 	read   bool
 	change controlstate.Change
 	fenced bool          // the keeper that takes it up fills in the fence: the newest record that it knows
 	ttl    time.Duration // 0: drawn
-	acked  uint64        // newest record acknowledged or read when this try was sent
-	first  uint64        // and when the first try was
+	sent   time.Duration
+	acked  uint64 // newest record acknowledged or read when this try was sent
+	first  uint64 // and when the first try was
 	then   func(Completion)
-	closed bool // the caller has an answer, or has given up
+	inside func(Completion) // instead: the keeper's own read, on behalf of a call
+	closed bool             // the caller has an answer, or has given up
 }
 
 // ask sends a change or read to a.at. The caller is told an outcome once, Unknown when none came in time.
 func (w *world) ask(a *asked) {
-	w.ids++
-	a.id = w.ids
-	a.acked = max(w.acked, w.seen)
+	a.acked, a.sent = max(w.acked, w.seen), w.now
 	if a.ttl == 0 {
 		a.ttl = 4 * time.Second
 		if w.rng.IntN(3) == 0 {
@@ -49,20 +48,54 @@
 
 // submit takes up a call at the keeper. Its time to live begins here, however long it lay in a socket.
 func (m *machine) submit(a *asked) {
-	w := m.w
-	if a.closed && a.fenced {
-		return // the end of the caller's connection lies behind the call: see control
+	if a.fenced {
+		m.submitFenced(a)
+		return
 	}
-	w.asked[a.id] = a
+	id := m.number(a)
 	if a.read {
-		m.core.Read(m.clock(), a.id, a.ttl)
+		m.core.Read(m.clock(), id, a.ttl)
 		return
 	}
-	if a.fenced {
-		a.change.Base = int64(m.core.committed)
-		w.entryOf(keyOf(a.change)).tries++
+	m.core.Submit(m.clock(), id, a.change, a.ttl)
+}
+
+// number files a call under a number of its own, as Keeper does in each life anew.
+func (m *machine) number(a *asked) uint64 {
+	m.ids++
+	m.asked[m.ids] = a
+	return m.ids
+}
+
+// stallFence is how long after a stall of the process orders of zones are refused, see control.StallDetector.
+const stallFence = time.Second
+
+// submitFenced takes up an order of a zone as control does: the fence is the newest record known when the order came; then
+// the keeper reads, and passes the order on if its caller is still there.
+func (m *machine) submitFenced(a *asked) {
+	w, core := m.w, m.core
+	if m.thawedAt > 0 && w.now-m.thawedAt < stallFence {
+		w.answer(a, Completion{Outcome: Refused})
+		return
 	}
-	m.core.Submit(m.clock(), a.id, a.change, a.ttl)
+	a.change.Base = int64(core.committed)
+	read := &asked{at: m, read: true, acked: max(w.acked, w.seen)}
+	read.inside = func(d Completion) {
+		if d.Outcome != Answered {
+			w.answer(a, Completion{Outcome: Refused})
+			return
+		}
+		w.after(0, func() {
+			m.run(core, func() {
+				if a.closed {
+					return // the end of the caller's connection has been read by now
+				}
+				w.entryOf(keyOf(a.change)).tries++
+				core.Submit(m.clock(), m.number(a), a.change, a.ttl)
+			})
+		})
+	}
+	core.Read(m.clock(), m.number(read), a.ttl)
 }
 
 // answer brings an answer back to the caller, unless it is lost on its way.
@@ -109,6 +142,7 @@
 		w.after(50*time.Millisecond, func() { w.client(n) })
 		return
 	}
+	w.ids++
 	a := &asked{at: m, first: w.acked}
 	switch k := w.rng.IntN(20); {
 	case k < 6:
@@ -245,6 +279,7 @@
 		w.after(2*time.Second, func() { w.client(i) })
 	}
 	w.after(3*time.Second, func() { w.operator(9) })
+	w.after(3*time.Second, w.watchProgress)
 	w.after(3*time.Second, w.repeater)
 	for _, name := range []string{"east", "west"} {
 		z := &zone{name: name, want: controlstate.OpEvacuate}
--- a/internal/system/replication/sim_proxies_test.go
+++ b/internal/system/replication/sim_proxies_test.go
@@ -7,26 +7,19 @@
 	"time"
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/distribution"
 )
 
-// The figures of distribution's Follower and Hub, which this file models: see follower_keepers.go and hub_follow.go there.
+// The figures of distribution.Follower and Hub, which this file models: see follower_keepers.go and hub_follow.go there.
+// What a hub answers and what a follower makes of it are decided by distribution's own functions.
 const (
-	proxyPrefix  = "10.1."
-	pollHold     = time.Second
-	pollSilence  = 400 * time.Millisecond // beyond the hold, until another keeper is taken
-	seekTimeout  = 1200 * time.Millisecond
-	seekStagger  = 50 * time.Millisecond
-	avoidFor     = 2 * time.Second
-	freshFor     = 1600 * time.Millisecond // how long a keeper's word counts
-	pollRecords  = 64                      // in one answer
-	currentBound = time.Second             // what a keeper that is current may lack, see checkCurrent
-
-	// freshBound is how old what a proxy holds may be while it counts as fresh.
-	freshBound = freshFor + pollHold + pollSilence + currentBound
-	// contact is how long a proxy and the keepers must have been undisturbed for the proxy to count as in touch.
-	contact = 5 * time.Second
-	// touchBound is within what a proxy in touch holds what was acknowledged.
-	touchBound = 3 * time.Second
+	proxyPrefix = "10.1."
+	pollHold    = time.Second
+	pollSilence = 400 * time.Millisecond // beyond the hold, until another keeper is taken
+	seekTimeout = 1200 * time.Millisecond
+	seekStagger = 50 * time.Millisecond
+	avoidFor    = 2 * time.Second
+	pollRecords = 64 // in one answer
 )
 
 // proxy is a process that follows the keepers, as distribution.Follower does.
@@ -44,22 +37,23 @@
 	state   *toy
 	known   []string // keepers
 	failed  map[string]time.Duration
-	freshAt time.Duration // negative: never
+	freshAt time.Duration // when it was certainly so that nothing newer had been acknowledged; negative: never
 	calls   uint64
 	open    map[uint64]func(*pollReply) // calls under way
 }
 
 // poll is a proxy's call that a keeper holds.
 type poll struct {
-	seq   uint64
-	until time.Duration
-	done  bool
-	reply func(*pollReply)
+	seq          uint64
+	start, until time.Duration
+	reply        func(*pollReply)
 }
 
 // pollReply is a keeper's answer; nil stands for silence.
 type pollReply struct {
 	current  bool
+	newest   uint64        // that the keeper knows to be committed
+	checked  time.Duration // how long it waited before it asked whether it is current
 	records  []controlstate.Record
 	snapshot []byte
 	snapSeq  uint64
@@ -129,14 +123,14 @@
 func (p *proxy) call(keeper string, hold, patience time.Duration, done func(*pollReply)) {
 	w := p.w
 	p.calls++
-	id, life, seq := p.calls, p.life, p.seq
+	id, life, seq, asked := p.calls, p.life, p.seq, w.now
 	finish := func(r *pollReply) {
 		if p.open[id] == nil {
 			return
 		}
 		delete(p.open, id)
-		if r != nil {
-			p.take(r)
+		if r != nil && !p.take(r, asked) {
+			r = nil
 		}
 		done(r)
 	}
@@ -149,7 +143,7 @@
 		}
 		core := m.core
 		m.run(core, func() {
-			m.serve(&poll{seq: seq, until: w.now + hold, reply: func(r *pollReply) {
+			m.serve(&poll{seq: seq, start: w.now, until: w.now + hold, reply: func(r *pollReply) {
 				w.carry(keeper, p.addr, time.Millisecond, func() { p.run(life, func() { finish(r) }) })
 			}})
 		})
@@ -186,53 +180,70 @@
 // answerPoll gives the records after what the proxy holds, or a snapshot where those are gone.
 func (m *machine) answerPoll(p *poll, current bool) *pollReply {
 	m.w.stats.polls++
-	r := &pollReply{current: current}
+	seq, state := m.core.Committed()
+	r := &pollReply{current: current, newest: seq, checked: m.w.now - p.start}
 	v := m.core.View()
 	for _, id := range v.Chain {
 		if member, ok := v.Voter(id); ok {
 			r.keepers = append(r.keepers, member.Addr)
 		}
 	}
-	seq, state := m.core.Committed()
-	if !current || seq <= p.seq {
+	if !current {
 		return r
 	}
-	if records, ok := m.core.Since(p.seq, pollRecords); ok && p.seq > 0 && len(records) > 0 {
+	records, known := m.core.Since(p.seq, pollRecords+1)
+	stock := distribution.Stock{Committed: seq, Known: known && len(records) > 0, Records: len(records)}
+	switch distribution.PlanFeed(p.seq, stock, pollRecords) {
+	case distribution.FeedRecords:
 		r.records = records
-		return r
+	case distribution.FeedNewSnapshot:
+		r.snapshot, r.snapSeq = state.Encode(), seq
 	}
-	r.snapshot, r.snapSeq = state.Encode(), seq
 	return r
 }
 
-// take takes an answer in; what is not newer is ignored, so that a proxy never goes back.
-func (p *proxy) take(r *pollReply) {
+// offer is what an answer says of the control state.
+func (r *pollReply) offer(age time.Duration) distribution.Offer {
+	o := distribution.Offer{Current: r.current, Newest: r.newest, Snapshot: r.snapSeq, Age: age}
+	if n := len(r.records); n > 0 {
+		o.First, o.Last = r.records[0].Seq, r.records[n-1].Seq
+	}
+	return o
+}
+
+// take takes in an answer to a call that was sent at asked, and tells whether it came in time.
+func (p *proxy) take(r *pollReply, asked time.Duration) bool {
+	checked := asked + r.checked
+	offer := r.offer(p.w.now - checked)
 	if len(r.keepers) > 0 {
 		p.known = r.keepers
 	}
 	before := p.seq
-	if r.snapshot != nil && r.snapSeq > p.seq {
+	step := distribution.Position{Seq: p.seq}.Decide(offer)
+	if step.Snapshot {
 		s, err := toyMachine{}.Decode(r.snapshot)
 		if err != nil {
 			p.w.fail(fmt.Errorf("proxy %s: %w", p.name, err))
-			return
+			return false
 		}
 		p.state, p.seq = s.(*toy), r.snapSeq
 	}
 	for _, rec := range r.records {
-		if rec.Seq == p.seq+1 {
-			s, err := p.state.Apply(rec)
-			if err != nil {
-				p.w.fail(fmt.Errorf("proxy %s: %w", p.name, err))
-				return
-			}
-			p.state, p.seq = s.(*toy), rec.Seq
+		if step.First == 0 || rec.Seq < step.First {
+			continue
 		}
-	}
-	if r.current && len(r.records) < pollRecords {
-		p.freshAt = p.w.now
+		s, err := p.state.Apply(rec)
+		if err != nil {
+			p.w.fail(fmt.Errorf("proxy %s: %w", p.name, err))
+			return false
+		}
+		p.state, p.seq = s.(*toy), rec.Seq
 	}
 	p.checkHeld(before)
+	if (distribution.Position{Seq: p.seq}).Proves(offer) {
+		p.freshAt = max(p.freshAt, checked)
+	}
+	return !offer.Late()
 }
 
 // seek tries the keepers, those that just failed last, until one that is current has answered.
--- a/internal/system/replication/sim_proxy_checks_test.go
+++ b/internal/system/replication/sim_proxy_checks_test.go
@@ -4,6 +4,19 @@
 	"fmt"
 	"sort"
 	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution"
+)
+
+const (
+	currentBound = time.Second // what a keeper that is current may lack, see checkCurrent
+
+	// freshBound is how old what a proxy holds may be while it counts as fresh.
+	freshBound = distribution.FreshFor + currentBound
+	// contact is how long a proxy and the keepers must have been undisturbed for the proxy to count as in touch.
+	contact = 5 * time.Second
+	// touchBound is within what a proxy in touch holds what was acknowledged.
+	touchBound = 3 * time.Second
 )
 
 // checkHeld holds what a proxy has taken against what is committed.
@@ -30,7 +43,7 @@
 }
 
 // fresh tells whether a keeper's word that there is nothing newer still counts.
-func (p *proxy) fresh() bool { return p.freshAt >= 0 && p.w.now-p.freshAt <= freshFor }
+func (p *proxy) fresh() bool { return p.freshAt >= 0 && p.w.now-p.freshAt <= distribution.FreshFor }
 
 // checkAge: a proxy that counts as fresh, or that is in touch, does not serve what is too old.
 func (p *proxy) checkAge() {
@@ -119,6 +132,27 @@
 	return missing <= w.losses && len(well) > w.losses
 }
 
+// progressBound is within what a change is acknowledged while the keepers are stable and operators ask.
+const progressBound = 4 * time.Second
+
+// watchProgress: while the keepers are stable, changes are acknowledged.
+func (w *world) watchProgress() {
+	if w.broken != nil || w.clientsEnd {
+		return
+	}
+	w.after(200*time.Millisecond, w.watchProgress)
+	if !w.stable() {
+		return
+	}
+	since := w.eventAt + contact
+	if n := len(w.acks); n > 0 {
+		since = max(since, w.acks[n-1].at)
+	}
+	if w.now-since > progressBound {
+		w.fail(fmt.Errorf("the keepers are stable, and nothing has been acknowledged for %v", w.now-since))
+	}
+}
+
 // disturbProxy restarts, freezes or cuts off a proxy.
 func (w *world) disturbProxy(f fault) {
 	p := w.proxies[f.n%len(w.proxies)]
--- a/internal/system/replication/sim_steps_test.go
+++ b/internal/system/replication/sim_steps_test.go
@@ -10,6 +10,7 @@
 	name   string
 	left   int
 	at     *machine // only there; nil: anywhere
+	to     string   // only messages to this address; empty: to any
 	before bool     // before the step has its effect, otherwise right after it
 	do     func(*machine)
 }
@@ -17,13 +18,13 @@
 // arm waits for the n-th step of a name from now on.
 func (w *world) arm(s *armedStep) { w.armed = append(w.armed, s) }
 
-func (w *world) step(name string, m *machine) {
+func (w *world) step(name string, m *machine, to string) {
 	if w.onStep != nil {
 		w.onStep(name, m.member.Addr)
 	}
 	for i := 0; i < len(w.armed); i++ {
 		s := w.armed[i]
-		if s.name != name || s.at != nil && s.at != m {
+		if s.name != name || s.at != nil && s.at != m || s.to != "" && s.to != to {
 			continue
 		}
 		if s.left--; s.left > 0 {
--- a/internal/system/replication/toy_test.go
+++ b/internal/system/replication/toy_test.go
@@ -77,15 +77,16 @@
 	return controlstate.Verdict{Kind: controlstate.Stale}
 }
 
+// checkZone accepts an order also when it is in force: the record fences what came before.
 func (s *toy) checkZone(ch controlstate.Change) controlstate.Verdict {
 	z := s.zones[ch.Zone]
 	switch {
+	case z.Seq <= uint64(ch.Base):
+		return controlstate.Verdict{Kind: controlstate.Accept}
 	case z.Evacuated == (ch.Op == controlstate.OpEvacuate):
 		return controlstate.Verdict{Kind: controlstate.Already, Seq: z.Seq}
-	case z.Seq > uint64(ch.Base):
-		return controlstate.Verdict{Kind: controlstate.Superseded}
 	}
-	return controlstate.Verdict{Kind: controlstate.Accept}
+	return controlstate.Verdict{Kind: controlstate.Superseded}
 }
 
 func (s *toy) Apply(r controlstate.Record) (State, error) {
--- a/internal/system/replication/world_test.go
+++ b/internal/system/replication/world_test.go
@@ -17,17 +17,19 @@
 	events eventQueue
 	order  uint64
 	shape
-	hooks hooks
-	nodes []*machine
-	seeds []string
-
-	cut     map[[2]string]*cutLink
-	loss    float64
-	slack   time.Duration // more delay
-	armed   []*armedStep
-	onAck   []func()             // armed faults
-	onStep  func(string, string) // told every step and the address that takes it
-	eventAt time.Duration        // of the last fault's begin or end
+	hooks    hooks
+	scripted scriptedHooks
+	nodes    []*machine
+	seeds    []string
+
+	cut      map[[2]string]*cutLink
+	loss     float64
+	slack    time.Duration // more delay
+	armed    []*armedStep
+	onAck    []func()                 // armed faults
+	onAnswer func(*asked, Completion) // told every answer of a keeper
+	onStep   func(string, string)     // told every step and the address that takes it
+	eventAt  time.Duration            // of the last fault's begin or end
 
 	truth   []string // committed records, agreed by all
 	states  []*toy   // after each committed record
@@ -39,9 +41,8 @@
 	acked   uint64 // newest number acknowledged
 	seen    uint64 // newest number that a read gave
 	acks    []ack
-	ids     uint64            // of submits and reads
-	asked   map[uint64]*asked // not yet ended
-	zones   []*zone           // with an operator each
+	ids     uint64  // of changes
+	zones   []*zone // with an operator each
 	old     []controlstate.Change
 	ledger  map[string]*ledgerEntry
 	proxies []*proxy
@@ -109,7 +110,7 @@
 func newWorld(seed uint64, s shape, h hooks) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), shape: s, hooks: h,
-		cut: map[[2]string]*cutLink{}, viewOf: map[uint64]string{}, asked: map[uint64]*asked{},
+		cut: map[[2]string]*cutLink{}, viewOf: map[uint64]string{},
 		states: []*toy{{}}, takenAt: map[string]uint64{}, ledger: map[string]*ledgerEntry{}, lost: s.losses,
 		trace: func(string, ...any) {},
 	}
