A damaged log is put aside and kept, no longer deleted

A keeper whose log was damaged wiped it: what staff could have looked at, or restored from, was gone, though the damage may be one byte. wal.PutAside takes the place of Wipe: the files get other names in the same folder. One copy is kept, the newest; it is dropped before a write that needs its room, by the log's own bound (60 MB of all files) and where the disk says that it is full. Cut short at any call, also inside the next start, either the whole log is there or none of it and the whole copy.

Ruled out: renaming the folder (one call, but a folder's rename without a sync is what the machines promise least), and copying (needs the room twice).

--- a/cmd/keeper/chain.go
+++ b/cmd/keeper/chain.go
@@ -87,9 +87,9 @@
 	if !errors.Is(err, wal.ErrDamaged) {
 		return err
 	}
-	k.log.WithError(err).Error("keeper: the log is damaged; this keeper begins anew and takes the state from the others")
-	if err := disk.Wipe(); err != nil {
-		return errors.Wrapf(err, "the damaged state in %s cannot be removed: empty the folder", folder)
+	k.log.WithError(err).Error("keeper: the log is damaged and put aside; this keeper begins anew and takes the state from the others")
+	if err := disk.PutAside(); err != nil {
+		return errors.Wrapf(err, "the damaged log in %s cannot be put aside: empty the folder", folder)
 	}
 	return k.join(ctx, options)
 }
--- a/internal/system/wal/errors.go
+++ b/internal/system/wal/errors.go
@@ -11,8 +11,8 @@
 var (
 	// ErrFull: no room. The log holds what it held; the call works again once there is room.
 	ErrFull = errors.New("disk full")
-	// ErrDamaged: what the disk holds contradicts itself elsewhere than at its torn end. Wipe it and start under a new
-	// identity.
+	// ErrDamaged: what the disk holds contradicts itself elsewhere than at its torn end. Put it aside and start
+	// under a new identity.
 	ErrDamaged = errors.New("log damaged")
 	// ErrSuperseded: another process has opened the log since. End this one; what it holds that was not acknowledged may or may
 	// not be in the log of the other.
@@ -22,7 +22,7 @@
 )
 
 func damaged(format string, args ...any) error {
-	return errors.Mark(errors.Newf(format+"; wipe this disk and join under a new identity", args...), ErrDamaged)
+	return errors.Mark(errors.Newf(format+"; put this log aside and join under a new identity", args...), ErrDamaged)
 }
 
 func misuse(format string, args ...any) error {
--- a/internal/system/wal/load.go
+++ b/internal/system/wal/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,7 +15,8 @@
 
 const (
 	reserveName     = "reserve"
-	wipeName        = "wipe" // while it is there, everything else is to go
+	putAsideName    = "putting-aside" // while it is there, the log's files are to be renamed
+	damagedPrefix   = "damaged-"
 	temporarySuffix = ".tmp"
 )
 
@@ -25,7 +25,9 @@
 	segments, snapshots []uint64            // ascending
 	meta                map[string][]uint64 // generations, ascending
 	temporary           []string
-	reserve, wipe       bool
+	damaged             []string // files of the copy that was put aside
+	reserve             bool
+	putAside            bool // putting aside is under way
 }
 
 func listFolder(names []string) folderList {
@@ -37,8 +39,10 @@
 			f.temporary = append(f.temporary, name)
 		case name == reserveName:
 			f.reserve = true
-		case name == wipeName:
-			f.wipe = true
+		case name == putAsideName:
+			f.putAside = true
+		case strings.HasPrefix(name, damagedPrefix):
+			f.damaged = append(f.damaged, name)
 		case kind == "log":
 			if n, ok := parseNumber(rest); ok {
 				f.segments = append(f.segments, n)
@@ -117,8 +121,8 @@
 	if err != nil {
 		return list, err
 	}
-	if list.wipe {
-		if err := l.Wipe(); err != nil {
+	if list.putAside {
+		if err := l.finishPutAside(); err != nil {
 			return list, err
 		}
 		if list, err = l.list(); err != nil {
@@ -130,6 +134,7 @@
 			l.garbage = append(l.garbage, name)
 		}
 	}
+	l.countDamaged(list.damaged)
 	if l.number, err = l.nextNumber(list); err != nil {
 		return list, err
 	}
@@ -167,81 +172,6 @@
 	return next, nil
 }
 
-// takeOver makes what was loaded durable, and the log's own from here on. What the newest segment ends with may be in the
-// kernel's memory alone, if its sync failed before the last process ended; to sync that file again would prove nothing. So its
-// last record is written again, as the start of the next segment. Where there is no room for that, a sync has to do.
-func (l *Log) takeOver(newest newestSegment) error {
-	if err := l.o.FS.SyncDir(l.folder); err != nil {
-		return diskError(err, "sync the log's folder")
-	}
-	l.deleteGarbage()
-	l.tail = newest.link
-	if !l.unfenced && !l.o.hooks.trustNewest {
-		if l.carry(newest) == nil {
-			l.giveBackRoom()
-			return nil
-		}
-		l.unfenced = true
-	}
-	if newest.number == 0 {
-		return nil
-	}
-	f, err := l.o.FS.Open(l.path(segmentName(newest.number)))
-	if err != nil {
-		return diskError(err, "open the newest segment")
-	}
-	defer func() { _ = f.Close() }()
-	return diskError(f.Sync(), "sync the newest segment")
-}
-
-// giveBackRoom cuts off what segments have behind their ends. What cannot be cut off is counted as taken.
-func (l *Log) giveBackRoom() {
-	for i := range l.segments {
-		s := &l.segments[i]
-		if s.size <= s.end {
-			continue
-		}
-		f, err := l.o.FS.Open(l.path(segmentName(s.number)))
-		if err != nil {
-			continue
-		}
-		if f.Truncate(s.end) == nil {
-			s.size = s.end
-		}
-		_ = f.Close()
-	}
-}
-
-// carry begins the next segment with the last record of the newest.
-func (l *Log) carry(newest newestSegment) error {
-	tail, segments := l.tail, l.segments
-	l.tail.end -= int64(len(newest.record))
-	emptied := newest.number > 0 && l.tail.end == headerSize
-	switch {
-	case emptied: // then it is not needed any more
-		l.tail = newest.previous
-		l.segments = segments[:len(segments)-1]
-	case newest.number > 0:
-		segments[len(segments)-1].end = l.tail.end
-	}
-	if err := l.fillSegment(slices.Clone(newest.record)); err != nil {
-		l.tail, l.segments = tail, segments
-		if newest.number > 0 {
-			segments[len(segments)-1].end = tail.end
-		}
-		return err
-	}
-	for i := range l.batches {
-		if b := &l.batches[i]; b.segment == newest.number && b.first >= newest.first {
-			b.segment = l.tail.number
-		}
-	}
-	if emptied {
-		l.garbage = append(l.garbage, segmentName(newest.number))
-	}
-	return nil
-}
-
 func (l *Log) size(name string) (int64, error) {
 	f, err := l.o.FS.Open(l.path(name))
 	if err != nil {
@@ -356,49 +286,3 @@
 	}
 	return Snapshot{Seq: fields[1], Data: data}, snapshotFields{fields[2], int64(len(b))}, nil
 }
-
-// Wipe deletes everything, durably; Load is to be called afterwards. Cut short, it is finished by the next Load, so that
-// nothing is left of an identity once a part of it is gone.
-func (l *Log) Wipe() error {
-	_ = l.closeSegment()
-	l.loaded = false
-	fs := l.o.FS
-	_ = fs.Remove(l.path(reserveName)) // makes room for the mark
-	f, err := fs.Create(l.path(wipeName))
-	if errors.Is(err, os.ErrExist) {
-		f, err = fs.Open(l.path(wipeName))
-	}
-	if err != nil {
-		return diskError(err, "mark the log as wiped")
-	}
-	err = f.Sync()
-	if closing := f.Close(); err == nil {
-		err = closing
-	}
-	if err != nil {
-		return diskError(err, "mark the log as wiped")
-	}
-	if err := fs.SyncDir(l.folder); err != nil {
-		return diskError(err, "sync the log's folder")
-	}
-	names, err := fs.ReadDir(l.folder)
-	if err != nil {
-		return diskError(err, "read the log's folder")
-	}
-	for _, name := range names {
-		kind, _, _ := strings.Cut(name, "-")
-		if kind != "log" && kind != "snap" && kind != "meta" && !strings.HasSuffix(name, temporarySuffix) {
-			continue
-		}
-		if err := fs.Remove(l.path(name)); err != nil && !errors.Is(err, os.ErrNotExist) {
-			return diskError(err, "delete "+name)
-		}
-	}
-	if err := fs.SyncDir(l.folder); err != nil {
-		return diskError(err, "sync the log's folder")
-	}
-	if err := fs.Remove(l.path(wipeName)); err != nil {
-		return diskError(err, "end the wiping")
-	}
-	return diskError(fs.SyncDir(l.folder), "sync the log's folder")
-}
--- a/internal/system/wal/log.go
+++ b/internal/system/wal/log.go
@@ -12,6 +12,7 @@
 // Defaults of Options.
 const (
 	defaultMaxBytes     = 40 << 20
+	defaultDiskBytes    = 60e6 // of 64 MB
 	defaultSegmentBytes = 2 << 20
 	defaultReserveBytes = 64 << 10
 )
@@ -20,6 +21,7 @@
 type Options struct {
 	FS           FS            // default: the operating system's
 	MaxBytes     int64         // of segments and snapshot, above which Append fails with ErrFull; default 40 MiB
+	DiskBytes    int64         // of all files, above which the copy of a damaged log is dropped; default 60 MB
 	SegmentBytes int64         // a segment that is larger is ended; default 2 MiB
 	ReserveBytes int64         // kept for metadata and truncations on a full disk; default 64 KiB, below 0: none
 	Nonce        func() uint64 // default: random
@@ -33,6 +35,7 @@
 	sameSegment  bool // after a failed sync the log goes on in the same file
 	trustNewest  bool // Load syncs the newest segment and believes that
 	noFence      bool // no look for another process that has opened the log
+	looseMark    bool // a log is put aside though its mark may not last
 }
 
 // Log is a Disk in one folder: segments of records, each written at the end and synced; a snapshot below them; metadata.
@@ -73,6 +76,9 @@
 	meta     map[string]metaFile // by name
 	garbage  []string            // files that count no more
 	reserved bool                // the reserve is on disk
+
+	damaged      []string // files of the copy that was put aside
+	damagedBytes int64
 }
 
 // batch is what one record appended, as far as it is live.
@@ -98,6 +104,9 @@
 	if o.MaxBytes == 0 {
 		o.MaxBytes = defaultMaxBytes
 	}
+	if o.DiskBytes == 0 {
+		o.DiskBytes = defaultDiskBytes
+	}
 	if o.SegmentBytes == 0 {
 		o.SegmentBytes = defaultSegmentBytes
 	}
@@ -162,7 +171,7 @@
 		return err
 	}
 	if l.unsure && !l.o.hooks.sameSegment {
-		return l.withReserve(func() error { return l.createSegment(nil) })
+		return l.withReserve(headerSize, func() error { return l.createSegment(nil) })
 	}
 	return nil
 }
@@ -198,7 +207,7 @@
 	if l.Bytes()+int64(len(record)) > l.o.MaxBytes {
 		return errors.Mark(errors.Newf("the log would be larger than %d bytes: compact it", l.o.MaxBytes), ErrFull)
 	}
-	if err := l.write(record); err != nil {
+	if err := l.withRoom(len(record), func() error { return l.write(record) }); err != nil {
 		return err
 	}
 	l.last = entries[len(entries)-1].Seq
@@ -214,8 +223,8 @@
 	if err := mayCut(l.snapshot, after); err != nil || after >= l.last {
 		return err
 	}
-	err := l.withReserve(func() error { return l.write(truncateRecord(after)) })
-	if err != nil {
+	record := truncateRecord(after)
+	if err := l.withReserve(len(record), func() error { return l.write(record) }); err != nil {
 		return err
 	}
 	l.batches, l.last = cut(l.batches, after), after
@@ -232,36 +241,3 @@
 	}
 	return batches
 }
-
-// withReserve runs f again without the reserve where there was no room for it.
-func (l *Log) withReserve(f func() error) error {
-	err := f()
-	if !errors.Is(err, ErrFull) || !l.reserved {
-		return err
-	}
-	if l.o.FS.Remove(l.path(reserveName)) != nil {
-		return err
-	}
-	l.reserved = false
-	return f()
-}
-
-// reserve takes room for withReserve; where there is none, the log does without.
-func (l *Log) reserve() {
-	if l.reserved || l.o.ReserveBytes < 0 {
-		return
-	}
-	f, err := l.createNew(reserveName)
-	if err != nil {
-		return
-	}
-	_, err = f.WriteAt(make([]byte, l.o.ReserveBytes), 0)
-	if closing := f.Close(); err == nil {
-		err = closing
-	}
-	if err != nil {
-		_ = l.o.FS.Remove(l.path(reserveName))
-		return
-	}
-	l.reserved = true
-}
--- a/internal/system/wal/mem.go
+++ b/internal/system/wal/mem.go
@@ -104,9 +104,9 @@
 	return nil
 }
 
-// Wipe empties the disk.
-func (m *Mem) Wipe() error {
-	if err := m.failed("Wipe"); err != nil {
+// PutAside empties the disk.
+func (m *Mem) PutAside() error {
+	if err := m.failed("PutAside"); err != nil {
 		return err
 	}
 	*m = Mem{Fail: m.Fail, meta: map[string][]byte{}}
--- a/internal/system/wal/snapshot.go
+++ b/internal/system/wal/snapshot.go
@@ -34,7 +34,7 @@
 	if len(live) > 0 {
 		first = live[0].segment
 	}
-	if err := l.saveSnapshot(s, first); err != nil {
+	if err := l.withRoom(len(s.Data), func() error { return l.saveSnapshot(s, first) }); err != nil {
 		return err
 	}
 	l.batches = append([]batch(nil), live...)
@@ -46,7 +46,7 @@
 	if err := l.settle(); err != nil {
 		return err
 	}
-	if err := l.saveSnapshot(s, l.number); err != nil {
+	if err := l.withRoom(len(s.Data), func() error { return l.saveSnapshot(s, l.number) }); err != nil {
 		return err
 	}
 	l.batches, l.last = nil, s.Seq
@@ -57,6 +57,9 @@
 
 // saveSnapshot makes s the snapshot, and the segment numbered first the oldest that counts.
 func (l *Log) saveSnapshot(s Snapshot, first uint64) error {
+	if err := l.settle(); err != nil {
+		return err
+	}
 	l.generation = max(l.generation, l.tail.number<<generationShift) + 1
 	name := snapshotName(l.generation)
 	content := encodeFile(snapshotMagic, []uint64{l.generation, s.Seq, first}, s.Data)
@@ -94,7 +97,7 @@
 		return err
 	}
 	m := l.meta[name]
-	err := l.withReserve(func() error {
+	err := l.withReserve(len(data), func() error {
 		m.tried++ // never used twice: a failed one may be there
 		f, _, err := l.replace(metaName(name, m.tried), encodeFile(metaMagic, []uint64{m.tried}, data))
 		if err == nil {
