--- a/internal/system/replication/core_cluster_test.go
+++ b/internal/system/replication/core_cluster_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
@@ -15,13 +17,40 @@
 
 // cluster drives cores without faults of its own: a test scripts who runs, what is held back and when it arrives.
 type cluster struct {
-	t      *testing.T
-	now    time.Duration
-	nodes  map[string]*node // by address
-	sent   []Envelope
-	filter func(from, to string, m *replicationpb.Message) bool // false: the message is lost; nil: none is
-	ids    uint64
-	done   map[uint64]Completion
+	t       *testing.T
+	now     time.Duration
+	nodes   map[string]*node // by address
+	sent    []Envelope
+	filter  func(from, to string, m *replicationpb.Message) bool // false: the message is lost; nil: none is
+	ids     uint64
+	done    map[uint64]Completion
+	machine Machine
+	pipes   map[string]*pipe // by address: what arrives there through a slow link
+}
+
+// pipe is a slow link to a keeper, on which appends and snapshots wait for each other.
+type pipe struct {
+	rate float64 // bytes a second
+	free time.Duration
+	sent int // bytes
+	due  []arrival
+}
+
+type arrival struct {
+	at time.Duration
+	e  Envelope
+}
+
+// takes tells whether the message goes through the pipe; heartbeats have a connection of their own.
+func (p *pipe) takes(now time.Duration, e Envelope) bool {
+	if e.Msg.GetAppend() == nil && e.Msg.GetInstall() == nil {
+		return false
+	}
+	size := proto.Size(e.Msg)
+	p.sent += size
+	p.free = max(p.free, now) + time.Duration(float64(size)/p.rate*float64(time.Second))
+	p.due = append(p.due, arrival{p.free, e})
+	return true
 }
 
 // node is one core and what its disk holds.
@@ -35,7 +64,7 @@
 }
 
 func newCluster(t *testing.T) *cluster {
-	return &cluster{t: t, nodes: map[string]*node{}, done: map[uint64]Completion{}}
+	return &cluster{t: t, nodes: map[string]*node{}, done: map[uint64]Completion{}, machine: toyMachine{}, pipes: map[string]*pipe{}}
 }
 
 // start starts a keeper at cfg.Self.Addr, on the disk that it left there.
@@ -52,7 +81,7 @@
 	if cfg.Self.ID == "" {
 		cfg.Self.ID = ID(addr)
 	}
-	core, err := NewCore(cfg, toyMachine{}, clone(n.disk.p.meta), n.disk.p.snap, slices.Clone(n.disk.p.entries))
+	core, err := NewCore(cfg, cl.machine, clone(n.disk.p.meta), n.disk.p.snap, slices.Clone(n.disk.p.entries))
 	if err != nil {
 		cl.t.Fatal(err)
 	}
@@ -96,7 +125,16 @@
 	sent := cl.sent
 	cl.sent = nil
 	for _, e := range sent {
-		cl.deliver(e)
+		if p := cl.pipes[e.Addr]; p == nil || !p.takes(cl.now, e) {
+			cl.deliver(e)
+		}
+	}
+	for _, p := range cl.pipes {
+		for len(p.due) > 0 && p.due[0].at <= cl.now {
+			e := p.due[0].e
+			p.due = p.due[1:]
+			cl.deliver(e)
+		}
 	}
 	for _, addr := range slices.Sorted(maps.Keys(cl.nodes)) {
 		n := cl.nodes[addr]
--- a/internal/system/replication/core_scenario_test.go
+++ b/internal/system/replication/core_scenario_test.go
@@ -49,7 +49,10 @@
 
 // trio starts keepers a, b and c in a zone each and waits until all are links.
 func trio(t *testing.T, machines int, h scriptedHooks) *cluster {
-	cl := newCluster(t)
+	return formTrio(newCluster(t), machines, h)
+}
+
+func formTrio(cl *cluster, machines int, h scriptedHooks) *cluster {
 	for _, a := range []string{"a", "b", "c"} {
 		cl.start(Config{
 			Self: Member{Addr: a, Zone: "zone " + a, Region: "r"}, MachineLosses: machines, Seeds: []string{"a", "b", "c"}, Bootstrap: true, scripted: h,
--- a/internal/system/replication/disk.go
+++ b/internal/system/replication/disk.go
@@ -16,7 +16,8 @@
 	diskRetry    = 500 * time.Millisecond
 	compactAfter = 2000    // records
 	compactBytes = 8 << 20 // or bytes of them
-	keepBehind   = 500     // records kept in memory below a snapshot, for those who follow
+	keepBehind   = 20000   // records kept in memory below a snapshot, for those who follow; keepBytes of them at most
+	keepBytes    = 4 << 20
 )
 
 // DiskKind says what a DiskOp does.
@@ -147,13 +148,22 @@
 				d.unsure = false
 			}
 		})
+	case c.compactionDue(2): // before more records, that wait at the end of each write under load
+		c.startCompact()
 	case d.end < c.log.end():
 		c.startAppend()
-	case c.committed >= d.snapshot+c.cfg.compactAfter || d.bytes >= compactBytes && c.committed > d.snapshot:
+	case c.compactionDue(1):
 		c.startCompact()
 	}
 }
 
+// compactionDue tells whether so many times as many records or bytes are committed on disk as a snapshot is taken after.
+func (c *Core) compactionDue(times uint64) bool {
+	d := &c.disk
+	done := min(c.committed, d.end)
+	return done >= d.snapshot+times*c.cfg.compactAfter || d.bytes >= int(times)*compactBytes && done > d.snapshot
+}
+
 func (c *Core) startAppend() {
 	d := &c.disk
 	var entries []wal.Entry
@@ -199,12 +209,25 @@
 			return
 		}
 		d.snapshot, d.bytes = snap.Seq, 0
-		if behind := c.cfg.keepBehind; snap.Seq > behind {
-			c.log.drop(snap.Seq - behind)
-		}
+		c.dropBehind(snap)
 	})
 }
 
+// dropBehind forgets records below a snapshot, but for those that somebody may need who is a little behind: at most
+// keepBehind records, of keepBytes or twice the size of the snapshot. That much is enough for one that was sent a snapshot
+// to go on from there: while it was under way, changes took less of the link than the snapshot did, or else the link could
+// not carry the changes at all.
+func (c *Core) dropBehind(snap wal.Snapshot) {
+	room, keep := max(keepBytes, 2*len(snap.Data)), uint64(0)
+	for seq := min(snap.Seq, c.log.end()); seq > c.log.base && keep < c.cfg.keepBehind; seq-- {
+		if room -= c.log.at(seq).size(); room < 0 {
+			break
+		}
+		keep++
+	}
+	c.log.drop(snap.Seq - keep)
+}
+
 func encodeImage(seq, epoch uint64, s State) (wal.Snapshot, error) {
 	data, err := proto.Marshal(&replicationpb.Image{Epoch: epoch, State: s.Encode()})
 	if err != nil {
