replication: what is under way to a keeper is not sent again before its time

Need: a learner's call every 100 ms made its feeder send all that it lacked anew, and each receipt let four more batches out. The outbox is emptied when it is full, so heartbeats went with it. A call that needs no records is answered all the same. A link is stuck later by what it is to take.

--- a/internal/system/replication/chain.go
+++ b/internal/system/replication/chain.go
@@ -17,6 +17,8 @@
 	stuckAfter    = time.Second
 	stuckActive   = 3 * time.Second // to get level after a change of the view
 	appendBytes   = 256 << 10
+	windowBytes   = 1 << 20     // of records that are under way to a keeper
+	transferPerMB = time.Second // what a slow link takes
 	maxLearners   = maxPeers
 	forgetLearner = 2 * time.Second // after its last call
 )
--- a/internal/system/replication/core_feed_test.go
+++ b/internal/system/replication/core_feed_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 // blob is a state that is replaced as a whole by each change with a body, as a configuration is.
@@ -107,3 +108,59 @@
 		t.Errorf("%d records on disk, a snapshot is due after 50", most)
 	}
 }
+
+// TestASnapshotUnderWayIsNotSentAgain: danger: a large snapshot takes longer than the wait for its receipt, and the link is
+// filled with copies of it.
+func TestASnapshotUnderWayIsNotSentAgain(t *testing.T) {
+	cl := newCluster(t)
+	cl.machine = blobMachine{}
+	formTrio(cl, 1, scriptedHooks{})
+	id := cl.submit("a", sized(4<<20), 2*time.Second)
+	cl.until(2*time.Second, "a large change", func() bool { return cl.answered(id) })
+	cl.flow("a", cl.now+3*time.Second, 300<<10, nil) // 18 MB: the first records are behind a snapshot
+	id = cl.submit("a", sized(4<<20), 2*time.Second)
+	cl.until(2*time.Second, "a large change", func() bool { return cl.answered(id) })
+	cl.pipes["d"] = &pipe{rate: 1 << 20}
+	sent := 0
+	cl.filter = func(_, to string, m *replicationpb.Message) bool {
+		if to == "d" && m.GetInstall() != nil {
+			sent++
+		}
+		return true
+	}
+	cl.start(Config{Self: Member{Addr: "d", Zone: "zone d", Region: "r"}, MachineLosses: 1, Seeds: []string{"a", "b", "c"}})
+	took := cl.until(15*time.Second, "the spare is level", func() bool { return cl.nodes["d"].core.committed == cl.nodes["a"].core.committed })
+	t.Logf("level after %v, %d snapshots sent", took, sent)
+	if sent > 2 {
+		t.Errorf("%d snapshots were sent", sent)
+	}
+}
+
+// TestASlowLinkIsNotFilledWithCopies brings a keeper that was away for 400 and for 2,000 changes up to date through a link
+// of 1 MB/s, while changes go on at 20 a second. Danger: what is under way is sent again and again, and never ends.
+func TestASlowLinkIsNotFilledWithCopies(t *testing.T) {
+	for _, away := range []time.Duration{20 * time.Second, 100 * time.Second} {
+		cl := newCluster(t)
+		cl.machine = blobMachine{}
+		formTrio(cl, 1, scriptedHooks{})
+		spare := Config{Self: Member{Addr: "d", Zone: "zone d", Region: "r"}, MachineLosses: 1, Seeds: []string{"a", "b", "c"}}
+		cl.start(spare)
+		cl.run(time.Second)
+		cl.nodes["d"].core = nil
+		const each = 10 << 10
+		cl.flow("a", cl.now+away, each, nil)
+		cl.pipes["d"] = &pipe{rate: 1 << 20}
+		cl.start(spare)
+		began, level := cl.now, time.Duration(0)
+		cl.flow("a", cl.now+15*time.Second, each, func() {
+			if level == 0 && cl.nodes["d"].core.committed+5 >= cl.nodes["a"].core.committed {
+				level = cl.now - began
+			}
+		})
+		offered := float64(cl.pipes["d"].sent) / (1 << 20)
+		t.Logf("away for %v: level after %v, %.1f MB sent in 15 s", away, level, offered)
+		if level == 0 || offered > 15 {
+			t.Errorf("away for %v: level after %v, %.1f MB sent in 15 s through a link of 1 MB/s", away, level, offered)
+		}
+	}
+}
--- a/internal/system/replication/feed.go
+++ b/internal/system/replication/feed.go
@@ -16,13 +16,22 @@
 	match    uint64 // on its disk, the same as here
 	next     uint64
 	sentAt   time.Duration
+	resendAt time.Duration // when what was sent and not acknowledged counts as lost
 	movedAt  time.Duration
 	seenAt   time.Duration
 	active   bool
 	complete bool // it and all links after it are active
-	lagging  bool
+	lagging  bool // it was sent a snapshot
 }
 
+// sent notes that so many bytes went out, after those that are under way.
+func (p *progress) sent(now time.Duration, bytes int) {
+	p.resendAt = max(p.resendAt, now+resendAfter) + transfer(bytes)
+}
+
+// transfer is how long bytes may take to a keeper on a slow link.
+func transfer(bytes int) time.Duration { return time.Duration(bytes) * transferPerMB >> 20 }
+
 // feeds tells whether this link may hand on: it takes part, and knows since its start how far its log is the chain's.
 func (c *Core) feeds() bool { return c.isActive() && (c.isHead() || c.joined) }
 
@@ -43,17 +52,20 @@
 		}
 		return
 	}
-	if c.now-p.sentAt >= resendAfter && p.match+1 < p.next {
+	if c.now >= p.resendAt && p.match+1 < p.next {
 		p.next = p.match + 1
 	}
-	for n := 0; p.next <= limit && n < 4; n++ {
-		if p.next <= c.log.base {
-			c.sendInstall(id, p)
-			return
-		}
+	if p.next <= c.log.base && p.next <= limit {
+		c.sendInstall(id, p)
+		return
+	}
+	for underWay := c.log.bytes(p.match+1, p.next-1); p.next <= limit && underWay < windowBytes; {
 		entries := c.log.between(p.next, limit, appendBytes)
 		c.sendAppend(id, p, p.next-1, entries, limit)
+		bytes := c.log.bytes(p.next, p.next+uint64(len(entries))-1)
+		p.sent(c.now, bytes)
 		p.next += uint64(len(entries))
+		underWay += bytes
 	}
 }
 
@@ -78,16 +90,18 @@
 }
 
 func (c *Core) sendInstall(id ID, p *progress) {
-	if c.now-p.sentAt < installAfter && p.lagging {
+	if p.lagging && c.now < p.resendAt {
 		return
 	}
 	epoch, ok := c.log.epochAt(c.committed)
 	if !ok {
 		return
 	}
+	state := c.state.Encode()
 	p.sentAt, p.lagging = c.now, true
+	p.resendAt = c.now + installAfter + transfer(len(state))
 	c.send(id, &replicationpb.Message{Body: &replicationpb.Message_Install{Install: &replicationpb.Install{
-		Epoch: c.reg.view.Epoch, Seq: c.committed, SeqEpoch: epoch, State: c.state.Encode(), Learner: p.learner,
+		Epoch: c.reg.view.Epoch, Seq: c.committed, SeqEpoch: epoch, State: state, Learner: p.learner,
 	}}})
 }
 
@@ -113,6 +127,7 @@
 		p.match, p.movedAt = max(p.match, m.GetMatched()), c.now
 		p.next = max(p.next, p.match+1)
 		p.known, p.lagging = true, false
+		p.resendAt = c.now + resendAfter + transfer(c.log.bytes(p.match+1, p.next-1))
 	}
 	if p.learner {
 		c.push(from)
@@ -160,15 +175,19 @@
 		c.down[from] = p
 	}
 	p.seenAt, p.follow = c.now, m.GetNumber()
-	// Every call starts anew: it tells what the learner has, so that nothing needs to be remembered to send again.
-	lagging := p.lagging
+	// Every call tells what the learner has. What is under way to it is not sent again before its time.
+	lagging, next := p.lagging, p.next
 	c.rejoin(p, m.GetBase(), m.GetBaseEpoch(), m.GetRuns())
 	p.lagging = lagging
-	if p.next <= c.committed {
-		c.push(from)
-		return
+	if c.now < p.resendAt && p.next > c.log.base {
+		p.next = max(p.next, next)
+	}
+	before := p.sentAt
+	c.push(from)
+	if p.sentAt != c.now || before == c.now {
+		// Nothing new to send: the call is answered all the same, by which the learner knows that it lacks nothing.
+		c.sendAppend(from, p, min(p.match, c.committed), nil, c.committed)
 	}
-	c.sendAppend(from, p, min(p.next-1, c.committed), nil, c.committed)
 }
 
 // stuck is the next link when it has not taken what it was sent for too long.
@@ -179,7 +198,7 @@
 		return ""
 	}
 	switch wait := c.now - p.movedAt; {
-	case !p.active && wait > stuckActive, p.active && p.match < c.durable() && wait > stuckAfter:
+	case !p.active && wait > stuckActive, p.active && p.match < c.durable() && wait > stuckAfter+transfer(c.log.bytes(p.match+1, c.durable())):
 		return id
 	}
 	return ""
--- a/internal/system/replication/log.go
+++ b/internal/system/replication/log.go
@@ -81,6 +81,15 @@
 	return out
 }
 
+// bytes is what the records from..to take, as far as they are held.
+func (l *memLog) bytes(from, to uint64) int {
+	n := 0
+	for seq := max(from, l.base+1); seq <= to && seq <= l.end(); seq++ {
+		n += l.at(seq).size()
+	}
+	return n
+}
+
 // runs lists the newest stretches of records of one epoch, the oldest first.
 func (l *memLog) runs() (base, baseEpoch uint64, runs []*replicationpb.Run) {
 	base, baseEpoch = l.base, l.baseEpoch
