--- a/internal/system/distribution/compression_test.go
+++ b/internal/system/distribution/compression_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
@@ -34,10 +35,16 @@
 	if _, err := expand(w.GetBody()[:len(w.GetBody())/2], true); err == nil {
 		t.Error("half of it counts as whole")
 	}
+	random := make([]byte, 64<<10)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(random)
 	for i := range uint64(2 * cachedRecords) {
-		s.record(controlstate.Record{Seq: 10 + i, Body: body.Bytes()})
+		size := 5 << 10
+		if i%4 == 0 {
+			size = len(random) // such bodies reach the bound of bytes first
+		}
+		s.record(controlstate.Record{Seq: 10 + i, Body: random[:size]})
 	}
-	if len(s.records) > cachedRecords || s.bytes > cachedBytes {
+	if len(s.records) > cachedRecords || s.bytes > cachedBytes || len(s.records) < 10 {
 		t.Errorf("%d records with %d bytes are kept", len(s.records), s.bytes)
 	}
 }
--- a/internal/system/distribution/hub_feed.go
+++ b/internal/system/distribution/hub_feed.go
@@ -47,6 +47,7 @@
 type snapshots struct {
 	mu       sync.Mutex // held while one is made: whoever needs one waits for it
 	seq      uint64     // 0: there is none
+	count    int        // made so far
 	made     time.Time
 	bytes    []byte
 	deflated bool
@@ -120,7 +121,7 @@
 	stock.Known = false
 	if PlanFeed(after, stock, h.limits.Records) == FeedNewSnapshot {
 		s.bytes, s.deflated = compress(state.Forgetful().Encode()) // followers judge no changes
-		s.seq, s.made = state.Seq, time.Now()
+		s.seq, s.made, s.count = state.Seq, time.Now(), s.count+1
 		records, fit = nil, false
 	}
 	reply.Snapshot, reply.SnapshotDeflated = s.bytes, s.deflated
