Time in buffers counts as age between keepers, too

Cause: a share between keepers was dated by its arrival. One that lay in the socket of a keeper that stood still, or behind a cut, for 20 s made an old list of servers new and its sender a keeper that was just heard. Change: a share carries the least that the receiver's own clock can have shown when it was made, from the last answer and the time since. The time under way adds to the ages; one that took over 1.5 s, or cannot be dated (the first, and the first to another life), is refused and sent anew. Ruled out: wall clocks, which jump. Result: TestTimeInBuffersCountsAsAge (21 s told where it was 1 s before); its control.

--- a/internal/system/distribution/hub.go
+++ b/internal/system/distribution/hub.go
@@ -84,6 +84,7 @@
 type hubHooks struct {
 	believeDown bool // what another keeper marks down is down
 	ownEarsOnly bool // a keeper that does not share with this one is silent, whatever others say
+	fromArrival bool // a share counts from when it arrived and not from when it was sent
 	noRejoin    bool // a keeper that was cut off feeds proxies as soon as it is current
 }
 
--- a/internal/system/distribution/hub_share.go
+++ b/internal/system/distribution/hub_share.go
@@ -19,6 +19,9 @@
 	peerLife = 1500 * time.Millisecond
 	// orphanLife is what the followers of a keeper that fell silent get to move on before they are marked down.
 	orphanLife = 2500 * time.Millisecond
+	// clockSlack is by how many milliseconds the clocks of two processes may drift apart between two shares. A time further
+	// ahead is of a former life.
+	clockSlack = 100
 	// shareTimeout bounds a call between keepers.
 	shareTimeout = time.Second
 )
@@ -74,11 +77,10 @@
 // shareWith passes changes to one keeper: on change, at most every Share, at least every Beat.
 func (h *Hub) shareWith(ctx context.Context, url string, changed <-chan struct{}) {
 	client := distributionpb.NewDistributionProtobufClient(url, &http.Client{Transport: boundedTransport{h.opt.Transport}})
-	var cursor, told distributionpb.Cursor // how far the other is in the table of this boot, and in the loads
-	var other uint64                       // the other's boot
+	var progress shareProgress
 	reached := true
 	for {
-		req, number := h.shareRequest(&cursor, &told)
+		req, number := h.shareRequest(&progress)
 		call, cancel := context.WithTimeout(ctx, shareTimeout)
 		reply, err := client.Share(call, req)
 		cancel()
@@ -93,20 +95,8 @@
 				h.opt.Log.WithField("keeper", url).WithError(err).Warn("distribution: a keeper takes no shares")
 			}
 		}
-		if err == nil {
-			switch {
-			case reply.GetBoot() != other:
-				// Another life: what went to the former one is lost, unless this very share was whole.
-				other = reply.GetBoot()
-				if !req.GetWhole() {
-					cursor.Boot, cursor.Number = 0, 0
-					continue
-				}
-				fallthrough
-			default:
-				cursor.Boot, cursor.Number = req.GetBoot(), number
-				told.Boot, told.Number = reply.GetTold().GetBoot(), reply.GetTold().GetNumber()
-			}
+		if err == nil && !progress.took(time.Now(), req, number, reply) {
+			continue // send it anew at once
 		}
 		if !sleep(ctx, h.limits.Share) {
 			return
@@ -123,18 +113,55 @@
 	}
 }
 
-func (h *Hub) shareRequest(cursor, told *distributionpb.Cursor) (*distributionpb.ShareRequest, uint64) {
+// shareProgress is how far a keeper has told another.
+type shareProgress struct {
+	cursor, told distributionpb.Cursor // in the table of this boot, and in the loads
+	boot         uint64                // of the other
+	clock        time.Duration         // the other's, as it answered last; 0: it has not yet
+	answered     time.Time             // when that came
+}
+
+// took takes in the answer to a share of the table up to a number. It tells false where the share is to be sent anew.
+func (p *shareProgress) took(now time.Time, req *distributionpb.ShareRequest, number uint64, reply *distributionpb.ShareReply) bool {
+	p.clock, p.answered = time.Duration(reply.GetClockMs())*time.Millisecond, now
+	if reply.GetLate() {
+		return false
+	}
+	if reply.GetBoot() != p.boot {
+		// Another life: what went to the former one is lost, unless this very share was whole.
+		if p.boot = reply.GetBoot(); !req.GetWhole() {
+			p.cursor.Boot, p.cursor.Number = 0, 0
+			return false
+		}
+	}
+	p.cursor.Boot, p.cursor.Number = req.GetBoot(), number
+	p.told.Boot, p.told.Number = reply.GetTold().GetBoot(), reply.GetTold().GetNumber()
+	return true
+}
+
+// sent is the least that the other's clock shows at a moment.
+func (p *shareProgress) sent(now time.Time) uint64 {
+	if p.clock == 0 {
+		return 0
+	}
+	return uint64((p.clock + now.Sub(p.answered)) / time.Millisecond)
+}
+
+// clock is this process's time as others are told it: milliseconds from its start, and never 0.
+func (h *Hub) clock(now time.Time) uint64 { return uint64(now.Sub(h.started)/time.Millisecond) + 1 }
+
+func (h *Hub) shareRequest(p *shareProgress) (*distributionpb.ShareRequest, uint64) {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	since := uint64(0)
-	if cursor.GetBoot() == h.boot {
-		since = cursor.GetNumber()
+	if p.cursor.GetBoot() == h.boot {
+		since = p.cursor.GetNumber()
 	}
 	items, whole := h.table.since(since)
 	return &distributionpb.ShareRequest{From: &distributionpb.Keeper{Address: h.opt.Self, Zone: h.opt.Zone, Region: h.opt.Region}, Boot: h.boot,
-		Whole: whole, Warm: h.warm, Entries: toWire(now, items), Loads: h.sums.since(told.GetBoot(), told.GetNumber()),
-		Lowest: h.lowest, Followers: uint64(len(h.followers)), Hears: h.heard(now)}, h.table.number
+		Whole: whole, Warm: h.warm, Entries: toWire(now, items), Loads: h.sums.since(p.told.GetBoot(), p.told.GetNumber()),
+		Lowest: h.lowest, Followers: uint64(len(h.followers)), Hears: h.heard(now), SentMs: p.sent(now)}, h.table.number
 }
 
 // Share serves another keeper's share.
@@ -146,6 +173,13 @@
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	clock := h.clock(now)
+	delay := millis(clock-min(clock, req.GetSentMs()), maxAge)
+	if h.opt.hooks.fromArrival {
+		delay = 0
+	} else if req.GetSentMs() == 0 || req.GetSentMs() > clock+clockSlack || delay > peerLife {
+		return &distributionpb.ShareReply{Boot: h.boot, ClockMs: clock, Late: true}, nil
+	}
 	p := h.peers[from]
 	if p == nil {
 		if len(h.peers) >= maxPeers {
@@ -155,21 +189,21 @@
 		h.peers[from] = p
 		h.wake()
 	}
-	p.keeper, p.boot, p.heard, p.lowest, p.followers = req.GetFrom(), req.GetBoot(), now, req.GetLowest(), req.GetFollowers()
+	p.keeper, p.boot, p.heard, p.lowest, p.followers = req.GetFrom(), req.GetBoot(), later(p.heard, now.Add(-delay)), req.GetLowest(), req.GetFollowers()
 	p.hears = req.GetHears()[:min(len(req.GetHears()), maxPeers)]
 	for _, w := range req.GetEntries() {
 		e, age := fromWire(w)
 		if e.Key != "" && len(e.Key) <= 2*maxID {
-			h.mergeShared(now, from, e, age)
+			h.mergeShared(now, from, e, age+delay)
 		}
 	}
 	if req.GetWhole() && req.GetWarm() && !h.warm {
 		h.warmed()
 	}
-	p.loads.apply(now, req.GetLoads())
+	p.loads.apply(now.Add(-delay), req.GetLoads())
 	close(h.acked)
 	h.acked = make(chan struct{})
-	return &distributionpb.ShareReply{Boot: h.boot, Told: &distributionpb.Cursor{Boot: p.loads.boot, Number: p.loads.number}}, nil
+	return &distributionpb.ShareReply{Boot: h.boot, ClockMs: clock, Told: &distributionpb.Cursor{Boot: p.loads.boot, Number: p.loads.number}}, nil
 }
 
 // mergeShared takes in an entry that another keeper shares. One that was cut off has marked down what it no longer heard of,
--- /dev/null
+++ b/internal/system/distribution/share_test.go
@@ -0,0 +1,133 @@
+package distribution
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// hubNamed is a hub that shares with nobody by itself.
+func hubNamed(name string) *Hub {
+	return NewHub(HubOptions{Source: &source{chain: newChain(), keepers: []string{"a", "b"}}, Self: name, Log: quiet()})
+}
+
+// sharing passes shares from one hub to another by hand.
+type sharing struct {
+	from, to *Hub
+	progress shareProgress
+}
+
+// send composes a share, waits as if it lay in a buffer, hands it over, and takes the answer in.
+func (s *sharing) send(tb testing.TB, held time.Duration) *distributionpb.ShareReply {
+	tb.Helper()
+	req, number := s.from.shareRequest(&s.progress)
+	time.Sleep(held)
+	reply, err := s.to.Share(tb.Context(), req)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	s.progress.took(time.Now(), req, number, reply)
+	return reply
+}
+
+func listAge(h *Hub) time.Duration {
+	_, _, age := h.ListVersion()
+	return age.Round(100 * time.Millisecond)
+}
+
+// TestTimeInBuffersCountsAsAge: what a share tells is as old as it was when it was sent, and the time under way. A share that
+// was held up for long, or whose sending cannot be placed, is sent anew.
+func TestTimeInBuffersCountsAsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &sharing{from: hubNamed("a"), to: hubNamed("b")}
+		if err := s.from.PutList(1, 1, []pick.Server{{ID: "s"}}, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second) // the list is 2 s old
+		if !s.send(t, 0).GetLate() || listAge(s.to) < time.Hour {
+			t.Error("taken though nothing tells when it was sent")
+		}
+		if s.send(t, 0).GetLate() || listAge(s.to) != 2*time.Second {
+			t.Errorf("at once: the list is %v old", listAge(s.to))
+		}
+		if err := s.from.PutList(1, 2, []pick.Server{{ID: "s"}, {ID: "r"}}, 0); err != nil {
+			t.Fatal(err)
+		}
+		if s.send(t, time.Second).GetLate() || listAge(s.to) != time.Second {
+			t.Errorf("after a second under way: the list is %v old", listAge(s.to))
+		}
+		if err := s.from.PutList(1, 3, nil, 0); err != nil {
+			t.Fatal(err)
+		}
+		if !s.send(t, 20*time.Second).GetLate() || listAge(s.to) != 21*time.Second {
+			t.Errorf("after 20 s under way: the list is %v old", listAge(s.to))
+		}
+		if s.send(t, 0).GetLate() || listAge(s.to) != 20*time.Second {
+			t.Errorf("sent anew: the list is %v old", listAge(s.to))
+		}
+		if servers, _, _ := s.to.List(); len(servers) != 0 {
+			t.Errorf("holds %d servers", len(servers))
+		}
+	})
+}
+
+// TestTimeInBuffersControl: judged by its arrival, a share that lay in a buffer for 20 s makes an old list a new one.
+func TestTimeInBuffersControl(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &sharing{from: hubNamed("a"), to: hubNamed("b")}
+		s.to.opt.hooks.fromArrival = true
+		if err := s.from.PutList(1, 1, []pick.Server{{ID: "s"}}, 0); err != nil {
+			t.Fatal(err)
+		}
+		if s.send(t, 20*time.Second); listAge(s.to) != 0 {
+			t.Errorf("control: the list is known to be %v old", listAge(s.to))
+		}
+	})
+}
+
+// TestShareToAnotherLife: a keeper that was started anew does not take what was dated by its former life's clock.
+func TestShareToAnotherLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &sharing{from: hubNamed("a"), to: hubNamed("b")}
+		time.Sleep(time.Minute)
+		s.send(t, 0)
+		s.send(t, 0)
+		s.to = hubNamed("b")
+		if !s.send(t, 0).GetLate() {
+			t.Error("taken though its time is of a former life")
+		}
+		if s.send(t, 0).GetLate() {
+			t.Error("not taken though its time is of this life")
+		}
+	})
+}
+
+// TestListOfAnOldFenceIsOverruled: a keeper that was cut off for 20 s and went on to read the list under the fence of its view
+// does not bring that back over the list of the view that followed, however high its versions are.
+func TestListOfAnOldFenceIsOverruled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cutOff, next := hubNamed("a"), hubNamed("b")
+		for version := uint64(1); version <= 40; version++ {
+			time.Sleep(500 * time.Millisecond)
+			if err := cutOff.PutList(3, 900+version, []pick.Server{{ID: "s"}}, 0); err != nil {
+				t.Fatal(err)
+			}
+			if err := next.PutList(4, version, []pick.Server{{ID: "s", Draining: true}, {ID: "r"}}, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, s := range []*sharing{{from: cutOff, to: next}, {from: next, to: cutOff}} {
+			s.send(t, 0)
+			s.send(t, 0)
+			if got, _, _ := s.to.List(); len(got) != 2 || !got[1].Draining {
+				t.Errorf("%s holds %+v", s.to.opt.Self, got)
+			}
+		}
+		if cutOff.PutList(3, 2000, nil, 0) == nil {
+			t.Error("a reading under the old fence is taken still")
+		}
+	})
+}
