proxy: a long 503, 429 or 408 that the server did not vouch for is not passed on

A status that promises that the request has not run goes to the client only with the server's X-Not-Executed. Now it is dropped before its length matters. TestLongPromise failed for 408, 429 and 503 on both kinds of route and passes.

--- /dev/null
+++ b/internal/system/proxy/promises_test.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// TestLongPromise has a server answer with a status that promises that the request has not run, without X-Not-Executed, and
+// with a body that is too long to be held: the promise is not passed on, as the server has not given it.
+func TestLongPromise(t *testing.T) {
+	long := strings.Repeat("x", mostHeld+1)
+	for _, status := range []int{408, 429, 503} {
+		for _, may := range []conf.Category{conf.NonIdempotent, conf.Idempotent} {
+			t.Run(fmt.Sprint(status, may), func(t *testing.T) {
+				f := startProxy(t, []*fakeServer{startServer(t, say(status, long)), startServer(t, say(200, "second"))}, category(may))
+				want, outcomes := 502, []pick.Outcome{pick.Failed}
+				if may == conf.Idempotent {
+					want, outcomes = 200, append(outcomes, pick.Served)
+				}
+				if got := f.ask(t, "id-1", ""); got.StatusCode != want {
+					t.Errorf("status %d, want %d", got.StatusCode, want)
+				}
+				if ends := f.ends(); !slices.Equal(ends, outcomes) {
+					t.Errorf("sends ended as %v, want %v", ends, outcomes)
+				}
+			})
+		}
+	}
+}
+
+// TestSuccessNotExecuted has a server answer with a success that says that the request did not run: as both cannot be true,
+// neither is believed, and a request that may run once goes nowhere else.
+func TestSuccessNotExecuted(t *testing.T) {
+	second := startServer(t, say(200, "second"))
+	f := startProxy(t, []*fakeServer{startServer(t, say(200, "first", "X-Not-Executed: 1")), second})
+	if got := f.ask(t, "id-1", ""); got.StatusCode != 502 || len(second.came) > 0 {
+		t.Errorf("status %d, %d further sends", got.StatusCode, len(second.came))
+	}
+}
+
+// TestEventWithTwoIDs has a stream broken by an event of which the first id rises and the last does not: the next server is
+// asked for what follows the last event that was passed on, so that none is lost.
+func TestEventWithTwoIDs(t *testing.T) {
+	text := "id: 1\ndata: d1\n\nid: 2\nid: 1\ndata: d2\n\n"
+	ev := &events{from: strings.NewReader(text), buf: make([]byte, 0, eventRoom)}
+	whole, err := ev.next()
+	if string(whole) != "id: 1\ndata: d1\n\n" || err != nil || ev.lastID != "1" {
+		t.Fatalf("%q, error %v, last id %q", whole, err, ev.lastID)
+	}
+	if whole, err := ev.next(); err == nil || err == io.EOF || ev.lastID != "1" {
+		t.Errorf("%q, error %v, last id %q", whole, err, ev.lastID)
+	}
+}
--- a/internal/system/proxy/relay.go
+++ b/internal/system/proxy/relay.go
@@ -48,11 +48,17 @@
 	if a.body, whole, err = c.hold(resp); err != nil {
 		return c.fail(ch, x, err)
 	}
-	if !whole {
+	// Danger: a status that promises more than the server has said is not passed on, nor is one too long to be held.
+	promised := promise(status)
+	if !whole && !promised {
 		return c.flow(ch, x, resp, a)
 	}
-	x.finish()
-	if status < 500 && !promise(status) {
+	if whole {
+		x.finish()
+	} else {
+		x.drop()
+	}
+	if status < 500 && !promised {
 		c.done(ch, pick.Served)
 		c.p.counters.Served.Add(1)
 		a.pass(c)
@@ -60,8 +66,7 @@
 	}
 	c.offered = true
 	c.done(ch, pick.Failed)
-	// Danger: a status that promises more than the server has said is not passed on.
-	if c.kept = a; promise(status) {
+	if c.kept = a; promised {
 		c.kept = nil
 	}
 	return false
