proxy: a success with X-Not-Executed is no answer

Such an answer was taken for a refusal, and a request that may run once was sent to the next server, though a success says that it ran. Of two statements that cannot both be true neither is believed now: the send counts as one that may have run. TestSuccessNotExecuted failed (200 from a second server) and passes.

--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -155,7 +155,8 @@
 	// a connection can be no such one.
 	bad = bad || !ok && (!x.fresh || success(resp.StatusCode))
 	if success(resp.StatusCode) {
-		bad = bad || resp.Header.Get(serverSeal) == "" || resp.Header.Get("Content-Encoding") != ""
+		_, refused := resp.Header[notExecuted] // a success that did not run: neither is believed
+		bad = bad || refused || resp.Header.Get(serverSeal) == "" || resp.Header.Get("Content-Encoding") != ""
 	}
 	if bad {
 		c.p.counters.Mismatch.Add(1)
