proxy: an event that is held back moves nothing a stream is resumed from

An event with two ids, of which the first rises and the last does not, was held back, but its first id had been taken in as the last one given out; a resumed stream went on behind it, and the event was lost: ORDER. The last id of an event counts now, as in the standard, and it is taken in only with the event.

--- a/internal/system/proxy/events.go
+++ b/internal/system/proxy/events.go
@@ -102,24 +102,25 @@
 	}
 }
 
-// check takes in the id of an event.
+// check takes in the id of an event, the last one where it has several. It takes in nothing of an event whose id does not
+// rise: a stream is resumed after the last event that was given out.
 func (e *events) check(event []byte) error {
-	bare := true
+	id, bare := "", true
 	for line := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:"))
-		if !ok {
-			continue
+		if value, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:")); ok {
+			id, bare = string(bytes.TrimPrefix(value, []byte(" "))), false
 		}
-		bare = false
-		id := string(bytes.TrimPrefix(value, []byte(" ")))
-		if n, err := strconv.ParseUint(id, 10, 64); err == nil {
-			if e.any && n <= e.last {
-				return errOrder
-			}
-			e.last, e.any = n, true
+	}
+	if bare {
+		e.bare = e.bare || bytes.Contains(event, []byte("data"))
+		return nil
+	}
+	if n, err := strconv.ParseUint(id, 10, 64); err == nil {
+		if e.any && n <= e.last {
+			return errOrder
 		}
-		e.lastID = id
+		e.last, e.any = n, true
 	}
-	e.bare = e.bare || bare && bytes.Contains(event, []byte("data"))
+	e.lastID = id
 	return nil
 }
