framing: an answer's status line is three digits from 100, or the connection ends

net/http's reader takes a status below 100 or with a sign for that of an interim answer and skips spaces before it; the guard took the same head for a final one with a body. So bytes of a body could be read as the next head.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -92,7 +92,7 @@
 		proto, rest, _ := strings.Cut(line, " ")
 		c.old = proto != "HTTP/1.1"
 		c.status, _, _ = strings.Cut(rest, " ")
-		return true
+		return isStatus(c.status)
 	case first:
 		c.old = !strings.HasSuffix(line, " HTTP/1.1")
 		return true
@@ -115,6 +115,14 @@
 	return ok
 }
 
+// isStatus tells whether a text is three digits, and 100 or more. Danger: net/http's reader skips spaces before the status
+// and takes one below 100, or with a sign, for an interim answer's: it would look for the next head in what is a body here.
+func isStatus(text string) bool {
+	return len(text) == 3 && text[0] >= '1' && text[0] <= '9' && isDigit(text[1]) && isDigit(text[2])
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
 // endHead turns to the body, and tells whether its end is plain.
 func (c *framing) endHead() bool {
 	if c.chunks && (c.old || c.length >= 0) {
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -92,6 +92,12 @@
 		{"surplus behind chunks", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nok", false, len(ok) + 35},
 		{"two lengths", ok + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok", false, len(ok) + 19},
 		{"a signed chunk", ok + "Transfer-Encoding: chunked\r\n\r\n+2\r\nok\r\n0\r\n\r\n", false, len(ok) + 30},
+		{"a status of two digits", "HTTP/1.1 99 X\r\n\r\n", false, 0},
+		{"a status below 100", "HTTP/1.1 099 X\r\nContent-Length: 9\r\n\r\n", false, 0},
+		{"a signed status", "HTTP/1.1 +20 X\r\n\r\n", false, 0},
+		{"two spaces before the status", "HTTP/1.1  100 X\r\n\r\n", false, 0},
+		{"no status", "HTTP/1.1\r\n\r\n", false, 0},
+		{"no reason", "HTTP/1.1 204\r\n\r\n", false, -1},
 		{"a chunk longer than said", ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nok\r\n0\r\n\r\n", false, len(ok) + 30 + 4},
 	} {
 		if tt.through < 0 {
@@ -168,3 +174,55 @@
 		}
 	})
 }
+
+// FuzzAnswerEnds compares the guard with net/http's reader: of what gets through, the guard has every answer, interim ones
+// too, end where the reader does, so that what one takes for a body the other never takes for an answer.
+func FuzzAnswerEnds(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 099 X\r\nContent-Length: 38\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1  100 X\r\nContent-Length: 38\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: b\r\n\r\nmore",
+		"HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		f.Add(text, false)
+		f.Add(text, true)
+	}
+	f.Fuzz(func(t *testing.T, text string, bare bool) {
+		if len(text) > 4000 { // the whole text is to fit the reader's buffer
+			return
+		}
+		guard := &framing{answers: true, length: -1, most: 1 << 12}
+		guard.bare.Store(bare)
+		guard.asked.Store(true)
+		text = text[:guard.check([]byte(text))]
+		if guard.last || guard.asked.Load() {
+			return // not whole, or up to the end of the connection
+		}
+		method := http.MethodGet
+		if bare {
+			method = http.MethodHead
+		}
+		in := bufio.NewReader(strings.NewReader(text))
+		again := &framing{answers: true, length: -1, most: 1 << 12}
+		again.bare.Store(bare)
+		again.asked.Store(true)
+		for at := 0; ; {
+			resp, err := http.ReadResponse(in, &http.Request{Method: method})
+			if err != nil {
+				return // the reader asks for more than the guard does
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				return
+			}
+			end := len(text) - in.Buffered()
+			again.check([]byte(text[at:end]))
+			if interim := resp.StatusCode < 200; again.seen != 0 || again.body != 0 || again.asked.Load() != interim {
+				t.Fatalf("the reader ends an answer of status %d at %d, the guard does not: %q", resp.StatusCode, end, text)
+			} else if !interim {
+				return
+			}
+			at = end
+		}
+	})
+}
