staff: a redirect is not followed to another process's status

The client took the status of whatever process a redirect named for that of the address asked. TestClientFollowsNoRedirect failed (another node's status) and passes.

--- a/internal/system/staff/client.go
+++ b/internal/system/staff/client.go
@@ -63,7 +63,10 @@
 	if err != nil {
 		return nil, unreached(err, "%q is no address: give IP:PORT", address)
 	}
-	answer, err := (&http.Client{Transport: c.Transport}).Do(r)
+	client := http.Client{Transport: c.Transport, CheckRedirect: func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse // another process's answer is not that of the one asked
+	}}
+	answer, err := client.Do(r)
 	if err != nil {
 		return nil, unreached(err, "%s does not answer: check that it runs and can be reached from here", address)
 	}
--- a/internal/system/staff/status_test.go
+++ b/internal/system/staff/status_test.go
@@ -275,3 +275,13 @@
 		t.Error(err)
 	}
 }
+
+// TestClientFollowsNoRedirect has the asked address name another: its answer is not taken for that of the address asked.
+func TestClientFollowsNoRedirect(t *testing.T) {
+	all := netOf(fleetOf())
+	all.hosts["10.0.0.9"] = http.RedirectHandler("http://10.0.0.1:1"+pathStatus, http.StatusTemporaryRedirect)
+	c := Client{Transport: all}
+	if s, err := c.Keeper(context.Background(), "10.0.0.9:1"); !errors.Is(err, ErrUnreached) || s.Node != "" {
+		t.Errorf("node %q, error %v", s.Node, err)
+	}
+}
