Control under a model of its world: operators, lost and late messages, frozen keepers

Need: that exactly one change a version is confirmed, that what was applied is never refused, and that no evacuation undoes a later acknowledged one, under troubles in all orders. Histories are checked by porcupine; seven controls take one protection out each. Ruled out: an order as one operation for zones: one that is sent again is meant again, and may take effect at each sending.

--- /dev/null
+++ b/internal/system/control/model_test.go
@@ -0,0 +1,246 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"math"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+)
+
+// history is what operators and readers saw.
+type modelHistory struct {
+	mu     sync.Mutex
+	orders []*modelOrder
+	reads  []modelRead
+	seen   []zoneSight
+	world  *modelWorld
+}
+
+// modelRead is an answer of Config.Read.
+type modelRead struct {
+	called, answered time.Duration
+	body             string
+}
+
+// zoneSight is whether a zone was evacuated at a moment.
+type zoneSight struct {
+	at        time.Duration
+	zone      string
+	evacuated bool
+}
+
+func (h *modelHistory) add(o *modelOrder) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.orders = append(h.orders, o)
+}
+
+// look notes every little while which zones are evacuated, and what Config.Read answers.
+func (h *modelHistory) look(ctx context.Context) {
+	w := h.world
+	for ctx.Err() == nil {
+		time.Sleep(w.between(10*time.Millisecond, 150*time.Millisecond))
+		w.mu.Lock()
+		for _, zone := range modelZones {
+			h.seen = append(h.seen, zoneSight{w.since(), zone, w.state.Evacuated[zone]})
+		}
+		w.mu.Unlock()
+		r, err := http.NewRequest(http.MethodGet, "/Config.Read", nil)
+		if err != nil {
+			return
+		}
+		read := modelRead{called: w.since()}
+		if a := w.call(w.keepers[w.between(0, time.Duration(len(w.keepers)))], r); a != nil && a.Code == http.StatusOK {
+			read.answered, read.body = w.since(), a.Body.String()
+			h.reads = append(h.reads, read)
+		}
+	}
+}
+
+var modelZones = []string{"north", "south"}
+
+// longHistory is a state whose oldest changes are forgotten, and some of the orders that made it: forgotten ones, the oldest
+// that are known, and the newest.
+var longHistory = sync.OnceValues(func() (*controlstate.State, []*modelOrder) {
+	s, all := controlstate.Empty(), []*modelOrder(nil)
+	for i := range int64(controlstate.MaxHistory + 20) {
+		o := &modelOrder{revision: i + 1}
+		o.change = controlstate.Change{Op: controlstate.OpReplace, Base: i, Body: modelConfig(i, i+1, "past")}
+		next, err := s.Apply(o.change.Record(s.Seq + 1))
+		if err != nil {
+			return s, nil
+		}
+		s, all = next, append(all, o)
+	}
+	return s, slices.Concat(all[:5], all[20:25], all[len(all)-5:])
+})
+
+// play has eight operators of the configuration and two a zone send orders through three keepers in trouble.
+func play(t *testing.T, seed uint64, h hooks, c chainHooks) *modelHistory {
+	t.Helper()
+	start, old := controlstate.Empty(), []*modelOrder(nil)
+	if seed%3 == 0 {
+		start, old = longHistory()
+	}
+	out := &modelHistory{}
+	synctest.Test(t, func(t *testing.T) {
+		w := newModelWorld(seed, start, h, c)
+		for _, o := range old {
+			w.applied[changeKey(o.change)] = 0
+		}
+		out.world = w
+		ctx, stop := context.WithCancel(t.Context())
+		var operators, others sync.WaitGroup
+		for i := range 8 {
+			operators.Go(func() { w.configOperator(i, 6, old, out.add) })
+		}
+		for _, zone := range modelZones {
+			for range 2 {
+				operators.Go(func() { w.zoneOperator(zone, 12, out.add) })
+			}
+		}
+		others.Go(func() { w.trouble(ctx) })
+		others.Go(func() { out.look(ctx) })
+		operators.Wait()
+		stop()
+		others.Wait()
+		w.running.Wait() // what was held up comes now
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, zone := range modelZones {
+			out.seen = append(out.seen, zoneSight{w.since(), zone, w.state.Evacuated[zone]})
+		}
+	})
+	return out
+}
+
+// check tells what is wrong with a history, nil where nothing is; undecided: it could not be told in time of one part.
+func (h *modelHistory) check() (wrong []string, undecided bool) {
+	winner := map[int64]string{}
+	for _, o := range h.orders {
+		if o.change.Zone != "" {
+			if o.status != 0 && o.status != http.StatusOK {
+				wrong = append(wrong, fmt.Sprintf("%s got %d", o.path(), o.status))
+			}
+			continue
+		}
+		key := changeKey(o.change)
+		at, taken := h.world.applied[key]
+		switch {
+		case o.status == http.StatusOK:
+			if !taken || at > o.answered {
+				wrong = append(wrong, fmt.Sprintf("on version %d: confirmed and not applied", o.change.Base))
+			}
+			if was := winner[o.change.Base]; was != "" && was != key {
+				wrong = append(wrong, fmt.Sprintf("on version %d: two changes confirmed", o.change.Base))
+			}
+			winner[o.change.Base] = key
+			if want := fmt.Sprintf(`{"revision":%d}`, o.revision); o.body != want {
+				wrong = append(wrong, fmt.Sprintf("on version %d: the answer %s is not that of revision %d", o.change.Base, o.body, o.revision))
+			}
+		case o.status >= 400 && taken:
+			wrong = append(wrong, fmt.Sprintf("on version %d: applied and refused with %d", o.change.Base, o.status))
+		}
+	}
+	for _, r := range h.reads {
+		known := false
+		for _, raw := range h.world.raw {
+			known = known || raw == r.body
+		}
+		if !known {
+			wrong = append(wrong, "read what never was: "+r.body)
+		}
+	}
+	results := map[string]porcupine.CheckResult{"the configuration": h.linearizableConfig()}
+	for _, zone := range modelZones {
+		results["zone "+zone] = h.linearizableZone(zone)
+	}
+	for what, result := range results {
+		switch result {
+		case porcupine.Illegal:
+			wrong = append(wrong, what+" is not linearizable")
+		case porcupine.Unknown:
+			undecided = true
+		}
+	}
+	return wrong, undecided
+}
+
+func TestModel(t *testing.T) {
+	seeds, err := strconv.ParseUint(cmp.Or(os.Getenv("CONTROL_SEEDS"), "60"), 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts, statuses := map[string]int{}, map[int]int{}
+	for seed := range seeds {
+		h := play(t, seed, hooks{}, chainHooks{})
+		if wrong, undecided := h.check(); len(wrong) > 0 || undecided {
+			t.Fatalf("seed %d (undecided: %v): %s", seed, undecided, strings.Join(wrong, "\n"))
+		}
+		for what, n := range h.world.counts {
+			counts[what] += n
+		}
+		for _, o := range h.orders {
+			statuses[o.status]++
+		}
+	}
+	for _, what := range slices.Sorted(maps.Keys(counts)) {
+		t.Logf("%6d %s", counts[what], what)
+	}
+	t.Logf("answers by status (0: none that is clear): %v", statuses)
+	for _, what := range []string{"superseded", "confirmed again", "request waited through a freeze", "change taken up twice", "kill", "snapshot"} {
+		if counts[what] == 0 {
+			t.Errorf("%s: never came about", what)
+		}
+	}
+	if statuses[http.StatusPreconditionFailed] == 0 || statuses[0] == 0 || statuses[http.StatusOK] == 0 {
+		t.Error("some answers never came about")
+	}
+}
+
+// Each control takes one protection out; the same runs must then find something wrong.
+func TestModelControls(t *testing.T) {
+	for name, c := range map[string]struct {
+		api   hooks
+		chain chainHooks
+	}{
+		"changes are forgotten and refused":         {hooks{}, chainHooks{forgetAndRefuse: true}},
+		"evacuations are not fenced":                {hooks{}, chainHooks{unfenced: true}},
+		"an order in force leaves no record":        {hooks{}, chainHooks{silentInForce: true}},
+		"a keeper refuses by what it alone holds":   {hooks{}, chainHooks{localVerdict: true}},
+		"the fence is what a majority told later":   {hooks{lateFence: true}, chainHooks{}},
+		"orders whose callers have gone are passed": {hooks{ignoreCallers: true}, chainHooks{}},
+		"orders are taken right after a stall":      {hooks{ignoreStalls: true}, chainHooks{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3000) {
+				if wrong, _ := play(t, seed, c.api, c.chain).check(); len(wrong) > 0 {
+					t.Logf("seed %d: %s", seed, wrong[0])
+					return
+				}
+			}
+			t.Error("nothing is found without the protection")
+		})
+	}
+}
+
+const never = math.MaxInt64
+
+// checked runs porcupine for a while.
+func checked(model porcupine.Model, operations []porcupine.Operation) porcupine.CheckResult {
+	return porcupine.CheckOperationsTimeout(model, operations, 5*time.Second)
+}
