replication: a leaver with the only copy stays until enough others hold it, in the harness

Need: in the harness a leaver ended after 200 ms whatever the others held, so that the rule of Left was tried by nothing but scripts. Change: leavers wait for Left, half of them hardly; whoever has left must leave losses + 1 others that hold all that was acknowledged. TestHardeningLeaverWithTheOnlyCopy has a keeper leave for good while one other is 60 changes behind and the third has lost its disk.

--- a/internal/system/replication/faults_test.go
+++ b/internal/system/replication/faults_test.go
@@ -175,7 +175,7 @@
 	case faultReplace:
 		w.replace(a, f)
 	case faultLeave:
-		a.leave(func() {
+		a.leave(f.patience(), func() {
 			a.kill()
 			a.back(f.dur)
 		})
@@ -268,18 +268,16 @@
 	}
 }
 
-func (m *machine) back(d time.Duration) { m.w.after(d, m.start) }
-
-// leave says goodbye and then ends.
-func (m *machine) leave(end func()) {
-	if !m.up() || m.frozen {
-		return
+// patience is how long a leaver waits: half of them hardly do, as if they were killed soon after.
+func (f fault) patience() time.Duration {
+	if f.n&2 != 0 {
+		return 200 * time.Millisecond
 	}
-	m.core.Leave(m.clock())
-	m.drain()
-	m.w.after(200*time.Millisecond, end)
+	return 2 * time.Second
 }
 
+func (m *machine) back(d time.Duration) { m.w.after(d, m.start) }
+
 // powerAll takes the power from all machines; some lose their disks, as many as may.
 func (w *world) powerAll(f fault) {
 	for _, m := range w.nodes {
@@ -301,6 +299,7 @@
 		return false
 	}
 	w.lost++
+	w.lostAt = w.now
 	w.trace("%v LOST the disk of machine %d", w.now, m.name)
 	m.wipe()
 	return true
@@ -312,6 +311,7 @@
 		return
 	}
 	w.lost++
+	w.lostAt = w.now
 	w.trace("%v REPLACED machine %d", w.now, a.name)
 	end := func() {
 		if a.gone {
@@ -323,7 +323,7 @@
 	}
 	if f.n&1 == 1 && a.up() && !a.frozen {
 		w.pending++
-		a.leave(func() {
+		a.leave(f.patience(), func() {
 			w.pending--
 			end()
 		})
--- a/internal/system/replication/invariants_test.go
+++ b/internal/system/replication/invariants_test.go
@@ -72,6 +72,7 @@
 		}
 	}
 	w.checkActive(m)
+	w.checkLeft(m)
 	if seq == m.committed && m.checked == state {
 		return
 	}
--- /dev/null
+++ b/internal/system/replication/sim_hardening_leave_test.go
@@ -0,0 +1,126 @@
+package replication
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// leavePatience is how long a process that is told to end waits until it has left.
+const leavePatience = 5 * time.Second
+
+// leave says goodbye and then ends: when enough others hold what it holds, at the latest after the patience.
+func (m *machine) leave(patience time.Duration, end func()) {
+	if !m.up() || m.frozen {
+		return
+	}
+	m.core.Leave(m.clock())
+	m.drain()
+	core, until := m.core, m.w.now+patience
+	var look func()
+	look = func() {
+		if m.core == core && m.w.now < until && (m.frozen || !core.Left()) {
+			m.w.after(20*time.Millisecond, look)
+			return
+		}
+		end()
+	}
+	m.w.after(20*time.Millisecond, look)
+}
+
+// checkLeft: who has left goes without anything being lost, since enough others hold all that was acknowledged.
+func (w *world) checkLeft(m *machine) {
+	c := m.core
+	if c == nil || !c.leaving || m.watcher || w.now-w.lostAt < 3*time.Second || !c.Left() || c.reg.view.Epoch == 0 {
+		return
+	}
+	holders := 0
+	for _, o := range w.nodes {
+		if r, ok := o.held(); ok && o != m && r.active >= c.reg.view.Epoch && o.disk.end() >= w.acked {
+			holders++
+		}
+	}
+	if holders <= w.losses {
+		w.fail(fmt.Errorf("machine %d has left, but only %d others hold all %d acknowledged records", m.name, holders, w.acked))
+	}
+}
+
+// playLeaver has a machine leave for good that holds the only copy of what was acknowledged: one other was away meanwhile,
+// the third has just lost its disk. It gives how long the leaver stayed.
+func playLeaver(seed uint64, patience time.Duration) (time.Duration, error) {
+	w := newWorld(seed, shape{3, 0, 1, 3, 0}, hooks{})
+	w.operate()
+	w.runUntil(4 * time.Second)
+	if !w.mayLose() {
+		return 0, fmt.Errorf("there is no whole view: %w", w.broken)
+	}
+	a, b, c := w.link(0), w.link(1), w.link(2)
+	if seed%2 == 0 {
+		a, b = b, a
+	}
+	b.kill()
+	w.writeUnless(60, 50*time.Millisecond, b)
+	if !w.lose(c) {
+		return 0, fmt.Errorf("the second copy cannot be lost: %v", w.broken)
+	}
+	for _, o := range []*machine{b, c} {
+		if o.disk.end() >= w.acked {
+			return 0, fmt.Errorf("machine %d holds a copy", o.name)
+		}
+	}
+	began, stayed := w.now, time.Duration(0)
+	b.back(300 * time.Millisecond)
+	c.back(600 * time.Millisecond)
+	w.after(time.Duration(w.rng.IntN(1500))*time.Millisecond, func() {
+		a.leave(patience, func() {
+			stayed = w.now - began
+			a.kill()
+			a.gone = true
+			w.successor(a, fault{}).back(time.Second)
+		})
+	})
+	w.runUntil(w.now + leavePatience + 2*time.Second)
+	before := w.stats.accepted
+	w.runWhile(ackBound, func() bool { return w.stats.accepted == before })
+	if w.broken == nil && w.stats.accepted == before {
+		w.fail(fmt.Errorf("nothing is acknowledged within %v after the leaver has gone", ackBound))
+	}
+	w.clientsEnd = true
+	w.runUntil(w.now + 8*time.Second)
+	if w.broken == nil {
+		w.checkSettled()
+	}
+	return stayed, w.broken
+}
+
+// TestHardeningLeaverWithTheOnlyCopy: it goes when enough others hold what it holds, and not before. The control goes at
+// once.
+func TestHardeningLeaverWithTheOnlyCopy(t *testing.T) {
+	var longest time.Duration
+	n := 40
+	if raceDetector {
+		n = 6
+	}
+	stays, errs := make([]time.Duration, n), make([]error, n)
+	inParallel(n, func(i int) { stays[i], errs[i] = playLeaver(uint64(i+1), leavePatience) })
+	for i, err := range errs {
+		if err != nil {
+			t.Errorf("seed %d: %v", i+1, err)
+		}
+		longest = max(longest, stays[i])
+	}
+	t.Logf("%d leavers with the only copy stayed for at most %v", n, longest)
+	if longest == 0 || longest >= leavePatience {
+		t.Errorf("the leavers stayed for up to %v", longest)
+	}
+	var err error
+	seed := uint64(0)
+	for err == nil && seed < 40 {
+		seed++
+		_, err = playLeaver(seed, 0)
+	}
+	if err == nil {
+		t.Error("nothing broke where the leaver went at once")
+	}
+	t.Logf("control, the leaver goes at once: seed %d: %v", seed, err)
+}
--- a/internal/system/replication/world_test.go
+++ b/internal/system/replication/world_test.go
@@ -48,8 +48,9 @@
 	ledger  map[string]*ledgerEntry
 	proxies []*proxy
 
-	lost       int // disks lost since all was well
-	pending    int // machines that are about to be replaced
+	lost       int           // disks lost since all was well
+	lostAt     time.Duration // when the last one was
+	pending    int           // machines that are about to be replaced
 	broken     error
 	clientsEnd bool
 	ackedAfter time.Duration // the last fault, a change was acknowledged
