--- a/internal/system/distribution/mesh_test.go
+++ b/internal/system/distribution/mesh_test.go
@@ -23,6 +23,7 @@
 	mu    sync.Mutex
 	hosts map[string]http.Handler
 	cut   map[[2]string]bool
+	held  map[[2]string]chan struct{} // messages wait until it is closed, also where their sender has given up
 	delay func(from, to string) time.Duration
 	calls int
 	wg    sync.WaitGroup // of handlers
@@ -30,7 +31,7 @@
 }
 
 func newMesh() *mesh {
-	return &mesh{hosts: map[string]http.Handler{}, cut: map[[2]string]bool{},
+	return &mesh{hosts: map[string]http.Handler{}, cut: map[[2]string]bool{}, held: map[[2]string]chan struct{}{},
 		delay: func(_, _ string) time.Duration { return time.Millisecond }}
 }
 
@@ -50,6 +51,39 @@
 	m.cut[[2]string{from, to}] = cut
 }
 
+// hold keeps back the messages of one direction, as a cut does over which a connection lives on, or hands them over.
+func (m *mesh) hold(from, to string, on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	way := [2]string{from, to}
+	if on && m.held[way] == nil {
+		m.held[way] = make(chan struct{})
+	} else if !on && m.held[way] != nil {
+		close(m.held[way])
+		delete(m.held, way)
+	}
+}
+
+// release hands over all that is held back.
+func (m *mesh) release() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.held {
+		close(c)
+	}
+	clear(m.held)
+}
+
+// wait waits while the messages of a direction are held back.
+func (m *mesh) wait(from, to string) {
+	m.mu.Lock()
+	c := m.held[[2]string{from, to}]
+	m.mu.Unlock()
+	if c != nil {
+		<-c
+	}
+}
+
 // way waits for a message's passage, and blocks until ctx ends where it is lost.
 func (m *mesh) way(ctx context.Context, from, to string, size int64) error {
 	m.mu.Lock()
@@ -92,11 +126,13 @@
 	s.mesh.wg.Add(1)
 	go func() {
 		defer s.mesh.wg.Done()
+		s.mesh.wait(s.name, to)
 		// The host does not notice that the caller went away, as behind a silent cut.
 		in := r.Clone(context.WithoutCancel(r.Context()))
 		in.Body = io.NopCloser(newReader(body))
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, in)
+		s.mesh.wait(to, s.name)
 		done <- w.Result()
 	}()
 	select {
@@ -280,6 +316,7 @@
 }
 
 func (fl *fleet) stop() {
+	fl.mesh.release()
 	for n := range fl.hubs {
 		fl.killHub(n)
 	}
