replication: a change that its caller gave up is not sent again

Need: where the caller's context ended, the keeper went on sending the change to whoever led, until the deadline that it had been given first (TestWhatItsCallerGaveUpIsNotSentAgain failed): an order taken after its caller had gone elsewhere. Change: Core.Abandon. What was sent may yet come about, as before.

--- /dev/null
+++ b/internal/system/replication/core_abandon_test.go
@@ -0,0 +1,48 @@
+package replication
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// TestWhatItsCallerGaveUpIsNotSentAgain ends the caller's context while the head is not heard. Danger: the keeper goes on
+// sending the change to whoever leads, until a deadline that its caller does not wait for.
+func TestWhatItsCallerGaveUpIsNotSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		ks := map[string]*Keeper{}
+		for _, a := range f.seeds {
+			ks[a] = f.start(a, true)
+		}
+		time.Sleep(3 * time.Second) // of the bubble's clock
+		v := ks[f.seeds[0]].View()
+		head, _ := v.Voter(v.Head())
+		at := f.seeds[0]
+		if head.Addr == at {
+			at = f.seeds[1]
+		}
+		k := ks[at]
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		f.net.set(head.Addr, nil)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			cancel()
+		}()
+		if _, err := k.Submit(ctx, evacuate("a")); !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrNotTaken) {
+			t.Errorf("a change that was given up ended with %v", err)
+		}
+		k.mu.Lock()
+		left := len(k.core.submits)
+		k.mu.Unlock()
+		if left != 0 {
+			t.Errorf("%d changes are still asked for", left)
+		}
+		for _, a := range f.seeds {
+			ks[a].Stop()
+		}
+	})
+}
--- a/internal/system/replication/keeper.go
+++ b/internal/system/replication/keeper.go
@@ -292,9 +292,10 @@
 		}
 		return d, nil
 	case <-ctx.Done():
-		k.mu.Lock()
-		delete(k.waiters, id)
-		k.mu.Unlock()
+		k.do(func(c *Core) {
+			delete(k.waiters, id)
+			c.Abandon(id)
+		})
 		return Completion{}, errors.Mark(errors.Wrap(ctx.Err(), "replication: no answer"), ErrUnavailable)
 	}
 }
--- a/internal/system/replication/submit.go
+++ b/internal/system/replication/submit.go
@@ -85,6 +85,13 @@
 	c.settle()
 }
 
+// Abandon ends a Submit or Read without a Completion: nobody waits for it. It is not sent again; what was sent may yet come
+// about.
+func (c *Core) Abandon(id uint64) {
+	delete(c.submits, id)
+	delete(c.reads, id)
+}
+
 func (c *Core) headLife() (uint64, bool) {
 	head := c.reg.view.Head()
 	if head == c.reg.self.ID {
