failuredetector: an answer counts for the question that was put a moment ago

Cause: one nonce served all questions from one waking to the next, and the first was 1 in each life. An answer that a cut held back for 20 s, or that a former process had asked for, said that a dead node had been heard and that this one was connected; an answer over the second path that was read after a sleep was dated by its reading. Change: each question has a nonce of its own, drawn on from the incarnation, and answers count for the bound of silence from when it was put; what they tell is dated from then, and so is the second path. Ruled out: dating by the arrival less the age told; the time under way is in neither. The same datagrams as before.

--- a/internal/system/failuredetector/agent.go
+++ b/internal/system/failuredetector/agent.go
@@ -222,11 +222,12 @@
 	a.probing[node] = true
 	ctx := a.ctx
 	a.probes.Go(func() {
+		asked := a.now()
 		incarnation, err := a.ask(ctx, node, addr)
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		delete(a.probing, node)
-		a.detector.ProbeResult(a.now(), node, incarnation, err == nil)
+		a.detector.ProbeResult(a.now(), asked, node, incarnation, err == nil)
 		a.carryOut()
 	})
 }
--- a/internal/system/failuredetector/detector.go
+++ b/internal/system/failuredetector/detector.go
@@ -40,6 +40,8 @@
 	Silence     time.Duration // without a beat, after which a node is suspected; 3.5 beats
 	Probe       time.Duration // that second paths have until the verdict; 2 beats
 	Gap         time.Duration // in this process's own ticks, after which it has slept; 1 s
+
+	anyAnswer bool // takes a protection out, so that a test shows what it is for: answers count whenever they come
 }
 
 func (o Options) withDefaults() Options {
@@ -104,11 +106,12 @@
 	members  map[string]bool
 	live     []string // the members, self included
 
-	// Nonces tell answers to what was asked in this waking period from what lay in a buffer while the process slept.
-	nonce   uint64
-	sure    bool // somebody has answered since the process started or woke
-	contact Time // when anybody was last heard
-	out     Output
+	// Nonces tell answers to what was asked a moment ago from what lay in a buffer, or was asked by a former process.
+	nonce     uint64
+	questions []question // the newest last
+	sure      bool       // somebody has answered since the process started or woke
+	contact   Time       // when anybody was last heard
+	out       Output
 }
 
 // watch is what is believed of one watched node.
@@ -129,11 +132,47 @@
 	told        Time            // when
 }
 
-const maxRetired = 4
+// question is a moment at which something was asked.
+type question struct {
+	nonce uint64
+	at    Time
+}
+
+const (
+	maxRetired   = 4
+	maxQuestions = 64 // remembered: those of some seconds
+)
+
+// question gives the nonce of what is asked now. Answers count for Silence.
+func (d *Detector) question(now Time) uint64 {
+	if n := len(d.questions); n > 0 && d.questions[n-1].at == now {
+		return d.questions[n-1].nonce
+	}
+	d.nonce++
+	if len(d.questions) >= maxQuestions {
+		d.questions = slices.Delete(d.questions, 0, 1)
+	}
+	d.questions = append(d.questions, question{d.nonce, now})
+	return d.nonce
+}
+
+// askedAt gives when the question of an answer was put; false where that was never, or too long ago for an answer to say
+// anything of now.
+func (d *Detector) askedAt(now Time, nonce uint64) (Time, bool) {
+	if d.o.anyAnswer {
+		return now, true
+	}
+	for _, q := range d.questions {
+		if q.nonce == nonce {
+			return q.at, now-q.at < d.o.Silence
+		}
+	}
+	return 0, false
+}
 
 // NewDetector makes a detector that knows no members.
 func NewDetector(o Options) *Detector {
-	return &Detector{o: o.withDefaults(), watched: map[string]*watch{}, members: map[string]bool{}, nonce: 1}
+	return &Detector{o: o.withDefaults(), watched: map[string]*watch{}, members: map[string]bool{}, nonce: o.Incarnation}
 }
 
 // Take gives what is to be done since the last Take.
@@ -204,7 +243,7 @@
 func (d *Detector) wake(now Time) {
 	d.out.Woke = true
 	d.sure = false
-	d.nonce++
+	d.questions = nil
 	d.nextBeat = now
 	for _, w := range d.watched {
 		w.since, w.suspect, w.down, w.denials = now, false, false, nil
@@ -241,7 +280,7 @@
 	to := d.watchers
 	if !d.sure || now-d.contact >= 2*d.o.Beat {
 		// Few are heard of late: ask for an answer, so that a node that watches nobody knows that it is connected.
-		message = Message{Kind: Ping, Nonce: d.nonce}
+		message = Message{Kind: Ping, Nonce: d.question(now)}
 		if !d.sure {
 			for _, node := range d.sorted() {
 				if !slices.Contains(to, node) {
--- a/internal/system/failuredetector/judge.go
+++ b/internal/system/failuredetector/judge.go
@@ -45,8 +45,9 @@
 // ask puts the question to the other watchers of a node. Any answer also shows that this node is connected.
 func (d *Detector) ask(now Time, node string, w *watch) {
 	w.asked = now
+	nonce := d.question(now)
 	for _, other := range d.others(node) {
-		d.send(other, Message{Kind: Ask, Nonce: d.nonce, Node: node, NodeIncarnation: w.incarnation})
+		d.send(other, Message{Kind: Ask, Nonce: nonce, Node: node, NodeIncarnation: w.incarnation})
 	}
 }
 
@@ -99,10 +100,13 @@
 	}
 }
 
-// ProbeResult takes what a call over a second path brought: the incarnation of the process that answered, or that none
-// did in time.
-func (d *Detector) ProbeResult(now Time, node string, incarnation uint64, alive bool) {
+// ProbeResult takes what a call over a second path that began at asked brought: the incarnation of the process that
+// answered, or that none did in time.
+func (d *Detector) ProbeResult(now, asked Time, node string, incarnation uint64, alive bool) {
 	d.advance(now)
+	if alive && now-asked >= d.o.Silence {
+		return // the answer may have lain in a buffer while this process slept
+	}
 	w := d.watched[node]
 	switch {
 	case !alive:
@@ -114,7 +118,7 @@
 		w.replace(now, incarnation)
 	}
 	d.contact = now
-	d.sign(now, node, incarnation, now)
+	d.sign(now, node, incarnation, asked)
 }
 
 // Receive takes a message. Those of nodes that are not members are dropped.
@@ -123,10 +127,12 @@
 	if m.From == d.o.Self || !d.members[m.From] {
 		return
 	}
+	asked := now
 	switch m.Kind {
 	case Pong, Denial, Heard:
-		if m.Nonce != d.nonce {
-			return // it lay in a buffer while this process slept
+		var ok bool
+		if asked, ok = d.askedAt(now, m.Nonce); !ok {
+			return // it lay in a buffer, or answers a former process
 		}
 		d.sure = true
 	case Beat, Ping, Ask, Bye:
@@ -150,7 +156,7 @@
 	case Ask:
 		d.answer(now, m)
 	case Heard:
-		d.sign(now, m.Node, m.NodeIncarnation, now-m.Age)
+		d.sign(now, m.Node, m.NodeIncarnation, asked-m.Age)
 	case Denial:
 		if w := d.watched[m.Node]; w != nil && w.suspect && w.incarnation == m.NodeIncarnation {
 			w.denials[m.From] = true
--- /dev/null
+++ b/internal/system/failuredetector/late_test.go
@@ -0,0 +1,89 @@
+package failuredetector
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// suspecting is a detector of node a that watches b, has heard it once, and is asked to tick until it puts a question about
+// it. It gives the time, the question and whom it went to.
+func suspecting(t *testing.T, d *Detector) (now Time, ask Envelope) {
+	t.Helper()
+	d.Members(0, []Member{{Node: "a", Incarnation: 1}, {Node: "b", Incarnation: 2}, {Node: "c", Incarnation: 3}})
+	d.Receive(0, Message{Kind: Beat, From: "b", Incarnation: 2})
+	for now = 0; now < 5*time.Second; now += 100 * time.Millisecond {
+		d.Tick(now)
+		out := d.Take()
+		if i := slices.IndexFunc(out.Send, func(e Envelope) bool { return e.Message.Kind == Ask && e.Message.Node == "b" }); i >= 0 {
+			return now, out.Send[i]
+		}
+	}
+	t.Fatal("asks nobody though b is silent")
+	return 0, Envelope{}
+}
+
+// answers hands the detector an answer to the question after a wait in which it ticks, and tells whether it then believes
+// that b was heard and that it is connected itself.
+func answerAfter(t *testing.T, wait time.Duration, anyAnswer bool) (heard, sure bool) {
+	t.Helper()
+	d := NewDetector(Options{Self: "a", Incarnation: 1, anyAnswer: anyAnswer})
+	now, ask := suspecting(t, d)
+	for end := now + wait; now < end; now += 100 * time.Millisecond {
+		d.Tick(now)
+	}
+	before := d.watched["b"].heard
+	d.Receive(now, Message{Kind: Heard, From: "c", Incarnation: 3, Nonce: ask.Message.Nonce, Node: "b", NodeIncarnation: 2})
+	return d.watched["b"].heard > before, d.Sure(now)
+}
+
+// TestLateAnswersAreNoNews: an answer that comes 20 s after its question says neither that a node was heard nor that this one
+// is connected, though this process did not sleep. Danger: a cut that ends hands over old answers, and a dead node lives on.
+func TestLateAnswersAreNoNews(t *testing.T) {
+	if heard, sure := answerAfter(t, 100*time.Millisecond, false); !heard || !sure {
+		t.Errorf("in time: heard %v, sure %v", heard, sure)
+	}
+	if heard, sure := answerAfter(t, 20*time.Second, false); heard || sure {
+		t.Errorf("late: heard %v, sure %v", heard, sure)
+	}
+	if heard, sure := answerAfter(t, 20*time.Second, true); !heard || !sure {
+		t.Errorf("control: heard %v, sure %v", heard, sure)
+	}
+}
+
+// TestAnswersToAFormerLife: an answer to what the former process at this address asked is none to this one.
+func TestAnswersToAFormerLife(t *testing.T) {
+	_, ask := suspecting(t, NewDetector(Options{Self: "a", Incarnation: 1}))
+	next := NewDetector(Options{Self: "a", Incarnation: 9})
+	now, _ := suspecting(t, next)
+	next.Receive(now, Message{Kind: Denial, From: "c", Incarnation: 3, Nonce: ask.Message.Nonce, Node: "b", NodeIncarnation: 2})
+	if next.Sure(now) || next.watched["b"].denials["c"] {
+		t.Error("the answer counts")
+	}
+}
+
+// TestHeardIsDatedByTheQuestion: an answer counts from when it was asked for, since it may have been under way since.
+func TestHeardIsDatedByTheQuestion(t *testing.T) {
+	d := NewDetector(Options{Self: "a", Incarnation: 1})
+	now, ask := suspecting(t, d)
+	d.Receive(now+300*time.Millisecond, Message{Kind: Heard, From: "c", Incarnation: 3, Nonce: ask.Message.Nonce, Node: "b",
+		NodeIncarnation: 2, Age: 200 * time.Millisecond})
+	if got := d.watched["b"].heard; got != now-200*time.Millisecond {
+		t.Errorf("heard at %v, asked at %v", got, now)
+	}
+}
+
+// TestLateProbeIsNoNews: an answer over the second path that was read long after it was asked for says nothing of now.
+func TestLateProbeIsNoNews(t *testing.T) {
+	for _, late := range []time.Duration{100 * time.Millisecond, 20 * time.Second} {
+		d := NewDetector(Options{Self: "a", Incarnation: 1})
+		now, _ := suspecting(t, d)
+		for asked := now; now < asked+late; now += 100 * time.Millisecond {
+			d.Tick(now)
+		}
+		d.ProbeResult(now, now-late, "b", 2, true)
+		if got, want := d.watched["b"].heard > 0, late < time.Second; got != want {
+			t.Errorf("after %v: heard %v", late, got)
+		}
+	}
+}
--- a/internal/system/failuredetector/sim_test.go
+++ b/internal/system/failuredetector/sim_test.go
@@ -223,7 +223,7 @@
 // probe models a fresh TCP connection: a lost first packet costs more time than there is, a later one some of it.
 func (w *world) probe(n *simNode, node string) {
 	timeout := w.option.withDefaults().Probe
-	took := 4 * w.delay()
+	took, asked := 4*w.delay(), w.now
 	if w.lostOf(2) {
 		took = timeout
 	}
@@ -238,7 +238,7 @@
 		ok := took < timeout && open() && to != nil && to.alive && !to.frozen
 		if !ok && (to == nil || to.alive) && took < timeout {
 			// Nothing refuses the connection, so only time ends it.
-			w.after(timeout-took, func() { w.input(n, func() { n.d.ProbeResult(w.now, node, 0, false) }) })
+			w.after(timeout-took, func() { w.input(n, func() { n.d.ProbeResult(w.now, asked, node, 0, false) }) })
 			return
 		}
 		var incarnation uint64
@@ -248,7 +248,7 @@
 		if ok {
 			incarnation = to.incarnation
 		}
-		w.input(n, func() { n.d.ProbeResult(w.now, node, incarnation, ok) })
+		w.input(n, func() { n.d.ProbeResult(w.now, asked, node, incarnation, ok) })
 	})
 }
 
