The operator's wire: answers in order, no call out of the rest of a body

Need: the hop from the operator had no test of pipelined calls, of bodies longer or shorter than told, of Expect and HEAD, and of the whole time of a call, which could come to a second (700 ms for the chain, 300 ms for the delivery) and so pass the caller's patience. The model's controls are told which troubles matter, and an undecided history counts neither as clean nor as found.

--- a/internal/system/control/model_chain_test.go
+++ b/internal/system/control/model_chain_test.go
@@ -19,6 +19,8 @@
 	unfenced        bool // evacuations are not fenced
 	silentInForce   bool // an order that is in force already leaves no record
 	localVerdict    bool // a keeper refuses by what it alone holds
+
+	often map[string]bool // troubles that come about four times as often, so that a control finds its fault soon
 }
 
 // modelWorld is keepers' APIs over one chain, which is modelled as a state that takes each change at one moment; the ways to
@@ -80,6 +82,9 @@
 func (w *modelWorld) chance(n int, what string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.hooks.often[what] {
+		n = max(2, n/4)
+	}
 	if w.rng.IntN(n) > 0 {
 		return false
 	}
--- a/internal/system/control/model_linear_test.go
+++ b/internal/system/control/model_linear_test.go
@@ -37,7 +37,7 @@
 
 // linearizableConfig checks orders and reads of the configuration: an order is one operation from its first sending to its
 // clear answer, however often it was sent. One without a clear answer may take effect at any later time.
-func (h *modelHistory) linearizableConfig() porcupine.CheckResult {
+func (h *modelHistory) linearizableConfig(within time.Duration) porcupine.CheckResult {
 	all := lines{}
 	start := &version{}
 	var first int64 = never
@@ -83,7 +83,7 @@
 	for i, r := range h.reads {
 		operations = append(operations, porcupine.Operation{ClientId: len(h.orders) + i, Input: r, Call: int64(r.called), Return: int64(r.answered)})
 	}
-	return checked(model, operations)
+	return porcupine.CheckOperationsTimeout(model, operations, within)
 }
 
 // zoneTry is one sending of an order for a zone.
@@ -95,7 +95,7 @@
 // linearizableZone checks the orders of one zone against what was seen of it. Every sending is an operation of its own,
 // since an order that is sent again is meant again. One without an acknowledgement may take effect late or never; but not
 // after the acknowledgement of a sending that began after it was given up.
-func (h *modelHistory) linearizableZone(zone string) porcupine.CheckResult {
+func (h *modelHistory) linearizableZone(zone string, within time.Duration) porcupine.CheckResult {
 	model := &porcupine.NondeterministicModel{
 		Init: func() []any { return []any{false} },
 		Step: func(state, input, _ any) []any {
@@ -134,7 +134,7 @@
 			add(s, s.at, s.at)
 		}
 	}
-	return checked(model.ToModel(), operations)
+	return porcupine.CheckOperationsTimeout(model.ToModel(), operations, within)
 }
 
 // fencedAt is the first acknowledgement of a sending for the zone that began after a moment.
--- a/internal/system/control/model_test.go
+++ b/internal/system/control/model_test.go
@@ -128,8 +128,8 @@
 	return out
 }
 
-// check tells what is wrong with a history, nil where nothing is; undecided: it could not be told in time of one part.
-func (h *modelHistory) check() (wrong []string, undecided bool) {
+// check tells what is wrong with a history, nil where nothing is; undecided: of one part it could not be told in time.
+func (h *modelHistory) check(within time.Duration) (wrong []string, undecided bool) {
 	winner := map[int64]string{}
 	for _, o := range h.orders {
 		if o.change.Zone != "" {
@@ -165,9 +165,9 @@
 			wrong = append(wrong, "read what never was: "+r.body)
 		}
 	}
-	results := map[string]porcupine.CheckResult{"the configuration": h.linearizableConfig()}
+	results := map[string]porcupine.CheckResult{"the configuration": h.linearizableConfig(within)}
 	for _, zone := range modelZones {
-		results["zone "+zone] = h.linearizableZone(zone)
+		results["zone "+zone] = h.linearizableZone(zone, within)
 	}
 	for what, result := range results {
 		switch result {
@@ -188,7 +188,7 @@
 	counts, statuses := map[string]int{}, map[int]int{}
 	for seed := range seeds {
 		h := play(t, seed, hooks{}, chainHooks{})
-		if wrong, undecided := h.check(); len(wrong) > 0 || undecided {
+		if wrong, undecided := h.check(20 * time.Second); len(wrong) > 0 || undecided {
 			t.Fatalf("seed %d (undecided: %v): %s", seed, undecided, strings.Join(wrong, "\n"))
 		}
 		for what, n := range h.world.counts {
@@ -212,23 +212,32 @@
 	}
 }
 
+func often(troubles ...string) map[string]bool {
+	out := map[string]bool{}
+	for _, what := range troubles {
+		out[what] = true
+	}
+	return out
+}
+
 // Each control takes one protection out; the same runs must then find something wrong.
 func TestModelControls(t *testing.T) {
 	for name, c := range map[string]struct {
 		api   hooks
 		chain chainHooks
 	}{
-		"changes are forgotten and refused":         {hooks{}, chainHooks{forgetAndRefuse: true}},
-		"evacuations are not fenced":                {hooks{}, chainHooks{unfenced: true}},
-		"an order in force leaves no record":        {hooks{}, chainHooks{silentInForce: true}},
-		"a keeper refuses by what it alone holds":   {hooks{}, chainHooks{localVerdict: true}},
-		"the fence is what a majority told later":   {hooks{lateFence: true}, chainHooks{}},
-		"orders whose callers have gone are passed": {hooks{ignoreCallers: true}, chainHooks{}},
-		"orders are taken right after a stall":      {hooks{ignoreStalls: true}, chainHooks{}},
+		"changes are forgotten and refused":       {chain: chainHooks{forgetAndRefuse: true}},
+		"evacuations are not fenced":              {chain: chainHooks{unfenced: true}},
+		"a keeper refuses by what it alone holds": {chain: chainHooks{localVerdict: true}},
+		"an order in force leaves no record":      {chain: chainHooks{silentInForce: true, often: often("change held up")}},
+		"the fence is what a majority told later": {api: hooks{lateFence: true},
+			chain: chainHooks{often: often("slow round", "caller's connection reset", "end of a connection lost")}},
+		"orders whose callers have gone are passed on": {api: hooks{ignoreCallers: true}},
+		"orders are taken right after a stall":         {api: hooks{ignoreStalls: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3000) {
-				if wrong, _ := play(t, seed, c.api, c.chain).check(); len(wrong) > 0 {
+				if wrong, _ := play(t, seed, c.api, c.chain).check(200 * time.Millisecond); len(wrong) > 0 {
 					t.Logf("seed %d: %s", seed, wrong[0])
 					return
 				}
@@ -239,8 +248,3 @@
 }
 
 const never = math.MaxInt64
-
-// checked runs porcupine for a while.
-func checked(model porcupine.Model, operations []porcupine.Operation) porcupine.CheckResult {
-	return porcupine.CheckOperationsTimeout(model, operations, 5*time.Second)
-}
--- /dev/null
+++ b/internal/system/control/wire_test.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+)
+
+// wire is one connection to the API over a chain that accepts everything.
+type wire struct {
+	t    *testing.T
+	conn *net.TCPConn
+	in   *bufio.Reader
+
+	mu  sync.Mutex
+	got []controlstate.Change
+}
+
+func (c *wire) Submit(_ context.Context, change controlstate.Change) (controlstate.Verdict, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.got = append(c.got, change)
+	return controlstate.Verdict{Kind: controlstate.Accept, Seq: uint64(len(c.got))}, nil
+}
+
+func (c *wire) Read(context.Context) (*controlstate.State, error) {
+	return &controlstate.State{Seq: 5, Config: &conf.Config{Revision: 5, Raw: []byte(`{"revision":5}`)}}, nil
+}
+
+func (c *wire) changes() []controlstate.Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.got
+}
+
+func dialAPI(t *testing.T) *wire {
+	t.Helper()
+	c := &wire{t: t}
+	s := httptest.NewServer(Handler(Options{Chain: c, Log: quiet()}))
+	t.Cleanup(s.Close)
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	c.conn, _ = conn.(*net.TCPConn)
+	c.in = bufio.NewReader(conn)
+	return c
+}
+
+func (c *wire) send(bytes string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, bytes); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// answer reads one answer to a request of the method.
+func (c *wire) answer(method string) (*http.Response, string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+// ended tells whether the connection ends without another byte.
+func (c *wire) ended() bool {
+	_, err := c.in.ReadByte()
+	return err != nil
+}
+
+func rawChange(revision int, extra string) string {
+	body := fmt.Sprintf(`{"revision":%d}`, revision)
+	return fmt.Sprintf("POST /Config.Replace HTTP/1.1\r\nHost: k\r\nX-Base-Version: 5\r\nContent-Length: %d\r\n%s\r\n%s", len(body), extra, body)
+}
+
+// Calls that come together in one packet are answered in their order, each with its own answer.
+func TestWirePipelined(t *testing.T) {
+	c := dialAPI(t)
+	const calls = 8
+	var all strings.Builder
+	for i := range calls {
+		all.WriteString(rawChange(100+i, ""))
+		all.WriteString("HEAD /Config.Read HTTP/1.1\r\nHost: k\r\n\r\n")
+		all.WriteString("POST /Evacuation.Start/z HTTP/1.1\r\nHost: k\r\n\r\n")
+	}
+	c.send(all.String())
+	for i := range calls {
+		if resp, body := c.answer("POST"); resp.StatusCode != 200 || body != fmt.Sprintf(`{"revision":%d}`, 100+i) {
+			t.Fatalf("change %d: status %d: %s", i, resp.StatusCode, body)
+		}
+		if resp, body := c.answer("HEAD"); resp.StatusCode != 200 || body != "" || resp.ContentLength != int64(len(`{"revision":5}`)) {
+			t.Fatalf("read %d: status %d: %s", i, resp.StatusCode, body)
+		}
+		if resp, body := c.answer("POST"); resp.StatusCode != 200 || body != "{}" {
+			t.Fatalf("evacuation %d: status %d: %s", i, resp.StatusCode, body)
+		}
+	}
+	for i, change := range c.changes() {
+		if want := fmt.Sprintf(`{"revision":%d}`, 100+i/2); i%2 == 0 && string(change.Body) != want {
+			t.Errorf("change %d: %s", i, change.Body)
+		}
+	}
+}
+
+// What follows a body that is longer than told is no answer to anything, and ends the connection.
+func TestWireBodyLongerThanTold(t *testing.T) {
+	c := dialAPI(t)
+	c.send(rawChange(100, "") + "surplus bytes\r\n\r\n")
+	if resp, body := c.answer("POST"); resp.StatusCode != 200 || body != `{"revision":100}` {
+		t.Errorf("status %d: %s", resp.StatusCode, body)
+	}
+	if resp, _ := c.answer("POST"); resp.StatusCode != 400 || !c.ended() {
+		t.Errorf("status %d for the surplus, or the connection goes on", resp.StatusCode)
+	}
+	if n := len(c.changes()); n != 1 {
+		t.Errorf("%d changes", n)
+	}
+}
+
+// A body that ends before its told length, or whose chunks are broken, is no change; nor is it refused for good.
+func TestWireBodyCutShort(t *testing.T) {
+	for name, framing := range map[string]string{
+		"by its length":  "Content-Length: 100\r\n\r\n{\"revision\":100}",
+		"in a chunk":     "Transfer-Encoding: chunked\r\n\r\n40\r\n{\"revision\":100}",
+		"between chunks": "Transfer-Encoding: chunked\r\n\r\n10\r\n{\"revision\":100}\r\n",
+	} {
+		c := dialAPI(t)
+		c.send("POST /Config.Replace HTTP/1.1\r\nHost: k\r\nX-Base-Version: 5\r\n" + framing)
+		if err := c.conn.CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		if resp, _ := c.answer("POST"); resp.StatusCode != 503 || !resp.Close || !c.ended() || len(c.changes()) != 0 {
+			t.Errorf("%s: status %d, %d changes", name, resp.StatusCode, len(c.changes()))
+		}
+	}
+}
+
+// What is left of a refused body is never taken for a call.
+func TestWireRefusedBodyIsNoCall(t *testing.T) {
+	const hidden = "POST /Evacuation.Start/z HTTP/1.1\r\nHost: k\r\n\r\n"
+	for name, head := range map[string]string{
+		"too large":      fmt.Sprintf("POST /Config.Replace HTTP/1.1\r\nHost: k\r\nX-Base-Version: 5\r\nContent-Length: %d\r\n\r\n", maxBody+1),
+		"without a base": fmt.Sprintf("POST /Config.Replace HTTP/1.1\r\nHost: k\r\nContent-Length: %d\r\n\r\n", len(hidden)),
+		"unknown call":   fmt.Sprintf("POST /Config.Drop HTTP/1.1\r\nHost: k\r\nContent-Length: %d\r\n\r\n", len(hidden)),
+	} {
+		c := dialAPI(t)
+		c.send(head + hidden)
+		if err := c.conn.CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		if resp, _ := c.answer("POST"); resp.StatusCode < 400 || !c.ended() || len(c.changes()) != 0 {
+			t.Errorf("%s: status %d, %d changes", name, resp.StatusCode, len(c.changes()))
+		}
+	}
+}
+
+// A caller that asks first is told to go on, or refused before it sends its body.
+func TestWireExpectContinue(t *testing.T) {
+	c := dialAPI(t)
+	whole := rawChange(100, "Expect: 100-continue\r\n")
+	head, body, _ := strings.Cut(whole, "\r\n\r\n")
+	c.send(head + "\r\n\r\n")
+	if resp, _ := c.answer("POST"); resp.StatusCode != 100 {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	c.send(body)
+	if resp, body := c.answer("POST"); resp.StatusCode != 200 || body != `{"revision":100}` {
+		t.Errorf("status %d: %s", resp.StatusCode, body)
+	}
+	c.send(fmt.Sprintf("POST /Config.Replace HTTP/1.1\r\nHost: k\r\nX-Base-Version: 5\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", maxBody+1))
+	if resp, _ := c.answer("POST"); resp.StatusCode != 413 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
+// Callers move on after a second of silence: the whole of a call that is not large takes less, however late the chain
+// answers and however slow the proxies are.
+func TestAnswerWithinASecond(t *testing.T) {
+	for _, target := range []string{"/Config.Replace", "/Evacuation.Start/z"} {
+		synctest.Test(t, func(t *testing.T) {
+			chain := &scriptedChain{read: func(context.Context) (*controlstate.State, error) { return stateAt(4), nil },
+				submit: func(c controlstate.Change) controlstate.Verdict {
+					time.Sleep(chainWait - time.Millisecond) // of the bubble's clock
+					return accepted(c)
+				}}
+			h := Handler(Options{Chain: chain, Log: quiet(), Delivered: func(ctx context.Context, _ uint64) { <-ctx.Done() }})
+			start := time.Now()
+			w := call(h, "POST", target, "", "X-Base-Version", "0")
+			if took := time.Since(start); w.Code != 200 || took > answerWithin {
+				t.Errorf("%s: status %d after %v", target, w.Code, took)
+			}
+		})
+	}
+}
