An answer between proxies and keepers names the call that it is for

Cause: on a connection that is used again an answer belongs to a request by its place alone. A peer that answers once too often puts off all that follow: a proxy would take the answer to one poll for that to the next. Keepers also had no bound on their followers and the keepers that share with them. Change: requests carry the name of their call (14 bits), answers repeat it; another's is an error (ErrAnswer), and idle connections are closed. At most 4,096 followers and 64 peers a keeper. Ruled out: a connection for each call. net/http sends a POST again only where none of it was written; the peer counts it. Result: TestAnAnswerReachesItsCallAlone (400 polls over 11 acts of a peer), its control, TestRepeatedCallsChangeNothing. Some 3 bytes more each way a poll.

--- a/internal/system/distribution/follower.go
+++ b/internal/system/distribution/follower.go
@@ -37,6 +37,7 @@
 type followerHooks struct {
 	fromArrival     bool // a reply counts from when it arrived and not from when it was asked for
 	replaceAlways   bool // a whole table takes the place of what is held, however old its list is
+	anyCall         bool // an answer is taken for the call whose place it has on the connection
 	startOnAny      bool // a state that came late is served by a process that has just started
 	neighbourAtOnce bool // what a neighbour holds is served before the keepers that it names have been tried
 }
@@ -55,6 +56,7 @@
 type Follower struct {
 	opt    FollowerOptions
 	client *http.Client
+	calls  calls
 	began  time.Time
 
 	mu       sync.Mutex
--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -27,7 +27,7 @@
 	ctx, cancel := withPatience(ctx, wait+slack, slack)
 	defer cancel()
 	asked := time.Now()
-	reply, err := distributionpb.NewDistributionProtobufClient(f.url(keeper, f.opt.KeeperPort), f.client).Follow(ctx, req)
+	reply, err := f.poll(ctx, keeper, req)
 	if err != nil {
 		return answer{}, err
 	}
@@ -42,6 +42,20 @@
 	return f.take(asked, time.Now(), req, reply), nil
 }
 
+// poll sends a request to a keeper, and gives the answer to this very one.
+func (f *Follower) poll(ctx context.Context, keeper string, req *distributionpb.FollowRequest) (*distributionpb.FollowReply, error) {
+	req.Call = f.calls.next()
+	reply, err := distributionpb.NewDistributionProtobufClient(f.url(keeper, f.opt.KeeperPort), f.client).Follow(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	if err := answers(req.GetCall(), reply.GetCall()); err != nil && !f.opt.hooks.anyCall {
+		f.client.CloseIdleConnections()
+		return nil, err
+	}
+	return reply, nil
+}
+
 // probe asks a keeper whether it is current, and nothing else: several are asked at once, and one only is to send its state.
 func (f *Follower) probe(ctx context.Context, keeper string) (current bool, err error) {
 	ctx, cancel := withPatience(ctx, seekTimeout, silence)
@@ -50,7 +64,7 @@
 	req := &distributionpb.FollowRequest{Member: f.self.wire(), Seq: f.state.Seq, Probe: true}
 	f.mu.Unlock()
 	asked := time.Now()
-	reply, err := distributionpb.NewDistributionProtobufClient(f.url(keeper, f.opt.KeeperPort), f.client).Follow(ctx, req)
+	reply, err := f.poll(ctx, keeper, req)
 	if err != nil {
 		return false, err
 	}
--- a/internal/system/distribution/hub.go
+++ b/internal/system/distribution/hub.go
@@ -113,6 +113,7 @@
 	snapshots   snapshots
 	compressed  recordCache
 	room        room
+	calls       calls
 
 	done  chan struct{} // closed when Run ends
 	kick  chan struct{} // the table or a vector changed
--- a/internal/system/distribution/hub_follow.go
+++ b/internal/system/distribution/hub_follow.go
@@ -17,6 +17,14 @@
 
 // Follow serves a poll of a proxy: see the service's definition.
 func (h *Hub) Follow(ctx context.Context, req *distributionpb.FollowRequest) (*distributionpb.FollowReply, error) {
+	reply, err := h.follow(ctx, req)
+	if reply != nil {
+		reply.Call = req.GetCall()
+	}
+	return reply, err
+}
+
+func (h *Hub) follow(ctx context.Context, req *distributionpb.FollowRequest) (*distributionpb.FollowReply, error) {
 	start := time.Now()
 	m := memberOf(req.GetMember())
 	if m.Node == "" || len(m.Node) > maxID || m.Incarnation == 0 {
@@ -29,6 +37,9 @@
 		return &distributionpb.FollowReply{PaceMs: uint64(h.limits.Pace / time.Millisecond)}, nil
 	}
 	f := h.begin(m, req)
+	if f == nil {
+		return nil, twirp.NewError(twirp.ResourceExhausted, "this keeper has too many followers: follow another")
+	}
 	defer h.end(f)
 	wait := min(millis(req.GetWaitMs(), time.Minute), h.limits.Hold)
 	for {
@@ -60,13 +71,19 @@
 	}
 }
 
-// begin notes a call: the member, its acknowledgement, its loads, its verdicts.
+// maxFollowers bounds the proxies of one keeper.
+const maxFollowers = 4096
+
+// begin notes a call: the member, its acknowledgement, its loads, its verdicts. It gives nil where there are too many.
 func (h *Hub) begin(m Member, req *distributionpb.FollowRequest) *follower {
 	now := time.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f := h.followers[m.Node]
 	fresh := f == nil || f.member.Incarnation != m.Incarnation
+	if f == nil && len(h.followers) >= maxFollowers {
+		return nil
+	}
 	if fresh {
 		f = &follower{member: m}
 		h.followers[m.Node] = f
--- a/internal/system/distribution/hub_share.go
+++ b/internal/system/distribution/hub_share.go
@@ -76,14 +76,21 @@
 
 // shareWith passes changes to one keeper: on change, at most every Share, at least every Beat.
 func (h *Hub) shareWith(ctx context.Context, url string, changed <-chan struct{}) {
-	client := distributionpb.NewDistributionProtobufClient(url, &http.Client{Transport: boundedTransport{h.opt.Transport}})
+	caller := &http.Client{Transport: boundedTransport{h.opt.Transport}}
+	client := distributionpb.NewDistributionProtobufClient(url, caller)
 	var progress shareProgress
 	reached := true
 	for {
 		req, number := h.shareRequest(&progress)
 		call, cancel := context.WithTimeout(ctx, shareTimeout)
+		req.Call = h.calls.next()
 		reply, err := client.Share(call, req)
 		cancel()
+		if err == nil {
+			if err = answers(req.GetCall(), reply.GetCall()); err != nil {
+				caller.CloseIdleConnections()
+			}
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -178,13 +185,16 @@
 	if h.opt.hooks.fromArrival {
 		delay = 0
 	} else if req.GetSentMs() == 0 || req.GetSentMs() > clock+clockSlack || delay > peerLife {
-		return &distributionpb.ShareReply{Boot: h.boot, ClockMs: clock, Late: true}, nil
+		return &distributionpb.ShareReply{Boot: h.boot, ClockMs: clock, Late: true, Call: req.GetCall()}, nil
 	}
 	p := h.peers[from]
 	if p == nil {
 		if len(h.peers) >= maxPeers {
 			h.dropPeers(now)
 		}
+		if len(h.peers) >= maxPeers {
+			return nil, twirp.NewError(twirp.ResourceExhausted, "too many keepers share with this one: take some out of the view")
+		}
 		p = &peer{}
 		h.peers[from] = p
 		h.wake()
@@ -203,7 +213,8 @@
 	p.loads.apply(now.Add(-delay), req.GetLoads())
 	close(h.acked)
 	h.acked = make(chan struct{})
-	return &distributionpb.ShareReply{Boot: h.boot, ClockMs: clock, Told: &distributionpb.Cursor{Boot: p.loads.boot, Number: p.loads.number}}, nil
+	return &distributionpb.ShareReply{Boot: h.boot, ClockMs: clock, Call: req.GetCall(),
+		Told: &distributionpb.Cursor{Boot: p.loads.boot, Number: p.loads.number}}, nil
 }
 
 // mergeShared takes in an entry that another keeper shares. One that was cut off has marked down what it no longer heard of,
--- a/internal/system/distribution/neighbour.go
+++ b/internal/system/distribution/neighbour.go
@@ -15,11 +15,11 @@
 }
 
 // Neighbour answers all that is held.
-func (f *Follower) Neighbour(context.Context, *distributionpb.NeighbourRequest) (*distributionpb.FollowReply, error) {
+func (f *Follower) Neighbour(_ context.Context, req *distributionpb.NeighbourRequest) (*distributionpb.FollowReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	items, _ := f.table.since(0)
-	reply := &distributionpb.FollowReply{Entries: toWire(time.Now(), items)}
+	reply := &distributionpb.FollowReply{Call: req.GetCall(), Entries: toWire(time.Now(), items)}
 	if f.state.Seq > 0 {
 		reply.Snapshot, reply.SnapshotDeflated = compress(f.state.Encode())
 	}
@@ -60,9 +60,9 @@
 	ctx, cancel := withPatience(ctx, seekTimeout, silence)
 	defer cancel()
 	asked := time.Now()
-	reply, err := distributionpb.NewNeighboursProtobufClient(f.url(place, f.opt.ProxyPort), f.client).
-		Neighbour(ctx, &distributionpb.NeighbourRequest{Node: f.self.Node})
-	if err != nil {
+	req := &distributionpb.NeighbourRequest{Node: f.opt.Self.Node, Call: f.calls.next()}
+	reply, err := distributionpb.NewNeighboursProtobufClient(f.url(place, f.opt.ProxyPort), f.client).Neighbour(ctx, req)
+	if err != nil || answers(req.GetCall(), reply.GetCall()) != nil {
 		return false
 	}
 	f.mu.Lock()
--- /dev/null
+++ b/internal/system/distribution/peer_test.go
@@ -0,0 +1,216 @@
+package distribution
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+)
+
+// A scriptedPeer takes polls and answers each as its script says, on as many connections as come.
+type scriptedPeer struct {
+	mu     sync.Mutex
+	seen   map[uint32]int // how often each call came
+	script func(call uint32) string
+}
+
+// What a peer may do with a request. All but the first four end the connection.
+var peerActs = []string{"answer", "twice in one packet", "informational, then answer", "another's answer", "silence", "reset at once",
+	"end before the head", "end in the head", "end in the body", "answer, then end", "half-closed"}
+
+func answerBytes(call uint32) []byte {
+	body := marshal(&distributionpb.FollowReply{Call: call, Newest: uint64(call), Current: true, Soft: &distributionpb.Cursor{Boot: 1}})
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// serve answers the requests of a connection until an act ends it.
+func (p *scriptedPeer) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		var req distributionpb.FollowRequest
+		if err != nil || proto.Unmarshal(body, &req) != nil {
+			return
+		}
+		p.mu.Lock()
+		p.seen[req.GetCall()]++
+		act := p.script(req.GetCall())
+		p.mu.Unlock()
+		if !perform(c, in, act, answerBytes(req.GetCall()), answerBytes(req.GetCall()%(callNumbers-1)+1)) {
+			return
+		}
+	}
+}
+
+// perform does one act with the answer to the request and to another one, and tells whether the connection goes on.
+func perform(c net.Conn, in io.Reader, act string, answer, other []byte) bool {
+	tcp, _ := c.(*net.TCPConn)
+	switch act {
+	case "answer":
+		_, _ = c.Write(answer)
+		return true
+	case "twice in one packet":
+		_, _ = c.Write(append(bytes.Clone(answer), answer...))
+		return true
+	case "informational, then answer":
+		_, _ = c.Write(append([]byte("HTTP/1.1 103 Early Hints\r\n\r\n"), answer...))
+		return true
+	case "another's answer":
+		_, _ = c.Write(other)
+		return true
+	case "silence":
+		_, _ = io.Copy(io.Discard, in) // until the caller gives up
+	case "reset at once":
+		_ = tcp.SetLinger(0)
+	case "end in the head":
+		_, _ = c.Write(answer[:20])
+	case "end in the body":
+		_, _ = c.Write(answer[:len(answer)-3])
+	case "answer, then end":
+		_, _ = c.Write(answer)
+	case "half-closed":
+		_ = tcp.CloseWrite()
+		_, _ = io.Copy(io.Discard, in)
+	}
+	return false
+}
+
+// scriptedFollower is a follower of a scripted peer on loopback.
+func scriptedFollower(t *testing.T, script func(uint32) string) (f *Follower, p *scriptedPeer, address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p = &scriptedPeer{seen: map[uint32]int{}, script: script}
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { p.serve(c) })
+		}
+	})
+	transport := NewTransport()
+	t.Cleanup(func() {
+		_ = ln.Close()
+		transport.CloseIdleConnections()
+		wg.Wait()
+	})
+	return NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet(), Transport: transport}), p, ln.Addr().String()
+}
+
+// TestAnAnswerReachesItsCallAlone: whatever a peer does, on fresh connections and on ones that are used again, in any order: a
+// poll that succeeds brings the answer to that very poll, and none is sent a second time.
+func TestAnAnswerReachesItsCallAlone(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 5))
+	counts := map[string]int{}
+	f, p, address := scriptedFollower(t, func(uint32) string {
+		act := peerActs[rng.IntN(len(peerActs))]
+		counts[act]++
+		return act
+	})
+	good := 0
+	for range 400 {
+		ctx, cancel := withPatience(t.Context(), 20*time.Millisecond, 20*time.Millisecond)
+		req := &distributionpb.FollowRequest{}
+		reply, err := f.poll(ctx, address, req)
+		cancel()
+		if err == nil {
+			good++
+			if reply.GetNewest() != uint64(req.GetCall()) {
+				t.Errorf("call %d got the answer of %d", req.GetCall(), reply.GetNewest())
+			}
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for call, n := range p.seen {
+		if n > 1 {
+			t.Errorf("call %d was sent %d times", call, n)
+		}
+	}
+	if good < 50 {
+		t.Errorf("only %d of 400 polls succeeded", good)
+	}
+	for _, act := range peerActs {
+		if counts[act] < 5 {
+			t.Errorf("%q came about %d times", act, counts[act])
+		}
+	}
+}
+
+// TestAnswersOfOthersControl: without the names of calls, the answer to another call is taken.
+func TestAnswersOfOthersControl(t *testing.T) {
+	f, _, address := scriptedFollower(t, func(uint32) string { return "another's answer" })
+	for _, hook := range []bool{false, true} {
+		f.opt.hooks.anyCall = hook
+		ctx, cancel := withPatience(t.Context(), time.Second, time.Second)
+		if _, err := f.poll(ctx, address, &distributionpb.FollowRequest{}); (err == nil) != hook {
+			t.Errorf("control %v: %v", hook, err)
+		}
+		cancel()
+	}
+}
+
+// TestOneAnswerTooManyPutsNothingOff: after a peer that answered twice, the next poll does not take the surplus answer.
+func TestOneAnswerTooManyPutsNothingOff(t *testing.T) {
+	f, _, address := scriptedFollower(t, func(uint32) string { return "twice in one packet" })
+	for range 200 {
+		req := &distributionpb.FollowRequest{}
+		ctx, cancel := withPatience(t.Context(), time.Second, time.Second)
+		if reply, err := f.poll(ctx, address, req); err == nil && reply.GetNewest() != uint64(req.GetCall()) {
+			t.Fatalf("call %d got the answer of %d", req.GetCall(), reply.GetNewest())
+		}
+		cancel()
+	}
+}
+
+// TestRepeatedCallsChangeNothing: a poll or a share that comes twice leaves a keeper as it was after the first.
+func TestRepeatedCallsChangeNothing(t *testing.T) {
+	h := newIdleHub()
+	h.warmed()
+	m := Member{Node: "p", Incarnation: 5, Revision: 2, Ready: true}
+	other := Member{Node: "q", Incarnation: 6}
+	h.end(h.begin(other, &distributionpb.FollowRequest{Member: other.wire()}))
+	v := newVector(true)
+	poll := &distributionpb.FollowRequest{Member: m.wire(), Seq: 7, AcceptStale: true, Loads: v.since(0, 0),
+		Down: []*distributionpb.Verdict{{Node: "q", Incarnation: 6}}}
+	share := &distributionpb.ShareRequest{From: &distributionpb.Keeper{Address: "o"}, Boot: 3, SentMs: h.clock(time.Now()), Loads: v.since(0, 0),
+		Entries: []*distributionpb.Entry{{Key: "hint/x", Fence: 1, Version: 4, Value: []byte("1")}}}
+	for name, call := range map[string]func() error{
+		"poll":  func() error { _, err := h.Follow(t.Context(), poll); return err },
+		"share": func() error { _, err := h.Share(t.Context(), share); return err },
+	} {
+		if err := call(); err != nil {
+			t.Fatal(name, err)
+		}
+		number, held, members := h.table.number, fmt.Sprint(contents(h.table)), fmt.Sprint(h.Members())
+		if err := call(); err != nil {
+			t.Fatal(name, err)
+		}
+		if h.table.number != number || fmt.Sprint(contents(h.table)) != held || fmt.Sprint(h.Members()) != members {
+			t.Errorf("%s: the second call changed the table", name)
+		}
+	}
+	if f := h.followers["p"]; f.seq != 7 || f.open != 0 {
+		t.Errorf("acknowledged %d, %d calls open", f.seq, f.open)
+	}
+}
--- a/internal/system/distribution/referral.go
+++ b/internal/system/distribution/referral.go
@@ -27,8 +27,8 @@
 }
 
 // Follow names the keepers. The reply has no soft state, by which a follower knows that it is not fed here.
-func (r Referral) Follow(context.Context, *distributionpb.FollowRequest) (*distributionpb.FollowReply, error) {
-	return &distributionpb.FollowReply{Keepers: wireKeepers(r.Keepers()...)}, nil
+func (r Referral) Follow(_ context.Context, req *distributionpb.FollowRequest) (*distributionpb.FollowReply, error) {
+	return &distributionpb.FollowReply{Call: req.GetCall(), Keepers: wireKeepers(r.Keepers()...)}, nil
 }
 
 func wireKeepers(places ...KeeperPlace) []*distributionpb.Keeper {
