An order on a connection that was quiet waits for that connection's end

Cause: bytes that a cut held up arrive when it ends, and the end of the connection, of a caller that gave up long ago, a round trip later; a majority may answer sooner than that, with an operator far away, and a single keeper at once. The order was then passed on under a fence that is new. Change: where a connection was quiet for over 500 ms before an evacuation order, half of a caller's patience, the order waits 250 ms for the end of the connection before it is passed on. A new connection, or one in use, does not wait. Ruled out: refusing such orders (a caller that keeps connections would be refused by one keeper after the other); an interim answer to draw a reset (callers may not expect it).

--- /dev/null
+++ b/internal/system/control/connection_test.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+)
+
+// An order that comes on a connection that was quiet for long may have been held up by a cut. It waits as long as the end of
+// its connection takes to follow; a call that follows closely on another, or on the connection's begin, does not.
+func TestHeldUpOrderWaits(t *testing.T) {
+	for name, tt := range map[string]struct {
+		quiet   time.Duration // before the order
+		earlier bool          // another call came before that
+		ends    time.Duration // the end of the connection comes so long after the order; 0: it goes on
+		status  int
+		took    time.Duration
+	}{
+		"a new connection":              {time.Millisecond, false, 0, 200, 0},
+		"as quiet as may be":            {quietBound, false, 0, 200, 0},
+		"quiet for longer":              {quietBound + 1, false, 0, 200, endWithin},
+		"20 s on the way":               {20 * time.Second, false, 150 * time.Millisecond, 503, 150 * time.Millisecond},
+		"a connection that is in use":   {time.Millisecond, true, 0, 200, 0},
+		"one that is used again later":  {20 * time.Second, true, 0, 200, endWithin},
+		"20 s on the way on an old one": {20 * time.Second, true, time.Millisecond, 503, time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				chain := &scriptedChain{submit: accepted, read: func(ctx context.Context) (*controlstate.State, error) {
+					return stateAt(4), ctx.Err()
+				}}
+				h, _ := Handler(Options{Chain: chain, Log: quiet()}).(*handler)
+				ctx, end := context.WithCancel(h.ConnContext(t.Context(), nil))
+				defer end()
+				if tt.earlier {
+					time.Sleep(time.Minute) // of the bubble's clock, as below
+					h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/Config.Read", nil).WithContext(ctx))
+				}
+				time.Sleep(tt.quiet)
+				if tt.ends > 0 {
+					time.AfterFunc(tt.ends, end)
+				}
+				w, start := httptest.NewRecorder(), time.Now()
+				h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/Evacuation.Start/z", nil).WithContext(ctx))
+				if took := time.Since(start); w.Code != tt.status || took != tt.took || (len(chain.got) == 1) != (tt.status == 200) {
+					t.Errorf("status %d after %v, %d orders passed on", w.Code, took, len(chain.got))
+				}
+			})
+		})
+	}
+}
--- a/internal/system/control/control.go
+++ b/internal/system/control/control.go
@@ -47,6 +47,7 @@
 	lateFence     bool // evacuation orders are fenced by what is known after the round, not as they came
 	ignoreCallers bool // evacuation orders are passed on though their callers have gone
 	ignoreStalls  bool // evacuation orders are taken that may have waited through a stall
+	ignoreWaits   bool // nor is the end of a connection waited for where an order may have been held up
 }
 
 // The bounds of a call. Callers move on after a second of silence, later where the body is large.
@@ -66,7 +67,7 @@
 	held budget
 }
 
-// Handler serves the operator's calls. Every answer but 200 of Config.Read is a JSON object; those that refuse carry its
+// Handler serves the operator's calls. Where it has a method ConnContext, set that in the http.Server. Every answer but 200 of Config.Read is a JSON object; those that refuse carry its
 // reason, which names the remedy, under "error".
 func Handler(o Options) http.Handler {
 	if o.AckTimeout <= 0 {
@@ -93,7 +94,7 @@
 	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		refuse(w, http.StatusMethodNotAllowed, "wrong method: changes are sent with POST, reads with GET")
 	})
-	return r
+	return &handler{calls: r}
 }
 
 // order is a change on its way through the API.
--- a/internal/system/control/evacuation.go
+++ b/internal/system/control/evacuation.go
@@ -73,10 +73,13 @@
 }
 
 // submitFenced brings an evacuation order to the chain with its fence, the number of the newest committed record that was
-// known as the order came. First a majority is asked: when it has answered, a caller that hung up before the order's bytes
-// arrived is known to have gone, and the order is dropped. An order that is superseded is not tried again with a newer
+// known as the order came. First a majority is asked, and where the order may have been held up, the end of its connection
+// is waited for: then a caller that hung up before the order's bytes arrived is known to have gone, and the order is dropped. An order that is superseded is not tried again with a newer
 // fence: its caller, if it still waits, sends it again.
 func (a *api) submitFenced(ctx context.Context, o *order, fence *controlstate.State) (controlstate.Verdict, error) {
+	if heldUp(ctx, o.arrived) && !a.o.hooks.ignoreWaits {
+		awaitEnd(ctx)
+	}
 	confirmed, err := a.o.Chain.Read(ctx)
 	if err != nil {
 		return controlstate.Verdict{}, err
--- a/internal/system/control/model_client_test.go
+++ b/internal/system/control/model_client_test.go
@@ -74,11 +74,12 @@
 }
 
 // deliver brings a request to a keeper, perhaps late, and its answer back. The end of the caller's connection follows its
-// bytes within a millisecond; while the keeper stands still, or where its connection was reset, it may be lost.
+// bytes within a round trip of up to 200 ms; while the keeper stands still, or where its connection was reset, it may be lost.
 func (w *modelWorld) deliver(k *modelKeeper, life context.Context, r *http.Request, hungUp context.Context, answers chan<- *httptest.ResponseRecorder) {
 	if w.chance(30, "request lost") {
 		return
 	}
+	began := time.Now()
 	time.Sleep(w.between(200*time.Microsecond, 2*time.Millisecond))
 	held := w.chance(12, "request held up")
 	if held {
@@ -94,12 +95,12 @@
 		w.count("request waited through a freeze")
 		time.Sleep(w.between(0, 100*time.Millisecond))
 	}
-	ctx, cancel := context.WithCancel(life)
+	ctx, cancel := context.WithCancel(context.WithValue(life, connectionKey{}, &connection{began: began}))
 	defer cancel()
 	endMayBeLost := stood || !held
 	if !endMayBeLost || !w.chance(2, "end of a connection lost") {
 		stop := context.AfterFunc(hungUp, func() {
-			time.Sleep(w.between(0, time.Millisecond))
+			time.Sleep(w.between(0, 200*time.Millisecond))
 			cancel()
 		})
 		defer stop()
--- a/internal/system/control/model_test.go
+++ b/internal/system/control/model_test.go
@@ -234,6 +234,7 @@
 			chain: chainHooks{often: often("slow round", "caller's connection reset", "end of a connection lost")}},
 		"orders whose callers have gone are passed on": {api: hooks{ignoreCallers: true}},
 		"orders are taken right after a stall":         {api: hooks{ignoreStalls: true}},
+		"the end of a connection is not waited for":    {api: hooks{ignoreWaits: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3000) {
--- a/internal/system/process/process.go
+++ b/internal/system/process/process.go
@@ -94,11 +94,16 @@
 	})
 }
 
-// HTTP serves h at l until ctx is done; calls that are under way then have a moment to end.
+// HTTP serves h at l until ctx is done, with h's ConnContext if it has one; calls that are under way then have a moment to end.
 func (g *Group) HTTP(ctx context.Context, l net.Listener, h http.Handler) {
 	const moment = 300 * time.Millisecond
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headWithin, IdleTimeout: idleWithin, MaxHeaderBytes: headBytes,
 		ErrorLog: stdlog.New(io.Discard, "", 0), BaseContext: func(net.Listener) context.Context { return ctx }}
+	if c, ok := h.(interface {
+		ConnContext(context.Context, net.Conn) context.Context
+	}); ok {
+		server.ConnContext = c.ConnContext
+	}
 	g.Go(func() error {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Mark(errors.Wrapf(err, "no more calls are taken at %s", l.Addr()), ErrListen)
