proxy: an id that comes again goes out on another connection

Where two requests bear one id (a client's duplicate), a surplus answer to the first lies where the second's is due, and its id tells nothing: the second client got the first one's answer. A connection is no longer used for the id that was answered last on it.

--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -95,7 +95,7 @@
 // attempt sends the request to a server, and tells whether the request has come to its end.
 func (c *call) attempt(ch pick.Choice) bool {
 	up := c.p.upstream
-	x := &exchange{ctx: c.r.Context(), up: up, pool: up.pool(ch.Server), deadline: c.deadline,
+	x := &exchange{ctx: c.r.Context(), up: up, pool: up.pool(ch.Server), id: c.id, deadline: c.deadline,
 		bare: c.r.Method == http.MethodHead}
 	buf, give := bodyBuffer(smallHead + int64(min(len(c.body), joinedBody)))
 	head, body := c.head(buf, ch)
--- a/internal/system/proxy/exchange.go
+++ b/internal/system/proxy/exchange.go
@@ -24,6 +24,7 @@
 	ctx      context.Context // the client's connection
 	up       *upstream
 	pool     *pool
+	id       string // of the request
 	deadline time.Time
 	bare     bool // the answer has no body, whatever it says
 
@@ -43,7 +44,7 @@
 // send writes a request. With errUnreached not a byte was sent; with any other error the server may have run it.
 func (x *exchange) send(head, body []byte) error {
 	for {
-		conn, stale := x.up.take(x.pool)
+		conn, stale := x.up.take(x.pool, x.id)
 		reused := conn != nil
 		if !reused {
 			var err error
@@ -161,7 +162,7 @@
 		_ = conn.Close()
 		return
 	}
-	x.up.put(x.pool, conn)
+	x.up.put(x.pool, conn, x.id)
 }
 
 // drop closes the connection. Whatever was still to be written on it is not.
--- a/internal/system/proxy/reuse_test.go
+++ b/internal/system/proxy/reuse_test.go
@@ -60,6 +60,28 @@
 	}
 }
 
+// TestSameIDAgain has an id come twice, and a surplus answer to the first request where the second's is due: as the id cannot
+// tell them apart, the second goes out on another connection.
+func TestSameIDAgain(t *testing.T) {
+	var first net.Conn // of the requests, which come one after the other
+	s := startServer(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if first == c {
+			say(200, "surplus")(c, r, body)
+		}
+		text := "second"
+		if first == nil {
+			first, text = c, "first"
+		}
+		return say(200, text)(c, r, body)
+	})
+	f := startProxy(t, []*fakeServer{s})
+	c := f.dial(t)
+	c.post("id-1", "").read()
+	if got := c.post("id-1", "").read(); got.StatusCode != 200 || got.body != "second" {
+		t.Errorf("status %d, body %q", got.StatusCode, got.body)
+	}
+}
+
 // TestStale has a server close its connection when it has idled: the next request goes out on a new one.
 func TestStale(t *testing.T) {
 	s := startServer(t, say(200, "x"))
--- a/internal/system/proxy/upstream.go
+++ b/internal/system/proxy/upstream.go
@@ -60,6 +60,7 @@
 	*framing.ServerConn
 	tcp   *net.TCPConn // nil: no socket
 	fresh bool         // no answer has come on it
+	id    string       // of the request that was answered last on it
 	since time.Duration
 }
 
@@ -149,8 +150,9 @@
 }
 
 // take is an idle connection that looks sound, nil if there is none, and how long one had idled that was found closed by
-// its server.
-func (u *upstream) take(p *pool) (*serverConn, time.Duration) {
+// its server. Danger: a surplus answer to a request of the same id could not be told from the answer, so a connection that
+// answered one last is not used.
+func (u *upstream) take(p *pool, id string) (*serverConn, time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now, most := u.now(), u.idleFor(p.service)
@@ -165,6 +167,10 @@
 			closeAll(&p.idle)
 			break
 		}
+		if c.id == id {
+			_ = c.Close()
+			continue
+		}
 		switch quiet(c.tcp) {
 		case sound:
 			return c, stale
@@ -179,8 +185,8 @@
 	return nil, stale
 }
 
-// put gives a connection back whose answer has come whole.
-func (u *upstream) put(p *pool, c *serverConn) {
+// put gives a connection back on which the answer to a request with that id has come whole.
+func (u *upstream) put(p *pool, c *serverConn, id string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	most := u.most[p.service]
@@ -188,7 +194,7 @@
 		_ = c.Close()
 		return
 	}
-	c.fresh, c.since = false, u.now()
+	c.fresh, c.since, c.id = false, u.now(), id
 	p.idle = append(p.idle, c)
 	if u.sweep == nil {
 		u.sweep = time.AfterFunc(sweepEvery, u.sweepIdle)
