--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -69,9 +69,9 @@
 	case len(c.tried) >= max(c.route.MaxTries, 1):
 		return false
 	case c.passing:
-		return c.route.Resumable && c.lastID != ""
+		return (c.route.Resumable || c.p.opt.without.resumeRule) && c.lastID != ""
 	}
-	return !offered || c.route.Repeatable()
+	return !offered || c.route.Repeatable() || c.p.opt.without.repeatRule
 }
 
 // choose asks where to send the request next.
@@ -154,15 +154,16 @@
 	// Danger: a surplus answer to an earlier request may lie where this one's is due; only its id tells. The first answer on
 	// a connection can be no such one.
 	bad = bad || !ok && (!x.fresh || success(resp.StatusCode))
+	bad = bad && !c.p.opt.without.echoedID
 	if success(resp.StatusCode) {
 		_, refused := resp.Header[notExecuted] // a success that did not run: neither is believed
-		bad = bad || refused || resp.Header.Get(serverSeal) == "" || resp.Header.Get("Content-Encoding") != ""
+		bad = bad || refused || resp.Header.Get(serverSeal) == "" && !c.p.opt.without.seal || resp.Header.Get("Content-Encoding") != ""
 	}
 	if bad {
 		c.p.counters.Mismatch.Add(1)
 		return errImproper
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !x.bare {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !x.bare && !c.p.opt.without.unframed {
 		c.p.counters.Unframed.Add(1) // its end would be that of the connection, whole or not
 		return errImproper
 	}
@@ -247,7 +248,7 @@
 // cut breaks the answer off so that it cannot look complete. What still waits for the client goes out; for one that is gone
 // it is dropped.
 func (c *call) cut(gone bool) {
-	if c.conn == nil {
+	if c.conn == nil || c.p.opt.without.cut {
 		return
 	}
 	if gone || c.r.ProtoMinor == 0 {
--- a/internal/system/proxy/exchange.go
+++ b/internal/system/proxy/exchange.go
@@ -70,7 +70,7 @@
 		if err == nil {
 			return nil
 		}
-		if after, _ := conn.Meter(); after > before {
+		if after, _ := conn.Meter(); after > before && !x.up.without.partlyWritten {
 			return err
 		}
 		x.drop()
@@ -131,7 +131,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 200 {
+		if resp.StatusCode >= 200 || x.up.without.interim {
 			x.resp = resp
 			return resp, nil
 		}
--- /dev/null
+++ b/internal/system/proxy/once_controls_test.go
@@ -0,0 +1,155 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"gradeusher.example/gradeusher/internal/system/conf"
+)
+
+// TestExactlyOnceControls takes out one protection at a time: a scenario then breaks what TestExactlyOnce holds, and does not
+// with the protection in place.
+func TestExactlyOnceControls(t *testing.T) {
+	with := func(change func(*behaviour)) []behaviour {
+		b := well
+		change(&b)
+		return []behaviour{b}
+	}
+	cutStream := with(func(b *behaviour) { b.Framing, b.Cut, b.Then = "chunked", 850, halfClose })
+	for _, tt := range []struct {
+		name     string
+		without  removed
+		category conf.Category
+		first    []behaviour
+		breaks   string
+	}{
+		{"the id that an answer echoes", removed{echoedID: true}, conf.NonIdempotent,
+			with(func(b *behaviour) { b.Echo = otherID }), "bears another id"},
+		{"the seal of a success", removed{seal: true}, conf.NonIdempotent,
+			with(func(b *behaviour) { b.Unsealed = true }), "no server gave this answer"},
+		{"interim answers", removed{interim: true}, conf.NonIdempotent,
+			with(func(b *behaviour) { b.Interims = 1 }), "bears another id"},
+		{"at most one run", removed{repeatRule: true}, conf.NonIdempotent,
+			with(func(b *behaviour) { b.Cut, b.Then = 0, resetIt }), "sent again though it may have run"},
+		{"promises", removed{promiseRule: true}, conf.NonIdempotent,
+			with(func(b *behaviour) { b.Status = http.StatusTooManyRequests }), "promised that it has not"},
+		{"the end of an answer", removed{unframed: true}, conf.NonIdempotent,
+			with(func(b *behaviour) { b.Framing, b.Cut, b.Then = "none", 950, halfClose }), "looks whole"},
+		{"streams that may not be resumed", removed{resumeRule: true}, conf.Streaming, cutStream, "sent again though it may have run"},
+		{"a broken answer ends its connection", removed{cut: true}, conf.Streaming, cutStream, "looks whole"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := scenario{Category: tt.category, MaxTries: 2, Servers: [][]behaviour{tt.first, nil},
+				Steps: []step{{Way: "plain", Method: http.MethodPost}}}
+			if err := play(s, removed{}); err != nil {
+				t.Errorf("with it: %v", err)
+			}
+			if err := play(s, tt.without); err == nil || !strings.Contains(err.Error(), tt.breaks) {
+				t.Errorf("without it: %v, want %q", err, tt.breaks)
+			}
+		})
+	}
+}
+
+// TestClosedWhileIdle has a server close a connection that idles, and a request that may run once come when that is known:
+// it is not lost on that connection. With the look at idle connections taken out it is.
+func TestClosedWhileIdle(t *testing.T) {
+	for _, without := range []removed{{}, {idleLook: true}} {
+		s := startServer(t, say(200, "x"))
+		f := startProxy(t, []*fakeServer{s}, func(o *Options, _ *conf.Config) { o.without = without })
+		c := f.dial(t)
+		c.post("id-1", "").read()
+		_ = within(t, s.came, "request").conn.(*net.TCPConn).CloseWrite()
+		f.awaitIdleEnd(t)
+		want := 200
+		if without.idleLook {
+			want = 502
+		}
+		if got := c.post("id-2", "").read(); got.StatusCode != want {
+			t.Errorf("without %+v: status %d, want %d", without, got.StatusCode, want)
+		}
+	}
+}
+
+// awaitIdleEnd waits until the end of the one idle connection has come.
+func (f *fixture) awaitIdleEnd(t *testing.T) {
+	t.Helper()
+	f.upstream.mu.Lock()
+	defer f.upstream.mu.Unlock()
+	for _, p := range f.upstream.pools {
+		for _, c := range p.idle {
+			raw, err := c.tcp.SyscallConn()
+			if err != nil {
+				t.Fatal(err)
+			}
+			err = raw.Control(func(fd uintptr) {
+				wait := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+				if n, err := unix.Poll(wait, int(patience.Milliseconds())); n != 1 {
+					t.Errorf("no end of the idle connection: %v", err)
+				}
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+// narrowConn is a connection that takes only so many bytes, and breaks then.
+type narrowConn struct {
+	net.Conn
+	room int
+}
+
+func (c *narrowConn) Write(p []byte) (int, error) {
+	if len(p) <= c.room {
+		c.room -= len(p)
+		return c.Conn.Write(p)
+	}
+	n := 0
+	if c.room > 0 {
+		n, _ = c.Conn.Write(p[:c.room])
+	}
+	_ = c.Conn.Close()
+	return n, unix.EPIPE
+}
+
+// TestPartlyWritten has a connection break while a request that may run once is written on it: it goes to another server only
+// if not a byte of it was written. With that rule taken out it is sent twice.
+func TestPartlyWritten(t *testing.T) {
+	for _, tt := range []struct {
+		room    int
+		without removed
+		want    int
+		sends   int64
+	}{
+		{0, removed{}, 200, 1},
+		{1, removed{}, 502, 1},
+		{60, removed{}, 502, 1},
+		{1, removed{partlyWritten: true}, 200, 1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newPiped([]change{category(conf.NonIdempotent), func(o *Options, _ *conf.Config) { o.without = tt.without }},
+				say(200, "first"), say(200, "second"))
+			open := p.upstream.open
+			p.upstream.open = func(ctx context.Context, address string, within time.Duration) (net.Conn, error) {
+				c, err := open(ctx, address, within)
+				if address == "at-0" && err == nil {
+					c = &narrowConn{c, tt.room}
+				}
+				return c, err
+			}
+			w, _ := p.ask(t.Context())
+			if w.Code != tt.want || p.counters.Sends.Load() != tt.sends {
+				t.Errorf("room for %d bytes, %+v: status %d, %d sends", tt.room, tt.without, w.Code, p.counters.Sends.Load())
+			}
+		})
+	}
+}
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -19,7 +19,22 @@
 	MemoryMB  int           // of the process; default 256
 	Log       log.Interface // default log.Log
 
-	stall time.Duration // a client that takes nothing for so long is given up; default stallFor
+	stall   time.Duration // a client that takes nothing for so long is given up; default stallFor
+	without removed       // in tests
+}
+
+// removed are the protections that a test has taken out, to show that something breaks without each. It is zero in service.
+type removed struct {
+	echoedID      bool // an answer bears the id of its request
+	seal          bool // a success bears the server's seal
+	idleLook      bool // a connection is looked at before it is used again
+	partlyWritten bool // a request of which some bytes were written may have run
+	interim       bool // an answer with a status of 1xx is not the last one
+	repeatRule    bool // a request that may run once is not sent on once it may have run
+	promiseRule   bool // only a server's word that it did not run a request becomes a promise to the client
+	unframed      bool // an answer without a length is not whole
+	resumeRule    bool // only a resumable stream goes on at another server
+	cut           bool // an answer that broke off ends with its connection
 }
 
 // Proxy is the data plane of one process. Its methods may be called from any goroutine.
@@ -57,6 +72,7 @@
 	}
 	p := &Proxy{opt: o, policy: newPolicy(by), room: newBudget(int64(o.MemoryMB) << 20 / bodiesShare)}
 	p.upstream = newUpstream(o.Settings, &p.counters)
+	p.upstream.without = o.without
 	p.front = newFront(p)
 	return p
 }
--- a/internal/system/proxy/relay.go
+++ b/internal/system/proxy/relay.go
@@ -49,7 +49,7 @@
 		return c.fail(ch, x, err)
 	}
 	// Danger: a status that promises more than the server has said is not passed on, nor is one too long to be held.
-	promised := promise(status)
+	promised := promise(status) && !c.p.opt.without.promiseRule
 	if !whole && !promised {
 		return c.flow(ch, x, resp, a)
 	}
--- a/internal/system/proxy/silence_test.go
+++ b/internal/system/proxy/silence_test.go
@@ -252,3 +252,39 @@
 		}
 	})
 }
+
+// TestLateAnswer has a server answer when the time for it is up: its connection is closed by then, and the next request goes
+// out on another and gets its own answer.
+func TestLateAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		late := make(chan error, 1)
+		p := newPiped([]change{category(conf.NonIdempotent)}, func(c net.Conn, r *http.Request, body []byte) bool {
+			if r.Header.Get(attemptID) == "id-1" {
+				time.Sleep(9 * time.Second)
+				_, err := fmt.Fprintf(c, "%sContent-Length: 4\r\n\r\nlate", head(r, 200))
+				late <- err
+				return err == nil
+			}
+			return say(200, "own")(c, r, body)
+		})
+		ask := func(id string) *httptest.ResponseRecorder {
+			r := httptest.NewRequest("POST", "/a/x", strings.NewReader("body"))
+			r.Host = "h.example"
+			r.Header.Set(attemptID, id)
+			w := httptest.NewRecorder()
+			p.ServeHTTP(w, r)
+			return w
+		}
+		if w := ask("id-1"); w.Code != 504 {
+			t.Errorf("status %d", w.Code)
+		}
+		if err := <-late; err == nil {
+			t.Error("the late answer was taken")
+		}
+		if w := ask("id-2"); w.Code != 200 || w.Body.String() != "own" || p.counters.Dials.Load() != 2 {
+			t.Errorf("status %d, body %q, %d connections", w.Code, w.Body.String(), p.counters.Dials.Load())
+		}
+		p.upstream.close()
+		synctest.Wait()
+	})
+}
--- a/internal/system/proxy/upstream.go
+++ b/internal/system/proxy/upstream.go
@@ -38,6 +38,7 @@
 	region   string
 	regions  map[string]string // zone to region
 	counters *Counters
+	without  removed
 
 	mu    sync.Mutex
 	pools map[string]*pool         // by the server's id
@@ -171,6 +172,9 @@
 			_ = c.Close()
 			continue
 		}
+		if u.without.idleLook {
+			return c, stale
+		}
 		switch quiet(c.tcp) {
 		case sound:
 			return c, stale
