replication: echoes of observers go to them alone

Only the observer uses its echo, so it stands in the reply to it, alone; members echo members. TestObserversAreCheap looks at each heartbeat's echoes.

--- a/internal/system/replication/core_observer_test.go
+++ b/internal/system/replication/core_observer_test.go
@@ -148,8 +148,13 @@
 	isObserver := func(a string) bool { return slices.Contains(observers, a) }
 	count := map[string]int{}
 	cl.filter = func(from, to string, m *replicationpb.Message) bool {
-		if m.GetHeartbeat() != nil {
+		if h := m.GetHeartbeat(); h != nil {
 			count[fmt.Sprint(isObserver(from), isObserver(to))]++
+			for _, e := range h.GetEchoes() {
+				if id := e.GetId(); isObserver(id) && id != to || h.GetReply() && id != to {
+					t.Errorf("a heartbeat from %s to %s has an echo of %s", from, to, id)
+				}
+			}
 		}
 		return true
 	}
--- a/internal/system/replication/heartbeat.go
+++ b/internal/system/replication/heartbeat.go
@@ -34,31 +34,46 @@
 	return life * golden >> 16
 }
 
-// heartbeat is what this keeper says of itself, under a number of its own.
-func (c *Core) heartbeat() *replicationpb.Heartbeat {
+// heartbeat is what this keeper says of itself, under a number of its own, with the echoes given.
+func (c *Core) heartbeat(echoes []*replicationpb.Echo) *replicationpb.Heartbeat {
 	c.number++
 	c.sentAt[c.number%sentRing] = c.now
 	b := &replicationpb.Heartbeat{
 		Member: memberPB(c.reg.self), Number: c.number, Life: c.cfg.Life, Epoch: c.epochOn,
 		Active: c.activeOn, Sealed: c.sealedOn, Committed: c.committed, DiskBad: c.disk.bad, Leaving: c.leaving,
-		Bootstrap: c.cfg.Bootstrap, Stuck: string(c.stuck()), Observer: c.cfg.Observer,
+		Bootstrap: c.cfg.Bootstrap, Stuck: string(c.stuck()), Observer: c.cfg.Observer, Echoes: echoes,
 	}
 	if c.reg.next != nil {
 		b.Accepted = c.reg.next.Epoch
 	}
+	return b
+}
+
+// echoes of the members that have lately been heard. Those of an observer matter to it alone and go into the reply to it.
+func (c *Core) echoes() []*replicationpb.Echo {
+	var all []*replicationpb.Echo
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
-		if p := c.peers[id]; c.now-p.heardAt < c.suspectAfter(p) {
-			b.Echoes = append(b.Echoes, &replicationpb.Echo{Id: string(id), Number: p.number})
+		if !c.peers[id].heartbeat.GetObserver() {
+			all = append(all, c.echo(id)...)
 		}
 	}
-	return b
+	return all
+}
+
+// echo says which heartbeat of a peer was heard last, none where that was long ago.
+func (c *Core) echo(id ID) []*replicationpb.Echo {
+	p := c.peers[id]
+	if c.now-p.heardAt >= c.suspectAfter(p) {
+		return nil
+	}
+	return []*replicationpb.Echo{{Id: string(id), Number: p.number}}
 }
 
 // sendHeartbeats tells everyone how this keeper is. Observers are told in reply to their own heartbeats.
 func (c *Core) sendHeartbeats() {
 	c.heartbeatAt = c.now
 	c.forgetPeers()
-	body := &replicationpb.Message_Heartbeat{Heartbeat: c.heartbeat()}
+	body := &replicationpb.Message_Heartbeat{Heartbeat: c.heartbeat(c.echoes())}
 	msg := &replicationpb.Message{From: string(c.reg.self.ID), Body: body}
 	for _, a := range c.audience() {
 		c.out.Messages = append(c.out.Messages, Envelope{Addr: a, Msg: msg})
--- a/internal/system/replication/observer.go
+++ b/internal/system/replication/observer.go
@@ -73,7 +73,7 @@
 	if !b.GetObserver() || b.GetReply() {
 		return
 	}
-	reply := c.heartbeat()
+	reply := c.heartbeat(c.echo(from))
 	reply.Reply = true
 	c.send(from, &replicationpb.Message{Body: &replicationpb.Message_Heartbeat{Heartbeat: reply}})
 }
