keeper: an unreadable disk is put aside, and a planned end waits as long as the grace allows

It counts as damaged now (wal.ErrDamaged): the log is put aside and the keeper begins anew, without a vote, and never forms a first view again.

Leave waits until enough others hold what was acknowledged, but was given 1 s; it has grace_s less 0.7 s, and a warning says when that was not enough.

--- a/cmd/keeper/chain.go
+++ b/cmd/keeper/chain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -91,7 +92,14 @@
 	if err := disk.PutAside(); err != nil {
 		return errors.Wrapf(err, "the damaged log in %s cannot be put aside: empty the folder", folder)
 	}
-	return k.join(ctx, options)
+	return k.join(ctx, anew(options))
+}
+
+// anew are the options of a keeper whose log was put aside. The system has run before, so it may not take part in forming a
+// first view, whatever the settings say: with others of its kind it would begin with an empty state.
+func anew(options replication.Options) replication.Options {
+	options.Bootstrap = false
+	return options
 }
 
 // logBytes is the part of the disk that the log may fill; 0: wal's default, which is less. The rest is for a snapshot that
@@ -120,10 +128,18 @@
 	return nil
 }
 
-// leave has the others go on without this keeper before it ends.
+// leave has the others go on without this keeper before it ends. Until enough of them hold what was acknowledged it stays, as
+// long as the grace allows: its disk may go with it.
 func (k *keeper) leave() {
 	k.log.Info("keeper: leaving")
-	ctx, cancel := context.WithTimeout(context.Background(), leaveWithin)
+	ctx, cancel := context.WithTimeout(context.Background(), leaveWithin(k.settings.Bounds.Grace))
 	defer cancel()
 	k.chain.Leave(ctx)
+	if ctx.Err() != nil {
+		k.log.Warn("keeper: the grace is up and the others have not taken over; keep this disk until they have")
+	}
+}
+
+func leaveWithin(graceSeconds float64) time.Duration {
+	return max(leastLeave, settings.Seconds(graceSeconds)-endMargin)
 }
--- a/cmd/keeper/run.go
+++ b/cmd/keeper/run.go
@@ -19,7 +19,8 @@
 )
 
 const (
-	leaveWithin      = time.Second // for the others to cut a keeper that goes out of the chain
+	endMargin        = 700 * time.Millisecond // kept free before the platform's kill
+	leastLeave       = time.Second            // for the others to cut a keeper that goes out of the chain, however short the grace
 	distributionPath = "/twirp/gradeusher.distribution.Distribution/"
 )
 
--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -95,10 +96,13 @@
 	if data, ok := meta[metaRegister]; ok {
 		var p replicationpb.Register
 		if err := proto.Unmarshal(data, &p); err != nil {
-			return nil, errors.Wrap(err, "replication: the register on disk cannot be read: empty the keeper's data directory")
+			return nil, unreadable(err, "the register")
 		}
 		c.reg = registerOf(&p)
 		id := c.reg.self.ID
+		if id == "" {
+			return nil, unreadable(errors.New("it names no identity"), "the register")
+		}
 		c.reg.self = cfg.Self
 		c.reg.self.ID = id
 		c.ready = true
@@ -117,7 +121,7 @@
 		c.persist(func() { c.ready = true })
 	}
 	if err := c.enter(); err != nil {
-		return nil, err
+		return nil, unreadable(err, "the log")
 	}
 	return c, nil
 }
@@ -126,11 +130,11 @@
 	if snap.Seq > 0 {
 		var p replicationpb.Image
 		if err := proto.Unmarshal(snap.Data, &p); err != nil {
-			return errors.Wrap(err, "replication: the snapshot on disk cannot be read: empty the keeper's data directory")
+			return unreadable(err, "the snapshot")
 		}
 		s, err := c.machine.Decode(p.GetState())
 		if err != nil {
-			return errors.Wrap(err, "replication: the snapshot on disk cannot be read: empty the keeper's data directory")
+			return unreadable(err, "the snapshot")
 		}
 		c.state, c.committed = s, snap.Seq
 		c.log.base, c.log.baseEpoch = snap.Seq, p.GetEpoch()
@@ -142,7 +146,7 @@
 		}
 		var p replicationpb.Entry
 		if err := proto.Unmarshal(e.Data, &p); err != nil || p.GetSeq() != c.log.end()+1 {
-			return errors.Newf("replication: record %d on disk cannot be read: empty the keeper's data directory", e.Seq)
+			return unreadable(err, fmt.Sprintf("record %d", e.Seq))
 		}
 		c.log.entries = append(c.log.entries, entryOf(&p))
 		c.disk.bytes += len(e.Data)
@@ -151,6 +155,14 @@
 	return nil
 }
 
+// unreadable marks what the disk gave back whole but is not what a keeper writes: it is as good as damaged.
+func unreadable(err error, what string) error {
+	if err == nil {
+		err = errors.New("its number is not the next one")
+	}
+	return errors.Mark(errors.Wrapf(err, "replication: %s on disk cannot be read: put the log aside and start under a new identity", what), wal.ErrDamaged)
+}
+
 // Self is this keeper; its ID is the one on disk.
 func (c *Core) Self() Member { return c.reg.self }
 
