replication: seeds that all lack a disk form the first view of keepers that have one

Need: with two keepers a zone, of which one has a disk, the three seeds may all be observers. Then nobody could form the first view, and the system never started (TestAllSeedsAreObservers failed). Change: where all seeds have said that they are observers, they vote for the first view, with their promises in memory, and name keepers with a disk. The comment at quorum has why there is one first view only. Ruled out: one seed that names the keepers alone (it may be the one that is down); any keeper that hears no seed with a disk (two may).

--- a/internal/system/replication/agree.go
+++ b/internal/system/replication/agree.go
@@ -39,6 +39,10 @@
 // votes, all of them out of D. Whatever another proposer knows, it needs as many. Knowing fewer observers makes the
 // majority larger, never smaller. This takes that a seed does not turn from observer to voter before the first view:
 // Config.Bootstrap is set only at the first start of all, and Config.Observer is a property of the machine.
+//
+// Where all seeds have said that they are observers, D is empty, and the seeds vote for the first view all the same: a
+// majority of all of them, with their promises in memory. One whose process ends has no vote any more, since it starts
+// without Config.Bootstrap; so nobody votes twice. They name keepers with a disk, and vote no more once there is a view.
 func (c *Core) quorum(v *View, set map[ID]string) bool {
 	n := 0
 	if v.Epoch == 0 {
@@ -49,7 +53,10 @@
 				n++
 			}
 		}
-		total := len(c.cfg.Seeds) - c.observerSeeds()
+		total := len(c.cfg.Seeds)
+		if !c.noSeedHasDisk() {
+			total -= c.observerSeeds()
+		}
 		return total > 0 && n > total/2
 	}
 	for _, m := range v.Voters {
--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -349,12 +349,12 @@
 }
 
 func (c *Core) isVoter(v *View) bool {
+	if v.Epoch == 0 {
+		return c.cfg.Bootstrap && slices.Contains(c.cfg.Seeds, c.reg.self.Addr) && (!c.cfg.Observer || c.noSeedHasDisk())
+	}
 	if c.cfg.Observer {
 		return false
 	}
-	if v.Epoch == 0 {
-		return c.cfg.Bootstrap && slices.Contains(c.cfg.Seeds, c.reg.self.Addr)
-	}
 	_, ok := v.Voter(c.reg.self.ID)
 	return ok
 }
--- a/internal/system/replication/core_observer_test.go
+++ b/internal/system/replication/core_observer_test.go
@@ -169,3 +169,62 @@
 		t.Error("observers cost too many heartbeats")
 	}
 }
+
+// TestAllSeedsAreObservers: no seed has a disk; the keepers that do are formed into the first view by the seeds, at any
+// number of them. Danger: nobody may form it, and the system never starts.
+func TestAllSeedsAreObservers(t *testing.T) {
+	seeds := []string{"o1", "o2", "o3"}
+	for keepers := 1; keepers <= 4; keepers++ {
+		cl := newCluster(t)
+		for _, a := range slices.Concat([]string{"k1", "k2", "k3", "k4"}[:keepers], seeds) {
+			cl.start(observed(a, seeds, seeds))
+		}
+		took := cl.until(8*time.Second, "the first view", func() bool {
+			noObserverInViews(t, cl)
+			return cl.complete(min(keepers, 3), min(keepers, 3))
+		})
+		t.Logf("%d keepers: complete after %v", keepers, took)
+		if keepers < 2 {
+			continue
+		}
+		id := cl.submit("o2", noted("a"), 2*time.Second)
+		cl.until(2*time.Second, "a change through an observer", func() bool { return cl.answered(id) })
+	}
+}
+
+// TestSeedsWithoutADiskFormOneView cuts the three seeds, all observers, from each other in turn while two groups of keepers
+// are there, and restarts one of them. Danger: two first views.
+func TestSeedsWithoutADiskFormOneView(t *testing.T) {
+	seeds := []string{"o1", "o2", "o3"}
+	for round := range 60 {
+		cl := newCluster(t)
+		for _, a := range slices.Concat([]string{"k1", "k2", "k3", "k4"}, seeds) {
+			cl.start(observed(a, seeds, seeds))
+		}
+		off := seeds[round%3]
+		cut := time.Duration(round) * 50 * time.Millisecond
+		cl.filter = func(from, to string, _ *replicationpb.Message) bool {
+			if cl.now < cut {
+				return true
+			}
+			return from != off && to != off || from == "k1" || to == "k1"
+		}
+		cl.run(cut)
+		again := observed(seeds[(round+1)%3], seeds, seeds)
+		again.Bootstrap = false // a start that is not the first of all
+		again.Self.ID = "again"
+		cl.start(again)
+		cl.run(6 * time.Second)
+		cl.filter = nil
+		cl.run(4 * time.Second)
+		founders := map[string]bool{}
+		for _, n := range cl.nodes {
+			if v := n.core.reg.view; v.Epoch > 0 {
+				founders[fmt.Sprint(v.Epoch, v.Chain, v.Voters)] = true
+			}
+		}
+		if len(founders) > 1 {
+			t.Fatalf("round %d: %d views: %v", round, len(founders), founders)
+		}
+	}
+}
--- a/internal/system/replication/observer.go
+++ b/internal/system/replication/observer.go
@@ -11,7 +11,7 @@
 
 // An observer is a keeper on a machine without a disk. It follows the chain as a learner, knows the view, and passes
 // changes to the head and reads to the tail. It is no voter, no link and no part of a quorum: what it would promise or
-// hold is gone when its process ends. Members send it heartbeats only in reply to its own, which are slower than theirs,
+// hold is gone when its process ends. The one exception is the first view, where no seed has a disk: see quorum. Members send it heartbeats only in reply to its own, which are slower than theirs,
 // and observers that know each other exchange none, so that many observers cost the members little.
 
 const (
@@ -68,6 +68,11 @@
 	return n
 }
 
+// noSeedHasDisk tells whether all seeds have said that they are observers.
+func (c *Core) noSeedHasDisk() bool {
+	return len(c.cfg.Seeds) > 0 && c.observerSeeds() == len(slices.Compact(slices.Sorted(slices.Values(c.cfg.Seeds))))
+}
+
 // replyToObserver answers a heartbeat of an observer, which this keeper sends none by itself.
 func (c *Core) replyToObserver(from ID, b *replicationpb.Heartbeat) {
 	if !b.GetObserver() || b.GetReply() {
--- a/internal/system/replication/plan.go
+++ b/internal/system/replication/plan.go
@@ -46,36 +46,33 @@
 	return next, rank
 }
 
+// planFirst gives the first view: of the seeds with a disk, and others up to the number of voters aimed at.
 func (c *Core) planFirst() (*View, int) {
-	known := map[ID]string{c.reg.self.ID: c.reg.self.Addr}
-	members := []Member{c.reg.self}
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
-		p := c.peers[id]
-		if !slices.Contains(c.cfg.Seeds, p.member.Addr) || !p.heartbeat.GetBootstrap() || !c.alive(id) {
-			continue
-		}
-		if p.heartbeat.GetEpoch() > 0 {
+		if c.peers[id].heartbeat.GetEpoch() > 0 {
 			return nil, 0 // the view is on its way
 		}
-		known[id] = p.member.Addr
-		members = append(members, p.member)
 	}
-	if !c.quorum(c.reg.view, known) {
+	founders := c.seedsWithDisk()
+	members := c.addFounders(founders)
+	enough := len(founders)+c.observerSeeds() >= len(c.cfg.Seeds)
+	if c.noSeedHasDisk() {
+		enough = len(members) >= c.cfg.voters()
+	}
+	known := map[ID]string{}
+	for _, m := range founders {
+		known[m.ID] = m.Addr
+	}
+	if len(members) == 0 || !c.noSeedHasDisk() && !c.quorum(c.reg.view, known) {
 		c.seedsAt = -1
 		return nil, 0
 	}
 	if c.seedsAt < 0 {
 		c.seedsAt = c.now
 	}
-	if len(members)+c.observerSeeds() < len(c.cfg.Seeds) && c.now-c.seedsAt < formDelay {
+	if !enough && c.now-c.seedsAt < formDelay {
 		return nil, 0
 	}
-	slices.SortFunc(members, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(slices.Index(c.cfg.Seeds, a.Addr), slices.Index(c.cfg.Seeds, b.Addr)), cmp.Compare(a.ID, b.ID))
-	})
-	members = slices.CompactFunc(members, func(a, b Member) bool { return a.Addr == b.Addr })
-	members = c.addFounders(members)
-	rank := slices.IndexFunc(members, func(m Member) bool { return m.ID == c.reg.self.ID })
 	heads := c.longestLogs(members)
 	links := []Member{heads[0]}
 	for more := true; more && len(links) < c.cfg.maxLinks(); {
@@ -86,9 +83,30 @@
 	for _, m := range links {
 		v.Chain = append(v.Chain, m.ID)
 	}
+	rank := slices.IndexFunc(members, func(m Member) bool { return m.ID == c.reg.self.ID })
+	if c.cfg.Observer {
+		rank = slices.Index(c.cfg.Seeds, c.reg.self.Addr)
+	}
 	return v, max(rank, 0)
 }
 
+// seedsWithDisk lists the seeds that may found the first view and are heard, in the order of the seeds.
+func (c *Core) seedsWithDisk() []Member {
+	var members []Member
+	if !c.cfg.Observer {
+		members = append(members, c.reg.self)
+	}
+	for id, p := range c.peers {
+		if slices.Contains(c.cfg.Seeds, p.member.Addr) && p.heartbeat.GetBootstrap() && !p.heartbeat.GetObserver() && c.alive(id) {
+			members = append(members, p.member)
+		}
+	}
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(slices.Index(c.cfg.Seeds, a.Addr), slices.Index(c.cfg.Seeds, b.Addr)), cmp.Compare(a.ID, b.ID))
+	})
+	return slices.CompactFunc(members, func(a, b Member) bool { return a.Addr == b.Addr })
+}
+
 // addFounders fills up the voters of the first view with keepers that are no seeds. The view is chosen by a majority of
 // the seeds, and of its own voters as any other.
 func (c *Core) addFounders(members []Member) []Member {
--- a/internal/system/replication/types.go
+++ b/internal/system/replication/types.go
@@ -137,9 +137,6 @@
 }
 
 func (c *Config) defaults() {
-	if c.Observer {
-		c.Bootstrap = false
-	}
 	if c.Heartbeat <= 0 {
 		c.Heartbeat = 100 * time.Millisecond
 	}
