replication: a cut of 20 s, and catching up while the feeder is lost, as tests on cores

Change: one link of three is cut off for 20 s, both ways or one, and all that was under way arrives at the end; a member that was away for 400 and 2,000 changes is brought back through a link of 2 MB/s at 20 changes a second while its feeder is lost.

--- /dev/null
+++ b/internal/system/replication/core_catchup_test.go
@@ -0,0 +1,59 @@
+package replication
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestCatchingUpWhileTheFeederIsLost brings back a member that was away for 400 and for 2,000 changes, as a former link and
+// as a spare, through a link of 2 MB/s, while changes go on at 20 a second; the tail, which feeds it, ends at each of some
+// moments on the way. Danger: it starts anew for ever, or is never a link again.
+func TestCatchingUpWhileTheFeederIsLost(t *testing.T) {
+	const each = 10 << 10
+	var longest time.Duration
+	for _, away := range []time.Duration{20 * time.Second, 100 * time.Second} {
+		for _, lostAfter := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second} {
+			cl := newCluster(t)
+			cl.machine = blobMachine{}
+			addrs := []string{"k1", "k2", "k3", "k4", "k5"}
+			for i, a := range addrs {
+				cl.start(Config{
+					Self: Member{Addr: a, Zone: "zone " + addrs[i], Region: "r"}, MachineLosses: 2, Seeds: addrs[:3], Bootstrap: true,
+					compactAfter: 300, // the 400 changes are behind a snapshot too
+				})
+			}
+			cl.until(8*time.Second, "the first view", func() bool { return cl.complete(5, 5) })
+			cl.run(time.Second)
+			member := cl.link(4)
+			head := cl.link(0)
+			cl.nodes[member].core = nil
+			cl.flow(head, cl.now+away, each, nil)
+			cl.pipes[member] = &pipe{rate: 2 << 20}
+			cl.start(cl.nodes[member].cfg)
+			began, level := cl.now, time.Duration(0)
+			cl.flow(head, cl.now+lostAfter, each, nil)
+			feeder := cl.link(len(cl.view().Chain) - 1)
+			if feeder == member {
+				feeder = cl.link(len(cl.view().Chain) - 2)
+			}
+			cl.nodes[feeder].core = nil
+			cl.flow(head, cl.now+10*time.Second, each, func() {
+				v := cl.view()
+				if level == 0 && slices.Contains(v.Chain, ID(member)) && len(v.Chain) == 4 && cl.nodes[member].core.activeOn == v.Epoch {
+					level = cl.now - began
+				}
+			})
+			t.Logf("away for %v, its feeder lost after %v: a link again after %v, %.1f MB sent", away, lostAfter, level,
+				float64(cl.pipes[member].sent)/(1<<20))
+			if level == 0 {
+				t.Errorf("away for %v, its feeder lost after %v: it is no link again within 10 s", away, lostAfter)
+			}
+			longest = max(longest, level)
+			if n := inMemory(cl.nodes[member].core); n > compactBytes+2*keepBytes {
+				t.Errorf("its log takes %d bytes in memory", n)
+			}
+		}
+	}
+	t.Logf("a link again after %v at most", longest)
+}
--- /dev/null
+++ b/internal/system/replication/core_cut_test.go
@@ -0,0 +1,78 @@
+package replication
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+)
+
+// TestACutOf20Seconds cuts one link of three off for 20 s, both ways or one, with all that was under way delivered late, at
+// the end. It is asked for reads and changes all the while, and changes go on at the others. Danger: it gives the past for
+// new, refuses what it cannot judge, or takes long to be a link again.
+func TestACutOf20Seconds(t *testing.T) {
+	directions := map[string]func(from, to, cut string) bool{
+		"both ways": func(from, to, cut string) bool { return from == cut || to == cut },
+		"from it":   func(from, _, cut string) bool { return from == cut },
+		"to it":     func(_, to, cut string) bool { return to == cut },
+	}
+	var longest, longestCurrent time.Duration
+	for name, stops := range directions {
+		for link := range 3 {
+			cl := trio(t, 1, scriptedHooks{})
+			cut := cl.link(link)
+			other := cl.link((link + 1) % 3)
+			var late []Envelope
+			cl.filter = func(from, to string, m *replicationpb.Message) bool {
+				if stops(from, to, cut) {
+					late = append(late, Envelope{Addr: to, Msg: m})
+					return false
+				}
+				return true
+			}
+			n, began, acked := cl.nodes[cut], cl.now, uint64(0)
+			var change, read, here uint64
+			for rev := int64(0); cl.now-began < 20*time.Second; cl.step() {
+				if change == 0 || cl.done[change].ID != 0 {
+					if cl.answered(change) {
+						rev++
+						acked = cl.done[change].Seq
+					}
+					change = cl.submit(other, replacing(rev, string(rune('a'+rev%26))+name), 4*time.Second)
+				}
+				if read == 0 || cl.done[read].ID != 0 {
+					read = cl.read(cut, time.Second)
+				}
+				if here == 0 || cl.done[here].ID != 0 {
+					if d := cl.done[here]; d.Outcome == Answered && d.Verdict.Kind != controlstate.Accept && d.Verdict.Kind != controlstate.Stale {
+						t.Fatalf("%s of %s: a change at it ended with %v", name, cut, d.Verdict)
+					}
+					here = cl.submit(cut, replacing(n.core.state.(*toy).rev, "at the cut one"), time.Second)
+				}
+				if cl.now-began < 2*time.Second {
+					continue
+				}
+				if d := cl.done[read]; d.Outcome == Answered && d.Seq+1 < acked {
+					t.Fatalf("%s of %s: a read gave record %d, %d was acknowledged", name, cut, d.Seq, acked)
+				}
+				if n.core.Current(cl.clock(n)) && n.core.committed+1 < acked {
+					t.Fatalf("%s of %s: it counts as current with record %d of %d", name, cut, n.core.committed, acked)
+				}
+			}
+			if acked < 20 {
+				t.Fatalf("%s of %s: %d changes were acknowledged at the others", name, cut, acked)
+			}
+			cl.filter = nil
+			for _, e := range late {
+				cl.deliver(e)
+			}
+			took := cl.until(5*time.Second, name+" of "+cut+": three links", func() bool { return cl.complete(3, 3) })
+			longest = max(longest, took)
+			longestCurrent = max(longestCurrent, took+cl.until(5*time.Second, "it is current", func() bool {
+				return n.core.Current(cl.clock(n)) && n.core.committed >= acked
+			}))
+		}
+	}
+	t.Logf("a link again after %v at most, current after %v at most", longest, longestCurrent)
+}
