--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -115,7 +115,7 @@
 	if c.tried = append(c.tried, ch.Server.ID); len(c.tried) > 1 {
 		c.p.counters.Repeats.Add(1)
 	}
-	c.watch(x, max(2*c.route.Aim, leastPatience))
+	c.watch(x, max(2*c.route.Aim, c.p.opt.patience))
 	resp, early := (*http.Response)(nil), err != nil
 	if resp, err = x.answer(c.r.Method); err == nil {
 		resp.Close = resp.Close || early // the rest of the request never goes out
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -19,8 +19,10 @@
 	MemoryMB  int           // of the process; default 256
 	Log       log.Interface // default log.Log
 
-	stall   time.Duration // a client that takes nothing for so long is given up; default stallFor
-	without removed       // in tests
+	stall    time.Duration // a client that takes nothing for so long is given up; default stallFor
+	patience time.Duration // a server may be silent so long before an answer begins; default leastPatience
+	gap      time.Duration // and so long within a stream; default leastGap
+	without  removed       // in tests
 }
 
 // removed are the protections that a test has taken out, to show that something breaks without each. It is zero in service.
@@ -67,6 +69,12 @@
 	if o.stall <= 0 {
 		o.stall = stallFor
 	}
+	if o.patience <= 0 {
+		o.patience = leastPatience
+	}
+	if o.gap <= 0 {
+		o.gap = leastGap
+	}
 	if o.Log == nil {
 		o.Log = log.Log
 	}
