--- /dev/null
+++ b/internal/system/replication/core_disk_test.go
@@ -0,0 +1,144 @@
+package replication
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/system/wal"
+)
+
+// alone is one keeper whose chain is itself, on a log in a folder.
+type alone struct {
+	t    *testing.T
+	core *Core
+	log  *wal.Log
+	now  time.Duration
+	done map[uint64]Completion
+	peak int // bytes of records in memory, at most
+}
+
+func newAlone(t *testing.T, machine Machine, folder string) *alone {
+	t.Helper()
+	log, err := wal.Open(folder, wal.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = log.Close() })
+	meta, snapshot, entries, err := log.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := Member{ID: "a", Addr: "10.0.0.1", Zone: "z", Region: "r"}
+	core, err := NewCore(Config{Self: self, Seeds: []string{self.Addr}, Bootstrap: true, Life: 1, Seed: 1}, machine, meta, snapshot, entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &alone{t: t, core: core, log: log, done: map[uint64]Completion{}}
+}
+
+// until goes on until ok, for limit at most; a write takes no time.
+func (a *alone) until(limit time.Duration, what string, ok func() bool) {
+	a.t.Helper()
+	for end := a.now + limit; !ok(); a.now += clusterStep {
+		if a.now > end {
+			a.t.Fatalf("%s: not within %v", what, limit)
+		}
+		out := a.core.Take()
+		for _, d := range out.Done {
+			a.done[d.ID] = d
+		}
+		if out.Disk != nil {
+			a.core.DiskDone(a.now, out.Disk.Token, out.Disk.Do(a.log))
+		} else {
+			a.core.Tick(a.now)
+		}
+		held := 0
+		for i := range a.core.log.entries {
+			held += a.core.log.entries[i].size()
+		}
+		a.peak = max(a.peak, held)
+	}
+}
+
+// change submits changes of so many bytes, all at once, and waits for them.
+func (a *alone) change(first, count uint64, size int) {
+	a.t.Helper()
+	for id := first; id < first+count; id++ {
+		a.core.Submit(a.now, id, controlstate.Change{Op: controlstate.OpNone, Zone: fmt.Sprint(id), Body: make([]byte, size)}, 5*time.Second)
+	}
+	a.until(5*time.Second, "changes", func() bool {
+		for id := first; id < first+count; id++ {
+			if _, ok := a.done[id]; !ok {
+				return false
+			}
+		}
+		return true
+	})
+	for id := first; id < first+count; id++ {
+		if d := a.done[id]; d.Outcome != Answered {
+			a.t.Fatalf("change %d: %+v", id, d)
+		}
+	}
+}
+
+// heavyMachine is a toyMachine whose states take so many bytes on disk.
+type heavyMachine struct {
+	toyMachine
+	bytes int
+}
+
+type heavy struct {
+	State
+	bytes int
+}
+
+func (m heavyMachine) Empty() State { return heavy{m.toyMachine.Empty(), m.bytes} }
+
+func (m heavyMachine) Decode(data []byte) (State, error) {
+	s, err := m.toyMachine.Decode(data)
+	return heavy{s, m.bytes}, err
+}
+
+func (h heavy) Encode() []byte {
+	return append(h.State.Encode(), bytes.Repeat([]byte(" "), h.bytes)...)
+}
+
+func (h heavy) Apply(r controlstate.Record) (State, error) {
+	next, err := h.State.Apply(r)
+	return heavy{next, h.bytes}, err
+}
+
+// TestFullLogIsCompacted has more under way than the log may hold beside its snapshot. Danger: the log is full of what is
+// committed, each append is refused, and the compaction that would make room waits behind them for good.
+func TestFullLogIsCompacted(t *testing.T) {
+	const size = 15 << 20
+	a := newAlone(t, heavyMachine{bytes: size}, t.TempDir())
+	a.change(1, 1, size)
+	a.change(2, 4, size)
+	if n := a.log.Bytes(); n > 40<<20 {
+		t.Errorf("the log has %d bytes", n)
+	}
+}
+
+// TestCompactionAheadOfTheLog is due to compact while what is committed is not all on its own disk yet, as on a keeper that is
+// fed under load. Danger: the log refuses a snapshot beyond its end, and the compaction is tried again for good.
+func TestCompactionAheadOfTheLog(t *testing.T) {
+	a := newAlone(t, toyMachine{}, t.TempDir())
+	a.change(1, 3, 100)
+	c := a.core
+	c.disk.bytes = 2 * compactBytes
+	record := controlstate.Record{Seq: 4, Op: controlstate.OpNone, Zone: "fed"}
+	next, err := c.state.Apply(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.log.entries = append(c.log.entries, entry{epoch: c.log.entries[0].epoch, rec: record})
+	c.state, c.committed = next, 4
+	a.until(2*time.Second, "a snapshot at 4", func() bool { return c.disk.snapshot == 4 && c.disk.op == nil })
+	if _, snapshot, entries, err := a.log.Load(); err != nil || snapshot.Seq != 4 || len(entries) > 0 {
+		t.Errorf("on disk: a snapshot at %d, %d entries, %v", snapshot.Seq, len(entries), err)
+	}
+}
--- a/internal/system/replication/disk.go
+++ b/internal/system/replication/disk.go
@@ -79,6 +79,7 @@
 	install  *wal.Snapshot
 	snapshot uint64 // newest snapshot on disk
 	bytes    int    // logged since
+	refused  bool   // the last append, with no compaction since
 }
 
 // persist writes the register and then runs then, unless the process ends before.
@@ -148,12 +149,11 @@
 				d.unsure = false
 			}
 		})
-	case c.compactionDue(2): // before more records, that wait at the end of each write under load
-		c.startCompact()
+	case c.compactionDue(2) && c.startCompact(): // before more records, that wait at the end of each write under load
+	case d.refused && min(c.committed, d.end) > d.snapshot && c.startCompact(): // the log may be full
 	case d.end < c.log.end():
 		c.startAppend()
-	case c.compactionDue(1):
-		c.startCompact()
+	case c.compactionDue(1) && c.startCompact():
 	}
 }
 
@@ -182,6 +182,7 @@
 		if d.install != nil {
 			return
 		}
+		d.refused = err != nil
 		if err != nil {
 			d.unsure = true
 			return
@@ -193,24 +194,31 @@
 	})
 }
 
-func (c *Core) startCompact() {
+// startCompact begins to write the committed state as a snapshot; false where it cannot.
+func (c *Core) startCompact() bool {
 	d := &c.disk
 	epoch, ok := c.log.epochAt(c.committed)
 	if !ok {
-		return
+		return false
 	}
 	snap, err := encodeImage(c.committed, epoch, c.state)
 	if err != nil {
 		c.fail(err)
-		return
+		return false
+	}
+	op := &DiskOp{Kind: DiskCompact, Snapshot: snap}
+	if c.committed > d.end { // it is ahead of the log on disk, and takes its place
+		op.Kind = DiskInstall
 	}
-	c.startOp(&DiskOp{Kind: DiskCompact, Snapshot: snap}, func(err error) {
+	c.startOp(op, func(err error) {
+		d.refused = false
 		if err != nil || d.install != nil {
 			return
 		}
-		d.snapshot, d.bytes = snap.Seq, 0
+		d.end, d.snapshot, d.bytes = max(d.end, snap.Seq), snap.Seq, 0
 		c.dropBehind(snap)
 	})
+	return true
 }
 
 // dropBehind forgets records below a snapshot, but for those that somebody may need who is a little behind: at most
