--- /dev/null
+++ b/internal/system/wal/bounds_test.go
@@ -0,0 +1,307 @@
+package wal
+
+import (
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Sizes of the machines that the log is for, in bytes.
+const (
+	wholeDisk   = 64e6
+	mostState   = 16 << 20 // a configuration, the largest that a keeper takes
+	usualState  = 600 << 10
+	compactAt   = 8 << 20 // of records since the last snapshot: when a keeper compacts
+	mostOfALoad = 44 << 20
+)
+
+// meterFS is the operating system's file system without syncs, on a disk of a given size, whose fill it measures.
+type meterFS struct {
+	osFS
+	sizes          map[string]int64
+	used, peak     int64
+	capacity       int64
+	renamesToFail  int
+	segments, most int // files of segments
+}
+
+type meterFile struct {
+	File
+	fs   *meterFS
+	name *string // changes with a rename
+}
+
+func newMeterFS() *meterFS { return &meterFS{sizes: map[string]int64{}, capacity: wholeDisk} }
+
+func (m *meterFS) resize(name string, size int64) error {
+	used := m.used + size - m.sizes[name]
+	if used > m.capacity && size > m.sizes[name] {
+		return errNoRoom
+	}
+	m.sizes[name], m.used = size, used
+	m.peak = max(m.peak, used)
+	return nil
+}
+
+func (m *meterFS) countSegments() {
+	m.segments = 0
+	for name := range m.sizes {
+		if strings.HasPrefix(filepath.Base(name), "log-") {
+			m.segments++
+		}
+	}
+	m.most = max(m.most, m.segments)
+}
+
+func (m *meterFS) Create(name string) (File, error) {
+	f, err := m.osFS.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	m.sizes[name] = 0
+	m.countSegments()
+	return &meterFile{f, m, &name}, nil
+}
+
+func (m *meterFS) Open(name string) (File, error) {
+	f, err := m.osFS.Open(name)
+	return &meterFile{f, m, &name}, err
+}
+
+func (m *meterFS) Rename(from, to string) error {
+	if m.renamesToFail > 0 {
+		m.renamesToFail--
+		return errors.New("input/output error")
+	}
+	if err := m.osFS.Rename(from, to); err != nil {
+		return err
+	}
+	m.used -= m.sizes[to]
+	m.sizes[to] = m.sizes[from]
+	delete(m.sizes, from)
+	return nil
+}
+
+func (m *meterFS) Remove(name string) error {
+	if err := m.osFS.Remove(name); err != nil {
+		return err
+	}
+	m.used -= m.sizes[name]
+	delete(m.sizes, name)
+	return nil
+}
+
+func (*meterFS) SyncDir(string) error { return nil }
+
+// current is the name under which the file counts; a start of a segment is written under another one.
+func (f *meterFile) current() string {
+	if _, ok := f.fs.sizes[*f.name]; !ok {
+		*f.name = strings.TrimSuffix(*f.name, temporarySuffix)
+	}
+	return *f.name
+}
+
+func (f *meterFile) WriteAt(b []byte, at int64) (int, error) {
+	if err := f.fs.resize(f.current(), max(f.fs.sizes[f.current()], at+int64(len(b)))); err != nil {
+		return 0, err
+	}
+	return f.File.WriteAt(b, at)
+}
+
+func (f *meterFile) Truncate(size int64) error {
+	_ = f.fs.resize(f.current(), size)
+	return f.File.Truncate(size)
+}
+
+func (*meterFile) Sync() error { return nil }
+
+// keeperOn is a log that is written as a keeper does.
+type keeperOn struct {
+	t       *testing.T
+	fs      *meterFS
+	folder  string
+	log     *Log
+	state   int // bytes of a snapshot
+	since   int // bytes of records since the last one
+	slowest time.Duration
+}
+
+func newKeeperOn(t *testing.T, state int) *keeperOn {
+	k := &keeperOn{t: t, fs: newMeterFS(), folder: t.TempDir(), state: state}
+	k.restart()
+	return k
+}
+
+func (k *keeperOn) restart() {
+	k.t.Helper()
+	began := time.Now()
+	log, err := Open(k.folder, Options{FS: k.fs})
+	if err == nil {
+		_, _, _, err = log.Load()
+	}
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	k.log, k.slowest = log, max(k.slowest, time.Since(began))
+}
+
+// change appends one record, compacts when it is due, and when the log is full.
+func (k *keeperOn) change(size int) {
+	k.t.Helper()
+	entry := Entry{Seq: k.log.last + 1, Data: make([]byte, size)}
+	err := k.log.Append([]Entry{entry})
+	if errors.Is(err, ErrFull) {
+		k.compact()
+		err = k.log.Append([]Entry{entry})
+	}
+	if err != nil {
+		k.t.Fatalf("entry %d: %v", entry.Seq, err)
+	}
+	if k.since += size; k.since >= compactAt {
+		k.compact()
+	}
+}
+
+func (k *keeperOn) compact() {
+	k.t.Helper()
+	if err := k.log.Compact(Snapshot{Seq: k.log.last, Data: make([]byte, k.state)}); err != nil {
+		k.t.Fatal(err)
+	}
+	k.since = 0
+}
+
+func (k *keeperOn) check() {
+	k.t.Helper()
+	k.t.Logf("at most %.1f MB of the disk and %d segments; the slowest start took %v", float64(k.fs.peak)/1e6, k.fs.most, k.slowest)
+	if k.fs.peak > wholeDisk {
+		k.t.Errorf("%d bytes of the disk were used", k.fs.peak)
+	}
+}
+
+// TestDiskStaysBounded makes changes without end on a disk of 64 MB, with restarts. Danger: the disk fills by itself.
+func TestDiskStaysBounded(t *testing.T) {
+	t.Run("2000 changes of 600 KB", func(t *testing.T) {
+		k := newKeeperOn(t, usualState)
+		for i := range 2000 {
+			if k.change(usualState); i%97 == 0 {
+				k.restart()
+			}
+		}
+		k.check()
+		if k.fs.most > 12 { // 8 MiB of records and one after, in segments of 2 MiB and one record
+			t.Errorf("%d segments: those behind a snapshot stay", k.fs.most)
+		}
+	})
+	t.Run("configurations of 16 MB", func(t *testing.T) {
+		k := newKeeperOn(t, mostState)
+		for i := range 40 {
+			if k.change(mostState); i%3 == 0 {
+				k.restart()
+			}
+		}
+		k.check()
+	})
+	t.Run("never compacted before it is full", func(t *testing.T) {
+		k := newKeeperOn(t, mostState)
+		for range 200 {
+			k.since = 0
+			k.change(usualState)
+		}
+		k.restart()
+		k.check()
+	})
+	t.Run("two snapshots at once", func(t *testing.T) {
+		k := newKeeperOn(t, mostState)
+		for i := range uint64(6) {
+			k.change(mostState)
+			k.fs.renamesToFail = int(i % 3)
+			for tries := 0; ; tries++ { // one after the other, also where a rename fails
+				if err := k.log.Install(Snapshot{Seq: 100 * (i + 1), Data: make([]byte, mostState)}); err == nil {
+					break
+				} else if tries > 3 {
+					t.Fatal(err)
+				}
+			}
+		}
+		k.check()
+	})
+	t.Run("beside a copy of a damaged log", func(t *testing.T) {
+		k := newKeeperOn(t, mostState)
+		for range 60 {
+			k.since = 0
+			k.change(usualState)
+		}
+		if err := k.log.PutAside(); err != nil {
+			t.Fatal(err)
+		}
+		k.restart()
+		for i := range 12 {
+			if k.change(mostState); i%3 == 0 {
+				k.restart()
+			}
+		}
+		k.check()
+		if len(k.log.damaged) > 0 {
+			t.Error("the copy is still there")
+		}
+	})
+}
+
+// TestFullDiskGetsRoomAgain lets others fill the disk, has every change refused and nothing lost, also in a restart, and gives
+// the room back.
+func TestFullDiskGetsRoomAgain(t *testing.T) {
+	k := newKeeperOn(t, usualState)
+	for range 5 {
+		k.change(usualState)
+	}
+	for round := range 3 {
+		k.fs.capacity = 0
+		last := k.log.last
+		for range 3 {
+			if err := k.log.Append([]Entry{{Seq: last + 1, Data: make([]byte, usualState)}}); !errors.Is(err, ErrFull) {
+				t.Fatal(err)
+			}
+			if err := k.log.Compact(Snapshot{Seq: last, Data: make([]byte, usualState)}); !errors.Is(err, ErrFull) {
+				t.Fatal(err)
+			}
+		}
+		if round > 0 {
+			k.restart()
+		}
+		if k.log.last != last {
+			t.Fatalf("the log ends at %d, not at %d", k.log.last, last)
+		}
+		k.fs.capacity = wholeDisk
+		k.change(usualState)
+		k.restart()
+		if k.log.last != last+1 {
+			t.Fatalf("the log ends at %d, not at %d", k.log.last, last+1)
+		}
+	}
+}
+
+// TestLoadStaysBounded loads a log of 40 MiB: what the whole of it allocates bounds the memory that it takes.
+func TestLoadStaysBounded(t *testing.T) {
+	k := newKeeperOn(t, usualState)
+	for k.log.Bytes() < 39<<20 {
+		k.since = 0
+		k.change(usualState)
+	}
+	size := k.log.Bytes()
+	_ = k.log.Close()
+	runtime.GC()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	k.slowest = 0
+	k.restart()
+	runtime.ReadMemStats(&after)
+	allocated := after.TotalAlloc - before.TotalAlloc
+	t.Logf("loading %d bytes allocated %d and took %v", size, allocated, k.slowest)
+	if allocated > mostOfALoad {
+		t.Errorf("loading %d bytes allocated %d", size, allocated)
+	}
+}
--- a/internal/system/wal/load.go
+++ b/internal/system/wal/load.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"encoding/binary"
 	"io"
 	"slices"
 	"strconv"
@@ -163,15 +164,34 @@
 		next = list.segments[n-1] + 1
 	}
 	if n := len(list.snapshots); n > 0 {
-		_, fields, err := l.readSnapshot(list.snapshots[n-1])
+		first, err := l.peekFirst(list.snapshots[n-1])
 		if err != nil {
 			return 0, err
 		}
-		next = max(next, fields.first)
+		next = max(next, first)
 	}
 	return next, nil
 }
 
+// peekFirst reads the number of the oldest segment that counts out of a snapshot's file, without a check of the whole; 0: there
+// is none.
+func (l *Log) peekFirst(generation uint64) (uint64, error) {
+	name := snapshotName(generation)
+	f, err := l.o.FS.Open(l.path(name))
+	if err != nil {
+		return 0, diskError(err, "open "+name)
+	}
+	defer func() { _ = f.Close() }()
+	var b [snapshotFirstAt + 8]byte
+	switch _, err := f.ReadAt(b[:], 0); {
+	case errors.Is(err, io.EOF): // it is damaged, as loadSnapshot will find
+		return 0, nil
+	case err != nil:
+		return 0, diskError(err, "read "+name)
+	}
+	return binary.LittleEndian.Uint64(b[snapshotFirstAt:]), nil
+}
+
 func (l *Log) size(name string) (int64, error) {
 	f, err := l.o.FS.Open(l.path(name))
 	if err != nil {
--- a/internal/system/wal/record.go
+++ b/internal/system/wal/record.go
@@ -20,6 +20,8 @@
 	kindTruncate = 2 // payload: the number after which entries are dropped
 )
 
+const snapshotFirstAt = 8 + 2*8 // where in a snapshot's file the number of the oldest segment that counts stands
+
 var (
 	segmentMagic  = []byte("GRDSEG03")
 	recordMagic   = []byte("wrec")
