wal: each protection has a control that fails without it; the crash model is harsher

TestControls takes one protection out at a time and runs the enumeration: syncs of files, of the folder and of the folder above that do nothing, no checksum of records, going on in the same file after a failed sync, a load that believes the newest segment. Two showed nothing at first, because the model was too kind: a write may now also be torn with the rest of its length as zeros, and after a sync that failed no later one makes anything of that file durable.

--- /dev/null
+++ b/internal/system/wal/control_test.go
@@ -0,0 +1,67 @@
+package wal
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// lies are syncs of a simulated disk that do nothing.
+type lies struct{ file, folder, parent bool }
+
+// enumerate runs the histories with the protections of h taken out, or with syncs that do nothing, through crashes, and
+// through one failing call before each. It returns the first fault that it finds.
+func enumerate(h hooks, l lies) error {
+	r := rand.New(rand.NewPCG(8, 9))
+	for _, name := range []string{"grow", "truncate", "compact", "install", "mixed"} {
+		for _, gap := range []int{0, 1, 7} { // between a call that fails and the crash; 0: none fails
+			for crash := 1 + gap; ; crash++ {
+				s, err := runWith(histories[name], h, l, func(n int, _ string) error {
+					switch {
+					case n == crash:
+						return errCrash
+					case n == crash-gap:
+						return errNoRoom
+					}
+					return nil
+				})
+				if err != nil {
+					return err
+				}
+				reached := s.fs.gone
+				if err := s.checkCrash(16, 0, r); err != nil {
+					return err
+				}
+				if !reached {
+					break
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// TestControls takes each protection out. Danger: a test of crashes that finds nothing because it looks at nothing.
+func TestControls(t *testing.T) {
+	if err := enumerate(hooks{}, lies{}); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		hooks hooks
+		lies  lies
+	}{
+		"no sync of files":                         {lies: lies{file: true}},
+		"no sync of the folder":                    {lies: lies{folder: true}},
+		"no sync of the folder above":              {lies: lies{parent: true}},
+		"no checksum of records":                   {hooks: hooks{trustRecords: true}},
+		"on in the same file after a failed sync":  {hooks: hooks{sameSegment: true}},
+		"the newest segment is believed in a load": {hooks: hooks{trustNewest: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := enumerate(c.hooks, c.lies)
+			if err == nil {
+				t.Error("the control shows nothing")
+			}
+			t.Log(err)
+		})
+	}
+}
--- a/internal/system/wal/crashmodel_test.go
+++ b/internal/system/wal/crashmodel_test.go
@@ -86,7 +86,7 @@
 var nonces atomic.Uint64
 
 func openSim(fs *simFS) (*Log, error) {
-	return Open(simFolder, Options{FS: fs, SegmentBytes: 200, MaxBytes: 1 << 20, ReserveBytes: 16,
+	return Open(simFolder, Options{FS: fs, SegmentBytes: 200, MaxBytes: 1 << 20, ReserveBytes: 16, hooks: fs.hooks,
 		Nonce: func() uint64 { return nonces.Add(1) }})
 }
 
--- a/internal/system/wal/simfs_test.go
+++ b/internal/system/wal/simfs_test.go
@@ -16,8 +16,8 @@
 var errCrash = errors.New("the machine is gone")
 
 // simFS is one folder of a simulated disk. What is not synced may be there, missing or torn after a loss of power, and each
-// name that was made, renamed or removed without a sync of the folder may be kept or lost by itself. What a failed sync was to
-// cover is never durable through a later sync of the same file, though reads show it.
+// name that was made, renamed or removed without a sync of the folder may be kept or lost by itself. After a sync that failed,
+// no later one makes anything more of that file durable, though it may succeed and reads show all.
 type simFS struct {
 	folder         folderState
 	names, durable map[string]*inode
@@ -25,7 +25,9 @@
 	calls          int     // that change something
 	fault          func(call int, what string) error
 	gone           bool
-	capacity       int // bytes of all files; 0: no bound
+	capacity       int   // bytes of all files; 0: no bound
+	hooks          hooks // of the logs opened on it
+	lies           lies
 }
 
 // folderState tells how far the folder itself is there.
@@ -40,6 +42,7 @@
 type inode struct {
 	content, durable []byte
 	pending          []fileOp // what durable lacks of content, in order
+	failed           bool     // a sync has failed
 }
 
 // fileOp is a write (data not nil) or a change of size.
@@ -93,7 +96,8 @@
 		all = append(all,
 			[]fileOp{{at: f.at, data: f.data[:half]}},
 			[]fileOp{{at: f.at + int64(half), data: f.data[half:]}},
-			[]fileOp{{at: f.at, data: make([]byte, len(f.data))}})
+			[]fileOp{{at: f.at, data: make([]byte, len(f.data))}},
+			[]fileOp{{at: f.at, data: append(f.data[:half:half], make([]byte, len(f.data)-half)...)}})
 	}
 	return all
 }
@@ -201,7 +205,12 @@
 		return err
 	}
 	if folder != simFolder {
-		s.folder = folderDurable
+		if !s.lies.parent {
+			s.folder = folderDurable
+		}
+		return nil
+	}
+	if s.lies.folder {
 		return nil
 	}
 	s.durable, s.pending = maps.Clone(s.names), nil
@@ -289,12 +298,17 @@
 	if err != nil {
 		done = syncFailed
 	}
-	f.n.settle(done)
+	if !f.fs.lies.file {
+		f.n.settle(done)
+	}
 	return err
 }
 
 // settle notes what a sync has done.
 func (n *inode) settle(done syncState) {
+	if n.failed = n.failed || done == syncFailed; n.failed {
+		done = syncFailed
+	}
 	n.pending = slices.Clone(n.pending)
 	for i := range n.pending {
 		if n.pending[i].state == syncNone {
@@ -313,12 +327,12 @@
 	twin := map[*inode]*inode{}
 	of := func(n *inode) *inode {
 		if twin[n] == nil {
-			twin[n] = &inode{content: n.content, durable: n.durable, pending: slices.Clone(n.pending)}
+			twin[n] = &inode{content: n.content, durable: n.durable, pending: slices.Clone(n.pending), failed: n.failed}
 		}
 		return twin[n]
 	}
 	c := newSimFS()
-	c.folder = s.folder
+	c.folder, c.hooks, c.lies = s.folder, s.hooks, s.lies
 	for name, n := range s.names {
 		c.names[name] = of(n)
 	}
@@ -350,7 +364,9 @@
 	sort.Slice(ordered, func(i, j int) bool { return string(ordered[i].content) < string(ordered[j].content) })
 	var sizes []int // of each choice
 	if s.folder == folderMade {
-		f(newSimFS())
+		none := newSimFS()
+		none.hooks, none.lies = s.hooks, s.lies
+		f(none)
 	}
 	for range s.pending {
 		sizes = append(sizes, 2)
@@ -416,6 +432,7 @@
 		content[n] = b
 	}
 	c := newSimFS()
+	c.hooks, c.lies = s.hooks, s.lies
 	if s.folder != folderMissing {
 		c.folder = folderDurable
 	}
--- a/internal/system/wal/takeover.go
+++ b/internal/system/wal/takeover.go
@@ -19,6 +19,9 @@
 		}
 		l.unfenced = true
 	}
+	if l.o.hooks.trustNewest {
+		l.leftover = segmentName(l.number)
+	}
 	if newest.number == 0 {
 		return nil
 	}
