replication: the harness's leaver may end while it says goodbye

machine.leave took its core after it had sent what Leave wants sent. A fault aimed at one of those messages or writes ends the process there, the core is nil, and the look for whether it has left dereferences it: TestHardeningSecondLossAtEachStepOfARepair panicked on main. The core is taken before; a process that has ended ends the wait, as it did before. No check is changed. The test passes (6 s).

--- a/internal/system/replication/sim_hardening_leave_test.go
+++ b/internal/system/replication/sim_hardening_leave_test.go
@@ -14,9 +14,9 @@
 	if !m.up() || m.frozen {
 		return
 	}
-	m.core.Leave(m.clock())
-	m.drain()
 	core, until := m.core, m.w.now+patience
+	core.Leave(m.clock())
+	m.drain() // a fault aimed at what it sends may end the process here
 	var look func()
 	look = func() {
 		if m.core == core && m.w.now < until && (m.frozen || !core.Left()) {
