keeper: one whose log was put aside forms no first view in later lives either

After a damaged log the keeper began anew without the right to form a first view, but only in that process: the next start with the same settings (bootstrap = true) found an empty log and formed one, beside the view that its old identity may have voted for. TestDamagedLogForOneThatBootstraps failed: 'formed chain 127.0.0.1, voters 127.0.0.1'. As long as the copy is beside the log (wal.Log.HasCopy), the keeper begins anew. It goes only when its room is needed, which is long after a first start.

--- a/cmd/keeper/chain.go
+++ b/cmd/keeper/chain.go
@@ -84,6 +84,13 @@
 		return errors.Wrapf(err, "the control state in %s cannot be opened", folder)
 	}
 	options.Disk = disk
+	forgot, err := disk.HasCopy()
+	if err != nil {
+		return errors.Wrapf(err, "the control state in %s cannot be opened", folder)
+	}
+	if forgot { // it was put aside in an earlier life
+		options = anew(options)
+	}
 	err = k.join(ctx, options)
 	if !errors.Is(err, wal.ErrDamaged) {
 		return err
--- a/internal/system/wal/putaside.go
+++ b/internal/system/wal/putaside.go
@@ -26,6 +26,12 @@
 	return l.finishPutAside()
 }
 
+// HasCopy tells whether the folder holds the copy of a damaged log, so that what was promised here is not known any more.
+func (l *Log) HasCopy() (bool, error) {
+	list, err := l.list()
+	return list.putAside || len(list.damaged) > 0, err
+}
+
 // beginPutAside removes the older copy, so that what has the names of a copy from here on is of this one, and marks the log.
 func (l *Log) beginPutAside(list folderList) error {
 	for _, name := range list.damaged {
