replication: a scripted scenario for epochs that count as empty without a seal

Change: the course on cores. What the head of the epoch has handed on is under way, its only successor in the chain is not active and cannot lead, and one that was active before is to lead. Without the seal a change is acknowledged that the next head lacks; with it none is.

--- /dev/null
+++ b/internal/system/replication/core_seal_test.go
@@ -0,0 +1,70 @@
+package replication
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+)
+
+// playUnsealedEpoch has a chain of a and b in which b, whose disk is slow, is not active yet. What a handed on to it is under
+// way. Nobody hears a any more, and c, which was active in the epoch before, is to lead. While that is agreed, what was
+// under way reaches b. It gives what c lacks of what was acknowledged, empty when it lacks nothing.
+func playUnsealedEpoch(t *testing.T, h hooks) string {
+	cl := newCluster(t)
+	for _, a := range []string{"a", "b", "c"} {
+		cl.start(Config{Self: Member{Addr: a, Zone: a, Region: "r"}, Seeds: []string{"a", "b", "c"}, Bootstrap: true, hooks: h})
+	}
+	cl.until(5*time.Second, "the first view", func() bool { return cl.complete(3, 3) })
+	cl.run(time.Second)
+	if cl.link(0) != "a" || cl.link(1) != "b" {
+		t.Fatalf("the chain is %v", cl.view())
+	}
+	var underWay, accepts []Envelope
+	lost := func(from, to string) bool { return from == "c" || to == "c" }
+	cl.filter = func(from, to string, m *replicationpb.Message) bool {
+		if lost(from, to) {
+			return false
+		}
+		if from == "c" && m.GetAccept() != nil {
+			accepts = append(accepts, Envelope{Addr: to, Msg: m})
+			return false
+		}
+		if to == "b" && m.GetAppend().GetEpoch() > 1 {
+			underWay = append(underWay, Envelope{Addr: to, Msg: m})
+			return false
+		}
+		return true
+	}
+	b := cl.nodes["b"].core
+	cl.until(3*time.Second, "a chain of a and b", func() bool { return b.reg.view.Epoch == 2 && cl.nodes["a"].core.isHead() })
+	change := cl.submit("a", noted("acknowledged"), 20*time.Second)
+	cl.run(300 * time.Millisecond)
+	lost = func(from, _ string) bool { return from == "a" }
+	b.disk.bad, b.disk.badUntil = true, time.Hour
+	cl.until(5*time.Second, "another view is proposed", func() bool { return len(accepts) > 0 })
+	for _, e := range underWay {
+		cl.deliver(e)
+	}
+	cl.run(100 * time.Millisecond)
+	for _, e := range accepts {
+		cl.deliver(e)
+	}
+	cl.until(5*time.Second, "c leads", func() bool { return cl.nodes["c"].core.isHead() })
+	cl.run(time.Second)
+	if cl.answered(change) && cl.nodes["c"].core.log.end() == 0 {
+		return "a change was acknowledged in an epoch that counted as empty, and its successor lacks it"
+	}
+	return ""
+}
+
+// TestEpochsAreSealedBeforeTheyCountAsEmpty: danger: a link that was not active in an epoch when it was last heard is active
+// a moment later, and acknowledges what the next head does not hold.
+func TestEpochsAreSealedBeforeTheyCountAsEmpty(t *testing.T) {
+	if broken := playUnsealedEpoch(t, hooks{}); broken != "" {
+		t.Error(broken)
+	}
+	if broken := playUnsealedEpoch(t, hooks{presumeUnacknowledged: true}); broken == "" {
+		t.Error("without the protection nothing is broken: the scenario shows nothing")
+	}
+}
