--- a/internal/system/proxy/once_test.go
+++ b/internal/system/proxy/once_test.go
@@ -79,7 +79,7 @@
 	case 5, 6, 7: // one that is cut, or followed by something
 		b.Cut = rapid.SampledFrom([]int{0, 100, 300, 500, 650, 750, 850, 920, 960, 990, 1000}).Draw(t, "cut")
 		b.Then = rapid.SampledFrom([]then{stay, halfClose, resetIt}).Draw(t, "then")
-		b.Early, b.Repeats = rapid.Bool().Draw(t, "early"), rare("repeats")
+		b.Early, b.Repeats, b.Late = rapid.Bool().Draw(t, "early"), rare("repeats"), rapid.Bool().Draw(t, "late")
 	case 2: // what comes between two answers
 		b.Surplus = rapid.SampledFrom([]surplusAt{noSurplus, samePacket, whileIdle, withNext}).Draw(t, "surplus")
 		b.CloseIdle, b.CloseRace = rapid.Bool().Draw(t, "close idle"), rapid.Bool().Draw(t, "close race")
--- a/internal/system/proxy/scripted_test.go
+++ b/internal/system/proxy/scripted_test.go
@@ -64,6 +64,7 @@
 	Cut         int  // thousandths of the answer that are sent
 	Then        then
 	Surplus     surplusAt
+	Late        bool // what was cut off is sent when the client has given up or has another answer
 	CloseIdle   bool // closes the connection when the client has its answer, before its next request
 	CloseRace   bool // closes it while the next request is sent
 }
@@ -182,7 +183,7 @@
 		if err != nil {
 			return
 		}
-		b, text, whole := v.plan(r, first)
+		b, text, rest := v.plan(r, first)
 		if b.Early {
 			if _, err = io.WriteString(c, waiting+text); b.Then == resetIt { // while the body is being written
 				_ = c.(*net.TCPConn).SetLinger(0)
@@ -207,7 +208,10 @@
 		case halfClose:
 			_ = c.(*net.TCPConn).CloseWrite()
 		}
-		if !whole {
+		if rest != "" || b.Framing == "none" {
+			if b.Late {
+				v.later(c, rest)
+			}
 			_, _ = io.Copy(io.Discard, c) // until the proxy closes it
 			return
 		}
@@ -215,6 +219,13 @@
 	}
 }
 
+// later has bytes sent between this request and the next.
+func (v *scriptedServer) later(c net.Conn, text string) {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	v.s.idle = append(v.s.idle, func() { _, _ = io.WriteString(c, text) })
+}
+
 // after arranges what happens on a connection behind an answer, and gives what is sent before the next one.
 func (v *scriptedServer) after(c net.Conn, b behaviour, id string) string {
 	extra := "HTTP/1.1 200 X\r\nX-Attempt-Id: " + id + "\r\nX-Server-Seal: surplus\r\nContent-Length: 7\r\n\r\nsurplus"
@@ -247,12 +258,12 @@
 	}
 }
 
-// plan records a request and gives what is done with it: what is sent, and whether the whole answer is.
-func (v *scriptedServer) plan(r *http.Request, first bool) (behaviour, string, bool) {
+// plan records a request and gives what is done with it: what is sent of the answer, and the rest.
+func (v *scriptedServer) plan(r *http.Request, first bool) (b behaviour, text, rest string) {
 	s := v.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := well
+	b = well
 	if v.came < len(v.will) {
 		b = v.will[v.came]
 	}
@@ -264,17 +275,17 @@
 	}
 	head, sent, wire := s.answer(r, b, v.earlier)
 	v.earlier = id
-	text := head + wire
+	text = head + wire
 	cut := len(text) * b.Cut / 1000
 	sent.proper = sent.proper && (cut == len(text) || r.Method == http.MethodHead && cut >= len(head))
 	refused := b.refuses() && cut >= len(head) && !b.Garbage && b.Interims <= 3 &&
 		(b.Echo == ownID || b.Echo == noID && first) && b.Framing != "both" && b.Framing != "twice"
 	s.arrivals = append(s.arrivals, arrival{id: id, refused: refused, answered: sent})
-	text = text[:cut]
-	if b.Surplus == samePacket && cut == len(head)+len(wire) {
+	text, rest = text[:cut], text[cut:]
+	if b.Surplus == samePacket && rest == "" {
 		text += "HTTP/1.1 200 X\r\nX-Attempt-Id: " + id + "\r\nX-Server-Seal: surplus\r\nContent-Length: 7\r\n\r\nsurplus"
 	}
-	return b, text, cut == len(head)+len(wire) && b.Framing != "none"
+	return b, text, rest
 }
 
 // answer makes the head and the rest of an answer as they go out.
--- a/internal/system/proxy/silence_test.go
+++ b/internal/system/proxy/silence_test.go
@@ -275,11 +275,12 @@
 			p.ServeHTTP(w, r)
 			return w
 		}
+		began := time.Now()
 		if w := ask("id-1"); w.Code != 504 {
 			t.Errorf("status %d", w.Code)
 		}
-		if err := <-late; err == nil {
-			t.Error("the late answer was taken")
+		if err := <-late; err == nil || time.Since(began) != 9*time.Second {
+			t.Errorf("the late answer's write ended after %v with %v: its connection was open still", time.Since(began), err)
 		}
 		if w := ask("id-2"); w.Code != 200 || w.Body.String() != "own" || p.counters.Dials.Load() != 2 {
 			t.Errorf("status %d, body %q, %d connections", w.Code, w.Body.String(), p.counters.Dials.Load())
