--- a/internal/system/replication/core_late_test.go
+++ b/internal/system/replication/core_late_test.go
@@ -102,3 +102,33 @@
 		return n.core.Current(cl.clock(n)) && n.core.committed == 1
 	})
 }
+
+// TestADoubleThatComesLateIsRefused delivers a change a second time, 20 s after it was taken, when its key is forgotten.
+// Danger: it is taken again.
+func TestADoubleThatComesLateIsRefused(t *testing.T) {
+	play := func(h scriptedHooks) uint64 {
+		cl := newCluster(t)
+		cl.machine = blobMachine{} // takes everything
+		formTrio(cl, 1, h)
+		head, sender := cl.link(0), cl.link(2)
+		var double Envelope
+		cl.filter = func(from, to string, m *replicationpb.Message) bool {
+			if from == sender && to == head && m.GetForward() != nil {
+				double = Envelope{Addr: to, Msg: m}
+			}
+			return true
+		}
+		id := cl.submit(sender, noted("once"), 4*time.Second)
+		cl.until(time.Second, "a change", func() bool { return cl.answered(id) })
+		cl.run(20 * time.Second)
+		cl.deliver(double)
+		cl.run(time.Second)
+		return cl.nodes[head].core.committed
+	}
+	if n := play(scriptedHooks{}); n != 1 {
+		t.Errorf("%d records are committed", n)
+	}
+	if n := play(scriptedHooks{lateForward: true}); n != 2 {
+		t.Errorf("without the fence %d records are committed: the scenario shows nothing", n)
+	}
+}
