wal: a log can be read without a change to it; staff's look at a data directory takes it from no keeper

Load makes a process the log's one writer, so that 'restore' from the data directory of a keeper that still runs, by mistake, would have ended what that keeper acknowledges; before, it could cut off a record that was just being written. Options.ReadOnly reads and changes nothing, and restore.From uses it. TestReadOnlyLoadChangesNothing counts the calls; package staff's tests pass.

--- a/internal/system/staff/restore/restore.go
+++ b/internal/system/staff/restore/restore.go
@@ -52,14 +52,14 @@
 	return errors.Wrapf(log.Install(image), "the state cannot be laid into %s: empty it before the next try", dataDir)
 }
 
-// From reads the state out of the data directory of a keeper that is not running, for when no keeper answers any more. Its
+// From reads the state out of the data directory of a keeper, for when no keeper answers any more, and changes nothing there. Its
 // last records may never have been acknowledged, and others may have acknowledged more.
 func From(dataDir string) (s *controlstate.State, err error) {
 	folder := filepath.Join(dataDir, controlFolder)
 	if _, err := os.Stat(folder); err != nil {
 		return nil, errors.Wrapf(err, "%s is no data directory of a keeper: name its data_dir", dataDir)
 	}
-	log, err := wal.Open(folder, wal.Options{})
+	log, err := wal.Open(folder, wal.Options{ReadOnly: true})
 	if err != nil {
 		return nil, errors.Wrapf(err, "the log in %s cannot be opened", dataDir)
 	}
--- a/internal/system/wal/load.go
+++ b/internal/system/wal/load.go
@@ -81,6 +81,9 @@
 		_ = l.closeSegment()
 		return nil, Snapshot{}, nil, err
 	}
+	if l.o.ReadOnly {
+		return meta, snapshot, entries, nil
+	}
 	l.loaded = true
 	l.deleteGarbage()
 	l.reserve()
@@ -110,6 +113,9 @@
 		size, err := l.size(reserveName)
 		l.reserved = err == nil && size >= l.o.ReserveBytes
 	}
+	if l.o.ReadOnly {
+		return meta, snapshot, entries, nil
+	}
 	if err := l.takeOver(newest); err != nil {
 		return nil, Snapshot{}, nil, err
 	}
@@ -122,6 +128,12 @@
 	if err != nil {
 		return list, err
 	}
+	if l.o.ReadOnly {
+		if list.putAside {
+			err = damaged("a damaged log is being put aside")
+		}
+		return list, err
+	}
 	if list.putAside {
 		if err := l.finishPutAside(); err != nil {
 			return list, err
--- a/internal/system/wal/log.go
+++ b/internal/system/wal/log.go
@@ -25,6 +25,7 @@
 	SegmentBytes int64         // a segment that is larger is ended; default 2 MiB
 	ReserveBytes int64         // kept for metadata and truncations on a full disk; default 64 KiB, below 0: none
 	Nonce        func() uint64 // default: random
+	ReadOnly     bool          // nothing is changed, and no other process loses the log; what Load returns need not last
 
 	hooks hooks
 }
@@ -116,6 +117,9 @@
 	if o.Nonce == nil {
 		o.Nonce = randomNonce
 	}
+	if o.ReadOnly {
+		return &Log{folder: folder, o: o}, nil
+	}
 	if _, err := o.FS.ReadDir(folder); errors.Is(err, os.ErrNotExist) {
 		if err := o.FS.MkdirAll(folder); err != nil {
 			return nil, diskError(err, "make the log's folder")
@@ -180,6 +184,8 @@
 	switch {
 	case l.superseded:
 		return superseded()
+	case l.o.ReadOnly:
+		return misuse("the log is read only: open it without that to change it")
 	case !l.loaded:
 		return misuse("the log is not loaded: call Load first")
 	}
--- a/internal/system/wal/owner_test.go
+++ b/internal/system/wal/owner_test.go
@@ -94,3 +94,36 @@
 		t.Errorf("the control shows nothing: %v", err)
 	}
 }
+
+// TestReadOnlyLoadChangesNothing reads the log of a process that goes on, as staff may by mistake. Danger: the process loses its
+// log to a tool that only looks.
+func TestReadOnlyLoadChangesNothing(t *testing.T) {
+	s, err := runHistory(histories["mixed"], nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := s.fs.calls
+	log, err := Open(simFolder, Options{FS: s.fs, ReadOnly: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v, err := look(log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.allows(v); err != nil {
+		t.Error(err)
+	}
+	if s.fs.calls > before {
+		t.Errorf("%d calls changed something", s.fs.calls-before)
+	}
+	if err := log.Append([]Entry{{Seq: log.last + 1}}); !errors.Is(err, ErrUse) {
+		t.Errorf("an append: %v", err)
+	}
+	if err := log.PutAside(); !errors.Is(err, ErrUse) {
+		t.Errorf("a putting aside: %v", err)
+	}
+	if err := s.do(step{"append", 1, 5}); err != nil || len(s.maybe) > 0 {
+		t.Errorf("the process that has the log: %v, %v", err, s.trace[len(s.trace)-1])
+	}
+}
--- a/internal/system/wal/putaside.go
+++ b/internal/system/wal/putaside.go
@@ -12,6 +12,9 @@
 // it is dropped when its room is needed. Cut short, it is finished by the next Load, so that nothing is served of a log of which
 // a part is gone.
 func (l *Log) PutAside() error {
+	if l.o.ReadOnly {
+		return l.usable()
+	}
 	_ = l.closeSegment()
 	l.loaded = false
 	list, err := l.list()
