replication: a keeper whose log another process has opened stops

It tried its write again every half second for good, under a line about a disk that refuses. TestSupersededKeeperStops failed (not within 2 s). wal.ErrSuperseded ends its part at once, with the remedy in the log; others cut it out.

--- a/internal/system/replication/core_disk_test.go
+++ b/internal/system/replication/core_disk_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 	"gradeusher.example/gradeusher/internal/system/wal"
 )
@@ -142,3 +144,26 @@
 		t.Errorf("on disk: a snapshot at %d, %d entries, %v", snapshot.Seq, len(entries), err)
 	}
 }
+
+// TestSupersededKeeperStops opens the log in another process while the keeper runs. Danger: it tries again for good, and nobody is
+// told that two keepers run on one data directory.
+func TestSupersededKeeperStops(t *testing.T) {
+	folder := t.TempDir()
+	a := newAlone(t, toyMachine{}, folder)
+	a.change(1, 1, 100)
+	other, err := wal.Open(folder, wal.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, _, err := other.Load(); err != nil {
+		t.Fatal(err)
+	}
+	a.core.Submit(a.now, 2, controlstate.Change{Op: controlstate.OpNone, Zone: "late"}, 5*time.Second)
+	a.until(2*time.Second, "the end", func() bool { return a.core.Err() != nil })
+	if err := a.core.Err(); !errors.Is(err, wal.ErrSuperseded) {
+		t.Error(err)
+	}
+	if d, ok := a.done[2]; ok && d.Outcome == Answered {
+		t.Errorf("the late change was answered: %+v", d)
+	}
+}
--- a/internal/system/replication/disk.go
+++ b/internal/system/replication/disk.go
@@ -263,6 +263,8 @@
 	d.op, d.done = nil, nil
 	slow := c.now-d.since > c.cfg.SlowDisk
 	switch {
+	case errors.Is(err, wal.ErrSuperseded): // no try can succeed any more
+		c.fail(errors.Wrap(err, "replication: this keeper takes no part any more"))
 	case err != nil:
 		d.bad, d.retryAt = true, c.now+diskRetry
 		d.badUntil = c.now + diskRetry
--- a/internal/system/replication/sim_disk_test.go
+++ b/internal/system/replication/sim_disk_test.go
@@ -44,6 +44,9 @@
 			p.entries = p.entries[:i:i]
 		}
 	case DiskCompact:
+		if op.Snapshot.Seq > p.end() {
+			panic(fmt.Sprintf("compaction at %d of a log that ends at %d", op.Snapshot.Seq, p.end()))
+		}
 		p.snap = op.Snapshot
 		i := slices.IndexFunc(p.entries, func(e wal.Entry) bool { return e.Seq > op.Snapshot.Seq })
 		if i < 0 {
