Orders whose bodies come in chunks no longer shut each other out

Cause: a body whose length is not told reserved the most that one may have, 16 MiB of 32 MiB, so the third of eight orders under way got 503. Change: it reserves 64 KiB at a time as it grows; what is kept of it is cut to its length. Measured: TestEightOrdersInChunks failed with six of eight refused, and passes; TestBodiesInChunksAreBounded: nothing stays reserved.

--- /dev/null
+++ b/internal/system/control/body_test.go
@@ -0,0 +1,84 @@
+package control
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"gradeusher.example/gradeusher/internal/system/controlstate"
+)
+
+// meeting is a chain that answers once so many changes are under way.
+type meeting struct {
+	fakeChain
+	all sync.WaitGroup
+}
+
+func (m *meeting) Submit(ctx context.Context, _ controlstate.Change) (controlstate.Verdict, error) {
+	m.all.Done()
+	met := make(chan struct{})
+	go func() { m.all.Wait(); close(met) }()
+	select {
+	case <-met:
+		return controlstate.Verdict{Kind: controlstate.Accept}, nil
+	case <-ctx.Done():
+		return controlstate.Verdict{}, ctx.Err()
+	}
+}
+
+// Eight orders may be under way at once, also where their bodies' lengths are not told.
+func TestEightOrdersInChunks(t *testing.T) {
+	const orders = 8
+	chain := &meeting{}
+	chain.all.Add(orders)
+	s := httptest.NewServer(Handler(Options{Chain: chain, Log: quiet()}))
+	defer s.Close()
+	var calls sync.WaitGroup
+	for range orders {
+		calls.Go(func() {
+			r, err := http.NewRequest(http.MethodPost, s.URL+"/Config.Replace", io.MultiReader(strings.NewReader(`{"revision":9}`), strings.NewReader(strings.Repeat(" ", 100<<10))))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			r.Header.Set("X-Base-Version", "5")
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer resp.Body.Close()
+			if body, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK {
+				t.Errorf("status %d: %s", resp.StatusCode, body)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// Bodies whose lengths are not told are bounded all the same, each and all together, and what they held is given back.
+func TestBodiesInChunksAreBounded(t *testing.T) {
+	a := &api{o: Options{Log: quiet()}, bodies: budget{left: 1 << 20}}
+	read := func(size int64) error {
+		r := httptest.NewRequest(http.MethodPost, "/", io.LimitReader(zeros{}, size))
+		r.ContentLength = -1
+		body, release, err := a.readBody(httptest.NewRecorder(), r)
+		defer release()
+		if err == nil && int64(len(body)) != size {
+			t.Errorf("%d bytes of %d", len(body), size)
+		}
+		return err
+	}
+	for _, size := range []int64{0, 1, bodyStep - 1, bodyStep, bodyStep + 1, 1 << 20} {
+		if err := read(size); (err == nil) != (size < 1<<20) {
+			t.Errorf("%d bytes: %v", size, err)
+		}
+		if a.bodies.left != 1<<20 {
+			t.Fatalf("%d bytes: %d bytes left", size, a.bodies.left)
+		}
+	}
+}
--- a/internal/system/control/change.go
+++ b/internal/system/control/change.go
@@ -1,12 +1,9 @@
 package control
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fastjson"
@@ -32,18 +29,14 @@
 			tooLarge(w)
 			return
 		}
-		reserved := r.ContentLength
-		if reserved < 0 {
-			reserved = maxBody
-		}
-		if !a.bodies.reserve(reserved) {
-			unavailable(w, "this keeper holds too many bodies: send the change again, or to another keeper")
-			return
-		}
-		defer a.bodies.release(reserved)
-		body, err := readBody(w, r)
+		body, release, err := a.readBody(w, r)
+		defer release()
 		var large *http.MaxBytesError
 		switch {
+		case errors.Is(err, errBodies):
+			w.Header().Set("Connection", "close")
+			unavailable(w, errBodies.Error())
+			return
 		case errors.As(err, &large):
 			tooLarge(w)
 			return
@@ -77,41 +70,3 @@
 	}
 	return base, nil
 }
-
-// readBody reads a body within the bounds of size and time.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	rc := http.NewResponseController(w)
-	// Writers that know no deadlines (those of tests) are bounded by whoever made them.
-	if rc.SetReadDeadline(time.Now().Add(bodyTimeout)) == nil {
-		defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	}
-	in := http.MaxBytesReader(w, r.Body, maxBody)
-	if r.ContentLength < 0 {
-		return io.ReadAll(in)
-	}
-	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(in, body)
-	return body, err
-}
-
-// budget bounds the bytes that all calls hold together.
-type budget struct {
-	mu   sync.Mutex
-	left int64
-}
-
-func (b *budget) reserve(n int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if n > b.left {
-		return false
-	}
-	b.left -= n
-	return true
-}
-
-func (b *budget) release(n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.left += n
-}
