platform: a call that a reused connection broke is made once more, and counted

Since the transport repeats no call, one on a connection that the platform had closed meanwhile failed the whole list, on any page. The client now asks once more itself, on a new connection, and counts both calls, so the pace of polls knows of them.

--- a/internal/system/platform/client.go
+++ b/internal/system/platform/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
@@ -162,15 +163,15 @@
 	if len(query) > 0 {
 		target += "?" + query.Encode()
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	resp, reused, err := c.send(ctx, target)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "the platform's address is no host:port: check cloud_api.address"), ErrReach)
+		// The connection may be one that a cut has silenced, or that the platform has closed: the next call takes a new one.
+		c.http.CloseIdleConnections()
+		if reused && ctx.Err() == nil {
+			resp, _, err = c.send(ctx, target)
+		}
 	}
-	sendOnce(req)
-	c.calls.Add(1)
-	resp, err := c.http.Do(req)
 	if err != nil {
-		// The connection may be one that a cut has silenced: the next call takes a new one.
 		c.http.CloseIdleConnections()
 		return errors.Mark(errors.Wrap(err, "the platform's list was not reached: keep the old list and ask again"), ErrReach)
 	}
@@ -194,6 +195,19 @@
 	return nil
 }
 
+// send makes one call and counts it, and tells whether it went out on a connection that was used before.
+func (c *Client) send(ctx context.Context, target string) (resp *http.Response, reused bool, err error) {
+	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) { reused = got.Reused }}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodGet, target, nil)
+	if err != nil {
+		return nil, false, errors.Wrap(err, "the platform's address is no host:port: check cloud_api.address")
+	}
+	sendOnce(r)
+	c.calls.Add(1)
+	resp, err = c.http.Do(r)
+	return resp, reused, err
+}
+
 // sendOnce keeps http.Transport from sending a request without a body a second time when a reused connection breaks before
 // an answer: the call would count twice against the platform's rate, and Calls would not know. The transport repeats no
 // request that has a body and no GetBody, so an empty one is given, and "identity" keeps it from being announced.
