wal: a start on a disk that refuses every write, after a kill at any call, is tested

The log was to load where it can write nothing, believe the newest segment after a sync, refuse changes, and go on once there is room; nothing tried it.

--- a/internal/system/wal/bounds_test.go
+++ b/internal/system/wal/bounds_test.go
@@ -322,3 +322,47 @@
 		t.Errorf("loading %d bytes allocated %d", size, allocated)
 	}
 }
+
+// TestLoadOnADiskThatRefuses starts on a disk that refuses each call that would write, after a kill at any call before. Danger: a
+// keeper on a full disk ends at each start, and does not even answer what it holds.
+func TestLoadOnADiskThatRefuses(t *testing.T) {
+	refuse := func(_ int, what string) error {
+		if what == "sync" || what == "syncdir" || what == "remove" {
+			return nil
+		}
+		return errNoRoom
+	}
+	for name, steps := range histories {
+		for call := 3; ; call++ { // the folder and the first segment are there
+			s, err := runHistory(steps, crashAt(call))
+			if err != nil {
+				t.Fatal(err)
+			}
+			reached := s.fs.gone
+			s.fs.gone = false
+			fs := s.fs.killed()
+			fs.fault = refuse
+			log, err := openSim(fs)
+			if err != nil {
+				t.Fatalf("%s, killed at call %d: %v", name, call, err)
+			}
+			v, err := look(log)
+			if err == nil {
+				err = s.allows(v)
+			}
+			if err != nil {
+				t.Fatalf("%s, killed at call %d: %v", name, call, err)
+			}
+			if err := log.Append([]Entry{{Seq: log.last + 1}}); !errors.Is(err, ErrFull) {
+				t.Fatalf("%s, killed at call %d: an append: %v", name, call, err)
+			}
+			fs.fault = nil
+			if err := goOn(fs, log, v); err != nil {
+				t.Fatalf("%s, killed at call %d, and room again: %v", name, call, err)
+			}
+			if !reached {
+				break
+			}
+		}
+	}
+}
