--- a/cmd/keeper/chain.go
+++ b/cmd/keeper/chain.go
@@ -79,7 +79,7 @@
 		return k.join(ctx, options)
 	}
 	folder := filepath.Join(k.settings.DataDir, "control")
-	disk, err := wal.Open(folder, wal.Options{MaxBytes: logBytes(k.settings.Limits.DiskMB)})
+	disk, err := wal.Open(folder, diskOptions(k.settings.Limits.DiskMB))
 	if err != nil {
 		return errors.Wrapf(err, "the control state in %s cannot be opened", folder)
 	}
@@ -109,14 +109,14 @@
 	return options
 }
 
-// logBytes is the part of the disk that the log may fill; 0: wal's default, which is less. The rest is for a snapshot that
-// is written beside the old one.
-func logBytes(diskMB int64) int64 {
-	const wholeMB, logMB = 64, 40 // a log of the default size, and the least disk for it
-	if diskMB == 0 || diskMB >= wholeMB {
-		return 0
+// diskOptions bounds the log, and all files with the copy of a damaged one, on a disk that is smaller than those that wal's
+// defaults are for. What the log leaves is for a snapshot that is written beside the old one. 0: the size is not told.
+func diskOptions(diskMB int64) wal.Options {
+	const usualMB, logMB, filesMB = 64, 40, 60
+	if diskMB == 0 || diskMB >= usualMB {
+		return wal.Options{}
 	}
-	return diskMB << 20 * logMB / wholeMB
+	return wal.Options{MaxBytes: diskMB << 20 * logMB / usualMB, DiskBytes: diskMB * 1e6 * filesMB / usualMB}
 }
 
 func (k *keeper) chainOptions() replication.Options {
--- a/cmd/keeper/chain_test.go
+++ b/cmd/keeper/chain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -119,10 +120,12 @@
 	}
 }
 
-func TestLogBytes(t *testing.T) {
-	for diskMB, want := range map[int64]int64{0: 0, 16: 10 << 20, 32: 20 << 20, 63: 63 << 20 * 40 / 64, 64: 0, 1 << 20: 0} {
-		if got := logBytes(diskMB); got != want {
-			t.Errorf("%d MB: %d bytes, want %d", diskMB, got, want)
+// TestDiskOptions: danger: a log that is let grow past a small disk fails with the disk full, and takes no more changes.
+func TestDiskOptions(t *testing.T) {
+	for diskMB, want := range map[int64]wal.Options{0: {}, 64: {}, 1 << 20: {},
+		16: {MaxBytes: 10 << 20, DiskBytes: 15e6}, 32: {MaxBytes: 20 << 20, DiskBytes: 30e6}, 63: {MaxBytes: 63 << 20 * 40 / 64, DiskBytes: 63e6 * 60 / 64}} {
+		if got := diskOptions(diskMB); !reflect.DeepEqual(got, want) {
+			t.Errorf("%d MB: %+v, want %+v", diskMB, got, want)
 		}
 	}
 }
