--- a/internal/system/replication/capacity.go
+++ b/internal/system/replication/capacity.go
@@ -106,7 +106,9 @@
 		return
 	}
 	l.logged = have
-	entry := to.WithFields(log.Fields{"voters": have.Voters, "silent": have.Silent, "links": have.Links, "keepers": have.Keepers, "observers": have.Observers})
+	entry := to.WithFields(log.Fields{
+		"voters": have.Voters, "silent": have.Silent, "links": have.Links, "keepers": have.Keepers, "observers": have.Observers,
+	})
 	if have.Bears {
 		entry.Info("replication: the keepers bear the losses that are tolerated")
 		return
--- a/internal/system/replication/heartbeat.go
+++ b/internal/system/replication/heartbeat.go
@@ -220,7 +220,10 @@
 			continue
 		}
 		p := c.peers[m.ID]
-		if p != nil && p.echoAt >= 0 && c.now-p.echoAt <= window && p.heartbeat.GetEpoch() == v.Epoch && (p.heartbeat.GetAccepted() <= v.Epoch || c.cfg.scripted.confirmAccepted) {
+		if p == nil || p.echoAt < 0 || c.now-p.echoAt > window || p.heartbeat.GetEpoch() != v.Epoch {
+			continue
+		}
+		if p.heartbeat.GetAccepted() <= v.Epoch || c.cfg.scripted.confirmAccepted {
 			said[m.ID] = m.Addr
 		}
 	}
--- a/internal/system/replication/observer.go
+++ b/internal/system/replication/observer.go
@@ -11,8 +11,10 @@
 
 // An observer is a keeper on a machine without a disk. It follows the chain as a learner, knows the view, and passes
 // changes to the head and reads to the tail. It is no voter, no link and no part of a quorum: what it would promise or
-// hold is gone when its process ends. The one exception is the first view, where no seed has a disk: see quorum. Members send it heartbeats only in reply to its own, which are slower than theirs,
-// and observers that know each other exchange none, so that many observers cost the members little.
+// hold is gone when its process ends. The one exception is the first view where no seed has a disk, see quorum.
+//
+// Members send it heartbeats only in reply to its own, which are slower than theirs, and observers that know each other
+// exchange none, so that many observers cost the members little.
 
 const (
 	// observerSlowdown is how many times rarer an observer's heartbeats are than a member's.
--- a/internal/system/replication/plan.go
+++ b/internal/system/replication/plan.go
@@ -143,8 +143,10 @@
 	stuck := map[ID]bool{}
 	for i := 0; i+1 < len(cur.Chain); i++ {
 		a, b := cur.Chain[i], cur.Chain[i+1]
-		if a == c.reg.self.ID && c.stuck() == b || c.peers[a] != nil && c.alive(a) && c.peers[a].heartbeat.GetEpoch() == cur.Epoch && ID(c.peers[a].heartbeat.GetStuck()) == b {
-			stuck[b] = true
+		if a == c.reg.self.ID {
+			stuck[b] = c.stuck() == b
+		} else if p := c.peers[a]; p != nil && c.alive(a) && p.heartbeat.GetEpoch() == cur.Epoch {
+			stuck[b] = ID(p.heartbeat.GetStuck()) == b
 		}
 	}
 	links := c.staying(out, stuck, c.good)
--- a/internal/system/replication/submit.go
+++ b/internal/system/replication/submit.go
@@ -195,25 +195,11 @@
 	}
 	o := &pendingChange{key: key, at: c.now}
 	c.changes[key] = o
-	if !c.isHead() || m.GetEpoch() != c.reg.view.Epoch && !c.cfg.scripted.forwardEpoch || c.disk.bad || c.leaving || !c.inTime(from, m) || len(c.pending) >= maxAsked ||
-		len(c.reg.view.Chain) < c.cfg.links() {
+	if !c.mayJudge(from, m) {
 		c.close(o, Refused)
 		return
 	}
-	p := m.GetChange()
-	change := controlstate.Change{Op: controlstate.Op(p.GetOp()), Base: p.GetBase(), Body: p.GetBody(), Zone: p.GetZone()}
-	o.verdict = c.spec().Check(change)
-	if o.verdict.Kind == controlstate.Accept {
-		rec := change.Record(c.log.end() + 1)
-		next, err := c.spec().Apply(rec)
-		if err != nil {
-			o.verdict = controlstate.Verdict{Kind: controlstate.Invalid, Reason: err.Error()}
-		} else {
-			c.ahead = append(c.ahead, next)
-			c.log.entries = append(c.log.entries, entry{epoch: c.reg.view.Epoch, rec: rec})
-			o.confirmed = true
-		}
-	}
+	c.judge(o, m.GetChange())
 	o.seq = c.log.end()
 	c.pending = append(c.pending, o)
 	if c.cfg.hooks.hastyVerdict && o.verdict.Kind != controlstate.Accept {
@@ -234,6 +220,31 @@
 	c.completeChanges()
 }
 
+// mayJudge tells whether this keeper is the head that the change was sent to, can log it, and its caller still waits.
+func (c *Core) mayJudge(from ID, m *replicationpb.Forward) bool {
+	sameEpoch := m.GetEpoch() == c.reg.view.Epoch || c.cfg.scripted.forwardEpoch
+	canLog := !c.disk.bad && !c.leaving && len(c.pending) < maxAsked && len(c.reg.view.Chain) >= c.cfg.links()
+	return c.isHead() && sameEpoch && canLog && c.inTime(from, m)
+}
+
+// judge decides on a change by the state after the whole log, and logs it when it is accepted.
+func (c *Core) judge(o *pendingChange, p *replicationpb.Entry) {
+	change := controlstate.Change{Op: controlstate.Op(p.GetOp()), Base: p.GetBase(), Body: p.GetBody(), Zone: p.GetZone()}
+	o.verdict = c.spec().Check(change)
+	if o.verdict.Kind != controlstate.Accept {
+		return
+	}
+	rec := change.Record(c.log.end() + 1)
+	next, err := c.spec().Apply(rec)
+	if err != nil {
+		o.verdict = controlstate.Verdict{Kind: controlstate.Invalid, Reason: err.Error()}
+		return
+	}
+	c.ahead = append(c.ahead, next)
+	c.log.entries = append(c.log.entries, entry{epoch: c.reg.view.Epoch, rec: rec})
+	o.confirmed = true
+}
+
 // heardOf is the number of the newest heartbeat heard of a keeper, 0 if none was.
 func (c *Core) heardOf(id ID) uint64 {
 	if p := c.peers[id]; p != nil {
