wal: the mark of a log put aside is gone for good before the new log makes a file

A process that was killed between the removal of the mark and the sync after it left a removal that a loss of power undoes. The next start found no mark and made the new log's first segment; a loss of power then brought the mark back, and the start after it renamed that segment among the files of the copy, over one of the same name if there was one. Nothing acknowledged was in it (Load syncs the folder before it returns), but the copy was no longer whole. TestPutAside found it with WAL_DEEP=1 ('crash at call 11: and at call 3 of the restart: ... is of another copy'), and does by default now that it draws four losses at each call of each restart.

Load syncs the folder first where a copy is beside the log. The deep runs of TestPutAside and TestControls pass.

--- a/internal/system/wal/load.go
+++ b/internal/system/wal/load.go
@@ -142,6 +142,11 @@
 			return list, err
 		}
 	}
+	if len(list.damaged) > 0 { // its mark is gone for good before anything new could be taken for a part of it
+		if err := l.o.FS.SyncDir(l.folder); err != nil {
+			return list, diskError(err, "sync the log's folder")
+		}
+	}
 	for _, name := range list.temporary {
 		if l.remove(name) != nil {
 			l.garbage = append(l.garbage, name)
--- a/internal/system/wal/putaside_test.go
+++ b/internal/system/wal/putaside_test.go
@@ -121,16 +121,16 @@
 // TestPutAside crashes at every call of putting a log aside, and at every call of the restart after it: afterwards either
 // everything is there as it was, or an empty log with the whole copy beside it, and nothing of an older copy.
 func TestPutAside(t *testing.T) {
-	err := putAsideCrashing(t, hooks{}, func(fs *simFS, whole *Mem, copied map[string]string, call int, done bool) error {
+	err := putAsideCrashing(t, hooks{}, func(fs *simFS, whole *Mem, copied map[string]string, _ int, done bool) error {
 		if _, marked := fs.names[putAsideName]; done && marked {
 			return errors.New("the mark is still there")
 		}
 		if done && len(files(fs)) > 0 {
 			return errors.New("a part of the log is still there")
 		}
-		nested := 1
-		if call%3 == 0 || deep() {
-			nested = 4
+		nested := 4
+		if deep() {
+			nested = 64
 		}
 		return allOrNothing(fs, whole, copied, nested)
 	})
