replication: progress is judged by a probe through a keeper of the core

Now a fresh change goes through a keeper of the core twice a second while the keepers are stable, and each must be acknowledged within 4 s: stricter, since each one counts.

--- a/internal/system/replication/sim_proxy_checks_test.go
+++ b/internal/system/replication/sim_proxy_checks_test.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"gradeusher.example/gradeusher/internal/system/controlstate"
 	"gradeusher.example/gradeusher/internal/system/distribution"
 )
 
@@ -132,25 +133,33 @@
 	return missing <= w.losses && len(well) > w.losses
 }
 
-// progressBound is within what a change is acknowledged while the keepers are stable and operators ask.
+// progressBound is within what a change is acknowledged that comes to a keeper while the keepers are stable.
 const progressBound = 4 * time.Second
 
-// watchProgress: while the keepers are stable, changes are acknowledged.
+// watchProgress asks for a change through a keeper of the core, again and again while the keepers are stable: it must be
+// acknowledged, unless something disturbs them meanwhile.
 func (w *world) watchProgress() {
 	if w.broken != nil || w.clientsEnd {
 		return
 	}
-	w.after(200*time.Millisecond, w.watchProgress)
+	w.after(500*time.Millisecond, w.watchProgress)
 	if !w.stable() {
 		return
 	}
-	since := w.eventAt + contact
-	if n := len(w.acks); n > 0 {
-		since = max(since, w.acks[n-1].at)
+	well, began, event := w.core(), w.now, w.eventAt
+	m := well[w.rng.IntN(len(well))]
+	if !w.connected(outside, m.member.Addr) {
+		return
 	}
-	if w.now-since > progressBound {
-		w.fail(fmt.Errorf("the keepers are stable, and nothing has been acknowledged for %v", w.now-since))
+	w.ids++
+	w.stats.probes++
+	a := &asked{at: m, change: controlstate.Change{Op: controlstate.OpNone, Zone: fmt.Sprintf("p%d", w.ids)}, first: w.acked, ttl: progressBound}
+	a.then = func(d Completion) {
+		if d.Outcome != Answered && w.eventAt == event && w.connected(outside, m.member.Addr) {
+			w.fail(fmt.Errorf("the keepers are stable, and a change that machine %d got %v ago is not acknowledged", m.name, w.now-began))
+		}
 	}
+	w.ask(a)
 }
 
 // disturbProxy restarts, freezes or cuts off a proxy.
--- a/internal/system/replication/world_test.go
+++ b/internal/system/replication/world_test.go
@@ -61,8 +61,8 @@
 
 // stats count what came about in a run.
 type stats struct {
-	accepted, unknown, refused, already, stale, reads, views int
-	steps, lateMessages, polls, resent, joins, formerLife    int
+	accepted, unknown, refused, already, stale, reads, views      int
+	steps, lateMessages, polls, resent, joins, formerLife, probes int
 }
 
 func (s *stats) add(o stats) {
@@ -79,6 +79,7 @@
 	s.resent += o.resent
 	s.joins += o.joins
 	s.formerLife += o.formerLife
+	s.probes += o.probes
 }
 
 type event struct {
