replication: shapes that must bear the loss of a whole zone, whose disks go at once

Need: zones were killed and cut as a whole, but their disks were lost one by one only. Change: five shapes with ZoneLosses 1, played by TestSeedsLosingZones; a zone's disks are emptied at once where the view bears it. The seeds of the other shapes play as before.

--- a/internal/system/replication/faults_test.go
+++ b/internal/system/replication/faults_test.go
@@ -206,6 +206,9 @@
 	act.kind = f.act
 	switch f.kind {
 	case faultZone:
+		if w.loseZone(a.member.Zone, f) {
+			return
+		}
 		for _, m := range slices.Clone(w.nodes) {
 			if m.member.Zone == a.member.Zone && !m.gone {
 				act.a = m.name
@@ -374,6 +377,9 @@
 			return false
 		}
 	}
+	if !w.bears(v) {
+		return false
+	}
 	for _, m := range v.Voters {
 		// A view that is accepted but not chosen names disks of its own, on which the next one depends.
 		if r, ok := disks[m.ID]; !ok || r.view.Epoch != v.Epoch || r.next != nil {
@@ -383,6 +389,34 @@
 	return true
 }
 
+// bears tells whether enough voters and a link are left whatever zones are lost of those that may be.
+func (w *world) bears(v *View) bool {
+	c := Config{MachineLosses: w.losses, ZoneLosses: w.zoneLosses}
+	var links []Member
+	for _, id := range v.Chain {
+		m, _ := v.Voter(id)
+		links = append(links, m)
+	}
+	return w.zoneLosses == 0 || c.votersBear(v.Voters) && c.linksBear(links)
+}
+
+// loseZone empties all disks of a zone at once, where that must be borne.
+func (w *world) loseZone(zone string, f fault) bool {
+	if w.zoneLosses == 0 || !w.mayLose() || w.lost > 0 {
+		return false
+	}
+	w.trace("%v LOST the disks of zone %s", w.now, zone)
+	w.lost, w.lostAt = w.losses, w.now
+	for _, m := range w.nodes {
+		if m.member.Zone == zone && !m.gone && !m.watcher {
+			m.wipe()
+			m.back(f.dur)
+		}
+	}
+	w.stats.zones++
+	return true
+}
+
 func (w *world) mayLose() bool {
 	if w.pending == 0 && w.whole() {
 		w.lost = 0
--- a/internal/system/replication/sim_hardening_answers_test.go
+++ b/internal/system/replication/sim_hardening_answers_test.go
@@ -98,7 +98,7 @@
 // TestHardeningAnswersReachTheirCall: an answer completes the call that it is for and no other, and a call that may not be
 // repeated comes about once at most, however late its copies come.
 func TestHardeningAnswersReachTheirCall(t *testing.T) {
-	for _, s := range []shape{{3, 1, 1, 3, 0}, {5, 1, 2, 3, 0}, {4, 1, 1, 2, 1}} {
+	for _, s := range []shape{{3, 1, 1, 3, 0, 0}, {5, 1, 2, 3, 0, 0}, {4, 1, 1, 2, 1, 0}} {
 		former, late := 0, 0
 		for seed := range uint64(3) {
 			for _, role := range []string{"head", "second", "tail", "outsider"} {
@@ -128,13 +128,13 @@
 func TestHardeningAnswersControls(t *testing.T) {
 	for name, play := range map[string]func(seed uint64) (int, error){
 		"a change that comes twice is not recognised": func(seed uint64) (int, error) {
-			return playAnswers(seed, shape{3, 1, 1, 3, 0}, "outsider", hooks{duplicateChange: true})
+			return playAnswers(seed, shape{3, 1, 1, 3, 0, 0}, "outsider", hooks{duplicateChange: true})
 		},
 		"answers of a former life are taken": func(seed uint64) (int, error) {
-			return playAnswers(seed, shape{3, 1, 1, 3, 0}, "outsider", hooks{anyLife: true})
+			return playAnswers(seed, shape{3, 1, 1, 3, 0, 0}, "outsider", hooks{anyLife: true})
 		},
 		"the head takes changes whatever their age": func(seed uint64) (int, error) {
-			return playLateNote(seed, shape{3, 1, 1, 3, 0}, hooks{}, scriptedHooks{lateForward: true})
+			return playLateNote(seed, shape{3, 1, 1, 3, 0, 0}, hooks{}, scriptedHooks{lateForward: true})
 		},
 	} {
 		var err error
--- a/internal/system/replication/sim_hardening_away_test.go
+++ b/internal/system/replication/sim_hardening_away_test.go
@@ -171,7 +171,7 @@
 	}
 	n := envInt("REPLICATION_AWAY", 400)
 	var jobs []job
-	for i, s := range []shape{{3, 0, 1, 3, 0}, {5, 0, 2, 3, 1}, {4, 1, 1, 2, 0}} {
+	for i, s := range []shape{{3, 0, 1, 3, 0, 0}, {5, 0, 2, 3, 1, 0}, {4, 1, 1, 2, 0, 0}} {
 		for _, role := range []string{"head", "second", "tail", "outsider"} {
 			for _, mode := range slices.Sorted(maps.Keys(awayModes)) {
 				if role == "outsider" && s.spares+s.observers == 0 || (raceDetector || testing.Short()) && (i > 0 || mode != "killed") {
@@ -226,7 +226,7 @@
 		seed := uint64(0)
 		for err == nil && seed < 40 {
 			seed++
-			err = playAway(seed, shape{3, 1, 1, 3, 0}, c.role, c.mode, 60, c.hooks).err
+			err = playAway(seed, shape{3, 1, 1, 3, 0, 0}, c.role, c.mode, 60, c.hooks).err
 		}
 		if err == nil {
 			t.Errorf("%s: nothing broke", name)
--- a/internal/system/replication/sim_hardening_cut_test.go
+++ b/internal/system/replication/sim_hardening_cut_test.go
@@ -134,7 +134,7 @@
 		seed uint64
 	}
 	var jobs []job
-	for i, s := range []shape{{3, 1, 1, 3, 0}, {5, 0, 2, 3, 1}} {
+	for i, s := range []shape{{3, 1, 1, 3, 0, 0}, {5, 0, 2, 3, 1, 0}} {
 		for _, role := range slices.Sorted(maps.Keys(cutRoles)) {
 			for j, mode := range cutModes {
 				if (raceDetector || testing.Short()) && j%3 != i {
@@ -180,7 +180,7 @@
 		"a keeper that is cut off feeds proxies":    {"head", keepersOnly, hooks{alwaysCurrent: true}},
 		"the head acknowledges what it alone holds": {"head", keepersOnly, hooks{earlyAck: true}},
 	} {
-		got := playCut(4, shape{3, 1, 1, 3, 0}, c.role, c.mode, c.hooks)
+		got := playCut(4, shape{3, 1, 1, 3, 0, 0}, c.role, c.mode, c.hooks)
 		if got.err == nil && got.clear == 0 {
 			t.Errorf("%s: nothing broke", name)
 			continue
--- a/internal/system/replication/sim_hardening_operators_test.go
+++ b/internal/system/replication/sim_hardening_operators_test.go
@@ -123,7 +123,7 @@
 // TestHardeningTwoOperatorsOneNumber: exactly one of two changes of one version is confirmed, and what was taken is never
 // refused, also after hundreds of changes, snapshots and a start of all.
 func TestHardeningTwoOperatorsOneNumber(t *testing.T) {
-	for i, s := range []shape{{3, 0, 1, 3, 0}, {5, 1, 2, 3, 0}, {4, 0, 1, 2, 1}, {1, 0, 0, 1, 0}} {
+	for i, s := range []shape{{3, 0, 1, 3, 0, 0}, {5, 1, 2, 3, 0, 0}, {4, 0, 1, 2, 1, 0}, {1, 0, 0, 1, 0, 0}} {
 		for j, between := range []int{10, 300, 300} {
 			if raceDetector && i+j > 0 {
 				continue
@@ -170,7 +170,7 @@
 		seed := uint64(0)
 		for err == nil && seed < 30 {
 			seed++
-			err = playRace(seed, shape{3, 0, 1, 3, 0}, 10, toyKept, c.hooks, c.forgetful).err
+			err = playRace(seed, shape{3, 0, 1, 3, 0, 0}, 10, toyKept, c.hooks, c.forgetful).err
 		}
 		if err == nil {
 			t.Errorf("%s: nothing broke", name)
--- a/internal/system/replication/sim_machine_test.go
+++ b/internal/system/replication/sim_machine_test.go
@@ -63,7 +63,7 @@
 	self := m.member
 	self.ID = ID(fmt.Sprintf("%s#%d-%x", self.Addr, m.life, w.rng.Uint32()))
 	core, err := NewCore(Config{
-		Self: self, MachineLosses: w.losses, Seeds: m.seeds, Bootstrap: m.boot, Life: life, Seed: uint64(m.name), Observer: m.watcher,
+		Self: self, MachineLosses: w.losses, ZoneLosses: w.zoneLosses, Seeds: m.seeds, Bootstrap: m.boot, Life: life, Seed: uint64(m.name), Observer: m.watcher,
 		hooks: w.hooks, scripted: w.scripted, compactAfter: 20, keepBehind: 5,
 	}, w.machine, clone(m.disk.meta), m.disk.snap, slices.Clone(m.disk.entries))
 	if err != nil {
--- a/internal/system/replication/sim_repair_steps_test.go
+++ b/internal/system/replication/sim_repair_steps_test.go
@@ -19,16 +19,16 @@
 // incidents are those whose every step meets a second trouble. In the first four a second disk may be lost on the way, in
 // the others only after the repair.
 var incidents = []incident{
-	{"a lost head", shape{5, 0, 2, 3, 0}, func(w *world) { w.link(0).loseFor(w, time.Second) }},
-	{"a lost tail", shape{5, 0, 2, 3, 0}, func(w *world) { w.link(-1).loseFor(w, time.Second) }},
-	{"a replacement without warning", shape{5, 0, 2, 3, 0}, func(w *world) { w.replace(w.link(1), fault{dur: time.Second}) }},
-	{"a replacement with warning", shape{5, 0, 2, 3, 0}, func(w *world) { w.replace(w.link(1), fault{dur: time.Second, n: 1}) }},
-	{"a replaced head", shape{3, 0, 1, 3, 0}, func(w *world) { w.replace(w.link(0), fault{dur: 500 * time.Millisecond}) }},
-	{"a joining for a lost voter", shape{3, 1, 1, 3, 0}, func(w *world) { w.replace(w.link(1), fault{dur: time.Hour}) }},
-	{"a leaving head", shape{3, 0, 1, 3, 0}, func(w *world) { w.apply(fault{kind: faultLeave, a: w.link(0).name, dur: time.Second}) }},
-	{"a leaving tail", shape{4, 0, 1, 2, 0}, func(w *world) { w.apply(fault{kind: faultLeave, a: w.link(-1).name, dur: time.Second}) }},
-	{"a killed head", shape{3, 0, 1, 3, 0}, func(w *world) { w.apply(fault{kind: faultKill, a: w.link(0).name, dur: time.Second}) }},
-	{"a start of all", shape{3, 0, 1, 3, 0}, func(w *world) { w.powerAll(fault{}) }},
+	{"a lost head", shape{5, 0, 2, 3, 0, 0}, func(w *world) { w.link(0).loseFor(w, time.Second) }},
+	{"a lost tail", shape{5, 0, 2, 3, 0, 0}, func(w *world) { w.link(-1).loseFor(w, time.Second) }},
+	{"a replacement without warning", shape{5, 0, 2, 3, 0, 0}, func(w *world) { w.replace(w.link(1), fault{dur: time.Second}) }},
+	{"a replacement with warning", shape{5, 0, 2, 3, 0, 0}, func(w *world) { w.replace(w.link(1), fault{dur: time.Second, n: 1}) }},
+	{"a replaced head", shape{3, 0, 1, 3, 0, 0}, func(w *world) { w.replace(w.link(0), fault{dur: 500 * time.Millisecond}) }},
+	{"a joining for a lost voter", shape{3, 1, 1, 3, 0, 0}, func(w *world) { w.replace(w.link(1), fault{dur: time.Hour}) }},
+	{"a leaving head", shape{3, 0, 1, 3, 0, 0}, func(w *world) { w.apply(fault{kind: faultLeave, a: w.link(0).name, dur: time.Second}) }},
+	{"a leaving tail", shape{4, 0, 1, 2, 0, 0}, func(w *world) { w.apply(fault{kind: faultLeave, a: w.link(-1).name, dur: time.Second}) }},
+	{"a killed head", shape{3, 0, 1, 3, 0, 0}, func(w *world) { w.apply(fault{kind: faultKill, a: w.link(0).name, dur: time.Second}) }},
+	{"a start of all", shape{3, 0, 1, 3, 0, 0}, func(w *world) { w.powerAll(fault{}) }},
 }
 
 // secondTroubles strike at a step of an incident.
--- a/internal/system/replication/sim_shapes_test.go
+++ b/internal/system/replication/sim_shapes_test.go
@@ -8,16 +8,27 @@
 	losses          int // disks that may be lost at once
 	zones           int
 	observers       int // keepers without a disk, some of them seeds
+	zoneLosses      int // zones that may be lost at once, with all their disks
 }
 
 // shapes are played in turn, by seed.
 var shapes = [...]shape{
-	{3, 0, 1, 3, 0}, {5, 0, 2, 3, 0}, {1, 0, 0, 1, 0}, {4, 0, 1, 2, 0}, {6, 0, 2, 3, 0}, {3, 1, 1, 3, 0}, {7, 0, 3, 4, 0},
-	{5, 1, 2, 3, 0}, {9, 0, 3, 3, 0}, {3, 2, 1, 1, 0}, {4, 1, 1, 4, 0}, {3, 0, 0, 1, 0}, {6, 1, 2, 2, 0}, {5, 2, 1, 2, 0},
-	{7, 1, 2, 3, 0}, {1, 1, 0, 2, 0}, {3, 0, 1, 2, 2}, {5, 0, 2, 1, 0}, {9, 0, 2, 4, 0}, {4, 2, 1, 3, 1},
+	{3, 0, 1, 3, 0, 0}, {5, 0, 2, 3, 0, 0}, {1, 0, 0, 1, 0, 0}, {4, 0, 1, 2, 0, 0}, {6, 0, 2, 3, 0, 0}, {3, 1, 1, 3, 0, 0}, {7, 0, 3, 4, 0, 0},
+	{5, 1, 2, 3, 0, 0}, {9, 0, 3, 3, 0, 0}, {3, 2, 1, 1, 0, 0}, {4, 1, 1, 4, 0, 0}, {3, 0, 0, 1, 0, 0}, {6, 1, 2, 2, 0, 0}, {5, 2, 1, 2, 0, 0},
+	{7, 1, 2, 3, 0, 0}, {1, 1, 0, 2, 0, 0}, {3, 0, 1, 2, 2, 0}, {5, 0, 2, 1, 0, 0}, {9, 0, 2, 4, 0, 0}, {4, 2, 1, 3, 1, 0},
 }
 
-func shapeOf(seed uint64) shape { return shapes[seed%uint64(len(shapes))] }
+// zoneSeeds is the first seed of those that play the shapes that must bear the loss of a zone.
+const zoneSeeds = 1 << 32
+
+var zoneShapes = [...]shape{{6, 0, 1, 3, 0, 1}, {3, 0, 1, 3, 0, 1}, {6, 1, 2, 3, 0, 1}, {9, 0, 3, 3, 0, 1}, {7, 0, 1, 4, 1, 1}}
+
+func shapeOf(seed uint64) shape {
+	if seed >= zoneSeeds {
+		return zoneShapes[seed%uint64(len(zoneShapes))]
+	}
+	return shapes[seed%uint64(len(shapes))]
+}
 
 // shapesThatLose are those that must bear the loss of a disk.
 func shapesThatLose() []shape {
@@ -44,5 +55,5 @@
 }
 
 func (s shape) String() string {
-	return fmt.Sprintf("%d keepers, %d spares, %d observers, %d losses, %d zones", s.keepers, s.spares, s.observers, s.losses, s.zones)
+	return fmt.Sprintf("%d keepers, %d spares, %d observers, %d losses, %d zones, %d may be lost", s.keepers, s.spares, s.observers, s.losses, s.zones, s.zoneLosses)
 }
--- a/internal/system/replication/sim_test.go
+++ b/internal/system/replication/sim_test.go
@@ -218,8 +218,23 @@
 	if testing.Short() || raceDetector {
 		n = len(shapes)
 	}
-	r := sweep(uint64(envInt("REPLICATION_FIRST", 1)), uint64(envInt("REPLICATION_SEEDS", n)), hooks{}, true)
-	for _, s := range shapes {
+	playSeeds(t, uint64(envInt("REPLICATION_FIRST", 1)), uint64(envInt("REPLICATION_SEEDS", n)))
+}
+
+// TestSeedsLosingZones plays the shapes that must bear the loss of a whole zone, whose disks then go at once.
+func TestSeedsLosingZones(t *testing.T) {
+	n := 40
+	if testing.Short() || raceDetector {
+		n = len(zoneShapes)
+	}
+	playSeeds(t, zoneSeeds+uint64(envInt("REPLICATION_FIRST", 1)), uint64(envInt("REPLICATION_SEEDS", n)))
+}
+
+// playSeeds plays seeds, and tells what they came to and, where one broke, what broke it.
+func playSeeds(t *testing.T, first, n uint64) {
+	t.Helper()
+	r := sweep(first, n, hooks{}, true)
+	for _, s := range slices.Concat(shapes[:], zoneShapes[:]) {
 		if ta := r.shape[s]; ta != nil {
 			t.Logf("%v: %d seeds, %d broken, acknowledged again after at most %v: %+v", s, ta.seeds, ta.broken, ta.slowest, ta.stats)
 		}
--- a/internal/system/replication/world_test.go
+++ b/internal/system/replication/world_test.go
@@ -61,8 +61,8 @@
 
 // stats count what came about in a run.
 type stats struct {
-	accepted, unknown, refused, already, stale, reads, views      int
-	steps, lateMessages, polls, resent, joins, formerLife, probes int
+	accepted, unknown, refused, already, stale, reads, views             int
+	steps, lateMessages, polls, resent, joins, formerLife, probes, zones int
 }
 
 func (s *stats) add(o stats) {
@@ -80,6 +80,7 @@
 	s.joins += o.joins
 	s.formerLife += o.formerLife
 	s.probes += o.probes
+	s.zones += o.zones
 }
 
 type event struct {
