replication: a leaver does not count links that are silent

Change: only links that are alive count. Ruled out: forgetting the standing of silent voters, which mayLead rests on.

--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -195,7 +195,8 @@
 	c.settle()
 }
 
-// Left tells whether nobody counts on this keeper any more: it is no link, and enough links hold what was acknowledged.
+// Left tells whether nobody counts on this keeper any more: it is no link, and enough links that are alive hold what was
+// acknowledged. The disk of a silent one may be gone.
 func (c *Core) Left() bool {
 	v := c.reg.view
 	if v.place(c.reg.self.ID) >= 0 {
@@ -203,7 +204,7 @@
 	}
 	var links []Member
 	for _, id := range v.Chain {
-		if m, ok := v.Voter(id); ok {
+		if m, ok := v.Voter(id); ok && c.alive(id) {
 			links = append(links, m)
 		}
 	}
--- a/internal/system/replication/sim_hardening_leave_test.go
+++ b/internal/system/replication/sim_hardening_leave_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
 // leavePatience is how long a process that is told to end waits until it has left.
@@ -124,3 +126,21 @@
 	}
 	t.Logf("control, the leaver goes at once: seed %d: %v", seed, err)
 }
+
+// TestALeaverDoesNotCountSilentLinks: what a link said of itself long ago does not tell that its disk is still there.
+func TestALeaverDoesNotCountSilentLinks(t *testing.T) {
+	v := &View{Epoch: 3, Chain: []ID{"a", "b"}, Voters: []Member{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	c := &Core{cfg: Config{MachineLosses: 1}, reg: register{self: Member{ID: "c"}, view: v}, peers: map[ID]*peer{}}
+	c.cfg.defaults()
+	for _, id := range v.Chain {
+		c.peers[id] = &peer{member: Member{ID: id}, heartbeat: &replicationpb.Heartbeat{Epoch: 3, Active: 3}}
+	}
+	if !c.Left() {
+		t.Error("two links that are alive hold all, and the leaver does not go")
+	}
+	c.now = 20 * time.Second
+	c.peers["a"].heardAt, c.peers["a"].echoAt = c.now, c.now
+	if c.Left() {
+		t.Error("one of two links is silent, and the leaver goes")
+	}
+}
