replication: controls of second losses; the answers' plays share the cores

Change: three protections are taken out of the plays of a second loss; the control of unsealed epochs is the core's scripted one, TestEpochsAreSealedBeforeTheyCountAsEmpty.

--- a/internal/system/replication/control_test.go
+++ b/internal/system/replication/control_test.go
@@ -14,23 +14,22 @@
 	"a wiped disk keeps its vote":                     {hooks{keepVote: true}, 26},
 	"the tail answers without a majority":             {hooks{blindRead: true}, 28},
 	"the head acknowledges what it alone holds":       {hooks{earlyAck: true}, 2},
-	"any link may lead":                               {hooks{anyHead: true}, 231},
-	"a joining link cuts off what it was not sent":    {hooks{truncateAll: true}, 7},
-	"links take records of another epoch":             {hooks{anyEpoch: true}, 24},
+	"any link may lead":                               {hooks{anyHead: true}, 4},
+	"a joining link cuts off what it was not sent":    {hooks{truncateAll: true}, 4},
+	"links take records of another epoch":             {hooks{anyEpoch: true}, 4},
 	"messages go out before the write they rest on":   {hooks{sendFirst: true}, 4},
 	"a chain that is too short acknowledges":          {hooks{shortChain: true}, 57},
 	"a judgement is given before it is committed":     {hooks{hastyVerdict: true}, 2},
-	"phase one's finds are not taken over":            {hooks{ignoreAccepted: true}, 53},
+	"phase one's finds are not taken over":            {hooks{ignoreAccepted: true}, 44},
 	"a change that comes twice is not recognised":     {hooks{duplicateChange: true}, 5},
-	"epochs count as empty that are not sealed":       {hooks{presumeUnacknowledged: true}, 731},
 	"a tail that has just started answers reads":      {hooks{noFloor: true}, 1},
-	"answers of a former life are taken":              {hooks{anyLife: true}, 387},
+	"answers of a former life are taken":              {hooks{anyLife: true}, 783},
 	"changes for a former life of the head are taken": {hooks{anyHeadLife: true}, 100},
 	"the past is passed on":                           {hooks{alwaysCurrent: true}, 4},
 }
 
 func TestEveryProtectionIsNeeded(t *testing.T) {
-	covered := hooks{}
+	covered := hooks{presumeUnacknowledged: true} // see TestEpochsAreSealedBeforeTheyCountAsEmpty: chance hardly meets it
 	for name, c := range controls {
 		v, all := reflect.ValueOf(c.hooks), reflect.ValueOf(&covered).Elem()
 		for i := range v.NumField() {
--- a/internal/system/replication/sim_hardening_answers_test.go
+++ b/internal/system/replication/sim_hardening_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,28 +99,27 @@
 // TestHardeningAnswersReachTheirCall: an answer completes the call that it is for and no other, and a call that may not be
 // repeated comes about once at most, however late its copies come.
 func TestHardeningAnswersReachTheirCall(t *testing.T) {
+	roles := []string{"head", "second", "tail", "outsider", "late note"}
+	if raceDetector {
+		roles = roles[3:]
+	}
 	for _, s := range []shape{{3, 1, 1, 3, 0, 0}, {5, 1, 2, 3, 0, 0}, {4, 1, 1, 2, 1, 0}} {
-		former, late := 0, 0
-		for seed := range uint64(3) {
-			for _, role := range []string{"head", "second", "tail", "outsider"} {
-				if raceDetector && role != "outsider" {
-					continue
-				}
-				n, err := playAnswers(seed+1, s, role, hooks{})
-				if err != nil {
-					t.Errorf("%v, %s, seed %d: %v", s, role, seed+1, err)
-				}
-				former += n
+		var former, late atomic.Int64
+		inParallel(3*len(roles), func(i int) {
+			seed, role := uint64(1+i%3), roles[i/3]
+			sum, play := &former, func() (int, error) { return playAnswers(seed, s, role, hooks{}) }
+			if role == "late note" {
+				sum, play = &late, func() (int, error) { return playLateNote(seed, s, hooks{}, scriptedHooks{}) }
 			}
-			n, err := playLateNote(seed+1, s, hooks{}, scriptedHooks{})
+			n, err := play()
 			if err != nil {
-				t.Errorf("%v, late note, seed %d: %v", s, seed+1, err)
+				t.Errorf("%v, %s, seed %d: %v", s, role, seed, err)
 			}
-			late += n
-		}
-		t.Logf("%v: %d answers to calls of former lives arrived, %d changes 20 s late", s, former, late)
-		if former == 0 || late == 0 {
-			t.Errorf("%v: it did not come about: %d, %d", s, former, late)
+			sum.Add(int64(n))
+		})
+		t.Logf("%v: %d answers to calls of former lives arrived, %d changes 20 s late", s, former.Load(), late.Load())
+		if former.Load() == 0 || late.Load() == 0 {
+			t.Errorf("%v: it did not come about: %d, %d", s, former.Load(), late.Load())
 		}
 	}
 }
@@ -139,7 +139,10 @@
 	} {
 		var err error
 		seed := uint64(0)
-		for err == nil && seed < 30 {
+		if name == "answers of a former life are taken" {
+			seed = 22 // it breaks at the next
+		}
+		for last := seed + 30; err == nil && seed < last; {
 			seed++
 			_, err = play(seed)
 		}
--- a/internal/system/replication/sim_repair_steps_test.go
+++ b/internal/system/replication/sim_repair_steps_test.go
@@ -52,8 +52,8 @@
 }
 
 // begun runs an incident's world up to where it begins, with clients at work.
-func (i incident) begun(seed uint64) *world {
-	w := newWorld(seed, i.shape, hooks{})
+func (i incident) begun(seed uint64, h hooks) *world {
+	w := newWorld(seed, i.shape, h)
 	w.operate()
 	w.runUntil(6 * time.Second)
 	return w
@@ -66,7 +66,7 @@
 
 // steps lists what happens between the beginning of an incident and its end: each step and how often it is taken.
 func (i incident) steps(seed uint64) (map[string]int, error) {
-	w := i.begun(seed)
+	w := i.begun(seed, hooks{})
 	count := map[string]int{}
 	w.onStep = func(name, _ string) { count[name]++ }
 	i.begin(w)
@@ -92,8 +92,8 @@
 }
 
 // play runs a trial and tells whether the trouble came about.
-func (t trial) play(seed uint64) (bool, error) {
-	w := t.incident.begun(seed)
+func (t trial) play(seed uint64, h hooks) (bool, error) {
+	w := t.incident.begun(seed, h)
 	struck := false
 	w.arm(&armedStep{name: t.step, left: t.nth, before: t.before, do: func(m *machine) {
 		if m.gone {
@@ -151,7 +151,7 @@
 		if i *= stride; t.Failed() {
 			return
 		}
-		ok, err := all[i].play(uint64(1 + i%7))
+		ok, err := all[i].play(uint64(1+i%7), hooks{})
 		played.Add(1)
 		if ok {
 			struck.Add(1)
@@ -166,12 +166,36 @@
 	}
 }
 
+// TestHardeningSecondLossControls takes protections out; some step must then break.
+func TestHardeningSecondLossControls(t *testing.T) {
+	all := trials(t)
+	for name, c := range map[string]struct {
+		hooks
+		known int // a trial that breaks
+	}{
+		"the head acknowledges what it alone holds":     {hooks{earlyAck: true}, 0},
+		"a wiped disk keeps its vote":                   {hooks{keepVote: true}, 0},
+		"messages go out before the write they rest on": {hooks{sendFirst: true}, 0},
+	} {
+		var err error
+		for n := 0; n < 600 && err == nil; n++ {
+			i := (c.known + 16*n) % len(all)
+			if _, err = all[i].play(uint64(1+i%7), c.hooks); err != nil {
+				t.Logf("%s: trial %d, %v: %v", name, i, all[i], err)
+			}
+		}
+		if err == nil {
+			t.Errorf("%s: nothing broke", name)
+		}
+	}
+}
+
 // TestHardeningSecondLossRightAfterARepair loses each link in turn at the very moment when the loss before is made good.
 func TestHardeningSecondLossRightAfterARepair(t *testing.T) {
 	lost := 0
 	for _, i := range incidents {
 		for place := range 5 {
-			w := i.begun(uint64(place + 1))
+			w := i.begun(uint64(place+1), hooks{})
 			i.begin(w)
 			w.runUntil(w.now + 1500*time.Millisecond)
 			if !w.runWhile(repairBound, func() bool { return !w.whole() }) {
