lab: the stand-in deployment runs a keeper on every machine, an observer where there is no disk

As the deploy file does. The operator's calls go to all of them; the system's test asks the observer for its status and for a read that it passes on, and the tour kills voters as before.

--- a/cmd/gradeusher/system_up_test.go
+++ b/cmd/gradeusher/system_up_test.go
@@ -4,15 +4,18 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"gradeusher.example/gradeusher/internal/lab/world"
 	"gradeusher.example/gradeusher/internal/lab/world/rules"
+	"gradeusher.example/gradeusher/internal/system/staff"
 )
 
 // buildSystem builds the system's programs.
@@ -49,6 +52,7 @@
 		do   func() error
 	}{
 		{"traffic", func() error { return run.Served(ctx, 15) }},
+		{"the machine without a disk has an observer", func() error { return observes(ctx, run.Fleet.Control(machines[3])) }},
 		{"a route is added", func() error { return run.AddRoute(ctx, 5, added) }},
 		{"the head of the chain is killed", func() error { return run.KillKeeper(machines[0]) }},
 		{"traffic without it", func() error { return run.Served(ctx, 15) }},
@@ -76,6 +80,23 @@
 	t.Logf("%v: ended\n%s", run.Now().Round(time.Millisecond), strings.Join(report.Lines(), "\n"))
 }
 
+// observes tells whether the keeper at the control address is an observer that knows the configuration and passes reads on.
+func observes(ctx context.Context, address string) error {
+	var client staff.Client
+	s, err := client.Keeper(ctx, address)
+	if err != nil {
+		return err
+	}
+	if !s.Observer || s.Revision == 0 || slices.Contains(s.Chain, strings.Split(address, ":")[0]) || s.Capacity == nil || s.Capacity.Voters != 3 {
+		return fmt.Errorf("%s is no observer that follows three voters: %+v", address, s)
+	}
+	state, err := client.Backup(ctx, address)
+	if err == nil && state.Revision() != s.Revision {
+		err = fmt.Errorf("a read that is passed on gives revision %d, and %s holds %d", state.Revision(), address, s.Revision)
+	}
+	return err
+}
+
 // TestSystemUpUsage: what cannot be done is refused before anything starts.
 func TestSystemUpUsage(t *testing.T) {
 	for _, c := range []systemUpCommand{{For: 0, Rate: 1}, {For: 2 * time.Hour, Rate: 1}, {For: time.Minute}, {For: time.Minute, Rate: 1e6}} {
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -22,7 +22,7 @@
 // Machine is one edge machine of the stand-in deployment: a loopback address.
 type Machine struct {
 	IP, Zone, Region string
-	Disk             bool // it runs a keeper besides the proxy
+	Disk             bool // its keeper votes; without, that is an observer
 }
 
 // Ports are the same on all machines.
@@ -70,7 +70,7 @@
 	return true
 }
 
-// Fleet is the system's processes: a proxy on every machine, a keeper on those with a disk.
+// Fleet is the system's processes: a proxy and a keeper on every machine.
 type Fleet struct {
 	Machines []Machine
 	Ports    Ports
@@ -107,12 +107,21 @@
 // Control is where the operator reaches the keeper of a machine.
 func (f *Fleet) Control(m Machine) string { return f.at(m, f.Ports.Control) }
 
-// Keepers are the control addresses.
+// Keepers are the control addresses, also of observers.
 func (f *Fleet) Keepers() []string {
 	var all []string
+	for _, m := range f.Machines {
+		all = append(all, f.Control(m))
+	}
+	return all
+}
+
+// Disks are the machines whose keepers vote.
+func (f *Fleet) Disks() []Machine {
+	var all []Machine
 	for _, m := range f.Machines {
 		if m.Disk {
-			all = append(all, f.Control(m))
+			all = append(all, m)
 		}
 	}
 	return all
@@ -149,10 +158,8 @@
 func (f *Fleet) Start() error {
 	f.starter, f.running = proc.NewStarter(), map[string]*proc.Process{}
 	for _, m := range f.Machines {
-		if m.Disk {
-			if err := f.StartKeeper(m, true); err != nil {
-				return err
-			}
+		if err := f.StartKeeper(m, true); err != nil {
+			return err
 		}
 		if err := f.StartProxy(m, true); err != nil {
 			return err
@@ -237,8 +244,11 @@
 // settings is the settings file of a process: DEPLOY.md.
 func (f *Fleet) settings(m Machine, name, disk string, first bool, serves string) string {
 	var seeds, zones []string
-	for _, at := range f.Keepers() {
-		seeds = append(seeds, strconv.Quote(at))
+	for _, d := range f.Disks() {
+		seeds = append(seeds, strconv.Quote(f.Control(d)))
+	}
+	if !m.Disk {
+		disk = ""
 	}
 	for zone, region := range f.Zones() {
 		zones = append(zones, fmt.Sprintf("%s = %q", zone, region))
--- a/internal/lab/world/tour.go
+++ b/internal/lab/world/tour.go
@@ -54,7 +54,7 @@
 }
 
 func (r *Run) tourKeeper(ctx context.Context, rng *rand.Rand) error {
-	m := r.Fleet.Machines[rng.IntN(len(r.Fleet.Keepers()))] // the first ones have a disk
+	m := r.Fleet.Disks()[rng.IntN(len(r.Fleet.Disks()))]
 	if err := r.KillKeeper(m); err != nil {
 		return err
 	}
--- a/internal/lab/world/up.go
+++ b/internal/lab/world/up.go
@@ -112,9 +112,11 @@
 func (r *Run) Lines() []string {
 	lines := []string{"list     http://" + r.ListAddress() + "/instances"}
 	for _, m := range r.Fleet.Machines {
-		if m.Disk {
-			lines = append(lines, fmt.Sprintf("keeper   http://%s/status  zone %s  pid %d", r.Fleet.Control(m), m.Zone, r.Fleet.KeeperProcess(m).Pid()))
+		what := "keeper  "
+		if !m.Disk {
+			what = "observer"
 		}
+		lines = append(lines, fmt.Sprintf("%s http://%s/status  zone %s  pid %d", what, r.Fleet.Control(m), m.Zone, r.Fleet.KeeperProcess(m).Pid()))
 	}
 	for _, m := range r.Fleet.Machines {
 		lines = append(lines, fmt.Sprintf("proxy    http://%s  zone %s  pid %d", r.Fleet.Front(m), m.Zone, r.Fleet.ProxyProcess(m).Pid()))
