A call before the stall detector runs costs no second of orders

Cause: a call that came before the detector's first note counted as the end of a stall, so evacuation orders got 503 for a second after the start. Change: the first note ends it. Measured: TestStallDetector failed on it, and passes.

--- a/internal/system/control/evacuation_test.go
+++ b/internal/system/control/evacuation_test.go
@@ -253,6 +253,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, stop := context.WithCancel(t.Context())
 		d := NewStallDetector()
+		if !d.Stalled() {
+			t.Error("no stall before it runs")
+		}
 		go d.Run(ctx)
 		synctest.Wait()
 		if d.Stalled() {
--- a/internal/system/control/stall.go
+++ b/internal/system/control/stall.go
@@ -50,7 +50,10 @@
 func (d *StallDetector) note(now time.Time, first bool) (stalled bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !first && now.Sub(d.last) > stallBound {
+	switch {
+	case first:
+		d.trusted = now
+	case now.Sub(d.last) > stallBound:
 		d.trusted = now.Add(stallHold)
 	}
 	// Goroutines may come here in another order than they read the clock.
