replication: a head that remembers as many changes as it may answers at once

Ruled out: Refused (its key is not kept, so a double of the message may be taken later), and forgetting the oldest early (a double that is late would be judged again). Change: it answers Unknown, which promises nothing. TestAFullHeadAnswersAtOnce failed before (no answer within 1 s) and passes.

--- /dev/null
+++ b/internal/system/replication/core_full_test.go
@@ -0,0 +1,25 @@
+package replication
+
+import (
+	"testing"
+	"time"
+)
+
+// TestAFullHeadAnswersAtOnce: a head that remembers as many changes as it may tells so. Danger: silence, for which callers wait
+// until their deadlines.
+func TestAFullHeadAnswersAtOnce(t *testing.T) {
+	cl := trio(t, 1, scriptedHooks{})
+	head, sender := cl.link(0), cl.link(2)
+	changes := cl.nodes[head].core.changes
+	for id := range uint64(maxChanges) {
+		changes[changeKey{from: "filler", id: id}] = &pendingChange{done: true, outcome: Answered, at: cl.now + time.Hour}
+	}
+	id := cl.submit(sender, noted("one too many"), 3*time.Second)
+	cl.until(time.Second, "an answer", func() bool { return cl.done[id].ID != 0 })
+	if got := cl.done[id].Outcome; got != Unknown {
+		t.Errorf("the outcome is %d, not Unknown", got)
+	}
+	if len(changes) > maxChanges {
+		t.Errorf("%d changes are remembered, %d at most", len(changes), maxChanges)
+	}
+}
--- a/internal/system/replication/submit.go
+++ b/internal/system/replication/submit.go
@@ -190,9 +190,14 @@
 		}
 		return
 	}
-	if m.GetHeadLife() != c.cfg.Life && !c.cfg.hooks.anyHeadLife || len(c.changes) >= maxChanges {
+	if m.GetHeadLife() != c.cfg.Life && !c.cfg.hooks.anyHeadLife {
 		return // it was for a former life: its sender notices
 	}
+	if len(c.changes) >= maxChanges {
+		// Not Refused: its key is not kept, so a double of this message may be taken once there is room.
+		c.answer(&pendingChange{key: key, outcome: Unknown})
+		return
+	}
 	o := &pendingChange{key: key, at: c.now}
 	c.changes[key] = o
 	if !c.mayJudge(from, m) {
