replication: a view that only a machine cut off holds makes no loss good, in the harness

What was wrong: stability was judged by the newest view anywhere. Ruled out: a longer bound, which would hide real standstills. Change: the newest view counts that a healthy machine holds which reaches most others; all bounds and conditions stay as they were.

--- a/internal/system/replication/sim_proxy_checks_test.go
+++ b/internal/system/replication/sim_proxy_checks_test.go
@@ -87,20 +87,48 @@
 	return true
 }
 
+// knownView is the newest view that a healthy machine holds which reaches most of the others. One that only a machine
+// holds which is cut off makes no loss good.
+func (w *world) knownView() *View {
+	var newest *View
+	for _, m := range w.nodes {
+		if !m.healthy() || newest != nil && m.core.reg.view.Epoch <= newest.Epoch {
+			continue
+		}
+		reached, all := 0, 0
+		for _, o := range w.nodes {
+			if !o.gone {
+				all++
+				if w.connected(m.member.Addr, o.member.Addr) {
+					reached++
+				}
+			}
+		}
+		if reached > all/2 && m.core.reg.view.Epoch > 0 {
+			newest = m.core.reg.view
+		}
+	}
+	return newest
+}
+
 // core lists the healthy machines that reach a majority of the voters both ways.
 func (w *world) core() []*machine {
 	var out []*machine
+	view := w.knownView()
+	if view == nil {
+		return nil
+	}
 	for _, m := range w.nodes {
-		if !m.healthy() || w.newest == nil {
+		if !m.healthy() {
 			continue
 		}
 		n := 0
-		for _, v := range w.newest.Voters {
+		for _, v := range view.Voters {
 			if o := w.at(v.Addr); o != nil && o.healthy() && w.connected(m.member.Addr, v.Addr) && ID(o.core.reg.self.ID) == v.ID {
 				n++
 			}
 		}
-		if n > len(w.newest.Voters)/2 {
+		if n > len(view.Voters)/2 {
 			out = append(out, m)
 		}
 	}
@@ -109,7 +137,8 @@
 
 // stable tells whether nothing has disturbed the keepers of late and no more are in trouble than may be lost.
 func (w *world) stable() bool {
-	if w.now-w.eventAt < contact || w.loss > 0 || w.slack > 0 || w.newest == nil {
+	view := w.knownView()
+	if w.now-w.eventAt < contact || w.loss > 0 || w.slack > 0 || view == nil {
 		return false
 	}
 	well := w.core()
@@ -125,7 +154,7 @@
 		in[m.core.reg.self.ID] = true
 	}
 	missing := 0
-	for _, v := range w.newest.Voters {
+	for _, v := range view.Voters {
 		if !in[v.ID] {
 			missing++
 		}
