--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -184,7 +184,7 @@
 	to := reply.GetSoft()
 	same := to.GetBoot() == f.soft.GetBoot()
 	switch {
-	case reply.GetWhole():
+	case reply.GetFull():
 	case !same, req.GetSoft().GetBoot() != to.GetBoot(), req.GetSoft().GetNumber() > f.soft.GetNumber(), to.GetNumber() < f.soft.GetNumber():
 		return
 	}
--- a/internal/system/distribution/follower_soft.go
+++ b/internal/system/distribution/follower_soft.go
@@ -40,7 +40,7 @@
 func (f *Follower) takeEntries(now time.Time, reply *distributionpb.FollowReply) (changed bool) {
 	into := f.table
 	old := f.tellsOldList(now, reply)
-	if reply.GetWhole() && reply.GetWarm() && !old {
+	if reply.GetFull() && reply.GetWarm() && !old {
 		into = newTable()
 	}
 	if listEntry(reply) != nil && !old {
--- a/internal/system/distribution/hub_follow.go
+++ b/internal/system/distribution/hub_follow.go
@@ -188,8 +188,8 @@
 	if req.GetSoft().GetBoot() == h.boot {
 		since = req.GetSoft().GetNumber()
 	}
-	items, whole := h.table.since(since)
-	reply.Entries, reply.Whole, reply.Warm = toWire(now, items), whole, h.warm
+	items, full := h.table.since(since)
+	reply.Entries, reply.Full, reply.Warm = toWire(now, items), full, h.warm
 	if len(items) > 0 {
 		f.changed = now
 	}
--- a/internal/system/distribution/hub_share.go
+++ b/internal/system/distribution/hub_share.go
@@ -136,7 +136,7 @@
 	}
 	if reply.GetBoot() != p.boot {
 		// Another life: what went to the former one is lost, unless this very share was whole.
-		if p.boot = reply.GetBoot(); !req.GetWhole() {
+		if p.boot = reply.GetBoot(); !req.GetFull() {
 			p.cursor.Boot, p.cursor.Number = 0, 0
 			return false
 		}
@@ -165,9 +165,9 @@
 	if p.cursor.GetBoot() == h.boot {
 		since = p.cursor.GetNumber()
 	}
-	items, whole := h.table.since(since)
+	items, full := h.table.since(since)
 	return &distributionpb.ShareRequest{From: &distributionpb.Keeper{Address: h.opt.Self, Zone: h.opt.Zone, Region: h.opt.Region}, Boot: h.boot,
-		Whole: whole, Warm: h.warm, Entries: toWire(now, items), Loads: h.sums.since(p.told.GetBoot(), p.told.GetNumber()),
+		Full: full, Warm: h.warm, Entries: toWire(now, items), Loads: h.sums.since(p.told.GetBoot(), p.told.GetNumber()),
 		Lowest: h.lowest, Followers: uint64(len(h.followers)), Hears: h.heard(now), SentMs: p.sent(now)}, h.table.number
 }
 
@@ -207,7 +207,7 @@
 			h.mergeShared(now, from, e, age+delay)
 		}
 	}
-	if req.GetWhole() && req.GetWarm() && !h.warm {
+	if req.GetFull() && req.GetWarm() && !h.warm {
 		h.warmed()
 	}
 	p.loads.apply(now.Add(-delay), req.GetLoads())
--- a/internal/system/distribution/oldlist_test.go
+++ b/internal/system/distribution/oldlist_test.go
@@ -16,8 +16,8 @@
 	if err := h.PutList(1, version, servers, age); err != nil {
 		tb.Fatal(err)
 	}
-	items, whole := h.table.since(0)
-	return &distributionpb.FollowReply{Whole: whole, Warm: true, Current: true, Entries: toWire(time.Now(), items),
+	items, full := h.table.since(0)
+	return &distributionpb.FollowReply{Full: full, Warm: true, Current: true, Entries: toWire(time.Now(), items),
 		Soft: &distributionpb.Cursor{Boot: h.boot, Number: h.table.number}}
 }
 
--- a/internal/system/distribution/table.go
+++ b/internal/system/distribution/table.go
@@ -107,7 +107,7 @@
 }
 
 // since gives the items changed after the number n, and whether these are the whole table.
-func (t *table) since(n uint64) (items []*item, whole bool) {
+func (t *table) since(n uint64) (items []*item, full bool) {
 	if n < t.cut || n > t.number {
 		n = 0
 	}
--- a/internal/system/distribution/unit_test.go
+++ b/internal/system/distribution/unit_test.go
@@ -61,8 +61,8 @@
 			case 1:
 				tb.compact()
 			case 2:
-				items, whole := tb.since(at)
-				if whole {
+				items, full := tb.since(at)
+				if full {
 					reader = newTable()
 				}
 				for _, w := range toWire(now, items) {
