--- a/internal/system/control/model_chain_test.go
+++ b/internal/system/control/model_chain_test.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
@@ -52,8 +50,6 @@
 	untrusted time.Time // until then it counts as just thawed
 }
 
-var errNoAnswer = errors.New("no answer")
-
 func newModelWorld(seed uint64, start *controlstate.State, h hooks, c chainHooks) *modelWorld {
 	w := &modelWorld{hooks: c, began: time.Now(), rng: rand.New(rand.NewPCG(seed, 7)), state: start,
 		applied: map[string]time.Duration{}, raw: map[int64]string{}, counts: map[string]int{}}
@@ -122,8 +118,6 @@
 	if w.hooks.forgetAndRefuse && v.Kind == controlstate.Uncertain {
 		v.Kind = controlstate.Stale
 	}
-	if c.Zone == "north" {
-	}
 	if v.Kind == controlstate.Superseded {
 		w.counts["superseded"]++
 	}
