--- a/internal/system/controlstate/codec.go
+++ b/internal/system/controlstate/codec.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/fields"
 )
 
 // Formats of encodings, each its first byte.
@@ -23,18 +24,18 @@
 	dst = append(dst, recordFormat, byte(r.Op))
 	dst = binary.AppendUvarint(dst, r.Seq)
 	dst = binary.AppendVarint(dst, r.Base)
-	dst = appendBytes(dst, r.Body)
-	return appendBytes(dst, r.Zone)
+	dst = fields.AppendBytes(dst, r.Body)
+	return fields.AppendBytes(dst, r.Zone)
 }
 
 // DecodeRecord reads what AppendRecord made, and no byte more. Body shares the memory of b. Errors are ErrCorrupt.
 func DecodeRecord(b []byte) (Record, error) {
-	d := reader{b: b}
-	if d.byte() != recordFormat {
+	d := reader{fields.NewReader(b)}
+	if d.Byte() != recordFormat {
 		return Record{}, corrupt("record")
 	}
-	r := Record{Op: Op(d.byte()), Seq: d.uvarint(), Base: d.varint(), Body: d.bytes(), Zone: string(d.bytes())}
-	if d.bad || len(d.b) > 0 {
+	r := Record{Op: Op(d.Byte()), Seq: d.Uvarint(), Base: d.Varint(), Body: d.Bytes(), Zone: string(d.Bytes())}
+	if !d.Complete() {
 		return Record{}, corrupt("record")
 	}
 	return r, nil
@@ -53,7 +54,7 @@
 	if s.Config == nil {
 		b = append(b, 0)
 	} else {
-		b = appendBytes(append(b, 1), s.Config.Raw)
+		b = fields.AppendBytes(append(b, 1), s.Config.Raw)
 	}
 	return binary.LittleEndian.AppendUint64(b, xxhash.Sum64(b))
 }
@@ -69,7 +70,7 @@
 	b = binary.AppendUvarint(b, s.zones.floor)
 	b = binary.AppendUvarint(b, uint64(len(all)))
 	for _, zone := range slices.Sorted(maps.Keys(all)) {
-		b = appendBytes(b, zone)
+		b = fields.AppendBytes(b, zone)
 		b = binary.AppendUvarint(b, all[zone])
 		b = appendFlag(b, s.Evacuated[zone])
 	}
@@ -77,9 +78,9 @@
 }
 
 func (d *reader) zones(s *State) {
-	s.zones = zoneChanges{floor: d.uvarint(), last: map[string]uint64{}}
-	for n := d.uvarint(); n > 0 && !d.bad; n-- {
-		zone, changed, evacuated := string(d.bytes()), d.uvarint(), d.byte() == 1
+	s.zones = zoneChanges{floor: d.Uvarint(), last: map[string]uint64{}}
+	for n := d.Uvarint(); n > 0 && !d.Failed(); n-- {
+		zone, changed, evacuated := string(d.Bytes()), d.Uvarint(), d.Byte() == 1
 		if changed > s.zones.floor {
 			s.zones.last[zone] = changed
 		}
@@ -106,18 +107,18 @@
 }
 
 func (d *reader) history() history {
-	h := history{forgetful: d.byte() == 1, base: d.varint()}
-	legacy := d.uvarint()
+	h := history{forgetful: d.Byte() == 1, base: d.Varint()}
+	legacy := d.Uvarint()
 	revision, seq := h.base, uint64(0)
-	for n := d.uvarint(); n > 0 && !d.bad; n-- {
-		revision += int64(d.uvarint())
-		seq += d.uvarint()
+	for n := d.Uvarint(); n > 0 && !d.Failed(); n-- {
+		revision += int64(d.Uvarint())
+		seq += d.Uvarint()
 		c := appliedChange{Revision: revision, Seq: seq}
-		copy(c.Digest[:], d.take(len(c.Digest)))
+		copy(c.Digest[:], d.Take(len(c.Digest)))
 		h.changes = append(h.changes, c)
 	}
 	if legacy > uint64(len(h.changes)) {
-		d.bad = true
+		d.Fail()
 		return history{}
 	}
 	h.legacy = int(legacy)
@@ -128,13 +129,13 @@
 // the number of the state is the latest that can be.
 func (d *reader) legacyBody(s *State) {
 	s.zones = zoneChanges{floor: s.Seq, last: map[string]uint64{}}
-	for n := d.uvarint(); n > 0 && !d.bad; n-- {
-		s.Evacuated[string(d.bytes())] = true
+	for n := d.Uvarint(); n > 0 && !d.Failed(); n-- {
+		s.Evacuated[string(d.Bytes())] = true
 	}
-	for n := d.uvarint(); n > 0 && !d.bad; n-- {
-		c := appliedChange{Revision: d.varint()}
-		copy(c.Digest[:], d.take(8))
-		c.Seq = d.uvarint()
+	for n := d.Uvarint(); n > 0 && !d.Failed(); n-- {
+		c := appliedChange{Revision: d.Varint()}
+		copy(c.Digest[:], d.Take(8))
+		c.Seq = d.Uvarint()
 		s.history.changes = append(s.history.changes, c)
 	}
 	const most = 256
@@ -151,9 +152,9 @@
 	if len(b) < 8 || xxhash.Sum64(b[:len(b)-8]) != binary.LittleEndian.Uint64(b[len(b)-8:]) {
 		return nil, corrupt("state")
 	}
-	d := reader{b: b[:len(b)-8]}
-	format := d.byte()
-	s := &State{Seq: d.uvarint(), Evacuated: map[string]bool{}}
+	d := reader{fields.NewReader(b[:len(b)-8])}
+	format := d.Byte()
+	s := &State{Seq: d.Uvarint(), Evacuated: map[string]bool{}}
 	switch format {
 	case stateFormat:
 		d.zones(s)
@@ -163,9 +164,9 @@
 	default:
 		return nil, errors.Mark(errors.New("state in a format unknown here: run a newer version"), ErrCorrupt)
 	}
-	if d.byte() == 1 {
-		raw := slices.Clone(d.bytes())
-		if d.bad {
+	if d.Byte() == 1 {
+		raw := slices.Clone(d.Bytes())
+		if d.Failed() {
 			return nil, corrupt("state")
 		}
 		config, err := conf.Parse(raw)
@@ -174,7 +175,7 @@
 		}
 		s.Config = config
 	}
-	if d.bad || len(d.b) > 0 {
+	if !d.Complete() {
 		return nil, corrupt("state")
 	}
 	return s, nil
@@ -184,10 +185,6 @@
 	return errors.Mark(errors.Newf("bytes that are no whole %s: fetch it again", what), ErrCorrupt)
 }
 
-func appendBytes[T string | []byte](dst []byte, b T) []byte {
-	return append(binary.AppendUvarint(dst, uint64(len(b))), b...)
-}
-
 func appendFlag(dst []byte, flag bool) []byte {
 	if flag {
 		return append(dst, 1)
@@ -195,54 +192,5 @@
 	return append(dst, 0)
 }
 
-// reader takes fields off the front of b; once one is missing it is bad and gives zeros.
-type reader struct {
-	b   []byte
-	bad bool
-}
-
-func (d *reader) take(n int) []byte {
-	if d.bad || n < 0 || n > len(d.b) {
-		d.bad = true
-		return nil
-	}
-	b := d.b[:n:n]
-	d.b = d.b[n:]
-	return b
-}
-
-func (d *reader) byte() byte {
-	if b := d.take(1); b != nil {
-		return b[0]
-	}
-	return 0
-}
-
-func (d *reader) uvarint() uint64 {
-	v, n := binary.Uvarint(d.b)
-	if n <= 0 {
-		d.bad = true
-		return 0
-	}
-	d.b = d.b[n:]
-	return v
-}
-
-func (d *reader) varint() int64 {
-	v, n := binary.Varint(d.b)
-	if n <= 0 {
-		d.bad = true
-		return 0
-	}
-	d.b = d.b[n:]
-	return v
-}
-
-func (d *reader) bytes() []byte {
-	n := d.uvarint()
-	if n > uint64(len(d.b)) {
-		d.bad = true
-		return nil
-	}
-	return d.take(int(n))
-}
+// reader decodes what a state is made of.
+type reader struct{ fields.Reader }
--- a/internal/system/controlstate/history_test.go
+++ b/internal/system/controlstate/history_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"gradeusher.example/gradeusher/internal/system/fields"
 )
 
 // manyChanges applies count changes of the configuration, each under a revision three above the one before.
@@ -147,7 +149,7 @@
 	b := binary.AppendUvarint([]byte{1}, s.Seq)
 	b = binary.AppendUvarint(b, uint64(len(s.Evacuated)))
 	for zone := range s.Evacuated {
-		b = appendBytes(b, zone)
+		b = fields.AppendBytes(b, zone)
 	}
 	first := max(0, len(all)-256)
 	b = binary.AppendUvarint(b, uint64(len(all)-first))
@@ -157,7 +159,7 @@
 		b = append(b, sum[:8]...)
 		b = binary.AppendUvarint(b, uint64(first+i+1))
 	}
-	b = appendBytes(append(b, 1), s.Config.Raw)
+	b = fields.AppendBytes(append(b, 1), s.Config.Raw)
 	return binary.LittleEndian.AppendUint64(b, xxhash.Sum64(b))
 }
 
--- a/internal/system/wal/record.go
+++ b/internal/system/wal/record.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
+
+	"gradeusher.example/gradeusher/internal/system/fields"
 )
 
 // A segment is a header and records. The header holds magic, number, the number and the end of the segment before it, the
@@ -98,7 +100,7 @@
 	b = binary.AppendUvarint(b, entries[0].Seq)
 	b = binary.AppendUvarint(b, uint64(len(entries)))
 	for _, e := range entries {
-		b = appendBytes(b, e.Data)
+		b = fields.AppendBytes(b, e.Data)
 	}
 	return b
 }
--- a/internal/system/wal/replay.go
+++ b/internal/system/wal/replay.go
@@ -1,6 +1,10 @@
 package wal
 
-import "slices"
+import (
+	"slices"
+
+	"gradeusher.example/gradeusher/internal/system/fields"
+)
 
 // newestSegment is what Load found last in the newest segment. The zero one: there is none.
 type newestSegment struct {
@@ -155,17 +159,17 @@
 // take does what a record says, and returns the number of the first entry that it holds; false where it cannot follow the ones
 // before it.
 func (r *replay) take(payload []byte, segment uint64) (first uint64, ok bool) {
-	d := reader{b: payload}
-	switch d.byte() {
+	d := fields.NewReader(payload)
+	switch d.Byte() {
 	case kindAppend:
 		var count uint64
-		first, count = d.uvarint(), d.uvarint()
-		if d.bad || first == 0 || count == 0 || r.next != 0 && first != r.next {
+		first, count = d.Uvarint(), d.Uvarint()
+		if d.Failed() || first == 0 || count == 0 || r.next != 0 && first != r.next {
 			return 0, false
 		}
 		for i := range count {
-			data := d.bytes()
-			if d.bad {
+			data := d.Bytes()
+			if d.Failed() {
 				return 0, false
 			}
 			r.entries = append(r.entries, Entry{Seq: first + i, Data: data})
@@ -173,8 +177,8 @@
 		r.next = first + count
 		r.batches = append(r.batches, batch{first, r.next - 1, segment})
 	case kindTruncate:
-		after := d.uvarint()
-		if d.bad {
+		after := d.Uvarint()
+		if d.Failed() {
 			return 0, false
 		}
 		for n := len(r.entries); n > 0 && r.entries[n-1].Seq > after; n-- {
@@ -185,5 +189,5 @@
 	default:
 		return 0, false
 	}
-	return first, !d.bad && len(d.b) == 0
+	return first, d.Complete()
 }
