Sight: metrics of both roles, counted invariants, and a log of servers that turn cold

Change: package invariant counts checks that fail, shows them in status and metrics and logs them; /metrics at the port that the deploy file names; the keeper that reads the platform's list logs servers that turn cold and how long the reading took. No decision changes.

--- a/cmd/keeper/feed.go
+++ b/cmd/keeper/feed.go
@@ -32,6 +32,7 @@
 	fence    *ownership.Fence
 	client   *platform.Client
 	poller   *platform.Poller
+	cold     map[string]bool // ids of the servers that the last reading called cold; of the poller's goroutine
 }
 
 func newFeed(s *settings.Settings, logger log.Interface, chain *links) *feed {
@@ -85,7 +86,24 @@
 			Region: f.settings.Zones[i.Zone], Slots: i.Slots, Draining: i.Phase == platform.Draining,
 			Remaining: i.Remaining, Cold: i.ColdLeft})
 	}
+	f.logCold(r)
 	if err := f.hub.PutList(r.Fence, r.Version, servers, time.Since(r.At)); err != nil {
 		f.log.WithError(err).Info("keeper: a reading of the list came too late")
 	}
 }
+
+// logCold logs each server that a reading of the list calls cold and the one before did not, and how exact that word is.
+func (f *feed) logCold(r platform.Result) {
+	cold := map[string]bool{}
+	for _, i := range r.Instances {
+		if i.ColdLeft <= 0 {
+			continue
+		}
+		cold[i.ID] = true
+		if !f.cold[i.ID] {
+			f.log.WithField("server", i.ID).WithField("cold_ms", i.ColdLeft.Milliseconds()).
+				WithField("reading_ms", time.Since(r.At).Milliseconds()).Info("keeper: the list calls a server cold")
+		}
+	}
+	f.cold = cold
+}
--- a/cmd/keeper/run.go
+++ b/cmd/keeper/run.go
@@ -48,6 +48,9 @@
 	if err := k.serve(ctx, group); err != nil {
 		return err
 	}
+	if err := self.ServeMetrics(ctx, group); err != nil {
+		return err
+	}
 	if k.feed != nil {
 		k.feed.run(ctx, group)
 	}
--- a/cmd/keeper/status.go
+++ b/cmd/keeper/status.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"gradeusher.example/gradeusher/internal/system/invariant"
 	"gradeusher.example/gradeusher/internal/system/ownership"
 	"gradeusher.example/gradeusher/internal/system/replication"
 	"gradeusher.example/gradeusher/internal/system/staff"
@@ -12,7 +13,7 @@
 	state, _ := k.chain.Committed()
 	out := staff.KeeperStatus{Version: staff.Version, Node: k.settings.Node, Observer: !k.settings.HasDisk(), Current: k.chain.Current(),
 		Capacity: capacity(k.chain.Capacity()), Epoch: view.Epoch, Number: state.Seq, Revision: state.Revision(), Evacuated: staff.Zones(state), ListAgeMS: -1,
-		Proxies: []staff.Holding{}}
+		Proxies: []staff.Holding{}, Violations: invariant.Violations()}
 	_, out.Chain = k.chain.Live()
 	out.ListDuty = ownership.Holder(listDuty, out.Chain)
 	for _, m := range view.Voters {
--- a/cmd/proxy/run.go
+++ b/cmd/proxy/run.go
@@ -15,6 +15,7 @@
 	"gradeusher.example/gradeusher/internal/system/directory"
 	"gradeusher.example/gradeusher/internal/system/distribution"
 	"gradeusher.example/gradeusher/internal/system/failuredetector"
+	"gradeusher.example/gradeusher/internal/system/invariant"
 	"gradeusher.example/gradeusher/internal/system/process"
 	"gradeusher.example/gradeusher/internal/system/proxy"
 	"gradeusher.example/gradeusher/internal/system/proxy/pick"
@@ -55,6 +56,7 @@
 	p.follower = distribution.NewFollower(distribution.FollowerOptions{Seeds: s.SeedIPs(), KeeperPort: s.KeeperPort(),
 		ProxyPort: s.ProxyPort(), Self: distribution.Member{Node: s.Node, Zone: s.Zone, Region: s.Region, IP: s.IP, Front: s.Bind.Front},
 		Loads: p.dataPlane.Loads, OnUpdate: p.update, OnLoads: p.dataPlane.SetLoads, Log: p.log})
+	p.dataPlane.Publish()
 	inner := net.JoinHostPort(s.IP, strconv.Itoa(s.ProxyPort()))
 	if err := p.watch(ctx, inner); err != nil {
 		return err
@@ -74,6 +76,9 @@
 		}
 		group.HTTP(ctx, l, handler)
 	}
+	if err := self.ServeMetrics(ctx, group); err != nil {
+		return err
+	}
 	front, err := process.Listen(ctx, s.Bind.Front)
 	if err != nil {
 		return err
@@ -198,7 +203,7 @@
 	held := p.follower.Held()
 	out := staff.ProxyStatus{Version: staff.Version, Node: p.settings.Node, Ready: p.dataPlane.Ready() && p.ready(), Fresh: held.Fresh,
 		Number: held.State.Seq, Revision: held.State.Revision(), Evacuated: staff.Zones(held.State), Servers: len(held.Servers),
-		ListAgeMS: -1, Choice: p.dataPlane.Describe()}
+		ListAgeMS: -1, Choice: p.dataPlane.Describe(), Violations: invariant.Violations()}
 	if held.Listed {
 		out.ListAgeMS = held.ListAge.Milliseconds()
 	}
--- a/deploy/system_test.go
+++ b/deploy/system_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/BurntSushi/toml"
+
+	"gradeusher.example/gradeusher/internal/system/process"
 )
 
 // system is deploy/system.toml.
@@ -15,11 +17,12 @@
 	Build    string
 	Packages []string
 	Roles    map[string]struct {
-		Run    string
-		On     string
-		Share  float64
-		Count  int
-		Serves []string
+		Run     string
+		Metrics string // PORT/PATH
+		On      string
+		Share   float64
+		Count   int
+		Serves  []string
 	}
 }
 
@@ -55,6 +58,9 @@
 			served[s] = true
 		}
 		fields := strings.Fields(role.Run)
+		if port, path, _ := strings.Cut(role.Metrics, "/"); !strings.HasSuffix(role.Run, " --metrics "+port) || "/"+path != process.MetricsPath {
+			t.Errorf("role %s: metrics at %q, and it is started by %q", name, role.Metrics, role.Run)
+		}
 		checkLinked(t, "exec "+fields[0])
 		for what, boot := range map[string]string{"no variable": "", "no file": "GRADEUSHER_BOOT=/nowhere", "nonsense": "GRADEUSHER_BOOT=" + nonsense(t)} {
 			cmd := exec.Command(filepath.Join(root, fields[0]), fields[1:]...)
--- /dev/null
+++ b/internal/system/invariant/invariant_test.go
@@ -0,0 +1,35 @@
+package invariant
+
+import "testing"
+
+func TestCheckCountsAndNotifies(t *testing.T) {
+	subject := New("invariant_test_subject", "one is one")
+	var told []uint64
+	Notify(func(v Violation) {
+		if v.Name != subject.Name() || v.Statement != "one is one" {
+			t.Errorf("notified of %+v", v)
+		}
+		told = append(told, v.Count)
+	})
+	defer receiver.Store(nil)
+	if !subject.Check(true) || subject.Violations() != 0 || Violations()[subject.Name()] != 0 {
+		t.Fatalf("a check that held was counted: %v", Violations())
+	}
+	for range 9 {
+		if subject.Check(false) {
+			t.Fatal("a check that failed was told to hold")
+		}
+	}
+	if got := Violations()[subject.Name()]; got != 9 {
+		t.Errorf("%d violations, want 9", got)
+	}
+	want := []uint64{1, 2, 4, 8}
+	if len(told) != len(want) {
+		t.Fatalf("notified at %v, want %v", told, want)
+	}
+	for i := range want {
+		if told[i] != want[i] {
+			t.Fatalf("notified at %v, want %v", told, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/invariant/invarianttest/invarianttest.go
@@ -0,0 +1,53 @@
+// Package invarianttest fails tests during which an invariant of the system was violated.
+package invarianttest
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+
+	"gradeusher.example/gradeusher/internal/system/invariant"
+)
+
+var (
+	mu      sync.Mutex
+	allowed = map[string]uint64{} // violations that controls brought about on purpose, by name
+)
+
+// Main is the TestMain of a package whose code checks invariants: it runs the tests and fails if any was violated, but for those
+// that Expect has seen. done is called after the tests; nil: nothing.
+func Main(m *testing.M, done func() error) {
+	code := m.Run()
+	for name, count := range invariant.Violations() {
+		mu.Lock()
+		unexpected := count - min(count, allowed[name])
+		mu.Unlock()
+		if unexpected > 0 {
+			fmt.Fprintf(os.Stderr, "FAIL: invariant %s was violated %d times\n", name, unexpected)
+			code = max(code, 1)
+		}
+	}
+	if done != nil && code == 0 {
+		if err := done(); err != nil {
+			fmt.Fprintln(os.Stderr, "FAIL:", err)
+			code = 1
+		}
+	}
+	os.Exit(code)
+}
+
+// Expect runs a control: f has to violate the invariant, which is then not held against the package. Tests that use it must not
+// run in parallel with others that check the same invariant.
+func Expect(t testing.TB, i *invariant.Invariant, f func()) {
+	t.Helper()
+	before := i.Violations()
+	f()
+	seen := i.Violations() - before
+	if seen == 0 {
+		t.Errorf("the invariant %s was not violated by what must violate it", i.Name())
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	allowed[i.Name()] += seen
+}
--- /dev/null
+++ b/internal/system/process/metrics.go
@@ -0,0 +1,40 @@
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"gradeusher.example/gradeusher/internal/system/invariant"
+)
+
+// MetricsPath is where a process tells its metrics, in Prometheus' text format, if it was started with a port for them.
+const MetricsPath = "/metrics"
+
+// ServeMetrics has group answer for the process's metrics until ctx ends. Without a port it does nothing.
+func (p *Process) ServeMetrics(ctx context.Context, group *Group) error {
+	if p.metrics == 0 {
+		return nil
+	}
+	l, err := Listen(ctx, net.JoinHostPort(p.Settings.IP, strconv.Itoa(p.metrics)))
+	if err != nil {
+		return err
+	}
+	calls := http.NewServeMux()
+	calls.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, false)
+	})
+	group.HTTP(ctx, l, calls)
+	return nil
+}
+
+// logViolations has violations of invariants logged.
+func logViolations(logger log.Interface, node string) {
+	invariant.Notify(func(v invariant.Violation) {
+		logger.WithField("node", node).WithField("invariant", v.Name).WithField("count", v.Count).Error("invariant violated: " + v.Statement)
+	})
+}
--- a/internal/system/process/program.go
+++ b/internal/system/process/program.go
@@ -24,6 +24,7 @@
 	Log      log.Interface
 
 	program Program
+	metrics int             // port of /metrics; 0: nowhere
 	term    context.Context // ends with SIGTERM
 	reload  <-chan os.Signal
 }
@@ -35,6 +36,7 @@
 
 type runCommand struct {
 	LogLevel string `default:"info" help:"Least level that is logged: debug, info, warn or error."`
+	Metrics  int    `default:"0" placeholder:"PORT" help:"Port of the machine's address at which /metrics answers; 0: nowhere."`
 }
 
 type checkCommand struct {
@@ -85,9 +87,10 @@
 		return err
 	}
 	settings.Limits.Runtime()
+	logViolations(logger, settings.Node)
 	term, reload, stop := Signals(context.Background())
 	defer stop()
-	return p.Run(&Process{Settings: settings, Log: logger.WithField("node", settings.Node), program: p, term: term, reload: reload})
+	return p.Run(&Process{Settings: settings, Log: logger.WithField("node", settings.Node), program: p, metrics: c.Metrics, term: term, reload: reload})
 }
 
 // Wait returns when the process is to end: by SIGTERM, or as ctx is done. On SIGHUP it reads the settings again; what a
--- /dev/null
+++ b/internal/system/proxy/metrics.go
@@ -0,0 +1,28 @@
+package proxy
+
+import (
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Publish has the process's metrics tell this proxy's counters. Call it for one Proxy of a process, once.
+func (p *Proxy) Publish() {
+	n := &p.counters
+	for name, counter := range map[string]*atomic.Int64{
+		"requests": &n.Requests, "served": &n.Served, "refused": &n.Refused, "broken": &n.Broken, "timed_out": &n.TimedOut,
+		"cut": &n.Cut, "gone": &n.Gone, "improper": &n.Improper, "sends": &n.Sends, "repeats": &n.Repeats, "resumed": &n.Resumed,
+		"moved": &n.Moved, "dials": &n.Dials, "unreached": &n.Unreached, "reused": &n.Reused, "stale": &n.Stale,
+		"surplus": &n.Surplus, "mismatch": &n.Mismatch, "unframed": &n.Unframed,
+	} {
+		publish(name, func() float64 { return float64(counter.Load()) })
+	}
+	publish("cold_starts", func() float64 { return float64(p.policy.Stats().ColdStarts) })
+	publish("cold_sends", func() float64 { return float64(p.policy.Stats().ColdSends) })
+	publish("cold_ends", func() float64 { return float64(p.policy.Stats().ColdEnds) })
+}
+
+// publish names a counter among the process's metrics.
+func publish(name string, value func() float64) {
+	metrics.NewGauge("gradeusher_proxy_"+name+"_total", value)
+}
--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -92,3 +92,17 @@
 	_, each := p.coldHolders(s.coldRate())
 	return min(max((1-s.token)/each*1000, ms(s.holderSince+holderWait-now)), ms(s.coldUntil-now))
 }
+
+// spendCold takes note of a request that is sent to s now, which draws on the pace where s is cold.
+func (p *Picker) spendCold(now Time, s *server) {
+	switch {
+	case s.cold(now):
+		p.stats.ColdSends++
+		if s.coldRate() > 0 {
+			s.token--
+		}
+	case s.wasCold:
+		s.wasCold = false
+		p.stats.ColdEnds++
+	}
+}
--- a/internal/system/proxy/pick/flight.go
+++ b/internal/system/proxy/pick/flight.go
@@ -26,9 +26,7 @@
 	if s.suspect() && s.trial == nil {
 		s.trial = f
 	}
-	if s.cold(now) && s.coldRate() > 0 {
-		s.token--
-	}
+	p.spendCold(now, s)
 	if r.arrived > 0 {
 		f.charged = true
 		s.group.budget.repeat(now, 1)
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -48,8 +48,19 @@
 	othersAt  Time // of the last SetLoads
 	beliefs   beliefs
 	rate      rateEstimate
+	stats     Stats
 }
 
+// Stats count what a Picker has done since it was made. They only rise.
+type Stats struct {
+	ColdStarts uint64 // servers that turned cold, as far as this proxy knows
+	ColdSends  uint64 // requests chosen for a server that this proxy took for cold
+	ColdEnds   uint64 // first requests chosen for such a server once this proxy took it for warm
+}
+
+// Stats gives the counts as they are now.
+func (p *Picker) Stats() Stats { return p.stats }
+
 // New makes a Picker that knows no world yet: it refuses all until SetWorld.
 func New(s Settings) *Picker {
 	if s.RetryWindow <= 0 {
@@ -140,7 +151,7 @@
 	s.region = p.regionNumber(told.Region)
 	switch {
 	case told.Cold > 0:
-		s.setCold(now, now+told.Cold)
+		p.setCold(now, s, now+told.Cold)
 	case s.coldTold < now-coldHintLife:
 		s.coldUntil = now // the list says warm, and no newer word from the server says else
 	}
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -56,6 +56,7 @@
 	speed float64 // of reading prompts, against the fleet's
 
 	coldUntil, coldTold, holderSince Time
+	wasCold                          bool // no request was sent to it as a warm one since it turned cold
 	holder                           bool // this proxy may send to it while it is cold
 	token                            float64
 	tokenAt                          Time
@@ -117,9 +118,11 @@
 // cold tells whether s is cold.
 func (s *server) cold(now Time) bool { return now < s.coldUntil }
 
-func (s *server) setCold(now, until Time) {
-	if !s.cold(now) {
+func (p *Picker) setCold(now Time, s *server, until Time) {
+	if !s.cold(now) && until > now {
 		s.token, s.tokenAt = 0, now // it turns cold: nothing was saved up
+		s.wasCold = true
+		p.stats.ColdStarts++
 	}
 	s.coldUntil = until
 }
@@ -175,7 +178,7 @@
 // Cold takes X-Cold-Ms: how much longer the server is cold; 0: no longer.
 func (p *Picker) Cold(now Time, id string, left time.Duration) {
 	if s := p.servers[id]; s != nil {
-		s.setCold(now, now+max(left, 0))
+		p.setCold(now, s, now+max(left, 0))
 		s.coldTold = now
 	}
 }
--- a/internal/system/proxy/policy.go
+++ b/internal/system/proxy/policy.go
@@ -23,6 +23,7 @@
 	Cold(now pick.Time, id string, left time.Duration)
 	Leaving(now pick.Time, id string)
 	Describe(now pick.Time) string
+	Stats() pick.Stats
 }
 
 // policy is a picker behind a lock and a monotonic clock.
@@ -59,6 +60,11 @@
 	return text
 }
 
+func (p *policy) Stats() (s pick.Stats) {
+	p.with(func(i picker, _ pick.Time) { s = i.Stats() })
+	return s
+}
+
 func (p *policy) Route(host, path string) (r *conf.Route) {
 	p.with(func(i picker, _ pick.Time) { r = i.Route(host, path) })
 	return r
--- a/internal/system/staff/status.go
+++ b/internal/system/staff/status.go
@@ -71,6 +71,8 @@
 	ListDuty  string    `json:"list_duty"`   // IP of the keeper that reads the platform's list
 	Proxies   []Holding `json:"proxies"`     // those that follow this keeper
 	Members   []string  `json:"members"`     // names of the live proxies, whichever keeper they follow
+
+	Violations map[string]uint64 `json:"violations,omitempty"` // of invariants, by name; empty: all hold
 }
 
 // ProxyStatus is what a proxy answers to GET /status on its inner address.
@@ -86,6 +88,8 @@
 	Servers   int      `json:"servers"`
 	ListAgeMS int64    `json:"list_age_ms"` // -1: none has come
 	Choice    string   `json:"choice"`      // proxy.Proxy.Describe: a line a server, its id first
+
+	Violations map[string]uint64 `json:"violations,omitempty"` // of invariants, by name; empty: all hold
 }
 
 // Lines are those of Choice, or the ones about the server with the id.
