Tests that fail: proxies take a cold server for warm before it is

Ruled out as the place to show it: the decision of the proxies, which keeps the bound while the end told is the true one; the list as read without delay and told without delay, which ends at the true moment (case "no delay", passes), and a reading that the platform answered at once (passes, as the age is then exact).

Change: a list's way over a reading, a share, a poll and a neighbour's answer, in virtual time, with delays for each way of each link. Three tests: the cold state as proxies hold it never ends before the true one nor a second after it; a later reading corrects the end by any amount; and in any order of steps with any delays both hold, and no notice of withdrawal ends late.

--- /dev/null
+++ b/internal/system/distribution/coldend_test.go
@@ -0,0 +1,167 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// coldLagMost is how long after the true end proxies may hold a server for cold here: more than all legs of a case together.
+const coldLagMost = time.Second
+
+// TestColdNeverEndsEarly: however long the list was under way, and on whichever part of the way, no proxy takes a server for
+// warm before it is. Danger: all proxies flood it with what waited for it, and it falls over (FAILBACK). Nor does one hold
+// it for cold much longer.
+func TestColdNeverEndsEarly(t *testing.T) {
+	const ms = time.Millisecond
+	none, near, far := leg{}, leg{35 * ms, 35 * ms}, leg{110 * ms, 110 * ms}
+	for name, c := range map[string]struct{ read, share, follow, ask leg }{
+		"no delay":                      {none, none, none, none},
+		"reading":                       {near, none, none, none},
+		"reading, answered at once":     {leg{0, 200 * ms}, none, none, none},
+		"reading, answered late":        {leg{200 * ms, 0}, none, none, none},
+		"share, near":                   {none, near, none, none},
+		"share, far":                    {none, far, none, none},
+		"share, slow there":             {none, leg{110 * ms, 35 * ms}, none, none},
+		"share, slow back":              {none, leg{35 * ms, 110 * ms}, none, none},
+		"proxy":                         {none, none, near, none},
+		"proxy, slow there":             {none, none, leg{110 * ms, 0}, none},
+		"neighbour":                     {none, none, none, near},
+		"neighbour, slow there":         {none, none, none, leg{110 * ms, 0}},
+		"all near":                      {near, near, near, near},
+		"all far, the reading answered": {leg{0, 200 * ms}, far, far, far},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newColdPath(t, c.share)
+				p.truth.coldEnd = time.Now().Add(3 * time.Second)
+				for time.Until(p.truth.coldEnd) > -coldLagMost {
+					for _, step := range []func(){
+						func() { p.read(c.read) }, func() { p.share(c.share) },
+						func() { p.follow("other:1", c.follow) }, func() { p.ask(c.ask) },
+						func() { time.Sleep(100 * ms) },
+					} {
+						step()
+						p.check()
+					}
+				}
+				if len(p.early) > 0 {
+					t.Errorf("the cold state ends early by %v", p.early)
+				}
+				if held := p.held(); len(held) != 2 || held["proxy"].Cold > 0 || held["neighbour"].Cold > 0 {
+					t.Errorf("%v after the true end: %+v", coldLagMost, held)
+				}
+			})
+		})
+	}
+}
+
+// TestLaterReadingCorrectsColdEnd: a reading by which a server stays cold for a little longer than was held counts, however
+// small the difference is.
+func TestLaterReadingCorrectsColdEnd(t *testing.T) {
+	for _, more := range []time.Duration{time.Millisecond, 35 * time.Millisecond, 80 * time.Millisecond, 399 * time.Millisecond, 401 * time.Millisecond} {
+		t.Run(fmt.Sprint(more), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newColdPath(t, leg{})
+				p.truth.coldEnd = time.Now().Add(3 * time.Second)
+				for range 2 {
+					p.read(leg{})
+					p.share(leg{})
+					p.follow("other:1", leg{})
+					p.ask(leg{})
+					p.check()
+					if len(p.early) > 0 {
+						t.Fatalf("the cold state ends early by %v", p.early)
+					}
+					time.Sleep(time.Second)
+					p.truth.coldEnd = p.truth.coldEnd.Add(more)
+				}
+			})
+		})
+	}
+}
+
+// pathStep is one step on a list's way.
+type pathStep struct {
+	what, keeper string
+	leg          leg
+}
+
+// drawPathStep draws a step, with delays that the slowest links have.
+func drawPathStep(t *rapid.T) pathStep {
+	way := func(name string) time.Duration {
+		return time.Duration(rapid.IntRange(0, 200).Draw(t, name)) * time.Millisecond
+	}
+	return pathStep{what: rapid.SampledFrom([]string{"read", "share", "follow", "ask", "pause"}).Draw(t, "what"),
+		keeper: rapid.SampledFrom([]string{"reader:1", "other:1"}).Draw(t, "keeper"), leg: leg{out: way("out"), back: way("back")}}
+}
+
+// TestTimesErrOnTheSafeSide: in any order of readings, shares, polls and questions, with any delays, no proxy takes a server
+// for warm before it is, and none counts on a server that is withdrawn for longer than it has left.
+func TestTimesErrOnTheSafeSide(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		// Shrinking lets the cold state be short, and no notice come.
+		cold := time.Duration(rapid.IntRange(1, 4000).Draw(rt, "cold")) * time.Millisecond
+		notice := time.Duration(rapid.IntRange(0, 4000).Draw(rt, "notice")) * time.Millisecond
+		steps := rapid.SliceOfN(rapid.Custom(drawPathStep), 1, 30).Draw(rt, "steps")
+		wrong := ""
+		synctest.Test(t, func(t *testing.T) { wrong = playSteps(t, cold, notice, steps) })
+		if wrong != "" {
+			rt.Fatal(wrong)
+		}
+	})
+}
+
+// playSteps makes steps on a list's way, of a server that is cold for a time and, unless notice is 0, withdrawn after it. It
+// tells what a proxy then holds that it must not.
+func playSteps(t *testing.T, cold, notice time.Duration, steps []pathStep) (wrong string) {
+	t.Helper()
+	p := newColdPath(t, steps[0].leg)
+	p.truth.coldEnd = time.Now().Add(cold)
+	if notice > 0 {
+		p.truth.withdrawn = time.Now().Add(notice)
+	}
+	for _, s := range steps {
+		p.step(s)
+		if wrong = p.wrong(); wrong != "" {
+			return wrong
+		}
+	}
+	return ""
+}
+
+// step has one of the processes do something.
+func (p *coldPath) step(s pathStep) {
+	switch s.what {
+	case "read":
+		p.read(s.leg)
+	case "share":
+		p.share(s.leg)
+	case "follow":
+		p.follow(s.keeper, s.leg)
+	case "ask":
+		p.ask(s.leg)
+	case "pause":
+		time.Sleep(s.leg.out)
+	}
+}
+
+// wrong tells which of the times that followers hold errs on the wrong side. A notice counts down to a millisecond, as 0
+// means that none came.
+func (p *coldPath) wrong() string {
+	if p.check(); len(p.early) > 0 {
+		return fmt.Sprintf("the cold state ends early by %v", p.early)
+	}
+	for node, s := range p.held() {
+		if (s.Remaining > 0) == p.truth.withdrawn.IsZero() {
+			return fmt.Sprintf("%s: %v left, and a notice that ends at %v", node, s.Remaining, p.truth.withdrawn)
+		}
+		if late := s.Remaining - max(0, time.Until(p.truth.withdrawn)); late > time.Millisecond {
+			return fmt.Sprintf("%s: the notice ends late by %v", node, late)
+		}
+	}
+	return ""
+}
--- a/internal/system/distribution/share_test.go
+++ b/internal/system/distribution/share_test.go
@@ -22,13 +22,20 @@
 
 // send composes a share, waits as if it lay in a buffer, hands it over, and takes the answer in.
 func (s *sharing) send(tb testing.TB, held time.Duration) *distributionpb.ShareReply {
+	tb.Helper()
+	return s.sendOver(tb, leg{out: held})
+}
+
+// sendOver sends a share over a link that delays it and its answer.
+func (s *sharing) sendOver(tb testing.TB, l leg) *distributionpb.ShareReply {
 	tb.Helper()
 	req, number := s.from.shareRequest(&s.progress)
-	time.Sleep(held)
+	time.Sleep(l.out)
 	reply, err := s.to.Share(tb.Context(), req)
 	if err != nil {
 		tb.Fatal(err)
 	}
+	time.Sleep(l.back)
 	s.progress.took(time.Now(), req, number, reply)
 	return reply
 }
