A told duration carries both bounds of its age, so that the cold state never ends early

Cause: the platform tells how much longer a server is cold. On its way to the proxies that was counted down by an age that every hop made an upper bound: from before the platform was asked, from before a keeper's share and a proxy's poll were sent; and a reading that ended up to 400 ms later than the held one was taken for the same.

Class: a duration measured across processes has an error to both sides, and must err to the safe one: what forbids ends late, what permits ends early.

Ruled out: a fixed margin at the proxy (a slow reading or share passes any); a clock shared by the machines (steps).

Change: distribution.Age bounds an age on both sides; entries, shares, polls, neighbours and readings of the list carry both; Cold counts down by the least age and Remaining by the most; a held cold end stands only where it covers that of the new reading. The wire gains least_age_ms: from a process that lacks it 0, which errs late. The list's whole milliseconds are rounded up.

--- a/cmd/keeper/feed.go
+++ b/cmd/keeper/feed.go
@@ -84,10 +84,11 @@
 	for _, i := range r.Instances {
 		servers = append(servers, pick.Server{ID: i.ID, Service: i.Target, Address: i.Address, Zone: i.Zone,
 			Region: f.settings.Zones[i.Zone], Slots: i.Slots, Draining: i.Phase == platform.Draining,
-			Remaining: i.Remaining, Cold: i.ColdLeft})
+			Remaining: i.Remaining, Cold: roundedUp(i.ColdLeft)})
 	}
 	f.logCold(r)
-	if err := f.hub.PutList(r.Fence, r.Version, servers, time.Since(r.At)); err != nil {
+	age := distribution.Age{Least: time.Since(r.Answered), Most: time.Since(r.Asked)}
+	if err := f.hub.PutList(r.Fence, r.Version, servers, age); err != nil {
 		f.log.WithError(err).Info("keeper: a reading of the list came too late")
 	}
 }
@@ -102,8 +103,16 @@
 		cold[i.ID] = true
 		if !f.cold[i.ID] {
 			f.log.WithField("server", i.ID).WithField("cold_ms", i.ColdLeft.Milliseconds()).
-				WithField("reading_ms", time.Since(r.At).Milliseconds()).Info("keeper: the list calls a server cold")
+				WithField("reading_ms", r.Answered.Sub(r.Asked).Milliseconds()).Info("keeper: the list calls a server cold")
 		}
 	}
 	f.cold = cold
 }
+
+// roundedUp is the longest time that the list may have told as d, in whole milliseconds.
+func roundedUp(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return d + time.Millisecond
+}
--- /dev/null
+++ b/internal/system/distribution/age.go
@@ -0,0 +1,24 @@
+package distribution
+
+import "time"
+
+// Age bounds how long ago something was made or read at another process, whose clock is not known here: at least Least and at
+// most Most. Each hop widens it by what the hop may have taken. What a duration told then forbids is counted down from the
+// latest possible moment, so by Least; what it permits from the earliest, so by Most.
+type Age struct{ Least, Most time.Duration }
+
+// exactAge is the age of what is known to be d old.
+func exactAge(d time.Duration) Age { return Age{d, d} }
+
+// plus is the age after a hop whose duration is bounded likewise.
+func (a Age) plus(hop Age) Age { return Age{a.Least + hop.Least, a.Most + hop.Most} }
+
+// ordered makes an age that another process told sound: neither bound is negative, and Least is no more than Most.
+func (a Age) ordered() Age {
+	a.Most = max(a.Most, 0)
+	a.Least = min(max(a.Least, 0), a.Most)
+	return a
+}
+
+// upTo is the age of what was made at some moment since then.
+func upTo(d time.Duration) Age { return Age{0, max(d, 0)} }
--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -142,7 +142,7 @@
 		return answer{feeds: true, durable: durable}
 	}
 	f.heard = now
-	if f.takeSoft(checked, req, reply) {
+	if f.takeSoft(now, now.Sub(checked), req, reply) {
 		poke(f.changed)
 	}
 	if f.position().Proves(offer) {
@@ -154,13 +154,13 @@
 	return answer{current: offer.Current, feeds: true, durable: durable, behind: offer.Newest > f.state.Seq && !durable}
 }
 
-// takeSoft takes in all of a reply but the control state, and tells whether anything changed that matters to the owner. Ages
-// count from now, the moment that the reply is about: so they add up over all hops. The caller holds mu.
-func (f *Follower) takeSoft(now time.Time, req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) bool {
-	changed := f.takeEntries(now, reply)
+// takeSoft takes in all of a reply but the control state, and tells whether anything changed that matters to the owner. The
+// reply is about some moment of the delay before now, at most, so ages add up over all hops. The caller holds mu.
+func (f *Follower) takeSoft(now time.Time, delay time.Duration, req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) bool {
+	changed := f.takeEntries(now, upTo(delay), reply)
 	f.takeCursor(req, reply)
 	f.toldOwn.Boot, f.toldOwn.Number = reply.GetTold().GetBoot(), reply.GetTold().GetNumber()
-	f.takeTotals(now, reply)
+	f.takeTotals(now.Add(-delay), reply)
 	if len(reply.GetKeepers()) > 0 {
 		f.takeKeepers(reply.GetKeepers())
 		f.digest = reply.GetKeepersDigest()
--- a/internal/system/distribution/follower_soft.go
+++ b/internal/system/distribution/follower_soft.go
@@ -26,20 +26,21 @@
 
 // tellsOldList tells whether the list in a reply was read before the one that is held. A keeper that was cut off or stood
 // still may be current again before the others have told it of their list. The caller holds mu.
-func (f *Follower) tellsOldList(now time.Time, reply *distributionpb.FollowReply) bool {
+func (f *Follower) tellsOldList(now time.Time, delay Age, reply *distributionpb.FollowReply) bool {
 	held, told := f.table.items[listKey], listEntry(reply)
 	if held == nil || told == nil || f.opt.hooks.replaceAlways {
 		return false
 	}
-	return held.at.Sub(now.Add(-millis(told.GetAgeMs(), maxAge))) > listTolerance
+	_, age := fromWire(told)
+	return age.plus(delay).Most-held.age(now).Most > listTolerance
 }
 
 // takeEntries takes soft state in and tells whether anything that matters changed. A whole table of a keeper that misses
 // nothing takes the place of what is held, even of higher versions: keepers that all lost their tables count anew. But of a
-// list that was read before the one that is held nothing is taken. The caller holds mu.
-func (f *Follower) takeEntries(now time.Time, reply *distributionpb.FollowReply) (changed bool) {
+// list that was read before the one that is held nothing is taken. delay is how long ago the reply was made. The caller holds mu.
+func (f *Follower) takeEntries(now time.Time, delay Age, reply *distributionpb.FollowReply) (changed bool) {
 	into := f.table
-	old := f.tellsOldList(now, reply)
+	old := f.tellsOldList(now, delay, reply)
 	if reply.GetFull() && reply.GetWarm() && !old {
 		into = newTable()
 	}
@@ -58,7 +59,7 @@
 			delete(f.kept, e.Key)
 			into.drop(e.Key)
 		}
-		if into.merge(now, e, age) && !lazy(e.Key) {
+		if into.merge(now, e, age.plus(delay)) && !lazy(e.Key) {
 			changed = true
 		}
 	}
@@ -69,7 +70,7 @@
 		// The list has not been read since: until then old servers are better than none.
 		f.kept = map[string]bool{}
 		for key, it := range f.table.items {
-			if ofList(key) && into.merge(now, it.Entry, now.Sub(it.at)) {
+			if ofList(key) && into.merge(now, it.Entry, it.age(now)) {
 				f.kept[key] = true
 			}
 		}
--- a/internal/system/distribution/hub_follow.go
+++ b/internal/system/distribution/hub_follow.go
@@ -255,14 +255,14 @@
 			e.Fence = held.Fence + 1
 		}
 	}
-	h.merge(now, e, 0)
+	h.merge(now, e, Age{})
 }
 
 // markDown writes that the process that the entry is about is silent. The caller holds mu.
 func (h *Hub) markDown(now time.Time, it *item, m Member, why string) {
 	m.Down = true
 	h.opt.Log.WithFields(logFields(m.Node, why)).Info("distribution: a proxy is marked down")
-	h.merge(now, Entry{Key: it.Key, Fence: it.Fence, Version: it.Version + 1, Value: m.encode()}, 0)
+	h.merge(now, Entry{Key: it.Key, Fence: it.Fence, Version: it.Version + 1, Value: m.encode()}, Age{})
 }
 
 // verdict takes in what another proxy says of one: the keeper that it follows knows better, while that one is heard.
@@ -335,16 +335,16 @@
 				dropped = true
 			}
 		case m.Down:
-			if now.Sub(it.at) > h.limits.Forget {
+			if it.age(now).Most > h.limits.Forget {
 				gone = append(gone, it)
 			}
 		case m.Owner == h.opt.Self && ended[m.Node] == m.Incarnation:
 			falls = append(falls, fall{it, m, "its connection ended"})
 		case m.Owner == h.opt.Self:
-			if now.Sub(it.at) > h.limits.Silence {
+			if it.age(now).Most > h.limits.Silence {
 				falls = append(falls, fall{it, m, "it does not call any more"})
 			}
-		case !h.hears(now, m.Owner) && now.Sub(it.at) > orphanLife && now.Sub(h.started) > orphanLife && h.lost(now, m.Owner):
+		case !h.hears(now, m.Owner) && it.age(now).Most > orphanLife && now.Sub(h.started) > orphanLife && h.lost(now, m.Owner):
 			falls = append(falls, fall{it, m, "the keeper that it followed is silent too"})
 		}
 	}
@@ -355,7 +355,7 @@
 		h.markDown(now, f.it, f.m, f.why)
 	}
 	for _, it := range gone {
-		h.merge(now, Entry{Key: it.Key, Fence: it.Fence, Version: it.Version + 1, Deleted: true}, 0)
+		h.merge(now, Entry{Key: it.Key, Fence: it.Fence, Version: it.Version + 1, Deleted: true}, Age{})
 	}
 }
 
--- a/internal/system/distribution/hub_share.go
+++ b/internal/system/distribution/hub_share.go
@@ -204,7 +204,7 @@
 	for _, w := range req.GetEntries() {
 		e, age := fromWire(w)
 		if e.Key != "" && len(e.Key) <= 2*maxID {
-			h.mergeShared(now, from, e, age+delay)
+			h.mergeShared(now, from, e, age.plus(upTo(delay)))
 		}
 	}
 	if req.GetFull() && req.GetWarm() && !h.warm {
@@ -219,7 +219,7 @@
 
 // mergeShared takes in an entry that another keeper shares. One that was cut off has marked down what it no longer heard of,
 // so whoever hears the proxy knows better: this keeper, or the one that the proxy follows. The caller holds mu.
-func (h *Hub) mergeShared(now time.Time, from string, e Entry, age time.Duration) {
+func (h *Hub) mergeShared(now time.Time, from string, e Entry, age Age) {
 	was, refuted := h.marksDown(e)
 	if !refuted || h.opt.hooks.believeDown {
 		h.merge(now, e, age)
--- a/internal/system/distribution/hub_table.go
+++ b/internal/system/distribution/hub_table.go
@@ -23,7 +23,7 @@
 func (h *Hub) put(e Entry) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.merge(time.Now(), e, 0) {
+	if !h.merge(time.Now(), e, Age{}) {
 		return errors.Mark(errors.Newf("distribution: %s is held with a higher fence or version than %d, %d: read it and write above",
 			e.Key, e.Fence, e.Version), ErrStale)
 	}
@@ -31,7 +31,7 @@
 }
 
 // merge takes an entry in and has followers woken. The caller holds mu.
-func (h *Hub) merge(now time.Time, e Entry, age time.Duration) bool {
+func (h *Hub) merge(now time.Time, e Entry, age Age) bool {
 	if !h.table.merge(now, e, age) {
 		return false
 	}
@@ -44,7 +44,7 @@
 // PutList takes in a whole reading of the platform's list, age after it was made: servers that it does not name are gone.
 // Only what differs from the table goes out. version rises from reading to reading of one fence. The error is ErrStale
 // where a reading under a higher fence has been taken in.
-func (h *Hub) PutList(fence, version uint64, servers []pick.Server, age time.Duration) error {
+func (h *Hub) PutList(fence, version uint64, servers []pick.Server, age Age) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
@@ -66,7 +66,7 @@
 		}
 		named[serverPrefix+s.ID] = true
 		if held := h.table.items[serverPrefix+s.ID]; held != nil && !held.Deleted {
-			if was, ok := held.serverAt(now.Add(-age)); ok && same(was, s) {
+			if was, ok := held.serverAt(now); ok && covers(was, countDown(s, age)) {
 				continue
 			}
 		}
--- a/internal/system/distribution/lateworld_test.go
+++ b/internal/system/distribution/lateworld_test.go
@@ -114,7 +114,7 @@
 		w.version++
 		w.read[w.version] = time.Now()
 		// A keeper that is cut off goes on to read the list.
-		if w.hubs[w.names[w.rng.IntN(3)]].PutList(1, w.version, []pick.Server{{ID: fmt.Sprint("s", w.version)}}, 0) != nil {
+		if w.hubs[w.names[w.rng.IntN(3)]].PutList(1, w.version, []pick.Server{{ID: fmt.Sprint("s", w.version)}}, Age{}) != nil {
 			w.faults["refused list"]++
 		}
 	}
@@ -141,7 +141,7 @@
 			} else if w.read[held.Version].After(was) {
 				w.shown[n] = w.read[held.Version]
 			}
-			if age := now.Sub(w.read[held.Version]); now.Sub(held.at) < age-lateMargin && !w.read[held.Version].IsZero() {
+			if age := now.Sub(w.read[held.Version]); held.age(now).Most < age-lateMargin && !w.read[held.Version].IsZero() {
 				w.broken["a list is told to be younger than it is"]++
 			}
 		}
--- a/internal/system/distribution/list_version.go
+++ b/internal/system/distribution/list_version.go
@@ -14,5 +14,5 @@
 	if held == nil {
 		return 0, 0, math.MaxInt64
 	}
-	return held.Fence, held.Version, time.Since(held.at)
+	return held.Fence, held.Version, held.age(time.Now()).Most
 }
--- a/internal/system/distribution/neighbour.go
+++ b/internal/system/distribution/neighbour.go
@@ -75,7 +75,8 @@
 	}
 	before := f.state.Seq
 	f.takeState(offerOf(reply, 0), reply)
-	changed := f.takeEntries(asked, reply)
+	now := time.Now()
+	changed := f.takeEntries(now, upTo(now.Sub(asked)), reply)
 	f.borrowed = f.borrowed || f.state.Seq > 0
 	if changed || f.state.Seq != before {
 		f.opt.Log.WithField("neighbour", place).WithField("seq", f.state.Seq).Info("distribution: no keeper is reached; holding what a neighbour holds")
--- a/internal/system/distribution/oldlist_test.go
+++ b/internal/system/distribution/oldlist_test.go
@@ -13,7 +13,7 @@
 	tb.Helper()
 	h := newIdleHub()
 	h.warmed()
-	if err := h.PutList(1, version, servers, age); err != nil {
+	if err := h.PutList(1, version, servers, exactAge(age)); err != nil {
 		tb.Fatal(err)
 	}
 	items, full := h.table.since(0)
--- a/internal/system/distribution/table.go
+++ b/internal/system/distribution/table.go
@@ -48,9 +48,11 @@
 
 type item struct {
 	Entry
-	at     time.Time // when it was made, by this process's monotonic clock
 	number uint64
 
+	// It was made between these moments of this process's monotonic clock.
+	earliest, latest time.Time
+
 	// What the value says, once it has been asked for; see views.go.
 	read   bool
 	valid  bool
@@ -75,8 +77,11 @@
 
 func newTable() *table { return &table{items: map[string]*item{}, sorted: map[string][]*item{}} }
 
+// age is how long ago the entry was made.
+func (it *item) age(now time.Time) Age { return Age{now.Sub(it.latest), now.Sub(it.earliest)} }
+
 // merge takes e in if it is after what is held. age is how long ago e was made.
-func (t *table) merge(now time.Time, e Entry, age time.Duration) bool {
+func (t *table) merge(now time.Time, e Entry, age Age) bool {
 	held := t.items[e.Key]
 	if held != nil && !e.after(held.Entry) {
 		return false
@@ -85,7 +90,8 @@
 	if !lazy(e.Key) {
 		t.loud = t.number
 	}
-	it := &item{Entry: e, at: now.Add(-age), number: t.number}
+	age = age.ordered()
+	it := &item{Entry: e, earliest: now.Add(-age.Most), latest: now.Add(-age.Least), number: t.number}
 	t.items[e.Key] = it
 	t.resort(held, it)
 	t.log = append(t.log, change{t.number, e.Key})
@@ -127,7 +133,7 @@
 // the whole table.
 func (t *table) expire(now time.Time) {
 	for key, it := range t.items {
-		switch age := now.Sub(it.at); {
+		switch age := it.age(now).Most; {
 		case it.Deleted && age > tombstoneFor:
 			t.cut = max(t.cut, it.number)
 			t.drop(key)
@@ -149,7 +155,7 @@
 	out := make([]*distributionpb.Entry, len(items))
 	for i, it := range items {
 		out[i] = &distributionpb.Entry{Key: it.Key, Fence: it.Fence, Version: it.Version, Value: it.Value, Deleted: it.Deleted,
-			AgeMs: uint64(max(0, now.Sub(it.at)) / time.Millisecond)}
+			AgeMs: ceilMillis(it.age(now).Most), LeastAgeMs: uint64(max(0, it.age(now).Least) / time.Millisecond)}
 	}
 	return out
 }
@@ -157,9 +163,9 @@
 // maxAge bounds ages that others tell, so that none overflows.
 const maxAge = 24 * time.Hour
 
-func fromWire(e *distributionpb.Entry) (Entry, time.Duration) {
+func fromWire(e *distributionpb.Entry) (Entry, Age) {
 	return Entry{Key: e.GetKey(), Fence: e.GetFence(), Version: e.GetVersion(), Value: e.GetValue(), Deleted: e.GetDeleted()},
-		millis(e.GetAgeMs(), maxAge)
+		Age{Least: millis(e.GetLeastAgeMs(), maxAge), Most: millis(e.GetAgeMs(), maxAge)}.ordered()
 }
 
 // millis reads a number of milliseconds that another process told, bounded.
--- a/internal/system/distribution/unit_test.go
+++ b/internal/system/distribution/unit_test.go
@@ -34,10 +34,10 @@
 		now := time.Now()
 		one, two := newTable(), newTable()
 		for _, e := range entries {
-			one.merge(now, e, 0)
+			one.merge(now, e, Age{})
 		}
 		for _, e := range again {
-			two.merge(now, e, 0)
+			two.merge(now, e, Age{})
 		}
 		if !maps.Equal(contents(one), contents(two)) {
 			t.Fatalf("%v, then %v", contents(one), contents(two))
@@ -53,7 +53,7 @@
 		n := rapid.IntRange(1, 200).Draw(t, "steps")
 		for i := range n {
 			e := Entry{Key: fmt.Sprint("k", rapid.IntRange(0, 6).Draw(t, "key")), Version: uint64(i), Deleted: rapid.IntRange(0, 3).Draw(t, "deleted") == 0}
-			tb.merge(now, e, 0)
+			tb.merge(now, e, Age{})
 			now = now.Add(rapid.SampledFrom([]time.Duration{0, time.Second, 40 * time.Second}).Draw(t, "pause"))
 			switch rapid.IntRange(0, 4).Draw(t, "event") {
 			case 0:
@@ -169,7 +169,7 @@
 	put := func(fence, version uint64, age time.Duration, want uint64) {
 		t.Helper()
 		before := h.table.loud
-		if err := h.PutList(fence, version, list, age); err != nil {
+		if err := h.PutList(fence, version, list, exactAge(age)); err != nil {
 			t.Fatal(err)
 		}
 		if h.table.loud-before > 0 != (want > 0) {
@@ -187,7 +187,7 @@
 	put(2, 1, 0, 0) // another poller takes over
 	list = list[1:]
 	put(2, 2, 0, 1)
-	if err := h.PutList(1, 99, nil, 0); !errors.Is(err, ErrStale) {
+	if err := h.PutList(1, 99, nil, Age{}); !errors.Is(err, ErrStale) {
 		t.Errorf("a poller that lost its duty: %v", err)
 	}
 	got, age, ok := h.List()
@@ -221,13 +221,17 @@
 func TestServerTimesCountDown(t *testing.T) {
 	in := pick.Server{ID: "a", Service: "s", Address: "h:1", Zone: "z", Region: "r", Slots: 4, Draining: true,
 		Remaining: 2 * time.Second, Cold: 3 * time.Second}
-	got, ok := decodeServer("a", encodeServer(in), 500*time.Millisecond)
-	in.Remaining, in.Cold = 1500*time.Millisecond, 2500*time.Millisecond
-	if !ok || got != in {
+	told, ok := decodeServer("a", encodeServer(in))
+	if !ok || told != in {
+		t.Errorf("told %+v", told)
+	}
+	// What forbids ends late and what permits ends early, as far as the age is known.
+	got := countDown(told, Age{Least: 300 * time.Millisecond, Most: 500 * time.Millisecond})
+	in.Remaining, in.Cold, in.ColdLeast = 1500*time.Millisecond, 2700*time.Millisecond, 2500*time.Millisecond
+	if got != in {
 		t.Errorf("got %+v", got)
 	}
-	got, _ = decodeServer("a", encodeServer(in), time.Minute)
-	if got.Cold != 0 || got.Remaining != time.Millisecond {
+	if got = countDown(told, exactAge(time.Minute)); got.Cold != 0 || got.ColdLeast != 0 || got.Remaining != time.Millisecond {
 		t.Errorf("after all: %+v", got)
 	}
 }
--- a/internal/system/distribution/values.go
+++ b/internal/system/distribution/values.go
@@ -62,8 +62,8 @@
 	return uint64((max(0, min(d, longest)) + time.Millisecond - 1) / time.Millisecond)
 }
 
-// decodeServer reads the entry of a server, with its times as they are now, that is, age after the entry was made.
-func decodeServer(id string, value []byte, age time.Duration) (pick.Server, bool) {
+// decodeServer reads the entry of a server, with its times as they were when the entry was made.
+func decodeServer(id string, value []byte) (pick.Server, bool) {
 	var w distributionpb.Server
 	if proto.Unmarshal(value, &w) != nil {
 		return pick.Server{}, false
@@ -71,26 +71,46 @@
 	s := pick.Server{ID: id, Service: w.GetService(), Address: w.GetAddress(), Zone: w.GetZone(), Region: w.GetRegion(),
 		Slots: int(w.GetSlots()), Draining: w.GetDraining(), Cold: millis(w.GetColdMs(), longest),
 		Remaining: millis(w.GetRemainingMs(), longest)}
-	return countDown(s, age), true
+	return s, true
 }
 
-// countDown gives the server with its times as they are after age.
-func countDown(s pick.Server, age time.Duration) pick.Server {
-	s.Cold = max(0, s.Cold-age)
+// countDown gives a server with its times as they are, age after they were told. Cold forbids, so it errs late; Remaining
+// permits, so it errs early.
+func countDown(s pick.Server, age Age) pick.Server {
+	s.ColdLeast = max(0, s.Cold-age.Most)
+	s.Cold = max(0, s.Cold-age.Least)
 	if s.Remaining > 0 {
-		s.Remaining = max(time.Millisecond, s.Remaining-age) // 0 would mean that nothing was told
+		s.Remaining = max(time.Millisecond, s.Remaining-age.Most) // 0 would mean that nothing was told
 	}
 	return s
 }
 
-// timeSlack is how far a time told anew may be from the one that counts down before the entry is written again. The
-// list rounds and lags by about as much.
-const timeSlack = 400 * time.Millisecond
+const (
+	// remainingSlack is how far a notice told anew may be from the one that counts down before the entry is written again.
+	// The list rounds and lags by about as much.
+	remainingSlack = 400 * time.Millisecond
+	// coldSlack is how much longer than by a new reading an entry may call a server cold before it is written again.
+	coldSlack = 200 * time.Millisecond
+	// coldGrain is less than the millisecond by which whoever reads the list rounds up: that much later is not later.
+	coldGrain = 500 * time.Microsecond
+)
 
-// same tells whether two readings of one server say the same.
-func same(a, b pick.Server) bool {
-	near := func(x, y time.Duration) bool { return (x - y).Abs() <= timeSlack }
-	ok := near(a.Cold, b.Cold) && near(a.Remaining, b.Remaining) && (a.Remaining > 0) == (b.Remaining > 0)
-	a.Cold, b.Cold, a.Remaining, b.Remaining = 0, 0, 0, 0
-	return ok && a == b
+// covers tells whether what is held of a server stands beside a new reading of it, both with their times as of now, so that
+// the entry need not be written again.
+func covers(held, read pick.Server) bool {
+	ok := coversCold(held, read) && (held.Remaining-read.Remaining).Abs() <= remainingSlack &&
+		(held.Remaining > 0) == (read.Remaining > 0)
+	for _, s := range []*pick.Server{&held, &read} {
+		s.Cold, s.ColdLeast, s.Remaining = 0, 0, 0
+	}
+	return ok && held == read
+}
+
+// coversCold tells whether a server is held to be cold for about as long as a new reading says, and never for less than it
+// may be. Of two readings of one cold state each is right, so the later end of the two need not be kept.
+func coversCold(held, read pick.Server) bool {
+	if held.Cold-read.Cold > coldSlack {
+		return false
+	}
+	return read.Cold <= held.Cold || held.Cold > 0 && read.ColdLeast <= held.Cold+coldGrain
 }
--- a/internal/system/distribution/views.go
+++ b/internal/system/distribution/views.go
@@ -58,7 +58,7 @@
 		it.member, it.valid = decodeMember(it.Value)
 		it.valid = it.valid && it.member.Node == name[len(memberPrefix):]
 	case strings.HasPrefix(name, serverPrefix):
-		it.server, it.valid = decodeServer(name[len(serverPrefix):], it.Value, 0)
+		it.server, it.valid = decodeServer(name[len(serverPrefix):], it.Value)
 	}
 }
 
@@ -71,7 +71,7 @@
 // serverAt gives the server that an entry is about, with its times as of now.
 func (it *item) serverAt(now time.Time) (pick.Server, bool) {
 	it.decode()
-	return countDown(it.server, now.Sub(it.at)), it.valid
+	return countDown(it.server, it.age(now)), it.valid
 }
 
 // members gives the members, by name.
@@ -99,5 +99,5 @@
 	if held == nil {
 		return out, 0, false
 	}
-	return out, now.Sub(held.at), true
+	return out, held.age(now).Most, true
 }
--- a/internal/system/platform/poller.go
+++ b/internal/system/platform/poller.go
@@ -21,7 +21,9 @@
 type Result struct {
 	Fence, Version uint64
 	Instances      []Instance
-	At             time.Time // before the platform was asked, on the monotonic clock: the durations count from then
+
+	// The platform was asked and had answered at these moments of the monotonic clock: its durations count from between them.
+	Asked, Answered time.Time
 }
 
 // PollerOptions are those of a Poller.
@@ -112,7 +114,7 @@
 	} else {
 		version = 1
 	}
-	p.o.OnResult(Result{Fence: fence, Version: version, Instances: list, At: start})
+	p.o.OnResult(Result{Fence: fence, Version: version, Instances: list, Asked: start, Answered: start.Add(spent)})
 	return max(0, wait-spent)
 }
 
--- a/internal/system/platform/poller_test.go
+++ b/internal/system/platform/poller_test.go
@@ -55,7 +55,7 @@
 	if r.Fence < b.fence || r.Fence == b.fence && r.Version <= b.version {
 		return
 	}
-	b.fence, b.version, b.at = r.Fence, r.Version, r.At
+	b.fence, b.version, b.at = r.Fence, r.Version, r.Asked
 	b.taken++
 }
 
--- a/internal/system/proxy/pick/types.go
+++ b/internal/system/proxy/pick/types.go
@@ -20,7 +20,8 @@
 	Slots                int
 	Draining             bool
 	Remaining            time.Duration // of a server withdrawn at short notice: what is left to it; 0: not told
-	Cold                 time.Duration // how much longer it is cold, counted from when SetWorld is told; 0: warm
+	Cold                 time.Duration // how much longer it is cold at most, counted from when SetWorld is told; 0: warm
+	ColdLeast            time.Duration // and at least
 }
 
 // World is what is known beside traffic. A new one replaces the old whole.
