A reading of the list that was certainly made earlier replaces no later one

Cause: of two pollers under one fence the one that ended last won, also one that had stood still in the middle of a reading; and a proxy that moved to another keeper took a list up to 2 s older than its own.

Ruled out: comparing upper bounds of ages alone, as they differ by the hops; a smaller tolerance, for the same reason.

Change: ages are bounded on both sides, so that one reading is certainly the older is known: PutList then says ErrStale and a follower keeps its list. Where neither is certain, the tolerance of 2 s stays.

--- a/internal/system/distribution/follower_soft.go
+++ b/internal/system/distribution/follower_soft.go
@@ -8,8 +8,8 @@
 	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
 )
 
-// listTolerance is by how much a list may be older than the one that is held and still be taken: two keepers that share
-// with each other differ by a reading and a share or two.
+// listTolerance is by how much a list may look older than the one that is held and still be taken, where neither is certainly
+// the older one.
 const listTolerance = 2 * time.Second
 
 // ofList tells whether an entry comes with the platform's list.
@@ -32,7 +32,8 @@
 		return false
 	}
 	_, age := fromWire(told)
-	return age.plus(delay).Most-held.age(now).Most > listTolerance
+	toldAge, heldAge := age.plus(delay), held.age(now)
+	return toldAge.Least > heldAge.Most || toldAge.Most-heldAge.Most > listTolerance
 }
 
 // takeEntries takes soft state in and tells whether anything that matters changed. A whole table of a keeper that misses
--- a/internal/system/distribution/oldlist_test.go
+++ b/internal/system/distribution/oldlist_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
 	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
@@ -52,3 +54,44 @@
 		t.Errorf("holds %+v", got)
 	}
 }
+
+// TestReadingOfTheListMadeEarlier: of two pollers under one fence the one that is slow, or stood still, ends last. Danger: what
+// it read before brings back servers that have gone and calls cold ones warm.
+func TestReadingOfTheListMadeEarlier(t *testing.T) {
+	h := newIdleHub()
+	cold := []pick.Server{{ID: "a", Service: "x", Cold: 3 * time.Second}}
+	if err := h.PutList(1, 7, cold, Age{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.PutList(1, 7, []pick.Server{{ID: "a", Service: "x"}}, Age{Least: 900 * time.Millisecond, Most: time.Second}); !errors.Is(err, ErrStale) {
+		t.Errorf("a reading 900 ms older: %v", err)
+	}
+	if got, _, _ := h.List(); len(got) != 1 || got[0].Cold < 2900*time.Millisecond {
+		t.Errorf("holds %+v", got)
+	}
+	if err := h.PutList(2, 1, []pick.Server{{ID: "a", Service: "x"}}, Age{Least: 900 * time.Millisecond, Most: time.Second}); err != nil {
+		t.Errorf("under a higher fence: %v", err)
+	}
+}
+
+// TestMoveToAKeeperWithAnOlderList: a proxy that moves to a keeper whose list is certainly older, if only by a second, goes on
+// with its own until that keeper has heard of it.
+func TestMoveToAKeeperWithAnOlderList(t *testing.T) {
+	now := time.Now()
+	f := NewFollower(FollowerOptions{Log: quiet()})
+	reply := func(cold time.Duration, version, least, most uint64) *distributionpb.FollowReply {
+		return &distributionpb.FollowReply{Full: true, Warm: true, Entries: []*distributionpb.Entry{
+			{Key: listKey, Fence: 1, Version: version, AgeMs: most, LeastAgeMs: least},
+			{Key: serverPrefix + "a", Fence: 1, Version: version, AgeMs: most, LeastAgeMs: least,
+				Value: encodeServer(pick.Server{ID: "a", Service: "x", Cold: cold})}}}
+	}
+	f.takeEntries(now, Age{}, reply(3*time.Second, 9, 0, 100))
+	f.takeEntries(now, Age{}, reply(0, 5, 900, 1900))
+	if s, _, _ := f.table.servers(now); s[0].Cold < 2900*time.Millisecond {
+		t.Errorf("cold for %v more after an older list", s[0].Cold)
+	}
+	f.takeEntries(now, Age{}, reply(time.Second, 6, 0, 50))
+	if s, _, _ := f.table.servers(now); s[0].Cold != time.Second {
+		t.Errorf("cold for %v more after a newer list", s[0].Cold)
+	}
+}
