Parts of a cold server's pace are cut over proxies that are certain to count

Cause: who sends to a cold server, and how much, followed from a count of proxies that could be too low or too old. The memory of proxies that had gone ran out after 30 quiet seconds; a proxy that had just started cut its part, and that of the retry slack, over the few that a keeper knew which had started itself; a holder that the others had given up went on for as long as the server was cold; and a new holder waited from its last update as a non-holder, not from when it became one.

Ruled out: holding as a lease in every fleet. Where all proxies hold, nobody takes another's place, and their parts keep counting it for 30 s.

Change: the highest count is remembered from when it fell; Update and World tell that the members may be Partial (no warm table yet) or this proxy Stale (no fresh word, or marked down); a Partial one holds nothing and has no slack, a Stale one holds nothing where holders are fewer than proxies, and successors wait 1.8 s, longer than FreshFor. Nothing is saved up while waiting. In return a server that is new to proxies which have long known each other gets its pace at once instead of after a second.

--- a/cmd/proxy/run.go
+++ b/cmd/proxy/run.go
@@ -159,7 +159,7 @@
 		p.log.WithField("configured", configured).WithField("listed", listed).Info("proxy: learning")
 	}
 	p.dataPlane.SetWorld(pick.World{Config: u.State.Config, Evacuated: u.State.Evacuated, Servers: u.Servers,
-		Self: p.settings.Node, Peers: live})
+		Self: p.settings.Node, Peers: live, Partial: u.Partial, Stale: u.Stale})
 	p.directory.Set(fronts)
 	p.agent.SetMembers(watched)
 	if !p.isComplete && u.State.Config != nil && u.Listed {
--- a/internal/system/distribution/follower.go
+++ b/internal/system/distribution/follower.go
@@ -48,8 +48,10 @@
 	Members []Member            // the live proxies, this one and those leaving included, by name
 	Servers []pick.Server       // by id; times as of now
 	Listed  bool                // a whole reading of the platform's list has come
-	ListAge time.Duration       // of the newest whole reading
+	ListAge time.Duration       // of the newest whole reading, at most
 	Fresh   bool                // a keeper that is current has just told that there is nothing newer
+	Partial bool                // no keeper that knows all live proxies has told of them in this life of the process
+	Stale   bool                // others may have given this proxy up: it is not Fresh, or it is marked down
 }
 
 // Follower is a proxy's end.
@@ -69,6 +71,7 @@
 	borrowed bool // the state is a neighbour's, since no keeper could be reached
 	table    *table
 	kept     map[string]bool // keys of servers that no keeper has told since all lost their tables
+	whole    bool            // a table that misses no live proxy has been taken in
 	soft     distributionpb.Cursor
 	totals   reading
 	own      *vector
@@ -189,7 +192,8 @@
 }
 
 func (f *Follower) held(now time.Time) Update {
-	u := Update{State: f.state, Fresh: f.fresh(now)}
+	u := Update{State: f.state, Fresh: f.fresh(now), Partial: !f.whole}
+	u.Stale = !u.Fresh
 	if f.freshAt.IsZero() && !f.borrowed && !f.opt.hooks.startOnAny {
 		u.State = controlstate.Empty() // it came late, so it may be old: the next answer tells
 	}
@@ -197,6 +201,7 @@
 	seen := false
 	for _, m := range f.table.members() {
 		if m.Node == f.self.Node {
+			u.Stale = u.Stale || m.Down && m.Incarnation == f.self.Incarnation
 			m, seen = f.self, true
 		}
 		if !m.Down {
--- a/internal/system/distribution/follower_soft.go
+++ b/internal/system/distribution/follower_soft.go
@@ -42,6 +42,9 @@
 func (f *Follower) takeEntries(now time.Time, delay Age, reply *distributionpb.FollowReply) (changed bool) {
 	into := f.table
 	old := f.tellsOldList(now, delay, reply)
+	if reply.GetFull() && reply.GetWarm() && !f.whole {
+		f.whole, changed = true, true
+	}
 	if reply.GetFull() && reply.GetWarm() && !old {
 		into = newTable()
 	}
@@ -49,7 +52,7 @@
 		for key := range f.kept {
 			into.drop(key)
 		}
-		f.kept, changed = nil, len(f.kept) > 0
+		f.kept, changed = nil, changed || len(f.kept) > 0
 	}
 	for _, w := range reply.GetEntries() {
 		e, age := fromWire(w)
--- /dev/null
+++ b/internal/system/distribution/partial_test.go
@@ -0,0 +1,36 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+)
+
+// TestUpdateTellsOfMembersThatMayLack: a proxy is told that its members may be part of all until a table that misses none has
+// come, and that others may have given it up where they call it down.
+func TestUpdateTellsOfMembersThatMayLack(t *testing.T) {
+	now := time.Now()
+	f := NewFollower(FollowerOptions{Log: quiet(), Self: Member{Node: "p", Incarnation: 4}})
+	if u := f.held(now); !u.Partial || !u.Stale {
+		t.Errorf("at the start: %+v", u)
+	}
+	f.takeEntries(now, Age{}, &distributionpb.FollowReply{Full: true})
+	if u := f.held(now); !u.Partial {
+		t.Error("a keeper that has just started knows all proxies")
+	}
+	if !f.takeEntries(now, Age{}, &distributionpb.FollowReply{Full: true, Warm: true}) {
+		t.Error("that the members are whole is no change")
+	}
+	f.freshAt = now
+	if u := f.held(now); u.Partial || u.Stale {
+		t.Errorf("fresh, with all members: %+v", u)
+	}
+	down := f.self
+	down.Down = true
+	f.takeEntries(now, Age{}, &distributionpb.FollowReply{Entries: []*distributionpb.Entry{
+		{Key: memberPrefix + "p", Fence: 1, Version: 2, Value: down.encode()}}})
+	if u := f.held(now); !u.Stale {
+		t.Error("not stale though it is called down")
+	}
+}
--- a/internal/system/proxy/pick/choose.go
+++ b/internal/system/proxy/pick/choose.go
@@ -65,12 +65,21 @@
 
 // repeatOrSend sends r to s, unless it would be a repeat that the budget of s's service does not hold.
 func (p *Picker) repeatOrSend(now Time, c Choice, r *Request, s *server, at cost, prompt *chain, tried []string) Choice {
-	if r.arrived > 0 && !s.group.budget.allows(now, p.set.RetryRatio, p.set.RetrySlack/float64(p.peers.count())) {
+	if r.arrived > 0 && !s.group.budget.allows(now, p.set.RetryRatio, p.retrySlack()) {
 		return c.without(r, tried, math.Inf(1))
 	}
 	return p.send(now, c, r, s, at, prompt)
 }
 
+// retrySlack is this proxy's part of the repeats that all may make beside the ratio; none while it does not know how many there
+// are.
+func (p *Picker) retrySlack() float64 {
+	if p.world.Partial {
+		return 0
+	}
+	return p.set.RetrySlack / float64(p.peers.count())
+}
+
 // without is the verdict when r can't be sent: there may be room in wait milliseconds; infinite: not known.
 func (c Choice) without(r *Request, tried []string, wait float64) Choice {
 	c.RetryAfter = retryNone
--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -34,6 +34,25 @@
 	return s.group.service.ColdPerSecond
 }
 
+// allHold tells whether every live proxy is a holder of a cold server of that rate.
+func (p *Picker) allHold(rate float64) bool {
+	n, _ := p.coldHolders(rate)
+	return n >= len(p.world.Peers)
+}
+
+// holdsFrom tells from when on this proxy, a holder of s, may act as one; false: not at all for now. Where the holders are some
+// of the proxies, others take the place of one that they have given up: it has stopped by the time that they begin.
+func (p *Picker) holdsFrom(s *server) (Time, bool) {
+	wait := holderWait
+	if !p.allHold(s.coldRate()) {
+		if p.world.Stale {
+			return 0, false
+		}
+		wait = successorWait
+	}
+	return s.holderSince + wait, s.holder && !p.world.Partial
+}
+
 // holderOf tells whether this proxy is one of the holders of s.
 func (p *Picker) holderOf(s *server) bool {
 	rate := 0.0
@@ -48,10 +67,10 @@
 	if !slices.Contains(p.world.Peers, p.world.Self) {
 		return false // the others do not count this proxy
 	}
-	n, _ := p.coldHolders(rate)
-	if n >= len(p.world.Peers) {
+	if p.allHold(rate) {
 		return true
 	}
+	n, _ := p.coldHolders(rate)
 	mine := hashOf(s.hash, p.world.Self)
 	better := 0
 	for _, peer := range p.world.Peers {
@@ -73,9 +92,11 @@
 	if rate <= 0 {
 		return true
 	}
-	if !s.holder || now-s.holderSince < holderWait {
+	from, may := p.holdsFrom(s)
+	if !may || now < from {
 		return false
 	}
+	s.tokenAt = max(s.tokenAt, from) // nothing was saved up before
 	_, each := p.coldHolders(rate)
 	if now > s.tokenAt {
 		s.token = min(1, s.token+each*(now-s.tokenAt).Seconds())
@@ -86,11 +107,13 @@
 
 // coldWait is in how many milliseconds this proxy may send to a cold server again; infinite: it is no holder.
 func (p *Picker) coldWait(now Time, s *server) float64 {
-	if !s.holder {
+	from, may := p.holdsFrom(s)
+	if !may {
 		return math.Inf(1)
 	}
 	_, each := p.coldHolders(s.coldRate())
-	return min(max((1-s.token)/each*1000, ms(s.holderSince+holderWait-now)), ms(s.coldUntil-now))
+	paced := (1 - s.token) / each * 1000
+	return min(max(paced, ms(from-now)+paced), ms(s.coldUntil-now))
 }
 
 // spendCold takes note of a request that is sent to s now, which draws on the pace where s is cold.
--- /dev/null
+++ b/internal/system/proxy/pick/coldshare_test.go
@@ -0,0 +1,166 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/conf"
+)
+
+// coldFleet is proxies that press upon servers with all they may. Its servers are of one service, named s0, s1, ...
+type coldFleet struct {
+	config  *conf.Config
+	names   []string
+	pickers []*Picker
+	sent    []Time // to s0
+}
+
+func newColdFleet(proxies int) *coldFleet {
+	f := &coldFleet{config: &conf.Config{Services: map[string]*conf.Service{"a": {Name: "a", ColdPerSecond: 31, ColdFor: coldFor}}}}
+	f.config.Routes = []*conf.Route{{Host: "h", Prefix: "/", MaxTries: 2, Category: conf.Idempotent, Shares: []conf.Share{{Service: "a", Weight: 1}}}}
+	for i := range proxies {
+		f.names = append(f.names, fmt.Sprintf("p%02d", i))
+		f.pickers = append(f.pickers, New(Settings{Zone: "z", Region: "r", ColdExcess: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 64}))
+	}
+	return f
+}
+
+// world is what proxy i knows of servers that stay cold for that long.
+func (f *coldFleet) world(i int, servers int, cold time.Duration) World {
+	w := World{Config: f.config, Self: f.names[i], Peers: f.names}
+	for s := range servers {
+		w.Servers = append(w.Servers, Server{ID: fmt.Sprint("s", s), Service: "a", Zone: "z", Slots: 1000, Cold: cold})
+	}
+	return w
+}
+
+// press has every proxy ask for a server again and again, and calls each before every step.
+func (f *coldFleet) press(from, to, step time.Duration, each func(now Time)) {
+	for now := from; now < to; now += step {
+		if each != nil {
+			each(now)
+		}
+		for _, p := range f.pickers {
+			c := p.Choose(now, &Request{Route: f.config.Routes[0], Left: time.Second}, nil, false)
+			if c.Verdict != Send {
+				continue
+			}
+			if c.Server.ID == "s0" {
+				f.sent = append(f.sent, now)
+			}
+			p.Done(now, c.Ticket, Served, 0)
+		}
+	}
+}
+
+func (f *coldFleet) check(t *testing.T) {
+	t.Helper()
+	if most := mostInASecond(f.sent); float64(most) > coldMost {
+		t.Errorf("%d requests in a second, of %v", most, coldMost)
+	}
+}
+
+// TestQuietTimeKeepsPartsSmall: nothing changes for 31 s, then 9 of 12 proxies lose the keepers, but not the server. Danger: the
+// others' parts grow at once though the 9 go on.
+func TestQuietTimeKeepsPartsSmall(t *testing.T) {
+	f := newColdFleet(12)
+	for i, p := range f.pickers {
+		p.SetWorld(0, f.world(i, 1, time.Minute))
+	}
+	for i, p := range f.pickers[:3] {
+		w := f.world(i, 1, 29*time.Second)
+		w.Peers = f.names[:3]
+		p.SetWorld(31*time.Second, w)
+	}
+	f.press(31*time.Second, 34*time.Second, 10*time.Millisecond, nil)
+	f.check(t)
+}
+
+// TestPartialMembersHoldNothing: all processes start anew, and each half of them knows only itself as the keepers' tables are not
+// whole yet. Danger: either half takes the whole pace, and each proxy a part of the repeats that is too large.
+func TestPartialMembersHoldNothing(t *testing.T) {
+	f := newColdFleet(12)
+	for i, p := range f.pickers {
+		w := f.world(i, 1, time.Minute)
+		w.Peers, w.Partial = f.names[i/6*6:i/6*6+6], true
+		p.SetWorld(0, w)
+		if got := p.retrySlack(); got > 0 {
+			t.Errorf("%v repeats beside the ratio, of a number that is not known", got)
+		}
+	}
+	f.press(0, 4*time.Second, 10*time.Millisecond, nil)
+	if len(f.sent) > 0 {
+		t.Errorf("%d requests to a cold server whose holders are not known", len(f.sent))
+	}
+	for i, p := range f.pickers {
+		p.SetWorld(4*time.Second, f.world(i, 1, time.Minute))
+	}
+	f.press(4*time.Second, 8*time.Second, 10*time.Millisecond, nil)
+	f.check(t)
+	if len(f.sent) == 0 {
+		t.Error("nothing went to a cold server whose holders are known")
+	}
+}
+
+// TestHoldersGivenUpStop: of 60 proxies some that hold a cold server are given up by the others, which take their places, while
+// they live on. They stop once they are stale.
+func TestHoldersGivenUpStop(t *testing.T) {
+	const givenUp, stale = 2 * time.Second, 1600 * time.Millisecond
+	for _, count := range []int{3, 4, 6, 9, 17} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			f := newColdFleet(60)
+			for i, p := range f.pickers {
+				p.SetWorld(0, f.world(i, 1, time.Minute))
+			}
+			lost := map[int]bool{}
+			var left []string
+			for i, p := range f.pickers {
+				if p.servers["s0"].holder && len(lost) < count {
+					lost[i] = true
+				} else {
+					left = append(left, f.names[i])
+				}
+			}
+			f.press(0, 8*time.Second, 10*time.Millisecond, func(now Time) {
+				for i, p := range f.pickers {
+					w := f.world(i, 1, time.Minute-now)
+					switch {
+					case now == givenUp && !lost[i]:
+						w.Peers = left
+						p.SetWorld(now, w)
+					case now == givenUp+stale && lost[i]:
+						w.Stale = true
+						p.SetWorld(now, w)
+					}
+				}
+			})
+			f.check(t)
+		})
+	}
+}
+
+// TestNewServerIsHeldAtOnce: where the proxies have long known each other, a server that starts cold gets its pace from the
+// beginning; a proxy that has just come waits.
+func TestNewServerIsHeldAtOnce(t *testing.T) {
+	f := newColdFleet(12)
+	for i, p := range f.pickers {
+		p.SetWorld(0, f.world(i, 0, 0))
+	}
+	const starts = 10 * time.Second
+	for i, p := range f.pickers {
+		p.SetWorld(starts, f.world(i, 1, coldFor))
+	}
+	f.press(starts, starts+time.Second, 10*time.Millisecond, nil)
+	f.check(t)
+	if len(f.sent) < 20 {
+		t.Errorf("%d requests in the first second, of a pace of 26", len(f.sent))
+	}
+	late := newColdFleet(12)
+	late.pickers = late.pickers[:1]
+	late.pickers[0].SetWorld(starts, late.world(0, 1, coldFor))
+	late.press(starts, starts+holderWait-10*time.Millisecond, 10*time.Millisecond, nil)
+	if len(late.sent) > 0 {
+		t.Errorf("%d requests of a proxy that has just come", len(late.sent))
+	}
+}
--- a/internal/system/proxy/pick/flight.go
+++ b/internal/system/proxy/pick/flight.go
@@ -5,10 +5,13 @@
 const (
 	fullLeast  = 200 * time.Millisecond // a server that said it is full is spared this long
 	fullMost   = 500 * time.Millisecond
-	holderWait = time.Second // a new holder of a cold server waits until the old ones have stopped
-	brokenMost = 2           // answers that broke off in a row before a server is doubted
-	failedMost = 5           // 5xx in a row before it is
-	plainTail  = 4           // an answer without a prompt is overdue after this many usual times
+	holderWait = time.Second // a new holder of a cold server waits until others send as its holders, too
+	// successorWait is longer than a proxy that others have given up goes on as a holder: it is Stale 1.6 s after a keeper's
+	// last word (distribution.FreshFor).
+	successorWait = 1800 * time.Millisecond
+	brokenMost    = 2 // answers that broke off in a row before a server is doubted
+	failedMost    = 5 // 5xx in a row before it is
+	plainTail     = 4 // an answer without a prompt is overdue after this many usual times
 )
 
 // send registers r's way to s and makes the verdict.
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -45,6 +45,7 @@
 	prompt    chain  // scratch, of the request that is looked at
 	weigher   weigher
 	peers     peerCount
+	peersAt   Time // when the live proxies last changed
 	othersAt  Time // of the last SetLoads
 	beliefs   beliefs
 	rate      rateEstimate
@@ -98,6 +99,9 @@
 		p.known, p.started = true, now
 	}
 	reconfigured := p.world.Config != w.Config
+	if !slices.Equal(p.world.Peers, w.Peers) || p.world.Partial != w.Partial {
+		p.peersAt = now
+	}
 	p.world = w
 	p.peers.set(now, len(w.Peers))
 
@@ -158,10 +162,15 @@
 	if s.gone && now-s.goneAt > goneTime {
 		s.gone = false
 	}
+	held := s.holder
 	s.holder = p.holderOf(s)
-	if s.holderSince == 0 || !s.holder {
+	switch {
+	case !s.listed:
+		s.holderSince = p.peersAt // nobody held it before these peers were known
+	case !held:
 		s.holderSince = now
 	}
+	s.listed = true
 	g := p.group(told.Service)
 	s.group = g
 	g.servers = append(g.servers, s)
@@ -258,6 +267,9 @@
 const peerMemory = 30 * time.Second
 
 func (c *peerCount) set(now Time, n int) {
+	if c.now >= c.high {
+		c.highAt = now // the highest number held until now
+	}
 	c.now = max(n, 1)
 	if c.now >= c.high || now-c.highAt > peerMemory {
 		c.high, c.highAt = c.now, now
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -57,6 +57,7 @@
 
 	coldUntil, coldTold, holderSince Time
 	wasCold                          bool // no request was sent to it as a warm one since it turned cold
+	listed                           bool // in a list before
 	holder                           bool // this proxy may send to it while it is cold
 	token                            float64
 	tokenAt                          Time
--- a/internal/system/proxy/pick/types.go
+++ b/internal/system/proxy/pick/types.go
@@ -33,6 +33,10 @@
 	// server's are cut over them. A proxy that is not among them, or does not know them yet, sends nothing to cold servers.
 	Self  string
 	Peers []string
+	// Partial tells that Peers may lack live proxies, as no keeper that knows them all has told of them yet.
+	Partial bool
+	// Stale tells that others may have given this proxy up by now, as it has not been heard from or has heard nothing.
+	Stale bool
 }
 
 // Load is what one proxy, or all other proxies together, have brought to a server and is not yet answered.
