A zone that is taken back is paced as cold until the list can tell

Cause: servers of an evacuated zone turn cold under their ids shortly before it is taken back, and the list shows that up to lag_ms, a poll and the hops later.

Ruled out: pacing by the list's age alone, which would pace all servers whenever the platform is down.

Change: servers of a zone that leaves Evacuated count as cold until a reading that was asked for lag_ms or more after that, or until cold_s is over; a proxy that waits for such a reading is told of it at once. A server's own newer word is not shortened by an older list.

--- a/cmd/proxy/run.go
+++ b/cmd/proxy/run.go
@@ -158,8 +158,9 @@
 	if configured, listed := u.State.Config != nil, u.Listed; !p.isComplete && (configured || listed) {
 		p.log.WithField("configured", configured).WithField("listed", listed).Info("proxy: learning")
 	}
-	p.dataPlane.SetWorld(pick.World{Config: u.State.Config, Evacuated: u.State.Evacuated, Servers: u.Servers,
+	p.dataPlane.SetWorld(pick.World{Config: u.State.Config, Evacuated: u.State.Evacuated, Servers: u.Servers, ListAge: u.ListAge,
 		Self: p.settings.Node, Peers: live, Partial: u.Partial, Stale: u.Stale})
+	p.follower.AwaitList(p.dataPlane.AwaitsList())
 	p.directory.Set(fronts)
 	p.agent.SetMembers(watched)
 	if !p.isComplete && u.State.Config != nil && u.Listed {
@@ -188,7 +189,7 @@
 	s := p.settings
 	return pick.Settings{Zone: s.Zone, Region: s.Region, Regions: s.Zones, RetryRatio: s.Bounds.RetryRatio,
 		RetryWindow: settings.Seconds(s.Bounds.RetryWindowS), RetrySlack: s.Bounds.RetrySlack,
-		ColdExcess: s.Bounds.ColdExcess, ColdSlack: s.Bounds.ColdSlack, Seed: p.seed()}
+		ColdExcess: s.Bounds.ColdExcess, ColdSlack: s.Bounds.ColdSlack, ListLag: settings.Milliseconds(s.Cloud.Lag), Seed: p.seed()}
 }
 
 // seed lets proxies begin their rotations at different places.
--- /dev/null
+++ b/internal/system/distribution/awaited_test.go
@@ -0,0 +1,27 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+)
+
+// TestAwaitedListWakesItsOwner: a reading of the list that changes nothing is told at once where it is awaited, and only there.
+func TestAwaitedListWakesItsOwner(t *testing.T) {
+	f := NewFollower(FollowerOptions{Log: quiet()})
+	read := func(version uint64) bool {
+		return f.takeEntries(time.Now(), Age{}, &distributionpb.FollowReply{Entries: []*distributionpb.Entry{{Key: listKey, Fence: 1, Version: version}}})
+	}
+	if read(1) {
+		t.Error("told though nothing changed")
+	}
+	f.AwaitList(true)
+	if !read(2) {
+		t.Error("not told though it is awaited")
+	}
+	f.AwaitList(false)
+	if read(3) {
+		t.Error("told though it is awaited no more")
+	}
+}
--- a/internal/system/distribution/follower.go
+++ b/internal/system/distribution/follower.go
@@ -86,6 +86,7 @@
 	freshAt  time.Time // when it was certainly so that nothing newer than state had been acknowledged; zero: never yet
 	pace     time.Duration
 
+	awaitsList  bool
 	changed     chan struct{} // something in Update
 	loadChanged chan struct{}
 	tellNow     chan struct{}
@@ -184,6 +185,13 @@
 	}
 }
 
+// AwaitList says whether the owner is to be told of each newer reading of the platform's list, also of one that changed nothing.
+func (f *Follower) AwaitList(await bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.awaitsList = await
+}
+
 // Held gives what is held now.
 func (f *Follower) Held() Update {
 	f.mu.Lock()
--- a/internal/system/distribution/follower_soft.go
+++ b/internal/system/distribution/follower_soft.go
@@ -63,7 +63,7 @@
 			delete(f.kept, e.Key)
 			into.drop(e.Key)
 		}
-		if into.merge(now, e, age.plus(delay)) && !lazy(e.Key) {
+		if into.merge(now, e, age.plus(delay)) && (!lazy(e.Key) || f.awaitsList) {
 			changed = true
 		}
 	}
--- a/internal/system/proxy/helpers_test.go
+++ b/internal/system/proxy/helpers_test.go
@@ -46,6 +46,7 @@
 func (t *toyPicker) Started(pick.Time, uint64)                {}
 func (t *toyPicker) Cold(pick.Time, string, time.Duration)    {}
 func (t *toyPicker) Leaving(pick.Time, string)                {}
+func (t *toyPicker) AwaitsList() bool                         { return false }
 func (t *toyPicker) Stats() pick.Stats                        { return pick.Stats{} }
 func (t *toyPicker) Describe(pick.Time) string                { return "toy" }
 func (t *toyPicker) ServerLoad(_ pick.Time, id string, run, wait, of int) {
--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -129,3 +130,43 @@
 		p.stats.ColdEnds++
 	}
 }
+
+// listCold takes what the list tells of s's cold state, which has just been read.
+func (p *Picker) listCold(now Time, s *server) {
+	until := now + s.Cold
+	if s.unproven = s.unproven && !p.proven(now, s); s.unproven {
+		until = max(until, s.unprovenAt+p.coldFor(s.Service))
+	}
+	if now-s.coldTold < coldHintLife && s.coldTold > 0 || s.unproven {
+		until = max(until, s.coldUntil) // the server's own word counts, or the list cannot know yet
+	}
+	if until > now {
+		p.setCold(now, s, until)
+	} else {
+		s.coldUntil = now
+	}
+}
+
+// proven tells whether the list would show that s turned cold up to the moment unprovenAt, or that cold state would be over.
+func (p *Picker) proven(now Time, s *server) bool {
+	read := now - p.world.ListAge
+	return read >= s.unprovenAt+p.set.ListLag || now >= s.unprovenAt+p.coldFor(s.Service)
+}
+
+// coldFor is how long servers of a service stay cold; 0: they are never cold, as far as is known.
+func (p *Picker) coldFor(service string) time.Duration {
+	if p.world.Config == nil || p.world.Config.Services[service] == nil {
+		return 0
+	}
+	return p.world.Config.Services[service].ColdFor
+}
+
+// AwaitsList tells whether a newer reading of the list would free servers that may have turned cold unseen.
+func (p *Picker) AwaitsList() bool {
+	for _, s := range p.servers {
+		if s.unproven {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/system/proxy/pick/coldshare_test.go
+++ b/internal/system/proxy/pick/coldshare_test.go
@@ -21,7 +21,8 @@
 	f.config.Routes = []*conf.Route{{Host: "h", Prefix: "/", MaxTries: 2, Category: conf.Idempotent, Shares: []conf.Share{{Service: "a", Weight: 1}}}}
 	for i := range proxies {
 		f.names = append(f.names, fmt.Sprintf("p%02d", i))
-		f.pickers = append(f.pickers, New(Settings{Zone: "z", Region: "r", ColdExcess: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 64}))
+		f.pickers = append(f.pickers, New(Settings{Zone: "z", Region: "r", ColdExcess: 1.5, ColdSlack: 5, RetryRatio: 0.2,
+			RetrySlack: 64, ListLag: 800 * time.Millisecond}))
 	}
 	return f
 }
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -18,7 +18,8 @@
 	RetryWindow time.Duration // the span in which they are counted; default 10 s
 	RetrySlack  float64       // repeats that all proxies together may make beside the ratio
 
-	ColdExcess, ColdSlack float64 // the bound on a cold server in any second is its rate × ColdExcess + ColdSlack
+	ColdExcess, ColdSlack float64       // the bound on a cold server in any second is its rate × ColdExcess + ColdSlack
+	ListLag               time.Duration // a reading of the list may show what was so long before
 
 	Seed        uint64        // of the rotation's starting points
 	CrossRegion time.Duration // one way to another region; default 40 ms
@@ -102,6 +103,7 @@
 	if !slices.Equal(p.world.Peers, w.Peers) || p.world.Partial != w.Partial {
 		p.peersAt = now
 	}
+	before := p.world
 	p.world = w
 	p.peers.set(now, len(w.Peers))
 
@@ -120,6 +122,8 @@
 				p.beliefs.drop(s)
 			}
 			s = &server{speed: 1, hash: xxhash.Sum64String(told.ID)}
+		} else if before.Evacuated[told.Zone] && !w.Evacuated[told.Zone] {
+			s.unproven, s.unprovenAt = true, now
 		}
 		p.list(now, s, *told)
 		listed[told.ID] = s
@@ -153,12 +157,7 @@
 	}
 	s.Server = told
 	s.region = p.regionNumber(told.Region)
-	switch {
-	case told.Cold > 0:
-		p.setCold(now, s, now+told.Cold)
-	case s.coldTold < now-coldHintLife:
-		s.coldUntil = now // the list says warm, and no newer word from the server says else
-	}
+	p.listCold(now, s)
 	if s.gone && now-s.goneAt > goneTime {
 		s.gone = false
 	}
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -59,6 +59,8 @@
 	wasCold                          bool // no request was sent to it as a warm one since it turned cold
 	listed                           bool // in a list before
 	holder                           bool // this proxy may send to it while it is cold
+	unproven                         bool // it may have turned cold without a reading of the list that could show it
+	unprovenAt                       Time // the latest moment at which it may have done so
 	token                            float64
 	tokenAt                          Time
 
--- a/internal/system/proxy/pick/types.go
+++ b/internal/system/proxy/pick/types.go
@@ -29,6 +29,8 @@
 	Config    *conf.Config
 	Evacuated map[string]bool // zones
 	Servers   []Server
+	// ListAge is how long ago, at most, the platform was asked for the reading of the list that Servers come from.
+	ListAge time.Duration
 	// Self is this proxy's name and Peers the names of all live proxies, this one included, sorted: duties such as a cold
 	// server's are cut over them. A proxy that is not among them, or does not know them yet, sends nothing to cold servers.
 	Self  string
--- a/internal/system/proxy/policy.go
+++ b/internal/system/proxy/policy.go
@@ -24,6 +24,7 @@
 	Leaving(now pick.Time, id string)
 	Describe(now pick.Time) string
 	Stats() pick.Stats
+	AwaitsList() bool
 }
 
 // policy is a picker behind a lock and a monotonic clock.
@@ -60,6 +61,11 @@
 	return text
 }
 
+func (p *policy) AwaitsList() (awaits bool) {
+	p.with(func(i picker, _ pick.Time) { awaits = i.AwaitsList() })
+	return awaits
+}
+
 func (p *policy) Stats() (s pick.Stats) {
 	p.with(func(i picker, _ pick.Time) { s = i.Stats() })
 	return s
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// AwaitsList tells whether some servers wait for a newer reading of the platform's list.
+func (p *Proxy) AwaitsList() bool { return p.policy.AwaitsList() }
+
 // SetLoads tells what all other proxies together have outstanding at each server.
 func (p *Proxy) SetLoads(loads map[string]pick.Load) { p.policy.SetLoads(loads) }
 
