Invariants of cold servers, allowed sends, single runs and state are checked in service

Change: five invariants: a proxy's pace at a cold server in any second, counted apart from the pacing; no request as to a warm server to one that a later reading shows to have been cold then; no send to draining, evacuated or foreign servers; no further send of what may run once; no step back of a proxy's state.

--- a/internal/system/distribution/follower_state.go
+++ b/internal/system/distribution/follower_state.go
@@ -23,6 +23,8 @@
 
 // takeState takes what is newer of a snapshot and of records, so that a proxy never goes back. The caller holds mu.
 func (f *Follower) takeState(offer Offer, reply *distributionpb.FollowReply) {
+	before := f.state.Seq
+	defer func() { neverBack.Check(f.state.Seq >= before) }()
 	var snapshot *controlstate.State
 	if b := reply.GetSnapshot(); len(b) > 0 {
 		var err error
--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -94,6 +94,7 @@
 
 // attempt sends the request to a server, and tells whether the request has come to its end.
 func (c *call) attempt(ch pick.Choice) bool {
+	runsOnce.Check(!c.offered || c.route.Repeatable())
 	up := c.p.upstream
 	x := &exchange{ctx: c.r.Context(), up: up, pool: up.pool(ch.Server), id: c.id, deadline: c.deadline,
 		bare: c.r.Method == http.MethodHead}
--- a/internal/system/proxy/front_test.go
+++ b/internal/system/proxy/front_test.go
@@ -16,10 +16,13 @@
 	"go.uber.org/goleak"
 
 	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/invariant/invarianttest"
 	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	invarianttest.Main(m, func() error { return goleak.Find() })
+}
 
 // TestDrain ends a proxy as planned: an idle connection is closed, a request that runs is answered and told that the
 // connection ends, a new one is served at first, and a connection that is refused later gets no request's loss.
--- a/internal/system/proxy/once_controls_test.go
+++ b/internal/system/proxy/once_controls_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sys/unix"
 
 	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/invariant/invarianttest"
 )
 
 // TestExactlyOnceControls takes out one protection at a time: a scenario then breaks what TestExactlyOnce holds, and does not
@@ -51,8 +52,15 @@
 			if err := play(s, removed{}); err != nil {
 				t.Errorf("with it: %v", err)
 			}
-			if err := play(s, tt.without); err == nil || !strings.Contains(err.Error(), tt.breaks) {
-				t.Errorf("without it: %v, want %q", err, tt.breaks)
+			without := func() {
+				if err := play(s, tt.without); err == nil || !strings.Contains(err.Error(), tt.breaks) {
+					t.Errorf("without it: %v, want %q", err, tt.breaks)
+				}
+			}
+			if tt.without.repeatRule || tt.without.resumeRule {
+				invarianttest.Expect(t, runsOnce, without)
+			} else {
+				without()
 			}
 		})
 	}
--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -122,17 +122,20 @@
 	switch {
 	case s.cold(now):
 		p.stats.ColdSends++
-		if s.coldRate() > 0 {
+		if rate := s.coldRate(); rate > 0 {
 			s.token--
+			_, each := p.coldHolders(rate)
+			coldPaceKept.Check(s.coldSent.add(now, each))
 		}
 	case s.wasCold:
-		s.wasCold = false
+		s.wasCold, s.warmedAt, s.coldSent = false, now, coldWindow{}
 		p.stats.ColdEnds++
 	}
 }
 
 // listCold takes what the list tells of s's cold state, which has just been read.
 func (p *Picker) listCold(now Time, s *server) {
+	p.checkColdEnd(now, s)
 	until := now + s.Cold
 	if s.unproven = s.unproven && !p.proven(now, s); s.unproven {
 		until = max(until, s.unprovenAt+p.coldFor(s.Service))
--- a/internal/system/proxy/pick/flight.go
+++ b/internal/system/proxy/pick/flight.go
@@ -29,6 +29,7 @@
 	if s.suspect() && s.trial == nil {
 		s.trial = f
 	}
+	p.checkSend(r, s)
 	p.spendCold(now, s)
 	if r.arrived > 0 {
 		f.charged = true
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -57,6 +57,8 @@
 
 	coldUntil, coldTold, holderSince Time
 	wasCold                          bool // no request was sent to it as a warm one since it turned cold
+	warmedAt                         Time // when the first one was; 0: none, or it was judged
+	coldSent                         coldWindow
 	listed                           bool // in a list before
 	holder                           bool // this proxy may send to it while it is cold
 	unproven                         bool // it may have turned cold without a reading of the list that could show it
@@ -124,7 +126,7 @@
 func (p *Picker) setCold(now Time, s *server, until Time) {
 	if !s.cold(now) && until > now {
 		s.token, s.tokenAt = 0, now // it turns cold: nothing was saved up
-		s.wasCold = true
+		s.wasCold, s.coldSent = true, coldWindow{}
 		p.stats.ColdStarts++
 	}
 	s.coldUntil = until
