--- a/internal/system/platform/instance.go
+++ b/internal/system/platform/instance.go
@@ -138,33 +138,3 @@
 	clear(list[len(out):])
 	return out
 }
-
-// ByZone cuts a list into those of its zones, each in the order of the list.
-func ByZone(list []Instance) map[string][]Instance {
-	zones := map[string][]Instance{}
-	for _, i := range list {
-		zones[i.Zone] = append(zones[i.Zone], i)
-	}
-	return zones
-}
-
-// sameSlack is how far two tellings of a moment may lie apart and still be of the same moment: the list itself lags.
-const sameSlack = 300 * time.Millisecond
-
-// Same tells whether now, read elapsed after old, tells nothing that old did not: the same servers with the same
-// fields, their durations having run down with the time. Both lists are sorted by id, as List gives them.
-func Same(old, now []Instance, elapsed time.Duration) bool {
-	return slices.EqualFunc(old, now, func(a, b Instance) bool {
-		return a.ID == b.ID && a.Target == b.Target && a.Address == b.Address && a.Zone == b.Zone &&
-			a.Slots == b.Slots && a.Phase == b.Phase && a.Revision == b.Revision && a.Stage == b.Stage &&
-			ranDown(a.ColdLeft, b.ColdLeft, elapsed) && (a.Remaining > 0) == (b.Remaining > 0) &&
-			ranDown(a.Remaining, b.Remaining, elapsed) &&
-			slices.EqualFunc(a.Models, b.Models, func(x, y Model) bool {
-				return x.Name == y.Name && x.Revision == y.Revision && slices.Equal(x.Adapters, y.Adapters)
-			})
-	})
-}
-
-func ranDown(old, now, elapsed time.Duration) bool {
-	return (max(0, old-elapsed) - now).Abs() <= sameSlack
-}
