--- a/internal/system/platform/instance.go
+++ b/internal/system/platform/instance.go
@@ -1,5 +1,5 @@
-// Package platform is a client of the platform's service discovery: it reads the paged list of servers, polls it at a
-// bounded rate while it holds the duty to, and encodes lists for the table that proxies are fed from.
+// Package platform is a client of the platform's service discovery: it reads the paged list of servers, and polls it at a
+// bounded rate while it holds the duty to.
 package platform
 
 import (
