distribution: names of the field for complete tables, urgent changes and unconfirmed servers

Need: warm, loud and kept stood on the list of names that say too little; warm meant something else beside cold servers.

Change: warm is complete, on the wire too (field numbers stay), loud is lastUrgent, kept is unconfirmed.

--- a/internal/system/distribution/coldpath_test.go
+++ b/internal/system/distribution/coldpath_test.go
@@ -55,7 +55,7 @@
 		p.followers[node] = f
 		p.mesh.host(node+":2", f.Handler())
 	}
-	p.reader.warmed()
+	p.reader.markComplete()
 	p.share(shared) // refused: the other's clock is not known yet
 	p.share(shared)
 	return p
--- a/internal/system/distribution/follower.go
+++ b/internal/system/distribution/follower.go
@@ -61,30 +61,30 @@
 	calls  calls
 	began  time.Time
 
-	mu       sync.Mutex
-	self     Member
-	told     uint64 // revision of self that a keeper has taken in
-	tellDone chan struct{}
-	down     map[string]uint64 // verdicts to pass on: node to incarnation
-	state    *controlstate.State
-	resync   bool // the records do not apply: ask for a snapshot
-	borrowed bool // the state is a neighbour's, since no keeper could be reached
-	table    *table
-	kept     map[string]bool // keys of servers that no keeper has told since all lost their tables
-	whole    bool            // a table that misses no live proxy has been taken in
-	soft     distributionpb.Cursor
-	totals   reading
-	own      *vector
-	history  []ownLoads // as told, newest last
-	toldOwn  distributionpb.Cursor
-	others   map[string]pick.Load
-	keepers  map[string]*keeperInfo
-	digest   uint64
-	current  string // the keeper that is followed; empty: none
-	stale    bool   // it is not current
-	heard    time.Time
-	freshAt  time.Time // when it was certainly so that nothing newer than state had been acknowledged; zero: never yet
-	pace     time.Duration
+	mu          sync.Mutex
+	self        Member
+	told        uint64 // revision of self that a keeper has taken in
+	tellDone    chan struct{}
+	down        map[string]uint64 // verdicts to pass on: node to incarnation
+	state       *controlstate.State
+	resync      bool // the records do not apply: ask for a snapshot
+	borrowed    bool // the state is a neighbour's, since no keeper could be reached
+	table       *table
+	unconfirmed map[string]bool // keys of servers that no keeper has told since all lost their tables
+	whole       bool            // a table that misses no live proxy has been taken in
+	soft        distributionpb.Cursor
+	totals      reading
+	own         *vector
+	history     []ownLoads // as told, newest last
+	toldOwn     distributionpb.Cursor
+	others      map[string]pick.Load
+	keepers     map[string]*keeperInfo
+	digest      uint64
+	current     string // the keeper that is followed; empty: none
+	stale       bool   // it is not current
+	heard       time.Time
+	freshAt     time.Time // when it was certainly so that nothing newer than state had been acknowledged; zero: never yet
+	pace        time.Duration
 
 	awaitsList  bool
 	changed     chan struct{} // something in Update
--- a/internal/system/distribution/follower_soft.go
+++ b/internal/system/distribution/follower_soft.go
@@ -42,25 +42,25 @@
 func (f *Follower) takeEntries(now time.Time, delay Age, reply *distributionpb.FollowReply) (changed bool) {
 	into := f.table
 	old := f.tellsOldList(now, delay, reply)
-	if reply.GetFull() && reply.GetWarm() && !f.whole {
+	if reply.GetFull() && reply.GetComplete() && !f.whole {
 		f.whole, changed = true, true
 	}
-	if reply.GetFull() && reply.GetWarm() && !old {
+	if reply.GetFull() && reply.GetComplete() && !old {
 		into = newTable()
 	}
 	if listEntry(reply) != nil && !old {
-		for key := range f.kept {
+		for key := range f.unconfirmed {
 			into.drop(key)
 		}
-		f.kept, changed = nil, changed || len(f.kept) > 0
+		f.unconfirmed, changed = nil, changed || len(f.unconfirmed) > 0
 	}
 	for _, w := range reply.GetEntries() {
 		e, age := fromWire(w)
 		if e.Key == "" || len(e.Key) > 2*maxID || old && ofList(e.Key) {
 			continue
 		}
-		if f.kept[e.Key] {
-			delete(f.kept, e.Key)
+		if f.unconfirmed[e.Key] {
+			delete(f.unconfirmed, e.Key)
 			into.drop(e.Key)
 		}
 		if into.merge(now, e, age.plus(delay)) && (!lazy(e.Key) || f.awaitsList) {
@@ -72,10 +72,10 @@
 	}
 	if into.items[listKey] == nil {
 		// The list has not been read since: until then old servers are better than none.
-		f.kept = map[string]bool{}
+		f.unconfirmed = map[string]bool{}
 		for key, it := range f.table.items {
 			if ofList(key) && into.merge(now, it.Entry, it.age(now)) {
-				f.kept[key] = true
+				f.unconfirmed[key] = true
 			}
 		}
 	}
--- a/internal/system/distribution/hub.go
+++ b/internal/system/distribution/hub.go
@@ -95,8 +95,8 @@
 
 	mu          sync.Mutex
 	table       *table
-	boot        uint64 // drawn anew once the table is warm, so that followers then take it whole
-	warm        bool
+	boot        uint64 // drawn anew once the table is complete, so that followers then take it whole
+	complete    bool
 	started     time.Time
 	ticked      time.Time
 	expired     time.Time
@@ -259,15 +259,15 @@
 	}
 }
 
-// settle declares the table warm once it has had the time to fill.
+// settle declares the table complete once it has had the time to fill.
 func (h *Hub) settle(now time.Time) {
-	if !h.warm && now.Sub(h.started) > h.limits.Settling {
-		h.warmed()
+	if !h.complete && now.Sub(h.started) > h.limits.Settling {
+		h.markComplete()
 	}
 }
 
-func (h *Hub) warmed() {
-	h.warm, h.boot = true, rand.Uint64()|1
+func (h *Hub) markComplete() {
+	h.complete, h.boot = true, rand.Uint64()|1
 	h.wake()
 }
 
--- a/internal/system/distribution/hub_follow.go
+++ b/internal/system/distribution/hub_follow.go
@@ -154,7 +154,7 @@
 			again = left
 		}
 	}
-	if c.GetNumber() < h.table.loud {
+	if c.GetNumber() < h.table.lastUrgent {
 		// A change that comes alone goes out at once, one close upon another waits for more.
 		due(f.changed, h.pace()/2)
 	}
@@ -189,7 +189,7 @@
 		since = req.GetSoft().GetNumber()
 	}
 	items, full := h.table.since(since)
-	reply.Entries, reply.Full, reply.Warm = toWire(now, items), full, h.warm
+	reply.Entries, reply.Full, reply.Complete = toWire(now, items), full, h.complete
 	if len(items) > 0 {
 		f.changed = now
 	}
--- a/internal/system/distribution/hub_share.go
+++ b/internal/system/distribution/hub_share.go
@@ -167,7 +167,7 @@
 	}
 	items, full := h.table.since(since)
 	return &distributionpb.ShareRequest{From: &distributionpb.Keeper{Address: h.opt.Self, Zone: h.opt.Zone, Region: h.opt.Region}, Boot: h.boot,
-		Full: full, Warm: h.warm, Entries: toWire(now, items), Loads: h.sums.since(p.told.GetBoot(), p.told.GetNumber()),
+		Full: full, Complete: h.complete, Entries: toWire(now, items), Loads: h.sums.since(p.told.GetBoot(), p.told.GetNumber()),
 		Lowest: h.lowest, Followers: uint64(len(h.followers)), Hears: h.heard(now), SentMs: p.sent(now)}, h.table.number
 }
 
@@ -207,8 +207,8 @@
 			h.mergeShared(now, from, e, age.plus(upTo(delay)))
 		}
 	}
-	if req.GetFull() && req.GetWarm() && !h.warm {
-		h.warmed()
+	if req.GetFull() && req.GetComplete() && !h.complete {
+		h.markComplete()
 	}
 	p.loads.apply(now.Add(-delay), req.GetLoads())
 	close(h.acked)
--- a/internal/system/distribution/late_test.go
+++ b/internal/system/distribution/late_test.go
@@ -15,7 +15,7 @@
 	tb.Helper()
 	c := newChain()
 	h := NewHub(HubOptions{Source: &source{chain: c, keepers: []string{"k"}}, Self: "k", Log: quiet()})
-	h.warmed()
+	h.markComplete()
 	c.add(controlstate.Record{Op: controlstate.OpEvacuate, Zone: "z"})
 	if err := h.PutList(1, 1, []pick.Server{{ID: "old"}}, Age{}); err != nil {
 		tb.Fatal(err)
--- a/internal/system/distribution/oldlist_test.go
+++ b/internal/system/distribution/oldlist_test.go
@@ -14,12 +14,12 @@
 func wholeTable(tb testing.TB, age time.Duration, version uint64, servers ...pick.Server) *distributionpb.FollowReply {
 	tb.Helper()
 	h := newIdleHub()
-	h.warmed()
+	h.markComplete()
 	if err := h.PutList(1, version, servers, exactAge(age)); err != nil {
 		tb.Fatal(err)
 	}
 	items, full := h.table.since(0)
-	return &distributionpb.FollowReply{Full: full, Warm: true, Current: true, Entries: toWire(time.Now(), items),
+	return &distributionpb.FollowReply{Full: full, Complete: true, Current: true, Entries: toWire(time.Now(), items),
 		Soft: &distributionpb.Cursor{Boot: h.boot, Number: h.table.number}}
 }
 
@@ -80,7 +80,7 @@
 	now := time.Now()
 	f := NewFollower(FollowerOptions{Log: quiet()})
 	reply := func(cold time.Duration, version, least, most uint64) *distributionpb.FollowReply {
-		return &distributionpb.FollowReply{Full: true, Warm: true, Entries: []*distributionpb.Entry{
+		return &distributionpb.FollowReply{Full: true, Complete: true, Entries: []*distributionpb.Entry{
 			{Key: listKey, Fence: 1, Version: version, AgeMs: most, LeastAgeMs: least},
 			{Key: serverPrefix + "a", Fence: 1, Version: version, AgeMs: most, LeastAgeMs: least,
 				Value: encodeServer(pick.Server{ID: "a", Service: "x", Cold: cold})}}}
--- a/internal/system/distribution/partial_test.go
+++ b/internal/system/distribution/partial_test.go
@@ -19,7 +19,7 @@
 	if u := f.held(now); !u.Partial {
 		t.Error("a keeper that has just started knows all proxies")
 	}
-	if !f.takeEntries(now, Age{}, &distributionpb.FollowReply{Full: true, Warm: true}) {
+	if !f.takeEntries(now, Age{}, &distributionpb.FollowReply{Full: true, Complete: true}) {
 		t.Error("that the members are whole is no change")
 	}
 	f.freshAt = now
--- a/internal/system/distribution/peer_test.go
+++ b/internal/system/distribution/peer_test.go
@@ -186,7 +186,7 @@
 // TestRepeatedCallsChangeNothing: a poll or a share that comes twice leaves a keeper as it was after the first.
 func TestRepeatedCallsChangeNothing(t *testing.T) {
 	h := newIdleHub()
-	h.warmed()
+	h.markComplete()
 	m := Member{Node: "p", Incarnation: 5, Revision: 2, Ready: true}
 	other := Member{Node: "q", Incarnation: 6}
 	h.end(h.begin(other, &distributionpb.FollowRequest{Member: other.wire()}))
--- a/internal/system/distribution/table.go
+++ b/internal/system/distribution/table.go
@@ -67,12 +67,12 @@
 
 // table is a join semilattice of entries with a local log of changes. It is pure; its owner locks.
 type table struct {
-	items  map[string]*item
-	log    []change           // rising numbers; may name a key more than once
-	number uint64             // of the last change
-	loud   uint64             // of the last change that is not lazy
-	cut    uint64             // a deletion with this number has been forgotten
-	sorted map[string][]*item // the live items under a prefix, by key, where they have been asked for
+	items      map[string]*item
+	log        []change           // rising numbers; may name a key more than once
+	number     uint64             // of the last change
+	lastUrgent uint64             // of the last change that is not lazy
+	cut        uint64             // a deletion with this number has been forgotten
+	sorted     map[string][]*item // the live items under a prefix, by key, where they have been asked for
 }
 
 func newTable() *table { return &table{items: map[string]*item{}, sorted: map[string][]*item{}} }
@@ -88,7 +88,7 @@
 	}
 	t.number++
 	if !lazy(e.Key) {
-		t.loud = t.number
+		t.lastUrgent = t.number
 	}
 	age = age.ordered()
 	it := &item{Entry: e, earliest: now.Add(-age.Most), latest: now.Add(-age.Least), number: t.number}
--- a/internal/system/distribution/unit_test.go
+++ b/internal/system/distribution/unit_test.go
@@ -168,12 +168,12 @@
 	list := []pick.Server{{ID: "a", Service: "x", Cold: 3 * time.Second}, {ID: "b", Service: "x"}}
 	put := func(fence, version uint64, age time.Duration, want uint64) {
 		t.Helper()
-		before := h.table.loud
+		before := h.table.lastUrgent
 		if err := h.PutList(fence, version, list, exactAge(age)); err != nil {
 			t.Fatal(err)
 		}
-		if h.table.loud-before > 0 != (want > 0) {
-			t.Errorf("%d loud changes", h.table.loud-before)
+		if h.table.lastUrgent-before > 0 != (want > 0) {
+			t.Errorf("%d urgent changes", h.table.lastUrgent-before)
 		}
 	}
 	put(1, 1, 0, 1)
