Ends of cold states hold where the state is extended, a clock was read early, or a peer is old

Cause, found by the review of the mend: (1) a held end was taken to cover a reading's later one as long as their spans overlapped, so a cold state that was extended by less than the span ended early; (2) what a proxy keeps of its table was dated by a clock read before the lock, so a process that stood still in between dated it back, by as long as that took (1.5 s in the test); the age of a reading was made before the lock likewise; (3) an entry of a process that does not tell the least age counted as made just now, so a cold state of long ago began anew.

Ruled out: intersecting the spans of several readings, which is wrong for a state that was extended; narrowing an entry's age by its second copy, as two pollers may write equal bytes at different moments.

Change: the later end counts, and an end is written 20 ms late so that readings of one state are not all written; readings and kept entries carry moments and not ages; an untold least age is the most less 2 s.

--- a/cmd/keeper/feed.go
+++ b/cmd/keeper/feed.go
@@ -87,8 +87,7 @@
 			Remaining: i.Remaining, Cold: roundedUp(i.ColdLeft)})
 	}
 	f.logCold(r)
-	age := distribution.Age{Least: time.Since(r.Answered), Most: time.Since(r.Asked)}
-	if err := f.hub.PutList(r.Fence, r.Version, servers, age); err != nil {
+	if err := f.hub.PutList(r.Fence, r.Version, servers, distribution.Moments{Earliest: r.Asked, Latest: r.Answered}); err != nil {
 		f.log.WithError(err).Info("keeper: a reading of the list came too late")
 	}
 }
--- a/internal/system/distribution/age.go
+++ b/internal/system/distribution/age.go
@@ -7,6 +7,15 @@
 // latest possible moment, so by Least; what it permits from the earliest, so by Most.
 type Age struct{ Least, Most time.Duration }
 
+// Moments are those between which something was made, by this process's monotonic clock.
+type Moments struct{ Earliest, Latest time.Time }
+
+// age is how long ago something was made.
+func (m Moments) age(now time.Time) Age { return Age{now.Sub(m.Latest), now.Sub(m.Earliest)} }
+
+// before tells the moments between which something was made that is so old now.
+func (a Age) before(now time.Time) Moments { return Moments{now.Add(-a.Most), now.Add(-a.Least)} }
+
 // exactAge is the age of what is known to be d old.
 func exactAge(d time.Duration) Age { return Age{d, d} }
 
--- /dev/null
+++ b/internal/system/distribution/coldedge_test.go
@@ -0,0 +1,185 @@
+package distribution
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// TestColdStateThatIsExtendedEndsLate: a server that is cold becomes cold again ("at any moment"), so that its cold state ends a
+// little later. Each reading is right by itself. Danger: coversCold takes the second for another reading of the first state, as
+// their spans overlap, and the held end stays before the true one.
+func TestColdStateThatIsExtendedEndsLate(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		more      time.Duration
+		first, second leg
+	}{
+		"one page at 45 ms": {40 * ms, leg{45 * ms, 0}, leg{45 * ms, 45 * ms}},
+		"two pages, the server on the second: 45 ms each way": {130 * ms, leg{135 * ms, 0}, leg{135 * ms, 45 * ms}},
+		"a slow reading":                {700 * ms, leg{0, 0}, leg{800 * ms, 0}},
+		"same ways, 40 ms more":         {40 * ms, leg{45 * ms, 10 * ms}, leg{45 * ms, 10 * ms}},
+		"same ways, exact, 1.4 ms more": {1400 * time.Microsecond, leg{1 * ms, 0}, leg{1 * ms, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newColdPath(t, leg{})
+				start := time.Now()
+				p.truth.coldEnd = start.Add(3 * time.Second)
+				p.read(c.first)
+				time.Sleep(200 * ms)
+				p.truth.coldEnd = p.truth.coldEnd.Add(c.more)
+				for range 2 {
+					p.read(c.second)
+					p.follow("reader:1", leg{})
+					p.check()
+				}
+				if len(p.early) > 0 {
+					t.Errorf("the cold state ends early by %v", p.early)
+				}
+			})
+		})
+	}
+}
+
+// TestKeptEntriesKeepTheirMoments: a reply is taken in with a clock that was read before the process froze, or waited for the
+// lock, while another reply came. Danger: what is kept of the newer table is dated back to the older clock.
+func TestKeptEntriesKeepTheirMoments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
+		empty := newIdleHub() // a keeper that has started anew, warm, with no list yet
+		empty.markComplete()
+		items, full := empty.table.since(0)
+		reply := &distributionpb.FollowReply{Full: full, Complete: true, Current: true, Entries: toWire(time.Now(), items),
+			Soft: &distributionpb.Cursor{Boot: empty.boot, Number: empty.table.number}}
+		req := f.request(nil, false)
+		read := time.Now() // call(): f.take(asked, time.Now(), req, reply), before the lock
+		time.Sleep(1500 * time.Millisecond)
+		end := time.Now().Add(3 * time.Second)
+		f.take(time.Now(), time.Now(), f.request(nil, false), wholeTable(t, 0, 5, pick.Server{ID: "s", Cold: 3 * time.Second}))
+		f.take(read, read, req, reply)
+		got := f.Held().Servers
+		if len(got) != 1 {
+			t.Fatalf("holds %+v", got)
+		}
+		if early := time.Until(end) - got[0].Cold; early > 0 {
+			t.Errorf("the cold state ends early by %v", early)
+		}
+	})
+}
+
+// TestColdStateOfLongAgoIsOver: a process from before least_age_ms passes on an entry that was made 20 s ago, when the server was
+// cold for 3 s more. Danger: whoever takes it in holds a server for cold that has been warm for 17 s: after each change of
+// keepers, all servers that have ever been told as cold.
+func TestColdStateOfLongAgoIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newIdleHub()
+		h.markComplete()
+		if err := h.PutList(1, 1, []pick.Server{{ID: "s", Cold: 3 * time.Second}}, madeAgo(Age{})); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Second)
+		items, full := h.table.since(0)
+		w := toWire(time.Now(), items)
+		for _, e := range w {
+			e.LeastAgeMs = nil
+		}
+		f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
+		f.take(time.Now(), time.Now(), f.request(nil, false), &distributionpb.FollowReply{Full: full, Complete: true, Current: true, Entries: w,
+			Soft: &distributionpb.Cursor{Boot: h.boot, Number: h.table.number}})
+		for _, s := range f.Held().Servers {
+			if s.Cold > 0 {
+				t.Errorf("cold for %v more, 17 s after the cold state's end", s.Cold)
+			}
+		}
+	})
+}
+
+// TestSecondCopyNarrowsTheAge: the first copy of an entry came by a slow way, the second by a fast one. Both bounds of both hold,
+// so the cold state need not end later than by the better of the two.
+func TestSecondCopyNarrowsTheAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newColdPath(t, leg{})
+		p.truth.coldEnd = time.Now().Add(4 * time.Second)
+		p.read(leg{})
+		p.share(leg{out: 1400 * time.Millisecond}) // a slow share to the other keeper
+		p.follow("other:1", leg{})
+		p.follow("reader:1", leg{})
+		p.follow("reader:1", leg{})
+		p.check()
+		late := p.held()["proxy"].Cold - time.Until(p.truth.coldEnd)
+		t.Logf("late by %v, early %v", late, p.early)
+		if late > 300*time.Millisecond {
+			t.Errorf("the cold state ends %v late at a proxy that has a fast word of it", late)
+		}
+	})
+}
+
+// TestListAgeHoldsOverAFreeze: the process stops between the platform's answer and taking it in. Danger: the list and a notice of
+// withdrawal count as younger than they are by the time of the stop.
+func TestListAgeHoldsOverAFreeze(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const stop = 300 * time.Millisecond
+		h := newIdleHub()
+		read := madeAgo(Age{Most: 50 * time.Millisecond})
+		withdrawn := read.Earliest.Add(3 * time.Second)
+		time.Sleep(stop)
+		if err := h.PutList(1, 1, []pick.Server{{ID: "s", Remaining: 3 * time.Second}}, read); err != nil {
+			t.Fatal(err)
+		}
+		got, listed, _ := h.List()
+		if late := got[0].Remaining - time.Until(withdrawn); late > 0 || listed < stop {
+			t.Errorf("the notice ends late by %v; the list, read %v ago, is told to be %v old", late, stop, listed)
+		}
+	})
+}
+
+// TestEndOfColdDoesNotFlap: readings of one cold state, near its end, over a slow way.
+func TestEndOfColdDoesNotFlap(t *testing.T) {
+	const ms = time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		var worst time.Duration
+		flaps := 0
+		for phase := range 50 {
+			h := newIdleHub()
+			start := time.Now()
+			end := start.Add(3 * time.Second)
+			time.Sleep(time.Duration(phase) * 10 * ms)
+			var v uint64
+			for time.Until(end) > -time.Second {
+				asked := time.Now()
+				back := 55 * ms
+				if v%2 == 1 {
+					back = 165 * ms
+				}
+				time.Sleep(55 * ms)
+				told := (truth{coldEnd: end}).told(time.Now())
+				time.Sleep(back)
+				v++
+				// as feed does, rounding up
+				if told.Cold > 0 {
+					told.Cold += ms
+				}
+				was, _, _ := h.List()
+				if err := h.PutList(1, v, []pick.Server{told}, madeAgo(upTo(time.Since(asked)))); err != nil {
+					t.Fatal(err)
+				}
+				now, _, _ := h.List()
+				if len(was) > 0 && was[0].Cold == 0 && now[0].Cold > 0 {
+					flaps++
+				}
+				if late := now[0].Cold - max(0, time.Until(end)); late > worst {
+					worst = late
+				}
+				time.Sleep(500*ms - time.Since(asked))
+			}
+		}
+		t.Logf("50 phases: warm and cold again %d times, worst late %v", flaps, worst)
+		if flaps > 0 {
+			t.Errorf("a warm server is called cold again by a reading of the same cold state, %d of 50", flaps)
+		}
+	})
+}
--- a/internal/system/distribution/coldpath_test.go
+++ b/internal/system/distribution/coldpath_test.go
@@ -64,7 +64,7 @@
 // putReading has a hub take in a reading of the list that was asked for at asked, and came just now.
 func putReading(tb testing.TB, h *Hub, version uint64, asked time.Time, servers ...pick.Server) {
 	tb.Helper()
-	if err := h.PutList(1, version, servers, upTo(time.Since(asked))); err != nil {
+	if err := h.PutList(1, version, servers, madeAgo(upTo(time.Since(asked)))); err != nil {
 		tb.Fatal(err)
 	}
 }
--- a/internal/system/distribution/fleet_test.go
+++ b/internal/system/distribution/fleet_test.go
@@ -22,7 +22,7 @@
 		defer fl.stop()
 		time.Sleep(time.Second)
 		fl.chain.add(none())
-		if err := fl.hubs["k1:1"].PutList(1, 1, []pick.Server{{ID: "s1", Service: "a", Cold: 3 * time.Second}}, Age{}); err != nil {
+		if err := fl.hubs["k1:1"].PutList(1, 1, []pick.Server{{ID: "s1", Service: "a", Cold: 3 * time.Second}}, madeAgo(Age{})); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(200 * time.Millisecond)
--- a/internal/system/distribution/follower_soft.go
+++ b/internal/system/distribution/follower_soft.go
@@ -74,7 +74,7 @@
 		// The list has not been read since: until then old servers are better than none.
 		f.unconfirmed = map[string]bool{}
 		for key, it := range f.table.items {
-			if ofList(key) && into.merge(now, it.Entry, it.age(now)) {
+			if ofList(key) && into.put(it.Entry, it.made) {
 				f.unconfirmed[key] = true
 			}
 		}
--- a/internal/system/distribution/hub_table.go
+++ b/internal/system/distribution/hub_table.go
@@ -41,13 +41,15 @@
 	return true
 }
 
-// PutList takes in a whole reading of the platform's list, age after it was made: servers that it does not name are gone.
+// PutList takes in a whole reading of the platform's list: servers that it does not name are gone. read is between when the
+// platform was asked and when it had answered.
 // Only what differs from the table goes out. version rises from reading to reading of one fence. The error is ErrStale
 // where a reading under a higher fence, or one that was certainly made later, has been taken in.
-func (h *Hub) PutList(fence, version uint64, servers []pick.Server, age Age) error {
+func (h *Hub) PutList(fence, version uint64, servers []pick.Server, read Moments) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	age := read.age(now)
 	if held := h.table.items[listKey]; held != nil && held.Fence == fence && age.Least > held.age(now).Most {
 		return errors.Mark(errors.Newf("distribution: a list that was read %v later is held: this one counts for nothing",
 			age.Least-held.age(now).Most), ErrStale)
@@ -74,7 +76,7 @@
 				continue
 			}
 		}
-		write(Entry{Key: serverPrefix + s.ID, Fence: fence, Version: version, Value: encodeServer(s)})
+		write(Entry{Key: serverPrefix + s.ID, Fence: fence, Version: version, Value: encodeServer(withMargin(s))})
 	}
 	for _, it := range slices.Clone(h.table.live(serverPrefix)) {
 		if !named[it.Key] {
--- a/internal/system/distribution/late_test.go
+++ b/internal/system/distribution/late_test.go
@@ -17,7 +17,7 @@
 	h := NewHub(HubOptions{Source: &source{chain: c, keepers: []string{"k"}}, Self: "k", Log: quiet()})
 	h.markComplete()
 	c.add(controlstate.Record{Op: controlstate.OpEvacuate, Zone: "z"})
-	if err := h.PutList(1, 1, []pick.Server{{ID: "old"}}, Age{}); err != nil {
+	if err := h.PutList(1, 1, []pick.Server{{ID: "old"}}, madeAgo(Age{})); err != nil {
 		tb.Fatal(err)
 	}
 	f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet(), hooks: hooks})
--- a/internal/system/distribution/lateworld_test.go
+++ b/internal/system/distribution/lateworld_test.go
@@ -114,7 +114,7 @@
 		w.version++
 		w.read[w.version] = time.Now()
 		// A keeper that is cut off goes on to read the list.
-		if w.hubs[w.names[w.rng.IntN(3)]].PutList(1, w.version, []pick.Server{{ID: fmt.Sprint("s", w.version)}}, Age{}) != nil {
+		if w.hubs[w.names[w.rng.IntN(3)]].PutList(1, w.version, []pick.Server{{ID: fmt.Sprint("s", w.version)}}, madeAgo(Age{})) != nil {
 			w.faults["refused list"]++
 		}
 	}
--- a/internal/system/distribution/loopback_test.go
+++ b/internal/system/distribution/loopback_test.go
@@ -139,7 +139,7 @@
 		list[i] = pick.Server{ID: fmt.Sprintf("i-%08x", i*7919), Service: "a", Address: "10.0.0.1:8080", Zone: "z", Slots: 64}
 	}
 	src.add(none())
-	if err := h.PutList(1, 1, list, Age{}); err != nil {
+	if err := h.PutList(1, 1, list, madeAgo(Age{})); err != nil {
 		b.Fatal(err)
 	}
 	var tick atomic.Int64
@@ -184,7 +184,7 @@
 			version++
 			i := int(version) % servers
 			list[i].Draining = !list[i].Draining
-			if err := h.PutList(1, version, list, Age{}); err != nil {
+			if err := h.PutList(1, version, list, madeAgo(Age{})); err != nil {
 				b.Fatal(err)
 			}
 		}
--- a/internal/system/distribution/oldlist_test.go
+++ b/internal/system/distribution/oldlist_test.go
@@ -15,7 +15,7 @@
 	tb.Helper()
 	h := newIdleHub()
 	h.markComplete()
-	if err := h.PutList(1, version, servers, exactAge(age)); err != nil {
+	if err := h.PutList(1, version, servers, madeAgo(exactAge(age))); err != nil {
 		tb.Fatal(err)
 	}
 	items, full := h.table.since(0)
@@ -60,16 +60,16 @@
 func TestReadingOfTheListMadeEarlier(t *testing.T) {
 	h := newIdleHub()
 	cold := []pick.Server{{ID: "a", Service: "x", Cold: 3 * time.Second}}
-	if err := h.PutList(1, 7, cold, Age{}); err != nil {
+	if err := h.PutList(1, 7, cold, madeAgo(Age{})); err != nil {
 		t.Fatal(err)
 	}
-	if err := h.PutList(1, 7, []pick.Server{{ID: "a", Service: "x"}}, Age{Least: 900 * time.Millisecond, Most: time.Second}); !errors.Is(err, ErrStale) {
+	if err := h.PutList(1, 7, []pick.Server{{ID: "a", Service: "x"}}, madeAgo(Age{Least: 900 * time.Millisecond, Most: time.Second})); !errors.Is(err, ErrStale) {
 		t.Errorf("a reading 900 ms older: %v", err)
 	}
 	if got, _, _ := h.List(); len(got) != 1 || got[0].Cold < 2900*time.Millisecond {
 		t.Errorf("holds %+v", got)
 	}
-	if err := h.PutList(2, 1, []pick.Server{{ID: "a", Service: "x"}}, Age{Least: 900 * time.Millisecond, Most: time.Second}); err != nil {
+	if err := h.PutList(2, 1, []pick.Server{{ID: "a", Service: "x"}}, madeAgo(Age{Least: 900 * time.Millisecond, Most: time.Second})); err != nil {
 		t.Errorf("under a higher fence: %v", err)
 	}
 }
@@ -81,8 +81,8 @@
 	f := NewFollower(FollowerOptions{Log: quiet()})
 	reply := func(cold time.Duration, version, least, most uint64) *distributionpb.FollowReply {
 		return &distributionpb.FollowReply{Full: true, Complete: true, Entries: []*distributionpb.Entry{
-			{Key: listKey, Fence: 1, Version: version, AgeMs: most, LeastAgeMs: least},
-			{Key: serverPrefix + "a", Fence: 1, Version: version, AgeMs: most, LeastAgeMs: least,
+			{Key: listKey, Fence: 1, Version: version, AgeMs: most, LeastAgeMs: &least},
+			{Key: serverPrefix + "a", Fence: 1, Version: version, AgeMs: most, LeastAgeMs: &least,
 				Value: encodeServer(pick.Server{ID: "a", Service: "x", Cold: cold})}}}
 	}
 	f.takeEntries(now, Age{}, reply(3*time.Second, 9, 0, 100))
--- a/internal/system/distribution/random_test.go
+++ b/internal/system/distribution/random_test.go
@@ -97,7 +97,7 @@
 				servers = servers[1:]
 			}
 			if fl.hubs[k] != nil {
-				_ = fl.hubs[k].PutList(1, version, servers, Age{})
+				_ = fl.hubs[k].PutList(1, version, servers, madeAgo(Age{}))
 			}
 		}
 	}
@@ -112,7 +112,7 @@
 	}
 	seq := fl.chain.add(none())
 	time.Sleep(9 * time.Second)
-	if err := fl.hubs["k1:1"].PutList(1, version+1, servers, Age{}); err != nil {
+	if err := fl.hubs["k1:1"].PutList(1, version+1, servers, madeAgo(Age{})); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(500 * time.Millisecond)
--- a/internal/system/distribution/share_test.go
+++ b/internal/system/distribution/share_test.go
@@ -50,7 +50,7 @@
 func TestTimeInBuffersCountsAsAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &sharing{from: hubNamed("a"), to: hubNamed("b")}
-		if err := s.from.PutList(1, 1, []pick.Server{{ID: "s"}}, exactAge(time.Second)); err != nil {
+		if err := s.from.PutList(1, 1, []pick.Server{{ID: "s"}}, madeAgo(exactAge(time.Second))); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(time.Second) // the list is 2 s old
@@ -60,13 +60,13 @@
 		if s.send(t, 0).GetLate() || listAge(s.to) != 2*time.Second {
 			t.Errorf("at once: the list is %v old", listAge(s.to))
 		}
-		if err := s.from.PutList(1, 2, []pick.Server{{ID: "s"}, {ID: "r"}}, Age{}); err != nil {
+		if err := s.from.PutList(1, 2, []pick.Server{{ID: "s"}, {ID: "r"}}, madeAgo(Age{})); err != nil {
 			t.Fatal(err)
 		}
 		if s.send(t, time.Second).GetLate() || listAge(s.to) != time.Second {
 			t.Errorf("after a second under way: the list is %v old", listAge(s.to))
 		}
-		if err := s.from.PutList(1, 3, nil, Age{}); err != nil {
+		if err := s.from.PutList(1, 3, nil, madeAgo(Age{})); err != nil {
 			t.Fatal(err)
 		}
 		if !s.send(t, 20*time.Second).GetLate() || listAge(s.to) != 21*time.Second {
@@ -86,7 +86,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &sharing{from: hubNamed("a"), to: hubNamed("b")}
 		s.to.opt.hooks.fromArrival = true
-		if err := s.from.PutList(1, 1, []pick.Server{{ID: "s"}}, Age{}); err != nil {
+		if err := s.from.PutList(1, 1, []pick.Server{{ID: "s"}}, madeAgo(Age{})); err != nil {
 			t.Fatal(err)
 		}
 		if s.send(t, 20*time.Second); listAge(s.to) != 0 {
@@ -119,10 +119,10 @@
 		cutOff, next := hubNamed("a"), hubNamed("b")
 		for version := uint64(1); version <= 40; version++ {
 			time.Sleep(500 * time.Millisecond)
-			if err := cutOff.PutList(3, 900+version, []pick.Server{{ID: "s"}}, Age{}); err != nil {
+			if err := cutOff.PutList(3, 900+version, []pick.Server{{ID: "s"}}, madeAgo(Age{})); err != nil {
 				t.Fatal(err)
 			}
-			if err := next.PutList(4, version, []pick.Server{{ID: "s", Draining: true}, {ID: "r"}}, Age{}); err != nil {
+			if err := next.PutList(4, version, []pick.Server{{ID: "s", Draining: true}, {ID: "r"}}, madeAgo(Age{})); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -133,7 +133,7 @@
 				t.Errorf("%s holds %+v", s.to.opt.Self, got)
 			}
 		}
-		if cutOff.PutList(3, 2000, nil, Age{}) == nil {
+		if cutOff.PutList(3, 2000, nil, madeAgo(Age{})) == nil {
 			t.Error("a reading under the old fence is taken still")
 		}
 	})
--- a/internal/system/distribution/table.go
+++ b/internal/system/distribution/table.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
 	"gradeusher.example/gradeusher/internal/system/proxy/pick"
 )
@@ -49,9 +51,7 @@
 type item struct {
 	Entry
 	number uint64
-
-	// It was made between these moments of this process's monotonic clock.
-	earliest, latest time.Time
+	made   Moments
 
 	// What the value says, once it has been asked for; see views.go.
 	read   bool
@@ -78,10 +78,15 @@
 func newTable() *table { return &table{items: map[string]*item{}, sorted: map[string][]*item{}} }
 
 // age is how long ago the entry was made.
-func (it *item) age(now time.Time) Age { return Age{now.Sub(it.latest), now.Sub(it.earliest)} }
+func (it *item) age(now time.Time) Age { return it.made.age(now) }
 
 // merge takes e in if it is after what is held. age is how long ago e was made.
 func (t *table) merge(now time.Time, e Entry, age Age) bool {
+	return t.put(e, age.ordered().before(now))
+}
+
+// put takes e in if it is after what is held. made is when e was made, which may be later than a clock that was read before.
+func (t *table) put(e Entry, made Moments) bool {
 	held := t.items[e.Key]
 	if held != nil && !e.after(held.Entry) {
 		return false
@@ -90,8 +95,7 @@
 	if !lazy(e.Key) {
 		t.lastUrgent = t.number
 	}
-	age = age.ordered()
-	it := &item{Entry: e, earliest: now.Add(-age.Most), latest: now.Add(-age.Least), number: t.number}
+	it := &item{Entry: e, made: made, number: t.number}
 	t.items[e.Key] = it
 	t.resort(held, it)
 	t.log = append(t.log, change{t.number, e.Key})
@@ -154,8 +158,9 @@
 func toWire(now time.Time, items []*item) []*distributionpb.Entry {
 	out := make([]*distributionpb.Entry, len(items))
 	for i, it := range items {
+		age := it.age(now)
 		out[i] = &distributionpb.Entry{Key: it.Key, Fence: it.Fence, Version: it.Version, Value: it.Value, Deleted: it.Deleted,
-			AgeMs: ceilMillis(it.age(now).Most), LeastAgeMs: uint64(max(0, it.age(now).Least) / time.Millisecond)}
+			AgeMs: ceilMillis(age.Most), LeastAgeMs: proto.Uint64(uint64(max(0, age.Least) / time.Millisecond))}
 	}
 	return out
 }
@@ -163,9 +168,18 @@
 // maxAge bounds ages that others tell, so that none overflows.
 const maxAge = 24 * time.Hour
 
+// untoldSpan is by how much the least age lies below the most where a process from before least_age_ms does not tell it: longer
+// than calls take that are answered in time. Were it 0, what such a process tells of a cold state of long ago would begin anew.
+const untoldSpan = 2 * time.Second
+
 func fromWire(e *distributionpb.Entry) (Entry, Age) {
-	return Entry{Key: e.GetKey(), Fence: e.GetFence(), Version: e.GetVersion(), Value: e.GetValue(), Deleted: e.GetDeleted()},
-		Age{Least: millis(e.GetLeastAgeMs(), maxAge), Most: millis(e.GetAgeMs(), maxAge)}.ordered()
+	age := Age{Most: millis(e.GetAgeMs(), maxAge)}
+	if e.LeastAgeMs != nil {
+		age.Least = millis(e.GetLeastAgeMs(), maxAge)
+	} else {
+		age.Least = age.Most - untoldSpan
+	}
+	return Entry{Key: e.GetKey(), Fence: e.GetFence(), Version: e.GetVersion(), Value: e.GetValue(), Deleted: e.GetDeleted()}, age.ordered()
 }
 
 // millis reads a number of milliseconds that another process told, bounded.
--- a/internal/system/distribution/unit_test.go
+++ b/internal/system/distribution/unit_test.go
@@ -169,7 +169,7 @@
 	put := func(fence, version uint64, age time.Duration, want uint64) {
 		t.Helper()
 		before := h.table.lastUrgent
-		if err := h.PutList(fence, version, list, exactAge(age)); err != nil {
+		if err := h.PutList(fence, version, list, madeAgo(exactAge(age))); err != nil {
 			t.Fatal(err)
 		}
 		if h.table.lastUrgent-before > 0 != (want > 0) {
@@ -187,7 +187,7 @@
 	put(2, 1, 0, 0) // another poller takes over
 	list = list[1:]
 	put(2, 2, 0, 1)
-	if err := h.PutList(1, 99, nil, Age{}); !errors.Is(err, ErrStale) {
+	if err := h.PutList(1, 99, nil, madeAgo(Age{})); !errors.Is(err, ErrStale) {
 		t.Errorf("a poller that lost its duty: %v", err)
 	}
 	got, age, ok := h.List()
@@ -317,3 +317,6 @@
 		t.Error("its next life is still down")
 	}
 }
+
+// madeAgo is when something was made that is so old now.
+func madeAgo(age Age) Moments { return age.before(time.Now()) }
--- a/internal/system/distribution/values.go
+++ b/internal/system/distribution/values.go
@@ -90,9 +90,10 @@
 	// The list rounds and lags by about as much.
 	remainingSlack = 400 * time.Millisecond
 	// coldSlack is how much longer than by a new reading an entry may call a server cold before it is written again.
-	coldSlack = 200 * time.Millisecond
-	// coldGrain is less than the millisecond by which whoever reads the list rounds up: that much later is not later.
-	coldGrain = 500 * time.Microsecond
+	coldSlack = 250 * time.Millisecond
+	// coldMargin is added to an end of the cold state that is written, so that readings of one cold state, which differ by what
+	// their ways take, are not written one after the other.
+	coldMargin = 20 * time.Millisecond
 )
 
 // covers tells whether what is held of a server stands beside a new reading of it, both with their times as of now, so that
@@ -107,10 +108,15 @@
 }
 
 // coversCold tells whether a server is held to be cold for about as long as a new reading says, and never for less than it
-// may be. Of two readings of one cold state each is right, so the later end of the two need not be kept.
+// may be. A later end counts even where both may be of one cold state, as that may have been extended in between.
 func coversCold(held, read pick.Server) bool {
-	if held.Cold-read.Cold > coldSlack {
-		return false
+	return read.Cold <= held.Cold && held.Cold-read.Cold <= coldSlack
+}
+
+// withMargin is a server whose cold state, if it has one, ends a little later.
+func withMargin(s pick.Server) pick.Server {
+	if s.Cold > 0 {
+		s.Cold += coldMargin
 	}
-	return read.Cold <= held.Cold || held.Cold > 0 && read.ColdLeast <= held.Cold+coldGrain
+	return s
 }
