--- a/internal/system/distribution/coldedge_test.go
+++ b/internal/system/distribution/coldedge_test.go
@@ -15,7 +15,7 @@
 func TestColdStateThatIsExtendedEndsLate(t *testing.T) {
 	const ms = time.Millisecond
 	for name, c := range map[string]struct {
-		more      time.Duration
+		more          time.Duration
 		first, second leg
 	}{
 		"one page at 45 ms": {40 * ms, leg{45 * ms, 0}, leg{45 * ms, 45 * ms}},
