platform: a server's cold state counts from when its page of the list came

Ruled out: an age for each entry of a reading, as the subtraction within one process is exact.

Change: Client.List counts the cold time down from the page's answer to its return.

--- a/internal/system/platform/client.go
+++ b/internal/system/platform/client.go
@@ -117,7 +117,24 @@
 // Close ends the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// List gives the servers of a zone, or of all zones where it is empty, sorted by id. It is whole or an error of the
+// answered is when a page of the list had come, and how many instances had come with it and the pages before.
+type answered struct {
+	at   time.Time
+	upTo int
+}
+
+// countDown has the cold states of a list count from now instead of from when each page had come.
+func countDown(list []Instance, pages []answered, now time.Time) {
+	first := 0
+	for _, page := range pages {
+		for i := first; i < page.upTo; i++ {
+			list[i].ColdLeft = max(0, list[i].ColdLeft-now.Sub(page.at))
+		}
+		first = page.upTo
+	}
+}
+
+// List gives the servers of a zone, or of all zones where it is empty, sorted by id, with their cold states as of its return. It is whole or an error of the
 // kinds ErrRate, ErrAnswer or ErrReach: never a part. Each page has the client's timeout; ctx bounds them together.
 func (c *Client) List(ctx context.Context, zone string) ([]Instance, error) {
 	var (
@@ -126,6 +143,7 @@
 		parser fastjson.Parser
 		token  string
 		in     = interner{}
+		pages  []answered
 	)
 	for range maxPages {
 		if err := c.page(ctx, zone, token, &buf); err != nil {
@@ -135,11 +153,14 @@
 			next string
 			err  error
 		)
+		at := time.Now()
 		if list, next, err = parsePage(&parser, buf.Bytes(), in, list); err != nil {
 			return nil, err
 		}
+		pages = append(pages, answered{at: at, upTo: len(list)})
 		switch next {
 		case "":
+			countDown(list, pages, time.Now())
 			return normalize(list), nil
 		case token:
 			return nil, errors.Mark(errors.Newf("the platform's page %q names itself as the next: ask again", token), ErrAnswer)
