--- a/internal/system/platform/client.go
+++ b/internal/system/platform/client.go
@@ -123,18 +123,19 @@
 	upTo int
 }
 
-// countDown has the cold states of a list count from now instead of from when each page had come.
-func countDown(list []Instance, pages []answered, now time.Time) {
+// countDown has all cold states of a list count from when the last page had come.
+func countDown(list []Instance, pages []answered) {
+	last := pages[len(pages)-1].at
 	first := 0
 	for _, page := range pages {
 		for i := first; i < page.upTo; i++ {
-			list[i].ColdLeft = max(0, list[i].ColdLeft-now.Sub(page.at))
+			list[i].ColdLeft = max(0, list[i].ColdLeft-last.Sub(page.at))
 		}
 		first = page.upTo
 	}
 }
 
-// List gives the servers of a zone, or of all zones where it is empty, sorted by id, with their cold states as of its return. It is whole or an error of the
+// List gives the servers of a zone, or of all zones where it is empty, sorted by id, with their cold states as of the last page. It is whole or an error of the
 // kinds ErrRate, ErrAnswer or ErrReach: never a part. Each page has the client's timeout; ctx bounds them together.
 func (c *Client) List(ctx context.Context, zone string) ([]Instance, error) {
 	var (
@@ -160,7 +161,7 @@
 		pages = append(pages, answered{at: at, upTo: len(list)})
 		switch next {
 		case "":
-			countDown(list, pages, time.Now())
+			countDown(list, pages)
 			return normalize(list), nil
 		case token:
 			return nil, errors.Mark(errors.Newf("the platform's page %q names itself as the next: ask again", token), ErrAnswer)
