distribution: a proxy takes a reading under a higher fence whatever its age, as keepers do

Cause: a keeper takes a list under a higher fence though it was read a little earlier; a proxy left its servers out, moved its cursor past them, and held "serving" of one that drains for as long as later readings said the same (review, by a test).

Change: a higher fence is never the older list. Measured: TestHigherFenceWithAnOlderReading failed and passes.

--- /dev/null
+++ b/internal/system/distribution/fence_test.go
@@ -0,0 +1,48 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// TestHigherFenceWithAnOlderReading: the duty has moved on, and the first reading under the new fence was made a little before the
+// last one under the former. Keepers take it in; then the second reading under the new fence says the same. Danger: a proxy skips
+// the first, moves its cursor past it, and never hears of what it said.
+func TestHigherFenceWithAnOlderReading(t *testing.T) {
+	h := newIdleHub()
+	h.markComplete()
+	f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
+	poll := func() {
+		req := f.request(nil, false)
+		items, full := h.table.since(func() uint64 {
+			if req.GetSoft().GetBoot() == h.boot {
+				return req.GetSoft().GetNumber()
+			}
+			return 0
+		}())
+		now := time.Now()
+		f.take(now, now, req, &distributionpb.FollowReply{Full: full, Complete: true, Current: true, Entries: toWire(now, items),
+			Soft: &distributionpb.Cursor{Boot: h.boot, Number: h.table.number}})
+	}
+	put := func(fence, version uint64, draining bool, ago time.Duration) {
+		t.Helper()
+		if err := h.PutList(fence, version, []pick.Server{{ID: "a", Service: "x", Draining: draining}}, madeAgo(exactAge(ago))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(1, 7, false, 0) // it shows what was up to lag_ms before
+	poll()
+	put(2, 1, true, 150*time.Millisecond) // read earlier, but of a later snapshot
+	poll()
+	for v := uint64(2); v < 5; v++ {
+		put(2, v, true, 0)
+		poll()
+	}
+	held, _, _ := h.List()
+	if got := f.Held().Servers; len(got) != 1 || got[0].Draining != held[0].Draining {
+		t.Errorf("the proxy holds %+v, the keeper %+v", got, held)
+	}
+}
--- a/internal/system/distribution/follower_soft.go
+++ b/internal/system/distribution/follower_soft.go
@@ -31,6 +31,9 @@
 	if held == nil || told == nil || f.opt.hooks.replaceAlways {
 		return false
 	}
+	if told.GetFence() > held.Fence {
+		return false // keepers take it as well, whatever its age
+	}
 	_, age := fromWire(told)
 	toldAge, heldAge := age.plus(delay), held.age(now)
 	return toldAge.Least > heldAge.Most || toldAge.Most-heldAge.Most > listTolerance
