Who holds a cold server follows all proxies that may live on, and how long one is heard

Change: all hold only where that is so by the remembered count, which takes in the proxies that are marked down; a holder that was stale or partial waits like a successor; a proxy that was stale for 25 s holds nothing; stale means that no current keeper was heard for 1.6 s, whatever it holds of the state. Invariants: an end is compared with the end before, a pace with that by which the token was saved, and the least cold time leaves out margin and rounding, so that legal runs are not counted.

--- a/cmd/proxy/run.go
+++ b/cmd/proxy/run.go
@@ -159,7 +159,7 @@
 		p.log.WithField("configured", configured).WithField("listed", listed).Info("proxy: learning")
 	}
 	p.dataPlane.SetWorld(pick.World{Config: u.State.Config, Evacuated: u.State.Evacuated, Servers: u.Servers, ListAge: u.ListAge,
-		Self: p.settings.Node, Peers: live, Partial: u.Partial, Stale: u.Stale})
+		Self: p.settings.Node, Peers: live, Lost: u.Lost, Partial: u.Partial, Stale: u.Stale})
 	p.follower.AwaitList(p.dataPlane.AwaitsList())
 	p.directory.Set(fronts)
 	p.agent.SetMembers(watched)
--- a/internal/system/distribution/follower.go
+++ b/internal/system/distribution/follower.go
@@ -51,7 +51,8 @@
 	ListAge time.Duration       // of the newest whole reading, at most
 	Fresh   bool                // a keeper that is current has just told that there is nothing newer
 	Partial bool                // no keeper that knows all live proxies has told of them in this life of the process
-	Stale   bool                // others may have given this proxy up: it is not Fresh, or it is marked down
+	Lost    int                 // proxies that are marked down, and may live on
+	Stale   bool                // others may have given this proxy up: no current keeper was heard lately, or it is marked down
 }
 
 // Follower is a proxy's end.
@@ -84,6 +85,7 @@
 	stale       bool   // it is not current
 	heard       time.Time
 	freshAt     time.Time // when it was certainly so that nothing newer than state had been acknowledged; zero: never yet
+	currentAt   time.Time // when a keeper that was current certainly still answered
 	pace        time.Duration
 
 	awaitsList  bool
@@ -201,7 +203,7 @@
 
 func (f *Follower) held(now time.Time) Update {
 	u := Update{State: f.state, Fresh: f.fresh(now), Partial: !f.whole}
-	u.Stale = !u.Fresh
+	u.Stale = f.givenUp(now)
 	if f.freshAt.IsZero() && !f.borrowed && !f.opt.hooks.startOnAny {
 		u.State = controlstate.Empty() // it came late, so it may be old: the next answer tells
 	}
@@ -209,12 +211,13 @@
 	seen := false
 	for _, m := range f.table.members() {
 		if m.Node == f.self.Node {
-			u.Stale = u.Stale || m.Down && m.Incarnation == f.self.Incarnation
 			m, seen = f.self, true
 		}
-		if !m.Down {
-			u.Members = append(u.Members, m)
+		if m.Down {
+			u.Lost++
+			continue
 		}
+		u.Members = append(u.Members, m)
 	}
 	if !seen {
 		u.Members = append(u.Members, f.self)
@@ -229,6 +232,19 @@
 	return !f.freshAt.IsZero() && now.Sub(f.freshAt) <= FreshFor
 }
 
+// givenUp tells whether others may have given this proxy up.
+func (f *Follower) givenUp(now time.Time) bool {
+	if now.Sub(f.currentAt) > FreshFor {
+		return true
+	}
+	held := f.table.items[memberPrefix+f.self.Node]
+	if held == nil {
+		return false
+	}
+	m, ok := held.memberIn()
+	return ok && m.Down && m.Incarnation == f.self.Incarnation
+}
+
 // tellSpacing is the least time between two calls of the owner.
 const tellSpacing = 15 * time.Millisecond
 
@@ -236,7 +252,7 @@
 func (f *Follower) watch(ctx context.Context) {
 	tick := time.NewTicker(100 * time.Millisecond)
 	defer tick.Stop()
-	fresh := false
+	fresh, stale := false, true
 	var expired time.Time
 	for {
 		update, loads := false, false
@@ -259,6 +275,9 @@
 		if f.fresh(now) != fresh {
 			fresh, update = !fresh, true
 		}
+		if f.givenUp(now) != stale {
+			stale, update = !stale, true
+		}
 		if len(f.others) > 0 && now.Sub(f.heard) > loadLife+f.opt.Hold {
 			f.others, loads = nil, true
 		}
--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -142,6 +142,9 @@
 		return answer{feeds: true, durable: durable}
 	}
 	f.heard = now
+	if offer.Current {
+		f.currentAt = later(f.currentAt, checked)
+	}
 	if f.takeSoft(now, now.Sub(checked), req, reply) {
 		poke(f.changed)
 	}
--- /dev/null
+++ b/internal/system/distribution/givenup_test.go
@@ -0,0 +1,21 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// TestBehindIsNotGivenUp: a proxy that hears from a current keeper, but does not yet hold all of the control state (a large configuration on
+// a thin link), has not been given up by anybody.
+func TestBehindIsNotGivenUp(t *testing.T) {
+	f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
+	now := time.Now()
+	reply := wholeTable(t, 0, 1, pick.Server{ID: "a"})
+	reply.Newest = 5
+	f.take(now, now, f.request(nil, false), reply)
+	if u := f.Held(); u.Stale {
+		t.Errorf("stale, though a current keeper has just been heard: %+v", u)
+	}
+}
--- a/internal/system/distribution/values.go
+++ b/internal/system/distribution/values.go
@@ -77,7 +77,7 @@
 // countDown gives a server with its times as they are, age after they were told. Cold forbids, so it errs late; Remaining
 // permits, so it errs early.
 func countDown(s pick.Server, age Age) pick.Server {
-	s.ColdLeast = max(0, s.Cold-age.Most)
+	s.ColdLeast = max(0, s.Cold-coldMargin-coldGrain-age.Most)
 	s.Cold = max(0, s.Cold-age.Least)
 	if s.Remaining > 0 {
 		s.Remaining = max(time.Millisecond, s.Remaining-age.Most) // 0 would mean that nothing was told
@@ -94,6 +94,8 @@
 	// coldMargin is added to an end of the cold state that is written, so that readings of one cold state, which differ by what
 	// their ways take, are not written one after the other.
 	coldMargin = 20 * time.Millisecond
+	// coldGrain is by how much an end is rounded up on the way, at most.
+	coldGrain = 2 * time.Millisecond
 )
 
 // covers tells whether what is held of a server stands beside a new reading of it, both with their times as of now, so that
--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -38,20 +38,23 @@
 // allHold tells whether every live proxy is a holder of a cold server of that rate.
 func (p *Picker) allHold(rate float64) bool {
 	n, _ := p.coldHolders(rate)
-	return n >= len(p.world.Peers)
+	return n >= p.peers.count()
 }
 
+// staleMost is how long a Stale proxy holds where all do: the others remember it for longer.
+const staleMost = peerMemory - 5*time.Second
+
 // holdsFrom tells from when on this proxy, a holder of s, may act as one; false: not at all for now. Where the holders are some
 // of the proxies, others take the place of one that they have given up: it has stopped by the time that they begin.
-func (p *Picker) holdsFrom(s *server) (Time, bool) {
-	wait := holderWait
-	if !p.allHold(s.coldRate()) {
-		if p.world.Stale {
-			return 0, false
-		}
-		wait = successorWait
+func (p *Picker) holdsFrom(now Time, s *server) (Time, bool) {
+	few := !p.allHold(s.coldRate())
+	if p.world.Stale && (few || now-p.staleSince > staleMost) {
+		return 0, false
 	}
-	return s.holderSince + wait, s.holder && !p.world.Partial
+	if few {
+		return max(s.holderSince, p.resumed) + successorWait, s.holder && !p.world.Partial
+	}
+	return s.holderSince + holderWait, s.holder && !p.world.Partial
 }
 
 // holderOf tells whether this proxy is one of the holders of s.
@@ -93,7 +96,7 @@
 	if rate <= 0 {
 		return true
 	}
-	from, may := p.holdsFrom(s)
+	from, may := p.holdsFrom(now, s)
 	if !may || now < from {
 		return false
 	}
@@ -101,14 +104,14 @@
 	_, each := p.coldHolders(rate)
 	if now > s.tokenAt {
 		s.token = min(1, s.token+each*(now-s.tokenAt).Seconds())
-		s.tokenAt = now
+		s.tokenAt, s.tokenRate = now, max(s.tokenRate, each)
 	}
 	return s.token >= 1
 }
 
 // coldWait is in how many milliseconds this proxy may send to a cold server again; infinite: it is no holder.
 func (p *Picker) coldWait(now Time, s *server) float64 {
-	from, may := p.holdsFrom(s)
+	from, may := p.holdsFrom(now, s)
 	if !may {
 		return math.Inf(1)
 	}
@@ -125,7 +128,8 @@
 		if rate := s.coldRate(); rate > 0 {
 			s.token--
 			_, each := p.coldHolders(rate)
-			coldPaceKept.Check(s.coldSent.add(now, each))
+			coldPaceKept.Check(s.coldSent.add(now, max(each, s.tokenRate)))
+			s.tokenRate = 0
 		}
 	case s.wasCold:
 		s.wasCold, s.warmedAt, s.coldSent = false, now, coldWindow{}
@@ -146,6 +150,9 @@
 	if until > now {
 		p.setCold(now, s, until)
 	} else {
+		if s.cold(now) {
+			s.coldEnd = now
+		}
 		s.coldUntil = now
 	}
 }
--- a/internal/system/proxy/pick/invariants.go
+++ b/internal/system/proxy/pick/invariants.go
@@ -49,8 +49,9 @@
 	if s.warmedAt == 0 || s.ColdLeast <= 0 {
 		return
 	}
-	// The cold state that is told began at this moment at the latest. One that began after the request is another one.
+	// The cold state that is told began at this moment at the latest. One that began after the end by which the
+	// server was taken for warm is another one, which no reading could show in time.
 	began := now + s.Cold - p.coldFor(s.Service)
-	coldEndKept.Check(began > s.warmedAt)
+	coldEndKept.Check(began > s.coldEnd)
 	s.warmedAt = 0
 }
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -30,27 +30,29 @@
 
 // Picker decides for one proxy. It is not safe for concurrent use: the caller locks. The zero value is not usable.
 type Picker struct {
-	set       Settings
-	world     World
-	started   Time
-	known     bool // SetWorld was called
-	servers   map[string]*server
-	groups    map[string]*group // by service
-	rotations map[*conf.Route]*rotation
-	regions   map[string]int // small numbers for regions; 0 is this proxy's own
-	names     []string       // of the regions, by number
-	sends     map[uint64]*send
-	free      *send // sends to be used again
-	ticket    uint64
-	costs     []cost // scratch, one for each server of the group that is looked at
-	prompt    chain  // scratch, of the request that is looked at
-	weigher   weigher
-	peers     peerCount
-	peersAt   Time // when the live proxies last changed
-	othersAt  Time // of the last SetLoads
-	beliefs   beliefs
-	rate      rateEstimate
-	stats     Stats
+	set        Settings
+	world      World
+	started    Time
+	known      bool // SetWorld was called
+	servers    map[string]*server
+	groups     map[string]*group // by service
+	rotations  map[*conf.Route]*rotation
+	regions    map[string]int // small numbers for regions; 0 is this proxy's own
+	names      []string       // of the regions, by number
+	sends      map[uint64]*send
+	free       *send // sends to be used again
+	ticket     uint64
+	costs      []cost // scratch, one for each server of the group that is looked at
+	prompt     chain  // scratch, of the request that is looked at
+	weigher    weigher
+	peers      peerCount
+	peersAt    Time // when the live proxies last changed
+	staleSince Time // when it last became Stale
+	resumed    Time // when this proxy was last Stale or Partial
+	othersAt   Time // of the last SetLoads
+	beliefs    beliefs
+	rate       rateEstimate
+	stats      Stats
 }
 
 // Stats count what a Picker has done since it was made. They only rise.
@@ -105,7 +107,13 @@
 	}
 	before := p.world
 	p.world = w
-	p.peers.set(now, len(w.Peers))
+	p.peers.set(now, len(w.Peers)+w.Lost)
+	if w.Stale && !before.Stale {
+		p.staleSince = now
+	}
+	if before.Stale && !w.Stale || before.Partial && !w.Partial {
+		p.resumed = now
+	}
 
 	listed := make(map[string]*server, len(w.Servers))
 	for _, g := range p.groups {
@@ -165,7 +173,7 @@
 	s.holder = p.holderOf(s)
 	switch {
 	case !s.listed:
-		s.holderSince = p.peersAt // nobody held it before these peers were known
+		s.holderSince = p.peersAt // its holders are those that these peers name, once all know them
 	case !held:
 		s.holderSince = now
 	}
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -56,6 +56,7 @@
 	speed float64 // of reading prompts, against the fleet's
 
 	coldUntil, coldTold, holderSince Time
+	coldEnd                          Time // the end of the cold state before, as it was known when it ended
 	wasCold                          bool // no request was sent to it as a warm one since it turned cold
 	warmedAt                         Time // when the first one was; 0: none, or it was judged
 	coldSent                         coldWindow
@@ -64,6 +65,7 @@
 	unproven                         bool // it may have turned cold without a reading of the list that could show it
 	unprovenAt                       Time // the latest moment at which it may have done so
 	token                            float64
+	tokenRate                        float64 // the highest pace, in requests a second, by which token was refilled since it was spent
 	tokenAt                          Time
 
 	gone         bool // its address answered for another server
@@ -129,7 +131,7 @@
 		s.wasCold, s.coldSent = true, coldWindow{}
 		p.stats.ColdStarts++
 	}
-	s.coldUntil = until
+	s.coldUntil, s.coldEnd = until, until
 }
 
 // doubted tells whether s gets nothing because of failures. One trial at a time may go to a server whose time is over.
--- a/internal/system/proxy/pick/types.go
+++ b/internal/system/proxy/pick/types.go
@@ -35,6 +35,8 @@
 	// server's are cut over them. A proxy that is not among them, or does not know them yet, sends nothing to cold servers.
 	Self  string
 	Peers []string
+	// Lost is how many proxies were given up lately, which may live on. Parts are cut for them, too.
+	Lost int
 	// Partial tells that Peers may lack live proxies, as no keeper that knows them all has told of them yet.
 	Partial bool
 	// Stale tells that others may have given this proxy up by now, as it has not been heard from or has heard nothing.
