Lab world's rules judge troubles that last, reads during a run, and when a request was sent

A soak pauses and cuts processes for seconds, some of them most of the core, delays and holds links, and reads the configuration meanwhile. A trouble was a moment, so a proxy that was paused for longer than contact_ms counted as in touch; FAILBACK, DRAIN and EVAC went by arrival, though RULES.md counts what was sent and arrived inside the second.

Troubles may last (Evidence.Begin); while half of the core is in trouble, and contact_ms after, no proxy is in touch (RULES.md "In touch"). Reads must show all that was acknowledged before they were sent. Nothing that was judged before is judged more leniently: without lasting troubles and Sent all is as it was.

--- a/internal/lab/world/rules/changes.go
+++ b/internal/lab/world/rules/changes.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 )
 
 // services are those to which a route sends requests.
@@ -68,6 +69,7 @@
 		}
 	}
 	x.readBack(newest, v)
+	x.readings(v)
 	for _, t := range x.Tries {
 		if x.inTouch(t.Proxy, t.Ended) {
 			x.handled(t, v)
@@ -96,6 +98,20 @@
 	v.broke("version %d was read back with what nobody sent under that number", x.Read.Revision)
 }
 
+// readings: a read shows all that was acknowledged before it was sent.
+func (x *index) readings(v *Verdict) {
+	for _, r := range x.Reads {
+		v.Looked++
+		for _, c := range x.Changes {
+			if c.Config != nil && c.Acked != Never && c.Acked <= r.Sent && c.Config.Revision > r.Revision {
+				v.broke("a read sent at %v showed version %d, and %d had been acknowledged at %v", r.Sent.Round(time.Millisecond),
+					r.Revision, c.Config.Revision, c.Acked.Round(time.Millisecond))
+				break
+			}
+		}
+	}
+}
+
 func same(a, b *Config) bool {
 	one, err := json.Marshal(a)
 	if err != nil {
--- a/internal/lab/world/rules/changes_test.go
+++ b/internal/lab/world/rules/changes_test.go
@@ -73,6 +73,16 @@
 		s.Read = testConfig(5, "post")
 	}, "CONFIG"},
 
+	{"a read that shows an old version", func(s *scene) {
+		s.version(testConfig(5, "post"), 1, 14*second, 15*second, 200)
+		s.Reading(Reading{Sent: 15 * second, Revision: 1})
+	}, "CONFIG"},
+	{"a read that was sent before the acknowledgement", func(s *scene) {
+		s.version(testConfig(5, "post"), 1, 14*second, 15*second, 200)
+		s.Reading(Reading{Sent: 15*second - 1, Revision: 1})
+		s.Reading(Reading{Sent: 15 * second, Revision: 5})
+	}, ""},
+
 	{"cut after SIGTERM", func(s *scene) {
 		s.Trouble(Trouble{Proxy: oneProxy, Kind: "term", At: 20 * second})
 		t, _ := s.serve("/mail/2", "mailer", 20*second)
@@ -151,6 +161,16 @@
 			a.Rejected, a.Ran = 503, Never
 		}
 	}, "FAILBACK"},
+	{"too many at once, sent over more than a second", func(s *scene) {
+		for i, a := range s.cold(21, second/1000) {
+			a.Sent = a.At - Time(i)*second/10
+		}
+	}, ""},
+	{"too many, sent within the second in which they came", func(s *scene) {
+		for _, a := range s.cold(21, second/1000) {
+			a.Sent = a.At - second/2
+		}
+	}, "FAILBACK"},
 	{"too many, some of them meant for another", func(s *scene) {
 		for _, a := range s.cold(21, second/30)[:5] {
 			a.Rejected, a.Ran = 421, Never
--- a/internal/lab/world/rules/controls_test.go
+++ b/internal/lab/world/rules/controls_test.go
@@ -133,6 +133,36 @@
 		s.Shown("server of mailer", 15*second)
 		s.Trouble(Trouble{Proxy: oneProxy, Kind: "start", At: 18 * second})
 	}, ""},
+	{"a draining server by way of a proxy whose trouble lasts", func(s *scene) {
+		s.serve("/mail/2", "mailer", 20*second)
+		s.Shown("server of mailer", 15*second)
+		s.Begin(Trouble{Proxy: oneProxy, Kind: "cut", At: 8 * second})
+	}, ""},
+	{"a draining server by way of a proxy whose trouble has lasted", func(s *scene) {
+		s.serve("/mail/2", "mailer", 20*second)
+		s.Shown("server of mailer", 15*second)
+		s.Begin(Trouble{Proxy: oneProxy, Kind: "cut", At: 8 * second})(15 * second)
+	}, "DRAIN"},
+	{"a draining server that was sent a request in time", func(s *scene) {
+		_, a := s.serve("/mail/2", "mailer", 20*second)
+		a.Sent = 17 * second
+		s.Shown("server of mailer", 15*second)
+	}, ""},
+	{"a draining server while one of three keepers is in trouble", func(s *scene) {
+		s.serve("/mail/2", "mailer", 20*second)
+		s.Shown("server of mailer", 15*second)
+		s.keepers(1, 18*second, 19*second)
+	}, "DRAIN"},
+	{"a draining server just after most keepers were in trouble", func(s *scene) {
+		s.serve("/mail/2", "mailer", 20*second)
+		s.Shown("server of mailer", 15*second)
+		s.keepers(2, 14*second, 17*second)
+	}, ""},
+	{"a draining server long after most keepers were in trouble", func(s *scene) {
+		s.serve("/mail/2", "mailer", 20*second)
+		s.Shown("server of mailer", 15*second)
+		s.keepers(2, 14*second, 15*second)
+	}, "DRAIN"},
 	{"another server at the address of one that drained", func(s *scene) {
 		_, a := s.serve("/mail/2", "mailer", 20*second)
 		a.Rejected, a.Ran = 421, Never
@@ -154,6 +184,16 @@
 		s.Trouble(Trouble{Keeper: true, Kind: "kill", At: 13 * second})
 		s.serve("/mail/2", "mailer", 20*second)
 	}, ""},
+	{"an evacuation long after a keeper's trouble has ended", func(s *scene) {
+		s.evacuate(14*second, Never)
+		s.Begin(Trouble{Keeper: true, Kind: "pause", At: 2 * second})(9 * second)
+		s.serve("/mail/2", "mailer", 20*second)
+	}, "EVAC"},
+	{"an evacuation soon after a keeper's trouble has ended", func(s *scene) {
+		s.evacuate(14*second, Never)
+		s.Begin(Trouble{Keeper: true, Kind: "pause", At: 2 * second})(11 * second)
+		s.serve("/mail/2", "mailer", 20*second)
+	}, ""},
 	{"an evacuation that was stretched enough", func(s *scene) {
 		s.evacuate(14*second, Never)
 		s.Trouble(Trouble{Keeper: true, Kind: "kill", At: 13 * second})
@@ -161,6 +201,14 @@
 	}, "EVAC"},
 }
 
+// keepers adds a trouble of some of three keepers.
+func (s *scene) keepers(n int, from, to Time) {
+	s.Core = 3
+	for i := range n {
+		s.Begin(Trouble{Keeper: true, Machine: string(rune('a' + i)), Kind: "down", At: from})(to)
+	}
+}
+
 // evacuate adds an evacuation of the zone of all servers; finish Never: it lasts.
 func (s *scene) evacuate(acked, finish Time) {
 	s.Change(&Change{Zone: "north-a", Start: true, Sent: acked, Acked: acked, Status: 200})
