Lab world: links between processes, answers that are lost, and cold_left_ms as of the answer

The soak needs cuts, also one way, and slow links between the system's own processes, which call each other at machine addresses. Each process gets ports of its own out of the range; a relay answers at these on every other machine and leads on to the ports of the one that is called, so that each pair has a link (lab/link) of its own, packets too. The list has a relay a keeper, each server one that all share. Ruled out: telling callers by their address, since all of loopback calls from 127.0.0.1; network namespaces, which need rights.

Servers can run a request and reset its connection, turn cold again, and are not started twice. The list told cold_left_ms as late as its membership, which hid servers that are taken for warm too early by up to lag_ms; it now tells it as of the answer (PROTOCOL.md "Service discovery"). The operator can lose answers that have come, and notes its reads as evidence.

Measured: the package's tests pass, with -race too.

--- a/internal/lab/world/exchange.go
+++ b/internal/lab/world/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -24,6 +25,7 @@
 	key     uint64
 	outputs chan engine.Output
 	late    <-chan time.Time
+	lost    bool // the request runs, and its connection is reset in place of an answer
 }
 
 // next waits for what the machine makes of the request; false: it is over, and was answered if that could be.
@@ -86,12 +88,24 @@
 	})
 }
 
+// lose resets the connection of a request that has run.
+func (e *exchange) lose() {
+	e.i.s.w.Evidence.Note(func() { e.a.Broke = true })
+	if c, ok := e.r.Context().Value(connKey{}).(*net.TCPConn); ok {
+		_ = c.SetLinger(0) // else it ends in order
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // whole answers as a server without a model.
 func (e *exchange) whole() {
 	e.ran(e.i.s.w.Now()) // one that still waits for a slot is not told apart from one that has it
 	if _, ok := e.next(false); !ok {
 		return
 	}
+	if e.lost {
+		e.lose()
+	}
 	body := strings.Repeat(e.seal+"\n", 1+e.i.Plain.Bytes/(len(e.seal)+1))
 	e.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	e.w.Header().Set("Content-Type", "text/plain")
@@ -109,6 +123,12 @@
 		if !ok {
 			return
 		}
+		switch {
+		case e.lost && o.Kind == engine.Done:
+			e.lose()
+		case e.lost && o.Kind == engine.Event:
+			continue
+		}
 		switch o.Kind {
 		case engine.Started:
 			e.ran(o.At)
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -29,6 +30,15 @@
 	return end(r.Fleet.ProxyProcess(m), syscall.SIGKILL, nil)
 }
 
+// Pause stops a process and lets it go on after a while, or when ctx ends.
+func (r *Run) Pause(ctx context.Context, p *proc.Process, d time.Duration) error {
+	if err := p.Signal(syscall.SIGSTOP, false); err != nil {
+		return err
+	}
+	_ = pause(ctx, d) // it goes on whichever ends first
+	return p.Signal(syscall.SIGCONT, false)
+}
+
 // TermProxy has a machine's proxy end as planned, and waits for that or the end of ctx.
 func (r *Run) TermProxy(ctx context.Context, m Machine) error {
 	r.Evidence.Trouble(rules.Trouble{Proxy: r.Fleet.Front(m), Kind: "term", At: r.Now()})
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -80,7 +80,9 @@
 	List     string // address of the platform's list
 	Bounds   rules.Bounds
 	Rate     float64 // calls a second that the list answers
+	Links    *Links  // between processes; nil: they call each other straight
 
+	lists   map[string]string // addresses of the list by the process that calls it; List where there is none
 	starter *proc.Starter
 	mu      sync.Mutex
 	running map[string]*proc.Process
@@ -168,17 +170,14 @@
 	return nil
 }
 
-func keeperName(m Machine) string { return "keeper-" + m.IP }
-func proxyName(m Machine) string  { return "proxy-" + m.IP }
-
 // StartKeeper starts the keeper of a machine.
 func (f *Fleet) StartKeeper(m Machine, first bool) error {
-	return f.start(m, keeperName(m), f.Keeper, first, `serves = ["control"]`)
+	return f.start(m, KeeperName(m), f.Keeper, first, `serves = ["control"]`)
 }
 
 // StartProxy starts the proxy of a machine.
 func (f *Fleet) StartProxy(m Machine, first bool) error {
-	return f.start(m, proxyName(m), f.Proxy, first, `serves = ["edge","directory"]`)
+	return f.start(m, ProxyName(m), f.Proxy, first, `serves = ["edge","directory"]`)
 }
 
 func (f *Fleet) start(m Machine, name, program string, first bool, serves string) error {
@@ -202,10 +201,10 @@
 }
 
 // KeeperProcess is the keeper of a machine; nil: it was not started.
-func (f *Fleet) KeeperProcess(m Machine) *proc.Process { return f.process(keeperName(m)) }
+func (f *Fleet) KeeperProcess(m Machine) *proc.Process { return f.process(KeeperName(m)) }
 
 // ProxyProcess is the proxy of a machine; nil: it was not started.
-func (f *Fleet) ProxyProcess(m Machine) *proc.Process { return f.process(proxyName(m)) }
+func (f *Fleet) ProxyProcess(m Machine) *proc.Process { return f.process(ProxyName(m)) }
 
 // Died names the processes that ended without being told to, and how.
 func (f *Fleet) Died() []string {
@@ -254,6 +253,11 @@
 		zones = append(zones, fmt.Sprintf("%s = %q", zone, region))
 	}
 	b := f.Bounds
+	firstPort, lastPort := f.portsOf(name)
+	list := f.List
+	if at, ok := f.lists[name]; ok {
+		list = at
+	}
 	return fmt.Sprintf(`node_name = %q
 role = "%s"
 machine_class = "edge"
@@ -314,9 +318,27 @@
 rate_per_s = %v
 duties = []
 lag_ms = 800
-`, name, strings.SplitN(name, "-", 2)[0], serves, m.IP, m.Zone, m.Region, f.Ports.First, f.Ports.Last, strings.Join(seeds, ","), first, m.Disk,
+`, name, strings.SplitN(name, "-", 2)[0], serves, m.IP, m.Zone, m.Region, firstPort, lastPort, strings.Join(seeds, ","), first, m.Disk,
 		disk, strings.Join(zones, "\n"), f.Front(m), f.at(m, f.Ports.Readiness), f.Control(m), f.at(m, f.Ports.DirectoryAt),
 		b.Contact.Milliseconds(), b.Drain.Milliseconds(), b.Grace.Seconds(), b.LossSlack.Milliseconds(), b.ConfigApply.Milliseconds(),
 		b.RevertSlack.Milliseconds(), b.Stretch.Milliseconds(), b.RetryRatio, b.RetryWindow.Seconds(), b.RetrySlack, b.ColdExcess, b.ColdSlack,
-		b.Evacuate.Milliseconds(), f.List, f.Rate)
+		b.Evacuate.Milliseconds(), list, f.Rate)
+}
+
+// portsOf are the first and the last port that a process has for the system's own traffic.
+func (f *Fleet) portsOf(name string) (first, last int) {
+	if f.Links != nil {
+		for _, e := range f.ends() {
+			if e.name == name {
+				return e.first, e.first + portsOfProcess - 1
+			}
+		}
+	}
+	return f.Ports.First, f.Ports.Last
+}
+
+// Inner is where a machine's proxy answers the system's own calls, and its staff.
+func (f *Fleet) Inner(m Machine) string {
+	first, _ := f.portsOf(ProxyName(m))
+	return f.at(m, first+1)
 }
--- /dev/null
+++ b/internal/lab/world/links.go
@@ -0,0 +1,197 @@
+package world
+
+import (
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gradeusher.example/gradeusher/internal/lab/link"
+)
+
+// Path is a link's two ends: the one that connects, and the one that is called. An end is a process, named as by
+// KeeperName and ProxyName, ListEnd or a server's address; a path to a server has no near end: all share it.
+type Path struct{ From, To string }
+
+// ListEnd is the platform's list as an end of a path.
+const ListEnd = "list"
+
+// KeeperName names the keeper of a machine.
+func KeeperName(m Machine) string { return "keeper-" + m.IP }
+
+// ProxyName names the proxy of a machine.
+func ProxyName(m Machine) string { return "proxy-" + m.IP }
+
+// Links are the links between the parts of a run. Each process has ports of its own, and calls others at these; a relay
+// answers there and leads on to the ports of the one that is called, so each pair of processes has a link of its own.
+type Links struct {
+	Delay  time.Duration // one way, between regions, and to the platform's list from everywhere
+	Jitter time.Duration
+
+	mu      sync.Mutex
+	wires   map[Path]*wire
+	next    int
+	closers []func()
+}
+
+// wire is a link with what lies on it now.
+type wire struct {
+	link     *link.Link
+	base     link.State
+	troubles map[int]link.State
+}
+
+// NewLinks gives links with a delay, one way, between regions.
+func NewLinks(delay, jitter time.Duration) *Links {
+	return &Links{Delay: delay, Jitter: jitter, wires: map[Path]*wire{}}
+}
+
+// at gives the link of a path, with the delay of its length where it is new.
+func (n *Links) at(p Path, far bool) *link.Link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	w := n.wires[p]
+	if w == nil {
+		w = &wire{link: link.New(), troubles: map[int]link.State{}}
+		if far {
+			w.base = link.State{Delay: n.Delay, Jitter: n.Jitter}
+		}
+		w.link.Set(w.base)
+		n.wires[p] = w
+	}
+	return w.link
+}
+
+// Trouble lays a state on the paths that are picked, besides what lies there already, until heal is called.
+func (n *Links) Trouble(pick func(Path) bool, s link.State) (heal func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.next++
+	id := n.next
+	var some []*wire
+	for p, w := range n.wires {
+		if pick(p) {
+			w.troubles[id] = s
+			w.settle()
+			some = append(some, w)
+		}
+	}
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for _, w := range some {
+			delete(w.troubles, id)
+			w.settle()
+		}
+	}
+}
+
+// settle gives the link the sum of what lies on it.
+func (w *wire) settle() {
+	s := w.base
+	for _, t := range w.troubles {
+		s.Hold[link.ToFar] = s.Hold[link.ToFar] || t.Hold[link.ToFar]
+		s.Hold[link.ToNear] = s.Hold[link.ToNear] || t.Hold[link.ToNear]
+		s.Delay += t.Delay
+		s.Jitter += t.Jitter
+	}
+	w.link.Set(s)
+}
+
+// endpoint is a process of the fleet as its links see it.
+type endpoint struct {
+	Machine
+	name   string
+	keeper bool
+	first  int // port
+}
+
+const portsOfProcess = 2 // the system's own traffic to keepers, and to proxies
+
+// ends are the processes of a fleet, each with ports of its own.
+func (f *Fleet) ends() []endpoint {
+	var all []endpoint
+	for _, m := range f.Machines {
+		for _, keeper := range []bool{true, false} {
+			e := endpoint{Machine: m, name: ProxyName(m), keeper: keeper, first: f.Ports.First + portsOfProcess*len(all)}
+			if keeper {
+				e.name = KeeperName(m)
+			}
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// connect puts relays between all processes of a fleet, and between them and the list.
+func (n *Links) connect(f *Fleet, list string) (lists map[string]string, err error) {
+	lists = map[string]string{}
+	for _, from := range f.ends() {
+		if from.first+portsOfProcess-1 > f.Ports.Last {
+			return nil, errors.Newf("the ports up to %d are too few for links between %d machines", f.Ports.Last, len(f.Machines))
+		}
+		if from.keeper {
+			r, err := n.relay(Path{from.name, ListEnd}, net.JoinHostPort(from.IP, "0"), list, true)
+			if err != nil {
+				return nil, err
+			}
+			lists[from.name] = r.listener.Addr().String()
+		}
+		for _, to := range f.ends() {
+			if err := n.join(from, to); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return lists, nil
+}
+
+// join puts relays between two processes: everybody calls keepers, and proxies call each other.
+func (n *Links) join(from, to endpoint) error {
+	if from.name == to.name || from.keeper && !to.keeper {
+		return nil
+	}
+	offset := 0
+	if !to.keeper {
+		offset = 1
+	}
+	p, far := Path{from.name, to.name}, from.Region != to.Region
+	at, on := net.JoinHostPort(to.IP, strconv.Itoa(from.first+offset)), net.JoinHostPort(to.IP, strconv.Itoa(to.first+offset))
+	if _, err := n.relay(p, at, on, far); err != nil || to.keeper {
+		return err
+	}
+	packets, err := newPackets(at, on, n.at(p, far))
+	if err != nil {
+		return errors.Wrapf(err, "no packets can be led on at %s", at)
+	}
+	n.add(packets.close)
+	return nil
+}
+
+func (n *Links) relay(p Path, at, to string, far bool) (*relay, error) {
+	r, err := newRelay(at, to, n.at(p, far))
+	if err != nil {
+		return nil, errors.Wrapf(err, "no connections can be led on at %s", at)
+	}
+	n.add(r.close)
+	return r, nil
+}
+
+func (n *Links) add(closer func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closers = append(n.closers, closer)
+}
+
+// close ends all relays.
+func (n *Links) close() {
+	n.mu.Lock()
+	closers := n.closers
+	n.closers = nil
+	n.mu.Unlock()
+	for _, c := range closers {
+		c()
+	}
+}
--- a/internal/lab/world/list_test.go
+++ b/internal/lab/world/list_test.go
@@ -69,6 +69,32 @@
 	}
 }
 
+// TestListTellsColdOfNow: membership lags, and how long a server is cold does not.
+func TestListTellsColdOfNow(t *testing.T) {
+	p := newTestPlatform()
+	p.Rate = 100
+	start := time.Now()
+	s := &Server{w: &World{start: start}, id: "i", coldTill: 10 * time.Minute}
+	p.stand = []Instance{{ID: "i", ColdLeft: 1, server: s}, {ID: "of before", ColdLeft: 1, server: s}, {ID: "other", ColdLeft: 1}}
+	p.Observe()
+	s.Chill(time.Hour)
+	least := (time.Hour - time.Since(start)).Milliseconds()
+	page, _ := p.page(p.past[0].instances, "", "")
+	for i := range page {
+		page[i].chill()
+	}
+	if cold := page[0].ColdLeft; cold < least-60_000 || cold > time.Hour.Milliseconds() {
+		t.Errorf("cold for %d ms more", cold)
+	}
+	if page[1].ColdLeft != 0 {
+		t.Errorf("cold for %d ms more: %+v", page[1].ColdLeft, page)
+	}
+	_, _, next := p.get(t, "?page_token=p-2")
+	if next != "" || p.past[0].instances[0].ID != "i" {
+		t.Errorf("%q, %+v", next, p.past)
+	}
+}
+
 func TestListLags(t *testing.T) {
 	p := newTestPlatform()
 	p.Rate = 100
--- a/internal/lab/world/operator.go
+++ b/internal/lab/world/operator.go
@@ -22,12 +22,17 @@
 	mostRefused = 3 // other 4xx
 )
 
+var errAnswerLost = errors.New("the answer was lost on its way")
+
 // ErrRefused marks an order that was refused.
 var ErrRefused = errors.New("order refused")
 
 // Operator is the stand-in operator: PROTOCOL.md "The operator's API". It makes one call at a time, Status apart.
 type Operator struct {
-	Keepers  []string // control addresses, in the order in which they are tried
+	Keepers []string // control addresses, in the order in which they are tried
+	// LoseAnswer tells whether an answer that has come counts as lost on its way; nil: none does.
+	LoseAnswer func() bool
+
 	evidence *rules.Evidence
 	now      func() time.Duration
 	http     *http.Client
@@ -73,6 +78,7 @@
 
 // Read gives the newest configuration.
 func (o *Operator) Read(ctx context.Context) (*rules.Config, error) {
+	sent := o.now()
 	status, body, err := o.call(ctx, http.MethodGet, "/Config.Read", nil, -1)
 	switch {
 	case err != nil:
@@ -81,7 +87,11 @@
 		return nil, errors.Newf("Config.Read was answered %d: look at the keepers' logs", status)
 	}
 	c := &rules.Config{}
-	return c, json.Unmarshal(body, c)
+	if err := json.Unmarshal(body, c); err != nil {
+		return nil, err
+	}
+	o.evidence.Reading(rules.Reading{Sent: sent, Revision: c.Revision})
+	return c, nil
 }
 
 // order sends a change and records what came of it.
@@ -159,6 +169,9 @@
 		if err != nil {
 			return 0, nil, err
 		}
+		if o.LoseAnswer != nil && o.LoseAnswer() {
+			return 0, nil, errAnswerLost
+		}
 		if resp.StatusCode != http.StatusTemporaryRedirect || hop >= mostHops {
 			return resp.StatusCode, answer, nil
 		}
--- a/internal/lab/world/operator_test.go
+++ b/internal/lab/world/operator_test.go
@@ -87,6 +87,36 @@
 	}
 }
 
+// TestOperatorLosesAnswers: an answer that is lost on its way is none, and the order is sent again as it was.
+func TestOperatorLosesAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, lost := &script{answers: []string{"200"}}, 0
+		o := &Operator{Keepers: []string{"k1", "k2"}, evidence: &rules.Evidence{}, now: func() time.Duration { return 0 }, http: &http.Client{Transport: s},
+			LoseAnswer: func() bool { lost++; return lost < 3 }}
+		if err := o.Replace(t.Context(), &rules.Config{Revision: 3}, 2); err != nil {
+			t.Fatal(err)
+		}
+		if want := []string{"POST k1/Config.Replace base 2", "POST k2/Config.Replace base 2", "POST k1/Config.Replace base 2"}; !slices.Equal(s.calls, want) {
+			t.Errorf("calls %q", s.calls)
+		}
+	})
+}
+
+// TestOperatorReads: what is read is evidence, as of when the read was sent.
+func TestOperatorReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		o := &Operator{Keepers: []string{"k1"}, evidence: &rules.Evidence{}, now: func() time.Duration { return time.Since(start) },
+			http: &http.Client{Transport: &script{answers: []string{"503", "200"}}}}
+		if _, err := o.Read(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if all := o.evidence.Reads; len(all) != 1 || all[0] != (rules.Reading{}) {
+			t.Errorf("%+v", all)
+		}
+	})
+}
+
 // TestOperatorMovesOn: after a failure it asks another keeper.
 func TestOperatorMovesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- /dev/null
+++ b/internal/lab/world/relay.go
@@ -0,0 +1,166 @@
+package world
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/link"
+)
+
+const (
+	relayDial   = time.Second
+	relayBuffer = 16 << 10
+	mostRelayed = 2048 // connections of one relay at a time; more are reset
+	mostPackets = 1024 // on their way over one relay at a time; more are lost
+)
+
+// relay leads connections to an address over a link with faults. A call to one that nobody answers comes up and is reset.
+type relay struct {
+	listener net.Listener
+	to       string
+	link     *link.Link
+	open     atomic.Int32
+	near     sync.Map // link.Conn by the address from which the far end is called
+	wait     sync.WaitGroup
+}
+
+func newRelay(at, to string, over *link.Link) (*relay, error) {
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", at)
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{listener: l, to: to, link: over}
+	r.wait.Go(r.accept)
+	return r, nil
+}
+
+func (r *relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return // the relay was closed
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok || r.open.Load() >= mostRelayed {
+			_ = c.Close()
+			continue
+		}
+		r.open.Add(1)
+		near := link.Wrap(tcp, r.link)
+		r.wait.Go(func() {
+			defer r.open.Add(-1)
+			r.lead(near)
+		})
+	}
+}
+
+// lead passes bytes both ways until either end is through. Danger: a call that the link holds back must not come up at the
+// far end before its first bytes have crossed.
+func (r *relay) lead(near *link.Conn) {
+	defer near.Close()
+	first := make([]byte, relayBuffer)
+	n, err := near.Read(first)
+	if err != nil {
+		return
+	}
+	c, err := net.DialTimeout("tcp4", r.to, relayDial)
+	if err != nil {
+		near.Reset()
+		return
+	}
+	defer c.Close()
+	r.near.Store(c.LocalAddr().String(), near)
+	defer r.near.Delete(c.LocalAddr().String())
+	var back sync.WaitGroup
+	back.Go(func() {
+		_, err := io.Copy(struct{ io.Writer }{near}, struct{ io.Reader }{c}) // not by ways that lead past the link
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			near.Reset() // as the far end did
+			return
+		}
+		_ = near.Close() // which ends the other way
+	})
+	if _, err := c.Write(first[:n]); err == nil {
+		_, _ = io.Copy(struct{ io.Writer }{c}, struct{ io.Reader }{near}) // the way back tells how it ended
+	}
+	_ = c.Close() // which ends the way back
+	back.Wait()
+}
+
+// sentAgo is how long ago the last bytes that came from an address were sent by the near end; 0: it is not known.
+func (r *relay) sentAgo(far string, now int64) time.Duration {
+	if near, ok := r.near.Load(far); ok {
+		if conn, ok := near.(*link.Conn); ok {
+			return max(0, time.Duration(now-conn.CameAt()))
+		}
+	}
+	return 0
+}
+
+// close ends the relay and its connections. Those of others over the same link end too.
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.link.Reset()
+	r.wait.Wait()
+}
+
+// packets leads packets to an address over a link with faults, one way.
+type packets struct {
+	in      net.PacketConn
+	out     net.Conn
+	link    *link.Link
+	pending atomic.Int32
+	wait    sync.WaitGroup
+}
+
+func newPackets(at, to string, over *link.Link) (*packets, error) {
+	in, err := new(net.ListenConfig).ListenPacket(context.Background(), "udp4", at)
+	if err != nil {
+		return nil, err
+	}
+	out, err := net.Dial("udp4", to)
+	if err != nil {
+		_ = in.Close()
+		return nil, err
+	}
+	p := &packets{in: in, out: out, link: over}
+	p.wait.Go(p.run)
+	return p, nil
+}
+
+func (p *packets) run() {
+	buf := make([]byte, relayBuffer)
+	for {
+		n, _, err := p.in.ReadFrom(buf)
+		if err != nil {
+			return // closed
+		}
+		wait, passes := p.link.Packet()
+		if !passes || p.pending.Load() >= mostPackets {
+			continue
+		}
+		if wait <= 0 {
+			_, _ = p.out.Write(buf[:n]) // as packets are: nobody learns that one is lost
+			continue
+		}
+		packet := append([]byte(nil), buf[:n]...)
+		p.pending.Add(1)
+		p.wait.Add(1)
+		time.AfterFunc(wait, func() {
+			defer p.wait.Done()
+			defer p.pending.Add(-1)
+			_, _ = p.out.Write(packet)
+		})
+	}
+}
+
+func (p *packets) close() {
+	_ = p.in.Close()
+	p.wait.Wait()
+	_ = p.out.Close()
+}
--- a/internal/lab/world/serve.go
+++ b/internal/lab/world/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/world/engine"
 	"gradeusher.example/gradeusher/internal/lab/world/rules"
 )
@@ -21,9 +23,10 @@
 // incarnation is one life of a server, as its callers see it.
 type incarnation struct {
 	ServerSpec
-	s   *Server
-	id  string
-	ctx context.Context
+	s     *Server
+	id    string
+	ctx   context.Context
+	relay *relay // nil: callers reach it straight
 }
 
 // ServeHTTP implements http.Handler.
@@ -49,6 +52,9 @@
 	a := &rules.Arrival{At: s.w.Now(), ID: id, Server: i.id, Service: i.Service, Zone: i.Zone, Region: i.Region, Method: r.Method,
 		Path: r.URL.RequestURI(), Host: r.Host, Body: xxhash.Sum64(body), Ran: rules.Never, Ended: rules.Never}
 	a.From, _ = strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if i.relay != nil {
+		a.Sent = max(1, a.At-i.relay.sentAgo(r.RemoteAddr, clock.Now()))
+	}
 	if target := r.Header.Get("X-Target-Instance"); target != "" && target != i.id {
 		a.Rejected = http.StatusMisdirectedRequest
 		s.w.Evidence.Arrive(a)
@@ -80,6 +86,7 @@
 		}
 	}
 	s.hint(w.Header())
+	lost := rand.Float64() < s.losing
 	s.mu.Unlock()
 	s.w.Evidence.Arrive(a)
 	switch {
@@ -109,7 +116,7 @@
 		defer t.Stop()
 		late = t.C
 	}
-	e := &exchange{i: i, w: w, r: r, a: a, seal: seal, key: key, outputs: outputs, late: late}
+	e := &exchange{i: i, w: w, r: r, a: a, seal: seal, key: key, outputs: outputs, late: late, lost: lost}
 	if i.Engine != nil {
 		e.stream()
 	} else {
--- a/internal/lab/world/server.go
+++ b/internal/lab/world/server.go
@@ -107,6 +107,7 @@
 	draining bool
 	leavesAt time.Duration // of one that is withdrawn at short notice; rules.Never: it is not
 	goneAt   time.Duration // of a server that was drained; rules.Never: it is up
+	losing   float64       // share of the requests whose answer is lost
 	crashed  time.Duration // rules.Never: it is up
 	conns    int
 	reports  []report
@@ -115,8 +116,12 @@
 	wake     chan struct{}
 	ended    chan struct{}
 	listener net.Listener
+	relay    *relay // in front of the listener; nil: there is none
 }
 
+// ErrRunning marks the start of a server that is up.
+var ErrRunning = errors.New("the server is up")
+
 // report is what GET /report tells, as of some moment.
 type report struct {
 	at time.Duration
@@ -138,15 +143,13 @@
 func (s *Server) Start(cold bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := s.Address
-	if s.address != "" {
-		at = s.address
+	if s.http != nil {
+		return errors.Mark(errors.Newf("%s at %s is up", s.Service, s.address), ErrRunning)
 	}
-	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", at)
+	l, err := s.listen()
 	if err != nil {
-		return errors.Wrapf(err, "stand-in server of %s cannot listen at %s: check that it is free", s.Service, at)
+		return err
 	}
-	s.address = l.Addr().String()
 	s.starts++
 	s.id = fmt.Sprintf("i-%08x", xxhash.Sum64String(s.address+strconv.Itoa(s.starts))>>32)
 	now := s.w.Now()
@@ -167,14 +170,43 @@
 	ctx, end := context.WithCancel(context.Background())
 	s.end, s.wake, s.ended = end, make(chan struct{}, 1), make(chan struct{})
 	incarnation := &incarnation{ServerSpec: s.ServerSpec, s: s, id: s.id, ctx: ctx}
+	incarnation.relay = s.relay
 	s.http = &http.Server{Handler: incarnation, IdleTimeout: s.Idle, ReadHeaderTimeout: 10 * time.Second, ConnState: s.counts,
-		ErrorLog: s.w.quiet}
+		ErrorLog: s.w.quiet, ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 	s.listener = l
 	go func(h *http.Server) { _ = h.Serve(l) }(s.http) // ends with Close
 	go s.run(ctx, s.wake, s.ended)
 	return nil
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// listen opens the server's address, or where links are, a relay there and what it leads to.
+func (s *Server) listen() (net.Listener, error) {
+	at := s.Address
+	if s.address != "" {
+		at = s.address
+	}
+	inner := at
+	if s.w.links != nil {
+		inner = "127.0.0.1:0"
+	}
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", inner)
+	if err != nil {
+		return nil, errors.Wrapf(err, "stand-in server of %s cannot listen at %s: check that it is free", s.Service, inner)
+	}
+	s.address, s.relay = l.Addr().String(), nil
+	if s.w.links != nil {
+		if s.relay, err = newRelay(at, l.Addr().String(), s.w.links.at(Path{To: s.Address}, false)); err != nil {
+			_ = l.Close()
+			return nil, errors.Wrapf(err, "no relay in front of a stand-in server of %s at %s: check that it is free", s.Service, at)
+		}
+		s.address = s.relay.listener.Addr().String()
+	}
+	return l, nil
+}
+
 // counts resets connections beyond the most that are accepted.
 func (s *Server) counts(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
@@ -247,6 +279,27 @@
 	s.draining, s.leavesAt = true, s.w.Now()+after
 }
 
+// Chill has the server be cold for a time from now.
+func (s *Server) Chill(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldTill = max(s.coldTill, s.w.Now()+d)
+}
+
+// LoseAnswers has the server run a share of the requests that come from now on, and reset their connections in place of an answer.
+func (s *Server) LoseAnswers(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losing = share
+}
+
+// coldLeft is for how long an incarnation is cold yet; false: it is not the one that is up.
+func (s *Server) coldLeft(id string) (left time.Duration, current bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(0, s.coldTill-s.w.Now()), s.id == id
+}
+
 // Become has the next incarnation at the address be of another kind.
 func (s *Server) Become(spec ServerSpec) {
 	s.mu.Lock()
@@ -266,7 +319,7 @@
 		s.mu.Unlock()
 		return
 	}
-	h, l, end, ended := s.http, s.listener, s.end, s.ended
+	h, l, end, ended, relay := s.http, s.listener, s.end, s.ended, s.relay
 	s.http = nil
 	if planned {
 		s.goneAt = s.w.Now()
@@ -277,6 +330,9 @@
 	end()
 	_ = l.Close() // the server may not have begun to serve it, and then would close it later
 	_ = h.Close()
+	if relay != nil {
+		relay.close()
+	}
 	<-ended
 }
 
--- a/internal/lab/world/server_test.go
+++ b/internal/lab/world/server_test.go
@@ -9,9 +9,13 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"gradeusher.example/gradeusher/internal/lab/link"
 	"gradeusher.example/gradeusher/internal/lab/world/engine"
 	"gradeusher.example/gradeusher/internal/lab/world/rules"
 )
@@ -158,6 +162,71 @@
 	})
 }
 
+// TestServerLosesAnswers: it runs the request and resets the connection; and again it answers.
+func TestServerLosesAnswers(t *testing.T) {
+	for name, spec := range map[string]ServerSpec{"a model": {Service: "llm", Engine: quickEngine()},
+		"none": {Service: "thumbs", Plain: &PlainSpec{Slots: 2, Work: time.Microsecond, Bytes: 100}}} {
+		t.Run(name, func(t *testing.T) {
+			w, s := lone(t, spec)
+			s.LoseAnswers(1)
+			if _, _, err := call(t, s, "/x/1", "X-Attempt-Id: one", "X-Token-Count: 10,10"); !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the answer came, or ended otherwise: %v", err)
+			}
+			s.LoseAnswers(0)
+			if resp, _, err := call(t, s, "/x/1", "X-Attempt-Id: two", "X-Token-Count: 10,10"); err != nil || resp.StatusCode != 200 {
+				t.Errorf("%+v, %v", resp, err)
+			}
+			w.Evidence.Note(func() {
+				for _, a := range w.Evidence.Arrivals {
+					if a.Ran == rules.Never || a.Broke != (a.ID == "one") {
+						t.Errorf("%+v", a)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestServerStartsOnce: one that is up is not started.
+func TestServerStartsOnce(t *testing.T) {
+	_, s := lone(t, ServerSpec{Service: "llm", Engine: quickEngine()})
+	id := s.ID()
+	if err := s.Start(true); !errors.Is(err, ErrRunning) || s.ID() != id {
+		t.Errorf("%v, %s after %s", err, s.ID(), id)
+	}
+}
+
+// TestServerBehindLink: a request that the link has held back counts as sent when it was, and none comes while the server is down.
+func TestServerBehindLink(t *testing.T) {
+	links := NewLinks(0, 0)
+	spec := ServerSpec{Service: "llm", Engine: quickEngine(), Address: "127.0.4.3:0", HealthPath: "/health", MaxConns: 10}
+	w, err := New(Options{Servers: []ServerSpec{spec}, ListRate: 10, Bounds: SmallScene(1).Bounds, Links: links})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	s := w.Servers[0]
+	const slow = 50 * time.Millisecond
+	heal := links.Trouble(func(p Path) bool { return p.To == spec.Address }, link.State{Delay: slow})
+	if _, _, err := call(t, s, "/x/1", "X-Attempt-Id: one", "X-Token-Count: 10,10"); err != nil {
+		t.Fatal(err)
+	}
+	heal()
+	address, id := s.address, s.ID()
+	s.Crash()
+	if _, _, err := call(t, s, "/x/1", "X-Attempt-Id: two"); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("a server that is down: %v", err)
+	}
+	if err := s.Start(true); err != nil || s.address != address || s.ID() == id {
+		t.Errorf("%v, %s after %s, %s after %s", err, s.address, address, s.ID(), id)
+	}
+	w.Evidence.Note(func() {
+		if all := w.Evidence.Arrivals; len(all) != 1 || all[0].At-all[0].Sent < slow {
+			t.Errorf("%+v", all)
+		}
+	})
+}
+
 // TestServerLives: a new start is a new incarnation at the old address, and the list shows each as it is.
 func TestServerLives(t *testing.T) {
 	w, s := lone(t, ServerSpec{Service: "llm", Engine: quickEngine(), ColdFor: time.Hour, ColdPerSecond: 2, ColdFall: 3})
--- a/internal/lab/world/up.go
+++ b/internal/lab/world/up.go
@@ -19,6 +19,8 @@
 	Folder        string // for settings, disks and logs
 	Rate          float64
 	Seed          uint64
+	Scene         *Scene // nil: the small one, with Rate
+	Links         *Links // between the parts; nil: they reach each other straight
 }
 
 // Run is a system of real processes in the small scene.
@@ -46,18 +48,29 @@
 // Up starts everything and waits until the configuration is taken and all proxies serve. Traffic then runs until Play or
 // Finish ends it.
 func Up(ctx context.Context, o UpOptions) (*Run, error) {
-	scene := SmallScene(o.Rate)
+	scene := o.Scene
+	if scene == nil {
+		scene = SmallScene(o.Rate)
+	}
 	ports, err := FreePorts(scene.Machines)
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Machines: scene.Machines, Ports: ports, Proxy: o.Proxy, Keeper: o.Keeper, Folder: o.Folder, Bounds: scene.Bounds, Rate: listRate}
+	f := &Fleet{Machines: scene.Machines, Ports: ports, Proxy: o.Proxy, Keeper: o.Keeper, Folder: o.Folder, Bounds: scene.Bounds, Rate: listRate,
+		Links: o.Links}
 	w, err := New(Options{Servers: scene.Servers, Kinds: scene.Kinds, Zones: f.Zones(), Directories: f.Directories(), Keepers: f.Keepers(),
-		Bounds: scene.Bounds, TTLMost: ttlMost, ListLag: 800 * time.Millisecond, ListRate: listRate, Seed: o.Seed})
+		Bounds: scene.Bounds, TTLMost: ttlMost, ListLag: 800 * time.Millisecond, ListRate: listRate, Seed: o.Seed, Links: o.Links})
 	if err != nil {
 		return nil, err
 	}
 	f.List = w.ListAddress()
+	w.Evidence.Core = len(f.Disks())
+	if o.Links != nil {
+		if f.lists, err = o.Links.connect(f, f.List); err != nil {
+			w.Close()
+			return nil, err
+		}
+	}
 	r := &Run{World: w, Fleet: f, Scene: scene}
 	r.traffic, r.still = context.WithCancel(context.WithoutCancel(ctx))
 	if err := r.begin(ctx); err != nil {
@@ -264,9 +277,9 @@
 
 // Log gives the last lines of a process's log, for reports of failures.
 func (f *Fleet) Log(m Machine, keeper bool, most int) string {
-	name := proxyName(m)
+	name := ProxyName(m)
 	if keeper {
-		name = keeperName(m)
+		name = KeeperName(m)
 	}
 	text, err := os.ReadFile(f.Folder + "/" + name + ".log")
 	if err != nil {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -32,6 +32,7 @@
 	ListLag     time.Duration
 	ListRate    float64 // calls a second
 	Seed        uint64
+	Links       *Links // in front of servers; nil: callers reach them straight
 }
 
 // World is all that runs around the system in one run.
@@ -47,6 +48,7 @@
 	traffic *Traffic
 	list    *http.Server
 	listAt  string
+	links   *Links
 	cancel  context.CancelFunc
 	ctx     context.Context
 	wait    sync.WaitGroup
@@ -64,7 +66,7 @@
 func New(o Options) (*World, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &World{Evidence: &rules.Evidence{Bounds: o.Bounds}, start: time.Now(), quiet: log.New(io.Discard, "", 0), figures: &figures{},
-		ctx: ctx, cancel: cancel}
+		ctx: ctx, cancel: cancel, links: o.Links}
 	client := func() *http.Client {
 		return &http.Client{Transport: &http.Transport{DisableCompression: true},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
@@ -162,5 +164,8 @@
 		_ = w.list.Close()
 	}
 	w.wait.Wait()
+	if w.links != nil {
+		w.links.close()
+	}
 	w.Operator.http.CloseIdleConnections()
 }
