gradeusher system soak: real processes under random troubles that overlap

A seed draws kills, pauses, cuts (one way too), slow links, lost answers, servers that return cold, evacuations and drains, up to three at once, each ending by itself; the configuration changes once a second; regions lie 20 to 55 ms apart, one way; most requests have their home in one region, one zone of which is evacuated while the servers of the other return cold.

lab/world judges from outside, reads of the configuration included; the counts under violations in every process's /status are read each second, before each kill and at the end. Also checked: service and a current keeper come back within recovery_s, no evacuation that was taken back is held, no process ends by itself. Ruled out: links inside of the processes, which would be other programs; repeating a schedule to the millisecond, which real processes cannot do: the schedule is the seed's, the interleaving is not.

--- /dev/null
+++ b/internal/lab/soak/draw.go
@@ -0,0 +1,104 @@
+package soak
+
+import (
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/world"
+)
+
+// odds is how often each kind is drawn.
+var odds = []struct {
+	kind   Kind
+	weight int
+}{
+	{KillProxy, 8}, {KillKeeper, 8}, {KillZone, 3}, {KillKeepers, 3}, {PauseProxy, 10}, {PauseKeeper, 10},
+	{CutProxy, 6}, {CutKeeper, 6}, {CutList, 4}, {CutLists, 3}, {CutServer, 4},
+	{SlowProxy, 4}, {SlowKeeper, 4}, {SlowLists, 6}, {SlowServer, 3},
+	{LoseAnswers, 4}, {LoseAcks, 4}, {ColdReturn, 14}, {Evacuate, 6}, {ReturnEvacuated, 10}, {Drain, 3},
+}
+
+// draw gives a trouble that starts at 0.
+func (d *drawer) draw() Trouble {
+	all := 0
+	for _, o := range odds {
+		all += o.weight
+	}
+	n := d.rng.IntN(all)
+	for _, o := range odds {
+		if n -= o.weight; n < 0 {
+			return d.of(o.kind)
+		}
+	}
+	return d.returning()
+}
+
+func (d *drawer) of(kind Kind) Trouble {
+	t := Trouble{Kind: kind}
+	switch kind {
+	case KillProxy, KillKeeper, KillZone, KillKeepers:
+		t.Length = d.between(500*time.Millisecond, 4*time.Second)
+	case PauseProxy, PauseKeeper:
+		t.Length = d.between(300*time.Millisecond, 6*time.Second)
+	case CutProxy, CutKeeper, CutList, CutLists, CutServer:
+		t.Length = d.between(500*time.Millisecond, 4*time.Second)
+		t.Way = Way(d.rng.IntN(3))
+	case SlowProxy, SlowKeeper, SlowLists, SlowServer:
+		t.Length = d.between(time.Second, 6*time.Second)
+		t.Delay = d.between(20*time.Millisecond, 300*time.Millisecond)
+		t.Jitter = d.between(0, t.Delay/2)
+	case LoseAnswers, LoseAcks:
+		t.Length = d.between(time.Second, 4*time.Second)
+		t.Share = 0.1 + 0.5*d.rng.Float64()
+	case ColdReturn:
+		t.Down = d.between(time.Second, 4*time.Second)
+		t.Length = t.Down + coldFor(d.scene) + coldMargin
+	case Evacuate:
+		t.Length = d.scene.Bounds.Evacuate + d.between(time.Second, 3*time.Second) + coldFor(d.scene)
+	case ReturnEvacuated:
+		return d.returning()
+	case Drain:
+		t.Length = d.scene.Bounds.Drain + time.Second + d.between(500*time.Millisecond, time.Second) + coldFor(d.scene) + coldMargin
+	}
+	t.Target = d.target(kind)
+	return t
+}
+
+// returning is the incident: one zone of a region is evacuated, and the servers of the other return cold.
+func (d *drawer) returning() Trouble {
+	t := Trouble{Kind: ReturnEvacuated, Down: d.between(time.Second, 4*time.Second), Target: homeZones[0], Other: homeZones[1]}
+	if d.rng.IntN(2) == 0 {
+		t.Target, t.Other = t.Other, t.Target
+	}
+	t.Length = evacuateFor + t.Down + coldFor(d.scene) + coldMargin + chillBefore
+	return t
+}
+
+// target draws what a trouble of a kind is done to.
+func (d *drawer) target(kind Kind) string {
+	machines := d.scene.Machines
+	switch kind {
+	case KillProxy, PauseProxy, CutProxy, SlowProxy:
+		return machines[d.rng.IntN(len(machines))].IP
+	case KillKeeper, PauseKeeper, CutKeeper, SlowKeeper, CutList:
+		disks := withDisk(machines)
+		return disks[d.rng.IntN(len(disks))].IP
+	case KillZone:
+		return machines[d.rng.IntN(len(machines))].Zone
+	case CutServer, SlowServer, Drain:
+		return d.scene.Servers[d.rng.IntN(len(d.scene.Servers))].Address
+	case LoseAnswers:
+		return d.scene.Servers[d.rng.IntN(len(d.scene.Servers))].Zone
+	case ColdReturn, Evacuate:
+		return homeZones[d.rng.IntN(len(homeZones))]
+	}
+	return ""
+}
+
+func withDisk(machines []world.Machine) (some []world.Machine) {
+	for _, m := range machines {
+		if m.Disk {
+			some = append(some, m)
+		}
+	}
+	return some
+}
--- /dev/null
+++ b/internal/lab/soak/main_test.go
@@ -0,0 +1,9 @@
+package soak
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/internal/lab/soak/operator.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"gradeusher.example/gradeusher/internal/lab/world"
+	"gradeusher.example/gradeusher/internal/lab/world/rules"
+)
+
+// share is a part of 1 that may change at any time.
+type share struct{ bits atomic.Uint64 }
+
+func (s *share) set(v float64) { s.bits.Store(math.Float64bits(v)) }
+
+// drawn tells whether a draw falls into the share.
+func (s *share) drawn() bool { return rand.Float64() < math.Float64frombits(s.bits.Load()) }
+
+const (
+	addedName   = "added"
+	addedPrefix = "/added/"
+	thumbRoute  = 2 // of the scene's routes
+)
+
+// changes sends changes of the configuration, one a second, and looks at a proxy after each.
+func (p *player) changes(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(p.plan.Seed, 37))
+	for n := 0; sleep(ctx, configEvery); n++ {
+		if err := p.change(ctx, n, rng); err != nil && ctx.Err() == nil {
+			p.refresh(ctx)
+		}
+		m := p.Fleet.Machines[rng.IntN(len(p.Fleet.Machines))]
+		p.Probe(ctx, p.Fleet.Front(m), p.Scene.Config.Routes[0].Host, fmt.Sprintf("%s%d", addedPrefix, n))
+	}
+}
+
+// change makes the n-th change.
+func (p *player) change(ctx context.Context, n int, rng *rand.Rand) error {
+	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	defer cancel()
+	now := p.Scene.Config
+	revision := now.Revision + 1 + rng.Int64N(5)
+	has := slices.ContainsFunc(now.Routes, func(r rules.Route) bool { return r.Name == addedName })
+	var err error
+	switch {
+	case n%3 == 0 && !has:
+		route := now.Routes[thumbRoute]
+		route.Name, route.Prefix = addedName, addedPrefix
+		err = p.AddRoute(ctx, revision, route)
+	case n%3 == 0:
+		err = p.RemoveRoute(ctx, revision, addedName)
+	default:
+		after := *now
+		after.Revision = revision
+		after.Routes = slices.Clone(now.Routes)
+		after.Routes[n%2].Timeout += rng.IntN(3) - 1
+		if err = p.Operator.Replace(ctx, &after, now.Revision); err == nil {
+			p.Scene.Config = &after
+		}
+	}
+	if err == nil {
+		p.mu.Lock()
+		p.orders++
+		p.mu.Unlock()
+	}
+	return err
+}
+
+// refresh goes on from what is in force, after an order without a clear answer.
+func (p *player) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	defer cancel()
+	if c, err := p.Operator.Read(ctx); err == nil {
+		p.Scene.Config = c
+	}
+}
+
+// aside gives an operator that makes calls beside the others.
+func (p *player) aside() *world.Operator {
+	o := *p.Operator
+	return &o
+}
+
+// reads asks for the configuration again and again; the answers are evidence.
+func (p *player) reads(ctx context.Context) {
+	reader := p.aside()
+	for sleep(ctx, readEvery) {
+		asked, cancel := context.WithTimeout(ctx, orderWithin)
+		_, err := reader.Read(asked) // none comes while the keepers are down
+		cancel()
+		if err != nil && ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// evacuate sends an evacuation or takes it back, again and again until there is a clear answer or ctx ends.
+func (p *player) evacuate(ctx context.Context, zone string, start bool) error {
+	operator := p.aside()
+	for {
+		asked, cancel := context.WithTimeout(ctx, orderWithin)
+		err := operator.Evacuate(asked, zone, start)
+		cancel()
+		switch {
+		case err == nil:
+			return nil
+		case ctx.Err() != nil, errors.Is(err, world.ErrRefused):
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/plan_test.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/link"
+	"gradeusher.example/gradeusher/internal/lab/world"
+)
+
+// TestPlans: a seed gives one plan; every plan holds the incident, and troubles end by themselves, overlap, and do not
+// touch what another one touches.
+func TestPlans(t *testing.T) {
+	kinds := map[Kind]int{}
+	for _, last := range []time.Duration{Shortest, 30 * time.Second, Longest} {
+		full := 0
+		for seed := range uint64(200) {
+			scene := Scene(seed)
+			p := Draw(seed, last, scene)
+			if !reflect.DeepEqual(p, Draw(seed, last, Scene(seed))) {
+				t.Fatalf("seed %d gives two plans", seed)
+			}
+			checkPlan(t, p, scene)
+			if p.AtOnce() == MostAtOnce {
+				full++
+			}
+			for _, one := range p.Troubles {
+				kinds[one.Kind]++
+			}
+			if last == Longest && seed > 20 {
+				break
+			}
+		}
+		if full == 0 {
+			t.Errorf("no plan of %v has %d troubles at once", last, MostAtOnce)
+		}
+	}
+	for _, o := range odds {
+		if kinds[o.kind] == 0 {
+			t.Errorf("%q never happens", o.kind)
+		}
+	}
+}
+
+func checkPlan(t *testing.T, p *Plan, scene *world.Scene) {
+	t.Helper()
+	d := &drawer{scene: scene}
+	if p.Delay < 20*time.Millisecond || p.Delay > 55*time.Millisecond {
+		t.Errorf("seed %d: %v between regions", p.Seed, p.Delay)
+	}
+	if !slices.ContainsFunc(p.Troubles, func(one Trouble) bool { return one.Kind == ReturnEvacuated }) {
+		t.Errorf("seed %d: the incident is missing", p.Seed)
+	}
+	for i, one := range p.Troubles {
+		if one.Start < warmUp || one.end() > p.For-calm || one.Length <= 0 || overlapping(p.Troubles, one.Start) > MostAtOnce {
+			t.Errorf("seed %d: %v", p.Seed, one)
+		}
+		for _, other := range p.Troubles[i+1:] {
+			if other.Start >= one.end()+apart {
+				continue
+			}
+			for _, c := range d.claims(one) {
+				if slices.Contains(d.claims(other), c) {
+					t.Errorf("seed %d: %v and %v touch %s", p.Seed, one, other, c)
+				}
+			}
+		}
+	}
+}
+
+// TestPathsAndStates: what a cut or slow link is laid on, and which way.
+func TestPathsAndStates(t *testing.T) {
+	const ip, server = "127.0.1.1", "127.0.2.1:0"
+	m, other := world.Machine{IP: ip}, world.Machine{IP: "127.0.1.2"}
+	proxy, keeper := world.ProxyName(m), world.KeeperName(m)
+	paths := []world.Path{{From: proxy, To: world.KeeperName(other)}, {From: world.ProxyName(other), To: proxy}, {From: keeper, To: world.ListEnd},
+		{From: keeper, To: world.KeeperName(other)}, {From: world.ProxyName(other), To: keeper}, {From: world.KeeperName(other), To: world.ListEnd},
+		{To: server}, {To: "127.0.2.2:0"}}
+	for _, c := range []struct {
+		kind          Kind
+		target        string
+		calls, called []int // of paths
+	}{
+		{CutProxy, ip, []int{0}, []int{1}}, {SlowProxy, ip, []int{0}, []int{1}}, {CutKeeper, ip, []int{3}, []int{4}},
+		{CutList, ip, []int{2}, nil}, {CutLists, "", []int{2, 5}, nil}, {SlowLists, "", []int{2, 5}, nil}, {CutServer, server, nil, []int{6}},
+	} {
+		calls, called := Trouble{Kind: c.kind, Target: c.target}.paths()
+		var got, gotCalled []int
+		for i, p := range paths {
+			if calls(p) {
+				got = append(got, i)
+			}
+			if called(p) {
+				gotCalled = append(gotCalled, i)
+			}
+		}
+		if !slices.Equal(got, c.calls) || !slices.Equal(gotCalled, c.called) {
+			t.Errorf("%s: calls %v, called %v", c.kind, got, gotCalled)
+		}
+	}
+	for _, c := range []struct {
+		one     Trouble
+		out, in link.State
+	}{
+		{Trouble{Kind: CutProxy}, link.State{Hold: [2]bool{true, true}}, link.State{Hold: [2]bool{true, true}}},
+		{Trouble{Kind: CutProxy, Way: Outward}, link.State{Hold: [2]bool{link.ToFar: true}}, link.State{Hold: [2]bool{link.ToNear: true}}},
+		{Trouble{Kind: CutProxy, Way: Inward}, link.State{Hold: [2]bool{link.ToNear: true}}, link.State{Hold: [2]bool{link.ToFar: true}}},
+		{Trouble{Kind: SlowProxy, Delay: 5, Jitter: 2}, link.State{Delay: 5, Jitter: 2}, link.State{Delay: 5, Jitter: 2}},
+	} {
+		if out, in := c.one.states(); out != c.out || in != c.in {
+			t.Errorf("%v: out %+v, in %+v", c.one, out, in)
+		}
+	}
+}
+
+func TestTroubleLine(t *testing.T) {
+	one := Trouble{Kind: ReturnEvacuated, Target: "a", Other: "b", Start: time.Second, Length: 2 * time.Second, Down: time.Second}
+	if got, want := one.String(), " 1.000 s to  3.000 s  cold return while the other zone is evacuated: a, evacuated: b, down 1s"; got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+	one = Trouble{Kind: CutProxy, Target: "a", Way: Inward, Length: time.Second}
+	if got, want := one.String(), " 0.000 s to  1.000 s  cut proxy from keepers a, inward only"; got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/result.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/world"
+	"gradeusher.example/gradeusher/internal/lab/world/rules"
+)
+
+// Result is what a seed came to.
+type Result struct {
+	Seed     uint64   `json:"seed"`
+	Seconds  float64  `json:"seconds"`
+	DelayMS  float64  `json:"delay_ms"` // between regions, one way
+	Troubles int      `json:"troubles"`
+	AtOnce   int      `json:"at_once"` // most troubles under way at one time
+	Requests int      `json:"requests"`
+	Served   int      `json:"served"`
+	Refused  int      `json:"refused"`
+	Failed   int      `json:"failed"` // and those without a final answer
+	Orders   int      `json:"orders"` // changes of the configuration that were acknowledged
+	Reads    int      `json:"reads"`  // of the configuration
+	Cold     int      `json:"cold"`   // servers that were sent requests while cold
+	Peak     int      `json:"peak"`   // most requests that one of them got within a second
+	Bound    float64  `json:"bound"`  // that it may get
+	Flooded  int      `json:"flooded"`
+	Statuses int      `json:"statuses"` // read from processes
+	Broken   []string `json:"broken"`
+	// Looked is at how many requests, streams, windows or orders each rule was checked.
+	Looked map[string]int `json:"looked"`
+}
+
+// Held tells whether nothing was broken.
+func (r *Result) Held() bool { return len(r.Broken) == 0 }
+
+// String is the result as one line.
+func (r *Result) String() string {
+	word := "held"
+	if !r.Held() {
+		word = fmt.Sprintf("BROKEN %d", len(r.Broken))
+	}
+	return fmt.Sprintf("seed %-4d %-8s %3.0f s  %2d troubles, %d at once  delay %2.0f ms  requests %5d served %5d refused %4d failed %3d  orders %2d reads %2d  cold servers %2d, peak %2d of %.0f  statuses %d",
+		r.Seed, word, r.Seconds, r.Troubles, r.AtOnce, r.DelayMS, r.Requests, r.Served, r.Refused, r.Failed, r.Orders, r.Reads, r.Cold, r.Peak,
+		r.Bound, r.Statuses)
+}
+
+// judge puts together what was seen from outside and what processes counted.
+func (p *player) judge(report *world.Report) *Result {
+	f := report.Figures
+	r := &Result{Seed: p.plan.Seed, Seconds: p.plan.For.Seconds(), DelayMS: float64(p.plan.Delay) / float64(time.Millisecond),
+		Troubles: len(p.plan.Troubles), AtOnce: p.plan.AtOnce(), Requests: f.Requests, Served: f.Served, Refused: f.Refused,
+		Failed: f.Failed + f.Unanswered, Orders: p.orders, Reads: len(p.Evidence.Reads), Statuses: p.watch.asked, Broken: p.broken}
+	for _, peak := range p.Evidence.ColdPeaks() {
+		r.Cold++
+		if peak.Most > r.Peak {
+			r.Peak, r.Bound = peak.Most, peak.Bound
+		}
+		if float64(peak.Most) > peak.Bound {
+			r.Flooded++
+		}
+	}
+	r.Looked = map[string]int{}
+	for _, v := range report.Verdicts {
+		r.Looked[v.Rule] = v.Looked
+		if v.Broken > 0 {
+			r.Broken = append(r.Broken, fmt.Sprintf("%s: %d times: %s", v.Rule, v.Broken, strings.Join(v.Examples, "; ")))
+		}
+	}
+	r.Broken = append(r.Broken, p.watch.lines()...)
+	for _, d := range report.Died {
+		r.Broken = append(r.Broken, "DIED: "+d)
+	}
+	for _, k := range report.Killed {
+		r.Broken = append(r.Broken, "STOP: SIGTERM did not end "+k+" in time")
+	}
+	if report.ReadError != nil {
+		r.Broken = append(r.Broken, "READ: "+report.ReadError.Error())
+	}
+	return r
+}
+
+// story tells what cold servers that were flooded got in the second of their peak, and what the operator ordered.
+type story struct{ e *rules.Evidence }
+
+// String tells it line by line.
+func (s story) String() string {
+	var text strings.Builder
+	for _, c := range s.e.Changes {
+		fmt.Fprintf(&text, "order %+v %s %v sent %v acked %v status %d\n", c.Config != nil, c.Zone, c.Start, c.Sent, c.Acked, c.Status)
+	}
+	tries := map[string]*rules.Try{}
+	for _, t := range s.e.Tries {
+		tries[t.ID] = t
+	}
+	for _, p := range s.e.ColdPeaks() {
+		if float64(p.Most) <= p.Bound {
+			continue
+		}
+		for _, a := range s.e.Arrivals {
+			if a.Server != p.Server || !a.Cold || a.At > p.At || a.At < p.At-2*time.Second {
+				continue
+			}
+			by := "unknown"
+			if t := tries[a.ID]; t != nil {
+				by = fmt.Sprintf("%s, sent by its client %v before", t.Proxy, (a.At - t.Sent).Round(time.Millisecond))
+			}
+			fmt.Fprintf(&text, "%s got %s at %v by way of %s, status %d\n", a.Server, a.ID, a.At.Round(time.Millisecond), by, a.Rejected)
+		}
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/lab/soak/run.go
@@ -0,0 +1,173 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gradeusher.example/gradeusher/internal/lab/world"
+	"gradeusher.example/gradeusher/internal/system/staff"
+)
+
+// Options are those of Play.
+type Options struct {
+	Proxy, Keeper string // programs
+	Folder        string // for settings, disks and logs
+	Plan          *Plan
+	Scene         *world.Scene // nil: that of the plan's seed
+	Tell          func(string) // is told of troubles as they begin; nil: nobody is
+}
+
+const (
+	orderWithin   = 5 * time.Second // for one order of the operator
+	configEvery   = time.Second
+	readEvery     = 700 * time.Millisecond
+	statusEvery   = time.Second
+	statusWithin  = 400 * time.Millisecond
+	recoverWithin = 12 * time.Second
+	recovered     = 40 // requests that must be served after the last trouble
+	staggered     = 250 * time.Millisecond
+)
+
+// player is one seed under way.
+type player struct {
+	*world.Run
+	plan   *Plan
+	tell   func(string)
+	losing share // of the answers to the operator
+	watch  watch
+
+	mu     sync.Mutex
+	broken []string        // never nil
+	owed   map[string]bool // zones whose evacuation was not clearly taken back
+	orders int             // acknowledged
+}
+
+// Play runs a plan against real processes and judges it. The error is that of a run that could not be begun.
+func Play(ctx context.Context, o Options) (*Result, error) {
+	scene := o.Scene
+	if scene == nil {
+		scene = Scene(o.Plan.Seed)
+	}
+	run, err := world.Up(ctx, world.UpOptions{Proxy: o.Proxy, Keeper: o.Keeper, Folder: o.Folder, Seed: o.Plan.Seed, Scene: scene,
+		Links: world.NewLinks(o.Plan.Delay, o.Plan.Jitter)})
+	if err != nil {
+		return nil, err
+	}
+	p := &player{Run: run, plan: o.Plan, tell: o.Tell, owed: map[string]bool{}, broken: []string{},
+		watch: watch{client: staff.Client{Transport: &http.Transport{DisableKeepAlives: true}}}}
+	if p.tell == nil {
+		p.tell = func(string) {}
+	}
+	run.Operator.LoseAnswer = p.losing.drawn
+	p.play(ctx)
+	if ctx.Err() == nil {
+		p.recover(ctx)
+	}
+	p.watch.look(ctx, p.addresses())
+	result := p.judge(run.Finish())
+	return result, result.keep(o.Folder, o.Plan, story{run.Evidence})
+}
+
+// play has all troubles happen, and changes of the configuration and reads beside them.
+func (p *player) play(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, p.plan.For)
+	defer cancel()
+	begin := time.Now()
+	var all sync.WaitGroup
+	all.Go(func() { p.changes(ctx) })
+	all.Go(func() { p.reads(ctx) })
+	all.Go(func() { p.watch.run(ctx, p.addresses()) })
+	for _, t := range p.plan.Troubles {
+		all.Go(func() {
+			if !sleep(ctx, time.Until(begin.Add(t.Start))) {
+				return
+			}
+			p.tell(fmt.Sprintf("%v: %v", p.Now().Round(time.Millisecond), t))
+			if err := p.do(ctx, t); err != nil && ctx.Err() == nil {
+				p.fault("TROUBLE", fmt.Sprintf("%v: %v", t, err))
+			}
+		})
+	}
+	all.Wait()
+}
+
+// sleep waits; false: ctx ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// fault takes in what broke, by name.
+func (p *player) fault(name, text string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.broken = append(p.broken, name+": "+strings.ReplaceAll(text, "\n", "; "))
+}
+
+// recover checks that requests are served again, and that what was acknowledged of evacuations is what the keepers hold.
+func (p *player) recover(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recoverWithin)
+	defer cancel()
+	if err := p.Served(ctx, recovered); err != nil {
+		p.fault("RECOVER", err.Error())
+	}
+	for zone := range p.owed {
+		if err := p.evacuate(ctx, zone, false); err != nil {
+			p.fault("RECOVER", err.Error())
+		}
+	}
+	if err := world.Await(ctx, p.settled); err != nil {
+		p.fault("RECOVER", err.Error())
+	}
+}
+
+// settled tells whether a keeper is current and holds no evacuation.
+func (p *player) settled(ctx context.Context) error {
+	f, err := p.watch.client.Fleet(ctx, p.Fleet.Keepers())
+	switch {
+	case err != nil:
+		return err
+	case !f.Current():
+		return errors.New("no keeper is current")
+	case len(f.Evacuated) > 0:
+		return errors.Newf("zones %v are evacuated, and all evacuations were taken back", f.Evacuated)
+	}
+	return nil
+}
+
+// addresses are those at which processes tell their status.
+func (p *player) addresses() map[string]string {
+	all := map[string]string{}
+	for _, m := range p.Fleet.Machines {
+		all[world.KeeperName(m)] = p.Fleet.Control(m)
+		all[world.ProxyName(m)] = p.Fleet.Inner(m)
+	}
+	return all
+}
+
+// keep writes what explains a result into the folder of a run that broke something.
+func (r *Result) keep(folder string, plan *Plan, e fmt.Stringer) error {
+	if r.Held() {
+		return nil
+	}
+	var text strings.Builder
+	for _, t := range plan.Troubles {
+		fmt.Fprintln(&text, t)
+	}
+	text.WriteString(strings.Join(r.Broken, "\n") + "\n" + e.String())
+	return os.WriteFile(filepath.Join(folder, "story.txt"), []byte(text.String()), 0o600)
+}
--- /dev/null
+++ b/internal/lab/soak/troubles.go
@@ -0,0 +1,263 @@
+package soak
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gradeusher.example/gradeusher/internal/lab/link"
+	"gradeusher.example/gradeusher/internal/lab/world"
+	"gradeusher.example/gradeusher/internal/lab/world/rules"
+)
+
+// do has a trouble happen, and returns when it is over.
+func (p *player) do(ctx context.Context, t Trouble) error {
+	switch t.Kind {
+	case KillProxy, KillZone:
+		return p.killProxies(ctx, t)
+	case KillKeeper, KillKeepers:
+		return p.killKeepers(ctx, t)
+	case PauseProxy, PauseKeeper:
+		return p.pause(ctx, t)
+	case CutProxy, SlowProxy, CutKeeper, SlowKeeper:
+		return p.harm(ctx, t)
+	case CutList, CutLists, SlowLists, CutServer, SlowServer:
+		p.lay(ctx, t, t.Length)
+		return nil
+	case LoseAnswers:
+		p.loseAnswers(ctx, t)
+		return nil
+	case LoseAcks:
+		p.losing.set(t.Share)
+		sleep(ctx, t.Length)
+		p.losing.set(0)
+		return nil
+	case ColdReturn:
+		return p.coldReturn(ctx, t.Target, t.Down)
+	case Evacuate, ReturnEvacuated:
+		return p.evacuateZone(ctx, t)
+	case Drain:
+		return p.drain(ctx, t)
+	}
+	return errors.Newf("unknown trouble %q", t.Kind)
+}
+
+// machines are those that a trouble is done to.
+func (p *player) machines(t Trouble) (some []world.Machine) {
+	for _, m := range p.Fleet.Machines {
+		if t.Target == "" || m.IP == t.Target || m.Zone == t.Target {
+			some = append(some, m)
+		}
+	}
+	return some
+}
+
+// begin notes a trouble of a machine that lasts.
+func (p *player) begin(m world.Machine, keeper bool, kind string) (end func()) {
+	t := rules.Trouble{Kind: kind, At: p.Now()}
+	if keeper {
+		t.Keeper, t.Machine = m.Disk, m.IP
+	} else {
+		t.Proxy = p.Fleet.Front(m)
+	}
+	over := p.Evidence.Begin(t)
+	return func() { over(p.Now()) }
+}
+
+// each does something to machines at the same time, and gives all errors.
+func each(machines []world.Machine, do func(world.Machine) error) error {
+	failed := make([]error, len(machines))
+	var all sync.WaitGroup
+	for i, m := range machines {
+		all.Go(func() { failed[i] = do(m) })
+	}
+	all.Wait()
+	return errors.Join(failed...)
+}
+
+func (p *player) killProxies(ctx context.Context, t Trouble) error {
+	return each(p.machines(t), func(m world.Machine) error {
+		defer p.begin(m, false, "down")()
+		p.watch.ask(ctx, world.ProxyName(m), p.Fleet.Inner(m)) // what it has counted goes with it
+		if err := p.KillProxy(m); err != nil {
+			return err
+		}
+		sleep(ctx, t.Length)
+		return p.StartProxy(m)
+	})
+}
+
+func (p *player) killKeepers(ctx context.Context, t Trouble) error {
+	return each(p.machines(t), func(m world.Machine) error {
+		defer p.begin(m, true, "down")()
+		p.watch.ask(ctx, world.KeeperName(m), p.Fleet.Control(m))
+		if err := p.KillKeeper(m); err != nil {
+			return err
+		}
+		sleep(ctx, t.Length)
+		return p.StartKeeper(m)
+	})
+}
+
+func (p *player) pause(ctx context.Context, t Trouble) error {
+	return each(p.machines(t), func(m world.Machine) error {
+		process, keeper := p.Fleet.ProxyProcess(m), t.Kind == PauseKeeper
+		if keeper {
+			process = p.Fleet.KeeperProcess(m)
+		}
+		defer p.begin(m, keeper, "pause")()
+		return p.Pause(ctx, process, t.Length)
+	})
+}
+
+// harm cuts or slows the links of a machine's process to others of the system.
+func (p *player) harm(ctx context.Context, t Trouble) error {
+	return each(p.machines(t), func(m world.Machine) error {
+		defer p.begin(m, t.Kind == CutKeeper || t.Kind == SlowKeeper, string(t.Kind))()
+		p.lay(ctx, t, t.Length)
+		return nil
+	})
+}
+
+// lay has a trouble lie on links for a time.
+func (p *player) lay(ctx context.Context, t Trouble, d time.Duration) {
+	calls, called := t.paths()
+	out, in := t.states()
+	defer p.Fleet.Links.Trouble(calls, out)()
+	defer p.Fleet.Links.Trouble(called, in)()
+	sleep(ctx, d)
+}
+
+// paths pick the links on which the target calls, and those on which it is called.
+func (t Trouble) paths() (calls, called func(world.Path) bool) {
+	none := func(world.Path) bool { return false }
+	at := world.Machine{IP: t.Target}
+	switch t.Kind {
+	case CutProxy, SlowProxy:
+		return func(l world.Path) bool { return l.From == world.ProxyName(at) }, func(l world.Path) bool { return l.To == world.ProxyName(at) }
+	case CutKeeper, SlowKeeper:
+		return func(l world.Path) bool { return l.From == world.KeeperName(at) && l.To != world.ListEnd },
+			func(l world.Path) bool { return l.To == world.KeeperName(at) }
+	case CutList:
+		return func(l world.Path) bool { return l.From == world.KeeperName(at) && l.To == world.ListEnd }, none
+	case CutLists, SlowLists:
+		return func(l world.Path) bool { return l.To == world.ListEnd }, none
+	case CutServer, SlowServer:
+		return none, func(l world.Path) bool { return l.To == t.Target }
+	}
+	return none, none
+}
+
+// states are how the links are on which the target calls, and those on which it is called.
+func (t Trouble) states() (out, in link.State) {
+	out = link.State{Delay: t.Delay, Jitter: t.Jitter}
+	in = out
+	switch t.Kind {
+	case CutProxy, CutKeeper, CutList, CutLists, CutServer:
+		sends, hears := t.Way != Inward, t.Way != Outward // which of them is held back
+		out.Hold[link.ToFar], out.Hold[link.ToNear] = sends, hears
+		in.Hold[link.ToNear], in.Hold[link.ToFar] = sends, hears
+	}
+	return out, in
+}
+
+func (p *player) loseAnswers(ctx context.Context, t Trouble) {
+	for _, s := range p.servers(t.Target) {
+		s.LoseAnswers(t.Share)
+		defer s.LoseAnswers(0)
+	}
+	sleep(ctx, t.Length)
+}
+
+// servers are those of a zone.
+func (p *player) servers(zone string) (some []*world.Server) {
+	for _, s := range p.Servers {
+		if s.Zone == zone {
+			some = append(some, s)
+		}
+	}
+	return some
+}
+
+// coldReturn has all servers of a zone be down together, and come back within a moment under new ids at the same addresses. It
+// returns when they are warm.
+func (p *player) coldReturn(ctx context.Context, zone string, down time.Duration) error {
+	some := p.servers(zone)
+	for _, s := range some {
+		s.Crash()
+	}
+	sleep(ctx, down)
+	for i, s := range some {
+		if err := s.Start(true); err != nil && !errors.Is(err, world.ErrRunning) {
+			return err
+		}
+		if i < len(some)-1 {
+			sleep(ctx, staggered/time.Duration(len(some)))
+		}
+	}
+	sleep(ctx, coldFor(p.Scene)+coldMargin)
+	return nil
+}
+
+// evacuateZone evacuates a zone and takes that back, its servers having turned cold before. Meanwhile those of the other zone may
+// return cold.
+func (p *player) evacuateZone(ctx context.Context, t Trouble) error {
+	began, zone := time.Now(), t.Target
+	if t.Kind == ReturnEvacuated {
+		zone = t.Other
+	}
+	p.owe(zone, true)
+	asked, cancel := context.WithTimeout(ctx, orderWithin)
+	err := p.evacuate(asked, zone, true)
+	cancel()
+	if errors.Is(err, world.ErrRefused) {
+		return err // without a clear answer it may be in force, and is taken back too
+	}
+	if t.Kind == ReturnEvacuated {
+		sleep(ctx, evacuateFor-time.Since(began))
+		if err := p.coldReturn(ctx, t.Target, t.Down); err != nil {
+			return err
+		}
+	} else {
+		sleep(ctx, t.Length-chillBefore-time.Since(began))
+	}
+	for _, s := range p.servers(zone) {
+		s.Chill(min(chillBefore+coldFor(p.Scene)-coldMargin, 2*s.ColdFor)) // some seconds past the end
+	}
+	sleep(ctx, chillBefore)
+	if err := p.evacuate(ctx, zone, false); err != nil {
+		return err
+	}
+	p.owe(zone, false)
+	return nil
+}
+
+func (p *player) owe(zone string, owed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if owed {
+		p.owed[zone] = true
+	} else {
+		delete(p.owed, zone)
+	}
+}
+
+// drain empties a server, ends it, and starts it again. It returns when that is warm.
+func (p *player) drain(ctx context.Context, t Trouble) error {
+	for _, s := range p.Servers {
+		if s.Address != t.Target {
+			continue
+		}
+		s.Drain()
+		sleep(ctx, p.Scene.Bounds.Drain+time.Second)
+		s.Stop()
+		sleep(ctx, t.Length-p.Scene.Bounds.Drain-time.Second-s.ColdFor-coldMargin)
+		if err := s.Start(true); err != nil && !errors.Is(err, world.ErrRunning) {
+			return err
+		}
+		sleep(ctx, s.ColdFor+coldMargin)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/soak/watch.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/staff"
+)
+
+const mostStatus = 8 << 20
+
+// watch reads what the processes' own invariants have counted. A process that starts again counts from 0.
+type watch struct {
+	client staff.Client
+
+	mu    sync.Mutex
+	most  map[string]int64 // highest count seen, by process and invariant
+	asked int
+}
+
+// run looks once in a while until ctx ends.
+func (w *watch) run(ctx context.Context, addresses map[string]string) {
+	for sleep(ctx, statusEvery) {
+		w.look(ctx, addresses)
+	}
+}
+
+// look asks all processes at once; those that do not answer are passed over.
+func (w *watch) look(ctx context.Context, addresses map[string]string) {
+	var all sync.WaitGroup
+	for name, address := range addresses {
+		all.Go(func() { w.ask(ctx, name, address) })
+	}
+	all.Wait()
+}
+
+// ask asks one process.
+func (w *watch) ask(ctx context.Context, name, address string) {
+	counts, err := violations(ctx, address)
+	if err != nil {
+		return // it is down, or held up
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.asked++
+	if w.most == nil {
+		w.most = map[string]int64{}
+	}
+	for invariant, n := range counts {
+		key := invariant + " at " + name
+		w.most[key] = max(w.most[key], n)
+	}
+}
+
+// lines are the invariants that were violated.
+func (w *watch) lines() (all []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(w.most)) {
+		if w.most[key] > 0 {
+			all = append(all, fmt.Sprintf("VIOLATION: %s, %d times", key, w.most[key]))
+		}
+	}
+	return all
+}
+
+// violations asks a process for its status, and gives what its invariants have counted by name.
+func violations(ctx context.Context, address string) (map[string]int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, statusWithin)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: statusWithin + time.Second}
+	answer, err := client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	var status struct {
+		Violations map[string]int64 `json:"violations"`
+	}
+	err = json.NewDecoder(io.LimitReader(answer.Body, mostStatus)).Decode(&status)
+	return status.Violations, err
+}
--- /dev/null
+++ b/internal/lab/soak/watch_test.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+)
+
+// TestWatchCountsViolations: whatever a process has counted is told, with the process; what it does not tell is none.
+func TestWatchCountsViolations(t *testing.T) {
+	answer := `{"version":1}`
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/status" {
+			t.Errorf("asked for %s", r.URL.Path)
+		}
+		fmt.Fprint(w, answer)
+	}))
+	defer s.Close()
+	w := &watch{}
+	addresses := map[string]string{"proxy-a": s.Listener.Addr().String(), "proxy-b": "127.0.0.1:1"}
+	for _, c := range []struct {
+		answer string
+		lines  []string
+	}{
+		{`{"version":1}`, nil},
+		{`{"violations":{}}`, nil},
+		{`{"violations":{"warm too early":0}}`, nil},
+		{`{"violations":{"warm too early":3,"more than the pace":1}}`, []string{"VIOLATION: more than the pace at proxy-a, 1 times",
+			"VIOLATION: warm too early at proxy-a, 3 times"}},
+		{`{"version":1}`, []string{"VIOLATION: more than the pace at proxy-a, 1 times", "VIOLATION: warm too early at proxy-a, 3 times"}},
+		{`not JSON`, []string{"VIOLATION: more than the pace at proxy-a, 1 times", "VIOLATION: warm too early at proxy-a, 3 times"}},
+	} {
+		answer = c.answer
+		w.look(t.Context(), addresses)
+		if got := w.lines(); !slices.Equal(got, c.lines) {
+			t.Errorf("after %s: %q", c.answer, got)
+		}
+	}
+	if w.asked != 5 {
+		t.Errorf("%d statuses were read, want 5", w.asked)
+	}
+}
