--- /dev/null
+++ b/internal/lab/soak/result_test.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gradeusher.example/gradeusher/internal/lab/world"
+	"gradeusher.example/gradeusher/internal/lab/world/rules"
+	"gradeusher.example/gradeusher/internal/system/staff"
+)
+
+// judged is a player whose run is over, with nothing broken yet.
+func judged() *player {
+	evidence := &rules.Evidence{Bounds: Scene(1).Bounds}
+	return &player{Run: &world.Run{World: &world.World{Evidence: evidence}}, plan: &Plan{Seed: 7, For: Shortest}, broken: []string{}}
+}
+
+// TestJudgeNamesWhatBroke: each kind of fault ends a seed as broken, under its name. Danger: one that is seen and not told.
+func TestJudgeNamesWhatBroke(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		report world.Report
+		player func(p *player)
+	}{
+		{name: ""},
+		{name: "TWICE", report: world.Report{Verdicts: []rules.Verdict{{Rule: "MIXED", Looked: 3}, {Rule: "TWICE", Broken: 2, Examples: []string{"it ran"}}}}},
+		{name: "DIED", report: world.Report{Died: []string{"proxy"}}},
+		{name: "STOP", report: world.Report{Killed: []string{"keeper"}}},
+		{name: "READ", report: world.Report{ReadError: errors.New("nobody answers")}},
+		{name: "VIOLATION", player: func(p *player) { p.watch.most = map[string]int64{"pace at proxy": 1} }},
+		{name: "RECOVER", player: func(p *player) { p.fault("RECOVER", "not\nserved") }},
+	} {
+		p := judged()
+		if c.player != nil {
+			c.player(p)
+		}
+		r := p.judge(&c.report)
+		if r.Held() != (c.name == "") || c.name != "" && (len(r.Broken) != 1 || !strings.HasPrefix(r.Broken[0], c.name+": ") || strings.Contains(r.Broken[0], "\n")) {
+			t.Errorf("%s: %q", c.name, r.Broken)
+		}
+		if word := " held "; strings.Contains(r.String(), word) != r.Held() {
+			t.Errorf("%s: %s", c.name, r)
+		}
+		if line, err := json.Marshal(r); err != nil || !strings.Contains(string(line), `"seed":7`) || strings.Contains(string(line), "null") {
+			t.Errorf("%s: %s, %v", c.name, line, err)
+		}
+	}
+}
+
+// TestJudgeTellsFloods: the figures of cold servers are those that FAILBACK goes by.
+func TestJudgeTellsFloods(t *testing.T) {
+	p := judged()
+	flood := int(20*p.Evidence.Bounds.ColdExcess+p.Evidence.Bounds.ColdSlack) + 1
+	for i := range flood {
+		p.Evidence.Arrive(&rules.Arrival{At: rules.Time(i + 1), Server: "i-1", Cold: true, Bound: 20, Ran: rules.Never})
+	}
+	p.Evidence.Arrive(&rules.Arrival{At: 1, Server: "i-2", Cold: true, Bound: 20, Ran: rules.Never})
+	if r := p.judge(&world.Report{}); r.Cold != 2 || r.Flooded != 1 || r.Peak != flood || r.Bound != float64(flood-1) {
+		t.Errorf("%+v", r)
+	}
+	if text := (story{p.Evidence}).String(); strings.Count(text, "i-1 got ") != flood || strings.Contains(text, "i-2") {
+		t.Errorf("%s", text)
+	}
+}
+
+// TestSettled: a seed is not over while no keeper is current, or while an evacuation is held that was taken back.
+func TestSettled(t *testing.T) {
+	var status staff.KeeperStatus
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := json.NewEncoder(w).Encode(status); err != nil {
+			t.Error(err)
+		}
+	}))
+	defer s.Close()
+	w := &watch{client: staff.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	keepers := []string{s.Listener.Addr().String()}
+	for _, c := range []struct {
+		status staff.KeeperStatus
+		good   bool
+	}{
+		{staff.KeeperStatus{}, false},
+		{staff.KeeperStatus{Current: true, Evacuated: []string{"north-a"}}, false},
+		{staff.KeeperStatus{Current: true}, true},
+	} {
+		status = c.status
+		if err := w.settled(t.Context(), keepers); (err == nil) != c.good {
+			t.Errorf("%+v: %v", c.status, err)
+		}
+	}
+	s.Close()
+	if err := w.settled(t.Context(), keepers); err == nil {
+		t.Error("no keeper answers, and that is taken for settled")
+	}
+}
+
+func TestSleep(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	if !sleep(ctx, time.Nanosecond) {
+		t.Error("it ended before its time")
+	}
+	cancel()
+	if sleep(ctx, time.Hour) {
+		t.Error("it did not end with its context")
+	}
+}
+
+// TestDrawn: a share of none is never drawn, and one of all always is.
+func TestDrawn(t *testing.T) {
+	var s share
+	for _, v := range []float64{0, 1, 0} {
+		s.set(v)
+		if all := slices.Repeat([]bool{v == 1}, 50); !slices.Equal(all, draws(&s, 50)) {
+			t.Errorf("a share of %v: %v", v, draws(&s, 50))
+		}
+	}
+}
+
+func draws(s *share, n int) (all []bool) {
+	for range n {
+		all = append(all, s.drawn())
+	}
+	return all
+}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"gradeusher.example/gradeusher/internal/lab/world"
 	"gradeusher.example/gradeusher/internal/system/staff"
 )
@@ -130,25 +128,11 @@
 			p.fault("RECOVER", err.Error())
 		}
 	}
-	if err := world.Await(ctx, p.settled); err != nil {
+	if err := world.Await(ctx, func(ctx context.Context) error { return p.watch.settled(ctx, p.Fleet.Keepers()) }); err != nil {
 		p.fault("RECOVER", err.Error())
 	}
 }
 
-// settled tells whether a keeper is current and holds no evacuation.
-func (p *player) settled(ctx context.Context) error {
-	f, err := p.watch.client.Fleet(ctx, p.Fleet.Keepers())
-	switch {
-	case err != nil:
-		return err
-	case !f.Current():
-		return errors.New("no keeper is current")
-	case len(f.Evacuated) > 0:
-		return errors.Newf("zones %v are evacuated, and all evacuations were taken back", f.Evacuated)
-	}
-	return nil
-}
-
 // addresses are those at which processes tell their status.
 func (p *player) addresses() map[string]string {
 	all := map[string]string{}
--- a/internal/lab/soak/watch.go
+++ b/internal/lab/soak/watch.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"gradeusher.example/gradeusher/internal/system/staff"
 )
 
@@ -71,6 +73,20 @@
 	return all
 }
 
+// settled tells whether a keeper is current and holds no evacuation.
+func (w *watch) settled(ctx context.Context, keepers []string) error {
+	f, err := w.client.Fleet(ctx, keepers)
+	switch {
+	case err != nil:
+		return err
+	case !f.Current():
+		return errors.New("no keeper is current")
+	case len(f.Evacuated) > 0:
+		return errors.Newf("zones %v are evacuated, and all evacuations were taken back", f.Evacuated)
+	}
+	return nil
+}
+
 // violations asks a process for its status, and gives what its invariants have counted by name.
 func violations(ctx context.Context, address string) (map[string]int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusWithin)
--- a/internal/lab/world/rules/check_test.go
+++ b/internal/lab/world/rules/check_test.go
@@ -135,6 +135,18 @@
 	}
 }
 
+func TestInTouch(t *testing.T) {
+	s := newScene()
+	all := len(s.Tries)
+	if n := s.InTouch(); all == 0 || n != all {
+		t.Errorf("%d of %d without trouble", n, all)
+	}
+	s.Begin(Trouble{Proxy: oneProxy, Kind: "cut"})
+	if n := s.InTouch(); n != 0 {
+		t.Errorf("%d of %d through a proxy that is cut off", n, all)
+	}
+}
+
 func TestVerdictLine(t *testing.T) {
 	v := Verdict{Rule: "TWICE", Looked: 3}
 	if got := v.String(); got != "TWICE     kept, looked at 3" {
--- a/internal/lab/world/rules/troubles.go
+++ b/internal/lab/world/rules/troubles.go
@@ -88,6 +88,17 @@
 	return true
 }
 
+// InTouch is how many of the clients' tries ended at a proxy in touch: those by which rules that are bounded in time are judged.
+func (e *Evidence) InTouch() (n int) {
+	x := &index{Evidence: e, lost: e.coreLost()}
+	for _, t := range e.Tries {
+		if x.inTouch(t.Proxy, t.Ended) {
+			n++
+		}
+	}
+	return n
+}
+
 // stretch is by how much bounds on configurations and evacuations grow at a time, as a keeper was in trouble.
 func (e *Evidence) stretch(from, to Time) Time {
 	for i := range e.Troubles {
