Soak: a zone is taken back cold, shortly before, while the other one is down

Change: servers turn cold 0.3 to 2 s before; a new trouble takes a zone back while all servers of the other one are down, so that all requests of the region go there. That a server is cold now shows in the list as late as its membership, and how long it is so as of the answer. One evacuation at a time now, and servers turn cold only evacuate_ms after a clear yes.

--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -38,6 +38,7 @@
 	ColdReturn      Kind = "cold return of zone"
 	Evacuate        Kind = "evacuate zone, cold at its end"
 	ReturnEvacuated Kind = "cold return while the other zone is evacuated:"
+	TakeBackAlone   Kind = "taking a zone back alone, the other one down:"
 	Drain           Kind = "drain server"
 )
 
@@ -59,6 +60,7 @@
 	Start  time.Duration
 	Length time.Duration
 	Down   time.Duration // of servers that return cold
+	Chill  time.Duration // before an evacuation is taken back the zone's servers turn cold
 	Way    Way
 	Delay  time.Duration // of slow links, one way
 	Jitter time.Duration
@@ -76,6 +78,9 @@
 	if t.Down > 0 {
 		text += fmt.Sprintf(", down %v", t.Down.Round(time.Millisecond))
 	}
+	if t.Chill > 0 {
+		text += fmt.Sprintf(", cold %v before it is taken back", t.Chill.Round(time.Millisecond))
+	}
 	if t.Way != BothWays {
 		text += ", " + [...]string{"", "outward only", "inward only"}[t.Way]
 	}
@@ -108,7 +113,9 @@
 	mostTries   = 40                     // draws for one place in the schedule
 	apart       = 700 * time.Millisecond // between two troubles of one thing, so that the first one has ended
 	evacuateFor = 1500 * time.Millisecond
-	chillBefore = 2 * time.Second // servers turn cold before their zone is taken back
+	chillBefore = 2 * time.Second // at most, servers turn cold before their zone is taken back
+	chillLeast  = 300 * time.Millisecond
+	aloneFor    = 2 * time.Second // all requests of a region go to a zone that was just taken back
 	coldMargin  = time.Second     // after the cold state has ended
 )
 
@@ -206,12 +213,14 @@
 		return []string{"answers of " + t.Target}
 	case LoseAcks:
 		return []string{"answers to the operator"}
-	case Evacuate:
-		return []string{"evacuation", "servers"}
-	case ColdReturn:
-		return []string{"servers"}
-	case ReturnEvacuated:
-		return []string{"evacuation", "servers"}
+	case Evacuate, ColdReturn, ReturnEvacuated, TakeBackAlone:
+		all = append(all, "servers of "+t.Target)
+		if t.Kind != ColdReturn {
+			all = append(all, "evacuation")
+		}
+		if t.Other != "" {
+			all = append(all, "servers of "+t.Other)
+		}
 	}
 	return all
 }
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"gradeusher.example/gradeusher/internal/lab/world"
 	"gradeusher.example/gradeusher/internal/system/staff"
 )
@@ -43,9 +45,11 @@
 	watch  watch
 
 	mu     sync.Mutex
-	broken []string        // never nil
-	owed   map[string]bool // zones whose evacuation was not clearly taken back
-	orders int             // acknowledged
+	broken []string // never nil
+	// evacuating is held by the one trouble that may evacuate: an answer that comes late has one last longer than it was drawn.
+	evacuating chan struct{}
+	owed       map[string]bool // zones whose evacuation was not clearly taken back
+	orders     int             // acknowledged
 }
 
 // Play runs a plan against real processes and judges it. The error is that of a run that could not be begun.
@@ -59,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &player{Run: run, plan: o.Plan, tell: o.Tell, owed: map[string]bool{}, broken: []string{},
+	p := &player{Run: run, plan: o.Plan, tell: o.Tell, owed: map[string]bool{}, broken: []string{}, evacuating: make(chan struct{}, 1),
 		watch: watch{client: staff.Client{Transport: &http.Transport{DisableKeepAlives: true}}}}
 	if p.tell == nil {
 		p.tell = func(string) {}
@@ -71,6 +75,9 @@
 	}
 	p.watch.look(ctx, p.addresses())
 	result := p.judge(run.Finish())
+	if err := ctx.Err(); err != nil {
+		return nil, errors.Wrapf(err, "seed %d was broken off, and is not judged", o.Plan.Seed)
+	}
 	return result, result.keep(o.Folder, o.Plan, story{run.Evidence})
 }
 
