--- a/internal/lab/world/list.go
+++ b/internal/lab/world/list.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,8 @@
 	Stage    string        `json:"stage,omitempty"`
 	Models   []listedModel `json:"models,omitempty"`
 	ID       string        `json:"id"`
+
+	coldTill time.Duration // from which ColdLeft is told when an answer is made
 }
 
 // Platform is the stand-in of the platform's list: PROTOCOL.md "Service discovery".
@@ -110,6 +113,10 @@
 	shown := p.past[0].instances
 	p.mu.Unlock()
 	page, next := p.page(shown, r.URL.Query().Get("zone"), r.URL.Query().Get("page_token"))
+	page = slices.Clone(page) // what is shown stays
+	for i := range page {
+		page[i].ColdLeft = max(0, page[i].coldTill-now).Milliseconds()
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(struct { // to a caller that has gone
 		Instances []Instance `json:"instances"`
@@ -154,7 +161,7 @@
 		return Instance{}, false
 	}
 	i := Instance{Target: s.Service, Address: s.address, Zone: s.Zone, Revision: "v1", Slots: s.slots(), Phase: "serving",
-		ColdLeft: max(0, s.coldTill-now).Milliseconds(), ID: s.id}
+		ID: s.id, coldTill: s.coldTill}
 	if s.draining {
 		i.Phase = draining
 	}
--- a/internal/lab/world/list_test.go
+++ b/internal/lab/world/list_test.go
@@ -69,6 +69,34 @@
 	}
 }
 
+// TestListTellsColdOfNow: that a server is cold shows as late as all else; how long it is so is told as of the answer.
+func TestListTellsColdOfNow(t *testing.T) {
+	p := newTestPlatform()
+	p.Rate = 100
+	cold := func() int64 {
+		w := httptest.NewRecorder()
+		p.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/instances", nil))
+		var page struct{ Instances []Instance }
+		if err := json.Unmarshal(w.Body.Bytes(), &page); err != nil || len(page.Instances) != 1 {
+			t.Fatalf("%s: %v", w.Body.String(), err)
+		}
+		return page.Instances[0].ColdLeft
+	}
+	p.stand = []Instance{{ID: "i"}}
+	p.Observe()
+	p.at = time.Second
+	p.stand = []Instance{{ID: "i", coldTill: 4 * time.Second}}
+	p.Observe()
+	for _, c := range []struct {
+		at   time.Duration
+		left int64
+	}{{time.Second + p.Lag - 1, 0}, {time.Second + p.Lag, 2200}, {3500*time.Millisecond + 1, 499}, {5 * time.Second, 0}} {
+		if p.at = c.at; cold() != c.left {
+			t.Errorf("at %v: %d ms, want %d", c.at, cold(), c.left)
+		}
+	}
+}
+
 func TestListLags(t *testing.T) {
 	p := newTestPlatform()
 	p.Rate = 100
