The invariant of cold ends judges a request by the end by which it went

Change: the end is noted with the first request as to a warm server. Measured: TestZoneTakenBackIsNoViolation failed and passes.

--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -132,7 +132,7 @@
 			s.tokenRate = 0
 		}
 	case s.wasCold:
-		s.wasCold, s.warmedAt, s.coldSent = false, now, coldWindow{}
+		s.wasCold, s.warmedAt, s.warmedFrom, s.coldSent = false, now, s.coldUntil, coldWindow{}
 		p.stats.ColdEnds++
 	}
 }
@@ -151,9 +151,8 @@
 		p.setCold(now, s, until)
 	} else {
 		if s.cold(now) {
-			s.coldEnd = now
+			s.coldUntil = now
 		}
-		s.coldUntil = now
 	}
 }
 
--- a/internal/system/proxy/pick/invariants.go
+++ b/internal/system/proxy/pick/invariants.go
@@ -52,6 +52,6 @@
 	// The cold state that is told began at this moment at the latest. One that began after the end by which the
 	// server was taken for warm is another one, which no reading could show in time.
 	began := now + s.Cold - p.coldFor(s.Service)
-	coldEndKept.Check(began > s.coldEnd)
+	coldEndKept.Check(began > s.warmedFrom)
 	s.warmedAt = 0
 }
--- a/internal/system/proxy/pick/invariants_test.go
+++ b/internal/system/proxy/pick/invariants_test.go
@@ -49,3 +49,25 @@
 		p.Done(0, p.send(0, Choice{}, r, p.servers["s0"], cost{}, &chain{}).Ticket, Served, 0)
 	})
 }
+
+// TestZoneTakenBackIsNoViolation: a server was cold and got its first request as a warm one; its zone is evacuated, and taken back
+// after the server has turned cold anew. The guess that paces it until the list can tell says nothing of that request.
+func TestZoneTakenBackIsNoViolation(t *testing.T) {
+	const back = 12 * time.Second
+	f := newColdFleet(1)
+	p := f.pickers[0]
+	before := coldEndKept.Violations()
+	p.SetWorld(0, f.world(0, 1, coldFor))
+	f.press(0, coldFor+100*time.Millisecond, 10*time.Millisecond, nil)
+	w := f.world(0, 1, 0)
+	w.Evacuated = map[string]bool{"z": true}
+	p.SetWorld(5*time.Second, w)
+	w.Evacuated = nil
+	p.SetWorld(back, w)
+	w = f.world(0, 1, 1700*time.Millisecond)
+	w.Servers[0].ColdLeast = time.Second
+	p.SetWorld(back+500*time.Millisecond, w)
+	if coldEndKept.Violations() != before {
+		t.Error("counted as a fault")
+	}
+}
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -56,9 +56,9 @@
 	speed float64 // of reading prompts, against the fleet's
 
 	coldUntil, coldTold, holderSince Time
-	coldEnd                          Time // the end of the cold state before, as it was known when it ended
 	wasCold                          bool // no request was sent to it as a warm one since it turned cold
 	warmedAt                         Time // when the first one was; 0: none, or it was judged
+	warmedFrom                       Time // the end of the cold state by which it went
 	coldSent                         coldWindow
 	listed                           bool // in a list before
 	holder                           bool // this proxy may send to it while it is cold
@@ -131,7 +131,7 @@
 		s.wasCold, s.coldSent = true, coldWindow{}
 		p.stats.ColdStarts++
 	}
-	s.coldUntil, s.coldEnd = until, until
+	s.coldUntil = until
 }
 
 // doubted tells whether s gets nothing because of failures. One trial at a time may go to a server whose time is over.
