--- a/internal/system/proxy/pick/coldshare_test.go
+++ b/internal/system/proxy/pick/coldshare_test.go
@@ -55,6 +55,20 @@
 	}
 }
 
+// loseHolders has all proxies know a cold server, and names some that hold it, by number, and all the others.
+func (f *coldFleet) loseHolders(count int) (lost map[int]bool, left []string) {
+	lost = map[int]bool{}
+	for i, p := range f.pickers {
+		p.SetWorld(0, f.world(i, 1, time.Minute))
+		if p.servers["s0"].holder && len(lost) < count {
+			lost[i] = true
+		} else {
+			left = append(left, f.names[i])
+		}
+	}
+	return lost, left
+}
+
 func (f *coldFleet) check(t *testing.T) {
 	t.Helper()
 	if most := mostInASecond(f.sent); float64(most) > coldMost {
@@ -111,18 +125,7 @@
 	for _, count := range []int{3, 4, 6, 9, 17} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			f := newColdFleet(60)
-			for i, p := range f.pickers {
-				p.SetWorld(0, f.world(i, 1, time.Minute))
-			}
-			lost := map[int]bool{}
-			var left []string
-			for i, p := range f.pickers {
-				if p.servers["s0"].holder && len(lost) < count {
-					lost[i] = true
-				} else {
-					left = append(left, f.names[i])
-				}
-			}
+			lost, left := f.loseHolders(count)
 			f.press(0, 8*time.Second, 10*time.Millisecond, func(now Time) {
 				for i, p := range f.pickers {
 					w := f.world(i, 1, time.Minute-now)
--- a/internal/system/proxy/pick/coldsplit_test.go
+++ b/internal/system/proxy/pick/coldsplit_test.go
@@ -20,18 +20,7 @@
 			for _, idle := range []bool{false, true} {
 				t.Run(fmt.Sprint(count, hear, idle), func(t *testing.T) {
 					f := newColdFleet(60)
-					for i, p := range f.pickers {
-						p.SetWorld(0, f.world(i, 1, time.Minute))
-					}
-					lost := map[int]bool{}
-					var left []string
-					for i, p := range f.pickers {
-						if p.servers["s0"].holder && len(lost) < count {
-							lost[i] = true
-						} else {
-							left = append(left, f.names[i])
-						}
-					}
+					lost, left := f.loseHolders(count)
 					tell := func(now Time) {
 						for i, p := range f.pickers {
 							w := f.world(i, 1, time.Minute-now)
@@ -57,7 +46,6 @@
 						f.press(0, back+3*time.Second, 10*time.Millisecond, tell)
 					}
 					f.check(t)
-					t.Logf("most %d", mostInASecond(f.sent))
 				})
 			}
 		}
@@ -89,7 +77,6 @@
 			}
 			f.press(starts, starts+coldFor, 10*time.Millisecond, nil)
 			f.check(t)
-			t.Logf("most %d", mostInASecond(f.sent))
 		})
 	}
 }
@@ -142,18 +129,7 @@
 		for _, back := range []int{6, 9, 17} {
 			t.Run(fmt.Sprint(hear, back), func(t *testing.T) {
 				f := newColdFleet(60)
-				for i, p := range f.pickers {
-					p.SetWorld(0, f.world(i, 1, time.Minute))
-				}
-				lost := map[int]bool{}
-				var left []string
-				for i, p := range f.pickers {
-					if p.servers["s0"].holder && len(lost) < back {
-						lost[i] = true
-					} else {
-						left = append(left, f.names[i])
-					}
-				}
+				lost, left := f.loseHolders(back)
 				// The lost ones start anew at 0 without a keeper, and reach one at ends.
 				for i, p := range f.pickers {
 					w := f.world(i, 1, time.Minute)
@@ -174,7 +150,6 @@
 					}
 				})
 				f.check(t)
-				t.Logf("most %d", mostInASecond(f.sent))
 			})
 		}
 	}
@@ -366,7 +341,6 @@
 			}
 			f.press(starts+800*time.Millisecond, starts+coldFor, 10*time.Millisecond, nil)
 			f.check(t)
-			t.Logf("most %d", mostInASecond(f.sent))
 		})
 	}
 }
