--- a/internal/system/platform/client.go
+++ b/internal/system/platform/client.go
@@ -135,8 +135,9 @@
 	}
 }
 
-// List gives the servers of a zone, or of all zones where it is empty, sorted by id, with their cold states as of the last page. It is whole or an error of the
-// kinds ErrRate, ErrAnswer or ErrReach: never a part. Each page has the client's timeout; ctx bounds them together.
+// List gives the servers of a zone, or of all zones where it is empty, sorted by id, with their cold states as of the last page.
+// It is whole or an error of the kinds ErrRate, ErrAnswer or ErrReach: never a part. Each page has the client's timeout; ctx
+// bounds them together.
 func (c *Client) List(ctx context.Context, zone string) ([]Instance, error) {
 	var (
 		list   []Instance
--- a/internal/system/platform/poller.go
+++ b/internal/system/platform/poller.go
@@ -22,7 +22,8 @@
 	Fence, Version uint64
 	Instances      []Instance
 
-	// The platform was asked and had answered at these moments of the monotonic clock: its durations count from between them.
+	// The platform was asked and had answered, with its last page, at these moments of the monotonic clock. Remaining counts
+	// from between them, ColdLeft from when the last page was made.
 	Asked, Answered time.Time
 }
 
