--- a/internal/system/distribution/age.go
+++ b/internal/system/distribution/age.go
@@ -16,9 +16,6 @@
 // before tells the moments between which something was made that is so old now.
 func (a Age) before(now time.Time) Moments { return Moments{now.Add(-a.Most), now.Add(-a.Least)} }
 
-// exactAge is the age of what is known to be d old.
-func exactAge(d time.Duration) Age { return Age{d, d} }
-
 // plus is the age after a hop whose duration is bounded likewise.
 func (a Age) plus(hop Age) Age { return Age{a.Least + hop.Least, a.Most + hop.Most} }
 
--- a/internal/system/distribution/unit_test.go
+++ b/internal/system/distribution/unit_test.go
@@ -321,3 +321,6 @@
 
 // madeAgo is when something was made that is so old now.
 func madeAgo(age Age) Moments { return age.before(time.Now()) }
+
+// exactAge is the age of what is known to be d old.
+func exactAge(d time.Duration) Age { return Age{d, d} }
--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -117,7 +117,7 @@
 	}
 	_, each := p.coldHolders(s.coldRate())
 	paced := (1 - s.token) / each * 1000
-	return min(max(paced, ms(from-now)+paced), ms(s.coldUntil-now))
+	return min(paced+max(0, ms(from-now)), ms(s.coldUntil-now))
 }
 
 // spendCold takes note of a request that is sent to s now, which draws on the pace where s is cold.
@@ -149,10 +149,8 @@
 	}
 	if until > now {
 		p.setCold(now, s, until)
-	} else {
-		if s.cold(now) {
-			s.coldUntil = now
-		}
+	} else if s.cold(now) {
+		s.coldUntil = now
 	}
 }
 
