A reading of the list tells which records of the control state it covers

Cause: whether a zone that was taken back may hold servers that turned cold unseen was told by comparing two worlds of a proxy and by the list's age. An evacuation between two updates, or before a proxy's start, left no mark; the mark was lost with a server that one reading lacked or a service that the configuration lacked for a moment; and the age counted from when an update was made, not used. A keeper notes when it knew which record to be committed; a reading that it asked for lag_ms later covers that record and tells so. Proxies pace the servers of a zone until a reading covers its last change, cold_s at most, counted from when they heard of it. Durations of a world count from when they were right.

--- a/cmd/keeper/feed.go
+++ b/cmd/keeper/feed.go
@@ -37,7 +37,8 @@
 
 func newFeed(s *settings.Settings, logger log.Interface, chain *links) *feed {
 	f := &feed{settings: s, log: logger, chain: chain, fence: ownership.NewFence(s.IP), client: platform.NewClient(platform.Options{Address: s.Cloud.Address})}
-	f.hub = distribution.NewHub(distribution.HubOptions{Source: chain, Self: s.IP, Zone: s.Zone, Region: s.Region, Peers: f.peers, Log: logger})
+	f.hub = distribution.NewHub(distribution.HubOptions{Source: chain, Self: s.IP, Zone: s.Zone, Region: s.Region,
+		ListLag: settings.Milliseconds(s.Cloud.Lag), Peers: f.peers, Log: logger})
 	f.poller = platform.NewPoller(platform.PollerOptions{Lister: f.client, Duty: f.duty, Newest: f.newest, OnResult: f.listed,
 		Interval: pollEvery, CallRate: max(s.Cloud.Rate*pollPart, 1), Log: logger})
 	return f
--- a/cmd/proxy/run.go
+++ b/cmd/proxy/run.go
@@ -158,7 +158,8 @@
 	if configured, listed := u.State.Config != nil, u.Listed; !p.isComplete && (configured || listed) {
 		p.log.WithField("configured", configured).WithField("listed", listed).Info("proxy: learning")
 	}
-	p.dataPlane.SetWorld(pick.World{Config: u.State.Config, Evacuated: u.State.Evacuated, Servers: u.Servers, ListAge: u.ListAge,
+	p.dataPlane.SetWorld(u.AsOf, pick.World{Config: u.State.Config, Evacuated: u.State.Evacuated, ZoneChanges: zoneChanges(u),
+		Servers: u.Servers, ListCovers: u.ListCovers, WordAge: u.WordAge,
 		Self: p.settings.Node, Peers: live, Lost: u.Lost, Partial: u.Partial, Stale: u.Stale})
 	p.follower.AwaitList(p.dataPlane.AwaitsList())
 	p.directory.Set(fronts)
@@ -171,6 +172,15 @@
 	}
 }
 
+// zoneChanges tells which record last changed each zone that servers are in.
+func zoneChanges(u distribution.Update) map[string]uint64 {
+	changes := map[string]uint64{}
+	for _, s := range u.Servers {
+		changes[s.Zone] = u.State.ZoneChanged(s.Zone)
+	}
+	return changes
+}
+
 // leave is the planned end: the directory and readiness turn clients away first, then what is held is finished.
 func (p *server) leave() {
 	p.log.Info("proxy: leaving")
@@ -189,7 +199,7 @@
 	s := p.settings
 	return pick.Settings{Zone: s.Zone, Region: s.Region, Regions: s.Zones, RetryRatio: s.Bounds.RetryRatio,
 		RetryWindow: settings.Seconds(s.Bounds.RetryWindowS), RetrySlack: s.Bounds.RetrySlack,
-		ColdExcess: s.Bounds.ColdExcess, ColdSlack: s.Bounds.ColdSlack, ListLag: settings.Milliseconds(s.Cloud.Lag), Seed: p.seed()}
+		ColdExcess: s.Bounds.ColdExcess, ColdSlack: s.Bounds.ColdSlack, Seed: p.seed()}
 }
 
 // seed lets proxies begin their rotations at different places.
--- a/internal/system/controlstate/state.go
+++ b/internal/system/controlstate/state.go
@@ -207,13 +207,17 @@
 	return nil
 }
 
-// Forgetful returns the state without its memory of changes, for those who only follow: it and those that Apply makes of
-// it hold the same configuration and zones, are smaller, and never tell that a change was applied before.
+// Forgetful returns the state without its memory of the configuration's changes, for those who only follow: it and those that
+// Apply makes of it hold the same configuration and zones, are smaller, and never tell that a configuration was applied before.
 func (s *State) Forgetful() *State {
 	return &State{Seq: s.Seq, Config: s.Config, Evacuated: s.Evacuated,
-		history: history{forgetful: true, base: s.Revision()}, zones: zoneChanges{floor: s.Seq}}
+		history: history{forgetful: true, base: s.Revision()}, zones: s.zones}
 }
 
+// ZoneChanged returns the number of the record that last evacuated a zone or took it back, or a later one where that is not
+// remembered; 0: none did.
+func (s *State) ZoneChanged(zone string) uint64 { return s.zones.changed(zone) }
+
 func refused(r Record, why string) error {
 	return errors.Mark(errors.Newf("record %d cannot be applied: %s; take a snapshot from another keeper", r.Seq, why), ErrRefused)
 }
--- a/internal/system/controlstate/zones.go
+++ b/internal/system/controlstate/zones.go
@@ -81,10 +81,6 @@
 	} else {
 		delete(next.Evacuated, r.Zone)
 	}
-	if s.history.forgetful {
-		next.zones = zoneChanges{floor: r.Seq}
-	} else {
-		next.zones = s.zones.with(r.Zone, r.Seq, next.Evacuated)
-	}
+	next.zones = s.zones.with(r.Zone, r.Seq, next.Evacuated)
 	return nil
 }
--- a/internal/system/distribution/follower.go
+++ b/internal/system/distribution/follower.go
@@ -44,15 +44,18 @@
 
 // Update is what a proxy holds. Nothing in it is changed later.
 type Update struct {
-	State   *controlstate.State // Seq 0 and no Config until one has come that was the newest a moment ago, or a neighbour's
-	Members []Member            // the live proxies, this one and those leaving included, by name
-	Servers []pick.Server       // by id; times as of now
-	Listed  bool                // a whole reading of the platform's list has come
-	ListAge time.Duration       // of the newest whole reading, at most
-	Fresh   bool                // a keeper that is current has just told that there is nothing newer
-	Partial bool                // no keeper that knows all live proxies has told of them in this life of the process
-	Lost    int                 // proxies that are marked down, and may live on
-	Stale   bool                // others may have given this proxy up: no current keeper was heard lately, or it is marked down
+	State      *controlstate.State // Seq 0 and no Config until one has come that was the newest a moment ago, or a neighbour's
+	Members    []Member            // the live proxies, this one and those leaving included, by name
+	Servers    []pick.Server       // by id; times as of now
+	Listed     bool                // a whole reading of the platform's list has come
+	ListAge    time.Duration       // of the newest whole reading, at most
+	ListCovers uint64              // the number of the newest record of the control state before which all that happened shows in Servers
+	WordAge    time.Duration       // of the last word of a keeper that was current, at most
+	AsOf       time.Time           // when the durations here were right
+	Fresh      bool                // a keeper that is current has just told that there is nothing newer
+	Partial    bool                // no keeper that knows all live proxies has told of them in this life of the process
+	Lost       int                 // proxies that are marked down, and may live on
+	Stale      bool                // others may have given this proxy up: no current keeper was heard lately, or it is marked down
 }
 
 // Follower is a proxy's end.
@@ -202,12 +205,13 @@
 }
 
 func (f *Follower) held(now time.Time) Update {
-	u := Update{State: f.state, Fresh: f.fresh(now), Partial: !f.whole}
+	u := Update{State: f.state, Fresh: f.fresh(now), Partial: !f.whole, AsOf: now, WordAge: min(now.Sub(f.currentAt), oldest)}
 	u.Stale = f.givenUp(now)
 	if f.freshAt.IsZero() && !f.borrowed && !f.opt.hooks.startOnAny {
 		u.State = controlstate.Empty() // it came late, so it may be old: the next answer tells
 	}
 	u.Servers, u.ListAge, u.Listed = f.table.servers(now)
+	u.ListCovers = f.table.listCovers()
 	seen := false
 	for _, m := range f.table.members() {
 		if m.Node == f.self.Node {
@@ -228,6 +232,9 @@
 	return u
 }
 
+// oldest is the age of what has never come.
+const oldest = time.Hour
+
 func (f *Follower) fresh(now time.Time) bool {
 	return !f.freshAt.IsZero() && now.Sub(f.freshAt) <= FreshFor
 }
--- a/internal/system/distribution/hub.go
+++ b/internal/system/distribution/hub.go
@@ -73,6 +73,7 @@
 	Self         string          // this keeper's address, as the others know it
 	Zone, Region string          // where it is
 	Peers        func() []string // base URLs of the other keepers; nil: none
+	ListLag      time.Duration   // a reading of the platform's list may show what was so long before
 	Transport    http.RoundTripper
 	Log          log.Interface
 	Limits       HubLimits
@@ -112,6 +113,7 @@
 	deaf        time.Time // when it last heard less than half of the other keepers, or stood still
 	snapshots   snapshots
 	compressed  recordCache
+	commits     commitLog
 	room        room
 	calls       calls
 
@@ -218,8 +220,12 @@
 // tick judges followers, adds up loads and forgets what is over.
 func (h *Hub) tick(now time.Time) {
 	current := h.opt.Source.Current()
+	state, _ := h.opt.Source.Committed()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if state != nil {
+		h.commits.note(now, state.Seq)
+	}
 	if gap := now.Sub(h.ticked); gap > h.limits.Silence/2 {
 		// This process stood still, so the silence of others says nothing.
 		for _, f := range h.followers {
--- a/internal/system/distribution/hub_table.go
+++ b/internal/system/distribution/hub_table.go
@@ -61,7 +61,8 @@
 		}
 		return h.merge(now, e, age)
 	}
-	if !write(Entry{Key: listKey, Fence: fence, Version: version}) {
+	covers := h.commits.before(read.Earliest.Add(-h.opt.ListLag))
+	if !write(Entry{Key: listKey, Fence: fence, Version: version, Value: encodeCovers(covers)}) {
 		return errors.Mark(errors.Newf("distribution: the list is fed under a higher fence than %d: ask for the duty again before polling",
 			fence), ErrStale)
 	}
@@ -72,7 +73,7 @@
 		}
 		named[serverPrefix+s.ID] = true
 		if held := h.table.items[serverPrefix+s.ID]; held != nil && !held.Deleted {
-			if was, ok := held.serverAt(now); ok && covers(was, countDown(s, age)) {
+			if was, ok := held.serverAt(now); ok && standsBeside(was, countDown(s, age)) {
 				continue
 			}
 		}
--- /dev/null
+++ b/internal/system/distribution/list_covers_test.go
@@ -0,0 +1,63 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// TestCommitLog: what was certainly committed at a moment, by notes that come from time to time.
+func TestCommitLog(t *testing.T) {
+	var l commitLog
+	begin := time.Now()
+	at := func(d time.Duration) time.Time { return begin.Add(d) }
+	if got := l.before(begin); got != 0 {
+		t.Errorf("%d before any", got)
+	}
+	l.note(at(time.Second), 3)
+	l.note(at(2*time.Second), 3)
+	l.note(at(3*time.Second), 5)
+	for when, want := range map[time.Duration]uint64{0: 0, time.Second: 3, 2500 * time.Millisecond: 3, 3 * time.Second: 5, time.Hour: 5} {
+		if got := l.before(at(when)); got != want {
+			t.Errorf("at %v: %d, want %d", when, got, want)
+		}
+	}
+	for i := range 10 * commitNotes {
+		l.note(at(time.Duration(4+i)*time.Second), uint64(6+i))
+	}
+	if len(l.notes) != commitNotes || l.before(at(3*time.Second)) != 0 {
+		t.Errorf("%d notes; at 3 s %d", len(l.notes), l.before(at(3*time.Second)))
+	}
+	if got := l.before(at(time.Hour)); got != uint64(5+10*commitNotes) {
+		t.Errorf("at last %d", got)
+	}
+}
+
+// TestReadingTellsWhatItCovers: a keeper's reading covers the records that it knew lag before it asked, and proxies hear which.
+func TestReadingTellsWhatItCovers(t *testing.T) {
+	const lag = 800 * time.Millisecond
+	h := NewHub(HubOptions{Source: &source{chain: newChain(), keepers: []string{"k"}}, Self: "k", Log: quiet(), ListLag: lag})
+	begin := time.Now().Add(-10 * time.Second)
+	h.commits.note(begin, 4)
+	h.commits.note(begin.Add(time.Second), 5)
+	f := NewFollower(FollowerOptions{Log: quiet()})
+	for _, read := range []struct {
+		asked  time.Duration
+		covers uint64
+	}{{lag - 1, 0}, {lag, 4}, {time.Second + lag - 1, 4}, {time.Second + lag, 5}} {
+		asked := begin.Add(read.asked)
+		if err := h.PutList(1, 1, []pick.Server{{ID: "s"}}, Moments{asked, asked.Add(time.Millisecond)}); err != nil {
+			t.Fatal(err)
+		}
+		if got := h.table.listCovers(); got != read.covers {
+			t.Errorf("asked at %v: covers %d, want %d", read.asked, got, read.covers)
+		}
+		told := toWire(time.Now(), []*item{h.table.items[listKey]})
+		f.takeEntries(time.Now(), Age{}, &distributionpb.FollowReply{Entries: told})
+		if got := f.Held().ListCovers; got != read.covers {
+			t.Errorf("asked at %v: a proxy hears %d, want %d", read.asked, got, read.covers)
+		}
+	}
+}
--- a/internal/system/distribution/values.go
+++ b/internal/system/distribution/values.go
@@ -98,10 +98,10 @@
 	coldGrain = 2 * time.Millisecond
 )
 
-// covers tells whether what is held of a server stands beside a new reading of it, both with their times as of now, so that
+// standsBeside tells whether what is held of a server stands beside a new reading of it, both with their times as of now, so that
 // the entry need not be written again.
-func covers(held, read pick.Server) bool {
-	ok := coversCold(held, read) && (held.Remaining-read.Remaining).Abs() <= remainingSlack &&
+func standsBeside(held, read pick.Server) bool {
+	ok := coldStandsBeside(held, read) && (held.Remaining-read.Remaining).Abs() <= remainingSlack &&
 		(held.Remaining > 0) == (read.Remaining > 0)
 	for _, s := range []*pick.Server{&held, &read} {
 		s.Cold, s.ColdLeast, s.Remaining = 0, 0, 0
@@ -109,9 +109,9 @@
 	return ok && held == read
 }
 
-// coversCold tells whether a server is held to be cold for about as long as a new reading says, and never for less than it
+// coldStandsBeside tells whether a server is held to be cold for about as long as a new reading says, and never for less than it
 // may be. A later end counts even where both may be of one cold state, as that may have been extended in between.
-func coversCold(held, read pick.Server) bool {
+func coldStandsBeside(held, read pick.Server) bool {
 	return read.Cold <= held.Cold && held.Cold-read.Cold <= coldSlack
 }
 
--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -141,8 +141,10 @@
 func (p *Picker) listCold(now Time, s *server) {
 	p.checkColdEnd(now, s)
 	until := now + s.Cold
-	if s.unproven = s.unproven && !p.proven(now, s); s.unproven {
-		until = max(until, s.unprovenAt+p.coldFor(s.Service))
+	if latest := p.unseenColdEnd(s); now < latest {
+		s.unproven, until = true, max(until, latest)
+	} else {
+		s.unproven = false
 	}
 	if now-s.coldTold < coldHintLife && s.coldTold > 0 || s.unproven {
 		until = max(until, s.coldUntil) // the server's own word counts, or the list cannot know yet
@@ -154,10 +156,39 @@
 	}
 }
 
-// proven tells whether the list would show that s turned cold up to the moment unprovenAt, or that cold state would be over.
-func (p *Picker) proven(now Time, s *server) bool {
-	read := now - p.world.ListAge
-	return read >= s.unprovenAt+p.set.ListLag || now >= s.unprovenAt+p.coldFor(s.Service)
+// unseenColdEnd is when a cold state of s would be over, at the latest, that the list can't show yet: the servers of a zone that
+// is taken back may have become cold shortly before.
+func (p *Picker) unseenColdEnd(s *server) Time {
+	change, ok := p.zoneChanges[s.Zone]
+	if !ok || change.number <= p.world.ListCovers || p.world.Evacuated[s.Zone] {
+		return 0
+	}
+	return change.heard + p.coldFor(s.Service)
+}
+
+// zoneChange is the record that last evacuated a zone or took it back, and when this proxy heard of it.
+type zoneChange struct {
+	number uint64
+	heard  Time
+}
+
+// zoneChanges are those of the zones by name. A zone whose servers are gone is remembered for zoneMemory.
+type zoneChanges map[string]zoneChange
+
+const zoneMemory = time.Minute
+
+// note takes in the numbers of the zones' last changes.
+func (z zoneChanges) note(now Time, numbers map[string]uint64) {
+	for zone, number := range numbers {
+		if number > 0 && z[zone].number != number {
+			z[zone] = zoneChange{number, now}
+		}
+	}
+	for zone, change := range z {
+		if _, listed := numbers[zone]; !listed && now-change.heard > zoneMemory {
+			delete(z, zone)
+		}
+	}
 }
 
 // coldFor is how long servers of a service stay cold; 0: they are never cold, as far as is known.
--- a/internal/system/proxy/pick/invariants.go
+++ b/internal/system/proxy/pick/invariants.go
@@ -12,7 +12,7 @@
 	coldPaceKept = invariant.New("pick_cold_pace_kept",
 		"in any second a proxy sends a cold server no more than its part of the pace and one request")
 	coldEndKept = invariant.New("pick_cold_end_kept",
-		"no request goes as to a warm server to one that a later reading of the list shows to have been cold then")
+		"a server that was taken for cold gets no request as a warm one before that cold state is over by later readings of the list")
 	sendsAllowed = invariant.New("pick_sends_allowed",
 		"no request goes to a server that drains, lies in an evacuated zone or outside the route's home regions")
 )
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -18,8 +18,7 @@
 	RetryWindow time.Duration // the span in which they are counted; default 10 s
 	RetrySlack  float64       // repeats that all proxies together may make beside the ratio
 
-	ColdExcess, ColdSlack float64       // the bound on a cold server in any second is its rate × ColdExcess + ColdSlack
-	ListLag               time.Duration // a reading of the list may show what was so long before
+	ColdExcess, ColdSlack float64 // the bound on a cold server in any second is its rate × ColdExcess + ColdSlack
 
 	Seed        uint64        // of the rotation's starting points
 	CrossRegion time.Duration // one way to another region; default 40 ms
@@ -30,29 +29,30 @@
 
 // Picker decides for one proxy. It is not safe for concurrent use: the caller locks. The zero value is not usable.
 type Picker struct {
-	set        Settings
-	world      World
-	started    Time
-	known      bool // SetWorld was called
-	servers    map[string]*server
-	groups     map[string]*group // by service
-	rotations  map[*conf.Route]*rotation
-	regions    map[string]int // small numbers for regions; 0 is this proxy's own
-	names      []string       // of the regions, by number
-	sends      map[uint64]*send
-	free       *send // sends to be used again
-	ticket     uint64
-	costs      []cost // scratch, one for each server of the group that is looked at
-	prompt     chain  // scratch, of the request that is looked at
-	weigher    weigher
-	peers      peerCount
-	peersAt    Time // when the live proxies last changed
-	staleSince Time // when it last became Stale
-	resumed    Time // when this proxy was last Stale or Partial
-	othersAt   Time // of the last SetLoads
-	beliefs    beliefs
-	rate       rateEstimate
-	stats      Stats
+	set         Settings
+	world       World
+	started     Time
+	known       bool // SetWorld was called
+	servers     map[string]*server
+	groups      map[string]*group // by service
+	rotations   map[*conf.Route]*rotation
+	regions     map[string]int // small numbers for regions; 0 is this proxy's own
+	names       []string       // of the regions, by number
+	sends       map[uint64]*send
+	free        *send // sends to be used again
+	ticket      uint64
+	costs       []cost // scratch, one for each server of the group that is looked at
+	prompt      chain  // scratch, of the request that is looked at
+	weigher     weigher
+	peers       peerCount
+	peersAt     Time // when the live proxies last changed
+	zoneChanges zoneChanges
+	staleSince  Time // when it last became Stale
+	resumed     Time // when this proxy was last Stale or Partial
+	othersAt    Time // of the last SetLoads
+	beliefs     beliefs
+	rate        rateEstimate
+	stats       Stats
 }
 
 // Stats count what a Picker has done since it was made. They only rise.
@@ -83,15 +83,16 @@
 		s.StepTime = 6 * time.Millisecond
 	}
 	return &Picker{
-		set:       s,
-		servers:   map[string]*server{},
-		groups:    map[string]*group{},
-		rotations: map[*conf.Route]*rotation{},
-		regions:   map[string]int{s.Region: 0},
-		names:     []string{s.Region},
-		sends:     map[uint64]*send{},
-		beliefs:   newBeliefs(),
-		rate:      rateEstimate{value: s.PrefillRate},
+		set:         s,
+		servers:     map[string]*server{},
+		zoneChanges: zoneChanges{},
+		groups:      map[string]*group{},
+		rotations:   map[*conf.Route]*rotation{},
+		regions:     map[string]int{s.Region: 0},
+		names:       []string{s.Region},
+		sends:       map[uint64]*send{},
+		beliefs:     newBeliefs(),
+		rate:        rateEstimate{value: s.PrefillRate},
 	}
 }
 
@@ -107,6 +108,7 @@
 	}
 	before := p.world
 	p.world = w
+	p.zoneChanges.note(now, w.ZoneChanges)
 	p.peers.set(now, len(w.Peers)+w.Lost)
 	if w.Stale && !before.Stale {
 		p.staleSince = now
@@ -130,8 +132,6 @@
 				p.beliefs.drop(s)
 			}
 			s = &server{speed: 1, hash: xxhash.Sum64String(told.ID)}
-		} else if before.Evacuated[told.Zone] && !w.Evacuated[told.Zone] {
-			s.unproven, s.unprovenAt = true, now
 		}
 		p.list(now, s, *told)
 		listed[told.ID] = s
@@ -164,6 +164,8 @@
 		told.Region = p.set.Regions[told.Zone]
 	}
 	s.Server = told
+	s.Cold = max(0, s.Cold-p.world.Delay)
+	s.ColdLeast = max(0, s.ColdLeast-p.world.Delay)
 	s.region = p.regionNumber(told.Region)
 	p.listCold(now, s)
 	if s.gone && now-s.goneAt > goneTime {
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -63,7 +63,6 @@
 	listed                           bool // in a list before
 	holder                           bool // this proxy may send to it while it is cold
 	unproven                         bool // it may have turned cold without a reading of the list that could show it
-	unprovenAt                       Time // the latest moment at which it may have done so
 	token                            float64
 	tokenRate                        float64 // the highest pace, in requests a second, by which token was refilled since it was spent
 	tokenAt                          Time
--- a/internal/system/proxy/pick/types.go
+++ b/internal/system/proxy/pick/types.go
@@ -26,11 +26,16 @@
 
 // World is what is known beside traffic. A new one replaces the old whole.
 type World struct {
+	Delay     time.Duration // since the durations in it were right
 	Config    *conf.Config
 	Evacuated map[string]bool // zones
 	Servers   []Server
-	// ListAge is how long ago, at most, the platform was asked for the reading of the list that Servers come from.
-	ListAge time.Duration
+	// WordAge is how long ago, at most, a current keeper told of this world.
+	WordAge time.Duration
+	// ZoneChanges tells for each zone which record of the control state evacuated it or took it back last; 0: none did. ListCovers
+	// is the number of the newest record before which all that happened to servers certainly shows in Servers.
+	ZoneChanges map[string]uint64
+	ListCovers  uint64
 	// Self is this proxy's name and Peers the names of all live proxies, this one included, sorted: duties such as a cold
 	// server's are cut over them. A proxy that is not among them, or does not know them yet, sends nothing to cold servers.
 	Self  string
--- a/internal/system/proxy/policy.go
+++ b/internal/system/proxy/policy.go
@@ -27,7 +27,7 @@
 	AwaitsList() bool
 }
 
-// policy is a picker behind a lock and a monotonic clock.
+// policy is a picker behind a lock and a monotonic clock. It tells the picker when the process has stood still.
 type policy struct {
 	mu    sync.Mutex
 	inner picker
@@ -43,8 +43,12 @@
 	f(p.inner, time.Since(p.start))
 }
 
-func (p *policy) SetWorld(w pick.World) {
-	p.with(func(i picker, now pick.Time) { i.SetWorld(now, w) })
+// SetWorld hands on a world whose durations are as of asOf.
+func (p *policy) SetWorld(asOf time.Time, w pick.World) {
+	p.with(func(i picker, now pick.Time) {
+		w.Delay = now - asOf.Sub(p.start)
+		i.SetWorld(now, w)
+	})
 }
 
 func (p *policy) SetLoads(loads map[string]pick.Load) {
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -85,9 +85,10 @@
 	return p
 }
 
-// SetWorld replaces what is known of the configuration, the evacuated zones, the servers and the other proxies.
-func (p *Proxy) SetWorld(w pick.World) {
-	p.policy.SetWorld(w)
+// SetWorld replaces what is known of the configuration, the evacuated zones, the servers and the other proxies. The durations in w
+// are as of the moment asOf.
+func (p *Proxy) SetWorld(asOf time.Time, w pick.World) {
+	p.policy.SetWorld(asOf, w)
 	p.upstream.update(w)
 	p.world.Store(&w)
 	if w.Config != nil {
