A proxy that wakes waits for a keeper's word before it chooses

Cause: after a stall of some seconds a proxy chose for all requests in its sockets by what it had known before, while every other proxy knew what keepers had told a moment ago. Ruled out: pacing all servers until a list read lag_ms after the wake comes, which refuses most requests for over a second; a word that was asked for before the wake says nothing, however late it comes. Change: a tick of 100 ms notices stalls over 500 ms, also for the request that runs first. Keepers are asked at once; requests wait for an answer to a call from after the stall, 300 ms at most, and go on at the pace of cold servers while none comes, cold_s at most. In fleets where some proxies hold a cold server, one that stood still holds nothing until it has been heard for 1.8 s.

--- a/cmd/proxy/run.go
+++ b/cmd/proxy/run.go
@@ -52,7 +52,8 @@
 	group, ctx := process.NewGroup(life)
 	p.directory = directory.NewDirectory(min(mostTTL, max(settings.Seconds(s.Bounds.TTLMax), time.Second)))
 	p.dataPlane = proxy.New(proxy.Options{Settings: p.pickSettings(), GraceFor: settings.Seconds(s.Bounds.Grace) - endMargin,
-		LossSlack: settings.Milliseconds(s.Bounds.LossSlack), FDLimit: s.Limits.FDs, MemoryMB: int(s.Limits.MemoryMB), Log: p.log})
+		LossSlack: settings.Milliseconds(s.Bounds.LossSlack), FDLimit: s.Limits.FDs, MemoryMB: int(s.Limits.MemoryMB), Log: p.log,
+		OnStall: func() { p.follower.Refresh() }})
 	p.follower = distribution.NewFollower(distribution.FollowerOptions{Seeds: s.SeedIPs(), KeeperPort: s.KeeperPort(),
 		ProxyPort: s.ProxyPort(), Self: distribution.Member{Node: s.Node, Zone: s.Zone, Region: s.Region, IP: s.IP, Front: s.Bind.Front},
 		Loads: p.dataPlane.Loads, OnUpdate: p.update, OnLoads: p.dataPlane.SetLoads, Log: p.log})
--- a/internal/system/distribution/follower.go
+++ b/internal/system/distribution/follower.go
@@ -89,6 +89,7 @@
 	heard       time.Time
 	freshAt     time.Time // when it was certainly so that nothing newer than state had been acknowledged; zero: never yet
 	currentAt   time.Time // when a keeper that was current certainly still answered
+	wanted      time.Time // the owner is to be told of a current keeper's word from after it; zero: of none in particular
 	pace        time.Duration
 
 	awaitsList  bool
@@ -197,6 +198,15 @@
 	f.awaitsList = await
 }
 
+// Refresh asks the keeper that is followed at once, and has OnUpdate called when a current keeper has answered to a call from
+// after now, also if it tells nothing new.
+func (f *Follower) Refresh() {
+	f.mu.Lock()
+	f.wanted = time.Now()
+	f.mu.Unlock()
+	poke(f.tellNow)
+}
+
 // Held gives what is held now.
 func (f *Follower) Held() Update {
 	f.mu.Lock()
--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -144,6 +144,10 @@
 	f.heard = now
 	if offer.Current {
 		f.currentAt = later(f.currentAt, checked)
+		if !f.wanted.IsZero() && !f.currentAt.Before(f.wanted) {
+			f.wanted = time.Time{}
+			poke(f.changed)
+		}
 	}
 	if f.takeSoft(now, now.Sub(checked), req, reply) {
 		poke(f.changed)
--- a/internal/system/distribution/list_covers_test.go
+++ b/internal/system/distribution/list_covers_test.go
@@ -61,3 +61,46 @@
 		}
 	}
 }
+
+// TestRefreshTellsOfTheNextWord: the owner is told of a current keeper's answer to a call from after Refresh, also if it holds
+// nothing new, and of none before.
+func TestRefreshTellsOfTheNextWord(t *testing.T) {
+	f := NewFollower(FollowerOptions{Log: quiet()})
+	told := func() bool {
+		select {
+		case <-f.changed:
+			return true
+		default:
+			return false
+		}
+	}
+	answer := func(asked time.Time, current bool) {
+		f.take(asked, time.Now(), &distributionpb.FollowRequest{}, &distributionpb.FollowReply{Current: current, Soft: &distributionpb.Cursor{}})
+	}
+	answer(time.Now(), true)
+	told() // what is held may be served from now on
+	answer(time.Now(), true)
+	if told() {
+		t.Error("told of an answer that holds nothing new and is not awaited")
+	}
+	before := time.Now()
+	f.Refresh()
+	select {
+	case <-f.tellNow:
+	default:
+		t.Error("no keeper is asked at once")
+	}
+	answer(before, true)
+	answer(time.Now(), false)
+	if told() {
+		t.Error("told of a word from before, or of a keeper that is not current")
+	}
+	answer(time.Now(), true)
+	if !told() {
+		t.Error("not told of the word that is awaited")
+	}
+	answer(time.Now(), true)
+	if told() {
+		t.Error("told again")
+	}
+}
--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -80,6 +80,7 @@
 		c.chosen = nil
 		return *ch
 	}
+	c.p.policy.awaitWord(c.r.Context())
 	left := time.Until(c.deadline)
 	if left <= 0 || c.r.Context().Err() != nil || c.unreached >= mostUnreached || !c.mayMove(c.offered) {
 		return pick.Choice{Verdict: pick.Exhaust}
--- a/internal/system/proxy/helpers_test.go
+++ b/internal/system/proxy/helpers_test.go
@@ -47,6 +47,8 @@
 func (t *toyPicker) Cold(pick.Time, string, time.Duration)    {}
 func (t *toyPicker) Leaving(pick.Time, string)                {}
 func (t *toyPicker) AwaitsList() bool                         { return false }
+func (t *toyPicker) Stalled(pick.Time)                        {}
+func (t *toyPicker) AwaitsWord() bool                         { return false }
 func (t *toyPicker) Stats() pick.Stats                        { return pick.Stats{} }
 func (t *toyPicker) Describe(pick.Time) string                { return "toy" }
 func (t *toyPicker) ServerLoad(_ pick.Time, id string, run, wait, of int) {
--- a/internal/system/proxy/pause_test.go
+++ b/internal/system/proxy/pause_test.go
@@ -1,7 +1,10 @@
 package proxy
 
 import (
+	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gradeusher.example/gradeusher/internal/system/conf"
@@ -19,7 +22,8 @@
 	for _, id := range []string{"s0", "s1"} {
 		w.Servers = append(w.Servers, pick.Server{ID: id, Service: "a", Zone: "z", Slots: 1000})
 	}
-	p := newPolicy(pick.New(pick.Settings{Zone: "z", Region: "r", ColdExcess: 1.5, ColdSlack: 5}))
+	p := newPolicy(pick.New(pick.Settings{Zone: "z", Region: "r", ColdExcess: 1.5, ColdSlack: 5}), nil)
+	p.stalls.ticking = true
 	return p, &pick.Request{Route: route, Left: 5 * time.Second}, w
 }
 
@@ -53,3 +57,102 @@
 		}
 	}
 }
+
+// TestWokenRequestsWaitForAWord: after a stall requests wait until a world comes that a keeper told after it; one from before does
+// not count.
+func TestWokenRequestsWaitForAWord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, r, w := pausedPolicy()
+		told := 0
+		p.onStall = func() { told++ }
+		p.SetWorld(time.Now(), w)
+		standStill(p, 5*time.Second)
+		woke := time.Now()
+		var waiting sync.WaitGroup
+		got := 0
+		waiting.Go(func() {
+			p.awaitWord(t.Context())
+			for id, n := range press(p, r, 100) {
+				got += n
+				if n < 40 {
+					t.Errorf("%s got %d of 100 after the word", id, n)
+				}
+			}
+		})
+		synctest.Wait()
+		time.Sleep(20 * time.Millisecond)
+		w.WordAge = time.Second
+		p.SetWorld(time.Now(), w)
+		synctest.Wait()
+		if got != 0 {
+			t.Errorf("%d requests went out by a word from before", got)
+		}
+		time.Sleep(20 * time.Millisecond)
+		w.WordAge = 10 * time.Millisecond
+		p.SetWorld(time.Now(), w)
+		waiting.Wait()
+		if took := time.Since(woke); took != 40*time.Millisecond || got != 100 || told != 1 {
+			t.Errorf("%d requests after %v; keepers were asked %d times", got, took, told)
+		}
+	})
+}
+
+// TestWokenRequestsWaitNotForLong: without a keeper's word they go on after a while, at the pace of cold servers; so do those whose
+// client goes away.
+func TestWokenRequestsWaitNotForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _, w := pausedPolicy()
+		p.SetWorld(time.Now(), w)
+		standStill(p, 5*time.Second)
+		woke := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		p.awaitWord(ctx)
+		if took := time.Since(woke); took != 100*time.Millisecond {
+			t.Errorf("a client that is gone waited for %v", took)
+		}
+		p.awaitWord(t.Context())
+		if took := time.Since(woke); took != wordWait {
+			t.Errorf("waited until %v after the stall", took)
+		}
+		p.awaitWord(t.Context())
+		if took := time.Since(woke); took != wordWait {
+			t.Errorf("a later request waited, until %v after the stall", took)
+		}
+	})
+}
+
+// TestRunningProcessIsNotStalled: calls that come rarely are no stall while the process runs.
+func TestRunningProcessIsNotStalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, r, w := pausedPolicy()
+		ctx, cancel := context.WithCancel(t.Context())
+		var watch sync.WaitGroup
+		watch.Go(func() { p.watchStalls(ctx) })
+		synctest.Wait()
+		p.SetWorld(time.Now(), w)
+		time.Sleep(time.Minute)
+		if got := press(p, r, 100); got["s0"]+got["s1"] != 100 {
+			t.Errorf("after a quiet minute %v of 100", got)
+		}
+		cancel()
+		watch.Wait()
+	})
+}
+
+// TestWorldThatComesLate: a world is told by durations as of a moment; a keeper's word in it is as old as that when it is used.
+func TestWorldThatComesLate(t *testing.T) {
+	p, _, w := pausedPolicy()
+	p.SetWorld(time.Now(), w)
+	before := time.Now()
+	standStill(p, 5*time.Second)
+	w.WordAge = 0
+	p.SetWorld(before.Add(-5*time.Second), w) // made before the stall, used after it
+	if p.stalls.word == nil {
+		t.Error("a world from before the stall ends the wait")
+	}
+	p.SetWorld(time.Now(), w)
+	if p.stalls.word != nil {
+		t.Error("a world from after the stall does not")
+	}
+}
--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -48,7 +48,7 @@
 // of the proxies, others take the place of one that they have given up: it has stopped by the time that they begin.
 func (p *Picker) holdsFrom(now Time, s *server) (Time, bool) {
 	few := !p.allHold(s.coldRate())
-	if p.world.Stale && (few || now-p.staleSince > staleMost) {
+	if p.world.Stale && (few || now-p.staleSince > staleMost) || p.stalled && few {
 		return 0, false
 	}
 	if few {
@@ -149,6 +149,9 @@
 	if now-s.coldTold < coldHintLife && s.coldTold > 0 || s.unproven {
 		until = max(until, s.coldUntil) // the server's own word counts, or the list cannot know yet
 	}
+	if p.stalled {
+		until = max(until, p.stalledAt+p.coldFor(s.Service))
+	}
 	if until > now {
 		p.setCold(now, s, until)
 	} else if s.cold(now) {
@@ -199,6 +202,19 @@
 	return p.world.Config.Services[service].ColdFor
 }
 
+// Stalled takes note that the process stood still until now, and hears no keeper since. Servers may have turned cold meanwhile,
+// and requests have piled up: all servers that can be cold are paced as such until SetWorld tells what a keeper knew after the
+// stall, or until a cold state that began by its end would be over.
+func (p *Picker) Stalled(now Time) {
+	p.stalled, p.stalledAt = true, now
+	for _, s := range p.servers {
+		p.setCold(now, s, max(s.coldUntil, now+p.coldFor(s.Service)))
+	}
+}
+
+// AwaitsWord tells whether the process stood still and no keeper's word from after that has come.
+func (p *Picker) AwaitsWord() bool { return p.stalled }
+
 // AwaitsList tells whether a newer reading of the list would free servers that may have turned cold unseen.
 func (p *Picker) AwaitsList() bool {
 	for _, s := range p.servers {
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -48,7 +48,9 @@
 	peersAt     Time // when the live proxies last changed
 	zoneChanges zoneChanges
 	staleSince  Time // when it last became Stale
-	resumed     Time // when this proxy was last Stale or Partial
+	resumed     Time // when this proxy was last Stale, Partial or stalled
+	stalled     bool // it stood still, and has not heard from a keeper since
+	stalledAt   Time // the end of its last stall
 	othersAt    Time // of the last SetLoads
 	beliefs     beliefs
 	rate        rateEstimate
@@ -57,7 +59,7 @@
 
 // Stats count what a Picker has done since it was made. They only rise.
 type Stats struct {
-	ColdStarts uint64 // servers that turned cold, as far as this proxy knows
+	ColdStarts uint64 // servers that turned cold or may have, as far as this proxy knows
 	ColdSends  uint64 // requests chosen for a server that this proxy took for cold
 	ColdEnds   uint64 // first requests chosen for such a server once this proxy took it for warm
 }
@@ -113,7 +115,11 @@
 	if w.Stale && !before.Stale {
 		p.staleSince = now
 	}
-	if before.Stale && !w.Stale || before.Partial && !w.Partial {
+	heard := p.stalled && now-w.WordAge-w.Delay >= p.stalledAt
+	if heard {
+		p.stalled = false
+	}
+	if before.Stale && !w.Stale || before.Partial && !w.Partial || heard {
 		p.resumed = now
 	}
 
--- a/internal/system/proxy/policy.go
+++ b/internal/system/proxy/policy.go
@@ -25,22 +25,41 @@
 	Describe(now pick.Time) string
 	Stats() pick.Stats
 	AwaitsList() bool
+	Stalled(now pick.Time)
+	AwaitsWord() bool
 }
 
 // policy is a picker behind a lock and a monotonic clock. It tells the picker when the process has stood still.
 type policy struct {
-	mu    sync.Mutex
-	inner picker
-	start time.Time
+	mu      sync.Mutex
+	inner   picker
+	start   time.Time
+	onStall func() // nil: nobody is told
+	stalls  stallWatch
 }
 
-func newPolicy(p picker) *policy { return &policy{inner: p, start: time.Now()} }
+func newPolicy(p picker, onStall func()) *policy {
+	return &policy{inner: p, start: time.Now(), onStall: onStall}
+}
 
 // with runs f under the lock.
 func (p *policy) with(f func(picker, pick.Time)) {
+	if p.run(f) && p.onStall != nil {
+		p.onStall()
+	}
+}
+
+// run runs f under the lock, and tells whether the process had stood still just before.
+func (p *policy) run(f func(picker, pick.Time)) (stalled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	f(p.inner, time.Since(p.start))
+	now := time.Since(p.start)
+	if stalled = p.stalls.note(now); stalled {
+		p.inner.Stalled(now)
+	}
+	f(p.inner, now)
+	p.stalls.settle(p.inner.AwaitsWord())
+	return stalled
 }
 
 // SetWorld hands on a world whose durations are as of asOf.
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -18,6 +18,7 @@
 	FDLimit   int           // descriptors of the process; default 4096
 	MemoryMB  int           // of the process; default 256
 	Log       log.Interface // default log.Log
+	OnStall   func()        // is called when the process has stood still: a keeper is to be asked at once; nil: none is. It must not block
 
 	stall    time.Duration // a client that takes nothing for so long is given up; default stallFor
 	patience time.Duration // a server may be silent so long before an answer begins; default leastPatience
@@ -78,7 +79,7 @@
 	if o.Log == nil {
 		o.Log = log.Log
 	}
-	p := &Proxy{opt: o, policy: newPolicy(by), room: newBudget(int64(o.MemoryMB) << 20 / bodiesShare)}
+	p := &Proxy{opt: o, policy: newPolicy(by, o.OnStall), room: newBudget(int64(o.MemoryMB) << 20 / bodiesShare)}
 	p.upstream = newUpstream(o.Settings, &p.counters)
 	p.upstream.without = o.without
 	p.front = newFront(p)
--- a/internal/system/proxy/serve.go
+++ b/internal/system/proxy/serve.go
@@ -82,6 +82,7 @@
 	}
 	unwatch := context.AfterFunc(ctx, func() { _ = tcp.Close() })
 	defer unwatch()
+	defer p.watchStalls(ctx)()
 	rounds, taken := 0, false // of looking for connections left waiting, once a planned end has told to stop
 	failed := false
 	for {
@@ -183,6 +184,17 @@
 	<-f.over
 }
 
+// watchStalls has stalls of the process noticed until the returned function is called.
+func (p *Proxy) watchStalls(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() { p.policy.watchStalls(ctx) })
+	return func() {
+		cancel()
+		watch.Wait()
+	}
+}
+
 // wait returns when no connection is left, or none is waited for any more.
 func (f *front) wait(ctx context.Context) {
 	for f.count() > 0 {
