Tests that fail: what a skipped list or a lost keeper told stays in force for good

Writing a test for keepers showed the same among them. Ruled out: that the next reading makes it good: it is written only as far as it differs from the reader's own table.

--- /dev/null
+++ b/internal/system/distribution/newfence_test.go
@@ -0,0 +1,43 @@
+package distribution
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// TestNewFenceTellsAllOnce: a keeper that is lost had told only one of the others of its last reading. The keeper that reads the list under the
+// next fence holds another state of a server, and none of a server that came with that reading. Danger: what it reads does not
+// differ from what it holds, so it writes nothing, and the other one keeps the lost keeper's word for good.
+func TestNewFenceTellsAllOnce(t *testing.T) {
+	reader, other := newIdleHub(), NewHub(HubOptions{Source: &source{chain: newChain(), keepers: []string{"a", "c"}}, Self: "c", Log: quiet()})
+	reader.markComplete()
+	other.markComplete()
+	put := func(h *Hub, fence, version uint64, servers ...pick.Server) {
+		t.Helper()
+		if err := h.PutList(fence, version, servers, madeAgo(Age{Most: 20 * time.Millisecond})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(other, 1, 100, pick.Server{ID: "x"}, pick.Server{ID: "gone"}) // as the lost keeper told it
+	put(reader, 1, 96, pick.Server{ID: "x", Draining: true})
+	put(reader, 2, 1, pick.Server{ID: "x", Draining: true})
+	req, _ := reader.shareRequest(&shareProgress{cursor: distributionpb.Cursor{Boot: reader.boot, Number: 2}})
+	req.From = &distributionpb.Keeper{Address: "a"}
+	req.SentMs = other.clock(time.Now())
+	if _, err := other.Share(context.Background(), req); err != nil {
+		t.Fatal(err)
+	}
+	got, _, _ := other.List()
+	if len(got) != 1 || got[0].ID != "x" || !got[0].Draining {
+		t.Errorf("under the new fence it holds %+v", got)
+	}
+	before := reader.table.number
+	put(reader, 2, 2, pick.Server{ID: "x", Draining: true})
+	if written := reader.table.number - before; written != 1 {
+		t.Errorf("a reading that changes nothing writes %d entries, want that of the list alone", written)
+	}
+}
--- /dev/null
+++ b/internal/system/distribution/oldlistlost_test.go
@@ -0,0 +1,94 @@
+package distribution
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// pollByHand has a follower take in what a hub would answer it now.
+func pollByHand(f *Follower, h *Hub) {
+	req := f.request(nil, false)
+	h.mu.Lock()
+	since := uint64(0)
+	if req.GetSoft().GetBoot() == h.boot {
+		since = req.GetSoft().GetNumber()
+	}
+	items, full := h.table.since(since)
+	reply := &distributionpb.FollowReply{Full: full, Complete: h.complete, Current: true, Entries: toWire(time.Now(), items),
+		Soft: &distributionpb.Cursor{Boot: h.boot, Number: h.table.number}}
+	h.mu.Unlock()
+	f.take(time.Now(), time.Now(), req, reply)
+}
+
+// TestListThatLookedOldIsToldAgain: a proxy moves to a keeper whose newest reading came by a slow share, so that its age lies between 0 and 2.6 s. It
+// is newer than the one that is held, but looks older by more than the tolerance, and is not taken. The keeper's next readings change
+// nothing there. Danger: what the first one said (a server drains, or is cold) is never told.
+func TestListThatLookedOldIsToldAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newIdleHub(), newIdleHub()
+		a.markComplete()
+		b.markComplete()
+		f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
+		put := func(h *Hub, version uint64, age Age, s pick.Server) {
+			t.Helper()
+			if err := h.PutList(1, version, []pick.Server{s}, madeAgo(age)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		put(a, 10, Age{}, pick.Server{ID: "x"})
+		pollByHand(f, a)
+		time.Sleep(200 * time.Millisecond)
+		put(b, 11, Age{Most: 2600 * time.Millisecond}, pick.Server{ID: "x", Draining: true})
+		pollByHand(f, b)
+		for version := range uint64(20) {
+			time.Sleep(500 * time.Millisecond)
+			put(b, 12+version, Age{}, pick.Server{ID: "x", Draining: true})
+			pollByHand(f, b)
+		}
+		u := f.Held()
+		if len(u.Servers) != 1 || !u.Servers[0].Draining {
+			t.Errorf("10 s after the keeper's list said that x drains: %+v, with a list that is %v old", u.Servers, u.ListAge)
+		}
+	})
+}
+
+// TestNewerReadingOfALowerVersionIsTaken: a proxy holds the list as the holder of the duty read it last, in version 100. It moves to a keeper that
+// has not heard of the last 2.4 s of that, and goes on with its own list. That keeper steps in and reads the list under the same fence, in
+// version 97; then the chain is repaired, and it reads under the next fence. Danger: what the first reading said is of a lower version than
+// what the proxy holds, and is not written again, as the keeper holds it.
+func TestNewerReadingOfALowerVersionIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newIdleHub(), newIdleHub()
+		a.markComplete()
+		b.markComplete()
+		f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
+		put := func(h *Hub, fence, version uint64, s pick.Server) {
+			t.Helper()
+			if err := h.PutList(fence, version, []pick.Server{s}, madeAgo(Age{Most: 20 * time.Millisecond})); err != nil {
+				t.Fatal(err)
+			}
+		}
+		put(b, 1, 95, pick.Server{ID: "x"})
+		time.Sleep(2400 * time.Millisecond)
+		put(a, 1, 100, pick.Server{ID: "x", Cold: 3 * time.Second}) // it has turned cold anew
+		pollByHand(f, a)
+		time.Sleep(100 * time.Millisecond)
+		pollByHand(f, b) // an older list: not taken
+		time.Sleep(400 * time.Millisecond)
+		put(b, 1, 96, pick.Server{ID: "x", Draining: true})
+		pollByHand(f, b)
+		for version := range uint64(20) {
+			time.Sleep(500 * time.Millisecond)
+			put(b, 2, 1+version, pick.Server{ID: "x", Draining: true})
+			pollByHand(f, b)
+		}
+		u := f.Held()
+		if len(u.Servers) != 1 || !u.Servers[0].Draining {
+			t.Errorf("10 s after the keeper's list said that x drains: %+v, with a list that is %v old", u.Servers, u.ListAge)
+		}
+	})
+}
