What a lost keeper told, or a proxy skipped, of the list is told anew

Cause: entries of the list go out once, by number, and only as far as a reading differs from the reader's own table. A proxy that skipped a list because it looked old counted as told all the same; and a keeper that takes over the reading under a new fence does not know all that the former reader told others. Either kept a wrong state of a server, draining, cold or gone, until that changed again. Ruled out: taking a list that looks older (it brings back servers that drain); asking for the whole table until it looks newer, which repeats large answers at the rate of the ways. Change: a proxy that skipped a list asks for the whole table once a list that is not old has come. The first reading under a fence is written whole, and whoever hears of it drops what was told under lower ones.

--- a/internal/system/distribution/follower.go
+++ b/internal/system/distribution/follower.go
@@ -76,6 +76,7 @@
 	table       *table
 	unconfirmed map[string]bool // keys of servers that no keeper has told since all lost their tables
 	whole       bool            // a table that misses no live proxy has been taken in
+	skipped     bool            // a list was not taken, as it looked older than the one held: a whole table is to be told again
 	soft        distributionpb.Cursor
 	totals      reading
 	own         *vector
--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -164,8 +164,12 @@
 // takeSoft takes in all of a reply but the control state, and tells whether anything changed that matters to the owner. The
 // reply is about some moment of the delay before now, at most, so ages add up over all hops. The caller holds mu.
 func (f *Follower) takeSoft(now time.Time, delay time.Duration, req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) bool {
+	again := f.noteSkipped(f.tellsOldList(now, upTo(delay), reply), reply)
 	changed := f.takeEntries(now, upTo(delay), reply)
 	f.takeCursor(req, reply)
+	if again {
+		f.soft.Boot, f.soft.Number = 0, 0
+	}
 	f.toldOwn.Boot, f.toldOwn.Number = reply.GetTold().GetBoot(), reply.GetTold().GetNumber()
 	f.takeTotals(now.Add(-delay), reply)
 	if len(reply.GetKeepers()) > 0 {
--- a/internal/system/distribution/follower_soft.go
+++ b/internal/system/distribution/follower_soft.go
@@ -85,3 +85,17 @@
 	f.table = into
 	return true
 }
+
+// noteSkipped remembers that a list is skipped, as it is old: the keeper counts it as told. It tells whether the whole table is to be
+// asked for again, as a list has come since that is not old. The caller holds mu.
+func (f *Follower) noteSkipped(old bool, reply *distributionpb.FollowReply) (again bool) {
+	switch {
+	case old:
+		f.skipped = true
+	case reply.GetFull() && reply.GetComplete():
+		f.skipped = false
+	default:
+		return f.skipped && listEntry(reply) != nil
+	}
+	return false
+}
--- a/internal/system/distribution/hub_share.go
+++ b/internal/system/distribution/hub_share.go
@@ -201,12 +201,16 @@
 	}
 	p.keeper, p.boot, p.heard, p.lowest, p.followers = req.GetFrom(), req.GetBoot(), later(p.heard, now.Add(-delay)), req.GetLowest(), req.GetFollowers()
 	p.hears = req.GetHears()[:min(len(req.GetHears()), maxPeers)]
+	before := h.listFence()
 	for _, w := range req.GetEntries() {
 		e, age := fromWire(w)
 		if e.Key != "" && len(e.Key) <= 2*maxID {
 			h.mergeShared(now, from, e, age.plus(upTo(delay)))
 		}
 	}
+	if fence := h.listFence(); fence > before {
+		h.dropFormerReader(now, fence)
+	}
 	if req.GetFull() && req.GetComplete() && !h.complete {
 		h.markComplete()
 	}
--- a/internal/system/distribution/hub_table.go
+++ b/internal/system/distribution/hub_table.go
@@ -61,6 +61,7 @@
 		}
 		return h.merge(now, e, age)
 	}
+	first := h.listFence() < fence
 	covers := h.commits.before(read.Earliest.Add(-h.opt.ListLag))
 	if !write(Entry{Key: listKey, Fence: fence, Version: version, Value: encodeCovers(covers)}) {
 		return errors.Mark(errors.Newf("distribution: the list is fed under a higher fence than %d: ask for the duty again before polling",
@@ -72,7 +73,8 @@
 			continue
 		}
 		named[serverPrefix+s.ID] = true
-		if held := h.table.items[serverPrefix+s.ID]; held != nil && !held.Deleted {
+		// Under a new fence all is written once: of what the reader of the former one told, other keepers may hold more.
+		if held := h.table.items[serverPrefix+s.ID]; held != nil && !held.Deleted && !first {
 			if was, ok := held.serverAt(now); ok && standsBeside(was, countDown(s, age)) {
 				continue
 			}
--- a/internal/system/distribution/list_version.go
+++ b/internal/system/distribution/list_version.go
@@ -2,9 +2,29 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
+// listFence is the fence of the newest whole reading of the platform's list; 0: none has come. The caller holds mu.
+func (h *Hub) listFence() uint64 {
+	if held := h.table.items[listKey]; held != nil {
+		return held.Fence
+	}
+	return 0
+}
+
+// dropFormerReader deletes the servers that were told under fences below that of the list, which has just come with all of its
+// servers: whoever read it may not know of all that the former reader told. The caller holds mu.
+func (h *Hub) dropFormerReader(now time.Time, fence uint64) {
+	version := h.table.items[listKey].Version
+	for _, it := range slices.Clone(h.table.live(serverPrefix)) {
+		if it.Fence < fence {
+			h.merge(now, Entry{Key: it.Key, Fence: fence, Version: version, Deleted: true}, Age{})
+		}
+	}
+}
+
 // ListVersion tells the fence and version of the newest whole reading of the platform's list that has come here, and its
 // age; zeros and the longest age before any has.
 func (h *Hub) ListVersion() (fence, version uint64, age time.Duration) {
