A reading that was asked for before the held one replaces it no more

Cause: of two readings under one fence only one that was certainly made earlier was refused. A reader that stood still with the platform's answer in its socket may come after a standby that asked later and was answered sooner: then a server that had turned cold was called warm, and new ones vanished, until the next poll. Ruled out: merging both readings, which keeps servers that have gone. Change: the moment of asking decides. A reading is refused where the held one was certainly asked for later; a reader's own readings follow each other by that order.

--- a/internal/system/distribution/hub_table.go
+++ b/internal/system/distribution/hub_table.go
@@ -44,15 +44,16 @@
 // PutList takes in a whole reading of the platform's list: servers that it does not name are gone. read is between when the
 // platform was asked and when it had answered.
 // Only what differs from the table goes out. version rises from reading to reading of one fence. The error is ErrStale
-// where a reading under a higher fence, or one that was certainly made later, has been taken in.
+// where a reading under a higher fence, or one that was asked for later, has been taken in: a reading that was held up on its way
+// may be older than one that was asked for after it.
 func (h *Hub) PutList(fence, version uint64, servers []pick.Server, read Moments) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
 	age := read.age(now)
-	if held := h.table.items[listKey]; held != nil && held.Fence == fence && age.Least > held.age(now).Most {
-		return errors.Mark(errors.Newf("distribution: a list that was read %v later is held: this one counts for nothing",
-			age.Least-held.age(now).Most), ErrStale)
+	if held := h.table.items[listKey]; held != nil && held.Fence == fence && age.Most > held.age(now).Most {
+		return errors.Mark(errors.Newf("distribution: a list that was asked for %v later is held: this one counts for nothing",
+			age.Most-held.age(now).Most), ErrStale)
 	}
 	// A poller that starts anew under its old fence counts from the start, so versions go on from the table's.
 	write := func(e Entry) bool {
--- a/internal/system/distribution/oldlistlost_test.go
+++ b/internal/system/distribution/oldlistlost_test.go
@@ -92,3 +92,22 @@
 		}
 	})
 }
+
+// TestReadingHeldUpOnItsWayEndsNoColdState: a poller stands still for 2.3 s while the platform's answer lies in its socket; meanwhile another
+// one steps in under the same fence, and reads that a server has turned cold. Which of the two was made later can't be told by their
+// ages. Danger: the server is called warm, and what has been listed since vanishes.
+func TestReadingHeldUpOnItsWayEndsNoColdState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newIdleHub()
+		asked := time.Now()
+		time.Sleep(2200 * time.Millisecond)
+		if err := h.PutList(1, 8, []pick.Server{{ID: "a", Cold: 3 * time.Second}}, madeAgo(Age{Most: 20 * time.Millisecond})); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		_ = h.PutList(1, 7, []pick.Server{{ID: "a"}}, Moments{Earliest: asked, Latest: time.Now()})
+		if got, _, _ := h.List(); len(got) != 1 || got[0].Cold < 2900*time.Millisecond {
+			t.Errorf("holds %+v", got)
+		}
+	})
+}
