A request goes out to a cold server within 200 ms of its choice, or not at all

Cause: the pace at cold servers counts choices, the rule counts sends. Ruled out: fewer holders, which halves the pace of every fleet; a token that is taken only with the connection, as choices that lose theirs would have to be made again under the lock. Change: a choice of a cold server says how soon it goes out; a connection that comes later stays for others, and the request is chosen for anew, as nothing was sent. A fifth of the pace more than a second's fits under the bound for any rate.

--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -97,7 +97,7 @@
 func (c *call) attempt(ch pick.Choice) bool {
 	runsOnce.Check(!c.offered || c.route.Repeatable())
 	up := c.p.upstream
-	x := &exchange{ctx: c.r.Context(), up: up, pool: up.pool(ch.Server), id: c.id, deadline: c.deadline,
+	x := &exchange{ctx: c.r.Context(), up: up, pool: up.pool(ch.Server), id: c.id, deadline: c.deadline, sendBy: c.sendBy(ch),
 		bare: c.r.Method == http.MethodHead}
 	buf, give := bodyBuffer(smallHead + int64(min(len(c.body), joinedBody)))
 	head, body := c.head(buf, ch)
@@ -130,6 +130,21 @@
 	return c.take(ch, x, resp)
 }
 
+// sendBy is when a request that was chosen to go out just now must have done so.
+func (c *call) sendBy(ch pick.Choice) time.Time {
+	if ch.SendWithin > 0 {
+		return earlier(c.deadline, time.Now().Add(ch.SendWithin))
+	}
+	return c.deadline
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // watch has a silent server left, where the request may go on elsewhere.
 func (c *call) watch(x *exchange, patience time.Duration) {
 	if x.patience = 0; c.mayMove(true) {
--- a/internal/system/proxy/exchange.go
+++ b/internal/system/proxy/exchange.go
@@ -26,7 +26,8 @@
 	pool     *pool
 	id       string // of the request
 	deadline time.Time
-	bare     bool // the answer has no body, whatever it says
+	sendBy   time.Time // the request goes out by then or not at all
+	bare     bool      // the answer has no body, whatever it says
 
 	// patience is how long the server may be silent before leave is asked whether to leave it; 0: any time.
 	patience time.Duration
@@ -48,7 +49,7 @@
 		reused := conn != nil
 		if !reused {
 			var err error
-			if conn, err = x.up.dial(x.ctx, x.pool, x.deadline); err != nil {
+			if conn, err = x.up.dial(x.ctx, x.pool, x.sendBy); err != nil {
 				return errUnreached
 			}
 			if stale > 0 { // the server is there, and closed the connection as it had idled
@@ -57,6 +58,10 @@
 		} else {
 			x.up.counters.Reused.Add(1)
 		}
+		if time.Now().After(x.sendBy) { // the connection took too long, or the process stood still
+			x.up.put(x.pool, conn, "")
+			return errUnreached
+		}
 		x.begin(conn)
 		conn.ExpectHead(x.bare)
 		before, _ := conn.Meter()
--- a/internal/system/proxy/helpers_test.go
+++ b/internal/system/proxy/helpers_test.go
@@ -33,6 +33,7 @@
 	load    string
 	resumed int
 	retry   time.Duration // with refusals
+	within  time.Duration // that sends must go out in
 	no      bool          // refuse all
 	down    map[string]bool
 	sent    map[uint64]string
@@ -70,7 +71,7 @@
 		if !t.no && !slices.Contains(tried, s.ID) && !t.down[s.ID] {
 			t.ticket++
 			t.sent[t.ticket] = s.ID
-			return pick.Choice{Server: s, Ticket: t.ticket, Priority: r.Route.Priority}
+			return pick.Choice{Server: s, Ticket: t.ticket, Priority: r.Route.Priority, SendWithin: t.within}
 		}
 	}
 	if offered {
--- /dev/null
+++ b/internal/system/proxy/late_send_test.go
@@ -0,0 +1,53 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/conf"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// TestLateSendIsGivenUp: a request that is to go out within 200 ms, as its server is cold, goes out to another server if the
+// connection comes later, or comes in time and the process stands still.
+func TestLateSendIsGivenUp(t *testing.T) {
+	for name, tt := range map[string]struct{ within, opens time.Duration }{
+		"in time":                {200 * time.Millisecond, 150 * time.Millisecond},
+		"too late":               {200 * time.Millisecond, 210 * time.Millisecond},
+		"late, at no one's cost": {0, 240 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ran := make(chan int, 4)
+				serve := func(n int) deed {
+					return func(c net.Conn, r *http.Request, body []byte) bool {
+						ran <- n
+						return say(200, "x")(c, r, body)
+					}
+				}
+				p := newPiped([]change{category(conf.NonIdempotent)}, serve(0), serve(1))
+				p.pick.within = tt.within
+				open := p.upstream.open
+				p.upstream.open = func(ctx context.Context, address string, within time.Duration) (net.Conn, error) {
+					if address == "at-0" {
+						time.Sleep(tt.opens)
+					}
+					return open(ctx, address, within)
+				}
+				w, _ := p.ask(t.Context())
+				want, ends := 0, []pick.Outcome{pick.Served}
+				if tt.within > 0 && tt.opens > tt.within {
+					want, ends = 1, []pick.Outcome{pick.Unreached, pick.Served}
+				}
+				if w.Code != 200 || len(ran) != 1 || <-ran != want || !slices.Equal(p.pick.ends, ends) {
+					t.Errorf("status %d, sends ended as %v, want %v at server %d", w.Code, p.pick.ends, ends, want)
+				}
+			})
+		})
+	}
+}
--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -10,11 +10,16 @@
 
 // Cold servers. Their bound counts the requests of all proxies together within any second. Every holder paces its sends
 // evenly at an equal part of coldUse of the rate and saves up one at the most, so that in any second all holders together
-// send at most coldUse × rate + holders. There are as many holders as keep this under the bound. They are the first by
+// send at most coldUse × rate + holders, and a fifth of the former more, as requests go out up to coldSendWithin later. There are as many holders as keep this under the bound. They are the first by
 // rendezvous hashing; in a small fleet, all proxies.
 
-// coldUse is the part of a cold server's rate that is used.
-const coldUse = 0.85
+const (
+	// coldUse is the part of a cold server's rate that is used.
+	coldUse = 0.85
+	// coldSendWithin is how long a request may take from its choice until it goes out to a cold server: what is chosen in a second
+	// and so much more may go out within one. It leaves room for a connection to another region.
+	coldSendWithin = 200 * time.Millisecond
+)
 
 // coldBound is what a cold server may receive within a second, from all.
 func (p *Picker) coldBound(rate float64) float64 { return rate*p.set.ColdExcess + p.set.ColdSlack }
--- /dev/null
+++ b/internal/system/proxy/pick/coldholders_test.go
@@ -0,0 +1,85 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/conf"
+)
+
+// TestLateConnectionsKeepThePace: a request to a cold server is chosen, and sent up to coldSendWithin later, as its connection takes that
+// long. What was chosen in that time and a second is then sent within one.
+func TestLateConnectionsKeepThePace(t *testing.T) {
+	const dial = coldSendWithin
+	for _, rate := range []float64{31, 45, 300} {
+		for proxies := 1; proxies <= 60; proxies++ {
+			t.Run(fmt.Sprint(rate, proxies), func(t *testing.T) {
+				f := newColdFleet(proxies)
+				f.config.Services["a"].ColdPerSecond = rate
+				for i, p := range f.pickers {
+					p.SetWorld(0, f.world(i, 1, time.Minute))
+				}
+				f.press(0, 3*time.Second, 4*time.Millisecond, nil)
+				from := f.sent[0]
+				var arrived []Time
+				for _, at := range f.sent {
+					if at < from+dial {
+						at = from + dial - 1
+					}
+					arrived = append(arrived, at)
+				}
+				if most, bound := mostInASecond(arrived), rate*1.5+5; float64(most) > bound {
+					t.Errorf("%d requests in a second, of %v", most, bound)
+				}
+			})
+		}
+	}
+}
+
+// TestBoundComesIntoForceOnAColdServer: servers are cold while the configuration names no bound for them, and then does. What goes from then on keeps the bound.
+func TestBoundComesIntoForceOnAColdServer(t *testing.T) {
+	for _, proxies := range []int{12, 17, 18, 60} {
+		t.Run(fmt.Sprint(proxies), func(t *testing.T) {
+			const bound = 5 * time.Second
+			f := newColdFleet(proxies)
+			free := &conf.Config{Routes: f.config.Routes, Services: map[string]*conf.Service{"a": {Name: "a", ColdFor: coldFor}}}
+			for i, p := range f.pickers {
+				w := f.world(i, 1, time.Minute)
+				w.Config = free
+				p.SetWorld(0, w)
+			}
+			f.press(bound, bound+3*time.Second, 10*time.Millisecond, func(now Time) {
+				if now == bound {
+					for i, p := range f.pickers {
+						p.SetWorld(now, f.world(i, 1, time.Minute))
+					}
+				}
+			})
+			f.check(t)
+		})
+	}
+}
+
+// TestHalfThatStartsAnewKeepsThePace: the machines are cut into two halves, and all processes of the larger one start anew, with its keepers, which then know the
+// proxies of that half alone. Those in the smaller one are stale and go on.
+func TestHalfThatStartsAnewKeepsThePace(t *testing.T) {
+	for _, smaller := range []int{1, 2, 3, 4, 5, 6} {
+		t.Run(fmt.Sprint(smaller), func(t *testing.T) {
+			f := newColdFleet(12)
+			const starts = 10 * time.Second
+			for i, p := range f.pickers {
+				w := f.world(i, 1, time.Minute)
+				if i < smaller {
+					p.SetWorld(0, f.world(i, 1, time.Minute))
+					w.Peers, w.Stale = f.names[:smaller], true
+				} else {
+					w.Peers = f.names[smaller:]
+				}
+				p.SetWorld(starts, w)
+			}
+			f.press(starts, starts+5*time.Second, 10*time.Millisecond, nil)
+			f.check(t)
+		})
+	}
+}
--- a/internal/system/proxy/pick/flight.go
+++ b/internal/system/proxy/pick/flight.go
@@ -30,6 +30,9 @@
 		s.trial = f
 	}
 	p.checkSend(r, s)
+	if s.cold(now) && s.coldRate() > 0 {
+		c.SendWithin = coldSendWithin
+	}
 	p.spendCold(now, s)
 	if r.arrived > 0 {
 		f.charged = true
