A proxy is no holder of a server whose service the configuration does not name

Cause: while a service is not named, every proxy counted as a holder of its cold servers. Ruled out: that it matters for services without a bound: there nothing is paced, and who is a holder follows from the peers. Change: without an entry a proxy holds nothing, and becomes a holder anew when there is one.

--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"gradeusher.example/gradeusher/internal/system/conf"
 )
 
 // Cold servers. Their bound counts the requests of all proxies together within any second. Every holder paces its sends
@@ -64,12 +66,11 @@
 
 // holderOf tells whether this proxy is one of the holders of s.
 func (p *Picker) holderOf(s *server) bool {
-	rate := 0.0
-	if p.world.Config != nil {
-		if sv := p.world.Config.Services[s.Service]; sv != nil {
-			rate = sv.ColdPerSecond
-		}
+	service := p.service(s.Service)
+	if service == nil {
+		return false // who becomes a holder once the service is named again waits for the former ones
 	}
+	rate := service.ColdPerSecond
 	if rate <= 0 {
 		return true
 	}
@@ -201,10 +202,18 @@
 
 // coldFor is how long servers of a service stay cold; 0: they are never cold, as far as is known.
 func (p *Picker) coldFor(service string) time.Duration {
-	if p.world.Config == nil || p.world.Config.Services[service] == nil {
-		return 0
+	if sv := p.service(service); sv != nil {
+		return sv.ColdFor
+	}
+	return 0
+}
+
+// service is what the configuration says of a service; nil: nothing.
+func (p *Picker) service(name string) *conf.Service {
+	if p.world.Config == nil {
+		return nil
 	}
-	return p.world.Config.Services[service].ColdFor
+	return p.world.Config.Services[name]
 }
 
 // Stalled takes note that the process stood still until now, and hears no keeper since. Servers may have turned cold meanwhile,
--- a/internal/system/proxy/pick/coldholders_test.go
+++ b/internal/system/proxy/pick/coldholders_test.go
@@ -37,6 +37,34 @@
 	}
 }
 
+// TestServiceNamedAgainKeepsItsSuccessorsWaiting: of 60 proxies the 17 that hold a cold server are given up by the others, while the configuration does not
+// name its service for 2.1 s; those cut off have not heard of that. It is named again before they have stopped.
+func TestServiceNamedAgainKeepsItsSuccessorsWaiting(t *testing.T) {
+	const without, givenUp, again, stale = time.Second, 3 * time.Second, 3100 * time.Millisecond, 4500 * time.Millisecond
+	f := newColdFleet(60)
+	lost, left := f.loseHolders(17)
+	missing := &conf.Config{Routes: f.config.Routes, Services: map[string]*conf.Service{}}
+	f.press(0, 8*time.Second, 10*time.Millisecond, func(now Time) {
+		for i, p := range f.pickers {
+			w := f.world(i, 1, time.Minute-now)
+			switch {
+			case now == without && !lost[i]:
+				w.Config = missing
+			case now == givenUp && !lost[i]:
+				w.Config, w.Peers = missing, left
+			case now == again && !lost[i]:
+				w.Peers = left
+			case now == stale && lost[i]:
+				w.Stale = true
+			default:
+				continue
+			}
+			p.SetWorld(now, w)
+		}
+	})
+	f.check(t)
+}
+
 // TestBoundComesIntoForceOnAColdServer: servers are cold while the configuration names no bound for them, and then does. What goes from then on keeps the bound.
 func TestBoundComesIntoForceOnAColdServer(t *testing.T) {
 	for _, proxies := range []int{12, 17, 18, 60} {
