The invariant of cold ends tells another cold state from an early end

Ruled out: leaving out cold states that overlap, as an early end of one and the same state must be seen. Change: the check asks whether the state that is told began after the proxy had heard of the former one. What was paced only because the process stood still counts as no cold state. The text says what is checked.

--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -138,7 +138,7 @@
 			s.tokenRate = 0
 		}
 	case s.wasCold:
-		s.wasCold, s.warmedAt, s.warmedFrom, s.coldSent = false, now, s.coldUntil, coldWindow{}
+		s.wasCold, s.warmedAt, s.warmedSince, s.coldSent = false, now, s.coldSince, coldWindow{}
 		p.stats.ColdEnds++
 	}
 }
@@ -162,6 +162,7 @@
 		p.setCold(now, s, until)
 	} else if s.cold(now) {
 		s.coldUntil = now
+		s.wasCold = s.wasCold && !s.stallPaced // it never was, as far as is known
 	}
 }
 
@@ -222,7 +223,9 @@
 func (p *Picker) Stalled(now Time) {
 	p.stalled, p.stalledAt = true, now
 	for _, s := range p.servers {
+		warm := !s.cold(now)
 		p.setCold(now, s, max(s.coldUntil, now+p.coldFor(s.Service)))
+		s.stallPaced = s.stallPaced || warm
 	}
 }
 
--- a/internal/system/proxy/pick/invariants.go
+++ b/internal/system/proxy/pick/invariants.go
@@ -49,9 +49,9 @@
 	if s.warmedAt == 0 || s.ColdLeast <= 0 {
 		return
 	}
-	// The cold state that is told began at this moment at the latest. One that began after the end by which the
-	// server was taken for warm is another one, which no reading could show in time.
+	// The cold state that is told began at this moment at the latest. One that began after this proxy had heard of the former one is
+	// another one, of which no reading may have told in time.
 	began := now + s.Cold - p.coldFor(s.Service)
-	coldEndKept.Check(began > s.warmedFrom)
+	coldEndKept.Check(began > s.warmedSince)
 	s.warmedAt = 0
 }
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -58,7 +58,9 @@
 	coldUntil, coldTold, holderSince Time
 	wasCold                          bool // no request was sent to it as a warm one since it turned cold
 	warmedAt                         Time // when the first one was; 0: none, or it was judged
-	warmedFrom                       Time // the end of the cold state by which it went
+	warmedSince                      Time // when this proxy had heard of the cold state that was taken to be over then
+	coldSince                        Time // when this proxy heard of the last cold state
+	stallPaced                       bool // it counts as cold only because the process stood still
 	coldSent                         coldWindow
 	listed                           bool // in a list before
 	holder                           bool // this proxy may send to it while it is cold
@@ -127,7 +129,7 @@
 func (p *Picker) setCold(now Time, s *server, until Time) {
 	if !s.cold(now) && until > now {
 		s.token, s.tokenAt = 0, now // it turns cold: nothing was saved up
-		s.wasCold, s.coldSent = true, coldWindow{}
+		s.wasCold, s.coldSent, s.coldSince, s.stallPaced = true, coldWindow{}, now, false
 		p.stats.ColdStarts++
 	}
 	s.coldUntil = until
