A server that a stale proxy reaches again is paced until a keeper tells of it

Cause: while a zone is cut off, its proxies reach neither keepers nor the servers of other zones, which may turn cold meanwhile. Ruled out: pacing servers for a proxy that hears its keepers: they tell it of cold servers as they do all others. Change: the mark of servers that may have turned cold unseen, which a stall sets for all, is set for one that answers again while no current keeper is heard. A keeper's word from after that ends it, or the time of a cold state.

--- a/internal/system/proxy/pick/cold.go
+++ b/internal/system/proxy/pick/cold.go
@@ -155,14 +155,17 @@
 	if now-s.coldTold < coldHintLife && s.coldTold > 0 || s.unproven {
 		until = max(until, s.coldUntil) // the server's own word counts, or the list cannot know yet
 	}
-	if p.stalled {
-		until = max(until, p.stalledAt+p.coldFor(s.Service))
+	if p.stalled && p.stalledAt > s.unseenAt {
+		s.unseen, s.unseenAt = true, p.stalledAt // it is new here
+	}
+	if s.unseen = s.unseen && !p.heardSince(now, s.unseenAt); s.unseen {
+		until = max(until, s.unseenAt+p.coldFor(s.Service))
 	}
 	if until > now {
 		p.setCold(now, s, until)
 	} else if s.cold(now) {
 		s.coldUntil = now
-		s.wasCold = s.wasCold && !s.stallPaced // it never was, as far as is known
+		s.wasCold = s.wasCold && !s.pacedUnseen // it never was, as far as is known
 	}
 }
 
@@ -223,12 +226,22 @@
 func (p *Picker) Stalled(now Time) {
 	p.stalled, p.stalledAt = true, now
 	for _, s := range p.servers {
-		warm := !s.cold(now)
-		p.setCold(now, s, max(s.coldUntil, now+p.coldFor(s.Service)))
-		s.stallPaced = s.stallPaced || warm
+		p.paceUnseen(now, s)
 	}
 }
 
+// paceUnseen paces s as cold until SetWorld tells what a keeper knew after now, or until a cold state that began by now would be over.
+func (p *Picker) paceUnseen(now Time, s *server) {
+	warm := !s.cold(now)
+	p.setCold(now, s, max(s.coldUntil, now+p.coldFor(s.Service)))
+	s.unseen, s.unseenAt, s.pacedUnseen = true, now, s.pacedUnseen || warm
+}
+
+// heardSince tells whether a keeper told of the world after a moment.
+func (p *Picker) heardSince(now, since Time) bool {
+	return now-p.world.WordAge-p.world.Delay >= since
+}
+
 // AwaitsWord tells whether the process stood still and no keeper's word from after that has come.
 func (p *Picker) AwaitsWord() bool { return p.stalled }
 
--- a/internal/system/proxy/pick/flight.go
+++ b/internal/system/proxy/pick/flight.go
@@ -101,6 +101,7 @@
 // Started tells that the head of an answer has come: the server lives.
 func (p *Picker) Started(now Time, ticket uint64) {
 	if f := p.sends[ticket]; f != nil {
+		p.reached(now, f.server)
 		f.server.heard(f)
 		if e := f.server.group.service; e == nil || e.Engine == nil {
 			f.settle()
@@ -108,6 +109,13 @@
 	}
 }
 
+// reached takes note that s has answered. Where it could not be reached before, and no keeper either, it may have turned cold unseen.
+func (p *Picker) reached(now Time, s *server) {
+	if s.fails > 0 && p.world.Stale {
+		p.paceUnseen(now, s)
+	}
+}
+
 // heard ends the doubt in a server that has begun to answer f.
 func (s *server) heard(f *send) {
 	if s.trial == f {
@@ -124,6 +132,7 @@
 	}
 	f.settle()
 	s := f.server
+	p.reached(now, s)
 	s.heard(f)
 	if !f.alone {
 		return
@@ -169,11 +178,13 @@
 	}
 	switch o {
 	case Served:
+		p.reached(now, s)
 		s.failed = 0
 		s.well()
 		g.serviceTime += (min(ms(now-f.at), 10*g.serviceTime+100) - g.serviceTime) / 32
 		g.room = min(g.room+roomGrow, roomMost)
 	case NotExecuted:
+		p.reached(now, s)
 		s.well()
 		g.room = max(roomLeast, min(g.room, float64(s.load(now, p.othersAt))/float64(s.slots())))
 		s.fullUntil = now + min(max(retryAfter, fullLeast), fullMost)
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -115,7 +115,7 @@
 	if w.Stale && !before.Stale {
 		p.staleSince = now
 	}
-	heard := p.stalled && now-w.WordAge-w.Delay >= p.stalledAt
+	heard := p.stalled && p.heardSince(now, p.stalledAt)
 	if heard {
 		p.stalled = false
 	}
--- /dev/null
+++ b/internal/system/proxy/pick/reached_test.go
@@ -0,0 +1,55 @@
+package pick
+
+import (
+	"testing"
+	"time"
+)
+
+// TestServersReachedAgain: proxies of a zone that is cut off reach neither keepers nor the servers of another zone, which turn cold
+// meanwhile. The cut ends, and servers are reached before a keeper is. Danger: the first answer ends the doubt in a server, and all
+// that waits goes there.
+func TestServersReachedAgain(t *testing.T) {
+	const cut, healed, told = 5 * time.Second, 10 * time.Second, 10300 * time.Millisecond
+	f := newColdFleet(12)
+	f.pickers = f.pickers[:5]
+	for i, p := range f.pickers {
+		p.SetWorld(0, f.world(i, 1, 0))
+		w := f.world(i, 1, 0)
+		w.Stale = true
+		p.SetWorld(cut, w)
+		c := p.Choose(cut, &Request{Route: f.config.Routes[0], Left: time.Second}, nil, false)
+		p.Done(cut, c.Ticket, Unreached, 0)
+	}
+	f.press(healed, told, 5*time.Millisecond, nil)
+	f.check(t)
+	if len(f.sent) == 0 {
+		t.Error("nothing was tried")
+	}
+	for i, p := range f.pickers {
+		w := f.world(i, 1, 0)
+		w.WordAge = told - healed + time.Millisecond
+		p.SetWorld(told, w)
+		if !p.servers["s0"].cold(told) {
+			t.Errorf("proxy %d takes the server for warm by a word from before", i)
+		}
+		w.WordAge = 0
+		p.SetWorld(told, w)
+		if p.servers["s0"].cold(told) {
+			t.Errorf("proxy %d takes the server for cold though a keeper has told of it since", i)
+		}
+	}
+}
+
+// TestServersReachedAgainInTouch: a proxy that hears its keepers knows of cold servers by them, and goes on at once.
+func TestServersReachedAgainInTouch(t *testing.T) {
+	f := newColdFleet(12)
+	p := f.pickers[0]
+	p.SetWorld(0, f.world(0, 1, 0))
+	c := p.Choose(0, &Request{Route: f.config.Routes[0], Left: time.Second}, nil, false)
+	p.Done(0, c.Ticket, Unreached, 0)
+	f.pickers = f.pickers[:1]
+	f.press(10*time.Second, 11*time.Second, 10*time.Millisecond, nil)
+	if len(f.sent) != 100 {
+		t.Errorf("%d requests of 100", len(f.sent))
+	}
+}
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -60,7 +60,9 @@
 	warmedAt                         Time // when the first one was; 0: none, or it was judged
 	warmedSince                      Time // when this proxy had heard of the cold state that was taken to be over then
 	coldSince                        Time // when this proxy heard of the last cold state
-	stallPaced                       bool // it counts as cold only because the process stood still
+	unseen                           bool // it may have turned cold at unseenAt or before, of which no keeper's word has come since
+	unseenAt                         Time
+	pacedUnseen                      bool // it counts as cold only because it was unseen
 	coldSent                         coldWindow
 	listed                           bool // in a list before
 	holder                           bool // this proxy may send to it while it is cold
@@ -129,7 +131,7 @@
 func (p *Picker) setCold(now Time, s *server, until Time) {
 	if !s.cold(now) && until > now {
 		s.token, s.tokenAt = 0, now // it turns cold: nothing was saved up
-		s.wasCold, s.coldSent, s.coldSince, s.stallPaced = true, coldWindow{}, now, false
+		s.wasCold, s.coldSent, s.coldSince, s.pacedUnseen = true, coldWindow{}, now, false
 		p.stats.ColdStarts++
 	}
 	s.coldUntil = until
