A call that is overdue is answered as the Balancer decides, whichever timer fires first

Cause: two timers race at a call's deadline: its attempt's, whose result has to come back through the attempt's goroutine, and the call's own 2.5 ms later. Where the second won, the host itself answered "failed", for every class. On a busy machine a "read" or "book" on a silent server thus got 502 in place of 503, and the Balancer did not learn of the time-out.

Ruled out: a longer margin, which moves the race and takes the client's time; the rule of which class may be refused in the host as well, which would be a second copy of balance's. A call whose attempt has not returned by then cannot wait for it: the client's time is over.

Change: an overdue call's attempts that have not reported count as timed out, as they would have a moment later: each may have run. The Balancer gets that as their results, and refuses or fails by its one rule. A result that comes later is not told again; an attempt that was called off before stays "cancelled". An at-most-once call is still failed, as nothing is promised of what may have run. The host's own "failed" is left for a call that the Balancer leaves without an answer. Where the result comes first nothing changes.

--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -16,9 +16,9 @@
 	if c == nil {
 		return
 	}
-	n, t := len(c.attempts), &try{sent: h.now}
-	var ctx context.Context
-	ctx, t.cancel = context.WithCancelCause(h.ctx)
+	n, t := len(c.attempts), &try{endpoint: endpoint, sent: h.now}
+	t.ctx, t.cancel = context.WithCancelCause(h.ctx)
+	ctx := t.ctx
 	if !c.deadline.IsZero() {
 		end := c.deadline
 		if own := h.origin.Add(h.now + timeout); timeout != 0 && own.Before(end) {
@@ -37,7 +37,7 @@
 			h.post(func() { h.began(ctx, c, n, f) })
 		})
 		t.cancel(nil)
-		h.post(func() { h.result(c, n, endpoint, r) })
+		h.post(func() { h.result(c, n, r) })
 	}()
 }
 
@@ -51,9 +51,8 @@
 func (c endsAt) Deadline() (time.Time, bool) { return c.end, true }
 
 // result takes in how an attempt ended.
-func (h *host) result(c *call, n int, endpoint string, r reply) {
-	t := c.attempts[n]
-	if t.timer != nil {
+func (h *host) result(c *call, n int, r reply) {
+	if t := c.attempts[n]; t.timer != nil {
 		t.timer.Stop()
 	}
 	if r.outcome == balance.Served {
@@ -67,12 +66,22 @@
 		r.outcome = balance.Cancelled
 	}
 	c.out--
-	h.counts.attempts[r.outcome].Add(1)
-	h.balancer.Result(h.now, balance.Result{ID: c.number, Attempt: n, Endpoint: endpoint, Outcome: r.outcome,
-		Took: cmp.Or(t.began, h.now) - t.sent, Finished: c.over})
+	h.tell(c, n, r.outcome)
 	h.forget(c)
 }
 
+// tell tells the Balancer how an attempt ended. The first outcome counts.
+func (h *host) tell(c *call, n int, outcome balance.Outcome) {
+	t := c.attempts[n]
+	if t.told {
+		return
+	}
+	t.told = true
+	h.counts.attempts[outcome].Add(1)
+	h.balancer.Result(h.now, balance.Result{ID: c.number, Attempt: n, Endpoint: t.endpoint, Outcome: outcome,
+		Took: cmp.Or(t.began, h.now) - t.sent, Finished: c.over})
+}
+
 // Cancel ends an attempt. Its result comes from its own goroutine.
 func (h *host) Cancel(id balance.RequestID, attempt int) {
 	if c := h.calls[id]; c != nil && attempt >= 0 && attempt < len(c.attempts) {
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"gradeusher.example/gradeusher/balance"
@@ -50,10 +51,13 @@
 
 // try is an attempt. The loop alone touches it.
 type try struct {
-	cancel context.CancelCauseFunc
-	timer  *time.Timer  // of its end; nil: the body is still coming
-	sent   balance.Time // or when the body had come
-	began  balance.Time // its answer; 0: not
+	endpoint string
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer  // of its end; nil: the body is still coming
+	sent     balance.Time // or when the body had come
+	began    balance.Time // its answer; 0: not
+	told     bool         // the Balancer knows how it ended
 }
 
 // serve has the Balancer decide on a request and returns its final answer, or false if ctx, the client's connection,
@@ -133,17 +137,32 @@
 	if c.over {
 		return
 	}
-	if !overdue {
+	if overdue {
+		h.log.Warn("request overdue", "class", c.class)
+		h.expire(c)
+		h.answer(c, answer{kind: failed}) // unless the Balancer has answered
+	} else {
 		h.counts.gone.Add(1)
 		c.over = true
-	} else {
-		h.log.Warn("request overdue", "class", c.class)
-		h.answer(c, answer{kind: failed})
 	}
 	h.balancer.ClientGone(h.now, c.number)
 	h.forget(c)
 }
 
+// expire tells the Balancer that the attempts of an overdue request have timed out, without waiting for their results.
+// Danger: an attempt that is ended at the deadline takes time to return. Its timer and the request's race on a busy
+// machine, and the answer must not depend on which of them wins.
+func (h *host) expire(c *call) {
+	for n, t := range c.attempts {
+		t.cancel(context.DeadlineExceeded)
+		outcome := balance.TimedOut
+		if errors.Is(context.Cause(t.ctx), context.Canceled) { // called off before, or its result is just being posted
+			outcome = balance.Cancelled
+		}
+		h.tell(c, n, outcome)
+	}
+}
+
 // answer gives a request its final answer. The first counts.
 func (h *host) answer(c *call, a answer) {
 	if c != nil && !c.over {
