A failing test: a call's timer is armed, and may fire, before the call's body has come

Need: found in the search for other races at the deadline. host.serve arms the timer of a call whose body is still coming, with a time that is long past, and then stops it. In between it may fire; the call is then answered "failed" (502) though its time has not begun.

Change: TestDeadlineBehindBody holds a body back, sees that there is no timer, lets the body end, and sees that there is one and that a "read" that is then overdue is refused. The set-up of TestDeadlineOrder becomes smaller steps that both tests use; what it checks is as before.

--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net/url"
 	"testing"
@@ -10,15 +11,16 @@
 	"gradeusher.example/gradeusher/balance"
 )
 
-// startedCall is a call that a host without a loop has begun: it has one attempt, which a silent server has whole. The
-// test takes the loop's place, and no timer of the call fires during it.
-type startedCall struct {
+// testCall is a call of a host without a loop, whose one server is silent. The test takes the loop's place, and no timer of
+// the call fires during it.
+type testCall struct {
 	*call
-	t    *testing.T
-	host *host
+	t      *testing.T
+	host   *host
+	server *backend
 }
 
-func startCall(t *testing.T, class string) *startedCall {
+func newTestCall(t *testing.T, class string) *testCall {
 	t.Helper()
 	b := startBackend(t, silent)
 	c, err := load(t, configText("127.0.0.1:9", serving(1, b), testSettings))
@@ -31,39 +33,54 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &startedCall{t: t, host: h, call: &call{class: c.Names.Class[class], tenant: -1, answered: make(chan answer, 1),
-		deadline: time.Now().Add(time.Hour),
-		message:  message{method: "POST", uri: &url.URL{Path: "/api"}, id: "id-1", key: "k-1", wait: time.Hour}}}
 	h.now = h.clock()
-	h.begin(s.call)
-	within(t, b.came, "attempt")
-	return s
+	return &testCall{t: t, host: h, server: b, call: &call{class: c.Names.Class[class], tenant: -1,
+		answered: make(chan answer, 1), deadline: time.Now().Add(time.Hour),
+		message: message{method: "POST", uri: &url.URL{Path: "/api"}, id: "id-1", key: "k-1", wait: time.Hour}}}
 }
 
-// attemptTimedOut ends the attempt as its timer does, and takes in what is posted until its result is among that.
-func (s *startedCall) attemptTimedOut() {
+// begin has the host take the call in, and the server have its one attempt.
+func (s *testCall) begin() {
+	s.t.Helper()
+	s.host.begin(s.call)
+	within(s.t, s.server.came, "attempt")
+}
+
+// takeIn waits until something is posted, and takes that in.
+func (s *testCall) takeIn() {
+	s.t.Helper()
+	within(s.t, s.host.wake, "event")
+	s.host.mu.Lock()
+	queue := s.host.queue
+	s.host.queue = nil
+	s.host.mu.Unlock()
+	for _, e := range queue {
+		e.do()
+	}
+}
+
+// attemptTimedOut ends the attempt as its timer does, and takes in its result.
+func (s *testCall) attemptTimedOut() {
 	s.t.Helper()
 	s.attempts[0].cancel(context.DeadlineExceeded)
 	for s.out > 0 {
-		within(s.t, s.host.wake, "result")
-		s.host.mu.Lock()
-		queue := s.host.queue
-		s.host.queue = nil
-		s.host.mu.Unlock()
-		for _, e := range queue {
-			e.do()
-		}
+		s.takeIn()
 	}
 }
 
+// passDeadline moves the time to when the call is found overdue.
+func (s *testCall) passDeadline() {
+	s.host.now = s.deadline.Add(answerMargin / 2).Sub(s.host.origin)
+}
+
 // overdue takes in that the deadline of the call has passed.
-func (s *startedCall) overdue() { s.host.abandon(s.call, true) }
+func (s *testCall) overdue() { s.host.abandon(s.call, true) }
 
 // TestDeadlineOrder has the result of an attempt that timed out come before the call is found overdue, and after it: the
 // answer is the same, and so is what is counted.
 func TestDeadlineOrder(t *testing.T) {
-	type step = func(*startedCall)
-	attempt, overdue := (*startedCall).attemptTimedOut, (*startedCall).overdue
+	type step = func(*testCall)
+	attempt, overdue := (*testCall).attemptTimedOut, (*testCall).overdue
 	for _, class := range []struct {
 		name string
 		want answerKind
@@ -73,8 +90,9 @@
 			steps []step
 		}{{"result first", []step{attempt, overdue}}, {"deadline first", []step{overdue, attempt}}} {
 			t.Run(class.name+", "+order.name, func(t *testing.T) {
-				s := startCall(t, class.name)
-				s.host.now = s.deadline.Add(answerMargin / 2).Sub(s.host.origin)
+				s := newTestCall(t, class.name)
+				s.begin()
+				s.passDeadline()
 				for i, do := range order.steps {
 					do(s)
 					if n := len(s.answered); n != 1 {
@@ -100,3 +118,37 @@
 		}
 	}
 }
+
+// TestDeadlineBehindBody has a body come while it is sent on: no timer of the call may be armed before it has come whole,
+// as one that is armed and stopped at once may have fired.
+func TestDeadlineBehindBody(t *testing.T) {
+	s := newTestCall(t, "read")
+	s.deadline = time.Time{}
+	s.rest, s.length = &upload{}, -1
+	s.rest.mu.Lock() // the body is still coming
+	answers := make(chan answer, 1)
+	go func() {
+		a, _ := s.host.serve(context.Background(), s.call)
+		answers <- a
+	}()
+	for len(s.attempts) == 0 {
+		s.takeIn()
+	}
+	early := s.due != nil
+	s.rest.err = io.EOF
+	s.rest.mu.Unlock()
+	if early {
+		t.Fatal("the call's timer was armed before its body had come")
+	}
+	within(t, s.server.came, "attempt")
+	s.host.bodyEnded(s.call)
+	if s.due == nil {
+		t.Fatal("the call has no timer")
+	}
+	s.passDeadline()
+	s.overdue()
+	if a := within(t, answers, "answer"); a.kind != refused {
+		t.Errorf("answer %+v, want a refusal", a)
+	}
+	s.attemptTimedOut()
+}
