A call's timer is armed on the loop, once the call's time has begun

Cause: host.serve armed the timer from the client's goroutine before it posted the call, and for a body still to come with a time long past, to be stopped at once. The timer could fire before that, or before the loop had begun the call, and the call was failed though its time had not begun or though it had never been sent.

Ruled out: to have the loop pass over a timer that fires too early by reading the clock again: after a step of the wall clock it could pass over the true one, and the call would hang.

Change: begin arms the timer, or bodyEnded where the body was still to come, and what ends the call stops it. All of it is on the loop, as the comment of call says of its fields; a call is begun before it can be overdue. Both tests of the order also see that the timer is there when it must be.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -43,8 +43,8 @@
 	answered chan answer
 
 	number   balance.RequestID
-	over     bool // has its final answer
-	due      *time.Timer
+	over     bool        // has its final answer
+	due      *time.Timer // finds it overdue; nil: the body is still coming
 	attempts []*try
 	out      int
 }
@@ -64,13 +64,7 @@
 // ends first.
 func (h *host) serve(ctx context.Context, c *call) (answer, bool) {
 	c.answered = make(chan answer, 1)
-	// Danger: a request that the Balancer left without an answer would hang until the client gives up.
-	c.due = time.AfterFunc(time.Until(c.deadline)+answerMargin/2, func() { h.post(func() { h.abandon(c, true) }) })
-	if c.rest != nil {
-		c.due.Stop() // its time has not begun
-	}
 	h.post(func() { h.begin(c) })
-	defer c.due.Stop()
 	select {
 	case a := <-c.answered:
 		return a, true
@@ -90,11 +84,18 @@
 		j.Name(c.client, c.name)
 	}
 	if !r.Coming {
+		h.arm(c)
 		r.Within = c.deadline.Sub(h.origin) - h.now
 	}
 	h.balancer.Request(h.now, r)
 }
 
+// arm has a request be abandoned that is without an answer behind its deadline. Danger: one that the Balancer left
+// without an answer would hang until the client gives up.
+func (h *host) arm(c *call) {
+	c.due = time.AfterFunc(time.Until(c.deadline)+answerMargin/2, func() { h.post(func() { h.abandon(c, true) }) })
+}
+
 // bodyEnded begins a request's time: its body has come.
 func (h *host) bodyEnded(c *call) {
 	if c.over {
@@ -102,7 +103,7 @@
 	}
 	now := h.origin.Add(h.now)
 	c.deadline = h.leaving.by(now.Add(c.wait))
-	c.due.Reset(time.Until(c.deadline) + answerMargin/2)
+	h.arm(c)
 	for _, t := range c.attempts {
 		if t.timer == nil {
 			t.sent = h.now
@@ -143,7 +144,7 @@
 		h.answer(c, answer{kind: failed}) // unless the Balancer has answered
 	} else {
 		h.counts.gone.Add(1)
-		c.over = true
+		c.finish()
 	}
 	h.balancer.ClientGone(h.now, c.number)
 	h.forget(c)
@@ -166,11 +167,19 @@
 // answer gives a request its final answer. The first counts.
 func (h *host) answer(c *call, a answer) {
 	if c != nil && !c.over {
-		c.over = true
+		c.finish()
 		c.answered <- a
 	}
 }
 
+// finish marks a request as over.
+func (c *call) finish() {
+	c.over = true
+	if c.due != nil {
+		c.due.Stop()
+	}
+}
+
 // forget lets go of a request that has its answer and has nothing out.
 func (h *host) forget(c *call) {
 	if c.over && c.out == 0 {
--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -68,8 +68,12 @@
 	}
 }
 
-// passDeadline moves the time to when the call is found overdue.
+// passDeadline moves the time to when the call's timer finds it overdue.
 func (s *testCall) passDeadline() {
+	s.t.Helper()
+	if s.due == nil {
+		s.t.Fatal("the call has no timer")
+	}
 	s.host.now = s.deadline.Add(answerMargin / 2).Sub(s.host.origin)
 }
 
@@ -142,9 +146,6 @@
 	}
 	within(t, s.server.came, "attempt")
 	s.host.bodyEnded(s.call)
-	if s.due == nil {
-		t.Fatal("the call has no timer")
-	}
 	s.passDeadline()
 	s.overdue()
 	if a := within(t, answers, "answer"); a.kind != refused {
