sidecar_test.go is split by concern

Need: it held 664 lines of tests of unrelated concerns.

Change: a pure move. Answers and effects go to answer_test.go, discovery and readiness to watch_test.go, what clients send to input_test.go, the configuration to config_test.go, the deadline, drain and crowd tests to the files that there were.

--- /dev/null
+++ b/internal/sidecar/answer_test.go
@@ -0,0 +1,152 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestEffects has the first attempt of each class end in each way, and sees whether the class is tried again.
+func TestEffects(t *testing.T) {
+	full := say(503, "X-Not-Processed: 1\r\n", "")
+	for _, tt := range []struct {
+		name     string
+		class    string
+		fault    func(net.Conn, *http.Request, []byte) bool
+		status   int
+		attempts int
+	}{
+		{"safe after an error", "read", say(500, "", ""), 200, 2},
+		{"safe after a reset", "read", hangUp, 200, 2},
+		{"safe, turned away", "read", full, 200, 2},
+		{"keyed after an error", "book", say(500, "", ""), 200, 2},
+		{"keyed after a reset", "book", hangUp, 200, 2},
+		{"keyed, turned away", "book", full, 200, 2},
+		{"unsafe after an error", "pay", say(500, "", ""), 502, 1},
+		{"unsafe after a reset", "pay", hangUp, 502, 1},
+		{"unsafe, turned away", "pay", full, 200, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			faults := make(chan bool, 1)
+			faults <- true
+			came := make(chan string, 10)
+			do := func(c net.Conn, r *http.Request, body []byte) bool {
+				came <- r.Header.Get("X-Request-ID") + " " + r.Header.Get("Idempotency-Key") + " " + string(body)
+				select {
+				case <-faults:
+					return tt.fault(c, r, body)
+				default:
+					return say(200, "", "done")(c, r, body)
+				}
+			}
+			p := start(t, configText(startRegistry(t).address, serving(1, startBackend(t, do), startBackend(t, do)), testSettings))
+			g := p.ask(tt.class)
+			if g.status != tt.status || len(came) != tt.attempts {
+				t.Fatalf("status %d after %d attempts, want %d after %d", g.status, len(came), tt.status, tt.attempts)
+			}
+			if g.status == 200 && g.body != "done" {
+				t.Errorf("body %q", g.body)
+			}
+			first := <-came
+			for len(came) > 0 {
+				if again := <-came; again != first {
+					t.Errorf("attempts %q and %q differ", first, again)
+				}
+			}
+		})
+	}
+}
+
+// TestBlamedRequests has servers find fault with some requests: each of those is sent once and fails, and costs no server
+// its turns.
+func TestBlamedRequests(t *testing.T) {
+	do := func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Header.Get("X-Request-ID") == "unheard-of" {
+			return say(400, "", "who?")(c, r, body)
+		}
+		return say(200, "", "ok")(c, r, body)
+	}
+	backends := []*backend{startBackend(t, do), startBackend(t, do), startBackend(t, do), startBackend(t, do)}
+	log := &logText{}
+	c, err := load(t, configText(startRegistry(t).address, serving(1, backends...), testSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := startLogging(t, c, log, drainTimes{quiet: time.Millisecond, finish: patience})
+	const bad = 20
+	for range bad {
+		r := p.request(context.Background(), "read", "50000")
+		r.Header.Set("X-Request-ID", "unheard-of")
+		if g := p.do(r); g.err != nil || g.status != 502 {
+			t.Errorf("status %d, error %v, want 502", g.status, g.err)
+		}
+	}
+	came := 0
+	for _, b := range backends {
+		came += b.count()
+	}
+	if came != bad {
+		t.Errorf("%d attempts for %d requests", came, bad)
+	}
+	if strings.Contains(log.String(), "ejected") {
+		t.Errorf("sound servers are ejected:\n%s", log)
+	}
+	if g := p.ask("pay"); g.status != 200 {
+		t.Errorf("the next request: %+v", g)
+	}
+}
+
+// TestNoServer has every server refuse connections: nothing ran, so the refusal comes at once, for every class.
+func TestNoServer(t *testing.T) {
+	l := listen(t)
+	l.Close()
+	gone := &backend{address: l.Addr().String()}
+	p := start(t, configText(startRegistry(t).address, serving(1, gone), testSettings))
+	for _, class := range []string{"read", "book", "pay"} {
+		if g := p.ask(class); g.status != 503 {
+			t.Errorf("%s: status %d, want a refusal", class, g.status)
+		}
+	}
+}
+
+func TestClientGone(t *testing.T) {
+	closed := make(chan bool, 1)
+	b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		silent(c, r, body)
+		closed <- true
+		return false
+	})
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan gotten, 1)
+	go func() { ended <- p.do(p.request(ctx, "read", "50000")) }()
+	within(t, b.came, "attempt")
+	cancel()
+	within(t, ended, "end")
+	within(t, closed, "end of the attempt")
+	if n := b.count(); n != 0 {
+		t.Errorf("%d attempts for a client that is gone", n)
+	}
+}
+
+func TestRefusalSaysWhen(t *testing.T) {
+	for _, tt := range []struct {
+		a      answer
+		status int
+		header string
+	}{
+		{answer{kind: refused, after: 250 * time.Millisecond}, 503, "0.250"},
+		{answer{kind: refused}, 503, ""},
+		{answer{kind: failed}, 502, ""},
+	} {
+		w := httptest.NewRecorder()
+		tt.a.write(w)
+		if w.Code != tt.status || w.Header().Get("Retry-After") != tt.header {
+			t.Errorf("%+v: status %d, header %v", tt.a, w.Code, w.Header())
+		}
+	}
+}
--- a/internal/sidecar/crowd_test.go
+++ b/internal/sidecar/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -130,3 +131,43 @@
 		}
 	}
 }
+
+func TestMostHeld(t *testing.T) {
+	b := startBackend(t, silent)
+	settings := strings.Replace(testSettings, `"most_held":20000`, `"most_held":1`, 1)
+	p := start(t, configText(startRegistry(t).address, serving(1, b), settings))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan gotten, 1)
+	go func() { ended <- p.do(p.request(ctx, "pay", "50000")) }()
+	within(t, b.came, "attempt")
+	if g := p.ask("pay"); g.status != 503 || b.count() != 0 {
+		t.Errorf("status %d, %d attempts", g.status, b.count())
+	}
+	cancel()
+	within(t, ended, "end")
+}
+
+// TestCrowd has clients hold more connections than the descriptors bear: they are asked to close them.
+func TestCrowd(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	config := strings.Replace(configText(startRegistry(t).address, serving(1, b), testSettings), `"sockets":1024`, `"sockets":64`, 1)
+	p := start(t, config)
+	if g := p.ask("pay"); g.status != 200 || g.closing {
+		t.Errorf("answer %+v with one connection", g)
+	}
+	for range 32 {
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	for end := time.Now().Add(patience); ; {
+		if g := p.ask("pay"); g.closing {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("no client is asked to close")
+		}
+	}
+}
--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -11,6 +11,28 @@
 	"gradeusher.example/gradeusher/balance"
 )
 
+func TestDeadline(t *testing.T) {
+	b := startBackend(t, silent)
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	for _, tt := range []struct {
+		class  string
+		status int
+	}{{"pay", 502}, {"read", 503}} {
+		g := p.do(p.request(context.Background(), tt.class, "1500"))
+		if g.err != nil || g.status != tt.status {
+			t.Errorf("%s: status %d, error %v, want %d", tt.class, g.status, g.err, tt.status)
+		}
+		within(t, b.came, "attempt")
+	}
+	if n := b.count(); n != 0 {
+		t.Errorf("%d attempts too many", n)
+	}
+	// What has no time left is not sent at all.
+	if g := p.do(p.request(context.Background(), "pay", "0")); g.status != 503 || b.count() != 0 {
+		t.Errorf("status %d, %d attempts", g.status, b.count())
+	}
+}
+
 // testCall is a call of a host without a loop, whose one server is silent. The test takes the loop's place, and no timer of
 // the call fires during it.
 type testCall struct {
--- a/internal/sidecar/drain_test.go
+++ b/internal/sidecar/drain_test.go
@@ -103,3 +103,89 @@
 		t.Errorf("answer %q", answer)
 	}
 }
+
+// TestDrain has SIGTERM come while one request is out, and others go on coming on new connections and old ones.
+func TestDrain(t *testing.T) {
+	gate := make(chan bool)
+	b := startBackend(t, func(c net.Conn, r *http.Request, body []byte) bool {
+		if r.Header.Get("Idempotency-Key") != "" {
+			<-gate
+		}
+		return say(200, "", "ok")(c, r, body)
+	})
+	p := startDraining(t, configText(startRegistry(t).address, serving(1, b), testSettings),
+		drainTimes{accept: 4 * time.Second, quiet: 10 * time.Millisecond, closeIdle: 2 * time.Second, finish: patience})
+	slow := make(chan gotten, 1)
+	go func() { slow <- p.do(p.request(context.Background(), "book", "50000")) }()
+	within(t, b.came, "attempt")
+	p.stop()
+	for closing := false; !closing; {
+		g := p.ask("pay")
+		if g.status != 200 {
+			t.Fatalf("answer %+v while draining", g)
+		}
+		closing = g.closing
+	}
+	time.Sleep(200 * time.Millisecond) // long past the quiet that ends the accepting, well within its time
+	fresh, err := net.Dial("tcp", p.address)
+	if err != nil {
+		t.Fatalf("no new connections while draining: %v", err)
+	}
+	defer fresh.Close()
+	if err := p.request(context.Background(), "pay", "50000").Write(fresh); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(fresh), nil)
+	if err != nil || resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("answer %+v, error %v on a new connection", resp, err)
+	}
+	for end := time.Now().Add(patience); ; {
+		c, err := net.Dial("tcp", p.address)
+		if err != nil {
+			break
+		}
+		c.Close()
+		if time.Now().After(end) {
+			t.Fatal("it never stopped listening")
+		}
+	}
+	select {
+	case err := <-p.ended:
+		t.Fatalf("it ended with %v and a request out", err)
+	default:
+	}
+	close(gate)
+	if g := within(t, slow, "answer"); g.status != 200 || g.body != "ok" {
+		t.Errorf("answer %+v to what was taken", g)
+	}
+	if err := within(t, p.ended, "end"); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
+// TestBacklog has connections wait unaccepted when the accepting ends: none may be reset.
+func TestBacklog(t *testing.T) {
+	inner := listen(t).(*net.TCPListener)
+	l := &drainListener{TCPListener: inner, quiet: time.Second}
+	const n = 3
+	for range n {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	if err := l.drain(-time.Second); err != nil { // long over
+		t.Fatal(err)
+	}
+	for i := range n {
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatalf("connection %d: %v", i, err)
+		}
+		c.Close()
+	}
+	if _, err := l.Accept(); err == nil {
+		t.Error("accepting did not end")
+	}
+}
--- /dev/null
+++ b/internal/sidecar/input_test.go
@@ -0,0 +1,137 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestBadInput(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	ask := func(class string, change func(*http.Request)) *http.Request {
+		r := p.request(context.Background(), class, "50000")
+		change(r)
+		return r
+	}
+	without := func(class, header string) *http.Request {
+		return ask(class, func(r *http.Request) { r.Header.Del(header) })
+	}
+	with := func(class, header, value string) *http.Request {
+		return ask(class, func(r *http.Request) { r.Header.Set(header, value) })
+	}
+	method := func(class, m string) *http.Request { return ask(class, func(r *http.Request) { r.Method = m }) }
+	sized := func(n int) *http.Request {
+		return ask("pay", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", n))), int64(n)
+		})
+	}
+	for _, tt := range []struct {
+		name   string
+		r      *http.Request
+		status int
+	}{
+		{"no id", without("read", "X-Request-ID"), 400},
+		{"no class", without("read", "X-Priority-Class"), 400},
+		{"unknown class", with("read", "X-Priority-Class", "sing"), 400},
+		{"no time", without("read", "X-Timeout-Ms"), 400},
+		{"bad time", with("read", "X-Timeout-Ms", "soon"), 400},
+		{"negative time", with("read", "X-Timeout-Ms", "-1"), 400},
+		{"endless time", with("read", "X-Timeout-Ms", "99999999999999999999"), 400},
+		{"no key", without("book", "Idempotency-Key"), 400},
+		{"unsafe GET", method("pay", "GET"), 405},
+		{"method", method("read", "DELETE"), 405},
+		{"path", ask("read", func(r *http.Request) { r.URL.Path = "/apis" }), 404},
+		{"health method", ask("read", func(r *http.Request) { r.URL.Path, r.Method = "/healthz", "PUT" }), 405},
+		{"long body", sized(mostLong + 1), 413},
+		{"longest body held", sized(mostBody), 200},
+		{"body that is not held", sized(mostBody + 1), 200},
+		{"unknown tenant", with("read", "X-Tenant-Id", "nobody"), 200},
+		{"no tenant", without("pay", "X-Tenant-Id"), 200},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			came := b.count()
+			if g := p.do(tt.r); g.err != nil || g.status != tt.status {
+				t.Errorf("status %d, error %v, want %d", g.status, g.err, tt.status)
+			}
+			if sent := b.count() > came; sent != (tt.status == 200) {
+				t.Errorf("sent to a server: %v", sent)
+			}
+			if g := p.ask("pay"); g.status != 200 {
+				t.Errorf("the next request: %+v", g)
+			}
+		})
+	}
+}
+
+// TestEndlessBody has a client send half a body and no more: its connection ends with its time, and others are served.
+func TestEndlessBody(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	c, err := net.Dial("tcp", p.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: i\r\nX-Priority-Class: pay\r\nX-Timeout-Ms: 300\r\n"+
+		"Content-Length: 10\r\n\r\nhalf")
+	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(c); err != nil {
+		t.Errorf("the connection did not end: %v", err)
+	}
+	if n := b.count(); n != 0 {
+		t.Errorf("%d attempts for half a request", n)
+	}
+	// A connection whose body's time is over still serves what takes longer.
+	if g := p.ask("pay"); g.status != 200 {
+		t.Errorf("answer %+v", g)
+	}
+}
+
+// TestSilentPeers has peers that say nothing, or stop in the middle of a request whose time is long: their connections
+// end within 3 s.
+func TestSilentPeers(t *testing.T) {
+	b := startBackend(t, say(200, "", "ok"))
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	const head = "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: i\r\nX-Priority-Class: pay\r\nX-Timeout-Ms: 50000\r\n"
+	for name, text := range map[string]string{"nothing": "", "half a line": "POST /a", "half a head": head,
+		"half a body": head + "Content-Length: 10\r\n\r\nhalf", "half a chunk": head + "Transfer-Encoding: chunked\r\n\r\n9\r\nhalf"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", p.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			began := time.Now()
+			if err := c.SetReadDeadline(began.Add(patience)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.WriteString(c, text); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("the connection did not end")
+			}
+			if took := time.Since(began); took > mostSilence {
+				t.Errorf("it took %v", took)
+			}
+			if n := b.count(); n != 0 {
+				t.Errorf("%d attempts for half a request", n)
+			}
+		})
+	}
+}
+
+// mostSilence is well above the 3 s of the terms, so that a loaded machine does not fail, and well under what a
+// forgotten deadline takes.
+const mostSilence = 9 * time.Second
