--- /dev/null
+++ b/internal/sidecar/deadline_test.go
@@ -0,0 +1,177 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/url"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/balance"
+)
+
+func TestDeadline(t *testing.T) {
+	b := startBackend(t, silent)
+	p := start(t, configText(startRegistry(t).address, serving(1, b), testSettings))
+	for _, tt := range []struct {
+		class  string
+		status int
+	}{{"pay", 502}, {"read", 503}} {
+		g := p.do(p.request(context.Background(), tt.class, "1500"))
+		if g.err != nil || g.status != tt.status {
+			t.Errorf("%s: status %d, error %v, want %d", tt.class, g.status, g.err, tt.status)
+		}
+		within(t, b.came, "attempt")
+	}
+	if n := b.count(); n != 0 {
+		t.Errorf("%d attempts too many", n)
+	}
+	// What has no time left is not sent at all.
+	if g := p.do(p.request(context.Background(), "pay", "0")); g.status != 503 || b.count() != 0 {
+		t.Errorf("status %d, %d attempts", g.status, b.count())
+	}
+}
+
+// testCall is a call of a host without a loop, whose one server is silent. The test takes the loop's place, and no timer of
+// the call fires during it.
+type testCall struct {
+	*call
+	t      *testing.T
+	host   *host
+	server *backend
+}
+
+func newTestCall(t *testing.T, class string) *testCall {
+	t.Helper()
+	b := startBackend(t, silent)
+	c, err := load(t, configText("127.0.0.1:9", serving(1, b), testSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	h, err := newHost(ctx, c, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.now = h.clock()
+	return &testCall{t: t, host: h, server: b, call: &call{class: c.Names.Class[class], tenant: -1,
+		answered: make(chan answer, 1), deadline: time.Now().Add(time.Hour),
+		message: message{method: "POST", uri: &url.URL{Path: "/api"}, id: "id-1", key: "k-1", wait: time.Hour}}}
+}
+
+// begin has the host take the call in, and the server have its one attempt.
+func (s *testCall) begin() {
+	s.t.Helper()
+	s.host.begin(s.call)
+	within(s.t, s.server.came, "attempt")
+}
+
+// takeIn waits until something is posted, and takes that in.
+func (s *testCall) takeIn() {
+	s.t.Helper()
+	within(s.t, s.host.wake, "event")
+	s.host.mu.Lock()
+	queue := s.host.queue
+	s.host.queue = nil
+	s.host.mu.Unlock()
+	for _, e := range queue {
+		e.do()
+	}
+}
+
+// attemptTimedOut ends the attempt as its timer does, and takes in its result.
+func (s *testCall) attemptTimedOut() {
+	s.t.Helper()
+	s.attempts[0].cancel(context.DeadlineExceeded)
+	for s.out > 0 {
+		s.takeIn()
+	}
+}
+
+// passDeadline moves the time to when the call's timer finds it overdue.
+func (s *testCall) passDeadline() {
+	s.t.Helper()
+	if s.due == nil {
+		s.t.Fatal("the call has no timer")
+	}
+	s.host.now = s.deadline.Add(answerMargin / 2).Sub(s.host.origin)
+}
+
+// overdue takes in that the deadline of the call has passed.
+func (s *testCall) overdue() { s.host.abandon(s.call, true) }
+
+// TestDeadlineOrder has the result of an attempt that timed out come before the call is found overdue, and after it: the
+// answer is the same, and so is what is counted.
+func TestDeadlineOrder(t *testing.T) {
+	type step = func(*testCall)
+	attempt, overdue := (*testCall).attemptTimedOut, (*testCall).overdue
+	for _, class := range []struct {
+		name string
+		want answerKind
+	}{{"read", refused}, {"book", refused}, {"pay", failed}} {
+		for _, order := range []struct {
+			name  string
+			steps []step
+		}{{"result first", []step{attempt, overdue}}, {"deadline first", []step{overdue, attempt}}} {
+			t.Run(class.name+", "+order.name, func(t *testing.T) {
+				s := newTestCall(t, class.name)
+				s.begin()
+				s.passDeadline()
+				for i, do := range order.steps {
+					do(s)
+					if n := len(s.answered); n != 1 {
+						t.Fatalf("%d answers after step %d", n, i)
+					}
+				}
+				if a := <-s.answered; a.kind != class.want || a.after != 0 {
+					t.Errorf("answer %+v, want kind %d at once", a, class.want)
+				}
+				for outcome := range s.host.counts.attempts {
+					want := int64(0)
+					if balance.Outcome(outcome) == balance.TimedOut {
+						want = 1
+					}
+					if n := s.host.counts.attempts[outcome].Load(); int64(n) != want {
+						t.Errorf("%d attempts with outcome %d, want %d", n, outcome, want)
+					}
+				}
+				if len(s.host.calls) != 0 {
+					t.Error("the call is not forgotten")
+				}
+			})
+		}
+	}
+}
+
+// TestDeadlineBehindBody has a body come while it is sent on: no timer of the call may be armed before it has come whole,
+// as one that is armed and stopped at once may have fired.
+func TestDeadlineBehindBody(t *testing.T) {
+	s := newTestCall(t, "read")
+	s.deadline = time.Time{}
+	s.rest, s.length = &upload{}, -1
+	s.rest.mu.Lock() // the body is still coming
+	answers := make(chan answer, 1)
+	go func() {
+		a, _ := s.host.serve(context.Background(), s.call)
+		answers <- a
+	}()
+	for len(s.attempts) == 0 {
+		s.takeIn()
+	}
+	early := s.due != nil
+	s.rest.err = io.EOF
+	s.rest.mu.Unlock()
+	if early {
+		t.Fatal("the call's timer was armed before its body had come")
+	}
+	within(t, s.server.came, "attempt")
+	s.host.bodyEnded(s.call)
+	s.passDeadline()
+	s.overdue()
+	if a := within(t, answers, "answer"); a.kind != refused {
+		t.Errorf("answer %+v, want a refusal", a)
+	}
+	s.attemptTimedOut()
+}
