ownership: what tests alone reached goes: Gate, and Fence.Epoch

Need: no program used either. Whoever a duty's holder acts on refuses a former holder by itself: the hub's table orders entries by fence, then version, among all keepers that run (Hub.PutList), and the poller asks nothing under a fence below the one in use. A Gate beside them would decide the same a second time, and forgets keys, which the table does not for the list. Ruled out: wiring the Gate in; there is no path without a fence check that it would guard. Keeping Epoch: Fence.Holder gives the same number in the same read. Change: both go. TestGateIsMonotone and TestGateForgetsSafely tested nothing but the Gate and go with it. What they promised for a duty's effects holds in distribution: TestListOfAnOldFenceIsOverruled, TestMergeIsAJoin, TestHigherFenceWithAnOlderReading, and in platform TestPollerUnderAnOldFence. TestFenceNeverGoesBack checks the number by Holder as before. TestNodesWithDifferingViews keeps that one node acts under each epoch, and in place of the Gate now checks that it is the one that the view of that epoch names.

--- a/internal/system/ownership/fence.go
+++ b/internal/system/ownership/fence.go
@@ -33,13 +33,6 @@
 	return true
 }
 
-// Epoch is that of the membership that is held, 0 before the first.
-func (f *Fence) Epoch() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.epoch
-}
-
 // Holder names the holder of a key, empty where there is none, and the fence under which it acts.
 func (f *Fence) Holder(key string) (node string, fence uint64) {
 	f.mu.Lock()
@@ -53,51 +46,6 @@
 	return fence, node == f.self && fence > 0
 }
 
-// maxKeys bounds what a Gate remembers.
-const maxKeys = 1024
-
-// Gate is kept by whoever is acted upon: it refuses a holder that a newer one has followed. The zero value is ready; it
-// may be used by many goroutines.
-type Gate struct {
-	mu     sync.Mutex
-	floor  uint64 // the least fence of keys that are not remembered
-	fences map[string]uint64
-}
-
-// Accept tells whether a call for key under fence is to be carried out. From then on lower fences are refused.
-func (g *Gate) Accept(key string, fence uint64) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	have, known := g.fences[key]
-	if !known {
-		have = g.floor
-	}
-	if fence < have {
-		return false
-	}
-	if g.fences == nil {
-		g.fences = map[string]uint64{}
-	}
-	g.fences[key] = fence
-	if len(g.fences) > maxKeys {
-		g.forget()
-	}
-	return true
-}
-
-// forget drops the key of the lowest fence. The floor rises to that fence, so that nothing forgotten is accepted anew
-// under a lower one.
-func (g *Gate) forget() {
-	var lowest string
-	for key, fence := range g.fences {
-		if lowest == "" || fence < g.fences[lowest] || fence == g.fences[lowest] && key < lowest {
-			lowest = key
-		}
-	}
-	g.floor = max(g.floor, g.fences[lowest])
-	delete(g.fences, lowest)
-}
-
 // Standby lets a node that does not hold a duty step in while its work grows old, rarely and at a moment of its own.
 type Standby struct {
 	Interval time.Duration // of the duty
--- a/internal/system/ownership/post_test.go
+++ b/internal/system/ownership/post_test.go
@@ -100,7 +100,7 @@
 				highest, live[epoch] = epoch, told
 			}
 			node, fence := f.Holder("key")
-			if fence != highest || f.Epoch() != highest || node != Holder("key", live[highest]) {
+			if fence != highest || node != Holder("key", live[highest]) {
 				t.Fatalf("holder %q under %d, want that of epoch %d", node, fence, highest)
 			}
 			if _, holds := f.Holds("key"); holds != (node == "a") {
@@ -110,40 +110,8 @@
 	})
 }
 
-func TestGateIsMonotone(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		var g Gate
-		highest := map[string]uint64{}
-		for range rapid.IntRange(1, 50).Draw(t, "calls") {
-			key := rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "key")
-			fence := rapid.Uint64Range(0, 9).Draw(t, "fence")
-			if got := g.Accept(key, fence); got != (fence >= highest[key]) {
-				t.Fatalf("key %q fence %d after %d: %v", key, fence, highest[key], got)
-			}
-			highest[key] = max(highest[key], fence)
-		}
-	})
-}
-
-func TestGateForgetsSafely(t *testing.T) {
-	var g Gate
-	for n := range 3 * maxKeys {
-		if !g.Accept(fmt.Sprint(n), uint64(n)) {
-			t.Fatalf("key %d refused", n)
-		}
-	}
-	if len(g.fences) != maxKeys {
-		t.Errorf("%d keys remembered, want %d", len(g.fences), maxKeys)
-	}
-	for n := range 3 * maxKeys {
-		if n > 0 && g.Accept(fmt.Sprint(n), uint64(n-1)) {
-			t.Fatalf("key %d accepted under a fence below its own", n)
-		}
-	}
-}
-
-// Nodes learn of views late and out of step, and some are told nothing for long. At most one node acts under each
-// epoch that is still believed in, and whoever is acted upon never carries out an older holder's call after a newer's.
+// Nodes learn of views late and out of step, and some are told nothing for long. At most one node acts under each epoch that is
+// still believed in, and it is the holder that the view of that epoch names.
 func TestNodesWithDifferingViews(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
@@ -153,8 +121,6 @@
 			fences[n] = NewFence(n)
 		}
 		views := [][]string{nil, names}
-		var gate Gate
-		var accepted uint64
 		for range 200 {
 			if r.IntN(10) == 0 {
 				view := slices.Clone(names)
@@ -176,10 +142,9 @@
 					t.Fatalf("%s and %s act under fence %d", other, n, fence)
 				}
 				acting[fence] = n
-				if gate.Accept("list", fence) != (fence >= accepted) {
-					t.Fatalf("gate at %d: fence %d of %s", accepted, fence, n)
+				if want := Holder("list", views[fence]); n != want {
+					t.Fatalf("%s acts under fence %d, whose view names %s", n, fence, want)
 				}
-				accepted = max(accepted, fence)
 			}
 			if len(acting) > len(believed) {
 				t.Fatalf("%d nodes act, %d views are believed in", len(acting), len(believed))
