failuredetector: Agent.Sure and AgentOptions.OnWoke go, which no program used

Need: is it a gap that the proxy never asks Sure? What an agent does on its belief is to give verdicts, and the detector checks Detector.Sure before each (judge.go). What a proxy that was cut off or slept may still do with the data plane rests on Update.Stale, which the follower decides by what current keepers told it; that is the stronger evidence, since keepers decide who is down. Ruled out: feeding Sure into the picker beside Stale; that changes behaviour and no fault asks for it. Change: both go; the log line on waking stays.

--- a/internal/system/failuredetector/agent.go
+++ b/internal/system/failuredetector/agent.go
@@ -28,7 +28,6 @@
 	Options
 	Conn      *net.UDPConn  // of the inner port; Run closes it
 	OnVerdict func(Verdict) // called by Run, one at a time
-	OnWoke    func()        // called by Run when this process has slept; nil: nothing is done
 	Log       log.Interface
 }
 
@@ -89,13 +88,6 @@
 	a.carryOut()
 }
 
-// Sure tells whether this process may act on what it believes: see Detector.Sure.
-func (a *Agent) Sure() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.detector.Sure(a.now())
-}
-
 // Leave says goodbye to those that watch this process.
 func (a *Agent) Leave() {
 	a.mu.Lock()
@@ -158,9 +150,6 @@
 			a.o.OnVerdict(v)
 		case <-a.woke:
 			a.o.Log.Warn("failuredetector: this process has slept, it asks before it acts")
-			if a.o.OnWoke != nil {
-				a.o.OnWoke()
-			}
 		}
 	}
 }
--- a/internal/system/failuredetector/agent_test.go
+++ b/internal/system/failuredetector/agent_test.go
@@ -74,6 +74,13 @@
 	return n
 }
 
+// sure tells whether the agent's detector may act on what it believes.
+func (n *node) sure() bool {
+	n.agent.mu.Lock()
+	defer n.agent.mu.Unlock()
+	return n.agent.detector.Sure(n.agent.now())
+}
+
 func TestAgents(t *testing.T) {
 	nodes := map[string]*node{}
 	var members []Member
@@ -88,7 +95,7 @@
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
 	for _, n := range nodes {
-		for !n.agent.Sure() {
+		for !n.sure() {
 			select {
 			case <-tick.C:
 			case <-deadline:
