replication: the simulation's faults stand in three files by concern

Change: faults_apply_test.go takes what a fault does, faults_losses_test.go which disks may be lost and are.

--- /dev/null
+++ b/internal/system/replication/faults_losses_test.go
@@ -0,0 +1,137 @@
+package replication
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
+)
+
+// lose empties the disk of a machine, when the number of disks that may be lost allows it.
+func (w *world) lose(m *machine) bool {
+	if m.gone || m.watcher || !w.mayLose() {
+		return false
+	}
+	w.lost++
+	w.lostAt = w.now
+	w.trace("%v LOST the disk of machine %d", w.now, m.name)
+	m.wipe()
+	return true
+}
+
+// replace ends a machine for good and starts another, at a new address and with an empty disk.
+func (w *world) replace(a *machine, f fault) {
+	if a.gone || a.watcher || !w.mayLose() || len(w.nodes) > 40 {
+		return
+	}
+	w.lost++
+	w.lostAt = w.now
+	w.trace("%v REPLACED machine %d", w.now, a.name)
+	end := func() {
+		if a.gone {
+			return
+		}
+		a.kill()
+		a.gone = true
+		w.successor(a, f).back(f.dur)
+	}
+	if f.n&1 == 1 && a.up() && !a.frozen {
+		w.pending++
+		a.leave(f.patience(), func() {
+			w.pending--
+			end()
+		})
+		return
+	}
+	end()
+}
+
+// successor makes a machine in the place of a.
+func (w *world) successor(a *machine, f fault) *machine {
+	m := w.newMachine(fmt.Sprintf("10.0.2.%d", len(w.nodes)), a.member.Zone, a.member.Region)
+	m.seeds = nil // the operator's list as it is now, three of them
+	for i := range w.nodes {
+		if n := w.nodes[(i+f.n)%len(w.nodes)]; !n.gone && n != m && len(m.seeds) < 3 {
+			m.seeds = append(m.seeds, n.member.Addr)
+		}
+	}
+	return m
+}
+
+// held is what the machine's disk says of it.
+func (m *machine) held() (register, bool) {
+	data, ok := m.disk.meta[metaRegister]
+	if !ok || m.gone {
+		return register{}, false
+	}
+	var p replicationpb.Register
+	if proto.Unmarshal(data, &p) != nil {
+		return register{}, false
+	}
+	return registerOf(&p), true
+}
+
+// whole tells whether the newest view stands on disks that are all there, as many as it should.
+func (w *world) whole() bool {
+	v := w.newest
+	if v == nil || len(v.Chain) <= w.losses || len(v.Voters) < 2*w.losses+1 {
+		return false
+	}
+	disks := map[ID]register{}
+	for _, m := range w.nodes {
+		if r, ok := m.held(); ok {
+			disks[r.self.ID] = r
+		}
+	}
+	for _, l := range v.Chain {
+		if r, ok := disks[l]; !ok || r.active != v.Epoch || r.view.Epoch != v.Epoch {
+			return false
+		}
+	}
+	if !w.bears(v) {
+		return false
+	}
+	for _, m := range v.Voters {
+		// A view that is accepted but not chosen names disks of its own, on which the next one depends.
+		if r, ok := disks[m.ID]; !ok || r.view.Epoch != v.Epoch || r.next != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// bears tells whether enough voters and a link are left whatever zones are lost of those that may be.
+func (w *world) bears(v *View) bool {
+	c := Config{MachineLosses: w.losses, ZoneLosses: w.zoneLosses}
+	var links []Member
+	for _, id := range v.Chain {
+		m, _ := v.Voter(id)
+		links = append(links, m)
+	}
+	return w.zoneLosses == 0 || c.votersBear(v.Voters) && c.linksBear(links)
+}
+
+// loseZone empties all disks of a zone at once, where that must be borne.
+func (w *world) loseZone(zone string, f fault) bool {
+	if w.zoneLosses == 0 || !w.mayLose() || w.lost > 0 {
+		return false
+	}
+	w.trace("%v LOST the disks of zone %s", w.now, zone)
+	w.lost, w.lostAt = w.losses, w.now
+	for _, m := range w.nodes {
+		if m.member.Zone == zone && !m.gone && !m.watcher {
+			m.wipe()
+			m.back(f.dur)
+		}
+	}
+	w.stats.zones++
+	return true
+}
+
+func (w *world) mayLose() bool {
+	if w.pending == 0 && w.whole() {
+		w.lost = 0
+	}
+	return w.lost < w.losses
+}
