--- /dev/null
+++ b/balance/cold_budget_test.go
@@ -0,0 +1,69 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// coldSends plays a burst on a fleet of warm endpoints that take 20 ms a request and a freshly started one, and
+// returns how many sends the started one gets in each FallTime at most, and how many it may get from this sidecar.
+func coldSends(t *testing.T, peers int, retries bool) (most int, part float64) {
+	t.Helper()
+	set := settings()
+	set.Peers = peers
+	list := []Endpoint{{ID: "a", Zone: "x", Kind: "big", Size: 1}, {ID: "b", Zone: "x", Kind: "big", Size: 1}}
+	b, h := start(t, set, list)
+	id := RequestID(0)
+	step := func(n int) {
+		h.now += 20 * time.Millisecond
+		for range n {
+			id++
+			b.Request(h.now, Request{ID: id, Tenant: -1, Within: 3 * time.Second})
+		}
+	}
+	for range 200 {
+		step(2)
+		sent := h.sent
+		h.sent = nil
+		for _, s := range sent {
+			b.Result(h.now+20*time.Millisecond, Result{ID: s.id, Endpoint: s.to, Took: 20 * time.Millisecond, Finished: true})
+		}
+	}
+	b.Endpoints(h.now, ListChanges, []Endpoint{{ID: "c", Zone: "x", Kind: "big", Size: 1, Started: h.now}})
+	var cold []Time
+	for range 50 {
+		step(20)
+		for n := 0; n < len(h.sent); n++ {
+			if h.sent[n].to == "c" {
+				cold = append(cold, h.now)
+				if retries {
+					b.Result(h.now, Result{ID: h.sent[n].id, Endpoint: "c", Outcome: Saturated})
+				}
+			}
+		}
+		h.sent = h.sent[:0]
+	}
+	for i, from := range cold {
+		n := 0
+		for _, at := range cold[i:] {
+			if at-from < set.FallTime {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	// At the end of the second its share of capacity is a little higher than at the start.
+	share := set.StartCapacity + (1-set.StartCapacity)*1.0/set.ColdTime.Seconds()
+	return most, set.FallMultiple * share * 50 * set.FallTime.Seconds() / float64(peers)
+}
+
+func TestColdBudget(t *testing.T) {
+	for _, peers := range []int{1, 2, 5} {
+		for _, retries := range []bool{false, true} {
+			most, part := coldSends(t, peers, retries)
+			if float64(most) > max(part, 1) || most == 0 {
+				t.Errorf("%d peers, retries %v: %d sends to the cold endpoint, want 1 to %.1f", peers, retries, most, part)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/balance/expect_test.go
@@ -0,0 +1,118 @@
+package balance
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestSlowedEndpointLosesTurnsBeforeItAnswers(t *testing.T) {
+	// Both endpoints answered in 200 ms each; then "a" is stuck with two requests, for less time than the bar.
+	b, h := start(t, settings(), pair())
+	serve(b, h, 20, 200*time.Millisecond)
+	for i := range RequestID(4) {
+		if to := ask(b, h, i); to == "b" {
+			b.Result(h.now, Result{ID: i, Endpoint: to, Took: 200 * time.Millisecond, Finished: true})
+		}
+	}
+	if b.known["a"].inFlight == 0 {
+		t.Fatal("nothing is out at the endpoint")
+	}
+	before := b.expect(b.known["a"], h.now)
+	h.now += 600 * time.Millisecond
+	if after := b.expect(b.known["a"], h.now); after < before*1.2 {
+		t.Errorf("a stuck endpoint is expected to answer in %.3f s, %.3f before", after, before)
+	}
+}
+
+func TestLittleUsedEndpointIsJudgedByItsGroup(t *testing.T) {
+	// Small endpoints are idle and quick, big ones crowded and slow, though twice the size. A small one that was
+	// never used must not be expected to be slower than the big ones.
+	list := []Endpoint{{ID: "a", Zone: "x", Kind: "big", Size: 2}, {ID: "b", Zone: "x", Kind: "small", Size: 1},
+		{ID: "c", Zone: "x", Kind: "small", Size: 1}}
+	b, h := start(t, settings(), list)
+	for i := range RequestID(60) {
+		to := ask(b, h, i)
+		took := 600 * time.Millisecond
+		if to != "a" || i < 10 {
+			took = 50 * time.Millisecond
+		}
+		h.now += took
+		b.Result(h.now, Result{ID: i, Endpoint: to, Took: took, Finished: true})
+	}
+	unused := b.known["c"]
+	unused.took, unused.held = 0, 0
+	if got := b.expect(unused, h.now); got > 0.15 {
+		t.Errorf("an unused endpoint of a quick group is expected to take %.3f s", got)
+	}
+}
+
+func TestGroupIsJudgedByWhatItOwes(t *testing.T) {
+	// Three endpoints of one group, quick so far, hold a request each for half a second: the fourth, idle and never
+	// heard of, is not expected to be quick either.
+	b, h := start(t, settings(), fleet(4))
+	serve(b, h, 40, 20*time.Millisecond)
+	for i := range RequestID(3) {
+		ask(b, h, i)
+	}
+	idle := b.endpoints[slices.IndexFunc(b.endpoints, func(e *endpoint) bool { return e.inFlight == 0 })]
+	idle.took, idle.held = 0, 0
+	before := b.expect(idle, h.now)
+	h.now += tickEvery * 5
+	b.Timer(h.now, tokenTick)
+	if after := b.expect(idle, h.now); after < 1.3*before {
+		t.Errorf("%.4f s are expected of it while its peers owe answers, %.4f before", after, before)
+	}
+}
+
+// TestColdEndpointIsNotJudgedByJammedPeers has all warm endpoints answer too late while a fresh one does not.
+func TestColdEndpointIsNotJudgedByJammedPeers(t *testing.T) {
+	bar := time.Duration(refuseAt * float64(settings().Classes[0].Aim))
+	for _, tt := range []struct {
+		name string
+		took time.Duration // by the fresh endpoint's answers; 0: it has given none
+		open bool
+	}{
+		{"no answer of its own", 0, true},
+		{"quick answers of its own", bar / 4, true},
+		{"late answers of its own", 2 * bar, false},
+	} {
+		b, h := start(t, settings(), pair())
+		serve(b, h, 40, 2*bar)
+		b.Endpoints(h.now, ListChanges, []Endpoint{{ID: "c", Zone: "x", Kind: "big", Size: 1, Started: h.now}})
+		fresh := b.known["c"]
+		if n := 20.0; tt.took > 0 {
+			fresh.took, fresh.held, fresh.fresh = n*tt.took.Seconds(), n*(1+unseen), 1
+		}
+		if got := b.expect(fresh, h.now); got <= bar.Seconds() != tt.open {
+			t.Errorf("%s: it is expected to answer in %.2f s, and its peers are full at %.2f s", tt.name, got, bar.Seconds())
+		}
+		if got := b.expect(b.known["a"], h.now); got <= bar.Seconds() {
+			t.Errorf("%s: a jammed warm endpoint is expected to answer in %.2f s", tt.name, got)
+		}
+	}
+}
+
+// TestSilentEndpointsDoNotSlowTheirPeers loses some endpoints, as with a zone: what they never answer says nothing of
+// how long the others take.
+func TestSilentEndpointsDoNotSlowTheirPeers(t *testing.T) {
+	took := 100 * time.Millisecond
+	b, h := start(t, settings(), fleet(4))
+	serve(b, h, 40, took)
+	for i := range RequestID(40) {
+		h.now += 20 * time.Millisecond
+		to := ask(b, h, i+1)
+		r := Result{ID: i + 1, Endpoint: to, Took: took, Finished: true}
+		if to == "s0000" || to == "s0001" {
+			r.Outcome, r.Took = TimedOut, 3*time.Second
+		}
+		b.Result(h.now, r)
+	}
+	if got := b.expect(b.known["s0002"], h.now); got > 1.5*took.Seconds() {
+		t.Errorf("an endpoint that answers in %v is expected to take %.2f s, since others are silent", took, got)
+	}
+	b.Endpoints(h.now, ListChanges, []Endpoint{{ID: "s0009", Zone: "x", Kind: "big", Size: 1}})
+	if got := b.expect(b.known["s0009"], h.now); got > 1.5*took.Seconds() {
+		t.Errorf("an endpoint not used yet is expected to take %.2f s, since others are silent", got)
+	}
+}
--- a/balance/host_test.go
+++ b/balance/host_test.go
@@ -120,3 +120,30 @@
 		t.Errorf("%d requests left, %d failed", len(b.requests), len(h.failed))
 	}
 }
+
+// serve plays n requests, 20 ms apart, each answered after took by the one endpoint it was sent to.
+func serve(b *Balancer, h *host, n int, took time.Duration) {
+	for range n {
+		h.now += 20 * time.Millisecond
+		id := RequestID(h.now)
+		b.Request(h.now, Request{ID: id, Tenant: -1, Within: 3 * time.Second})
+		for _, s := range h.sent {
+			b.Result(h.now, Result{ID: s.id, Endpoint: s.to, Took: took, Finished: true})
+		}
+		h.sent = nil
+	}
+}
+
+func pair() []Endpoint {
+	return []Endpoint{{ID: "a", Zone: "x", Kind: "big", Size: 1}, {ID: "b", Zone: "x", Kind: "big", Size: 1}}
+}
+
+// ask sends one request and returns where it went, or "".
+func ask(b *Balancer, h *host, id RequestID) string {
+	before := len(h.sent)
+	b.Request(h.now, Request{ID: id, Tenant: -1, Within: 3 * time.Second})
+	if len(h.sent) == before {
+		return ""
+	}
+	return h.sent[before].to
+}
--- /dev/null
+++ b/balance/refusal_test.go
@@ -0,0 +1,170 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// TestImpatientClient has clients wait for less than an answer takes on a slow endpoint: theirs go to a quick one, and
+// where none is quick enough they take their turns. Others do not give way for it.
+func TestImpatientClient(t *testing.T) {
+	b, h := start(t, settings(), pair())
+	for i := range RequestID(200) {
+		h.now += 20 * time.Millisecond
+		to, took := ask(b, h, i), 10*time.Millisecond
+		if to == "b" {
+			took = 150 * time.Millisecond
+		}
+		b.Result(h.now, Result{ID: i, Endpoint: to, Took: took, Finished: true})
+	}
+	turns := map[string]int{}
+	for i := RequestID(1000); i < 1040; i++ {
+		h.sent = nil
+		within := 100 * time.Millisecond
+		if i >= 1020 {
+			within = 5 * time.Millisecond
+		}
+		b.Request(h.now, Request{ID: i, Tenant: -1, Within: within})
+		for _, s := range h.sent {
+			turns[s.to]++
+			b.Result(h.now, Result{ID: i, Endpoint: s.to, Took: 10 * time.Millisecond, Finished: true})
+		}
+	}
+	if b.tight != 0 {
+		t.Errorf("classes give way until %v, though no endpoint is full", b.tight)
+	}
+	if turns["a"] != 30 || turns["b"] != 10 || len(h.refused) != 0 {
+		t.Errorf("turns %v, %d refused", turns, len(h.refused))
+	}
+}
+
+func TestRefusingEverythingEnds(t *testing.T) {
+	bar := refuseAt * settings().Classes[0].Aim.Seconds()
+	for _, tt := range []struct {
+		name   string
+		took   float64 // times the bar
+		unused float64 // of the time in which what all have taught fades, when it must not be tried yet
+		then   float64 // and when it must
+	}{
+		{"a little too slow", 1.2, 0.1, 0.25},
+		{"twice too slow", 2, 0.4, 0.6},
+		{"far beyond the aim", 12, 0.85, 1.05},
+	} {
+		b, h := start(t, settings(), pair())
+		serve(b, h, 2, time.Duration(tt.took*bar*float64(time.Second)))
+		at := h.now
+		h.now = at + time.Duration(tt.unused*float64(recent))
+		if to := ask(b, h, 1); to != "" {
+			t.Errorf("%s: sent to %s though no answer in time is expected", tt.name, to)
+		}
+		h.now = at + time.Duration(tt.then*float64(recent))
+		if ask(b, h, 2) == "" {
+			t.Errorf("%s: an unused endpoint is not tried, so that nothing can be learnt", tt.name)
+		}
+	}
+}
+
+func TestLesserClassesGiveWayOnlyWhenAllIsFull(t *testing.T) {
+	set := settings()
+	set.Classes = append(set.Classes, set.Classes[0])
+	set.Classes[1].Worth = 3
+	aim := set.Classes[0].Aim
+	b, h := start(t, set, pair())
+	serve(b, h, 40, time.Duration(float64(aim)*refuseAt*0.8))
+	b.work[1] = b.work[0] // the lesser class has a third of the worth: its bar is at 0.58 of the other's
+	if ask(b, h, 1) == "" {
+		t.Fatal("the lesser class is refused though nothing was full")
+	}
+	b.Result(h.now, Result{ID: 1, Endpoint: h.sent[0].to, Took: aim / 2, Finished: true})
+	b.tight = h.now + memory
+	if to := ask(b, h, 2); to != "" {
+		t.Error("the lesser class does not give way")
+	}
+	b.Request(h.now, Request{ID: 3, Class: 1, Tenant: -1, Within: 3 * time.Second})
+	if last := h.sent[len(h.sent)-1]; last.id != 3 {
+		t.Error("the dearer class gives way too")
+	}
+	// Requests of the dearer class fill both endpoints, which makes it tight.
+	b, h = start(t, set, pair())
+	serve(b, h, 40, aim/2)
+	for i := RequestID(10); ask(b, h, i) != ""; i++ {
+		if i > 100 {
+			t.Fatal("nothing is ever full")
+		}
+	}
+	if h.now >= b.tight {
+		t.Error("all is full, and it does not count as tight")
+	}
+}
+
+// TestJamCountsAsFull has all answers slow down alike: what an idle fleet takes says what is full, not the jam itself.
+func TestJamCountsAsFull(t *testing.T) {
+	const idle, jam = 100 * time.Millisecond, 700 * time.Millisecond
+	for _, tt := range []struct {
+		name  string
+		took  time.Duration
+		ticks int // for which answers take that long
+		full  bool
+	}{
+		{"no jam", idle, 100, false},
+		{"a jam", jam, 100, true},
+		{"a jam that has long passed for what it takes", jam, 3000, false},
+	} {
+		b, h := start(t, settings(), pair())
+		play := func(ticks int, took time.Duration) {
+			for range ticks {
+				b.Timer(h.now, tokenTick)
+				serve(b, h, 5, took)
+			}
+		}
+		play(100, idle)
+		play(tt.ticks, tt.took)
+		b.tight = 0
+		ask(b, h, 1)
+		if full := b.tight != 0; full != tt.full {
+			t.Errorf("%s: full %v, want %v; idle it takes %.3f s, now %.3f s", tt.name, full, tt.full, b.idle, b.fleet.usual())
+		}
+	}
+}
+
+func TestHeavyClassGivesWaySooner(t *testing.T) {
+	// Two classes of one worth; the answers of the second take four times as long, and with them the same worth.
+	set := settings()
+	set.Classes = append(set.Classes, set.Classes[0])
+	b, h := start(t, set, pair())
+	for i := range RequestID(200) {
+		class := int(i % 2)
+		took := time.Duration(1+3*class) * 50 * time.Millisecond
+		b.Request(h.now, Request{ID: i, Class: class, Tenant: -1, Within: 3 * time.Second})
+		to := h.sent[len(h.sent)-1].to
+		b.Result(h.now+took, Result{ID: i, Endpoint: to, Took: took, Finished: true})
+	}
+	light, heavy := b.tightBar(0), b.tightBar(1)
+	if ratio := heavy / light; ratio < 0.45 || ratio > 0.55 || light != refuseAt*b.aim {
+		t.Errorf("the tight bars are %.3f and %.3f s, want the full bar and half of it", light, heavy)
+	}
+}
+
+// TestRefusalSaysWhen has clients ask a busy endpoint for more than it can do: each is told to come back when what
+// is there will have been worked off. Without that they come back at once, all together.
+func TestRefusalSaysWhen(t *testing.T) {
+	b, h := start(t, settings(), []Endpoint{{ID: "a", Zone: "x", Kind: "big", Size: 1}})
+	b.Request(h.now, Request{ID: 1, Tenant: -1, Within: time.Second})
+	h.answer(b, h.now+200*time.Millisecond, Served)
+	b.Result(h.now, Result{ID: 1, Outcome: Served, Took: 200 * time.Millisecond, Finished: true})
+	for i := RequestID(2); len(h.refused) == 0; i++ {
+		if i > 1000 {
+			t.Fatal("never full")
+		}
+		b.Request(h.now, Request{ID: i, Tenant: -1, Within: time.Second})
+	}
+	first := h.advice
+	if aim := b.set.Classes[0].Aim; first <= 0 || first > aim {
+		t.Errorf("advice to wait %v with an aim of %v", first, aim)
+	}
+	h.refused = nil
+	b.Request(h.now+100*time.Millisecond, Request{ID: 2000, Tenant: -1, Within: 0})
+	if len(h.refused) != 1 || h.advice != 0 {
+		t.Errorf("%d refusals of what has no time left, advice to wait %v", len(h.refused), h.advice)
+	}
+}
--- /dev/null
+++ b/balance/shares_test.go
@@ -0,0 +1,53 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// overShares counts which of the requests of two equal tenants count as beyond their share in one of a thousand
+// sidecars that gets rate requests a second for 20 s, of which the second tenant sends the given part.
+func overShares(t *testing.T, rate, second float64) (over [2]float64) {
+	t.Helper()
+	set := settings()
+	set.Peers = 1000
+	set.Tenants = []Tenant{{"a", 500}, {"b", 500}}
+	b, h := start(t, set, pair())
+	rng := rand.New(rand.NewPCG(1, 1))
+	var all [2]float64
+	for range int(20 / tickEvery.Seconds()) {
+		h.now += tickEvery
+		b.Timer(h.now, tokenTick)
+		for owed := rate * tickEvery.Seconds(); rng.Float64() < owed; owed-- {
+			i := 0
+			if rng.Float64() < second {
+				i = 1
+			}
+			all[i]++
+			if b.overShare(i, h.now) {
+				over[i]++
+			}
+		}
+	}
+	return [2]float64{over[0] / max(all[0], 1), over[1] / max(all[1], 1)}
+}
+
+func TestSharesOfManySidecars(t *testing.T) {
+	for _, tt := range []struct {
+		name         string
+		rate, second float64
+		low, high    [2]float64 // bounds of the shares that count as beyond
+	}{
+		{"usual traffic", 1, .5, [2]float64{0, 0}, [2]float64{.1, .1}},
+		{"a busy sidecar", 10, .5, [2]float64{0, 0}, [2]float64{.35, .35}},
+		{"a tenant that takes the most", 10, .9, [2]float64{0, .2}, [2]float64{0, .6}},
+	} {
+		got := overShares(t, tt.rate, tt.second)
+		for i := range got {
+			if got[i] < tt.low[i] || got[i] > tt.high[i] {
+				t.Errorf("%s: %.2f of tenant %d is beyond its share, want %.2f to %.2f", tt.name, got[i], i, tt.low[i],
+					tt.high[i])
+			}
+		}
+	}
+}
