--- /dev/null
+++ b/cmd/gradeusher/duty_fleet_test.go
@@ -0,0 +1,227 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/sidecar/duty"
+	"gradeusher.example/gradeusher/internal/sidecar/state"
+)
+
+// actorMark is the first argument of a process that is to act under a duty, at the address that is the second.
+const actorMark = "test-actor"
+
+func init() {
+	if len(os.Args) == 3 && os.Args[1] == actorMark {
+		act(os.Args[2])
+	}
+}
+
+// act has effects on what is acted on, one after the other, until that refuses one.
+func act(at string) {
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		os.Exit(3)
+	}
+	answers := bufio.NewScanner(c)
+	for {
+		_, _ = fmt.Fprintf(c, "%s %d %d\n", os.Getenv("GRADEUSHER_EPOCH"), os.Getpid(), os.Getppid())
+		if !answers.Scan() || answers.Text() != "done" {
+			os.Exit(4)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// effect is one that came to what is acted on.
+type effect struct {
+	epoch      int64
+	pid, guard int
+	at         time.Time
+	done       bool // the fence let it through
+}
+
+// actedOn stands for what a duty acts on. It sees who acts when, from outside.
+type actedOn struct {
+	l      net.Listener
+	fence  duty.Fence
+	mu     sync.Mutex
+	all    []effect
+	ending sync.WaitGroup
+}
+
+func newActedOn(t *testing.T) *actedOn {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &actedOn{l: l}
+	a.ending.Add(1)
+	go func() {
+		defer a.ending.Done()
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			a.ending.Add(1)
+			go a.serve(c)
+		}
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		a.ending.Wait()
+	})
+	return a
+}
+
+// serve ends with the actor.
+func (a *actedOn) serve(c net.Conn) {
+	defer a.ending.Done()
+	defer c.Close()
+	for in := bufio.NewScanner(c); in.Scan(); {
+		var e effect
+		if _, err := fmt.Sscan(in.Text(), &e.epoch, &e.pid, &e.guard); err != nil {
+			return
+		}
+		err := a.fence.Through(e.epoch, func() error { return nil })
+		e.at, e.done = time.Now(), err == nil
+		a.mu.Lock()
+		a.all = append(a.all, e)
+		a.mu.Unlock()
+		answer := "done\n"
+		if err != nil {
+			answer = "refused\n"
+		}
+		if _, err := c.Write([]byte(answer)); err != nil {
+			return
+		}
+	}
+}
+
+func (a *actedOn) effects() []effect {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.all)
+}
+
+// last is the one that acted last, if it did within the last moment.
+func (a *actedOn) last() (e effect, ok bool) {
+	all := a.effects()
+	if len(all) == 0 {
+		return e, false
+	}
+	e = all[len(all)-1]
+	return e, e.done && time.Since(e.at) < 100*time.Millisecond
+}
+
+// next is the first effect under a higher epoch than e's, and the last under that.
+func (a *actedOn) next(e effect) (first, last effect, ok bool) {
+	for _, n := range a.effects() {
+		if n.epoch > e.epoch && n.done {
+			return n, e, true
+		}
+		if n.epoch == e.epoch {
+			e = n
+		}
+	}
+	return e, e, false
+}
+
+const testLease = 1500 * time.Millisecond
+
+// dutyFleet is keepers, processes that hold one duty, and what it acts on.
+type dutyFleet struct {
+	*keepers
+	acted *actedOn
+	by    map[string]*command
+	n     int
+}
+
+func newDutyFleet(t *testing.T, holders int) *dutyFleet {
+	f := &dutyFleet{keepers: newKeepers(t, 3, ""), acted: newActedOn(t), by: map[string]*command{}}
+	f.leader()
+	for range holders {
+		f.hold()
+	}
+	return f
+}
+
+// hold starts one more process that waits for the duty.
+func (f *dutyFleet) hold() {
+	f.t.Helper()
+	f.n++
+	me, err := os.Executable()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	name := fmt.Sprintf("h%d", f.n)
+	c := newCommand(f.t, "duty", "hold", "work", "--as", name, "--keepers", strings.Join(f.addresses(), ","), "--lease", testLease.String(), "--", me, actorMark, f.acted.l.Addr().String())
+	c.Stdin = nil
+	if err := c.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.by[name] = c
+	f.t.Cleanup(func() {
+		_ = c.Process.Signal(syscall.SIGCONT) // it may have ended, as below
+		_ = c.Process.Kill()
+		_ = c.Wait()
+		if f.t.Failed() {
+			f.t.Logf("%s:\n%s", name, &c.err)
+		}
+	})
+}
+
+// holding is the process that holds the duty, once it acts and another waits.
+func (f *dutyFleet) holding() (name string, e effect) {
+	f.t.Helper()
+	eventually(f.t, "holder that acts", func() bool {
+		n, err := f.client.Duties(f.call(), "work")
+		if err != nil || len(n.Duties) != 1 || n.Duties[0].Holder == nil || len(n.Duties[0].Waiting) < 2 {
+			return false
+		}
+		var ok bool
+		e, ok = f.acted.last()
+		name = state.ProcessName(n.Duties[0].Holder.Who)
+		return ok && e.epoch == n.Duties[0].Epoch
+	})
+	return name, e
+}
+
+// passed waits until another acts, and tells how long after a time and after the last effect of the one before that was.
+func (f *dutyFleet) passed(e effect, from time.Time) (after, without time.Duration) {
+	f.t.Helper()
+	var first, last effect
+	eventually(f.t, "next that acts", func() (ok bool) {
+		first, last, ok = f.acted.next(e)
+		return ok
+	})
+	return first.at.Sub(from), first.at.Sub(last.at)
+}
+
+func percentiles(all []time.Duration) string {
+	slices.Sort(all)
+	at := func(p float64) time.Duration {
+		return all[min(len(all)-1, int(p*float64(len(all))))].Round(time.Millisecond)
+	}
+	return fmt.Sprintf("p50 %v, p99 %v of %d", at(0.5), at(0.99), len(all))
+}
+
+const raceSlack = time.Second // tests run beside others, and what a process needs to start is no part of the promise
+
+func (f *dutyFleet) signal(sig syscall.Signal, pids ...int) {
+	f.t.Helper()
+	for _, pid := range pids {
+		if err := syscall.Kill(pid, sig); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
