failuredetector: messages and states have the names that the field gives them

Need: the former house style still stood in names: Beat, Bye, Denial, Sure, Woke, settle, sign, and ROPE_SEEDS. Change: the kinds of messages are Heartbeat, Query, NotHeard and Leave, under the same numbers; a detector that has heard from somebody lately is Connected; a process that was stopped and runs on was paused and has Resumed; probeIncarnation, markHeard, silentSince, reported and lastMembers say what they do or hold. Tests' names and texts follow; the variable for more seeds is FAILUREDETECTOR_SEEDS. Ruled out: the magic bytes of a datagram and the log line on resuming, which are wire format and documented for those on call; Options.Beat, which cmd/proxy sets, waits for a change of both.

--- a/internal/system/failuredetector/agent.go
+++ b/internal/system/failuredetector/agent.go
@@ -45,7 +45,7 @@
 	probes    sync.WaitGroup
 
 	verdicts chan Verdict
-	woke     chan struct{}
+	resumed  chan struct{}
 }
 
 // NewAgent makes an agent; Run starts it.
@@ -69,7 +69,7 @@
 		addresses: map[string]netip.AddrPort{},
 		probing:   map[string]bool{},
 		verdicts:  make(chan Verdict, maxVerdicts),
-		woke:      make(chan struct{}, 1),
+		resumed:   make(chan struct{}, 1),
 	}
 }
 
@@ -88,7 +88,7 @@
 	a.carryOut()
 }
 
-// Leave says goodbye to those that watch this process.
+// Leave tells those that watch this process that it leaves.
 func (a *Agent) Leave() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -148,7 +148,7 @@
 		case v := <-a.verdicts:
 			a.o.Log.WithFields(log.Fields{"node": v.Node, "incarnation": v.Incarnation, "down": v.Down}).Info("failuredetector: verdict")
 			a.o.OnVerdict(v)
-		case <-a.woke:
+		case <-a.resumed:
 			a.o.Log.Warn("failuredetector: this process has slept, it asks before it acts")
 		}
 	}
@@ -194,9 +194,9 @@
 		default:
 		}
 	}
-	if out.Woke {
+	if out.Resumed {
 		select {
-		case a.woke <- struct{}{}:
+		case a.resumed <- struct{}{}:
 		default:
 		}
 	}
--- a/internal/system/failuredetector/agent_test.go
+++ b/internal/system/failuredetector/agent_test.go
@@ -74,11 +74,11 @@
 	return n
 }
 
-// sure tells whether the agent's detector may act on what it believes.
-func (n *node) sure() bool {
+// connected tells whether the agent's detector may act on what it believes.
+func (n *node) connected() bool {
 	n.agent.mu.Lock()
 	defer n.agent.mu.Unlock()
-	return n.agent.detector.Sure(n.agent.now())
+	return n.agent.detector.Connected(n.agent.now())
 }
 
 func TestAgents(t *testing.T) {
@@ -95,7 +95,7 @@
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
 	for _, n := range nodes {
-		for !n.sure() {
+		for !n.connected() {
 			select {
 			case <-tick.C:
 			case <-deadline:
--- a/internal/system/failuredetector/detector.go
+++ b/internal/system/failuredetector/detector.go
@@ -39,7 +39,7 @@
 	Beat        time.Duration // 400 ms
 	Silence     time.Duration // without a beat, after which a node is suspected; 3.5 beats
 	Probe       time.Duration // that second paths have until the verdict; 2 beats
-	Gap         time.Duration // in this process's own ticks, after which it has slept; 1 s
+	Gap         time.Duration // in this process's own ticks, after which it was paused; 1 s
 
 	anyAnswer bool // takes a protection out, so that a test shows what it is for: answers count whenever they come
 }
@@ -88,48 +88,48 @@
 	Send     []Envelope
 	Probe    []string // nodes to call over a second path; ProbeResult takes what came of it
 	Verdicts []Verdict
-	Woke     bool // this process has slept: nothing that it believed holds until Sure
+	Resumed  bool // this process was paused: nothing that it believed holds until Connected
 }
 
 // Detector is the pure core. It is not safe for concurrent use; its time never goes back.
 //
-// A dead process has a verdict from each of its watchers that is sure of itself within Silence + Probe and two ticks of
+// A dead process has a verdict from each of its watchers that is connected within Silence + Probe and two ticks of
 // its last beat's arrival at any of them.
 type Detector struct {
-	o        Options
-	last     Time // of the last input
-	started  bool
-	nextBeat Time
-	watchers []string // of this node
-	watched  map[string]*watch
-	told     []Member // the members, as they were told last
-	members  map[string]bool
-	live     []string // the members, self included
+	o           Options
+	last        Time // of the last input
+	started     bool
+	nextBeat    Time
+	watchers    []string // of this node
+	watched     map[string]*watch
+	lastMembers []Member // the members, as they were told last
+	members     map[string]bool
+	live        []string // the members, self included
 
 	// Nonces tell answers to what was asked a moment ago from what lay in a buffer, or was asked by a former process.
 	nonce     uint64
 	questions []question // the newest last
-	sure      bool       // somebody has answered since the process started or woke
+	connected bool       // somebody has answered since the process started or resumed
 	contact   Time       // when anybody was last heard
 	out       Output
 }
 
 // watch is what is believed of one watched node.
 type watch struct {
-	incarnation uint64
-	retired     []uint64 // the last few former incarnations: a feed of members that lags may still tell of them
-	since       Time     // watched from then on; moved on when this process wakes
-	heard       Time     // when it was last heard, by whomever
-	everHeard   bool
-	left        bool // it said goodbye
-	suspect     bool
-	deadline    Time // of a suspicion
-	asked       Time // when the other watchers were last asked
-	settled     Time // when a second path was last asked for the incarnation
-	probeFailed bool
-	denials     map[string]bool // watchers that answered that they do not hear it either
-	down        bool            // a verdict was given
-	told        Time            // when
+	incarnation      uint64
+	retired          []uint64 // the last few former incarnations: a feed of members that lags may still tell of them
+	since            Time     // watched from then on; moved on when this process resumes
+	heard            Time     // when it was last heard, by whomever
+	everHeard        bool
+	left             bool // it has left
+	suspect          bool
+	deadline         Time // of a suspicion
+	asked            Time // when the other watchers were last asked
+	incarnationAsked Time // when a second path was last asked for the incarnation
+	probeFailed      bool
+	notHeard         map[string]bool // watchers that answered that they do not hear it either
+	down             bool            // a verdict was given
+	reported         Time            // when
 }
 
 // question is a moment at which something was asked.
@@ -182,19 +182,19 @@
 	return out
 }
 
-// Sure tells whether this process has heard from anybody since it started or woke, and lately. One that is not sure may
+// Connected tells whether this process has heard from anybody since it started or resumed, and lately. One that is not may
 // be the one that is cut off or was replaced, and must not act on what it believes.
-func (d *Detector) Sure(now Time) bool {
-	return d.sure && now-d.last <= d.o.Gap && now-d.contact <= d.o.Silence
+func (d *Detector) Connected(now Time) bool {
+	return d.connected && now-d.last <= d.o.Gap && now-d.contact <= d.o.Silence
 }
 
 // Members takes over the live nodes, self included or not.
 func (d *Detector) Members(now Time, members []Member) {
 	d.advance(now)
-	if d.live != nil && slices.Equal(members, d.told) {
+	if d.live != nil && slices.Equal(members, d.lastMembers) {
 		return
 	}
-	d.told = slices.Clone(members)
+	d.lastMembers = slices.Clone(members)
 	live := make([]string, 0, len(members)+1)
 	incarnations := make(map[string]uint64, len(members))
 	clear(d.members)
@@ -231,22 +231,22 @@
 	*w = watch{incarnation: incarnation, retired: retired, since: now}
 }
 
-// advance notes that time goes on, and notices that this process has slept.
+// advance notes that time goes on, and notices that this process was paused.
 func (d *Detector) advance(now Time) {
 	if d.started && now-d.last > d.o.Gap {
-		d.wake(now)
+		d.resume(now)
 	}
 	d.started, d.last = true, max(d.last, now)
 }
 
-// wake forgets what silence seemed to tell: it was this process that did not listen.
-func (d *Detector) wake(now Time) {
-	d.out.Woke = true
-	d.sure = false
+// resume forgets what silence seemed to tell: it was this process that did not listen.
+func (d *Detector) resume(now Time) {
+	d.out.Resumed = true
+	d.connected = false
 	d.questions = nil
 	d.nextBeat = now
 	for _, w := range d.watched {
-		w.since, w.suspect, w.down, w.denials = now, false, false, nil
+		w.since, w.suspect, w.down, w.notHeard = now, false, false, nil
 	}
 }
 
@@ -276,12 +276,12 @@
 	if d.nextBeat += d.o.Beat; d.nextBeat <= now {
 		d.nextBeat = now + d.o.Beat
 	}
-	message := Message{Kind: Beat}
+	message := Message{Kind: Heartbeat}
 	to := d.watchers
-	if !d.sure || now-d.contact >= 2*d.o.Beat {
+	if !d.connected || now-d.contact >= 2*d.o.Beat {
 		// Few are heard of late: ask for an answer, so that a node that watches nobody knows that it is connected.
 		message = Message{Kind: Ping, Nonce: d.question(now)}
-		if !d.sure {
+		if !d.connected {
 			for _, node := range d.sorted() {
 				if !slices.Contains(to, node) {
 					to = append(slices.Clip(to), node)
@@ -299,10 +299,10 @@
 	d.out.Send = append(d.out.Send, Envelope{To: to, Message: m})
 }
 
-// Leave says goodbye to those that watch this node, so that its end is no failure.
+// Leave tells it to those that watch this node, so that its end is no failure.
 func (d *Detector) Leave(now Time) {
 	d.advance(now)
 	for _, node := range d.watchers {
-		d.send(node, Message{Kind: Bye})
+		d.send(node, Message{Kind: Leave})
 	}
 }
--- a/internal/system/failuredetector/detector_test.go
+++ b/internal/system/failuredetector/detector_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// Loss, cuts of a few pairs and processes that sleep: nobody that lives and is reachable is called down.
+// Loss, cuts of a few pairs and processes that are paused: nobody that lives and is reachable is called down.
 func TestNoneThatLivesIsCalledDown(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		w := newWorld(t, seed, 24, Options{})
@@ -155,13 +155,13 @@
 func freezes(w *world) {
 	w.run(3 * time.Second)
 	for range 8 {
-		// Several at once, so that some who watch each other sleep together.
-		asleep := []string{w.pick(), w.pick(), w.pick()}
-		for _, name := range asleep {
+		// Several at once, so that some who watch each other are paused together.
+		paused := []string{w.pick(), w.pick(), w.pick()}
+		for _, name := range paused {
 			w.freeze(name)
 		}
 		w.run(time.Duration(200+w.r.IntN(8000)) * time.Millisecond)
-		for _, name := range asleep {
+		for _, name := range paused {
 			w.thaw(name)
 		}
 		w.run(time.Duration(w.r.IntN(3000)) * time.Millisecond)
@@ -169,44 +169,44 @@
 	w.run(5 * time.Second)
 }
 
-func TestThoseThatWakeAskFirst(t *testing.T) {
+func TestThoseThatResumeAskFirst(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
 		w := newWorld(t, seed, 12, Options{})
 		w.loss = 0.02
 		freezes(w)
 		w.checkCalm()
-		woke := 0
+		resumed := 0
 		for _, n := range w.nodes {
-			woke += n.woke
-			if !n.d.Sure(w.now) {
-				t.Errorf("%s is not sure of itself in calm times", n.name)
+			resumed += n.resumed
+			if !n.d.Connected(w.now) {
+				t.Errorf("%s is not connected in calm times", n.name)
 			}
 		}
-		if woke == 0 {
-			t.Error("nobody noticed that it slept")
+		if resumed == 0 {
+			t.Error("nobody noticed that it was paused")
 		}
 	})
 }
 
-func TestNotSureUntilAnswered(t *testing.T) {
+func TestNotConnectedUntilAnswered(t *testing.T) {
 	w := newWorld(t, 1, 6, Options{})
 	name := w.names[0]
-	if w.nodes[name].d.Sure(w.now) {
-		t.Error("sure at its start")
+	if w.nodes[name].d.Connected(w.now) {
+		t.Error("connected at its start")
 	}
 	w.run(3 * time.Second)
-	if !w.nodes[name].d.Sure(w.now) {
-		t.Error("not sure in calm times")
+	if !w.nodes[name].d.Connected(w.now) {
+		t.Error("not connected in calm times")
 	}
 	w.freeze(name)
 	w.run(10 * time.Second)
 	for _, other := range w.names[1:] {
 		w.cut(other, name, true) // nobody's answers come through
 	}
-	w.thaw(name) // with a buffer full of what came while it slept
+	w.thaw(name) // with a buffer full of what came while it was paused
 	w.run(100 * time.Millisecond)
-	if w.nodes[name].d.Sure(w.now) {
-		t.Error("sure after its sleep, though nobody has answered")
+	if w.nodes[name].d.Connected(w.now) {
+		t.Error("connected after its pause, though nobody has answered")
 	}
 	w.run(20 * time.Second)
 	for key, told := range w.verdicts {
@@ -219,8 +219,8 @@
 	}
 	w.calm = w.now
 	w.run(2 * time.Second)
-	if !w.nodes[name].d.Sure(w.now) {
-		t.Error("not sure after it was answered")
+	if !w.nodes[name].d.Connected(w.now) {
+		t.Error("not connected after it was answered")
 	}
 	w.checkCalm()
 }
@@ -250,7 +250,7 @@
 	})
 }
 
-func TestGoodbyeIsNoFailure(t *testing.T) {
+func TestLeavingIsNoFailure(t *testing.T) {
 	w := newWorld(t, 1, 8, Options{})
 	w.run(3 * time.Second)
 	n := w.nodes[w.names[0]]
@@ -259,7 +259,7 @@
 	w.kill(n.name)
 	w.run(10 * time.Second)
 	if len(w.verdicts) > 0 {
-		t.Errorf("verdicts on one that said goodbye: %v", w.verdicts)
+		t.Errorf("verdicts on one that left: %v", w.verdicts)
 	}
 	w.start(n.name)
 	w.run(3 * time.Second)
@@ -276,13 +276,13 @@
 		for seed := range uint64(20) {
 			w := newWorld(t, seed, 12, o)
 			faults(w)
-			if len(w.wrong) > 0 || w.uncertain > 0 {
+			if len(w.wrong) > 0 || w.disconnected > 0 {
 				return true
 			}
 		}
 		return false
 	}
-	// One falls asleep while it suspects another that slept, and wakes long after that one.
+	// One is paused while it suspects another that was paused, and resumes long after that one.
 	turns := func(w *world) {
 		w.run(3 * time.Second)
 		for range 10 {
@@ -298,10 +298,10 @@
 		}
 	}
 	if found(Options{}, turns) {
-		t.Error("a process that slept while it suspected another gives a wrong verdict")
+		t.Error("a process that was paused while it suspected another gives a wrong verdict")
 	}
 	if !found(Options{Gap: time.Hour}, turns) {
-		t.Error("processes that do not notice their sleep give no wrong verdict: the harness does not test it")
+		t.Error("processes that do not notice their pause give no wrong verdict: the harness does not test it")
 	}
 	if !found(Options{Watchers: 1}, func(w *world) {
 		w.run(3 * time.Second)
--- a/internal/system/failuredetector/judge.go
+++ b/internal/system/failuredetector/judge.go
@@ -14,17 +14,17 @@
 	switch {
 	case w.left:
 	case w.down:
-		if now-w.told >= repeatVerdict && d.Sure(now) {
+		if now-w.reported >= repeatVerdict && d.Connected(now) {
 			d.verdict(now, node, w)
 		}
-	case now-w.lastSign() < d.o.Silence:
-		w.suspect, w.denials = false, nil
+	case now-w.silentSince() < d.o.Silence:
+		w.suspect, w.notHeard = false, nil
 	case !w.suspect:
 		w.suspect, w.deadline = true, now+d.o.Probe
-		w.probeFailed, w.denials = false, map[string]bool{}
+		w.probeFailed, w.notHeard = false, map[string]bool{}
 		d.out.Probe = append(d.out.Probe, node)
 		d.ask(now, node, w)
-	case w.probeFailed && (now >= w.deadline || d.allDeny(node, w)) && d.Sure(now):
+	case w.probeFailed && (now >= w.deadline || d.allNotHeard(node, w)) && d.Connected(now):
 		d.verdict(now, node, w)
 	case now >= w.deadline+d.o.Probe:
 		// The call was not made, or this node may itself be the one that is cut off: try again.
@@ -34,8 +34,8 @@
 	}
 }
 
-// lastSign is the moment from which silence counts.
-func (w *watch) lastSign() Time {
+// silentSince is the moment from which silence counts.
+func (w *watch) silentSince() Time {
 	if w.everHeard {
 		return max(w.since, w.heard)
 	}
@@ -47,7 +47,7 @@
 	w.asked = now
 	nonce := d.question(now)
 	for _, other := range d.others(node) {
-		d.send(other, Message{Kind: Ask, Nonce: nonce, Node: node, NodeIncarnation: w.incarnation})
+		d.send(other, Message{Kind: Query, Nonce: nonce, Node: node, NodeIncarnation: w.incarnation})
 	}
 }
 
@@ -56,11 +56,11 @@
 	return slices.DeleteFunc(Watchers(node, d.live, d.o.Watchers), func(n string) bool { return n == d.o.Self })
 }
 
-// allDeny tells whether all other watchers have answered, and none of them hears the node.
-func (d *Detector) allDeny(node string, w *watch) bool {
+// allNotHeard tells whether all other watchers have answered, and none of them hears the node.
+func (d *Detector) allNotHeard(node string, w *watch) bool {
 	others := d.others(node)
 	for _, n := range others {
-		if !w.denials[n] {
+		if !w.notHeard[n] {
 			return false
 		}
 	}
@@ -68,12 +68,12 @@
 }
 
 func (d *Detector) verdict(now Time, node string, w *watch) {
-	w.down, w.suspect, w.told = true, false, now
+	w.down, w.suspect, w.reported = true, false, now
 	d.out.Verdicts = append(d.out.Verdicts, Verdict{Node: node, Incarnation: w.incarnation, Down: true})
 }
 
-// sign notes that a process was heard at a moment.
-func (d *Detector) sign(now Time, node string, incarnation uint64, at Time) {
+// markHeard notes that a process was heard at a moment.
+func (d *Detector) markHeard(now Time, node string, incarnation uint64, at Time) {
 	w := d.watched[node]
 	if w == nil || incarnation != w.incarnation {
 		return
@@ -84,18 +84,18 @@
 	if now-w.heard >= d.o.Silence {
 		return // too old to clear anything
 	}
-	w.suspect, w.denials = false, nil
+	w.suspect, w.notHeard = false, nil
 	if w.down {
 		w.down = false
 		d.out.Verdicts = append(d.out.Verdicts, Verdict{Node: node, Incarnation: incarnation})
 	}
 }
 
-// settle has a second path asked which process of a node lives. Incarnations have no order, so of two that are heard
+// probeIncarnation has a second path asked which process of a node lives. Incarnations have no order, so of two that are heard
 // only a fresh answer tells which is the present one: a datagram may come late from a process that is no more.
-func (d *Detector) settle(now Time, node string, w *watch) {
-	if w.settled == 0 || now-w.settled >= d.o.Beat {
-		w.settled = now
+func (d *Detector) probeIncarnation(now Time, node string, w *watch) {
+	if w.incarnationAsked == 0 || now-w.incarnationAsked >= d.o.Beat {
+		w.incarnationAsked = now
 		d.out.Probe = append(d.out.Probe, node)
 	}
 }
@@ -105,7 +105,7 @@
 func (d *Detector) ProbeResult(now, asked Time, node string, incarnation uint64, alive bool) {
 	d.advance(now)
 	if alive && now-asked >= d.o.Silence {
-		return // the answer may have lain in a buffer while this process slept
+		return // the answer may have lain in a buffer while this process was paused
 	}
 	w := d.watched[node]
 	switch {
@@ -118,7 +118,7 @@
 		w.replace(now, incarnation)
 	}
 	d.contact = now
-	d.sign(now, node, incarnation, asked)
+	d.markHeard(now, node, incarnation, asked)
 }
 
 // Receive takes a message. Those of nodes that are not members are dropped.
@@ -129,37 +129,37 @@
 	}
 	asked := now
 	switch m.Kind {
-	case Pong, Denial, Heard:
+	case Pong, NotHeard, Heard:
 		var ok bool
 		if asked, ok = d.askedAt(now, m.Nonce); !ok {
 			return // it lay in a buffer, or answers a former process
 		}
-		d.sure = true
-	case Beat, Ping, Ask, Bye:
+		d.connected = true
+	case Heartbeat, Ping, Query, Leave:
 	default:
 		return
 	}
 	d.contact = now
 	if w := d.watched[m.From]; w != nil {
 		switch {
-		case m.Kind == Bye:
+		case m.Kind == Leave:
 			w.left = w.left || w.incarnation == m.Incarnation
 		case w.incarnation != m.Incarnation:
-			d.settle(now, m.From, w)
+			d.probeIncarnation(now, m.From, w)
 		default:
-			d.sign(now, m.From, m.Incarnation, now)
+			d.markHeard(now, m.From, m.Incarnation, now)
 		}
 	}
 	switch m.Kind {
 	case Ping:
 		d.send(m.From, Message{Kind: Pong, Nonce: m.Nonce})
-	case Ask:
+	case Query:
 		d.answer(now, m)
 	case Heard:
-		d.sign(now, m.Node, m.NodeIncarnation, asked-m.Age)
-	case Denial:
+		d.markHeard(now, m.Node, m.NodeIncarnation, asked-m.Age)
+	case NotHeard:
 		if w := d.watched[m.Node]; w != nil && w.suspect && w.incarnation == m.NodeIncarnation {
-			w.denials[m.From] = true
+			w.notHeard[m.From] = true
 		}
 	}
 }
@@ -167,7 +167,7 @@
 // answer tells what this node itself has heard of the one asked about. What it was only told by others counts with the
 // age that it had, so rumours do not keep a dead process alive.
 func (d *Detector) answer(now Time, m Message) {
-	reply := Message{Kind: Denial, Nonce: m.Nonce, Node: m.Node, NodeIncarnation: m.NodeIncarnation}
+	reply := Message{Kind: NotHeard, Nonce: m.Nonce, Node: m.Node, NodeIncarnation: m.NodeIncarnation}
 	w := d.watched[m.Node]
 	if w != nil && w.everHeard && now-w.heard < d.o.Silence {
 		reply.Kind, reply.NodeIncarnation, reply.Age = Heard, w.incarnation, now-w.heard
--- a/internal/system/failuredetector/late_test.go
+++ b/internal/system/failuredetector/late_test.go
@@ -11,11 +11,11 @@
 func suspecting(t *testing.T, d *Detector) (now Time, ask Envelope) {
 	t.Helper()
 	d.Members(0, []Member{{Node: "a", Incarnation: 1}, {Node: "b", Incarnation: 2}, {Node: "c", Incarnation: 3}})
-	d.Receive(0, Message{Kind: Beat, From: "b", Incarnation: 2})
+	d.Receive(0, Message{Kind: Heartbeat, From: "b", Incarnation: 2})
 	for now = 0; now < 5*time.Second; now += 100 * time.Millisecond {
 		d.Tick(now)
 		out := d.Take()
-		if i := slices.IndexFunc(out.Send, func(e Envelope) bool { return e.Message.Kind == Ask && e.Message.Node == "b" }); i >= 0 {
+		if i := slices.IndexFunc(out.Send, func(e Envelope) bool { return e.Message.Kind == Query && e.Message.Node == "b" }); i >= 0 {
 			return now, out.Send[i]
 		}
 	}
@@ -25,7 +25,7 @@
 
 // answers hands the detector an answer to the question after a wait in which it ticks, and tells whether it then believes
 // that b was heard and that it is connected itself.
-func answerAfter(t *testing.T, wait time.Duration, anyAnswer bool) (heard, sure bool) {
+func answerAfter(t *testing.T, wait time.Duration, anyAnswer bool) (heard, connected bool) {
 	t.Helper()
 	d := NewDetector(Options{Self: "a", Incarnation: 1, anyAnswer: anyAnswer})
 	now, ask := suspecting(t, d)
@@ -34,20 +34,20 @@
 	}
 	before := d.watched["b"].heard
 	d.Receive(now, Message{Kind: Heard, From: "c", Incarnation: 3, Nonce: ask.Message.Nonce, Node: "b", NodeIncarnation: 2})
-	return d.watched["b"].heard > before, d.Sure(now)
+	return d.watched["b"].heard > before, d.Connected(now)
 }
 
 // TestLateAnswersAreNoNews: an answer that comes 20 s after its question says neither that a node was heard nor that this one
-// is connected, though this process did not sleep. Danger: a cut that ends hands over old answers, and a dead node lives on.
+// is connected, though this process was not paused. Danger: a cut that ends hands over old answers, and a dead node lives on.
 func TestLateAnswersAreNoNews(t *testing.T) {
-	if heard, sure := answerAfter(t, 100*time.Millisecond, false); !heard || !sure {
-		t.Errorf("in time: heard %v, sure %v", heard, sure)
+	if heard, connected := answerAfter(t, 100*time.Millisecond, false); !heard || !connected {
+		t.Errorf("in time: heard %v, connected %v", heard, connected)
 	}
-	if heard, sure := answerAfter(t, 20*time.Second, false); heard || sure {
-		t.Errorf("late: heard %v, sure %v", heard, sure)
+	if heard, connected := answerAfter(t, 20*time.Second, false); heard || connected {
+		t.Errorf("late: heard %v, connected %v", heard, connected)
 	}
-	if heard, sure := answerAfter(t, 20*time.Second, true); !heard || !sure {
-		t.Errorf("control: heard %v, sure %v", heard, sure)
+	if heard, connected := answerAfter(t, 20*time.Second, true); !heard || !connected {
+		t.Errorf("control: heard %v, connected %v", heard, connected)
 	}
 }
 
@@ -56,8 +56,8 @@
 	_, ask := suspecting(t, NewDetector(Options{Self: "a", Incarnation: 1}))
 	next := NewDetector(Options{Self: "a", Incarnation: 9})
 	now, _ := suspecting(t, next)
-	next.Receive(now, Message{Kind: Denial, From: "c", Incarnation: 3, Nonce: ask.Message.Nonce, Node: "b", NodeIncarnation: 2})
-	if next.Sure(now) || next.watched["b"].denials["c"] {
+	next.Receive(now, Message{Kind: NotHeard, From: "c", Incarnation: 3, Nonce: ask.Message.Nonce, Node: "b", NodeIncarnation: 2})
+	if next.Connected(now) || next.watched["b"].notHeard["c"] {
 		t.Error("the answer counts")
 	}
 }
--- a/internal/system/failuredetector/message.go
+++ b/internal/system/failuredetector/message.go
@@ -10,15 +10,15 @@
 // Kind says what a message is. The numbers are on the wire: never reuse one.
 type Kind uint8
 
-// The kinds of messages. Each is a sign of life of its sender, but for Bye.
+// The kinds of messages. Each is a sign of life of its sender, but for Leave.
 const (
-	Beat   Kind = 1 // I live
-	Ping   Kind = 2 // I live; answer me
-	Pong   Kind = 3 // the answer, with the nonce of the Ping
-	Ask    Kind = 4 // do you hear Node?
-	Heard  Kind = 5 // I heard Node Age ago
-	Denial Kind = 6 // I do not hear Node
-	Bye    Kind = 7 // I leave
+	Heartbeat Kind = 1 // I live
+	Ping      Kind = 2 // I live; answer me
+	Pong      Kind = 3 // the answer, with the nonce of the Ping
+	Query     Kind = 4 // do you hear Node?
+	Heard     Kind = 5 // I heard Node Age ago
+	NotHeard  Kind = 6 // I do not hear Node
+	Leave     Kind = 7 // I leave
 )
 
 // Message is one datagram.
@@ -26,8 +26,8 @@
 	Kind            Kind
 	From            string
 	Incarnation     uint64 // of the sender
-	Nonce           uint64 // of Ping, Ask and their answers
-	Node            string // of Ask and its answers
+	Nonce           uint64 // of Ping, Query and their answers
+	Node            string // of Query and its answers
 	NodeIncarnation uint64
 	Age             time.Duration // of Heard; whole milliseconds on the wire
 }
@@ -59,7 +59,7 @@
 }
 
 // asks tells whether messages of the kind are about another node than their sender.
-func (k Kind) asks() bool { return k == Ask || k == Heard || k == Denial }
+func (k Kind) asks() bool { return k == Query || k == Heard || k == NotHeard }
 
 func appendName(dst []byte, s string) []byte {
 	s = s[:min(len(s), maxName)]
@@ -70,7 +70,7 @@
 func Decode(data []byte) (Message, error) {
 	d := decoder{in: data}
 	var m Message
-	if len(data) > MaxDatagram || len(data) < 4 || [3]byte(data[:3]) != magic || data[3] < byte(Beat) || data[3] > byte(Bye) {
+	if len(data) > MaxDatagram || len(data) < 4 || [3]byte(data[:3]) != magic || data[3] < byte(Heartbeat) || data[3] > byte(Leave) {
 		return m, ErrMessage
 	}
 	m.Kind, d.in = Kind(data[3]), data[4:]
--- a/internal/system/failuredetector/message_test.go
+++ b/internal/system/failuredetector/message_test.go
@@ -36,21 +36,21 @@
 }
 
 func TestMessageOfAnother(t *testing.T) {
-	good := Message{Kind: Beat, From: "a"}.Append(nil)
+	good := Message{Kind: Heartbeat, From: "a"}.Append(nil)
 	for name, change := range map[string]func([]byte) []byte{
 		"magic":     func(b []byte) []byte { b[0]++; return b },
 		"version":   func(b []byte) []byte { b[2]++; return b },
 		"kind 0":    func(b []byte) []byte { b[3] = 0; return b },
 		"kind 8":    func(b []byte) []byte { b[3] = 8; return b },
 		"long name": func(b []byte) []byte { b[4] = 200; return b },
-		"no name":   func([]byte) []byte { return Message{Kind: Beat}.Append(nil) },
+		"no name":   func([]byte) []byte { return Message{Kind: Heartbeat}.Append(nil) },
 		"too long":  func(b []byte) []byte { return append(b, make([]byte, MaxDatagram)...) },
 	} {
 		if _, err := Decode(change(append([]byte(nil), good...))); !errors.Is(err, ErrMessage) {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	long := Message{Kind: Ask, From: strings.Repeat("f", 300), Node: strings.Repeat("n", 300)}.Append(nil)
+	long := Message{Kind: Query, From: strings.Repeat("f", 300), Node: strings.Repeat("n", 300)}.Append(nil)
 	if _, err := Decode(long); err != nil || len(long) > MaxDatagram {
 		t.Errorf("long names: %d bytes, %v", len(long), err)
 	}
--- a/internal/system/failuredetector/sim_test.go
+++ b/internal/system/failuredetector/sim_test.go
@@ -26,11 +26,11 @@
 	cuts   map[[2]string]bool
 	option Options
 
-	table     map[string]*row
-	calm      Time // since when no fault that excuses a verdict has been there
-	wrong     []string
-	verdicts  map[string]map[string]Time // node/incarnation → who → when it was called down
-	uncertain int                        // verdicts of nodes that were not sure
+	table        map[string]*row
+	calm         Time // since when no fault that excuses a verdict has been there
+	wrong        []string
+	verdicts     map[string]map[string]Time // node/incarnation → who → when it was called down
+	disconnected int                        // verdicts of nodes that were not connected
 }
 
 type row struct {
@@ -47,7 +47,7 @@
 	frozen      bool
 	troubled    Time // the end of its last freeze, start or isolation
 	inbox       []func()
-	woke        int
+	resumed     int
 }
 
 type event struct {
@@ -195,8 +195,8 @@
 
 func (w *world) carryOut(n *simNode) {
 	out := n.d.Take()
-	if out.Woke {
-		n.woke++
+	if out.Resumed {
+		n.resumed++
 	}
 	for _, e := range out.Send {
 		m, err := Decode(e.Message.Append(nil))
@@ -243,7 +243,7 @@
 		}
 		var incarnation uint64
 		if n.frozen {
-			ok = false // its own time-out comes first when it wakes
+			ok = false // its own time-out comes first when it resumes
 		}
 		if ok {
 			incarnation = to.incarnation
@@ -253,8 +253,8 @@
 }
 
 func (w *world) verdict(by *simNode, v Verdict) {
-	if !by.d.Sure(w.now) && v.Down {
-		w.uncertain++
+	if !by.d.Connected(w.now) && v.Down {
+		w.disconnected++
 	}
 	to := w.nodes[v.Node]
 	if v.Down {
@@ -319,14 +319,14 @@
 	for _, wrong := range w.wrong {
 		w.t.Errorf("wrong: %s", wrong)
 	}
-	if w.uncertain > 0 {
-		w.t.Errorf("%d verdicts of nodes that were not sure of themselves", w.uncertain)
+	if w.disconnected > 0 {
+		w.t.Errorf("%d verdicts of nodes that were not connected", w.disconnected)
 	}
 }
 
-// seeds is how many seeds a test runs: ROPE_SEEDS, or a few.
+// seeds is how many seeds a test runs: FAILUREDETECTOR_SEEDS, or a few.
 func seeds() uint64 {
-	if n, err := strconv.ParseUint(os.Getenv("ROPE_SEEDS"), 10, 32); err == nil {
+	if n, err := strconv.ParseUint(os.Getenv("FAILUREDETECTOR_SEEDS"), 10, 32); err == nil {
 		return n
 	}
 	return 6
