replication: tests settle, await acknowledgements and hold up forwards in one place each

Need: seven simulations ended with the same five lines, three waited for an acknowledgement with the same four, and two scenarios held up forwarded changes by the same filter. Change: world.settle, world.expectAck and cluster.holdForwards. Bounds, orders and checks are as before; a trial of a second trouble now says in its failure when nothing was acknowledged, as the others did. Ruled out: the event queues of three simulations, which share no package and are 15 lines each; the networks in memory of keeper_test.go and staff/restore, of which one takes time and ends bodies.

--- a/internal/system/replication/core_cluster_test.go
+++ b/internal/system/replication/core_cluster_test.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// holdForwards takes the changes that sender passes on to head off the network from now on, until another filter is set.
+func (cl *cluster) holdForwards(sender, head string) *[]Envelope {
+	var held []Envelope
+	cl.filter = func(from, to string, m *replicationpb.Message) bool {
+		if from == sender && to == head && m.GetForward() != nil {
+			held = append(held, Envelope{Addr: to, Msg: m})
+			return false
+		}
+		return true
+	}
+	return &held
+}
+
 // deliver hands a message over at once, whether or not the filter would let it through.
 func (cl *cluster) deliver(e Envelope) {
 	if n := cl.nodes[e.Addr]; n != nil && n.core != nil && !n.frozen {
--- a/internal/system/replication/core_late_test.go
+++ b/internal/system/replication/core_late_test.go
@@ -12,25 +12,18 @@
 func playLateForward(t *testing.T, h scriptedHooks) string {
 	cl := trio(t, 1, h)
 	head, sender := cl.link(0), cl.link(2)
-	var held []Envelope
-	cl.filter = func(from, to string, m *replicationpb.Message) bool {
-		if from == sender && to == head && m.GetForward() != nil {
-			held = append(held, Envelope{Addr: to, Msg: m})
-			return false
-		}
-		return true
-	}
+	held := cl.holdForwards(sender, head)
 	first := cl.submit(sender, noted("first"), 4*time.Second)
 	cl.until(5*time.Second, "the first change ends", func() bool { return cl.done[first].ID != 0 })
-	if got := cl.done[first].Outcome; got != Unknown || len(held) == 0 {
-		t.Fatalf("the first change ended with outcome %d, %d messages are held", got, len(held))
+	if got := cl.done[first].Outcome; got != Unknown || len(*held) == 0 {
+		t.Fatalf("the first change ended with outcome %d, %d messages are held", got, len(*held))
 	}
 	cl.filter = nil
 	second := cl.submit(head, noted("second"), 3*time.Second)
 	cl.until(3*time.Second, "the second change", func() bool { return cl.answered(second) })
 	epoch := cl.view().Epoch
 	cl.run(20 * time.Second)
-	cl.deliver(held[0])
+	cl.deliver((*held)[0])
 	cl.run(200 * time.Millisecond)
 	if cl.view().Epoch != epoch {
 		t.Fatal("the view has changed: the scenario shows nothing")
--- a/internal/system/replication/core_scenario_test.go
+++ b/internal/system/replication/core_scenario_test.go
@@ -130,14 +130,7 @@
 	n.core.Leave(cl.clock(n))
 	cl.until(3*time.Second, "a chain of two", func() bool { return cl.complete(2, 3) })
 	head, other := cl.link(0), cl.link(1)
-	var held []Envelope
-	cl.filter = func(from, to string, m *replicationpb.Message) bool {
-		if from == sender && to == head && m.GetForward() != nil {
-			held = append(held, Envelope{Addr: to, Msg: m})
-			return false
-		}
-		return true
-	}
+	held := cl.holdForwards(sender, head)
 	first := cl.submit(sender, noted("first"), 20*time.Second)
 	cl.run(100 * time.Millisecond)
 	off := head
@@ -145,8 +138,8 @@
 	leads := func(addr string) bool { c := cl.nodes[addr].core; return c.isHead() && c.isTail() }
 	cl.until(3*time.Second, "the other leads", func() bool { return leads(other) })
 	cl.until(time.Second, "the first change ends", func() bool { return cl.done[first].ID != 0 })
-	if got := cl.done[first].Outcome; got != Unknown || len(held) == 0 {
-		t.Fatalf("the first change ended with outcome %d, %d messages are held", got, len(held))
+	if got := cl.done[first].Outcome; got != Unknown || len(*held) == 0 {
+		t.Fatalf("the first change ended with outcome %d, %d messages are held", got, len(*held))
 	}
 	off = ""
 	second := cl.submit(other, noted("second"), 3*time.Second)
@@ -154,7 +147,7 @@
 	cl.until(5*time.Second, "a chain of two", func() bool { return cl.complete(2, 3) })
 	off = other
 	cl.until(5*time.Second, "the first head leads again", func() bool { return leads(head) })
-	for _, e := range held {
+	for _, e := range *held {
 		cl.deliver(e)
 	}
 	cl.run(200 * time.Millisecond)
--- a/internal/system/replication/sim_hardening_answers_test.go
+++ b/internal/system/replication/sim_hardening_answers_test.go
@@ -44,12 +44,8 @@
 		w.askMixed(m, round+100)
 		w.runUntil(w.now + 3*time.Second)
 	}
-	w.clientsEnd = true
-	w.runUntil(w.now + 8*time.Second)
-	if w.broken == nil {
-		w.checkSettled()
-	}
-	return w.stats.formerLife, w.broken
+	err := w.settle(8 * time.Second)
+	return w.stats.formerLife, err
 }
 
 // askMixed asks a machine for reads, changes and notes, twelve at once.
--- a/internal/system/replication/sim_hardening_away_test.go
+++ b/internal/system/replication/sim_hardening_away_test.go
@@ -128,12 +128,7 @@
 	out.stillMore = len(w.truth) - before
 	w.runUntil(w.now + 2*levelBound)
 	out.level = max(0, *levelAt-w.eventAt)
-	w.clientsEnd = true
-	w.runUntil(w.now + 8*time.Second)
-	if w.broken == nil {
-		w.checkSettled()
-	}
-	out.err = w.broken
+	out.err = w.settle(8 * time.Second)
 	return out
 }
 
--- a/internal/system/replication/sim_hardening_cut_test.go
+++ b/internal/system/replication/sim_hardening_cut_test.go
@@ -90,12 +90,7 @@
 	})
 	out.back = w.now - ended
 	w.runUntil(ended + 5*time.Second)
-	w.clientsEnd = true
-	w.runUntil(w.now + 7*time.Second)
-	if w.broken == nil {
-		w.checkSettled()
-	}
-	out.err = w.broken
+	out.err = w.settle(7 * time.Second)
 	return out
 }
 
--- a/internal/system/replication/sim_hardening_leave_test.go
+++ b/internal/system/replication/sim_hardening_leave_test.go
@@ -82,17 +82,9 @@
 		})
 	})
 	w.runUntil(w.now + leavePatience + 2*time.Second)
-	before := w.stats.accepted
-	w.runWhile(ackBound, func() bool { return w.stats.accepted == before })
-	if w.broken == nil && w.stats.accepted == before {
-		w.fail(fmt.Errorf("nothing is acknowledged within %v after the leaver has gone", ackBound))
-	}
-	w.clientsEnd = true
-	w.runUntil(w.now + 8*time.Second)
-	if w.broken == nil {
-		w.checkSettled()
-	}
-	return stayed, w.broken
+	w.expectAck("after the leaver has gone")
+	err := w.settle(8 * time.Second)
+	return stayed, err
 }
 
 // TestHardeningLeaverWithTheOnlyCopy: it goes when enough others hold what it holds, and not before. The control goes at
--- a/internal/system/replication/sim_repair_steps_test.go
+++ b/internal/system/replication/sim_repair_steps_test.go
@@ -106,16 +106,9 @@
 	t.incident.begin(w)
 	w.runUntil(w.now + 5*time.Second)
 	w.heal()
-	before := w.stats.accepted
-	if w.runWhile(ackBound, func() bool { return w.stats.accepted == before }); w.broken == nil && w.stats.accepted == before {
-		w.fail(fmt.Errorf("nothing is acknowledged within %v", ackBound))
-	}
-	w.clientsEnd = true
-	w.runUntil(w.now + 8*time.Second)
-	if w.broken == nil {
-		w.checkSettled()
-	}
-	return struck, w.broken
+	w.expectAck("after the trouble")
+	err := w.settle(8 * time.Second)
+	return struck, err
 }
 
 // trials lists all second troubles at all steps of the incidents.
@@ -214,13 +207,8 @@
 			if !w.runWhile(repairBound, func() bool { return !w.whole() || w.acked == before }) {
 				t.Fatalf("%s, then link %d: not over within %v: %v", i.name, place, repairBound, w.broken)
 			}
-			w.clientsEnd = true
-			w.runUntil(w.now + 6*time.Second)
-			if w.broken == nil {
-				w.checkSettled()
-			}
-			if w.broken != nil {
-				t.Errorf("%s, then link %d: %v", i.name, place, w.broken)
+			if err := w.settle(6 * time.Second); err != nil {
+				t.Errorf("%s, then link %d: %v", i.name, place, err)
 			}
 		}
 	}
--- a/internal/system/replication/sim_test.go
+++ b/internal/system/replication/sim_test.go
@@ -46,19 +46,30 @@
 		return w, w.broken
 	}
 	w.heal()
-	before := w.stats.accepted
-	w.runWhile(ackBound, func() bool { return w.stats.accepted == before })
+	w.expectAck("after the last fault")
 	w.ackedAfter = w.now - end
-	if w.broken == nil && w.stats.accepted == before {
-		w.fail(fmt.Errorf("nothing was acknowledged within %v after the last fault", ackBound))
-	}
 	w.runUntil(end + ackBound)
+	return w, w.settle(end + settleBound - w.now)
+}
+
+// settle has clients ask for nothing more, lets the keepers run on for d, and checks that all of them hold the same then. It
+// returns what was broken, then or before.
+func (w *world) settle(d time.Duration) error {
 	w.clientsEnd = true
-	w.runUntil(end + settleBound)
+	w.runUntil(w.now + d)
 	if w.broken == nil {
 		w.checkSettled()
 	}
-	return w, w.broken
+	return w.broken
+}
+
+// expectAck runs until a change is acknowledged, and fails where none is within the bound. when completes the failure.
+func (w *world) expectAck(when string) {
+	before := w.stats.accepted
+	w.runWhile(ackBound, func() bool { return w.stats.accepted == before })
+	if w.broken == nil && w.stats.accepted == before {
+		w.fail(fmt.Errorf("nothing is acknowledged within %v %s", ackBound, when))
+	}
 }
 
 // heal ends all faults.
