--- a/internal/system/ownership/ownership_test.go
+++ b/internal/system/ownership/ownership_test.go
@@ -48,8 +48,8 @@
 		for n := range 50 {
 			key := fmt.Sprint("key", n)
 			before, after := Holders(key, live, k), Holders(key, left, k)
-			kept := slices.DeleteFunc(slices.Clone(before), func(n string) bool { return n == gone })
-			if len(kept) == len(before) && !slices.Equal(before, after) || !slices.Equal(after[:len(kept)], kept) {
+			remaining := slices.DeleteFunc(slices.Clone(before), func(n string) bool { return n == gone })
+			if len(remaining) == len(before) && !slices.Equal(before, after) || !slices.Equal(after[:len(remaining)], remaining) {
 				t.Fatalf("key %s: %v before, %v after %s went", key, before, after, gone)
 			}
 		}
