Tests of duties act on a resource, and heavy clients are called heavy

Need: names of the former house style in tests: actedOn, passed, woken and an office for a duty's term; loud and still for heavy and light clients. Change: resource, handover, resumed, term; heavy and light. Words of the programs themselves stay as they are.

--- a/balance/fair_test.go
+++ b/balance/fair_test.go
@@ -11,27 +11,27 @@
 // TestHeavyGivesWay has one client ask for most of the work of a small fleet. While servers are full, it alone is refused,
 // and told when to come back; while they are not, nobody is.
 func TestHeavyGivesWay(t *testing.T) {
-	const loud, still = 7, 8
+	const heavy, light = 7, 8
 	set := settings()
 	h := hitters.Defaults()
 	set.Hitters = &h
 	b, host := start(t, set, pair())
 	var id RequestID
-	// play has the loud client ask ten times as often as others do, and returns what was refused of each.
+	// play has the heavy client ask ten times as often as others do, and returns what was refused of each.
 	play := func(long time.Duration, full bool) (asked, refused [2]int, all []RequestID) {
 		for end := host.now + long; host.now < end; host.now += 10 * time.Millisecond {
 			if b.tight = 0; full {
 				b.tight = host.now + time.Second
 			}
 			for n := range 11 {
-				client := loud
+				client := heavy
 				if n == 10 {
-					client = still + int(id)%100
+					client = light + int(id)%100
 				}
 				before := len(host.refused)
 				id++
 				b.Request(host.now, Request{ID: id, Tenant: -1, Within: time.Second, Client: uint64(client)})
-				i := min(client-loud, 1)
+				i := min(client-heavy, 1)
 				asked[i]++
 				if len(host.refused) > before {
 					refused[i]++
@@ -39,7 +39,7 @@
 						t.Fatalf("told to come back after %v", host.advice)
 					}
 				}
-				if full && n%2 == 0 && n < 10 { // a server turns half of the loud one's away
+				if full && n%2 == 0 && n < 10 { // a server turns half of the heavy one's away
 					host.answer(b, host.now, Saturated)
 					host.sent = nil
 				} else {
@@ -55,7 +55,7 @@
 	if _, refused, _ := play(4*time.Second, false); refused != [2]int{} {
 		t.Errorf("%v refused where there is room", refused)
 	}
-	if held := b.Hitters().Clients(); len(held) != 1 || held[0].Key != loud || held[0].State != hitters.Heavy {
+	if held := b.Hitters().Clients(); len(held) != 1 || held[0].Key != heavy || held[0].State != hitters.Heavy {
 		t.Fatalf("%+v held", held)
 	}
 	asked, refused, all := play(4*time.Second, true)
--- a/cmd/gradeusher/duty_fleet_test.go
+++ b/cmd/gradeusher/duty_fleet_test.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// act has effects on what is acted on, one after the other, until that refuses one.
+// act has effects on the resource, one after the other, until that refuses one.
 func act(at string) {
 	c, err := net.Dial("tcp", at)
 	if err != nil {
@@ -41,7 +41,7 @@
 	}
 }
 
-// effect is one that came to what is acted on.
+// effect is one that came to the resource.
 type effect struct {
 	epoch      int64
 	pid, guard int
@@ -49,8 +49,8 @@
 	done       bool // the fence let it through
 }
 
-// actedOn stands for what a duty acts on. It sees who acts when, from outside.
-type actedOn struct {
+// resource is what the holder of a duty acts on, behind a fence. It sees who acts when, from outside.
+type resource struct {
 	l      net.Listener
 	fence  duty.Fence
 	mu     sync.Mutex
@@ -58,12 +58,12 @@
 	ending sync.WaitGroup
 }
 
-func newActedOn(t *testing.T) *actedOn {
+func newResource(t *testing.T) *resource {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := &actedOn{l: l}
+	a := &resource{l: l}
 	a.ending.Add(1)
 	go func() {
 		defer a.ending.Done()
@@ -84,7 +84,7 @@
 }
 
 // serve ends with the actor.
-func (a *actedOn) serve(c net.Conn) {
+func (a *resource) serve(c net.Conn) {
 	defer a.ending.Done()
 	defer c.Close()
 	for in := bufio.NewScanner(c); in.Scan(); {
@@ -107,14 +107,14 @@
 	}
 }
 
-func (a *actedOn) effects() []effect {
+func (a *resource) effects() []effect {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return slices.Clone(a.all)
 }
 
 // last is the one that acted last, if it did within the last moment.
-func (a *actedOn) last() (e effect, ok bool) {
+func (a *resource) last() (e effect, ok bool) {
 	all := a.effects()
 	if len(all) == 0 {
 		return e, false
@@ -124,7 +124,7 @@
 }
 
 // next is the first effect under a higher epoch than e's, and the last under that.
-func (a *actedOn) next(e effect) (first, last effect, ok bool) {
+func (a *resource) next(e effect) (first, last effect, ok bool) {
 	for _, n := range a.effects() {
 		if n.epoch > e.epoch && n.done {
 			return n, e, true
@@ -138,16 +138,16 @@
 
 const testLease = 1500 * time.Millisecond
 
-// dutyFleet is keepers, processes that hold one duty, and what it acts on.
+// dutyFleet is keepers, processes that hold one duty, and the resource that it acts on.
 type dutyFleet struct {
 	*keepers
-	acted *actedOn
-	by    map[string]*command
-	n     int
+	resource *resource
+	by       map[string]*command
+	n        int
 }
 
 func newDutyFleet(t *testing.T, holders int) *dutyFleet {
-	f := &dutyFleet{keepers: newKeepers(t, 3, ""), acted: newActedOn(t), by: map[string]*command{}}
+	f := &dutyFleet{keepers: newKeepers(t, 3, ""), resource: newResource(t), by: map[string]*command{}}
 	f.leader()
 	for range holders {
 		f.hold()
@@ -164,7 +164,7 @@
 		f.t.Fatal(err)
 	}
 	name := fmt.Sprintf("h%d", f.n)
-	c := newCommand(f.t, "duty", "hold", "work", "--as", name, "--keepers", strings.Join(f.addresses(), ","), "--lease", testLease.String(), "--", me, actorMark, f.acted.l.Addr().String())
+	c := newCommand(f.t, "duty", "hold", "work", "--as", name, "--keepers", strings.Join(f.addresses(), ","), "--lease", testLease.String(), "--", me, actorMark, f.resource.l.Addr().String())
 	c.Stdin = nil
 	if err := c.Start(); err != nil {
 		f.t.Fatal(err)
@@ -189,19 +189,19 @@
 			return false
 		}
 		var ok bool
-		e, ok = f.acted.last()
+		e, ok = f.resource.last()
 		name = state.ProcessName(n.Duties[0].Holder.Who)
 		return ok && e.epoch == n.Duties[0].Epoch
 	})
 	return name, e
 }
 
-// passed waits until another acts, and tells how long after a time and after the last effect of the one before that was.
-func (f *dutyFleet) passed(e effect, from time.Time) (after, without time.Duration) {
+// handover waits until another acts, and tells how long after a time and after the last effect of the one before that was.
+func (f *dutyFleet) handover(e effect, from time.Time) (after, without time.Duration) {
 	f.t.Helper()
 	var first, last effect
 	eventually(f.t, "next that acts", func() (ok bool) {
-		first, last, ok = f.acted.next(e)
+		first, last, ok = f.resource.next(e)
 		return ok
 	})
 	return first.at.Sub(from), first.at.Sub(last.at)
--- a/cmd/gradeusher/duty_test.go
+++ b/cmd/gradeusher/duty_test.go
@@ -16,7 +16,7 @@
 	"gradeusher.example/gradeusher/internal/sidecar/state"
 )
 
-// TestDuty has processes hold one duty while they are killed, stopped and asked, and while the keepers' leader is killed. What is acted on sees
+// TestDuty has processes hold one duty while they are killed, stopped and asked, and while the keepers' leader is killed. The resource sees
 // that nothing is done under a stale epoch and that no two act at once, and how long nobody does. GRADEUSHER_DUTY_FAULTS: how many kills, and handovers
 // that are asked.
 func TestDuty(t *testing.T) {
@@ -27,14 +27,14 @@
 	}
 	f := newDutyFleet(t, 3)
 	var killed, asked, stopped []time.Duration
-	woken := 0
+	resumed := 0
 	for i := range faults {
 		name, e := f.holding()
 		at := time.Now()
 		if err := f.by[name].Process.Kill(); err != nil {
 			t.Fatal(err)
 		}
-		after, _ := f.passed(e, at)
+		after, _ := f.handover(e, at)
 		killed = append(killed, after)
 		f.hold()
 
@@ -42,7 +42,7 @@
 		if err := newCommand(t, "duty", "release", "work", "--keepers", strings.Join(f.addresses(), ",")).Run(); err != nil {
 			t.Fatal(err)
 		}
-		_, without := f.passed(e, at)
+		_, without := f.handover(e, at)
 		asked = append(asked, without)
 		if i >= 3 {
 			continue // they take long
@@ -52,19 +52,19 @@
 		name, e = f.holding()
 		at = time.Now()
 		f.signal(syscall.SIGSTOP, f.by[name].Process.Pid)
-		after, _ = f.passed(e, at)
+		after, _ = f.handover(e, at)
 		stopped = append(stopped, after)
 		f.signal(syscall.SIGCONT, f.by[name].Process.Pid)
 
-		// All of it is stopped, in the middle of its effects: clocks are of no help when it is woken, the fence is. It is woken once another acts.
+		// All of it is stopped, in the middle of its effects: clocks are of no help when it is resumed, the fence is. It is resumed once another acts.
 		name, e = f.holding()
 		f.signal(syscall.SIGSTOP, f.by[name].Process.Pid, e.guard, e.pid)
-		f.passed(e, at)
+		f.handover(e, at)
 		f.signal(syscall.SIGCONT, e.pid)
 		eventually(t, "refusal", func() bool {
-			return slices.ContainsFunc(f.acted.effects(), func(n effect) bool { return n.epoch == e.epoch && !n.done })
+			return slices.ContainsFunc(f.resource.effects(), func(n effect) bool { return n.epoch == e.epoch && !n.done })
 		})
-		woken++
+		resumed++
 		f.signal(syscall.SIGCONT, e.guard, f.by[name].Process.Pid)
 	}
 	_, before := f.holding()
@@ -73,12 +73,12 @@
 	f.leader()
 	f.start(leader)
 	f.holding()
-	if first, _, ok := f.acted.next(before); ok { // an election takes about as long as this short lease bears
+	if first, _, ok := f.resource.next(before); ok { // an election takes about as long as this short lease bears
 		t.Logf("the duty went from epoch %d to %d with the keepers' leader", before.epoch, first.epoch)
 	}
 	highest, stale, refused := int64(0), 0, 0
 	pids := map[int64]int{}
-	for _, e := range f.acted.effects() {
+	for _, e := range f.resource.effects() {
 		if !e.done {
 			refused++
 			continue
@@ -95,11 +95,11 @@
 	if stale > 0 {
 		t.Errorf("%d effects under a stale epoch were let through", stale)
 	}
-	if refused != woken {
-		t.Errorf("%d effects were refused; %d that were stopped whole can have had one each", refused, woken)
+	if refused != resumed {
+		t.Errorf("%d effects were refused; %d that were stopped whole can have had one each", refused, resumed)
 	}
 	t.Logf("%d effects under %d epochs, %d of those of stopped processes refused; lease %v; without one who acts after kill -9: %s; after asked: %s; after SIGSTOP of who renews: %s",
-		len(f.acted.effects()), len(pids), refused, testLease, percentiles(killed), percentiles(asked), percentiles(stopped))
+		len(f.resource.effects()), len(pids), refused, testLease, percentiles(killed), percentiles(asked), percentiles(stopped))
 	if most := killed[len(killed)-1]; most > testLease+500*time.Millisecond+raceSlack {
 		t.Errorf("%v passed after a kill, with leases of %v", most, testLease)
 	}
@@ -118,10 +118,10 @@
 	at := time.Now() // a renewal that the leader answered was sent before
 	f.kill(other)
 	eventually(t, "end", func() bool {
-		_, acts := f.acted.last()
+		_, acts := f.resource.last()
 		return !acts
 	})
-	all := f.acted.effects()
+	all := f.resource.effects()
 	last := all[len(all)-1]
 	if after := last.at.Sub(at); last.epoch != e.epoch || after > testLease-state.DutyMargin(testLease)+100*time.Millisecond {
 		t.Errorf("it acts under %d, and %v after the last renewal, with a lease of %v", last.epoch, after, testLease)
@@ -131,7 +131,7 @@
 	if _, next := f.holding(); next.epoch <= e.epoch {
 		t.Errorf("epoch %d after %d", next.epoch, e.epoch)
 	}
-	for _, e := range f.acted.effects() {
+	for _, e := range f.resource.effects() {
 		if !e.done {
 			t.Errorf("an effect under epoch %d came late", e.epoch)
 		}
@@ -222,7 +222,7 @@
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
-	eventually(t, "second office", func() bool {
+	eventually(t, "second term", func() bool {
 		text, _ := os.ReadFile(out) // not yet
 		return string(text) == "d 1\nd 2\n"
 	})
