replication: what the tests' state machine remembers is its history

Change: toyHistory and history in place of toyKept and kept; the comment names controlstate.MaxHistory, which is 4,096 and no more 256.

--- a/internal/system/replication/sim_hardening_operators_test.go
+++ b/internal/system/replication/sim_hardening_operators_test.go
@@ -22,10 +22,10 @@
 
 // playRace sends two different changes of one version through every keeper at once, eight calls in all and more, loses
 // answers, kills keepers between commit and answer, and sends both again after hundreds of changes and a start of all.
-func playRace(seed uint64, s shape, between, kept int, h hooks, forgetful bool) *racePlay {
+func playRace(seed uint64, s shape, between, history int, h hooks, forgetful bool) *racePlay {
 	out := &racePlay{repeats: map[string][]string{}}
 	w := newWorld(seed, s, h)
-	w.machine = toyMachine{forgetful: forgetful, kept: kept}
+	w.machine = toyMachine{forgetful: forgetful, history: history}
 	w.runUntil(4 * time.Second)
 	w.write(3, 50*time.Millisecond)
 	race := w.newChange(0)
@@ -128,10 +128,10 @@
 			if raceDetector && i+j > 0 {
 				continue
 			}
-			kept := []int{toyKept, toyKept, 500}[j]
+			history := []int{toyHistory, toyHistory, 500}[j]
 			for seed := range uint64(envInt("REPLICATION_RACES", 2)) {
-				got := playRace(seed+1, s, between, kept, hooks{}, false)
-				name := fmt.Sprintf("%v, %d changes between, %d known again, seed %d", s, between, kept, seed+1)
+				got := playRace(seed+1, s, between, history, hooks{}, false)
+				name := fmt.Sprintf("%v, %d changes between, %d known again, seed %d", s, between, history, seed+1)
 				switch {
 				case got.err != nil:
 					t.Errorf("%s: %v", name, got.err)
@@ -144,7 +144,7 @@
 				}
 				for _, r := range got.repeats["taken"] {
 					known, unclear := "outcome 1 kind 1", "outcome 1 kind 4"
-					if kept > between && r != known || kept <= between && r != unclear {
+					if history > between && r != known || history <= between && r != unclear {
 						t.Errorf("%s: what was taken got %s when it came again", name, r)
 					}
 				}
@@ -170,7 +170,7 @@
 		seed := uint64(0)
 		for err == nil && seed < 30 {
 			seed++
-			err = playRace(seed, shape{3, 0, 1, 3, 0, 0}, 10, toyKept, c.hooks, c.forgetful).err
+			err = playRace(seed, shape{3, 0, 1, 3, 0, 0}, 10, toyHistory, c.hooks, c.forgetful).err
 		}
 		if err == nil {
 			t.Errorf("%s: nothing broke", name)
--- a/internal/system/replication/toy_test.go
+++ b/internal/system/replication/toy_test.go
@@ -12,8 +12,8 @@
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
-// toyKept is how many changes a toy knows again; controlstate keeps 256.
-const toyKept = 24
+// toyHistory is how many changes a toy remembers; controlstate.MaxHistory is 4,096.
+const toyHistory = 24
 
 // toy is a small state machine under the contract of controlstate.State: a register with versions (OpReplace, OpAmend) that
 // knows its last changes again, zones whose changes carry a fence (OpEvacuate, OpReadmit), and notes that nothing protects
@@ -110,7 +110,7 @@
 			return nil, fmt.Errorf("record %d builds on version %d, current is %d", r.Seq, r.Base, s.rev)
 		}
 		n.rev++
-		n.taken = append(slices.Clone(s.taken[max(0, len(s.taken)-cmp.Or(s.machine.kept, toyKept)+1):]), toyTaken{registerKey(r.Op, r.Base, r.Body), r.Seq})
+		n.taken = append(slices.Clone(s.taken[max(0, len(s.taken)-cmp.Or(s.machine.history, toyHistory)+1):]), toyTaken{registerKey(r.Op, r.Base, r.Body), r.Seq})
 	case controlstate.OpEvacuate, controlstate.OpReadmit:
 		n.zones = maps.Clone(s.zones)
 		if n.zones == nil {
@@ -128,7 +128,7 @@
 
 type toyMachine struct {
 	forgetful bool // a protection taken out: no change is known again
-	kept      int  // changes known again; 0: toyKept
+	history   int  // changes remembered; 0: toyHistory
 }
 
 func (m toyMachine) Empty() State { return &toy{machine: m} }
