--- a/internal/system/failuredetector/agent.go
+++ b/internal/system/failuredetector/agent.go
@@ -28,7 +28,6 @@
 	Options
 	Conn      *net.UDPConn  // of the inner port; Run closes it
 	OnVerdict func(Verdict) // called by Run, one at a time
-	OnWoke    func()        // called by Run when this process has slept; nil: nothing is done
 	Log       log.Interface
 }
 
@@ -46,7 +45,7 @@
 	probes    sync.WaitGroup
 
 	verdicts chan Verdict
-	woke     chan struct{}
+	resumed  chan struct{}
 }
 
 // NewAgent makes an agent; Run starts it.
@@ -70,7 +69,7 @@
 		addresses: map[string]netip.AddrPort{},
 		probing:   map[string]bool{},
 		verdicts:  make(chan Verdict, maxVerdicts),
-		woke:      make(chan struct{}, 1),
+		resumed:   make(chan struct{}, 1),
 	}
 }
 
@@ -89,14 +88,7 @@
 	a.carryOut()
 }
 
-// Sure tells whether this process may act on what it believes: see Detector.Sure.
-func (a *Agent) Sure() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.detector.Sure(a.now())
-}
-
-// Leave says goodbye to those that watch this process.
+// Leave tells those that watch this process that it leaves.
 func (a *Agent) Leave() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -156,11 +148,8 @@
 		case v := <-a.verdicts:
 			a.o.Log.WithFields(log.Fields{"node": v.Node, "incarnation": v.Incarnation, "down": v.Down}).Info("failuredetector: verdict")
 			a.o.OnVerdict(v)
-		case <-a.woke:
+		case <-a.resumed:
 			a.o.Log.Warn("failuredetector: this process has slept, it asks before it acts")
-			if a.o.OnWoke != nil {
-				a.o.OnWoke()
-			}
 		}
 	}
 }
@@ -205,9 +194,9 @@
 		default:
 		}
 	}
-	if out.Woke {
+	if out.Resumed {
 		select {
-		case a.woke <- struct{}{}:
+		case a.resumed <- struct{}{}:
 		default:
 		}
 	}
