A stale proxy of a small fleet sends no server more than a cold one may get from it

Cause: proxies that hear no keeper hear of no evacuation either, and go on at their part of the load while the servers turn cold. Ruled out: the pace of a cold server, which serves a third of a normal load; asking servers for their health, which counts as probes and perhaps as requests; a part of the bound in large fleets, which is less than one request there. Change: where each proxy holds a part of a cold server's pace, a Stale one sends a warm server at most its part of the bound, less one request, evenly; what is more goes to other servers or is refused with the time until there is room.

--- a/internal/system/proxy/pick/choose.go
+++ b/internal/system/proxy/pick/choose.go
@@ -105,12 +105,14 @@
 	usedUp // this try was sent there
 	misdirected
 	doubted
-	coldNow // cold, and this proxy has no send for it now
+	coldNow  // cold, and this proxy has no send for it now
+	staleNow // it may be cold, as this proxy hears no keeper, and has sent it its part
 )
 
 func (b bar) String() string {
 	return [...]string{"ready", "draining", "in an evacuated zone", "outside the home regions", "tried", "gone: its address answers for another",
-		"doubted", "cold: its allowance is used or held by others"}[b]
+		"doubted", "cold: its allowance is used or held by others",
+		"maybe cold: no keeper is heard, and this proxy's part is used"}[b]
 }
 
 // bars tells why s can't get r. The first four are rules and never relaxed.
@@ -130,6 +132,8 @@
 		return doubted
 	case s.cold(now) && !p.coldToken(now, s):
 		return coldNow
+	case !s.cold(now) && p.stalePaced(now, s):
+		return staleNow
 	}
 	return fit
 }
@@ -163,6 +167,8 @@
 			continue
 		case coldNow:
 			warm = min(warm, p.coldWait(now, s))
+		case staleNow:
+			warm = min(warm, ms(s.staleNext-now))
 		}
 		costs[i].total = math.Inf(1)
 	}
