Tests that fail: a keeper that is cut off holds orders until their deadline

Cause: a keeper that has had no way to the chain for seconds still waits 700 ms for an answer to each order. Ruled out: that the caller's connection would break instead: the cut lies between keepers, the caller still reaches this one. One cuts an observer and each link of a chain off in turn and sends an order, a configuration and an amendment after two seconds; the other asks the API of a keeper process that hears nobody. The cluster of the control tests may start an observer too.

--- a/cmd/keeper/chain_test.go
+++ b/cmd/keeper/chain_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"gradeusher.example/gradeusher/internal/system/control"
 	"gradeusher.example/gradeusher/internal/system/replication"
 	"gradeusher.example/gradeusher/internal/system/settings"
 	"gradeusher.example/gradeusher/internal/system/staff"
@@ -112,6 +116,31 @@
 	}
 }
 
+// TestOrdersWithoutAWayToTheChain: danger: a keeper that has reached no other for seconds holds each order until its deadline,
+// and the caller, who hears nothing, sends it to no other keeper.
+func TestOrdersWithoutAWayToTheChain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := keeperAt("")
+		k.stalls = control.NewStallDetector()
+		if err := k.start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		defer k.chain.Stop()
+		go k.stalls.Run(t.Context())
+		time.Sleep(5 * time.Second) // of the bubble's clock
+		for _, path := range []string{"/Evacuation.Start/z", "/Evacuation.Finish/z", "/Config.Replace", "/Config.Amend"} {
+			r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("{}"))
+			r.Header.Set("X-Base-Version", "0")
+			w := httptest.NewRecorder()
+			began := time.Now()
+			k.operatorCalls().ServeHTTP(w, r)
+			if took := time.Since(began); w.Code != http.StatusServiceUnavailable || took > 20*time.Millisecond {
+				t.Errorf("%s: status %d after %v, want 503 at once: %s", path, w.Code, took, w.Body)
+			}
+		}
+	})
+}
+
 // TestAnewTakesNoPartInAFirstView: danger: keepers whose logs were put aside form a first view again, with an empty state.
 func TestAnewTakesNoPartInAFirstView(t *testing.T) {
 	options := keeperAt(t.TempDir()).chainOptions()
--- a/internal/system/control/chain_test.go
+++ b/internal/system/control/chain_test.go
@@ -24,6 +24,9 @@
 
 var machines = []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
 
+// observer is a machine without a disk, which only some tests start.
+const observer = "10.0.0.4"
+
 // cluster is three keepers with their APIs, over disks and a network in memory.
 type cluster struct {
 	tb      testing.TB
@@ -81,28 +84,40 @@
 
 func (c *cluster) start() {
 	c.tb.Helper()
-	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
 	for _, m := range machines {
-		k, err := replication.Start(context.Background(), replication.Options{Addr: m, Zone: "zone of " + m, Region: "r", Port: 1,
-			Seeds: machines, Bootstrap: true, MachineLosses: 1, Disk: c.disks[m], Transport: network{c, m}, Log: quiet})
-		if err != nil {
-			c.tb.Fatal(err)
-		}
-		c.keepers[m] = k
-		c.apis[m] = control.Handler(control.Options{Chain: submitter{k}, Log: quiet,
-			Current: func() *controlstate.State { s, _ := k.Committed(); return s }})
-		c.mu.Lock()
-		c.inner[m] = k.Handler()
-		c.mu.Unlock()
+		c.startKeeper(m)
 	}
 }
 
+// startKeeper starts the keeper of one machine, as an observer where the machine has no disk.
+func (c *cluster) startKeeper(m string) {
+	c.tb.Helper()
+	quiet := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	options := replication.Options{Addr: m, Zone: "zone of " + m, Region: "r", Port: 1,
+		Seeds: machines, Bootstrap: true, MachineLosses: 1, Transport: network{c, m}, Log: quiet}
+	if disk := c.disks[m]; disk != nil {
+		options.Disk = disk
+	} else {
+		options.Observer = true
+	}
+	k, err := replication.Start(context.Background(), options)
+	if err != nil {
+		c.tb.Fatal(err)
+	}
+	c.keepers[m] = k
+	c.apis[m] = control.Handler(control.Options{Chain: submitter{k}, Log: quiet,
+		Current: func() *controlstate.State { s, _ := k.Committed(); return s }})
+	c.mu.Lock()
+	c.inner[m] = k.Handler()
+	c.mu.Unlock()
+}
+
 func (c *cluster) stop() {
-	for _, m := range machines {
+	for m, k := range c.keepers {
 		c.mu.Lock()
 		c.inner[m] = nil
 		c.mu.Unlock()
-		c.keepers[m].Stop()
+		k.Stop()
 	}
 }
 
@@ -253,6 +268,42 @@
 	})
 }
 
+// A keeper that has been without a way to the chain for two seconds, whatever its place, answers orders at once, so that
+// callers move on to another keeper. Through the others the order comes into force meanwhile, and soon after the cut through
+// this one again.
+func TestOrdersAtACutOffKeeperAreAnsweredAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		c.start()
+		c.startKeeper(observer)
+		defer c.stop()
+		if status, body := c.settle(observer, replacement(0, 1, "")); status != 200 {
+			t.Fatalf("status %d: %s", status, body)
+		}
+		for i, m := range append([]string{observer}, machines...) {
+			c.setCut(m, true)
+			time.Sleep(2 * time.Second) // of the bubble's clock
+			start := order{method: http.MethodPost, path: "/Evacuation.Start/" + m}
+			for _, o := range []order{start, replacement(i+1, i+2, m), {http.MethodPost, "/Config.Amend", fmt.Sprint(i + 1), "{}"}} {
+				began := time.Now()
+				status, body := c.call(m, o)
+				if took := time.Since(began); status != 503 || took > 20*time.Millisecond {
+					t.Errorf("%s at %s: status %d after %v, want 503 at once: %s", o.path, m, status, took, body)
+				}
+			}
+			other := machines[(i+1)%len(machines)] // never m
+			if status, body := c.settle(other, start); status != 200 {
+				t.Errorf("%s at %s: status %d: %s", start.path, other, status, body)
+			}
+			c.setCut(m, false)
+			time.Sleep(2 * time.Second)
+			if status, body := c.call(m, replacement(i+1, i+2, m)); status != 200 {
+				t.Errorf("at %s after the cut: status %d: %s", m, status, body)
+			}
+		}
+	})
+}
+
 // BenchmarkEvacuation measures an evacuation order over a chain in memory, against a change without the round before it. Run
 // it with -benchtime 500x: a head takes 4,096 changes in 15 s at most.
 func BenchmarkEvacuation(b *testing.B) {
