A keeper knows when it has had no way to the chain for 500 ms

Need: a keeper that is cut off holds each order until its deadline, since nothing tells it that the order cannot be taken. Ruled out: Current, which also asks for what an order does not need (to be fed, level and settled), and would refuse through links that catch up; the head alone, which would refuse in the middle of each repair; a majority alone, as an order needs no voter but the head to be reached. Change: Core.CutOff, and Keeper.CutOff: for 500 ms neither the head (at the head, the next link) nor a majority of the voters was alive here. Before any view whoever answers counts. After a start or a stall the time begins when silence counts again. Argument: a change is sent on only while the head is alive here (headLife), so what is asked for while CutOff is true can be taken only if the way comes back within its deadline. In a stable core a member hears the head every 0.1 s and counts it as gone after 0.7 s, an observer every 0.5 s and after 1.2 s; both need 0.5 s more, that is, two heartbeats of three may be lost. A lost head is replaced by a majority of the voters, which is then alive here.

--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -66,6 +66,7 @@
 	sentAt      [sentRing]time.Duration
 	heartbeatAt time.Duration
 	graceUntil  time.Duration // until then silence says nothing
+	reachedAt   time.Duration // when there was last a way to the chain; not before graceUntil
 	leaving     bool
 
 	prop        *proposal
@@ -117,6 +118,7 @@
 	// An active link's log goes beyond where the head's ended when the epoch began.
 	c.readFloor, c.start = c.log.end(), c.log.end()
 	c.graceUntil = cfg.Suspect + cfg.Heartbeat
+	c.reachedAt = c.graceUntil
 	if !c.ready {
 		c.persist(func() { c.ready = true })
 	}
@@ -223,6 +225,7 @@
 func (c *Core) advance(now time.Duration) {
 	if now-c.now > c.cfg.Suspect/2 {
 		c.graceUntil = now + c.cfg.Suspect
+		c.reachedAt = c.graceUntil
 	}
 	c.now = max(c.now, now)
 }
@@ -231,6 +234,7 @@
 func (c *Core) Tick(now time.Duration) {
 	c.advance(now)
 	c.watchDisk()
+	c.watchReach()
 	if c.now-c.heartbeatAt >= c.heartbeatInterval() {
 		c.sendHeartbeats()
 	}
--- a/internal/system/replication/keeper.go
+++ b/internal/system/replication/keeper.go
@@ -355,6 +355,13 @@
 	return !k.stopped && k.core.Current(k.now())
 }
 
+// CutOff tells whether this keeper has had no way to the chain for so long that a change asked for here would not be taken.
+func (k *Keeper) CutOff() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.stopped && k.core.CutOff(k.now())
+}
+
 // View gives the newest view known here. Do not change it.
 func (k *Keeper) View() *View {
 	k.mu.Lock()
--- /dev/null
+++ b/internal/system/replication/reach.go
@@ -0,0 +1,59 @@
+package replication
+
+import "time"
+
+// How long a keeper goes on without a way to the chain before it counts as cut off, as part of Config.Suspect: 500 ms with
+// the default times, after those that it counted on are suspected.
+const cutOffNum, cutOffDen = 5, 7
+
+// CutOff tells whether a change asked for here cannot be taken, as there has been no way to the chain for long. It is for
+// callers that should rather ask another keeper at once; Submit and Read do not rest on it.
+//
+// It is false for a keeper that exchanges heartbeats with the head, and a change is sent on only while the head is alive here
+// (see headLife). A lost head is replaced by a majority of the voters, so while a majority is alive here the repair is waited
+// for, however long it takes. What is asked for while CutOff is true can thus be taken only if the way comes back meanwhile.
+func (c *Core) CutOff(now time.Duration) bool {
+	c.advance(now)
+	c.watchReach()
+	return c.now-c.reachedAt >= c.cfg.Suspect*cutOffNum/cutOffDen
+}
+
+// watchReach notes when there was last a way to the chain.
+func (c *Core) watchReach() {
+	if c.reachesChain() {
+		c.reachedAt = max(c.reachedAt, c.now)
+	}
+}
+
+// reachesChain tells whether a change asked for here may be taken by the present chain, or by one that a repair makes.
+func (c *Core) reachesChain() bool {
+	v := c.reg.view
+	if v.Epoch == 0 { // whoever answers may tell of a view
+		for id := range c.peers {
+			if c.alive(id) {
+				return true
+			}
+		}
+		return false
+	}
+	return c.reachesHead(v) || c.reachesMajority(v)
+}
+
+// reachesHead tells whether this keeper exchanges messages with the head, or as the head with the link after it.
+func (c *Core) reachesHead(v *View) bool {
+	if v.Head() != c.reg.self.ID {
+		return c.alive(v.Head())
+	}
+	return len(v.Chain) == 1 || c.alive(v.Chain[1])
+}
+
+// reachesMajority tells whether this keeper exchanges messages with a majority of the voters, itself among them if it votes.
+func (c *Core) reachesMajority(v *View) bool {
+	reached := map[ID]string{}
+	for _, m := range v.Voters {
+		if c.alive(m.ID) {
+			reached[m.ID] = m.Addr
+		}
+	}
+	return c.quorum(v, reached)
+}
