An order at a keeper without a way to the chain is answered 503 at once

Cause: a keeper that is cut off held each order for 700 ms, though it had known for over a second that it reached nobody who could take it. Ruled out: Config.Read likewise, as the tail alone may answer it; an end of what is under way when the cut is noticed, as it may have been sent on; an answer before the body is read, which costs the connection. Change: the API asks Keeper.CutOff before it passes an order on, for evacuations and configurations. Nothing was sent on, so the order was not taken and will not be, and a 503 holds too where an earlier sending was. 4xx of the bytes alone come as before. No order is refused that a stable core would take: while heartbeats are exchanged with the head, or with a majority that replaces it, CutOff is false. TestCutOffKeeper runs as before, with orders held, and again with orders answered at once.

--- a/cmd/keeper/run.go
+++ b/cmd/keeper/run.go
@@ -92,6 +92,7 @@
 	options := control.Options{Chain: k.chain, AckTimeout: settings.Milliseconds(k.settings.Bounds.Ack), Log: k.log,
 		Current: func() *controlstate.State { state, _ := k.chain.Committed(); return state },
 		Stalled: k.stalls.Stalled,
+		CutOff:  k.chain.CutOff,
 		Status:  k.status, Backup: staff.BackupHandler(k.chain.Read)}
 	if k.feed != nil {
 		options.Delivered = k.feed.delivered
--- a/internal/system/control/chain_test.go
+++ b/internal/system/control/chain_test.go
@@ -33,6 +33,7 @@
 	disks   map[string]*wal.Mem
 	keepers map[string]*replication.Keeper
 	apis    map[string]http.Handler
+	patient bool // the APIs hold orders also where a keeper is cut off
 
 	mu    sync.Mutex
 	inner map[string]http.Handler
@@ -105,8 +106,12 @@
 		c.tb.Fatal(err)
 	}
 	c.keepers[m] = k
-	c.apis[m] = control.Handler(control.Options{Chain: submitter{k}, Log: quiet,
-		Current: func() *controlstate.State { s, _ := k.Committed(); return s }})
+	api := control.Options{Chain: submitter{k}, Log: quiet, CutOff: k.CutOff,
+		Current: func() *controlstate.State { s, _ := k.Committed(); return s }}
+	if c.patient {
+		api.CutOff = nil
+	}
+	c.apis[m] = control.Handler(api)
 	c.mu.Lock()
 	c.inner[m] = k.Handler()
 	c.mu.Unlock()
@@ -226,10 +231,18 @@
 }
 
 // A keeper that is cut off from the others, and still reached by callers, confirms nothing, refuses nothing that the state
-// decides, and answers no configuration; when the cut ends it is back within two seconds.
+// decides, and answers no configuration; when the cut ends it is back within two seconds. That holds by the chain alone, and
+// also where the API answers orders at once.
 func TestCutOffKeeper(t *testing.T) {
+	for name, patient := range map[string]bool{"orders are held": true, "orders are answered at once": false} {
+		t.Run(name, func(t *testing.T) { testCutOffKeeper(t, patient) })
+	}
+}
+
+func testCutOffKeeper(t *testing.T, patient bool) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
+		c.patient = patient
 		c.start()
 		defer c.stop()
 		for i := range 3 {
--- a/internal/system/control/control.go
+++ b/internal/system/control/control.go
@@ -33,6 +33,9 @@
 	Current func() *controlstate.State
 	// Stalled tells whether the process stood still a moment ago. Evacuation orders are then not taken. Nil: never.
 	Stalled func() bool
+	// CutOff tells whether this keeper has had no way to the chain for so long that an order would not be taken. Orders are
+	// then answered 503 at once, without being passed on. Nil: never.
+	CutOff func() bool
 	// Status is what GET /status answers, as JSON. Nil: an empty object.
 	Status     func() any
 	Backup     http.Handler  // answers GET /backup. Nil: there is no such call
@@ -104,8 +107,23 @@
 	answerBy time.Time
 }
 
+// answerCutOff answers an order where this keeper has no way to the chain, so that the caller need not wait to hear that it
+// was not taken. It tells whether it did.
+func (a *api) answerCutOff(w http.ResponseWriter, change controlstate.Change) bool {
+	if a.o.CutOff == nil || !a.o.CutOff() {
+		return false
+	}
+	a.o.Log.WithFields(log.Fields{"op": change.Op, "base": change.Base, "zone": change.Zone}).
+		Info("control: order not taken, this keeper has no way to the chain")
+	unavailable(w, errCutOff.Error())
+	return true
+}
+
 // submit brings a change of the configuration to the chain and answers for it. ok writes the answer of success.
 func (a *api) submit(w http.ResponseWriter, r *http.Request, change controlstate.Change, ok func()) {
+	if a.answerCutOff(w, change) {
+		return
+	}
 	o := order{change: change, arrived: time.Now()}
 	wait := chainWait
 	o.answerBy = o.arrived.Add(answerWithin)
--- a/internal/system/control/control_test.go
+++ b/internal/system/control/control_test.go
@@ -230,6 +230,46 @@
 	}
 }
 
+// What a keeper without a way to the chain answers at once it has not passed on; what the call's bytes alone decide is answered
+// as ever, and reads are asked for.
+func TestCutOffOrdersAreNotPassedOn(t *testing.T) {
+	const waits = 700 * time.Millisecond
+	base := []string{"X-Base-Version", "5"}
+	for name, tt := range map[string]struct {
+		method, target string
+		headers        []string
+		status         int
+		took           time.Duration
+	}{
+		"evacuate": {"POST", "/Evacuation.Start/z", nil, 503, 0}, "readmit": {"POST", "/Evacuation.Finish/z", nil, 503, 0},
+		"replace": {"POST", "/Config.Replace", base, 503, 0}, "amend": {"POST", "/Config.Amend", base, 503, 0},
+		"no base": {"POST", "/Config.Amend", nil, 400, 0}, "long zone": {"POST", "/Evacuation.Start/" + strings.Repeat("z", 200), nil, 400, 0},
+		"read": {"GET", "/Config.Read", nil, 503, waits},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				chain, cut := &fakeChain{silent: true}, true
+				h := Handler(Options{Chain: chain, Log: quiet(), CutOff: func() bool { return cut }})
+				start := time.Now()
+				w := call(h, tt.method, tt.target, "{}", tt.headers...)
+				if took := time.Since(start); w.Code != tt.status || took != tt.took || len(chain.got) > 0 {
+					t.Errorf("status %d after %v, want %d after %v; passed on %+v", w.Code, took, tt.status, tt.took, chain.got)
+				}
+				var refusal struct{ Error string }
+				if err := json.Unmarshal(w.Body.Bytes(), &refusal); err != nil || refusal.Error == "" {
+					t.Errorf("answer %s, %v", w.Body, err)
+				}
+				cut = false
+				start = time.Now()
+				w = call(h, tt.method, tt.target, "{}", tt.headers...)
+				if took := time.Since(start); tt.status == 503 && (w.Code != 503 || took != waits) {
+					t.Errorf("not cut off: status %d after %v", w.Code, took)
+				}
+			})
+		})
+	}
+}
+
 func TestDeliveryIsBounded(t *testing.T) {
 	for ack, want := range map[time.Duration]time.Duration{0: 300 * time.Millisecond, time.Second: 125 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/system/control/evacuation.go
+++ b/internal/system/control/evacuation.go
@@ -23,6 +23,7 @@
 // Kinds of errors of orders that are not passed on. They have not come about and will not.
 var (
 	errStalled = errors.New("this keeper stood still, and the order may have waited since before that: send it again")
+	errCutOff  = errors.New("this keeper does not reach the chain and has not passed this order on: send it again as it was, to another keeper")
 	errGone    = errors.New("the caller has gone, or waits too long: send the order again if it is still wanted")
 )
 
@@ -51,9 +52,13 @@
 			unavailable(w, "the body did not come whole in time: send the order again, without a body")
 			return
 		}
+		change := controlstate.Change{Op: op, Zone: zone}
+		if a.answerCutOff(w, change) {
+			return
+		}
 		ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(chainWait))
 		defer cancel()
-		o := order{change: controlstate.Change{Op: op, Zone: zone}, arrived: arrived, answerBy: arrived.Add(answerWithin)}
+		o := order{change: change, arrived: arrived, answerBy: arrived.Add(answerWithin)}
 		verdict, err := a.submitFenced(ctx, &o, fence)
 		a.conclude(w, r, o, verdict, err, func() { answer(w, http.StatusOK, struct{}{}) })
 	}
