A proxy that hears no keeper hears of evacuations and cold servers from other proxies

Cause: proxies ask each other only until they have reached a keeper for the first time. Ruled out: observers that feed proxies, whose load reports grow with the fleet; a neighbour's word as a keeper's: others may have given the asking proxy up all the same, so it stays Stale and holds no cold server in another's place. Change: a proxy that has heard no current keeper for 1.5 s asks two others every 0.75 s, in its own region first. The call names the state it holds, so that a configuration it knows is not sent again, and only the list's entries come with it. Ages widen by the hop as ever.

--- a/internal/system/distribution/neighbour.go
+++ b/internal/system/distribution/neighbour.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
@@ -14,13 +15,16 @@
 	return bounded(distributionpb.NewNeighboursServer(f))
 }
 
-// Neighbour answers all that is held.
+// Neighbour answers all that is held; to a proxy that holds a state of its own, the list of servers and a newer state.
 func (f *Follower) Neighbour(_ context.Context, req *distributionpb.NeighbourRequest) (*distributionpb.FollowReply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	items, _ := f.table.since(0)
+	if req.GetSeq() > 0 {
+		items = slices.DeleteFunc(items, func(it *item) bool { return !ofList(it.Key) })
+	}
 	reply := &distributionpb.FollowReply{Call: req.GetCall(), Entries: toWire(time.Now(), items)}
-	if f.state.Seq > 0 {
+	if f.state.Seq > req.GetSeq() {
 		reply.Snapshot, reply.SnapshotDeflated = compress(f.state.Encode())
 	}
 	for _, k := range f.keepers {
@@ -31,27 +35,56 @@
 	return reply, nil
 }
 
-// askNeighbours takes what neighbours hold as long as no keeper has been reached since the start.
+const (
+	startNeighbours = 3 // neighbours that a proxy which starts asks in a round, until so many have answered with a state
+	staleNeighbours = 2 // and one that hears no keeper any more
+)
+
+// askNeighbours takes what neighbours hold while no keeper has been reached since the start, and while none has been heard of late:
+// then others may still hear of evacuations and cold servers.
 func (f *Follower) askNeighbours(ctx context.Context) {
 	for wait := neighbourLag; sleep(ctx, wait); wait = neighbourLag / 2 {
 		f.mu.Lock()
-		done := !f.freshAt.IsZero()
-		var places []string
-		places = append(places, f.opt.Seeds...)
-		for _, m := range f.table.members() {
-			if m.Node != f.self.Node && m.IP != "" && !m.Down {
-				places = append(places, m.IP)
-			}
-		}
+		starts, silent := f.freshAt.IsZero(), time.Since(f.currentAt) > neighbourLag
 		f.mu.Unlock()
-		if done {
-			return
+		switch {
+		case starts:
+			f.askSome(ctx, f.neighbours(true), startNeighbours)
+		case silent:
+			f.askSome(ctx, f.neighbours(false), staleNeighbours)
 		}
+	}
+}
+
+// neighbours are the machines where other proxies are to be found, in the order of trying them: at random, where the seeds are not
+// wanted those of this region first.
+func (f *Follower) neighbours(seeds bool) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var near, far []string
+	for _, m := range f.table.members() {
+		switch {
+		case m.Node == f.self.Node || m.IP == "" || m.Down:
+		case m.Region == f.self.Region && !seeds:
+			near = append(near, m.IP)
+		default:
+			far = append(far, m.IP)
+		}
+	}
+	if seeds {
+		far = append(far, f.opt.Seeds...)
+	}
+	for _, places := range [][]string{near, far} {
 		rand.Shuffle(len(places), func(i, j int) { places[i], places[j] = places[j], places[i] })
-		for i, taken := 0, 0; i < len(places) && taken < 3 && ctx.Err() == nil; i++ {
-			if f.askNeighbour(ctx, places[i]) {
-				taken++
-			}
+	}
+	return append(near, far...)
+}
+
+// askSome asks one place after the other until so many have answered.
+func (f *Follower) askSome(ctx context.Context, places []string, most int) {
+	for i, taken := 0, 0; i < len(places) && taken < most && ctx.Err() == nil; i++ {
+		if f.askNeighbour(ctx, places[i]) {
+			taken++
 		}
 	}
 }
@@ -60,7 +93,13 @@
 	ctx, cancel := withPatience(ctx, seekTimeout, silence)
 	defer cancel()
 	asked := time.Now()
+	f.mu.Lock()
+	starts, seq := f.freshAt.IsZero(), f.state.Seq
+	f.mu.Unlock()
 	req := &distributionpb.NeighbourRequest{Node: f.opt.Self.Node, Call: f.calls.next()}
+	if !starts {
+		req.Seq = seq
+	}
 	reply, err := distributionpb.NewNeighboursProtobufClient(f.url(place, f.opt.ProxyPort), f.client).Neighbour(ctx, req)
 	if err != nil || answers(req.GetCall(), reply.GetCall()) != nil {
 		return false
@@ -70,17 +109,17 @@
 	if f.digest == 0 {
 		f.addKeepers(reply.GetKeepers())
 	}
-	if !f.allTried() && !f.opt.hooks.neighbourAtOnce {
+	if starts && !f.allTried() && !f.opt.hooks.neighbourAtOnce {
 		return false // a keeper that can be reached knows better: ask again once they have been tried
 	}
 	before := f.state.Seq
 	f.takeState(offerOf(reply, 0), reply)
 	now := time.Now()
 	changed := f.takeEntries(now, upTo(now.Sub(asked)), reply)
-	f.borrowed = f.borrowed || f.state.Seq > 0
+	f.borrowed = f.borrowed || f.state.Seq > 0 && starts
 	if changed || f.state.Seq != before {
 		f.opt.Log.WithField("neighbour", place).WithField("seq", f.state.Seq).Info("distribution: no keeper is reached; holding what a neighbour holds")
 		poke(f.changed)
 	}
-	return len(reply.GetSnapshot()) > 0
+	return len(reply.GetSnapshot()) > 0 || !starts
 }
