A delta that does not go on from what a proxy holds brings no reading of the list

Cause: a keeper's answer may come after the proxy has taken another keeper's whole table. Change: the list's entry is left out of a delta that does not go on from the table held; the next answer brings it.

--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -164,6 +165,9 @@
 // takeSoft takes in all of a reply but the control state, and tells whether anything changed that matters to the owner. The
 // reply is about some moment of the delay before now, at most, so ages add up over all hops. The caller holds mu.
 func (f *Follower) takeSoft(now time.Time, delay time.Duration, req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) bool {
+	if !f.goesOn(req, reply) {
+		reply.Entries = withoutList(reply.GetEntries())
+	}
 	again := f.noteSkipped(f.tellsOldList(now, upTo(delay), reply), reply)
 	changed := f.takeEntries(now, upTo(delay), reply)
 	f.takeCursor(req, reply)
@@ -192,14 +196,22 @@
 // takeCursor moves on in the soft state. Deltas count only where they go on from what is held: another call may have
 // brought the table of another keeper in the meantime. The caller holds mu.
 func (f *Follower) takeCursor(req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) {
-	to := reply.GetSoft()
-	same := to.GetBoot() == f.soft.GetBoot()
-	switch {
-	case reply.GetFull():
-	case !same, req.GetSoft().GetBoot() != to.GetBoot(), req.GetSoft().GetNumber() > f.soft.GetNumber(), to.GetNumber() < f.soft.GetNumber():
-		return
+	if to := reply.GetSoft(); f.goesOn(req, reply) {
+		f.soft.Boot, f.soft.Number = to.GetBoot(), to.GetNumber()
 	}
-	f.soft.Boot, f.soft.Number = to.GetBoot(), to.GetNumber()
+}
+
+// goesOn tells whether a reply is a whole table, or a delta that goes on from what is held. The caller holds mu.
+func (f *Follower) goesOn(req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) bool {
+	asked, to := req.GetSoft(), reply.GetSoft()
+	same := to.GetBoot() == f.soft.GetBoot() && asked.GetBoot() == to.GetBoot()
+	return reply.GetFull() || same && asked.GetNumber() <= f.soft.GetNumber() && to.GetNumber() >= f.soft.GetNumber()
+}
+
+// withoutList leaves out the entry that tells when the platform's list was read: without the servers that the reading showed, and
+// that the delta takes for known, it would make older ones look as if they came from that reading.
+func withoutList(entries []*distributionpb.Entry) []*distributionpb.Entry {
+	return slices.DeleteFunc(entries, func(e *distributionpb.Entry) bool { return e.GetKey() == listKey })
 }
 
 // takeTotals takes total loads in and works out what is of others.
--- /dev/null
+++ b/internal/system/distribution/goeson_test.go
@@ -0,0 +1,44 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+)
+
+// TestDeltaOfAnotherTableTellsNoList: while a proxy awaits a keeper's answer it takes another one's whole table, in which a server is not yet
+// called cold. The first keeper's answer then brings its newest reading, but not the server, which the proxy had been told of before.
+// Danger: the server looks warm by the newest reading.
+func TestDeltaOfAnotherTableTellsNoList(t *testing.T) {
+	first, second := newIdleHub(), newIdleHub()
+	first.markComplete()
+	second.markComplete()
+	put := func(h *Hub, version uint64, age Age, cold time.Duration) {
+		t.Helper()
+		if err := h.PutList(1, version, []pick.Server{{ID: "s", Cold: cold}}, madeAgo(age)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f := NewFollower(FollowerOptions{Self: Member{Node: "p"}, Log: quiet()})
+	put(first, 5, exactAge(300*time.Millisecond), 3*time.Second)
+	pollByHand(f, first)
+	asked := time.Now()
+	req := f.request(nil, false)
+	put(second, 4, Age{Most: time.Second}, 0) // it can't be told which of both readings is the later one
+	pollByHand(f, second)
+	put(first, 6, exactAge(0), 2700*time.Millisecond)
+	first.mu.Lock()
+	items, _ := first.table.since(req.GetSoft().GetNumber())
+	late := &distributionpb.FollowReply{Current: true, Entries: toWire(time.Now(), items), Soft: &distributionpb.Cursor{Boot: first.boot, Number: first.table.number}}
+	first.mu.Unlock()
+	f.take(asked, time.Now(), req, late)
+	u := f.Held()
+	if len(u.Servers) != 1 {
+		t.Fatalf("holds %+v", u.Servers)
+	}
+	if warm := u.Servers[0].Cold == 0; warm && u.ListAge < 500*time.Millisecond {
+		t.Errorf("the server is warm by a list that is %v old", u.ListAge)
+	}
+}
