soak: fixed plans of a proxy that is paused and wakes, at a multiple of the traffic

Clients leave a paused proxy after 0.6 s, and 32 slots bound what a server takes at once.

The other proxy of the region is killed first, clients wait for longer than the pause, and servers have 64 slots. Results tell how many requests waited at paused proxies.

--- a/cmd/gradeusher/system_soak.go
+++ b/cmd/gradeusher/system_soak.go
@@ -11,19 +11,28 @@
 	"time"
 
 	"gradeusher.example/gradeusher/internal/lab/soak"
+	"gradeusher.example/gradeusher/internal/lab/world"
 )
 
 type systemSoakCommand struct {
 	Seeds string        `help:"First and last seed, as A..B."`
 	Seed  uint64        `help:"First seed, with --count, in place of --seeds; 0: 1."`
 	Count int           `help:"How many seeds from --seed on." default:"1"`
-	For   time.Duration `help:"How long troubles go on in each seed." default:"30s"`
+	For   time.Duration `help:"How long troubles go on in each seed; the fixed schedules have their own time." default:"30s"`
 	Out   string        `help:"Folder for what seeds leave that broke something, and for results.jsonl; empty: a temporary one." type:"path"`
 	JSON  bool          `help:"Print a JSON object a seed." name:"json"`
 	Plans bool          `help:"Print the schedules, and play nothing."`
+	Plan  string        `help:"Schedule of troubles: drawn from the seed, or a fixed one: a proxy that wakes, or one that wakes cut off from the keepers." enum:"drawn,wake,wake-cut" default:"drawn"`
+	Load  float64       `help:"Traffic, as a multiple of the usual." default:"1"`
 }
 
-const mostSeeds = 10000
+const (
+	mostSeeds = 10000
+	mostLoad  = 4
+
+	planWake    = "wake"
+	planWakeCut = "wake-cut"
+)
 
 // Run plays the seeds one after the other.
 func (c systemSoakCommand) Run(ctx context.Context, s streams) error {
@@ -34,9 +43,12 @@
 	if c.For < soak.Shortest || c.For > soak.Longest {
 		return fmt.Errorf("%w: --for %v is not within %v to %v", errUsage, c.For, soak.Shortest, soak.Longest)
 	}
+	if !(c.Load > 0 && c.Load <= mostLoad) { // NaN is neither
+		return fmt.Errorf("%w: --load %v is not above 0 and up to %d", errUsage, c.Load, mostLoad)
+	}
 	if c.Plans {
 		for seed := first; seed <= last; seed++ {
-			printPlan(s, soak.Draw(seed, c.For, soak.Scene(seed)))
+			printPlan(s, c.plan(seed, c.scene(seed)))
 		}
 		return nil
 	}
@@ -81,6 +93,29 @@
 	return first, last, nil
 }
 
+// scene is that of a seed, with the traffic asked for.
+func (c systemSoakCommand) scene(seed uint64) *world.Scene {
+	scene := soak.Scene(seed)
+	if c.fixed() {
+		scene = soak.WakeScene(seed)
+	}
+	for i := range scene.Kinds {
+		scene.Kinds[i].Rate *= c.Load
+	}
+	return scene
+}
+
+// fixed tells whether the schedule is that of a proxy that wakes.
+func (c systemSoakCommand) fixed() bool { return c.Plan == planWake || c.Plan == planWakeCut }
+
+// plan is the schedule of a seed.
+func (c systemSoakCommand) plan(seed uint64, scene *world.Scene) *soak.Plan {
+	if c.fixed() {
+		return soak.Wake(seed, c.Plan == planWakeCut, scene)
+	}
+	return soak.Draw(seed, c.For, scene)
+}
+
 func printPlan(s streams, p *soak.Plan) {
 	fmt.Fprintf(s.out, "seed %d: %v between regions, %d troubles, %d at once\n", p.Seed, p.Delay.Round(time.Millisecond), len(p.Troubles), p.AtOnce())
 	for _, t := range p.Troubles {
@@ -100,7 +135,8 @@
 		if err := os.MkdirAll(folder, 0o700); err != nil {
 			return false, err
 		}
-		r, err := soak.Play(ctx, soak.Options{Proxy: proxy, Keeper: keeper, Folder: folder, Plan: soak.Draw(seed, c.For, soak.Scene(seed))})
+		scene := c.scene(seed)
+		r, err := soak.Play(ctx, soak.Options{Proxy: proxy, Keeper: keeper, Folder: folder, Plan: c.plan(seed, scene), Scene: scene})
 		if err != nil {
 			return false, err
 		}
--- a/internal/lab/soak/plan_test.go
+++ b/internal/lab/soak/plan_test.go
@@ -44,6 +44,37 @@
 	}
 }
 
+// TestWakePlans: the proxy is paused before the evacuation begins, and goes on while the zone's servers are cold.
+func TestWakePlans(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		scene := WakeScene(1)
+		p := Wake(1, cut, scene)
+		at := map[Kind]Trouble{}
+		for _, one := range p.Troubles {
+			at[one.Kind] = one
+			if one.end() > p.For {
+				t.Errorf("%v ends too late", one)
+			}
+		}
+		pause, evacuation := at[PauseProxy], at[TakeBackAlone]
+		chilled := evacuation.Start + scene.Bounds.Evacuate
+		if pause.Start >= evacuation.Start || pause.end() < chilled+ackedWithin || pause.end() > chilled+evacuation.Chill {
+			t.Errorf("%v, with %v", pause, evacuation)
+		}
+		if wait := scene.Kinds[question].Deadline; wait <= pause.Length || len(at) != len(p.Troubles) {
+			t.Errorf("clients wait %v: %v", wait, p.Troubles)
+		}
+		if c, ok := at[CutProxy]; ok != cut || cut && (c.Target != pause.Target || c.Start > pause.end() || c.end() != pause.end()+cutAfter) {
+			t.Errorf("cut: %v, %v", ok, c)
+		}
+		if n := scene.Servers[0].Engine.Slots; n != wakeSlots || Scene(1).Servers[0].Engine.Slots != slots {
+			t.Errorf("%d slots", n)
+		}
+	}
+}
+
+const ackedWithin = 500 * time.Millisecond // an evacuation
+
 func checkPlan(t *testing.T, p *Plan, scene *world.Scene) {
 	t.Helper()
 	d := &drawer{scene: scene}
--- a/internal/lab/soak/result.go
+++ b/internal/lab/soak/result.go
@@ -26,6 +26,7 @@
 	Peak     int      `json:"peak"`   // most requests that one of them got within a second
 	Bound    float64  `json:"bound"`  // that it may get
 	Flooded  int      `json:"flooded"`
+	Waited   int      `json:"waited"`   // tries of clients that began while their proxy was paused, and were answered once it went on
 	InTouch  int      `json:"in_touch"` // tries of clients by which rules that are bounded in time are judged
 	Statuses int      `json:"statuses"` // read from processes
 	Broken   []string `json:"broken"`
@@ -52,7 +53,7 @@
 	f := report.Figures
 	r := &Result{Seed: p.plan.Seed, Seconds: p.plan.For.Seconds(), DelayMS: float64(p.plan.Delay) / float64(time.Millisecond),
 		Troubles: len(p.plan.Troubles), AtOnce: p.plan.AtOnce(), Requests: f.Requests, Served: f.Served, Refused: f.Refused,
-		Failed: f.Failed + f.Unanswered, Orders: p.orders, Reads: len(p.Evidence.Reads), InTouch: p.Evidence.InTouch(), Statuses: p.watch.asked, Broken: p.broken}
+		Failed: f.Failed + f.Unanswered, Orders: p.orders, Reads: len(p.Evidence.Reads), Waited: p.Evidence.Waited(), InTouch: p.Evidence.InTouch(), Statuses: p.watch.asked, Broken: p.broken}
 	for _, peak := range p.Evidence.ColdPeaks() {
 		r.Cold++
 		if peak.Most > r.Peak {
--- a/internal/lab/soak/scene.go
+++ b/internal/lab/soak/scene.go
@@ -31,7 +31,7 @@
 		s.Machines[i].IP = fmt.Sprintf("127.%d.1.%d", subnet, i+1)
 	}
 	engine := *s.Servers[0].Engine
-	engine.Slots, engine.Queue, engine.Step = slots, slots, step
+	engine.Step = step
 	var servers []world.ServerSpec
 	held := map[string]int{}
 	add := func(spec world.ServerSpec) {
@@ -56,10 +56,19 @@
 	for i, rate := range []float64{summaryRate, questionRate, thumbRate} {
 		s.Kinds[i].Rate = rate
 	}
-	e := s.Config.Services[0].Engine
-	e.Slots = slots
+	setSlots(s, slots)
 	return s
 }
 
+// setSlots gives every model server so many slots, and as many places to wait.
+func setSlots(s *world.Scene, n int) {
+	for _, spec := range s.Servers {
+		if spec.Engine != nil {
+			spec.Engine.Slots, spec.Engine.Queue = n, n
+		}
+	}
+	s.Config.Services[0].Engine.Slots = n
+}
+
 // coldFor is how long a model server is cold after its start.
 func coldFor(s *world.Scene) time.Duration { return s.Servers[0].ColdFor }
--- a/internal/lab/soak/troubles.go
+++ b/internal/lab/soak/troubles.go
@@ -107,7 +107,7 @@
 		if keeper {
 			process = p.Fleet.KeeperProcess(m)
 		}
-		defer p.begin(m, keeper, "pause")()
+		defer p.begin(m, keeper, rules.Pause)()
 		return p.Pause(ctx, process, t.Length)
 	})
 }
--- a/internal/lab/world/rules/check_test.go
+++ b/internal/lab/world/rules/check_test.go
@@ -147,6 +147,29 @@
 	}
 }
 
+func TestWaited(t *testing.T) {
+	s := newScene()
+	s.serve("/mail/2", "mailer", 20*second) // ends 0.1 s later
+	for _, c := range []struct {
+		proxy    string
+		from, to Time
+		waited   int
+	}{
+		{oneProxy, 19 * second, 20*second + second/20, 1}, {oneProxy, 19 * second, 19*second + second/2, 0}, {oneProxy, 19 * second, 21 * second, 0},
+		{oneProxy, 20*second + 1, 20*second + second/20, 0}, {"other", 19 * second, 20*second + second/20, 0},
+	} {
+		s.Troubles = nil
+		s.Begin(Trouble{Proxy: c.proxy, Kind: Pause, At: c.from})(c.to)
+		if n := s.Waited(); n != c.waited {
+			t.Errorf("%+v: %d", c, n)
+		}
+		s.Troubles[0].Kind = "cut"
+		if n := s.Waited(); n != 0 {
+			t.Errorf("%d waited at a proxy that was cut off", n)
+		}
+	}
+}
+
 func TestVerdictLine(t *testing.T) {
 	v := Verdict{Rule: "TWICE", Looked: 3}
 	if got := v.String(); got != "TWICE     kept, looked at 3" {
--- a/internal/lab/world/rules/troubles.go
+++ b/internal/lab/world/rules/troubles.go
@@ -17,6 +17,9 @@
 	Machine string
 }
 
+// Pause is the kind of a trouble in which a process is stopped and goes on.
+const Pause = "pause"
+
 // Trouble takes in what was done to a machine.
 func (e *Evidence) Trouble(t Trouble) {
 	e.mu.Lock()
@@ -99,6 +102,22 @@
 	return n
 }
 
+// Waited is how many of the clients' tries began while their proxy was paused, and had not been given up when it went on.
+func (e *Evidence) Waited() (n int) {
+	for i := range e.Troubles {
+		pause := &e.Troubles[i]
+		if pause.Kind != Pause || pause.Proxy == "" {
+			continue
+		}
+		for _, t := range e.Tries {
+			if t.Proxy == pause.Proxy && t.Sent >= pause.At && t.Sent < pause.over() && t.Ended > pause.over() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // stretch is by how much bounds on configurations and evacuations grow at a time, as a keeper was in trouble.
 func (e *Evidence) stretch(from, to Time) Time {
 	for i := range e.Troubles {
