lab: one wait that ends with its context

Need: a wait for a timer or the end of a context stood in lab/steps.go, lab/soak/run.go and lab/world/tour.go.

The three places call it; where there is nothing to wait for and the context has ended, soak's always told the latter by chance alone.

--- a/internal/lab/clock/clock.go
+++ b/internal/lab/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -25,5 +26,20 @@
 // Now is the shared time in nanoseconds.
 func Now() int64 { return base + int64(time.Since(start)) }
 
+// Sleep waits for d, or until ctx ends; false: it has ended.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Until is the time that is left until t; negative once it has passed.
 func Until(t int64) time.Duration { return time.Duration(t - Now()) }
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/world"
 	"gradeusher.example/gradeusher/internal/lab/world/rules"
 )
@@ -31,7 +32,7 @@
 // changes sends changes of the configuration, one a second, and looks at a proxy after each.
 func (p *player) changes(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(p.plan.Seed, 37))
-	for n := 0; sleep(ctx, configEvery); n++ {
+	for n := 0; clock.Sleep(ctx, configEvery); n++ {
 		if err := p.change(ctx, n, rng); err != nil && ctx.Err() == nil {
 			p.refresh(ctx)
 		}
@@ -90,7 +91,7 @@
 // reads asks for the configuration again and again; the answers are evidence.
 func (p *player) reads(ctx context.Context) {
 	reader := p.aside()
-	for sleep(ctx, readEvery) {
+	for clock.Sleep(ctx, readEvery) {
 		asked, cancel := context.WithTimeout(ctx, orderWithin)
 		_, err := reader.Read(asked) // none comes while the keepers are down
 		cancel()
--- a/internal/lab/soak/result_test.go
+++ b/internal/lab/soak/result_test.go
@@ -1,14 +1,12 @@
 package soak
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -101,17 +99,6 @@
 	}
 }
 
-func TestSleep(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	if !sleep(ctx, time.Nanosecond) {
-		t.Error("it ended before its time")
-	}
-	cancel()
-	if sleep(ctx, time.Hour) {
-		t.Error("it did not end with its context")
-	}
-}
-
 // TestDrawn: a share of none is never drawn, and one of all always is.
 func TestDrawn(t *testing.T) {
 	var s share
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/world"
 	"gradeusher.example/gradeusher/internal/system/staff"
 )
@@ -92,7 +93,7 @@
 	all.Go(func() { p.watch.run(ctx, p.addresses()) })
 	for _, t := range p.plan.Troubles {
 		all.Go(func() {
-			if !sleep(ctx, time.Until(begin.Add(t.Start))) {
+			if !clock.Sleep(ctx, time.Until(begin.Add(t.Start))) {
 				return
 			}
 			p.tell(fmt.Sprintf("%v: %v", p.Now().Round(time.Millisecond), t))
@@ -104,18 +105,6 @@
 	all.Wait()
 }
 
-// sleep waits; false: ctx ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // fault takes in what broke, by name.
 func (p *player) fault(name, text string) {
 	p.mu.Lock()
--- a/internal/lab/soak/troubles.go
+++ b/internal/lab/soak/troubles.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/link"
 	"gradeusher.example/gradeusher/internal/lab/world"
 	"gradeusher.example/gradeusher/internal/lab/world/rules"
@@ -31,7 +32,7 @@
 		return nil
 	case LoseAcks:
 		p.losing.set(t.Share)
-		sleep(ctx, t.Length)
+		clock.Sleep(ctx, t.Length)
 		p.losing.set(0)
 		return nil
 	case ColdReturn:
@@ -84,7 +85,7 @@
 		if err := p.KillProxy(m); err != nil {
 			return err
 		}
-		sleep(ctx, t.Length)
+		clock.Sleep(ctx, t.Length)
 		return p.StartProxy(m)
 	})
 }
@@ -96,7 +97,7 @@
 		if err := p.KillKeeper(m); err != nil {
 			return err
 		}
-		sleep(ctx, t.Length)
+		clock.Sleep(ctx, t.Length)
 		return p.StartKeeper(m)
 	})
 }
@@ -127,7 +128,7 @@
 	out, in := t.states()
 	defer p.Fleet.Links.Trouble(calls, out)()
 	defer p.Fleet.Links.Trouble(called, in)()
-	sleep(ctx, d)
+	clock.Sleep(ctx, d)
 }
 
 // paths pick the links on which the target calls, and those on which it is called.
@@ -168,7 +169,7 @@
 		s.LoseAnswers(t.Share)
 		defer s.LoseAnswers(0)
 	}
-	sleep(ctx, t.Length)
+	clock.Sleep(ctx, t.Length)
 }
 
 // servers are those of a zone.
@@ -185,7 +186,7 @@
 // returns when they are warm.
 func (p *player) coldReturn(ctx context.Context, zone string, down time.Duration) error {
 	p.crash(zone)
-	sleep(ctx, down)
+	clock.Sleep(ctx, down)
 	return p.comeBack(ctx, zone)
 }
 
@@ -202,10 +203,10 @@
 			return err
 		}
 		if i < len(some)-1 {
-			sleep(ctx, staggered/time.Duration(len(some)))
+			clock.Sleep(ctx, staggered/time.Duration(len(some)))
 		}
 	}
-	sleep(ctx, coldFor(p.Scene)+coldMargin)
+	clock.Sleep(ctx, coldFor(p.Scene)+coldMargin)
 	return nil
 }
 
@@ -235,25 +236,25 @@
 	acked := time.Now()
 	switch t.Kind {
 	case ReturnEvacuated:
-		sleep(ctx, evacuateFor-time.Since(began))
+		clock.Sleep(ctx, evacuateFor-time.Since(began))
 		if err := p.coldReturn(ctx, t.Target, t.Down); err != nil {
 			return err
 		}
-		sleep(ctx, chillBefore-t.Chill)
+		clock.Sleep(ctx, chillBefore-t.Chill)
 	case TakeBackAlone:
-		sleep(ctx, p.Scene.Bounds.Evacuate-time.Since(began))
+		clock.Sleep(ctx, p.Scene.Bounds.Evacuate-time.Since(began))
 		p.crash(t.Target)
-		sleep(ctx, t.Down-aloneFor-t.Chill)
+		clock.Sleep(ctx, t.Down-aloneFor-t.Chill)
 	default:
-		sleep(ctx, t.Length-t.Chill-time.Since(began))
+		clock.Sleep(ctx, t.Length-t.Chill-time.Since(began))
 	}
 	// All proxies in touch have stopped to send there once that time is over.
-	sleep(ctx, p.Scene.Bounds.Evacuate-time.Since(acked))
+	clock.Sleep(ctx, p.Scene.Bounds.Evacuate-time.Since(acked))
 	err = p.takeBack(ctx, zone, t.Chill)
 	if t.Kind != TakeBackAlone {
 		return err
 	}
-	sleep(ctx, aloneFor)
+	clock.Sleep(ctx, aloneFor)
 	return errors.Join(err, p.comeBack(ctx, t.Target))
 }
 
@@ -264,7 +265,7 @@
 			s.Chill(min(chill+coldFor(p.Scene)-coldMargin, 2*s.ColdFor))
 		}
 	}
-	sleep(ctx, chill)
+	clock.Sleep(ctx, chill)
 	if err := p.evacuate(ctx, zone, false); err != nil {
 		return err
 	}
@@ -289,13 +290,13 @@
 			continue
 		}
 		s.Drain()
-		sleep(ctx, p.Scene.Bounds.Drain+time.Second)
+		clock.Sleep(ctx, p.Scene.Bounds.Drain+time.Second)
 		s.Stop()
-		sleep(ctx, t.Length-p.Scene.Bounds.Drain-time.Second-s.ColdFor-coldMargin)
+		clock.Sleep(ctx, t.Length-p.Scene.Bounds.Drain-time.Second-s.ColdFor-coldMargin)
 		if err := s.Start(true); err != nil && !errors.Is(err, world.ErrRunning) {
 			return err
 		}
-		sleep(ctx, s.ColdFor+coldMargin)
+		clock.Sleep(ctx, s.ColdFor+coldMargin)
 	}
 	return nil
 }
--- a/internal/lab/soak/watch.go
+++ b/internal/lab/soak/watch.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/system/staff"
 )
 
@@ -29,7 +30,7 @@
 
 // run looks once in a while until ctx ends.
 func (w *watch) run(ctx context.Context, addresses map[string]string) {
-	for sleep(ctx, statusEvery) {
+	for clock.Sleep(ctx, statusEvery) {
 		w.look(ctx, addresses)
 	}
 }
--- a/internal/lab/steps.go
+++ b/internal/lab/steps.go
@@ -118,20 +118,7 @@
 
 const mostLinksAtOnce = 64
 
-func waitUntil(ctx context.Context, t int64) bool {
-	wait := clock.Until(t)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func waitUntil(ctx context.Context, t int64) bool { return clock.Sleep(ctx, clock.Until(t)) }
 
 func (f *Fleet) nameOf(s *plan.Step) string {
 	switch {
--- a/internal/lab/world/tour.go
+++ b/internal/lab/world/tour.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/world/rules"
 )
 
@@ -41,16 +42,12 @@
 	}
 }
 
-// pause waits.
+// pause waits; the error is that of ctx.
 func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
 
 func (r *Run) tourKeeper(ctx context.Context, rng *rand.Rand) error {
