soak: proxies are cut from single servers, and end by SIGTERM

Links to servers were shared by all callers: proxies reach a server at the one address that the list tells, all from 127.0.0.1. Ruled out: addresses by proxy (the keepers share one list), and looking up whose socket it is in /proc at each connection. Now the first request of a connection tells whose it is, by its id, which a client has sent to one proxy; each proxy has a link to each server, which a trouble of the server lies on as before. The relay looks at the bytes without taking them, so a held link holds them too.

LOST left out only tries around a kill. Now any trouble of the proxy's machine that was not planned counts, until contact_ms after its end, as the rule says: pauses and cuts last. A start is none.

Controls: a proxy that is cut hears nothing on old and new connections while the other does; connections that never say anything end with the relay; four cases of LOST, two of which break it.

--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -29,6 +29,8 @@
 	CutList         Kind = "cut keeper from the list"
 	CutLists        Kind = "cut all keepers from the list"
 	CutServer       Kind = "cut server from proxies"
+	CutFromServers  Kind = "cut proxy from servers"
+	EndProxy        Kind = "end proxy by SIGTERM"
 	SlowProxy       Kind = "slow links of proxy"
 	SlowKeeper      Kind = "slow links of keeper"
 	SlowLists       Kind = "slow links to the list"
@@ -57,14 +59,16 @@
 	Kind   Kind
 	Target string // IP of a machine, name of a zone, or address of a server; empty: all
 	Other  string // zone that is evacuated meanwhile
-	Start  time.Duration
-	Length time.Duration
-	Down   time.Duration // of servers that return cold
-	Chill  time.Duration // before an evacuation is taken back the zone's servers turn cold
-	Way    Way
-	Delay  time.Duration // of slow links, one way
-	Jitter time.Duration
-	Share  float64 // of the answers that are lost
+	// Servers are the addresses of those from which a proxy is cut.
+	Servers []string
+	Start   time.Duration
+	Length  time.Duration
+	Down    time.Duration // of servers that return cold, and of a proxy after its planned end
+	Chill   time.Duration // before an evacuation is taken back the zone's servers turn cold
+	Way     Way
+	Delay   time.Duration // of slow links, one way
+	Jitter  time.Duration
+	Share   float64 // of the answers that are lost
 }
 
 func (t *Trouble) end() time.Duration { return t.Start + t.Length }
@@ -75,6 +79,9 @@
 	if t.Other != "" {
 		text += ", evacuated: " + t.Other
 	}
+	if len(t.Servers) > 0 {
+		text += ": " + strings.Join(t.Servers, ", ")
+	}
 	if t.Down > 0 {
 		text += fmt.Sprintf(", down %v", t.Down.Round(time.Millisecond))
 	}
@@ -117,6 +124,8 @@
 	chillLeast  = 300 * time.Millisecond
 	aloneFor    = 2 * time.Second // all requests of a region go to a zone that was just taken back
 	coldMargin  = time.Second     // after the cold state has ended
+	endSlack    = 2 * time.Second // beyond the grace, for a process to end
+	mostCutFrom = 4               // servers from which a proxy is cut
 )
 
 // Draw gives the plan of a seed. The same seed, scene and time give the same plan.
@@ -191,7 +200,7 @@
 // claims is what a trouble needs for itself.
 func (d *drawer) claims(t Trouble) (all []string) {
 	switch t.Kind {
-	case KillProxy, PauseProxy:
+	case KillProxy, PauseProxy, EndProxy:
 		return []string{"proxy " + t.Target}
 	case KillKeeper, PauseKeeper:
 		return []string{"keeper " + t.Target}
@@ -207,6 +216,10 @@
 		return []string{"links of " + t.Target}
 	case CutList, CutLists, SlowLists:
 		return []string{"list"}
+	case CutFromServers:
+		for _, s := range t.Servers {
+			all = append(all, "server "+s)
+		}
 	case CutServer, SlowServer, Drain:
 		return []string{"server " + t.Target}
 	case LoseAnswers:
--- a/internal/lab/soak/troubles.go
+++ b/internal/lab/soak/troubles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,7 +23,9 @@
 		return p.killKeepers(ctx, t)
 	case PauseProxy, PauseKeeper:
 		return p.pause(ctx, t)
-	case CutProxy, SlowProxy, CutKeeper, SlowKeeper:
+	case EndProxy:
+		return p.endProxy(ctx, t)
+	case CutProxy, SlowProxy, CutKeeper, SlowKeeper, CutFromServers:
 		return p.harm(ctx, t)
 	case CutList, CutLists, SlowLists, CutServer, SlowServer:
 		p.lay(ctx, t, t.Length)
@@ -90,6 +93,20 @@
 	})
 }
 
+// endProxy has a proxy end as planned, and starts it again.
+func (p *player) endProxy(ctx context.Context, t Trouble) error {
+	return each(p.machines(t), func(m world.Machine) error {
+		p.watch.ask(ctx, world.ProxyName(m), p.Fleet.Inner(m))
+		ends, cancel := context.WithTimeout(ctx, p.Scene.Bounds.Grace+endSlack)
+		defer cancel()
+		if err := p.TermProxy(ends, m); err != nil {
+			return err
+		}
+		clock.Sleep(ctx, t.Down)
+		return p.StartProxy(m)
+	})
+}
+
 func (p *player) killKeepers(ctx context.Context, t Trouble) error {
 	return each(p.machines(t), func(m world.Machine) error {
 		defer p.begin(m, true, "down")()
@@ -137,7 +154,7 @@
 	at := world.Machine{IP: t.Target}
 	switch t.Kind {
 	case CutProxy, SlowProxy:
-		return func(l world.Path) bool { return l.From == world.ProxyName(at) }, func(l world.Path) bool { return l.To == world.ProxyName(at) }
+		return func(l world.Path) bool { return l.From == world.ProxyName(at) && !l.ToServer() }, func(l world.Path) bool { return l.To == world.ProxyName(at) }
 	case CutKeeper, SlowKeeper:
 		return func(l world.Path) bool { return l.From == world.KeeperName(at) && l.To != world.ListEnd },
 			func(l world.Path) bool { return l.To == world.KeeperName(at) }
@@ -145,6 +162,8 @@
 		return func(l world.Path) bool { return l.From == world.KeeperName(at) && l.To == world.ListEnd }, none
 	case CutLists, SlowLists:
 		return func(l world.Path) bool { return l.To == world.ListEnd }, none
+	case CutFromServers:
+		return func(l world.Path) bool { return l.From == world.ProxyName(at) && slices.Contains(t.Servers, l.To) }, none
 	case CutServer, SlowServer:
 		return none, func(l world.Path) bool { return l.To == t.Target }
 	}
@@ -156,7 +175,7 @@
 	out = link.State{Delay: t.Delay, Jitter: t.Jitter}
 	in = out
 	switch t.Kind {
-	case CutProxy, CutKeeper, CutList, CutLists, CutServer:
+	case CutProxy, CutKeeper, CutList, CutLists, CutServer, CutFromServers:
 		sends, hears := t.Way != Inward, t.Way != Outward // which of them is held back
 		out.Hold[link.ToFar], out.Hold[link.ToNear] = sends, hears
 		in.Hold[link.ToNear], in.Hold[link.ToFar] = sends, hears
--- a/internal/lab/world/faults.go
+++ b/internal/lab/world/faults.go
@@ -20,7 +20,7 @@
 
 // StartKeeper starts it again, with its disk.
 func (r *Run) StartKeeper(m Machine) error {
-	r.Evidence.Trouble(rules.Trouble{Keeper: true, Kind: "start", At: r.Now()})
+	r.Evidence.Trouble(rules.Trouble{Keeper: true, Kind: rules.Start, At: r.Now()})
 	return r.Fleet.StartKeeper(m, false)
 }
 
@@ -41,13 +41,13 @@
 
 // TermProxy has a machine's proxy end as planned, and waits for that or the end of ctx.
 func (r *Run) TermProxy(ctx context.Context, m Machine) error {
-	r.Evidence.Trouble(rules.Trouble{Proxy: r.Fleet.Front(m), Kind: "term", At: r.Now()})
+	r.Evidence.Trouble(rules.Trouble{Proxy: r.Fleet.Front(m), Kind: rules.Term, At: r.Now()})
 	return end(r.Fleet.ProxyProcess(m), syscall.SIGTERM, ctx.Done())
 }
 
 // StartProxy starts it again.
 func (r *Run) StartProxy(m Machine) error {
-	r.Evidence.Trouble(rules.Trouble{Proxy: r.Fleet.Front(m), Kind: "start", At: r.Now()})
+	r.Evidence.Trouble(rules.Trouble{Proxy: r.Fleet.Front(m), Kind: rules.Start, At: r.Now()})
 	return r.Fleet.StartProxy(m, false)
 }
 
--- a/internal/lab/world/links.go
+++ b/internal/lab/world/links.go
@@ -12,9 +12,16 @@
 )
 
 // Path is a link's two ends: the one that connects, and the one that is called. An end is a process, named as by
-// KeeperName and ProxyName, ListEnd or a server's address; a path to a server has no near end: all share it.
+// KeeperName and ProxyName, ListEnd or a server's address. A path to a server without a near end is that of callers that are not
+// known to be a proxy.
 type Path struct{ From, To string }
 
+// ToServer tells whether a path leads to a server: all other ends are named.
+func (p Path) ToServer() bool {
+	_, _, err := net.SplitHostPort(p.To)
+	return err == nil
+}
+
 // ListEnd is the platform's list as an end of a path.
 const ListEnd = "list"
 
@@ -30,6 +37,7 @@
 	Delay  time.Duration // one way, between regions, and to the platform's list from everywhere
 	Jitter time.Duration
 
+	senders sync.Map // front addresses of proxies by the ids of the requests that clients sent there
 	mu      sync.Mutex
 	wires   map[Path]*wire
 	next    int
--- a/internal/lab/world/probe.go
+++ b/internal/lab/world/probe.go
@@ -30,6 +30,7 @@
 		return t
 	}
 	defer c.tcp.Close()
+	w.links.sent(t.ID, proxy)
 	until, _ := ctx.Deadline()
 	c.exchange(&send{try: t, deadline: until, headers: [][2]string{
 		{"X-Time-Left-Ms", fmt.Sprint(probeWithin.Milliseconds())}, {"X-Model", "m"}, {"X-Token-Count", "10,5"},
--- a/internal/lab/world/rules/changes_test.go
+++ b/internal/lab/world/rules/changes_test.go
@@ -88,6 +88,13 @@
 		t, _ := s.serve("/mail/2", "mailer", 20*second)
 		t.Outcome, t.Status, t.Seal = Cut, 0, ""
 	}, "LOST"},
+	{"cut after SIGTERM by a proxy that was paused shortly before", func(s *scene) { s.cutAtEnd(17*second, 18*second) }, ""},
+	{"cut after SIGTERM by a proxy that was paused long before", func(s *scene) { s.cutAtEnd(10*second, 15*second) }, "LOST"},
+	{"cut after SIGTERM by a proxy that was in trouble later", func(s *scene) { s.cutAtEnd(21*second, 22*second) }, "LOST"},
+	{"cut after SIGTERM by a proxy that was started shortly before", func(s *scene) {
+		s.cutAtEnd(10*second, 11*second)
+		s.Trouble(Trouble{Proxy: oneProxy, Kind: Start, At: 19 * second})
+	}, "LOST"},
 	{"cut after SIGTERM, held for long and never passed on", func(s *scene) {
 		s.Trouble(Trouble{Proxy: oneProxy, Kind: "term", At: 20 * second})
 		t, a := s.serve("/mail/2", "mailer", 20*second)
@@ -196,3 +203,11 @@
 	}
 	return all
 }
+
+// cutAtEnd adds a request that was cut during a planned end, and a trouble of the proxy.
+func (s *scene) cutAtEnd(from, to Time) {
+	s.Trouble(Trouble{Proxy: oneProxy, Kind: Term, At: 20 * second})
+	s.Begin(Trouble{Proxy: oneProxy, Kind: Pause, At: from})(to)
+	t, _ := s.serve("/mail/2", "mailer", 20*second)
+	t.Outcome, t.Status, t.Seal = Cut, 0, ""
+}
--- a/internal/lab/world/rules/troubles.go
+++ b/internal/lab/world/rules/troubles.go
@@ -17,8 +17,12 @@
 	Machine string
 }
 
-// Pause is the kind of a trouble in which a process is stopped and goes on.
-const Pause = "pause"
+// Kinds of troubles.
+const (
+	Term  = "term"  // a planned end begins
+	Start = "start" // a process is started
+	Pause = "pause" // a process is stopped and goes on
+)
 
 // Trouble takes in what was done to a machine.
 func (e *Evidence) Trouble(t Trouble) {
@@ -40,6 +44,9 @@
 // over is when a trouble has ended.
 func (t *Trouble) over() Time { return max(t.At, t.Until) }
 
+// unplanned tells whether a trouble is neither a planned end nor a start.
+func (t *Trouble) unplanned() bool { return t.Kind != Term && t.Kind != Start }
+
 // span is a stretch of time.
 type span struct{ from, to Time }
 
--- /dev/null
+++ b/internal/lab/world/serverlinks_test.go
@@ -0,0 +1,113 @@
+package world
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/lab/link"
+)
+
+const testServer = "127.0.2.1:0"
+
+func headOf(id string) string {
+	return fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nContent-Length: 5\r\n\r\n", id)
+}
+
+// TestSender: whose connection to a server it is shows in its first request.
+func TestSender(t *testing.T) {
+	n := NewLinks(0, 0)
+	n.sent("one", "127.0.1.1:80")
+	n.sent("two", "127.0.1.2:80")
+	n.sent("odd", "no address")
+	for _, c := range []struct{ first, proxy string }{
+		{headOf("one"), "proxy-127.0.1.1"}, {headOf("two") + "hello", "proxy-127.0.1.2"}, {headOf("three"), ""}, {headOf("odd"), ""}, {headOf(""), ""},
+		{headOf("one")[:30], ""}, {"GET /health HTTP/1.1\r\nHost: h\r\n\r\n", ""}, {"", ""}, {"\x00\r\n\r\n", ""},
+	} {
+		if got := n.sender([]byte(c.first)); got != c.proxy {
+			t.Errorf("%q: %q, want %q", c.first, got, c.proxy)
+		}
+	}
+	(*Links)(nil).sent("one", "127.0.1.1:80") // where there are no links
+}
+
+// TestProxyIsCutFromAServer: one proxy's bytes are held back, also on connections that come later, and those of the other go on.
+func TestProxyIsCutFromAServer(t *testing.T) {
+	n := NewLinks(0, 0)
+	machines := []Machine{{IP: "127.0.1.1"}, {IP: "127.0.1.2"}}
+	n.reach(machines, []ServerSpec{{Address: testServer}})
+	for _, m := range machines {
+		n.sent(m.IP, m.IP+":80")
+	}
+	r, err := newPickingRelay("127.0.0.1:0", echo(t), n.at(Path{To: testServer}, false), func(first []byte) *link.Link { return n.toServer(testServer, first) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.close()
+	call := func(ip string) net.Conn {
+		c, err := net.Dial("tcp4", r.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		if err := c.SetDeadline(time.Now().Add(testWithin)); err != nil {
+			t.Fatal(err)
+		}
+		say(t, c, headOf(ip))
+		return c
+	}
+	before := call(machines[0].IP)
+	hear(t, before, headOf(machines[0].IP))
+	heal := n.Trouble(func(p Path) bool { return p == Path{ProxyName(machines[0]), testServer} }, link.State{Hold: [2]bool{true, true}})
+	say(t, before, "more\n")
+	later, other, unknown := call(machines[0].IP), call(machines[1].IP), call("nobody")
+	hear(t, other, headOf(machines[1].IP))
+	hear(t, unknown, headOf("nobody"))
+	for _, c := range []net.Conn{before, later} {
+		if err := c.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := c.Read(make([]byte, 1)); err == nil {
+			t.Errorf("%d bytes came to a proxy that is cut off", n)
+		}
+		if err := c.SetReadDeadline(time.Now().Add(testWithin)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	heal()
+	hear(t, before, "more\n")
+	hear(t, later, headOf(machines[0].IP))
+}
+
+// TestSilentConnectionsEnd: a relay that waits for first bytes ends with those connections, and passes over one that says nothing.
+func TestSilentConnectionsEnd(t *testing.T) {
+	n := NewLinks(0, 0)
+	r, err := newPickingRelay("127.0.0.1:0", echo(t), n.at(Path{To: testServer}, false), func(first []byte) *link.Link { return n.toServer(testServer, first) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, closes := range []bool{true, false} {
+		c, err := net.Dial("tcp4", r.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if closes {
+			_ = c.Close()
+		}
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		r.close()
+	}()
+	select {
+	case <-ended:
+	case <-time.After(testWithin):
+		t.Fatal("the relay waits for connections on which nothing comes")
+	}
+	if len(r.silent) > 0 || r.open.Load() != 0 {
+		t.Errorf("%d connections are left", r.open.Load())
+	}
+}
--- a/internal/lab/world/traffic.go
+++ b/internal/lab/world/traffic.go
@@ -170,6 +170,7 @@
 		return t, 20 * time.Millisecond
 	}
 	t.Proxy = c.address
+	w.links.sent(t.ID, c.address)
 	left := time.Until(r.deadline)
 	s := &send{try: t, body: r.body, chunked: r.rng.IntN(4) == 0, deadline: r.deadline, headers: [][2]string{
 		{"X-Time-Left-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10)}},
--- a/internal/lab/world/up.go
+++ b/internal/lab/world/up.go
@@ -66,6 +66,7 @@
 	f.List = w.ListAddress()
 	w.Evidence.Core = len(f.Disks())
 	if o.Links != nil {
+		o.Links.reach(scene.Machines, scene.Servers)
 		if f.lists, err = o.Links.connect(f, f.List); err != nil {
 			w.Close()
 			return nil, err
