--- a/cmd/gradeusher/system_soak.go
+++ b/cmd/gradeusher/system_soak.go
@@ -22,16 +22,14 @@
 	Out   string        `help:"Folder for what seeds leave that broke something, and for results.jsonl; empty: a temporary one." type:"path"`
 	JSON  bool          `help:"Print a JSON object a seed." name:"json"`
 	Plans bool          `help:"Print the schedules, and play nothing."`
-	Plan  string        `help:"Schedule of troubles: drawn from the seed, or a fixed one: a proxy that wakes, or one that wakes cut off from the keepers." enum:"drawn,wake,wake-cut" default:"drawn"`
+	Plan  string        `help:"Schedule of troubles: drawn from the seed, or a fixed one: a proxy that wakes, one that wakes cut off from the keepers, or two that wake." enum:"drawn,wake,wake-cut,wake-two" default:"drawn"`
 	Load  float64       `help:"Traffic, as a multiple of the usual." default:"1"`
 }
 
 const (
 	mostSeeds = 10000
 	mostLoad  = 4
-
-	planWake    = "wake"
-	planWakeCut = "wake-cut"
+	planDrawn = "drawn"
 )
 
 // Run plays the seeds one after the other.
@@ -106,12 +104,12 @@
 }
 
 // fixed tells whether the schedule is that of a proxy that wakes.
-func (c systemSoakCommand) fixed() bool { return c.Plan == planWake || c.Plan == planWakeCut }
+func (c systemSoakCommand) fixed() bool { return c.Plan != planDrawn }
 
 // plan is the schedule of a seed.
 func (c systemSoakCommand) plan(seed uint64, scene *world.Scene) *soak.Plan {
 	if c.fixed() {
-		return soak.Wake(seed, c.Plan == planWakeCut, scene)
+		return soak.Wake(seed, soak.Waking(c.Plan), scene)
 	}
 	return soak.Draw(seed, c.For, scene)
 }
--- a/cmd/gradeusher/system_soak_test.go
+++ b/cmd/gradeusher/system_soak_test.go
@@ -20,6 +20,7 @@
 		{[]string{"--for", "1h"}, exitUsage}, {[]string{"--seed", "-1"}, exitUsage}, {[]string{"--plans", "--seeds", "3..4"}, 0},
 		{[]string{"--load", "0"}, exitUsage}, {[]string{"--load", "5"}, exitUsage}, {[]string{"--load", "NaN"}, exitUsage}, {[]string{"--plan", "x"}, exitUsage},
 		{[]string{"--plans", "--plan", "wake", "--seeds", "3..4"}, 0}, {[]string{"--plans", "--plan", "wake-cut", "--seeds", "3..4"}, 0},
+		{[]string{"--plans", "--plan", "wake-two", "--seeds", "3..4"}, 0},
 	} {
 		var out, failed bytes.Buffer
 		if code := run(append([]string{"system", "soak"}, c.args...), streams{out: &out, err: &failed}); code != c.code {
--- a/internal/lab/soak/plan_test.go
+++ b/internal/lab/soak/plan_test.go
@@ -52,9 +52,9 @@
 
 // TestWakePlans: the proxy is paused before the evacuation begins, and goes on while the zone's servers are cold.
 func TestWakePlans(t *testing.T) {
-	for _, cut := range []bool{false, true} {
+	for _, form := range []Waking{WakeOne, WakeCut, WakeTwo} {
 		scene := WakeScene(1)
-		p := Wake(1, cut, scene)
+		p, cut := Wake(1, form, scene), form == WakeCut
 		at := map[Kind]Trouble{}
 		for _, one := range p.Troubles {
 			at[one.Kind] = one
@@ -67,8 +67,11 @@
 		if pause.Start >= evacuation.Start || pause.end() < chilled+ackedWithin || pause.end() > chilled+evacuation.Chill {
 			t.Errorf("%v, with %v", pause, evacuation)
 		}
-		if wait := scene.Kinds[question].Deadline; wait <= pause.Length || len(at) != len(p.Troubles) {
-			t.Errorf("clients wait %v: %v", wait, p.Troubles)
+		if wait := scene.Kinds[question].Deadline; wait <= pause.Length {
+			t.Errorf("clients wait %v: %v", wait, pause)
+		}
+		if _, killed := at[KillProxy]; killed == (form == WakeTwo) || len(p.Troubles) != map[Waking]int{WakeOne: 3, WakeCut: 4, WakeTwo: 3}[form] {
+			t.Errorf("%s: %v", form, p.Troubles)
 		}
 		if c, ok := at[CutProxy]; ok != cut || cut && (c.Target != pause.Target || c.Start > pause.end() || c.end() != pause.end()+cutAfter) {
 			t.Errorf("cut: %v, %v", ok, c)
--- a/internal/lab/soak/wake.go
+++ b/internal/lab/soak/wake.go
@@ -35,17 +35,31 @@
 	return s
 }
 
+// Waking is what else happens in a plan of Wake.
+type Waking string
+
+// The plans of Wake.
+const (
+	WakeOne Waking = "wake"
+	WakeCut Waking = "wake-cut" // its links to the keepers are cut when it goes on, and for some time after
+	WakeTwo Waking = "wake-two" // the other proxy of its region is paused with it
+)
+
 // Wake gives a fixed plan: a proxy is paused for some seconds, and goes on with the servers that it knew before, while all requests
-// that have waited want one at once. cut: its links to the keepers are cut then, and for some time after.
-func Wake(seed uint64, cut bool, scene *world.Scene) *Plan {
+// that have waited want one at once. The other proxy of its region is down, unless it is paused too.
+func Wake(seed uint64, form Waking, scene *world.Scene) *Plan {
 	peer, paused := scene.Machines[0].IP, scene.Machines[1].IP
+	first := Trouble{Kind: KillProxy, Target: peer, Start: peerKilled, Length: peerDown}
+	if form == WakeTwo {
+		first = Trouble{Kind: PauseProxy, Target: peer, Start: pausedAt, Length: pausedFor}
+	}
 	p := &Plan{Seed: seed, For: wakeFor, Delay: 20 * time.Millisecond, Troubles: []Trouble{
-		{Kind: KillProxy, Target: peer, Start: peerKilled, Length: peerDown},
+		first,
 		{Kind: PauseProxy, Target: paused, Start: pausedAt, Length: pausedFor},
 		{Kind: TakeBackAlone, Target: homeZones[0], Other: homeZones[1], Start: evacuatedAt, Chill: wakeChill, Down: wakeChill + aloneFor,
 			Length: scene.Bounds.Evacuate + wakeChill + aloneFor + coldFor(scene) + coldMargin},
 	}}
-	if cut {
+	if form == WakeCut {
 		p.Troubles = append(p.Troubles, Trouble{Kind: CutProxy, Target: paused, Start: pausedAt + pausedFor - cutBefore, Length: cutBefore + cutAfter})
 	}
 	return p
