--- a/internal/lab/world/rules/troubles.go
+++ b/internal/lab/world/rules/troubles.go
@@ -17,6 +17,13 @@
 	Machine string
 }
 
+// Kinds of troubles.
+const (
+	Term  = "term"  // a planned end begins
+	Start = "start" // a process is started
+	Pause = "pause" // a process is stopped and goes on
+)
+
 // Trouble takes in what was done to a machine.
 func (e *Evidence) Trouble(t Trouble) {
 	e.mu.Lock()
@@ -37,6 +44,9 @@
 // over is when a trouble has ended.
 func (t *Trouble) over() Time { return max(t.At, t.Until) }
 
+// unplanned tells whether a trouble is neither a planned end nor a start.
+func (t *Trouble) unplanned() bool { return t.Kind != Term && t.Kind != Start }
+
 // span is a stretch of time.
 type span struct{ from, to Time }
 
@@ -99,6 +109,22 @@
 	return n
 }
 
+// Waited is how many of the clients' tries began while their proxy was paused, and had not been given up when it went on.
+func (e *Evidence) Waited() (n int) {
+	for i := range e.Troubles {
+		pause := &e.Troubles[i]
+		if pause.Kind != Pause || pause.Proxy == "" {
+			continue
+		}
+		for _, t := range e.Tries {
+			if t.Proxy == pause.Proxy && t.Sent >= pause.At && t.Sent < pause.over() && t.Ended > pause.over() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // stretch is by how much bounds on configurations and evacuations grow at a time, as a keeper was in trouble.
 func (e *Evidence) stretch(from, to Time) Time {
 	for i := range e.Troubles {
