--- a/internal/system/proxy/pick/choose.go
+++ b/internal/system/proxy/pick/choose.go
@@ -222,7 +222,7 @@
 			continue
 		}
 		for _, s := range g.servers {
-			if p.bars(now, s, r, tried) != doubted || s.cold(now) && !p.coldToken(now, s) || s.own.Requests >= s.slots() {
+			if p.bars(now, s, r, tried) != doubted || s.cold(now) && !p.coldToken(now, s) || !p.mayKnock(now, s) {
 				continue
 			}
 			if best == nil || s.outUntil < best.outUntil || s.outUntil == best.outUntil && s.own.Requests < best.own.Requests {
