A stale proxy's part of the bound goes again; that it knocks once stays

Change: stale proxies go on at their part of the load, as before. What that was against, evacuations that stale proxies do not hear of, is left to the word of other proxies, and is open where they reach none.

--- a/internal/system/proxy/pick/choose.go
+++ b/internal/system/proxy/pick/choose.go
@@ -105,14 +105,12 @@
 	usedUp // this try was sent there
 	misdirected
 	doubted
-	coldNow  // cold, and this proxy has no send for it now
-	staleNow // it may be cold, as this proxy hears no keeper, and has sent it its part
+	coldNow // cold, and this proxy has no send for it now
 )
 
 func (b bar) String() string {
 	return [...]string{"ready", "draining", "in an evacuated zone", "outside the home regions", "tried", "gone: its address answers for another",
-		"doubted", "cold: its allowance is used or held by others",
-		"maybe cold: no keeper is heard, and this proxy's part is used"}[b]
+		"doubted", "cold: its allowance is used or held by others"}[b]
 }
 
 // bars tells why s can't get r. The first four are rules and never relaxed.
@@ -132,8 +130,6 @@
 		return doubted
 	case s.cold(now) && !p.coldToken(now, s):
 		return coldNow
-	case !s.cold(now) && p.stalePaced(now, s):
-		return staleNow
 	}
 	return fit
 }
@@ -167,8 +163,6 @@
 			continue
 		case coldNow:
 			warm = min(warm, p.coldWait(now, s))
-		case staleNow:
-			warm = min(warm, ms(s.staleNext-now))
 		}
 		costs[i].total = math.Inf(1)
 	}
@@ -222,7 +216,7 @@
 			continue
 		}
 		for _, s := range g.servers {
-			if p.bars(now, s, r, tried) != doubted || s.cold(now) && !p.coldToken(now, s) || !p.mayKnock(now, s) {
+			if p.bars(now, s, r, tried) != doubted || s.cold(now) && !p.coldToken(now, s) || !p.mayKnock(s) {
 				continue
 			}
 			if best == nil || s.outUntil < best.outUntil || s.outUntil == best.outUntil && s.own.Requests < best.own.Requests {
--- a/internal/system/proxy/pick/flight.go
+++ b/internal/system/proxy/pick/flight.go
@@ -34,7 +34,6 @@
 		c.SendWithin = coldSendWithin
 	}
 	p.spendCold(now, s)
-	p.spendStale(now, s)
 	if r.arrived > 0 {
 		f.charged = true
 		s.group.budget.repeat(now, 1)
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -48,7 +48,6 @@
 	peersAt     Time // when the live proxies last changed
 	zoneChanges zoneChanges
 	staleSince  Time // when it last became Stale
-	staleEnded  Time // when it last was no longer
 	resumed     Time // when this proxy was last Stale, Partial or stalled
 	stalled     bool // it stood still, and has not heard from a keeper since
 	stalledAt   Time // the end of its last stall
@@ -116,9 +115,6 @@
 	if w.Stale && !before.Stale {
 		p.staleSince = now
 	}
-	if before.Stale && !w.Stale {
-		p.staleEnded = now
-	}
 	heard := p.stalled && p.heardSince(now, p.stalledAt)
 	if heard {
 		p.stalled = false
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -62,7 +62,6 @@
 	coldSince                        Time // when this proxy heard of the last cold state
 	unseen                           bool // it may have turned cold at unseenAt or before, of which no keeper's word has come since
 	unseenAt                         Time
-	staleNext                        Time // when this proxy may send to it again while it is Stale
 	pacedUnseen                      bool // it counts as cold only because it was unseen
 	coldSent                         coldWindow
 	listed                           bool // in a list before
