control: an order whose caller has just gone is dropped by the caller's own context

Cause: after the round that fences an evacuation order, the context that was asked whether the caller had gone was made of the caller's, and ends a moment after it. Between both the order of a caller that was known to have hung up was passed on. Ruled out: the test: it waits until the caller's context has ended before the round ends. Change: the deadline's context is made where the order is passed on, and the caller's own is asked.

--- a/internal/system/control/evacuation.go
+++ b/internal/system/control/evacuation.go
@@ -56,10 +56,8 @@
 		if a.answerCutOff(w, change) {
 			return
 		}
-		ctx, cancel := context.WithDeadline(r.Context(), arrived.Add(chainWait))
-		defer cancel()
 		o := order{change: change, arrived: arrived, answerBy: arrived.Add(answerWithin)}
-		verdict, err := a.submitFenced(ctx, &o, fence)
+		verdict, err := a.submitFenced(r.Context(), &o, fence)
 		a.conclude(w, r, o, verdict, err, func() { answer(w, http.StatusOK, struct{}{}) })
 	}
 }
@@ -79,9 +77,11 @@
 
 // submitFenced brings an evacuation order to the chain with its fence, the number of the newest committed record that was
 // known as the order came. First a majority is asked, and where the order may have been held up, the end of its connection
-// is waited for: then a caller that hung up before the order's bytes arrived is known to have gone, and the order is dropped. An order that is superseded is not tried again with a newer
-// fence: its caller, if it still waits, sends it again.
-func (a *api) submitFenced(ctx context.Context, o *order, fence *controlstate.State) (controlstate.Verdict, error) {
+// is waited for: then a caller that hung up before the order's bytes arrived is known to have gone, and the order is dropped. An order that is superseded is not tried
+// again with a newer fence: its caller, if it still waits, sends it again.
+func (a *api) submitFenced(caller context.Context, o *order, fence *controlstate.State) (controlstate.Verdict, error) {
+	ctx, cancel := context.WithDeadline(caller, o.arrived.Add(chainWait))
+	defer cancel()
 	if heldUp(ctx, o.arrived) && !a.o.hooks.ignoreWaits {
 		awaitEnd(ctx)
 	}
@@ -89,8 +89,9 @@
 	if err != nil {
 		return controlstate.Verdict{}, err
 	}
-	// The clock is asked as well: after a stall its timers may not have run yet.
-	if deadline, _ := ctx.Deadline(); (ctx.Err() != nil || !time.Now().Before(deadline)) && !a.o.hooks.ignoreCallers {
+	// The clock is asked as well: after a stall its timers may not have run yet. So is the caller's context, as the one made of it
+	// ends a moment later.
+	if deadline, _ := ctx.Deadline(); (caller.Err() != nil || !time.Now().Before(deadline)) && !a.o.hooks.ignoreCallers {
 		return controlstate.Verdict{}, errGone
 	}
 	if fence == nil || a.o.hooks.lateFence {
--- a/internal/system/control/evacuation_test.go
+++ b/internal/system/control/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -150,6 +151,22 @@
 	}
 }
 
+// endedContext is the context of a caller that has gone, of which contexts made of it have not heard yet.
+type endedContext struct{ context.Context }
+
+func (endedContext) Err() error { return context.Canceled }
+
+// TestEvacuationOfACallerThatHasJustGone: the caller's end is known, and has not reached the context of the order. Danger: the order is
+// passed on though its caller has gone.
+func TestEvacuationOfACallerThatHasJustGone(t *testing.T) {
+	chain := &scriptedChain{submit: accepted, read: func(context.Context) (*controlstate.State, error) { return stateAt(4), nil }}
+	a := &api{o: Options{Chain: chain, Log: quiet()}}
+	o := order{change: controlstate.Change{Op: controlstate.OpEvacuate, Zone: "z"}, arrived: time.Now()}
+	if _, err := a.submitFenced(endedContext{t.Context()}, &o, nil); !errors.Is(err, errGone) || len(chain.got) > 0 {
+		t.Errorf("%v, %d orders passed on", err, len(chain.got))
+	}
+}
+
 // An order that is read after a stall is not taken, and its connection ends.
 func TestEvacuationAfterAStall(t *testing.T) {
 	chain := &scriptedChain{submit: accepted, read: func(context.Context) (*controlstate.State, error) { return stateAt(4), nil }}
