distribution: whether a reply goes on from what is held is told once

Need: a reading over of the change: the same question was asked before the entries and again for the cursor, which nothing between changes, and a cursor was moved on to be set back at once where the whole table is asked for again. Ruled out: the age of the list, which is asked twice likewise, by takeSoft and by takeEntries: the latter serves neighbours' answers too. Change: the answer is kept; takeCursor goes into its only caller. No behaviour changes.

--- a/internal/system/distribution/follower_call.go
+++ b/internal/system/distribution/follower_call.go
@@ -165,14 +165,17 @@
 // takeSoft takes in all of a reply but the control state, and tells whether anything changed that matters to the owner. The
 // reply is about some moment of the delay before now, at most, so ages add up over all hops. The caller holds mu.
 func (f *Follower) takeSoft(now time.Time, delay time.Duration, req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) bool {
-	if !f.goesOn(req, reply) {
+	goesOn := f.goesOn(req, reply)
+	if !goesOn {
 		reply.Entries = withoutList(reply.GetEntries())
 	}
 	again := f.noteSkipped(f.tellsOldList(now, upTo(delay), reply), reply)
 	changed := f.takeEntries(now, upTo(delay), reply)
-	f.takeCursor(req, reply)
-	if again {
+	switch to := reply.GetSoft(); {
+	case again:
 		f.soft.Boot, f.soft.Number = 0, 0
+	case goesOn:
+		f.soft.Boot, f.soft.Number = to.GetBoot(), to.GetNumber()
 	}
 	f.toldOwn.Boot, f.toldOwn.Number = reply.GetTold().GetBoot(), reply.GetTold().GetNumber()
 	f.takeTotals(now.Add(-delay), reply)
@@ -193,15 +196,8 @@
 	return a
 }
 
-// takeCursor moves on in the soft state. Deltas count only where they go on from what is held: another call may have
-// brought the table of another keeper in the meantime. The caller holds mu.
-func (f *Follower) takeCursor(req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) {
-	if to := reply.GetSoft(); f.goesOn(req, reply) {
-		f.soft.Boot, f.soft.Number = to.GetBoot(), to.GetNumber()
-	}
-}
-
-// goesOn tells whether a reply is a whole table, or a delta that goes on from what is held. The caller holds mu.
+// goesOn tells whether a reply is a whole table, or a delta that goes on from what is held: another call may have brought the table
+// of another keeper in the meantime. The caller holds mu.
 func (f *Follower) goesOn(req *distributionpb.FollowRequest, reply *distributionpb.FollowReply) bool {
 	asked, to := req.GetSoft(), reply.GetSoft()
 	same := to.GetBoot() == f.soft.GetBoot() && asked.GetBoot() == to.GetBoot()
