keeper: a refused call whose body comes slowly is answered, and at once

The trace in docs/findings/admission-hang.txt has one goroutine that says it: net/http reads what a handler left of a request's body before it writes the answer (chunkWriter.writeHeader, io.CopyN to io.Discard), and no read deadline was set for a call that is refused before takeBody. The slow call of the test had met the place taken by the test's own polling GET, was refused with 503, and the 503 waited for the body without end. So did every answer of a path without a body (404, 405, status).

Ruled out: deadlines undone between head and body (no handler was under way); the only place held for ever (later calls were not refused).

Change: a call with a body gets a read deadline when its head is in, and its answer need not wait for the body (full duplex). TestAdmission begins its slow call again where the GET came first, and every wait of it has a limit.

--- a/internal/sidecar/keeper/http.go
+++ b/internal/sidecar/keeper/http.go
@@ -75,6 +75,7 @@
 		// Each watch sets it anew with each line; on a connection that is kept, the one before would cut this answer off.
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout)) // it goes on without
 		h.Set(HeaderLeader, k.replica.Leader())
+		k.boundBody(w, r)
 		mux.ServeHTTP(w, r)
 	})
 }
@@ -112,6 +113,18 @@
 	}
 }
 
+// boundBody bounds how long net/http may wait for a body that no handler reads. Danger: it reads the rest of a body before it
+// writes an answer, without a bound of its own, so a refused call whose body came slowly was never answered.
+func (k *Keeper) boundBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	conn := http.NewResponseController(w)
+	// Neither fails on an HTTP/1 connection of net/http; without them the call goes on as before.
+	_ = conn.SetReadDeadline(time.Now().Add(millis(k.config.Limits.ReadMS)))
+	_ = conn.EnableFullDuplex() // an answer need not wait for the rest of the body
+}
+
 // takeBody reads a call's body whole, within its bounds. Danger: whoever sends one slowly would hold a place for as long as he
 // likes; and a deadline that stays on the connection would cut off the next answer.
 func (k *Keeper) takeBody(w http.ResponseWriter, r *http.Request, op string) error {
--- a/internal/sidecar/keeper/http_test.go
+++ b/internal/sidecar/keeper/http_test.go
@@ -209,30 +209,89 @@
 		t.Errorf("a watch over the limit: %d, %v", code, h)
 	}
 	// One who sends his call slowly holds the only place, but not for long.
-	slow, err := net.Dial("tcp", at)
+	slow := holdPlace(t, at)
+	if code := slow.status(); code != 400 {
+		t.Errorf("the slow one: %d", code)
+	}
+	if code, _, _ := call(t, "GET", at, "/v1/servers", ""); code != 200 {
+		t.Errorf("afterwards: %d", code)
+	}
+	if code, _, _ := call(t, "GET", at, "/v1/status", ""); code != 200 {
+		t.Errorf("status: %d", code)
+	}
+}
+
+// slowCall is a call whose body does not come.
+type slowCall struct {
+	t    *testing.T
+	conn net.Conn
+}
+
+// beginSlowCall sends the head of a call and the first byte of its body.
+func beginSlowCall(t *testing.T, at, method, path string) slowCall {
+	t.Helper()
+	conn, err := net.Dial("tcp", at)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer slow.Close()
-	if _, err := io.WriteString(slow, "POST /v1/servers HTTP/1.1\r\nHost: k\r\nContent-Length: 100\r\n\r\n{"); err != nil {
+	t.Cleanup(func() { conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
 		t.Fatal(err)
 	}
-	crowded := false
-	for end := time.Now().Add(patience); !crowded && time.Now().Before(end); {
-		code, _, h := call(t, "GET", at, "/v1/servers", "")
-		crowded = refused(code, h)
+	if _, err := io.WriteString(conn, method+" "+path+" HTTP/1.1\r\nHost: k\r\nContent-Length: 100\r\n\r\n{"); err != nil {
+		t.Fatal(err)
 	}
-	if !crowded {
-		t.Error("no call was refused while another held the only place")
+	return slowCall{t, conn}
+}
+
+// status is the code that the call is answered with; it waits for patience at most.
+func (c slowCall) status() int {
+	c.t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c.conn), nil)
+	if err != nil {
+		c.t.Fatalf("a call whose body does not come gets no answer: %v", err)
 	}
-	if resp, err := http.ReadResponse(bufio.NewReader(slow), nil); err != nil || resp.StatusCode != 400 {
-		t.Errorf("the slow one: %v, %v", resp, err)
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// holdPlace begins a slow call that holds the keeper's only place, seen by another call being refused. A slow call that
+// came while the other one held the place is refused itself, and is begun again.
+func holdPlace(t *testing.T, at string) slowCall {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		slow := beginSlowCall(t, at, "POST", "/v1/servers")
+		for begun := time.Now(); time.Since(begun) < 200*time.Millisecond; {
+			if code, _, h := call(t, "GET", at, "/v1/servers", ""); code == 503 && h.Get("Retry-After") != "" {
+				return slow
+			}
+		}
+		if code := slow.status(); code != 503 && code != 400 {
+			t.Fatalf("the slow call: %d", code)
+		}
 	}
-	if code, _, _ := call(t, "GET", at, "/v1/servers", ""); code != 200 {
-		t.Errorf("afterwards: %d", code)
+	t.Fatal("no call was refused while another held the only place")
+	return slowCall{}
+}
+
+// TestSlowBodyOfARefusedCall has calls refused whose bodies do not come: each is answered all the same, and the refusal of a
+// crowded keeper does not wait for the body.
+func TestSlowBodyOfARefusedCall(t *testing.T) {
+	at := start(t, func(c *Config) { c.Limits.Calls, c.Limits.ReadMS = 1, 2000 })
+	holder := holdPlace(t, at)
+	if code := beginSlowCall(t, at, "POST", "/v1/servers").status(); code != 503 {
+		t.Errorf("beside the call that holds the only place: %d", code)
 	}
-	if code, _, _ := call(t, "GET", at, "/v1/status", ""); code != 200 {
-		t.Errorf("status: %d", code)
+	if code := holder.status(); code != 400 {
+		t.Errorf("the call that held it: %d", code)
+	}
+	for _, c := range []struct {
+		method, path string
+		code         int
+	}{{"POST", "/nowhere", 404}, {"GET", "/v1/status", 200}, {"PUT", "/v1/servers", 405}} {
+		if code := beginSlowCall(t, at, c.method, c.path).status(); code != c.code {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, code, c.code)
+		}
 	}
 }
 
