pick: lanes of long prompts follow the work that all proxies observe

The lane's share of a region's servers was a constant, 0.4, that fitted the two first customers' mixes; here long prompts bring 0.77 of the prompt tokens read.

Hypothesis, written first: a lane whose share follows the share of the work loses nothing against the best fixed share of any mix, and gains what the constant loses on this one.

Change: each proxy tells, beside its loads, the prompt tokens read of late for long and for short prompts; keepers sum them as they sum loads. The lane moves towards their share with hysteresis, by a quarter of what it is off a second, and stays where the others are not heard.

--- a/internal/system/proxy/pick/days_test.go
+++ b/internal/system/proxy/pick/days_test.go
@@ -17,8 +17,9 @@
 		regions: map[string]string{"ca": "cluj", "cb": "cluj", "ia": "iasi"},
 		proxies: map[string]int{"ca": 5, "ia": 4, "cb": 3}, engines: map[string]int{"ca": 5, "ia": 8, "cb": 5},
 		traffic: map[string]float64{"ca": 74.5, "ia": 149, "cb": 74.5},
-		slots:   48, queue: 134,
-		spec: engineSpec{step: 5.09, perSlot: 0.0303, rate: 51.1, pairs: 0.323, first: 47, memory: 318206, stride: 5},
+		slots:   48, queue: 134, keepIdle: 5 * time.Second,
+		prices: prices{regionGB: 22000, zoneGB: 5500, readThousand: 0.47, dial: 0.012},
+		spec:   engineSpec{step: 5.09, perSlot: 0.0303, rate: 51.1, pairs: 0.323, first: 47, memory: 318206, stride: 5},
 		kinds: []kind{
 			{name: "chapter-summary", part: 14.3 / 298, aim: time.Second, pause: 600 * time.Millisecond, deadline: 8 * time.Second, worth: 2, late: 0.6, priority: 1,
 				chain: []shareSpec{{13300, 0.7, 39900, 54, 0.3}}, own: [3]float64{3720, 1.1, 53200}, out: [3]float64{23.9, 1.4, 95.8}, bytesEach: 2, bytes: 55},
@@ -39,6 +40,7 @@
 	sc.traffic = map[string]float64{"fa": 72.7, "ka": 145, "fb": 72.7}
 	sc.crossRegion = 55 * time.Millisecond
 	sc.slots, sc.queue = 64, 192
+	sc.prices = prices{regionGB: 28000, zoneGB: 6900, readThousand: 0.72, dial: 0.012}
 	sc.spec = engineSpec{step: 4.23, perSlot: 0.000767, rate: 64.2, pairs: 0.647, first: 0.67, memory: 319818, stride: 6}
 	k := sc.kinds
 	k[0].part, k[0].pause, k[0].late, k[0].chain[0].things = 8.47/290, 400*time.Millisecond, 0.2, 32
@@ -61,6 +63,7 @@
 		sc.proxies[z], sc.traffic[z] = 15, 150
 	}
 	sc.slots, sc.queue = 12, 24
+	sc.prices = prices{regionGB: 26000, zoneGB: 6500, readThousand: 0.27, dial: 0.012}
 	sc.spec.stride, sc.spec.memory = 7, 312631
 	k := sc.kinds
 	k[0].part, k[0].pause, k[0].chain[0].things, k[0].bytesEach = 77.6/900, 800*time.Millisecond, 293, 1
@@ -72,6 +75,34 @@
 	return sc
 }
 
+// maktab is a deployment of three unequal regions, whose long prompts share parts in two levels.
+func maktab() scenario {
+	sc := scenario{
+		name: "maktab", seed: 1, length: 34 * time.Second, share: 200 * time.Millisecond, crossRegion: 20 * time.Millisecond,
+		zones:   []string{"ca", "xa", "sa", "cb", "xb", "sb"},
+		regions: map[string]string{"ca": "cairo", "cb": "cairo", "xa": "alexandria", "xb": "alexandria", "sa": "aswan", "sb": "aswan"},
+		proxies: map[string]int{"ca": 14, "cb": 14, "xa": 14, "xb": 16, "sa": 15, "sb": 17},
+		engines: map[string]int{"ca": 20, "cb": 20, "xa": 15, "xb": 15, "sa": 10, "sb": 10},
+		traffic: map[string]float64{},
+		slots:   96, queue: 288, keepIdle: 5 * time.Second,
+		prices: prices{regionGB: 7800, zoneGB: 1900, readThousand: 0.12, dial: 0.06},
+		spec:   engineSpec{step: 4.73, perSlot: 0.0138, rate: 38.4, pairs: 1.18, first: 40, memory: 193656, stride: 6},
+		kinds: []kind{
+			{name: "policy-digest", part: 109 / 463.7, aim: time.Second, pause: 600 * time.Millisecond, deadline: 5 * time.Second, worth: 2, late: 0.6, priority: 1,
+				chain: []shareSpec{{2520, 0.4, 6290, 4, 0}, {3780, 0.7, 11300, 614, 0.3}}, own: [3]float64{2890, 1, 18300}, out: [3]float64{8.68, 1.4, 34.7}, bytesEach: 1, bytes: 60},
+			{name: "booking-confirm", part: 96 / 463.7, aim: 800 * time.Millisecond, pause: 600 * time.Millisecond, deadline: 4 * time.Second, worth: 3, late: 0.9,
+				chain: []shareSpec{{341, 0.4, 851, 16, 0}, {227, 0.7, 681, 362, 0.3}}, own: [3]float64{1800, 1.3, 6870}, out: [3]float64{3.76, 1.4, 15}, bytesEach: 1, bytes: 60, resume: true},
+			{name: "desk-suggest", part: 166 / 463.7, aim: 800 * time.Millisecond, pause: 600 * time.Millisecond, deadline: 15 * time.Second, worth: 1, late: 0.3, priority: 2,
+				homes: []string{"cairo", "alexandria"}, chain: []shareSpec{{103, 0.4, 257, 80, 0}, {68.6, 0.7, 206, 941, 0.3}}, own: [3]float64{543, 0.89, 2310}, out: [3]float64{46.6, 0.7, 159}, bytesEach: 1, bytes: 60},
+			{name: "seat-lookup", part: 92.7 / 463.7, aim: 400 * time.Millisecond, pause: time.Hour, deadline: 2 * time.Second, worth: 1, late: 0.3, priority: 2, plain: true},
+		},
+	}
+	for _, z := range sc.zones {
+		sc.traffic[z] = 77.3
+	}
+	return sc
+}
+
 // days are the scenarios of a deployment: a quiet day, an evacuated zone, a burst, both, and servers that end.
 func days(sc scenario) (all []scenario) {
 	add := func(name string, change func(*scenario)) {
@@ -97,7 +128,7 @@
 // TestSimulation plays days of the deployments and holds the shares in time to floors a little under what was measured.
 func TestSimulation(t *testing.T) {
 	if *long {
-		for _, sc := range append(append(days(aula()), days(hakata())...), grown()) {
+		for _, sc := range append(append(days(aula()), days(hakata())...), grown(), maktab()) {
 			mean := 0.0
 			for sc.seed = 1; sc.seed <= 3; sc.seed++ {
 				f := newFleet(sc)
--- /dev/null
+++ b/internal/system/proxy/pick/lane.go
@@ -0,0 +1,165 @@
+package pick
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// A long prompt stalls all that run at its server. Where long and short prompts come, the long ones get a part of each
+// region's servers, their lane, which the short ones avoid while there is room elsewhere. The lane's share of the servers
+// follows the share of the work that long prompts bring, as all proxies together observe it.
+
+const (
+	longPrompt  = 80               // milliseconds of reading from which a prompt is long
+	apartLeast  = 0.25             // of all places of a group: a region apart that has fewer does not bear its long prompts
+	laneMemory  = 10 * time.Second // long and short prompts count as mixed this long after the last one
+	laneStart   = 0.5              // of a region's servers, while no work has been observed
+	laneMost    = 0.9              // short prompts keep some servers, as those of a lane cost them shortLane
+	laneStep    = time.Second      // between two moves of a lane, as each one moves homes of prompts
+	laneStride  = 0.25             // of what a lane is off that it moves at once; one server at least
+	laneSlack   = 0.75             // servers by which a lane may be off what the work asks for
+	demandLeast = 20_000           // tokens that all proxies together have read of late before their work tells anything
+)
+
+// demandKey names the entry of a service's demand among the loads that proxies tell each other. No server's id begins so.
+func demandKey(service string) string { return "\x00demand " + service }
+
+// demand is the prompt tokens that were read for long and for short prompts, each counted less the longer ago it was, by
+// 1/e in laneMemory. Sums of several proxies' demands mean the same for all of them together.
+type demand struct {
+	long, short float64
+	at          Time
+}
+
+func (d *demand) fade(now Time) {
+	left := math.Exp(-float64(now-d.at) / float64(laneMemory))
+	d.long, d.short, d.at = d.long*left, d.short*left, now
+}
+
+func (d *demand) add(now Time, long bool, tokens int64) {
+	d.fade(now)
+	if long {
+		d.long += float64(tokens)
+	} else {
+		d.short += float64(tokens)
+	}
+}
+
+// laneShare is the share of the servers that long prompts should have; unknown while what the others read is not known, as
+// the proxies would disagree.
+func (p *Picker) laneShare(now Time, g *group) (share float64, known bool) {
+	if p.fixedLane > 0 {
+		return p.fixedLane, true
+	}
+	if now-p.othersAt >= othersLife {
+		return 0, false
+	}
+	g.demand.fade(now)
+	long := g.demand.long + float64(g.othersDemand.Prefill)
+	short := g.demand.short + float64(g.othersDemand.Tokens)
+	if long+short < demandLeast {
+		return 0, false
+	}
+	return min(long/(long+short), laneMost), true
+}
+
+// long tells whether a prompt is worth a lane. Its length is held against the rate that all proxies are set to, not the
+// learned one, as all have to agree.
+func (p *Picker) long(tokens int) bool { return float64(tokens)/p.set.PrefillRate >= longPrompt }
+
+// mix notes what kinds of prompts come to a group, and tells where they have lanes.
+func (p *Picker) mix(w *weigher, now Time, r *Request, g *group) {
+	if w.long {
+		g.longAt, g.longSeen = now, true
+	} else {
+		for i, name := range p.names {
+			if i < regionsMost && (len(r.Route.Homes) == 0 || slices.Contains(r.Route.Homes, name)) {
+				g.shortAt[i], g.shortSeen[i] = now, true
+			}
+		}
+	}
+	// A proxy that has just started does not know yet: it takes it that both kinds come.
+	if now-p.started > laneMemory && (!g.longSeen || now-g.longAt > laneMemory) {
+		return
+	}
+	for i := range regionsMost {
+		w.lanes[i] = g.shortSeen[i] && now-g.shortAt[i] <= laneMemory
+	}
+	// Where a region sees no short prompts at all, the long ones go there, if it is large enough.
+	room, all := 0, 0
+	for _, s := range g.servers {
+		if s.Draining || s.gone || p.world.Evacuated[s.Zone] || s.outUntil > 0 ||
+			w.long && len(r.Route.Homes) > 0 && !slices.Contains(r.Route.Homes, s.Region) {
+			continue
+		}
+		all += s.slots()
+		if s.region < regionsMost && !w.lanes[s.region] {
+			room += s.slots()
+		}
+	}
+	w.apart = room > 0 && float64(room) >= apartLeast*float64(all)
+}
+
+// lay names the servers of each region's lane: the first by hash, so that proxies agree but for the last few.
+func (p *Picker) lay(now Time, g *group) {
+	var byRegion [regionsMost][]*server
+	for _, s := range g.servers {
+		s.lane = false
+		if s.region < regionsMost && !s.Draining && !p.world.Evacuated[s.Zone] {
+			byRegion[s.region] = append(byRegion[s.region], s)
+		}
+	}
+	share, known := p.laneShare(now, g)
+	for region, servers := range byRegion {
+		if len(servers) < 2 {
+			continue
+		}
+		slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
+		l := &g.lanes[region]
+		l.refit(len(servers))
+		if known {
+			l.move(now, share*float64(len(servers)))
+		}
+		for _, s := range servers[:l.size] {
+			s.lane = true
+		}
+	}
+}
+
+// lane is how many of a region's servers are for long prompts.
+type lane struct {
+	size, of int
+	movedAt  Time
+}
+
+// refit keeps the lane's share where the number of the region's servers has changed.
+func (l *lane) refit(servers int) {
+	if l.of == servers {
+		return
+	}
+	share := laneStart
+	if l.of > 0 {
+		share = float64(l.size) / float64(l.of)
+	}
+	l.of = servers
+	l.set(int(math.Round(share * float64(servers))))
+}
+
+// move takes the lane towards what is wanted, within bounds on how far and how often.
+func (l *lane) move(now Time, want float64) {
+	off := want - float64(l.size)
+	if math.Abs(off) <= laneSlack || now-l.movedAt < laneStep {
+		return
+	}
+	l.movedAt = now
+	step := max(1, int(math.Abs(off)*laneStride))
+	if off < 0 {
+		step = -step
+	}
+	l.set(l.size + step)
+}
+
+// set bounds the lane: both kinds of prompts keep a server at least.
+func (l *lane) set(size int) { l.size = min(max(size, 1), l.of-1) }
--- /dev/null
+++ b/internal/system/proxy/pick/lane_test.go
@@ -0,0 +1,129 @@
+package pick
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/conf"
+)
+
+// laneWorld is a picker that knows n servers of one region, and nothing of what comes to them.
+func laneWorld(n int) *Picker {
+	p := New(Settings{Zone: "z1", Region: "r1", Regions: testRegions})
+	w := World{Config: &conf.Config{Services: map[string]*conf.Service{"lm": {Name: "lm", Engine: &conf.Engine{Slots: 8, CacheTokens: 100_000}}}}}
+	for i := range n {
+		w.Servers = append(w.Servers, Server{ID: fmt.Sprint("s", i), Service: "lm", Address: fmt.Sprint(i), Zone: "z1", Slots: 8})
+	}
+	p.SetWorld(0, w)
+	return p
+}
+
+func laneSize(p *Picker) (n int) {
+	for _, s := range p.servers {
+		if s.lane {
+			n++
+		}
+	}
+	return n
+}
+
+// read has p told at now that the other proxies had so many tokens read of late.
+func read(p *Picker, now Time, long, short int64) {
+	p.SetLoads(now, map[string]Load{demandKey("lm"): {Prefill: long, Tokens: short}})
+}
+
+// TestLaneFollowsTheWork has the share of the work that long prompts bring change: the lane follows, by bounded steps with
+// pauses between them, and both kinds of prompts always keep a server.
+func TestLaneFollowsTheWork(t *testing.T) {
+	p, now := laneWorld(20), Time(0)
+	if n := laneSize(p); n != 10 {
+		t.Fatalf("a lane of %d servers before anything is known, want half", n)
+	}
+	for _, c := range []struct{ long, short, want int64 }{{800_000, 200_000, 16}, {50_000, 950_000, 1}, {1_000_000, 0, 18}, {0, 1_000_000, 1}} {
+		before, moves := laneSize(p), 0
+		for end := now + 60*time.Second; now < end; now += 100 * time.Millisecond {
+			read(p, now, c.long, c.short)
+			if n := laneSize(p); n != before {
+				if step := max(n-before, before-n); step > 5 {
+					t.Fatalf("the lane moved by %d servers at once", step)
+				}
+				before, moves = n, moves+1
+			}
+		}
+		if n := laneSize(p); n != int(c.want) {
+			t.Errorf("%d tokens of long prompts and %d of short ones: a lane of %d, want %d", c.long, c.short, n, c.want)
+		}
+		if moves > 20 {
+			t.Errorf("%d moves to get there", moves)
+		}
+	}
+}
+
+// TestLaneStaysWhereTheWorkWavers keeps the work's share within a server's worth of where it was: no home moves.
+func TestLaneStaysWhereTheWorkWavers(t *testing.T) {
+	p, now := laneWorld(20), Time(0)
+	for i := range 600 {
+		now += 100 * time.Millisecond
+		read(p, now, 500_000+int64(i%2)*60_000-30_000, 500_000)
+		if n := laneSize(p); n != 10 {
+			t.Fatalf("the lane moved to %d servers after %v", n, now)
+		}
+	}
+}
+
+// TestLaneWithoutWordOfTheOthers has a proxy see its own requests alone, which tell little: it keeps the lane that it has.
+func TestLaneWithoutWordOfTheOthers(t *testing.T) {
+	p := laneWorld(20)
+	now := Time(time.Minute)
+	p.groups["lm"].demand.add(now, true, 5_000_000)
+	p.lay(now, p.groups["lm"])
+	if n := laneSize(p); n != 10 {
+		t.Errorf("the lane moved to %d servers", n)
+	}
+}
+
+// TestLanesAgree has two proxies see different requests, each told what the other one read: their lanes are the same.
+func TestLanesAgree(t *testing.T) {
+	p, q := laneWorld(20), laneWorld(20)
+	now := Time(0)
+	for range 30 {
+		now += time.Second
+		p.groups["lm"].demand.add(now, true, 70_000)
+		q.groups["lm"].demand.add(now, false, 30_000)
+		of := func(x *Picker) map[string]Load { x.groups["lm"].demand.fade(now); return x.Demands() }
+		ofP, ofQ := of(p), of(q)
+		p.SetLoads(now, ofQ)
+		q.SetLoads(now, ofP)
+		for id, s := range p.servers {
+			if s.lane != q.servers[id].lane {
+				t.Fatalf("after %v %s is in one proxy's lane alone", now, id)
+			}
+		}
+	}
+	if n := laneSize(p); n != 14 {
+		t.Errorf("a lane of %d servers for 0.7 of the work", n)
+	}
+}
+
+// TestLaneKeepsItsShareWhereServersGo takes half of the servers away: the lane's share stays.
+func TestLaneKeepsItsShareWhereServersGo(t *testing.T) {
+	p := laneWorld(20)
+	var w World
+	w.Config = p.world.Config
+	w.Servers = append(w.Servers, p.world.Servers[:10]...)
+	p.SetWorld(time.Second, w)
+	if n := laneSize(p); n != 5 {
+		t.Errorf("a lane of %d of 10 servers, want half", n)
+	}
+}
+
+// TestDemandFades counts work less the longer ago it was.
+func TestDemandFades(t *testing.T) {
+	var d demand
+	d.add(0, true, 1000)
+	d.add(laneMemory, false, 1000)
+	if d.short != 1000 || d.long < 367 || d.long > 368 {
+		t.Errorf("long %.0f and short %.0f, want 1/e of 1000 and 1000", d.long, d.short)
+	}
+}
--- /dev/null
+++ b/internal/system/proxy/pick/mixes_test.go
@@ -0,0 +1,116 @@
+package pick
+
+import (
+	"fmt"
+	"iter"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+)
+
+// mixture is a deployment that no customer has: long prompts bring a share of the work, engines and regions differ.
+type mixture struct {
+	name    string
+	long    float64          // share of the work that long prompts bring
+	spec    engineSpec       // of the servers
+	regions map[string][]int // engines of each region's zones
+	seed    uint64
+}
+
+var (
+	fastReader = engineSpec{step: 4.23, perSlot: 0.000767, rate: 64.2, pairs: 0.647, first: 1, memory: 319_818, stride: 6}
+	slowReader = engineSpec{step: 4.73, perSlot: 0.0138, rate: 38.4, pairs: 1.18, first: 40, memory: 193_656, stride: 6}
+	tightCache = engineSpec{step: 5.09, perSlot: 0.0303, rate: 51.1, pairs: 0.323, first: 47, memory: 90_000, stride: 5}
+)
+
+// scenario lays a mix out so that reading what is not shared takes a fifth of the servers' time.
+func (m mixture) scenario() scenario {
+	sc := scenario{name: m.name, seed: m.seed, length: 14 * time.Second, share: 200 * time.Millisecond, crossRegion: 25 * time.Millisecond,
+		regions: map[string]string{}, proxies: map[string]int{}, engines: map[string]int{}, traffic: map[string]float64{},
+		slots: 48, queue: 144, spec: m.spec, keepIdle: 5 * time.Second, prices: prices{regionGB: 15_000, zoneGB: 4_000, readThousand: 0.2, dial: 0.02}}
+	servers := 0
+	for region, zones := range sorted(m.regions) {
+		for i, n := range zones {
+			zone := fmt.Sprint(region, i)
+			sc.zones = append(sc.zones, zone)
+			sc.regions[zone], sc.engines[zone], sc.proxies[zone] = region, n, 4
+			servers += n
+		}
+	}
+	const use, longOwn, longShared, shortOwn = 0.2, 3000, 6000, 400
+	work := func(own, shared float64) float64 { // milliseconds of reading
+		return own/m.spec.rate + own*(shared+own/2)/1e6*m.spec.pairs
+	}
+	perSecond := use * float64(servers) * 1000
+	long, short := m.long*perSecond/work(longOwn, longShared), (1-m.long)*perSecond/work(shortOwn, 100)
+	for _, zone := range sc.zones {
+		sc.traffic[zone] = (long + short) / float64(len(sc.zones))
+	}
+	sc.kinds = []kind{
+		{name: "long", part: long / (long + short), aim: time.Second, pause: 600 * time.Millisecond, deadline: 6 * time.Second, worth: 2, late: 0.6, priority: 1,
+			chain: []shareSpec{{longShared, 0.5, 18_000, 120, 0.3}}, own: [3]float64{longOwn, 1, 18_000}, out: [3]float64{9, 1.2, 36}, bytesEach: 1, bytes: 60},
+		{name: "short", part: short / (long + short), aim: 800 * time.Millisecond, pause: 600 * time.Millisecond, deadline: 5 * time.Second, worth: 2, late: 0.6,
+			chain: []shareSpec{{100, 0.4, 250, 300, 0.3}}, own: [3]float64{shortOwn, 1, 2000}, out: [3]float64{6, 1.2, 24}, bytesEach: 1, bytes: 60, resume: true},
+	}
+	return sc
+}
+
+// TestLanesOfMixes plays mixes from one in ten of the work to nine in ten brought by long prompts, with three kinds of engine
+// and one to three regions of unequal size. The lanes that follow the work are within a few hundredths of the best fixed share,
+// found by trying them.
+func TestLanesOfMixes(t *testing.T) {
+	const nearBest = 0.97
+	mixes := []mixture{
+		{"a tenth long, one region", 0.1, fastReader, map[string][]int{"a": {8, 8}}, 1},
+		{"half long, two unequal regions", 0.5, tightCache, map[string][]int{"a": {8, 4}, "b": {4}}, 2},
+		{"most long, three unequal regions", 0.75, slowReader, map[string][]int{"a": {8}, "b": {5}, "c": {3}}, 3},
+		{"nine tenths long, two regions", 0.9, slowReader, map[string][]int{"a": {8}, "b": {8}}, 4},
+	}
+	if *long {
+		for i := range 3 {
+			for _, share := range []float64{0.1, 0.3, 0.5, 0.7, 0.9} {
+				for name, spec := range map[string]engineSpec{"fast": fastReader, "slow": slowReader, "tight": tightCache} {
+					regions := []map[string][]int{{"a": {8, 8}}, {"a": {8, 4}, "b": {4}}, {"a": {8}, "b": {5}, "c": {3}}}[i]
+					mixes = append(mixes, mixture{fmt.Sprintf("%.1f long, %s, %d regions", share, name, i+1), share, spec, regions, uint64(10 + i)})
+				}
+			}
+		}
+	}
+	for _, m := range mixes {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			best, at := 0.0, 0.0
+			for _, fixed := range []float64{0.15, 0.4, 0.6, 0.75, 0.9} {
+				sc := m.scenario()
+				sc.fixedLane = fixed
+				if score := play(sc); score > best {
+					best, at = score, fixed
+				}
+			}
+			adaptive := play(m.scenario())
+			t.Logf("adaptive %.4f, best fixed share %.2f: %.4f", adaptive, at, best)
+			if adaptive < nearBest*best {
+				t.Errorf("adaptive lanes come to %.4f, the fixed share %.2f to %.4f", adaptive, at, best)
+			}
+		})
+	}
+}
+
+func play(sc scenario) float64 {
+	f := newFleet(sc)
+	f.run()
+	_, score := f.report()
+	return score
+}
+
+// sorted walks a map in the order of its keys, so that a seed repeats.
+func sorted[V any](m map[string]V) iter.Seq2[string, V] {
+	return func(yield func(string, V) bool) {
+		for _, key := range slices.Sorted(maps.Keys(m)) {
+			if !yield(key, m[key]) {
+				return
+			}
+		}
+	}
+}
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -55,6 +55,7 @@
 	beliefs     beliefs
 	rate        rateEstimate
 	stats       Stats
+	fixedLane   float64 // of tests: lanes have this share whatever is observed; 0: by the work
 }
 
 // Stats count what a Picker has done since it was made. They only rise.
@@ -154,7 +155,7 @@
 		}
 	}
 	for name, g := range p.groups {
-		g.lay(w.Evacuated)
+		p.lay(now, g)
 		if len(g.servers) == 0 && (w.Config == nil || w.Config.Services[name] == nil) {
 			delete(p.groups, name)
 		}
@@ -212,7 +213,7 @@
 	return g
 }
 
-// SetLoads replaces what all other proxies together have outstanding, by server id.
+// SetLoads replaces what all other proxies together have outstanding, by server id, and their demands by key.
 func (p *Picker) SetLoads(now Time, loads map[string]Load) {
 	p.othersAt = now
 	for id, s := range p.servers {
@@ -222,6 +223,13 @@
 			s.group.longAt, s.group.longSeen = now, true
 		}
 	}
+	for name, g := range p.groups {
+		if g.service == nil || g.service.Engine == nil {
+			continue
+		}
+		g.othersDemand = loads[demandKey(name)]
+		p.lay(now, g)
+	}
 }
 
 // Loads tells what this proxy has outstanding, by server id, to be shared with the other proxies. The map is the caller's.
@@ -235,6 +243,18 @@
 	return m
 }
 
+// Demands tells the prompt tokens that this proxy had read of late for long prompts (Prefill) and for short ones (Tokens), by
+// keys that no server's id equals. They are shared with the loads, and come back summed in SetLoads. The map is the caller's.
+func (p *Picker) Demands() map[string]Load {
+	m := map[string]Load{}
+	for name, g := range p.groups {
+		if l := (Load{Prefill: int64(g.demand.long), Tokens: int64(g.demand.short)}); l != (Load{}) {
+			m[demandKey(name)] = l
+		}
+	}
+	return m
+}
+
 // Route finds the rule for a request: of the host's routes the one with the longest prefix of the path; nil: none.
 func (p *Picker) Route(host, path string) *conf.Route {
 	if p.world.Config == nil {
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -37,6 +37,10 @@
 	longSeen  bool
 	shortAt   [regionsMost]Time // when a short one last came that may go to the region
 	shortSeen [regionsMost]bool
+
+	lanes        [regionsMost]lane
+	demand       demand // of this proxy
+	othersDemand Load   // of all others: Prefill for long prompts, Tokens for short ones
 }
 
 // server is what is known of one incarnation.
--- a/internal/system/proxy/pick/sim_parts_test.go
+++ b/internal/system/proxy/pick/sim_parts_test.go
@@ -27,8 +27,14 @@
 	seed             uint64
 	down             string // "reset" or "dark": what happens to a sixth of the model servers
 	downAt, downTo   Time
+	fixedLane        float64 // the share of the lanes; 0: by the work
+	prices           prices
+	keepIdle         time.Duration // how long connections to servers are kept without use
 }
 
+// prices are what is taken off the worth, as the site pages have it.
+type prices struct{ regionGB, zoneGB, readThousand, dial float64 }
+
 // kind is one kind of request.
 type kind struct {
 	name             string
@@ -96,7 +102,7 @@
 		waited = max(waited, e.peakWaiting)
 	}
 	bytes := f.price
-	f.price += 0.47 * float64(f.reread) / 13300
+	f.price += f.prices.readThousand*float64(f.reread)/1000 + f.prices.dial*float64(f.dials)
 	score = (worth - f.price) / owed
 	asked, unserved, class := 0, 0, 1.0
 	for _, t := range f.tallies {
@@ -113,8 +119,9 @@
 	}
 	score = 0.4*score + 0.35*nines + 0.15*worst + 0.1*class
 	fmt.Fprintf(&b, "nines %.3f worst window %.3f worst kind %.3f unserved %d\n", nines, worst, class, unserved)
-	fmt.Fprintf(&b, "%s: score %.4f worth %.4f bytes %.4f reread %d parts %.2fM of first %.2fM prefilled %.2fM peak queue %d unexecuted %d rate %.1f\n", f.name,
-		score, worth/owed, bytes/owed, f.rereads, float64(f.reread)/1e6, float64(f.firstRead)/1e6, float64(prefilled)/1e6, waited, f.unexecuted, f.pickers[0].rate.value)
+	fmt.Fprintf(&b, "%s: score %.4f worth %.4f bytes %.4f reread %d parts %.2fM of first %.2fM prefilled %.2fM peak queue %d dials %d (%.4f) read price %.4f rate %.1f\n", f.name,
+		score, worth/owed, bytes/owed, f.rereads, float64(f.reread)/1e6, float64(f.firstRead)/1e6, float64(prefilled)/1e6, waited, f.dials, f.prices.dial*float64(f.dials)/owed,
+		f.prices.readThousand*float64(f.reread)/1000/owed, f.pickers[0].rate.value)
 	return b.String(), score
 }
 
--- a/internal/system/proxy/pick/sim_test.go
+++ b/internal/system/proxy/pick/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -29,6 +30,8 @@
 	firstRead  int64
 	rereads    int
 	price      float64
+	dials      int
+	idle       map[[2]string][]Time // when each idle connection of a proxy to a server was last used
 	ownID      uint64
 	unexecuted int
 	windows    [12]struct{ worth, owed float64 } // of 3 s each
@@ -36,7 +39,8 @@
 
 func newFleet(sc scenario) *fleet {
 	f := &fleet{scenario: sc, rng: rand.New(rand.NewPCG(sc.seed, 7)), engines: map[string]*engine{}, plains: map[string]*plain{},
-		tallies: map[string]*tally{}, things: map[string][][]Part{}, reads: map[uint64]int{}, weights: map[shareSpec][]float64{}, ownID: 1 << 32}
+		tallies: map[string]*tally{}, things: map[string][][]Part{}, reads: map[uint64]int{}, weights: map[shareSpec][]float64{}, ownID: 1 << 32,
+		idle: map[[2]string][]Time{}}
 	f.cfg = &conf.Config{Services: map[string]*conf.Service{
 		"lm":     {Name: "lm", ColdPerSecond: 31, Engine: &conf.Engine{Slots: sc.slots, CacheTokens: sc.spec.memory, Stride: sc.spec.stride}},
 		"thumbs": {Name: "thumbs"},
@@ -83,6 +87,7 @@
 		p := New(Settings{Zone: f.homes[i], Region: sc.regions[f.homes[i]], Regions: sc.regions, RetryRatio: 0.2, RetrySlack: 64,
 			ColdExcess: 1.5, ColdSlack: 5, Seed: uint64(i), CrossRegion: sc.crossRegion})
 		p.SetWorld(0, World{Config: f.cfg, Servers: f.servers, Self: name, Peers: peers})
+		p.fixedLane = sc.fixedLane
 		f.pickers = append(f.pickers, p)
 	}
 	return f
@@ -109,6 +114,7 @@
 	}
 	for i, p := range f.pickers {
 		each[i] = p.Loads()
+		maps.Copy(each[i], p.Demands())
 		for id, l := range each[i] {
 			add(sum, id, l, 1)
 		}
@@ -187,9 +193,11 @@
 		}
 	}
 	own := int(drawn(rng, k.own[0], k.own[1], k.own[2]))
-	for i, sh := range k.chain {
-		things := f.things[k.name][i]
-		r.Parts = append(r.Parts, things[oneOf(rng, f.weights[sh])])
+	if n := len(k.chain); n > 0 {
+		thing := oneOf(rng, f.weights[k.chain[n-1]])
+		for i, sh := range k.chain { // each thing belongs to one of the level before
+			r.Parts = append(r.Parts, f.things[k.name][i][thing%sh.things])
+		}
 	}
 	f.ownID++
 	r.Parts = append(r.Parts, Part{ID: f.ownID, Tokens: max(own, 1)})
@@ -221,6 +229,17 @@
 	})
 }
 
+// connect takes an idle connection, or counts a new one.
+func (f *fleet) connect(connection [2]string) {
+	idle := f.idle[connection]
+	if n := len(idle); n > 0 && f.now-idle[n-1] <= f.keepIdle {
+		f.idle[connection] = idle[:n-1]
+		return
+	}
+	f.idle[connection] = nil
+	f.dials++
+}
+
 // patience is how long a proxy waits for a server that says nothing.
 const patience = 1200 * time.Millisecond
 
@@ -244,14 +263,16 @@
 	switch {
 	case c.Server.Region != f.regions[f.homes[i]]:
 		way = f.crossRegion
-		f.price += bytes / 1e9 * 22000
+		f.price += bytes / 1e9 * f.prices.regionGB
 		t.abroad++
 	case c.Server.Zone != f.homes[i]:
 		way = 900 * time.Microsecond
-		f.price += bytes / 1e9 * 5500
+		f.price += bytes / 1e9 * f.prices.zoneGB
 		t.across++
 	}
 	window := &f.windows[min(int(since/(3*time.Second)), len(f.windows)-1)]
+	connection := [2]string{f.homes[i], fmt.Sprint(i, c.Server.ID)}
+	f.connect(connection)
 	account := func(first, pause time.Duration, served bool) {
 		switch {
 		case !served || f.now-since > k.deadline:
@@ -312,6 +333,7 @@
 				if !served {
 					o = NotExecuted
 				}
+				f.idle[connection] = append(f.idle[connection], f.now)
 				p.Done(f.now, c.Ticket, o, 0)
 				account(first, j.pause, served)
 			})
--- a/internal/system/proxy/pick/weigh.go
+++ b/internal/system/proxy/pick/weigh.go
@@ -1,10 +1,8 @@
 package pick
 
 import (
-	"cmp"
 	"math"
 	"slices"
-	"time"
 )
 
 const (
@@ -64,7 +62,7 @@
 	}
 	key, shared := prompt.shared()
 	w.shared = min(shared, w.in)
-	w.long = float64(w.in)/p.set.PrefillRate >= longPrompt // not the learned rate: all proxies have to agree
+	w.long = p.long(w.in)
 	p.mix(w, now, r, g)
 	if shared > 0 {
 		w.home, w.second = p.homes(w, now, r, g, key)
@@ -199,65 +197,3 @@
 	}
 	return c
 }
-
-const (
-	longPrompt = 80               // milliseconds of reading from which a prompt is long
-	laneShare  = 0.4              // of a region's servers
-	apartLeast = 0.25             // of all places of a group: a region apart that has fewer does not bear its long prompts
-	laneMemory = 10 * time.Second // long and short prompts count as mixed this long after the last one
-)
-
-// mix notes what kinds of prompts come to a group, and tells where they have lanes: a long prompt stalls all that run
-// at its server, so where both kinds come, the long ones get a part of each region's servers, which the short ones
-// avoid while there is room elsewhere.
-func (p *Picker) mix(w *weigher, now Time, r *Request, g *group) {
-	if w.long {
-		g.longAt, g.longSeen = now, true
-	} else {
-		for i, name := range p.names {
-			if i < regionsMost && (len(r.Route.Homes) == 0 || slices.Contains(r.Route.Homes, name)) {
-				g.shortAt[i], g.shortSeen[i] = now, true
-			}
-		}
-	}
-	// A proxy that has just started does not know yet: it takes it that both kinds come.
-	if now-p.started > laneMemory && (!g.longSeen || now-g.longAt > laneMemory) {
-		return
-	}
-	for i := range regionsMost {
-		w.lanes[i] = g.shortSeen[i] && now-g.shortAt[i] <= laneMemory
-	}
-	// Where a region sees no short prompts at all, the long ones go there, if it is large enough.
-	room, all := 0, 0
-	for _, s := range g.servers {
-		if s.Draining || s.gone || p.world.Evacuated[s.Zone] || s.outUntil > 0 ||
-			w.long && len(r.Route.Homes) > 0 && !slices.Contains(r.Route.Homes, s.Region) {
-			continue
-		}
-		all += s.slots()
-		if s.region < regionsMost && !w.lanes[s.region] {
-			room += s.slots()
-		}
-	}
-	w.apart = room > 0 && float64(room) >= apartLeast*float64(all)
-}
-
-// lay names the servers of each region's lane: the first by hash, the same at all proxies.
-func (g *group) lay(evacuated map[string]bool) {
-	var byRegion [regionsMost][]*server
-	for _, s := range g.servers {
-		s.lane = false
-		if s.region < regionsMost && !s.Draining && !evacuated[s.Zone] {
-			byRegion[s.region] = append(byRegion[s.region], s)
-		}
-	}
-	for _, l := range byRegion {
-		if len(l) < 2 {
-			continue
-		}
-		slices.SortFunc(l, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
-		for _, s := range l[:max(1, int(math.Round(laneShare*float64(len(l)))))] {
-			s.lane = true
-		}
-	}
-}
--- a/internal/system/proxy/policy.go
+++ b/internal/system/proxy/policy.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	SetWorld(now pick.Time, w pick.World)
 	SetLoads(now pick.Time, loads map[string]pick.Load)
 	Loads() map[string]pick.Load
+	Demands() map[string]pick.Load
 	Route(host, path string) *conf.Route
 	Arrive(now pick.Time, r *pick.Request)
 	Choose(now pick.Time, r *pick.Request, tried []string, offered bool) pick.Choice
@@ -74,8 +76,12 @@
 	p.with(func(i picker, now pick.Time) { i.SetLoads(now, loads) })
 }
 
+// Loads is what this proxy tells the others: what it has outstanding at servers, and its demands.
 func (p *policy) Loads() (loads map[string]pick.Load) {
-	p.with(func(i picker, _ pick.Time) { loads = i.Loads() })
+	p.with(func(i picker, _ pick.Time) {
+		loads = i.Loads()
+		maps.Copy(loads, i.Demands())
+	})
 	return loads
 }
 
