--- /dev/null
+++ b/deploy/docs_test.go
@@ -0,0 +1,60 @@
+package deploy
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+var (
+	testName = regexp.MustCompile(`\b(?:Test|Fuzz|Benchmark)[A-Z][A-Za-z0-9_]*`)
+	testFunc = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz|Benchmark)[A-Z][A-Za-z0-9_]*)\(`)
+)
+
+// TestDocsNameTestsThatExist reads the documents: each test that one names is there. Danger: a page says that a fault is kept away
+// by a test which nobody has written, or which has another name by now.
+func TestDocsNameTestsThatExist(t *testing.T) {
+	const root = ".."
+	known := map[string]bool{}
+	for _, text := range readAll(t, root, "_test.go") {
+		for _, m := range testFunc.FindAllStringSubmatch(text, -1) {
+			known[m[1]] = true
+		}
+	}
+	if len(known) == 0 {
+		t.Fatal("no tests were found")
+	}
+	for path, text := range readAll(t, root, ".md") {
+		for _, name := range testName.FindAllString(text, -1) {
+			if !known[name] {
+				t.Errorf("%s names %s, which is no test", path, name)
+			}
+		}
+	}
+}
+
+// readAll reads the files below root whose names end so, by path.
+func readAll(t *testing.T, root, suffix string) map[string]string {
+	t.Helper()
+	found := map[string]string{}
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case d.IsDir() && (d.Name() == ".git" || d.Name() == "target" || d.Name() == "journal"):
+			return filepath.SkipDir
+		case d.IsDir() || !strings.HasSuffix(path, suffix):
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		found[path] = string(text)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return found
+}
