pick: a zone or region that falls silent is judged as a whole

Ruled out: the servers' own doubts (70 servers, one failure each at every proxy); a shorter time to connect (a far server under load needs it).

Change: two servers of a place that did not answer, and nothing heard from it since, make an outage. One request at a time tries the place, over a new connection; the others go elsewhere or are refused at once, to come back after 5 s or twice what the outage has lasted, within a third of their time. A refused connection, a reset or any answer ends it. A Stale proxy paces all servers of a place that it reaches again.

--- a/internal/system/proxy/pick/choose.go
+++ b/internal/system/proxy/pick/choose.go
@@ -105,12 +105,13 @@
 	usedUp // this try was sent there
 	misdirected
 	doubted
+	silent  // its zone or region has fallen silent
 	coldNow // cold, and this proxy has no send for it now
 )
 
 func (b bar) String() string {
 	return [...]string{"ready", "draining", "in an evacuated zone", "outside the home regions", "tried", "gone: its address answers for another",
-		"doubted", "cold: its allowance is used or held by others"}[b]
+		"doubted", "in a zone or region that has fallen silent", "cold: its allowance is used or held by others"}[b]
 }
 
 // bars tells why s can't get r. The first four are rules and never relaxed.
@@ -128,6 +129,8 @@
 		return misdirected
 	case s.doubted(now), r != nil && s.suspect() && !s.mayTry(now, r, tried):
 		return doubted
+	case p.shunned(now, s, r, tried):
+		return silent
 	case s.cold(now) && !p.coldToken(now, s):
 		return coldNow
 	}
@@ -153,6 +156,7 @@
 	least, used, slots, warm := math.Inf(1), 0, 0, math.Inf(1)
 	w := &p.weigher
 	p.weigh(w, now, r, g, prompt)
+	p.missOverdue(now, g)
 	for i, s := range g.servers {
 		switch p.bars(now, s, r, tried) {
 		case fit:
@@ -163,6 +167,8 @@
 			continue
 		case coldNow:
 			warm = min(warm, p.coldWait(now, s))
+		case silent:
+			warm = min(warm, s.outage().outageLeft(now))
 		}
 		costs[i].total = math.Inf(1)
 	}
@@ -216,7 +222,7 @@
 			continue
 		}
 		for _, s := range g.servers {
-			if p.bars(now, s, r, tried) != doubted || s.cold(now) && !p.coldToken(now, s) || !p.mayKnock(s) {
+			if b := p.bars(now, s, r, tried); b != doubted && b != silent || s.cold(now) && !p.coldToken(now, s) || !p.mayKnock(now, s) {
 				continue
 			}
 			if best == nil || s.outUntil < best.outUntil || s.outUntil == best.outUntil && s.own.Requests < best.own.Requests {
