Revert "pick: a zone or region that falls silent is judged as a whole"

Where it loses: each proxy finds out by itself, by four or five requests, as many as were lost before; what then stays in the cut region is more than its own servers can read; those who come back after the cut come together. A verdict that proxies share would spare the first; the issue on hundreds of machines asks for it.

--- a/internal/system/proxy/call.go
+++ b/internal/system/proxy/call.go
@@ -99,9 +99,6 @@
 	up := c.p.upstream
 	x := &exchange{ctx: c.r.Context(), up: up, pool: up.pool(ch.Server), id: c.id, deadline: c.deadline, sendBy: c.sendBy(ch),
 		bare: c.r.Method == http.MethodHead}
-	if ch.Fresh {
-		up.abandon(x.pool)
-	}
 	buf, give := bodyBuffer(smallHead + int64(min(len(c.body), joinedBody)))
 	head, body := c.head(buf, ch)
 	err := x.send(head, body)
--- a/internal/system/proxy/pick/choose.go
+++ b/internal/system/proxy/pick/choose.go
@@ -105,13 +105,12 @@
 	usedUp // this try was sent there
 	misdirected
 	doubted
-	silent  // its zone or region has fallen silent
 	coldNow // cold, and this proxy has no send for it now
 )
 
 func (b bar) String() string {
 	return [...]string{"ready", "draining", "in an evacuated zone", "outside the home regions", "tried", "gone: its address answers for another",
-		"doubted", "in a zone or region that has fallen silent", "cold: its allowance is used or held by others"}[b]
+		"doubted", "cold: its allowance is used or held by others"}[b]
 }
 
 // bars tells why s can't get r. The first four are rules and never relaxed.
@@ -129,8 +128,6 @@
 		return misdirected
 	case s.doubted(now), r != nil && s.suspect() && !s.mayTry(now, r, tried):
 		return doubted
-	case p.shunned(now, s, r, tried):
-		return silent
 	case s.cold(now) && !p.coldToken(now, s):
 		return coldNow
 	}
@@ -157,7 +154,6 @@
 	shortest := math.Inf(1) // wait at any server
 	w := &p.weigher
 	p.weigh(w, now, r, g, prompt)
-	p.missOverdue(now, g)
 	for i, s := range g.servers {
 		switch p.bars(now, s, r, tried) {
 		case fit:
@@ -169,8 +165,6 @@
 			continue
 		case coldNow:
 			warm = min(warm, p.coldWait(now, s))
-		case silent:
-			warm = min(warm, s.outage().outageLeft(now))
 		}
 		costs[i].total = math.Inf(1)
 	}
@@ -242,7 +236,7 @@
 			continue
 		}
 		for _, s := range g.servers {
-			if b := p.bars(now, s, r, tried); b != doubted && b != silent || s.cold(now) && !p.coldToken(now, s) || !p.mayKnock(now, s) {
+			if p.bars(now, s, r, tried) != doubted || s.cold(now) && !p.coldToken(now, s) || !p.mayKnock(s) {
 				continue
 			}
 			if best == nil || s.outUntil < best.outUntil || s.outUntil == best.outUntil && s.own.Requests < best.own.Requests {
--- a/internal/system/proxy/pick/flight.go
+++ b/internal/system/proxy/pick/flight.go
@@ -29,8 +29,6 @@
 	if s.suspect() && s.trial == nil {
 		s.trial = f
 	}
-	f.tries()
-	c.Fresh = f.tried
 	p.checkSend(r, s)
 	if s.cold(now) && s.coldRate() > 0 {
 		c.SendWithin = coldSendWithin
@@ -114,7 +112,6 @@
 
 // reached takes note that s has answered. Where it could not be reached before, and no keeper either, it may have turned cold unseen.
 func (p *Picker) reached(now Time, s *server) {
-	p.hear(now, s)
 	if s.fails > 0 && p.world.Stale {
 		p.paceUnseen(now, s)
 	}
@@ -176,7 +173,6 @@
 	f.settle()
 	s.own.Requests--
 	s.own.Tokens -= f.tokens
-	f.endTrials(now)
 	trial := s.trial == f
 	if trial {
 		s.trial = nil
@@ -194,30 +190,21 @@
 		g.room = max(roomLeast, min(g.room, float64(s.load(now, p.othersAt))/float64(s.slots())))
 		s.fullUntil = now + min(max(retryAfter, fullLeast), fullMost)
 	case Misdirected:
-		p.hear(now, s)
 		s.gone, s.goneAt = true, now
 		p.beliefs.drop(s)
 	case Unreached:
-		if now-f.at >= silentUnreach {
-			p.missed(now, f)
-		} else {
-			p.hear(now, s)
-		}
 		s.fail(now)
 		f.request.arrived--
 		if f.charged {
 			g.budget.repeat(now, -1)
 		}
 	case Silent:
-		p.missed(now, f)
 		s.fail(now)
 	case Broken:
-		p.hear(now, s)
 		if s.broken++; s.broken >= brokenMost || trial {
 			s.fail(now)
 		}
 	case Failed:
-		p.hear(now, s)
 		s.fails, s.broken = 0, 0
 		if s.failed++; s.failed >= failedMost {
 			s.outUntil = max(s.outUntil, now+doubtFirst)
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -47,7 +47,6 @@
 	peers       peerCount
 	peersAt     Time // when the live proxies last changed
 	zoneChanges zoneChanges
-	places      map[string]*place
 	staleSince  Time // when it last became Stale
 	resumed     Time // when this proxy was last Stale, Partial or stalled
 	stalled     bool // it stood still, and has not heard from a keeper since
@@ -90,7 +89,6 @@
 		set:         s,
 		servers:     map[string]*server{},
 		zoneChanges: zoneChanges{},
-		places:      map[string]*place{},
 		groups:      map[string]*group{},
 		rotations:   map[*conf.Route]*rotation{},
 		regions:     map[string]int{s.Region: 0},
@@ -151,7 +149,6 @@
 		}
 	}
 	p.servers = listed
-	p.forgetPlaces()
 	if w.Config != nil {
 		for name, sv := range w.Config.Services {
 			p.group(name).service = sv
@@ -177,7 +174,6 @@
 	s.Cold = max(0, s.Cold-p.world.Delay)
 	s.ColdLeast = max(0, s.ColdLeast-p.world.Delay)
 	s.region = p.regionNumber(told.Region)
-	p.locate(s)
 	p.listCold(now, s)
 	if s.gone && now-s.goneAt > goneTime {
 		s.gone = false
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -51,7 +51,6 @@
 	lane   bool // long prompts go here rather than to others of its region
 	hash   uint64
 
-	places      [placesOfServer]*place // nil: none
 	own, others Load
 	told        struct {
 		running, waiting, slots int
@@ -102,7 +101,6 @@
 	alone      bool  // nothing was waiting there and nothing of it was believed kept: it measures the server's rate
 	pending    bool  // its first event is still awaited
 	charged    bool  // it drew on the budget
-	tried      bool  // it is, or was, the trial of a place
 	next, prev *send
 }
 
--- a/internal/system/proxy/pick/types.go
+++ b/internal/system/proxy/pick/types.go
@@ -107,6 +107,5 @@
 	Ticket     uint64        // names this send in Started, FirstEvent and Done
 	Priority   int           // for the Priority header, 0 to 9
 	RetryAfter time.Duration // with Refuse: when there will be room
-	Fresh      bool          // with Send: over a new connection, as kept ones may be as silent as their server's place
 	SendWithin time.Duration // with Send: the request goes out so soon after the choice, or not at all; 0: whenever it can
 }
