--- a/internal/system/proxy/headers.go
+++ b/internal/system/proxy/headers.go
@@ -123,10 +123,11 @@
 	cold                    bool
 	coldFor                 time.Duration
 	leaving                 bool
+	keeps                   time.Duration // for how long the server keeps the connection without use; 0: it does not tell
 }
 
 func hintsOf(h http.Header, closes bool) hints {
-	out := hints{leaving: closes}
+	out := hints{leaving: closes, keeps: keepAlive(h)}
 	if text := h.Get("X-Server-Load"); text != "" {
 		f := strings.Split(text, ",")
 		if len(f) == 3 {
--- a/internal/system/proxy/headers_test.go
+++ b/internal/system/proxy/headers_test.go
@@ -35,7 +35,7 @@
 
 func TestHints(t *testing.T) {
 	h := http.Header{"X-Server-Load": {"3, 1,8"}, "X-Cold-Ms": {"1500"}, "Retry-After": {"0.35"}, "Keep-Alive": {"max=4, timeout=7"}}
-	if got, want := hintsOf(h, true), (hints{true, 3, 1, 8, true, 1500 * time.Millisecond, true}); got != want {
+	if got, want := hintsOf(h, true), (hints{true, 3, 1, 8, true, 1500 * time.Millisecond, true, 7 * time.Second}); got != want {
 		t.Errorf("%+v, want %+v", got, want)
 	}
 	if got := hintsOf(http.Header{"X-Server-Load": {"3,1"}, "X-Cold-Ms": {"-1"}}, false); got != (hints{}) {
--- a/internal/system/proxy/helpers_test.go
+++ b/internal/system/proxy/helpers_test.go
@@ -42,6 +42,7 @@
 func (t *toyPicker) SetWorld(_ pick.Time, w pick.World)       { t.world = w }
 func (t *toyPicker) SetLoads(pick.Time, map[string]pick.Load) {}
 func (t *toyPicker) Loads() map[string]pick.Load              { return nil }
+func (t *toyPicker) Keeps(string, time.Duration)              {}
 func (t *toyPicker) Demands() map[string]pick.Load            { return nil }
 func (t *toyPicker) Arrive(pick.Time, *pick.Request)          {}
 func (t *toyPicker) FirstEvent(pick.Time, uint64)             { t.firsts++ }
--- a/internal/system/proxy/pick/flight.go
+++ b/internal/system/proxy/pick/flight.go
@@ -40,6 +40,7 @@
 	}
 	r.arrived++
 	s.own.Requests++
+	s.kept.take(now, s.group.keptFor)
 	if e := s.group.service.Engine; e != nil {
 		w := &p.weigher
 		*w = weigher{prompt: prompt, in: max(r.TokensIn, 0)}
@@ -179,12 +180,14 @@
 	}
 	switch o {
 	case Served:
+		s.kept.put(now)
 		p.reached(now, s)
 		s.failed = 0
 		s.well()
 		g.serviceTime += (min(ms(now-f.at), 10*g.serviceTime+100) - g.serviceTime) / 32
 		g.room = min(g.room+roomGrow, roomMost)
 	case NotExecuted:
+		s.kept.put(now)
 		p.reached(now, s)
 		s.well()
 		g.room = max(roomLeast, min(g.room, float64(s.load(now, p.othersAt))/float64(s.slots())))
@@ -193,12 +196,14 @@
 		s.gone, s.goneAt = true, now
 		p.beliefs.drop(s)
 	case Unreached:
+		s.kept = kept{}
 		s.fail(now)
 		f.request.arrived--
 		if f.charged {
 			g.budget.repeat(now, -1)
 		}
 	case Silent:
+		s.kept = kept{}
 		s.fail(now)
 	case Broken:
 		if s.broken++; s.broken >= brokenMost || trial {
--- /dev/null
+++ b/internal/system/proxy/pick/kept_test.go
@@ -0,0 +1,41 @@
+package pick
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/conf"
+)
+
+// TestKeptConnections: of model servers that cost the same, those get requests to which a connection is kept; nobody prefers one whose
+// connections have been without use for longer than the servers keep them, or one that could not be reached.
+func TestKeptConnections(t *testing.T) {
+	const told = 10 * time.Second
+	route := &conf.Route{Name: "a", Host: "h", Prefix: "/", Category: conf.Streaming, Timeout: 8 * time.Second, Aim: time.Second, MaxTries: 1,
+		Shares: []conf.Share{{Service: "lm", Weight: 1}}}
+	p := laneWorld(6)
+	send := func(now Time, outcome Outcome) string {
+		t.Helper()
+		c := p.Choose(now, &Request{Route: route, TokensIn: 100, TokensOut: 20, Left: 8 * time.Second}, nil, false)
+		if c.Verdict != Send {
+			t.Fatalf("verdict %d", c.Verdict)
+		}
+		p.Done(now, c.Ticket, outcome, 0)
+		return c.Server.ID
+	}
+	first := send(0, Served)
+	p.Keeps(first, told)
+	for now := time.Second; now < 20*time.Second; now += time.Second {
+		if id := send(now, Served); id != first {
+			t.Fatalf("at %v a new connection to %s, while one to %s is kept", now, id, first)
+		}
+	}
+	idle := 19*time.Second + time.Duration(keptOfTold*float64(told)) + time.Millisecond
+	second := send(idle, Unreached)
+	if second == first {
+		t.Error("the rotation stays at a server whose connections have been without use for too long")
+	}
+	if p.servers[second].kept.any(idle, told) {
+		t.Error("a connection to a server that was not reached counts as kept")
+	}
+}
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -206,7 +206,8 @@
 func (p *Picker) group(service string) *group {
 	g := p.groups[service]
 	if g == nil {
-		g = &group{name: service, cursor: int(mix(p.set.Seed^xxhash.Sum64String(service)) % 1024), serviceTime: 60, room: roomMost}
+		g = &group{name: service, cursor: int(mix(p.set.Seed^xxhash.Sum64String(service)) % 1024), serviceTime: 60, room: roomMost,
+			keptFor: untoldKept}
 		g.budget.window = p.set.RetryWindow
 		p.groups[service] = g
 	}
--- a/internal/system/proxy/pick/server.go
+++ b/internal/system/proxy/pick/server.go
@@ -38,6 +38,8 @@
 	shortAt   [regionsMost]Time // when a short one last came that may go to the region
 	shortSeen [regionsMost]bool
 
+	keptFor time.Duration // connections to its servers are kept so long without use
+
 	lanes        [regionsMost]lane
 	demand       demand // of this proxy
 	othersDemand Load   // of all others: Prefill for long prompts, Tokens for short ones
@@ -51,6 +53,7 @@
 	lane   bool // long prompts go here rather than to others of its region
 	hash   uint64
 
+	kept        kept
 	own, others Load
 	told        struct {
 		running, waiting, slots int
--- a/internal/system/proxy/pick/sim_test.go
+++ b/internal/system/proxy/pick/sim_test.go
@@ -88,6 +88,7 @@
 			ColdExcess: 1.5, ColdSlack: 5, Seed: uint64(i), CrossRegion: sc.crossRegion})
 		p.SetWorld(0, World{Config: f.cfg, Servers: f.servers, Self: name, Peers: peers})
 		p.fixedLane = sc.fixedLane
+		p.group("lm").keptFor = sc.keepIdle
 		f.pickers = append(f.pickers, p)
 	}
 	return f
--- a/internal/system/proxy/pick/weigh.go
+++ b/internal/system/proxy/pick/weigh.go
@@ -147,6 +147,9 @@
 			queued += s.others.Prefill
 			held += s.others.Tokens
 		}
+		dial, handshake := p.connecting(now, s)
+		extra += dial
+		c.first += handshake
 		kept := w.kept(s)
 		sure := float64(w.in - kept)
 		again := float64(max(w.shared-kept, 0)) // shared tokens that would be read here, and are likely kept elsewhere
--- a/internal/system/proxy/policy.go
+++ b/internal/system/proxy/policy.go
@@ -24,6 +24,7 @@
 	Done(now pick.Time, ticket uint64, o pick.Outcome, retryAfter time.Duration)
 	Cold(now pick.Time, id string, left time.Duration)
 	Leaving(now pick.Time, id string)
+	Keeps(id string, told time.Duration)
 	Describe(now pick.Time) string
 	Stats() pick.Stats
 	AwaitsList() bool
@@ -132,6 +133,7 @@
 		if h.cold {
 			i.Cold(now, id, h.coldFor)
 		}
+		i.Keeps(id, h.keeps)
 		if h.leaving {
 			i.Leaving(now, id)
 		}
