--- a/internal/system/proxy/pick/choose.go
+++ b/internal/system/proxy/pick/choose.go
@@ -151,7 +151,6 @@
 	}
 	costs := p.costs[:n]
 	least, used, slots, warm := math.Inf(1), 0, 0, math.Inf(1)
-	shortest := math.Inf(1) // wait at any server
 	w := &p.weigher
 	p.weigh(w, now, r, g, prompt)
 	for i, s := range g.servers {
@@ -159,7 +158,6 @@
 		case fit:
 			costs[i] = p.price(w, now, r, s)
 			least = min(least, costs[i].total)
-			shortest = min(shortest, costs[i].wait)
 			used += costs[i].load
 			slots += s.slots()
 			continue
@@ -188,8 +186,8 @@
 		first = second
 	}
 	s, at := g.servers[first], costs[first]
-	// A refusal while under half of the places are taken is right only where the reading of prompts is what all servers lack time for.
-	if used*2 >= slots && p.crowded(r, s, at) || w.model && overloaded(r, at, shortest) {
+	// A refusal while under half of the places are taken is never right: the estimate is wrong then.
+	if used*2 >= slots && p.crowded(r, s, at) {
 		return found{crowded: true, wait: min(max(backFactor*at.wait, 100), 2000)}
 	}
 	g.cursor = (first + 1) % n
@@ -204,24 +202,6 @@
 	return at.first > ms(r.Left) || float64(at.load) >= s.group.room*float64(s.slots()) || aim > 0 && at.wait > waitShare*aim
 }
 
-// overloaded tells whether all servers have prompts waiting to be read, and r would add to more than its part of it. Servers that read
-// without a pause hardly write: what they took in time to read it comes too late, or is given up half written, so that all
-// are late where most could be in time. The most urgent requests may find more waiting than the others.
-func overloaded(r *Request, at cost, shortest float64) bool {
-	share := 1.0
-	if r.Route.Priority == 0 {
-		share = urgentShare
-	}
-	aim := ms(r.Route.Aim)
-	return aim > 0 && shortest > share*pressShare*aim && at.wait > share*queueShare*aim
-}
-
-const (
-	pressShare  = 0.05 // of the aim that would be waited for at every server
-	queueShare  = 0.3  // and at the one that is the best
-	urgentShare = 2    // times as much for requests of the highest priority
-)
-
 const (
 	waitShare  = 1.5 // of the aim that a request may be believed to wait for others; beliefs are high rather than low
 	backFactor = 2   // times what it would have waited, a client is told to come back after
