--- a/internal/sidecar/keeper/http_test.go
+++ b/internal/sidecar/keeper/http_test.go
@@ -201,10 +201,6 @@
 			t.Fatalf("a watch within the limit: %d", code)
 		}
 	}
-	refused := func(code int, h http.Header) bool {
-		after, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-		return code == 503 && err == nil && after > 0 && after <= 2
-	}
 	if code, h, _ := watch(t, at, ""); !refused(code, h) {
 		t.Errorf("a watch over the limit: %d, %v", code, h)
 	}
@@ -221,6 +217,12 @@
 	}
 }
 
+// refused tells whether a call was refused with a time to come again, in seconds.
+func refused(code int, h http.Header) bool {
+	after, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	return code == 503 && err == nil && after > 0 && after <= 2
+}
+
 // slowCall is a call whose body does not come.
 type slowCall struct {
 	t    *testing.T
@@ -262,7 +264,7 @@
 	for end := time.Now().Add(patience); time.Now().Before(end); {
 		slow := beginSlowCall(t, at, "POST", "/v1/servers")
 		for begun := time.Now(); time.Since(begun) < 200*time.Millisecond; {
-			if code, _, h := call(t, "GET", at, "/v1/servers", ""); code == 503 && h.Get("Retry-After") != "" {
+			if code, _, h := call(t, "GET", at, "/v1/servers", ""); refused(code, h) {
 				return slow
 			}
 		}
