pick: the way to a server and back, and how long connections are kept, are each told once

Need: a second reading of the change. The way by region and zone stood three times (price, FirstEvent, connecting), and half of the time that servers tell, with the 30 s where none does, in pick and in the data plane's upstream. Change: roundTrip, KeptFor and UntoldKept. Behaviour is as before.

--- a/docs/incidents/failback-days.py
+++ b/docs/incidents/failback-days.py
@@ -10,7 +10,7 @@
 text = open(site).read()
 first = [d for d in text.split('[[day]]')[1:] if 'name = "quiet-1"' in d][0]
 zones = re.findall(r'\{ name = "([^"]+)", region', text.split('machines')[0])
-for n, seed in enumerate(names):
+for seed in names:
     r = random.Random(int(seed))
     plan, faults = [], []
     t = 1.0
--- a/internal/system/proxy/pick/flight.go
+++ b/internal/system/proxy/pick/flight.go
@@ -139,13 +139,7 @@
 	if !f.alone {
 		return
 	}
-	took := ms(now-f.at) - ms(p.set.StepTime)
-	switch {
-	case s.region != 0:
-		took -= 2 * ms(p.set.CrossRegion)
-	case s.Zone != p.set.Zone:
-		took -= 2 * ms(p.set.CrossZone)
-	}
+	took := ms(now-f.at) - ms(p.set.StepTime) - p.roundTrip(s)
 	if took <= 1 {
 		return
 	}
--- a/internal/system/proxy/pick/kept.go
+++ b/internal/system/proxy/pick/kept.go
@@ -3,11 +3,16 @@
 import "time"
 
 const (
-	dialPrice  = 30               // milliseconds that a request over a kept connection is worth, beside the time that a new one takes
-	untoldKept = 30 * time.Second // connections are kept so long without use where no server has told for how long it keeps them
-	keptOfTold = 0.5              // of the time that servers tell
+	dialPrice = 30 // milliseconds that a request over a kept connection is worth, beside the time that a new one takes
+
+	// UntoldKept is for how long connections are kept without use where no server has told for how long it keeps them.
+	UntoldKept = 30 * time.Second
 )
 
+// KeptFor is for how long connections are kept without use to a server that tells for how long it keeps them. Danger: what
+// crosses the close of a connection that has idled too long is a reset that may have run. Half of the time keeps well clear of it.
+func KeptFor(told time.Duration) time.Duration { return told / 2 }
+
 // kept are the connections to a server that this proxy keeps, as far as its own requests tell.
 type kept struct {
 	count int
@@ -31,7 +36,7 @@
 // Keeps takes in for how long the server keeps a connection without use, as it told.
 func (p *Picker) Keeps(id string, told time.Duration) {
 	if s := p.servers[id]; s != nil && told > 0 {
-		s.group.keptFor = time.Duration(keptOfTold * float64(told))
+		s.group.keptFor = KeptFor(told)
 	}
 }
 
@@ -41,11 +46,5 @@
 	if s.kept.any(now, s.group.keptFor) {
 		return 0, 0
 	}
-	switch {
-	case s.region != 0:
-		wait = 2 * ms(p.set.CrossRegion)
-	case s.Zone != p.set.Zone:
-		wait = 2 * ms(p.set.CrossZone)
-	}
-	return dialPrice, wait
+	return dialPrice, p.roundTrip(s)
 }
--- a/internal/system/proxy/pick/kept_test.go
+++ b/internal/system/proxy/pick/kept_test.go
@@ -30,7 +30,7 @@
 			t.Fatalf("at %v a new connection to %s, while one to %s is kept", now, id, first)
 		}
 	}
-	idle := 19*time.Second + time.Duration(keptOfTold*float64(told)) + time.Millisecond
+	idle := 19*time.Second + KeptFor(told) + time.Millisecond
 	second := send(idle, Unreached)
 	if second == first {
 		t.Error("the rotation stays at a server whose connections have been without use for too long")
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -207,7 +207,7 @@
 	g := p.groups[service]
 	if g == nil {
 		g = &group{name: service, cursor: int(mix(p.set.Seed^xxhash.Sum64String(service)) % 1024), serviceTime: 60, room: roomMost,
-			keptFor: untoldKept}
+			keptFor: UntoldKept}
 		g.budget.window = p.set.RetryWindow
 		p.groups[service] = g
 	}
--- a/internal/system/proxy/pick/weigh.go
+++ b/internal/system/proxy/pick/weigh.go
@@ -122,15 +122,25 @@
 	return min(n, w.in)
 }
 
+// roundTrip is how long the way to s and back takes, in milliseconds.
+func (p *Picker) roundTrip(s *server) float64 {
+	switch {
+	case s.region != 0:
+		return 2 * ms(p.set.CrossRegion)
+	case s.Zone != p.set.Zone:
+		return 2 * ms(p.set.CrossZone)
+	}
+	return 0
+}
+
 // price weighs s for r.
 func (p *Picker) price(w *weigher, now Time, r *Request, s *server) (c cost) {
+	c.first = p.roundTrip(s)
 	extra := 0.0
 	switch {
 	case s.region != 0:
-		c.first += 2 * ms(p.set.CrossRegion)
 		extra += regionPrice + regionToken*float64(r.TokensIn)
 	case s.Zone != p.set.Zone:
-		c.first += 2 * ms(p.set.CrossZone)
 		extra += zonePrice + zoneToken*float64(r.TokensIn)
 	}
 	c.load = s.load(now, p.othersAt)
--- a/internal/system/proxy/upstream.go
+++ b/internal/system/proxy/upstream.go
@@ -18,7 +18,6 @@
 const (
 	dialNear     = 250 * time.Millisecond
 	dialFar      = 600 * time.Millisecond
-	untoldIdle   = 30 * time.Second       // idle connections are kept so long where no server has told or shown a time
 	leastIdle    = 250 * time.Millisecond // and at least so long
 	leastConns   = 4                      // idle connections to a server, whatever the number of proxies
 	sweepEvery   = 2 * time.Second        // how often connections that idled too long are looked for
@@ -139,15 +138,14 @@
 	if d := u.idle[service]; d > 0 {
 		return d
 	}
-	return untoldIdle
+	return pick.UntoldKept
 }
 
-// keeps takes in for how long servers of a service keep idle connections. Danger: what crosses the close of a connection
-// that has idled too long is a reset that may have run. Half of the time keeps well clear of it.
+// keeps takes in for how long servers of a service keep idle connections.
 func (u *upstream) keeps(service string, d time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.idle[service] = max(min(d/2, u.idleFor(service)), leastIdle)
+	u.idle[service] = max(min(pick.KeptFor(d), u.idleFor(service)), leastIdle)
 }
 
 // take is an idle connection that looks sound, nil if there is none, and how long one had idled that was found closed by
