rules: LOST excuses what a server's end or the deadline broke off, as the operators' rule does

By reading, the checker counted three kinds that the rule excuses: - a proxy ends an answer up to 20 ms before its client's deadline (maxDeadlineMargin), so that the client sees it truncated and not timed out.

Change: attempts record their deadline, incarnations their end; the checker excuses answers that reached the deadline or the route's time-out and those whose server ended under way. An exchange that ends with its server always records so.

--- a/internal/lab/testcluster/client_request.go
+++ b/internal/lab/testcluster/client_request.go
@@ -107,7 +107,7 @@
 	env := r.traffic.env
 	r.attempts++
 	attempt = &rules.Attempt{ID: fmt.Sprintf("%016x", r.rng.Uint64()), Request: r.number, Host: r.kind.Route.Host, Method: http.MethodPost,
-		Path: r.path, Body: xxhash.Sum64String(r.body), Zone: r.pool.zone, Region: r.pool.region, From: r.receivedEvents, Sent: env.Now()}
+		Path: r.path, Body: xxhash.Sum64String(r.body), Zone: r.pool.zone, Region: r.pool.region, From: r.receivedEvents, Sent: env.Now(), Deadline: env.at(r.deadline)}
 	defer func() {
 		attempt.Ended = env.Now()
 		env.Evidence.RecordAttempt(attempt)
--- a/internal/lab/testcluster/environment.go
+++ b/internal/lab/testcluster/environment.go
@@ -138,6 +138,9 @@
 // Now returns the time since the start. All times of the evidence are of this clock.
 func (e *Environment) Now() time.Duration { return time.Since(e.startedAt) }
 
+// at returns a time of the wall clock as a time of the evidence.
+func (e *Environment) at(t time.Time) time.Duration { return t.Sub(e.startedAt) }
+
 // ListAddress returns the address of the platform's list.
 func (e *Environment) ListAddress() string { return e.listAddress }
 
--- a/internal/lab/testcluster/rules/changes_test.go
+++ b/internal/lab/testcluster/rules/changes_test.go
@@ -116,6 +116,21 @@
 		t, a := s.serve("/mail/2", "mailer", 20*second)
 		t.Outcome, t.Status, t.Seal, a.Aborted = Truncated, 0, "", true
 	}, ""},
+	{"cut after SIGTERM as the server ended, its answer under way", func(s *scenario) { s.cutAsServerEnded(0, Never) }, ""},
+	{"cut after SIGTERM as the server ended, its last bytes under way", func(s *scenario) { s.cutAsServerEnded(0, -second/10) }, ""},
+	{"cut after SIGTERM as the server ended, long after its complete answer", func(s *scenario) { s.cutAsServerEnded(0, -second/2) }, "LOST"},
+	{"cut after SIGTERM before the server ended", func(s *scenario) { s.cutAsServerEnded(second/10, Never) }, "LOST"},
+	{"cut after SIGTERM as an earlier incarnation of the server ended", func(s *scenario) { s.cutAsServerEnded(-2*second, Never) }, "LOST"},
+	{"cut after SIGTERM at the client's deadline", func(s *scenario) { s.cutAfter(5*second-second/50, 5*second) }, ""},
+	{"cut after SIGTERM before the client's deadline", func(s *scenario) { s.cutAfter(5*second-second/10, 5*second) }, "LOST"},
+	{"cut after SIGTERM at the route's time-out", func(s *scenario) {
+		s.version(withTimeout(testConfig(2, "mailer"), 3000), 1, 14*second, 15*second, 200)
+		s.cutAfter(3*second-second/50, 5*second)
+	}, ""},
+	{"cut after SIGTERM before the route's time-out", func(s *scenario) {
+		s.version(withTimeout(testConfig(2, "mailer"), 3000), 1, 14*second, 15*second, 200)
+		s.cutAfter(3*second-second/10, 5*second)
+	}, "LOST"},
 	{"cut after a kill", func(s *scenario) {
 		s.RecordFault(Fault{Proxy: oneProxy, Kind: "kill", At: 20 * second})
 		s.RecordFault(Fault{Proxy: oneProxy, Kind: "term", At: 20 * second})
@@ -124,6 +139,36 @@
 	}, ""},
 }
 
+// cutAfter adds a request with a deadline whose answer was truncated after so long, during a graceful shutdown.
+func (s *scenario) cutAfter(after, deadline Time) {
+	const sent = 20 * second
+	s.RecordFault(Fault{Proxy: oneProxy, Kind: Terminate, At: sent})
+	t, a := s.serve("/mail/2", "mailer", sent)
+	t.Outcome, t.Status, t.Seal, t.Ended, t.Deadline = Truncated, 0, "", sent+after, sent+deadline
+	a.Ended, a.Complete = Never, false
+}
+
+// cutAsServerEnded adds a request whose answer was truncated during a graceful shutdown 1.4 s after it was sent. Its server ended so long after that, and had
+// sent the complete answer so long after its end; Never: it had not.
+func (s *scenario) cutAsServerEnded(serverEnd, answered Time) {
+	const sent, ended = 20 * second, 20*second + 7*second/5
+	s.RecordFault(Fault{Proxy: oneProxy, Kind: Terminate, At: sent})
+	t, a := s.serve("/mail/2", "mailer", sent)
+	t.Outcome, t.Status, t.Seal, t.Ended = Truncated, 0, "", ended
+	s.RecordServerEnd(ServerEnd{Server: a.Server, At: ended + serverEnd})
+	if a.Ended, a.Complete = Never, answered != Never; a.Complete {
+		a.Ended = ended + serverEnd + answered
+	}
+}
+
+// withTimeout gives all routes of a configuration a time-out in milliseconds.
+func withTimeout(c *Config, timeout int) *Config {
+	for i := range c.Routes {
+		c.Routes[i].Timeout = timeout
+	}
+	return c
+}
+
 func withRoute(c *Config, prefix, target string) *Config {
 	c.Routes = append(c.Routes, Route{Name: "new", Host: host, Prefix: prefix, Category: "idempotent", Target: target})
 	return c
--- a/internal/lab/testcluster/rules/evidence.go
+++ b/internal/lab/testcluster/rules/evidence.go
@@ -64,6 +64,7 @@
 	Sent         Time // when the first byte was sent
 	SentComplete Time // when the last byte was sent
 	Ended        Time
+	Deadline     Time // when the client gives the request up; 0: not known
 	Outcome      Outcome
 	Status       int    // of the answer; 0: no head of an answer came
 	AnswerID     string // X-Attempt-Id of the answer
@@ -144,6 +145,12 @@
 	return !c.acknowledged() && c.Status >= 400 && c.Status < 500
 }
 
+// ServerEnd is the end of an incarnation of a server, planned or not. It ends all connections of the incarnation.
+type ServerEnd struct {
+	Server string // id of the incarnation
+	At     Time
+}
+
 // Listing is a server that the platform's list showed as draining.
 type Listing struct {
 	Server string // id of the incarnation
@@ -190,6 +197,7 @@
 	Changes  []*Change
 	Faults   []Fault
 	Listings []Listing
+	Ends     []ServerEnd
 	Strays   []Stray
 	Reads    []Reading
 	Read     *Config // that was read at the end of the run
@@ -241,6 +249,13 @@
 	e.Strays = append(e.Strays, stray)
 }
 
+// RecordServerEnd records that an incarnation of a server has ended. It is called before the connections of the incarnation end.
+func (e *Evidence) RecordServerEnd(end ServerEnd) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Ends = append(e.Ends, end)
+}
+
 // RecordDraining records that the list shows a server as draining. Only the first time counts.
 func (e *Evidence) RecordDraining(server string, at Time) {
 	e.mu.Lock()
--- a/internal/lab/testcluster/rules/index.go
+++ b/internal/lab/testcluster/rules/index.go
@@ -12,6 +12,7 @@
 	attemptByID   map[string]*Attempt
 	arrivalsByID  map[string][]*Arrival // by id of the attempt, in order of arrival
 	arrivalBySeal map[string]*Arrival
+	serverEnds    map[string]Time // by id of the incarnation
 	coreLosses    []span
 }
 
@@ -22,6 +23,7 @@
 		attemptByID:   map[string]*Attempt{},
 		arrivalsByID:  map[string][]*Arrival{},
 		arrivalBySeal: map[string]*Arrival{},
+		serverEnds:    map[string]Time{},
 		coreLosses:    e.coreLosses(),
 	}
 	for _, attempt := range e.Attempts {
@@ -34,6 +36,9 @@
 			built.arrivalBySeal[arrival.Seal] = arrival
 		}
 	}
+	for _, end := range e.Ends {
+		built.serverEnds[end.Server] = end.At
+	}
 	return built
 }
 
--- a/internal/lab/testcluster/server.go
+++ b/internal/lab/testcluster/server.go
@@ -170,12 +170,14 @@
 	}
 	ended, relay := s.incarnationState, s.relay
 	s.http = nil
+	now := s.env.Now()
 	if planned {
-		s.stoppedAt = s.env.Now()
+		s.stoppedAt = now
 	} else {
-		s.crashedAt = s.env.Now()
+		s.crashedAt = now
 	}
 	s.mu.Unlock()
+	s.env.Evidence.RecordServerEnd(rules.ServerEnd{Server: ended.id, At: now})
 	ended.cancel()
 	_ = ended.listener.Close() // If the HTTP server has not begun to serve it, Close of that would leave it open.
 	_ = ended.http.Close()
--- a/internal/lab/testcluster/server_exchange.go
+++ b/internal/lab/testcluster/server_exchange.go
@@ -33,12 +33,10 @@
 	select {
 	case output := <-e.outputs:
 		return output, true
-	case <-e.incarnation.ctx.Done(): // the server has ended
-		e.update(func(arrival *rules.Arrival) { arrival.Aborted = true })
-		panic(http.ErrAbortHandler)
-	case <-e.request.Context().Done(): // the caller has gone
-		e.cancel()
-		panic(http.ErrAbortHandler)
+	case <-e.incarnation.ctx.Done():
+		e.breakOff()
+	case <-e.request.Context().Done():
+		e.breakOff()
 	case <-e.deadline:
 	}
 	started := e.cancel()
@@ -55,6 +53,17 @@
 	return engine.Output{}, false
 }
 
+// breakOff ends the exchange after the server has ended or the caller has gone. An end of the server ends the connections of its callers too, so
+// that both may be seen: then it was the server that broke off.
+func (e *serverExchange) breakOff() {
+	if e.incarnation.ctx.Err() != nil {
+		e.update(func(arrival *rules.Arrival) { arrival.Aborted = true })
+	} else {
+		e.cancel()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // cancel takes the request from the workload, and reports whether work on it has started.
 func (e *serverExchange) cancel() (started bool) {
 	started = e.incarnation.server.cancelRequest(e.key)
@@ -159,8 +168,7 @@
 		text = "versions: 1\n" + text
 	}
 	if _, err := e.writer.Write([]byte(text)); err != nil {
-		e.cancel()
-		panic(http.ErrAbortHandler)
+		e.breakOff()
 	}
 	_ = http.NewResponseController(e.writer).Flush() // If the caller has gone, the request's context ends.
 }
