lab: sockets outlive errors that pass, and what the test environment fails to do is reported

A relay whose Accept failed for want of descriptors ended for good and unseen, so that a process looked partitioned that was not; a server that could not start again after a crash of overload was in no report; after a failed newPickingRelay a server kept its inner address; a peer's socket with a persistent error was retried without a delay.

Stand-ins tell the lab by an event of kind "error". A server changes its address only once its relay listens.

--- a/internal/lab/ctl/ctl.go
+++ b/internal/lab/ctl/ctl.go
@@ -101,6 +101,7 @@
 const (
 	EventReady EventKind = "ready" // the stand-in accepts orders
 	EventFell  EventKind = "fell"  // a warming server was sent too much and has ended
+	EventError EventKind = "error" // the stand-in had to wait for a socket: Event.Error says why
 )
 
 // EventWriter writes events, one line each. It is safe for concurrent use.
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -167,10 +167,13 @@
 
 // handleEvent handles an event of a stand-in that no order asked for.
 func (f *Fleet) handleEvent(event ctl.Event) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if event.Kind == ctl.EventFell {
+	switch event.Kind {
+	case ctl.EventFell:
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		f.falls = append(f.falls, event)
+	case ctl.EventError:
+		f.recordError(fmt.Errorf("a stand-in had to wait: %s", event.Error))
 	}
 }
 
--- a/internal/lab/link/listen.go
+++ b/internal/lab/link/listen.go
@@ -18,7 +18,10 @@
 	*net.TCPListener
 	// BySource identifies a caller by its source address instead of the address that it called, for near ends that bind their
 	// source address. It is set before the first Accept.
-	BySource    bool
+	BySource bool
+	// OnError is called with an error of accepting that the listener outlives, such as a want of descriptors; nil: nobody is told. It is set before
+	// the first Accept.
+	OnError     func(error)
 	raw         syscall.RawConn
 	mu          sync.Mutex
 	passing     chan struct{} // closed unless the listener is partitioned
@@ -73,13 +76,18 @@
 }
 
 // Accept returns the next connection from a near end of the experiment, and the index of the near end. During a partition it waits
-// until the partition ends, or fails with net.ErrClosed once stop is closed.
+// until the partition ends, or fails with net.ErrClosed once stop is closed. Errors that the listener outlives are told to OnError and retried.
 func (l *Listener) Accept(stop <-chan struct{}) (*net.TCPConn, int, error) {
+	retry := Retry{Stop: stop, OnError: l.OnError}
 	for {
 		conn, err := l.AcceptTCP()
 		if err != nil {
-			return nil, 0, err
+			if retry.After(err) {
+				continue
+			}
+			return nil, 0, net.ErrClosed
 		}
+		retry.Reset()
 		near := l.Near(conn)
 		l.mu.Lock()
 		passing := l.passing
--- a/internal/lab/soak/result.go
+++ b/internal/lab/soak/result.go
@@ -46,6 +46,7 @@
 	invariantViolated failureKind = "VIOLATION" // as a process itself counted
 	processDied       failureKind = "DIED"      // by itself
 	processKilled     failureKind = "STOP"      // as SIGTERM did not end it
+	environmentFailed failureKind = "LAB"       // the test environment itself
 	readFailed        failureKind = "READ"      // of the configuration, at the end
 )
 
@@ -126,6 +127,9 @@
 	for _, process := range report.Killed {
 		r.Broken = append(r.Broken, processKilled.line("SIGTERM did not end "+process+" in time"))
 	}
+	for _, failure := range report.Failures {
+		r.Broken = append(r.Broken, environmentFailed.line(failure))
+	}
 	if report.ReadError != nil {
 		r.Broken = append(r.Broken, readFailed.line(report.ReadError.Error()))
 	}
--- a/internal/lab/soak/result_test.go
+++ b/internal/lab/soak/result_test.go
@@ -32,6 +32,7 @@
 		{name: "TWICE", report: testcluster.Report{Verdicts: []rules.Verdict{{Rule: "MIXED", Checked: 3}, {Rule: "TWICE", Violations: 2, Examples: []string{"it ran"}}}}},
 		{name: "DIED", report: testcluster.Report{Died: []string{"proxy"}}},
 		{name: "STOP", report: testcluster.Report{Killed: []string{"keeper"}}},
+		{name: "LAB", report: testcluster.Report{Failures: []string{"a relay had to wait"}}},
 		{name: "READ", report: testcluster.Report{ReadError: errors.New("nobody answers")}},
 		{name: "VIOLATION", player: func(p *player) { p.monitor.highest = map[string]int64{"pace at proxy": 1} }},
 		{name: "RECOVER", player: func(p *player) { p.recordFailure("RECOVER", "not\nserved") }},
--- a/internal/lab/standin/host.go
+++ b/internal/lab/standin/host.go
@@ -204,7 +204,7 @@
 		s.crash()
 		h.registrar.updateDesired(spec.UID, func(e *desiredEntry) { e.crashed = true })
 		h.out.Send(ctl.Event{Kind: ctl.EventFell, UID: spec.UID, At: clock.Now()})
-	})
+	}, reportErrors(h.out))
 	if err != nil {
 		return err
 	}
--- a/internal/lab/standin/list.go
+++ b/internal/lab/standin/list.go
@@ -46,11 +46,12 @@
 	if err != nil {
 		return errors.Join(err, recorder.Close())
 	}
+	out := ctl.NewEventWriter(news)
+	listener.OnError = reportErrors(out)
 	platform := &platformList{groups: groups, records: recorder, net: newNetwork(), entries: map[string]ctl.Entry{},
 		changed: make(chan struct{}), stop: make(chan struct{}), listener: listener}
 	platform.tasks.Add(1)
 	go platform.accept()
-	out := ctl.NewEventWriter(news)
 	out.Send(ctl.Event{Kind: ctl.EventReady, Ports: []int{listener.Port()}, At: clock.Now()})
 	err = handleOrders(orders, out, func(o ctl.Order, _ *ctl.Event) error { return platform.handleOrder(o) })
 	close(platform.stop)
--- a/internal/lab/standin/orders.go
+++ b/internal/lab/standin/orders.go
@@ -29,5 +29,12 @@
 	out.Send(acknowledgement)
 }
 
+// reportErrors returns a function that tells the lab of errors which a socket of the stand-in outlives.
+func reportErrors(out *ctl.EventWriter) func(error) {
+	return func(err error) {
+		out.Send(ctl.Event{Kind: ctl.EventError, Error: err.Error(), At: clock.Now()})
+	}
+}
+
 // unknownCommandError says that a stand-in does not obey a command.
 func unknownCommandError(command ctl.Command) error { return fmt.Errorf("unknown order %q", command) }
--- a/internal/lab/standin/peers.go
+++ b/internal/lab/standin/peers.go
@@ -25,8 +25,8 @@
 	if err != nil {
 		return err
 	}
-	forwarder := &peers{fronts: map[string]*front{}, stop: make(chan struct{})}
 	out := ctl.NewEventWriter(news)
+	forwarder := &peers{out: out, fronts: map[string]*front{}, stop: make(chan struct{})}
 	out.Send(ctl.Event{Kind: ctl.EventReady, At: clock.Now()})
 	forwarder.tasks.Add(1)
 	go func() {
@@ -40,6 +40,7 @@
 
 // peers is the network between sidecars. Orders come one at a time.
 type peers struct {
+	out    *ctl.EventWriter
 	fronts map[string]*front // by the name of the sidecar behind it
 	stop   chan struct{}     // closed when the orders end
 	tasks  sync.WaitGroup
@@ -113,6 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
+	streams.OnError = reportErrors(p.out)
 	opened := &front{net: newNetwork(), streams: streams, packets: packets, sidecar: sidecar}
 	in := ipv4.NewPacketConn(packets)
 	if err := in.SetControlMessage(ipv4.FlagDst, true); err != nil {
@@ -152,13 +154,18 @@
 // forwardPackets forwards packets as their links allow: one that a link holds is lost.
 func (p *peers) forwardPackets(to *front, in *ipv4.PacketConn) {
 	buf := make([]byte, maxPacketBytes)
+	retry := link.Retry{Stop: p.stop, OnError: reportErrors(p.out)}
 	for {
 		size, about, _, err := in.ReadFrom(buf)
-		if errors.Is(err, net.ErrClosed) {
+		if err != nil {
+			if retry.After(err) { // at once after an ICMP refusal of an earlier packet, whose receiver has gone
+				continue
+			}
 			return
 		}
-		if err != nil || about == nil {
-			continue // an ICMP refusal of an earlier packet, whose receiver has gone
+		retry.Reset()
+		if about == nil {
+			continue
 		}
 		near, ok := senderOf(about)
 		if !ok {
--- a/internal/lab/standin/relay.go
+++ b/internal/lab/standin/relay.go
@@ -30,9 +30,9 @@
 	if err != nil {
 		return errors.Join(err, notifiedRecords.Close(), listRecords.Close())
 	}
-	forwarder := &relay{sidecars: sidecars, readers: readers, notified: notifiedRecords, listLines: listRecords,
-		routeLines: routeRecords, networks: map[string]*network{}, stop: make(chan struct{})}
 	out := ctl.NewEventWriter(news)
+	forwarder := &relay{out: out, sidecars: sidecars, readers: readers, notified: notifiedRecords, listLines: listRecords,
+		routeLines: routeRecords, networks: map[string]*network{}, stop: make(chan struct{})}
 	out.Send(ctl.Event{Kind: ctl.EventReady, At: clock.Now()})
 	err = handleOrders(orders, out, forwarder.handleOrder)
 	forwarder.close()
@@ -41,6 +41,7 @@
 
 // relay is the network in front of registry nodes. Orders come one at a time.
 type relay struct {
+	out        *ctl.EventWriter
 	sidecars   int
 	readers    int
 	notified   *ctl.Records
@@ -93,7 +94,7 @@
 	if err != nil {
 		return 0, err
 	}
-	listener.BySource = order.BySource
+	listener.BySource, listener.OnError = order.BySource, reportErrors(r.out)
 	r.listeners = append(r.listeners, listener)
 	r.tasks.Add(1)
 	go func() {
--- a/internal/lab/standin/server.go
+++ b/internal/lab/standin/server.go
@@ -44,8 +44,8 @@
 	tasks     sync.WaitGroup
 }
 
-// startServer starts a server at the given ports, or at free ones where they are 0.
-func startServer(spec model.Spec, cold bool, ports []int, n *network, records *ctl.Records, onCrash func(*server)) (*server, error) {
+// startServer starts a server at the given ports, or at free ones where they are 0. onError is called with errors that its listeners outlive.
+func startServer(spec model.Spec, cold bool, ports []int, n *network, records *ctl.Records, onCrash func(*server), onError func(error)) (*server, error) {
 	now := clock.Now()
 	started := &server{spec: spec, net: n, records: records, onCrash: onCrash, startedAt: now, model: model.New(spec, now, cold),
 		waiting: map[uint64]chan model.Outcome{}, stop: make(chan struct{})}
@@ -56,6 +56,7 @@
 			started.end()
 			return nil, fmt.Errorf("server %s: %w", spec.UID, err)
 		}
+		listener.OnError = onError
 		started.listeners = append(started.listeners, listener)
 		started.ports = append(started.ports, listener.Port())
 		started.tasks.Add(1)
@@ -87,7 +88,7 @@
 	for {
 		accepted, near, err := listener.Accept(s.stop)
 		if err != nil {
-			return // the process ends, or descriptors ran out: then nobody is answered, which the checkers see
+			return // the process ends
 		}
 		overloaded := s.addConn()
 		conn := link.Wrap(accepted, s.net.link(near))
--- a/internal/lab/testcluster/environment.go
+++ b/internal/lab/testcluster/environment.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log"
 	"maps"
@@ -63,6 +64,9 @@
 	ctx             context.Context
 	background      sync.WaitGroup
 	overloadCrashes sync.WaitGroup
+
+	mu       sync.Mutex
+	failures []string // of the environment itself, in order; see Failures
 }
 
 const (
@@ -77,6 +81,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	env := &Environment{Evidence: &rules.Evidence{Bounds: options.Bounds}, startedAt: time.Now(), discardLog: log.New(io.Discard, "", 0),
 		stats: &statsCounter{}, ctx: ctx, cancel: cancel, links: options.Links}
+	if env.links != nil {
+		env.links.setOnError(func(err error) { env.recordFailure("a relay had to wait: %v", err) })
+	}
 	env.Operator = &Operator{ControlAddresses: options.ControlAddresses, evidence: env.Evidence, now: env.Now, http: newHTTPClient()}
 	env.Platform = &Platform{Lag: options.ListLag, Rate: options.ListRate, Page: pageSize, CrashedListedFor: crashedListedFor,
 		now: env.Now, evidence: env.Evidence, servers: env.instances}
@@ -184,11 +191,36 @@
 		select {
 		case <-e.ctx.Done():
 		case <-timer.C:
-			_ = s.Start(true) // If its address is in use, the server stays down.
+			e.startAfterOverload(s)
 		}
 	})
 }
 
+// startAfterOverload starts a server again that crashed of overload, unless a fault has started it already. A server that stays down is reported.
+func (e *Environment) startAfterOverload(s *Server) {
+	if err := s.Start(true); err != nil && !errors.Is(err, ErrRunning) {
+		e.recordFailure("a server that crashed of overload stays down: %v", err)
+	}
+}
+
+const maxFailures = 20 // that are kept
+
+// recordFailure records that the environment itself did not do what it is there for, so that what the run shows of the system is in doubt.
+func (e *Environment) recordFailure(format string, args ...any) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.failures) < maxFailures {
+		e.failures = append(e.failures, fmt.Sprintf(format, args...))
+	}
+}
+
+// Failures returns the failures of the environment itself so far, the first ones where there are many.
+func (e *Environment) Failures() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.failures)
+}
+
 // Close ends the servers, the list and the links. Traffic must have ended.
 func (e *Environment) Close() {
 	e.cancel()
--- a/internal/lab/testcluster/links.go
+++ b/internal/lab/testcluster/links.go
@@ -39,6 +39,7 @@
 	active    map[Path]*activeLink
 	lastFault int // id of the fault that was injected last
 	closers   []func()
+	onError   func(error) // is called with errors that relays outlive; nil: nobody is told
 }
 
 // activeLink is a link with the faults that are injected into it.
@@ -113,6 +114,23 @@
 	l.closers = append(l.closers, closer)
 }
 
+// setOnError has a function be called with the errors that relays outlive.
+func (l *Links) setOnError(onError func(error)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onError = onError
+}
+
+// reportError reports an error that a relay outlives.
+func (l *Links) reportError(err error) {
+	l.mu.Lock()
+	onError := l.onError
+	l.mu.Unlock()
+	if onError != nil {
+		onError(err)
+	}
+}
+
 // close ends all relays.
 func (l *Links) close() {
 	l.mu.Lock()
--- a/internal/lab/testcluster/packet_relay.go
+++ b/internal/lab/testcluster/packet_relay.go
@@ -19,9 +19,11 @@
 	link    *link.Link
 	pending atomic.Int32 // packets that are delayed
 	wait    sync.WaitGroup
+	stop    chan struct{} // closed by close
+	onError func(error)   // is called with errors of receiving that the relay outlives
 }
 
-func newPacketRelay(at, to string, over *link.Link) (*packetRelay, error) {
+func newPacketRelay(at, to string, over *link.Link, onError func(error)) (*packetRelay, error) {
 	in, err := new(net.ListenConfig).ListenPacket(context.Background(), "udp4", at)
 	if err != nil {
 		return nil, err
@@ -31,18 +33,24 @@
 		_ = in.Close()
 		return nil, err
 	}
-	p := &packetRelay{in: in, out: out, link: over}
+	p := &packetRelay{in: in, out: out, link: over, stop: make(chan struct{}), onError: onError}
 	p.wait.Go(p.run)
 	return p, nil
 }
 
+// run forwards packets until the relay is closed.
 func (p *packetRelay) run() {
 	buf := make([]byte, relayBufferBytes)
+	retry := link.Retry{Stop: p.stop, OnError: p.onError}
 	for {
 		n, _, err := p.in.ReadFrom(buf)
 		if err != nil {
-			return // the relay was closed
+			if retry.After(err) {
+				continue
+			}
+			return
 		}
+		retry.Reset()
 		delay, passes := p.link.DrawPacket()
 		if !passes || p.pending.Load() >= maxPendingPackets {
 			continue
@@ -63,6 +71,7 @@
 }
 
 func (p *packetRelay) close() {
+	close(p.stop)
 	_ = p.in.Close()
 	p.wait.Wait()
 	_ = p.out.Close()
--- a/internal/lab/testcluster/process_links.go
+++ b/internal/lab/testcluster/process_links.go
@@ -82,7 +82,7 @@
 	if to.controlPlane {
 		return nil
 	}
-	packets, err := newPacketRelay(at, forwardTo, l.linkFor(path, far))
+	packets, err := newPacketRelay(at, forwardTo, l.linkFor(path, far), l.reportError)
 	if err != nil {
 		return errors.Wrapf(err, "no packets can be forwarded at %s", at)
 	}
@@ -92,7 +92,7 @@
 
 // relay starts a relay of connections over the link of a path. It ends with l.
 func (l *Links) relay(path Path, at, to string, far bool) (*relay, error) {
-	r, err := newRelay(at, to, l.linkFor(path, far))
+	r, err := newRelay(at, to, l.linkFor(path, far), l.reportError)
 	if err != nil {
 		return nil, errors.Wrapf(err, "no connections can be forwarded at %s", at)
 	}
--- a/internal/lab/testcluster/relay.go
+++ b/internal/lab/testcluster/relay.go
@@ -31,6 +31,8 @@
 	open      atomic.Int32 // connections
 	nearConns sync.Map     // *link.Conn by the local address of the connection to the far end
 	wait      sync.WaitGroup
+	stop      chan struct{} // closed by close
+	onError   func(error)   // is called with errors of accepting that the relay outlives
 
 	mu                 sync.Mutex
 	closed             bool
@@ -38,27 +40,34 @@
 	picked             map[*link.Link]bool
 }
 
-func newRelay(at, to string, over *link.Link) (*relay, error) {
-	return newPickingRelay(at, to, over, nil)
+func newRelay(at, to string, over *link.Link, onError func(error)) (*relay, error) {
+	return newPickingRelay(at, to, over, nil, onError)
 }
 
 // newPickingRelay returns a relay that forwards each connection over the link that pick returns for its first bytes.
-func newPickingRelay(at, to string, over *link.Link, pick func([]byte) *link.Link) (*relay, error) {
+func newPickingRelay(at, to string, over *link.Link, pick func([]byte) *link.Link, onError func(error)) (*relay, error) {
 	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", at)
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{listener: l, to: to, link: over, pick: pick, awaitingFirstBytes: map[*net.TCPConn]bool{}, picked: map[*link.Link]bool{}}
+	r := &relay{listener: l, to: to, link: over, pick: pick, stop: make(chan struct{}), onError: onError,
+		awaitingFirstBytes: map[*net.TCPConn]bool{}, picked: map[*link.Link]bool{}}
 	r.wait.Go(r.accept)
 	return r, nil
 }
 
+// accept forwards connections until the relay is closed.
 func (r *relay) accept() {
+	retry := link.Retry{Stop: r.stop, OnError: r.onError}
 	for {
 		c, err := r.listener.Accept()
 		if err != nil {
-			return // the relay was closed
+			if retry.After(err) {
+				continue
+			}
+			return
 		}
+		retry.Reset()
 		tcp, ok := c.(*net.TCPConn)
 		if !ok || r.open.Load() >= maxRelayedConns {
 			_ = c.Close()
@@ -166,6 +175,7 @@
 
 // close ends the relay and its connections. Connections of other relays over the same links are reset too.
 func (r *relay) close() {
+	close(r.stop)
 	_ = r.listener.Close()
 	r.link.Reset()
 	r.mu.Lock()
--- a/internal/lab/testcluster/relay_test.go
+++ b/internal/lab/testcluster/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -67,7 +68,7 @@
 // relayTo starts a relay, and returns a connection over it.
 func relayTo(t *testing.T, to string, over *link.Link) net.Conn {
 	t.Helper()
-	r, err := newRelay("127.0.0.1:0", to, over)
+	r, err := newRelay("127.0.0.1:0", to, over, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -155,7 +156,7 @@
 	}
 	defer func() { _ = to.Close() }()
 	over := link.New()
-	p, err := newPacketRelay("127.0.0.1:0", to.LocalAddr().String(), over)
+	p, err := newPacketRelay("127.0.0.1:0", to.LocalAddr().String(), over, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -182,3 +183,98 @@
 		}
 	}
 }
+
+// failingListener is a listener whose first calls of Accept fail.
+type failingListener struct {
+	net.Listener
+	failures int // that are left
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp4", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// TestRelayOutlivesErrors checks that a relay goes on after errors of accepting, as for want of descriptors, and that they are told.
+func TestRelayOutlivesErrors(t *testing.T) {
+	links := NewLinks(0, 0)
+	env, err := New(Options{ListRate: 1, Bounds: SmallScenario(1).Bounds, Links: links})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(env.Close)
+	inner, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: &failingListener{inner, 2}, to: echo(t), link: link.New(), stop: make(chan struct{}), onError: links.reportError}
+	r.wait.Go(r.accept)
+	defer r.close()
+	c, err := new(net.Dialer).DialContext(t.Context(), "tcp4", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if err := c.SetDeadline(time.Now().Add(testWithin)); err != nil {
+		t.Fatal(err)
+	}
+	say(t, c, "one\n")
+	hear(t, c, "one\n")
+	if failures := env.Failures(); len(failures) != 1 || !strings.Contains(failures[0], syscall.EMFILE.Error()) {
+		t.Errorf("failures %q, want one of descriptors", failures)
+	}
+}
+
+// failingPacketConn is a socket whose first calls of ReadFrom fail.
+type failingPacketConn struct {
+	net.PacketConn
+	failures int // that are left
+}
+
+func (c *failingPacketConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	if c.failures > 0 {
+		c.failures--
+		return 0, nil, &net.OpError{Op: "read", Net: "udp4", Err: syscall.ENOBUFS}
+	}
+	return c.PacketConn.ReadFrom(p)
+}
+
+// TestPacketRelayOutlivesErrors checks that a packet relay goes on after errors of receiving, and that they are told.
+func TestPacketRelayOutlivesErrors(t *testing.T) {
+	to, err := new(net.ListenConfig).ListenPacket(t.Context(), "udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = to.Close() }()
+	in, err := new(net.ListenConfig).ListenPacket(t.Context(), "udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := new(net.Dialer).DialContext(t.Context(), "udp4", to.LocalAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var told []error
+	p := &packetRelay{in: &failingPacketConn{in, 2}, out: out, link: link.New(), stop: make(chan struct{}), onError: func(err error) { told = append(told, err) }}
+	p.wait.Go(p.run)
+	from, err := new(net.Dialer).DialContext(t.Context(), "udp4", in.LocalAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = from.Close() }()
+	if err := to.SetReadDeadline(time.Now().Add(testWithin)); err != nil {
+		t.Fatal(err)
+	}
+	say(t, from, "one")
+	buf := make([]byte, 16)
+	if n, _, err := to.ReadFrom(buf); err != nil || string(buf[:n]) != "one" {
+		t.Errorf("%q, %v", buf[:n], err)
+	}
+	p.close()
+	if len(told) != 1 || !errors.Is(told[0], syscall.ENOBUFS) {
+		t.Errorf("told %v, want one error", told)
+	}
+}
--- a/internal/lab/testcluster/report.go
+++ b/internal/lab/testcluster/report.go
@@ -15,19 +15,21 @@
 	Verdicts   []rules.Verdict
 	Died       []string // processes that ended by themselves
 	Killed     []string // processes that SIGTERM did not end in time
+	Failures   []string // of the environment itself
 	ReadError  error    // of the last reading of the configuration
 	Calls      int      // of the platform's list
 	CallsOver  int      // of those, the ones above its rate
 }
 
-// Good reports whether every request got one final answer, no process died, and no violation of a rule was seen.
+// Good reports whether every request got one final answer, no process died, the environment did not fail, and no violation
+// of a rule was seen.
 func (r *Report) Good() bool {
 	for _, v := range r.Verdicts {
 		if v.Violations > 0 {
 			return false
 		}
 	}
-	return r.Stats.Unanswered == 0 && r.Stats.Open == 0 && len(r.Died) == 0 && len(r.Killed) == 0 && r.ReadError == nil
+	return r.Stats.Unanswered == 0 && r.Stats.Open == 0 && len(r.Died) == 0 && len(r.Killed) == 0 && len(r.Failures) == 0 && r.ReadError == nil
 }
 
 // Lines returns the report as lines.
@@ -50,5 +52,8 @@
 	for _, k := range r.Killed {
 		lines = append(lines, "SIGTERM did not end it in time: "+k)
 	}
+	for _, f := range r.Failures {
+		lines = append(lines, "the test environment failed: "+f)
+	}
 	return lines
 }
--- a/internal/lab/testcluster/run.go
+++ b/internal/lab/testcluster/run.go
@@ -95,6 +95,7 @@
 		report.Unanswered = append(report.Unanswered, r.Evidence.Describe(attempt))
 	}
 	report.Verdicts = rules.Check(r.Evidence)
+	report.Failures = r.Failures()
 	report.Calls, report.CallsOver = r.Platform.Calls()
 	return report
 }
--- a/internal/lab/testcluster/server.go
+++ b/internal/lab/testcluster/server.go
@@ -125,17 +125,17 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "stand-in server of %s cannot listen at %s: check that it is free", s.Service, inner)
 	}
-	s.address, s.relay = listener.Addr().String(), nil
 	if s.env.links == nil {
+		s.address, s.relay = listener.Addr().String(), nil
 		return listener, nil
 	}
-	s.relay, err = newPickingRelay(outer, listener.Addr().String(), s.env.links.linkFor(Path{To: s.Address}, false),
-		func(first []byte) *link.Link { return s.env.links.serverLink(s.Address, first) })
+	front, err := newPickingRelay(outer, listener.Addr().String(), s.env.links.linkFor(Path{To: s.Address}, false),
+		func(first []byte) *link.Link { return s.env.links.serverLink(s.Address, first) }, s.env.links.reportError)
 	if err != nil {
 		_ = listener.Close()
 		return nil, errors.Wrapf(err, "no relay in front of a stand-in server of %s at %s: check that it is free", s.Service, outer)
 	}
-	s.address = s.relay.listener.Addr().String()
+	s.address, s.relay = front.listener.Addr().String(), front
 	return listener, nil
 }
 
--- a/internal/lab/testcluster/server_links_test.go
+++ b/internal/lab/testcluster/server_links_test.go
@@ -40,7 +40,7 @@
 	for _, m := range machines {
 		links.recordSender(m.IP, m.IP+":80")
 	}
-	r, err := newPickingRelay("127.0.0.1:0", echo(t), links.linkFor(Path{To: testServer}, false), func(first []byte) *link.Link { return links.serverLink(testServer, first) })
+	r, err := newPickingRelay("127.0.0.1:0", echo(t), links.linkFor(Path{To: testServer}, false), func(first []byte) *link.Link { return links.serverLink(testServer, first) }, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,7 +84,7 @@
 // that end without a byte.
 func TestConnectionsWithoutBytesEnd(t *testing.T) {
 	links := NewLinks(0, 0)
-	r, err := newPickingRelay("127.0.0.1:0", echo(t), links.linkFor(Path{To: testServer}, false), func(first []byte) *link.Link { return links.serverLink(testServer, first) })
+	r, err := newPickingRelay("127.0.0.1:0", echo(t), links.linkFor(Path{To: testServer}, false), func(first []byte) *link.Link { return links.serverLink(testServer, first) }, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/testcluster/server_test.go
+++ b/internal/lab/testcluster/server_test.go
@@ -355,3 +355,29 @@
 	f()
 	return false
 }
+
+// TestServerKeepsItsAddress checks that a server whose relay cannot be started keeps the address at which callers know it, and that a server which
+// stays down after a crash of overload is reported.
+func TestServerKeepsItsAddress(t *testing.T) {
+	spec := ServerSpec{Service: "llm", Engine: quickEngine(), Address: "127.0.4.2:0", HealthPath: "/health", Zone: "north-a", Region: "north", MaxConns: 10}
+	env, err := New(Options{Servers: []ServerSpec{spec}, ListRate: 10, Bounds: SmallScenario(1).Bounds, Links: NewLinks(0, 0)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(env.Close)
+	server := env.Servers[0]
+	known := server.address
+	server.Crash()
+	occupied, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", known)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = occupied.Close() }()
+	if err := server.Start(true); err == nil || server.address != known {
+		t.Errorf("%v: the server is at %s, was at %s", err, server.address, known)
+	}
+	env.startAfterOverload(server)
+	if failures := env.Failures(); len(failures) != 1 || !strings.Contains(failures[0], known) {
+		t.Errorf("failures %q, want one of the server at %s", failures, known)
+	}
+}
