soak: a drained server is not one of a zone that restarts meanwhile

Change: what stops and starts servers claims the process of each; slow links and partitions of a server go on beside a restart of its zone.

Measured: TestDrainClaimsItsServer fails without the change (drain beside a restart of its zone was allowed).

--- a/internal/lab/soak/draw.go
+++ b/internal/lab/soak/draw.go
@@ -69,14 +69,19 @@
 		if fault.Start <= other.Start && other.Start < fault.end() && overlapping(faults, other.Start) >= MaxConcurrentFaults {
 			return false
 		}
-		claims := d.claims(fault)
-		if slices.ContainsFunc(d.claims(other), func(c claim) bool { return slices.Contains(claims, c) }) {
+		if d.haveClaimInCommon(fault, other) {
 			return false
 		}
 	}
 	return true
 }
 
+// haveClaimInCommon reports whether two faults must not overlap.
+func (d *drawer) haveClaimInCommon(a, b Fault) bool {
+	claims := d.claims(a)
+	return slices.ContainsFunc(d.claims(b), func(c claim) bool { return slices.Contains(claims, c) })
+}
+
 // claims returns what a fault needs for itself.
 func (d *drawer) claims(fault Fault) []claim {
 	spec, ok := specOf(fault.Kind)
--- a/internal/lab/soak/fault_evacuation.go
+++ b/internal/lab/soak/fault_evacuation.go
@@ -46,10 +46,10 @@
 	}
 }
 
-func claimEvacuation(_ *drawer, fault Fault) []claim {
-	claims := []claim{zoneServersClaim(fault.Target), "evacuation"}
+func claimEvacuation(d *drawer, fault Fault) []claim {
+	claims := append(d.claimsOfZone(fault.Target), "evacuation")
 	if fault.Other != "" {
-		claims = append(claims, zoneServersClaim(fault.Other))
+		claims = append(claims, d.claimsOfZone(fault.Other)...)
 	}
 	return claims
 }
--- a/internal/lab/soak/fault_servers.go
+++ b/internal/lab/soak/fault_servers.go
@@ -28,10 +28,24 @@
 	fault.Length = d.scenario.Bounds.Drain + drainMargin + down + warmUpOf(d.scenario) + warmUpMargin
 }
 
-func zoneServersClaim(zone string) claim { return claim("servers of " + zone) }
+// serverProcessClaim is the claim of what stops and starts a server. Partitions and slow links of the server go on beside it.
+func serverProcessClaim(address string) claim { return claim("process of server " + address) }
 
-func claimZoneServers(_ *drawer, fault Fault) []claim {
-	return []claim{zoneServersClaim(fault.Target)}
+// claimsOfZone returns the claims of what stops and starts all servers of a zone.
+func (d *drawer) claimsOfZone(zone string) []claim {
+	claims := []claim{claim("servers of " + zone)}
+	for _, server := range d.scenario.Servers {
+		if server.Zone == zone {
+			claims = append(claims, serverProcessClaim(server.Address))
+		}
+	}
+	return claims
+}
+
+func claimZoneServers(d *drawer, fault Fault) []claim { return d.claimsOfZone(fault.Target) }
+
+func claimDrain(_ *drawer, fault Fault) []claim {
+	return []claim{serverClaim(fault.Target), serverProcessClaim(fault.Target)}
 }
 
 // restartZoneServers restarts the servers of the target zone.
--- a/internal/lab/soak/kind.go
+++ b/internal/lab/soak/kind.go
@@ -75,7 +75,7 @@
 	{EvacuateZone, 6, (*drawer).drawEvacuation, (*drawer).drawHomeZone, claimEvacuation, (*player).evacuateZone},
 	{RestartZoneDuringEvacuation, 8, (*drawer).drawRestartDuringEvacuation, nil, claimEvacuation, (*player).evacuateZone},
 	{EndEvacuationAlone, 8, (*drawer).drawEndEvacuationAlone, nil, claimEvacuation, (*player).evacuateZone},
-	{DrainServer, 3, (*drawer).drawDrain, (*drawer).drawServer, claimServer, (*player).drainServer},
+	{DrainServer, 3, (*drawer).drawDrain, (*drawer).drawServer, claimDrain, (*player).drainServer},
 }
 
 // specOf returns the specification of a kind; ok is false if there is no such kind.
--- a/internal/lab/soak/plan_test.go
+++ b/internal/lab/soak/plan_test.go
@@ -206,3 +206,40 @@
 		t.Errorf("%q, want %q", got, want)
 	}
 }
+
+// TestDrainClaimsItsServer checks that a server which is drained, stopped and started is not one of a zone whose servers stop and start meanwhile,
+// while its links may be slow or partitioned.
+func TestDrainClaimsItsServer(t *testing.T) {
+	drawing := &drawer{scenario: NewScenario(1)}
+	server := drawing.scenario.Servers[0]
+	drain := Fault{Kind: DrainServer, Target: server.Address}
+	for _, c := range []struct {
+		other    Fault
+		excluded bool
+	}{
+		{Fault{Kind: RestartZone, Target: server.Zone}, true},
+		{Fault{Kind: RestartZone, Target: otherZone(drawing.scenario, server.Zone)}, false},
+		{Fault{Kind: EvacuateZone, Target: server.Zone}, true},
+		{Fault{Kind: EndEvacuationAlone, Target: otherZone(drawing.scenario, server.Zone), Other: server.Zone}, true},
+		{Fault{Kind: DrainServer, Target: server.Address}, true},
+		{Fault{Kind: DrainServer, Target: drawing.scenario.Servers[1].Address}, false},
+		{Fault{Kind: PartitionServer, Target: server.Address}, true},
+	} {
+		if got := drawing.haveClaimInCommon(drain, c.other); got != c.excluded {
+			t.Errorf("%v beside %v: excluded %v, want %v", drain, c.other, got, c.excluded)
+		}
+	}
+	if drawing.haveClaimInCommon(Fault{Kind: SlowServer, Target: server.Address}, Fault{Kind: RestartZone, Target: server.Zone}) {
+		t.Error("links of a server may not be slow while its zone restarts")
+	}
+}
+
+// otherZone returns a zone with servers that is not the given one.
+func otherZone(scenario *testcluster.Scenario, zone string) string {
+	for _, s := range scenario.Servers {
+		if s.Zone != zone {
+			return s.Zone
+		}
+	}
+	return ""
+}
