--- a/internal/lab/registrysteps.go
+++ b/internal/lab/registrysteps.go
@@ -118,13 +118,13 @@
 	case plan.Stop, plan.Cont, plan.Disk:
 		return node.applyFault(step)
 	case plan.Tear:
-		return clock.Now(), truncateStore(filepath.Join(node.folder, "data", "raft"), step.Mode)
+		return endOf(truncateStore(filepath.Join(node.folder, "data", "raft"), step.Mode))
 	case plan.Link, plan.Reset, plan.Forget:
 		return ks.applyLinkFault(node, step)
 	case plan.Backup, plan.Restore:
-		return clock.Now(), ks.backupOrRestore(ctx, step.Do == plan.Backup)
+		return endOf(ks.backupOrRestore(ctx, step.Do == plan.Backup))
 	case plan.Start:
-		return clock.Now(), ks.start(node)
+		return endOf(ks.start(node))
 	}
 	return node.end(step.Do == plan.Term)
 }
--- a/internal/lab/stepactions.go
+++ b/internal/lab/stepactions.go
@@ -59,7 +59,7 @@
 	target := f.sidecars[step.Sidecar]
 	target.mu.Lock()
 	defer target.mu.Unlock()
-	return clock.Now(), target.process.SetDiskFault(step.Mode)
+	return endOf(target.process.SetDiskFault(step.Mode))
 }
 
 // updateList has the list learn a server's state. A server that is gone has no start.
@@ -71,7 +71,7 @@
 	if step.State == string(list.Deleted) {
 		entry.BootMS = 0
 	}
-	return clock.Now(), f.list.addEntry(entry)
+	return endOf(f.list.addEntry(entry))
 }
 
 // addSuccessor starts a server that takes the place of another one, and tells its process the state of its links.
--- a/internal/lab/steps.go
+++ b/internal/lab/steps.go
@@ -48,6 +48,9 @@
 // waitUntil waits until a time, in ns of the lab's clock. It reports false where ctx was done before.
 func waitUntil(ctx context.Context, at int64) bool { return clock.Sleep(ctx, clock.Until(at)) }
 
+// endOf returns when what a step does was over, in ns of the lab's clock, and the step's error. Its argument is evaluated first.
+func endOf(err error) (at int64, _ error) { return clock.Now(), err }
+
 // stepRunner runs steps. Those that take a while run in goroutines of their own, so that the next one is not late.
 type stepRunner struct {
 	fleet     *Fleet
