--- a/internal/lab/plan/faultkinds.go
+++ b/internal/lab/plan/faultkinds.go
@@ -111,6 +111,7 @@
 	on    []Target   // what it may act on; the first is the default
 	lasts bool       // whether it has a duration, Fault.For
 	size  [2]float64 // range of Fault.Size; zero: it has no size
+	whole bool       // it acts on its target as a whole: part, count and names choose nothing
 	keys  []string   // further keys of the file that it may have, besides do, at, for, on, zone, part, count and names
 }
 
@@ -146,8 +147,8 @@
 	FaultDiskReadOnly: {on: sidecarTargets, lasts: true},
 	FaultTornLog:      {on: nodeTargets},
 	FaultTornSnapshot: {on: nodeTargets},
-	FaultBackup:       {on: nodeTargets},
-	FaultRestore:      {on: nodeTargets},
+	FaultBackup:       {on: nodeTargets, whole: true},
+	FaultRestore:      {on: nodeTargets, whole: true},
 
 	FaultSlow:        {on: serverTargets, lasts: true, size: [2]float64{1, 1000}},
 	FaultHang:        {on: serverTargets, lasts: true},
--- a/internal/lab/plan/plan_test.go
+++ b/internal/lab/plan/plan_test.go
@@ -48,6 +48,8 @@
 		{head + "[[fault]]\ndo = \"clock\"\non = \"sidecars\"\nat = 2\nsize = 1\n", 7, "takes no clock"},
 		{head + "[[fault]]\ndo = \"partition\"\nat = 2\nfor = 1\nfrom = \"attic\"\n", 9, "no zone"},
 		{head + "[[fault]]\ndo = \"kill\"\nat = 2\npart = 0.5\ncount = 1\n", 8, "only one of"},
+		{head + "[keepers]\ncount = 3\n[[fault]]\ndo = \"backup\"\nat = 2\nnames = [\"k1\"]\n", 7, "choose nothing"},
+		{head + "[keepers]\ncount = 3\n[[fault]]\ndo = \"restore\"\nat = 2\ncount = 1\n", 7, "restore acts on all keepers"},
 		{head + "[[bar]]\nfigure = \"joy\"\nleast = 1\n", 6, "unknown figure"},
 		{head + "[[bar]]\nfigure = \"served\"\n", 6, "neither least nor most"},
 	} {
@@ -231,3 +233,15 @@
 		}
 	})
 }
+
+// TestFirstWrongKey checks that of several keys that a kind of fault does not have, always the same one is reported.
+func TestFirstWrongKey(t *testing.T) {
+	const attempts = 64 // a choice at random would report the same one of three each time once in 3^63
+	for range attempts {
+		_, err := Parse("lab/x.toml", []byte(head+"[[fault]]\ndo = \"kill\"\nat = 2\ndrain = 1\nsize = 3\nevery = 2\n"))
+		var bad *Error
+		if !errors.As(err, &bad) || bad.What != "kill has no size" {
+			t.Fatalf("%v, want that kill has no size", err)
+		}
+	}
+}
--- a/internal/lab/plan/validatefault.go
+++ b/internal/lab/plan/validatefault.go
@@ -54,7 +54,7 @@
 }
 
 // checkFaultChoice rejects a choice of targets by more than one key.
-func (f *File) checkFaultChoice(index int, fault *Fault, _ faultSpec) *Error {
+func (f *File) checkFaultChoice(index int, fault *Fault, spec faultSpec) *Error {
 	byPart, byCount, byName := fault.Part > 0, fault.Count > 0, len(fault.Names) > 0
 	countAndNames := byCount && byName && fault.Do != FaultFalseReports // a lie has names of clients, not of its targets
 	switch {
@@ -64,6 +64,8 @@
 		return f.errorAt("fault", index, "part", "only one of part, count and names can be given")
 	case fault.Count < 0:
 		return f.errorAt("fault", index, "count", "count %d is below 0", fault.Count)
+	case spec.whole && fault.chooses():
+		return f.errorAt("fault", index, "part", "%s acts on all keepers: part, count and names choose nothing", fault.Do)
 	}
 	return nil
 }
@@ -171,12 +173,24 @@
 	return nil
 }
 
-// checkFaultKeys rejects keys that a kind of fault does not have.
+// checkFaultKeys rejects keys that a kind of fault does not have. Of several, the first by the order below is reported.
 func (f *File) checkFaultKeys(index int, fault *Fault, spec faultSpec) *Error {
-	for key, given := range map[string]bool{"restart": fault.Restart != nil, "size": fault.Size != 0, "every": fault.Every != 0, "from": fault.From != "",
-		"way": fault.Way != "", "jitter": fault.Jitter != 0, "batch": fault.Batch != 0, "drain": fault.Drain != 0, "through": fault.Through != 0} {
-		if given && !spec.hasKey(key) {
-			return f.errorAt("fault", index, key, "%s has no %s", fault.Do, key)
+	for _, key := range []struct {
+		name  string
+		given bool
+	}{
+		{"restart", fault.Restart != nil},
+		{"size", fault.Size != 0},
+		{"every", fault.Every != 0},
+		{"from", fault.From != ""},
+		{"way", fault.Way != ""},
+		{"jitter", fault.Jitter != 0},
+		{"batch", fault.Batch != 0},
+		{"drain", fault.Drain != 0},
+		{"through", fault.Through != 0},
+	} {
+		if key.given && !spec.hasKey(key.name) {
+			return f.errorAt("fault", index, key.name, "%s has no %s", fault.Do, key.name)
 		}
 	}
 	return nil
