--- a/internal/lab/testcluster/process_faults.go
+++ b/internal/lab/testcluster/process_faults.go
@@ -16,13 +16,18 @@
 
 // KillControlPlane kills a machine's control-plane node and waits for its end.
 func (r *Run) KillControlPlane(m Machine) error {
-	r.Evidence.RecordFault(rules.Fault{ControlPlane: true, Kind: faultKill, At: r.Now()})
+	r.Evidence.RecordFault(controlPlaneFault(m, faultKill, r.Now()))
 	return signalAndWait(r.Fleet.ControlPlaneProcess(m), syscall.SIGKILL, nil)
 }
 
+// controlPlaneFault returns a fault of a machine's control-plane node that does not last. That of an observer does not count as one of a voter.
+func controlPlaneFault(m Machine, kind rules.FaultKind, at time.Duration) rules.Fault {
+	return rules.Fault{ControlPlane: m.HasDisk, Kind: kind, At: at}
+}
+
 // StartControlPlane starts a machine's control-plane node again, with its disk.
 func (r *Run) StartControlPlane(m Machine) error {
-	r.Evidence.RecordFault(rules.Fault{ControlPlane: true, Kind: rules.Start, At: r.Now()})
+	r.Evidence.RecordFault(controlPlaneFault(m, rules.Start, r.Now()))
 	return r.Fleet.StartControlPlane(m, false)
 }
 
