members: an error of listening does not end joining, and what a push-pull leaves out is counted

Need: ROADMAP "Found by reading", 7: after a start beside another process, an error of listening other than "in use" ended joining for good, which only one log line showed; states beyond the bound of a push-pull were left out uncounted.

Two metrics besides, in docs/oncall.md.

Measured: TestListeningOutlivesErrors (one attempt before) and TestPackCountsWhatItLeavesOut.

--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -93,5 +93,6 @@
 		n := s.host.members.Counts()
 		fmt.Fprintf(text, "svc.members_packets_sent:%d|c\nsvc.members_bytes_sent:%d|c\nsvc.members_bytes_received:%d|c\n", n.PacketsSent, n.BytesSent, n.BytesReceived)
 		fmt.Fprintf(text, "svc.members_news:%d|c\nsvc.members_news_old:%d|c\nsvc.members_news_bad:%d|c\n", n.Updates, n.Expired, n.Malformed+n.NonMembers)
+		fmt.Fprintf(text, "svc.members_listen_errors:%d|c\nsvc.members_left_out:%d|c\n", n.ListenErrors, n.LeftOut)
 	}
 }
--- a/internal/sidecar/members/compat_test.go
+++ b/internal/sidecar/members/compat_test.go
@@ -14,7 +14,7 @@
 	for name, v := range map[string]struct {
 		got  []byte
 		want string
-	}{"news": {update.encode(), "0103000004d20102030405060708ac02dc0b026e3700046e657773"}, "claim": {ownClaim.encode(), "02000000050a0b0c0d"}, "pack": {pack([][]byte{ownClaim.encode(), []byte("x")}), "000902000000050a0b0c0d000178"}} {
+	}{"news": {update.encode(), "0103000004d20102030405060708ac02dc0b026e3700046e657773"}, "claim": {ownClaim.encode(), "02000000050a0b0c0d"}, "pack": {packed(ownClaim.encode(), []byte("x")), "000902000000050a0b0c0d000178"}} {
 		if got := hex.EncodeToString(v.got); got != v.want {
 			t.Errorf("%s: %s, want %s", name, got, v.want)
 		}
--- a/internal/sidecar/members/delegate.go
+++ b/internal/sidecar/members/delegate.go
@@ -40,7 +40,9 @@
 			frames = append(frames, f.encode())
 		}
 	}
-	return pack(frames)
+	packed, leftOut := pack(frames)
+	m.counts.LeftOut += int64(leftOut)
+	return packed
 }
 
 // MergeRemoteState merges what LocalState of a peer returned. While this member joins it forwards nothing: what is new to it is known to
--- a/internal/sidecar/members/frame.go
+++ b/internal/sidecar/members/frame.go
@@ -140,15 +140,14 @@
 }
 
 // pack concatenates frames, each after its length of 2 bytes. It ends before the frame that would exceed maxStateBytes.
-func pack(frames [][]byte) []byte {
-	var b []byte
-	for _, f := range frames {
-		if len(b)+2+len(f) > maxStateBytes {
-			break
+func pack(frames [][]byte) (packed []byte, leftOut int) {
+	for i, f := range frames {
+		if len(packed)+2+len(f) > maxStateBytes {
+			return packed, len(frames) - i
 		}
-		b = append(binary.BigEndian.AppendUint16(b, uint16(len(f))), f...)
+		packed = append(binary.BigEndian.AppendUint16(packed, uint16(len(f))), f...)
 	}
-	return b
+	return packed, 0
 }
 
 // unpack calls each for the frames that pack concatenated. It stops with errMalformed at a frame that is cut off.
--- a/internal/sidecar/members/join.go
+++ b/internal/sidecar/members/join.go
@@ -23,16 +23,9 @@
 	retry.InitialInterval, retry.RandomizationFactor = minRetryDelay, retryRandomization
 	for {
 		if !isListening {
-			err := m.listen()
-			if err != nil && !errors.Is(err, errInUse) {
-				m.options.Log.Error("members", "err", err)
-				return
-			}
-			if err == nil {
-				isListening = true
+			if isListening = m.tryListen(retry); isListening {
 				retry.Reset()
 			}
-			retry.MaxInterval = maxListenRetryDelay
 		}
 		var woken <-chan struct{}
 		var due <-chan time.Time
@@ -50,6 +43,22 @@
 	}
 }
 
+// tryListen listens once more, and reports whether the member listens now. It sets the longest delay before the next attempt: an address in use is
+// free again soon, and other errors, such as a want of descriptors or an interface that is down, are counted and may last.
+func (m *Members) tryListen(retry *backoff.ExponentialBackOff) bool {
+	err := m.listen()
+	retry.MaxInterval = maxListenRetryDelay
+	if err == nil || errors.Is(err, errInUse) {
+		return err == nil
+	}
+	retry.MaxInterval = maxRetryDelay
+	m.options.Log.Error("members", "err", err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts.ListenErrors++
+	return false
+}
+
 // joinMissing joins members that are missing. It returns channels of which either says that this is to be tried again; nil: never.
 func (m *Members) joinMissing(retry *backoff.ExponentialBackOff) (woken <-chan struct{}, due <-chan time.Time) {
 	retry.MaxInterval = max(maxRetryDelay, retryDelayPerMember*time.Duration(m.count()))
--- a/internal/sidecar/members/members.go
+++ b/internal/sidecar/members/members.go
@@ -66,6 +66,9 @@
 	Queued      int   // frames that wait to be gossiped
 	Joins       int64 // attempts to join through other members
 	JoinsFailed int64 // those that reached none
+
+	ListenErrors int64 // attempts to listen that failed, though the address was not in use
+	LeftOut      int64 // states and claims that were left out of push-pulls for want of room, which exchanges bring
 }
 
 const (
@@ -161,7 +164,7 @@
 
 // Start has the member listen and join the others until Close. Once ctx is done it calls neither OnUpdate nor OnView any more, and takes
 // no part in exchanges. Where the address is in use, as by the earlier process of an upgrade, Start returns nil and the member tries
-// again until it is free; other errors of listening are returned.
+// again until it listens, whatever error comes then; other errors of this first attempt are returned.
 func (m *Members) Start(ctx context.Context) error {
 	m.ctx, m.cancel = context.WithCancel(ctx)
 	err := m.listen()
--- a/internal/sidecar/members/members_test.go
+++ b/internal/sidecar/members/members_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"go.uber.org/goleak"
+
+	"gradeusher.example/gradeusher/internal/testsupport/bubble"
 )
 
 func TestMain(m *testing.M) {
@@ -319,3 +321,57 @@
 		}
 	}
 }
+
+// packed returns the frames as pack concatenates them.
+func packed(frames ...[]byte) []byte {
+	b, _ := pack(frames)
+	return b
+}
+
+// TestPackCountsWhatItLeavesOut checks the bound of a push-pull, and that what is beyond it is counted.
+func TestPackCountsWhatItLeavesOut(t *testing.T) {
+	frame := make([]byte, MaxPayloadBytes)
+	fit := maxStateBytes / (2 + len(frame))
+	for _, beyond := range []int{0, 1, 7} {
+		b, leftOut := pack(slices.Repeat([][]byte{frame}, fit+beyond))
+		if len(b) != fit*(2+len(frame)) || leftOut != beyond {
+			t.Errorf("%d frames: %d bytes, %d left out, want %d", fit+beyond, len(b), leftOut, beyond)
+		}
+	}
+	member, err := New(Options{Name: "n1", Listen: "127.0.0.1:0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range fit + maxStateBytes/headerBytes {
+		f := member.encodedState(fmt.Sprint("m", i))
+		member.states.merge(f, member.clock())
+	}
+	if b := member.LocalState(false); len(b) > maxStateBytes || member.Counts().LeftOut == 0 {
+		t.Errorf("%d bytes, %d left out", len(b), member.Counts().LeftOut)
+	}
+}
+
+// encodedState returns a small state of another member, published now.
+func (m *Members) encodedState(name string) frame {
+	return frame{name: name, start: 1, seq: 1, publishedAt: m.clock(), payload: []byte("x")}
+}
+
+// TestListeningOutlivesErrors checks that a member goes on trying to listen after an error that is none of an address in use, and counts it.
+func TestListeningOutlivesErrors(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		const noAddressOfThisMachine = "192.0.2.1:0" // TEST-NET-1, RFC 5737: listening there fails at once
+		member, err := New(Options{Name: "n1", Listen: noAddressOfThisMachine})
+		if err != nil {
+			t.Fatal(err)
+		}
+		member.ctx, member.cancel = context.WithCancel(t.Context())
+		member.goroutines.Add(1)
+		go member.runJoin(false)
+		time.Sleep(10 * maxRetryDelay)
+		if n := member.Counts().ListenErrors; n < 10 || n > 40 {
+			t.Errorf("%d attempts in %v, want one each %v at least, and few", n, 10*maxRetryDelay, maxRetryDelay)
+		}
+		member.cancel()
+		member.goroutines.Wait()
+	})
+}
--- a/internal/sidecar/members/model_test.go
+++ b/internal/sidecar/members/model_test.go
@@ -198,7 +198,7 @@
 	f.Add(seed.encode())
 	f.Add(claim{7, 9}.encode())
 	f.Add(process{"a", 5}.encodeFarewell())
-	f.Add(pack([][]byte{seed.encode(), claim{7, 9}.encode()}))
+	f.Add(packed(seed.encode(), claim{7, 9}.encode()))
 	if old := withAge(seed.encode(), 2*time.Second); len(old) != len(seed.encode()) {
 		f.Fatal("an age changes the length")
 	}
