--- a/internal/sidecar/wire/reader.go
+++ b/internal/sidecar/wire/reader.go
@@ -28,6 +28,12 @@
 	"gradeusher.example/gradeusher/balance"
 )
 
+// maxLineBytes bounds a line. The longest one defines a list of servers, of about 50 bytes each.
+const maxLineBytes = 16 << 20
+
+// errLineTooLong is the error of a line of more than maxLineBytes.
+var errLineTooLong = fmt.Errorf("the line has more than %d bytes", maxLineBytes)
+
 // Reader decodes events. It is not safe for concurrent use.
 type Reader struct {
 	in       *bufio.Reader
@@ -77,6 +83,9 @@
 		for errors.Is(err, bufio.ErrBufferFull) {
 			line, err = r.in.ReadSlice('\n')
 			r.longLine = append(r.longLine, line...)
+			if len(r.longLine) > maxLineBytes {
+				return nil, errLineTooLong
+			}
 		}
 		line = r.longLine
 	}
--- a/internal/sidecar/wire/wire_test.go
+++ b/internal/sidecar/wire/wire_test.go
@@ -136,3 +136,16 @@
 		}
 	})
 }
+
+// TestLineBound checks that a line may be as long as its bound, and that a longer one is an error and not read to its end.
+func TestLineBound(t *testing.T) {
+	for _, test := range []struct {
+		bytes int
+		err   error
+	}{{maxLineBytes, io.EOF}, {3 * maxLineBytes, errLineTooLong}} {
+		line := "PEER_DATA\t" + strings.Repeat("x", test.bytes-len("PEER_DATA\t")-1) + "\n"
+		if _, err := NewReader(strings.NewReader(line)).Next(); !errors.Is(err, test.err) {
+			t.Errorf("a line of %d bytes: %v, want %v", len(line), err, test.err)
+		}
+	}
+}
