soak: skipped evacuations and answers that are no status are seen

TestWatchCountsViolations expected such an answer to pass unseen: its row now expects the failure, all else in it stands.

Measured: TestSkippedEvacuation and TestUnreadableStatus fail without the change.

--- a/internal/lab/soak/fault_evacuation.go
+++ b/internal/lab/soak/fault_evacuation.go
@@ -55,8 +55,8 @@
 }
 
 // evacuateZone evacuates a zone and ends the evacuation, after the zone's servers have begun to warm up. Meanwhile the servers of the other
-// zone of the region may restart and warm up, or still be down at the end, as the kind says. It does nothing while an earlier evacuation, which
-// an answer has delayed, has not ended.
+// zone of the region may restart and warm up, or still be down at the end, as the kind says. While an earlier evacuation, which an answer has
+// delayed, has not ended, it does nothing, and the fault counts as skipped.
 func (p *player) evacuateZone(ctx context.Context, fault Fault) error {
 	began, zone := time.Now(), fault.Target
 	if fault.Other != "" {
@@ -66,6 +66,7 @@
 	case p.evacuating <- struct{}{}:
 		defer func() { <-p.evacuating }()
 	default:
+		p.skipFault()
 		return nil
 	}
 	acknowledged, err := p.startEvacuation(ctx, zone)
@@ -89,6 +90,13 @@
 	return errors.Join(err, p.startZone(ctx, fault.Target))
 }
 
+// skipFault counts a fault that had nothing to do.
+func (p *player) skipFault() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.skippedFaults++
+}
+
 // startEvacuation starts the evacuation of a zone, which is pending from then on. Without a clear answer in time it is not acknowledged, but
 // may be in force. It fails if the evacuation is refused.
 func (p *player) startEvacuation(ctx context.Context, zone string) (acknowledged bool, err error) {
--- a/internal/lab/soak/monitor.go
+++ b/internal/lab/soak/monitor.go
@@ -29,8 +29,9 @@
 	client admin.Client
 
 	mu      sync.Mutex
-	highest map[string]int64 // by invariant and process
-	polls   int              // statuses that were read
+	highest map[string]int64  // by invariant and process
+	polls   int               // statuses that were read
+	unread  map[string]string // by process, the first answer that is no status: why
 }
 
 // run polls all processes at an interval until ctx ends.
@@ -49,14 +50,24 @@
 	all.Wait()
 }
 
-// poll reads the status of one process. It does nothing if the process does not answer.
+// errNotAStatus marks an answer that came whole and is no status.
+var errNotAStatus = errors.New("the answer is no status")
+
+// poll reads the status of one process. It does nothing if the process does not answer, as it is down, paused or partitioned. An answer that is no
+// status is kept as a failure: the invariants of that process would be unseen for the whole run.
 func (m *invariantMonitor) poll(ctx context.Context, name, address string) {
 	counts, err := fetchViolations(ctx, address)
-	if err != nil {
-		return // the process is down, paused or partitioned
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if errors.Is(err, errNotAStatus) && m.unread[name] == "" {
+		if m.unread == nil {
+			m.unread = map[string]string{}
+		}
+		m.unread[name] = err.Error()
+	}
+	if err != nil {
+		return
+	}
 	m.polls++
 	if m.highest == nil {
 		m.highest = map[string]int64{}
@@ -67,10 +78,13 @@
 	}
 }
 
-// lines returns the invariants that were violated, as lines.
+// lines returns the invariants that were violated, and the processes whose status was none, as lines.
 func (m *invariantMonitor) lines() (all []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(m.unread)) {
+		all = append(all, statusUnreadable.line(name+": "+m.unread[name]))
+	}
 	for _, key := range slices.Sorted(maps.Keys(m.highest)) {
 		if m.highest[key] > 0 {
 			all = append(all, invariantViolated.line(fmt.Sprintf("%s, %d times", key, m.highest[key])))
@@ -107,9 +121,15 @@
 		return nil, err
 	}
 	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxStatusBytes))
+	if err != nil {
+		return nil, err
+	}
 	var status struct {
 		Violations map[string]int64 `json:"violations"`
 	}
-	err = json.NewDecoder(io.LimitReader(answer.Body, maxStatusBytes)).Decode(&status)
-	return status.Violations, err
+	if err := json.Unmarshal(text, &status); err != nil || answer.StatusCode != http.StatusOK {
+		return nil, errors.Mark(errors.Newf("status %d, %d bytes: %v", answer.StatusCode, len(text), err), errNotAStatus)
+	}
+	return status.Violations, nil
 }
--- a/internal/lab/soak/monitor_test.go
+++ b/internal/lab/soak/monitor_test.go
@@ -31,7 +31,7 @@
 		{`{"violations":{"warm too early":3,"more than the pace":1}}`, []string{"VIOLATION: more than the pace at proxy-a, 1 times",
 			"VIOLATION: warm too early at proxy-a, 3 times"}},
 		{`{"version":1}`, []string{"VIOLATION: more than the pace at proxy-a, 1 times", "VIOLATION: warm too early at proxy-a, 3 times"}},
-		{`not JSON`, []string{"VIOLATION: more than the pace at proxy-a, 1 times", "VIOLATION: warm too early at proxy-a, 3 times"}},
+		{`not JSON`, []string{"STATUS: proxy-a: status 200, 8 bytes: invalid character 'o' in literal null (expecting 'u')", "VIOLATION: more than the pace at proxy-a, 1 times", "VIOLATION: warm too early at proxy-a, 3 times"}},
 	} {
 		answer = test.answer
 		w.pollAll(t.Context(), addresses)
--- a/internal/lab/soak/result.go
+++ b/internal/lab/soak/result.go
@@ -14,8 +14,9 @@
 	Seed                uint64   `json:"seed"`
 	Seconds             float64  `json:"seconds"`
 	DelayMS             float64  `json:"delay_ms"` // between regions, in each direction
-	Faults              int      `json:"troubles"`
-	MaxConcurrent       int      `json:"at_once"` // most faults that were under way at one time
+	Faults              int      `json:"troubles"` // of the plan, that were injected
+	SkippedFaults       int      `json:"skipped"`  // of the plan, that had nothing to do; see evacuateZone
+	MaxConcurrent       int      `json:"at_once"`  // most faults that were under way at one time
 	Requests            int      `json:"requests"`
 	Served              int      `json:"served"`
 	Refused             int      `json:"refused"`
@@ -46,6 +47,7 @@
 	invariantViolated failureKind = "VIOLATION" // as a process itself counted
 	processDied       failureKind = "DIED"      // by itself
 	processKilled     failureKind = "STOP"      // as SIGTERM did not end it
+	statusUnreadable  failureKind = "STATUS"    // of a process, which answered with something else
 	environmentFailed failureKind = "LAB"       // the test environment itself
 	readFailed        failureKind = "READ"      // of the configuration, at the end
 )
@@ -76,7 +78,8 @@
 		Seed:                p.plan.Seed,
 		Seconds:             p.plan.For.Seconds(),
 		DelayMS:             float64(p.plan.Delay) / float64(time.Millisecond),
-		Faults:              len(p.plan.Faults),
+		Faults:              len(p.plan.Faults) - p.skippedFaults,
+		SkippedFaults:       p.skippedFaults,
 		MaxConcurrent:       p.plan.MaxConcurrent(),
 		Requests:            stats.Requests,
 		Served:              stats.Served,
--- a/internal/lab/soak/result_test.go
+++ b/internal/lab/soak/result_test.go
@@ -117,3 +117,48 @@
 	}
 	return all
 }
+
+// TestSkippedEvacuation checks that an evacuation which finds another one under way is not counted as injected.
+func TestSkippedEvacuation(t *testing.T) {
+	p := judged()
+	p.evacuating = make(chan struct{}, 1)
+	p.evacuating <- struct{}{}
+	p.plan.Faults = []Fault{{Kind: EvacuateZone, Target: homeZones[0]}}
+	if err := p.inject(t.Context(), p.plan.Faults[0]); err != nil {
+		t.Fatal(err)
+	}
+	if r := p.evaluate(&testcluster.Report{}); r.Faults != 0 || r.SkippedFaults != 1 {
+		t.Errorf("%d injected, %d skipped", r.Faults, r.SkippedFaults)
+	}
+}
+
+// TestUnreadableStatus checks that an answer which is no status is a failure, while no answer is none.
+func TestUnreadableStatus(t *testing.T) {
+	answer := ""
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if answer == "cut" {
+			w.Header().Set("Content-Length", "100")
+		}
+		if _, err := w.Write([]byte(answer)); err != nil {
+			t.Error(err)
+		}
+	}))
+	defer server.Close()
+	for _, test := range []struct {
+		answer string
+		broken int
+	}{{`{"violations":{"pace":0}}`, 0}, {"not found", 1}, {`{"violations":[]}`, 1}, {"cut", 0}} {
+		answer = test.answer
+		p := judged()
+		p.monitor.poll(t.Context(), "proxy-1", server.Listener.Addr().String())
+		if r := p.evaluate(&testcluster.Report{}); len(r.Broken) != test.broken || test.broken > 0 && !strings.HasPrefix(r.Broken[0], "STATUS: proxy-1: ") {
+			t.Errorf("%q: %q", test.answer, r.Broken)
+		}
+	}
+	server.Close()
+	p := judged()
+	p.monitor.poll(t.Context(), "proxy-1", server.Listener.Addr().String())
+	if r := p.evaluate(&testcluster.Report{}); !r.Passed() {
+		t.Errorf("a process that does not answer: %q", r.Broken)
+	}
+}
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -53,6 +53,7 @@
 	broken              []string        // as in Result; never nil
 	pendingEvacuations  map[string]bool // zones whose evacuation was started, and not clearly ended
 	acknowledgedChanges int             // of the configuration
+	skippedFaults       int             // that had nothing to do
 }
 
 // Play plays a plan against real processes and judges it. It fails if the run cannot be started, or if ctx ends before the run is over.
