replication: Node.Submit returns the finished verdict

Need: four callers (cmd/controlplane and the tests of operatorapi, restore and compat) each put the committed record into the verdict.

Change: Submit returns controlstate.Verdict with its Seq; SubmitResult and the four adapters end.

The tests of Submit now also check that the verdict names a record.

--- a/cmd/controlplane/control_chain.go
+++ b/cmd/controlplane/control_chain.go
@@ -1,9 +1,6 @@
 package main
 
 import (
-	"context"
-
-	"gradeusher.example/gradeusher/internal/system/controlstate"
 	"gradeusher.example/gradeusher/internal/system/distribution"
 	"gradeusher.example/gradeusher/internal/system/replication"
 )
@@ -13,14 +10,6 @@
 	*replication.Node
 }
 
-// Submit implements operatorapi.Chain.
-func (c *controlChain) Submit(ctx context.Context, change controlstate.Change) (controlstate.Verdict, error) {
-	answer, err := c.Node.Submit(ctx, change)
-	verdict := answer.Verdict
-	verdict.Seq = answer.Seq
-	return verdict, err
-}
-
 // ServerLocations returns the voters of the view, those of the chain first and in its order.
 func (c *controlChain) ServerLocations() []distribution.ServerLocation {
 	view := c.View()
--- a/internal/compat/controlplanedata_test.go
+++ b/internal/compat/controlplanedata_test.go
@@ -46,15 +46,6 @@
 
 func (nowhere) RoundTrip(*http.Request) (*http.Response, error) { return nil, os.ErrDeadlineExceeded }
 
-// submitter is the chain as the operator's API knows it.
-type submitter struct{ *replication.Node }
-
-func (s submitter) Submit(ctx context.Context, c controlstate.Change) (controlstate.Verdict, error) {
-	a, err := s.Node.Submit(ctx, c)
-	a.Verdict.Seq = a.Seq
-	return a.Verdict, err
-}
-
 // node is a control-plane node by itself with the operator's API.
 type node struct {
 	t       *testing.T
@@ -76,7 +67,7 @@
 		t.Fatal(err)
 	}
 	current := func() *controlstate.State { s, _ := k.Committed(); return s }
-	h := operatorapi.Handler(operatorapi.Options{Chain: submitter{k}, Log: quiet, CommittedState: current, Backup: admin.BackupHandler(k.Read)})
+	h := operatorapi.Handler(operatorapi.Options{Chain: k, Log: quiet, CommittedState: current, Backup: admin.BackupHandler(k.Read)})
 	return &node{t: t, replica: k, log: disk, call: h}
 }
 
--- a/internal/system/admin/restore/restore_test.go
+++ b/internal/system/admin/restore/restore_test.go
@@ -43,15 +43,6 @@
 	return s
 }
 
-// submitter fits a node to the operator's API, as cmd/controlplane does.
-type submitter struct{ *replication.Node }
-
-func (s submitter) Submit(ctx context.Context, c controlstate.Change) (controlstate.Verdict, error) {
-	a, err := s.Node.Submit(ctx, c)
-	a.Verdict.Seq = a.Seq
-	return a.Verdict, err
-}
-
 func (s *testSystem) start(addr string) {
 	s.t.Helper()
 	discardLog := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
@@ -67,7 +58,7 @@
 	s.nodes[addr] = node
 	s.network.Set(addr, node.Handler())
 	mux := http.NewServeMux()
-	mux.Handle("/", operatorapi.Handler(operatorapi.Options{Chain: submitter{node}, Log: discardLog}))
+	mux.Handle("/", operatorapi.Handler(operatorapi.Options{Chain: node, Log: discardLog}))
 	mux.Handle("/backup", admin.BackupHandler(node.Read))
 	s.apis[addr] = mux
 }
--- a/internal/system/operatorapi/cluster_test.go
+++ b/internal/system/operatorapi/cluster_test.go
@@ -39,15 +39,6 @@
 	partitioned  map[string]bool
 }
 
-// submitter fits a node to the API, as cmd/controlplane does.
-type submitter struct{ *replication.Node }
-
-func (s submitter) Submit(ctx context.Context, c controlstate.Change) (controlstate.Verdict, error) {
-	a, err := s.Node.Submit(ctx, c)
-	a.Verdict.Seq = a.Seq
-	return a.Verdict, err
-}
-
 // network is one node's way to the others.
 type network struct {
 	*apiCluster
@@ -105,7 +96,7 @@
 		c.tb.Fatal(err)
 	}
 	c.nodes[addr] = k
-	api := operatorapi.Options{Chain: submitter{k}, Log: quiet, Partitioned: k.Partitioned,
+	api := operatorapi.Options{Chain: k, Log: quiet, Partitioned: k.Partitioned,
 		CommittedState: func() *controlstate.State { s, _ := k.Committed(); return s }}
 	if c.waitWhenPartitioned {
 		api.Partitioned = nil
--- a/internal/system/replication/node_calls.go
+++ b/internal/system/replication/node_calls.go
@@ -9,12 +9,6 @@
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
-// SubmitResult is what became of a change.
-type SubmitResult struct {
-	Verdict controlstate.Verdict
-	Seq     uint64 // the record that the verdict rests on, committed
-}
-
 // call has the core take up a call and waits for its completion.
 func (n *Node) call(ctx context.Context, start func(c *Core, id uint64, ttl time.Duration)) (Completion, error) {
 	ttl := n.opt.AckTimeout
@@ -51,21 +45,23 @@
 	}
 }
 
-// Submit asks for a change and waits until what becomes of it is committed: acknowledged by enough disks. It may be called on any node. Without
-// a deadline of ctx it waits for Options.AckTimeout. Errors are marked ErrUnavailable, and ErrNotApplied too when the change is certain not to
+// Submit asks for a change and waits until what becomes of it is committed: acknowledged by enough disks. The verdict's Seq is the committed
+// record that it rests on. Submit may be called on any node. Without a deadline of ctx it waits for Options.AckTimeout. Errors are marked ErrUnavailable, and ErrNotApplied too when the change is certain not to
 // be applied; after Stop the error is ErrStopped.
-func (n *Node) Submit(ctx context.Context, change controlstate.Change) (SubmitResult, error) {
+func (n *Node) Submit(ctx context.Context, change controlstate.Change) (controlstate.Verdict, error) {
 	done, err := n.call(ctx, func(c *Core, id uint64, ttl time.Duration) { c.Submit(n.now(), id, change, ttl) })
 	if err != nil {
-		return SubmitResult{}, err
+		return controlstate.Verdict{}, err
 	}
 	switch done.Outcome {
 	case Answered:
-		return SubmitResult{Verdict: done.Verdict, Seq: done.Seq}, nil
+		verdict := done.Verdict
+		verdict.Seq = done.Seq
+		return verdict, nil
 	case Refused:
-		return SubmitResult{}, errors.Mark(ErrNotApplied, ErrUnavailable)
+		return controlstate.Verdict{}, errors.Mark(ErrNotApplied, ErrUnavailable)
 	}
-	return SubmitResult{}, ErrUnavailable
+	return controlstate.Verdict{}, ErrUnavailable
 }
 
 // Read returns the state after all that was acknowledged before the call, and perhaps later changes. It may be called on any node. Errors are
--- a/internal/system/replication/node_observer_test.go
+++ b/internal/system/replication/node_observer_test.go
@@ -35,7 +35,7 @@
 		time.Sleep(3 * time.Second) // of the bubble's clock
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 		defer cancel()
-		if a, err := observer.Submit(ctx, evacuate("a")); err != nil || a.Verdict.Kind != controlstate.Accepted {
+		if a, err := observer.Submit(ctx, evacuate("a")); err != nil || a.Kind != controlstate.Accepted || a.Seq == 0 {
 			t.Fatal(a, err)
 		}
 		if s, err := observer.Read(ctx); err != nil || !s.Evacuated["a"] {
--- a/internal/system/replication/node_test.go
+++ b/internal/system/replication/node_test.go
@@ -104,7 +104,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
 		_, changed := nodes["10.0.0.3"].Committed()
-		if a, err := nodes["10.0.0.2"].Submit(ctx, evacuate("a")); err != nil || a.Verdict.Kind != controlstate.Accepted {
+		if a, err := nodes["10.0.0.2"].Submit(ctx, evacuate("a")); err != nil || a.Kind != controlstate.Accepted || a.Seq == 0 {
 			t.Fatal(a, err)
 		}
 		<-changed
