replication: liveness knows no chain replica

Change: liveness asks a replicaStatus for what heartbeats say; that a node asks for records with each heartbeat is the core's affair (Core.announce).

--- a/internal/system/replication/acceptor.go
+++ b/internal/system/replication/acceptor.go
@@ -72,6 +72,7 @@
 	adoptView func(*View) // takes up a view that is chosen
 
 	yieldProposal func() // is called before this node promises to another proposer
+	announce      func() // tells the others of this node's state
 }
 
 // restart takes up the state that is on disk.
@@ -200,7 +201,7 @@
 	}
 	ac.sealedEpoch = epoch
 	ac.logEvent("replication: sealing an epoch whose active chain replicas are unavailable")
-	ac.writer.persist(ac.liveness.sendHeartbeats)
+	ac.writer.persist(ac.announce)
 }
 
 // enterEpoch takes up the chosen view v, and begins the vote on the one after it.
--- a/internal/system/replication/chain_replica.go
+++ b/internal/system/replication/chain_replica.go
@@ -85,6 +85,9 @@
 	return isUsable && epoch > 0 && cr.acceptor.durableActiveEpoch == epoch && cr.isInChain()
 }
 
+// committed implements replicaStatus.
+func (cr *chainReplica) committed() uint64 { return cr.commitIndex }
+
 func (cr *chainReplica) isHead() bool { return cr.isActive() && cr.acceptor.view.Head() == cr.self.ID }
 
 func (cr *chainReplica) isTail() bool { return cr.isActive() && cr.acceptor.view.Tail() == cr.self.ID }
--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -69,7 +69,7 @@
 func (c *Core) connect() {
 	c.addressOf = c.liveness.addressOf
 	c.acceptor.writer, c.acceptor.liveness, c.acceptor.adoptView = c.writer, c.liveness, c.adoptView
-	c.acceptor.yieldProposal = c.proposer.yield
+	c.acceptor.yieldProposal, c.acceptor.announce = c.proposer.yield, c.announce
 	c.proposer.acceptor, c.proposer.writer, c.proposer.liveness = c.acceptor, c.writer, c.liveness
 	c.proposer.planner, c.proposer.adoptView = c.planner, c.adoptView
 	c.planner.acceptor, c.planner.liveness, c.planner.chain = c.acceptor, c.liveness, c.chain
@@ -78,7 +78,7 @@
 	c.calls.acceptor, c.calls.liveness, c.calls.chain = c.acceptor, c.liveness, c.chain
 	c.decider.acceptor, c.decider.writer, c.decider.liveness = c.acceptor, c.writer, c.liveness
 	c.decider.chain, c.decider.confirmation = c.chain, c.confirmation
-	c.liveness.acceptor, c.liveness.writer, c.liveness.chain = c.acceptor, c.writer, c.chain
+	c.liveness.acceptor, c.liveness.writer, c.liveness.replica = c.acceptor, c.writer, c.chain
 	c.writer.acceptor, c.writer.chain = c.acceptor, c.chain
 }
 
@@ -131,10 +131,16 @@
 func (c *Core) Leave(now time.Duration) {
 	c.advance(now)
 	c.liveness.draining = true
-	c.liveness.sendHeartbeats()
+	c.announce()
 	c.flush()
 }
 
+// announce tells the others of this node's state, and asks to be sent records where it is outside the chain.
+func (c *Core) announce() {
+	c.liveness.sendHeartbeats()
+	c.chain.sendFollow()
+}
+
 // Ready hands over what is to be done, once.
 func (c *Core) Ready() Outputs {
 	out := c.out
@@ -157,7 +163,7 @@
 	c.writer.superviseWrites()
 	c.liveness.observeReach()
 	if c.now-c.liveness.lastHeartbeatSentAt >= c.liveness.heartbeatInterval() {
-		c.liveness.sendHeartbeats()
+		c.announce()
 	}
 	c.chain.tickChain()
 	c.calls.tickSubmits()
@@ -296,7 +302,7 @@
 			c.fail(err)
 		}
 		if c.cfg.Observer {
-			c.liveness.sendHeartbeats() // its next heartbeat is far off, and calls wait for a contact with the new head
+			c.announce() // its next heartbeat is far off, and calls wait for a contact with the new head
 		}
 	})
 }
--- a/internal/system/replication/liveness.go
+++ b/internal/system/replication/liveness.go
@@ -31,7 +31,14 @@
 
 	acceptor *acceptor
 	writer   *diskWriter
-	chain    *chainReplica
+	replica  replicaStatus
+}
+
+// replicaStatus is what heartbeats say of this node's replica.
+type replicaStatus interface {
+	isHead() bool
+	committed() uint64    // index of the newest record that is known to be committed
+	stalledSuccessor() ID // that does not acknowledge what it is sent; empty: none
 }
 
 // peer is what this node knows of another.
@@ -77,8 +84,8 @@
 	heartbeat := &replicationpb.Heartbeat{
 		Member: memberPB(lv.self), Number: lv.heartbeatNumber, Life: lv.cfg.Incarnation,
 		Epoch: lv.acceptor.durableViewEpoch, Active: lv.acceptor.durableActiveEpoch, Sealed: lv.acceptor.durableSealedEpoch,
-		Committed: lv.chain.commitIndex, DiskBad: lv.writer.unhealthy, Leaving: lv.draining, Bootstrap: lv.cfg.Bootstrap,
-		Stuck: string(lv.chain.stalledSuccessor()), Observer: lv.cfg.Observer, Echoes: echoes,
+		Committed: lv.replica.committed(), DiskBad: lv.writer.unhealthy, Leaving: lv.draining, Bootstrap: lv.cfg.Bootstrap,
+		Stuck: string(lv.replica.stalledSuccessor()), Observer: lv.cfg.Observer, Echoes: echoes,
 	}
 	if lv.acceptor.acceptedView != nil {
 		heartbeat.Accepted = lv.acceptor.acceptedView.Epoch
@@ -106,8 +113,7 @@
 	return []*replicationpb.Echo{{Id: string(id), Number: p.heartbeatNumber}}
 }
 
-// sendHeartbeats sends this node's state to all members, and asks to be sent records where this node is outside the chain. Observers get
-// a reply to their own heartbeats.
+// sendHeartbeats sends this node's state to all members. Observers get a reply to their own heartbeats.
 func (lv *liveness) sendHeartbeats() {
 	lv.lastHeartbeatSentAt = lv.now
 	lv.forgetPeers()
@@ -116,7 +122,6 @@
 	for _, addr := range lv.heartbeatTargets() {
 		lv.out.Messages = append(lv.out.Messages, Envelope{Addr: addr, Msg: message})
 	}
-	lv.chain.sendFollow()
 }
 
 func (lv *liveness) forgetPeers() {
@@ -317,7 +322,7 @@
 func (lv *liveness) headIncarnation() (uint64, bool) {
 	head := lv.acceptor.view.Head()
 	if head == lv.self.ID {
-		return lv.cfg.Incarnation, lv.chain.isHead()
+		return lv.cfg.Incarnation, lv.replica.isHead()
 	}
 	p := lv.peers[head]
 	if p == nil || !lv.isAlive(head) || p.heartbeat.GetEpoch() != lv.acceptor.view.Epoch {
