pick: long prompts are divided over regions by the work that they bring

On aula and grown aula that is iasi, 8 of 18 and 39 of 90 servers, for 0.8 of the work of the first seconds: homes of prefixes had 1.1 to 1.9 s of prefill waiting, and what was sent elsewhere was read again, while cluj's servers prefilled a tenth of what they can.

Change: promptpool.Division: the separate regions suffice where they have the share of all servers that the work calls for, and a fifth more before the pools end; otherwise pools of the other regions add what is missing, but leave short prompts the slots that they use (0.6 full). The first move of a pool waits until its target was known for a second, and goes all the way. The fixed quarter is gone.

--- a/internal/system/proxy/pick/group.go
+++ b/internal/system/proxy/pick/group.go
@@ -31,6 +31,7 @@
 
 	mix        promptpool.Mix                         // which kinds of prompts come
 	pools      [promptpool.MaxRegions]promptpool.Pool // by region
+	division   promptpool.Division                    // of long prompts over regions
 	demand     promptpool.Demand                      // of this proxy
 	peerDemand SharedDemand                           // of all others
 }
--- a/internal/system/proxy/pick/prompt_pools.go
+++ b/internal/system/proxy/pick/prompt_pools.go
@@ -7,15 +7,15 @@
 	"gradeusher.example/gradeusher/internal/system/proxy/pick/promptpool"
 )
 
-// A long prompt's prefill delays all that runs at its server. Where long and short prompts come, the long ones get a pool of each region's
-// servers, which the short ones avoid while there is capacity elsewhere. The pool's share of the servers follows the share of the work
-// that long prompts bring, as all proxies together observe it.
+// A long prompt's prefill delays all that runs at its server. The long ones get the regions to which no short ones come, and where these do not
+// suffice a pool of each other region's servers, which the short ones avoid while there is capacity elsewhere. How many servers the long ones have
+// in all follows the share of the work that they bring, as all proxies together observe it; a pool leaves the short ones the slots that they use.
 
 const (
-	minLongPromptMS      = 80     // milliseconds of prefill at the configured rate from which a prompt is long
-	minSeparateSlotShare = 0.25   // of a group's slots: regions without short prompts that have fewer can't bear the long ones
-	maxPoolShare         = 0.9    // short prompts keep some servers, as those of a pool cost them shortInsidePoolCost
-	minDemandTokens      = 20_000 // decayed tokens of all proxies from which their work says anything
+	minLongPromptMS = 80     // milliseconds of prefill at the configured rate from which a prompt is long
+	maxSlotFill     = 0.6    // of the slots that a pool leaves to short prompts: they need slots where long ones need prefill
+	maxPoolShare    = 0.9    // short prompts keep some servers, as those of a pool cost them shortInsidePoolCost
+	minDemandTokens = 20_000 // decayed tokens of all proxies from which their work says anything
 )
 
 // isLongPrompt reports whether a prompt is long. Its length is compared with the rate that all proxies are configured with, not the
@@ -60,6 +60,10 @@
 		}
 	}
 	share, known := p.promptPoolShare(now, members)
+	pooledShare := share
+	if known {
+		pooledShare = members.division.Divide(share, regionServers(now, &members.mix, &byRegion))
+	}
 	for region, servers := range byRegion {
 		if len(servers) < 2 {
 			continue
@@ -68,7 +72,11 @@
 		pool := &members.pools[region]
 		pool.SetServers(len(servers))
 		if known {
-			pool.Adjust(now, share*float64(len(servers)))
+			wanted := share // where no short prompts come, the pool has no effect until they do
+			if members.mix.HasShort(now, region) {
+				wanted = min(pooledShare, p.spareSlotShare(now, servers))
+			}
+			pool.Adjust(now, wanted*float64(len(servers)))
 		}
 		for _, s := range servers[:pool.Size()] {
 			s.inPromptPool = true
@@ -76,6 +84,28 @@
 	}
 }
 
+// spareSlotShare is the share of a region's servers that its requests leave over when they fill the others' slots to maxSlotFill.
+func (p *Picker) spareSlotShare(now Time, servers []*server) float64 {
+	requests, slots := 0, 0
+	for _, s := range servers {
+		requests += s.load.requests(now, p.peerLoadsAt)
+		slots += s.slots()
+	}
+	return max(0, 1-float64(requests)/(maxSlotFill*float64(slots)))
+}
+
+// regionServers counts the servers of the regions to which short prompts come, and of those to which none do.
+func regionServers(now Time, mix *promptpool.Mix, byRegion *[promptpool.MaxRegions][]*server) (servers promptpool.RegionServers) {
+	for region, members := range byRegion {
+		if mix.HasShort(now, region) {
+			servers.Pooled += len(members)
+		} else {
+			servers.Separate += len(members)
+		}
+	}
+	return servers
+}
+
 // recordPrompt notes which kind of prompt a request brings to a group, if its servers run a model. That comes before the group's costs are
 // estimated, as they depend on the mix.
 func (p *Picker) recordPrompt(input *pickInput, g *group) {
@@ -110,23 +140,16 @@
 	for region := range placement.pooled {
 		placement.pooled[region] = members.mix.HasShort(now, region)
 	}
-	placement.regionsSeparate = p.hasSeparateRegions(r, members, &placement)
+	placement.regionsSeparate = members.division.Suffices() && p.hasSeparateRegions(r, members, &placement)
 	return placement
 }
 
-// hasSeparateRegions reports whether the regions to which no short prompts come are large enough for the long ones.
+// hasSeparateRegions reports whether a request may go to a region to which no short prompts come.
 func (p *Picker) hasSeparateRegions(r *Request, g *group, placement *promptPlacement) bool {
-	separate, all := 0, 0 // slots
-	for _, s := range g.servers {
-		if !p.isAvailable(s) || placement.isLong && !r.allowsRegion(s.Region) {
-			continue
-		}
-		all += s.slots()
-		if s.regionIndex < promptpool.MaxRegions && !placement.pooled[s.regionIndex] {
-			separate += s.slots()
-		}
-	}
-	return separate > 0 && float64(separate) >= minSeparateSlotShare*float64(all)
+	return slices.ContainsFunc(g.servers, func(s *server) bool {
+		isSeparate := s.regionIndex < promptpool.MaxRegions && !placement.pooled[s.regionIndex]
+		return isSeparate && p.isAvailable(s) && (!placement.isLong || r.allowsRegion(s.Region))
+	})
 }
 
 // matches reports whether s is one of the servers for the prompt, while there is capacity on them.
--- a/internal/system/proxy/pick/promptpool/pool.go
+++ b/internal/system/proxy/pick/promptpool/pool.go
@@ -8,7 +8,8 @@
 // either kind, counted less the longer ago it was. Mix tells which kinds come at all.
 //
 // Invariant: where a region has two servers or more, both kinds have one at least, and the pool moves at most once in
-// minResizeInterval, by at most a quarter of its distance from the target or by one server.
+// minResizeInterval, by at most a quarter of its distance from the target or by one server. Only its first move, before which it had a size
+// that nothing was known for, goes all the way.
 //
 // The package is pure and not safe for concurrent use. Times are readings of the caller's monotonic clock.
 package promptpool
@@ -33,7 +34,9 @@
 // Pool is the size of one region's pool. The zero value is the pool of a region without servers.
 type Pool struct {
 	size, servers int
-	resizedAt     time.Duration
+	hasTarget     bool          // a target was known
+	resized       bool          // towards it
+	resizedAt     time.Duration // with resized; with hasTarget alone, when the target was first known
 }
 
 // Size is how many of the region's servers are for long prompts.
@@ -52,17 +55,24 @@
 	p.setSize(int(math.Round(share * float64(servers))))
 }
 
-// Adjust moves the pool towards a target, in servers, within the bounds on how far and how often it moves.
+// Adjust moves the pool towards a target, in servers, within the bounds on how far and how often it moves. The first move comes once a target has
+// been known for minResizeInterval, as what is known sooner rests on few prompts, and goes all the way.
 func (p *Pool) Adjust(now time.Duration, target float64) {
+	if !p.hasTarget {
+		p.hasTarget, p.resizedAt = true, now
+	}
 	deviation := target - float64(p.size)
 	if math.Abs(deviation) <= maxDeviation || now-p.resizedAt < minResizeInterval {
 		return
 	}
-	p.resizedAt = now
 	step := max(1, int(math.Abs(deviation)*resizeFraction))
+	if !p.resized { // few prefixes have homes yet
+		step = int(math.Round(math.Abs(deviation)))
+	}
 	if deviation < 0 {
 		step = -step
 	}
+	p.resized, p.resizedAt = true, now
 	p.setSize(p.size + step)
 }
 
--- a/internal/system/proxy/pick/promptpool/pool_test.go
+++ b/internal/system/proxy/pick/promptpool/pool_test.go
@@ -1,6 +1,7 @@
 package promptpool
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -32,6 +33,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			var p Pool
 			p.SetServers(20)
+			p.Adjust(-2*minResizeInterval, 10) // a target is known
+			p.resized, p.resizedAt = true, 0
 			p.Adjust(test.now, test.target)
 			if p.Size() != test.want {
 				t.Errorf("size %d, want %d", p.Size(), test.want)
@@ -63,3 +66,52 @@
 		t.Error("a kind counts as present for MixTTL after the last prompt, and only in its region")
 	}
 }
+
+// TestFirstMove has a target be known for the first time: the pool waits until it has been known for a while, and then goes all the way.
+func TestFirstMove(t *testing.T) {
+	const start = time.Minute
+	var p Pool
+	p.SetServers(20)
+	for _, test := range []struct {
+		after  time.Duration
+		target float64
+		want   int
+	}{{0, 18, 10}, {minResizeInterval - 1, 18, 10}, {minResizeInterval, 17, 17}, {2 * minResizeInterval, 9, 15}} {
+		p.Adjust(start+test.after, test.target)
+		if p.Size() != test.want {
+			t.Errorf("%v after the target was known: size %d, want %d", test.after, p.Size(), test.want)
+		}
+	}
+}
+
+// TestDivision divides long prompts over 50 servers of regions with short prompts and 40 of others: pools add what the others lack, and a share near the
+// border moves nothing.
+func TestDivision(t *testing.T) {
+	var d Division
+	if d.Suffices() {
+		t.Error("a region suffices before any work was seen")
+	}
+	regions := RegionServers{Pooled: 50, Separate: 40}
+	for _, step := range []struct {
+		share, pooled float64
+		suffices      bool
+	}{
+		{0.9, 41.0 / 50, false},
+		{0.5, 5.0 / 50, false},
+		{40.0 / 90, 0, false}, // just enough, but near the border
+		{33.0 / 90, 0, false}, // seven of 40 left over
+		{32.0 / 90, 0, true},  // a fifth is left over
+		{40.0 / 90, 0, true},  // still enough
+		{41.0 / 90, 0.02, false},
+	} {
+		if pooled := d.Divide(step.share, regions); math.Abs(pooled-step.pooled) > 1e-9 || d.Suffices() != step.suffices {
+			t.Errorf("share %.3f: pools of %.3f, suffices %v; want %.3f, %v", step.share, pooled, d.Suffices(), step.pooled, step.suffices)
+		}
+	}
+	if pooled := d.Divide(0.3, RegionServers{Pooled: 90}); pooled != 0.3 || d.Suffices() {
+		t.Errorf("without separate regions: pools of %.3f, suffices %v", pooled, d.Suffices())
+	}
+	if pooled := d.Divide(0.3, RegionServers{Separate: 90}); pooled != 0 || !d.Suffices() {
+		t.Errorf("with separate regions alone: pools of %.3f, suffices %v", pooled, d.Suffices())
+	}
+}
