--- a/internal/system/replication/scripted_cluster_test.go
+++ b/internal/system/replication/scripted_cluster_test.go
@@ -26,9 +26,24 @@
 	done         map[uint64]Completion
 	machine      Machine
 	slowNetworks map[string]*slowNetwork  // by address: what arrives there through a slow link
+	quotas       map[string]cpuQuota      // by address; none: the node always runs
 	writeTimes   map[string]time.Duration // by address: how long each write of the disk takes; clusterStep where there is none
 }
 
+// cpuQuota is a quota of a core: the node runs at full speed for a part of each quotaPeriod, and then not at all until the next one.
+type cpuQuota struct {
+	share float64
+	phase time.Duration // when its periods begin
+}
+
+const quotaPeriod = 100 * time.Millisecond
+
+// isThrottled reports whether a node has spent its quota for the present period.
+func (cluster *scriptedCluster) isThrottled(addr string) bool {
+	quota, ok := cluster.quotas[addr]
+	return ok && (cluster.now+quota.phase)%quotaPeriod >= time.Duration(quota.share*float64(quotaPeriod))
+}
+
 // slowNetwork is a slow link to a node, on which appends and snapshots wait for each other.
 type slowNetwork struct {
 	bytesPerSecond float64 // bytes a second
@@ -142,6 +157,10 @@
 	sent := cluster.sent
 	cluster.sent = nil
 	for _, e := range sent {
+		if cluster.isThrottled(e.Addr) {
+			cluster.sent = append(cluster.sent, e) // it waits in the node's socket
+			continue
+		}
 		if p := cluster.slowNetworks[e.Addr]; p == nil || !p.transmits(cluster.now, e) {
 			cluster.deliver(e)
 		}
@@ -155,7 +174,7 @@
 	}
 	for _, addr := range slices.Sorted(maps.Keys(cluster.nodes)) {
 		n := cluster.nodes[addr]
-		if n.core == nil || n.paused {
+		if n.core == nil || n.paused || cluster.isThrottled(addr) {
 			continue
 		}
 		var ops []*DiskOp
@@ -166,7 +185,7 @@
 			n.disk.p.do(op, len(op.Entries))
 			n.core.DiskDone(cluster.clock(n), op.Token, nil)
 		}
-		if cluster.now%(25*time.Millisecond) == 0 {
+		if cluster.quotas != nil || cluster.now%(25*time.Millisecond) == 0 { // a node under a quota may not run at such a time
 			n.core.Tick(cluster.clock(n))
 		}
 		cluster.collect(addr)
