--- a/internal/system/proxy/pick/prompt_pools.go
+++ b/internal/system/proxy/pick/prompt_pools.go
@@ -13,7 +13,7 @@
 
 const (
 	minLongPromptMS = 80     // milliseconds of prefill at the configured rate from which a prompt is long
-	maxSlotFill     = 0.6    // of the slots that a pool leaves to short prompts: they need slots where long ones need prefill
+	maxSlotFill     = 0.55   // of the slots that a pool leaves to short prompts: they need slots where long ones need prefill
 	maxPoolShare    = 0.9    // short prompts keep some servers, as those of a pool cost them shortInsidePoolCost
 	minDemandTokens = 20_000 // decayed tokens of all proxies from which their work says anything
 )
@@ -60,9 +60,12 @@
 		}
 	}
 	share, known := p.promptPoolShare(now, members)
-	pooledShare := share
+	counts := regionServers(now, &members.mix, &byRegion)
+	pooledShare := 0.0
 	if known {
-		pooledShare = members.division.Divide(share, regionServers(now, &members.mix, &byRegion))
+		pooledShare = members.division.Divide(share, counts)
+	} else {
+		pooledShare = members.division.Presume(counts)
 	}
 	for region, servers := range byRegion {
 		if len(servers) < 2 {
@@ -71,12 +74,15 @@
 		slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
 		pool := &members.pools[region]
 		pool.SetServers(len(servers))
-		if known {
-			wanted := share // where no short prompts come, the pool has no effect until they do
-			if members.mix.HasShort(now, region) {
-				wanted = min(pooledShare, p.spareSlotShare(now, servers))
-			}
-			pool.Adjust(now, wanted*float64(len(servers)))
+		count := float64(len(servers))
+		isPooled := members.mix.HasShort(now, region)
+		switch {
+		case known && isPooled:
+			pool.Adjust(now, pooledShare*count, p.spareSlotShare(now, servers)*count)
+		case known: // the pool has no effect until short prompts come
+			pool.Adjust(now, share*count, count)
+		case isPooled:
+			pool.Presume(pooledShare * count)
 		}
 		for _, s := range servers[:pool.Size()] {
 			s.inPromptPool = true
--- a/internal/system/proxy/pick/promptpool/division.go
+++ b/internal/system/proxy/pick/promptpool/division.go
@@ -14,13 +14,26 @@
 // suffice.
 type Division struct {
 	suffices bool
+	isKnown  bool // the share that Divide took up
 }
 
 // Suffices reports whether the separate regions have servers enough for the long prompts.
 func (d *Division) Suffices() bool { return d.suffices }
 
+// Presume returns the share of the pooled regions' servers that is missing by what is presumed of the work. Once Divide has taken up what is known, it
+// changes nothing.
+func (d *Division) Presume(servers RegionServers) (pooledShare float64) {
+	if d.isKnown {
+		return initialShare
+	}
+	pooledShare = d.Divide(initialShare, servers)
+	d.isKnown = false
+	return pooledShare
+}
+
 // Divide takes up which share of all servers long prompts should have, and returns the share of the pooled regions' servers that is missing.
 func (d *Division) Divide(share float64, servers RegionServers) (pooledShare float64) {
+	d.isKnown = true
 	missing := share*float64(servers.Pooled+servers.Separate) - float64(servers.Separate)
 	switch {
 	case servers.Separate == 0 || missing > 0:
--- a/internal/system/proxy/pick/promptpool/pool.go
+++ b/internal/system/proxy/pick/promptpool/pool.go
@@ -9,7 +9,7 @@
 //
 // Invariant: where a region has two servers or more, both kinds have one at least, and the pool moves at most once in
 // minResizeInterval, by at most a quarter of its distance from the target or by one server. Only its first move, before which it had a size
-// that nothing was known for, goes all the way.
+// that nothing was known for, and a move down to its limit go all the way.
 //
 // The package is pure and not safe for concurrent use. Times are readings of the caller's monotonic clock.
 package promptpool
@@ -25,7 +25,7 @@
 	// MixTTL is how long a kind of prompt counts as present after the last one, and the time in which demand decays to 1/e.
 	MixTTL = 10 * time.Second
 
-	initialShare      = 0.5         // of a region's servers, before any work was observed
+	initialShare      = 0.5         // of the servers that long prompts are presumed to need, before any work was observed
 	minResizeInterval = time.Second // between two moves, as each one moves homes of prompts
 	resizeFraction    = 0.25        // of the distance from the target that a move covers, one server at least
 	maxDeviation      = 0.75        // servers by which a pool may differ from its target without a move
@@ -55,9 +55,18 @@
 	p.setSize(int(math.Round(share * float64(servers))))
 }
 
+// Presume sets the size as long as no target has been known, by what is presumed of the work.
+func (p *Pool) Presume(target float64) {
+	if !p.hasTarget {
+		p.setSize(int(math.Round(target)))
+	}
+}
+
 // Adjust moves the pool towards a target, in servers, within the bounds on how far and how often it moves. The first move comes once a target has
-// been known for minResizeInterval, as what is known sooner rests on few prompts, and goes all the way.
-func (p *Pool) Adjust(now time.Duration, target float64) {
+// been known for minResizeInterval, as what is known sooner rests on few prompts, and goes all the way. So does a move down to limit, the most
+// servers that short prompts can do without: they would wait for slots meanwhile.
+func (p *Pool) Adjust(now time.Duration, target, limit float64) {
+	target = min(target, limit)
 	if !p.hasTarget {
 		p.hasTarget, p.resizedAt = true, now
 	}
@@ -66,8 +75,11 @@
 		return
 	}
 	step := max(1, int(math.Abs(deviation)*resizeFraction))
-	if !p.resized { // few prefixes have homes yet
+	switch {
+	case !p.resized: // few prefixes have homes yet
 		step = int(math.Round(math.Abs(deviation)))
+	case float64(p.size)-limit > maxDeviation:
+		step = max(step, int(math.Ceil(float64(p.size)-limit)))
 	}
 	if deviation < 0 {
 		step = -step
