--- a/internal/lab/soak/plan_test.go
+++ b/internal/lab/soak/plan_test.go
@@ -213,7 +213,7 @@
 	drawing := &drawer{scenario: NewScenario(1)}
 	server := drawing.scenario.Servers[0]
 	drain := Fault{Kind: DrainServer, Target: server.Address}
-	for _, c := range []struct {
+	for _, beside := range []struct {
 		other    Fault
 		excluded bool
 	}{
@@ -225,8 +225,8 @@
 		{Fault{Kind: DrainServer, Target: drawing.scenario.Servers[1].Address}, false},
 		{Fault{Kind: PartitionServer, Target: server.Address}, true},
 	} {
-		if got := drawing.haveClaimInCommon(drain, c.other); got != c.excluded {
-			t.Errorf("%v beside %v: excluded %v, want %v", drain, c.other, got, c.excluded)
+		if got := drawing.haveClaimInCommon(drain, beside.other); got != beside.excluded {
+			t.Errorf("%v beside %v: excluded %v, want %v", drain, beside.other, got, beside.excluded)
 		}
 	}
 	if drawing.haveClaimInCommon(Fault{Kind: SlowServer, Target: server.Address}, Fault{Kind: RestartZone, Target: server.Zone}) {
--- a/internal/lab/testcluster/packet_relay.go
+++ b/internal/lab/testcluster/packet_relay.go
@@ -43,7 +43,7 @@
 	buf := make([]byte, relayBufferBytes)
 	retry := link.Retry{Stop: p.stop, OnError: p.onError}
 	for {
-		n, _, err := p.in.ReadFrom(buf)
+		size, _, err := p.in.ReadFrom(buf)
 		if err != nil {
 			if retry.After(err) {
 				continue
@@ -56,10 +56,10 @@
 			continue
 		}
 		if delay <= 0 {
-			_, _ = p.out.Write(buf[:n]) // A packet may be lost without notice.
+			_, _ = p.out.Write(buf[:size]) // A packet may be lost without notice.
 			continue
 		}
-		packet := append([]byte(nil), buf[:n]...)
+		packet := append([]byte(nil), buf[:size]...)
 		p.pending.Add(1)
 		p.wait.Add(1)
 		time.AfterFunc(delay, func() {
--- a/internal/lab/testcluster/relay_test.go
+++ b/internal/lab/testcluster/relay_test.go
@@ -258,8 +258,8 @@
 		t.Fatal(err)
 	}
 	var told []error
-	p := &packetRelay{in: &failingPacketConn{in, 2}, out: out, link: link.New(), stop: make(chan struct{}), onError: func(err error) { told = append(told, err) }}
-	p.wait.Go(p.run)
+	forwarder := &packetRelay{in: &failingPacketConn{in, 2}, out: out, link: link.New(), stop: make(chan struct{}), onError: func(err error) { told = append(told, err) }}
+	forwarder.wait.Go(forwarder.run)
 	from, err := new(net.Dialer).DialContext(t.Context(), "udp4", in.LocalAddr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -273,7 +273,7 @@
 	if n, _, err := to.ReadFrom(buf); err != nil || string(buf[:n]) != "one" {
 		t.Errorf("%q, %v", buf[:n], err)
 	}
-	p.close()
+	forwarder.close()
 	if len(told) != 1 || !errors.Is(told[0], syscall.ENOBUFS) {
 		t.Errorf("told %v, want one error", told)
 	}
--- a/internal/lab/testcluster/rules/changes_test.go
+++ b/internal/lab/testcluster/rules/changes_test.go
@@ -121,15 +121,15 @@
 	{"cut after SIGTERM as the server ended, long after its complete answer", func(s *scenario) { s.cutAsServerEnded(0, -second/2) }, "LOST"},
 	{"cut after SIGTERM before the server ended", func(s *scenario) { s.cutAsServerEnded(second/10, Never) }, "LOST"},
 	{"cut after SIGTERM as an earlier incarnation of the server ended", func(s *scenario) { s.cutAsServerEnded(-2*second, Never) }, "LOST"},
-	{"cut after SIGTERM at the client's deadline", func(s *scenario) { s.cutAfter(5*second-second/50, 5*second) }, ""},
-	{"cut after SIGTERM before the client's deadline", func(s *scenario) { s.cutAfter(5*second-second/10, 5*second) }, "LOST"},
+	{"cut after SIGTERM at the client's deadline", func(s *scenario) { s.cutAfter(deadlineOfCut - second/50) }, ""},
+	{"cut after SIGTERM before the client's deadline", func(s *scenario) { s.cutAfter(deadlineOfCut - second/10) }, "LOST"},
 	{"cut after SIGTERM at the route's time-out", func(s *scenario) {
 		s.version(withTimeout(testConfig(2, "mailer"), 3000), 1, 14*second, 15*second, 200)
-		s.cutAfter(3*second-second/50, 5*second)
+		s.cutAfter(3*second - second/50)
 	}, ""},
 	{"cut after SIGTERM before the route's time-out", func(s *scenario) {
 		s.version(withTimeout(testConfig(2, "mailer"), 3000), 1, 14*second, 15*second, 200)
-		s.cutAfter(3*second-second/10, 5*second)
+		s.cutAfter(3*second - second/10)
 	}, "LOST"},
 	{"cut after a kill", func(s *scenario) {
 		s.RecordFault(Fault{Proxy: oneProxy, Kind: "kill", At: 20 * second})
@@ -139,12 +139,14 @@
 	}, ""},
 }
 
+const deadlineOfCut = 5 * second // of the requests of cutAfter
+
 // cutAfter adds a request with a deadline whose answer was truncated after so long, during a graceful shutdown.
-func (s *scenario) cutAfter(after, deadline Time) {
+func (s *scenario) cutAfter(after Time) {
 	const sent = 20 * second
 	s.RecordFault(Fault{Proxy: oneProxy, Kind: Terminate, At: sent})
 	t, a := s.serve("/mail/2", "mailer", sent)
-	t.Outcome, t.Status, t.Seal, t.Ended, t.Deadline = Truncated, 0, "", sent+after, sent+deadline
+	t.Outcome, t.Status, t.Seal, t.Ended, t.Deadline = Truncated, 0, "", sent+after, sent+deadlineOfCut
 	a.Ended, a.Complete = Never, false
 }
 
--- a/internal/system/proxy/pick/prompt_pools.go
+++ b/internal/system/proxy/pick/prompt_pools.go
@@ -61,7 +61,7 @@
 	}
 	share, known := p.promptPoolShare(now, members)
 	counts := regionServers(now, &members.mix, &byRegion)
-	pooledShare := 0.0
+	var pooledShare float64
 	if known {
 		pooledShare = members.division.Divide(share, counts)
 	} else {
--- a/internal/system/proxy/pick/promptpool/pool_test.go
+++ b/internal/system/proxy/pick/promptpool/pool_test.go
@@ -87,8 +87,8 @@
 // TestDivision divides long prompts over 50 servers of regions with short prompts and 40 of others: pools add what the others lack, and a share near the
 // border moves nothing.
 func TestDivision(t *testing.T) {
-	var d Division
-	if d.Suffices() {
+	var division Division
+	if division.Suffices() {
 		t.Error("a region suffices before any work was seen")
 	}
 	regions := RegionServers{Pooled: 50, Separate: 40}
@@ -104,15 +104,15 @@
 		{40.0 / 90, 0, true},  // still enough
 		{41.0 / 90, 0.02, false},
 	} {
-		if pooled := d.Divide(step.share, regions); math.Abs(pooled-step.pooled) > 1e-9 || d.Suffices() != step.suffices {
-			t.Errorf("share %.3f: pools of %.3f, suffices %v; want %.3f, %v", step.share, pooled, d.Suffices(), step.pooled, step.suffices)
+		if pooled := division.Divide(step.share, regions); math.Abs(pooled-step.pooled) > 1e-9 || division.Suffices() != step.suffices {
+			t.Errorf("share %.3f: pools of %.3f, suffices %v; want %.3f, %v", step.share, pooled, division.Suffices(), step.pooled, step.suffices)
 		}
 	}
-	if pooled := d.Divide(0.3, RegionServers{Pooled: 90}); pooled != 0.3 || d.Suffices() {
-		t.Errorf("without separate regions: pools of %.3f, suffices %v", pooled, d.Suffices())
+	if pooled := division.Divide(0.3, RegionServers{Pooled: 90}); pooled != 0.3 || division.Suffices() {
+		t.Errorf("without separate regions: pools of %.3f, suffices %v", pooled, division.Suffices())
 	}
-	if pooled := d.Divide(0.3, RegionServers{Separate: 90}); pooled != 0 || !d.Suffices() {
-		t.Errorf("with separate regions alone: pools of %.3f, suffices %v", pooled, d.Suffices())
+	if pooled := division.Divide(0.3, RegionServers{Separate: 90}); pooled != 0 || !division.Suffices() {
+		t.Errorf("with separate regions alone: pools of %.3f, suffices %v", pooled, division.Suffices())
 	}
 }
 
--- a/internal/system/replication/scripted_cluster_test.go
+++ b/internal/system/replication/scripted_cluster_test.go
@@ -177,14 +177,7 @@
 		if n.core == nil || n.paused || cluster.isThrottled(addr) {
 			continue
 		}
-		var ops []*DiskOp
-		if cluster.now >= n.writtenAt {
-			ops, n.pending = n.pending, nil
-		}
-		for _, op := range ops {
-			n.disk.p.do(op, len(op.Entries))
-			n.core.DiskDone(cluster.clock(n), op.Token, nil)
-		}
+		cluster.finishWrites(n)
 		if cluster.quotas != nil || cluster.now%(25*time.Millisecond) == 0 { // a node under a quota may not run at such a time
 			n.core.Tick(cluster.clock(n))
 		}
@@ -192,6 +185,19 @@
 	}
 }
 
+// finishWrites ends the writes of a node whose time is over.
+func (cluster *scriptedCluster) finishWrites(writer *scriptedNode) {
+	if cluster.now < writer.writtenAt {
+		return
+	}
+	ops := writer.pending
+	writer.pending = nil
+	for _, op := range ops {
+		writer.disk.p.do(op, len(op.Entries))
+		writer.core.DiskDone(cluster.clock(writer), op.Token, nil)
+	}
+}
+
 func (cluster *scriptedCluster) run(d time.Duration) {
 	for end := cluster.now + d; cluster.now < end; {
 		cluster.step()
