replication: what is waited for on account of slow disks ends with their slowness

Need, by reading before the landing: a proposer that yielded or backed off on a slow disk waited up to eight of its writes, also once the disk was fast again, and proposals that time out for lost messages doubled their time-out up to five minutes.

Change: the longer back-off and turns hold only while the own disk is slow; without a slow disk the time-out doubles twice at most.

--- a/internal/system/replication/liveness.go
+++ b/internal/system/replication/liveness.go
@@ -271,6 +271,16 @@
 	return n
 }
 
+// hasUnhealthyVoter reports whether a peer that is alive says that its disk is unhealthy.
+func (lv *liveness) hasUnhealthyVoter() bool {
+	for id, p := range lv.peers {
+		if p.heartbeat.GetDiskBad() && lv.isAlive(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // countSeedsAlive counts the seeds that are alive, with this node if it is one.
 func (lv *liveness) countSeedsAlive() (n int) {
 	if slices.Contains(lv.cfg.Seeds, lv.self.Addr) {
--- a/internal/system/replication/proposer.go
+++ b/internal/system/replication/proposer.go
@@ -28,6 +28,8 @@
 	proposal         *proposal     // in progress, nil: none
 	proposeAt        time.Duration // when the next proposal starts; negative: none is wanted
 	backoffUntil     time.Duration
+	slowBackoffUntil time.Duration // the same while the own disk is slow
+	slowTurn         bool          // proposeAt counts on a slow disk
 	lastPlannedAt    time.Duration
 	highestRoundSeen uint64
 	timeouts         int // proposals of this epoch that have timed out
@@ -71,6 +73,9 @@
 		pr.timeouts++
 		pr.backOff()
 	}
+	if pr.slowTurn && pr.writer.slowness() == 0 {
+		pr.slowTurn, pr.proposeAt = false, -1 // the disk is well again: take the usual turn
+	}
 	if !pr.canPropose() || !pr.isDue() || pr.now-pr.lastPlannedAt < planInterval {
 		return
 	}
@@ -81,7 +86,9 @@
 		return
 	}
 	if pr.proposeAt < 0 {
-		turn := rankDelay + 2*pr.writer.slowness() // in which the one before has sent its Prepare, after a write that may be in progress
+		slowness := pr.writer.slowness()
+		turn := rankDelay + 2*slowness // in which the one before has sent its Prepare, after a write that may be in progress
+		pr.slowTurn = slowness > 0
 		pr.proposeAt = pr.now + time.Duration(rank)*turn + pr.jitter(rankDelay/3)
 	}
 	if pr.now >= pr.proposeAt {
@@ -90,17 +97,24 @@
 }
 
 // timeout is how long a proposal may take: as long as its writes do on a disk like this node's, and twice as long as the one before that has timed
-// out, as the disks of others may be slower. A fixed one would end every proposal of a fleet of slow disks.
+// out, as the disks of others may be slower. A fixed one would end every proposal of a fleet of slow disks. Where no disk is known to be slow, messages
+// that were lost are the likelier reason, and the time-out doubles maxBlindDoublings times only.
 func (pr *proposer) timeout() time.Duration {
 	if pr.cfg.knobs.FixedTimeouts {
 		return proposalTimeout
 	}
 	first := max(proposalTimeout, proposalWrites*pr.writer.writeTime())
-	return min(first<<min(pr.timeouts, maxTimeoutDoublings), maxProposalTimeout)
+	doublings := maxBlindDoublings
+	if pr.writer.slowness() > 0 || pr.liveness.hasUnhealthyVoter() {
+		doublings = maxTimeoutDoublings
+	}
+	return min(first<<min(pr.timeouts, doublings), maxProposalTimeout)
 }
 
-// maxTimeoutDoublings is after how many time-outs the time-out has reached maxProposalTimeout.
-const maxTimeoutDoublings = 9
+const (
+	maxBlindDoublings   = 2 // to 3.2 s: others whose disks are not unhealthy yet take up to 0.5 s for each of the writes
+	maxTimeoutDoublings = 9 // after which the time-out has reached maxProposalTimeout
+)
 
 // canPropose reports whether this node votes and can write its promises.
 func (pr *proposer) canPropose() bool {
@@ -109,7 +123,8 @@
 
 // isDue reports whether no proposal is in progress, and neither back-off nor a grace period lasts.
 func (pr *proposer) isDue() bool {
-	return pr.proposal == nil && pr.now >= pr.liveness.graceUntil && pr.now >= pr.backoffUntil
+	isSlowBackoffOver := pr.now >= pr.slowBackoffUntil || pr.writer.slowness() == 0
+	return pr.proposal == nil && pr.now >= pr.liveness.graceUntil && pr.now >= pr.backoffUntil && isSlowBackoffOver
 }
 
 // wantedView returns the view to propose, nil when none is, and this node's turn.
@@ -133,7 +148,8 @@
 
 // backOff keeps two proposers from preempting each other for ever.
 func (pr *proposer) backOff() {
-	pr.backoffUntil = pr.now + minProposerDelay + pr.jitter(proposerJitter) + proposalWrites*pr.writer.slowness()
+	pr.backoffUntil = pr.now + minProposerDelay + pr.jitter(proposerJitter)
+	pr.slowBackoffUntil = pr.backoffUntil + proposalWrites*pr.writer.slowness()
 	pr.proposeAt = -1
 }
 
--- a/internal/system/replication/slow_disk_test.go
+++ b/internal/system/replication/slow_disk_test.go
@@ -111,3 +111,62 @@
 	other := cluster.replica(1)
 	cluster.until(2*time.Second, "the head is missed", func() bool { return strings.Contains(waitsFor(other), "the head of the chain") })
 }
+
+// TestSlownessDelaysNoRepairAfterwards has all disks be slow for some seconds, in the midst of which the head is lost. Once they are fast again, the next view comes as
+// soon as on healthy disks: what was waited for on their account ends with it.
+func TestSlownessDelaysNoRepairAfterwards(t *testing.T) {
+	const (
+		repairBound = 2500 * time.Millisecond
+		slowFor     = 4 * time.Second
+	)
+	for _, write := range []time.Duration{300 * time.Millisecond, 700 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+		for seed := range uint64(8) {
+			cluster := newScriptedCluster(t)
+			cluster.lastCallID = 100 * seed
+			formThreeNodes(cluster, 1, TestingKnobs{})
+			cluster.writeTimes = map[string]time.Duration{"a": write, "b": write, "c": write}
+			cluster.submit("a", replacing(0, "before"), slowFor)
+			cluster.run(200 * time.Millisecond)
+			cluster.nodes[cluster.replica(0)].paused = true
+			cluster.run(slowFor)
+			cluster.writeTimes = nil
+			took := cluster.until(10*repairBound, "a view without the head", func() bool {
+				view := cluster.view()
+				tail, _ := view.Voter(view.Tail())
+				return len(view.Chain) == 2 && cluster.nodes[tail.Addr].core.acceptor.durableActiveEpoch == view.Epoch
+			})
+			if took > repairBound+write { // one write may be in progress
+				t.Errorf("writes of %v, seed %d: the next view came %v after them, bound %v", write, seed, took, repairBound+write)
+			}
+		}
+	}
+}
+
+// TestSlowBackoffEndsWithSlowness has a proposer yield to another one while its disk is slow: it waits for as long as a proposal may take on such a disk, but only
+// as long as the disk is slow. Without a slow disk, proposals that time out, as where messages are lost, wait little longer each time.
+func TestSlowBackoffEndsWithSlowness(t *testing.T) {
+	const slow, fast = 3 * time.Second, 5 * time.Millisecond
+	cluster := threeNodes(t, 1, TestingKnobs{})
+	core := cluster.nodes["a"].core
+	proposer, writer := core.proposer, core.writer
+	writer.lastWriteTime = slow
+	proposer.yield()
+	core.now += proposalWrites*slow - time.Second
+	if proposer.isDue() {
+		t.Error("it proposes though another one has been promised, and disks are slow")
+	}
+	writer.lastWriteTime = fast
+	if !proposer.isDue() {
+		t.Error("it waits for a disk that is fast again")
+	}
+	for timeouts, want := range []time.Duration{proposalTimeout, 2 * proposalTimeout, 4 * proposalTimeout, 4 * proposalTimeout, 4 * proposalTimeout} {
+		proposer.timeouts = timeouts
+		if got := proposer.timeout(); got != want {
+			t.Errorf("after %d time-outs on a fast disk: %v, want %v", timeouts, got, want)
+		}
+	}
+	writer.lastWriteTime = slow
+	if got := proposer.timeout(); got != min(proposalWrites*slow<<4, maxProposalTimeout) {
+		t.Errorf("after four time-outs on a slow disk: %v", got)
+	}
+}
