--- a/internal/system/operatorapi/change.go
+++ b/internal/system/operatorapi/change.go
@@ -51,8 +51,9 @@
 		return
 	}
 	if err != nil {
-		entry.WithError(err).WithField("waits_for", a.waitsFor()).Warn("operatorapi: change not acknowledged, its outcome is unknown")
-		writeUnavailable(w, a.notDurable())
+		cause := a.waitsFor()
+		entry.WithError(err).WithField("waits_for", cause).Warn("operatorapi: change not acknowledged, its outcome is unknown")
+		writeUnavailable(w, notDurable(cause))
 		return
 	}
 	switch verdict.Kind {
@@ -87,9 +88,9 @@
 	return a.options.WaitsFor()
 }
 
-// notDurable is the reason of the response to a change that was not durable in time.
-func (a *api) notDurable() string {
-	if cause := a.waitsFor(); cause != "" {
+// notDurable is the reason of the response to a change that was not durable in time, with what it waits for if that is known.
+func notDurable(cause string) string {
+	if cause != "" {
 		return reasonNotDurable + " (it waits for " + cause + ")"
 	}
 	return reasonNotDurable
