testcluster: one function connects the tests of relays

Found in a last reading: TestRelayOutlivesErrors dialled as relayTo does. Assertions unchanged; packages testcluster and operatorapi pass under the race detector, linter clean.

--- a/internal/lab/testcluster/relay_test.go
+++ b/internal/lab/testcluster/relay_test.go
@@ -73,7 +73,13 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(r.close)
-	c, err := new(net.Dialer).DialContext(t.Context(), "tcp4", r.listener.Addr().String())
+	return connect(t, r.listener.Addr().String())
+}
+
+// connect returns a connection to an address, which ends with the test and after testWithin.
+func connect(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := new(net.Dialer).DialContext(t.Context(), "tcp4", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -213,14 +219,7 @@
 	r := &relay{listener: &failingListener{inner, 2}, to: echo(t), link: link.New(), stop: make(chan struct{}), onError: links.reportError}
 	r.wait.Go(r.accept)
 	defer r.close()
-	c, err := new(net.Dialer).DialContext(t.Context(), "tcp4", inner.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = c.Close() }()
-	if err := c.SetDeadline(time.Now().Add(testWithin)); err != nil {
-		t.Fatal(err)
-	}
+	c := connect(t, inner.Addr().String())
 	say(t, c, "one\n")
 	hear(t, c, "one\n")
 	if failures := env.Failures(); len(failures) != 1 || !strings.Contains(failures[0], syscall.EMFILE.Error()) {
