testcluster: ports are found free while no process is started

Cause: FreePorts listens at each port and closes the socket. A process that this one starts at that moment has copies of all sockets until it executes its program, and its copy keeps the port in use after the parent has closed its own. Change: portsFree holds syscall.ForkLock for reading while its sockets are open, which is what the lock is for.

--- a/internal/lab/testcluster/ports.go
+++ b/internal/lab/testcluster/ports.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"strconv"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -35,8 +36,12 @@
 	return Ports{}, errors.Newf("no %d ports in a row are free on all machines from %d to %d: end other runs", totalPorts, minPort, maxPort)
 }
 
-// portsFree reports whether totalPorts ports from first on are free on all machines, for connections and for packets.
+// portsFree reports whether totalPorts ports from first on are free on all machines, for connections and for packets. The sockets by which it
+// finds out are closed when it returns: a process that this one starts has copies of all sockets until it executes its program, so none is started
+// meanwhile.
 func portsFree(machines []Machine, first int) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for _, m := range machines {
 		for port := first; port < first+totalPorts; port++ {
 			if !portFree(net.JoinHostPort(m.IP, strconv.Itoa(port))) {
