config: errors hold no API key

An error of this package is the answer to the operator, a log line ("change rejected, it is invalid") and part of other errors. Three kinds quoted what the body holds: bytes behind a fault of syntax, an element of a remove list that is no name, and names inside an object that come twice. Each may be an API key. They say now where the fault is, and not what stands there. Names of an item's own members are still quoted.

--- a/internal/system/config/amend.go
+++ b/internal/system/config/amend.go
@@ -296,10 +296,11 @@
 	if err == nil && change.removal != nil {
 		err = a.decoder.forEachItem(*change.removal, func(raw []byte) error {
 			name, err := unquote(raw)
-			if err == nil {
-				merged.remove(name)
+			if err != nil {
+				return invalid("remove of %s holds something that is no name: send names in quotes", change.field.key)
 			}
-			return err
+			merged.remove(name)
+			return nil
 		})
 	}
 	if err != nil || change.upsert == nil {
--- a/internal/system/config/decoder.go
+++ b/internal/system/config/decoder.go
@@ -21,7 +21,7 @@
 func (d *itemDecoder) parse(raw []byte, what string) (*fastjson.Value, error) {
 	v, err := d.parser.ParseBytes(raw)
 	if err != nil {
-		return nil, invalid("%s cannot be read: %v", what, err)
+		return nil, invalid("%s cannot be read: check its texts and numbers", what)
 	}
 	return v, rejectDuplicateKeys(v, what)
 }
--- a/internal/system/config/json.go
+++ b/internal/system/config/json.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"slices"
 	"unicode/utf8"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fastjson"
 )
 
@@ -29,12 +32,21 @@
 	if !utf8.Valid(raw) {
 		return invalid("the body is not UTF-8: encode it so")
 	}
-	if err := fastjson.ValidateBytes(raw); err != nil {
-		return invalid("the body is not one whole JSON value: %v", err)
+	if fastjson.ValidateBytes(raw) != nil {
+		return syntaxError(raw)
 	}
 	return nil
 }
 
+// syntaxError says where raw stops being JSON, and not what stands there: it may be an API key.
+func syntaxError(raw []byte) error {
+	var syntax *json.SyntaxError
+	if err := json.Unmarshal(raw, new(json.RawMessage)); errors.As(err, &syntax) {
+		return invalid("the body is not one whole JSON value: %v, at byte %d: mend it there", syntax, syntax.Offset)
+	}
+	return invalid("the body is not one whole JSON value: check its texts and numbers")
+}
+
 // stringEnd returns the index behind the string that opens at i, or len(raw) where it does not end.
 func stringEnd(raw []byte, i int) int {
 	for j := i + 1; j < len(raw); {
@@ -179,43 +191,59 @@
 	}
 	v, err := fastjson.ParseBytes(raw)
 	if err != nil || v.Type() != fastjson.TypeString {
-		return "", invalid("%s is no string: quote it", raw)
+		return "", invalid("a name is no string: quote it")
 	}
 	return string(v.GetStringBytes()), nil
 }
 
-// rejectDuplicateKeys fails where an object inside v has a name twice: which of the values counts is not defined (RFC 8259, 4).
+// rejectDuplicateKeys fails where an object inside v has a name twice: which of the values counts is not defined (RFC 8259, 4). The
+// error names members of v itself only: what lies deeper may be an API key.
 func rejectDuplicateKeys(v *fastjson.Value, what string) error {
+	object, err := v.Object()
+	if err != nil {
+		if hasDuplicateKeys(v) {
+			return invalid("%s has an object with a name twice: leave one", what)
+		}
+		return nil
+	}
+	if key, ok := duplicateKey(object); ok {
+		return invalid("%s has %q twice: leave one", what, key)
+	}
+	var duplicate error
+	object.Visit(func(key []byte, value *fastjson.Value) {
+		if duplicate == nil && hasDuplicateKeys(value) {
+			duplicate = invalid("%s has an object with a name twice in %q: leave one", what, key)
+		}
+	})
+	return duplicate
+}
+
+// hasDuplicateKeys tells whether v is or holds an object that has a name twice.
+func hasDuplicateKeys(v *fastjson.Value) bool {
 	switch v.Type() {
 	case fastjson.TypeArray:
-		for _, element := range v.GetArray() {
-			if err := rejectDuplicateKeys(element, what); err != nil {
-				return err
-			}
-		}
+		return slices.ContainsFunc(v.GetArray(), hasDuplicateKeys)
 	case fastjson.TypeObject:
-		return rejectDuplicateKeysOf(v.GetObject(), what)
+		object := v.GetObject()
+		_, found := duplicateKey(object)
+		object.Visit(func(_ []byte, value *fastjson.Value) { found = found || hasDuplicateKeys(value) })
+		return found
 	}
-	return nil
+	return false
 }
 
-func rejectDuplicateKeysOf(object *fastjson.Object, what string) error {
+// duplicateKey returns the first name that object has twice.
+func duplicateKey(object *fastjson.Object) (duplicate string, found bool) {
 	var keys keySet
 	if object.Len() > len(keys.few) {
 		keys.many = make(map[string]bool, object.Len())
 	}
-	var err error
-	object.Visit(func(key []byte, value *fastjson.Value) {
-		if err != nil {
-			return
-		}
-		if !keys.add(key) {
-			err = invalid("%s has %q twice: leave one", what, key)
-			return
+	object.Visit(func(key []byte, _ *fastjson.Value) {
+		if !found && !keys.add(key) {
+			duplicate, found = string(key), true
 		}
-		err = rejectDuplicateKeys(value, what)
 	})
-	return err
+	return duplicate, found
 }
 
 // keySet is a set of an object's names. Most objects have few, which need no map.
--- a/internal/system/config/tenant_test.go
+++ b/internal/system/config/tenant_test.go
@@ -114,3 +114,31 @@
 		t.Fatalf("%d keys are found, %d are held", len(c.tenantOfKey), len(holders))
 	}
 }
+
+// TestNoErrorNamesKeys: no error of Parse or Amend holds an API key, wherever a body that is refused holds it.
+func TestNoErrorNamesKeys(t *testing.T) {
+	const key = "92cqf75rjvz48wuakn2f"
+	base, err := Parse([]byte(`{"revision":1,"routes":[],"services":[],"tenants":[{"name":"a","api_keys":["` + key + `"]}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tenants := range []string{
+		`[{"name":"a","api_keys":["%s"]},{"name":"b","api_keys":["%s"]}]`, `[{"name":"b","api_keys":["%s",1]}]`, `[{"name":"b","api_keys":"%s"}]`,
+		`[{"name":"b","api_keys":{"%s":1,"%s":2}}]`, `[{"name":"b","api_keys":["x" "%s"]}]`, `[{"name":"b","api_keys":["%s`, `["%s"]`, `"%s"`,
+		`{"api_keys":["%s"]}`, `[{"api_keys":["%s"]}]`, `[["%s"]]`, `[{"api_keys":["%s"],"name":["%s"]}]`, `[{"name":"b","api_keys":["\q%s"]}]`,
+		`[{"name":"b","priority":"%s"}]`, `[{"name":"b","rate_per_s":"%s"}]`, `[{"name":"b","home_regions":{"%s":[]}}]`,
+	} {
+		tenants = strings.ReplaceAll(tenants, "%s", key)
+		_, parseErr := Parse([]byte(`{"revision":2,"routes":[],"services":[],"tenants":` + tenants + `}`))
+		_, upsertErr := Amend(base, []byte(`{"revision":2,"upsert":{"tenants":`+tenants+`}}`))
+		_, removeErr := Amend(base, []byte(`{"revision":2,"remove":{"tenants":`+tenants+`}}`))
+		for _, err := range []error{parseErr, upsertErr, removeErr} {
+			if err != nil && strings.Contains(err.Error(), key[:5]) {
+				t.Errorf("%s: %v", tenants, err)
+			}
+		}
+		if parseErr == nil || !errors.Is(parseErr, ErrInvalid) {
+			t.Errorf("%s: accepted", tenants)
+		}
+	}
+}
