wal: files and folder are readable by their owner only

The control state on disk holds the configuration as it was sent, API keys of tenants included, since Config.Read answers it whole. The files were made with mode 644 in a folder of 755, so that every user of a machine could read the keys. They are made with 600 and 700 now, as backups are already. What an earlier version has made keeps its mode until it is written anew; a folder that is there keeps its mode.

TestFilesAreTheOwners on the code before: .../data has mode drwxr-xr-x .../data/log- has mode -rw-r--r-- .../data/snap- has mode -rw-r--r-- (and metadata and reserve) Now it passes, as does package wal under the race detector.

--- a/internal/system/wal/fs.go
+++ b/internal/system/wal/fs.go
@@ -39,7 +39,13 @@
 	return info.Size(), nil
 }
 
-func (osFS) MkdirAll(folder string) error { return os.MkdirAll(folder, 0o755) }
+// Modes of what a Log creates. The content may hold credentials, so that nobody but the owner reads it.
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+func (osFS) MkdirAll(folder string) error { return os.MkdirAll(folder, folderMode) }
 
 func (osFS) ReadDir(folder string) ([]string, error) {
 	entries, err := os.ReadDir(folder)
@@ -51,7 +57,7 @@
 }
 
 func (osFS) open(name string, flag int) (File, error) {
-	f, err := os.OpenFile(name, os.O_RDWR|flag, 0o644)
+	f, err := os.OpenFile(name, os.O_RDWR|flag, fileMode)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/system/wal/log_test.go
+++ b/internal/system/wal/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io/fs"
 	"maps"
 	"path/filepath"
 	"slices"
@@ -38,6 +39,30 @@
 	}
 }
 
+// TestFilesAreTheOwners: nobody but the owner reads the files, which hold what the control state has, API keys included.
+func TestFilesAreTheOwners(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "data")
+	log := openLoaded(t, folder, wal.Options{SegmentBytes: 300})
+	if err := errors.Join(log.SaveMeta("x", []byte("y")), log.Append([]wal.Entry{{Seq: 1, Data: []byte("a")}, {Seq: 2}}), log.Compact(wal.Snapshot{Seq: 1})); err != nil {
+		t.Fatal(err)
+	}
+	files := 0
+	err := filepath.WalkDir(folder, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		info, err := entry.Info()
+		if err == nil && info.Mode().Perm()&0o077 != 0 {
+			t.Errorf("%s has mode %v", path, info.Mode())
+		}
+		files++
+		return err
+	})
+	if err != nil || files < 3 {
+		t.Errorf("%d files, %v", files, err)
+	}
+}
+
 // TestMisuse: a Log and the disk in memory refuse the same calls.
 func TestMisuse(t *testing.T) {
 	log, err := wal.Open(t.TempDir(), wal.Options{})
