config: benchmarks show how the costs grow with routes and tenants

BenchmarkParse and BenchmarkAmend run with 1,000, 4,000 and 16,000 routes and as many tenants with two keys each; one amendment names routes, one tenants.

--- a/internal/system/config/config_test.go
+++ b/internal/system/config/config_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -324,23 +325,46 @@
 	})
 }
 
+// benchmarkSizes are numbers of routes, and as many tenants with two keys each.
+var benchmarkSizes = []int{1000, 4000, 16000}
+
 func BenchmarkParse(b *testing.B) {
-	raw := largeBody(1000)
-	b.ReportAllocs()
-	b.SetBytes(int64(len(raw)))
-	for b.Loop() {
-		if _, err := Parse(raw); err != nil {
-			b.Fatal(err)
-		}
+	for _, size := range benchmarkSizes {
+		raw := largeBody(size)
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetBytes(int64(len(raw)))
+			for b.Loop() {
+				if _, err := Parse(raw); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
 	}
 }
 
 func BenchmarkAmend(b *testing.B) {
-	base, raw := largeConfig(b, 1000), largeAmendment()
+	for list, raw := range map[string][]byte{"routes": largeAmendment(), "tenants": tenantAmendment()} {
+		for _, size := range benchmarkSizes {
+			base := largeConfig(b, size)
+			b.Run(list+"/"+strconv.Itoa(size), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					if _, err := Amend(base, raw); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkTenantOfKey(b *testing.B) {
+	c := largeConfig(b, 16000)
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := Amend(base, raw); err != nil {
-			b.Fatal(err)
+		if c.TenantOfKey("key-9999-b") == nil {
+			b.Fatal("no tenant")
 		}
 	}
 }
--- a/internal/system/config/tenant_test.go
+++ b/internal/system/config/tenant_test.go
@@ -24,11 +24,15 @@
 	}
 }
 
+func tenantAmendment() []byte {
+	return []byte(`{"revision":9,"upsert":{"tenants":[{"name":"tenant-3","api_keys":["new"]}]},"remove":{"tenants":["tenant-5"]}}`)
+}
+
 // TestAmendSharesUnchangedTenants: tenants that an amendment does not name are neither decoded nor copied again, and the index of keys
 // is built again only where it changes a tenant.
 func TestAmendSharesUnchangedTenants(t *testing.T) {
 	base := largeConfig(t, 100)
-	next, err := Amend(base, []byte(`{"revision":9,"upsert":{"tenants":[{"name":"tenant-3","api_keys":["new"]}]},"remove":{"tenants":["tenant-5"]}}`))
+	next, err := Amend(base, tenantAmendment())
 	if err != nil {
 		t.Fatal(err)
 	}
