operatorapi: the log line of an acknowledged change names its revision

As versions rise in uneven steps, when which version was acknowledged could not be read from the logs. What the response tells (the revision; nothing for an evacuation) is logged with it. Responses are as before.

TestAcknowledgedRevisionIsLogged on the code before: the fields are op, base, zone, seq and ms, without revision. Now it passes.

--- a/internal/system/operatorapi/change.go
+++ b/internal/system/operatorapi/change.go
@@ -27,7 +27,7 @@
 	change     controlstate.Change
 	receivedAt time.Time // when its head was read and, of a configuration, the whole body
 	respondBy  time.Time
-	success    func() any // makes the JSON of the response once the change is acknowledged
+	success    func() map[string]any // makes the JSON of the response once the change is acknowledged
 }
 
 // rejectIfPartitioned answers a change at once where this node has no way to the chain, so that the caller need not wait for a
@@ -59,8 +59,10 @@
 	switch verdict.Kind {
 	case controlstate.Accepted, controlstate.AlreadyApplied:
 		a.waitDelivered(r.Context(), request, verdict.Seq)
-		entry.WithFields(log.Fields{"seq": verdict.Seq, "ms": time.Since(request.receivedAt).Milliseconds()}).Info("operatorapi: change acknowledged")
-		writeJSON(w, http.StatusOK, request.success())
+		response := request.success()
+		entry.WithFields(log.Fields(response)).WithFields(log.Fields{"seq": verdict.Seq, "ms": time.Since(request.receivedAt).Milliseconds()}).
+			Info("operatorapi: change acknowledged")
+		writeJSON(w, http.StatusOK, response)
 	case controlstate.Stale:
 		body := a.staleBody(verdict)
 		entry.Info("operatorapi: change rejected, another version is current")
--- a/internal/system/operatorapi/config.go
+++ b/internal/system/operatorapi/config.go
@@ -71,7 +71,7 @@
 		return
 	}
 	request := changeRequest{change: change, receivedAt: time.Now()}
-	request.success = func() any {
+	request.success = func() map[string]any {
 		return map[string]any{"revision": fastjson.GetInt(change.Body, "revision")}
 	}
 	timeout := chainTimeout
--- a/internal/system/operatorapi/evacuation.go
+++ b/internal/system/operatorapi/evacuation.go
@@ -52,7 +52,7 @@
 			return
 		}
 		request := changeRequest{change: change, receivedAt: receivedAt, respondBy: receivedAt.Add(responseTimeout),
-			success: func() any { return struct{}{} }}
+			success: func() map[string]any { return map[string]any{} }}
 		verdict, err := a.submitWithFence(r.Context(), &request, fence)
 		a.respondToChange(w, r, request, verdict, err)
 	}
--- a/internal/system/operatorapi/keys_test.go
+++ b/internal/system/operatorapi/keys_test.go
@@ -40,6 +40,19 @@
 	return c.state, nil
 }
 
+// TestAcknowledgedRevisionIsLogged: the log line of a change that was acknowledged names its revision, as versions rise in uneven steps.
+func TestAcknowledgedRevisionIsLogged(t *testing.T) {
+	entries := memory.New()
+	handler := Handler(Options{Chain: &stateChain{state: controlstate.Empty()}, Log: &log.Logger{Handler: entries, Level: log.DebugLevel}})
+	serve(t, handler, http.MethodPost, "/Config.Replace", `{"revision":7,"routes":[],"services":[]}`, "X-Base-Version", "0")
+	if len(entries.Entries) != 1 {
+		t.Fatalf("%d log entries", len(entries.Entries))
+	}
+	if got := entries.Entries[0]; got.Message != "operatorapi: change acknowledged" || got.Fields.Get("revision") != 7 {
+		t.Errorf("%s %v", got.Message, got.Fields)
+	}
+}
+
 // TestKeysAreNotLogged: neither the log nor the response to a change holds an API key of its body, whether it is accepted or not.
 func TestKeysAreNotLogged(t *testing.T) {
 	const key = "92cqf75rjvz48wuakn2f"
