pick: a tenant's priority goes first, and its homes bind beside the route's

Change: Request has the tenant. Priority and allowsRegion, by which all choices go (eligibility, homes of prefixes, prompt pools, separate regions, the invariant), take it in.

Without the two lines of Priority and allowsRegion the tests say: TestHomesOfTenantAndRouteBind/the_tenant: sent to zone "z1", want "z3" .../both: sent to zone "z1", want "z2" .../nothing_in_common: sent to zone "z1", want "" TestPriorityOfTenantGoesFirst: priority 4 with a tenant's 7, want 7 The knob IgnoreTenantHomes shows that the invariant sees a request that leaves them. Golden traces are as they were. Tests of the package with -race passed.

--- a/internal/system/proxy/pick/eligibility.go
+++ b/internal/system/proxy/pick/eligibility.go
@@ -30,7 +30,7 @@
 		return draining
 	case p.state.Evacuated[candidate.Zone]:
 		return evacuated
-	case input.request != nil && !input.request.allowsRegion(candidate.Region):
+	case input.request != nil && !p.mayServeIn(candidate.Region, input.request):
 		return outsideHomeRegions
 	case slices.Contains(input.tried, candidate.ID):
 		return alreadyTried
@@ -44,6 +44,14 @@
 	return eligible
 }
 
+// mayServeIn reports whether a request may go to a region.
+func (p *Picker) mayServeIn(region string, r *Request) bool {
+	if p.settings.TestingKnobs.IgnoreTenantHomes {
+		return isHome(r.Route.HomeRegions, region)
+	}
+	return r.allowsRegion(region)
+}
+
 // isExcludedByOutlier reports whether outlier detection keeps the request from a candidate: it is ejected, or it is suspected and this
 // request may not be its probe. Where no request is asked for, a suspected server counts as eligible, as some request may go there.
 func (input *pickInput) isExcludedByOutlier(candidate *server) bool {
--- a/internal/system/proxy/pick/invariants.go
+++ b/internal/system/proxy/pick/invariants.go
@@ -15,7 +15,7 @@
 	warmUpEndInvariant = invariant.New("pick_cold_end_kept",
 		"a server that was taken for cold gets no request as a warm one before that cold state is over by later readings of the list")
 	eligibilityInvariant = invariant.New("pick_sends_allowed",
-		"no request goes to a server that drains, lies in an evacuated zone or outside the route's home regions")
+		"no request goes to a server that drains, lies in an evacuated zone or outside the home regions of route and tenant")
 )
 
 // sendWindow is what this proxy has sent to a warming server within the last second. It is empty for a server that is warm.
--- a/internal/system/proxy/pick/pick.go
+++ b/internal/system/proxy/pick/pick.go
@@ -42,7 +42,7 @@
 // Pick decides where r goes now. tried has the ids of the servers that this request was sent to, mayHaveRun says that one of these attempts
 // may have run. With Send it registers the attempt: Done has to follow, exactly once.
 func (p *Picker) Pick(now Time, r *Request, tried []string, mayHaveRun bool) Result {
-	result := Result{Priority: min(max(r.Route.Priority, 0), maxPriority)}
+	result := Result{Priority: min(max(r.Priority(), 0), maxPriority)}
 	if mayHaveRun && !r.Route.Idempotent() || r.hasNoTriesLeft(len(tried)) {
 		result.Decision = GiveUp
 		return result
--- a/internal/system/proxy/pick/request.go
+++ b/internal/system/proxy/pick/request.go
@@ -15,6 +15,7 @@
 // attempt is Done.
 type Request struct {
 	Route        *config.Route
+	Tenant       *config.Tenant // that sent it; nil: none is known
 	Model        string
 	TokensIn     int           // of the prompt
 	MaxTokensOut int           // of the answer
@@ -28,9 +29,22 @@
 	arrived int
 }
 
-// allowsRegion reports whether r may go to a region, by its route's home regions.
+// allowsRegion reports whether r may go to a region: it has to be a home of the route and of the tenant, where these have any.
 func (r *Request) allowsRegion(region string) bool {
-	return len(r.Route.HomeRegions) == 0 || slices.Contains(r.Route.HomeRegions, region)
+	return isHome(r.Route.HomeRegions, region) && (r.Tenant == nil || isHome(r.Tenant.HomeRegions, region))
+}
+
+// isHome reports whether a region is among the homes; without homes all regions are.
+func isHome(homes []string, region string) bool {
+	return len(homes) == 0 || slices.Contains(homes, region)
+}
+
+// Priority is the priority of r, 0 or more and the highest first: the tenant's, or that of the route where the tenant has none.
+func (r *Request) Priority() int {
+	if r.Tenant != nil && r.Tenant.Priority != config.NoPriority {
+		return r.Tenant.Priority
+	}
+	return r.Route.Priority
 }
 
 // maxTries is how many attempts of r may reach a server.
--- a/internal/system/proxy/pick/settings.go
+++ b/internal/system/proxy/pick/settings.go
@@ -32,6 +32,8 @@
 	// PromptPoolShare is the share of each region's servers that are for long prompts, in place of the share of the work that long
 	// prompts bring: simulations compare the learned share with fixed ones. 0: by the work.
 	PromptPoolShare float64
+	// IgnoreTenantHomes lets requests go to regions that are no home of their tenant.
+	IgnoreTenantHomes bool
 }
 
 // setDefaults fills in what is not set.
