proxy: servers get the tenant of the key, and never the key

Cause: appendForwarded passes on every header that is not of the connection. The proxy knew neither X-Credential, which proves to it who sends, nor X-Tenant, which tells servers. The class: what a client says of itself was trusted, and a secret between two ends went on to a third.

Change: X-Credential and X-Tenant of clients stay here, in every spelling that a server may take for them, and whatever the configuration says: where it has no tenants, clients may know of a newer one that has. X-Tenant is the name of the tenant that holds the key. Where tenants are configured and the route is not public, exactly one known key is needed: 401, or 503 at a proxy that is stale, as a newer configuration may hold the key or need none. After a stall the update is awaited first. The key is looked up again before each attempt, in the newest configuration; a stream that has begun goes on. Route and configuration are taken under one lock. Counters: unauthorized, keys_unverified, revoked.

On the code before, with the declarations that the tests need: TestServerNeverSeesCredential/tenants/plain: the server got "X-Credential: key-a" (12 of 15 cases) TestTenantIsThatOfTheKey/claims_another: the server got the tenant [zenith], want [acme] (10 of 11 cases) TestTenantPriorityGoesFirst: priority 3 with key-a, want 1 TestUnknownKeyIsUnauthorized/none: status 200; 4 requests at the server TestUnknownKeyAtStaleProxy/unknown,_stale: status 200, want 503 TestKeyIsVerifiedBeforeEachAttempt/revoked: status 200, 2 attempts; want 401, 1 TestNoConfigurationIsNever401 and TestRevocationEndsNoStream hold before and after. The knobs ForwardIdentity, AcceptAnyTenantName, DenyWhileStale and SkipKeyReverification are the controls.

--- a/internal/system/proxy/clientrequest.go
+++ b/internal/system/proxy/clientrequest.go
@@ -26,6 +26,7 @@
 	attemptID   string // X-Attempt-Id
 	target      string // path and query as they came
 	route       *config.Route
+	identity    identity
 	pickRequest pick.Request
 	body        []byte
 	startedAt   time.Time
@@ -35,6 +36,7 @@
 	mayHaveRun     bool              // some attempt may have run; never unset
 	unreachedCount int               // attempts of which nothing was sent
 	nextChoice     *pick.Result      // the server that replaces a silent one; nil: none has been chosen
+	keyError       error             // why the key holds no longer, and no further attempt is made; nil: it holds or none is needed
 	retryAfter     time.Duration     // the longest wait that servers which did not run it asked for
 	fallback       *bufferedResponse // a server's own failure, passed on if nothing better comes
 	headSent       bool              // the head of a response has gone to the client
@@ -93,6 +95,9 @@
 		return *choice
 	}
 	c.proxy.picker.awaitContact(ctx)
+	if c.keyError = c.reverifyKey(); c.keyError != nil {
+		return pick.Result{Decision: pick.GiveUp}
+	}
 	timeLeft := time.Until(c.deadline)
 	if timeLeft <= 0 || c.clientGone() || c.unreachedCount >= maxUnreachedServers || !c.mayRetry(c.mayHaveRun) {
 		return pick.Result{Decision: pick.GiveUp}
@@ -179,7 +184,7 @@
 // chooseReplacement chooses a server that replaces a silent one, and reports whether there is one.
 func (c *clientRequest) chooseReplacement() bool {
 	timeLeft := time.Until(c.deadline)
-	if timeLeft <= 0 || !c.mayRetry(true) {
+	if timeLeft <= 0 || !c.mayRetry(true) || c.reverifyKey() != nil {
 		return false
 	}
 	choice := c.askPicker(timeLeft, true)
@@ -248,6 +253,9 @@
 	case c.headSent:
 		counters.Truncated.Add(1)
 		c.abortConn(deliverUnsent)
+	case c.keyError != nil && !c.mayHaveRun:
+		counters.Revoked.Add(1)
+		c.rejectUnauthenticated(c.keyError)
 	case c.fallback != nil:
 		counters.Served.Add(1)
 		c.sendBuffered(c.fallback)
--- a/internal/system/proxy/doc.go
+++ b/internal/system/proxy/doc.go
@@ -15,6 +15,8 @@
 //   - A route is idempotent if its requests may run more than once. The configuration says so, not the method.
 //   - A not-executed status tells the client that its request was not executed: 408, 421, 429 and 503.
 //   - A response is truncated if its end did not come. It is framed if its end can be recognized.
+//   - A tenant is a customer with API keys, one of which its clients send in X-Credential. A key is verified by a configuration that is
+//     known to be the newest, or was so a bounded time ago.
 //   - An event stream is a response of type text/event-stream. It is resumed if another server goes on with it after the last
 //     event that went to the client.
 //
@@ -34,6 +36,10 @@
 //     clientRequest.relayEvents.
 //   - Graceful shutdown loses no request that has been read within the grace period: Proxy.Drain, acceptor.endRound and
 //     connTracker.closeIdle.
+//   - No server learns a client's API key, and X-Tenant is the name of the tenant that holds it, whatever the client sent: only appendHead writes
+//     that header, and appendForwarded leaves out both (isIdentityHeader).
+//   - Where tenants are configured, only a known key lets a request in, and it is verified again before each attempt. What a newer
+//     configuration may allow is refused with 503, not 401: clientRequest.verifyKey.
 //   - Memory and connections are bounded: memoryBudget, clientListener.maxConns and upstreamPools.maxIdleConns.
 //
 // # Sources
--- a/internal/system/proxy/fakepicker_test.go
+++ b/internal/system/proxy/fakepicker_test.go
@@ -22,6 +22,8 @@
 	retryAfter   time.Duration // of refusals
 	sendWithin   time.Duration // of choices
 	refuseAll    bool          // whether every request is refused
+	awaitsState  bool          // whether a cluster state is awaited after a stall
+	stalled      bool          // and is awaited now
 	unreachable  map[string]bool
 	serverOf     map[uint64]string
 }
@@ -30,25 +32,30 @@
 	return &fakePicker{route: route, unreachable: map[string]bool{}, serverOf: map[uint64]string{}}
 }
 
-func (t *fakePicker) UpdateClusterState(_ pick.Time, w pick.ClusterState) { t.clusterState = w }
-func (t *fakePicker) UpdatePeerLoads(pick.Time, map[string]pick.Load)     {}
-func (t *fakePicker) Loads() map[string]pick.Load                         { return nil }
-func (t *fakePicker) SetIdleTimeout(string, time.Duration)                {}
-func (t *fakePicker) PromptDemands() pick.SharedDemands                   { return nil }
-func (t *fakePicker) RecordRequest(pick.Time, *pick.Request)              {}
-func (t *fakePicker) FirstEvent(pick.Time, uint64)                        { t.firstEvents++ }
-func (t *fakePicker) ResponseStarted(pick.Time, uint64)                   {}
-func (t *fakePicker) WarmingUp(pick.Time, string, time.Duration)          {}
-func (t *fakePicker) ServerDraining(pick.Time, string)                    {}
-func (t *fakePicker) AwaitsServerList() bool                              { return false }
-func (t *fakePicker) RecordStall(pick.Time)                               {}
-func (t *fakePicker) AwaitsControlPlane() bool                            { return false }
-func (t *fakePicker) Stats() pick.Stats                                   { return pick.Stats{} }
-func (t *fakePicker) Describe(pick.Time) string                           { return "fake" }
+func (t *fakePicker) UpdatePeerLoads(pick.Time, map[string]pick.Load) {}
+func (t *fakePicker) Loads() map[string]pick.Load                     { return nil }
+func (t *fakePicker) SetIdleTimeout(string, time.Duration)            {}
+func (t *fakePicker) PromptDemands() pick.SharedDemands               { return nil }
+func (t *fakePicker) RecordRequest(pick.Time, *pick.Request)          {}
+func (t *fakePicker) FirstEvent(pick.Time, uint64)                    { t.firstEvents++ }
+func (t *fakePicker) ResponseStarted(pick.Time, uint64)               {}
+func (t *fakePicker) WarmingUp(pick.Time, string, time.Duration)      {}
+func (t *fakePicker) ServerDraining(pick.Time, string)                {}
+func (t *fakePicker) AwaitsServerList() bool                          { return false }
+func (t *fakePicker) RecordStall(pick.Time)                           { t.stalled = t.awaitsState }
+func (t *fakePicker) AwaitsControlPlane() bool                        { return t.stalled }
+func (t *fakePicker) Stats() pick.Stats                               { return pick.Stats{} }
+func (t *fakePicker) Describe(pick.Time) string                       { return "fake" }
 func (t *fakePicker) ServerLoad(_ pick.Time, id string, run, wait, of int) {
 	t.lastLoad = fmt.Sprintf("%s %d,%d,%d", id, run, wait, of)
 }
 
+func (t *fakePicker) UpdateClusterState(_ pick.Time, w pick.ClusterState) {
+	t.clusterState, t.stalled = w, false
+}
+
+func (t *fakePicker) Config() *config.Config { return t.clusterState.Config }
+
 func (t *fakePicker) Route(host, path string) *config.Route {
 	if strings.EqualFold(strings.TrimSuffix(host, ":80"), t.route.Host) && strings.HasPrefix(path, t.route.Prefix) {
 		return t.route
@@ -64,7 +71,7 @@
 		if !t.refuseAll && !slices.Contains(tried, s.ID) && !t.unreachable[s.ID] {
 			t.lastTicket++
 			t.serverOf[t.lastTicket] = s.ID
-			return pick.Result{Server: s, Ticket: t.lastTicket, Priority: r.Route.Priority, SendWithin: t.sendWithin}
+			return pick.Result{Server: s, Ticket: t.lastTicket, Priority: r.Priority(), SendWithin: t.sendWithin}
 		}
 	}
 	if offered {
--- a/internal/system/proxy/headers.go
+++ b/internal/system/proxy/headers.go
@@ -14,7 +14,9 @@
 	headerTimeLeft       = "X-Time-Left-Ms"    // how long the sender waits, in milliseconds
 	headerLastEventID    = "Last-Event-Id"     // of the stream that is resumed
 	headerTargetInstance = "X-Target-Instance" // the server that a request is for
-	headerPriority       = "Priority"          // of the route
+	headerPriority       = "Priority"          // of the tenant or the route
+	headerCredential     = "X-Credential"      // a tenant's API key, from clients alone
+	headerTenant         = "X-Tenant"          // the name of the key's tenant, for servers alone
 	headerModel          = "X-Model"
 	headerTokenCount     = "X-Token-Count"
 	headerPromptPrefix   = "X-Prompt-Prefix"
--- a/internal/system/proxy/lockedpicker.go
+++ b/internal/system/proxy/lockedpicker.go
@@ -85,10 +85,16 @@
 	return stats
 }
 
-// Route returns the route of a request; nil: none.
-func (p *lockedPicker) Route(host, path string) (route *config.Route) {
-	p.withLock(func(inner picker, _ pick.Time) { route = inner.Route(host, path) })
-	return route
+// Config returns the newest configuration; nil: none has come yet.
+func (p *lockedPicker) Config() (newest *config.Config) {
+	p.withLock(func(inner picker, _ pick.Time) { newest = inner.Config() })
+	return newest
+}
+
+// Route returns the route of a request, nil where there is none, and the configuration that has it.
+func (p *lockedPicker) Route(host, path string) (route *config.Route, by *config.Config) {
+	p.withLock(func(inner picker, _ pick.Time) { route, by = inner.Route(host, path), inner.Config() })
+	return route, by
 }
 
 // RecordRequest tells the picker of a request before its first choice.
--- a/internal/system/proxy/metrics.go
+++ b/internal/system/proxy/metrics.go
@@ -27,6 +27,10 @@
 	Surplus      atomic.Int64 // idle connections with bytes that no request asked for
 	Mismatch     atomic.Int64 // responses that were not valid for their request
 	Unframed     atomic.Int64 // responses whose end cannot be recognized
+
+	Unauthorized   atomic.Int64 // requests that came without one known key where one is needed: answered with 401
+	KeysUnverified atomic.Int64 // requests refused as a newer configuration may say otherwise of their key
+	Revoked        atomic.Int64 // requests whose key did not hold any more before an attempt, as far as could be verified
 }
 
 // byMetric returns the counters by the part of their metric's name that differs. The names are the operators'.
@@ -51,6 +55,10 @@
 		"surplus":   &c.Surplus,
 		"mismatch":  &c.Mismatch,
 		"unframed":  &c.Unframed,
+
+		"unauthorized":    &c.Unauthorized,
+		"keys_unverified": &c.KeysUnverified,
+		"revoked":         &c.Revoked,
 	}
 }
 
--- a/internal/system/proxy/pick/picker.go
+++ b/internal/system/proxy/pick/picker.go
@@ -68,6 +68,9 @@
 	return p
 }
 
+// Config is the configuration that Route goes by; nil: none has come yet.
+func (p *Picker) Config() *config.Config { return p.state.Config }
+
 // Route finds the rule for a request: of the host's routes the one with the longest prefix of the path; nil: none.
 func (p *Picker) Route(host, path string) *config.Route {
 	if p.state.Config == nil {
--- a/internal/system/proxy/picker.go
+++ b/internal/system/proxy/picker.go
@@ -31,6 +31,7 @@
 
 // serverChooser chooses servers for requests.
 type serverChooser interface {
+	Config() *config.Config                // that Route goes by; nil: none has come yet
 	Route(host, path string) *config.Route // nil: none
 	RecordRequest(now pick.Time, r *pick.Request)
 	Pick(now pick.Time, r *pick.Request, tried []string, mayHaveRun bool) pick.Result
--- a/internal/system/proxy/requesthead.go
+++ b/internal/system/proxy/requesthead.go
@@ -46,6 +46,10 @@
 		p.respond(w, proxied.attemptID, status)
 		return
 	}
+	if err := proxied.authenticate(r.Context()); err != nil {
+		proxied.rejectUnauthenticated(err)
+		return
+	}
 	body := requestBody{memory: p.memory, maxBytes: config.Limits.MaxBodyBytes}
 	defer body.release()
 	_ = proxied.controller.SetReadDeadline(proxied.deadline)
@@ -78,11 +82,11 @@
 // server is answered at once; 0: it goes to one.
 func (c *clientRequest) matchRoute(config *config.Config) (status int) {
 	target, path := targetOf(c.request)
-	route := c.proxy.picker.Route(c.request.Host, path)
+	route, by := c.proxy.picker.Route(c.request.Host, path)
 	if status := checkHead(config.Limits, c.request, route, target); status != 0 {
 		return status
 	}
-	c.target, c.route = target, route
+	c.target, c.route, c.identity.config = target, route, by
 	timeout := min(route.Timeout, maxRequestTimeout)
 	if clientTimeout, ok := parseMilliseconds(c.request.Header.Get(headerTimeLeft)); ok {
 		timeout = min(timeout, clientTimeout)
@@ -98,6 +102,7 @@
 	tokensIn, tokensOut := parseTokenCount(header.Get(headerTokenCount))
 	c.pickRequest = pick.Request{
 		Route:        c.route,
+		Tenant:       c.identity.tenant,
 		Model:        header.Get(headerModel),
 		TokensIn:     tokensIn,
 		MaxTokensOut: tokensOut,
--- a/internal/system/proxy/testing_knobs.go
+++ b/internal/system/proxy/testing_knobs.go
@@ -23,4 +23,12 @@
 	ResumeAnyStream bool
 	// KeepTruncatedConns leaves the client's connection open behind a truncated response.
 	KeepTruncatedConns bool
+	// ForwardIdentity passes clients' X-Credential and X-Tenant on to servers.
+	ForwardIdentity bool
+	// AcceptAnyTenantName sends names of tenants to servers that cannot be the value of a header.
+	AcceptAnyTenantName bool
+	// DenyWhileStale answers unknown keys with 401 although a newer configuration may hold them.
+	DenyWhileStale bool
+	// SkipKeyReverification makes attempts without looking whether the key still holds.
+	SkipKeyReverification bool
 }
--- a/internal/system/proxy/upstreamhead.go
+++ b/internal/system/proxy/upstreamhead.go
@@ -27,6 +27,9 @@
 	b = appendField(b, headerTimeLeft, strconv.FormatInt(timeLeftMS, 10))
 	b = appendField(b, headerTargetInstance, choice.Server.ID)
 	b = appendField(b, headerPriority, strconv.Itoa(choice.Priority))
+	if c.identity.tenant != nil {
+		b = appendField(b, headerTenant, c.identity.tenant.Name)
+	}
 	if c.headSent && c.lastEventID != "" {
 		b = appendField(b, headerLastEventID, c.lastEventID)
 	}
@@ -54,7 +57,8 @@
 	return b
 }
 
-// replacesHeader reports whether the proxy sets a header itself, or leaves it out.
+// replacesHeader reports whether the proxy sets a header itself, or leaves it out. A client's key and what it claims to be are left out
+// whatever the configuration says: clients may know of a newer one, by which there are tenants.
 func (c *clientRequest) replacesHeader(name string) bool {
 	switch name {
 	case "Content-Length", "Expect", headerTimeLeft, headerTargetInstance, headerPriority, "Host":
@@ -62,7 +66,7 @@
 	case headerLastEventID:
 		return c.headSent
 	}
-	return false
+	return isIdentityHeader(name) && !c.proxy.options.knobs.ForwardIdentity
 }
 
 func appendField(b []byte, name, value string) []byte {
