proxy: without contact, keys are relied on for as long as revocations allow

Need: where the deployment says revocation_global, a key that was taken away is to be refused everywhere within revoke_ms, also by a proxy that the control plane does not reach.

Change: settings read bounds.revocation_global and bounds.revoke_ms. Where the first is true, a proxy whose configuration was last proved the newest longer ago than revoke_ms less 500 ms (less half of it, if that is shorter) answers 503 to requests that need a key; where it is false it goes on. The proof is the subscriber's (StateAge), not its last contact: a current node may reply before all that it has was sent. A proxy without that source goes by ContactAge of its last cluster state and the time since.

On the code before, with the declarations that the test needs: TestKeysThatCannotBeVerified/too_late: status 200, want 503 .../a_short_bound: status 200, want 503 The knob TrustOldKeys is the control. Tests with -race of proxy, cmd/proxy, settings, compat and distribution passed.

--- a/cmd/proxy/run.go
+++ b/cmd/proxy/run.go
@@ -68,6 +68,9 @@
 		MemoryMB:    int(config.Limits.MemoryMB),
 		Log:         created.log,
 		OnStall:     func() { created.subscriber.Refresh() },
+
+		StateAge:     func() time.Duration { return created.subscriber.StateAge() },
+		RevokeWithin: revocationBound(config.Bounds),
 	})
 	created.subscriber = distribution.NewSubscriber(distribution.SubscriberOptions{
 		Seeds:            config.SeedIPs(),
@@ -88,6 +91,14 @@
 	return created
 }
 
+// revocationBound is the time within which a revoked key is refused without contact to the control plane, too; 0: there is no such bound.
+func revocationBound(bounds settings.Bounds) time.Duration {
+	if !bounds.RevocationGlobal {
+		return 0
+	}
+	return settings.Milliseconds(bounds.RevokeMS)
+}
+
 // start publishes the metrics, listens at all addresses and starts the goroutines. The group owns these; they end with ctx.
 func (p *proxyProcess) start(ctx context.Context, self *process.Process, group *process.Group) error {
 	p.dataPlane.Publish()
--- a/internal/system/distribution/subscriber.go
+++ b/internal/system/distribution/subscriber.go
@@ -128,6 +128,14 @@
 	return s.currentUpdate(time.Now())
 }
 
+// StateAge returns how long ago, at most, nothing newer than the state had been acknowledged; an hour where that was never proved or is
+// longer ago.
+func (s *Subscriber) StateAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.freshness.stateAge(time.Now())
+}
+
 // currentUpdate returns what the proxy has now. The caller holds mu.
 func (s *Subscriber) currentUpdate(now time.Time) Update {
 	update := Update{
--- a/internal/system/distribution/subscriber_freshness.go
+++ b/internal/system/distribution/subscriber_freshness.go
@@ -36,6 +36,14 @@
 	return min(now.Sub(t.lastCurrentContact), unknownAge)
 }
 
+// stateAge is how long ago, at most, nothing newer than the state had been acknowledged.
+func (t *freshnessTracker) stateAge(now time.Time) time.Duration {
+	if t.neverFresh() {
+		return unknownAge
+	}
+	return min(now.Sub(t.freshAt), unknownAge)
+}
+
 // observeCurrent records that a node was current at a moment, and reports whether the owner awaits that.
 func (t *freshnessTracker) observeCurrent(at time.Time) (awaited bool) {
 	t.lastCurrentContact = laterOf(t.lastCurrentContact, at)
--- a/internal/system/proxy/identity.go
+++ b/internal/system/proxy/identity.go
@@ -92,6 +92,8 @@
 	switch {
 	case !c.identity.needsKey:
 		return nil
+	case c.proxy.missesRevocations():
+		return errKeysUnverified
 	case c.identity.tenant != nil:
 		return nil
 	case c.proxy.isStale() && !knobs.DenyWhileStale:
--- a/internal/system/proxy/identity_test.go
+++ b/internal/system/proxy/identity_test.go
@@ -318,6 +318,47 @@
 	})
 }
 
+// TestKeysThatCannotBeVerified has a proxy without contact to the control plane, where a revocation must be in force everywhere within
+// five seconds.
+func TestKeysThatCannotBeVerified(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		within   time.Duration
+		stateAge time.Duration
+		knobs    TestingKnobs
+		public   bool
+		want     int
+	}{
+		{"just in time", 5 * time.Second, 4500 * time.Millisecond, TestingKnobs{}, false, 200},
+		{"too late", 5 * time.Second, 4501 * time.Millisecond, TestingKnobs{}, false, 503},
+		{"a short bound", 400 * time.Millisecond, 201 * time.Millisecond, TestingKnobs{}, false, 503},
+		{"a short bound, in time", 400 * time.Millisecond, 200 * time.Millisecond, TestingKnobs{}, false, 200},
+		{"public route", 5 * time.Second, time.Hour, TestingKnobs{}, true, 200},
+		{"no bound", 0, time.Hour, TestingKnobs{}, false, 200},
+		{"control", 5 * time.Second, time.Hour, TestingKnobs{TrustOldKeys: true}, false, 200},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for _, byOption := range []bool{false, true} {
+				bubble.Test(t, func(t *testing.T) {
+					proxy := newPipedProxy([]configure{withTenants(t, twoTenants), func(o *Options, c *config.Config) {
+						o.knobs, o.RevokeWithin, c.Routes[0].Public = test.knobs, test.within, test.public
+						if byOption {
+							o.StateAge = func() time.Duration { return test.stateAge }
+						}
+					}}, respondWith(200, "x"))
+					state := *proxy.clusterState.Load()
+					state.ContactAge = test.stateAge / 2
+					proxy.UpdateClusterState(time.Now().Add(-test.stateAge/2), state)
+					w, _ := proxy.roundTrip(t.Context(), headerCredential, "key-a")
+					if w.Code != test.want || (w.Header().Get("Retry-After") != "") != (test.want == 503) {
+						t.Errorf("status %d, %v, want %d", w.Code, w.Header(), test.want)
+					}
+				})
+			}
+		})
+	}
+}
+
 // TestAnswersNameNoKey looks for the key in all that the proxy itself answers.
 func TestAnswersNameNoKey(t *testing.T) {
 	for _, tenants := range []string{twoTenants, `[]`} {
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -35,6 +35,12 @@
 	// OnStall is called after the process was stopped or starved of CPU time, so that the caller refreshes what it knows from the
 	// control plane. It must not block. It may be nil.
 	OnStall func()
+	// StateAge returns how long ago, at most, the configuration that the proxy has was certainly the newest. Where it is nil, the ContactAge
+	// of the last cluster state and the time since then count, which is more where updates come only with changes.
+	StateAge func() time.Duration
+	// RevokeWithin is the time within which an API key that was taken away is to be refused everywhere, without contact to the control
+	// plane too. 0: a proxy without contact goes on with the keys that it has.
+	RevokeWithin time.Duration
 	// Timeouts are how long clients and servers may be silent.
 	Timeouts Timeouts
 	// TestingKnobs are for tests only.
@@ -59,6 +65,7 @@
 	options      Options
 	picker       *lockedPicker
 	clusterState atomic.Pointer[pick.ClusterState]
+	lastContact  atomic.Int64 // when a current control-plane node last confirmed the cluster state; after pools.start, in nanoseconds
 	pools        *upstreamPools
 	memory       *memoryBudget
 	clients      *clientListener
@@ -87,6 +94,7 @@
 func (p *Proxy) UpdateClusterState(asOf time.Time, state pick.ClusterState) {
 	p.picker.UpdateClusterState(asOf, state)
 	p.pools.applyUpdate(state)
+	p.lastContact.Store(int64(asOf.Sub(p.pools.start) - state.ContactAge))
 	p.clusterState.Store(&state)
 	if state.Config != nil {
 		p.clients.setLimits(state.Config.Limits)
--- a/internal/system/proxy/testing_knobs.go
+++ b/internal/system/proxy/testing_knobs.go
@@ -31,4 +31,6 @@
 	DenyWhileStale bool
 	// SkipKeyReverification makes attempts without looking whether the key still holds.
 	SkipKeyReverification bool
+	// TrustOldKeys relies on keys for as long as there is no contact to the control plane.
+	TrustOldKeys bool
 }
--- a/internal/system/settings/settings.go
+++ b/internal/system/settings/settings.go
@@ -58,6 +58,8 @@
 	LossSlackMS        float64 `toml:"loss_slack_ms"`
 	ConfigApplyMS      float64 `toml:"config_apply_ms"`
 	RevertSlackMS      float64 `toml:"revert_slack_ms"`
+	RevocationGlobal   bool    `toml:"revocation_global"` // revoke_ms binds machines without contact to the control plane, too
+	RevokeMS           float64 `toml:"revoke_ms"`         // within which a key that was taken away is refused everywhere
 	RetryRatio         float64 `toml:"retry_ratio"`
 	RetryWindowSeconds float64 `toml:"retry_window_s"`
 	RetrySlack         float64 `toml:"retry_slack"`
--- a/internal/system/settings/validate.go
+++ b/internal/system/settings/validate.go
@@ -109,6 +109,7 @@
 		{"tolerance.region_losses", float64(s.Tolerance.Regions), 0, 64},
 		{"bounds.ack_ms", s.Bounds.AckMS, 100, 600_000},
 		{"bounds.grace_s", s.Bounds.GraceSeconds, 0.1, 3600},
+		{"bounds.revoke_ms", s.Bounds.RevokeMS, 0, 600_000},
 		{"bounds.retry_ratio", s.Bounds.RetryRatio, 0, 100},
 		{"bounds.retry_window_s", s.Bounds.RetryWindowSeconds, 0, 3600},
 		{"bounds.retry_slack", s.Bounds.RetrySlack, 0, 1e9},
