proxy: limits of tenants are asked for before a server is chosen

Need: what a tenant sends beyond its limit is to get 429; nothing asked for limits.

Change: Options.Quota is asked once for each request of a tenant with a limit, also on public routes where its key was sent, after the body has been read and before the first choice of a server. Without Quota nothing is enforced. Counters: over_limit, quota_unavailable.

--- a/cmd/proxy/compat_test.go
+++ b/cmd/proxy/compat_test.go
@@ -32,6 +32,8 @@
 		"gradeusher_proxy_keys_unverified_total",
 		"gradeusher_proxy_mismatch_total",
 		"gradeusher_proxy_moved_total",
+		"gradeusher_proxy_over_limit_total",
+		"gradeusher_proxy_quota_unavailable_total",
 		"gradeusher_proxy_refused_total",
 		"gradeusher_proxy_repeats_total",
 		"gradeusher_proxy_requests_total",
--- a/internal/system/proxy/doc.go
+++ b/internal/system/proxy/doc.go
@@ -40,6 +40,8 @@
 //     that header, and appendForwarded leaves out both (isIdentityHeader).
 //   - Where tenants are configured, only a known key lets a request in, and it is verified again before each attempt. What a newer
 //     configuration may allow is refused with 503, not 401: clientRequest.verifyKey.
+//   - A request of a tenant with a limit is counted once, after its body has been read and before the first choice of a server:
+//     clientRequest.isAdmitted.
 //   - Memory and connections are bounded: memoryBudget, clientListener.maxConns and upstreamPools.maxIdleConns.
 //
 // # Sources
--- a/internal/system/proxy/metrics.go
+++ b/internal/system/proxy/metrics.go
@@ -28,9 +28,11 @@
 	Mismatch     atomic.Int64 // responses that were not valid for their request
 	Unframed     atomic.Int64 // responses whose end cannot be recognized
 
-	Unauthorized   atomic.Int64 // requests that came without one known key where one is needed: answered with 401
-	KeysUnverified atomic.Int64 // requests refused as a newer configuration may say otherwise of their key
-	Revoked        atomic.Int64 // requests whose key did not hold any more before an attempt, as far as could be verified
+	Unauthorized     atomic.Int64 // requests that came without one known key where one is needed: answered with 401
+	KeysUnverified   atomic.Int64 // requests refused as a newer configuration may say otherwise of their key
+	Revoked          atomic.Int64 // requests whose key did not hold any more before an attempt, as far as could be verified
+	OverLimit        atomic.Int64 // requests beyond their tenant's limit: answered with 429
+	QuotaUnavailable atomic.Int64 // requests refused as it could not be found out whether they were within their tenant's limit
 }
 
 // byMetric returns the counters by the part of their metric's name that differs. The names are the operators'.
@@ -56,9 +58,11 @@
 		"mismatch":  &c.Mismatch,
 		"unframed":  &c.Unframed,
 
-		"unauthorized":    &c.Unauthorized,
-		"keys_unverified": &c.KeysUnverified,
-		"revoked":         &c.Revoked,
+		"unauthorized":      &c.Unauthorized,
+		"keys_unverified":   &c.KeysUnverified,
+		"revoked":           &c.Revoked,
+		"over_limit":        &c.OverLimit,
+		"quota_unavailable": &c.QuotaUnavailable,
 	}
 }
 
--- a/internal/system/proxy/proxy.go
+++ b/internal/system/proxy/proxy.go
@@ -41,6 +41,8 @@
 	// RevokeWithin is the time within which an API key that was taken away is to be refused everywhere, without contact to the control
 	// plane too. 0: a proxy without contact goes on with the keys that it has.
 	RevokeWithin time.Duration
+	// Quota enforces the limits of tenants; nil: no limits are enforced.
+	Quota QuotaAdmitter
 	// Timeouts are how long clients and servers may be silent.
 	Timeouts Timeouts
 	// TestingKnobs are for tests only.
--- a/internal/system/proxy/requesthead.go
+++ b/internal/system/proxy/requesthead.go
@@ -60,7 +60,9 @@
 	_ = proxied.controller.SetReadDeadline(time.Time{}) // an end of the connection now means that the client is gone
 	proxied.body = body.bytes
 	proxied.describeToPicker()
-	proxied.run(r.Context())
+	if proxied.isAdmitted(r.Context()) {
+		proxied.run(r.Context())
+	}
 }
 
 // newClientRequest begins with a request whose head has been read.
