--- /dev/null
+++ b/internal/system/quota/allocation.go
@@ -0,0 +1,200 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// allocation is what an allocator knows of one tenant.
+type allocation struct {
+	limit   Limit    // by which the bucket was last sized
+	bucket  bucket   // of what is not leased
+	holders []holder // by their first call
+}
+
+// holder is a limiter's part of an allocation.
+type holder struct {
+	from          *caller
+	share         Share // the most that it may hold
+	expiresAt     time.Duration
+	seenAt        time.Duration
+	ratePerSecond float64
+}
+
+// allocation returns the record of a tenant. A new one has the bucket of a tenant of which nothing was leased or used in this term.
+func (a *Allocator) allocation(name string, limit Limit) *allocation {
+	tenant := a.allocated[name]
+	if tenant == nil {
+		tenant = &allocation{limit: limit, bucket: a.untouchedBucket(limit)}
+		a.allocated[name] = tenant
+	}
+	return tenant
+}
+
+// untouchedBucket returns the bucket of a tenant that nobody has asked for since the term began: empty at the end of the handover,
+// filled since then at the rate that is certainly not leased.
+func (a *Allocator) untouchedBucket(limit Limit) bucket {
+	fresh := bucket{filledAt: a.handoverEnd()}
+	if a.now < fresh.filledAt {
+		return bucket{filledAt: fresh.filledAt}
+	}
+	a.sizeBucket(&fresh, limit, a.certainlyFree(), fresh.filledAt)
+	if a.now < a.graceEnd() {
+		fresh.fill(a.now)
+		return fresh
+	}
+	a.sizeBucket(&fresh, limit, Share{Fraction: 1, Extra: a.bounds.ExtraTokens()}, a.graceEnd())
+	fresh.fill(a.now)
+	return fresh
+}
+
+// certainlyFree is the part of each limit that no allocator ever leases.
+func (a *Allocator) certainlyFree() Share {
+	return Share{Fraction: allocatorFraction, Extra: a.bounds.ExtraTokens() - a.bounds.leasableExtra()}
+}
+
+func (a *Allocator) sizeBucket(b *bucket, limit Limit, free Share, at time.Duration) {
+	b.resize(at, free.Fraction*limit.RatePerSecond, free.Fraction*a.bounds.Depth(limit)+float64(free.Extra))
+}
+
+// free is the part of a tenant's limit that the allocator's own bucket has.
+func (tenant *allocation) free(a *Allocator) Share {
+	if a.now < a.graceEnd() {
+		return a.certainlyFree()
+	}
+	leased := tenant.outstanding(nil)
+	return Share{
+		Fraction: max(0, 1-leased.Fraction),
+		Extra:    max(0, a.bounds.ExtraTokens()-leased.Extra),
+	}
+}
+
+// takeTokens takes up to count one-shot tokens from the tenant's bucket.
+func (tenant *allocation) takeTokens(a *Allocator, limit Limit, count int) int {
+	tenant.resizeBucket(a, limit)
+	return tenant.bucket.take(count)
+}
+
+// resizeBucket adapts the bucket to what is free and to the limit. Time that has passed counts at the lower of the two limits.
+func (tenant *allocation) resizeBucket(a *Allocator, limit Limit) {
+	if limit.RatePerSecond < tenant.limit.RatePerSecond {
+		tenant.bucket.rate *= limit.RatePerSecond / tenant.limit.RatePerSecond
+	}
+	tenant.limit = limit
+	a.sizeBucket(&tenant.bucket, limit, tenant.free(a), max(a.now, tenant.bucket.filledAt))
+}
+
+// isAsNew reports whether the record can be forgotten, since a new one would be the same.
+func (tenant *allocation) isAsNew(a *Allocator) bool {
+	if a.now < a.graceEnd() {
+		return false
+	}
+	tenant.resizeBucket(a, tenant.limit)
+	return tenant.bucket.level >= tenant.bucket.depth
+}
+
+// outstanding returns the sum of what all holders but one may hold.
+func (tenant *allocation) outstanding(except *holder) Share {
+	var sum Share
+	for i := range tenant.holders {
+		if h := &tenant.holders[i]; h != except {
+			sum = sum.plus(h.share)
+		}
+	}
+	return sum
+}
+
+// expire removes holders whose leases have ended.
+func (tenant *allocation) expire(now time.Duration) {
+	tenant.holders = slices.DeleteFunc(tenant.holders, func(h holder) bool { return now >= h.expiresAt })
+}
+
+// remove removes a limiter.
+func (tenant *allocation) remove(from *caller) {
+	tenant.holders = slices.DeleteFunc(tenant.holders, func(h holder) bool { return h.from == from })
+}
+
+// holder returns the record of a limiter, nil where there are too many of others.
+func (tenant *allocation) holder(from *caller) *holder {
+	for i := range tenant.holders {
+		if tenant.holders[i].from == from {
+			return &tenant.holders[i]
+		}
+	}
+	if len(tenant.holders) >= maxHolders {
+		return nil
+	}
+	tenant.holders = append(tenant.holders, holder{from: from})
+	return &tenant.holders[len(tenant.holders)-1]
+}
+
+const (
+	// demandHeadroom is by how much a share is larger than the demand.
+	demandHeadroom = 1.5
+	// leastWeight is what a limiter with any demand is given where there is enough.
+	leastWeight = 0.02
+	// keepWithin is by which part of itself a share may miss its target and still be kept: a change costs calls.
+	keepWithin = 0.15
+)
+
+// decideShare returns the share that a limiter gets in place of what it holds: its target, as far as the others leave it. While the
+// allocator learns, no part grows.
+func (a *Allocator) decideShare(tenant *allocation, to *holder, held Share, limit Limit) Share {
+	target := tenant.target(a, to, held, limit)
+	if a.now < a.graceEnd() {
+		return Share{Fraction: min(held.Fraction, target.Fraction), Extra: min(held.Extra, target.Extra)}
+	}
+	others := tenant.outstanding(to)
+	granted := Share{
+		Fraction: max(0, min(target.Fraction, leasableFraction-others.Fraction)),
+		Extra:    max(0, min(target.Extra, a.bounds.leasableExtra()-others.Extra)),
+	}
+	if granted.Fraction > held.Fraction {
+		sharesWithinLimit.Check(others.Fraction+granted.Fraction <= leasableFraction+fractionRounding)
+	}
+	if granted.Extra > held.Extra {
+		sharesWithinLimit.Check(others.Extra+granted.Extra <= a.bounds.leasableExtra())
+	}
+	return granted
+}
+
+// target returns the share that a limiter should have beside the demand of the others.
+func (tenant *allocation) target(a *Allocator, of *holder, held Share, limit Limit) Share {
+	weight := of.weight(limit)
+	if weight == 0 {
+		return Share{}
+	}
+	sum, claimants := tenant.weights(limit)
+	fraction := weight
+	if sum > leasableFraction {
+		fraction = leasableFraction * weight / sum
+	}
+	if math.Abs(fraction-held.Fraction) <= keepWithin*held.Fraction {
+		fraction = held.Fraction
+	}
+	extra := max(1, a.bounds.leasableExtra()/claimants)
+	if held.Extra == extra+1 || held.Extra == extra-1 {
+		extra = held.Extra
+	}
+	return Share{Fraction: fraction, Extra: extra}
+}
+
+// weights returns the sum of the weights of all holders, and how many have one.
+func (tenant *allocation) weights(limit Limit) (sum float64, claimants int) {
+	for i := range tenant.holders {
+		if weight := tenant.holders[i].weight(limit); weight > 0 {
+			sum += weight
+			claimants++
+		}
+	}
+	return sum, claimants
+}
+
+// weight is the part of the limit that a limiter's demand calls for, more than 1 where the demand exceeds the limit; 0 without demand.
+func (h *holder) weight(limit Limit) float64 {
+	if h.ratePerSecond <= 0 {
+		return 0
+	}
+	return demandHeadroom*h.ratePerSecond/limit.RatePerSecond + leastWeight
+}
--- /dev/null
+++ b/internal/system/quota/allocator.go
@@ -0,0 +1,212 @@
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// DefaultTTL is how long a lease lasts from the sending of the call that brought it.
+	DefaultTTL = 5 * time.Second
+	// expiryMargin is by how much an allocator counts a lease longer than its holder does, so that clocks may differ in speed by
+	// 1 in 100.
+	expiryMargin = 100 * time.Millisecond
+	// handoverTime is longer than a former allocator's authority lasts after the view that ends it (600 ms).
+	handoverTime  = time.Second
+	sweepInterval = time.Second
+	// maxHolders bounds the limiters that are known of one tenant.
+	maxHolders = 128
+)
+
+// AllocatorOptions configure an Allocator.
+type AllocatorOptions struct {
+	Bounds Bounds
+	TTL    time.Duration // of leases; 0: DefaultTTL
+	Knobs  TestingKnobs
+}
+
+// Allocator leases shares of tenants' limits to limiters. Not more than one may have authority at a time; a new one learns from the
+// limiters what is outstanding. It is not safe for use by several goroutines.
+type Allocator struct {
+	bounds Bounds
+	ttl    time.Duration
+	knobs  TestingKnobs
+
+	begun     bool
+	now       time.Duration // never goes back
+	beganAt   time.Duration
+	sweptAt   time.Duration
+	callers   map[LimiterID]*caller
+	allocated map[string]*allocation
+}
+
+// caller is a limiter that has called lately.
+//
+// Invariant: it is forgotten only when none of its leases is outstanding, so a request that was overtaken cannot hide one.
+type caller struct {
+	id       LimiterID
+	sequence uint64 // of its newest call
+	calledAt time.Duration
+}
+
+// NewAllocator returns an allocator that rejects all calls before Begin.
+func NewAllocator(options AllocatorOptions) *Allocator {
+	return &Allocator{bounds: options.Bounds, ttl: cmp.Or(options.TTL, DefaultTTL), knobs: options.Knobs}
+}
+
+// Begin starts a term of authority: the allocator forgets all and learns what is outstanding. It must be called whenever another
+// allocator may have had authority since the last call of Receive.
+func (a *Allocator) Begin(now time.Duration) {
+	a.advance(now)
+	a.begun, a.beganAt, a.sweptAt = true, a.now, a.now
+	a.callers = map[LimiterID]*caller{}
+	a.allocated = map[string]*allocation{}
+}
+
+// Learning reports whether the allocator may not know yet all that is outstanding.
+func (a *Allocator) Learning(now time.Duration) bool {
+	return !a.begun || max(now, a.now) < a.graceEnd()
+}
+
+// Receive answers a call. The driver reads now after the call has come and before it checks that it has authority; then no delay
+// after that check does harm. limits returns a tenant's limit, and false for a tenant that is not known; such a tenant, and one
+// without a limit, gets no grant.
+func (a *Allocator) Receive(now time.Duration, request LeaseRequest, limits func(tenant string) (Limit, bool)) LeaseReply {
+	a.advance(now)
+	reply := LeaseReply{Sequence: request.Sequence, TTL: a.ttl, Learning: a.Learning(a.now)}
+	if !a.begun {
+		reply.Rejected = true
+		return reply
+	}
+	a.sweep()
+	from := a.caller(request.Limiter)
+	if request.Sequence <= from.sequence && !a.knobs.AcceptOldRequests {
+		reply.Rejected = true
+		return reply
+	}
+	from.sequence = max(from.sequence, request.Sequence)
+	from.calledAt = a.now
+	if request.Leaving {
+		a.release(from)
+		return reply
+	}
+	for _, demand := range request.Demands {
+		if limit, known := limits(demand.Tenant); known && !limit.Unlimited() && demand.Held.valid() {
+			if grant, granted := a.allocate(from, demand, limit); granted {
+				reply.Grants = append(reply.Grants, grant)
+			}
+		}
+	}
+	return reply
+}
+
+// allocate registers what the caller holds of a tenant's limit and decides on what it gets. It returns false where the caller's lease
+// is to end as it stands.
+func (a *Allocator) allocate(from *caller, demand Demand, limit Limit) (Grant, bool) {
+	tenant := a.allocation(demand.Tenant, limit)
+	tenant.expire(a.now)
+	former := tenant.holder(from)
+	if former == nil {
+		return Grant{}, false
+	}
+	former.ratePerSecond = max(0, demand.RatePerSecond)
+	former.expiresAt = a.now + a.countedTTL()
+	former.seenAt = a.now
+	if a.inHandover() {
+		former.share = demand.Held
+		return Grant{}, false
+	}
+	grant := Grant{Tenant: demand.Tenant, Tokens: tenant.takeTokens(a, limit, demand.Waiting)}
+	grant.Share = a.decideShare(tenant, former, demand.Held, limit)
+	a.record(former, demand.Held, grant.Share)
+	tenant.resizeBucket(a, limit)
+	return grant, true
+}
+
+// record sets what counts as outstanding at a limiter: what it reported, until it confirms that it has less.
+func (a *Allocator) record(to *holder, held, granted Share) {
+	to.share = held.atLeast(granted)
+	if a.knobs.TrustShrink {
+		to.share = granted
+	}
+}
+
+// countedTTL is how long after a call its limiter's leases count as outstanding.
+func (a *Allocator) countedTTL() time.Duration {
+	if a.knobs.EarlyExpiry {
+		return a.ttl / 2
+	}
+	return a.ttl + expiryMargin
+}
+
+// handoverEnd is when no former allocator has authority any more.
+func (a *Allocator) handoverEnd() time.Duration {
+	if a.knobs.NoHandover || a.knobs.NoGrace {
+		return a.beganAt
+	}
+	return a.beganAt + handoverTime
+}
+
+// graceEnd is when each lease of a former allocator has ended or was reported.
+func (a *Allocator) graceEnd() time.Duration {
+	if a.knobs.NoGrace {
+		return a.beganAt
+	}
+	return a.beganAt + a.ttl + handoverTime
+}
+
+func (a *Allocator) inHandover() bool { return a.now < a.handoverEnd() }
+
+func (a *Allocator) advance(now time.Duration) { a.now = max(a.now, now) }
+
+// caller returns the record of a limiter. Each incarnation of a node is a limiter of its own: what a former one held is
+// outstanding until it ends, as the former process may still run.
+func (a *Allocator) caller(id LimiterID) *caller {
+	key := id
+	if a.knobs.IgnoreIncarnation {
+		key.Incarnation = 0
+	}
+	from := a.callers[key]
+	if from == nil {
+		from = &caller{id: id}
+		a.callers[key] = from
+	}
+	if from.id != id {
+		from.id, from.sequence = id, 0
+	}
+	return from
+}
+
+// release frees all that a limiter held.
+func (a *Allocator) release(from *caller) {
+	for _, tenant := range a.allocated {
+		tenant.remove(from)
+	}
+}
+
+// sweep forgets, once a second, limiters and tenants that have nothing.
+func (a *Allocator) sweep() {
+	if a.now < a.sweptAt+sweepInterval {
+		return
+	}
+	a.sweptAt = a.now
+	maps.DeleteFunc(a.callers, func(_ LimiterID, c *caller) bool { return a.now >= c.calledAt+a.countedTTL() })
+	maps.DeleteFunc(a.allocated, func(_ string, tenant *allocation) bool {
+		tenant.expire(a.now)
+		return len(tenant.holders) == 0 && tenant.isAsNew(a)
+	})
+}
+
+// tenantNames returns the names of all tenants that have holders, sorted.
+func (a *Allocator) tenantNames() []string {
+	var names []string
+	for name, tenant := range a.allocated {
+		if len(tenant.holders) > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/system/quota/limiter.go
@@ -0,0 +1,132 @@
+package quota
+
+import (
+	"cmp"
+	"time"
+)
+
+const (
+	defaultMaxTenants = 20_000
+	defaultMaxWaiting = 1_024
+)
+
+// LimiterOptions configure a Limiter.
+type LimiterOptions struct {
+	ID         LimiterID
+	Bounds     Bounds
+	MaxTenants int // tracked at once; 0: 20,000
+	MaxWaiting int // requests that wait at once, of one tenant a quarter of them; 0: 1,024
+	Knobs      TestingKnobs
+}
+
+// Limiter admits requests by the leases that it holds, and asks an allocator for them. It does no I/O: the driver sends what
+// NextRequest returns and brings the outcome by Receive or Fail. It is not safe for use by several goroutines.
+type Limiter struct {
+	options LimiterOptions
+	now     time.Duration // never goes back
+	left    bool
+	tenants map[string]*lease
+	waiters waitQueue
+	calls   callSchedule
+}
+
+// Decision is the outcome of Take: Granted, Denied, Unavailable and Waiting sum to the count that was asked for.
+type Decision struct {
+	Granted     int           // requests that may run
+	Denied      int           // requests beyond the limit
+	Unavailable int           // requests that could neither be decided on nor wait
+	Waiting     int           // requests that wait, under Ticket, for a Resolution
+	Ticket      Ticket        // 0 where none wait
+	RetryAfter  time.Duration // for those denied
+	NeedsLease  bool          // NextCall may now return an earlier time than before
+}
+
+// NewLimiter returns a limiter that holds nothing.
+func NewLimiter(options LimiterOptions) *Limiter {
+	options.MaxTenants = cmp.Or(options.MaxTenants, defaultMaxTenants)
+	options.MaxWaiting = cmp.Or(options.MaxWaiting, defaultMaxWaiting)
+	return &Limiter{options: options, tenants: map[string]*lease{}}
+}
+
+// Take asks for count tokens of a tenant whose limit is as given. A tenant without a limit gets them.
+func (l *Limiter) Take(now time.Duration, tenant string, limit Limit, count int) Decision {
+	l.advance(now)
+	count = max(0, count)
+	if limit.Unlimited() {
+		return Decision{Granted: count}
+	}
+	held := l.lease(tenant)
+	if held == nil {
+		return Decision{Unavailable: count}
+	}
+	held.demand.observe(l.now, count)
+	held.settle(l, limit)
+	decision := Decision{Granted: held.bucket.take(count)}
+	l.decideRest(held, count-decision.Granted, &decision)
+	return decision
+}
+
+// decideRest decides on requests for which the bucket has no token.
+func (l *Limiter) decideRest(held *lease, missing int, decision *Decision) {
+	switch {
+	case missing == 0:
+	case held.overLimit && l.now < held.askAgainAt:
+		decision.Denied = missing
+		decision.RetryAfter = held.retryAfter(l.now)
+	default:
+		decision.Waiting = min(missing, l.room(held))
+		decision.Ticket = l.wait(held, decision.Waiting)
+		decision.NeedsLease = l.calls.wantAt(held, max(l.now, held.askAgainAt))
+		l.rejectOverflow(held, missing-decision.Waiting, decision)
+	}
+}
+
+// rejectOverflow decides on requests for which there is no room to wait.
+func (l *Limiter) rejectOverflow(held *lease, overflow int, decision *Decision) {
+	if held.share.IsZero() {
+		decision.Unavailable = overflow
+		return
+	}
+	decision.Denied = overflow
+	if overflow > 0 {
+		decision.RetryAfter = held.retryAfter(l.now)
+	}
+}
+
+// lease returns the record of a tenant, nil where no further one can be tracked.
+func (l *Limiter) lease(tenant string) *lease {
+	if l.left {
+		return nil
+	}
+	held := l.tenants[tenant]
+	if held == nil {
+		if len(l.tenants) >= l.options.MaxTenants {
+			return nil
+		}
+		held = &lease{tenant: tenant}
+		l.tenants[tenant] = held
+	}
+	return held
+}
+
+// Leave gives up all leases and returns the request that tells the allocator. All requests that wait are unavailable, and so are
+// those of later calls of Take.
+func (l *Limiter) Leave(now time.Duration) (LeaseRequest, []Resolution) {
+	l.advance(now)
+	l.left = true
+	l.tenants = map[string]*lease{}
+	resolutions := l.waiters.giveUp(l.waiters.all())
+	l.calls = callSchedule{sequence: l.calls.sequence + 1}
+	return LeaseRequest{Limiter: l.options.ID, Sequence: l.calls.sequence, Leaving: true}, resolutions
+}
+
+// Held returns the share of a tenant that the limiter holds.
+func (l *Limiter) Held(now time.Duration, tenant string) Share {
+	held := l.tenants[tenant]
+	if held == nil || max(now, l.now) >= held.expiresAt {
+		return Share{}
+	}
+	return held.share
+}
+
+func (l *Limiter) advance(now time.Duration) { l.now = max(l.now, now) }
--- /dev/null
+++ b/internal/system/quota/limiter_calls.go
@@ -0,0 +1,203 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	renewInterval   = 500 * time.Millisecond
+	minCallInterval = 20 * time.Millisecond
+	// askPause is how long no tokens are asked for after a reply without them, or after a failed call.
+	askPause = 100 * time.Millisecond
+	// reportAge is after what time a lease is renewed although nothing has changed, as a part of DefaultTTL.
+	reportAge = 3 * DefaultTTL / 10
+	// reportChange is by which part of itself, and reportChangeOfLimit by which part of the limit, the demand must differ from what
+	// was last reported to be reported before reportAge.
+	reportChange        = 0.25
+	reportChangeOfLimit = 0.02
+)
+
+// callSchedule is when a limiter calls, and the call under way.
+type callSchedule struct {
+	sequence  uint64 // of the newest call
+	underWay  bool
+	sentAt    time.Duration // newest call
+	renewedAt time.Duration // last time that all tenants were looked at
+	named     []*lease      // by the call under way
+	wanted    []*lease      // whose calls do not wait for the next renewal
+	wantedAt  time.Duration // earliest of them
+
+	earlier map[uint64]time.Duration // sending times of all calls, kept for TestingKnobs.AcceptOldReplies alone
+}
+
+// wantAt asks for a call that names a tenant, no earlier than at, and reports whether that is new.
+func (c *callSchedule) wantAt(held *lease, at time.Duration) bool {
+	if held.wanted && held.wantedAt <= at {
+		return false
+	}
+	if !held.wanted {
+		c.wanted = append(c.wanted, held)
+	}
+	held.wanted, held.wantedAt = true, at
+	c.wantedAt = at
+	for _, other := range c.wanted {
+		c.wantedAt = min(c.wantedAt, other.wantedAt)
+	}
+	return true
+}
+
+// takeWanted removes and returns the tenants whose calls are due.
+func (c *callSchedule) takeWanted(now time.Duration) []*lease {
+	var due, later []*lease
+	for _, held := range c.wanted {
+		if held.wantedAt <= now {
+			held.wanted = false
+			due = append(due, held)
+		} else {
+			later = append(later, held)
+		}
+	}
+	c.wanted = nil
+	for _, held := range later {
+		held.wanted = false
+		c.wantAt(held, held.wantedAt)
+	}
+	return due
+}
+
+// NextCall returns when NextRequest may have a request or Expire a resolution, and false where neither will before another call of a
+// method. What is due already is due now.
+func (l *Limiter) NextCall(now time.Duration) (at time.Duration, scheduled bool) {
+	at = math.MaxInt64
+	if len(l.waiters.waiters) > 0 {
+		at = l.waiters.waiters[0].until
+	}
+	if !l.calls.underWay && !l.left {
+		at = min(at, l.nextSending())
+	}
+	return max(at, now), at != math.MaxInt64
+}
+
+// nextSending returns when the next call may be due.
+func (l *Limiter) nextSending() time.Duration {
+	at := time.Duration(math.MaxInt64)
+	if len(l.tenants) > 0 {
+		at = l.calls.renewedAt + renewInterval
+	}
+	if len(l.calls.wanted) > 0 {
+		at = min(at, l.calls.wantedAt)
+	}
+	if l.calls.sequence == 0 || at == math.MaxInt64 {
+		return at
+	}
+	return max(at, l.calls.sentAt+minCallInterval)
+}
+
+// NextRequest returns the request that is due, if one is. It counts as sent at now, so that the driver must read now before it sends.
+// Until Receive or Fail brings its outcome there is no other.
+func (l *Limiter) NextRequest(now time.Duration) (request LeaseRequest, due bool) {
+	l.advance(now)
+	if l.left || l.calls.underWay || l.now < l.nextSending() {
+		return LeaseRequest{}, false
+	}
+	named := l.calls.takeWanted(l.now)
+	if l.now >= l.calls.renewedAt+renewInterval {
+		named = append(named, l.dueForRenewal(named)...)
+	}
+	if len(named) == 0 {
+		return LeaseRequest{}, false
+	}
+	slices.SortFunc(named, func(a, b *lease) int { return cmp.Compare(a.tenant, b.tenant) })
+	return l.send(named), true
+}
+
+// dueForRenewal returns the tenants, beside those already named, of which the allocator is to be told by now. It forgets those that have
+// neither demand nor a lease.
+func (l *Limiter) dueForRenewal(named []*lease) []*lease {
+	l.calls.renewedAt = l.now
+	already := make(map[*lease]bool, len(named))
+	for _, held := range named {
+		already[held] = true
+	}
+	var due []*lease
+	for name, held := range l.tenants {
+		held.settle(l, held.limit)
+		switch {
+		case already[held]:
+		case held.idle(l.now):
+			delete(l.tenants, name)
+		case held.dueForRenewal(l.now):
+			due = append(due, held)
+		}
+	}
+	return due
+}
+
+// idle reports whether the tenant can be forgotten.
+func (h *lease) idle(now time.Duration) bool {
+	return h.share.IsZero() && h.waiting == 0 && !h.wanted && !h.unconfirmed && h.demand.gone(now)
+}
+
+// dueForRenewal reports whether the allocator is to be told of the tenant.
+func (h *lease) dueForRenewal(now time.Duration) bool {
+	if h.unconfirmed || h.share.IsZero() || now >= h.reportedAt+reportAge || h.demand.gone(now) {
+		return true
+	}
+	change := math.Abs(h.demand.perSecond(now) - h.reportedRate)
+	return change > reportChange*h.reportedRate+reportChangeOfLimit*h.limit.RatePerSecond
+}
+
+// send makes the call that names the given tenants.
+func (l *Limiter) send(named []*lease) LeaseRequest {
+	l.calls.sequence++
+	l.calls.underWay, l.calls.sentAt, l.calls.named = true, l.now, named
+	if l.options.Knobs.AcceptOldReplies {
+		l.rememberSending()
+	}
+	request := LeaseRequest{Limiter: l.options.ID, Sequence: l.calls.sequence, Demands: make([]Demand, 0, len(named))}
+	for _, held := range named {
+		demand := held.demandLine(l)
+		held.reportedAt, held.reportedRate = l.now, demand.RatePerSecond
+		held.asked, held.inCall, held.unconfirmed = demand.Waiting, true, false
+		request.Demands = append(request.Demands, demand)
+	}
+	return request
+}
+
+func (l *Limiter) rememberSending() {
+	if l.calls.earlier == nil {
+		l.calls.earlier = map[uint64]time.Duration{}
+	}
+	l.calls.earlier[l.calls.sequence] = l.now
+}
+
+// Fail says that the call with the sequence got no reply in time, or that there was nobody to send it to. A reply that comes later is
+// ignored.
+func (l *Limiter) Fail(now time.Duration, sequence uint64) []Resolution {
+	l.advance(now)
+	if l.calls.underWay && sequence == l.calls.sequence {
+		l.endCall()
+	}
+	return l.Expire(now)
+}
+
+// endCall ends the call under way. The tenants that it named and that got no answer are to be named again.
+func (l *Limiter) endCall() {
+	named := l.calls.named
+	l.calls.underWay, l.calls.named = false, nil
+	for _, held := range named {
+		if !held.inCall {
+			continue
+		}
+		held.inCall = false
+		held.unconfirmed = true
+		if held.waiting > 0 {
+			held.overLimit = false
+			held.askAgainAt = l.now + askPause
+			l.calls.wantAt(held, held.askAgainAt)
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/quota/simulation_processes_test.go
@@ -0,0 +1,201 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// arrive has requests arrive at a limiter, and then again.
+func (s *simulation) arrive(node *simLimiter) {
+	s.after(simTakeInterval/2+s.randomUpTo(simTakeInterval), func() { s.arrive(node) })
+	if !node.alive || s.now < node.frozenUntil {
+		return
+	}
+	for _, tenant := range s.tenants {
+		if count := s.poisson(tenant.rates[node.index] * simTakeInterval.Seconds()); count > 0 {
+			s.take(node, tenant, count)
+		}
+	}
+}
+
+// poisson draws a number of arrivals.
+func (s *simulation) poisson(mean float64) int {
+	limit, product, count := math.Exp(-mean), s.rng.Float64(), 0
+	for product > limit {
+		product *= s.rng.Float64()
+		count++
+	}
+	return count
+}
+
+func (s *simulation) take(node *simLimiter, tenant *simTenant, count int) {
+	limit := tenant.limits[min(node.version, len(tenant.limits)-1)]
+	decision := node.limiter.Take(node.clock.read(s.now), tenant.name, limit, count)
+	if sum := decision.Granted + decision.Denied + decision.Unavailable + decision.Waiting; sum != count {
+		s.violate("%d requests, decided on %d", count, sum)
+	}
+	tenant.asked += count
+	tenant.denied += decision.Denied
+	tenant.failed += decision.Unavailable
+	tenant.waited += decision.Waiting
+	s.admit(node, tenant, decision.Granted)
+	if decision.Ticket != 0 {
+		node.tickets[decision.Ticket] = tenant
+	}
+	s.schedule(node)
+}
+
+func (s *simulation) admit(node *simLimiter, tenant *simTenant, count int) {
+	if s.onTake != nil {
+		s.onTake(node, tenant, count)
+	}
+	if count > 0 {
+		tenant.granted += count
+		tenant.admitted = append(tenant.admitted, simTake{at: s.now, count: count})
+	}
+}
+
+func (s *simulation) resolve(node *simLimiter, resolutions []Resolution) {
+	for _, r := range resolutions {
+		tenant := node.tickets[r.Ticket]
+		if tenant == nil {
+			s.violate("ticket %d was resolved twice", r.Ticket)
+			continue
+		}
+		delete(node.tickets, r.Ticket)
+		tenant.denied += r.Denied
+		tenant.failed += r.Unavailable
+		s.admit(node, tenant, r.Granted)
+	}
+}
+
+// schedule wakes a limiter when it next has something to do.
+func (s *simulation) schedule(node *simLimiter) {
+	local := node.clock.read(s.now)
+	at, scheduled := node.limiter.NextCall(local)
+	if !scheduled {
+		return
+	}
+	wait := time.Duration(float64(at-local)/node.clock.speed) + time.Microsecond
+	if s.now < node.wake && node.wake <= s.now+wait {
+		return
+	}
+	node.wake = s.now + wait
+	run := node.run
+	s.after(wait, func() {
+		s.whenAwake(&node.simProcess, run, func() { s.drive(node) })
+	})
+}
+
+// drive does what a limiter has due.
+func (s *simulation) drive(node *simLimiter) {
+	local := node.clock.read(s.now)
+	s.resolve(node, node.limiter.Expire(local))
+	if request, due := node.limiter.NextRequest(local); due {
+		s.send(node, request)
+	}
+	s.schedule(node)
+}
+
+// send carries a limiter's request to the allocator that it believes in.
+func (s *simulation) send(node *simLimiter, request LeaseRequest) {
+	s.calls++
+	if s.onRequest != nil {
+		s.onRequest(node, request)
+	}
+	run := node.run
+	target := s.allocators[node.knownView.owner]
+	path := simPath{node.index, target.index}
+	s.deliver(path, func() {
+		s.whenAwake(&target.simProcess, target.run, func() { s.serve(node, run, target, request) })
+	})
+	s.after(simCallTimeout, func() {
+		s.whenAwake(&node.simProcess, run, func() {
+			s.resolve(node, node.limiter.Fail(node.clock.read(s.now), request.Sequence))
+			s.schedule(node)
+		})
+	})
+}
+
+// serve reads the clock, checks the authority, possibly stands still, and answers.
+func (s *simulation) serve(node *simLimiter, nodeRun int, target *simAllocator, request LeaseRequest) {
+	readAt := target.clock.read(s.now)
+	if !s.hasAuthority(target) {
+		return
+	}
+	answer := func() {
+		reply := target.allocator.Receive(readAt, request, s.limits(target))
+		if s.onReply != nil {
+			s.onReply(target, reply)
+		}
+		s.deliver(simPath{node.index, target.index}, func() {
+			s.whenAwake(&node.simProcess, nodeRun, func() { s.receive(node, reply) })
+		})
+	}
+	if s.options.late > 0 && s.rng.IntN(200) == 0 {
+		run := target.run
+		s.after(s.randomUpTo(5*time.Second), func() { s.whenAwake(&target.simProcess, run, answer) })
+		return
+	}
+	answer()
+}
+
+func (s *simulation) receive(node *simLimiter, reply LeaseReply) {
+	s.resolve(node, node.limiter.Receive(node.clock.read(s.now), reply))
+	s.checkShares()
+	s.schedule(node)
+}
+
+// limits returns the limits as an allocator has them.
+func (s *simulation) limits(node *simAllocator) func(string) (Limit, bool) {
+	return func(name string) (Limit, bool) {
+		for _, tenant := range s.tenants {
+			if tenant.name == name {
+				return tenant.limits[min(node.version, len(tenant.limits)-1)], true
+			}
+		}
+		return Limit{}, false
+	}
+}
+
+// checkShares checks that the shares which limiters hold sum to no more than may be leased.
+func (s *simulation) checkShares() {
+	for _, tenant := range s.tenants {
+		var sum Share
+		for _, node := range s.limiters {
+			if node.alive {
+				sum = sum.plus(node.limiter.Held(node.clock.read(s.now), tenant.name))
+			}
+		}
+		if sum.Fraction > leasableFraction+1e-6 || sum.Extra > s.options.bounds.leasableExtra() {
+			s.violate("shares of %s sum to %+v", tenant.name, sum)
+		}
+	}
+}
+
+// checkWindows checks what was admitted in every window against the over-admission bound.
+func (s *simulation) checkWindows() {
+	for _, tenant := range s.tenants {
+		sum, first := 0, 0
+		for _, take := range tenant.admitted {
+			sum += take.count
+			for tenant.admitted[first].at < take.at-s.options.bounds.Window {
+				sum -= tenant.admitted[first].count
+				first++
+			}
+			if bound := s.bound(tenant, take.at); float64(sum) > bound {
+				s.violate("%d of %s admitted in the window to %.3f s, the bound is %.1f", sum, tenant.name, take.at.Seconds(), bound)
+				break
+			}
+		}
+	}
+}
+
+// bound returns what may be admitted in the window that ends at the given time.
+func (s *simulation) bound(tenant *simTenant, end time.Duration) float64 {
+	newest := len(tenant.limits) - 1
+	if newest > 0 && end < tenant.lowered+s.options.bounds.Window {
+		return max(s.options.bounds.MaxAdmitted(tenant.limits[newest-1]), s.options.bounds.MaxAdmitted(tenant.limits[newest]))
+	}
+	return s.options.bounds.MaxAdmitted(tenant.limits[newest])
+}
--- /dev/null
+++ b/internal/system/quota/simulation_test.go
@@ -0,0 +1,290 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// simulation runs limiters and allocators over a faulty network, each process on a clock of its own. Views name one allocator after
+// another; a former one keeps its authority for a while, as it does in the fleet.
+type simulation struct {
+	options    simulationOptions
+	rng        *rand.Rand
+	now        time.Duration // true time
+	queue      simEvents
+	eventCount int
+
+	limiters   []*simLimiter
+	allocators []*simAllocator
+	view       simView
+	tenants    []*simTenant
+	cut        map[simPath]bool
+	violations []string
+	onRequest  func(*simLimiter, LeaseRequest)
+	onReply    func(*simAllocator, LeaseReply)
+	onTake     func(*simLimiter, *simTenant, int)
+	calls      int
+}
+
+// simulationOptions describe a play.
+type simulationOptions struct {
+	limiters, allocators int
+	knobs                TestingKnobs
+	bounds               Bounds
+	delay                time.Duration // one way, least
+	jitter               time.Duration // further, at most, as a rule
+	loss, duplication    float64
+	late                 float64 // part of messages that take up to 6 s
+	drift                bool
+}
+
+// simView is the newest agreed view.
+type simView struct {
+	epoch int
+	owner int
+	since time.Duration
+}
+
+// simTenant is a tenant, its demand and what was admitted.
+type simTenant struct {
+	name     string
+	limits   []Limit       // by version; only the last counts once all have it
+	lowered  time.Duration // when all have the newest limit
+	rates    []float64     // arrivals a second by limiter
+	admitted []simTake
+	asked    int
+	granted  int
+	denied   int
+	waited   int
+	failed   int
+}
+
+type simTake struct {
+	at    time.Duration
+	count int
+}
+
+// simPath is the way from one process to another.
+type simPath struct{ limiter, allocator int }
+
+// simClock is a process's own clock.
+type simClock struct {
+	offset time.Duration
+	speed  float64
+}
+
+func (c simClock) read(now time.Duration) time.Duration {
+	return c.offset + time.Duration(float64(now)*c.speed)
+}
+
+// simProcess is what limiters and allocators have in common.
+type simProcess struct {
+	clock       simClock
+	run         int // rises with each start
+	alive       bool
+	frozenUntil time.Duration
+}
+
+type simLimiter struct {
+	simProcess
+	index       int
+	incarnation uint64
+	limiter     *Limiter
+	knownView   simView
+	version     int // of the limits
+	tickets     map[Ticket]*simTenant
+	wake        time.Duration // of the newest timer
+	awaits      uint64        // sequence of the call under way
+}
+
+type simAllocator struct {
+	simProcess
+	index     int
+	allocator *Allocator
+	begunFor  int // epoch
+	version   int
+}
+
+type simEvent struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e simEvents) Swap(i, j int)  { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(item any) { *e = append(*e, item.(simEvent)) }
+func (e *simEvents) Pop() any {
+	last := len(*e) - 1
+	item := (*e)[last]
+	*e = (*e)[:last]
+	return item
+}
+
+var testBounds = Bounds{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
+
+const (
+	simAuthorityEnd = 600 * time.Millisecond // after a view that names another owner
+	simCallTimeout  = 300 * time.Millisecond
+	simTakeInterval = 50 * time.Millisecond // between batches of arrivals at one limiter
+)
+
+func newSimulation(seed uint64, options simulationOptions) *simulation {
+	if options.bounds.Window == 0 {
+		options.bounds = testBounds
+	}
+	sim := &simulation{options: options, rng: rand.New(rand.NewPCG(seed, 7)), cut: map[simPath]bool{}}
+	for index := range options.allocators {
+		node := &simAllocator{index: index}
+		sim.allocators = append(sim.allocators, node)
+		sim.startAllocator(node)
+	}
+	for index := range options.limiters {
+		node := &simLimiter{index: index}
+		sim.limiters = append(sim.limiters, node)
+		sim.startLimiter(node)
+		sim.after(sim.randomUpTo(simTakeInterval), func() { sim.arrive(node) })
+	}
+	sim.changeView(0)
+	return sim
+}
+
+func (s *simulation) addTenant(name string, limit Limit) *simTenant {
+	tenant := &simTenant{name: name, limits: []Limit{limit}, rates: make([]float64, len(s.limiters))}
+	s.tenants = append(s.tenants, tenant)
+	return tenant
+}
+
+func (s *simulation) randomUpTo(longest time.Duration) time.Duration {
+	if longest <= 0 {
+		return 0
+	}
+	return time.Duration(s.rng.Int64N(int64(longest)))
+}
+
+func (s *simulation) after(wait time.Duration, do func()) {
+	s.eventCount++
+	heap.Push(&s.queue, simEvent{at: s.now + wait, order: s.eventCount, do: do})
+}
+
+// run plays until duration has passed.
+func (s *simulation) run(duration time.Duration) {
+	end := s.now + duration
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		event := heap.Pop(&s.queue).(simEvent)
+		s.now = event.at
+		event.do()
+	}
+	s.now = end
+}
+
+func (s *simulation) violate(format string, values ...any) {
+	if len(s.violations) < 5 {
+		s.violations = append(s.violations, fmt.Sprintf("%.3f s: ", s.now.Seconds())+fmt.Sprintf(format, values...))
+	}
+}
+
+func (s *simulation) newClock() simClock {
+	clock := simClock{offset: s.randomUpTo(1000 * time.Second), speed: 1}
+	if s.options.drift {
+		clock.speed += 0.001 * (2*s.rng.Float64() - 1)
+	}
+	return clock
+}
+
+func (s *simulation) startLimiter(node *simLimiter) {
+	node.run++
+	node.incarnation++
+	node.alive, node.frozenUntil, node.clock = true, 0, s.newClock()
+	node.wake = math.MaxInt64
+	node.tickets = map[Ticket]*simTenant{}
+	node.awaits = 0
+	id := LimiterID{Node: fmt.Sprint("proxy-", node.index), Incarnation: node.incarnation}
+	node.limiter = NewLimiter(LimiterOptions{ID: id, Bounds: s.options.bounds, Knobs: s.options.knobs})
+}
+
+func (s *simulation) startAllocator(node *simAllocator) {
+	node.run++
+	node.alive, node.frozenUntil, node.clock = true, 0, s.newClock()
+	node.allocator = NewAllocator(AllocatorOptions{Bounds: s.options.bounds, Knobs: s.options.knobs})
+	node.begunFor = 0
+	if s.view.epoch > 0 && s.view.owner == node.index {
+		s.begin(node, s.view.epoch)
+	}
+}
+
+// changeView agrees on a view with another owner, of which each process learns in its own time.
+func (s *simulation) changeView(owner int) {
+	s.view = simView{epoch: s.view.epoch + 1, owner: owner, since: s.now}
+	view := s.view
+	node := s.allocators[owner]
+	run := node.run
+	s.after(s.randomUpTo(300*time.Millisecond), func() {
+		s.whenAwake(&node.simProcess, run, func() { s.begin(node, view.epoch) })
+	})
+	for _, limiter := range s.limiters {
+		s.after(s.randomUpTo(1500*time.Millisecond), func() {
+			if limiter.knownView.epoch < view.epoch {
+				limiter.knownView = view
+			}
+		})
+	}
+}
+
+// begin starts the term of an owner, unless a later view names another.
+func (s *simulation) begin(node *simAllocator, epoch int) {
+	if s.view.epoch == epoch && node.begunFor < epoch {
+		node.begunFor = epoch
+		node.allocator.Begin(node.clock.read(s.now))
+	}
+}
+
+// hasAuthority is whether an allocator counts as the owner: of the newest view, or of one that ended less than simAuthorityEnd ago.
+func (s *simulation) hasAuthority(node *simAllocator) bool {
+	if node.begunFor == s.view.epoch {
+		return true
+	}
+	return node.begunFor == s.view.epoch-1 && node.begunFor > 0 && s.now < s.view.since+simAuthorityEnd
+}
+
+// whenAwake does something at a process now, or once it is not frozen any more; nothing if the run has ended by then.
+func (s *simulation) whenAwake(process *simProcess, run int, do func()) {
+	if !process.alive || process.run != run {
+		return
+	}
+	if s.now < process.frozenUntil {
+		s.after(process.frozenUntil-s.now, func() { s.whenAwake(process, run, do) })
+		return
+	}
+	do()
+}
+
+// deliver carries a message between a limiter and an allocator.
+func (s *simulation) deliver(path simPath, arrive func()) {
+	copies := 1
+	if s.rng.Float64() < s.options.loss {
+		copies = 0
+	}
+	if s.rng.Float64() < s.options.duplication {
+		copies++
+	}
+	for range copies {
+		delay := s.options.delay + s.randomUpTo(s.options.jitter)
+		if s.rng.Float64() < s.options.late {
+			delay += s.randomUpTo(6 * time.Second)
+		}
+		s.after(delay, func() {
+			if !s.cut[path] {
+				arrive()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/system/quota/waiting.go
@@ -0,0 +1,148 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+// maxWait is how long a request waits for an allocator.
+const maxWait = 400 * time.Millisecond
+
+// Ticket names requests that wait for the allocator; 0: none.
+type Ticket uint64
+
+// Resolution is what became of requests that waited: Granted, Denied and Unavailable sum to the Waiting of their Decision.
+type Resolution struct {
+	Ticket      Ticket
+	Granted     int
+	Denied      int
+	Unavailable int
+	RetryAfter  time.Duration // for those denied
+}
+
+// waiter is the requests of one ticket.
+type waiter struct {
+	ticket  Ticket
+	held    *lease
+	until   time.Duration
+	waiting int // not decided on yet
+	granted int
+}
+
+// waitQueue holds all requests that wait, the oldest first.
+type waitQueue struct {
+	newest  Ticket
+	waiters []*waiter
+	total   int // requests of all waiters
+}
+
+// room returns how many further requests of a tenant may wait.
+func (l *Limiter) room(held *lease) int {
+	ofTenant := max(1, l.options.MaxWaiting/4) - held.waiting
+	return max(0, min(ofTenant, l.options.MaxWaiting-l.waiters.total))
+}
+
+// wait adds requests to the queue and returns their ticket, 0 for none.
+func (l *Limiter) wait(held *lease, count int) Ticket {
+	if count == 0 {
+		return 0
+	}
+	queue := &l.waiters
+	queue.newest++
+	queue.total += count
+	held.waiting += count
+	queue.waiters = append(queue.waiters, &waiter{ticket: queue.newest, held: held, until: l.now + maxWait, waiting: count})
+	return queue.newest
+}
+
+// Expire returns what became of the requests that have waited for maxWait (400 ms): they are unavailable, but for those that the bucket
+// admits by now.
+func (l *Limiter) Expire(now time.Duration) []Resolution {
+	l.advance(now)
+	var ended []*waiter
+	for _, w := range l.waiters.waiters {
+		if l.now < w.until {
+			break
+		}
+		w.held.settle(l, w.held.limit)
+		l.waiters.grant(w, w.held.bucket.take(w.waiting))
+		ended = append(ended, w)
+	}
+	return l.waiters.giveUp(ended)
+}
+
+// grantTo admits up to count requests of a tenant, the oldest first, and returns how many it admitted.
+func (q *waitQueue) grantTo(held *lease, count int) int {
+	admitted := 0
+	for _, w := range q.waiters {
+		if w.held == held {
+			admitted += q.grant(w, min(w.waiting, count-admitted))
+		}
+	}
+	return admitted
+}
+
+func (q *waitQueue) grant(w *waiter, count int) int {
+	w.granted += count
+	q.reduce(w, count)
+	return count
+}
+
+// reduce takes requests that were decided on out of the counts.
+func (q *waitQueue) reduce(w *waiter, count int) {
+	w.waiting -= count
+	w.held.waiting -= count
+	q.total -= count
+}
+
+// all returns all waiters.
+func (q *waitQueue) all() []*waiter { return slices.Clone(q.waiters) }
+
+// of returns the waiters of a tenant.
+func (q *waitQueue) of(held *lease) []*waiter {
+	return q.filter(func(w *waiter) bool { return w.held == held })
+}
+
+// complete returns the waiters of a tenant of which each request is admitted.
+func (q *waitQueue) complete(held *lease) []*waiter {
+	return q.filter(func(w *waiter) bool { return w.held == held && w.waiting == 0 })
+}
+
+func (q *waitQueue) filter(wanted func(*waiter) bool) []*waiter {
+	var found []*waiter
+	for _, w := range q.waiters {
+		if wanted(w) {
+			found = append(found, w)
+		}
+	}
+	return found
+}
+
+// giveUp ends waiters whose remaining requests are unavailable.
+func (q *waitQueue) giveUp(ended []*waiter) []Resolution {
+	return q.end(ended, func(w *waiter) Resolution {
+		return Resolution{Ticket: w.ticket, Granted: w.granted, Unavailable: w.waiting}
+	})
+}
+
+// deny ends waiters whose remaining requests are beyond the limit.
+func (q *waitQueue) deny(ended []*waiter, retryAfter time.Duration) []Resolution {
+	return q.end(ended, func(w *waiter) Resolution {
+		return Resolution{Ticket: w.ticket, Granted: w.granted, Denied: w.waiting, RetryAfter: retryAfter}
+	})
+}
+
+// end removes waiters and returns what became of them.
+func (q *waitQueue) end(ended []*waiter, describe func(*waiter) Resolution) []Resolution {
+	if len(ended) == 0 {
+		return nil
+	}
+	resolutions := make([]Resolution, 0, len(ended))
+	for _, w := range ended {
+		resolutions = append(resolutions, describe(w))
+		q.reduce(w, w.waiting)
+		w.ticket = 0
+	}
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool { return w.ticket == 0 })
+	return resolutions
+}
