--- a/internal/system/quota/allocation.go
+++ b/internal/system/quota/allocation.go
@@ -130,8 +130,12 @@
 }
 
 const (
-	// demandHeadroom is by how much a share is larger than the demand.
-	demandHeadroom = 1.5
+	// A share is larger than the demand by mostHeadroom where that is steady. Rare arrivals leave most of what a bucket fills unused, so
+	// that the allocator serves them better: up to rareRate a share is leastHeadroom of the demand.
+	leastHeadroom = 0.6
+	mostHeadroom  = 1.3
+	rareRate      = 2 // requests a second
+	steadyRate    = 8 // requests a second
 	// leastWeight is what a limiter with any demand is given where there is enough.
 	leastWeight = 0.02
 	// keepWithin is by which part of itself a share may miss its target and still be kept: a change costs calls.
@@ -150,6 +154,9 @@
 		Fraction: max(0, min(target.Fraction, leasableFraction-others.Fraction)),
 		Extra:    max(0, min(target.Extra, a.bounds.leasableExtra()-others.Extra)),
 	}
+	if granted.Fraction*a.bounds.Depth(limit)+float64(granted.Extra) < 1 {
+		return Share{} // its bucket could never hold a token
+	}
 	if granted.Fraction > held.Fraction {
 		sharesWithinLimit.Check(others.Fraction+granted.Fraction <= leasableFraction+fractionRounding)
 	}
@@ -174,7 +181,7 @@
 		fraction = held.Fraction
 	}
 	extra := max(1, a.bounds.leasableExtra()/claimants)
-	if held.Extra == extra+1 || held.Extra == extra-1 {
+	if held.Extra > 0 && (held.Extra == extra+1 || held.Extra == extra-1) {
 		extra = held.Extra
 	}
 	return Share{Fraction: fraction, Extra: extra}
@@ -196,5 +203,11 @@
 	if h.ratePerSecond <= 0 {
 		return 0
 	}
-	return demandHeadroom*h.ratePerSecond/limit.RatePerSecond + leastWeight
+	return headroom(h.ratePerSecond)*h.ratePerSecond/limit.RatePerSecond + leastWeight
+}
+
+// headroom returns the ratio of a share to the demand that calls for it.
+func headroom(ratePerSecond float64) float64 {
+	steadiness := (ratePerSecond - rareRate) / (steadyRate - rareRate)
+	return leastHeadroom + (mostHeadroom-leastHeadroom)*min(1, max(0, steadiness))
 }
--- /dev/null
+++ b/internal/system/quota/protections_test.go
@@ -0,0 +1,177 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// hostile is a fleet with a faulty network, whose faults are drawn by playFaults.
+func hostile(knobs TestingKnobs) simulationOptions {
+	return simulationOptions{
+		limiters: 5, allocators: 3, knobs: knobs, drift: true,
+		delay: time.Millisecond, jitter: 60 * time.Millisecond, loss: 0.05, duplication: 0.05, late: 0.02,
+	}
+}
+
+const faultySpan = 30 * time.Second
+
+// playFaults plays a seed with all faults and returns what broke.
+func playFaults(seed uint64, options simulationOptions) []string {
+	sim := newSimulation(seed, options)
+	sim.addFaultyTenants()
+	sim.run(7 * time.Second)
+	sim.scheduleFaults()
+	sim.run(faultySpan)
+	sim.checkWindows()
+	return sim.violations
+}
+
+// addFaultyTenants adds tenants of several sizes that ask for more than their limits at changing limiters.
+func (s *simulation) addFaultyTenants() {
+	for _, limit := range []Limit{{RatePerSecond: 60, Burst: 40}, {RatePerSecond: 10, Burst: 30}, {RatePerSecond: 3, Burst: 3}} {
+		s.addTenant(fmt.Sprint("tenant-", len(s.tenants)), limit)
+	}
+	for _, tenant := range s.tenants {
+		s.changeDemand(tenant)
+	}
+}
+
+// changeDemand draws the demand of a tenant, and draws it again some seconds later.
+func (s *simulation) changeDemand(tenant *simTenant) {
+	for i := range tenant.rates {
+		tenant.rates[i] = 0
+		if s.rng.IntN(2) == 0 {
+			tenant.rates[i] = s.rng.Float64() * 3 * tenant.limits[0].RatePerSecond
+		}
+	}
+	s.after(s.randomUpTo(6*time.Second), func() { s.changeDemand(tenant) })
+}
+
+// scheduleFaults draws faults over faultySpan.
+func (s *simulation) scheduleFaults() {
+	kinds := []func(){
+		s.moveAllocator, s.moveAllocator, s.freezeAllocator, s.freezeLimiter, s.restartAllocator, s.restartLimiter, s.cutLimiter,
+		s.cutBridge, s.leaveLimiter,
+	}
+	for range 12 {
+		s.after(s.randomUpTo(faultySpan), kinds[s.rng.IntN(len(kinds))])
+	}
+	s.after(s.randomUpTo(faultySpan/2), s.lowerLimit)
+}
+
+func (s *simulation) moveAllocator() { s.changeView(s.rng.IntN(len(s.allocators))) }
+
+func (s *simulation) freezeAllocator() {
+	s.allocators[s.view.owner].frozenUntil = s.now + s.randomUpTo(5*time.Second)
+}
+
+func (s *simulation) freezeLimiter() {
+	s.anyLimiter().frozenUntil = s.now + s.randomUpTo(5*time.Second)
+}
+
+func (s *simulation) restartAllocator() {
+	node := s.allocators[s.view.owner]
+	node.alive = false
+	s.after(s.randomUpTo(2*time.Second), func() { s.startAllocator(node) })
+}
+
+func (s *simulation) restartLimiter() {
+	node := s.anyLimiter()
+	node.alive = false
+	s.after(s.randomUpTo(2*time.Second), func() {
+		if !node.alive {
+			s.startLimiter(node)
+		}
+	})
+}
+
+// leaveLimiter has a limiter give up its leases and start again.
+func (s *simulation) leaveLimiter() {
+	node := s.anyLimiter()
+	if !node.alive || s.now < node.frozenUntil {
+		return
+	}
+	request, resolutions := node.limiter.Leave(node.clock.read(s.now))
+	s.resolve(node, resolutions)
+	s.send(node, request)
+	s.startLimiter(node)
+}
+
+// cutLimiter cuts a limiter off from all allocators.
+func (s *simulation) cutLimiter() {
+	node := s.anyLimiter()
+	for _, target := range s.allocators {
+		s.cutFor(simPath{node.index, target.index}, s.randomUpTo(8*time.Second))
+	}
+}
+
+// cutBridge cuts some limiters off from the allocator, which others still reach.
+func (s *simulation) cutBridge() {
+	for _, node := range s.limiters {
+		if s.rng.IntN(2) == 0 {
+			s.cutFor(simPath{node.index, s.view.owner}, s.randomUpTo(8*time.Second))
+		}
+	}
+}
+
+func (s *simulation) cutFor(path simPath, duration time.Duration) {
+	s.cut[path] = true
+	s.after(duration, func() { delete(s.cut, path) })
+}
+
+// lowerLimit lowers the limit of the largest tenant to a quarter, which each process learns in its own time.
+func (s *simulation) lowerLimit() {
+	tenant := s.tenants[0]
+	limit := tenant.limits[0]
+	tenant.limits = append(tenant.limits, Limit{RatePerSecond: limit.RatePerSecond / 4, Burst: limit.Burst / 4})
+	tenant.lowered = s.now + 3*time.Second
+	for _, node := range s.limiters {
+		s.after(s.randomUpTo(3*time.Second), func() { node.version = 1 })
+	}
+	for _, node := range s.allocators {
+		s.after(s.randomUpTo(3*time.Second), func() { node.version = 1 })
+	}
+}
+
+func (s *simulation) anyLimiter() *simLimiter { return s.limiters[s.rng.IntN(len(s.limiters))] }
+
+// TestBoundHoldsUnderFaults: under all faults no window admits more than the bound, and shares sum to what may be leased.
+func TestBoundHoldsUnderFaults(t *testing.T) {
+	seeds := uint64(2000)
+	if testing.Short() {
+		seeds = 200
+	}
+	for seed := range seeds {
+		if broken := playFaults(seed, hostile(TestingKnobs{})); len(broken) > 0 {
+			t.Fatalf("seed %d: %v", seed, broken)
+		}
+	}
+}
+
+// TestProtections: without any one of the protections the same plays break the bound or the sum of shares.
+func TestProtections(t *testing.T) {
+	for name, knobs := range map[string]TestingKnobs{
+		"LateExpiry":        {LateExpiry: true},
+		"EarlyExpiry":       {EarlyExpiry: true},
+		"NoGrace":           {NoGrace: true},
+		"NoHandover":        {NoHandover: true},
+		"AcceptOldReplies":  {AcceptOldReplies: true},
+		"AcceptOldRequests": {AcceptOldRequests: true},
+		"IgnoreIncarnation": {IgnoreIncarnation: true},
+		"TrustShrink":       {TrustShrink: true},
+		"FillOnGrowth":      {FillOnGrowth: true},
+		"IgnoreLimitChange": {IgnoreLimitChange: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const seeds = 2000
+			for seed := range uint64(seeds) {
+				if broken := playFaults(seed, hostile(knobs)); len(broken) > 0 {
+					t.Logf("seed %d: %s", seed, broken[0])
+					return
+				}
+			}
+			t.Errorf("nothing broke in %d seeds", seeds)
+		})
+	}
+}
--- a/internal/system/quota/simulation_processes_test.go
+++ b/internal/system/quota/simulation_processes_test.go
@@ -38,6 +38,10 @@
 	tenant.denied += decision.Denied
 	tenant.failed += decision.Unavailable
 	tenant.waited += decision.Waiting
+	if tenant.reference != nil {
+		tenant.reference.fill(s.now)
+		tenant.referenceRefused += count - tenant.reference.take(count)
+	}
 	s.admit(node, tenant, decision.Granted)
 	if decision.Ticket != 0 {
 		node.tickets[decision.Ticket] = tenant
--- a/internal/system/quota/simulation_test.go
+++ b/internal/system/quota/simulation_test.go
@@ -60,6 +60,9 @@
 	denied   int
 	waited   int
 	failed   int
+
+	reference        *bucket // a single bucket that gets the same requests, where there is one
+	referenceRefused int
 }
 
 type simTake struct {
