--- a/internal/system/quota/lease.go
+++ b/internal/system/quota/lease.go
@@ -38,6 +38,7 @@
 	if limit.RatePerSecond < h.limit.RatePerSecond {
 		h.bucket.rate *= limit.RatePerSecond / h.limit.RatePerSecond
 	}
+	h.bucket.fill(l.now)
 	level := h.bucket.level
 	h.limit = limit
 	h.resizeBucket(l)
