--- a/internal/system/quota/allocation.go
+++ b/internal/system/quota/allocation.go
@@ -145,7 +145,7 @@
 // decideShare returns the share that a limiter gets in place of what it holds: its target, as far as the others leave it. While the
 // allocator learns, no part grows.
 func (a *Allocator) decideShare(tenant *allocation, to *holder, held Share, limit Limit) Share {
-	target := tenant.target(a, to, held, limit)
+	target := tenant.target(to, held, limit, a.bounds.leasableExtra())
 	if a.now < a.graceEnd() {
 		return Share{Fraction: min(held.Fraction, target.Fraction), Extra: min(held.Extra, target.Extra)}
 	}
@@ -167,7 +167,7 @@
 }
 
 // target returns the share that a limiter should have beside the demand of the others.
-func (tenant *allocation) target(a *Allocator, of *holder, held Share, limit Limit) Share {
+func (tenant *allocation) target(of *holder, held Share, limit Limit, leasableExtra int) Share {
 	weight := of.weight(limit)
 	if weight == 0 {
 		return Share{}
@@ -180,7 +180,7 @@
 	if math.Abs(fraction-held.Fraction) <= keepWithin*held.Fraction {
 		fraction = held.Fraction
 	}
-	extra := max(1, a.bounds.leasableExtra()/claimants)
+	extra := max(1, leasableExtra/claimants)
 	if held.Extra > 0 && (held.Extra == extra+1 || held.Extra == extra-1) {
 		extra = held.Extra
 	}
--- a/internal/system/quota/lease.go
+++ b/internal/system/quota/lease.go
@@ -27,42 +27,42 @@
 
 // settle brings the bucket up to date: it ends a lease whose time has come, adapts to the limit, and fills. Time that has passed
 // counts at the lower of the two limits.
-func (h *lease) settle(l *Limiter, limit Limit) {
-	if l.now >= h.expiresAt {
+func (h *lease) settle(limiter *Limiter, limit Limit) {
+	if limiter.now >= h.expiresAt {
 		h.share, h.bucket = Share{}, bucket{}
 	}
 	if limit == h.limit {
-		h.bucket.fill(l.now)
+		h.bucket.fill(limiter.now)
 		return
 	}
 	if limit.RatePerSecond < h.limit.RatePerSecond {
 		h.bucket.rate *= limit.RatePerSecond / h.limit.RatePerSecond
 	}
-	h.bucket.fill(l.now)
+	h.bucket.fill(limiter.now)
 	level := h.bucket.level
 	h.limit = limit
-	h.resizeBucket(l)
-	if l.options.Knobs.IgnoreLimitChange {
+	h.resizeBucket(limiter)
+	if limiter.options.Knobs.IgnoreLimitChange {
 		h.bucket.level = max(h.bucket.level, level)
 	}
 }
 
 // renew puts a granted share in place of what is held. What was not held before starts with an empty bucket.
-func (h *lease) renew(l *Limiter, granted Share, expiresAt time.Duration) {
-	h.settle(l, h.limit)
-	if l.now >= expiresAt {
+func (h *lease) renew(limiter *Limiter, granted Share, expiresAt time.Duration) {
+	h.settle(limiter, h.limit)
+	if limiter.now >= expiresAt {
 		granted = Share{}
 	}
 	if h.share.IsZero() {
-		h.bucket = bucket{filledAt: l.now}
+		h.bucket = bucket{filledAt: limiter.now}
 	}
 	if h.share.exceeds(granted) {
 		h.unconfirmed = true
 	}
 	h.share, h.expiresAt = granted, expiresAt
 	former := h.bucket.depth
-	h.resizeBucket(l)
-	if l.options.Knobs.FillOnGrowth {
+	h.resizeBucket(limiter)
+	if limiter.options.Knobs.FillOnGrowth {
 		h.bucket.level += max(0, h.bucket.depth-former)
 	}
 }
--- a/internal/system/quota/limiter_receive.go
+++ b/internal/system/quota/limiter_receive.go
@@ -60,7 +60,7 @@
 	}
 	l.waiters.grantTo(held, held.bucket.take(held.waiting))
 	l.waiters.grantTo(held, tokens)
-	held.overLimit = exhausted && !(learning && held.share.IsZero())
+	held.overLimit = exhausted && (!learning || !held.share.IsZero())
 	held.askAgainAt = l.now
 	if exhausted {
 		held.askAgainAt += askPause
--- a/internal/system/quota/waiting.go
+++ b/internal/system/quota/waiting.go
@@ -71,21 +71,20 @@
 	return l.waiters.giveUp(ended)
 }
 
-// grantTo admits up to count requests of a tenant, the oldest first, and returns how many it admitted.
-func (q *waitQueue) grantTo(held *lease, count int) int {
-	admitted := 0
+// grantTo admits up to count requests of a tenant, the oldest first.
+func (q *waitQueue) grantTo(held *lease, count int) {
 	for _, w := range q.waiters {
 		if w.held == held {
-			admitted += q.grant(w, min(w.waiting, count-admitted))
+			admitted := min(w.waiting, count)
+			q.grant(w, admitted)
+			count -= admitted
 		}
 	}
-	return admitted
 }
 
-func (q *waitQueue) grant(w *waiter, count int) int {
+func (q *waitQueue) grant(w *waiter, count int) {
 	w.granted += count
 	q.reduce(w, count)
-	return count
 }
 
 // reduce takes requests that were decided on out of the counts.
