settings: the bounds on quotas

Proxies and control-plane nodes need the window, the excess and the slack by which the fleet may exceed a tenant's limit. Files without them are read as before.

--- a/internal/system/settings/settings.go
+++ b/internal/system/settings/settings.go
@@ -65,6 +65,9 @@
 	RetrySlack         float64 `toml:"retry_slack"`
 	ColdExcess         float64 `toml:"cold_excess"`
 	ColdSlack          float64 `toml:"cold_slack"`
+	QuotaWindowSeconds float64 `toml:"quota_window_s"`
+	QuotaExcess        float64 `toml:"quota_excess"` // of a window's quota; 0.1: a tenth more
+	QuotaSlack         float64 `toml:"quota_slack"`  // requests beside that
 	EvacuateMS         float64 `toml:"evacuate_ms"`
 	RecoverySeconds    float64 `toml:"recovery_s"`
 	TTLMaxSeconds      float64 `toml:"ttl_max_s"`
--- a/internal/system/settings/validate.go
+++ b/internal/system/settings/validate.go
@@ -115,6 +115,9 @@
 		{"bounds.retry_slack", s.Bounds.RetrySlack, 0, 1e9},
 		{"bounds.cold_excess", s.Bounds.ColdExcess, 0, 1e6},
 		{"bounds.cold_slack", s.Bounds.ColdSlack, 0, 1e9},
+		{"bounds.quota_window_s", s.Bounds.QuotaWindowSeconds, 0, 3600},
+		{"bounds.quota_excess", s.Bounds.QuotaExcess, 0, 100},
+		{"bounds.quota_slack", s.Bounds.QuotaSlack, 0, 1e9},
 		{"cloud_api.rate_per_s", s.Cloud.CallsPerSecond, 0.01, 1e6},
 		{"beat_ms", s.HeartbeatMS, 0, 600_000},
 	} {
