quota/quotapb: messages of lease calls and of takes

A limiter calls the allocator (Allocation.Lease) and a proxy the limiters of its zone (Limiting.Take).

--- a/internal/compat/proto_test.go
+++ b/internal/compat/proto_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/reflect/protoregistry"
 
 	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
+	"gradeusher.example/gradeusher/internal/system/quota/quotapb"
 	"gradeusher.example/gradeusher/internal/system/replication/replicationpb"
 )
 
@@ -19,10 +20,11 @@
 var (
 	_ = replicationpb.ReplicationPathPrefix
 	_ = distributionpb.DistributionPathPrefix
+	_ = quotapb.AllocationPathPrefix
 )
 
 // protoPackages are the packages on the wire. Their names are parts of the HTTP paths.
-var protoPackages = []protoreflect.FullName{"gradeusher.distribution", "replication"}
+var protoPackages = []protoreflect.FullName{"gradeusher.distribution", "replication", "gradeusher.quota"}
 
 // messages are those of a package, in the order of its file. A message is known by its place there, since its name is not sent.
 func messages(t *testing.T, pkg protoreflect.FullName) protoreflect.MessageDescriptors {
@@ -95,6 +97,8 @@
 		return protoreflect.ValueOfUint64(uint64(number) << 33)
 	case protoreflect.Uint32Kind:
 		return protoreflect.ValueOfUint32(uint32(number))
+	case protoreflect.DoubleKind:
+		return protoreflect.ValueOfFloat64(float64(number) + 0.5)
 	}
 	panic("no example for " + field.Kind().String())
 }
@@ -207,6 +211,8 @@
 		"/twirp/gradeusher.distribution.Distribution/Share 10 11",
 		"/twirp/gradeusher.distribution.Neighbours/Neighbour 12 9",
 		"/twirp/replication.Replication/Deliver 1 0",
+		"/twirp/gradeusher.quota.Allocation/Lease 2 4",
+		"/twirp/gradeusher.quota.Limiting/Take 5 6",
 	}
 	if !slices.Equal(got, want) {
 		t.Errorf("%q", got)
