--- a/internal/system/distribution/subscriber_nodes.go
+++ b/internal/system/distribution/subscriber_nodes.go
@@ -211,6 +211,13 @@
 	}
 }
 
+// FollowedNode returns the address of the control-plane node that is followed, as IP or IP:port; empty: none is at the moment.
+func (s *Subscriber) FollowedNode() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodes.serving
+}
+
 func (s *Subscriber) setServingNode(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
