quota/quotarpc: drivers of limiters and the allocator

The pure core of quotas does no I/O. AllocationServer answers lease calls while its node owns the role in a confirmed epoch; LimiterServer owns a proxy's limiter and renews its leases; Client asks the limiters of the zone, one call a tenant at a time.

A tenant that asks five times its limit of 100 a second gets 880 or more in 10 s and stays within the bound.

--- /dev/null
+++ b/internal/system/quota/quotarpc/bounds.go
@@ -0,0 +1,15 @@
+package quotarpc
+
+import (
+	"gradeusher.example/gradeusher/internal/system/quota"
+	"gradeusher.example/gradeusher/internal/system/settings"
+)
+
+// BoundsOf returns the deployment's bounds on quotas.
+func BoundsOf(bounds settings.Bounds) quota.Bounds {
+	return quota.Bounds{
+		Window: settings.Seconds(bounds.QuotaWindowSeconds),
+		Excess: bounds.QuotaExcess,
+		Slack:  bounds.QuotaSlack,
+	}
+}
--- /dev/null
+++ b/internal/system/quota/quotarpc/client_test.go
@@ -0,0 +1,191 @@
+package quotarpc
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/ownership"
+	"gradeusher.example/gradeusher/internal/system/quota"
+	"gradeusher.example/gradeusher/internal/system/quota/quotapb"
+	"gradeusher.example/gradeusher/internal/testsupport/bubble"
+	"gradeusher.example/gradeusher/internal/testsupport/memorynet"
+)
+
+var zoneNodes = []string{"a", "b", "c", "d", "self"}
+
+func zonePeers() []Peer {
+	var peers []Peer
+	for _, node := range zoneNodes {
+		peers = append(peers, Peer{Node: node, Address: node + ":1"})
+	}
+	return peers
+}
+
+// scriptedZone records which limiters a client asks. Each says what its script does.
+type scriptedZone struct {
+	network *memorynet.Network
+	mu      sync.Mutex
+	asked   []string
+}
+
+// newScriptedZone returns a client in a zone where all other limiters do as take does, and the own one admits all.
+func newScriptedZone(t *testing.T, knobs TestingKnobs, take limitingFunc) (*scriptedZone, *Client) {
+	t.Helper()
+	zone := &scriptedZone{network: memorynet.New(nil)}
+	for _, node := range zoneNodes {
+		zone.network.Set(node, limitingHandler(func(ctx context.Context, request *quotapb.TakeRequest) (*quotapb.TakeReply, error) {
+			zone.record(node)
+			return take(ctx, request)
+		}))
+	}
+	own := ownLimiterFunc(func(count int) Taken {
+		zone.record("self")
+		return Taken{Admitted: count}
+	})
+	client := NewClient(ClientOptions{Self: "self", Limiter: own, Transport: zone.network, Log: discardLogger(), Knobs: knobs})
+	client.SetPeers(zonePeers())
+	t.Cleanup(client.Close)
+	return zone, client
+}
+
+func (z *scriptedZone) record(node string) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.asked = append(z.asked, node)
+}
+
+func (z *scriptedZone) takeAsked() []string {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	asked := z.asked
+	z.asked = nil
+	return asked
+}
+
+// tenantOwnedByOthers returns a tenant whose first limiters are others than this proxy.
+func tenantOwnedByOthers() (tenant string, owners []string) {
+	for tenant := 'a'; ; tenant++ {
+		owners := ownership.Owners(string(tenant), zoneNodes, limitersPerTenant)
+		if !slices.Contains(owners, "self") && !slices.IsSorted(owners) {
+			return string(tenant), owners
+		}
+	}
+}
+
+// TestCandidateOrder: the limiters of the highest rendezvous weights are asked, then the own one, and those that failed are passed over
+// for a second.
+func TestCandidateOrder(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		zone, client := newScriptedZone(t, TestingKnobs{}, func(ctx context.Context, _ *quotapb.TakeRequest) (*quotapb.TakeReply, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		tenant, owners := tenantOwnedByOthers()
+		inOrder := slices.Concat(owners, []string{"self"})
+		for _, step := range []struct {
+			pause time.Duration
+			asked []string
+			took  time.Duration
+		}{
+			{0, inOrder, 2 * limiterCallTimeout},
+			{0, []string{"self"}, 0},
+			{failurePenalty / 2, []string{"self"}, 0},
+			{failurePenalty, inOrder, 2 * limiterCallTimeout},
+		} {
+			time.Sleep(step.pause)
+			start := time.Now()
+			admission := client.Admit(t.Context(), limitedTenant(tenant, 1, 1))
+			asked, took := zone.takeAsked(), time.Since(start)
+			if admission.Verdict != quota.Admitted || !slices.Equal(asked, step.asked) || took != step.took {
+				t.Errorf("%v after asking %v in %v, want %v in %v", admission.Verdict, asked, took, step.asked, step.took)
+			}
+		}
+	})
+}
+
+// TestCandidateOrderControl: without rendezvous hashing the proxies of a zone ask limiters that do not depend on the tenant.
+func TestCandidateOrderControl(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		zone, client := newScriptedZone(t, TestingKnobs{AnyCandidate: true}, admitAll)
+		tenant, owners := tenantOwnedByOthers()
+		client.Admit(t.Context(), limitedTenant(tenant, 1, 1))
+		if asked := zone.takeAsked(); asked[0] == owners[0] {
+			t.Errorf("asked %v, the first limiter of the tenant", asked)
+		}
+	})
+}
+
+// TestUndecidedGoToTheNextLimiter: what one limiter could not decide on, the next one does, and each request is counted once.
+func TestUndecidedGoToTheNextLimiter(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		zone, client := newScriptedZone(t, TestingKnobs{}, func(_ context.Context, request *quotapb.TakeRequest) (*quotapb.TakeReply, error) {
+			return &quotapb.TakeReply{Call: request.GetCall(), Unavailable: request.GetCount()}, nil
+		})
+		tenant, owners := tenantOwnedByOthers()
+		admission := client.Admit(t.Context(), limitedTenant(tenant, 1, 1))
+		if asked := zone.takeAsked(); admission.Verdict != quota.Admitted || !slices.Equal(asked, slices.Concat(owners, []string{"self"})) {
+			t.Errorf("%v after asking %v", admission.Verdict, asked)
+		}
+	})
+}
+
+// TestLateAdmissionIsNotUsed: a process that was paused between the question and the answer does not use the answer.
+func TestLateAdmissionIsNotUsed(t *testing.T) {
+	for _, knobs := range []TestingKnobs{{}, {UseLateAdmissions: true}} {
+		bubble.Test(t, func(t *testing.T) {
+			paused := ownLimiterFunc(func(count int) Taken {
+				time.Sleep(5 * time.Second) // the process is paused
+				return Taken{Admitted: count}
+			})
+			client := NewClient(ClientOptions{Self: "self", Limiter: paused, Transport: memorynet.New(nil), Log: discardLogger(), Knobs: knobs})
+			defer client.Close()
+			admission := client.Admit(t.Context(), limitedTenant("t", 1, 1))
+			if used := admission.Verdict == quota.Admitted; used != knobs.UseLateAdmissions {
+				t.Errorf("%+v: %v", knobs, admission.Verdict)
+			}
+		})
+	}
+}
+
+// TestMismatchedReplyIsRejected: a limiter whose replies belong to other calls admits nothing.
+func TestMismatchedReplyIsRejected(t *testing.T) {
+	for _, knobs := range []TestingKnobs{{}, {AcceptAnyReply: true}} {
+		bubble.Test(t, func(t *testing.T) {
+			zone, client := newScriptedZone(t, knobs, func(_ context.Context, request *quotapb.TakeRequest) (*quotapb.TakeReply, error) {
+				return &quotapb.TakeReply{Call: request.GetCall() + 1, Admitted: request.GetCount()}, nil
+			})
+			tenant, owners := tenantOwnedByOthers()
+			client.Admit(t.Context(), limitedTenant(tenant, 1, 1))
+			want := slices.Concat(owners, []string{"self"})
+			if knobs.AcceptAnyReply {
+				want = owners[:1]
+			}
+			if asked := zone.takeAsked(); !slices.Equal(asked, want) {
+				t.Errorf("%+v: asked %v, want %v", knobs, asked, want)
+			}
+		})
+	}
+}
+
+// TestReplyAdmitsNoMoreThanAsked: a limiter that claims more than it was asked for admits what was asked for.
+func TestReplyAdmitsNoMoreThanAsked(t *testing.T) {
+	taken := takenFromProto(3, &quotapb.TakeReply{Admitted: 5, Unavailable: 5})
+	if taken != (Taken{Admitted: 3}) {
+		t.Errorf("%+v", taken)
+	}
+}
+
+// TestClosedClient: no goroutine is left, and later requests are not admitted.
+func TestClosedClient(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		_, client := newScriptedZone(t, TestingKnobs{}, admitAll)
+		client.Close()
+		tenant, _ := tenantOwnedByOthers()
+		if admission := client.Admit(t.Context(), limitedTenant(tenant, 1, 1)); admission.Verdict != quota.Unavailable {
+			t.Errorf("%v", admission.Verdict)
+		}
+	})
+}
--- /dev/null
+++ b/internal/system/quota/quotarpc/fleet_test.go
@@ -0,0 +1,127 @@
+package quotarpc
+
+import (
+	"testing"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/config"
+	"gradeusher.example/gradeusher/internal/system/quota"
+	"gradeusher.example/gradeusher/internal/testsupport/bubble"
+)
+
+// TestTenantWithinItsLimit: a tenant that stays within its limit is not refused once its limiter has a share.
+func TestTenantWithinItsLimit(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		tenant := limitedTenant("t", 100, 50)
+		fleet := newTestFleet(t, []*config.Tenant{tenant}, "a", "b", "c")
+		fleet.offer(t, "a", tenant, 50, 2*time.Second)
+		outcome := fleet.offer(t, "a", tenant, 50, 10*time.Second)
+		if outcome.count(quota.Admitted) < 500*98/100 {
+			t.Errorf("of 500 requests at half the limit: %v", outcome)
+		}
+	})
+}
+
+// TestHotTenantGetsItsLimit: a tenant that asks for many times its limit gets about its limit, and never more than the bound.
+func TestHotTenantGetsItsLimit(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		tenant := limitedTenant("t", 100, 50)
+		fleet := newTestFleet(t, []*config.Tenant{tenant}, "a", "b", "c")
+		fleet.offer(t, "a", tenant, 500, 2*time.Second)
+		outcome := fleet.offer(t, "b", tenant, 500, 10*time.Second)
+		allowed := 2 * testBounds.MaxAdmitted(quota.Limit{RatePerSecond: 100, Burst: 50})
+		admitted := outcome.count(quota.Admitted)
+		if admitted < 880 || float64(admitted) > allowed {
+			t.Errorf("%v in 10 s, want 880 to %v admitted", outcome, allowed)
+		}
+		if outcome.count(quota.Unavailable) > 0 {
+			t.Errorf("%v: a limiter that holds a lease has a verdict", outcome)
+		}
+	})
+}
+
+// TestOneLimiterServesATenant: whichever proxy the requests come to, one limiter of the zone holds the lease.
+func TestOneLimiterServesATenant(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		tenant := limitedTenant("t", 100, 50)
+		fleet := newTestFleet(t, []*config.Tenant{tenant}, "a", "b", "c")
+		for _, name := range []string{"a", "b", "c"} {
+			fleet.offer(t, name, tenant, 30, time.Second)
+		}
+		callers := 0
+		for _, proxy := range fleet.proxies {
+			if proxy.limiter.counters.leaseCalls.Load() > 0 {
+				callers++
+			}
+		}
+		if callers != 1 {
+			t.Errorf("%d limiters called the allocator", callers)
+		}
+	})
+}
+
+// TestNoLimitCostsNothing: without a limit there is no call to a limiter or to the allocator.
+func TestNoLimitCostsNothing(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		tenant := limitedTenant("t", 0, 50)
+		fleet := newTestFleet(t, []*config.Tenant{tenant}, "a", "b")
+		outcome := fleet.offer(t, "a", tenant, 100, time.Second)
+		calls := fleet.proxies["a"].client.counters.calls.Load() + fleet.proxies["a"].limiter.counters.leaseCalls.Load()
+		if outcome.count(quota.Admitted) != 100 || calls != 0 {
+			t.Errorf("%v, %d calls", outcome, calls)
+		}
+	})
+}
+
+// TestLimiterIsLost: requests go to the next limiter, which gets a lease of its own.
+func TestLimiterIsLost(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		tenant := limitedTenant("t", 100, 50)
+		fleet := newTestFleet(t, []*config.Tenant{tenant}, "a", "b", "c")
+		lost, other := firstAndLast(fleet, "t")
+		fleet.offer(t, other, tenant, 50, 3*time.Second)
+		fleet.network.Set(lost, nil)
+		fleet.proxies[lost].stop()
+		fleet.offer(t, other, tenant, 50, 7*time.Second)
+		if outcome := fleet.offer(t, other, tenant, 50, 4*time.Second); outcome.count(quota.Admitted) < 190 {
+			t.Errorf("of 200 requests at half the limit: %v", outcome)
+		}
+	})
+}
+
+// TestLeaveGivesLeasesBack: after a limiter has left, the next one needs not wait until its lease ends. The control is a limiter that ends
+// without a word.
+func TestLeaveGivesLeasesBack(t *testing.T) {
+	for _, leaves := range []bool{true, false} {
+		bubble.Test(t, func(t *testing.T) {
+			tenant := limitedTenant("t", 100, 50)
+			fleet := newTestFleet(t, []*config.Tenant{tenant}, "a", "b", "c")
+			ending, other := firstAndLast(fleet, "t")
+			fleet.offer(t, other, tenant, 70, 3*time.Second)
+			if leaves {
+				if err := fleet.proxies[ending].limiter.Leave(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			fleet.proxies[ending].stop()
+			fleet.network.Set(ending, nil)
+			fleet.offer(t, other, tenant, 70, time.Second)
+			outcome := fleet.offer(t, other, tenant, 70, 2*time.Second)
+			if isServed := outcome.count(quota.Admitted) >= 130; isServed != leaves {
+				t.Errorf("leaves %t: of 140 requests within the limit: %v", leaves, outcome)
+			}
+		})
+	}
+}
+
+// firstAndLast returns the proxy that is the first limiter of a tenant, and one that is no limiter of it but in the last place.
+func firstAndLast(fleet *testFleet, tenant string) (first, last string) {
+	candidates := fleet.proxies["a"].client.candidates.inOrder(time.Now(), tenant)
+	first = candidates[0].Node
+	for name := range fleet.proxies {
+		if name != first && name != candidates[1].Node {
+			last = name
+		}
+	}
+	return first, last
+}
--- /dev/null
+++ b/internal/system/quota/quotarpc/lease_caller.go
@@ -0,0 +1,102 @@
+package quotarpc
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gradeusher.example/gradeusher/internal/system/distribution/rpc"
+	"gradeusher.example/gradeusher/internal/system/quota"
+	"gradeusher.example/gradeusher/internal/system/quota/quotapb"
+)
+
+const (
+	// leaseCallTimeout bounds a lease call with the referrals that it follows.
+	leaseCallTimeout = 500 * time.Millisecond
+	// maxReferrals bounds the referrals that a lease call follows: nodes may not agree yet on the owner.
+	maxReferrals = 3
+)
+
+// ErrNotReferred marks lease calls that found no allocator.
+var ErrNotReferred = errors.New("quota: no allocator was found; check that the control plane has a current node")
+
+// leaseCaller calls the allocator. It asks the control-plane node that the proxy follows who that is, and remembers it until a call fails.
+type leaseCaller struct {
+	followed         func() string // address of the control-plane node that the proxy follows; empty: none
+	controlPlanePort int
+	http             *http.Client
+	callIDs          rpc.CallIDs
+	knobs            TestingKnobs
+
+	mu        sync.Mutex
+	allocator string // address of the node that answered last as the allocator; empty: not known
+}
+
+// lease makes one lease call. Where a node names another as the owner, it sends the request there.
+func (c *leaseCaller) lease(ctx context.Context, request quota.LeaseRequest) (quota.LeaseReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	message := leaseRequestToProto(request)
+	address := c.firstAddress()
+	for range maxReferrals + 1 {
+		if address == "" {
+			break
+		}
+		reply, err := c.call(ctx, address, message)
+		if err != nil {
+			c.remember("")
+			return quota.LeaseReply{}, err
+		}
+		if reply.GetOwner() == "" {
+			c.remember(address)
+			return leaseReplyFromProto(reply), nil
+		}
+		address = reply.GetOwner()
+	}
+	c.remember("")
+	return quota.LeaseReply{}, ErrNotReferred
+}
+
+// call sends a request to one node, and returns the reply to this very one.
+func (c *leaseCaller) call(ctx context.Context, address string, message *quotapb.LeaseRequest) (*quotapb.LeaseReply, error) {
+	message.Call = c.callIDs.Next()
+	reply, err := quotapb.NewAllocationProtobufClient(c.baseURL(address), c.http).Lease(ctx, message)
+	if err != nil {
+		return nil, err
+	}
+	if err := rpc.CheckReply(message.GetCall(), reply.GetCall()); err != nil && !c.knobs.AcceptAnyReply {
+		c.http.CloseIdleConnections()
+		return nil, err
+	}
+	return reply, nil
+}
+
+// baseURL is where a control-plane node is called: at its own port where the address has one.
+func (c *leaseCaller) baseURL(address string) string {
+	if _, _, err := net.SplitHostPort(address); err == nil {
+		return "http://" + address
+	}
+	return "http://" + net.JoinHostPort(address, strconv.Itoa(c.controlPlanePort))
+}
+
+// firstAddress is the node to ask first; empty: none is known.
+func (c *leaseCaller) firstAddress() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.allocator != "" {
+		return c.allocator
+	}
+	return c.followed()
+}
+
+// remember records the node that is the allocator; empty: not known.
+func (c *leaseCaller) remember(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.allocator = address
+}
--- /dev/null
+++ b/internal/system/quota/quotarpc/limits.go
@@ -0,0 +1,42 @@
+package quotarpc
+
+import (
+	"sync"
+
+	"gradeusher.example/gradeusher/internal/system/config"
+	"gradeusher.example/gradeusher/internal/system/quota"
+)
+
+// limitOf returns a tenant's limit.
+func limitOf(tenant *config.Tenant) quota.Limit {
+	return quota.Limit{RatePerSecond: tenant.RatePerSecond, Burst: tenant.Burst}
+}
+
+// limitTable has the limits of the tenants of a configuration, by name. The zero value has none. It is safe for concurrent use.
+type limitTable struct {
+	mu     sync.Mutex
+	config *config.Config // that the table is of
+	limits map[string]quota.Limit
+}
+
+// use has the table be that of a configuration, which is never changed later.
+func (t *limitTable) use(newest *config.Config) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if newest == nil || newest == t.config {
+		return
+	}
+	limits := make(map[string]quota.Limit, len(newest.Tenants))
+	for _, tenant := range newest.Tenants {
+		limits[tenant.Name] = limitOf(tenant)
+	}
+	t.config, t.limits = newest, limits
+}
+
+// limit returns the limit of the tenant with the name; false: the configuration has no such tenant.
+func (t *limitTable) limit(tenant string) (limit quota.Limit, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limit, known = t.limits[tenant]
+	return limit, known
+}
