proxy, controlplane: limiters and the allocator run

The proxies serve takes of their zone and lease calls go to the control plane; the data plane does not ask yet.

Measured: tests of both with -race pass; metric names gain those of quotas.

--- a/cmd/controlplane/compat_test.go
+++ b/cmd/controlplane/compat_test.go
@@ -2,13 +2,19 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"gradeusher.example/gradeusher/internal/system/settings"
 )
 
+var publishOnce sync.Once // the metrics of a process are named once
+
 // TestMetricNames: dashboards and alerts name these.
 func TestMetricNames(t *testing.T) {
+	publishOnce.Do(func() { newAllocation(&settings.Settings{IP: "127.0.0.1"}, discardLog(), nil).Publish() })
 	got := metrics.ListMetricNames()
 	slices.Sort(got)
 	want := []string{
@@ -16,6 +22,11 @@
 		`gradeusher_invariant_violations_total{invariant="pick_cold_end_kept"}`,
 		`gradeusher_invariant_violations_total{invariant="pick_cold_pace_kept"}`,
 		`gradeusher_invariant_violations_total{invariant="pick_sends_allowed"}`,
+		`gradeusher_invariant_violations_total{invariant="quota_shares_within_limit"}`,
+		`gradeusher_invariant_violations_total{invariant="quota_takes_within_bucket"}`,
+		"gradeusher_quota_leases_total",
+		"gradeusher_quota_referrals_total",
+		"gradeusher_quota_terms_total",
 	}
 	if !slices.Equal(got, want) {
 		t.Errorf("metrics %q, want %q", got, want)
--- a/cmd/controlplane/run.go
+++ b/cmd/controlplane/run.go
@@ -7,6 +7,7 @@
 
 	"gradeusher.example/gradeusher/internal/system/operatorapi"
 	"gradeusher.example/gradeusher/internal/system/process"
+	"gradeusher.example/gradeusher/internal/system/quota/quotarpc"
 	"gradeusher.example/gradeusher/internal/system/settings"
 )
 
@@ -16,6 +17,7 @@
 	log         log.Interface
 	chain       *controlChain
 	distributor *distributor // nil: an observer
+	allocation  *quotarpc.AllocationServer
 	stalls      *operatorapi.StallDetector
 }
 
@@ -35,6 +37,16 @@
 	return group.Wait()
 }
 
+// newAllocation returns the end of this node for limiters of quotas. An observer names the owner of the role.
+func newAllocation(config *settings.Settings, logger log.Interface, chain quotarpc.Chain) *quotarpc.AllocationServer {
+	return quotarpc.NewAllocationServer(quotarpc.AllocationOptions{
+		Self:   config.IP,
+		Chain:  chain,
+		Bounds: quotarpc.BoundsOf(config.Bounds),
+		Log:    logger,
+	})
+}
+
 // start opens the chain and starts what serves and distributes its state. The group owns the goroutines, which end with ctx.
 func (n *node) start(ctx context.Context, self *process.Process, group *process.Group) error {
 	if err := n.openChain(ctx); err != nil {
@@ -43,6 +55,8 @@
 	if n.settings.HasDisk() {
 		n.distributor = newDistributor(n.settings, n.log, n.chain)
 	}
+	n.allocation = newAllocation(n.settings, n.log, n.chain)
+	n.allocation.Publish()
 	group.Go(func() error { n.stalls.Run(ctx); return nil })
 	if err := n.serve(ctx, group); err != nil {
 		return err
@@ -52,6 +66,7 @@
 	}
 	if n.distributor != nil {
 		n.distributor.start(ctx, group)
+		group.Go(func() error { n.allocation.Run(ctx); return nil })
 	}
 	n.log.WithField("control", n.settings.Bind.Control).Info("controlplane: started")
 	return nil
--- a/cmd/controlplane/serve.go
+++ b/cmd/controlplane/serve.go
@@ -12,6 +12,7 @@
 	"gradeusher.example/gradeusher/internal/system/distribution/distributionpb"
 	"gradeusher.example/gradeusher/internal/system/operatorapi"
 	"gradeusher.example/gradeusher/internal/system/process"
+	"gradeusher.example/gradeusher/internal/system/quota/quotapb"
 	"gradeusher.example/gradeusher/internal/system/replication"
 	"gradeusher.example/gradeusher/internal/system/settings"
 )
@@ -36,6 +37,7 @@
 func (n *node) internalHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(replication.PathPrefix, n.chain.Handler())
+	mux.Handle(quotapb.AllocationPathPrefix, n.allocation.Handler())
 	if n.distributor != nil {
 		mux.Handle(distributionpb.DistributionPathPrefix, n.distributor.server.Handler())
 	} else {
--- a/cmd/proxy/compat_test.go
+++ b/cmd/proxy/compat_test.go
@@ -12,7 +12,12 @@
 
 // TestMetricNames: dashboards and alerts name these.
 func TestMetricNames(t *testing.T) {
-	publishOnce.Do(newTestServer(t).dataPlane.Publish)
+	publishOnce.Do(func() {
+		p := newTestServer(t)
+		p.dataPlane.Publish()
+		p.limiter.Publish()
+		p.quotas.Publish()
+	})
 	got := metrics.ListMetricNames()
 	slices.Sort(got)
 	want := []string{
@@ -21,6 +26,8 @@
 		`gradeusher_invariant_violations_total{invariant="pick_cold_pace_kept"}`,
 		`gradeusher_invariant_violations_total{invariant="pick_sends_allowed"}`,
 		`gradeusher_invariant_violations_total{invariant="proxy_runs_once"}`,
+		`gradeusher_invariant_violations_total{invariant="quota_shares_within_limit"}`,
+		`gradeusher_invariant_violations_total{invariant="quota_takes_within_bucket"}`,
 		"gradeusher_proxy_broken_total",
 		"gradeusher_proxy_cold_ends_total",
 		"gradeusher_proxy_cold_sends_total",
@@ -48,6 +55,16 @@
 		"gradeusher_proxy_unauthorized_total",
 		"gradeusher_proxy_unframed_total",
 		"gradeusher_proxy_unreached_total",
+		"gradeusher_quota_admitted_total",
+		"gradeusher_quota_denied_total",
+		"gradeusher_quota_granted_total",
+		"gradeusher_quota_lease_call_failures_total",
+		"gradeusher_quota_lease_calls_total",
+		"gradeusher_quota_limiter_call_failures_total",
+		"gradeusher_quota_limiter_calls_total",
+		"gradeusher_quota_over_limit_total",
+		"gradeusher_quota_takes_total",
+		"gradeusher_quota_unavailable_total",
 	}
 	if !slices.Equal(got, want) {
 		t.Errorf("metrics %q, want %q", got, want)
--- /dev/null
+++ b/cmd/proxy/quota.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"gradeusher.example/gradeusher/internal/system/distribution"
+	"gradeusher.example/gradeusher/internal/system/distribution/softstate"
+	"gradeusher.example/gradeusher/internal/system/quota"
+	"gradeusher.example/gradeusher/internal/system/quota/quotarpc"
+)
+
+// newQuotas makes the limiter of this proxy, and the client that asks the limiters of its zone.
+func (p *proxyProcess) newQuotas() {
+	transport := quotarpc.NewTransport()
+	p.limiter = quotarpc.NewLimiterServer(quotarpc.LimiterOptions{
+		ID:               quota.LimiterID{Node: p.settings.Node, Incarnation: uint64(time.Now().UnixNano())},
+		Bounds:           quotarpc.BoundsOf(p.settings.Bounds),
+		Followed:         func() string { return p.subscriber.FollowedNode() },
+		ControlPlanePort: p.settings.ControlPlanePort(),
+		Transport:        transport,
+		Log:              p.log,
+	})
+	p.quotas = quotarpc.NewClient(quotarpc.ClientOptions{
+		Self:      p.settings.Node,
+		Limiter:   p.limiter,
+		Transport: transport,
+		Log:       p.log,
+	})
+}
+
+// updateQuotas gives the tenants and the live proxies of this zone of an update to the limiter and its client.
+func (p *proxyProcess) updateQuotas(update distribution.Update) {
+	p.limiter.SetConfig(update.State.Config)
+	p.quotas.SetPeers(p.zonePeers(update.Members))
+}
+
+// zonePeers selects the proxies of this zone that have a configuration and go on.
+func (p *proxyProcess) zonePeers(members []softstate.Member) []quotarpc.Peer {
+	var peers []quotarpc.Peer
+	for _, m := range members {
+		if m.Zone != p.settings.Zone || m.Down || m.Draining || !m.Ready {
+			continue
+		}
+		peers = append(peers, quotarpc.Peer{Node: m.Node, Address: net.JoinHostPort(m.IP, strconv.Itoa(p.settings.ProxyPort()))})
+	}
+	return peers
+}
+
+// leaveLimiter gives the leases of this proxy back, so that others need not wait for their end.
+func (p *proxyProcess) leaveLimiter(ctx context.Context) {
+	if err := p.limiter.Leave(ctx); err != nil {
+		p.log.WithError(err).Info("proxy: the quota leases were not given back; they end by themselves")
+	}
+}
--- a/cmd/proxy/run.go
+++ b/cmd/proxy/run.go
@@ -19,6 +19,8 @@
 	"gradeusher.example/gradeusher/internal/system/process"
 	"gradeusher.example/gradeusher/internal/system/proxy"
 	"gradeusher.example/gradeusher/internal/system/proxy/pick"
+	"gradeusher.example/gradeusher/internal/system/quota/quotapb"
+	"gradeusher.example/gradeusher/internal/system/quota/quotarpc"
 	"gradeusher.example/gradeusher/internal/system/settings"
 )
 
@@ -33,6 +35,8 @@
 	subscriber *distribution.Subscriber
 	agent      *failuredetector.Agent
 	directory  *directory.Directory
+	limiter    *quotarpc.LimiterServer
+	quotas     *quotarpc.Client
 	draining   atomic.Bool
 	synced     chan struct{} // closed once there are a configuration and a list of servers
 	isSynced   bool          // synced is closed; used by applyUpdate only
@@ -60,6 +64,7 @@
 	config := self.Settings
 	created := &proxyProcess{settings: config, log: self.Log, synced: make(chan struct{})}
 	created.directory = directory.NewDirectory(min(maxDirectoryTTL, max(settings.Seconds(config.Bounds.TTLMaxSeconds), time.Second)))
+	created.newQuotas()
 	created.dataPlane = proxy.New(proxy.Options{
 		Settings:    created.pickSettings(),
 		GracePeriod: created.gracePeriod(),
@@ -102,6 +107,8 @@
 // start publishes the metrics, listens at all addresses and starts the goroutines. The group owns these; they end with ctx.
 func (p *proxyProcess) start(ctx context.Context, self *process.Process, group *process.Group) error {
 	p.dataPlane.Publish()
+	p.limiter.Publish()
+	p.quotas.Publish()
 	internalAddress := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.ProxyPort()))
 	if err := p.openFailureDetector(ctx, internalAddress); err != nil {
 		return err
@@ -126,6 +133,7 @@
 	}
 	group.Go(func() error { p.subscriber.Run(ctx); return nil })
 	group.Go(func() error { p.agent.Run(ctx); return nil })
+	group.Go(func() error { p.limiter.Run(ctx); return nil })
 	group.Go(func() error { return p.serveClients(ctx, clients) })
 	p.log.WithField("front", p.settings.Bind.Front).Info("proxy: started")
 	return nil
@@ -135,6 +143,7 @@
 func (p *proxyProcess) internalHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/twirp/", p.subscriber.Handler())
+	mux.Handle(quotapb.LimitingPathPrefix, p.limiter.Handler())
 	mux.Handle(failuredetector.AlivePath, p.agent.Handler())
 	mux.Handle("/status", admin.ProxyHandler(p.status))
 	return mux
@@ -174,7 +183,12 @@
 	if err := p.subscriber.Leave(ctx); err != nil {
 		p.log.WithError(err).Warn("proxy: no control-plane node was notified")
 	}
+	if p.quotas.HasPeers() {
+		p.leaveLimiter(ctx) // the others of the zone know that this proxy drains, and decide for its requests too
+	}
 	p.dataPlane.Drain(ctx)
+	p.leaveLimiter(ctx)
+	p.quotas.Close()
 	p.log.Info("proxy: ended")
 }
 
--- a/cmd/proxy/update.go
+++ b/cmd/proxy/update.go
@@ -37,6 +37,7 @@
 		MembershipIncomplete: update.MembershipIncomplete,
 		Stale:                update.Stale,
 	})
+	p.updateQuotas(update)
 	p.subscriber.NotifyListUpdates(p.dataPlane.AwaitsServerList())
 	p.directory.SetEndpoints(live.endpoints)
 	p.agent.SetMembers(live.watchable)
--- a/cmd/proxy/update_test.go
+++ b/cmd/proxy/update_test.go
@@ -31,12 +31,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = conn.Close() })
-	return &proxyProcess{settings: &settings.Settings{Node: "p0", Ports: []int{1, 2}}, log: discardLog, synced: make(chan struct{}),
+	created := &proxyProcess{settings: &settings.Settings{Node: "p0", Ports: []int{1, 2}}, log: discardLog, synced: make(chan struct{}),
 		dataPlane:  proxy.New(proxy.Options{Settings: pick.Settings{Zone: "z", Region: "r"}, Log: discardLog}),
 		subscriber: distribution.NewSubscriber(distribution.SubscriberOptions{Self: softstate.Member{Node: "p0"}, Log: discardLog}),
 		directory:  directory.NewDirectory(time.Second),
 		agent:      failuredetector.NewAgent(failuredetector.AgentOptions{Conn: conn, Log: discardLog, Options: failuredetector.Options{Self: "p0"}}),
 	}
+	created.newQuotas()
+	return created
 }
 
 // applyChanges returns the state after changes, in their order.
