system status, system why: tenants' quotas

An operator needs to see who holds which share of a tenant's limit, how old that is, and why requests of a tenant were refused. The allocator's status lists its leases, a proxy's status its refusals by tenant; no key is in either. Older nodes say nothing of quotas and are read as before.

--- a/cmd/controlplane/chain.go
+++ b/cmd/controlplane/chain.go
@@ -5,9 +5,11 @@
 	"path/filepath"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"gradeusher.example/gradeusher/internal/system/process"
+	"gradeusher.example/gradeusher/internal/system/quota/quotarpc"
 	"gradeusher.example/gradeusher/internal/system/replication"
 	"gradeusher.example/gradeusher/internal/system/settings"
 	"gradeusher.example/gradeusher/internal/system/wal"
@@ -83,16 +85,27 @@
 	}
 }
 
-// startReplica joins the chain with these options.
+// startReplica joins the chain with these options, and makes what rests on it alone.
 func (n *node) startReplica(ctx context.Context, options replication.Options) error {
 	chain, err := replication.Start(ctx, options)
 	if err != nil {
 		return err
 	}
 	n.chain = &controlChain{chain}
+	n.allocation = newAllocation(n.settings, n.log, n.chain)
 	return nil
 }
 
+// newAllocation returns this node's end for limiters of quotas. An observer names the owner of the role.
+func newAllocation(config *settings.Settings, logger log.Interface, chain quotarpc.Chain) *quotarpc.AllocationServer {
+	return quotarpc.NewAllocationServer(quotarpc.AllocationOptions{
+		Self:   config.IP,
+		Chain:  chain,
+		Bounds: quotarpc.BoundsOf(config.Bounds),
+		Log:    logger,
+	})
+}
+
 // leaveChain has the other nodes take over before this one ends. It stays until enough of them have what was acknowledged, as long as
 // the grace period allows: its disk may be lost with it.
 func (n *node) leaveChain() {
--- a/cmd/controlplane/run.go
+++ b/cmd/controlplane/run.go
@@ -37,16 +37,6 @@
 	return group.Wait()
 }
 
-// newAllocation returns the end of this node for limiters of quotas. An observer names the owner of the role.
-func newAllocation(config *settings.Settings, logger log.Interface, chain quotarpc.Chain) *quotarpc.AllocationServer {
-	return quotarpc.NewAllocationServer(quotarpc.AllocationOptions{
-		Self:   config.IP,
-		Chain:  chain,
-		Bounds: quotarpc.BoundsOf(config.Bounds),
-		Log:    logger,
-	})
-}
-
 // start opens the chain and starts what serves and distributes its state. The group owns the goroutines, which end with ctx.
 func (n *node) start(ctx context.Context, self *process.Process, group *process.Group) error {
 	if err := n.openChain(ctx); err != nil {
@@ -55,7 +45,6 @@
 	if n.settings.HasDisk() {
 		n.distributor = newDistributor(n.settings, n.log, n.chain)
 	}
-	n.allocation = newAllocation(n.settings, n.log, n.chain)
 	n.allocation.Publish()
 	group.Go(func() error { n.stalls.Run(ctx); return nil })
 	if err := n.serve(ctx, group); err != nil {
--- a/cmd/controlplane/status.go
+++ b/cmd/controlplane/status.go
@@ -4,6 +4,7 @@
 	"gradeusher.example/gradeusher/internal/system/admin"
 	"gradeusher.example/gradeusher/internal/system/invariant"
 	"gradeusher.example/gradeusher/internal/system/ownership"
+	"gradeusher.example/gradeusher/internal/system/quota/quotarpc"
 	"gradeusher.example/gradeusher/internal/system/replication"
 )
 
@@ -27,6 +28,7 @@
 	}
 	_, out.Chain = n.chain.ChainAddresses()
 	out.ListOwner = ownership.Owner(listRole, out.Chain)
+	out.Quota = n.quotaStatus(out.Chain)
 	for _, m := range view.Voters {
 		out.Voters = append(out.Voters, admin.Voter{Address: m.Addr, Zone: m.Zone, Region: m.Region})
 	}
@@ -36,6 +38,16 @@
 	return out
 }
 
+// quotaStatus names the allocator among the chain's replicas, and has what this node leased if it is that one.
+func (n *node) quotaStatus(chain []string) *admin.QuotaStatus {
+	usages, learning := n.allocation.Usage()
+	return &admin.QuotaStatus{
+		Owner:    ownership.Owner(quotarpc.Role, chain),
+		Learning: learning,
+		Tenants:  admin.TenantQuotas(usages),
+	}
+}
+
 // capacityStatus converts a capacity for the status.
 func capacityStatus(c replication.Capacity) *admin.Capacity {
 	return &admin.Capacity{
--- a/cmd/gradeusher/admin_status.go
+++ b/cmd/gradeusher/admin_status.go
@@ -87,6 +87,7 @@
 		printNode(stdio, answer)
 	}
 	printProxies(stdio, fleet)
+	printQuota(stdio, fleet.Quota)
 	return nil
 }
 
@@ -113,6 +114,24 @@
 	}
 }
 
+// printQuota prints who holds which share of tenants' limits.
+func printQuota(stdio streams, quota *admin.QuotaStatus) {
+	if quota == nil {
+		return
+	}
+	if quota.Learning {
+		stdio.println("quota: the allocator has just begun and learns what is leased")
+	}
+	for _, tenant := range quota.Tenants {
+		stdio.printf("tenant %-20s %.3f of the limit and %d tokens leased, %.1f requests/s asked\n", tenant.Tenant, tenant.Fraction, tenant.Extra,
+			tenant.RatePerSecond)
+		for _, holder := range tenant.Holders {
+			stdio.printf("  limiter %-17s %.3f of the limit and %d tokens, %.1f requests/s asked, %d ms old\n", holder.Node, holder.Fraction, holder.Extra,
+				holder.RatePerSecond, holder.AgeMS)
+		}
+	}
+}
+
 func printCapacity(stdio streams, capacity *admin.Capacity) {
 	if capacity == nil {
 		return
--- a/cmd/gradeusher/admin_test.go
+++ b/cmd/gradeusher/admin_test.go
@@ -28,6 +28,8 @@
 	status.Voters = []admin.Voter{{Address: "127.0.0.1", Zone: "hall", Region: "town"}}
 	status.Number, status.Evacuated, status.ListOwner = 1, []string{"hall"}, "127.0.0.1"
 	status.Proxies = []admin.ProxyProgress{{Node: "edge", Acknowledged: 1}}
+	status.Quota = &admin.QuotaStatus{Owner: "127.0.0.1", Tenants: []admin.TenantQuota{{Tenant: "faculty", Fraction: 0.5, Extra: 2, RatePerSecond: 9,
+		Holders: []admin.QuotaHolder{{Node: "edge", Fraction: 0.5, Extra: 2, RatePerSecond: 9, AgeMS: 40}}}}}
 	state, err := controlstate.Empty().Apply(controlstate.Change{Op: controlstate.OpEvacuate, Zone: "hall"}.Record(1))
 	if err != nil {
 		t.Fatal(err)
@@ -37,9 +39,10 @@
 	mux.Handle("/status", admin.ProxyHandler(func() any { // one document for both: each reader passes over the other's fields
 		return struct {
 			admin.NodeStatus
-			Ready  bool   `json:"ready"`
-			Choice string `json:"choice"`
-		}{status, true, "s-1 m hall: evacuated\n"}
+			Ready   bool                   `json:"ready"`
+			Choice  string                 `json:"choice"`
+			Refused []admin.TenantRefusals `json:"refused"`
+		}{status, true, "s-1 m hall: evacuated\n", []admin.TenantRefusals{{Tenant: "faculty", Limiter: "edge", OverLimit: 3, Last: "over the limit"}}}
 	}))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
@@ -60,7 +63,9 @@
 		t.Fatal(code, said)
 	}
 	for _, want := range []string{"view 3, chain 127.0.0.1\n", "record 1, revision 0, evacuated zones: hall\n", "duty list: 127.0.0.1\n",
-		"link 1 of 1", " n: current,", "proxy edge ", ", newest, silent for 0 ms, follows n\n"} {
+		"link 1 of 1", " n: current,", "proxy edge ", ", newest, silent for 0 ms, follows n\n", "duty quota: 127.0.0.1\n",
+		"tenant faculty              0.500 of the limit and 2 tokens leased, 9.0 requests/s asked\n",
+		"  limiter edge              0.500 of the limit and 2 tokens, 9.0 requests/s asked, 40 ms old\n"} {
 		if !strings.Contains(out, want) {
 			t.Errorf("%q is not in:\n%s", want, out)
 		}
@@ -171,3 +176,17 @@
 		t.Error("the backup is not the encoding of the state", err)
 	}
 }
+
+// TestSystemWhyTenant: why requests of a tenant were refused, and that none were.
+func TestSystemWhyTenant(t *testing.T) {
+	t.Parallel()
+	address, _ := newAdminServer(t, true)
+	code, out, said := runCommand("system", "why", address, "--tenant", "faculty")
+	if want := "tenant faculty: 3 over the limit, 0 without a verdict; last over the limit, 0 ms ago; limiter edge"; code != 0 || !strings.HasPrefix(out, want) {
+		t.Error(code, out, said)
+	}
+	code, out, said = runCommand("system", "why", address, "--tenant", "other")
+	if want := "tenant other: this proxy has refused nothing"; code != 0 || !strings.HasPrefix(out, want) {
+		t.Error(code, out, said)
+	}
+}
--- a/cmd/proxy/status.go
+++ b/cmd/proxy/status.go
@@ -19,6 +19,7 @@
 		Servers:    len(current.Servers),
 		ListAgeMS:  -1,
 		Choice:     p.dataPlane.Describe(),
+		Refused:    p.refusals(),
 		Violations: invariant.Violations(),
 	}
 	if current.HasList {
@@ -29,3 +30,22 @@
 	}
 	return out
 }
+
+// refusals are the requests that were refused for quotas, by tenant.
+func (p *proxyProcess) refusals() []admin.TenantRefusals {
+	var out []admin.TenantRefusals
+	for _, refused := range p.quotas.Refusals() {
+		held := p.limiter.Held(refused.Tenant)
+		out = append(out, admin.TenantRefusals{
+			Tenant:      refused.Tenant,
+			Limiter:     refused.Limiter,
+			OverLimit:   refused.OverLimit,
+			Unavailable: refused.Unavailable,
+			Last:        refused.Last.String(),
+			SinceLastMS: refused.SinceLast.Milliseconds(),
+			Fraction:    held.Fraction,
+			Extra:       held.Extra,
+		})
+	}
+	return out
+}
--- a/internal/system/admin/fleet.go
+++ b/internal/system/admin/fleet.go
@@ -22,7 +22,8 @@
 	Nodes     []NodeAnswer    `json:"keepers"` // by address
 	Proxies   []Subscriber    `json:"proxies"` // by name
 	Roles     []SingletonRole `json:"duties"`
-	Unseen    []string        `json:"unseen"` // live proxies that subscribe to none of the nodes that answered, by name
+	Unseen    []string        `json:"unseen"`          // live proxies that subscribe to none of the nodes that answered, by name
+	Quota     *QuotaStatus    `json:"quota,omitempty"` // as the allocator of that epoch says; nil: none answered
 }
 
 // NodeAnswer is the status of one node, or why there is none.
@@ -115,6 +116,7 @@
 	newest := slices.MaxFunc(statuses, func(a, b *NodeStatus) int { return cmp.Compare(a.Epoch, b.Epoch) })
 	fleet.Epoch, fleet.Chain, fleet.Voters = newest.Epoch, newest.Chain, newest.Voters
 	fleet.Roles = append(fleet.Roles, SingletonRole{Name: "list", Owner: newest.ListOwner})
+	fleet.setQuota(statuses, newest)
 	fleet.Capacity = chooseCapacity(statuses, newest.Epoch)
 	latest := slices.MaxFunc(statuses, func(a, b *NodeStatus) int { return cmp.Compare(a.Number, b.Number) })
 	fleet.Number, fleet.Revision, fleet.Evacuated = latest.Number, latest.Revision, slices.Sorted(slices.Values(latest.Evacuated))
--- a/internal/system/admin/status.go
+++ b/internal/system/admin/status.go
@@ -75,8 +75,9 @@
 	Servers   int             `json:"servers"`
 	ListAgeMS int64           `json:"list_age_ms"` // of the platform's server list; -1: none was received
 	ListOwner string          `json:"list_duty"`   // IP of the node that reads the platform's server list
-	Proxies   []ProxyProgress `json:"proxies"`     // those that subscribe to this node
-	Members   []string        `json:"members"`     // names of the live proxies, whichever node they subscribe to
+	Quota     *QuotaStatus    `json:"quota,omitempty"`
+	Proxies   []ProxyProgress `json:"proxies"` // those that subscribe to this node
+	Members   []string        `json:"members"` // names of the live proxies, whichever node they subscribe to
 
 	Violations map[string]uint64 `json:"violations,omitempty"` // of invariants, by name; empty: all hold
 }
@@ -95,6 +96,8 @@
 	ListAgeMS int64    `json:"list_age_ms"` // -1: none was received
 	Choice    string   `json:"choice"`      // proxy.Proxy.Describe: a line a server, its id first
 
+	Refused []TenantRefusals `json:"refused,omitempty"` // by the tenant's name; empty: no request was refused for a quota
+
 	Violations map[string]uint64 `json:"violations,omitempty"` // of invariants, by name; empty: all hold
 }
 
--- a/internal/system/quota/quotarpc/client.go
+++ b/internal/system/quota/quotarpc/client.go
@@ -49,6 +49,7 @@
 	candidates *candidateSet
 	batches    *batcher
 	counters   clientCounters
+	refusals   refusalLog
 }
 
 // NewClient returns a client that knows of its own limiter only, until SetPeers.
@@ -85,6 +86,9 @@
 		admission = quota.Admission{Verdict: quota.Unavailable}
 	}
 	c.counters.count(admission)
+	if admission.Verdict != quota.Admitted {
+		c.refusals.record(time.Now(), tenant.Name, admission.Verdict)
+	}
 	return admission
 }
 
