config, controlstate: what an earlier version accepted with a shared key is still read

New changes are checked by Parse and Amend as before; stored states and records, which were accepted once, are read by ParseAccepted and AmendAccepted. A shared key is nobody's in them, so no request runs in the name of the wrong tenant. An amendment that changes tenants is refused until it ends the sharing.

--- a/internal/system/config/amend.go
+++ b/internal/system/config/amend.go
@@ -8,7 +8,14 @@
 // Amend merges an amendment into base, which it does not change, and validates the result as a whole. Items that are replaced keep
 // their position, new ones follow, unknown fields stay. Removing an item that is not there is no error. An item that is removed
 // and upserted under one name is replaced. Every error is an ErrInvalid.
-func Amend(base *Config, raw []byte) (*Config, error) {
+func Amend(base *Config, raw []byte) (*Config, error) { return amend(base, raw, newDecoder()) }
+
+// AmendAccepted is to Amend what ParseAccepted is to Parse.
+func AmendAccepted(base *Config, raw []byte) (*Config, error) {
+	return amend(base, raw, newDecoderOfAccepted())
+}
+
+func amend(base *Config, raw []byte, decoder *itemDecoder) (*Config, error) {
 	if base == nil {
 		return nil, invalid("there is no configuration to amend: send Config.Replace first")
 	}
@@ -19,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	merge := amendment{base: base, decoder: newDecoder(), next: &Config{Limits: base.Limits}}
+	merge := amendment{base: base, decoder: decoder, next: &Config{Limits: base.Limits}}
 	for _, field := range fields {
 		switch field.key {
 		case "revision":
@@ -206,7 +213,7 @@
 		return nil, err
 	}
 	a.next.Tenants, a.next.HasTenants = tenants, true
-	if err := a.next.indexTenants(); err != nil {
+	if err := a.next.indexTenants(a.decoder.allowsSharedKeys); err != nil {
 		return nil, err
 	}
 	return merged.appendJSON(out), nil
--- a/internal/system/config/config_test.go
+++ b/internal/system/config/config_test.go
@@ -258,6 +258,9 @@
 			t.Fatal("what is no JSON was accepted")
 		}
 		c.requireValid(t)
+		if accepted, err := ParseAccepted(raw); err != nil || !reflect.DeepEqual(accepted, c) {
+			t.Fatalf("read as accepted it differs: %v", err)
+		}
 	})
 }
 
@@ -322,6 +325,9 @@
 		if !reflect.DeepEqual(again, next) {
 			t.Fatalf("read again it differs\n%s\n%s", next.describe(), again.describe())
 		}
+		if accepted, err := AmendAccepted(base, second); err != nil || !reflect.DeepEqual(accepted, next) {
+			t.Fatalf("read as accepted it differs: %v", err)
+		}
 	})
 }
 
--- a/internal/system/config/decoder.go
+++ b/internal/system/config/decoder.go
@@ -13,10 +13,19 @@
 type itemDecoder struct {
 	parser fastjson.Parser
 	names  map[string]string // one copy of each text, however many items have it
+
+	allowsSharedKeys bool // a key that tenants share is nobody's, and no error
 }
 
 func newDecoder() *itemDecoder { return &itemDecoder{names: map[string]string{}} }
 
+// newDecoderOfAccepted is newDecoder for what was accepted before.
+func newDecoderOfAccepted() *itemDecoder {
+	decoder := newDecoder()
+	decoder.allowsSharedKeys = true
+	return decoder
+}
+
 // parse decodes one JSON value without duplicate names. The value is valid until the next call.
 func (d *itemDecoder) parse(raw []byte, what string) (*fastjson.Value, error) {
 	v, err := d.parser.ParseBytes(raw)
--- a/internal/system/config/doc.go
+++ b/internal/system/config/doc.go
@@ -21,9 +21,10 @@
 // # Invariants
 //
 //  1. Parse and Amend are pure: no I/O, no clock, no map order in the result. Equal inputs give equal configurations and errors.
-//  2. Parse(c.Raw) equals c for every Config c that Parse or Amend returned.
+//  2. Parse(c.Raw) equals c for every Config c that Parse returned, or Amend on top of such a one. The same holds of ParseAccepted and
+//     AmendAccepted, which also read what an earlier version accepted and this one would refuse.
 //  3. A Config is immutable. Amend shares the routes, services and tenants that an amendment does not name with its base.
 //  4. Names of routes, services and tenants are unique, as are the pairs of host and prefix; every share names a service that is
-//     there; a key is held by one tenant at most.
+//     there; a key is held by one tenant at most, or (ParseAccepted, AmendAccepted) found at none.
 //  5. Memory and stack are bounded: nesting by maxDepth, decoding by the JSON of one item at a time.
 package config
--- a/internal/system/config/parse.go
+++ b/internal/system/config/parse.go
@@ -10,7 +10,13 @@
 
 // Parse decodes and validates a complete configuration. The result retains raw, which must not be changed afterwards. Unknown
 // fields must be valid JSON and are ignored. Every error is an ErrInvalid.
-func Parse(raw []byte) (*Config, error) {
+func Parse(raw []byte) (*Config, error) { return parse(raw, newDecoder()) }
+
+// ParseAccepted is Parse for a configuration that was accepted before, maybe by a version of the software that did not check for shared
+// keys: a key that tenants share is not refused, and is nobody's.
+func ParseAccepted(raw []byte) (*Config, error) { return parse(raw, newDecoderOfAccepted()) }
+
+func parse(raw []byte, decoder *itemDecoder) (*Config, error) {
 	if err := validateJSON(raw); err != nil {
 		return nil, err
 	}
@@ -19,7 +25,6 @@
 		return nil, err
 	}
 	parsed := &Config{Raw: raw, Limits: defaultLimits, Services: map[string]*Service{}}
-	decoder := newDecoder()
 	seen := map[string]bool{}
 	for _, field := range fields {
 		seen[field.key] = true
--- a/internal/system/config/tenant.go
+++ b/internal/system/config/tenant.go
@@ -79,13 +79,15 @@
 	if err != nil {
 		return err
 	}
-	return c.indexTenants()
+	return c.indexTenants(decoder.allowsSharedKeys)
 }
 
-// indexTenants builds the index of TenantOfKey, and checks that names are unique and that no two tenants share a key.
-func (c *Config) indexTenants() error {
+// indexTenants builds the index of TenantOfKey, and checks that names are unique. A key that two tenants share is an error or, where it is
+// allowed, nobody's.
+func (c *Config) indexTenants(allowsSharedKeys bool) error {
 	names := make(map[string]struct{}, len(c.Tenants))
 	c.tenantOfKey = make(map[KeyDigest]*Tenant, len(c.Tenants))
+	var shared []KeyDigest
 	for _, tenant := range c.Tenants {
 		if _, ok := names[tenant.Name]; ok {
 			return invalid("tenant %q is there twice: leave one", tenant.Name)
@@ -93,10 +95,16 @@
 		names[tenant.Name] = struct{}{}
 		for _, key := range tenant.Keys {
 			if other := c.tenantOfKey[key]; other != nil && other != tenant {
-				return invalid("tenants %q and %q share an API key: give it to one of them", other.Name, tenant.Name)
+				if !allowsSharedKeys {
+					return invalid("tenants %q and %q share an API key: give it to one of them", other.Name, tenant.Name)
+				}
+				shared = append(shared, key)
 			}
 			c.tenantOfKey[key] = tenant
 		}
 	}
+	for _, key := range shared {
+		delete(c.tenantOfKey, key)
+	}
 	return nil
 }
--- a/internal/system/config/tenant_test.go
+++ b/internal/system/config/tenant_test.go
@@ -72,6 +72,33 @@
 	}
 }
 
+// TestAcceptedSharedKeyIsNobodys: a configuration with a shared key that an earlier version accepted is read, the key lets nobody in, and
+// other changes are possible, but none that leaves the key with two tenants.
+func TestAcceptedSharedKeyIsNobodys(t *testing.T) {
+	accepted, err := ParseAccepted([]byte(`{"revision":1,"routes":[],"services":[],"tenants":[` +
+		`{"name":"a","api_keys":["k","l"]},{"name":"b","api_keys":["k"]},{"name":"c","api_keys":["k","m"]}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if accepted.TenantOfKey("k") != nil || accepted.TenantOfKey("l") != accepted.Tenants[0] || accepted.TenantOfKey("m") != accepted.Tenants[2] {
+		t.Error("the keys are found at others")
+	}
+	if _, err := Amend(accepted, []byte(`{"revision":2,"upsert":{"services":[{"name":"s"}]}}`)); err != nil {
+		t.Error(err)
+	}
+	const stillShared = `{"revision":2,"remove":{"tenants":["c"]}}`
+	if _, err := Amend(accepted, []byte(stillShared)); !errors.Is(err, ErrInvalid) {
+		t.Errorf("amendment that leaves the key shared: %v", err)
+	}
+	if next, err := AmendAccepted(accepted, []byte(stillShared)); err != nil || next.TenantOfKey("k") != nil {
+		t.Errorf("accepted amendment that leaves the key shared: %v", err)
+	}
+	next, err := Amend(accepted, []byte(`{"revision":2,"remove":{"tenants":["b","c"]}}`))
+	if err != nil || next.TenantOfKey("k") != next.Tenants[0] {
+		t.Errorf("amendment that gives the key to one tenant: %v", err)
+	}
+}
+
 // TestKeysAreKeptAsDigests: apart from Raw, a configuration holds no key.
 func TestKeysAreKeptAsDigests(t *testing.T) {
 	const key = "92cqf75rjvz48wuakn2f"
--- a/internal/system/controlstate/codec.go
+++ b/internal/system/controlstate/codec.go
@@ -147,7 +147,7 @@
 		if reader.Failed() {
 			return nil, corruptError()
 		}
-		candidate, err := config.Parse(raw)
+		candidate, err := config.ParseAccepted(raw)
 		if err != nil {
 			return nil, errors.Mark(errors.Wrap(err, "state with a configuration that cannot be read here"), ErrCorrupt)
 		}
--- a/internal/system/controlstate/state.go
+++ b/internal/system/controlstate/state.go
@@ -60,7 +60,7 @@
 		return s.checkOnOlderVersion(change, sum, restsOnSeq)
 	}
 	// Nothing has been applied on the current revision, so this change has not been either.
-	candidate, err := s.nextConfig(change)
+	candidate, err := s.nextConfig(change, config.Parse, config.Amend)
 	if err != nil {
 		return Verdict{Kind: Invalid, Seq: restsOnSeq, Reason: err.Error()}
 	}
@@ -68,12 +68,14 @@
 	return Verdict{Kind: Accepted, Seq: s.Seq + 1}
 }
 
-// nextConfig returns the configuration that change makes of the current one. Errors are config.ErrInvalid.
-func (s *State) nextConfig(change Change) (*config.Config, error) {
+// nextConfig returns the configuration that change makes of the current one, by the functions of package config that fit: Parse and Amend for a
+// new change, ParseAccepted and AmendAccepted for a record. Errors are config.ErrInvalid.
+func (s *State) nextConfig(change Change, parse func([]byte) (*config.Config, error),
+	amend func(*config.Config, []byte) (*config.Config, error)) (*config.Config, error) {
 	if change.Op == OpAmend {
-		return config.Amend(s.Config, change.Body)
+		return amend(s.Config, change.Body)
 	}
-	candidate, err := config.Parse(change.Body)
+	candidate, err := parse(change.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -121,7 +123,7 @@
 	if checked != nil && checked.digest == sum {
 		next.Config = checked.config
 	} else {
-		candidate, err := s.nextConfig(change)
+		candidate, err := s.nextConfig(change, config.ParseAccepted, config.AmendAccepted)
 		if err != nil {
 			return refusedError(record, err.Error())
 		}
