--- a/internal/system/quota/allocation.go
+++ b/internal/system/quota/allocation.go
@@ -150,9 +150,10 @@
 		return Share{Fraction: min(held.Fraction, target.Fraction), Extra: min(held.Extra, target.Extra)}
 	}
 	others := tenant.outstanding(to)
-	granted := Share{
-		Fraction: max(0, min(target.Fraction, leasableFraction-others.Fraction)),
-		Extra:    max(0, min(target.Extra, a.bounds.leasableExtra()-others.Extra)),
+	granted := target
+	if !a.knobs.IgnoreOthers {
+		granted.Fraction = max(0, min(target.Fraction, leasableFraction-others.Fraction))
+		granted.Extra = max(0, min(target.Extra, a.bounds.leasableExtra()-others.Extra))
 	}
 	if granted.Fraction*a.bounds.Depth(limit)+float64(granted.Extra) < 1 {
 		return Share{} // its bucket could never hold a token
--- /dev/null
+++ b/internal/system/quota/limiter_test.go
@@ -0,0 +1,141 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestTenantWithoutLimitNeedsNoLease(t *testing.T) {
+	limiter := NewLimiter(LimiterOptions{Bounds: testBounds})
+	if decision := limiter.Take(0, "free", Limit{}, 1000); decision != (Decision{Granted: 1000}) {
+		t.Errorf("decision %+v, want all granted", decision)
+	}
+	if _, scheduled := limiter.NextCall(0); scheduled {
+		t.Error("a call is due for a tenant without a limit")
+	}
+}
+
+// TestWaitingIsBounded: requests wait up to a quarter of MaxWaiting for one tenant, and up to MaxWaiting in all.
+func TestWaitingIsBounded(t *testing.T) {
+	limiter := NewLimiter(LimiterOptions{Bounds: testBounds, MaxWaiting: 40})
+	waiting := 0
+	for i := range 10 {
+		decision := limiter.Take(time.Second, fmt.Sprint("tenant-", i), Limit{RatePerSecond: 1}, 12)
+		if decision.Waiting > 10 || decision.Waiting+decision.Unavailable != 12 {
+			t.Errorf("decision %+v", decision)
+		}
+		waiting += decision.Waiting
+	}
+	if waiting != 40 {
+		t.Errorf("%d requests wait, want 40", waiting)
+	}
+	unavailable := 0
+	for _, r := range limiter.Expire(time.Second + maxWait) {
+		unavailable += r.Unavailable
+	}
+	if unavailable != 40 {
+		t.Errorf("%d requests were unavailable after %v, want 40", unavailable, maxWait)
+	}
+}
+
+func TestTenantsAreBoundedAndForgotten(t *testing.T) {
+	limiter := NewLimiter(LimiterOptions{Bounds: testBounds, MaxTenants: 2})
+	for i, want := range []int{1, 1, 0} {
+		decision := limiter.Take(time.Second, fmt.Sprint("tenant-", i), Limit{RatePerSecond: 1}, 1)
+		if decision.Waiting != want {
+			t.Errorf("tenant %d: %d waits, want %d", i, decision.Waiting, want)
+		}
+	}
+	limiter.Expire(2 * time.Second)
+	for at := 20 * time.Second; at < 22*time.Second; at += renewInterval {
+		if request, due := limiter.NextRequest(at); due {
+			limiter.Receive(at, LeaseReply{Sequence: request.Sequence, Grants: []Grant{{Tenant: "tenant-0"}, {Tenant: "tenant-1"}}})
+		}
+	}
+	if decision := limiter.Take(22*time.Second, "tenant-2", Limit{RatePerSecond: 1}, 1); decision.Waiting != 1 {
+		t.Errorf("decision %+v: the tenants without demand were not forgotten", decision)
+	}
+}
+
+// TestLeavingLimiterFreesItsShares: what a limiter gives back when it leaves is leased to another at once.
+func TestLeavingLimiterFreesItsShares(t *testing.T) {
+	play := newScript(t, TestingKnobs{})
+	node, leaving, other := play.allocator(0), play.limiter("leaving"), play.limiter("other")
+	play.call(leaving, node, 10*time.Second, 10*time.Second)
+	leaving.Take(10*time.Second, "second", play.limit, 3)
+	request, resolutions := leaving.Leave(10100 * time.Millisecond)
+	if len(resolutions) != 1 || resolutions[0].Unavailable != 3 {
+		t.Errorf("resolutions %+v, want the 3 that waited unavailable", resolutions)
+	}
+	if decision := leaving.Take(10200*time.Millisecond, "tenant", play.limit, 1); decision.Unavailable != 1 {
+		t.Errorf("decision %+v after leaving", decision)
+	}
+	node.Receive(10100*time.Millisecond, request, play.limits)
+	play.call(other, node, 10200*time.Millisecond, 10200*time.Millisecond)
+	if held := play.held(10200*time.Millisecond, other); held < leasableFraction-fractionRounding {
+		t.Errorf("the other holds %.2f, want all that may be leased", held)
+	}
+}
+
+// TestFailedCallIsRepeated: requests that wait are asked for again after a call that failed.
+func TestFailedCallIsRepeated(t *testing.T) {
+	play := newScript(t, TestingKnobs{})
+	node, limiter := play.allocator(0), play.limiter("proxy")
+	limiter.Take(10*time.Second, "tenant", play.limit, 5)
+	first, _ := limiter.NextRequest(10 * time.Second)
+	limiter.Fail(10050*time.Millisecond, first.Sequence)
+	at, scheduled := limiter.NextCall(10050 * time.Millisecond)
+	if !scheduled || at != 10050*time.Millisecond+askPause {
+		t.Fatalf("next call at %v, scheduled %v", at, scheduled)
+	}
+	second, due := limiter.NextRequest(at)
+	if !due || second.Sequence != first.Sequence+1 || second.Demands[0].Waiting != 5 {
+		t.Fatalf("request %+v, due %v", second, due)
+	}
+	limiter.Receive(at, node.Receive(10*time.Second, first, play.limits))
+	resolutions := limiter.Receive(at, node.Receive(at, second, play.limits))
+	if len(resolutions) != 1 || resolutions[0].Granted != 5 {
+		t.Errorf("resolutions %+v, want 5 granted", resolutions)
+	}
+}
+
+func TestUsageDescribesHolders(t *testing.T) {
+	play := newScript(t, TestingKnobs{})
+	node, limiter := play.allocator(0), play.limiter("proxy")
+	play.call(limiter, node, 10*time.Second, 10*time.Second)
+	usages := node.Describe(12 * time.Second)
+	if len(usages) != 1 || usages[0].Tenant != "tenant" || len(usages[0].Holders) != 1 {
+		t.Fatalf("usages %+v", usages)
+	}
+	holder := usages[0].Holders[0]
+	if holder.Limiter.Node != "proxy" || holder.Age != 2*time.Second || holder.Share != limiter.Held(12*time.Second, "tenant") {
+		t.Errorf("holder %+v", holder)
+	}
+	if usages[0].Leased != holder.Share {
+		t.Errorf("leased %+v, want the share of the only holder", usages[0].Leased)
+	}
+	if usage := node.Usage(16*time.Second, "tenant"); len(usage.Holders) != 0 {
+		t.Errorf("usage %+v after the lease has ended", usage)
+	}
+}
+
+// TestAllocatorRejectsCallsBeforeItsTerm: an allocator that never began grants nothing.
+func TestAllocatorRejectsCallsBeforeItsTerm(t *testing.T) {
+	play := newScript(t, TestingKnobs{})
+	node := NewAllocator(AllocatorOptions{Bounds: testBounds})
+	request := LeaseRequest{Limiter: LimiterID{Node: "proxy"}, Sequence: 1, Demands: []Demand{{Tenant: "tenant", RatePerSecond: 5, Waiting: 1}}}
+	if reply := node.Receive(time.Second, request, play.limits); !reply.Rejected || len(reply.Grants) != 0 {
+		t.Errorf("reply %+v", reply)
+	}
+}
+
+// TestInvalidSharesAreIgnored: a call that claims an impossible share gets no grant.
+func TestInvalidSharesAreIgnored(t *testing.T) {
+	play := newScript(t, TestingKnobs{})
+	node := play.allocator(0)
+	request := LeaseRequest{Limiter: LimiterID{Node: "proxy"}, Sequence: 1, Demands: []Demand{{Tenant: "tenant", Held: Share{Fraction: 1.5}}}}
+	if reply := node.Receive(10*time.Second, request, play.limits); len(reply.Grants) != 0 {
+		t.Errorf("reply %+v", reply)
+	}
+}
--- a/internal/system/quota/testing_knobs.go
+++ b/internal/system/quota/testing_knobs.go
@@ -20,6 +20,8 @@
 	IgnoreIncarnation bool
 	// TrustShrink has an allocator count a share as shrunk before the limiter has confirmed it.
 	TrustShrink bool
+	// IgnoreOthers has an allocator grant each limiter its target whatever the others hold.
+	IgnoreOthers bool
 	// KeepTokens has a limiter use one-shot tokens however late they come.
 	KeepTokens bool
 	// IgnoreLimitChange has a limiter keep the tokens that a bucket got under a higher limit.
