quota: requests that begin to wait are announced where nothing was scheduled

Cause: Take said that the driver is to look at the schedule only if its tenant's call was not wanted yet. Where it was, no other request waited and a call was under way, nothing was scheduled, so that nobody ended the wait after 400 ms.

Change: the first request that waits is announced as well. A call is wanted in constant time.

--- a/internal/system/quota/limiter.go
+++ b/internal/system/quota/limiter.go
@@ -76,7 +76,8 @@
 	default:
 		decision.Waiting = min(missing, l.room(held))
 		decision.Ticket = l.wait(held, decision.Waiting)
-		decision.NeedsLease = l.calls.wantAt(held, max(l.now, held.askAgainAt))
+		wanted := l.calls.wantAt(held, max(l.now, held.askAgainAt))
+		decision.NeedsLease = wanted || len(l.waiters.waiters) == 1
 		l.rejectOverflow(held, missing-decision.Waiting, decision)
 	}
 }
--- a/internal/system/quota/limiter_calls.go
+++ b/internal/system/quota/limiter_calls.go
@@ -38,14 +38,13 @@
 	if held.wanted && held.wantedAt <= at {
 		return false
 	}
+	if len(c.wanted) == 0 || at < c.wantedAt {
+		c.wantedAt = at
+	}
 	if !held.wanted {
 		c.wanted = append(c.wanted, held)
 	}
 	held.wanted, held.wantedAt = true, at
-	c.wantedAt = at
-	for _, other := range c.wanted {
-		c.wantedAt = min(c.wantedAt, other.wantedAt)
-	}
 	return true
 }
 
--- a/internal/system/quota/limiter_test.go
+++ b/internal/system/quota/limiter_test.go
@@ -139,3 +139,24 @@
 		t.Errorf("reply %+v", reply)
 	}
 }
+
+// TestFirstWaiterIsAnnounced: where nothing was scheduled, requests that begin to wait say so, although the call that they need was wanted
+// before.
+func TestFirstWaiterIsAnnounced(t *testing.T) {
+	limiter := NewLimiter(LimiterOptions{Bounds: testBounds})
+	limit := Limit{RatePerSecond: 10, Burst: 10}
+	limiter.Take(10*time.Second, "first", limit, 1)
+	failed, _ := limiter.NextRequest(10 * time.Second)
+	limiter.Fail(10050*time.Millisecond, failed.Sequence)
+	limiter.Take(10060*time.Millisecond, "second", limit, 1)
+	if request, due := limiter.NextRequest(10070 * time.Millisecond); !due || len(request.Demands) != 1 {
+		t.Fatalf("request %+v, due %v, want one that names the second tenant alone", request, due)
+	}
+	limiter.Expire(10500 * time.Millisecond)
+	if at, scheduled := limiter.NextCall(10500 * time.Millisecond); scheduled {
+		t.Fatalf("scheduled at %v, want nothing while the call is under way", at)
+	}
+	if decision := limiter.Take(10510*time.Millisecond, "first", limit, 1); !decision.NeedsLease {
+		t.Errorf("decision %+v: nobody is told that a request waits", decision)
+	}
+}
--- a/internal/system/quota/waiting.go
+++ b/internal/system/quota/waiting.go
@@ -73,6 +73,9 @@
 
 // grantTo admits up to count requests of a tenant, the oldest first.
 func (q *waitQueue) grantTo(held *lease, count int) {
+	if held.waiting == 0 || count == 0 {
+		return
+	}
 	for _, w := range q.waiters {
 		if w.held == held {
 			admitted := min(w.waiting, count)
