--- a/internal/system/quota/allocation.go
+++ b/internal/system/quota/allocation.go
@@ -59,11 +59,11 @@
 }
 
 // free is the part of a tenant's limit that the allocator's own bucket has.
-func (tenant *allocation) free(a *Allocator) Share {
+func (t *allocation) free(a *Allocator) Share {
 	if a.now < a.graceEnd() {
 		return a.certainlyFree()
 	}
-	leased := tenant.outstanding(nil)
+	leased := t.outstanding(nil)
 	return Share{
 		Fraction: max(0, 1-leased.Fraction),
 		Extra:    max(0, a.bounds.ExtraTokens()-leased.Extra),
@@ -71,34 +71,34 @@
 }
 
 // takeTokens takes up to count one-shot tokens from the tenant's bucket.
-func (tenant *allocation) takeTokens(a *Allocator, limit Limit, count int) int {
-	tenant.resizeBucket(a, limit)
-	return tenant.bucket.take(count)
+func (t *allocation) takeTokens(a *Allocator, limit Limit, count int) int {
+	t.resizeBucket(a, limit)
+	return t.bucket.take(count)
 }
 
 // resizeBucket adapts the bucket to what is free and to the limit. Time that has passed counts at the lower of the two limits.
-func (tenant *allocation) resizeBucket(a *Allocator, limit Limit) {
-	if limit.RatePerSecond < tenant.limit.RatePerSecond {
-		tenant.bucket.rate *= limit.RatePerSecond / tenant.limit.RatePerSecond
+func (t *allocation) resizeBucket(a *Allocator, limit Limit) {
+	if limit.RatePerSecond < t.limit.RatePerSecond {
+		t.bucket.rate *= limit.RatePerSecond / t.limit.RatePerSecond
 	}
-	tenant.limit = limit
-	a.sizeBucket(&tenant.bucket, limit, tenant.free(a), max(a.now, tenant.bucket.filledAt))
+	t.limit = limit
+	a.sizeBucket(&t.bucket, limit, t.free(a), max(a.now, t.bucket.filledAt))
 }
 
 // isAsNew reports whether the record can be forgotten, since a new one would be the same.
-func (tenant *allocation) isAsNew(a *Allocator) bool {
+func (t *allocation) isAsNew(a *Allocator) bool {
 	if a.now < a.graceEnd() {
 		return false
 	}
-	tenant.resizeBucket(a, tenant.limit)
-	return tenant.bucket.level >= tenant.bucket.depth
+	t.resizeBucket(a, t.limit)
+	return t.bucket.level >= t.bucket.depth
 }
 
 // outstanding returns the sum of what all holders but one may hold.
-func (tenant *allocation) outstanding(except *holder) Share {
+func (t *allocation) outstanding(except *holder) Share {
 	var sum Share
-	for i := range tenant.holders {
-		if h := &tenant.holders[i]; h != except {
+	for i := range t.holders {
+		if h := &t.holders[i]; h != except {
 			sum = sum.plus(h.share)
 		}
 	}
@@ -106,27 +106,27 @@
 }
 
 // expire removes holders whose leases have ended.
-func (tenant *allocation) expire(now time.Duration) {
-	tenant.holders = slices.DeleteFunc(tenant.holders, func(h holder) bool { return now >= h.expiresAt })
+func (t *allocation) expire(now time.Duration) {
+	t.holders = slices.DeleteFunc(t.holders, func(h holder) bool { return now >= h.expiresAt })
 }
 
 // remove removes a limiter.
-func (tenant *allocation) remove(from *caller) {
-	tenant.holders = slices.DeleteFunc(tenant.holders, func(h holder) bool { return h.from == from })
+func (t *allocation) remove(from *caller) {
+	t.holders = slices.DeleteFunc(t.holders, func(h holder) bool { return h.from == from })
 }
 
 // holder returns the record of a limiter, nil where there are too many of others.
-func (tenant *allocation) holder(from *caller) *holder {
-	for i := range tenant.holders {
-		if tenant.holders[i].from == from {
-			return &tenant.holders[i]
+func (t *allocation) holder(from *caller) *holder {
+	for i := range t.holders {
+		if t.holders[i].from == from {
+			return &t.holders[i]
 		}
 	}
-	if len(tenant.holders) >= maxHolders {
+	if len(t.holders) >= maxHolders {
 		return nil
 	}
-	tenant.holders = append(tenant.holders, holder{from: from})
-	return &tenant.holders[len(tenant.holders)-1]
+	t.holders = append(t.holders, holder{from: from})
+	return &t.holders[len(t.holders)-1]
 }
 
 const (
@@ -168,12 +168,12 @@
 }
 
 // target returns the share that a limiter should have beside the demand of the others.
-func (tenant *allocation) target(of *holder, held Share, limit Limit, leasableExtra int) Share {
+func (t *allocation) target(of *holder, held Share, limit Limit, leasableExtra int) Share {
 	weight := of.weight(limit)
 	if weight == 0 {
 		return Share{}
 	}
-	sum, claimants := tenant.weights(limit)
+	sum, claimants := t.weights(limit)
 	fraction := weight
 	if sum > leasableFraction {
 		fraction = leasableFraction * weight / sum
@@ -189,9 +189,9 @@
 }
 
 // weights returns the sum of the weights of all holders, and how many have one.
-func (tenant *allocation) weights(limit Limit) (sum float64, claimants int) {
-	for i := range tenant.holders {
-		if weight := tenant.holders[i].weight(limit); weight > 0 {
+func (t *allocation) weights(limit Limit) (sum float64, claimants int) {
+	for i := range t.holders {
+		if weight := t.holders[i].weight(limit); weight > 0 {
 			sum += weight
 			claimants++
 		}
