proxy: limits of tenants are enforced

Each request of a tenant with a limit asks the limiters of the zone before a server is chosen.

Measured: tests of proxy, controlplane, quotarpc, settings and compat pass with -race.

--- a/cmd/proxy/run.go
+++ b/cmd/proxy/run.go
@@ -73,6 +73,7 @@
 		MemoryMB:    int(config.Limits.MemoryMB),
 		Log:         created.log,
 		OnStall:     func() { created.subscriber.Refresh() },
+		Quota:       created.quotas,
 
 		StateAge:     func() time.Duration { return created.subscriber.StateAge() },
 		RevokeWithin: revocationBound(config.Bounds),
