--- a/internal/system/quota/quotarpc/fleet_test.go
+++ b/internal/system/quota/quotarpc/fleet_test.go
@@ -114,6 +114,25 @@
 	}
 }
 
+// TestPausedLimiterUsesNoExpiredLease: a limiter that was paused for longer than its lease lasts admits nothing by it when it wakes, though
+// nothing in it has run since.
+func TestPausedLimiterUsesNoExpiredLease(t *testing.T) {
+	for _, knobs := range []TestingKnobs{{}, {TakeAtLastStep: true}} {
+		bubble.Test(t, func(t *testing.T) {
+			tenant := limitedTenant("t", 100, 50)
+			fleet := newTestFleetWith(t, knobs, []*config.Tenant{tenant}, "a")
+			fleet.offer(t, "a", tenant, 50, 2*time.Second)
+			fleet.proxies["a"].stop()
+			fleet.network.Set(allocatorHost, nil)
+			time.Sleep(quota.DefaultTTL)
+			taken := fleet.proxies["a"].limiter.Decide(t.Context(), "t", 1, time.Second)
+			if used := taken.Admitted > 0; used != knobs.TakeAtLastStep {
+				t.Errorf("%+v: %+v", knobs, taken)
+			}
+		})
+	}
+}
+
 // firstAndLast returns the proxy that is the first limiter of a tenant, and one that is no limiter of it but in the last place.
 func firstAndLast(fleet *testFleet, tenant string) (first, last string) {
 	candidates := fleet.proxies["a"].client.candidates.inOrder(time.Now(), tenant)
--- a/internal/system/quota/quotarpc/limiter_server.go
+++ b/internal/system/quota/quotarpc/limiter_server.go
@@ -38,10 +38,11 @@
 	counters  limiterCounters
 	wake      chan struct{} // room for one: the leases are to be looked at again
 
-	mu      sync.Mutex // guards what follows
-	limiter *quota.Limiter
-	waiting map[quota.Ticket]chan<- quota.Resolution // each with room for one
-	left    bool
+	mu        sync.Mutex // guards what follows
+	limiter   *quota.Limiter
+	waiting   map[quota.Ticket]chan<- quota.Resolution // each with room for one
+	left      bool
+	steppedAt time.Duration // the last step of Run
 }
 
 // NewLimiterServer returns a limiter that holds no lease. Run makes it lease.
@@ -109,7 +110,7 @@
 	if s.left {
 		return quota.Decision{Unavailable: count}, nil
 	}
-	decision := s.limiter.Take(s.now(), tenant, limit, count)
+	decision := s.limiter.Take(s.takeTime(), tenant, limit, count)
 	if decision.Waiting == 0 {
 		return decision, nil
 	}
@@ -175,6 +176,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	s.steppedAt = now
 	s.resolve(s.limiter.Expire(now))
 	var step leaseStep
 	step.request, step.due = s.limiter.NextRequest(now)
@@ -247,5 +249,14 @@
 	}
 }
 
+// takeTime is the time as of which requests are decided on: now, as a process that was paused wakes in the middle of anything. The
+// caller holds mu.
+func (s *LimiterServer) takeTime() time.Duration {
+	if s.options.Knobs.TakeAtLastStep {
+		return s.steppedAt
+	}
+	return s.now()
+}
+
 // now is the time on the clock of the limiter, which starts with the process.
 func (s *LimiterServer) now() time.Duration { return time.Since(s.startedAt) }
--- a/internal/system/quota/quotarpc/loopback_test.go
+++ b/internal/system/quota/quotarpc/loopback_test.go
@@ -15,16 +15,16 @@
 )
 
 // serveLoopback serves a handler on a loopback port until the test ends.
-func serveLoopback(t *testing.T, handler http.Handler) (address string) {
-	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+func serveLoopback(tb testing.TB, handler http.Handler) (address string) {
+	tb.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(tb.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 	var wg sync.WaitGroup
 	wg.Go(func() { _ = server.Serve(listener) })
-	t.Cleanup(func() {
+	tb.Cleanup(func() {
 		_ = server.Close()
 		wg.Wait()
 	})
--- a/internal/system/quota/quotarpc/testfleet_test.go
+++ b/internal/system/quota/quotarpc/testfleet_test.go
@@ -84,6 +84,7 @@
 	allocator *AllocationServer
 	proxies   map[string]*fleetProxy
 	running   sync.WaitGroup
+	knobs     TestingKnobs // of the limiters
 }
 
 const allocatorHost = "10.0.0.1"
@@ -91,7 +92,13 @@
 // newTestFleet starts the proxies, each with its name as its host. The allocator has learnt what is outstanding when it returns.
 func newTestFleet(t *testing.T, tenants []*config.Tenant, names ...string) *testFleet {
 	t.Helper()
-	fleet := &testFleet{network: memorynet.New(nil), chain: newFakeChain(tenants, allocatorHost), proxies: map[string]*fleetProxy{}}
+	return newTestFleetWith(t, TestingKnobs{}, tenants, names...)
+}
+
+// newTestFleetWith starts a fleet whose limiters have the knobs.
+func newTestFleetWith(t *testing.T, knobs TestingKnobs, tenants []*config.Tenant, names ...string) *testFleet {
+	t.Helper()
+	fleet := &testFleet{knobs: knobs, network: memorynet.New(nil), chain: newFakeChain(tenants, allocatorHost), proxies: map[string]*fleetProxy{}}
 	fleet.network.Delay = time.Millisecond
 	fleet.allocator = NewAllocationServer(AllocationOptions{Self: allocatorHost, Chain: fleet.chain, Bounds: testBounds, Log: discardLogger()})
 	fleet.network.Set(allocatorHost, fleet.allocator.Handler())
@@ -122,6 +129,7 @@
 		ControlPlanePort: 1,
 		Transport:        f.network,
 		Log:              discardLogger(),
+		Knobs:            f.knobs,
 	})
 	limiter.SetConfig(f.chain.state.Config)
 	client := NewClient(ClientOptions{Self: name, Limiter: limiter, Transport: f.network, Log: discardLogger()})
--- a/internal/system/quota/quotarpc/testing_knobs.go
+++ b/internal/system/quota/quotarpc/testing_knobs.go
@@ -12,6 +12,8 @@
 	AdmitWholeBatch bool
 	// AcceptAnyReply has callers take a reply for the call whose place it has on the connection.
 	AcceptAnyReply bool
+	// TakeAtLastStep has a limiter decide as of the last look at its leases, in place of now.
+	TakeAtLastStep bool
 	// UseLateAdmissions has a client use admissions however late they come.
 	UseLateAdmissions bool
 }
