testcluster: tenants with keys, limits and homes, and the checks on them

The test cluster knew no tenants: no client sent a key, no server recorded what came of it, and no checker looked at it. Change: - Scenario.AddTenants gives a scenario five tenants (a large one with two keys, one with a home region, one without a limit), a public route, and clients that use and misuse keys: forged X-Tenant, a key that no configuration holds, none at all. - Servers record X-Tenant and whether X-Credential came, in any spelling. Run adds and takes away keys, sets limits, and sends a configuration in which two tenants share a key. QUOTA counts requests that a client sent and a server got within a window, each once; what a proxy holds back and sends later in one go is not counted by a window that began after its client sent it. SmallScenario itself stays without tenants.

--- a/internal/lab/testcluster/client_request.go
+++ b/internal/lab/testcluster/client_request.go
@@ -32,6 +32,7 @@
 	body           string
 	prompt         string // X-Prompt-Prefix; empty: the request has no prompt
 	tokens         string // X-Token-Count
+	caller         Caller
 	began          time.Time
 	deadline       time.Time
 	receivedEvents int // number of the last event that has come
@@ -44,6 +45,7 @@
 	r := &request{traffic: t, kind: kind, pool: pool, number: t.stats.begin(), rng: rand.New(rand.NewPCG(rng.Uint64(), 1)), firstAt: -1}
 	r.path = kind.Route.Prefix + strconv.FormatUint(rng.Uint64()%pathsPerRoute, 16)
 	r.body = strings.Repeat(fmt.Sprintf("request %d ", r.number), 1+kind.BodyBytes/16)
+	r.caller = drawCaller(kind.Callers, rng)
 	if kind.AnswerTokens > 0 {
 		prefix := 1 + rng.IntN(kind.Prefixes)
 		own := max(1, int(float64(kind.OwnTokens)*(0.5+rng.Float64())))
@@ -107,7 +109,8 @@
 	env := r.traffic.env
 	r.attempts++
 	attempt = &rules.Attempt{ID: fmt.Sprintf("%016x", r.rng.Uint64()), Request: r.number, Host: r.kind.Route.Host, Method: http.MethodPost,
-		Path: r.path, Body: xxhash.Sum64String(r.body), Zone: r.pool.zone, Region: r.pool.region, From: r.receivedEvents, Sent: env.Now(), Deadline: env.at(r.deadline)}
+		Path: r.path, Body: xxhash.Sum64String(r.body), Zone: r.pool.zone, Region: r.pool.region, Key: r.caller.Key, From: r.receivedEvents,
+		Sent: env.Now(), Deadline: env.at(r.deadline)}
 	defer func() {
 		attempt.Ended = env.Now()
 		env.Evidence.RecordAttempt(attempt)
@@ -135,6 +138,7 @@
 	remaining := time.Until(r.deadline)
 	spec := &attemptSpec{attempt: attempt, body: r.body, chunked: r.rng.IntN(4) == 0, deadline: r.deadline, onFirst: r.recordFirst}
 	spec.headers = []headerField{{"X-Time-Left-Ms", strconv.FormatInt(max(1, remaining.Milliseconds()), 10)}}
+	spec.headers = append(spec.headers, r.caller.headers()...)
 	if r.kind.Route.Category == "streaming" {
 		spec.readTimeout = max(minStreamTimeout, 4*ms(r.kind.Route.Aim), 8*ms(r.kind.Route.GapAim))
 	}
--- a/internal/lab/testcluster/environment.go
+++ b/internal/lab/testcluster/environment.go
@@ -11,6 +11,7 @@
 //   - Links: relays between the processes, into which slow and partitioned networks are injected.
 //   - Incarnation: a server between one start and its end, with an id of its own.
 //   - Attempt: one sending of a client's request; arrival: what reached a server.
+//   - Caller: with which key, and under which forged tenant's name, some clients send. Flood: requests of one tenant far beyond its limit.
 package testcluster
 
 import (
@@ -44,6 +45,7 @@
 	ListRate         float64       // calls a second that the list answers
 	Seed             uint64        // of the clients' random numbers
 	Links            *Links        // in front of servers; nil: callers reach them directly
+	ProbeKey         string        // X-Credential of probes; empty: they have none
 }
 
 // Environment is the test doubles that stand around the system in one run.
@@ -60,6 +62,7 @@
 	listServer      *http.Server
 	listAddress     string
 	links           *Links
+	probeKey        string
 	cancel          context.CancelFunc
 	ctx             context.Context
 	background      sync.WaitGroup
@@ -80,7 +83,7 @@
 func New(options Options) (*Environment, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	env := &Environment{Evidence: &rules.Evidence{Bounds: options.Bounds}, startedAt: time.Now(), discardLog: log.New(io.Discard, "", 0),
-		stats: &statsCounter{}, ctx: ctx, cancel: cancel, links: options.Links}
+		stats: &statsCounter{}, ctx: ctx, cancel: cancel, links: options.Links, probeKey: options.ProbeKey}
 	if env.links != nil {
 		env.links.setOnError(func(err error) { env.recordFailure("a relay had to wait: %v", err) })
 	}
--- a/internal/lab/testcluster/incarnation.go
+++ b/internal/lab/testcluster/incarnation.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,12 +62,23 @@
 	arrival := &rules.Arrival{At: i.server.env.Now(), ID: r.Header.Get("X-Attempt-Id"), Server: i.id, Service: i.Service, Zone: i.Zone, Region: i.Region,
 		Method: r.Method, Path: r.URL.RequestURI(), Host: r.Host, Body: xxhash.Sum64(body), ExecutedAt: rules.Never, Ended: rules.Never}
 	arrival.From, _ = strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	arrival.Tenant, arrival.HasKey = strings.Join(r.Header.Values("X-Tenant"), ","), hasKeyField(r.Header)
 	if i.relay != nil {
 		arrival.Sent = max(1, arrival.At-i.relay.sentAgo(r.RemoteAddr, clock.Now()))
 	}
 	return arrival
 }
 
+// hasKeyField reports whether a header has a field X-Credential, also where its name is written with underscores or in other letters.
+func hasKeyField(header http.Header) bool {
+	for name := range header {
+		if strings.EqualFold(strings.ReplaceAll(name, "_", "-"), "X-Credential") {
+			return true
+		}
+	}
+	return false
+}
+
 // admission is what became of a request at its arrival.
 type admission struct {
 	overloaded bool // the server warms up, and crashes of this request
--- a/internal/lab/testcluster/probe.go
+++ b/internal/lab/testcluster/probe.go
@@ -14,11 +14,11 @@
 
 const probeTimeout = 2 * time.Second
 
-// Probe sends one request to a proxy, on a connection of its own and without retries, to see which configuration is in force there. The
-// attempt is evidence; it ends after probeTimeout at the latest.
+// Probe sends one request to a proxy, on a connection of its own and without retries, to see which configuration is in force there. It has a
+// tenant's key where there are tenants. The attempt is evidence; it ends after probeTimeout at the latest.
 func (e *Environment) Probe(ctx context.Context, proxy, host, path string) *rules.Attempt {
 	attempt := &rules.Attempt{ID: fmt.Sprintf("%016x", rand.Uint64()), Host: host, Method: http.MethodPost, Path: path, Body: xxhash.Sum64String(""),
-		Proxy: proxy, Probe: true, Sent: e.Now()}
+		Proxy: proxy, Key: e.probeKey, Probe: true, Sent: e.Now()}
 	defer func() {
 		attempt.Ended = e.Now()
 		e.Evidence.RecordAttempt(attempt)
@@ -33,9 +33,9 @@
 	defer func() { _ = conn.tcp.Close() }()
 	e.links.recordSender(attempt.ID, proxy)
 	until, _ := ctx.Deadline()
-	conn.exchange(&attemptSpec{attempt: attempt, deadline: until, headers: []headerField{
-		{"X-Time-Left-Ms", fmt.Sprint(probeTimeout.Milliseconds())}, {"X-Model", "m"}, {"X-Token-Count", "10,5"},
-		{"X-Prompt-Prefix", attempt.ID + ":10"}}}, e.Now)
+	headers := append(Caller{Key: attempt.Key}.headers(), headerField{"X-Time-Left-Ms", fmt.Sprint(probeTimeout.Milliseconds())},
+		headerField{"X-Model", "m"}, headerField{"X-Token-Count", "10,5"}, headerField{"X-Prompt-Prefix", attempt.ID + ":10"})
+	conn.exchange(&attemptSpec{attempt: attempt, deadline: until, headers: headers}, e.Now)
 	return attempt
 }
 
--- a/internal/lab/testcluster/rules/check.go
+++ b/internal/lab/testcluster/rules/check.go
@@ -51,6 +51,7 @@
 	{"FAILBACK", (*index).checkFailback},
 	{"HOME", (*index).checkHome},
 	{"EVAC", (*index).checkEvacuation},
+	{"QUOTA", (*index).checkQuota},
 }
 
 // Check checks all rules, and returns a verdict for each, in the order of RULES.md. The run must be over: nothing may be recorded meanwhile.
--- a/internal/lab/testcluster/rules/contact.go
+++ b/internal/lab/testcluster/rules/contact.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 )
 
@@ -45,6 +46,24 @@
 	return all
 }
 
+// outOfContact returns the periods in which some proxy is out of contact, in order of their starts. Each one excludes its end.
+func (x *index) outOfContact() []span {
+	var all []span
+	add := func(from, to Time) {
+		all = append(all, span{from, min(to, math.MaxInt64-x.Bounds.Contact) + x.Bounds.Contact})
+	}
+	for i := range x.Faults {
+		if fault := &x.Faults[i]; fault.Proxy != "" {
+			add(fault.At, fault.endedAt())
+		}
+	}
+	for _, loss := range x.coreLosses {
+		add(loss.from, loss.to)
+	}
+	slices.SortFunc(all, func(a, b span) int { return cmp.Compare(a.from, b.from) })
+	return all
+}
+
 // isOfCore reports whether a fault is one of a voter, and counts for core losses.
 func (f *Fault) isOfCore() bool { return f.ControlPlane && f.Machine != "" }
 
--- a/internal/lab/testcluster/rules/evidence.go
+++ b/internal/lab/testcluster/rules/evidence.go
@@ -59,6 +59,7 @@
 	Zone, Region string // of the client
 	Proxy        string // front address
 	From         int    // number of the last event that the client has, after which a stream is to continue
+	Key          string // X-Credential; empty: none was sent
 	Probe        bool   // sent to see which configuration is in force at the proxy
 
 	Sent         Time // when the first byte was sent
@@ -94,6 +95,8 @@
 	Method, Path string
 	Host         string
 	Body         uint64 // digest
+	Tenant       string // X-Tenant; a comma stands between the values of several fields
+	HasKey       bool   // a field X-Credential came, in any spelling
 	From         int    // number of the event after which a stream is to continue
 	WarmingUp    bool
 	WarmUpLimit  float64 // requests a second that the server bears while it warms up
@@ -187,6 +190,10 @@
 
 	ColdExcess float64 // factor of a server's limit while it warms up
 	ColdSlack  float64 // requests a second besides
+
+	QuotaWindow Time    // in each of which the requests of a tenant are bounded
+	QuotaExcess float64 // part of a tenant's limit by which it may be exceeded
+	QuotaSlack  float64 // requests besides
 }
 
 // Evidence is all that was seen. Its methods may be called by several goroutines. Checks read it when the run is over.
--- a/internal/lab/testcluster/rules/placement.go
+++ b/internal/lab/testcluster/rules/placement.go
@@ -6,7 +6,7 @@
 )
 
 // checkRoute checks ROUTE (RULES.md, "Requests and answers"): a service executes only requests that are routed to it by a configuration sent
-// before.
+// before, with a key that a tenant of it holds where one is needed.
 //
 // Any such configuration excuses the execution, be it acknowledged, refused or invalid: CONFIG checks which one is in force. Executions of
 // what no client sent are left to UNASKED.
@@ -21,7 +21,7 @@
 			continue // UNASKED reports it.
 		}
 		if !x.everRouted(attempt, arrival) {
-			verdict.violation("%s %s ran at %s", attempt.Host, attempt.Path, arrival.Service)
+			verdict.violation("%s (%s %s, key %q) ran at %s", attempt.ID, attempt.Host, attempt.Path, attempt.Key, arrival.Service)
 		}
 	}
 }
@@ -55,10 +55,11 @@
 	}
 }
 
-// checkHome checks HOME (RULES.md, "Zones and regions"): a request whose route has home regions reaches servers there only.
+// checkHome checks HOME (RULES.md, "Zones and regions"): a request whose route or tenant has home regions reaches servers there only, and in
+// regions that are homes of both where both have some.
 //
-// Excused are requests that got 421, and those that a configuration which may be in force allows. Homes of tenants, and the proxies that
-// bodies pass, are not checked.
+// Excused are requests that got 421, and those that a configuration which may be in force allows. The proxies that bodies pass are not
+// checked.
 func (x *index) checkHome(verdict *Verdict) {
 	for _, arrival := range x.Arrivals {
 		attempt := x.attemptByID[arrival.ID]
--- a/internal/lab/testcluster/traffic.go
+++ b/internal/lab/testcluster/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gradeusher.example/gradeusher/internal/lab/testcluster/rules"
@@ -22,6 +23,8 @@
 	AnswerTokens int // tokens of an answer, at most; 0: the request has no prompt
 
 	BodyBytes int // about
+
+	Callers []Caller // that send the requests; empty: one without a key
 }
 
 // Traffic is the stand-in clients: PROTOCOL.md "Ingress" and "Answers".
@@ -32,6 +35,7 @@
 	seed    uint64
 	stats   *statsCounter
 	running sync.WaitGroup
+	floods  atomic.Uint64 // that have begun
 }
 
 // run sends requests until ctx ends, and returns when all of them have ended.
--- a/internal/lab/testcluster/up.go
+++ b/internal/lab/testcluster/up.go
@@ -74,6 +74,7 @@
 		ListRate:         listCallsPerSecond,
 		Seed:             options.Seed,
 		Links:            options.Links,
+		ProbeKey:         scenario.probeKey(),
 	}
 }
 
