soak: a tenant floods, a key is taken away, a limit is lowered, a bridge is cut

Change: kinds hot_tenant (a tenant sends eight times its limit for some seconds), revoke (a key is taken away while its clients go on, and given back), lower limit (far below what the tenant sends, for as long as it takes to bind), and bridge_cut (two zones do not see each other, processes and servers, while a third sees both; recorded as a fault of all processes of both zones). The scenario has the tenants of the test cluster. One change in five is preceded by a configuration in which two tenants share a key. Changes of the configuration by faults and by the operator go one after another. Plans of earlier seeds change.

--- a/cmd/gradeusher/system_soak_norace_test.go
+++ b/cmd/gradeusher/system_soak_norace_test.go
@@ -67,17 +67,20 @@
 	})
 }
 
+// keptSeeds have each kind of fault of tenants, a bridge cut and a planned end among them.
+var keptSeeds = []uint64{1, 42, 53}
+
 func testSoakKeepsRules(t *testing.T) {
 	t.Helper()
 	ends := 0 // tries around planned ends; not every seed has one
-	for _, r := range soakSeeds(t, []uint64{1, 2, 3}, func(*testcluster.Scenario) {}, drawPlan) {
+	for _, r := range soakSeeds(t, keptSeeds, func(*testcluster.Scenario) {}, drawPlan) {
 		for _, b := range r.Broken {
 			t.Errorf("seed %d: %s", r.Seed, b)
 		}
 		if r.WarmingServers == 0 || r.AcknowledgedChanges == 0 || r.Reads == 0 || r.Statuses == 0 || r.Served < r.Requests/4 {
 			t.Errorf("seed %d saw too little: %v", r.Seed, r)
 		}
-		for _, rule := range []string{"MIXED", "TWICE", "REFUSED", "CONFIG", "FAILBACK"} {
+		for _, rule := range []string{"MIXED", "UNASKED", "TWICE", "REFUSED", "ROUTE", "CONFIG", "FAILBACK", "QUOTA"} {
 			if r.Checked[rule] == 0 {
 				t.Errorf("seed %d: nothing was seen to judge %s by", r.Seed, rule)
 			}
--- a/internal/lab/soak/fault.go
+++ b/internal/lab/soak/fault.go
@@ -20,8 +20,9 @@
 // Fault is a fault of a plan. It ends by itself.
 type Fault struct {
 	Kind       Kind
-	Target     string   // IP of a machine, name of a zone, or address of a server; empty: the fault is done to all
+	Target     string   // IP of a machine, name of a zone or tenant, address of a server, or a key; empty: the fault is done to all
 	Other      string   // zone that is evacuated meanwhile
+	Peer       string   // zone that the target zone does not see
 	Servers    []string // addresses of the servers from which a proxy is partitioned
 	Start      time.Duration
 	Length     time.Duration
@@ -41,6 +42,9 @@
 	if f.Other != "" {
 		text += ", evacuated: " + f.Other
 	}
+	if f.Peer != "" {
+		text += " from " + f.Peer
+	}
 	if len(f.Servers) > 0 {
 		text += ": " + strings.Join(f.Servers, ", ")
 	}
--- a/internal/lab/soak/kind.go
+++ b/internal/lab/soak/kind.go
@@ -31,6 +31,10 @@
 	RestartZoneDuringEvacuation Kind = "cold return while the other zone is evacuated:"
 	EndEvacuationAlone          Kind = "taking a zone back alone, the other one down:"
 	DrainServer                 Kind = "drain server"
+	FloodByTenant               Kind = "hot_tenant"
+	RevokeKey                   Kind = "revoke"
+	LowerLimit                  Kind = "lower limit"
+	CutBridge                   Kind = "bridge_cut"
 )
 
 // claim names something that a fault needs for itself. Faults with a claim in common must not overlap.
@@ -76,6 +80,10 @@
 	{RestartZoneDuringEvacuation, 8, (*drawer).drawRestartDuringEvacuation, nil, claimEvacuation, (*player).evacuateZone},
 	{EndEvacuationAlone, 8, (*drawer).drawEndEvacuationAlone, nil, claimEvacuation, (*player).evacuateZone},
 	{DrainServer, 3, (*drawer).drawDrain, (*drawer).drawServer, claimDrain, (*player).drainServer},
+	{FloodByTenant, 6, (*drawer).drawFlood, (*drawer).drawHotTenant, claimTenant, (*player).floodByTenant},
+	{RevokeKey, 6, (*drawer).drawTenantChange, (*drawer).drawRevocableKey, claimTenant, (*player).revokeKey},
+	{LowerLimit, 6, (*drawer).drawTenantChange, (*drawer).drawLargeTenant, claimTenant, (*player).lowerLimit},
+	{CutBridge, 6, (*drawer).drawBridgeCut, nil, claimBridge, (*player).cutBridge},
 }
 
 // specOf returns the specification of a kind; ok is false if there is no such kind.
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -25,18 +25,50 @@
 
 const (
 	changeStream     = 37 // the sequence of random numbers of a seed from which changes are drawn
+	revisionStream   = 38 // that from which revisions are drawn
 	routeChangeEvery = 3  // changes, of which one adds or removes a route
+	sharedKeyEvery   = 5  // changes, before one of which an invalid configuration is sent
 )
 
 // sendChanges changes the configuration at an interval until ctx ends. After each change it sends a probe to a proxy.
 func (p *player) sendChanges(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(p.plan.Seed, changeStream))
 	for n := 0; clock.Sleep(ctx, configInterval); n++ {
-		if err := p.sendChange(ctx, n, rng); err != nil && ctx.Err() == nil {
-			p.refreshConfig(ctx)
+		if n%sharedKeyEvery == sharedKeyEvery-1 {
+			p.sendSharedKey(ctx)
 		}
+		p.changeConfig(ctx, func(ctx context.Context, revision int64) error { return p.sendChange(ctx, revision, n, rng) })
 		m := p.Fleet.Machines[rng.IntN(len(p.Fleet.Machines))]
-		p.Probe(ctx, p.Fleet.FrontAddress(m), p.Scenario.Config.Routes[summaryRoute].Host, fmt.Sprintf("%s%d", testcluster.AddedRoutePrefix, n))
+		p.Probe(ctx, p.Fleet.FrontAddress(m), p.usualConfig.Routes[summaryRoute].Host, fmt.Sprintf("%s%d", testcluster.AddedRoutePrefix, n))
+	}
+}
+
+// changeConfig sends a change of the configuration, after those under way, as a new revision. After a change without a clear answer it reads the
+// configuration, on which the next change is to build.
+func (p *player) changeConfig(ctx context.Context, change func(ctx context.Context, revision int64) error) {
+	p.changing.Lock()
+	defer p.changing.Unlock()
+	changeCtx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	if err := change(changeCtx, p.NextRevision(p.revisions)); err != nil {
+		if ctx.Err() == nil {
+			p.refreshConfig(ctx)
+		}
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.acknowledgedChanges++
+}
+
+// sendSharedKey sends a configuration in which two tenants share a key. The check of CONFIG reports it if that is acknowledged.
+func (p *player) sendSharedKey(ctx context.Context) {
+	p.changing.Lock()
+	defer p.changing.Unlock()
+	sendCtx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	if err := p.SendSharedKey(sendCtx, p.revisions); err != nil && ctx.Err() == nil {
+		p.refreshConfig(ctx)
 	}
 }
 
@@ -45,22 +77,11 @@
 
 // sendChange sends a change by its number: one in routeChangeEvery adds a route or removes it, and the others
 // change the time-out of a route.
-func (p *player) sendChange(ctx context.Context, number int, rng *rand.Rand) error {
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
-	revision := p.NextRevision(rng)
-	var err error
+func (p *player) sendChange(ctx context.Context, revision int64, number int, rng *rand.Rand) error {
 	if number%routeChangeEvery == 0 {
-		err = p.addOrRemoveRoute(ctx, revision)
-	} else {
-		err = p.changeRouteTimeout(ctx, revision, changedRoutes[number%len(changedRoutes)], rng)
-	}
-	if err == nil {
-		p.mu.Lock()
-		p.acknowledgedChanges++
-		p.mu.Unlock()
+		return p.addOrRemoveRoute(ctx, revision)
 	}
-	return err
+	return p.changeRouteTimeout(ctx, revision, changedRoutes[number%len(changedRoutes)], rng)
 }
 
 // addOrRemoveRoute removes the added route if the configuration has it, and adds it otherwise.
@@ -83,7 +104,7 @@
 	return p.ReplaceConfig(ctx, &after)
 }
 
-// refreshConfig reads the configuration, on which the next change is to build after one without a clear answer.
+// refreshConfig reads the configuration. It is called with p.changing held.
 func (p *player) refreshConfig(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -14,6 +15,7 @@
 
 	"gradeusher.example/gradeusher/internal/lab/clock"
 	"gradeusher.example/gradeusher/internal/lab/testcluster"
+	"gradeusher.example/gradeusher/internal/lab/testcluster/rules"
 	"gradeusher.example/gradeusher/internal/system/admin"
 )
 
@@ -49,6 +51,10 @@
 	// evacuating holds a value while a fault evacuates a zone: an answer that comes late may have a fault last longer than it was drawn.
 	evacuating chan struct{}
 
+	usualConfig *rules.Config // in force when the run began
+	changing    sync.Mutex    // is held while a change of the configuration is sent; guards Scenario.Config and revisions
+	revisions   *rand.Rand    // from which the revisions of changes are drawn
+
 	mu                  sync.Mutex
 	broken              []string        // as in Result; never nil
 	pendingEvacuations  map[string]bool // zones whose evacuation was started, and not clearly ended
@@ -89,6 +95,8 @@
 		Run:                run,
 		plan:               options.Plan,
 		announce:           announce,
+		usualConfig:        run.Scenario.Config,
+		revisions:          rand.New(rand.NewPCG(options.Plan.Seed, revisionStream)),
 		monitor:            invariantMonitor{client: admin.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
 		evacuating:         make(chan struct{}, 1),
 		broken:             []string{},
--- a/internal/lab/soak/scenario.go
+++ b/internal/lab/soak/scenario.go
@@ -64,6 +64,7 @@
 	scenario.Kinds[summaryRoute].Rate = summaryRate
 	scenario.Kinds[questionRoute].Rate = questionRate
 	scenario.Kinds[thumbRoute].Rate = thumbRate
+	scenario.AddTenants()
 	setSlots(scenario, slots)
 	return scenario
 }
