testcluster: clients close connections that were idle for too long

Cause: a client takes the connection that was used last, and one request in five and every retry makes a new one. The older ones were looked at only once all newer ones were taken, so nearly every connection of a run stayed open to its end. Change: connections that were idle for too long are closed whenever one becomes idle. Result: TestIdleConnectionsExpire failed before (20 idle connections where 3 are in use).

--- a/internal/lab/testcluster/client_pool.go
+++ b/internal/lab/testcluster/client_pool.go
@@ -195,6 +195,16 @@
 	}
 	c.idleSince = p.now()
 	p.idle = append(p.idle, c)
+	p.closeExpired()
+}
+
+// closeExpired closes the connections that have been idle for too long, of those that became idle first. Without it they would add up, as the one that was
+// used last is taken first.
+func (p *clientPool) closeExpired() {
+	for len(p.idle) > 0 && p.now()-p.idle[0].idleSince >= p.idle[0].maxIdle() {
+		p.closeConn(p.idle[0])
+		p.idle = p.idle[1:]
+	}
 }
 
 // pickAddress draws an address for a new connection from those that have not failed, or from all if all have. ok is false before the first
--- a/internal/lab/testcluster/client_pool_test.go
+++ b/internal/lab/testcluster/client_pool_test.go
@@ -175,3 +175,45 @@
 		text = append(text, one[0])
 	}
 }
+
+// TestIdleConnectionsExpire guards against descriptors that run out: connections that were idle for too long are closed, also where newer ones are taken
+// before them.
+func TestIdleConnectionsExpire(t *testing.T) {
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	address := listener.Addr().String()
+	var now time.Duration
+	pool := &clientPool{addresses: []string{address}, now: func() time.Duration { return now }, resolver: resolver{http: &http.Client{}}}
+	defer pool.closeAll()
+	const opened, used = 20, 3
+	for range opened {
+		pool.putIdle(dialTest(t, address))
+	}
+	for range 10 {
+		now += clientIdleTimeout / 2
+		var taken []*clientConn
+		for range used {
+			if c := pool.takeIdle(); c != nil {
+				taken = append(taken, c)
+			}
+		}
+		for _, c := range taken {
+			pool.putIdle(c)
+		}
+	}
+	if len(pool.idle) != used {
+		t.Errorf("%d connections are idle, and %d are in use", len(pool.idle), used)
+	}
+}
+
+func dialTest(t *testing.T, address string) *clientConn {
+	t.Helper()
+	c, err := dial(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
