--- a/internal/system/quota/resume_test.go
+++ b/internal/system/quota/resume_test.go
@@ -29,11 +29,11 @@
 // TestRestartedAllocatorKnowsAllOnceAllTold: with all limiters started anew nothing is outstanding, and an allocator that has heard so from each
 // leases at once.
 func TestRestartedAllocatorKnowsAllOnceAllTold(t *testing.T) {
-	s := newScript(t, TestingKnobs{})
-	restarted := s.resumed(10*time.Second, "a", "b")
-	a, b := s.limiter("a"), s.limiter("b")
+	played := newScript(t, TestingKnobs{})
+	restarted := played.resumed(10*time.Second, "a", "b")
+	a, b := played.limiter("a"), played.limiter("b")
 	b.Announce(true)
-	s.call(a, restarted, 10100*time.Millisecond, 10110*time.Millisecond)
+	played.call(a, restarted, 10100*time.Millisecond, 10110*time.Millisecond)
 	if !restarted.Learning(10110*time.Millisecond) || !slices.Equal(restarted.HolderNodes(), []string{"a", "b"}) {
 		t.Errorf("learning %v, holders %q, with one of two limiters unheard", restarted.Learning(10110*time.Millisecond), restarted.HolderNodes())
 	}
@@ -41,24 +41,24 @@
 	if !due || !request.Complete {
 		t.Fatalf("a limiter that announces itself: due %v, complete %v", due, request.Complete)
 	}
-	restarted.Receive(10200*time.Millisecond, request, s.limits)
-	s.call(a, restarted, 10500*time.Millisecond, 10510*time.Millisecond)
-	if sum := s.held(10510*time.Millisecond, a, b); sum < 0.5 {
+	restarted.Receive(10200*time.Millisecond, request, played.limits)
+	played.call(a, restarted, 10500*time.Millisecond, 10510*time.Millisecond)
+	if sum := played.held(10510*time.Millisecond, a, b); sum < 0.5 {
 		t.Errorf("%.2f of the limit is held after all limiters have told", sum)
 	}
 }
 
 // TestLimiterTellsAllToLearningAllocator: a call that names some leases only is followed at once by one that names all.
 func TestLimiterTellsAllToLearningAllocator(t *testing.T) {
-	s := newScript(t, TestingKnobs{})
-	limiter := s.limiter("a")
+	played := newScript(t, TestingKnobs{})
+	limiter := played.limiter("a")
 	for _, tenant := range []string{"t1", "t2"} {
-		limiter.Take(time.Second, tenant, s.limit, 1)
+		limiter.Take(time.Second, tenant, played.limit, 1)
 	}
 	first, _ := limiter.NextRequest(time.Second)
 	grants := []Grant{{Tenant: "t1", Share: Share{Fraction: 0.2}}, {Tenant: "t2", Share: Share{Fraction: 0.2}}}
 	limiter.Receive(time.Second, LeaseReply{Sequence: first.Sequence, Grants: grants, TTL: DefaultTTL})
-	limiter.Take(1100*time.Millisecond, "t1", s.limit, 50)
+	limiter.Take(1100*time.Millisecond, "t1", played.limit, 50)
 	partial, due := limiter.NextRequest(1100 * time.Millisecond)
 	if !due || partial.Complete {
 		t.Fatalf("due %v, complete %v with %d of 2 leases", due, partial.Complete, len(partial.Demands))
