proxy: a key that fails its second check leaves the request the tenant of its first

Cause: updateTenant replaced the identity before the check that then failed; where a replacement for a silent server was sought that error is dropped, and the attempt goes on. needsKey was that of the first configuration. Change: the identity stays where the check fails; a key is needed only while the configuration has tenants.

--- a/internal/system/proxy/identity.go
+++ b/internal/system/proxy/identity.go
@@ -90,7 +90,7 @@
 func (c *clientRequest) verifyKey() error {
 	knobs := &c.proxy.options.knobs
 	switch {
-	case !c.identity.needsKey:
+	case !c.identity.needsKey || !c.identity.config.HasTenants:
 		return nil
 	case c.proxy.missesRevocations():
 		return errKeysUnverified
@@ -114,15 +114,17 @@
 	if c.headSent || c.proxy.options.knobs.SkipKeyReverification {
 		return nil
 	}
-	before := c.identity.tenant
+	before := c.identity // stays where the check fails: an attempt that is under way may end in a stream, which goes on
 	c.updateTenant()
 	if err := c.verifyKey(); err != nil {
+		c.identity = before
 		return err
 	}
-	if c.identity.tenant == before {
+	if c.identity.tenant == before.tenant {
 		return nil
 	}
-	if before == nil || c.identity.tenant == nil || before.Name != c.identity.tenant.Name {
+	if before.tenant == nil || c.identity.tenant == nil || before.tenant.Name != c.identity.tenant.Name {
+		c.identity = before
 		return errTenantChanged
 	}
 	c.pickRequest.Tenant = c.identity.tenant // its priority and homes may have changed
