quota/quotarpc: a node leaves the roster and loses its cover in one step

Found in review, by tests: between the decision to drop a quiet node from the roster and its saving, the node could get a lease; an allocator that was started anew then did not await it (QUOTA). After a save that failed the roster counted as stored, so that a dropped node that came back got no lease until something else changed. Change: record takes the cover away, under the lock under which leases are given; after a failed save nothing counts as stored. A lower epoch is no continuation of a term, as resume has it. TestNoLeaseBetweenRecordAndSave and TestNodeIsRecordedAfterFailedSave failed before.

--- a/internal/system/quota/quotarpc/allocation_server.go
+++ b/internal/system/quota/quotarpc/allocation_server.go
@@ -189,7 +189,7 @@
 // The caller holds mu.
 func (s *AllocationServer) enterEpoch(now time.Duration, epoch uint64) {
 	isFirst := s.epoch == 0
-	continues := !isFirst && (epoch <= s.epoch+1 || s.options.Knobs.KeepTerm)
+	continues := !isFirst && (epoch == s.epoch || epoch == s.epoch+1 || s.options.Knobs.KeepTerm)
 	s.epoch = epoch
 	if continues {
 		return
--- a/internal/system/quota/quotarpc/roster.go
+++ b/internal/system/quota/quotarpc/roster.go
@@ -119,8 +119,11 @@
 	k.wanted = Roster{Identity: k.identity, Epoch: epoch, Nodes: slices.Sorted(maps.Keys(nodes))}
 	if !k.tracking {
 		k.tracking = true
-		k.covered = nodes // nothing that is stored is of this term yet
+		k.covered = maps.Clone(nodes) // nothing that is stored is of this term yet
+		return
 	}
+	// Here and not when it is saved: the caller's lock keeps a lease from being given between.
+	maps.DeleteFunc(k.covered, func(node string, _ bool) bool { return !nodes[node] })
 }
 
 // requestSave has run look for something to save.
@@ -156,6 +159,9 @@
 		return true
 	}
 	if err := k.store.Save(next); err != nil {
+		k.mu.Lock()
+		k.stored = Roster{} // not known: whatever is wanted next is to be saved
+		k.mu.Unlock()
 		k.log.WithError(err).Warn("quota: the roster cannot be saved; limiters that are new get no lease until it can")
 		return false
 	}
@@ -177,9 +183,5 @@
 	if !k.tracking || next.Epoch == k.stored.Epoch && slices.Equal(next.Nodes, k.stored.Nodes) {
 		return Roster{}, false
 	}
-	maps.DeleteFunc(k.covered, func(node string, _ bool) bool {
-		_, named := slices.BinarySearch(next.Nodes, node)
-		return !named
-	})
 	return next, true
 }
--- a/internal/system/quota/quotarpc/roster_test.go
+++ b/internal/system/quota/quotarpc/roster_test.go
@@ -119,3 +119,35 @@
 		t.Errorf("a damaged file: found %v, %v", found, err)
 	}
 }
+
+// TestNoLeaseBetweenRecordAndSave guards against a lease at a node that the roster to be stored lacks.
+func TestNoLeaseBetweenRecordAndSave(t *testing.T) {
+	store := &memoryRoster{}
+	keeper, now := newTestKeeper(store), time.Now()
+	keeper.record(now, 7, []string{"a", "b"})
+	keeper.save()
+	keeper.record(now, 7, []string{"b"})
+	granted := keeper.covers(now, "a")
+	keeper.save()
+	if granted && !slices.Contains(store.stored.Nodes, "a") {
+		t.Errorf("a was given a lease, the stored roster is %v", store.stored.Nodes)
+	}
+}
+
+// TestNodeIsRecordedAfterFailedSave guards against a node that waits for good, as the roster that names it counts as stored.
+func TestNodeIsRecordedAfterFailedSave(t *testing.T) {
+	store := &memoryRoster{}
+	keeper, now := newTestKeeper(store), time.Now()
+	keeper.record(now, 7, []string{"a", "b"})
+	keeper.save()
+	keeper.record(now, 7, []string{"b"})
+	store.failing = true
+	keeper.save()
+	store.failing = false
+	keeper.covers(now, "a")
+	keeper.record(now, 7, []string{"b"})
+	keeper.save()
+	if !keeper.covers(now, "a") {
+		t.Errorf("a waits still, stored %v", store.stored.Nodes)
+	}
+}
