--- a/internal/system/proxy/reverify_test.go
+++ b/internal/system/proxy/reverify_test.go
@@ -16,7 +16,7 @@
 	bubble.Test(t, func(t *testing.T) {
 		proxy := newPipedProxy([]configure{withTenants(t, twoTenants), withCategory(config.Idempotent)}, nil, nil)
 		var second []string
-		proxy.servers["at-0"] = func(conn net.Conn, request *http.Request, body []byte) bool {
+		proxy.servers["at-0"] = func(net.Conn, *http.Request, []byte) bool {
 			setTenants(t, proxy, `[{"name":"zenith","api_keys":["key-a"]}]`)
 			time.Sleep(3 * time.Second)
 			return false
--- a/internal/system/quota/doc.go
+++ b/internal/system/quota/doc.go
@@ -31,6 +31,12 @@
 // An allocator that begins a term knows nothing. The one before it keeps its authority for less than handoverTime. Until then the new one
 // renews nothing: the former one may have seen a lease end that is renewed here, and lease it anew. Afterwards, until graceEnd, it renews
 // what limiters report or lowers it, and leases nothing new. At graceEnd each lease of a former allocator has either been reported or ended.
+// A call that still names a lease which the former one saw end was sent before its authority ended, so that an answer after handoverTime is
+// older than maxReplyAge, and is not taken in.
+//
+// An allocator that resumes was the former one itself. It knows all once each node at which leases may be outstanding has made a complete
+// call, and lets nothing grow before.
+//
 // No allocator ever leases more than leasableFraction and leasableExtra; what remains belongs to whoever has authority, so that one-shot tokens
 // from it are given during the grace period too.
 //
--- a/internal/system/quota/late_reply_test.go
+++ b/internal/system/quota/late_reply_test.go
@@ -8,27 +8,27 @@
 // TestLateReplyOfNewAllocator guards against a share that is renewed by a call of before the lease ended: the limiter was paused, so that the
 // reply comes when the former allocator has leased the share to another limiter.
 func TestLateReplyOfNewAllocator(t *testing.T) {
-	withAndWithout(t, TestingKnobs{TakeLateReplies: true}, func(s script) {
+	withAndWithout(t, TestingKnobs{TakeLateReplies: true}, func(played script) {
 		const base = 10 * time.Second
-		former := s.allocator(0)
-		paused, other := s.limiter("paused"), s.limiter("other")
-		s.call(paused, former, base, base)
+		former := played.allocator(0)
+		paused, other := played.limiter("paused"), played.limiter("other")
+		played.call(paused, former, base, base)
 		for at := base + 500*time.Millisecond; at < base+4500*time.Millisecond; at += 500 * time.Millisecond {
-			paused.Take(at, "tenant", s.limit, 100)
+			paused.Take(at, "tenant", played.limit, 100)
 			if request, due := paused.NextRequest(at); due {
 				paused.Fail(at+400*time.Millisecond, request.Sequence)
 			}
 		}
 		sentAt := base + 4990*time.Millisecond
-		paused.Take(sentAt, "tenant", s.limit, 100)
+		paused.Take(sentAt, "tenant", played.limit, 100)
 		late, due := paused.NextRequest(sentAt)
 		if !due {
 			t.Fatal("no call is due before the lease ends")
 		}
-		s.call(other, former, base+5150*time.Millisecond, base+5150*time.Millisecond)
-		successor := s.allocator(base + 4600*time.Millisecond)
+		played.call(other, former, base+5150*time.Millisecond, base+5150*time.Millisecond)
+		successor := played.allocator(base + 4600*time.Millisecond)
 		answeredAt := base + 5650*time.Millisecond
-		paused.Receive(answeredAt, successor.Receive(answeredAt, late, s.limits))
-		s.checkHeld(s.held(answeredAt, paused, other))
+		paused.Receive(answeredAt, successor.Receive(answeredAt, late, played.limits))
+		played.checkHeld(played.held(answeredAt, paused, other))
 	})
 }
