quota/quotarpc: a limiter that was recorded has time to call again

Cause: a node that asked was stored and at once no longer counted as having asked; the next look dropped it from the roster, as it had not called yet, and so on. TestRecordedNodeHasTimeToCall failed before.

--- a/internal/system/quota/quotarpc/roster.go
+++ b/internal/system/quota/quotarpc/roster.go
@@ -49,7 +49,7 @@
 	mu        sync.Mutex // guards what follows
 	tracking  bool       // a roster of the present term is stored or being stored: nodes that it does not name get no lease
 	covered   map[string]bool
-	requested map[string]time.Time // nodes that asked while they were not covered, and when
+	requested map[string]time.Time // nodes that asked while they were not covered, and when; they are named until requestedTTL has passed
 	wanted    Roster               // what is to be stored
 	stored    Roster               // what was stored last
 }
@@ -170,7 +170,6 @@
 	k.stored = next
 	for _, node := range next.Nodes {
 		k.covered[node] = true
-		delete(k.requested, node)
 	}
 	return true
 }
--- a/internal/system/quota/quotarpc/roster_test.go
+++ b/internal/system/quota/quotarpc/roster_test.go
@@ -151,3 +151,16 @@
 		t.Errorf("a waits still, stored %v", store.stored.Nodes)
 	}
 }
+
+// TestRecordedNodeHasTimeToCall guards against a node that is dropped from the roster before it could call again.
+func TestRecordedNodeHasTimeToCall(t *testing.T) {
+	keeper, now := newTestKeeper(&memoryRoster{}), time.Now()
+	keeper.record(now, 7, []string{"a"})
+	keeper.covers(now, "b")
+	keeper.record(now, 7, []string{"a"})
+	keeper.save()
+	keeper.record(now.Add(time.Second), 7, []string{"a"})
+	if !keeper.covers(now.Add(time.Second), "b") {
+		t.Error("a node that was recorded a second ago waits again")
+	}
+}
