quota/quotarpc: a request waits for two calls between regions

Cause: a limiter makes one call at a time, so that a request may wait for the call under way and for its own, 110 to 120 ms each between kagoshima and fukuoka; it waited 200 ms. Change: 400 ms in a call of 450 ms, 1 s in all.

--- a/internal/system/quota/quotarpc/client.go
+++ b/internal/system/quota/quotarpc/client.go
@@ -15,15 +15,15 @@
 
 const (
 	// limiterCallTimeout bounds a call to another proxy's limiter.
-	limiterCallTimeout = 250 * time.Millisecond
+	limiterCallTimeout = 450 * time.Millisecond
 	// remoteWait is how long a limiter that was called may wait for the allocator: less than the call, so that a limiter that waits is
 	// told from one that is lost.
-	remoteWait = 200 * time.Millisecond
+	remoteWait = 400 * time.Millisecond
 	// maxVainWait is how long a limiter may have waited in vain for the next one to be asked: beyond it, the allocator does not answer,
 	// and another limiter would only have the request refused later.
 	maxVainWait = remoteWait / 2
 	// maxAdmissionWait bounds the wait of a request for its admission.
-	maxAdmissionWait = 700 * time.Millisecond
+	maxAdmissionWait = time.Second
 	// maxAdmissionAge is how long after a request asked its admission may come: later than maxAdmissionWait it does only where the
 	// process was paused, and the limiter counted the request in a window that has passed.
 	maxAdmissionAge = maxAdmissionWait + 100*time.Millisecond
@@ -75,10 +75,10 @@
 // HasPeers reports whether another proxy of the zone may be asked.
 func (c *Client) HasPeers() bool { return c.candidates.hasPeers() }
 
-// Close has later requests found Unavailable, and returns when the calls under way have ended, after 700 ms at the latest.
+// Close has later requests found Unavailable, and returns when the calls under way have ended, after 1 s at the latest.
 func (c *Client) Close() { c.batches.close() }
 
-// Admit decides on a request of a tenant, within 700 ms and no later than ctx. A tenant without a limit is admitted at once.
+// Admit decides on a request of a tenant, within 1 s and no later than ctx. A tenant without a limit is admitted at once.
 func (c *Client) Admit(ctx context.Context, tenant *config.Tenant) quota.Admission {
 	if limitOf(tenant).Unlimited() {
 		return quota.Admission{Verdict: quota.Admitted}
