quota: a term that is interrupted for a moment goes on

Cause: while the chain filled up again the role went to another node for 0.4 s (epochs 5, 6, 7), so that the owner, which had resumed by its roster at 36.06, began anew and waited its 6 s. Change: an allocator grants nothing at all for 2 s (it was 1 s) after it begins, so that terms of others within 0.8 s have granted nothing, and the owner goes on; the proof stands at maxInterruption. Replies are taken in up to 500 ms, which 2 s allow for.

--- a/internal/system/quota/allocator.go
+++ b/internal/system/quota/allocator.go
@@ -13,8 +13,9 @@
 	// expiryMargin is by how much an allocator counts a lease longer than its holder does, so that clocks may differ in speed by
 	// 1 in 100.
 	expiryMargin = 100 * time.Millisecond
-	// handoverTime is longer than a former allocator's authority lasts after the view that ends it (600 ms).
-	handoverTime  = time.Second
+	// HandoverTime is for how long an allocator that begins a term grants nothing at all. It is longer than a former allocator's
+	// authority lasts after the view that ends it (600 ms), by as much as an interruption of a term may last that is none.
+	HandoverTime  = 2 * time.Second
 	sweepInterval = time.Second
 	// maxHolders bounds the limiters that are known of one tenant.
 	maxHolders = 128
@@ -186,7 +187,7 @@
 	if a.resumed || a.knobs.NoHandover || a.knobs.NoGrace {
 		return a.beganAt
 	}
-	return a.beganAt + handoverTime
+	return a.beganAt + HandoverTime
 }
 
 // graceEnd is when each lease of a former allocator has ended or was reported.
@@ -194,7 +195,7 @@
 	if a.knobs.NoGrace {
 		return a.beganAt
 	}
-	latest := a.beganAt + a.ttl + handoverTime
+	latest := a.beganAt + a.ttl + HandoverTime
 	if a.resumed && (len(a.awaited) == 0 || a.knobs.ForgetAwaited) {
 		return min(latest, a.learnedAt)
 	}
@@ -236,7 +237,7 @@
 		return
 	}
 	a.sweptAt = a.now
-	if latest := a.beganAt + a.ttl + handoverTime; a.resumed && len(a.awaited) > 0 && a.now >= latest {
+	if latest := a.beganAt + a.ttl + HandoverTime; a.resumed && len(a.awaited) > 0 && a.now >= latest {
 		a.awaited, a.learnedAt = nil, latest // what the others held has ended
 	}
 	maps.DeleteFunc(a.callers, func(_ LimiterID, c *caller) bool { return a.now >= c.calledAt+a.countedTTL() })
--- a/internal/system/quota/doc.go
+++ b/internal/system/quota/doc.go
@@ -28,10 +28,10 @@
 //
 // # Change of the allocator
 //
-// An allocator that begins a term knows nothing. The one before it keeps its authority for less than handoverTime. Until then the new one
+// An allocator that begins a term knows nothing. The one before it keeps its authority for less than HandoverTime. Until then the new one
 // renews nothing: the former one may have seen a lease end that is renewed here, and lease it anew. Afterwards, until graceEnd, it renews
 // what limiters report or lowers it, and leases nothing new. At graceEnd each lease of a former allocator has either been reported or ended.
-// A call that still names a lease which the former one saw end was sent before its authority ended, so that an answer after handoverTime is
+// A call that still names a lease which the former one saw end was sent before its authority ended, so that an answer after HandoverTime is
 // older than maxReplyAge, and is not taken in.
 //
 // An allocator that resumes was the former one itself. It knows all once each node at which leases may be outstanding has made a complete
--- a/internal/system/quota/limiter_receive.go
+++ b/internal/system/quota/limiter_receive.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// maxReplyAge is the age of a call from which its reply is not taken in. It is less than handoverTime less the time for which a former
+// maxReplyAge is the age of a call from which its reply is not taken in. It is less than HandoverTime less the time for which a former
 // allocator's authority lasts (600 ms): a call that was sent before that one saw the lease end is answered by its successor too late.
-const maxReplyAge = 380 * time.Millisecond
+const maxReplyAge = 500 * time.Millisecond
 
 // Receive takes in the reply to the newest call, and ignores any other: it could bring shares that the allocator has counted as given
 // back since.
--- a/internal/system/quota/quotarpc/allocation_server.go
+++ b/internal/system/quota/quotarpc/allocation_server.go
@@ -21,7 +21,19 @@
 const Role = "quota"
 
 // observeInterval is the time between looks at the view while no call comes, so that a term begins when its epoch does.
-const observeInterval = 500 * time.Millisecond
+const observeInterval = 250 * time.Millisecond
+
+const (
+	// authorityTail is for how long after the view that ends it a node may still act as the owner.
+	authorityTail = 600 * time.Millisecond
+	// maxInterruption is how long after its last moment of authority a node that is the owner again goes on with its term.
+	//
+	// Proof that nobody else granted anything meanwhile: a term that another node began between lasted from authorityTail before that
+	// moment, at the earliest, until authorityTail after the present view, at the latest, so for less than quota.HandoverTime, in which
+	// an allocator grants nothing. A term that another node went on with would have been interrupted by this node's own, which lasted
+	// longer than that if this node knows what is outstanding; if it does not, it learns for longer than such grants last.
+	maxInterruption = quota.HandoverTime - 2*authorityTail
+)
 
 // ErrNoAllocator marks calls to a node that is not the allocator and does not know which one is.
 var ErrNoAllocator = errors.New("quota: this node is not the allocator and knows of none; ask again, or another node")
@@ -69,8 +81,10 @@
 
 	mu        sync.Mutex // guards what follows
 	allocator *quota.Allocator
-	epoch     uint64 // of the present term, the newest in which this node was the owner; 0: none yet
-	resumed   bool   // the present term goes on from that of the former process
+	epoch     uint64        // of the present term, the newest in which this node was the owner; 0: none yet
+	ownedAt   time.Duration // when this node last had authority; before the check
+	resumed   bool          // the present term goes on from that of the former process
+	learning  bool          // the end of learning in the present term has not been logged
 }
 
 // NewAllocationServer returns a server; Run makes it begin its terms in time.
@@ -115,7 +129,11 @@
 func (s *AllocationServer) observe() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hasAuthority(s.now())
+	now := s.now()
+	if s.hasAuthority(now) && s.learning && !s.allocator.Learning(now) {
+		s.learning = false
+		s.options.Log.WithField("epoch", s.epoch).WithField("limiters", len(s.allocator.HolderNodes())).Info("quota: this node knows what is leased")
+	}
 	if s.roster != nil {
 		s.roster.requestSave()
 	}
@@ -170,6 +188,7 @@
 		return false
 	}
 	s.enterEpoch(now, epoch)
+	s.ownedAt = now
 	return true
 }
 
@@ -185,16 +204,19 @@
 	return newest == epoch
 }
 
-// enterEpoch begins a new term unless this node was the owner in this epoch or the one before: another may have been the owner between.
+// enterEpoch begins a new term unless this node was the owner in this epoch or the one before, or a moment ago: another may have granted
+// something between.
 // The caller holds mu.
 func (s *AllocationServer) enterEpoch(now time.Duration, epoch uint64) {
 	isFirst := s.epoch == 0
-	continues := !isFirst && (epoch == s.epoch || epoch == s.epoch+1 || s.options.Knobs.KeepTerm)
+	continues := !isFirst && (epoch == s.epoch || epoch == s.epoch+1 || s.options.Knobs.KeepTerm ||
+		epoch > s.epoch && now-s.ownedAt <= maxInterruption)
 	s.epoch = epoch
 	if continues {
 		return
 	}
 	s.counters.terms.Add(1)
+	s.learning = true
 	if isFirst && s.resume(now, epoch) {
 		return
 	}
