--- a/internal/system/quota/allocation.go
+++ b/internal/system/quota/allocation.go
@@ -130,14 +130,14 @@
 }
 
 const (
-	// A share is larger than the demand by mostHeadroom where that is steady. Rare arrivals leave most of what a bucket fills unused, so
-	// that the allocator serves them better: up to rareRate a share is leastHeadroom of the demand.
-	leastHeadroom = 0.8
-	mostHeadroom  = 1.3
-	rareRate      = 2 // requests a second
-	steadyRate    = 8 // requests a second
-	// leastWeight is what a limiter with any demand is given where there is enough.
-	leastWeight = 0.04
+	// A share is larger than the demand by maxHeadroom where that is steady. Rare arrivals leave most of what a bucket fills unused, so
+	// that the allocator serves them better: up to rareRate a share is minHeadroom of the demand.
+	minHeadroom = 0.8
+	maxHeadroom = 1.3
+	rareRate    = 2 // requests a second
+	steadyRate  = 8 // requests a second
+	// minWeight is what a limiter with any demand is given where there is enough.
+	minWeight = 0.04
 	// keepWithin is by which part of itself a share may miss its target and still be kept: a change costs calls.
 	keepWithin = 0.15
 )
@@ -204,11 +204,11 @@
 	if h.ratePerSecond <= 0 {
 		return 0
 	}
-	return headroom(h.ratePerSecond)*h.ratePerSecond/limit.RatePerSecond + leastWeight
+	return headroom(h.ratePerSecond)*h.ratePerSecond/limit.RatePerSecond + minWeight
 }
 
 // headroom returns the ratio of a share to the demand that calls for it.
 func headroom(ratePerSecond float64) float64 {
 	steadiness := (ratePerSecond - rareRate) / (steadyRate - rareRate)
-	return leastHeadroom + (mostHeadroom-leastHeadroom)*min(1, max(0, steadiness))
+	return minHeadroom + (maxHeadroom-minHeadroom)*min(1, max(0, steadiness))
 }
--- a/internal/system/quota/demand.go
+++ b/internal/system/quota/demand.go
@@ -10,14 +10,14 @@
 	fastMeanAge = 500 * time.Millisecond
 	// deviations is by how many standard deviations of its count the fast estimate must differ to overrule the slow one.
 	deviations = 2
-	// leastAge bounds what the first arrivals can make of the estimate.
-	leastAge = time.Second
+	// minAge bounds what the first arrivals can make of the estimate.
+	minAge = time.Second
 	// idleArrivals is how many arrivals are to be expected in a time in which none would be seen once in 20 times.
 	idleArrivals  = 3
 	batchInterval = 250 * time.Millisecond
 	// certainArrivals is the same for once in 3,000 times.
 	certainArrivals = 8
-	leastIdle       = 500 * time.Millisecond
+	minIdle         = 500 * time.Millisecond
 	shortIdle       = 2 * time.Second
 	longIdle        = 10 * time.Second
 )
@@ -53,7 +53,7 @@
 
 // slowSpan is the time that the slow part stands for: slowMeanAge, but less soon after the first arrival.
 func (d *demandEstimate) slowSpan(now time.Duration) time.Duration {
-	age := max(leastAge, now-d.begunAt)
+	age := max(minAge, now-d.begunAt)
 	return time.Duration(float64(slowMeanAge) * (1 - math.Exp(-age.Seconds()/slowMeanAge.Seconds())))
 }
 
@@ -72,7 +72,7 @@
 	idle := now - d.lastAt
 	expected := d.slow / d.slowSpan(now).Seconds() * idle.Seconds()
 	switch {
-	case idle < leastIdle:
+	case idle < minIdle:
 		return false
 	case idle < shortIdle:
 		return expected >= certainArrivals
--- a/internal/system/quota/lease.go
+++ b/internal/system/quota/lease.go
@@ -25,9 +25,9 @@
 	wantedAt     time.Duration
 }
 
-// settle brings the bucket up to date: it ends a lease whose time has come, adapts to the limit, and fills. Time that has passed
+// advance brings the bucket up to date: it ends a lease whose time has come, adapts to the limit, and fills. Time that has passed
 // counts at the lower of the two limits.
-func (h *lease) settle(limiter *Limiter, limit Limit) {
+func (h *lease) advance(limiter *Limiter, limit Limit) {
 	if limiter.now >= h.expiresAt {
 		h.share, h.bucket = Share{}, bucket{}
 	}
@@ -49,7 +49,7 @@
 
 // renew puts a granted share in place of what is held. What was not held before starts with an empty bucket.
 func (h *lease) renew(limiter *Limiter, granted Share, expiresAt time.Duration) {
-	h.settle(limiter, h.limit)
+	h.advance(limiter, h.limit)
 	if limiter.now >= expiresAt {
 		granted = Share{}
 	}
@@ -79,7 +79,7 @@
 
 // demandLine is what a call tells of the tenant.
 func (h *lease) demandLine(l *Limiter) Demand {
-	h.settle(l, h.limit)
+	h.advance(l, h.limit)
 	demand := Demand{Tenant: h.tenant, Held: h.share, Waiting: h.waiting}
 	if !h.demand.gone(l.now) {
 		demand.RatePerSecond = h.demand.perSecond(l.now)
--- a/internal/system/quota/limiter.go
+++ b/internal/system/quota/limiter.go
@@ -60,7 +60,7 @@
 		return Decision{Unavailable: count}
 	}
 	held.demand.observe(l.now, count)
-	held.settle(l, limit)
+	held.advance(l, limit)
 	decision := Decision{Granted: held.bucket.take(count)}
 	l.decideRest(held, count-decision.Granted, &decision)
 	return decision
@@ -74,7 +74,7 @@
 		decision.Denied = missing
 		decision.RetryAfter = held.retryAfter(l.now)
 	default:
-		decision.Waiting = min(missing, l.room(held))
+		decision.Waiting = min(missing, l.waitCapacity(held))
 		decision.Ticket = l.wait(held, decision.Waiting)
 		wanted := l.calls.wantAt(held, max(l.now, held.askAgainAt))
 		decision.NeedsLease = wanted || len(l.waiters.waiters) == 1
--- a/internal/system/quota/limiter_calls.go
+++ b/internal/system/quota/limiter_calls.go
@@ -33,7 +33,7 @@
 	wantedAt  time.Duration // earliest of them
 	announces bool          // calls are made also where there is nothing to tell
 	complete  bool          // the newest call named every tenant of which a share is held
-	tellAll   bool          // the next call does
+	reportAll bool          // the next call does
 
 	earlier map[uint64]time.Duration // sending times of all calls, kept for TestingKnobs.AcceptOldReplies alone
 }
@@ -97,7 +97,7 @@
 	if l.calls.announces {
 		at = min(at, l.nextAnnouncement())
 	}
-	if l.calls.tellAll {
+	if l.calls.reportAll {
 		at = l.now
 	}
 	if l.calls.sequence == 0 || at == math.MaxInt64 {
@@ -129,11 +129,11 @@
 	if l.now >= l.calls.renewedAt+renewInterval {
 		named = append(named, l.dueForRenewal(named)...)
 	}
-	if l.calls.tellAll {
+	if l.calls.reportAll {
 		named = append(named, l.unnamedHolders(named)...)
 	}
 	announces := l.calls.announces && l.now >= l.nextAnnouncement()
-	if len(named) == 0 && !announces && !l.calls.tellAll {
+	if len(named) == 0 && !announces && !l.calls.reportAll {
 		return LeaseRequest{}, false
 	}
 	slices.SortFunc(named, func(a, b *lease) int { return cmp.Compare(a.tenant, b.tenant) })
@@ -150,7 +150,7 @@
 	}
 	var due []*lease
 	for name, held := range l.tenants {
-		held.settle(l, held.limit)
+		held.advance(l, held.limit)
 		switch {
 		case already[held]:
 		case held.idle(l.now):
@@ -166,7 +166,7 @@
 func (l *Limiter) unnamedHolders(named []*lease) []*lease {
 	var unnamed []*lease
 	for _, held := range l.tenants {
-		held.settle(l, held.limit)
+		held.advance(l, held.limit)
 		if !held.share.IsZero() && !slices.Contains(named, held) {
 			unnamed = append(unnamed, held)
 		}
@@ -202,7 +202,7 @@
 		held.asked, held.inCall, held.unconfirmed = demand.Waiting, true, false
 		request.Demands = append(request.Demands, demand)
 	}
-	l.calls.complete, l.calls.tellAll = len(l.unnamedHolders(named)) == 0, false
+	l.calls.complete, l.calls.reportAll = len(l.unnamedHolders(named)) == 0, false
 	request.Complete = l.calls.complete
 	return request
 }
--- a/internal/system/quota/limiter_receive.go
+++ b/internal/system/quota/limiter_receive.go
@@ -14,7 +14,7 @@
 	if !expected || l.left {
 		return l.Expire(now)
 	}
-	l.calls.tellAll = reply.Learning && !l.calls.complete
+	l.calls.reportAll = reply.Learning && !l.calls.complete
 	var resolutions []Resolution
 	if !reply.Rejected {
 		for _, grant := range reply.Grants {
--- a/internal/system/quota/quotarpc/allocation_server.go
+++ b/internal/system/quota/quotarpc/allocation_server.go
@@ -77,7 +77,7 @@
 	assignment *ownership.Assignment
 	limits     limitTable
 	counters   allocationCounters
-	roster     *rosterKeeper // nil: none is kept
+	roster     *rosterRecorder // nil: none is kept
 
 	mu        sync.Mutex // guards what follows
 	allocator *quota.Allocator
@@ -96,7 +96,7 @@
 		allocator:  quota.NewAllocator(quota.AllocatorOptions{Bounds: options.Bounds}),
 	}
 	if options.Roster != nil {
-		created.roster = newRosterKeeper(options.Roster, options.Identity, options.Log)
+		created.roster = newRosterRecorder(options.Roster, options.Identity, options.Log)
 	}
 	return created
 }
--- a/internal/system/quota/quotarpc/batcher.go
+++ b/internal/system/quota/quotarpc/batcher.go
@@ -111,7 +111,7 @@
 
 // deliver gives each ticket of a batch its part of the outcome.
 func (b *batcher) deliver(batch []ticket, taken Taken) {
-	if b.knobs.AdmitWholeBatch && taken.Admitted > 0 {
+	if b.knobs.AdmitEntireBatch && taken.Admitted > 0 {
 		taken.Admitted = len(batch)
 	}
 	for i, waiting := range batch {
--- a/internal/system/quota/quotarpc/batcher_test.go
+++ b/internal/system/quota/quotarpc/batcher_test.go
@@ -70,7 +70,7 @@
 // TestBatchesControl: where a batch is admitted as a whole, more requests run than the limiter has counted.
 func TestBatchesControl(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
-		limiter, outcome := playBatches(t, 1, TestingKnobs{AdmitWholeBatch: true})
+		limiter, outcome := playBatches(t, 1, TestingKnobs{AdmitEntireBatch: true})
 		if outcome.count(quota.Admitted) <= limiter.said.Admitted {
 			t.Errorf("%v, the limiter said %+v", outcome, limiter.said)
 		}
--- a/internal/system/quota/quotarpc/roster.go
+++ b/internal/system/quota/quotarpc/roster.go
@@ -36,11 +36,11 @@
 	requestedTTL = 10 * time.Second
 )
 
-// rosterKeeper has the stored roster cover every node that may hold a lease.
+// rosterRecorder has the stored roster cover every node that may hold a lease.
 //
 // Invariant: a node is covered only while every roster that may be stored names it. So an allocator that is started anew, and whose
 // former process was the last to have authority, knows from the stored roster at which nodes leases may be outstanding.
-type rosterKeeper struct {
+type rosterRecorder struct {
 	store    RosterStore
 	identity string
 	log      log.Interface
@@ -54,8 +54,8 @@
 	stored    Roster               // what was stored last
 }
 
-func newRosterKeeper(store RosterStore, identity string, logger log.Interface) *rosterKeeper {
-	return &rosterKeeper{
+func newRosterRecorder(store RosterStore, identity string, logger log.Interface) *rosterRecorder {
+	return &rosterRecorder{
 		store:     store,
 		identity:  identity,
 		log:       logger,
@@ -67,7 +67,7 @@
 
 // resume returns the nodes at which leases may be outstanding, where the stored roster is that of the last allocator before an
 // epoch: this node was the owner in the roster's epoch and is so in the next one or in the same one still.
-func (k *rosterKeeper) resume(epoch uint64) (nodes []string, known bool) {
+func (k *rosterRecorder) resume(epoch uint64) (nodes []string, known bool) {
 	roster, found, err := k.store.Load()
 	if err != nil {
 		k.log.WithError(err).Warn("quota: the roster cannot be read; leases of the former allocator are waited for")
@@ -86,14 +86,14 @@
 }
 
 // forget has no node covered: a term begins about whose leases the stored roster says nothing.
-func (k *rosterKeeper) forget() {
+func (k *rosterRecorder) forget() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.tracking, k.covered = false, map[string]bool{}
 }
 
 // covers reports whether a node may get a lease, and has it recorded otherwise.
-func (k *rosterKeeper) covers(now time.Time, node string) bool {
+func (k *rosterRecorder) covers(now time.Time, node string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.tracking || k.covered[node] {
@@ -105,7 +105,7 @@
 }
 
 // record has the roster name the nodes at which leases may be outstanding, and those that asked.
-func (k *rosterKeeper) record(now time.Time, epoch uint64, holders []string) {
+func (k *rosterRecorder) record(now time.Time, epoch uint64, holders []string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	maps.DeleteFunc(k.requested, func(_ string, at time.Time) bool { return now.Sub(at) > requestedTTL })
@@ -127,7 +127,7 @@
 }
 
 // requestSave has run look for something to save.
-func (k *rosterKeeper) requestSave() {
+func (k *rosterRecorder) requestSave() {
 	select {
 	case k.wake <- struct{}{}:
 	default:
@@ -135,7 +135,7 @@
 }
 
 // run saves what changes until ctx ends. refresh is called before each look, so that it may record the newest nodes.
-func (k *rosterKeeper) run(ctx context.Context, refresh func()) {
+func (k *rosterRecorder) run(ctx context.Context, refresh func()) {
 	for {
 		refresh()
 		failed := !k.save()
@@ -153,7 +153,7 @@
 }
 
 // save stores the roster that is wanted, if another one is stored; false: it could not.
-func (k *rosterKeeper) save() bool {
+func (k *rosterRecorder) save() bool {
 	next, changed := k.beginSave()
 	if !changed {
 		return true
@@ -175,7 +175,7 @@
 }
 
 // beginSave returns what is to be saved. A node that it lacks is covered no longer.
-func (k *rosterKeeper) beginSave() (next Roster, changed bool) {
+func (k *rosterRecorder) beginSave() (next Roster, changed bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	next = k.wanted
--- a/internal/system/quota/quotarpc/roster_test.go
+++ b/internal/system/quota/quotarpc/roster_test.go
@@ -31,8 +31,8 @@
 	return nil
 }
 
-func newTestKeeper(store RosterStore) *rosterKeeper {
-	return newRosterKeeper(store, "disk-1", &log.Logger{Handler: discard.New()})
+func newTestKeeper(store RosterStore) *rosterRecorder {
+	return newRosterRecorder(store, "disk-1", &log.Logger{Handler: discard.New()})
 }
 
 // TestRosterCoversBeforeLease: once a roster is kept, a node gets a lease only after every roster that may be stored names it.
--- a/internal/system/quota/quotarpc/testing_knobs.go
+++ b/internal/system/quota/quotarpc/testing_knobs.go
@@ -8,8 +8,8 @@
 	KeepTerm bool
 	// AnyCandidate has a client ask the limiters of its zone in the order of their names, whichever the tenant is.
 	AnyCandidate bool
-	// AdmitWholeBatch has a client admit all requests of a call that admitted one of them.
-	AdmitWholeBatch bool
+	// AdmitEntireBatch has a client admit all requests of a call that admitted one of them.
+	AdmitEntireBatch bool
 	// AcceptAnyReply has callers take a reply for the call whose place it has on the connection.
 	AcceptAnyReply bool
 	// TakeAtLastStep has a limiter decide as of the last look at its leases, in place of now.
--- a/internal/system/quota/waiting.go
+++ b/internal/system/quota/waiting.go
@@ -36,8 +36,8 @@
 	total   int // requests of all waiters
 }
 
-// room returns how many further requests of a tenant may wait.
-func (l *Limiter) room(held *lease) int {
+// waitCapacity returns how many further requests of a tenant may wait.
+func (l *Limiter) waitCapacity(held *lease) int {
 	ofTenant := max(1, l.options.MaxWaiting/4) - held.waiting
 	return max(0, min(ofTenant, l.options.MaxWaiting-l.waiters.total))
 }
@@ -64,7 +64,7 @@
 		if l.now < w.until {
 			break
 		}
-		w.held.settle(l, w.held.limit)
+		w.held.advance(l, w.held.limit)
 		l.waiters.grant(w, w.held.bucket.take(w.waiting))
 		ended = append(ended, w)
 	}
