Review case 5: a core that dies before its first view never forms one

Cause: only processes whose settings say bootstrap = true vote on the first view, and nothing on the disk says that a node was started for the first time and has no view yet.

--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -276,6 +276,19 @@
 	_ = target.cmd.Process.Signal(sent)
 }
 
+// filesOnDisk returns the paths and sizes of the files that a machine's control-plane node has written.
+func (f *fleet) filesOnDisk(host machine) (all []string) {
+	_ = filepath.WalkDir(filepath.Join(f.folder, host.name), func(_ string, entry os.DirEntry, err error) error {
+		if err == nil && !entry.IsDir() {
+			if info, err := entry.Info(); err == nil {
+				all = append(all, fmt.Sprintf("%s (%d bytes)", entry.Name(), info.Size()))
+			}
+		}
+		return nil
+	})
+	return all
+}
+
 // endAll kills all processes that are still running and removes the folder, unless RIG2_KEEP is set.
 func (f *fleet) endAll() {
 	f.mu.Lock()
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -19,6 +19,7 @@
 // plays are the plays by name. A play returns what broke the rule, if anything did.
 var plays = map[string]func(*rig) (broken []string, err error){
 	"paused-stream": playPausedStream,
+	"first-start":   playFirstStart,
 }
 
 func main() { os.Exit(run()) }
