--- a/review/rig2/first_start.go
+++ b/review/rig2/first_start.go
@@ -38,7 +38,7 @@
 	r.operator = &operator{rec: r.rec, nodes: r.fleet.controlAddresses()}
 	acknowledged := make(chan bool, 1)
 	go func() {
-		status, _ := r.operator.order("/Config.Replace", 0, []byte(firstStartConfig), startedFor+killedFor+awaitedFor)
+		status, _ := r.operator.replace(0, []byte(firstStartConfig), startedFor+killedFor+awaitedFor)
 		acknowledged <- status == http.StatusOK
 	}()
 	time.Sleep(startedFor)
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -29,7 +29,18 @@
 // machine is a machine of a small deployment, with an address of its own in the loopback range.
 type machine struct {
 	name, ip, zone, region string
-	hasDisk                bool
+	hasDisk                bool // it is of the core
+	observes               bool // it serves control without a disk
+	joinsLater             bool // it isn't there at the first start
+}
+
+func (m machine) servesControl() bool { return m.hasDisk || m.observes }
+
+func (m machine) roles() []string {
+	if m.servesControl() {
+		return []string{"control", "proxy"}
+	}
+	return []string{"proxy"}
 }
 
 // process is one running process of the system.
@@ -51,6 +62,7 @@
 
 	mu        sync.Mutex
 	processes map[string]*process
+	seeds     []string // control_api addresses that the settings name
 }
 
 // newFleet lays out a fleet on free ports of the given machines.
@@ -66,6 +78,7 @@
 	for range 100 {
 		laid.firstPort = 20000 + rand.IntN(11000)
 		if laid.portsAreFree() {
+			laid.seeds = laid.controlAddresses()
 			return laid, nil
 		}
 	}
@@ -121,9 +134,10 @@
 	return net.JoinHostPort(m.ip, strconv.Itoa(f.firstPort+offset))
 }
 
+// controlAddresses returns the control_api addresses of the core at the first start.
 func (f *fleet) controlAddresses() (all []string) {
 	for _, each := range f.machines {
-		if each.hasDisk {
+		if each.hasDisk && !each.joinsLater {
 			all = append(all, f.address(each, controlPort))
 		}
 	}
@@ -142,8 +156,14 @@
 	}
 	serves := `["edge","directory"]`
 	if role == "control" {
-		serves, dataDir = `["control"]`, filepath.Join(f.folder, host.name)
+		serves = `["control"]`
+	}
+	if role == "control" && host.hasDisk {
+		dataDir = filepath.Join(f.folder, host.name)
 	}
+	f.mu.Lock()
+	seeds := strings.Join(f.seeds, `","`)
+	f.mu.Unlock()
 	text := fmt.Sprintf(`node_name = %q
 role = %q
 machine_class = "edge"
@@ -166,7 +186,7 @@
 control_api = %q
 directory = %q
 `, host.name, role, serves, host.ip, host.zone, host.region, f.firstPort, f.firstPort+frontPort-1,
-		strings.Join(f.controlAddresses(), `","`), bootstrap, host.hasDisk, dataDir, zones,
+		seeds, bootstrap, host.hasDisk, dataDir, zones,
 		f.address(host, frontPort), f.address(host, readinessPort), f.address(host, controlPort), f.address(host, directoryPort))
 	return text + fmt.Sprintf(fixedSettings, f.graceS, f.listAddress)
 }
@@ -219,15 +239,44 @@
 // startAll starts the system for the first time.
 func (f *fleet) startAll() error {
 	for _, each := range f.machines {
-		if each.hasDisk {
-			if err := f.start(each, "control", true); err != nil {
-				return err
-			}
+		if each.joinsLater {
+			continue
 		}
-		if err := f.start(each, "proxy", true); err != nil {
+		if err := f.startMachine(each, true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startMachine starts the processes of a machine.
+func (f *fleet) startMachine(host machine, bootstrap bool) error {
+	if host.servesControl() {
+		if err := f.start(host, "control", bootstrap); err != nil {
 			return err
 		}
 	}
+	return f.start(host, "proxy", bootstrap)
+}
+
+// nameSeeds names other seeds in the settings files of the given machines and sends their processes SIGHUP.
+func (f *fleet) nameSeeds(running, seeds []machine) error {
+	f.mu.Lock()
+	f.seeds = nil
+	for _, each := range seeds {
+		f.seeds = append(f.seeds, f.address(each, controlPort))
+	}
+	f.rec.printf("the settings name other seeds: %v", f.seeds)
+	f.mu.Unlock()
+	for _, each := range running {
+		for _, role := range each.roles() {
+			path := filepath.Join(f.folder, role+"-"+each.name+".toml")
+			if err := os.WriteFile(path, []byte(f.settings(each, role, false)), 0o600); err != nil {
+				return err
+			}
+			f.signal(each, role, syscall.SIGHUP)
+		}
+	}
 	return nil
 }
 
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,6 +20,7 @@
 var plays = map[string]func(*rig) (broken []string, err error){
 	"paused-stream": playPausedStream,
 	"first-start":   playFirstStart,
+	"lost-seeds":    playLostSeeds,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig2/operator.go
+++ b/review/rig2/operator.go
@@ -16,23 +16,23 @@
 	nodes []string
 }
 
-// order sends an order until it is acknowledged or refused, and returns the final status.
-func (o *operator) order(path string, base int64, body []byte, patience time.Duration) (int, error) {
+// replace sends a configuration until it is acknowledged or refused, and returns the final status.
+func (o *operator) replace(base int64, body []byte, patience time.Duration) (int, error) {
 	end := time.Now().Add(patience)
 	for attempt := 0; time.Now().Before(end); attempt++ {
 		node := o.nodes[attempt%len(o.nodes)]
-		status := o.send(node, path, base, body)
+		status := o.send(node, "/Config.Replace", base, body)
 		switch {
 		case status == http.StatusOK:
-			o.rec.printf("operator: %s on version %d acknowledged by %s", path, base, node)
+			o.rec.printf("operator: configuration on version %d acknowledged by %s", base, node)
 			return status, nil
 		case status >= 400 && status < 500 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests:
-			o.rec.printf("operator: %s on version %d got %d", path, base, status)
+			o.rec.printf("operator: configuration on version %d got %d", base, status)
 			return status, nil
 		}
 		time.Sleep(time.Duration(min(50*(attempt+1), 300)) * time.Millisecond)
 	}
-	return 0, errors.New("no acknowledgement for " + path)
+	return 0, errors.New("the configuration was not acknowledged")
 }
 
 // send makes one call and returns its status, 0 for none.
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -60,10 +60,13 @@
 		return err
 	}
 	r.operator = &operator{rec: r.rec, nodes: r.fleet.controlAddresses()}
-	if _, err := r.operator.order("/Config.Replace", 0, []byte(wanted.config), 25*time.Second); err != nil {
+	if _, err := r.operator.replace(0, []byte(wanted.config), 25*time.Second); err != nil {
 		return err
 	}
 	for _, each := range wanted.machines {
+		if each.joinsLater {
+			continue
+		}
 		if !r.awaitReady(each, 15*time.Second) {
 			return errors.New("the proxy of " + each.name + " does not become ready")
 		}
