operatorapi: an evacuation takes effect only with a fence that its caller has received

An earlier end of an evacuation that its caller had given up arrived 3 s late over a slow link and undid it.

Cause: the fence of such an order was taken when it arrived, and so had the newer change in it. What was to exclude old orders were guesses about the network: 250 ms for the end of an idle connection, a second after a stall. The end came a second later, as it had been sent.

Change: an order without a fence is answered 307 to the same path with ?fence=N, a record that a majority confirmed after the order arrived, and has no effect. Callers follow 307 twice (PROTOCOL.md). An order with a fence is superseded by every later change of its zone. evacuation.go has the proof; no clock and no end of a connection takes part. The stall detector, the tracking of connections and the wait for their ends go, as nothing rests on them. Configurations and amendments name the version they build on, so that a late one is stale; lists and roles are fenced by epochs and tokens.

The model follows redirects, the ends of connections come up to 5 s late or never, at 2 to 5 nodes; control SubmitWithoutRedirect. An attempt without a redirect must now have no effect at all, which is stricter.

--- a/cmd/controlplane/chain_test.go
+++ b/cmd/controlplane/chain_test.go
@@ -15,7 +15,6 @@
 	"github.com/apex/log/handlers/discard"
 
 	"gradeusher.example/gradeusher/internal/system/admin"
-	"gradeusher.example/gradeusher/internal/system/operatorapi"
 	"gradeusher.example/gradeusher/internal/system/replication"
 	"gradeusher.example/gradeusher/internal/system/settings"
 	"gradeusher.example/gradeusher/internal/system/wal"
@@ -121,12 +120,10 @@
 func TestPartitionedNodeAnswersAtOnce(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		partitioned := newTestNode("")
-		partitioned.stalls = operatorapi.NewStallDetector()
 		if err := partitioned.openChain(t.Context()); err != nil {
 			t.Fatal(err)
 		}
 		defer partitioned.chain.Stop()
-		go partitioned.stalls.Run(t.Context())
 		time.Sleep(5 * time.Second) // of the bubble's clock
 		for _, path := range []string{"/Evacuation.Start/z", "/Evacuation.Finish/z", "/Config.Replace", "/Config.Amend"} {
 			r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, strings.NewReader("{}"))
--- a/cmd/controlplane/run.go
+++ b/cmd/controlplane/run.go
@@ -5,7 +5,6 @@
 
 	"github.com/apex/log"
 
-	"gradeusher.example/gradeusher/internal/system/operatorapi"
 	"gradeusher.example/gradeusher/internal/system/process"
 	"gradeusher.example/gradeusher/internal/system/quota/quotarpc"
 	"gradeusher.example/gradeusher/internal/system/settings"
@@ -18,7 +17,6 @@
 	chain       *controlChain
 	distributor *distributor // nil: an observer
 	allocation  *quotarpc.AllocationServer
-	stalls      *operatorapi.StallDetector
 }
 
 // run runs the node until the process is asked to terminate or one of its components fails.
@@ -26,7 +24,7 @@
 	rootCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := process.NewGroup(rootCtx)
-	n := &node{settings: self.Settings, log: self.Log, stalls: operatorapi.NewStallDetector()}
+	n := &node{settings: self.Settings, log: self.Log}
 	if err := n.start(ctx, self, group); err != nil {
 		return err
 	}
@@ -47,7 +45,6 @@
 		n.distributor = newDistributor(n.settings, n.log, n.chain)
 	}
 	n.allocation.Publish()
-	group.Go(func() error { n.stalls.Run(ctx); return nil })
 	if err := n.serve(ctx, group); err != nil {
 		return err
 	}
--- a/cmd/controlplane/serve.go
+++ b/cmd/controlplane/serve.go
@@ -53,7 +53,6 @@
 		AckTimeout:     settings.Milliseconds(n.settings.Bounds.AckMS),
 		Log:            n.log,
 		CommittedState: n.committedState,
-		Stalled:        n.stalls.Stalled,
 		Partitioned:    n.chain.Partitioned,
 		WaitsFor:       n.chain.WaitsFor,
 		Status:         n.status,
--- a/internal/compat/controlplanedata_test.go
+++ b/internal/compat/controlplanedata_test.go
@@ -21,6 +21,7 @@
 	"gradeusher.example/gradeusher/internal/system/replication"
 	"gradeusher.example/gradeusher/internal/system/wal"
 	"gradeusher.example/gradeusher/internal/testsupport/bubble"
+	"gradeusher.example/gradeusher/internal/testsupport/redirect"
 )
 
 // The fixtures: controlPlaneData is the data directory (data_dir) of a control-plane node that was restored from controlPlaneBackup and has taken two
@@ -82,12 +83,13 @@
 func (n *node) ask(method, path, base, body string) *httptest.ResponseRecorder {
 	n.t.Helper()
 	for range 50 {
-		r := httptest.NewRequestWithContext(n.t.Context(), method, "http://"+machine+path, bytes.NewReader([]byte(body)))
-		if base != "" {
-			r.Header.Set("X-Base-Version", base)
-		}
-		w := httptest.NewRecorder()
-		n.call.ServeHTTP(w, r)
+		w := redirect.Serve(n.call, path, func(target string) *http.Request {
+			r := httptest.NewRequestWithContext(n.t.Context(), method, "http://"+machine+target, bytes.NewReader([]byte(body)))
+			if base != "" {
+				r.Header.Set("X-Base-Version", base)
+			}
+			return r
+		})
 		if w.Code != http.StatusServiceUnavailable {
 			return w
 		}
--- a/internal/system/admin/restore/restore_test.go
+++ b/internal/system/admin/restore/restore_test.go
@@ -21,6 +21,7 @@
 	"gradeusher.example/gradeusher/internal/system/wal"
 	"gradeusher.example/gradeusher/internal/testsupport/bubble"
 	"gradeusher.example/gradeusher/internal/testsupport/memorynet"
+	"gradeusher.example/gradeusher/internal/testsupport/redirect"
 )
 
 // testSystem is three nodes with a network in memory that write to real directories.
@@ -74,12 +75,13 @@
 func (s *testSystem) call(addr, method, path, base string, body []byte) *httptest.ResponseRecorder {
 	s.t.Helper()
 	for range 20 {
-		r := httptest.NewRequestWithContext(s.t.Context(), method, "http://"+addr+path, bytes.NewReader(body))
-		if base != "" {
-			r.Header.Set("X-Base-Version", base)
-		}
-		w := httptest.NewRecorder()
-		s.apis[addr].ServeHTTP(w, r)
+		w := redirect.Serve(s.apis[addr], path, func(target string) *http.Request {
+			r := httptest.NewRequestWithContext(s.t.Context(), method, "http://"+addr+target, bytes.NewReader(body))
+			if base != "" {
+				r.Header.Set("X-Base-Version", base)
+			}
+			return r
+		})
 		if w.Code != http.StatusServiceUnavailable {
 			return w
 		}
--- a/internal/system/operatorapi/change.go
+++ b/internal/system/operatorapi/change.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
@@ -45,11 +44,6 @@
 // has confirmed.
 func (a *api) respondToChange(w http.ResponseWriter, r *http.Request, request changeRequest, verdict controlstate.Verdict, err error) {
 	entry := a.logEntry(request.change)
-	if errors.Is(err, errCallerGone) {
-		entry.Info("operatorapi: change dropped, its caller has gone or its deadline has passed")
-		writeUnavailable(w, errCallerGone.Error())
-		return
-	}
 	if err != nil {
 		cause := a.waitsFor()
 		entry.WithError(err).WithField("waits_for", cause).Warn("operatorapi: change not acknowledged, its outcome is unknown")
--- a/internal/system/operatorapi/cluster_test.go
+++ b/internal/system/operatorapi/cluster_test.go
@@ -19,6 +19,7 @@
 	"gradeusher.example/gradeusher/internal/system/operatorapi"
 	"gradeusher.example/gradeusher/internal/system/replication"
 	"gradeusher.example/gradeusher/internal/system/wal/waltest"
+	"gradeusher.example/gradeusher/internal/testsupport/redirect"
 )
 
 var machines = []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
@@ -131,12 +132,13 @@
 }
 
 func (c *apiCluster) call(addr string, o apiRequest) (status int, body string) {
-	r := httptest.NewRequestWithContext(c.tb.Context(), o.method, "http://"+addr+o.path, bytes.NewBufferString(o.body))
-	if o.base != "" {
-		r.Header.Set("X-Base-Version", o.base)
-	}
-	w := httptest.NewRecorder()
-	c.apis[addr].ServeHTTP(w, r)
+	w := redirect.Serve(c.apis[addr], o.path, func(target string) *http.Request {
+		r := httptest.NewRequestWithContext(c.tb.Context(), o.method, "http://"+addr+target, bytes.NewBufferString(o.body))
+		if o.base != "" {
+			r.Header.Set("X-Base-Version", o.base)
+		}
+		return r
+	})
 	return w.Code, w.Body.String()
 }
 
--- a/internal/system/operatorapi/evacuation.go
+++ b/internal/system/operatorapi/evacuation.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -13,6 +14,21 @@
 	"gradeusher.example/gradeusher/internal/system/controlstate"
 )
 
+// An evacuation, or its end, has no identity and no time at which it was sent: a request that was in transit for minutes looks like one
+// that was just sent. So a request takes effect only with a fence, which its caller has received from a node: a request without one is
+// redirected (307) to the same path with the fence as a parameter, which is the number of the newest record that a majority has confirmed
+// after the request arrived.
+//
+// Claim: a request S that its caller has given up undoes no change F of the same zone that was requested after that and acknowledged,
+// however long S, its redirected form S', any copy of either, and any end of a connection are delayed.
+//
+// Proof: S has no effect. S' carries the fence f of a redirect that the caller received before it gave up, so f was the number of a
+// record that was committed by then. F was requested later, so its record has a higher number than f. Once F's record is committed, the
+// zone was changed after f, and S' is superseded (controlstate.State.Check). A change that is in force already leaves a record as well,
+// so this holds for every F that was acknowledged.
+//
+// No clock, timer or end of a connection takes part, so a process that is stalled with S in its sockets needs no protection.
+
 // The bounds of a request that starts or ends an evacuation.
 const (
 	maxZoneNameBytes      = 128                    // longer names are rejected
@@ -20,50 +36,86 @@
 	discardBodyTimeout    = 200 * time.Millisecond // for such a body to arrive
 )
 
+// fenceParameter is the query parameter that carries the fence of a redirected request.
+const fenceParameter = "fence"
+
 // Reasons why a change was not submitted: it has not taken effect and never will.
 var (
-	errStalled     = errors.New("this keeper stood still, and the order may have waited since before that: send it again")
-	errPartitioned = errors.New("this keeper does not reach the chain and has not passed this order on: send it again as it was, to another keeper")
-	errCallerGone  = errors.New("the caller has gone, or waits too long: send the order again if it is still wanted")
+	errFenceInvalid = errors.New("the fence is not the number of a record: send the order without one")
+	errPartitioned  = errors.New("this keeper does not reach the chain and has not passed this order on: send it again as it was, to another keeper")
 )
 
 // handleEvacuation serves POST /Evacuation.Start, after which no request is sent to the servers of a zone, and
 // /Evacuation.Finish, which readmits the zone.
 func (a *api) handleEvacuation(op controlstate.Op) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		// These are taken first, so that the request is fenced by the state known on its arrival, however long it is delayed after that.
-		receivedAt, fence := time.Now(), a.committedState()
+		receivedAt := time.Now()
 		zone := mux.Vars(r)["zone"]
 		if len(zone) > maxZoneNameBytes {
 			writeError(w, http.StatusBadRequest, "the zone's name is too long: "+strconv.Itoa(maxZoneNameBytes)+" bytes are the most")
 			return
 		}
-		if a.stalled() {
-			closeConnection(w)
-			writeUnavailable(w, errStalled.Error())
+		fence, fenced, err := parseFence(r)
+		if err != nil {
+			writeError(w, http.StatusBadRequest, err.Error())
 			return
 		}
 		if err := discardBody(w, r); err != nil {
 			writeDiscardError(w, err)
 			return
 		}
-		change := controlstate.Change{Op: op, Zone: zone}
-		if a.rejectIfPartitioned(w, change) {
+		request := changeRequest{change: controlstate.Change{Op: op, Zone: zone}, receivedAt: receivedAt, respondBy: receivedAt.Add(responseTimeout),
+			success: func() map[string]any { return map[string]any{} }}
+		if a.rejectIfPartitioned(w, request.change) {
 			return
 		}
-		request := changeRequest{change: change, receivedAt: receivedAt, respondBy: receivedAt.Add(responseTimeout),
-			success: func() map[string]any { return map[string]any{} }}
-		verdict, err := a.submitWithFence(r.Context(), &request, fence)
+		ctx, cancel := context.WithDeadline(r.Context(), receivedAt.Add(chainTimeout))
+		defer cancel()
+		if !fenced || a.options.knobs.FenceByConfirmedState {
+			confirmed, err := a.options.Chain.Read(ctx)
+			if err != nil {
+				a.respondToChange(w, r, request, controlstate.Verdict{}, err)
+				return
+			}
+			fence = confirmed.Seq
+		}
+		if !fenced && !a.options.knobs.SubmitWithoutRedirect {
+			a.redirectWithFence(w, r, request.change, fence)
+			return
+		}
+		request.change.SetFence(fence)
+		verdict, err := a.options.Chain.Submit(ctx, request.change)
 		a.respondToChange(w, r, request, verdict, err)
 	}
 }
 
-// stalled reports whether a request that is read now may have waited in a socket while the process was stalled.
-func (a *api) stalled() bool {
-	return a.options.Stalled != nil && a.options.Stalled() && !a.options.knobs.AcceptAfterStalls
+// parseFence returns the fence of a request. fenced is false if the request has none.
+func parseFence(r *http.Request) (fence uint64, fenced bool, err error) {
+	query, err := url.ParseQuery(r.URL.RawQuery)
+	if err != nil {
+		return 0, false, errFenceInvalid
+	}
+	values, fenced := query[fenceParameter]
+	if !fenced {
+		return 0, false, nil
+	}
+	number, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil || number < 0 || len(values) > 1 {
+		return 0, false, errFenceInvalid
+	}
+	return uint64(number), true, nil
 }
 
-// discardBody reads a body to its end. Until then net/http does not notice that the caller has closed the connection.
+// redirectWithFence redirects a request to the same path, at the address that its caller used, with a fence.
+func (a *api) redirectWithFence(w http.ResponseWriter, r *http.Request, change controlstate.Change, fence uint64) {
+	fenced := url.URL{Scheme: "http", Host: r.Host, Path: r.URL.Path, RawPath: r.URL.RawPath,
+		RawQuery: url.Values{fenceParameter: {strconv.FormatUint(fence, 10)}}.Encode()}
+	a.logEntry(change).WithField("fence", fence).Debug("operatorapi: change redirected with a fence")
+	w.Header().Set("Location", fenced.String())
+	writeJSON(w, http.StatusTemporaryRedirect, map[string]any{"fence": fence})
+}
+
+// discardBody reads a body to its end, so that the connection can be used again.
 func discardBody(w http.ResponseWriter, r *http.Request) error {
 	if r.ContentLength == 0 || r.Body == nil {
 		return nil
@@ -83,42 +135,6 @@
 	writeUnavailable(w, "the body did not come whole in time: send the order again, without a body")
 }
 
-// submitWithFence submits an evacuation with its fence, the number of the newest committed record that was known on arrival.
-//
-// Before that it makes a linearizable read and, if the request may have been delayed, waits for the end of its connection: a
-// caller that disconnected before its bytes arrived is then known to have disconnected, and the request is dropped. A request that
-// turns out to be superseded is not retried with a newer fence, since its caller may have disconnected without this node noticing;
-// a caller that still waits retries by itself.
-func (a *api) submitWithFence(caller context.Context, request *changeRequest, fence *controlstate.State) (controlstate.Verdict, error) {
-	ctx, cancel := context.WithDeadline(caller, request.receivedAt.Add(chainTimeout))
-	defer cancel()
-	if mayHaveBeenDelayed(ctx, request.receivedAt) && !a.options.knobs.SkipConnectionEndWait {
-		awaitConnectionEnd(ctx)
-	}
-	confirmed, err := a.options.Chain.Read(ctx)
-	if err != nil {
-		return controlstate.Verdict{}, err
-	}
-	if callerGone(caller, ctx) && !a.options.knobs.SubmitForGoneCallers {
-		return controlstate.Verdict{}, errCallerGone
-	}
-	if fence == nil || a.options.knobs.FenceByConfirmedState {
-		fence = confirmed
-	}
-	if fence != nil {
-		request.change.SetFence(fence.Seq)
-	}
-	return a.options.Chain.Submit(ctx, request.change)
-}
-
-// callerGone reports whether the caller has disconnected or the deadline of its request has passed. It compares the deadline of ctx
-// with the clock, since the timer of ctx may not have fired yet after a stall. It checks the context of the caller and not ctx, since
-// ctx is derived from it and is canceled a moment later.
-func callerGone(caller, ctx context.Context) bool {
-	deadline, _ := ctx.Deadline()
-	return caller.Err() != nil || !time.Now().Before(deadline)
-}
-
 // committedState returns the newest committed state of this node, or nil if there is none.
 func (a *api) committedState() *controlstate.State {
 	if a.options.CommittedState == nil {
--- a/internal/system/operatorapi/handler.go
+++ b/internal/system/operatorapi/handler.go
@@ -6,7 +6,8 @@
 //
 // Terms: a change is what the operator wants (a whole configuration, an amendment, an evacuation of a zone or its end); a
 // request is one attempt to submit it; a verdict is what the state machine at the head of the chain decides
-// (controlstate.State.Check); a fence is the number of the newest committed record that a node knew when a request arrived.
+// (controlstate.State.Check); a fence is the number of a committed record, which a node returns to the caller of an evacuation and the
+// caller sends with it.
 //
 // The texts of responses use the operators' terms: an order is a change of a zone, a call is a request, and a keeper is a control-plane
 // node.
@@ -17,9 +18,10 @@
 //     only its own unconfirmed view, it answers 503, after which callers try another node.
 //   - A 200 to a change follows from a verdict, a 200 to Config.Read from a linearizable read. An elapsed timer proves nothing.
 //   - Every version of the configuration is the base of at most one change.
-//   - No request for a zone takes effect once a later request for that zone was acknowledged: requests carry their fence, and the
-//     state machine rejects those that are older than the zone's newest change. Fencing tokens are described by M. Kleppmann,
-//     "How to do distributed locking" (2016), and as sequencers by M. Burrows, "The Chubby lock service" (OSDI 2006).
+//   - No request for a zone takes effect once a later request for that zone was acknowledged: requests carry a fence that their callers
+//     have received from a node (evacuation.go has the proof), and the state machine rejects those that are older than the zone's newest
+//     change. Fencing tokens are described by M. Kleppmann, "How to do distributed locking" (2016), and as sequencers by M. Burrows,
+//     "The Chubby lock service" (OSDI 2006).
 //   - A response is matched to the request that it answers: if a body was not read to its end, the connection is closed.
 package operatorapi
 
@@ -40,16 +42,15 @@
 	bodyBudget byteBudget
 }
 
-// Handler returns the handler of the operator's API. It has a method ConnContext, which must be set as ConnContext of the
-// http.Server that serves it. Every response except the 200 of Config.Read is a JSON object; an error response carries the
-// reason and its remedy under "error".
+// Handler returns the handler of the operator's API. Every response except the 200 of Config.Read is a JSON object; an error response
+// carries the reason and its remedy under "error".
 func Handler(options Options) http.Handler {
 	options.AckTimeout = defaults.IfNotPositive(options.AckTimeout, 5*time.Second)
 	if options.Log == nil {
 		options.Log = log.Log
 	}
 	a := &api{options: options, bodyBudget: byteBudget{available: maxTotalBodyBytes}}
-	return &connectionTracker{router: a.newRouter()}
+	return a.newRouter()
 }
 
 // newRouter maps the paths of the API to their handlers.
--- a/internal/system/operatorapi/handler_test.go
+++ b/internal/system/operatorapi/handler_test.go
@@ -95,28 +95,36 @@
 	"uncertain":                {"POST", "/Config.Replace", answersBase, controlstate.Verdict{Kind: controlstate.Uncertain}, nil, 503, "", nil},
 	"uncertain with a reason": {"POST", "/Config.Amend", answersBase, controlstate.Verdict{Kind: controlstate.Uncertain, Reason: "long ago"}, nil, 503,
 		`{"error":"long ago"}`, nil},
-	"superseded":        {"POST", "/Evacuation.Start/fukuoka-a", nil, controlstate.Verdict{Kind: controlstate.Superseded}, nil, 503, "", nil},
+	"superseded":        {"POST", "/Evacuation.Start/fukuoka-a?fence=2", nil, controlstate.Verdict{Kind: controlstate.Superseded}, nil, 503, "", nil},
 	"chain away":        {"POST", "/Config.Replace", answersBase, controlstate.Verdict{}, errors.New("away"), 503, "", nil},
 	"unknown verdict":   {"POST", "/Config.Replace", answersBase, controlstate.Verdict{Kind: 99}, nil, 503, "", nil},
 	"no base":           {"POST", "/Config.Replace", nil, controlstate.Verdict{}, nil, 400, "", nil},
 	"base is no number": {"POST", "/Config.Replace", []string{"X-Base-Version", "v5"}, controlstate.Verdict{}, nil, 400, "", nil},
 	"base below 0":      {"POST", "/Config.Replace", []string{"X-Base-Version", "-5"}, controlstate.Verdict{}, nil, 400, "", nil},
 	"two bases":         {"POST", "/Config.Replace", []string{"X-Base-Version", "5", "X-Base-Version", "6"}, controlstate.Verdict{}, nil, 400, "", nil},
-	"evacuated": {"POST", "/Evacuation.Start/fukuoka-a", nil, controlstate.Verdict{Kind: controlstate.Accepted, Seq: 4}, nil, 200, `{}`,
-		&controlstate.Change{Op: controlstate.OpEvacuate, Base: 3, Zone: "fukuoka-a"}},
-	"evacuated before": {"POST", "/Evacuation.Start/fukuoka-a", nil, controlstate.Verdict{Kind: controlstate.AlreadyApplied, Seq: 4}, nil, 200, `{}`, nil},
-	"readmitted": {"POST", "/Evacuation.Finish/fukuoka-a", nil, controlstate.Verdict{Kind: controlstate.Accepted, Seq: 4}, nil, 200, `{}`,
+	"evacuated": {"POST", "/Evacuation.Start/fukuoka-a?fence=2", nil, controlstate.Verdict{Kind: controlstate.Accepted, Seq: 4}, nil, 200, `{}`,
+		&controlstate.Change{Op: controlstate.OpEvacuate, Base: 2, Zone: "fukuoka-a"}},
+	"evacuated before": {"POST", "/Evacuation.Start/fukuoka-a?fence=2", nil, controlstate.Verdict{Kind: controlstate.AlreadyApplied, Seq: 4}, nil, 200, `{}`, nil},
+	"readmitted": {"POST", "/Evacuation.Finish/fukuoka-a?fence=3", nil, controlstate.Verdict{Kind: controlstate.Accepted, Seq: 4}, nil, 200, `{}`,
 		&controlstate.Change{Op: controlstate.OpReadmit, Base: 3, Zone: "fukuoka-a"}},
-	"no zone":            {"POST", "/Evacuation.Start/", nil, controlstate.Verdict{}, nil, 404, "", nil},
-	"long zone":          {"POST", "/Evacuation.Start/" + strings.Repeat("z", 200), nil, controlstate.Verdict{}, nil, 400, "", nil},
-	"evacuate by GET":    {"GET", "/Evacuation.Start/fukuoka-a", nil, controlstate.Verdict{}, nil, 405, "", nil},
-	"replace by PUT":     {"PUT", "/Config.Replace", answersBase, controlstate.Verdict{}, nil, 405, "", nil},
-	"unknown path":       {"POST", "/Config.Drop", answersBase, controlstate.Verdict{}, nil, 404, "", nil},
-	"path not cleaned":   {"POST", "//Config.Replace", answersBase, controlstate.Verdict{}, nil, 404, "", nil},
-	"read":               {"GET", "/Config.Read", nil, controlstate.Verdict{}, nil, 200, `{"revision":5}`, nil},
-	"read, chain away":   {"GET", "/Config.Read", nil, controlstate.Verdict{}, errors.New("away"), 503, "", nil},
-	"status":             {"GET", "/status", nil, controlstate.Verdict{}, nil, 200, `{"epoch":3}`, nil},
-	"status with a POST": {"POST", "/status", nil, controlstate.Verdict{}, nil, 405, "", nil},
+	"redirected":             {"POST", "/Evacuation.Start/fukuoka-a", nil, controlstate.Verdict{}, nil, 307, `{"fence":3}`, nil},
+	"redirected, chain away": {"POST", "/Evacuation.Finish/fukuoka-a", nil, controlstate.Verdict{}, errors.New("away"), 503, "", nil},
+	"fence is no number":     {"POST", "/Evacuation.Start/fukuoka-a?fence=x", nil, controlstate.Verdict{}, nil, 400, "", nil},
+	"fence below 0":          {"POST", "/Evacuation.Start/fukuoka-a?fence=-1", nil, controlstate.Verdict{}, nil, 400, "", nil},
+	"fence too large":        {"POST", "/Evacuation.Start/fukuoka-a?fence=9223372036854775808", nil, controlstate.Verdict{}, nil, 400, "", nil},
+	"two fences":             {"POST", "/Evacuation.Start/fukuoka-a?fence=3&fence=4", nil, controlstate.Verdict{}, nil, 400, "", nil},
+	"query cannot be read":   {"POST", "/Evacuation.Start/fukuoka-a?fence=%zz", nil, controlstate.Verdict{}, nil, 400, "", nil},
+	"fence without a zone":   {"POST", "/Evacuation.Start/?fence=3", nil, controlstate.Verdict{}, nil, 404, "", nil},
+	"no zone":                {"POST", "/Evacuation.Start/", nil, controlstate.Verdict{}, nil, 404, "", nil},
+	"long zone":              {"POST", "/Evacuation.Start/" + strings.Repeat("z", 200), nil, controlstate.Verdict{}, nil, 400, "", nil},
+	"evacuate by GET":        {"GET", "/Evacuation.Start/fukuoka-a", nil, controlstate.Verdict{}, nil, 405, "", nil},
+	"replace by PUT":         {"PUT", "/Config.Replace", answersBase, controlstate.Verdict{}, nil, 405, "", nil},
+	"unknown path":           {"POST", "/Config.Drop", answersBase, controlstate.Verdict{}, nil, 404, "", nil},
+	"path not cleaned":       {"POST", "//Config.Replace", answersBase, controlstate.Verdict{}, nil, 404, "", nil},
+	"read":                   {"GET", "/Config.Read", nil, controlstate.Verdict{}, nil, 200, `{"revision":5}`, nil},
+	"read, chain away":       {"GET", "/Config.Read", nil, controlstate.Verdict{}, errors.New("away"), 503, "", nil},
+	"status":                 {"GET", "/status", nil, controlstate.Verdict{}, nil, 200, `{"epoch":3}`, nil},
+	"status with a POST":     {"POST", "/status", nil, controlstate.Verdict{}, nil, 405, "", nil},
 }
 
 func TestAnswers(t *testing.T) {
@@ -311,7 +319,7 @@
 				handler := Handler(Options{Chain: &fakeChain{verdict: controlstate.Verdict{Kind: controlstate.Accepted, Seq: 9}}, AckTimeout: ack, Log: discardLog(),
 					WaitDelivered: func(ctx context.Context, _ uint64) { <-ctx.Done() }})
 				start := time.Now()
-				w := serve(t, handler, "POST", "/Evacuation.Start/a", "")
+				w := serve(t, handler, "POST", "/Evacuation.Start/a?fence=3", "")
 				if took := time.Since(start); w.Code != 200 || took != want {
 					t.Errorf("status %d after %v, want 200 after %v", w.Code, took, want)
 				}
--- a/internal/system/operatorapi/model_client_test.go
+++ b/internal/system/operatorapi/model_client_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
+	"gradeusher.example/gradeusher/internal/testsupport/redirect"
 )
 
 const callerTimeout = time.Second
@@ -30,6 +31,7 @@
 type modelAttempt struct {
 	startedAt, endedAt time.Duration
 	acknowledged       bool
+	mayTakeEffect      bool // its caller has sent everything that a node needs for it
 }
 
 func (o *modelChange) path() string {
@@ -44,8 +46,8 @@
 	return "/Evacuation.Finish/" + o.change.Zone
 }
 
-func (o *modelChange) request(ctx context.Context) *http.Request {
-	r := httptest.NewRequestWithContext(ctx, http.MethodPost, o.path(), strings.NewReader(string(o.change.Body)))
+func (o *modelChange) request(ctx context.Context, target string) *http.Request {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(string(o.change.Body)))
 	if o.change.Zone == "" {
 		r.Header.Set("X-Base-Version", strconv.FormatInt(o.change.Base, 10))
 	} else {
@@ -73,16 +75,28 @@
 	}
 }
 
-// deliverRequest delivers a request to a node, perhaps late, and its response to the caller. The end of the caller's connection follows
-// its bytes within a round trip of up to 200 ms; it may be lost while the node is frozen, or if the connection was reset. The context
-// incarnation ends with the node's process, and caller with the caller's connection.
+// sendAndFollow sends a change to a node and follows its redirect. The redirected request may be lost or delayed like any other.
+func (w *modelCluster) sendAndFollow(node *modelNode, change *modelChange) (response *httptest.ResponseRecorder, redirected bool) {
+	response = w.sendRequest(node, change.request(context.Background(), change.path()))
+	if response == nil {
+		return nil, false
+	}
+	target, redirected := redirect.Target(response)
+	if redirected {
+		w.recordEvent("request redirected")
+		response = w.sendRequest(node, change.request(context.Background(), target))
+	}
+	return response, redirected
+}
+
+// deliverRequest delivers a request to a node, perhaps late, and its response to the caller. The end of the caller's connection arrives
+// any time after it, or never. The context incarnation ends with the node's process, and caller with the caller's connection.
 func (w *modelCluster) deliverRequest(incarnation, caller context.Context, node *modelNode, r *http.Request,
 	responses chan<- *httptest.ResponseRecorder,
 ) {
 	if w.happens(30, "request lost") {
 		return
 	}
-	acceptedAt := time.Now()
 	time.Sleep(w.randomDuration(200*time.Microsecond, 2*time.Millisecond))
 	delayed := w.happens(12, "request delayed")
 	if delayed {
@@ -98,11 +112,10 @@
 		w.recordEvent("request waited through a freeze")
 		time.Sleep(w.randomDuration(0, 100*time.Millisecond))
 	}
-	ctx, cancel := context.WithCancel(context.WithValue(incarnation, connectionKey{}, &connection{acceptedAt: acceptedAt}))
+	ctx, cancel := context.WithCancel(incarnation)
 	defer cancel()
-	endMayBeLost := stalled || !delayed
-	if !endMayBeLost || !w.happens(2, "end of a connection lost") {
-		stop := context.AfterFunc(caller, func() { time.AfterFunc(w.randomDuration(0, 200*time.Millisecond), cancel) })
+	if !w.happens(2, "end of a connection lost") {
+		stop := context.AfterFunc(caller, func() { time.AfterFunc(w.randomDuration(0, 5*time.Second), cancel) })
 		defer stop()
 	}
 	response := httptest.NewRecorder()
@@ -123,7 +136,8 @@
 	for w.elapsed()-change.startedAt < giveUpAfter {
 		attempt := modelAttempt{startedAt: w.elapsed()}
 		node := w.nodes[w.randomDuration(0, time.Duration(len(w.nodes)))]
-		response := w.sendRequest(node, change.request(context.Background()))
+		response, redirected := w.sendAndFollow(node, change)
+		attempt.mayTakeEffect = redirected || change.change.Zone == "" || w.unredirected
 		attempt.endedAt = w.elapsed()
 		attempt.acknowledged = response != nil && response.Code == http.StatusOK
 		change.attempts = append(change.attempts, attempt)
--- a/internal/system/operatorapi/model_cluster_test.go
+++ b/internal/system/operatorapi/model_cluster_test.go
@@ -21,13 +21,17 @@
 	frequentFaults map[string]bool // faults that happen four times as often, so that a control finds a violation soon
 }
 
-// modelCluster has the APIs of three nodes over one chain. The chain is modelled as a state that applies each change atomically; changes
+// The number of nodes in a model, which the seed chooses. A single node leaves so many changes open that they take long to check.
+const minModelNodes, maxModelNodes = 2, 5
+
+// modelCluster has the APIs of two to five nodes over one chain. The chain is modelled as a state that applies each change atomically; changes
 // and verdicts may be lost, delayed and duplicated on the way to it and back. All of it runs in the fake time of a synctest bubble.
 type modelCluster struct {
-	knobs     chainKnobs
-	nodes     []*modelNode
-	startedAt time.Time
-	pending   sync.WaitGroup
+	knobs        chainKnobs
+	unredirected bool // nodes submit evacuations without a redirect
+	nodes        []*modelNode
+	startedAt    time.Time
+	pending      sync.WaitGroup
 
 	mu             sync.Mutex
 	rng            *rand.Rand
@@ -47,19 +51,18 @@
 	kill             context.CancelFunc
 	frozenUntil      time.Time // until then it is frozen
 	partitionedUntil time.Time // until then it does not reach the other nodes
-	stalledUntil     time.Time // until then it reports a stall
 }
 
 func newModelCluster(seed uint64, start *controlstate.State, knobs TestingKnobs, chain chainKnobs) *modelCluster {
-	w := &modelCluster{knobs: chain, startedAt: time.Now(), rng: rand.New(rand.NewPCG(seed, 7)), state: start,
+	w := &modelCluster{knobs: chain, unredirected: knobs.SubmitWithoutRedirect, startedAt: time.Now(), rng: rand.New(rand.NewPCG(seed, 7)), state: start,
 		applied: map[string]time.Duration{}, configurations: map[int64]string{}, eventCounts: map[string]int{}}
 	if start.Config != nil {
 		w.configurations[start.Revision()] = string(start.Config.Raw)
 	}
-	for range 3 {
+	for range minModelNodes + seed%(maxModelNodes-minModelNodes+1) {
 		k := &modelNode{modelCluster: w, committed: start}
 		k.incarnation, k.kill = context.WithCancel(context.Background())
-		k.handler = Handler(Options{Chain: k, Log: discardLog(), CommittedState: k.committedState, Stalled: k.stalled, knobs: knobs})
+		k.handler = Handler(Options{Chain: k, Log: discardLog(), CommittedState: k.committedState, knobs: knobs})
 		w.nodes = append(w.nodes, k)
 	}
 	return w
@@ -195,12 +198,6 @@
 	return k.committed
 }
 
-func (k *modelNode) stalled() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return time.Now().Before(k.stalledUntil)
-}
-
 func (k *modelNode) currentIncarnation() context.Context {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -279,7 +276,6 @@
 			w.recordEvent("freeze")
 			node.mu.Lock()
 			node.frozenUntil = later(node.frozenUntil, time.Now().Add(span))
-			node.stalledUntil = node.frozenUntil.Add(stallCooldown)
 			node.mu.Unlock()
 		case 1:
 			w.recordEvent("cut")
--- a/internal/system/operatorapi/model_linear_test.go
+++ b/internal/system/operatorapi/model_linear_test.go
@@ -94,7 +94,7 @@
 
 // linearizableZone checks the changes of one zone against the observations of it. Every attempt is an operation of its own, since an
 // operator that sends a change again wants it again. An attempt without an acknowledgement may take effect late or never, but not
-// after the acknowledgement of an attempt that began after it was given up.
+// after the acknowledgement of an attempt that began after it was given up, and not at all if its caller has not followed a redirect.
 func (h *modelHistory) linearizableZone(zone string, within time.Duration) porcupine.CheckResult {
 	model := &porcupine.NondeterministicModel{
 		Init: func() []any { return []any{false} },
@@ -117,17 +117,12 @@
 	add := func(input any, from, to time.Duration) {
 		operations = append(operations, porcupine.Operation{ClientId: len(operations), Input: input, Call: int64(from), Return: int64(to)})
 	}
-	for _, o := range h.changes {
-		if o.change.Zone != zone {
-			continue
-		}
-		for _, attempt := range o.attempts {
-			end := attempt.endedAt
-			if !attempt.acknowledged {
-				end = h.firstAcknowledgementAfter(zone, attempt.endedAt)
-			}
-			add(zoneAttempt{attempt, o.change.Op == controlstate.OpEvacuate}, attempt.startedAt, end)
+	for _, attempt := range h.effectiveAttempts(zone) {
+		end := attempt.endedAt
+		if !attempt.acknowledged {
+			end = h.firstAcknowledgementAfter(zone, attempt.endedAt)
 		}
+		add(attempt, attempt.startedAt, end)
 	}
 	for _, s := range h.observations {
 		if s.zone == zone {
@@ -137,6 +132,21 @@
 	return porcupine.CheckOperationsTimeout(model.ToModel(), operations, within)
 }
 
+// effectiveAttempts returns the attempts of changes of a zone that may take effect.
+func (h *modelHistory) effectiveAttempts(zone string) (all []zoneAttempt) {
+	for _, o := range h.changes {
+		if o.change.Zone != zone {
+			continue
+		}
+		for _, attempt := range o.attempts {
+			if attempt.mayTakeEffect {
+				all = append(all, zoneAttempt{attempt, o.change.Op == controlstate.OpEvacuate})
+			}
+		}
+	}
+	return all
+}
+
 // firstAcknowledgementAfter returns the time of the first acknowledgement of an attempt for the zone that began after the given time.
 func (h *modelHistory) firstAcknowledgementAfter(zone string, moment time.Duration) time.Duration {
 	at := time.Duration(endOfTime)
--- a/internal/system/operatorapi/model_test.go
+++ b/internal/system/operatorapi/model_test.go
@@ -89,7 +89,7 @@
 	return s, slices.Concat(all[:5], all[20:25], all[len(all)-5:])
 })
 
-// simulate runs eight operators that change the configuration and two for each zone, which send changes through three faulty nodes.
+// simulate runs eight operators that change the configuration and two for each zone, which send changes through up to five faulty nodes.
 func simulate(t *testing.T, seed uint64, knobs TestingKnobs, chain chainKnobs) *modelHistory {
 	t.Helper()
 	start, old := controlstate.Empty(), []*modelChange(nil)
@@ -219,7 +219,7 @@
 		t.Logf("%6d %s", counts[what], what)
 	}
 	t.Logf("responses by status (0: no definite response): %v", statuses)
-	for _, what := range []string{"superseded", "confirmed again", "request waited through a freeze", "change decided twice", "kill", "snapshot"} {
+	for _, what := range []string{"superseded", "confirmed again", "request waited through a freeze", "request delayed", "request redirected", "end of a connection lost", "change decided twice", "kill", "snapshot"} {
 		if counts[what] == 0 {
 			t.Errorf("%s: never happened", what)
 		}
@@ -249,9 +249,7 @@
 		"an order in force leaves no record":      {chain: chainKnobs{omitRecordsInForce: true, frequentFaults: faults("change delayed")}},
 		"the fence is what a majority told later": {api: TestingKnobs{FenceByConfirmedState: true},
 			chain: chainKnobs{frequentFaults: faults("slow round", "caller's connection reset", "end of a connection lost")}},
-		"orders whose callers have gone are passed on": {api: TestingKnobs{SubmitForGoneCallers: true}},
-		"orders are taken right after a stall":         {api: TestingKnobs{AcceptAfterStalls: true}},
-		"the end of a connection is not waited for":    {api: TestingKnobs{SkipConnectionEndWait: true}},
+		"orders are taken without a fence": {api: TestingKnobs{SubmitWithoutRedirect: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3000) {
--- a/internal/system/operatorapi/options.go
+++ b/internal/system/operatorapi/options.go
@@ -35,13 +35,9 @@
 	Chain Chain
 	// WaitDelivered waits until the connected proxies have the record numbered seq, or ctx ends. Nil: no wait.
 	WaitDelivered func(ctx context.Context, seq uint64)
-	// CommittedState returns the newest committed state of this node without asking the others, so that it may lag. It provides
-	// the fence of evacuations and the revision in a 412 response. If it is nil or returns nil, the fence is the state of a
-	// linearizable read that begins when the request has arrived.
+	// CommittedState returns the newest committed state of this node without asking the others, so that it may lag. It provides the
+	// revision in a 412 response. If it is nil or returns nil, the response has none.
 	CommittedState func() *controlstate.State
-	// Stalled reports whether the process was paused recently (see StallDetector). Evacuations are rejected while it returns true.
-	// Nil: never.
-	Stalled func() bool
 	// Partitioned reports whether this node has been partitioned from the chain for so long that a change would not be
 	// committed. Changes are then answered with 503 immediately and are not forwarded. Nil: never.
 	Partitioned func() bool
--- a/internal/system/operatorapi/testing_knobs.go
+++ b/internal/system/operatorapi/testing_knobs.go
@@ -2,12 +2,9 @@
 
 // TestingKnobs disable protections, so that tests can show which fault each of them prevents.
 type TestingKnobs struct {
-	// FenceByConfirmedState fences evacuations by the state of the linearizable read instead of the one known on arrival.
+	// SubmitWithoutRedirect submits evacuations that carry no fence, with the state of a linearizable read as their fence.
+	SubmitWithoutRedirect bool
+	// FenceByConfirmedState fences evacuations by the state of a linearizable read when they are submitted, in place of the fence that
+	// their callers have received.
 	FenceByConfirmedState bool
-	// SubmitForGoneCallers submits evacuations even if their callers have disconnected or timed out.
-	SubmitForGoneCallers bool
-	// AcceptAfterStalls accepts evacuations that may have waited in a socket during a stall of the process.
-	AcceptAfterStalls bool
-	// SkipConnectionEndWait skips the wait for the end of a connection on which an evacuation may have been delayed.
-	SkipConnectionEndWait bool
 }
--- a/internal/system/operatorapi/wire_test.go
+++ b/internal/system/operatorapi/wire_test.go
@@ -109,7 +109,7 @@
 	for i := range rounds {
 		pipelined.WriteString(rawChange(100+i, ""))
 		pipelined.WriteString("HEAD /Config.Read HTTP/1.1\r\nHost: k\r\n\r\n")
-		pipelined.WriteString("POST /Evacuation.Start/z HTTP/1.1\r\nHost: k\r\n\r\n")
+		pipelined.WriteString("POST /Evacuation.Start/z?fence=3 HTTP/1.1\r\nHost: k\r\n\r\n")
 	}
 	client.send(pipelined.String())
 	for i := range rounds {
@@ -169,7 +169,7 @@
 
 // TestWireRefusedBodyIsNoCall checks that the rest of a rejected body is never parsed as a request.
 func TestWireRefusedBodyIsNoCall(t *testing.T) {
-	const hidden = "POST /Evacuation.Start/z HTTP/1.1\r\nHost: k\r\n\r\n"
+	const hidden = "POST /Evacuation.Start/z?fence=3 HTTP/1.1\r\nHost: k\r\n\r\n"
 	for name, head := range map[string]string{
 		"too large":      fmt.Sprintf("POST /Config.Replace HTTP/1.1\r\nHost: k\r\nX-Base-Version: 5\r\nContent-Length: %d\r\n\r\n", maxBodyBytes+1),
 		"without a base": fmt.Sprintf("POST /Config.Replace HTTP/1.1\r\nHost: k\r\nContent-Length: %d\r\n\r\n", len(hidden)),
@@ -210,7 +210,7 @@
 // TestAnswerWithinASecond checks that a request with a body that is not large is answered within a second, after which callers try
 // another node, however late the chain answers and however slow the proxies are.
 func TestAnswerWithinASecond(t *testing.T) {
-	for _, target := range []string{"/Config.Replace", "/Evacuation.Start/z"} {
+	for _, target := range []string{"/Config.Replace", "/Evacuation.Start/z?fence=4"} {
 		t.Run(target, func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
 				chain := &scriptedChain{read: func(context.Context) (*controlstate.State, error) { return stateAt(4), nil },
--- a/internal/system/process/group.go
+++ b/internal/system/process/group.go
@@ -48,7 +48,7 @@
 	})
 }
 
-// ServeHTTP serves handler at listener until ctx is done, with handler's ConnContext if it has one. Calls in flight then have
+// ServeHTTP serves handler at listener until ctx is done. Calls in flight then have
 // shutdownTimeout to complete. ServeHTTP does not block; an error of the listener, marked ErrListen, cancels the group.
 func (g *Group) ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler) {
 	server := newServer(ctx, handler)
@@ -67,13 +67,8 @@
 	})
 }
 
-// connContexter is implemented by handlers that provide http.Server.ConnContext.
-type connContexter interface {
-	ConnContext(context.Context, net.Conn) context.Context
-}
-
 func newServer(ctx context.Context, handler http.Handler) *http.Server {
-	server := &http.Server{
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -81,10 +76,6 @@
 		ErrorLog:          stdlog.New(io.Discard, "", 0),
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
-	if connections, ok := handler.(connContexter); ok {
-		server.ConnContext = connections.ConnContext
-	}
-	return server
 }
 
 // Wait returns when all goroutines of the group have ended, with the first error.
