replication: the simulated operators of zones follow redirects

The simulation modelled the fence and the stall detector of operatorapi as they were. It now reads, returns the fence to the caller, and submits what the caller sends with it, whenever that arrives.

--- a/internal/system/replication/sim_node_test.go
+++ b/internal/system/replication/sim_node_test.go
@@ -24,7 +24,6 @@
 	diskStalled     bool
 	diskDelay       time.Duration
 	paused          bool
-	resumedAt       time.Duration // 0: never
 	inbox           []func()
 	lastCallID      uint64              // of the calls to this incarnation, as Node numbers them
 	calls           map[uint64]*simCall // not completed yet
@@ -73,7 +72,7 @@
 	m.core, m.startedAt = core, w.now
 	m.committed, m.checked, m.view = 0, nil, nil
 	m.paused, m.inbox, m.polls = false, nil, nil
-	m.lastCallID, m.calls, m.resumedAt = 0, map[uint64]*simCall{}, 0
+	m.lastCallID, m.calls = 0, map[uint64]*simCall{}
 	m.executeOutputs()
 	m.tick(core)
 }
@@ -131,7 +130,7 @@
 		return
 	}
 	m.sim.recordDisturbance()
-	m.paused, m.resumedAt = false, m.sim.now
+	m.paused = false
 	core, inbox := m.core, m.inbox
 	m.inbox = nil
 	if m.sim.rng.IntN(2) == 0 && core != nil {
--- a/internal/system/replication/sim_operators_test.go
+++ b/internal/system/replication/sim_operators_test.go
@@ -12,7 +12,7 @@
 	node           *simNode
 	read           bool
 	change         controlstate.Change
-	fenced         bool          // the node that receives it fills in the fence: the newest record that it knows
+	fenced         bool          // it is sent with a fence that the node returns first
 	ttl            time.Duration // 0: chosen at random
 	sent           time.Duration
 	acked          uint64 // newest record acknowledged or read when this attempt was sent
@@ -67,37 +67,36 @@
 	return m.lastCallID
 }
 
-// stallFence is how long after a stall of the process zone changes are refused, see control.StallDetector.
-const stallFence = time.Second
-
-// submitFenced starts a zone change as control does: the fence is the newest record known when the request arrived; then the node
-// reads, and submits the change if its caller still waits.
+// submitFenced starts a zone change as operatorapi does: the node reads, and redirects the caller with the newest record as the fence. A
+// caller that still waits then sends the change with the fence, and the node submits it whenever that arrives.
 func (m *simNode) submitFenced(call *simCall) {
 	w, core := m.sim, m.core
-	if m.resumedAt > 0 && w.now-m.resumedAt < stallFence {
-		w.answer(call, Completion{Outcome: Refused})
-		return
-	}
-	call.change.Base = int64(core.chain.commitIndex)
 	read := &simCall{node: m, read: true, acked: max(w.acked, w.newestRead)}
 	read.onInternalRead = func(d Completion) {
 		if d.Outcome != Answered {
 			w.answer(call, Completion{Outcome: Refused})
 			return
 		}
-		w.after(0, func() {
-			m.run(core, func() {
-				if call.closed {
-					return // the end of the caller's connection has been detected by now
-				}
-				w.historyOf(keyOf(call.change)).attempts++
-				core.Submit(m.clock(), m.registerCall(call), call.change, call.ttl)
-			})
+		fence := int64(core.chain.commitIndex)
+		w.transmit(m.member.Addr, outside, time.Millisecond, func() {
+			if !call.closed {
+				w.sendWithFence(call, core, fence)
+			}
 		})
 	}
 	core.Read(m.clock(), m.registerCall(read), call.ttl)
 }
 
+// sendWithFence sends a zone change with the fence that its caller has received.
+func (w *clusterSim) sendWithFence(call *simCall, core *Core, fence int64) {
+	m := call.node
+	call.change.Base = fence
+	w.historyOf(keyOf(call.change)).attempts++
+	w.transmit(outside, m.member.Addr, time.Millisecond, func() {
+		m.run(core, func() { core.Submit(m.clock(), m.registerCall(call), call.change, call.ttl) })
+	})
+}
+
 // answer delivers an answer to the caller, unless it is lost.
 func (w *clusterSim) answer(a *simCall, d Completion) {
 	if a.node.core == nil {
