proxy, pick: a proxy out of contact asks the servers whether they are cold

Cause: a Stale proxy, which learns neither of evacuations nor of warm-ups, counted a server of which it knew nothing as warm.

Change: while it is Stale it asks the servers that it uses for their health every 200 ms (package healthcheck). Only one that has answered within 400 ms that it is warm gets requests at full rate; one that says it is cold, or does not answer, gets what a warming server may get from all proxies (pick/health.go). In contact nothing is asked.

Tests: TestStaleProxiesLearnOfWarmUpsFromServers with its control TrustStaleState, which is the code before; TestStaleProxiesServeWarmServers, TestSilentServersArePaced, TestHealthTargets, and those of healthcheck.

--- a/internal/system/proxy/fakepicker_test.go
+++ b/internal/system/proxy/fakepicker_test.go
@@ -12,20 +12,22 @@
 
 // fakePicker chooses the first server that has not been tried, and records how attempts ended.
 type fakePicker struct {
-	clusterState pick.ClusterState
-	route        *config.Route
-	lastTicket   uint64
-	outcomes     []pick.AttemptOutcome
-	firstEvents  int
-	lastLoad     string
-	resumedCount int
-	retryAfter   time.Duration // of refusals
-	sendWithin   time.Duration // of choices
-	refuseAll    bool          // whether every request is refused
-	awaitsState  bool          // whether a cluster state is awaited after a stall
-	stalled      bool          // whether a cluster state is being awaited now
-	unreachable  map[string]bool
-	serverOf     map[uint64]string
+	clusterState  pick.ClusterState
+	route         *config.Route
+	lastTicket    uint64
+	outcomes      []pick.AttemptOutcome
+	firstEvents   int
+	lastLoad      string
+	resumedCount  int
+	retryAfter    time.Duration // of refusals
+	sendWithin    time.Duration // of choices
+	refuseAll     bool          // whether every request is refused
+	awaitsState   bool          // whether a cluster state is awaited after a stall
+	stalled       bool          // whether a cluster state is being awaited now
+	healthTargets []pick.HealthTarget
+	health        []string // what RecordHealth was told
+	unreachable   map[string]bool
+	serverOf      map[uint64]string
 }
 
 func newFakePicker(route *config.Route) *fakePicker {
@@ -41,11 +43,16 @@
 func (t *fakePicker) ResponseStarted(pick.Time, uint64)               {}
 func (t *fakePicker) WarmingUp(pick.Time, string, time.Duration)      {}
 func (t *fakePicker) ServerDraining(pick.Time, string)                {}
+func (t *fakePicker) HealthTargets() []pick.HealthTarget              { return t.healthTargets }
 func (t *fakePicker) AwaitsServerList() bool                          { return false }
 func (t *fakePicker) RecordStall(pick.Time)                           { t.stalled = t.awaitsState }
 func (t *fakePicker) AwaitsControlPlane() bool                        { return t.stalled }
 func (t *fakePicker) Stats() pick.Stats                               { return pick.Stats{} }
 func (t *fakePicker) Describe(pick.Time) string                       { return "fake" }
+func (t *fakePicker) RecordHealth(_ pick.Time, id string, _ pick.Time, left time.Duration) {
+	t.health = append(t.health, fmt.Sprint(id, " ", left))
+}
+
 func (t *fakePicker) ServerLoad(_ pick.Time, id string, running, waiting, slots int) {
 	t.lastLoad = fmt.Sprintf("%s %d,%d,%d", id, running, waiting, slots)
 }
--- a/internal/system/proxy/lockedpicker.go
+++ b/internal/system/proxy/lockedpicker.go
@@ -108,6 +108,17 @@
 	return choice
 }
 
+// HealthTargets returns the servers whose health is to be checked now.
+func (p *lockedPicker) HealthTargets() (targets []pick.HealthTarget) {
+	p.withLock(func(inner picker, _ pick.Time) { targets = inner.HealthTargets() })
+	return targets
+}
+
+// RecordHealth reports a server's answer to a health check that was sent at askedAt: for how much longer it warms up; 0 if it is warm.
+func (p *lockedPicker) RecordHealth(id string, askedAt time.Time, left time.Duration) {
+	p.withLock(func(inner picker, now pick.Time) { inner.RecordHealth(now, id, askedAt.Sub(p.start), left) })
+}
+
 // FirstEvent reports that the first event of a stream was received.
 func (p *lockedPicker) FirstEvent(ticket uint64) {
 	p.withLock(func(inner picker, now pick.Time) { inner.FirstEvent(now, ticket) })
--- a/internal/system/proxy/pick/eligibility.go
+++ b/internal/system/proxy/pick/eligibility.go
@@ -25,6 +25,9 @@
 // eligibility returns whether a candidate can get the request or, if the request
 // is nil, any request. The first four reasons are rules that are never relaxed.
 func (p *Picker) eligibility(input *pickInput, candidate *server) eligibility {
+	if p.needsHealth(candidate) {
+		p.warmUps.paceUnlessWarm(input.now, candidate)
+	}
 	switch {
 	case candidate.Draining:
 		return draining
--- a/internal/system/proxy/pick/settings.go
+++ b/internal/system/proxy/pick/settings.go
@@ -35,6 +35,8 @@
 	PromptPoolShare float64
 	// IgnoreTenantHomes allows requests to go to regions that are not a home of their tenant.
 	IgnoreTenantHomes bool
+	// TrustStaleState sends to servers at full rate without contact to the control plane, whether they say that they are warm or not.
+	TrustStaleState bool
 }
 
 // setDefaults sets the defaults of unset fields.
--- a/internal/system/proxy/pick/warmup_state.go
+++ b/internal/system/proxy/pick/warmup_state.go
@@ -16,6 +16,7 @@
 	unconfirmed      bool // it may have begun to warm up at unconfirmedAt or before, and the control plane has not been in contact since
 	unconfirmedAt    Time
 	pacedUnconfirmed bool // it is treated as warming up only because a warm-up is unconfirmed
+	warmAt           Time // when the newest health check was sent that the server answered as warm; 0: never
 
 	// This proxy's share of the quota.
 	isSender    bool // this proxy may send to the server while it warms up
--- a/internal/system/proxy/picker.go
+++ b/internal/system/proxy/picker.go
@@ -19,6 +19,7 @@
 	hintRecorder
 	loadSource
 	stallRecorder
+	healthChecked
 	statusSource
 }
 
@@ -64,6 +65,12 @@
 	AwaitsControlPlane() bool
 }
 
+// healthChecked names the servers whose health is to be checked, and receives their answers.
+type healthChecked interface {
+	HealthTargets() []pick.HealthTarget
+	RecordHealth(now pick.Time, id string, askedAt pick.Time, left time.Duration)
+}
+
 // statusSource describes the picker to operators.
 type statusSource interface {
 	Describe(now pick.Time) string
--- a/internal/system/proxy/serve.go
+++ b/internal/system/proxy/serve.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"gradeusher.example/gradeusher/internal/framing"
+	"gradeusher.example/gradeusher/internal/system/proxy/healthcheck"
 )
 
 const (
@@ -41,6 +42,7 @@
 	stopWatching := context.AfterFunc(ctx, func() { _ = tcp.Close() })
 	defer stopWatching()
 	defer p.watchStalls(ctx)()
+	defer p.checkHealth(ctx)()
 	acceptor := &acceptor{clients: p.clients, listener: tcp}
 	return acceptor.run(ctx)
 }
@@ -132,11 +134,21 @@
 
 // watchStalls starts the detection of stalls of the process. The returned function stops it.
 func (p *Proxy) watchStalls(ctx context.Context) (stop func()) {
+	return inBackground(ctx, p.picker.watchStalls)
+}
+
+// checkHealth starts the health checks of servers. The returned function stops them.
+func (p *Proxy) checkHealth(ctx context.Context) (stop func()) {
+	return inBackground(ctx, healthcheck.New(p.picker, p.options.Log).Run)
+}
+
+// inBackground calls run in a goroutine. The returned function cancels its context, and waits until it has ended.
+func inBackground(ctx context.Context, run func(context.Context)) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
-	var watching sync.WaitGroup
-	watching.Go(func() { p.picker.watchStalls(ctx) })
+	var running sync.WaitGroup
+	running.Go(func() { run(ctx) })
 	return func() {
 		cancel()
-		watching.Wait()
+		running.Wait()
 	}
 }
--- a/internal/system/proxy/stall.go
+++ b/internal/system/proxy/stall.go
@@ -21,11 +21,8 @@
 
 // stallDetector detects stalls of the process by gaps between calls of observeRun. The zero value detects none until it is enabled.
 //
-// It differs from operatorapi.StallDetector, which measures gaps in the same way: that one has its own clock and lock, reports a stall
-// for one second after its end, and causes evacuations to be rejected during that time. If it misses a stall, an evacuation that its
-// caller has superseded or given up may take effect, so its threshold is lower (250 ms). Here, a missed stall leads to a worse choice
-// of servers, and a false detection makes clients wait; the wait ends as soon as an update is received. This one uses lockedPicker's
-// lock and clock.
+// A missed stall leads to a worse choice of servers, and a false detection makes clients wait; the wait ends as soon as an update is
+// received. It uses lockedPicker's lock and clock.
 type stallDetector struct {
 	enabled   bool
 	lastRan   pick.Time     // when the process was last observed to be running
