operatorapi, replication: an order whose text cannot be encoded is refused

Cause: bytes became text without a check. The record has the zone in a string of protobuf, which has to be UTF-8. The head accepted the change and could not encode the record, which ended its work; at another node the message could not be encoded, and what was sent with it was lost.

Change: Change.Unrecordable, by the bytes alone: the API answers 400, a node refuses the change before it passes it on, and no state accepts it. Reasons of refusals are made valid before they are sent. Entries of the platform's list whose texts are not UTF-8 are left out, as those without an id: one of them would have kept every proxy from any update. Bodies of configurations, settings and peers' messages were checked already.

--- a/internal/system/controlstate/record.go
+++ b/internal/system/controlstate/record.go
@@ -1,5 +1,7 @@
 package controlstate
 
+import "unicode/utf8"
+
 // Op is the kind of a record.
 type Op uint8
 
@@ -31,6 +33,15 @@
 	Zone string
 }
 
+// Unrecordable returns why no state could ever record the change, and what helps; an empty text if one could. It depends on the bytes of
+// the change alone: the zone is text in messages and records, which have to be UTF-8.
+func (c Change) Unrecordable() (reason string) {
+	if !utf8.ValidString(c.Zone) {
+		return "the zone's name is not UTF-8: encode it so"
+	}
+	return ""
+}
+
 // SetFence sets the fence of an evacuation or readmission: seq is the newest committed record that the receiving node knew when
 // the request arrived. State.Check rejects the change if its zone was changed after that record.
 func (c *Change) SetFence(seq uint64) { c.Base = int64(seq) }
--- a/internal/system/controlstate/zones.go
+++ b/internal/system/controlstate/zones.go
@@ -51,7 +51,10 @@
 func (s *State) checkZone(change Change) Verdict {
 	inForce := s.Evacuated[change.Zone] == (change.Op == OpEvacuate)
 	late := change.fenceIsOlderThan(s.zoneChanges.lastChangeOf(change.Zone))
+	unrecordable := change.Unrecordable()
 	switch {
+	case unrecordable != "":
+		return Verdict{Kind: Invalid, Reason: unrecordable}
 	case change.Zone == "":
 		return Verdict{Kind: Invalid, Reason: "the zone is missing: name it"}
 	case len(change.Zone) > MaxZoneName:
--- a/internal/system/operatorapi/evacuation.go
+++ b/internal/system/operatorapi/evacuation.go
@@ -55,6 +55,11 @@
 			writeError(w, http.StatusBadRequest, "the zone's name is too long: "+strconv.Itoa(maxZoneNameBytes)+" bytes are the most")
 			return
 		}
+		change := controlstate.Change{Op: op, Zone: zone}
+		if reason := change.Unrecordable(); reason != "" {
+			writeError(w, http.StatusBadRequest, reason)
+			return
+		}
 		fence, fenced, err := parseFence(r)
 		if err != nil {
 			writeError(w, http.StatusBadRequest, err.Error())
@@ -64,7 +69,7 @@
 			writeDiscardError(w, err)
 			return
 		}
-		request := changeRequest{change: controlstate.Change{Op: op, Zone: zone}, receivedAt: receivedAt, respondBy: receivedAt.Add(responseTimeout),
+		request := changeRequest{change: change, receivedAt: receivedAt, respondBy: receivedAt.Add(responseTimeout),
 			success: func() map[string]any { return map[string]any{} }}
 		if a.rejectIfPartitioned(w, request.change) {
 			return
--- a/internal/system/platform/client_test.go
+++ b/internal/system/platform/client_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fastjson"
 )
 
 func clientOf(t *testing.T, handler http.HandlerFunc) *Client {
@@ -241,3 +242,19 @@
 	body := `{"instances":[{"id":"` + id + `","target":"s","address":"10.0.0.1:1","zone":"z","phase":"serving"}],"next_token":null}`
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
+
+// TestServersWithoutValidText checks that an entry whose texts no message can hold is left out, and that the others are kept.
+func TestServersWithoutValidText(t *testing.T) {
+	entries := []string{
+		`{"id":"i-1","target":"s","address":"10.0.0.1:1","zone":"z"}`,
+		"{\"id\":\"i-\xba\",\"target\":\"s\",\"address\":\"10.0.0.2:1\",\"zone\":\"z\"}",
+		"{\"id\":\"i-3\",\"target\":\"\xff\",\"address\":\"10.0.0.3:1\",\"zone\":\"z\"}",
+		"{\"id\":\"i-4\",\"target\":\"s\",\"address\":\"\xc0\",\"zone\":\"z\"}",
+		"{\"id\":\"i-5\",\"target\":\"s\",\"address\":\"10.0.0.5:1\",\"zone\":\"\xed\xa0\x80\"}",
+		`{"id":"i-6","target":"s","address":"10.0.0.6:1","zone":"iași"}`,
+	}
+	list, _, err := parsePage(new(fastjson.Parser), []byte(`{"instances":[`+strings.Join(entries, ",")+`],"next_token":null}`), interner{}, nil)
+	if err != nil || len(list) != 2 || list[0].ID != "i-1" || list[1].ID != "i-6" {
+		t.Errorf("%+v, %v", list, err)
+	}
+}
--- a/internal/system/platform/instance.go
+++ b/internal/system/platform/instance.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fastjson"
@@ -91,7 +92,7 @@
 	}
 	for _, entry := range entries.GetArray() {
 		instance := parseInstance(entry, shared)
-		if instance.ID == "" || instance.Target == "" || instance.Address == "" {
+		if !instance.isUsable() {
 			continue
 		}
 		list = append(list, instance)
@@ -99,6 +100,16 @@
 	return list, nextToken(document), nil
 }
 
+// isUsable reports whether an entry names a server, by texts that messages can hold.
+func (i *Instance) isUsable() bool {
+	for _, text := range []string{i.ID, i.Target, i.Address} {
+		if text == "" || !utf8.ValidString(text) {
+			return false
+		}
+	}
+	return utf8.ValidString(i.Zone)
+}
+
 // parseInstance reads one entry of the list.
 func parseInstance(entry *fastjson.Value, shared interner) Instance {
 	instance := Instance{
--- a/internal/system/replication/change_decider.go
+++ b/internal/system/replication/change_decider.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"gradeusher.example/gradeusher/internal/system/controlstate"
@@ -154,7 +155,7 @@
 func (cd *changeDecider) sendAnswer(change *pendingChange) {
 	cd.send(change.key.from, answerMessage(&replicationpb.Answer{
 		Id: change.key.callNumber, Life: change.key.incarnation, Outcome: uint32(change.outcome),
-		Kind: uint32(change.verdict.Kind), Reason: change.verdict.Reason, Seq: change.seq,
+		Kind: uint32(change.verdict.Kind), Reason: strings.ToValidUTF8(change.verdict.Reason, "\ufffd"), Seq: change.seq,
 	}))
 }
 
--- a/internal/system/replication/client_calls.go
+++ b/internal/system/replication/client_calls.go
@@ -67,8 +67,13 @@
 	return change.Op == controlstate.OpReplace || change.Op == controlstate.OpAmend
 }
 
-// startSubmit starts a change requested at this node. If too many are pending, it completes the change as Refused and returns false.
+// startSubmit starts a change requested at this node. It completes the change at once, and returns false, if no message or record can
+// hold it, or if too many are pending.
 func (cc *clientCalls) startSubmit(id uint64, change controlstate.Change, ttl time.Duration) bool {
+	if reason := change.Unrecordable(); reason != "" {
+		cc.complete(Completion{ID: id, Outcome: Answered, Verdict: controlstate.Verdict{Kind: controlstate.Invalid, Reason: reason}})
+		return false
+	}
 	if len(cc.submits) >= maxPendingCalls {
 		cc.complete(Completion{ID: id, Outcome: Refused})
 		return false
