replication: a core that dies before its first view forms it afterwards

Cause: only a process whose own settings announce the first start had a vote on the first view, and settings do so once. Nothing on the disk said so.

Change: a node with a disk stores, before anything else, that the disk takes part in the first start, with its seeds, and takes part with these as long as the disk holds no view. A vote belongs to a disk; all of them were written in the one first start and name the same seeds; an empty disk has none afterwards. So two majorities share a disk (first_start.go has the argument).

--- a/internal/system/replication/core.go
+++ b/internal/system/replication/core.go
@@ -95,6 +95,9 @@
 			return nil, err
 		}
 	}
+	if err := core.loadFirstStart(meta); err != nil {
+		return nil, err
+	}
 	if err := core.chain.loadLog(snap, entries); err != nil {
 		return nil, err
 	}
--- a/internal/system/replication/disk_writer.go
+++ b/internal/system/replication/disk_writer.go
@@ -81,6 +81,8 @@
 	unhealthyUntil  time.Duration // the disk counts as unhealthy at least until then
 	probeWanted     bool          // a write is wanted to find out whether the disk is healthy again
 
+	firstStartPending bool // it has to be stored that this node takes part in the first start
+
 	acceptorDirty bool     // the acceptor's state differs from what is on disk
 	waiters       []func() // to run when the acceptor's current state is on disk
 
@@ -144,7 +146,7 @@
 // nextWrite returns the kind of the most urgent write, or 0 if there is none.
 func (dw *diskWriter) nextWrite() DiskKind {
 	switch {
-	case dw.acceptorDirty || dw.probeWanted:
+	case dw.firstStartPending || dw.acceptorDirty || dw.probeWanted:
 		return DiskSaveMeta
 	case dw.pendingInstall != nil:
 		return DiskInstall
@@ -179,8 +181,12 @@
 	return hasRecords || hasBytes
 }
 
-// startSave writes the acceptor's state.
+// startSave writes the record of the first start, which comes before everything else, or the acceptor's state.
 func (dw *diskWriter) startSave() {
+	if dw.firstStartPending {
+		dw.startSaveFirstStart()
+		return
+	}
 	dw.acceptorDirty, dw.probeWanted = false, false
 	data, err := proto.Marshal(dw.acceptor.pb())
 	if err != nil {
--- a/internal/system/replication/quorum.go
+++ b/internal/system/replication/quorum.go
@@ -13,7 +13,7 @@
 // seeds that a proposer knows of. K and D are disjoint, so the proposer counts over at least |D| seeds and needs more than |D|/2
 // votes, all of them from D. The same holds for any other proposer, whichever observers it knows of. Knowing of fewer observers makes
 // the quorum larger, never smaller. This assumes that a seed does not turn from observer to voter before the first view:
-// Config.Bootstrap is set only in the initial bootstrap, and Config.Observer is a property of the machine.
+// a vote belongs to a disk of the initial bootstrap (first_start.go), and Config.Observer is a property of the machine.
 //
 // If all seeds have reported that they are observers, D is empty, and the seeds vote for the first view nevertheless: a majority of
 // all of them is required, with their promises in memory. A process that ends has no vote afterwards, since it starts without
--- a/internal/system/replication/scenarios_test.go
+++ b/internal/system/replication/scenarios_test.go
@@ -18,10 +18,12 @@
 	{"a change forwarded in an earlier epoch", TestingKnobs{AcceptForwardsOfEarlierEpochs: true}, playForwardOfAnEarlierEpoch},
 	{"a change that was under way for longer than its caller waits", TestingKnobs{AcceptLateForwards: true}, playLateForward},
 	{"observers that are each other's seeds restart together", TestingKnobs{ForgetLostPeers: true}, playRestartedSeeds},
+	{"all processes end before the first view", TestingKnobs{ForgetFirstStart: true}, playInterruptedFirstStart},
 }
 
 // scenarioKnobs disable the protections whose absence random faults rarely reveal, so that a scenario must.
-var scenarioKnobs = TestingKnobs{ConfirmAfterAccept: true, AcceptForwardsOfEarlierEpochs: true, AcceptLateForwards: true, ForgetLostPeers: true}
+var scenarioKnobs = TestingKnobs{ConfirmAfterAccept: true, AcceptForwardsOfEarlierEpochs: true, AcceptLateForwards: true, ForgetLostPeers: true,
+	ForgetFirstStart: true}
 
 func TestScenariosNeedTheirProtections(t *testing.T) {
 	var covered TestingKnobs
--- a/internal/system/replication/sim_hardening_answers_test.go
+++ b/internal/system/replication/sim_hardening_answers_test.go
@@ -135,7 +135,7 @@
 		var err error
 		seed := uint64(0)
 		if name == "answers of a former life are taken" {
-			seed = 22 // the next seed violates an invariant
+			seed = 469 // the next seed violates an invariant
 		}
 		for last := seed + 30; err == nil && seed < last; {
 			seed++
--- a/internal/system/replication/testing_knobs.go
+++ b/internal/system/replication/testing_knobs.go
@@ -14,6 +14,9 @@
 	// SendBeforeWrite sends messages before the write of the acceptor state that they depend on.
 	SendBeforeWrite bool
 
+	// ForgetFirstStart ignores that a disk takes part in the first start, so that only the settings give a vote on the first view.
+	ForgetFirstStart bool
+
 	// FixedTimeouts makes proposers ignore slow disks, and excludes slow nodes even if all are slow.
 	FixedTimeouts bool
 
