proxy: a silent server keeps its request until another one has accepted it

Cause: the silent attempt was given up when a replacement had been chosen, before that had accepted the request. A refusal used up the last try, and nothing was left to go back to.

Change: the request is offered to another server beside the silent attempt, which ends only once the other has accepted. A refusal, an unreachable server, an error or a broken connection costs a try and nothing else; if the silent server goes on first, the offer is withdrawn. The same before the first byte of a response. As before only requests that may run more than once are offered, to at most max_tries servers.

--- a/internal/system/proxy/attempt.go
+++ b/internal/system/proxy/attempt.go
@@ -33,9 +33,11 @@
 	sendDeadline time.Time // the request is not sent after this time
 	headRequest  bool      // the request method is HEAD: the response has no body, whatever its head announces
 
-	progressTimeout time.Duration // how long the server may be silent before abandon is called; 0: until the deadline
-	abandon         func() bool   // reports whether to abandon the silent server
-	lastProgress    time.Duration // when bytes last arrived or the wait for them began, relative to pools.start
+	progressTimeout time.Duration   // how long the server may be silent before abandon is called; 0: until the deadline
+	abandon         func() bool     // reports whether to abandon the silent server
+	wake            <-chan struct{} // if not nil, abandon is called next when it is closed and the read deadline has passed
+	resumed         func()          // called if the server sends something while wake is set
+	lastProgress    time.Duration   // when bytes last arrived or the wait for them began, relative to pools.start
 
 	conn         *serverConn // nil: no connection yet, or returned to its pool
 	reader       *bufio.Reader
@@ -120,10 +122,15 @@
 		if err := a.conn.SetReadDeadline(a.readDeadline()); err != nil {
 			return 0, err
 		}
+		if a.isWoken() { // the deadline that was to end the read may have been replaced just now
+			if err := a.evaluateTimeout(); err != nil {
+				return 0, err
+			}
+			continue
+		}
 		count, err := a.conn.Read(p)
 		if count > 0 {
-			a.lastProgress = a.pools.now()
-			a.pool.lastContact.Store(int64(a.lastProgress))
+			a.recordProgress()
 			return count, nil // the next read returns the error again
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -135,9 +142,29 @@
 	}
 }
 
+// recordProgress records that bytes have arrived.
+func (a *upstreamAttempt) recordProgress() {
+	a.lastProgress = a.pools.now()
+	a.pool.lastContact.Store(int64(a.lastProgress))
+	if a.wake != nil {
+		a.wake = nil
+		a.resumed()
+	}
+}
+
+// isWoken reports whether wake is closed.
+func (a *upstreamAttempt) isWoken() bool {
+	select {
+	case <-a.wake: // never, if it is nil
+		return true
+	default:
+		return false
+	}
+}
+
 // readDeadline returns the deadline of the next read: that of the request, or when the server will have been silent for too long.
 func (a *upstreamAttempt) readDeadline() time.Time {
-	if a.progressTimeout == 0 {
+	if a.progressTimeout == 0 || a.wake != nil {
 		return a.deadline
 	}
 	return earlierOf(a.deadline, a.pools.start.Add(a.lastProgress+a.progressTimeout))
@@ -151,6 +178,11 @@
 	switch {
 	case !time.Now().Before(a.deadline):
 		return errDeadlinePassed
+	case a.wake != nil && !a.isWoken():
+	case a.wake != nil && a.abandon():
+		return errServerTimedOut
+	case a.wake != nil:
+		a.lastProgress = now
 	case a.progressTimeout == 0 || lastContact+a.progressTimeout > now:
 		a.lastProgress = lastContact
 	case a.abandon != nil && a.abandon():
--- a/internal/system/proxy/clientrequest.go
+++ b/internal/system/proxy/clientrequest.go
@@ -32,16 +32,18 @@
 	startedAt   time.Time
 	deadline    time.Time
 
-	triedServers   []string          // ids of the servers to which at least one byte was sent; mayRetry explains why the picker counts too
-	mayHaveRun     bool              // some attempt may have run; never unset
-	unreachedCount int               // attempts of which nothing was sent
-	nextChoice     *pick.Result      // the server that replaces a silent one; nil: none has been chosen
-	keyError       error             // why the key is no longer valid, which rules out further attempts; nil: it is valid or none is needed
-	retryAfter     time.Duration     // the longest wait requested by servers that did not execute the request
-	fallback       *bufferedResponse // a server's error response, passed on if no other attempt succeeds
-	headSent       bool              // the head of a response has been sent to the client
-	lastEventID    string            // of the last event that was sent to the client; "": not known
-	reservedBytes  int64             // memory for buffered responses
+	triedServers   []string             // ids of the servers to which at least one byte was sent; mayRetry explains why the picker counts too
+	mayHaveRun     bool                 // some attempt may have run; never unset
+	unreachedCount int                  // attempts of which nothing was sent
+	replacement    *replacement         // an attempt at another server, while the current one is silent; nil: there is none
+	accepted       *upstreamAttempt     // a replacement whose server has accepted the request; nil: there is none
+	cancels        []context.CancelFunc // of the contexts of replacements
+	keyError       error                // why the key is no longer valid, which rules out further attempts; nil: it is valid or none is needed
+	retryAfter     time.Duration        // the longest wait requested by servers that did not execute the request
+	fallback       *bufferedResponse    // a server's error response, passed on if no other attempt succeeds
+	headSent       bool                 // the head of a response has been sent to the client
+	lastEventID    string               // of the last event that was sent to the client; "": not known
+	reservedBytes  int64                // memory for buffered responses
 }
 
 // attemptResult says how the request continues after an attempt.
@@ -55,7 +57,14 @@
 // run makes attempts until the client has been answered.
 func (c *clientRequest) run(ctx context.Context) {
 	defer func() { c.proxy.memory.release(c.reservedBytes) }()
+	defer c.endReplacements()
 	for {
+		if accepted := c.takeAccepted(ctx); accepted != nil {
+			if c.handleResponse(ctx, accepted) == requestDone {
+				return
+			}
+			continue
+		}
 		choice := c.chooseServer(ctx)
 		if choice.Decision != pick.Send {
 			c.answerUnserved(choice)
@@ -90,15 +99,11 @@
 
 // chooseServer asks the picker where to send the request next.
 func (c *clientRequest) chooseServer(ctx context.Context) pick.Result {
-	if choice := c.nextChoice; choice != nil {
-		c.nextChoice = nil
-		return *choice
-	}
 	c.proxy.picker.awaitContact(ctx)
 	if c.keyError = c.reverifyKey(); c.keyError != nil {
 		return pick.Result{Decision: pick.GiveUp}
 	}
-	timeLeft := time.Until(c.deadline)
+	timeLeft := c.timeLeft()
 	if timeLeft <= 0 || c.clientGone() || c.unreachedCount >= maxUnreachedServers || !c.mayRetry(c.mayHaveRun) {
 		return pick.Result{Decision: pick.GiveUp}
 	}
@@ -110,7 +115,9 @@
 	return c.proxy.picker.Pick(&c.pickRequest, c.triedServers, mayHaveRun)
 }
 
-// tryServer makes one attempt. It is the only place that sends a request to a server.
+func (c *clientRequest) timeLeft() time.Duration { return time.Until(c.deadline) }
+
+// tryServer makes one attempt. It and startReplacement are the only places that send a request to a server.
 func (c *clientRequest) tryServer(ctx context.Context, choice pick.Result) attemptResult {
 	nonIdempotentOnce.Check(!c.mayHaveRun || c.route.Idempotent())
 	attempt := c.newAttempt(ctx, choice)
@@ -123,7 +130,7 @@
 		return tryNextServer
 	}
 	c.countSend(choice)
-	c.watchProgress(attempt, c.proxy.options.Timeouts.response(c.route.LatencyTarget))
+	c.watchProgress(ctx, attempt, c.proxy.options.Timeouts.response(c.route.LatencyTarget))
 	if err := attempt.readHead(c.request.Method); err != nil {
 		c.handleFailure(attempt, err)
 		return tryNextServer
@@ -135,7 +142,7 @@
 		return tryNextServer
 	}
 	c.proxy.picker.ResponseStarted(choice.Ticket, choice.Server.ID, parseServerHints(resp.Header, resp.Close))
-	return c.handleResponse(attempt)
+	return c.handleResponse(ctx, attempt)
 }
 
 func (c *clientRequest) newAttempt(ctx context.Context, choice pick.Result) *upstreamAttempt {
@@ -171,28 +178,16 @@
 	}
 }
 
-// watchProgress makes the attempt abandon its server after a silence longer than the timeout, if the request may be retried.
-func (c *clientRequest) watchProgress(attempt *upstreamAttempt, timeout time.Duration) {
+// watchProgress offers the request to another server after a silence of the attempt's server that is longer than the timeout, if the
+// request may be retried. The attempt is abandoned once another server has accepted the request.
+func (c *clientRequest) watchProgress(ctx context.Context, attempt *upstreamAttempt, timeout time.Duration) {
 	if !c.mayRetry(true) {
 		attempt.progressTimeout = 0
 		return
 	}
 	attempt.progressTimeout = timeout
-	attempt.abandon = c.chooseReplacement
-}
-
-// chooseReplacement chooses a server that replaces a silent one, and reports whether there is one.
-func (c *clientRequest) chooseReplacement() bool {
-	timeLeft := time.Until(c.deadline)
-	if timeLeft <= 0 || !c.mayRetry(true) || c.reverifyKey() != nil {
-		return false
-	}
-	choice := c.askPicker(timeLeft, true)
-	if choice.Decision != pick.Send {
-		return false
-	}
-	c.nextChoice = &choice
-	return true
+	attempt.abandon = func() bool { return c.superviseSilence(ctx, attempt) }
+	attempt.resumed = c.withdrawReplacement
 }
 
 // handleNotSent records an attempt of which no byte was sent.
--- a/internal/system/proxy/eventrelay.go
+++ b/internal/system/proxy/eventrelay.go
@@ -1,13 +1,14 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 )
 
 // relayEvents forwards the events of a stream as they arrive. A truncated stream may be resumed at another server: the next attempt
 // requests the events after the last one that was sent to the client.
-func (c *clientRequest) relayEvents(attempt *upstreamAttempt) attemptResult {
+func (c *clientRequest) relayEvents(ctx context.Context, attempt *upstreamAttempt) attemptResult {
 	buffer, recycle := getBuffer(eventBufferBytes)
 	defer recycle()
 	reader := &eventReader{source: attempt.response.Body, buf: buffer}
@@ -37,7 +38,7 @@
 		}
 		c.lastEventID = reader.resumableID()
 		if isFirst {
-			c.watchProgress(attempt, c.proxy.options.Timeouts.eventGap(c.route.EventGapTarget))
+			c.watchProgress(ctx, attempt, c.proxy.options.Timeouts.eventGap(c.route.EventGapTarget))
 		}
 	}
 }
--- a/internal/system/proxy/response.go
+++ b/internal/system/proxy/response.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -26,14 +27,14 @@
 }
 
 // handleResponse handles a valid response: it forwards the response, or keeps it as a fallback, or discards it and requests a retry.
-func (c *clientRequest) handleResponse(attempt *upstreamAttempt) attemptResult {
+func (c *clientRequest) handleResponse(ctx context.Context, attempt *upstreamAttempt) attemptResult {
 	resp := attempt.response
 	switch {
-	case hasNotExecutedHeader(resp) || resp.StatusCode == http.StatusMisdirectedRequest:
+	case isRefusal(resp):
 		c.handleRefusal(attempt)
 		return tryNextServer
 	case isSuccess(resp.StatusCode) && isEventStream(resp):
-		return c.relayEvents(attempt)
+		return c.relayEvents(ctx, attempt)
 	case c.headSent: // only an event stream can resume one
 		attempt.discard()
 		c.handleServerError(attempt, nil)
@@ -70,6 +71,11 @@
 	return requestDone
 }
 
+// isRefusal reports whether a server states that it did not run the request.
+func isRefusal(resp *http.Response) bool {
+	return hasNotExecutedHeader(resp) || resp.StatusCode == http.StatusMisdirectedRequest
+}
+
 // handleServerError records a response that reports a failure of the server. The fallback replaces the previous one; it may be nil.
 func (c *clientRequest) handleServerError(attempt *upstreamAttempt, fallback *bufferedResponse) {
 	c.mayHaveRun = true
