--- a/internal/system/process/settings_file_test.go
+++ b/internal/system/process/settings_file_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -89,6 +90,7 @@
 // expect checks the seeds that were set since the last call, and the number of log lines with a text.
 func (w *waitingProcess) expect(what string, logged string, lines int, want ...string) {
 	w.t.Helper()
+	synctest.Wait()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var got []string
