proxy: a hedged request shares its steps with an ordinary attempt

Read again: the attempt beside a silent one had its own copy of what tryServer does after a send (close flag, validation, failure, hints). Both call encodeRequest and handleHead now. The list of cancel functions goes, as the end of the client's request ends its contexts.

--- a/internal/system/proxy/attempt.go
+++ b/internal/system/proxy/attempt.go
@@ -178,12 +178,8 @@
 	switch {
 	case !time.Now().Before(a.deadline):
 		return errDeadlinePassed
-	case a.wake != nil && !a.isWoken():
-	case a.wake != nil && a.abandon():
-		return errServerTimedOut
-	case a.wake != nil:
-		a.lastProgress = now
-	case a.progressTimeout == 0 || lastContact+a.progressTimeout > now:
+	case a.wake != nil && !a.isWoken(): // it was woken up for an earlier result
+	case a.wake == nil && (a.progressTimeout == 0 || lastContact+a.progressTimeout > now):
 		a.lastProgress = lastContact
 	case a.abandon != nil && a.abandon():
 		return errServerTimedOut
--- a/internal/system/proxy/clientrequest.go
+++ b/internal/system/proxy/clientrequest.go
@@ -32,18 +32,17 @@
 	startedAt   time.Time
 	deadline    time.Time
 
-	triedServers   []string             // ids of the servers to which at least one byte was sent; mayRetry explains why the picker counts too
-	mayHaveRun     bool                 // some attempt may have run; never unset
-	unreachedCount int                  // attempts of which nothing was sent
-	replacement    *replacement         // an attempt at another server, while the current one is silent; nil: there is none
-	accepted       *upstreamAttempt     // a replacement whose server has accepted the request; nil: there is none
-	cancels        []context.CancelFunc // of the contexts of replacements
-	keyError       error                // why the key is no longer valid, which rules out further attempts; nil: it is valid or none is needed
-	retryAfter     time.Duration        // the longest wait requested by servers that did not execute the request
-	fallback       *bufferedResponse    // a server's error response, passed on if no other attempt succeeds
-	headSent       bool                 // the head of a response has been sent to the client
-	lastEventID    string               // of the last event that was sent to the client; "": not known
-	reservedBytes  int64                // memory for buffered responses
+	triedServers   []string          // ids of the servers to which at least one byte was sent; mayRetry explains why the picker counts too
+	mayHaveRun     bool              // some attempt may have run; never unset
+	unreachedCount int               // attempts of which nothing was sent
+	hedge          *hedge            // an attempt at another server, while the current one is silent; nil: there is none
+	accepted       *upstreamAttempt  // a hedge whose server has accepted the request; nil: there is none
+	keyError       error             // why the key is no longer valid, which rules out further attempts; nil: it is valid or none is needed
+	retryAfter     time.Duration     // the longest wait requested by servers that did not execute the request
+	fallback       *bufferedResponse // a server's error response, passed on if no other attempt succeeds
+	headSent       bool              // the head of a response has been sent to the client
+	lastEventID    string            // of the last event that was sent to the client; "": not known
+	reservedBytes  int64             // memory for buffered responses
 }
 
 // attemptResult says how the request continues after an attempt.
@@ -57,7 +56,7 @@
 // run makes attempts until the client has been answered.
 func (c *clientRequest) run(ctx context.Context) {
 	defer func() { c.proxy.memory.release(c.reservedBytes) }()
-	defer c.endReplacements()
+	defer c.cancelHedge()
 	for {
 		if accepted := c.takeAccepted(ctx); accepted != nil {
 			if c.handleResponse(ctx, accepted) == requestDone {
@@ -103,7 +102,7 @@
 	if c.keyError = c.reverifyKey(); c.keyError != nil {
 		return pick.Result{Decision: pick.GiveUp}
 	}
-	timeLeft := c.timeLeft()
+	timeLeft := time.Until(c.deadline)
 	if timeLeft <= 0 || c.clientGone() || c.unreachedCount >= maxUnreachedServers || !c.mayRetry(c.mayHaveRun) {
 		return pick.Result{Decision: pick.GiveUp}
 	}
@@ -115,14 +114,11 @@
 	return c.proxy.picker.Pick(&c.pickRequest, c.triedServers, mayHaveRun)
 }
 
-func (c *clientRequest) timeLeft() time.Duration { return time.Until(c.deadline) }
-
-// tryServer makes one attempt. It and startReplacement are the only places that send a request to a server.
+// tryServer makes one attempt. It and startHedge are the only places that send a request to a server.
 func (c *clientRequest) tryServer(ctx context.Context, choice pick.Result) attemptResult {
 	nonIdempotentOnce.Check(!c.mayHaveRun || c.route.Idempotent())
 	attempt := c.newAttempt(ctx, choice)
-	buffer, recycle := getBuffer(typicalHeadBytes + int64(min(len(c.body), maxJoinedBodyBytes)))
-	head, body := c.appendHead(buffer, choice)
+	head, body, recycle := c.encodeRequest(choice)
 	sendErr := attempt.send(head, body)
 	recycle()
 	if errors.Is(sendErr, errNotSent) {
@@ -130,19 +126,41 @@
 		return tryNextServer
 	}
 	c.countSend(choice)
-	c.watchProgress(ctx, attempt, c.proxy.options.Timeouts.response(c.route.LatencyTarget))
-	if err := attempt.readHead(c.request.Method); err != nil {
-		c.handleFailure(attempt, err)
+	c.watchProgress(ctx, attempt, c.responseTimeout())
+	if !c.handleHead(attempt, sendErr, attempt.readHead(c.request.Method)) {
 		return tryNextServer
 	}
-	resp := attempt.response
-	resp.Close = resp.Close || sendErr != nil // the rest of the request is never sent
-	if err := c.validateResponse(attempt); err != nil {
+	return c.handleResponse(ctx, attempt)
+}
+
+// encodeRequest returns the head of the request for a server, and what is left of its body to be sent after it. The caller calls recycle
+// once they have been sent.
+func (c *clientRequest) encodeRequest(choice pick.Result) (head, body []byte, recycle func()) {
+	buffer, recycle := getBuffer(typicalHeadBytes + int64(min(len(c.body), maxJoinedBodyBytes)))
+	head, body = c.appendHead(buffer, choice)
+	return head, body, recycle
+}
+
+// handleHead records the result of sending the request, at least a part of it, and of reading the response's head. It reports whether the
+// response is valid.
+func (c *clientRequest) handleHead(attempt *upstreamAttempt, sendErr, headErr error) (valid bool) {
+	err := headErr
+	if err == nil {
+		attempt.response.Close = attempt.response.Close || sendErr != nil // the rest of the request is never sent
+		err = c.validateResponse(attempt)
+	}
+	if err != nil {
 		c.handleFailure(attempt, err)
-		return tryNextServer
+		return false
 	}
-	c.proxy.picker.ResponseStarted(choice.Ticket, choice.Server.ID, parseServerHints(resp.Header, resp.Close))
-	return c.handleResponse(ctx, attempt)
+	resp := attempt.response
+	c.proxy.picker.ResponseStarted(attempt.choice.Ticket, attempt.choice.Server.ID, parseServerHints(resp.Header, resp.Close))
+	return true
+}
+
+// responseTimeout returns how long a server may be silent before its response.
+func (c *clientRequest) responseTimeout() time.Duration {
+	return c.proxy.options.Timeouts.response(c.route.LatencyTarget)
 }
 
 func (c *clientRequest) newAttempt(ctx context.Context, choice pick.Result) *upstreamAttempt {
@@ -186,8 +204,8 @@
 		return
 	}
 	attempt.progressTimeout = timeout
-	attempt.abandon = func() bool { return c.superviseSilence(ctx, attempt) }
-	attempt.resumed = c.withdrawReplacement
+	attempt.abandon = func() bool { return c.handleServerTimeout(ctx, attempt) }
+	attempt.resumed = c.cancelHedge
 }
 
 // handleNotSent records an attempt of which no byte was sent.
--- a/internal/system/proxy/doc.go
+++ b/internal/system/proxy/doc.go
@@ -22,7 +22,7 @@
 //
 // # Invariants
 //
-//   - Each send is one attempt, and no lower layer resends it: clientRequest.tryServer and startReplacement are the
+//   - Each send is one attempt, and no lower layer resends it: clientRequest.tryServer and startHedge are the
 //     only callers of upstreamAttempt.send, and the package does not use the client side of net/http (TestNoHTTPTransport).
 //   - A non-idempotent request executes at most once: clientRequest.mayRetry allows no attempt after one that may have run;
 //     upstreamAttempt.send asks the connection what was written. The invariant proxy_runs_once checks it.
--- a/internal/system/proxy/transport_test.go
+++ b/internal/system/proxy/transport_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestNoHTTPTransport checks that this package does not use the client side of net/http, which resends some requests on its own: every
-// send to a server must be one that clientRequest.tryServer or startReplacement has counted.
+// send to a server must be one that clientRequest.tryServer or startHedge has counted.
 func TestNoHTTPTransport(t *testing.T) {
 	files, err := filepath.Glob("*.go")
 	if err != nil || len(files) == 0 {
