replication: which addresses are in contact is worked out once a round

Read again: hasContactAt went over all peers for each peer, twice a heartbeat. sendHeartbeats works the set out once and passes it on.

--- a/internal/system/replication/contacts.go
+++ b/internal/system/replication/contacts.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -63,6 +64,72 @@
 	return addrs
 }
 
+// addressesInContact returns the addresses from which a heartbeat has arrived recently enough. A peer that hears this node, but is not
+// heard by it, must consider the contact lost first: a heartbeat that is sent to it unasked would make this node appear alive for a while
+// (isAlive).
+func (lv *liveness) addressesInContact() map[string]bool {
+	inContact := map[string]bool{}
+	for _, p := range lv.peers {
+		timeout := lv.suspectTimeout(p)
+		if p.heartbeat.GetObserver() {
+			timeout += echoIntervals * observerSlowdown * lv.cfg.HeartbeatInterval
+		}
+		if lv.now-p.lastContactAt < timeout {
+			inContact[p.member.Addr] = true
+		}
+	}
+	return inContact
+}
+
+// rememberLostPeers makes the addresses of peers that have fallen silent contacts. Only a node with a disk does so: what an observer
+// remembers may be lost at the same moment as what these peers have forgotten.
+func (lv *liveness) rememberLostPeers(inContact map[string]bool) {
+	if lv.cfg.Observer || lv.cfg.knobs.ForgetLostPeers {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(lv.peers)) {
+		addr := lv.peers[id].member.Addr
+		if _, isVoter := lv.acceptor.view.Voter(id); !isVoter && !inContact[addr] {
+			lv.contacts.addLost(addr, lv.now)
+		}
+	}
+}
+
+// heartbeatTargets returns the addresses that heartbeats are sent to: voters, peers except observers, and the contacts from which
+// nothing is heard. Observers in contact get replies to their own heartbeats instead.
+func (lv *liveness) heartbeatTargets(inContact map[string]bool) []string {
+	addrs := map[string]bool{}
+	for _, addr := range lv.contactAddresses() {
+		addrs[addr] = true
+	}
+	for _, p := range lv.peers {
+		if p.heartbeat.GetObserver() && inContact[p.member.Addr] {
+			delete(addrs, p.member.Addr)
+		}
+	}
+	for _, p := range lv.peers {
+		if !p.heartbeat.GetObserver() {
+			addrs[p.member.Addr] = true
+		}
+	}
+	for _, m := range lv.acceptor.view.Voters {
+		addrs[lv.addressOf(m.ID)] = true
+	}
+	delete(addrs, lv.self.Addr)
+	delete(addrs, "")
+	return slices.Sorted(maps.Keys(addrs))
+}
+
+// contactAddresses returns the seeds, and the addresses of lost peers if heartbeats to those are due. Before the first view, the
+// seeds of the start are included, since they vote on it.
+func (lv *liveness) contactAddresses() []string {
+	addrs := slices.Concat(lv.contacts.seeds, lv.contacts.dueLost(lv.now))
+	if lv.acceptor.view.Epoch == 0 {
+		addrs = append(addrs, lv.cfg.Seeds...)
+	}
+	return addrs
+}
+
 // SetSeeds replaces the addresses at which this node looks for others, after the settings have changed. The seeds that vote on the first
 // view remain those of Config.Seeds, since two quorums of the first view intersect only if all nodes count the same seeds.
 func (c *Core) SetSeeds(now time.Duration, seeds []string) {
--- a/internal/system/replication/first_start_test.go
+++ b/internal/system/replication/first_start_test.go
@@ -123,7 +123,7 @@
 		cfg := start.config(addr, []string{"elsewhere"}, false)
 		cfg.Self.ID = ID(fmt.Sprint(addr, " again", i))
 		start.start(cfg)
-		start.nameSeeds(addr, start.seeds)
+		start.setSeeds(addr, start.seeds)
 	}
 	for until := start.now + 12*time.Second; start.now < until && !start.isComplete(c); {
 		start.advance(c)
@@ -137,13 +137,6 @@
 	return "", true
 }
 
-// nameSeeds makes a node look for others at the seeds' addresses.
-func (f *firstStart) nameSeeds(addr string, seeds []string) {
-	n := f.nodes[addr]
-	n.core.SetSeeds(f.clock(n), seeds)
-	f.processOutputs(addr)
-}
-
 // majorityStored reports whether a majority of the seeds has stored that it takes part in the first start. Without one there is no first
 // view: these disks are no different from ones that were lost.
 func (f *firstStart) majorityStored() bool {
--- a/internal/system/replication/liveness.go
+++ b/internal/system/replication/liveness.go
@@ -122,11 +122,12 @@
 // sendHeartbeats sends this node's state to all members. Observers get replies to their own heartbeats instead.
 func (lv *liveness) sendHeartbeats() {
 	lv.lastHeartbeatSentAt = lv.now
-	lv.rememberLostPeers()
+	inContact := lv.addressesInContact()
+	lv.rememberLostPeers(inContact)
 	lv.forgetPeers()
 	message := heartbeatMessage(lv.newHeartbeat(lv.echoes()))
 	message.From = string(lv.self.ID)
-	for _, addr := range lv.heartbeatTargets() {
+	for _, addr := range lv.heartbeatTargets(inContact) {
 		lv.out.Messages = append(lv.out.Messages, Envelope{Addr: addr, Msg: message})
 	}
 }
@@ -140,70 +141,6 @@
 	}
 }
 
-// rememberLostPeers makes the addresses of peers that have fallen silent contacts. Only a node with a disk does so: what an observer
-// remembers may be lost at the same moment as what these peers have forgotten.
-func (lv *liveness) rememberLostPeers() {
-	if lv.cfg.Observer || lv.cfg.knobs.ForgetLostPeers {
-		return
-	}
-	for _, id := range slices.Sorted(maps.Keys(lv.peers)) {
-		p := lv.peers[id]
-		if _, isVoter := lv.acceptor.view.Voter(id); !isVoter && !lv.hasContactAt(p.member.Addr) {
-			lv.contacts.addLost(p.member.Addr, lv.now)
-		}
-	}
-}
-
-// hasContactAt reports whether a heartbeat has arrived from an address recently enough. A peer that hears this node, but is not heard by
-// it, must consider the contact lost first: a heartbeat that is sent to it unasked would make this node appear alive for a while (isAlive).
-func (lv *liveness) hasContactAt(addr string) bool {
-	for _, p := range lv.peers {
-		timeout := lv.suspectTimeout(p)
-		if p.heartbeat.GetObserver() {
-			timeout += echoIntervals * observerSlowdown * lv.cfg.HeartbeatInterval
-		}
-		if p.member.Addr == addr && lv.now-p.lastContactAt < timeout {
-			return true
-		}
-	}
-	return false
-}
-
-// heartbeatTargets returns the addresses that heartbeats are sent to: voters, peers except observers, and the contacts from which
-// nothing is heard. Observers in contact get replies to their own heartbeats instead.
-func (lv *liveness) heartbeatTargets() []string {
-	addrs := map[string]bool{}
-	for _, addr := range lv.contactAddresses() {
-		addrs[addr] = true
-	}
-	for _, p := range lv.peers {
-		if p.heartbeat.GetObserver() && lv.hasContactAt(p.member.Addr) {
-			delete(addrs, p.member.Addr)
-		}
-	}
-	for _, p := range lv.peers {
-		if !p.heartbeat.GetObserver() {
-			addrs[p.member.Addr] = true
-		}
-	}
-	for _, m := range lv.acceptor.view.Voters {
-		addrs[lv.addressOf(m.ID)] = true
-	}
-	delete(addrs, lv.self.Addr)
-	delete(addrs, "")
-	return slices.Sorted(maps.Keys(addrs))
-}
-
-// contactAddresses returns the seeds, and the addresses of lost peers if heartbeats to those are due. Before the first view, the
-// seeds of the start are included, since they vote on it.
-func (lv *liveness) contactAddresses() []string {
-	addrs := slices.Concat(lv.contacts.seeds, lv.contacts.dueLost(lv.now))
-	if lv.acceptor.view.Epoch == 0 {
-		addrs = append(addrs, lv.cfg.Seeds...)
-	}
-	return addrs
-}
-
 // handleHeartbeat updates what is known of a peer.
 func (lv *liveness) handleHeartbeat(from ID, heartbeat *replicationpb.Heartbeat) {
 	member := memberOf(heartbeat.GetMember())
--- a/internal/system/replication/seed_turnover_test.go
+++ b/internal/system/replication/seed_turnover_test.go
@@ -39,12 +39,17 @@
 	}
 }
 
+// setSeeds tells a running node that its settings name other seeds.
+func (cluster *scriptedCluster) setSeeds(addr string, seeds []string) {
+	n := cluster.nodes[addr]
+	n.core.SetSeeds(cluster.clock(n), seeds)
+	cluster.processOutputs(addr)
+}
+
 // nameSeeds tells the running nodes with a disk that the settings name the observers as seeds.
 func (cluster *exchangedSeeds) nameSeeds() {
 	for _, addr := range cluster.core {
-		n := cluster.nodes[addr]
-		n.core.SetSeeds(cluster.clock(n), cluster.observers)
-		cluster.processOutputs(addr)
+		cluster.setSeeds(addr, cluster.observers)
 	}
 }
 
