pick, healthcheck: one hash of the proxy's name a round; what is logged is bounded

The order of health targets hashed this proxy's name at each comparison. The servers that had said they warm up were kept for the log until they said otherwise, also where they were gone: they are forgotten with the contact's return. The order and the answers are unchanged.

--- a/internal/system/proxy/healthcheck/checker.go
+++ b/internal/system/proxy/healthcheck/checker.go
@@ -79,7 +79,7 @@
 		targets := c.picker.HealthTargets()
 		if len(targets) != checking {
 			checking = len(targets)
-			c.log.WithField("servers", checking).Info("healthcheck: number of servers that are asked for their health")
+			c.logTargets(checking)
 		}
 		for _, target := range targets {
 			if c.begin(target.Server.ID) {
@@ -97,6 +97,18 @@
 	}
 }
 
+// logTargets logs that the number of targets has changed. Without any, what is known of warm-ups is forgotten, so that it does not grow with
+// every server that was ever checked.
+func (c *Checker) logTargets(count int) {
+	c.log.WithField("servers", count).Info("healthcheck: number of servers that are asked for their health")
+	if count > 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.warmingUp)
+}
+
 // begin reports whether a check of the server may start: none is in flight.
 func (c *Checker) begin(id string) bool {
 	c.mu.Lock()
--- a/internal/system/proxy/pick/health.go
+++ b/internal/system/proxy/pick/health.go
@@ -47,7 +47,7 @@
 			candidates = append(candidates, s)
 		}
 	}
-	slices.SortFunc(candidates, p.compareHealthTargets)
+	p.sortHealthTargets(candidates)
 	targets := make([]HealthTarget, 0, maxHealthTargets)
 	for _, s := range candidates[:min(len(candidates), p.healthTargetCount(len(candidates)))] {
 		targets = append(targets, HealthTarget{Server: s.Server, Path: s.group.service.HealthPath})
@@ -66,9 +66,10 @@
 	return min(max(int(math.Ceil(perProxy)), 1), maxHealthTargets)
 }
 
-// compareHealthTargets orders servers: those of this proxy's zone first, then those of its region; within these, each proxy has an order of its
-// own.
-func (p *Picker) compareHealthTargets(a, b *server) int {
+// sortHealthTargets sorts servers: those of this proxy's zone first, then those of its region; within these, each proxy has an order of
+// its own.
+func (p *Picker) sortHealthTargets(servers []*server) {
+	self := rendezvous.Hash(p.state.Self)
 	distance := func(s *server) int {
 		switch {
 		case s.Zone == p.settings.Zone:
@@ -78,8 +79,10 @@
 		}
 		return 2
 	}
-	weight := func(s *server) uint64 { return rendezvous.Weight(s.hash, rendezvous.Hash(p.state.Self)) }
-	return cmp.Or(cmp.Compare(distance(a), distance(b)), cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
+	weight := func(s *server) uint64 { return rendezvous.Weight(s.hash, self) }
+	slices.SortFunc(servers, func(a, b *server) int {
+		return cmp.Or(cmp.Compare(distance(a), distance(b)), cmp.Compare(weight(b), weight(a)), cmp.Compare(a.ID, b.ID))
+	})
 }
 
 // RecordHealth records that a server has answered a health check that was sent at askedAt: for how much longer it warms up; 0 if it is
