--- a/internal/system/controlstate/doc.go
+++ b/internal/system/controlstate/doc.go
@@ -10,8 +10,8 @@
 //
 // # Terms
 //
-//   - change: what a caller asks for. A configuration change names the revision that it builds on (Base); a zone change names the
-//     newest committed record that the receiving node knew when the call arrived, which serves as its fencing token.
+//   - change: what a caller asks for. A configuration change names the revision that it builds on (Base); a zone change names a
+//     committed record that a node has returned to its caller, which serves as its fencing token.
 //   - record: a change with its sequence number (Seq). Records are applied in order, without gaps.
 //   - verdict: the result of checking a change against a state (Check). Only accepted changes become records.
 //   - revision: the number that the operator gives a configuration; it increases with every change, in steps of any size.
--- a/internal/system/controlstate/record.go
+++ b/internal/system/controlstate/record.go
@@ -9,7 +9,7 @@
 const (
 	OpReplace  Op = 1 // Body is a complete configuration, Base the revision that it builds on
 	OpAmend    Op = 2 // Body is an amendment, Base as for OpReplace
-	OpEvacuate Op = 3 // stops requests to Zone; Base is the newest record known when the call arrived, 0 in old records
+	OpEvacuate Op = 3 // stops requests to Zone; Base is the fence of the change (SetFence), 0 in old records
 	OpReadmit  Op = 4 // returns Zone to service; Base as for OpEvacuate
 	OpNone     Op = 5 // no-op that fills a sequence number
 )
@@ -42,8 +42,8 @@
 	return ""
 }
 
-// SetFence sets the fence of an evacuation or readmission: seq is the newest committed record that the receiving node knew when
-// the request arrived. State.Check rejects the change if its zone was changed after that record.
+// SetFence sets the fence of an evacuation or readmission: seq is the number of a record that was committed before its caller sent the
+// change, and that a node has named to the caller. State.Check rejects the change if its zone was changed after that record.
 func (c *Change) SetFence(seq uint64) { c.Base = int64(seq) }
 
 // fenceIsOlderThan reports whether the fence of the change is older than the record seq. A negative fence, which no caller sets, is
--- a/internal/system/controlstate/zones.go
+++ b/internal/system/controlstate/zones.go
@@ -44,9 +44,8 @@
 	maps.DeleteFunc(z.lastChange, func(_ string, seq uint64) bool { return seq <= z.floorSeq })
 }
 
-// checkZone returns the verdict on an evacuation or readmission. Base is the newest committed record that the receiving node knew
-// after the call had arrived. If the zone was changed after Base, the change is not accepted, because the call may have been sent
-// before that later change. A change that is already in force is still recorded unless the zone was changed after Base, so that an
+// checkZone returns the verdict on an evacuation or readmission. Base is the fence of the change (Change.SetFence). If the zone was
+// changed after Base, the change is not accepted, because its caller may have given it up before that later change. A change that is already in force is still recorded unless the zone was changed after Base, so that an
 // acknowledgement fences off every earlier call.
 func (s *State) checkZone(change Change) Verdict {
 	inForce := s.Evacuated[change.Zone] == (change.Op == OpEvacuate)
--- a/internal/system/operatorapi/evacuation_test.go
+++ b/internal/system/operatorapi/evacuation_test.go
@@ -33,6 +33,11 @@
 	return s.submit(c), nil
 }
 
+// newAcceptingChain returns a chain that accepts every change, and whose reads return the state after record 4.
+func newAcceptingChain() *scriptedChain {
+	return &scriptedChain{submit: accepted, read: func(context.Context) (*controlstate.State, error) { return stateAt(4), nil }}
+}
+
 func stateAt(seq uint64) *controlstate.State { return &controlstate.State{Seq: seq} }
 
 func accepted(controlstate.Change) controlstate.Verdict {
@@ -154,7 +159,7 @@
 		"a body in chunks": "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			chain := &scriptedChain{submit: accepted, read: func(context.Context) (*controlstate.State, error) { return stateAt(4), nil }}
+			chain := newAcceptingChain()
 			handler := Handler(Options{Chain: chain, Log: discardLog()})
 			done := make(chan struct{})
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -225,7 +230,7 @@
 // context is canceled and the cancellation has not reached the context of the change yet.
 func TestEvacuationOfACallerThatHasJustGone(t *testing.T) {
 	for _, submitWithoutRedirect := range []bool{false, true} {
-		chain := &scriptedChain{submit: accepted, read: func(context.Context) (*controlstate.State, error) { return stateAt(4), nil }}
+		chain := newAcceptingChain()
 		handler := Handler(Options{Chain: chain, Log: discardLog(), knobs: TestingKnobs{SubmitWithoutRedirect: submitWithoutRedirect}})
 		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(canceledContext{t.Context()}, "POST", "/Evacuation.Start/z", nil))
 		if submitted := len(chain.submitted) > 0; submitted != submitWithoutRedirect {
@@ -238,7 +243,7 @@
 // not submitted once the process runs again, and that a request which is sent then succeeds at once.
 func TestEvacuationAfterAStall(t *testing.T) {
 	for _, submitWithoutRedirect := range []bool{false, true} {
-		chain := &scriptedChain{submit: accepted, read: func(context.Context) (*controlstate.State, error) { return stateAt(4), nil }}
+		chain := newAcceptingChain()
 		handler := Handler(Options{Chain: chain, Log: discardLog(), knobs: TestingKnobs{SubmitWithoutRedirect: submitWithoutRedirect}})
 		resumed, done := make(chan struct{}), make(chan struct{}, 3)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -311,7 +316,7 @@
 		"too much": {strings.Repeat(" ", maxDiscardedBodyBytes+1), maxDiscardedBodyBytes + 1, 413},
 	} {
 		t.Run(name, func(t *testing.T) {
-			chain := &scriptedChain{submit: accepted, read: func(context.Context) (*controlstate.State, error) { return stateAt(4), nil }}
+			chain := newAcceptingChain()
 			server := httptest.NewServer(Handler(Options{Chain: chain, Log: discardLog()}))
 			t.Cleanup(server.Close)
 			conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", server.Listener.Addr().String())
--- a/internal/system/process/group.go
+++ b/internal/system/process/group.go
@@ -48,8 +48,8 @@
 	})
 }
 
-// ServeHTTP serves handler at listener until ctx is done. Calls in flight then have
-// shutdownTimeout to complete. ServeHTTP does not block; an error of the listener, marked ErrListen, cancels the group.
+// ServeHTTP serves handler at listener until ctx is done. Calls in flight then have shutdownTimeout to complete.
+// ServeHTTP does not block; an error of the listener, marked ErrListen, cancels the group.
 func (g *Group) ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler) {
 	server := newServer(ctx, handler)
 	g.Go(func() error {
